--- /dev/null
+++ b/doc.go
@@ -0,0 +1,25 @@
+// Package laburnumlever is the root of the laburnumlever serving system. It
+// holds the values that parts exchange, the interfaces of everything that
+// varies, the error types and the enums. It depends on no implementation;
+// implementations live in the packages below it and depend on this one.
+//
+// # Usage
+//
+// Values are immutable: a value that has been handed to another part is never
+// written again. Where a changed value is needed, a With method returns a
+// changed copy:
+//
+//	next := catalogue.WithRevision(catalogue.Revision + 1)
+//
+// A process runs one control thread (see Loop) that owns all control state, and
+// many traffic goroutines that only read the current View:
+//
+//	view := views.View()
+//	model, ok := view.Catalogue.Model("quote-small")
+//
+// Names follow the users' words for four things: a machine is a VM, a
+// zone is an availability zone, whoever sends a request is a caller, and what
+// answers it is a backend server. docs/GLOSSARY.md maps these to other terms.
+package laburnumlever
+
+//go:generate go tool -modfile=tools/go.mod enumer -type=BackendKind,OrderKind,OrderOutcome,RefusalReason,RetryReason,AttemptState,RequestOutcome,CommandKind,ResultCode,Priority,VMState -transform=kebab -text -json -output=enums_gen.go
--- /dev/null
+++ b/laburnumsettings/settings.go
@@ -0,0 +1,42 @@
+package laburnumsettings
+
+import "laburnumlever"
+
+// Settings are all that one process is told at its start.
+type Settings struct {
+	VM     laburnumlever.VMID       `json:"vm"`
+	Zone   laburnumlever.ZoneName   `json:"zone"`
+	Region laburnumlever.RegionName `json:"region"`
+	Listen Listen                   `json:"listen"`
+	// Seeds are peer addresses of some other entry VMs.
+	Seeds []string `json:"seeds"`
+	// Voters are the VMs that start the replicated log the first time; later
+	// changes are the log's own.
+	Voters []laburnumlever.Voter `json:"voters"`
+	// DataFolder is empty on a VM without a disk.
+	DataFolder string   `json:"data-folder"`
+	Log        Log      `json:"log"`
+	Shutdown   Shutdown `json:"shutdown"`
+}
+
+// Listen holds the addresses (IP and port) that the process listens on.
+type Listen struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Backends  string `json:"backends"`
+	Peers     string `json:"peers"`
+}
+
+// Log sets what is logged.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `json:"level"`
+}
+
+// Shutdown bounds the stages of a graceful end.
+type Shutdown struct {
+	// Grace is how long the readiness check fails before new work is refused.
+	Grace laburnumlever.Duration `json:"grace"`
+	// Limit is how long requests in flight may take after that.
+	Limit laburnumlever.Duration `json:"limit"`
+}
--- /dev/null
+++ b/laburnumtimer/schedule.go
@@ -0,0 +1,83 @@
+package laburnumtimer
+
+import (
+	"container/heap"
+	"time"
+)
+
+// subscription is one function waiting for its time. A period of 0 means once.
+type subscription struct {
+	due    time.Time
+	order  uint64 // breaks ties, so that equal times run in the order subscribed
+	period time.Duration
+	fn     func(now time.Time)
+	index  int // place in the heap, -1 when not in it
+}
+
+// schedule is a heap of subscriptions, the earliest first.
+type schedule []*subscription
+
+func (s schedule) Len() int { return len(s) }
+
+func (s schedule) Less(i, j int) bool {
+	if s[i].due.Equal(s[j].due) {
+		return s[i].order < s[j].order
+	}
+	return s[i].due.Before(s[j].due)
+}
+
+func (s schedule) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	s[i].index = i
+	s[j].index = j
+}
+
+// Push is for container/heap only.
+func (s *schedule) Push(x any) {
+	sub := x.(*subscription) //nolint:forcetypeassert // heap.Push is only called with subscriptions
+	sub.index = len(*s)
+	*s = append(*s, sub)
+}
+
+// Pop is for container/heap only.
+func (s *schedule) Pop() any {
+	old := *s
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	last.index = -1
+	*s = old[:len(old)-1]
+	return last
+}
+
+// takeDue removes the earliest subscription if its time has come, and puts a
+// periodic one back for its next time.
+func (s *schedule) takeDue(now time.Time) (*subscription, bool) {
+	if len(*s) == 0 || (*s)[0].due.After(now) {
+		return nil, false
+	}
+	sub := (*s)[0]
+	if sub.period == 0 {
+		heap.Pop(s)
+		return sub, true
+	}
+	sub.due = nextDue(sub.due, sub.period, now)
+	heap.Fix(s, 0)
+	return sub, true
+}
+
+// nextDue skips the times that a late run has missed: a VM that was frozen for a
+// minute would otherwise run each second's work sixty times at once.
+func nextDue(due time.Time, period time.Duration, now time.Time) time.Time {
+	next := due.Add(period)
+	if next.After(now) {
+		return next
+	}
+	missed := now.Sub(due) / period
+	return due.Add((missed + 1) * period)
+}
+
+func (s *schedule) remove(sub *subscription) {
+	if sub.index >= 0 {
+		heap.Remove(s, sub.index)
+	}
+}
