--- a/backend.go
+++ b/backend.go
@@ -156,6 +156,24 @@
 	VMs []VM `json:"vms"`
 	// Backends are the backend servers known, those down or leaving included.
 	Backends []Backend `json:"backends"`
-	// Ready is empty when the VM may serve, else the reason why not.
+	// Demand is the newest from each VM, this one included, for each model.
+	Demand []ModelDemand `json:"demand,omitempty"`
+	// NotReady is empty when the VM may serve, else the reason why not.
 	NotReady string `json:"not-ready,omitempty"`
 }
+
+// ModelDemand is what one VM saw callers ask of one model since the last view,
+// for placement. Rates are a second.
+type ModelDemand struct {
+	Model ModelName `json:"model"`
+	VM    VMID      `json:"vm"`
+	// Sequence orders the demands of one VM; the higher is the newer.
+	Sequence          uint64  `json:"sequence"`
+	RequestsPerSecond float64 `json:"requests-per-second"`
+	PromptTokens      float64 `json:"prompt-tokens-per-second"`
+	AnswerTokens      float64 `json:"answer-tokens-per-second"`
+	// Refused counts those turned away for want of capacity, a second.
+	Refused float64 `json:"refused-per-second"`
+	// InsideTarget is the share answered inside their class's targets.
+	InsideTarget float64 `json:"inside-target"`
+}
