feat: stand-in model engine and weight store

The other lanes need engines to send requests and orders to before real ones are met. The engine counts its committed memory itself from the acceptance of a load order and keeps every excess as a violation, also when it does not check fencing numbers; orders are not remembered by id, so duplicates take effect twice.

--- /dev/null
+++ b/laburnumstandin/announcer.go
@@ -0,0 +1,135 @@
+package laburnumstandin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/go-kit/log/level"
+)
+
+// The paths of an entry VM's backends listener.
+const (
+	announcePath = "/backend/announce"
+	reportPath   = "/backend/report"
+	leavePath    = "/backend/leave"
+)
+
+// parcelQueue holds an announcement and a report that fall due together, twice.
+const parcelQueue = 4
+
+// Leaving is the body that a leaving backend server sends.
+type Leaving struct {
+	Backend     laburnumlever.BackendID `json:"backend"`
+	Incarnation uint64                  `json:"incarnation"`
+}
+
+// announcer sends a backend server's news to every registry. Each registry has
+// a goroutine of its own, so that one that does not answer holds up no other.
+type announcer struct {
+	cfg      config
+	announce func() laburnumlever.Announcement
+	report   func() laburnumlever.LoadReport
+	ctx      context.Context
+	end      context.CancelFunc
+	cancels  []func()
+	queues   []chan parcel
+}
+
+type parcel struct {
+	path string
+	body any
+}
+
+func newAnnouncer(cfg config, announce func() laburnumlever.Announcement, report func() laburnumlever.LoadReport) *announcer {
+	a := &announcer{cfg: cfg, announce: announce, report: report}
+	a.ctx, a.end = context.WithCancel(context.Background())
+	return a
+}
+
+func (a *announcer) start() {
+	for _, address := range a.cfg.registries {
+		queue := make(chan parcel, parcelQueue)
+		a.queues = append(a.queues, queue)
+		go a.send(address, queue)
+	}
+	a.post(announcePath, a.announce())
+	a.cancels = append(a.cancels,
+		a.cfg.timers.Every(a.cfg.announcePeriod, func(time.Time) { a.post(announcePath, a.announce()) }),
+		a.cfg.timers.Every(a.cfg.reportPeriod, func(time.Time) { a.post(reportPath, a.report()) }))
+}
+
+func (a *announcer) stop() {
+	for _, cancel := range a.cancels {
+		cancel()
+	}
+	a.end()
+}
+
+// leave stops the announcements first: one sent after the leave would bring the
+// backend server back.
+func (a *announcer) leave() {
+	for _, cancel := range a.cancels {
+		cancel()
+	}
+	own := a.announce()
+	body := Leaving{Backend: own.Backend, Incarnation: own.Incarnation}
+	for _, address := range a.cfg.registries {
+		a.deliver(address, parcel{path: leavePath, body: body})
+	}
+}
+
+// post gives news to each registry's goroutine; one that is still busy with
+// the last misses this one, as a lossy network would.
+func (a *announcer) post(path string, body any) {
+	for _, queue := range a.queues {
+		select {
+		case queue <- parcel{path: path, body: body}:
+		default:
+		}
+	}
+}
+
+func (a *announcer) send(address string, queue chan parcel) {
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case p := <-queue:
+			a.deliver(address, p)
+		}
+	}
+}
+
+func (a *announcer) deliver(address string, p parcel) {
+	if err := a.deliverOnce(address, p); err != nil {
+		_ = level.Debug(a.cfg.logger).Log("event", "registry-refused", "err", err)
+	}
+}
+
+func (a *announcer) deliverOnce(address string, p parcel) error {
+	body, err := json.Marshal(p.body)
+	if err != nil {
+		return &RegistryError{Address: address, Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, sendTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+p.path, bytes.NewReader(body))
+	if err != nil {
+		return &RegistryError{Address: address, Cause: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &RegistryError{Address: address, Cause: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return &RegistryError{Address: address, Status: res.StatusCode}
+	}
+	return nil
+}
--- /dev/null
+++ b/laburnumstandin/enginememory.go
@@ -0,0 +1,137 @@
+package laburnumstandin
+
+import (
+	"slices"
+	"time"
+
+	"laburnumlever"
+)
+
+// Violation is one order that asked an accelerator to hold more than it has.
+type Violation struct {
+	At           time.Time                   `json:"at"`
+	Backend      laburnumlever.BackendID     `json:"backend"`
+	Accelerator  laburnumlever.AcceleratorID `json:"accelerator"`
+	CommittedMiB int                         `json:"committed-mib"`
+	MemoryMiB    int                         `json:"memory-mib"`
+	Order        laburnumlever.OrderID       `json:"order"`
+	// Taken tells that the engine took the order in spite of it.
+	Taken bool `json:"taken"`
+}
+
+// held is a copy in the engine's memory.
+type held struct {
+	copy laburnumlever.Loaded
+	// next is the form that a load in place leads to; nil when none is under way.
+	next *laburnumlever.Loaded
+	// draining tells that the copy goes once its requests have finished.
+	draining bool
+	inFlight int
+}
+
+// partMiB is the larger of the old and the new size while a copy changes in place.
+func (h *held) partMiB() int {
+	if h.next == nil {
+		return h.copy.PartMiB
+	}
+	return max(h.copy.PartMiB, h.next.PartMiB)
+}
+
+func (h *held) is(l laburnumlever.Loaded) bool {
+	return h.copy.Model == l.Model && h.copy.Version == l.Version &&
+		slices.Equal(h.copy.Accelerators, l.Accelerators)
+}
+
+// memory counts what the accelerators have committed.
+type memory struct {
+	accelerators []laburnumlever.Accelerator
+	copies       []*held
+}
+
+func (m *memory) find(l laburnumlever.Loaded) *held {
+	for _, h := range m.copies {
+		if h.is(l) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (m *memory) committed(id laburnumlever.AcceleratorID) int {
+	total := 0
+	for _, h := range m.copies {
+		if slices.Contains(h.copy.Accelerators, id) {
+			total += h.partMiB()
+		}
+	}
+	return total
+}
+
+func (m *memory) has(ids []laburnumlever.AcceleratorID) bool {
+	for _, id := range ids {
+		if !slices.ContainsFunc(m.accelerators, func(a laburnumlever.Accelerator) bool { return a.ID == id }) {
+			return false
+		}
+	}
+	return len(ids) > 0
+}
+
+// excess finds the first accelerator that the copy would overfill, and what it
+// would then hold.
+func (m *memory) excess(l laburnumlever.Loaded) (laburnumlever.Accelerator, int, bool) {
+	old := 0
+	if h := m.find(l); h != nil {
+		old = h.partMiB()
+	}
+	grown := max(0, l.PartMiB-old)
+	for _, a := range m.accelerators {
+		if !slices.Contains(l.Accelerators, a.ID) {
+			continue
+		}
+		if after := m.committed(a.ID) + grown; after > a.MemoryMiB {
+			return a, after, true
+		}
+	}
+	return laburnumlever.Accelerator{}, 0, false
+}
+
+func (m *memory) add(l laburnumlever.Loaded) *held {
+	h := &held{copy: l}
+	h.copy.Ready = false
+	m.copies = append(m.copies, h)
+	return h
+}
+
+func (m *memory) remove(h *held) {
+	m.copies = slices.DeleteFunc(m.copies, func(other *held) bool { return other == h })
+}
+
+// lose takes an accelerator away with every copy that had a part on it.
+func (m *memory) lose(id laburnumlever.AcceleratorID) {
+	m.accelerators = slices.DeleteFunc(slices.Clone(m.accelerators), func(a laburnumlever.Accelerator) bool { return a.ID == id })
+	m.copies = slices.DeleteFunc(m.copies, func(h *held) bool { return slices.Contains(h.copy.Accelerators, id) })
+}
+
+// inventory lists all copies; one that drains is no longer ready.
+func (m *memory) inventory() []laburnumlever.Loaded {
+	list := make([]laburnumlever.Loaded, 0, len(m.copies))
+	for _, h := range m.copies {
+		l := h.copy
+		l.PartMiB = h.partMiB()
+		l.Ready = l.Ready && !h.draining
+		list = append(list, l)
+	}
+	return list
+}
+
+// serving finds the ready copy of a model, the last loaded first, so that new
+// requests go to a new version as soon as it is there.
+func (m *memory) serving(model laburnumlever.ModelName) *held {
+	for i := len(m.copies) - 1; i >= 0; i-- {
+		h := m.copies[i]
+		if h.copy.Model == model && h.copy.Ready && !h.draining {
+			return h
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/laburnumstandin/engineorders.go
@@ -0,0 +1,170 @@
+package laburnumstandin
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// weightStoreTries is how often a load asks the weight store before it fails.
+	weightStoreTries = 3
+	// weightStoreTimeout bounds one fetch, the wait for its turn included.
+	weightStoreTimeout = 2 * time.Minute
+)
+
+// Order takes one order and answers at once: a load is accepted, and its memory
+// committed, before the weights have arrived; an unloaded copy stays until its
+// requests have finished. An engine that does not check fencing numbers takes
+// whatever it is told. Order ids are not remembered, so an order that arrives twice
+// takes effect twice.
+func (e *Engine) Order(order laburnumlever.Order) laburnumlever.OrderAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	outcome, detail := e.takeOrder(order)
+	return laburnumlever.OrderAnswer{
+		ID:      order.ID,
+		Outcome: outcome,
+		Detail:  detail,
+		Fence:   e.fence,
+		Loaded:  e.memory.inventory(),
+	}
+}
+
+func (e *Engine) takeOrder(order laburnumlever.Order) (laburnumlever.OrderOutcome, string) {
+	if e.announcement.ChecksFencing {
+		if order.Fence < e.fence {
+			return laburnumlever.OrderStaleFence, ""
+		}
+		e.fence = order.Fence
+	}
+	if order.Kind == laburnumlever.Unload {
+		return e.unload(order.Copy)
+	}
+	return e.load(order)
+}
+
+func (e *Engine) load(order laburnumlever.Order) (laburnumlever.OrderOutcome, string) {
+	if !e.memory.has(order.Copy.Accelerators) {
+		return laburnumlever.OrderFailed, "no such accelerator"
+	}
+	if a, after, over := e.memory.excess(order.Copy); over {
+		taken := !e.announcement.ChecksFencing
+		e.violations = append(e.violations, Violation{
+			At: e.cfg.timers.Now(), Backend: e.announcement.Backend, Accelerator: a.ID,
+			CommittedMiB: after, MemoryMiB: a.MemoryMiB, Order: order.ID, Taken: taken,
+		})
+		if !taken {
+			return laburnumlever.OrderNoMemory, string(a.ID)
+		}
+	}
+	h := e.memory.find(order.Copy)
+	if h == nil {
+		h = e.memory.add(order.Copy)
+	}
+	h.draining = false
+	next := order.Copy
+	h.next = &next
+	e.fetch(h, &next)
+	return laburnumlever.OrderDone, ""
+}
+
+func (e *Engine) unload(l laburnumlever.Loaded) (laburnumlever.OrderOutcome, string) {
+	h := e.memory.find(l)
+	if h == nil {
+		return laburnumlever.OrderUnknownModel, ""
+	}
+	h.draining = true
+	h.next = nil
+	e.sweep(h)
+	return laburnumlever.OrderDone, ""
+}
+
+// sweep removes a draining copy once its last request has finished.
+func (e *Engine) sweep(h *held) {
+	if h.draining && h.inFlight == 0 {
+		e.memory.remove(h)
+	}
+}
+
+// fetch brings the weights in: from the weight store if there is one, then the
+// load time. next tells this load from a later one of the same copy.
+func (e *Engine) fetch(h *held, next *laburnumlever.Loaded) {
+	finish := func() {
+		e.cfg.timers.After(e.cfg.loadTime, func(time.Time) { e.loaded(h, next) })
+	}
+	if e.cfg.weightStore == "" {
+		finish()
+		return
+	}
+	go func() {
+		if err := e.fetchWeights(*next); err != nil {
+			_ = level.Warn(e.cfg.logger).Log("event", "load-failed", "model", next.Model, "err", err)
+			e.loadFailed(h, next)
+			return
+		}
+		finish()
+	}()
+}
+
+func (e *Engine) loaded(h *held, next *laburnumlever.Loaded) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if h.next != next {
+		return
+	}
+	h.copy = *next
+	h.copy.Ready = true
+	h.next = nil
+}
+
+func (e *Engine) loadFailed(h *held, next *laburnumlever.Loaded) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if h.next != next {
+		return
+	}
+	h.next = nil
+	if !h.copy.Ready {
+		e.memory.remove(h)
+	}
+}
+
+func (e *Engine) fetchWeights(l laburnumlever.Loaded) error {
+	var err error
+	for range weightStoreTries {
+		if err = e.fetchOnce(l); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (e *Engine) fetchOnce(l laburnumlever.Loaded) error {
+	ctx, cancel := context.WithTimeout(context.Background(), weightStoreTimeout)
+	defer cancel()
+	query := url.Values{}
+	query.Set("model", string(l.Model))
+	query.Set("version", string(l.Version))
+	query.Set("mib", strconv.Itoa(l.PartMiB*len(l.Accelerators)))
+	target := "http://" + e.cfg.weightStore + "/weights?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return &WeightStoreError{Address: e.cfg.weightStore, Cause: err}
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &WeightStoreError{Address: e.cfg.weightStore, Cause: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return &WeightStoreError{Address: e.cfg.weightStore, Status: res.StatusCode}
+	}
+	return nil
+}
--- /dev/null
+++ b/laburnumstandin/weightstore.go
@@ -0,0 +1,126 @@
+package laburnumstandin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"laburnumlever/laburnumtimer"
+)
+
+// WeightStoreStats is what a weight store has seen.
+type WeightStoreStats struct {
+	Loads           int `json:"loads"`
+	HighestParallel int `json:"highest-parallel"`
+	// HighestRate is the most loads a second that began within any ten seconds,
+	// asked of the store, not what it served.
+	HighestRate float64 `json:"highest-rate"`
+	// Delayed counts the loads that had to wait because the rate or the parallel
+	// loads were passed.
+	Delayed int `json:"delayed"`
+}
+
+// rateWindow is long enough that one load more or less changes the highest rate
+// by a tenth only.
+const rateWindow = 10 * time.Second
+
+// WeightStore is a stand-in for the rate-limited store of weights. A load beyond
+// its rate or parallel loads waits and is counted as delayed.
+type WeightStore struct {
+	rate     float64
+	parallel int
+	cfg      config
+
+	mu      sync.Mutex
+	stats   WeightStoreStats
+	active  int
+	asked   []time.Time
+	next    time.Time
+	waiting []chan struct{}
+}
+
+// NewWeightStore makes a store that begins at most rate loads a second and serves at
+// most parallel at once. WithLoadTime sets how long one load takes.
+func NewWeightStore(rate float64, parallel int, opts ...Option) *WeightStore {
+	s := &WeightStore{rate: rate, parallel: parallel, cfg: newConfig(opts)}
+	if s.cfg.timers == nil {
+		s.cfg.timers = laburnumtimer.New()
+	}
+	return s
+}
+
+// Stats is what the store has seen so far.
+func (s *WeightStore) Stats() WeightStoreStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// ServeHTTP answers GET /weights once the load is done, and GET /stats.
+func (s *WeightStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/stats" {
+		writeJSON(w, http.StatusOK, s.Stats())
+		return
+	}
+	done := s.begin(s.cfg.timers.Now())
+	select {
+	case <-done:
+		w.WriteHeader(http.StatusOK)
+	case <-r.Context().Done():
+	}
+}
+
+// Load begins one load without HTTP, for tests on a manual clock; the channel is
+// closed when it is done.
+func (s *WeightStore) Load() <-chan struct{} { return s.begin(s.cfg.timers.Now()) }
+
+func (s *WeightStore) begin(now time.Time) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(now)
+	done := make(chan struct{})
+	if s.active >= s.parallel {
+		s.stats.Delayed++
+		s.waiting = append(s.waiting, done)
+		return done
+	}
+	s.active++
+	s.serve(now, done)
+	return done
+}
+
+// serve spaces the loads by the rate, then takes the load time.
+func (s *WeightStore) serve(now time.Time, done chan struct{}) {
+	start := now
+	if s.next.After(now) {
+		start = s.next
+		s.stats.Delayed++
+	}
+	if s.rate > 0 {
+		s.next = start.Add(time.Duration(float64(time.Second) / s.rate))
+	}
+	s.cfg.timers.After(start.Sub(now)+s.cfg.loadTime, func(now time.Time) { s.finish(now, done) })
+}
+
+func (s *WeightStore) finish(now time.Time, done chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(done)
+	if len(s.waiting) == 0 {
+		s.active--
+		return
+	}
+	first := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	s.serve(now, first)
+}
+
+func (s *WeightStore) count(now time.Time) {
+	s.stats.Loads++
+	s.stats.HighestParallel = max(s.stats.HighestParallel, s.active+len(s.waiting)+1)
+	s.asked = append(s.asked, now)
+	for now.Sub(s.asked[0]) >= rateWindow {
+		s.asked = s.asked[1:]
+	}
+	s.stats.HighestRate = max(s.stats.HighestRate, float64(len(s.asked))/rateWindow.Seconds())
+}
