feat: strict settings and catalogue files, operators' interface, metrics, first commands

Cause: operators need files whose faults are all listed at once, and errors that keep their type from the VM to the command line. Ruled out: encoding/json with DisallowUnknownFields stops at the first fault and knows no line; the files are walked on hujson's tree against the Go structs instead. Change: laburnumsettings (Load, LoadCatalogue, CheckCatalogue, Diff, Reference), laburnummetrics, laburnumoperator (handler and client), the commands settings, catalogue, status, explain, log-level, and golden sessions of every bad file.

--- a/cmd/laburnumlever/app.go
+++ b/cmd/laburnumlever/app.go
@@ -3,23 +3,53 @@
 //
 // # Usage
 //
+//	laburnumlever quickstart
 //	laburnumlever serve --settings rennes-a-1.jsonc
+//	laburnumlever catalogue apply --vm 10.0.1.7:8081 catalogue/
 //	laburnumlever help
 package main
 
-import "github.com/urfave/cli/v2"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
-// The exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
+	"github.com/urfave/cli/v2"
 )
 
+// run runs the program and returns its exit code.
+func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := newApp().RunContext(ctx, args)
+	if err == nil {
+		return 0
+	}
+	printError(os.Stderr, err)
+	return exitCode(err)
+}
+
 func newApp() *cli.App {
 	return &cli.App{
-		Name:  "laburnumlever",
-		Usage: "serve many models from fewer accelerators",
+		Name:        "laburnumlever",
+		Usage:       "serve many models from fewer accelerators",
+		Description: exitCodesText,
+		Commands: []*cli.Command{
+			settingsCommand(),
+			catalogueCommand(),
+			statusCommand(),
+			explainCommand(),
+			logLevelCommand(),
+		},
+		HideVersion:    true,
+		ExitErrHandler: func(*cli.Context, error) {},
+		OnUsageError:   onUsageError,
+		CommandNotFound: func(c *cli.Context, name string) {
+			printf(c.App.ErrWriter, "laburnumlever: no command %q; see laburnumlever help\n", name)
+			os.Exit(exitUsage)
+		},
 	}
 }
 
-func exitCode(error) int { return exitFailure }
+func onUsageError(_ *cli.Context, err error, _ bool) error { return &usageError{Detail: err.Error()} }
--- /dev/null
+++ b/cmd/laburnumlever/errors.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlever"
+	"laburnumlever/laburnumoperator"
+)
+
+// The exit codes.
+const (
+	exitFailure     = 1
+	exitUsage       = 2
+	exitInvalid     = 3
+	exitRefused     = 4
+	exitUnreachable = 5
+	exitUnknown     = 6
+)
+
+const exitCodesText = `Exit codes: 0 done; 1 failed; 2 wrong usage; 3 a settings or catalogue file is
+invalid; 4 the change or question was refused and nothing was changed; 5 the VM could
+not be reached and nothing was changed; 6 the outcome is unknown: send the change
+again under the same change id.`
+
+// usageError is a command line that can't be run.
+type usageError struct{ Detail string }
+
+func (e *usageError) Error() string { return e.Detail }
+
+func exitCode(err error) int {
+	var (
+		usage       *usageError
+		settings    *laburnumlever.SettingsInvalidError
+		catalogue   *laburnumlever.CatalogueInvalidError
+		unreachable *laburnumoperator.UnreachableError
+		unknown     *laburnumlever.OutcomeUnknownError
+	)
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &settings), errors.As(err, &catalogue):
+		return exitInvalid
+	case errors.As(err, &unreachable):
+		return exitUnreachable
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case isRefusal(err):
+		return exitRefused
+	default:
+		return exitFailure
+	}
+}
+
+func isRefusal(err error) bool {
+	var (
+		conflict *laburnumlever.ConflictError
+		mismatch *laburnumlever.MismatchError
+		noFit    *laburnumlever.DoesNotFitError
+		noQuorum *laburnumlever.NoQuorumError
+		notFound *laburnumlever.NotFoundError
+		invalid  *laburnumlever.InvalidValueError
+	)
+	return errors.As(err, &conflict) || errors.As(err, &mismatch) || errors.As(err, &noFit) ||
+		errors.As(err, &noQuorum) || errors.As(err, &notFound) || errors.As(err, &invalid)
+}
+
+// printError writes each fault of a file on a line of its own, so that editors can
+// jump to it; any other error is one line.
+func printError(w io.Writer, err error) {
+	var (
+		settings  *laburnumlever.SettingsInvalidError
+		catalogue *laburnumlever.CatalogueInvalidError
+	)
+	switch {
+	case errors.As(err, &settings):
+		printFaults(w, settings.Faults)
+	case errors.As(err, &catalogue):
+		printFaults(w, catalogue.Faults)
+	default:
+		printLine(w, "laburnumlever:", err)
+	}
+}
+
+func printFaults(w io.Writer, faults []laburnumlever.Fault) {
+	for _, fault := range faults {
+		printLine(w, faultText(fault))
+	}
+}
+
+// faultText leaves out the file of a fault that a VM found in a change.
+func faultText(f laburnumlever.Fault) string {
+	if f.File != "" {
+		return f.String()
+	}
+	text := f.Key + ": " + f.Problem
+	if f.Want != "" {
+		text += "; want " + f.Want
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/laburnumlever/main_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"laburnumlever": func() { os.Exit(run(os.Args)) },
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                "testdata/scripts",
+		UpdateScripts:      os.Getenv("UPDATE_GOLDEN") != "",
+		RequireUniqueNames: true,
+	})
+}
--- /dev/null
+++ b/cmd/laburnumlever/statuscmd.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show what a VM knows of itself and the fleet",
+		Description: "Shows the revision, the VMs, the backend servers with what they hold, and the zone owners.\n\n" +
+			"Example: laburnumlever status --vm 10.0.1.7:8081\n\n" + exitCodesText,
+		Flags:        []cli.Flag{vmFlag(), timeoutFlag(), outputFlag()},
+		OnUsageError: onUsageError,
+		Action: func(c *cli.Context) error {
+			ctx, cancel := context.WithTimeout(c.Context, c.Duration("timeout"))
+			defer cancel()
+			status, err := clientOf(c).Status(ctx)
+			if err != nil {
+				return err
+			}
+			return report(c, status, func(w io.Writer) { printStatus(w, status) })
+		},
+	}
+}
+
+func printStatus(w io.Writer, s laburnumlever.Status) {
+	ready := "ready"
+	if s.View.NotReady != "" {
+		ready = "not ready: " + s.View.NotReady
+	}
+	printf(w, "VM %s in %s: %s\n", s.View.Self.ID, s.View.Self.Zone, ready)
+	printf(w, "catalogue: revision %d, %d models, %d services\n", s.View.Catalogue.Revision,
+		len(s.View.Catalogue.Models), len(s.View.Catalogue.Services))
+	printf(w, "log: %s, leader %s, term %d, applied %d\n", s.Voter.Role, s.Voter.Leader, s.Voter.Term, s.Voter.Applied)
+	for _, vm := range s.View.VMs {
+		printf(w, "VM %s in %s: %s\n", vm.ID, vm.Zone, vm.State)
+	}
+	for _, b := range s.View.Backends {
+		printBackend(w, b)
+	}
+	for _, zone := range slices.Sorted(maps.Keys(s.ZoneOwners)) {
+		printf(w, "zone %s: owner %s\n", zone, s.ZoneOwners[zone])
+	}
+	printf(w, "moves: %d\n", s.Moves)
+}
+
+func printBackend(w io.Writer, b laburnumlever.Backend) {
+	state := "takes work"
+	switch {
+	case b.Down:
+		state = "down"
+	case b.Leaving:
+		state = "leaving"
+	}
+	printf(w, "%s %s in %s: %s, %d in flight, %d queued\n", b.Announcement.Kind, b.Announcement.Backend,
+		b.Announcement.Zone, state, b.Report.InFlight, b.Report.Queued)
+	for _, l := range b.Report.Loaded {
+		loaded := "loading"
+		if l.Ready {
+			loaded = "ready"
+		}
+		printf(w, "  model %s %s on %v: %s\n", l.Model, l.Version, l.Accelerators, loaded)
+	}
+}
--- /dev/null
+++ b/laburnummetrics/metrics.go
@@ -0,0 +1,92 @@
+// Package laburnummetrics gives the parts a tally scope and shows what they
+// counted as Prometheus text.
+//
+// Every process has one Metrics. Names and labels are written with underscores,
+// since the Prometheus format allows no hyphens; a hyphen in a name is replaced,
+// label values stay as they are.
+//
+// # Usage
+//
+//	metrics := laburnummetrics.New()
+//	defer metrics.Close()
+//	part := laburnumrouter.New(laburnumrouter.WithScope(metrics.Scope()))
+//	mux.Handle("/metrics", metrics.Handler())
+package laburnummetrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	prefix = "laburnumlever"
+	// reportInterval is how far /metrics may lag behind what was counted. A second is
+	// well below any usual scrape interval, and the walk over all counters
+	// costs little at that rate.
+	reportInterval = time.Second
+)
+
+// Metrics holds all that one process counts.
+type Metrics struct {
+	logger   log.Logger
+	registry *prom.Registry
+	reporter prometheus.Reporter
+	scope    tally.Scope
+	closer   io.Closer
+}
+
+// Option changes a Metrics while it is built.
+type Option func(*Metrics)
+
+// WithLogger logs metrics that cannot be shown, such as one name with two sets
+// of labels.
+func WithLogger(logger log.Logger) Option {
+	return func(m *Metrics) { m.logger = logger }
+}
+
+// New returns an empty Metrics; Close ends it.
+func New(opts ...Option) *Metrics {
+	m := &Metrics{logger: log.NewNopLogger(), registry: prom.NewRegistry()}
+	for _, opt := range opts {
+		opt(m)
+	}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.reporter = prometheus.NewReporter(prometheus.Options{
+		Registerer:      m.registry,
+		OnRegisterError: m.registerFailed,
+	})
+	sanitize := prometheus.DefaultSanitizerOpts
+	// Label values are ours and any text is valid there: kebab-case names stay whole.
+	sanitize.ValueCharacters = tally.ValidCharacters{Characters: []rune{'-', '.', '/', ':'}, Ranges: tally.AlphanumericRange}
+	m.scope, m.closer = tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		Separator:              prometheus.DefaultSeparator,
+		CachedReporter:         m.reporter,
+		SanitizeOptions:        &sanitize,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return m
+}
+
+// registerFailed keeps a clash of metric names from ending the process, which
+// is what the reporter does by default: the metric is lost, the traffic goes on.
+func (m *Metrics) registerFailed(err error) {
+	_ = level.Error(m.logger).Log("msg", "metric cannot be shown", "err", err)
+}
+
+// Scope is the root scope that parts count in.
+func (m *Metrics) Scope() tally.Scope { return m.scope }
+
+// Handler shows everything in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Close reports what is still pending and ends the reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
--- /dev/null
+++ b/laburnumoperator/handler.go
@@ -0,0 +1,173 @@
+package laburnumoperator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/kataras/iris/v12"
+
+	"laburnumlever"
+	"laburnumlever/laburnumsettings"
+)
+
+// maxBody bounds the body of a change. The largest catalogue planned for, 370
+// models with their adapters, is below 1 MiB.
+const maxBody = 16 << 20
+
+// handler answers operators for one VM.
+type handler struct {
+	ops     laburnumlever.Operations
+	logger  log.Logger
+	metrics http.Handler
+}
+
+// Option changes a handler while it is built.
+type Option func(*handler)
+
+// WithMetrics shows the handler at /metrics.
+func WithMetrics(metrics http.Handler) Option {
+	return func(h *handler) { h.metrics = metrics }
+}
+
+// WithLogger logs changes and answers that could not be written.
+func WithLogger(logger log.Logger) Option {
+	return func(h *handler) { h.logger = logger }
+}
+
+// NewHandler returns the operators' and the platform's interface to a VM.
+func NewHandler(ops laburnumlever.Operations, opts ...Option) http.Handler {
+	h := &handler{ops: ops, logger: log.NewNopLogger()}
+	for _, opt := range opts {
+		opt(h)
+	}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	h.routes(app)
+	if err := app.Build(); err != nil {
+		_ = level.Error(h.logger).Log("msg", "operators interface cannot be built", "err", err)
+	}
+	return app
+}
+
+func (h *handler) routes(app *iris.Application) {
+	app.Get("/healthz", h.health)
+	app.Get("/readyz", h.ready)
+	app.Get("/catalogue", func(c iris.Context) { h.answer(c, h.ops.Catalogue(), nil) })
+	app.Post("/catalogue", h.apply)
+	app.Get("/status", func(c iris.Context) { h.answer(c, h.ops.Status(), nil) })
+	app.Get("/explain/model/{name}", h.explainModel)
+	app.Get("/explain/request/{id}", h.explainRequest)
+	app.Put("/log-level", h.setLogLevel)
+	if h.metrics != nil {
+		app.Get("/metrics", iris.FromStd(h.metrics))
+	}
+	app.OnErrorCode(http.StatusNotFound, func(c iris.Context) {
+		h.answer(c, nil, &laburnumlever.NotFoundError{Kind: "path", Name: c.Path()})
+	})
+}
+
+// health says that the process answers; whether it may serve is ready's to say.
+func (h *handler) health(c iris.Context) { h.answer(c, Health{Status: "ok"}, nil) }
+
+func (h *handler) ready(c iris.Context) {
+	reason := h.ops.Status().View.NotReady
+	if reason == "" {
+		h.answer(c, Health{Status: "ready"}, nil)
+		return
+	}
+	h.write(c, http.StatusServiceUnavailable, Health{Status: "not-ready", Reason: reason})
+}
+
+// Health is the body of /healthz and /readyz.
+type Health struct {
+	// Status is ok, ready or not-ready.
+	Status string `json:"status"`
+	// Reason says why not.
+	Reason string `json:"reason,omitempty"`
+}
+
+func (h *handler) apply(c iris.Context) {
+	var req laburnumlever.ApplyRequest
+	if err := readBody(c, &req); err != nil {
+		h.answer(c, nil, err)
+		return
+	}
+	if req.ChangeID == "" {
+		h.answer(c, nil, &BadRequestError{Detail: "change-id is missing"})
+		return
+	}
+	if err := laburnumsettings.CheckCatalogue(req.Catalogue); err != nil {
+		h.answer(c, nil, err)
+		return
+	}
+	answer, err := h.ops.Apply(c.Request().Context(), req)
+	h.logApply(req, answer, err)
+	h.answer(c, answer, err)
+}
+
+func (h *handler) logApply(req laburnumlever.ApplyRequest, answer laburnumlever.ApplyAnswer, err error) {
+	if err != nil {
+		_ = level.Warn(h.logger).Log("msg", "change refused", "change-id", req.ChangeID, "expected", req.ExpectedRevision, "err", err)
+		return
+	}
+	_ = level.Info(h.logger).Log("msg", "change accepted", "change-id", req.ChangeID, "revision", answer.Revision,
+		"repeated", answer.Repeated, "dry-run", req.DryRun)
+}
+
+func (h *handler) explainModel(c iris.Context) {
+	explanation, err := h.ops.ExplainModel(laburnumlever.ModelName(c.Params().Get("name")))
+	h.answer(c, explanation, err)
+}
+
+func (h *handler) explainRequest(c iris.Context) {
+	explanation, err := h.ops.ExplainRequest(c.Params().Get("id"))
+	h.answer(c, explanation, err)
+}
+
+// LogLevel is the body of a change of the log level.
+type LogLevel struct {
+	// Level is debug, info, warn or error.
+	Level string `json:"level"`
+}
+
+func (h *handler) setLogLevel(c iris.Context) {
+	var wanted LogLevel
+	if err := readBody(c, &wanted); err != nil {
+		h.answer(c, nil, err)
+		return
+	}
+	h.answer(c, wanted, h.ops.SetLogLevel(wanted.Level))
+}
+
+// readBody is strict: an unknown key in a change is an error, since a misspelt
+// key would otherwise be a change that does less than was asked.
+func readBody(c iris.Context, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, maxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return &BadRequestError{Detail: errors.UnwrapAll(err).Error()}
+	}
+	return nil
+}
+
+func (h *handler) answer(c iris.Context, body any, err error) {
+	if err == nil {
+		h.write(c, http.StatusOK, body)
+		return
+	}
+	status, wire := encodeError(err)
+	h.write(c, status, ErrorBody{Error: wire})
+}
+
+func (h *handler) write(c iris.Context, status int, body any) {
+	c.StatusCode(status)
+	c.ContentType("application/json")
+	encoder := json.NewEncoder(c.ResponseWriter())
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(body); err != nil {
+		_ = level.Debug(h.logger).Log("msg", "answer not written", "err", err)
+	}
+}
--- /dev/null
+++ b/laburnumsettings/load.go
@@ -0,0 +1,144 @@
+package laburnumsettings
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"laburnumlever"
+)
+
+// The defaults of what a settings file may leave out. All listeners are on
+// loopback, so that a forgotten key opens nothing to a network.
+const (
+	defaultCallers   = "127.0.0.1:8080"
+	defaultOperators = "127.0.0.1:8081"
+	defaultBackends  = "127.0.0.1:8082"
+	defaultPeers     = "127.0.0.1:8083"
+	defaultLevel     = "info"
+	defaultGrace     = 5 * time.Second
+	defaultLimit     = 30 * time.Second
+	addressWant      = `an IP address and port, such as "10.0.1.7:8080"`
+	levelWant        = "one of debug, info, warn, error"
+)
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	return Settings{
+		Listen:   Listen{Callers: defaultCallers, Operators: defaultOperators, Backends: defaultBackends, Peers: defaultPeers},
+		Log:      Log{Level: defaultLevel},
+		Shutdown: Shutdown{Grace: laburnumlever.Duration(defaultGrace), Limit: laburnumlever.Duration(defaultLimit)},
+	}
+}
+
+// Load reads a settings file over the defaults. All that is wrong is listed in
+// one *laburnumlever.SettingsInvalidError.
+func Load(path string) (Settings, error) {
+	doc := readDocument(path)
+	settings := Default()
+	doc.decode(&settings)
+	if doc.root.Value != nil {
+		checkSettings(doc, settings)
+	}
+	if len(doc.faults) > 0 {
+		sortFaults(doc.faults)
+		return Settings{}, &laburnumlever.SettingsInvalidError{Faults: doc.faults}
+	}
+	return settings, nil
+}
+
+func checkSettings(d *document, s Settings) {
+	d.checkName("vm", string(s.VM))
+	d.checkName("zone", string(s.Zone))
+	d.checkListen(s.Listen)
+	for i, seed := range s.Seeds {
+		d.checkAddress(fmt.Sprintf("seeds[%d]", i), seed, false)
+	}
+	d.checkVoters(s)
+	if !isLevel(s.Log.Level) {
+		d.addNew("log.level", fmt.Sprintf("%q is not a level", s.Log.Level), levelWant)
+	}
+	if s.Shutdown.Grace < 0 {
+		d.addNew("shutdown.grace", s.Shutdown.Grace.String()+" is negative", "0s or more")
+	}
+	if s.Shutdown.Limit <= 0 {
+		d.addNew("shutdown.limit", s.Shutdown.Limit.String()+" leaves no time for requests in flight", "more than 0s")
+	}
+}
+
+// isLevel tells whether the word names a log level.
+func isLevel(level string) bool {
+	switch level {
+	case "debug", "info", "warn", "error":
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *document) checkListen(l Listen) {
+	addresses := []struct{ path, address string }{
+		{"listen.callers", l.Callers},
+		{"listen.operators", l.Operators},
+		{"listen.backends", l.Backends},
+		{"listen.peers", l.Peers},
+	}
+	users := make(map[string]string)
+	for _, a := range addresses {
+		d.checkAddress(a.path, a.address, true)
+		if strings.HasSuffix(a.address, ":0") {
+			continue
+		}
+		if first, taken := users[a.address]; taken {
+			d.addNew(a.path, fmt.Sprintf("%q is also that of %s", a.address, first), "an address of its own for each listener")
+		}
+		users[a.address] = a.path
+	}
+}
+
+func (d *document) checkVoters(s Settings) {
+	if len(s.Voters) == 0 {
+		d.addNew("voters", "is empty", "at least one VM with a data folder")
+	}
+	seen := make(map[laburnumlever.VMID]bool)
+	self := false
+	for i, voter := range s.Voters {
+		path := fmt.Sprintf("voters[%d]", i)
+		d.checkName(path+".vm", string(voter.VM))
+		d.checkAddress(path+".peer-address", voter.PeerAddress, true)
+		if seen[voter.VM] {
+			d.addNew(path+".vm", fmt.Sprintf("%q is listed twice", voter.VM), "each voter once")
+		}
+		seen[voter.VM] = true
+		self = self || voter.VM == s.VM
+	}
+	if self && s.DataFolder == "" {
+		d.addNew("data-folder", fmt.Sprintf("is missing, but %q is a voter", s.VM), "the folder that holds the replica of the log")
+	}
+}
+
+func (d *document) checkName(path, name string) {
+	if !isName(name) {
+		d.addNew(path, fmt.Sprintf("%q is not a name", name), nameWant)
+	}
+}
+
+// checkAddress takes IP addresses only: a process learns its addresses from its
+// settings, and a name would need a resolver to be up when the process starts.
+func (d *document) checkAddress(path, address string, anyPort bool) {
+	parsed, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		d.addNew(path, fmt.Sprintf("%q is not an address", address), addressWant)
+	case parsed.Port() == 0 && !anyPort:
+		d.addNew(path, fmt.Sprintf("%q has port 0", address), "the port that the other VM listens on")
+	}
+}
+
+// addNew adds a fault unless decoding has reported the key already.
+func (d *document) addNew(path, problem, want string) {
+	if !d.reported(path) {
+		d.add(path, problem, want)
+	}
+}
