feat: placement planner: residency, spread, version switch, replicas, Fits, shares

Each move can be made at once on the fleet as it is seen, so a lost round leaves nothing half done. Surplus copies are unloaded only to make room; which of two zones may give up a copy follows a fixed order per model, so that two owners can't each give up the last but one. Loaded gains a draining mark: a copy being unloaded is not one being loaded, but a new owner could not tell them apart.

--- a/backend.go
+++ b/backend.go
@@ -76,6 +76,9 @@
 	PartMiB int `json:"part-mib"`
 	// Ready tells that the copy takes requests; a copy still loading does not.
 	Ready bool `json:"ready"`
+	// Draining tells that the copy goes once its requests have finished; it is
+	// not ready then, but its memory is still committed.
+	Draining bool `json:"draining,omitempty"`
 }
 
 // LoadReport is what a backend server says of its load. Reports lag, get lost and
--- /dev/null
+++ b/laburnumplacement/estimator.go
@@ -0,0 +1,143 @@
+package laburnumplacement
+
+import (
+	"math"
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// riseTime smooths single bursts of a few seconds away: a load takes longer
+	// than those last.
+	riseTime = 15 * time.Second
+	// fallTime makes a gap in the signals no reason to give anything up.
+	fallTime = 2 * time.Minute
+	// holdTime is how long a peak counts: demand that swings within an hour comes
+	// back within about that time.
+	holdTime = 30 * time.Minute
+	// forgetAfter is when a VM that sends nothing stops counting: its callers
+	// have gone to other VMs by then, or it is cut off and serves them itself.
+	forgetAfter = 30 * time.Second
+)
+
+// Estimator makes one estimate for each model of what the VMs saw. The signals lag,
+// some are missing, and they come in any order.
+type Estimator struct {
+	seen   map[source]signal
+	models map[laburnumlever.ModelName]Demand
+	at     time.Time
+}
+
+type source struct {
+	vm    laburnumlever.VMID
+	model laburnumlever.ModelName
+}
+
+type signal struct {
+	sequence uint64
+	rates    Rates
+	at       time.Time
+}
+
+// NewEstimator makes an estimator that has seen nothing.
+func NewEstimator() *Estimator {
+	return &Estimator{seen: make(map[source]signal), models: make(map[laburnumlever.ModelName]Demand)}
+}
+
+// Observe takes the newest signals and moves the estimates on to now.
+func (e *Estimator) Observe(now time.Time, demand []laburnumlever.ModelDemand) {
+	for _, d := range demand {
+		key := source{vm: d.VM, model: d.Model}
+		old, known := e.seen[key]
+		if known && d.Sequence <= old.sequence && d.Sequence != 0 {
+			continue
+		}
+		e.seen[key] = signal{sequence: d.Sequence, rates: ratesOf(d), at: now}
+	}
+	totals := make(map[laburnumlever.ModelName]Rates, len(e.models))
+	for key, s := range e.seen {
+		if now.Sub(s.at) > forgetAfter {
+			delete(e.seen, key)
+			continue
+		}
+		totals[key.model] = totals[key.model].plus(s.rates)
+	}
+	e.move(now, totals)
+}
+
+// Demand is the estimate for each model. It must not be changed.
+func (e *Estimator) Demand() map[laburnumlever.ModelName]Demand { return e.models }
+
+// maxRefusedFactor bounds how far the tokens of a few answered requests are taken
+// to stand for the many that were turned away.
+const maxRefusedFactor = 10
+
+// ratesOf counts the tokens of those turned away too, as many for each as for
+// those that were answered: only answered requests have tokens to count.
+func ratesOf(d laburnumlever.ModelDemand) Rates {
+	factor := 1.0
+	if answered := d.RequestsPerSecond - d.Refused; d.Refused > 0 {
+		factor = maxRefusedFactor
+		if answered > 0 {
+			factor = min(maxRefusedFactor, d.RequestsPerSecond/answered)
+		}
+	}
+	return Rates{Requests: d.RequestsPerSecond, PromptTokens: d.PromptTokens * factor, AnswerTokens: d.AnswerTokens * factor}
+}
+
+func (e *Estimator) move(now time.Time, totals map[laburnumlever.ModelName]Rates) {
+	passed := now.Sub(e.at)
+	first := e.at.IsZero()
+	e.at = now
+	next := make(map[laburnumlever.ModelName]Demand, len(totals))
+	for name, old := range e.models {
+		if _, ok := totals[name]; !ok {
+			totals[name] = Rates{}
+		}
+		next[name] = old
+	}
+	for name, total := range totals {
+		d := next[name]
+		if first {
+			next[name] = Demand{Now: total, Hold: total}
+			continue
+		}
+		d.Now = d.Now.towards(total, passed)
+		d.Hold = d.Hold.times(math.Exp(-passed.Seconds() / holdTime.Seconds())).atLeast(d.Now)
+		if d.Hold.Requests > 0 || total.Requests > 0 {
+			next[name] = d
+		}
+	}
+	e.models = next
+}
+
+func (r Rates) plus(other Rates) Rates {
+	return Rates{
+		Requests:     r.Requests + other.Requests,
+		PromptTokens: r.PromptTokens + other.PromptTokens,
+		AnswerTokens: r.AnswerTokens + other.AnswerTokens,
+	}
+}
+
+func (r Rates) times(by float64) Rates {
+	return Rates{Requests: r.Requests * by, PromptTokens: r.PromptTokens * by, AnswerTokens: r.AnswerTokens * by}
+}
+
+func (r Rates) atLeast(other Rates) Rates {
+	return Rates{
+		Requests:     max(r.Requests, other.Requests),
+		PromptTokens: max(r.PromptTokens, other.PromptTokens),
+		AnswerTokens: max(r.AnswerTokens, other.AnswerTokens),
+	}
+}
+
+// towards moves the rates to the target by what has passed, faster up than down.
+func (r Rates) towards(target Rates, passed time.Duration) Rates {
+	span := fallTime
+	if target.Requests > r.Requests {
+		span = riseTime
+	}
+	part := 1 - math.Exp(-passed.Seconds()/span.Seconds())
+	return r.times(1 - part).plus(target.times(part))
+}
--- /dev/null
+++ b/laburnumplacement/fits.go
@@ -0,0 +1,163 @@
+package laburnumplacement
+
+import (
+	"fmt"
+	"slices"
+
+	"laburnumlever"
+)
+
+// Fits tells whether every model of the catalogue can be resident on the engines that
+// take work, from scratch. An error is a *laburnumlever.DoesNotFitError with the
+// shortfall. Warnings name what fits but would not survive the loss of an engine
+// or a zone, and zones that the weight store leaves no load for.
+func Fits(catalogue laburnumlever.Catalogue, backends []laburnumlever.Backend) (warnings []string, err error) {
+	engines := emptyEngines(backends)
+	if lack := pack(catalogue, engines); lack != nil {
+		return nil, lack
+	}
+	warnings = append(warnings, zoneWarnings(catalogue, engines)...)
+	warnings = append(warnings, engineWarnings(catalogue, engines)...)
+	warnings = append(warnings, spreadWarnings(catalogue, engines)...)
+	return append(warnings, shareWarnings(catalogue.Deployment)...), nil
+}
+
+func emptyEngines(backends []laburnumlever.Backend) []Engine {
+	var engines []Engine
+	for _, b := range backends {
+		if b.Announcement.Kind == laburnumlever.Engine && b.TakesWork() {
+			engines = append(engines, EngineOf(b))
+		}
+	}
+	for i := range engines {
+		engines[i].Copies = nil
+	}
+	return engines
+}
+
+// EngineOf is a backend server as the planner reads it, from its last report.
+func EngineOf(b laburnumlever.Backend) Engine {
+	a := b.Announcement
+	e := Engine{
+		ID: a.Backend, Zone: a.Zone, Accelerators: a.Accelerators,
+		Serving: !b.Down, Usable: b.TakesWork(),
+		TokensPerSecond: a.TokensPerSecond, PrefillTokensPerSecond: a.PrefillTokensPerSecond,
+	}
+	if b.Report.Incarnation != a.Incarnation {
+		return e
+	}
+	for _, l := range b.Report.Loaded {
+		e.Copies = append(e.Copies, Copy{Loaded: l})
+	}
+	return e
+}
+
+// pack places one copy of every model on empty engines.
+func pack(catalogue laburnumlever.Catalogue, engines []Engine) *laburnumlever.DoesNotFitError {
+	f := newFleet(Snapshot{Catalogue: catalogue, Engines: engines})
+	f.packTightly()
+	if len(f.unplaced) == 0 {
+		return nil
+	}
+	slices.Sort(f.unplaced)
+	lack := &laburnumlever.DoesNotFitError{Models: f.unplaced}
+	for _, name := range f.unplaced {
+		m, _ := catalogue.Model(name)
+		lack.ShortfallMiB += m.SizeMiB()
+	}
+	return lack
+}
+
+// packTightly is repair by the tightest fit alone.
+func (f *fleet) packTightly() {
+	for _, m := range f.missing() {
+		best := spot{engine: -1}
+		for at := range f.engines {
+			s, ok := f.room(at, f.models[m].part, f.models[m].span)
+			if ok && (best.engine < 0 || s.leftover < best.leftover) {
+				best = s
+			}
+		}
+		if best.engine < 0 {
+			f.unplaced = append(f.unplaced, f.models[m].Name)
+			continue
+		}
+		f.planLoad(m, best, ReasonRepair, Move{})
+	}
+}
+
+func zoneWarnings(catalogue laburnumlever.Catalogue, engines []Engine) []string {
+	var zones []laburnumlever.ZoneName
+	for _, e := range engines {
+		if !slices.Contains(zones, e.Zone) {
+			zones = append(zones, e.Zone)
+		}
+	}
+	slices.Sort(zones)
+	var warnings []string
+	for _, zone := range zones {
+		rest := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Zone == zone })
+		if lack := pack(catalogue, rest); lack != nil {
+			warnings = append(warnings, fmt.Sprintf("without zone %s the fleet lacks %d MiB: no place for %v", zone, lack.ShortfallMiB, lack.Models))
+		}
+	}
+	return warnings
+}
+
+// engineWarnings tries the loss of one engine of each shape; engines with the
+// same accelerators would give the same answer.
+func engineWarnings(catalogue laburnumlever.Catalogue, engines []Engine) []string {
+	var warnings []string
+	var tried [][]laburnumlever.Accelerator
+	for i, e := range engines {
+		same := func(other []laburnumlever.Accelerator) bool { return slices.Equal(other, e.Accelerators) }
+		if slices.ContainsFunc(tried, same) {
+			continue
+		}
+		tried = append(tried, e.Accelerators)
+		rest := slices.Delete(slices.Clone(engines), i, i+1)
+		if lack := pack(catalogue, rest); lack != nil {
+			warnings = append(warnings, fmt.Sprintf("without an engine like %s the fleet lacks %d MiB: no place for %v", e.ID, lack.ShortfallMiB, lack.Models))
+		}
+	}
+	return warnings
+}
+
+// spreadWarnings names the models that have room for one copy only, or for
+// copies in one zone only.
+func spreadWarnings(catalogue laburnumlever.Catalogue, engines []Engine) []string {
+	f := newFleet(Snapshot{Catalogue: catalogue, Engines: engines})
+	f.packTightly()
+	f.spread()
+	var once, oneZone []laburnumlever.ModelName
+	for m := range f.models {
+		zones, n := f.where(m)
+		switch {
+		case n < 2:
+			once = append(once, f.models[m].Name)
+		case len(zones) < 2:
+			oneZone = append(oneZone, f.models[m].Name)
+		}
+	}
+	var warnings []string
+	if len(once) > 0 {
+		warnings = append(warnings, fmt.Sprintf("no memory for a second copy of %v: the loss of an engine makes them unreachable until they are loaded again", once))
+	}
+	if len(oneZone) > 0 {
+		warnings = append(warnings, fmt.Sprintf("no memory in a second zone for %v: the loss of a zone makes them unreachable until they are loaded again", oneZone))
+	}
+	return warnings
+}
+
+func shareWarnings(d laburnumlever.Deployment) []string {
+	var none []laburnumlever.ZoneName
+	for _, zone := range d.Zones {
+		if ShareOf(d, zone).Parallel == 0 {
+			none = append(none, zone)
+		}
+	}
+	if len(none) == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("the weight store's %d parallel loads leave none for the zones %v: nothing can be loaded there", d.WeightStore.ParallelLoads, none)}
+}
--- /dev/null
+++ b/laburnumplacement/fleet.go
@@ -0,0 +1,211 @@
+package laburnumplacement
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"laburnumlever"
+)
+
+// fleet is the working state of one round: the snapshot with indices, changed as
+// moves are planned. Loads planned in the round take their memory at once; unloads
+// free none, because the engine frees it only later.
+type fleet struct {
+	snapshot Snapshot
+	engines  []engine
+	models   []model
+	byName   map[laburnumlever.ModelName]int
+	moves    []Move
+	unplaced []laburnumlever.ModelName
+	shifting int // replicas loading or planned
+}
+
+type engine struct {
+	Engine
+	free   []int // per accelerator; may be negative when one was lost
+	copies []*placed
+	load   float64 // busy share that the allocation gives it
+	order  uint64
+}
+
+type model struct {
+	laburnumlever.Model
+	part, span int
+	copies     []*placed
+	demand     Demand
+	unmet      float64 // share of the demand
+}
+
+// placed is one copy: there already, or planned in this round.
+type placed struct {
+	Copy
+	engine  int
+	model   int // -1 when the catalogue has no such model
+	current bool
+	planned bool
+	share   float64 // part of the model's demand that it carries
+}
+
+func newFleet(s Snapshot) *fleet {
+	f := &fleet{
+		snapshot: s,
+		engines:  make([]engine, len(s.Engines)),
+		models:   make([]model, len(s.Catalogue.Models)),
+		byName:   make(map[laburnumlever.ModelName]int, len(s.Catalogue.Models)),
+	}
+	for i, m := range s.Catalogue.Models {
+		f.models[i] = model{Model: m, part: m.PartMiB(), span: m.Span(), demand: s.Demand[m.Name]}
+		f.byName[m.Name] = i
+	}
+	for i, e := range s.Engines {
+		f.engines[i] = engine{Engine: e, free: freeMemory(e), order: hash(string(e.ID))}
+		f.addCopies(i, e.Copies)
+	}
+	return f
+}
+
+func freeMemory(e Engine) []int {
+	free := make([]int, len(e.Accelerators))
+	for i, a := range e.Accelerators {
+		free[i] = a.MemoryMiB
+		if i < len(e.Reserved) {
+			free[i] -= e.Reserved[i]
+		}
+	}
+	return free
+}
+
+func (f *fleet) addCopies(at int, copies []Copy) {
+	store := make([]placed, len(copies))
+	for i, c := range copies {
+		p := &store[i]
+		*p = placed{Copy: c, engine: at, model: -1}
+		size := c.PartMiB
+		if m, ok := f.byName[c.Model]; ok {
+			p.model = m
+			p.current = c.Version == f.models[m].Version
+			f.models[m].copies = append(f.models[m].copies, p)
+			if p.current {
+				// While the catalogue changes a model's size, its copies count at
+				// the larger of both: the update that follows needs that much.
+				size = max(size, f.models[m].part)
+			}
+		}
+		f.engines[at].copies = append(f.engines[at].copies, p)
+		f.take(at, c.Accelerators, size)
+	}
+}
+
+func (f *fleet) take(at int, ids []laburnumlever.AcceleratorID, size int) {
+	e := &f.engines[at]
+	for i, a := range e.Accelerators {
+		if slices.Contains(ids, a.ID) {
+			e.free[i] -= size
+		}
+	}
+}
+
+// present tells that the copy answers or will: on a serving engine, not going.
+func (f *fleet) present(p *placed) bool {
+	return f.engines[p.engine].Serving && !p.Going && !p.Draining
+}
+
+// lasting tells that the copy is present on an engine that stays.
+func (f *fleet) lasting(p *placed) bool { return f.present(p) && f.engines[p.engine].Usable }
+
+// answers tells that the copy takes requests and has for some time.
+func (f *fleet) answers(p *placed) bool { return f.present(p) && p.Ready && p.Stable }
+
+// spot is a place for a copy.
+type spot struct {
+	engine       int
+	accelerators []laburnumlever.AcceleratorID
+	leftover     int
+}
+
+// room finds the accelerators of an engine that fit a copy most tightly.
+func (f *fleet) room(at, part, span int) (spot, bool) {
+	e := &f.engines[at]
+	if !e.Usable || len(e.free) < span {
+		return spot{}, false
+	}
+	if span == 1 {
+		return f.roomForOne(at, part)
+	}
+	fitting := make([]int, 0, len(e.free))
+	for i, free := range e.free {
+		if free >= part {
+			fitting = append(fitting, i)
+		}
+	}
+	if len(fitting) < span {
+		return spot{}, false
+	}
+	slices.SortStableFunc(fitting, func(a, b int) int { return cmp.Compare(e.free[a], e.free[b]) })
+	s := spot{engine: at}
+	for _, i := range fitting[:span] {
+		s.accelerators = append(s.accelerators, e.Accelerators[i].ID)
+		s.leftover += e.free[i] - part
+	}
+	slices.Sort(s.accelerators)
+	return s, true
+}
+
+func (f *fleet) roomForOne(at, part int) (spot, bool) {
+	e := &f.engines[at]
+	best := -1
+	for i, free := range e.free {
+		if free >= part && (best < 0 || free < e.free[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return spot{}, false
+	}
+	return spot{engine: at, accelerators: []laburnumlever.AcceleratorID{e.Accelerators[best].ID}, leftover: e.free[best] - part}, true
+}
+
+// wanted is the copy of a model that the catalogue asks for.
+func (m *model) wanted(accelerators []laburnumlever.AcceleratorID) laburnumlever.Loaded {
+	l := laburnumlever.Loaded{Model: m.Name, Version: m.Version, Accelerators: accelerators, PartMiB: m.part}
+	for _, a := range m.Adapters {
+		l.Adapters = append(l.Adapters, a.Name)
+	}
+	return l
+}
+
+func (f *fleet) planLoad(m int, s spot, reason MoveReason, move Move) {
+	mod := &f.models[m]
+	e := &f.engines[s.engine]
+	move.Kind = laburnumlever.Load
+	move.Engine = e.ID
+	move.Zone = e.Zone
+	move.Copy = mod.wanted(s.accelerators)
+	move.Reason = reason
+	f.moves = append(f.moves, move)
+	p := &placed{Copy: Copy{Loaded: move.Copy}, engine: s.engine, model: m, current: true, planned: true}
+	mod.copies = append(mod.copies, p)
+	e.copies = append(e.copies, p)
+	f.take(s.engine, s.accelerators, mod.part)
+}
+
+func (f *fleet) planUnload(p *placed, reason MoveReason, move Move) {
+	e := &f.engines[p.engine]
+	move.Kind = laburnumlever.Unload
+	move.Engine = e.ID
+	move.Zone = e.Zone
+	move.Copy = p.Loaded
+	move.Reason = reason
+	f.moves = append(f.moves, move)
+	p.Going = true
+}
+
+func hash(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, part := range parts {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/laburnumplacement/makeroom.go
@@ -0,0 +1,181 @@
+package laburnumplacement
+
+import (
+	"cmp"
+	"slices"
+
+	"laburnumlever"
+)
+
+// mayGo tells whether a copy can be given up without its model being lost, also when
+// another zone's owner decides the same of its own copies at this moment: either
+// the copy's own zone keeps another that answers, or a zone that goes before
+// this one in the model's own order of zones does. Of two zones only one can be
+// the other's predecessor, so they can't each give up the last but one.
+func (f *fleet) mayGo(p *placed) bool {
+	if p.model < 0 {
+		return true
+	}
+	own := f.engines[p.engine].Zone
+	for _, other := range f.models[p.model].copies {
+		if other == p || !f.answers(other) || !f.engines[other.engine].Usable {
+			continue
+		}
+		zone := f.engines[other.engine].Zone
+		if zone == own || f.precedes(p.model, zone, own) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) precedes(m int, a, b laburnumlever.ZoneName) bool {
+	name := string(f.models[m].Name)
+	return hash(name, string(a)) < hash(name, string(b))
+}
+
+// makeRoom frees memory for a model that has no copy and no place: it unloads
+// surplus copies of an engine, or begins to move the only copy of another model to
+// where it fits. It reports whether there is a way; the model itself follows in a
+// later round, once the memory is free.
+func (f *fleet) makeRoom(m int) bool {
+	if f.roomIsComing(m) {
+		return true
+	}
+	best, ok := f.cheapestClearing(m)
+	if ok {
+		for _, p := range best.victims {
+			f.planUnload(p, ReasonMakeRoom, Move{For: f.models[m].Name})
+		}
+		return true
+	}
+	return f.relocate(m)
+}
+
+// roomIsComing tells whether an engine will have room once its unloads are done.
+func (f *fleet) roomIsComing(m int) bool {
+	for at := range f.engines {
+		if _, ok := f.clearing(at, m, func(p *placed) bool { return p.Going || p.Draining }); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// clearing is a set of copies whose unloading makes room on one engine.
+type clearing struct {
+	engine  int
+	victims []*placed
+	loss    float64
+}
+
+func (f *fleet) cheapestClearing(m int) (clearing, bool) {
+	var best clearing
+	found := false
+	for at := range f.engines {
+		c, ok := f.clearing(at, m, func(p *placed) bool { return p.Going || p.Draining || f.mayGo(p) })
+		if !ok {
+			continue
+		}
+		c.victims = slices.DeleteFunc(c.victims, func(p *placed) bool { return p.Going || p.Draining })
+		if !found || c.cheaperThan(best) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func (c clearing) cheaperThan(other clearing) bool {
+	return cmp.Or(cmp.Compare(c.loss, other.loss), cmp.Compare(len(c.victims), len(other.victims))) < 0
+}
+
+// clearing finds the copies to unload so that the model fits on the engine,
+// those whose models have the least demand first.
+func (f *fleet) clearing(at, m int, may func(p *placed) bool) (clearing, bool) {
+	e := &f.engines[at]
+	mod := &f.models[m]
+	if !e.Usable || len(e.free) < mod.span {
+		return clearing{}, false
+	}
+	free := slices.Clone(e.free)
+	candidates := slices.DeleteFunc(slices.Clone(e.copies), func(p *placed) bool { return p.planned || p.model == m || !may(p) })
+	slices.SortStableFunc(candidates, func(a, b *placed) int {
+		return cmp.Or(cmp.Compare(f.worth(a), f.worth(b)), cmp.Compare(a.Model, b.Model))
+	})
+	c := clearing{engine: at}
+	for _, p := range candidates {
+		if fitsOn(free, mod.part, mod.span) {
+			break
+		}
+		for i, a := range e.Accelerators {
+			if slices.Contains(p.Accelerators, a.ID) {
+				free[i] += p.PartMiB
+			}
+		}
+		c.victims = append(c.victims, p)
+		c.loss += f.worth(p)
+	}
+	return c, fitsOn(free, mod.part, mod.span)
+}
+
+func fitsOn(free []int, part, span int) bool {
+	for _, n := range free {
+		if n >= part {
+			span--
+		}
+	}
+	return span <= 0
+}
+
+// worth is the demand a copy stands for; one that is going already costs nothing.
+func (f *fleet) worth(p *placed) float64 {
+	if p.model < 0 || p.Going || p.Draining {
+		return 0
+	}
+	return f.models[p.model].demand.Hold.Requests / float64(len(f.models[p.model].copies))
+}
+
+// relocate moves the only copy of another model away: it is loaded where it fits
+// now, and unloaded here in a later round, once the new copy has answered for
+// some time. The target is in the same zone or in one that precedes it, or mayGo
+// would hold the old copy for ever.
+func (f *fleet) relocate(m int) bool {
+	for at := range f.engines {
+		for _, p := range f.engines[at].copies {
+			if p.model < 0 || p.planned || !f.answers(p) || !p.current {
+				continue
+			}
+			if _, ok := f.clearing(at, m, func(other *placed) bool { return other == p || f.mayGo(other) }); !ok {
+				continue
+			}
+			if f.relocateCopy(p, m) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (f *fleet) relocateCopy(p *placed, m int) bool {
+	from := f.engines[p.engine].Zone
+	if f.underWay(p.model) {
+		return true
+	}
+	s, ok := f.findSpot(p.model, func(at int) bool {
+		to := f.engines[at].Zone
+		return at != p.engine && (to == from || f.precedes(p.model, to, from))
+	})
+	if !ok {
+		return false
+	}
+	f.planLoad(p.model, s, ReasonMakeRoom, Move{For: f.models[m].Name})
+	return true
+}
+
+// underWay tells whether another copy of the model is loading or has just been
+// loaded, so that the move away has begun.
+func (f *fleet) underWay(m int) bool {
+	return slices.ContainsFunc(f.models[m].copies, func(p *placed) bool {
+		return f.lasting(p) && !f.answers(p)
+	})
+}
--- /dev/null
+++ b/laburnumplacement/planner_test.go
@@ -0,0 +1,191 @@
+package laburnumplacement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumplacement"
+
+	"github.com/stretchr/testify/require"
+)
+
+// engineIn is an engine with two accelerators of the given memory.
+func engineIn(id, zone string, mib int) laburnumplacement.Engine {
+	return laburnumplacement.Engine{
+		ID: laburnumlever.BackendID(id), Zone: laburnumlever.ZoneName(zone), Serving: true, Usable: true,
+		TokensPerSecond: 1000, PrefillTokensPerSecond: 10000,
+		Accelerators: []laburnumlever.Accelerator{{ID: "a0", MemoryMiB: mib}, {ID: "a1", MemoryMiB: mib}},
+	}
+}
+
+func models(n, mib int) laburnumlever.Catalogue {
+	c := laburnumlever.Catalogue{Deployment: laburnumlever.Deployment{MoveCost: 0.5}}
+	for i := range n {
+		c.Models = append(c.Models, laburnumlever.Model{Name: laburnumlever.ModelName(fmt.Sprintf("m%02d", i)), Version: "v1", WeightsMiB: mib})
+	}
+	return c
+}
+
+// carryOut makes the moves as engines would: all of them, and the copies are ready.
+func carryOut(t *testing.T, s *laburnumplacement.Snapshot, moves []laburnumplacement.Move) {
+	for _, m := range moves {
+		i := slices.IndexFunc(s.Engines, func(e laburnumplacement.Engine) bool { return e.ID == m.Engine })
+		e := &s.Engines[i]
+		e.Copies = slices.DeleteFunc(slices.Clone(e.Copies), func(c laburnumplacement.Copy) bool {
+			return c.Model == m.Copy.Model && c.Version == m.Copy.Version && slices.Equal(c.Accelerators, m.Copy.Accelerators)
+		})
+		if m.Kind == laburnumlever.Load {
+			c := laburnumplacement.Copy{Loaded: m.Copy, Stable: true}
+			c.Ready = true
+			e.Copies = append(e.Copies, c)
+		}
+		for _, a := range e.Accelerators {
+			used := 0
+			for _, c := range e.Copies {
+				if slices.Contains(c.Accelerators, a.ID) {
+					used += c.PartMiB
+				}
+			}
+			require.LessOrEqual(t, used, a.MemoryMiB)
+		}
+	}
+}
+
+// settle plans and carries out until nothing moves, and returns the moves made.
+func settle(t *testing.T, s *laburnumplacement.Snapshot) []laburnumplacement.Move {
+	var all []laburnumplacement.Move
+	reached := make(map[laburnumlever.ModelName]bool)
+	for range 30 {
+		plan := laburnumplacement.NewPlanner().Plan(*s)
+		if len(plan.Moves) == 0 {
+			return all
+		}
+		carryOut(t, s, plan.Moves)
+		for _, m := range s.Catalogue.Models {
+			now := len(zonesOf(*s, m.Name)) > 0
+			require.True(t, now || !reached[m.Name], "%s was reachable and no longer is", m.Name)
+			reached[m.Name] = now
+		}
+		all = append(all, plan.Moves...)
+	}
+	require.Fail(t, "the plan never comes to rest")
+	return all
+}
+
+func zonesOf(s laburnumplacement.Snapshot, name laburnumlever.ModelName) []laburnumlever.ZoneName {
+	var zones []laburnumlever.ZoneName
+	for _, e := range s.Engines {
+		for _, c := range e.Copies {
+			if c.Model == name && e.Serving && !slices.Contains(zones, e.Zone) {
+				zones = append(zones, e.Zone)
+			}
+		}
+	}
+	return zones
+}
+
+func TestEveryModelInTwoZones(t *testing.T) {
+	s := laburnumplacement.Snapshot{Catalogue: models(9, 40), Engines: []laburnumplacement.Engine{
+		engineIn("e1", "a", 100), engineIn("e2", "a", 100), engineIn("e3", "b", 100), engineIn("e4", "b", 120),
+	}}
+	s.Catalogue.Models[3].Accelerators = 2
+	settle(t, &s)
+	for _, m := range s.Catalogue.Models {
+		require.Len(t, zonesOf(s, m.Name), 2, m.Name)
+	}
+}
+
+// A rolling release: the catalogue names another version while the fleet has
+// no room for all new copies beside the old ones. Callers must find every model
+// at every moment; settle checks that after each round.
+func TestVersionSwitchWithoutGap(t *testing.T) {
+	s := laburnumplacement.Snapshot{Catalogue: models(8, 40), Engines: []laburnumplacement.Engine{
+		engineIn("e1", "a", 100), engineIn("e2", "a", 100), engineIn("e3", "b", 100), engineIn("e4", "b", 100),
+	}}
+	settle(t, &s)
+	for i := range s.Catalogue.Models {
+		s.Catalogue.Models[i].Version = "v2"
+	}
+	settle(t, &s)
+	for _, e := range s.Engines {
+		for _, c := range e.Copies {
+			require.Equal(t, laburnumlever.Version("v2"), c.Version)
+		}
+	}
+}
+
+// An engine dies and the fleet is full: callers of its models get refusals. Second
+// copies of other models have to make room, never a last one.
+func TestLostEngineIsRepairedFromSurplus(t *testing.T) {
+	s := laburnumplacement.Snapshot{Catalogue: models(8, 50), Engines: []laburnumplacement.Engine{
+		engineIn("e1", "a", 100), engineIn("e2", "a", 100), engineIn("e3", "b", 100), engineIn("e4", "b", 100),
+	}}
+	settle(t, &s)
+	s.Engines[0].Serving, s.Engines[0].Usable = false, false
+	s.Engines[2].Serving, s.Engines[2].Usable = false, false
+	settle(t, &s)
+	for _, m := range s.Catalogue.Models {
+		require.NotEmpty(t, zonesOf(s, m.Name), m.Name)
+	}
+}
+
+func TestReplicasFollowDemandAndPrice(t *testing.T) {
+	for _, c := range []struct {
+		price float64
+		loads int
+	}{{price: 0.1, loads: 2}, {price: 100, loads: 0}} {
+		s := laburnumplacement.Snapshot{Catalogue: models(2, 40), Engines: []laburnumplacement.Engine{
+			engineIn("e1", "a", 100), engineIn("e2", "a", 100), engineIn("e3", "b", 100), engineIn("e4", "b", 100),
+		}}
+		s.Catalogue.Deployment.MoveCost = c.price
+		settle(t, &s)
+		rates := laburnumplacement.Rates{Requests: 40, AnswerTokens: 4000}
+		s.Demand = map[laburnumlever.ModelName]laburnumplacement.Demand{"m00": {Now: rates, Hold: rates}}
+		require.Len(t, settle(t, &s), c.loads)
+	}
+}
+
+func TestFits(t *testing.T) {
+	var backends []laburnumlever.Backend
+	for i, zone := range []laburnumlever.ZoneName{"a", "b"} {
+		backends = append(backends, laburnumlever.Backend{Announcement: laburnumlever.Announcement{
+			Backend: laburnumlever.BackendID(fmt.Sprint(i)), Zone: zone, Accelerators: []laburnumlever.Accelerator{{ID: "a0", MemoryMiB: 100}},
+		}})
+	}
+	warnings, err := laburnumplacement.Fits(models(2, 50), backends)
+	require.NoError(t, err)
+	require.Empty(t, warnings)
+	warnings, err = laburnumplacement.Fits(models(3, 50), backends)
+	require.NoError(t, err)
+	require.Contains(t, warnings[0], "without zone a the fleet lacks 50 MiB")
+	_, err = laburnumplacement.Fits(models(5, 50), backends)
+	var lack *laburnumlever.DoesNotFitError
+	require.ErrorAs(t, err, &lack)
+	require.Equal(t, 50, lack.ShortfallMiB)
+}
+
+func TestSharesNeverPassTheWhole(t *testing.T) {
+	d := laburnumlever.Deployment{
+		Zones:       []laburnumlever.ZoneName{"a", "b", "c", "d"},
+		WeightStore: laburnumlever.WeightStore{LoadsPerSecond: 1.5, ParallelLoads: 7},
+	}
+	parallel, rate := 0, 0.0
+	for _, zone := range d.Zones {
+		share := laburnumplacement.ShareOf(d, zone)
+		require.Positive(t, share.Parallel)
+		parallel += share.Parallel
+		rate += float64(time.Second) / float64(share.Interval)
+	}
+	require.Equal(t, 7, parallel)
+	require.InDelta(t, 1.5, rate, 1e-6)
+	require.Zero(t, laburnumplacement.ShareOf(d, "elsewhere").Parallel)
+	now := time.Unix(0, 0)
+	share := laburnumplacement.ShareOf(d, "a")
+	pace := laburnumplacement.NewPace(now, share)
+	require.False(t, pace.Ready(now, share, 0))
+	require.True(t, pace.Ready(now.Add(share.Interval), share, 1))
+	require.False(t, pace.Ready(now.Add(share.Interval), share, 2))
+}
--- /dev/null
+++ b/laburnumplacement/replicas.go
@@ -0,0 +1,208 @@
+package laburnumplacement
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// shiftDivisor bounds the replicas loading at once to a tenth of the engines:
+	// a wrong estimate can't turn over more of the fleet than that before its
+	// effect is seen in the next demand.
+	shiftDivisor = 10
+	// minShift lets a small fleet move at all.
+	minShift = 2
+	// minGain keeps a move-cost of 0 from paying for moves that bring nothing.
+	minGain = 0.01
+	// exchangeFactor prices an exchange at two moves: the copy that goes will
+	// have to come back when its own demand does.
+	exchangeFactor = 2
+)
+
+// addReplicas adds copies where the demand of now is not met and the gain is worth
+// a move, the greatest gain for each accelerator first.
+func (f *fleet) addReplicas() {
+	limit := max(minShift, len(f.engines)/shiftDivisor)
+	f.shifting = f.loading()
+	for f.shifting < limit {
+		best, ok := f.bestReplica()
+		if !ok {
+			return
+		}
+		f.planReplica(best)
+		f.shifting++
+	}
+}
+
+// loading counts the copies that are not ready yet, whatever for: they use the
+// weight store and their effect is not seen yet.
+func (f *fleet) loading() int {
+	n := 0
+	for i := range f.engines {
+		for _, p := range f.engines[i].copies {
+			if p.planned || !p.Ready && !p.Draining {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// replica is a copy that might be added.
+type replica struct {
+	model   int
+	spot    spot
+	gain    float64 // requests a second
+	victims []*placed
+}
+
+func (f *fleet) bestReplica() (replica, bool) {
+	var best replica
+	found := false
+	for _, m := range f.unmetFirst() {
+		r, ok := f.replicaFor(m)
+		if ok && (!found || r.perAccelerator(f) > best.perAccelerator(f)) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+func (r replica) perAccelerator(f *fleet) float64 {
+	return r.gain / float64(f.models[r.model].span)
+}
+
+// maxUnmet bounds the models looked at for one replica: the rest have less to gain.
+const maxUnmet = 16
+
+func (f *fleet) unmetFirst() []int {
+	var list []int
+	for m := range f.models {
+		if f.unmetRequests(m) > f.price() {
+			list = append(list, m)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(f.unmetRequests(b), f.unmetRequests(a)) })
+	return list[:min(len(list), maxUnmet)]
+}
+
+func (f *fleet) unmetRequests(m int) float64 {
+	return f.models[m].unmet * f.models[m].demand.Now.Requests
+}
+
+func (f *fleet) price() float64 { return max(minGain, f.snapshot.Catalogue.Deployment.MoveCost) }
+
+// replicaFor finds the engine whose spare room meets most of the model's unmet
+// demand: first in free memory, then in place of copies that are worth less.
+func (f *fleet) replicaFor(m int) (replica, bool) {
+	best := replica{model: m}
+	found := false
+	for at := range f.engines {
+		if f.holds(at, m) {
+			continue
+		}
+		gain := f.gainAt(at, m)
+		if gain <= f.price() || found && gain <= best.gain {
+			continue
+		}
+		if s, ok := f.room(at, f.models[m].part, f.models[m].span); ok {
+			best.spot, best.gain, found = s, gain, true
+		}
+	}
+	if found {
+		return best, true
+	}
+	return f.exchangeFor(m)
+}
+
+func (f *fleet) gainAt(at, m int) float64 {
+	e := &f.engines[at]
+	cost := f.models[m].demand.Now.cost(e)
+	if !e.Usable || cost <= 0 {
+		return 0
+	}
+	spare := max(0, usableShare-e.load) / cost
+	return min(f.models[m].unmet, spare) * f.models[m].demand.Now.Requests
+}
+
+// exchangeFor finds an engine where copies that the last half hour did not need
+// can go for the model. What they would be missed by is taken from the gain.
+func (f *fleet) exchangeFor(m int) (replica, bool) {
+	best := replica{model: m}
+	found := false
+	for at := range f.engines {
+		if f.holds(at, m) {
+			continue
+		}
+		gain := f.gainAt(at, m)
+		if gain <= exchangeFactor*f.price() || found && gain <= best.gain {
+			continue
+		}
+		c, ok := f.clearing(at, m, f.mayBeExchanged)
+		if !ok {
+			continue
+		}
+		for _, p := range c.victims {
+			gain -= f.missedBy(p)
+		}
+		if gain > exchangeFactor*f.price()*float64(len(c.victims)) && gain > best.gain {
+			best = replica{model: m, spot: spot{engine: at}, gain: gain, victims: c.victims}
+			found = true
+		}
+	}
+	return best, found
+}
+
+// mayBeExchanged keeps the second zone of a model: only repairs may take that.
+func (f *fleet) mayBeExchanged(p *placed) bool {
+	if p.model < 0 || !f.answers(p) || !f.mayGo(p) {
+		return false
+	}
+	zones, engines := f.where(p.model)
+	if len(zones) < 2 || engines <= 2 {
+		return false
+	}
+	own := f.engines[p.engine].Zone
+	sameZone := func(other *placed) bool {
+		return other != p && f.answers(other) && f.engines[other.engine].Zone == own
+	}
+	return len(zones) > 2 || slices.ContainsFunc(f.models[p.model].copies, sameZone)
+}
+
+// missedBy is what the copy's model would lose with it, in requests a second, at
+// the demand of the last half hour.
+func (f *fleet) missedBy(p *placed) float64 {
+	mod := &f.models[p.model]
+	capacity := 0.0
+	for _, other := range mod.copies {
+		if other == p || !f.present(other) {
+			continue
+		}
+		e := &f.engines[other.engine]
+		cost := mod.demand.Hold.cost(e)
+		if cost <= 0 {
+			return 0
+		}
+		own := other.share * mod.demand.Now.cost(e)
+		capacity += max(0, usableShare-e.load+own) / cost
+	}
+	return max(0, 1-capacity) * mod.demand.Hold.Requests
+}
+
+// planReplica plans the load, or the unloads that have to come before it. The load
+// then follows in a later round, if it is still worth it.
+func (f *fleet) planReplica(r replica) {
+	mod := &f.models[r.model]
+	if len(r.victims) > 0 {
+		for _, p := range r.victims {
+			f.planUnload(p, ReasonExchanged, Move{For: mod.Name, Gain: r.gain})
+		}
+		mod.unmet = 0
+		return
+	}
+	f.planLoad(r.model, r.spot, ReasonDemand, Move{Gain: r.gain})
+	e := &f.engines[r.spot.engine]
+	taken := r.gain / mod.demand.Now.Requests
+	e.load += taken * mod.demand.Now.cost(e)
+	mod.unmet = max(0, mod.unmet-taken)
+}
--- a/laburnumstandin/enginememory.go
+++ b/laburnumstandin/enginememory.go
@@ -119,6 +119,7 @@
 		l := h.copy
 		l.PartMiB = h.partMiB()
 		l.Ready = l.Ready && !h.draining
+		l.Draining = h.draining
 		list = append(list, l)
 	}
 	return list
