feat: stand-in plain service with a ledger, and a link that can be cut or frozen

Ruled out: dropping bytes in a frozen link: TCP sends lost packets again, so held bytes go on when the link opens; only a cut resets.

--- a/laburnumstandin/errors.go
+++ b/laburnumstandin/errors.go
@@ -29,3 +29,8 @@
 
 // Unwrap returns the cause.
 func (e *RegistryError) Unwrap() error { return e.Cause }
+
+// LinkCutError ends a connection through a link that is cut.
+type LinkCutError struct{ Target string }
+
+func (e *LinkCutError) Error() string { return "the link to " + e.Target + " is cut" }
--- /dev/null
+++ b/laburnumstandin/link.go
@@ -0,0 +1,231 @@
+package laburnumstandin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumtimer"
+)
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=LinkMode -transform=kebab -trimprefix=Link -text -json -output=linkmode_gen.go
+
+// LinkMode is what a link does with the connections through it.
+type LinkMode int
+
+// The modes of a link.
+const (
+	// LinkOpen passes everything.
+	LinkOpen LinkMode = iota
+	// LinkFrozen holds all bytes both ways and takes connections that go
+	// nowhere, as a network that drops packets silently does; what was held goes
+	// on when the link opens, as TCP sends lost packets again.
+	LinkFrozen
+	// LinkFrozenTo holds only the bytes towards the target.
+	LinkFrozenTo
+	// LinkFrozenFrom holds only the bytes from the target.
+	LinkFrozenFrom
+	// LinkCut resets all connections and refuses new ones, as a host that is gone.
+	LinkCut
+)
+
+// LinkState is what a link is set to.
+type LinkState struct {
+	Mode LinkMode `json:"mode"`
+	// Delay is added to every byte, each way.
+	Delay laburnumlever.Duration `json:"delay"`
+}
+
+// holds tells whether bytes in the direction wait.
+func (s LinkState) holds(towards bool) bool {
+	switch s.Mode {
+	case LinkFrozen:
+		return true
+	case LinkFrozenTo:
+		return towards
+	case LinkFrozenFrom:
+		return !towards
+	default:
+		return false
+	}
+}
+
+// Link is a TCP link between two processes that can be cut, frozen or delayed
+// while connections pass through it. It is safe for use by many goroutines.
+type Link struct {
+	target string
+	cfg    config
+	own    *laburnumtimer.Timers
+	ctx    context.Context
+	end    context.CancelFunc
+
+	mu      sync.Mutex
+	state   LinkState
+	changed chan struct{}
+	conns   map[net.Conn]bool
+	passed  int
+}
+
+// NewLink makes an open link to the target, an IP address and port.
+func NewLink(target string, opts ...Option) *Link {
+	l := &Link{target: target, cfg: newConfig(opts), changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	if l.cfg.timers == nil {
+		l.own = laburnumtimer.New()
+		l.cfg.timers = l.own
+	}
+	l.ctx, l.end = context.WithCancel(context.Background())
+	return l
+}
+
+// State is what the link is set to.
+func (l *Link) State() LinkState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state
+}
+
+// Set changes what the link does, for the connections it has as well.
+func (l *Link) Set(state LinkState) {
+	l.mu.Lock()
+	l.state = state
+	close(l.changed)
+	l.changed = make(chan struct{})
+	var cut []net.Conn
+	if state.Mode == LinkCut {
+		for conn := range l.conns {
+			cut = append(cut, conn)
+		}
+	}
+	l.mu.Unlock()
+	for _, conn := range cut {
+		reset(conn)
+	}
+}
+
+// Passed counts the bytes that went through, both ways.
+func (l *Link) Passed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.passed
+}
+
+// Serve takes connections until the listener is closed, whose error it returns.
+func (l *Link) Serve(ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go l.connect(conn)
+	}
+}
+
+// Close resets all connections. Close the listener first.
+func (l *Link) Close() {
+	l.Set(LinkState{Mode: LinkCut})
+	l.end()
+	if l.own != nil {
+		l.own.Close()
+	}
+}
+
+func (l *Link) connect(near net.Conn) {
+	if !l.track(near) {
+		reset(near)
+		return
+	}
+	defer l.drop(near)
+	// A frozen link takes the connection, as the target's kernel may have done
+	// before the freeze, but the target never hears of it.
+	if l.awaitOpen(true) != nil {
+		return
+	}
+	var dialer net.Dialer
+	far, err := dialer.DialContext(l.ctx, "tcp", l.target)
+	if err != nil {
+		return
+	}
+	if !l.track(far) {
+		reset(far)
+		return
+	}
+	defer l.drop(far)
+	var pumps sync.WaitGroup
+	pumps.Add(1)
+	go func() {
+		defer pumps.Done()
+		l.pump(far, near, true)
+	}()
+	l.pump(near, far, false)
+	pumps.Wait()
+}
+
+// track takes a connection in unless the link is cut.
+func (l *Link) track(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state.Mode == LinkCut {
+		return false
+	}
+	l.conns[conn] = true
+	return true
+}
+
+func (l *Link) drop(conn net.Conn) {
+	l.mu.Lock()
+	delete(l.conns, conn)
+	l.mu.Unlock()
+	_ = conn.Close()
+}
+
+// reset closes a connection so that the other end sees a reset, not an orderly end.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// awaitOpen waits until bytes may pass in the direction; an error ends the
+// connection.
+func (l *Link) awaitOpen(towards bool) error {
+	for {
+		l.mu.Lock()
+		state, changed := l.state, l.changed
+		l.mu.Unlock()
+		switch {
+		case state.Mode == LinkCut:
+			return &LinkCutError{Target: l.target}
+		case !state.holds(towards):
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-l.ctx.Done():
+			return l.ctx.Err()
+		}
+	}
+}
+
+func (l *Link) count(n int) {
+	l.mu.Lock()
+	l.passed += n
+	l.mu.Unlock()
+}
+
+// sleepUntil waits on the link's timers.
+func (l *Link) sleepUntil(due time.Time) {
+	wait := due.Sub(l.cfg.timers.Now())
+	if wait <= 0 {
+		return
+	}
+	done := make(chan struct{})
+	cancel := l.cfg.timers.After(wait, func(time.Time) { close(done) })
+	defer cancel()
+	select {
+	case <-done:
+	case <-l.ctx.Done():
+	}
+}
--- /dev/null
+++ b/laburnumstandin/service.go
@@ -0,0 +1,215 @@
+package laburnumstandin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumlever"
+	"laburnumlever/laburnumtimer"
+)
+
+const (
+	headerKey           = "Idempotency-Key"
+	headerRequest       = "X-Request-Id"
+	headerAuthorization = "Authorization"
+
+	ledgerPath = "/ledger"
+)
+
+// LedgerEntry is one call that a plain service ran. It is written the moment the
+// call runs, before the answer is sent, so that a lost answer does not hide it.
+type LedgerEntry struct {
+	// Number counts the calls that ran, from 1.
+	Number int    `json:"number"`
+	Key    string `json:"key,omitempty"`
+	// Caller is the hash of the Authorization header, empty without one.
+	Caller  string    `json:"caller,omitempty"`
+	Request string    `json:"request-id,omitempty"`
+	Method  string    `json:"method"`
+	Path    string    `json:"path"`
+	At      time.Time `json:"at"`
+}
+
+// ServiceAnswer is a plain service's answer to a call that it ran.
+type ServiceAnswer struct {
+	// Number is the call's number in the ledger.
+	Number int    `json:"number"`
+	Key    string `json:"key,omitempty"`
+	Path   string `json:"path"`
+	// Echo is the body of the request.
+	Echo string `json:"echo"`
+}
+
+// Service is a stand-in plain service: it runs every call that it takes, whether
+// or not the caller is still there, and keeps a ledger of them, so that what a
+// caller was told can be checked against what was done. It is safe for use by many
+// goroutines.
+type Service struct {
+	cfg          config
+	own          *laburnumtimer.Timers
+	news         *announcer
+	announcement laburnumlever.Announcement
+	slots        chan struct{}
+
+	mu       sync.Mutex
+	closed   bool
+	working  int
+	waiting  int
+	sequence uint64
+	ledger   []LedgerEntry
+}
+
+// NewService makes a plain service with an empty ledger. Fields of the
+// announcement that are needed: the id, zone, address, incarnation, service and
+// slots. WithLoadTime sets how long each call takes.
+func NewService(announcement laburnumlever.Announcement, opts ...Option) *Service {
+	announcement.Kind = laburnumlever.PlainService
+	announcement.Slots = max(1, announcement.Slots)
+	s := &Service{
+		cfg:          newConfig(opts),
+		announcement: announcement,
+		slots:        make(chan struct{}, announcement.Slots),
+	}
+	if s.cfg.timers == nil {
+		s.own = laburnumtimer.New()
+		s.cfg.timers = s.own
+	}
+	s.news = newAnnouncer(s.cfg, s.Announcement, s.Report)
+	return s
+}
+
+// Start begins to announce the service and to report its load.
+func (s *Service) Start() { s.news.start() }
+
+// Close stops the announcements without telling anybody.
+func (s *Service) Close() {
+	s.mu.Lock()
+	closed := s.closed
+	s.closed = true
+	s.mu.Unlock()
+	if closed {
+		return
+	}
+	s.news.stop()
+	if s.own != nil {
+		s.own.Close()
+	}
+}
+
+// Leave tells the registries that the service leaves; what is in flight goes on.
+func (s *Service) Leave() { s.news.leave() }
+
+// Announcement is what the service says of itself.
+func (s *Service) Announcement() laburnumlever.Announcement { return s.announcement }
+
+// Report is the service's load now.
+func (s *Service) Report() laburnumlever.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	return laburnumlever.LoadReport{
+		Backend:     s.announcement.Backend,
+		Incarnation: s.announcement.Incarnation,
+		Sequence:    s.sequence,
+		InFlight:    s.working,
+		Queued:      s.waiting,
+	}
+}
+
+// Ledger lists the calls that ran, oldest first.
+func (s *Service) Ledger() []LedgerEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]LedgerEntry{}, s.ledger...)
+}
+
+// ServeHTTP runs a call, or shows the ledger at GET /ledger.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == ledgerPath {
+		writeJSON(w, http.StatusOK, s.Ledger())
+		return
+	}
+	if id := r.Header.Get(headerAttempt); id != "" {
+		w.Header().Set(headerAttempt, id)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		w.Header().Set(headerOutcome, outcomeNotRun)
+		writeJSON(w, http.StatusBadRequest, errorBody{Error: errorDetail{Type: errorBadRequest, Message: err.Error(), Outcome: outcomeNotRun}})
+		return
+	}
+	if !s.enter(r.Context()) {
+		writeNotRun(w, "the queue is full")
+		return
+	}
+	defer s.exit()
+	entry := s.record(r)
+	s.work()
+	writeJSON(w, http.StatusOK, ServiceAnswer{Number: entry.Number, Key: entry.Key, Path: entry.Path, Echo: string(body)})
+}
+
+// enter waits for a slot; false means that the call surely does not run.
+func (s *Service) enter(ctx context.Context) bool {
+	s.mu.Lock()
+	if s.waiting >= s.cfg.queue {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	entered := false
+	select {
+	case s.slots <- struct{}{}:
+		entered = true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+	if entered {
+		s.working++
+	}
+	return entered
+}
+
+func (s *Service) exit() {
+	s.mu.Lock()
+	s.working--
+	s.mu.Unlock()
+	<-s.slots
+}
+
+func (s *Service) record(r *http.Request) LedgerEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := LedgerEntry{
+		Number:  len(s.ledger) + 1,
+		Key:     r.Header.Get(headerKey),
+		Request: r.Header.Get(headerRequest),
+		Method:  r.Method,
+		Path:    r.URL.Path,
+		At:      s.cfg.timers.Now(),
+	}
+	if authorization := r.Header.Get(headerAuthorization); authorization != "" {
+		entry.Caller = fmt.Sprintf("%016x", xxhash.Sum64String(authorization))
+	}
+	s.ledger = append(s.ledger, entry)
+	return entry
+}
+
+// work takes the time of one call. It goes on when the caller is gone, as a
+// booking that has begun would.
+func (s *Service) work() {
+	if s.cfg.loadTime <= 0 {
+		return
+	}
+	done := make(chan struct{})
+	s.cfg.timers.After(s.cfg.loadTime, func(time.Time) { close(done) })
+	<-done
+}
