--- a/cmd/laburnumlever/app.go
+++ b/cmd/laburnumlever/app.go
@@ -41,6 +41,7 @@
 			statusCommand(),
 			explainCommand(),
 			logLevelCommand(),
+			standInCommand(),
 		},
 		HideVersion:    true,
 		ExitErrHandler: func(*cli.Context, error) {},
--- /dev/null
+++ b/cmd/laburnumlever/standincmd.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v2"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumlever"
+	"laburnumlever/laburnumstandin"
+)
+
+const (
+	anyPort          = "127.0.0.1:0"
+	standInLimit     = 10 * time.Second
+	headerReadLimit  = 10 * time.Second
+	defaultSlots     = 8
+	defaultPrefill   = 20000.0
+	defaultTokenRate = 2000.0
+)
+
+func standInCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "stand-in",
+		Usage: "run a small stand-in for what surrounds the system",
+		Description: "Stand-ins are for trying out and for tests. Each prints a line that starts with ready\n" +
+			"once it listens, and leaves in good order when it is interrupted.",
+		Subcommands: []*cli.Command{
+			standInEngineCommand(),
+			standInServiceCommand(),
+			standInWeightStoreCommand(),
+			standInLinkCommand(),
+		},
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Value: anyPort, Usage: "`ADDRESS` (IP and port) to listen on; port 0 takes a free one"}
+}
+
+// backendFlags are those of every stand-in that announces itself.
+func backendFlags() []cli.Flag {
+	return []cli.Flag{
+		listenFlag(),
+		&cli.StringFlag{Name: "id", Required: true, Usage: "`ID` of the backend server"},
+		&cli.StringFlag{Name: "zone", Required: true, Usage: "its availability `ZONE`"},
+		&cli.StringSliceFlag{Name: "registry", Usage: "`ADDRESS` of an entry VM's backends listener; may be repeated"},
+		&cli.IntFlag{Name: "slots", Value: defaultSlots, Usage: "how many requests it works on at once"},
+		&cli.DurationFlag{Name: "announce-period", Value: time.Second, Usage: "how often it announces itself; it reports twice as often"},
+	}
+}
+
+// announcementOf holds what the flags tell. The clock gives the incarnation, so
+// that a restarted stand-in counts as newer.
+func announcementOf(c *cli.Context, address string) laburnumlever.Announcement {
+	return laburnumlever.Announcement{
+		Backend:     laburnumlever.BackendID(c.String("id")),
+		Zone:        laburnumlever.ZoneName(c.String("zone")),
+		Address:     address,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Slots:       c.Int("slots"),
+	}
+}
+
+func backendOptions(c *cli.Context) []laburnumstandin.Option {
+	period := c.Duration("announce-period")
+	return []laburnumstandin.Option{
+		laburnumstandin.WithRegistries(c.StringSlice("registry")),
+		laburnumstandin.WithPeriods(period, period/2),
+	}
+}
+
+// backend is a stand-in that announces itself.
+type backend interface {
+	http.Handler
+	Start()
+	Leave()
+	Close()
+}
+
+// serveBackend runs a backend server until the process is interrupted. It says
+// that it leaves before its listener closes, so that no new work arrives to a
+// closed port.
+func serveBackend(c *cli.Context, ln net.Listener, b backend, kind string) error {
+	server := &http.Server{Handler: b, ReadHeaderTimeout: headerReadLimit}
+	var group errgroup.Group
+	group.Go(func() error { return ignoreClosed(server.Serve(ln)) })
+	b.Start()
+	defer b.Close()
+	printf(c.App.Writer, "ready %s=%s address=%s\n", kind, c.String("id"), ln.Addr())
+	<-c.Done()
+	b.Leave()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Context), standInLimit)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return err
+	}
+	return group.Wait()
+}
+
+// serveHandler runs a stand-in that has nothing to finish.
+func serveHandler(ctx context.Context, ln net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerReadLimit}
+	var group errgroup.Group
+	group.Go(func() error { return ignoreClosed(server.Serve(ln)) })
+	<-ctx.Done()
+	if err := server.Close(); err != nil {
+		return err
+	}
+	return group.Wait()
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	return cfg.Listen(ctx, "tcp", address)
+}
--- a/laburnumoperator/handler.go
+++ b/laburnumoperator/handler.go
@@ -99,8 +99,8 @@
 		h.answer(c, nil, &BadRequestError{Detail: "change-id is missing"})
 		return
 	}
-	if err := laburnumsettings.CheckCatalogue(req.Catalogue); err != nil {
-		h.answer(c, nil, err)
+	if faults := laburnumsettings.CheckCatalogue(req.Catalogue); len(faults) > 0 {
+		h.answer(c, nil, &laburnumlever.CatalogueInvalidError{Faults: faults})
 		return
 	}
 	answer, err := h.ops.Apply(c.Request().Context(), req)
--- a/laburnumsettings/catalogue.go
+++ b/laburnumsettings/catalogue.go
@@ -118,7 +118,7 @@
 // finish checks the whole and gives each fault its file and line.
 func (m *merged) finish(path string) (laburnumlever.Catalogue, error) {
 	m.catalogue = withVersions(m.catalogue)
-	for _, fault := range catalogueFaults(m.catalogue) {
+	for _, fault := range CheckCatalogue(m.catalogue) {
 		m.locate(fault)
 	}
 	var faults []laburnumlever.Fault
--- a/laburnumsettings/cataloguecheck.go
+++ b/laburnumsettings/cataloguecheck.go
@@ -20,17 +20,9 @@
 
 func isName(name string) bool { return namePattern.MatchString(name) }
 
-// CheckCatalogue checks what the values of a catalogue mean together. The error
-// is a *laburnumlever.CatalogueInvalidError whose faults have no file and line.
-func CheckCatalogue(c laburnumlever.Catalogue) error {
-	faults := catalogueFaults(c)
-	if len(faults) == 0 {
-		return nil
-	}
-	return &laburnumlever.CatalogueInvalidError{Faults: faults}
-}
-
-func catalogueFaults(c laburnumlever.Catalogue) []laburnumlever.Fault {
+// CheckCatalogue checks what the values of a catalogue mean together and lists
+// all that is wrong, without file and line.
+func CheckCatalogue(c laburnumlever.Catalogue) []laburnumlever.Fault {
 	check := &catalogueCheck{catalogue: c, seen: make(map[string]bool)}
 	check.deployment()
 	check.owners()
--- a/laburnumsettings/doc.go
+++ b/laburnumsettings/doc.go
@@ -17,7 +17,7 @@
 // A catalogue that came over the network has no file; its check gives the same
 // faults without file and line:
 //
-//	err := laburnumsettings.CheckCatalogue(catalogue)
+//	faults := laburnumsettings.CheckCatalogue(catalogue)
 //
 // What an apply would change is the difference of two catalogues:
 //
