--- /dev/null
+++ b/laburnumrouter/index.go
@@ -0,0 +1,46 @@
+package laburnumrouter
+
+import "laburnumlever"
+
+// Index lists the backend servers that take work, by what they serve. It is
+// built once for a view, away from any lock, and never changed: a decision then
+// costs the same with three engines as with two thousand.
+type Index struct {
+	backends []laburnumlever.Backend
+	models   map[laburnumlever.ModelName][]int
+	services map[laburnumlever.ServiceName][]int
+}
+
+// NewIndex builds the index of a view.
+func NewIndex(view *laburnumlever.View) *Index {
+	ix := &Index{
+		backends: view.Backends,
+		models:   make(map[laburnumlever.ModelName][]int, len(view.Catalogue.Models)),
+		services: make(map[laburnumlever.ServiceName][]int, len(view.Catalogue.Services)),
+	}
+	for i := range view.Backends {
+		if view.Backends[i].TakesWork() {
+			ix.add(i)
+		}
+	}
+	return ix
+}
+
+func (ix *Index) add(i int) {
+	b := &ix.backends[i]
+	if b.Announcement.Kind == laburnumlever.PlainService {
+		name := b.Announcement.Service
+		ix.services[name] = append(ix.services[name], i)
+		return
+	}
+	for _, l := range b.Report.Loaded {
+		if !l.Ready {
+			continue
+		}
+		places := ix.models[l.Model]
+		if len(places) > 0 && places[len(places)-1] == i {
+			continue // a second copy on the same engine
+		}
+		ix.models[l.Model] = append(places, i)
+	}
+}
