feat: the caller's path: completions, streams, plain services, truthful refusals

Cause: callers need their own whole answer or a truthful refusal. Ruled out: httptrace's WroteHeaders as proof of a send (it tells of a buffer, not of the socket).

Not yet tested: claims, connections that die while reused, stalls, drain.

--- /dev/null
+++ b/laburnumproxy/demand.go
@@ -0,0 +1,112 @@
+package laburnumproxy
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/cockroachdb/errors"
+)
+
+// demand counts what callers ask of each model, for placement.
+type demand struct {
+	mu       sync.Mutex
+	since    time.Time
+	sequence uint64
+	models   map[laburnumlever.ModelName]*modelCounts
+}
+
+type modelCounts struct {
+	requests, promptTokens, answerTokens, refused, answered, inside float64
+}
+
+func newDemand(now time.Time) *demand {
+	return &demand{since: now, models: map[laburnumlever.ModelName]*modelCounts{}}
+}
+
+func (d *demand) of(model laburnumlever.ModelName) *modelCounts {
+	c := d.models[model]
+	if c == nil {
+		c = &modelCounts{}
+		d.models[model] = c
+	}
+	return c
+}
+
+func (d *demand) asked(q *request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.of(q.model)
+	c.requests++
+	c.promptTokens += float64(q.promptTokens)
+	c.answerTokens += float64(q.answerTokens)
+}
+
+// ended counts how a request went: err is nil for a whole answer.
+func (d *demand) ended(q *request, firstToken time.Duration, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.of(q.model)
+	var refusal *laburnumlever.RefusalError
+	if errors.As(err, &refusal) && wantsCapacity(refusal.Reason) {
+		c.refused++
+		return
+	}
+	if err != nil {
+		return
+	}
+	c.answered++
+	target := time.Duration(q.class.FirstToken)
+	if target == 0 || firstToken <= target {
+		c.inside++
+	}
+}
+
+func wantsCapacity(reason laburnumlever.RefusalReason) bool {
+	switch reason {
+	case laburnumlever.RefusedQueueFull, laburnumlever.RefusedQueueTimeout, laburnumlever.RefusedDeadline,
+		laburnumlever.RefusedNoBackend, laburnumlever.RefusedBackendBusy:
+		return true
+	default:
+		return false
+	}
+}
+
+// Demand is what callers asked of each model since the last call, as rates a
+// second. Call it at a fixed interval; models with nothing to tell are left out.
+func (p *Proxy) Demand() []laburnumlever.ModelDemand {
+	d := p.demand
+	now := p.timers.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	span := now.Sub(d.since).Seconds()
+	if span <= 0 {
+		return nil
+	}
+	d.sequence++
+	out := make([]laburnumlever.ModelDemand, 0, len(d.models))
+	for name, c := range d.models {
+		out = append(out, laburnumlever.ModelDemand{
+			Model: name, VM: p.views.View().Self.ID, Sequence: d.sequence,
+			RequestsPerSecond: c.requests / span, PromptTokens: c.promptTokens / span,
+			AnswerTokens: c.answerTokens / span, Refused: c.refused / span,
+			InsideTarget: share(c.inside, c.answered+c.refused),
+		})
+	}
+	slices.SortFunc(out, func(a, b laburnumlever.ModelDemand) int {
+		return strings.Compare(string(a.Model), string(b.Model))
+	})
+	d.since = now
+	d.models = map[laburnumlever.ModelName]*modelCounts{}
+	return out
+}
+
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return part / whole
+}
--- /dev/null
+++ b/laburnumproxy/fakes_test.go
@@ -0,0 +1,208 @@
+package laburnumproxy_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumproxy"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fakeViews gives a view that a test can replace.
+type fakeViews struct {
+	view atomic.Pointer[laburnumlever.View]
+}
+
+func (v *fakeViews) View() *laburnumlever.View { return v.view.Load() }
+
+// fakeLog is the replicated state of a whole deployment: proxies that share it are
+// VMs of one deployment.
+type fakeLog struct {
+	mu     sync.Mutex
+	err    error
+	claims map[string]*claim
+}
+
+type claim struct {
+	digest uint64
+	holder laburnumlever.VMID
+	record *laburnumlever.RecordAnswer
+}
+
+func (l *fakeLog) Propose(_ context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return laburnumlever.Result{}, l.err
+	}
+	if cmd.Kind == laburnumlever.CommandRecordAnswer {
+		if cmd.Answer.Outcome == laburnumlever.OutcomeNotRun {
+			delete(l.claims, cmd.Answer.Key)
+			return laburnumlever.Result{}, nil
+		}
+		l.claims[cmd.Answer.Key].record = cmd.Answer
+		return laburnumlever.Result{}, nil
+	}
+	c := l.claims[cmd.Claim.Key]
+	switch {
+	case c == nil:
+		l.claims[cmd.Claim.Key] = &claim{digest: cmd.Claim.Digest, holder: cmd.Claim.VM}
+		return laburnumlever.Result{Code: laburnumlever.ResultOK}, nil
+	case c.digest != cmd.Claim.Digest:
+		return laburnumlever.Result{Code: laburnumlever.ResultMismatch}, nil
+	case c.record == nil:
+		return laburnumlever.Result{Code: laburnumlever.ResultClaimed, Holder: c.holder}, nil
+	default:
+		return laburnumlever.Result{Code: laburnumlever.ResultAnswered, Outcome: c.record.Outcome, Answer: c.record.Answer}, nil
+	}
+}
+
+// bench is one proxy before some fake backend servers.
+type bench struct {
+	t      *testing.T
+	views  *fakeViews
+	log    *fakeLog
+	timers *laburnumtimer.Timers
+	proxy  *laburnumproxy.Proxy
+	server *httptest.Server
+}
+
+func newBench(t *testing.T, log *fakeLog, opts ...laburnumproxy.Option) *bench {
+	t.Helper()
+	if log == nil {
+		log = &fakeLog{claims: map[string]*claim{}}
+	}
+	b := &bench{t: t, views: &fakeViews{}, log: log, timers: laburnumtimer.New()}
+	t.Cleanup(b.timers.Close)
+	b.views.view.Store(&laburnumlever.View{
+		Self: laburnumlever.VM{ID: "vm-1", Zone: "brest"},
+		VMs:  []laburnumlever.VM{{ID: "vm-1"}},
+		Catalogue: laburnumlever.Catalogue{
+			Revision: 1,
+			Classes:  []laburnumlever.Class{{Name: "quick", FirstToken: laburnumlever.Duration(10 * time.Second)}},
+			Models:   []laburnumlever.Model{{Name: "quote", Owner: "sales", Class: "quick"}},
+			Services: []laburnumlever.Service{{Name: "booking", Owner: "sales", Class: "quick", NonIdempotent: []laburnumlever.Call{{Method: "POST", PathPrefix: "/visits"}}}},
+		},
+	})
+	b.proxy = laburnumproxy.New(b.views, b.timers, b.log, opts...)
+	t.Cleanup(func() { require.NoError(t, b.proxy.Close()) })
+	b.server = httptest.NewServer(b.proxy)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+// add puts a backend server into the view.
+func (b *bench) add(change laburnumlever.Announcement) {
+	view := *b.views.View()
+	change.Backend = laburnumlever.BackendID(fmt.Sprintf("b%d", len(view.Backends)))
+	change.Slots = 8
+	backend := laburnumlever.Backend{Announcement: change, ReportedAt: time.Now()}
+	backend.Report.Loaded = []laburnumlever.Loaded{{Model: "quote", Ready: true}}
+	view.Backends = append(append([]laburnumlever.Backend{}, view.Backends...), backend)
+	b.views.view.Store(&view)
+}
+
+// engine adds an engine with that handler; it echoes attempt ids.
+func (b *bench) engine(canResume bool, fn http.HandlerFunc) *httptest.Server {
+	s := httptest.NewServer(echoing(fn))
+	b.t.Cleanup(s.Close)
+	b.add(laburnumlever.Announcement{Address: s.Listener.Addr().String(), CanResume: canResume})
+	return s
+}
+
+// service adds a plain service with that handler.
+func (b *bench) service(fn http.HandlerFunc) *httptest.Server {
+	s := httptest.NewServer(echoing(fn))
+	b.t.Cleanup(s.Close)
+	b.add(laburnumlever.Announcement{Kind: laburnumlever.PlainService, Service: "booking", Address: s.Listener.Addr().String()})
+	return s
+}
+
+func echoing(fn http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		fn(w, r)
+	}
+}
+
+// reply is a caller's view of an answer.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (b *bench) post(path, body string, headers ...string) reply {
+	req, err := http.NewRequest(http.MethodPost, b.server.URL+path, strings.NewReader(body))
+	require.NoError(b.t, err)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+func (b *bench) stream() reply {
+	return b.post("/v1/completions", `{"model":"quote","prompt":"hall","stream":true,"max_tokens":4}`)
+}
+
+// refused checks a typed refusal.
+func (r reply) refused(t *testing.T, reason, outcome string) {
+	t.Helper()
+	require.NoError(t, r.err)
+	var body struct {
+		Error struct {
+			Type    string `json:"type"`
+			Outcome string `json:"outcome"`
+			ID      string `json:"request-id"`
+		} `json:"error"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(r.body), &body), r.body)
+	require.Equal(t, reason, body.Error.Type, r.body)
+	require.Equal(t, outcome, body.Error.Outcome, r.body)
+	require.Equal(t, outcome, r.header.Get("Laburnumlever-Outcome"))
+	require.Equal(t, body.Error.ID, r.header.Get("X-Request-Id"))
+}
+
+// tokens writes token events from…to and flushes each.
+func tokens(w http.ResponseWriter, from, to int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from; i < to; i++ {
+		fmt.Fprintf(w, "data: {\"choices\":[{\"text\":\"t%d \",\"finish_reason\":null}]}\n\n", i)
+		w.(http.Flusher).Flush()
+	}
+}
+
+func done(w http.ResponseWriter) { io.WriteString(w, "data: [DONE]\n\n") }
+
+// texts joins the token texts of a stream.
+func texts(body string) string {
+	var out bytes.Buffer
+	for line := range strings.Lines(body) {
+		var c struct{ Choices []struct{ Text string } }
+		data, _ := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			out.WriteString(c.Choices[0].Text)
+		}
+	}
+	return out.String()
+}
--- /dev/null
+++ b/laburnumproxy/proxy.go
@@ -0,0 +1,145 @@
+package laburnumproxy
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumrouter"
+
+	"github.com/go-kit/log"
+	"github.com/kataras/iris/v12"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// sweepPeriod is how often stalled requests are looked for.
+	sweepPeriod = 100 * time.Millisecond
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+	callerIdleTimeout = 2 * time.Minute
+)
+
+// Proxy serves callers. It is an http.Handler.
+type Proxy struct {
+	views    laburnumlever.Views
+	timers   laburnumlever.Timers
+	proposer laburnumlever.Proposer
+	cfg      settings
+	logger   log.Logger
+	scope    tally.Scope
+	app      *iris.Application
+	pooled   *http.Transport
+	single   *http.Transport // each request on a connection of its own
+	ring     *ring
+	demand   *demand
+	flights  *flights
+	stop     func()
+
+	mu     sync.Mutex // guards the decisions below, which are not safe by themselves
+	view   *laburnumlever.View
+	router *laburnumrouter.Router
+	budget *laburnumretry.Budget
+}
+
+// New returns a proxy that reads the views and claims non-idempotent requests
+// through the proposer. Close ends it.
+func New(views laburnumlever.Views, timers laburnumlever.Timers, proposer laburnumlever.Proposer, opts ...Option) *Proxy {
+	cfg := newSettings(opts)
+	p := &Proxy{
+		views: views, timers: timers, proposer: proposer, cfg: cfg,
+		logger: cfg.logger, scope: cfg.scope,
+		pooled: newTransport(true), single: newTransport(false),
+		ring: newRing(), demand: newDemand(timers.Now()), flights: newFlights(),
+		router: laburnumrouter.New(views.View().Self.Zone, cfg.seed), budget: laburnumretry.NewBudget(),
+	}
+	p.app = p.routes()
+	p.stop = timers.Every(sweepPeriod, p.sweep)
+	return p
+}
+
+// Server returns an HTTP server for the callers' listener with the bounds on
+// headers and idle connections set.
+func (p *Proxy) Server() *http.Server {
+	return &http.Server{
+		Handler: p, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	}
+}
+
+// Close frees the proxy's connections. It cuts off what is still in flight: Drain first.
+func (p *Proxy) Close() error {
+	p.stop()
+	p.flights.cancelAll(&stoppedError{})
+	p.pooled.CloseIdleConnections()
+	p.single.CloseIdleConnections()
+	return nil
+}
+
+func (p *Proxy) routes() *iris.Application {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutStartupLog, iris.WithoutAutoFireStatusCode, iris.WithoutPathCorrection)
+	app.Post("/v1/chat/completions", adapt(p.serveCompletion))
+	app.Post("/v1/completions", adapt(p.serveCompletion))
+	app.Get("/v1/models", adapt(p.serveModels))
+	app.Any("/services/{rest:path}", adapt(p.serveService))
+	app.Get("/healthz", adapt(p.serveHealth))
+	app.Get("/readyz", adapt(p.serveReady))
+	// Iris's own error pages stay off: it would add one to a backend server's
+	// answer that has an error status and no body.
+	app.Any("/{rest:path}", adapt(p.serveNoSuchPath))
+	if err := app.Build(); err != nil {
+		panic(err) // the routes above are fixed: a clash shows in every test
+	}
+	return app
+}
+
+func adapt(fn http.HandlerFunc) iris.Handler {
+	return func(ctx iris.Context) { fn(ctx.ResponseWriter(), ctx.Request()) }
+}
+
+// plainWriter is net/http's own writer below iris's, which alone can be given
+// deadlines and tells of a failed flush.
+func plainWriter(w http.ResponseWriter) http.ResponseWriter {
+	if wrapped, ok := w.(interface{ Naive() http.ResponseWriter }); ok {
+		return wrapped.Naive()
+	}
+	return w
+}
+
+// ServeHTTP serves one request of a caller.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.app.ServeHTTP(w, r) }
+
+// pick chooses a backend server and counts the request as in flight there.
+func (p *Proxy) pick(q *request, avoid laburnumlever.BackendID) (*laburnumrouter.Server, error) {
+	now := p.timers.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh(now)
+	server, ok := p.router.Pick(laburnumrouter.Query{Model: q.model, Service: q.service, Avoid: avoid}, now)
+	if !ok {
+		return nil, q.refusal(laburnumlever.RefusedNoBackend, laburnumlever.OutcomeNotRun, "no backend server takes work for it now")
+	}
+	server.Begin()
+	return server, nil
+}
+
+func (p *Proxy) release(server *laburnumrouter.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	server.End()
+}
+
+// refresh takes a new view into the router; the caller holds mu.
+func (p *Proxy) refresh(now time.Time) {
+	view := p.views.View()
+	if view == p.view {
+		return
+	}
+	p.view = view
+	p.router.Update(laburnumrouter.NewIndex(view), now)
+}
--- /dev/null
+++ b/laburnumproxy/proxy_test.go
@@ -0,0 +1,66 @@
+package laburnumproxy_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestStreamPassesThroughAsItComes(t *testing.T) {
+	b := newBench(t, nil)
+	goOn := make(chan struct{})
+	b.engine(false, func(w http.ResponseWriter, _ *http.Request) {
+		tokens(w, 0, 1)
+		<-goOn
+		tokens(w, 1, 4)
+		done(w)
+	})
+	resp, err := http.Post(b.server.URL+"/v1/completions", "application/json", strings.NewReader(`{"model":"quote","stream":true}`))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	first, err := reader.ReadString('\n') // arrives while the engine still works
+	require.NoError(t, err)
+	close(goOn)
+	rest, err := io.ReadAll(reader)
+	require.NoError(t, err)
+	require.Equal(t, "t0 t1 t2 t3 ", texts(first+string(rest)))
+	require.True(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"))
+	account, ok := b.proxy.Explain(resp.Header.Get("X-Request-Id"))
+	require.True(t, ok)
+	require.NotEmpty(t, account.Lines)
+}
+
+func TestRefusalsAreTyped(t *testing.T) {
+	b := newBench(t, nil)
+	b.post("/v1/completions", `{"model":"quote"}`).refused(t, "no-backend", "not-run")
+	b.post("/v1/completions", `{"model":"other"}`).refused(t, "unknown-model", "not-run")
+	b.post("/v1/completions", `{"model`).refused(t, "bad-request", "not-run")
+	b.post("/services/nothing/x", "").refused(t, "unknown-service", "not-run")
+	b.post("/nowhere", "").refused(t, "bad-request", "not-run")
+	b.post("/services/booking/a/%2e%2e/visits", "").refused(t, "bad-request", "not-run")
+	b.post("/v1/completions", strings.Repeat("x", 17<<20)).refused(t, "too-large", "not-run")
+}
+
+func TestModelsHealthAndServices(t *testing.T) {
+	b := newBench(t, nil)
+	b.service(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.WriteHeader(http.StatusTeapot)
+		io.WriteString(w, r.URL.RequestURI()+" "+string(body))
+	})
+	got := b.post("/services/booking/slots/a%20b?day=2", "tomorrow")
+	require.Equal(t, http.StatusTeapot, got.status)
+	require.Equal(t, "/slots/a%20b?day=2 tomorrow", got.body)
+	for path, want := range map[string]string{"/healthz": "ok", "/readyz": "ready", "/v1/models": `"id":"quote"`} {
+		resp, err := http.Get(b.server.URL + path)
+		require.NoError(t, err)
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		require.Contains(t, string(text), want)
+	}
+}
--- /dev/null
+++ b/laburnumproxy/refuse.go
@@ -0,0 +1,122 @@
+package laburnumproxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	statusCallerGone = 499
+	hashBase         = 16
+	shortRetryAfter  = time.Second
+	// drainRetryAfter lets the balancer find out that this VM is not ready.
+	drainRetryAfter = 2 * time.Second
+)
+
+// statuses of the reasons; any other is 503.
+var statuses = map[laburnumlever.RefusalReason]int{
+	laburnumlever.RefusedBadRequest:       http.StatusBadRequest,
+	laburnumlever.RefusedTooLarge:         http.StatusRequestEntityTooLarge,
+	laburnumlever.RefusedUnknownModel:     http.StatusNotFound,
+	laburnumlever.RefusedUnknownService:   http.StatusNotFound,
+	laburnumlever.RefusedOwnerRequestRate: http.StatusTooManyRequests,
+	laburnumlever.RefusedOwnerTokenRate:   http.StatusTooManyRequests,
+	laburnumlever.RefusedOwnerInFlight:    http.StatusTooManyRequests,
+	laburnumlever.RefusedBackendError:     http.StatusBadGateway,
+	laburnumlever.RefusedBrokenStream:     http.StatusBadGateway,
+	laburnumlever.RefusedCrossedAnswer:    http.StatusBadGateway,
+	laburnumlever.RefusedOutcomeUnknown:   http.StatusBadGateway,
+	laburnumlever.RefusedKeyInProgress:    http.StatusConflict,
+	laburnumlever.RefusedKeyMismatch:      http.StatusUnprocessableEntity,
+	laburnumlever.RefusedCallerGone:       statusCallerGone,
+}
+
+func statusOf(reason laburnumlever.RefusalReason) int {
+	if status, ok := statuses[reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// retryAfter is the default for a reason; 0 when asking again brings nothing.
+func retryAfter(reason laburnumlever.RefusalReason) time.Duration {
+	switch reason {
+	case laburnumlever.RefusedBadRequest, laburnumlever.RefusedTooLarge, laburnumlever.RefusedUnknownModel,
+		laburnumlever.RefusedUnknownService, laburnumlever.RefusedKeyMismatch, laburnumlever.RefusedOutcomeUnknown,
+		laburnumlever.RefusedCallerGone:
+		return 0
+	case laburnumlever.RefusedDraining:
+		return drainRetryAfter
+	default:
+		return shortRetryAfter
+	}
+}
+
+// errorBody is the body of every refusal, and the data of an error event.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type      string `json:"type"`
+	Message   string `json:"message"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"request-id"`
+}
+
+// reasonName is a reason on the wire and in metrics: "no-quorum".
+func reasonName(reason laburnumlever.RefusalReason) string {
+	return strings.TrimPrefix(reason.String(), "refused-")
+}
+
+// outcomeName is an outcome on the wire: "not-run" or "unknown".
+func outcomeName(outcome laburnumlever.RequestOutcome) string {
+	return strings.TrimPrefix(outcome.String(), "outcome-")
+}
+
+// retryName is a reason for a retry in metrics: "not-sent".
+func retryName(reason laburnumlever.RetryReason) string {
+	return strings.TrimPrefix(reason.String(), "retry-")
+}
+
+func newErrorBody(id string, refusal *laburnumlever.RefusalError) []byte {
+	text, err := json.Marshal(errorBody{Error: errorDetail{
+		Type: reasonName(refusal.Reason), Message: refusal.Detail, Outcome: outcomeName(refusal.Outcome), RequestID: id,
+	}})
+	if err != nil {
+		return []byte(`{"error":{}}`) // not reached: the fields always marshal
+	}
+	return text
+}
+
+// refuse answers with a refusal at once.
+func refuse(w http.ResponseWriter, id string, refusal *laburnumlever.RefusalError) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerRequest, id)
+	h.Set(headerOutcome, outcomeName(refusal.Outcome))
+	if refusal.RetryAfter > 0 {
+		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(statusOf(refusal.Reason))
+	_, _ = w.Write(append(newErrorBody(id, refusal), '\n')) // a caller that is gone needs no answer
+}
+
+// asRefusal finds the refusal in an error; one without is unknown to the caller.
+func (q *request) asRefusal(err error) *laburnumlever.RefusalError {
+	var refusal *laburnumlever.RefusalError
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return q.refusal(laburnumlever.RefusedOutcomeUnknown, laburnumlever.OutcomeUnknown, err.Error())
+}
+
+func formatHash(n uint64) string { return strconv.FormatUint(n, hashBase) }
--- /dev/null
+++ b/laburnumproxy/request.go
@@ -0,0 +1,155 @@
+package laburnumproxy
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+const (
+	// bytesPerToken estimates a prompt's tokens; English text has about four.
+	bytesPerToken = 4
+	// defaultAnswerTokens is the estimate for a request that sets no max_tokens.
+	defaultAnswerTokens = 256
+	maxRequestIDBytes   = 128
+)
+
+// request is one caller's request on its way through the proxy.
+type request struct {
+	id       string
+	caller   string // the key for fairness
+	credit   string // hash of Authorization, empty without
+	received time.Time
+	owner    laburnumlever.OwnerName
+	class    laburnumlever.Class
+	model    laburnumlever.ModelName
+	service  laburnumlever.ServiceName
+	method   string
+	path     string // with the query, as the backend server is asked
+	header   http.Header
+	body     []byte
+	stream   bool
+	// once tells that the request may run at most once.
+	once bool
+	// touched tells that an attempt may have reached a backend server.
+	touched      bool
+	prompt       string
+	promptTokens int
+	answerTokens int
+	trail        *trail
+}
+
+// subject is the model or service, for refusals and logs.
+func (q *request) subject() string {
+	if q.model != "" {
+		return string(q.model)
+	}
+	return string(q.service)
+}
+
+// refusal makes the typed refusal of this request.
+func (q *request) refusal(reason laburnumlever.RefusalReason, outcome laburnumlever.RequestOutcome, detail string) *laburnumlever.RefusalError {
+	return &laburnumlever.RefusalError{
+		Reason: reason, Outcome: outcome, Owner: q.owner, Subject: q.subject(),
+		RetryAfter: retryAfter(reason), Detail: detail,
+	}
+}
+
+func newRequest(r *http.Request, now time.Time) *request {
+	q := &request{
+		id:       r.Header.Get(headerRequest),
+		received: now,
+		method:   r.Method,
+		path:     r.URL.RequestURI(),
+		header:   r.Header,
+	}
+	if q.id == "" || len(q.id) > maxRequestIDBytes {
+		q.id = uuid.NewString()
+	}
+	q.caller, q.credit = callerKeys(r)
+	return q
+}
+
+// callerKeys are the caller's key for fairness and the hash of its credentials.
+// The address is no part of the second: a caller that resends may come from
+// another address, and must find what it claimed.
+func callerKeys(r *http.Request) (key, credit string) {
+	if auth := r.Header.Get("Authorization"); auth != "" {
+		credit = formatHash(xxhash.Sum64String(auth))
+		return credit, credit
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr, ""
+	}
+	return host, ""
+}
+
+// readBody reads the whole body within the bound.
+func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) error {
+	body, err := io.ReadAll(http.MaxBytesReader(plainWriter(w), r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return q.refusal(laburnumlever.RefusedTooLarge, laburnumlever.OutcomeNotRun, tooLarge.Error())
+	}
+	if err != nil {
+		return q.refusal(laburnumlever.RefusedBadRequest, laburnumlever.OutcomeNotRun, "the body could not be read: "+err.Error())
+	}
+	q.body = body
+	return nil
+}
+
+// completion is the part of an OpenAI request that matters on the way.
+type completion struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            json.RawMessage `json:"messages"`
+}
+
+// readCompletion finds model, size and prompt in the body.
+func (q *request) readCompletion(cat *laburnumlever.Catalogue) error {
+	var c completion
+	if err := json.Unmarshal(q.body, &c); err != nil {
+		return q.refusal(laburnumlever.RefusedBadRequest, laburnumlever.OutcomeNotRun, "the body is not JSON: "+err.Error())
+	}
+	model, ok := findModel(cat, c.Model)
+	if !ok {
+		q.model = laburnumlever.ModelName(c.Model)
+		return q.refusal(laburnumlever.RefusedUnknownModel, laburnumlever.OutcomeNotRun, "no such model in the catalogue")
+	}
+	q.model = model.Name
+	q.owner = model.Owner
+	q.class, _ = cat.Class(model.Class)
+	q.stream = c.Stream
+	q.prompt = string(c.Prompt) + string(c.Messages)
+	q.promptTokens = 1 + len(q.prompt)/bytesPerToken
+	q.answerTokens = max(c.MaxTokens, c.MaxCompletionTokens)
+	if q.answerTokens <= 0 {
+		q.answerTokens = defaultAnswerTokens
+	}
+	return nil
+}
+
+// findModel also takes "model:adapter", which names an adapter of the model.
+func findModel(cat *laburnumlever.Catalogue, name string) (laburnumlever.Model, bool) {
+	if m, ok := cat.Model(laburnumlever.ModelName(name)); ok {
+		return m, true
+	}
+	base, _, found := strings.Cut(name, ":")
+	if !found {
+		return laburnumlever.Model{}, false
+	}
+	return cat.Model(laburnumlever.ModelName(base))
+}
--- /dev/null
+++ b/laburnumproxy/serve.go
@@ -0,0 +1,164 @@
+package laburnumproxy
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+)
+
+// handler serves one request that has been let in.
+type handler func(ctx context.Context, q *request, out *answer, r *http.Request) error
+
+// serve does what all requests share: identity, the count of what is in flight,
+// the account for Explain, and one final answer.
+func (p *Proxy) serve(w http.ResponseWriter, r *http.Request, fn handler) {
+	now := p.timers.Now()
+	q := newRequest(r, now)
+	q.trail = &trail{id: q.id, start: now}
+	p.ring.put(q.trail)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	f := &flight{start: now, cancel: cancel, control: http.NewResponseController(plainWriter(w))}
+	if !p.flights.enter(f) {
+		p.refuse(w, q, q.refusal(laburnumlever.RefusedDraining, laburnumlever.OutcomeNotRun, "this VM is about to stop"))
+		return
+	}
+	defer p.flights.leave(f)
+	w.Header().Set(headerRequest, q.id)
+	out := newAnswer(w, q, f, p.timers)
+	err := fn(ctx, q, out, r)
+	p.finish(q, out, err)
+}
+
+// finish counts the request and tells the caller of a failure in the way that is
+// still open: a refusal, an error event in a stream, or a cut connection.
+func (p *Proxy) finish(q *request, out *answer, err error) {
+	if q.model != "" && q.promptTokens > 0 {
+		p.demand.ended(q, out.firstToken(), err)
+	}
+	if err == nil {
+		p.scope.Counter("requests-answered").Inc(1)
+		return
+	}
+	refusal := *q.asRefusal(err)
+	if q.touched {
+		refusal.Outcome = laburnumlever.OutcomeUnknown
+	}
+	switch {
+	case !out.started:
+		p.refuse(out.w, q, &refusal)
+	case out.events:
+		p.note(q, &refusal)
+		out.errorEvent(&refusal)
+	default:
+		p.note(q, &refusal)
+		// A caller must not take half a body for a whole one: net/http answers
+		// this panic by closing the connection before the body's end.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (p *Proxy) refuse(w http.ResponseWriter, q *request, refusal *laburnumlever.RefusalError) {
+	p.note(q, refusal)
+	refuse(w, q.id, refusal)
+}
+
+// note counts and logs a refusal.
+func (p *Proxy) note(q *request, refusal *laburnumlever.RefusalError) {
+	p.scope.Tagged(map[string]string{"reason": reasonName(refusal.Reason)}).Counter("refusals").Inc(1)
+	q.trail.add(p.timers.Now(), "refused: %s, %s: %s", reasonName(refusal.Reason), outcomeName(refusal.Outcome), refusal.Detail)
+	_ = level.Debug(p.logger).Log("event", "refused", "request-id", q.id, "reason", reasonName(refusal.Reason),
+		"outcome", outcomeName(refusal.Outcome), "subject", refusal.Subject, "detail", refusal.Detail)
+}
+
+func (p *Proxy) serveCompletion(w http.ResponseWriter, r *http.Request) { p.serve(w, r, p.complete) }
+
+func (p *Proxy) complete(ctx context.Context, q *request, out *answer, r *http.Request) error {
+	view := p.views.View()
+	if view.Catalogue.Revision == 0 {
+		return q.refusal(laburnumlever.RefusedNotReady, laburnumlever.OutcomeNotRun, "no catalogue yet")
+	}
+	if err := q.readBody(out.w, r, p.cfg.maxBody); err != nil {
+		return err
+	}
+	if err := q.readCompletion(&view.Catalogue); err != nil {
+		return err
+	}
+	p.demand.asked(q)
+	return p.run(ctx, q, out)
+}
+
+func (p *Proxy) serveModels(w http.ResponseWriter, _ *http.Request) {
+	view := p.views.View()
+	list := modelList{Object: "list", Data: make([]modelEntry, 0, len(view.Catalogue.Models))}
+	for i := range view.Catalogue.Models {
+		m := &view.Catalogue.Models[i]
+		list.Data = append(list.Data, modelEntry{ID: string(m.Name), Object: "model", OwnedBy: string(m.Owner)})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list) // a caller that is gone needs no answer
+}
+
+// modelList is OpenAI's answer to /v1/models, in its spelling.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (p *Proxy) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n") // a prober that is gone needs no answer
+}
+
+func (p *Proxy) serveReady(w http.ResponseWriter, _ *http.Request) {
+	reason := p.views.View().NotReady
+	if p.flights.isDraining() {
+		reason = "draining"
+	}
+	if reason != "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "not ready: "+reason+"\n")
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func (p *Proxy) serveNoSuchPath(w http.ResponseWriter, r *http.Request) {
+	q := newRequest(r, p.timers.Now())
+	q.trail = &trail{id: q.id, start: q.received}
+	refusal := q.refusal(laburnumlever.RefusedBadRequest, laburnumlever.OutcomeNotRun, "nothing is served at "+r.Method+" "+r.URL.Path)
+	p.note(q, refusal)
+	refuse(w, q.id, refusal)
+}
+
+// causeOf tells why an attempt without an answer ended.
+func causeOf(ctx context.Context) laburnumlever.RefusalReason {
+	if ctx.Err() == nil {
+		return laburnumlever.RefusedBackendUnreachable
+	}
+	var stalled *stalledError
+	var stopped *stoppedError
+	cause := context.Cause(ctx)
+	switch {
+	case errors.As(cause, &stalled):
+		return laburnumlever.RefusedDeadline
+	case errors.As(cause, &stopped):
+		return laburnumlever.RefusedDraining
+	default:
+		return laburnumlever.RefusedCallerGone
+	}
+}
+
+func (o *answer) firstToken() time.Duration { return o.firstAt.Sub(o.q.received) }
--- /dev/null
+++ b/laburnumproxy/services.go
@@ -0,0 +1,72 @@
+package laburnumproxy
+
+import (
+	"context"
+	"net/http"
+	"path"
+	"strings"
+
+	"laburnumlever"
+)
+
+const servicesPrefix = "/services/"
+
+func (p *Proxy) serveService(w http.ResponseWriter, r *http.Request) { p.serve(w, r, p.call) }
+
+// call forwards a call to a plain service.
+func (p *Proxy) call(ctx context.Context, q *request, out *answer, r *http.Request) error {
+	view := p.views.View()
+	if view.Catalogue.Revision == 0 {
+		return q.refusal(laburnumlever.RefusedNotReady, laburnumlever.OutcomeNotRun, "no catalogue yet")
+	}
+	servicePath, err := q.readService(&view.Catalogue, r)
+	if err != nil {
+		return err
+	}
+	if err := q.readBody(out.w, r, p.cfg.maxBody); err != nil {
+		return err
+	}
+	service, _ := view.Catalogue.Service(q.service)
+	if !service.IsNonIdempotent(q.method, servicePath) {
+		return p.run(ctx, q, out)
+	}
+	q.once = true
+	// The call goes on when its caller goes away: it may already run, and only
+	// its answer tells what became of it. The flight's end still stops it.
+	ctx = detached(ctx, out.flight)
+	if q.header.Get(headerKey) == "" {
+		return p.run(ctx, q, out)
+	}
+	return p.claimAndRun(ctx, q, out)
+}
+
+// readService finds the service and the path below it. A path that a backend
+// server may read in another way than we do is refused: "/x/../bookings" would
+// pass for a call that may be repeated.
+func (q *request) readService(cat *laburnumlever.Catalogue, r *http.Request) (string, error) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicesPrefix), "/")
+	q.service = laburnumlever.ServiceName(name)
+	service, ok := cat.Service(q.service)
+	if !ok {
+		return "", q.refusal(laburnumlever.RefusedUnknownService, laburnumlever.OutcomeNotRun, "no such service in the catalogue")
+	}
+	q.owner = service.Owner
+	q.class, _ = cat.Class(service.Class)
+	plain := "/" + rest
+	if clean := path.Clean(plain); clean != plain && clean+"/" != plain {
+		return "", q.refusal(laburnumlever.RefusedBadRequest, laburnumlever.OutcomeNotRun, "the path is not in its plain form")
+	}
+	_, escaped, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix), "/")
+	q.path = "/" + escaped
+	if r.URL.RawQuery != "" {
+		q.path += "?" + r.URL.RawQuery
+	}
+	return plain, nil
+}
+
+// detached is a context that only the flight's end cancels.
+func detached(ctx context.Context, f *flight) context.Context {
+	free, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	f.replaceCancel(cancel)
+	return free
+}
