feat: membership and dissemination of the catalogue, first version

Spread: numbers are offered, the body goes only to those that lack it. Decisions are in cores without network or clock. Ruled out: load reports to all at the rate they come (2,100 engines at 2 Hz would alone be above the bytes a node may use). Tests with real sockets and -race pass; nothing measured yet. LeaveFleet is the VM's own leaving: Leave is the registry's.

--- a/backend.go
+++ b/backend.go
@@ -28,7 +28,10 @@
 	// CallerAddress is where callers reach the VM.
 	CallerAddress string `json:"caller-address,omitempty"`
 	// HasDisk tells that the VM has a data folder and so can be a voter.
-	HasDisk     bool    `json:"has-disk,omitempty"`
+	HasDisk bool `json:"has-disk,omitempty"`
+	// OwnsZone tells that the VM holds a zone's placement lease, so that the
+	// others send it their demand.
+	OwnsZone    bool    `json:"owns-zone,omitempty"`
 	Incarnation uint64  `json:"incarnation"`
 	State       VMState `json:"state"`
 }
--- /dev/null
+++ b/laburnummembership/backendtable.go
@@ -0,0 +1,187 @@
+package laburnummembership
+
+import (
+	"slices"
+	"time"
+
+	"laburnumlever"
+)
+
+// backendRecord is one backend server.
+type backendRecord struct {
+	news   backendNews
+	report laburnumlever.LoadReport
+	// reportedAt is when the report was learnt.
+	reportedAt time.Time
+	// inventorySequence is that of the last inventory made news.
+	inventorySequence uint64
+	// heardAt is when it was last heard directly, directSequence its report then.
+	heardAt        time.Time
+	directSequence uint64
+	// newsAt is when anything new was learnt of it.
+	newsAt    time.Time
+	changedAt time.Time
+	// nearAt and farAt are when its load was last queued for the own zone and
+	// for others.
+	nearAt, farAt time.Time
+}
+
+// backendTable holds the backend servers.
+type backendTable struct {
+	records map[laburnumlever.BackendID]*backendRecord
+	byKey   map[uint64]*backendRecord
+	digest  *digest
+}
+
+func newBackendTable(d *digest) *backendTable {
+	return &backendTable{
+		records: map[laburnumlever.BackendID]*backendRecord{},
+		byKey:   map[uint64]*backendRecord{},
+		digest:  d,
+	}
+}
+
+// supersedes tells whether a changes what b says. Leaving is not compared here:
+// it is sticky within an incarnation.
+func (a backendNews) supersedes(b backendNews) bool {
+	switch {
+	case a.Incarnation != b.Incarnation:
+		return a.Incarnation > b.Incarnation
+	case a.Beat != b.Beat:
+		return a.Beat > b.Beat
+	case a.Health != b.Health:
+		return a.Health > b.Health
+	default:
+		return a.Speaker < b.Speaker
+	}
+}
+
+// merge takes in news and tells whether it changed anything.
+func (t *backendTable) merge(n backendNews, now time.Time) bool {
+	r, ok := t.records[n.Backend]
+	if !ok || n.Incarnation > r.news.Incarnation {
+		return t.begin(n, now)
+	}
+	if n.Incarnation < r.news.Incarnation {
+		return false
+	}
+	next := r.news
+	if n.supersedes(r.news) {
+		next = n
+	}
+	next.Leaving = n.Leaving || r.news.Leaving
+	if n.Announcement == nil || !n.supersedes(r.news) {
+		next.Announcement = r.news.Announcement
+	}
+	if next == r.news {
+		return false
+	}
+	t.change(r, next, now)
+	return true
+}
+
+// begin starts the record of an incarnation. What an earlier one reported is
+// dropped: the restarted engine holds nothing of it.
+func (t *backendTable) begin(n backendNews, now time.Time) bool {
+	old, known := t.records[n.Backend]
+	if n.Announcement == nil || (!known && (n.Leaving || n.Health == healthDown)) {
+		return false
+	}
+	if known {
+		t.remove(old)
+	}
+	r := &backendRecord{news: n, newsAt: now, changedAt: now}
+	r.report = laburnumlever.LoadReport{Backend: n.Backend, Incarnation: n.Incarnation}
+	t.records[n.Backend] = r
+	t.byKey[loadKey(n.Backend, n.Incarnation)] = r
+	t.toggle(r)
+	return true
+}
+
+func (t *backendTable) change(r *backendRecord, next backendNews, now time.Time) {
+	t.toggle(r)
+	r.news = next
+	r.newsAt = now
+	r.changedAt = now
+	t.toggle(r)
+}
+
+// mergeInventory takes in an engine's inventory.
+func (t *backendTable) mergeInventory(n inventoryNews, now time.Time) bool {
+	r, ok := t.records[n.Backend]
+	if !ok || n.Incarnation != r.news.Incarnation || n.Sequence <= r.inventorySequence {
+		return false
+	}
+	t.toggle(r)
+	r.inventorySequence = n.Sequence
+	t.toggle(r)
+	r.newsAt = now
+	if n.Sequence < r.directSequence {
+		return true // heard directly since
+	}
+	r.report.Loaded = n.Loaded
+	r.report.Fence = n.Fence
+	return true
+}
+
+// mergeLoad takes in one load row; late rows change nothing.
+func (t *backendTable) mergeLoad(key, sequence uint64, inFlight, queued int, now time.Time) (*backendRecord, bool) {
+	r, ok := t.byKey[key]
+	if !ok || sequence <= r.report.Sequence {
+		return nil, false
+	}
+	r.report.Sequence = sequence
+	r.report.InFlight = inFlight
+	r.report.Queued = queued
+	r.reportedAt = now
+	r.newsAt = now
+	return r, true
+}
+
+func (t *backendTable) remove(r *backendRecord) {
+	t.toggle(r)
+	delete(t.records, r.news.Backend)
+	delete(t.byKey, loadKey(r.news.Backend, r.news.Incarnation))
+}
+
+// toggle leaves a doubt out of the digest: it passes within a second.
+func (t *backendTable) toggle(r *backendRecord) {
+	key := backendKey(r.news.Backend)
+	status := uint64(0)
+	if r.news.Leaving {
+		status |= 1
+	}
+	if r.news.Health == healthDown {
+		status |= 2
+	}
+	t.digest.toggle(key, hashFields(key, r.news.Incarnation, r.news.Beat, status, r.inventorySequence))
+}
+
+func (t *backendTable) sorted() []*backendRecord {
+	ids := make([]laburnumlever.BackendID, 0, len(t.records))
+	for id := range t.records {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	out := make([]*backendRecord, len(ids))
+	for i, id := range ids {
+		out[i] = t.records[id]
+	}
+	return out
+}
+
+func (r *backendRecord) zone() laburnumlever.ZoneName { return r.news.Announcement.Zone }
+
+func (r *backendRecord) inventory() inventoryNews {
+	return inventoryNews{
+		Backend:     r.news.Backend,
+		Incarnation: r.news.Incarnation,
+		Sequence:    r.inventorySequence,
+		Fence:       r.report.Fence,
+		Loaded:      r.report.Loaded,
+	}
+}
+
+func backendKey(id laburnumlever.BackendID) string { return "b" + string(id) }
+
+func inventoryKey(id laburnumlever.BackendID) string { return "i" + string(id) }
--- /dev/null
+++ b/laburnummembership/config.go
@@ -0,0 +1,93 @@
+package laburnummembership
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// The defaults; docs/design/membership.md has the measurements behind them.
+const (
+	tickPeriod = 200 * time.Millisecond
+	// probeTimeout is many times a round trip between zones, and short enough
+	// that a probe, its indirect ones and a suspicion end within seconds.
+	probeTimeout = 500 * time.Millisecond
+	// askTimeout leaves the helper a probeTimeout of its own.
+	askTimeout  = 900 * time.Millisecond
+	syncTimeout = 3 * time.Second
+	askHelpers  = 3
+	// lateTick is how late a tick shows that this process was paused.
+	lateTick = time.Second
+	// suspicionBase and suspicionStep (for each doubling of the fleet) give a
+	// suspected VM the time to hear of it and to refute.
+	suspicionBase = 1500 * time.Millisecond
+	suspicionStep = 500 * time.Millisecond
+	// contactRecent is how recent a message from others must be to show that this
+	// VM is not cut off.
+	contactRecent = 1500 * time.Millisecond
+	healPeriod    = 2 * time.Second
+	joinPeriod    = time.Second
+	vmForget      = 6 * time.Hour
+	vmForgetLeft  = 10 * time.Minute
+	backendForget = 10 * time.Minute
+	// backendSilence is two announcements and four reports missed, and some.
+	backendSilence = 2200 * time.Millisecond
+	// backendDoubt is how long others have to say that they still hear it.
+	backendDoubt = 800 * time.Millisecond
+	// backendOrphan is how long a backend server whose speaker is down may be
+	// without any news before it counts as down here.
+	backendOrphan = 5 * time.Second
+	// factBudget and loadBudget bound the bytes of news in one message.
+	factBudget = 1000
+	loadBudget = 700
+	// factSends is how often a fact is passed on, for each doubling of the fleet.
+	factSends = 1.5
+	loadSends = 1.0
+	// loadInterval is the least time between two load rows of a backend server;
+	// it grows with the number of them, by nearLoadStep in the own zone and by
+	// farLoadStep for the others, so that the bytes stay constant.
+	loadInterval = 400 * time.Millisecond
+	nearLoadStep = 5 * time.Millisecond
+	farLoadStep  = 14 * time.Millisecond
+	// syncMismatches is how many exchanges in a row must show another digest:
+	// fewer, and news still on its way would be pulled as missed.
+	syncMismatches = 5
+	syncPeriod     = 2 * time.Second
+	// syncStep stretches syncPeriod for each VM known.
+	syncStep   = 10 * time.Millisecond
+	syncBudget = 64 << 10
+	// relayLimit is how many items learnt by one sync are passed on as news.
+	relayLimit = 50
+)
+
+type config struct {
+	logger log.Logger
+	scope  tally.Scope
+	seeds  []string
+	seed   uint64
+}
+
+// Option changes a new membership.
+type Option func(*config)
+
+func newConfig(opts []Option) config {
+	cfg := config{logger: log.NewNopLogger(), scope: tally.NoopScope}
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	return cfg
+}
+
+// WithSeeds sets the peer addresses of VMs to join through. They are also tried
+// again while no VM that is alive has them.
+func WithSeeds(addresses []string) Option { return func(c *config) { c.seeds = addresses } }
+
+// WithLogger sets the log; without it nothing is logged.
+func WithLogger(logger log.Logger) Option { return func(c *config) { c.logger = logger } }
+
+// WithScope sets where counters go; without it they go nowhere.
+func WithScope(scope tally.Scope) Option { return func(c *config) { c.scope = scope } }
+
+// WithRandomSeed makes the choice of partners the same in every run.
+func WithRandomSeed(seed uint64) Option { return func(c *config) { c.seed = seed } }
--- /dev/null
+++ b/laburnummembership/demand.go
@@ -0,0 +1,84 @@
+package laburnummembership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// demandPeriod is how often demand goes to the VMs that place.
+	demandPeriod = time.Second
+	// demandAge is after how long without news a VM's demand no longer counts.
+	demandAge = 15 * time.Second
+)
+
+// demandTable holds the demand of each VM.
+type demandTable struct {
+	self   laburnumlever.VMID
+	own    []laburnumlever.ModelDemand
+	others map[laburnumlever.VMID]demandOf
+	sentAt time.Time
+	dirty  bool
+}
+
+type demandOf struct {
+	rows []laburnumlever.ModelDemand
+	at   time.Time
+}
+
+func newDemandTable(self laburnumlever.VMID) *demandTable {
+	return &demandTable{self: self, others: map[laburnumlever.VMID]demandOf{}}
+}
+
+func (t *demandTable) setOwn(rows []laburnumlever.ModelDemand) {
+	t.own = rows
+	t.dirty = true
+}
+
+// merge takes in another VM's demand; late ones change nothing.
+func (t *demandTable) merge(n demandNews, now time.Time) {
+	known := t.others[n.From]
+	if len(n.Rows) > 0 && len(known.rows) > 0 && n.Rows[0].Sequence < known.rows[0].Sequence && now.Sub(known.at) < demandAge {
+		return
+	}
+	t.others[n.From] = demandOf{rows: n.Rows, at: now}
+}
+
+func (t *demandTable) list(now time.Time) []laburnumlever.ModelDemand {
+	out := slices.Clone(t.own)
+	for id, d := range t.others {
+		if now.Sub(d.at) > demandAge {
+			delete(t.others, id)
+			continue
+		}
+		out = append(out, d.rows...)
+	}
+	slices.SortFunc(out, func(a, b laburnumlever.ModelDemand) int {
+		if by := strings.Compare(string(a.Model), string(b.Model)); by != 0 {
+			return by
+		}
+		return strings.Compare(string(a.VM), string(b.VM))
+	})
+	return out
+}
+
+func (c *core) takeDemand(n demandNews, now time.Time) {
+	c.demand.merge(n, now)
+	c.loadsChanged = true
+}
+
+// sendDemand sends the own demand to the VMs that place.
+func (c *core) sendDemand(now time.Time) {
+	if !c.demand.dirty || now.Sub(c.demand.sentAt) < demandPeriod {
+		return
+	}
+	c.demand.sentAt = now
+	c.demand.dirty = false
+	message := demandNews{From: c.self.ID, Rows: c.demand.own}
+	for _, r := range c.vms.sorted(func(r *vmRecord) bool { return isLiving(r.vm.State) && r.vm.OwnsZone }) {
+		c.out = append(c.out, send{Address: r.vm.PeerAddress, Method: methodDemand, Params: message})
+	}
+}
--- /dev/null
+++ b/laburnummembership/membership_test.go
@@ -0,0 +1,117 @@
+package laburnummembership_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumcontrol"
+	"laburnumlever/laburnummembership"
+	"laburnumlever/laburnumpeer"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/stretchr/testify/require"
+)
+
+// node is a VM with real sockets, as much of one as membership needs.
+type node struct {
+	membership *laburnummembership.Membership
+	loop       *laburnumcontrol.Loop
+}
+
+type ask struct{ fn func() }
+
+func (ask) EventName() string { return "ask" }
+
+func (n *node) Handle(ev laburnumlever.Event) { ev.(ask).fn() }
+
+// look runs fn on the control thread.
+func (n *node) look(fn func()) {
+	done := make(chan struct{})
+	n.loop.Post(n, ask{fn: func() { fn(); close(done) }})
+	<-done
+}
+
+func (n *node) backend(id laburnumlever.BackendID) (found laburnumlever.Backend, ok bool) {
+	n.look(func() {
+		for _, b := range n.membership.Backends() {
+			if b.Announcement.Backend == id {
+				found, ok = b, true
+			}
+		}
+	})
+	return found, ok
+}
+
+func (n *node) alive() (count int) {
+	n.look(func() {
+		for _, vm := range n.membership.VMs() {
+			if vm.State == laburnumlever.VMAlive {
+				count++
+			}
+		}
+	})
+	return count
+}
+
+func startNodes(t *testing.T, count int) []*node {
+	t.Helper()
+	var seed string
+	nodes := make([]*node, count)
+	for i := range nodes {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		if i == 0 {
+			seed = ln.Addr().String()
+		}
+		id := laburnumlever.VMID(fmt.Sprintf("vm-%d", i))
+		loop, timers, peers := laburnumcontrol.New(), laburnumtimer.New(), laburnumpeer.New(id)
+		self := laburnumlever.VM{ID: id, Zone: laburnumlever.ZoneName(fmt.Sprintf("zone-%d", i%2)), PeerAddress: ln.Addr().String()}
+		m := laburnummembership.New(loop, timers, peers, self, laburnummembership.WithSeeds([]string{seed}))
+		nodes[i] = &node{membership: m, loop: loop}
+		go loop.Run()
+		go func() { _ = peers.Serve(ln) }()
+		m.Start()
+		t.Cleanup(func() {
+			timers.Close()
+			_ = peers.Close()
+			loop.Stop()
+			<-loop.Done()
+		})
+	}
+	return nodes
+}
+
+// patience is how long a test waits for what must come; it is no measurement.
+const patience = 30 * time.Second
+
+func TestNewsOfABackendServerReachesEveryVM(t *testing.T) {
+	nodes := startNodes(t, 4)
+	for _, n := range nodes {
+		require.Eventually(t, func() bool { return n.alive() == len(nodes) }, patience, 20*time.Millisecond)
+	}
+	ctx := context.Background()
+	registry := laburnumlever.BackendRegistry(nodes[1].membership)
+	require.NoError(t, registry.Announce(ctx, laburnumlever.Announcement{Backend: "e1", Zone: "zone-0", Incarnation: 7, Slots: 4}))
+	report := laburnumlever.LoadReport{
+		Backend: "e1", Incarnation: 7, Sequence: 3, InFlight: 2, Queued: 1, Fence: 5,
+		Loaded: []laburnumlever.Loaded{{Model: "m", Ready: true}},
+	}
+	require.NoError(t, registry.Report(ctx, report))
+	for _, n := range nodes {
+		require.Eventually(t, func() bool {
+			b, ok := n.backend("e1")
+			return ok && b.TakesWork() && b.Serves("m") && b.Report.InFlight == 2 && b.Report.Fence == 5
+		}, patience, 20*time.Millisecond)
+	}
+	require.NoError(t, registry.Leave(ctx, "e1", 7))
+	for _, n := range nodes {
+		require.Eventually(t, func() bool {
+			b, _ := n.backend("e1")
+			return b.Leaving
+		}, patience, 20*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/laburnummembership/pull.go
@@ -0,0 +1,165 @@
+package laburnummembership
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"laburnumlever"
+)
+
+// join asks the seeds for all they know, until one has answered; later on it asks
+// those that no VM alive has as its address, so that two halves that forgot each
+// other find together again.
+func (c *core) join(now time.Time) {
+	if now.Before(c.joinAt) || c.self.State == laburnumlever.VMLeft {
+		return
+	}
+	c.joinAt = now.Add(joinPeriod)
+	if c.joined {
+		c.joinAt = now.Add(healPeriod)
+	}
+	for _, address := range c.seeds {
+		if address != c.self.PeerAddress && !c.isAlive(address) {
+			c.pull(address, nil)
+		}
+	}
+}
+
+func (c *core) isAlive(address string) bool {
+	for _, r := range c.vms.records {
+		if r.vm.PeerAddress == address && isLiving(r.vm.State) {
+			return true
+		}
+	}
+	return false
+}
+
+// heal tries one VM that is held down: after a cut each side holds the other down,
+// and nobody would ever ask again.
+func (c *core) heal(now time.Time) {
+	if now.Before(c.healAt) || c.self.State == laburnumlever.VMLeft {
+		return
+	}
+	c.healAt = now.Add(healPeriod)
+	down := c.vms.sorted(func(r *vmRecord) bool { return r.vm.State == laburnumlever.VMDown })
+	if len(down) == 0 {
+		return
+	}
+	r := down[c.random.IntN(len(down))]
+	c.emit(send{Address: r.vm.PeerAddress, Method: methodGossip, Params: c.message(r, nil), Timeout: probeTimeout},
+		pending{vm: r.vm.ID})
+}
+
+// compare pulls what gossip missed, if the digests have differed for some time.
+func (c *core) compare(g gossip, address string, now time.Time) {
+	if g.Digest == c.digest.sum() {
+		c.mismatches = 0
+		return
+	}
+	c.mismatches++
+	period := syncPeriod + time.Duration(len(c.vms.records))*syncStep
+	if c.mismatches < syncMismatches || now.Sub(c.syncAt) < period {
+		return
+	}
+	c.mismatches = 0
+	c.syncAt = now
+	c.pull(address, c.digest[:])
+}
+
+func (c *core) pull(address string, buckets []uint64) {
+	request := syncRequest{From: c.self, Buckets: slices.Clone(buckets)}
+	c.emit(send{Address: address, Method: methodSync, Params: request, Timeout: syncTimeout}, pending{})
+}
+
+// pulled takes the answer to a pull.
+func (c *core) pulled(token uint64, answer syncAnswer, now time.Time) {
+	if _, ok := c.settle(token); !ok {
+		return
+	}
+	c.joined = true
+	n := answer.News
+	relay := len(n.VMs)+len(n.Backends)+len(n.Inventories) <= relayLimit
+	c.mergeNews(n, now, relay)
+	if c.mergeVM(answer.From, now) {
+		c.facts.push(vmKey(answer.From.ID))
+	}
+}
+
+// share answers a pull.
+func (c *core) share(request syncRequest, now time.Time) syncAnswer {
+	c.contactAt = now
+	if c.mergeVM(request.From, now) {
+		c.facts.push(vmKey(request.From.ID))
+	}
+	answer := syncAnswer{From: c.self}
+	room := syncBudget
+	whole := len(request.Buckets) != bucketCount
+	for _, key := range c.factKeys() {
+		if !whole && request.Buckets[bucketOf(bucketKey(key))] == c.digest[bucketOf(bucketKey(key))] {
+			continue
+		}
+		if !whole && room < 0 {
+			break
+		}
+		room -= c.addShared(&answer.News, key)
+	}
+	return answer
+}
+
+// bucketKey is the key that a fact is digested under: an inventory counts with
+// its backend server.
+func bucketKey(key string) string {
+	if key[0] == 'i' {
+		return "b" + key[1:]
+	}
+	return key
+}
+
+// factKeys lists all facts, a backend server before its inventory. It begins at a
+// random VM and backend server, so that a bounded answer gets on from pull to pull.
+func (c *core) factKeys() []string {
+	var keys []string
+	vms := c.vms.sorted(func(*vmRecord) bool { return true })
+	for i := range vms {
+		keys = append(keys, vmKey(vms[i].vm.ID))
+	}
+	backends := c.backends.sorted()
+	if len(backends) == 0 {
+		return keys
+	}
+	first := c.random.IntN(len(backends))
+	for i := range backends {
+		id := backends[(first+i)%len(backends)].news.Backend
+		keys = append(keys, backendKey(id), inventoryKey(id))
+	}
+	return keys
+}
+
+// addShared adds a fact in full and returns its bytes.
+func (c *core) addShared(n *news, key string) int {
+	if key[0] == 'b' {
+		r := c.backends.records[laburnumlever.BackendID(key[1:])]
+		n.Backends = append(n.Backends, r.news)
+		return jsonBytes(r.news)
+	}
+	item, _ := c.fact(key)
+	switch v := item.(type) {
+	case laburnumlever.VM:
+		n.VMs = append(n.VMs, v)
+	case inventoryNews:
+		if v.Sequence == 0 {
+			return 0
+		}
+		n.Inventories = append(n.Inventories, v)
+	}
+	return jsonBytes(item)
+}
+
+func jsonBytes(v any) int {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return 0
+	}
+	return len(raw)
+}
--- /dev/null
+++ b/laburnumspread/body.go
@@ -0,0 +1,67 @@
+package laburnumspread
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"laburnumlever"
+)
+
+// maxBody bounds what a packed catalogue may unpack to, in bytes: a broken peer
+// could else fill the memory by a small message.
+const maxBody = 64 << 20
+
+// body is a catalogue with its packed form, made when first needed and on the
+// goroutine that needs it, not on the control thread.
+type body struct {
+	catalogue laburnumlever.Catalogue
+	once      sync.Once
+	packed    []byte
+	err       error
+}
+
+// envelope is a catalogue on the wire: gzipped JSON, about a tenth of the bytes.
+type envelope struct {
+	Revision uint64 `json:"revision"`
+	Gzip     []byte `json:"gzip"`
+}
+
+func (b *body) envelope() (envelope, error) {
+	b.once.Do(func() { b.packed, b.err = pack(b.catalogue) })
+	return envelope{Revision: b.catalogue.Revision, Gzip: b.packed}, b.err
+}
+
+func pack(c laburnumlever.Catalogue) ([]byte, error) {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	if err := json.NewEncoder(w).Encode(c); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return packed.Bytes(), nil
+}
+
+func (e envelope) open() (*body, error) {
+	r, err := gzip.NewReader(bytes.NewReader(e.Gzip))
+	if err != nil {
+		return nil, &BodyError{Revision: e.Revision, Cause: err}
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxBody+1))
+	if err != nil {
+		return nil, &BodyError{Revision: e.Revision, Cause: err}
+	}
+	if len(raw) > maxBody {
+		return nil, &BodyError{Revision: e.Revision, Cause: &TooLargeError{Limit: maxBody}}
+	}
+	b := &body{packed: e.Gzip}
+	if err := json.Unmarshal(raw, &b.catalogue); err != nil {
+		return nil, &BodyError{Revision: e.Revision, Cause: err}
+	}
+	b.once.Do(func() {}) // it came packed
+	return b, nil
+}
--- /dev/null
+++ b/laburnumspread/core.go
@@ -0,0 +1,143 @@
+package laburnumspread
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// tickPeriod is how often a VM without a catalogue asks for one.
+	tickPeriod = 250 * time.Millisecond
+	// comparePeriod is how often the others compare.
+	comparePeriod = time.Second
+	// fanout VMs are offered a new revision at once.
+	fanout = 4
+	// comingTime is how long a revision that was asked for counts as coming: above
+	// a transfer of hundreds of kilobytes, far below the seven seconds allowed.
+	comingTime   = 1500 * time.Millisecond
+	offerTimeout = time.Second
+	bodyTimeout  = 3 * time.Second
+)
+
+// The methods between VMs.
+const (
+	methodOffer = "catalogue-offer"
+	methodPush  = "catalogue-push"
+	methodPull  = "catalogue-pull"
+)
+
+// offer tells the revision that a VM holds; 0 means none.
+type offer struct {
+	Revision uint64 `json:"revision"`
+}
+
+// offerAnswer tells the other's, and whether it wants the offered one.
+type offerAnswer struct {
+	Revision uint64 `json:"revision"`
+	Wants    bool   `json:"wants,omitempty"`
+}
+
+// send is a message that a step asks for.
+type send struct {
+	address string
+	method  string
+	offer   offer
+	body    *body
+}
+
+// core decides what to send; it has no goroutine, network or clock.
+type core struct {
+	random      *rand.Rand
+	held        *body
+	coming      uint64
+	comingUntil time.Time
+	comparedAt  time.Time
+	out         []send
+}
+
+func (c *core) revision() uint64 {
+	if c.held == nil {
+		return 0
+	}
+	return c.held.catalogue.Revision
+}
+
+// take holds a newer catalogue and offers it on; an older one changes nothing.
+func (c *core) take(b *body, vms []laburnumlever.VM) bool {
+	if c.held != nil && b.catalogue.Revision <= c.held.catalogue.Revision {
+		return false
+	}
+	c.held = b
+	for _, vm := range c.pick(vms, fanout) {
+		c.offerTo(vm.PeerAddress)
+	}
+	return true
+}
+
+// tick compares with a random VM.
+func (c *core) tick(now time.Time, vms []laburnumlever.VM) {
+	if c.held != nil && now.Sub(c.comparedAt) < comparePeriod {
+		return
+	}
+	c.comparedAt = now
+	for _, vm := range c.pick(vms, 1) {
+		c.offerTo(vm.PeerAddress)
+	}
+}
+
+func (c *core) offerTo(address string) {
+	c.out = append(c.out, send{address: address, method: methodOffer, offer: offer{Revision: c.revision()}})
+}
+
+// offered answers an offer.
+func (c *core) offered(o offer, now time.Time) offerAnswer {
+	answer := offerAnswer{Revision: c.revision()}
+	if o.Revision > c.revision() && c.wants(o.Revision, now) {
+		answer.Wants = true
+	}
+	return answer
+}
+
+// offerAnswered pushes to a VM that is behind, or pulls from one that is ahead.
+func (c *core) offerAnswered(address string, a offerAnswer, now time.Time) {
+	switch {
+	case a.Wants && c.held != nil:
+		c.out = append(c.out, send{address: address, method: methodPush, body: c.held})
+	case a.Revision > c.revision() && c.wants(a.Revision, now):
+		c.out = append(c.out, send{address: address, method: methodPull})
+	}
+}
+
+// wants tells whether a revision should be sent here, and notes that it will be.
+func (c *core) wants(revision uint64, now time.Time) bool {
+	if revision <= c.coming && now.Before(c.comingUntil) {
+		return false
+	}
+	c.coming = revision
+	c.comingUntil = now.Add(comingTime)
+	return true
+}
+
+// pick chooses living VMs at random.
+func (c *core) pick(vms []laburnumlever.VM, n int) []laburnumlever.VM {
+	var living []laburnumlever.VM
+	for _, vm := range vms {
+		if vm.State == laburnumlever.VMAlive || vm.State == laburnumlever.VMSuspect {
+			living = append(living, vm)
+		}
+	}
+	n = min(n, len(living))
+	for i := range n {
+		j := i + c.random.IntN(len(living)-i)
+		living[i], living[j] = living[j], living[i]
+	}
+	return living[:n]
+}
+
+func (c *core) takeOut() []send {
+	out := c.out
+	c.out = nil
+	return out
+}
--- /dev/null
+++ b/laburnumspread/spread.go
@@ -0,0 +1,232 @@
+package laburnumspread
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+)
+
+// Spread is the part of the control thread that owns the catalogue in force on
+// this VM.
+type Spread struct {
+	loop    laburnumlever.Loop
+	timers  laburnumlever.Timers
+	peers   laburnumlever.Peers
+	vms     func() []laburnumlever.VM
+	self    laburnumlever.VMID
+	logger  log.Logger
+	scope   tally.Scope
+	core    *core
+	onNewer []func(laburnumlever.Catalogue)
+	stop    func()
+}
+
+var _ laburnumlever.Part = (*Spread)(nil)
+
+// Option changes a new spread.
+type Option func(*Spread)
+
+// WithLogger sets the log; without it nothing is logged.
+func WithLogger(logger log.Logger) Option { return func(s *Spread) { s.logger = logger } }
+
+// WithScope sets where counters go; without it they go nowhere.
+func WithScope(scope tally.Scope) Option { return func(s *Spread) { s.scope = scope } }
+
+// WithSelf names this VM, so that it does not offer to itself.
+func WithSelf(self laburnumlever.VMID) Option { return func(s *Spread) { s.self = self } }
+
+// WithRandomSeed makes the choice of VMs the same in every run.
+func WithRandomSeed(seed uint64) Option {
+	return func(s *Spread) { s.core.random = newRandom(seed) }
+}
+
+func newRandom(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // choice of partners, no secret
+}
+
+// New makes a spread without a catalogue and registers its handlers with peers.
+// vms lists the VMs known and is called on the control thread.
+func New(loop laburnumlever.Loop, timers laburnumlever.Timers, peers laburnumlever.Peers, vms func() []laburnumlever.VM, opts ...Option) *Spread {
+	s := &Spread{
+		loop:   loop,
+		timers: timers,
+		peers:  peers,
+		vms:    vms,
+		logger: log.NewNopLogger(),
+		scope:  tally.NoopScope,
+		core:   &core{random: newRandom(rand.Uint64())},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	peers.Handle(methodOffer, s.handleOffer)
+	peers.Handle(methodPush, s.handlePush)
+	peers.Handle(methodPull, s.handlePull)
+	return s
+}
+
+// OnNewer adds a function that runs on the control thread for each revision that
+// comes into force here.
+func (s *Spread) OnNewer(fn func(laburnumlever.Catalogue)) { s.onNewer = append(s.onNewer, fn) }
+
+// Start begins to compare with other VMs.
+func (s *Spread) Start() {
+	s.stop = s.timers.Every(tickPeriod, func(now time.Time) { s.loop.Post(s, ticked{now: now}) })
+}
+
+// Close ends the periodic work.
+func (s *Spread) Close() {
+	if s.stop != nil {
+		s.stop()
+	}
+}
+
+// Offer hands in a catalogue that is accepted; one not newer than what is held
+// changes nothing. Control thread only.
+func (s *Spread) Offer(c laburnumlever.Catalogue) { s.take(&body{catalogue: c}) }
+
+// Catalogue is the newest held here, and whether there is any. Control thread only.
+func (s *Spread) Catalogue() (laburnumlever.Catalogue, bool) {
+	if s.core.held == nil {
+		return laburnumlever.Catalogue{}, false
+	}
+	return s.core.held.catalogue, true
+}
+
+// Handle takes an event on the control thread.
+func (s *Spread) Handle(ev laburnumlever.Event) {
+	now := s.timers.Now()
+	switch e := ev.(type) {
+	case ticked:
+		s.core.tick(now, s.others())
+	case offered:
+		e.answer <- s.core.offered(e.offer, now)
+	case offerAnswered:
+		s.core.offerAnswered(e.address, e.answer, now)
+	case received:
+		s.take(e.body)
+	case pulled:
+		e.answer <- s.core.held
+	default:
+		_ = level.Error(s.logger).Log("event", "unknown-event", "name", ev.EventName())
+	}
+	s.send()
+}
+
+func (s *Spread) take(b *body) {
+	if !s.core.take(b, s.others()) {
+		return
+	}
+	_ = level.Info(s.logger).Log("event", "catalogue-in-force", "revision", b.catalogue.Revision)
+	s.scope.Gauge("catalogue-revision").Update(float64(b.catalogue.Revision))
+	for _, fn := range s.onNewer {
+		fn(b.catalogue)
+	}
+	s.send()
+}
+
+func (s *Spread) others() []laburnumlever.VM {
+	all := s.vms()
+	out := make([]laburnumlever.VM, 0, len(all))
+	for _, vm := range all {
+		if vm.ID != s.self {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (s *Spread) send() {
+	for _, m := range s.core.takeOut() {
+		go s.call(m)
+	}
+}
+
+// call sends one message and posts what came of it. What fails is made good by the
+// next comparison.
+func (s *Spread) call(m send) {
+	if m.method == methodOffer {
+		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+		defer cancel()
+		var answer offerAnswer
+		if s.peers.Call(ctx, m.address, methodOffer, m.offer, &answer) == nil {
+			s.loop.Post(s, offerAnswered{address: m.address, answer: answer})
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), bodyTimeout)
+	defer cancel()
+	if err := s.transfer(ctx, m); err != nil {
+		s.scope.Counter("catalogue-failed-transfers").Inc(1)
+		_ = level.Warn(s.logger).Log("event", m.method, "address", m.address, "error", err)
+	}
+}
+
+func (s *Spread) transfer(ctx context.Context, m send) error {
+	if m.method == methodPush {
+		e, err := m.body.envelope()
+		if err != nil {
+			return err
+		}
+		return s.peers.Call(ctx, m.address, methodPush, e, nil)
+	}
+	var e envelope
+	if err := s.peers.Call(ctx, m.address, methodPull, struct{}{}, &e); err != nil {
+		return err
+	}
+	return s.receive(e)
+}
+
+func (s *Spread) receive(e envelope) error {
+	b, err := e.open()
+	if err != nil {
+		return err
+	}
+	s.loop.Post(s, received{body: b})
+	return nil
+}
+
+func (s *Spread) handleOffer(ctx context.Context, params laburnumlever.RawMessage) (any, error) {
+	var o offer
+	if err := json.Unmarshal(params, &o); err != nil {
+		return nil, errors.Wrap(err, "offer")
+	}
+	answer := make(chan offerAnswer, 1)
+	s.loop.Post(s, offered{offer: o, answer: answer})
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *Spread) handlePush(_ context.Context, params laburnumlever.RawMessage) (any, error) {
+	var e envelope
+	if err := json.Unmarshal(params, &e); err != nil {
+		return nil, errors.Wrap(err, "push")
+	}
+	return struct{}{}, s.receive(e)
+}
+
+func (s *Spread) handlePull(ctx context.Context, _ laburnumlever.RawMessage) (any, error) {
+	answer := make(chan *body, 1)
+	s.loop.Post(s, pulled{answer: answer})
+	select {
+	case b := <-answer:
+		if b == nil {
+			return nil, &NoCatalogueError{}
+		}
+		return b.envelope()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/laburnumspread/spread_test.go
@@ -0,0 +1,74 @@
+package laburnumspread_test
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumcontrol"
+	"laburnumlever/laburnumpeer"
+	"laburnumlever/laburnumspread"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/stretchr/testify/require"
+)
+
+type offerEvent struct {
+	spread    *laburnumspread.Spread
+	catalogue laburnumlever.Catalogue
+}
+
+func (offerEvent) EventName() string { return "offer" }
+
+type offerer struct{}
+
+func (offerer) Handle(ev laburnumlever.Event) {
+	e := ev.(offerEvent)
+	e.spread.Offer(e.catalogue)
+}
+
+func TestNewestRevisionReachesAllAndNeverGoesBack(t *testing.T) {
+	const count = 5
+	var vms []laburnumlever.VM
+	var listeners []net.Listener
+	for range count {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, ln)
+		vms = append(vms, laburnumlever.VM{ID: laburnumlever.VMID(ln.Addr().String()), PeerAddress: ln.Addr().String()})
+	}
+	held := make([]atomic.Uint64, count)
+	spreads := make([]*laburnumspread.Spread, count)
+	loops := make([]*laburnumcontrol.Loop, count)
+	for i, ln := range listeners {
+		loop, timers, peers := laburnumcontrol.New(), laburnumtimer.New(), laburnumpeer.New(vms[i].ID)
+		s := laburnumspread.New(loop, timers, peers, func() []laburnumlever.VM { return vms }, laburnumspread.WithSelf(vms[i].ID))
+		s.OnNewer(func(c laburnumlever.Catalogue) {
+			require.Greater(t, c.Revision, held[i].Load())
+			held[i].Store(c.Revision)
+		})
+		spreads[i], loops[i] = s, loop
+		go loop.Run()
+		go func() { _ = peers.Serve(ln) }()
+		s.Start()
+		t.Cleanup(func() {
+			timers.Close()
+			_ = peers.Close()
+			loop.Stop()
+			<-loop.Done()
+		})
+	}
+	offer := func(i int, revision uint64) {
+		catalogue := laburnumlever.Catalogue{Revision: revision, Models: []laburnumlever.Model{{Name: "m"}}}
+		loops[i].Post(offerer{}, offerEvent{spread: spreads[i], catalogue: catalogue})
+	}
+	offer(0, 4)
+	offer(1, 3)
+	offer(2, 9)
+	offer(2, 8)
+	for i := range held {
+		require.Eventually(t, func() bool { return held[i].Load() == 9 }, 30*time.Second, 10*time.Millisecond)
+	}
+}
