feat: a claim's own id and the renewals that an expiry has seen

Cause: a claim sent again after a lost answer looked like a second request, and an expiry decided before a renewal was committed would have ended a lease that its holder rightly counts on. Change: ClaimRequest.Claim and LeaseCommand.Renewals, both optional.

--- a/command.go
+++ b/command.go
@@ -32,6 +32,9 @@
 	// At is the claiming VM's wall clock in Unix milliseconds, used only to
 	// bound how long answers are kept.
 	At int64 `json:"at"`
+	// Claim is unique to this one claim, so that a command sent twice is not
+	// taken for a second request; Propose fills it in when it is empty.
+	Claim string `json:"claim,omitempty"`
 }
 
 // RecordAnswer records the answer of a claimed request, or that its outcome
@@ -61,6 +64,9 @@
 	Incarnation uint64   `json:"incarnation"`
 	Fence       uint64   `json:"fence,omitempty"`
 	TTL         Duration `json:"ttl,omitempty"`
+	// Renewals, for an expiry, is how many renewals the leader had seen: a
+	// renewal committed before the expiry makes the expiry void.
+	Renewals uint64 `json:"renewals,omitempty"`
 }
 
 // OrderIntent is recorded before an order goes to an engine that does not
