feat: replicated log as a pure step function

Cause: accepted changes must outlast any one VM and never revert. Ruled out: a log that does its own I/O, since its schedules could not be tried exhaustively.

--- /dev/null
+++ b/laburnumlog/election.go
@@ -0,0 +1,212 @@
+package laburnumlog
+
+func (l *Log) tick() {
+	l.elapsed++
+	if l.role == Leader {
+		l.tickLeader()
+		return
+	}
+	if l.elapsed < l.timeout {
+		return
+	}
+	l.resetTimeout()
+	l.leader = ""
+	if l.Configuration().IsVoter(l.id) {
+		l.preCampaign()
+	}
+}
+
+// preCampaign asks whether an election could be won, without a new term: a
+// replica that was cut off would otherwise come back with a higher term and
+// depose a leader that works.
+func (l *Log) preCampaign() {
+	l.role = PreCandidate
+	l.votes = map[ReplicaID]bool{l.id: true}
+	if l.wonVotes() {
+		l.campaign(false)
+		return
+	}
+	l.askVotes(MessagePreVote, l.hard.Term+1, false)
+}
+
+func (l *Log) campaign(force bool) {
+	l.role = Candidate
+	l.leader = ""
+	l.hard.Term++
+	l.hard.Vote = l.id
+	l.votes = map[ReplicaID]bool{}
+	l.resetTimeout()
+	l.askVotes(MessageVote, l.hard.Term, force)
+	// The own vote goes the way of the others: it counts once it is durable.
+	l.sendDurable(Message{Kind: MessageVoteAnswer, To: l.id})
+}
+
+func (l *Log) askVotes(kind MessageKind, term uint64, force bool) {
+	for _, m := range l.Configuration().Voters() {
+		if m.ID == l.id {
+			continue
+		}
+		last := l.LastIndex()
+		l.send(Message{Kind: kind, To: m.ID, Term: term, Index: last, LogTerm: l.termAt(last), Force: force})
+	}
+}
+
+func (l *Log) wonVotes() bool {
+	n := 0
+	for _, m := range l.Configuration().Voters() {
+		if l.votes[m.ID] {
+			n++
+		}
+	}
+	return n >= l.Configuration().Majority()
+}
+
+func (l *Log) becomeFollower(term uint64, leader ReplicaID) {
+	if term > l.hard.Term {
+		l.hard.Term = term
+		l.hard.Vote = ""
+	}
+	l.role = Follower
+	l.leader = leader
+	l.handOverTo = ""
+	l.progress = map[ReplicaID]progress{}
+	l.resetTimeout()
+}
+
+func (l *Log) becomeLeader() {
+	l.role = Leader
+	l.leader = l.id
+	l.elapsed = 0
+	l.progress = map[ReplicaID]progress{}
+	l.appendEntries(Entry{Index: l.LastIndex() + 1, Term: l.hard.Term, Kind: EntryBarrier})
+	l.syncProgress()
+	l.heartbeat()
+	l.replicateAll()
+}
+
+func (l *Log) receive(m Message) {
+	if m.To != l.id {
+		return
+	}
+	switch {
+	case m.Term > l.hard.Term:
+		if !l.takeHigherTerm(m) {
+			return
+		}
+	case m.Term < l.hard.Term:
+		l.refuseLowerTerm(m)
+		return
+	}
+	l.dispatch(m)
+}
+
+// takeHigherTerm adopts the term of the message, and tells whether the message
+// is to be looked at.
+func (l *Log) takeHigherTerm(m Message) bool {
+	switch {
+	case m.Kind == MessagePreVote, m.Kind == MessagePreVoteAnswer && !m.Reject:
+		// Its term is only a plan.
+		return true
+	case m.Kind == MessageVote && l.hasLeader() && !m.Force:
+		return false
+	case m.Kind == MessageAppend, m.Kind == MessageHeartbeat, m.Kind == MessageSnapshot:
+		l.becomeFollower(m.Term, m.From)
+	default:
+		l.becomeFollower(m.Term, "")
+	}
+	return true
+}
+
+// refuseLowerTerm tells a replica of an older term the newer one.
+func (l *Log) refuseLowerTerm(m Message) {
+	switch m.Kind {
+	case MessagePreVote:
+		l.send(Message{Kind: MessagePreVoteAnswer, To: m.From, Reject: true})
+	case MessageAppend, MessageHeartbeat, MessageSnapshot:
+		l.send(Message{Kind: MessageAppendAnswer, To: m.From, Reject: true, Index: m.Index, Hint: l.LastIndex()})
+	default:
+	}
+}
+
+// hasLeader tells whether a leader was heard within the shortest election
+// timeout. A vote is refused then, so that a removed or cut-off replica can't
+// disturb a group that works.
+func (l *Log) hasLeader() bool {
+	return l.role == Leader || (l.leader != "" && l.elapsed < electionTicks)
+}
+
+func (l *Log) dispatch(m Message) {
+	switch m.Kind {
+	case MessagePreVote:
+		l.onPreVote(m)
+	case MessagePreVoteAnswer:
+		l.onPreVoteAnswer(m)
+	case MessageVote:
+		l.onVote(m)
+	case MessageVoteAnswer:
+		l.onVoteAnswer(m)
+	case MessageAppend:
+		l.onAppend(m)
+	case MessageAppendAnswer:
+		l.onAppendAnswer(m)
+	case MessageHeartbeat:
+		l.onHeartbeat(m)
+	case MessageHeartbeatAnswer:
+		l.onHeartbeatAnswer(m)
+	case MessageSnapshot:
+		l.onSnapshot(m)
+	case MessageCampaignNow:
+		l.onCampaignNow()
+	}
+}
+
+func (l *Log) onCampaignNow() {
+	if l.role != Leader && l.Configuration().IsVoter(l.id) {
+		l.campaign(true)
+	}
+}
+
+func (l *Log) upToDate(m Message) bool {
+	last := l.LastIndex()
+	term := l.termAt(last)
+	return m.LogTerm > term || (m.LogTerm == term && m.Index >= last)
+}
+
+func (l *Log) onPreVote(m Message) {
+	if l.hasLeader() || !l.upToDate(m) || m.Term <= l.hard.Term {
+		l.send(Message{Kind: MessagePreVoteAnswer, To: m.From, Reject: true})
+		return
+	}
+	l.send(Message{Kind: MessagePreVoteAnswer, To: m.From, Term: m.Term})
+}
+
+func (l *Log) onPreVoteAnswer(m Message) {
+	if l.role != PreCandidate || m.Reject || m.Term != l.hard.Term+1 {
+		return
+	}
+	l.votes[m.From] = true
+	if l.wonVotes() {
+		l.campaign(false)
+	}
+}
+
+func (l *Log) onVote(m Message) {
+	free := l.hard.Vote == "" || l.hard.Vote == m.From
+	if !free || !l.upToDate(m) {
+		l.send(Message{Kind: MessageVoteAnswer, To: m.From, Reject: true})
+		return
+	}
+	l.hard.Vote = m.From
+	l.resetTimeout()
+	l.sendDurable(Message{Kind: MessageVoteAnswer, To: m.From})
+}
+
+func (l *Log) onVoteAnswer(m Message) {
+	if l.role != Candidate || m.Reject {
+		return
+	}
+	l.votes[m.From] = true
+	if l.wonVotes() {
+		l.becomeLeader()
+	}
+}
--- /dev/null
+++ b/laburnumlog/replication.go
@@ -0,0 +1,290 @@
+package laburnumlog
+
+import "slices"
+
+// progress is what a leader knows of one member.
+type progress struct {
+	match uint64 // known durable there
+	next  uint64 // the next to send
+	// probing sends one entry at a time until the place where the logs match
+	// is found.
+	probing  bool
+	paused   bool // a probe or snapshot is under way
+	snapshot uint64
+	inFlight int
+	boot     uint64 // the highest boot heard of
+	acked    uint64 // the boot that acknowledged match
+	lost     bool
+	unacked  int // ticks since the last acknowledgement that brought something new
+	silent   int // ticks since any answer
+}
+
+// probe starts over from the given index, keeping what is known for good.
+func (p progress) probe(next uint64) progress {
+	return progress{match: p.match, next: next, probing: true, silent: p.silent, boot: p.boot, acked: p.acked, lost: p.lost}
+}
+
+// heard notes an answer, and tells whether it is from the latest start of the
+// member.
+func (p *progress) heard(boot uint64) bool {
+	if boot < p.boot {
+		return false
+	}
+	p.boot = boot
+	p.silent = 0
+	return true
+}
+
+// MemberProgress is what the leader knows of one member.
+type MemberProgress struct {
+	Match uint64
+	// SilentTicks is how long the member has not answered.
+	SilentTicks int
+	// Boot is the highest that the member has answered with.
+	Boot uint64
+	// Lost tells that the member, since it was started again, lacks entries
+	// that it had acknowledged before: its disk went back.
+	Lost bool
+}
+
+// Progress returns what the leader knows of the member; false elsewhere.
+func (l *Log) Progress(id ReplicaID) (MemberProgress, bool) {
+	p, ok := l.progress[id]
+	if id == l.id && l.role == Leader {
+		return MemberProgress{Match: l.stable}, true
+	}
+	return MemberProgress{Match: p.match, SilentTicks: p.silent, Boot: p.boot, Lost: p.lost}, ok
+}
+
+// syncProgress makes the progress table follow the configuration.
+func (l *Log) syncProgress() {
+	old := l.progress
+	l.progress = map[ReplicaID]progress{}
+	for _, m := range l.Configuration().Members {
+		if m.ID == l.id {
+			continue
+		}
+		p, ok := old[m.ID]
+		if !ok {
+			p = progress{next: l.LastIndex(), probing: true}
+			p.next = max(p.next, 1)
+		}
+		l.progress[m.ID] = p
+	}
+}
+
+func (l *Log) tickLeader() {
+	heard := 1
+	for _, m := range l.Configuration().Members {
+		p, ok := l.progress[m.ID]
+		if !ok {
+			continue
+		}
+		p.silent++
+		p.unacked++
+		if p.silent < electionTicks && !m.Learner {
+			heard++
+		}
+		l.progress[m.ID] = p
+		l.resend(m.ID)
+	}
+	if !l.Configuration().IsVoter(l.id) {
+		heard--
+	}
+	if heard < l.Configuration().Majority() {
+		// Check-quorum: without it a leader that is cut off would go on taking
+		// commands that it can never commit.
+		l.becomeFollower(l.hard.Term, "")
+		return
+	}
+	if l.handOverTo != "" && l.elapsed >= electionTicks {
+		l.handOverTo = ""
+	}
+	l.heartbeat()
+}
+
+// resend takes what is under way for lost when nothing was acknowledged for long.
+func (l *Log) resend(id ReplicaID) {
+	p := l.progress[id]
+	wait := resendTicks
+	if p.snapshot > 0 {
+		wait = snapshotResendTicks
+	}
+	if p.unacked < wait || p.match >= l.LastIndex() || p.lost {
+		return
+	}
+	l.progress[id] = p.probe(p.match + 1)
+	l.replicate(id)
+}
+
+func (l *Log) heartbeat() {
+	for _, m := range l.Configuration().Members {
+		p, ok := l.progress[m.ID]
+		if !ok {
+			continue
+		}
+		l.send(Message{Kind: MessageHeartbeat, To: m.ID, Commit: min(l.commit, p.match)})
+	}
+}
+
+func (l *Log) replicateAll() {
+	for _, m := range l.Configuration().Members {
+		if m.ID != l.id {
+			l.replicate(m.ID)
+		}
+	}
+}
+
+func (l *Log) replicate(id ReplicaID) {
+	for l.role == Leader && l.sendNext(id) {
+		continue
+	}
+}
+
+// sendNext sends one append or snapshot and tells whether another may follow.
+func (l *Log) sendNext(id ReplicaID) bool {
+	p, ok := l.progress[id]
+	if !ok || p.lost || p.paused || p.inFlight >= maxInFlight || p.next > l.LastIndex() {
+		return false
+	}
+	if p.next <= l.baseIndex {
+		l.sendSnapshot(id, p)
+		return false
+	}
+	entries := l.batch(p.next, p.probing)
+	l.send(Message{
+		Kind: MessageAppend, To: id, Index: p.next - 1, LogTerm: l.termAt(p.next - 1),
+		Entries: entries, Commit: l.commit,
+	})
+	if p.inFlight == 0 {
+		p.unacked = 0
+	}
+	if p.probing {
+		p.paused = true
+	} else {
+		p.next += uint64(len(entries))
+		p.inFlight++
+	}
+	l.progress[id] = p
+	return !p.probing
+}
+
+func (l *Log) sendSnapshot(id ReplicaID, p progress) {
+	snapshot := l.snapshot
+	l.send(Message{Kind: MessageSnapshot, To: id, Snapshot: &snapshot})
+	p.paused = true
+	p.snapshot = snapshot.Index
+	p.unacked = 0
+	l.progress[id] = p
+}
+
+func (l *Log) batch(first uint64, one bool) []Entry {
+	size := 0
+	last := first
+	for last < l.LastIndex() && !one {
+		size += len(l.entries[last-l.baseIndex-1].Data)
+		if size+len(l.entries[last-l.baseIndex].Data) > maxBatchBytes {
+			break
+		}
+		last++
+	}
+	return l.between(first, last)
+}
+
+func (l *Log) onAppendAnswer(m Message) {
+	p, ok := l.progress[m.From]
+	if !ok || l.role != Leader || p.lost || !p.heard(m.Boot) {
+		return
+	}
+	if m.Reject {
+		l.progress[m.From] = p
+		l.onRefusedAppend(m)
+		return
+	}
+	if m.Index >= p.match {
+		p.acked = p.boot
+	}
+	if m.Index > p.match {
+		p.match = m.Index
+		p.unacked = 0
+	}
+	p.next = max(p.next, p.match+1)
+	p.inFlight = max(0, p.inFlight-1)
+	if p.probing && m.Index+1 >= p.next || p.snapshot > 0 && m.Index >= p.snapshot {
+		p.probing, p.paused, p.snapshot = false, false, 0
+	}
+	l.progress[m.From] = p
+	l.advanceCommit()
+	l.replicate(m.From)
+	l.finishHandOver(m.From)
+}
+
+func (l *Log) onRefusedAppend(m Message) {
+	p := l.progress[m.From]
+	if m.Boot > p.acked && p.acked > 0 && m.Hint < p.match && m.Index >= p.match {
+		// Of the same boot this would be a late message; from a later one it
+		// says that the disk lost what had been acknowledged.
+		p.lost = true
+		l.progress[m.From] = p
+		return
+	}
+	stale := m.Index < p.match || m.Index >= p.next || (p.probing && m.Index != p.next-1)
+	if stale || p.snapshot > 0 || m.Hint < p.match {
+		return
+	}
+	l.progress[m.From] = p.probe(max(p.match+1, min(m.Hint+1, m.Index)))
+	l.replicate(m.From)
+}
+
+func (l *Log) onHeartbeatAnswer(m Message) {
+	p, ok := l.progress[m.From]
+	if !ok || l.role != Leader || p.lost || !p.heard(m.Boot) {
+		return
+	}
+	l.progress[m.From] = p
+}
+
+// advanceCommit commits what a majority has, if it is of the leader's own term:
+// an entry of an older term held by a majority could still be replaced.
+func (l *Log) advanceCommit() {
+	if l.role != Leader {
+		return
+	}
+	var held []uint64
+	for _, m := range l.Configuration().Voters() {
+		if m.ID == l.id {
+			held = append(held, l.stable)
+			continue
+		}
+		held = append(held, l.progress[m.ID].match)
+	}
+	if len(held) == 0 {
+		return
+	}
+	slices.Sort(held)
+	index := held[len(held)-l.Configuration().Majority()]
+	if index > l.commit && l.termAt(index) == l.hard.Term {
+		l.commit = index
+		l.hard.Commit = index
+		l.leaveIfRemoved()
+	}
+}
+
+// leaveIfRemoved ends the leadership of a replica whose removal is committed.
+func (l *Log) leaveIfRemoved() {
+	if !l.ChangePending() && !l.Configuration().IsVoter(l.id) {
+		l.becomeFollower(l.hard.Term, "")
+	}
+}
+
+func (l *Log) propose(data [][]byte) {
+	if l.role != Leader || l.handOverTo != "" {
+		return
+	}
+	l.out.Accepted = true
+	l.out.First = l.LastIndex() + 1
+	for _, d := range data {
+		l.appendEntries(Entry{Index: l.LastIndex() + 1, Term: l.hard.Term, Kind: EntryCommand, Data: d})
+	}
+	l.replicateAll()
+}
--- /dev/null
+++ b/laburnumlog/values.go
@@ -0,0 +1,182 @@
+package laburnumlog
+
+import (
+	"slices"
+
+	"laburnumlever"
+)
+
+// ReplicaID names one instance of a replica: the VM and the identity of its data
+// folder. A VM whose folder was lost comes back under another id, so that it
+// never votes or acknowledges as the instance that it no longer is.
+type ReplicaID string
+
+// Member is a replica that receives the log.
+type Member struct {
+	ID      ReplicaID          `json:"id"`
+	VM      laburnumlever.VMID `json:"vm"`
+	Address string             `json:"address"`
+	// Learner tells that the member does not count for any majority.
+	Learner bool `json:"learner,omitempty"`
+}
+
+// Configuration is the list of members. It is never changed once built.
+type Configuration struct {
+	Members []Member `json:"members"`
+}
+
+// EntryKind says what an entry carries.
+type EntryKind int
+
+// The kinds of entry.
+const (
+	EntryCommand       EntryKind = iota
+	EntryBarrier                 // a new leader's first entry; it carries nothing
+	EntryConfiguration           // a change of the members, in force once appended
+)
+
+// Entry is one place in the log.
+type Entry struct {
+	Index         uint64         `json:"index"`
+	Term          uint64         `json:"term"`
+	Kind          EntryKind      `json:"kind"`
+	Data          []byte         `json:"data,omitempty"`
+	Configuration *Configuration `json:"configuration,omitempty"`
+}
+
+// HardState must be durable before any message that follows from it is sent.
+// Commit is only a hint that shortens recovery.
+type HardState struct {
+	Term   uint64    `json:"term"`
+	Vote   ReplicaID `json:"vote,omitempty"`
+	Commit uint64    `json:"commit"`
+}
+
+// Snapshot replaces all entries up to Index.
+type Snapshot struct {
+	Index         uint64        `json:"index"`
+	Term          uint64        `json:"term"`
+	Configuration Configuration `json:"configuration"`
+	Data          []byte        `json:"data,omitempty"`
+}
+
+// Recovered is what a replica finds on its disk when it starts.
+type Recovered struct {
+	Hard     HardState
+	Snapshot Snapshot
+	// Entries follow each other without a gap; the first is at most one past
+	// the snapshot.
+	Entries []Entry
+}
+
+// MessageKind names a message between replicas.
+type MessageKind int
+
+// The kinds of message.
+const (
+	MessagePreVote MessageKind = iota
+	MessagePreVoteAnswer
+	MessageVote
+	MessageVoteAnswer
+	MessageAppend
+	MessageAppendAnswer
+	MessageHeartbeat
+	MessageHeartbeatAnswer
+	MessageSnapshot
+	MessageCampaignNow
+)
+
+// Message goes from one replica to another.
+type Message struct {
+	Kind MessageKind `json:"kind"`
+	From ReplicaID   `json:"from"`
+	To   ReplicaID   `json:"to"`
+	Term uint64      `json:"term"`
+	// Boot counts the starts of the sender on its disk.
+	Boot uint64 `json:"boot,omitempty"`
+	// Index and LogTerm are the sender's last entry in a vote, the entry before
+	// Entries in an append, and the last entry held in an answer.
+	Index   uint64  `json:"index,omitempty"`
+	LogTerm uint64  `json:"log-term,omitempty"`
+	Commit  uint64  `json:"commit,omitempty"`
+	Entries []Entry `json:"entries,omitempty"`
+	Reject  bool    `json:"reject,omitempty"`
+	// Hint, in a refused append, is the last index that may match.
+	Hint uint64 `json:"hint,omitempty"`
+	// Force, in a vote, says that the leader asked for the election.
+	Force    bool      `json:"force,omitempty"`
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+}
+
+// Role is what a replica does in its term.
+type Role int
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Find returns the member with the id.
+func (c Configuration) Find(id ReplicaID) (Member, bool) {
+	i := slices.IndexFunc(c.Members, func(m Member) bool { return m.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return c.Members[i], true
+}
+
+// IsVoter tells whether the replica counts for majorities.
+func (c Configuration) IsVoter(id ReplicaID) bool {
+	m, ok := c.Find(id)
+	return ok && !m.Learner
+}
+
+// Voters returns the members that count.
+func (c Configuration) Voters() []Member {
+	var voters []Member
+	for _, m := range c.Members {
+		if !m.Learner {
+			voters = append(voters, m)
+		}
+	}
+	return voters
+}
+
+// Majority is how many voters must agree.
+func (c Configuration) Majority() int { return len(c.Voters())/2 + 1 }
+
+// WithMember returns the configuration with the member added or replaced.
+func (c Configuration) WithMember(m Member) Configuration {
+	members := slices.Clone(c.Without(m.ID).Members)
+	return Configuration{Members: append(members, m)}
+}
+
+// Without returns the configuration without the member.
+func (c Configuration) Without(id ReplicaID) Configuration {
+	var members []Member
+	for _, m := range c.Members {
+		if m.ID != id {
+			members = append(members, m)
+		}
+	}
+	return Configuration{Members: members}
+}
+
+// changes counts the voters that differ between two configurations.
+func (c Configuration) changes(to Configuration) int {
+	n := 0
+	for _, m := range c.Voters() {
+		if !to.IsVoter(m.ID) {
+			n++
+		}
+	}
+	for _, m := range to.Voters() {
+		if !c.IsVoter(m.ID) {
+			n++
+		}
+	}
+	return n
+}
