--- /dev/null
+++ b/laburnumdisk/snapshot.go
@@ -0,0 +1,111 @@
+package laburnumdisk
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"laburnumlever/laburnumlog"
+)
+
+const (
+	snapshotPrefix = "snapshot-"
+	snapshotSuffix = ".snap"
+	halfWritten    = ".tmp"
+)
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%016x%s", snapshotPrefix, index, snapshotSuffix)
+}
+
+func isSnapshot(name string) bool {
+	return strings.HasPrefix(name, snapshotPrefix) && strings.HasSuffix(name, snapshotSuffix)
+}
+
+// writeBeside makes a file durable under its name in one step: after a crash it is
+// there whole, or not at all.
+func (s *Store) writeBeside(name string, data []byte) error {
+	path := filepath.Join(s.folder, name)
+	f, err := s.files.Create(path + halfWritten)
+	if err != nil {
+		return &IOError{Operation: "create", File: name, Cause: err}
+	}
+	if _, err := f.Write(data); err != nil {
+		_ = f.Close()
+		return &IOError{Operation: "write", File: name, Cause: err}
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return &IOError{Operation: "sync", File: name, Cause: err}
+	}
+	if err := f.Close(); err != nil {
+		return &IOError{Operation: "close", File: name, Cause: err}
+	}
+	if err := s.files.Rename(path+halfWritten, path); err != nil {
+		return &IOError{Operation: "rename", File: name, Cause: err}
+	}
+	return s.syncFolder()
+}
+
+func (s *Store) syncFolder() error {
+	if err := s.files.SyncFolder(s.folder); err != nil {
+		return &IOError{Operation: "sync folder", File: s.folder, Cause: err}
+	}
+	return nil
+}
+
+func (s *Store) writeSnapshot(snapshot laburnumlog.Snapshot) error {
+	data, err := json.Marshal(snapshot)
+	if err != nil {
+		return &IOError{Operation: "encode", File: snapshotName(snapshot.Index), Cause: err}
+	}
+	if err := s.writeBeside(snapshotName(snapshot.Index), encodeFrame(snapshot.Index, data)); err != nil {
+		return err
+	}
+	old := s.snapshot
+	s.snapshot = snapshotName(snapshot.Index)
+	if old != "" && old != s.snapshot {
+		return s.remove(old)
+	}
+	return nil
+}
+
+func (s *Store) remove(name string) error {
+	if err := s.files.Remove(filepath.Join(s.folder, name)); err != nil {
+		return &IOError{Operation: "remove", File: name, Cause: err}
+	}
+	return nil
+}
+
+// readSnapshot reads the newest; an older one beside it is what a crash left
+// between the rename and the removal.
+func (s *Store) readSnapshot(names []string) (laburnumlog.Snapshot, error) {
+	var snapshot laburnumlog.Snapshot
+	for _, name := range names {
+		if !isSnapshot(name) {
+			continue
+		}
+		if s.snapshot != "" {
+			if err := s.remove(s.snapshot); err != nil {
+				return snapshot, err
+			}
+		}
+		s.snapshot = name
+	}
+	if s.snapshot == "" {
+		return snapshot, nil
+	}
+	data, err := s.files.Read(filepath.Join(s.folder, s.snapshot))
+	if err != nil {
+		return snapshot, &IOError{Operation: "read", File: s.snapshot, Cause: err}
+	}
+	_, payload, ok := decodeFrame(data)
+	if !ok || len(payload)+frameHeader != len(data) {
+		return snapshot, &DamagedError{File: s.snapshot, Detail: "the snapshot's length or CRC is wrong"}
+	}
+	if err := json.Unmarshal(payload, &snapshot); err != nil {
+		return snapshot, &DamagedError{File: s.snapshot, Detail: err.Error()}
+	}
+	return snapshot, nil
+}
--- /dev/null
+++ b/laburnumdisk/store.go
@@ -0,0 +1,207 @@
+package laburnumdisk
+
+import (
+	"encoding/json"
+	"path/filepath"
+	"strings"
+
+	"laburnumlever/laburnumlog"
+)
+
+// Store is an open data folder. Its methods are called from one goroutine.
+type Store struct {
+	files    Files
+	folder   string
+	identity Identity
+	snapshot string // its file's name
+	segments []segment
+	file     File
+	number   uint64
+	rollAt   int64
+	// reset, when set, is written with the next frame: a crash between a
+	// snapshot from the leader and its frame left entries that must not be
+	// joined with those that come now.
+	reset  uint64
+	failed error
+}
+
+// Option changes a store that is being opened.
+type Option func(*Store)
+
+// WithFiles sets the file operations.
+func WithFiles(files Files) Option { return func(s *Store) { s.files = files } }
+
+// WithSegmentBytes sets when a segment is closed and the next begun.
+func WithSegmentBytes(n int64) Option { return func(s *Store) { s.rollAt = n } }
+
+// Open reads the folder, making it if needed, and raises the count of its starts.
+// Errors are *DamagedError and *IOError.
+func Open(folder string, opts ...Option) (*Store, laburnumlog.Recovered, error) {
+	s := &Store{files: OSFiles(), folder: folder, rollAt: segmentBytes}
+	for _, opt := range opts {
+		opt(s)
+	}
+	var recovered laburnumlog.Recovered
+	if err := s.files.MakeFolder(folder); err != nil {
+		return nil, recovered, &IOError{Operation: "make folder", File: folder, Cause: err}
+	}
+	names, err := s.files.List(folder)
+	if err != nil {
+		return nil, recovered, &IOError{Operation: "list", File: folder, Cause: err}
+	}
+	if names, err = s.dropHalfWritten(names); err != nil {
+		return nil, recovered, err
+	}
+	if err := s.readIdentity(names); err != nil {
+		return nil, recovered, err
+	}
+	if recovered, err = s.recover(names); err != nil {
+		return nil, recovered, err
+	}
+	return s, recovered, s.start()
+}
+
+func (s *Store) dropHalfWritten(names []string) ([]string, error) {
+	var kept []string
+	for _, name := range names {
+		if !strings.HasSuffix(name, halfWritten) {
+			kept = append(kept, name)
+			continue
+		}
+		if err := s.remove(name); err != nil {
+			return nil, err
+		}
+	}
+	return kept, nil
+}
+
+func (s *Store) recover(names []string) (laburnumlog.Recovered, error) {
+	var recovered laburnumlog.Recovered
+	snapshot, err := s.readSnapshot(names)
+	if err != nil {
+		return recovered, err
+	}
+	log, err := s.readSegments(names)
+	if err != nil {
+		return recovered, err
+	}
+	entries, ok := log.after(snapshot)
+	if !ok {
+		return recovered, &DamagedError{File: s.folder, Detail: "entries between the snapshot and the log are missing"}
+	}
+	s.number = log.number
+	if len(log.entries) > 0 && len(entries) == 0 {
+		s.reset = snapshot.Index
+	}
+	return laburnumlog.Recovered{Hard: log.hard, Snapshot: snapshot, Entries: entries}, nil
+}
+
+// start opens the last segment for appending.
+func (s *Store) start() error {
+	if len(s.segments) == 0 {
+		return s.roll()
+	}
+	name := s.segments[len(s.segments)-1].name
+	f, err := s.files.OpenAppend(filepath.Join(s.folder, name))
+	if err != nil {
+		return &IOError{Operation: "open", File: name, Cause: err}
+	}
+	s.file = f
+	return nil
+}
+
+// Identity is the folder's.
+func (s *Store) Identity() Identity { return s.identity }
+
+// Write makes the writes durable together, in their order. After an error the
+// store takes no more: every later call returns a *FailedError.
+func (s *Store) Write(writes []laburnumlog.Write) error {
+	if s.failed != nil {
+		return &FailedError{Cause: s.failed}
+	}
+	if err := s.write(writes); err != nil {
+		s.failed = err
+		return err
+	}
+	return nil
+}
+
+func (s *Store) write(writes []laburnumlog.Write) error {
+	var rec record
+	begun := false
+	for _, w := range writes {
+		if w.Empty {
+			continue
+		}
+		if w.Snapshot != nil {
+			if err := s.flush(rec, begun); err != nil {
+				return err
+			}
+			rec = record{}
+			if err := s.takeSnapshot(w); err != nil {
+				return err
+			}
+			if w.Reset {
+				rec.Reset = w.Snapshot.Index
+			}
+		}
+		rec.Hard = w.Hard
+		rec.Entries = append(rec.Entries, w.Entries...)
+		begun = true
+	}
+	return s.flush(rec, begun)
+}
+
+func (s *Store) takeSnapshot(w laburnumlog.Write) error {
+	if err := s.writeSnapshot(*w.Snapshot); err != nil {
+		return err
+	}
+	return s.dropCovered(w.Snapshot.Index)
+}
+
+func (s *Store) flush(rec record, begun bool) error {
+	if !begun {
+		return nil
+	}
+	if s.segments[len(s.segments)-1].size >= s.rollAt {
+		if err := s.roll(); err != nil {
+			return err
+		}
+	}
+	if rec.Reset == 0 {
+		rec.Reset = s.reset
+	}
+	current := &s.segments[len(s.segments)-1]
+	payload, err := json.Marshal(rec)
+	if err != nil {
+		return &IOError{Operation: "encode", File: current.name, Cause: err}
+	}
+	frame := encodeFrame(s.number+1, payload)
+	if _, err := s.file.Write(frame); err != nil {
+		return &IOError{Operation: "write", File: current.name, Cause: err}
+	}
+	if err := s.file.Sync(); err != nil {
+		return &IOError{Operation: "sync", File: current.name, Cause: err}
+	}
+	s.number++
+	s.reset = 0
+	current.size += int64(len(frame))
+	if n := len(rec.Entries); n > 0 {
+		current.last = rec.Entries[n-1].Index
+	}
+	if rec.Reset > 0 && len(rec.Entries) == 0 {
+		current.last = rec.Reset
+	}
+	return nil
+}
+
+// Close closes the folder; what was written is durable already.
+func (s *Store) Close() error {
+	if s.file == nil {
+		return nil
+	}
+	if err := s.file.Close(); err != nil {
+		return &IOError{Operation: "close", File: s.folder, Cause: err}
+	}
+	return nil
+}
