feat: state machine: catalogue, change ids, claims, leases, intents

Cause: resends, racing operators and frozen holders need one order and one memory of what was answered. The leader's clock in the log decides expiry, not the claiming VM's.

--- /dev/null
+++ b/laburnumstate/changes.go
@@ -0,0 +1,45 @@
+package laburnumstate
+
+import "laburnumlever"
+
+// change is what was answered to a change id. A conflict is kept too: a late
+// copy of a refused change could otherwise find its number current one day.
+type change struct {
+	ID       string                   `json:"id"`
+	Digest   uint64                   `json:"digest"`
+	Code     laburnumlever.ResultCode `json:"code"`
+	Revision uint64                   `json:"revision"`
+}
+
+func (c change) resend(digest uint64) laburnumlever.Result {
+	switch {
+	case c.Digest != digest:
+		return laburnumlever.Result{Code: laburnumlever.ResultMismatch, Detail: "the change id was used with other content"}
+	case c.Code == laburnumlever.ResultOK:
+		return laburnumlever.Result{Code: laburnumlever.ResultRepeated, Revision: c.Revision}
+	default:
+		return laburnumlever.Result{Code: c.Code, Revision: c.Revision}
+	}
+}
+
+// changeTable remembers the latest changes, the oldest first.
+type changeTable struct {
+	list []change
+	byID map[string]change
+}
+
+func newChangeTable() changeTable { return changeTable{byID: map[string]change{}} }
+
+func (t *changeTable) find(id string) (change, bool) {
+	c, ok := t.byID[id]
+	return c, ok
+}
+
+func (t *changeTable) add(c change, limit int) {
+	t.list = append(t.list, c)
+	t.byID[c.ID] = c
+	for len(t.list) > limit {
+		delete(t.byID, t.list[0].ID)
+		t.list = t.list[1:]
+	}
+}
--- /dev/null
+++ b/laburnumstate/claims.go
@@ -0,0 +1,173 @@
+package laburnumstate
+
+import (
+	"container/list"
+
+	"laburnumlever"
+)
+
+// claimKey names a request: a key is its owner's own, for one service.
+type claimKey struct {
+	Owner   laburnumlever.OwnerName   `json:"owner"`
+	Service laburnumlever.ServiceName `json:"service"`
+	Key     string                    `json:"key"`
+}
+
+// claim is the one run of a request.
+type claim struct {
+	claimKey
+	Digest  uint64                        `json:"digest"`
+	VM      laburnumlever.VMID            `json:"vm"`
+	Claim   string                        `json:"claim,omitempty"`
+	Touched int64                         `json:"touched"`
+	Settled bool                          `json:"settled,omitempty"`
+	Outcome laburnumlever.RequestOutcome  `json:"outcome"`
+	Answer  *laburnumlever.RecordedAnswer `json:"answer,omitempty"`
+}
+
+// claimTable holds the claims in the order in which they were last touched, so
+// that to expire them costs only what has expired.
+type claimTable struct {
+	byKey   map[claimKey]*list.Element
+	order   *list.List
+	answers *list.List // elements of order that hold an answer, oldest first
+	byOwner map[laburnumlever.OwnerName]int
+	bytes   int
+}
+
+func newClaimTable() claimTable {
+	return claimTable{
+		byKey: map[claimKey]*list.Element{}, order: list.New(), answers: list.New(),
+		byOwner: map[laburnumlever.OwnerName]int{},
+	}
+}
+
+func claimOf(e *list.Element) *claim {
+	return e.Value.(*claim) //nolint:forcetypeassert // the lists hold nothing but claims
+}
+
+func (t *claimTable) claim(now int64, limits Limits, r laburnumlever.ClaimRequest) laburnumlever.Result {
+	key := claimKey{Owner: r.Owner, Service: r.Service, Key: r.Key}
+	if r.Key == "" {
+		return laburnumlever.Result{Code: laburnumlever.ResultInvalid, Detail: "a claim needs a key"}
+	}
+	if e, ok := t.byKey[key]; ok {
+		return t.known(*claimOf(e), r)
+	}
+	if len(t.byKey) >= limits.Claims || t.byOwner[r.Owner] >= limits.OwnerClaims {
+		return laburnumlever.Result{Code: laburnumlever.ResultFull, Detail: "no room for another claim"}
+	}
+	t.insert(&claim{claimKey: key, Digest: r.Digest, VM: r.VM, Claim: r.Claim, Touched: now})
+	return laburnumlever.Result{Code: laburnumlever.ResultOK, Holder: r.VM}
+}
+
+func (t *claimTable) known(c claim, r laburnumlever.ClaimRequest) laburnumlever.Result {
+	switch {
+	case c.Digest != r.Digest:
+		return laburnumlever.Result{Code: laburnumlever.ResultMismatch, Detail: "the key was used with other content"}
+	case c.Settled:
+		return laburnumlever.Result{Code: laburnumlever.ResultAnswered, Holder: c.VM, Outcome: c.Outcome, Answer: c.Answer}
+	case r.Claim != "" && c.Claim == r.Claim:
+		// The same command a second time, its first answer lost.
+		return laburnumlever.Result{Code: laburnumlever.ResultOK, Holder: c.VM}
+	default:
+		return laburnumlever.Result{Code: laburnumlever.ResultClaimed, Holder: c.VM}
+	}
+}
+
+// answer settles a claim. Only the VM that holds it may; what is settled as
+// answered stays so.
+func (t *claimTable) answer(now int64, limits Limits, r laburnumlever.RecordAnswer) laburnumlever.Result {
+	e, ok := t.byKey[claimKey{Owner: r.Owner, Service: r.Service, Key: r.Key}]
+	if !ok {
+		return laburnumlever.Result{Code: laburnumlever.ResultUnknown, Detail: "no such claim"}
+	}
+	c := claimOf(e)
+	if c.VM != r.VM {
+		return laburnumlever.Result{Code: laburnumlever.ResultNotHolder, Holder: c.VM}
+	}
+	if c.Settled && c.Outcome == laburnumlever.OutcomeAnswered {
+		return laburnumlever.Result{Code: laburnumlever.ResultAnswered, Holder: c.VM, Outcome: c.Outcome, Answer: c.Answer}
+	}
+	if r.Outcome == laburnumlever.OutcomeNotRun {
+		if c.Settled {
+			return laburnumlever.Result{Code: laburnumlever.ResultAnswered, Holder: c.VM, Outcome: c.Outcome}
+		}
+		t.remove(e)
+		return laburnumlever.Result{Code: laburnumlever.ResultOK}
+	}
+	c.Settled, c.Outcome, c.Touched = true, r.Outcome, now
+	t.order.MoveToBack(e)
+	t.keepAnswer(limits, c, r.Answer)
+	return laburnumlever.Result{Code: laburnumlever.ResultOK, Outcome: c.Outcome}
+}
+
+// keepAnswer stores an answer within the bounds. An answer that does not fit
+// leaves its claim settled as unknown: the caller is then told that it is not
+// run again, which is true, rather than an empty answer, which would not be.
+func (t *claimTable) keepAnswer(limits Limits, c *claim, answer *laburnumlever.RecordedAnswer) {
+	if answer == nil || answerSize(answer) > limits.AnswerBytes {
+		if c.Outcome == laburnumlever.OutcomeAnswered {
+			c.Outcome = laburnumlever.OutcomeUnknown
+		}
+		return
+	}
+	c.Answer = answer
+	t.bytes += answerSize(answer)
+	t.answers.PushBack(c)
+	for t.bytes > limits.TotalBytes {
+		t.dropAnswer(t.answers.Front())
+	}
+}
+
+func (t *claimTable) dropAnswer(e *list.Element) {
+	c := claimOf(e)
+	t.answers.Remove(e)
+	if c.Answer == nil {
+		return
+	}
+	t.bytes -= answerSize(c.Answer)
+	c.Answer = nil
+	c.Outcome = laburnumlever.OutcomeUnknown
+}
+
+func answerSize(a *laburnumlever.RecordedAnswer) int {
+	size := len(a.Body)
+	for k, v := range a.Header {
+		size += len(k) + len(v)
+	}
+	return size
+}
+
+func (t *claimTable) insert(c *claim) {
+	t.byKey[c.claimKey] = t.order.PushBack(c)
+	t.byOwner[c.Owner]++
+	if c.Answer != nil {
+		t.bytes += answerSize(c.Answer)
+		t.answers.PushBack(c)
+	}
+}
+
+func (t *claimTable) remove(e *list.Element) {
+	c := claimOf(e)
+	t.order.Remove(e)
+	delete(t.byKey, c.claimKey)
+	t.byOwner[c.Owner]--
+	if t.byOwner[c.Owner] == 0 {
+		delete(t.byOwner, c.Owner)
+	}
+	if c.Answer != nil {
+		t.bytes -= answerSize(c.Answer)
+		c.Answer = nil
+	}
+}
+
+// expire forgets the claims last touched too long ago.
+func (t *claimTable) expire(now, keep int64) {
+	for e := t.order.Front(); e != nil && claimOf(e).Touched < now-keep; e = t.order.Front() {
+		t.remove(e)
+	}
+	for e := t.answers.Front(); e != nil && claimOf(e).Answer == nil; e = t.answers.Front() {
+		t.answers.Remove(e)
+	}
+}
--- /dev/null
+++ b/laburnumstate/leases.go
@@ -0,0 +1,161 @@
+package laburnumstate
+
+import (
+	"slices"
+
+	"laburnumlever"
+)
+
+// Lease is a named lease. Fence is that of the last grant; Holder is empty when
+// nobody holds it.
+type Lease struct {
+	Name        string                 `json:"name"`
+	Holder      laburnumlever.VMID     `json:"holder,omitempty"`
+	Incarnation uint64                 `json:"incarnation,omitempty"`
+	Fence       uint64                 `json:"fence"`
+	TTL         laburnumlever.Duration `json:"ttl"`
+	// Renewals counts the renewals since the grant.
+	Renewals uint64 `json:"renewals"`
+}
+
+func (l Lease) held(by laburnumlever.LeaseCommand) bool {
+	return l.Holder == by.Holder && l.Incarnation == by.Incarnation && l.Holder != ""
+}
+
+// leaseTable holds leases and intents. Fences come from one counter, so that a
+// number is never given twice, whatever the lease.
+type leaseTable struct {
+	fence   uint64
+	list    []Lease
+	intents []laburnumlever.OrderIntent
+}
+
+func (t *leaseTable) find(name string) int {
+	return slices.IndexFunc(t.list, func(l Lease) bool { return l.Name == name })
+}
+
+func (t *leaseTable) apply(limits Limits, kind laburnumlever.CommandKind, c laburnumlever.LeaseCommand) laburnumlever.Result {
+	i := t.find(c.Name)
+	switch kind {
+	case laburnumlever.CommandAcquireLease:
+		return t.acquire(limits, i, c)
+	case laburnumlever.CommandRenewLease, laburnumlever.CommandReleaseLease, laburnumlever.CommandExpireLease:
+	default:
+		return laburnumlever.Result{Code: laburnumlever.ResultInvalid, Detail: "not a lease command"}
+	}
+	if i < 0 {
+		return laburnumlever.Result{Code: laburnumlever.ResultUnknown, Detail: "no such lease"}
+	}
+	l := t.list[i]
+	if kind == laburnumlever.CommandExpireLease {
+		return t.expire(i, c)
+	}
+	if !l.held(c) || l.Fence != c.Fence {
+		return laburnumlever.Result{Code: laburnumlever.ResultNotHolder, Holder: l.Holder, Fence: l.Fence}
+	}
+	if kind == laburnumlever.CommandReleaseLease {
+		return t.free(i)
+	}
+	return t.renew(i, c)
+}
+
+func (t *leaseTable) acquire(limits Limits, i int, c laburnumlever.LeaseCommand) laburnumlever.Result {
+	if c.Name == "" || c.Holder == "" || c.TTL <= 0 {
+		return laburnumlever.Result{Code: laburnumlever.ResultInvalid, Detail: "a lease needs a name, a holder and a time"}
+	}
+	switch {
+	case i < 0 && len(t.list) >= limits.Leases:
+		return laburnumlever.Result{Code: laburnumlever.ResultFull, Detail: "no room for another lease"}
+	case i < 0:
+		t.list = append(t.list, Lease{Name: c.Name})
+		i = len(t.list) - 1
+	case t.list[i].held(c):
+		return t.renew(i, c)
+	case t.list[i].Holder != "":
+		l := t.list[i]
+		return laburnumlever.Result{Code: laburnumlever.ResultConflict, Holder: l.Holder, Fence: l.Fence}
+	}
+	t.fence++
+	t.replace(i, Lease{Name: c.Name, Holder: c.Holder, Incarnation: c.Incarnation, Fence: t.fence, TTL: c.TTL})
+	return t.granted(i)
+}
+
+func (t *leaseTable) granted(i int) laburnumlever.Result {
+	l := t.list[i]
+	result := laburnumlever.Result{Code: laburnumlever.ResultOK, Holder: l.Holder, Fence: l.Fence}
+	for _, in := range t.intents {
+		if in.Lease == l.Name {
+			result.Intents = append(result.Intents, in)
+		}
+	}
+	return result
+}
+
+func (t *leaseTable) renew(i int, c laburnumlever.LeaseCommand) laburnumlever.Result {
+	l := t.list[i]
+	l.Renewals++
+	if c.TTL > 0 {
+		l.TTL = c.TTL
+	}
+	t.replace(i, l)
+	return t.granted(i)
+}
+
+// expire frees the lease if nothing has happened to it since the leader last
+// looked: a renewal on its way when the leader's time ran out wins.
+func (t *leaseTable) expire(i int, c laburnumlever.LeaseCommand) laburnumlever.Result {
+	l := t.list[i]
+	if l.Holder == "" || l.Fence != c.Fence || l.Renewals != c.Renewals {
+		return laburnumlever.Result{Code: laburnumlever.ResultNotHolder, Holder: l.Holder, Fence: l.Fence}
+	}
+	return t.free(i)
+}
+
+func (t *leaseTable) free(i int) laburnumlever.Result {
+	l := t.list[i]
+	t.replace(i, Lease{Name: l.Name, Fence: l.Fence, TTL: l.TTL})
+	return laburnumlever.Result{Code: laburnumlever.ResultOK, Fence: l.Fence}
+}
+
+// replace keeps the old list whole for whoever has read it.
+func (t *leaseTable) replace(i int, l Lease) {
+	t.list = slices.Clone(t.list)
+	t.list[i] = l
+}
+
+func (t *leaseTable) applyIntent(limits Limits, kind laburnumlever.CommandKind, in laburnumlever.OrderIntent) laburnumlever.Result {
+	known := slices.IndexFunc(t.intents, func(k laburnumlever.OrderIntent) bool { return k.Order.ID == in.Order.ID })
+	switch kind {
+	case laburnumlever.CommandResolveIntent:
+		if known < 0 {
+			return laburnumlever.Result{Code: laburnumlever.ResultUnknown, Detail: "no such intent"}
+		}
+		t.intents = slices.Delete(slices.Clone(t.intents), known, known+1)
+		return laburnumlever.Result{Code: laburnumlever.ResultOK}
+	case laburnumlever.CommandRecordIntent:
+		return t.record(limits, known, in)
+	default:
+		return laburnumlever.Result{Code: laburnumlever.ResultInvalid, Detail: "not an intent command"}
+	}
+}
+
+// record takes an intent only under the lease's present fence: a holder that was
+// frozen past its lease must not order anything more.
+func (t *leaseTable) record(limits Limits, known int, in laburnumlever.OrderIntent) laburnumlever.Result {
+	i := t.find(in.Lease)
+	if i < 0 {
+		return laburnumlever.Result{Code: laburnumlever.ResultUnknown, Detail: "no such lease"}
+	}
+	l := t.list[i]
+	if l.Holder == "" || l.Fence != in.Order.Fence {
+		return laburnumlever.Result{Code: laburnumlever.ResultNotHolder, Holder: l.Holder, Fence: l.Fence}
+	}
+	if known >= 0 {
+		return laburnumlever.Result{Code: laburnumlever.ResultOK, Fence: l.Fence}
+	}
+	if len(t.intents) >= limits.Intents {
+		return laburnumlever.Result{Code: laburnumlever.ResultFull, Detail: "no room for another intent"}
+	}
+	t.intents = append(slices.Clone(t.intents), in)
+	return laburnumlever.Result{Code: laburnumlever.ResultOK, Fence: l.Fence}
+}
