--- /dev/null
+++ b/laburnumvoter/drive.go
@@ -0,0 +1,164 @@
+package laburnumvoter
+
+import (
+	"encoding/json"
+
+	"laburnumlever"
+	"laburnumlever/laburnumlog"
+	"laburnumlever/laburnumstate"
+
+	"github.com/go-kit/log/level"
+)
+
+// entryData is what an entry of the log carries.
+type entryData struct {
+	// At is the leader's clock in milliseconds; see laburnumstate.
+	At      int64                 `json:"at"`
+	Command laburnumlever.Command `json:"command"`
+}
+
+// step takes one event through the log and does what it asks.
+func (v *Voter) step(ev laburnumlog.Event) laburnumlog.Output {
+	if v.log == nil {
+		return laburnumlog.Output{}
+	}
+	out := v.log.Step(ev)
+	if out.Fault != nil {
+		v.fail(out.Fault)
+		return laburnumlog.Output{}
+	}
+	for _, m := range out.Messages {
+		v.transmit(m)
+	}
+	if out.Write != nil {
+		v.after = append(v.after, laburnumlog.Write{Seq: out.Write.Seq, After: out.Write.After})
+		write := *out.Write
+		write.After = nil
+		v.writer.add(write)
+	}
+	if out.Install != nil {
+		v.install(*out.Install)
+	}
+	for _, e := range out.Committed {
+		v.apply(e)
+	}
+	if len(out.Committed) > 0 {
+		v.tellCatalogue()
+		v.maybeSnapshot()
+	}
+	if v.log == nil { // an entry could not be applied
+		return laburnumlog.Output{}
+	}
+	return out
+}
+
+func (v *Voter) onWrote(ev wrote) {
+	if ev.generation != v.generation || v.log == nil {
+		return
+	}
+	if ev.err != nil {
+		v.fail(ev.err)
+		return
+	}
+	v.step(laburnumlog.Written{Seq: ev.seq})
+	for len(v.after) > 0 && v.after[0].Seq <= ev.seq {
+		for _, m := range v.after[0].After {
+			v.transmit(m)
+		}
+		v.after = v.after[1:]
+	}
+}
+
+// fail takes the replica out for good: after a failed fsync nobody knows what the
+// disk holds, and to acknowledge or lead on would be to promise it. The VM goes
+// on as one without a replica until it is started again.
+func (v *Voter) fail(err error) {
+	_ = level.Error(v.cfg.logger).Log("event", "replica-failed", "err", err)
+	v.cfg.scope.Counter("voter-failures").Inc(1)
+	v.failure = err
+	v.drop()
+}
+
+// drop stops the replica that is open.
+func (v *Voter) drop() {
+	v.log = nil
+	v.generation++
+	v.after, v.inbox = nil, nil
+	v.writer.stop()
+	v.releaseWaiters("the replica on this VM stopped")
+}
+
+func (v *Voter) install(s laburnumlog.Snapshot) {
+	machine, err := laburnumstate.Decode(s.Data, v.cfg.stateOptions...)
+	if err != nil {
+		v.fail(err)
+		return
+	}
+	v.machine = machine
+	v.applied = s.Index
+	v.logBytes = 0
+	v.tellCatalogue()
+}
+
+func (v *Voter) apply(e laburnumlog.Entry) {
+	v.applied = e.Index
+	v.logBytes += len(e.Data)
+	w, waiting := v.waiters[e.Index]
+	delete(v.waiters, e.Index)
+	if waiting && w.term != e.Term {
+		w.reply <- proposeAnswer{Verdict: verdictNotTaken, Detail: "another leader's entry took its place"}
+		waiting = false
+	}
+	if e.Kind != laburnumlog.EntryCommand || v.log == nil {
+		return
+	}
+	var data entryData
+	if err := json.Unmarshal(e.Data, &data); err != nil {
+		v.fail(&BadEntryError{Index: e.Index, Cause: err})
+		return
+	}
+	result := v.machine.Apply(data.At, data.Command)
+	if waiting {
+		w.reply <- proposeAnswer{Verdict: verdictDone, Result: result}
+	}
+}
+
+func (v *Voter) tellCatalogue() {
+	if v.machine == nil {
+		return
+	}
+	catalogue := v.machine.Catalogue()
+	if catalogue.Revision > v.told {
+		v.told = catalogue.Revision
+		v.onCatalogue(catalogue)
+	}
+}
+
+// maybeSnapshot has a snapshot encoded once the entries since the last one are as
+// large as it was: the cost of snapshots then stays in proportion to the changes.
+func (v *Voter) maybeSnapshot() {
+	if v.log == nil || v.encoding || v.logBytes < max(v.cfg.snapshotBytes, v.lastSnapshot) {
+		return
+	}
+	v.encoding = true
+	v.logBytes = 0
+	image, index, generation := v.machine.Image(), v.applied, v.generation
+	go func() {
+		data, err := image.Encode()
+		v.loop.Post(v, encoded{generation: generation, snapshot: laburnumlog.Snapshot{Index: index, Data: data}, err: err})
+	}()
+}
+
+func (v *Voter) onEncoded(ev encoded) {
+	if ev.generation != v.generation || v.log == nil {
+		return
+	}
+	v.encoding = false
+	if ev.err != nil {
+		v.fail(ev.err)
+		return
+	}
+	v.lastSnapshot = len(ev.snapshot.Data)
+	v.cfg.scope.Counter("voter-snapshots").Inc(1)
+	v.step(laburnumlog.Compact{Snapshot: ev.snapshot})
+}
--- /dev/null
+++ b/laburnumvoter/members.go
@@ -0,0 +1,278 @@
+package laburnumvoter
+
+import (
+	"slices"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumlog"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// membersEvery is how many ticks pass between two looks at the members.
+	membersEvery = 10
+	// helloTicks is how long a hello is believed, and how long a replica goes
+	// without a leader before it sends one.
+	helloTicks = 30
+	// answersTicks is how long a member may be silent and still count as there.
+	answersTicks = 10
+)
+
+// joiner is a replica that said hello.
+type joiner struct {
+	hello helloMessage
+	seen  uint64 // tick
+}
+
+func (v *Voter) member() laburnumlog.Member {
+	return laburnumlog.Member{ID: v.log.ID(), VM: v.self.ID, Address: v.self.PeerAddress}
+}
+
+func (v *Voter) configured() bool { return len(v.log.Configuration().Members) > 0 }
+
+// tendMembers runs about once a second.
+func (v *Voter) tendMembers() {
+	for vm, j := range v.joiners {
+		if v.ticks-j.seen > helloTicks {
+			delete(v.joiners, vm)
+		}
+	}
+	if v.log.Role() == laburnumlog.Leader {
+		v.warnSuperseded()
+		v.tendConfiguration()
+		return
+	}
+	_, in := v.log.Configuration().Find(v.log.ID())
+	if !in || v.ticks-v.leaderSeen > helloTicks {
+		v.sayHello()
+	}
+	if !v.configured() {
+		v.maybeBootstrap()
+	}
+}
+
+func (v *Voter) sayHello() {
+	m := helloMessage{Member: v.member(), Boot: v.boot, Configured: v.configured()}
+	for _, address := range v.helloAddresses() {
+		v.peers.Notify(address, methodHello, m)
+	}
+}
+
+func (v *Voter) helloAddresses() []string {
+	var addresses []string
+	for _, voter := range append(slices.Clone(v.cfg.voters), v.voterList()...) {
+		if voter.PeerAddress != v.self.PeerAddress && !slices.Contains(addresses, voter.PeerAddress) {
+			addresses = append(addresses, voter.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+func (v *Voter) onHello(h helloMessage) {
+	if v.log == nil || h.Member.VM == v.self.ID {
+		return
+	}
+	v.joiners[h.Member.VM] = joiner{hello: h, seen: v.ticks}
+	v.addresses[h.Member.ID] = h.Member.Address
+	if !h.Answer {
+		answer := helloMessage{Member: v.member(), Boot: v.boot, Configured: v.configured(), Answer: true}
+		v.peers.Notify(h.Member.Address, methodHello, answer)
+	}
+	v.resendBootstrap(h)
+	if p, ok := v.log.Progress(h.Member.ID); ok && v.log.Role() == laburnumlog.Leader && h.Boot < p.Boot {
+		v.peers.Notify(h.Member.Address, methodSuperseded, supersededMessage{ID: h.Member.ID, Boot: h.Boot})
+	}
+}
+
+// maybeBootstrap makes the first configuration, on the first of the voters by name,
+// once all of them have said that they have none. If one had lost its folder, or
+// were cut off, the others could hold a log already; so all must answer.
+func (v *Voter) maybeBootstrap() {
+	voters := slices.Clone(v.cfg.voters)
+	slices.SortFunc(voters, func(a, b laburnumlever.Voter) int {
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	})
+	if len(voters) == 0 || voters[0].VM != v.self.ID {
+		return
+	}
+	configuration := laburnumlog.Configuration{Members: []laburnumlog.Member{v.member()}}
+	for _, voter := range voters[1:] {
+		j, ok := v.joiners[voter.VM]
+		if !ok || j.hello.Configured {
+			return
+		}
+		configuration = configuration.WithMember(j.hello.Member)
+	}
+	v.step(laburnumlog.Bootstrap{Configuration: configuration})
+	v.sendBootstrap(configuration)
+}
+
+func (v *Voter) sendBootstrap(configuration laburnumlog.Configuration) {
+	for _, m := range configuration.Members {
+		if m.ID != v.log.ID() {
+			v.peers.Notify(m.Address, methodBootstrap, bootstrapMessage{Configuration: configuration})
+		}
+	}
+}
+
+// resendBootstrap gives the first configuration to a member that has not got it,
+// when its first sender went down before it was told to all.
+func (v *Voter) resendBootstrap(h helloMessage) {
+	if h.Configured || v.log.SnapshotIndex() != 1 {
+		return
+	}
+	first := v.log.ConfigurationAt(1)
+	if _, ok := first.Find(h.Member.ID); ok {
+		v.peers.Notify(h.Member.Address, methodBootstrap, bootstrapMessage{Configuration: first})
+	}
+}
+
+func (v *Voter) onBootstrap(m bootstrapMessage) {
+	if v.log == nil || v.configured() {
+		return
+	}
+	if _, ok := m.Configuration.Find(v.log.ID()); ok {
+		v.step(laburnumlog.Bootstrap{Configuration: m.Configuration})
+	}
+}
+
+// warnSuperseded tells members whose disk went back that they are new instances.
+func (v *Voter) warnSuperseded() {
+	for _, m := range v.log.Configuration().Members {
+		if p, ok := v.log.Progress(m.ID); ok && p.Lost {
+			_ = level.Error(v.cfg.logger).Log("event", "replica-went-back", "replica", m.ID, "boot", p.Boot)
+			v.peers.Notify(m.Address, methodSuperseded, supersededMessage{ID: m.ID, Boot: p.Boot})
+		}
+	}
+}
+
+// onSuperseded starts over as a new instance: the folder is set aside and opened
+// again, empty, on a worker.
+func (v *Voter) onSuperseded(m supersededMessage) {
+	if v.log == nil || m.ID != v.log.ID() || m.Boot != v.boot {
+		return
+	}
+	_ = level.Error(v.cfg.logger).Log("event", "data-folder-went-back", "replica", m.ID)
+	old := v.writer
+	v.drop()
+	go func() {
+		<-old.done
+		r, err := renewReplica(v.cfg, v.self)
+		v.loop.Post(v, reopened{replica: r, err: err})
+	}()
+}
+
+func (v *Voter) onReopened(ev reopened) {
+	if ev.err != nil {
+		v.failure = ev.err
+		_ = level.Error(v.cfg.logger).Log("event", "replica-failed", "err", ev.err)
+		return
+	}
+	v.use(ev.replica)
+}
+
+// tendConfiguration makes at most one change of the members: a learner is added,
+// caught up, and only then put in the place of the voter that it replaces. The
+// old voter goes first: with it in the list and gone, a majority of four would
+// need all of the three that work.
+func (v *Voter) tendConfiguration() {
+	if v.log.ChangePending() {
+		return
+	}
+	configuration := v.log.Configuration()
+	for _, m := range configuration.Members {
+		if m.Learner {
+			v.tendLearner(configuration, m)
+			return
+		}
+	}
+	for _, vm := range v.joinerOrder() {
+		j := v.joiners[vm]
+		if _, in := configuration.Find(j.hello.Member.ID); in || !v.wanted(configuration, vm) {
+			continue
+		}
+		learner := j.hello.Member
+		learner.Learner = true
+		v.change("learner-added", learner, configuration.WithMember(learner))
+		return
+	}
+}
+
+func (v *Voter) tendLearner(configuration laburnumlog.Configuration, m laburnumlog.Member) {
+	p, _ := v.log.Progress(m.ID)
+	switch {
+	case p.SilentTicks > v.replaceTicks() || p.Lost:
+		v.change("learner-removed", m, configuration.Without(m.ID))
+		return
+	case p.SilentTicks > answersTicks || p.Match < v.log.Commit():
+		return // not caught up
+	}
+	if old, ok := v.replacedBy(configuration, m.VM); ok {
+		v.change("voter-removed", old, configuration.Without(old.ID))
+		return
+	}
+	if len(configuration.Voters()) >= len(v.cfg.voters) {
+		v.change("learner-removed", m, configuration.Without(m.ID))
+		return
+	}
+	m.Learner = false
+	v.change("voter-added", m, configuration.WithMember(m))
+}
+
+func (v *Voter) change(event string, m laburnumlog.Member, to laburnumlog.Configuration) {
+	out := v.step(laburnumlog.ChangeMembers{Configuration: to})
+	_ = level.Info(v.cfg.logger).Log("event", event, "replica", m.ID, "accepted", out.Accepted)
+}
+
+// replacedBy finds the voter whose place a replica on the VM would take: the one of
+// the same VM, else one that has been silent for long.
+func (v *Voter) replacedBy(configuration laburnumlog.Configuration, vm laburnumlever.VMID) (laburnumlog.Member, bool) {
+	for _, m := range configuration.Voters() {
+		if m.VM == vm {
+			return m, true
+		}
+	}
+	if len(configuration.Voters()) < len(v.cfg.voters) {
+		return laburnumlog.Member{}, false
+	}
+	for _, m := range configuration.Voters() {
+		if p, ok := v.log.Progress(m.ID); ok && p.SilentTicks > v.replaceTicks() {
+			return m, true
+		}
+	}
+	return laburnumlog.Member{}, false
+}
+
+func (v *Voter) replaceTicks() int {
+	return int(v.cfg.replaceAfter / max(v.cfg.tick, time.Millisecond))
+}
+
+// wanted tells whether a replica on the VM should become a voter.
+func (v *Voter) wanted(configuration laburnumlog.Configuration, vm laburnumlever.VMID) bool {
+	if !v.allowed(vm) {
+		return false
+	}
+	_, replaces := v.replacedBy(configuration, vm)
+	return replaces || len(configuration.Voters()) < len(v.cfg.voters)
+}
+
+func (v *Voter) allowed(vm laburnumlever.VMID) bool {
+	is := func(voter laburnumlever.Voter) bool { return voter.VM == vm }
+	return v.cfg.candidates == nil || slices.ContainsFunc(v.cfg.voters, is) ||
+		slices.ContainsFunc(v.cfg.candidates(), is)
+}
+
+// joinerOrder is the joiners by name, so that each look sees them alike.
+func (v *Voter) joinerOrder() []laburnumlever.VMID {
+	var order []laburnumlever.VMID
+	for vm := range v.joiners {
+		order = append(order, vm)
+	}
+	slices.Sort(order)
+	return order
+}
--- /dev/null
+++ b/laburnumvoter/network_test.go
@@ -0,0 +1,129 @@
+package laburnumvoter_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"laburnumlever"
+)
+
+// network is the links between VMs in memory. A cut is one way.
+type network struct {
+	mu    sync.Mutex
+	ports map[string]*port
+	cuts  map[[2]string]bool
+}
+
+type port struct {
+	net      *network
+	address  string
+	mu       sync.Mutex
+	handlers map[string]laburnumlever.PeerHandler
+	queue    chan func()
+	stop     chan struct{}
+}
+
+func newNetwork() *network {
+	return &network{ports: map[string]*port{}, cuts: map[[2]string]bool{}}
+}
+
+func (n *network) open(address string) *port {
+	p := &port{
+		net: n, address: address, handlers: map[string]laburnumlever.PeerHandler{},
+		queue: make(chan func(), 1<<14), stop: make(chan struct{}),
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ports[address] = p
+	go func() {
+		for {
+			select {
+			case fn := <-p.queue:
+				fn()
+			case <-p.stop:
+				return
+			}
+		}
+	}()
+	return p
+}
+
+func (n *network) close(p *port) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ports[p.address] == p {
+		delete(n.ports, p.address)
+	}
+	close(p.stop)
+}
+
+func (n *network) cut(from, to string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{from, to}] = on
+}
+
+func (n *network) reach(from, to string) *port {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cuts[[2]string{from, to}] {
+		return nil
+	}
+	return n.ports[to]
+}
+
+func (p *port) Handle(method string, handler laburnumlever.PeerHandler) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handlers[method] = handler
+}
+
+func (p *port) handler(method string) laburnumlever.PeerHandler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.handlers[method]
+}
+
+func (p *port) Notify(address, method string, params any) {
+	data, _ := json.Marshal(params)
+	to := p.net.reach(p.address, address)
+	if to == nil {
+		return
+	}
+	select {
+	case to.queue <- func() {
+		if h := to.handler(method); h != nil {
+			_, _ = h(context.Background(), data)
+		}
+	}:
+	default:
+	}
+}
+
+func (p *port) Call(ctx context.Context, address, method string, params, result any) error {
+	data, _ := json.Marshal(params)
+	to := p.net.reach(p.address, address)
+	if to == nil {
+		return &laburnumlever.PeerUnreachableError{Address: address}
+	}
+	answer := make(chan []byte, 1)
+	go func() {
+		h := to.handler(method)
+		if h == nil {
+			return
+		}
+		value, err := h(ctx, data)
+		if err == nil && p.net.reach(address, p.address) == p {
+			out, _ := json.Marshal(value)
+			answer <- out
+		}
+	}()
+	select {
+	case out := <-answer:
+		return json.Unmarshal(out, result)
+	case <-ctx.Done():
+	case <-to.stop:
+	}
+	return &laburnumlever.PeerLostError{Address: address, Cause: ctx.Err()}
+}
--- /dev/null
+++ b/laburnumvoter/options.go
@@ -0,0 +1,111 @@
+package laburnumvoter
+
+import (
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumdisk"
+	"laburnumlever/laburnumstate"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// defaultTick makes heartbeats go out ten times within the shortest
+	// election timeout, which is ten ticks: 1 s.
+	defaultTick = 100 * time.Millisecond
+	// defaultProposalTimeout bridges an election, which takes up to two
+	// timeouts and a round or two.
+	defaultProposalTimeout = 5 * time.Second
+	// defaultReplaceAfter is longer than a restart of a VM, so that a
+	// restart does not move replicas about.
+	defaultReplaceAfter = time.Minute
+	// defaultSnapshotBytes of entries make a snapshot worth its cost.
+	defaultSnapshotBytes = 4 << 20
+	// defaultBatch bounds the commands that share one append and the writes
+	// that share one fsync.
+	defaultBatch = 512
+)
+
+type config struct {
+	folder          string
+	diskOptions     []laburnumdisk.Option
+	stateOptions    []laburnumstate.Option
+	voters          []laburnumlever.Voter
+	candidates      func() []laburnumlever.Voter
+	logger          log.Logger
+	scope           tally.Scope
+	tick            time.Duration
+	proposalTimeout time.Duration
+	replaceAfter    time.Duration
+	snapshotBytes   int
+	batch           int
+}
+
+func newConfig(opts []Option) config {
+	cfg := config{
+		logger: log.NewNopLogger(), scope: tally.NoopScope, tick: defaultTick,
+		proposalTimeout: defaultProposalTimeout, replaceAfter: defaultReplaceAfter,
+		snapshotBytes: defaultSnapshotBytes, batch: defaultBatch,
+	}
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	return cfg
+}
+
+// Option changes a new voter.
+type Option func(*config)
+
+// WithDataFolder makes the VM hold a replica in the folder; empty means none.
+func WithDataFolder(path string) Option { return func(c *config) { c.folder = path } }
+
+// WithVoters sets the first voters, the same on all VMs. Their number stays the
+// number of voters that the leader restores; once the log exists, it holds the
+// list in force.
+func WithVoters(voters []laburnumlever.Voter) Option {
+	return func(c *config) { c.voters = voters }
+}
+
+// WithCandidates sets who may take a lost voter's place, besides the first voters.
+// It is called on the control thread. Without it any replica that asks may.
+func WithCandidates(candidates func() []laburnumlever.Voter) Option {
+	return func(c *config) { c.candidates = candidates }
+}
+
+// WithLogger sets the logger.
+func WithLogger(logger log.Logger) Option { return func(c *config) { c.logger = logger } }
+
+// WithScope sets where counters go.
+func WithScope(scope tally.Scope) Option { return func(c *config) { c.scope = scope } }
+
+// WithDisk sets options of the data folder, such as file operations that fail.
+func WithDisk(opts ...laburnumdisk.Option) Option {
+	return func(c *config) { c.diskOptions = opts }
+}
+
+// WithState sets options of the state machine, the same on all VMs.
+func WithState(opts ...laburnumstate.Option) Option {
+	return func(c *config) { c.stateOptions = opts }
+}
+
+// WithTick sets the length of a tick. An election starts after 10 to 20 ticks
+// without a leader.
+func WithTick(d time.Duration) Option { return func(c *config) { c.tick = d } }
+
+// WithProposalTimeout bounds how long Propose tries.
+func WithProposalTimeout(d time.Duration) Option {
+	return func(c *config) { c.proposalTimeout = d }
+}
+
+// WithReplaceAfter sets how long a voter is silent before another VM with a disk
+// takes its place.
+func WithReplaceAfter(d time.Duration) Option { return func(c *config) { c.replaceAfter = d } }
+
+// WithSnapshotBytes sets after how many bytes of entries a snapshot is taken.
+func WithSnapshotBytes(n int) Option { return func(c *config) { c.snapshotBytes = n } }
+
+// WithBatch sets how many commands may share an append, and writes an fsync; 1
+// turns batching off.
+func WithBatch(n int) Option { return func(c *config) { c.batch = max(1, n) } }
--- /dev/null
+++ b/laburnumvoter/propose.go
@@ -0,0 +1,194 @@
+package laburnumvoter
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumlog"
+)
+
+const (
+	// maxWaiting bounds the proposals under way on one leader.
+	maxWaiting = 1 << 14
+)
+
+// waiter is a proposal whose entry is in the log.
+type waiter struct {
+	term  uint64
+	reply chan proposeAnswer
+}
+
+type proposal struct {
+	command laburnumlever.Command
+	reply   chan proposeAnswer
+	// decided is set once, by whoever is first: the control thread that puts
+	// the command into the log, or a proposer that gives up. So a command given
+	// up before it was taken is surely never taken.
+	decided *atomic.Bool
+}
+
+// intake collects proposals of other goroutines, so that those that come in
+// together go into the log together.
+type intake struct {
+	mu   sync.Mutex
+	list []proposal
+}
+
+// add tells whether the control thread needs to be told.
+func (i *intake) add(p proposal) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.list = append(i.list, p)
+	return len(i.list) == 1
+}
+
+func (i *intake) take() []proposal {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	list := i.list
+	i.list = nil
+	return list
+}
+
+// Propose returns once the command is committed and applied. It finds the leader
+// and tries again through elections until ctx or the proposal timeout ends. A
+// *NoQuorumError says that the command was surely not committed, an
+// *OutcomeUnknownError that it may yet be.
+func (v *Voter) Propose(ctx context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
+	cmd = v.identified(cmd)
+	ctx, cancel := v.bounded(ctx)
+	defer cancel()
+	s := search{voter: v, known: v.known.list()}
+	for {
+		answer := s.try(ctx, cmd)
+		switch answer.Verdict {
+		case verdictDone:
+			return answer.Result, nil
+		case verdictUnknown:
+			s.uncertain = true
+		default:
+		}
+		s.detail = answer.Detail
+		if !s.next(ctx, answer) {
+			return laburnumlever.Result{}, s.failure()
+		}
+	}
+}
+
+// identified gives a claim its own name, so that a try whose answer was lost is
+// known again.
+func (v *Voter) identified(cmd laburnumlever.Command) laburnumlever.Command {
+	if cmd.Claim == nil || cmd.Claim.Claim != "" {
+		return cmd
+	}
+	claim := *cmd.Claim
+	claim.Claim = string(v.self.ID) + "-" + strconv.FormatUint(v.self.Incarnation, 10) + "-" +
+		strconv.FormatInt(v.startedAt.UnixNano(), 10) + "-" + strconv.FormatUint(v.claims.Add(1), 10)
+	cmd.Claim = &claim
+	return cmd
+}
+
+// bounded ends with ctx, the proposal timeout or Close, whichever is first.
+func (v *Voter) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := v.timers.After(v.cfg.proposalTimeout, func(time.Time) { cancel() })
+	return ctx, func() { stop(); cancel() }
+}
+
+// proposeHere tries on this VM's own replica.
+func (v *Voter) proposeHere(ctx context.Context, cmd laburnumlever.Command) proposeAnswer {
+	p := proposal{command: cmd, reply: make(chan proposeAnswer, 1), decided: &atomic.Bool{}}
+	if v.intake.add(p) {
+		v.loop.Post(v, proposed{})
+	}
+	select {
+	case answer := <-p.reply:
+		return answer
+	case <-ctx.Done():
+	case <-v.done:
+	}
+	if p.decided.CompareAndSwap(false, true) {
+		return proposeAnswer{Verdict: verdictNotTaken, Detail: "given up before it was taken"}
+	}
+	return proposeAnswer{Verdict: verdictUnknown, Detail: "no answer in time"}
+}
+
+func (v *Voter) handlePropose(ctx context.Context, params laburnumlever.RawMessage) (any, error) {
+	var p proposeParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, err
+	}
+	ctx, cancel := v.bounded(ctx)
+	defer cancel()
+	return v.proposeHere(ctx, p.Command), nil
+}
+
+func (v *Voter) onProposed() {
+	list := v.intake.take()
+	for len(list) > 0 {
+		n := min(len(list), v.cfg.batch)
+		v.append(list[:n])
+		list = list[n:]
+	}
+}
+
+// append puts proposals into the log together, or turns them away.
+func (v *Voter) append(list []proposal) {
+	if v.log == nil || v.log.Role() != laburnumlog.Leader || len(v.waiters)+len(list) > maxWaiting {
+		v.turnAway(list)
+		return
+	}
+	at := v.clock(v.timers.Now())
+	data := make([][]byte, 0, len(list))
+	taken := make([]proposal, 0, len(list))
+	for _, p := range list {
+		if !p.decided.CompareAndSwap(false, true) {
+			continue
+		}
+		d, err := json.Marshal(entryData{At: at, Command: p.command})
+		if err != nil {
+			p.reply <- proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{Code: laburnumlever.ResultInvalid, Detail: err.Error()}}
+			continue
+		}
+		data = append(data, d)
+		taken = append(taken, p)
+	}
+	out := v.step(laburnumlog.Propose{Data: data})
+	if !out.Accepted {
+		v.turnAway(taken)
+		return
+	}
+	v.cfg.scope.Counter("voter-proposals").Inc(int64(len(taken)))
+	for i, p := range taken {
+		v.waiters[out.First+uint64(i)] = waiter{term: v.log.Term(), reply: p.reply}
+	}
+}
+
+func (v *Voter) turnAway(list []proposal) {
+	answer := proposeAnswer{Verdict: verdictNotTaken, Detail: "this VM does not lead", Voters: v.voterList()}
+	if v.failure != nil {
+		answer.Detail = v.failure.Error()
+	}
+	if v.log != nil {
+		if m, ok := v.log.Configuration().Find(v.log.Leader()); ok && m.ID != v.log.ID() {
+			answer.Leader = laburnumlever.Voter{VM: m.VM, PeerAddress: m.Address}
+		}
+	}
+	for _, p := range list {
+		p.reply <- answer
+	}
+}
+
+// releaseWaiters answers all that wait when this VM stops to lead: their entries
+// may or may not be committed by the next leader.
+func (v *Voter) releaseWaiters(detail string) {
+	for index, w := range v.waiters {
+		w.reply <- proposeAnswer{Verdict: verdictUnknown, Detail: detail}
+		delete(v.waiters, index)
+	}
+}
--- /dev/null
+++ b/laburnumvoter/replica.go
@@ -0,0 +1,122 @@
+package laburnumvoter
+
+import (
+	"sync"
+
+	"laburnumlever"
+	"laburnumlever/laburnumdisk"
+	"laburnumlever/laburnumlog"
+	"laburnumlever/laburnumstate"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+)
+
+// replica is an open data folder with the log and state that it gave.
+type replica struct {
+	store   *laburnumdisk.Store
+	log     *laburnumlog.Log
+	machine *laburnumstate.Machine
+	boot    uint64
+	// snapshotBytes is the size of the snapshot that it started from.
+	snapshotBytes int
+}
+
+// openReplica opens the folder. A damaged one is set aside and said so, and the VM
+// starts as a new instance: to go on with part of a log would be to forget what
+// was acknowledged.
+func openReplica(cfg config, self laburnumlever.VM) (*replica, error) {
+	store, recovered, err := laburnumdisk.Open(cfg.folder, cfg.diskOptions...)
+	var damaged *laburnumdisk.DamagedError
+	if errors.As(err, &damaged) {
+		_ = level.Error(cfg.logger).Log("event", "data-folder-damaged", "err", err)
+		if err := laburnumdisk.SetAside(cfg.folder, cfg.diskOptions...); err != nil {
+			return nil, err
+		}
+		store, recovered, err = laburnumdisk.Open(cfg.folder, cfg.diskOptions...)
+	}
+	if err != nil {
+		return nil, err
+	}
+	machine, err := laburnumstate.Decode(recovered.Snapshot.Data, cfg.stateOptions...)
+	if err != nil {
+		return nil, err
+	}
+	identity := store.Identity()
+	id := laburnumlog.ReplicaID(string(self.ID) + "/" + identity.Instance)
+	seed := xxhash.Sum64String(string(id)) | 1 // xorshift must not start from 0
+	l := laburnumlog.New(id, recovered, laburnumlog.WithSeed(seed), laburnumlog.WithBoot(identity.Boot))
+	return &replica{store: store, log: l, machine: machine, boot: identity.Boot, snapshotBytes: len(recovered.Snapshot.Data)}, nil
+}
+
+// writer makes writes durable on a goroutine of its own, as many together as have
+// come in meanwhile.
+type writer struct {
+	mu      sync.Mutex
+	ready   *sync.Cond
+	queue   []laburnumlog.Write
+	stopped bool
+	done    chan struct{}
+	batch   int
+	store   *laburnumdisk.Store
+	report  func(seq uint64, err error)
+}
+
+func newWriter(store *laburnumdisk.Store, batch int, report func(seq uint64, err error)) *writer {
+	w := &writer{done: make(chan struct{}), batch: batch, store: store, report: report}
+	w.ready = sync.NewCond(&w.mu)
+	return w
+}
+
+func (w *writer) add(write laburnumlog.Write) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queue = append(w.queue, write)
+	w.ready.Signal()
+}
+
+// run writes until it is stopped, and closes the store.
+func (w *writer) run() {
+	defer close(w.done)
+	for {
+		writes := w.take()
+		if writes == nil {
+			_ = w.store.Close()
+			return
+		}
+		err := w.store.Write(writes)
+		w.report(writes[len(writes)-1].Seq, err)
+	}
+}
+
+func (w *writer) take() []laburnumlog.Write {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(w.queue) == 0 && !w.stopped {
+		w.ready.Wait()
+	}
+	n := min(len(w.queue), w.batch)
+	if n == 0 {
+		return nil
+	}
+	writes := w.queue[:n:n]
+	w.queue = w.queue[n:]
+	return writes
+}
+
+// stop ends run after what is queued.
+func (w *writer) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.ready.Broadcast()
+}
+
+// renewReplica opens the folder as a new instance.
+func renewReplica(cfg config, self laburnumlever.VM) (*replica, error) {
+	if err := laburnumdisk.SetAside(cfg.folder, cfg.diskOptions...); err != nil {
+		return nil, err
+	}
+	return openReplica(cfg, self)
+}
--- /dev/null
+++ b/laburnumvoter/search.go
@@ -0,0 +1,142 @@
+package laburnumvoter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// retryPause is between two tries when no other VM is known to ask.
+	retryPause = 50 * time.Millisecond
+	// maxRedirects is how many VMs in a row may name another as the leader
+	// before there is a pause: around an election two may name each other.
+	maxRedirects = 2
+)
+
+// search is one proposal's way to the leader.
+type search struct {
+	voter     *Voter
+	known     []laburnumlever.Voter
+	target    string // empty: this VM's own replica, if it has one
+	asked     int
+	redirects int // since the last pause
+	uncertain bool
+	detail    string
+}
+
+func (s *search) try(ctx context.Context, cmd laburnumlever.Command) proposeAnswer {
+	v := s.voter
+	if s.target == "" || s.target == v.self.PeerAddress {
+		if v.cfg.folder == "" {
+			return proposeAnswer{Verdict: verdictNotTaken, Leader: v.known.leader()}
+		}
+		return v.proposeHere(ctx, cmd)
+	}
+	var answer proposeAnswer
+	err := v.peers.Call(ctx, s.target, methodPropose, proposeParams{Command: cmd}, &answer)
+	if err == nil {
+		v.known.note(answer, s.target)
+		return answer
+	}
+	v.known.forget(s.target)
+	var unreachable *laburnumlever.PeerUnreachableError
+	var refused *laburnumlever.PeerRefusedError
+	if errors.As(err, &unreachable) || errors.As(err, &refused) {
+		return proposeAnswer{Verdict: verdictNotTaken, Detail: err.Error()}
+	}
+	return proposeAnswer{Verdict: verdictUnknown, Detail: err.Error()}
+}
+
+// next picks whom to ask now, and tells whether there is time left.
+func (s *search) next(ctx context.Context, answer proposeAnswer) bool {
+	if len(answer.Voters) > 0 {
+		s.known = answer.Voters
+	}
+	if answer.Leader.PeerAddress != "" && answer.Leader.PeerAddress != s.target && s.redirects < maxRedirects {
+		s.redirects++
+		s.target = answer.Leader.PeerAddress
+		return ctx.Err() == nil
+	}
+	if len(s.known) > 0 {
+		s.target = s.known[s.asked%len(s.known)].PeerAddress
+	}
+	s.asked++
+	s.redirects = 0
+	if s.target == s.voter.self.PeerAddress && s.voter.cfg.folder == "" {
+		s.target = ""
+	}
+	return s.voter.pause(ctx, retryPause)
+}
+
+func (s *search) failure() error {
+	if s.uncertain {
+		return &laburnumlever.OutcomeUnknownError{Detail: s.detail}
+	}
+	return &laburnumlever.NoQuorumError{Detail: s.detail}
+}
+
+// pause waits, and tells whether ctx still stands.
+func (v *Voter) pause(ctx context.Context, d time.Duration) bool {
+	woken := make(chan struct{})
+	stop := v.timers.After(d, func(time.Time) { close(woken) })
+	defer stop()
+	select {
+	case <-woken:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+	case <-v.done:
+	}
+	return false
+}
+
+// knownVoters is what any goroutine may read of the voters.
+type knownVoters struct {
+	mu     sync.Mutex
+	voters []laburnumlever.Voter
+	lead   laburnumlever.Voter
+}
+
+func (k *knownVoters) set(voters []laburnumlever.Voter) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.voters = voters
+}
+
+func (k *knownVoters) list() []laburnumlever.Voter {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.voters
+}
+
+func (k *knownVoters) leader() laburnumlever.Voter {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lead
+}
+
+func (k *knownVoters) note(a proposeAnswer, from string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(a.Voters) > 0 {
+		k.voters = a.Voters
+	}
+	switch {
+	case a.Verdict == verdictDone:
+		k.lead = laburnumlever.Voter{PeerAddress: from}
+	case a.Leader.PeerAddress != "":
+		k.lead = a.Leader
+	}
+}
+
+func (k *knownVoters) forget(address string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lead.PeerAddress == address {
+		k.lead = laburnumlever.Voter{}
+	}
+}
--- /dev/null
+++ b/laburnumvoter/status.go
@@ -0,0 +1,80 @@
+package laburnumvoter
+
+import (
+	"laburnumlever"
+	"laburnumlever/laburnumlog"
+)
+
+// Roles in a status besides those of the log.
+const (
+	roleClient  = "client"
+	roleLearner = "learner"
+	roleFailed  = "disk-failed"
+)
+
+// Status is what this VM knows of the log; any goroutine may ask.
+func (v *Voter) Status() laburnumlever.VoterStatus { return *v.status.Load() }
+
+// publishedKey changes whenever a status does.
+type publishedKey struct {
+	role          string
+	term          uint64
+	leader        laburnumlog.ReplicaID
+	commit        uint64
+	applied       uint64
+	configuration uint64
+}
+
+func (v *Voter) statusKey() publishedKey {
+	if v.log == nil {
+		return publishedKey{}
+	}
+	return publishedKey{
+		role: v.roleName(), term: v.log.Term(), leader: v.log.Leader(), commit: v.log.Commit(),
+		applied: v.applied, configuration: v.log.ConfigurationIndex(),
+	}
+}
+
+func (v *Voter) publish() {
+	key := v.statusKey()
+	if v.log != nil && key == v.published {
+		return
+	}
+	v.published = key
+	s := laburnumlever.VoterStatus{Role: roleClient, Voters: v.known.list()}
+	if v.failure != nil {
+		s.Role = roleFailed
+	}
+	if v.log != nil {
+		s = laburnumlever.VoterStatus{
+			Role: v.roleName(), Term: v.log.Term(), Commit: v.log.Commit(), Applied: v.applied, Voters: v.voterList(),
+		}
+		if m, ok := v.log.Configuration().Find(v.log.Leader()); ok {
+			s.Leader = m.VM
+		}
+		v.known.set(s.Voters)
+	}
+	v.status.Store(&s)
+}
+
+func (v *Voter) roleName() string {
+	if !v.log.Configuration().IsVoter(v.log.ID()) {
+		return roleLearner
+	}
+	if v.log.Role() == laburnumlog.PreCandidate {
+		return laburnumlog.Candidate.String()
+	}
+	return v.log.Role().String()
+}
+
+// voterList is the list in force, or the first voters while there is none.
+func (v *Voter) voterList() []laburnumlever.Voter {
+	if v.log == nil || len(v.log.Configuration().Members) == 0 {
+		return v.known.list()
+	}
+	var voters []laburnumlever.Voter
+	for _, m := range v.log.Configuration().Voters() {
+		voters = append(voters, laburnumlever.Voter{VM: m.VM, PeerAddress: m.Address})
+	}
+	return voters
+}
--- /dev/null
+++ b/laburnumvoter/voter.go
@@ -0,0 +1,201 @@
+package laburnumvoter
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumlog"
+	"laburnumlever/laburnumstate"
+)
+
+// Voter is a VM's part in the replicated log. It implements laburnumlever.Part and
+// laburnumlever.Proposer.
+type Voter struct {
+	loop   laburnumlever.Loop
+	timers laburnumlever.Timers
+	peers  laburnumlever.Peers
+	self   laburnumlever.VM
+	cfg    config
+
+	// Control thread only, from here on.
+	log          *laburnumlog.Log // nil on a VM without a replica, or when its disk failed
+	machine      *laburnumstate.Machine
+	boot         uint64
+	writer       *writer
+	generation   int
+	after        []laburnumlog.Write
+	inbox        []laburnumlog.Message
+	waiters      map[uint64]waiter
+	addresses    map[laburnumlog.ReplicaID]string
+	joiners      map[laburnumlever.VMID]joiner
+	renewals     map[string]renewal
+	onCatalogue  func(laburnumlever.Catalogue)
+	applied      uint64
+	told         uint64 // the revision last given to onCatalogue
+	logBytes     int    // of entries since the last snapshot
+	lastSnapshot int    // size of the last snapshot
+	encoding     bool
+	ticks        uint64
+	leaderSeen   uint64 // the tick when a leader was last known
+	wasLeader    bool
+	clockBase    int64
+	clockFrom    time.Time
+	handOvers    []chan struct{}
+	failure      error
+	published    publishedKey
+
+	// Any goroutine.
+	status    atomic.Pointer[laburnumlever.VoterStatus]
+	intake    intake
+	known     knownVoters
+	assembly  assembly
+	sending   sendingTable
+	claims    atomic.Uint64
+	startedAt time.Time
+	done      chan struct{}
+	closed    sync.Once
+	mu        sync.Mutex // guards cancel and current, which Close takes from another goroutine
+	cancel    func()
+	current   *writer
+}
+
+// New makes a voter; Start makes it take part. Errors are those of opening the
+// data folder: *laburnumdisk.IOError and *laburnumstate.ImageError.
+func New(loop laburnumlever.Loop, timers laburnumlever.Timers, peers laburnumlever.Peers, self laburnumlever.VM, opts ...Option) (*Voter, error) {
+	v := &Voter{
+		loop: loop, timers: timers, peers: peers, self: self, cfg: newConfig(opts),
+		waiters:   map[uint64]waiter{},
+		addresses: map[laburnumlog.ReplicaID]string{}, joiners: map[laburnumlever.VMID]joiner{},
+		renewals: map[string]renewal{}, onCatalogue: func(laburnumlever.Catalogue) {},
+		done: make(chan struct{}), startedAt: timers.Now(),
+	}
+	v.known.set(v.cfg.voters)
+	if v.cfg.folder != "" {
+		r, err := openReplica(v.cfg, self)
+		if err != nil {
+			return nil, err
+		}
+		v.use(r)
+	}
+	v.publish()
+	v.handlePeers()
+	return v, nil
+}
+
+// use takes a replica that was opened and starts its writer.
+func (v *Voter) use(r *replica) {
+	v.generation++
+	v.log, v.machine, v.boot = r.log, r.machine, r.boot
+	v.applied = r.log.SnapshotIndex()
+	v.lastSnapshot = r.snapshotBytes
+	v.after, v.inbox = nil, nil
+	v.logBytes, v.encoding = 0, false
+	generation := v.generation
+	v.writer = newWriter(r.store, v.cfg.batch, func(seq uint64, err error) {
+		v.loop.Post(v, wrote{generation: generation, seq: seq, err: err})
+	})
+	v.mu.Lock()
+	v.current = v.writer
+	v.mu.Unlock()
+	go v.writer.run()
+}
+
+// OnCatalogue sets the function that is called on the control thread for each
+// revision newly applied, and after recovery. Set it before Start.
+func (v *Voter) OnCatalogue(fn func(laburnumlever.Catalogue)) { v.onCatalogue = fn }
+
+// Start makes the voter take part.
+func (v *Voter) Start() {
+	v.loop.Post(v, started{})
+	cancel := v.timers.Every(v.cfg.tick, func(now time.Time) { v.loop.Post(v, ticked{now: now}) })
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cancel = cancel
+}
+
+// Close ends the voter's part, once what is queued for the disk is written. It
+// does not hand over; call HandOver before for that.
+func (v *Voter) Close() error {
+	v.closed.Do(func() {
+		close(v.done)
+		v.mu.Lock()
+		cancel, current := v.cancel, v.current
+		v.mu.Unlock()
+		if cancel != nil {
+			cancel()
+		}
+		if current != nil {
+			current.stop()
+			<-current.done
+		}
+	})
+	return nil
+}
+
+// Handle runs on the control thread.
+func (v *Voter) Handle(ev laburnumlever.Event) {
+	switch ev := ev.(type) {
+	case started:
+		v.onStarted()
+	case ticked:
+		v.onTick(ev.now)
+	case received:
+		v.onReceived(ev.message)
+	case proposed:
+		v.onProposed()
+	case wrote:
+		v.onWrote(ev)
+	case encoded:
+		v.onEncoded(ev)
+	case helloed:
+		v.onHello(ev.hello)
+	case booted:
+		v.onBootstrap(ev.message)
+	case superseded:
+		v.onSuperseded(ev.message)
+	case reopened:
+		v.onReopened(ev)
+	case handingOver:
+		v.onHandingOver(ev)
+	}
+	v.settle()
+}
+
+// settle steps the messages that the replica sent to itself, then publishes.
+func (v *Voter) settle() {
+	for len(v.inbox) > 0 {
+		m := v.inbox[0]
+		v.inbox = v.inbox[1:]
+		v.step(laburnumlog.Receive{Message: m})
+	}
+	v.noteRole()
+	v.publish()
+}
+
+func (v *Voter) onStarted() {
+	if v.log == nil {
+		return
+	}
+	v.tellCatalogue()
+	v.tendMembers()
+}
+
+func (v *Voter) onTick(now time.Time) {
+	v.ticks++
+	if v.log == nil {
+		return
+	}
+	v.step(laburnumlog.Tick{})
+	if v.log == nil {
+		return
+	}
+	if v.log.Leader() != "" {
+		v.leaderSeen = v.ticks
+	}
+	v.expireLeases(now)
+	if v.ticks%membersEvery == 0 {
+		v.tendMembers()
+	}
+}
--- /dev/null
+++ b/laburnumvoter/voter_test.go
@@ -0,0 +1,246 @@
+package laburnumvoter_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumcontrol"
+	"laburnumlever/laburnumtimer"
+	"laburnumlever/laburnumvoter"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	tick     = 5 * time.Millisecond
+	patience = 20 * time.Second
+)
+
+// fleet is some VMs with replicas in folders of their own.
+type fleet struct {
+	t      testing.TB
+	net    *network
+	root   string
+	voters []laburnumlever.Voter
+	opts   []laburnumvoter.Option
+	vms    map[string]*vm
+}
+
+type vm struct {
+	*laburnumvoter.Voter
+	port   *port
+	loop   *laburnumcontrol.Loop
+	timers *laburnumtimer.Timers
+	seen   chan uint64
+}
+
+func newFleet(t testing.TB, names []string, opts ...laburnumvoter.Option) *fleet {
+	f := &fleet{t: t, net: newNetwork(), root: t.TempDir(), vms: map[string]*vm{}, opts: opts}
+	for _, name := range names {
+		f.voters = append(f.voters, laburnumlever.Voter{VM: laburnumlever.VMID(name), PeerAddress: name})
+	}
+	t.Cleanup(func() {
+		for name := range f.vms {
+			f.stop(name)
+		}
+	})
+	return f
+}
+
+func (f *fleet) folder(name string) string { return filepath.Join(f.root, name) }
+
+// start starts a VM; a folder of "" makes it one without a replica.
+func (f *fleet) start(name, folder string, opts ...laburnumvoter.Option) *vm {
+	m := &vm{port: f.net.open(name), loop: laburnumcontrol.New(), timers: laburnumtimer.New(), seen: make(chan uint64, 1<<12)}
+	all := append([]laburnumvoter.Option{
+		laburnumvoter.WithDataFolder(folder), laburnumvoter.WithVoters(f.voters), laburnumvoter.WithTick(tick),
+		laburnumvoter.WithProposalTimeout(patience),
+	}, f.opts...)
+	self := laburnumlever.VM{ID: laburnumlever.VMID(name), PeerAddress: name, HasDisk: folder != ""}
+	v, err := laburnumvoter.New(m.loop, m.timers, m.port, self, append(all, opts...)...)
+	require.NoError(f.t, err)
+	m.Voter = v
+	v.OnCatalogue(func(c laburnumlever.Catalogue) { m.seen <- c.Revision })
+	go m.loop.Run()
+	v.Start()
+	f.vms[name] = m
+	return m
+}
+
+func (f *fleet) startAll() {
+	for _, v := range f.voters {
+		f.start(string(v.VM), f.folder(string(v.VM)))
+	}
+}
+
+// stop ends a VM as a kill does for all others: it says nothing more.
+func (f *fleet) stop(name string) {
+	m := f.vms[name]
+	delete(f.vms, name)
+	f.net.close(m.port)
+	require.NoError(f.t, m.Close())
+	m.loop.Stop()
+	<-m.loop.Done()
+	m.timers.Close()
+}
+
+func (f *fleet) wait(what string, cond func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, cond, patience, time.Millisecond, what)
+}
+
+func (f *fleet) leader() string {
+	f.t.Helper()
+	var name string
+	f.wait("a leader", func() bool {
+		for n, m := range f.vms {
+			if m.Status().Role == "leader" {
+				name = n
+				return true
+			}
+		}
+		return false
+	})
+	return name
+}
+
+func change(id string, expected uint64) laburnumlever.Command {
+	return laburnumlever.Command{Kind: laburnumlever.CommandApplyCatalogue, Apply: &laburnumlever.ApplyCatalogue{
+		ChangeID: id, ExpectedRevision: expected,
+		Catalogue: laburnumlever.Catalogue{Deployment: laburnumlever.Deployment{Name: id}},
+	}}
+}
+
+func (m *vm) apply(t testing.TB, id string, expected uint64) laburnumlever.Result {
+	t.Helper()
+	r, err := m.Propose(context.Background(), change(id, expected))
+	require.NoError(t, err)
+	return r
+}
+
+func (m *vm) waitRevision(t testing.TB, want uint64) {
+	t.Helper()
+	deadline := time.After(patience)
+	for {
+		select {
+		case got := <-m.seen:
+			if got == want {
+				return
+			}
+		case <-deadline:
+			t.Fatalf("revision %d was not seen", want)
+		}
+	}
+}
+
+func TestSingleVoterKeepsChangesOverARestart(t *testing.T) {
+	f := newFleet(t, []string{"a"})
+	a := f.start("a", f.folder("a"))
+	for i := range uint64(20) {
+		require.Equal(t, i+1, a.apply(t, "change-"+strconv.FormatUint(i, 10), i).Revision)
+	}
+	f.stop("a")
+	a = f.start("a", f.folder("a"))
+	a.waitRevision(t, 20)
+	require.Equal(t, laburnumlever.ResultRepeated, a.apply(t, "change-7", 7).Code)
+}
+
+// An operator's change goes to a VM without a disk while the leader is killed.
+// The change must be there afterwards, once, on every VM; the client's try that
+// was lost with the leader is made again by Propose.
+func TestChangesSurviveTheLeadersDeath(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	client := f.start("d", "")
+	revision := uint64(0)
+	for round := range 3 {
+		for range 10 {
+			id := strconv.FormatUint(revision, 10)
+			require.Equal(t, revision+1, client.apply(t, id, revision).Revision, "round %d", round)
+			revision++
+		}
+		dead := f.leader()
+		f.stop(dead)
+		revision = client.apply(t, "after-"+strconv.Itoa(round), revision).Revision
+		f.start(dead, f.folder(dead)).waitRevision(t, revision)
+	}
+	require.EqualValues(t, 33, revision)
+}
+
+// A VM's data folder is lost. It comes back as a new instance, catches up and only
+// then takes the old one's place; right after, a second VM is lost. Nothing that
+// was acknowledged may be gone.
+func TestLostFolderThenASecondLoss(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithSnapshotBytes(2000))
+	f.startAll()
+	revision := uint64(0)
+	write := func(m *vm, n int) {
+		for range n {
+			revision = m.apply(t, "change-"+strconv.FormatUint(revision, 10), revision).Revision
+		}
+	}
+	write(f.vms["a"], 40)
+	f.stop("c")
+	require.NoError(t, os.RemoveAll(f.folder("c")))
+	c := f.start("c", f.folder("c"))
+	f.wait("c is a voter again", func() bool {
+		s := c.Status()
+		return (s.Role == "follower" || s.Role == "leader") && len(s.Voters) == 3 && s.Applied > 40
+	})
+	f.stop("b")
+	require.NoError(t, os.RemoveAll(f.folder("b")))
+	write(c, 5)
+	require.EqualValues(t, 45, revision)
+	b := f.start("b", f.folder("b"))
+	b.waitRevision(t, 45)
+}
+
+// Two operators hold revision 0 and apply at the same time through different VMs.
+// One must win; the other must be told so, with the revision that won.
+func TestRacingOperators(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	for round := range uint64(5) {
+		results := make(chan laburnumlever.Result, 2)
+		for _, name := range []string{"a", "b"} {
+			go func() { results <- f.vms[name].apply(t, name+strconv.FormatUint(round, 10), round) }()
+		}
+		one, two := <-results, <-results
+		codes := []laburnumlever.ResultCode{one.Code, two.Code}
+		require.ElementsMatch(t, []laburnumlever.ResultCode{laburnumlever.ResultOK, laburnumlever.ResultConflict}, codes)
+		require.Equal(t, round+1, one.Revision)
+		require.Equal(t, round+1, two.Revision)
+	}
+}
+
+// The leader can send but not receive, then is cut off whole. It must stop taking
+// commands rather than hold them, and the others must go on without it.
+func TestCutOffLeaderStepsDown(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	f.vms["a"].apply(t, "first", 0)
+	old := f.leader()
+	cut := func(on, both bool) {
+		for _, v := range f.voters {
+			f.net.cut(string(v.VM), old, on)
+			f.net.cut(old, string(v.VM), on && both)
+		}
+	}
+	cut(true, false)
+	f.wait("the old leader steps down", func() bool { return f.vms[old].Status().Role != "leader" })
+	cut(true, true)
+	f.wait("another leads", func() bool { n := f.leader(); return n != old })
+	short, cancel := context.WithTimeout(context.Background(), 20*tick)
+	defer cancel()
+	_, err := f.vms[old].Propose(short, change("refused", 1))
+	var none *laburnumlever.NoQuorumError
+	require.ErrorAs(t, err, &none)
+	f.vms[f.leader()].apply(t, "second", 1)
+	cut(false, false)
+	f.vms[old].waitRevision(t, 2)
+}
--- /dev/null
+++ b/laburnumvoter/wire.go
@@ -0,0 +1,77 @@
+package laburnumvoter
+
+import (
+	"laburnumlever"
+	"laburnumlever/laburnumlog"
+)
+
+// Methods between voters, besides "log-" and the kind of a log message.
+const (
+	methodPropose    = "propose"
+	methodHello      = "log-hello"
+	methodBootstrap  = "log-bootstrap"
+	methodSuperseded = "log-superseded"
+	methodChunk      = "log-snapshot-part"
+	logPrefix        = "log-"
+)
+
+// wireMessage is a log message with the address that its sender answers at.
+type wireMessage struct {
+	laburnumlog.Message
+	Address string `json:"address"`
+}
+
+// helloMessage is what a replica without a leader tells of itself.
+type helloMessage struct {
+	Member laburnumlog.Member `json:"member"`
+	Boot   uint64             `json:"boot"`
+	// Configured tells that the replica has a configuration on its disk.
+	Configured bool `json:"configured,omitempty"`
+	Answer     bool `json:"answer,omitempty"`
+}
+
+// bootstrapMessage carries the first configuration.
+type bootstrapMessage struct {
+	Configuration laburnumlog.Configuration `json:"configuration"`
+}
+
+// supersededMessage tells a replica that its disk went back: it must not go on as
+// the instance that it was. Boot guards against a late copy.
+type supersededMessage struct {
+	ID   laburnumlog.ReplicaID `json:"id"`
+	Boot uint64                `json:"boot"`
+}
+
+// verdict is what became of one try to propose.
+type verdict string
+
+const (
+	verdictDone     verdict = "done"
+	verdictNotTaken verdict = "not-taken" // surely not in any log from this try
+	verdictUnknown  verdict = "unknown"
+)
+
+type proposeParams struct {
+	Command laburnumlever.Command `json:"command"`
+}
+
+type proposeAnswer struct {
+	Verdict verdict              `json:"verdict"`
+	Result  laburnumlever.Result `json:"result"`
+	// Leader is where to try next, when known.
+	Leader laburnumlever.Voter   `json:"leader"`
+	Voters []laburnumlever.Voter `json:"voters,omitempty"`
+	Detail string                `json:"detail,omitempty"`
+}
+
+// chunkParams is one part of a snapshot; the message comes with the first.
+type chunkParams struct {
+	Message wireMessage `json:"message"`
+	Offset  int         `json:"offset"`
+	Data    []byte      `json:"data"`
+	Last    bool        `json:"last,omitempty"`
+}
+
+type chunkAnswer struct {
+	Accepted bool `json:"accepted"`
+}
