--- a/cmd/laburnumlever/main_test.go
+++ b/cmd/laburnumlever/main_test.go
@@ -10,12 +10,16 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"laburnumlever": func() { os.Exit(run(os.Args)) },
+		"caller":        func() { os.Exit(runCaller(os.Args)) },
 	})
 }
 
+// TestScripts plays the sessions in testdata/scripts with real processes.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                "testdata/scripts",
+		Cmds:               scriptCommands(),
+		Setup:              scriptSetup,
 		UpdateScripts:      os.Getenv("UPDATE_GOLDEN") != "",
 		RequireUniqueNames: true,
 	})
--- /dev/null
+++ b/cmd/laburnumlever/scriptcommands_test.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// awaitLimit only ends a script that will never go on; no verdict hangs on it
+	// otherwise, so it is generous for a busy machine.
+	awaitLimit = 60 * time.Second
+	awaitStep  = 50 * time.Millisecond
+)
+
+// scriptCommands are what sessions have beside testscript's own commands:
+//
+//	ports NAME...            sets each variable to a free address on loopback
+//	expand FILE...           replaces $NAME in the files
+//	start NAME ARGS...       runs laburnumlever ARGS and waits for its ready line, whose
+//	                         key=value pairs become the variables NAME_key
+//	end NAME SIGNAL          sends KILL, TERM, STOP or CONT; KILL and TERM wait for the end
+//	exited NAME CODE         checks how it ended
+//	await PATTERN PROG ARGS  repeats a program until its output matches
+//	rewrite FILE             prints the file with ports, ids and times named so
+func scriptCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
+	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"ports": scriptPorts, "expand": scriptExpand, "start": scriptStart,
+		"end": scriptEnd, "exited": scriptExited, "await": scriptAwait, "rewrite": scriptRewrite,
+	}
+}
+
+func scriptPorts(ts *testscript.TestScript, _ bool, args []string) {
+	// All are held until the last is found, so that no two are the same.
+	for _, name := range args {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		defer func() { ts.Check(ln.Close()) }()
+		ts.Setenv(name, ln.Addr().String())
+	}
+}
+
+func scriptExpand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, file := range args {
+		text := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
+
+// processKey is the script's value that holds its processes.
+type processKey struct{}
+
+// processes are those that a script has started.
+type processes struct {
+	byName map[string]*process
+}
+
+type process struct {
+	cmd   *exec.Cmd
+	log   *os.File
+	ended chan struct{}
+	once  sync.Once
+}
+
+func scriptSetup(env *testscript.Env) error {
+	all := &processes{byName: make(map[string]*process)}
+	env.Values[processKey{}] = all
+	env.Defer(func() {
+		for _, p := range all.byName {
+			_ = p.cmd.Process.Signal(syscall.SIGKILL)
+			<-p.ended
+		}
+	})
+	return nil
+}
+
+func processesOf(ts *testscript.TestScript) map[string]*process {
+	return ts.Value(processKey{}).(*processes).byName
+}
+
+func scriptStart(ts *testscript.TestScript, _ bool, args []string) {
+	name := args[0]
+	program, err := exec.LookPath("laburnumlever")
+	ts.Check(err)
+	log, err := os.Create(ts.MkAbs(name + ".log"))
+	ts.Check(err)
+	p := &process{cmd: exec.Command(program, args[1:]...), log: log, ended: make(chan struct{})}
+	p.cmd.Dir = ts.MkAbs(".")
+	p.cmd.Stderr = log
+	out, err := p.cmd.StdoutPipe()
+	ts.Check(err)
+	ts.Check(p.cmd.Start())
+	processesOf(ts)[name] = p
+	ready := make(chan string, 1)
+	go p.follow(bufio.NewScanner(out), ready)
+	select {
+	case line := <-ready:
+		for _, pair := range strings.Fields(line) {
+			if key, value, found := strings.Cut(pair, "="); found {
+				ts.Setenv(name+"_"+key, value)
+			}
+		}
+	case <-p.ended:
+		ts.Fatalf("%s ended before it was ready:\n%s", name, ts.ReadFile(name+".log"))
+	case <-time.After(awaitLimit):
+		ts.Fatalf("%s is not ready:\n%s", name, ts.ReadFile(name+".log"))
+	}
+}
+
+// follow copies the output to the log, tells the ready line and waits for the end.
+func (p *process) follow(lines *bufio.Scanner, ready chan<- string) {
+	defer close(p.ended)
+	for lines.Scan() {
+		_, _ = p.log.WriteString(lines.Text() + "\n")
+		if strings.HasPrefix(lines.Text(), "ready ") {
+			p.once.Do(func() { ready <- lines.Text() })
+		}
+	}
+	_ = p.cmd.Wait()
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+func scriptEnd(ts *testscript.TestScript, _ bool, args []string) {
+	p, sig := processesOf(ts)[args[0]], signals[args[1]]
+	ts.Check(p.cmd.Process.Signal(sig))
+	if sig != syscall.SIGKILL && sig != syscall.SIGTERM {
+		return
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(awaitLimit):
+		ts.Fatalf("%s did not end:\n%s", args[0], ts.ReadFile(args[0]+".log"))
+	}
+}
+
+func scriptExited(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts)[args[0]]
+	<-p.ended
+	if got := p.cmd.ProcessState.String(); got != "exit status "+args[1] {
+		ts.Fatalf("%s: %s, want exit status %s:\n%s", args[0], got, args[1], ts.ReadFile(args[0]+".log"))
+	}
+}
+
+func scriptAwait(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile("(?m)" + args[0])
+	program, err := exec.LookPath(args[1])
+	ts.Check(err)
+	var out []byte
+	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(awaitStep) {
+		cmd := exec.Command(program, args[2:]...)
+		cmd.Dir = ts.MkAbs(".")
+		out, _ = cmd.CombinedOutput()
+		if pattern.Match(out) {
+			ts.Check(os.WriteFile(ts.MkAbs("awaited"), out, 0o600))
+			return
+		}
+	}
+	ts.Fatalf("no output of %s matched %q; the last was:\n%s", strings.Join(args[1:], " "), args[0], out)
+}
+
+// rewrites name what differs from run to run, and only that.
+var rewrites = []struct {
+	pattern *regexp.Regexp
+	name    string
+}{
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), "ID"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+(Z|[+-]\d\d:\d\d)`), "TIME"},
+}
+
+func scriptRewrite(ts *testscript.TestScript, _ bool, args []string) {
+	text := ts.ReadFile(args[0])
+	for _, rule := range rewrites {
+		text = rule.pattern.ReplaceAllString(text, rule.name)
+	}
+	ts.Check(os.WriteFile(ts.MkAbs("rewritten"), []byte(text), 0o600))
+	_, err := ts.Stdout().Write([]byte(text))
+	ts.Check(err)
+}
