feat: zone owner: lease, claims, memory ledger and orders

One owner for each zone carries out the planner's moves. The ledger counts the last inventory plus every order that may yet arrive; reports only hint that an inventory should be read. Each claim and order to an engine that checks has a number of its own (lease number, then a count), so an owner rules out its own lost and duplicated orders without a quorum. Engines that don't check are ordered under a live lease only, intent first, after a wait at each new grant. Ruled out: counting an order as settled as soon as a claim has passed its number. An engine forgets its number when it restarts, so the order stays counted until it can't arrive any more.

--- /dev/null
+++ b/laburnumorder/engine.go
@@ -0,0 +1,241 @@
+package laburnumorder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/go-kit/log/level"
+)
+
+// engine is what the owner keeps of one engine of its zone.
+type engine struct {
+	announcement laburnumlever.Announcement
+	gone         bool // down or not announced
+	// known tells that the ledger has its inventory, read under this lease and of
+	// this incarnation, so that it can be ordered.
+	known       bool
+	incarnation uint64
+	count       uint64 // claims and orders numbered under this lease
+	read        uint64 // the read under way, 0 when none
+	reads       uint64
+	nextRead    time.Time
+	order       *tracked // the order whose outcome is not known yet
+	pauseUntil  time.Time
+	// intents are those recorded in the log and not yet resolved.
+	intents map[laburnumlever.OrderID]laburnumlever.OrderIntent
+	// loading is when each copy that is loading was ordered or first seen.
+	loading map[string]time.Time
+	// updates are the forms that copies are being changed to in place.
+	updates map[string]laburnumlever.Loaded
+}
+
+func (o *Owner) engine(backend laburnumlever.BackendID) *engine {
+	e, ok := o.engines[backend]
+	if !ok {
+		e = &engine{
+			intents: make(map[laburnumlever.OrderID]laburnumlever.OrderIntent),
+			loading: make(map[string]time.Time),
+			updates: make(map[string]laburnumlever.Loaded),
+			gone:    true,
+		}
+		o.engines[backend] = e
+	}
+	return e
+}
+
+// forget makes an engine be claimed anew, as under a new lease.
+func (e *engine) forget() {
+	e.known = false
+	e.count = 0
+	e.nextRead = time.Time{}
+}
+
+// sortedEngines makes the order of work the same in every run.
+func (o *Owner) sortedEngines() []laburnumlever.BackendID {
+	ids := make([]laburnumlever.BackendID, 0, len(o.engines))
+	for id := range o.engines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// watch takes the engines of the zone from the view.
+func (o *Owner) watch(view *laburnumlever.View, now time.Time) {
+	for _, e := range o.engines {
+		e.gone = true
+	}
+	for _, b := range view.Backends {
+		if b.Announcement.Zone != o.self.Zone || b.Announcement.Kind != laburnumlever.Engine {
+			continue
+		}
+		e := o.engine(b.Announcement.Backend)
+		e.gone = b.Down
+		e.announcement = b.Announcement
+		if e.known && b.Announcement.Incarnation > e.incarnation {
+			// It restarted: it holds nothing now, and has forgotten its number.
+			e.known = false
+			e.nextRead = time.Time{}
+		}
+		if e.known && o.hints(e, b.Report) {
+			e.readBy(now.Add(busyRead))
+		}
+	}
+}
+
+// hints tells whether a report differs from the ledger. It may be older than the
+// ledger, so it is only a reason to read the inventory.
+func (o *Owner) hints(e *engine, r laburnumlever.LoadReport) bool {
+	if len(e.announcement.Accelerators) != len(o.ledger.Accelerators(e.announcement.Backend)) {
+		return true
+	}
+	if r.Incarnation != e.incarnation {
+		return false
+	}
+	known := o.ledger.Loaded(e.announcement.Backend)
+	return !slices.EqualFunc(known, r.Loaded, func(a, b laburnumlever.Loaded) bool {
+		return a.Ready == b.Ready && a.Draining == b.Draining && a.PartMiB == b.PartMiB &&
+			len(a.Adapters) == len(b.Adapters) && keyOf(a) == keyOf(b)
+	})
+}
+
+func (e *engine) readBy(at time.Time) {
+	if e.nextRead.After(at) {
+		e.nextRead = at
+	}
+}
+
+// readDue claims and reads the engines whose inventory is wanted. A read and an
+// order never run side by side on one engine: the read could miss the order's copy.
+func (o *Owner) readDue(now time.Time) {
+	for _, id := range o.sortedEngines() {
+		e := o.engines[id]
+		if e.gone || e.read != 0 || now.Before(e.nextRead) || e.order != nil && !e.order.is(stateUnknown) {
+			continue
+		}
+		o.startRead(e, now)
+	}
+}
+
+func (o *Owner) startRead(e *engine, now time.Time) {
+	e.reads++
+	e.read = e.reads
+	e.nextRead = now.Add(retryRead)
+	e.count++
+	if e.count >= maxCount {
+		// Numbers have run out: a new grant brings a new lease number.
+		o.giveLeaseBack()
+		return
+	}
+	read, number, to := e.read, Number(o.lease.fence, e.count), e.announcement
+	o.call(func(ctx context.Context) {
+		began := o.timers.Now()
+		inventory, err := o.link.Claim(ctx, to, number)
+		o.loop.Post(o, readAnswered{backend: to.Backend, read: read, began: began, number: number, inventory: inventory, err: err})
+	})
+}
+
+func (o *Owner) onRead(ev readAnswered) {
+	e := o.engine(ev.backend)
+	if e.read != ev.read {
+		return
+	}
+	e.read = 0
+	if LeaseOf(ev.number) != o.lease.fence {
+		return
+	}
+	now := o.timers.Now()
+	if err := o.checkRead(e, ev); err != nil {
+		_ = level.Debug(o.logger).Log("event", "inventory-not-read", "backend", ev.backend, "err", err)
+		return
+	}
+	o.ledger.Read(ev.backend, ev.inventory, ev.began)
+	e.incarnation = ev.inventory.Incarnation
+	e.known = e.announcement.ChecksFencing || !ev.began.Before(o.quietUntil)
+	o.settle(e, ev)
+	o.noteLoading(e, now)
+	e.nextRead = now.Add(o.readPeriod(e))
+	if !e.known {
+		e.readBy(o.quietUntil)
+	}
+}
+
+func (o *Owner) checkRead(e *engine, ev readAnswered) error {
+	if ev.err != nil {
+		return ev.err
+	}
+	if ev.inventory.Backend != ev.backend {
+		return &WrongEngineError{Want: ev.backend, Got: ev.inventory.Backend}
+	}
+	if ev.inventory.Incarnation < e.announcement.Incarnation {
+		return &laburnumlever.StaleNewsError{Backend: ev.backend, Known: e.announcement.Incarnation, Given: ev.inventory.Incarnation}
+	}
+	if e.announcement.ChecksFencing && ev.inventory.Fence > ev.number {
+		// Another owner has claimed it: this one's lease is over.
+		e.known = false
+		o.lease.next = time.Time{}
+		return &laburnumlever.StaleNewsError{Backend: ev.backend, Known: ev.inventory.Fence, Given: ev.number}
+	}
+	return nil
+}
+
+func (o *Owner) readPeriod(e *engine) time.Duration {
+	if len(e.loading) > 0 || len(e.intents) > 0 || e.order != nil || len(o.ledger.Unsettled(e.announcement.Backend)) > 0 {
+		return busyRead
+	}
+	return idleRead
+}
+
+// noteLoading follows which copies use the weight store.
+func (o *Owner) noteLoading(e *engine, now time.Time) {
+	seen := make(map[string]bool)
+	for _, c := range o.ledger.Loaded(e.announcement.Backend) {
+		key := keyOf(c)
+		seen[key] = true
+		if _, known := e.loading[key]; !c.Ready && !c.Draining && !known {
+			e.loading[key] = now
+		}
+		if c.Draining || c.Ready && e.hasForm(key, c) {
+			delete(e.loading, key)
+		}
+	}
+	e.forgetLoads(seen, now)
+}
+
+// forgetLoads ends the loads of copies that have gone or that took too long.
+func (e *engine) forgetLoads(seen map[string]bool, now time.Time) {
+	for key, since := range e.loading {
+		if !seen[key] || now.Sub(since) > maxLoadTime {
+			delete(e.loading, key)
+		}
+	}
+	for key := range e.updates {
+		if _, loading := e.loading[key]; !loading {
+			delete(e.updates, key)
+		}
+	}
+}
+
+// hasForm tells that a copy has the form that was last ordered; one that takes
+// requests may still be changing in place.
+func (e *engine) hasForm(key string, c laburnumlever.Loaded) bool {
+	want, ok := e.updates[key]
+	return !ok || c.PartMiB == want.PartMiB && slices.Equal(c.Adapters, want.Adapters)
+}
+
+// loadsUnderWay counts the zone's loads for its part of the weight store. Loads of an
+// engine that is gone count too: it may only be out of this VM's sight.
+func (o *Owner) loadsUnderWay(now time.Time) int {
+	n := 0
+	for _, e := range o.engines {
+		for _, since := range e.loading {
+			if now.Sub(since) <= maxLoadTime {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/laburnumorder/explain.go
@@ -0,0 +1,54 @@
+package laburnumorder
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumplacement"
+)
+
+// published is the last round, for explanations; it is not changed.
+type published struct {
+	snapshot laburnumplacement.Snapshot
+	plan     laburnumplacement.Plan
+	history  []record
+	at       time.Time
+}
+
+// record is a move that was begun.
+type record struct {
+	move  laburnumplacement.Move
+	order laburnumlever.OrderID
+	at    time.Time
+}
+
+func (o *Owner) note(m laburnumplacement.Move, order laburnumlever.OrderID, now time.Time) {
+	o.history = append(slices.Clone(o.history), record{move: m, order: order, at: now})
+	if len(o.history) > historySize {
+		o.history = o.history[len(o.history)-historySize:]
+	}
+}
+
+func (o *Owner) publish(s laburnumplacement.Snapshot, plan laburnumplacement.Plan, now time.Time) {
+	o.published.Store(&published{snapshot: s, plan: plan, history: o.history, at: now})
+}
+
+// Explain says why the copies of a model are where they are, what is planned, and
+// what this owner moved. False when this VM does not own its zone. Safe for use by
+// any goroutine.
+func (o *Owner) Explain(model laburnumlever.ModelName) (laburnumlever.Explanation, bool) {
+	p := o.published.Load()
+	if p == nil || !o.Owns() {
+		return laburnumlever.Explanation{}, false
+	}
+	e := laburnumlever.Explanation{Subject: "model " + string(model)}
+	e.Lines = laburnumplacement.Explain(p.snapshot, p.plan, model)
+	for _, r := range p.history {
+		if r.move.Copy.Model == model || r.move.For == model {
+			e.Lines = append(e.Lines, fmt.Sprintf("moved %s ago by order %s: %s", p.at.Sub(r.at).Round(time.Second), r.order, r.move))
+		}
+	}
+	return e, true
+}
--- /dev/null
+++ b/laburnumorder/owner_test.go
@@ -0,0 +1,209 @@
+package laburnumorder_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A zone starts: every model becomes reachable on both kinds of engine, through one
+// owner, though two VMs ask for the zone.
+func TestZoneBecomesResident(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		w := newWorld(t, checks, checks)
+		w.run(2 * time.Minute)
+		w.requireAllReachable()
+		require.NotEqual(t, w.vms[0].owner.Owns(), w.vms[1].owner.Owns())
+		owner := w.vms[0].owner
+		require.Positive(t, owner.Moves())
+		e, ok := owner.Explain("m0")
+		require.True(t, ok)
+		require.Contains(t, e.Lines[1], "ready: version v1 on")
+	}
+}
+
+// An order or its answer is lost, comes late or comes twice. A caller would see a
+// model missing if the owner gave up, and an engine out of memory if it counted
+// the order as not sent. The engine counts; the models must come all the same.
+func TestOrdersLostLateAndTwice(t *testing.T) {
+	for name, fate := range map[string]fate{"lost": lost, "answer lost": answerLost, "late": late, "twice": twice} {
+		for _, checks := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				w := newWorld(t, checks, checks)
+				w.fate, w.delay = fate, underWay-time.Second
+				w.run(time.Minute)
+				w.fate = delivered
+				w.run(4 * time.Minute)
+				w.requireAllReachable()
+			})
+		}
+	}
+}
+
+// The owner is killed after it committed an intent, or after it sent the order: the
+// order arrives 20 s later. The other VM takes the zone over and must count what
+// may still come.
+func TestOwnerKilledWithOrderUnderWay(t *testing.T) {
+	for name, fate := range map[string]fate{"between intent and send": lost, "between send and answer": late} {
+		for _, checks := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				w := newWorld(t, checks, checks)
+				w.fate, w.delay = fate, 20*time.Second
+				for range 400 {
+					w.run(250 * time.Millisecond)
+					if len(w.orders) > 0 {
+						break
+					}
+				}
+				require.NotEmpty(t, w.orders)
+				w.startVM(0, 2)
+				w.fate = delivered
+				w.run(3 * time.Minute)
+				w.requireAllReachable()
+				require.Empty(t, w.quorum.intents)
+			})
+		}
+	}
+}
+
+// The owner's VM is frozen between the decision to send an order and the send, past
+// its lease. The other VM takes over and fills the memory. Then the first wakes
+// and sends.
+func TestFrozenOwnerWakesAndSends(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		w := newWorld(t, checks)
+		w.catalogue = catalogueOf(2, 60)
+		first, second := w.vms[0], w.vms[1]
+		first.manual, second.cut = true, true
+		// Work runs one piece at a time until the next piece is the first order.
+		for range 2000 {
+			w.run(250 * time.Millisecond)
+			if aboutToOrder(w, first, checks) {
+				break
+			}
+			first.workOnce(0)
+		}
+		require.True(t, aboutToOrder(w, first, checks))
+		require.Empty(t, w.orders)
+		second.cut = false
+		first.frozen = true
+		w.run(2 * time.Minute)
+		w.requireAllReachable()
+		sentBefore := len(w.orders)
+		first.frozen, first.manual = false, false
+		w.run(2 * time.Minute)
+		if !checks {
+			require.Len(t, w.orders, sentBefore, "the lease was over: nothing may be sent")
+		}
+		w.requireAllReachable()
+		require.False(t, first.owner.Owns())
+	}
+}
+
+// aboutToOrder tells whether the VM's next piece of work sends an order.
+func aboutToOrder(w *world, v *vm, checks bool) bool {
+	e, _ := v.owner.Explain("m0")
+	begun := len(e.Lines) > 1 && strings.HasPrefix(e.Lines[len(e.Lines)-1], "moved")
+	return begun && len(v.work) > 0 && (checks || len(w.quorum.intents) > 0)
+}
+
+// The zone is cut off from the quorum for ten minutes and loses an engine. Engines
+// that check are ordered on, so its models come back; those that do not rest.
+func TestCutOffZone(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		w := newWorld(t, checks, checks)
+		w.run(2 * time.Minute)
+		for _, v := range w.vms {
+			v.cut = true
+		}
+		w.run(time.Minute)
+		before := len(w.orders)
+		w.restartEngine(0)
+		w.run(2 * time.Minute)
+		if checks {
+			w.requireAllReachable()
+			require.Greater(t, len(w.orders), before)
+			continue
+		}
+		require.Len(t, w.orders, before)
+		for _, v := range w.vms {
+			v.cut = false
+		}
+		w.run(3 * time.Minute)
+		w.requireAllReachable()
+	}
+}
+
+// A zone that no quorum ever granted orders nothing, not even engines that check.
+func TestNoGrantNoOrder(t *testing.T) {
+	w := newWorld(t, true, false)
+	for _, v := range w.vms {
+		v.cut = true
+	}
+	w.run(5 * time.Minute)
+	require.Empty(t, w.orders)
+}
+
+// Engines go on reporting what they held before a restart and before new loads. An
+// owner that believed them would load into memory that is taken.
+func TestStaleReportsAndRestarts(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		w := newWorld(t, checks, checks)
+		for _, v := range w.vms {
+			v.View()
+			v.stale = true
+		}
+		w.run(time.Minute)
+		w.restartEngine(1)
+		w.run(2 * time.Minute)
+		w.restartEngine(0)
+		w.run(2 * time.Minute)
+		w.requireAllReachable()
+	}
+}
+
+// While loads are under way the operators grow a model, change a version, remove
+// a model and add adapters; an accelerator dies. Every model of the newest
+// catalogue must come, and no accelerator be asked for too much meanwhile.
+func TestCatalogueChangesUnderLoad(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		w := newWorld(t, checks, checks, checks)
+		w.run(50 * time.Second)
+		changes := []func(c *laburnumlever.Catalogue){
+			func(c *laburnumlever.Catalogue) { c.Models[0].WeightsMiB = 70 },
+			func(c *laburnumlever.Catalogue) { c.Models[1].Version = "v2" },
+			func(c *laburnumlever.Catalogue) { c.Models = c.Models[:3] },
+			func(c *laburnumlever.Catalogue) {
+				c.Models[2].Adapters = []laburnumlever.Adapter{{Name: "x", SizeMiB: 10}}
+			},
+		}
+		for _, change := range changes {
+			models := append([]laburnumlever.Model(nil), w.catalogue.Models...)
+			w.catalogue.Models = models
+			change(&w.catalogue)
+			w.catalogue = w.catalogue.WithRevision(w.catalogue.Revision + 1)
+			w.run(3 * time.Second)
+		}
+		w.engines[0].LoseAccelerator("a1")
+		w.run(5 * time.Minute)
+		w.requireAllReachable()
+		requireCurrent(t, w)
+	}
+}
+
+// requireCurrent checks that all copies have the catalogue's form.
+func requireCurrent(t *testing.T, w *world) {
+	for _, e := range w.engines {
+		for _, c := range e.Report().Loaded {
+			m, ok := w.catalogue.Model(c.Model)
+			require.True(t, ok, c.Model)
+			require.Equal(t, m.Version, c.Version)
+			require.Equal(t, m.PartMiB(), c.PartMiB)
+			require.Len(t, c.Adapters, len(m.Adapters))
+		}
+	}
+}
--- /dev/null
+++ b/laburnumorder/world_test.go
@@ -0,0 +1,291 @@
+package laburnumorder_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumorder"
+	"laburnumlever/laburnumstandin"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	underWay = 30 * time.Second
+	loadTime = 2 * time.Second
+)
+
+// fate is what the network does to one order.
+type fate int
+
+const (
+	delivered  fate = iota
+	lost            // it never arrives
+	answerLost      // it arrives, its answer does not
+	late            // the sender hears nothing, and it arrives later
+	twice           // it arrives and is answered, and arrives once more later
+)
+
+// world is one zone: its engines, two entry VMs and the quorum, on a manual clock.
+type world struct {
+	t         testing.TB
+	timers    *laburnumtimer.Manual
+	engines   []*laburnumstandin.Engine
+	all       []*laburnumstandin.Engine // those that were restarted too
+	vms       []*vm
+	catalogue laburnumlever.Catalogue
+	fate      fate
+	delay     time.Duration
+	quorum    quorum
+	orders    []laburnumlever.Order // as sent
+}
+
+// vm is one entry VM. It is the loop and the views of its owner too.
+type vm struct {
+	w       *world
+	id      laburnumlever.VM
+	owner   *laburnumorder.Owner
+	queue   []laburnumlever.Event
+	work    []func()
+	frozen  bool // nothing runs on it
+	cut     bool // from the quorum
+	manual  bool // work waits for the test
+	reports map[laburnumlever.BackendID]laburnumlever.LoadReport
+	stale   bool // reports do not change
+}
+
+func newWorld(t testing.TB, checks ...bool) *world {
+	w := &world{t: t, timers: laburnumtimer.NewManual(time.Unix(1000, 0)), catalogue: catalogueOf(4, 40)}
+	w.quorum = quorum{w: w, leases: make(map[string]*granted)}
+	for i, check := range checks {
+		w.addEngine(i, check, 1)
+	}
+	for i := range 2 {
+		w.vms = append(w.vms, nil)
+		w.startVM(i, 1)
+	}
+	return w
+}
+
+func catalogueOf(n, mib int) laburnumlever.Catalogue {
+	c := laburnumlever.Catalogue{Revision: 1, Deployment: laburnumlever.Deployment{
+		Zones: []laburnumlever.ZoneName{"a"}, WeightStore: laburnumlever.WeightStore{LoadsPerSecond: 5, ParallelLoads: 8},
+	}}
+	for i := range n {
+		c.Models = append(c.Models, laburnumlever.Model{Name: laburnumlever.ModelName(fmt.Sprintf("m%d", i)), Version: "v1", WeightsMiB: mib})
+	}
+	return c
+}
+
+func (w *world) addEngine(i int, checks bool, incarnation uint64) {
+	e := laburnumstandin.NewEngine(laburnumlever.Announcement{
+		Backend: laburnumlever.BackendID(fmt.Sprintf("e%d", i)), Zone: "a", Incarnation: incarnation, ChecksFencing: checks, Slots: 1,
+		Accelerators: []laburnumlever.Accelerator{{ID: "a0", MemoryMiB: 100}, {ID: "a1", MemoryMiB: 100}},
+	}, laburnumstandin.WithTimers(w.timers), laburnumstandin.WithLoadTime(loadTime))
+	w.all = append(w.all, e)
+	if i < len(w.engines) {
+		w.engines[i] = e
+		return
+	}
+	w.engines = append(w.engines, e)
+}
+
+func (w *world) restartEngine(i int) {
+	a := w.engines[i].Announcement()
+	w.addEngine(i, a.ChecksFencing, a.Incarnation+1)
+}
+
+// startVM replaces the VM's process: what it had under way is gone.
+func (w *world) startVM(i int, incarnation uint64) {
+	if old := w.vms[i]; old != nil {
+		old.frozen = true
+	}
+	v := &vm{
+		w: w, id: laburnumlever.VM{ID: laburnumlever.VMID(fmt.Sprintf("vm%d", i)), Zone: "a", Incarnation: incarnation},
+		reports: make(map[laburnumlever.BackendID]laburnumlever.LoadReport),
+	}
+	v.owner = laburnumorder.New(v, w.timers, &proposer{v}, &link{v}, v, v.id,
+		laburnumorder.WithRunner(func(work func()) { v.work = append(v.work, work) }),
+		laburnumorder.WithUnderWay(underWay))
+	w.vms[i] = v
+	v.owner.Start()
+}
+
+func (v *vm) Post(_ laburnumlever.Part, ev laburnumlever.Event) { v.queue = append(v.queue, ev) }
+
+func (v *vm) View() *laburnumlever.View {
+	view := &laburnumlever.View{Self: v.id, Catalogue: v.w.catalogue}
+	for _, e := range v.w.engines {
+		a := e.Announcement()
+		if !v.stale {
+			v.reports[a.Backend] = e.Report()
+		}
+		view.Backends = append(view.Backends, laburnumlever.Backend{Announcement: a, Report: v.reports[a.Backend]})
+	}
+	return view
+}
+
+// settle runs what the VM has to do, unless it is frozen or the test runs its work.
+func (v *vm) settle() {
+	for !v.frozen && (len(v.queue) > 0 || len(v.work) > 0 && !v.manual) {
+		v.events()
+		if !v.manual {
+			v.workOnce(0)
+		}
+	}
+}
+
+func (v *vm) events() {
+	for len(v.queue) > 0 {
+		ev := v.queue[0]
+		v.queue = v.queue[1:]
+		v.owner.Handle(ev)
+	}
+}
+
+func (v *vm) workOnce(i int) {
+	if i < len(v.work) {
+		work := v.work[i]
+		v.work = slices.Delete(v.work, i, i+1)
+		work()
+	}
+}
+
+// run passes time in small steps and checks the memory at every one.
+func (w *world) run(d time.Duration) {
+	const step = 250 * time.Millisecond
+	for ; d > 0; d -= step {
+		w.timers.Advance(min(d, step))
+		for _, v := range w.vms {
+			v.settle()
+		}
+		w.check()
+	}
+}
+
+func (w *world) check() {
+	for _, e := range w.all {
+		require.Empty(w.t, e.Violations())
+	}
+}
+
+// reachable lists the models that have a ready copy.
+func (w *world) reachable() []laburnumlever.ModelName {
+	var names []laburnumlever.ModelName
+	for _, e := range w.engines {
+		for _, c := range e.Report().Loaded {
+			if c.Ready && !slices.Contains(names, c.Model) {
+				names = append(names, c.Model)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (w *world) requireAllReachable() {
+	w.t.Helper()
+	require.Len(w.t, w.reachable(), len(w.catalogue.Models))
+}
+
+// link is the network between a VM and the engines.
+type link struct{ v *vm }
+
+func (l *link) Claim(ctx context.Context, to laburnumlever.Announcement, fence uint64) (laburnumlever.Inventory, error) {
+	if ctx.Err() != nil {
+		return laburnumlever.Inventory{}, ctx.Err()
+	}
+	return l.engine(to).Claim(fence), nil
+}
+
+func (l *link) engine(to laburnumlever.Announcement) *laburnumstandin.Engine {
+	i := slices.IndexFunc(l.v.w.engines, func(e *laburnumstandin.Engine) bool { return e.Announcement().Backend == to.Backend })
+	return l.v.w.engines[i]
+}
+
+func (l *link) Order(ctx context.Context, to laburnumlever.Announcement, order laburnumlever.Order) (laburnumlever.OrderAnswer, error) {
+	w := l.v.w
+	if ctx.Err() != nil {
+		return laburnumlever.OrderAnswer{}, &laburnumlever.NotSentError{Cause: ctx.Err()}
+	}
+	w.orders = append(w.orders, order)
+	gone := &laburnumlever.OutcomeUnknownError{Detail: "no answer"}
+	if w.fate == late || w.fate == twice {
+		w.timers.After(w.delay, func(time.Time) { l.engine(to).Order(order) })
+	}
+	if w.fate == lost || w.fate == late {
+		return laburnumlever.OrderAnswer{}, gone
+	}
+	answer := l.engine(to).Order(order)
+	if w.fate == answerLost {
+		return laburnumlever.OrderAnswer{}, gone
+	}
+	return answer, nil
+}
+
+// proposer is a VM's way to the quorum.
+type proposer struct{ v *vm }
+
+func (p *proposer) Propose(_ context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
+	if p.v.cut {
+		return laburnumlever.Result{}, &laburnumlever.NoQuorumError{Detail: "cut off"}
+	}
+	return p.v.w.quorum.apply(cmd), nil
+}
+
+// quorum grants leases and keeps intents, as the replicated state machine does.
+type quorum struct {
+	w       *world
+	fence   uint64
+	leases  map[string]*granted
+	intents []laburnumlever.OrderIntent
+}
+
+type granted struct {
+	holder      laburnumlever.VMID
+	incarnation uint64
+	fence       uint64
+	until       time.Time
+}
+
+func (q *quorum) apply(cmd laburnumlever.Command) laburnumlever.Result {
+	switch cmd.Kind {
+	case laburnumlever.CommandRecordIntent:
+		g := q.leases[cmd.Intent.Lease]
+		if g == nil || g.fence != cmd.Intent.Order.Fence || q.w.timers.Now().After(g.until) {
+			return laburnumlever.Result{Code: laburnumlever.ResultNotHolder}
+		}
+		q.intents = append(q.intents, *cmd.Intent)
+	case laburnumlever.CommandResolveIntent:
+		q.intents = slices.DeleteFunc(q.intents, func(i laburnumlever.OrderIntent) bool { return i.Order.ID == cmd.Intent.Order.ID })
+	default:
+		return q.lease(cmd)
+	}
+	return laburnumlever.Result{Code: laburnumlever.ResultOK}
+}
+
+func (q *quorum) lease(cmd laburnumlever.Command) laburnumlever.Result {
+	now := q.w.timers.Now()
+	c := cmd.Lease
+	g := q.leases[c.Name]
+	free := g == nil || now.After(g.until)
+	same := !free && g.holder == c.Holder && g.incarnation == c.Incarnation
+	switch {
+	case cmd.Kind == laburnumlever.CommandReleaseLease && same:
+		delete(q.leases, c.Name)
+	case same && (cmd.Kind == laburnumlever.CommandAcquireLease || g.fence == c.Fence):
+		g.until = now.Add(time.Duration(c.TTL))
+	case free && cmd.Kind == laburnumlever.CommandAcquireLease:
+		q.fence++
+		g = &granted{holder: c.Holder, incarnation: c.Incarnation, fence: q.fence, until: now.Add(time.Duration(c.TTL))}
+		q.leases[c.Name] = g
+	default:
+		return laburnumlever.Result{Code: laburnumlever.ResultNotHolder}
+	}
+	return laburnumlever.Result{Code: laburnumlever.ResultOK, Fence: g.fence, Holder: g.holder, Intents: slices.Clone(q.intents)}
+}
--- /dev/null
+++ b/laburnumplacement/explain.go
@@ -0,0 +1,100 @@
+package laburnumplacement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"laburnumlever"
+)
+
+// String says what the move is and what for.
+func (m Move) String() string {
+	text := fmt.Sprintf("%s of %s %s on %s (%s), reason %s", m.Kind, m.Copy.Model, m.Copy.Version, m.Engine, m.Zone, m.Reason)
+	if m.For != "" && m.For != m.Copy.Model {
+		text += " for " + string(m.For)
+	}
+	if m.Gain > 0 {
+		text += fmt.Sprintf(", expected gain %.2f requests/s", m.Gain)
+	}
+	return text
+}
+
+// Explain gives the reason for each copy of a model and for each move that a
+// round planned for it, a line each.
+func Explain(s Snapshot, plan Plan, name laburnumlever.ModelName) []string {
+	f := newFleet(s)
+	m, ok := f.byName[name]
+	if !ok {
+		return []string{"the catalogue has no such model"}
+	}
+	mod := &f.models[m]
+	f.allocate()
+	lines := []string{fmt.Sprintf(
+		"wants %d MiB on each of %d accelerators; demand now %.2f requests/s, held %.2f requests/s; a move must bring %.2f requests/s",
+		mod.part, mod.span, mod.demand.Now.Requests, mod.demand.Hold.Requests, f.price())}
+	for _, p := range mod.copies {
+		lines = append(lines, f.explainCopy(m, p))
+	}
+	if slices.Contains(plan.Unplaced, name) {
+		lines = append(lines, "no copy, and no engine has room or can make any")
+	}
+	if unmet := plan.Unmet[name]; unmet > 0 {
+		lines = append(lines, fmt.Sprintf("the copies can't carry %.0f%% of the demand", 100*unmet))
+	}
+	for _, move := range plan.Moves {
+		if move.Copy.Model == name || move.For == name {
+			lines = append(lines, "planned: "+move.String())
+		}
+	}
+	return lines
+}
+
+func (f *fleet) explainCopy(m int, p *placed) string {
+	e := &f.engines[p.engine]
+	state := "loading"
+	switch {
+	case !e.Serving:
+		state = "out of sight"
+	case p.Going || p.Draining:
+		state = "being unloaded"
+	case p.Ready:
+		state = "ready"
+	}
+	ids := make([]string, len(p.Accelerators))
+	for i, id := range p.Accelerators {
+		ids[i] = string(id)
+	}
+	return fmt.Sprintf("%s: version %s on %s (%s) %s: %s, carries %.0f%% of the demand",
+		state, p.Version, e.ID, e.Zone, strings.Join(ids, "+"), f.purpose(m, p), 100*p.share)
+}
+
+// purpose is why a copy is kept.
+func (f *fleet) purpose(m int, p *placed) string {
+	if !p.current {
+		return "kept until the catalogue's version answers"
+	}
+	if !f.lasting(p) {
+		return "does not count as resident"
+	}
+	zone, anywhere := 0, 0
+	for _, other := range f.models[m].copies {
+		if other == p || !f.lasting(other) {
+			continue
+		}
+		anywhere++
+		if f.engines[other.engine].Zone == f.engines[p.engine].Zone {
+			zone++
+		}
+	}
+	switch {
+	case anywhere == 0:
+		return "the only copy"
+	case zone == 0:
+		return "the only copy in its zone"
+	case f.missedBy(p) > 0:
+		return "needed for the demand of the last half hour"
+	default:
+		return "surplus, kept because nothing needs the memory"
+	}
+}
--- a/laburnumplacement/fits.go
+++ b/laburnumplacement/fits.go
@@ -40,7 +40,7 @@
 	a := b.Announcement
 	e := Engine{
 		ID: a.Backend, Zone: a.Zone, Accelerators: a.Accelerators,
-		Serving: !b.Down, Usable: b.TakesWork(),
+		Serving: !b.Down, Leaving: b.Leaving, Usable: b.TakesWork(),
 		TokensPerSecond: a.TokensPerSecond, PrefillTokensPerSecond: a.PrefillTokensPerSecond,
 	}
 	if b.Report.Incarnation != a.Incarnation {
--- a/laburnumplacement/fleet.go
+++ b/laburnumplacement/fleet.go
@@ -112,7 +112,7 @@
 }
 
 // lasting tells that the copy is present on an engine that stays.
-func (f *fleet) lasting(p *placed) bool { return f.present(p) && f.engines[p.engine].Usable }
+func (f *fleet) lasting(p *placed) bool { return f.present(p) && !f.engines[p.engine].Leaving }
 
 // answers tells that the copy takes requests and has for some time.
 func (f *fleet) answers(p *placed) bool { return f.present(p) && p.Ready && p.Stable }
@@ -192,6 +192,9 @@
 
 func (f *fleet) planUnload(p *placed, reason MoveReason, move Move) {
 	e := &f.engines[p.engine]
+	if !e.Usable {
+		return
+	}
 	move.Kind = laburnumlever.Unload
 	move.Engine = e.ID
 	move.Zone = e.Zone
--- a/laburnumplacement/makeroom.go
+++ b/laburnumplacement/makeroom.go
@@ -18,7 +18,7 @@
 	}
 	own := f.engines[p.engine].Zone
 	for _, other := range f.models[p.model].copies {
-		if other == p || !f.answers(other) || !f.engines[other.engine].Usable {
+		if other == p || !f.answers(other) || !f.lasting(other) {
 			continue
 		}
 		zone := f.engines[other.engine].Zone
--- a/laburnumplacement/values.go
+++ b/laburnumplacement/values.go
@@ -44,8 +44,10 @@
 	Reserved []int
 	// Serving tells that its copies count as reachable.
 	Serving bool
-	// Usable tells that it may be ordered to load; one that leaves, or whose
-	// state is not known yet, keeps what it has.
+	// Leaving tells that its copies will soon be gone and need successors.
+	Leaving bool
+	// Usable tells that it takes orders. One whose inventory is not known yet, or
+	// that must not be ordered without a quorum, keeps what it has.
 	Usable                 bool
 	TokensPerSecond        float64
 	PrefillTokensPerSecond float64
