test: membership's failures over in-memory queues, and two faults they found

Many real cores on a manual clock, messages encoded as on the wire. Failed first: - a living engine was held down when its speaker died: the wait for another VM to take over was counted from the last news, not from when the speaker was found down; and a hearer now takes over as soon as the speaker is suspected; - with a third of messages lost a VM that missed a refutation held the refuter down, since an outdated charge was not answered again; now it is.

--- a/laburnummembership/backends.go
+++ b/laburnummembership/backends.go
@@ -139,8 +139,7 @@
 // speakFor makes this VM the one that speaks for a backend server it hears, if
 // nobody alive does or what is said of it is wrong.
 func (c *core) speakFor(r *backendRecord, now time.Time) {
-	spoken := r.news.Speaker == c.self.ID || c.vms.lives(r.news.Speaker)
-	if spoken && r.news.Health == healthHeard {
+	if c.isSpokenFor(r) && r.news.Health == healthHeard {
 		return
 	}
 	next := r.news
@@ -152,6 +151,16 @@
 	c.publishInventory(r)
 }
 
+// isSpokenFor counts a suspected speaker as gone: if it is not, two VMs speak for a
+// moment, which costs only bytes.
+func (c *core) isSpokenFor(r *backendRecord) bool {
+	if r.news.Speaker == c.self.ID {
+		return true
+	}
+	speaker, ok := c.vms.records[r.news.Speaker]
+	return ok && speaker.vm.State == laburnumlever.VMAlive
+}
+
 // mergeBackend takes in another VM's news of a backend server.
 func (c *core) mergeBackend(n backendNews, now time.Time, relay bool) {
 	if !c.backends.merge(n, now) {
@@ -183,26 +192,30 @@
 // judgeBackends doubts and declares down the backend servers that this VM speaks
 // for and no longer hears, and takes over those whose speaker is gone.
 func (c *core) judgeBackends(now time.Time) {
-	for _, r := range c.backends.records {
-		if r.heardAt.IsZero() {
-			continue
-		}
-		if r.news.Speaker != c.self.ID {
-			if c.hears(r, now) {
-				c.speakFor(r, now)
-			}
-			continue
-		}
+	for _, r := range c.backends.selected(func(r *backendRecord) bool { return c.needsJudging(r, now) }) {
 		silence := now.Sub(r.heardAt)
 		switch {
+		case r.news.Speaker != c.self.ID:
+			c.speakFor(r, now)
 		case silence >= backendSilence+backendDoubt:
 			c.lowerHealth(r, healthDown, now)
-		case silence >= backendSilence:
+		default:
 			c.lowerHealth(r, healthDoubted, now)
 		}
 	}
 }
 
+func (c *core) needsJudging(r *backendRecord, now time.Time) bool {
+	switch {
+	case r.heardAt.IsZero():
+		return false
+	case r.news.Speaker != c.self.ID:
+		return c.hears(r, now) && !c.isSpokenFor(r)
+	default:
+		return !c.hears(r, now) && r.news.Health != healthDown
+	}
+}
+
 func (c *core) lowerHealth(r *backendRecord, h health, now time.Time) {
 	if r.news.Health >= h {
 		return
@@ -219,8 +232,14 @@
 	if r.news.Health == healthDown {
 		return true
 	}
-	spoken := r.news.Speaker == c.self.ID || c.vms.lives(r.news.Speaker)
-	return !spoken && now.Sub(r.newsAt) > backendOrphan
+	if r.news.Speaker == c.self.ID || c.vms.lives(r.news.Speaker) {
+		return false
+	}
+	since := r.newsAt
+	if speaker, ok := c.vms.records[r.news.Speaker]; ok && speaker.changedAt.After(since) {
+		since = speaker.changedAt // another VM needs time to take over
+	}
+	return now.Sub(since) > backendOrphan
 }
 
 // backendList is what the view shows.
--- a/laburnummembership/backendtable.go
+++ b/laburnummembership/backendtable.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"laburnumlever"
@@ -158,15 +159,21 @@
 }
 
 func (t *backendTable) sorted() []*backendRecord {
-	ids := make([]laburnumlever.BackendID, 0, len(t.records))
-	for id := range t.records {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	out := make([]*backendRecord, len(ids))
-	for i, id := range ids {
-		out[i] = t.records[id]
-	}
+	return t.selected(func(*backendRecord) bool { return true })
+}
+
+// selected lists some of the records by id, so that the same seed gives the same
+// run.
+func (t *backendTable) selected(keep func(*backendRecord) bool) []*backendRecord {
+	var out []*backendRecord
+	for _, r := range t.records {
+		if keep(r) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *backendRecord) int {
+		return strings.Compare(string(a.news.Backend), string(b.news.Backend))
+	})
 	return out
 }
 
--- a/laburnummembership/core.go
+++ b/laburnummembership/core.go
@@ -108,9 +108,13 @@
 // refute raises the own incarnation above what others say of this VM. What they
 // say may come from an earlier start, so the number may be higher than the own.
 func (c *core) refute(said laburnumlever.VM) {
-	outdated := said.Incarnation < c.self.Incarnation
-	agrees := said.Incarnation == c.self.Incarnation && said.State <= c.self.State
-	if outdated || agrees {
+	if said.Incarnation < c.self.Incarnation {
+		// The refutation was lost on its way to whoever says this, and by now may
+		// have been sent as often as news is.
+		c.facts.push(vmKey(c.self.ID))
+		return
+	}
+	if said.Incarnation == c.self.Incarnation && said.State <= c.self.State {
 		return
 	}
 	c.toggleSelf()
--- /dev/null
+++ b/laburnummembership/fleet_test.go
@@ -0,0 +1,389 @@
+package laburnummembership
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"laburnumlever"
+)
+
+// Fleet runs many cores over in-memory queues on a clock of its own. Every
+// message is encoded and decoded as on the wire, so that its bytes can be counted.
+type Fleet struct {
+	Now    time.Time
+	VMs    []*FleetVM
+	Random *rand.Rand
+	// Blocked tells whether messages from one VM to another are lost.
+	Blocked func(from, to *FleetVM) bool
+	// Loss is the share of messages lost besides.
+	Loss     float64
+	byAddr   map[string]*FleetVM
+	queue    fleetQueue
+	sequence int
+}
+
+// FleetVM is one of them.
+type FleetVM struct {
+	*core
+	Frozen, Dead bool
+	// Bytes and Messages sent; Spent is the processor time of steps and coding.
+	Bytes, Messages int
+	Spent           time.Duration
+	ByMethod        map[string]int
+}
+
+const (
+	fleetLatency = time.Millisecond
+	// envelopeBytes is what jsonrpc2 adds to a message, measured on the wire.
+	envelopeBytes = 70
+)
+
+type fleetEvent struct {
+	at       time.Time
+	sequence int
+	run      func()
+}
+
+type fleetQueue []fleetEvent
+
+func (q fleetQueue) Len() int { return len(q) }
+func (q fleetQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].sequence < q[j].sequence
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q fleetQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *fleetQueue) Push(x any)   { *q = append(*q, x.(fleetEvent)) }
+func (q *fleetQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// NewFleet makes VMs spread over zones, each with the first three as seeds.
+func NewFleet(vms, zones int, seed uint64) *Fleet {
+	f := &Fleet{
+		Now:     time.Date(2026, 12, 2, 4, 0, 0, 0, time.UTC),
+		Random:  rand.New(rand.NewPCG(seed, 1)),
+		Blocked: func(_, _ *FleetVM) bool { return false },
+		byAddr:  map[string]*FleetVM{},
+	}
+	for i := range vms {
+		f.add(i, zones)
+	}
+	return f
+}
+
+func (f *Fleet) add(i, zones int) {
+	self := laburnumlever.VM{
+		ID:            laburnumlever.VMID(fmt.Sprintf("vm-%03d", i)),
+		Zone:          laburnumlever.ZoneName(fmt.Sprintf("zone-%d", i%zones)),
+		Region:        "region",
+		PeerAddress:   fmt.Sprintf("10.0.%d.%d:7201", i/200, i%200),
+		CallerAddress: fmt.Sprintf("10.0.%d.%d:8080", i/200, i%200),
+	}
+	n := &FleetVM{ByMethod: map[string]int{}}
+	f.VMs = append(f.VMs, n)
+	f.byAddr[self.PeerAddress] = n
+	f.boot(n, self)
+	var tick func()
+	tick = func() {
+		if !n.Frozen && !n.Dead {
+			f.step(n, func() { n.tick(f.Now) })
+		}
+		f.after(tickPeriod, tick)
+	}
+	f.after(time.Duration(f.Random.Int64N(int64(tickPeriod))), tick)
+}
+
+func (f *Fleet) boot(n *FleetVM, self laburnumlever.VM) {
+	seeds := []string{"10.0.0.0:7201", "10.0.0.1:7201", "10.0.0.2:7201"}
+	n.core = newCore(self, seeds, f.Now, rand.New(rand.NewPCG(f.Random.Uint64(), 2)))
+}
+
+// Restart starts a VM anew, without any state.
+func (f *Fleet) Restart(n *FleetVM) {
+	self := n.self
+	self.Incarnation = 0
+	f.boot(n, self)
+	n.Dead = false
+}
+
+// After runs fn later.
+func (f *Fleet) after(d time.Duration, fn func()) {
+	f.sequence++
+	heap.Push(&f.queue, fleetEvent{at: f.Now.Add(d), sequence: f.sequence, run: fn})
+}
+
+// ForgetAfter shortens how long the VMs remember one that is down.
+func (f *Fleet) ForgetAfter(d time.Duration) {
+	for _, n := range f.VMs {
+		n.vms.forgetAfter = d
+	}
+}
+
+// Advance runs all that is due in d.
+func (f *Fleet) Advance(d time.Duration) {
+	end := f.Now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(fleetEvent)
+		f.Now = e.at
+		e.run()
+	}
+	f.Now = end
+}
+
+// Until advances until done holds and returns how long that took, or false.
+func (f *Fleet) Until(limit time.Duration, done func() bool) (time.Duration, bool) {
+	const step = 50 * time.Millisecond
+	for took := time.Duration(0); took <= limit; took += step {
+		if done() {
+			return took, true
+		}
+		f.Advance(step)
+	}
+	return limit, false
+}
+
+func (f *Fleet) step(n *FleetVM, fn func()) {
+	began := time.Now()
+	fn()
+	out := n.takeOut()
+	n.Spent += time.Since(began)
+	for _, s := range out {
+		f.deliver(n, s)
+	}
+}
+
+// encode counts a message's bytes and copies it as the wire would.
+func (f *Fleet) encode(from, to *FleetVM, method string, message, into any) {
+	began := time.Now()
+	raw, err := json.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	from.Spent += time.Since(began)
+	from.Bytes += len(raw) + envelopeBytes
+	from.ByMethod[method] += len(raw) + envelopeBytes
+	from.Messages++
+	began = time.Now()
+	if err := json.Unmarshal(raw, into); err != nil {
+		panic(err)
+	}
+	to.Spent += time.Since(began)
+}
+
+func (f *Fleet) lost(from, to *FleetVM) bool {
+	return to.Frozen || f.Blocked(from, to) || f.Random.Float64() < f.Loss
+}
+
+// deliver brings a message and its answer, or its failure after the timeout.
+func (f *Fleet) deliver(from *FleetVM, s send) {
+	to, ok := f.byAddr[s.Address]
+	fail := func() {
+		f.finish(from, outcome{token: s.Token, method: s.Method, err: &laburnumlever.PeerLostError{Address: s.Address}})
+	}
+	if !ok || to.Dead {
+		f.after(fleetLatency, fail)
+		return
+	}
+	o := outcome{token: s.Token, method: s.Method}
+	answered := false
+	if !f.lost(from, to) {
+		f.after(fleetLatency, func() {
+			if to.Frozen || to.Dead {
+				return
+			}
+			f.serve(from, to, s, &o)
+			if s.Token != 0 && s.Method != methodAsk && !f.lost(to, from) {
+				answered = true
+				f.after(fleetLatency, func() { f.finish(from, o) })
+			}
+			if s.Method == methodAsk {
+				answered = true
+			}
+		})
+	}
+	f.after(s.Timeout, func() {
+		if !answered && s.Token != 0 {
+			fail()
+		}
+	})
+}
+
+func (f *Fleet) finish(n *FleetVM, o outcome) {
+	if n.Frozen || n.Dead {
+		f.after(tickPeriod, func() {
+			if !n.Dead {
+				f.finish(n, o)
+			}
+		})
+		return
+	}
+	f.step(n, func() { n.conclusion(o, f.Now) })
+}
+
+func (f *Fleet) serve(from, to *FleetVM, s send, o *outcome) {
+	switch s.Method {
+	case methodGossip:
+		var g, answer gossip
+		f.encode(from, to, s.Method, s.Params, &g)
+		f.step(to, func() { answer = to.receive(g, f.Now) })
+		f.encode(to, from, s.Method, answer, &o.gossip)
+	case methodSync:
+		var request syncRequest
+		var answer syncAnswer
+		f.encode(from, to, s.Method, s.Params, &request)
+		f.step(to, func() { answer = to.share(request, f.Now) })
+		f.encode(to, from, s.Method, answer, &o.sync)
+	case methodDemand:
+		var d demandNews
+		f.encode(from, to, s.Method, s.Params, &d)
+		f.step(to, func() { to.takeDemand(d, f.Now) })
+	case methodAsk:
+		f.help(from, to, s)
+	}
+}
+
+// help does what a helper's handler does: see handleAsk.
+func (f *Fleet) help(from, helper *FleetVM, s send) {
+	var request askRequest
+	f.encode(from, helper, s.Method, s.Params, &request)
+	answer := func(reached bool) {
+		o := outcome{token: s.Token, method: s.Method}
+		f.encode(helper, from, s.Method, askAnswer{Reached: reached}, &o.ask)
+		if f.lost(helper, from) {
+			o.err = &laburnumlever.PeerLostError{}
+		}
+		f.finish(from, o)
+	}
+	target := f.byAddr[request.Address]
+	reached := helper.reachable(request.Target, f.Now)
+	if !reached && !target.Dead && !f.lost(helper, target) && !f.lost(target, helper) {
+		reached = true
+	}
+	if reached {
+		f.after(fleetLatency, func() { answer(true) })
+		return
+	}
+	f.after(probeTimeout, func() { answer(false) })
+}
+
+// State is what one VM holds of another.
+func (n *FleetVM) State(of *FleetVM) laburnumlever.VMState {
+	for _, vm := range n.vmList() {
+		if vm.ID == of.self.ID {
+			return vm.State
+		}
+	}
+	return laburnumlever.VMLeft
+}
+
+// Knows tells how many VMs it holds alive.
+func (n *FleetVM) Knows() (alive int) {
+	for _, vm := range n.vmList() {
+		if vm.State == laburnumlever.VMAlive {
+			alive++
+		}
+	}
+	return alive
+}
+
+// Backend is what the VM's view shows of a backend server.
+func (f *Fleet) Backend(n *FleetVM, id laburnumlever.BackendID) (laburnumlever.Backend, bool) {
+	for _, b := range n.backendList(f.Now) {
+		if b.Announcement.Backend == id {
+			return b, true
+		}
+	}
+	return laburnumlever.Backend{}, false
+}
+
+// All tells whether a condition holds on every VM that is up.
+func (f *Fleet) All(holds func(n *FleetVM) bool) bool {
+	for _, n := range f.VMs {
+		if !n.Dead && !n.Frozen && !holds(n) {
+			return false
+		}
+	}
+	return true
+}
+
+// Engine is a backend server that announces and reports to some VMs.
+type Engine struct {
+	Announcement laburnumlever.Announcement
+	Report       laburnumlever.LoadReport
+	To           []*FleetVM
+	Silent       bool
+	// Hears tells which of the VMs its messages reach.
+	Hears func(n *FleetVM) bool
+}
+
+// AddEngine starts an engine with the given VMs as its addresses.
+func (f *Fleet) AddEngine(i int, zone laburnumlever.ZoneName, to ...*FleetVM) *Engine {
+	id := laburnumlever.BackendID(fmt.Sprintf("engine-%04d", i))
+	e := &Engine{To: to, Hears: func(*FleetVM) bool { return true }}
+	e.Announcement = laburnumlever.Announcement{
+		Backend: id, Zone: zone, Incarnation: uint64(f.Now.UnixMilli()), Slots: 32,
+		Address:       fmt.Sprintf("10.1.%d.%d:8000", i/200, i%200),
+		ChecksFencing: true, CanResume: true,
+		PrefillTokensPerSecond: 20000, TokensPerSecond: 3300,
+	}
+	for a := range 8 {
+		e.Announcement.Accelerators = append(e.Announcement.Accelerators,
+			laburnumlever.Accelerator{ID: laburnumlever.AcceleratorID(fmt.Sprintf("a%d", a)), MemoryMiB: 81920})
+	}
+	e.Report = laburnumlever.LoadReport{Backend: id, Incarnation: e.Announcement.Incarnation}
+	for m := range 6 {
+		e.Report.Loaded = append(e.Report.Loaded, laburnumlever.Loaded{
+			Model:   laburnumlever.ModelName(fmt.Sprintf("model-%03d", (i*6+m)%370)),
+			Version: "v1", Accelerators: []laburnumlever.AcceleratorID{"a0"}, PartMiB: 9000, Ready: true,
+		})
+	}
+	f.every(time.Second, func() {
+		e.tell(func(n *FleetVM) { _ = n.announce(e.Announcement, f.Now) }, f)
+	})
+	f.every(500*time.Millisecond, func() {
+		e.Report.Sequence++
+		e.Report.InFlight = f.Random.IntN(32)
+		e.tell(func(n *FleetVM) { _ = n.report(e.Report, f.Now) }, f)
+	})
+	return e
+}
+
+func (e *Engine) tell(fn func(n *FleetVM), f *Fleet) {
+	for _, n := range e.To {
+		if !e.Silent && !n.Dead && !n.Frozen && e.Hears(n) {
+			f.step(n, func() { fn(n) })
+		}
+	}
+}
+
+func (f *Fleet) every(period time.Duration, fn func()) {
+	var again func()
+	again = func() {
+		fn()
+		f.after(period, again)
+	}
+	f.after(time.Duration(f.Random.Int64N(int64(period))), again)
+}
+
+// Restart makes the engine a new incarnation with nothing loaded.
+func (e *Engine) Restart() {
+	e.Announcement.Incarnation++
+	e.Report = laburnumlever.LoadReport{Backend: e.Report.Backend, Incarnation: e.Announcement.Incarnation}
+	e.Silent = false
+}
+
+// Leave tells the first VM that the engine leaves.
+func (e *Engine) Leave(f *Fleet) {
+	n := e.To[0]
+	f.step(n, func() { _ = n.leaveBackend(e.Announcement.Backend, e.Announcement.Incarnation, f.Now) })
+}
+
+// Members are all VMs held, whatever their state.
+func (n *FleetVM) Members() []laburnumlever.VM { return n.vmList() }
--- a/laburnummembership/probe.go
+++ b/laburnummembership/probe.go
@@ -117,10 +117,10 @@
 
 // expireSuspicions declares down who did not refute in time.
 func (c *core) expireSuspicions(now time.Time) {
-	for _, r := range c.vms.records {
-		if r.vm.State != laburnumlever.VMSuspect || now.Before(r.deadline) {
-			continue
-		}
+	overdue := func(r *vmRecord) bool {
+		return r.vm.State == laburnumlever.VMSuspect && !now.Before(r.deadline)
+	}
+	for _, r := range c.vms.sorted(overdue) {
 		down := r.vm
 		down.State = laburnumlever.VMDown
 		if c.mergeVM(down, now) {
--- a/laburnummembership/vmtable.go
+++ b/laburnummembership/vmtable.go
@@ -23,10 +23,12 @@
 type vmTable struct {
 	records map[laburnumlever.VMID]*vmRecord
 	digest  *digest
+	// forgetAfter is how long a VM that is down is remembered and tried again.
+	forgetAfter time.Duration
 }
 
 func newVMTable(d *digest) *vmTable {
-	return &vmTable{records: map[laburnumlever.VMID]*vmRecord{}, digest: d}
+	return &vmTable{records: map[laburnumlever.VMID]*vmRecord{}, digest: d, forgetAfter: vmForget}
 }
 
 // supersedesVM tells whether a is newer than b: a higher incarnation, or, at the
@@ -77,7 +79,7 @@
 	forgotten := false
 	for id, r := range t.records {
 		age := now.Sub(r.changedAt)
-		gone := r.vm.State == laburnumlever.VMDown && age > vmForget
+		gone := r.vm.State == laburnumlever.VMDown && age > t.forgetAfter
 		left := r.vm.State == laburnumlever.VMLeft && age > vmForgetLeft
 		if gone || left {
 			t.toggle(r.vm)
