feat: load and experiment tool: open-loop plans, verdicts, ledger check, report, compare, plot

Cause: attainment, moves and the promises to callers are to be measured from outside. Ruled out: a closed loop, which slows down with the system and hides its queues. Change: laburnumload and the load command. The plan, verdicts, ledger check and report are pure; the runner asks the VMs for callers' addresses, classes, ledgers and moves.

--- a/cmd/laburnumlever/app.go
+++ b/cmd/laburnumlever/app.go
@@ -42,6 +42,7 @@
 			explainCommand(),
 			logLevelCommand(),
 			standInCommand(),
+			loadCommand(),
 		},
 		HideVersion:    true,
 		ExitErrHandler: func(*cli.Context, error) {},
--- a/cmd/laburnumlever/errors.go
+++ b/cmd/laburnumlever/errors.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"laburnumlever"
+	"laburnumlever/laburnumload"
 	"laburnumlever/laburnumoperator"
 )
 
@@ -19,8 +20,8 @@
 	exitUnknown     = 6
 )
 
-const exitCodesText = `Exit codes: 0 done; 1 failed; 2 wrong usage; 3 a settings or catalogue file is
-invalid; 4 the change or question was refused and nothing was changed; 5 the VM could
+const exitCodesText = `Exit codes: 0 done; 1 failed; 2 wrong usage; 3 a settings, catalogue or
+experiment file is invalid; 4 the change or question was refused and nothing was changed; 5 the VM could
 not be reached and nothing was changed; 6 the outcome is unknown: send the change
 again under the same change id.`
 
@@ -36,11 +37,12 @@
 		catalogue   *laburnumlever.CatalogueInvalidError
 		unreachable *laburnumoperator.UnreachableError
 		unknown     *laburnumlever.OutcomeUnknownError
+		experiment  *laburnumload.ExperimentInvalidError
 	)
 	switch {
 	case errors.As(err, &usage):
 		return exitUsage
-	case errors.As(err, &settings), errors.As(err, &catalogue):
+	case errors.As(err, &settings), errors.As(err, &catalogue), errors.As(err, &experiment):
 		return exitInvalid
 	case errors.As(err, &unreachable):
 		return exitUnreachable
@@ -70,12 +72,15 @@
 // jump to it; any other error is one line.
 func printError(w io.Writer, err error) {
 	var (
-		settings  *laburnumlever.SettingsInvalidError
-		catalogue *laburnumlever.CatalogueInvalidError
+		settings   *laburnumlever.SettingsInvalidError
+		catalogue  *laburnumlever.CatalogueInvalidError
+		experiment *laburnumload.ExperimentInvalidError
 	)
 	switch {
 	case errors.As(err, &settings):
 		printFaults(w, settings.Faults)
+	case errors.As(err, &experiment):
+		printFaults(w, experiment.Faults)
 	case errors.As(err, &catalogue):
 		printFaults(w, catalogue.Faults)
 	default:
--- /dev/null
+++ b/cmd/laburnumlever/loadcmd.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnumload"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "put load on a running system and check every answer as a caller would",
+		Description: "Requests arrive whether or not earlier ones are answered. The callers' addresses are\n" +
+			"asked of the VMs. The exit code is 1 if a promise to callers was broken.\n\n" +
+			"Example: laburnumlever load --vm 127.0.0.1:8081 --experiment examples/experiments/armor-pose-dawn-rush.jsonc\n\n" + exitCodesText,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "experiment", Usage: "the experiment's `FILE`"},
+			&cli.StringSliceFlag{Name: "vm", Value: cli.NewStringSlice(defaultVM), Usage: "`ADDRESS` of a VM's operators listener; name all of them to count all moves"},
+			&cli.StringFlag{Name: "plot", Usage: "draw the run second by second into this SVG `FILE`"},
+			&cli.BoolFlag{Name: "quiet", Usage: "show no progress"},
+			outputFlag(),
+		},
+		OnUsageError: onUsageError,
+		Action:       runLoad,
+		Subcommands:  []*cli.Command{loadCompareCommand()},
+	}
+}
+
+func runLoad(c *cli.Context) error {
+	if c.String("experiment") == "" {
+		return &usageError{Detail: "load: --experiment is missing"}
+	}
+	experiment, err := laburnumload.Load(c.String("experiment"))
+	if err != nil {
+		return err
+	}
+	var opts []laburnumload.Option
+	if !c.Bool("quiet") && isTerminal(os.Stderr) {
+		opts = append(opts, laburnumload.WithProgress(c.App.ErrWriter))
+	}
+	result, err := laburnumload.NewRunner(c.StringSlice("vm"), opts...).Run(c.Context, experiment)
+	if err != nil {
+		return err
+	}
+	if err := writePlot(c.String("plot"), result); err != nil {
+		return err
+	}
+	if err := reportWriter(c, result, result.WriteText); err != nil {
+		return err
+	}
+	return result.Err()
+}
+
+// isTerminal tells whether someone watches; a log needs no progress lines.
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+func writePlot(file string, result laburnumload.Report) error {
+	if file == "" {
+		return nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if err := result.WriteSVG(f); err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+// reportWriter is report for values whose text form can fail.
+func reportWriter(c *cli.Context, value any, text func(w io.Writer) error) error {
+	var err error
+	jsonErr := report(c, value, func(w io.Writer) { err = text(w) })
+	if jsonErr != nil {
+		return jsonErr
+	}
+	return err
+}
+
+func loadCompareCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "compare",
+		Usage:     "put two reports side by side",
+		ArgsUsage: "A.json B.json",
+		Description: "The files are what load --output json printed.\n\n" +
+			"Example: laburnumlever load compare before.json after.json\n\n" + exitCodesText,
+		Flags:        []cli.Flag{outputFlag()},
+		OnUsageError: onUsageError,
+		Action: func(c *cli.Context) error {
+			if c.NArg() != 2 {
+				return &usageError{Detail: "load compare: want two files"}
+			}
+			a, err := laburnumload.ReadReport(c.Args().Get(0))
+			if err != nil {
+				return err
+			}
+			b, err := laburnumload.ReadReport(c.Args().Get(1))
+			if err != nil {
+				return err
+			}
+			comparison := laburnumload.Compare(a, b)
+			return reportWriter(c, comparison, comparison.WriteText)
+		},
+	}
+}
--- /dev/null
+++ b/laburnumload/caller.go
@@ -0,0 +1,210 @@
+package laburnumload
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlever"
+)
+
+const (
+	headerKey        = "Idempotency-Key"
+	headerRequest    = "X-Request-Id"
+	headerOutcome    = "Laburnumlever-Outcome"
+	headerRetryAfter = "Retry-After"
+
+	eventData  = "data: "
+	endMarker  = "[DONE]"
+	maxEvent   = 1 << 20
+	idleConns  = 512
+	bearerText = "Bearer "
+)
+
+// caller sends requests as callers do and measures the answers.
+type caller struct {
+	client *http.Client
+	timers laburnumlever.Timers
+	run    string
+}
+
+func newCaller(timers laburnumlever.Timers, run string) *caller {
+	transport := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns, DisableCompression: true}
+	return &caller{client: &http.Client{Transport: transport}, timers: timers, run: run}
+}
+
+// requestID is the id that the caller gives a request; each send has its own.
+func (c *caller) requestID(a Arrival) string {
+	return fmt.Sprintf("%s-%d", c.run, a.Number)
+}
+
+func (c *caller) send(ctx context.Context, address string, a Arrival) Answer {
+	req, err := c.request(ctx, address, a)
+	if err != nil {
+		return Answer{Lost: err.Error(), NotSent: true}
+	}
+	start := c.timers.Now()
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return lost(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer := Answer{
+		Status:     resp.StatusCode,
+		Outcome:    resp.Header.Get(headerOutcome),
+		RetryAfter: resp.Header.Get(headerRetryAfter) != "",
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		err = c.readStream(resp.Body, start, &answer)
+	} else {
+		err = c.readWhole(resp.Body, start, a, &answer)
+	}
+	if err != nil {
+		answer.Lost = err.Error()
+	}
+	answer.Total = c.timers.Now().Sub(start)
+	return answer
+}
+
+// lost is a request without an answer. Only a failed dial surely sent nothing.
+func lost(err error) Answer {
+	var op *net.OpError
+	return Answer{Lost: errors.UnwrapAll(err).Error(), NotSent: errors.As(err, &op) && op.Op == "dial"}
+}
+
+// chatRequest is the OpenAI shape of a request for a completion.
+type chatRequest struct {
+	Model     laburnumlever.ModelName `json:"model"`
+	Messages  []chatMessage           `json:"messages"`
+	MaxTokens int                     `json:"max_tokens"`
+	Stream    bool                    `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// chatAnswer is what is read of an answer or of one event of a stream.
+type chatAnswer struct {
+	Choices []chatChoice `json:"choices"`
+	Error   *refusalBody `json:"error"`
+}
+
+type chatChoice struct {
+	Message chatMessage `json:"message"`
+	Delta   chatMessage `json:"delta"`
+}
+
+type refusalBody struct {
+	Type    string `json:"type"`
+	Outcome string `json:"outcome"`
+}
+
+func (c *caller) request(ctx context.Context, address string, a Arrival) (*http.Request, error) {
+	method, path, body := a.Method, "/services/"+string(a.Service)+a.Path, a.Prompt
+	if a.Service == "" {
+		text, err := json.Marshal(chatRequest{
+			Model: a.Model, Messages: []chatMessage{{Role: "user", Content: a.Prompt}}, MaxTokens: a.MaxTokens, Stream: a.Stream,
+		})
+		if err != nil {
+			return nil, err
+		}
+		method, path, body = http.MethodPost, "/v1/chat/completions", string(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", bearerText+a.Caller)
+	req.Header.Set(headerRequest, c.requestID(a))
+	if a.Key != "" {
+		req.Header.Set(headerKey, a.Key)
+	}
+	// A key must not make net/http send the request again by itself: the tool
+	// counts sends, and a second one would be blamed on the system.
+	req.GetBody = nil
+	return req, nil
+}
+
+func (c *caller) readWhole(body io.Reader, start time.Time, a Arrival, answer *Answer) error {
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	answer.FirstToken = c.timers.Now().Sub(start)
+	answer.Text = string(text)
+	var parsed chatAnswer
+	if err := json.Unmarshal(text, &parsed); err != nil {
+		return nil //nolint:nilerr // A body that is no JSON is judged by its text.
+	}
+	answer.take(parsed.Error)
+	if a.Service == "" && len(parsed.Choices) > 0 {
+		answer.Text = parsed.Choices[0].Message.Content
+	}
+	return nil
+}
+
+func (c *caller) readStream(body io.Reader, start time.Time, answer *Answer) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEvent)
+	var text strings.Builder
+	defer func() { answer.Text = text.String() }()
+	last := start
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), eventData)
+		if !isData {
+			continue
+		}
+		if data == endMarker {
+			answer.Marked = true
+			continue
+		}
+		var event chatAnswer
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return err
+		}
+		answer.take(event.Error)
+		token := event.token()
+		if token == "" {
+			continue
+		}
+		now := c.timers.Now()
+		answer.measure(start, last, now)
+		last = now
+		text.WriteString(token)
+	}
+	return lines.Err()
+}
+
+func (a chatAnswer) token() string {
+	if len(a.Choices) == 0 {
+		return ""
+	}
+	return a.Choices[0].Delta.Content
+}
+
+func (a *Answer) take(refusal *refusalBody) {
+	if refusal == nil {
+		return
+	}
+	a.Reason = refusal.Type
+	a.Outcome = refusal.Outcome
+}
+
+func (a *Answer) measure(start, last, now time.Time) {
+	if last.Equal(start) {
+		a.FirstToken = now.Sub(start)
+		return
+	}
+	a.Gaps = append(a.Gaps, now.Sub(last))
+}
--- /dev/null
+++ b/laburnumload/plan.go
@@ -0,0 +1,185 @@
+package laburnumload
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// seedStream separates the plan's random numbers from others of the seed.
+	seedStream = 0x6c6f6164
+	// wordBytes is the usual length of a token of prompt.
+	wordBytes        = 4
+	defaultCallers   = 20
+	defaultMaxTokens = 16
+	defaultPrompt    = 32
+	// resendAfter is how long a caller waits before it sends a call again.
+	resendAfter = 20 * time.Millisecond
+)
+
+// Arrival is one request of a plan.
+type Arrival struct {
+	// At counts from the start of the experiment.
+	At     time.Duration
+	Number int
+	Entry  string
+	Caller string
+
+	Model     laburnumlever.ModelName
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+
+	Service laburnumlever.ServiceName
+	Method  string
+	Path    string
+	// Key is the idempotency key; a resend has that of the call it repeats.
+	Key    string
+	Resend bool
+}
+
+// Plan makes the arrivals of an experiment, in order. The same experiment gives
+// the same plan; run makes keys differ from run to run, as a key is used once.
+func Plan(e Experiment, run string) []Arrival {
+	p := &planner{experiment: e, run: run, rng: rand.New(rand.NewPCG(e.Seed, seedStream))}
+	if len(e.Trace) > 0 {
+		p.trace()
+	} else {
+		p.phases()
+	}
+	slices.SortStableFunc(p.arrivals, func(a, b Arrival) int { return int(a.At - b.At) })
+	for i := range p.arrivals {
+		p.arrivals[i].Number = i
+	}
+	return p.arrivals
+}
+
+type planner struct {
+	experiment Experiment
+	run        string
+	rng        *rand.Rand
+	arrivals   []Arrival
+	count      int
+}
+
+func (p *planner) trace() {
+	for _, recorded := range p.experiment.Trace {
+		i := slices.IndexFunc(p.experiment.Mix, func(e Entry) bool { return e.Name == recorded.Entry })
+		p.add(time.Duration(recorded.At), p.experiment.Mix[i])
+	}
+}
+
+func (p *planner) phases() {
+	var start time.Duration
+	for _, phase := range p.experiment.Phases {
+		entries := p.entriesOf(phase)
+		weights := make([]float64, len(entries))
+		for i, entry := range entries {
+			weights[i] = entry.Share
+		}
+		for _, at := range arrivalTimes(phase, p.rng) {
+			p.add(start+at, entries[p.pick(weights)])
+		}
+		start += time.Duration(phase.For)
+	}
+}
+
+func (p *planner) entriesOf(phase Phase) []Entry {
+	entries := slices.Clone(p.experiment.Mix)
+	for _, share := range phase.Shares {
+		for i := range entries {
+			if entries[i].Name == share.Entry {
+				entries[i].Share = share.Share
+			}
+		}
+	}
+	return entries
+}
+
+func (p *planner) add(at time.Duration, entry Entry) {
+	p.count++
+	caller := p.pick(zipf(orDefault(entry.Callers, defaultCallers), entry.CallerSkew))
+	arrival := Arrival{At: at, Entry: entry.Name, Caller: fmt.Sprintf("%s-%d", entry.Name, caller)}
+	if entry.Service == "" {
+		p.fillModel(&arrival, entry)
+		p.arrivals = append(p.arrivals, arrival)
+		return
+	}
+	arrival.Service, arrival.Method, arrival.Path = entry.Service, entry.Method, entry.Path
+	if arrival.Method == "" {
+		arrival.Method = http.MethodPost
+	}
+	arrival.Prompt = fmt.Sprintf("call %d of %s", p.count, arrival.Caller)
+	if entry.Keyed {
+		arrival.Key = fmt.Sprintf("%s-%s-%d", p.run, entry.Name, p.count)
+	}
+	p.arrivals = append(p.arrivals, arrival)
+	if entry.Keyed && p.rng.Float64() < entry.Resend {
+		arrival.At += resendAfter
+		arrival.Resend = true
+		p.arrivals = append(p.arrivals, arrival)
+	}
+}
+
+func (p *planner) fillModel(arrival *Arrival, entry Entry) {
+	arrival.Model = entry.Models[p.pick(zipf(len(entry.Models), entry.ModelSkew))]
+	arrival.MaxTokens = p.draw(entry.MaxTokens, defaultMaxTokens)
+	arrival.Stream = entry.Stream
+	prefix := filler("context of "+arrival.Caller+" ", entry.PrefixTokens)
+	body := filler(fmt.Sprintf("request %d of %s ", p.count, arrival.Caller), p.draw(entry.PromptTokens, defaultPrompt))
+	arrival.Prompt = prefix + body
+}
+
+// filler repeats the text to about so many tokens.
+func filler(text string, tokens int) string {
+	if tokens <= 0 {
+		return ""
+	}
+	return strings.Repeat(text, max(1, tokens*wordBytes/len(text)))
+}
+
+func (p *planner) draw(r Range, fallback int) int {
+	if r.Most <= 0 {
+		return fallback
+	}
+	return r.Least + p.rng.IntN(max(1, r.Most-r.Least+1))
+}
+
+// pick draws an index by weight.
+func (p *planner) pick(weights []float64) int {
+	total := 0.0
+	for _, weight := range weights {
+		total += weight
+	}
+	at := p.rng.Float64() * total
+	for i, weight := range weights {
+		at -= weight
+		if at < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// zipf weighs n things by their rank to the power of minus skew.
+func zipf(n int, skew float64) []float64 {
+	weights := make([]float64, n)
+	for i := range weights {
+		weights[i] = math.Pow(float64(i+1), -skew)
+	}
+	return weights
+}
+
+func orDefault(value, fallback int) int {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/laburnumload/runner.go
@@ -0,0 +1,282 @@
+package laburnumload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"laburnumlever"
+	"laburnumlever/laburnumoperator"
+	"laburnumlever/laburnumstandin"
+	"laburnumlever/laburnumtimer"
+)
+
+const (
+	// lateSend is how late the tool itself may send before it counts.
+	lateSend = 100 * time.Millisecond
+	// progressPeriod is how often the progress line is written.
+	progressPeriod = time.Second
+	runIDLength    = 8
+)
+
+// Runner runs experiments against a running system.
+type Runner struct {
+	vms      []string
+	timers   laburnumlever.Timers
+	progress io.Writer
+	actor    Actor
+}
+
+// Actor does what an experiment's events ask, beside requests over HTTP.
+type Actor interface {
+	Act(ctx context.Context, event Event) error
+}
+
+// Option changes a Runner while it is built.
+type Option func(*Runner)
+
+// WithTimers sets the timer service.
+func WithTimers(timers laburnumlever.Timers) Option {
+	return func(r *Runner) { r.timers = timers }
+}
+
+// WithProgress writes a line a second while an experiment runs.
+func WithProgress(w io.Writer) Option {
+	return func(r *Runner) { r.progress = w }
+}
+
+// WithActor sets who does the events that are not HTTP requests.
+func WithActor(actor Actor) Option {
+	return func(r *Runner) { r.actor = actor }
+}
+
+// NewRunner makes a runner for the system whose VMs have these operators
+// addresses; the callers' addresses are asked of them.
+func NewRunner(vms []string, opts ...Option) *Runner {
+	r := &Runner{vms: vms}
+	for _, opt := range opts {
+		opt(r)
+	}
+	if r.timers == nil {
+		r.timers = laburnumtimer.New()
+	}
+	return r
+}
+
+// Run plays the experiment to its end and reports. An error means that it could
+// not be played; broken promises are in the report.
+func (r *Runner) Run(ctx context.Context, e Experiment) (Report, error) {
+	run, err := r.prepare(ctx, e)
+	if err != nil {
+		return Report{}, err
+	}
+	stop := run.showProgress()
+	run.play(ctx)
+	stop()
+	if err := run.checkLedgers(ctx); err != nil {
+		return Report{}, err
+	}
+	accelerators, moves := r.account(ctx)
+	return run.results.finish(accelerators, moves-min(moves, run.movesBefore)), nil
+}
+
+func (r *Runner) prepare(ctx context.Context, e Experiment) (*playing, error) {
+	status, err := laburnumoperator.NewClient(r.vms[0]).Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for _, vm := range status.View.VMs {
+		if vm.CallerAddress != "" && vm.State == laburnumlever.VMAlive {
+			addresses = append(addresses, vm.CallerAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		return nil, &NoCallersAddressError{VM: r.vms[0]}
+	}
+	id := uuid.NewString()[:runIDLength]
+	_, moves := r.account(ctx)
+	return &playing{
+		runner: r, experiment: e, addresses: addresses, caller: newCaller(r.timers, id),
+		plan: Plan(e, id), results: newResults(e, status.View.Catalogue), backends: status.View.Backends, movesBefore: moves,
+	}, nil
+}
+
+// account adds up what the VMs that answer say of the fleet.
+func (r *Runner) account(ctx context.Context) (accelerators int, moves uint64) {
+	for _, vm := range r.vms {
+		status, err := laburnumoperator.NewClient(vm).Status(ctx)
+		if err != nil {
+			continue
+		}
+		moves += status.Moves
+		count := 0
+		for _, b := range status.View.Backends {
+			count += len(b.Announcement.Accelerators)
+		}
+		accelerators = max(accelerators, count)
+	}
+	return accelerators, moves
+}
+
+// playing is one run of an experiment.
+type playing struct {
+	runner      *Runner
+	experiment  Experiment
+	addresses   []string
+	caller      *caller
+	plan        []Arrival
+	backends    []laburnumlever.Backend
+	movesBefore uint64
+
+	mu      sync.Mutex
+	results *results
+	// inFlight, and the next VM that the balancer would choose.
+	inFlight int
+	next     int
+}
+
+// play sends every arrival at its time and waits for the last answer.
+func (p *playing) play(ctx context.Context) {
+	start := p.runner.timers.Now()
+	var group sync.WaitGroup
+	for _, event := range p.experiment.Events {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			p.act(ctx, start, event)
+		}()
+	}
+	for _, arrival := range p.plan {
+		if !p.wait(ctx, start.Add(arrival.At)) {
+			break
+		}
+		late := p.runner.timers.Now().Sub(start)-arrival.At > lateSend
+		address := p.begin(late)
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			p.one(ctx, address, arrival)
+		}()
+	}
+	group.Wait()
+}
+
+func (p *playing) wait(ctx context.Context, until time.Time) bool {
+	left := until.Sub(p.runner.timers.Now())
+	if left <= 0 {
+		return ctx.Err() == nil
+	}
+	due := make(chan struct{})
+	cancel := p.runner.timers.After(left, func(time.Time) { close(due) })
+	defer cancel()
+	select {
+	case <-due:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// begin chooses the next VM, as a balancer that knows nothing would.
+func (p *playing) begin(late bool) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if late {
+		p.results.report.Late++
+	}
+	p.inFlight++
+	p.next++
+	return p.addresses[p.next%len(p.addresses)]
+}
+
+func (p *playing) one(ctx context.Context, address string, arrival Arrival) {
+	limited, cancel := context.WithTimeout(ctx, time.Duration(p.experiment.Timeout))
+	defer cancel()
+	got := p.caller.send(limited, address, arrival)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlight--
+	p.results.add(arrival, p.caller.requestID(arrival), got)
+}
+
+func (p *playing) act(ctx context.Context, start time.Time, event Event) {
+	if !p.wait(ctx, start.Add(time.Duration(event.At))) {
+		return
+	}
+	err := p.do(ctx, event)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	line := event.String()
+	if err != nil {
+		line += " failed: " + err.Error()
+	}
+	p.results.report.Events = append(p.results.report.Events, line)
+}
+
+func (p *playing) do(ctx context.Context, event Event) error {
+	if event.Action != ActionHTTP {
+		if p.runner.actor == nil {
+			return &laburnumlever.InvalidValueError{Name: "action", Value: event.String(), Want: "http, where no fleet is run by the tool"}
+		}
+		return p.runner.actor.Act(ctx, event)
+	}
+	return sendControl(ctx, event.Method, event.URL, event.Body)
+}
+
+func (p *playing) checkLedgers(ctx context.Context) error {
+	var ledgers [][]laburnumstandin.LedgerEntry
+	for _, b := range p.backends {
+		if b.Announcement.Kind != laburnumlever.PlainService || b.Down {
+			continue
+		}
+		ledger, err := readLedger(ctx, b.Announcement.Address)
+		if err != nil {
+			return err
+		}
+		ledgers = append(ledgers, ledger)
+	}
+	for _, broken := range CheckLedger(p.results.told, ledgers) {
+		p.results.broken(broken)
+	}
+	return nil
+}
+
+func readLedger(ctx context.Context, address string) ([]laburnumstandin.LedgerEntry, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ledger", http.NoBody)
+	if err != nil {
+		return nil, &LedgerError{Address: address, Cause: err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, &LedgerError{Address: address, Cause: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var ledger []laburnumstandin.LedgerEntry
+	if err := json.NewDecoder(resp.Body).Decode(&ledger); err != nil {
+		return nil, &LedgerError{Address: address, Cause: err}
+	}
+	return ledger, nil
+}
+
+// showProgress writes the counts each second until stop is called.
+func (p *playing) showProgress() (stop func()) {
+	if p.runner.progress == nil {
+		return func() {}
+	}
+	started := p.runner.timers.Now()
+	return p.runner.timers.Every(progressPeriod, func(now time.Time) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		report := p.results.report
+		_, _ = fmt.Fprintf(p.runner.progress, "%4.0fs of %s: %d sent, %d in flight, %d whole, %d refused, %d lost, %d broken\n",
+			now.Sub(started).Seconds(), p.experiment.Duration(), report.Sent+p.inFlight, p.inFlight,
+			report.Whole, report.Refused, report.Lost, len(report.Broken))
+	})
+}
--- /dev/null
+++ b/laburnumload/verdict_test.go
@@ -0,0 +1,87 @@
+package laburnumload_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumload"
+	"laburnumlever/laburnumstandin"
+)
+
+func TestJudge(t *testing.T) {
+	ask := laburnumload.Arrival{Model: "m", Prompt: "mine", MaxTokens: 2, Stream: true}
+	mine := laburnumstandin.Token("mine", 0) + laburnumstandin.Token("mine", 1)
+	for _, tt := range []struct {
+		name string
+		got  laburnumload.Answer
+		want laburnumload.Verdict
+	}{
+		{"whole", laburnumload.Answer{Status: 200, Text: mine, Marked: true}, laburnumload.Verdict{Whole: true}},
+		{
+			"another's",
+			laburnumload.Answer{Status: 200, Text: laburnumstandin.Token("yours", 0), Marked: true},
+			laburnumload.Verdict{Broken: "the answer is not the caller's own"},
+		},
+		{
+			"a part with the end marker",
+			laburnumload.Answer{Status: 200, Text: laburnumstandin.Token("mine", 0), Marked: true},
+			laburnumload.Verdict{Broken: "a part was given as the whole"},
+		},
+		{"a part without it", laburnumload.Answer{Status: 200, Text: laburnumstandin.Token("mine", 0)}, laburnumload.Verdict{Lost: true}},
+		{"no answer", laburnumload.Answer{Lost: "reset"}, laburnumload.Verdict{Lost: true}},
+		{"a refusal", laburnumload.Answer{Status: 503, Reason: "queue-full", Outcome: "not-run"}, laburnumload.Verdict{Refused: "queue-full"}},
+		{
+			"a refusal inside a stream",
+			laburnumload.Answer{Status: 200, Text: laburnumstandin.Token("mine", 0), Reason: "broken-stream", Outcome: "unknown"},
+			laburnumload.Verdict{Refused: "broken-stream"},
+		},
+		{
+			"a refusal without an outcome",
+			laburnumload.Answer{Status: 503, Reason: "queue-full"},
+			laburnumload.Verdict{Refused: "queue-full", Broken: "the refusal has no outcome"},
+		},
+		{"a bare error", laburnumload.Answer{Status: http.StatusBadGateway}, laburnumload.Verdict{Broken: "the refusal has no known reason"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) { require.Equal(t, tt.want, laburnumload.Judge(ask, tt.got)) })
+	}
+}
+
+func TestAttainedAllowsFiveLateGapsInAHundred(t *testing.T) {
+	class := laburnumlever.Class{FirstToken: laburnumlever.Duration(time.Second), BetweenToken: laburnumlever.Duration(70 * time.Millisecond)}
+	got := laburnumload.Answer{FirstToken: time.Second, Gaps: make([]time.Duration, 100)}
+	for i := range 5 {
+		got.Gaps[i] = time.Second
+	}
+	require.True(t, laburnumload.Attained(class, got))
+	got.Gaps[5] = time.Second
+	require.False(t, laburnumload.Attained(class, got))
+	require.False(t, laburnumload.Attained(class, laburnumload.Answer{FirstToken: time.Second + 1}))
+}
+
+// A booking's answer is lost, the caller sends it again through another VM, and two
+// vans go to the door; or a caller is told "not run" and books elsewhere, but the
+// visit was made. Only the service's own ledger can show either.
+func TestCheckLedger(t *testing.T) {
+	ledger := [][]laburnumstandin.LedgerEntry{{{Key: "once"}, {Key: "twice"}, {Key: "denied"}}, {{Key: "twice"}, {Key: "recovered"}}}
+	told := []laburnumload.Told{
+		{Key: "once", Answered: true},
+		{Key: "once", Outcome: "unknown"},
+		{Key: "twice", Answered: true},
+		{Key: "twice", Answered: true},
+		{Key: "denied", Outcome: "not-run"},
+		{Key: "recovered", Outcome: "not-run"},
+		{Key: "recovered", Answered: true},
+		{Key: "never", Outcome: "not-run"},
+		{Key: "gone", NotSent: true},
+		{Key: "phantom", Answered: true},
+	}
+	require.Equal(t, []string{
+		"key twice ran 2 times",
+		"key phantom was answered but never ran",
+		"key denied was told not-run but ran",
+	}, laburnumload.CheckLedger(told, ledger))
+}
--- a/laburnumsettings/decode.go
+++ b/laburnumsettings/decode.go
@@ -30,6 +30,20 @@
 	reflect.TypeOf(laburnumlever.Call{}):        {"method", "path-prefix"},
 }
 
+// requiredTag marks the required keys of structs outside this module's root.
+const requiredTag = "required"
+
+// requiredOf lists the required keys of a struct.
+func requiredOf(t reflect.Type) []string {
+	keys := requiredKeys[t]
+	for i := range t.NumField() {
+		if t.Field(i).Tag.Get(requiredTag) != "" {
+			keys = append(keys, keyOf(t.Field(i)))
+		}
+	}
+	return keys
+}
+
 var textUnmarshaler = reflect.TypeOf((*encoding.TextUnmarshaler)(nil)).Elem()
 
 // decode fills target, a pointer to a struct, from the document and notes all
@@ -71,7 +85,7 @@
 	for i := range object.Members {
 		d.member(&object.Members[i], to, fields, seen, path)
 	}
-	for _, key := range requiredKeys[to.Type()] {
+	for _, key := range requiredOf(to.Type()) {
 		if !seen[key] {
 			d.add(join(path, key), "is missing", wantOf(to.Type(), fields[key]))
 		}
--- a/laburnumsettings/kinds.go
+++ b/laburnumsettings/kinds.go
@@ -1,6 +1,7 @@
 package laburnumsettings
 
 import (
+	"fmt"
 	"reflect"
 	"strings"
 
@@ -10,7 +11,6 @@
 // kindNames say what a value of a type looks like in a file.
 var kindNames = map[reflect.Type]string{
 	reflect.TypeOf(laburnumlever.Duration(0)): `a duration with a unit, such as "1.9s"`,
-	reflect.TypeOf(laburnumlever.Priority(0)): `one of "` + strings.Join(laburnumlever.PriorityStrings(), `", "`) + `"`,
 }
 
 // kindName says in words what a value of the type is.
@@ -18,6 +18,9 @@
 	if name, ok := kindNames[t]; ok {
 		return name
 	}
+	if names := enumNames(t); len(names) > 0 {
+		return `one of "` + strings.Join(names, `", "`) + `"`
+	}
 	switch t.Kind() {
 	case reflect.String:
 		return "a string in double quotes"
@@ -38,6 +41,24 @@
 	}
 }
 
+// enumNames lists the names of an enum, an int with generated names; those of a
+// value that is none of the enum's hold its number in parentheses.
+func enumNames(t reflect.Type) []string {
+	if t.Kind() != reflect.Int || !t.Implements(reflect.TypeFor[fmt.Stringer]()) {
+		return nil
+	}
+	var names []string
+	for i := int64(0); ; i++ {
+		value := reflect.New(t).Elem()
+		value.SetInt(i)
+		name := fmt.Sprint(value.Interface())
+		if strings.HasSuffix(name, ")") {
+			return names
+		}
+		names = append(names, name)
+	}
+}
+
 // fieldsOf maps the JSON keys of a struct to its fields.
 func fieldsOf(t reflect.Type) map[string]int {
 	fields := make(map[string]int)
--- a/laburnumsettings/load.go
+++ b/laburnumsettings/load.go
@@ -48,6 +48,16 @@
 	return settings, nil
 }
 
+// ReadFile decodes a file of another kind, such as an experiment, as strictly as
+// a settings file, and lists all that is wrong. Fields with the tag required:"true"
+// must be there.
+func ReadFile(path string, into any) []laburnumlever.Fault {
+	doc := readDocument(path)
+	doc.decode(into)
+	sortFaults(doc.faults)
+	return doc.faults
+}
+
 func checkSettings(d *document, s Settings) {
 	d.checkName("vm", string(s.VM))
 	d.checkName("zone", string(s.Zone))
