--- a/laburnumrouter/router.go
+++ b/laburnumrouter/router.go
@@ -61,8 +61,9 @@
 	if len(candidates) == 0 {
 		return nil, false
 	}
-	first := candidates[r.rand.IntN(len(candidates))]
-	second := candidates[r.rand.IntN(len(candidates))]
+	at := r.rand.IntN(len(candidates))
+	first := candidates[at]
+	second := candidates[(at+1+r.rand.IntN(max(1, len(candidates)-1)))%len(candidates)]
 	return better(first, second, q.Avoid, now), true
 }
 
