fix: truth of outcomes: final answer after a stall, parent's cause, tests of each promise

Found by the new tests: a request given up for a stall lost its final answer, because the write deadline was set also when nobody waited for the caller; a call that net/http tried to send twice was called caller-gone, because the attempt's own context was asked for the cause.

--- a/laburnumproxy/answer.go
+++ b/laburnumproxy/answer.go
@@ -82,10 +82,7 @@
 	o.start(resp)
 	o.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	o.w.WriteHeader(resp.StatusCode)
-	if _, err := o.w.Write(body); err != nil {
-		return &CallerGoneError{Cause: err}
-	}
-	return nil
+	return o.write(body)
 }
 
 // endsUnmarked tells that the body ends with the connection: a broken connection
@@ -136,6 +133,8 @@
 	if len(p) == 0 {
 		return nil
 	}
+	o.flight.atCaller.Store(true)
+	defer o.flight.atCaller.Store(false)
 	if _, err := o.w.Write(p); err != nil {
 		return &CallerGoneError{Cause: err}
 	}
--- a/laburnumproxy/claim.go
+++ b/laburnumproxy/claim.go
@@ -177,8 +177,5 @@
 		o.w.Header().Set(name, value)
 	}
 	o.w.WriteHeader(a.Status)
-	if _, err := o.w.Write(a.Body); err != nil {
-		return &CallerGoneError{Cause: err}
-	}
-	return nil
+	return o.write(a.Body)
 }
--- a/laburnumproxy/fakes_test.go
+++ b/laburnumproxy/fakes_test.go
@@ -34,6 +34,7 @@
 	mu     sync.Mutex
 	err    error
 	claims map[string]*claim
+	steal  laburnumlever.VMID // claims each key just before the caller does
 }
 
 type claim struct {
@@ -56,6 +57,9 @@
 		l.claims[cmd.Answer.Key].record = cmd.Answer
 		return laburnumlever.Result{}, nil
 	}
+	if l.steal != "" {
+		l.claims[cmd.Claim.Key] = &claim{digest: cmd.Claim.Digest, holder: l.steal}
+	}
 	c := l.claims[cmd.Claim.Key]
 	switch {
 	case c == nil:
@@ -75,7 +79,7 @@
 	t      *testing.T
 	views  *fakeViews
 	log    *fakeLog
-	timers *laburnumtimer.Timers
+	timers *laburnumtimer.Manual
 	proxy  *laburnumproxy.Proxy
 	server *httptest.Server
 }
@@ -85,11 +89,10 @@
 	if log == nil {
 		log = &fakeLog{claims: map[string]*claim{}}
 	}
-	b := &bench{t: t, views: &fakeViews{}, log: log, timers: laburnumtimer.New()}
-	t.Cleanup(b.timers.Close)
+	b := &bench{t: t, views: &fakeViews{}, log: log, timers: laburnumtimer.NewManual(time.Now())}
 	b.views.view.Store(&laburnumlever.View{
 		Self: laburnumlever.VM{ID: "vm-1", Zone: "brest"},
-		VMs:  []laburnumlever.VM{{ID: "vm-1"}},
+		VMs:  []laburnumlever.VM{{ID: "vm-1"}, {ID: "vm-2", State: laburnumlever.VMDown}},
 		Catalogue: laburnumlever.Catalogue{
 			Revision: 1,
 			Classes:  []laburnumlever.Class{{Name: "quick", FirstToken: laburnumlever.Duration(10 * time.Second)}},
--- a/laburnumproxy/flights.go
+++ b/laburnumproxy/flights.go
@@ -12,6 +12,8 @@
 type flight struct {
 	start    time.Time
 	progress atomic.Int64 // nanoseconds after start
+	// atCaller tells that the request waits for its caller to send or to take.
+	atCaller atomic.Bool
 	control  *http.ResponseController
 	mu       sync.Mutex
 	cancel   context.CancelCauseFunc
@@ -26,13 +28,17 @@
 	f.cancel = cancel
 }
 
-// end cuts the request off. The past deadlines free a read or write that waits for
-// the caller, which a cancelled context does not.
+// end cuts the request off. A read or write that waits for the caller is freed by
+// past deadlines, which a cancelled context does not do; otherwise the caller's
+// connection stays good, since it is still owed a final answer.
 func (f *flight) end(cause error) {
 	f.mu.Lock()
 	cancel := f.cancel
 	f.mu.Unlock()
 	cancel(cause)
+	if !f.atCaller.Load() {
+		return
+	}
 	past := time.Unix(1, 0)
 	_ = f.control.SetReadDeadline(past) // a writer without deadlines (in tests) has no connection to free
 	_ = f.control.SetWriteDeadline(past)
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -106,11 +106,11 @@
 
 // try makes one attempt. A nil failure means that the whole answer was passed on.
 func (p *Proxy) try(ctx context.Context, q *request, out *answer, to laburnumlever.Announcement, resume bool) *failure {
-	ctx, cancel := context.WithCancel(ctx)
+	own, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the backend server's work when the answer is not wanted any more
 	a := newAttempt(uuid.NewString(), to.Backend, cancel)
 	q.trail.add(p.timers.Now(), "attempt %s on %s at %s", a.id, to.Backend, to.Address)
-	req := p.outgoing(a.trace(ctx), q, a, to)
+	req := p.outgoing(a.trace(own), q, a, to)
 	if resume {
 		req.Header.Set(headerResume, strconv.Itoa(out.tokens))
 	}
--- a/laburnumproxy/request.go
+++ b/laburnumproxy/request.go
@@ -95,8 +95,11 @@
 }
 
 // readBody reads the whole body within the bound.
-func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) error {
-	body, err := io.ReadAll(http.MaxBytesReader(plainWriter(w), r.Body, limit))
+func (o *answer) readBody(r *http.Request, limit int64) error {
+	o.flight.atCaller.Store(true)
+	defer o.flight.atCaller.Store(false)
+	q := o.q
+	body, err := io.ReadAll(http.MaxBytesReader(plainWriter(o.w), r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return q.refusal(laburnumlever.RefusedTooLarge, laburnumlever.OutcomeNotRun, tooLarge.Error())
--- a/laburnumproxy/serve.go
+++ b/laburnumproxy/serve.go
@@ -85,7 +85,7 @@
 	if view.Catalogue.Revision == 0 {
 		return q.refusal(laburnumlever.RefusedNotReady, laburnumlever.OutcomeNotRun, "no catalogue yet")
 	}
-	if err := q.readBody(out.w, r, p.cfg.maxBody); err != nil {
+	if err := out.readBody(r, p.cfg.maxBody); err != nil {
 		return err
 	}
 	if err := q.readCompletion(&view.Catalogue); err != nil {
--- a/laburnumproxy/services.go
+++ b/laburnumproxy/services.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	if err := q.readBody(out.w, r, p.cfg.maxBody); err != nil {
+	if err := out.readBody(r, p.cfg.maxBody); err != nil {
 		return err
 	}
 	service, _ := view.Catalogue.Service(q.service)
--- /dev/null
+++ b/laburnumproxy/truth_test.go
@@ -0,0 +1,257 @@
+package laburnumproxy_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumproxy"
+
+	"github.com/stretchr/testify/require"
+)
+
+func hangUp(w http.ResponseWriter) {
+	conn, _, _ := w.(http.Hijacker).Hijack()
+	conn.Close()
+}
+
+// A booking fails and its caller is told not-run, so it books again; the first had
+// reached the service. Not-run may be told only if no byte went out or the service
+// said so itself.
+func TestNotRunIsTrue(t *testing.T) {
+	for name, c := range map[string]struct {
+		serve   http.HandlerFunc
+		closed  bool
+		reason  string
+		outcome string
+	}{
+		"nobody listens":         {closed: true, reason: "backend-unreachable", outcome: "not-run"},
+		"hangs up after reading": {serve: func(w http.ResponseWriter, _ *http.Request) { hangUp(w) }, reason: "backend-unreachable", outcome: "unknown"},
+		"says that it did not": {serve: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Laburnumlever-Outcome", "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, reason: "backend-busy", outcome: "not-run"},
+		"breaks off its answer": {serve: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			io.WriteString(w, "book")
+		}, reason: "broken-stream", outcome: "unknown"},
+		"answers without an end": {serve: func(w http.ResponseWriter, r *http.Request) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\n\r\nbook")
+			conn.Close()
+		}, reason: "broken-stream", outcome: "unknown"},
+		"echoes another's number": {serve: func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Attempt-Id", "7") }, reason: "crossed-answer", outcome: "unknown"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			s := b.service(c.serve)
+			if c.closed {
+				s.Close()
+			}
+			b.post("/services/booking/visits", "tuesday").refused(t, c.reason, c.outcome)
+		})
+	}
+}
+
+// A request is sent to an engine, which dies while it has it, and then can't be sent
+// to the other. Told of the second alone, the caller would hear not-run. It hears
+// unknown, as the first may have run.
+func TestOutcomeIsThatOfAllAttempts(t *testing.T) {
+	reachedAny := false
+	for seed := range uint64(8) {
+		b := newBench(t, nil, laburnumproxy.WithSeed(seed))
+		var reached atomic.Bool
+		b.engine(false, func(w http.ResponseWriter, _ *http.Request) { reached.Store(true); hangUp(w) })
+		b.engine(false, nil).Close()
+		got := b.post("/v1/completions", `{"model":"quote"}`)
+		want := map[bool]string{false: "not-run", true: "unknown"}[reached.Load()]
+		got.refused(t, "backend-unreachable", want)
+		reachedAny = reachedAny || reached.Load()
+	}
+	require.True(t, reachedAny)
+}
+
+// A kept-alive connection dies just as a booking is written to it. net/http sends a
+// request with an Idempotency-Key again by itself on another connection, so two vans
+// stand at the door. The call must be run once, and the caller told unknown.
+func TestTransportDoesNotSendABookingTwice(t *testing.T) {
+	b := newBench(t, nil)
+	var bookings atomic.Int32
+	b.service(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			bookings.Add(1)
+			hangUp(w)
+		}
+	})
+	req, _ := http.NewRequest(http.MethodGet, b.server.URL+"/services/booking/slots", nil)
+	resp, err := http.DefaultClient.Do(req) // leaves a kept-alive connection
+	require.NoError(t, err)
+	resp.Body.Close()
+	b.post("/services/booking/visits", "", "Idempotency-Key", "k").refused(t, "backend-unreachable", "unknown")
+	require.EqualValues(t, 1, bookings.Load())
+}
+
+// A caller loses the answer to its booking and sends it again through another VM. A
+// second booking would be made. It gets the first's answer; another caller with the
+// same key gets its own, and other content under the key is refused.
+func TestResendGetsTheRecordedAnswer(t *testing.T) {
+	first := newBench(t, nil)
+	second := newBench(t, first.log)
+	var runs atomic.Int32
+	for _, b := range []*bench{first, second} {
+		b.service(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			w.WriteHeader(http.StatusCreated)
+			io.WriteString(w, "for "+r.Header.Get("Authorization"))
+		})
+	}
+	ask := func(b *bench, body, auth string) reply {
+		return b.post("/services/booking/visits", body, "Idempotency-Key", "k", "Authorization", auth)
+	}
+	require.Equal(t, "for anna", ask(first, "tuesday", "anna").body)
+	resent := ask(second, "tuesday", "anna")
+	require.Equal(t, http.StatusCreated, resent.status)
+	require.Equal(t, "for anna", resent.body)
+	require.EqualValues(t, 1, runs.Load())
+	ask(second, "friday", "anna").refused(t, "key-mismatch", "not-run")
+	require.Equal(t, "for bert", ask(second, "tuesday", "bert").body)
+}
+
+// The VM that sent a booking dies before its answer is recorded. The resend through
+// another VM would book again; it is told unknown, and nothing is run.
+func TestVMDiesBetweenClaimAndAnswer(t *testing.T) {
+	log := &fakeLog{claims: map[string]*claim{}}
+	b := newBench(t, log)
+	b.service(func(http.ResponseWriter, *http.Request) { t.Error("run again") })
+	log.steal = "vm-2"
+	b.post("/services/booking/visits", "", "Idempotency-Key", "k").refused(t, "outcome-unknown", "unknown")
+	log.steal = "vm-1" // still alive: it may yet answer
+	b.post("/services/booking/visits", "", "Idempotency-Key", "l").refused(t, "key-in-progress", "unknown")
+}
+
+// This zone is cut off from the log. A booking that is run without a claim could be
+// run again elsewhere; it is refused as not run, which is true.
+func TestWithoutQuorumABookingIsNotRun(t *testing.T) {
+	log := &fakeLog{claims: map[string]*claim{}, err: &laburnumlever.NoQuorumError{}}
+	b := newBench(t, log)
+	b.service(func(http.ResponseWriter, *http.Request) { t.Error("run without a claim") })
+	got := b.post("/services/booking/visits", "", "Idempotency-Key", "k")
+	got.refused(t, "no-quorum", "not-run")
+	require.Equal(t, "1", got.header.Get("Retry-After"))
+}
+
+// A caller hangs up while its booking runs. Cancelled, the booking would be half made
+// and its outcome lost; it runs on, and the resend gets its answer.
+func TestBookingOutlivesItsCaller(t *testing.T) {
+	b := newBench(t, nil)
+	started, goOn := make(chan struct{}), make(chan struct{})
+	b.service(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		select {
+		case <-goOn:
+			io.WriteString(w, "booked")
+		case <-r.Context().Done():
+		}
+	})
+	ctx, hangUpCaller := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/services/booking/visits", nil)
+	req.Header.Set("Idempotency-Key", "k")
+	ended := make(chan struct{})
+	go func() { http.DefaultClient.Do(req); close(ended) }()
+	<-started
+	hangUpCaller()
+	<-ended
+	close(goOn)
+	require.Eventually(t, func() bool { return b.proxy.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, "booked", b.post("/services/booking/visits", "", "Idempotency-Key", "k").body)
+}
+
+// A service takes a booking and never answers. The caller would wait for ever; it is
+// told unknown at the bound.
+func TestSilentBackendIsGivenUp(t *testing.T) {
+	b := newBench(t, nil)
+	started := make(chan struct{})
+	b.service(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+	})
+	got := make(chan reply)
+	go func() { got <- b.post("/services/booking/visits", "") }()
+	<-started
+	b.timers.Advance(laburnumproxy.DefaultStall + time.Second)
+	(<-got).refused(t, "deadline", "unknown")
+}
+
+// A caller stops reading its stream. Buffered here, the answers of many such callers
+// would take all memory; the engine is held back, and cut off at the bound.
+func TestCallerThatStopsReading(t *testing.T) {
+	b := newBench(t, nil)
+	var written atomic.Int64
+	ended := make(chan struct{})
+	line := "data: {\"choices\":[{\"text\":\"" + strings.Repeat("x", 1<<16) + "\"}]}\n\n"
+	b.engine(false, func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for r.Context().Err() == nil {
+			n, err := io.WriteString(w, line)
+			if err != nil {
+				return
+			}
+			written.Add(int64(n))
+		}
+	})
+	conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	body := `{"model":"quote","stream":true}`
+	_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 31\r\n\r\n"+body)
+	require.NoError(t, err)
+	last := int64(-1)
+	require.Eventually(t, func() bool {
+		if now := written.Load(); now != last {
+			last = now // it still flows: let the sockets fill up
+			return false
+		}
+		b.timers.Advance(laburnumproxy.DefaultStall + time.Second)
+		return b.proxy.InFlight() == 0
+	}, 30*time.Second, 50*time.Millisecond)
+	<-ended
+	const socketBuffers = 64 << 20 // of the kernel, on both connections
+	require.Less(t, written.Load(), int64(socketBuffers))
+}
+
+// A VM is stopped while it streams an answer. The caller would lose the rest; the VM
+// takes no new work, says so, and ends when the stream has.
+func TestDrainFinishesWhatIsInFlight(t *testing.T) {
+	b := newBench(t, nil)
+	started, goOn := make(chan struct{}), make(chan struct{})
+	b.engine(false, func(w http.ResponseWriter, _ *http.Request) {
+		tokens(w, 0, 1)
+		close(started)
+		<-goOn
+		tokens(w, 1, 4)
+		done(w)
+	})
+	got := make(chan reply)
+	go func() { got <- b.stream() }()
+	<-started
+	cut, cancel := context.WithCancel(context.Background())
+	cancel()
+	var timeout *laburnumproxy.DrainTimeoutError
+	require.ErrorAs(t, b.proxy.Drain(cut), &timeout)
+	require.Equal(t, 1, timeout.InFlight)
+	b.stream().refused(t, "draining", "not-run")
+	resp, err := http.Get(b.server.URL + "/readyz")
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	close(goOn)
+	require.NoError(t, b.proxy.Drain(context.Background()))
+	require.Contains(t, (<-got).body, "[DONE]")
+}
