--- a/cmd/laburnumlever/app.go
+++ b/cmd/laburnumlever/app.go
@@ -21,7 +21,9 @@
 // run runs the program and returns its exit code.
 func run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	// After the first signal the default is restored, so that a second one ends the
+	// process at once.
+	defer context.AfterFunc(ctx, stop)()
 	err := newApp().RunContext(ctx, args)
 	if err == nil {
 		return 0
@@ -36,6 +38,8 @@
 		Usage:       "serve many models from fewer accelerators",
 		Description: exitCodesText,
 		Commands: []*cli.Command{
+			serveCommand(),
+			quickstartCommand(),
 			settingsCommand(),
 			catalogueCommand(),
 			statusCommand(),
--- /dev/null
+++ b/cmd/laburnumlever/quickstartcmd.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	_ "embed" // for the sample catalogue
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnumfleet"
+	"laburnumlever/laburnumsettings"
+)
+
+// quickstartLimit bounds the start, which takes under a second; it is
+// generous so that a busy machine changes nothing.
+const quickstartLimit = time.Minute
+
+//go:embed quickstart.jsonc
+var quickstartCatalogue []byte
+
+// quickstartSpec is one VM, two engines and one plain service.
+var quickstartSpec = laburnumfleet.Spec{
+	VMs: []laburnumfleet.VMSpec{{VM: "vannes-1", Zone: "vannes", Disk: true}},
+	Engines: []laburnumfleet.EngineSpec{{
+		Name: "engine", Zone: "vannes", Count: 2, AcceleratorsMiB: []int{24576}, Slots: defaultSlots,
+		PrefillTokensPerSecond: defaultPrefill, TokensPerSecond: defaultTokenRate, ChecksFencing: true, CanResume: true,
+	}},
+	Services: []laburnumfleet.ServiceSpec{{Service: "booking", Zone: "vannes", Count: 1, Slots: defaultSlots}},
+}
+
+func quickstartCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "quickstart",
+		Usage: "run one VM with stand-in engines and a plain service, to try it out",
+		Description: "Needs no settings. Prints ready and a command to try. With --once it plays a short\n" +
+			"session, checks each step, and exits 0 only if every step gave what it should.\n\n" +
+			"Example: laburnumlever quickstart --listen 127.0.0.1:8080\n\n" + exitCodesText,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8080", Usage: "`ADDRESS` for callers; with --once a free port is taken by default"},
+			&cli.BoolFlag{Name: "once", Usage: "play a short session and exit"},
+			&cli.BoolFlag{Name: "verbose", Usage: "show the VM's log"},
+		},
+		OnUsageError: onUsageError,
+		Action:       runQuickstart,
+	}
+}
+
+func runQuickstart(c *cli.Context) error {
+	catalogue, err := laburnumsettings.ParseCatalogue("quickstart.jsonc", quickstartCatalogue)
+	if err != nil {
+		return err
+	}
+	address := c.String("listen")
+	if c.Bool("once") && !c.IsSet("listen") {
+		address = anyPort
+	}
+	opts := []laburnumfleet.Option{laburnumfleet.WithCallers(address)}
+	if c.Bool("verbose") {
+		opts = append(opts, laburnumfleet.WithLogger(log.NewLogfmtLogger(log.NewSyncWriter(c.App.ErrWriter))))
+	}
+	fleet, err := laburnumfleet.Start(c.Context, quickstartSpec, catalogue, opts...)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	ctx, cancel := context.WithTimeout(c.Context, quickstartLimit)
+	defer cancel()
+	if c.Bool("once") {
+		return playOnce(ctx, c.App.Writer, fleet)
+	}
+	return waitAndShow(ctx, c, fleet)
+}
+
+func waitAndShow(ctx context.Context, c *cli.Context, fleet *laburnumfleet.Fleet) error {
+	revision, err := fleet.Apply(ctx)
+	if err != nil {
+		return err
+	}
+	if err := fleet.AwaitLoaded(ctx, revision); err != nil {
+		return err
+	}
+	callers := fleet.Callers()[0]
+	printf(c.App.Writer, "ready callers=%s operators=%s\n", callers, fleet.Operators()[0])
+	printf(c.App.Writer, `try: curl -N http://%s/v1/chat/completions -d '{"model": "quote-small", "stream": true, "messages": [{"role": "user", "content": "oak parquet, 20 square metres"}]}'`+"\n", callers)
+	<-c.Done()
+	return nil
+}
--- a/cmd/laburnumlever/scriptcommands_test.go
+++ b/cmd/laburnumlever/scriptcommands_test.go
@@ -176,6 +176,7 @@
 }{
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
 	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), "ID"},
+	{regexp.MustCompile(`cmpl-[0-9a-f-]+`), "COMPLETION"},
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+(Z|[+-]\d\d:\d\d)`), "TIME"},
 }
 
--- /dev/null
+++ b/laburnumfleet/fleet.go
@@ -0,0 +1,229 @@
+package laburnumfleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"laburnumlever"
+	"laburnumlever/laburnumnode"
+	"laburnumlever/laburnumsettings"
+	"laburnumlever/laburnumstandin"
+)
+
+const (
+	anyPort         = "127.0.0.1:0"
+	headerReadLimit = 10 * time.Second
+	// shutdownGrace is short, as no balancer has to notice.
+	shutdownGrace = 200 * time.Millisecond
+	shutdownLimit = 30 * time.Second
+)
+
+// Fleet is a running fleet. It is safe for use by many goroutines.
+type Fleet struct {
+	spec      Spec
+	catalogue laburnumlever.Catalogue
+	logger    log.Logger
+	callers   string
+	folder    string
+
+	mu       sync.Mutex
+	nodes    []*vm
+	backends []*backend
+	store    *http.Server
+}
+
+type vm struct {
+	spec VMSpec
+	node *laburnumnode.Node
+	// gone tells that the VM was ended by an action.
+	gone bool
+}
+
+// backend is a stand-in backend server with its listener.
+type backend struct {
+	id      laburnumlever.BackendID
+	handler *slowHandler
+	server  *http.Server
+	stand   standIn
+}
+
+// standIn is what stand-in engines and plain services have in common.
+type standIn interface {
+	http.Handler
+	Start()
+	Leave()
+	Close()
+}
+
+// Option changes a Fleet before it starts.
+type Option func(*Fleet)
+
+// WithLogger sets where the VMs log.
+func WithLogger(logger log.Logger) Option {
+	return func(f *Fleet) { f.logger = logger }
+}
+
+// WithCallers sets the callers address of the first VM; all others take free ports.
+func WithCallers(address string) Option {
+	return func(f *Fleet) { f.callers = address }
+}
+
+// Start runs the fleet; it returns once all listeners take connections. Errors:
+// *StartError.
+func Start(ctx context.Context, spec Spec, catalogue laburnumlever.Catalogue, opts ...Option) (*Fleet, error) {
+	f := &Fleet{spec: spec, catalogue: catalogue, logger: log.NewNopLogger(), callers: anyPort}
+	for _, opt := range opts {
+		opt(f)
+	}
+	folder, err := os.MkdirTemp("", "laburnumlever-fleet-")
+	if err != nil {
+		return nil, &StartError{Part: "data folder", Cause: err}
+	}
+	f.folder = folder
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	peers, err := reservePorts(ctx, len(f.spec.VMs))
+	if err != nil {
+		return err
+	}
+	for i := range f.spec.VMs {
+		if err := f.startVM(i, peers); err != nil {
+			return err
+		}
+	}
+	store, err := f.startStore(ctx)
+	if err != nil {
+		return err
+	}
+	return f.startBackends(ctx, store)
+}
+
+// reservePorts finds free ports for the peer listeners, which the settings of
+// all VMs must name before any of them runs.
+func reservePorts(ctx context.Context, count int) ([]string, error) {
+	addresses := make([]string, count)
+	for i := range addresses {
+		ln, err := listen(ctx)
+		if err != nil {
+			return nil, err
+		}
+		// All stay open until the last is found, so that no two are the same.
+		defer func() { _ = ln.Close() }()
+		addresses[i] = ln.Addr().String()
+	}
+	return addresses, nil
+}
+
+func listen(ctx context.Context) (net.Listener, error) {
+	var cfg net.ListenConfig
+	ln, err := cfg.Listen(ctx, "tcp", anyPort)
+	if err != nil {
+		return nil, &StartError{Part: "listener", Cause: err}
+	}
+	return ln, nil
+}
+
+func (f *Fleet) startVM(i int, peers []string) error {
+	spec := f.spec.VMs[i]
+	node, err := laburnumnode.New(f.settingsOf(i, peers), laburnumnode.WithLogger(log.With(f.logger, "vm", spec.VM)))
+	if err != nil {
+		return &StartError{Part: string(spec.VM), Cause: err}
+	}
+	if err := node.Start(); err != nil {
+		return &StartError{Part: string(spec.VM), Cause: err}
+	}
+	f.nodes = append(f.nodes, &vm{spec: spec, node: node})
+	return nil
+}
+
+func (f *Fleet) settingsOf(i int, peers []string) laburnumsettings.Settings {
+	spec := f.spec.VMs[i]
+	settings := laburnumsettings.Default()
+	settings.VM, settings.Zone, settings.Region = spec.VM, spec.Zone, spec.Region
+	settings.Listen = laburnumsettings.Listen{Callers: anyPort, Operators: anyPort, Backends: anyPort, Peers: peers[i]}
+	if i == 0 {
+		settings.Listen.Callers = f.callers
+	}
+	settings.Shutdown = laburnumsettings.Shutdown{
+		Grace: laburnumlever.Duration(shutdownGrace), Limit: laburnumlever.Duration(shutdownLimit),
+	}
+	for j, other := range f.spec.VMs {
+		if j != i {
+			settings.Seeds = append(settings.Seeds, peers[j])
+		}
+		if other.Disk {
+			settings.Voters = append(settings.Voters, laburnumlever.Voter{VM: other.VM, PeerAddress: peers[j]})
+		}
+	}
+	if spec.Disk {
+		settings.DataFolder = filepath.Join(f.folder, string(spec.VM))
+	}
+	return settings
+}
+
+func (f *Fleet) startStore(ctx context.Context) (string, error) {
+	ln, err := listen(ctx)
+	if err != nil {
+		return "", err
+	}
+	limits := f.catalogue.Deployment.WeightStore
+	store := laburnumstandin.NewWeightStore(limits.LoadsPerSecond, limits.ParallelLoads,
+		laburnumstandin.WithLoadTime(time.Duration(f.spec.LoadTime)))
+	f.store = &http.Server{Handler: store, ReadHeaderTimeout: headerReadLimit}
+	go func() { _ = f.store.Serve(ln) }()
+	return ln.Addr().String(), nil
+}
+
+// Close ends everything at once and removes the data folders.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.backends {
+		b.stand.Close()
+		_ = b.server.Close()
+	}
+	for _, one := range f.nodes {
+		if !one.gone {
+			one.node.Close()
+		}
+	}
+	if f.store != nil {
+		_ = f.store.Close()
+	}
+	_ = os.RemoveAll(f.folder)
+}
+
+// Operators are the operators addresses of the VMs that run.
+func (f *Fleet) Operators() []string {
+	return f.addresses(func(listen laburnumsettings.Listen) string { return listen.Operators })
+}
+
+// Callers are the callers addresses of the VMs that run.
+func (f *Fleet) Callers() []string {
+	return f.addresses(func(listen laburnumsettings.Listen) string { return listen.Callers })
+}
+
+func (f *Fleet) addresses(of func(laburnumsettings.Listen) string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for _, one := range f.nodes {
+		if !one.gone {
+			addresses = append(addresses, of(one.node.Addresses()))
+		}
+	}
+	return addresses
+}
--- a/laburnumload/caller.go
+++ b/laburnumload/caller.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"laburnumlever"
+	"laburnumlever/laburnumtimer"
 )
 
 const (
@@ -29,24 +30,29 @@
 	bearerText = "Bearer "
 )
 
-// caller sends requests as callers do and measures the answers.
-type caller struct {
+// Caller sends requests as callers do and measures the answers. It is safe for use
+// by many goroutines.
+type Caller struct {
 	client *http.Client
 	timers laburnumlever.Timers
 	run    string
 }
 
-func newCaller(timers laburnumlever.Timers, run string) *caller {
+// NewCaller returns a caller on the machine's clock that makes its own request ids.
+func NewCaller() *Caller { return newCaller(laburnumtimer.New(), "") }
+
+func newCaller(timers laburnumlever.Timers, run string) *Caller {
 	transport := &http.Transport{MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConns, DisableCompression: true}
-	return &caller{client: &http.Client{Transport: transport}, timers: timers, run: run}
+	return &Caller{client: &http.Client{Transport: transport}, timers: timers, run: run}
 }
 
 // requestID is the id that the caller gives a request; each send has its own.
-func (c *caller) requestID(a Arrival) string {
+func (c *Caller) requestID(a Arrival) string {
 	return fmt.Sprintf("%s-%d", c.run, a.Number)
 }
 
-func (c *caller) send(ctx context.Context, address string, a Arrival) Answer {
+// Send sends a request to a VM's callers address and reads the whole answer.
+func (c *Caller) Send(ctx context.Context, address string, a Arrival) Answer {
 	req, err := c.request(ctx, address, a)
 	if err != nil {
 		return Answer{Lost: err.Error(), NotSent: true}
@@ -109,7 +115,7 @@
 	Outcome string `json:"outcome"`
 }
 
-func (c *caller) request(ctx context.Context, address string, a Arrival) (*http.Request, error) {
+func (c *Caller) request(ctx context.Context, address string, a Arrival) (*http.Request, error) {
 	method, path, body := a.Method, "/services/"+string(a.Service)+a.Path, a.Prompt
 	if a.Service == "" {
 		text, err := json.Marshal(chatRequest{
@@ -126,7 +132,9 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", bearerText+a.Caller)
-	req.Header.Set(headerRequest, c.requestID(a))
+	if c.run != "" {
+		req.Header.Set(headerRequest, c.requestID(a))
+	}
 	if a.Key != "" {
 		req.Header.Set(headerKey, a.Key)
 	}
@@ -136,7 +144,7 @@
 	return req, nil
 }
 
-func (c *caller) readWhole(body io.Reader, start time.Time, a Arrival, answer *Answer) error {
+func (c *Caller) readWhole(body io.Reader, start time.Time, a Arrival, answer *Answer) error {
 	text, err := io.ReadAll(body)
 	if err != nil {
 		return err
@@ -154,7 +162,7 @@
 	return nil
 }
 
-func (c *caller) readStream(body io.Reader, start time.Time, answer *Answer) error {
+func (c *Caller) readStream(body io.Reader, start time.Time, answer *Answer) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEvent)
 	var text strings.Builder
@@ -208,3 +216,34 @@
 	}
 	a.Gaps = append(a.Gaps, now.Sub(last))
 }
+
+// modelList is the answer to /v1/models.
+type modelList struct {
+	Data []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID string `json:"id"`
+}
+
+// Models lists the models that a VM offers.
+func (c *Caller) Models(ctx context.Context, address string) ([]string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/models", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var list modelList
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return nil, err
+	}
+	names := make([]string, len(list.Data))
+	for i, entry := range list.Data {
+		names[i] = entry.ID
+	}
+	return names, nil
+}
--- a/laburnumload/runner.go
+++ b/laburnumload/runner.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -13,7 +11,6 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumoperator"
-	"laburnumlever/laburnumstandin"
 	"laburnumlever/laburnumtimer"
 )
 
@@ -130,7 +127,7 @@
 	runner      *Runner
 	experiment  Experiment
 	addresses   []string
-	caller      *caller
+	caller      *Caller
 	plan        []Arrival
 	backends    []laburnumlever.Backend
 	movesBefore uint64
@@ -199,7 +196,7 @@
 func (p *playing) one(ctx context.Context, address string, arrival Arrival) {
 	limited, cancel := context.WithTimeout(ctx, time.Duration(p.experiment.Timeout))
 	defer cancel()
-	got := p.caller.send(limited, address, arrival)
+	got := p.caller.Send(limited, address, arrival)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inFlight--
@@ -231,16 +228,9 @@
 }
 
 func (p *playing) checkLedgers(ctx context.Context) error {
-	var ledgers [][]laburnumstandin.LedgerEntry
-	for _, b := range p.backends {
-		if b.Announcement.Kind != laburnumlever.PlainService || b.Down {
-			continue
-		}
-		ledger, err := readLedger(ctx, b.Announcement.Address)
-		if err != nil {
-			return err
-		}
-		ledgers = append(ledgers, ledger)
+	ledgers, err := ledgersOf(ctx, p.backends)
+	if err != nil {
+		return err
 	}
 	for _, broken := range CheckLedger(p.results.told, ledgers) {
 		p.results.broken(broken)
@@ -248,23 +238,6 @@
 	return nil
 }
 
-func readLedger(ctx context.Context, address string) ([]laburnumstandin.LedgerEntry, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ledger", http.NoBody)
-	if err != nil {
-		return nil, &LedgerError{Address: address, Cause: err}
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, &LedgerError{Address: address, Cause: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var ledger []laburnumstandin.LedgerEntry
-	if err := json.NewDecoder(resp.Body).Decode(&ledger); err != nil {
-		return nil, &LedgerError{Address: address, Cause: err}
-	}
-	return ledger, nil
-}
-
 // showProgress writes the counts each second until stop is called.
 func (p *playing) showProgress() (stop func()) {
 	if p.runner.progress == nil {
--- a/laburnumoperator/handler.go
+++ b/laburnumoperator/handler.go
@@ -113,8 +113,11 @@
 		_ = level.Warn(h.logger).Log("msg", "change refused", "change-id", req.ChangeID, "expected", req.ExpectedRevision, "err", err)
 		return
 	}
-	_ = level.Info(h.logger).Log("msg", "change accepted", "change-id", req.ChangeID, "revision", answer.Revision,
-		"repeated", answer.Repeated, "dry-run", req.DryRun)
+	msg := "change accepted"
+	if req.DryRun {
+		msg = "change would be accepted"
+	}
+	_ = level.Info(h.logger).Log("msg", msg, "change-id", req.ChangeID, "revision", answer.Revision, "repeated", answer.Repeated)
 }
 
 func (h *handler) explainModel(c iris.Context) {
--- a/laburnumsettings/catalogue.go
+++ b/laburnumsettings/catalogue.go
@@ -24,11 +24,19 @@
 	}
 	m := &merged{}
 	for _, file := range files {
-		m.read(file)
+		m.take(readDocument(file))
 	}
 	return m.finish(fileOrDir)
 }
 
+// ParseCatalogue reads a catalogue that is held in memory, as LoadCatalogue reads a
+// file of that name.
+func ParseCatalogue(name string, text []byte) (laburnumlever.Catalogue, error) {
+	m := &merged{}
+	m.take(parseDocument(name, text))
+	return m.finish(name)
+}
+
 func catalogueFiles(path string) ([]string, error) {
 	info, err := os.Stat(path)
 	if err != nil {
@@ -74,8 +82,7 @@
 	index int
 }
 
-func (m *merged) read(file string) {
-	doc := readDocument(file)
+func (m *merged) take(doc *document) {
 	m.docs = append(m.docs, doc)
 	var part laburnumlever.Catalogue
 	doc.decode(&part)
--- a/laburnumsettings/document.go
+++ b/laburnumsettings/document.go
@@ -27,13 +27,23 @@
 // readDocument reads and parses a file. A file that is not JSON with comments
 // has one fault and no root.
 func readDocument(file string) *document {
-	d := &document{file: file, lines: make(map[string]int)}
 	text, err := os.ReadFile(file)
 	if err != nil {
+		d := newDocument(file)
 		d.add("", "cannot be read: "+pathless(err), "a readable file")
 		return d
 	}
+	return parseDocument(file, text)
+}
+
+func newDocument(file string) *document {
+	return &document{file: file, lines: make(map[string]int)}
+}
+
+func parseDocument(file string, text []byte) *document {
+	d := newDocument(file)
 	d.text = text
+	var err error
 	d.root, err = hujson.Parse(text)
 	if err != nil {
 		d.addSyntax(err)
