feat: admission with shares of every limit that never add up to more

Cause: a limit kept on each VM alone is a limit times the number of VMs; one that follows demand by messages is handed out twice when zones are cut apart. Change: each VM holds limit / entry-vms (new catalogue key); what is left over only on a VM that knows all. Price: no lending between VMs yet.

--- a/catalogue.go
+++ b/catalogue.go
@@ -38,6 +38,11 @@
 	Name string `json:"name"`
 	// Zones are all the deployment's availability zones.
 	Zones []ZoneName `json:"zones"`
+	// EntryVMs is how many entry VMs the deployment has at most. Each gets that
+	// part of every limit, so that the sum holds also while zones are cut apart.
+	// 0 means as many as a VM has ever known of, which a VM that starts while it
+	// is cut off counts too low.
+	EntryVMs int `json:"entry-vms,omitempty"`
 	// MoveCost is the attainment, in requests inside their targets a second,
 	// that one move must bring to be worth it. Higher means fewer moves.
 	MoveCost float64 `json:"move-cost"`
--- /dev/null
+++ b/laburnumadmission/admission.go
@@ -0,0 +1,128 @@
+package laburnumadmission
+
+import (
+	"fmt"
+	"time"
+
+	"laburnumlever"
+)
+
+// Share is this VM's part of every limit.
+type Share struct {
+	// VMs is how many entry VMs the limits are divided by.
+	VMs int
+	// Known is how many this VM knows of, itself included.
+	Known int
+	// Rank is this VM's place among them by name, from 0.
+	Rank int
+}
+
+// Request is what admission needs to know of a request.
+type Request struct {
+	Owner       laburnumlever.OwnerName
+	OwnerLimits laburnumlever.Limits
+	// Entry is the model or service.
+	Entry       string
+	EntryLimits laburnumlever.Limits
+	// Tokens is the estimated cost, prompt and answer.
+	Tokens int
+}
+
+// Admission counts what each owner and entry uses on this VM.
+type Admission struct {
+	share   Share
+	owners  map[laburnumlever.OwnerName]*account
+	entries map[string]*account
+}
+
+// New returns an admission of a VM that is alone.
+func New() *Admission {
+	return &Admission{
+		share:   Share{VMs: 1, Known: 1},
+		owners:  map[laburnumlever.OwnerName]*account{},
+		entries: map[string]*account{},
+	}
+}
+
+// SetShare sets this VM's part of every limit.
+func (a *Admission) SetShare(s Share) {
+	s.VMs = max(1, s.VMs)
+	a.share = s
+}
+
+// Admit lets a request in and counts it, or returns a *laburnumlever.RefusalError.
+func (a *Admission) Admit(now time.Time, q Request) error {
+	owner, entry := a.accounts(now, q)
+	if err := a.check(owner, q.OwnerLimits, q); err != nil {
+		return err
+	}
+	if err := a.check(entry, q.EntryLimits, q); err != nil {
+		return err
+	}
+	owner.take(q.Tokens)
+	entry.take(q.Tokens)
+	return nil
+}
+
+// Release counts a request that was let in as over. Used is its true cost in
+// tokens: what was estimated too high or too low is settled.
+func (a *Admission) Release(now time.Time, q Request, used int) {
+	owner, entry := a.accounts(now, q)
+	owner.release(q.Tokens - used)
+	entry.release(q.Tokens - used)
+}
+
+func (a *Admission) accounts(now time.Time, q Request) (owner, entry *account) {
+	owner = a.owners[q.Owner]
+	if owner == nil {
+		owner = newAccount(now)
+		a.owners[q.Owner] = owner
+	}
+	entry = a.entries[q.Entry]
+	if entry == nil {
+		entry = newAccount(now)
+		a.entries[q.Entry] = entry
+	}
+	owner.fill(now, a.rates(q.OwnerLimits))
+	entry.fill(now, a.rates(q.EntryLimits))
+	return owner, entry
+}
+
+func (a *Admission) rates(l laburnumlever.Limits) rates {
+	n := float64(a.share.VMs)
+	return rates{requests: l.RequestsPerSecond / n, tokens: l.TokensPerSecond / n}
+}
+
+func (a *Admission) check(acc *account, l laburnumlever.Limits, q Request) error {
+	r := a.rates(l)
+	switch {
+	case l.InFlight > 0 && acc.inFlight >= a.part(l.InFlight):
+		return refusal(q, laburnumlever.RefusedOwnerInFlight, time.Second, "in-flight limit")
+	case l.RequestsPerSecond > 0 && acc.requests < 1:
+		return refusal(q, laburnumlever.RefusedOwnerRequestRate, untilZero(1-acc.requests, r.requests), "request rate")
+	case l.TokensPerSecond > 0 && acc.tokens <= 0:
+		return refusal(q, laburnumlever.RefusedOwnerTokenRate, untilZero(1-acc.tokens, r.tokens), "token rate")
+	default:
+		return nil
+	}
+}
+
+// part is this VM's part of a limit that is a whole number.
+func (a *Admission) part(limit int) int {
+	part := limit / a.share.VMs
+	if a.share.Known == a.share.VMs && a.share.Rank < limit%a.share.VMs {
+		part++
+	}
+	return part
+}
+
+func untilZero(missing, rate float64) time.Duration {
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
+func refusal(q Request, reason laburnumlever.RefusalReason, wait time.Duration, what string) error {
+	return &laburnumlever.RefusalError{
+		Reason: reason, Outcome: laburnumlever.OutcomeNotRun, Owner: q.Owner, Subject: q.Entry,
+		RetryAfter: wait, Detail: fmt.Sprintf("this VM's part of the %s of %s is used up", what, q.Owner),
+	}
+}
