--- /dev/null
+++ b/laburnumrouter/prefixes.go
@@ -0,0 +1,56 @@
+package laburnumrouter
+
+import "github.com/cespare/xxhash/v2"
+
+const (
+	// prefixSlots bounds the memory of prefixes; two that fall into one slot
+	// replace each other, which costs a cache hit and no more.
+	prefixSlots = 1 << 14
+	// prefixBytes of a prompt are hashed: a system prompt's length, and less than
+	// any prompt that is worth caching.
+	prefixBytes = 512
+	// reportedPrefixes of each report are taken in, the most recent ones.
+	reportedPrefixes = 32
+)
+
+// PrefixHash is the hash of a prompt's beginning, which engines report as cached. It
+// is 0 for a prompt too short to be worth keeping together.
+func PrefixHash(prompt string) uint64 {
+	if len(prompt) < prefixBytes {
+		return 0
+	}
+	return xxhash.Sum64String(prompt[:prefixBytes])
+}
+
+// prefixes remembers which server was last given a prefix, or reported it.
+type prefixes struct{ slots []prefixSlot }
+
+type prefixSlot struct {
+	hash   uint64
+	server *Server
+}
+
+func newPrefixes() *prefixes { return &prefixes{slots: make([]prefixSlot, prefixSlots)} }
+
+func (p *prefixes) find(hash uint64) *Server {
+	slot := &p.slots[hash%prefixSlots]
+	if hash == 0 || slot.hash != hash {
+		return nil
+	}
+	return slot.server
+}
+
+func (p *prefixes) sent(hash uint64, s *Server) {
+	p.slots[hash%prefixSlots] = prefixSlot{hash: hash, server: s}
+}
+
+// reported takes a server's cache events in. Events are late and incomplete, so they
+// only fill what this VM doesn't know from its own sending.
+func (p *prefixes) reported(s *Server, hashes []uint64) {
+	for _, hash := range hashes[:min(len(hashes), reportedPrefixes)] {
+		slot := &p.slots[hash%prefixSlots]
+		if slot.hash != hash {
+			*slot = prefixSlot{hash: hash, server: s}
+		}
+	}
+}
--- a/laburnumrouter/router.go
+++ b/laburnumrouter/router.go
@@ -2,92 +2,218 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"laburnumlever"
 )
 
+const (
+	// spillFactor is how much worse the own zone must be for another to be used.
+	spillFactor = 1.5
+	// affinityFactor is how much worse a server with the prefix may be.
+	affinityFactor = 2
+	// roomScan bounds the search for a free server after two full ones.
+	roomScan = 32
+)
+
 // Query is what a routing decision is made for: a model or a plain service.
 type Query struct {
 	Model   laburnumlever.ModelName
 	Service laburnumlever.ServiceName
+	// Prefix is the hash of the prompt's beginning; 0 for none.
+	Prefix uint64
 	// Avoid is a backend server that an earlier attempt has used; another is
 	// taken where there is one.
 	Avoid laburnumlever.BackendID
 }
 
+// group is the servers of one model or service, the own zone's first.
+type group struct {
+	servers []*Server
+	local   int     // how many are of the own zone
+	usual   float64 // middle pace, seconds a token; 0 when none is known
+}
+
 // Router holds what this VM knows of each backend server beyond its reports.
 type Router struct {
 	zone     laburnumlever.ZoneName
 	rand     *rand.Rand
 	servers  map[laburnumlever.BackendID]*Server
-	models   map[laburnumlever.ModelName][]*Server
-	services map[laburnumlever.ServiceName][]*Server
+	models   map[laburnumlever.ModelName]*group
+	services map[laburnumlever.ServiceName]*group
+	prefixes *prefixes
+	// generation of the index; a server of an older one has left.
+	generation uint64
 }
 
 // New returns a router for a VM in the zone. The seed makes runs repeatable.
 func New(zone laburnumlever.ZoneName, seed uint64) *Router {
-	return &Router{zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), servers: map[laburnumlever.BackendID]*Server{}}
+	return &Router{
+		zone: zone, rand: rand.New(rand.NewPCG(seed, seed)),
+		servers: map[laburnumlever.BackendID]*Server{}, prefixes: newPrefixes(),
+	}
 }
 
 // Update takes a new index. What is known of servers that are still there stays.
-func (r *Router) Update(ix *Index, now time.Time) {
+func (r *Router) Update(ix *Index) {
 	servers := make(map[laburnumlever.BackendID]*Server, len(ix.backends))
 	places := make([]*Server, len(ix.backends))
 	for i := range ix.backends {
 		b := &ix.backends[i]
 		s := r.servers[b.Announcement.Backend]
 		if s == nil || s.announcement.Incarnation != b.Announcement.Incarnation {
-			s = newServer()
+			s = &Server{}
+		}
+		if s.update(b, r.zone) {
+			r.prefixes.reported(s, b.Report.Prefixes)
 		}
-		s.update(b, now)
 		servers[b.Announcement.Backend] = s
 		places[i] = s
 	}
 	r.servers = servers
-	r.models = make(map[laburnumlever.ModelName][]*Server, len(ix.models))
+	r.generation++
+	r.models = make(map[laburnumlever.ModelName]*group, len(ix.models))
 	for name, at := range ix.models {
-		r.models[name] = pick(places, at)
+		r.models[name] = r.newGroup(places, at)
 	}
-	r.services = make(map[laburnumlever.ServiceName][]*Server, len(ix.services))
+	r.services = make(map[laburnumlever.ServiceName]*group, len(ix.services))
 	for name, at := range ix.services {
-		r.services[name] = pick(places, at)
+		r.services[name] = r.newGroup(places, at)
 	}
 }
 
-// Pick chooses a server; false when none takes work for the query.
+func (r *Router) newGroup(places []*Server, at []int) *group {
+	g := &group{servers: make([]*Server, 0, len(at))}
+	for _, i := range at {
+		places[i].generation = r.generation
+		if places[i].local {
+			g.servers = append(g.servers, places[i])
+		}
+	}
+	g.local = len(g.servers)
+	for _, i := range at {
+		if !places[i].local {
+			g.servers = append(g.servers, places[i])
+		}
+	}
+	g.usual = usualPace(g.servers)
+	return g
+}
+
+func usualPace(servers []*Server) float64 {
+	known := make([]float64, 0, len(servers))
+	for _, s := range servers {
+		if s.pace > 0 {
+			known = append(known, s.pace)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
+// HasRoom tells whether a server of the query's group has a free place.
+func (r *Router) HasRoom(q Query, now time.Time) bool {
+	g := r.group(q)
+	return g != nil && r.roomy(g, q, now) != nil
+}
+
+// Known tells whether any server takes work for the query.
+func (r *Router) Known(q Query) bool { return r.group(q) != nil }
+
+// Pick chooses a server, if need be one without a free place; false when none takes
+// work for the query.
 func (r *Router) Pick(q Query, now time.Time) (*Server, bool) {
-	candidates := r.candidates(q)
-	if len(candidates) == 0 {
+	g := r.group(q)
+	if g == nil {
 		return nil, false
 	}
-	at := r.rand.IntN(len(candidates))
-	first := candidates[at]
-	second := candidates[(at+1+r.rand.IntN(max(1, len(candidates)-1)))%len(candidates)]
-	return better(first, second, q.Avoid, now), true
+	best := r.choose(g, q, now)
+	if !best.hasRoom(now) {
+		if s := r.roomy(g, q, now); s != nil {
+			best = s
+		}
+	}
+	if s := r.withPrefix(g, q, best, now); s != nil {
+		best = s
+	}
+	if q.Prefix != 0 {
+		r.prefixes.sent(q.Prefix, best)
+	}
+	return best, true
 }
 
-func (r *Router) candidates(q Query) []*Server {
-	if q.Model != "" {
-		return r.models[q.Model]
+// choose draws two of the own zone, and one of another as long as that may help.
+func (r *Router) choose(g *group, q Query, now time.Time) *Server {
+	if g.local == 0 {
+		return r.two(g, 0, len(g.servers), q, now)
 	}
-	return r.services[q.Service]
+	best := r.two(g, 0, g.local, q, now)
+	if g.local == len(g.servers) {
+		return best
+	}
+	far := r.two(g, g.local, len(g.servers), q, now)
+	if best.ID() == q.Avoid || farIsBetter(best, far, g.usual, now) {
+		return far
+	}
+	return best
 }
 
-func better(a, b *Server, avoid laburnumlever.BackendID, now time.Time) *Server {
-	if a.ID() == avoid {
-		return b
+func farIsBetter(near, far *Server, usual float64, now time.Time) bool {
+	one := far.score(now, usual) / (far.load(now) + 1) // what one more request costs there
+	return near.score(now, usual) > spillFactor*far.score(now, usual)+one
+}
+
+func (r *Router) two(g *group, from, to int, q Query, now time.Time) *Server {
+	n := to - from
+	at := r.rand.IntN(n)
+	first := g.servers[from+at]
+	if n == 1 {
+		return first
 	}
-	if b.ID() == avoid || a.load(now) <= b.load(now) {
-		return a
+	second := g.servers[from+(at+1+r.rand.IntN(n-1))%n]
+	switch {
+	case first.ID() == q.Avoid:
+		return second
+	case second.ID() == q.Avoid, first.wantsProbe(now, g.usual):
+		return first
+	case second.wantsProbe(now, g.usual), second.score(now, g.usual) < first.score(now, g.usual):
+		return second
+	default:
+		return first
 	}
-	return b
 }
 
-func pick(places []*Server, at []int) []*Server {
-	out := make([]*Server, len(at))
-	for i, n := range at {
-		out[i] = places[n]
+// roomy finds a server with a free place from a drawn start on.
+func (r *Router) roomy(g *group, q Query, now time.Time) *Server {
+	start := r.rand.IntN(len(g.servers))
+	for i := range min(roomScan, len(g.servers)) {
+		s := g.servers[(start+i)%len(g.servers)]
+		if s.hasRoom(now) && s.ID() != q.Avoid && s.failing(now) < 1.0/2 {
+			return s
+		}
 	}
-	return out
+	return nil
+}
+
+// withPrefix is the server that has the prompt's beginning, if that is worth it.
+func (r *Router) withPrefix(g *group, q Query, best *Server, now time.Time) *Server {
+	s := r.prefixes.find(q.Prefix)
+	if s == nil || s.ID() == q.Avoid || s.generation != r.generation || !s.serves(q.Model) || !s.hasRoom(now) {
+		return nil
+	}
+	if s.score(now, g.usual) > affinityFactor*best.score(now, g.usual) {
+		return nil
+	}
+	return s
+}
+
+func (r *Router) group(q Query) *group {
+	if q.Model != "" {
+		return r.models[q.Model]
+	}
+	return r.services[q.Service]
 }
