feat: decisions put together and wired into the caller's path

Requests wait on this side of the engines, in a fair order, until their deadline; one whose turn can't come in time is refused at once. The index is built outside the lock and costs at most a two-hundredth of a core.

--- a/laburnumproxy/flights.go
+++ b/laburnumproxy/flights.go
@@ -121,7 +121,14 @@
 	}
 }
 
-func (p *Proxy) sweep(now time.Time) { p.flights.endStalled(now, p.cfg.stall, p.cfg.limit) }
+// sweep is run by the timer service.
+func (p *Proxy) sweep(now time.Time) {
+	p.flights.endStalled(now, p.cfg.stall, p.cfg.limit)
+	p.refresh(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch.Tick(now)
+}
 
 // InFlight is how many requests of callers are being served now.
 func (p *Proxy) InFlight() int { return p.flights.count() }
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -1,111 +1,153 @@
 package laburnumproxy
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"net/textproto"
 	"strconv"
-	"strings"
 
 	"laburnumlever"
+	"laburnumlever/laburnumdispatch"
 	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumrouter"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 )
 
-// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1);
-// nor are ours for attempts.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", headerAttempt, headerResume,
-}
-
 // failure is an attempt that brought no whole answer.
 type failure struct {
 	refusal   *laburnumlever.RefusalError
-	server    laburnumlever.Announcement
 	canResume bool
 }
 
-// run attempts the request until it is answered or given up.
+// run lets the request in and attempts it until it is answered or given up.
 func (p *Proxy) run(ctx context.Context, q *request, out *answer) error {
-	p.mu.Lock()
-	p.budget.FirstAttempt()
-	p.mu.Unlock()
-	var last *failure
-	for attempts := 1; ; attempts++ {
-		fail, err := p.attemptOnce(ctx, q, out, last)
-		if err != nil {
-			return withLast(err, last)
-		}
+	ticket := p.ticket(q)
+	if err := p.admit(ctx, q, out, ticket); err != nil {
+		return err
+	}
+	defer p.leave(q, out, ticket)
+	resume := false
+	for {
+		fail := p.try(ctx, q, out, ticket, resume)
 		if fail == nil {
 			return nil
 		}
 		if fail.refusal.Outcome == laburnumlever.OutcomeUnknown {
 			q.touched = true
 		}
-		if !p.again(ctx, q, out, fail, attempts) {
+		reason, again := p.again(ctx, q, out, ticket, fail)
+		if !again {
 			return fail.refusal
 		}
-		last = fail
+		resume = reason == laburnumlever.RetryStreamResumed
 	}
 }
 
-// withLast prefers what an attempt met to "there is no other server for another".
-func withLast(err error, last *failure) error {
-	if last != nil {
-		return last.refusal
-	}
-	return err
+func (p *Proxy) ticket(q *request) *laburnumdispatch.Ticket {
+	return &laburnumdispatch.Ticket{Request: laburnumdispatch.Request{
+		Owner: q.owner, OwnerLimits: q.ownerLimits, EntryLimits: q.limits, Key: q.caller,
+		Model: q.model, Service: q.service, Class: q.class, Prefix: laburnumrouter.PrefixHash(q.prompt),
+		Prompt: max(1, q.promptTokens), Answer: max(1, q.answerTokens), Received: q.received,
+	}}
 }
 
-func (p *Proxy) attemptOnce(ctx context.Context, q *request, out *answer, last *failure) (*failure, error) {
-	if last != nil && last.canResume {
-		return p.try(ctx, q, out, last.server, true), nil
-	}
-	avoid := laburnumlever.BackendID("")
-	if last != nil {
-		avoid = last.server.Backend
+// admit waits until the request has a server.
+func (p *Proxy) admit(ctx context.Context, q *request, out *answer, ticket *laburnumdispatch.Ticket) error {
+	ready := make(chan struct{})
+	ticket.Wake = func() { close(ready) }
+	now := p.timers.Now()
+	p.mu.Lock()
+	err := p.dispatch.Submit(ticket, now)
+	waits := err == nil && ticket.Waiting()
+	p.mu.Unlock()
+	if err != nil || !waits {
+		return err
+	}
+	q.trail.add(now, "waits for a free place")
+	select {
+	case <-ready:
+	case <-ctx.Done():
+		p.mu.Lock()
+		p.dispatch.EndAttempt(ticket, laburnumrouter.Sample{Skipped: true}, p.timers.Now())
+		p.dispatch.Finish(ticket, 0, p.timers.Now())
+		p.mu.Unlock()
+		return q.refusal(causeOf(ctx), laburnumlever.OutcomeNotRun, "given up while it waited")
+	}
+	out.flight.moved(p.timers.Now())
+	if ticket.Refusal != nil {
+		return ticket.Refusal
 	}
-	server, err := p.pick(q, avoid)
-	if err != nil {
-		return nil, err
+	return nil
+}
+
+// leave settles the request's true cost.
+func (p *Proxy) leave(q *request, out *answer, ticket *laburnumdispatch.Ticket) {
+	used := 0
+	switch {
+	case out.events:
+		used = q.promptTokens + out.tokens
+	case out.started || q.touched:
+		used = ticket.Request.Prompt + ticket.Request.Answer
 	}
-	defer p.release(server)
-	return p.try(ctx, q, out, server.Announcement(), false), nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch.Finish(ticket, used, p.timers.Now())
 }
 
-// again asks the budget for another attempt.
-func (p *Proxy) again(ctx context.Context, q *request, out *answer, fail *failure, attempts int) bool {
+// again asks for another attempt.
+func (p *Proxy) again(ctx context.Context, q *request, out *answer, ticket *laburnumdispatch.Ticket, fail *failure) (laburnumlever.RetryReason, bool) {
 	if ctx.Err() != nil {
-		return false
+		return 0, false
 	}
+	now := p.timers.Now()
 	p.mu.Lock()
-	reason, verdict := p.budget.Decide(laburnumretry.Situation{
+	reason, verdict := p.dispatch.Retry(ticket, laburnumretry.Situation{
 		Reason: fail.refusal.Reason, Outcome: fail.refusal.Outcome, Once: q.once,
-		Started: out.started, Stream: out.events && q.stream, CanResume: fail.canResume, Attempts: attempts,
-	})
+		Started: out.started, Stream: out.events && q.stream, CanResume: fail.canResume,
+	}, now)
 	p.mu.Unlock()
 	switch verdict {
 	case laburnumretry.Again:
 		p.scope.Tagged(map[string]string{"reason": retryName(reason)}).Counter("retries").Inc(1)
-		q.trail.add(p.timers.Now(), "attempt again: %s", retryName(reason))
-		return true
+		q.trail.add(now, "attempt again: %s", retryName(reason))
+		return reason, true
 	case laburnumretry.OverBudget:
 		fail.refusal.Detail = "retry budget spent after: " + fail.refusal.Detail
 		fail.refusal.Reason = laburnumlever.RefusedRetryBudget
-		return false
+		return reason, false
 	default:
-		return false
+		return reason, false
+	}
+}
+
+// try makes one attempt on the ticket's server and frees its place there. A nil
+// failure means that the whole answer was passed on.
+func (p *Proxy) try(ctx context.Context, q *request, out *answer, ticket *laburnumdispatch.Ticket, resume bool) *failure {
+	to := ticket.Server.Announcement()
+	start := p.timers.Now()
+	before := out.tokens
+	fail := p.exchange(ctx, q, out, to, resume)
+	now := p.timers.Now()
+	sample := laburnumrouter.Sample{Took: now.Sub(start), Prompt: max(1, q.promptTokens), Answer: max(1, q.answerTokens)}
+	if out.events {
+		sample.Answer = out.tokens - before
+	}
+	if fail != nil {
+		reason := fail.refusal.Reason
+		sample.Busy = reason == laburnumlever.RefusedBackendBusy
+		sample.Skipped = reason == laburnumlever.RefusedCallerGone || reason == laburnumlever.RefusedDraining
+		sample.Failed = true
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch.EndAttempt(ticket, sample, now)
+	return fail
 }
 
-// try makes one attempt. A nil failure means that the whole answer was passed on.
-func (p *Proxy) try(ctx context.Context, q *request, out *answer, to laburnumlever.Announcement, resume bool) *failure {
+// exchange sends the request to one backend server and passes its answer on.
+func (p *Proxy) exchange(ctx context.Context, q *request, out *answer, to laburnumlever.Announcement, resume bool) *failure {
 	own, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the backend server's work when the answer is not wanted any more
 	a := newAttempt(uuid.NewString(), to.Backend, cancel)
@@ -131,6 +173,7 @@
 	if to.Kind == laburnumlever.Engine && resp.StatusCode >= http.StatusInternalServerError {
 		return p.failed(q, a, to, laburnumlever.RefusedBackendError, &statusError{Status: resp.StatusCode})
 	}
+	out.flight.moved(p.timers.Now())
 	out.continued(resume)
 	if err := out.pass(resp); err != nil {
 		a.failed()
@@ -157,55 +200,5 @@
 	refusal := q.refusal(reason, a.outcome(), err.Error())
 	q.trail.add(p.timers.Now(), "attempt %s: %s, %s: %v", a.id, reasonName(reason), outcomeName(refusal.Outcome), err)
 	var broken *BrokenStreamError
-	return &failure{refusal: refusal, server: to, canResume: to.CanResume && errors.As(err, &broken)}
-}
-
-// transport keeps non-idempotent requests off reused connections: one that the
-// backend server has just closed would take the request's bytes and lose them, and
-// the caller would be told unknown for nothing.
-func (p *Proxy) transport(q *request) *http.Transport {
-	if q.once {
-		return p.single
-	}
-	return p.pooled
-}
-
-func (p *Proxy) outgoing(ctx context.Context, q *request, a *attempt, to laburnumlever.Announcement) *http.Request {
-	header := passedHeaders(q.header)
-	header.Set(headerAttempt, a.id)
-	header.Set(headerRequest, q.id)
-	header.Set(headerPriority, q.class.Priority.String())
-	url := "http://" + to.Address + q.path
-	req, err := http.NewRequestWithContext(ctx, q.method, url, nil)
-	if err != nil {
-		req = &http.Request{Method: q.method, Host: to.Address} // RoundTrip refuses it unsent: it has no URL
-		return req.WithContext(ctx)
-	}
-	req.Header = header
-	if len(q.body) > 0 {
-		// No GetBody: net/http must not send the body a second time by itself.
-		req.Body = io.NopCloser(bytes.NewReader(q.body))
-		req.ContentLength = int64(len(q.body))
-	}
-	return req
-}
-
-func passedHeaders(from http.Header) http.Header {
-	out := make(http.Header, len(from)+3)
-	for name, values := range from {
-		out[name] = values
-	}
-	dropHopHeaders(out)
-	return out
-}
-
-func dropHopHeaders(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			delete(h, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(h, name)
-	}
+	return &failure{refusal: refusal, canResume: to.CanResume && errors.As(err, &broken)}
 }
--- /dev/null
+++ b/laburnumproxy/lookup.go
@@ -0,0 +1,111 @@
+package laburnumproxy
+
+import (
+	"slices"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumadmission"
+	"laburnumlever/laburnumrouter"
+)
+
+const (
+	// rebuildShare bounds what building indexes costs: one part in 200 of a core.
+	// At the design size reports change the view thousands of times a second.
+	rebuildShare = 200
+	// rebuildAtMost bounds how old an index gets: a leaving backend server is out
+	// of it well within the 3 s that it is promised.
+	rebuildAtMost = time.Second
+)
+
+// lookup is a view's catalogue by name.
+type lookup struct {
+	view     *laburnumlever.View
+	models   map[laburnumlever.ModelName]*laburnumlever.Model
+	services map[laburnumlever.ServiceName]*laburnumlever.Service
+	owners   map[laburnumlever.OwnerName]*laburnumlever.Owner
+	classes  map[laburnumlever.ClassName]*laburnumlever.Class
+}
+
+func newLookup(view *laburnumlever.View) *lookup {
+	cat := &view.Catalogue
+	l := &lookup{
+		view:     view,
+		models:   make(map[laburnumlever.ModelName]*laburnumlever.Model, len(cat.Models)),
+		services: make(map[laburnumlever.ServiceName]*laburnumlever.Service, len(cat.Services)),
+		owners:   make(map[laburnumlever.OwnerName]*laburnumlever.Owner, len(cat.Owners)),
+		classes:  make(map[laburnumlever.ClassName]*laburnumlever.Class, len(cat.Classes)),
+	}
+	for i := range cat.Models {
+		l.models[cat.Models[i].Name] = &cat.Models[i]
+	}
+	for i := range cat.Services {
+		l.services[cat.Services[i].Name] = &cat.Services[i]
+	}
+	for i := range cat.Owners {
+		l.owners[cat.Owners[i].Name] = &cat.Owners[i]
+	}
+	for i := range cat.Classes {
+		l.classes[cat.Classes[i].Name] = &cat.Classes[i]
+	}
+	return l
+}
+
+// limits of an owner; none if the catalogue doesn't have it.
+func (l *lookup) limits(owner laburnumlever.OwnerName) laburnumlever.Limits {
+	if o := l.owners[owner]; o != nil {
+		return o.Limits
+	}
+	return laburnumlever.Limits{}
+}
+
+func (l *lookup) class(name laburnumlever.ClassName) laburnumlever.Class {
+	if c := l.classes[name]; c != nil {
+		return *c
+	}
+	return laburnumlever.Class{}
+}
+
+// refresh takes a new view in, unless that would cost too much or is being done.
+func (p *Proxy) refresh(now time.Time) {
+	view := p.views.View()
+	if old := p.lookup.Load(); old != nil && old.view == view {
+		return
+	}
+	if !p.building.TryLock() {
+		return
+	}
+	defer p.building.Unlock()
+	if now.Before(p.rebuild) {
+		return
+	}
+	start := p.timers.Now()
+	ix := laburnumrouter.NewIndex(view)
+	share := p.share(view)
+	p.mu.Lock()
+	p.dispatch.Update(ix, share, now)
+	p.mu.Unlock()
+	p.lookup.Store(newLookup(view))
+	end := p.timers.Now()
+	p.rebuild = end.Add(min(rebuildShare*end.Sub(start), rebuildAtMost))
+}
+
+// share is this VM's part of every limit.
+func (p *Proxy) share(view *laburnumlever.View) laburnumadmission.Share {
+	ids := make([]laburnumlever.VMID, 0, len(view.VMs))
+	for i := range view.VMs {
+		ids = append(ids, view.VMs[i].ID)
+	}
+	slices.Sort(ids)
+	s := laburnumadmission.Share{
+		VMs: view.Catalogue.Deployment.EntryVMs, Known: len(ids), Rank: slices.Index(ids, view.Self.ID),
+	}
+	if s.VMs == 0 {
+		p.mostVMs = max(p.mostVMs, len(ids))
+		s.VMs = p.mostVMs
+	}
+	if s.Rank < 0 {
+		s.Known = 0 // not in its own list yet: no part of what is left over
+	}
+	return s
+}
--- a/laburnumproxy/proxy.go
+++ b/laburnumproxy/proxy.go
@@ -3,11 +3,11 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumlever"
-	"laburnumlever/laburnumretry"
-	"laburnumlever/laburnumrouter"
+	"laburnumlever/laburnumdispatch"
 
 	"github.com/go-kit/log"
 	"github.com/kataras/iris/v12"
@@ -39,10 +39,13 @@
 	flights  *flights
 	stop     func()
 
-	mu     sync.Mutex // guards the decisions below, which are not safe by themselves
-	view   *laburnumlever.View
-	router *laburnumrouter.Router
-	budget *laburnumretry.Budget
+	lookup   atomic.Pointer[lookup]
+	building sync.Mutex // held while an index is built
+	rebuild  time.Time  // no sooner than this; guarded by building
+	mostVMs  int        // ever known; guarded by building
+
+	mu       sync.Mutex // guards the decisions, which are not safe by themselves
+	dispatch *laburnumdispatch.Dispatcher
 }
 
 // New returns a proxy that reads the views and claims non-idempotent requests
@@ -54,8 +57,9 @@
 		logger: cfg.logger, scope: cfg.scope,
 		pooled: newTransport(true), single: newTransport(false),
 		ring: newRing(), demand: newDemand(timers.Now()), flights: newFlights(),
-		router: laburnumrouter.New(views.View().Self.Zone, cfg.seed), budget: laburnumretry.NewBudget(),
+		dispatch: laburnumdispatch.New(views.View().Self.Zone, cfg.seed),
 	}
+	p.refresh(timers.Now())
 	p.app = p.routes()
 	p.stop = timers.Every(sweepPeriod, p.sweep)
 	return p
@@ -113,33 +117,3 @@
 
 // ServeHTTP serves one request of a caller.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.app.ServeHTTP(w, r) }
-
-// pick chooses a backend server and counts the request as in flight there.
-func (p *Proxy) pick(q *request, avoid laburnumlever.BackendID) (*laburnumrouter.Server, error) {
-	now := p.timers.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.refresh(now)
-	server, ok := p.router.Pick(laburnumrouter.Query{Model: q.model, Service: q.service, Avoid: avoid}, now)
-	if !ok {
-		return nil, q.refusal(laburnumlever.RefusedNoBackend, laburnumlever.OutcomeNotRun, "no backend server takes work for it now")
-	}
-	server.Begin()
-	return server, nil
-}
-
-func (p *Proxy) release(server *laburnumrouter.Server) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	server.End()
-}
-
-// refresh takes a new view into the router; the caller holds mu.
-func (p *Proxy) refresh(now time.Time) {
-	view := p.views.View()
-	if view == p.view {
-		return
-	}
-	p.view = view
-	p.router.Update(laburnumrouter.NewIndex(view), now)
-}
--- a/laburnumproxy/request.go
+++ b/laburnumproxy/request.go
@@ -25,19 +25,21 @@
 
 // request is one caller's request on its way through the proxy.
 type request struct {
-	id       string
-	caller   string // the key for fairness
-	credit   string // hash of Authorization, empty without
-	received time.Time
-	owner    laburnumlever.OwnerName
-	class    laburnumlever.Class
-	model    laburnumlever.ModelName
-	service  laburnumlever.ServiceName
-	method   string
-	path     string // with the query, as the backend server is asked
-	header   http.Header
-	body     []byte
-	stream   bool
+	id          string
+	caller      string // the key for fairness
+	credit      string // hash of Authorization, empty without
+	received    time.Time
+	owner       laburnumlever.OwnerName
+	class       laburnumlever.Class
+	limits      laburnumlever.Limits // of the model or service
+	ownerLimits laburnumlever.Limits
+	model       laburnumlever.ModelName
+	service     laburnumlever.ServiceName
+	method      string
+	path        string // with the query, as the backend server is asked
+	header      http.Header
+	body        []byte
+	stream      bool
 	// once tells that the request may run at most once.
 	once bool
 	// touched tells that an attempt may have reached a backend server.
@@ -122,19 +124,21 @@
 }
 
 // readCompletion finds model, size and prompt in the body.
-func (q *request) readCompletion(cat *laburnumlever.Catalogue) error {
+func (q *request) readCompletion(l *lookup) error {
 	var c completion
 	if err := json.Unmarshal(q.body, &c); err != nil {
 		return q.refusal(laburnumlever.RefusedBadRequest, laburnumlever.OutcomeNotRun, "the body is not JSON: "+err.Error())
 	}
-	model, ok := findModel(cat, c.Model)
-	if !ok {
+	model := l.findModel(c.Model)
+	if model == nil {
 		q.model = laburnumlever.ModelName(c.Model)
 		return q.refusal(laburnumlever.RefusedUnknownModel, laburnumlever.OutcomeNotRun, "no such model in the catalogue")
 	}
 	q.model = model.Name
 	q.owner = model.Owner
-	q.class, _ = cat.Class(model.Class)
+	q.class = l.class(model.Class)
+	q.limits = model.Limits
+	q.ownerLimits = l.limits(model.Owner)
 	q.stream = c.Stream
 	q.prompt = string(c.Prompt) + string(c.Messages)
 	q.promptTokens = 1 + len(q.prompt)/bytesPerToken
@@ -146,13 +150,10 @@
 }
 
 // findModel also takes "model:adapter", which names an adapter of the model.
-func findModel(cat *laburnumlever.Catalogue, name string) (laburnumlever.Model, bool) {
-	if m, ok := cat.Model(laburnumlever.ModelName(name)); ok {
-		return m, true
+func (l *lookup) findModel(name string) *laburnumlever.Model {
+	if m := l.models[laburnumlever.ModelName(name)]; m != nil {
+		return m
 	}
-	base, _, found := strings.Cut(name, ":")
-	if !found {
-		return laburnumlever.Model{}, false
-	}
-	return cat.Model(laburnumlever.ModelName(base))
+	base, _, _ := strings.Cut(name, ":")
+	return l.models[laburnumlever.ModelName(base)]
 }
--- a/laburnumproxy/serve.go
+++ b/laburnumproxy/serve.go
@@ -81,14 +81,15 @@
 func (p *Proxy) serveCompletion(w http.ResponseWriter, r *http.Request) { p.serve(w, r, p.complete) }
 
 func (p *Proxy) complete(ctx context.Context, q *request, out *answer, r *http.Request) error {
-	view := p.views.View()
-	if view.Catalogue.Revision == 0 {
+	p.refresh(q.received)
+	l := p.lookup.Load()
+	if l.view.Catalogue.Revision == 0 {
 		return q.refusal(laburnumlever.RefusedNotReady, laburnumlever.OutcomeNotRun, "no catalogue yet")
 	}
 	if err := out.readBody(r, p.cfg.maxBody); err != nil {
 		return err
 	}
-	if err := q.readCompletion(&view.Catalogue); err != nil {
+	if err := q.readCompletion(l); err != nil {
 		return err
 	}
 	p.demand.asked(q)
--- a/laburnumproxy/services.go
+++ b/laburnumproxy/services.go
@@ -15,19 +15,19 @@
 
 // call forwards a call to a plain service.
 func (p *Proxy) call(ctx context.Context, q *request, out *answer, r *http.Request) error {
-	view := p.views.View()
-	if view.Catalogue.Revision == 0 {
+	p.refresh(q.received)
+	l := p.lookup.Load()
+	if l.view.Catalogue.Revision == 0 {
 		return q.refusal(laburnumlever.RefusedNotReady, laburnumlever.OutcomeNotRun, "no catalogue yet")
 	}
-	servicePath, err := q.readService(&view.Catalogue, r)
+	servicePath, err := q.readService(l, r)
 	if err != nil {
 		return err
 	}
 	if err := out.readBody(r, p.cfg.maxBody); err != nil {
 		return err
 	}
-	service, _ := view.Catalogue.Service(q.service)
-	if !service.IsNonIdempotent(q.method, servicePath) {
+	if !l.services[q.service].IsNonIdempotent(q.method, servicePath) {
 		return p.run(ctx, q, out)
 	}
 	q.once = true
@@ -43,15 +43,17 @@
 // readService finds the service and the path below it. A path that a backend
 // server may read in another way than we do is refused: "/x/../bookings" would
 // pass for a call that may be repeated.
-func (q *request) readService(cat *laburnumlever.Catalogue, r *http.Request) (string, error) {
+func (q *request) readService(l *lookup, r *http.Request) (string, error) {
 	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicesPrefix), "/")
 	q.service = laburnumlever.ServiceName(name)
-	service, ok := cat.Service(q.service)
-	if !ok {
+	service := l.services[q.service]
+	if service == nil {
 		return "", q.refusal(laburnumlever.RefusedUnknownService, laburnumlever.OutcomeNotRun, "no such service in the catalogue")
 	}
 	q.owner = service.Owner
-	q.class, _ = cat.Class(service.Class)
+	q.class = l.class(service.Class)
+	q.limits = service.Limits
+	q.ownerLimits = l.limits(service.Owner)
 	plain := "/" + rest
 	if clean := path.Clean(plain); clean != plain && clean+"/" != plain {
 		return "", q.refusal(laburnumlever.RefusedBadRequest, laburnumlever.OutcomeNotRun, "the path is not in its plain form")
