--- a/laburnumplacement/fleet.go
+++ b/laburnumplacement/fleet.go
@@ -19,11 +19,13 @@
 	moves    []Move
 	unplaced []laburnumlever.ModelName
 	shifting int // replicas loading or planned
+	loads    int // planned in this round
 }
 
 type engine struct {
 	Engine
 	free   []int // per accelerator; may be negative when one was lost
+	most   int   // the most free memory of any accelerator
 	copies []*placed
 	load   float64 // busy share that the allocation gives it
 	order  uint64
@@ -60,6 +62,7 @@
 	}
 	for i, e := range s.Engines {
 		f.engines[i] = engine{Engine: e, free: freeMemory(e), order: hash(string(e.ID))}
+		f.take(i, nil, 0)
 		f.addCopies(i, e.Copies)
 	}
 	return f
@@ -99,10 +102,12 @@
 
 func (f *fleet) take(at int, ids []laburnumlever.AcceleratorID, size int) {
 	e := &f.engines[at]
+	e.most = 0
 	for i, a := range e.Accelerators {
 		if slices.Contains(ids, a.ID) {
 			e.free[i] -= size
 		}
+		e.most = max(e.most, e.free[i])
 	}
 }
 
@@ -117,53 +122,72 @@
 // answers tells that the copy takes requests and has for some time.
 func (f *fleet) answers(p *placed) bool { return f.present(p) && p.Ready && p.Stable }
 
-// spot is a place for a copy.
+// spot is a place for a copy. The accelerators follow from the free memory, so
+// they are worked out only for the place that is taken.
 type spot struct {
-	engine       int
-	accelerators []laburnumlever.AcceleratorID
-	leftover     int
+	engine   int
+	leftover int
 }
 
-// room finds the accelerators of an engine that fit a copy most tightly.
+// maxSpan bounds how many accelerators of one engine a copy may be split over.
+const maxSpan = 64
+
+// room finds how tightly a copy fits on an engine: the memory that is left over on
+// the accelerators with the least room for it.
 func (f *fleet) room(at, part, span int) (spot, bool) {
 	e := &f.engines[at]
-	if !e.Usable || len(e.free) < span {
+	if !e.Usable || len(e.free) < span || span > maxSpan || e.most < part {
 		return spot{}, false
 	}
-	if span == 1 {
-		return f.roomForOne(at, part)
-	}
-	fitting := make([]int, 0, len(e.free))
-	for i, free := range e.free {
+	var tightest [maxSpan]int
+	n := 0
+	for _, free := range e.free {
 		if free >= part {
-			fitting = append(fitting, i)
+			n = insert(tightest[:span], n, free)
 		}
 	}
-	if len(fitting) < span {
+	if n < span {
 		return spot{}, false
 	}
-	slices.SortStableFunc(fitting, func(a, b int) int { return cmp.Compare(e.free[a], e.free[b]) })
 	s := spot{engine: at}
-	for _, i := range fitting[:span] {
-		s.accelerators = append(s.accelerators, e.Accelerators[i].ID)
-		s.leftover += e.free[i] - part
+	for _, free := range tightest[:span] {
+		s.leftover += free - part
 	}
-	slices.Sort(s.accelerators)
 	return s, true
 }
 
-func (f *fleet) roomForOne(at, part int) (spot, bool) {
+// insert keeps the smallest values in order; n of the list are set.
+func insert(list []int, n, value int) int {
+	i := n
+	if n == len(list) {
+		if value >= list[n-1] {
+			return n
+		}
+		i = n - 1
+	}
+	for ; i > 0 && list[i-1] > value; i-- {
+		list[i] = list[i-1]
+	}
+	list[i] = value
+	return min(n+1, len(list))
+}
+
+// tightest names the accelerators that room found.
+func (f *fleet) tightest(at, part, span int) []laburnumlever.AcceleratorID {
 	e := &f.engines[at]
-	best := -1
+	fitting := make([]int, 0, len(e.free))
 	for i, free := range e.free {
-		if free >= part && (best < 0 || free < e.free[best]) {
-			best = i
+		if free >= part {
+			fitting = append(fitting, i)
 		}
 	}
-	if best < 0 {
-		return spot{}, false
+	slices.SortStableFunc(fitting, func(a, b int) int { return cmp.Compare(e.free[a], e.free[b]) })
+	ids := make([]laburnumlever.AcceleratorID, span)
+	for i := range ids {
+		ids[i] = e.Accelerators[fitting[i]].ID
 	}
-	return spot{engine: at, accelerators: []laburnumlever.AcceleratorID{e.Accelerators[best].ID}, leftover: e.free[best] - part}, true
+	slices.Sort(ids)
+	return ids
 }
 
 // wanted is the copy of a model that the catalogue asks for.
@@ -181,13 +205,14 @@
 	move.Kind = laburnumlever.Load
 	move.Engine = e.ID
 	move.Zone = e.Zone
-	move.Copy = mod.wanted(s.accelerators)
+	move.Copy = mod.wanted(f.tightest(s.engine, mod.part, mod.span))
 	move.Reason = reason
 	f.moves = append(f.moves, move)
 	p := &placed{Copy: Copy{Loaded: move.Copy}, engine: s.engine, model: m, current: true, planned: true}
 	mod.copies = append(mod.copies, p)
 	e.copies = append(e.copies, p)
-	f.take(s.engine, s.accelerators, mod.part)
+	f.take(s.engine, move.Copy.Accelerators, mod.part)
+	f.loads++
 }
 
 func (f *fleet) planUnload(p *placed, reason MoveReason, move Move) {
--- a/laburnumplacement/replicas.go
+++ b/laburnumplacement/replicas.go
@@ -24,7 +24,7 @@
 func (f *fleet) addReplicas() {
 	limit := max(minShift, len(f.engines)/shiftDivisor)
 	f.shifting = f.loading()
-	for f.shifting < limit {
+	for f.shifting < limit && !f.full() {
 		best, ok := f.bestReplica()
 		if !ok {
 			return
--- a/laburnumplacement/residency.go
+++ b/laburnumplacement/residency.go
@@ -23,6 +23,9 @@
 // demand.
 func (f *fleet) repair() {
 	for _, m := range f.missing() {
+		if f.full() {
+			return
+		}
 		reason := ReasonRepair
 		if slices.ContainsFunc(f.models[m].copies, f.present) {
 			reason = ReasonLeaving
@@ -38,6 +41,12 @@
 	}
 }
 
+// maxLoads bounds the loads that one round plans: more than the weight store can
+// begin before the next round would only make the round longer.
+const maxLoads = 48
+
+func (f *fleet) full() bool { return f.loads >= maxLoads }
+
 func (f *fleet) missing() []int {
 	var list []int
 	for m := range f.models {
@@ -75,6 +84,9 @@
 		return
 	}
 	for _, m := range f.byDemand() {
+		if f.full() {
+			return
+		}
 		zones, engines := f.where(m)
 		if len(zones) != 1 {
 			continue
--- a/laburnumplacement/switchversion.go
+++ b/laburnumplacement/switchversion.go
@@ -50,6 +50,9 @@
 // loadNewVersions plans up to n new copies and reports whether one found no place.
 func (f *fleet) loadNewVersions(m, n int) (full bool) {
 	for range n {
+		if f.full() {
+			return false
+		}
 		s, ok := f.findSpot(m, anywhere)
 		if !ok {
 			return true
