--- a/cmd/laburnumlever/loadcmd.go
+++ b/cmd/laburnumlever/loadcmd.go
@@ -1,11 +1,17 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"os"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/urfave/cli/v2"
 
+	"laburnumlever/laburnumfleet"
+
 	"laburnumlever/laburnumload"
 )
 
@@ -14,11 +20,17 @@
 		Name:  "load",
 		Usage: "put load on a running system and check every answer as a caller would",
 		Description: "Requests arrive whether or not earlier ones are answered. The callers' addresses are\n" +
-			"asked of the VMs. The exit code is 1 if a promise to callers was broken.\n\n" +
-			"Example: laburnumlever load --vm 127.0.0.1:8081 --experiment examples/experiments/armor-pose-dawn-rush.jsonc\n\n" + exitCodesText,
+			"asked of the VMs; with --fleet a whole fleet is run in this process, for experiments\n" +
+			"whose events end VMs or slow engines. The exit code is 1 if a promise to callers was\n" +
+			"broken.\n\n" +
+			"Example: laburnumlever load --fleet examples/armor-pose/fleet.jsonc \\\n" +
+			"  --experiment examples/experiments/armor-pose-dawn-rush.jsonc\n\n" + exitCodesText,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "experiment", Usage: "the experiment's `FILE`"},
 			&cli.StringSliceFlag{Name: "vm", Value: cli.NewStringSlice(defaultVM), Usage: "`ADDRESS` of a VM's operators listener; name all of them to count all moves"},
+			&cli.StringFlag{Name: "fleet", Usage: "run the fleet of this `FILE` and put the load on it"},
+			&cli.DurationFlag{Name: "start-limit", Value: time.Minute, Usage: "how long a fleet may take until every model is loaded"},
+			&cli.BoolFlag{Name: "verbose", Usage: "show the log of a fleet's VMs"},
 			&cli.StringFlag{Name: "plot", Usage: "draw the run second by second into this SVG `FILE`"},
 			&cli.BoolFlag{Name: "quiet", Usage: "show no progress"},
 			outputFlag(),
@@ -37,11 +49,7 @@
 	if err != nil {
 		return err
 	}
-	var opts []laburnumload.Option
-	if !c.Bool("quiet") && isTerminal(os.Stderr) {
-		opts = append(opts, laburnumload.WithProgress(c.App.ErrWriter))
-	}
-	result, err := laburnumload.NewRunner(c.StringSlice("vm"), opts...).Run(c.Context, experiment)
+	result, err := runExperiment(c, experiment)
 	if err != nil {
 		return err
 	}
@@ -54,6 +62,54 @@
 	return result.Err()
 }
 
+func runExperiment(c *cli.Context, experiment laburnumload.Experiment) (laburnumload.Report, error) {
+	var opts []laburnumload.Option
+	if !c.Bool("quiet") && isTerminal(os.Stderr) {
+		opts = append(opts, laburnumload.WithProgress(c.App.ErrWriter))
+	}
+	if c.String("fleet") == "" {
+		return laburnumload.NewRunner(c.StringSlice("vm"), opts...).Run(c.Context, experiment)
+	}
+	fleet, err := startFleet(c)
+	if err != nil {
+		return laburnumload.Report{}, err
+	}
+	defer fleet.Close()
+	opts = append(opts, laburnumload.WithActor(fleet))
+	result, err := laburnumload.NewRunner(fleet.Operators(), opts...).Run(c.Context, experiment)
+	if violations := fleet.Violations(); violations > 0 {
+		result.Broken = append(result.Broken, fmt.Sprintf("%d orders asked an accelerator for more memory than it has", violations))
+	}
+	return result, err
+}
+
+// startFleet runs a fleet until every model has a ready copy.
+func startFleet(c *cli.Context) (*laburnumfleet.Fleet, error) {
+	spec, catalogue, err := laburnumfleet.Load(c.String("fleet"))
+	if err != nil {
+		return nil, err
+	}
+	var opts []laburnumfleet.Option
+	if c.Bool("verbose") {
+		opts = append(opts, laburnumfleet.WithLogger(log.NewLogfmtLogger(log.NewSyncWriter(c.App.ErrWriter))))
+	}
+	fleet, err := laburnumfleet.Start(c.Context, spec, catalogue, opts...)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(c.Context, c.Duration("start-limit"))
+	defer cancel()
+	revision, err := fleet.Apply(ctx)
+	if err == nil {
+		err = fleet.AwaitLoaded(ctx, revision)
+	}
+	if err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	return fleet, nil
+}
+
 // isTerminal tells whether someone watches; a log needs no progress lines.
 func isTerminal(f *os.File) bool {
 	info, err := f.Stat()
--- a/cmd/laburnumlever/scriptcommands_test.go
+++ b/cmd/laburnumlever/scriptcommands_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"net"
+	"context"
 	"os"
 	"os/exec"
 	"regexp"
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"laburnumlever/laburnumfleet"
 )
 
 const (
@@ -39,12 +41,10 @@
 }
 
 func scriptPorts(ts *testscript.TestScript, _ bool, args []string) {
-	// All are held until the last is found, so that no two are the same.
-	for _, name := range args {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer func() { ts.Check(ln.Close()) }()
-		ts.Setenv(name, ln.Addr().String())
+	addresses, err := laburnumfleet.ReservePorts(context.Background(), len(args))
+	ts.Check(err)
+	for i, name := range args {
+		ts.Setenv(name, addresses[i])
 	}
 }
 
--- a/laburnumfleet/fleet.go
+++ b/laburnumfleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -95,7 +94,7 @@
 }
 
 func (f *Fleet) start(ctx context.Context) error {
-	peers, err := reservePorts(ctx, len(f.spec.VMs))
+	peers, err := ReservePorts(ctx, len(f.spec.VMs))
 	if err != nil {
 		return err
 	}
@@ -111,31 +110,6 @@
 	return f.startBackends(ctx, store)
 }
 
-// reservePorts finds free ports for the peer listeners, which the settings of
-// all VMs must name before any of them runs.
-func reservePorts(ctx context.Context, count int) ([]string, error) {
-	addresses := make([]string, count)
-	for i := range addresses {
-		ln, err := listen(ctx)
-		if err != nil {
-			return nil, err
-		}
-		// All stay open until the last is found, so that no two are the same.
-		defer func() { _ = ln.Close() }()
-		addresses[i] = ln.Addr().String()
-	}
-	return addresses, nil
-}
-
-func listen(ctx context.Context) (net.Listener, error) {
-	var cfg net.ListenConfig
-	ln, err := cfg.Listen(ctx, "tcp", anyPort)
-	if err != nil {
-		return nil, &StartError{Part: "listener", Cause: err}
-	}
-	return ln, nil
-}
-
 func (f *Fleet) startVM(i int, peers []string) error {
 	spec := f.spec.VMs[i]
 	node, err := laburnumnode.New(f.settingsOf(i, peers), laburnumnode.WithLogger(log.With(f.logger, "vm", spec.VM)))
--- a/laburnumload/experiment.go
+++ b/laburnumload/experiment.go
@@ -1,7 +1,6 @@
 package laburnumload
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -183,11 +182,10 @@
 	return faults
 }
 
-// String names the action as an experiment file does, with its subject.
+// String names the action as an experiment file does, with its subject and time.
 func (e Event) String() string {
-	text, err := json.Marshal(e.Action)
-	if err != nil {
-		return e.Name
+	if e.Name == "" {
+		return fmt.Sprintf("%s at %s", e.Action, e.At)
 	}
-	return fmt.Sprintf("%s %s at %s", text, e.Name, e.At)
+	return fmt.Sprintf("%s %s at %s", e.Action, e.Name, e.At)
 }
