--- /dev/null
+++ b/cmd/laburnumlever/docs_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumsettings"
+)
+
+func page(t *testing.T, name string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", name))
+	require.NoError(t, err)
+	return string(text)
+}
+
+// Whoever is called at night looks a counter up: none may be missing.
+func TestOnCallPageNamesEveryReason(t *testing.T) {
+	text := page(t, "on-call.md")
+	for _, name := range laburnumlever.RefusalReasonStrings() {
+		require.Contains(t, text, "| `"+strings.TrimPrefix(name, "refused-")+"` |")
+	}
+	for _, name := range laburnumlever.RetryReasonStrings() {
+		require.Contains(t, text, "| `"+strings.TrimPrefix(name, "retry-")+"` |")
+	}
+}
+
+func TestReferencePagesNameEveryKey(t *testing.T) {
+	settings, catalogue := page(t, "settings.md"), page(t, "catalogue.md")
+	for _, key := range laburnumsettings.Reference() {
+		name := key.Key
+		switch {
+		case key.File == "settings":
+			require.Contains(t, settings, "`"+name+"`")
+		case strings.Contains(name, "limits."):
+			require.Contains(t, catalogue, "`limits."+name[strings.Index(name, "limits.")+len("limits."):]+"`")
+		case key.Value != "a list" && key.Value != "an object":
+			require.Contains(t, catalogue, "`"+name+"`")
+		}
+	}
+}
--- a/laburnumsettings/cataloguecheck.go
+++ b/laburnumsettings/cataloguecheck.go
@@ -81,6 +81,7 @@
 		c.name(fmt.Sprintf("deployment.zones[%d]", i), "availability zone", string(zone))
 	}
 	c.atLeast("deployment.move-cost", d.MoveCost, 0)
+	c.atLeast("deployment.entry-vms", float64(d.EntryVMs), 0)
 	c.more("deployment.weight-store.loads-per-second", d.WeightStore.LoadsPerSecond)
 	c.atLeast("deployment.weight-store.parallel-loads", float64(d.WeightStore.ParallelLoads), 1)
 }
