--- a/laburnumload/runner.go
+++ b/laburnumload/runner.go
@@ -100,7 +100,7 @@
 	id := uuid.NewString()[:runIDLength]
 	_, moves := r.account(ctx)
 	return &playing{
-		runner: r, experiment: e, addresses: addresses, caller: newCaller(r.timers, id),
+		runner: r, experiment: e, balancer: newBalancer(addresses), caller: newCaller(r.timers, id),
 		plan: Plan(e, id), results: newResults(e, status.View.Catalogue), backends: status.View.Backends, movesBefore: moves,
 	}, nil
 }
@@ -126,22 +126,21 @@
 type playing struct {
 	runner      *Runner
 	experiment  Experiment
-	addresses   []string
+	balancer    *balancer
 	caller      *Caller
 	plan        []Arrival
 	backends    []laburnumlever.Backend
 	movesBefore uint64
 
-	mu      sync.Mutex
-	results *results
-	// inFlight, and the next VM that the balancer would choose.
+	mu       sync.Mutex
+	results  *results
 	inFlight int
-	next     int
 }
 
 // play sends every arrival at its time and waits for the last answer.
 func (p *playing) play(ctx context.Context) {
 	start := p.runner.timers.Now()
+	defer p.runner.timers.Every(balancerPeriod, func(time.Time) { p.balancer.ask(ctx, p.caller.client) })()
 	var group sync.WaitGroup
 	for _, event := range p.experiment.Events {
 		group.Add(1)
@@ -181,7 +180,7 @@
 	}
 }
 
-// begin chooses the next VM, as a balancer that knows nothing would.
+// begin counts a request and chooses its VM.
 func (p *playing) begin(late bool) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -189,8 +188,7 @@
 		p.results.report.Late++
 	}
 	p.inFlight++
-	p.next++
-	return p.addresses[p.next%len(p.addresses)]
+	return p.balancer.choose()
 }
 
 func (p *playing) one(ctx context.Context, address string, arrival Arrival) {
