feat: cuts between chosen VMs: links by source, advertised peer address, peers' local IP

Cause: a link stood in front of a whole VM, so a cut between two availability zones could not be made with real processes: a VM that is reached through a link still reached all others. Ruled out: pairwise links (n*n processes) and a test-only setting for dialling. Change: a link's mode can be for the connections of some IP numbers only; peers dial from the IP they listen on; settings have advertise.peers, which is also what a VM behind an address translation needs.

--- a/cmd/laburnumlever/standinlinkcmd.go
+++ b/cmd/laburnumlever/standinlinkcmd.go
@@ -17,6 +17,7 @@
 		Usage: "run a TCP link that can be cut, frozen or delayed",
 		Description: "Give the link's address in place of the target's. Change it over HTTP at --control:\n" +
 			"PUT /link {\"mode\": \"open|frozen|frozen-to|frozen-from|cut\", \"delay\": \"20ms\"}.\n" +
+			"With \"from\": [IP, …] the mode is only for connections from those IP numbers.\n" +
 			"A frozen link holds all bytes and lets them go on when it opens, as a network that\n" +
 			"drops packets silently does; a cut one resets connections.\n\n" +
 			"Example: laburnumlever stand-in link --to 127.0.0.1:8083 --control 127.0.0.1:9000\n\n" + exitCodesText,
--- a/laburnumnode/listeners.go
+++ b/laburnumnode/listeners.go
@@ -62,3 +62,12 @@
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 }
+
+// listenerIP is the IP number that a listener is bound to, nil when it has none.
+func listenerIP(ln net.Listener) net.IP {
+	addr, ok := ln.Addr().(*net.TCPAddr)
+	if !ok {
+		return nil
+	}
+	return addr.IP
+}
--- a/laburnumnode/node.go
+++ b/laburnumnode/node.go
@@ -93,11 +93,15 @@
 
 func (n *Node) describeSelf() laburnumlever.VM {
 	addresses := n.listeners.addresses()
+	peerAddress := addresses.Peers
+	if n.settings.Advertise.Peers != "" {
+		peerAddress = n.settings.Advertise.Peers
+	}
 	return laburnumlever.VM{
 		ID:            n.settings.VM,
 		Zone:          n.settings.Zone,
 		Region:        n.settings.Region,
-		PeerAddress:   addresses.Peers,
+		PeerAddress:   peerAddress,
 		CallerAddress: addresses.Callers,
 		HasDisk:       n.settings.DataFolder != "",
 		// The wall clock grows from one start to the next; where it went back, the
--- a/laburnumnode/wiring.go
+++ b/laburnumnode/wiring.go
@@ -52,6 +52,7 @@
 	n.peers = laburnumpeer.New(n.self.ID,
 		laburnumpeer.WithLogger(n.logger),
 		laburnumpeer.WithScope(scope),
+		laburnumpeer.WithLocalIP(listenerIP(n.listeners.peers)),
 	)
 	n.membership = laburnummembership.New(n.loop, n.timers, n.peers, n.self,
 		laburnummembership.WithSeeds(n.settings.Seeds),
--- a/laburnumpeer/config.go
+++ b/laburnumpeer/config.go
@@ -1,6 +1,7 @@
 package laburnumpeer
 
 import (
+	"net"
 	"time"
 
 	"github.com/go-kit/log"
@@ -34,6 +35,7 @@
 	callTimeout  time.Duration
 	idleTimeout  time.Duration
 	maxHandlers  int
+	localIP      net.IP
 }
 
 // Option changes new peers.
@@ -61,6 +63,10 @@
 // WithMaxHandlers bounds the calls from others that are worked on at once.
 func WithMaxHandlers(n int) Option { return func(c *config) { c.maxHandlers = n } }
 
+// WithLocalIP sets the IP number that connections to others are made from, so that
+// a VM with several talks to its peers from the one it listens on.
+func WithLocalIP(ip net.IP) Option { return func(c *config) { c.localIP = ip } }
+
 func newConfig(opts []Option) config {
 	cfg := config{
 		logger:       log.NewNopLogger(),
--- a/laburnumpeer/link.go
+++ b/laburnumpeer/link.go
@@ -143,6 +143,9 @@
 		return nil, err
 	}
 	dialer := net.Dialer{Timeout: l.peers.cfg.dialTimeout}
+	if ip := l.peers.cfg.localIP; ip != nil && !ip.IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	netConn, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		l.failed(ctx, err)
--- a/laburnumsettings/load.go
+++ b/laburnumsettings/load.go
@@ -62,6 +62,9 @@
 	d.checkName("vm", string(s.VM))
 	d.checkName("zone", string(s.Zone))
 	d.checkListen(s.Listen)
+	if s.Advertise.Peers != "" {
+		d.checkAddress("advertise.peers", s.Advertise.Peers, false)
+	}
 	for i, seed := range s.Seeds {
 		d.checkAddress(fmt.Sprintf("seeds[%d]", i), seed, false)
 	}
--- a/laburnumsettings/settings.go
+++ b/laburnumsettings/settings.go
@@ -8,6 +8,9 @@
 	Zone   laburnumlever.ZoneName   `json:"zone"`
 	Region laburnumlever.RegionName `json:"region"`
 	Listen Listen                   `json:"listen"`
+	// Advertise holds the addresses that others are told where they differ from
+	// those listened on, as behind an address translation.
+	Advertise Advertise `json:"advertise,omitzero"`
 	// Seeds are peer addresses of some other entry VMs.
 	Seeds []string `json:"seeds"`
 	// Voters are the VMs that start the replicated log the first time; later
@@ -27,6 +30,11 @@
 	Peers     string `json:"peers"`
 }
 
+// Advertise holds addresses (IP and port); an empty one means the listener's.
+type Advertise struct {
+	Peers string `json:"peers"`
+}
+
 // Log sets what is logged.
 type Log struct {
 	// Level is debug, info, warn or error.
--- a/laburnumstandin/link.go
+++ b/laburnumstandin/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,11 +37,23 @@
 	Mode LinkMode `json:"mode"`
 	// Delay is added to every byte, each way.
 	Delay laburnumlever.Duration `json:"delay"`
+	// From are the IP numbers whose connections the mode is for; none means all.
+	// A cut between two availability zones is each zone's links set for the other's
+	// VMs.
+	From []string `json:"from,omitempty"`
 }
 
-// holds tells whether bytes in the direction wait.
-func (s LinkState) holds(towards bool) bool {
-	switch s.Mode {
+// modeFor is the mode for connections from an IP number.
+func (s LinkState) modeFor(source string) LinkMode {
+	if len(s.From) > 0 && !slices.Contains(s.From, source) {
+		return LinkOpen
+	}
+	return s.Mode
+}
+
+// holds tells whether bytes in the direction wait, for connections from the source.
+func (s LinkState) holds(source string, towards bool) bool {
+	switch s.modeFor(source) {
 	case LinkFrozen:
 		return true
 	case LinkFrozenTo:
@@ -64,13 +77,13 @@
 	mu      sync.Mutex
 	state   LinkState
 	changed chan struct{}
-	conns   map[net.Conn]bool
+	conns   map[net.Conn]string // the IP number of the near end
 	passed  int
 }
 
 // NewLink makes an open link to the target, an IP address and port.
 func NewLink(target string, opts ...Option) *Link {
-	l := &Link{target: target, cfg: newConfig(opts), changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	l := &Link{target: target, cfg: newConfig(opts), changed: make(chan struct{}), conns: make(map[net.Conn]string)}
 	if l.cfg.timers == nil {
 		l.own = laburnumtimer.New()
 		l.cfg.timers = l.own
@@ -93,8 +106,8 @@
 	close(l.changed)
 	l.changed = make(chan struct{})
 	var cut []net.Conn
-	if state.Mode == LinkCut {
-		for conn := range l.conns {
+	for conn, source := range l.conns {
+		if state.modeFor(source) == LinkCut {
 			cut = append(cut, conn)
 		}
 	}
@@ -132,14 +145,15 @@
 }
 
 func (l *Link) connect(near net.Conn) {
-	if !l.track(near) {
+	source := sourceOf(near)
+	if !l.track(near, source) {
 		reset(near)
 		return
 	}
 	defer l.drop(near)
 	// A frozen link takes the connection, as the target's kernel may have done
 	// before the freeze, but the target never hears of it.
-	if l.awaitOpen(true) != nil {
+	if l.awaitOpen(source, true) != nil {
 		return
 	}
 	var dialer net.Dialer
@@ -147,7 +161,7 @@
 	if err != nil {
 		return
 	}
-	if !l.track(far) {
+	if !l.track(far, source) {
 		reset(far)
 		return
 	}
@@ -156,20 +170,20 @@
 	pumps.Add(1)
 	go func() {
 		defer pumps.Done()
-		l.pump(far, near, true)
+		l.pump(far, near, source, true)
 	}()
-	l.pump(near, far, false)
+	l.pump(near, far, source, false)
 	pumps.Wait()
 }
 
 // track takes a connection in unless the link is cut.
-func (l *Link) track(conn net.Conn) bool {
+func (l *Link) track(conn net.Conn, source string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.state.Mode == LinkCut {
+	if l.state.modeFor(source) == LinkCut {
 		return false
 	}
-	l.conns[conn] = true
+	l.conns[conn] = source
 	return true
 }
 
@@ -180,6 +194,15 @@
 	_ = conn.Close()
 }
 
+// sourceOf is the IP number that a connection comes from.
+func sourceOf(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return conn.RemoteAddr().String()
+	}
+	return host
+}
+
 // reset closes a connection so that the other end sees a reset, not an orderly end.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -190,15 +213,15 @@
 
 // awaitOpen waits until bytes may pass in the direction; an error ends the
 // connection.
-func (l *Link) awaitOpen(towards bool) error {
+func (l *Link) awaitOpen(source string, towards bool) error {
 	for {
 		l.mu.Lock()
 		state, changed := l.state, l.changed
 		l.mu.Unlock()
 		switch {
-		case state.Mode == LinkCut:
+		case state.modeFor(source) == LinkCut:
 			return &LinkCutError{Target: l.target}
-		case !state.holds(towards):
+		case !state.holds(source, towards):
 			return nil
 		}
 		select {
--- a/laburnumstandin/link_test.go
+++ b/laburnumstandin/link_test.go
@@ -89,6 +89,22 @@
 	require.Error(t, err)
 }
 
+func TestLinkIsCutForSomeSourcesOnly(t *testing.T) {
+	link, address := startLink(t, echoServer(t))
+	link.Set(laburnumstandin.LinkState{Mode: laburnumstandin.LinkCut, From: []string{"127.0.0.9"}})
+	say := func(source string) error {
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+		conn, err := dialer.Dial("tcp", address)
+		require.NoError(t, err)
+		defer conn.Close()
+		_, _ = conn.Write([]byte("one\n"))
+		_, err = bufio.NewReader(conn).ReadString('\n')
+		return err
+	}
+	require.NoError(t, say("127.0.0.1"))
+	require.Error(t, say("127.0.0.9"))
+}
+
 func TestLinkIsSetOverHTTP(t *testing.T) {
 	link := laburnumstandin.NewLink("127.0.0.1:1")
 	defer link.Close()
--- a/laburnumstandin/linkpump.go
+++ b/laburnumstandin/linkpump.go
@@ -21,14 +21,14 @@
 
 // pump copies one direction until either end closes. Reading and writing are
 // apart, so that a delay adds to each byte's time and not to the rate.
-func (l *Link) pump(to, from net.Conn, towards bool) {
+func (l *Link) pump(to, from net.Conn, source string, towards bool) {
 	packets := make(chan packet, pumpQueue)
 	gone := make(chan struct{})
 	go l.readPackets(from, packets, gone)
 	defer close(gone)
 	for p := range packets {
 		l.sleepUntil(p.due)
-		if l.awaitOpen(towards) != nil {
+		if l.awaitOpen(source, towards) != nil {
 			return
 		}
 		if _, err := to.Write(p.bytes); err != nil {
@@ -37,7 +37,7 @@
 		}
 		l.count(len(p.bytes))
 	}
-	if tcp, ok := to.(*net.TCPConn); ok && l.awaitOpen(towards) == nil {
+	if tcp, ok := to.(*net.TCPConn); ok && l.awaitOpen(source, towards) == nil {
 		_ = tcp.CloseWrite()
 	}
 }
