feat: second zones and replicas weighed against each other, measured by the hour

Sums of demand are counted in whole units: float sums in the order of a map's keys gave other decisions from run to run.

--- a/laburnumplacement/allocation.go
+++ b/laburnumplacement/allocation.go
@@ -50,6 +50,19 @@
 	}
 }
 
+func (f *fleet) byDemand() []int {
+	list := make([]int, len(f.models))
+	for i := range list {
+		list[i] = i
+	}
+	slices.SortStableFunc(list, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(f.models[b].demand.Hold.Requests, f.models[a].demand.Hold.Requests),
+			cmp.Compare(f.models[a].Name, f.models[b].Name))
+	})
+	return list
+}
+
 // fewestCopiesFirst lets models with no choice of engine go before those with.
 func (f *fleet) fewestCopiesFirst() []int {
 	list := f.byDemand()
--- a/laburnumplacement/estimator.go
+++ b/laburnumplacement/estimator.go
@@ -55,17 +55,44 @@
 		}
 		e.seen[key] = signal{sequence: d.Sequence, rates: ratesOf(d), at: now}
 	}
-	totals := make(map[laburnumlever.ModelName]Rates, len(e.models))
+	sums := make(map[laburnumlever.ModelName]sum, len(e.models))
 	for key, s := range e.seen {
 		if now.Sub(s.at) > forgetAfter {
 			delete(e.seen, key)
 			continue
 		}
-		totals[key.model] = totals[key.model].plus(s.rates)
+		sums[key.model] = sums[key.model].plus(s.rates)
+	}
+	totals := make(map[laburnumlever.ModelName]Rates, len(sums))
+	for name, s := range sums {
+		totals[name] = s.rates()
 	}
 	e.move(now, totals)
 }
 
+// sumUnit is the part of a request or token that sums are counted in.
+const sumUnit = 1e-6
+
+// sum adds rates in whole units: the order of a map's keys differs from run to run,
+// and sums of floats with it, and two owners must decide alike.
+type sum struct{ requests, promptTokens, answerTokens int64 }
+
+func (s sum) plus(r Rates) sum {
+	return sum{
+		requests:     s.requests + int64(r.Requests/sumUnit),
+		promptTokens: s.promptTokens + int64(r.PromptTokens/sumUnit),
+		answerTokens: s.answerTokens + int64(r.AnswerTokens/sumUnit),
+	}
+}
+
+func (s sum) rates() Rates {
+	return Rates{
+		Requests:     float64(s.requests) * sumUnit,
+		PromptTokens: float64(s.promptTokens) * sumUnit,
+		AnswerTokens: float64(s.answerTokens) * sumUnit,
+	}
+}
+
 // Demand is the estimate for each model. It must not be changed.
 func (e *Estimator) Demand() map[laburnumlever.ModelName]Demand { return e.models }
 
--- a/laburnumplacement/fits.go
+++ b/laburnumplacement/fits.go
@@ -128,7 +128,9 @@
 func spreadWarnings(catalogue laburnumlever.Catalogue, engines []Engine) []string {
 	f := newFleet(Snapshot{Catalogue: catalogue, Engines: engines})
 	f.packTightly()
-	f.spread()
+	for _, m := range f.narrow() {
+		f.spread(m)
+	}
 	var once, oneZone []laburnumlever.ModelName
 	for m := range f.models {
 		zones, n := f.where(m)
--- a/laburnumplacement/fleet.go
+++ b/laburnumplacement/fleet.go
@@ -28,7 +28,9 @@
 	most   int   // the most free memory of any accelerator
 	copies []*placed
 	load   float64 // busy share that the allocation gives it
-	order  uint64
+	// clearing tells that a copy there is being unloaded.
+	clearing bool
+	order    uint64
 }
 
 type model struct {
@@ -96,6 +98,7 @@
 			}
 		}
 		f.engines[at].copies = append(f.engines[at].copies, p)
+		f.engines[at].clearing = f.engines[at].clearing || leaving(p)
 		f.take(at, c.Accelerators, size)
 	}
 }
@@ -227,6 +230,7 @@
 	move.Reason = reason
 	f.moves = append(f.moves, move)
 	p.Going = true
+	e.clearing = true
 }
 
 func hash(parts ...string) uint64 {
--- a/laburnumplacement/makeroom.go
+++ b/laburnumplacement/makeroom.go
@@ -39,7 +39,7 @@
 // where it fits. It reports whether there is a way; the model itself follows in a
 // later round, once the memory is free.
 func (f *fleet) makeRoom(m int) bool {
-	if f.roomIsComing(m) {
+	if f.comingRoom(m, anywhere) {
 		return true
 	}
 	best, ok := f.cheapestClearing(m)
@@ -52,16 +52,6 @@
 	return f.relocate(m)
 }
 
-// roomIsComing tells whether an engine will have room once its unloads are done.
-func (f *fleet) roomIsComing(m int) bool {
-	for at := range f.engines {
-		if _, ok := f.clearing(at, m, func(p *placed) bool { return p.Going || p.Draining }); ok {
-			return true
-		}
-	}
-	return false
-}
-
 // clearing is a set of copies whose unloading makes room on one engine.
 type clearing struct {
 	engine  int
@@ -73,7 +63,7 @@
 	var best clearing
 	found := false
 	for at := range f.engines {
-		c, ok := f.clearing(at, m, func(p *placed) bool { return p.Going || p.Draining || f.mayGo(p) })
+		c, ok := f.clearing(at, m, func(p *placed) bool { return p.Going || p.Draining || f.mayGo(p) }, f.worth)
 		if !ok {
 			continue
 		}
@@ -85,35 +75,46 @@
 	return best, found
 }
 
+// candidate is a copy that may go, and what it is worth.
+type candidate struct {
+	p     *placed
+	worth float64
+}
+
 func (c clearing) cheaperThan(other clearing) bool {
 	return cmp.Or(cmp.Compare(c.loss, other.loss), cmp.Compare(len(c.victims), len(other.victims))) < 0
 }
 
 // clearing finds the copies to unload so that the model fits on the engine,
 // those whose models have the least demand first.
-func (f *fleet) clearing(at, m int, may func(p *placed) bool) (clearing, bool) {
+func (f *fleet) clearing(at, m int, may func(p *placed) bool, worth func(p *placed) float64) (clearing, bool) {
 	e := &f.engines[at]
 	mod := &f.models[m]
 	if !e.Usable || len(e.free) < mod.span {
 		return clearing{}, false
 	}
 	free := slices.Clone(e.free)
-	candidates := slices.DeleteFunc(slices.Clone(e.copies), func(p *placed) bool { return p.planned || p.model == m || !may(p) })
-	slices.SortStableFunc(candidates, func(a, b *placed) int {
-		return cmp.Or(cmp.Compare(f.worth(a), f.worth(b)), cmp.Compare(a.Model, b.Model))
+	var candidates []candidate
+	for _, p := range e.copies {
+		if !p.planned && p.model != m && may(p) {
+			candidates = append(candidates, candidate{p: p, worth: worth(p)})
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.worth, b.worth), cmp.Compare(a.p.Model, b.p.Model))
 	})
 	c := clearing{engine: at}
-	for _, p := range candidates {
+	for _, x := range candidates {
 		if fitsOn(free, mod.part, mod.span) {
 			break
 		}
 		for i, a := range e.Accelerators {
-			if slices.Contains(p.Accelerators, a.ID) {
-				free[i] += p.PartMiB
+			if slices.Contains(x.p.Accelerators, a.ID) {
+				free[i] += x.p.PartMiB
 			}
 		}
-		c.victims = append(c.victims, p)
-		c.loss += f.worth(p)
+		c.victims = append(c.victims, x.p)
+		c.loss += x.worth
 	}
 	return c, fitsOn(free, mod.part, mod.span)
 }
@@ -145,7 +146,7 @@
 			if p.model < 0 || p.planned || !f.answers(p) || !p.current {
 				continue
 			}
-			if _, ok := f.clearing(at, m, func(other *placed) bool { return other == p || f.mayGo(other) }); !ok {
+			if _, ok := f.clearing(at, m, func(other *placed) bool { return other == p || f.mayGo(other) }, f.worth); !ok {
 				continue
 			}
 			if f.relocateCopy(p, m) {
--- /dev/null
+++ b/laburnumplacement/measures_test.go
@@ -0,0 +1,221 @@
+package laburnumplacement_test
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"laburnumlever"
+	"laburnumlever/laburnumplacement"
+
+	"github.com/stretchr/testify/require"
+)
+
+var printMeasures = flag.Bool("measures", false, "print the table of docs/placement-measures.md")
+
+// The two weightings: the attainment that a move must bring, in requests a second.
+const (
+	attainmentFirst = 0.05
+	movesFirst      = 2.0
+)
+
+func oursPolicy() policy {
+	planner := laburnumplacement.NewPlanner()
+	return func(s laburnumplacement.Snapshot) []laburnumplacement.Move { return planner.Plan(s).Moves }
+}
+
+func staticPolicy() policy {
+	return func(laburnumplacement.Snapshot) []laburnumplacement.Move { return nil }
+}
+
+// proportionalPolicy gives each model copies in proportion to its demand of now, at
+// every round: it unloads what is above and loads what is below. No hysteresis and no
+// price; the last copy stays.
+func proportionalPolicy() policy {
+	return func(s laburnumplacement.Snapshot) []laburnumplacement.Move {
+		p := newProportional(s)
+		for _, m := range s.Catalogue.Models {
+			p.drop(m)
+		}
+		for _, m := range s.Catalogue.Models {
+			p.add(m)
+		}
+		return p.moves
+	}
+}
+
+type proportional struct {
+	s     laburnumplacement.Snapshot
+	want  map[laburnumlever.ModelName]int
+	free  []map[laburnumlever.AcceleratorID]int
+	moves []laburnumplacement.Move
+}
+
+func newProportional(s laburnumplacement.Snapshot) *proportional {
+	p := &proportional{s: s, want: make(map[laburnumlever.ModelName]int)}
+	memory, size, total := 0, 0, 0.0
+	for _, e := range s.Engines {
+		free := make(map[laburnumlever.AcceleratorID]int)
+		for _, a := range e.Accelerators {
+			free[a.ID] = a.MemoryMiB
+			if e.Serving {
+				memory += a.MemoryMiB
+			}
+		}
+		for _, c := range e.Copies {
+			for _, id := range c.Accelerators {
+				free[id] -= c.PartMiB
+			}
+		}
+		p.free = append(p.free, free)
+	}
+	for _, m := range s.Catalogue.Models {
+		size += m.SizeMiB()
+		total += s.Demand[m.Name].Now.Requests
+	}
+	copies := float64(memory*len(s.Catalogue.Models)) / float64(size)
+	for _, m := range s.Catalogue.Models {
+		p.want[m.Name] = max(1, int(math.Round(copies*s.Demand[m.Name].Now.Requests/max(total, 1))))
+	}
+	return p
+}
+
+func (p *proportional) copies(m laburnumlever.Model) (list []laburnumplacement.Move, ready int) {
+	for _, e := range p.s.Engines {
+		for _, c := range e.Copies {
+			if c.Model == m.Name && c.Version == m.Version && e.Serving && !c.Draining {
+				list = append(list, laburnumplacement.Move{Kind: laburnumlever.Unload, Engine: e.ID, Zone: e.Zone, Copy: c.Loaded})
+				if c.Ready {
+					ready++
+				}
+			}
+		}
+	}
+	return list, ready
+}
+
+func (p *proportional) drop(m laburnumlever.Model) {
+	list, ready := p.copies(m)
+	for i := 0; i < len(list) && len(list)-i > p.want[m.Name] && ready > 1; i++ {
+		p.moves = append(p.moves, list[i])
+		ready--
+	}
+	if ready == 0 {
+		return
+	}
+	for _, e := range p.s.Engines { // old versions, once a new one answers
+		for _, c := range e.Copies {
+			if c.Model == m.Name && c.Version != m.Version && e.Usable && !c.Draining {
+				p.moves = append(p.moves, laburnumplacement.Move{Kind: laburnumlever.Unload, Engine: e.ID, Zone: e.Zone, Copy: c.Loaded})
+			}
+		}
+	}
+}
+
+func (p *proportional) add(m laburnumlever.Model) {
+	list, _ := p.copies(m)
+	if len(list) >= p.want[m.Name] {
+		return
+	}
+	for i, e := range p.s.Engines {
+		if !e.Usable || slices.ContainsFunc(list, func(l laburnumplacement.Move) bool { return l.Engine == e.ID }) {
+			continue
+		}
+		var ids []laburnumlever.AcceleratorID
+		for _, a := range e.Accelerators {
+			if p.free[i][a.ID] >= m.PartMiB() && len(ids) < m.Span() {
+				ids = append(ids, a.ID)
+			}
+		}
+		if len(ids) == m.Span() {
+			for _, id := range ids {
+				p.free[i][id] -= m.PartMiB()
+			}
+			l := laburnumlever.Loaded{Model: m.Name, Version: m.Version, Accelerators: ids, PartMiB: m.PartMiB()}
+			p.moves = append(p.moves, laburnumplacement.Move{Kind: laburnumlever.Load, Engine: e.ID, Zone: e.Zone, Copy: l})
+			return
+		}
+	}
+}
+
+// bound is what the engines could do if each held every model and nothing had to be
+// moved.
+func bound(t require.TestingT, name, scenario string) float64 {
+	w := newMeasured(t, name, scenario, 0)
+	all := w.newSide(w.catalogue.Deployment.Zones, nil)
+	w.sides = []*side{all}
+	for w.second = 0; w.second < hour; w.second++ {
+		w.faults(all, nil)
+		for _, s := range w.sides {
+			capacity, total := 0.0, 0.0
+			for i, e := range w.engines {
+				if w.sees(s, i) {
+					capacity += fullAt / requestCost(e.Announcement())
+				}
+			}
+			for i, m := range w.catalogue.Models {
+				total += w.rate(i, m.Name) * float64(len(s.zones)) / float64(len(all.zones))
+			}
+			w.attained += min(total, capacity)
+		}
+	}
+	return w.attained / hour / float64(2*len(w.engines))
+}
+
+type result struct {
+	name     string
+	perAccel float64
+	share    float64
+	moves    int
+	absence  int // the longest, in seconds
+	seconds  int // of all models together
+}
+
+func measure(t require.TestingT, name, scenario string) []result {
+	var list []result
+	for _, p := range []struct {
+		name   string
+		cost   float64
+		policy policy
+	}{
+		{"attainment first", attainmentFirst, oursPolicy()},
+		{"moves first", movesFirst, oursPolicy()},
+		{"static", attainmentFirst, staticPolicy()},
+		{"proportional", attainmentFirst, proportionalPolicy()},
+	} {
+		w := newMeasured(t, name, scenario, p.cost)
+		w.run(p.name, p.policy)
+		list = append(list, result{
+			name: p.name, perAccel: w.attained / hour / float64(2*len(w.engines)), share: w.attained / w.offered,
+			moves: w.moves, absence: w.longestAbsence, seconds: w.absentSeconds,
+		})
+	}
+	return list
+}
+
+var scenarios = []string{"steady", "tenfold-hour", "engine loss", "zone cut", "catalogue change"}
+
+// TestMeasures prints the table; without -measures it only checks one scenario.
+func TestMeasures(t *testing.T) {
+	for _, name := range []string{"armor-pose", "kvooditalitus"} {
+		for _, scenario := range scenarios {
+			if !*printMeasures && scenario != "tenfold-hour" {
+				continue
+			}
+			list := measure(t, name, scenario)
+			if *printMeasures {
+				fmt.Printf("| %s | %s | no-limit bound | %.3f | | | | |\n", name, scenario, bound(t, name, scenario))
+				for _, r := range list {
+					fmt.Printf("| %s | %s | %s | %.3f | %.1f%% | %d | %d | %d |\n", name, scenario, r.name, r.perAccel, 100*r.share, r.moves, r.absence, r.seconds)
+				}
+				continue
+			}
+			best := slices.MaxFunc(list[2:], func(a, b result) int { return cmp.Compare(a.perAccel, b.perAccel) })
+			require.Greater(t, list[0].perAccel, best.perAccel)
+			require.Less(t, list[1].moves, list[3].moves)
+		}
+	}
+}
--- a/laburnumplacement/planner.go
+++ b/laburnumplacement/planner.go
@@ -20,9 +20,8 @@
 	f.repair()
 	f.switchVersions()
 	f.update()
-	f.spread()
 	f.allocate()
-	f.addReplicas()
+	f.fill()
 	return f.plan()
 }
 
--- a/laburnumplacement/replicas.go
+++ b/laburnumplacement/replicas.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"laburnumlever"
 )
 
 const (
@@ -19,35 +21,20 @@
 	exchangeFactor = 2
 )
 
-// addReplicas adds copies where the demand of now is not met and the gain is worth
-// a move, the greatest gain for each accelerator first.
-func (f *fleet) addReplicas() {
-	limit := max(minShift, len(f.engines)/shiftDivisor)
-	f.shifting = f.loading()
-	for f.shifting < limit && !f.full() {
-		best, ok := f.bestReplica()
-		if !ok {
-			return
-		}
-		f.planReplica(best)
-		f.shifting++
-	}
-}
-
-// loading counts the copies that are not ready yet, whatever for: they use the
-// weight store and their effect is not seen yet.
-func (f *fleet) loading() int {
-	n := 0
+// beginReplicas counts the copies that are loading or going, whatever for: they
+// use the weight store, and their effect is not seen yet.
+func (f *fleet) beginReplicas() {
 	for i := range f.engines {
 		for _, p := range f.engines[i].copies {
-			if p.planned || !p.Ready && !p.Draining {
-				n++
+			if p.planned || leaving(p) || !p.Ready {
+				f.shifting++
 			}
 		}
 	}
-	return n
 }
 
+func (f *fleet) shiftLimit() int { return max(minShift, len(f.engines)/shiftDivisor) }
+
 // replica is a copy that might be added.
 type replica struct {
 	model   int
@@ -56,9 +43,14 @@
 	victims []*placed
 }
 
+// bestReplica finds the copy that gains most for each accelerator where the demand
+// of now is not met, if it is worth a move.
 func (f *fleet) bestReplica() (replica, bool) {
 	var best replica
 	found := false
+	if f.shifting >= f.shiftLimit() || f.full() {
+		return best, false
+	}
 	for _, m := range f.unmetFirst() {
 		r, ok := f.replicaFor(m)
 		if ok && (!found || r.perAccelerator(f) > best.perAccelerator(f)) {
@@ -130,21 +122,18 @@
 func (f *fleet) exchangeFor(m int) (replica, bool) {
 	best := replica{model: m}
 	found := false
+	if f.comingRoom(m, anywhere) {
+		return best, false
+	}
 	for at := range f.engines {
-		if f.holds(at, m) {
+		if f.holds(at, m) || f.unmetRequests(m) <= best.gain {
 			continue
 		}
-		gain := f.gainAt(at, m)
-		if gain <= exchangeFactor*f.price() || found && gain <= best.gain {
-			continue
-		}
-		c, ok := f.clearing(at, m, f.mayBeExchanged)
-		if !ok {
+		c, ok := f.clearing(at, m, f.mayBeExchanged, f.lossOf)
+		if !ok || len(c.victims) == 0 {
 			continue
 		}
-		for _, p := range c.victims {
-			gain -= f.missedBy(p)
-		}
+		gain := f.gainWithout(at, m, c.victims) - c.loss
 		if gain > exchangeFactor*f.price()*float64(len(c.victims)) && gain > best.gain {
 			best = replica{model: m, spot: spot{engine: at}, gain: gain, victims: c.victims}
 			found = true
@@ -153,20 +142,48 @@
 	return best, found
 }
 
-// mayBeExchanged keeps the second zone of a model: only repairs may take that.
-func (f *fleet) mayBeExchanged(p *placed) bool {
-	if p.model < 0 || !f.answers(p) || !f.mayGo(p) {
-		return false
+// gainWithout is the gain on an engine once some copies have left it.
+func (f *fleet) gainWithout(at, m int, victims []*placed) float64 {
+	e := &f.engines[at]
+	cost := f.models[m].demand.Now.cost(e)
+	if !e.Usable || cost <= 0 {
+		return 0
+	}
+	load := e.load
+	for _, p := range victims {
+		load -= p.share * f.models[p.model].demand.Now.cost(e)
 	}
-	zones, engines := f.where(p.model)
-	if len(zones) < 2 || engines <= 2 {
-		return false
+	return min(f.models[m].unmet, max(0, usableShare-load)/cost) * f.models[m].demand.Now.Requests
+}
+
+// mayBeExchanged leaves copies that are loading alone: their effect is not seen yet.
+func (f *fleet) mayBeExchanged(p *placed) bool {
+	return p.model >= 0 && f.answers(p) && f.mayGo(p)
+}
+
+// lossOf is what giving the copy up costs, in requests a second.
+func (f *fleet) lossOf(p *placed) float64 {
+	loss := f.missedBy(p)
+	if f.endsSpread(p) {
+		loss += f.spreadWorth(p.model)
 	}
-	own := f.engines[p.engine].Zone
-	sameZone := func(other *placed) bool {
-		return other != p && f.answers(other) && f.engines[other.engine].Zone == own
+	return loss
+}
+
+// endsSpread tells whether the model would be left in one zone without the copy.
+func (f *fleet) endsSpread(p *placed) bool {
+	var zone laburnumlever.ZoneName
+	for _, other := range f.models[p.model].copies {
+		if other == p || !f.lasting(other) {
+			continue
+		}
+		if z := f.engines[other.engine].Zone; zone == "" {
+			zone = z
+		} else if z != zone {
+			return false
+		}
 	}
-	return len(zones) > 2 || slices.ContainsFunc(f.models[p.model].copies, sameZone)
+	return true
 }
 
 // missedBy is what the copy's model would lose with it, in requests a second, at
@@ -193,6 +210,7 @@
 // then follows in a later round, if it is still worth it.
 func (f *fleet) planReplica(r replica) {
 	mod := &f.models[r.model]
+	f.shifting += max(1, len(r.victims))
 	if len(r.victims) > 0 {
 		for _, p := range r.victims {
 			f.planUnload(p, ReasonExchanged, Move{For: mod.Name, Gain: r.gain})
@@ -201,8 +219,16 @@
 		return
 	}
 	f.planLoad(r.model, r.spot, ReasonDemand, Move{Gain: r.gain})
-	e := &f.engines[r.spot.engine]
-	taken := r.gain / mod.demand.Now.Requests
-	e.load += taken * mod.demand.Now.cost(e)
+	f.carry(r.model, r.spot.engine, r.gain)
+}
+
+// carry lays the gain of a planned copy on its engine.
+func (f *fleet) carry(m, at int, gain float64) {
+	mod := &f.models[m]
+	if gain <= 0 {
+		return
+	}
+	taken := gain / mod.demand.Now.Requests
+	f.engines[at].load += taken * mod.demand.Now.cost(&f.engines[at])
 	mod.unmet = max(0, mod.unmet-taken)
 }
--- a/laburnumplacement/residency.go
+++ b/laburnumplacement/residency.go
@@ -77,35 +77,6 @@
 
 func anywhere(int) bool { return true }
 
-// spread gives models whose copies are all in one zone, or on one engine, a second
-// one: in another zone if one has room.
-func (f *fleet) spread() {
-	if f.servingZones() < 2 {
-		return
-	}
-	for _, m := range f.byDemand() {
-		if f.full() {
-			return
-		}
-		zones, engines := f.where(m)
-		if len(zones) != 1 {
-			continue
-		}
-		move := Move{Gain: f.models[m].demand.Now.Requests}
-		otherZone := func(at int) bool { return f.engines[at].Zone != zones[0] }
-		if s, ok := f.findSpot(m, otherZone); ok {
-			f.planLoad(m, s, ReasonSpread, move)
-			continue
-		}
-		if engines > 1 {
-			continue
-		}
-		if s, ok := f.findSpot(m, anywhere); ok {
-			f.planLoad(m, s, ReasonSpread, move)
-		}
-	}
-}
-
 // servingZones counts the zones with an engine that can take copies. In a zone
 // that is cut off, second copies would only fill the memory for repairs.
 func (f *fleet) servingZones() int {
@@ -118,19 +89,6 @@
 	return len(seen)
 }
 
-func (f *fleet) byDemand() []int {
-	list := make([]int, len(f.models))
-	for i := range list {
-		list[i] = i
-	}
-	slices.SortStableFunc(list, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(f.models[b].demand.Hold.Requests, f.models[a].demand.Hold.Requests),
-			cmp.Compare(f.models[a].Name, f.models[b].Name))
-	})
-	return list
-}
-
 // where lists the zones of a model's lasting copies and counts their engines.
 func (f *fleet) where(m int) ([]laburnumlever.ZoneName, int) {
 	var zones []laburnumlever.ZoneName
