refactor: enum names on the wire without the constants' prefixes

Ruled out: one generator call for all (RefusedRetryBudget lost two prefixes). Change: enumer trims; refusal and retry reasons are generated apart.

--- a/doc.go
+++ b/doc.go
@@ -22,4 +22,9 @@
 // answers it is a backend server. docs/GLOSSARY.md maps these to other terms.
 package laburnumlever
 
-//go:generate go tool -modfile=tools/go.mod enumer -type=BackendKind,OrderKind,OrderOutcome,RefusalReason,RetryReason,AttemptState,RequestOutcome,CommandKind,ResultCode,Priority,VMState -transform=kebab -text -json -output=enums_gen.go
+// Names on the wire lack the constants' prefixes; refusal and retry reasons are
+// generated apart, since RefusedRetryBudget would lose both.
+//
+//go:generate go tool -modfile=tools/go.mod enumer -type=RefusalReason -trimprefix=Refused -transform=kebab -text -json -output=refusalreason_gen.go
+//go:generate go tool -modfile=tools/go.mod enumer -type=RetryReason -trimprefix=Retry -transform=kebab -text -json -output=retryreason_gen.go
+//go:generate go tool -modfile=tools/go.mod enumer -type=BackendKind,OrderKind,OrderOutcome,AttemptState,RequestOutcome,CommandKind,ResultCode,Priority,VMState -trimprefix=Order,Attempt,Outcome,Command,Result,VM -transform=kebab -text -json -output=enums_gen.go
--- a/laburnumload/verdict.go
+++ b/laburnumload/verdict.go
@@ -53,9 +53,8 @@
 	brokenOutcome   = "the refusal has no outcome"
 )
 
-// What callers read of a refusal. Reasons lack the enum's prefix on the wire.
+// What callers read of a refusal.
 const (
-	reasonPrefix   = "refused-"
 	outcomeNotRun  = "not-run"
 	outcomeUnknown = "unknown"
 )
@@ -76,7 +75,7 @@
 
 func judgeRefusal(got Answer) Verdict {
 	v := Verdict{Refused: got.Reason}
-	if _, err := laburnumlever.RefusalReasonString(reasonPrefix + got.Reason); err != nil {
+	if _, err := laburnumlever.RefusalReasonString(got.Reason); err != nil {
 		v.Broken = brokenUntyped
 		return v
 	}
