--- a/laburnumrouter/doc.go
+++ b/laburnumrouter/doc.go
@@ -22,9 +22,10 @@
 //   - A prompt whose prefix was last sent to a server goes there again while that
 //     server's score is at most twice the better choice's: a cached prefix saves at
 //     most the prefill, so more skew would cost more than it saves.
-//   - Servers of the own zone come first; another zone's gets the request when it is
-//     better by half and one more request, which a hop of under a millisecond
-//     is worth.
+//   - Servers of the own zone come first; another zone's gets the request when the own
+//     one's score is more than three times as bad and one request more. The hop costs
+//     under a millisecond, but a zone that leans on others at half load has nothing
+//     to lean on when it is cut off, and hides from placement that it needs more.
 //
 // # Usage
 //
--- a/laburnumrouter/router.go
+++ b/laburnumrouter/router.go
@@ -10,7 +10,7 @@
 
 const (
 	// spillFactor is how much worse the own zone must be for another to be used.
-	spillFactor = 1.5
+	spillFactor = 3
 	// affinityFactor is how much worse a server with the prefix may be.
 	affinityFactor = 2
 	// roomScan bounds the search for a free server after two full ones.
@@ -152,8 +152,8 @@
 		return r.two(g, 0, len(g.servers), q, now)
 	}
 	best := r.two(g, 0, g.local, q, now)
-	if g.local == len(g.servers) {
-		return best
+	if g.local == len(g.servers) || best.wantsProbe(now, g.usual) {
+		return best // a probe must not go to another zone's server instead
 	}
 	far := r.two(g, g.local, len(g.servers), q, now)
 	if best.ID() == q.Avoid || farIsBetter(best, far, g.usual, now) {
--- a/laburnumrouter/server.go
+++ b/laburnumrouter/server.go
@@ -21,6 +21,10 @@
 	failureHalfLife = 5 * time.Second
 	// probeEvery is how long a server is passed over before it is probed.
 	probeEvery = 2 * time.Second
+	// unknownPace, 50 tokens a second, stands for a server of which nothing is known.
+	// It is an ordinary one's: a worse figure would keep the server from ever being
+	// tried beside one that has been measured.
+	unknownPace = 0.02
 	// promptDiscount: a prompt's token takes about an eighth of an answer's.
 	promptDiscount = 8
 )
@@ -124,6 +128,7 @@
 func (s *Server) load(now time.Time) float64 {
 	age := now.Sub(s.reportedAt)
 	fade := 1 - float64(age-freshReport)/float64(staleReport-freshReport)
+
 	return float64(s.inFlight) + s.others*min(1, max(0, fade))
 }
 
@@ -153,7 +158,7 @@
 	if s.announcement.TokensPerSecond > 0 {
 		return s.slots() / s.announcement.TokensPerSecond
 	}
-	return 1
+	return unknownPace
 }
 
 // wantsProbe tells whether the server was passed over long enough for what is known
