test: five loads against round robin, least in flight, no admission, unlimited retry

On a manual clock, with an engine of batch slots, prefill and token rate. Batch work's ten times longer patience dropped: its class has its own target.

--- a/laburnumdispatch/dispatcher.go
+++ b/laburnumdispatch/dispatcher.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// batchPatience times the target is how long batch work may wait.
-	batchPatience = 10
+	// waitShare of the target may be spent waiting here. The rest is for the prefill
+	// and for a short wait in an engine that other VMs have filled meanwhile.
+	waitShare = 0.75
 	// defaultWait holds for a class without a target.
 	defaultWait = 10 * time.Second
 )
@@ -46,10 +47,7 @@
 	if wait == 0 {
 		wait = defaultWait
 	}
-	if q.Class.Priority == laburnumlever.Batch {
-		wait *= batchPatience
-	}
-	return q.Received.Add(wait)
+	return q.Received.Add(time.Duration(waitShare * float64(wait)))
 }
 
 // Ticket is a request's place in the decisions.
--- a/laburnumdispatch/doc.go
+++ b/laburnumdispatch/doc.go
@@ -10,9 +10,10 @@
 // come before its deadline, by the rate at which waiting work has lately been
 // started, is refused when it comes: its caller can turn elsewhere at once.
 //
-// The deadline is the first-token target of the request's class. For batch work it
-// is batchPatience times as long, since nobody sits before it. Without a target it is
-// defaultWait.
+// The deadline leaves a quarter of the class's first-token target for what comes
+// after the wait. Waiting up to the target itself makes each request that waited
+// long late by a little, and the engine's work on it useless. A class of batch work
+// has a long target. Without a target it is defaultWait.
 //
 // # Usage
 //
--- /dev/null
+++ b/laburnumdispatch/policies_test.go
@@ -0,0 +1,151 @@
+package laburnumdispatch_test
+
+import (
+	"strconv"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumadmission"
+	"laburnumlever/laburnumdispatch"
+	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumrouter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// dispatching is what the proxy does, on the manual clock.
+type dispatching struct {
+	p *play
+	d *laburnumdispatch.Dispatcher
+}
+
+func (v *dispatching) arrive(c *call) {
+	t := &laburnumdispatch.Ticket{Request: laburnumdispatch.Request{
+		Owner: "o", Key: c.key, Model: "m", Class: c.class, Prompt: c.prompt, Answer: c.answer, Received: c.at,
+	}}
+	c.ticket = t
+	t.Wake = func() {
+		if t.Refusal != nil {
+			v.refused(c, t.Refusal)
+			return
+		}
+		v.send(c, t)
+	}
+	var refusal *laburnumlever.RefusalError
+	if errors.As(v.d.Submit(t, v.p.now), &refusal) {
+		v.refused(c, refusal)
+	} else if t.Server != nil {
+		v.send(c, t)
+	}
+}
+
+func (v *dispatching) refused(c *call, refusal *laburnumlever.RefusalError) {
+	c.gone = true
+	v.p.refused[refusal.Reason.String()]++
+}
+
+func (v *dispatching) send(c *call, t *laburnumdispatch.Ticket) {
+	i, _ := strconv.Atoi(string(t.Server.ID()))
+	// sent after this event: Wake runs within the dispatcher
+	v.p.after(0, func() { v.p.send(c, v.p.engines[i]) })
+}
+
+func (v *dispatching) ended(c *call, _ *engine) {
+	t := c.ticket.(*laburnumdispatch.Ticket)
+	took := v.p.now.Sub(c.first) + time.Duration(float64(c.prompt)/4000*float64(time.Second))
+	v.d.EndAttempt(t, laburnumrouter.Sample{Took: took, Prompt: c.prompt, Answer: c.answer}, v.p.now)
+	v.d.Finish(t, c.prompt+c.answer, v.p.now)
+}
+
+func (v *dispatching) busy(c *call, _ *engine) {
+	t := c.ticket.(*laburnumdispatch.Ticket)
+	v.d.EndAttempt(t, laburnumrouter.Sample{Busy: true}, v.p.now)
+	_, verdict := v.d.Retry(t, laburnumretry.Situation{Reason: laburnumlever.RefusedBackendBusy}, v.p.now)
+	if verdict == laburnumretry.Again {
+		v.send(c, t)
+		return
+	}
+	v.d.Finish(t, 0, v.p.now)
+	v.refused(c, &laburnumlever.RefusalError{Reason: laburnumlever.RefusedBackendBusy})
+}
+
+func (v *dispatching) gone(c *call) {
+	t := c.ticket.(*laburnumdispatch.Ticket)
+	v.d.EndAttempt(t, laburnumrouter.Sample{Skipped: true}, v.p.now)
+	v.d.Finish(t, 0, v.p.now)
+}
+
+func (v *dispatching) report(view *laburnumlever.View) {
+	v.d.Update(laburnumrouter.NewIndex(view), laburnumadmission.Share{}, v.p.now)
+}
+
+func (v *dispatching) tick() { v.d.Tick(v.p.now) }
+
+// baseline sends at once, as plain balancers do.
+type baseline struct {
+	p        *play
+	next     int
+	least    bool // least in flight by its own count, else round robin
+	retries  bool // tries again without limit when an engine is full
+	inFlight map[*engine]int
+	at       map[*call]*engine
+}
+
+func (v *baseline) arrive(c *call) { v.send(c) }
+
+func (v *baseline) send(c *call) {
+	if c.gone {
+		return
+	}
+	v.next++
+	e := v.p.engines[v.next%len(v.p.engines)]
+	if v.least {
+		for i := range v.p.engines {
+			other := v.p.engines[(v.next+i)%len(v.p.engines)]
+			if v.inFlight[other] < v.inFlight[e] {
+				e = other
+			}
+		}
+	}
+	v.inFlight[e]++
+	v.at[c] = e
+	v.p.send(c, e)
+}
+
+func (v *baseline) ended(_ *call, e *engine) { v.inFlight[e]-- }
+
+func (v *baseline) busy(c *call, e *engine) {
+	v.inFlight[e]--
+	const backoff = 250 * time.Millisecond
+	v.p.after(backoff, func() { v.send(c) })
+}
+
+func (v *baseline) gone(c *call) {
+	v.p.refused["caller-gone"]++
+	if !v.retries {
+		v.inFlight[v.at[c]]--
+	}
+}
+
+func (v *baseline) report(*laburnumlever.View) {}
+func (v *baseline) tick()                      {}
+
+// contestant is a policy in the table.
+type contestant struct {
+	name     string
+	maxQueue int
+	make     func(p *play, seed uint64) policy
+}
+
+func newBaseline(p *play, least, retries bool) policy {
+	return &baseline{p: p, least: least, retries: retries, inFlight: map[*engine]int{}, at: map[*call]*engine{}}
+}
+
+var contestants = []contestant{
+	{"laburnumlever", engineQueue, func(p *play, seed uint64) policy {
+		return &dispatching{p: p, d: laburnumdispatch.New("", seed)}
+	}},
+	{"round robin, no admission", -1, func(p *play, _ uint64) policy { return newBaseline(p, false, false) }},
+	{"least in flight, no admission", -1, func(p *play, _ uint64) policy { return newBaseline(p, true, false) }},
+	{"least in flight, unlimited retry", engineQueue, func(p *play, _ uint64) policy { return newBaseline(p, true, true) }},
+}
