fix: stale index refused a ready model; a crossed answer's connection was reused

The node's TestWholePath failed while landing: the index is built again only so often, and a request just after a load was refused no-backend although the view had the engine. A request that misses its model, service or server now has the index built at once, at most a twentieth of a core.

TestCrossedAnswerIsDropped failed once under -race: an answer without a body puts its connection back into the pool before its id is compared, so the next request could be on it when it was closed. The next attempt now waits for the judgement.

--- a/laburnumproxy/attempt.go
+++ b/laburnumproxy/attempt.go
@@ -50,6 +50,7 @@
 	state   string
 	conn    *countedConn
 	base    uint64
+	judged  []chan struct{} // of the connections it had, closed when it is judged
 }
 
 func newAttempt(id string, backend laburnumlever.BackendID, cancel context.CancelFunc) *attempt {
@@ -65,8 +66,10 @@
 	if !ok {
 		return
 	}
+	judged := conn.handOver()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.judged = append(a.judged, judged)
 	if a.conn != nil && a.conn.count() > a.base {
 		conn.sealUnless(conn.count())
 		a.cancel()
@@ -78,6 +81,7 @@
 
 // failed judges an attempt that brought no whole answer.
 func (a *attempt) failed() {
+	defer a.judge()
 	a.mu.Lock()
 	conn, base := a.conn, a.base
 	a.mu.Unlock()
@@ -91,6 +95,7 @@
 
 // answered takes the head of an answer. A crossed one closes the connection.
 func (a *attempt) answered(resp *http.Response) error {
+	defer a.judge()
 	a.take(evWriteStarted)
 	got := resp.Header.Get(headerAttempt)
 	if got != a.id {
@@ -105,6 +110,16 @@
 	return nil
 }
 
+// judge lets the next attempts have the connections.
+func (a *attempt) judge() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, judged := range a.judged {
+		close(judged)
+	}
+	a.judged = nil
+}
+
 func (a *attempt) closeConn() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/laburnumproxy/conn.go
+++ b/laburnumproxy/conn.go
@@ -21,6 +21,26 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	// judged is closed once the answer to the attempt that has the connection, or
+	// had it last, was matched with it.
+	judged chan struct{}
+}
+
+// handOver gives the connection to another attempt, once the last one's answer has
+// been matched. An answer without a body puts the connection back into the pool
+// before anyone has looked at whose answer it was: a crossed one's connection would
+// already carry the next request when it is closed. The wait is short, as the last
+// attempt has its answer in hand.
+func (c *countedConn) handOver() (judged chan struct{}) {
+	c.mu.Lock()
+	last := c.judged
+	c.judged = make(chan struct{})
+	judged = c.judged
+	c.mu.Unlock()
+	if last != nil {
+		<-last
+	}
+	return judged
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumdispatch"
@@ -58,10 +59,10 @@
 	ready := make(chan struct{})
 	ticket.Wake = func() { close(ready) }
 	now := p.timers.Now()
-	p.mu.Lock()
-	err := p.dispatch.Submit(ticket, now)
-	waits := err == nil && ticket.Waiting()
-	p.mu.Unlock()
+	waits, err := p.submit(ticket, now)
+	if isReason(err, laburnumlever.RefusedNoBackend) && p.refreshForMissing(now) {
+		waits, err = p.submit(ticket, now)
+	}
 	if err != nil || !waits {
 		return err
 	}
@@ -82,6 +83,13 @@
 	return nil
 }
 
+func (p *Proxy) submit(ticket *laburnumdispatch.Ticket, now time.Time) (waits bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	err = p.dispatch.Submit(ticket, now)
+	return err == nil && ticket.Waiting(), err
+}
+
 // leave settles the request's true cost.
 func (p *Proxy) leave(q *request, out *answer, ticket *laburnumdispatch.Ticket) {
 	used := 0
--- a/laburnumproxy/lookup.go
+++ b/laburnumproxy/lookup.go
@@ -13,6 +13,9 @@
 	// rebuildShare bounds what building indexes costs: one part in 200 of a core.
 	// At the design size reports change the view thousands of times a second.
 	rebuildShare = 200
+	// missingShare bounds it while requests ask for what is not in the index, as they
+	// also do for models that never were.
+	missingShare = 20
 	// rebuildAtMost bounds how old an index gets: a leaving backend server is out
 	// of it well within the 3 s that it is promised.
 	rebuildAtMost = time.Second
@@ -68,18 +71,46 @@
 
 // refresh takes a new view in, unless that would cost too much or is being done.
 func (p *Proxy) refresh(now time.Time) {
-	view := p.views.View()
-	if old := p.lookup.Load(); old != nil && old.view == view {
+	if p.current() || !p.building.TryLock() {
 		return
 	}
-	if !p.building.TryLock() {
-		return
+	defer p.building.Unlock()
+	if !now.Before(p.rebuild) {
+		p.build(now)
 	}
+}
+
+// refreshForMissing takes a new view in at once for a request whose model, service or
+// backend server is not in the index: it may have come since. It tells whether there
+// is something new to look at. Without it a request right after a load is refused
+// although the view has an engine for it.
+func (p *Proxy) refreshForMissing(now time.Time) bool {
+	if p.current() {
+		return false
+	}
+	p.building.Lock()
 	defer p.building.Unlock()
-	if now.Before(p.rebuild) {
-		return
+	if p.current() {
+		return true // another request has just done it
 	}
+	if now.Before(p.rebuildMissing) {
+		return false
+	}
+	cost := p.build(now)
+	p.rebuildMissing = p.timers.Now().Add(missingShare * cost)
+	return true
+}
+
+// current tells whether the index is of the newest view.
+func (p *Proxy) current() bool {
+	l := p.lookup.Load()
+	return l != nil && l.view == p.views.View()
+}
+
+// build takes the newest view in and returns what that cost; the caller holds building.
+func (p *Proxy) build(now time.Time) time.Duration {
 	start := p.timers.Now()
+	view := p.views.View()
 	ix := laburnumrouter.NewIndex(view)
 	share := p.share(view)
 	p.mu.Lock()
@@ -88,6 +119,7 @@
 	p.lookup.Store(newLookup(view))
 	end := p.timers.Now()
 	p.rebuild = end.Add(min(rebuildShare*end.Sub(start), rebuildAtMost))
+	return end.Sub(start)
 }
 
 // share is this VM's part of every limit.
--- a/laburnumproxy/outgoing.go
+++ b/laburnumproxy/outgoing.go
@@ -44,9 +44,13 @@
 	}
 	req.Header = header
 	if len(q.body) > 0 {
-		// No GetBody: net/http must not send the body a second time by itself.
 		req.Body = io.NopCloser(bytes.NewReader(q.body))
 		req.ContentLength = int64(len(q.body))
+		if !q.once {
+			// Lets net/http take another connection when a reused one turns out
+			// closed before anything was written; see attempt for the rest.
+			req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(q.body)), nil }
+		}
 	}
 	return req
 }
--- a/laburnumproxy/proxy.go
+++ b/laburnumproxy/proxy.go
@@ -39,10 +39,11 @@
 	flights  *flights
 	stop     func()
 
-	lookup   atomic.Pointer[lookup]
-	building sync.Mutex // held while an index is built
-	rebuild  time.Time  // no sooner than this; guarded by building
-	mostVMs  int        // ever known; guarded by building
+	lookup         atomic.Pointer[lookup]
+	building       sync.Mutex // held while an index is built
+	rebuild        time.Time  // no sooner than this; guarded by building
+	rebuildMissing time.Time
+	mostVMs        int // ever known; guarded by building
 
 	mu       sync.Mutex // guards the decisions, which are not safe by themselves
 	dispatch *laburnumdispatch.Dispatcher
--- a/laburnumproxy/proxy_test.go
+++ b/laburnumproxy/proxy_test.go
@@ -4,8 +4,13 @@
 	"bufio"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"laburnumlever/laburnumproxy"
+	"laburnumlever/laburnumtimer"
 
 	"github.com/stretchr/testify/require"
 )
@@ -64,3 +69,24 @@
 		require.Contains(t, string(text), want)
 	}
 }
+
+// costlyTimers lets each look at the clock take a millisecond, as on a VM whose
+// index is dear to build.
+type costlyTimers struct{ *laburnumtimer.Manual }
+
+func (t costlyTimers) Now() time.Time {
+	t.Advance(time.Millisecond)
+	return t.Manual.Now()
+}
+
+// A model has just been loaded, and the view has it, but the index is not due to be
+// built again. The caller would be refused although an engine is ready.
+func TestRequestRightAfterALoad(t *testing.T) {
+	b := newBench(t, nil)
+	proxy := laburnumproxy.New(b.views, costlyTimers{b.timers}, b.log)
+	t.Cleanup(func() { require.NoError(t, proxy.Close()) })
+	b.engine(false, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{}") })
+	w := httptest.NewRecorder()
+	proxy.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"quote"}`)))
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+}
--- a/laburnumproxy/serve.go
+++ b/laburnumproxy/serve.go
@@ -81,21 +81,41 @@
 func (p *Proxy) serveCompletion(w http.ResponseWriter, r *http.Request) { p.serve(w, r, p.complete) }
 
 func (p *Proxy) complete(ctx context.Context, q *request, out *answer, r *http.Request) error {
-	p.refresh(q.received)
-	l := p.lookup.Load()
-	if l.view.Catalogue.Revision == 0 {
-		return q.refusal(laburnumlever.RefusedNotReady, laburnumlever.OutcomeNotRun, "no catalogue yet")
+	if err := p.ready(q); err != nil {
+		return err
 	}
 	if err := out.readBody(r, p.cfg.maxBody); err != nil {
 		return err
 	}
-	if err := q.readCompletion(l); err != nil {
+	err := q.readCompletion(p.lookup.Load())
+	if isReason(err, laburnumlever.RefusedUnknownModel) && p.refreshForMissing(q.received) {
+		err = q.readCompletion(p.lookup.Load())
+	}
+	if err != nil {
 		return err
 	}
 	p.demand.asked(q)
 	return p.run(ctx, q, out)
 }
 
+// ready takes the newest view in and refuses while there is no catalogue.
+func (p *Proxy) ready(q *request) error {
+	p.refresh(q.received)
+	none := p.lookup.Load().view.Catalogue.Revision == 0
+	if none && p.refreshForMissing(q.received) {
+		none = p.lookup.Load().view.Catalogue.Revision == 0
+	}
+	if none {
+		return q.refusal(laburnumlever.RefusedNotReady, laburnumlever.OutcomeNotRun, "no catalogue yet")
+	}
+	return nil
+}
+
+func isReason(err error, reason laburnumlever.RefusalReason) bool {
+	var refusal *laburnumlever.RefusalError
+	return errors.As(err, &refusal) && refusal.Reason == reason
+}
+
 func (p *Proxy) serveModels(w http.ResponseWriter, _ *http.Request) {
 	view := p.views.View()
 	list := modelList{Object: "list", Data: make([]modelEntry, 0, len(view.Catalogue.Models))}
--- a/laburnumproxy/services.go
+++ b/laburnumproxy/services.go
@@ -15,12 +15,15 @@
 
 // call forwards a call to a plain service.
 func (p *Proxy) call(ctx context.Context, q *request, out *answer, r *http.Request) error {
-	p.refresh(q.received)
-	l := p.lookup.Load()
-	if l.view.Catalogue.Revision == 0 {
-		return q.refusal(laburnumlever.RefusedNotReady, laburnumlever.OutcomeNotRun, "no catalogue yet")
+	if err := p.ready(q); err != nil {
+		return err
 	}
+	l := p.lookup.Load()
 	servicePath, err := q.readService(l, r)
+	if isReason(err, laburnumlever.RefusedUnknownService) && p.refreshForMissing(q.received) {
+		l = p.lookup.Load()
+		servicePath, err = q.readService(l, r)
+	}
 	if err != nil {
 		return err
 	}
