--- a/laburnummembership/backendtable.go
+++ b/laburnummembership/backendtable.go
@@ -132,18 +132,17 @@
 	return true
 }
 
-// mergeLoad takes in one load row; late rows change nothing.
-func (t *backendTable) mergeLoad(key, sequence uint64, inFlight, queued int, now time.Time) (*backendRecord, bool) {
-	r, ok := t.byKey[key]
-	if !ok || sequence <= r.report.Sequence {
-		return nil, false
-	}
-	r.report.Sequence = sequence
-	r.report.InFlight = inFlight
-	r.report.Queued = queued
+// mergeLoad takes in one load row; a late one changes nothing.
+func (t *backendTable) mergeLoad(r *backendRecord, row loadRow, now time.Time) bool {
+	if row.sequence <= r.report.Sequence {
+		return false
+	}
+	r.report.Sequence = row.sequence
+	r.report.InFlight = int(row.inFlight)
+	r.report.Queued = int(row.queued)
 	r.reportedAt = now
 	r.newsAt = now
-	return r, true
+	return true
 }
 
 func (t *backendTable) remove(r *backendRecord) {
--- a/laburnummembership/config.go
+++ b/laburnummembership/config.go
@@ -45,7 +45,7 @@
 	// The budgets bound the bytes of each kind of news in one message.
 	factBudget = 500
 	bulkBudget = 4 << 10 // before compression, which makes a seventh of it
-	loadBudget = 700
+	loadBudget = 450     // before base64, which adds a third
 	// factSends is how often a fact is passed on, for each doubling of the fleet.
 	factSends = 1.5
 	// loadSends is fixed: a row reaches nineteen in twenty, and the rest with the
--- a/laburnummembership/exchange.go
+++ b/laburnummembership/exchange.go
@@ -112,8 +112,8 @@
 	if near {
 		queue = c.nearLoads
 	}
-	c.collectLoads(n, queue, loadSends, skip)
-	if facts.size()+bulk.size() == 0 && n.Loads == nil {
+	n.Loads = c.collectLoads(queue, skip)
+	if facts.size()+bulk.size() == 0 && len(n.Loads) == 0 {
 		return nil
 	}
 	return n
@@ -191,43 +191,13 @@
 	}
 }
 
-// loadRowBytes is what a row takes in a message, measured.
-const loadRowBytes = 24
-
-func (c *core) collectLoads(n *news, queue *newsQueue, limit int, skip map[string]bool) {
-	rows := &loadRows{}
-	room := loadBudget
-	queue.take(limit, func(key string) taken {
-		r, ok := c.backends.records[laburnumlever.BackendID(key)]
-		switch {
-		case !ok:
-			return takenGone
-		case skip["l"+key]:
-			return takenNot
-		case room < loadRowBytes:
-			return takenFull
-		}
-		room -= loadRowBytes
-		rows.Keys = append(rows.Keys, loadKey(r.news.Backend, r.news.Incarnation))
-		rows.Sequences = append(rows.Sequences, r.report.Sequence)
-		rows.InFlight = append(rows.InFlight, r.report.InFlight)
-		rows.Queued = append(rows.Queued, r.report.Queued)
-		return takenSent
-	})
-	if len(rows.Keys) > 0 {
-		n.Loads = rows
-	}
-}
-
 // mergeNews takes in news; what is new is passed on if relay is set. It returns the
 // keys of all that was in it.
 func (c *core) mergeNews(n news, now time.Time, relay bool) map[string]bool {
 	seen := map[string]bool{}
 	c.mergeFacts(packedNews{VMs: n.VMs, Backends: n.Backends}, now, relay, seen)
 	c.mergeFacts(unpack(n.Packed), now, relay, seen)
-	if n.Loads != nil {
-		c.mergeLoads(n.Loads, now, seen)
-	}
+	c.mergeLoads(n.Loads, now, seen)
 	return seen
 }
 
@@ -254,16 +224,16 @@
 	}
 }
 
-func (c *core) mergeLoads(rows *loadRows, now time.Time, seen map[string]bool) {
-	count := min(len(rows.Keys), len(rows.Sequences), len(rows.InFlight), len(rows.Queued))
-	for i := range count {
-		r, changed := c.backends.mergeLoad(rows.Keys[i], rows.Sequences[i], rows.InFlight[i], rows.Queued[i], now)
-		if known, ok := c.backends.byKey[rows.Keys[i]]; ok {
-			seen["l"+string(known.news.Backend)] = true
+func (c *core) mergeLoads(rows loadRows, now time.Time, seen map[string]bool) {
+	for _, row := range rows.rows() {
+		known, ok := c.backends.byKey[row.key]
+		if !ok {
+			continue
 		}
-		if changed {
+		seen["l"+string(known.news.Backend)] = true
+		if c.backends.mergeLoad(known, row, now) {
 			c.loadsChanged = true
-			c.queueLoad(r, now)
+			c.queueLoad(known, now)
 		}
 	}
 }
--- /dev/null
+++ b/laburnummembership/loadrows.go
@@ -0,0 +1,80 @@
+package laburnummembership
+
+import (
+	"encoding/binary"
+
+	"laburnumlever"
+)
+
+// loadRow is a load report without the inventory, which is sent only on change.
+type loadRow struct {
+	key      uint64 // see loadKey
+	sequence uint64
+	inFlight uint64
+	queued   uint64
+}
+
+// keyBytes holds a load key.
+const keyBytes = keyBits / 8
+
+// loadRows are rows as bytes: the key in five, the rest as varints. That is about ten
+// bytes a row, thirteen in a JSON string, where columns of JSON numbers took
+// twenty-four.
+type loadRows []byte
+
+// maxRowBytes is the longest row with counts below two million.
+const maxRowBytes = keyBytes + binary.MaxVarintLen64 + 3 + 3
+
+func (l loadRows) append(r loadRow) loadRows {
+	for shift := keyBits - 8; shift >= 0; shift -= 8 {
+		l = append(l, byte(r.key>>shift))
+	}
+	l = binary.AppendUvarint(l, r.sequence)
+	l = binary.AppendUvarint(l, r.inFlight)
+	return binary.AppendUvarint(l, r.queued)
+}
+
+// rows reads them; what is broken off at the end is left out.
+func (l loadRows) rows() []loadRow {
+	var out []loadRow
+	for len(l) > keyBytes {
+		var r loadRow
+		for _, b := range l[:keyBytes] {
+			r.key = r.key<<8 | uint64(b)
+		}
+		l = l[keyBytes:]
+		for _, field := range []*uint64{&r.sequence, &r.inFlight, &r.queued} {
+			value, n := binary.Uvarint(l)
+			if n <= 0 {
+				return out
+			}
+			*field = value
+			l = l[n:]
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func (c *core) collectLoads(queue *newsQueue, skip map[string]bool) loadRows {
+	var rows loadRows
+	queue.take(loadSends, func(key string) taken {
+		r, ok := c.backends.records[laburnumlever.BackendID(key)]
+		switch {
+		case !ok:
+			return takenGone
+		case skip["l"+key]:
+			return takenNot
+		case len(rows)+maxRowBytes > loadBudget:
+			return takenFull
+		}
+		rows = rows.append(loadRow{
+			key:      loadKey(r.news.Backend, r.news.Incarnation),
+			sequence: r.report.Sequence,
+			inFlight: uint64(max(0, r.report.InFlight)),
+			queued:   uint64(max(0, r.report.Queued)),
+		})
+		return takenSent
+	})
+	return rows
+}
--- a/laburnummembership/wire.go
+++ b/laburnummembership/wire.go
@@ -27,7 +27,7 @@
 type news struct {
 	VMs      []laburnumlever.VM `json:"vms,omitempty"`
 	Backends []backendNews      `json:"backends,omitempty"`
-	Loads    *loadRows          `json:"loads,omitempty"`
+	Loads    loadRows           `json:"loads,omitempty"`
 	// Packed are announcements and inventories, see packedNews.
 	Packed []byte `json:"packed,omitempty"`
 }
@@ -58,16 +58,6 @@
 	Loaded   []laburnumlever.Loaded `json:"loaded"`
 }
 
-// loadRows are load reports in columns: row i is entry i of each. Columns and a
-// hash in place of the id take a fifth of the bytes of a list of reports.
-type loadRows struct {
-	// Keys are loadKey of the backend server and its incarnation.
-	Keys      []uint64 `json:"keys"`
-	Sequences []uint64 `json:"sequences"`
-	InFlight  []int    `json:"in-flight"`
-	Queued    []int    `json:"queued"`
-}
-
 // askRequest asks a VM to probe another.
 type askRequest struct {
 	Target  laburnumlever.VMID `json:"target"`
