--- a/laburnummembership/config.go
+++ b/laburnummembership/config.go
@@ -48,6 +48,8 @@
 	loadBudget = 450     // before base64, which adds a third
 	// factSends is how often a fact is passed on, for each doubling of the fleet.
 	factSends = 1.5
+	// bulkSends is lower, as bulky news costs more and a pull finds what was missed.
+	bulkSends = 0.7
 	// loadSends is fixed: a row reaches nineteen in twenty, and the rest with the
 	// next one; more sends would push out newer rows.
 	loadSends = 3
--- a/laburnummembership/exchange.go
+++ b/laburnummembership/exchange.go
@@ -104,9 +104,9 @@
 func (c *core) collect(near bool, skip map[string]bool) *news {
 	n := &news{}
 	facts, bulk := packedNews{}, packedNews{}
-	c.collectFacts(&facts, c.facts, factBudget, skip)
+	c.collectFacts(&facts, c.facts, factBudget, c.sendLimit(factSends), skip)
 	n.VMs, n.Backends = facts.VMs, facts.Backends
-	c.collectFacts(&bulk, c.bulk, bulkBudget, skip)
+	c.collectFacts(&bulk, c.bulk, bulkBudget, c.sendLimit(bulkSends), skip)
 	n.Packed = bulk.pack()
 	queue := c.farLoads
 	if near {
@@ -123,9 +123,9 @@
 	return max(2, int(math.Ceil(factor*math.Log2(float64(len(c.vms.records)+2)))))
 }
 
-func (c *core) collectFacts(n *packedNews, queue *newsQueue, budget int, skip map[string]bool) {
+func (c *core) collectFacts(n *packedNews, queue *newsQueue, budget, limit int, skip map[string]bool) {
 	room := budget
-	queue.take(c.sendLimit(factSends), func(key string) taken {
+	queue.take(limit, func(key string) taken {
 		if skip[key] {
 			return takenNot
 		}
--- a/laburnummembership/fleet_test.go
+++ b/laburnummembership/fleet_test.go
@@ -171,6 +171,10 @@
 	from.Spent += time.Since(began)
 	from.Bytes += len(raw) + envelopeBytes
 	from.ByMethod[method] += len(raw) + envelopeBytes
+	if g, ok := message.(gossip); ok && g.News != nil {
+		from.ByMethod["  of it packed facts"] += len(g.News.Packed) * 4 / 3
+		from.ByMethod["  of it load rows"] += len(g.News.Loads) * 4 / 3
+	}
 	from.Messages++
 	to.Received += len(raw) + envelopeBytes
 	began = time.Now()
