fix: the last load of a backend server reaches every VM

TestNewsOfABackendServerReachesEveryVM failed once while landing: the one report of its engine never reached one VM. Cause: a load row is passed on three times, as a newer one follows; the last one of all may miss a VM for good. Now the VM that speaks for the backend server sends it again after 2 s without a report. The new test fails without that (last load not known after 10 s).

--- a/laburnummembership/backends.go
+++ b/laburnummembership/backends.go
@@ -215,6 +215,21 @@
 	}
 }
 
+// repeatLoads sends the last load of a backend server that has stopped reporting
+// once more. A row is passed on a few times only, since a newer one follows; after
+// the last one of all, the VMs that it missed would show an older load for good.
+func (c *core) repeatLoads(now time.Time) {
+	quiet := func(r *backendRecord) bool {
+		return r.news.Speaker == c.self.ID && r.report.Sequence > 0 &&
+			now.Sub(r.reportedAt) >= loadRepeat && now.Sub(r.nearAt) >= loadRepeat
+	}
+	for _, r := range selected(c.backends.direct, quiet) {
+		r.nearAt, r.farAt = now, now
+		c.nearLoads.push(string(r.news.Backend))
+		c.farLoads.push(string(r.news.Backend))
+	}
+}
+
 func (c *core) needsJudging(r *backendRecord, now time.Time) bool {
 	switch {
 	case r.news.Speaker != c.self.ID:
--- a/laburnummembership/config.go
+++ b/laburnummembership/config.go
@@ -59,6 +59,8 @@
 	loadInterval = 400 * time.Millisecond
 	nearLoadStep = 5 * time.Millisecond
 	farLoadStep  = 14 * time.Millisecond
+	// loadRepeat is how long a load stays unreported before it is sent again.
+	loadRepeat = 2 * time.Second
 	// syncMismatches is how many exchanges must show another digest before a pull:
 	// fewer, and news still on its way would be pulled as missed.
 	syncMismatches = 5
--- a/laburnummembership/core.go
+++ b/laburnummembership/core.go
@@ -150,6 +150,7 @@
 	c.expireSuspicions(now)
 	c.confirm()
 	c.judgeBackends(now)
+	c.repeatLoads(now)
 	c.forget(now)
 	c.join(now)
 	c.heal(now)
--- a/laburnummembership/failures_test.go
+++ b/laburnummembership/failures_test.go
@@ -230,3 +230,24 @@
 		require.Len(t, n.Members(), 5)
 	}
 }
+
+// An engine reports once and is then quiet for long, at a moment when messages are
+// lost. Rows of load are passed on only a few times, as a newer one normally follows
+// at once; a VM that missed the last one must still get it.
+func TestLastLoadReachesEveryVM(t *testing.T) {
+	for seed := range uint64(10) {
+		f := joined(t, 20+seed)
+		e := f.AddEngine(1, "zone-1", f.VMs[1])
+		eventually(t, f, 5*time.Second, "known", func(n *fleetVM) bool { _, ok := f.Backend(n, e.Announcement.Backend); return ok })
+		reports := e.Report.Sequence
+		eventually(t, f, 2*time.Second, "reports", func(*fleetVM) bool { return e.Report.Sequence > reports })
+		e.Quiet = true
+		f.Loss = 0.8
+		f.Advance(time.Second)
+		f.Loss = 0
+		eventually(t, f, 10*time.Second, "last load", func(n *fleetVM) bool {
+			b, _ := f.Backend(n, e.Announcement.Backend)
+			return b.Report.Sequence == e.Report.Sequence
+		})
+	}
+}
--- a/laburnummembership/fleet_test.go
+++ b/laburnummembership/fleet_test.go
@@ -325,7 +325,8 @@
 	Announcement laburnumlever.Announcement
 	Report       laburnumlever.LoadReport
 	To           []*FleetVM
-	Silent       bool
+	// Silent says nothing at all, Quiet sends no reports.
+	Silent, Quiet bool
 	// Hears tells which of the VMs its messages reach.
 	Hears func(n *FleetVM) bool
 }
@@ -355,6 +356,9 @@
 		e.tell(func(n *FleetVM) { _ = n.announce(e.Announcement, f.Now) }, f)
 	})
 	f.Every(500*time.Millisecond, func() {
+		if e.Quiet {
+			return
+		}
 		e.Report.Sequence++
 		e.Report.InFlight = f.Random.IntN(32)
 		e.tell(func(n *FleetVM) { _ = n.report(e.Report, f.Now) }, f)
