fix: the newest signal of a VM replaces all its older ones

A VM leaves models out of its demand when nobody asks for them, so the last rate counted on for half a minute; tokens of refused requests were added though the VMs count them already; and the last signal of a dead VM, which the view goes on showing, would have come back to life once it was forgotten. The owner also rests a hundred times as long as a planning round took; zones cut apart, views that differ and a cold start against the weight store are tests.

--- a/laburnumorder/options.go
+++ b/laburnumorder/options.go
@@ -38,6 +38,8 @@
 	overdueAfter = 20 * time.Second
 	// releaseTimeout bounds what a stopping VM spends on giving the lease back.
 	releaseTimeout = time.Second
+	// planRest is how many times as long as a round took the next one waits.
+	planRest = 100
 	// historySize is how many moves are kept for explanations.
 	historySize = 256
 	// maxLoadTime is how long a load counts against the zone's parallel loads
--- a/laburnumorder/owner.go
+++ b/laburnumorder/owner.go
@@ -37,6 +37,7 @@
 	orders     uint64
 	pace       laburnumplacement.Pace
 	paceIsNew  bool
+	nextPlan   time.Time
 	planner    *laburnumplacement.Planner
 	estimator  *laburnumplacement.Estimator
 	ready      readiness
@@ -146,7 +147,13 @@
 	}
 	o.watch(view, now)
 	o.readDue(now)
+	if now.Before(o.nextPlan) {
+		return
+	}
 	o.plan(view, now)
+	// A round over a large fleet takes milliseconds: the wait keeps planning to a
+	// hundredth of the control thread's time, whatever the fleet's size.
+	o.nextPlan = now.Add(planRest * o.timers.Now().Sub(now))
 }
 
 // call runs work that waits for the network, off the control thread. Its context
--- a/laburnumorder/world_test.go
+++ b/laburnumorder/world_test.go
@@ -48,6 +48,7 @@
 	delay     time.Duration
 	quorum    quorum
 	orders    []laburnumlever.Order // as sent
+	zones     []laburnumlever.ZoneName
 }
 
 // vm is one entry VM. It is the loop and the views of its owner too.
@@ -62,15 +63,22 @@
 	manual  bool // work waits for the test
 	reports map[laburnumlever.BackendID]laburnumlever.LoadReport
 	stale   bool // reports do not change
+	alone   bool // sees no other zone
 }
 
 func newWorld(t tester, checks ...bool) *world {
-	w := &world{t: t, timers: laburnumtimer.NewManual(time.Unix(1000, 0)), catalogue: catalogueOf(4, 60)}
+	return newZones(t, []laburnumlever.ZoneName{"a", "a"}, checks...)
+}
+
+// newZones makes one VM for each zone named; the engines follow in turn.
+func newZones(t tester, zones []laburnumlever.ZoneName, checks ...bool) *world {
+	w := &world{t: t, zones: zones, timers: laburnumtimer.NewManual(time.Unix(1000, 0)), catalogue: catalogueOf(4, 60)}
 	w.quorum = quorum{w: w, leases: make(map[string]*granted)}
 	for i, check := range checks {
 		w.addEngine(i, check, 1)
 	}
-	for i := range 2 {
+	w.catalogue.Deployment.Zones = slices.Compact(slices.Clone(zones))
+	for i := range zones {
 		w.vms = append(w.vms, nil)
 		w.startVM(i, 1)
 	}
@@ -100,7 +108,7 @@
 
 func (w *world) addEngine(i int, checks bool, incarnation uint64) {
 	e := laburnumstandin.NewEngine(laburnumlever.Announcement{
-		Backend: laburnumlever.BackendID(fmt.Sprintf("e%d", i)), Zone: "a", Incarnation: incarnation, ChecksFencing: checks, Slots: 1,
+		Backend: laburnumlever.BackendID(fmt.Sprintf("e%d", i)), Zone: w.zones[i%len(w.zones)], Incarnation: incarnation, ChecksFencing: checks, Slots: 1,
 		Accelerators: []laburnumlever.Accelerator{{ID: "a0", MemoryMiB: 100}, {ID: "a1", MemoryMiB: 100}},
 	}, laburnumstandin.WithTimers(w.timers), laburnumstandin.WithLoadTime(loadTime))
 	w.all = append(w.all, e)
@@ -122,7 +130,7 @@
 		old.frozen = true
 	}
 	v := &vm{
-		w: w, id: laburnumlever.VM{ID: laburnumlever.VMID(fmt.Sprintf("vm%d", i)), Zone: "a", Incarnation: incarnation},
+		w: w, id: laburnumlever.VM{ID: laburnumlever.VMID(fmt.Sprintf("vm%d", i)), Zone: w.zones[i], Incarnation: incarnation},
 		reports: make(map[laburnumlever.BackendID]laburnumlever.LoadReport),
 	}
 	v.owner = laburnumorder.New(v, w.timers, &proposer{v}, &link{v}, v, v.id,
@@ -141,7 +149,9 @@
 		if !v.stale {
 			v.reports[a.Backend] = e.Report()
 		}
-		view.Backends = append(view.Backends, laburnumlever.Backend{Announcement: a, Report: v.reports[a.Backend]})
+		view.Backends = append(view.Backends, laburnumlever.Backend{
+			Announcement: a, Report: v.reports[a.Backend], Down: v.alone && a.Zone != v.id.Zone,
+		})
 	}
 	return view
 }
--- /dev/null
+++ b/laburnumorder/zones_test.go
@@ -0,0 +1,93 @@
+package laburnumorder_test
+
+import (
+	"testing"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/stretchr/testify/require"
+)
+
+func twoZones(t tester) *world {
+	w := newZones(t, []laburnumlever.ZoneName{"a", "b"}, true, true, true, true)
+	w.run(3 * time.Minute)
+	w.requireReachableIn("a")
+	w.requireReachableIn("b")
+	return w
+}
+
+func (w *world) requireReachableIn(zone laburnumlever.ZoneName) {
+	names := make(map[laburnumlever.ModelName]bool)
+	for _, e := range w.engines {
+		for _, c := range e.Report().Loaded {
+			if c.Ready && e.Announcement().Zone == zone {
+				names[c.Model] = true
+			}
+		}
+	}
+	require.Len(w.t, names, len(w.catalogue.Models))
+}
+
+// Two zones are cut apart, the quorum stays with zone a. Each has all models and loses
+// an engine. Callers in each zone must find every model again that its own memory can
+// hold, and nothing may move once the zones see each other again and are whole.
+func TestZonesCutApart(t *testing.T) {
+	w := twoZones(t)
+	a, b := w.vms[0], w.vms[1]
+	a.alone, b.alone, b.cut = true, true, true
+	w.run(time.Minute)
+	w.restartEngine(0)
+	w.restartEngine(1)
+	w.run(3 * time.Minute)
+	w.requireReachableIn("a")
+	w.requireReachableIn("b")
+	a.alone, b.alone, b.cut = false, false, false
+	before := len(w.orders)
+	w.run(5 * time.Minute)
+	require.Len(t, w.orders, before)
+}
+
+// The views of two owners differ for long: a sees nothing of b, b sees all. Neither
+// may wait for the other to repair a model, nor may they load and unload in turn.
+func TestViewsThatDifferComeToRest(t *testing.T) {
+	w := twoZones(t)
+	w.vms[0].alone = true
+	w.restartEngine(0)
+	w.restartEngine(1)
+	w.run(3 * time.Minute)
+	w.requireReachableIn("a")
+	before := len(w.orders)
+	w.run(10 * time.Minute)
+	require.Len(t, w.orders, before)
+}
+
+// All the zones' weights come from one store. A cold start after an outage of every
+// engine must not pass its rate or its parallel loads, whoever owns the zones.
+func TestColdStartKeepsToTheWeightStore(t *testing.T) {
+	zones := []laburnumlever.ZoneName{"a", "b", "c", "d"}
+	w := newZones(t, zones, true, true, true, true, true, true, true, true)
+	w.catalogue.Deployment.WeightStore = laburnumlever.WeightStore{LoadsPerSecond: 1.5, ParallelLoads: 7}
+	start, highest := w.timers.Now(), 0
+	for range 240 {
+		w.run(250 * time.Millisecond)
+		loading, loads := 0, 0
+		for _, e := range w.engines {
+			for _, c := range e.Report().Loaded {
+				if !c.Ready {
+					loading++
+				}
+			}
+		}
+		for _, o := range w.orders {
+			if o.Kind == laburnumlever.Load {
+				loads++
+			}
+		}
+		highest = max(highest, loading)
+		require.LessOrEqual(t, float64(loads), 1.5*w.timers.Now().Sub(start).Seconds())
+	}
+	w.requireAllReachable()
+	require.LessOrEqual(t, highest, 7)
+	require.Positive(t, highest)
+}
--- a/laburnumplacement/estimator.go
+++ b/laburnumplacement/estimator.go
@@ -25,6 +25,7 @@
 // some are missing, and they come in any order.
 type Estimator struct {
 	seen   map[source]signal
+	heard  map[laburnumlever.VMID]hearing
 	models map[laburnumlever.ModelName]Demand
 	at     time.Time
 }
@@ -42,25 +43,37 @@
 
 // NewEstimator makes an estimator that has seen nothing.
 func NewEstimator() *Estimator {
-	return &Estimator{seen: make(map[source]signal), models: make(map[laburnumlever.ModelName]Demand)}
+	return &Estimator{
+		seen:   make(map[source]signal),
+		heard:  make(map[laburnumlever.VMID]hearing),
+		models: make(map[laburnumlever.ModelName]Demand),
+	}
 }
 
 // Observe takes the newest signals and moves the estimates on to now.
 func (e *Estimator) Observe(now time.Time, demand []laburnumlever.ModelDemand) {
+	newest := make(map[laburnumlever.VMID]uint64)
 	for _, d := range demand {
-		key := source{vm: d.VM, model: d.Model}
-		old, known := e.seen[key]
-		if known && d.Sequence <= old.sequence && d.Sequence != 0 {
-			continue
+		newest[d.VM] = max(newest[d.VM], d.Sequence)
+	}
+	taken := make(map[laburnumlever.VMID]bool, len(newest))
+	for vm, sequence := range newest {
+		taken[vm] = e.hear(now, vm, sequence)
+	}
+	for _, d := range demand {
+		if taken[d.VM] && d.Sequence == newest[d.VM] {
+			e.seen[source{vm: d.VM, model: d.Model}] = signal{sequence: d.Sequence, rates: ratesOf(d), at: now}
 		}
-		e.seen[key] = signal{sequence: d.Sequence, rates: ratesOf(d), at: now}
 	}
-	sums := make(map[laburnumlever.ModelName]sum, len(e.models))
 	for key, s := range e.seen {
-		if now.Sub(s.at) > forgetAfter {
+		if now.Sub(s.at) > forgetAfter || s.sequence != e.heard[key.vm].taken {
+			// The VM has gone silent, or its newest signal leaves the model out:
+			// nobody asks for it there any more.
 			delete(e.seen, key)
-			continue
 		}
+	}
+	sums := make(map[laburnumlever.ModelName]sum, len(e.models))
+	for key, s := range e.seen {
 		sums[key.model] = sums[key.model].plus(s.rates)
 	}
 	totals := make(map[laburnumlever.ModelName]Rates, len(sums))
@@ -70,6 +83,28 @@
 	e.move(now, totals)
 }
 
+// hear tells whether a VM's sequence is news. The view goes on showing the last signal
+// of a VM that died, and a VM that restarted counts from 1 again: so after a silence a
+// lower sequence is taken too, but only once it has been seen to grow.
+func (e *Estimator) hear(now time.Time, vm laburnumlever.VMID, sequence uint64) bool {
+	h := e.heard[vm]
+	grows := sequence > h.shown
+	h.shown = sequence
+	news := grows && (sequence > h.taken || now.Sub(h.at) > forgetAfter)
+	if news {
+		h.taken = sequence
+		h.at = now
+	}
+	e.heard[vm] = h
+	return news
+}
+
+// hearing is how far a VM's signals have come.
+type hearing struct {
+	shown, taken uint64
+	at           time.Time
+}
+
 // sumUnit is the part of a request or token that sums are counted in.
 const sumUnit = 1e-6
 
@@ -96,21 +131,9 @@
 // Demand is the estimate for each model. It must not be changed.
 func (e *Estimator) Demand() map[laburnumlever.ModelName]Demand { return e.models }
 
-// maxRefusedFactor bounds how far the tokens of a few answered requests are taken
-// to stand for the many that were turned away.
-const maxRefusedFactor = 10
-
-// ratesOf counts the tokens of those turned away too, as many for each as for
-// those that were answered: only answered requests have tokens to count.
+// ratesOf takes all that was asked, refused requests and their tokens included.
 func ratesOf(d laburnumlever.ModelDemand) Rates {
-	factor := 1.0
-	if answered := d.RequestsPerSecond - d.Refused; d.Refused > 0 {
-		factor = maxRefusedFactor
-		if answered > 0 {
-			factor = min(maxRefusedFactor, d.RequestsPerSecond/answered)
-		}
-	}
-	return Rates{Requests: d.RequestsPerSecond, PromptTokens: d.PromptTokens * factor, AnswerTokens: d.AnswerTokens * factor}
+	return Rates{Requests: d.RequestsPerSecond, PromptTokens: d.PromptTokens, AnswerTokens: d.AnswerTokens}
 }
 
 func (e *Estimator) move(now time.Time, totals map[laburnumlever.ModelName]Rates) {
--- a/laburnumplacement/measureworld_test.go
+++ b/laburnumplacement/measureworld_test.go
@@ -238,16 +238,20 @@
 			served[m] += w.pour(holders[m], spare, rates[m]*float64(turn+1)/4-served[m])
 		}
 	}
+	heard := make([]bool, entryVMs)
+	for vm := range heard {
+		heard[vm] = w.rng.Float64() > signalLoss
+	}
 	var signals []laburnumlever.ModelDemand
 	for m, model := range w.catalogue.Models {
 		w.attained += served[m]
 		w.noteAbsence(absence{s, model.Name}, len(holders[m]) == 0)
-		for vm := range entryVMs {
-			if w.rng.Float64() > signalLoss {
+		for vm := range heard {
+			if heard[vm] {
 				signals = append(signals, laburnumlever.ModelDemand{
 					Model: model.Name, VM: laburnumlever.VMID(fmt.Sprint(vm)), Sequence: uint64(w.second + 1000),
 					RequestsPerSecond: rates[m] / entryVMs, Refused: (rates[m] - served[m]) / entryVMs,
-					PromptTokens: served[m] / entryVMs * promptTokens, AnswerTokens: served[m] / entryVMs * answerTokens,
+					PromptTokens: rates[m] / entryVMs * promptTokens, AnswerTokens: rates[m] / entryVMs * answerTokens,
 				})
 			}
 		}
