feat: the load tool counts moves of VMs that end, and no resend in attainment

Change: the VMs are asked each second; resends count with no class or owner. The fleet's grace is longer than the load tool's balancer takes to notice: with 200 ms, callers were sent to a closed port. A test drains a VM of a small fleet during a burst.

--- a/laburnumfleet/fleet.go
+++ b/laburnumfleet/fleet.go
@@ -19,8 +19,8 @@
 const (
 	anyPort         = "127.0.0.1:0"
 	headerReadLimit = 10 * time.Second
-	// shutdownGrace is short, as no balancer has to notice.
-	shutdownGrace = 200 * time.Millisecond
+	// shutdownGrace is longer than the load tool's balancer takes to notice, 0.9 s.
+	shutdownGrace = 1500 * time.Millisecond
 	shutdownLimit = 30 * time.Second
 )
 
--- a/laburnumfleet/fleet_test.go
+++ b/laburnumfleet/fleet_test.go
@@ -1,11 +1,14 @@
 package laburnumfleet_test
 
 import (
+	"context"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumlever"
 	"laburnumlever/laburnumfleet"
 	"laburnumlever/laburnumload"
 )
@@ -45,3 +48,46 @@
 		})
 	}
 }
+
+// A VM is told to stop during a burst. Callers of the others and of the VM itself
+// must get whole answers or refusals: a graceful end cuts nothing off, and a
+// booking that is sent again through the other VM runs once.
+func TestDrainDuringABurstCutsNothingOff(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	_, catalogue, err := laburnumfleet.Load(filepath.Join("..", "examples", "armor-pose", "fleet.jsonc"))
+	require.NoError(t, err)
+	catalogue.Deployment.Zones = []laburnumlever.ZoneName{"brest"}
+	catalogue.Deployment.EntryVMs = 2
+	catalogue.Models = catalogue.Models[:1]
+	fleet, err := laburnumfleet.Start(ctx, laburnumfleet.Spec{
+		VMs: []laburnumfleet.VMSpec{{VM: "brest-1", Zone: "brest", Disk: true}, {VM: "brest-2", Zone: "brest"}},
+		Engines: []laburnumfleet.EngineSpec{{
+			Name: "engine", Zone: "brest", Count: 1, AcceleratorsMiB: []int{24576}, Slots: 16,
+			PrefillTokensPerSecond: 20000, TokensPerSecond: 2000, ChecksFencing: true,
+		}},
+		Services: []laburnumfleet.ServiceSpec{{Service: "booking", Zone: "brest", Count: 1, Slots: 16}},
+	}, catalogue)
+	require.NoError(t, err)
+	defer fleet.Close()
+	revision, err := fleet.Apply(ctx)
+	require.NoError(t, err)
+	require.NoError(t, fleet.AwaitLoaded(ctx, revision))
+
+	report, err := laburnumload.NewRunner(fleet.Operators(), laburnumload.WithActor(fleet)).Run(ctx, laburnumload.Experiment{
+		Name: "drain", Seed: 7, Timeout: laburnumlever.Duration(20 * time.Second),
+		Phases: []laburnumload.Phase{{For: laburnumlever.Duration(4 * time.Second), RequestsPerSecond: 40, Shape: laburnumload.ShapeBurst, BurstSize: 8}},
+		Mix: []laburnumload.Entry{
+			{Name: "quotes", Share: 4, Models: []laburnumlever.ModelName{catalogue.Models[0].Name}, Stream: true},
+			{Name: "visits", Share: 1, Service: "booking", Path: "/visits", Keyed: true, Resend: 0.5},
+		},
+		Events: []laburnumload.Event{{At: laburnumlever.Duration(time.Second), Action: laburnumload.ActionStopVM, Name: "brest-2"}},
+	})
+	require.NoError(t, err)
+	require.Empty(t, report.Broken)
+	require.Zero(t, report.Lost)
+	require.Positive(t, report.Whole)
+	require.Equal(t, report.Sent, report.Whole+report.Refused)
+	require.Zero(t, fleet.Violations())
+	require.Len(t, fleet.Operators(), 1)
+}
--- a/laburnumload/results.go
+++ b/laburnumload/results.go
@@ -70,14 +70,11 @@
 func (r *results) add(a Arrival, id string, got Answer) {
 	v := Judge(a, got)
 	owner, class := r.entryOf(a)
-	attained := v.Whole && Attained(class, got)
+	attained := v.Whole && !a.Resend && Attained(class, got)
 	second := r.second(a.At)
 	second.Sent++
 	r.report.Sent++
-	groups := []*groupResults{group(&r.classes, string(class.Name)), group(&r.owners, string(owner))}
-	for _, g := range groups {
-		g.group.Sent++
-	}
+	groups := r.groupsOf(a, owner, class.Name)
 	switch {
 	case v.Broken != "":
 		r.broken(fmt.Sprintf("request %s: %s (status %d)", id, v.Broken, got.Status))
@@ -97,6 +94,19 @@
 	}
 }
 
+// groupsOf counts the request with its class and owner. A resend counts with
+// neither: it only checks that a call runs once, and its caller has an answer already.
+func (r *results) groupsOf(a Arrival, owner laburnumlever.OwnerName, class laburnumlever.ClassName) []*groupResults {
+	if a.Resend {
+		return nil
+	}
+	groups := []*groupResults{group(&r.classes, string(class)), group(&r.owners, string(owner))}
+	for _, g := range groups {
+		g.group.Sent++
+	}
+	return groups
+}
+
 func (r *results) whole(groups []*groupResults, second *Second, got Answer, attained bool) {
 	r.report.Whole++
 	second.Whole++
--- a/laburnumload/runner.go
+++ b/laburnumload/runner.go
@@ -79,8 +79,8 @@
 	if err := run.checkLedgers(ctx); err != nil {
 		return Report{}, err
 	}
-	accelerators, moves := r.account(ctx)
-	return run.results.finish(accelerators, moves-min(moves, run.movesBefore)), nil
+	run.account.ask(ctx)
+	return run.results.finish(run.account.totals()), nil
 }
 
 func (r *Runner) prepare(ctx context.Context, e Experiment) (*playing, error) {
@@ -98,39 +98,23 @@
 		return nil, &NoCallersAddressError{VM: r.vms[0]}
 	}
 	id := uuid.NewString()[:runIDLength]
-	_, moves := r.account(ctx)
+	account := newAccount(r.vms)
+	account.ask(ctx)
 	return &playing{
 		runner: r, experiment: e, balancer: newBalancer(addresses), caller: newCaller(r.timers, id),
-		plan: Plan(e, id), results: newResults(e, status.View.Catalogue), backends: status.View.Backends, movesBefore: moves,
+		plan: Plan(e, id), results: newResults(e, status.View.Catalogue), backends: status.View.Backends, account: account,
 	}, nil
 }
 
-// account adds up what the VMs that answer say of the fleet.
-func (r *Runner) account(ctx context.Context) (accelerators int, moves uint64) {
-	for _, vm := range r.vms {
-		status, err := laburnumoperator.NewClient(vm).Status(ctx)
-		if err != nil {
-			continue
-		}
-		moves += status.Moves
-		count := 0
-		for _, b := range status.View.Backends {
-			count += len(b.Announcement.Accelerators)
-		}
-		accelerators = max(accelerators, count)
-	}
-	return accelerators, moves
-}
-
 // playing is one run of an experiment.
 type playing struct {
-	runner      *Runner
-	experiment  Experiment
-	balancer    *balancer
-	caller      *Caller
-	plan        []Arrival
-	backends    []laburnumlever.Backend
-	movesBefore uint64
+	runner     *Runner
+	experiment Experiment
+	balancer   *balancer
+	caller     *Caller
+	plan       []Arrival
+	backends   []laburnumlever.Backend
+	account    *account
 
 	mu       sync.Mutex
 	results  *results
@@ -141,6 +125,7 @@
 func (p *playing) play(ctx context.Context) {
 	start := p.runner.timers.Now()
 	defer p.runner.timers.Every(balancerPeriod, func(time.Time) { p.balancer.ask(ctx, p.caller.client) })()
+	defer p.runner.timers.Every(accountPeriod, func(time.Time) { go p.account.ask(ctx) })()
 	var group sync.WaitGroup
 	for _, event := range p.experiment.Events {
 		group.Add(1)
