--- /dev/null
+++ b/laburnumlog/schedule_test.go
@@ -0,0 +1,322 @@
+package laburnumlog_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"laburnumlever/laburnumlog"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// act does one of the things that can happen, as the numbers say. All numbers mean
+// something, so that a failing schedule can be made shorter.
+func (s *simulation) act(kind, who, which int) {
+	r := s.replicas[who%len(s.replicas)]
+	switch {
+	case kind < 30:
+		s.deliver(which, false)
+	case kind < 40:
+		for i := range 1 + which%8 {
+			s.deliver(which/8*i, false)
+		}
+	case kind < 53:
+		s.sync(r)
+	case kind < 58:
+		s.step(r, laburnumlog.Tick{})
+	case kind < 60:
+		s.abandonLeader(r)
+	case kind < 64:
+		s.campaign(r)
+	case kind < 70:
+		s.propose(r, 1+which%2)
+	case kind < 74:
+		s.propose(s.head(r), 1)
+	case kind < 77:
+		s.deliver(which, true)
+	case kind < 79:
+		for range 1 + which%4 {
+			s.drop(which / 4)
+		}
+	case kind < 81:
+		s.dropHeartbeats()
+	case kind < 84:
+		s.restart(r)
+	case kind < 86:
+		s.loseDisk(r)
+	case kind < 89:
+		s.changeMembers(r, which)
+	case kind < 93:
+		s.repair(s.head(r), which)
+	case kind < 95:
+		s.compact(r)
+	case kind < 96:
+		s.step(s.head(r), laburnumlog.HandOver{})
+	default:
+		s.calm(1 + which%3)
+	}
+}
+
+// abandonLeader lets time pass for all but a leader, as when it is frozen.
+func (s *simulation) abandonLeader(first *replica) {
+	for _, r := range s.replicas {
+		if r.log.Role() == laburnumlog.Leader {
+			continue
+		}
+		for range 10 {
+			s.step(r, laburnumlog.Tick{})
+		}
+	}
+	for range 10 {
+		s.step(first, laburnumlog.Tick{})
+	}
+}
+
+// campaign is a late or doubled message of a leader that hands over.
+func (s *simulation) campaign(r *replica) {
+	if r.log.Term() > 0 {
+		s.step(r, laburnumlog.Receive{Message: laburnumlog.Message{Kind: laburnumlog.MessageCampaignNow, To: r.id, Term: r.log.Term()}})
+	}
+}
+
+func (s *simulation) dropHeartbeats() {
+	s.network = slices.DeleteFunc(s.network, func(m laburnumlog.Message) bool {
+		return m.Kind == laburnumlog.MessageHeartbeat || m.Kind == laburnumlog.MessageHeartbeatAnswer
+	})
+}
+
+// head is the leader of the highest term, or the given replica if none leads.
+func (s *simulation) head(or *replica) *replica {
+	best := or
+	for _, r := range s.replicas {
+		if r.log.Role() == laburnumlog.Leader && (best.log.Role() != laburnumlog.Leader || r.log.Term() > best.log.Term()) {
+			best = r
+		}
+	}
+	return best
+}
+
+// repair makes one step towards three voters that are alive.
+func (s *simulation) repair(r *replica, which int) {
+	c := r.log.Configuration()
+	for _, m := range c.Members {
+		switch {
+		case s.dead[m.ID]:
+			s.step(r, laburnumlog.ChangeMembers{Configuration: c.Without(m.ID)})
+			return
+		case m.Learner:
+			m.Learner = false
+			s.step(r, laburnumlog.ChangeMembers{Configuration: c.WithMember(m)})
+			return
+		}
+	}
+	if len(c.Voters()) < 3 {
+		s.changeMembers(r, which|1)
+	}
+}
+
+// calm delivers and syncs all, some rounds over.
+func (s *simulation) calm(rounds int) {
+	for range rounds {
+		for range len(s.network) {
+			s.deliver(0, false)
+		}
+		for _, r := range s.replicas {
+			for len(r.unsaved) > 0 {
+				s.sync(r)
+			}
+		}
+	}
+}
+
+func (s *simulation) to(id laburnumlog.ReplicaID) *replica {
+	for _, r := range s.replicas {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (s *simulation) deliver(which int, again bool) {
+	if len(s.network) == 0 {
+		return
+	}
+	i := which % len(s.network)
+	m := s.network[i]
+	if !again {
+		s.drop(i)
+	}
+	if r := s.to(m.To); r != nil {
+		s.step(r, laburnumlog.Receive{Message: m})
+	}
+}
+
+func (s *simulation) drop(which int) {
+	if n := len(s.network); n > 0 {
+		i := which % n
+		s.network = append(append([]laburnumlog.Message{}, s.network[:i]...), s.network[i+1:]...)
+	}
+}
+
+func (s *simulation) propose(r *replica, n int) {
+	var data [][]byte
+	for range n {
+		s.proposals++
+		data = append(data, fmt.Appendf(nil, "proposal %d", s.proposals))
+	}
+	s.step(r, laburnumlog.Propose{Data: data})
+}
+
+// loseDisk replaces the disk by an empty one, unless too many of some majority
+// would then be gone: what a lost majority held is lost in any protocol.
+func (s *simulation) loseDisk(r *replica) {
+	for _, other := range s.replicas {
+		now, before := other.log.Configuration(), other.log.ConfigurationAt(other.log.Commit())
+		if !now.IsVoter(other.id) && !other.log.ChangePending() {
+			continue
+		}
+		if s.tooManyLost(now, r) || s.tooManyLost(before, r) {
+			return
+		}
+	}
+	s.newDisk(r)
+}
+
+func (s *simulation) tooManyLost(c laburnumlog.Configuration, r *replica) bool {
+	lost := 0
+	for _, m := range c.Voters() {
+		if s.dead[m.ID] || m.ID == r.id {
+			lost++
+		}
+	}
+	return lost > len(c.Voters())-c.Majority()
+}
+
+func (s *simulation) changeMembers(r *replica, which int) {
+	if r.log.Role() != laburnumlog.Leader {
+		return
+	}
+	c := r.log.Configuration()
+	if len(c.Members) > 0 && which%2 == 0 {
+		m := c.Members[which/2%len(c.Members)]
+		if m.Learner {
+			m.Learner = false
+			c = c.WithMember(m)
+		} else if len(c.Voters()) > 2 {
+			c = c.Without(m.ID)
+		}
+	} else {
+		m := s.replicas[which/2%len(s.replicas)].member()
+		if _, in := c.Find(m.ID); in {
+			return
+		}
+		m.Learner = true
+		c = c.WithMember(m)
+	}
+	if s.canLead(c) {
+		s.step(r, laburnumlog.ChangeMembers{Configuration: c})
+	}
+}
+
+// canLead tells whether a majority of the voters is alive; without one the
+// configuration would be a mistake of whoever asks for it.
+func (s *simulation) canLead(c laburnumlog.Configuration) bool {
+	alive := 0
+	for _, m := range c.Voters() {
+		if !s.dead[m.ID] {
+			alive++
+		}
+	}
+	return alive >= c.Majority()
+}
+
+func (s *simulation) compact(r *replica) {
+	s.step(r, laburnumlog.Compact{Snapshot: laburnumlog.Snapshot{Index: r.applied, Data: fmt.Appendf(nil, "%x", r.hash)}})
+}
+
+// heal runs the replicas without faults and tells whether they got anywhere.
+func (s *simulation) heal() bool {
+	s.network = nil
+	before := len(s.committed)
+	for round := range 400 {
+		for _, r := range s.replicas {
+			s.step(r, laburnumlog.Tick{})
+			if round%10 == 0 {
+				s.propose(r, 1)
+			}
+		}
+		for moved := true; moved && s.problem == ""; {
+			moved = len(s.network) > 0
+			for len(s.network) > 0 {
+				s.deliver(0, false)
+			}
+			for _, r := range s.replicas {
+				for len(r.unsaved) > 0 {
+					moved = true
+					s.sync(r)
+				}
+			}
+		}
+		if len(s.committed) > before+2 && s.votersAgree() {
+			return true
+		}
+	}
+	return false
+}
+
+// votersAgree tells whether every member alive has applied all that the leader has.
+// A replica that was removed may believe in an older list and a higher term.
+func (s *simulation) votersAgree() bool {
+	leader := s.head(s.replicas[0])
+	if leader.log.Role() != laburnumlog.Leader {
+		return false
+	}
+	for _, m := range leader.log.Configuration().Members {
+		if r := s.to(m.ID); r != nil && r.applied != leader.applied {
+			return false
+		}
+	}
+	return true
+}
+
+// Messages are lost, doubled and reordered, replicas restart, disks are lost and
+// voters change, at any step. No committed entry may be lost or changed, no term
+// may have two leaders, and once all is well the log must go on.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(4, rapid.IntRange(1, 3).Draw(t, "voters"))
+		for i := range rapid.IntRange(0, 400).Draw(t, "steps") {
+			s.act(rapid.IntRange(0, 99).Draw(t, "kind"), rapid.IntRange(0, 3).Draw(t, "who"), rapid.IntRange(0, 255).Draw(t, "which"))
+			if s.problem != "" {
+				t.Fatalf("step %d: %s", i, s.problem)
+			}
+		}
+		if !s.heal() || s.problem != "" {
+			t.Fatalf("no progress after all is well again: %s", s.problem)
+		}
+	})
+}
+
+// TestLongSchedules drives far longer runs from fixed seeds than rapid would draw.
+func TestLongSchedules(t *testing.T) {
+	for seed := range uint64(150) {
+		n := 3 + int(seed%3)
+		s := newSimulation(n, 3)
+		state := seed*2654435761 + 88172645463325252
+		next := func(n int) int {
+			state ^= state << 13
+			state ^= state >> 7
+			state ^= state << 17
+			return int(state>>11) % n
+		}
+		for i := range 4000 {
+			s.act(next(100), next(n), next(1<<16))
+			require.Empty(t, s.problem, "seed %d step %d", seed, i)
+		}
+		require.True(t, s.heal(), "seed %d: no progress: %s", seed, s.problem)
+		require.Empty(t, s.problem, "seed %d", seed)
+	}
+}
--- /dev/null
+++ b/laburnumlog/simulation_test.go
@@ -0,0 +1,194 @@
+package laburnumlog_test
+
+import (
+	"fmt"
+	"slices"
+
+	"laburnumlever"
+	"laburnumlever/laburnumlog"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// replica is one VM in a simulation: a log, a disk that holds what was synced, and
+// writes not yet synced.
+type replica struct {
+	vm      string
+	id      laburnumlog.ReplicaID
+	life    int // how many disks the VM has had
+	boot    uint64
+	log     *laburnumlog.Log
+	disk    laburnumlog.Recovered
+	unsaved []laburnumlog.Write
+	applied uint64
+	hash    uint64 // of all entries applied
+	led     uint64 // the last term seen leading
+}
+
+type committedEntry struct {
+	entry laburnumlog.Entry
+	hash  uint64
+}
+
+// simulation holds the replicas, the messages under way and what has been
+// committed. problem says the first thing found wrong.
+type simulation struct {
+	replicas  []*replica
+	network   []laburnumlog.Message
+	committed map[uint64]committedEntry
+	leaders   map[uint64]laburnumlog.ReplicaID
+	dead      map[laburnumlog.ReplicaID]bool
+	proposals int
+	problem   string
+}
+
+func newSimulation(n, voters int) *simulation {
+	s := &simulation{
+		committed: map[uint64]committedEntry{}, leaders: map[uint64]laburnumlog.ReplicaID{},
+		dead: map[laburnumlog.ReplicaID]bool{},
+	}
+	var first laburnumlog.Configuration
+	for i := range n {
+		r := &replica{vm: string(rune('a' + i))}
+		s.replicas = append(s.replicas, r)
+		s.newDisk(r)
+		if i < voters {
+			first = first.WithMember(r.member())
+		}
+	}
+	for _, r := range s.replicas[:voters] {
+		s.step(r, laburnumlog.Bootstrap{Configuration: first})
+		r.applied = 1
+		s.sync(r)
+	}
+	return s
+}
+
+func (r *replica) member() laburnumlog.Member {
+	return laburnumlog.Member{ID: r.id, VM: laburnumlever.VMID(r.vm), Address: r.vm}
+}
+
+func (s *simulation) newDisk(r *replica) {
+	if r.life > 0 {
+		s.dead[r.id] = true
+	}
+	r.life++
+	r.id = laburnumlog.ReplicaID(fmt.Sprintf("%s/%d", r.vm, r.life))
+	r.disk = laburnumlog.Recovered{}
+	r.boot = 0
+	s.restart(r)
+}
+
+// restart starts the replica from what its disk holds.
+func (s *simulation) restart(r *replica) {
+	r.boot++
+	r.unsaved = nil
+	r.led = 0
+	recovered := r.disk
+	recovered.Entries = slices.Clone(r.disk.Entries)
+	seed := xxhash.Sum64String(string(r.id)) + r.boot
+	r.log = laburnumlog.New(r.id, recovered, laburnumlog.WithSeed(seed|1), laburnumlog.WithRetained(2), laburnumlog.WithBoot(r.boot))
+	r.applied, r.hash = recovered.Snapshot.Index, hashOf(recovered.Snapshot.Data)
+}
+
+func hashOf(data []byte) uint64 {
+	var h uint64
+	_, _ = fmt.Sscanf(string(data), "%x", &h)
+	return h
+}
+
+func (s *simulation) step(r *replica, ev laburnumlog.Event) {
+	out := r.log.Step(ev)
+	if out.Fault != nil {
+		s.fail("%s: %v", r.id, out.Fault)
+	}
+	s.network = append(s.network, out.Messages...)
+	if out.Write != nil {
+		r.unsaved = append(r.unsaved, *out.Write)
+	}
+	if out.Install != nil {
+		r.applied, r.hash = out.Install.Index, hashOf(out.Install.Data)
+		s.checkHash(r)
+	}
+	for _, e := range out.Committed {
+		s.apply(r, e)
+	}
+	s.checkLeader(r)
+}
+
+func (s *simulation) apply(r *replica, e laburnumlog.Entry) {
+	if e.Index != r.applied+1 {
+		s.fail("%s applies %d after %d", r.id, e.Index, r.applied)
+	}
+	r.applied = e.Index
+	r.hash = xxhash.Sum64String(fmt.Sprintf("%x %d %d %s", r.hash, e.Index, e.Term, e.Data))
+	known, ok := s.committed[e.Index]
+	if ok && (known.entry.Term != e.Term || string(known.entry.Data) != string(e.Data)) {
+		s.fail("%s applies term %d at %d, committed was term %d", r.id, e.Term, e.Index, known.entry.Term)
+	}
+	if !ok {
+		s.committed[e.Index] = committedEntry{entry: e, hash: r.hash}
+	}
+	s.checkHash(r)
+}
+
+func (s *simulation) checkHash(r *replica) {
+	if known, ok := s.committed[r.applied]; ok && known.hash != r.hash {
+		s.fail("%s has another state at %d", r.id, r.applied)
+	}
+}
+
+// checkLeader holds that a term has one leader, and that it has all that was
+// committed before it was elected.
+func (s *simulation) checkLeader(r *replica) {
+	if r.log.Role() != laburnumlog.Leader || r.led == r.log.Term() {
+		return
+	}
+	r.led = r.log.Term()
+	if other, ok := s.leaders[r.led]; ok && other != r.id {
+		s.fail("term %d has the leaders %s and %s", r.led, other, r.id)
+	}
+	s.leaders[r.led] = r.id
+	for index, c := range s.committed {
+		if index > r.log.SnapshotIndex() && r.log.TermAt(index) != c.entry.Term {
+			s.fail("%s leads term %d without committed entry %d", r.id, r.led, index)
+		}
+	}
+}
+
+func (s *simulation) fail(format string, args ...any) {
+	if s.problem == "" {
+		s.problem = fmt.Sprintf(format, args...)
+	}
+}
+
+// sync makes the oldest unsaved write durable.
+func (s *simulation) sync(r *replica) {
+	if len(r.unsaved) == 0 {
+		return
+	}
+	w := r.unsaved[0]
+	r.unsaved = r.unsaved[1:]
+	save(&r.disk, w)
+	s.step(r, laburnumlog.Written{Seq: w.Seq})
+	s.network = append(s.network, w.After...)
+}
+
+// save does to the disk what the data folder does.
+func save(disk *laburnumlog.Recovered, w laburnumlog.Write) {
+	if w.Empty {
+		return
+	}
+	disk.Hard = w.Hard
+	if w.Reset {
+		disk.Entries = nil
+	}
+	if len(w.Entries) > 0 {
+		first := w.Entries[0].Index
+		kept := slices.DeleteFunc(slices.Clone(disk.Entries), func(e laburnumlog.Entry) bool { return e.Index >= first })
+		disk.Entries = append(kept, w.Entries...)
+	}
+	if w.Snapshot != nil {
+		disk.Snapshot = *w.Snapshot
+	}
+}
--- /dev/null
+++ b/laburnumlog/story_test.go
@@ -0,0 +1,149 @@
+package laburnumlog_test
+
+import (
+	"slices"
+	"testing"
+
+	"laburnumlever/laburnumlog"
+
+	"github.com/stretchr/testify/require"
+)
+
+// run delivers and syncs among the given replicas until nothing moves or the
+// condition holds; what goes to others is lost.
+func (s *simulation) run(until func() bool, among ...*replica) {
+	for moved := true; moved; {
+		moved = false
+		for len(s.network) > 0 && !until() {
+			m := s.network[0]
+			s.network = s.network[1:]
+			from, to := s.to(m.From), s.to(m.To)
+			if slices.Contains(among, from) && slices.Contains(among, to) {
+				moved = true
+				s.step(to, laburnumlog.Receive{Message: m})
+			}
+		}
+		for _, r := range among {
+			for len(r.unsaved) > 0 && !until() {
+				moved = true
+				s.sync(r)
+			}
+		}
+	}
+	if !until() {
+		s.network = nil
+	}
+}
+
+func never() bool { return false }
+
+// An entry of an old term reaches a majority under a new leader, which then goes
+// down before an entry of its own term has. A third replica with a later entry is
+// elected and replaces the old one. If the old entry had counted as committed, an
+// acknowledged change would be gone.
+func TestEntryOfAnOlderTermIsNotCommittedByCount(t *testing.T) {
+	s := newSimulation(3, 3)
+	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
+	elect := func(r *replica) {
+		for range 5 {
+			s.campaign(r)
+			s.run(func() bool { return r.log.Role() == laburnumlog.Leader }, r, b)
+			if r.log.Role() == laburnumlog.Leader {
+				s.sync(r)
+				return
+			}
+		}
+		t.Fatalf("%s is not elected", r.id)
+	}
+	elect(a)
+	elect(c)
+	s.restart(a)
+	elect(a)
+	s.run(func() bool { p, _ := a.log.Progress(b.id); return p.Match == 2 }, a, b)
+	p, _ := a.log.Progress(b.id)
+	require.EqualValues(t, 2, p.Match)
+	s.network = nil
+	s.restart(c)
+	elect(c)
+	s.run(never, c, b)
+	require.Empty(t, s.problem)
+	require.EqualValues(t, 3, s.committed[2].entry.Term)
+}
+
+// A VM is restored from an older copy of its disk. It lacks what it had
+// acknowledged; were it counted as before, a majority could hold less than was
+// promised. A late copy of a refusal from before must not look the same.
+func TestDiskThatWentBackIsNoticed(t *testing.T) {
+	s := newSimulation(3, 3)
+	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
+	old := b.disk
+	s.campaign(a)
+	s.run(never, a, b, c)
+	for range 3 {
+		s.propose(a, 1)
+		s.run(never, a, b, c)
+	}
+	refusal := laburnumlog.Message{Kind: laburnumlog.MessageAppendAnswer, From: b.id, To: a.id, Term: a.log.Term(), Boot: 1, Reject: true, Index: a.log.LastIndex(), Hint: 1}
+	s.step(a, laburnumlog.Receive{Message: refusal})
+	p, _ := a.log.Progress(b.id)
+	require.False(t, p.Lost)
+	b.disk = old
+	s.restart(b)
+	s.propose(a, 1)
+	for range 20 {
+		s.step(a, laburnumlog.Tick{})
+		s.run(never, a, b, c)
+	}
+	p, _ = a.log.Progress(b.id)
+	require.True(t, p.Lost)
+	require.Equal(t, a.log.LastIndex(), a.log.Commit(), "a and c go on")
+}
+
+// A leader that is cut off has appended a change of the members. The others elect
+// another and go on; when the first is back, its list must be theirs again, or it
+// would count majorities among the wrong voters.
+func TestUncommittedListOfMembersIsTakenBack(t *testing.T) {
+	s := newSimulation(4, 3)
+	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
+	s.campaign(a)
+	s.run(never, a, b, c)
+	learner := s.replicas[3].member()
+	learner.Learner = true
+	s.step(a, laburnumlog.ChangeMembers{Configuration: a.log.Configuration().WithMember(learner)})
+	s.run(never, a)
+	require.True(t, a.log.ChangePending())
+	s.campaign(b)
+	s.run(never, b, c)
+	s.propose(b, 3)
+	for range 5 {
+		s.step(b, laburnumlog.Tick{})
+		s.run(never, a, b, c)
+	}
+	require.Equal(t, b.log.Configuration(), a.log.Configuration())
+	require.Len(t, a.log.Configuration().Members, 3)
+	require.Equal(t, b.log.Commit(), a.log.Commit())
+}
+
+// A replica with a tail of its own gets the leader's snapshot. Its old tail must
+// be dropped on the disk too, or a restart would join it to the snapshot.
+func TestSnapshotResetsADivergentTail(t *testing.T) {
+	s := newSimulation(3, 3)
+	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
+	s.campaign(a)
+	s.run(never, a, b, c)
+	s.propose(a, 9)
+	s.run(never, a)
+	s.campaign(b)
+	s.run(never, b, c)
+	s.propose(b, 4)
+	s.run(never, b, c)
+	s.compact(b)
+	for range 20 {
+		s.step(b, laburnumlog.Tick{})
+		s.run(never, a, b, c)
+	}
+	require.Equal(t, b.log.Commit(), a.log.Commit())
+	s.restart(a)
+	require.Equal(t, b.log.LastIndex(), a.log.LastIndex())
+	require.Empty(t, s.problem)
+}
