--- /dev/null
+++ b/laburnumorder/bench_test.go
@@ -0,0 +1,77 @@
+package laburnumorder_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumcontrol"
+	"laburnumlever/laburnumorder"
+	"laburnumlever/laburnumtimer"
+)
+
+// quietFleet answers every claim with what the engine reports.
+type quietFleet struct{ view laburnumlever.View }
+
+func (q *quietFleet) View() *laburnumlever.View { return &q.view }
+
+func (q *quietFleet) Claim(_ context.Context, to laburnumlever.Announcement, fence uint64) (laburnumlever.Inventory, error) {
+	for _, b := range q.view.Backends {
+		if b.Announcement.Backend == to.Backend {
+			return laburnumlever.Inventory{Backend: to.Backend, Incarnation: 1, Fence: fence, Loaded: b.Report.Loaded, Accelerators: to.Accelerators}, nil
+		}
+	}
+	return laburnumlever.Inventory{}, &laburnumlever.NotFoundError{Kind: "engine", Name: string(to.Backend)}
+}
+
+func (q *quietFleet) Order(context.Context, laburnumlever.Announcement, laburnumlever.Order) (laburnumlever.OrderAnswer, error) {
+	return laburnumlever.OrderAnswer{}, &laburnumlever.NotSentError{}
+}
+
+func (q *quietFleet) Propose(context.Context, laburnumlever.Command) (laburnumlever.Result, error) {
+	return laburnumlever.Result{Code: laburnumlever.ResultOK, Fence: 1}, nil
+}
+
+// BenchmarkOwnerRound is one tick of an owner in a fleet at rest: the view taken in,
+// the engines of its zone looked at, and one planning round over the whole fleet.
+func BenchmarkOwnerRound(b *testing.B) {
+	for _, size := range [][2]int{{20, 30}, {300, 130}, {2100, 370}} {
+		b.Run(fmt.Sprintf("engines=%d", size[0]), func(b *testing.B) {
+			q := &quietFleet{}
+			q.view.Catalogue = catalogueOf(size[1], 20000)
+			for i := range size[0] {
+				a := laburnumlever.Announcement{
+					Backend: laburnumlever.BackendID(fmt.Sprintf("e%04d", i)), Zone: laburnumlever.ZoneName(fmt.Sprintf("z%d", i%7)),
+					Incarnation: 1, ChecksFencing: true, TokensPerSecond: 1000,
+				}
+				var loaded []laburnumlever.Loaded
+				for j := range 8 {
+					id := laburnumlever.AcceleratorID(fmt.Sprint(j))
+					a.Accelerators = append(a.Accelerators, laburnumlever.Accelerator{ID: id, MemoryMiB: 24000})
+					m := q.view.Catalogue.Models[(i*8+j)%size[1]]
+					loaded = append(loaded, laburnumlever.Loaded{Model: m.Name, Version: m.Version, PartMiB: m.PartMiB(), Ready: true, Accelerators: []laburnumlever.AcceleratorID{id}})
+				}
+				q.view.Backends = append(q.view.Backends, laburnumlever.Backend{
+					Announcement: a, Report: laburnumlever.LoadReport{Backend: a.Backend, Incarnation: 1, Loaded: loaded},
+				})
+			}
+			timers := laburnumtimer.NewManual(time.Unix(1000, 0))
+			loop := laburnumcontrol.New()
+			owner := laburnumorder.New(loop, timers, q, q, q, laburnumlever.VM{ID: "vm", Zone: "z0"},
+				laburnumorder.WithRunner(func(work func()) { work() }))
+			owner.Start()
+			tick := func() {
+				timers.Advance(500 * time.Millisecond)
+				loop.Drain()
+			}
+			for range 20 {
+				tick()
+			}
+			for b.Loop() {
+				tick()
+			}
+		})
+	}
+}
--- a/laburnumorder/owner_test.go
+++ b/laburnumorder/owner_test.go
@@ -171,6 +171,7 @@
 func TestCatalogueChangesUnderLoad(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		w := newWorld(t, checks, checks, checks)
+		w.noGap = true
 		w.run(50 * time.Second)
 		changes := []func(c *laburnumlever.Catalogue){
 			func(c *laburnumlever.Catalogue) { c.Models[0].WeightsMiB = 70 },
@@ -187,6 +188,11 @@
 			w.catalogue = w.catalogue.WithRevision(w.catalogue.Revision + 1)
 			w.run(3 * time.Second)
 		}
+		w.run(2 * time.Minute)
+		w.newVersions()
+		w.run(4 * time.Minute)
+		requireCurrent(t, w)
+		w.noGap = false
 		w.engines[0].LoseAccelerator("a1")
 		w.run(5 * time.Minute)
 		w.requireAllReachable()
--- a/laburnumorder/world_test.go
+++ b/laburnumorder/world_test.go
@@ -49,6 +49,8 @@
 	quorum    quorum
 	orders    []laburnumlever.Order // as sent
 	zones     []laburnumlever.ZoneName
+	noGap     bool // a model that is reachable must stay so
+	reached   []laburnumlever.ModelName
 }
 
 // vm is one entry VM. It is the loop and the views of its owner too.
@@ -206,6 +208,16 @@
 	for _, e := range w.all {
 		require.Empty(w.t, e.Violations())
 	}
+	if !w.noGap {
+		return
+	}
+	now := w.reachable()
+	for _, name := range w.reached {
+		if _, ok := w.catalogue.Model(name); ok {
+			require.Contains(w.t, now, name)
+		}
+	}
+	w.reached = now
 }
 
 // reachable lists the models that have a ready copy.
