--- a/laburnumorder/readiness.go
+++ b/laburnumorder/readiness.go
@@ -1,46 +1,69 @@
 package laburnumorder
 
 import (
+	"slices"
 	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumplacement"
 )
 
-// readiness remembers since when each copy has been seen ready without a break.
-type readiness struct{ since map[copyID]time.Time }
+// readiness remembers since when each copy has been seen ready without a break. It
+// is kept by engine, in the order of its report: from round to round hardly any
+// engine's copies change, and a map of all copies was two fifths of a round.
+type readiness struct {
+	engines map[laburnumlever.BackendID]seenCopies
+}
 
-type copyID struct {
-	backend laburnumlever.BackendID
-	model   laburnumlever.ModelName
-	version laburnumlever.Version
-	first   laburnumlever.AcceleratorID
+type seenCopies struct {
+	copies []laburnumplacement.Copy
+	since  []time.Time // zero for a copy that was not ready
 }
 
-func newReadiness() readiness { return readiness{since: make(map[copyID]time.Time)} }
+func newReadiness() readiness {
+	return readiness{engines: make(map[laburnumlever.BackendID]seenCopies)}
+}
 
 // mark sets which copies are stable. A copy that is not seen, or on an engine that
 // is down, begins anew: to rely on it again takes as long as on a new one.
 func (r *readiness) mark(engines []laburnumplacement.Engine, now time.Time) {
-	next := make(map[copyID]time.Time, len(r.since))
+	next := make(map[laburnumlever.BackendID]seenCopies, len(engines))
 	for _, e := range engines {
 		if !e.Serving {
 			continue
 		}
+		before := r.engines[e.ID]
+		seen := seenCopies{copies: e.Copies, since: make([]time.Time, len(e.Copies))}
 		for i, c := range e.Copies {
-			if !c.Ready || len(c.Accelerators) == 0 {
+			if !c.Ready {
 				continue
 			}
-			id := copyID{backend: e.ID, model: c.Model, version: c.Version, first: c.Accelerators[0]}
-			since, known := r.since[id]
-			if !known {
-				since = now
+			seen.since[i] = before.sinceOf(i, c)
+			if seen.since[i].IsZero() {
+				seen.since[i] = now
 			}
-			next[id] = since
-			e.Copies[i].Stable = now.Sub(since) >= stableAfter
+			e.Copies[i].Stable = now.Sub(seen.since[i]) >= stableAfter
 		}
+		next[e.ID] = seen
+	}
+	r.engines = next
+}
+
+// sinceOf finds since when a copy has been ready, where it stood last time first.
+func (s seenCopies) sinceOf(i int, c laburnumplacement.Copy) time.Time {
+	if i < len(s.copies) && sameCopy(s.copies[i].Loaded, c.Loaded) {
+		return s.since[i]
 	}
-	r.since = next
+	for j := range s.copies {
+		if sameCopy(s.copies[j].Loaded, c.Loaded) {
+			return s.since[j]
+		}
+	}
+	return time.Time{}
+}
+
+func sameCopy(a, b laburnumlever.Loaded) bool {
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Accelerators, b.Accelerators)
 }
 
 // progress follows whether the zones get on with their repairs.
--- a/laburnumplacement/fits.go
+++ b/laburnumplacement/fits.go
@@ -46,6 +46,7 @@
 	if b.Report.Incarnation != a.Incarnation {
 		return e
 	}
+	e.Copies = make([]Copy, 0, len(b.Report.Loaded))
 	for _, l := range b.Report.Loaded {
 		e.Copies = append(e.Copies, Copy{Loaded: l})
 	}
