feat: zone cuts in experiments; settled start; a counter for each reason from the start

Cause: an experiment could not cut a zone off; the planner's moves after a start counted as the experiment's; /metrics lacked reasons that had not occurred yet. Change: with links, each VM of a fleet listens on a loopback address of its own behind a stand-in link (Linux only, used only where an experiment cuts zones); load waits until no move was made for 3 s; laburnummetrics declares the counters. The data path between zones stays open in these cuts: only links between VMs are frozen.

--- a/cmd/laburnumlever/loadcmd.go
+++ b/cmd/laburnumlever/loadcmd.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -70,7 +71,7 @@
 	if c.String("fleet") == "" {
 		return laburnumload.NewRunner(c.StringSlice("vm"), opts...).Run(c.Context, experiment)
 	}
-	fleet, err := startFleet(c)
+	fleet, err := startFleet(c, cutsZones(experiment))
 	if err != nil {
 		return laburnumload.Report{}, err
 	}
@@ -84,7 +85,7 @@
 }
 
 // startFleet runs a fleet until every model has a ready copy.
-func startFleet(c *cli.Context) (*laburnumfleet.Fleet, error) {
+func startFleet(c *cli.Context, links bool) (*laburnumfleet.Fleet, error) {
 	spec, catalogue, err := laburnumfleet.Load(c.String("fleet"))
 	if err != nil {
 		return nil, err
@@ -93,6 +94,9 @@
 	if c.Bool("verbose") {
 		opts = append(opts, laburnumfleet.WithLogger(log.NewLogfmtLogger(log.NewSyncWriter(c.App.ErrWriter))))
 	}
+	if links {
+		opts = append(opts, laburnumfleet.WithLinks())
+	}
 	fleet, err := laburnumfleet.Start(c.Context, spec, catalogue, opts...)
 	if err != nil {
 		return nil, err
@@ -107,9 +111,20 @@
 		fleet.Close()
 		return nil, err
 	}
+	fleet.AwaitSettled(ctx, settledAfter)
 	return fleet, nil
 }
 
+// settledAfter is how long a fleet makes no move before the load begins, so that the
+// start's moves do not count as the experiment's.
+const settledAfter = 3 * time.Second
+
+func cutsZones(experiment laburnumload.Experiment) bool {
+	return slices.ContainsFunc(experiment.Events, func(e laburnumload.Event) bool {
+		return e.Action == laburnumload.ActionCutZone
+	})
+}
+
 // isTerminal tells whether someone watches; a log needs no progress lines.
 func isTerminal(f *os.File) bool {
 	info, err := f.Stat()
--- a/laburnumfleet/actions.go
+++ b/laburnumfleet/actions.go
@@ -10,6 +10,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumload"
 	"laburnumlever/laburnumoperator"
+	"laburnumlever/laburnumstandin"
 )
 
 // askStep is how often a VM is asked while something is waited for.
@@ -73,6 +74,27 @@
 	}
 }
 
+// AwaitSettled waits until no VM has moved a model for the quiet time, or until the
+// context ends: after a start the planner goes on to second copies and replicas.
+func (f *Fleet) AwaitSettled(ctx context.Context, quiet time.Duration) {
+	moves, since := uint64(0), time.Now()
+	for time.Since(since) < quiet {
+		now := uint64(0)
+		for _, address := range f.Operators() {
+			status, err := laburnumoperator.NewClient(address).Status(ctx)
+			if err == nil {
+				now += status.Moves
+			}
+		}
+		if now != moves {
+			moves, since = now, time.Now()
+		}
+		if !pause(ctx) {
+			return
+		}
+	}
+}
+
 // missingOf lists the models and plain services that no backend server serves.
 func missingOf(view laburnumlever.View) []laburnumlever.ModelName {
 	var missing []laburnumlever.ModelName
@@ -107,6 +129,10 @@
 		return f.changeBackend(event)
 	case laburnumload.ActionApply:
 		return f.applyAgain(ctx)
+	case laburnumload.ActionCutZone:
+		return f.cutZone(laburnumlever.ZoneName(event.Name), laburnumstandin.LinkFrozen)
+	case laburnumload.ActionHealZone:
+		return f.cutZone(laburnumlever.ZoneName(event.Name), laburnumstandin.LinkOpen)
 	default:
 		return &laburnumlever.InvalidValueError{Name: "action", Value: event.Action.String(), Want: "an action on a fleet"}
 	}
--- a/laburnumfleet/fleet.go
+++ b/laburnumfleet/fleet.go
@@ -31,11 +31,13 @@
 	logger    log.Logger
 	callers   string
 	folder    string
+	linked    bool
 
 	mu       sync.Mutex
 	nodes    []*vm
 	backends []*backend
 	store    *http.Server
+	links    []*vmLink
 }
 
 type vm struct {
@@ -94,12 +96,12 @@
 }
 
 func (f *Fleet) start(ctx context.Context) error {
-	peers, err := ReservePorts(ctx, len(f.spec.VMs))
+	listen, advertised, err := f.peerAddresses(ctx)
 	if err != nil {
 		return err
 	}
 	for i := range f.spec.VMs {
-		if err := f.startVM(i, peers); err != nil {
+		if err := f.startVM(i, listen[i], advertised); err != nil {
 			return err
 		}
 	}
@@ -110,9 +112,12 @@
 	return f.startBackends(ctx, store)
 }
 
-func (f *Fleet) startVM(i int, peers []string) error {
+func (f *Fleet) startVM(i int, listen string, peers []string) error {
 	spec := f.spec.VMs[i]
-	node, err := laburnumnode.New(f.settingsOf(i, peers), laburnumnode.WithLogger(log.With(f.logger, "vm", spec.VM)))
+	settings := f.settingsOf(i, peers)
+	settings.Listen.Peers = listen
+	settings.Advertise.Peers = peers[i]
+	node, err := laburnumnode.New(settings, laburnumnode.WithLogger(log.With(f.logger, "vm", spec.VM)))
 	if err != nil {
 		return &StartError{Part: string(spec.VM), Cause: err}
 	}
@@ -127,7 +132,7 @@
 	spec := f.spec.VMs[i]
 	settings := laburnumsettings.Default()
 	settings.VM, settings.Zone, settings.Region = spec.VM, spec.Zone, spec.Region
-	settings.Listen = laburnumsettings.Listen{Callers: anyPort, Operators: anyPort, Backends: anyPort, Peers: peers[i]}
+	settings.Listen = laburnumsettings.Listen{Callers: anyPort, Operators: anyPort, Backends: anyPort}
 	if i == 0 {
 		settings.Listen.Callers = f.callers
 	}
@@ -174,6 +179,7 @@
 			one.node.Close()
 		}
 	}
+	f.closeLinks()
 	if f.store != nil {
 		_ = f.store.Close()
 	}
--- a/laburnumfleet/fleet_test.go
+++ b/laburnumfleet/fleet_test.go
@@ -30,7 +30,7 @@
 			require.Equal(t, engines, count)
 			files, err := filepath.Glob(filepath.Join("..", "examples", "experiments", name+"-*.jsonc"))
 			require.NoError(t, err)
-			require.Len(t, files, 6)
+			require.Len(t, files, 7)
 			for _, file := range files {
 				experiment, err := laburnumload.Load(file)
 				require.NoError(t, err)
--- a/laburnumload/enums_gen.go
+++ b/laburnumload/enums_gen.go
@@ -114,11 +114,11 @@
 	return err
 }
 
-const _ActionName = "httpkill-vmstop-vmkill-backendslow-backendapply"
+const _ActionName = "httpkill-vmstop-vmkill-backendslow-backendapplycut-zoneheal-zone"
 
-var _ActionIndex = [...]uint8{0, 4, 11, 18, 30, 42, 47}
+var _ActionIndex = [...]uint8{0, 4, 11, 18, 30, 42, 47, 55, 64}
 
-const _ActionLowerName = "httpkill-vmstop-vmkill-backendslow-backendapply"
+const _ActionLowerName = "httpkill-vmstop-vmkill-backendslow-backendapplycut-zoneheal-zone"
 
 func (i Action) String() string {
 	if i < 0 || i >= Action(len(_ActionIndex)-1) {
@@ -137,9 +137,11 @@
 	_ = x[ActionKillBackend-(3)]
 	_ = x[ActionSlowBackend-(4)]
 	_ = x[ActionApply-(5)]
+	_ = x[ActionCutZone-(6)]
+	_ = x[ActionHealZone-(7)]
 }
 
-var _ActionValues = []Action{ActionHTTP, ActionKillVM, ActionStopVM, ActionKillBackend, ActionSlowBackend, ActionApply}
+var _ActionValues = []Action{ActionHTTP, ActionKillVM, ActionStopVM, ActionKillBackend, ActionSlowBackend, ActionApply, ActionCutZone, ActionHealZone}
 
 var _ActionNameToValueMap = map[string]Action{
 	_ActionName[0:4]:   ActionHTTP,
@@ -148,6 +150,8 @@
 	_ActionName[18:30]: ActionKillBackend,
 	_ActionName[30:42]: ActionSlowBackend,
 	_ActionName[42:47]: ActionApply,
+	_ActionName[47:55]: ActionCutZone,
+	_ActionName[55:64]: ActionHealZone,
 }
 
 var _ActionLowerNameToValueMap = map[string]Action{
@@ -157,6 +161,8 @@
 	_ActionLowerName[18:30]: ActionKillBackend,
 	_ActionLowerName[30:42]: ActionSlowBackend,
 	_ActionLowerName[42:47]: ActionApply,
+	_ActionLowerName[47:55]: ActionCutZone,
+	_ActionLowerName[55:64]: ActionHealZone,
 }
 
 var _ActionNames = []string{
@@ -166,6 +172,8 @@
 	_ActionName[18:30],
 	_ActionName[30:42],
 	_ActionName[42:47],
+	_ActionName[47:55],
+	_ActionName[55:64],
 }
 
 // ActionString retrieves an enum value from the enum constants string name.
--- a/laburnumload/experiment.go
+++ b/laburnumload/experiment.go
@@ -41,6 +41,11 @@
 	// ActionApply applies the catalogue again with a changed move cost, which is
 	// a new revision for every VM.
 	ActionApply
+	// ActionCutZone freezes the links between the VMs of an availability zone and
+	// all others, without a word to either side.
+	ActionCutZone
+	// ActionHealZone opens the links again.
+	ActionHealZone
 )
 
 // Experiment is one load with what happens during it.
@@ -121,7 +126,7 @@
 type Event struct {
 	At     laburnumlever.Duration `json:"at" required:"true"`
 	Action Action                 `json:"action" required:"true"`
-	// Name is the VM or backend server of the action.
+	// Name is the VM, backend server or availability zone of the action.
 	Name string `json:"name"`
 	// Factor is that of a slow backend server.
 	Factor float64 `json:"factor"`
--- a/laburnummetrics/metrics.go
+++ b/laburnummetrics/metrics.go
@@ -24,6 +24,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"laburnumlever"
 )
 
 const (
@@ -73,9 +75,22 @@
 		SanitizeOptions:        &sanitize,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
+	m.declareReasons()
 	return m
 }
 
+// declareReasons makes a counter for each reason of a refusal or a retry, at 0:
+// an alert on a rate needs the counter before the first event, and a reason that has
+// never occurred would otherwise look like one that is not counted.
+func (m *Metrics) declareReasons() {
+	for _, reason := range laburnumlever.RefusalReasonStrings() {
+		m.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(0)
+	}
+	for _, reason := range laburnumlever.RetryReasonStrings() {
+		m.scope.Tagged(map[string]string{"reason": reason}).Counter("retries").Inc(0)
+	}
+}
+
 // registerFailed keeps a clash of metric names from ending the process, which
 // is what the reporter does by default: the metric is lost, the traffic goes on.
 func (m *Metrics) registerFailed(err error) {
--- /dev/null
+++ b/laburnummetrics/metrics_test.go
@@ -0,0 +1,40 @@
+package laburnummetrics_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnummetrics"
+)
+
+func text(m *laburnummetrics.Metrics) string {
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	return w.Body.String()
+}
+
+func TestEveryReasonHasACounterFromTheStart(t *testing.T) {
+	metrics := laburnummetrics.New()
+	defer metrics.Close()
+	for _, reason := range laburnumlever.RefusalReasonStrings() {
+		require.Contains(t, text(metrics), fmt.Sprintf("laburnumlever_refusals{reason=%q} 0\n", reason))
+	}
+	for _, reason := range laburnumlever.RetryReasonStrings() {
+		require.Contains(t, text(metrics), fmt.Sprintf("laburnumlever_retries{reason=%q} 0\n", reason))
+	}
+}
+
+// Two parts use one name with different labels: the second metric can't be shown,
+// and the reporter's default would end the process in the middle of traffic.
+func TestClashOfNamesIsNoPanic(t *testing.T) {
+	metrics := laburnummetrics.New()
+	metrics.Scope().Counter("kebab-name").Inc(3)
+	require.NotPanics(t, func() { metrics.Scope().Tagged(map[string]string{"zone": "brest"}).Counter("kebab-name").Inc(1) })
+	require.NoError(t, metrics.Close())
+	require.Contains(t, text(metrics), "laburnumlever_kebab_name 3\n")
+}
