perf: a VM whose catalogue was lost on the way asks again by itself

Cause: after a lost body a VM waited for the next offer, a second at each loss. Now one that knows of a newer revision compares at every tick once the body is overdue; it is overdue after half a second.

--- a/laburnumspread/core.go
+++ b/laburnumspread/core.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// tickPeriod is how often a VM without a catalogue asks for one.
+	// tickPeriod is how often a VM asks that has no catalogue, or knows that there
+	// is a newer one.
 	tickPeriod = 250 * time.Millisecond
 	// comparePeriod is how often the others compare.
 	comparePeriod = time.Second
@@ -16,7 +17,7 @@
 	fanout = 4
 	// comingTime is how long a revision that was asked for counts as coming: above
 	// a transfer of hundreds of kilobytes, far below the seven seconds allowed.
-	comingTime   = 1500 * time.Millisecond
+	comingTime   = 500 * time.Millisecond
 	offerTimeout = time.Second
 	bodyTimeout  = 3 * time.Second
 )
@@ -49,8 +50,11 @@
 
 // core decides what to send; it has no goroutine, network or clock.
 type core struct {
-	random      *rand.Rand
-	held        *body
+	random *rand.Rand
+	held   *body
+	// coming is the newest revision asked for. While it is not here by
+	// comingUntil the body was lost, and waiting for the next offer would add
+	// a second at every loss.
 	coming      uint64
 	comingUntil time.Time
 	comparedAt  time.Time
@@ -78,7 +82,9 @@
 
 // tick compares with a random VM.
 func (c *core) tick(now time.Time, vms []laburnumlever.VM) {
-	if c.held != nil && now.Sub(c.comparedAt) < comparePeriod {
+	waiting := c.coming > c.revision() && now.Before(c.comingUntil)
+	behind := c.held == nil || c.coming > c.revision()
+	if waiting || (!behind && now.Sub(c.comparedAt) < comparePeriod) {
 		return
 	}
 	c.comparedAt = now
--- /dev/null
+++ b/laburnumspread/fleet_test.go
@@ -0,0 +1,170 @@
+package laburnumspread
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laburnumlever"
+)
+
+// Fleet runs many cores over in-memory queues on a clock of its own.
+type Fleet struct {
+	Now    time.Time
+	VMs    []laburnumlever.VM
+	Cores  []*core
+	Random *rand.Rand
+	// Loss is the share of messages lost; Blocked tells which are lost besides.
+	Loss    float64
+	Blocked func(from, to int) bool
+	// Bytes and Messages sent by each VM, Bodies received by each.
+	Bytes, Messages, Bodies []int
+	events                  []event
+}
+
+type event struct {
+	at  time.Time
+	run func()
+}
+
+const (
+	latency = time.Millisecond
+	// bodyTime is a generous guess for tens of kilobytes between zones.
+	bodyTime = 10 * time.Millisecond
+	// offerBytes are an offer or its answer with jsonrpc2's envelope.
+	offerBytes = 95
+)
+
+// NewFleet makes VMs that know each other and hold no catalogue.
+func NewFleet(count int, seed uint64) *Fleet {
+	f := &Fleet{
+		Now:      time.Date(2026, 12, 2, 4, 0, 0, 0, time.UTC),
+		Random:   newRandom(seed),
+		Blocked:  func(_, _ int) bool { return false },
+		Bytes:    make([]int, count),
+		Messages: make([]int, count),
+		Bodies:   make([]int, count),
+	}
+	for i := range count {
+		f.VMs = append(f.VMs, laburnumlever.VM{ID: laburnumlever.VMID(fmt.Sprint(i)), PeerAddress: fmt.Sprint(i)})
+		f.Cores = append(f.Cores, &core{random: newRandom(seed + uint64(i) + 1)})
+	}
+	for i := range count {
+		var tick func()
+		tick = func() {
+			f.Cores[i].tick(f.Now, f.others(i))
+			f.send(i)
+			f.after(tickPeriod, tick)
+		}
+		f.after(time.Duration(f.Random.Int64N(int64(tickPeriod))), tick)
+	}
+	return f
+}
+
+func (f *Fleet) others(i int) []laburnumlever.VM {
+	return append(slices.Clone(f.VMs[:i]), f.VMs[i+1:]...)
+}
+
+// Restart makes a VM forget all, as one without a disk does.
+func (f *Fleet) Restart(i int) { f.Cores[i] = &core{random: f.Cores[i].random} }
+
+// Offer hands a catalogue to one VM.
+func (f *Fleet) Offer(i int, c laburnumlever.Catalogue) {
+	f.Cores[i].take(&body{catalogue: c}, f.others(i))
+	f.send(i)
+}
+
+// Revision is what a VM holds.
+func (f *Fleet) Revision(i int) uint64 { return f.Cores[i].revision() }
+
+// Until advances until done holds; it returns how long that took and whether it did.
+func (f *Fleet) Until(limit time.Duration, done func() bool) (time.Duration, bool) {
+	began := f.Now
+	for !done() {
+		if len(f.events) == 0 || f.Now.Sub(began) > limit {
+			return f.Now.Sub(began), false
+		}
+		next := f.events[0]
+		f.events = f.events[1:]
+		f.Now = next.at
+		next.run()
+	}
+	return f.Now.Sub(began), true
+}
+
+func (f *Fleet) after(d time.Duration, run func()) {
+	e := event{at: f.Now.Add(d), run: run}
+	at, _ := slices.BinarySearchFunc(f.events, e.at, func(other event, at time.Time) int {
+		if other.at.After(at) {
+			return 1
+		}
+		return -1 // behind all of the same time, in the order asked for
+	})
+	f.events = slices.Insert(f.events, at, e)
+}
+
+func (f *Fleet) count(from, bytes int) {
+	f.Bytes[from] += bytes
+	f.Messages[from]++
+}
+
+func (f *Fleet) lost(from, to int) bool {
+	return f.Blocked(from, to) || f.Random.Float64() < f.Loss
+}
+
+func (f *Fleet) send(from int) {
+	for _, m := range f.Cores[from].takeOut() {
+		to := slices.IndexFunc(f.VMs, func(vm laburnumlever.VM) bool { return vm.PeerAddress == m.address })
+		switch m.method {
+		case methodOffer:
+			f.offer(from, to, m.offer)
+		case methodPush:
+			f.transfer(from, to, m.body)
+		case methodPull:
+			f.count(from, offerBytes)
+			if b := f.Cores[to].held; b != nil && !f.lost(from, to) {
+				f.transfer(to, from, b)
+			}
+		}
+	}
+}
+
+func (f *Fleet) offer(from, to int, o offer) {
+	f.count(from, offerBytes)
+	if f.lost(from, to) {
+		return
+	}
+	f.after(latency, func() {
+		answer := f.Cores[to].offered(o, f.Now)
+		f.count(to, offerBytes)
+		if f.lost(to, from) {
+			return
+		}
+		f.after(latency, func() {
+			f.Cores[from].offerAnswered(f.VMs[to].PeerAddress, answer, f.Now)
+			f.send(from)
+		})
+	})
+}
+
+func (f *Fleet) transfer(from, to int, b *body) {
+	e, err := b.envelope()
+	if err != nil {
+		panic(err)
+	}
+	raw, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	f.count(from, len(raw))
+	if f.lost(from, to) {
+		return
+	}
+	f.after(bodyTime, func() {
+		f.Bodies[to]++
+		f.Cores[to].take(b, f.others(to))
+		f.send(to)
+	})
+}
