--- /dev/null
+++ b/cmd/laburnumlever/fleetcommands_test.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"laburnumlever"
+	"laburnumlever/laburnumoperator"
+	"laburnumlever/laburnumsettings"
+	"laburnumlever/laburnumstandin"
+)
+
+// fleetCommands are what failure sessions have besides scriptCommands:
+//
+//	vms NAME=ZONE[,disk]...  writes NAME.jsonc for each VM and starts a link in front of
+//	                         its peers listener; the VMs with a disk are the voters
+//	cut FROM TO              connections that the VMs FROM (a,b) make to the VMs TO go
+//	                         nowhere from now on, silently, those already made as well
+//	heal                     undoes all cuts
+//	lose NAME                loses the VM's data folder
+//	leader PREFIX VM...      waits until one of the VMs leads the log; PREFIX is then its
+//	                         name and PREFIX_operators its address, PREFIXother the next VM
+func fleetCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
+	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"vms": scriptVMs, "cut": scriptCut, "heal": scriptHeal, "lose": scriptLose, "leader": scriptLeader,
+	}
+}
+
+// vm is a VM of a session; each has a loopback address of its own, by which links
+// tell the VMs apart.
+type vm struct {
+	name, zone, ip, listen, link string
+	disk                         bool
+	cutFrom                      []string
+}
+
+func scriptVMs(ts *testscript.TestScript, _ bool, args []string) {
+	all := ts.Value(processKey{}).(*processes)
+	for i, arg := range args {
+		name, rest, _ := strings.Cut(arg, "=")
+		zone, disk, _ := strings.Cut(rest, ",")
+		v := &vm{name: name, zone: zone, ip: fmt.Sprintf("127.0.0.%d", 10+i), disk: disk == "disk"}
+		ln, err := net.Listen("tcp", v.ip+":0")
+		ts.Check(err)
+		v.listen = ln.Addr().String()
+		ts.Check(ln.Close())
+		scriptStart(ts, false, []string{name + "link", "stand-in", "link", "--to", v.listen})
+		v.link = ts.Getenv(name + "link_address")
+		all.vms = append(all.vms, v)
+	}
+	for _, v := range all.vms {
+		text, err := json.MarshalIndent(all.settingsOf(v), "", "  ")
+		ts.Check(err)
+		ts.Check(os.WriteFile(ts.MkAbs(v.name+".jsonc"), text, 0o600))
+	}
+	text, err := os.ReadFile(filepath.Join(all.common, "carpets.jsonc"))
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("carpets.jsonc"), text, 0o600))
+}
+
+func (p *processes) settingsOf(v *vm) laburnumsettings.Settings {
+	s := laburnumsettings.Default()
+	s.VM, s.Zone = laburnumlever.VMID(v.name), laburnumlever.ZoneName(v.zone)
+	s.Listen = laburnumsettings.Listen{Callers: anyPort, Operators: anyPort, Backends: anyPort, Peers: v.listen}
+	s.Advertise.Peers = v.link
+	s.Shutdown.Grace = laburnumlever.Duration(100 * 1e6)
+	for _, other := range p.vms {
+		if other.disk {
+			s.Voters = append(s.Voters, laburnumlever.Voter{VM: laburnumlever.VMID(other.name), PeerAddress: other.link})
+		}
+		if other != v {
+			s.Seeds = append(s.Seeds, other.link)
+		}
+	}
+	if v.disk {
+		s.DataFolder = "data-" + v.name
+	}
+	return s
+}
+
+func (p *processes) named(names string) []*vm {
+	var found []*vm
+	for _, v := range p.vms {
+		if slices.Contains(strings.Split(names, ","), v.name) {
+			found = append(found, v)
+		}
+	}
+	return found
+}
+
+func scriptCut(ts *testscript.TestScript, _ bool, args []string) {
+	all := ts.Value(processKey{}).(*processes)
+	for _, to := range all.named(args[1]) {
+		for _, from := range all.named(args[0]) {
+			to.cutFrom = append(to.cutFrom, from.ip)
+		}
+		setLink(ts, to, laburnumstandin.LinkState{Mode: laburnumstandin.LinkFrozen, From: to.cutFrom})
+	}
+}
+
+func scriptHeal(ts *testscript.TestScript, _ bool, _ []string) {
+	for _, v := range ts.Value(processKey{}).(*processes).vms {
+		v.cutFrom = nil
+		setLink(ts, v, laburnumstandin.LinkState{})
+	}
+}
+
+func setLink(ts *testscript.TestScript, v *vm, state laburnumstandin.LinkState) {
+	text, err := json.Marshal(state)
+	ts.Check(err)
+	url := "http://" + ts.Getenv(v.name+"link_control") + "/link"
+	req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(string(text)))
+	ts.Check(err)
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	ts.Check(resp.Body.Close())
+	if resp.StatusCode != http.StatusOK {
+		ts.Fatalf("link of %s: %s", v.name, resp.Status)
+	}
+}
+
+func scriptLose(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(os.RemoveAll(ts.MkAbs("data-" + args[0])))
+}
+
+// scriptLeader asks the VMs in turn; only what a living one says of itself counts.
+func scriptLeader(ts *testscript.TestScript, _ bool, args []string) {
+	prefix, names := args[0], args[1:]
+	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(awaitStep) {
+		for i, name := range names {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			status, err := laburnumoperator.NewClient(ts.Getenv(name + "_operators")).Status(ctx)
+			cancel()
+			if err != nil || status.Voter.Role != "leader" {
+				continue
+			}
+			setNames(ts, prefix, name)
+			setNames(ts, prefix+"other", names[(i+1)%len(names)])
+			return
+		}
+	}
+	ts.Fatalf("none of %v leads", names)
+}
+
+// setNames makes NAME's variables known under another prefix too, also those it
+// gets when it is started again.
+func setNames(ts *testscript.TestScript, prefix, name string) {
+	ts.Setenv(prefix, name)
+	ts.Value(processKey{}).(*processes).aliases[prefix] = name
+	for _, key := range []string{"callers", "operators", "backends"} {
+		ts.Setenv(prefix+"_"+key, ts.Getenv(name+"_"+key))
+	}
+}
--- a/cmd/laburnumlever/main_test.go
+++ b/cmd/laburnumlever/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"maps"
 	"os"
 	"testing"
 
@@ -11,6 +12,7 @@
 	testscript.Main(m, map[string]func(){
 		"laburnumlever": func() { os.Exit(run(os.Args)) },
 		"caller":        func() { os.Exit(runCaller(os.Args)) },
+		"writer":        func() { os.Exit(runWriter(os.Args)) },
 	})
 }
 
@@ -24,3 +26,15 @@
 		RequireUniqueNames: true,
 	})
 }
+
+// TestFaults plays the failure sessions in testdata/faults with real processes.
+func TestFaults(t *testing.T) {
+	cmds := scriptCommands()
+	maps.Copy(cmds, fleetCommands())
+	testscript.Run(t, testscript.Params{
+		Dir:                "testdata/faults",
+		Cmds:               cmds,
+		Setup:              scriptSetup,
+		RequireUniqueNames: true,
+	})
+}
--- a/cmd/laburnumlever/scriptcommands_test.go
+++ b/cmd/laburnumlever/scriptcommands_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"sync"
@@ -61,6 +62,10 @@
 // processes are those that a script has started.
 type processes struct {
 	byName map[string]*process
+	common string // the folder of files that sessions share
+	vms    []*vm
+	// aliases are other prefixes for a process's variables.
+	aliases map[string]string
 }
 
 type process struct {
@@ -71,7 +76,11 @@
 }
 
 func scriptSetup(env *testscript.Env) error {
-	all := &processes{byName: make(map[string]*process)}
+	common, err := filepath.Abs("testdata/common")
+	if err != nil {
+		return err
+	}
+	all := &processes{byName: make(map[string]*process), common: common, aliases: make(map[string]string)}
 	env.Values[processKey{}] = all
 	env.Defer(func() {
 		for _, p := range all.byName {
@@ -108,6 +117,11 @@
 				ts.Setenv(name+"_"+key, value)
 			}
 		}
+		for prefix, alias := range ts.Value(processKey{}).(*processes).aliases {
+			if alias == name {
+				setNames(ts, prefix, name)
+			}
+		}
 	case <-p.ended:
 		ts.Fatalf("%s ended before it was ready:\n%s", name, ts.ReadFile(name+".log"))
 	case <-time.After(awaitLimit):
--- /dev/null
+++ b/cmd/laburnumlever/writer_test.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever"
+	"laburnumlever/laburnumoperator"
+	"laburnumlever/laburnumsettings"
+)
+
+// runWriter is an operator who makes changes one after the other, each with the
+// revision that the last one gave, and resends a change whose answer was lost, under
+// its change id, through the next VM. It prints each accepted change, and fails if
+// one is lost or applied twice: then the revision is not the expected one.
+func runWriter(args []string) int {
+	app := &cli.App{
+		Name: "writer",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "vm"},
+			&cli.IntFlag{Name: "changes"},
+			&cli.StringFlag{Name: "name", Value: "w"},
+			&cli.Uint64Flag{Name: "revision"},
+			&cli.BoolFlag{Name: "may-lose", Usage: "a conflict is printed and is no failure"},
+		},
+		Action: func(c *cli.Context) error {
+			catalogue, err := laburnumsettings.LoadCatalogue(c.Args().First())
+			if err != nil {
+				return err
+			}
+			revision := c.Uint64("revision")
+			for i := range c.Int("changes") {
+				req := laburnumlever.ApplyRequest{}
+				req.ChangeID = fmt.Sprintf("%s%d", c.String("name"), i+1)
+				req.ExpectedRevision = revision
+				req.Catalogue = catalogue
+				req.Catalogue.Deployment.MoveCost = float64(i + 1)
+				answer, err := applyAnywhere(c.Context, c.StringSlice("vm"), req)
+				var conflict *laburnumlever.ConflictError
+				if c.Bool("may-lose") && errors.As(err, &conflict) {
+					fmt.Printf("%s lost: the current revision is %d\n", req.ChangeID, conflict.Current)
+					return nil
+				}
+				if err != nil {
+					return err
+				}
+				if answer.Revision != revision+1 {
+					return &laburnumlever.ConflictError{Expected: revision + 1, Current: answer.Revision}
+				}
+				revision = answer.Revision
+				fmt.Printf("accepted %s as revision %d\n", req.ChangeID, revision)
+			}
+			return nil
+		},
+	}
+	if err := app.Run(args); err != nil {
+		fmt.Fprintln(os.Stderr, "writer:", err)
+		return exitFailure
+	}
+	return 0
+}
+
+// applyAnywhere tries one VM after the other until one accepts; a conflict is final.
+func applyAnywhere(ctx context.Context, vms []string, req laburnumlever.ApplyRequest) (laburnumlever.ApplyAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, awaitLimit)
+	defer cancel()
+	var last error
+	for i := 0; ctx.Err() == nil; i++ {
+		one, stop := context.WithTimeout(ctx, 2*time.Second)
+		answer, err := laburnumoperator.NewClient(vms[i%len(vms)]).Apply(one, req)
+		stop()
+		var conflict *laburnumlever.ConflictError
+		var mismatch *laburnumlever.MismatchError
+		if err == nil || errors.As(err, &conflict) || errors.As(err, &mismatch) {
+			return answer, err
+		}
+		last = err
+		time.Sleep(awaitStep)
+	}
+	return laburnumlever.ApplyAnswer{}, errors.Wrapf(last, "change %s", req.ChangeID)
+}
