fix: a claim held up by a cut is freed; a late release can't free another claim

Reading on: the record that frees a claim named only VM and key, so one held up in a cut could free a later claim whose call was being run: a double run. The refusal also waited up to five seconds for the record. Ruled out: a shorter life of all claims (a slow call would run twice); freeing by the resend (a VM that restarted can't tell its old claim from one never run).

--- a/command.go
+++ b/command.go
@@ -49,10 +49,13 @@
 // RecordAnswer records the answer of a claimed request, or that its outcome
 // is unknown, or that it surely did not run (which frees the claim).
 type RecordAnswer struct {
-	Service ServiceName     `json:"service"`
-	Owner   OwnerName       `json:"owner"`
-	Key     string          `json:"key"`
-	VM      VMID            `json:"vm"`
+	Service ServiceName `json:"service"`
+	Owner   OwnerName   `json:"owner"`
+	Key     string      `json:"key"`
+	VM      VMID        `json:"vm"`
+	// Claim is that of the ClaimRequest; the record of another claim on the same key
+	// is refused. Empty matches any.
+	Claim   string          `json:"claim,omitempty"`
 	Outcome RequestOutcome  `json:"outcome"`
 	Answer  *RecordedAnswer `json:"answer,omitempty"`
 }
--- a/laburnumproxy/claim.go
+++ b/laburnumproxy/claim.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
 )
 
 const (
@@ -52,22 +53,22 @@
 func (p *Proxy) claim(ctx context.Context, q *request) (laburnumlever.Result, error) {
 	ctx, cancel := p.withTimeout(ctx, claimTimeout)
 	defer cancel()
+	q.claim = uuid.NewString()
 	result, err := p.proposer.Propose(ctx, laburnumlever.Command{
 		Kind: laburnumlever.CommandClaimRequest,
 		Claim: &laburnumlever.ClaimRequest{
 			Owner: q.owner, Service: q.service, Key: q.claimKey(), Digest: q.digest(),
-			VM: p.views.View().Self.ID, At: p.timers.Now().UnixMilli(),
+			VM: p.views.View().Self.ID, At: p.timers.Now().UnixMilli(), Claim: q.claim,
 		},
 	})
 	if err == nil {
 		return result, nil
 	}
 	// Whatever became of the claim, the call itself was not forwarded and now never
-	// will be under it, so not-run is true. A claim that may have got through is
-	// given back, else a resend would find the key in progress.
+	// will be under it, so not-run is true.
 	var unknown *laburnumlever.OutcomeUnknownError
 	if errors.As(err, &unknown) {
-		p.record(ctx, q, laburnumlever.OutcomeNotRun, nil)
+		p.abandon(p.recordOf(q, laburnumlever.OutcomeNotRun, nil))
 	}
 	refusal := q.refusal(laburnumlever.RefusedNoQuorum, laburnumlever.OutcomeNotRun, "the call could not be claimed: "+err.Error())
 	refusal.RetryAfter = shortRetryAfter
@@ -138,16 +139,20 @@
 	if outcome == laburnumlever.OutcomeAnswered && whole == nil {
 		outcome = laburnumlever.OutcomeUnknown // too long to be kept
 	}
-	_, err := p.proposer.Propose(ctx, laburnumlever.Command{
+	_, err := p.proposer.Propose(ctx, p.recordOf(q, outcome, whole))
+	if err != nil {
+		p.scope.Counter("records-failed").Inc(1)
+		_ = level.Warn(p.logger).Log("event", "answer-not-recorded", "request-id", q.id, "err", err)
+	}
+}
+
+func (p *Proxy) recordOf(q *request, outcome laburnumlever.RequestOutcome, whole *laburnumlever.RecordedAnswer) laburnumlever.Command {
+	return laburnumlever.Command{
 		Kind: laburnumlever.CommandRecordAnswer,
 		Answer: &laburnumlever.RecordAnswer{
-			Service: q.service, Owner: q.owner, Key: q.claimKey(), VM: p.views.View().Self.ID,
+			Service: q.service, Owner: q.owner, Key: q.claimKey(), VM: p.views.View().Self.ID, Claim: q.claim,
 			Outcome: outcome, Answer: whole,
 		},
-	})
-	if err != nil {
-		p.scope.Counter("records-failed").Inc(1)
-		_ = level.Warn(p.logger).Log("event", "answer-not-recorded", "request-id", q.id, "err", err)
 	}
 }
 
--- a/laburnumproxy/fakes_test.go
+++ b/laburnumproxy/fakes_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,9 +36,13 @@
 	err    error
 	claims map[string]*claim
 	steal  laburnumlever.VMID // claims each key just before the caller does
+	// held are commands that a cut holds up: their senders get no answer.
+	hold bool
+	held []laburnumlever.Command
 }
 
 type claim struct {
+	id     string
 	digest uint64
 	holder laburnumlever.VMID
 	record *laburnumlever.RecordAnswer
@@ -46,10 +51,36 @@
 func (l *fakeLog) Propose(_ context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.hold {
+		l.held = append(l.held, cmd)
+		return laburnumlever.Result{}, &laburnumlever.OutcomeUnknownError{Detail: "no answer"}
+	}
+	return l.apply(cmd)
+}
+
+// heal lets what was held up arrive, the last first: the worst order.
+func (l *fakeLog) heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hold = false
+	for _, cmd := range slices.Backward(l.held) {
+		_, _ = l.apply(cmd)
+	}
+	l.held = nil
+}
+
+func (l *fakeLog) apply(cmd laburnumlever.Command) (laburnumlever.Result, error) {
 	if l.err != nil {
 		return laburnumlever.Result{}, l.err
 	}
 	if cmd.Kind == laburnumlever.CommandRecordAnswer {
+		c := l.claims[cmd.Answer.Key]
+		if c == nil {
+			return laburnumlever.Result{Code: laburnumlever.ResultUnknown}, nil
+		}
+		if c.id != cmd.Answer.Claim {
+			return laburnumlever.Result{Code: laburnumlever.ResultNotHolder}, nil
+		}
 		if cmd.Answer.Outcome == laburnumlever.OutcomeNotRun {
 			delete(l.claims, cmd.Answer.Key)
 			return laburnumlever.Result{}, nil
@@ -63,7 +94,7 @@
 	c := l.claims[cmd.Claim.Key]
 	switch {
 	case c == nil:
-		l.claims[cmd.Claim.Key] = &claim{digest: cmd.Claim.Digest, holder: cmd.Claim.VM}
+		l.claims[cmd.Claim.Key] = &claim{id: cmd.Claim.Claim, digest: cmd.Claim.Digest, holder: cmd.Claim.VM}
 		return laburnumlever.Result{Code: laburnumlever.ResultOK}, nil
 	case c.digest != cmd.Claim.Digest:
 		return laburnumlever.Result{Code: laburnumlever.ResultMismatch}, nil
--- a/laburnumproxy/proxy.go
+++ b/laburnumproxy/proxy.go
@@ -38,6 +38,9 @@
 	demand   *demand
 	flights  *flights
 	stop     func()
+	closed   chan struct{}
+	// abandoned holds a place for each claim that is being freed.
+	abandoned chan struct{}
 
 	lookup         atomic.Pointer[lookup]
 	building       sync.Mutex // held while an index is built
@@ -61,6 +64,7 @@
 		dispatch: laburnumdispatch.New(views.View().Self.Zone, cfg.seed),
 	}
 	p.refresh(timers.Now())
+	p.closed, p.abandoned = make(chan struct{}), make(chan struct{}, maxAbandoned)
 	p.app = p.routes()
 	p.stop = timers.Every(sweepPeriod, p.sweep)
 	return p
@@ -78,6 +82,7 @@
 // Close frees the proxy's connections. It cuts off what is still in flight: Drain first.
 func (p *Proxy) Close() error {
 	p.stop()
+	close(p.closed)
 	p.flights.cancelAll(&stoppedError{})
 	p.pooled.CloseIdleConnections()
 	p.single.CloseIdleConnections()
--- a/laburnumproxy/request.go
+++ b/laburnumproxy/request.go
@@ -42,6 +42,8 @@
 	stream      bool
 	// once tells that the request may run at most once.
 	once bool
+	// claim names this request's claim on its idempotency key.
+	claim string
 	// touched tells that an attempt may have reached a backend server.
 	touched      bool
 	prompt       string
--- a/laburnumproxy/truth_test.go
+++ b/laburnumproxy/truth_test.go
@@ -255,3 +255,22 @@
 	require.NoError(t, b.proxy.Drain(context.Background()))
 	require.Contains(t, (<-got).body, "[DONE]")
 }
+
+// A zone is cut off while a booking is claimed: the claim hangs on its way to the log,
+// so the caller is told not-run. After the heal the claim arrives. The caller sends
+// the booking again, as told: it must run, once, and not be called in progress.
+func TestClaimThatArrivesAfterTheHealIsFreed(t *testing.T) {
+	b := newBench(t, nil)
+	var runs atomic.Int32
+	b.service(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	b.log.mu.Lock()
+	b.log.hold = true
+	b.log.mu.Unlock()
+	b.post("/services/booking/visits", "", "Idempotency-Key", "k").refused(t, "no-quorum", "not-run")
+	b.log.heal()
+	require.Eventually(t, func() bool {
+		b.timers.Advance(time.Second)
+		return b.post("/services/booking/visits", "", "Idempotency-Key", "k").status == http.StatusOK
+	}, 10*time.Second, time.Millisecond)
+	require.EqualValues(t, 1, runs.Load())
+}
--- a/laburnumstate/claims.go
+++ b/laburnumstate/claims.go
@@ -83,7 +83,9 @@
 		return laburnumlever.Result{Code: laburnumlever.ResultUnknown, Detail: "no such claim"}
 	}
 	c := claimOf(e)
-	if c.VM != r.VM {
+	// A record that was held up on its way must not settle or free a later claim on
+	// the same key: freeing one whose call is being run would let it run twice.
+	if c.VM != r.VM || (r.Claim != "" && c.Claim != r.Claim) {
 		return laburnumlever.Result{Code: laburnumlever.ResultNotHolder, Holder: c.VM}
 	}
 	if c.Settled && c.Outcome == laburnumlever.OutcomeAnswered {
