fix: a proxy may be closed twice

Cause: a node that was shut down and then closed closed the proxy twice, and the new channel panicked (TestShutdownFinishesStreams). Change: once. Result: the test passes.

--- a/laburnumproxy/proxy.go
+++ b/laburnumproxy/proxy.go
@@ -39,6 +39,7 @@
 	flights  *flights
 	stop     func()
 	closed   chan struct{}
+	closing  sync.Once
 	// abandoned holds a place for each claim that is being freed.
 	abandoned chan struct{}
 
@@ -82,7 +83,7 @@
 // Close frees the proxy's connections. It cuts off what is still in flight: Drain first.
 func (p *Proxy) Close() error {
 	p.stop()
-	close(p.closed)
+	p.closing.Do(func() { close(p.closed) })
 	p.flights.cancelAll(&stoppedError{})
 	p.pooled.CloseIdleConnections()
 	p.single.CloseIdleConnections()
