fix: an engine that does not take up its fencing number gets no orders

It would be ordered without the lease's guard on the strength of an announcement alone. Shown failing first: without the check it took orders (TestEngineThatIgnoresItsNumber). With it, a test that a leaving engine's models get successors while it answers.

--- a/laburnumorder/engine.go
+++ b/laburnumorder/engine.go
@@ -164,16 +164,27 @@
 }
 
 func (o *Owner) checkRead(e *engine, ev readAnswered) error {
-	if ev.err != nil {
+	switch {
+	case ev.err != nil:
 		return ev.err
-	}
-	if ev.inventory.Backend != ev.backend {
+	case ev.inventory.Backend != ev.backend:
 		return &WrongEngineError{Want: ev.backend, Got: ev.inventory.Backend}
-	}
-	if ev.inventory.Incarnation < e.announcement.Incarnation {
+	case ev.inventory.Incarnation < e.announcement.Incarnation:
 		return &laburnumlever.StaleNewsError{Backend: ev.backend, Known: e.announcement.Incarnation, Given: ev.inventory.Incarnation}
+	case !e.announcement.ChecksFencing:
+		return nil
+	}
+	return o.checkFence(e, ev)
+}
+
+func (o *Owner) checkFence(e *engine, ev readAnswered) error {
+	if ev.inventory.Fence < ev.number {
+		// It says that it checks and does not take the number up: an old order
+		// could still take effect, so it gets none from here either.
+		e.known = false
+		return &FenceIgnoredError{Backend: ev.backend, Claimed: ev.number, Kept: ev.inventory.Fence}
 	}
-	if e.announcement.ChecksFencing && ev.inventory.Fence > ev.number {
+	if ev.inventory.Fence > ev.number {
 		// Another owner has claimed it: this one's lease is over.
 		e.known = false
 		o.lease.next = time.Time{}
--- a/laburnumorder/errors.go
+++ b/laburnumorder/errors.go
@@ -39,3 +39,14 @@
 func (e *WrongEngineError) Error() string {
 	return fmt.Sprintf("asked engine %s, but %s answered", e.Want, e.Got)
 }
+
+// FenceIgnoredError is an engine that announces that it checks fencing numbers but
+// did not take up the one that it was claimed with.
+type FenceIgnoredError struct {
+	Backend       laburnumlever.BackendID
+	Claimed, Kept uint64
+}
+
+func (e *FenceIgnoredError) Error() string {
+	return fmt.Sprintf("engine %s was claimed with %d and keeps %d", e.Backend, e.Claimed, e.Kept)
+}
--- a/laburnumorder/owner_test.go
+++ b/laburnumorder/owner_test.go
@@ -147,6 +147,15 @@
 	require.Empty(t, w.orders)
 }
 
+// An engine announces that it checks fencing numbers and does not. Orders on the
+// strength of its word would not be guarded at all, so it gets none.
+func TestEngineThatIgnoresItsNumber(t *testing.T) {
+	w := newWorld(t, false)
+	w.lies = true
+	w.run(2 * time.Minute)
+	require.Empty(t, w.orders)
+}
+
 // Engines go on reporting what they held before a restart and before new loads. An
 // owner that believed them would load into memory that is taken.
 func TestStaleReportsAndRestarts(t *testing.T) {
--- a/laburnumorder/world_test.go
+++ b/laburnumorder/world_test.go
@@ -49,6 +49,7 @@
 	quorum    quorum
 	orders    []laburnumlever.Order // as sent
 	zones     []laburnumlever.ZoneName
+	lies      bool // engines announce that they check and do not
 	noGap     bool // a model that is reachable must stay so
 	reached   []laburnumlever.ModelName
 }
@@ -148,6 +149,7 @@
 	view := &laburnumlever.View{Self: v.id, Catalogue: v.w.catalogue}
 	for _, e := range v.w.engines {
 		a := e.Announcement()
+		a.ChecksFencing = a.ChecksFencing || v.w.lies
 		if !v.stale {
 			v.reports[a.Backend] = e.Report()
 		}
--- a/laburnumplacement/planner_test.go
+++ b/laburnumplacement/planner_test.go
@@ -132,6 +132,24 @@
 	}
 }
 
+// An engine announces that it leaves. Its models get their successors while it
+// still answers, and no more is placed on it.
+func TestLeavingEngineIsReplaced(t *testing.T) {
+	s := laburnumplacement.Snapshot{Catalogue: models(4, 40), Engines: []laburnumplacement.Engine{
+		engineIn("e1", "a", 100), engineIn("e2", "b", 100), engineIn("e3", "b", 100),
+	}}
+	settle(t, &s)
+	s.Engines[0].Leaving, s.Engines[0].Usable = true, false
+	for _, m := range settle(t, &s) {
+		require.NotEqual(t, laburnumlever.BackendID("e1"), m.Engine)
+	}
+	s.Engines[0].Serving = false
+	require.Empty(t, settle(t, &s))
+	for _, m := range s.Catalogue.Models {
+		require.NotEmpty(t, zonesOf(s, m.Name), m.Name)
+	}
+}
+
 func TestReplicasFollowDemandAndPrice(t *testing.T) {
 	for _, c := range []struct {
 		price float64
