--- /dev/null
+++ b/laburnumdisk/crash_test.go
@@ -0,0 +1,245 @@
+package laburnumdisk_test
+
+import (
+	"fmt"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+
+	"laburnumlever/laburnumdisk"
+	"laburnumlever/laburnumlog"
+
+	"github.com/stretchr/testify/require"
+)
+
+// memoryFiles is a folder in memory that forgets, on a crash, what was not synced:
+// bytes written, and names made, renamed or removed.
+type memoryFiles struct {
+	now     map[string]*memoryFile
+	durable map[string]*memoryFile
+	// left counts down to the operation that fails, after half of its effect.
+	left int
+	torn bool // keep half of the unsynced bytes at the crash
+}
+
+type memoryFile struct {
+	files  *memoryFiles
+	data   []byte
+	synced int
+}
+
+func newMemoryFiles() *memoryFiles {
+	return &memoryFiles{now: map[string]*memoryFile{}, durable: map[string]*memoryFile{}, left: -1}
+}
+
+func (m *memoryFiles) crash(after int, torn bool) { m.left, m.torn = after, torn }
+
+// fails tells whether this is the operation at which the machine goes down.
+func (m *memoryFiles) fails() bool {
+	if m.left == 0 {
+		return true
+	}
+	m.left--
+	return false
+}
+
+// restart is the folder as the next start finds it.
+func (m *memoryFiles) restart() {
+	m.now = map[string]*memoryFile{}
+	for name, f := range m.durable {
+		keep := f.synced
+		if m.torn {
+			keep += (len(f.data) - f.synced) / 2
+		}
+		g := &memoryFile{files: m, data: slices.Clone(f.data[:min(keep, len(f.data))])}
+		g.synced = len(g.data)
+		m.now[name] = g
+	}
+	m.durable = map[string]*memoryFile{}
+	for name, f := range m.now {
+		m.durable[name] = f
+	}
+	m.left = -1
+}
+
+func (m *memoryFiles) MakeFolder(string) error { return nil }
+
+func (m *memoryFiles) List(string) ([]string, error) {
+	var names []string
+	for name := range m.now {
+		names = append(names, filepath.Base(name))
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (m *memoryFiles) Read(path string) ([]byte, error) {
+	f, ok := m.now[path]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(f.data), nil
+}
+
+func (m *memoryFiles) OpenAppend(path string) (laburnumdisk.File, error) {
+	if f, ok := m.now[path]; ok {
+		return f, nil
+	}
+	return m.Create(path)
+}
+
+func (m *memoryFiles) Create(path string) (laburnumdisk.File, error) {
+	if m.fails() {
+		return nil, syscall.EIO
+	}
+	f := &memoryFile{files: m}
+	m.now[path] = f
+	return f, nil
+}
+
+func (m *memoryFiles) Rename(from, to string) error {
+	if m.fails() {
+		return syscall.EIO
+	}
+	m.now[to] = m.now[from]
+	delete(m.now, from)
+	return nil
+}
+
+func (m *memoryFiles) Remove(path string) error {
+	if m.fails() {
+		return syscall.EIO
+	}
+	delete(m.now, path)
+	return nil
+}
+
+func (m *memoryFiles) Truncate(path string, size int64) error {
+	if m.fails() {
+		return syscall.EIO
+	}
+	m.now[path].data = m.now[path].data[:size]
+	return nil
+}
+
+func (m *memoryFiles) SyncFolder(string) error {
+	if m.fails() {
+		return syscall.EIO
+	}
+	m.durable = map[string]*memoryFile{}
+	for name, f := range m.now {
+		m.durable[name] = f
+	}
+	return nil
+}
+
+func (f *memoryFile) Write(data []byte) (int, error) {
+	if f.files.fails() {
+		f.data = append(f.data, data[:len(data)/2]...)
+		return len(data) / 2, syscall.ENOSPC
+	}
+	f.data = append(f.data, data...)
+	return len(data), nil
+}
+
+func (f *memoryFile) Sync() error {
+	if f.files.fails() {
+		return syscall.EIO
+	}
+	f.synced = len(f.data)
+	return nil
+}
+
+func (f *memoryFile) Close() error { return nil }
+
+// The machine goes down at every single file operation in turn, with what was not
+// synced gone or torn. Whatever Write had promised must be there at the next
+// start, and what comes after must join on; a second crash soon after included.
+func TestCrashAtEveryOperation(t *testing.T) {
+	writes := []laburnumlog.Write{
+		write(1, 1, 4), write(1, 5, 9), snapshotWrite(4, 1, false), write(2, 8, 12), snapshotWrite(12, 2, false),
+		write(2, 13, 14), snapshotWrite(30, 3, true), write(3, 31, 33), write(4, 33, 35),
+	}
+	for _, torn := range []bool{false, true} {
+		for at := 0; ; at++ {
+			files := newMemoryFiles()
+			files.crash(at, torn)
+			done := drive(t, files, writes)
+			if done {
+				require.Greater(t, at, 30)
+				break
+			}
+		}
+	}
+}
+
+// drive writes all, starting again after each crash, and checks each start; it
+// tells whether no crash happened.
+func drive(t *testing.T, files *memoryFiles, writes []laburnumlog.Write) bool {
+	t.Helper()
+	promised, crashes := 0, 0
+	for {
+		s, r, err := laburnumdisk.Open("data", laburnumdisk.WithFiles(files), laburnumdisk.WithSegmentBytes(300))
+		if err == nil {
+			requirePromised(t, r, writes, promised)
+		}
+		for err == nil && promised < len(writes) {
+			if err = s.Write(writes[promised : promised+1]); err == nil {
+				promised++
+			}
+		}
+		if err == nil {
+			return crashes == 0
+		}
+		var damaged *laburnumdisk.DamagedError
+		require.NotErrorAs(t, err, &damaged)
+		crashes++
+		files.restart()
+		if crashes == 1 {
+			files.crash(7, files.torn)
+		}
+	}
+}
+
+// requirePromised holds what a start found against the writes promised. The write
+// after them may be there too, or of it only the snapshot.
+func requirePromised(t *testing.T, r laburnumlog.Recovered, writes []laburnumlog.Write, promised int) {
+	t.Helper()
+	want := []string{summary(model(writes[:promised]))}
+	if promised < len(writes) {
+		next := writes[promised]
+		want = append(want, summary(model(writes[:promised+1])))
+		if next.Snapshot != nil {
+			half := model(writes[:promised+1])
+			half.Hard = model(writes[:promised]).Hard
+			want = append(want, summary(half))
+		}
+	}
+	require.Contains(t, want, summary(r))
+}
+
+// model is what a disk holds after the writes, by the rules of the log.
+func model(writes []laburnumlog.Write) laburnumlog.Recovered {
+	var r laburnumlog.Recovered
+	for _, w := range writes {
+		r.Hard = w.Hard
+		if w.Snapshot != nil {
+			r.Snapshot = *w.Snapshot
+		}
+		r.Entries = slices.DeleteFunc(r.Entries, func(e laburnumlog.Entry) bool {
+			return w.Reset || e.Index <= r.Snapshot.Index || len(w.Entries) > 0 && e.Index >= w.Entries[0].Index
+		})
+		r.Entries = append(r.Entries, w.Entries...)
+	}
+	return r
+}
+
+func summary(r laburnumlog.Recovered) string {
+	text := fmt.Sprintf("term %d snapshot %d:", r.Hard.Term, r.Snapshot.Index)
+	for _, e := range r.Entries {
+		text += fmt.Sprintf(" %d/%d", e.Index, e.Term)
+	}
+	return text
+}
