--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -123,7 +123,7 @@
 	case MessagePreVote:
 		l.send(Message{Kind: MessagePreVoteAnswer, To: m.From, Reject: true})
 	case MessageAppend, MessageHeartbeat, MessageSnapshot:
-		l.send(Message{Kind: MessageAppendAnswer, To: m.From, Reject: true, Index: m.Index, Hint: l.LastIndex()})
+		l.send(Message{Kind: MessageAppendAnswer, To: m.From, Reject: true, Index: m.Index, Hint: l.LastIndex(), Commit: l.LastIndex()})
 	default:
 	}
 }
--- a/laburnumlog/exhaustive_test.go
+++ b/laburnumlog/exhaustive_test.go
@@ -117,6 +117,7 @@
 		voters int
 	}{
 		"two candidates, the third voter crashes":  {budget{campaigns: [3]int{1, 1, 0}, crashes: [3]int{0, 0, 1}}, votes, 3},
+		"a single voter crashes and leads again":   {budget{campaigns: [3]int{2}, crashes: [3]int{1}, proposals: 1}, all, 1},
 		"two candidates, one crashes":              {budget{campaigns: [3]int{1, 1, 0}, crashes: [3]int{1, 0, 0}}, votes, 3},
 		"a leader of two crashes, the other leads": {budget{campaigns: [3]int{1, 1, 0}, crashes: [3]int{1, 0, 0}}, all, 2},
 	}
--- a/laburnumlog/follower.go
+++ b/laburnumlog/follower.go
@@ -29,7 +29,7 @@
 		return
 	}
 	if m.Index > l.LastIndex() || l.termAt(m.Index) != m.LogTerm {
-		l.send(Message{Kind: MessageAppendAnswer, To: m.From, Reject: true, Index: m.Index, Hint: l.hint(m.Index)})
+		l.send(Message{Kind: MessageAppendAnswer, To: m.From, Reject: true, Index: m.Index, Hint: l.hint(m.Index), Commit: l.LastIndex()})
 		return
 	}
 	for i, e := range m.Entries {
--- a/laburnumlog/log.go
+++ b/laburnumlog/log.go
@@ -81,8 +81,18 @@
 // WithSeed sets the seed of the election timeouts. Replicas need different ones.
 func WithSeed(seed uint64) Option { return func(l *Log) { l.random = seed } }
 
-// WithBoot sets how often the replica has been started on its disk, this time
-// included. The leader tells by it a late message from a disk that went back.
+// nonceBits is how much of a boot is random.
+const nonceBits = 20
+
+// Boot names one start of a replica: how often it was started on its disk, this
+// time included, and a random number. A disk that went back counts a number of
+// starts again, but under another random number.
+func Boot(starts uint64, random uint32) uint64 {
+	return starts<<nonceBits | uint64(random)&(1<<nonceBits-1)
+}
+
+// WithBoot sets the start's name, from Boot. The leader tells by it a disk that
+// went back from a late message.
 func WithBoot(n uint64) Option { return func(l *Log) { l.boot = n } }
 
 // WithRetained sets how many entries stay in the log behind a snapshot.
--- a/laburnumlog/replication.go
+++ b/laburnumlog/replication.go
@@ -13,6 +13,7 @@
 	snapshot uint64
 	inFlight int
 	boot     uint64 // the highest boot heard of
+	older    uint64 // a boot heard of that is not later than the highest
 	acked    uint64 // the boot that acknowledged match
 	lost     bool
 	unacked  int // ticks since the last acknowledgement that brought something new
@@ -21,15 +22,17 @@
 
 // probe starts over from the given index, keeping what is known for good.
 func (p progress) probe(next uint64) progress {
-	return progress{match: p.match, next: next, probing: true, silent: p.silent, boot: p.boot, acked: p.acked, lost: p.lost}
+	return progress{match: p.match, next: next, probing: true, silent: p.silent, boot: p.boot, older: p.older, acked: p.acked, lost: p.lost}
 }
 
 // heard notes an answer, and tells whether it is from the latest start of the
 // member.
 func (p *progress) heard(boot uint64) bool {
-	if boot < p.boot {
+	if boot != p.boot && boot>>nonceBits <= p.boot>>nonceBits && p.boot != 0 {
+		p.older = boot
 		return false
 	}
+	p.older = 0
 	p.boot = boot
 	p.silent = 0
 	return true
@@ -42,6 +45,9 @@
 	SilentTicks int
 	// Boot is the highest that the member has answered with.
 	Boot uint64
+	// Older is another start that answered though it is not later: a late
+	// message, or a disk that went back. Only the member can tell which.
+	Older uint64
 	// Lost tells that the member, since it was started again, lacks entries
 	// that it had acknowledged before: its disk went back.
 	Lost bool
@@ -53,7 +59,7 @@
 	if id == l.id && l.role == Leader {
 		return MemberProgress{Match: l.stable}, true
 	}
-	return MemberProgress{Match: p.match, SilentTicks: p.silent, Boot: p.boot, Lost: p.lost}, ok
+	return MemberProgress{Match: p.match, SilentTicks: p.silent, Boot: p.boot, Older: p.older, Lost: p.lost}, ok
 }
 
 // syncProgress makes the progress table follow the configuration.
@@ -113,7 +119,13 @@
 	if p.unacked < wait || p.match >= l.LastIndex() || p.lost {
 		return
 	}
-	l.progress[id] = p.probe(p.match + 1)
+	next := p.next
+	if !p.probing {
+		next = p.match + 1
+	}
+	// A probe that was lost goes out again as it was: a member that was only
+	// down while the leader was elected would otherwise be sent a snapshot.
+	l.progress[id] = p.probe(next)
 	l.replicate(id)
 }
 
@@ -193,7 +205,11 @@
 
 func (l *Log) onAppendAnswer(m Message) {
 	p, ok := l.progress[m.From]
-	if !ok || l.role != Leader || p.lost || !p.heard(m.Boot) {
+	if !ok || l.role != Leader || p.lost {
+		return
+	}
+	if !p.heard(m.Boot) {
+		l.progress[m.From] = p
 		return
 	}
 	if m.Reject {
@@ -221,7 +237,7 @@
 
 func (l *Log) onRefusedAppend(m Message) {
 	p := l.progress[m.From]
-	if m.Boot > p.acked && p.acked > 0 && m.Hint < p.match && m.Index >= p.match {
+	if m.Boot > p.acked && p.acked > 0 && m.Commit < p.match {
 		// Of the same boot this would be a late message; from a later one it
 		// says that the disk lost what had been acknowledged.
 		p.lost = true
@@ -238,7 +254,11 @@
 
 func (l *Log) onHeartbeatAnswer(m Message) {
 	p, ok := l.progress[m.From]
-	if !ok || l.role != Leader || p.lost || !p.heard(m.Boot) {
+	if !ok || l.role != Leader || p.lost {
+		return
+	}
+	if !p.heard(m.Boot) {
+		l.progress[m.From] = p
 		return
 	}
 	l.progress[m.From] = p
--- a/laburnumlog/simulation_test.go
+++ b/laburnumlog/simulation_test.go
@@ -87,7 +87,7 @@
 	recovered := r.disk
 	recovered.Entries = slices.Clone(r.disk.Entries)
 	seed := xxhash.Sum64String(string(r.id)) + r.boot
-	r.log = laburnumlog.New(r.id, recovered, laburnumlog.WithSeed(seed|1), laburnumlog.WithRetained(2), laburnumlog.WithBoot(r.boot))
+	r.log = laburnumlog.New(r.id, recovered, laburnumlog.WithSeed(seed|1), laburnumlog.WithRetained(2), laburnumlog.WithBoot(laburnumlog.Boot(r.boot, 0)))
 	r.applied, r.hash = recovered.Snapshot.Index, hashOf(recovered.Snapshot.Data)
 }
 
--- a/laburnumlog/story_test.go
+++ b/laburnumlog/story_test.go
@@ -83,7 +83,7 @@
 		s.propose(a, 1)
 		s.run(never, a, b, c)
 	}
-	refusal := laburnumlog.Message{Kind: laburnumlog.MessageAppendAnswer, From: b.id, To: a.id, Term: a.log.Term(), Boot: 1, Reject: true, Index: a.log.LastIndex(), Hint: 1}
+	refusal := laburnumlog.Message{Kind: laburnumlog.MessageAppendAnswer, From: b.id, To: a.id, Term: a.log.Term(), Boot: laburnumlog.Boot(1, 0), Reject: true, Index: a.log.LastIndex(), Hint: 1, Commit: 1}
 	s.step(a, laburnumlog.Receive{Message: refusal})
 	p, _ := a.log.Progress(b.id)
 	require.False(t, p.Lost)
@@ -147,3 +147,29 @@
 	require.Equal(t, b.log.LastIndex(), a.log.LastIndex())
 	require.Empty(t, s.problem)
 }
+
+// A voter is down while a leader is elected, and comes back with all of the log.
+// The leader, which has not heard it yet, must find that out by its probe; a
+// whole snapshot sent instead kept a restarted voter waiting.
+func TestRestartedVoterIsSentNoSnapshot(t *testing.T) {
+	s := newSimulation(3, 3)
+	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
+	s.campaign(a)
+	s.run(never, a, b, c)
+	s.propose(a, 3)
+	s.run(never, a, b, c)
+	s.campaign(b)
+	s.run(never, a, b)
+	for range 10 {
+		s.step(b, laburnumlog.Tick{})
+		for _, m := range s.network {
+			require.NotEqual(t, laburnumlog.MessageSnapshot, m.Kind)
+		}
+		s.run(never, a, b)
+	}
+	s.step(b, laburnumlog.Tick{})
+	s.step(b, laburnumlog.Tick{})
+	s.step(b, laburnumlog.Tick{})
+	s.run(never, a, b, c)
+	require.Equal(t, b.log.LastIndex(), c.log.LastIndex())
+}
--- a/laburnumlog/values.go
+++ b/laburnumlog/values.go
@@ -96,8 +96,10 @@
 	Boot uint64 `json:"boot,omitempty"`
 	// Index and LogTerm are the sender's last entry in a vote, the entry before
 	// Entries in an append, and the last entry held in an answer.
-	Index   uint64  `json:"index,omitempty"`
-	LogTerm uint64  `json:"log-term,omitempty"`
+	Index   uint64 `json:"index,omitempty"`
+	LogTerm uint64 `json:"log-term,omitempty"`
+	// Commit is the sender's commit index; in a refused append it is the last
+	// index held.
 	Commit  uint64  `json:"commit,omitempty"`
 	Entries []Entry `json:"entries,omitempty"`
 	Reject  bool    `json:"reject,omitempty"`
