test: failing, hanging, older and lost disks; a voter gone for good

Change: real files with an fsync that fails or hangs, a folder restored from an older copy, a spare VM in a gone voter's place, hand-over, lease expiry. The network fake answers a missing method at once, as a real link does.

--- /dev/null
+++ b/laburnumvoter/fault_test.go
@@ -0,0 +1,183 @@
+package laburnumvoter_test
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumdisk"
+	"laburnumlever/laburnumvoter"
+
+	"github.com/stretchr/testify/require"
+)
+
+// faultyFiles are real files whose sync can fail or wait.
+type faultyFiles struct {
+	laburnumdisk.Files
+	fail atomic.Bool
+	hold atomic.Pointer[chan struct{}]
+}
+
+type faultyFile struct {
+	laburnumdisk.File
+	files *faultyFiles
+}
+
+func newFaultyFiles() *faultyFiles { return &faultyFiles{Files: laburnumdisk.OSFiles()} }
+
+func (f *faultyFiles) OpenAppend(path string) (laburnumdisk.File, error) {
+	file, err := f.Files.OpenAppend(path)
+	return &faultyFile{File: file, files: f}, err
+}
+
+func (f *faultyFiles) Create(path string) (laburnumdisk.File, error) {
+	file, err := f.Files.Create(path)
+	return &faultyFile{File: file, files: f}, err
+}
+
+func (f *faultyFile) Sync() error {
+	if hold := f.files.hold.Load(); hold != nil {
+		<-*hold
+	}
+	if f.files.fail.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+func startWithFaults(f *fleet) map[string]*faultyFiles {
+	files := map[string]*faultyFiles{}
+	for _, v := range f.voters {
+		name := string(v.VM)
+		files[name] = newFaultyFiles()
+		f.start(name, f.folder(name), laburnumvoter.WithDisk(laburnumdisk.WithFiles(files[name])))
+	}
+	return files
+}
+
+// The leader's fsync fails. It must say so and stop taking part; the change that
+// was under way and all later ones go through the others.
+func TestFailingFsyncStepsDown(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	files := startWithFaults(f)
+	f.vms["a"].apply(t, "first", 0)
+	old := f.leader()
+	files[old].fail.Store(true)
+	require.EqualValues(t, 2, f.vms[old].apply(t, "second", 1).Revision)
+	f.wait("the failed disk is told", func() bool { return f.vms[old].Status().Role == "disk-failed" })
+	require.EqualValues(t, 3, f.vms[old].apply(t, "third", 2).Revision)
+	files[old].fail.Store(false)
+	f.stop(old)
+	f.start(old, f.folder(old)).waitRevision(t, 3)
+}
+
+// The leader's disk hangs. Heartbeats must go on, or each slow fsync would cost an
+// election; the others' disks make the majority.
+func TestSlowDiskDoesNotStopHeartbeats(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	files := startWithFaults(f)
+	f.vms["a"].apply(t, "first", 0)
+	old := f.leader()
+	term := f.vms[old].Status().Term
+	hold := make(chan struct{})
+	files[old].hold.Store(&hold)
+	for i := range uint64(5) {
+		require.Equal(t, i+2, f.vms[old].apply(t, "change-"+strconv.FormatUint(i, 10), i+1).Revision)
+	}
+	passed := make(chan struct{})
+	f.vms[old].timers.After(60*tick, func(time.Time) { close(passed) })
+	<-passed
+	require.Equal(t, "leader", f.vms[old].Status().Role)
+	require.Equal(t, term, f.vms[old].Status().Term)
+	files[old].hold.Store(nil)
+	close(hold)
+}
+
+// A voter is gone for good, and a spare VM has a disk: it must take the place
+// without an operator, and then count: a second loss right after loses nothing.
+func TestGoneVoterIsReplaced(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithReplaceAfter(60*tick))
+	f.startAll()
+	f.vms["a"].apply(t, "first", 0)
+	f.stop("c")
+	d := f.start("d", f.folder("d"))
+	f.wait("d is a voter", func() bool {
+		s := d.Status()
+		return s.Role != "learner" && len(s.Voters) == 3 && s.Applied > 0
+	})
+	f.stop("b")
+	require.EqualValues(t, 2, d.apply(t, "second", 1).Revision)
+}
+
+// A VM is restored from a copy of its folder that is older than what it had
+// acknowledged since. It must come back as a new instance and catch up.
+func TestOlderFolderIsANewInstance(t *testing.T) {
+	for name, extraStarts := range map[string]int{"same count of starts": 0, "fewer starts": 2} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, []string{"a", "b", "c"})
+			f.startAll()
+			revision := f.vms["a"].apply(t, "first", 0).Revision
+			f.vms["c"].waitRevision(t, revision)
+			_, err := f.vms["a"].Propose(context.Background(), laburnumlever.Command{Kind: laburnumlever.CommandNoop})
+			require.NoError(t, err)
+			if f.leader() == "c" {
+				require.NoError(t, f.vms["c"].HandOver(context.Background()))
+			}
+			f.stop("c")
+			copied := f.folder("copy")
+			require.NoError(t, os.CopyFS(copied, os.DirFS(f.folder("c"))))
+			for range extraStarts + 1 {
+				f.start("c", f.folder("c"))
+				revision = f.vms["a"].apply(t, "change-"+strconv.FormatUint(revision, 10), revision).Revision
+				f.vms["c"].waitRevision(t, revision)
+				f.wait("all is acknowledged", func() bool { return f.vms["c"].Status().Leader != "" })
+				if f.leader() == "c" {
+					require.NoError(t, f.vms["c"].HandOver(context.Background()))
+				}
+				f.stop("c")
+			}
+			require.NoError(t, os.RemoveAll(f.folder("c")))
+			require.NoError(t, os.Rename(copied, f.folder("c")))
+			f.start("c", f.folder("c")).waitRevision(t, revision)
+			f.wait("c counts again", func() bool { s := f.vms["c"].Status(); return s.Role != "learner" && len(s.Voters) == 3 })
+			f.stop("b")
+			require.Equal(t, revision+1, f.vms["c"].apply(t, "last", revision).Revision)
+		})
+	}
+}
+
+func TestHandOverIsQuick(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	f.vms["a"].apply(t, "first", 0)
+	old := f.leader()
+	require.NoError(t, f.vms[old].HandOver(context.Background()))
+	require.EqualValues(t, 2, f.vms[old].apply(t, "second", 1).Revision)
+	require.NotEqual(t, old, f.leader())
+}
+
+// A holder stops renewing; its lease must end by the leader's clock, and the next
+// holder gets a higher fence. A holder that renews keeps it.
+func TestLeaseEndsWithoutRenewal(t *testing.T) {
+	f := newFleet(t, []string{"a"})
+	a := f.start("a", f.folder("a"))
+	acquire := func(holder laburnumlever.VMID) laburnumlever.Result {
+		r, err := a.Propose(context.Background(), laburnumlever.Command{Kind: laburnumlever.CommandAcquireLease, Lease: &laburnumlever.LeaseCommand{
+			Name: "zone-1", Holder: holder, Incarnation: 1, TTL: laburnumlever.Duration(40 * tick),
+		}})
+		require.NoError(t, err)
+		return r
+	}
+	first := acquire("x")
+	require.Equal(t, laburnumlever.ResultOK, first.Code)
+	require.Equal(t, laburnumlever.ResultConflict, acquire("y").Code)
+	require.Equal(t, first.Fence, acquire("x").Fence, "the same holder renews")
+	var next laburnumlever.Result
+	f.wait("the lease ends", func() bool { next = acquire("y"); return next.Code == laburnumlever.ResultOK })
+	require.Greater(t, next.Fence, first.Fence)
+}
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -81,9 +81,6 @@
 		v.peers.Notify(h.Member.Address, methodHello, answer)
 	}
 	v.resendBootstrap(h)
-	if p, ok := v.log.Progress(h.Member.ID); ok && v.log.Role() == laburnumlog.Leader && h.Boot < p.Boot {
-		v.peers.Notify(h.Member.Address, methodSuperseded, supersededMessage{ID: h.Member.ID, Boot: h.Boot})
-	}
 }
 
 // maybeBootstrap makes the first configuration, on the first of the voters by name,
@@ -144,8 +141,12 @@
 // warnSuperseded tells members whose disk went back that they are new instances.
 func (v *Voter) warnSuperseded() {
 	for _, m := range v.log.Configuration().Members {
-		if p, ok := v.log.Progress(m.ID); ok && p.Lost {
-			_ = level.Error(v.cfg.logger).Log("event", "replica-went-back", "replica", m.ID, "boot", p.Boot)
+		p, ok := v.log.Progress(m.ID)
+		if ok && p.Older != 0 {
+			v.peers.Notify(m.Address, methodSuperseded, supersededMessage{ID: m.ID, Boot: p.Older})
+		}
+		if ok && p.Lost {
+			_ = level.Error(v.cfg.logger).Log("event", "replica-went-back", "replica", m.ID)
 			v.peers.Notify(m.Address, methodSuperseded, supersededMessage{ID: m.ID, Boot: p.Boot})
 		}
 	}
--- a/laburnumvoter/network_test.go
+++ b/laburnumvoter/network_test.go
@@ -107,12 +107,12 @@
 	if to == nil {
 		return &laburnumlever.PeerUnreachableError{Address: address}
 	}
+	h := to.handler(method)
+	if h == nil {
+		return &laburnumlever.PeerRefusedError{Address: address, Kind: "no-method"}
+	}
 	answer := make(chan []byte, 1)
 	go func() {
-		h := to.handler(method)
-		if h == nil {
-			return
-		}
 		value, err := h(ctx, data)
 		if err == nil && p.net.reach(address, p.address) == p {
 			out, _ := json.Marshal(value)
--- a/laburnumvoter/replica.go
+++ b/laburnumvoter/replica.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
 )
 
 // replica is an open data folder with the log and state that it gave.
@@ -46,8 +47,9 @@
 	identity := store.Identity()
 	id := laburnumlog.ReplicaID(string(self.ID) + "/" + identity.Instance)
 	seed := xxhash.Sum64String(string(id)) | 1 // xorshift must not start from 0
-	l := laburnumlog.New(id, recovered, laburnumlog.WithSeed(seed), laburnumlog.WithBoot(identity.Boot))
-	return &replica{store: store, log: l, machine: machine, boot: identity.Boot, snapshotBytes: len(recovered.Snapshot.Data)}, nil
+	boot := laburnumlog.Boot(identity.Boot, uuid.New().ID())
+	l := laburnumlog.New(id, recovered, laburnumlog.WithSeed(seed), laburnumlog.WithBoot(boot))
+	return &replica{store: store, log: l, machine: machine, boot: boot, snapshotBytes: len(recovered.Snapshot.Data)}, nil
 }
 
 // writer makes writes durable on a goroutine of its own, as many together as have
--- a/laburnumvoter/transmit.go
+++ b/laburnumvoter/transmit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumlog"
@@ -13,6 +14,10 @@
 // do not wait behind a large message.
 const chunkBytes = 256 << 10
 
+// chunkTicks is how long one part may take, less than the log waits before it asks
+// for a snapshot again.
+const chunkTicks = 30
+
 // transmit sends a log message; to itself it goes through the inbox.
 func (v *Voter) transmit(m laburnumlog.Message) {
 	if v.log != nil && m.To == v.log.ID() {
@@ -81,8 +86,6 @@
 	}
 	go func() {
 		defer v.sending.end(m.To)
-		ctx, cancel := v.bounded(context.Background())
-		defer cancel()
 		snapshot := *m.Snapshot
 		data := snapshot.Data
 		snapshot.Data = nil
@@ -91,13 +94,23 @@
 			end := min(len(data), offset+chunkBytes)
 			part := chunkParams{Message: m, Offset: offset, Data: data[offset:end], Last: end == len(data)}
 			var answer chunkAnswer
-			if err := v.peers.Call(ctx, address, methodChunk, part, &answer); err != nil || !answer.Accepted || part.Last {
+			if err := v.callBriefly(address, part, &answer); err != nil || !answer.Accepted || part.Last {
 				return
 			}
 		}
 	}()
 }
 
+// callBriefly sends one part. A VM that is frozen answers nothing: the sender then
+// gives up before the log asks for the snapshot again, or that would find it busy.
+func (v *Voter) callBriefly(address string, part chunkParams, answer *chunkAnswer) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := v.timers.After(chunkTicks*v.cfg.tick, func(time.Time) { cancel() })
+	defer stop()
+	return v.peers.Call(ctx, address, methodChunk, part, answer)
+}
+
 // assembly holds the parts of the one snapshot that is coming in.
 type assembly struct {
 	mu   sync.Mutex
