--- a/laburnummembership/probe.go
+++ b/laburnummembership/probe.go
@@ -36,7 +36,7 @@
 	case !livedBefore && c.vms.lives(g.From):
 		// A cut has healed: the other side's news of the time between is not in
 		// anybody's queue any more.
-		c.pull(p.address, c.digest[:])
+		c.pull(p.address, c.digest.pack())
 	default:
 		c.compare(g, p.address, now)
 	}
--- a/laburnummembership/pull.go
+++ b/laburnummembership/pull.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"laburnumlever"
@@ -65,11 +64,11 @@
 	}
 	c.mismatches = 0
 	c.syncAt = now
-	c.pull(address, c.digest[:])
+	c.pull(address, c.digest.pack())
 }
 
-func (c *core) pull(address string, buckets []uint64) {
-	request := syncRequest{From: c.self, Buckets: slices.Clone(buckets)}
+func (c *core) pull(address string, buckets []byte) {
+	request := syncRequest{From: c.self, Buckets: buckets}
 	c.emit(send{Address: address, Method: methodSync, Params: request, Timeout: syncTimeout}, pending{})
 }
 
@@ -94,9 +93,9 @@
 	}
 	var found packedNews
 	room := syncBudget
-	whole := len(request.Buckets) != bucketCount
+	whole := len(request.Buckets) != bucketCount*bucketBytes
 	for _, key := range c.factKeys() {
-		if !whole && request.Buckets[bucketOf(bucketKey(key))] == c.digest[bucketOf(bucketKey(key))] {
+		if !whole && !c.digest.differs(request.Buckets, bucketOf(bucketKey(key))) {
 			continue
 		}
 		if !whole && room < 0 {
--- a/laburnummembership/wire.go
+++ b/laburnummembership/wire.go
@@ -72,7 +72,7 @@
 // syncRequest asks for what differs; without buckets for all.
 type syncRequest struct {
 	From    laburnumlever.VM `json:"from"`
-	Buckets []uint64         `json:"buckets,omitempty"`
+	Buckets []byte           `json:"buckets,omitempty"`
 }
 
 // syncAnswer brings it, and the answering VM itself.
