perf: inventories spread as changes

Cause: each change of one copy sent the engine's whole inventory. Now the copies touched since a basis of at most ten seconds, or a pull for who missed the basis. The new test failed first: a copy that came and went between two changes stayed for good on a VM that saw the state between, so a change now names every copy touched since its basis; and VMs that hear the engine but do not speak for it now take the inventory from the one that does. TestNewsReachesAllWithinThreeSeconds compared the inventory in the engine's order; the order is now the VM's own (sorted) on all VMs, so it compares the copies, as strictly otherwise.

--- a/laburnummembership/backends.go
+++ b/laburnummembership/backends.go
@@ -54,6 +54,12 @@
 	if given.Sequence < r.report.Sequence {
 		return nil // gossip was faster
 	}
+	given.Loaded = inOrder(given.Loaded)
+	if r.news.Speaker != c.self.ID || given.Sequence <= r.inventorySequence {
+		// The inventory comes from the VM that speaks for it, with the sequence that
+		// belongs to it: changes could not be applied to a newer state.
+		given.Loaded, given.Fence = r.report.Loaded, r.report.Fence
+	}
 	changed := given.Fence != r.report.Fence || !reflect.DeepEqual(given.Loaded, r.report.Loaded)
 	r.report = given
 	r.reportedAt = now
@@ -70,30 +76,11 @@
 
 func (c *core) publishReport(r *backendRecord, inventoryChanged bool, now time.Time) {
 	if inventoryChanged {
-		c.publishInventory(r)
+		c.publishInventory(r, now)
 	}
 	c.queueLoad(r, now)
 }
 
-func (c *core) publishInventory(r *backendRecord) {
-	if r.report.Sequence <= r.inventorySequence {
-		return
-	}
-	c.backends.toggle(r)
-	r.inventorySequence = r.report.Sequence
-	c.backends.toggle(r)
-	c.pushInventory(r.news.Backend)
-}
-
-// pushInventory keeps an announcement that still waits ahead of the inventory: an
-// inventory of an unknown backend server is dropped by whoever gets it.
-func (c *core) pushInventory(id laburnumlever.BackendID) {
-	c.bulk.push(inventoryKey(id))
-	if c.bulk.holds(announcementKey(id)) {
-		c.bulk.push(announcementKey(id))
-	}
-}
-
 // queueLoad passes a load on: to the own zone if it is from there, and to all
 // zones less often. The intervals grow with the number of backend servers, since all
 // their rows share the same bytes.
@@ -157,7 +144,7 @@
 	next.Health = healthHeard
 	c.backends.change(r, next, now)
 	c.publishStatus(r.news.Backend)
-	c.publishInventory(r)
+	c.publishInventory(r, now)
 }
 
 // isSpokenFor counts a suspected speaker as gone: if it is not, two VMs speak for a
--- a/laburnummembership/backendtable.go
+++ b/laburnummembership/backendtable.go
@@ -16,6 +16,10 @@
 	reportedAt time.Time
 	// inventorySequence is that of the last inventory made news.
 	inventorySequence uint64
+	// delta is that news as a change, for passing on; without a Base there is none.
+	delta inventoryNews
+	// basis is what the VM that speaks for it makes changes against.
+	basis inventoryBasis
 	// heardAt is when it was last heard directly, directSequence its report then.
 	heardAt        time.Time
 	directSequence uint64
@@ -114,24 +118,6 @@
 	t.toggle(r)
 }
 
-// mergeInventory takes in an engine's inventory.
-func (t *backendTable) mergeInventory(n inventoryNews, now time.Time) bool {
-	r, ok := t.records[n.Backend]
-	if !ok || n.Incarnation != r.news.Incarnation || n.Sequence <= r.inventorySequence {
-		return false
-	}
-	t.toggle(r)
-	r.inventorySequence = n.Sequence
-	t.toggle(r)
-	r.newsAt = now
-	if n.Sequence < r.directSequence {
-		return true // heard directly since
-	}
-	r.report.Loaded = n.Loaded
-	r.report.Fence = n.Fence
-	return true
-}
-
 // mergeLoad takes in one load row; a late one changes nothing.
 func (t *backendTable) mergeLoad(r *backendRecord, row loadRow, now time.Time) bool {
 	if row.sequence <= r.report.Sequence {
@@ -193,16 +179,6 @@
 
 func (r *backendRecord) zone() laburnumlever.ZoneName { return r.news.Announcement.Zone }
 
-func (r *backendRecord) inventory() inventoryNews {
-	return inventoryNews{
-		Backend:     r.news.Backend,
-		Incarnation: r.news.Incarnation,
-		Sequence:    r.inventorySequence,
-		Fence:       r.report.Fence,
-		Loaded:      r.report.Loaded,
-	}
-}
-
 func backendKey(id laburnumlever.BackendID) string { return "b" + string(id) }
 
 func announcementKey(id laburnumlever.BackendID) string { return "a" + string(id) }
--- a/laburnummembership/exchange.go
+++ b/laburnummembership/exchange.go
@@ -187,7 +187,7 @@
 		if !ok {
 			return nil, false
 		}
-		return r.inventory(), true
+		return r.newsOfInventory(), true
 	}
 }
 
--- a/laburnummembership/pull.go
+++ b/laburnummembership/pull.go
@@ -138,6 +138,9 @@
 // addShared adds a fact in full and returns its bytes.
 func (c *core) addShared(n *packedNews, key string) int {
 	item, _ := c.fact(key)
+	if key[0] == 'i' {
+		item = c.backends.records[laburnumlever.BackendID(key[1:])].inventory()
+	}
 	switch v := item.(type) {
 	case backendNews:
 		n.Backends = append(n.Backends, v)
--- a/laburnummembership/wire.go
+++ b/laburnummembership/wire.go
@@ -48,16 +48,6 @@
 	Announcement *laburnumlever.Announcement `json:"announcement,omitempty"`
 }
 
-// inventoryNews is what an engine holds, sent only on change.
-type inventoryNews struct {
-	Backend     laburnumlever.BackendID `json:"backend"`
-	Incarnation uint64                  `json:"incarnation"`
-	// Sequence is that of the report that showed the change.
-	Sequence uint64                 `json:"sequence"`
-	Fence    uint64                 `json:"fence,omitempty"`
-	Loaded   []laburnumlever.Loaded `json:"loaded"`
-}
-
 // askRequest asks a VM to probe another.
 type askRequest struct {
 	Target  laburnumlever.VMID `json:"target"`
