--- a/cmd/laburnumlever/docs_test.go
+++ b/cmd/laburnumlever/docs_test.go
@@ -7,11 +7,30 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v2"
 
 	"laburnumlever"
 	"laburnumlever/laburnumsettings"
 )
 
+// A command without an example or its exit codes sends whoever runs it to the code.
+func TestEveryCommandHasHelp(t *testing.T) {
+	var check func(name string, commands []*cli.Command)
+	check = func(name string, commands []*cli.Command) {
+		for _, command := range commands {
+			full := name + " " + command.Name
+			require.NotEmpty(t, command.Usage, full)
+			if command.Action != nil {
+				require.Contains(t, command.Description, "Example: "+full, full)
+				require.Contains(t, command.Description, exitCodesText, full)
+				require.NotNil(t, command.OnUsageError, full)
+			}
+			check(full, command.Subcommands)
+		}
+	}
+	check("laburnumlever", newApp().Commands)
+}
+
 func page(t *testing.T, name string) string {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("..", "..", "docs", name))
--- a/cmd/laburnumlever/loadcmd.go
+++ b/cmd/laburnumlever/loadcmd.go
@@ -43,8 +43,9 @@
 }
 
 func runLoad(c *cli.Context) error {
-	if c.String("experiment") == "" {
-		return &usageError{Detail: "load: --experiment is missing"}
+	// Not by Before, which would run for the subcommands too.
+	if err := requireFlags("experiment")(c); err != nil {
+		return err
 	}
 	experiment, err := laburnumload.Load(c.String("experiment"))
 	if err != nil {
--- a/cmd/laburnumlever/output.go
+++ b/cmd/laburnumlever/output.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v2"
@@ -56,11 +57,29 @@
 // oneArgument returns the only argument or a usage error that names it.
 func oneArgument(c *cli.Context, name string) (string, error) {
 	if c.NArg() != 1 {
-		return "", &usageError{Detail: fmt.Sprintf("%s: want one argument, %s; have %d", c.Command.FullName(), name, c.NArg())}
+		return "", &usageError{Detail: fmt.Sprintf("%s: want one argument, %s; have %d", commandName(c), name, c.NArg())}
 	}
 	return c.Args().First(), nil
 }
 
+// commandName is the command as it was typed, without the program.
+func commandName(c *cli.Context) string {
+	return strings.TrimPrefix(c.Command.HelpName, c.App.Name+" ")
+}
+
+// requireFlags refuses a command line without these flags as wrong usage; cli's
+// own check has no type to tell its error by.
+func requireFlags(names ...string) cli.BeforeFunc {
+	return func(c *cli.Context) error {
+		for _, name := range names {
+			if c.String(name) == "" {
+				return &usageError{Detail: commandName(c) + ": --" + name + " is missing"}
+			}
+		}
+		return nil
+	}
+}
+
 // report writes the value as JSON if that was asked for, else as text does.
 func report(c *cli.Context, value any, text func(w io.Writer)) error {
 	if c.String("output") != outputJSON {
--- a/cmd/laburnumlever/servecmd.go
+++ b/cmd/laburnumlever/servecmd.go
@@ -25,14 +25,12 @@
 			&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`"},
 		},
 		OnUsageError: onUsageError,
+		Before:       requireFlags("settings"),
 		Action:       runServe,
 	}
 }
 
 func runServe(c *cli.Context) error {
-	if c.String("settings") == "" {
-		return &usageError{Detail: "serve: --settings is missing"}
-	}
 	settings, err := laburnumsettings.Load(c.String("settings"))
 	if err != nil {
 		return err
--- a/cmd/laburnumlever/standincmd.go
+++ b/cmd/laburnumlever/standincmd.go
@@ -45,8 +45,8 @@
 func backendFlags() []cli.Flag {
 	return []cli.Flag{
 		listenFlag(),
-		&cli.StringFlag{Name: "id", Required: true, Usage: "`ID` of the backend server"},
-		&cli.StringFlag{Name: "zone", Required: true, Usage: "its availability `ZONE`"},
+		&cli.StringFlag{Name: "id", Usage: "`ID` of the backend server"},
+		&cli.StringFlag{Name: "zone", Usage: "its availability `ZONE`"},
 		&cli.StringSliceFlag{Name: "registry", Usage: "`ADDRESS` of an entry VM's backends listener; may be repeated"},
 		&cli.IntFlag{Name: "slots", Value: defaultSlots, Usage: "how many requests it works on at once"},
 		&cli.DurationFlag{Name: "announce-period", Value: time.Second, Usage: "how often it announces itself; it reports twice as often"},
--- a/cmd/laburnumlever/standinenginecmd.go
+++ b/cmd/laburnumlever/standinenginecmd.go
@@ -29,6 +29,7 @@
 			&cli.DurationFlag{Name: "load-time", Usage: "how long a load takes beside the weight store's time"},
 		),
 		OnUsageError: onUsageError,
+		Before:       requireFlags("id", "zone"),
 		Action:       runEngine,
 	}
 }
--- a/cmd/laburnumlever/standinlinkcmd.go
+++ b/cmd/laburnumlever/standinlinkcmd.go
@@ -23,10 +23,11 @@
 			"Example: laburnumlever stand-in link --to 127.0.0.1:8083 --control 127.0.0.1:9000\n\n" + exitCodesText,
 		Flags: []cli.Flag{
 			listenFlag(),
-			&cli.StringFlag{Name: "to", Required: true, Usage: "`ADDRESS` (IP and port) of the target"},
+			&cli.StringFlag{Name: "to", Usage: "`ADDRESS` (IP and port) of the target"},
 			&cli.StringFlag{Name: "control", Value: anyPort, Usage: "`ADDRESS` of the control over HTTP"},
 		},
 		OnUsageError: onUsageError,
+		Before:       requireFlags("to"),
 		Action:       runLink,
 	}
 }
--- a/cmd/laburnumlever/standinservicecmd.go
+++ b/cmd/laburnumlever/standinservicecmd.go
@@ -15,10 +15,11 @@
 			"GET /ledger lists the calls that ran.\n\n" +
 			"Example: laburnumlever stand-in service --id b1 --zone rennes-a --service booking --registry 127.0.0.1:8082\n\n" + exitCodesText,
 		Flags: append(backendFlags(),
-			&cli.StringFlag{Name: "service", Required: true, Usage: "`NAME` of the service in the catalogue"},
+			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service in the catalogue"},
 			&cli.DurationFlag{Name: "call-time", Usage: "how long each call takes"},
 		),
 		OnUsageError: onUsageError,
+		Before:       requireFlags("id", "zone", "service"),
 		Action: func(c *cli.Context) error {
 			ln, err := listen(c.Context, c.String("listen"))
 			if err != nil {
