feat: apply warns of zones with engines but no part of the weight store

A zone that the deployment does not list has no part, so nothing would ever be loaded there, and no message said why. The owner takes demand in every 2 s instead of each tick: VMs send it no oftener.

--- a/laburnumorder/options.go
+++ b/laburnumorder/options.go
@@ -38,6 +38,8 @@
 	overdueAfter = 20 * time.Second
 	// releaseTimeout bounds what a stopping VM spends on giving the lease back.
 	releaseTimeout = time.Second
+	// observePeriod is how often the demand is taken in: VMs send it no oftener.
+	observePeriod = 2 * time.Second
 	// planRest is how many times as long as a round took the next one waits.
 	planRest = 100
 	// historySize is how many moves are kept for explanations.
--- a/laburnumorder/owner.go
+++ b/laburnumorder/owner.go
@@ -30,19 +30,20 @@
 	tickPeriod  time.Duration
 	run         func(work func())
 
-	lease      lease
-	quietUntil time.Time
-	engines    map[laburnumlever.BackendID]*engine
-	ledger     *Ledger
-	orders     uint64
-	pace       laburnumplacement.Pace
-	paceIsNew  bool
-	nextPlan   time.Time
-	planner    *laburnumplacement.Planner
-	estimator  *laburnumplacement.Estimator
-	ready      readiness
-	progress   progress
-	history    []record
+	lease       lease
+	quietUntil  time.Time
+	engines     map[laburnumlever.BackendID]*engine
+	ledger      *Ledger
+	orders      uint64
+	pace        laburnumplacement.Pace
+	paceIsNew   bool
+	nextPlan    time.Time
+	nextObserve time.Time
+	planner     *laburnumplacement.Planner
+	estimator   *laburnumplacement.Estimator
+	ready       readiness
+	progress    progress
+	history     []record
 
 	owns      atomic.Bool
 	granted   atomic.Uint64 // the lease's number, for Close
@@ -141,7 +142,12 @@
 	if view == nil {
 		return
 	}
-	o.estimator.Observe(now, view.Demand)
+	if !now.Before(o.nextObserve) {
+		// VMs that do not own their zone observe too, so that a new owner knows
+		// the peaks of the last half hour.
+		o.nextObserve = now.Add(observePeriod)
+		o.estimator.Observe(now, view.Demand)
+	}
 	if o.lease.fence == 0 {
 		return
 	}
--- a/laburnumplacement/bench_test.go
+++ b/laburnumplacement/bench_test.go
@@ -120,3 +120,21 @@
 		})
 	}
 }
+
+// BenchmarkFits is what one apply costs.
+func BenchmarkFits(b *testing.B) {
+	for _, size := range [][2]int{{20, 30}, {2100, 370}} {
+		b.Run(fmt.Sprintf("engines=%d", size[0]), func(b *testing.B) {
+			s := fleetOf(size[0], size[1])
+			var backends []laburnumlever.Backend
+			for _, e := range s.Engines {
+				backends = append(backends, laburnumlever.Backend{Announcement: laburnumlever.Announcement{
+					Backend: e.ID, Zone: e.Zone, Accelerators: e.Accelerators,
+				}})
+			}
+			for b.Loop() {
+				_, _ = laburnumplacement.Fits(s.Catalogue, backends)
+			}
+		})
+	}
+}
--- a/laburnumplacement/fits.go
+++ b/laburnumplacement/fits.go
@@ -19,7 +19,7 @@
 	warnings = append(warnings, zoneWarnings(catalogue, engines)...)
 	warnings = append(warnings, engineWarnings(catalogue, engines)...)
 	warnings = append(warnings, spreadWarnings(catalogue, engines)...)
-	return append(warnings, shareWarnings(catalogue.Deployment)...), nil
+	return append(warnings, shareWarnings(catalogue.Deployment, zonesOf(engines))...), nil
 }
 
 func emptyEngines(backends []laburnumlever.Backend) []Engine {
@@ -88,13 +88,7 @@
 }
 
 func zoneWarnings(catalogue laburnumlever.Catalogue, engines []Engine) []string {
-	var zones []laburnumlever.ZoneName
-	for _, e := range engines {
-		if !slices.Contains(zones, e.Zone) {
-			zones = append(zones, e.Zone)
-		}
-	}
-	slices.Sort(zones)
+	zones := zonesOf(engines)
 	var warnings []string
 	for _, zone := range zones {
 		rest := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Zone == zone })
@@ -152,15 +146,27 @@
 	return warnings
 }
 
-func shareWarnings(d laburnumlever.Deployment) []string {
-	var none []laburnumlever.ZoneName
-	for _, zone := range d.Zones {
-		if ShareOf(d, zone).Parallel == 0 {
-			none = append(none, zone)
+func zonesOf(engines []Engine) []laburnumlever.ZoneName {
+	var zones []laburnumlever.ZoneName
+	for _, e := range engines {
+		if !slices.Contains(zones, e.Zone) {
+			zones = append(zones, e.Zone)
 		}
 	}
-	if len(none) == 0 {
-		return nil
+	slices.Sort(zones)
+	return zones
+}
+
+// shareWarnings names the zones that have engines but no part of the weight store.
+func shareWarnings(d laburnumlever.Deployment, zones []laburnumlever.ZoneName) []string {
+	var warnings []string
+	for _, zone := range zones {
+		switch {
+		case !slices.Contains(d.Zones, zone):
+			warnings = append(warnings, fmt.Sprintf("zone %s has engines but is not among the deployment's zones: nothing can be loaded there", zone))
+		case ShareOf(d, zone).Parallel == 0:
+			warnings = append(warnings, fmt.Sprintf("the weight store's %d parallel loads leave none for zone %s: nothing can be loaded there", d.WeightStore.ParallelLoads, zone))
+		}
 	}
-	return []string{fmt.Sprintf("the weight store's %d parallel loads leave none for the zones %v: nothing can be loaded there", d.WeightStore.ParallelLoads, none)}
+	return warnings
 }
