--- a/cmd/laburnumlever/fleetcommands_test.go
+++ b/cmd/laburnumlever/fleetcommands_test.go
@@ -30,9 +30,10 @@
 //	lose NAME                loses the VM's data folder
 //	leader PREFIX VM...      waits until one of the VMs leads the log; PREFIX is then its
 //	                         name and PREFIX_operators its address, PREFIXother the next VM
+//	owner PREFIX VM...       the same for the VM that says it owns its zone
 func fleetCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
-		"vms": scriptVMs, "cut": scriptCut, "heal": scriptHeal, "lose": scriptLose, "leader": scriptLeader,
+		"vms": scriptVMs, "cut": scriptCut, "heal": scriptHeal, "lose": scriptLose, "leader": scriptLeader, "owner": scriptOwner,
 	}
 }
 
@@ -135,13 +136,22 @@
 
 // scriptLeader asks the VMs in turn; only what a living one says of itself counts.
 func scriptLeader(ts *testscript.TestScript, _ bool, args []string) {
-	prefix, names := args[0], args[1:]
+	awaitRole(ts, args[0], args[1:], func(s laburnumlever.Status) bool { return s.Voter.Role == "leader" })
+}
+
+func scriptOwner(ts *testscript.TestScript, _ bool, args []string) {
+	awaitRole(ts, args[0], args[1:], func(s laburnumlever.Status) bool {
+		return s.ZoneOwners[s.View.Self.Zone] == s.View.Self.ID
+	})
+}
+
+func awaitRole(ts *testscript.TestScript, prefix string, names []string, has func(laburnumlever.Status) bool) {
 	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(awaitStep) {
 		for i, name := range names {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			status, err := laburnumoperator.NewClient(ts.Getenv(name + "_operators")).Status(ctx)
 			cancel()
-			if err != nil || status.Voter.Role != "leader" {
+			if err != nil || !has(status) {
 				continue
 			}
 			setNames(ts, prefix, name)
@@ -149,7 +159,7 @@
 			return
 		}
 	}
-	ts.Fatalf("none of %v leads", names)
+	ts.Fatalf("none of %v has the role", names)
 }
 
 // setNames makes NAME's variables known under another prefix too, also those it
--- a/cmd/laburnumlever/standincmd.go
+++ b/cmd/laburnumlever/standincmd.go
@@ -15,7 +15,7 @@
 
 const (
 	anyPort          = "127.0.0.1:0"
-	standInLimit     = 10 * time.Second
+	standInLimit     = 30 * time.Second
 	headerReadLimit  = 10 * time.Second
 	defaultSlots     = 8
 	defaultPrefill   = 20000.0
