perf: what a pull brought is not passed on in whole

Cause: a VM that pulled a missed inventory passed it on whole, seven times, in place of the change; at 780 VMs packed facts rose to 7.6 KB/s. Now only urgent news of a pull goes on, pulls are rarer in large fleets (30 ms for each VM), and one that brought much is followed by the next at once. The benchmark's warm start took place before all engines had reported, so that it measured a cold start's tail; mended. Also a measurement of VMs with real sockets in one process.

--- a/laburnummembership/backends.go
+++ b/laburnummembership/backends.go
@@ -158,7 +158,7 @@
 }
 
 // mergeBackend takes in another VM's news of a backend server.
-func (c *core) mergeBackend(n backendNews, now time.Time, relay bool) {
+func (c *core) mergeBackend(n backendNews, now time.Time, relay relaying) {
 	if !c.backends.merge(n, now) {
 		return
 	}
@@ -172,10 +172,10 @@
 	if c.hears(r, now) {
 		c.speakFor(r, now)
 	}
-	if !relay {
+	if relay == relayNone {
 		return
 	}
-	if n.Announcement != nil {
+	if n.Announcement != nil && relay == relayAll {
 		c.bulk.push(announcementKey(n.Backend))
 		return
 	}
--- a/laburnummembership/bench_test.go
+++ b/laburnummembership/bench_test.go
@@ -1,12 +1,14 @@
 package laburnummembership_test
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"runtime"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,7 +76,7 @@
 		return
 	}
 	t.Logf("%d VMs, %d engines", vms, len(engines))
-	f.Advance(1200 * time.Millisecond)
+	f.Advance(2 * time.Second) // every engine has announced and reported by then
 	f.Warm()
 	f.Every(time.Second/changesPerSecond, func() { f.ChangeInventory(engines[f.Random.IntN(len(engines))]) })
 	f.Advance(10 * time.Second)
@@ -147,3 +149,42 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// TestMeasureProcess measures VMs with real sockets in one process: what links and
+// the kernel add to the steps. Two engines to each VM announce and report.
+func TestMeasureProcess(t *testing.T) {
+	for _, count := range sizes(t) {
+		nodes := startNodes(t, count)
+		ctx, cancel := context.WithCancel(context.Background())
+		for i, n := range nodes {
+			for e := range 2 {
+				go feed(ctx, n, laburnumlever.BackendID(fmt.Sprintf("engine-%d-%d", i, e)), laburnumlever.ZoneName(fmt.Sprintf("zone-%d", i%2)))
+			}
+		}
+		time.Sleep(8 * time.Second)
+		began, at := processTime(t), time.Now()
+		time.Sleep(10 * time.Second)
+		share := (processTime(t) - began).Seconds() / time.Since(at).Seconds() / float64(count)
+		t.Logf("%d VMs with real sockets in one process: %.2f%% of a core a VM, heap %d KiB a VM, alive on the last %d",
+			count, 100*share, heapBytes()/1024/uint64(count), nodes[count-1].alive())
+		cancel()
+	}
+}
+
+func feed(ctx context.Context, n *node, id laburnumlever.BackendID, zone laburnumlever.ZoneName) {
+	a := laburnumlever.Announcement{Backend: id, Zone: zone, Incarnation: 1, Slots: 32}
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+		_ = n.membership.Announce(ctx, a)
+		_ = n.membership.Report(ctx, laburnumlever.LoadReport{Backend: id, Incarnation: 1, Sequence: sequence, InFlight: int(sequence % 32)})
+		<-ticker.C
+	}
+}
+
+func processTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	require.NoError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/laburnummembership/config.go
+++ b/laburnummembership/config.go
@@ -68,8 +68,9 @@
 	// fewer, and news still on its way would be pulled as missed.
 	syncMismatches = 5
 	syncPeriod     = time.Second
-	// syncStep stretches syncPeriod for each VM known.
-	syncStep   = 10 * time.Millisecond
+	// syncStep stretches syncPeriod for each VM known: the more there are, the more
+	// news is on its way at any time, and a pull for that is wasted.
+	syncStep   = 30 * time.Millisecond
 	syncBudget = 512 << 10 // before compression
 	// relayLimit is how many items learnt by one sync are passed on as news.
 	relayLimit = 50
--- a/laburnummembership/exchange.go
+++ b/laburnummembership/exchange.go
@@ -97,7 +97,7 @@
 	if g.News == nil {
 		return nil
 	}
-	return c.mergeNews(*g.News, now, true)
+	return c.mergeNews(*g.News, now)
 }
 
 // collect fills a message with news.
@@ -191,20 +191,31 @@
 	}
 }
 
-// mergeNews takes in news; what is new is passed on if relay is set. It returns the
+// relaying says what of the news is passed on.
+type relaying int
+
+const (
+	relayNone relaying = iota
+	// relayUrgent leaves out announcements and inventories: whoever else lacks them
+	// pulls them too, and in whole they would crowd out the changes on their way.
+	relayUrgent
+	relayAll
+)
+
+// mergeNews takes in news and passes on what is new. It returns the
 // keys of all that was in it.
-func (c *core) mergeNews(n news, now time.Time, relay bool) map[string]bool {
+func (c *core) mergeNews(n news, now time.Time) map[string]bool {
 	seen := map[string]bool{}
-	c.mergeFacts(packedNews{VMs: n.VMs, Backends: n.Backends}, now, relay, seen)
-	c.mergeFacts(unpack(n.Packed), now, relay, seen)
+	c.mergeFacts(packedNews{VMs: n.VMs, Backends: n.Backends}, now, relayAll, seen)
+	c.mergeFacts(unpack(n.Packed), now, relayAll, seen)
 	c.mergeLoads(n.Loads, now, seen)
 	return seen
 }
 
-func (c *core) mergeFacts(n packedNews, now time.Time, relay bool, seen map[string]bool) {
+func (c *core) mergeFacts(n packedNews, now time.Time, relay relaying, seen map[string]bool) {
 	for _, vm := range n.VMs {
 		seen[vmKey(vm.ID)] = true
-		if c.mergeVM(vm, now) && relay {
+		if c.mergeVM(vm, now) && relay != relayNone {
 			c.facts.push(vmKey(vm.ID))
 		}
 	}
@@ -217,7 +228,7 @@
 		seen[inventoryKey(i.Backend)] = true
 		if c.backends.mergeInventory(i, now) {
 			c.factsChanged = true
-			if relay {
+			if relay == relayAll {
 				c.pushInventory(i.Backend)
 			}
 		}
--- a/laburnummembership/fleet_test.go
+++ b/laburnummembership/fleet_test.go
@@ -453,7 +453,7 @@
 	}
 	for _, n := range f.VMs {
 		n.joined = true
-		n.mergeFacts(all, f.Now, false, map[string]bool{})
+		n.mergeFacts(all, f.Now, relayNone, map[string]bool{})
 		n.bulk, n.facts = newNewsQueue(), newNewsQueue()
 	}
 }
--- a/laburnummembership/pull.go
+++ b/laburnummembership/pull.go
@@ -79,7 +79,12 @@
 	}
 	c.joined = true
 	n := unpack(answer.Packed)
-	c.mergeFacts(n, now, n.size() <= relayLimit, map[string]bool{})
+	relay := relayUrgent
+	if n.size() > relayLimit {
+		relay = relayNone
+		c.syncAt = time.Time{} // much was missed: pull again as soon as digests tell
+	}
+	c.mergeFacts(n, now, relay, map[string]bool{})
 	if c.mergeVM(answer.From, now) {
 		c.facts.push(vmKey(answer.From.ID))
 	}
