--- a/laburnumproxy/claim.go
+++ b/laburnumproxy/claim.go
@@ -108,7 +108,7 @@
 			"the call was sent once and its answer is not known; it is not run again")
 	}
 	q.trail.add(p.timers.Now(), "answered from the record")
-	p.scope.Counter("answers-recorded").Inc(1)
+	p.counters.fromRecord.Inc(1)
 	return out.giveRecorded(result.Answer)
 }
 
@@ -141,7 +141,7 @@
 	}
 	_, err := p.proposer.Propose(ctx, p.recordOf(q, outcome, whole))
 	if err != nil {
-		p.scope.Counter("records-failed").Inc(1)
+		p.counters.recordsFailed.Inc(1)
 		_ = level.Warn(p.logger).Log("event", "answer-not-recorded", "request-id", q.id, "err", err)
 	}
 }
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -118,7 +118,7 @@
 	p.mu.Unlock()
 	switch verdict {
 	case laburnumretry.Again:
-		p.scope.Tagged(map[string]string{"reason": retryName(reason)}).Counter("retries").Inc(1)
+		p.counters.retries[reason].Inc(1)
 		q.trail.add(now, "attempt again: %s", retryName(reason))
 		return reason, true
 	case laburnumretry.OverBudget:
@@ -171,7 +171,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }() // nothing is left to be read or said
 	if err := a.answered(resp); err != nil {
-		p.scope.Counter("answers-crossed").Inc(1)
+		p.counters.crossed.Inc(1)
 		_ = level.Warn(p.logger).Log("event", "crossed-answer", "request-id", q.id, "backend", to.Backend, "err", err)
 		return p.failed(q, a, to, laburnumlever.RefusedCrossedAnswer, err)
 	}
--- a/laburnumproxy/proxy.go
+++ b/laburnumproxy/proxy.go
@@ -31,6 +31,7 @@
 	cfg      settings
 	logger   log.Logger
 	scope    tally.Scope
+	counters *counters
 	app      *iris.Application
 	pooled   *http.Transport
 	single   *http.Transport // each request on a connection of its own
@@ -59,7 +60,7 @@
 	cfg := newSettings(opts)
 	p := &Proxy{
 		views: views, timers: timers, proposer: proposer, cfg: cfg,
-		logger: cfg.logger, scope: cfg.scope,
+		logger: cfg.logger, scope: cfg.scope, counters: newCounters(cfg.scope),
 		pooled: newTransport(true), single: newTransport(false),
 		ring: newRing(), demand: newDemand(timers.Now()), flights: newFlights(),
 		dispatch: laburnumdispatch.New(views.View().Self.Zone, cfg.seed),
--- a/laburnumproxy/serve.go
+++ b/laburnumproxy/serve.go
@@ -44,7 +44,7 @@
 		p.demand.ended(q, out.firstToken(), err)
 	}
 	if err == nil {
-		p.scope.Counter("requests-answered").Inc(1)
+		p.counters.answered.Inc(1)
 		return
 	}
 	refusal := *q.asRefusal(err)
@@ -72,7 +72,7 @@
 
 // note counts and logs a refusal.
 func (p *Proxy) note(q *request, refusal *laburnumlever.RefusalError) {
-	p.scope.Tagged(map[string]string{"reason": reasonName(refusal.Reason)}).Counter("refusals").Inc(1)
+	p.counters.refusals[refusal.Reason].Inc(1)
 	q.trail.add(p.timers.Now(), "refused: %s, %s: %s", reasonName(refusal.Reason), outcomeName(refusal.Outcome), refusal.Detail)
 	_ = level.Debug(p.logger).Log("event", "refused", "request-id", q.id, "reason", reasonName(refusal.Reason),
 		"outcome", outcomeName(refusal.Outcome), "subject", refusal.Subject, "detail", refusal.Detail)
