fix: bookings in a cut zone are refused at once; a resent change gets its own revision

A claim in a zone that is cut off was refused only after its whole time limit, also long after the VM knew that the log was out of reach. And Machine.Apply raised the revision in every answer to the current one, so a resend of the change accepted as revision 1 was told revision 2. Ruled out: refusing as soon as the leader is unknown (every change of leader would refuse bookings that now wait a second). Change: a gate lets one claim a second through while the log is out of reach; a claim waits 3 s, not 5; a recorded answer keeps its revision.

--- a/laburnumproxy/claim.go
+++ b/laburnumproxy/claim.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// claimTimeout bounds the wait for the log before a call is forwarded.
-	claimTimeout = 5 * time.Second
+	// claimTimeout bounds the wait for the log before a call is forwarded: longer
+	// than a change of leader takes, shorter than a caller's patience.
+	claimTimeout = 3 * time.Second
 	// recordTimeout bounds the wait for the log before the answer goes out.
 	recordTimeout = 5 * time.Second
 	// maxKept is the longest answer that is kept for resends, in bytes.
@@ -51,16 +52,22 @@
 // claim proposes the claim. The key is kept apart for each caller's credentials:
 // two callers that use the same key must never get each other's answers.
 func (p *Proxy) claim(ctx context.Context, q *request) (laburnumlever.Result, error) {
-	ctx, cancel := p.withTimeout(ctx, claimTimeout)
+	if !p.gate.allow(p.timers.Now()) {
+		return laburnumlever.Result{}, p.noQuorum(q, "the log has not been in reach since the last try")
+	}
+	limited, cancel := p.withTimeout(ctx, claimTimeout)
 	defer cancel()
 	q.claim = uuid.NewString()
-	result, err := p.proposer.Propose(ctx, laburnumlever.Command{
+	result, err := p.proposer.Propose(limited, laburnumlever.Command{
 		Kind: laburnumlever.CommandClaimRequest,
 		Claim: &laburnumlever.ClaimRequest{
 			Owner: q.owner, Service: q.service, Key: q.claimKey(), Digest: q.digest(),
 			VM: p.views.View().Self.ID, At: p.timers.Now().UnixMilli(), Claim: q.claim,
 		},
 	})
+	if ctx.Err() == nil { // a caller that went away says nothing about the log
+		p.gate.note(p.timers.Now(), err == nil)
+	}
 	if err == nil {
 		return result, nil
 	}
@@ -70,9 +77,13 @@
 	if errors.As(err, &unknown) {
 		p.abandon(p.recordOf(q, laburnumlever.OutcomeNotRun, nil))
 	}
-	refusal := q.refusal(laburnumlever.RefusedNoQuorum, laburnumlever.OutcomeNotRun, "the call could not be claimed: "+err.Error())
+	return result, p.noQuorum(q, err.Error())
+}
+
+func (p *Proxy) noQuorum(q *request, why string) error {
+	refusal := q.refusal(laburnumlever.RefusedNoQuorum, laburnumlever.OutcomeNotRun, "the call could not be claimed: "+why)
 	refusal.RetryAfter = shortRetryAfter
-	return result, refusal
+	return refusal
 }
 
 func (q *request) claimKey() string { return q.credit + "/" + q.header.Get(headerKey) }
--- a/laburnumproxy/proxy.go
+++ b/laburnumproxy/proxy.go
@@ -41,6 +41,7 @@
 	stop     func()
 	closed   chan struct{}
 	closing  sync.Once
+	gate     quorumGate
 	// abandoned holds a place for each claim that is being freed.
 	abandoned chan struct{}
 
--- a/laburnumproxy/truth_test.go
+++ b/laburnumproxy/truth_test.go
@@ -274,3 +274,35 @@
 	}, 10*time.Second, time.Millisecond)
 	require.EqualValues(t, 1, runs.Load())
 }
+
+// A zone is cut off and its callers send booking after booking. Each would wait for the
+// log in vain; after the first they are refused at once, and the log is tried once a
+// second, so that the first booking after the heal runs.
+func TestBookingsInACutZoneAreRefusedAtOnce(t *testing.T) {
+	b := newBench(t, nil)
+	b.service(func(http.ResponseWriter, *http.Request) {})
+	b.log.mu.Lock()
+	b.log.hold = true
+	b.log.mu.Unlock()
+	tries := func() int {
+		b.log.mu.Lock()
+		defer b.log.mu.Unlock()
+		claims := 0
+		for _, cmd := range b.log.held {
+			if cmd.Claim != nil {
+				claims++
+			}
+		}
+		return claims
+	}
+	for range 10 {
+		b.post("/services/booking/visits", "", "Idempotency-Key", "k").refused(t, "no-quorum", "not-run")
+	}
+	require.Equal(t, 1, tries())
+	b.timers.Advance(time.Second)
+	b.post("/services/booking/visits", "", "Idempotency-Key", "k").refused(t, "no-quorum", "not-run")
+	require.Equal(t, 2, tries())
+	b.log.heal()
+	b.timers.Advance(time.Second)
+	require.Equal(t, http.StatusOK, b.post("/services/booking/visits", "", "Idempotency-Key", "k2").status)
+}
--- a/laburnumstate/machine.go
+++ b/laburnumstate/machine.go
@@ -91,7 +91,9 @@
 	m.clock = max(m.clock, at)
 	m.claims.expire(m.clock, m.limits.ClaimMillis)
 	result := m.dispatch(cmd)
-	result.Revision = max(result.Revision, m.catalogue.Revision)
+	if result.Revision == 0 { // a recorded answer keeps the revision that it gave
+		result.Revision = m.catalogue.Revision
+	}
 	return result
 }
 
