perf: candidates that split the votes try again soon

Ruled out: giving way by name between two pre-candidates: under a partial cut the one that can't win would stop the one that can. Change: after an election that was not won the wait is 2 to 11 ticks.

--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -21,6 +21,7 @@
 // depose a leader that works.
 func (l *Log) preCampaign() {
 	l.role = PreCandidate
+	l.resetTimeout()
 	l.votes = map[ReplicaID]bool{l.id: true}
 	if l.wonVotes() {
 		l.campaign(false)
--- a/laburnumlog/log.go
+++ b/laburnumlog/log.go
@@ -10,6 +10,9 @@
 	// wait is drawn between one and two times this. At 100 ms a tick, ten
 	// ticks outlast a slow fsync and a lost heartbeat or two.
 	electionTicks = 10
+	// retryTicks is the shortest wait after an election that was not won; it
+	// outlasts the round and the fsync that an election takes.
+	retryTicks = 2
 	// resendTicks is how long the leader waits for an acknowledgement before
 	// it takes messages for lost.
 	resendTicks = 3
@@ -227,6 +230,12 @@
 	l.random ^= l.random >> 7
 	l.random ^= l.random << 17
 	l.timeout = electionTicks + int(l.random%electionTicks)
+	if l.role == Candidate || l.role == PreCandidate {
+		// Two candidates that split the votes try again soon: there is no
+		// leader left to wait for, and a whole timeout each doubled the time
+		// without one.
+		l.timeout = retryTicks + int(l.random%electionTicks)
+	}
 	if voters := l.Configuration().Voters(); len(voters) == 1 && voters[0].ID == l.id {
 		l.timeout = 1 // there is nobody whose leadership could be disturbed
 	}
