--- a/laburnumstate/machine_test.go
+++ b/laburnumstate/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -202,3 +203,40 @@
 		require.Equal(t, string(a), string(b))
 	})
 }
+
+// BenchmarkClaimMemory is the heap that claims without answers take, and the cost
+// of applying and of copying them for a snapshot.
+func BenchmarkClaimMemory(b *testing.B) {
+	const claims = 100_000
+	heap := func() uint64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.GC() // what the first one swept late
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	limits := laburnumstate.DefaultLimits()
+	limits.OwnerClaims = claims
+	run := func() {
+		before := heap()
+		m := laburnumstate.New(laburnumstate.WithLimits(limits))
+		from := time.Now()
+		for i := range claims {
+			m.Apply(0, claim(fmt.Sprintf("a7f3-%032d", i), uint64(i), fmt.Sprintf("a-1-1764707000000000000-%d", i)))
+		}
+		b.ReportMetric(float64(time.Since(from).Microseconds())/claims, "apply-us/claim")
+		b.ReportMetric(float64(heap()-before)/claims*1000/1024, "KiB/1000-claims")
+		from = time.Now()
+		image := m.Image()
+		b.ReportMetric(float64(time.Since(from).Milliseconds()), "image-ms")
+		from = time.Now()
+		data, err := image.Encode()
+		require.NoError(b, err)
+		b.ReportMetric(float64(time.Since(from).Milliseconds()), "encode-ms")
+		b.ReportMetric(float64(len(data))/claims, "image-bytes/claim")
+		require.Equal(b, claims, m.ClaimCount())
+	}
+	for b.Loop() {
+		run()
+	}
+}
--- a/laburnumvoter/network_test.go
+++ b/laburnumvoter/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 
 	"laburnumlever"
 )
@@ -13,6 +14,7 @@
 	mu    sync.Mutex
 	ports map[string]*port
 	cuts  map[[2]string]bool
+	bytes atomic.Int64 // of all parameters and answers
 }
 
 type port struct {
@@ -87,6 +89,7 @@
 
 func (p *port) Notify(address, method string, params any) {
 	data, _ := json.Marshal(params)
+	p.net.bytes.Add(int64(len(data)))
 	to := p.net.reach(p.address, address)
 	if to == nil {
 		return
@@ -103,6 +106,7 @@
 
 func (p *port) Call(ctx context.Context, address, method string, params, result any) error {
 	data, _ := json.Marshal(params)
+	p.net.bytes.Add(int64(len(data)))
 	to := p.net.reach(p.address, address)
 	if to == nil {
 		return &laburnumlever.PeerUnreachableError{Address: address}
