perf: demand goes to the own zone's owner in a large fleet

Cause: every VM sent all owners all its models' demand each second; at 780 VMs an owner would get hundreds of full lists a second (not measured). Now from 50 VMs on only the own zone's owner, every 50 ms for each VM known. Not measured at 780 VMs. A test of the way from one VM's callers to the owner, and of a dead VM's demand.

--- a/laburnummembership/demand.go
+++ b/laburnummembership/demand.go
@@ -11,8 +11,14 @@
 const (
 	// demandPeriod is how often demand goes to the VMs that place.
 	demandPeriod = time.Second
-	// demandAge is after how long without news a VM's demand no longer counts.
-	demandAge = 15 * time.Second
+	// demandStep stretches demandPeriod for each VM known: 39 s at 780 VMs, where
+	// demand moves tenfold within an hour.
+	demandStep = 50 * time.Millisecond
+	// demandSmallFleet is the number of VMs up to which all owners get all demand.
+	demandSmallFleet = 50
+	// demandAge is after how long without news a VM's demand no longer counts, in
+	// periods.
+	demandAge = 15
 )
 
 // demandTable holds the demand of each VM.
@@ -41,16 +47,21 @@
 // merge takes in another VM's demand; late ones change nothing.
 func (t *demandTable) merge(n demandNews, now time.Time) {
 	known := t.others[n.From]
-	if len(n.Rows) > 0 && len(known.rows) > 0 && n.Rows[0].Sequence < known.rows[0].Sequence && now.Sub(known.at) < demandAge {
+	if len(n.Rows) > 0 && len(known.rows) > 0 && n.Rows[0].Sequence < known.rows[0].Sequence && now.Sub(known.at) < t.age() {
 		return
 	}
 	t.others[n.From] = demandOf{rows: n.Rows, at: now}
 }
 
+// age follows the period, which the number of those that send sets.
+func (t *demandTable) age() time.Duration {
+	return demandAge * max(demandPeriod, time.Duration(len(t.others))*demandStep)
+}
+
 func (t *demandTable) list(now time.Time) []laburnumlever.ModelDemand {
 	out := slices.Clone(t.own)
 	for id, d := range t.others {
-		if now.Sub(d.at) > demandAge {
+		if now.Sub(d.at) > t.age() {
 			delete(t.others, id)
 			continue
 		}
@@ -70,15 +81,31 @@
 	c.loadsChanged = true
 }
 
-// sendDemand sends the own demand to the VMs that place.
+// sendDemand sends the own demand to the VMs that place: in a small fleet to all of
+// them, else to that of the own zone, which most requests stay in. The period grows
+// with the fleet: an owner would else get hundreds of demands of hundreds of models
+// each second.
 func (c *core) sendDemand(now time.Time) {
-	if !c.demand.dirty || now.Sub(c.demand.sentAt) < demandPeriod {
+	period := max(demandPeriod, time.Duration(len(c.vms.records))*demandStep)
+	if !c.demand.dirty || now.Sub(c.demand.sentAt) < period {
 		return
 	}
 	c.demand.sentAt = now
 	c.demand.dirty = false
 	message := demandNews{From: c.self.ID, Rows: c.demand.own}
-	for _, r := range c.vms.sorted(func(r *vmRecord) bool { return isLiving(r.vm.State) && r.vm.OwnsZone }) {
+	for _, r := range c.placers() {
 		c.out = append(c.out, send{Address: r.vm.PeerAddress, Method: methodDemand, Params: message})
 	}
 }
+
+func (c *core) placers() []*vmRecord {
+	all := c.vms.sorted(func(r *vmRecord) bool { return isLiving(r.vm.State) && r.vm.OwnsZone })
+	if len(c.vms.records) <= demandSmallFleet {
+		return all
+	}
+	near := slices.DeleteFunc(slices.Clone(all), func(r *vmRecord) bool { return r.vm.Zone != c.self.Zone })
+	if len(near) == 0 && !c.self.OwnsZone {
+		return all
+	}
+	return near
+}
--- a/laburnummembership/failures_test.go
+++ b/laburnummembership/failures_test.go
@@ -302,3 +302,19 @@
 		return sameCopies(b.Report.Loaded, e.Report.Loaded)
 	})
 }
+
+// A model's demand rises at one VM's callers. The VM that places for the zone must
+// see it though no caller asks that VM itself; and when the asking VM dies, its
+// demand must stop to count.
+func TestDemandReachesTheVMThatPlaces(t *testing.T) {
+	f := joined(t, 50)
+	f.SetOwner(f.VMs[1])
+	f.Advance(2 * time.Second)
+	rows := []laburnumlever.ModelDemand{{Model: "m", VM: "vm-004", Sequence: 1, RequestsPerSecond: 7}}
+	f.VMs[4].Demands(rows)
+	f.Advance(2 * time.Second)
+	require.Equal(t, rows, f.DemandAt(f.VMs[1]))
+	f.VMs[4].Dead = true
+	f.Advance(20 * time.Second)
+	require.Empty(t, f.DemandAt(f.VMs[1]))
+}
--- a/laburnummembership/fleet_test.go
+++ b/laburnummembership/fleet_test.go
@@ -466,3 +466,18 @@
 	loaded[i].Ready = !loaded[i].Ready
 	e.Report.Loaded = loaded
 }
+
+// SetOwner makes a VM say that it places for its zone.
+func (f *Fleet) SetOwner(n *FleetVM) {
+	f.step(n, func() {
+		next := n.self
+		next.OwnsZone = true
+		n.setSelf(next)
+	})
+}
+
+// Demands hands in a VM's demand.
+func (n *FleetVM) Demands(rows []laburnumlever.ModelDemand) { n.demand.setOwn(rows) }
+
+// DemandAt is what a VM holds of all demand.
+func (f *Fleet) DemandAt(n *FleetVM) []laburnumlever.ModelDemand { return n.demand.list(f.Now) }
