fix: zones whose owners act on different versions or old reports lose no model

Found by a new random schedule of two zones whose owners see each other late or not at all (TestRandomViewsLoseNoModel), four faults, each shown failing by it before its mend: - a copy of the new version was given up on the strength of an old one that was itself about to go, and fresh copies were cleared for each other: a full fleet did not come to its new versions in 5 minutes. New copies now rely on new ones only, and second zones are never surplus. - a copy that shrinks in place was ordered again each round, which began its load anew each time: it never came. The planner now sees the form that was ordered. - one zone gave up a version while the other, a change of catalogue ahead, counted on it: the model was away.

--- a/laburnumorder/options.go
+++ b/laburnumorder/options.go
@@ -33,6 +33,14 @@
 	// stableAfter is how long a copy must have been seen ready before another is
 	// given up for it: several reports, and longer than a dead engine goes unnoticed.
 	stableAfter = 6 * time.Second
+	// reportAge is how old a report of another zone's engine may be for its copies to
+	// be relied on: six reports. Without it, copies that the other zone gave up while
+	// its reports did not arrive would be taken for the ones that answer.
+	reportAge = 3 * time.Second
+	// versionAge is how long after a change of a model's version another zone's copies
+	// of it are not relied on: a catalogue is in force everywhere within 7 s, and
+	// what was done until then shows in reports within reportAge.
+	versionAge = 12 * time.Second
 	// overdueAfter is how long the zones may get nowhere with their repairs
 	// before each repairs in its own zone.
 	overdueAfter = 20 * time.Second
--- a/laburnumorder/owner.go
+++ b/laburnumorder/owner.go
@@ -43,6 +43,7 @@
 	estimator   *laburnumplacement.Estimator
 	ready       readiness
 	progress    progress
+	versions    versions
 	history     []record
 
 	owns      atomic.Bool
@@ -79,6 +80,7 @@
 		planner:     laburnumplacement.NewPlanner(),
 		estimator:   laburnumplacement.NewEstimator(),
 		ready:       newReadiness(),
+		versions:    make(versions),
 	}
 	for _, opt := range opts {
 		opt(o)
--- a/laburnumorder/owner_test.go
+++ b/laburnumorder/owner_test.go
@@ -184,6 +184,7 @@
 		w.run(50 * time.Second)
 		changes := []func(c *laburnumlever.Catalogue){
 			func(c *laburnumlever.Catalogue) { c.Models[0].WeightsMiB = 70 },
+			func(c *laburnumlever.Catalogue) { c.Models[2].WeightsMiB = 40 },
 			func(c *laburnumlever.Catalogue) { c.Models[1].Version = "v2" },
 			func(c *laburnumlever.Catalogue) { c.Models = c.Models[:3] },
 			func(c *laburnumlever.Catalogue) {
@@ -210,7 +211,7 @@
 }
 
 // requireCurrent checks that all copies have the catalogue's form.
-func requireCurrent(t *testing.T, w *world) {
+func requireCurrent(t tester, w *world) {
 	for _, e := range w.engines {
 		for _, c := range e.Report().Loaded {
 			m, ok := w.catalogue.Model(c.Model)
--- a/laburnumorder/plan.go
+++ b/laburnumorder/plan.go
@@ -43,17 +43,22 @@
 		OwnZone:   o.self.Zone,
 		Engines:   make([]laburnumplacement.Engine, 0, len(view.Backends)),
 	}
+	old := make(map[laburnumlever.BackendID]bool)
 	for _, b := range view.Backends {
 		if b.Announcement.Kind != laburnumlever.Engine {
 			continue
 		}
 		e := laburnumplacement.EngineOf(b)
+		if now.Sub(b.ReportedAt) > reportAge && e.Zone != o.self.Zone {
+			old[e.ID] = true
+		}
 		if own, ok := o.engines[e.ID]; ok && e.Zone == o.self.Zone {
 			o.ownEngine(&e, own, b, now)
 		}
 		s.Engines = append(s.Engines, e)
 	}
-	o.ready.mark(s.Engines, now)
+	o.ready.mark(s.Engines, old, now)
+	s.Fresh = o.versions.fresh(view.Catalogue.Models, now)
 	s.Overdue = o.progress.overdue(s, now)
 	return s
 }
@@ -74,9 +79,11 @@
 	}
 	for i, c := range e.Copies {
 		if want, ok := own.updates[keyOf(c.Loaded)]; ok {
-			// The planner sees the form that was ordered, or it would order it again.
+			// The planner sees the form that was ordered, or it would order it again
+			// and the engine would begin the load anew each time. What the ledger
+			// counts beyond that is reserved.
 			e.Copies[i].Adapters = want.Adapters
-			e.Copies[i].PartMiB = max(c.PartMiB, want.PartMiB)
+			e.Copies[i].PartMiB = want.PartMiB
 		}
 	}
 	e.Reserved = o.reserved(e)
--- a/laburnumorder/readiness.go
+++ b/laburnumorder/readiness.go
@@ -26,10 +26,11 @@
 
 // mark sets which copies are stable. A copy that is not seen, or on an engine that
 // is down, begins anew: to rely on it again takes as long as on a new one.
-func (r *readiness) mark(engines []laburnumplacement.Engine, now time.Time) {
+// So does one whose engine has not reported for some time (old).
+func (r *readiness) mark(engines []laburnumplacement.Engine, old map[laburnumlever.BackendID]bool, now time.Time) {
 	next := make(map[laburnumlever.BackendID]seenCopies, len(engines))
 	for _, e := range engines {
-		if !e.Serving {
+		if !e.Serving || old[e.ID] {
 			continue
 		}
 		before := r.engines[e.ID]
@@ -95,3 +96,27 @@
 	}
 	return missing
 }
+
+// versions remembers since when each model has had its version.
+type versions map[laburnumlever.ModelName]versionSince
+
+type versionSince struct {
+	version laburnumlever.Version
+	since   time.Time
+}
+
+// fresh lists the models whose version changed a moment ago.
+func (v versions) fresh(models []laburnumlever.Model, now time.Time) map[laburnumlever.ModelName]bool {
+	list := make(map[laburnumlever.ModelName]bool)
+	for _, m := range models {
+		known, ok := v[m.Name]
+		if !ok || known.version != m.Version {
+			known = versionSince{version: m.Version, since: now}
+			v[m.Name] = known
+		}
+		if now.Sub(known.since) < versionAge {
+			list[m.Name] = true
+		}
+	}
+	return list
+}
--- a/laburnumorder/schedule_test.go
+++ b/laburnumorder/schedule_test.go
@@ -36,9 +36,10 @@
 				incarnation++
 				w.startVM(rapid.IntRange(0, 1).Draw(t, "vm"), incarnation)
 			},
-			"restart":   func(t *rapid.T) { w.restartEngine(rapid.IntRange(0, 2).Draw(t, "engine")) },
-			"catalogue": w.drawChange,
-			"versions":  func(*rapid.T) { w.newVersions() },
+			"accelerator": func(*rapid.T) { w.engines[2].LoseAccelerator("a1") },
+			"restart":     func(t *rapid.T) { w.restartEngine(rapid.IntRange(0, 2).Draw(t, "engine")) },
+			"catalogue":   w.drawChange,
+			"versions":    func(*rapid.T) { w.newVersions() },
 		}
 		t.Repeat(actions)
 		w.fate = delivered
@@ -50,6 +51,37 @@
 	})
 }
 
+// Two zones whose owners see each other's engines late or not at all, while the
+// operators change every version and the sizes, and owners freeze and die. No engine
+// dies, so no model may be away for a moment: neither zone may give up a copy
+// on the strength of one that the other is giving up.
+func TestRandomViewsLoseNoModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newZones(t, []laburnumlever.ZoneName{"a", "b"}, true, true, true, true)
+		w.run(2 * time.Minute)
+		w.requireAllReachable()
+		w.noGap = true
+		incarnation := uint64(1)
+		t.Repeat(map[string]func(*rapid.T){
+			"time":      func(t *rapid.T) { w.run(time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms")) * time.Millisecond) },
+			"alone":     func(t *rapid.T) { v := w.drawVM(t); v.alone = !v.alone },
+			"stale":     func(t *rapid.T) { v := w.drawVM(t); v.stale = !v.stale },
+			"freeze":    func(t *rapid.T) { v := w.drawVM(t); v.frozen = !v.frozen },
+			"catalogue": w.drawChange,
+			"versions":  func(*rapid.T) { w.newVersions() },
+			"kill": func(t *rapid.T) {
+				incarnation++
+				w.startVM(rapid.IntRange(0, 1).Draw(t, "vm"), incarnation)
+			},
+		})
+		for _, v := range w.vms {
+			v.alone, v.stale, v.frozen = false, false, false
+		}
+		w.run(5 * time.Minute)
+		requireCurrent(t, w)
+	})
+}
+
 func (w *world) drawVM(t *rapid.T) *vm { return w.vms[rapid.IntRange(0, 1).Draw(t, "vm")] }
 
 // drawChange changes one model; each always fits an accelerator of its own.
--- a/laburnumorder/world_test.go
+++ b/laburnumorder/world_test.go
@@ -66,6 +66,7 @@
 	manual  bool // work waits for the test
 	reports map[laburnumlever.BackendID]laburnumlever.LoadReport
 	stale   bool // reports do not change
+	heard   map[laburnumlever.BackendID]time.Time
 	alone   bool // sees no other zone
 }
 
@@ -135,6 +136,7 @@
 	v := &vm{
 		w: w, id: laburnumlever.VM{ID: laburnumlever.VMID(fmt.Sprintf("vm%d", i)), Zone: w.zones[i], Incarnation: incarnation},
 		reports: make(map[laburnumlever.BackendID]laburnumlever.LoadReport),
+		heard:   make(map[laburnumlever.BackendID]time.Time),
 	}
 	v.owner = laburnumorder.New(v, w.timers, &proposer{v}, &link{v}, v, v.id,
 		laburnumorder.WithRunner(func(work func()) { v.work = append(v.work, work) }),
@@ -152,9 +154,10 @@
 		a.ChecksFencing = a.ChecksFencing || v.w.lies
 		if !v.stale {
 			v.reports[a.Backend] = e.Report()
+			v.heard[a.Backend] = v.w.timers.Now()
 		}
 		view.Backends = append(view.Backends, laburnumlever.Backend{
-			Announcement: a, Report: v.reports[a.Backend], Down: v.alone && a.Zone != v.id.Zone,
+			Announcement: a, Report: v.reports[a.Backend], ReportedAt: v.heard[a.Backend], Down: v.alone && a.Zone != v.id.Zone,
 		})
 	}
 	return view
--- a/laburnumplacement/makeroom.go
+++ b/laburnumplacement/makeroom.go
@@ -21,14 +21,23 @@
 		if other == p || !f.answers(other) || !f.lasting(other) {
 			continue
 		}
+		if p.current && !other.current {
+			// The other is about to go itself, on the strength of this one.
+			continue
+		}
 		zone := f.engines[other.engine].Zone
-		if zone == own || f.precedes(p.model, zone, own) {
+		if zone == own || !f.fresh(p.model) && f.precedes(p.model, zone, own) {
 			return true
 		}
 	}
 	return false
 }
 
+// fresh guards a copy in a zone whose owner acts on another version for a moment: it
+// gives up its copy of the version before last for one here, while this one gives
+// that up for the other, and the model is lost.
+func (f *fleet) fresh(m int) bool { return f.snapshot.Fresh[f.models[m].Name] }
+
 func (f *fleet) precedes(m int, a, b laburnumlever.ZoneName) bool {
 	name := string(f.models[m].Name)
 	return hash(name, string(a)) < hash(name, string(b))
--- a/laburnumplacement/spread.go
+++ b/laburnumplacement/spread.go
@@ -106,7 +106,11 @@
 	return false
 }
 
-func (f *fleet) isSurplus(p *placed) bool { return f.mayBeExchanged(p) && f.lossOf(p) == 0 }
+// isSurplus leaves second zones alone, also of models that nobody asks for: else
+// such models would take each other's in turn.
+func (f *fleet) isSurplus(p *placed) bool {
+	return f.mayBeExchanged(p) && !f.endsSpread(p) && f.missedBy(p) == 0
+}
 
 // comingRoom tells whether unloads under way will make room for the model.
 func (f *fleet) comingRoom(m int, allowed func(at int) bool) bool {
--- a/laburnumplacement/switchversion.go
+++ b/laburnumplacement/switchversion.go
@@ -19,7 +19,9 @@
 		full := f.loadNewVersions(m, len(old)-fresh)
 		if answering > 0 && (answering >= len(old) || full && answering == fresh) {
 			for _, p := range old {
-				f.planUnload(p, ReasonVersion, Move{})
+				if !f.fresh(m) || f.answersIn(m, f.engines[p.engine].Zone) {
+					f.planUnload(p, ReasonVersion, Move{})
+				}
 			}
 			continue
 		}
@@ -29,6 +31,13 @@
 	}
 }
 
+// answersIn tells whether a copy of the catalogue's version answers in the zone.
+func (f *fleet) answersIn(m int, zone laburnumlever.ZoneName) bool {
+	return slices.ContainsFunc(f.models[m].copies, func(p *placed) bool {
+		return p.current && f.answers(p) && f.engines[p.engine].Zone == zone
+	})
+}
+
 // versions finds a model's old copies, how many new ones there are, and how many
 // of those answer.
 func (f *fleet) versions(m int) (old []*placed, fresh, answering int) {
--- a/laburnumplacement/values.go
+++ b/laburnumplacement/values.go
@@ -31,6 +31,9 @@
 	OwnZone laburnumlever.ZoneName
 	// Overdue are the models that have been without a copy for too long.
 	Overdue map[laburnumlever.ModelName]bool
+	// Fresh are the models whose version changed a moment ago: another zone's
+	// owner may still act on the last one, so its copies are not relied on.
+	Fresh map[laburnumlever.ModelName]bool
 }
 
 // Engine is one model engine as the planning VM knows it.
