fix: prefix affinity by the prompt's text, as engines report it

The proxy hashed the prompt's JSON, engines hash the text: cache events never matched, and only a VM's own sending kept prompts together.

--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -49,7 +49,7 @@
 func (p *Proxy) ticket(q *request) *laburnumdispatch.Ticket {
 	return &laburnumdispatch.Ticket{Request: laburnumdispatch.Request{
 		Owner: q.owner, OwnerLimits: q.ownerLimits, EntryLimits: q.limits, Key: q.caller,
-		Model: q.model, Service: q.service, Class: q.class, Prefix: laburnumrouter.PrefixHash(q.prompt),
+		Model: q.model, Service: q.service, Class: q.class, Prefix: q.prefix,
 		Prompt: max(1, q.promptTokens), Answer: max(1, q.answerTokens), Received: q.received,
 	}}
 }
--- a/laburnumproxy/proxy_test.go
+++ b/laburnumproxy/proxy_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"laburnumlever"
 	"laburnumlever/laburnumproxy"
+	"laburnumlever/laburnumstandin"
 	"laburnumlever/laburnumtimer"
 
 	"github.com/stretchr/testify/require"
@@ -90,3 +94,24 @@
 	proxy.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"quote"}`)))
 	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
 }
+
+// An engine reports a prompt's beginning as cached. Hashed in another way than the
+// engines do, the prompt would go to any engine, and be read anew each time.
+func TestReportedPrefixDrawsThePrompt(t *testing.T) {
+	system := strings.Repeat("You estimate \"carpets\". ", 30)
+	hashes := laburnumstandin.PrefixHashes(laburnumstandin.PromptOf([]string{system, "hall"}))
+	body := `{"model":"quote","messages":[{"role":"system","content":` + strconv.Quote(system) + `},{"role":"user","content":"hall"}]}`
+	for seed := range uint64(8) {
+		b := newBench(t, nil, laburnumproxy.WithSeed(seed))
+		var cached atomic.Bool
+		b.engine(false, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{}") })
+		b.engine(false, func(w http.ResponseWriter, _ *http.Request) { cached.Store(true); io.WriteString(w, "{}") })
+		view := *b.views.View()
+		view.Backends = append([]laburnumlever.Backend{}, view.Backends...)
+		view.Backends[1].Report.Sequence = 1
+		view.Backends[1].Report.Prefixes = hashes
+		b.views.view.Store(&view)
+		require.Equal(t, http.StatusOK, b.post("/v1/chat/completions", body).status)
+		require.True(t, cached.Load())
+	}
+}
--- a/laburnumproxy/request.go
+++ b/laburnumproxy/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumrouter"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -46,7 +47,7 @@
 	claim string
 	// touched tells that an attempt may have reached a backend server.
 	touched      bool
-	prompt       string
+	prefix       uint64 // hash of the prompt's beginning
 	promptTokens int
 	answerTokens int
 	trail        *trail
@@ -122,7 +123,7 @@
 	MaxTokens           int             `json:"max_tokens"`
 	MaxCompletionTokens int             `json:"max_completion_tokens"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            json.RawMessage `json:"messages"`
+	Messages            []message       `json:"messages"`
 }
 
 // readCompletion finds model, size and prompt in the body.
@@ -142,8 +143,8 @@
 	q.limits = model.Limits
 	q.ownerLimits = l.limits(model.Owner)
 	q.stream = c.Stream
-	q.prompt = string(c.Prompt) + string(c.Messages)
-	q.promptTokens = 1 + len(q.prompt)/bytesPerToken
+	q.prefix = laburnumrouter.PrefixHash(promptOf(&c))
+	q.promptTokens = 1 + promptBytes(&c)/bytesPerToken
 	q.answerTokens = max(c.MaxTokens, c.MaxCompletionTokens)
 	if q.answerTokens <= 0 {
 		q.answerTokens = defaultAnswerTokens
--- a/laburnumrouter/prefixes.go
+++ b/laburnumrouter/prefixes.go
@@ -6,9 +6,9 @@
 	// prefixSlots bounds the memory of prefixes; two that fall into one slot
 	// replace each other, which costs a cache hit and no more.
 	prefixSlots = 1 << 14
-	// prefixBytes of a prompt are hashed: a system prompt's length, and less than
+	// PrefixBytes of a prompt are hashed: a system prompt's length, and less than
 	// any prompt that is worth caching.
-	prefixBytes = 512
+	PrefixBytes = 512
 	// reportedPrefixes of each report are taken in, the most recent ones.
 	reportedPrefixes = 32
 )
@@ -16,10 +16,10 @@
 // PrefixHash is the hash of a prompt's beginning, which engines report as cached. It
 // is 0 for a prompt too short to be worth keeping together.
 func PrefixHash(prompt string) uint64 {
-	if len(prompt) < prefixBytes {
+	if len(prompt) < PrefixBytes {
 		return 0
 	}
-	return xxhash.Sum64String(prompt[:prefixBytes])
+	return xxhash.Sum64String(prompt[:PrefixBytes])
 }
 
 // prefixes remembers which server was last given a prefix, or reported it.
