fix: a command too large for a frame between VMs is invalid

Cause: an entry above the links' frame limit (16 MiB) could never reach a follower; the leader would send it for ever and commit nothing after it. Change: commands above 4 MiB are answered as invalid before they are appended. Measured: the restart test's last step failed without the bound (the change was applied by the single voter) and passes with it.

--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -15,6 +15,9 @@
 const (
 	// maxWaiting bounds the proposals under way on one leader.
 	maxWaiting = 1 << 14
+	// maxCommandBytes bounds one command: a larger entry would not fit a frame
+	// between VMs, and the log would send it again and again without end.
+	maxCommandBytes = 4 << 20
 )
 
 // waiter is a proposal whose entry is in the log.
@@ -151,8 +154,10 @@
 			continue
 		}
 		d, err := json.Marshal(entryData{At: at, Command: p.command})
-		if err != nil {
-			p.reply <- proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{Code: laburnumlever.ResultInvalid, Detail: err.Error()}}
+		if err != nil || len(d) > maxCommandBytes {
+			p.reply <- proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{
+				Code: laburnumlever.ResultInvalid, Detail: "the command can't be encoded or is too large",
+			}}
 			continue
 		}
 		data = append(data, d)
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,6 +149,7 @@
 	a = f.start("a", f.folder("a"))
 	a.waitRevision(t, 20)
 	require.Equal(t, laburnumlever.ResultRepeated, a.apply(t, "change-7", 7).Code)
+	require.Equal(t, laburnumlever.ResultInvalid, a.apply(t, strings.Repeat("large", 1<<20), 20).Code)
 }
 
 // An operator's change goes to a VM without a disk while the leader is killed.
