feat: mutual TLS between entry VMs, files read again on change

WithTLS(certificate, key, authorities) for laburnumpeer: TLS 1.3, both sides verified, names checked against the address called. Files are looked at for each new link; while they can't be read the last good ones stay. Handshakes are bounded by the dial timeout and run off the accept loop, so that a silent client does not hold up others.

--- a/laburnumpeer/config.go
+++ b/laburnumpeer/config.go
@@ -36,6 +36,7 @@
 	idleTimeout  time.Duration
 	maxHandlers  int
 	localIP      net.IP
+	tls          *tlsFiles
 }
 
 // Option changes new peers.
--- a/laburnumpeer/errors.go
+++ b/laburnumpeer/errors.go
@@ -39,6 +39,19 @@
 
 func (e *ClosedError) Error() string { return "closed" }
 
+// TLSFilesError says that the TLS files could not be read.
+type TLSFilesError struct{ Cause error }
+
+func (e *TLSFilesError) Error() string { return fmt.Sprintf("TLS files: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *TLSFilesError) Unwrap() error { return e.Cause }
+
+// NoAuthorityError is a file of authorities without any certificate.
+type NoAuthorityError struct{ File string }
+
+func (e *NoAuthorityError) Error() string { return fmt.Sprintf("no certificate in %s", e.File) }
+
 // UnknownMethodError is a call to a method without a handler.
 type UnknownMethodError struct{ Method string }
 
--- a/laburnumpeer/link.go
+++ b/laburnumpeer/link.go
@@ -147,6 +147,10 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	netConn, err := dialer.DialContext(ctx, "tcp", l.address)
+	if err == nil {
+		host, _, _ := net.SplitHostPort(l.address) // DialContext has accepted it
+		netConn, err = l.peers.cfg.secure(ctx, netConn, host)
+	}
 	if err != nil {
 		l.failed(ctx, err)
 		return nil, err
--- a/laburnumpeer/serve.go
+++ b/laburnumpeer/serve.go
@@ -21,9 +21,17 @@
 
 // serveConn answers the requests of one incoming connection.
 func (p *Peers) serveConn(netConn net.Conn) {
-	conn := p.newConn(newStream(netConn, &p.cfg), server{peers: p})
-	if !p.spawn(func() { <-conn.DisconnectNotify() }) {
-		_ = conn.Close()
+	started := p.spawn(func() {
+		secured, err := p.cfg.secure(p.ctx, netConn, "")
+		if err != nil {
+			p.cfg.scope.Counter("peer-failed-handshakes").Inc(1)
+			return
+		}
+		conn := p.newConn(newStream(secured, &p.cfg), server{peers: p})
+		<-conn.DisconnectNotify()
+	})
+	if !started {
+		_ = netConn.Close()
 	}
 }
 
--- /dev/null
+++ b/laburnumpeer/tls.go
@@ -0,0 +1,113 @@
+package laburnumpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// tlsFiles makes configurations for mutual TLS 1.3 from files, and reads these again
+// when they have changed: certificates are renewed under a running VM, and one read
+// only at the start would cut it off at its expiry.
+type tlsFiles struct {
+	certificate, key, authorities string
+
+	mu     sync.Mutex
+	stamp  [3]time.Time
+	config *tls.Config
+}
+
+// WithTLS secures all links by mutual TLS 1.3 with the PEM files given. Certificates
+// must name the IP address or host under which a VM is reached, and be signed by one of
+// the authorities. Files are read again after they change; while that fails the last
+// good ones stay.
+func WithTLS(certificateFile, keyFile, authoritiesFile string) Option {
+	return func(c *config) {
+		c.tls = &tlsFiles{certificate: certificateFile, key: keyFile, authorities: authoritiesFile}
+	}
+}
+
+// current returns the configuration of the files as they are now.
+func (f *tlsFiles) current() (*tls.Config, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	stamp, err := f.stamps()
+	if err == nil && f.config != nil && stamp == f.stamp {
+		return f.config, nil
+	}
+	var cfg *tls.Config
+	if err == nil {
+		cfg, err = f.read()
+	}
+	if err != nil {
+		if f.config != nil {
+			return f.config, nil // half-written files: the next link tries again
+		}
+		return nil, &TLSFilesError{Cause: err}
+	}
+	f.config, f.stamp = cfg, stamp
+	return cfg, nil
+}
+
+func (f *tlsFiles) stamps() (stamp [3]time.Time, err error) {
+	for i, path := range []string{f.certificate, f.key, f.authorities} {
+		info, err := os.Stat(path)
+		if err != nil {
+			return stamp, err
+		}
+		stamp[i] = info.ModTime()
+	}
+	return stamp, nil
+}
+
+func (f *tlsFiles) read() (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(f.certificate, f.key)
+	if err != nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(f.authorities)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, &NoAuthorityError{File: f.authorities}
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}, nil
+}
+
+// secure does the handshake of one side; without TLS it returns the connection as
+// it is. On an error the connection is closed.
+func (c *config) secure(ctx context.Context, conn net.Conn, serverName string) (net.Conn, error) {
+	if c.tls == nil {
+		return conn, nil
+	}
+	cfg, err := c.tls.current()
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
+	defer cancel()
+	secured := tls.Server(conn, cfg)
+	if serverName != "" {
+		client := cfg.Clone()
+		client.ServerName = serverName
+		secured = tls.Client(conn, client)
+	}
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
