--- a/laburnumnode/node_test.go
+++ b/laburnumnode/node_test.go
@@ -65,6 +65,7 @@
 	f.waitServing(0)
 	got := make(chan answer)
 	go func() {
+		defer close(got)
 		got <- f.post(0, "/v1/completions", completion{Model: "quote-small", Prompt: "long", MaxTokens: 4000, Stream: true}, nil)
 	}()
 	eventually(t, "stream under way", func() bool { return f.nodes[0].InFlight() == 1 })
--- a/laburnumnode/publisher.go
+++ b/laburnumnode/publisher.go
@@ -7,10 +7,16 @@
 	"laburnumlever"
 )
 
-// publishGap is the least time between two views. Load reports of thousands of
-// backend servers would otherwise make a view each, and building one costs time in
-// proportion to the fleet; 20 ms is small beside the reports' own lag.
-const publishGap = 20 * time.Millisecond
+const (
+	// publishGap is the least time between two views. Load reports of thousands of
+	// backend servers would otherwise make a view each; 20 ms is small beside the
+	// reports' own lag.
+	publishGap = 20 * time.Millisecond
+	// publishRest is how many times as long as building a view took the next one
+	// waits at least: the cost grows with the fleet, and so bounded it takes at most
+	// a two-hundredth of a core whatever the size.
+	publishRest = 200
+)
 
 // publisher holds the current view and rebuilds it on the control thread when
 // something in it has changed.
@@ -22,6 +28,7 @@
 	dirty   bool
 	waiting bool
 	last    time.Time
+	gap     time.Duration
 }
 
 type publishDue struct{}
@@ -44,7 +51,7 @@
 		return
 	}
 	now := p.timers.Now()
-	if wait := publishGap - now.Sub(p.last); wait > 0 {
+	if wait := p.gap - now.Sub(p.last); wait > 0 {
 		p.waiting = true
 		p.timers.After(wait, func(time.Time) { p.loop.Post(p, publishDue{}) })
 		return
@@ -52,6 +59,7 @@
 	p.last = now
 	p.dirty = false
 	p.publish()
+	p.gap = max(publishGap, publishRest*p.timers.Now().Sub(now))
 }
 
 func (p *publisher) publish() {
