--- a/cmd/laburnumlever/docs_test.go
+++ b/cmd/laburnumlever/docs_test.go
@@ -42,10 +42,10 @@
 func TestOnCallPageNamesEveryReason(t *testing.T) {
 	text := page(t, "on-call.md")
 	for _, name := range laburnumlever.RefusalReasonStrings() {
-		require.Contains(t, text, "| `"+strings.TrimPrefix(name, "refused-")+"` |")
+		require.Contains(t, text, "| `"+name+"` |")
 	}
 	for _, name := range laburnumlever.RetryReasonStrings() {
-		require.Contains(t, text, "| `"+strings.TrimPrefix(name, "retry-")+"` |")
+		require.Contains(t, text, "| `"+name+"` |")
 	}
 }
 
--- a/cmd/laburnumlever/quickstartonce.go
+++ b/cmd/laburnumlever/quickstartonce.go
@@ -135,7 +135,7 @@
 			break
 		}
 	}
-	want := strings.TrimPrefix(laburnumlever.RefusedOwnerRequestRate.String(), "refused-")
+	want := laburnumlever.RefusedOwnerRequestRate.String()
 	if got.Reason != want || got.Outcome != "not-run" || !got.RetryAfter {
 		return &stepError{Step: "an owner over its limit", Got: describe(got), Want: "refused " + want + ", not-run, with Retry-After"}
 	}
--- a/laburnumproxy/attempt.go
+++ b/laburnumproxy/attempt.go
@@ -104,7 +104,7 @@
 		return &CrossedAnswerError{Want: a.id, Got: got}
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable &&
-		resp.Header.Get(headerOutcome) == outcomeName(laburnumlever.OutcomeNotRun) {
+		resp.Header.Get(headerOutcome) == laburnumlever.OutcomeNotRun.String() {
 		a.take(evSaidNotRun)
 	}
 	return nil
--- a/laburnumproxy/counters.go
+++ b/laburnumproxy/counters.go
@@ -27,11 +27,11 @@
 		recordsFailed: scope.Counter("records-failed"),
 	}
 	for _, reason := range laburnumlever.RefusalReasonValues() {
-		c.refusals[reason] = scope.Tagged(map[string]string{"reason": reasonName(reason)}).Counter("refusals")
+		c.refusals[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals")
 		c.refusals[reason].Inc(0)
 	}
 	for _, reason := range laburnumlever.RetryReasonValues() {
-		c.retries[reason] = scope.Tagged(map[string]string{"reason": retryName(reason)}).Counter("retries")
+		c.retries[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("retries")
 		c.retries[reason].Inc(0)
 	}
 	return c
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -119,7 +119,7 @@
 	switch verdict {
 	case laburnumretry.Again:
 		p.counters.retries[reason].Inc(1)
-		q.trail.add(now, "attempt again: %s", retryName(reason))
+		q.trail.add(now, "attempt again: %s", reason)
 		return reason, true
 	case laburnumretry.OverBudget:
 		fail.refusal.Detail = "retry budget spent after: " + fail.refusal.Detail
@@ -206,7 +206,7 @@
 
 func (p *Proxy) failed(q *request, a *attempt, to laburnumlever.Announcement, reason laburnumlever.RefusalReason, err error) *failure {
 	refusal := q.refusal(reason, a.outcome(), err.Error())
-	q.trail.add(p.timers.Now(), "attempt %s: %s, %s: %v", a.id, reasonName(reason), outcomeName(refusal.Outcome), err)
+	q.trail.add(p.timers.Now(), "attempt %s: %s, %s: %v", a.id, reason, refusal.Outcome, err)
 	var broken *BrokenStreamError
 	return &failure{refusal: refusal, canResume: to.CanResume && errors.As(err, &broken)}
 }
--- a/laburnumproxy/refuse.go
+++ b/laburnumproxy/refuse.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"laburnumlever"
@@ -71,24 +70,9 @@
 	RequestID string `json:"request-id"`
 }
 
-// reasonName is a reason on the wire and in metrics: "no-quorum".
-func reasonName(reason laburnumlever.RefusalReason) string {
-	return strings.TrimPrefix(reason.String(), "refused-")
-}
-
-// outcomeName is an outcome on the wire: "not-run" or "unknown".
-func outcomeName(outcome laburnumlever.RequestOutcome) string {
-	return strings.TrimPrefix(outcome.String(), "outcome-")
-}
-
-// retryName is a reason for a retry in metrics: "not-sent".
-func retryName(reason laburnumlever.RetryReason) string {
-	return strings.TrimPrefix(reason.String(), "retry-")
-}
-
 func newErrorBody(id string, refusal *laburnumlever.RefusalError) []byte {
 	text, err := json.Marshal(errorBody{Error: errorDetail{
-		Type: reasonName(refusal.Reason), Message: refusal.Detail, Outcome: outcomeName(refusal.Outcome), RequestID: id,
+		Type: refusal.Reason.String(), Message: refusal.Detail, Outcome: refusal.Outcome.String(), RequestID: id,
 	}})
 	if err != nil {
 		return []byte(`{"error":{}}`) // not reached: the fields always marshal
@@ -101,7 +85,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(headerRequest, id)
-	h.Set(headerOutcome, outcomeName(refusal.Outcome))
+	h.Set(headerOutcome, refusal.Outcome.String())
 	if refusal.RetryAfter > 0 {
 		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
 		h.Set("Retry-After", strconv.Itoa(int(seconds)))
--- a/laburnumproxy/serve.go
+++ b/laburnumproxy/serve.go
@@ -73,9 +73,9 @@
 // note counts and logs a refusal.
 func (p *Proxy) note(q *request, refusal *laburnumlever.RefusalError) {
 	p.counters.refusals[refusal.Reason].Inc(1)
-	q.trail.add(p.timers.Now(), "refused: %s, %s: %s", reasonName(refusal.Reason), outcomeName(refusal.Outcome), refusal.Detail)
-	_ = level.Debug(p.logger).Log("event", "refused", "request-id", q.id, "reason", reasonName(refusal.Reason),
-		"outcome", outcomeName(refusal.Outcome), "subject", refusal.Subject, "detail", refusal.Detail)
+	q.trail.add(p.timers.Now(), "refused: %s, %s: %s", refusal.Reason, refusal.Outcome, refusal.Detail)
+	_ = level.Info(p.logger).Log("event", "refused", "request-id", q.id, "reason", refusal.Reason,
+		"outcome", refusal.Outcome, "owner", q.owner, "subject", refusal.Subject, "detail", refusal.Detail)
 }
 
 func (p *Proxy) serveCompletion(w http.ResponseWriter, r *http.Request) { p.serve(w, r, p.complete) }
