--- a/laburnumlog/story_test.go
+++ b/laburnumlog/story_test.go
@@ -205,3 +205,37 @@
 	s.sync(a)
 	require.Equal(t, before+1, a.log.Commit())
 }
+
+// A leader is elected while a change of the members by the one before is not yet
+// settled. If it changed the members itself before an entry of its own term is
+// committed, its majority and that of the earlier change need not meet, and two
+// leaders could commit. It must refuse until then.
+func TestNoChangeOfMembersBeforeAnOwnCommit(t *testing.T) {
+	s := newSimulation(4, 3)
+	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
+	s.campaign(a)
+	s.run(func() bool { return a.log.Role() == laburnumlog.Leader }, a, b, c)
+	learner := s.replicas[3].member()
+	learner.Learner = true
+	change := laburnumlog.ChangeMembers{Configuration: a.log.Configuration().WithMember(learner)}
+	s.step(a, change)
+	require.False(t, a.log.ChangePending(), "no entry of its own term is committed yet")
+	s.run(never, a, b, c)
+	s.step(a, change)
+	require.True(t, a.log.ChangePending())
+}
+
+// A voter that is alone votes for itself, and its disk is slow. If it led before the
+// vote is durable, a crash would take the vote away and it could lead the same term
+// a second time, with other entries.
+func TestOwnVoteCountsOnceItIsDurable(t *testing.T) {
+	s := newSimulation(1, 1)
+	a := s.replicas[0]
+	for range 40 {
+		s.step(a, laburnumlog.Tick{})
+	}
+	require.NotEmpty(t, a.unsaved)
+	require.NotEqual(t, laburnumlog.Leader, a.log.Role())
+	s.run(never, a)
+	require.Equal(t, laburnumlog.Leader, a.log.Role())
+}
--- a/laburnumnode/node_test.go
+++ b/laburnumnode/node_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
 )
 
 type completion struct {
@@ -74,3 +77,21 @@
 	require.NoError(t, f.nodes[0].Shutdown(ctx))
 	require.Contains(t, (<-got).body, "data: [DONE]")
 }
+
+// A VM is stopped in good order. The others must hear that it left, not find out by
+// their probes: until then they would send it calls and hold its zone's lease for lost.
+func TestStoppedVMIsKnownToHaveLeft(t *testing.T) {
+	f := newFleet(t, 3)
+	f.applyOnceKnown(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	require.NoError(t, f.nodes[2].Shutdown(ctx))
+	// Not heard of, it would become suspect and down, and never be known as left.
+	for _, node := range f.nodes[:2] {
+		eventually(t, "known to have left", func() bool {
+			return slices.ContainsFunc(node.Status().View.VMs, func(vm laburnumlever.VM) bool {
+				return vm.ID == vmName(2) && vm.State == laburnumlever.VMLeft
+			})
+		})
+	}
+}
--- a/laburnumnode/shutdown.go
+++ b/laburnumnode/shutdown.go
@@ -7,8 +7,13 @@
 	"github.com/go-kit/log/level"
 )
 
-// closeTimeout bounds the farewell to the other VMs after the last request.
-const closeTimeout = 3 * time.Second
+const (
+	// closeTimeout bounds the farewell to the other VMs after the last request.
+	closeTimeout = 3 * time.Second
+	// leaveTime is how long the word of leaving gets to spread before the links
+	// close; cut short, the others would find out by their probes, seconds later.
+	leaveTime = time.Second
+)
 
 // Shutdown ends the node in order: the readiness check fails first, so that the
 // balancer stops sending; after the grace new work is refused as not run; requests
@@ -78,6 +83,9 @@
 		n.log(level.WarnValue(), "msg", "leadership not handed over", "err", err)
 	}
 	n.membership.LeaveFleet()
+	if len(n.publisher.View().VMs) > 1 {
+		n.wait(ctx, leaveTime)
+	}
 }
 
 // InFlight counts the callers' requests under way.
