--- /dev/null
+++ b/laburnummembership/fleetengine_test.go
@@ -0,0 +1,171 @@
+package laburnummembership
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"laburnumlever"
+)
+
+// Engine is a backend server that announces and reports to some VMs.
+type Engine struct {
+	Announcement laburnumlever.Announcement
+	Report       laburnumlever.LoadReport
+	To           []*FleetVM
+	// Silent says nothing at all, Quiet sends no reports.
+	Silent, Quiet bool
+	// Hears tells which of the VMs its messages reach.
+	Hears func(n *FleetVM) bool
+}
+
+// AddEngine starts an engine with the given VMs as its addresses.
+func (f *Fleet) AddEngine(i int, zone laburnumlever.ZoneName, to ...*FleetVM) *Engine {
+	id := laburnumlever.BackendID(fmt.Sprintf("engine-%04d", i))
+	e := &Engine{To: to, Hears: func(*FleetVM) bool { return true }}
+	e.Announcement = laburnumlever.Announcement{
+		Backend: id, Zone: zone, Incarnation: uint64(f.Now.UnixMilli()), Slots: 32,
+		Address:       fmt.Sprintf("10.1.%d.%d:8000", i/200, i%200),
+		ChecksFencing: true, CanResume: true,
+		PrefillTokensPerSecond: 20000, TokensPerSecond: 3300,
+	}
+	for a := range 8 {
+		e.Announcement.Accelerators = append(e.Announcement.Accelerators,
+			laburnumlever.Accelerator{ID: laburnumlever.AcceleratorID(fmt.Sprintf("a%d", a)), MemoryMiB: 81920})
+	}
+	e.Report = laburnumlever.LoadReport{Backend: id, Incarnation: e.Announcement.Incarnation}
+	for m := range 6 {
+		e.Report.Loaded = append(e.Report.Loaded, laburnumlever.Loaded{
+			Model:   laburnumlever.ModelName(fmt.Sprintf("model-%03d", (i*6+m)%370)),
+			Version: "v1", Accelerators: []laburnumlever.AcceleratorID{"a0"}, PartMiB: 9000, Ready: true,
+		})
+	}
+	f.Every(time.Second, func() {
+		e.tell(func(n *FleetVM) { _ = n.announce(e.Announcement, f.Now) }, f)
+	})
+	f.Every(500*time.Millisecond, func() {
+		if e.Quiet {
+			return
+		}
+		e.Report.Sequence++
+		e.Report.InFlight = f.Random.IntN(32)
+		e.tell(func(n *FleetVM) { _ = n.report(e.Report, f.Now) }, f)
+	})
+	return e
+}
+
+func (e *Engine) tell(fn func(n *FleetVM), f *Fleet) {
+	for _, n := range e.To {
+		if !e.Silent && !n.Dead && !n.Frozen && e.Hears(n) {
+			f.step(n, func() { fn(n) })
+		}
+	}
+}
+
+// Every runs fn once each period.
+func (f *Fleet) Every(period time.Duration, fn func()) {
+	var again func()
+	again = func() {
+		fn()
+		f.after(period, again)
+	}
+	f.after(time.Duration(f.Random.Int64N(int64(period))), again)
+}
+
+// Restart makes the engine a new incarnation with nothing loaded.
+func (e *Engine) Restart() {
+	e.Announcement.Incarnation++
+	e.Report = laburnumlever.LoadReport{Backend: e.Report.Backend, Incarnation: e.Announcement.Incarnation}
+	e.Silent = false
+}
+
+// Leave tells the first VM that the engine leaves.
+func (e *Engine) Leave(f *Fleet) {
+	n := e.To[0]
+	f.step(n, func() { _ = n.leaveBackend(e.Announcement.Backend, e.Announcement.Incarnation, f.Now) })
+}
+
+// Members are all VMs held, whatever their state.
+func (n *FleetVM) Members() []laburnumlever.VM { return n.vmList() }
+
+// Known is how many backend servers it knows with their inventory.
+func (n *FleetVM) Known() (count int) {
+	for _, r := range n.backends.records {
+		if r.inventorySequence > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// ResetCounts begins a new measurement.
+func (f *Fleet) ResetCounts() {
+	for _, n := range f.VMs {
+		n.Bytes, n.Received, n.Messages, n.Spent = 0, 0, 0, 0
+		n.ByMethod = map[string]int{}
+	}
+}
+
+// LoadAges are the ages of all load known on all VMs, sorted, of backend servers of
+// the own zone and of others.
+func (f *Fleet) LoadAges() (near, far []time.Duration) {
+	for _, n := range f.VMs {
+		for _, r := range n.backends.records {
+			if r.reportedAt.IsZero() {
+				continue
+			}
+			age := f.Now.Sub(r.reportedAt)
+			if r.zone() == n.self.Zone {
+				near = append(near, age)
+			} else {
+				far = append(far, age)
+			}
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(far)
+	return near, far
+}
+
+// Warm gives every VM all facts at once, in place of a cold start of the fleet.
+func (f *Fleet) Warm() {
+	var all packedNews
+	for _, n := range f.VMs {
+		all.VMs = append(all.VMs, n.self)
+		for _, r := range n.backends.records {
+			if r.news.Speaker == n.self.ID && r.inventorySequence > 0 {
+				all.Backends = append(all.Backends, r.news)
+				all.Inventories = append(all.Inventories, r.inventory())
+			}
+		}
+	}
+	for _, n := range f.VMs {
+		n.joined = true
+		n.mergeFacts(all, f.Now, relayNone, map[string]bool{})
+		n.bulk, n.facts = newNewsQueue(), newNewsQueue()
+	}
+}
+
+// ChangeInventory makes an engine load another model.
+func (f *Fleet) ChangeInventory(e *Engine) {
+	loaded := slices.Clone(e.Report.Loaded)
+	i := f.Random.IntN(len(loaded))
+	loaded[i].Model = laburnumlever.ModelName(fmt.Sprintf("model-%03d", f.Random.IntN(370)))
+	loaded[i].Ready = !loaded[i].Ready
+	e.Report.Loaded = loaded
+}
+
+// SetOwner makes a VM say that it places for its zone.
+func (f *Fleet) SetOwner(n *FleetVM) {
+	f.step(n, func() {
+		next := n.self
+		next.OwnsZone = true
+		n.setSelf(next)
+	})
+}
+
+// Demands hands in a VM's demand.
+func (n *FleetVM) Demands(rows []laburnumlever.ModelDemand) { n.demand.setOwn(rows) }
+
+// DemandAt is what a VM holds of all demand.
+func (f *Fleet) DemandAt(n *FleetVM) []laburnumlever.ModelDemand { return n.demand.list(f.Now) }
