--- a/laburnumnode/fleet_test.go
+++ b/laburnumnode/fleet_test.go
@@ -42,7 +42,7 @@
 
 // newFleet starts n nodes, all in one zone and all voters, two engines and a
 // plain service that announce themselves to every node.
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t *testing.T, n int, change ...func(*laburnumsettings.Settings)) *fleet {
 	t.Helper()
 	f := &fleet{t: t}
 	var voters []laburnumlever.Voter
@@ -59,6 +59,9 @@
 		settings.Voters, settings.DataFolder = voters, t.TempDir()
 		settings.Seeds = []string{voters[0].PeerAddress}
 		settings.Shutdown.Grace = laburnumlever.Duration(time.Millisecond)
+		for _, fn := range change {
+			fn(&settings)
+		}
 		node, err := laburnumnode.New(settings)
 		require.NoError(t, err)
 		require.NoError(t, node.Start())
--- a/laburnumnode/wiring.go
+++ b/laburnumnode/wiring.go
@@ -15,6 +15,7 @@
 	"laburnumlever/laburnumorder"
 	"laburnumlever/laburnumpeer"
 	"laburnumlever/laburnumproxy"
+	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumspread"
 	"laburnumlever/laburnumvoter"
 )
@@ -38,6 +39,9 @@
 		n.publisher.publishIfDirty()
 	}))
 	n.publisher.loop = n.loop
+	if err := n.buildPeers(); err != nil {
+		return err
+	}
 	n.buildMembership()
 	if err := n.buildVoter(); err != nil {
 		return err
@@ -47,13 +51,24 @@
 	return nil
 }
 
-func (n *Node) buildMembership() {
-	scope := n.metrics.Scope()
-	n.peers = laburnumpeer.New(n.self.ID,
+func (n *Node) buildPeers() error {
+	opts := []laburnumpeer.Option{
 		laburnumpeer.WithLogger(n.logger),
-		laburnumpeer.WithScope(scope),
+		laburnumpeer.WithScope(n.metrics.Scope()),
 		laburnumpeer.WithLocalIP(listenerIP(n.listeners.peers)),
-	)
+	}
+	if files := n.settings.TLS; files != (laburnumsettings.TLS{}) {
+		if err := laburnumpeer.CheckTLS(files.Certificate, files.Key, files.Authorities); err != nil {
+			return &StartError{Part: "peers", Cause: err}
+		}
+		opts = append(opts, laburnumpeer.WithTLS(files.Certificate, files.Key, files.Authorities))
+	}
+	n.peers = laburnumpeer.New(n.self.ID, opts...)
+	return nil
+}
+
+func (n *Node) buildMembership() {
+	scope := n.metrics.Scope()
 	n.membership = laburnummembership.New(n.loop, n.timers, n.peers, n.self,
 		laburnummembership.WithSeeds(n.settings.Seeds),
 		laburnummembership.WithLogger(n.logger),
--- a/laburnumpeer/tls.go
+++ b/laburnumpeer/tls.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// CheckTLS reads the files once, so that a wrong path or a key that does not belong to
+// its certificate shows at the start and not as links that never come up. Errors:
+// *TLSFilesError.
+func CheckTLS(certificateFile, keyFile, authoritiesFile string) error {
+	files := &tlsFiles{certificate: certificateFile, key: keyFile, authorities: authoritiesFile}
+	_, err := files.current()
+	return err
+}
+
 // current returns the configuration of the files as they are now.
 func (f *tlsFiles) current() (*tls.Config, error) {
 	f.mu.Lock()
--- a/laburnumsettings/load.go
+++ b/laburnumsettings/load.go
@@ -69,6 +69,7 @@
 		d.checkAddress(fmt.Sprintf("seeds[%d]", i), seed, false)
 	}
 	d.checkVoters(s)
+	d.checkTLS(s.TLS)
 	if !isLevel(s.Log.Level) {
 		d.addNew("log.level", fmt.Sprintf("%q is not a level", s.Log.Level), levelWant)
 	}
@@ -110,6 +111,19 @@
 	}
 }
 
+func (d *document) checkTLS(t TLS) {
+	if t == (TLS{}) {
+		return
+	}
+	for _, f := range []struct{ path, file string }{
+		{"tls.certificate", t.Certificate}, {"tls.key", t.Key}, {"tls.authorities", t.Authorities},
+	} {
+		if f.file == "" {
+			d.addNew(f.path, "is missing", "a PEM file, since the others are named")
+		}
+	}
+}
+
 func (d *document) checkVoters(s Settings) {
 	if len(s.Voters) == 0 {
 		d.addNew("voters", "is empty", "at least one VM with a data folder")
--- a/laburnumsettings/settings.go
+++ b/laburnumsettings/settings.go
@@ -18,6 +18,7 @@
 	Voters []laburnumlever.Voter `json:"voters"`
 	// DataFolder is empty on a VM without a disk.
 	DataFolder string   `json:"data-folder"`
+	TLS        TLS      `json:"tls,omitzero"`
 	Log        Log      `json:"log"`
 	Shutdown   Shutdown `json:"shutdown"`
 }
@@ -35,6 +36,15 @@
 	Peers string `json:"peers"`
 }
 
+// TLS names the PEM files that secure the links between VMs, both ways: a VM whose
+// certificate none of the authorities signed is turned away. Either all are named or
+// none. They are read again when they change.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authorities string `json:"authorities"`
+}
+
 // Log sets what is logged.
 type Log struct {
 	// Level is debug, info, warn or error.
