fix: failure sessions take ports that nothing else can be given

Cause: in the second of five runs of all tests with other tests beside them, cut-zone failed with 'bind: address already in use': its peers port had been reserved, closed and given to a connection that another session's VM made from the same loopback address. Ruled out: a fault of the product (the VM said plainly why it did not start). Change: ports below the system's range for connections (laburnumfleet.ReservePorts, which the other sessions use already), and a loopback net of its own for each session; the node's tests take their ports there too.

--- a/cmd/laburnumlever/fleetcommands_test.go
+++ b/cmd/laburnumlever/fleetcommands_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"laburnumlever"
+	"laburnumlever/laburnumfleet"
 	"laburnumlever/laburnumoperator"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumstandin"
@@ -47,14 +49,18 @@
 
 func scriptVMs(ts *testscript.TestScript, _ bool, args []string) {
 	all := ts.Value(processKey{}).(*processes)
+	addresses, err := laburnumfleet.ReservePorts(context.Background(), len(args))
+	ts.Check(err)
+	// Each session has a net of its own on loopback, so that no other session, nor a
+	// connection made from a VM's address, takes a port before its VM listens on it.
+	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	for i, arg := range args {
 		name, rest, _ := strings.Cut(arg, "=")
 		zone, disk, _ := strings.Cut(rest, ",")
-		v := &vm{name: name, zone: zone, ip: fmt.Sprintf("127.0.0.%d", 10+i), disk: disk == "disk"}
-		ln, err := net.Listen("tcp", v.ip+":0")
+		_, port, err := net.SplitHostPort(addresses[i])
 		ts.Check(err)
-		v.listen = ln.Addr().String()
-		ts.Check(ln.Close())
+		v := &vm{name: name, zone: zone, ip: fmt.Sprintf("%s.%d", network, 10+i), disk: disk == "disk"}
+		v.listen = net.JoinHostPort(v.ip, port)
 		scriptStart(ts, false, []string{name + "link", "stand-in", "link", "--to", v.listen})
 		v.link = ts.Getenv(name + "link_address")
 		all.vms = append(all.vms, v)
--- a/laburnumnode/fleet_test.go
+++ b/laburnumnode/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumlever"
+	"laburnumlever/laburnumfleet"
 	"laburnumlever/laburnumnode"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumstandin"
@@ -31,23 +32,16 @@
 	service *laburnumstandin.Service
 }
 
-// freeAddress finds a port that is free now.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // newFleet starts n nodes, all in one zone and all voters, two engines and a
 // plain service that announce themselves to every node.
 func newFleet(t *testing.T, n int, change ...func(*laburnumsettings.Settings)) *fleet {
 	t.Helper()
 	f := &fleet{t: t}
 	var voters []laburnumlever.Voter
-	for i := range n {
-		voters = append(voters, laburnumlever.Voter{VM: vmName(i), PeerAddress: freeAddress(t)})
+	addresses, err := laburnumfleet.ReservePorts(t.Context(), n)
+	require.NoError(t, err)
+	for i, address := range addresses {
+		voters = append(voters, laburnumlever.Voter{VM: vmName(i), PeerAddress: address})
 	}
 	var registries []string
 	for i := range n {
