--- a/cmd/laburnumlever/fleetcommands_test.go
+++ b/cmd/laburnumlever/fleetcommands_test.go
@@ -32,10 +32,13 @@
 //	lose NAME                loses the VM's data folder
 //	leader PREFIX VM...      waits until one of the VMs leads the log; PREFIX is then its
 //	                         name and PREFIX_operators its address, PREFIXother the next VM
+//	caughtup VM VM...        waits until the first VM votes and has applied all that the
+//	                         leader among the VMs has
 //	owner PREFIX VM...       the same for the VM that says it owns its zone
 func fleetCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
 		"vms": scriptVMs, "cut": scriptCut, "heal": scriptHeal, "lose": scriptLose, "leader": scriptLeader, "owner": scriptOwner,
+		"caughtup": scriptCaughtUp,
 	}
 }
 
@@ -151,12 +154,36 @@
 	})
 }
 
+// scriptCaughtUp asks for the log's own count: the catalogue's revision comes by gossip
+// as well, and a replica on an older copy of its folder calls itself a follower until
+// the leader has found that out.
+func scriptCaughtUp(ts *testscript.TestScript, _ bool, args []string) {
+	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(awaitStep) {
+		own, ownErr := statusOf(ts, args[0])
+		votes := own.Voter.Role == "follower" || own.Voter.Role == "leader"
+		if ownErr != nil || !votes {
+			continue
+		}
+		for _, name := range args[1:] {
+			s, err := statusOf(ts, name)
+			if err == nil && s.Voter.Role == "leader" && own.Voter.Applied >= s.Voter.Applied {
+				return
+			}
+		}
+	}
+	ts.Fatalf("%s has not caught up", args[0])
+}
+
+func statusOf(ts *testscript.TestScript, name string) (laburnumlever.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return laburnumoperator.NewClient(ts.Getenv(name + "_operators")).Status(ctx)
+}
+
 func awaitRole(ts *testscript.TestScript, prefix string, names []string, has func(laburnumlever.Status) bool) {
 	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); time.Sleep(awaitStep) {
 		for i, name := range names {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			status, err := laburnumoperator.NewClient(ts.Getenv(name + "_operators")).Status(ctx)
-			cancel()
+			status, err := statusOf(ts, name)
 			if err != nil || !has(status) {
 				continue
 			}
