refactor: one wait on the timer service in place of six

Cause: the last read of the change found the same wait (a channel closed by After, or given up) in the node, the proxy, the load tool and three times in the stand-ins. Ruled out: the voter's pause, which watches two ends and asks ctx once more, and so is not the same. Change: laburnumtimer.Wait; the six call it. Behaviour as before.

--- a/laburnumload/runner.go
+++ b/laburnumload/runner.go
@@ -154,15 +154,7 @@
 	if left <= 0 {
 		return ctx.Err() == nil
 	}
-	due := make(chan struct{})
-	cancel := p.runner.timers.After(left, func(time.Time) { close(due) })
-	defer cancel()
-	select {
-	case <-due:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return laburnumtimer.Wait(ctx.Done(), p.runner.timers, left)
 }
 
 // begin counts a request and chooses its VM.
--- a/laburnumnode/shutdown.go
+++ b/laburnumnode/shutdown.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"laburnumlever/laburnumtimer"
+
 	"github.com/go-kit/log/level"
 )
 
@@ -25,7 +27,7 @@
 		n.publisher.markDirty()
 	})
 	n.log(level.InfoValue(), "msg", "draining", "grace", n.settings.Shutdown.Grace)
-	n.wait(ctx, time.Duration(n.settings.Shutdown.Grace))
+	laburnumtimer.Wait(ctx.Done(), n.timers, time.Duration(n.settings.Shutdown.Grace))
 	err := n.drain(ctx)
 	n.farewell()
 	n.Close()
@@ -53,16 +55,6 @@
 	}
 }
 
-func (n *Node) wait(ctx context.Context, d time.Duration) {
-	passed := make(chan struct{})
-	cancel := n.timers.After(d, func(time.Time) { close(passed) })
-	defer cancel()
-	select {
-	case <-passed:
-	case <-ctx.Done():
-	}
-}
-
 func (n *Node) drain(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, time.Duration(n.settings.Shutdown.Limit))
 	defer cancel()
@@ -84,7 +76,7 @@
 	}
 	n.membership.LeaveFleet()
 	if len(n.publisher.View().VMs) > 1 {
-		n.wait(ctx, leaveTime)
+		laburnumtimer.Wait(ctx.Done(), n.timers, leaveTime)
 	}
 }
 
--- a/laburnumproxy/abandon.go
+++ b/laburnumproxy/abandon.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"laburnumlever/laburnumtimer"
+
 	"laburnumlever"
 )
 
@@ -38,7 +40,7 @@
 		defer func() { <-p.abandoned }()
 		pause := abandonFirstPause
 		for end := p.timers.Now().Add(abandonFor); p.timers.Now().Before(end); {
-			if p.tryRelease(release) || !p.pause(pause) {
+			if p.tryRelease(release) || !laburnumtimer.Wait(p.closed, p.timers, pause) {
 				return
 			}
 			pause = min(2*pause, abandonLastPause)
@@ -58,16 +60,3 @@
 	p.scope.Counter("claims-freed").Inc(1)
 	return true
 }
-
-// pause waits on the timer service; it is false once the proxy has been closed.
-func (p *Proxy) pause(d time.Duration) bool {
-	passed := make(chan struct{})
-	cancel := p.timers.After(d, func(time.Time) { close(passed) })
-	defer cancel()
-	select {
-	case <-passed:
-		return true
-	case <-p.closed:
-		return false
-	}
-}
--- a/laburnumstandin/enginebatch.go
+++ b/laburnumstandin/enginebatch.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"laburnumlever/laburnumtimer"
+
 	"laburnumlever"
 )
 
@@ -137,13 +139,5 @@
 	if rate <= 0 || tokens <= 0 {
 		return ctx.Err() == nil
 	}
-	done := make(chan struct{})
-	cancel := e.cfg.timers.After(time.Duration(tokens/rate*float64(time.Second)), func(time.Time) { close(done) })
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		cancel()
-		return false
-	}
+	return laburnumtimer.Wait(ctx.Done(), e.cfg.timers, time.Duration(tokens/rate*float64(time.Second)))
 }
--- a/laburnumstandin/link.go
+++ b/laburnumstandin/link.go
@@ -244,11 +244,5 @@
 	if wait <= 0 {
 		return
 	}
-	done := make(chan struct{})
-	cancel := l.cfg.timers.After(wait, func(time.Time) { close(done) })
-	defer cancel()
-	select {
-	case <-done:
-	case <-l.ctx.Done():
-	}
+	laburnumtimer.Wait(l.ctx.Done(), l.cfg.timers, wait)
 }
--- a/laburnumstandin/service.go
+++ b/laburnumstandin/service.go
@@ -209,7 +209,5 @@
 	if s.cfg.loadTime <= 0 {
 		return
 	}
-	done := make(chan struct{})
-	s.cfg.timers.After(s.cfg.loadTime, func(time.Time) { close(done) })
-	<-done
+	laburnumtimer.Wait(nil, s.cfg.timers, s.cfg.loadTime)
 }
