--- a/cmd/laburnumlever/app.go
+++ b/cmd/laburnumlever/app.go
@@ -39,6 +39,8 @@
 		Description: exitCodesText,
 		Commands: []*cli.Command{
 			serveCommand(),
+			gatewayCommand(),
+			controlCommand(),
 			quickstartCommand(),
 			settingsCommand(),
 			catalogueCommand(),
--- /dev/null
+++ b/cmd/laburnumlever/rolecmd.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnummetrics"
+	"laburnumlever/laburnumroles"
+	"laburnumlever/laburnumsettings"
+	"laburnumlever/platform"
+)
+
+const (
+	// memoryShare of a VM's memory is what the runtime keeps its heap within; the
+	// rest is for what is read and unread on sockets, and for the program.
+	memoryShare = 0.6
+	megabyte    = 1 << 20
+	// graceShare of the time between the request to stop and the end of the
+	// process is used; the rest is for a late timer.
+	graceShare = 0.92
+)
+
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run a gateway VM of a platform",
+		Description: "Serves callers by the operators' routes; keeps nothing. SIGTERM ends it in good order\n" +
+			"within the settings' grace.\n\n" +
+			"Example: laburnumlever gateway --settings gateway.jsonc\n\n" + exitCodesText,
+		Flags:        []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`"}},
+		OnUsageError: onUsageError,
+		Before:       requireFlags("settings"),
+		Action:       runGateway,
+	}
+}
+
+func controlCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "control",
+		Usage: "run a control VM of a platform",
+		Description: "Keeps the routes, hears the backend servers and the operators, gives the orders to\n" +
+			"engines. SIGTERM ends it in good order.\n\n" +
+			"Example: laburnumlever control --settings control.jsonc\n\n" + exitCodesText,
+		Flags:        []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`"}},
+		OnUsageError: onUsageError,
+		Before:       requireFlags("settings"),
+		Action:       runControl,
+	}
+}
+
+// roleParts are what both roles are made of.
+type roleParts struct {
+	settings laburnumsettings.Role
+	options  []laburnumroles.Option
+}
+
+func newRoleParts(c *cli.Context) (*roleParts, error) {
+	settings, err := laburnumsettings.LoadRole(c.String("settings"))
+	if err != nil {
+		return nil, err
+	}
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * megabyte))
+	}
+	logger, err := newLevelLogger(c.App.Writer, settings.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	named := log.With(logger, "vm", settings.Name)
+	metrics := laburnummetrics.New(laburnummetrics.WithLogger(named))
+	return &roleParts{settings: settings, options: []laburnumroles.Option{
+		laburnumroles.WithLogger(named), laburnumroles.WithMetrics(metrics),
+	}}, nil
+}
+
+// graceful runs the end of a process within its grace.
+func (p *roleParts) graceful(shutdown func(ctx context.Context)) {
+	grace := time.Duration(graceShare * float64(p.settings.Times.Grace))
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	shutdown(ctx)
+}
+
+// ignoreReload keeps the signal that the settings have changed from ending the
+// process, as it does by default.
+func ignoreReload() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
+func runGateway(c *cli.Context) error {
+	parts, err := newRoleParts(c)
+	if err != nil {
+		return err
+	}
+	ignoreReload()
+	gateway := laburnumroles.NewGateway(parts.settings, platform.Dialect{}, parts.options...)
+	if err := gateway.Start(platform.NewReadyHandler); err != nil {
+		return err
+	}
+	<-c.Done()
+	parts.graceful(gateway.Shutdown)
+	return nil
+}
+
+func runControl(c *cli.Context) error {
+	parts, err := newRoleParts(c)
+	if err != nil {
+		return err
+	}
+	ignoreReload()
+	control, err := laburnumroles.NewControl(parts.settings, platform.NewEngines(), parts.options...)
+	if err != nil {
+		return err
+	}
+	handler, err := platform.NewHandler(control)
+	if err != nil {
+		return err
+	}
+	if err := control.Start(handler); err != nil {
+		return err
+	}
+	<-c.Done()
+	parts.graceful(control.Shutdown)
+	return nil
+}
--- a/command.go
+++ b/command.go
@@ -11,6 +11,7 @@
 	Answer *RecordAnswer   `json:"answer,omitempty"`
 	Lease  *LeaseCommand   `json:"lease,omitempty"`
 	Intent *OrderIntent    `json:"intent,omitempty"`
+	Routes *RouteTable     `json:"routes,omitempty"`
 }
 
 // ApplyCatalogue replaces the catalogue if ExpectedRevision is the current one.
@@ -105,7 +106,9 @@
 	Answer  *RecordedAnswer `json:"answer,omitempty"`
 	// Intents unresolved under the lease, returned on acquiring it.
 	Intents []OrderIntent `json:"intents,omitempty"`
-	Detail  string        `json:"detail,omitempty"`
+	// Routes answers a read of the routes.
+	Routes *RouteTable `json:"routes,omitempty"`
+	Detail string      `json:"detail,omitempty"`
 }
 
 // VoterStatus is what a VM knows of the replicated log.
--- a/enums.go
+++ b/enums.go
@@ -122,6 +122,8 @@
 	CommandRecordIntent
 	CommandResolveIntent
 	CommandNoop
+	CommandApplyRoutes
+	CommandReadRoutes
 )
 
 // ResultCode is the state machine's verdict on a command.
@@ -151,3 +153,28 @@
 	VMDown
 	VMLeft
 )
+
+// RequestKind says what may be repeated of a route's requests.
+type RequestKind int
+
+// The kinds of request.
+const (
+	KindIdempotent RequestKind = iota
+	KindNonIdempotent
+	// KindStream is answered by a series of events; it runs at most once
+	// unless its route is resumable.
+	KindStream
+)
+
+// EngineVerdict is what a model engine made of an order.
+type EngineVerdict int
+
+// The verdicts on an order.
+const (
+	VerdictAccepted   EngineVerdict = iota // it is being carried out
+	VerdictHeld                            // what it asks for is so already
+	VerdictConflict                        // another order is under way or came before
+	VerdictStaleFence                      // the engine has seen a higher fencing number
+	VerdictOther                           // another backend server has the address now
+	VerdictInvalid                         // the engine does not know such an order
+)
--- a/errors.go
+++ b/errors.go
@@ -161,3 +161,8 @@
 func (e *InvalidValueError) Error() string {
 	return fmt.Sprintf("%s: %q is not %s", e.Name, e.Value, e.Want)
 }
+
+// RoutesInvalidError lists all that is wrong in a route table.
+type RoutesInvalidError struct{ Faults []Fault }
+
+func (e *RoutesInvalidError) Error() string { return "routes: " + joinFaults(e.Faults) }
--- /dev/null
+++ b/laburnumbalance/balance.go
@@ -0,0 +1,246 @@
+package laburnumbalance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumregistry"
+)
+
+const (
+	// tokensPerMilli is what a model engine reads of a prompt in a millisecond,
+	// to weigh a cached part against load; only the order of magnitude matters.
+	tokensPerMilli = 30
+	// placeMillis is what each request at a server costs the next one, by the
+	// longer steps of a deeper batch.
+	placeMillis = 1
+	// waitMillis is what each request beyond a server's places costs: a place
+	// comes free once in an answer's time over the number of places.
+	waitMillis = 100
+	// zoneMillis is the price of another zone: above the time of the hop, since
+	// every byte between zones is paid for.
+	zoneMillis = 20
+	// silentMillis is held against a server whose heartbeats have stopped.
+	silentMillis = 200
+	// queueShare of a server's places may wait there; what would wait behind
+	// these is better told to come back.
+	queueShare = 1.0
+	// maxFailures bounds what is held against a server, so that it comes back
+	// within seconds once it is sound.
+	maxFailures = 8
+	// jitterMillis breaks ties differently on each VM.
+	jitterMillis = 2
+	// fullTime is how long a server that refused for want of room counts as full.
+	fullTime = 300 * time.Millisecond
+)
+
+// Query is what a decision is made for.
+type Query struct {
+	Service laburnumlever.ServiceName
+	// Model and Adapter are empty for a plain service.
+	Model   laburnumlever.ModelName
+	Adapter laburnumlever.AdapterName
+	Prompt  []laburnumlever.PromptPart
+	// Avoid are the servers that this request was sent to before.
+	Avoid []laburnumlever.BackendID
+}
+
+// Verdict says why there is no server.
+type Verdict int
+
+// The verdicts.
+const (
+	Found Verdict = iota
+	// NoServer means that no server of the service takes work.
+	NoServer
+	// ModelAbsent means that none of them holds the model.
+	ModelAbsent
+	// AdapterAbsent means that some hold the model and none the adapter.
+	AdapterAbsent
+	// Full means that all that could do it have too much waiting.
+	Full
+)
+
+// Ticket is a request's place at a server.
+type Ticket struct {
+	Backend laburnumlever.Heartbeat
+	server  *server
+	query   Query
+}
+
+// Sample is what came of an attempt.
+type Sample struct {
+	// Failed tells that the server did not answer, or wrongly.
+	Failed bool
+	// Unreachable tells that it took no connection.
+	Unreachable bool
+	// Full tells that it refused for want of room.
+	Full bool
+	// Absent tells that it does not hold the model or adapter.
+	Absent bool
+	// Load is what it said of its load, if HasLoad.
+	HasLoad          bool
+	Running, Waiting int
+}
+
+// Table holds the servers.
+type Table struct {
+	zone      laburnumlever.ZoneName
+	rand      *rand.Rand
+	servers   map[laburnumlever.BackendID]*server
+	byService map[laburnumlever.ServiceName][]*server
+	prefixes  *prefixes
+}
+
+// New makes an empty table for a VM in the zone; the seed makes runs repeatable.
+func New(zone laburnumlever.ZoneName, seed uint64) *Table {
+	return &Table{
+		zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // breaks ties, no secret
+		servers:   map[laburnumlever.BackendID]*server{},
+		byService: map[laburnumlever.ServiceName][]*server{},
+		prefixes:  newPrefixes(),
+	}
+}
+
+// Set takes a record; one that takes no work leaves the choice.
+func (t *Table) Set(r laburnumregistry.Record) {
+	id := r.Heartbeat.Backend
+	s := t.servers[id]
+	if !r.TakesWork() {
+		t.remove(id)
+		return
+	}
+	if s == nil {
+		s = &server{local: r.Heartbeat.Zone == t.zone}
+		t.servers[id] = s
+		t.byService[r.Heartbeat.Service] = append(t.byService[r.Heartbeat.Service], s)
+	}
+	s.record = r
+}
+
+func (t *Table) remove(id laburnumlever.BackendID) {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	delete(t.servers, id)
+	service := s.record.Heartbeat.Service
+	t.byService[service] = slices.DeleteFunc(t.byService[service], func(o *server) bool { return o == s })
+}
+
+// Added notes a model or adapter that a server holds by now.
+func (t *Table) Added(id laburnumlever.BackendID, model laburnumlever.ModelName, adapter laburnumlever.AdapterName, now time.Time) {
+	if s := t.servers[id]; s != nil {
+		s.added = note(s.added, held{model: model, adapter: adapter}, now.Add(addedTime), now)
+		delete(s.absent, held{model: model, adapter: adapter})
+	}
+}
+
+// Len is how many servers take work for the service.
+func (t *Table) Len(service laburnumlever.ServiceName) int { return len(t.byService[service]) }
+
+// Pick chooses a server and takes a place there.
+func (t *Table) Pick(q Query, now time.Time) (*Ticket, Verdict) {
+	servers := t.byService[q.Service]
+	if len(servers) == 0 {
+		return nil, NoServer
+	}
+	verdict := ModelAbsent
+	var best *server
+	bestScore := math.Inf(1)
+	for _, s := range servers {
+		if !s.holds(q.Model, q.Adapter, now) {
+			if verdict == ModelAbsent && q.Adapter != "" && s.holds(q.Model, "", now) {
+				verdict = AdapterAbsent
+			}
+			continue
+		}
+		if verdict != Full {
+			verdict = Full
+		}
+		if s.overfull(now) {
+			continue
+		}
+		if score := t.score(s, q, now); score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil {
+		return nil, verdict
+	}
+	best.own++
+	t.prefixes.sent(best.record.Heartbeat.Backend, q.Prompt)
+	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q}, Found
+}
+
+// overfull tells whether what waits at the server is too much already.
+func (s *server) overfull(now time.Time) bool {
+	slots := float64(max(1, s.record.Heartbeat.Slots))
+	return now.Before(s.fullTill) || s.load(now) >= slots*(1+queueShare)
+}
+
+func (t *Table) score(s *server, q Query, now time.Time) float64 {
+	load := s.load(now)
+	score := placeMillis*load + s.blame(now) + jitterMillis*t.rand.Float64()
+	if over := load + 1 - float64(max(1, s.record.Heartbeat.Slots)); over > 0 {
+		score += waitMillis * over
+	}
+	if !s.local {
+		score += zoneMillis
+	}
+	if s.record.Silent {
+		score += silentMillis
+	}
+	if slices.Contains(q.Avoid, s.record.Heartbeat.Backend) {
+		score += avoidMillis
+	}
+	if now.Before(s.unreachableTill) {
+		score += avoidMillis
+	}
+	return score + float64(t.prefixes.missing(s.record.Heartbeat.Backend, q.Prompt))/tokensPerMilli
+}
+
+// avoidMillis puts a server behind all others that could do it.
+const avoidMillis = 1e6
+
+// End frees the place and learns from the attempt. A nil ticket is no place.
+func (t *Table) End(ticket *Ticket, sample Sample, now time.Time) {
+	if ticket == nil || ticket.server == nil {
+		return
+	}
+	s := ticket.server
+	ticket.server = nil
+	s.own--
+	t.Learn(s.record.Heartbeat.Backend, sample, now)
+	if sample.Absent {
+		key := held{model: ticket.query.Model, adapter: ticket.query.Adapter}
+		s.absent = note(s.absent, key, now.Add(absentTime), now)
+		delete(s.added, key)
+	}
+}
+
+// Learn takes what a server's answer says while the request still runs there.
+func (t *Table) Learn(id laburnumlever.BackendID, sample Sample, now time.Time) {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	if sample.HasLoad {
+		s.others = float64(max(0, sample.Running+sample.Waiting-s.own))
+		s.othersAt = now
+	}
+	if sample.Full {
+		s.fullTill = now.Add(fullTime)
+	}
+	if sample.Failed {
+		s.fail(now)
+	}
+	if sample.Unreachable {
+		s.unreachableTill = now.Add(unreachableTime)
+	}
+}
+
+func pow2(x float64) float64 { return math.Exp2(x) }
--- /dev/null
+++ b/laburnumbalance/prefixes.go
@@ -0,0 +1,51 @@
+package laburnumbalance
+
+import "laburnumlever"
+
+// generationSize bounds the parts remembered: two generations of this size hold
+// the last prompts of a gateway for about a minute at a few hundred requests a
+// second, longer than engines keep what is not used.
+const generationSize = 1 << 14
+
+type cachedPart struct {
+	backend laburnumlever.BackendID
+	id      uint64
+}
+
+// prefixes remembers which parts of prompts went to which server. It is right as
+// long as the server has not dropped them; a wrong guess costs one reading.
+type prefixes struct {
+	young, old map[cachedPart]struct{}
+}
+
+func newPrefixes() *prefixes {
+	return &prefixes{young: map[cachedPart]struct{}{}, old: map[cachedPart]struct{}{}}
+}
+
+func (p *prefixes) sent(backend laburnumlever.BackendID, parts []laburnumlever.PromptPart) {
+	if len(p.young) > generationSize {
+		p.old, p.young = p.young, map[cachedPart]struct{}{}
+	}
+	for _, part := range parts {
+		p.young[cachedPart{backend: backend, id: part.ID}] = struct{}{}
+	}
+}
+
+// missing is how many tokens of the prompt the server has to read: all from the
+// first part that it has not seen.
+func (p *prefixes) missing(backend laburnumlever.BackendID, parts []laburnumlever.PromptPart) int {
+	tokens := 0
+	cached := true
+	for _, part := range parts {
+		key := cachedPart{backend: backend, id: part.ID}
+		if cached {
+			_, young := p.young[key]
+			_, old := p.old[key]
+			cached = young || old
+		}
+		if !cached {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
--- /dev/null
+++ b/laburnumbalance/server.go
@@ -0,0 +1,108 @@
+package laburnumbalance
+
+import (
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumregistry"
+)
+
+const (
+	// loadFade is how long another VM's work that an answer told of is believed:
+	// about one and a half of a usual stream.
+	loadFade = 3 * time.Second
+	// failureHalfLife halves what is held against a server for a failure.
+	failureHalfLife = 4 * time.Second
+	// failureMillis is added to the score for each fresh failure: above the time
+	// of a usual queue, so that a sound server with work is preferred.
+	failureMillis = 250
+	// unreachableTime is how long a server that took no connection is left out
+	// while others can do the work.
+	unreachableTime = time.Second
+	// absentTime is how long it is believed that a server lacks a model which
+	// its heartbeat listed: until the next heartbeat is sure to have come.
+	absentTime = 1500 * time.Millisecond
+	// addedTime is how long a model or adapter is believed to be there that a
+	// heartbeat has not listed yet.
+	addedTime = 4 * time.Second
+)
+
+// held names a model, or an adapter of one, on a server.
+type held struct {
+	model   laburnumlever.ModelName
+	adapter laburnumlever.AdapterName
+}
+
+// server is one backend server as this VM sees it.
+type server struct {
+	record laburnumregistry.Record
+	local  bool
+	own    int
+	// others is what the last answer told beyond the own count.
+	others   float64
+	othersAt time.Time
+	fullTill time.Time
+	failures float64
+	failedAt time.Time
+	// unreachableTill is when a server that took no connection is tried again.
+	unreachableTill time.Time
+	absent          map[held]time.Time
+	added           map[held]time.Time
+}
+
+// load estimates the requests at the server, running or waiting.
+func (s *server) load(now time.Time) float64 {
+	fade := 1 - now.Sub(s.othersAt).Seconds()/loadFade.Seconds()
+	return float64(s.own) + max(0, fade)*s.others
+}
+
+// blame is what failures add to the score.
+func (s *server) blame(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	return failureMillis * s.failuresAt(now)
+}
+
+func (s *server) failuresAt(now time.Time) float64 {
+	age := now.Sub(s.failedAt).Seconds() / failureHalfLife.Seconds()
+	return s.failures / pow2(age)
+}
+
+func (s *server) fail(now time.Time) {
+	s.failures = min(s.failuresAt(now)+1, maxFailures)
+	s.failedAt = now
+}
+
+// holds tells whether the server holds the model and adapter, by its heartbeat and
+// by what was learned since.
+func (s *server) holds(model laburnumlever.ModelName, adapter laburnumlever.AdapterName, now time.Time) bool {
+	if model == "" {
+		return true
+	}
+	if now.Before(s.absent[held{model: model}]) {
+		return false
+	}
+	if adapter != "" && now.Before(s.absent[held{model: model, adapter: adapter}]) {
+		return false
+	}
+	if s.record.Heartbeat.Holds(model, adapter) {
+		return true
+	}
+	return now.Before(s.added[held{model: model, adapter: adapter}]) &&
+		(adapter == "" || s.holds(model, "", now))
+}
+
+// note remembers something until a time and drops what is past.
+func note(m map[held]time.Time, key held, until, now time.Time) map[held]time.Time {
+	if m == nil {
+		m = map[held]time.Time{}
+	}
+	for k, at := range m {
+		if now.After(at) {
+			delete(m, k)
+		}
+	}
+	m[key] = until
+	return m
+}
--- /dev/null
+++ b/laburnumfeed/follower.go
@@ -0,0 +1,192 @@
+package laburnumfeed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// askTimeout is holdTime and a slow VM's delay on top.
+	askTimeout = 3 * time.Second
+	// retryPause is between two questions after a failure: short beside the two
+	// seconds that a leaving backend server has, and few messages.
+	retryPause = 200 * time.Millisecond
+	// routesTimeout bounds one fetch of the routes.
+	routesTimeout = 2 * time.Second
+)
+
+// Sink takes what a follower learns, on any goroutine.
+type Sink interface {
+	// Learn takes an answer of the control VM at the address.
+	Learn(address string, a Answer)
+	// Lost says that the control VM at the address does not answer.
+	Lost(address string)
+	// LearnRoutes takes a route table.
+	LearnRoutes(t laburnumlever.RouteTable)
+	// RoutesVersion is the version held; 0 for none.
+	RoutesVersion() uint64
+	// Demand is what to tell the control VM that gives the orders.
+	Demand() []laburnumlever.ModelDemand
+}
+
+// Follower asks all control VMs that it knows of.
+type Follower struct {
+	peers  laburnumlever.Peers
+	timers laburnumlever.Timers
+	self   laburnumlever.VM
+	sink   Sink
+	logger log.Logger
+	done   chan struct{}
+	once   sync.Once
+
+	mu        sync.Mutex
+	following map[string]bool
+	addresses map[laburnumlever.VMID]string
+	director  laburnumlever.VMID // the VM that gives the orders
+	fetching  bool
+}
+
+// Option changes a new follower.
+type Option func(*Follower)
+
+// WithLogger sets the log; without it nothing is logged.
+func WithLogger(logger log.Logger) Option { return func(f *Follower) { f.logger = logger } }
+
+// NewFollower makes a follower of the control VMs at the seeds' peer addresses and
+// of all that these name.
+func NewFollower(peers laburnumlever.Peers, timers laburnumlever.Timers, self laburnumlever.VM, seeds []string, sink Sink, opts ...Option) *Follower {
+	f := &Follower{
+		peers: peers, timers: timers, self: self, sink: sink, logger: log.NewNopLogger(),
+		done: make(chan struct{}), following: map[string]bool{}, addresses: map[laburnumlever.VMID]string{},
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	for _, address := range seeds {
+		f.follow(address)
+	}
+	return f
+}
+
+// Close ends the questions.
+func (f *Follower) Close() { f.once.Do(func() { close(f.done) }) }
+
+func (f *Follower) follow(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if address == "" || address == f.self.PeerAddress || f.following[address] {
+		return
+	}
+	f.following[address] = true
+	go f.run(address)
+}
+
+// run asks one control VM until Close.
+func (f *Follower) run(address string) {
+	var boot, cursor uint64
+	lost := false
+	for {
+		a, err := f.ask(address, boot, cursor)
+		switch {
+		case err == nil:
+			boot, cursor = a.Boot, a.Cursor
+			if lost {
+				lost = false
+				_ = level.Info(f.logger).Log("event", "control-regained", "address", address)
+			}
+			f.learn(address, a)
+		case !lost:
+			lost = true
+			_ = level.Warn(f.logger).Log("event", "control-lost", "address", address, "cause", err)
+			f.sink.Lost(address)
+		}
+		if err != nil && !laburnumtimer.Wait(f.done, f.timers, retryPause) {
+			return
+		}
+		select {
+		case <-f.done:
+			return
+		default:
+		}
+	}
+}
+
+func (f *Follower) ask(address string, boot, cursor uint64) (Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	q := request{From: f.self, Boot: boot, Since: cursor}
+	if f.directs(address) {
+		q.Demand = f.sink.Demand()
+	}
+	var a Answer
+	err := f.peers.Call(ctx, address, methodNext, q, &a)
+	return a, err
+}
+
+func (f *Follower) directs(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return address == f.addresses[f.director]
+}
+
+// Director is the peer address of the control VM that gives the orders; empty
+// while it is not known.
+func (f *Follower) Director() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.addresses[f.director]
+}
+
+func (f *Follower) learn(address string, a Answer) {
+	for _, vm := range a.Controls {
+		f.follow(vm.PeerAddress)
+	}
+	f.noteDirector(a)
+	f.sink.Learn(address, a)
+	if a.RoutesVersion > f.sink.RoutesVersion() {
+		f.fetchRoutes(address)
+	}
+}
+
+func (f *Follower) noteDirector(a Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, vm := range a.Controls {
+		f.addresses[vm.ID] = vm.PeerAddress
+	}
+	if a.Director != "" {
+		f.director = a.Director
+	}
+}
+
+// fetchRoutes fetches the table once, whoever is first to tell of it. A fetch that
+// fails is made good by the next answer, within a second.
+func (f *Follower) fetchRoutes(address string) {
+	f.mu.Lock()
+	busy := f.fetching
+	f.fetching = true
+	f.mu.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		f.mu.Lock()
+		f.fetching = false
+		f.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), routesTimeout)
+	defer cancel()
+	var t laburnumlever.RouteTable
+	if err := f.peers.Call(ctx, address, methodRoutes, struct{}{}, &t); err != nil {
+		_ = level.Warn(f.logger).Log("event", "routes-not-fetched", "address", address, "cause", err)
+		return
+	}
+	f.sink.LearnRoutes(t)
+}
--- /dev/null
+++ b/laburnumfeed/source.go
@@ -0,0 +1,235 @@
+package laburnumfeed
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumregistry"
+)
+
+const (
+	// holdTime is how long a question waits when there is no news: short enough
+	// that demand flows and a dead link shows, long enough to cost little.
+	holdTime = time.Second
+	// gatewayMemory is how long a gateway counts after its last question.
+	gatewayMemory = 30 * time.Second
+	// controlMemory is the same for a control VM: longer than a restart, so that
+	// nobody forgets the address of one that is only down for a moment.
+	controlMemory = 20 * time.Second
+)
+
+// Source answers the questions on a control VM. It may be used from any goroutine.
+type Source struct {
+	timers   laburnumlever.Timers
+	self     laburnumlever.VM
+	boot     uint64
+	onDemand func(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand)
+
+	mu       sync.Mutex
+	cursor   uint64
+	changed  chan struct{} // closed at the next change
+	records  map[laburnumlever.BackendID]stamped
+	routes   *laburnumlever.RouteTable
+	director laburnumlever.VMID
+	asked    map[laburnumlever.VMID]asker
+	// controlsAt and gatewaysAt are the cursors of the last change of these.
+	controlsAt uint64
+	metaAt     uint64
+}
+
+type stamped struct {
+	record laburnumregistry.Record
+	at     uint64
+}
+
+type asker struct {
+	vm laburnumlever.VM
+	at time.Time
+}
+
+// NewSource makes a source and registers its handlers with peers. Boot must differ
+// from that of the last start.
+func NewSource(peers laburnumlever.Peers, timers laburnumlever.Timers, self laburnumlever.VM) *Source {
+	s := &Source{
+		timers: timers, self: self, boot: self.Incarnation, changed: make(chan struct{}),
+		records: map[laburnumlever.BackendID]stamped{}, asked: map[laburnumlever.VMID]asker{},
+		onDemand: func(laburnumlever.VMID, []laburnumlever.ModelDemand) {}, cursor: 1, controlsAt: 1, metaAt: 1,
+	}
+	peers.Handle(methodNext, s.handleNext)
+	peers.Handle(methodRoutes, s.handleRoutes)
+	return s
+}
+
+// OnDemand sets the function that takes the gateways' demand; set it before serving.
+func (s *Source) OnDemand(fn func(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand)) {
+	s.onDemand = fn
+}
+
+// SetRecord offers a backend server's record to all who ask.
+func (s *Source) SetRecord(r laburnumregistry.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bump()
+	s.records[r.Heartbeat.Backend] = stamped{record: r, at: s.cursor}
+}
+
+// Forget drops a backend server that nobody needs to hear of any more.
+func (s *Source) Forget(id laburnumlever.BackendID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.records, id)
+}
+
+// SetRoutes offers a route table.
+func (s *Source) SetRoutes(t laburnumlever.RouteTable) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.routes != nil && s.routes.Version >= t.Version {
+		return
+	}
+	s.bump()
+	s.metaAt = s.cursor
+	s.routes = &t
+}
+
+// SetDirector tells who gives the orders.
+func (s *Source) SetDirector(vm laburnumlever.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.director == vm {
+		return
+	}
+	s.bump()
+	s.metaAt = s.cursor
+	s.director = vm
+}
+
+// NoteControl notes a control VM that was heard of.
+func (s *Source) NoteControl(vm laburnumlever.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note(vm)
+}
+
+// Controls are the other control VMs heard of lately.
+func (s *Source) Controls() []laburnumlever.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.others(s.timers.Now())
+}
+
+func (s *Source) bump() {
+	s.cursor++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Source) note(vm laburnumlever.VM) {
+	known, ok := s.asked[vm.ID]
+	if vm.ID == s.self.ID || (ok && known.vm.Incarnation > vm.Incarnation) {
+		return
+	}
+	s.asked[vm.ID] = asker{vm: vm, at: s.timers.Now()}
+	if !ok || known.vm.PeerAddress != vm.PeerAddress {
+		s.bump()
+		s.controlsAt = s.cursor
+	}
+}
+
+func (s *Source) others(now time.Time) []laburnumlever.VM {
+	var out []laburnumlever.VM
+	for _, a := range s.asked {
+		if a.vm.HasDisk && now.Sub(a.at) < controlMemory {
+			out = append(out, a.vm)
+		}
+	}
+	return out
+}
+
+func (s *Source) gateways(now time.Time) int {
+	n := 0
+	for id, a := range s.asked {
+		if a.vm.HasDisk {
+			continue
+		}
+		if now.Sub(a.at) > gatewayMemory {
+			delete(s.asked, id)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+func (s *Source) handleNext(ctx context.Context, params laburnumlever.RawMessage) (any, error) {
+	var q request
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, &MessageError{Method: methodNext, Cause: err}
+	}
+	if len(q.Demand) > 0 {
+		s.onDemand(q.From.ID, q.Demand)
+	}
+	s.NoteControl(q.From)
+	held := s.after(holdTime)
+	for {
+		answer, news, changed := s.answer(q)
+		if news {
+			return answer, nil
+		}
+		select {
+		case <-changed:
+		case <-held:
+			return answer, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// after returns a channel that is closed once the time has passed.
+func (s *Source) after(d time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	s.timers.After(d, func(time.Time) { close(done) })
+	return done
+}
+
+// answer tells what is newer than the question knows, and whether anything is.
+func (s *Source) answer(q request) (Answer, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := q.Since
+	if q.Boot != s.boot {
+		since = 0
+	}
+	now := s.timers.Now()
+	a := Answer{Boot: s.boot, Cursor: s.cursor, Director: s.director, Gateways: s.gateways(now)}
+	if s.routes != nil {
+		a.RoutesVersion = s.routes.Version
+	}
+	for _, r := range s.records {
+		if r.at > since {
+			a.Backends = append(a.Backends, r.record)
+		}
+	}
+	if s.controlsAt > since {
+		a.Controls = append(s.others(now), s.self)
+	}
+	news := len(a.Backends) > 0 || s.controlsAt > since || s.metaAt > since
+	return a, news, s.changed
+}
+
+// handleRoutes gives the table without the operators' own text, which only control
+// VMs need.
+func (s *Source) handleRoutes(context.Context, laburnumlever.RawMessage) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.routes == nil {
+		return nil, &laburnumlever.NotFoundError{Kind: "route table", Name: "any"}
+	}
+	table := *s.routes
+	table.Document = nil
+	return table, nil
+}
--- /dev/null
+++ b/laburnumgateway/attempt.go
@@ -0,0 +1,112 @@
+package laburnumgateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumupstream"
+
+	"github.com/cockroachdb/errors"
+)
+
+// answerSlack is what an answer may be late at a backend server's own end before
+// this VM ends it: the clocks start a network's delay apart.
+const answerSlack = 100 * time.Millisecond
+
+// try makes one attempt. A nil failure means that the whole answer was passed on.
+func (g *Gateway) try(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket) *failure {
+	q.tries++
+	sample := laburnumbalance.Sample{}
+	defer func() { g.fleet.release(ticket, sample) }()
+	conn, err := g.pool.Get(ctx, ticket.Backend.Address, g.connectionLimit(q))
+	if err != nil {
+		sample.Unreachable = ctx.Err() == nil && isDial(err)
+		sample.Failed = sample.Unreachable
+		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}
+	}
+	stop := conn.Guard(ctx)
+	fail, resp := g.exchange( //nolint:bodyclose // the connection is closed or reused as a whole
+		ctx, q, out, ticket, conn, &sample)
+	if stop() && fail == nil {
+		g.pool.Put(conn, resp)
+	} else {
+		conn.Close()
+	}
+	return fail
+}
+
+// connectionLimit is this VM's part of the connections that one backend server
+// takes.
+func (g *Gateway) connectionLimit(q *request) int {
+	if q.service.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, q.service.MaxConnections/max(1, g.fleet.Gateways()))
+}
+
+func isDial(err error) bool {
+	var dial *laburnumupstream.DialError
+	return errors.As(err, &dial)
+}
+
+// exchange sends the request on a connection and passes the answer on.
+func (g *Gateway) exchange(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn, sample *laburnumbalance.Sample) (*failure, *http.Response) {
+	now := g.timers.Now()
+	if err := conn.SetDeadline(q.deadline.Add(answerSlack)); err != nil {
+		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}, nil
+	}
+	q.sends++
+	resp, err := conn.Exchange(laburnumupstream.Request{
+		Method: q.method, URI: q.uri, Host: q.host, Body: q.body,
+		Header: g.dialect.Forward(q.header, laburnumlever.Send{
+			Wait: q.left(now), Backend: ticket.Backend.Backend, Urgency: urgency(q), LastEvent: q.lastEvent,
+		}),
+	})
+	if err != nil {
+		sample.Failed = ctx.Err() == nil
+		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: err}, nil
+	}
+	marks := g.dialect.Answer(resp.StatusCode, resp.Header)
+	g.fleet.learnLoad(ticket.Backend.Backend, marks)
+	if fail := g.inspect(q, ticket, resp, marks, sample); fail != nil {
+		return fail, resp
+	}
+	return g.pass(ctx, q, out, resp, sample), resp
+}
+
+func urgency(q *request) int {
+	if q.caller.Model == "" {
+		return -1
+	}
+	const least = 9
+	return min(least, q.route.Priority)
+}
+
+// inspect tells answers that are not to be passed on.
+func (g *Gateway) inspect(q *request, ticket *laburnumbalance.Ticket, resp *http.Response, marks laburnumlever.AnswerMarks, sample *laburnumbalance.Sample) *failure {
+	if marks.RequestID != q.caller.ID && (marks.RequestID != "" || !marks.NotRun) {
+		sample.Failed = true
+		return &failure{
+			stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCrossedAnswer,
+			cause: &CrossedAnswerError{Want: q.caller.ID, Got: marks.RequestID},
+		}
+	}
+	if !marks.NotRun {
+		return nil
+	}
+	cause := &AnswerStatusError{Status: resp.StatusCode}
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		if marks.Backend != "" && marks.Backend != ticket.Backend.Backend {
+			g.fleet.gone(ticket.Backend.Backend)
+		} else {
+			sample.Absent = true
+		}
+		return &failure{stage: laburnumretry.StageNotRun, reason: laburnumlever.RefusedNoBackend, cause: cause}
+	}
+	sample.Full = true
+	return &failure{stage: laburnumretry.StageNotRun, reason: laburnumlever.RefusedBackendBusy, cause: cause}
+}
--- /dev/null
+++ b/laburnumgateway/demand.go
@@ -0,0 +1,61 @@
+package laburnumgateway
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"laburnumlever"
+)
+
+// demand counts what callers ask of models between two reports.
+type demand struct {
+	vm       laburnumlever.VMID
+	sequence uint64
+	since    time.Time
+	rows     map[laburnumlever.ModelName]*demandRow
+}
+
+type demandRow struct{ requests, prompt, answer, refused float64 }
+
+func newDemand(vm laburnumlever.VMID) *demand {
+	return &demand{vm: vm, rows: map[laburnumlever.ModelName]*demandRow{}}
+}
+
+func (d *demand) add(q *request, served bool) {
+	if q.caller.Model == "" {
+		return
+	}
+	row := d.rows[q.caller.Model]
+	if row == nil {
+		row = &demandRow{}
+		d.rows[q.caller.Model] = row
+	}
+	row.requests++
+	row.prompt += float64(q.caller.PromptTokens)
+	row.answer += float64(q.caller.MaxAnswerTokens)
+	if !served {
+		row.refused++
+	}
+}
+
+// take returns the rates since the last call.
+func (d *demand) take(now time.Time) []laburnumlever.ModelDemand {
+	span := now.Sub(d.since).Seconds()
+	if d.since.IsZero() || span <= 0 {
+		d.since = now
+		return nil
+	}
+	d.sequence++
+	rows := make([]laburnumlever.ModelDemand, 0, len(d.rows))
+	for model, row := range d.rows {
+		rows = append(rows, laburnumlever.ModelDemand{
+			Model: model, VM: d.vm, Sequence: d.sequence, RequestsPerSecond: row.requests / span,
+			PromptTokens: row.prompt / span, AnswerTokens: row.answer / span, Refused: row.refused / span,
+		})
+	}
+	slices.SortFunc(rows, func(a, b laburnumlever.ModelDemand) int { return strings.Compare(string(a.Model), string(b.Model)) })
+	d.rows = map[laburnumlever.ModelName]*demandRow{}
+	d.since = now
+	return rows
+}
--- /dev/null
+++ b/laburnumgateway/fleet.go
@@ -0,0 +1,171 @@
+package laburnumgateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumroutes"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Fleet is what a gateway knows of backend servers and routes. It takes the feeds
+// of the control VMs and may be used from any goroutine.
+type Fleet struct {
+	timers laburnumlever.Timers
+	logger log.Logger
+	index  atomic.Pointer[laburnumroutes.Index]
+
+	mu       sync.Mutex
+	registry *laburnumregistry.Table
+	balance  *laburnumbalance.Table
+	demand   *demand
+	gateways int
+	boots    map[string]uint64
+}
+
+var _ laburnumfeed.Sink = (*Fleet)(nil)
+
+// FleetOption changes a new fleet.
+type FleetOption func(*Fleet)
+
+// WithFleetLogger sets the log; without it nothing is logged.
+func WithFleetLogger(logger log.Logger) FleetOption { return func(f *Fleet) { f.logger = logger } }
+
+// NewFleet makes an empty fleet for a VM. The seed makes choices repeatable; the
+// period is that of the heartbeats.
+func NewFleet(timers laburnumlever.Timers, vm laburnumlever.VM, period time.Duration, seed uint64, opts ...FleetOption) *Fleet {
+	f := &Fleet{
+		timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
+		balance: laburnumbalance.New(vm.Zone, seed), demand: newDemand(vm.ID),
+		gateways: 1, boots: map[string]uint64{},
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Learn takes what a control VM knows.
+func (f *Fleet) Learn(_ string, a laburnumfeed.Answer) {
+	now := f.timers.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gateways = max(f.gateways, a.Gateways)
+	for _, r := range a.Backends {
+		if !f.registry.Merge(r, now) {
+			continue
+		}
+		merged, _ := f.registry.Record(r.Heartbeat.Backend)
+		f.balance.Set(merged)
+		_ = level.Info(f.logger).Log("event", "backend-known", "backend", r.Heartbeat.Backend, "sequence", merged.Heartbeat.Sequence,
+			"leaving", merged.Heartbeat.Leaving, "gone", merged.Gone, "silent", merged.Silent, "models", len(merged.Heartbeat.Models))
+	}
+}
+
+// Lost says that a control VM does not answer; the others know the same.
+func (f *Fleet) Lost(string) {}
+
+// LearnRoutes takes a route table; one not newer changes nothing.
+func (f *Fleet) LearnRoutes(t laburnumlever.RouteTable) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.RoutesVersion() >= t.Version {
+		return
+	}
+	f.index.Store(laburnumroutes.NewIndex(t))
+	_ = level.Info(f.logger).Log("event", "routes-in-force", "version", t.Version, "routes", len(t.Routes))
+}
+
+// RoutesVersion is the version in force here; 0 for none.
+func (f *Fleet) RoutesVersion() uint64 {
+	if x := f.index.Load(); x != nil {
+		return x.Table().Version
+	}
+	return 0
+}
+
+// Demand is what callers asked for since the last call.
+func (f *Fleet) Demand() []laburnumlever.ModelDemand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.demand.take(f.timers.Now())
+}
+
+// Ready tells whether the VM can serve: it has routes and knows a backend server.
+func (f *Fleet) Ready() bool {
+	x := f.index.Load()
+	if x == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range x.Table().Services {
+		if f.balance.Len(s.Name) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// place takes a place for a request.
+func (f *Fleet) place(q laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balance.Pick(q, f.timers.Now())
+}
+
+// release frees a place and learns from the attempt.
+func (f *Fleet) release(t *laburnumbalance.Ticket, s laburnumbalance.Sample) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balance.End(t, s, f.timers.Now())
+}
+
+func (f *Fleet) learnLoad(id laburnumlever.BackendID, marks laburnumlever.AnswerMarks) {
+	if !marks.HasLoad {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balance.Learn(id, laburnumbalance.Sample{HasLoad: true, Running: marks.Running, Waiting: marks.Waiting}, f.timers.Now())
+}
+
+// gone notes that another backend server has the address now.
+func (f *Fleet) gone(id laburnumlever.BackendID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.registry.Remove(id, f.timers.Now()) {
+		r, _ := f.registry.Record(id)
+		f.balance.Set(r)
+		_ = level.Info(f.logger).Log("event", "backend-replaced", "backend", id)
+	}
+}
+
+func (f *Fleet) added(ids []laburnumlever.BackendID, model laburnumlever.ModelName, adapter laburnumlever.AdapterName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		f.balance.Added(id, model, adapter, f.timers.Now())
+	}
+}
+
+func (f *Fleet) asked(q *request, served bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demand.add(q, served)
+}
+
+// Gateways is how many gateways there are, the largest number ever heard of: while
+// it changes, shares must not add up to more than the whole.
+func (f *Fleet) Gateways() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gateways
+}
--- /dev/null
+++ b/laburnumgateway/forward.go
@@ -0,0 +1,129 @@
+package laburnumgateway
+
+import (
+	"context"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumretry"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// noBackendRetry is when it is worth asking again where nothing can do the
+	// request: a load from an engine's disk takes about that long.
+	noBackendRetry = time.Second
+	// fullRetry is when a place may be free again where all are taken.
+	fullRetry = 500 * time.Millisecond
+	// adapterWait bounds the wait for an adapter, which is loaded in some ten
+	// milliseconds; beyond it something is wrong.
+	adapterWait = 400 * time.Millisecond
+)
+
+// failure is an attempt that brought no whole answer.
+type failure struct {
+	stage  laburnumretry.Stage
+	reason laburnumlever.RefusalReason
+	cause  error
+}
+
+// run attempts the request until it is answered or given up. The error is a
+// *laburnumlever.RefusalError or a *CallerGoneError.
+func (g *Gateway) run(ctx context.Context, q *request, out *answer) error {
+	for {
+		ticket, err := g.place(ctx, q)
+		if err != nil {
+			return err
+		}
+		fail := g.try(ctx, q, out, ticket)
+		if fail == nil {
+			return nil
+		}
+		_ = level.Info(g.logger).Log("event", "attempt-failed", "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
+			"stage", fail.stage.String(), "reason", fail.reason, "cause", fail.cause)
+		q.avoid = append(q.avoid, ticket.Backend.Backend)
+		if fail.stage == laburnumretry.StageUnknown {
+			q.touched = true
+		}
+		if reason, ok := g.again(ctx, q, out, fail); ok {
+			g.counters.retries[reason].Inc(1)
+			continue
+		}
+		return g.refusal(ctx, fail)
+	}
+}
+
+// refusal is what a failed attempt means for the caller.
+func (g *Gateway) refusal(ctx context.Context, fail *failure) error {
+	var gone *CallerGoneError
+	if errors.As(fail.cause, &gone) {
+		return gone
+	}
+	if ctx.Err() != nil && !expired(ctx) {
+		return &CallerGoneError{Cause: ctx.Err()}
+	}
+	refusal := &laburnumlever.RefusalError{Reason: fail.reason, RetryAfter: fullRetry, Detail: fail.cause.Error()}
+	if expired(ctx) {
+		refusal.Reason, refusal.RetryAfter = laburnumlever.RefusedDeadline, 0
+	}
+	if fail.stage == laburnumretry.StageUnknown {
+		refusal.Outcome, refusal.RetryAfter = laburnumlever.OutcomeUnknown, 0
+	}
+	return refusal
+}
+
+// again tells whether another attempt is to be made, and pays for it.
+func (g *Gateway) again(ctx context.Context, q *request, out *answer, fail *failure) (laburnumlever.RetryReason, bool) {
+	var gone *CallerGoneError
+	if ctx.Err() != nil || errors.As(fail.cause, &gone) {
+		return 0, false
+	}
+	reason, paid, ok := laburnumretry.Attempt{
+		Stage: fail.stage, Touched: q.touched, Started: out.started, Repeatable: q.route.Repeatable(),
+		Resumable: q.route.Resumable, Sends: q.sends, Tries: q.tries, MaxSends: q.route.MaxAttempts,
+	}.Next()
+	if ok && paid && !g.mayRepeat(q) {
+		fail.reason = laburnumlever.RefusedRetryBudget
+		return 0, false
+	}
+	return reason, ok
+}
+
+// place finds a backend server, having an adapter loaded if need be.
+func (g *Gateway) place(ctx context.Context, q *request) (*laburnumbalance.Ticket, error) {
+	ticket, verdict := g.fleet.place(q.query())
+	if verdict == laburnumbalance.AdapterAbsent && g.adapters != nil {
+		if err := g.needAdapter(ctx, q); err != nil {
+			return nil, &laburnumlever.RefusalError{
+				Reason: laburnumlever.RefusedNoBackend, RetryAfter: noBackendRetry, Detail: "adapter: " + err.Error(),
+			}
+		}
+		ticket, verdict = g.fleet.place(q.query())
+	}
+	switch verdict {
+	case laburnumbalance.Found:
+		return ticket, nil
+	case laburnumbalance.Full:
+		return nil, refuse(laburnumlever.RefusedQueueFull, fullRetry, "all backend servers that could do it are full")
+	case laburnumbalance.NoServer:
+		return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no backend server of the service takes work")
+	case laburnumbalance.AdapterAbsent:
+		return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no engine holds the adapter")
+	default:
+		return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no engine holds the model")
+	}
+}
+
+func (g *Gateway) needAdapter(ctx context.Context, q *request) error {
+	ctx, cancel := context.WithTimeout(ctx, adapterWait)
+	defer cancel()
+	ids, err := g.adapters.Need(ctx, q.service.Name, q.caller.Model, q.caller.Adapter)
+	if err != nil {
+		return err
+	}
+	g.fleet.added(ids, q.caller.Model, q.caller.Adapter)
+	return nil
+}
--- /dev/null
+++ b/laburnumgateway/gateway.go
@@ -0,0 +1,220 @@
+package laburnumgateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumupstream"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+)
+
+// Adapters has an adapter loaded beside its model.
+type Adapters interface {
+	// Need asks for an adapter and returns the engines that hold it by now.
+	Need(ctx context.Context, service laburnumlever.ServiceName, model laburnumlever.ModelName, adapter laburnumlever.AdapterName) ([]laburnumlever.BackendID, error)
+}
+
+// Budget bounds the repeats over all gateways: in any window of the length, for
+// each service, Ratio times its requests and Slack.
+type Budget struct {
+	Window time.Duration
+	Ratio  float64
+	Slack  float64
+}
+
+// Gateway serves callers on one VM.
+type Gateway struct {
+	fleet    *Fleet
+	dialect  laburnumlever.Dialect
+	timers   laburnumlever.Timers
+	pool     *laburnumupstream.Pool
+	adapters Adapters
+	budget   Budget
+	logger   log.Logger
+	counters *counters
+	inFlight atomic.Int64
+	draining atomic.Bool
+
+	mu      sync.Mutex
+	windows map[laburnumlever.ServiceName]*laburnumretry.Window
+}
+
+// Option changes a new gateway.
+type Option func(*Gateway)
+
+// WithLogger sets the log; without it nothing is logged.
+func WithLogger(logger log.Logger) Option { return func(g *Gateway) { g.logger = logger } }
+
+// WithScope sets where counters go; without it they go nowhere.
+func WithScope(scope tally.Scope) Option {
+	return func(g *Gateway) { g.counters = newCounters(scope) }
+}
+
+// WithAdapters sets who has adapters loaded; without it they are only used where
+// they are.
+func WithAdapters(a Adapters) Option { return func(g *Gateway) { g.adapters = a } }
+
+// WithBudget sets the bound on repeats; without it there are none.
+func WithBudget(b Budget) Option { return func(g *Gateway) { g.budget = b } }
+
+// WithPool sets the connections to backend servers.
+func WithPool(pool *laburnumupstream.Pool) Option { return func(g *Gateway) { g.pool = pool } }
+
+// New makes a gateway over a fleet.
+func New(fleet *Fleet, dialect laburnumlever.Dialect, timers laburnumlever.Timers, opts ...Option) *Gateway {
+	g := &Gateway{
+		fleet: fleet, dialect: dialect, timers: timers, logger: log.NewNopLogger(),
+		counters: newCounters(tally.NoopScope), windows: map[laburnumlever.ServiceName]*laburnumretry.Window{},
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	if g.pool == nil {
+		g.pool = laburnumupstream.New()
+	}
+	return g
+}
+
+// InFlight counts the requests under way.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q, err := g.read(w, r)
+	if err != nil {
+		g.answerRefusal(w, q, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	g.countRequest(q)
+	out := &answer{w: w}
+	err = g.run(ctx, q, out)
+	g.fleet.asked(q, err == nil)
+	if err != nil {
+		g.conclude(ctx, q, out, err)
+		return
+	}
+	g.counters.served.Inc(1)
+	_ = level.Debug(g.logger).Log("event", "request-served", "request-id", q.caller.ID, "route", q.route.Name,
+		"sends", q.sends, "ms", g.timers.Now().Sub(q.arrived).Milliseconds())
+}
+
+func (g *Gateway) window(service laburnumlever.ServiceName) *laburnumretry.Window {
+	w := g.windows[service]
+	if w == nil {
+		w = laburnumretry.NewWindow(g.budget.Window, g.budget.Ratio, g.budget.Slack)
+		g.windows[service] = w
+	}
+	return w
+}
+
+func (g *Gateway) countRequest(q *request) {
+	g.counters.requests.Inc(1)
+	if g.budget.Window <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.window(q.service.Name).Request(g.timers.Now())
+}
+
+// mayRepeat takes one repeat out of the budget.
+func (g *Gateway) mayRepeat(q *request) bool {
+	if g.budget.Window <= 0 {
+		return false
+	}
+	gateways := g.fleet.Gateways()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.window(q.service.Name).Repeat(g.timers.Now(), gateways)
+}
+
+// conclude tells the caller what became of a request that has no answer.
+func (g *Gateway) conclude(ctx context.Context, q *request, out *answer, err error) {
+	var gone *CallerGoneError
+	if errors.As(err, &gone) || (ctx.Err() != nil && !expired(ctx)) {
+		g.count(laburnumlever.RefusedCallerGone)
+		g.logRefusal(q, laburnumlever.RefusedCallerGone, 0, err)
+		return
+	}
+	if out.started {
+		g.count(laburnumlever.RefusedBrokenStream)
+		g.logRefusal(q, laburnumlever.RefusedBrokenStream, 0, err)
+		panic(http.ErrAbortHandler) // the caller must see that the answer is not whole
+	}
+	if q.failed != nil {
+		g.count(laburnumlever.RefusedBackendError)
+		q.failed.write(out.w)
+		return
+	}
+	g.answerRefusal(out.w, q, err)
+}
+
+// answerRefusal writes a refusal of this VM's own.
+func (g *Gateway) answerRefusal(w http.ResponseWriter, q *request, err error) {
+	var refusal *laburnumlever.RefusalError
+	if !errors.As(err, &refusal) {
+		refusal = &laburnumlever.RefusalError{Reason: laburnumlever.RefusedBackendError, Outcome: laburnumlever.OutcomeUnknown, Detail: err.Error()}
+	}
+	status := statusOf(refusal, q)
+	g.count(refusal.Reason)
+	g.logRefusal(q, refusal.Reason, status, err)
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(refusal.Reason.String() + "\n")) // an error means that the caller is gone
+}
+
+// statusOf maps a refusal to a status. 503 promises that the request has not run
+// and never will; a request that may have run gets 502, or 504 when its time is
+// over.
+func statusOf(refusal *laburnumlever.RefusalError, q *request) int {
+	switch refusal.Reason {
+	case laburnumlever.RefusedBadRequest:
+		return http.StatusBadRequest
+	case laburnumlever.RefusedUnknownService, laburnumlever.RefusedUnknownModel:
+		return http.StatusNotFound
+	case laburnumlever.RefusedTooLarge:
+		return http.StatusRequestEntityTooLarge
+	default:
+	}
+	switch {
+	case !q.touched:
+		return http.StatusServiceUnavailable
+	case refusal.Reason == laburnumlever.RefusedDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+func (g *Gateway) count(reason laburnumlever.RefusalReason) { g.counters.refusals[reason].Inc(1) }
+
+func (g *Gateway) logRefusal(q *request, reason laburnumlever.RefusalReason, status int, err error) {
+	route := laburnumlever.RouteName("")
+	if q.route != nil {
+		route = q.route.Name
+	}
+	_ = level.Info(g.logger).Log("event", "request-refused", "request-id", q.caller.ID, "route", route, "reason", reason,
+		"status", status, "touched", q.touched, "sends", q.sends, "tries", q.tries, "routes-version", q.version,
+		"model", q.caller.Model, "adapter", q.caller.Adapter, "avoid", q.avoid,
+		"ms", g.timers.Now().Sub(q.arrived).Milliseconds(), "cause", err)
+}
--- /dev/null
+++ b/laburnumgateway/request.go
@@ -0,0 +1,135 @@
+package laburnumgateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumroutes"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// defaultBodyBytes bounds a body while the routes do not.
+	defaultBodyBytes = 4 << 20
+	// startRetry is when it is worth asking a gateway again that has no routes
+	// yet: it gets them within a second of a control VM having them.
+	startRetry = time.Second
+)
+
+// request is one caller's request and how far it has come.
+type request struct {
+	caller   laburnumlever.CallerRequest
+	route    *laburnumlever.Route
+	service  laburnumlever.RoutedService
+	method   string
+	uri      string
+	host     string
+	header   http.Header
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	// endsByRoute tells that the route's timeout, not the caller's patience,
+	// gives the deadline.
+	endsByRoute bool
+	version     uint64
+
+	// sends counts the backend servers that the request went to, tries also
+	// those to which no connection could be made.
+	sends, tries int
+	avoid        []laburnumlever.BackendID
+	// touched tells that a backend server may have run the request.
+	touched bool
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
+	// failed is a backend server's whole answer that says that it failed.
+	failed *storedAnswer
+}
+
+// read takes a request in. The error is a *laburnumlever.RefusalError.
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*request, error) {
+	now := g.timers.Now()
+	q := &request{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, arrived: now}
+	index := g.fleet.index.Load()
+	if index == nil {
+		return q, refuse(laburnumlever.RefusedNotReady, startRetry, "no routes yet")
+	}
+	q.version = index.Table().Version
+	route, ok := index.Find(r.Host, pathOf(r.RequestURI))
+	if !ok {
+		return q, refuse(laburnumlever.RefusedUnknownService, 0, "no route for the host and path")
+	}
+	q.route = route
+	caller, err := g.dialect.Request(r.Header)
+	if err != nil {
+		return q, refuse(laburnumlever.RefusedBadRequest, 0, err.Error())
+	}
+	if caller.ID == "" {
+		return q, refuse(laburnumlever.RefusedBadRequest, 0, "the request has no id")
+	}
+	q.caller, q.lastEvent = caller, caller.LastEvent
+	if q.service, ok = index.Table().Service(laburnumroutes.Pick(*route, rand.Uint64())); !ok {
+		return q, refuse(laburnumlever.RefusedUnknownService, 0, "the route's service is not in the table")
+	}
+	q.bound()
+	return q, q.readBody(w, r, index.Table().Callers.BodyBytes)
+}
+
+// pathOf is the path of a request target without its query.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// bound sets the deadline from the caller's patience and the route's timeout.
+func (q *request) bound() {
+	limit := time.Duration(q.route.Timeout)
+	q.endsByRoute = true
+	if q.caller.Wait > 0 && q.caller.Wait < limit {
+		limit = q.caller.Wait
+		q.endsByRoute = false
+	}
+	q.deadline = q.arrived.Add(limit)
+}
+
+func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int) error {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(laburnumlever.RefusedTooLarge, 0, err.Error())
+	case err != nil:
+		return refuse(laburnumlever.RefusedCallerGone, 0, "the body did not come whole: "+err.Error())
+	}
+	q.body = body
+	return nil
+}
+
+func (q *request) query() laburnumbalance.Query {
+	return laburnumbalance.Query{
+		Service: q.service.Name, Model: q.caller.Model, Adapter: q.caller.Adapter,
+		Prompt: q.caller.Prompt, Avoid: q.avoid,
+	}
+}
+
+func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
+
+func refuse(reason laburnumlever.RefusalReason, after time.Duration, detail string) error {
+	return &laburnumlever.RefusalError{
+		Reason: reason, Outcome: laburnumlever.OutcomeNotRun, RetryAfter: after, Detail: detail,
+	}
+}
+
+// expired tells whether a context ended by its deadline, not by the caller.
+func expired(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
--- /dev/null
+++ b/laburnumgateway/serve.go
@@ -0,0 +1,55 @@
+package laburnumgateway
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net/http"
+	"time"
+
+	"laburnumlever/laburnumtimer"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// headerTimeout and idleTimeout hold until an operator's limits are known;
+	// callers stay within theirs, so these only end what is broken.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes is four times what operators allow as a rule.
+	maxHeaderBytes = 64 << 10
+	// noticeTime is how long the balancer takes to see that this VM is not ready:
+	// two questions a second apart, and one on its way.
+	noticeTime = 3 * time.Second
+	// quietCheck is how often a draining gateway looks whether it is done.
+	quietCheck = 50 * time.Millisecond
+)
+
+// Server serves the gateway on a listener.
+func (g *Gateway) Server() *http.Server {
+	return &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: stdlog.New(io.Discard, "", 0), // the gateway logs each request's end itself
+	}
+}
+
+// Ready tells whether the balancer may send callers here.
+func (g *Gateway) Ready() bool { return !g.draining.Load() && g.fleet.Ready() }
+
+// Drain ends the service in order: it says that it is not ready, goes on serving
+// what still comes while the balancer takes notice, each answer with the word that
+// the connection ends, and returns once nothing is under way or ctx ends.
+func (g *Gateway) Drain(ctx context.Context, server *http.Server) {
+	g.draining.Store(true)
+	_ = level.Info(g.logger).Log("event", "draining", "in-flight", g.InFlight())
+	laburnumtimer.Wait(ctx.Done(), g.timers, noticeTime)
+	server.SetKeepAlivesEnabled(false)
+	for g.InFlight() > 0 && ctx.Err() == nil {
+		laburnumtimer.Wait(ctx.Done(), g.timers, quietCheck)
+	}
+	_ = level.Info(g.logger).Log("event", "drained", "in-flight", g.InFlight())
+}
+
+// Sweep closes connections to backend servers that have been idle for too long.
+func (g *Gateway) Sweep() { g.pool.Sweep() }
--- /dev/null
+++ b/laburnumregistry/registry.go
@@ -0,0 +1,148 @@
+package laburnumregistry
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// silentPeriods is how many heartbeats in a row are missed before a backend
+	// server counts as silent: one may be lost and one late.
+	silentPeriods = 3
+	// forgetAfter is how long a silent or gone backend server stays known, far
+	// above the time by which a heartbeat can be late.
+	forgetAfter = 2 * time.Minute
+)
+
+// Record is what is known of one backend server.
+type Record struct {
+	Heartbeat laburnumlever.Heartbeat `json:"heartbeat"`
+	// Gone tells that it has ended or will within moments.
+	Gone bool `json:"gone,omitempty"`
+	// Silent tells that its heartbeats have stopped.
+	Silent bool `json:"silent,omitempty"`
+}
+
+// TakesWork tells whether new work may be sent to the backend server. A silent one
+// may: its path to the control VMs may be cut and that to the gateways not.
+func (r Record) TakesWork() bool { return !r.Gone && !r.Heartbeat.Leaving }
+
+type entry struct {
+	record Record
+	heard  time.Time
+}
+
+// Table holds the records by identity. It is not safe for concurrent use.
+type Table struct {
+	period  time.Duration
+	entries map[laburnumlever.BackendID]*entry
+}
+
+// New makes an empty table for backend servers with the given heartbeat period.
+func New(period time.Duration) *Table {
+	return &Table{period: period, entries: map[laburnumlever.BackendID]*entry{}}
+}
+
+// Take notes a heartbeat and tells whether the record changed for others.
+func (t *Table) Take(h laburnumlever.Heartbeat, now time.Time) bool {
+	e := t.entries[h.Backend]
+	if e == nil {
+		t.entries[h.Backend] = &entry{record: Record{Heartbeat: h}, heard: now}
+		return true
+	}
+	if h.Sequence <= e.record.Heartbeat.Sequence || e.record.Gone {
+		return false
+	}
+	e.heard = now
+	before := e.record
+	h.Leaving = h.Leaving || before.Heartbeat.Leaving
+	e.record = Record{Heartbeat: h}
+	return before.Silent || !sameNews(before.Heartbeat, h)
+}
+
+// Merge notes a record that another VM has sent and tells whether it changed.
+func (t *Table) Merge(r Record, now time.Time) bool {
+	id := r.Heartbeat.Backend
+	if r.Gone {
+		if t.entries[id] == nil {
+			t.entries[id] = &entry{record: r, heard: now}
+			return true
+		}
+		return t.Remove(id, now)
+	}
+	e := t.entries[id]
+	if e != nil && r.Heartbeat.Sequence == e.record.Heartbeat.Sequence && r.Silent != e.record.Silent {
+		e.record.Silent = r.Silent
+		return true
+	}
+	changed := t.Take(r.Heartbeat, now)
+	if e = t.entries[id]; changed && e.record.Silent != r.Silent {
+		e.record.Silent = r.Silent
+	}
+	return changed
+}
+
+// sameNews compares two heartbeats but for their sequence.
+func sameNews(a, b laburnumlever.Heartbeat) bool {
+	a.Sequence, b.Sequence = 0, 0
+	return reflect.DeepEqual(a, b)
+}
+
+// Remove notes that a backend server is gone, known or not.
+func (t *Table) Remove(id laburnumlever.BackendID, now time.Time) bool {
+	e := t.entries[id]
+	if e == nil {
+		e = &entry{record: Record{Heartbeat: laburnumlever.Heartbeat{Backend: id}}}
+		t.entries[id] = e
+	}
+	if e.record.Gone {
+		return false
+	}
+	e.heard = now
+	e.record.Gone = true
+	return true
+}
+
+// Expire marks those silent whose heartbeats have stopped, and forgets those long
+// silent or gone. It returns the identities whose records changed.
+func (t *Table) Expire(now time.Time) []laburnumlever.BackendID {
+	var changed []laburnumlever.BackendID
+	for id, e := range t.entries {
+		quiet := now.Sub(e.heard)
+		if quiet > forgetAfter {
+			delete(t.entries, id)
+			continue
+		}
+		if !e.record.Silent && !e.record.Gone && quiet > silentPeriods*t.period {
+			e.record.Silent = true
+			changed = append(changed, id)
+		}
+	}
+	slices.Sort(changed)
+	return changed
+}
+
+// Record returns what is known of a backend server.
+func (t *Table) Record(id laburnumlever.BackendID) (Record, bool) {
+	e := t.entries[id]
+	if e == nil {
+		return Record{}, false
+	}
+	return e.record, true
+}
+
+// Records returns all, in the order of their identities.
+func (t *Table) Records() []Record {
+	out := make([]Record, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, e.record)
+	}
+	slices.SortFunc(out, func(a, b Record) int {
+		return strings.Compare(string(a.Heartbeat.Backend), string(b.Heartbeat.Backend))
+	})
+	return out
+}
--- /dev/null
+++ b/laburnumroles/control.go
@@ -0,0 +1,276 @@
+package laburnumroles
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumcontrol"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumroutes"
+	"laburnumlever/laburnumsettings"
+	"laburnumlever/laburnumvoter"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// proposeTimeout answers an operator before it gives up on this VM, which it
+	// does after a second.
+	proposeTimeout = 900 * time.Millisecond
+	// expirePeriod is how often silent backend servers are looked for.
+	expirePeriod = 500 * time.Millisecond
+	// replaceShare of the time in which a new VM must count passes before a
+	// silent voter is replaced: the rest is for the change itself.
+	replaceShare = 0.6
+	// handOverTimeout bounds the wait for another voter to lead.
+	handOverTimeout = time.Second
+	// proposalLimit bounds any proposal, those of the director too.
+	proposalLimit = 3 * time.Second
+)
+
+// Control is a control VM's process. It implements laburnumlever.FleetControl.
+type Control struct {
+	process
+	loop     *laburnumcontrol.Loop
+	voter    *laburnumvoter.Voter
+	source   *laburnumfeed.Source
+	follower *laburnumfeed.Follower
+
+	mu       sync.Mutex
+	registry *laburnumregistry.Table
+	version  uint64
+}
+
+var (
+	_ laburnumlever.FleetControl = (*Control)(nil)
+	_ laburnumfeed.Sink          = (*Control)(nil)
+)
+
+// NewControl makes a control VM that does not run yet. An error is a *StartError.
+func NewControl(settings laburnumsettings.Role, engines laburnumlever.ModelEngines, opts ...Option) (*Control, error) {
+	c := &Control{process: newProcess(settings, opts), loop: laburnumcontrol.New()}
+	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
+	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self)
+	c.peers.Handle(methodRelay, c.handleRelay)
+	if err := c.buildVoter(); err != nil {
+		return nil, err
+	}
+	_ = engines
+	return c, nil
+}
+
+func (c *Control) buildVoter() error {
+	opts := []laburnumvoter.Option{
+		laburnumvoter.WithDataFolder(c.settings.DataFolder),
+		laburnumvoter.WithVoterTarget(2*c.settings.ControlLosses + 1),
+		laburnumvoter.WithContacts(c.contacts),
+		laburnumvoter.WithReplaceAfter(time.Duration(replaceShare * float64(c.settings.Times.CatchUp))),
+		laburnumvoter.WithProposalTimeout(proposalLimit),
+		laburnumvoter.WithLogger(c.logger),
+		laburnumvoter.WithScope(c.metrics.Scope()),
+	}
+	if c.settings.FirstStart {
+		opts = append(opts, laburnumvoter.WithVoters(c.settings.SeedVoters()))
+	}
+	voter, err := laburnumvoter.New(c.loop, c.timers, c.peers, c.self, opts...)
+	if err != nil {
+		return &StartError{Part: "voter", Cause: err}
+	}
+	voter.OnRoutes(c.routesApplied)
+	c.voter = voter
+	return nil
+}
+
+// contacts are the control VMs that this one knows of, the seeds included.
+func (c *Control) contacts() []laburnumlever.Voter {
+	var voters []laburnumlever.Voter
+	for _, v := range c.settings.SeedVoters() {
+		if v.VM != c.self.ID {
+			voters = append(voters, v)
+		}
+	}
+	for _, vm := range c.source.Controls() {
+		voters = append(voters, laburnumlever.Voter{VM: vm.ID, PeerAddress: vm.PeerAddress})
+	}
+	return voters
+}
+
+// routesApplied runs on the control thread.
+func (c *Control) routesApplied(t laburnumlever.RouteTable) {
+	c.mu.Lock()
+	c.version = t.Version
+	c.mu.Unlock()
+	c.source.SetRoutes(t)
+	_ = level.Info(c.logger).Log("event", "routes-applied", "version", t.Version, "routes", len(t.Routes))
+}
+
+// Start runs the control VM; handler serves the platform's calls.
+func (c *Control) Start(handler http.Handler) error {
+	if err := c.servePeers(); err != nil {
+		return err
+	}
+	go c.loop.Run()
+	c.voter.Start()
+	c.follower = laburnumfeed.NewFollower(c.peers, c.timers, c.self, c.seedPeers(), c, laburnumfeed.WithLogger(c.logger))
+	if err := c.serve("control", c.settings.Listen.Control, newServer(handler)); err != nil {
+		return err
+	}
+	if err := c.serveMetrics(); err != nil {
+		return err
+	}
+	c.timers.Every(expirePeriod, c.expire)
+	_ = level.Info(c.logger).Log("event", "started", "role", "control", "first-start", c.settings.FirstStart)
+	return nil
+}
+
+// Shutdown hands the leadership over and ends the process.
+func (c *Control) Shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := c.voter.HandOver(ctx); err != nil {
+		_ = level.Warn(c.logger).Log("event", "leadership-not-handed-over", "cause", err)
+	}
+	c.follower.Close()
+	_ = c.voter.Close()
+	c.close()
+	c.loop.Stop()
+	_ = level.Info(c.logger).Log("event", "stopped", "role", "control")
+}
+
+// Heartbeat takes a backend server's word about itself. All gateways are told
+// before it returns, in that their open questions have been answered.
+func (c *Control) Heartbeat(_ context.Context, h laburnumlever.Heartbeat) error {
+	c.take(h)
+	c.relay(relayed{Heartbeat: &h})
+	return nil
+}
+
+// Remove takes a backend server's word that it is gone.
+func (c *Control) Remove(_ context.Context, backend laburnumlever.BackendID) error {
+	c.remove(backend)
+	c.relay(relayed{Gone: backend})
+	return nil
+}
+
+func (c *Control) take(h laburnumlever.Heartbeat) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.registry.Take(h, c.timers.Now()) {
+		c.offer(h.Backend)
+	}
+}
+
+func (c *Control) remove(backend laburnumlever.BackendID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.registry.Remove(backend, c.timers.Now()) {
+		c.offer(backend)
+	}
+}
+
+// offer puts a record into the feed; mu is held.
+func (c *Control) offer(id laburnumlever.BackendID) {
+	r, ok := c.registry.Record(id)
+	if !ok {
+		return
+	}
+	c.source.SetRecord(r)
+	_ = level.Info(c.logger).Log("event", "backend-known", "backend", id, "service", r.Heartbeat.Service,
+		"address", r.Heartbeat.Address, "sequence", r.Heartbeat.Sequence, "leaving", r.Heartbeat.Leaving,
+		"gone", r.Gone, "silent", r.Silent)
+}
+
+// relay tells the other control VMs, so that each knows who is alive whichever one
+// a backend server talks to.
+func (c *Control) relay(news relayed) {
+	for _, vm := range c.source.Controls() {
+		c.peers.Notify(vm.PeerAddress, methodRelay, news)
+	}
+}
+
+func (c *Control) handleRelay(_ context.Context, params laburnumlever.RawMessage) (any, error) {
+	var news relayed
+	if err := json.Unmarshal(params, &news); err != nil {
+		return nil, &laburnumfeed.MessageError{Method: methodRelay, Cause: err}
+	}
+	if news.Heartbeat != nil {
+		c.take(*news.Heartbeat)
+	}
+	if news.Gone != "" {
+		c.remove(news.Gone)
+	}
+	return struct{}{}, nil
+}
+
+func (c *Control) expire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range c.registry.Expire(now) {
+		c.offer(id)
+	}
+}
+
+// ApplyRoutes puts a table into force through the log.
+func (c *Control) ApplyRoutes(ctx context.Context, table laburnumlever.RouteTable) error {
+	if err := laburnumroutes.Check(table); err != nil {
+		_ = level.Info(c.logger).Log("event", "routes-refused", "version", table.Version, "cause", err)
+		return err
+	}
+	_, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &table})
+	_ = level.Info(c.logger).Log("event", "routes-proposed", "version", table.Version, "cause", err)
+	return err
+}
+
+// ReadRoutes reads the newest table through the log, so that a VM that is cut off
+// says that it can't be sure.
+func (c *Control) ReadRoutes(ctx context.Context) (laburnumlever.RouteTable, error) {
+	result, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandReadRoutes})
+	if err != nil {
+		return laburnumlever.RouteTable{}, err
+	}
+	if result.Routes == nil {
+		return laburnumlever.RouteTable{}, &laburnumlever.NotFoundError{Kind: "route table", Name: "newest"}
+	}
+	return *result.Routes, nil
+}
+
+func (c *Control) propose(ctx context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return c.voter.Propose(ctx, cmd)
+}
+
+// Learn takes what another control VM knows.
+func (c *Control) Learn(_ string, a laburnumfeed.Answer) {
+	for _, vm := range a.Controls {
+		if vm.HasDisk {
+			c.source.NoteControl(vm)
+		}
+	}
+	now := c.timers.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range a.Backends {
+		r.Silent = false // who is silent here is judged by what is heard here
+		if c.registry.Merge(r, now) {
+			c.offer(r.Heartbeat.Backend)
+		}
+	}
+}
+
+// Lost says that another control VM does not answer.
+func (c *Control) Lost(string) {}
+
+// LearnRoutes does nothing: routes come to a control VM through the log.
+func (c *Control) LearnRoutes(laburnumlever.RouteTable) {}
+
+// RoutesVersion keeps the follower from fetching routes, which come through the log.
+func (c *Control) RoutesVersion() uint64 { return ^uint64(0) }
+
+// Demand is none: callers come to gateways.
+func (c *Control) Demand() []laburnumlever.ModelDemand { return nil }
--- /dev/null
+++ b/laburnumroles/gateway.go
@@ -0,0 +1,84 @@
+package laburnumroles
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumsettings"
+	"laburnumlever/laburnumupstream"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+)
+
+// sweepPeriod is how often idle connections are looked through.
+const sweepPeriod = time.Second
+
+// Gateway is a gateway VM's process.
+type Gateway struct {
+	process
+	fleet    *laburnumgateway.Fleet
+	gateway  *laburnumgateway.Gateway
+	follower *laburnumfeed.Follower
+	callers  *http.Server
+}
+
+// NewGateway makes a gateway that does not run yet.
+func NewGateway(settings laburnumsettings.Role, dialect laburnumlever.Dialect, opts ...Option) *Gateway {
+	g := &Gateway{process: newProcess(settings, opts)}
+	seed := xxhash.Sum64String(string(g.self.ID))
+	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
+		laburnumgateway.WithFleetLogger(g.logger))
+	scope := g.metrics.Scope()
+	g.gateway = laburnumgateway.New(g.fleet, dialect, g.timers,
+		laburnumgateway.WithLogger(g.logger), laburnumgateway.WithScope(scope),
+		laburnumgateway.WithPool(laburnumupstream.New(laburnumupstream.WithScope(scope))),
+		laburnumgateway.WithBudget(laburnumgateway.Budget{
+			Window: time.Duration(settings.Retry.Window), Ratio: settings.Retry.Ratio, Slack: settings.Retry.Slack,
+		}),
+		laburnumgateway.WithAdapters(g),
+	)
+	return g
+}
+
+// Start runs the gateway; ready answers whether callers may be sent here.
+func (g *Gateway) Start(ready func(ready func() bool) http.Handler) error {
+	g.follower = laburnumfeed.NewFollower(g.peers, g.timers, g.self, g.seedPeers(), g.fleet,
+		laburnumfeed.WithLogger(g.logger))
+	g.callers = g.gateway.Server()
+	if err := g.serve("callers", g.settings.Listen.Callers, g.callers); err != nil {
+		return err
+	}
+	if err := g.serve("ready", g.settings.Listen.Ready, newServer(ready(g.gateway.Ready))); err != nil {
+		return err
+	}
+	if err := g.serveMetrics(); err != nil {
+		return err
+	}
+	g.timers.Every(sweepPeriod, func(time.Time) { g.gateway.Sweep() })
+	_ = level.Info(g.logger).Log("event", "started", "role", "gateway", "callers", g.settings.Listen.Callers)
+	return nil
+}
+
+// Need asks the control VM that gives the orders for an adapter.
+func (g *Gateway) Need(ctx context.Context, service laburnumlever.ServiceName, model laburnumlever.ModelName, adapter laburnumlever.AdapterName) ([]laburnumlever.BackendID, error) {
+	address := g.follower.Director()
+	if address == "" {
+		return nil, &laburnumlever.NotFoundError{Kind: "control VM that gives orders", Name: "any"}
+	}
+	var answer needAnswer
+	err := g.peers.Call(ctx, address, methodNeed, needRequest{Service: service, Model: model, Adapter: adapter}, &answer)
+	return answer.Backends, err
+}
+
+// Shutdown ends the gateway in order: what is under way finishes unless ctx ends.
+func (g *Gateway) Shutdown(ctx context.Context) {
+	g.gateway.Drain(ctx, g.callers)
+	g.follower.Close()
+	g.close()
+	_ = level.Info(g.logger).Log("event", "stopped", "role", "gateway")
+}
--- /dev/null
+++ b/laburnumroles/process.go
@@ -0,0 +1,135 @@
+package laburnumroles
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnummetrics"
+	"laburnumlever/laburnumpeer"
+	"laburnumlever/laburnumsettings"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// headerTimeout bounds how long a connection may take to send its headers, so
+// that half-open connections do not pile up.
+const headerTimeout = 5 * time.Second
+
+// process is what both kinds of VM have.
+type process struct {
+	settings laburnumsettings.Role
+	logger   log.Logger
+	metrics  *laburnummetrics.Metrics
+	timers   laburnumlever.Timers
+	self     laburnumlever.VM
+	peers    *laburnumpeer.Peers
+	servers  []*http.Server
+}
+
+// Option changes a new process.
+type Option func(*process)
+
+// WithLogger sets the log; without it nothing is logged.
+func WithLogger(logger log.Logger) Option { return func(p *process) { p.logger = logger } }
+
+// WithMetrics sets the metrics that the process counts into and serves.
+func WithMetrics(metrics *laburnummetrics.Metrics) Option {
+	return func(p *process) { p.metrics = metrics }
+}
+
+// WithTimers sets the timer service; the default is the machine's clock.
+func WithTimers(timers laburnumlever.Timers) Option {
+	return func(p *process) { p.timers = timers }
+}
+
+func newProcess(settings laburnumsettings.Role, opts []Option) process {
+	p := process{settings: settings, logger: log.NewNopLogger()}
+	for _, opt := range opts {
+		opt(&p)
+	}
+	if p.metrics == nil {
+		p.metrics = laburnummetrics.New()
+	}
+	if p.timers == nil {
+		p.timers = laburnumtimer.New()
+	}
+	p.self = laburnumlever.VM{
+		ID: settings.VM, Zone: settings.Zone, Region: settings.Region, PeerAddress: settings.PeerAddress(),
+		HasDisk: settings.DataFolder != "", Incarnation: uint64(time.Now().UnixNano()),
+	}
+	host, _, _ := net.SplitHostPort(p.self.PeerAddress)
+	p.peers = laburnumpeer.New(p.self.ID, laburnumpeer.WithLogger(p.logger),
+		laburnumpeer.WithScope(p.metrics.Scope()), laburnumpeer.WithLocalIP(net.ParseIP(host)))
+	return p
+}
+
+func listen(name, address string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	ln, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, &ListenError{Name: name, Address: address, Cause: err}
+	}
+	return ln, nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+}
+
+// serve listens on an address and serves it; an empty one is not served.
+func (p *process) serve(name, address string, server *http.Server) error {
+	if address == "" {
+		return nil
+	}
+	ln, err := listen(name, address)
+	if err != nil {
+		return err
+	}
+	p.servers = append(p.servers, server)
+	go func() {
+		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			_ = level.Error(p.logger).Log("event", "listener-ended", "listener", name, "cause", err)
+		}
+	}()
+	return nil
+}
+
+// servePeers listens for the other VMs.
+func (p *process) servePeers() error {
+	ln, err := listen("peers", p.self.PeerAddress)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := p.peers.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
+			_ = level.Error(p.logger).Log("event", "listener-ended", "listener", "peers", "cause", err)
+		}
+	}()
+	return nil
+}
+
+func (p *process) serveMetrics() error {
+	return p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metrics.Handler()))
+}
+
+// seedPeers are the peer addresses of the seeds.
+func (p *process) seedPeers() []string {
+	var addresses []string
+	for _, v := range p.settings.SeedVoters() {
+		addresses = append(addresses, v.PeerAddress)
+	}
+	return addresses
+}
+
+func (p *process) close() {
+	for _, server := range p.servers {
+		_ = server.Close()
+	}
+	_ = p.peers.Close()
+}
--- /dev/null
+++ b/laburnumroutes/index.go
@@ -0,0 +1,74 @@
+package laburnumroutes
+
+import (
+	"net"
+	"strings"
+
+	"laburnumlever"
+)
+
+// Index finds routes by host and path. It is never changed once built.
+type Index struct {
+	table  laburnumlever.RouteTable
+	byHost map[string]map[string]*laburnumlever.Route
+}
+
+// NewIndex indexes a table that Check accepts.
+func NewIndex(table laburnumlever.RouteTable) *Index {
+	x := &Index{table: table, byHost: map[string]map[string]*laburnumlever.Route{}}
+	for i := range table.Routes {
+		r := &table.Routes[i]
+		host := normalHost(r.Host)
+		if x.byHost[host] == nil {
+			x.byHost[host] = map[string]*laburnumlever.Route{}
+		}
+		x.byHost[host][r.PathPrefix] = r
+	}
+	return x
+}
+
+// Table is the table that the index was made of.
+func (x *Index) Table() laburnumlever.RouteTable { return x.table }
+
+// Find returns the route with the longest prefix that begins the path. Prefixes
+// end with a slash, so only as many candidates as the path has slashes are tried.
+func (x *Index) Find(host, path string) (*laburnumlever.Route, bool) {
+	prefixes := x.byHost[normalHost(host)]
+	if prefixes == nil {
+		return nil, false
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := prefixes[path[:end+1]]; ok {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Pick chooses one of the route's services by weight; draw is any number, and the
+// same one gives the same service.
+func Pick(r laburnumlever.Route, draw uint64) laburnumlever.ServiceName {
+	total := 0
+	for _, share := range r.Split {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	at := int(draw % uint64(total))
+	for _, share := range r.Split {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return ""
+}
+
+// normalHost drops the port and the case, which callers may write as they like.
+func normalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- a/laburnumstate/machine.go
+++ b/laburnumstate/machine.go
@@ -51,6 +51,7 @@
 	limits    Limits
 	clock     int64
 	catalogue laburnumlever.Catalogue
+	routes    *laburnumlever.RouteTable // nil before the first
 	changes   changeTable
 	claims    claimTable
 	leases    leaseTable
@@ -90,23 +91,40 @@
 func (m *Machine) Apply(at int64, cmd laburnumlever.Command) laburnumlever.Result {
 	m.clock = max(m.clock, at)
 	m.claims.expire(m.clock, m.limits.ClaimMillis)
-	result := m.dispatch(cmd)
+	result := m.read(cmd)
+	if changes(cmd) {
+		result = m.dispatch(cmd)
+	}
 	if result.Revision == 0 { // a recorded answer keeps the revision that it gave
 		result.Revision = m.catalogue.Revision
 	}
 	return result
 }
 
+// changes tells commands that change the state from those that only take a place
+// in the log.
+func changes(cmd laburnumlever.Command) bool {
+	return cmd.Kind != laburnumlever.CommandNoop && cmd.Kind != laburnumlever.CommandReadRoutes
+}
+
+// read answers a command that changes nothing.
+func (m *Machine) read(cmd laburnumlever.Command) laburnumlever.Result {
+	if cmd.Kind == laburnumlever.CommandReadRoutes {
+		return laburnumlever.Result{Routes: m.routes}
+	}
+	return laburnumlever.Result{}
+}
+
 func (m *Machine) dispatch(cmd laburnumlever.Command) laburnumlever.Result {
 	switch {
-	case cmd.Kind == laburnumlever.CommandNoop:
-		return laburnumlever.Result{}
 	case cmd.Kind == laburnumlever.CommandApplyCatalogue && cmd.Apply != nil:
 		return m.applyCatalogue(*cmd.Apply)
 	case cmd.Kind == laburnumlever.CommandClaimRequest && cmd.Claim != nil:
 		return m.claims.claim(m.clock, m.limits, *cmd.Claim)
 	case cmd.Kind == laburnumlever.CommandRecordAnswer && cmd.Answer != nil:
 		return m.claims.answer(m.clock, m.limits, *cmd.Answer)
+	case cmd.Kind == laburnumlever.CommandApplyRoutes && cmd.Routes != nil:
+		return m.applyRoutes(*cmd.Routes)
 	case cmd.Lease != nil:
 		return m.leases.apply(m.limits, cmd.Kind, *cmd.Lease)
 	case cmd.Intent != nil:
@@ -143,3 +161,17 @@
 	}
 	return xxhash.Sum64(data), nil
 }
+
+// Routes is the route table with the highest version accepted; nil before the
+// first.
+func (m *Machine) Routes() *laburnumlever.RouteTable { return m.routes }
+
+// applyRoutes takes a table with a higher version than the one held. A lower or
+// equal one is accepted and changes nothing: its sender has lost an answer, or
+// another operator was faster.
+func (m *Machine) applyRoutes(t laburnumlever.RouteTable) laburnumlever.Result {
+	if m.routes == nil || t.Version > m.routes.Version {
+		m.routes = &t
+	}
+	return laburnumlever.Result{Code: laburnumlever.ResultOK}
+}
--- a/laburnumstate/snapshot.go
+++ b/laburnumstate/snapshot.go
@@ -12,6 +12,7 @@
 type Image struct {
 	Clock     int64                       `json:"clock"`
 	Catalogue laburnumlever.Catalogue     `json:"catalogue"`
+	Routes    *laburnumlever.RouteTable   `json:"routes,omitempty"`
 	Changes   []change                    `json:"changes,omitempty"`
 	Claims    []claim                     `json:"claims,omitempty"`
 	Fence     uint64                      `json:"fence"`
@@ -22,7 +23,7 @@
 // Image copies what a snapshot needs.
 func (m *Machine) Image() Image {
 	img := Image{
-		Clock: m.clock, Catalogue: m.catalogue, Changes: m.changes.list,
+		Clock: m.clock, Catalogue: m.catalogue, Routes: m.routes, Changes: m.changes.list,
 		Fence: m.leases.fence, Leases: m.leases.list, Intents: m.leases.intents,
 	}
 	img.Claims = make([]claim, 0, len(m.claims.byKey))
@@ -52,7 +53,7 @@
 	if err := json.Unmarshal(data, &img); err != nil {
 		return nil, &ImageError{Cause: err}
 	}
-	m.clock, m.catalogue = img.Clock, img.Catalogue
+	m.clock, m.catalogue, m.routes = img.Clock, img.Catalogue, img.Routes
 	for _, c := range img.Changes {
 		m.changes.add(c, m.limits.Changes)
 	}
--- a/laburnumvoter/drive.go
+++ b/laburnumvoter/drive.go
@@ -132,6 +132,10 @@
 		v.told = catalogue.Revision
 		v.onCatalogue(catalogue)
 	}
+	if routes := v.machine.Routes(); routes != nil && routes.Version > v.toldRoutes {
+		v.toldRoutes = routes.Version
+		v.onRoutes(*routes)
+	}
 }
 
 // maybeSnapshot has a snapshot encoded once the entries since the last one are as
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -62,7 +62,8 @@
 
 func (v *Voter) helloAddresses() []string {
 	var addresses []string
-	for _, voter := range append(slices.Clone(v.cfg.voters), v.voterList()...) {
+	known := slices.Concat(v.cfg.voters, v.voterList(), v.contacts())
+	for _, voter := range known {
 		if voter.PeerAddress != v.self.PeerAddress && !slices.Contains(addresses, voter.PeerAddress) {
 			addresses = append(addresses, voter.PeerAddress)
 		}
@@ -70,6 +71,13 @@
 	return addresses
 }
 
+func (v *Voter) contacts() []laburnumlever.Voter {
+	if v.cfg.contacts == nil {
+		return nil
+	}
+	return v.cfg.contacts()
+}
+
 func (v *Voter) onHello(h helloMessage) {
 	if v.log == nil || h.Member.VM == v.self.ID {
 		return
@@ -217,7 +225,7 @@
 		v.change("voter-removed", old, configuration.Without(old.ID))
 		return
 	}
-	if len(configuration.Voters()) >= len(v.cfg.voters) {
+	if len(configuration.Voters()) >= v.cfg.voterTarget {
 		v.change("learner-removed", m, configuration.Without(m.ID))
 		return
 	}
@@ -238,7 +246,7 @@
 			return m, true
 		}
 	}
-	if len(configuration.Voters()) < len(v.cfg.voters) {
+	if len(configuration.Voters()) < v.cfg.voterTarget {
 		return laburnumlog.Member{}, false
 	}
 	for _, m := range configuration.Voters() {
@@ -259,7 +267,7 @@
 		return false
 	}
 	_, replaces := v.replacedBy(configuration, vm)
-	return replaces || len(configuration.Voters()) < len(v.cfg.voters)
+	return replaces || len(configuration.Voters()) < v.cfg.voterTarget
 }
 
 func (v *Voter) allowed(vm laburnumlever.VMID) bool {
--- a/laburnumvoter/options.go
+++ b/laburnumvoter/options.go
@@ -34,6 +34,8 @@
 	stateOptions    []laburnumstate.Option
 	voters          []laburnumlever.Voter
 	candidates      func() []laburnumlever.Voter
+	contacts        func() []laburnumlever.Voter
+	voterTarget     int
 	logger          log.Logger
 	scope           tally.Scope
 	tick            time.Duration
@@ -52,6 +54,9 @@
 	for _, opt := range opts {
 		opt(&cfg)
 	}
+	if cfg.voterTarget == 0 {
+		cfg.voterTarget = len(cfg.voters)
+	}
 	return cfg
 }
 
@@ -74,6 +79,17 @@
 	return func(c *config) { c.candidates = candidates }
 }
 
+// WithContacts sets whom a VM asks that knows of no voters, or not of the present
+// ones: a replica that was emptied, or one that was not there when the log was
+// founded. It may be called on any goroutine.
+func WithContacts(contacts func() []laburnumlever.Voter) Option {
+	return func(c *config) { c.contacts = contacts }
+}
+
+// WithVoterTarget sets how many voters the leader aims at; without it as many as
+// there were first voters. A log founded by fewer grows to it.
+func WithVoterTarget(n int) Option { return func(c *config) { c.voterTarget = n } }
+
 // WithLogger sets the logger.
 func WithLogger(logger log.Logger) Option { return func(c *config) { c.logger = logger } }
 
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -66,7 +67,7 @@
 	cmd = v.identified(cmd)
 	ctx, cancel := v.bounded(ctx)
 	defer cancel()
-	s := search{voter: v, known: v.known.list()}
+	s := search{voter: v, known: slices.Concat(v.known.list(), v.contacts())}
 	for {
 		answer := s.try(ctx, cmd)
 		switch answer.Verdict {
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -32,8 +32,10 @@
 	joiners      map[laburnumlever.VMID]joiner
 	renewals     map[string]renewal
 	onCatalogue  func(laburnumlever.Catalogue)
+	onRoutes     func(laburnumlever.RouteTable)
 	applied      uint64
 	told         uint64 // the revision last given to onCatalogue
+	toldRoutes   uint64 // the version last given to onRoutes
 	logBytes     int    // of entries since the last snapshot
 	lastSnapshot int    // size of the last snapshot
 	encoding     bool
@@ -69,7 +71,8 @@
 		waiters:   map[uint64]waiter{},
 		addresses: map[laburnumlog.ReplicaID]string{}, joiners: map[laburnumlever.VMID]joiner{},
 		renewals: map[string]renewal{}, onCatalogue: func(laburnumlever.Catalogue) {},
-		done: make(chan struct{}), startedAt: timers.Now(),
+		onRoutes: func(laburnumlever.RouteTable) {},
+		done:     make(chan struct{}), startedAt: timers.Now(),
 	}
 	v.known.set(v.cfg.voters)
 	if v.cfg.folder != "" {
@@ -106,6 +109,10 @@
 // revision newly applied, and after recovery. Set it before Start.
 func (v *Voter) OnCatalogue(fn func(laburnumlever.Catalogue)) { v.onCatalogue = fn }
 
+// OnRoutes sets the function that is called on the control thread for each route
+// table newly applied, and after recovery. Set it before Start.
+func (v *Voter) OnRoutes(fn func(laburnumlever.RouteTable)) { v.onRoutes = fn }
+
 // Start makes the voter take part.
 func (v *Voter) Start() {
 	v.loop.Post(v, started{})
