--- a/backend.go
+++ b/backend.go
@@ -180,6 +180,8 @@
 	AnswerTokens      float64 `json:"answer-tokens-per-second"`
 	// Refused counts those turned away for want of capacity, a second.
 	Refused float64 `json:"refused-per-second"`
+	// Adapters are those used since the last view.
+	Adapters []AdapterName `json:"adapters,omitempty"`
 	// InsideTarget is the share answered inside their class's targets.
 	InsideTarget float64 `json:"inside-target"`
 }
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -121,6 +121,15 @@
 	s.record = r
 }
 
+// SetOverlay takes what the VM that gives the orders knows of an engine.
+func (t *Table) SetOverlay(o laburnumregistry.Overlay) {
+	s := t.servers[o.Backend]
+	if s == nil || o.Fence < s.overlay.Fence {
+		return
+	}
+	s.overlay = o
+}
+
 func (t *Table) remove(id laburnumlever.BackendID) {
 	s := t.servers[id]
 	if s == nil {
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -35,9 +35,10 @@
 
 // server is one backend server as this VM sees it.
 type server struct {
-	record laburnumregistry.Record
-	local  bool
-	own    int
+	record  laburnumregistry.Record
+	overlay laburnumregistry.Overlay
+	local   bool
+	own     int
 	// others is what the last answer told beyond the own count.
 	others   float64
 	othersAt time.Time
@@ -86,7 +87,7 @@
 	if adapter != "" && now.Before(s.absent[held{model: model, adapter: adapter}]) {
 		return false
 	}
-	if s.record.Heartbeat.Holds(model, adapter) {
+	if s.overlay.Holds(s.record.Heartbeat, model, adapter) {
 		return true
 	}
 	return now.Before(s.added[held{model: model, adapter: adapter}]) &&
--- /dev/null
+++ b/laburnumdirector/adapters.go
@@ -0,0 +1,230 @@
+package laburnumdirector
+
+import (
+	"context"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// adapterLoad is how long a gateway waits after an engine has taken the order
+	// for an adapter; one that comes a little later makes the engine say that the
+	// request was not run.
+	adapterLoad = 12 * time.Millisecond
+	// needLimit is how long a question for an adapter is worth answering.
+	needLimit = 400 * time.Millisecond
+	// adapterQuiet is how long an adapter must be unused before it gives way: the
+	// gateways tell once a second which they use.
+	adapterQuiet = 2500 * time.Millisecond
+	// comingLimit is how many adapters may be on their way to one engine.
+	comingLimit = 4
+)
+
+// need is a gateway's question for an adapter.
+type need struct {
+	service laburnumlever.ServiceName
+	key     adapterKey
+	since   time.Time
+	answer  chan needAnswer
+}
+
+type needAnswer struct {
+	backends []laburnumlever.BackendID
+	err      error
+}
+
+func (n *need) reply(backends []laburnumlever.BackendID, err error) {
+	n.answer <- needAnswer{backends: backends, err: err}
+}
+
+// Need asks for an adapter and returns the engines that hold it by now. Errors:
+// *NotDirectorError, *NoAdapterPlaceError, *ClosedError.
+func (d *Director) Need(ctx context.Context, service laburnumlever.ServiceName, model laburnumlever.ModelName, adapter laburnumlever.AdapterName) ([]laburnumlever.BackendID, error) {
+	n := &need{
+		service: service, key: adapterKey{model: model, adapter: adapter}, since: d.timers.Now(),
+		answer: make(chan needAnswer, 1),
+	}
+	d.loop.Post(d, needed{need: n})
+	select {
+	case a := <-n.answer:
+		return a.backends, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-d.done:
+		return nil, &ClosedError{}
+	}
+}
+
+func (d *Director) onNeed(n *need) {
+	if !d.lease.valid(d.clock()) {
+		n.reply(nil, &NotDirectorError{VM: d.self.ID})
+		return
+	}
+	if !d.serve(n) {
+		d.needs = append(d.needs, n)
+	}
+}
+
+// tendNeeds tries those again that wait.
+func (d *Director) tendNeeds(now time.Time) {
+	var left []*need
+	for _, n := range d.needs {
+		if d.serve(n) {
+			continue
+		}
+		if now.Sub(n.since) > needLimit {
+			n.reply(nil, &NoAdapterPlaceError{Model: n.key.model, Adapter: n.key.adapter, Detail: "none had a place in time"})
+			continue
+		}
+		left = append(left, n)
+	}
+	d.needs = left
+}
+
+func (d *Director) failNeeds() {
+	for _, n := range d.needs {
+		n.reply(nil, &NotDirectorError{VM: d.self.ID})
+	}
+	d.needs = nil
+}
+
+// serve answers a question whose adapter is there, or sees to it that it comes.
+func (d *Director) serve(n *need) bool {
+	now := d.timers.Now()
+	var there []laburnumlever.BackendID
+	coming := false
+	for _, id := range d.engineOrder() {
+		a := d.engines[id].adapter(n.key)
+		if a == nil {
+			continue
+		}
+		coming = true
+		if a.ready {
+			a.usedAt = now
+			there = append(there, id)
+		}
+	}
+	if len(there) > 0 {
+		n.reply(there, nil)
+		return true
+	}
+	if !coming {
+		d.bring(n, now)
+	}
+	return false
+}
+
+// used notes that requests used an adapter, at whichever engine.
+func (d *Director) used(key adapterKey, now time.Time) {
+	for _, e := range d.engines {
+		if a := e.adapter(key); a != nil {
+			a.usedAt = now
+		}
+	}
+}
+
+func (e *engine) adapter(key adapterKey) *heldAdapter {
+	h := e.held[key.model]
+	if h == nil || h.withdrawn {
+		return nil
+	}
+	return h.adapters[key.adapter]
+}
+
+// bring orders the adapter to the engine with the model that has most places, or
+// makes one by giving up the adapter unused for longest.
+func (d *Director) bring(n *need, now time.Time) {
+	class := d.services[n.service]
+	if class == nil {
+		return
+	}
+	var best *engine
+	for _, id := range d.engineOrder() {
+		e := d.engines[id]
+		h := e.held[n.key.model]
+		if h == nil || h.withdrawn || !e.takesAdapter(now) {
+			continue
+		}
+		if best == nil || e.adapters() < best.adapters() {
+			best = e
+		}
+	}
+	if best == nil {
+		return
+	}
+	if best.adapters() < class.AdapterSlots && best.roomFor(class, n.key.model) {
+		d.send(best, laburnumlever.EngineOrder{Kind: laburnumlever.Load, Model: n.key.model, Adapter: n.key.adapter})
+		return
+	}
+	if victim, ok := best.unused(now); ok {
+		d.send(best, laburnumlever.EngineOrder{Kind: laburnumlever.Unload, Model: victim.model, Adapter: victim.adapter})
+	}
+}
+
+// takesAdapter tells whether an order for an adapter can be sent: an engine that is
+// loading a model refuses it.
+func (e *engine) takesAdapter(now time.Time) bool {
+	coming := 0
+	for _, h := range e.held {
+		for _, a := range h.adapters {
+			if !a.ready {
+				coming++
+			}
+		}
+	}
+	return e.idle() && !now.Before(e.tryAt) && coming < comingLimit
+}
+
+func (e *engine) roomFor(class *laburnumlever.EngineClass, model laburnumlever.ModelName) bool {
+	used := 0.0
+	for name, h := range e.held {
+		m, _ := class.Model(name)
+		used += m.WeightsMB + m.AdapterMB*float64(len(h.adapters))
+	}
+	m, _ := class.Model(model)
+	return used+m.AdapterMB <= class.WeightsMB
+}
+
+// unused is the adapter at the engine that nobody has asked for the longest.
+func (e *engine) unused(now time.Time) (adapterKey, bool) {
+	var oldest *heldAdapter
+	var key adapterKey
+	for model, h := range e.held {
+		for name, a := range h.adapters {
+			if !a.ready || now.Sub(a.usedAt) < adapterQuiet || (oldest != nil && !a.usedAt.Before(oldest.usedAt)) {
+				continue
+			}
+			oldest, key = a, adapterKey{model: model, adapter: name}
+		}
+	}
+	return key, oldest != nil
+}
+
+// adapterBegun notes that an engine has taken an order for an adapter.
+func (d *Director) adapterBegun(e *engine, order laburnumlever.EngineOrder) {
+	key := adapterKey{model: order.Model, adapter: order.Adapter}
+	if order.Kind == laburnumlever.Unload {
+		e.drop(key, d.timers.Now())
+		return
+	}
+	id := e.heartbeat.Backend
+	d.timers.After(adapterLoad, func(time.Time) { d.loop.Post(d, arrived{backend: id, key: key}) })
+}
+
+func (d *Director) onArrived(ev arrived) {
+	e := d.engines[ev.backend]
+	if e == nil {
+		return
+	}
+	a := e.adapter(ev.key)
+	if a == nil {
+		return
+	}
+	a.ready, a.usedAt = true, d.timers.Now()
+	e.changed = true
+	_ = level.Debug(d.cfg.logger).Log("event", "adapter-there", "backend", ev.backend, "model", ev.key.model, "adapter", ev.key.adapter)
+	d.tendNeeds(d.timers.Now())
+}
--- /dev/null
+++ b/laburnumdirector/clock.go
@@ -0,0 +1,20 @@
+package laburnumdirector
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// bootClock is the time since the machine's start, that of its suspensions
+// included. The steady clock of the runtime stands still while a VM is suspended, so
+// a lease that it measures would outlive its term.
+func bootClock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Since(processStart) // a kernel without it does not suspend
+	}
+	return time.Duration(t.Nano())
+}
+
+var processStart = time.Now()
--- /dev/null
+++ b/laburnumdirector/director.go
@@ -0,0 +1,361 @@
+package laburnumdirector
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumresidency"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// tickPeriod is how often the director looks for work: short beside the time
+	// of any load.
+	tickPeriod = 100 * time.Millisecond
+	// withdrawTime is how long gateways get to hear that a model goes before its
+	// unload is ordered; one that has not heard is told by the engine that the
+	// request was not run.
+	withdrawTime = 250 * time.Millisecond
+	// stateTimeout bounds a question to an engine, orderTimeout an order.
+	stateTimeout = time.Second
+	orderTimeout = time.Second
+	// stateRetry is how long a report lags, and some.
+	stateRetry = 500 * time.Millisecond
+	// unsureRetry is when an order without an answer is sent again.
+	unsureRetry = 300 * time.Millisecond
+	// workSlack is how much longer than expected an order's work may take before
+	// the engine is asked.
+	workSlack = 4 * time.Second
+	// workStretch multiplies the expected time: many loads at once take longer.
+	workStretch = 3
+)
+
+type config struct {
+	lease  time.Duration
+	logger log.Logger
+	scope  tally.Scope
+	clock  func() time.Duration
+	random *rand.Rand
+}
+
+// Option changes a new director.
+type Option func(*config)
+
+// WithLease sets how long the lease lasts, and how far apart two owners stay.
+func WithLease(d time.Duration) Option { return func(c *config) { c.lease = d } }
+
+// WithLogger sets the log; without it nothing is logged.
+func WithLogger(logger log.Logger) Option { return func(c *config) { c.logger = logger } }
+
+// WithScope sets where counters go; without it they go nowhere.
+func WithScope(scope tally.Scope) Option { return func(c *config) { c.scope = scope } }
+
+// WithClock sets the clock that leases are measured by.
+func WithClock(clock func() time.Duration) Option { return func(c *config) { c.clock = clock } }
+
+// Director is a part of the control thread.
+type Director struct {
+	loop     laburnumlever.Loop
+	timers   laburnumlever.Timers
+	proposer laburnumlever.Proposer
+	calls    laburnumlever.ModelEngines
+	self     laburnumlever.VM
+	cfg      config
+	clock    func() time.Duration
+	done     chan struct{}
+	once     sync.Once
+	cancel   func()
+
+	leads       func() bool
+	onOverlay   func(laburnumregistry.Overlay)
+	onDirecting func(directs bool)
+	onGone      func(laburnumlever.BackendID)
+
+	// Control thread only, from here on.
+	lease    lease
+	services map[laburnumlever.ServiceName]*laburnumlever.EngineClass
+	records  map[laburnumlever.BackendID]laburnumregistry.Record
+	engines  map[laburnumlever.BackendID]*engine
+	demand   *estimator
+	store    map[laburnumlever.ServiceName]*bucket
+	needs    []*need
+}
+
+var _ laburnumlever.Part = (*Director)(nil)
+
+// New makes a director that does not run yet.
+func New(loop laburnumlever.Loop, timers laburnumlever.Timers, proposer laburnumlever.Proposer, calls laburnumlever.ModelEngines, self laburnumlever.VM, opts ...Option) *Director {
+	const defaultLease = 3 * time.Second
+	cfg := config{lease: defaultLease, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock}
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	return &Director{
+		loop: loop, timers: timers, proposer: proposer, calls: calls, self: self, cfg: cfg, clock: cfg.clock,
+		done: make(chan struct{}), leads: func() bool { return false },
+		onOverlay: func(laburnumregistry.Overlay) {}, onDirecting: func(bool) {}, onGone: func(laburnumlever.BackendID) {},
+		services: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
+		records:  map[laburnumlever.BackendID]laburnumregistry.Record{},
+		engines:  map[laburnumlever.BackendID]*engine{}, demand: newEstimator(),
+		store: map[laburnumlever.ServiceName]*bucket{},
+	}
+}
+
+// OnLeads sets how to find out whether this VM leads the log; set it before Start.
+func (d *Director) OnLeads(leads func() bool) { d.leads = leads }
+
+// OnOverlay sets who is told, on the control thread, what the director knows of an
+// engine.
+func (d *Director) OnOverlay(fn func(laburnumregistry.Overlay)) { d.onOverlay = fn }
+
+// OnDirecting sets who is told, on the control thread, whether this VM gives the
+// orders.
+func (d *Director) OnDirecting(fn func(directs bool)) { d.onDirecting = fn }
+
+// OnGone sets who is told, on the control thread, that an engine's address is
+// another's now.
+func (d *Director) OnGone(fn func(laburnumlever.BackendID)) { d.onGone = fn }
+
+// Start makes the director look for work.
+func (d *Director) Start() {
+	d.cancel = d.timers.Every(tickPeriod, func(now time.Time) { d.loop.Post(d, ticked{now: now}) })
+}
+
+// Close ends it; questions that wait fail.
+func (d *Director) Close() {
+	d.once.Do(func() {
+		if d.cancel != nil {
+			d.cancel()
+		}
+		close(d.done)
+	})
+}
+
+// SetRecord takes news of a backend server; any goroutine.
+func (d *Director) SetRecord(r laburnumregistry.Record) { d.loop.Post(d, recorded{record: r}) }
+
+// SetRoutes takes the routes in force; any goroutine.
+func (d *Director) SetRoutes(t laburnumlever.RouteTable) { d.loop.Post(d, routed{table: t}) }
+
+// SetDemand takes what callers ask of a gateway; any goroutine.
+func (d *Director) SetDemand(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand) {
+	d.loop.Post(d, demanded{vm: vm, rows: rows})
+}
+
+// Handle runs on the control thread.
+func (d *Director) Handle(ev laburnumlever.Event) {
+	switch ev := ev.(type) {
+	case ticked:
+		d.onTick(ev.now)
+	case recorded:
+		d.onRecord(ev.record)
+	case routed:
+		d.onRoutes(ev.table)
+	case demanded:
+		d.onDemand(ev)
+	case leased:
+		d.onLeased(ev)
+	case ordered:
+		d.onOrdered(ev)
+	case stated:
+		d.onStated(ev)
+	case arrived:
+		d.onArrived(ev)
+	case needed:
+		d.onNeed(ev.need)
+	}
+	d.publish()
+}
+
+func (d *Director) onTick(now time.Time) {
+	d.tendLease()
+	if !d.lease.valid(d.clock()) {
+		return
+	}
+	for _, id := range d.engineOrder() {
+		d.tendEngine(d.engines[id], now)
+	}
+	for name, class := range d.services {
+		d.plan(name, class, now)
+	}
+	d.tendNeeds(now)
+}
+
+func (d *Director) onDemand(ev demanded) {
+	now := d.timers.Now()
+	d.demand.add(ev.vm, ev.rows, now)
+	for _, row := range ev.rows {
+		for _, adapter := range row.Adapters {
+			d.used(adapterKey{model: row.Model, adapter: adapter}, now)
+		}
+	}
+}
+
+// engineOrder is the engines by name, so that each look sees them alike.
+func (d *Director) engineOrder() []laburnumlever.BackendID {
+	ids := make([]laburnumlever.BackendID, 0, len(d.engines))
+	for id := range d.engines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (d *Director) onRoutes(t laburnumlever.RouteTable) {
+	d.services = map[laburnumlever.ServiceName]*laburnumlever.EngineClass{}
+	for _, s := range t.Services {
+		if s.Engine != nil {
+			d.services[s.Name] = s.Engine
+		}
+	}
+	for id, r := range d.records {
+		if d.engines[id] == nil {
+			d.onRecord(r)
+		}
+	}
+}
+
+func (d *Director) onRecord(r laburnumregistry.Record) {
+	id := r.Heartbeat.Backend
+	if !r.TakesWork() {
+		delete(d.records, id)
+		if d.engines[id] != nil {
+			delete(d.engines, id)
+		}
+		return
+	}
+	d.records[id] = r
+	if d.services[r.Heartbeat.Service] == nil {
+		return
+	}
+	e := d.engines[id]
+	if e == nil {
+		e = newEngine(r.Heartbeat)
+		d.engines[id] = e
+	} else if e.takeHeartbeat(r.Heartbeat, d.timers.Now()) {
+		_ = level.Info(d.cfg.logger).Log("event", "order-done", "backend", id, "models", len(e.held))
+	}
+	e.silent = r.Silent
+}
+
+// forgetEngines starts over from the heartbeats: what was known of orders is of the
+// time before another owner.
+func (d *Director) forgetEngines() {
+	d.engines = map[laburnumlever.BackendID]*engine{}
+	d.store = map[laburnumlever.ServiceName]*bucket{}
+	for _, r := range d.records {
+		d.onRecord(r)
+	}
+}
+
+// plan asks the planner for one service and sends what it says.
+func (d *Director) plan(name laburnumlever.ServiceName, class *laburnumlever.EngineClass, now time.Time) {
+	var engines []laburnumresidency.Engine
+	for _, id := range d.engineOrder() {
+		if e := d.engines[id]; e.heartbeat.Service == name {
+			if !e.known {
+				d.ask(e, now)
+			}
+			engines = append(engines, e.planned(now))
+		}
+	}
+	for _, step := range laburnumresidency.Next(class, engines, d.demand.places(now), d.adaptersUsed(engines, now)) {
+		d.take(d.engines[step.Engine], class, step, now)
+	}
+}
+
+// adaptersUsed counts the adapters of each model that were used lately, or are asked
+// for.
+func (d *Director) adaptersUsed(engines []laburnumresidency.Engine, now time.Time) map[laburnumlever.ModelName]int {
+	used := map[adapterKey]bool{}
+	for _, planned := range engines {
+		for model, h := range d.engines[planned.ID].held {
+			for name, a := range h.adapters {
+				if now.Sub(a.usedAt) < adapterQuiet {
+					used[adapterKey{model: model, adapter: name}] = true
+				}
+			}
+		}
+	}
+	for _, n := range d.needs {
+		used[n.key] = true
+	}
+	counts := map[laburnumlever.ModelName]int{}
+	for key := range used {
+		counts[key.model]++
+	}
+	return counts
+}
+
+// take carries a step out: an unload begins with the word to the gateways.
+func (d *Director) take(e *engine, class *laburnumlever.EngineClass, step laburnumresidency.Step, now time.Time) {
+	order := laburnumlever.EngineOrder{Kind: step.Kind, Model: step.Model}
+	if step.Kind == laburnumlever.Unload {
+		h := e.held[step.Model]
+		if h == nil || h.withdrawn {
+			return
+		}
+		h.withdrawn, h.withdrawnAt = true, now
+		e.changed = true
+		_ = level.Info(d.cfg.logger).Log("event", "model-withdrawn", "backend", e.heartbeat.Backend, "model", step.Model, "cause", step.Reason)
+		return
+	}
+	if step.FromStore && !d.payStore(e, class) {
+		return
+	}
+	_ = level.Info(d.cfg.logger).Log("event", "load-decided", "backend", e.heartbeat.Backend, "model", step.Model,
+		"from-store", step.FromStore, "cause", step.Reason)
+	d.send(e, order)
+}
+
+func (d *Director) payStore(e *engine, class *laburnumlever.EngineClass) bool {
+	b := d.store[e.heartbeat.Service]
+	if b == nil {
+		b = &bucket{}
+		d.store[e.heartbeat.Service] = b
+	}
+	return class.LoadsPerSecond <= 0 || b.take(d.clock(), class.LoadsPerSecond)
+}
+
+// publish tells the gateways what heartbeats do not show yet.
+func (d *Director) publish() {
+	if !d.lease.held {
+		return
+	}
+	for _, e := range d.engines {
+		if e.changed {
+			e.changed = false
+			d.onOverlay(e.overlay(d.lease.fence))
+		}
+	}
+}
+
+func (e *engine) overlay(fence uint64) laburnumregistry.Overlay {
+	o := laburnumregistry.Overlay{Backend: e.heartbeat.Backend, Fence: fence, Sequence: e.heartbeat.Sequence}
+	for name, h := range e.held {
+		if h.withdrawn {
+			o.Withdrawn = append(o.Withdrawn, name)
+			continue
+		}
+		m := laburnumlever.HeldModel{Name: name, Version: h.version}
+		for a, held := range h.adapters {
+			if held.ready {
+				m.Adapters = append(m.Adapters, a)
+			}
+		}
+		slices.Sort(m.Adapters)
+		if len(m.Adapters) > 0 {
+			o.Adapters = append(o.Adapters, m)
+		}
+	}
+	slices.Sort(o.Withdrawn)
+	slices.SortFunc(o.Adapters, func(a, b laburnumlever.HeldModel) int { return compareNames(a.Name, b.Name) })
+	return o
+}
--- /dev/null
+++ b/laburnumdirector/events.go
@@ -0,0 +1,54 @@
+package laburnumdirector
+
+import (
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumregistry"
+)
+
+type (
+	ticked struct{ now time.Time }
+	// recorded is news of a backend server.
+	recorded struct{ record laburnumregistry.Record }
+	routed   struct{ table laburnumlever.RouteTable }
+	demanded struct {
+		vm   laburnumlever.VMID
+		rows []laburnumlever.ModelDemand
+	}
+	// leased is the answer to a try to get or renew the lease.
+	leased struct {
+		sentAt time.Duration
+		result laburnumlever.Result
+		err    error
+	}
+	// ordered is an engine's answer to an order.
+	ordered struct {
+		backend laburnumlever.BackendID
+		order   laburnumlever.EngineOrder
+		verdict laburnumlever.EngineVerdict
+		err     error
+	}
+	// stated is an engine's state.
+	stated struct {
+		backend laburnumlever.BackendID
+		state   laburnumlever.EngineState
+		err     error
+	}
+	// arrived says that an adapter has had the time to load.
+	arrived struct {
+		backend laburnumlever.BackendID
+		key     adapterKey
+	}
+	needed struct{ need *need }
+)
+
+func (ticked) EventName() string   { return "director-ticked" }
+func (recorded) EventName() string { return "director-recorded" }
+func (routed) EventName() string   { return "director-routed" }
+func (demanded) EventName() string { return "director-demanded" }
+func (leased) EventName() string   { return "director-leased" }
+func (ordered) EventName() string  { return "director-ordered" }
+func (stated) EventName() string   { return "director-stated" }
+func (arrived) EventName() string  { return "director-arrived" }
+func (needed) EventName() string   { return "director-needed" }
--- /dev/null
+++ b/laburnumdirector/lease.go
@@ -0,0 +1,111 @@
+package laburnumdirector
+
+import (
+	"context"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// leaseName names the lease in the log.
+	leaseName = "engines"
+	// renewShare of the lease passes before it is renewed, so that two renewals
+	// may fail.
+	renewShare = 0.3
+	// safeShare of the lease is used: the rest is for an order on its way and for
+	// clocks that run at different speeds.
+	safeShare = 0.7
+	// leaseTimeout bounds one try.
+	leaseTimeout = time.Second
+	// firstFence is the fencing number of the first grant ever: nobody can have
+	// given orders before.
+	firstFence = 1
+)
+
+// lease is what the director knows of its own. Times are of the clock that goes on
+// while the VM is suspended.
+type lease struct {
+	held  bool
+	fence uint64
+	// until is when it may have been given to another, counted from when the last
+	// grant or renewal was asked for.
+	until time.Duration
+	// from is when the first order may be sent.
+	from   time.Duration
+	asking bool
+	asked  time.Duration
+}
+
+// valid tells whether an order may be sent now.
+func (l *lease) valid(now time.Duration) bool { return l.held && now >= l.from && now < l.until }
+
+// tendLease gets the lease if this VM leads the log, and renews what it holds.
+func (d *Director) tendLease() {
+	now := d.clock()
+	if d.lease.held && now >= d.lease.until {
+		d.loseLease("not renewed in time")
+	}
+	if d.lease.asking {
+		return
+	}
+	kind := laburnumlever.CommandAcquireLease
+	if d.lease.held {
+		if now < d.lease.asked+time.Duration(renewShare*float64(d.cfg.lease)) {
+			return
+		}
+		kind = laburnumlever.CommandRenewLease
+	} else if !d.leads() {
+		return
+	}
+	d.lease.asking = true
+	d.askLease(kind, now)
+}
+
+func (d *Director) askLease(kind laburnumlever.CommandKind, now time.Duration) {
+	cmd := laburnumlever.Command{Kind: kind, Lease: &laburnumlever.LeaseCommand{
+		Name: leaseName, Holder: d.self.ID, Incarnation: d.self.Incarnation, Fence: d.lease.fence,
+		TTL: laburnumlever.Duration(d.cfg.lease),
+	}}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+		defer cancel()
+		result, err := d.proposer.Propose(ctx, cmd)
+		d.loop.Post(d, leased{sentAt: now, result: result, err: err})
+	}()
+}
+
+func (d *Director) onLeased(ev leased) {
+	d.lease.asking = false
+	if ev.err != nil {
+		return // the next tick tries again
+	}
+	if ev.result.Code != laburnumlever.ResultOK {
+		if d.lease.held {
+			d.loseLease("another holds it")
+		}
+		return
+	}
+	d.lease.asked = ev.sentAt
+	d.lease.until = ev.sentAt + time.Duration(safeShare*float64(d.cfg.lease))
+	if d.lease.held && d.lease.fence == ev.result.Fence {
+		return
+	}
+	d.lease.held, d.lease.fence = true, ev.result.Fence
+	d.lease.from = d.clock()
+	if ev.result.Fence > firstFence {
+		d.lease.from += d.cfg.lease
+	}
+	d.forgetEngines()
+	d.onDirecting(true)
+	_ = level.Info(d.cfg.logger).Log("event", "lease-got", "fence", d.lease.fence, "wait", d.lease.from-d.clock())
+}
+
+func (d *Director) loseLease(why string) {
+	d.lease = lease{}
+	d.failNeeds()
+	d.onDirecting(false)
+	_ = level.Warn(d.cfg.logger).Log("event", "lease-lost", "cause", why)
+}
--- /dev/null
+++ b/laburnumdirector/orders.go
@@ -0,0 +1,231 @@
+package laburnumdirector
+
+import (
+	"context"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+)
+
+// send sends an order under the lease, if it still holds at this moment: a VM that
+// was frozen since the last tick must not act on a lease that has run out.
+func (d *Director) send(e *engine, order laburnumlever.EngineOrder) {
+	if !d.lease.valid(d.clock()) || e.sending != nil || !e.known {
+		return
+	}
+	order.Expect, order.Holder, order.Fence = e.accepted, d.self.ID, d.lease.fence
+	e.sending = &order
+	e.note(order, d.timers.Now())
+	d.cfg.scope.Counter("orders-sent").Inc(1)
+	to, until := e.heartbeat, d.lease.until
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		defer cancel()
+		if d.clock() >= until {
+			d.loop.Post(d, ordered{backend: to.Backend, order: order, err: &laburnumlever.NotSentError{Cause: &NotDirectorError{VM: d.self.ID}}})
+			return
+		}
+		verdict, err := d.calls.Order(ctx, to, order)
+		d.loop.Post(d, ordered{backend: to.Backend, order: order, verdict: verdict, err: err})
+	}()
+}
+
+// note counts what an order brings from the moment at which it may be carried out.
+func (e *engine) note(order laburnumlever.EngineOrder, now time.Time) {
+	if order.Kind != laburnumlever.Load {
+		return
+	}
+	m := laburnumlever.HeldModel{Name: order.Model}
+	if was := e.held[order.Model]; was != nil {
+		m.Version = was.version
+	}
+	if order.Adapter != "" {
+		m.Adapters = []laburnumlever.AdapterName{order.Adapter}
+	}
+	h := e.add(m, false)
+	if h.since.IsZero() {
+		h.since = now
+	}
+	if order.Adapter != "" {
+		h.adapters[order.Adapter].since = now
+	}
+}
+
+// undo takes back what note counted, once the order surely has no effect.
+func (e *engine) undo(order laburnumlever.EngineOrder) {
+	h := e.held[order.Model]
+	if order.Kind != laburnumlever.Load || h == nil {
+		return
+	}
+	if order.Adapter == "" {
+		if !e.heartbeat.Holds(order.Model, "") {
+			delete(e.held, order.Model)
+		}
+		return
+	}
+	if a := h.adapters[order.Adapter]; a != nil && !a.ready {
+		delete(h.adapters, order.Adapter)
+	}
+}
+
+func (d *Director) onOrdered(ev ordered) {
+	e := d.engines[ev.backend]
+	if e == nil || e.sending == nil || *e.sending != ev.order {
+		return
+	}
+	e.sending = nil
+	d.logOrder(ev)
+	now := d.timers.Now()
+	if ev.err != nil {
+		d.onOrderLost(e, ev, now)
+		return
+	}
+	e.unsure = nil
+	switch ev.verdict {
+	case laburnumlever.VerdictAccepted:
+		e.accepted++
+		d.begun(e, ev.order, now)
+	case laburnumlever.VerdictHeld:
+		d.heldAlready(e, ev.order)
+	case laburnumlever.VerdictStaleFence:
+		e.undo(ev.order)
+		d.loseLease("an engine has seen a higher fencing number")
+	case laburnumlever.VerdictOther:
+		delete(d.engines, ev.backend)
+		delete(d.records, ev.backend)
+		d.onGone(ev.backend)
+	default:
+		// Another order was there first: what is believed is wrong.
+		e.undo(ev.order)
+		e.known, e.tryAt = false, now.Add(stateRetry)
+	}
+}
+
+func (d *Director) onOrderLost(e *engine, ev ordered, now time.Time) {
+	var notSent *laburnumlever.NotSentError
+	if errors.As(ev.err, &notSent) {
+		if e.unsure == nil {
+			e.undo(ev.order)
+		}
+		e.tryAt = now.Add(stateRetry)
+		return
+	}
+	unsure := ev.order
+	e.unsure = &unsure
+	e.tryAt = now.Add(unsureRetry)
+	d.cfg.scope.Counter("orders-unsure").Inc(1)
+}
+
+// begun notes that the engine carries an order out.
+func (d *Director) begun(e *engine, order laburnumlever.EngineOrder, now time.Time) {
+	if order.Adapter != "" {
+		d.adapterBegun(e, order)
+		return
+	}
+	e.working, e.workingKind, e.workingSince = order.Model, order.Kind, now
+	e.workingAfter = e.heartbeat.Sequence
+	e.changed = true
+}
+
+// heldAlready notes that what an order asked for is so. An adapter that nobody uses
+// is unloaded at once, which counts as an order accepted.
+func (d *Director) heldAlready(e *engine, order laburnumlever.EngineOrder) {
+	switch {
+	case order.Kind == laburnumlever.Load && order.Adapter != "":
+		d.adapterBegun(e, order)
+	case order.Kind == laburnumlever.Unload && order.Adapter != "":
+		e.drop(adapterKey{model: order.Model, adapter: order.Adapter}, d.timers.Now())
+		e.accepted++
+	case order.Kind == laburnumlever.Unload:
+		delete(e.held, order.Model)
+		e.changed = true
+	default:
+	}
+}
+
+// tendEngine sends again what is unsure, asks an engine whose work takes too long,
+// and sends the unloads whose time has come.
+func (d *Director) tendEngine(e *engine, now time.Time) {
+	if e.sending != nil || now.Before(e.tryAt) {
+		return
+	}
+	if e.unsure != nil {
+		d.resend(e)
+		return
+	}
+	if e.working != "" && now.Sub(e.workingSince) > d.expected(e) {
+		e.workingSince, e.overdue = now, true
+		d.ask(e, now)
+		return
+	}
+	if !e.idle() {
+		return
+	}
+	for name, h := range e.held {
+		if h.withdrawn && now.Sub(h.withdrawnAt) >= withdrawTime {
+			d.send(e, laburnumlever.EngineOrder{Kind: laburnumlever.Unload, Model: name})
+			return
+		}
+	}
+}
+
+// resend sends an order of unknown outcome again with its number: taken now, or
+// refused because it or another was taken, it has no second effect.
+func (d *Director) resend(e *engine) {
+	order := *e.unsure
+	class := d.services[e.heartbeat.Service]
+	if order.Kind == laburnumlever.Load && order.Adapter == "" && class != nil && !d.payStore(e, class) {
+		return
+	}
+	d.send(e, laburnumlever.EngineOrder{Kind: order.Kind, Model: order.Model, Adapter: order.Adapter})
+}
+
+// expected is how long an order's work may take before the engine is asked.
+func (d *Director) expected(e *engine) time.Duration {
+	if class := d.services[e.heartbeat.Service]; class != nil {
+		if m, ok := class.Model(e.working); ok {
+			return workStretch*time.Duration(m.StoreLoad) + workSlack
+		}
+	}
+	return workSlack
+}
+
+// ask asks an engine for its state.
+func (d *Director) ask(e *engine, now time.Time) {
+	if e.asking || e.sending != nil || now.Before(e.tryAt) {
+		return
+	}
+	e.asking, e.askedAt = true, now
+	to := e.heartbeat
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+		defer cancel()
+		state, err := d.calls.State(ctx, to)
+		d.loop.Post(d, stated{backend: to.Backend, state: state, err: err})
+	}()
+}
+
+func (d *Director) onStated(ev stated) {
+	e := d.engines[ev.backend]
+	if e == nil {
+		return
+	}
+	e.asking = false
+	if ev.err != nil {
+		e.tryAt = d.timers.Now().Add(stateRetry)
+		_ = level.Info(d.cfg.logger).Log("event", "engine-not-asked", "backend", ev.backend, "cause", ev.err)
+		return
+	}
+	if e.sending != nil || (e.known && ev.state.Accepted < e.accepted) {
+		return // older than what is known
+	}
+	e.takeState(ev.state, d.timers.Now())
+}
+
+func (d *Director) logOrder(ev ordered) {
+	_ = level.Info(d.cfg.logger).Log("event", "order-answered", "backend", ev.backend, "kind", ev.order.Kind, "model", ev.order.Model,
+		"adapter", ev.order.Adapter, "expect", ev.order.Expect, "fence", ev.order.Fence, "verdict", ev.verdict, "cause", ev.err)
+}
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -28,8 +28,9 @@
 	Boot   uint64 `json:"boot"`
 	Cursor uint64 `json:"cursor"`
 	// RoutesVersion is the version held; 0 for none.
-	RoutesVersion uint64                    `json:"routes-version,omitempty"`
-	Backends      []laburnumregistry.Record `json:"backends,omitempty"`
+	RoutesVersion uint64                     `json:"routes-version,omitempty"`
+	Backends      []laburnumregistry.Record  `json:"backends,omitempty"`
+	Overlays      []laburnumregistry.Overlay `json:"overlays,omitempty"`
 	// Controls are the control VMs heard of lately, the answering one included.
 	Controls []laburnumlever.VM `json:"controls,omitempty"`
 	// Gateways is how many gateways the control VM has heard of.
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -32,6 +32,7 @@
 	cursor   uint64
 	changed  chan struct{} // closed at the next change
 	records  map[laburnumlever.BackendID]stamped
+	overlays map[laburnumlever.BackendID]stampedOverlay
 	routes   *laburnumlever.RouteTable
 	director laburnumlever.VMID
 	asked    map[laburnumlever.VMID]asker
@@ -45,6 +46,11 @@
 	at     uint64
 }
 
+type stampedOverlay struct {
+	overlay laburnumregistry.Overlay
+	at      uint64
+}
+
 type asker struct {
 	vm laburnumlever.VM
 	at time.Time
@@ -55,7 +61,7 @@
 func NewSource(peers laburnumlever.Peers, timers laburnumlever.Timers, self laburnumlever.VM) *Source {
 	s := &Source{
 		timers: timers, self: self, boot: self.Incarnation, changed: make(chan struct{}),
-		records: map[laburnumlever.BackendID]stamped{}, asked: map[laburnumlever.VMID]asker{},
+		records: map[laburnumlever.BackendID]stamped{}, overlays: map[laburnumlever.BackendID]stampedOverlay{}, asked: map[laburnumlever.VMID]asker{},
 		onDemand: func(laburnumlever.VMID, []laburnumlever.ModelDemand) {}, cursor: 1, controlsAt: 1, metaAt: 1,
 	}
 	peers.Handle(methodNext, s.handleNext)
@@ -76,11 +82,27 @@
 	s.records[r.Heartbeat.Backend] = stamped{record: r, at: s.cursor}
 }
 
+// SetOverlay offers what the VM that gives the orders, this one, knows of an engine.
+func (s *Source) SetOverlay(o laburnumregistry.Overlay) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bump()
+	s.overlays[o.Backend] = stampedOverlay{overlay: o, at: s.cursor}
+}
+
+// ClearOverlays drops all, when another VM gives the orders.
+func (s *Source) ClearOverlays() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.overlays)
+}
+
 // Forget drops a backend server that nobody needs to hear of any more.
 func (s *Source) Forget(id laburnumlever.BackendID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.records, id)
+	delete(s.overlays, id)
 }
 
 // SetRoutes offers a route table.
@@ -214,10 +236,15 @@
 			a.Backends = append(a.Backends, r.record)
 		}
 	}
+	for _, o := range s.overlays {
+		if o.at > since {
+			a.Overlays = append(a.Overlays, o.overlay)
+		}
+	}
 	if s.controlsAt > since {
 		a.Controls = append(s.others(now), s.self)
 	}
-	news := len(a.Backends) > 0 || s.controlsAt > since || s.metaAt > since
+	news := len(a.Backends)+len(a.Overlays) > 0 || s.controlsAt > since || s.metaAt > since
 	return a, news, s.changed
 }
 
--- a/laburnumgateway/demand.go
+++ b/laburnumgateway/demand.go
@@ -16,7 +16,10 @@
 	rows     map[laburnumlever.ModelName]*demandRow
 }
 
-type demandRow struct{ requests, prompt, answer, refused float64 }
+type demandRow struct {
+	requests, prompt, answer, refused float64
+	adapters                          []laburnumlever.AdapterName
+}
 
 func newDemand(vm laburnumlever.VMID) *demand {
 	return &demand{vm: vm, rows: map[laburnumlever.ModelName]*demandRow{}}
@@ -33,12 +36,24 @@
 	}
 	row.requests++
 	row.prompt += float64(q.caller.PromptTokens)
-	row.answer += float64(q.caller.MaxAnswerTokens)
+	row.answer += float64(answerTokens(q.caller))
+	if a := q.caller.Adapter; a != "" && !slices.Contains(row.adapters, a) {
+		row.adapters = append(row.adapters, a)
+	}
 	if !served {
 		row.refused++
 	}
 }
 
+// answerTokens is the likely length of an answer: the caller's estimate, else half of
+// the bound.
+func answerTokens(c laburnumlever.CallerRequest) int {
+	if c.AnswerHint > 0 {
+		return min(c.AnswerHint, max(1, c.MaxAnswerTokens))
+	}
+	return c.MaxAnswerTokens / 2
+}
+
 // take returns the rates since the last call.
 func (d *demand) take(now time.Time) []laburnumlever.ModelDemand {
 	span := now.Sub(d.since).Seconds()
@@ -52,6 +67,7 @@
 		rows = append(rows, laburnumlever.ModelDemand{
 			Model: model, VM: d.vm, Sequence: d.sequence, RequestsPerSecond: row.requests / span,
 			PromptTokens: row.prompt / span, AnswerTokens: row.answer / span, Refused: row.refused / span,
+			Adapters: row.adapters,
 		})
 	}
 	slices.SortFunc(rows, func(a, b laburnumlever.ModelDemand) int { return strings.Compare(string(a.Model), string(b.Model)) })
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -27,7 +27,6 @@
 	balance  *laburnumbalance.Table
 	demand   *demand
 	gateways int
-	boots    map[string]uint64
 }
 
 var _ laburnumfeed.Sink = (*Fleet)(nil)
@@ -44,7 +43,7 @@
 	f := &Fleet{
 		timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
 		balance: laburnumbalance.New(vm.Zone, seed), demand: newDemand(vm.ID),
-		gateways: 1, boots: map[string]uint64{},
+		gateways: 1,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -64,9 +63,12 @@
 		}
 		merged, _ := f.registry.Record(r.Heartbeat.Backend)
 		f.balance.Set(merged)
-		_ = level.Info(f.logger).Log("event", "backend-known", "backend", r.Heartbeat.Backend, "sequence", merged.Heartbeat.Sequence,
+		_ = level.Debug(f.logger).Log("event", "backend-known", "backend", r.Heartbeat.Backend, "sequence", merged.Heartbeat.Sequence,
 			"leaving", merged.Heartbeat.Leaving, "gone", merged.Gone, "silent", merged.Silent, "models", len(merged.Heartbeat.Models))
 	}
+	for _, o := range a.Overlays {
+		f.balance.SetOverlay(o)
+	}
 }
 
 // Lost says that a control VM does not answer; the others know the same.
--- /dev/null
+++ b/laburnumregistry/overlay.go
@@ -0,0 +1,34 @@
+package laburnumregistry
+
+import (
+	"slices"
+
+	"laburnumlever"
+)
+
+// Overlay is what the VM that gives the orders knows of an engine beyond its
+// heartbeats. The one under the higher fencing number counts; under the same, the
+// later one.
+type Overlay struct {
+	Backend laburnumlever.BackendID `json:"backend"`
+	Fence   uint64                  `json:"fence"`
+	// Sequence is that of the last heartbeat known when it was made.
+	Sequence uint64 `json:"sequence"`
+	// Withdrawn are models that gateways must send nothing more for.
+	Withdrawn []laburnumlever.ModelName `json:"withdrawn,omitempty"`
+	// Adapters are those that are there, by model.
+	Adapters []laburnumlever.HeldModel `json:"adapters,omitempty"`
+}
+
+// Holds tells whether requests for the model, and the adapter unless it is empty,
+// may go to an engine with the heartbeat.
+func (o Overlay) Holds(h laburnumlever.Heartbeat, model laburnumlever.ModelName, adapter laburnumlever.AdapterName) bool {
+	if slices.Contains(o.Withdrawn, model) || !h.Holds(model, "") {
+		return false
+	}
+	if adapter == "" {
+		return true
+	}
+	newer := o.Fence == 0 || h.Sequence > o.Sequence
+	return laburnumlever.Holds(o.Adapters, model, adapter) || (newer && h.Holds(model, adapter))
+}
--- /dev/null
+++ b/laburnumresidency/planner_test.go
@@ -0,0 +1,143 @@
+package laburnumresidency
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+)
+
+func testClass(models int) *laburnumlever.EngineClass {
+	class := &laburnumlever.EngineClass{Slots: 24, WeightsMB: 200000, AdapterSlots: 8, LoadsPerSecond: 3}
+	for i := range models {
+		class.Models = append(class.Models, laburnumlever.ResidentClass{
+			Name: laburnumlever.ModelName(fmt.Sprintf("m%d", i)), WeightsMB: 72700,
+			StoreLoad: laburnumlever.Duration(4.2e9), DiskLoad: laburnumlever.Duration(0.84e9), MemoryLoad: laburnumlever.Duration(0.63e9),
+		})
+	}
+	return class
+}
+
+func testEngine(id int, models ...string) Engine {
+	e := Engine{ID: laburnumlever.BackendID(fmt.Sprintf("e%d", id)), Idle: true}
+	for _, m := range models {
+		e.Held = append(e.Held, laburnumlever.HeldModel{Name: laburnumlever.ModelName(m)})
+	}
+	return e
+}
+
+// The only engine with a rare model dies. Its callers are refused until another
+// engine loads it; with all places taken, a copy that another engine holds too has
+// to give way first, never the last one of a model.
+func TestLostModelComesBack(t *testing.T) {
+	class := testClass(5)
+	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m0", "m2"), testEngine(3, "m0", "m3")}
+	steps := Next(class, engines, Demand{"m0": 1}, nil)
+	require.Len(t, steps, 1)
+	require.Equal(t, laburnumlever.Unload, steps[0].Kind)
+	require.Equal(t, laburnumlever.ModelName("m0"), steps[0].Model)
+
+	engines = []Engine{testEngine(1, "m1"), testEngine(2, "m0", "m2"), testEngine(3, "m0", "m3")}
+	steps = Next(class, engines, Demand{"m0": 1}, nil)
+	require.Equal(t, []Step{{
+		Engine: "e1", Kind: laburnumlever.Load, Model: "m4", FromStore: true, Reason: "no engine holds it",
+	}}, steps)
+}
+
+// An engine has the weights on its disk: the load there takes a fifth of the time
+// and nothing of the store's rate.
+func TestLoadsComeFromTheDiskWhereTheyCan(t *testing.T) {
+	engines := []Engine{testEngine(1, "m0"), testEngine(2, "m0")}
+	engines[1].OnDisk = []laburnumlever.ModelName{"m1"}
+	steps := Next(testClass(2), engines, Demand{}, nil)
+	require.Len(t, steps, 1)
+	require.Equal(t, laburnumlever.BackendID("e2"), steps[0].Engine)
+	require.False(t, steps[0].FromStore)
+}
+
+// Demand moves to a model with one copy: that engine has far more work than others,
+// whose models nobody asks for any more. The model must get copies, in the places of
+// those that have more than one.
+func TestBusyModelGetsCopies(t *testing.T) {
+	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3, "m2", "m0")}
+	steps := Next(testClass(3), engines, Demand{"m1": 22}, nil)
+	require.Len(t, steps, 1)
+	require.Equal(t, laburnumlever.Unload, steps[0].Kind)
+	require.NotEqual(t, laburnumlever.BackendID("e1"), steps[0].Engine)
+
+	engines[1] = testEngine(2, "m2")
+	steps = Next(testClass(3), engines, Demand{"m1": 22}, nil)
+	require.Equal(t, laburnumlever.ModelName("m1"), steps[0].Model)
+	require.Equal(t, laburnumlever.BackendID("e2"), steps[0].Engine)
+}
+
+// A calm fleet where every model is held must be left alone: each needless load is
+// paid for and takes from the store what a lost model may need.
+func TestCalmFleetIsLeftAlone(t *testing.T) {
+	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3)}
+	require.Empty(t, Next(testClass(3), engines, Demand{"m0": 5, "m1": 5, "m2": 4}, nil))
+}
+
+// No step may commit more memory than an engine has, whatever is held and wanted:
+// an engine that is ordered to hold more crashes.
+func TestNoStepExceedsTheMemory(t *testing.T) {
+	class := testClass(9)
+	engines := []Engine{testEngine(1), testEngine(2), testEngine(3, "m0"), testEngine(4, "m1", "m0")}
+	demand := Demand{}
+	for round := range 200 {
+		demand[laburnumlever.ModelName(fmt.Sprintf("m%d", round%9))] = float64(round % 30)
+		for _, step := range Next(class, engines, demand, nil) {
+			for i := range engines {
+				e := &engines[i]
+				if e.ID != step.Engine {
+					continue
+				}
+				if step.Kind == laburnumlever.Load {
+					e.Held = append(e.Held, laburnumlever.HeldModel{Name: step.Model})
+				} else {
+					kept := e.Held[:0]
+					for _, h := range e.Held {
+						if h.Name != step.Model {
+							kept = append(kept, h)
+						}
+					}
+					e.Held = kept
+				}
+				require.LessOrEqual(t, e.used(class), class.WeightsMB)
+			}
+		}
+		for i := range engines {
+			engines[i].Idle, engines[i].Loading, engines[i].Unloading = true, "", ""
+		}
+	}
+	copies := map[laburnumlever.ModelName]int{}
+	for _, e := range engines {
+		for _, h := range e.Held {
+			copies[h.Name]++
+		}
+	}
+	require.Len(t, copies, 8, "four engines with two places each hold eight models")
+}
+
+// Fitters ask one model for a dozen adapters in turn, and its only engine has places
+// for eight. Each request would push another's adapter out and wait; the model must
+// get a second engine, though the first has little work.
+func TestModelWhoseAdaptersLackPlacesGetsACopy(t *testing.T) {
+	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2")}
+	steps := Next(testClass(3), engines, Demand{"m0": 1}, map[laburnumlever.ModelName]int{"m0": 12})
+	require.Len(t, steps, 1)
+	require.Equal(t, laburnumlever.ModelName("m0"), steps[0].Model)
+	require.Equal(t, laburnumlever.BackendID("e2"), steps[0].Engine)
+	require.Empty(t, Next(testClass(3), engines, Demand{"m0": 1}, map[laburnumlever.ModelName]int{"m0": 8}))
+}
+
+// A copy that was loaded a moment ago must stay: demand that swings would otherwise
+// have the same two models loaded in turns.
+func TestYoungCopyStays(t *testing.T) {
+	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3, "m2", "m0")}
+	engines[1].Young = []laburnumlever.ModelName{"m2", "m0"}
+	engines[2].Young = []laburnumlever.ModelName{"m2", "m0"}
+	require.Empty(t, Next(testClass(3), engines, Demand{"m1": 22}, nil))
+}
--- /dev/null
+++ b/laburnumresidency/values.go
@@ -0,0 +1,81 @@
+package laburnumresidency
+
+import (
+	"slices"
+
+	"laburnumlever"
+)
+
+// Engine is what the planner knows of one model engine.
+type Engine struct {
+	ID   laburnumlever.BackendID
+	Zone laburnumlever.ZoneName
+	// Held are the models that take memory, those on their way in or out
+	// included.
+	Held []laburnumlever.HeldModel
+	// Loading and Unloading are on their way; empty for none.
+	Loading, Unloading laburnumlever.ModelName
+	// Idle tells that the engine takes an order now.
+	Idle             bool
+	InMemory, OnDisk []laburnumlever.ModelName
+	// Young are models that came too short a time ago to be given up.
+	Young []laburnumlever.ModelName
+}
+
+// Demand is how many requests of each model are at work at once.
+type Demand map[laburnumlever.ModelName]float64
+
+// Step is one order to one engine.
+type Step struct {
+	Engine laburnumlever.BackendID
+	Kind   laburnumlever.OrderKind
+	Model  laburnumlever.ModelName
+	// FromStore tells that the weights come from the weight store.
+	FromStore bool
+	// Reason is for the log.
+	Reason string
+}
+
+// serves tells whether requests for the model can go to the engine, now or once a
+// load is done.
+func (e *Engine) serves(model laburnumlever.ModelName) bool {
+	return e.Unloading != model && laburnumlever.Holds(e.Held, model, "")
+}
+
+// used is the memory taken, in MB.
+func (e *Engine) used(class *laburnumlever.EngineClass) float64 {
+	total := 0.0
+	for _, h := range e.Held {
+		m, _ := class.Model(h.Name)
+		total += m.WeightsMB + m.AdapterMB*float64(len(h.Adapters))
+	}
+	return total
+}
+
+// size is what a model's load takes, with room for a few adapters beside it.
+func size(m laburnumlever.ResidentClass) float64 {
+	const spareAdapters = 4
+	return m.WeightsMB + m.AdapterMB*float64(min(m.Adapters, spareAdapters))
+}
+
+func (e *Engine) hasRoom(class *laburnumlever.EngineClass, m laburnumlever.ResidentClass) bool {
+	return e.used(class)+size(m) <= class.WeightsMB
+}
+
+func (e *Engine) fromStore(model laburnumlever.ModelName) bool {
+	return !slices.Contains(e.InMemory, model) && !slices.Contains(e.OnDisk, model)
+}
+
+// loadSeconds is how long a load takes at the engine.
+func (e *Engine) loadSeconds(m laburnumlever.ResidentClass) float64 {
+	switch {
+	case slices.Contains(e.InMemory, m.Name):
+		return seconds(m.MemoryLoad)
+	case slices.Contains(e.OnDisk, m.Name):
+		return seconds(m.DiskLoad)
+	default:
+		return seconds(m.StoreLoad)
+	}
+}
+
+func seconds(d laburnumlever.Duration) float64 { return float64(d) / 1e9 }
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -9,12 +9,15 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumcontrol"
+	"laburnumlever/laburnumdirector"
 	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumlog"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumvoter"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
 
@@ -40,6 +43,7 @@
 	voter    *laburnumvoter.Voter
 	source   *laburnumfeed.Source
 	follower *laburnumfeed.Follower
+	director *laburnumdirector.Director
 
 	mu       sync.Mutex
 	registry *laburnumregistry.Table
@@ -60,10 +64,49 @@
 	if err := c.buildVoter(); err != nil {
 		return nil, err
 	}
-	_ = engines
+	c.buildDirector(engines)
 	return c, nil
 }
 
+func (c *Control) buildDirector(engines laburnumlever.ModelEngines) {
+	d := laburnumdirector.New(c.loop, c.timers, c.voter, engines, c.self,
+		laburnumdirector.WithLease(time.Duration(c.settings.Times.Lease)),
+		laburnumdirector.WithLogger(c.logger),
+		laburnumdirector.WithScope(c.metrics.Scope()))
+	d.OnLeads(func() bool { return c.voter.Status().Role == laburnumlog.Leader.String() })
+	d.OnOverlay(c.source.SetOverlay)
+	d.OnDirecting(c.directing)
+	d.OnGone(c.gone)
+	c.source.OnDemand(d.SetDemand)
+	c.peers.Handle(methodNeed, c.handleNeed)
+	c.director = d
+}
+
+// gone notes that an engine's address is another's now.
+func (c *Control) gone(backend laburnumlever.BackendID) {
+	c.remove(backend)
+	c.relay(relayed{Gone: backend})
+}
+
+// directing runs on the control thread.
+func (c *Control) directing(directs bool) {
+	if directs {
+		c.source.SetDirector(c.self.ID)
+		return
+	}
+	c.source.ClearOverlays()
+	c.source.SetDirector("")
+}
+
+func (c *Control) handleNeed(ctx context.Context, params laburnumlever.RawMessage) (any, error) {
+	var q needRequest
+	if err := json.Unmarshal(params, &q); err != nil {
+		return nil, &laburnumfeed.MessageError{Method: methodNeed, Cause: err}
+	}
+	backends, err := c.director.Need(ctx, q.Service, q.Model, q.Adapter)
+	return needAnswer{Backends: backends}, err
+}
+
 func (c *Control) buildVoter() error {
 	opts := []laburnumvoter.Option{
 		laburnumvoter.WithDataFolder(c.settings.DataFolder),
@@ -106,6 +149,7 @@
 	c.version = t.Version
 	c.mu.Unlock()
 	c.source.SetRoutes(t)
+	c.director.SetRoutes(t)
 	_ = level.Info(c.logger).Log("event", "routes-applied", "version", t.Version, "routes", len(t.Routes))
 }
 
@@ -116,6 +160,7 @@
 	}
 	go c.loop.Run()
 	c.voter.Start()
+	c.director.Start()
 	c.follower = laburnumfeed.NewFollower(c.peers, c.timers, c.self, c.seedPeers(), c, laburnumfeed.WithLogger(c.logger))
 	if err := c.serve("control", c.settings.Listen.Control, newServer(handler)); err != nil {
 		return err
@@ -136,6 +181,7 @@
 		_ = level.Warn(c.logger).Log("event", "leadership-not-handed-over", "cause", err)
 	}
 	c.follower.Close()
+	c.director.Close()
 	_ = c.voter.Close()
 	c.close()
 	c.loop.Stop()
@@ -180,11 +226,21 @@
 		return
 	}
 	c.source.SetRecord(r)
-	_ = level.Info(c.logger).Log("event", "backend-known", "backend", id, "service", r.Heartbeat.Service,
+	c.director.SetRecord(r)
+	_ = c.noteLevel(r).Log("event", "backend-known", "backend", id, "service", r.Heartbeat.Service,
 		"address", r.Heartbeat.Address, "sequence", r.Heartbeat.Sequence, "leaving", r.Heartbeat.Leaving,
 		"gone", r.Gone, "silent", r.Silent)
 }
 
+// noteLevel logs a backend server that is new, leaves or falls silent, and only at the
+// debug level that its models changed: orders are logged where they are given.
+func (c *Control) noteLevel(r laburnumregistry.Record) log.Logger {
+	if r.Gone || r.Silent || r.Heartbeat.Leaving || r.Heartbeat.Sequence <= 1 {
+		return level.Info(c.logger)
+	}
+	return level.Debug(c.logger)
+}
+
 // relay tells the other control VMs, so that each knows who is alive whichever one
 // a backend server talks to.
 func (c *Control) relay(news relayed) {
