perf: work as a share of an engine, copies on their way are none yet; a draining gateway closes no idle connection

Change: the planner counts ready copies, demand is a share of an engine's time for prompts and places, adapters push out only copies nobody uses; the balance counts the prompts it has sent as a backlog.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -181,6 +181,8 @@
 		return nil, verdict
 	}
 	best.own++
+	best.reading = best.backlog(now) + float64(t.prefixes.missing(best.record.Heartbeat.Backend, q.Prompt))/tokensPerMilli
+	best.readingAt = now
 	t.prefixes.sent(best.record.Heartbeat.Backend, q.Prompt)
 	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q}, Found
 }
@@ -209,7 +211,8 @@
 	if now.Before(s.unreachableTill) {
 		score += avoidMillis
 	}
-	return score + float64(t.prefixes.missing(s.record.Heartbeat.Backend, q.Prompt))/tokensPerMilli
+	reading := s.backlog(now) + float64(t.prefixes.missing(s.record.Heartbeat.Backend, q.Prompt))/tokensPerMilli
+	return score + reading
 }
 
 // avoidMillis puts a server behind all others that could do it.
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -43,8 +43,12 @@
 	others   float64
 	othersAt time.Time
 	fullTill time.Time
-	failures float64
-	failedAt time.Time
+	// reading is the time in milliseconds for which the server still reads prompts
+	// that this VM sent, as of readingAt.
+	reading   float64
+	readingAt time.Time
+	failures  float64
+	failedAt  time.Time
 	// unreachableTill is when a server that took no connection is tried again.
 	unreachableTill time.Time
 	absent          map[held]time.Time
@@ -57,6 +61,12 @@
 	return float64(s.own) + max(0, fade)*s.others
 }
 
+// backlog is how many milliseconds of prompts the server still has to read.
+func (s *server) backlog(now time.Time) float64 {
+	done := float64(now.Sub(s.readingAt)) / float64(time.Millisecond)
+	return max(0, s.reading-done)
+}
+
 // blame is what failures add to the score.
 func (s *server) blame(now time.Time) float64 {
 	if s.failures == 0 {
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -266,7 +266,7 @@
 			engines = append(engines, e.planned(now))
 		}
 	}
-	for _, step := range laburnumresidency.Next(class, engines, d.demand.places(now), d.adaptersUsed(engines, now)) {
+	for _, step := range laburnumresidency.Next(class, engines, d.demand.work(now, class.Slots), d.adaptersUsed(engines, now)) {
 		d.take(d.engines[step.Engine], class, step, now)
 	}
 }
--- a/laburnumdirector/estimator.go
+++ b/laburnumdirector/estimator.go
@@ -9,12 +9,16 @@
 )
 
 const (
-	// tokenSeconds and promptSeconds turn tokens into the time that a request is
-	// at work at an engine. Engines do not tell their speed; only the proportion
-	// between models matters for the choice, and the size for how early a busy
-	// engine gets help.
+	// tokenSeconds is how long a request holds a place for each token of its
+	// answer, promptSeconds how long an engine reads for each token of a prompt.
+	// Engines do not tell their speed; only the proportion between models matters
+	// for the choice, and the size for how early a busy engine gets help.
 	tokenSeconds  = 0.006
 	promptSeconds = 1.0 / 30000
+	// promptShare of an engine's time may go to prompts: they are read between the
+	// tokens of all other requests there, and at more the pauses between these
+	// become too long whenever a few prompts meet.
+	promptShare = 0.5
 	// riseTime and fallTime are how fast the estimate follows: up within a
 	// second or two, since callers wait, and down slowly, since a copy that is
 	// given up too early is loaded again.
@@ -44,8 +48,9 @@
 	s.rows[vm] = gatewayRows{rows: rows, at: now}
 }
 
-// places returns how many requests of each model are at work at once.
-func (s *estimator) places(now time.Time) laburnumresidency.Demand {
+// work returns the work of each model as a share of one engine's, for engines with
+// the number of places.
+func (s *estimator) work(now time.Time, slots int) laburnumresidency.Demand {
 	current := map[laburnumlever.ModelName]float64{}
 	for vm, g := range s.rows {
 		if now.Sub(g.at) > rowsLife {
@@ -53,7 +58,7 @@
 			continue
 		}
 		for _, row := range g.rows {
-			current[row.Model] += row.AnswerTokens*tokenSeconds + row.PromptTokens*promptSeconds
+			current[row.Model] += row.AnswerTokens*tokenSeconds/float64(max(1, slots)) + row.PromptTokens*promptSeconds/promptShare
 		}
 	}
 	span := now.Sub(s.at)
@@ -71,7 +76,7 @@
 		}
 		share := 1 - math.Exp(-span.Seconds()/limit.Seconds())
 		s.smooth[model] = was + share*(current[model]-was)
-		const nothing = 1e-3
+		const nothing = 1e-4
 		if s.smooth[model] < nothing && current[model] == 0 {
 			delete(s.smooth, model)
 			continue
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
@@ -36,6 +37,20 @@
 type answer struct {
 	w       http.ResponseWriter
 	started bool
+	// firstAt and lastAt are when the first and last parts were passed on, pause
+	// the longest time between two.
+	firstAt, lastAt time.Time
+	pause           time.Duration
+}
+
+// passed notes that a part of the answer has gone to the caller.
+func (a *answer) passed(now time.Time) {
+	if a.firstAt.IsZero() {
+		a.firstAt = now
+	} else {
+		a.pause = max(a.pause, now.Sub(a.lastAt))
+	}
+	a.lastAt = now
 }
 
 // storedAnswer is a whole answer of a backend server.
@@ -81,6 +96,7 @@
 		return g.failedAnswer(q, stored, sample)
 	}
 	out.started = true
+	out.passed(g.timers.Now())
 	stored.write(out.w)
 	return nil
 }
@@ -156,6 +172,7 @@
 		if _, err := out.w.Write(event); err != nil {
 			return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: err}}
 		}
+		out.passed(g.timers.Now())
 		if r.Buffered() > 0 {
 			continue
 		}
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -20,6 +20,7 @@
 // try makes one attempt. A nil failure means that the whole answer was passed on.
 func (g *Gateway) try(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket) *failure {
 	q.tries++
+	q.backend = ticket.Backend.Backend
 	sample := laburnumbalance.Sample{}
 	defer func() { g.fleet.release(ticket, sample) }()
 	conn, err := g.pool.Get(ctx, ticket.Backend.Address, g.connectionLimit(q))
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -44,6 +44,9 @@
 	counters *counters
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// leaving tells that the balancer has had the time to take notice, so that
+	// long work is not begun any more.
+	leaving atomic.Bool
 
 	mu      sync.Mutex
 	windows map[laburnumlever.ServiceName]*laburnumretry.Window
@@ -100,6 +103,10 @@
 		g.answerRefusal(w, q, err)
 		return
 	}
+	if g.leaving.Load() && q.route.Kind == laburnumlever.KindStream {
+		g.answerRefusal(w, q, refuse(laburnumlever.RefusedDraining, fullRetry, "this VM ends before a stream would"))
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	g.countRequest(q)
@@ -111,10 +118,18 @@
 		return
 	}
 	g.counters.served.Inc(1)
-	_ = level.Debug(g.logger).Log("event", "request-served", "request-id", q.caller.ID, "route", q.route.Name,
-		"sends", q.sends, "ms", g.timers.Now().Sub(q.arrived).Milliseconds())
+	g.logServed(q, out)
 }
 
+func (g *Gateway) logServed(q *request, out *answer) {
+	_ = level.Info(g.logger).Log("event", "request-served", "request-id", q.caller.ID, "route", q.route.Name,
+		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sends,
+		"waited-ms", millis(q.waited), "first-ms", millis(out.firstAt.Sub(q.arrived)), "pause-ms", millis(out.pause),
+		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "routes-version", q.version)
+}
+
+func millis(d time.Duration) int64 { return d.Milliseconds() }
+
 func (g *Gateway) window(service laburnumlever.ServiceName) *laburnumretry.Window {
 	w := g.windows[service]
 	if w == nil {
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -46,6 +46,10 @@
 	avoid        []laburnumlever.BackendID
 	// touched tells that a backend server may have run the request.
 	touched bool
+	// backend is the one that the last attempt went to, waited the time spent for a
+	// place.
+	backend laburnumlever.BackendID
+	waited  time.Duration
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	// failed is a backend server's whole answer that says that it failed.
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -24,6 +24,8 @@
 	noticeTime = 3 * time.Second
 	// quietCheck is how often a draining gateway looks whether it is done.
 	quietCheck = 50 * time.Millisecond
+	// quietChecks in a row without a request end the wait.
+	quietChecks = 10
 )
 
 // Server serves the gateway on a listener.
@@ -40,12 +42,18 @@
 // Drain ends the service in order: it says that it is not ready, goes on serving
 // what still comes while the balancer takes notice, each answer with the word that
 // the connection ends, and returns once nothing is under way or ctx ends.
-func (g *Gateway) Drain(ctx context.Context, server *http.Server) {
+//
+// Idle connections are not closed: a request may be on its way on one, and its caller
+// could not tell whether it was run.
+func (g *Gateway) Drain(ctx context.Context) {
 	g.draining.Store(true)
 	_ = level.Info(g.logger).Log("event", "draining", "in-flight", g.InFlight())
 	laburnumtimer.Wait(ctx.Done(), g.timers, noticeTime)
-	server.SetKeepAlivesEnabled(false)
-	for g.InFlight() > 0 && ctx.Err() == nil {
+	g.leaving.Store(true)
+	for quiet := 0; quiet < quietChecks && ctx.Err() == nil; quiet++ {
+		if g.InFlight() > 0 {
+			quiet = 0
+		}
 		laburnumtimer.Wait(ctx.Done(), g.timers, quietCheck)
 	}
 	_ = level.Info(g.logger).Log("event", "drained", "in-flight", g.InFlight())
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -9,14 +9,16 @@
 )
 
 const (
-	// busyShare of an engine's places is when more copies are thought of: below
-	// it a request finds a place at once nearly always.
-	busyShare = 0.45
+	// busyShare of an engine's work is when more copies are thought of: below it a
+	// request finds a place at once nearly always, and few prompts meet.
+	busyShare = 0.4
+	// idleShare of an engine's work is as good as none.
+	idleShare = 0.02
 	// gain is by how much the work of the busiest engine must fall for a copy to
 	// be worth its load.
 	gain = 0.15
-	// loadWeight weighs a second of a load against a request at work.
-	loadWeight = 1.0
+	// loadWeight weighs a second of a load against an engine's work.
+	loadWeight = 0.04
 	// adapterWeight weighs an adapter in use at an engine that is loading a model,
 	// and so can't take another.
 	adapterWeight = 0.25
@@ -29,8 +31,11 @@
 	demand   Demand
 	adapters map[laburnumlever.ModelName]int
 	copies   map[laburnumlever.ModelName]int
-	work     map[laburnumlever.BackendID]float64
-	steps    []Step
+	// ready are the copies that take requests now: one on its way is none yet for
+	// those who ask.
+	ready map[laburnumlever.ModelName]int
+	work  map[laburnumlever.BackendID]float64
+	steps []Step
 }
 
 // Next names the next steps, at most one an engine, the most urgent first. Adapters
@@ -53,11 +58,15 @@
 // shared evenly by its copies.
 func (p *planner) count() {
 	p.copies = map[laburnumlever.ModelName]int{}
+	p.ready = map[laburnumlever.ModelName]int{}
 	for _, e := range p.engines {
 		for _, h := range e.Held {
 			if e.serves(h.Name) {
 				p.copies[h.Name]++
 			}
+			if e.ready(h.Name) {
+				p.ready[h.Name]++
+			}
 		}
 	}
 	p.work = map[laburnumlever.BackendID]float64{}
@@ -167,7 +176,7 @@
 		if slices.Contains(e.Young, h.Name) {
 			continue
 		}
-		last := p.copies[h.Name] <= 1
+		last := p.ready[h.Name] <= 1
 		if last && (!missing || p.demand[h.Name] > 0 || p.demand[m.Name] == 0) {
 			continue
 		}
@@ -181,7 +190,7 @@
 
 // loss is the work that the other copies of a model must take over when one goes.
 func (p *planner) loss(model laburnumlever.ModelName) float64 {
-	n := p.copies[model]
+	n := p.ready[model]
 	if n <= 1 {
 		const lastCopy = 1000
 		return lastCopy + p.demand[model]
@@ -195,7 +204,7 @@
 	slices.SortStableFunc(hot, func(a, b *Engine) int { return cmp.Compare(p.work[b.ID], p.work[a.ID]) })
 	done := map[laburnumlever.ModelName]bool{}
 	for _, e := range hot {
-		if p.work[e.ID] < busyShare*float64(max(1, p.class.Slots)) {
+		if p.work[e.ID] < busyShare {
 			return
 		}
 		if model, ok := p.heaviest(e); ok && !done[model] && !p.loading(model) {
@@ -251,12 +260,20 @@
 		}
 		if e := p.roomiest(m); e != nil {
 			p.load(e, m, "its adapters lack places")
-		} else if e, victims := p.cheapest(m, false); e != nil {
+		} else if e, victims := p.cheapest(m, false); e != nil && p.idleCopies(victims) {
 			p.unload(e, victims, "makes room for a model whose adapters lack places")
 		}
 	}
 }
 
+// idleCopies tells whether nobody would miss these copies: adapters that push each
+// other out cost less than work pushed together on fewer engines.
+func (p *planner) idleCopies(models []laburnumlever.ModelName) bool {
+	return !slices.ContainsFunc(models, func(m laburnumlever.ModelName) bool {
+		return p.share(m) > idleShare || p.adapters[m] > 0
+	})
+}
+
 // adapterPlaces is how many adapters of the model find a place at once, where the
 // places of an engine are shared by its models as their adapters are.
 func (p *planner) adapterPlaces(model laburnumlever.ModelName) float64 {
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -22,7 +22,8 @@
 	Young []laburnumlever.ModelName
 }
 
-// Demand is how many requests of each model are at work at once.
+// Demand is the work that each model makes, as a share of one engine's: 1 keeps one
+// engine as busy as it may be.
 type Demand map[laburnumlever.ModelName]float64
 
 // Step is one order to one engine.
@@ -42,6 +43,11 @@
 	return e.Unloading != model && laburnumlever.Holds(e.Held, model, "")
 }
 
+// ready tells whether requests for the model can go to the engine now.
+func (e *Engine) ready(model laburnumlever.ModelName) bool {
+	return e.serves(model) && e.Loading != model
+}
+
 // used is the memory taken, in MB.
 func (e *Engine) used(class *laburnumlever.EngineClass) float64 {
 	total := 0.0
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -24,7 +24,6 @@
 	fleet    *laburnumgateway.Fleet
 	gateway  *laburnumgateway.Gateway
 	follower *laburnumfeed.Follower
-	callers  *http.Server
 }
 
 // NewGateway makes a gateway that does not run yet.
@@ -49,8 +48,7 @@
 func (g *Gateway) Start(ready func(ready func() bool) http.Handler) error {
 	g.follower = laburnumfeed.NewFollower(g.peers, g.timers, g.self, g.seedPeers(), g.fleet,
 		laburnumfeed.WithLogger(g.logger))
-	g.callers = g.gateway.Server()
-	if err := g.serve("callers", g.settings.Listen.Callers, g.callers); err != nil {
+	if err := g.serve("callers", g.settings.Listen.Callers, g.gateway.Server()); err != nil {
 		return err
 	}
 	if err := g.serve("ready", g.settings.Listen.Ready, newServer(ready(g.gateway.Ready))); err != nil {
@@ -77,7 +75,7 @@
 
 // Shutdown ends the gateway in order: what is under way finishes unless ctx ends.
 func (g *Gateway) Shutdown(ctx context.Context) {
-	g.gateway.Drain(ctx, g.callers)
+	g.gateway.Drain(ctx)
 	g.follower.Close()
 	g.close()
 	_ = level.Info(g.logger).Log("event", "stopped", "role", "gateway")
