perf: requests wait for a place on the gateway, most urgent first

Change: a bounded queue on each gateway by the route's rank, for a third of the caller's patience; engines hold fewer that wait.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -25,9 +25,9 @@
 	zoneMillis = 20
 	// silentMillis is held against a server whose heartbeats have stopped.
 	silentMillis = 200
-	// queueShare of a server's places may wait there; what would wait behind
-	// these is better told to come back.
-	queueShare = 1.0
+	// queueShare of a server's places may wait there: enough that a place that
+	// comes free is taken at once, and few that others' places come free sooner.
+	queueShare = 0.2
 	// maxFailures bounds what is held against a server, so that it comes back
 	// within seconds once it is sound.
 	maxFailures = 8
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -46,6 +46,10 @@
 	version int
 	// since is when the model was first seen here.
 	since time.Time
+	// listed tells that a heartbeat has listed it: only then does a later one that
+	// does not show that it is gone. A heartbeat may be seconds old when it comes,
+	// from before the model was loaded.
+	listed bool
 	// withdrawnAt is when gateways were told to send nothing more for it.
 	withdrawnAt time.Time
 	withdrawn   bool
@@ -57,17 +61,23 @@
 type heldAdapter struct {
 	ready  bool
 	usedAt time.Time
-	// since is when it was ordered; a heartbeat on its way then does not list it.
+	// since is when it was ordered; a report on its way then does not list it.
 	since time.Time
+	// listed is as that of a model.
+	listed bool
 }
 
 // youngTime is how long a copy stays at least: what is given up sooner was loaded in
 // vain.
 const youngTime = 8 * time.Second
 
-// heartbeatLag is how old a heartbeat may be when it comes, as a rule; one that is
-// older makes an adapter be asked for again.
-const heartbeatLag = 2500 * time.Millisecond
+const (
+	// heartbeatLag is how old a heartbeat may be when it comes, as a rule; one that
+	// is older makes an adapter that is gone count as held until the next.
+	heartbeatLag = 2500 * time.Millisecond
+	// reportLag is how old a report may be.
+	reportLag = time.Second
+)
 
 func newEngine(h laburnumlever.Heartbeat) *engine {
 	e := &engine{heartbeat: h, held: map[laburnumlever.ModelName]*heldModel{}, changed: true}
@@ -110,14 +120,16 @@
 	e.heartbeat = h
 	e.changed = true
 	for _, m := range h.Models {
-		e.takeAdapters(e.add(laburnumlever.HeldModel{Name: m.Name, Version: m.Version}, true), m, now)
+		held := e.add(laburnumlever.HeldModel{Name: m.Name, Version: m.Version}, true)
+		held.listed = true
+		held.takeListed(m, now)
 	}
 	ended := e.workEnded(h)
 	if ended {
 		e.working = ""
 	}
-	for name := range e.held {
-		if !h.Holds(name, "") && !e.pending(name) {
+	for name, held := range e.held {
+		if held.listed && !h.Holds(name, "") && !e.pending(name) {
 			delete(e.held, name)
 		}
 	}
@@ -140,20 +152,34 @@
 	return loads(e.sending) || loads(e.unsure) || (e.working == name && e.workingKind == laburnumlever.Load)
 }
 
-// takeAdapters brings a model's adapters up to a heartbeat, but for those whose
-// orders it may have missed.
-func (e *engine) takeAdapters(h *heldModel, listed laburnumlever.HeldModel, now time.Time) {
-	for _, a := range listed.Adapters {
-		if now.Sub(h.dropped[a]) < heartbeatLag {
+// takeListed brings the adapters up to a heartbeat.
+func (h *heldModel) takeListed(listed laburnumlever.HeldModel, now time.Time) {
+	for _, name := range listed.Adapters {
+		if now.Sub(h.dropped[name]) < heartbeatLag {
 			continue
 		}
-		if h.adapters[a] == nil {
-			h.adapters[a] = &heldAdapter{}
+		if h.adapters[name] == nil {
+			h.adapters[name] = &heldAdapter{}
+		}
+		h.adapters[name].ready, h.adapters[name].listed = true, true
+	}
+	for name, a := range h.adapters {
+		if a.listed && !slices.Contains(listed.Adapters, name) {
+			delete(h.adapters, name)
+		}
+	}
+}
+
+// takeReported brings the adapters up to a report that knows of all orders accepted:
+// what it does not list, and no heartbeat has, is not there.
+func (h *heldModel) takeReported(reported laburnumlever.HeldModel, now time.Time) {
+	for _, name := range reported.Adapters {
+		if h.adapters[name] == nil && now.Sub(h.dropped[name]) > reportLag {
+			h.adapters[name] = &heldAdapter{ready: true}
 		}
-		h.adapters[a].ready = true
 	}
 	for name, a := range h.adapters {
-		if !slices.Contains(listed.Adapters, name) && now.Sub(a.since) > heartbeatLag {
+		if !a.listed && !slices.Contains(reported.Adapters, name) && now.Sub(a.since) > reportLag {
 			delete(h.adapters, name)
 		}
 	}
@@ -178,21 +204,29 @@
 	e.changed = true
 }
 
-// takeState notes how many orders the engine has accepted, and its adapters. A report
-// lags behind the heartbeats, so it changes nothing of what models are held, but for
-// work that it shows to have ended long after it began.
+// takeState notes how many orders the engine has accepted, and what it holds beside
+// what heartbeats list. While it carries out an order that is not known here, one of
+// another owner's, nothing is known.
 func (e *engine) takeState(s laburnumlever.EngineState, now time.Time) {
-	e.known, e.accepted = true, s.Accepted
+	e.changed = true
 	for _, m := range s.Models {
-		if h := e.held[m.Name]; h != nil {
-			e.takeAdapters(h, withComing(m, s.Coming), now)
+		h := e.add(laburnumlever.HeldModel{Name: m.Name, Version: m.Version}, true)
+		h.takeReported(withComing(m, s.Coming), now)
+	}
+	if s.Busy && e.working == "" {
+		e.known, e.tryAt = false, now.Add(stateRetry)
+		return
+	}
+	e.known, e.accepted = true, s.Accepted
+	for name, h := range e.held {
+		if !h.listed && !laburnumlever.Holds(s.Models, name, "") && !e.pending(name) {
+			delete(e.held, name)
 		}
 	}
-	if e.working != "" && !s.Busy && e.overdue {
-		e.working = ""
+	if e.overdue && !s.Busy && laburnumlever.Holds(s.Models, e.working, "") != (e.workingKind == laburnumlever.Load) {
+		e.working = "" // it came to nothing
 	}
 	e.overdue = false
-	e.changed = true
 }
 
 // withComing adds a model's adapters that are on their way.
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -50,7 +50,7 @@
 		h.since = now
 	}
 	if order.Adapter != "" {
-		h.adapters[order.Adapter].since = now
+		h.adapters[order.Adapter].since, h.adapters[order.Adapter].listed = now, false
 	}
 }
 
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -26,6 +26,7 @@
 	registry *laburnumregistry.Table
 	balance  *laburnumbalance.Table
 	demand   *demand
+	waiting  waiting
 	gateways int
 }
 
@@ -69,6 +70,7 @@
 	for _, o := range a.Overlays {
 		f.balance.SetOverlay(o)
 	}
+	f.serveWaiting()
 }
 
 // Lost says that a control VM does not answer; the others know the same.
@@ -116,18 +118,12 @@
 	return false
 }
 
-// place takes a place for a request.
-func (f *Fleet) place(q laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.balance.Pick(q, f.timers.Now())
-}
-
 // release frees a place and learns from the attempt.
 func (f *Fleet) release(t *laburnumbalance.Ticket, s laburnumbalance.Sample) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.balance.End(t, s, f.timers.Now())
+	f.serveWaiting()
 }
 
 func (f *Fleet) learnLoad(id laburnumlever.BackendID, marks laburnumlever.AnswerMarks) {
@@ -137,6 +133,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.balance.Learn(id, laburnumbalance.Sample{HasLoad: true, Running: marks.Running, Waiting: marks.Waiting}, f.timers.Now())
+	f.serveWaiting()
 }
 
 // gone notes that another backend server has the address now.
@@ -156,6 +153,7 @@
 	for _, id := range ids {
 		f.balance.Added(id, model, adapter, f.timers.Now())
 	}
+	f.serveWaiting()
 }
 
 func (f *Fleet) asked(q *request, served bool) {
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -7,6 +7,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumtimer"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -21,6 +22,9 @@
 	// adapterWait bounds the wait for an adapter, which is loaded in some ten
 	// milliseconds; beyond it something is wrong.
 	adapterWait = 400 * time.Millisecond
+	// adapterPause is between two questions for an adapter: a place for one comes
+	// free when an engine has loaded a model, or another adapter falls out of use.
+	adapterPause = 2 * time.Millisecond
 )
 
 // failure is an attempt that brought no whole answer.
@@ -92,28 +96,39 @@
 	return reason, ok
 }
 
-// place finds a backend server, having an adapter loaded if need be.
+// place finds a backend server, waiting for a place and having an adapter loaded if
+// need be.
 func (g *Gateway) place(ctx context.Context, q *request) (*laburnumbalance.Ticket, error) {
-	ticket, verdict := g.fleet.place(q.query())
-	if verdict == laburnumbalance.AdapterAbsent && g.adapters != nil {
-		if err := g.needAdapter(ctx, q); err != nil {
-			return nil, &laburnumlever.RefusalError{
-				Reason: laburnumlever.RefusedNoBackend, RetryAfter: noBackendRetry, Detail: "adapter: " + err.Error(),
-			}
+	start := g.timers.Now()
+	until := q.arrived.Add(time.Duration(waitShare * float64(q.deadline.Sub(q.arrived))))
+	defer func() { q.waited += g.timers.Now().Sub(start) }()
+	for {
+		ticket, verdict := g.fleet.await(ctx, q, until)
+		if verdict == laburnumbalance.Found {
+			return ticket, nil
+		}
+		if verdict != laburnumbalance.AdapterAbsent || g.adapters == nil {
+			return nil, noPlace(verdict)
+		}
+		if err := g.needAdapter(ctx, q); err != nil && !g.timers.Now().Before(until) {
+			return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "adapter: "+err.Error())
+		}
+		if ctx.Err() != nil || !laburnumtimer.Wait(ctx.Done(), g.timers, adapterPause) {
+			return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "adapter not there in time")
 		}
-		ticket, verdict = g.fleet.place(q.query())
 	}
+}
+
+func noPlace(verdict laburnumbalance.Verdict) error {
 	switch verdict {
-	case laburnumbalance.Found:
-		return ticket, nil
 	case laburnumbalance.Full:
-		return nil, refuse(laburnumlever.RefusedQueueFull, fullRetry, "all backend servers that could do it are full")
+		return refuse(laburnumlever.RefusedQueueFull, fullRetry, "all backend servers that could do it are full")
 	case laburnumbalance.NoServer:
-		return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no backend server of the service takes work")
+		return refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no backend server of the service takes work")
 	case laburnumbalance.AdapterAbsent:
-		return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no engine holds the adapter")
+		return refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no engine holds the adapter")
 	default:
-		return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no engine holds the model")
+		return refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no engine holds the model")
 	}
 }
 
