--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -148,6 +148,18 @@
 	}
 }
 
+// Unreachable lists the servers that took no connection lately.
+func (t *Table) Unreachable(now time.Time) []laburnumlever.BackendID {
+	var ids []laburnumlever.BackendID
+	for id, s := range t.servers {
+		if now.Before(s.unreachableTill) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Len is how many servers take work for the service.
 func (t *Table) Len(service laburnumlever.ServiceName) int { return len(t.byService[service]) }
 
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -38,11 +38,14 @@
 )
 
 type config struct {
-	lease  time.Duration
-	logger log.Logger
-	scope  tally.Scope
-	clock  func() time.Duration
-	random *rand.Rand
+	lease time.Duration
+	// window and overshoot bound the loads from the weight store.
+	window    time.Duration
+	overshoot float64
+	logger    log.Logger
+	scope     tally.Scope
+	clock     func() time.Duration
+	random    *rand.Rand
 }
 
 // Option changes a new director.
@@ -51,6 +54,12 @@
 // WithLease sets how long the lease lasts, and how far apart two owners stay.
 func WithLease(d time.Duration) Option { return func(c *config) { c.lease = d } }
 
+// WithStore sets the window in which the weight store's rate may be exceeded, and by
+// which factor.
+func WithStore(window time.Duration, overshoot float64) Option {
+	return func(c *config) { c.window, c.overshoot = window, overshoot }
+}
+
 // WithLogger sets the log; without it nothing is logged.
 func WithLogger(logger log.Logger) Option { return func(c *config) { c.logger = logger } }
 
@@ -145,8 +154,8 @@
 func (d *Director) SetRoutes(t laburnumlever.RouteTable) { d.loop.Post(d, routed{table: t}) }
 
 // SetDemand takes what callers ask of a gateway; any goroutine.
-func (d *Director) SetDemand(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand) {
-	d.loop.Post(d, demanded{vm: vm, rows: rows})
+func (d *Director) SetDemand(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand, unreachable []laburnumlever.BackendID) {
+	d.loop.Post(d, demanded{vm: vm, rows: rows, unreachable: unreachable})
 }
 
 // Handle runs on the control thread.
@@ -196,6 +205,11 @@
 			d.used(adapterKey{model: row.Model, adapter: adapter}, now)
 		}
 	}
+	for _, id := range ev.unreachable {
+		if e := d.engines[id]; e != nil {
+			e.unreachableAt = now
+		}
+	}
 }
 
 // engineOrder is the engines by name, so that each look sees them alike.
@@ -242,7 +256,7 @@
 	} else if e.takeHeartbeat(r.Heartbeat, d.timers.Now()) {
 		_ = level.Info(d.cfg.logger).Log("event", "order-done", "backend", id, "models", len(e.held))
 	}
-	e.silent = r.Silent
+	e.silent, e.heardAt = r.Silent, d.timers.Now()
 }
 
 // forgetEngines starts over from the heartbeats: what was known of orders is of the
@@ -259,7 +273,7 @@
 func (d *Director) plan(name laburnumlever.ServiceName, class *laburnumlever.EngineClass, now time.Time) {
 	var engines []laburnumresidency.Engine
 	for _, id := range d.engineOrder() {
-		if e := d.engines[id]; e.heartbeat.Service == name {
+		if e := d.engines[id]; e.heartbeat.Service == name && !e.down(now) {
 			if !e.known {
 				d.ask(e, now)
 			}
@@ -321,7 +335,7 @@
 		b = &bucket{}
 		d.store[e.heartbeat.Service] = b
 	}
-	return class.LoadsPerSecond <= 0 || b.take(d.clock(), class.LoadsPerSecond)
+	return class.LoadsPerSecond <= 0 || b.take(d.clock(), class.LoadsPerSecond, d.cfg.burst(class.LoadsPerSecond))
 }
 
 // publish tells the gateways what heartbeats do not show yet.
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -19,6 +19,9 @@
 type engine struct {
 	heartbeat laburnumlever.Heartbeat
 	silent    bool
+	// heardAt is when its last news came, unreachableAt when a gateway last said
+	// that it took no connection.
+	heardAt, unreachableAt time.Time
 	// accepted is the number of orders that the engine has accepted, if known.
 	known    bool
 	accepted uint64
@@ -72,6 +75,9 @@
 const youngTime = 8 * time.Second
 
 const (
+	// unreachableMemory is how long a gateway's word counts that an engine took no
+	// connection; it is said again every second while it is so.
+	unreachableMemory = 3 * time.Second
 	// heartbeatLag is how old a heartbeat may be when it comes, as a rule; one that
 	// is older makes an adapter that is gone count as held until the next.
 	heartbeatLag = 2500 * time.Millisecond
@@ -240,6 +246,15 @@
 	return m
 }
 
+// down tells whether nobody can reach the engine, as far as is known: it has fallen
+// silent, or a gateway could not connect a moment ago and nothing was heard since.
+// Waiting for the silence alone leaves callers of its models without an answer for
+// three heartbeats more.
+func (e *engine) down(now time.Time) bool {
+	refused := now.Sub(e.unreachableAt) < unreachableMemory && e.heardAt.Before(e.unreachableAt)
+	return e.silent || refused
+}
+
 // idle tells whether the engine takes an order now.
 func (e *engine) idle() bool {
 	return e.known && e.sending == nil && e.unsure == nil && e.working == "" && !e.silent && !e.asking
--- a/laburnumdirector/events.go
+++ b/laburnumdirector/events.go
@@ -15,6 +15,8 @@
 	demanded struct {
 		vm   laburnumlever.VMID
 		rows []laburnumlever.ModelDemand
+		// unreachable are engines that took no connection of the VM.
+		unreachable []laburnumlever.BackendID
 	}
 	// leased is the answer to a try to get or renew the lease.
 	leased struct {
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -12,6 +12,9 @@
 const (
 	// leaseName names the lease in the log.
 	leaseName = "engines"
+	// termShare of the time that two owners must be apart is the lease's term: the
+	// shorter, the sooner another can begin to wait.
+	termShare = 0.5
 	// renewShare of the lease passes before it is renewed, so that two renewals
 	// may fail.
 	renewShare = 0.3
@@ -53,7 +56,7 @@
 	}
 	kind := laburnumlever.CommandAcquireLease
 	if d.lease.held {
-		if now < d.lease.asked+time.Duration(renewShare*float64(d.cfg.lease)) {
+		if now < d.lease.asked+time.Duration(renewShare*float64(d.term())) {
 			return
 		}
 		kind = laburnumlever.CommandRenewLease
@@ -64,10 +67,13 @@
 	d.askLease(kind, now)
 }
 
+// term is how long the lease lasts without a renewal.
+func (d *Director) term() time.Duration { return time.Duration(termShare * float64(d.cfg.lease)) }
+
 func (d *Director) askLease(kind laburnumlever.CommandKind, now time.Duration) {
 	cmd := laburnumlever.Command{Kind: kind, Lease: &laburnumlever.LeaseCommand{
 		Name: leaseName, Holder: d.self.ID, Incarnation: d.self.Incarnation, Fence: d.lease.fence,
-		TTL: laburnumlever.Duration(d.cfg.lease),
+		TTL: laburnumlever.Duration(d.term()),
 	}}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
@@ -89,7 +95,7 @@
 		return
 	}
 	d.lease.asked = ev.sentAt
-	d.lease.until = ev.sentAt + time.Duration(safeShare*float64(d.cfg.lease))
+	d.lease.until = ev.sentAt + time.Duration(safeShare*float64(d.term()))
 	if d.lease.held && d.lease.fence == ev.result.Fence {
 		return
 	}
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -32,8 +32,9 @@
 	LearnRoutes(t laburnumlever.RouteTable)
 	// RoutesVersion is the version held; 0 for none.
 	RoutesVersion() uint64
-	// Demand is what to tell the control VM that gives the orders.
-	Demand() []laburnumlever.ModelDemand
+	// Demand is what to tell the control VM that gives the orders, and which
+	// backend servers took no connection.
+	Demand() (rows []laburnumlever.ModelDemand, unreachable []laburnumlever.BackendID)
 }
 
 // Follower asks all control VMs that it knows of.
@@ -123,7 +124,7 @@
 	defer cancel()
 	q := request{From: f.self, Boot: boot, Since: cursor}
 	if f.directs(address) {
-		q.Demand = f.sink.Demand()
+		q.Demand, q.Unreachable = f.sink.Demand()
 	}
 	var a Answer
 	err := f.peers.Call(ctx, address, methodNext, q, &a)
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -20,6 +20,8 @@
 	Since uint64 `json:"since,omitempty"`
 	// Demand is what callers asked of this VM since its last request.
 	Demand []laburnumlever.ModelDemand `json:"demand,omitempty"`
+	// Unreachable are backend servers that lately took no connection of this VM.
+	Unreachable []laburnumlever.BackendID `json:"unreachable,omitempty"`
 }
 
 // Answer is what a control VM knows that the asking VM does not.
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -21,12 +21,16 @@
 	controlMemory = 20 * time.Second
 )
 
+// DemandFunc takes what callers ask of a gateway, and the backend servers that it can't
+// reach.
+type DemandFunc func(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand, unreachable []laburnumlever.BackendID)
+
 // Source answers the questions on a control VM. It may be used from any goroutine.
 type Source struct {
 	timers   laburnumlever.Timers
 	self     laburnumlever.VM
 	boot     uint64
-	onDemand func(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand)
+	onDemand DemandFunc
 
 	mu       sync.Mutex
 	cursor   uint64
@@ -62,7 +66,7 @@
 	s := &Source{
 		timers: timers, self: self, boot: self.Incarnation, changed: make(chan struct{}),
 		records: map[laburnumlever.BackendID]stamped{}, overlays: map[laburnumlever.BackendID]stampedOverlay{}, asked: map[laburnumlever.VMID]asker{},
-		onDemand: func(laburnumlever.VMID, []laburnumlever.ModelDemand) {}, cursor: 1, controlsAt: 1, metaAt: 1,
+		onDemand: func(laburnumlever.VMID, []laburnumlever.ModelDemand, []laburnumlever.BackendID) {}, cursor: 1, controlsAt: 1, metaAt: 1,
 	}
 	peers.Handle(methodNext, s.handleNext)
 	peers.Handle(methodRoutes, s.handleRoutes)
@@ -70,9 +74,7 @@
 }
 
 // OnDemand sets the function that takes the gateways' demand; set it before serving.
-func (s *Source) OnDemand(fn func(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand)) {
-	s.onDemand = fn
-}
+func (s *Source) OnDemand(fn DemandFunc) { s.onDemand = fn }
 
 // SetRecord offers a backend server's record to all who ask.
 func (s *Source) SetRecord(r laburnumregistry.Record) {
@@ -191,8 +193,8 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, &MessageError{Method: methodNext, Cause: err}
 	}
-	if len(q.Demand) > 0 {
-		s.onDemand(q.From.ID, q.Demand)
+	if len(q.Demand)+len(q.Unreachable) > 0 {
+		s.onDemand(q.From.ID, q.Demand, q.Unreachable)
 	}
 	s.NoteControl(q.From)
 	held := s.after(holdTime)
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -95,11 +95,13 @@
 	return 0
 }
 
-// Demand is what callers asked for since the last call.
-func (f *Fleet) Demand() []laburnumlever.ModelDemand {
+// Demand is what callers asked for since the last call, and the backend servers that
+// take no connection.
+func (f *Fleet) Demand() ([]laburnumlever.ModelDemand, []laburnumlever.BackendID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.demand.take(f.timers.Now())
+	now := f.timers.Now()
+	return f.demand.take(now), f.balance.Unreachable(now)
 }
 
 // Ready tells whether the VM can serve: it has routes and knows a backend server.
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -21,6 +21,11 @@
 	// startRetry is when it is worth asking a gateway again that has no routes
 	// yet: it gets them within a second of a control VM having them.
 	startRetry = time.Second
+	// leaveTime, leaveTargets and leavePauses are the platform's word on when
+	// callers leave a stream.
+	leaveTime    = 2 * time.Second
+	leaveTargets = 4
+	leavePauses  = 8
 )
 
 // request is one caller's request and how far it has come.
@@ -91,6 +96,17 @@
 	return path
 }
 
+// patience is how long the caller waits for a first part of the answer. Callers of a
+// stream leave it after a gap of leaveTime, leaveTargets times the route's target or
+// leavePauses times its longest pause, whichever is longest.
+func (q *request) patience() time.Duration {
+	whole := q.deadline.Sub(q.arrived)
+	if q.route.Kind != laburnumlever.KindStream {
+		return whole
+	}
+	return min(whole, max(leaveTime, leaveTargets*time.Duration(q.route.Target), leavePauses*time.Duration(q.route.PauseTarget)))
+}
+
 // bound sets the deadline from the caller's patience and the route's timeout.
 func (q *request) bound() {
 	limit := time.Duration(q.route.Timeout)
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -71,6 +71,7 @@
 func (c *Control) buildDirector(engines laburnumlever.ModelEngines) {
 	d := laburnumdirector.New(c.loop, c.timers, c.voter, engines, c.self,
 		laburnumdirector.WithLease(time.Duration(c.settings.Times.Lease)),
+		laburnumdirector.WithStore(time.Duration(c.settings.StoreWindow), c.settings.StoreOvershoot),
 		laburnumdirector.WithLogger(c.logger),
 		laburnumdirector.WithScope(c.metrics.Scope()))
 	d.OnLeads(func() bool { return c.voter.Status().Role == laburnumlog.Leader.String() })
@@ -329,4 +330,4 @@
 func (c *Control) RoutesVersion() uint64 { return ^uint64(0) }
 
 // Demand is none: callers come to gateways.
-func (c *Control) Demand() []laburnumlever.ModelDemand { return nil }
+func (c *Control) Demand() ([]laburnumlever.ModelDemand, []laburnumlever.BackendID) { return nil, nil }
