perf: the planner works towards a layout and counts how late a copy comes

Change: each round works out what the engines should hold, with what is under way counted as done; a change is worth what is left of twelve seconds once it is there.

--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -18,7 +18,9 @@
 	needLimit = 400 * time.Millisecond
 	// adapterQuiet is how long an adapter must be unused before it gives way: the
 	// gateways tell once a second which they use.
-	adapterQuiet = 2500 * time.Millisecond
+	adapterQuiet = 1300 * time.Millisecond
+	// adapterInUse is how long an adapter counts as in use for the plan.
+	adapterInUse = 3 * time.Second
 	// comingLimit is how many adapters may be on their way to one engine.
 	comingLimit = 4
 )
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -292,7 +292,7 @@
 	for _, planned := range engines {
 		for model, h := range d.engines[planned.ID].held {
 			for name, a := range h.adapters {
-				if now.Sub(a.usedAt) < adapterQuiet {
+				if now.Sub(a.usedAt) < adapterInUse {
 					used[adapterKey{model: model, adapter: name}] = true
 				}
 			}
--- /dev/null
+++ b/laburnumresidency/layout.go
@@ -0,0 +1,214 @@
+package laburnumresidency
+
+import (
+	"slices"
+
+	"laburnumlever"
+)
+
+const (
+	// easyWork is the share of an engine's work up to which a request finds a place
+	// at once nearly always, and few prompts meet. What is beyond it counts more.
+	easyWork = 0.5
+	// crowdWeight is by how much more.
+	crowdWeight = 4
+	// minGain is by how much the crowding must fall, beyond the price, for a change to
+	// be worth its disturbance: a fifth of what one engine at easyWork makes.
+	minGain = 0.05
+	// loadPrice is what a load costs in itself, in crowding.
+	loadPrice = 0.02
+	// demandTime is how many seconds demand stays where it is, as a rule: what is
+	// done after that is done in vain.
+	demandTime = 12.0
+	// unloadTime is how many seconds an unload takes with the word to the gateways
+	// before it, busyUnloadTime how many more when a copy with busyWork or more has
+	// to finish its answers first.
+	unloadTime     = 0.4
+	busyUnloadTime = 3.0
+	busyWork       = 0.1
+	// busyWait is how many seconds an engine with an order under way needs for it.
+	busyWait = 3.0
+	// adapterWeight weighs an adapter in use at an engine that is loading a model,
+	// and so can't take another.
+	adapterWeight = 0.1
+	// shortageWeight is the crowding that an adapter in use without a place makes:
+	// its callers wait while adapters push each other out.
+	shortageWeight = 0.05
+	// idleShare of an engine's work is as good as none.
+	idleShare = 0.02
+	// nowhere is no engine.
+	nowhere = -1
+)
+
+// layout is which engine holds which model, by their places in the lists, with the
+// work that follows.
+type layout struct {
+	held   [][]bool
+	size   []float64
+	demand []float64
+	need   []float64 // adapters in use
+	slots  float64   // adapter places of an engine
+	copies []int
+	used   []float64
+	work   []float64
+}
+
+// newLayout notes what engines hold or will hold once what is under way is done.
+func newLayout(p *planner) *layout {
+	l := &layout{
+		slots:  float64(p.class.AdapterSlots),
+		copies: make([]int, len(p.class.Models)),
+		used:   make([]float64, len(p.engines)),
+		work:   make([]float64, len(p.engines)),
+	}
+	for _, m := range p.class.Models {
+		l.size = append(l.size, size(m))
+		l.demand = append(l.demand, p.demand[m.Name])
+		l.need = append(l.need, float64(p.adapters[m.Name]))
+	}
+	for i, e := range p.engines {
+		l.held = append(l.held, make([]bool, len(p.class.Models)))
+		for _, h := range e.Held {
+			if m := p.index(h.Name); m >= 0 && e.serves(h.Name) {
+				l.set(i, m, true)
+			}
+		}
+	}
+	l.count()
+	return l
+}
+
+func (l *layout) clone() *layout {
+	c := *l
+	c.held = make([][]bool, len(l.held))
+	for e := range l.held {
+		c.held[e] = slices.Clone(l.held[e])
+	}
+	c.copies, c.used, c.work = slices.Clone(l.copies), slices.Clone(l.used), slices.Clone(l.work)
+	return &c
+}
+
+func (l *layout) holds(e, m int) bool { return l.held[e][m] }
+
+func (l *layout) set(e, m int, held bool) {
+	if l.held[e][m] == held {
+		return
+	}
+	l.held[e][m] = held
+	if held {
+		l.copies[m]++
+		l.used[e] += l.size[m]
+	} else {
+		l.copies[m]--
+		l.used[e] -= l.size[m]
+	}
+}
+
+// count works out the work of each engine, a model's shared evenly by its copies.
+func (l *layout) count() {
+	for e := range l.held {
+		l.work[e] = 0
+		for m, held := range l.held[e] {
+			if held {
+				l.work[e] += l.share(m)
+			}
+		}
+	}
+}
+
+// share is the work that one copy of a model brings.
+func (l *layout) share(m int) float64 { return l.demand[m] / float64(max(1, l.copies[m])) }
+
+// loss is the work that the other copies must take over when one goes.
+func (l *layout) loss(m int) float64 {
+	n := l.copies[m]
+	if n <= 1 {
+		const lastCopy = 1000
+		return lastCopy + l.demand[m]
+	}
+	return l.demand[m]/float64(n-1) - l.demand[m]/float64(n)
+}
+
+func (l *layout) models(e int) []int {
+	var list []int
+	for m, held := range l.held[e] {
+		if held {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// crowding is how much callers suffer from the work of all engines, and from adapters
+// without a place.
+func (l *layout) crowding() float64 {
+	total := 0.0
+	for _, work := range l.work {
+		over := max(0, work-easyWork)
+		total += work*work + crowdWeight*over*over
+	}
+	for m := range l.need {
+		total += shortageWeight * l.shortage(m)
+	}
+	return total
+}
+
+// shortage is how many adapters of a model find no place at once, where the places of
+// an engine are shared by its models as their adapters are.
+func (l *layout) shortage(m int) float64 {
+	if l.need[m] == 0 || l.slots == 0 {
+		return 0
+	}
+	places := 0.0
+	for e := range l.held {
+		if !l.held[e][m] {
+			continue
+		}
+		total := 0.0
+		for other, held := range l.held[e] {
+			if held {
+				total += l.need[other]
+			}
+		}
+		places += l.slots * l.need[m] / total
+	}
+	return max(0, l.need[m]-places)
+}
+
+// giveWay is a model that leaves an engine, and where its last copy goes.
+type giveWay struct{ model, to int }
+
+// change is a copy of a model that comes to an engine, and what gives way for it.
+type change struct {
+	engine, model int
+	gives         []giveWay
+	gain          float64
+}
+
+func (c change) apply(l *layout) {
+	for _, g := range c.gives {
+		l.set(c.engine, g.model, false)
+		if g.to != nowhere {
+			l.set(g.to, g.model, true)
+		}
+	}
+	l.set(c.engine, c.model, true)
+	l.count()
+}
+
+// sizeAt is the memory that what gives way takes at another engine.
+func (c change) sizeAt(l *layout, e int) float64 {
+	total := 0.0
+	for _, g := range c.gives {
+		if g.to == e {
+			total += l.size[g.model]
+		}
+	}
+	return total
+}
+
+// size is what a model's load takes, with room for a few adapters beside it.
+func size(m laburnumlever.ResidentClass) float64 {
+	const spareAdapters = 4
+	return m.WeightsMB + m.AdapterMB*float64(min(m.Adapters, spareAdapters))
+}
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -2,310 +2,278 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"laburnumlever"
 )
 
 const (
-	// busyShare of an engine's work is when more copies are thought of: below it a
-	// request finds a place at once nearly always, and few prompts meet.
-	busyShare = 0.4
-	// idleShare of an engine's work is as good as none.
-	idleShare = 0.02
-	// gain is by how much the work of the busiest engine must fall for a copy to
-	// be worth its load.
-	gain = 0.15
-	// loadWeight weighs a second of a load against an engine's work.
-	loadWeight = 0.04
-	// adapterWeight weighs an adapter in use at an engine that is loading a model,
-	// and so can't take another.
-	adapterWeight = 0.25
+	// maxChanges bounds the changes of one round: more would be out of date before
+	// the engines had carried them out.
+	maxChanges = 12
+	// consideredModels bounds the models that may get another copy in a round, those
+	// with most work a copy first.
+	consideredModels = 12
 )
 
-// planner holds one round.
+// planner holds one round: what the engines hold, and what they should.
 type planner struct {
 	class    *laburnumlever.EngineClass
 	engines  []*Engine
 	demand   Demand
 	adapters map[laburnumlever.ModelName]int
-	copies   map[laburnumlever.ModelName]int
-	// ready are the copies that take requests now: one on its way is none yet for
-	// those who ask.
-	ready map[laburnumlever.ModelName]int
-	work  map[laburnumlever.BackendID]float64
-	steps []Step
+	target   *layout
+	steps    []Step
 }
 
 // Next names the next steps, at most one an engine, the most urgent first. Adapters
 // counts those of each model that are in use.
+//
+// The whole of what the engines should hold is worked out anew each time, from what
+// they hold now and with the price of each load. What is under way counts as done, so
+// a change of several steps is found again until it is done, and demand that swings a
+// little changes nothing.
 func Next(class *laburnumlever.EngineClass, engines []Engine, demand Demand, adapters map[laburnumlever.ModelName]int) []Step {
 	p := &planner{class: class, demand: demand, adapters: adapters}
-	engines = slices.Clone(engines) // what the steps lead to is noted in the copy
+	engines = slices.Clone(engines)
 	for i := range engines {
 		p.engines = append(p.engines, &engines[i])
 	}
 	slices.SortFunc(p.engines, func(a, b *Engine) int { return cmp.Compare(a.ID, b.ID) })
-	p.count()
+	p.target = newLayout(p)
 	p.placeMissing()
-	p.followDemand()
-	p.placeAdapters()
-	return p.steps
-}
-
-// count works out the copies of each model and the work of each engine, a model's
-// shared evenly by its copies.
-func (p *planner) count() {
-	p.copies = map[laburnumlever.ModelName]int{}
-	p.ready = map[laburnumlever.ModelName]int{}
-	for _, e := range p.engines {
-		for _, h := range e.Held {
-			if e.serves(h.Name) {
-				p.copies[h.Name]++
-			}
-			if e.ready(h.Name) {
-				p.ready[h.Name]++
-			}
-		}
+	p.ease()
+	for i, e := range p.engines {
+		p.approach(i, e)
 	}
-	p.work = map[laburnumlever.BackendID]float64{}
-	for _, e := range p.engines {
-		for _, h := range e.Held {
-			if e.serves(h.Name) {
-				p.work[e.ID] += p.share(h.Name)
-			}
-		}
-	}
-}
-
-// share is the work that one copy of the model brings.
-func (p *planner) share(model laburnumlever.ModelName) float64 {
-	return p.demand[model] / float64(max(1, p.copies[model]))
+	return p.steps
 }
 
-// placeMissing loads the models that no engine holds, the most wanted first.
+// placeMissing finds places for the models that no engine holds, the most wanted
+// first.
 func (p *planner) placeMissing() {
-	var missing []laburnumlever.ResidentClass
-	for _, m := range p.class.Models {
-		if p.copies[m.Name] == 0 {
+	var missing []int
+	for m := range p.class.Models {
+		if p.target.copies[m] == 0 {
 			missing = append(missing, m)
 		}
 	}
-	slices.SortStableFunc(missing, func(a, b laburnumlever.ResidentClass) int {
-		return cmp.Compare(p.demand[b.Name], p.demand[a.Name])
+	slices.SortStableFunc(missing, func(a, b int) int {
+		return cmp.Compare(p.target.demand[b], p.target.demand[a])
 	})
 	for _, m := range missing {
-		if e := p.roomiest(m); e != nil {
-			p.load(e, m, "no engine holds it")
-			continue
-		}
-		if e, victims := p.cheapest(m, true); e != nil {
-			p.unload(e, victims, "makes room for a model that no engine holds")
+		if c, ok := p.best(m, true); ok {
+			c.apply(p.target)
 		}
 	}
 }
 
-// roomiest finds the idle engine with room where the load is soonest done and
-// there is least work.
-func (p *planner) roomiest(m laburnumlever.ResidentClass) *Engine {
-	var best *Engine
-	bestCost := math.Inf(1)
-	for _, e := range p.engines {
-		if !e.Idle || e.Holds(m.Name) || !e.hasRoom(p.class, m) {
-			continue
+// ease gives models one more copy each as long as that eases the engines by more than
+// it costs.
+func (p *planner) ease() {
+	for range maxChanges {
+		var best change
+		for _, m := range p.considered() {
+			if c, ok := p.best(m, false); ok && c.gain > best.gain {
+				best = c
+			}
 		}
-		cost := p.loadCost(e, m) + p.work[e.ID]
-		if cost < bestCost {
-			best, bestCost = e, cost
+		if best.gain < minGain {
+			return
 		}
+		best.apply(p.target)
 	}
-	return best
 }
 
-// loadCost weighs a load: its time, and that the engine takes no adapters meanwhile.
-func (p *planner) loadCost(e *Engine, m laburnumlever.ResidentClass) float64 {
-	blocked := 0
-	for _, h := range e.Held {
-		blocked += p.adapters[h.Name]
+// considered lists the models with most work, or most adapters without a place, a copy.
+func (p *planner) considered() []int {
+	var list []int
+	for m := range p.class.Models {
+		if p.target.copies[m] > 0 && (p.target.share(m) > idleShare || p.target.shortage(m) > 0) {
+			list = append(list, m)
+		}
 	}
-	return loadWeight * e.loadSeconds(m) * (1 + adapterWeight*float64(blocked))
+	slices.SortStableFunc(list, func(a, b int) int {
+		return cmp.Compare(p.weight(b), p.weight(a))
+	})
+	return list[:min(len(list), consideredModels)]
 }
 
-// Holds tells whether the model takes memory at the engine.
-func (e *Engine) Holds(model laburnumlever.ModelName) bool {
-	return laburnumlever.Holds(e.Held, model, "")
+func (p *planner) weight(m int) float64 {
+	return p.target.share(m) + shortageWeight*p.target.shortage(m)
 }
 
-// cheapest finds the idle engine where giving up copies for the model costs least,
-// and the models to give up. The last copy of a model may only go, if missing is
-// set, for a model that is asked for more.
-func (p *planner) cheapest(m laburnumlever.ResidentClass, missing bool) (*Engine, []laburnumlever.ModelName) {
-	var best *Engine
-	var bestVictims []laburnumlever.ModelName
-	bestCost := math.Inf(1)
-	for _, e := range p.engines {
-		if !e.Idle || e.Holds(m.Name) {
-			continue
-		}
-		victims, cost, ok := p.victims(e, m, missing)
-		if !ok {
+// best finds the engine where one more copy of the model eases most.
+func (p *planner) best(m int, missing bool) (change, bool) {
+	var best change
+	found := false
+	for e := range p.engines {
+		if p.target.holds(e, m) {
 			continue
 		}
-		cost += p.loadCost(e, m) + p.work[e.ID]
-		if cost < bestCost {
-			best, bestVictims, bestCost = e, victims, cost
+		c, ok := p.consider(e, m, missing)
+		if ok && (!found || c.gain > best.gain) {
+			best, found = c, true
 		}
 	}
-	return best, bestVictims
+	return best, found
 }
 
-// victims chooses what to give up at an engine, the least useful first.
-func (p *planner) victims(e *Engine, m laburnumlever.ResidentClass, missing bool) ([]laburnumlever.ModelName, float64, bool) {
-	held := slices.Clone(e.Held)
-	slices.SortStableFunc(held, func(a, b laburnumlever.HeldModel) int {
-		return cmp.Compare(p.loss(a.Name), p.loss(b.Name))
-	})
-	need := e.used(p.class) + size(m) - p.class.WeightsMB
-	var victims []laburnumlever.ModelName
-	cost := 0.0
-	for _, h := range held {
+// consider works out what a copy at an engine brings, what gives way for it, and where
+// the last copy of what gives way can go. What comes late is worth less: demand has
+// moved on by then.
+func (p *planner) consider(e, m int, missing bool) (change, bool) {
+	c := change{engine: e, model: m}
+	delay := p.loadTime(e, m)
+	loads := 1
+	need := p.target.used[e] + p.target.size[m] - p.class.WeightsMB
+	for _, v := range p.leastUseful(e) {
 		if need <= 0 {
 			break
 		}
-		if slices.Contains(e.Young, h.Name) {
+		give, ok := p.giveWay(e, v, m, c, missing)
+		if !ok {
 			continue
 		}
-		last := p.ready[h.Name] <= 1
-		if last && (!missing || p.demand[h.Name] > 0 || p.demand[m.Name] == 0) {
-			continue
+		if give.to != nowhere {
+			delay += p.loadTime(give.to, v)
+			loads++
 		}
-		c, _ := p.class.Model(h.Name)
-		need -= c.WeightsMB + c.AdapterMB*float64(len(h.Adapters))
-		cost += p.loss(h.Name)
-		victims = append(victims, h.Name)
+		delay += unloadTime + busyUnloadTime*min(1, p.target.share(v)/busyWork)
+		need -= p.target.size[v]
+		c.gives = append(c.gives, give)
+	}
+	if need > 0 {
+		return c, false
 	}
-	return victims, cost, need <= 0 && len(victims) > 0
+	before := p.target.crowding()
+	after := p.target.clone()
+	c.apply(after)
+	c.gain = (before-after.crowding())*max(0, 1-delay/demandTime) - loadPrice*float64(loads)
+	if missing {
+		c.gain -= delay // whatever it brings, the soonest is best
+	}
+	return c, true
 }
 
-// loss is the work that the other copies of a model must take over when one goes.
-func (p *planner) loss(model laburnumlever.ModelName) float64 {
-	n := p.ready[model]
-	if n <= 1 {
-		const lastCopy = 1000
-		return lastCopy + p.demand[model]
+// giveWay tells whether a model may leave an engine for another, and where its last copy
+// goes. The last copy of one that nobody asks for gives way to a missing one that is
+// asked for.
+func (p *planner) giveWay(e, v, m int, c change, missing bool) (giveWay, bool) {
+	give := giveWay{model: v, to: nowhere}
+	if slices.Contains(p.engines[e].Young, p.class.Models[v].Name) {
+		return give, false
+	}
+	if p.target.copies[v] > 1 {
+		return give, true
+	}
+	if give.to = p.room(v, e, c); give.to != nowhere {
+		return give, true
 	}
-	return p.demand[model]/float64(n-1) - p.demand[model]/float64(n)
+	return give, missing && p.target.demand[v] == 0 && p.target.demand[m] > 0
 }
 
-// followDemand gives the busiest engine's busiest model one more copy.
-func (p *planner) followDemand() {
-	hot := slices.Clone(p.engines)
-	slices.SortStableFunc(hot, func(a, b *Engine) int { return cmp.Compare(p.work[b.ID], p.work[a.ID]) })
-	done := map[laburnumlever.ModelName]bool{}
-	for _, e := range hot {
-		if p.work[e.ID] < busyShare {
-			return
-		}
-		if model, ok := p.heaviest(e); ok && !done[model] && !p.loading(model) {
-			done[model] = true
-			p.spread(e, model)
-		}
+// loadTime is how many seconds pass until a copy is there that the engine does not hold
+// yet.
+func (p *planner) loadTime(e, m int) float64 {
+	engine, model := p.engines[e], p.class.Models[m]
+	if engine.serves(model.Name) {
+		return 0
+	}
+	blocked := 0
+	for _, h := range engine.Held {
+		blocked += p.adapters[h.Name]
 	}
+	wait := 0.0
+	if !engine.Idle {
+		wait = busyWait
+	}
+	return wait + engine.loadSeconds(model)*(1+adapterWeight*float64(blocked))
 }
 
-func (p *planner) heaviest(e *Engine) (laburnumlever.ModelName, bool) {
-	var best laburnumlever.ModelName
-	for _, h := range e.Held {
-		if e.serves(h.Name) && (best == "" || p.share(h.Name) > p.share(best)) {
-			best = h.Name
-		}
-	}
-	return best, best != ""
+// leastUseful lists what an engine should hold, what would be missed least first.
+func (p *planner) leastUseful(e int) []int {
+	list := p.target.models(e)
+	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(p.target.loss(a), p.target.loss(b)) })
+	return list
 }
 
-// loading tells whether a copy of the model is on its way already.
-func (p *planner) loading(model laburnumlever.ModelName) bool {
-	return slices.ContainsFunc(p.engines, func(e *Engine) bool { return e.Loading == model })
+// room finds the engine with room for a model that has to leave another, that with
+// least work.
+func (p *planner) room(m, not int, c change) int {
+	best := nowhere
+	for e := range p.engines {
+		if e == not || p.target.holds(e, m) || p.target.used[e]+p.target.size[m]+c.sizeAt(p.target, e) > p.class.WeightsMB {
+			continue
+		}
+		if best == nowhere || p.target.work[e] < p.target.work[best] {
+			best = e
+		}
+	}
+	return best
 }
 
-// spread adds a copy of the model where the engine that takes it ends up clearly
-// below the one that is relieved.
-func (p *planner) spread(hot *Engine, model laburnumlever.ModelName) {
-	m, ok := p.class.Model(model)
-	if !ok {
+// approach takes one step with an engine towards what it should hold: a load if there
+// is room, else the unload of what is not wanted there and is ready elsewhere.
+func (p *planner) approach(e int, engine *Engine) {
+	if !engine.Idle {
 		return
 	}
-	share := p.demand[model] / float64(p.copies[model]+1)
-	limit := p.work[hot.ID] * (1 - gain)
-	if e := p.roomiest(m); e != nil && p.work[e.ID]+share < limit {
-		p.load(e, m, "takes over work of a busy engine")
+	var wanted []int
+	for _, m := range p.target.models(e) {
+		if !engine.Holds(p.class.Models[m].Name) {
+			wanted = append(wanted, m)
+		}
+	}
+	if len(wanted) == 0 {
 		return
 	}
-	if e, victims := p.cheapest(m, false); e != nil && p.work[e.ID]+share < limit {
-		p.unload(e, victims, "makes room for a model of a busy engine")
+	slices.SortStableFunc(wanted, func(a, b int) int {
+		return cmp.Or(cmp.Compare(p.ready(a), p.ready(b)), cmp.Compare(p.target.share(b), p.target.share(a)))
+	})
+	m := p.class.Models[wanted[0]]
+	reason := "takes over work of a busy engine"
+	if p.ready(wanted[0]) == 0 {
+		reason = "no engine holds it"
 	}
-}
-
-// placeAdapters gives a model one more copy whose adapters in use do not find places
-// at the engines that hold it: their callers would wait while adapters push each other
-// out.
-func (p *planner) placeAdapters() {
-	if p.class.AdapterSlots <= 0 {
+	if engine.hasRoom(p.class, m) {
+		p.steps = append(p.steps, Step{
+			Engine: engine.ID, Kind: laburnumlever.Load, Model: m.Name, FromStore: engine.fromStore(m.Name), Reason: reason,
+		})
 		return
 	}
-	for _, m := range p.class.Models {
-		if p.adapters[m.Name] == 0 || p.loading(m.Name) || p.adapterPlaces(m.Name) >= float64(p.adapters[m.Name]) {
+	p.makeRoom(e, engine, wanted[0], reason)
+}
+
+func (p *planner) makeRoom(e int, engine *Engine, wanted int, reason string) {
+	for _, h := range engine.Held {
+		m := p.index(h.Name)
+		if m < 0 || p.target.holds(e, m) || !engine.serves(h.Name) {
 			continue
 		}
-		if e := p.roomiest(m); e != nil {
-			p.load(e, m, "its adapters lack places")
-		} else if e, victims := p.cheapest(m, false); e != nil && p.idleCopies(victims) {
-			p.unload(e, victims, "makes room for a model whose adapters lack places")
+		unasked := p.ready(wanted) == 0 && p.target.demand[m] == 0 && p.target.demand[wanted] > 0
+		if p.ready(m) >= 2 || unasked {
+			p.steps = append(p.steps, Step{
+				Engine: engine.ID, Kind: laburnumlever.Unload, Model: h.Name, Reason: "makes room for a model: " + reason,
+			})
+			engine.Unloading = h.Name
+			return
 		}
 	}
 }
 
-// idleCopies tells whether nobody would miss these copies: adapters that push each
-// other out cost less than work pushed together on fewer engines.
-func (p *planner) idleCopies(models []laburnumlever.ModelName) bool {
-	return !slices.ContainsFunc(models, func(m laburnumlever.ModelName) bool {
-		return p.share(m) > idleShare || p.adapters[m] > 0
-	})
-}
-
-// adapterPlaces is how many adapters of the model find a place at once, where the
-// places of an engine are shared by its models as their adapters are.
-func (p *planner) adapterPlaces(model laburnumlever.ModelName) float64 {
-	places := 0.0
+// ready counts the copies of a model that take requests now: one on its way is none yet
+// for those who ask.
+func (p *planner) ready(m int) int {
+	n := 0
 	for _, e := range p.engines {
-		if !e.serves(model) {
-			continue
+		if e.ready(p.class.Models[m].Name) {
+			n++
 		}
-		total := 0
-		for _, h := range e.Held {
-			total += p.adapters[h.Name]
-		}
-		places += float64(p.class.AdapterSlots) * float64(p.adapters[model]) / float64(max(1, total))
 	}
-	return places
-}
-
-// load notes the step and its effect, so that the next choice of the round sees it.
-func (p *planner) load(e *Engine, m laburnumlever.ResidentClass, reason string) {
-	p.steps = append(p.steps, Step{
-		Engine: e.ID, Kind: laburnumlever.Load, Model: m.Name, FromStore: e.fromStore(m.Name), Reason: reason,
-	})
-	e.Idle = false
-	e.Loading = m.Name
-	e.Held = append(slices.Clone(e.Held), laburnumlever.HeldModel{Name: m.Name})
-	p.count()
+	return n
 }
 
-// unload gives up the first of the models; the others follow in later rounds.
-func (p *planner) unload(e *Engine, victims []laburnumlever.ModelName, reason string) {
-	p.steps = append(p.steps, Step{Engine: e.ID, Kind: laburnumlever.Unload, Model: victims[0], Reason: reason})
-	e.Idle = false
-	e.Unloading = victims[0]
-	p.count()
+func (p *planner) index(name laburnumlever.ModelName) int {
+	return slices.IndexFunc(p.class.Models, func(m laburnumlever.ResidentClass) bool { return m.Name == name })
 }
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -58,16 +58,15 @@
 	return total
 }
 
-// size is what a model's load takes, with room for a few adapters beside it.
-func size(m laburnumlever.ResidentClass) float64 {
-	const spareAdapters = 4
-	return m.WeightsMB + m.AdapterMB*float64(min(m.Adapters, spareAdapters))
-}
-
 func (e *Engine) hasRoom(class *laburnumlever.EngineClass, m laburnumlever.ResidentClass) bool {
 	return e.used(class)+size(m) <= class.WeightsMB
 }
 
+// Holds tells whether the model takes memory at the engine.
+func (e *Engine) Holds(model laburnumlever.ModelName) bool {
+	return laburnumlever.Holds(e.Held, model, "")
+}
+
 func (e *Engine) fromStore(model laburnumlever.ModelName) bool {
 	return !slices.Contains(e.InMemory, model) && !slices.Contains(e.OnDisk, model)
 }
