--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -44,6 +44,8 @@
 	Model   laburnumlever.ModelName
 	Adapter laburnumlever.AdapterName
 	Prompt  []laburnumlever.PromptPart
+	// Target is the time within which the answer should begin; 0 for none.
+	Target time.Duration
 	// Avoid are the servers that this request was sent to before.
 	Avoid []laburnumlever.BackendID
 }
@@ -69,6 +71,9 @@
 	Backend laburnumlever.Heartbeat
 	server  *server
 	query   Query
+	// reading is the time that its prompt takes, until its answer has begun.
+	reading float64
+	since   time.Time
 }
 
 // Sample is what came of an attempt.
@@ -114,7 +119,7 @@
 		return
 	}
 	if s == nil {
-		s = &server{local: r.Heartbeat.Zone == t.zone}
+		s = &server{local: r.Heartbeat.Zone == t.zone, readingLimit: startReading}
 		t.servers[id] = s
 		t.byService[r.Heartbeat.Service] = append(t.byService[r.Heartbeat.Service], s)
 	}
@@ -193,16 +198,17 @@
 		return nil, verdict
 	}
 	best.own++
-	best.reading = best.backlog(now) + float64(t.prefixes.missing(best.record.Heartbeat.Backend, q.Prompt))/tokensPerMilli
-	best.readingAt = now
+	reading := t.readMillis(best, q)
+	best.reading += reading
 	t.prefixes.sent(best.record.Heartbeat.Backend, q.Prompt)
-	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q}, Found
+	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q, reading: reading, since: now}, Found
 }
 
 // overfull tells whether what waits at the server is too much already.
 func (s *server) overfull(now time.Time) bool {
 	slots := float64(max(1, s.record.Heartbeat.Slots))
-	return now.Before(s.fullTill) || s.load(now) >= slots*(1+queueShare)
+	return now.Before(s.fullTill) || s.load(now) >= slots*(1+queueShare) ||
+		(s.reading > 0 && s.reading >= s.readingLimit)
 }
 
 func (t *Table) score(s *server, q Query, now time.Time) float64 {
@@ -223,19 +229,39 @@
 	if now.Before(s.unreachableTill) {
 		score += avoidMillis
 	}
-	reading := s.backlog(now) + float64(t.prefixes.missing(s.record.Heartbeat.Backend, q.Prompt))/tokensPerMilli
-	return score + reading
+	return score + s.reading + t.readMillis(s, q)
+}
+
+// readMillis is how long the server reads what it has not cached of the prompt.
+func (t *Table) readMillis(s *server, q Query) float64 {
+	return float64(t.prefixes.missing(s.record.Heartbeat.Backend, q.Prompt)) / tokensPerMilli
 }
 
 // avoidMillis puts a server behind all others that could do it.
 const avoidMillis = 1e6
 
+// Began notes that the answer has begun.
+func (t *Table) Began(ticket *Ticket, now time.Time) {
+	if ticket == nil || ticket.server == nil || ticket.reading == 0 {
+		return
+	}
+	ticket.server.began(now.Sub(ticket.since), ticket.query.Target)
+	ticket.unread()
+}
+
+// unread takes the prompt out of what the server has to read.
+func (ticket *Ticket) unread() {
+	ticket.server.reading = max(0, ticket.server.reading-ticket.reading)
+	ticket.reading = 0
+}
+
 // End frees the place and learns from the attempt. A nil ticket is no place.
 func (t *Table) End(ticket *Ticket, sample Sample, now time.Time) {
 	if ticket == nil || ticket.server == nil {
 		return
 	}
 	s := ticket.server
+	ticket.unread()
 	ticket.server = nil
 	s.own--
 	t.Learn(s.record.Heartbeat.Backend, sample, now)
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -8,6 +8,17 @@
 )
 
 const (
+	// startReading is the limit on prompts under way at a server that this VM begins
+	// with, in milliseconds; minReading lets one request through, maxReading is a
+	// usual target.
+	startReading = 120
+	minReading   = 25
+	maxReading   = 300
+	// readingTarget is the part of a request's target after which its answer should
+	// have begun; the rest is for the caller's network and for a wait on the gateway.
+	readingTarget = 2
+	readingRise   = 4
+	readingFall   = 0.9
 	// loadFade is how long another VM's work that an answer told of is believed:
 	// about one and a half of a usual stream.
 	loadFade = 3 * time.Second
@@ -43,12 +54,13 @@
 	others   float64
 	othersAt time.Time
 	fullTill time.Time
-	// reading is the time in milliseconds for which the server still reads prompts
-	// that this VM sent, as of readingAt.
-	reading   float64
-	readingAt time.Time
-	failures  float64
-	failedAt  time.Time
+	// reading is the time in milliseconds that the prompts take which this VM sent
+	// and whose answers have not begun, readingLimit how much of it this VM may have
+	// there.
+	reading      float64
+	readingLimit float64
+	failures     float64
+	failedAt     time.Time
 	// unreachableTill is when a server that took no connection is tried again.
 	unreachableTill time.Time
 	absent          map[held]time.Time
@@ -61,13 +73,22 @@
 	return float64(s.own) + max(0, fade)*s.others
 }
 
-// backlog is how many milliseconds of prompts the server still has to read.
-func (s *server) backlog(now time.Time) float64 {
-	done := float64(now.Sub(s.readingAt)) / float64(time.Millisecond)
-	return max(0, s.reading-done)
+// began learns from an answer that has begun: one that took longer than half of its
+// target shows that the server has more to read than it should, from all VMs together.
+// Falling by a share and rising by steps, the VMs that send there end up with equal
+// parts.
+func (s *server) began(took, target time.Duration) {
+	if target <= 0 {
+		return
+	}
+	if took > target/readingTarget {
+		s.readingLimit = max(minReading, s.readingLimit*readingFall)
+		return
+	}
+	s.readingLimit = min(maxReading, s.readingLimit+readingRise)
 }
 
-// blame is what failures add to the score.
+// blame is what// blame is what failures add to the score.
 func (s *server) blame(now time.Time) float64 {
 	if s.failures == 0 {
 		return 0
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -76,9 +76,9 @@
 }
 
 // pass passes an answer on to the caller.
-func (g *Gateway) pass(ctx context.Context, q *request, out *answer, resp *http.Response, sample *laburnumbalance.Sample) *failure {
+func (g *Gateway) pass(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, sample *laburnumbalance.Sample) *failure {
 	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), streamType) {
-		return g.passStream(ctx, q, out, resp, sample)
+		return g.passStream(ctx, q, out, ticket, resp, sample)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStored+1))
 	if err != nil {
@@ -146,7 +146,7 @@
 
 // passStream passes whole events on as they come. What is left of a broken event is
 // dropped, so that the stream can go on elsewhere behind the last whole one.
-func (g *Gateway) passStream(ctx context.Context, q *request, out *answer, resp *http.Response, sample *laburnumbalance.Sample) *failure {
+func (g *Gateway) passStream(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, sample *laburnumbalance.Sample) *failure {
 	if !out.started {
 		copyHeader(out.w.Header(), resp.Header)
 		out.w.WriteHeader(http.StatusOK)
@@ -155,6 +155,7 @@
 	flusher := http.NewResponseController(out.w)
 	r := bufio.NewReaderSize(resp.Body, eventBuffer)
 	event := make([]byte, 0, eventBuffer)
+	first := true
 	for {
 		var err error
 		event, err = readEvent(r, event[:0])
@@ -165,6 +166,10 @@
 		if err != nil {
 			return nil
 		}
+		if first {
+			first = false
+			g.fleet.began(ticket)
+		}
 		if fail := g.follows(q, event); fail != nil {
 			sample.Failed = true
 			return fail
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -76,7 +76,7 @@
 	if fail := g.inspect(q, ticket, resp, marks, sample); fail != nil {
 		return fail, resp
 	}
-	return g.pass(ctx, q, out, resp, sample), resp
+	return g.pass(ctx, q, out, ticket, resp, sample), resp
 }
 
 func urgency(q *request) int {
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -120,6 +120,14 @@
 	return false
 }
 
+// began notes that the first event of an answer has come.
+func (f *Fleet) began(t *laburnumbalance.Ticket) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balance.Began(t, f.timers.Now())
+	f.serveWaiting()
+}
+
 // release frees a place and learns from the attempt.
 func (f *Fleet) release(t *laburnumbalance.Ticket, s laburnumbalance.Sample) {
 	f.mu.Lock()
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -137,7 +137,7 @@
 func (q *request) query() laburnumbalance.Query {
 	return laburnumbalance.Query{
 		Service: q.service.Name, Model: q.caller.Model, Adapter: q.caller.Adapter,
-		Prompt: q.caller.Prompt, Avoid: q.avoid,
+		Prompt: q.caller.Prompt, Target: time.Duration(q.route.Target), Avoid: q.avoid,
 	}
 }
 
