perf: gateways tell demand once a second, and the use of adapters by itself

Cause: demand went with each question, which come at every piece of news, so rates over a tenth of a second made the planner withdraw and load the same model in turns; an adapter counted as in use for a second and more after its last request.

Also: a copy gives way only to one with more than three times its work.

--- a/backend.go
+++ b/backend.go
@@ -180,8 +180,6 @@
 	AnswerTokens      float64 `json:"answer-tokens-per-second"`
 	// Refused counts those turned away for want of capacity, a second.
 	Refused float64 `json:"refused-per-second"`
-	// Adapters are those used since the last view.
-	Adapters []AdapterName `json:"adapters,omitempty"`
 	// InsideTarget is the share answered inside their class's targets.
 	InsideTarget float64 `json:"inside-target"`
 }
@@ -191,3 +189,26 @@
 	v.OwnsZone = owns
 	return v
 }
+
+// AdapterUse is what one VM knows of an adapter's use.
+type AdapterUse struct {
+	Model   ModelName   `json:"model"`
+	Adapter AdapterName `json:"adapter"`
+	// Idle is how long no request of the VM has used it; 0 while one does.
+	Idle Duration `json:"idle"`
+}
+
+// GatewayNews is what a gateway tells the control VM that gives the orders.
+type GatewayNews struct {
+	// Demand is there once a second.
+	Demand []ModelDemand `json:"demand,omitempty"`
+	// Adapters are those used lately.
+	Adapters []AdapterUse `json:"adapters,omitempty"`
+	// Unreachable are backend servers that lately took no connection of this VM.
+	Unreachable []BackendID `json:"unreachable,omitempty"`
+}
+
+// IsZero tells whether there is nothing to tell.
+func (n GatewayNews) IsZero() bool {
+	return len(n.Demand)+len(n.Adapters)+len(n.Unreachable) == 0
+}
--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -16,9 +16,9 @@
 	adapterLoad = 12 * time.Millisecond
 	// needLimit is how long a question for an adapter is worth answering.
 	needLimit = 400 * time.Millisecond
-	// adapterQuiet is how long an adapter must be unused before it gives way: the
-	// gateways tell once a second which they use.
-	adapterQuiet = 1300 * time.Millisecond
+	// adapterQuiet is how long an adapter must be unused before it gives way: longer
+	// than the gateways' word on it is on its way.
+	adapterQuiet = 400 * time.Millisecond
 	// adapterInUse is how long an adapter counts as in use for the plan.
 	adapterInUse = 3 * time.Second
 	// comingLimit is how many adapters may be on their way to one engine.
@@ -119,11 +119,11 @@
 	return false
 }
 
-// used notes that requests used an adapter, at whichever engine.
-func (d *Director) used(key adapterKey, now time.Time) {
+// used notes when requests used an adapter last, at whichever engine.
+func (d *Director) used(key adapterKey, at time.Time) {
 	for _, e := range d.engines {
-		if a := e.adapter(key); a != nil {
-			a.usedAt = now
+		if a := e.adapter(key); a != nil && at.After(a.usedAt) {
+			a.usedAt = at
 		}
 	}
 }
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -153,9 +153,9 @@
 // SetRoutes takes the routes in force; any goroutine.
 func (d *Director) SetRoutes(t laburnumlever.RouteTable) { d.loop.Post(d, routed{table: t}) }
 
-// SetDemand takes what callers ask of a gateway; any goroutine.
-func (d *Director) SetDemand(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand, unreachable []laburnumlever.BackendID) {
-	d.loop.Post(d, demanded{vm: vm, rows: rows, unreachable: unreachable})
+// SetNews takes what a gateway tells; any goroutine.
+func (d *Director) SetNews(vm laburnumlever.VMID, news laburnumlever.GatewayNews) {
+	d.loop.Post(d, told{vm: vm, news: news})
 }
 
 // Handle runs on the control thread.
@@ -167,8 +167,8 @@
 		d.onRecord(ev.record)
 	case routed:
 		d.onRoutes(ev.table)
-	case demanded:
-		d.onDemand(ev)
+	case told:
+		d.onTold(ev)
 	case leased:
 		d.onLeased(ev)
 	case ordered:
@@ -197,15 +197,15 @@
 	d.tendNeeds(now)
 }
 
-func (d *Director) onDemand(ev demanded) {
+func (d *Director) onTold(ev told) {
 	now := d.timers.Now()
-	d.demand.add(ev.vm, ev.rows, now)
-	for _, row := range ev.rows {
-		for _, adapter := range row.Adapters {
-			d.used(adapterKey{model: row.Model, adapter: adapter}, now)
-		}
+	if len(ev.news.Demand) > 0 {
+		d.demand.add(ev.vm, ev.news.Demand, now)
+	}
+	for _, use := range ev.news.Adapters {
+		d.used(adapterKey{model: use.Model, adapter: use.Adapter}, now.Add(-time.Duration(use.Idle)))
 	}
-	for _, id := range ev.unreachable {
+	for _, id := range ev.news.Unreachable {
 		if e := d.engines[id]; e != nil {
 			e.unreachableAt = now
 		}
--- a/laburnumdirector/events.go
+++ b/laburnumdirector/events.go
@@ -12,11 +12,10 @@
 	// recorded is news of a backend server.
 	recorded struct{ record laburnumregistry.Record }
 	routed   struct{ table laburnumlever.RouteTable }
-	demanded struct {
+	// told is what a gateway tells.
+	told struct {
 		vm   laburnumlever.VMID
-		rows []laburnumlever.ModelDemand
-		// unreachable are engines that took no connection of the VM.
-		unreachable []laburnumlever.BackendID
+		news laburnumlever.GatewayNews
 	}
 	// leased is the answer to a try to get or renew the lease.
 	leased struct {
@@ -48,7 +47,7 @@
 func (ticked) EventName() string   { return "director-ticked" }
 func (recorded) EventName() string { return "director-recorded" }
 func (routed) EventName() string   { return "director-routed" }
-func (demanded) EventName() string { return "director-demanded" }
+func (told) EventName() string     { return "director-told" }
 func (leased) EventName() string   { return "director-leased" }
 func (ordered) EventName() string  { return "director-ordered" }
 func (stated) EventName() string   { return "director-stated" }
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -32,9 +32,8 @@
 	LearnRoutes(t laburnumlever.RouteTable)
 	// RoutesVersion is the version held; 0 for none.
 	RoutesVersion() uint64
-	// Demand is what to tell the control VM that gives the orders, and which
-	// backend servers took no connection.
-	Demand() (rows []laburnumlever.ModelDemand, unreachable []laburnumlever.BackendID)
+	// News is what to tell the control VM that gives the orders.
+	News() laburnumlever.GatewayNews
 }
 
 // Follower asks all control VMs that it knows of.
@@ -124,7 +123,7 @@
 	defer cancel()
 	q := request{From: f.self, Boot: boot, Since: cursor}
 	if f.directs(address) {
-		q.Demand, q.Unreachable = f.sink.Demand()
+		q.News = f.sink.News()
 	}
 	var a Answer
 	err := f.peers.Call(ctx, address, methodNext, q, &a)
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -18,10 +18,8 @@
 	// Boot and Since are those of the last answer; 0 before the first.
 	Boot  uint64 `json:"boot,omitempty"`
 	Since uint64 `json:"since,omitempty"`
-	// Demand is what callers asked of this VM since its last request.
-	Demand []laburnumlever.ModelDemand `json:"demand,omitempty"`
-	// Unreachable are backend servers that lately took no connection of this VM.
-	Unreachable []laburnumlever.BackendID `json:"unreachable,omitempty"`
+	// News is for the control VM that gives the orders.
+	News laburnumlever.GatewayNews `json:"news,omitzero"`
 }
 
 // Answer is what a control VM knows that the asking VM does not.
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -21,16 +21,15 @@
 	controlMemory = 20 * time.Second
 )
 
-// DemandFunc takes what callers ask of a gateway, and the backend servers that it can't
-// reach.
-type DemandFunc func(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand, unreachable []laburnumlever.BackendID)
+// NewsFunc takes what a gateway tells.
+type NewsFunc func(vm laburnumlever.VMID, news laburnumlever.GatewayNews)
 
 // Source answers the questions on a control VM. It may be used from any goroutine.
 type Source struct {
-	timers   laburnumlever.Timers
-	self     laburnumlever.VM
-	boot     uint64
-	onDemand DemandFunc
+	timers laburnumlever.Timers
+	self   laburnumlever.VM
+	boot   uint64
+	onNews NewsFunc
 
 	mu       sync.Mutex
 	cursor   uint64
@@ -66,15 +65,15 @@
 	s := &Source{
 		timers: timers, self: self, boot: self.Incarnation, changed: make(chan struct{}),
 		records: map[laburnumlever.BackendID]stamped{}, overlays: map[laburnumlever.BackendID]stampedOverlay{}, asked: map[laburnumlever.VMID]asker{},
-		onDemand: func(laburnumlever.VMID, []laburnumlever.ModelDemand, []laburnumlever.BackendID) {}, cursor: 1, controlsAt: 1, metaAt: 1,
+		onNews: func(laburnumlever.VMID, laburnumlever.GatewayNews) {}, cursor: 1, controlsAt: 1, metaAt: 1,
 	}
 	peers.Handle(methodNext, s.handleNext)
 	peers.Handle(methodRoutes, s.handleRoutes)
 	return s
 }
 
-// OnDemand sets the function that takes the gateways' demand; set it before serving.
-func (s *Source) OnDemand(fn DemandFunc) { s.onDemand = fn }
+// OnNews sets the function that takes the gateways' news; set it before serving.
+func (s *Source) OnNews(fn NewsFunc) { s.onNews = fn }
 
 // SetRecord offers a backend server's record to all who ask.
 func (s *Source) SetRecord(r laburnumregistry.Record) {
@@ -193,8 +192,8 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, &MessageError{Method: methodNext, Cause: err}
 	}
-	if len(q.Demand)+len(q.Unreachable) > 0 {
-		s.onDemand(q.From.ID, q.Demand, q.Unreachable)
+	if !q.News.IsZero() {
+		s.onNews(q.From.ID, q.News)
 	}
 	s.NoteControl(q.From)
 	held := s.after(holdTime)
--- /dev/null
+++ b/laburnumgateway/adapteruses.go
@@ -0,0 +1,79 @@
+package laburnumgateway
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// adapterPeriod is how often the use of adapters is told.
+	adapterPeriod = 250 * time.Millisecond
+	// adapterMemory is how long an adapter is told of after its last use.
+	adapterMemory = 4 * time.Second
+)
+
+// adapterUses follows which adapters this VM's requests use, so that the control VM that
+// makes room for one does not choose one at work: its unload would wait for the
+// requests and hold up all others at the engine.
+type adapterUses struct {
+	uses   map[adapterName]*adapterUse
+	toldAt time.Time
+}
+
+type adapterName struct {
+	model   laburnumlever.ModelName
+	adapter laburnumlever.AdapterName
+}
+
+type adapterUse struct {
+	running int
+	endedAt time.Time
+}
+
+func (a *adapterUses) begun(model laburnumlever.ModelName, adapter laburnumlever.AdapterName) {
+	if adapter == "" {
+		return
+	}
+	if a.uses == nil {
+		a.uses = map[adapterName]*adapterUse{}
+	}
+	key := adapterName{model: model, adapter: adapter}
+	if a.uses[key] == nil {
+		a.uses[key] = &adapterUse{}
+	}
+	a.uses[key].running++
+}
+
+func (a *adapterUses) ended(model laburnumlever.ModelName, adapter laburnumlever.AdapterName, now time.Time) {
+	if u := a.uses[adapterName{model: model, adapter: adapter}]; u != nil {
+		u.running--
+		u.endedAt = now
+	}
+}
+
+// take lists the uses, none sooner than a period after the last time.
+func (a *adapterUses) take(now time.Time) []laburnumlever.AdapterUse {
+	if now.Sub(a.toldAt) < adapterPeriod {
+		return nil
+	}
+	a.toldAt = now
+	var list []laburnumlever.AdapterUse
+	for key, u := range a.uses {
+		idle := time.Duration(0)
+		if u.running <= 0 {
+			idle = now.Sub(u.endedAt)
+		}
+		if idle > adapterMemory {
+			delete(a.uses, key)
+			continue
+		}
+		list = append(list, laburnumlever.AdapterUse{Model: key.model, Adapter: key.adapter, Idle: laburnumlever.Duration(idle)})
+	}
+	slices.SortFunc(list, func(x, y laburnumlever.AdapterUse) int {
+		return strings.Compare(string(x.Model)+"/"+string(x.Adapter), string(y.Model)+"/"+string(y.Adapter))
+	})
+	return list
+}
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -22,7 +22,8 @@
 	q.tries++
 	q.backend = ticket.Backend.Backend
 	sample := laburnumbalance.Sample{}
-	defer func() { g.fleet.release(ticket, sample) }()
+	g.fleet.using(q)
+	defer func() { g.fleet.release(q, ticket, sample) }()
 	conn, err := g.pool.Get(ctx, ticket.Backend.Address, g.connectionLimit(q))
 	if err != nil {
 		sample.Unreachable = ctx.Err() == nil && isDial(err)
--- a/laburnumgateway/demand.go
+++ b/laburnumgateway/demand.go
@@ -8,6 +8,10 @@
 	"laburnumlever"
 )
 
+// demandPeriod is how often demand is told: at a few requests a second for a model, a
+// second is the least in which their number means something.
+const demandPeriod = time.Second
+
 // demand counts what callers ask of models between two reports.
 type demand struct {
 	vm       laburnumlever.VMID
@@ -16,10 +20,7 @@
 	rows     map[laburnumlever.ModelName]*demandRow
 }
 
-type demandRow struct {
-	requests, prompt, answer, refused float64
-	adapters                          []laburnumlever.AdapterName
-}
+type demandRow struct{ requests, prompt, answer, refused float64 }
 
 func newDemand(vm laburnumlever.VMID) *demand {
 	return &demand{vm: vm, rows: map[laburnumlever.ModelName]*demandRow{}}
@@ -37,9 +38,6 @@
 	row.requests++
 	row.prompt += float64(q.caller.PromptTokens)
 	row.answer += float64(answerTokens(q.caller))
-	if a := q.caller.Adapter; a != "" && !slices.Contains(row.adapters, a) {
-		row.adapters = append(row.adapters, a)
-	}
 	if !served {
 		row.refused++
 	}
@@ -54,20 +52,22 @@
 	return c.MaxAnswerTokens / 2
 }
 
-// take returns the rates since the last call.
+// take returns the rates since the last time that it did so; none sooner than a period
+// after, since rates over a few requests say nothing.
 func (d *demand) take(now time.Time) []laburnumlever.ModelDemand {
-	span := now.Sub(d.since).Seconds()
-	if d.since.IsZero() || span <= 0 {
+	if d.since.IsZero() {
 		d.since = now
+	}
+	if now.Sub(d.since) < demandPeriod {
 		return nil
 	}
+	span := now.Sub(d.since).Seconds()
 	d.sequence++
 	rows := make([]laburnumlever.ModelDemand, 0, len(d.rows))
 	for model, row := range d.rows {
 		rows = append(rows, laburnumlever.ModelDemand{
 			Model: model, VM: d.vm, Sequence: d.sequence, RequestsPerSecond: row.requests / span,
 			PromptTokens: row.prompt / span, AnswerTokens: row.answer / span, Refused: row.refused / span,
-			Adapters: row.adapters,
 		})
 	}
 	slices.SortFunc(rows, func(a, b laburnumlever.ModelDemand) int { return strings.Compare(string(a.Model), string(b.Model)) })
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -26,6 +26,7 @@
 	registry *laburnumregistry.Table
 	balance  *laburnumbalance.Table
 	demand   *demand
+	adapters adapterUses
 	waiting  waiting
 	gateways int
 }
@@ -95,13 +96,15 @@
 	return 0
 }
 
-// Demand is what callers asked for since the last call, and the backend servers that
-// take no connection.
-func (f *Fleet) Demand() ([]laburnumlever.ModelDemand, []laburnumlever.BackendID) {
+// News is what callers asked for and which adapters they used since the last call, and
+// the backend servers that take no connection.
+func (f *Fleet) News() laburnumlever.GatewayNews {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timers.Now()
-	return f.demand.take(now), f.balance.Unreachable(now)
+	return laburnumlever.GatewayNews{
+		Demand: f.demand.take(now), Adapters: f.adapters.take(now), Unreachable: f.balance.Unreachable(now),
+	}
 }
 
 // Ready tells whether the VM can serve: it has routes and knows a backend server.
@@ -120,6 +123,13 @@
 	return false
 }
 
+// using notes that a request has a place.
+func (f *Fleet) using(q *request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.adapters.begun(q.caller.Model, q.caller.Adapter)
+}
+
 // began notes that the first event of an answer has come.
 func (f *Fleet) began(t *laburnumbalance.Ticket) {
 	f.mu.Lock()
@@ -129,9 +139,10 @@
 }
 
 // release frees a place and learns from the attempt.
-func (f *Fleet) release(t *laburnumbalance.Ticket, s laburnumbalance.Sample) {
+func (f *Fleet) release(q *request, t *laburnumbalance.Ticket, s laburnumbalance.Sample) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.adapters.ended(q.caller.Model, q.caller.Adapter, f.timers.Now())
 	f.balance.End(t, s, f.timers.Now())
 	f.serveWaiting()
 }
--- a/laburnumresidency/layout.go
+++ b/laburnumresidency/layout.go
@@ -28,12 +28,15 @@
 	busyWork       = 0.1
 	// busyWait is how many seconds an engine with an order under way needs for it.
 	busyWait = 3.0
-	// adapterWeight weighs an adapter in use at an engine that is loading a model,
-	// and so can't take another.
-	adapterWeight = 0.1
+	// adapterWeight is the crowding that an adapter in use makes for each second in
+	// which its engine loads a model and takes no other adapter.
+	adapterWeight = 0.002
 	// shortageWeight is the crowding that an adapter in use without a place makes:
 	// its callers wait while adapters push each other out.
 	shortageWeight = 0.05
+	// giveShare of the work that a new copy will have is the most that a copy may
+	// have which gives way for it.
+	giveShare = 0.3
 	// idleShare of an engine's work is as good as none.
 	idleShare = 0.02
 	// nowhere is no engine.
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -149,7 +149,8 @@
 	before := p.target.crowding()
 	after := p.target.clone()
 	c.apply(after)
-	c.gain = (before-after.crowding())*max(0, 1-delay/demandTime) - loadPrice*float64(loads)
+	c.gain = (before-after.crowding())*max(0, 1-delay/demandTime) -
+		loadPrice*float64(loads) - p.blockPrice(e, m)
 	if missing {
 		c.gain -= delay // whatever it brings, the soonest is best
 	}
@@ -164,6 +165,11 @@
 	if slices.Contains(p.engines[e].Young, p.class.Models[v].Name) {
 		return give, false
 	}
+	// Two models with like work would push each other out in turns, as one or the
+	// other has a little more.
+	if coming := p.target.demand[m] / float64(p.target.copies[m]+1); p.target.share(v) > giveShare*coming && !missing {
+		return give, false
+	}
 	if p.target.copies[v] > 1 {
 		return give, true
 	}
@@ -180,15 +186,20 @@
 	if engine.serves(model.Name) {
 		return 0
 	}
-	blocked := 0
-	for _, h := range engine.Held {
-		blocked += p.adapters[h.Name]
-	}
 	wait := 0.0
 	if !engine.Idle {
 		wait = busyWait
 	}
-	return wait + engine.loadSeconds(model)*(1+adapterWeight*float64(blocked))
+	return wait + engine.loadSeconds(model)
+}
+
+// blockPrice is what it costs that an engine takes no adapters while it loads.
+func (p *planner) blockPrice(e, m int) float64 {
+	blocked := 0.0
+	for _, held := range p.target.models(e) {
+		blocked += p.target.need[held] / float64(max(1, p.target.copies[held]))
+	}
+	return adapterWeight * blocked * p.engines[e].loadSeconds(p.class.Models[m])
 }
 
 // leastUseful lists what an engine should hold, what would be missed least first.
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -78,7 +78,7 @@
 	d.OnOverlay(c.source.SetOverlay)
 	d.OnDirecting(c.directing)
 	d.OnGone(c.gone)
-	c.source.OnDemand(d.SetDemand)
+	c.source.OnNews(d.SetNews)
 	c.peers.Handle(methodNeed, c.handleNeed)
 	c.director = d
 }
@@ -329,5 +329,5 @@
 // RoutesVersion keeps the follower from fetching routes, which come through the log.
 func (c *Control) RoutesVersion() uint64 { return ^uint64(0) }
 
-// Demand is none: callers come to gateways.
-func (c *Control) Demand() ([]laburnumlever.ModelDemand, []laburnumlever.BackendID) { return nil, nil }
+// News is none: callers come to gateways.
+func (c *Control) News() laburnumlever.GatewayNews { return laburnumlever.GatewayNews{} }
