fix: a request is sent by the announcement that it was placed by

Cause: the sender read the router's record of a server without the lock under which announcements change it (seen once in three race runs, in a drain during a burst); a caller could be sent to a mixture of an old and a new announcement.

Change: the ticket takes a copy when the server is chosen, under the lock; the record itself leaves the dispatcher no more. The test read the record, and saw the new address, before; its read is also what the race detector flags.

--- a/laburnumdispatch/dispatcher.go
+++ b/laburnumdispatch/dispatcher.go
@@ -53,22 +53,34 @@
 // Ticket is a request's place in the decisions.
 type Ticket struct {
 	Request Request
-	// Wake, if set, is called when waiting has ended: Server or Refusal is set.
+	// Wake, if set, is called when waiting has ended: it is placed or Refusal is set.
 	Wake func()
-	// Server that the request goes to, already counted there.
-	Server *laburnumrouter.Server
+	// Backend is the server that the request goes to, as it announced itself when it
+	// was chosen. The router's own record changes with every announcement, so one who
+	// sends by it could mix an old address with a new one.
+	Backend laburnumlever.Announcement
 	// Refusal when it was given up while waiting.
 	Refusal *laburnumlever.RefusalError
 	// Attempts made, the present one included.
 	Attempts int
 
+	server    *laburnumrouter.Server
 	admission laburnumadmission.Request
 	query     laburnumrouter.Query
 	item      *laburnumqueue.Item
 	last      *laburnumrouter.Server
 }
 
-// Waiting tells whether neither Server nor Refusal is set.
+// Placed tells whether the request has a server, where it is already counted.
+func (t *Ticket) Placed() bool { return t.server != nil }
+
+// place notes the server that the request goes to.
+func (t *Ticket) place(server *laburnumrouter.Server) {
+	t.server = server
+	t.Backend = server.Announcement()
+}
+
+// Waiting tells whether it is neither placed nor refused.
 func (t *Ticket) Waiting() bool { return t.item != nil }
 
 // Dispatcher decides for one VM.
@@ -101,7 +113,7 @@
 // Waiting is how many requests wait.
 func (d *Dispatcher) Waiting() int { return d.queue.Len() }
 
-// Submit lets a request in: afterwards its Server is set or it waits. Else the error
+// Submit lets a request in: afterwards it is placed or it waits. Else the error
 // is a *laburnumlever.RefusalError and there is nothing to finish.
 func (d *Dispatcher) Submit(t *Ticket, now time.Time) error {
 	q := &t.Request
@@ -227,29 +239,29 @@
 func (d *Dispatcher) send(t *Ticket, now time.Time) bool {
 	server, ok := d.router.Pick(t.query, now)
 	if !ok {
-		t.Server = nil
+		t.server = nil
 		return false
 	}
 	server.Begin(now)
-	t.Server = server
+	t.place(server)
 	t.Attempts++
 	return true
 }
 
 // EndAttempt frees the place on the server and learns from the attempt.
 func (d *Dispatcher) EndAttempt(t *Ticket, sample laburnumrouter.Sample, now time.Time) {
-	if t.Server == nil {
+	if t.server == nil {
 		return
 	}
-	t.query.Avoid = t.Server.ID()
-	t.last = t.Server
-	t.Server.End(sample, now)
-	t.Server = nil
+	t.query.Avoid = t.server.ID()
+	t.last = t.server
+	t.server.End(sample, now)
+	t.server = nil
 	d.start(now)
 }
 
-// Retry asks for another attempt after a failure: verdict Again means that Server
-// is set. A stream is resumed on the server that has it, which needs no new place.
+// Retry asks for another attempt after a failure: verdict Again means that it
+// is placed. A stream is resumed on the server that has it, which needs no new place.
 func (d *Dispatcher) Retry(t *Ticket, s laburnumretry.Situation, now time.Time) (laburnumlever.RetryReason, laburnumretry.Verdict) {
 	s.Attempts = t.Attempts
 	reason, verdict := d.budget.Decide(s)
@@ -258,7 +270,7 @@
 	}
 	if reason == laburnumlever.RetryStreamResumed {
 		t.last.Begin(now)
-		t.Server = t.last
+		t.place(t.last)
 		t.Attempts++
 		return reason, verdict
 	}
--- a/laburnumdispatch/doc.go
+++ b/laburnumdispatch/doc.go
@@ -19,7 +19,7 @@
 //
 //	dispatcher := laburnumdispatch.New(zone, seed)
 //	dispatcher.Update(index, share)
-//	err := dispatcher.Submit(ticket, now) // ticket.Server is set, or it waits
+//	err := dispatcher.Submit(ticket, now) // ticket.Placed(), or it waits
 //	…
 //	dispatcher.EndAttempt(ticket, sample, now)
 //	dispatcher.Finish(ticket, used, now)
--- a/laburnumdispatch/policies_test.go
+++ b/laburnumdispatch/policies_test.go
@@ -34,7 +34,7 @@
 	var refusal *laburnumlever.RefusalError
 	if errors.As(v.d.Submit(t, v.p.now), &refusal) {
 		v.refused(c, refusal)
-	} else if t.Server != nil {
+	} else if t.Placed() {
 		v.send(c, t)
 	}
 }
@@ -45,7 +45,7 @@
 }
 
 func (v *dispatching) send(c *call, t *laburnumdispatch.Ticket) {
-	i, _ := strconv.Atoi(string(t.Server.ID()))
+	i, _ := strconv.Atoi(string(t.Backend.Backend))
 	// sent after this event: Wake runs within the dispatcher
 	v.p.after(0, func() { v.p.send(c, v.p.engines[i]) })
 }
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -133,7 +133,7 @@
 // try makes one attempt on the ticket's server and frees its place there. A nil
 // failure means that the whole answer was passed on.
 func (p *Proxy) try(ctx context.Context, q *request, out *answer, ticket *laburnumdispatch.Ticket, resume bool) *failure {
-	to := ticket.Server.Announcement()
+	to := ticket.Backend
 	start := p.timers.Now()
 	before := out.tokens
 	fail := p.exchange(ctx, q, out, to, resume)
