feat: bounded log that never waits for its output

Change: laburnumlogging, JSON lines in a bounded buffer, successes dropped first, drops counted and said.

--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v2"
 
+	"laburnumlever/laburnumlogging"
 	"laburnumlever/laburnummetrics"
 	"laburnumlever/laburnumroles"
 	"laburnumlever/laburnumsettings"
@@ -58,6 +59,7 @@
 // roleParts are what both roles are made of.
 type roleParts struct {
 	settings laburnumsettings.Role
+	logger   *laburnumlogging.Logger
 	options  []laburnumroles.Option
 }
 
@@ -69,13 +71,13 @@
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * megabyte))
 	}
-	logger, err := newLevelLogger(c.App.Writer, settings.Log.Level)
+	metrics := laburnummetrics.New()
+	logger, err := laburnumlogging.New(c.App.Writer, settings.Log.Level, laburnumlogging.WithScope(metrics.Scope()))
 	if err != nil {
 		return nil, err
 	}
 	named := log.With(logger, "vm", settings.Name)
-	metrics := laburnummetrics.New(laburnummetrics.WithLogger(named))
-	return &roleParts{settings: settings, options: []laburnumroles.Option{
+	return &roleParts{settings: settings, logger: logger, options: []laburnumroles.Option{
 		laburnumroles.WithLogger(named), laburnumroles.WithMetrics(metrics),
 	}}, nil
 }
@@ -86,6 +88,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	shutdown(ctx)
+	p.logger.Close()
 }
 
 // ignoreReload keeps the signal that the settings have changed from ending the
--- /dev/null
+++ b/laburnumlogging/logger_test.go
@@ -0,0 +1,102 @@
+package laburnumlogging_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumlogging"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	entered chan struct{}
+	once    sync.Once
+	mu      sync.Mutex
+	out     bytes.Buffer
+}
+
+func newStuckWriter() *stuckWriter {
+	return &stuckWriter{release: make(chan struct{}), entered: make(chan struct{})}
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	w.once.Do(func() { close(w.entered) })
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(p)
+}
+
+func (w *stuckWriter) lines() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return strings.Split(strings.TrimSpace(w.out.String()), "\n")
+}
+
+// Whatever reads the process's output stands still. Callers must not notice: their
+// requests go on at once, the memory stays bounded, and of the lines that do not fit
+// those on failures are kept before those on successes.
+func TestStuckOutputHoldsNobodyUp(t *testing.T) {
+	w := newStuckWriter()
+	logger, err := laburnumlogging.New(w, "info", laburnumlogging.WithSize(16<<10))
+	require.NoError(t, err)
+	require.NoError(t, level.Info(logger).Log("event", "started"))
+	<-w.entered
+	start := time.Now()
+	for range 2000 {
+		require.NoError(t, level.Info(logger).Log("event", "request-served", "request-id", "9c41d07b"))
+	}
+	for range 20 {
+		require.NoError(t, level.Info(logger).Log("event", "request-refused", "request-id", "5c1e07a2"))
+	}
+	require.Less(t, time.Since(start), 5*time.Second)
+	close(w.release)
+	logger.Close()
+	counts := map[string]int{}
+	var dropped string
+	for _, line := range w.lines() {
+		var fields map[string]any
+		require.NoError(t, json.Unmarshal([]byte(line), &fields), line)
+		event, _ := fields["event"].(string)
+		counts[event]++
+		if event == "log-lines-dropped" {
+			dropped, _ = fields["counts"].(string)
+		}
+	}
+	require.Equal(t, 20, counts["request-refused"])
+	require.Less(t, counts["request-served"], 200)
+	require.Contains(t, dropped, "request-served=")
+}
+
+func TestLevelChangesAtRunTime(t *testing.T) {
+	w := newStuckWriter()
+	close(w.release)
+	logger, err := laburnumlogging.New(w, "info")
+	require.NoError(t, err)
+	require.NoError(t, level.Debug(logger).Log("event", "hidden"))
+	require.NoError(t, logger.SetLevel("debug"))
+	require.NoError(t, level.Debug(logger).Log("event", "shown", "avoid", []string{"i-1"}))
+	require.Error(t, logger.SetLevel("loud"))
+	logger.Close()
+	require.Len(t, w.lines(), 1)
+	require.Contains(t, w.lines()[0], `"avoid":["i-1"]`)
+}
+
+// BenchmarkLine is the processor time that a line costs whoever logs it.
+func BenchmarkLine(b *testing.B) {
+	logger, err := laburnumlogging.New(&bytes.Buffer{}, "info")
+	require.NoError(b, err)
+	defer logger.Close()
+	for b.Loop() {
+		_ = level.Info(logger).Log("event", "request-served", "request-id", "9c41d07be2a35f68", "route", "r-2b9wu3f",
+			"backend", "i-7f3a91c2", "first-ms", 24, "whole-ms", 310, "sends", 1)
+	}
+}
