fix: a draining gateway takes nothing that may outlast the process

Ruled out: the engine, it was at work. Change: within 2.5 s of its end a draining gateway refuses, as not run, at once.

--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -17,6 +17,8 @@
 	// noBackendRetry is when it is worth asking again where nothing can do the
 	// request: a load from an engine's disk takes about that long.
 	noBackendRetry = time.Second
+	// drainRetry sends callers of a VM that ends to another at once.
+	drainRetry = 50 * time.Millisecond
 	// fullRetry is when a place may be free again where all are taken.
 	fullRetry = 500 * time.Millisecond
 	// adapterWait bounds the wait for an adapter, which is loaded in some ten
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -47,6 +47,7 @@
 	// leaving tells that the balancer has had the time to take notice, so that
 	// long work is not begun any more.
 	leaving atomic.Bool
+	endsAt  atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	windows map[laburnumlever.ServiceName]*laburnumretry.Window
@@ -103,8 +104,8 @@
 		g.answerRefusal(w, q, err)
 		return
 	}
-	if g.leaving.Load() && q.route.Kind == laburnumlever.KindStream {
-		g.answerRefusal(w, q, refuse(laburnumlever.RefusedDraining, fullRetry, "this VM ends before a stream would"))
+	if g.tooLate(q) {
+		g.answerRefusal(w, q, refuse(laburnumlever.RefusedDraining, drainRetry, "this VM ends before the answer would"))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"laburnumlever"
 	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log/level"
@@ -22,6 +23,9 @@
 	// noticeTime is how long the balancer takes to see that this VM is not ready:
 	// two questions a second apart, and one on its way.
 	noticeTime = 3 * time.Second
+	// lastWork is how long before its end a draining gateway takes no request any
+	// more: most plain ones are answered in a tenth of it.
+	lastWork = 2500 * time.Millisecond
 	// quietCheck is how often a draining gateway looks whether it is done.
 	quietCheck = 50 * time.Millisecond
 	// quietChecks in a row without a request end the wait.
@@ -47,6 +51,9 @@
 // could not tell whether it was run.
 func (g *Gateway) Drain(ctx context.Context) {
 	g.draining.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		g.endsAt.Store(&end)
+	}
 	_ = level.Info(g.logger).Log("event", "draining", "in-flight", g.InFlight())
 	laburnumtimer.Wait(ctx.Done(), g.timers, noticeTime)
 	g.leaving.Store(true)
@@ -59,5 +66,15 @@
 	_ = level.Info(g.logger).Log("event", "drained", "in-flight", g.InFlight())
 }
 
+// tooLate tells whether a request that comes now may outlast the process: its answer
+// would be cut off, and its caller could not tell whether it was run.
+func (g *Gateway) tooLate(q *request) bool {
+	if g.leaving.Load() && q.route.Kind == laburnumlever.KindStream {
+		return true
+	}
+	end := g.endsAt.Load()
+	return end != nil && g.timers.Now().Add(lastWork).After(*end)
+}
+
 // Sweep closes connections to backend servers that have been idle for too long.
 func (g *Gateway) Sweep() { g.pool.Sweep() }
