--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -217,6 +217,9 @@
 		if e == not || p.target.holds(e, m) || p.target.used[e]+p.target.size[m]+c.sizeAt(p.target, e) > p.class.WeightsMB {
 			continue
 		}
+		if !p.engines[e].Idle || p.engines[e].fromStore(p.class.Models[m].Name) {
+			continue // two loads from the store, one after the other, come too late
+		}
 		if best == nowhere || p.target.work[e] < p.target.work[best] {
 			best = e
 		}
