--- a/laburnumresidency/layout.go
+++ b/laburnumresidency/layout.go
@@ -17,6 +17,9 @@
 	minGain = 0.05
 	// loadPrice is what a load costs in itself, in crowding.
 	loadPrice = 0.02
+	// asidePrice is what it costs in crowding to move a model aside: two engines take
+	// no other order for long, so it pays only where engines are overrun.
+	asidePrice = 0.4
 	// demandTime is how many seconds demand stays where it is, as a rule: what is
 	// done after that is done in vain.
 	demandTime = 12.0
@@ -188,6 +191,10 @@
 	gain          float64
 }
 
+func (c change) movesAside() bool {
+	return slices.ContainsFunc(c.gives, func(g giveWay) bool { return g.to != nowhere })
+}
+
 func (c change) apply(l *layout) {
 	for _, g := range c.gives {
 		l.set(c.engine, g.model, false)
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -23,6 +23,11 @@
 	demand   Demand
 	adapters map[laburnumlever.ModelName]int
 	target   *layout
+	// held counts the copies of each model now, those on their way included.
+	held []int
+	// movingAside tells that a model with little work is on its way to another engine
+	// to make room where it is.
+	movingAside bool
 	steps    []Step
 }
 
@@ -41,6 +46,8 @@
 	}
 	slices.SortFunc(p.engines, func(a, b *Engine) int { return cmp.Compare(a.ID, b.ID) })
 	p.target = newLayout(p)
+	p.held = slices.Clone(p.target.copies)
+	p.movingAside = slices.ContainsFunc(p.engines, p.takesAside)
 	p.placeMissing()
 	p.ease()
 	for i, e := range p.engines {
@@ -49,6 +56,13 @@
 	return p.steps
 }
 
+// takesAside tells whether the engine loads a second copy of a model that does not need
+// one.
+func (p *planner) takesAside(e *Engine) bool {
+	m := p.index(e.Loading)
+	return m >= 0 && p.held[m] == 2 && p.target.demand[m] < idleShare
+}
+
 // placeMissing finds places for the models that no engine holds, the most wanted
 // first.
 func (p *planner) placeMissing() {
@@ -82,6 +96,7 @@
 			return
 		}
 		best.apply(p.target)
+		p.movingAside = p.movingAside || best.movesAside()
 	}
 }
 
@@ -151,6 +166,9 @@
 	c.apply(after)
 	c.gain = (before-after.crowding())*max(0, 1-delay/demandTime) -
 		loadPrice*float64(loads) - p.blockPrice(e, m)
+	if c.movesAside() {
+		c.gain -= asidePrice
+	}
 	if missing {
 		c.gain -= delay // whatever it brings, the soonest is best
 	}
@@ -173,8 +191,12 @@
 	if p.target.copies[v] > 1 {
 		return give, true
 	}
-	if give.to = p.room(v, e, c); give.to != nowhere {
-		return give, true
+	// One model goes aside at a time, and only while it has one copy: those on their
+	// way there count as done, and others would be sent after them.
+	if p.held[v] == 1 && !p.movingAside {
+		if give.to = p.room(v, e, c); give.to != nowhere {
+			return give, true
+		}
 	}
 	return give, missing && p.target.demand[v] == 0 && p.target.demand[m] > 0
 }
@@ -217,8 +239,8 @@
 		if e == not || p.target.holds(e, m) || p.target.used[e]+p.target.size[m]+c.sizeAt(p.target, e) > p.class.WeightsMB {
 			continue
 		}
-		if !p.engines[e].Idle || p.engines[e].fromStore(p.class.Models[m].Name) {
-			continue // two loads from the store, one after the other, come too late
+		if !p.engines[e].Idle {
+			continue
 		}
 		if best == nowhere || p.target.work[e] < p.target.work[best] {
 			best = e
