perf: callers that are refused together come back spread

Cause: all callers of one burst were told the same time to come back. Change: up to twice the time told, never more than a third of what is left.

--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -191,8 +191,8 @@
 	status := statusOf(refusal, q)
 	g.count(refusal.Reason)
 	g.logRefusal(q, refusal.Reason, status, err)
-	if refusal.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
+	if after := q.retryAfter(refusal.RetryAfter, g.timers.Now()); after > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(status)
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -21,6 +21,8 @@
 	// startRetry is when it is worth asking a gateway again that has no routes
 	// yet: it gets them within a second of a control VM having them.
 	startRetry = time.Second
+	// retryShare of the time left is the latest that callers come back.
+	retryShare = 0.33
 	// leaveTime, leaveTargets and leavePauses are the platform's word on when
 	// callers leave a stream.
 	leaveTime    = 2 * time.Second
@@ -141,6 +143,20 @@
 	}
 }
 
+// retryAfter is when the caller should ask again: as long as told here at least, up to
+// twice that, so that those refused together do not come back together, and so that the
+// caller still has time for the answer then.
+func (q *request) retryAfter(least time.Duration, now time.Time) time.Duration {
+	if least <= 0 {
+		return 0
+	}
+	after := time.Duration(float64(least) * (1 + rand.Float64()))
+	if q.deadline.IsZero() {
+		return after
+	}
+	return min(after, time.Duration(retryShare*float64(q.left(now))))
+}
+
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
 func refuse(reason laburnumlever.RefusalReason, after time.Duration, detail string) error {
