feat: settings are read again with and without a signal; the first change waits for all voters

Cause: a log founded by three seeds acknowledged a change that two lost disks could take away; a change of the seeds was never read. Ruled out for the growth: refusing for ever where fewer control VMs exist; it goes on after twelve seconds with what there is.

--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
@@ -8,7 +9,9 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v2"
 
 	"laburnumlever/laburnumlogging"
@@ -26,6 +29,9 @@
 	// graceShare of the time between the request to stop and the end of the
 	// process is used; the rest is for a late timer.
 	graceShare = 0.92
+	// watchPeriod is how often the settings file is looked at: reading a few hundred
+	// bytes costs nothing, and other seeds are not urgent.
+	watchPeriod = 2 * time.Second
 )
 
 func gatewayCommand() *cli.Command {
@@ -60,7 +66,10 @@
 type roleParts struct {
 	settings laburnumsettings.Role
 	logger   *laburnumlogging.Logger
-	options  []laburnumroles.Option
+	// path and text are the settings file and what it held last.
+	path    string
+	text    []byte
+	options []laburnumroles.Option
 }
 
 func newRoleParts(c *cli.Context) (*roleParts, error) {
@@ -77,7 +86,11 @@
 		return nil, err
 	}
 	named := log.With(logger, "vm", settings.Name)
-	return &roleParts{settings: settings, logger: logger, options: []laburnumroles.Option{
+	text, err := os.ReadFile(c.String("settings"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &roleParts{settings: settings, logger: logger, path: c.String("settings"), text: text, options: []laburnumroles.Option{
 		laburnumroles.WithLogger(named), laburnumroles.WithMetrics(metrics),
 	}}, nil
 }
@@ -91,20 +104,54 @@
 	p.logger.Close()
 }
 
-// ignoreReload keeps the signal that the settings have changed from ending the
-// process, as it does by default.
-func ignoreReload() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+// watch reloads the settings when a signal says that they have changed, and when the
+// file has changed without one, until ctx ends. A file with a fault changes nothing.
+func (p *roleParts) watch(ctx context.Context, reload func(laburnumsettings.Role)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ticker := time.NewTicker(watchPeriod)
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-signals:
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+			p.reloadIfChanged(reload)
+		}
+	}()
+}
+
+func (p *roleParts) reloadIfChanged(reload func(laburnumsettings.Role)) {
+	text, err := os.ReadFile(p.path)
+	if err != nil || bytes.Equal(text, p.text) {
+		return // a file that is just being replaced is read the next time
+	}
+	p.text = text
+	settings, err := laburnumsettings.LoadRole(p.path)
+	if err != nil {
+		_ = level.Error(p.logger).Log("event", "settings-refused", "cause", err)
+		return
+	}
+	if err := p.logger.SetLevel(settings.Log.Level); err != nil {
+		_ = level.Error(p.logger).Log("event", "settings-refused", "cause", err)
+		return
+	}
+	reload(settings)
+}
 
 func runGateway(c *cli.Context) error {
 	parts, err := newRoleParts(c)
 	if err != nil {
 		return err
 	}
-	ignoreReload()
 	gateway := laburnumroles.NewGateway(parts.settings, platform.Dialect{}, parts.options...)
 	if err := gateway.Start(platform.NewReadyHandler); err != nil {
 		return err
 	}
+	parts.watch(c.Context, gateway.Reload)
 	<-c.Done()
 	parts.graceful(gateway.Shutdown)
 	return nil
@@ -115,7 +162,6 @@
 	if err != nil {
 		return err
 	}
-	ignoreReload()
 	control, err := laburnumroles.NewControl(parts.settings, platform.NewEngines(), parts.options...)
 	if err != nil {
 		return err
@@ -127,6 +173,7 @@
 	if err := control.Start(handler); err != nil {
 		return err
 	}
+	parts.watch(c.Context, control.Reload)
 	<-c.Done()
 	parts.graceful(control.Shutdown)
 	return nil
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -70,7 +70,7 @@
 		opt(f)
 	}
 	for _, address := range seeds {
-		f.follow(address)
+		f.Follow(address)
 	}
 	return f
 }
@@ -78,7 +78,8 @@
 // Close ends the questions.
 func (f *Follower) Close() { f.once.Do(func() { close(f.done) }) }
 
-func (f *Follower) follow(address string) {
+// Follow asks one more control VM from now on.
+func (f *Follower) Follow(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if address == "" || address == f.self.PeerAddress || f.following[address] {
@@ -146,7 +147,7 @@
 
 func (f *Follower) learn(address string, a Answer) {
 	for _, vm := range a.Controls {
-		f.follow(vm.PeerAddress)
+		f.Follow(vm.PeerAddress)
 	}
 	f.noteDirector(a)
 	f.sink.Learn(address, a)
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +33,9 @@
 	replaceShare = 0.6
 	// handOverTimeout bounds the wait for another voter to lead.
 	handOverTimeout = time.Second
+	// growTimeout is when the log is taken to have all the voters it will get: adding
+	// one takes a second or two.
+	growTimeout = 12 * time.Second
 	// proposalLimit bounds any proposal, those of the director too.
 	proposalLimit = 3 * time.Second
 )
@@ -45,9 +49,10 @@
 	follower *laburnumfeed.Follower
 	director *laburnumdirector.Director
 
-	mu       sync.Mutex
-	registry *laburnumregistry.Table
-	version  uint64
+	startedAt time.Time
+	mu        sync.Mutex
+	registry  *laburnumregistry.Table
+	version   uint64
 }
 
 var (
@@ -58,6 +63,7 @@
 // NewControl makes a control VM that does not run yet. An error is a *StartError.
 func NewControl(settings laburnumsettings.Role, engines laburnumlever.ModelEngines, opts ...Option) (*Control, error) {
 	c := &Control{process: newProcess(settings, opts), loop: laburnumcontrol.New()}
+	c.startedAt = c.timers.Now()
 	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
 	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self)
 	c.peers.Handle(methodRelay, c.handleRelay)
@@ -111,7 +117,7 @@
 func (c *Control) buildVoter() error {
 	opts := []laburnumvoter.Option{
 		laburnumvoter.WithDataFolder(c.settings.DataFolder),
-		laburnumvoter.WithVoterTarget(2*c.settings.ControlLosses + 1),
+		laburnumvoter.WithVoterTarget(voterTarget(c.settings.ControlLosses)),
 		laburnumvoter.WithContacts(c.contacts),
 		laburnumvoter.WithReplaceAfter(time.Duration(replaceShare * float64(c.settings.Times.CatchUp))),
 		laburnumvoter.WithProposalTimeout(proposalLimit),
@@ -278,11 +284,30 @@
 		_ = level.Info(c.logger).Log("event", "routes-refused", "version", table.Version, "cause", err)
 		return err
 	}
+	if err := c.enoughVoters(); err != nil {
+		return err
+	}
 	_, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &table})
 	_ = level.Info(c.logger).Log("event", "routes-proposed", "version", table.Version, "cause", err)
 	return err
 }
 
+// enoughVoters holds the first change back until the log has grown to as many voters as
+// it takes to bear the losses that the settings name: the seeds found it with three, and
+// if two of those lost their disks right after, what was acknowledged would be gone. A
+// system that has fewer control VMs than that goes on after a while with what it has.
+func (c *Control) enoughVoters() error {
+	want := voterTarget(c.settings.ControlLosses)
+	have := len(c.voter.Status().Voters)
+	if have >= want || c.timers.Now().Sub(c.startedAt) > growTimeout {
+		return nil
+	}
+	return &laburnumlever.NoQuorumError{Detail: fmt.Sprintf("the log has %d voters of %d yet", have, want)}
+}
+
+// voterTarget is how many voters bear the loss of some of them, with their disks.
+func voterTarget(losses int) int { return 2*losses + 1 }
+
 // ReadRoutes reads the newest table through the log, so that a VM that is cut off
 // says that it can't be sure.
 func (c *Control) ReadRoutes(ctx context.Context) (laburnumlever.RouteTable, error) {
@@ -331,3 +356,9 @@
 
 // News is none: callers come to gateways.
 func (c *Control) News() laburnumlever.GatewayNews { return laburnumlever.GatewayNews{} }
+
+// Reload takes changed settings: other seeds are followed from now on, beside those
+// known.
+func (c *Control) Reload(settings laburnumsettings.Role) {
+	c.reload(settings, c.follower)
+}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -80,3 +80,7 @@
 	g.close()
 	_ = level.Info(g.logger).Log("event", "stopped", "role", "gateway")
 }
+
+// Reload takes changed settings: other seeds are followed from now on, beside those
+// known.
+func (g *Gateway) Reload(settings laburnumsettings.Role) { g.reload(settings, g.follower) }
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnummetrics"
 	"laburnumlever/laburnumpeer"
 	"laburnumlever/laburnumsettings"
@@ -133,3 +134,12 @@
 	}
 	_ = p.peers.Close()
 }
+
+// reload notes changed settings. What a process listens on and where its data are can't
+// change while it runs; the seeds can.
+func (p *process) reload(settings laburnumsettings.Role, follower *laburnumfeed.Follower) {
+	for _, v := range settings.SeedVoters() {
+		follower.Follow(v.PeerAddress)
+	}
+	_ = level.Info(p.logger).Log("event", "settings-reloaded", "seeds", settings.Seeds)
+}
