--- /dev/null
+++ b/laburnumroles/platform_test.go
@@ -0,0 +1,328 @@
+package laburnumroles_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumfleet"
+	"laburnumlever/laburnumroles"
+	"laburnumlever/laburnumsettings"
+	"laburnumlever/platform"
+)
+
+// patience is when a test gives up on a cause: far above what a busy machine needs.
+const patience = 60 * time.Second
+
+// site is a small deployment of the platform in this process: control VMs, a gateway,
+// and stand-ins of what is outside, all over loopback.
+type site struct {
+	t        *testing.T
+	net      string
+	port     int
+	controls []*laburnumroles.Control
+	stopped  []bool
+	gateway  *laburnumroles.Gateway
+	callers  string
+	ready    string
+	folders  []string
+}
+
+func newSite(t *testing.T, controls, losses int) *site {
+	addresses, err := laburnumfleet.ReservePorts(t.Context(), 1)
+	require.NoError(t, err)
+	host, _, err := net.SplitHostPort(addresses[0])
+	require.NoError(t, err)
+	s := &site{t: t, net: host[:strings.LastIndexByte(host, '.')], port: 7600}
+	for i := range controls {
+		s.folders = append(s.folders, t.TempDir())
+		s.startControl(i, losses, true)
+	}
+	s.startGateway()
+	return s
+}
+
+func (s *site) ip(i int) string { return fmt.Sprintf("%s.%d", s.net, 100+i) }
+
+func (s *site) control(i int) string { return s.ip(i) + ":7601" }
+
+func (s *site) settings(ip string) laburnumsettings.Role {
+	second := laburnumlever.Duration(time.Second)
+	return laburnumsettings.Role{
+		VM: laburnumlever.VMID(ip), Zone: "brest", PeerPort: s.port, Seeds: []string{s.control(0), s.control(1), s.control(2)},
+		Times: laburnumsettings.RoleTimes{Heartbeat: second, Grace: 8 * second, Lease: 3 * second, CatchUp: 4 * second, Apply: 2 * second},
+		Retry: laburnumsettings.RoleRetry{Ratio: 0.2, Slack: 50, Window: 10 * second}, Log: laburnumsettings.Log{Level: "info"},
+	}
+}
+
+func (s *site) startControl(i, losses int, first bool) {
+	settings := s.settings(s.ip(i))
+	settings.Listen.Control = s.control(i)
+	settings.DataFolder, settings.FirstStart, settings.ControlLosses = s.folders[i], first, losses
+	c, err := laburnumroles.NewControl(settings, platform.NewEngines())
+	require.NoError(s.t, err)
+	handler, err := platform.NewHandler(c)
+	require.NoError(s.t, err)
+	require.NoError(s.t, c.Start(handler))
+	if i < len(s.controls) {
+		s.controls[i], s.stopped[i] = c, false
+	} else {
+		s.controls, s.stopped = append(s.controls, c), append(s.stopped, false)
+	}
+	s.t.Cleanup(func() { s.stop(i) })
+}
+
+// stop ends a control VM without handing anything over.
+func (s *site) stop(i int) {
+	if s.stopped[i] {
+		return
+	}
+	s.stopped[i] = true
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.controls[i].Shutdown(ctx)
+}
+
+func (s *site) startGateway() {
+	ip := s.ip(50)
+	s.callers, s.ready = ip+":7602", ip+":7603"
+	settings := s.settings(ip)
+	settings.Listen.Callers, settings.Listen.Ready = s.callers, s.ready
+	s.gateway = laburnumroles.NewGateway(settings, platform.Dialect{})
+	require.NoError(s.t, s.gateway.Start(platform.NewReadyHandler))
+	s.t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		s.gateway.Shutdown(ctx)
+	})
+}
+
+func (s *site) call(method, url string, body []byte, headers ...string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	require.NoError(s.t, err)
+	req.Host = "quotes.example"
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, text
+}
+
+// until calls until the status comes, as the operator and backend servers do.
+func (s *site) until(status int, what string, call func() (int, []byte)) []byte {
+	var body []byte
+	last := 0
+	require.Eventually(s.t, func() bool {
+		last, body = call()
+		return last == status
+	}, patience, 20*time.Millisecond, "%s: status %d", what, last)
+	return body
+}
+
+func manifest(version int, prefix string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[
+		{"name":"confirm","hostname":"quotes.example","path_prefix":"/%s/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"priority":1,"service":"rdv","max_attempts":1},
+		{"name":"quote","hostname":"quotes.example","path_prefix":"/quote/","kind":"streaming","timeout_ms":9000,"target_latency_ms":300,"priority":1,"service":"devis","max_attempts":2,"resumable":true,"gap_aim_ms":150}],
+		"services":[{"name":"rdv","health_path":"/health","max_conns":50},
+		{"name":"devis","health_path":"/health","max_conns":50,"engine":{"slots":8,"kv_capacity":90000,"weights_mb":200000,"adapter_slots":2,"loads_per_s":3,
+		"models":[{"name":"m0","weights_mb":72700,"load_s":0.2,"warm_s":0.1,"disk_s":0.1,"adapters":2,"adapter_mb":66}]}}],
+		"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, prefix)
+}
+
+// server stands in for a backend server of the platform: it announces itself, takes
+// orders if it is an engine, and answers requests.
+type server struct {
+	s        *site
+	id       string
+	service  string
+	http     *httptest.Server
+	sequence atomic.Int64
+	leaving  atomic.Bool
+	arrivals atomic.Int64
+	accepted atomic.Int64
+	adapter  atomic.Value
+}
+
+func (s *site) startServer(id, service string) *server {
+	x := &server{s: s, id: id, service: service}
+	x.adapter.Store("")
+	x.http = httptest.NewServer(x)
+	s.t.Cleanup(x.http.Close)
+	return x
+}
+
+// announce says once that it is there, to the control VM given, and returns the status.
+func (x *server) announce(control int) int {
+	document := map[string]any{
+		"service": x.service, "address": strings.TrimPrefix(x.http.URL, "http://"), "zone": "brest", "slots": 8,
+		"state": "ready", "seq": x.sequence.Add(1),
+	}
+	if x.leaving.Load() {
+		document["state"] = "draining"
+	}
+	if x.service == "devis" {
+		adapters := []string{}
+		if a, _ := x.adapter.Load().(string); a != "" {
+			adapters = append(adapters, a)
+		}
+		document["models"] = []any{map[string]any{"name": "m0", "version": 1, "adapters": adapters}}
+	}
+	body, err := json.Marshal(document)
+	require.NoError(x.s.t, err)
+	status, _ := x.s.call("PUT", "http://"+x.s.control(control)+"/v1/instances/"+x.id, body)
+	return status
+}
+
+func (x *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/v1/report":
+		fmt.Fprintf(w, `{"seq":%d,"models":[{"name":"m0","version":1,"adapters":[]}]}`, x.accepted.Load())
+		return
+	case "/v1/order":
+		var order struct{ Adapter string }
+		_ = json.NewDecoder(r.Body).Decode(&order)
+		x.adapter.Store(order.Adapter)
+		x.accepted.Add(1)
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	x.arrivals.Add(1)
+	w.Header().Set("X-Laburnumlever-Request-Id", r.Header.Get("X-Laburnumlever-Request-Id"))
+	w.Header().Set("X-Laburnumlever-Server-Stamp", "s-"+x.id)
+	if x.service == "devis" {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 1; i <= 4; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: w%d\n\n", i, i)
+		}
+		return
+	}
+	_, _ = io.WriteString(w, "confirmed")
+}
+
+// A whole session on the platform: the system starts for the first time, an operator
+// sends a manifest, backend servers announce themselves, callers are served, a control VM
+// dies in the middle, the manifest changes, a backend server leaves.
+func TestSessionOnThePlatform(t *testing.T) {
+	s := newSite(t, 3, 1)
+	put := func(control int, body []byte) func() (int, []byte) {
+		return func() (int, []byte) { return s.call("PUT", "http://"+s.control(control)+"/v1/config", body) }
+	}
+	read := func(control int) func() (int, []byte) {
+		return func() (int, []byte) { return s.call("GET", "http://"+s.control(control)+"/v1/config", nil) }
+	}
+	confirm := func(path string) func() (int, []byte) {
+		return func() (int, []byte) {
+			return s.call("POST", "http://"+s.callers+path, []byte("visit"), "X-Laburnumlever-Request-Id", "r-1")
+		}
+	}
+	ready := func() (int, []byte) { return s.call("GET", "http://"+s.ready+"/v1/ready", nil) }
+
+	status, _ := ready()
+	require.Equal(t, 503, status, "no manifest yet")
+	status, _ = confirm("/confirm/x")()
+	require.Equal(t, 503, status)
+	s.until(200, "first manifest", put(2, manifest(7, "confirm")))
+
+	plain, engine := s.startServer("i-rdv", "rdv"), s.startServer("i-devis", "devis")
+	require.Equal(t, 200, plain.announce(0))
+	require.Equal(t, 200, engine.announce(1))
+	s.until(200, "ready", ready)
+	require.Equal(t, "confirmed", string(s.until(200, "confirmed", confirm("/confirm/x"))))
+	quote := func(model string) func() (int, []byte) {
+		return func() (int, []byte) {
+			return s.call("POST", "http://"+s.callers+"/quote/x", []byte("oak"), "X-Laburnumlever-Request-Id", "r-2", "X-Laburnumlever-Model", model)
+		}
+	}
+	require.Equal(t, 4, strings.Count(string(s.until(200, "quoted", quote("m0"))), "data: w"))
+	s.until(200, "adapter on first use", quote("m0/a1"))
+	status, _ = s.call("POST", "http://"+s.callers+"/none/", nil, "X-Laburnumlever-Request-Id", "r-3")
+	require.Equal(t, 404, status)
+
+	for i := range 3 {
+		require.Equal(t, string(manifest(7, "confirm")), string(s.until(200, "read", read(i))), "as it was sent")
+	}
+	s.until(200, "an older one is acknowledged", put(0, manifest(3, "old")))
+	s.until(200, "other content under the same number", put(0, manifest(7, "other")))
+	require.Equal(t, string(manifest(7, "confirm")), string(s.until(200, "and changes nothing", read(1))))
+	for name, bad := range map[string]string{
+		"torn": string(manifest(9, "x"))[:100], "unknown service": strings.Replace(string(manifest(9, "x")), `"service":"rdv"`, `"service":"none"`, 1),
+		"no timeout": strings.Replace(string(manifest(9, "x")), `"timeout_ms":3000`, `"timeout_ms":0`, 1),
+	} {
+		status, _ := put(1, []byte(bad))()
+		require.Equal(t, 400, status, name)
+	}
+
+	s.stop(0)
+	s.until(200, "a change with one control VM gone", put(1, manifest(12, "visits")))
+	s.until(200, "in force at the gateway", confirm("/visits/x"))
+	status, _ = confirm("/confirm/x")()
+	require.Equal(t, 404, status)
+
+	plain.leaving.Store(true)
+	require.Equal(t, 200, plain.announce(2))
+	s.until(503, "nothing goes to one that leaves", confirm("/visits/x"))
+	before := plain.arrivals.Load()
+	for range 5 {
+		status, _ = confirm("/visits/x")()
+		require.Equal(t, 503, status)
+	}
+	require.Equal(t, before, plain.arrivals.Load())
+}
+
+// Two control VMs may be lost with their disks. The three seeds found the log and
+// acknowledge nothing until it has grown to five; then two lose their disks at once, come
+// back empty, and what was acknowledged must be there.
+func TestAcknowledgedChangeOutlivesTwoLostDisks(t *testing.T) {
+	s := newSite(t, 5, 2)
+	s.until(200, "first manifest", func() (int, []byte) {
+		return s.call("PUT", "http://"+s.control(4)+"/v1/config", manifest(7, "confirm"))
+	})
+	for _, i := range []int{0, 1} {
+		s.stop(i)
+		s.folders[i] = t.TempDir()
+		s.startControl(i, 2, false)
+	}
+	body := s.until(200, "read after the loss", func() (int, []byte) {
+		return s.call("GET", "http://"+s.control(0)+"/v1/config", nil)
+	})
+	require.Equal(t, string(manifest(7, "confirm")), string(body))
+	s.until(200, "a change after the loss", func() (int, []byte) {
+		return s.call("PUT", "http://"+s.control(1)+"/v1/config", manifest(8, "visits"))
+	})
+}
+
+// A control VM that is cut off from the others, here since they are gone, can't know
+// whether there is a newer manifest. It must say so.
+func TestControlVMWithoutQuorumIsNotSure(t *testing.T) {
+	s := newSite(t, 3, 1)
+	s.until(200, "first manifest", func() (int, []byte) {
+		return s.call("PUT", "http://"+s.control(0)+"/v1/config", manifest(7, "confirm"))
+	})
+	s.stop(1)
+	s.stop(2)
+	for range 3 {
+		status, _ := s.call("GET", "http://"+s.control(0)+"/v1/config", nil)
+		require.Equal(t, 503, status)
+		status, _ = s.call("PUT", "http://"+s.control(0)+"/v1/config", manifest(8, "visits"))
+		require.Equal(t, 503, status)
+	}
+}
