--- a/cmd/laburnumlever/explaincmd.go
+++ b/cmd/laburnumlever/explaincmd.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"os"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v2"
 
 	"laburnumlever"
+	"laburnumlever/laburnumexplain"
 )
 
 func explainCommand() *cli.Command {
@@ -44,15 +47,23 @@
 		Name:      "request",
 		Usage:     "say what became of a request",
 		ArgsUsage: "ID",
-		Description: "The id is the answer's X-Request-Id header. Ask the VM that took the request.\n\n" +
-			"Example: laburnumlever explain request 5f0c9a6e\n\n" + exitCodesText,
-		Flags:        []cli.Flag{vmFlag(), timeoutFlag(), outputFlag()},
+		Description: "The id is the answer's X-Request-Id header. Ask the VM that took the request; or, for\n" +
+			"gateways and control VMs, name the files that hold their logs, and no VM is asked.\n\n" +
+			"Example: laburnumlever explain request 5f0c9a6e\n" +
+			"Example: laburnumlever explain request --logs gateway.log --logs control.log 9c41d07b\n\n" + exitCodesText,
+		Flags: []cli.Flag{
+			vmFlag(), timeoutFlag(), outputFlag(),
+			&cli.StringSliceFlag{Name: "logs", Usage: "a `FILE` of logs, - for standard input; may be given again"},
+		},
 		OnUsageError: onUsageError,
 		Action: func(c *cli.Context) error {
 			id, err := oneArgument(c, "ID")
 			if err != nil {
 				return err
 			}
+			if files := c.StringSlice("logs"); len(files) > 0 {
+				return explainFromLogs(c, id, files)
+			}
 			ctx, cancel := context.WithTimeout(c.Context, c.Duration("timeout"))
 			defer cancel()
 			explanation, err := clientOf(c).ExplainRequest(ctx, id)
@@ -61,6 +72,37 @@
 	}
 }
 
+// explainFromLogs joins what the logs say of a request.
+func explainFromLogs(c *cli.Context, id string, files []string) error {
+	var lines []laburnumexplain.Line
+	for _, name := range files {
+		more, err := readLog(c, name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	story, err := laburnumexplain.Request(id, lines)
+	if err != nil {
+		return err
+	}
+	return reportExplanation(c, laburnumlever.Explanation{Subject: "request " + id, Lines: story.Text()}, nil)
+}
+
+func readLog(c *cli.Context, name string) ([]laburnumexplain.Line, error) {
+	in := c.App.Reader
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, &usageError{Detail: err.Error()}
+		}
+		defer func() { _ = file.Close() }() // it was only read
+		in = file
+	}
+	lines, _, err := laburnumexplain.Read(in)
+	return lines, errors.Wrapf(err, "read %s", name)
+}
+
 func reportExplanation(c *cli.Context, e laburnumlever.Explanation, err error) error {
 	if err != nil {
 		return err
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -178,6 +178,9 @@
 	var best *server
 	bestScore := math.Inf(1)
 	for _, s := range servers {
+		if now.Before(s.unreachableTill) {
+			continue
+		}
 		if !s.holds(q.Model, q.Adapter, now) {
 			if verdict == ModelAbsent && q.Adapter != "" && s.holds(q.Model, "", now) {
 				verdict = AdapterAbsent
@@ -226,9 +229,6 @@
 	if slices.Contains(q.Avoid, s.record.Heartbeat.Backend) {
 		score += avoidMillis
 	}
-	if now.Before(s.unreachableTill) {
-		score += avoidMillis
-	}
 	return score + s.reading + t.readMillis(s, q)
 }
 
@@ -289,7 +289,9 @@
 		s.fail(now)
 	}
 	if sample.Unreachable {
-		s.unreachableTill = now.Add(unreachableTime)
+		s.unreachable(now)
+	} else if !sample.Failed {
+		s.unreachableFor = 0
 	}
 }
 
--- a/laburnumbalance/balance_test.go
+++ b/laburnumbalance/balance_test.go
@@ -169,6 +169,31 @@
 	require.Equal(t, laburnumbalance.NoServer, verdict)
 }
 
+// An engine goes dark. Each request that is sent there waits for a whole dial timeout and
+// then tries another; if it is the only one with its model, four times in a row. It must
+// be left out, longer each time, and be back once it takes a connection.
+func TestDarkServerIsLeftOut(t *testing.T) {
+	table := newTable(record(1, "brest", "m0"))
+	now := start
+	tries := 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if ticket, verdict := table.Pick(query("m0"), now); verdict == laburnumbalance.Found {
+			tries++
+			table.End(ticket, laburnumbalance.Sample{Unreachable: true, Failed: true}, now)
+		}
+	}
+	require.LessOrEqual(t, tries, 13)
+	now = now.Add(3 * time.Second)
+	ticket, verdict := table.Pick(query("m0"), now)
+	require.Equal(t, laburnumbalance.Found, verdict)
+	table.End(ticket, laburnumbalance.Sample{}, now)
+	ticket, _ = table.Pick(query("m0"), now)
+	table.End(ticket, laburnumbalance.Sample{Unreachable: true}, now)
+	_, verdict = table.Pick(query("m0"), now.Add(301*time.Millisecond))
+	require.Equal(t, laburnumbalance.Found, verdict)
+}
+
 // BenchmarkPick is the cost of one decision among the engines of a deployment.
 func BenchmarkPick(b *testing.B) {
 	table := laburnumbalance.New("brest", 1)
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -27,9 +27,11 @@
 	// failureMillis is added to the score for each fresh failure: above the time
 	// of a usual queue, so that a sound server with work is preferred.
 	failureMillis = 250
-	// unreachableTime is how long a server that took no connection is left out
-	// while others can do the work.
-	unreachableTime = time.Second
+	// unreachableTime is how long a server that took no connection is left out at
+	// first; each further failure doubles it, up to unreachableMost. One that is dark
+	// costs every try a whole dial timeout.
+	unreachableTime = 300 * time.Millisecond
+	unreachableMost = time.Second
 	// absentTime is how long it is believed that a server lacks a model which
 	// its heartbeat listed: until the next heartbeat is sure to have come.
 	absentTime = 1500 * time.Millisecond
@@ -61,8 +63,10 @@
 	readingLimit float64
 	failures     float64
 	failedAt     time.Time
-	// unreachableTill is when a server that took no connection is tried again.
+	// unreachableTill is when a server that took no connection is tried again,
+	// unreachableFor how long it is left out.
 	unreachableTill time.Time
+	unreachableFor  time.Duration
 	absent          map[held]time.Time
 	added           map[held]time.Time
 }
@@ -96,6 +100,12 @@
 	return failureMillis * s.failuresAt(now)
 }
 
+// unreachable leaves the server out for a while.
+func (s *server) unreachable(now time.Time) {
+	s.unreachableFor = min(unreachableMost, max(unreachableTime, 2*s.unreachableFor))
+	s.unreachableTill = now.Add(s.unreachableFor)
+}
+
 func (s *server) failuresAt(now time.Time) float64 {
 	age := now.Sub(s.failedAt).Seconds() / failureHalfLife.Seconds()
 	return s.failures / pow2(age)
--- /dev/null
+++ b/laburnumexplain/lines.go
@@ -0,0 +1,81 @@
+package laburnumexplain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLine bounds one line of a log.
+const maxLine = 1 << 20
+
+// Line is one event of one process.
+type Line struct {
+	At     time.Time
+	VM     string
+	Event  string
+	Fields map[string]any
+}
+
+// Read reads a log. Skipped counts the lines that hold no event.
+func Read(r io.Reader) (lines []Line, skipped int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		if line, ok := parse(scanner.Bytes()); ok {
+			lines = append(lines, line)
+		} else {
+			skipped++
+		}
+	}
+	return lines, skipped, scanner.Err()
+}
+
+func parse(text []byte) (Line, bool) {
+	at := bytes.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if json.Unmarshal(text[at:], &fields) != nil {
+		return Line{}, false
+	}
+	line := Line{Fields: fields, VM: word(fields["vm"]), Event: word(fields["event"])}
+	var err error
+	line.At, err = time.Parse(time.RFC3339Nano, word(fields["ts"]))
+	return line, err == nil && line.Event != ""
+}
+
+func word(v any) string {
+	if v == nil {
+		return ""
+	}
+	return fmt.Sprint(v)
+}
+
+// is tells whether a field has the value.
+func (l Line) is(field, value string) bool { return value != "" && word(l.Fields[field]) == value }
+
+// text is the line for a reader: the fields that say most first.
+func (l Line) text() string {
+	first := []string{"reason", "stage", "status", "backend", "model", "adapter", "cause"}
+	var parts []string
+	for _, name := range first {
+		if v := word(l.Fields[name]); v != "" {
+			parts = append(parts, name+"="+v)
+		}
+	}
+	var rest []string
+	for name, v := range l.Fields {
+		if !slices.Contains(first, name) && !slices.Contains([]string{"ts", "vm", "event", "level", "request-id"}, name) && word(v) != "" {
+			rest = append(rest, name+"="+word(v))
+		}
+	}
+	slices.Sort(rest)
+	return strings.Join(append(parts, rest...), " ")
+}
--- /dev/null
+++ b/laburnumexplain/story_test.go
@@ -0,0 +1,44 @@
+package laburnumexplain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumexplain"
+)
+
+const logs = `{"ts":"2026-10-27T08:26:40.1Z","vm":"core-a","level":"info","event":"model-withdrawn","backend":"i-1","model":"m0","cause":"makes room"}
+{"ts":"2026-10-27T08:26:40.2Z","vm":"core-a","level":"info","event":"model-withdrawn","backend":"i-9","model":"m7","cause":"makes room"}
+not an event
+12.5 front-a {"ts":"2026-10-27T08:26:41Z","vm":"front-a","event":"attempt-failed","request-id":"r-1","backend":"i-1","stage":"not-run","reason":"no-backend","cause":"status 421"}
+{"ts":"2026-10-27T08:26:41.5Z","vm":"front-a","event":"request-refused","request-id":"r-1","reason":"no-backend","status":503,"model":"m0","cause":"no engine holds the model"}
+{"ts":"2026-10-27T08:26:42Z","vm":"front-b","event":"request-served","request-id":"r-2","first-ms":24,"pause-ms":60,"whole-ms":310}
+{"ts":"2026-10-27T08:26:4`
+
+// A caller complains of a refused quote. The on-call engineer has its id and the logs of
+// all VMs: the timeline must show that the model had just been taken from the engine.
+func TestRefusedRequestLeadsToItsCause(t *testing.T) {
+	lines, skipped, err := laburnumexplain.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	require.Equal(t, 2, skipped)
+	story, err := laburnumexplain.Request("r-1", lines)
+	require.NoError(t, err)
+	text := strings.Join(story.Text(), "\n")
+	require.Contains(t, text, "cause: no backend server could do it")
+	require.Contains(t, text, "model-withdrawn")
+	require.NotContains(t, text, "m7")
+	require.NotContains(t, text, "r-2")
+	require.Less(t, strings.Index(text, "model-withdrawn"), strings.Index(text, "attempt-failed"))
+}
+
+func TestServedAndUnknownRequests(t *testing.T) {
+	lines, _, err := laburnumexplain.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	story, err := laburnumexplain.Request("r-2", lines)
+	require.NoError(t, err)
+	require.Contains(t, story.Cause, "first part after 24 ms")
+	_, err = laburnumexplain.Request("r-3", lines)
+	require.Error(t, err)
+}
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -28,7 +28,7 @@
 	// movingAside tells that a model with little work is on its way to another engine
 	// to make room where it is.
 	movingAside bool
-	steps    []Step
+	steps       []Step
 }
 
 // Next names the next steps, at most one an engine, the most urgent first. Adapters
--- a/laburnumupstream/pool.go
+++ b/laburnumupstream/pool.go
@@ -18,9 +18,10 @@
 	// idleShare of what the backend server says is used, since its clock started
 	// before ours and a request must not cross its close.
 	idleShare = 0.75
-	// dialTimeout is hundreds of round trips within a region; a backend server
-	// that does not answer by then is cut off or overrun.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout is tens of round trips within a region; a backend server that does
+	// not answer by then is cut off, overrun, or the packet was lost, which the
+	// system sends again only after a second.
+	dialTimeout = 200 * time.Millisecond
 	// Probes find a silent connection within about three seconds.
 	probeIdle     = time.Second
 	probeInterval = time.Second
