fix: a server that refuses for want of room with nothing to do counts as failing

Ruled out: leaving it out for longer than 0.3 s at each refusal, which would take full engines out too.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -33,6 +33,8 @@
 	maxFailures = 8
 	// jitterMillis breaks ties differently on each VM.
 	jitterMillis = 2
+	// emptyShare of its places taken is when a server has room, whatever it says.
+	emptyShare = 0.5
 	// fullTime is how long a server that refused for want of room counts as full.
 	fullTime = 300 * time.Millisecond
 )
@@ -284,6 +286,11 @@
 	}
 	if sample.Full {
 		s.fullTill = now.Add(fullTime)
+		// One that refuses for want of room while it has little to do is not full
+		// but broken; its health answers say nothing of that.
+		if s.load(now) < emptyShare*float64(s.record.Heartbeat.Slots) {
+			s.fail(now)
+		}
 	}
 	if sample.Failed {
 		s.fail(now)
--- a/laburnumbalance/balance_test.go
+++ b/laburnumbalance/balance_test.go
@@ -169,6 +169,26 @@
 	require.Equal(t, laburnumbalance.NoServer, verdict)
 }
 
+// An engine refuses every other request for want of room though it has nothing to do, and
+// its health check is good. Each refusal uses up one of the few attempts that a request
+// has; a sound engine must be preferred.
+func TestServerThatRefusesWithoutCauseIsPassedOver(t *testing.T) {
+	table := newTable(record(1, "brest", "m0"), record(2, "brest", "m0"))
+	now := start
+	refused := 0
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		ticket, verdict := table.Pick(query("m0"), now)
+		require.Equal(t, laburnumbalance.Found, verdict)
+		grey := ticket.Backend.Backend == "i-1"
+		if grey {
+			refused++
+		}
+		table.End(ticket, laburnumbalance.Sample{Full: grey}, now.Add(20*time.Millisecond))
+	}
+	require.Less(t, refused, 20)
+}
+
 // An engine goes dark. Each request that is sent there waits for a whole dial timeout and
 // then tries another; if it is the only one with its model, four times in a row. It must
 // be left out, longer each time, and be back once it takes a connection.
