--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -243,7 +243,7 @@
 	})
 	b := newBench(t, server.heartbeat("booking"))
 	ctx, cancel := context.WithCancel(t.Context())
-	req, err := http.NewRequestWithContext(ctx, "POST", b.server.URL+"/confirm/x", strings.NewReader("visit"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/confirm/x", strings.NewReader("visit"))
 	require.NoError(t, err)
 	req.Host = "quotes.example"
 	req.Header.Set(idHeader, "r-1")
--- a/laburnumregistry/registry_test.go
+++ b/laburnumregistry/registry_test.go
@@ -85,8 +85,10 @@
 	h := beat(4, func(h *laburnumlever.Heartbeat) {
 		h.Models = []laburnumlever.HeldModel{{Name: "m0", Adapters: []laburnumlever.AdapterName{"a1"}}, {Name: "m1"}}
 	})
-	o := laburnumregistry.Overlay{Backend: "i-1", Fence: 2, Sequence: 4, Withdrawn: []laburnumlever.ModelName{"m1"},
-		Adapters: []laburnumlever.HeldModel{{Name: "m0", Adapters: []laburnumlever.AdapterName{"a2"}}}}
+	o := laburnumregistry.Overlay{
+		Backend: "i-1", Fence: 2, Sequence: 4, Withdrawn: []laburnumlever.ModelName{"m1"},
+		Adapters: []laburnumlever.HeldModel{{Name: "m0", Adapters: []laburnumlever.AdapterName{"a2"}}},
+	}
 	require.False(t, o.Holds(h, "m1", ""), "gateways were told to send nothing more for it")
 	require.True(t, o.Holds(h, "m0", "a2"), "loaded since the heartbeat")
 	require.False(t, o.Holds(h, "m0", "a1"), "given up since the heartbeat")
