refactor: state that nobody reads is gone

Cause: reading the change again found a version, a time, a mark and two functions that nothing used, and a comment that named a field that never was.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -301,5 +301,3 @@
 		s.unreachableFor = 0
 	}
 }
-
-func pow2(x float64) float64 { return math.Exp2(x) }
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -1,6 +1,7 @@
 package laburnumbalance
 
 import (
+	"math"
 	"time"
 
 	"laburnumlever"
@@ -108,7 +109,7 @@
 
 func (s *server) failuresAt(now time.Time) float64 {
 	age := now.Sub(s.failedAt).Seconds() / failureHalfLife.Seconds()
-	return s.failures / pow2(age)
+	return s.failures / math.Exp2(age)
 }
 
 func (s *server) fail(now time.Time) {
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -26,7 +26,6 @@
 	known    bool
 	accepted uint64
 	asking   bool
-	askedAt  time.Time
 	held     map[laburnumlever.ModelName]*heldModel
 	// sending is the order whose answer is awaited; unsure one whose answer was
 	// lost, to be sent again.
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -198,7 +198,7 @@
 	if e.asking || e.sending != nil || now.Before(e.tryAt) {
 		return
 	}
-	e.asking, e.askedAt = true, now
+	e.asking = true
 	to := e.heartbeat
 	d.cfg.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -39,7 +39,8 @@
 	routes   *laburnumlever.RouteTable
 	director laburnumlever.VMID
 	asked    map[laburnumlever.VMID]asker
-	// controlsAt and gatewaysAt are the cursors of the last change of these.
+	// controlsAt is the cursor of the last change of the control VMs, metaAt that of
+	// the routes or the director.
 	controlsAt uint64
 	metaAt     uint64
 }
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -42,10 +42,7 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
-	// endsByRoute tells that the route's timeout, not the caller's patience,
-	// gives the deadline.
-	endsByRoute bool
-	version     uint64
+	version  uint64
 
 	// sends counts the backend servers that the request went to, tries also
 	// those to which no connection could be made.
@@ -112,10 +109,8 @@
 // bound sets the deadline from the caller's patience and the route's timeout.
 func (q *request) bound() {
 	limit := time.Duration(q.route.Timeout)
-	q.endsByRoute = true
 	if q.caller.Wait > 0 && q.caller.Wait < limit {
 		limit = q.caller.Wait
-		q.endsByRoute = false
 	}
 	q.deadline = q.arrived.Add(limit)
 }
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -52,7 +52,6 @@
 	startedAt time.Time
 	mu        sync.Mutex
 	registry  *laburnumregistry.Table
-	version   uint64
 }
 
 var (
@@ -152,9 +151,6 @@
 
 // routesApplied runs on the control thread.
 func (c *Control) routesApplied(t laburnumlever.RouteTable) {
-	c.mu.Lock()
-	c.version = t.Version
-	c.mu.Unlock()
 	c.source.SetRoutes(t)
 	c.director.SetRoutes(t)
 	_ = level.Info(c.logger).Log("event", "routes-applied", "version", t.Version, "routes", len(t.Routes))
--- a/laburnumupstream/pool.go
+++ b/laburnumupstream/pool.go
@@ -155,16 +155,3 @@
 		c.Close()
 	}
 }
-
-// CloseIdle closes all idle connections.
-func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = map[string][]*Conn{}
-	p.mu.Unlock()
-	for _, list := range idle {
-		for _, c := range list {
-			c.Close()
-		}
-	}
-}
