fix: a role's peers listener is closed before its end returns

Cause: the listener was closed beside the end of the links, so a process started again in the same place at once could find its address in use (seen once in laburnumroles with -race beside other packages: listen on peers address, already in use). Ruled out: another process on the address; it was the test's own, a moment before. Change: the end closes the listener itself, first.

--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -31,6 +31,9 @@
 	self     laburnumlever.VM
 	peers    *laburnumpeer.Peers
 	servers  []*http.Server
+	// peerListener is closed before the links, so that whoever starts the process
+	// again finds the address free: the links' own end closes it a moment later.
+	peerListener net.Listener
 }
 
 // Option changes a new process.
@@ -107,6 +110,7 @@
 	if err != nil {
 		return err
 	}
+	p.peerListener = ln
 	go func() {
 		if err := p.peers.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
 			_ = level.Error(p.logger).Log("event", "listener-ended", "listener", "peers", "cause", err)
@@ -132,6 +136,9 @@
 	for _, server := range p.servers {
 		_ = server.Close()
 	}
+	if p.peerListener != nil {
+		_ = p.peerListener.Close()
+	}
 	_ = p.peers.Close()
 }
 
