fix: dead engines are seen dead, and another VM gives the orders sooner

Two control VMs took each other's word on the same heartbeat, so the engine was silent and heard again in turns; an order that found no connection was sent again every 0.6 s; gateways that had met another backend server at the address kept it to themselves. And after the leader died nobody gave orders for 6 s: the lease's term was counted again from the election, and the new owner waited from its grant.

Ruled out: the store's rate (free), the planner's choice (it was told that the engine lives).

Change: a control VM judges silence by what it hears (Adopt); heartbeats without news reach the director; an order without a connection counts as a gateway's word; a gateway's word counts only when a heartbeat is due; gateways tell whose address is another's. Every voter watches renewals, so the term is over with the election; the first order under a new lease waits from the old owner's last possible one; a VM goes on from its own lease at once; an order is given up at the lease's end.

--- a/backend.go
+++ b/backend.go
@@ -206,9 +206,11 @@
 	Adapters []AdapterUse `json:"adapters,omitempty"`
 	// Unreachable are backend servers that lately took no connection of this VM.
 	Unreachable []BackendID `json:"unreachable,omitempty"`
+	// Replaced are backend servers at whose address another answered.
+	Replaced []BackendID `json:"replaced,omitempty"`
 }
 
 // IsZero tells whether there is nothing to tell.
 func (n GatewayNews) IsZero() bool {
-	return len(n.Demand)+len(n.Adapters)+len(n.Unreachable) == 0
+	return len(n.Demand)+len(n.Adapters)+len(n.Unreachable)+len(n.Replaced) == 0
 }
--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -177,7 +177,7 @@
 			}
 		}
 	}
-	return e.idle() && !now.Before(e.tryAt) && coming < comingLimit
+	return e.idle(now) && coming < comingLimit
 }
 
 func (e *engine) roomFor(class *laburnumlever.EngineClass, model laburnumlever.ModelName) bool {
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -46,6 +46,8 @@
 	logger    log.Logger
 	scope     tally.Scope
 	clock     func() time.Duration
+	// heartbeat is the period of the engines' heartbeats.
+	heartbeat time.Duration
 	// spawn runs a call to another machine beside the control thread.
 	spawn func(call func())
 }
@@ -56,6 +58,9 @@
 // WithLease sets how long the lease lasts, and how far apart two owners stay.
 func WithLease(d time.Duration) Option { return func(c *config) { c.lease = d } }
 
+// WithHeartbeat sets the period of the engines' heartbeats.
+func WithHeartbeat(d time.Duration) Option { return func(c *config) { c.heartbeat = d } }
+
 // WithStore sets the window in which the weight store's rate may be exceeded, and by
 // which factor.
 func WithStore(window time.Duration, overshoot float64) Option {
@@ -93,13 +98,15 @@
 	onGone      func(laburnumlever.BackendID)
 
 	// Control thread only, from here on.
-	lease    lease
-	services map[laburnumlever.ServiceName]*laburnumlever.EngineClass
-	records  map[laburnumlever.BackendID]laburnumregistry.Record
-	engines  map[laburnumlever.BackendID]*engine
-	demand   *estimator
-	store    map[laburnumlever.ServiceName]*bucket
-	needs    []*need
+	lease lease
+	// lastFence is the fencing number of the last lease of this VM since its start.
+	lastFence uint64
+	services  map[laburnumlever.ServiceName]*laburnumlever.EngineClass
+	records   map[laburnumlever.BackendID]laburnumregistry.Record
+	engines   map[laburnumlever.BackendID]*engine
+	demand    *estimator
+	store     map[laburnumlever.ServiceName]*bucket
+	needs     []*need
 	// plannedAt is when the planner was asked last.
 	plannedAt time.Time
 }
@@ -109,7 +116,8 @@
 // New makes a director that does not run yet.
 func New(loop laburnumlever.Loop, timers laburnumlever.Timers, proposer laburnumlever.Proposer, calls laburnumlever.ModelEngines, self laburnumlever.VM, opts ...Option) *Director {
 	const defaultLease = 3 * time.Second
-	cfg := config{lease: defaultLease, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock, spawn: func(call func()) { go call() }}
+	const defaultHeartbeat = time.Second
+	cfg := config{lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock, spawn: func(call func()) { go call() }}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
@@ -157,6 +165,11 @@
 // SetRecord takes news of a backend server; any goroutine.
 func (d *Director) SetRecord(r laburnumregistry.Record) { d.loop.Post(d, recorded{record: r}) }
 
+// SetHeard notes that a heartbeat has come which brought nothing new; any goroutine.
+func (d *Director) SetHeard(id laburnumlever.BackendID, sequence uint64) {
+	d.loop.Post(d, heard{backend: id, sequence: sequence})
+}
+
 // SetRoutes takes the routes in force; any goroutine.
 func (d *Director) SetRoutes(t laburnumlever.RouteTable) { d.loop.Post(d, routed{table: t}) }
 
@@ -172,6 +185,8 @@
 		d.onTick(ev.now)
 	case recorded:
 		d.onRecord(ev.record)
+	case heard:
+		d.onHeard(ev)
 	case routed:
 		d.onRoutes(ev.table)
 	case told:
@@ -262,11 +277,23 @@
 	e := d.engines[id]
 	if e == nil {
 		e = newEngine(r.Heartbeat)
+		e.heardAt = d.timers.Now()
 		d.engines[id] = e
-	} else if e.takeHeartbeat(r.Heartbeat, d.timers.Now()) {
-		_ = level.Info(d.cfg.logger).Log("event", "order-done", "backend", id, "models", len(e.held))
+	} else if r.Heartbeat.Sequence > e.heartbeat.Sequence {
+		e.heardAt = d.timers.Now()
+		if e.takeHeartbeat(r.Heartbeat, d.timers.Now()) {
+			_ = level.Info(d.cfg.logger).Log("event", "order-done", "backend", id, "models", len(e.held))
+		}
+	}
+	e.silent = r.Silent
+}
+
+// onHeard notes that an engine is there still. A heartbeat that brings nothing new is
+// not kept as the engine's last: what it does not tell of orders under way is old.
+func (d *Director) onHeard(ev heard) {
+	if e := d.engines[ev.backend]; e != nil && ev.sequence > e.heartbeat.Sequence {
+		e.heardAt = d.timers.Now()
 	}
-	e.silent, e.heardAt = r.Silent, d.timers.Now()
 }
 
 // forgetEngines starts over from the heartbeats: what was known of orders is of the
@@ -283,7 +310,7 @@
 func (d *Director) plan(name laburnumlever.ServiceName, class *laburnumlever.EngineClass, now time.Time) {
 	var engines []laburnumresidency.Engine
 	for _, id := range d.engineOrder() {
-		if e := d.engines[id]; e.heartbeat.Service == name && !e.down(now) {
+		if e := d.engines[id]; e.heartbeat.Service == name && !e.down(now, d.cfg.heartbeat) {
 			if !e.known {
 				d.ask(e, now)
 			}
--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -97,6 +97,47 @@
 	require.Equal(t, laburnumlever.VMID("10.0.0.1"), w.orders[len(w.orders)-1].by)
 }
 
+// The owner dies, and until another gives orders no model moves and no adapter comes.
+// The new owner must wait no longer than two owners have to be apart: the old one was
+// allowed its last order before its lease ran out.
+func TestTakeoverWaitsNoLongerThanItMust(t *testing.T) {
+	w := newWorld(t, 8, 5, 2)
+	w.beat()
+	w.pass(2 * time.Second)
+	w.directors[0].frozen, w.directors[0].cut = true, true
+	w.directors[0].leads, w.directors[1].leads = false, true
+	w.pass(leaseTime / 2)
+	w.expire()
+	granted := w.timers.Now()
+	before := len(w.orders)
+	for range 8 {
+		w.ask(0, 120)
+		w.pass(leaseTime / 6)
+	}
+	w.checkOwners()
+	require.Greater(t, len(w.orders), before)
+	require.Less(t, w.orders[before].at.Sub(granted), leaseTime+900*time.Millisecond,
+		"with the time to get the lease, to ask the engines for their state and to see the demand")
+}
+
+// The owner loses the log for a second and its lease runs out, but nobody else gets it.
+// It goes on at once when the log is back: there is no other owner to be apart from.
+func TestOwnerGoesOnWhenNobodyWasInBetween(t *testing.T) {
+	w := newWorld(t, 4, 4, 1)
+	w.beat()
+	w.pass(8 * time.Second)
+	w.directors[0].cut = true
+	w.pass(1500 * time.Millisecond)
+	w.expire()
+	w.directors[0].cut = false
+	before := len(w.orders)
+	for range 4 {
+		w.ask(0, 120)
+		w.pass(500 * time.Millisecond)
+	}
+	require.Greater(t, len(w.orders), before)
+}
+
 // The owner is frozen in the middle of its work and wakes after another has taken over.
 // Its lease ran out while it slept; it must send nothing more.
 func TestFrozenOwnerSendsNothingWhenItWakes(t *testing.T) {
@@ -150,6 +191,40 @@
 	require.Len(t, w.copies(), 4)
 }
 
+// An empty engine goes dark: no heartbeat, no connection, no word that it is gone. The
+// busiest model should get a copy, and the empty engine looks best. The first order that
+// finds no connection shows that it is dark; without that it is ordered again and again,
+// while another engine stands empty and callers are refused.
+func TestEngineThatTakesNoConnectionIsPlannedAround(t *testing.T) {
+	w := newWorld(t, 4, 4, 1)
+	for i := range 4 {
+		w.engines[laburnumlever.BackendID(fmt.Sprintf("i-%d", i/2))].held[modelName(i)] = map[laburnumlever.AdapterName]bool{}
+	}
+	w.beat()
+	w.pass(3 * time.Second)
+	delete(w.engines, "i-2")
+	for range 8 {
+		w.ask(0, 120)
+		w.pass(time.Second)
+	}
+	require.Contains(t, w.engines["i-3"].held, modelName(0))
+}
+
+// A gateway is cut off from the engines and says that none takes a connection. Their
+// heartbeats go on, so they are planned with as before: no model may move.
+func TestHeartbeatsOutweighAGatewaysWord(t *testing.T) {
+	w := newWorld(t, 4, 3, 1)
+	w.beat()
+	w.pass(12 * time.Second)
+	before := len(w.orders)
+	for range 10 {
+		w.directors[0].director.SetNews("gateway", laburnumlever.GatewayNews{Unreachable: []laburnumlever.BackendID{"i-0", "i-1", "i-2"}})
+		w.pass(500 * time.Millisecond)
+	}
+	require.Len(t, w.orders, before)
+	require.Len(t, w.copies(), 4)
+}
+
 // Any mixture: demand that moves, answers lost, orders late, adapters asked for, owners
 // cut off. The engines' memory must never be overcommitted and owners never mixed.
 func TestRandomSchedules(t *testing.T) {
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -77,6 +77,9 @@
 	// unreachableMemory is how long a gateway's word counts that an engine took no
 	// connection; it is said again every second while it is so.
 	unreachableMemory = 3 * time.Second
+	// duePeriods is after how many of its periods a heartbeat is due: they come within
+	// a few milliseconds of their time where nothing is wrong.
+	duePeriods = 1.25
 	// heartbeatLag is how old a heartbeat may be when it comes, as a rule; one that
 	// is older makes an adapter that is gone count as held until the next.
 	heartbeatLag = 2500 * time.Millisecond
@@ -246,23 +249,26 @@
 }
 
 // down tells whether nobody can reach the engine, as far as is known: it has fallen
-// silent, or a gateway could not connect a moment ago and nothing was heard since.
-// Waiting for the silence alone leaves callers of its models without an answer for
-// three heartbeats more.
-func (e *engine) down(now time.Time) bool {
+// silent, or a heartbeat is due and a gateway, or this VM with an order, could not
+// connect since the last. Waiting for the silence alone leaves callers of its models
+// without an answer for two heartbeats more. A VM that is itself cut off from the
+// engines says that none takes a connection; their heartbeats show that it is wrong.
+func (e *engine) down(now time.Time, period time.Duration) bool {
 	refused := now.Sub(e.unreachableAt) < unreachableMemory && e.heardAt.Before(e.unreachableAt)
-	return e.silent || refused
+	due := now.Sub(e.heardAt) > time.Duration(duePeriods*float64(period))
+	return e.silent || (refused && due)
 }
 
 // idle tells whether the engine takes an order now.
-func (e *engine) idle() bool {
-	return e.known && e.sending == nil && e.unsure == nil && e.working == "" && !e.silent && !e.asking
+func (e *engine) idle(now time.Time) bool {
+	return e.known && e.sending == nil && e.unsure == nil && e.working == "" && !e.silent && !e.asking &&
+		!now.Before(e.tryAt)
 }
 
 // planned is the engine as the planner sees it.
 func (e *engine) planned(now time.Time) laburnumresidency.Engine {
 	p := laburnumresidency.Engine{
-		ID: e.heartbeat.Backend, Zone: e.heartbeat.Zone, Idle: e.idle(),
+		ID: e.heartbeat.Backend, Zone: e.heartbeat.Zone, Idle: e.idle(now),
 		InMemory: e.heartbeat.InMemory, OnDisk: e.heartbeat.OnDisk,
 	}
 	for name, h := range e.held {
--- a/laburnumdirector/events.go
+++ b/laburnumdirector/events.go
@@ -11,7 +11,12 @@
 	ticked struct{ now time.Time }
 	// recorded is news of a backend server.
 	recorded struct{ record laburnumregistry.Record }
-	routed   struct{ table laburnumlever.RouteTable }
+	// heard says that a heartbeat came which brought nothing new.
+	heard struct {
+		backend  laburnumlever.BackendID
+		sequence uint64
+	}
+	routed struct{ table laburnumlever.RouteTable }
 	// told is what a gateway tells.
 	told struct {
 		vm   laburnumlever.VMID
@@ -46,6 +51,7 @@
 
 func (ticked) EventName() string   { return "director-ticked" }
 func (recorded) EventName() string { return "director-recorded" }
+func (heard) EventName() string    { return "director-heard" }
 func (routed) EventName() string   { return "director-routed" }
 func (told) EventName() string     { return "director-told" }
 func (leased) EventName() string   { return "director-leased" }
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -26,6 +26,10 @@
 	// firstFence is the fencing number of the first grant ever: nobody can have
 	// given orders before.
 	firstFence = 1
+	// arrivalTime is how long the last order before a lease's end may be on its way to
+	// an engine: it is given up at the end, and what its connection carried by then
+	// arrives within a network's delay.
+	arrivalTime = 150 * time.Millisecond
 )
 
 // lease is what the director knows of its own. Times are of the clock that goes on
@@ -95,20 +99,35 @@
 		return
 	}
 	d.lease.asked = ev.sentAt
-	d.lease.until = ev.sentAt + time.Duration(safeShare*float64(d.term()))
+	d.lease.until = ev.sentAt + d.safeTerm()
 	if d.lease.held && d.lease.fence == ev.result.Fence {
 		return
 	}
 	d.lease.held, d.lease.fence = true, ev.result.Fence
 	d.lease.from = d.clock()
-	if ev.result.Fence > firstFence {
-		d.lease.from += d.cfg.lease
-	}
+	d.lease.from += d.handOverTime(ev.result.Fence)
+	d.lastFence = ev.result.Fence
 	d.forgetEngines()
 	d.onDirecting(true)
 	_ = level.Info(d.cfg.logger).Log("event", "lease-got", "fence", d.lease.fence, "wait", d.lease.from-d.clock())
 }
 
+// handOverTime is how long the first order under a new lease waits, so that it comes as
+// long after the last of the owner before as two owners must be apart. A lease is granted
+// at the earliest a whole term after the owner before asked for its last renewal, and that
+// owner's last order went out when the safe share of the term was over. With nobody in
+// between, a VM goes on from its own lease at once.
+func (d *Director) handOverTime(fence uint64) time.Duration {
+	if fence == firstFence || fence == d.lastFence || fence == d.lastFence+1 {
+		return 0
+	}
+	idle := d.term() - d.safeTerm()
+	return max(0, d.cfg.lease+arrivalTime-idle)
+}
+
+// safeTerm is the part of the term in which orders are sent.
+func (d *Director) safeTerm() time.Duration { return time.Duration(safeShare * float64(d.term())) }
+
 func (d *Director) loseLease(why string) {
 	d.lease = lease{}
 	d.failNeeds()
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -22,12 +22,14 @@
 	d.cfg.scope.Counter("orders-sent").Inc(1)
 	to, until := e.heartbeat, d.lease.until
 	d.cfg.spawn(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		defer cancel()
-		if d.clock() >= until {
+		left := until - d.clock()
+		if left <= 0 {
 			d.loop.Post(d, ordered{backend: to.Backend, order: order, err: &laburnumlever.NotSentError{Cause: &NotDirectorError{VM: d.self.ID}}})
 			return
 		}
+		// A connection that takes long must not carry the order out after the lease.
+		ctx, cancel := context.WithTimeout(context.Background(), min(orderTimeout, left))
+		defer cancel()
 		verdict, err := d.calls.Order(ctx, to, order)
 		d.loop.Post(d, ordered{backend: to.Backend, order: order, verdict: verdict, err: err})
 	})
@@ -110,7 +112,7 @@
 		if e.unsure == nil {
 			e.undo(ev.order)
 		}
-		e.tryAt = now.Add(stateRetry)
+		e.tryAt, e.unreachableAt = now.Add(stateRetry), now
 		return
 	}
 	unsure := ev.order
@@ -161,7 +163,7 @@
 		d.ask(e, now)
 		return
 	}
-	if !e.idle() {
+	if !e.idle(now) {
 		return
 	}
 	for name, h := range e.held {
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -28,6 +28,8 @@
 	demand   *demand
 	adapters adapterUses
 	waiting  waiting
+	// replaced are those not told of yet at whose address another has answered.
+	replaced []laburnumlever.BackendID
 	gateways int
 }
 
@@ -102,8 +104,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timers.Now()
+	replaced := f.replaced
+	f.replaced = nil
 	return laburnumlever.GatewayNews{
-		Demand: f.demand.take(now), Adapters: f.adapters.take(now), Unreachable: f.balance.Unreachable(now),
+		Demand: f.demand.take(now), Adapters: f.adapters.take(now), Unreachable: f.balance.Unreachable(now), Replaced: replaced,
 	}
 }
 
@@ -162,6 +166,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.registry.Remove(id, f.timers.Now()) {
+		f.replaced = append(f.replaced, id)
 		r, _ := f.registry.Record(id)
 		f.balance.Set(r)
 		_ = level.Info(f.logger).Log("event", "backend-replaced", "backend", id)
--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -119,6 +119,8 @@
 	require.Equal(t, http.StatusServiceUnavailable, b.send("POST", "/confirm/x", "visit").status)
 	require.Equal(t, http.StatusServiceUnavailable, b.send("POST", "/confirm/x", "visit").status)
 	require.Len(t, stranger.seen(), 1)
+	require.Equal(t, []laburnumlever.BackendID{"i-old"}, b.fleet.News().Replaced, "control VMs are told")
+	require.Empty(t, b.fleet.News().Replaced, "once")
 }
 
 // An engine breaks off in the middle of an event. The caller must get each event once
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -86,6 +86,18 @@
 	return changed
 }
 
+// Adopt notes a record that another control VM has sent and tells whether it changed.
+// Who is silent here is judged by what is heard here: control VMs that took each other's
+// word on the same heartbeat would call a dead backend server silent and heard again in
+// turns, for ever, each turn being news for all.
+func (t *Table) Adopt(r Record, now time.Time) bool {
+	e := t.entries[r.Heartbeat.Backend]
+	if e != nil && !r.Gone && r.Heartbeat.Sequence <= e.record.Heartbeat.Sequence {
+		return false
+	}
+	return t.Merge(r, now)
+}
+
 // sameNews compares two heartbeats but for their sequence.
 func sameNews(a, b laburnumlever.Heartbeat) bool {
 	a.Sequence, b.Sequence = 0, 0
--- a/laburnumregistry/registry_test.go
+++ b/laburnumregistry/registry_test.go
@@ -95,3 +95,29 @@
 	h.Sequence = 5
 	require.True(t, o.Holds(h, "m0", "a1"), "a newer heartbeat lists it")
 }
+
+// A backend server dies without a word. Each of two control VMs notices the silence and
+// tells the other, who has the same heartbeat. If they took each other's word on it, it
+// would be silent and heard again in turns, and models would be planned onto it for as
+// long as it is remembered.
+func TestControlVMsAgreeThatADeadServerIsSilent(t *testing.T) {
+	one, two := laburnumregistry.New(period), laburnumregistry.New(period)
+	one.Take(beat(1), start)
+	two.Take(beat(1), start.Add(period))
+	changes := 0
+	for now := start; now.Before(start.Add(20 * period)); now = now.Add(period / 2) {
+		for _, pair := range [][2]*laburnumregistry.Table{{one, two}, {two, one}} {
+			changes += len(pair[0].Expire(now))
+			r, _ := pair[0].Record("i-1")
+			if pair[1].Adopt(r, now) {
+				changes++
+			}
+		}
+	}
+	require.Equal(t, 2, changes, "each notices the silence once")
+	r, _ := one.Record("i-1")
+	require.True(t, r.Silent)
+	require.True(t, one.Adopt(laburnumregistry.Record{Heartbeat: beat(2)}, start.Add(20*period)), "a newer heartbeat counts")
+	r, _ = one.Record("i-1")
+	require.False(t, r.Silent)
+}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -76,6 +76,7 @@
 func (c *Control) buildDirector(engines laburnumlever.ModelEngines) {
 	d := laburnumdirector.New(c.loop, c.timers, c.voter, engines, c.self,
 		laburnumdirector.WithLease(time.Duration(c.settings.Times.Lease)),
+		laburnumdirector.WithHeartbeat(time.Duration(c.settings.Times.Heartbeat)),
 		laburnumdirector.WithStore(time.Duration(c.settings.StoreWindow), c.settings.StoreOvershoot),
 		laburnumdirector.WithLogger(c.logger),
 		laburnumdirector.WithScope(c.metrics.Scope()))
@@ -83,11 +84,20 @@
 	d.OnOverlay(c.source.SetOverlay)
 	d.OnDirecting(c.directing)
 	d.OnGone(c.gone)
-	c.source.OnNews(d.SetNews)
+	c.source.OnNews(c.news)
 	c.peers.Handle(methodNeed, c.handleNeed)
 	c.director = d
 }
 
+// news takes what a gateway tells. A backend server whose address is another's now has
+// ended without a word; that is known here before its heartbeats are missed.
+func (c *Control) news(vm laburnumlever.VMID, news laburnumlever.GatewayNews) {
+	for _, id := range news.Replaced {
+		c.gone(id)
+	}
+	c.director.SetNews(vm, news)
+}
+
 // gone notes that an engine's address is another's now.
 func (c *Control) gone(backend laburnumlever.BackendID) {
 	c.remove(backend)
@@ -211,7 +221,9 @@
 	defer c.mu.Unlock()
 	if c.registry.Take(h, c.timers.Now()) {
 		c.offer(h.Backend)
+		return
 	}
+	c.director.SetHeard(h.Backend, h.Sequence)
 }
 
 func (c *Control) remove(backend laburnumlever.BackendID) {
@@ -334,8 +346,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range a.Backends {
-		r.Silent = false // who is silent here is judged by what is heard here
-		if c.registry.Merge(r, now) {
+		if c.registry.Adopt(r, now) {
 			c.offer(r.Heartbeat.Backend)
 		}
 	}
--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -161,6 +161,34 @@
 	require.NotEqual(t, old, f.leader())
 }
 
+// The leader, which also holds the lease, dies. The others saw its last renewal; whoever
+// leads then must not count the whole term again, or nobody gives orders for that long.
+func TestLeaseOfADeadLeaderIsNotCountedAgain(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	f.vms["a"].apply(t, "first", 0)
+	const ttl = 400 * tick
+	acquire := func(vm string, holder laburnumlever.VMID) bool {
+		r, err := f.vms[vm].Propose(context.Background(), laburnumlever.Command{Kind: laburnumlever.CommandAcquireLease, Lease: &laburnumlever.LeaseCommand{
+			Name: "engines", Holder: holder, Incarnation: 1, TTL: laburnumlever.Duration(ttl),
+		}})
+		return err == nil && r.Code == laburnumlever.ResultOK
+	}
+	asked := time.Now()
+	require.True(t, acquire("a", "x"))
+	granted := time.Now()
+	time.Sleep(ttl / 2)
+	old := f.leader()
+	f.stop(old)
+	next := "a"
+	if old == next {
+		next = "b"
+	}
+	f.wait("another gets the lease", func() bool { return acquire(next, "y") })
+	require.GreaterOrEqual(t, time.Since(asked), ttl, "not before the term is over")
+	require.Less(t, time.Since(granted), ttl*5/4, "counted once")
+}
+
 // A holder stops renewing; its lease must end by the leader's clock, and the next
 // holder gets a higher fence. A holder that renews keeps it.
 func TestLeaseEndsWithoutRenewal(t *testing.T) {
--- a/laburnumvoter/lead.go
+++ b/laburnumvoter/lead.go
@@ -11,7 +11,7 @@
 	"github.com/go-kit/log/level"
 )
 
-// renewal is when this leader last saw a lease change.
+// renewal is when this VM last saw a lease change.
 type renewal struct {
 	fence    uint64
 	renewals uint64
@@ -23,7 +23,6 @@
 	leads := v.log != nil && v.log.Role() == laburnumlog.Leader
 	if leads != v.wasLeader {
 		v.wasLeader = leads
-		v.renewals = map[string]renewal{}
 		if leads {
 			v.clockBase, v.clockFrom = v.machine.Clock(), v.timers.Now()
 			if v.clockBase == 0 {
@@ -50,12 +49,12 @@
 }
 
 // expireLeases proposes the end of leases that were not renewed in time. The time
-// runs from when this leader saw the last renewal, which is after its holder sent
-// it, so a holder that counts from its sending always ends first.
+// runs from when this VM saw the last renewal, which is after its holder sent it, so a
+// holder that counts from its sending always ends first. Every VM watches, so that one
+// that comes to lead need not wait for the whole term again: when the holder dies with
+// the leader, the lease has run out by the end of the election.
 func (v *Voter) expireLeases(now time.Time) {
-	if v.log == nil || v.log.Role() != laburnumlog.Leader {
-		return
-	}
+	leads := v.log.Role() == laburnumlog.Leader
 	for _, l := range v.machine.Leases() {
 		if l.Holder == "" {
 			delete(v.renewals, l.Name)
@@ -66,7 +65,7 @@
 			v.renewals[l.Name] = renewal{fence: l.Fence, renewals: l.Renewals, since: now}
 			continue
 		}
-		if now.Sub(seen.since) < time.Duration(l.TTL) {
+		if !leads || now.Sub(seen.since) < time.Duration(l.TTL) {
 			continue
 		}
 		// Counting starts over, so that an expiry that is lost is proposed again.
