--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -1,22 +1,45 @@
 package laburnumgateway
 
 import (
+	"sync"
+	"time"
+
 	"laburnumlever"
 
 	"github.com/uber-go/tally/v4"
 )
 
+// latencyBuckets reach from the time of a hop between two zones to the longest time that
+// routes give a request; each is about twice the one before.
+var latencyBuckets = tally.DurationBuckets{
+	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second,
+}
+
 // counters are those of the callers' path, looked up once.
 type counters struct {
 	requests, served tally.Counter
 	refusals         map[laburnumlever.RefusalReason]tally.Counter
 	retries          map[laburnumlever.RetryReason]tally.Counter
+	scope            tally.Scope
+
+	mu        sync.Mutex
+	latencies map[laburnumlever.ServiceName]*latencies
+}
+
+// latencies are the times of one service's answers.
+type latencies struct {
+	// wait is for a place, first to the first part of the answer, pause the longest
+	// between two parts, whole to the last part.
+	wait, first, pause, whole tally.Histogram
 }
 
 func newCounters(scope tally.Scope) *counters {
 	c := &counters{
-		requests: scope.Counter("requests"), served: scope.Counter("served"),
+		requests: scope.Counter("requests"), served: scope.Counter("served"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
+		latencies: map[laburnumlever.ServiceName]*latencies{},
 	}
 	for _, reason := range laburnumlever.RefusalReasonValues() {
 		c.refusals[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals")
@@ -26,3 +49,31 @@
 	}
 	return c
 }
+
+// answered notes the times of an answer that was passed on whole.
+func (c *counters) answered(q *request, out *answer) {
+	l := c.of(q.service.Name)
+	l.wait.RecordDuration(q.waited)
+	l.first.RecordDuration(out.firstAt.Sub(q.arrived))
+	l.whole.RecordDuration(out.lastAt.Sub(q.arrived))
+	if out.pause > 0 {
+		l.pause.RecordDuration(out.pause)
+	}
+}
+
+// of returns a service's histograms. Services are few and named by operators, so they may
+// be a label.
+func (c *counters) of(service laburnumlever.ServiceName) *latencies {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.latencies[service]
+	if l == nil {
+		scope := c.scope.Tagged(map[string]string{"service": string(service)})
+		l = &latencies{
+			wait: scope.Histogram("wait_seconds", latencyBuckets), first: scope.Histogram("first_part_seconds", latencyBuckets),
+			pause: scope.Histogram("pause_seconds", latencyBuckets), whole: scope.Histogram("answer_seconds", latencyBuckets),
+		}
+		c.latencies[service] = l
+	}
+	return l
+}
--- /dev/null
+++ b/laburnumgateway/counters_internal_test.go
@@ -0,0 +1,44 @@
+package laburnumgateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"laburnumlever"
+)
+
+// Each answer must show in the histograms of its service, so that a late answer can be told
+// from a late one of another service, and its wait from the engine's time.
+func TestAnswersShowInTheirServicesHistograms(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	c := newCounters(scope)
+	start := time.Unix(1_000_000, 0)
+	q := &request{service: laburnumlever.RoutedService{Name: "quotes"}, arrived: start, waited: 70 * time.Millisecond}
+	c.answered(q, &answer{firstAt: start.Add(120 * time.Millisecond), lastAt: start.Add(3 * time.Second), pause: 40 * time.Millisecond})
+	got := map[string]int64{}
+	for _, h := range scope.Snapshot().Histograms() {
+		require.Equal(t, "quotes", h.Tags()["service"])
+		for upper, n := range h.Durations() {
+			if n > 0 {
+				got[h.Name()+" "+upper.String()] = n
+			}
+		}
+	}
+	require.Equal(t, map[string]int64{
+		"wait_seconds 100ms": 1, "first_part_seconds 150ms": 1, "answer_seconds 4s": 1, "pause_seconds 50ms": 1,
+	}, got)
+}
+
+// BenchmarkAnswered is what the histograms cost a request.
+func BenchmarkAnswered(b *testing.B) {
+	c := newCounters(tally.NewTestScope("", nil))
+	start := time.Unix(1_000_000, 0)
+	q := &request{service: laburnumlever.RoutedService{Name: "quotes"}, arrived: start, waited: 70 * time.Millisecond}
+	out := &answer{firstAt: start.Add(120 * time.Millisecond), lastAt: start.Add(3 * time.Second), pause: 40 * time.Millisecond}
+	for b.Loop() {
+		c.answered(q, out)
+	}
+}
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -91,6 +91,15 @@
 	_ = level.Info(f.logger).Log("event", "routes-in-force", "version", t.Version, "routes", len(t.Routes))
 }
 
+// Sweep forgets the backend servers that are gone for long.
+func (f *Fleet) Sweep() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range f.registry.Forget(f.timers.Now()) {
+		f.balance.Forget(id)
+	}
+}
+
 // RoutesVersion is the version in force here; 0 for none.
 func (f *Fleet) RoutesVersion() uint64 {
 	if x := f.index.Load(); x != nil {
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -119,6 +119,7 @@
 		return
 	}
 	g.counters.served.Inc(1)
+	g.counters.answered(q, out)
 	g.logServed(q, out)
 }
 
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -76,5 +76,9 @@
 	return end != nil && g.timers.Now().Add(lastWork).After(*end)
 }
 
-// Sweep closes connections to backend servers that have been idle for too long.
-func (g *Gateway) Sweep() { g.pool.Sweep() }
+// Sweep closes connections to backend servers that have been idle for too long, and
+// forgets backend servers that are gone for long.
+func (g *Gateway) Sweep() {
+	g.pool.Sweep()
+	g.fleet.Sweep()
+}
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -119,17 +119,11 @@
 	return true
 }
 
-// Expire marks those silent whose heartbeats have stopped, and forgets those long
-// silent or gone. It returns the identities whose records changed.
+// Expire marks those silent whose heartbeats have stopped and returns them.
 func (t *Table) Expire(now time.Time) []laburnumlever.BackendID {
 	var changed []laburnumlever.BackendID
 	for id, e := range t.entries {
-		quiet := now.Sub(e.heard)
-		if quiet > forgetAfter {
-			delete(t.entries, id)
-			continue
-		}
-		if !e.record.Silent && !e.record.Gone && quiet > silentPeriods*t.period {
+		if !e.record.Silent && !e.record.Gone && now.Sub(e.heard) > silentPeriods*t.period {
 			e.record.Silent = true
 			changed = append(changed, id)
 		}
@@ -138,6 +132,21 @@
 	return changed
 }
 
+// Forget drops those that are gone, or have been silent, for long and returns them. Each
+// start of a backend server has an identity of its own, so without it the table grows
+// with every release.
+func (t *Table) Forget(now time.Time) []laburnumlever.BackendID {
+	var forgotten []laburnumlever.BackendID
+	for id, e := range t.entries {
+		if (e.record.Gone || e.record.Silent) && now.Sub(e.heard) > forgetAfter {
+			delete(t.entries, id)
+			forgotten = append(forgotten, id)
+		}
+	}
+	slices.Sort(forgotten)
+	return forgotten
+}
+
 // Record returns what is known of a backend server.
 func (t *Table) Record(id laburnumlever.BackendID) (Record, bool) {
 	e := t.entries[id]
--- a/laburnumregistry/registry_test.go
+++ b/laburnumregistry/registry_test.go
@@ -121,3 +121,19 @@
 	r, _ = one.Record("i-1")
 	require.False(t, r.Silent)
 }
+
+// Releases replace backend servers day after day, each start under a new identity. Those
+// gone for minutes must not be kept, and one that lives must, however long it is known.
+func TestGoneBackendServersAreForgotten(t *testing.T) {
+	table := laburnumregistry.New(period)
+	other := func(h *laburnumlever.Heartbeat) { h.Backend = "i-2" }
+	table.Take(beat(1), start)
+	table.Take(beat(1, other), start)
+	table.Remove("i-1", start.Add(time.Second))
+	require.Empty(t, table.Forget(start.Add(time.Minute)), "a late heartbeat must still find it gone")
+	require.Equal(t, []laburnumlever.BackendID{"i-1"}, table.Forget(start.Add(3*time.Minute)))
+	require.Len(t, table.Records(), 1)
+	require.Empty(t, table.Forget(start.Add(time.Hour)), "one whose silence nobody has noticed is kept")
+	table.Expire(start.Add(time.Hour))
+	require.Equal(t, []laburnumlever.BackendID{"i-2"}, table.Forget(start.Add(time.Hour)))
+}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -20,6 +20,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -40,6 +41,12 @@
 	proposalLimit = 3 * time.Second
 )
 
+// commitBuckets reach from one sync of a disk to the time that an operator waits.
+var commitBuckets = tally.DurationBuckets{
+	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second,
+}
+
 // Control is a control VM's process. It implements laburnumlever.FleetControl.
 type Control struct {
 	process
@@ -48,6 +55,8 @@
 	source   *laburnumfeed.Source
 	follower *laburnumfeed.Follower
 	director *laburnumdirector.Director
+	// commits is the time that the log takes for an operator's change.
+	commits tally.Histogram
 
 	startedAt time.Time
 	mu        sync.Mutex
@@ -63,6 +72,7 @@
 func NewControl(settings laburnumsettings.Role, engines laburnumlever.ModelEngines, opts ...Option) (*Control, error) {
 	c := &Control{process: newProcess(settings, opts), loop: laburnumcontrol.New()}
 	c.startedAt = c.timers.Now()
+	c.commits = c.metrics.Scope().Histogram("routes_commit_seconds", commitBuckets)
 	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
 	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self)
 	c.peers.Handle(methodRelay, c.handleRelay)
@@ -178,9 +188,7 @@
 	if err := c.serve("control", c.settings.Listen.Control, newServer(handler)); err != nil {
 		return err
 	}
-	if err := c.serveMetrics(); err != nil {
-		return err
-	}
+	c.serveMetrics()
 	c.timers.Every(expirePeriod, c.expire)
 	_ = level.Info(c.logger).Log("event", "started", "role", "control", "first-start", c.settings.FirstStart)
 	return nil
@@ -284,6 +292,10 @@
 	for _, id := range c.registry.Expire(now) {
 		c.offer(id)
 	}
+	for _, id := range c.registry.Forget(now) {
+		c.source.Forget(id)
+		c.director.SetRecord(laburnumregistry.Record{Heartbeat: laburnumlever.Heartbeat{Backend: id}, Gone: true})
+	}
 }
 
 // ApplyRoutes puts a table into force through the log.
@@ -295,7 +307,9 @@
 	if err := c.enoughVoters(); err != nil {
 		return err
 	}
+	began := c.timers.Now()
 	_, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &table})
+	c.commits.RecordDuration(c.timers.Now().Sub(began))
 	_ = level.Info(c.logger).Log("event", "routes-proposed", "version", table.Version, "cause", err)
 	return err
 }
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -119,8 +119,12 @@
 	return nil
 }
 
-func (p *process) serveMetrics() error {
-	return p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metrics.Handler()))
+// serveMetrics shows the counters. A port that another process has is no reason not to
+// serve callers: it is logged, and the process goes on without showing them.
+func (p *process) serveMetrics() {
+	if err := p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metrics.Handler())); err != nil {
+		_ = level.Error(p.logger).Log("event", "metrics-not-served", "cause", err)
+	}
 }
 
 // seedPeers are the peer addresses of the seeds.
