--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -37,6 +37,8 @@
 	records  map[laburnumlever.BackendID]stamped
 	overlays map[laburnumlever.BackendID]stampedOverlay
 	routes   *laburnumlever.RouteTable
+	// encoded is the table as gateways get it; nil until the first asks.
+	encoded  laburnumlever.RawMessage
 	director laburnumlever.VMID
 	asked    map[laburnumlever.VMID]asker
 	// controlsAt is the cursor of the last change of the control VMs, metaAt that of
@@ -116,7 +118,7 @@
 	}
 	s.bump()
 	s.metaAt = s.cursor
-	s.routes = &t
+	s.routes, s.encoded = &t, nil
 }
 
 // SetDirector tells who gives the orders.
@@ -251,14 +253,22 @@
 }
 
 // handleRoutes gives the table without the operators' own text, which only control
-// VMs need.
+// VMs need. It is encoded once for all gateways.
 func (s *Source) handleRoutes(context.Context, laburnumlever.RawMessage) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.routes == nil {
 		return nil, &laburnumlever.NotFoundError{Kind: "route table", Name: "any"}
 	}
+	if s.encoded != nil {
+		return s.encoded, nil
+	}
 	table := *s.routes
 	table.Document = nil
-	return table, nil
+	encoded, err := json.Marshal(table)
+	if err != nil {
+		return nil, &MessageError{Method: methodRoutes, Cause: err}
+	}
+	s.encoded = encoded
+	return s.encoded, nil
 }
--- /dev/null
+++ b/routepacking_test.go
@@ -0,0 +1,72 @@
+package laburnumlever_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+)
+
+func tableOf(routes int) laburnumlever.RouteTable {
+	t := laburnumlever.RouteTable{Version: 7, Document: []byte(`{"version":7}`)}
+	for i := range routes {
+		t.Routes = append(t.Routes, laburnumlever.Route{
+			Name: laburnumlever.RouteName(fmt.Sprintf("r-%d", i)), Host: "quotes.example", PathPrefix: fmt.Sprintf("/%x/", i*7919),
+			Kind: laburnumlever.KindStream, Timeout: 12e9, Target: 3e8, MaxAttempts: 2,
+			Split: []laburnumlever.RouteShare{{Service: "quotes", Weight: 1}},
+		})
+	}
+	return t
+}
+
+// An operator adds two thousand routes at once. Every voter and every gateway gets the
+// table; as plain text of near a megabyte it kept small control VMs busy for seconds, the
+// leader lost the lead, and gateways answered 404 on the new routes for too long.
+func TestLargeTableTravelsSmall(t *testing.T) {
+	table := tableOf(1900)
+	data, err := json.Marshal(table)
+	require.NoError(t, err)
+	require.Less(t, len(data), 100_000)
+	var got laburnumlever.RouteTable
+	require.NoError(t, json.Unmarshal(data, &got))
+	require.Equal(t, table, got)
+}
+
+// A small table stays readable, and one that was written before tables were packed is read.
+func TestSmallTableStaysPlain(t *testing.T) {
+	table := tableOf(3)
+	data, err := json.Marshal(table)
+	require.NoError(t, err)
+	require.Contains(t, string(data), `"path-prefix":"/1eef/"`)
+	var got laburnumlever.RouteTable
+	require.NoError(t, json.Unmarshal(data, &got))
+	require.Equal(t, table, got)
+}
+
+// A packed table that was cut short on a disk must be an error, not a table without
+// routes.
+func TestDamagedTableIsAnError(t *testing.T) {
+	data, err := json.Marshal(tableOf(1900))
+	require.NoError(t, err)
+	var packed map[string]any
+	require.NoError(t, json.Unmarshal(data, &packed))
+	text, _ := packed["packed"].(string)
+	packed["packed"] = text[:len(text)/2/4*4]
+	data, err = json.Marshal(packed)
+	require.NoError(t, err)
+	var got laburnumlever.RouteTable
+	err = json.Unmarshal(data, &got)
+	var invalid *laburnumlever.InvalidValueError
+	require.True(t, errors.As(err, &invalid), "%v", err)
+}
+
+func BenchmarkMarshalLargeTable(b *testing.B) {
+	table := tableOf(1900)
+	for b.Loop() {
+		_, _ = json.Marshal(table)
+	}
+}
