--- a/cmd/laburnumlever/caller_test.go
+++ b/cmd/laburnumlever/caller_test.go
@@ -31,6 +31,9 @@
 			for _, header := range c.StringSlice("header") {
 				name, value, _ := strings.Cut(header, ": ")
 				req.Header.Set(name, value)
+				if name == "Host" {
+					req.Host = value
+				}
 			}
 			resp, err := http.DefaultClient.Do(req)
 			if err != nil {
--- a/cmd/laburnumlever/scriptcommands_test.go
+++ b/cmd/laburnumlever/scriptcommands_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -27,6 +29,8 @@
 // scriptCommands are what sessions have beside testscript's own commands:
 //
 //	ports NAME...            sets each variable to a free address on loopback
+//	loopback NAME            sets the variable to the first three numbers of a loopback
+//	                         network of the session's own
 //	expand FILE...           replaces $NAME in the files
 //	start NAME ARGS...       runs laburnumlever ARGS and waits for its ready line, whose
 //	                         key=value pairs become the variables NAME_key
@@ -36,7 +40,7 @@
 //	rewrite FILE             prints the file with ports, ids and times named so
 func scriptCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
-		"ports": scriptPorts, "expand": scriptExpand, "start": scriptStart,
+		"ports": scriptPorts, "loopback": scriptLoopback, "expand": scriptExpand, "start": scriptStart,
 		"end": scriptEnd, "exited": scriptExited, "await": scriptAwait, "rewrite": scriptRewrite,
 	}
 }
@@ -49,6 +53,12 @@
 	}
 }
 
+// scriptLoopback draws a network, since the VMs of a platform are told apart by their IPs
+// and have the same ports. Two sessions at once draw the same one in 60,000 times.
+func scriptLoopback(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250)))
+}
+
 func scriptExpand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, file := range args {
 		text := os.Expand(ts.ReadFile(file), ts.Getenv)
@@ -134,7 +144,7 @@
 	defer close(p.ended)
 	for lines.Scan() {
 		_, _ = p.log.WriteString(lines.Text() + "\n")
-		if strings.HasPrefix(lines.Text(), "ready ") {
+		if strings.HasPrefix(lines.Text(), "ready ") || strings.Contains(lines.Text(), `"event":"started"`) {
 			p.once.Do(func() { ready <- lines.Text() })
 		}
 	}
--- /dev/null
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnumstandin"
+)
+
+func standInPlatformServerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform-server",
+		Usage: "run a stand-in backend server of a platform",
+		Description: "It announces itself at control VMs, answers every request, and is a model engine if it holds models.\n\n" +
+			"Example: laburnumlever stand-in platform-server --id i-1 --service quotes --model m0 --control 127.0.0.2:8080\n\n" + exitCodesText,
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "id", Usage: "`ID` of this start of the backend server"},
+			&cli.StringFlag{Name: "service", Usage: "`NAME` of its service"},
+			&cli.StringSliceFlag{Name: "model", Usage: "`NAME` of a model that it holds; may be repeated"},
+			&cli.StringSliceFlag{Name: "control", Usage: "`ADDRESS` of a control VM; may be repeated"},
+			&cli.DurationFlag{Name: "announce-period", Value: time.Second, Usage: "how often it announces itself"},
+			&cli.IntFlag{Name: "break-after", Usage: "break each stream off after so many `EVENTS`; 0 does not"},
+			&cli.DurationFlag{Name: "delay", Usage: "how long each answer takes to begin"},
+		},
+		OnUsageError: onUsageError,
+		Before:       requireFlags("id", "service"),
+		Action: func(c *cli.Context) error {
+			ln, err := listen(c.Context, c.String("listen"))
+			if err != nil {
+				return err
+			}
+			server := laburnumstandin.NewPlatformServer(c.String("id"), c.String("service"), ln.Addr().String(),
+				c.StringSlice("control"), c.StringSlice("model"),
+				laburnumstandin.PlatformFault{BreakAfter: c.Int("break-after"), Delay: c.Duration("delay")})
+			return serveBackend(c, ln, platformBackend{Handler: server, server: server, period: c.Duration("announce-period")}, "platform-server")
+		},
+	}
+}
+
+// platformBackend runs a stand-in of the platform as serveBackend wants it.
+type platformBackend struct {
+	http.Handler
+	server *laburnumstandin.PlatformServer
+	period time.Duration
+}
+
+func (b platformBackend) Start() { b.server.Start(b.period) }
+func (b platformBackend) Leave() { b.server.Leave() }
+func (b platformBackend) Close() { b.server.Close() }
--- /dev/null
+++ b/laburnumstandin/platformserver.go
@@ -0,0 +1,223 @@
+package laburnumstandin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"laburnumlever/laburnumtimer"
+)
+
+const (
+	// announceTimeout is how long a backend server of the platform waits for the answer
+	// to a heartbeat before it calls the next control VM.
+	announceTimeout = time.Second
+	// platformEvents is how many events an answer of a stand-in has.
+	platformEvents = 4
+)
+
+// PlatformFault is what a stand-in does wrong, on purpose.
+type PlatformFault struct {
+	// BreakAfter closes the connection of each stream after that many events; 0 does
+	// not.
+	BreakAfter int
+	// Delay passes before each answer begins.
+	Delay time.Duration
+}
+
+// PlatformServer stands in for a backend server of the users' platform: it says that it is
+// there at intervals, answers requests, and takes orders if it holds models. It is safe
+// for use by many goroutines.
+type PlatformServer struct {
+	id       string
+	service  string
+	address  string
+	controls []string
+	fault    PlatformFault
+	timers   *laburnumtimer.Timers
+	cancel   func()
+
+	mu       sync.Mutex
+	sequence int
+	accepted int
+	leaving  bool
+	models   []platformModel
+}
+
+type platformModel struct {
+	Name     string   `json:"name"`
+	Version  int      `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// NewPlatformServer makes a backend server with an identity that belongs to a service,
+// answers at an address and announces itself at the control addresses. One with models is
+// a model engine.
+func NewPlatformServer(id, service, address string, controls, models []string, fault PlatformFault) *PlatformServer {
+	s := &PlatformServer{id: id, service: service, address: address, controls: controls, fault: fault, timers: laburnumtimer.New()}
+	for _, name := range models {
+		s.models = append(s.models, platformModel{Name: name, Version: 1, Adapters: []string{}})
+	}
+	return s
+}
+
+// Start begins to announce the backend server.
+func (s *PlatformServer) Start(period time.Duration) {
+	s.cancel = s.timers.Every(period, func(time.Time) { go s.announce("ready") })
+}
+
+// Leave says that the backend server leaves; what is in flight goes on.
+func (s *PlatformServer) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.announce("draining")
+}
+
+// Close ends the announcements.
+func (s *PlatformServer) Close() {
+	if s.cancel != nil {
+		s.cancel()
+	}
+	s.timers.Close()
+}
+
+// announce tells the first control VM that acknowledges it.
+func (s *PlatformServer) announce(state string) {
+	body := s.document(state)
+	for _, control := range s.controls {
+		if s.tell(control, body) {
+			return
+		}
+	}
+}
+
+func (s *PlatformServer) document(state string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	if s.leaving {
+		state = "draining"
+	}
+	document := map[string]any{
+		"service": s.service, "address": s.address, "zone": "brest", "version": "v1", "slots": 8,
+		"state": state, "cold_remaining_ms": 0, "seq": s.sequence,
+	}
+	if len(s.models) > 0 {
+		document["models"] = s.models
+	}
+	body, _ := json.Marshal(document) //nolint:errchkjson // texts and numbers only
+	return body
+}
+
+func (s *PlatformServer) tell(control string, body []byte) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	url := "http://" + control + "/v1/instances/" + s.id
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// ServeHTTP answers reports, orders and requests.
+func (s *PlatformServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/v1/report":
+		s.report(w)
+	case "/v1/order":
+		s.order(w, r)
+	default:
+		s.answer(w, r)
+	}
+}
+
+func (s *PlatformServer) report(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"seq": s.accepted, "models": s.models, "busy": false})
+}
+
+func (s *PlatformServer) order(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Op, Model, Adapter string
+		Expect             int
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if order.Expect != s.accepted {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.accepted++
+	s.carryOut(order.Op, order.Model, order.Adapter)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// carryOut changes what is held; mu is held.
+func (s *PlatformServer) carryOut(op, model, adapter string) {
+	i := slices.IndexFunc(s.models, func(m platformModel) bool { return m.Name == model })
+	switch {
+	case op == "load" && adapter != "" && i >= 0:
+		s.models[i].Adapters = append(s.models[i].Adapters, adapter)
+	case op == "load" && i < 0:
+		s.models = append(s.models, platformModel{Name: model, Version: 1, Adapters: []string{}})
+	case op == "unload" && adapter == "" && i >= 0:
+		s.models = slices.Delete(s.models, i, i+1)
+	default:
+	}
+}
+
+func (s *PlatformServer) answer(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body) // a caller that breaks off gets no answer
+	if s.fault.Delay > 0 {
+		laburnumtimer.Wait(r.Context().Done(), s.timers, s.fault.Delay)
+	}
+	w.Header().Set("X-Laburnumlever-Request-Id", r.Header.Get("X-Laburnumlever-Request-Id"))
+	w.Header().Set("X-Laburnumlever-Server-Stamp", "stamp-of-"+s.id)
+	s.mu.Lock()
+	engine := len(s.models) > 0
+	s.mu.Unlock()
+	if !engine {
+		_, _ = fmt.Fprintf(w, "%s ran %s %s: %s\n", s.id, r.Method, r.URL.Path, body)
+		return
+	}
+	s.stream(w, r)
+}
+
+func (s *PlatformServer) stream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	first := 1
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		_, _ = fmt.Sscan(last, &first)
+		first++
+	}
+	model, _, _ := strings.Cut(r.Header.Get("X-Laburnumlever-Model"), "/")
+	flusher := http.NewResponseController(w)
+	for i := first; i <= platformEvents; i++ {
+		if s.fault.BreakAfter > 0 && i > s.fault.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d\n\n", i, model, i)
+		_ = flusher.Flush()
+	}
+}
+
+var _ http.Handler = (*PlatformServer)(nil)
