refactor: the names of log events are an enum, each named in the operations page

Cause: events were 49 texts spread over 25 files; a typing error would have made a new one, and nothing showed whether the page named them all. Change: laburnumlever.LogEvent with generated names; TestOperationsPageNamesEveryEvent. Lines are the same as before, byte for byte.

--- a/cmd/laburnumlever/docs_test.go
+++ b/cmd/laburnumlever/docs_test.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// A log line that the page does not name sends whoever reads it to the code.
+func TestOperationsPageNamesEveryEvent(t *testing.T) {
+	text := page(t, "OPERATIONS.md")
+	for _, name := range laburnumlever.LogEventStrings() {
+		require.Contains(t, text, "`"+name+"`")
+	}
+}
+
 func TestReferencePagesNameEveryKey(t *testing.T) {
 	settings, catalogue := page(t, "settings.md"), page(t, "catalogue.md")
 	for _, key := range laburnumsettings.Reference() {
--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"laburnumlever"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -132,11 +134,11 @@
 	p.text = text
 	settings, err := laburnumsettings.LoadRole(p.path)
 	if err != nil {
-		_ = level.Error(p.logger).Log("event", "settings-refused", "cause", err)
+		_ = level.Error(p.logger).Log("event", laburnumlever.EventSettingsRefused, "cause", err)
 		return
 	}
 	if err := p.logger.SetLevel(settings.Log.Level); err != nil {
-		_ = level.Error(p.logger).Log("event", "settings-refused", "cause", err)
+		_ = level.Error(p.logger).Log("event", laburnumlever.EventSettingsRefused, "cause", err)
 		return
 	}
 	reload(settings)
--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -227,6 +227,6 @@
 	}
 	a.ready, a.usedAt = true, d.timers.Now()
 	e.changed = true
-	_ = level.Debug(d.cfg.logger).Log("event", "adapter-there", "backend", ev.backend, "model", ev.key.model, "adapter", ev.key.adapter)
+	_ = level.Debug(d.cfg.logger).Log("event", laburnumlever.EventAdapterThere, "backend", ev.backend, "model", ev.key.model, "adapter", ev.key.adapter)
 	d.tendNeeds(d.timers.Now())
 }
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -282,7 +282,7 @@
 	} else if r.Heartbeat.Sequence > e.heartbeat.Sequence {
 		e.heardAt = d.timers.Now()
 		if e.takeHeartbeat(r.Heartbeat, d.timers.Now()) {
-			_ = level.Info(d.cfg.logger).Log("event", "order-done", "backend", id, "models", len(e.held))
+			_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventOrderDone, "backend", id, "models", len(e.held))
 		}
 	}
 	e.silent = r.Silent
@@ -356,13 +356,13 @@
 		}
 		h.withdrawn, h.withdrawnAt = true, now
 		e.changed = true
-		_ = level.Info(d.cfg.logger).Log("event", "model-withdrawn", "backend", e.heartbeat.Backend, "model", step.Model, "cause", step.Reason)
+		_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventModelWithdrawn, "backend", e.heartbeat.Backend, "model", step.Model, "cause", step.Reason)
 		return
 	}
 	if step.FromStore && !d.payStore(e, class) {
 		return
 	}
-	_ = level.Info(d.cfg.logger).Log("event", "load-decided", "backend", e.heartbeat.Backend, "model", step.Model,
+	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLoadDecided, "backend", e.heartbeat.Backend, "model", step.Model,
 		"from-store", step.FromStore, "cause", step.Reason)
 	d.send(e, order)
 }
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -109,7 +109,7 @@
 	d.lastFence = ev.result.Fence
 	d.forgetEngines()
 	d.onDirecting(true)
-	_ = level.Info(d.cfg.logger).Log("event", "lease-got", "fence", d.lease.fence, "wait", d.lease.from-d.clock())
+	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLeaseGot, "fence", d.lease.fence, "wait", d.lease.from-d.clock())
 }
 
 // handOverTime is how long the first order under a new lease waits, so that it comes as
@@ -132,5 +132,5 @@
 	d.lease = lease{}
 	d.failNeeds()
 	d.onDirecting(false)
-	_ = level.Warn(d.cfg.logger).Log("event", "lease-lost", "cause", why)
+	_ = level.Warn(d.cfg.logger).Log("event", laburnumlever.EventLeaseLost, "cause", why)
 }
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -229,7 +229,7 @@
 	e.asking = false
 	if ev.err != nil {
 		e.tryAt = d.timers.Now().Add(stateRetry)
-		_ = level.Info(d.cfg.logger).Log("event", "engine-not-asked", "backend", ev.backend, "cause", ev.err)
+		_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventEngineNotAsked, "backend", ev.backend, "cause", ev.err)
 		return
 	}
 	if e.sending != nil || (e.known && ev.state.Accepted < e.accepted) {
@@ -239,6 +239,6 @@
 }
 
 func (d *Director) logOrder(ev ordered) {
-	_ = level.Info(d.cfg.logger).Log("event", "order-answered", "backend", ev.backend, "kind", ev.order.Kind, "model", ev.order.Model,
+	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventOrderAnswered, "backend", ev.backend, "kind", ev.order.Kind, "model", ev.order.Model,
 		"adapter", ev.order.Adapter, "expect", ev.order.Expect, "fence", ev.order.Fence, "verdict", ev.verdict, "cause", ev.err)
 }
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -100,12 +100,12 @@
 			boot, cursor = a.Boot, a.Cursor
 			if lost {
 				lost = false
-				_ = level.Info(f.logger).Log("event", "control-regained", "address", address)
+				_ = level.Info(f.logger).Log("event", laburnumlever.EventControlRegained, "address", address)
 			}
 			f.learn(address, a)
 		case !lost:
 			lost = true
-			_ = level.Warn(f.logger).Log("event", "control-lost", "address", address, "cause", err)
+			_ = level.Warn(f.logger).Log("event", laburnumlever.EventControlLost, "address", address, "cause", err)
 			f.sink.Lost(address)
 		}
 		if err != nil && !laburnumtimer.Wait(f.done, f.timers, retryPause) {
@@ -186,7 +186,7 @@
 	defer cancel()
 	var t laburnumlever.RouteTable
 	if err := f.peers.Call(ctx, address, methodRoutes, struct{}{}, &t); err != nil {
-		_ = level.Warn(f.logger).Log("event", "routes-not-fetched", "address", address, "cause", err)
+		_ = level.Warn(f.logger).Log("event", laburnumlever.EventRoutesNotFetched, "address", address, "cause", err)
 		return
 	}
 	f.sink.LearnRoutes(t)
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -68,7 +68,7 @@
 		}
 		merged, _ := f.registry.Record(r.Heartbeat.Backend)
 		f.balance.Set(merged)
-		_ = level.Debug(f.logger).Log("event", "backend-known", "backend", r.Heartbeat.Backend, "sequence", merged.Heartbeat.Sequence,
+		_ = level.Debug(f.logger).Log("event", laburnumlever.EventBackendKnown, "backend", r.Heartbeat.Backend, "sequence", merged.Heartbeat.Sequence,
 			"leaving", merged.Heartbeat.Leaving, "gone", merged.Gone, "silent", merged.Silent, "models", len(merged.Heartbeat.Models))
 	}
 	for _, o := range a.Overlays {
@@ -88,7 +88,7 @@
 		return
 	}
 	f.index.Store(laburnumroutes.NewIndex(t))
-	_ = level.Info(f.logger).Log("event", "routes-in-force", "version", t.Version, "routes", len(t.Routes))
+	_ = level.Info(f.logger).Log("event", laburnumlever.EventRoutesInForce, "version", t.Version, "routes", len(t.Routes))
 }
 
 // Sweep forgets the backend servers that are gone for long.
@@ -180,7 +180,7 @@
 		f.replaced = append(f.replaced, id)
 		r, _ := f.registry.Record(id)
 		f.balance.Set(r)
-		_ = level.Info(f.logger).Log("event", "backend-replaced", "backend", id)
+		_ = level.Info(f.logger).Log("event", laburnumlever.EventBackendReplaced, "backend", id)
 	}
 }
 
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -48,7 +48,7 @@
 		if fail == nil {
 			return nil
 		}
-		_ = level.Info(g.logger).Log("event", "attempt-failed", "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
+		_ = level.Info(g.logger).Log("event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
 			"stage", fail.stage.String(), "reason", fail.reason, "cause", fail.cause)
 		q.avoid = append(q.avoid, ticket.Backend.Backend)
 		if fail.stage == laburnumretry.StageUnknown {
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -124,7 +124,7 @@
 }
 
 func (g *Gateway) logServed(q *request, out *answer) {
-	_ = level.Info(g.logger).Log("event", "request-served", "request-id", q.caller.ID, "route", q.route.Name,
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
 		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sends,
 		"waited-ms", millis(q.waited), "first-ms", millis(out.firstAt.Sub(q.arrived)), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
@@ -231,7 +231,7 @@
 	if q.route != nil {
 		route = q.route.Name
 	}
-	_ = level.Info(g.logger).Log("event", "request-refused", "request-id", q.caller.ID, "route", route, "reason", reason,
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestRefused, "request-id", q.caller.ID, "route", route, "reason", reason,
 		"status", status, "touched", q.touched, "sends", q.sends, "tries", q.tries, "routes-version", q.version,
 		"model", q.caller.Model, "adapter", q.caller.Adapter, "avoid", q.avoid,
 		"ms", g.timers.Now().Sub(q.arrived).Milliseconds(), "cause", err)
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -54,7 +54,7 @@
 	if end, ok := ctx.Deadline(); ok {
 		g.endsAt.Store(&end)
 	}
-	_ = level.Info(g.logger).Log("event", "draining", "in-flight", g.InFlight())
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventDraining, "in-flight", g.InFlight())
 	laburnumtimer.Wait(ctx.Done(), g.timers, noticeTime)
 	g.leaving.Store(true)
 	for quiet := 0; quiet < quietChecks && ctx.Err() == nil; quiet++ {
@@ -63,7 +63,7 @@
 		}
 		laburnumtimer.Wait(ctx.Done(), g.timers, quietCheck)
 	}
-	_ = level.Info(g.logger).Log("event", "drained", "in-flight", g.InFlight())
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventDrained, "in-flight", g.InFlight())
 }
 
 // tooLate tells whether a request that comes now may outlast the process: its answer
--- a/laburnumlogging/doc.go
+++ b/laburnumlogging/doc.go
@@ -15,6 +15,6 @@
 //	logger, err := laburnumlogging.New(os.Stdout, "info")
 //	defer logger.Close()
 //	named := log.With(logger, "vm", name)
-//	level.Info(named).Log("event", "started")
+//	level.Info(named).Log("event", laburnumlever.EventStarted)
 //	err = logger.SetLevel("debug")
 package laburnumlogging
--- a/laburnumlogging/logger.go
+++ b/laburnumlogging/logger.go
@@ -30,7 +30,9 @@
 )
 
 // routine are the events that say that all went well; there are as many as requests.
-var routine = []string{"request-served", "adapter-there", "order-answered"}
+var routine = []string{
+	laburnumlever.EventRequestServed.String(), laburnumlever.EventAdapterThere.String(), laburnumlever.EventOrderAnswered.String(),
+}
 
 // Logger is a bounded log. It implements log.Logger and may be used from any goroutine.
 type Logger struct {
@@ -191,7 +193,7 @@
 	slices.Sort(counts)
 	var line bytes.Buffer
 	err := log.NewJSONLogger(&line).Log("ts", log.DefaultTimestampUTC(), "level", "warn",
-		eventKey, "log-lines-dropped", "counts", strings.Join(counts, " "))
+		eventKey, laburnumlever.EventLogLinesDropped, "counts", strings.Join(counts, " "))
 	if err != nil {
 		return nil
 	}
--- a/laburnummembership/membership.go
+++ b/laburnummembership/membership.go
@@ -129,7 +129,7 @@
 	case leftBackend:
 		e.answer <- m.core.leaveBackend(e.backend, e.incarnation, now)
 	default:
-		_ = level.Error(m.cfg.logger).Log("event", "unknown-event", "name", ev.EventName())
+		_ = level.Error(m.cfg.logger).Log("event", laburnumlever.EventUnknownEvent, "name", ev.EventName())
 	}
 }
 
--- a/laburnumorder/engine.go
+++ b/laburnumorder/engine.go
@@ -149,7 +149,7 @@
 	}
 	now := o.timers.Now()
 	if err := o.checkRead(e, ev); err != nil {
-		_ = level.Debug(o.logger).Log("event", "inventory-not-read", "backend", ev.backend, "err", err)
+		_ = level.Debug(o.logger).Log("event", laburnumlever.EventInventoryNotRead, "backend", ev.backend, "err", err)
 		return
 	}
 	o.ledger.Read(ev.backend, ev.inventory, ev.began)
--- a/laburnumorder/lease.go
+++ b/laburnumorder/lease.go
@@ -74,7 +74,7 @@
 	if ev.err != nil {
 		// Nothing is known of the lease: it runs out by its own time, and engines
 		// that check are ordered on under its number.
-		_ = level.Debug(o.logger).Log("event", "lease-not-renewed", "zone", o.self.Zone, "err", ev.err)
+		_ = level.Debug(o.logger).Log("event", laburnumlever.EventLeaseNotRenewed, "zone", o.self.Zone, "err", ev.err)
 		return
 	}
 	if ev.result.Code != laburnumlever.ResultOK {
@@ -104,7 +104,7 @@
 	for _, intent := range ev.result.Intents {
 		o.inherit(intent)
 	}
-	_ = level.Info(o.logger).Log("event", "zone-owned", "zone", o.self.Zone, "fence", ev.result.Fence, "intents", len(ev.result.Intents))
+	_ = level.Info(o.logger).Log("event", laburnumlever.EventZoneOwned, "zone", o.self.Zone, "fence", ev.result.Fence, "intents", len(ev.result.Intents))
 }
 
 // inherit counts an order that an earlier owner may have sent, until an inventory
@@ -121,7 +121,7 @@
 
 func (o *Owner) loseLease(holder laburnumlever.VMID) {
 	if o.lease.fence != 0 {
-		_ = level.Info(o.logger).Log("event", "zone-lost", "zone", o.self.Zone, "holder", holder)
+		_ = level.Info(o.logger).Log("event", laburnumlever.EventZoneLost, "zone", o.self.Zone, "holder", holder)
 	}
 	o.lease.fence = 0
 	o.lease.until.set(time.Time{})
--- a/laburnumorder/send.go
+++ b/laburnumorder/send.go
@@ -123,7 +123,7 @@
 		o.drop(e)
 	case ev.err != nil || ev.answer.ID != ev.order:
 		o.move(e, "answer-lost")
-		_ = level.Warn(o.logger).Log("event", "order-outcome-unknown", "backend", ev.backend, "order", ev.order, "err", ev.err)
+		_ = level.Warn(o.logger).Log("event", laburnumlever.EventOrderOutcomeUnknown, "backend", ev.backend, "order", ev.order, "err", ev.err)
 		o.ledger.Sent(ev.backend, ev.order, now.Add(o.underWay))
 		e.order.settleAfter = now.Add(o.underWay)
 		e.nextRead = now
@@ -151,7 +151,7 @@
 		o.lease.next = time.Time{}
 	default:
 		e.pauseUntil = now.Add(failedPause)
-		_ = level.Warn(o.logger).Log("event", "order-refused", "backend", backend, "order", order.ID, "outcome", answer.Outcome, "detail", answer.Detail)
+		_ = level.Warn(o.logger).Log("event", laburnumlever.EventOrderRefused, "backend", backend, "order", order.ID, "outcome", answer.Outcome, "detail", answer.Detail)
 	}
 	o.noteLoading(e, now)
 	e.nextRead = now.Add(busyRead)
@@ -210,6 +210,6 @@
 
 func (o *Owner) move(e *engine, event string) {
 	if err := e.order.on(event); err != nil {
-		_ = level.Error(o.logger).Log("event", "order-chart", "backend", e.announcement.Backend, "order", e.order.order.ID, "err", err)
+		_ = level.Error(o.logger).Log("event", laburnumlever.EventOrderChart, "backend", e.announcement.Backend, "order", e.order.order.ID, "err", err)
 	}
 }
--- a/laburnumproxy/claim.go
+++ b/laburnumproxy/claim.go
@@ -153,7 +153,7 @@
 	_, err := p.proposer.Propose(ctx, p.recordOf(q, outcome, whole))
 	if err != nil {
 		p.counters.recordsFailed.Inc(1)
-		_ = level.Warn(p.logger).Log("event", "answer-not-recorded", "request-id", q.id, "err", err)
+		_ = level.Warn(p.logger).Log("event", laburnumlever.EventAnswerNotRecorded, "request-id", q.id, "err", err)
 	}
 }
 
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -172,7 +172,7 @@
 	defer func() { _ = resp.Body.Close() }() // nothing is left to be read or said
 	if err := a.answered(resp); err != nil {
 		p.counters.crossed.Inc(1)
-		_ = level.Warn(p.logger).Log("event", "crossed-answer", "request-id", q.id, "backend", to.Backend, "err", err)
+		_ = level.Warn(p.logger).Log("event", laburnumlever.EventCrossedAnswer, "request-id", q.id, "backend", to.Backend, "err", err)
 		return p.failed(q, a, to, laburnumlever.RefusedCrossedAnswer, err)
 	}
 	if a.outcome() == laburnumlever.OutcomeNotRun {
--- a/laburnumproxy/serve.go
+++ b/laburnumproxy/serve.go
@@ -74,7 +74,7 @@
 func (p *Proxy) note(q *request, refusal *laburnumlever.RefusalError) {
 	p.counters.refusals[refusal.Reason].Inc(1)
 	q.trail.add(p.timers.Now(), "refused: %s, %s: %s", refusal.Reason, refusal.Outcome, refusal.Detail)
-	_ = level.Info(p.logger).Log("event", "refused", "request-id", q.id, "reason", refusal.Reason,
+	_ = level.Info(p.logger).Log("event", laburnumlever.EventRefused, "request-id", q.id, "reason", refusal.Reason,
 		"outcome", refusal.Outcome, "owner", q.owner, "subject", refusal.Subject, "detail", refusal.Detail)
 }
 
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -173,7 +173,7 @@
 func (c *Control) routesApplied(t laburnumlever.RouteTable) {
 	c.source.SetRoutes(t)
 	c.director.SetRoutes(t)
-	_ = level.Info(c.logger).Log("event", "routes-applied", "version", t.Version, "routes", len(t.Routes))
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes))
 }
 
 // Start runs the control VM; handler serves the platform's calls.
@@ -190,7 +190,7 @@
 	}
 	c.serveMetrics()
 	c.timers.Every(expirePeriod, c.expire)
-	_ = level.Info(c.logger).Log("event", "started", "role", "control", "first-start", c.settings.FirstStart)
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "first-start", c.settings.FirstStart)
 	return nil
 }
 
@@ -199,14 +199,14 @@
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	if err := c.voter.HandOver(ctx); err != nil {
-		_ = level.Warn(c.logger).Log("event", "leadership-not-handed-over", "cause", err)
+		_ = level.Warn(c.logger).Log("event", laburnumlever.EventLeadershipNotHandedOver, "cause", err)
 	}
 	c.follower.Close()
 	c.director.Close()
 	_ = c.voter.Close()
 	c.close()
 	c.loop.Stop()
-	_ = level.Info(c.logger).Log("event", "stopped", "role", "control")
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventStopped, "role", "control")
 }
 
 // Heartbeat takes a backend server's word about itself. All gateways are told
@@ -250,7 +250,7 @@
 	}
 	c.source.SetRecord(r)
 	c.director.SetRecord(r)
-	_ = c.noteLevel(r).Log("event", "backend-known", "backend", id, "service", r.Heartbeat.Service,
+	_ = c.noteLevel(r).Log("event", laburnumlever.EventBackendKnown, "backend", id, "service", r.Heartbeat.Service,
 		"address", r.Heartbeat.Address, "sequence", r.Heartbeat.Sequence, "leaving", r.Heartbeat.Leaving,
 		"gone", r.Gone, "silent", r.Silent)
 }
@@ -301,7 +301,7 @@
 // ApplyRoutes puts a table into force through the log.
 func (c *Control) ApplyRoutes(ctx context.Context, table laburnumlever.RouteTable) error {
 	if err := laburnumroutes.Check(table); err != nil {
-		_ = level.Info(c.logger).Log("event", "routes-refused", "version", table.Version, "cause", err)
+		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "version", table.Version, "cause", err)
 		return err
 	}
 	if err := c.enoughVoters(); err != nil {
@@ -310,7 +310,7 @@
 	began := c.timers.Now()
 	_, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &table})
 	c.commits.RecordDuration(c.timers.Now().Sub(began))
-	_ = level.Info(c.logger).Log("event", "routes-proposed", "version", table.Version, "cause", err)
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "cause", err)
 	return err
 }
 
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -56,7 +56,7 @@
 	}
 	g.serveMetrics()
 	g.timers.Every(sweepPeriod, func(time.Time) { g.gateway.Sweep() })
-	_ = level.Info(g.logger).Log("event", "started", "role", "gateway", "callers", g.settings.Listen.Callers)
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventStarted, "role", "gateway", "callers", g.settings.Listen.Callers)
 	return nil
 }
 
@@ -76,7 +76,7 @@
 	g.gateway.Drain(ctx)
 	g.follower.Close()
 	g.close()
-	_ = level.Info(g.logger).Log("event", "stopped", "role", "gateway")
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventStopped, "role", "gateway")
 }
 
 // Reload takes changed settings: other seeds are followed from now on, beside those
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -98,7 +98,7 @@
 	p.servers = append(p.servers, server)
 	go func() {
 		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			_ = level.Error(p.logger).Log("event", "listener-ended", "listener", name, "cause", err)
+			_ = level.Error(p.logger).Log("event", laburnumlever.EventListenerEnded, "listener", name, "cause", err)
 		}
 	}()
 	return nil
@@ -113,7 +113,7 @@
 	p.peerListener = ln
 	go func() {
 		if err := p.peers.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
-			_ = level.Error(p.logger).Log("event", "listener-ended", "listener", "peers", "cause", err)
+			_ = level.Error(p.logger).Log("event", laburnumlever.EventListenerEnded, "listener", "peers", "cause", err)
 		}
 	}()
 	return nil
@@ -123,7 +123,7 @@
 // serve callers: it is logged, and the process goes on without showing them.
 func (p *process) serveMetrics() {
 	if err := p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metrics.Handler())); err != nil {
-		_ = level.Error(p.logger).Log("event", "metrics-not-served", "cause", err)
+		_ = level.Error(p.logger).Log("event", laburnumlever.EventMetricsNotServed, "cause", err)
 	}
 }
 
@@ -152,5 +152,5 @@
 	for _, v := range settings.SeedVoters() {
 		follower.Follow(v.PeerAddress)
 	}
-	_ = level.Info(p.logger).Log("event", "settings-reloaded", "seeds", settings.Seeds)
+	_ = level.Info(p.logger).Log("event", laburnumlever.EventSettingsReloaded, "seeds", settings.Seeds)
 }
--- a/laburnumspread/spread.go
+++ b/laburnumspread/spread.go
@@ -116,7 +116,7 @@
 	case pulled:
 		e.answer <- s.core.held
 	default:
-		_ = level.Error(s.logger).Log("event", "unknown-event", "name", ev.EventName())
+		_ = level.Error(s.logger).Log("event", laburnumlever.EventUnknownEvent, "name", ev.EventName())
 	}
 	s.send()
 }
@@ -125,7 +125,7 @@
 	if !s.core.take(b, s.others()) {
 		return
 	}
-	_ = level.Info(s.logger).Log("event", "catalogue-in-force", "revision", b.catalogue.Revision)
+	_ = level.Info(s.logger).Log("event", laburnumlever.EventCatalogueInForce, "revision", b.catalogue.Revision)
 	s.scope.Gauge("catalogue-revision").Update(float64(b.catalogue.Revision))
 	for _, fn := range s.onNewer {
 		fn(b.catalogue)
--- a/laburnumstandin/announcer.go
+++ b/laburnumstandin/announcer.go
@@ -107,7 +107,7 @@
 
 func (a *announcer) deliver(address string, p parcel) {
 	if err := a.deliverOnce(address, p); err != nil {
-		_ = level.Debug(a.cfg.logger).Log("event", "registry-refused", "err", err)
+		_ = level.Debug(a.cfg.logger).Log("event", laburnumlever.EventRegistryRefused, "err", err)
 	}
 }
 
--- a/laburnumstandin/engineorders.go
+++ b/laburnumstandin/engineorders.go
@@ -105,7 +105,7 @@
 	}
 	go func() {
 		if err := e.fetchWeights(*next); err != nil {
-			_ = level.Warn(e.cfg.logger).Log("event", "load-failed", "model", next.Model, "err", err)
+			_ = level.Warn(e.cfg.logger).Log("event", laburnumlever.EventLoadFailed, "model", next.Model, "err", err)
 			e.loadFailed(h, next)
 			return
 		}
--- a/laburnumvoter/drive.go
+++ b/laburnumvoter/drive.go
@@ -73,7 +73,7 @@
 // disk holds, and to acknowledge or lead on would be to promise it. The VM goes
 // on as one without a replica until it is started again.
 func (v *Voter) fail(err error) {
-	_ = level.Error(v.cfg.logger).Log("event", "replica-failed", "err", err)
+	_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventReplicaFailed, "err", err)
 	v.cfg.scope.Counter("voter-failures").Inc(1)
 	v.failure = err
 	v.drop()
--- a/laburnumvoter/lead.go
+++ b/laburnumvoter/lead.go
@@ -28,7 +28,7 @@
 			if v.clockBase == 0 {
 				v.clockBase = v.clockFrom.UnixMilli()
 			}
-			_ = level.Info(v.cfg.logger).Log("event", "became-leader", "term", v.log.Term())
+			_ = level.Info(v.cfg.logger).Log("event", laburnumlever.EventBecameLeader, "term", v.log.Term())
 			v.cfg.scope.Counter("voter-elections-won").Inc(1)
 		} else {
 			v.releaseWaiters("this VM stopped to lead")
@@ -80,7 +80,7 @@
 	cmd := laburnumlever.Command{Kind: laburnumlever.CommandExpireLease, Lease: &c}
 	data, err := json.Marshal(entryData{At: v.clock(now), Command: cmd})
 	if err != nil {
-		_ = level.Error(v.cfg.logger).Log("event", "expiry-not-encoded", "err", err)
+		_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventExpiryNotEncoded, "err", err)
 		return
 	}
 	v.step(laburnumlog.Propose{Data: [][]byte{data}})
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -154,7 +154,7 @@
 			v.peers.Notify(m.Address, methodSuperseded, supersededMessage{ID: m.ID, Boot: p.Older})
 		}
 		if ok && p.Lost {
-			_ = level.Error(v.cfg.logger).Log("event", "replica-went-back", "replica", m.ID)
+			_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventReplicaWentBack, "replica", m.ID)
 			v.peers.Notify(m.Address, methodSuperseded, supersededMessage{ID: m.ID, Boot: p.Boot})
 		}
 	}
@@ -166,7 +166,7 @@
 	if v.log == nil || m.ID != v.log.ID() || m.Boot != v.boot {
 		return
 	}
-	_ = level.Error(v.cfg.logger).Log("event", "data-folder-went-back", "replica", m.ID)
+	_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventDataFolderWentBack, "replica", m.ID)
 	old := v.writer
 	v.drop()
 	go func() {
@@ -179,7 +179,7 @@
 func (v *Voter) onReopened(ev reopened) {
 	if ev.err != nil {
 		v.failure = ev.err
-		_ = level.Error(v.cfg.logger).Log("event", "replica-failed", "err", ev.err)
+		_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventReplicaFailed, "err", ev.err)
 		return
 	}
 	v.use(ev.replica)
--- a/laburnumvoter/replica.go
+++ b/laburnumvoter/replica.go
@@ -31,7 +31,7 @@
 	store, recovered, err := laburnumdisk.Open(cfg.folder, cfg.diskOptions...)
 	var damaged *laburnumdisk.DamagedError
 	if errors.As(err, &damaged) {
-		_ = level.Error(cfg.logger).Log("event", "data-folder-damaged", "err", err)
+		_ = level.Error(cfg.logger).Log("event", laburnumlever.EventDataFolderDamaged, "err", err)
 		if err := laburnumdisk.SetAside(cfg.folder, cfg.diskOptions...); err != nil {
 			return nil, err
 		}
