refactor: the best of some engines is looked for in one place

Two loops over engines, one for further copies and one for missing models, were the same but for what they try; bestOf serves both. A comment that said its first words twice is mended. Behaviour is the same but for ties, which go to the engine with less work in both now.

--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -93,7 +93,7 @@
 	s.readingLimit = min(maxReading, s.readingLimit+readingRise)
 }
 
-// blame is what// blame is what failures add to the score.
+// blame is what failures add to the score.
 func (s *server) blame(now time.Time) float64 {
 	if s.failures == 0 {
 		return 0
--- a/laburnumresidency/missing.go
+++ b/laburnumresidency/missing.go
@@ -47,15 +47,7 @@
 
 // cheapest finds the engine where a missing model costs the fewest requests.
 func (p *planner) cheapest(m int) (change, bool) {
-	var best change
-	found := false
-	for e := range p.engines {
-		c, ok := p.bring(e, m)
-		if ok && (!found || c.gain > best.gain) {
-			best, found = c, true
-		}
-	}
-	return best, found
+	return bestOf(p.target.easiest(len(p.engines), m), func(e int) (change, bool) { return p.bring(e, m) })
 }
 
 // bring works out what it costs to bring a missing model to an engine; the gain is that
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -150,10 +150,15 @@
 
 // best finds the engine where one more copy of the model eases most.
 func (p *planner) best(m int) (change, bool) {
+	return bestOf(p.target.easiest(consideredEngines, m), func(e int) (change, bool) { return p.consider(e, m) })
+}
+
+// bestOf is the change with most gain over some engines; false where none is possible.
+func bestOf(engines []int, try func(e int) (change, bool)) (change, bool) {
 	var best change
 	found := false
-	for _, e := range p.target.easiest(consideredEngines, m) {
-		c, ok := p.consider(e, m)
+	for _, e := range engines {
+		c, ok := try(e)
 		if ok && (!found || c.gain > best.gain) {
 			best, found = c, true
 		}
