--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -37,7 +37,7 @@
 // backend is a fake backend server that answers with raw bytes, so that it can break
 // every rule of the protocol.
 type backend struct {
-	t        *testing.T
+	t        testing.TB
 	id       laburnumlever.BackendID
 	ln       net.Listener
 	answer   func(conn net.Conn, a arrival, n int)
@@ -46,7 +46,7 @@
 	closedAt []time.Time
 }
 
-func newBackend(t *testing.T, id string, answer func(conn net.Conn, a arrival, n int)) *backend {
+func newBackend(t testing.TB, id string, answer func(conn net.Conn, a arrival, n int)) *backend {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	b := &backend{t: t, id: laburnumlever.BackendID(id), ln: ln, answer: answer}
@@ -127,14 +127,14 @@
 
 // bench is one gateway before fake backend servers.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	fleet   *laburnumgateway.Fleet
 	gateway *laburnumgateway.Gateway
 	server  *httptest.Server
 	client  *http.Client
 }
 
-func newBench(t *testing.T, records ...laburnumregistry.Record) *bench {
+func newBench(t testing.TB, records ...laburnumregistry.Record) *bench {
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
 	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1)
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -326,3 +326,26 @@
 		require.Equal(t, 503, status)
 	}
 }
+
+// BenchmarkHeartbeat is what a backend server's word that it is there still costs a control
+// VM, from the bytes of the call to the answer.
+func BenchmarkHeartbeat(b *testing.B) {
+	settings := laburnumsettings.Role{
+		VM: "127.0.0.1", Zone: "brest", PeerPort: 7600, Seeds: []string{"127.0.0.1:7601"}, DataFolder: b.TempDir(),
+		Times: laburnumsettings.RoleTimes{Heartbeat: laburnumlever.Duration(time.Second), Lease: laburnumlever.Duration(3 * time.Second)},
+		Log:   laburnumsettings.Log{Level: "info"},
+	}
+	control, err := laburnumroles.NewControl(settings, platform.NewEngines())
+	require.NoError(b, err)
+	handler, err := platform.NewHandler(control)
+	require.NoError(b, err)
+	sequence := 0
+	for b.Loop() {
+		sequence++
+		body := fmt.Appendf(nil, `{"service":"devis","address":"10.0.0.9:80","zone":"brest","slots":24,"state":"ready","seq":%d,"models":[{"name":"m0","version":1,"adapters":["a1","a2"]}]}`, sequence)
+		req := httptest.NewRequest(http.MethodPut, "/v1/instances/i-1", bytes.NewReader(body))
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, req)
+		require.Equal(b, http.StatusOK, w.Code)
+	}
+}
