feat: a soak that disturbs real processes of a small platform and checks what is seen

laburnumlever soak starts four control VMs, two gateways and four backend servers as processes of their own on a loopback network, kills, stops, ends and restarts them as a seed says, in series and overlapping, wipes one control VM's disk, and checks from outside: bookings run once at most, never after a refusal that says not run, never without an answer's run; streams whole and in order; no read of the manifest older than what was acknowledged; in the end all of it served again. It ends only what it started.

--- a/cmd/laburnumlever/app.go
+++ b/cmd/laburnumlever/app.go
@@ -49,6 +49,7 @@
 			logLevelCommand(),
 			standInCommand(),
 			loadCommand(),
+			soakCommand(),
 		},
 		HideVersion:    true,
 		ExitErrHandler: func(*cli.Context, error) {},
--- a/cmd/laburnumlever/errors.go
+++ b/cmd/laburnumlever/errors.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -105,3 +106,13 @@
 	}
 	return text
 }
+
+// soakFailedError says that a soak saw what it should not have.
+type soakFailedError struct {
+	Seeds  int
+	Folder string
+}
+
+func (e *soakFailedError) Error() string {
+	return fmt.Sprintf("%d seeds saw what they should not have; their logs are in %s", e.Seeds, e.Folder)
+}
--- /dev/null
+++ b/cmd/laburnumlever/soakcmd.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnumsoak"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "disturb a small platform of real processes and check what is seen",
+		Description: "Starts control VMs, gateways and backend servers on loopback, kills, stops, ends and restarts\n" +
+			"them as a seed says, and checks the promises while it runs. Logs of a seed that failed are kept.\n\n" +
+			"Example: laburnumlever soak --seed 1 --seeds 5 --length 15s\n\n" + exitCodesText,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds, one after the other"},
+			&cli.DurationFlag{Name: "length", Value: 15 * time.Second, Usage: "how long faults come in each run"},
+			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for logs; a temporary one without it"},
+		},
+		OnUsageError: onUsageError,
+		Action:       runSoak,
+	}
+}
+
+func runSoak(c *cli.Context) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	root := c.String("folder")
+	if root == "" {
+		if root, err = os.MkdirTemp("", "laburnumlever-soak-"); err != nil {
+			return err
+		}
+	}
+	failed := 0
+	for i := range c.Int("seeds") {
+		seed := c.Uint64("seed") + uint64(i) //nolint:gosec // a count
+		ok, err := soakOne(c, laburnumsoak.Config{
+			Program: program, Folder: filepath.Join(root, fmt.Sprintf("seed-%d", seed)), Seed: seed, Length: c.Duration("length"),
+		})
+		if err != nil {
+			return err
+		}
+		if !ok {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return &soakFailedError{Seeds: failed, Folder: root}
+	}
+	return nil
+}
+
+// soakOne plays a seed and prints what came of it.
+func soakOne(c *cli.Context, cfg laburnumsoak.Config) (bool, error) {
+	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
+		return false, err
+	}
+	report, err := laburnumsoak.Run(c.Context, cfg)
+	if err != nil {
+		return false, err
+	}
+	printf(c.App.Writer, "seed %d: %d faults, %d requests, %d served, %d changes acknowledged, %d violations\n",
+		cfg.Seed, len(report.Faults), report.Sent, report.Served, report.Acknowledged, len(report.Violations))
+	if len(report.Violations) == 0 {
+		return true, os.RemoveAll(cfg.Folder)
+	}
+	for _, fault := range report.Faults {
+		printf(c.App.Writer, "  fault %s\n", fault)
+	}
+	for _, violation := range report.Violations {
+		printf(c.App.Writer, "  wrong: %s\n", violation)
+	}
+	return false, nil
+}
--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -23,6 +23,7 @@
 			&cli.StringSliceFlag{Name: "control", Usage: "`ADDRESS` of a control VM; may be repeated"},
 			&cli.DurationFlag{Name: "announce-period", Value: time.Second, Usage: "how often it announces itself"},
 			&cli.IntFlag{Name: "break-after", Usage: "break each stream off after so many `EVENTS`; 0 does not"},
+			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs"},
 			&cli.DurationFlag{Name: "delay", Usage: "how long each answer takes to begin"},
 		},
 		OnUsageError: onUsageError,
@@ -32,9 +33,12 @@
 			if err != nil {
 				return err
 			}
+			behaviour := laburnumstandin.PlatformBehaviour{BreakAfter: c.Int("break-after"), Delay: c.Duration("delay")}
+			if c.Bool("print-runs") {
+				behaviour.OnRun = func(id string) { printf(c.App.Writer, "ran %s\n", id) }
+			}
 			server := laburnumstandin.NewPlatformServer(c.String("id"), c.String("service"), ln.Addr().String(),
-				c.StringSlice("control"), c.StringSlice("model"),
-				laburnumstandin.PlatformFault{BreakAfter: c.Int("break-after"), Delay: c.Duration("delay")})
+				c.StringSlice("control"), c.StringSlice("model"), behaviour)
 			return serveBackend(c, ln, platformBackend{Handler: server, server: server, period: c.Duration("announce-period")}, "platform-server")
 		},
 	}
--- /dev/null
+++ b/laburnumsoak/faults.go
@@ -0,0 +1,126 @@
+package laburnumsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// leastGap and mostGap are between two faults: shorter than most faults last, so that
+	// they overlap.
+	leastGap, mostGap = 200 * time.Millisecond, 1500 * time.Millisecond
+	// mostDown is how long a process is away or stopped at most: longer than the lease's
+	// term and than the silence after which a voter is replaced.
+	mostDown = 4 * time.Second
+)
+
+// faultKind is what happens to a process.
+type faultKind int
+
+const (
+	kill faultKind = iota
+	pause
+	ask
+	wipe
+	kinds
+)
+
+func (k faultKind) String() string { return [...]string{"kill", "stop", "term", "kill and wipe"}[k] }
+
+// faults disturbs the processes of a fleet as a seed says.
+type faults struct {
+	fleet  *fleet
+	random *rand.Rand
+	start  time.Time
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	busy    map[*process]bool
+	wiped   bool
+	story   []string
+	problem error
+}
+
+func newFaults(f *fleet, seed uint64) *faults {
+	return &faults{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busy: map[*process]bool{}} //nolint:gosec // repeatable
+}
+
+// run disturbs until ctx ends, then waits until all processes are back.
+func (x *faults) run(ctx context.Context) {
+	all := x.fleet.all()
+	for {
+		p, kind := all[x.random.IntN(len(all))], faultKind(x.random.IntN(int(kinds)))
+		down := time.Duration(x.random.Int64N(int64(mostDown)))
+		gap := leastGap + time.Duration(x.random.Int64N(int64(mostGap-leastGap)))
+		if x.take(p, &kind) {
+			x.wg.Add(1)
+			go x.disturb(p, kind, down)
+		}
+		select {
+		case <-ctx.Done():
+			x.wg.Wait()
+			return
+		case <-time.After(gap):
+		}
+	}
+}
+
+// take reserves a process for a fault. One disk is lost in a run: the system bears the loss
+// of one at a time, and when it has caught up shows only inside.
+func (x *faults) take(p *process, kind *faultKind) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.busy[p] {
+		return false
+	}
+	isControl := false
+	for _, c := range x.fleet.controls {
+		isControl = isControl || c == p
+	}
+	if *kind == wipe && (x.wiped || !isControl) {
+		*kind = kill
+	}
+	x.wiped = x.wiped || *kind == wipe
+	x.busy[p] = true
+	x.story = append(x.story, fmt.Sprintf("%.1f s %s %s", time.Since(x.start).Seconds(), *kind, p.name))
+	return true
+}
+
+// disturb does a fault and undoes it.
+func (x *faults) disturb(p *process, kind faultKind, down time.Duration) {
+	defer x.wg.Done()
+	switch kind {
+	case pause:
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(down)
+		p.signal(syscall.SIGCONT)
+		x.done(p, nil)
+		return
+	case ask:
+		p.end(syscall.SIGTERM)
+	case wipe:
+		p.end(syscall.SIGKILL)
+		if err := os.RemoveAll(x.fleet.dataFolder(p.name)); err != nil {
+			x.done(p, err)
+			return
+		}
+	default:
+		p.end(syscall.SIGKILL)
+	}
+	time.Sleep(down / 2)
+	x.done(p, p.start())
+}
+
+func (x *faults) done(p *process, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.busy, p)
+	if err != nil && x.problem == nil {
+		x.problem = err
+	}
+}
--- /dev/null
+++ b/laburnumsoak/fleet.go
@@ -0,0 +1,139 @@
+package laburnumsoak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumsettings"
+)
+
+const (
+	controlVMs = 4
+	gatewayVMs = 2
+	serversOf  = 2
+	// seedVMs is how many control VMs the settings name.
+	seedVMs = 3
+	// ports are the same on all VMs; each has an address of its own.
+	peerPort, controlPort, callerPort, readyPort = 7380, 8080, 8081, 8082
+	// firstGateway is the last number of the first gateway's address.
+	firstGateway = 50
+	// ranPrefix begins the line in which a stand-in says that it runs a request.
+	ranPrefix = "ran "
+)
+
+// fleet is all processes of a run.
+type fleet struct {
+	cfg      Config
+	net      string
+	record   *record
+	controls []*process
+	gateways []*process
+	servers  []*process
+	// founded is set once the log stands: no start is the first from then on.
+	founded atomic.Bool
+	starts  atomic.Int64
+}
+
+// newFleet names the processes, on a network that the seed does not decide, so that two
+// runs with one seed do not meet.
+func newFleet(cfg Config, r *record) *fleet {
+	const most = 250
+	f := &fleet{cfg: cfg, record: r, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most))}
+	for i := range controlVMs {
+		f.controls = append(f.controls, f.vm("control", fmt.Sprintf("control-%d", i+1), i+1))
+	}
+	for i := range gatewayVMs {
+		f.gateways = append(f.gateways, f.vm("gateway", fmt.Sprintf("gateway-%d", i+1), firstGateway+i))
+	}
+	for i := range serversOf {
+		f.servers = append(f.servers, f.server(fmt.Sprintf("booking-%d", i+1), "booking"), f.server(fmt.Sprintf("quotes-%d", i+1), "quotes"))
+	}
+	return f
+}
+
+func (f *fleet) address(number, port int) string { return fmt.Sprintf("%s.%d:%d", f.net, number, port) }
+
+func (f *fleet) control(i int) string { return f.address(i+1, controlPort) }
+
+func (f *fleet) gateway(i int) string { return f.address(firstGateway+i, callerPort) }
+
+// vm is a process of the system. Its settings are written anew at each start.
+func (f *fleet) vm(role, name string, number int) *process {
+	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder}
+	p.args = func() []string {
+		path := filepath.Join(f.cfg.Folder, name+".jsonc")
+		data, _ := json.Marshal(f.settings(role, name, number)) //nolint:errchkjson // texts and numbers only
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return nil // the process then says what is missing
+		}
+		return []string{role, "--settings", path}
+	}
+	return p
+}
+
+func (f *fleet) settings(role, name string, number int) laburnumsettings.Role {
+	second := laburnumlever.Duration(time.Second)
+	s := laburnumsettings.Role{
+		VM: laburnumlever.VMID(fmt.Sprintf("%s.%d", f.net, number)), Name: name, Zone: "brest", Region: "bretagne",
+		PeerPort: peerPort, FirstStart: !f.founded.Load(), ControlLosses: 1,
+		Times:       laburnumsettings.RoleTimes{Heartbeat: second, Grace: 4 * second, Lease: 3 * second, CatchUp: 4 * second, Apply: 2 * second},
+		Retry:       laburnumsettings.RoleRetry{Ratio: 0.2, Slack: 52, Window: 10 * second},
+		StoreWindow: 5 * second, StoreOvershoot: 1.1, ChecksFencing: true, Log: laburnumsettings.Log{Level: "info"},
+	}
+	for i := range seedVMs {
+		s.Seeds = append(s.Seeds, f.control(i))
+	}
+	if role == "control" {
+		s.Listen.Control, s.DataFolder = f.address(number, controlPort), f.dataFolder(name)
+		return s
+	}
+	s.Listen.Callers, s.Listen.Ready = f.address(number, callerPort), f.address(number, readyPort)
+	return s
+}
+
+func (f *fleet) dataFolder(name string) string { return filepath.Join(f.cfg.Folder, "data-"+name) }
+
+// server is a backend server; each start has an identity of its own.
+func (f *fleet) server(name, service string) *process {
+	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder}
+	p.args = func() []string {
+		id := fmt.Sprintf("i-%s-%d", name, f.starts.Add(1))
+		args := []string{"stand-in", "platform-server", "--id", id, "--service", service, "--announce-period", "300ms", "--print-runs"}
+		if service == "quotes" {
+			args = append(args, "--model", "m0")
+		}
+		for i := range controlVMs {
+			args = append(args, "--control", f.control(i))
+		}
+		return args
+	}
+	p.line = func(text string) {
+		if id, ok := strings.CutPrefix(text, ranPrefix); ok && service == "booking" {
+			f.record.ran(id)
+		}
+	}
+	return p
+}
+
+func (f *fleet) all() []*process {
+	var list []*process
+	list = append(list, f.controls...)
+	list = append(list, f.gateways...)
+	return append(list, f.servers...)
+}
+
+func (f *fleet) start() error {
+	for _, p := range f.all() {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/laburnumsoak/load.go
@@ -0,0 +1,107 @@
+package laburnumsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"laburnumlever/laburnumstandin"
+)
+
+const (
+	// callers ask at once, each as soon as its last request has ended and callerPause is
+	// over.
+	callers     = 6
+	callerPause = 15 * time.Millisecond
+	callTime    = 4 * time.Second
+	// streams is that one request in so many is for a stream.
+	streams = 4
+	// applyPause and readPause are between two changes and two reads of the manifest.
+	applyPause = 500 * time.Millisecond
+	readPause  = 150 * time.Millisecond
+	// controlTime is how long an operator waits for a control VM.
+	controlTime = 2 * time.Second
+)
+
+// load is callers and operators at work.
+type load struct {
+	fleet  *fleet
+	record *record
+	caller *laburnumstandin.PlatformCaller
+	wg     sync.WaitGroup
+	// version is that of the last change sent; one operator sends them.
+	version int
+	// calls numbers the requests: each has an id of its own.
+	calls atomic.Int64
+}
+
+func newLoad(f *fleet, r *record) *load {
+	return &load{fleet: f, record: r, caller: laburnumstandin.NewPlatformCaller()}
+}
+
+// run works until ctx ends.
+func (l *load) run(ctx context.Context) {
+	for i := range callers {
+		l.repeat(ctx, callerPause, func(n int) { l.ask(n%streams == i%streams) })
+	}
+	l.repeat(ctx, applyPause, func(int) { l.apply(rand.IntN(controlVMs)) })
+	l.repeat(ctx, readPause, func(int) { l.read(rand.IntN(controlVMs)) })
+	l.wg.Wait()
+}
+
+func (l *load) repeat(ctx context.Context, pause time.Duration, do func(n int)) {
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		for n := 0; ctx.Err() == nil; n++ {
+			do(n)
+			time.Sleep(pause)
+		}
+	}()
+}
+
+// ask asks a gateway for a stream or a booking. What is under way when the run ends is waited
+// for.
+func (l *load) ask(stream bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	id := fmt.Sprintf("r-%d", l.calls.Add(1))
+	gateway := l.fleet.gateway(rand.IntN(gatewayVMs))
+	if stream {
+		_, events, whole, _ := l.caller.Quote(ctx, gateway, id) // what came counts, however it ended
+		l.record.streamed(id, events, whole)
+		return whole
+	}
+	status, err := l.caller.Confirm(ctx, gateway, id)
+	l.record.confirmed(id, status, err)
+	return err == nil && status == http.StatusOK
+}
+
+// apply sends a change, the last one again if it was not acknowledged.
+func (l *load) apply(control int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTime)
+	defer cancel()
+	status, err := l.caller.Apply(ctx, l.fleet.control(control), l.version+1)
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	l.version++
+	l.record.acknowledged(l.version, time.Now())
+	return true
+}
+
+func (l *load) read(control int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTime)
+	defer cancel()
+	sent := time.Now()
+	status, version, err := l.caller.Read(ctx, l.fleet.control(control))
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	l.record.read(version, sent)
+	return true
+}
--- /dev/null
+++ b/laburnumsoak/process.go
@@ -0,0 +1,105 @@
+package laburnumsoak
+
+import (
+	"bufio"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// readyTime is how long a process may take to say that it serves.
+	readyTime = 20 * time.Second
+	// endTime is how long one may take to end that was asked to, above the grace.
+	endTime = 15 * time.Second
+	// programName is what processes are told that they are called.
+	programName = "laburnumlever"
+)
+
+// process is one of the programs, started again and again. It is used by one goroutine at a
+// time.
+type process struct {
+	name    string
+	program string
+	folder  string
+	// args are those of the next start.
+	args func() []string
+	// line takes each line that it writes.
+	line func(string)
+
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// start runs the process and waits until it says that it serves.
+func (p *process) start() error {
+	log, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return &StartError{Process: p.name, Cause: err}
+	}
+	cmd := exec.CommandContext(context.Background(), p.program, p.args()...) //nolint:gosec // the program that runs this
+	cmd.Args[0] = programName
+	cmd.Stderr = log
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return &StartError{Process: p.name, Cause: err}
+	}
+	if err := cmd.Start(); err != nil {
+		return &StartError{Process: p.name, Cause: err}
+	}
+	p.cmd, p.ended = cmd, make(chan struct{})
+	ready := make(chan struct{})
+	go p.follow(cmd, bufio.NewScanner(out), log, ready, p.ended)
+	select {
+	case <-ready:
+		return nil
+	case <-p.ended:
+		return &StartError{Process: p.name, Cause: &NotReadyError{What: "it ended", Time: readyTime}}
+	case <-time.After(readyTime):
+		return &StartError{Process: p.name, Cause: &NotReadyError{What: "it serves", Time: readyTime}}
+	}
+}
+
+// follow keeps what the process writes and waits for its end.
+func (p *process) follow(cmd *exec.Cmd, lines *bufio.Scanner, log *os.File, ready, ended chan struct{}) {
+	defer close(ended)
+	defer func() { _ = log.Close() }()
+	var once sync.Once
+	for lines.Scan() {
+		text := lines.Text()
+		_, _ = log.WriteString(text + "\n")
+		if strings.HasPrefix(text, "ready ") || strings.Contains(text, `"event":"started"`) {
+			once.Do(func() { close(ready) })
+		}
+		if p.line != nil {
+			p.line(text)
+		}
+	}
+	_ = cmd.Wait() // how it ended shows in its log
+}
+
+func (p *process) signal(sig syscall.Signal) {
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(sig) // one that has ended needs none
+	}
+}
+
+// end ends the process by a signal and waits for it; one that does not end is killed.
+func (p *process) end(sig syscall.Signal) {
+	if p.cmd == nil {
+		return
+	}
+	p.signal(sig)
+	select {
+	case <-p.ended:
+	case <-time.After(endTime):
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+	}
+	p.cmd = nil
+}
--- /dev/null
+++ b/laburnumsoak/record.go
@@ -0,0 +1,139 @@
+package laburnumsoak
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"laburnumlever/laburnumstandin"
+)
+
+// record is what was seen from outside, and what of it must not be. It may be used from any
+// goroutine.
+type record struct {
+	mu sync.Mutex
+	// runs counts how often each request ran, as backend servers say.
+	runs map[string]int
+	// answered and refused are the requests that must not run twice with an answer and with
+	// the word that they have not run.
+	answered, refused map[string]bool
+	// acked is the newest version acknowledged, with the time of each.
+	acked      []ack
+	sent       int
+	served     int
+	violations []string
+}
+
+type ack struct {
+	version int
+	at      time.Time
+}
+
+func newRecord() *record {
+	return &record{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}}
+}
+
+func (r *record) fail(format string, args ...any) {
+	r.violations = append(r.violations, fmt.Sprintf(format, args...))
+}
+
+// ran notes that a backend server has run a request.
+func (r *record) ran(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+}
+
+// confirmed notes what came of a request that must not run twice.
+func (r *record) confirmed(id string, status int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	switch {
+	case err != nil:
+	case status == http.StatusOK:
+		r.served++
+		r.answered[id] = true
+	case promisesNotRun(status):
+		r.refused[id] = true
+	}
+}
+
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// streamed notes a stream: its events must follow each other, and all be there if it ended as
+// complete.
+func (r *record) streamed(id string, events []int, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	for i, n := range events {
+		if n != i+1 {
+			r.fail("stream %s: event %d came as number %d", id, n, i+1)
+			return
+		}
+	}
+	if !whole {
+		return
+	}
+	r.served++
+	if len(events) != laburnumstandin.PlatformEvents() {
+		r.fail("stream %s ended as complete after %d events", id, len(events))
+	}
+}
+
+// acknowledged notes an operator's change.
+func (r *record) acknowledged(version int, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.acked = append(r.acked, ack{version: version, at: at})
+}
+
+// newest is the highest version acknowledged before a time.
+func (r *record) newest(before time.Time) int {
+	highest := 0
+	for _, a := range r.acked {
+		if a.at.Before(before) {
+			highest = max(highest, a.version)
+		}
+	}
+	return highest
+}
+
+// read notes an answer to a read that was sent at a time: it must not be older than what
+// was acknowledged by then.
+func (r *record) read(version int, sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if want := r.newest(sent); version < want {
+		r.fail("a read shows version %d after %d was acknowledged", version, want)
+	}
+}
+
+// conclude checks what can be told only when all processes have had their say.
+func (r *record) conclude() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, n := range r.runs {
+		if n > 1 {
+			r.fail("request %s ran %d times", id, n)
+		}
+		if r.refused[id] {
+			r.fail("request %s was refused as not run and ran", id)
+		}
+	}
+	for id := range r.answered {
+		if r.runs[id] == 0 {
+			r.fail("request %s was answered and no backend server ran it", id)
+		}
+	}
+	return r.violations
+}
--- /dev/null
+++ b/laburnumsoak/soak.go
@@ -0,0 +1,109 @@
+package laburnumsoak
+
+import (
+	"context"
+	"syscall"
+	"time"
+)
+
+const (
+	// foundTime is how long the first change may take: the log is founded and grows.
+	foundTime = 30 * time.Second
+	// recoverTime is how long callers may have to wait once all processes are back: for an
+	// election, the voters' return and the backend servers' announcements.
+	recoverTime = 15 * time.Second
+	// retryTime is between two tries of something that must come.
+	retryTime = 100 * time.Millisecond
+)
+
+// Config says what a run is.
+type Config struct {
+	// Program is the path of the laburnumlever program.
+	Program string
+	// Folder is an empty folder for settings, data and logs.
+	Folder string
+	// Seed decides which faults come when.
+	Seed uint64
+	// Length is how long faults come.
+	Length time.Duration
+}
+
+// Report is what came of a run.
+type Report struct {
+	// Sent and Served count the callers' requests, Acknowledged the operator's changes.
+	Sent, Served, Acknowledged int
+	// Faults are those that came, in order.
+	Faults []string
+	// Violations are what should not have been seen.
+	Violations []string
+}
+
+// Run plays one run. The error is a *StartError or a *NotReadyError: the system did not come
+// up, or a process did not come back.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	r := newRecord()
+	f := newFleet(cfg, r)
+	defer f.end()
+	if err := f.start(); err != nil {
+		return Report{}, err
+	}
+	l := newLoad(f, r)
+	if !await(ctx, foundTime, func() bool { return l.apply(0) }) {
+		return Report{}, &NotReadyError{What: "the first change is acknowledged", Time: foundTime}
+	}
+	f.founded.Store(true)
+	if !await(ctx, foundTime, func() bool { return l.ask(true) && l.ask(false) }) {
+		return Report{}, &NotReadyError{What: "callers are served", Time: foundTime}
+	}
+	x := newFaults(f, cfg.Seed)
+	disturbed, cancel := context.WithTimeout(ctx, cfg.Length)
+	defer cancel()
+	working, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.run(working)
+	}()
+	x.run(disturbed)
+	stop()
+	<-done
+	l.conclude(ctx)
+	f.end() // what backend servers have to say of their runs has come then
+	return Report{
+		Sent: r.sent, Served: r.served, Acknowledged: len(r.acked), Faults: x.story, Violations: r.conclude(),
+	}, x.problem
+}
+
+// conclude checks that the system is whole again: it takes a change, reads it back and serves
+// callers.
+func (l *load) conclude(ctx context.Context) {
+	for what, try := range map[string]func() bool{
+		"a change is acknowledged": func() bool { return l.apply(0) },
+		"a read is answered":       func() bool { return l.read(1) },
+		"a booking is served":      func() bool { return l.ask(false) },
+		"a stream is served":       func() bool { return l.ask(true) },
+	} {
+		if !await(ctx, recoverTime, try) {
+			l.record.mu.Lock()
+			l.record.fail("after the faults: %s: not within %s", what, recoverTime)
+			l.record.mu.Unlock()
+		}
+	}
+}
+
+// end kills all processes that this run started.
+func (f *fleet) end() {
+	for _, p := range f.all() {
+		p.end(syscall.SIGKILL)
+	}
+}
+
+// await tries until something comes, or the time is over.
+func await(ctx context.Context, limit time.Duration, try func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(retryTime) {
+		if try() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/laburnumstandin/platformcaller.go
@@ -0,0 +1,101 @@
+package laburnumstandin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// platformHost is the host of the stand-in's routes.
+const platformHost = "quotes.example"
+
+// PlatformCaller stands in for callers and operators of the users' platform. It keeps
+// connections open, and uses one until the other end is gone.
+type PlatformCaller struct{ client *http.Client }
+
+// NewPlatformCaller makes a caller with connections of its own.
+func NewPlatformCaller() *PlatformCaller {
+	const idle = 64
+	return &PlatformCaller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle}}}
+}
+
+// Confirm sends a request that must not run twice, and returns the status.
+func (c *PlatformCaller) Confirm(ctx context.Context, gateway, id string) (int, error) {
+	status, _, err := c.send(ctx, http.MethodPost, gateway+"/confirm/x", id, "", []byte("visit"))
+	return status, err
+}
+
+// Quote asks for a stream and returns the status, the numbers of its events and whether it
+// ended as complete.
+func (c *PlatformCaller) Quote(ctx context.Context, gateway, id string) (int, []int, bool, error) {
+	status, body, err := c.send(ctx, http.MethodPost, gateway+"/quote/x", id, "m0", []byte("oak"))
+	var events []int
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	for lines.Scan() {
+		if text, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			n, _ := strconv.Atoi(text) // not a number is 0, which no event has
+			events = append(events, n)
+		}
+	}
+	return status, events, err == nil && status == http.StatusOK, err
+}
+
+// PlatformEvents is how many events a stand-in's stream has.
+func PlatformEvents() int { return platformEvents }
+
+// Apply sends a manifest of the version and returns the status.
+func (c *PlatformCaller) Apply(ctx context.Context, control string, version int) (int, error) {
+	status, _, err := c.send(ctx, http.MethodPut, control+"/v1/config", "", "", platformManifest(version))
+	return status, err
+}
+
+// Read asks for the newest manifest and returns the status and its version.
+func (c *PlatformCaller) Read(ctx context.Context, control string) (int, int, error) {
+	status, body, err := c.send(ctx, http.MethodGet, control+"/v1/config", "", "", nil)
+	if err != nil || status != http.StatusOK {
+		return status, 0, err
+	}
+	var m struct{ Version int }
+	err = json.Unmarshal(body, &m)
+	return status, m.Version, err
+}
+
+// send returns what came of a call; the body as far as it came.
+func (c *PlatformCaller) send(ctx context.Context, method, url, id, model string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	if id != "" {
+		req.Host = platformHost
+		req.Header.Set("X-Laburnumlever-Request-Id", id)
+	}
+	if model != "" {
+		req.Header.Set("X-Laburnumlever-Model", model)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, text, err
+}
+
+// platformManifest has one route for requests that must not run twice and one for streams
+// that may go on elsewhere.
+func platformManifest(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[`+
+		`{"name":"confirm","hostname":"`+platformHost+`","path_prefix":"/confirm/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"priority":1,"service":"booking","max_attempts":1},`+
+		`{"name":"quote","hostname":"`+platformHost+`","path_prefix":"/quote/","kind":"streaming","timeout_ms":9000,"target_latency_ms":300,"priority":1,"service":"quotes","max_attempts":2,"resumable":true,"gap_aim_ms":150}],`+
+		`"services":[{"name":"booking","health_path":"/health","max_conns":200},`+
+		`{"name":"quotes","health_path":"/health","max_conns":200,"engine":{"slots":8,"kv_capacity":90000,"weights_mb":80000,"adapter_slots":2,"loads_per_s":3,`+
+		`"models":[{"name":"m0","weights_mb":72700,"load_s":0.2,"warm_s":0.1,"disk_s":0.1,"adapters":0,"adapter_mb":66}]}}],`+
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version)
+}
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -23,26 +23,28 @@
 	platformEvents = 4
 )
 
-// PlatformFault is what a stand-in does wrong, on purpose.
-type PlatformFault struct {
+// PlatformBehaviour is what a stand-in does wrong on purpose, and whom it tells of its runs.
+type PlatformBehaviour struct {
 	// BreakAfter closes the connection of each stream after that many events; 0 does
 	// not.
 	BreakAfter int
 	// Delay passes before each answer begins.
 	Delay time.Duration
+	// OnRun is told the id of each request when it runs; nil for nobody.
+	OnRun func(id string)
 }
 
 // PlatformServer stands in for a backend server of the users' platform: it says that it is
 // there at intervals, answers requests, and takes orders if it holds models. It is safe
 // for use by many goroutines.
 type PlatformServer struct {
-	id       string
-	service  string
-	address  string
-	controls []string
-	fault    PlatformFault
-	timers   *laburnumtimer.Timers
-	cancel   func()
+	id        string
+	service   string
+	address   string
+	controls  []string
+	behaviour PlatformBehaviour
+	timers    *laburnumtimer.Timers
+	cancel    func()
 
 	mu       sync.Mutex
 	sequence int
@@ -60,8 +62,8 @@
 // NewPlatformServer makes a backend server with an identity that belongs to a service,
 // answers at an address and announces itself at the control addresses. One with models is
 // a model engine.
-func NewPlatformServer(id, service, address string, controls, models []string, fault PlatformFault) *PlatformServer {
-	s := &PlatformServer{id: id, service: service, address: address, controls: controls, fault: fault, timers: laburnumtimer.New()}
+func NewPlatformServer(id, service, address string, controls, models []string, behaviour PlatformBehaviour) *PlatformServer {
+	s := &PlatformServer{id: id, service: service, address: address, controls: controls, behaviour: behaviour, timers: laburnumtimer.New()}
 	for _, name := range models {
 		s.models = append(s.models, platformModel{Name: name, Version: 1, Adapters: []string{}})
 	}
@@ -187,8 +189,11 @@
 
 func (s *PlatformServer) answer(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body) // a caller that breaks off gets no answer
-	if s.fault.Delay > 0 {
-		laburnumtimer.Wait(r.Context().Done(), s.timers, s.fault.Delay)
+	if s.behaviour.Delay > 0 {
+		laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.Delay)
+	}
+	if s.behaviour.OnRun != nil {
+		s.behaviour.OnRun(r.Header.Get("X-Laburnumlever-Request-Id"))
 	}
 	w.Header().Set("X-Laburnumlever-Request-Id", r.Header.Get("X-Laburnumlever-Request-Id"))
 	w.Header().Set("X-Laburnumlever-Server-Stamp", "stamp-of-"+s.id)
@@ -212,7 +217,7 @@
 	model, _, _ := strings.Cut(r.Header.Get("X-Laburnumlever-Model"), "/")
 	flusher := http.NewResponseController(w)
 	for i := first; i <= platformEvents; i++ {
-		if s.fault.BreakAfter > 0 && i > s.fault.BreakAfter {
+		if s.behaviour.BreakAfter > 0 && i > s.behaviour.BreakAfter {
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d\n\n", i, model, i)
