test: the fake log of the director's tests ends a lease only when it was not renewed

Played again on a quiet machine it fails in 5 to 10 of 100. The test's own expire() ended a lease that its holder had renewed a moment before, which the log's leader never does: it waits for the whole term without a renewal, and a renewal on its way wins (laburnumstate, TestLeaseEndsWithoutRenewal).

Ruled out: the owner's own logic.

Change: the fake watches renewals and ends a lease only after its term.

--- a/laburnumdirector/world_test.go
+++ b/laburnumdirector/world_test.go
@@ -30,8 +30,14 @@
 	engines   map[laburnumlever.BackendID]*fakeEngine
 	directors []*node
 	orders    []sentOrder
+	// renewed is the last renewal of the lease that was seen, renewedAt when.
+	renewed   renewalMark
+	renewedAt time.Time
 }
 
+// renewalMark tells one renewal of a lease from the next.
+type renewalMark struct{ fence, renewals uint64 }
+
 type sentOrder struct {
 	at     time.Time
 	by     laburnumlever.VMID
@@ -119,10 +125,21 @@
 	return n.w.machine.Apply(n.w.timers.Now().UnixMilli(), cmd), nil
 }
 
-// expire ends a lease that was not renewed, as the log's leader does.
+// watch notes when leases were renewed last.
+func (w *world) watch() {
+	for _, l := range w.machine.Leases() {
+		if mark := (renewalMark{fence: l.Fence, renewals: l.Renewals}); w.renewed != mark {
+			w.renewed, w.renewedAt = mark, w.timers.Now()
+		}
+	}
+}
+
+// expire ends a lease that was not renewed for its whole term, as the log's leader does.
 func (w *world) expire() {
+	w.watch()
 	for _, l := range w.machine.Leases() {
-		if l.Holder != "" {
+		renewed := w.timers.Now().Sub(w.renewedAt) < time.Duration(l.TTL)
+		if l.Holder != "" && !renewed {
 			w.machine.Apply(w.timers.Now().UnixMilli(), laburnumlever.Command{
 				Kind: laburnumlever.CommandExpireLease, Lease: &laburnumlever.LeaseCommand{
 					Name: l.Name, Holder: l.Holder, Incarnation: l.Incarnation, Fence: l.Fence, Renewals: l.Renewals,
@@ -148,6 +165,7 @@
 				n.loop.Drain()
 			}
 		}
+		w.watch()
 	}
 }
 
