fix: a gateway forgets only backend servers that are gone; a model's pace is worked out once a sample

Gateways shared the forgetting of control VMs, for which silent for two minutes means silent. A gateway hears no heartbeats: told once by a control VM that is cut off that a server is silent, and hearing nothing after that since nothing changes, it dropped a living server for good.

The estimate of a model's reading time was sorted anew for each request that looked for a place; it is kept with the samples now, the same value.

Test: TestSilentBackendServerIsNotForgottenByAGateway, failing before, passing after.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -158,9 +158,6 @@
 	t.byService[service] = slices.DeleteFunc(t.byService[service], func(o *server) bool { return o == s })
 }
 
-// Forget drops a server that nobody heard of for long.
-func (t *Table) Forget(id laburnumlever.BackendID) { t.remove(id) }
-
 // Added notes a model or adapter that a server holds by now.
 func (t *Table) Added(id laburnumlever.BackendID, model laburnumlever.ModelName, adapter laburnumlever.AdapterName, now time.Time) {
 	if s := t.servers[id]; s != nil {
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -91,13 +91,12 @@
 	_ = level.Info(f.logger).Log("event", laburnumlever.EventRoutesInForce, "version", t.Version, "routes", len(t.Routes))
 }
 
-// Sweep forgets the backend servers that are gone for long.
+// Sweep forgets the backend servers that are gone for long; they left the choice when they
+// went.
 func (f *Fleet) Sweep() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, id := range f.registry.Forget(f.timers.Now()) {
-		f.balance.Forget(id)
-	}
+	f.registry.ForgetGone(f.timers.Now())
 }
 
 // RoutesVersion is the version in force here; 0 for none.
--- a/laburnumgateway/pace.go
+++ b/laburnumgateway/pace.go
@@ -32,6 +32,8 @@
 type paceRing struct {
 	samples []time.Duration
 	next    int
+	// estimate is worked out with each sample: requests that read it come more often.
+	estimate time.Duration
 }
 
 // add takes the time in which an answer began after its prompt was sent, and the number
@@ -48,20 +50,28 @@
 	}
 	if len(r.samples) < paceSamples {
 		r.samples = append(r.samples, sample)
-		return
+	} else {
+		r.samples[r.next] = sample
+		r.next = (r.next + 1) % paceSamples
 	}
-	r.samples[r.next] = sample
-	r.next = (r.next + 1) % paceSamples
+	r.estimate = r.quantile()
 }
 
-// of is the model's time for a token where an engine has little else to do; 0 while it is
-// not known.
-func (p paces) of(model laburnumlever.ModelName) time.Duration {
-	r := p[model]
-	if r == nil || len(r.samples) < paceLeast {
+// quantile is the estimate of the samples; 0 while they are too few.
+func (r *paceRing) quantile() time.Duration {
+	if len(r.samples) < paceLeast {
 		return 0
 	}
 	sorted := slices.Clone(r.samples)
 	slices.Sort(sorted)
 	return max(1, sorted[int(paceQuantile*float64(len(sorted)))])
 }
+
+// of is the model's time for a token where an engine has little else to do; 0 while it is
+// not known.
+func (p paces) of(model laburnumlever.ModelName) time.Duration {
+	if r := p[model]; r != nil {
+		return r.estimate
+	}
+	return 0
+}
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -134,11 +134,22 @@
 
 // Forget drops those that are gone, or have been silent, for long and returns them. Each
 // start of a backend server has an identity of its own, so without it the table grows
-// with every release.
+// with every release. It is for a VM that hears the heartbeats itself.
 func (t *Table) Forget(now time.Time) []laburnumlever.BackendID {
+	return t.forget(now, func(r Record) bool { return r.Gone || r.Silent })
+}
+
+// ForgetGone is Forget for a VM that is told of backend servers by others. It hears nothing
+// while nothing changes, so one that a single control VM called silent may be alive and at
+// work; only the word that it is gone is final.
+func (t *Table) ForgetGone(now time.Time) {
+	t.forget(now, func(r Record) bool { return r.Gone })
+}
+
+func (t *Table) forget(now time.Time, over func(Record) bool) []laburnumlever.BackendID {
 	var forgotten []laburnumlever.BackendID
 	for id, e := range t.entries {
-		if (e.record.Gone || e.record.Silent) && now.Sub(e.heard) > forgetAfter {
+		if over(e.record) && now.Sub(e.heard) > forgetAfter {
 			delete(t.entries, id)
 			forgotten = append(forgotten, id)
 		}
