fix: the inventory is read between orders, and no room is made of memory that stays counted

Traced by printing each move: every half second the owner unloaded a copy that it had just loaded, to make room for the model, and loaded it there again. The ledger counts a load's memory for 30 s, so the unload freed nothing; and each order's answer pushed the next read of the inventory back by a second, so that it never came and the count never ended.

Ruled out: a wait longer than the test's five minutes (the same after ten); the two zones against each other (one owner alone gave all the orders).

Change: an order's answer only brings the next read forward; copies whose load still counts are no candidates for making room.

Each part has a test that fails without it; the schedule fails without both.

--- a/laburnumorder/ledger.go
+++ b/laburnumorder/ledger.go
@@ -87,6 +87,13 @@
 	return l.account(backend).find(id) >= 0
 }
 
+// CountsCopy tells whether an order that loads the copy is still counted, so that
+// unloading it frees no memory yet.
+func (l *Ledger) CountsCopy(backend laburnumlever.BackendID, c laburnumlever.Loaded) bool {
+	key := keyOf(c)
+	return slices.ContainsFunc(l.account(backend).open, func(e Entry) bool { return keyOf(e.Order.Copy) == key })
+}
+
 // Loaded is the engine's last inventory.
 func (l *Ledger) Loaded(backend laburnumlever.BackendID) []laburnumlever.Loaded {
 	return l.account(backend).loaded
--- a/laburnumorder/plan.go
+++ b/laburnumorder/plan.go
@@ -72,7 +72,7 @@
 	e.Accelerators = o.ledger.Accelerators(e.ID)
 	e.Copies = nil
 	for _, l := range o.ledger.Loaded(e.ID) {
-		e.Copies = append(e.Copies, laburnumplacement.Copy{Loaded: l, Going: own.unloads(l)})
+		e.Copies = append(e.Copies, laburnumplacement.Copy{Loaded: l, Going: own.unloads(l), Counted: o.ledger.CountsCopy(e.ID, l)})
 	}
 	if coming, ok := own.coming(); ok && !holds(e.Copies, coming) {
 		e.Copies = append(e.Copies, laburnumplacement.Copy{Loaded: coming})
--- a/laburnumorder/send.go
+++ b/laburnumorder/send.go
@@ -154,7 +154,9 @@
 		_ = level.Warn(o.logger).Log("event", laburnumlever.EventOrderRefused, "backend", backend, "order", order.ID, "outcome", answer.Outcome, "detail", answer.Detail)
 	}
 	o.noteLoading(e, now)
-	e.nextRead = now.Add(busyRead)
+	// A read that is due stays due: pushed back by each order, it would never come on an
+	// engine that is ordered every round, and orders long settled would count for ever.
+	e.readBy(now.Add(busyRead))
 }
 
 // drop forgets an order that surely never left this VM.
--- a/laburnumorder/world_test.go
+++ b/laburnumorder/world_test.go
@@ -48,6 +48,7 @@
 	delay     time.Duration
 	quorum    quorum
 	orders    []laburnumlever.Order // as sent
+	claims    int
 	zones     []laburnumlever.ZoneName
 	lies      bool // engines announce that they check and do not
 	noGap     bool // a model that is reachable must stay so
@@ -110,6 +111,13 @@
 	w.catalogue = w.catalogue.WithRevision(w.catalogue.Revision + 1)
 }
 
+// change changes one model in a new catalogue.
+func (w *world) change(i int, apply func(m *laburnumlever.Model)) {
+	w.catalogue.Models = slices.Clone(w.catalogue.Models)
+	apply(&w.catalogue.Models[i])
+	w.catalogue = w.catalogue.WithRevision(w.catalogue.Revision + 1)
+}
+
 func (w *world) addEngine(i int, checks bool, incarnation uint64) {
 	e := laburnumstandin.NewEngine(laburnumlever.Announcement{
 		Backend: laburnumlever.BackendID(fmt.Sprintf("e%d", i)), Zone: w.zones[i%len(w.zones)], Incarnation: incarnation, ChecksFencing: checks, Slots: 1,
@@ -251,6 +259,7 @@
 	if ctx.Err() != nil {
 		return laburnumlever.Inventory{}, ctx.Err()
 	}
+	l.v.w.claims++
 	return l.engine(to).Claim(fence), nil
 }
 
--- a/laburnumorder/zones_test.go
+++ b/laburnumorder/zones_test.go
@@ -91,3 +91,52 @@
 	require.LessOrEqual(t, highest, 7)
 	require.Positive(t, highest)
 }
+
+// The operators change versions and sizes faster than the fleet can follow, while owners
+// are killed and one is frozen; then they stop. One model stays at its first version for
+// ever: each round the owner unloads a copy that it has just loaded to make room, finds the
+// memory still counted for the load, and loads the copy there again; and as an order goes
+// out every round, the inventory is never read that would end the count.
+func TestVersionsComeToRestInFullMemory(t *testing.T) {
+	w := newZones(t, []laburnumlever.ZoneName{"a", "b"}, true, true, true, true)
+	w.run(2 * time.Minute)
+	w.noGap = true
+	w.startVM(0, 2)
+	w.change(0, func(m *laburnumlever.Model) { m.Adapters = []laburnumlever.Adapter{{Name: "x", SizeMiB: 9}} })
+	w.newVersions()
+	w.change(3, func(m *laburnumlever.Model) { m.WeightsMiB = 34 })
+	w.startVM(1, 3)
+	w.run(20 * time.Second)
+	w.change(1, func(m *laburnumlever.Model) { m.WeightsMiB = 32 })
+	w.startVM(1, 4)
+	w.newVersions()
+	w.vms[1].frozen = true
+	w.startVM(0, 5)
+	w.run(15883 * time.Millisecond)
+	w.startVM(0, 6)
+	w.newVersions()
+	w.change(1, func(m *laburnumlever.Model) { m.Adapters = []laburnumlever.Adapter{{Name: "x", SizeMiB: 3}} })
+	w.vms[1].frozen = false
+	w.run(5 * time.Minute)
+	requireCurrent(t, w)
+	before := len(w.orders)
+	w.run(time.Minute)
+	require.Len(t, w.orders, before)
+}
+
+// Operators change the versions each second, so that each round has an order for the
+// engine. Its inventory must be read all the same: memory that settled orders held
+// is found free only by a read.
+func TestReadsComeBetweenOrders(t *testing.T) {
+	w := newWorld(t, true)
+	w.catalogue = catalogueOf(1, 1).WithRevision(2)
+	w.run(time.Minute)
+	orders, claims := len(w.orders), w.claims
+	const seconds = 30
+	for range 2 * seconds {
+		w.newVersions()
+		w.run(time.Second / 2)
+	}
+	require.Greater(t, len(w.orders)-orders, seconds/2)
+	require.GreaterOrEqual(t, w.claims-claims, seconds/3)
+}
--- a/laburnumplacement/makeroom.go
+++ b/laburnumplacement/makeroom.go
@@ -95,7 +95,9 @@
 }
 
 // clearing finds the copies to unload so that the model fits on the engine,
-// those whose models have the least demand first.
+// those whose models have the least demand first. A copy whose memory stays counted
+// is left alone: unloaded, it would free nothing yet, and the next round would load
+// it there again, in turns for as long as its order counts.
 func (f *fleet) clearing(at, m int, may func(p *placed) bool, worth func(p *placed) float64) (clearing, bool) {
 	e := &f.engines[at]
 	mod := &f.models[m]
@@ -105,7 +107,7 @@
 	free := slices.Clone(e.free)
 	var candidates []candidate
 	for _, p := range e.copies {
-		if !p.planned && p.model != m && may(p) {
+		if !p.planned && !p.Counted && p.model != m && may(p) {
 			candidates = append(candidates, candidate{p: p, worth: worth(p)})
 		}
 	}
--- a/laburnumplacement/planner_test.go
+++ b/laburnumplacement/planner_test.go
@@ -214,3 +214,28 @@
 	require.True(t, pace.Ready(now.Add(share.Interval), share, 1))
 	require.False(t, pace.Ready(now.Add(share.Interval), share, 2))
 }
+
+// A model needs the room of a copy that was loaded a moment ago, whose order still
+// counts. Unloaded now, that copy would free nothing, and the next round would load it
+// there again: the weight store works for nothing, and the model gets no room.
+func TestNoRoomIsMadeOfMemoryThatStaysCounted(t *testing.T) {
+	s := laburnumplacement.Snapshot{Catalogue: models(2, 60), Engines: []laburnumplacement.Engine{engineIn("e0", "a", 100)}}
+	settle(t, &s)
+	second := engineIn("e1", "a", 100)
+	second.Copies = []laburnumplacement.Copy{
+		{Loaded: s.Engines[0].Copies[0].Loaded, Stable: true, Counted: true},
+		{Loaded: s.Engines[0].Copies[1].Loaded, Stable: true, Counted: true},
+	}
+	s.Engines = []laburnumplacement.Engine{second, s.Engines[0]}
+	s.Catalogue.Models = append(s.Catalogue.Models, laburnumlever.Model{Name: "new", Version: "v1", WeightsMiB: 70})
+	plan := laburnumplacement.NewPlanner().Plan(s)
+	for _, m := range plan.Moves {
+		require.NotEqual(t, laburnumlever.BackendID("e1"), m.Engine)
+	}
+	for i := range second.Copies {
+		s.Engines[0].Copies[i].Counted = false
+	}
+	settle(t, &s)
+	isNew := func(c laburnumplacement.Copy) bool { return c.Model == "new" }
+	require.True(t, slices.ContainsFunc(s.Engines[0].Copies, isNew) || slices.ContainsFunc(s.Engines[1].Copies, isNew))
+}
--- a/laburnumplacement/values.go
+++ b/laburnumplacement/values.go
@@ -64,6 +64,9 @@
 	Stable bool
 	// Going tells that its unload is under way.
 	Going bool
+	// Counted tells that its memory stays counted when it is unloaded: the order that
+	// loaded it may yet arrive once more.
+	Counted bool
 }
 
 // Demand is what callers ask of one model, over all VMs.
