fix: an overdue repair makes room in its own zone, not where another owner stands still

Cause: found while looking for a test of the overdue repair, which could be taken out unnoticed. Every engine restarts while zone b's owner is frozen: zone a plans two models for b's engine. After 20 s they are overdue and must go to a's own engines; these hold second copies, and makeRoom was satisfied by the free memory of b's engine, where nobody loads. The two models stayed away for as long as the owner stood still.

Ruled out: the reports (b's engine was seen empty), the estimate of what is missing (2 overdue models in each round of the trace).

Change: makeRoom looks only at engines where the model may be placed. A test of that story, and one for the only copies on a leaving engine, whose guard was unnoticed too.

--- a/laburnumorder/zones_test.go
+++ b/laburnumorder/zones_test.go
@@ -140,3 +140,18 @@
 	require.Greater(t, len(w.orders)-orders, seconds/2)
 	require.GreaterOrEqual(t, w.claims-claims, seconds/3)
 }
+
+// Every engine restarts while the VM that owns zone b is frozen and zone a does not know
+// it. Zone a plans some models for b's engine, where nobody loads them: their callers
+// would be refused for as long as b's VM stands still, though a has room.
+func TestRepairLeftToAZoneWhoseOwnerStandsStill(t *testing.T) {
+	w := newZones(t, []laburnumlever.ZoneName{"a", "b"}, true, true, true)
+	w.run(time.Minute)
+	w.requireAllReachable()
+	w.vms[1].frozen = true
+	for i := range w.engines {
+		w.restartEngine(i)
+	}
+	w.run(time.Minute)
+	w.requireAllReachable()
+}
--- a/laburnumplacement/makeroom.go
+++ b/laburnumplacement/makeroom.go
@@ -46,19 +46,20 @@
 // makeRoom frees memory for a model that has no copy and no place: it unloads
 // surplus copies of an engine, or begins to move the only copy of another model to
 // where it fits. It reports whether there is a way; the model itself follows in a
-// later round, once the memory is free.
-func (f *fleet) makeRoom(m int) bool {
-	if f.comingRoom(m, anywhere) {
+// later round, once the memory is free. Only engines that are allowed count: room in a
+// zone whose owner does not act would keep the model away for as long as that lasts.
+func (f *fleet) makeRoom(m int, allowed func(at int) bool) bool {
+	if f.comingRoom(m, allowed) {
 		return true
 	}
-	best, ok := f.cheapestClearing(m)
+	best, ok := f.cheapestClearing(m, allowed)
 	if ok {
 		for _, p := range best.victims {
 			f.planUnload(p, ReasonMakeRoom, Move{For: f.models[m].Name})
 		}
 		return true
 	}
-	return f.relocate(m)
+	return f.relocate(m, allowed)
 }
 
 // clearing is a set of copies whose unloading makes room on one engine.
@@ -68,10 +69,13 @@
 	loss    float64
 }
 
-func (f *fleet) cheapestClearing(m int) (clearing, bool) {
+func (f *fleet) cheapestClearing(m int, allowed func(at int) bool) (clearing, bool) {
 	var best clearing
 	found := false
 	for at := range f.engines {
+		if !allowed(at) {
+			continue
+		}
 		c, ok := f.clearing(at, m, func(p *placed) bool { return p.Going || p.Draining || f.mayGo(p) }, f.worth)
 		if !ok {
 			continue
@@ -151,8 +155,11 @@
 // now, and unloaded here in a later round, once the new copy has answered for
 // some time. The target is in the same zone or in one that precedes it, or mayGo
 // would hold the old copy for ever.
-func (f *fleet) relocate(m int) bool {
+func (f *fleet) relocate(m int, allowed func(at int) bool) bool {
 	for at := range f.engines {
+		if !allowed(at) {
+			continue
+		}
 		for _, p := range f.engines[at].copies {
 			if p.model < 0 || p.planned || !f.answers(p) || !p.current {
 				continue
--- a/laburnumplacement/planner_test.go
+++ b/laburnumplacement/planner_test.go
@@ -239,3 +239,14 @@
 	isNew := func(c laburnumplacement.Copy) bool { return c.Model == "new" }
 	require.True(t, slices.ContainsFunc(s.Engines[0].Copies, isNew) || slices.ContainsFunc(s.Engines[1].Copies, isNew))
 }
+
+// An engine announces that it leaves and has the only copies of its models. They must be
+// on another engine before it ends, or their callers are refused until a repair.
+func TestOnlyCopiesOnALeavingEngineGetSuccessors(t *testing.T) {
+	s := laburnumplacement.Snapshot{Catalogue: models(4, 40), Engines: []laburnumplacement.Engine{engineIn("e1", "a", 100)}}
+	settle(t, &s)
+	s.Engines[0].Leaving, s.Engines[0].Usable = true, false
+	s.Engines = append(s.Engines, engineIn("e2", "a", 100))
+	settle(t, &s)
+	require.Len(t, s.Engines[1].Copies, len(s.Catalogue.Models))
+}
--- a/laburnumplacement/residency.go
+++ b/laburnumplacement/residency.go
@@ -31,11 +31,12 @@
 			reason = ReasonLeaving
 		}
 		move := Move{Gain: f.models[m].demand.Now.Requests}
-		if s, ok := f.findSpot(m, f.allowedForRepair(m)); ok {
+		allowed := f.allowedForRepair(m)
+		if s, ok := f.findSpot(m, allowed); ok {
 			f.planLoad(m, s, reason, move)
 			continue
 		}
-		if !f.makeRoom(m) {
+		if !f.makeRoom(m, allowed) {
 			f.unplaced = append(f.unplaced, f.models[m].Name)
 		}
 	}
--- a/laburnumplacement/switchversion.go
+++ b/laburnumplacement/switchversion.go
@@ -82,7 +82,7 @@
 		f.planUnload(old[i], ReasonVersion, Move{})
 		return
 	}
-	f.makeRoom(m)
+	f.makeRoom(m, anywhere)
 }
 
 // update reloads, in place, copies whose adapters or size are no longer the
