--- a/laburnumdirector/estimator_internal_test.go
+++ b/laburnumdirector/estimator_internal_test.go
@@ -40,3 +40,24 @@
 	}
 	require.Less(t, s.readSeconds("m0"), 0.2*promptSeconds)
 }
+
+// The model that most callers ask for falls silent and another rises. Within three seconds
+// the estimate must have most of the rise and little of the old demand left: until then the
+// planner leaves six engines to a model that nobody asks for.
+func TestDemandThatMovesOnIsFollowed(t *testing.T) {
+	s := newEstimator()
+	now := time.Unix(1_000_000, 0)
+	step := func(model laburnumlever.ModelName, span time.Duration) (map[laburnumlever.ModelName]float64, time.Time) {
+		var requests map[laburnumlever.ModelName]float64
+		for end := now.Add(span); now.Before(end); now = now.Add(250 * time.Millisecond) {
+			s.add("g", []laburnumlever.ModelDemand{demandOf(model, 0)}, now)
+			_, requests = s.loads(now, 24)
+		}
+		return requests, now
+	}
+	requests, _ := step("old", 10*time.Second)
+	require.Greater(t, requests["old"], 19.0)
+	requests, _ = step("new", 3*time.Second)
+	require.Greater(t, requests["new"], 18.0)
+	require.Less(t, requests["old"], 4.0)
+}
--- a/laburnummembership/latenews_test.go
+++ b/laburnummembership/latenews_test.go
@@ -53,3 +53,19 @@
 	require.ErrorAs(t, n.leaveBackend("quote-1", 1, now), &stale)
 	require.False(t, n.backends.records["quote-1"].news.Leaving)
 }
+
+// A VM that was cut off goes on speaking for a backend server that tells another VM
+// meanwhile that it leaves. After the cut its news are the higher ones and say nothing of
+// leaving. Taken as they are, callers would be sent to a process that ends under them.
+func TestHigherNewsWithoutLeavingDoNotUndoIt(t *testing.T) {
+	n, now := restarted(t)
+	require.NoError(t, n.leaveBackend("quote-1", 2, now))
+	r := n.backends.records["quote-1"]
+	higher := r.news
+	higher.Beat += 10
+	higher.Speaker = "vm-009"
+	higher.Leaving = false
+	n.backends.merge(higher, now)
+	require.True(t, r.news.Leaving)
+	require.Equal(t, higher.Beat, r.news.Beat)
+}
