--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -155,6 +155,31 @@
 	require.Len(t, w.copies(), 8)
 }
 
+// The owner decides on an order and freezes before it is written. Another takes over, and
+// the frozen VM wakes with the order in hand. Written now, it would come beside the new
+// owner's, and an engine that does not check fencing numbers would carry it out.
+func TestOrderDecidedBeforeAFreezeIsNotSentAfterIt(t *testing.T) {
+	w := newWorld(t, 8, 5, 2)
+	w.beat()
+	w.pass(time.Second)
+	old := w.directors[0]
+	old.holds = true
+	w.pass(500 * time.Millisecond)
+	require.NotEmpty(t, old.calls)
+	old.frozen, old.leads = true, false
+	w.directors[1].leads = true
+	w.pass(1600 * time.Millisecond)
+	w.expire()
+	w.pass(6 * time.Second)
+	before := len(w.orders)
+	for _, call := range old.calls {
+		call()
+	}
+	for _, o := range w.orders[before:] {
+		require.NotEqual(t, old.vm.ID, o.by)
+	}
+}
+
 // checkOwners looks at all orders to each engine.
 func (w *world) checkOwners() {
 	last := map[laburnumlever.BackendID]sentOrder{}
--- a/laburnumdirector/world_test.go
+++ b/laburnumdirector/world_test.go
@@ -54,6 +54,10 @@
 	leads    bool
 	cut      bool // from the log
 	frozen   bool
+	// holds keeps calls to other machines back, as on a VM that freezes between a
+	// decision and its write; calls are those kept.
+	holds    bool
+	calls    []func()
 	overlays map[laburnumlever.BackendID]laburnumregistry.Overlay
 }
 
@@ -109,7 +113,7 @@
 	n.director = laburnumdirector.New(n.loop, w.timers, n, engineCalls{n}, n.vm,
 		laburnumdirector.WithLease(leaseTime), laburnumdirector.WithStore(5*time.Second, 1.1),
 		laburnumdirector.WithClock(func() time.Duration { return time.Duration(w.timers.Now().UnixNano()) }),
-		laburnumdirector.WithSpawn(func(call func()) { call() }))
+		laburnumdirector.WithSpawn(n.spawn))
 	n.director.OnLeads(func() bool { return n.leads })
 	n.director.OnOverlay(func(o laburnumregistry.Overlay) { n.overlays[o.Backend] = o })
 	n.director.SetRoutes(laburnumlever.RouteTable{Version: 1, Services: []laburnumlever.RoutedService{{Name: "quotes", Engine: &w.class}}})
@@ -117,6 +121,15 @@
 	w.directors = append(w.directors, n)
 }
 
+// spawn runs a call to another machine at once, or keeps it.
+func (n *node) spawn(call func()) {
+	if n.holds {
+		n.calls = append(n.calls, call)
+		return
+	}
+	call()
+}
+
 // Propose puts a command through the log at once.
 func (n *node) Propose(_ context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
 	if n.cut {
--- a/laburnumregistry/registry_test.go
+++ b/laburnumregistry/registry_test.go
@@ -122,6 +122,20 @@
 	require.False(t, r.Silent)
 }
 
+// A control VM has called a backend server silent. Another's word that it is not, sent
+// before that one had noticed and about the same heartbeat, comes afterwards. Taken, the
+// dead one would be given models again until the next silence.
+func TestAnothersWordOnAnOldHeartbeatIsNoNews(t *testing.T) {
+	one, two := laburnumregistry.New(period), laburnumregistry.New(period)
+	one.Take(beat(1), start)
+	two.Take(beat(1), start)
+	onItsWay, _ := two.Record("i-1")
+	require.Len(t, one.Expire(start.Add(4*period)), 1)
+	require.False(t, one.Adopt(onItsWay, start.Add(4*period)))
+	r, _ := one.Record("i-1")
+	require.True(t, r.Silent)
+}
+
 // Releases replace backend servers day after day, each start under a new identity. Those
 // gone for minutes must not be kept, and one that lives must, however long it is known.
 func TestGoneBackendServersAreForgotten(t *testing.T) {
