feat: the soak disturbs the links between processes too

Change: a link before each VM's peers and before each backend server, which falls silent, both ways or one, resets, or is slow. For it a VM may listen for the others elsewhere than at its peer port, and the stand-in server may announce another address than it listens on.

--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -21,6 +21,7 @@
 			&cli.StringFlag{Name: "service", Usage: "`NAME` of its service"},
 			&cli.StringSliceFlag{Name: "model", Usage: "`NAME` of a model that it holds; may be repeated"},
 			&cli.StringSliceFlag{Name: "control", Usage: "`ADDRESS` of a control VM; may be repeated"},
+			&cli.StringFlag{Name: "announce", Usage: "`ADDRESS` that it announces where that is not the one it listens on, as behind a link"},
 			&cli.DurationFlag{Name: "announce-period", Value: time.Second, Usage: "how often it announces itself"},
 			&cli.IntFlag{Name: "break-after", Usage: "break each stream off after so many `EVENTS`; 0 does not"},
 			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs"},
@@ -37,7 +38,11 @@
 			if c.Bool("print-runs") {
 				behaviour.OnRun = func(id string) { printf(c.App.Writer, "ran %s\n", id) }
 			}
-			server := laburnumstandin.NewPlatformServer(c.String("id"), c.String("service"), ln.Addr().String(),
+			address := c.String("announce")
+			if address == "" {
+				address = ln.Addr().String()
+			}
+			server := laburnumstandin.NewPlatformServer(c.String("id"), c.String("service"), address,
 				c.StringSlice("control"), c.StringSlice("model"), behaviour)
 			return serveBackend(c, ln, platformBackend{Handler: server, server: server, period: c.Duration("announce-period")}, "platform-server")
 		},
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -106,7 +106,7 @@
 
 // servePeers listens for the other VMs.
 func (p *process) servePeers() error {
-	ln, err := listen("peers", p.self.PeerAddress)
+	ln, err := listen("peers", p.settings.PeerListen())
 	if err != nil {
 		return err
 	}
--- a/laburnumsettings/role.go
+++ b/laburnumsettings/role.go
@@ -50,6 +50,9 @@
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
 	Control string `json:"control"`
+	// Peers is empty where the others reach this VM directly, at the peer port; else
+	// what stands between them passes connections on to this address.
+	Peers string `json:"peers"`
 }
 
 // RoleTimes are the times that the platform promises or asks for.
@@ -119,6 +122,14 @@
 // PeerAddress is where the others reach the VM.
 func (s Role) PeerAddress() string { return peerAddress(s.listenIP(), s.PeerPort) }
 
+// PeerListen is where the VM listens for the others.
+func (s Role) PeerListen() string {
+	if s.Listen.Peers != "" {
+		return s.Listen.Peers
+	}
+	return s.PeerAddress()
+}
+
 func (s Role) listenIP() string {
 	for _, address := range []string{s.Listen.Control, s.Listen.Callers, s.Listen.Ready} {
 		if parsed, err := netip.ParseAddrPort(address); err == nil {
--- a/laburnumsoak/faults.go
+++ b/laburnumsoak/faults.go
@@ -8,6 +8,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumstandin"
 )
 
 const (
@@ -17,6 +20,9 @@
 	// mostDown is how long a process is away or stopped at most: longer than the lease's
 	// term and than the silence after which a voter is replaced.
 	mostDown = 4 * time.Second
+	// leastDelay and mostDelay are added each way by a slow link: up to what callers' targets
+	// bear, so that answers come late and not never.
+	leastDelay, mostDelay = 20 * time.Millisecond, 300 * time.Millisecond
 )
 
 // faultKind is what happens to a process.
@@ -27,10 +33,21 @@
 	pause
 	ask
 	wipe
+	// The others are faults of the link to a process.
+	silence
+	silenceTo
+	silenceFrom
+	resets
+	delays
 	kinds
 )
 
-func (k faultKind) String() string { return [...]string{"kill", "stop", "term", "kill and wipe"}[k] }
+func (k faultKind) String() string {
+	return [...]string{
+		"kill", "stop", "term", "kill and wipe",
+		"silence the link to", "silence towards", "silence from", "reset the link to", "delay the link to",
+	}[k]
+}
 
 // faults disturbs the processes of a fleet as a seed says.
 type faults struct {
@@ -41,25 +58,30 @@
 
 	mu      sync.Mutex
 	busy    map[*process]bool
+	bent    map[*linkPoint]bool
 	wiped   bool
 	story   []string
 	problem error
 }
 
 func newFaults(f *fleet, seed uint64) *faults {
-	return &faults{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busy: map[*process]bool{}} //nolint:gosec // repeatable
+	return &faults{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busy: map[*process]bool{}, bent: map[*linkPoint]bool{}} //nolint:gosec // repeatable
 }
 
 // run disturbs until ctx ends, then waits until all processes are back.
 func (x *faults) run(ctx context.Context) {
 	all := x.fleet.all()
 	for {
-		p, kind := all[x.random.IntN(len(all))], faultKind(x.random.IntN(int(kinds)))
+		n, kind := x.random.IntN(len(all)), faultKind(x.random.IntN(int(kinds)))
 		down := time.Duration(x.random.Int64N(int64(mostDown)))
 		gap := leastGap + time.Duration(x.random.Int64N(int64(mostGap-leastGap)))
-		if x.take(p, &kind) {
+		delay := leastDelay + time.Duration(x.random.Int64N(int64(mostDelay-leastDelay)))
+		switch {
+		case kind >= silence:
+			x.disturbLink(x.fleet.links[n], kind, down, delay)
+		case x.take(all[n], &kind):
 			x.wg.Add(1)
-			go x.disturb(p, kind, down)
+			go x.disturb(all[n], kind, down)
 		}
 		select {
 		case <-ctx.Done():
@@ -70,6 +92,46 @@
 	}
 }
 
+// disturbLink does a fault of a link, and undoes it on its own. One that is disturbed
+// already is left as it is.
+func (x *faults) disturbLink(l *linkPoint, kind faultKind, down, delay time.Duration) {
+	state := laburnumstandin.LinkState{}
+	switch kind {
+	case silence:
+		state.Mode = laburnumstandin.LinkFrozen
+	case silenceTo:
+		state.Mode = laburnumstandin.LinkFrozenTo
+	case silenceFrom:
+		state.Mode = laburnumstandin.LinkFrozenFrom
+	case resets:
+		state.Mode = laburnumstandin.LinkCut
+	default:
+		state.Delay = laburnumlever.Duration(delay)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.bent[l] {
+		return
+	}
+	x.bent[l] = true
+	x.tell(kind, l.name)
+	l.link.Set(state)
+	x.wg.Add(1)
+	go func() {
+		defer x.wg.Done()
+		time.Sleep(down)
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		l.link.Set(laburnumstandin.LinkState{})
+		delete(x.bent, l)
+	}()
+}
+
+// tell notes a fault in the story; mu is held.
+func (x *faults) tell(kind faultKind, name string) {
+	x.story = append(x.story, fmt.Sprintf("%.1f s %s %s", time.Since(x.start).Seconds(), kind, name))
+}
+
 // take reserves a process for a fault. One disk is lost in a run: the system bears the loss
 // of one at a time, and when it has caught up shows only inside.
 func (x *faults) take(p *process, kind *faultKind) bool {
@@ -87,7 +149,7 @@
 	}
 	x.wiped = x.wiped || *kind == wipe
 	x.busy[p] = true
-	x.story = append(x.story, fmt.Sprintf("%.1f s %s %s", time.Since(x.start).Seconds(), *kind, p.name))
+	x.tell(*kind, p.name)
 	return true
 }
 
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -22,8 +22,12 @@
 	seedVMs = 3
 	// ports are the same on all VMs; each has an address of its own.
 	peerPort, controlPort, callerPort, readyPort = 7380, 8080, 8081, 8082
+	// peerListenPort and serverListenPort lie behind the links, at peerPort and serverPort.
+	peerListenPort, serverPort, serverListenPort = 7381, 8090, 8091
 	// firstGateway is the last number of the first gateway's address.
 	firstGateway = 50
+	// firstServer is the same of the first backend server.
+	firstServer = 100
 	// ranPrefix begins the line in which a stand-in says that it runs a request.
 	ranPrefix = "ran "
 )
@@ -36,6 +40,8 @@
 	controls []*process
 	gateways []*process
 	servers  []*process
+	// links stand before the peers' listeners of all VMs and before the backend servers.
+	links []*linkPoint
 	// founded is set once the log stands: no start is the first from then on.
 	founded atomic.Bool
 	starts  atomic.Int64
@@ -53,7 +59,9 @@
 		f.gateways = append(f.gateways, f.vm("gateway", fmt.Sprintf("gateway-%d", i+1), firstGateway+i))
 	}
 	for i := range serversOf {
-		f.servers = append(f.servers, f.server(fmt.Sprintf("booking-%d", i+1), "booking"), f.server(fmt.Sprintf("quotes-%d", i+1), "quotes"))
+		f.servers = append(f.servers,
+			f.server(fmt.Sprintf("booking-%d", i+1), "booking", firstServer+2*i),
+			f.server(fmt.Sprintf("quotes-%d", i+1), "quotes", firstServer+2*i+1))
 	}
 	return f
 }
@@ -66,6 +74,7 @@
 
 // vm is a process of the system. Its settings are written anew at each start.
 func (f *fleet) vm(role, name string, number int) *process {
+	f.addLink(name, f.address(number, peerPort), f.address(number, peerListenPort))
 	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder}
 	p.args = func() []string {
 		path := filepath.Join(f.cfg.Folder, name+".jsonc")
@@ -90,6 +99,7 @@
 	for i := range seedVMs {
 		s.Seeds = append(s.Seeds, f.control(i))
 	}
+	s.Listen.Peers = f.address(number, peerListenPort)
 	if role == "control" {
 		s.Listen.Control, s.DataFolder = f.address(number, controlPort), f.dataFolder(name)
 		return s
@@ -101,11 +111,12 @@
 func (f *fleet) dataFolder(name string) string { return filepath.Join(f.cfg.Folder, "data-"+name) }
 
 // server is a backend server; each start has an identity of its own.
-func (f *fleet) server(name, service string) *process {
+func (f *fleet) server(name, service string, number int) *process {
+	f.addLink(name, f.address(number, serverPort), f.address(number, serverListenPort))
 	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder}
 	p.args = func() []string {
 		id := fmt.Sprintf("i-%s-%d", name, f.starts.Add(1))
-		args := []string{"stand-in", "platform-server", "--id", id, "--service", service, "--announce-period", "300ms", "--print-runs"}
+		args := []string{"stand-in", "platform-server", "--listen", f.address(number, serverListenPort), "--announce", f.address(number, serverPort), "--id", id, "--service", service, "--announce-period", "300ms", "--print-runs"}
 		if service == "quotes" {
 			args = append(args, "--model", "m0")
 		}
@@ -130,6 +141,11 @@
 }
 
 func (f *fleet) start() error {
+	for _, l := range f.links {
+		if err := l.open(); err != nil {
+			return err
+		}
+	}
 	for _, p := range f.all() {
 		if err := p.start(); err != nil {
 			return err
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -43,6 +43,7 @@
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	r := newRecord()
 	f := newFleet(cfg, r)
+	defer f.closeLinks()
 	defer f.end()
 	if err := f.start(); err != nil {
 		return Report{}, err
