perf: engines of unknown load are asked for a place before a request goes there

Sixty gateways hear of an engine every few seconds, and what they heard fades to nothing, so a full engine looks idle to most of them.

Change: where the last word of an engine is old and it had much to do then, or nothing is known, it is asked to keep a place first; without one the request goes elsewhere or waits on the gateway. The most urgent class asks two engines and then waits at one.

--- a/dialect.go
+++ b/dialect.go
@@ -42,6 +42,26 @@
 	Urgency int
 	// LastEvent makes a stream go on after this event; empty from the start.
 	LastEvent string
+	// Reservation is the place that was reserved for it; empty for none.
+	Reservation ReservationID
+}
+
+// ReservationID names a place that a model engine keeps for one request.
+type ReservationID string
+
+// Reservation asks a model engine for a place and the memory for a number of tokens.
+type Reservation struct {
+	Backend BackendID
+	Tokens  int
+	// For is how long the place is kept for the request.
+	For time.Duration
+}
+
+// EngineCall is a call to a model engine beside callers' requests.
+type EngineCall struct {
+	Method, URI string
+	Header      http.Header
+	Body        []byte
 }
 
 // AnswerMarks is what a backend server's headers say of its answer.
@@ -69,6 +89,11 @@
 	Forward(from http.Header, send Send) http.Header
 	// Answer reads a backend server's headers.
 	Answer(status int, header http.Header) AnswerMarks
+	// Reserve makes the call that reserves a place.
+	Reserve(r Reservation) EngineCall
+	// Reserved reads its answer; false where the engine has no place. An error means
+	// that the answer says neither.
+	Reserved(status int, body []byte) (ReservationID, bool, error)
 	// EventID returns the id of a stream's event, and whether it has one.
 	EventID(event []byte) (string, bool)
 }
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -54,6 +54,8 @@
 	// ReadTime is what the model's engines take to read a token of a prompt; 0 where it
 	// is not known.
 	ReadTime time.Duration
+	// Queue tells that the request may wait at a server, behind those that have a place.
+	Queue bool
 	// Avoid are the servers that this request was sent to before.
 	Avoid []laburnumlever.BackendID
 }
@@ -84,8 +86,14 @@
 	// unread is how many tokens of it the server has not cached, as far as is known.
 	unread int
 	since  time.Time
+	// unsure tells that the server may be full for all that is known.
+	unsure bool
 }
 
+// Unsure tells whether the server may have no place for all that is known: it was heard of
+// too long ago, and had much to do then or is not known at all.
+func (ticket *Ticket) Unsure() bool { return ticket.unsure }
+
 // Model is the model that the place is for; empty for a plain service.
 func (ticket *Ticket) Model() laburnumlever.ModelName { return ticket.query.Model }
 
@@ -102,6 +110,8 @@
 	// Load is what it said of its load, if HasLoad.
 	HasLoad          bool
 	Running, Waiting int
+	// Taken tells that it had no place free when it was asked for one.
+	Taken bool
 }
 
 // Table holds the servers.
@@ -203,7 +213,7 @@
 		if verdict != Full {
 			verdict = Full
 		}
-		if s.overfull(now) {
+		if s.overfull(now, q.Queue) {
 			continue
 		}
 		if score := t.score(s, q, now); score < bestScore {
@@ -218,13 +228,13 @@
 	reading := q.readMillis(unread)
 	best.reading += reading
 	t.prefixes.sent(best.record.Heartbeat.Backend, q)
-	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q, reading: reading, unread: unread, since: now}, Found
+	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q, reading: reading, unread: unread, since: now, unsure: best.unsure(now)}, Found
 }
 
 // overfull tells whether what waits at the server is too much already.
-func (s *server) overfull(now time.Time) bool {
+func (s *server) overfull(now time.Time, queue bool) bool {
 	slots := float64(max(1, s.record.Heartbeat.Slots))
-	return now.Before(s.fullTill) || s.load(now) >= slots*(1-freeShare) ||
+	return now.Before(s.fullTill) || !queue && s.load(now) >= slots*(1-freeShare) ||
 		(s.reading > 0 && s.reading >= s.readingLimit)
 }
 
@@ -306,6 +316,12 @@
 	if sample.HasLoad {
 		s.others = float64(max(0, sample.Running+sample.Waiting-s.own))
 		s.othersAt = now
+		s.taken = false
+	}
+	if sample.Taken {
+		s.taken = true
+		s.others = max(0, float64(s.record.Heartbeat.Slots-s.own))
+		s.othersAt = now
 	}
 	if sample.Full {
 		s.fullTill = now.Add(fullTime)
--- a/laburnumbalance/doc.go
+++ b/laburnumbalance/doc.go
@@ -13,6 +13,9 @@
 //   - A score estimates, in milliseconds, what the request costs there: reading what is
 //     not cached, waiting when all places are taken, another zone's bytes, and failures
 //     seen lately. The lowest score wins.
+//   - A server that was heard of too long ago, and had much to do then or is not known at
+//     all, is unsure: it may be full by now, and is asked for a place before a request goes
+//     there. One that had none counts as full until its next word or some moments later.
 //   - What an engine says it does not hold, or that it is full, counts at once and
 //     until its next word.
 //
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -23,6 +23,9 @@
 	// loadFade is how long another VM's work that an answer told of is believed:
 	// about one and a half of a usual stream.
 	loadFade = 3 * time.Second
+	// sureTime is how long a server's word on its load is as good as new: a few places of
+	// a usual engine are taken or come free meanwhile.
+	sureTime = 200 * time.Millisecond
 	// failureHalfLife halves what is held against a server for a failure.
 	failureHalfLife = 4 * time.Second
 	// failureMillis is added to the score for each fresh failure: above the time
@@ -57,6 +60,8 @@
 	others   float64
 	othersAt time.Time
 	fullTill time.Time
+	// taken tells that it had no place when it was asked last, and has said nothing since.
+	taken bool
 	// reading is the time in milliseconds that the prompts take which this VM sent
 	// and whose answers have not begun, readingLimit how much of it this VM may have
 	// there.
@@ -78,6 +83,15 @@
 	return float64(s.own) + max(0, fade)*s.others
 }
 
+// unsure tells whether the server may be full for all that is known.
+func (s *server) unsure(now time.Time) bool {
+	age := now.Sub(s.othersAt)
+	if age < sureTime && !s.taken {
+		return false
+	}
+	return s.taken || age > loadFade || float64(s.own)+s.others >= emptyShare*float64(s.record.Heartbeat.Slots)
+}
+
 // began learns from an answer that has begun: one that took longer than half of its
 // target shows that the server has more to read than it should, from all VMs together.
 // Falling by a share and rising by steps, the VMs that send there end up with equal
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -31,6 +31,14 @@
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}
 	}
 	stop := conn.Guard(ctx)
+	if fail, resp := g.reserve(ctx, q, ticket, conn, &sample); fail != nil { //nolint:bodyclose // it is read whole
+		if stop() && resp != nil {
+			g.pool.Put(conn, resp)
+		} else {
+			conn.Close()
+		}
+		return fail
+	}
 	fail, resp := g.exchange( //nolint:bodyclose // the connection is closed or reused as a whole
 		ctx, q, out, ticket, conn, &sample)
 	if stop() && fail == nil {
@@ -65,7 +73,7 @@
 	resp, err := conn.Exchange(laburnumupstream.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Body: q.body,
 		Header: g.dialect.Forward(q.header, laburnumlever.Send{
-			Wait: q.left(now), Backend: ticket.Backend.Backend, Urgency: urgency(q), LastEvent: q.lastEvent,
+			Wait: q.left(now), Backend: ticket.Backend.Backend, Urgency: urgency(q), LastEvent: q.lastEvent, Reservation: q.reservation,
 		}),
 	})
 	if err != nil {
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -22,12 +22,24 @@
 	requests, served tally.Counter
 	refusals         map[laburnumlever.RefusalReason]tally.Counter
 	retries          map[laburnumlever.RetryReason]tally.Counter
+	reservations     map[reserveOutcome]tally.Counter
 	scope            tally.Scope
 
 	mu        sync.Mutex
 	latencies map[laburnumlever.ServiceName]*latencies
 }
 
+//go:generate go tool -modfile=../tools/go.mod enumer -type=reserveOutcome -transform=kebab -trimprefix=reserve -output=reserveoutcome_gen.go
+
+// reserveOutcome is what came of asking an engine for a place first.
+type reserveOutcome int
+
+const (
+	reserveKept reserveOutcome = iota
+	reserveTaken
+	reserveUnanswered
+)
+
 // latencies are the times of one service's answers.
 type latencies struct {
 	// wait is for a place, first to the first part of the answer, pause the longest
@@ -39,7 +51,11 @@
 	c := &counters{
 		requests: scope.Counter("requests"), served: scope.Counter("served"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
-		latencies: map[laburnumlever.ServiceName]*latencies{},
+		reservations: map[reserveOutcome]tally.Counter{},
+		latencies:    map[laburnumlever.ServiceName]*latencies{},
+	}
+	for _, outcome := range reserveOutcomeValues() {
+		c.reservations[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("reservations")
 	}
 	for _, reason := range laburnumlever.RefusalReasonValues() {
 		c.refusals[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals")
--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -92,6 +92,13 @@
 	return append([]arrival(nil), b.arrivals...)
 }
 
+// closed is when connections to it ended.
+func (b *backend) closed() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.closedAt...)
+}
+
 func (b *backend) heartbeat(service string, models ...string) laburnumregistry.Record {
 	h := laburnumlever.Heartbeat{Backend: b.id, Service: laburnumlever.ServiceName(service), Address: b.ln.Addr().String(), Zone: "brest", Sequence: 1, Slots: 8}
 	for _, m := range models {
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -209,6 +209,13 @@
 	f.serveWaiting()
 }
 
+// retryWaiting looks again for places for those that wait.
+func (f *Fleet) retryWaiting() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.serveWaiting()
+}
+
 func (f *Fleet) asked(q *request, served bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -34,6 +34,8 @@
 	stage  laburnumretry.Stage
 	reason laburnumlever.RefusalReason
 	cause  error
+	// taken tells that the engine had no place when it was asked for one first.
+	taken bool
 }
 
 // run attempts the request until it is answered or given up. The error is a
@@ -48,6 +50,11 @@
 		if fail == nil {
 			return nil
 		}
+		if fail.taken {
+			q.tries--
+			g.timers.After(takenRetry, func(time.Time) { g.fleet.retryWaiting() })
+			continue
+		}
 		_ = level.Info(g.logger).Log("event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
 			"stage", fail.stage.String(), "reason", fail.reason, "cause", fail.cause)
 		q.avoid = append(q.avoid, ticket.Backend.Backend)
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -127,7 +127,7 @@
 
 func (g *Gateway) logServed(q *request, out *answer) {
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
-		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sends,
+		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sends, "taken", q.taken,
 		"waited-ms", millis(q.waited), "first-ms", millis(out.firstAt.Sub(q.arrived)), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
 		"routes-version", q.version)
@@ -234,7 +234,7 @@
 		route = q.route.Name
 	}
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestRefused, "request-id", q.caller.ID, "route", route, "reason", reason,
-		"status", status, "touched", q.touched, "sends", q.sends, "tries", q.tries, "routes-version", q.version,
+		"status", status, "touched", q.touched, "sends", q.sends, "tries", q.tries, "taken", q.taken, "routes-version", q.version,
 		"model", q.caller.Model, "adapter", q.caller.Adapter, "avoid", q.avoid,
 		"ms", g.timers.Now().Sub(q.arrived).Milliseconds(), "cause", err)
 }
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -58,6 +58,12 @@
 	// place.
 	backend laburnumlever.BackendID
 	waited  time.Duration
+	// reservation is the place that its engine keeps for it; empty for none.
+	reservation laburnumlever.ReservationID
+	// taken counts the engines that had no place when they were asked first.
+	taken int
+	// urgent tells that no route to its service is more urgent.
+	urgent bool
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	// failed is a backend server's whole answer that says that it failed.
@@ -89,6 +95,7 @@
 	if q.service, ok = index.Table().Service(laburnumroutes.Pick(*route, rand.Uint64())); !ok {
 		return q, refuse(laburnumlever.RefusedUnknownService, 0, "the route's service is not in the table")
 	}
+	q.urgent = index.MostUrgent(q.service.Name, route.Priority)
 	q.bound()
 	return q, q.readBody(w, r, index.Table().Callers.BodyBytes)
 }
@@ -156,9 +163,15 @@
 	return laburnumbalance.Query{
 		Service: q.service.Name, Model: q.caller.Model, Adapter: q.caller.Adapter,
 		Prompt: q.caller.Prompt, Target: time.Duration(q.route.Target), Avoid: q.avoid,
+		Queue: q.queues(),
 	}
 }
 
+// queues tells whether the request goes to an engine's own queue: engines serve the most
+// urgent first there, while a place that comes free otherwise goes to whichever gateway asks
+// first, whatever it asks for.
+func (q *request) queues() bool { return q.urgent && q.taken >= asksOfUrgent }
+
 // retryAfter is when the caller should ask again: as long as told here at least, up to
 // twice that, so that those refused together do not come back together, and so that the
 // caller still has time for the answer then.
--- /dev/null
+++ b/laburnumgateway/reserve_test.go
@@ -0,0 +1,128 @@
+package laburnumgateway_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumtimer"
+	"laburnumlever/platform"
+)
+
+// reservable is a fake engine that keeps places when asked: free tells whether it has one.
+func reservable(t *testing.T, id string, free bool) *backend {
+	return newBackend(t, id, func(conn net.Conn, a arrival, _ int) {
+		switch {
+		case a.request.URL.Path != "/v1/hold-take":
+			events(conn, a, 1, 2)
+			endChunks(conn)
+		case free:
+			plain(conn, a, http.StatusOK, `{"hold":"h-7"}`)
+		default:
+			plain(conn, a, http.StatusServiceUnavailable, "")
+		}
+	})
+}
+
+func reserveBench(t *testing.T, records ...laburnumregistry.Record) *bench {
+	timers := laburnumtimer.New()
+	t.Cleanup(timers.Close)
+	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1)
+	table := testRoutes()
+	table.Services[1].Engine.ReserveLimit = laburnumlever.Duration(2 * time.Second)
+	table.Routes[2].Priority, table.Routes[3].Priority = 1, 0 // quotes, drafts
+	fleet.LearnRoutes(table)
+	fleet.Learn("", laburnumfeed.Answer{Backends: records})
+	b := &bench{t: t, fleet: fleet, gateway: laburnumgateway.New(fleet, platform.Dialect{}, timers), client: &http.Client{}}
+	b.start()
+	return b
+}
+
+func paths(b *backend) string {
+	var list []string
+	for _, a := range b.seen() {
+		list = append(list, a.request.URL.Path)
+	}
+	return strings.Join(list, " ")
+}
+
+// Sixty gateways send to engines of which each hears every few seconds. One that looks idle
+// is full by now, and a request sent there waits in its queue for a second while others
+// have places. It must be asked for a place first, and the request go where there is one.
+func TestEngineOfUnknownLoadIsAskedForAPlaceFirst(t *testing.T) {
+	full, free := reservable(t, "i-1", false), reservable(t, "i-2", true)
+	b := reserveBench(t, full.heartbeat("quotes", "m0"), free.heartbeat("quotes", "m0"))
+	for range 8 {
+		got := b.send("POST", "/quote/x", "oak floor", "X-Laburnumlever-Model", "m0", "X-Laburnumlever-Token-Count", "700,300")
+		require.NoError(t, got.err)
+		require.Equal(t, 200, got.status)
+	}
+	require.NotContains(t, paths(full), "/quote/x")
+	first := free.seen()
+	require.Equal(t, "/v1/hold-take", first[0].request.URL.Path)
+	require.Equal(t, "i-2", first[0].request.Header.Get("X-Laburnumlever-Expect-Instance"))
+	require.JSONEq(t, `{"tokens":850,"ttl_ms":100}`, first[0].body)
+	require.Equal(t, "h-7", first[1].request.Header.Get("X-Laburnumlever-Hold"))
+}
+
+// All engines with the model are full. The caller waits for a place like any other, and is
+// told then that nothing was run.
+func TestFullEnginesMakeTheCallerWait(t *testing.T) {
+	full := reservable(t, "i-1", false)
+	b := reserveBench(t, full.heartbeat("quotes", "m0"))
+	got := b.send("POST", "/quote/x", "oak floor", "X-Laburnumlever-Model", "m0", "X-Laburnumlever-Deadline-Ms", "600")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.NotContains(t, paths(full), "/quote/x")
+	require.Less(t, len(full.seen()), 10)
+	require.Empty(t, full.closed(), "the connection is used again")
+}
+
+// Both engines are full, and the most urgent request of all comes. A place that comes free
+// goes to whichever gateway asks first, so it waits in an engine's queue, where urgency counts.
+func TestMostUrgentRequestWaitsAtAnEngine(t *testing.T) {
+	one, two := reservable(t, "i-1", false), reservable(t, "i-2", false)
+	b := reserveBench(t, one.heartbeat("quotes", "m0"), two.heartbeat("quotes", "m0"))
+	got := b.send("POST", "/draft/x", "oak floor", "X-Laburnumlever-Model", "m0")
+	require.Equal(t, 200, got.status)
+	require.Len(t, append(one.seen(), two.seen()...), 3, "two questions and the request")
+}
+
+// An engine that takes no reservations, or answers with something else, gets the request as
+// it is: what it can't do is no reason to refuse a caller.
+func TestEngineWithoutReservationsGetsTheRequest(t *testing.T) {
+	old := newBackend(t, "i-1", func(conn net.Conn, a arrival, _ int) {
+		if a.request.URL.Path == "/v1/hold-take" {
+			plain(conn, a, http.StatusNotFound, "")
+			return
+		}
+		events(conn, a, 1, 2)
+		endChunks(conn)
+	})
+	b := reserveBench(t, old.heartbeat("quotes", "m0"))
+	got := b.send("POST", "/quote/x", "oak floor", "X-Laburnumlever-Model", "m0")
+	require.NoError(t, got.err)
+	require.Equal(t, 200, got.status)
+}
+
+// An engine takes the connection and says nothing. The question for a place must end long
+// before the caller's time, and the request, which was not sent, go to another engine.
+func TestMuteEngineCostsOneQuestion(t *testing.T) {
+	mute := newBackend(t, "i-1", func(net.Conn, arrival, int) {})
+	sound := reservable(t, "i-2", true)
+	b := reserveBench(t, mute.heartbeat("quotes", "m0"), sound.heartbeat("quotes", "m0"))
+	for range 4 {
+		got := b.send("POST", "/quote/x", "oak floor", "X-Laburnumlever-Model", "m0")
+		require.NoError(t, got.err)
+		require.Equal(t, 200, got.status)
+	}
+	require.NotContains(t, paths(mute), "/quote/x")
+}
--- a/laburnumroutes/index.go
+++ b/laburnumroutes/index.go
@@ -11,11 +11,12 @@
 type Index struct {
 	table  laburnumlever.RouteTable
 	byHost map[string]map[string]*laburnumlever.Route
+	urgent map[laburnumlever.ServiceName]int
 }
 
 // NewIndex indexes a table that Check accepts.
 func NewIndex(table laburnumlever.RouteTable) *Index {
-	x := &Index{table: table, byHost: map[string]map[string]*laburnumlever.Route{}}
+	x := &Index{table: table, byHost: map[string]map[string]*laburnumlever.Route{}, urgent: map[laburnumlever.ServiceName]int{}}
 	for i := range table.Routes {
 		r := &table.Routes[i]
 		host := normalHost(r.Host)
@@ -23,10 +24,25 @@
 			x.byHost[host] = map[string]*laburnumlever.Route{}
 		}
 		x.byHost[host][r.PathPrefix] = r
+		x.noteUrgency(r)
 	}
 	return x
 }
 
+func (x *Index) noteUrgency(r *laburnumlever.Route) {
+	for _, share := range r.Split {
+		if most, ok := x.urgent[share.Service]; !ok || r.Priority < most {
+			x.urgent[share.Service] = r.Priority
+		}
+	}
+}
+
+// MostUrgent tells whether no route to the service is more urgent than the priority.
+func (x *Index) MostUrgent(service laburnumlever.ServiceName, priority int) bool {
+	most, ok := x.urgent[service]
+	return !ok || priority <= most
+}
+
 // Table is the table that the index was made of.
 func (x *Index) Table() laburnumlever.RouteTable { return x.table }
 
--- a/logevent.go
+++ b/logevent.go
@@ -13,6 +13,9 @@
 	EventRequestRefused
 	// EventAttemptFailed is an attempt at a backend server that brought no whole answer.
 	EventAttemptFailed
+	// EventPlaceNotReserved is an engine's answer to the question for a place that says neither
+	// yes nor no.
+	EventPlaceNotReserved
 	// EventCrossedAnswer is an answer that belonged to another request.
 	EventCrossedAnswer
 	// EventRefused is a request that an entry VM turned away.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 57, 64, 83, 96, 112, 125, 137, 152, 166, 176, 187, 200, 221, 237, 255, 266, 282, 297, 311, 325, 340, 358, 376, 389, 415, 433, 447, 464, 483, 504, 513, 523, 540, 550, 559, 571, 587, 594, 602, 609, 616, 633, 649, 663, 681, 694, 711}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 170, 184, 194, 205, 218, 239, 255, 273, 284, 300, 315, 329, 343, 358, 376, 394, 407, 433, 451, 465, 482, 501, 522, 531, 541, 558, 568, 577, 589, 605, 612, 620, 627, 634, 651, 667, 681, 699, 712, 729}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -27,214 +27,218 @@
 	_ = x[EventRequestServed-(0)]
 	_ = x[EventRequestRefused-(1)]
 	_ = x[EventAttemptFailed-(2)]
-	_ = x[EventCrossedAnswer-(3)]
-	_ = x[EventRefused-(4)]
-	_ = x[EventAnswerNotRecorded-(5)]
-	_ = x[EventBackendKnown-(6)]
-	_ = x[EventBackendReplaced-(7)]
-	_ = x[EventAdapterThere-(8)]
-	_ = x[EventLoadDecided-(9)]
-	_ = x[EventModelWithdrawn-(10)]
-	_ = x[EventOrderAnswered-(11)]
-	_ = x[EventOrderDone-(12)]
-	_ = x[EventOrderChart-(13)]
-	_ = x[EventOrderRefused-(14)]
-	_ = x[EventOrderOutcomeUnknown-(15)]
-	_ = x[EventEngineNotAsked-(16)]
-	_ = x[EventInventoryNotRead-(17)]
-	_ = x[EventLoadFailed-(18)]
-	_ = x[EventRegistryRefused-(19)]
-	_ = x[EventRoutesProposed-(20)]
-	_ = x[EventRoutesRefused-(21)]
-	_ = x[EventRoutesApplied-(22)]
-	_ = x[EventRoutesInForce-(23)]
-	_ = x[EventRoutesNotFetched-(24)]
-	_ = x[EventCatalogueInForce-(25)]
-	_ = x[EventBecameLeader-(26)]
-	_ = x[EventLeadershipNotHandedOver-(27)]
-	_ = x[EventExpiryNotEncoded-(28)]
-	_ = x[EventReplicaFailed-(29)]
-	_ = x[EventReplicaWentBack-(30)]
-	_ = x[EventDataFolderDamaged-(31)]
-	_ = x[EventDataFolderWentBack-(32)]
-	_ = x[EventLeaseGot-(33)]
-	_ = x[EventLeaseLost-(34)]
-	_ = x[EventLeaseNotRenewed-(35)]
-	_ = x[EventZoneOwned-(36)]
-	_ = x[EventZoneLost-(37)]
-	_ = x[EventControlLost-(38)]
-	_ = x[EventControlRegained-(39)]
-	_ = x[EventStarted-(40)]
-	_ = x[EventDraining-(41)]
-	_ = x[EventDrained-(42)]
-	_ = x[EventStopped-(43)]
-	_ = x[EventSettingsReloaded-(44)]
-	_ = x[EventSettingsRefused-(45)]
-	_ = x[EventListenerEnded-(46)]
-	_ = x[EventMetricsNotServed-(47)]
-	_ = x[EventUnknownEvent-(48)]
-	_ = x[EventLogLinesDropped-(49)]
+	_ = x[EventPlaceNotReserved-(3)]
+	_ = x[EventCrossedAnswer-(4)]
+	_ = x[EventRefused-(5)]
+	_ = x[EventAnswerNotRecorded-(6)]
+	_ = x[EventBackendKnown-(7)]
+	_ = x[EventBackendReplaced-(8)]
+	_ = x[EventAdapterThere-(9)]
+	_ = x[EventLoadDecided-(10)]
+	_ = x[EventModelWithdrawn-(11)]
+	_ = x[EventOrderAnswered-(12)]
+	_ = x[EventOrderDone-(13)]
+	_ = x[EventOrderChart-(14)]
+	_ = x[EventOrderRefused-(15)]
+	_ = x[EventOrderOutcomeUnknown-(16)]
+	_ = x[EventEngineNotAsked-(17)]
+	_ = x[EventInventoryNotRead-(18)]
+	_ = x[EventLoadFailed-(19)]
+	_ = x[EventRegistryRefused-(20)]
+	_ = x[EventRoutesProposed-(21)]
+	_ = x[EventRoutesRefused-(22)]
+	_ = x[EventRoutesApplied-(23)]
+	_ = x[EventRoutesInForce-(24)]
+	_ = x[EventRoutesNotFetched-(25)]
+	_ = x[EventCatalogueInForce-(26)]
+	_ = x[EventBecameLeader-(27)]
+	_ = x[EventLeadershipNotHandedOver-(28)]
+	_ = x[EventExpiryNotEncoded-(29)]
+	_ = x[EventReplicaFailed-(30)]
+	_ = x[EventReplicaWentBack-(31)]
+	_ = x[EventDataFolderDamaged-(32)]
+	_ = x[EventDataFolderWentBack-(33)]
+	_ = x[EventLeaseGot-(34)]
+	_ = x[EventLeaseLost-(35)]
+	_ = x[EventLeaseNotRenewed-(36)]
+	_ = x[EventZoneOwned-(37)]
+	_ = x[EventZoneLost-(38)]
+	_ = x[EventControlLost-(39)]
+	_ = x[EventControlRegained-(40)]
+	_ = x[EventStarted-(41)]
+	_ = x[EventDraining-(42)]
+	_ = x[EventDrained-(43)]
+	_ = x[EventStopped-(44)]
+	_ = x[EventSettingsReloaded-(45)]
+	_ = x[EventSettingsRefused-(46)]
+	_ = x[EventListenerEnded-(47)]
+	_ = x[EventMetricsNotServed-(48)]
+	_ = x[EventUnknownEvent-(49)]
+	_ = x[EventLogLinesDropped-(50)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:    EventRequestServed,
 	_LogEventName[14:29]:   EventRequestRefused,
 	_LogEventName[29:43]:   EventAttemptFailed,
-	_LogEventName[43:57]:   EventCrossedAnswer,
-	_LogEventName[57:64]:   EventRefused,
-	_LogEventName[64:83]:   EventAnswerNotRecorded,
-	_LogEventName[83:96]:   EventBackendKnown,
-	_LogEventName[96:112]:  EventBackendReplaced,
-	_LogEventName[112:125]: EventAdapterThere,
-	_LogEventName[125:137]: EventLoadDecided,
-	_LogEventName[137:152]: EventModelWithdrawn,
-	_LogEventName[152:166]: EventOrderAnswered,
-	_LogEventName[166:176]: EventOrderDone,
-	_LogEventName[176:187]: EventOrderChart,
-	_LogEventName[187:200]: EventOrderRefused,
-	_LogEventName[200:221]: EventOrderOutcomeUnknown,
-	_LogEventName[221:237]: EventEngineNotAsked,
-	_LogEventName[237:255]: EventInventoryNotRead,
-	_LogEventName[255:266]: EventLoadFailed,
-	_LogEventName[266:282]: EventRegistryRefused,
-	_LogEventName[282:297]: EventRoutesProposed,
-	_LogEventName[297:311]: EventRoutesRefused,
-	_LogEventName[311:325]: EventRoutesApplied,
-	_LogEventName[325:340]: EventRoutesInForce,
-	_LogEventName[340:358]: EventRoutesNotFetched,
-	_LogEventName[358:376]: EventCatalogueInForce,
-	_LogEventName[376:389]: EventBecameLeader,
-	_LogEventName[389:415]: EventLeadershipNotHandedOver,
-	_LogEventName[415:433]: EventExpiryNotEncoded,
-	_LogEventName[433:447]: EventReplicaFailed,
-	_LogEventName[447:464]: EventReplicaWentBack,
-	_LogEventName[464:483]: EventDataFolderDamaged,
-	_LogEventName[483:504]: EventDataFolderWentBack,
-	_LogEventName[504:513]: EventLeaseGot,
-	_LogEventName[513:523]: EventLeaseLost,
-	_LogEventName[523:540]: EventLeaseNotRenewed,
-	_LogEventName[540:550]: EventZoneOwned,
-	_LogEventName[550:559]: EventZoneLost,
-	_LogEventName[559:571]: EventControlLost,
-	_LogEventName[571:587]: EventControlRegained,
-	_LogEventName[587:594]: EventStarted,
-	_LogEventName[594:602]: EventDraining,
-	_LogEventName[602:609]: EventDrained,
-	_LogEventName[609:616]: EventStopped,
-	_LogEventName[616:633]: EventSettingsReloaded,
-	_LogEventName[633:649]: EventSettingsRefused,
-	_LogEventName[649:663]: EventListenerEnded,
-	_LogEventName[663:681]: EventMetricsNotServed,
-	_LogEventName[681:694]: EventUnknownEvent,
-	_LogEventName[694:711]: EventLogLinesDropped,
+	_LogEventName[43:61]:   EventPlaceNotReserved,
+	_LogEventName[61:75]:   EventCrossedAnswer,
+	_LogEventName[75:82]:   EventRefused,
+	_LogEventName[82:101]:  EventAnswerNotRecorded,
+	_LogEventName[101:114]: EventBackendKnown,
+	_LogEventName[114:130]: EventBackendReplaced,
+	_LogEventName[130:143]: EventAdapterThere,
+	_LogEventName[143:155]: EventLoadDecided,
+	_LogEventName[155:170]: EventModelWithdrawn,
+	_LogEventName[170:184]: EventOrderAnswered,
+	_LogEventName[184:194]: EventOrderDone,
+	_LogEventName[194:205]: EventOrderChart,
+	_LogEventName[205:218]: EventOrderRefused,
+	_LogEventName[218:239]: EventOrderOutcomeUnknown,
+	_LogEventName[239:255]: EventEngineNotAsked,
+	_LogEventName[255:273]: EventInventoryNotRead,
+	_LogEventName[273:284]: EventLoadFailed,
+	_LogEventName[284:300]: EventRegistryRefused,
+	_LogEventName[300:315]: EventRoutesProposed,
+	_LogEventName[315:329]: EventRoutesRefused,
+	_LogEventName[329:343]: EventRoutesApplied,
+	_LogEventName[343:358]: EventRoutesInForce,
+	_LogEventName[358:376]: EventRoutesNotFetched,
+	_LogEventName[376:394]: EventCatalogueInForce,
+	_LogEventName[394:407]: EventBecameLeader,
+	_LogEventName[407:433]: EventLeadershipNotHandedOver,
+	_LogEventName[433:451]: EventExpiryNotEncoded,
+	_LogEventName[451:465]: EventReplicaFailed,
+	_LogEventName[465:482]: EventReplicaWentBack,
+	_LogEventName[482:501]: EventDataFolderDamaged,
+	_LogEventName[501:522]: EventDataFolderWentBack,
+	_LogEventName[522:531]: EventLeaseGot,
+	_LogEventName[531:541]: EventLeaseLost,
+	_LogEventName[541:558]: EventLeaseNotRenewed,
+	_LogEventName[558:568]: EventZoneOwned,
+	_LogEventName[568:577]: EventZoneLost,
+	_LogEventName[577:589]: EventControlLost,
+	_LogEventName[589:605]: EventControlRegained,
+	_LogEventName[605:612]: EventStarted,
+	_LogEventName[612:620]: EventDraining,
+	_LogEventName[620:627]: EventDrained,
+	_LogEventName[627:634]: EventStopped,
+	_LogEventName[634:651]: EventSettingsReloaded,
+	_LogEventName[651:667]: EventSettingsRefused,
+	_LogEventName[667:681]: EventListenerEnded,
+	_LogEventName[681:699]: EventMetricsNotServed,
+	_LogEventName[699:712]: EventUnknownEvent,
+	_LogEventName[712:729]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
 	_LogEventLowerName[0:14]:    EventRequestServed,
 	_LogEventLowerName[14:29]:   EventRequestRefused,
 	_LogEventLowerName[29:43]:   EventAttemptFailed,
-	_LogEventLowerName[43:57]:   EventCrossedAnswer,
-	_LogEventLowerName[57:64]:   EventRefused,
-	_LogEventLowerName[64:83]:   EventAnswerNotRecorded,
-	_LogEventLowerName[83:96]:   EventBackendKnown,
-	_LogEventLowerName[96:112]:  EventBackendReplaced,
-	_LogEventLowerName[112:125]: EventAdapterThere,
-	_LogEventLowerName[125:137]: EventLoadDecided,
-	_LogEventLowerName[137:152]: EventModelWithdrawn,
-	_LogEventLowerName[152:166]: EventOrderAnswered,
-	_LogEventLowerName[166:176]: EventOrderDone,
-	_LogEventLowerName[176:187]: EventOrderChart,
-	_LogEventLowerName[187:200]: EventOrderRefused,
-	_LogEventLowerName[200:221]: EventOrderOutcomeUnknown,
-	_LogEventLowerName[221:237]: EventEngineNotAsked,
-	_LogEventLowerName[237:255]: EventInventoryNotRead,
-	_LogEventLowerName[255:266]: EventLoadFailed,
-	_LogEventLowerName[266:282]: EventRegistryRefused,
-	_LogEventLowerName[282:297]: EventRoutesProposed,
-	_LogEventLowerName[297:311]: EventRoutesRefused,
-	_LogEventLowerName[311:325]: EventRoutesApplied,
-	_LogEventLowerName[325:340]: EventRoutesInForce,
-	_LogEventLowerName[340:358]: EventRoutesNotFetched,
-	_LogEventLowerName[358:376]: EventCatalogueInForce,
-	_LogEventLowerName[376:389]: EventBecameLeader,
-	_LogEventLowerName[389:415]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[415:433]: EventExpiryNotEncoded,
-	_LogEventLowerName[433:447]: EventReplicaFailed,
-	_LogEventLowerName[447:464]: EventReplicaWentBack,
-	_LogEventLowerName[464:483]: EventDataFolderDamaged,
-	_LogEventLowerName[483:504]: EventDataFolderWentBack,
-	_LogEventLowerName[504:513]: EventLeaseGot,
-	_LogEventLowerName[513:523]: EventLeaseLost,
-	_LogEventLowerName[523:540]: EventLeaseNotRenewed,
-	_LogEventLowerName[540:550]: EventZoneOwned,
-	_LogEventLowerName[550:559]: EventZoneLost,
-	_LogEventLowerName[559:571]: EventControlLost,
-	_LogEventLowerName[571:587]: EventControlRegained,
-	_LogEventLowerName[587:594]: EventStarted,
-	_LogEventLowerName[594:602]: EventDraining,
-	_LogEventLowerName[602:609]: EventDrained,
-	_LogEventLowerName[609:616]: EventStopped,
-	_LogEventLowerName[616:633]: EventSettingsReloaded,
-	_LogEventLowerName[633:649]: EventSettingsRefused,
-	_LogEventLowerName[649:663]: EventListenerEnded,
-	_LogEventLowerName[663:681]: EventMetricsNotServed,
-	_LogEventLowerName[681:694]: EventUnknownEvent,
-	_LogEventLowerName[694:711]: EventLogLinesDropped,
+	_LogEventLowerName[43:61]:   EventPlaceNotReserved,
+	_LogEventLowerName[61:75]:   EventCrossedAnswer,
+	_LogEventLowerName[75:82]:   EventRefused,
+	_LogEventLowerName[82:101]:  EventAnswerNotRecorded,
+	_LogEventLowerName[101:114]: EventBackendKnown,
+	_LogEventLowerName[114:130]: EventBackendReplaced,
+	_LogEventLowerName[130:143]: EventAdapterThere,
+	_LogEventLowerName[143:155]: EventLoadDecided,
+	_LogEventLowerName[155:170]: EventModelWithdrawn,
+	_LogEventLowerName[170:184]: EventOrderAnswered,
+	_LogEventLowerName[184:194]: EventOrderDone,
+	_LogEventLowerName[194:205]: EventOrderChart,
+	_LogEventLowerName[205:218]: EventOrderRefused,
+	_LogEventLowerName[218:239]: EventOrderOutcomeUnknown,
+	_LogEventLowerName[239:255]: EventEngineNotAsked,
+	_LogEventLowerName[255:273]: EventInventoryNotRead,
+	_LogEventLowerName[273:284]: EventLoadFailed,
+	_LogEventLowerName[284:300]: EventRegistryRefused,
+	_LogEventLowerName[300:315]: EventRoutesProposed,
+	_LogEventLowerName[315:329]: EventRoutesRefused,
+	_LogEventLowerName[329:343]: EventRoutesApplied,
+	_LogEventLowerName[343:358]: EventRoutesInForce,
+	_LogEventLowerName[358:376]: EventRoutesNotFetched,
+	_LogEventLowerName[376:394]: EventCatalogueInForce,
+	_LogEventLowerName[394:407]: EventBecameLeader,
+	_LogEventLowerName[407:433]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[433:451]: EventExpiryNotEncoded,
+	_LogEventLowerName[451:465]: EventReplicaFailed,
+	_LogEventLowerName[465:482]: EventReplicaWentBack,
+	_LogEventLowerName[482:501]: EventDataFolderDamaged,
+	_LogEventLowerName[501:522]: EventDataFolderWentBack,
+	_LogEventLowerName[522:531]: EventLeaseGot,
+	_LogEventLowerName[531:541]: EventLeaseLost,
+	_LogEventLowerName[541:558]: EventLeaseNotRenewed,
+	_LogEventLowerName[558:568]: EventZoneOwned,
+	_LogEventLowerName[568:577]: EventZoneLost,
+	_LogEventLowerName[577:589]: EventControlLost,
+	_LogEventLowerName[589:605]: EventControlRegained,
+	_LogEventLowerName[605:612]: EventStarted,
+	_LogEventLowerName[612:620]: EventDraining,
+	_LogEventLowerName[620:627]: EventDrained,
+	_LogEventLowerName[627:634]: EventStopped,
+	_LogEventLowerName[634:651]: EventSettingsReloaded,
+	_LogEventLowerName[651:667]: EventSettingsRefused,
+	_LogEventLowerName[667:681]: EventListenerEnded,
+	_LogEventLowerName[681:699]: EventMetricsNotServed,
+	_LogEventLowerName[699:712]: EventUnknownEvent,
+	_LogEventLowerName[712:729]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
 	_LogEventName[0:14],
 	_LogEventName[14:29],
 	_LogEventName[29:43],
-	_LogEventName[43:57],
-	_LogEventName[57:64],
-	_LogEventName[64:83],
-	_LogEventName[83:96],
-	_LogEventName[96:112],
-	_LogEventName[112:125],
-	_LogEventName[125:137],
-	_LogEventName[137:152],
-	_LogEventName[152:166],
-	_LogEventName[166:176],
-	_LogEventName[176:187],
-	_LogEventName[187:200],
-	_LogEventName[200:221],
-	_LogEventName[221:237],
-	_LogEventName[237:255],
-	_LogEventName[255:266],
-	_LogEventName[266:282],
-	_LogEventName[282:297],
-	_LogEventName[297:311],
-	_LogEventName[311:325],
-	_LogEventName[325:340],
-	_LogEventName[340:358],
+	_LogEventName[43:61],
+	_LogEventName[61:75],
+	_LogEventName[75:82],
+	_LogEventName[82:101],
+	_LogEventName[101:114],
+	_LogEventName[114:130],
+	_LogEventName[130:143],
+	_LogEventName[143:155],
+	_LogEventName[155:170],
+	_LogEventName[170:184],
+	_LogEventName[184:194],
+	_LogEventName[194:205],
+	_LogEventName[205:218],
+	_LogEventName[218:239],
+	_LogEventName[239:255],
+	_LogEventName[255:273],
+	_LogEventName[273:284],
+	_LogEventName[284:300],
+	_LogEventName[300:315],
+	_LogEventName[315:329],
+	_LogEventName[329:343],
+	_LogEventName[343:358],
 	_LogEventName[358:376],
-	_LogEventName[376:389],
-	_LogEventName[389:415],
-	_LogEventName[415:433],
-	_LogEventName[433:447],
-	_LogEventName[447:464],
-	_LogEventName[464:483],
-	_LogEventName[483:504],
-	_LogEventName[504:513],
-	_LogEventName[513:523],
-	_LogEventName[523:540],
-	_LogEventName[540:550],
-	_LogEventName[550:559],
-	_LogEventName[559:571],
-	_LogEventName[571:587],
-	_LogEventName[587:594],
-	_LogEventName[594:602],
-	_LogEventName[602:609],
-	_LogEventName[609:616],
-	_LogEventName[616:633],
-	_LogEventName[633:649],
-	_LogEventName[649:663],
-	_LogEventName[663:681],
-	_LogEventName[681:694],
-	_LogEventName[694:711],
+	_LogEventName[376:394],
+	_LogEventName[394:407],
+	_LogEventName[407:433],
+	_LogEventName[433:451],
+	_LogEventName[451:465],
+	_LogEventName[465:482],
+	_LogEventName[482:501],
+	_LogEventName[501:522],
+	_LogEventName[522:531],
+	_LogEventName[531:541],
+	_LogEventName[541:558],
+	_LogEventName[558:568],
+	_LogEventName[568:577],
+	_LogEventName[577:589],
+	_LogEventName[589:605],
+	_LogEventName[605:612],
+	_LogEventName[612:620],
+	_LogEventName[620:627],
+	_LogEventName[627:634],
+	_LogEventName[634:651],
+	_LogEventName[651:667],
+	_LogEventName[667:681],
+	_LogEventName[681:699],
+	_LogEventName[699:712],
+	_LogEventName[712:729],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/routes.go
+++ b/routes.go
@@ -70,8 +70,10 @@
 	WeightsMB    float64 `json:"weights-mb"`
 	AdapterSlots int     `json:"adapter-slots"`
 	// LoadsPerSecond is what the weight store allows over all engines.
-	LoadsPerSecond float64         `json:"loads-per-second"`
-	Models         []ResidentClass `json:"models"`
+	LoadsPerSecond float64 `json:"loads-per-second"`
+	// ReserveLimit is the longest time for which a place can be reserved; 0 where none can.
+	ReserveLimit Duration        `json:"reserve-limit,omitempty"`
+	Models       []ResidentClass `json:"models"`
 }
 
 // ResidentClass is what one model takes on an engine.
