--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -51,6 +51,8 @@
 			return nil
 		}
 		if fail.taken {
+			// Nothing went wrong and nothing was sent: it is no try, and the next place may
+			// be anywhere.
 			q.tries--
 			g.timers.After(takenRetry, func(time.Time) { g.fleet.retryWaiting() })
 			continue
