refactor: two error types stand once, in the root package; the director's options in a file of their own

Change: ListenError and StartError move to the root's errors; options.go. No behaviour changes; a test names the moved type.

--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -38,47 +38,6 @@
 	workStretch = 3
 )
 
-type config struct {
-	lease time.Duration
-	// window and overshoot bound the loads from the weight store.
-	window    time.Duration
-	overshoot float64
-	logger    log.Logger
-	scope     tally.Scope
-	clock     func() time.Duration
-	// heartbeat is the period of the engines' heartbeats.
-	heartbeat time.Duration
-	// spawn runs a call to another machine beside the control thread.
-	spawn func(call func())
-}
-
-// Option changes a new director.
-type Option func(*config)
-
-// WithLease sets how long the lease lasts, and how far apart two owners stay.
-func WithLease(d time.Duration) Option { return func(c *config) { c.lease = d } }
-
-// WithHeartbeat sets the period of the engines' heartbeats.
-func WithHeartbeat(d time.Duration) Option { return func(c *config) { c.heartbeat = d } }
-
-// WithStore sets the window in which the weight store's rate may be exceeded, and by
-// which factor.
-func WithStore(window time.Duration, overshoot float64) Option {
-	return func(c *config) { c.window, c.overshoot = window, overshoot }
-}
-
-// WithLogger sets the log; without it nothing is logged.
-func WithLogger(logger log.Logger) Option { return func(c *config) { c.logger = logger } }
-
-// WithScope sets where counters go; without it they go nowhere.
-func WithScope(scope tally.Scope) Option { return func(c *config) { c.scope = scope } }
-
-// WithClock sets the clock that leases are measured by.
-func WithClock(clock func() time.Duration) Option { return func(c *config) { c.clock = clock } }
-
-// WithSpawn sets how calls to other machines are run; without it each has a goroutine.
-func WithSpawn(spawn func(call func())) Option { return func(c *config) { c.spawn = spawn } }
-
 // Director is a part of the control thread.
 type Director struct {
 	loop     laburnumlever.Loop
--- a/laburnumnode/backendhandler.go
+++ b/laburnumnode/backendhandler.go
@@ -52,7 +52,7 @@
 		answerNews(ctx, registry.Leave(ctx.Request().Context(), l.Backend, l.Incarnation))
 	})
 	if err := app.Build(); err != nil {
-		return nil, &StartError{Part: "backends handler", Cause: err}
+		return nil, &laburnumlever.StartError{Part: "backends handler", Cause: err}
 	}
 	return app, nil
 }
--- a/laburnumnode/listeners.go
+++ b/laburnumnode/listeners.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"laburnumlever"
 	"laburnumlever/laburnumsettings"
 )
 
@@ -34,7 +35,7 @@
 		ln, err := cfg.Listen(ctx, "tcp", one.address)
 		if err != nil {
 			l.close()
-			return nil, &ListenError{Name: one.name, Address: one.address, Cause: err}
+			return nil, &laburnumlever.ListenError{Name: one.name, Address: one.address, Cause: err}
 		}
 		*one.into = ln
 	}
--- a/laburnumnode/tls_test.go
+++ b/laburnumnode/tls_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumlever"
 	"laburnumlever/laburnumnode"
 	"laburnumlever/laburnumsettings"
 )
@@ -72,7 +73,7 @@
 	settings.VM, settings.TLS = "a", selfSigned(t)
 	settings.TLS.Key = filepath.Join(t.TempDir(), "none.pem")
 	settings.Listen = laburnumsettings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Backends: "127.0.0.1:0", Peers: "127.0.0.1:0"}
-	var start *laburnumnode.StartError
+	var start *laburnumlever.StartError
 	_, err := laburnumnode.New(settings)
 	require.ErrorAs(t, err, &start)
 }
--- a/laburnumnode/wiring.go
+++ b/laburnumnode/wiring.go
@@ -59,7 +59,7 @@
 	}
 	if files := n.settings.TLS; files != (laburnumsettings.TLS{}) {
 		if err := laburnumpeer.CheckTLS(files.Certificate, files.Key, files.Authorities); err != nil {
-			return &StartError{Part: "peers", Cause: err}
+			return &laburnumlever.StartError{Part: "peers", Cause: err}
 		}
 		opts = append(opts, laburnumpeer.WithTLS(files.Certificate, files.Key, files.Authorities))
 	}
@@ -92,7 +92,7 @@
 		laburnumvoter.WithScope(n.metrics.Scope()),
 	)
 	if err != nil {
-		return &StartError{Part: "voter", Cause: err}
+		return &laburnumlever.StartError{Part: "voter", Cause: err}
 	}
 	voter.OnCatalogue(n.spread.Offer)
 	n.voter = voter
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -148,7 +148,7 @@
 	}
 	voter, err := laburnumvoter.New(c.loop, c.timers, c.peers, c.self, opts...)
 	if err != nil {
-		return &StartError{Part: "voter", Cause: err}
+		return &laburnumlever.StartError{Part: "voter", Cause: err}
 	}
 	voter.OnRoutes(c.routesApplied)
 	c.voter = voter
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -77,7 +77,7 @@
 	var cfg net.ListenConfig
 	ln, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return nil, &ListenError{Name: name, Address: address, Cause: err}
+		return nil, &laburnumlever.ListenError{Name: name, Address: address, Cause: err}
 	}
 	return ln, nil
 }
