test: callers of a gateway whose output nobody reads are served

Cause: the log is bounded and does not wait for its reader; that was tested inside the logger only, not on a real process.

--- a/cmd/laburnumlever/caller_test.go
+++ b/cmd/laburnumlever/caller_test.go
@@ -21,20 +21,17 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "header", Aliases: []string{"H"}},
 			&cli.StringFlag{Name: "data", Aliases: []string{"d"}},
+			&cli.IntFlag{Name: "times", Usage: "send it so often, each with an id of its own, and print how often each status came"},
 			&cli.StringFlag{Name: "method", Aliases: []string{"X"}, Value: http.MethodGet},
 		},
 		Action: func(c *cli.Context) error {
-			req, err := http.NewRequestWithContext(c.Context, c.String("method"), "http://"+c.Args().First(), strings.NewReader(c.String("data")))
+			if c.Int("times") > 0 {
+				return callOften(c)
+			}
+			req, err := callerRequest(c)
 			if err != nil {
 				return err
 			}
-			for _, header := range c.StringSlice("header") {
-				name, value, _ := strings.Cut(header, ": ")
-				req.Header.Set(name, value)
-				if name == "Host" {
-					req.Host = value
-				}
-			}
 			resp, err := http.DefaultClient.Do(req)
 			if err != nil {
 				return err
@@ -55,3 +52,42 @@
 	}
 	return 0
 }
+
+func callerRequest(c *cli.Context) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(c.Context, c.String("method"), "http://"+c.Args().First(), strings.NewReader(c.String("data")))
+	if err != nil {
+		return nil, err
+	}
+	for _, header := range c.StringSlice("header") {
+		name, value, _ := strings.Cut(header, ": ")
+		req.Header.Set(name, value)
+		if name == "Host" {
+			req.Host = value
+		}
+	}
+	return req, nil
+}
+
+// callOften sends the request again and again, one at a time.
+func callOften(c *cli.Context) error {
+	counts := map[int]int{}
+	for i := range c.Int("times") {
+		req, err := callerRequest(c)
+		if err != nil {
+			return err
+		}
+		req.Header.Set("X-Laburnumlever-Request-Id", fmt.Sprintf("many-%d", i))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			return err
+		}
+		counts[resp.StatusCode]++
+	}
+	fmt.Println(counts)
+	return nil
+}
--- a/cmd/laburnumlever/scriptcommands_test.go
+++ b/cmd/laburnumlever/scriptcommands_test.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,13 +36,14 @@
 //	start NAME ARGS...       runs laburnumlever ARGS and waits for its ready line, whose
 //	                         key=value pairs become the variables NAME_key
 //	end NAME SIGNAL          sends KILL, TERM, STOP or CONT; KILL and TERM wait for the end
+//	stuck NAME               reads nothing more of what it writes, until it is told to end
 //	exited NAME CODE         checks how it ended
 //	await PATTERN PROG ARGS  repeats a program until its output matches
 //	rewrite FILE             prints the file with ports, ids and times named so
 func scriptCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
 		"ports": scriptPorts, "loopback": scriptLoopback, "expand": scriptExpand, "start": scriptStart,
-		"end": scriptEnd, "exited": scriptExited, "await": scriptAwait, "rewrite": scriptRewrite,
+		"end": scriptEnd, "stuck": scriptStuck, "exited": scriptExited, "await": scriptAwait, "rewrite": scriptRewrite,
 	}
 }
 
@@ -83,6 +85,8 @@
 	log   *os.File
 	ended chan struct{}
 	once  sync.Once
+	// read, if set, is closed when its output is to be read again.
+	read atomic.Pointer[chan struct{}]
 }
 
 func scriptSetup(env *testscript.Env) error {
@@ -94,6 +98,7 @@
 	env.Values[processKey{}] = all
 	env.Defer(func() {
 		for _, p := range all.byName {
+			p.readOn()
 			_ = p.cmd.Process.Signal(syscall.SIGKILL)
 			<-p.ended
 		}
@@ -143,6 +148,9 @@
 func (p *process) follow(lines *bufio.Scanner, ready chan<- string) {
 	defer close(p.ended)
 	for lines.Scan() {
+		if read := p.read.Load(); read != nil {
+			<-*read
+		}
 		_, _ = p.log.WriteString(lines.Text() + "\n")
 		if strings.HasPrefix(lines.Text(), "ready ") || strings.Contains(lines.Text(), `"event":"started"`) {
 			p.once.Do(func() { ready <- lines.Text() })
@@ -155,8 +163,22 @@
 	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 }
 
+// scriptStuck is what a full disk or a dead reader behind the output is to the process.
+func scriptStuck(ts *testscript.TestScript, _ bool, args []string) {
+	read := make(chan struct{})
+	processesOf(ts)[args[0]].read.Store(&read)
+}
+
+// readOn ends that.
+func (p *process) readOn() {
+	if read := p.read.Swap(nil); read != nil {
+		close(*read)
+	}
+}
+
 func scriptEnd(ts *testscript.TestScript, _ bool, args []string) {
 	p, sig := processesOf(ts)[args[0]], signals[args[1]]
+	p.readOn()
 	ts.Check(p.cmd.Process.Signal(sig))
 	if sig != syscall.SIGKILL && sig != syscall.SIGTERM {
 		return
