fix: an order whose end is never heard, and engines that start again under their identity

An engine's word on the end of an order may overtake its answer to it, or be lost: words that bring nothing new are not looked at, so the order counted as under way for ever and the engine took no other. Cause found by reading: the mark from which a word counts was set when the answer came, and a report that showed the end was only believed when the order had come to nothing. Ruled out: the gateway's view of the engine, fencing, the stand-in's delay. Now the mark is set when the order is sent, and a report of an overdue order ends it either way.

The world of the director's tests now passes on only what is news, as a control VM does.

--- a/heartbeat.go
+++ b/heartbeat.go
@@ -2,16 +2,20 @@
 
 import "slices"
 
-// Heartbeat is what a backend server says of itself at intervals, on fleets whose
-// backend servers get a new identity at each start. Of two heartbeats of one
-// backend server the one with the higher sequence is the newer.
+// Heartbeat is what a backend server says of itself at intervals. Of two heartbeats under
+// one identity the one of the later start is the newer, and of one start that with the
+// higher sequence.
 type Heartbeat struct {
-	Backend  BackendID   `json:"backend"`
-	Service  ServiceName `json:"service"`
-	Address  string      `json:"address"`
-	Zone     ZoneName    `json:"zone"`
-	Sequence uint64      `json:"sequence"`
-	Slots    int         `json:"slots"`
+	Backend BackendID   `json:"backend"`
+	Service ServiceName `json:"service"`
+	Address string      `json:"address"`
+	Zone    ZoneName    `json:"zone"`
+	// Born tells the starts of a backend server under one identity apart: the later, the
+	// higher, 0 where it does not tell. One that starts again holds nothing of before, and
+	// its sequence begins anew.
+	Born     uint64 `json:"born,omitempty"`
+	Sequence uint64 `json:"sequence"`
+	Slots    int    `json:"slots"`
 	// Leaving tells that the backend server takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	// Remaining, of one that leaves at short notice, is how long it still runs.
@@ -23,6 +27,14 @@
 	OnDisk   []ModelName `json:"on-disk,omitempty"`
 }
 
+// NewerThan tells whether the heartbeat is newer than another under the same identity.
+func (h Heartbeat) NewerThan(other Heartbeat) bool {
+	if h.Born != other.Born {
+		return h.Born > other.Born
+	}
+	return h.Sequence > other.Sequence
+}
+
 // HeldModel is a model that an engine holds, with the adapters beside it.
 type HeldModel struct {
 	Name     ModelName     `json:"name"`
@@ -61,6 +73,8 @@
 
 // EngineState is what a model engine reports of itself when asked.
 type EngineState struct {
+	// Born is the start that the engine speaks of, as in its heartbeats.
+	Born uint64
 	// Accepted is the number of orders accepted since the engine's start.
 	Accepted uint64
 	// Busy tells that an order is under way.
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -141,6 +141,11 @@
 		t.remove(id)
 		return
 	}
+	if s != nil && s.record.Heartbeat.Born < r.Heartbeat.Born {
+		// It has started again: what was known of it is of before.
+		t.remove(id)
+		s = nil
+	}
 	if s == nil {
 		s = &server{local: r.Heartbeat.Zone == t.zone, readingLimit: startReading}
 		t.servers[id] = s
@@ -224,10 +229,10 @@
 		return nil, verdict
 	}
 	best.own++
-	unread := t.prefixes.missing(best.record.Heartbeat.Backend, q)
+	unread := t.prefixes.missing(best.record.Heartbeat, q)
 	reading := q.readMillis(unread)
 	best.reading += reading
-	t.prefixes.sent(best.record.Heartbeat.Backend, q)
+	t.prefixes.sent(best.record.Heartbeat, q)
 	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q, reading: reading, unread: unread, since: now, unsure: best.unsure(now)}, Found
 }
 
@@ -258,7 +263,7 @@
 
 // readMillis is how long the server reads what it has not cached of the prompt.
 func (t *Table) readMillis(s *server, q Query) float64 {
-	return q.readMillis(t.prefixes.missing(s.record.Heartbeat.Backend, q))
+	return q.readMillis(t.prefixes.missing(s.record.Heartbeat, q))
 }
 
 func (q Query) readMillis(tokens int) float64 {
--- a/laburnumbalance/prefixes.go
+++ b/laburnumbalance/prefixes.go
@@ -11,13 +11,14 @@
 // another adapter of it, the same part has to be read again.
 type cachedPart struct {
 	backend laburnumlever.BackendID
+	born    uint64
 	model   laburnumlever.ModelName
 	adapter laburnumlever.AdapterName
 	id      uint64
 }
 
-func (q Query) cached(backend laburnumlever.BackendID, part laburnumlever.PromptPart) cachedPart {
-	return cachedPart{backend: backend, model: q.Model, adapter: q.Adapter, id: part.ID}
+func (q Query) cached(to laburnumlever.Heartbeat, part laburnumlever.PromptPart) cachedPart {
+	return cachedPart{backend: to.Backend, born: to.Born, model: q.Model, adapter: q.Adapter, id: part.ID}
 }
 
 // prefixes remembers which parts of prompts went to which server. It is right as
@@ -30,22 +31,22 @@
 	return &prefixes{young: map[cachedPart]struct{}{}, old: map[cachedPart]struct{}{}}
 }
 
-func (p *prefixes) sent(backend laburnumlever.BackendID, q Query) {
+func (p *prefixes) sent(to laburnumlever.Heartbeat, q Query) {
 	if len(p.young) > generationSize {
 		p.old, p.young = p.young, map[cachedPart]struct{}{}
 	}
 	for _, part := range q.Prompt {
-		p.young[q.cached(backend, part)] = struct{}{}
+		p.young[q.cached(to, part)] = struct{}{}
 	}
 }
 
 // missing is how many tokens of the prompt the server has to read: all from the
 // first part that it has not seen.
-func (p *prefixes) missing(backend laburnumlever.BackendID, q Query) int {
+func (p *prefixes) missing(to laburnumlever.Heartbeat, q Query) int {
 	tokens := 0
 	cached := true
 	for _, part := range q.Prompt {
-		key := q.cached(backend, part)
+		key := q.cached(to, part)
 		if cached {
 			_, young := p.young[key]
 			_, old := p.old[key]
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -125,9 +125,7 @@
 func (d *Director) SetRecord(r laburnumregistry.Record) { d.loop.Post(d, recorded{record: r}) }
 
 // SetHeard notes that a heartbeat has come which brought nothing new; any goroutine.
-func (d *Director) SetHeard(id laburnumlever.BackendID, sequence uint64) {
-	d.loop.Post(d, heard{backend: id, sequence: sequence})
-}
+func (d *Director) SetHeard(h laburnumlever.Heartbeat) { d.loop.Post(d, heard{heartbeat: h}) }
 
 // SetRoutes takes the routes in force; any goroutine.
 func (d *Director) SetRoutes(t laburnumlever.RouteTable) { d.loop.Post(d, routed{table: t}) }
@@ -145,7 +143,10 @@
 	case recorded:
 		d.onRecord(ev.record)
 	case heard:
+		// What gateways are told does not depend on it. Publishing looks at each engine,
+		// and done for each heartbeat it grows with the square of the engines.
 		d.onHeard(ev)
+		return
 	case routed:
 		d.onRoutes(ev.table)
 	case told:
@@ -234,11 +235,9 @@
 		return
 	}
 	e := d.engines[id]
-	if e == nil {
-		e = newEngine(r.Heartbeat)
-		e.heardAt = d.timers.Now()
-		d.engines[id] = e
-	} else if r.Heartbeat.Sequence > e.heartbeat.Sequence {
+	if e == nil || r.Heartbeat.Born > e.heartbeat.Born {
+		e = d.startEngine(r.Heartbeat, e)
+	} else if r.Heartbeat.NewerThan(e.heartbeat) {
 		e.heardAt = d.timers.Now()
 		if e.takeHeartbeat(r.Heartbeat, d.timers.Now()) {
 			_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventOrderDone, "backend", id, "models", len(e.held))
@@ -247,10 +246,28 @@
 	e.silent = r.Silent
 }
 
+// strayTime is how long an order without an answer may be on its way to be carried out: an
+// engine that hangs carries it out when it comes to itself.
+const strayTime = 12 * time.Second
+
+// startEngine notes a start of an engine; before is what was known of the one before it
+// under the same identity, or nil. An order that has no answer yet may still reach the new
+// start, which counts its orders from nothing and may take it for its own: no other is
+// given while that can be, so that the two never add up to more than it has room for.
+func (d *Director) startEngine(h laburnumlever.Heartbeat, before *engine) *engine {
+	e := newEngine(h)
+	e.heardAt = d.timers.Now()
+	if before != nil && (before.sending != nil || before.unsure != nil) {
+		e.tryAt = e.heardAt.Add(strayTime)
+	}
+	d.engines[h.Backend] = e
+	return e
+}
+
 // onHeard notes that an engine is there still. A heartbeat that brings nothing new is
 // not kept as the engine's last: what it does not tell of orders under way is old.
 func (d *Director) onHeard(ev heard) {
-	if e := d.engines[ev.backend]; e != nil && ev.sequence > e.heartbeat.Sequence {
+	if e := d.engines[ev.heartbeat.Backend]; e != nil && e.heartbeat.Born == ev.heartbeat.Born && ev.heartbeat.NewerThan(e.heartbeat) {
 		e.heardAt = d.timers.Now()
 	}
 }
@@ -349,7 +366,7 @@
 }
 
 func (e *engine) overlay(fence uint64) laburnumregistry.Overlay {
-	o := laburnumregistry.Overlay{Backend: e.heartbeat.Backend, Fence: fence, Sequence: e.heartbeat.Sequence}
+	o := laburnumregistry.Overlay{Backend: e.heartbeat.Backend, Fence: fence, Born: e.heartbeat.Born, Sequence: e.heartbeat.Sequence}
 	for name, h := range e.held {
 		if h.withdrawn {
 			o.Withdrawn = append(o.Withdrawn, name)
--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -294,3 +294,66 @@
 		w.expire()
 	}
 }
+
+// The only engine has room for one of two models, and callers ask for the one and then for
+// the other. Its word that the first is gone overtakes its answer to the order, and later
+// words bring nothing new: the order seemed to be under way for ever, the engine took no
+// other, and callers were refused for minutes before an engine that did nothing.
+func TestWordOfAnOrdersEndMayOvertakeItsAnswer(t *testing.T) {
+	w := newWorld(t, 2, 1, 1)
+	w.class.WeightsMB = 100
+	e := w.engines["i-0"]
+	e.quick = true
+	e.held["m0"] = map[laburnumlever.AdapterName]bool{}
+	w.beat()
+	w.pass(time.Second)
+	for _, wanted := range []int{1, 0, 1} {
+		for range 16 {
+			w.ask(wanted, 20)
+			w.pass(500 * time.Millisecond)
+		}
+		require.Contains(t, e.held, modelName(wanted))
+	}
+}
+
+// An engine carries an order out, and its word on that is lost on the way: later ones bring
+// nothing new. The engine is asked when its work takes too long, and what it says then
+// counts; it seemed to be at work for ever before.
+func TestOrderWhoseEndWasNeverHeardEndsByTheReport(t *testing.T) {
+	w := newWorld(t, 2, 1, 1)
+	w.class.WeightsMB = 100
+	e := w.engines["i-0"]
+	e.held["m0"] = map[laburnumlever.AdapterName]bool{}
+	w.beat()
+	w.pass(time.Second)
+	e.mute = true
+	for range 60 {
+		w.ask(1, 20)
+		w.pass(500 * time.Millisecond)
+	}
+	require.Contains(t, e.held, modelName(1))
+}
+
+// An order to an engine gets no answer, the engine crashes and starts again under its
+// identity, and the order is carried out by the new start: it counts its orders from
+// nothing, and has come to the number that the old order expects. With the models that
+// it was given meanwhile it would hold more than it has room for.
+func TestOrderToAnEarlierStartMayReachTheNext(t *testing.T) {
+	for late := 2 * time.Second; late < 12*time.Second; late += 500 * time.Millisecond {
+		t.Run(late.String(), func(t *testing.T) {
+			w := newWorld(t, 6, 3, 1)
+			e := w.engines["i-0"]
+			e.accepted, e.late = 2, late
+			w.beat()
+			for len(e.lateOrders) == 0 {
+				w.pass(50 * time.Millisecond)
+			}
+			e.restart()
+			// The model that it was to load comes to another engine.
+			delete(w.engines, "i-2")
+			w.addEngine("i-3", "m0", "m1")
+			w.pass(40 * time.Second)
+			require.GreaterOrEqual(t, len(w.copies()), 4)
+		})
+	}
+}
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -32,6 +32,8 @@
 	sending *laburnumlever.EngineOrder
 	unsure  *laburnumlever.EngineOrder
 	tryAt   time.Time
+	// sentAfter is the sequence of the last heartbeat before the last order was sent.
+	sentAfter uint64
 	// working is the model that is being loaded or unloaded, and the sequence of
 	// the last heartbeat that can't show its end.
 	working      laburnumlever.ModelName
@@ -233,12 +235,22 @@
 			delete(e.held, name)
 		}
 	}
-	if e.overdue && !s.Busy && laburnumlever.Holds(s.Models, e.working, "") != (e.workingKind == laburnumlever.Load) {
-		e.working = "" // it came to nothing
+	if e.overdue && !s.Busy {
+		e.endReported(s)
 	}
 	e.overdue = false
 }
 
+// endReported ends the work of an order by the engine's report, for want of a heartbeat
+// that shows its end: it came to nothing, or the heartbeat was lost, and later ones bring
+// nothing new. Without it the engine would take no other order for ever.
+func (e *engine) endReported(s laburnumlever.EngineState) {
+	if !laburnumlever.Holds(s.Models, e.working, "") {
+		delete(e.held, e.working)
+	}
+	e.working = ""
+}
+
 // withComing adds a model's adapters that are on their way.
 func withComing(m laburnumlever.HeldModel, coming []laburnumlever.HeldModel) laburnumlever.HeldModel {
 	m.Adapters = slices.Clone(m.Adapters)
--- a/laburnumdirector/events.go
+++ b/laburnumdirector/events.go
@@ -12,10 +12,7 @@
 	// recorded is news of a backend server.
 	recorded struct{ record laburnumregistry.Record }
 	// heard says that a heartbeat came which brought nothing new.
-	heard struct {
-		backend  laburnumlever.BackendID
-		sequence uint64
-	}
+	heard  struct{ heartbeat laburnumlever.Heartbeat }
 	routed struct{ table laburnumlever.RouteTable }
 	// told is what a gateway tells.
 	told struct {
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -17,7 +17,7 @@
 		return
 	}
 	order.Expect, order.Holder, order.Fence = e.accepted, d.self.ID, d.lease.fence
-	e.sending = &order
+	e.sending, e.sentAfter = &order, e.heartbeat.Sequence
 	e.note(order, d.timers.Now())
 	d.cfg.scope.Counter("orders-sent").Inc(1)
 	to, until := e.heartbeat, d.lease.until
@@ -132,7 +132,12 @@
 		p := e.planned(now)
 		e.workingTime = time.Duration(p.LoadSeconds(m) * float64(time.Second))
 	}
-	e.workingAfter = e.heartbeat.Sequence
+	e.workingAfter = e.sentAfter
+	if e.workEnded(e.heartbeat) {
+		// The engine's word on the end has overtaken its answer. The heartbeats to come
+		// bring nothing new and are not looked at: the order would be under way for ever.
+		e.working = ""
+	}
 	e.changed = true
 }
 
@@ -232,6 +237,11 @@
 		_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventEngineNotAsked, "backend", ev.backend, "cause", ev.err)
 		return
 	}
+	if ev.state.Born != 0 && ev.state.Born != e.heartbeat.Born {
+		// It has started again, or speaks of before its start: a heartbeat will tell.
+		e.known, e.tryAt = false, d.timers.Now().Add(stateRetry)
+		return
+	}
 	if e.sending != nil || (e.known && ev.state.Accepted < e.accepted) {
 		return // older than what is known
 	}
--- a/laburnumdirector/world_test.go
+++ b/laburnumdirector/world_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,6 +61,8 @@
 	holds    bool
 	calls    []func()
 	overlays map[laburnumlever.BackendID]laburnumregistry.Overlay
+	// registry keeps from the director what brings nothing new, as on a control VM.
+	registry *laburnumregistry.Table
 }
 
 // fakeEngine keeps the platform's rules on orders, and reports whoever breaks them.
@@ -66,11 +70,17 @@
 	w        *world
 	id       laburnumlever.BackendID
 	held     map[laburnumlever.ModelName]map[laburnumlever.AdapterName]bool
+	born     uint64
 	accepted uint64
 	fence    uint64
 	busyTill time.Time
 	pending  func() // what the order under way does in the end
 	sequence uint64
+	// quick makes orders take no time, and the engine's word on their end come before the
+	// answer to them.
+	quick bool
+	// mute makes its word on what it holds get lost on its way to the directors.
+	mute bool
 	// loseAnswer makes the next order's answer get lost; late also makes it be
 	// carried out only after a while.
 	loseAnswer bool
@@ -93,8 +103,7 @@
 		})
 	}
 	for i := range engines {
-		id := laburnumlever.BackendID(fmt.Sprintf("i-%d", i))
-		w.engines[id] = &fakeEngine{w: w, id: id, held: map[laburnumlever.ModelName]map[laburnumlever.AdapterName]bool{}}
+		w.addEngine(laburnumlever.BackendID(fmt.Sprintf("i-%d", i)))
 	}
 	for i := range directors {
 		w.addDirector(i)
@@ -103,12 +112,21 @@
 	return w
 }
 
+func (w *world) addEngine(id laburnumlever.BackendID, models ...laburnumlever.ModelName) {
+	e := &fakeEngine{w: w, id: id, held: map[laburnumlever.ModelName]map[laburnumlever.AdapterName]bool{}}
+	for _, m := range models {
+		e.held[m] = map[laburnumlever.AdapterName]bool{}
+	}
+	w.engines[id] = e
+}
+
 func modelName(i int) laburnumlever.ModelName { return laburnumlever.ModelName(fmt.Sprintf("m%d", i)) }
 
 func (w *world) addDirector(i int) {
 	n := &node{
 		w: w, vm: laburnumlever.VM{ID: laburnumlever.VMID(fmt.Sprintf("10.0.0.%d", i)), Incarnation: 1},
 		loop: laburnumcontrol.New(), overlays: map[laburnumlever.BackendID]laburnumregistry.Overlay{},
+		registry: laburnumregistry.New(time.Second),
 	}
 	n.director = laburnumdirector.New(n.loop, w.timers, n, engineCalls{n}, n.vm,
 		laburnumdirector.WithLease(leaseTime), laburnumdirector.WithStore(5*time.Second, 1.1),
@@ -184,9 +202,19 @@
 
 func (w *world) beat() {
 	for _, e := range w.engines {
-		e.sequence++
-		for _, n := range w.directors {
-			n.director.SetRecord(laburnumregistry.Record{Heartbeat: e.heartbeat()})
+		e.beat()
+	}
+}
+
+// beat tells the directors what the engine holds, or only that it is there still.
+func (e *fakeEngine) beat() {
+	e.sequence++
+	h := e.heartbeat()
+	for _, n := range e.w.directors {
+		if n.registry.Take(h, e.w.timers.Now()) && !e.mute {
+			n.director.SetRecord(laburnumregistry.Record{Heartbeat: h})
+		} else {
+			n.director.SetHeard(h)
 		}
 	}
 }
@@ -200,7 +228,7 @@
 }
 
 func (e *fakeEngine) heartbeat() laburnumlever.Heartbeat {
-	h := laburnumlever.Heartbeat{Backend: e.id, Service: "quotes", Address: string(e.id), Zone: "brest", Sequence: e.sequence, Slots: 24}
+	h := laburnumlever.Heartbeat{Backend: e.id, Service: "quotes", Address: string(e.id), Zone: "brest", Born: e.born, Sequence: e.sequence, Slots: 24}
 	h.Models = e.models()
 	return h
 }
@@ -212,8 +240,10 @@
 		for a := range adapters {
 			m.Adapters = append(m.Adapters, a)
 		}
+		slices.Sort(m.Adapters)
 		list = append(list, m)
 	}
+	slices.SortFunc(list, func(a, b laburnumlever.HeldModel) int { return strings.Compare(string(a.Name), string(b.Name)) })
 	return list
 }
 
@@ -234,6 +264,14 @@
 	}
 }
 
+// restart is a start under the same identity: nothing of before is held or known, and
+// orders on their way arrive.
+func (e *fakeEngine) restart() {
+	e.born, e.sequence, e.accepted, e.fence, e.pending = e.born+1, 0, 0, 0, nil
+	e.held = map[laburnumlever.ModelName]map[laburnumlever.AdapterName]bool{}
+	e.beat()
+}
+
 // size is what the engine holds or will hold; more than it has would crash it.
 func (e *fakeEngine) check() {
 	adapters := 0
@@ -251,7 +289,7 @@
 	if e == nil {
 		return laburnumlever.EngineState{}, &laburnumlever.NotSentError{Cause: errors.New("refused")}
 	}
-	return laburnumlever.EngineState{Accepted: e.accepted, Busy: e.pending != nil, Models: e.models()}, nil
+	return laburnumlever.EngineState{Born: e.born, Accepted: e.accepted, Busy: e.pending != nil, Models: e.models()}, nil
 }
 
 func (c engineCalls) Order(_ context.Context, to laburnumlever.Heartbeat, order laburnumlever.EngineOrder) (laburnumlever.EngineVerdict, error) {
@@ -268,6 +306,11 @@
 		return 0, errors.New("no answer")
 	}
 	verdict := e.take(order)
+	if e.quick && e.pending != nil {
+		e.pending()
+		e.pending = nil
+		e.beat()
+	}
 	if e.loseAnswer {
 		e.loseAnswer = false
 		return 0, errors.New("no answer")
--- a/laburnumregistry/overlay.go
+++ b/laburnumregistry/overlay.go
@@ -12,6 +12,8 @@
 type Overlay struct {
 	Backend laburnumlever.BackendID `json:"backend"`
 	Fence   uint64                  `json:"fence"`
+	// Born is the start of the engine that it speaks of.
+	Born uint64 `json:"born,omitempty"`
 	// Sequence is that of the last heartbeat known when it was made.
 	Sequence uint64 `json:"sequence"`
 	// Withdrawn are models that gateways must send nothing more for.
@@ -23,6 +25,9 @@
 // Holds tells whether requests for the model, and the adapter unless it is empty,
 // may go to an engine with the heartbeat.
 func (o Overlay) Holds(h laburnumlever.Heartbeat, model laburnumlever.ModelName, adapter laburnumlever.AdapterName) bool {
+	if o.Born != h.Born {
+		o = Overlay{}
+	}
 	if slices.Contains(o.Withdrawn, model) || !h.Holds(model, "") {
 		return false
 	}
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -34,6 +34,8 @@
 type entry struct {
 	record Record
 	heard  time.Time
+	// alive is the sequence of the last heartbeat that was told of without its content.
+	alive uint64
 }
 
 // Table holds the records by identity. It is not safe for concurrent use.
@@ -50,11 +52,13 @@
 // Take notes a heartbeat and tells whether the record changed for others.
 func (t *Table) Take(h laburnumlever.Heartbeat, now time.Time) bool {
 	e := t.entries[h.Backend]
-	if e == nil {
+	if e == nil || h.Born > e.record.Heartbeat.Born {
+		// One that starts again under its identity is another: that the last start has
+		// ended, or left, says nothing of it.
 		t.entries[h.Backend] = &entry{record: Record{Heartbeat: h}, heard: now}
 		return true
 	}
-	if h.Sequence <= e.record.Heartbeat.Sequence || e.record.Gone {
+	if !h.NewerThan(e.record.Heartbeat) || e.record.Gone {
 		return false
 	}
 	e.heard = now
@@ -64,18 +68,28 @@
 	return before.Silent || !sameNews(before.Heartbeat, h)
 }
 
+// Alive notes that another VM heard a heartbeat which brought it nothing new, and tells
+// whether the record changed for others. One that is not known here, or known by an older
+// heartbeat, is left as it is: what it brought comes from the VM that heard it.
+func (t *Table) Alive(id laburnumlever.BackendID, born, sequence uint64, now time.Time) bool {
+	e := t.entries[id]
+	if e == nil || e.record.Gone || e.record.Heartbeat.Born != born || sequence <= max(e.alive, e.record.Heartbeat.Sequence) {
+		return false
+	}
+	e.heard, e.alive = now, sequence
+	changed := e.record.Silent
+	e.record.Silent = false
+	return changed
+}
+
 // Merge notes a record that another VM has sent and tells whether it changed.
 func (t *Table) Merge(r Record, now time.Time) bool {
 	id := r.Heartbeat.Backend
+	e := t.entries[id]
 	if r.Gone {
-		if t.entries[id] == nil {
-			t.entries[id] = &entry{record: r, heard: now}
-			return true
-		}
-		return t.Remove(id, now)
+		return t.mergeGone(r, now)
 	}
-	e := t.entries[id]
-	if e != nil && r.Heartbeat.Sequence == e.record.Heartbeat.Sequence && r.Silent != e.record.Silent {
+	if e != nil && sameWord(r.Heartbeat, e.record.Heartbeat) && r.Silent != e.record.Silent {
 		e.record.Silent = r.Silent
 		return true
 	}
@@ -86,13 +100,30 @@
 	return changed
 }
 
+// mergeGone notes the end of a start of a backend server; that of an earlier start than
+// the one known is old.
+func (t *Table) mergeGone(r Record, now time.Time) bool {
+	id := r.Heartbeat.Backend
+	e := t.entries[id]
+	if e == nil || r.Heartbeat.Born > e.record.Heartbeat.Born {
+		t.entries[id] = &entry{record: r, heard: now}
+		return true
+	}
+	return r.Heartbeat.Born == e.record.Heartbeat.Born && t.Remove(id, now)
+}
+
+// sameWord tells whether two heartbeats under one identity are the same.
+func sameWord(a, b laburnumlever.Heartbeat) bool {
+	return a.Born == b.Born && a.Sequence == b.Sequence
+}
+
 // Adopt notes a record that another control VM has sent and tells whether it changed.
 // Who is silent here is judged by what is heard here: control VMs that took each other's
 // word on the same heartbeat would call a dead backend server silent and heard again in
 // turns, for ever, each turn being news for all.
 func (t *Table) Adopt(r Record, now time.Time) bool {
 	e := t.entries[r.Heartbeat.Backend]
-	if e != nil && !r.Gone && r.Heartbeat.Sequence <= e.record.Heartbeat.Sequence {
+	if e != nil && !r.Gone && !r.Heartbeat.NewerThan(e.record.Heartbeat) {
 		return false
 	}
 	return t.Merge(r, now)
--- a/laburnumregistry/registry_test.go
+++ b/laburnumregistry/registry_test.go
@@ -151,3 +151,51 @@
 	table.Expire(start.Add(time.Hour))
 	require.Equal(t, []laburnumlever.BackendID{"i-2"}, table.Forget(start.Add(time.Hour)))
 }
+
+// A backend server speaks to one control VM, and the others are told only that it is alive.
+// It does not fall silent there; a word from before its last heartbeat, or about one that
+// is gone, counts for nothing.
+func TestWordThatABackendServerIsAliveKeepsItHeard(t *testing.T) {
+	const period = time.Second
+	now := time.Unix(1_000_000, 0)
+	table := laburnumregistry.New(period)
+	h := laburnumlever.Heartbeat{Backend: "i-1", Service: "quotes", Sequence: 5}
+	require.True(t, table.Take(h, now))
+	for sequence := uint64(6); sequence < 20; sequence++ {
+		now = now.Add(period)
+		require.False(t, table.Alive("i-1", 0, sequence, now))
+		require.Empty(t, table.Expire(now))
+	}
+	for range 4 {
+		now = now.Add(period)
+		require.False(t, table.Alive("i-1", 0, 7, now), "an old word")
+	}
+	require.Equal(t, []laburnumlever.BackendID{"i-1"}, table.Expire(now))
+	require.True(t, table.Alive("i-1", 0, 20, now), "heard again, which is news")
+	require.True(t, table.Remove("i-1", now))
+	require.False(t, table.Alive("i-1", 0, 21, now))
+	require.False(t, table.Alive("i-2", 0, 1, now), "not known here yet")
+}
+
+// An engine crashes and starts again under its identity. Its words begin at one again; taken
+// for late ones, it would be unknown for as long as it ran before. Words of the earlier
+// start, and that it has ended, come late and say nothing of the new one.
+func TestStartUnderTheSameIdentityIsAnother(t *testing.T) {
+	born := func(at uint64) func(*laburnumlever.Heartbeat) {
+		return func(h *laburnumlever.Heartbeat) { h.Born = at }
+	}
+	table := laburnumregistry.New(period)
+	require.True(t, table.Take(beat(40, born(100)), start))
+	require.True(t, table.Take(beat(1, born(200)), start))
+	require.False(t, table.Take(beat(41, born(100)), start), "a late word of the earlier start")
+	require.False(t, table.Alive("i-1", 100, 50, start))
+	gone := laburnumregistry.Record{Heartbeat: beat(41, born(100)), Gone: true}
+	require.False(t, table.Merge(gone, start), "the earlier start's end")
+	r, _ := table.Record("i-1")
+	require.Equal(t, laburnumregistry.Record{Heartbeat: beat(1, born(200))}, r)
+	require.True(t, table.Remove("i-1", start))
+	require.False(t, table.Take(beat(2, born(200)), start), "its own end is final")
+	require.True(t, table.Take(beat(1, born(300)), start))
+	require.True(t, table.Merge(laburnumregistry.Record{Heartbeat: beat(9, born(400)), Gone: true}, start))
+	require.False(t, table.Take(beat(8, born(400)), start))
+}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -231,7 +231,7 @@
 		c.offer(h.Backend)
 		return
 	}
-	c.director.SetHeard(h.Backend, h.Sequence)
+	c.director.SetHeard(h)
 }
 
 func (c *Control) remove(backend laburnumlever.BackendID) {
