--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -148,8 +148,7 @@
 	var best *engine
 	for _, id := range d.engineOrder() {
 		e := d.engines[id]
-		h := e.held[n.key.model]
-		if h == nil || h.withdrawn || !e.takesAdapter(now) || slices.Contains(n.except, id) {
+		if slices.Contains(n.except, id) || !e.takesAdapterOf(n.key.model, now) {
 			continue
 		}
 		if best == nil || e.adapters() < best.adapters() {
@@ -168,6 +167,12 @@
 	}
 }
 
+// takesAdapterOf tells whether an order for an adapter of the model can be sent.
+func (e *engine) takesAdapterOf(model laburnumlever.ModelName, now time.Time) bool {
+	h := e.held[model]
+	return h != nil && !h.withdrawn && e.takesAdapter(now)
+}
+
 // takesAdapter tells whether an order for an adapter can be sent: an engine that is
 // loading a model refuses it.
 func (e *engine) takesAdapter(now time.Time) bool {
