--- a/laburnumgateway/waiting.go
+++ b/laburnumgateway/waiting.go
@@ -20,7 +20,7 @@
 	// has a place to go on at: the rest is for reading the prompt and what was written.
 	// Counted from the request's arrival, as for a place to begin at, the time was over
 	// for nearly all: of some 250 streams that broke off on a day on which five of twelve
-	// engines crashed, 122 ended there and then though places came free all the time.
+	// engines crashed, 122 ended there and then for want of a place.
 	resumeShare = 0.66
 	// maxWaiting bounds the requests that wait on one gateway: at some hundred
 	// requests a second, one behind so many has no chance in its time.
