feat: lines and gauges that tell who the log's voters are and whose vote is missing

In an incident all control VMs were up and linked, and nothing told which voters they waited for, what instance a VM was, or why no election was won: three hypotheses could not be told apart.

Now: replica-opened (instance, last index, voters found in the folder), voters-in-force at each change, when appended and when committed, with the time taken; no-leader after two seconds and every five while it lasts, with the votes that are missing and what is known of each; the operator's refusal names them too. Gauges losses_borne and leaderless_seconds. Events of members are of the enum.

Metrics show what the parts counted first: the incident's monitoring kept 4 KB of each answer, and all of it was the language runtime's.

--- a/laburnumlog/doc.go
+++ b/laburnumlog/doc.go
@@ -19,4 +19,4 @@
 // applies out.Committed in order, after out.Install when that is set.
 package laburnumlog
 
-//go:generate go tool -modfile=../tools/go.mod enumer -type=MessageKind,EntryKind,Role -transform=kebab -text -json -output=enums_gen.go
+//go:generate go tool -modfile=../tools/go.mod enumer -type=MessageKind,EntryKind,Role,Ballot -transform=kebab -text -json -output=enums_gen.go
--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -182,7 +182,11 @@
 }
 
 func (l *Log) onPreVoteAnswer(m Message) {
-	if l.role != PreCandidate || m.Reject || m.Term != l.hard.Term+1 {
+	if l.role == PreCandidate && m.Reject {
+		l.noteRefusal(m.From)
+		return
+	}
+	if l.role != PreCandidate || m.Term != l.hard.Term+1 {
 		return
 	}
 	l.votes[m.From] = true
@@ -203,7 +207,11 @@
 }
 
 func (l *Log) onVoteAnswer(m Message) {
-	if l.role != Candidate || m.Reject {
+	if l.role == Candidate && m.Reject {
+		l.noteRefusal(m.From)
+		return
+	}
+	if l.role != Candidate {
 		return
 	}
 	l.votes[m.From] = true
@@ -211,3 +219,24 @@
 		l.becomeLeader()
 	}
 }
+
+// noteRefusal keeps a refusal for Ballot. A vote that was granted stands: the refusal
+// is of an earlier round then.
+func (l *Log) noteRefusal(from ReplicaID) {
+	if _, answered := l.votes[from]; !answered {
+		l.votes[from] = false
+	}
+}
+
+// Ballot is what a member answered when this replica last asked for votes.
+func (l *Log) Ballot(id ReplicaID) Ballot {
+	granted, answered := l.votes[id]
+	switch {
+	case granted:
+		return Granted
+	case answered:
+		return Refused
+	default:
+		return Unanswered
+	}
+}
--- a/laburnumlog/replication.go
+++ b/laburnumlog/replication.go
@@ -62,6 +62,20 @@
 	return MemberProgress{Match: p.match, SilentTicks: p.silent, Boot: p.boot, Older: p.older, Lost: p.lost}, ok
 }
 
+// LossesBorne is how many more voters may be lost for good, disks and all, so that those
+// left are still a majority. A leader counts only the voters that answer; others count
+// all that are on the list. It is negative when a majority is gone already.
+func (l *Log) LossesBorne() int {
+	there := 0
+	for _, m := range l.Configuration().Voters() {
+		p, ok := l.Progress(m.ID)
+		if !ok || !p.Lost && p.SilentTicks < electionTicks {
+			there++
+		}
+	}
+	return there - l.Configuration().Majority()
+}
+
 // syncProgress makes the progress table follow the configuration.
 func (l *Log) syncProgress() {
 	old := l.progress
--- a/laburnumlog/values.go
+++ b/laburnumlog/values.go
@@ -121,6 +121,16 @@
 	Leader
 )
 
+// Ballot is a member's answer to a question for its vote.
+type Ballot int
+
+// The answers.
+const (
+	Unanswered Ballot = iota
+	Granted
+	Refused
+)
+
 // Find returns the member with the id.
 func (c Configuration) Find(id ReplicaID) (Member, bool) {
 	i := slices.IndexFunc(c.Members, func(m Member) bool { return m.ID == id })
--- a/laburnummetrics/metrics.go
+++ b/laburnummetrics/metrics.go
@@ -22,6 +22,8 @@
 	"github.com/go-kit/log/level"
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -40,6 +42,7 @@
 type Metrics struct {
 	logger   log.Logger
 	registry *prom.Registry
+	runtime  *prom.Registry // what the language's runtime and the kernel tell of the process
 	reporter prometheus.Reporter
 	scope    tally.Scope
 	closer   io.Closer
@@ -56,11 +59,11 @@
 
 // New returns an empty Metrics; Close ends it.
 func New(opts ...Option) *Metrics {
-	m := &Metrics{logger: log.NewNopLogger(), registry: prom.NewRegistry()}
+	m := &Metrics{logger: log.NewNopLogger(), registry: prom.NewRegistry(), runtime: prom.NewRegistry()}
 	for _, opt := range opts {
 		opt(m)
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.reporter = prometheus.NewReporter(prometheus.Options{
 		Registerer:      m.registry,
 		OnRegisterError: m.registerFailed,
@@ -101,7 +104,20 @@
 func (m *Metrics) Scope() tally.Scope { return m.scope }
 
 // Handler shows everything in the Prometheus text format.
-func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(prom.GathererFunc(m.gather), promhttp.HandlerOpts{})
+}
+
+// gather puts what the parts counted first: some monitoring keeps only the first few
+// kilobytes of an answer, and the runtime's metrics alone fill them.
+func (m *Metrics) gather() ([]*dto.MetricFamily, error) {
+	own, err := m.registry.Gather()
+	if err != nil {
+		return own, err
+	}
+	process, err := m.runtime.Gather()
+	return append(own, process...), err
+}
 
 // Close reports what is still pending and ends the reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
--- a/laburnummetrics/metrics_test.go
+++ b/laburnummetrics/metrics_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -12,6 +14,9 @@
 	"laburnumlever/laburnummetrics"
 )
 
+// patience is far above the period in which metrics are reported.
+const patience = 20 * time.Second
+
 func text(m *laburnummetrics.Metrics) string {
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
@@ -38,3 +43,15 @@
 	require.NoError(t, metrics.Close())
 	require.Contains(t, text(metrics), "laburnumlever_kebab_name 3\n")
 }
+
+// Monitoring that keeps only the start of an answer showed an incident's first responders
+// the garbage collector and not one counter of the parts: the runtime's came first.
+func TestPartsAreShownBeforeTheRuntime(t *testing.T) {
+	metrics := laburnummetrics.New()
+	defer metrics.Close()
+	metrics.Scope().Gauge("losses_borne").Update(1)
+	require.Eventually(t, func() bool { return strings.Contains(text(metrics), "losses_borne 1") }, patience, time.Millisecond)
+	shown := text(metrics)
+	require.Contains(t, shown, "go_goroutines")
+	require.Less(t, strings.LastIndex(shown, "laburnumlever_"), strings.Index(shown, "go_"))
+}
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -207,7 +207,7 @@
 		}
 		learner := j.hello.Member
 		learner.Learner = true
-		v.change("learner-added", learner, configuration.WithMember(learner))
+		v.change(laburnumlever.EventLearnerAdded, learner, configuration.WithMember(learner))
 		return
 	}
 }
@@ -216,24 +216,24 @@
 	p, _ := v.log.Progress(m.ID)
 	switch {
 	case p.SilentTicks > v.replaceTicks() || p.Lost:
-		v.change("learner-removed", m, configuration.Without(m.ID))
+		v.change(laburnumlever.EventLearnerRemoved, m, configuration.Without(m.ID))
 		return
 	case p.SilentTicks > answersTicks || p.Match < v.log.Commit():
 		return // not caught up
 	}
 	if old, ok := v.replacedBy(configuration, m.VM); ok {
-		v.change("voter-removed", old, configuration.Without(old.ID))
+		v.change(laburnumlever.EventVoterRemoved, old, configuration.Without(old.ID))
 		return
 	}
 	if len(configuration.Voters()) >= v.cfg.voterTarget {
-		v.change("learner-removed", m, configuration.Without(m.ID))
+		v.change(laburnumlever.EventLearnerRemoved, m, configuration.Without(m.ID))
 		return
 	}
 	m.Learner = false
-	v.change("voter-added", m, configuration.WithMember(m))
+	v.change(laburnumlever.EventVoterAdded, m, configuration.WithMember(m))
 }
 
-func (v *Voter) change(event string, m laburnumlog.Member, to laburnumlog.Configuration) {
+func (v *Voter) change(event laburnumlever.LogEvent, m laburnumlog.Member, to laburnumlog.Configuration) {
 	out := v.step(laburnumlog.ChangeMembers{Configuration: to})
 	_ = level.Info(v.cfg.logger).Log("event", event, "replica", m.ID, "accepted", out.Accepted)
 }
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -176,10 +176,7 @@
 }
 
 func (v *Voter) turnAway(list []proposal) {
-	answer := proposeAnswer{Verdict: verdictNotTaken, Detail: "this VM does not lead", Voters: v.voterList()}
-	if v.failure != nil {
-		answer.Detail = v.failure.Error()
-	}
+	answer := proposeAnswer{Verdict: verdictNotTaken, Detail: v.notLeading(), Voters: v.voterList()}
 	if v.log != nil {
 		if m, ok := v.log.Configuration().Find(v.log.Leader()); ok && m.ID != v.log.ID() {
 			answer.Leader = laburnumlever.Voter{VM: m.VM, PeerAddress: m.Address}
--- /dev/null
+++ b/laburnumvoter/report_test.go
@@ -0,0 +1,65 @@
+package laburnumvoter_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	"laburnumlever"
+	"laburnumlever/laburnumvoter"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+)
+
+// lines keeps what is logged, a line an entry, its fields in their order.
+type lines struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (l *lines) Log(keyvals ...any) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, fmt.Sprintln(keyvals...))
+	return nil
+}
+
+// has tells whether a line of the event holds all the texts.
+func (l *lines) has(event laburnumlever.LogEvent, texts ...string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.list {
+		found := strings.Contains(line, "event "+event.String()+" ")
+		for _, text := range texts {
+			found = found && strings.Contains(line, text)
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
+
+var _ log.Logger = (*lines)(nil)
+
+// Changes are refused for lack of a quorum, and every VM is up. Of two voters one had lost
+// its folder, so that the other waits for a vote that can't come. Its lines must say so: who
+// the voters are, for whose vote it waits, and that this VM is another instance by now.
+func TestLinesTellWhoseVoteIsMissing(t *testing.T) {
+	f := newFleet(t, []string{"a", "b"})
+	said := &lines{}
+	f.start("a", f.folder("a"), laburnumvoter.WithLogger(said))
+	f.start("b", f.folder("b"))
+	f.vms["a"].apply(t, "first", 0)
+	f.stop("b")
+	require.NoError(t, os.RemoveAll(f.folder("b")))
+	f.start("b", f.folder("b"))
+	f.wait("the want of a leader is told", func() bool {
+		return said.has(laburnumlever.EventNoLeader, "waiting-for [b/", "its VM is another instance now")
+	})
+	require.True(t, said.has(laburnumlever.EventReplicaOpened, "last 0"))
+	require.True(t, said.has(laburnumlever.EventVotersInForce, "voters [a/", "committed true"))
+}
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -47,6 +47,7 @@
 	handOvers    []chan struct{}
 	failure      error
 	published    publishedKey
+	said         report
 
 	// Any goroutine.
 	status    atomic.Pointer[laburnumlever.VoterStatus]
@@ -103,6 +104,7 @@
 	v.current = v.writer
 	v.mu.Unlock()
 	go v.writer.run()
+	v.reportOpened()
 }
 
 // OnCatalogue sets the function that is called on the control thread for each
@@ -178,6 +180,7 @@
 		v.step(laburnumlog.Receive{Message: m})
 	}
 	v.noteRole()
+	v.reportVoters()
 	v.publish()
 }
 
@@ -202,7 +205,9 @@
 		v.leaderSeen = v.ticks
 	}
 	v.expireLeases(now)
+	v.reportLeaderless()
 	if v.ticks%membersEvery == 0 {
+		v.reportLosses()
 		v.tendMembers()
 	}
 }
--- a/logevent.go
+++ b/logevent.go
@@ -75,6 +75,20 @@
 
 	// EventBecameLeader is this VM leading the log.
 	EventBecameLeader
+	// EventNoLeader is a voter that knows of no leader for long, and whose votes it waits for.
+	EventNoLeader
+	// EventReplicaOpened is a replica that starts from its data folder, and what that held.
+	EventReplicaOpened
+	// EventVotersInForce is a change of the voters or learners, as this VM's replica has it.
+	EventVotersInForce
+	// EventLearnerAdded is a replica that is to catch up.
+	EventLearnerAdded
+	// EventLearnerRemoved is one that is not needed any more, or did not catch up.
+	EventLearnerRemoved
+	// EventVoterAdded is a learner that counts from now on.
+	EventVoterAdded
+	// EventVoterRemoved is a voter that does not count any more.
+	EventVoterRemoved
 	// EventLeadershipNotHandedOver is a leader that ends without another.
 	EventLeadershipNotHandedOver
 	// EventExpiryNotEncoded is the end of a lease that could not be proposed.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-removedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 170, 184, 194, 205, 218, 239, 255, 273, 284, 300, 316, 331, 345, 359, 374, 392, 410, 423, 449, 467, 481, 498, 517, 538, 547, 557, 574, 584, 593, 605, 621, 628, 636, 643, 650, 667, 683, 697, 715, 728, 745}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 170, 184, 194, 205, 218, 239, 255, 273, 284, 300, 316, 331, 345, 359, 374, 392, 410, 423, 432, 446, 461, 474, 489, 500, 513, 539, 557, 571, 588, 607, 628, 637, 647, 664, 674, 683, 695, 711, 718, 726, 733, 740, 757, 773, 787, 805, 818, 835}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-removedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -53,32 +53,39 @@
 	_ = x[EventRoutesNotFetched-(26)]
 	_ = x[EventCatalogueInForce-(27)]
 	_ = x[EventBecameLeader-(28)]
-	_ = x[EventLeadershipNotHandedOver-(29)]
-	_ = x[EventExpiryNotEncoded-(30)]
-	_ = x[EventReplicaFailed-(31)]
-	_ = x[EventReplicaWentBack-(32)]
-	_ = x[EventDataFolderDamaged-(33)]
-	_ = x[EventDataFolderWentBack-(34)]
-	_ = x[EventLeaseGot-(35)]
-	_ = x[EventLeaseLost-(36)]
-	_ = x[EventLeaseNotRenewed-(37)]
-	_ = x[EventZoneOwned-(38)]
-	_ = x[EventZoneLost-(39)]
-	_ = x[EventControlLost-(40)]
-	_ = x[EventControlRegained-(41)]
-	_ = x[EventStarted-(42)]
-	_ = x[EventDraining-(43)]
-	_ = x[EventDrained-(44)]
-	_ = x[EventStopped-(45)]
-	_ = x[EventSettingsReloaded-(46)]
-	_ = x[EventSettingsRefused-(47)]
-	_ = x[EventListenerEnded-(48)]
-	_ = x[EventMetricsNotServed-(49)]
-	_ = x[EventUnknownEvent-(50)]
-	_ = x[EventLogLinesDropped-(51)]
+	_ = x[EventNoLeader-(29)]
+	_ = x[EventReplicaOpened-(30)]
+	_ = x[EventVotersInForce-(31)]
+	_ = x[EventLearnerAdded-(32)]
+	_ = x[EventLearnerRemoved-(33)]
+	_ = x[EventVoterAdded-(34)]
+	_ = x[EventVoterRemoved-(35)]
+	_ = x[EventLeadershipNotHandedOver-(36)]
+	_ = x[EventExpiryNotEncoded-(37)]
+	_ = x[EventReplicaFailed-(38)]
+	_ = x[EventReplicaWentBack-(39)]
+	_ = x[EventDataFolderDamaged-(40)]
+	_ = x[EventDataFolderWentBack-(41)]
+	_ = x[EventLeaseGot-(42)]
+	_ = x[EventLeaseLost-(43)]
+	_ = x[EventLeaseNotRenewed-(44)]
+	_ = x[EventZoneOwned-(45)]
+	_ = x[EventZoneLost-(46)]
+	_ = x[EventControlLost-(47)]
+	_ = x[EventControlRegained-(48)]
+	_ = x[EventStarted-(49)]
+	_ = x[EventDraining-(50)]
+	_ = x[EventDrained-(51)]
+	_ = x[EventStopped-(52)]
+	_ = x[EventSettingsReloaded-(53)]
+	_ = x[EventSettingsRefused-(54)]
+	_ = x[EventListenerEnded-(55)]
+	_ = x[EventMetricsNotServed-(56)]
+	_ = x[EventUnknownEvent-(57)]
+	_ = x[EventLogLinesDropped-(58)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterRemoved, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:    EventRequestServed,
@@ -110,29 +117,36 @@
 	_LogEventName[374:392]: EventRoutesNotFetched,
 	_LogEventName[392:410]: EventCatalogueInForce,
 	_LogEventName[410:423]: EventBecameLeader,
-	_LogEventName[423:449]: EventLeadershipNotHandedOver,
-	_LogEventName[449:467]: EventExpiryNotEncoded,
-	_LogEventName[467:481]: EventReplicaFailed,
-	_LogEventName[481:498]: EventReplicaWentBack,
-	_LogEventName[498:517]: EventDataFolderDamaged,
-	_LogEventName[517:538]: EventDataFolderWentBack,
-	_LogEventName[538:547]: EventLeaseGot,
-	_LogEventName[547:557]: EventLeaseLost,
-	_LogEventName[557:574]: EventLeaseNotRenewed,
-	_LogEventName[574:584]: EventZoneOwned,
-	_LogEventName[584:593]: EventZoneLost,
-	_LogEventName[593:605]: EventControlLost,
-	_LogEventName[605:621]: EventControlRegained,
-	_LogEventName[621:628]: EventStarted,
-	_LogEventName[628:636]: EventDraining,
-	_LogEventName[636:643]: EventDrained,
-	_LogEventName[643:650]: EventStopped,
-	_LogEventName[650:667]: EventSettingsReloaded,
-	_LogEventName[667:683]: EventSettingsRefused,
-	_LogEventName[683:697]: EventListenerEnded,
-	_LogEventName[697:715]: EventMetricsNotServed,
-	_LogEventName[715:728]: EventUnknownEvent,
-	_LogEventName[728:745]: EventLogLinesDropped,
+	_LogEventName[423:432]: EventNoLeader,
+	_LogEventName[432:446]: EventReplicaOpened,
+	_LogEventName[446:461]: EventVotersInForce,
+	_LogEventName[461:474]: EventLearnerAdded,
+	_LogEventName[474:489]: EventLearnerRemoved,
+	_LogEventName[489:500]: EventVoterAdded,
+	_LogEventName[500:513]: EventVoterRemoved,
+	_LogEventName[513:539]: EventLeadershipNotHandedOver,
+	_LogEventName[539:557]: EventExpiryNotEncoded,
+	_LogEventName[557:571]: EventReplicaFailed,
+	_LogEventName[571:588]: EventReplicaWentBack,
+	_LogEventName[588:607]: EventDataFolderDamaged,
+	_LogEventName[607:628]: EventDataFolderWentBack,
+	_LogEventName[628:637]: EventLeaseGot,
+	_LogEventName[637:647]: EventLeaseLost,
+	_LogEventName[647:664]: EventLeaseNotRenewed,
+	_LogEventName[664:674]: EventZoneOwned,
+	_LogEventName[674:683]: EventZoneLost,
+	_LogEventName[683:695]: EventControlLost,
+	_LogEventName[695:711]: EventControlRegained,
+	_LogEventName[711:718]: EventStarted,
+	_LogEventName[718:726]: EventDraining,
+	_LogEventName[726:733]: EventDrained,
+	_LogEventName[733:740]: EventStopped,
+	_LogEventName[740:757]: EventSettingsReloaded,
+	_LogEventName[757:773]: EventSettingsRefused,
+	_LogEventName[773:787]: EventListenerEnded,
+	_LogEventName[787:805]: EventMetricsNotServed,
+	_LogEventName[805:818]: EventUnknownEvent,
+	_LogEventName[818:835]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -165,29 +179,36 @@
 	_LogEventLowerName[374:392]: EventRoutesNotFetched,
 	_LogEventLowerName[392:410]: EventCatalogueInForce,
 	_LogEventLowerName[410:423]: EventBecameLeader,
-	_LogEventLowerName[423:449]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[449:467]: EventExpiryNotEncoded,
-	_LogEventLowerName[467:481]: EventReplicaFailed,
-	_LogEventLowerName[481:498]: EventReplicaWentBack,
-	_LogEventLowerName[498:517]: EventDataFolderDamaged,
-	_LogEventLowerName[517:538]: EventDataFolderWentBack,
-	_LogEventLowerName[538:547]: EventLeaseGot,
-	_LogEventLowerName[547:557]: EventLeaseLost,
-	_LogEventLowerName[557:574]: EventLeaseNotRenewed,
-	_LogEventLowerName[574:584]: EventZoneOwned,
-	_LogEventLowerName[584:593]: EventZoneLost,
-	_LogEventLowerName[593:605]: EventControlLost,
-	_LogEventLowerName[605:621]: EventControlRegained,
-	_LogEventLowerName[621:628]: EventStarted,
-	_LogEventLowerName[628:636]: EventDraining,
-	_LogEventLowerName[636:643]: EventDrained,
-	_LogEventLowerName[643:650]: EventStopped,
-	_LogEventLowerName[650:667]: EventSettingsReloaded,
-	_LogEventLowerName[667:683]: EventSettingsRefused,
-	_LogEventLowerName[683:697]: EventListenerEnded,
-	_LogEventLowerName[697:715]: EventMetricsNotServed,
-	_LogEventLowerName[715:728]: EventUnknownEvent,
-	_LogEventLowerName[728:745]: EventLogLinesDropped,
+	_LogEventLowerName[423:432]: EventNoLeader,
+	_LogEventLowerName[432:446]: EventReplicaOpened,
+	_LogEventLowerName[446:461]: EventVotersInForce,
+	_LogEventLowerName[461:474]: EventLearnerAdded,
+	_LogEventLowerName[474:489]: EventLearnerRemoved,
+	_LogEventLowerName[489:500]: EventVoterAdded,
+	_LogEventLowerName[500:513]: EventVoterRemoved,
+	_LogEventLowerName[513:539]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[539:557]: EventExpiryNotEncoded,
+	_LogEventLowerName[557:571]: EventReplicaFailed,
+	_LogEventLowerName[571:588]: EventReplicaWentBack,
+	_LogEventLowerName[588:607]: EventDataFolderDamaged,
+	_LogEventLowerName[607:628]: EventDataFolderWentBack,
+	_LogEventLowerName[628:637]: EventLeaseGot,
+	_LogEventLowerName[637:647]: EventLeaseLost,
+	_LogEventLowerName[647:664]: EventLeaseNotRenewed,
+	_LogEventLowerName[664:674]: EventZoneOwned,
+	_LogEventLowerName[674:683]: EventZoneLost,
+	_LogEventLowerName[683:695]: EventControlLost,
+	_LogEventLowerName[695:711]: EventControlRegained,
+	_LogEventLowerName[711:718]: EventStarted,
+	_LogEventLowerName[718:726]: EventDraining,
+	_LogEventLowerName[726:733]: EventDrained,
+	_LogEventLowerName[733:740]: EventStopped,
+	_LogEventLowerName[740:757]: EventSettingsReloaded,
+	_LogEventLowerName[757:773]: EventSettingsRefused,
+	_LogEventLowerName[773:787]: EventListenerEnded,
+	_LogEventLowerName[787:805]: EventMetricsNotServed,
+	_LogEventLowerName[805:818]: EventUnknownEvent,
+	_LogEventLowerName[818:835]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -220,29 +241,36 @@
 	_LogEventName[374:392],
 	_LogEventName[392:410],
 	_LogEventName[410:423],
-	_LogEventName[423:449],
-	_LogEventName[449:467],
-	_LogEventName[467:481],
-	_LogEventName[481:498],
-	_LogEventName[498:517],
-	_LogEventName[517:538],
-	_LogEventName[538:547],
-	_LogEventName[547:557],
-	_LogEventName[557:574],
-	_LogEventName[574:584],
-	_LogEventName[584:593],
-	_LogEventName[593:605],
-	_LogEventName[605:621],
-	_LogEventName[621:628],
-	_LogEventName[628:636],
-	_LogEventName[636:643],
-	_LogEventName[643:650],
-	_LogEventName[650:667],
-	_LogEventName[667:683],
-	_LogEventName[683:697],
-	_LogEventName[697:715],
-	_LogEventName[715:728],
-	_LogEventName[728:745],
+	_LogEventName[423:432],
+	_LogEventName[432:446],
+	_LogEventName[446:461],
+	_LogEventName[461:474],
+	_LogEventName[474:489],
+	_LogEventName[489:500],
+	_LogEventName[500:513],
+	_LogEventName[513:539],
+	_LogEventName[539:557],
+	_LogEventName[557:571],
+	_LogEventName[571:588],
+	_LogEventName[588:607],
+	_LogEventName[607:628],
+	_LogEventName[628:637],
+	_LogEventName[637:647],
+	_LogEventName[647:664],
+	_LogEventName[664:674],
+	_LogEventName[674:683],
+	_LogEventName[683:695],
+	_LogEventName[695:711],
+	_LogEventName[711:718],
+	_LogEventName[718:726],
+	_LogEventName[726:733],
+	_LogEventName[733:740],
+	_LogEventName[740:757],
+	_LogEventName[757:773],
+	_LogEventName[773:787],
+	_LogEventName[787:805],
+	_LogEventName[805:818],
+	_LogEventName[818:835],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
