refactor: who the voters are to be is decided in pure code

The decisions of laburnumvoter's members.go move to laburnumquorum without a change of logic, so that a test of the log can drive them without a network: what the leader sees goes in, the next change of the members comes out.

--- /dev/null
+++ b/laburnumquorum/policy.go
@@ -0,0 +1,105 @@
+package laburnumquorum
+
+import (
+	"laburnumlever"
+	"laburnumlever/laburnumlog"
+)
+
+// answersTicks is how long a member may be silent and still count as there.
+const answersTicks = 10
+
+// Policy says how many voters there are to be and when one is given up.
+type Policy struct {
+	// Target is how many voters the log aims at.
+	Target int
+	// ReplaceTicks of silence make a voter's place free for another VM.
+	ReplaceTicks int
+}
+
+// View is what a leader sees of the replicas.
+type View struct {
+	// Configuration is the one in force, and Pending tells that it is not committed yet.
+	Configuration laburnumlog.Configuration
+	Pending       bool
+	// Commit is the last index known committed.
+	Commit uint64
+	// Progress is what the leader knows of a member; false for one it knows nothing of.
+	Progress func(laburnumlog.ReplicaID) (laburnumlog.MemberProgress, bool)
+	// Joiners are the replicas that asked to join lately and may, in the order in
+	// which they are considered.
+	Joiners []laburnumlog.Member
+}
+
+// Change is one change of the members.
+type Change struct {
+	Event  laburnumlever.LogEvent
+	Member laburnumlog.Member
+	To     laburnumlog.Configuration
+}
+
+// Next is the next change of the members, if one is due: a learner is added, caught up,
+// and only then put in the place of the voter that it replaces. The old voter goes
+// first: with it in the list and gone, a majority of four would need all of the three
+// that work.
+func (p Policy) Next(v View) (Change, bool) {
+	if v.Pending {
+		return Change{}, false
+	}
+	for _, m := range v.Configuration.Members {
+		if m.Learner {
+			return p.tendLearner(v, m)
+		}
+	}
+	for _, m := range v.Joiners {
+		if _, in := v.Configuration.Find(m.ID); in || !p.wanted(v, m.VM) {
+			continue
+		}
+		m.Learner = true
+		return Change{laburnumlever.EventLearnerAdded, m, v.Configuration.WithMember(m)}, true
+	}
+	return Change{}, false
+}
+
+func (p Policy) tendLearner(v View, m laburnumlog.Member) (Change, bool) {
+	progress, _ := v.Progress(m.ID)
+	remove := Change{laburnumlever.EventLearnerRemoved, m, v.Configuration.Without(m.ID)}
+	switch {
+	case progress.SilentTicks > p.ReplaceTicks || progress.Lost:
+		return remove, true
+	case progress.SilentTicks > answersTicks || progress.Match < v.Commit:
+		return Change{}, false // not caught up
+	}
+	if old, ok := p.replacedBy(v, m.VM); ok {
+		return Change{laburnumlever.EventVoterRemoved, old, v.Configuration.Without(old.ID)}, true
+	}
+	if len(v.Configuration.Voters()) >= p.Target {
+		return remove, true
+	}
+	m.Learner = false
+	return Change{laburnumlever.EventVoterAdded, m, v.Configuration.WithMember(m)}, true
+}
+
+// replacedBy finds the voter whose place a replica on the VM would take: the one of
+// the same VM, else one that has been silent for long.
+func (p Policy) replacedBy(v View, vm laburnumlever.VMID) (laburnumlog.Member, bool) {
+	for _, m := range v.Configuration.Voters() {
+		if m.VM == vm {
+			return m, true
+		}
+	}
+	if len(v.Configuration.Voters()) < p.Target {
+		return laburnumlog.Member{}, false
+	}
+	for _, m := range v.Configuration.Voters() {
+		if progress, ok := v.Progress(m.ID); ok && progress.SilentTicks > p.ReplaceTicks {
+			return m, true
+		}
+	}
+	return laburnumlog.Member{}, false
+}
+
+// wanted tells whether a replica on the VM should become a voter.
+func (p Policy) wanted(v View, vm laburnumlever.VMID) bool {
+	_, replaces := p.replacedBy(v, vm)
+	return replaces || len(v.Configuration.Voters()) < p.Target
+}
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumlog"
+	"laburnumlever/laburnumquorum"
 
 	"github.com/go-kit/log/level"
 )
@@ -16,8 +18,6 @@
 	// helloTicks is how long a hello is believed, and how long a replica goes
 	// without a leader before it sends one.
 	helloTicks = 30
-	// answersTicks is how long a member may be silent and still count as there.
-	answersTicks = 10
 )
 
 // joiner is a replica that said hello.
@@ -185,89 +185,35 @@
 	v.use(ev.replica)
 }
 
-// tendConfiguration makes at most one change of the members: a learner is added,
-// caught up, and only then put in the place of the voter that it replaces. The
-// old voter goes first: with it in the list and gone, a majority of four would
-// need all of the three that work.
+// tendConfiguration makes at most one change of the members.
 func (v *Voter) tendConfiguration() {
-	if v.log.ChangePending() {
-		return
-	}
-	configuration := v.log.Configuration()
-	for _, m := range configuration.Members {
-		if m.Learner {
-			v.tendLearner(configuration, m)
-			return
-		}
-	}
-	for _, vm := range v.joinerOrder() {
-		j := v.joiners[vm]
-		if _, in := configuration.Find(j.hello.Member.ID); in || !v.wanted(configuration, vm) {
-			continue
-		}
-		learner := j.hello.Member
-		learner.Learner = true
-		v.change(laburnumlever.EventLearnerAdded, learner, configuration.WithMember(learner))
-		return
-	}
-}
-
-func (v *Voter) tendLearner(configuration laburnumlog.Configuration, m laburnumlog.Member) {
-	p, _ := v.log.Progress(m.ID)
-	switch {
-	case p.SilentTicks > v.replaceTicks() || p.Lost:
-		v.change(laburnumlever.EventLearnerRemoved, m, configuration.Without(m.ID))
-		return
-	case p.SilentTicks > answersTicks || p.Match < v.log.Commit():
-		return // not caught up
-	}
-	if old, ok := v.replacedBy(configuration, m.VM); ok {
-		v.change(laburnumlever.EventVoterRemoved, old, configuration.Without(old.ID))
-		return
-	}
-	if len(configuration.Voters()) >= v.cfg.voterTarget {
-		v.change(laburnumlever.EventLearnerRemoved, m, configuration.Without(m.ID))
+	policy := laburnumquorum.Policy{Target: v.cfg.voterTarget, ReplaceTicks: v.replaceTicks()}
+	change, due := policy.Next(laburnumquorum.View{
+		Configuration: v.log.Configuration(), Pending: v.log.ChangePending(), Commit: v.log.Commit(),
+		Progress: v.log.Progress, Joiners: v.joinersAllowed(),
+	})
+	if !due {
 		return
 	}
-	m.Learner = false
-	v.change(laburnumlever.EventVoterAdded, m, configuration.WithMember(m))
-}
-
-func (v *Voter) change(event laburnumlever.LogEvent, m laburnumlog.Member, to laburnumlog.Configuration) {
-	out := v.step(laburnumlog.ChangeMembers{Configuration: to})
-	_ = level.Info(v.cfg.logger).Log("event", event, "replica", m.ID, "accepted", out.Accepted)
-}
-
-// replacedBy finds the voter whose place a replica on the VM would take: the one of
-// the same VM, else one that has been silent for long.
-func (v *Voter) replacedBy(configuration laburnumlog.Configuration, vm laburnumlever.VMID) (laburnumlog.Member, bool) {
-	for _, m := range configuration.Voters() {
-		if m.VM == vm {
-			return m, true
-		}
-	}
-	if len(configuration.Voters()) < v.cfg.voterTarget {
-		return laburnumlog.Member{}, false
-	}
-	for _, m := range configuration.Voters() {
-		if p, ok := v.log.Progress(m.ID); ok && p.SilentTicks > v.replaceTicks() {
-			return m, true
-		}
-	}
-	return laburnumlog.Member{}, false
+	out := v.step(laburnumlog.ChangeMembers{Configuration: change.To})
+	_ = level.Info(v.cfg.logger).Log("event", change.Event, "replica", change.Member.ID, "accepted", out.Accepted)
 }
 
 func (v *Voter) replaceTicks() int {
 	return int(v.cfg.replaceAfter / max(v.cfg.tick, time.Millisecond))
 }
 
-// wanted tells whether a replica on the VM should become a voter.
-func (v *Voter) wanted(configuration laburnumlog.Configuration, vm laburnumlever.VMID) bool {
-	if !v.allowed(vm) {
-		return false
+// joinersAllowed are the replicas that may join, by the names of their VMs, so that each
+// look sees them alike.
+func (v *Voter) joinersAllowed() []laburnumlog.Member {
+	var list []laburnumlog.Member
+	for vm, j := range v.joiners {
+		if v.allowed(vm) {
+			list = append(list, j.hello.Member)
+		}
 	}
-	_, replaces := v.replacedBy(configuration, vm)
-	return replaces || len(configuration.Voters()) < v.cfg.voterTarget
+	slices.SortFunc(list, func(a, b laburnumlog.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	return list
 }
 
 func (v *Voter) allowed(vm laburnumlever.VMID) bool {
@@ -275,13 +221,3 @@
 	return v.cfg.candidates == nil || slices.ContainsFunc(v.cfg.voters, is) ||
 		slices.ContainsFunc(v.cfg.candidates(), is)
 }
-
-// joinerOrder is the joiners by name, so that each look sees them alike.
-func (v *Voter) joinerOrder() []laburnumlever.VMID {
-	var order []laburnumlever.VMID
-	for vm := range v.joiners {
-		order = append(order, vm)
-	}
-	slices.Sort(order)
-	return order
-}
