test: a confirmed change is lost to its readers when a disk goes while a voter is replaced

Fails on the code as it is, without a network: a voter is cut off, the spare VM with a disk takes its place, a change is confirmed, the leader loses its disk, the others their power; all come back and no leader is elected any more.

--- a/laburnumlog/exhaustive_test.go
+++ b/laburnumlog/exhaustive_test.go
@@ -23,7 +23,7 @@
 		c.replicas = append(c.replicas, &copied)
 	}
 	c.network = slices.Clone(s.network)
-	c.committed, c.leaders = maps.Clone(s.committed), maps.Clone(s.leaders)
+	c.committed, c.leaders, c.dead = maps.Clone(s.committed), maps.Clone(s.leaders), maps.Clone(s.dead)
 	return &c
 }
 
--- /dev/null
+++ b/laburnumlog/promise_test.go
@@ -0,0 +1,175 @@
+package laburnumlog_test
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// depth is how many events TestPromiseHoldsExhaustively tries one after the other; 2 in CI,
+// more by hand.
+var depth = flag.Int("depth", 2, "events in a row of the exhaustive check")
+
+// A voter is cut off, and a spare VM takes its place; meanwhile an operator's change is
+// confirmed. Then the leader loses its disk and the other VMs their power. All come back, and
+// two of them hold the change, but no read of it is answered ever again and no change taken.
+func TestChangeConfirmedWhileAVoterIsReplacedOutlivesADisk(t *testing.T) {
+	f := newFleet(4, 1)
+	f.settle(t)
+	cut := (f.leader() + 1) % 3
+	f.places[cut].side = 1
+	for range 6 {
+		f.pass()
+		require.Empty(t, f.problem)
+	}
+	require.Len(t, f.committedVoters(f.replicas[f.leader()]), 3)
+	_, in := f.replicas[f.leader()].log.Configuration().Find(f.replicas[cut].id)
+	require.False(t, in, "the spare VM has the place")
+}
+
+// settle lets a new log elect, grow to all its voters and confirm a change.
+func (f *fleet) settle(t *testing.T) {
+	t.Helper()
+	for range 12 {
+		f.pass()
+	}
+	require.Empty(t, f.problem)
+	require.True(t, f.confirmed)
+	require.Len(t, f.replicas[f.leader()].log.Configuration().Voters(), f.policy.Target)
+}
+
+// event is something that happens to one VM, named by its part, or to all.
+type event struct {
+	name string
+	do   func(f *fleet) bool
+}
+
+// parts are the VMs by what they are in the log: whoever else would be tried is one of them.
+var parts = []struct {
+	name string
+	find func(f *fleet) int
+}{
+	{"the leader", (*fleet).leader},
+	{"a voter", func(f *fleet) int { return f.voter(0) }},
+	{"another voter", func(f *fleet) int { return f.voter(1) }},
+	{"a VM beside", (*fleet).beside},
+}
+
+// voter is the nth voter that is not the leader, by the newest list, -1 when there is none.
+func (f *fleet) voter(n int) int {
+	c := f.replicas[max(0, f.leader())].log.Configuration()
+	for i, r := range f.replicas {
+		if i == f.leader() || !c.IsVoter(r.id) {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	return -1
+}
+
+// beside is a learner or a VM without a place.
+func (f *fleet) beside() int {
+	c := f.replicas[max(0, f.leader())].log.Configuration()
+	for i, r := range f.replicas {
+		if !c.IsVoter(r.id) {
+			return i
+		}
+	}
+	return -1
+}
+
+// events are those that the exhaustive check puts into every order.
+func events() []event {
+	list := []event{
+		{"all is linked", func(f *fleet) bool { f.heal(); return true }},
+		{"all lose power", func(f *fleet) bool { f.restartAll(); return true }},
+	}
+	for _, part := range parts {
+		for _, do := range []struct {
+			name string
+			to   func(f *fleet, i int) bool
+		}{
+			{"is cut off", func(f *fleet, i int) bool { f.places[i].side = i + 1; return true }},
+			{"is killed", func(f *fleet, i int) bool { f.restart(f.replicas[i]); return true }},
+			{"goes dark", func(f *fleet, i int) bool { f.places[i].down = true; return true }},
+			{"loses its disk", (*fleet).loseDiskOf},
+			{"is replaced at another address", (*fleet).replaceVM},
+			{"does not catch up", func(f *fleet, i int) bool { f.places[i].deaf = true; return true }},
+		} {
+			list = append(list, event{part.name + " " + do.name, func(f *fleet) bool {
+				i := part.find(f)
+				return i >= 0 && do.to(f, i)
+			}})
+		}
+	}
+	return list
+}
+
+// heal links all VMs and brings back those that are dark.
+func (f *fleet) heal() {
+	for i, p := range f.places {
+		if p.down {
+			f.restart(f.replicas[i])
+		}
+		f.places[i] = place{}
+	}
+}
+
+// maxChanges of the members follow from one event at most, a learner and its count each.
+const maxChanges = 8
+
+// follow lets an event take its course, and tries the next ones at once and at each moment
+// at which the members change.
+func (f *fleet) follow(t *testing.T, story []string, left int) {
+	for n := range maxChanges {
+		if f.problem != "" {
+			t.Fatalf("%s: %s", strings.Join(story, ", "), f.problem)
+		}
+		if left > 0 {
+			f.try(t, story, n, left)
+		}
+		if !f.untilMembersChange() {
+			break
+		}
+	}
+	if f.problem != "" {
+		t.Fatalf("%s: %s", strings.Join(story, ", "), f.problem)
+	}
+}
+
+// try puts one more event behind the story, in every way.
+func (f *fleet) try(t *testing.T, story []string, changes, left int) {
+	for _, ev := range events() {
+		c := f.clone()
+		if ev.do(c) {
+			next := fmt.Sprintf("%d changes later %s", changes, ev.name)
+			c.follow(t, append(story[:len(story):len(story)], next), left-1)
+		}
+	}
+}
+
+// At every moment from the first confirmed change on, whichever VMs lose their disks, as many
+// as the settings promise to bear, and the others their power: once all are back, the log
+// elects a leader, holds all that was confirmed and goes on. Every order of a few events is
+// tried, among them a leader lost in the middle of a change of the members, a VM that comes
+// back behind or empty, and a replica that never catches up.
+func TestPromiseHoldsExhaustively(t *testing.T) {
+	for _, c := range []struct{ vms, losses int }{{3, 1}, {4, 1}, {5, 1}, {5, 2}, {6, 2}} {
+		for _, first := range events() {
+			t.Run(fmt.Sprintf("%d VMs, %d losses, %s", c.vms, c.losses, first.name), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(c.vms, c.losses)
+				f.settle(t)
+				if first.do(f) {
+					f.follow(t, []string{first.name}, *depth-1)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/laburnumlog/tolerance_test.go
@@ -0,0 +1,435 @@
+package laburnumlog_test
+
+import (
+	"fmt"
+	"slices"
+
+	"laburnumlever/laburnumlog"
+	"laburnumlever/laburnumquorum"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// lookTicks pass between two looks of a leader at the members.
+	lookTicks = 10
+	// helloTicks without a leader make a replica say that it is there.
+	helloTicks = 30
+	// replaceTicks of silence make a voter's place free: 0.6 of the 4 s in which a VM that
+	// comes back has to count again, at 100 ms a tick.
+	replaceTicks = 24
+	// recoverTicks is how long a log may take to lead again once all VMs are back. The
+	// promise of the settings is 12 s; elections and repairs take a few.
+	recoverTicks = 120
+)
+
+// place is what a VM meets besides what its replica goes through.
+type place struct {
+	side       int  // only VMs of one side reach each other
+	down       bool // without power
+	deaf       bool // the log does not get there, all else does
+	leaderless int  // ticks
+}
+
+// fleet is a simulation with VMs that are cut off, lost and replaced, whose leader tends
+// the members by the policy. It holds the promise of the settings: the loss of some disks.
+type fleet struct {
+	*simulation
+	places []place
+	policy laburnumquorum.Policy
+	// losses is how many disks may be lost at once, spent how many were since the log last
+	// had all its voters.
+	losses, spent int
+	ticks         int
+	next          int  // names VMs that come new
+	confirmed     bool // a command was
+	// known remembers the states of the disks that were found to bear their losses.
+	known map[uint64]bool
+	// pause, when set, stops an exchange of messages in its middle.
+	pause func() bool
+}
+
+func newFleet(n, losses int) *fleet {
+	target := 2*losses + 1
+	f := &fleet{
+		simulation: newSimulation(n, 3), places: make([]place, n), losses: losses, next: n, known: map[uint64]bool{},
+		policy: laburnumquorum.Policy{Target: target, ReplaceTicks: replaceTicks},
+	}
+	return f
+}
+
+func (f *fleet) clone() *fleet {
+	c := *f
+	c.simulation = f.simulation.clone()
+	c.places = slices.Clone(f.places)
+	c.pause = nil
+	return &c
+}
+
+func (f *fleet) reaches(a, b int) bool {
+	from, to := f.places[a], f.places[b]
+	return !from.down && !to.down && from.side == to.side
+}
+
+func (f *fleet) index(id laburnumlog.ReplicaID) int {
+	return slices.IndexFunc(f.replicas, func(r *replica) bool { return r.id == id })
+}
+
+// leader is the one of the highest term, -1 when there is none.
+func (f *fleet) leader() int {
+	best := -1
+	for i, r := range f.replicas {
+		if !f.places[i].down && r.log.Role() == laburnumlog.Leader && (best < 0 || r.log.Term() > f.replicas[best].log.Term()) {
+			best = i
+		}
+	}
+	return best
+}
+
+// tick lets a tenth of a second pass for all.
+func (f *fleet) tick() {
+	f.ticks++
+	for i, r := range f.replicas {
+		if f.places[i].down {
+			continue
+		}
+		f.step(r, laburnumlog.Tick{})
+		f.places[i].leaderless++
+		if r.log.Leader() != "" {
+			f.places[i].leaderless = 0
+		}
+		if f.ticks%lookTicks == 0 {
+			f.tend(i)
+		}
+	}
+	f.exchange()
+}
+
+// tend lets a leader look at the members.
+func (f *fleet) tend(i int) {
+	l := f.replicas[i].log
+	if l.Role() != laburnumlog.Leader {
+		return
+	}
+	change, due := f.policy.Next(laburnumquorum.View{
+		Configuration: l.Configuration(), Pending: l.ChangePending(), Commit: l.Commit(),
+		Progress: l.Progress, Joiners: f.joiners(i),
+	})
+	if due {
+		f.step(f.replicas[i], laburnumlog.ChangeMembers{Configuration: change.To})
+	}
+}
+
+// joiners are the replicas that say hello: those without a place or without a leader.
+func (f *fleet) joiners(leader int) []laburnumlog.Member {
+	var list []laburnumlog.Member
+	for i, r := range f.replicas {
+		_, in := r.log.Configuration().Find(r.id)
+		if i != leader && f.reaches(i, leader) && (!in || f.places[i].leaderless > helloTicks) {
+			list = append(list, r.member())
+		}
+	}
+	return list
+}
+
+// exchange delivers and syncs until nothing moves. Whatever the disks hold after a sync must
+// bear the losses that the settings promise.
+func (f *fleet) exchange() {
+	for moved := true; moved; {
+		moved = false
+		for len(f.network) > 0 {
+			if f.paused() {
+				return
+			}
+			moved = true
+			f.deliverFirst()
+		}
+		for i, r := range f.replicas {
+			for len(r.unsaved) > 0 && !f.places[i].down {
+				if f.paused() {
+					return
+				}
+				moved = true
+				f.sync(r)
+				f.note()
+				f.checkDisks()
+			}
+		}
+	}
+}
+
+func (f *fleet) paused() bool { return f.pause != nil && f.pause() }
+
+func (f *fleet) deliverFirst() {
+	m := f.network[0]
+	f.network = f.network[1:]
+	from, to := f.index(m.From), f.index(m.To)
+	if from < 0 || to < 0 || !f.reaches(from, to) {
+		return
+	}
+	if f.places[to].deaf && (m.Kind == laburnumlog.MessageAppend || m.Kind == laburnumlog.MessageSnapshot) {
+		return
+	}
+	f.step(f.replicas[to], laburnumlog.Receive{Message: m})
+}
+
+// change is what an operator does: the leader takes it once the log has all its voters.
+func (f *fleet) change() {
+	i := f.leader()
+	if i < 0 {
+		return
+	}
+	r := f.replicas[i]
+	if len(f.committedVoters(r)) < f.policy.Target && !f.confirmed {
+		return
+	}
+	before := r.log.LastIndex()
+	f.propose(r, 1)
+	f.exchange()
+	if r.log.Commit() > before {
+		f.confirmed = true
+	}
+}
+
+// committedVoters are those of the last configuration that the replica knows committed.
+func (f *fleet) committedVoters(r *replica) []laburnumlog.Member {
+	return r.log.ConfigurationAt(r.log.Commit()).Voters()
+}
+
+// note counts the losses anew once the log has all its voters again.
+func (f *fleet) note() {
+	i := f.leader()
+	if i < 0 || f.spent == 0 {
+		return
+	}
+	l := f.replicas[i].log
+	if l.ChangePending() || len(l.Configuration().Voters()) < f.policy.Target {
+		return
+	}
+	for _, m := range l.Configuration().Voters() {
+		if f.dead[m.ID] {
+			return
+		}
+	}
+	f.spent = 0
+}
+
+// pass lets a second pass, with changes on the way.
+func (f *fleet) pass() {
+	for i := range lookTicks {
+		f.tick()
+		if i%3 == 0 {
+			f.change()
+		}
+	}
+}
+
+// untilMembersChange lets time pass up to the moment at which some replica appends a new list
+// of members, in the middle of what follows from it; false when nothing of that kind happens
+// for some seconds.
+func (f *fleet) untilMembersChange() bool {
+	before := f.newestConfiguration()
+	f.pause = func() bool { return f.newestConfiguration() > before }
+	defer func() { f.pause = nil }()
+	for range 4 * lookTicks {
+		f.tick()
+		f.change()
+		if f.paused() {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) newestConfiguration() uint64 {
+	var newest uint64
+	for _, r := range f.replicas {
+		newest = max(newest, r.log.ConfigurationIndex())
+	}
+	return newest
+}
+
+// restartAll is a loss of power of all VMs at once, after which all are back and linked.
+func (f *fleet) restartAll() {
+	f.network = nil
+	for i, r := range f.replicas {
+		f.places[i] = place{}
+		f.restart(r)
+	}
+}
+
+// loseDiskOf empties the VM's disk, if the promise still covers that.
+func (f *fleet) loseDiskOf(i int) bool {
+	if f.spent >= f.losses {
+		return false
+	}
+	f.spent++
+	f.newDisk(f.replicas[i])
+	return true
+}
+
+// replaceVM takes the VM away for good and puts an empty one at another address.
+func (f *fleet) replaceVM(i int) bool {
+	if !f.loseDiskOf(i) {
+		return false
+	}
+	r := f.replicas[i]
+	f.next++
+	r.vm, r.life = string(rune('a'+f.next)), 0
+	f.newDisk(r)
+	return true
+}
+
+// checkDisks holds the promise of the settings: whichever VMs lose their disks now, as many
+// as the settings say, and all others their power, the log leads again once they are back,
+// and holds all that was confirmed.
+func (f *fleet) checkDisks() {
+	if !f.confirmed || f.problem != "" {
+		return
+	}
+	key := f.fingerprint()
+	if f.known[key] {
+		return
+	}
+	f.known[key] = true
+	f.checkRecovery(nil)
+	for _, lost := range choices(len(f.replicas), f.losses-f.spent) {
+		f.checkRecovery(lost)
+	}
+}
+
+func (f *fleet) checkRecovery(lost []int) {
+	c := f.clone()
+	c.known, c.confirmed = nil, false // no check within the check
+	for _, i := range lost {
+		c.newDisk(c.replicas[i])
+	}
+	c.restartAll()
+	newest := c.newest()
+	for range recoverTicks {
+		c.tick()
+		if i := c.leader(); i >= 0 && c.replicas[i].applied >= newest {
+			before := c.replicas[i].log.LastIndex()
+			c.propose(c.replicas[i], 1)
+			c.exchange()
+			if c.replicas[i].log.Commit() > before {
+				break
+			}
+		}
+		if c.problem != "" {
+			break
+		}
+	}
+	i := c.leader()
+	switch {
+	case c.problem != "":
+		f.fail("%s, after the loss of %s: %s", f.describe(), f.vmsOf(lost), c.problem)
+	case i < 0 || c.replicas[i].log.Commit() <= newest:
+		f.fail("no leader any more after the loss of %s, with %s", f.vmsOf(lost), f.describe())
+	}
+}
+
+// newest is the last index known committed by any replica, ever.
+func (f *fleet) newest() uint64 {
+	var newest uint64
+	for index := range f.committed {
+		newest = max(newest, index)
+	}
+	return newest
+}
+
+func (f *fleet) vmsOf(list []int) []string {
+	vms := make([]string, 0, len(list))
+	for _, i := range list {
+		vms = append(vms, f.replicas[i].vm)
+	}
+	return vms
+}
+
+func (f *fleet) describe() string {
+	text := ""
+	for _, r := range f.replicas {
+		recovered := laburnumlog.New(r.id, r.disk)
+		text += fmt.Sprintf("[%s last %d/%d: %s] ", r.id, recovered.TermAt(recovered.LastIndex()), recovered.LastIndex(), list(recovered.Configuration()))
+	}
+	return fmt.Sprintf("%scommitted %d, %d of %d losses spent", text, f.newest(), f.spent, f.losses)
+}
+
+func list(c laburnumlog.Configuration) string {
+	text := ""
+	for _, m := range c.Members {
+		text += string(m.ID)
+		if m.Learner {
+			text += "(learner)"
+		}
+		text += " "
+	}
+	return text
+}
+
+// choices are all ways to pick k of n.
+func choices(n, k int) [][]int {
+	if k <= 0 {
+		return nil
+	}
+	var all [][]int
+	var pick func(from int, chosen []int)
+	pick = func(from int, chosen []int) {
+		if len(chosen) == k {
+			all = append(all, slices.Clone(chosen))
+			return
+		}
+		for i := from; i < n; i++ {
+			pick(i+1, append(chosen, i))
+		}
+	}
+	pick(0, nil)
+	return all
+}
+
+// fingerprint is the same for disks that differ only by how many commands went before:
+// indexes and terms count by their order, instances by their VM and whether they are gone.
+func (f *fleet) fingerprint() uint64 {
+	var indexes, terms []uint64
+	logs := make([]*laburnumlog.Log, len(f.replicas))
+	for i, r := range f.replicas {
+		logs[i] = laburnumlog.New(r.id, r.disk)
+		last := logs[i].LastIndex()
+		indexes = append(indexes, last)
+		terms = append(terms, r.disk.Hard.Term, logs[i].TermAt(last))
+		for _, e := range r.disk.Entries {
+			if e.Configuration != nil {
+				indexes = append(indexes, e.Index)
+			}
+		}
+	}
+	indexes = append(indexes, f.newest())
+	rank := func(list []uint64, n uint64) int {
+		slices.Sort(list)
+		list = slices.Compact(list)
+		i, _ := slices.BinarySearch(list, n)
+		return i
+	}
+	var text []byte
+	for i, r := range f.replicas {
+		last := logs[i].LastIndex()
+		text = fmt.Appendf(text, "%d %d %d %d %d %s", i, rank(terms, r.disk.Hard.Term), f.index(r.disk.Hard.Vote),
+			rank(indexes, last), rank(terms, logs[i].TermAt(last)), f.members(r.disk.Snapshot.Configuration))
+		for _, e := range r.disk.Entries {
+			if e.Configuration != nil {
+				text = fmt.Appendf(text, "@%d %s", rank(indexes, e.Index), f.members(*e.Configuration))
+			}
+		}
+	}
+	return xxhash.Sum64(fmt.Appendf(text, "%d %d", rank(indexes, f.newest()), f.spent))
+}
+
+func (f *fleet) members(c laburnumlog.Configuration) string {
+	text := ""
+	for _, m := range c.Members {
+		vm := f.index(m.ID) // -1: an instance that is gone
+		m.ID, m.VM, m.Address = "", "", ""
+		text += fmt.Sprintf("%d%+v", vm, m)
+	}
+	return text
+}
