fix: a leader that goes down before its own removal is committed is missed for good

Its log is the longest, so it votes for no other, and as it is not on its own last list it never campaigned. With its vote needed by the list before, no leader came again.

A replica now campaigns as long as it does not know the list without it committed; it leads with the votes of the list in force only, and steps down once that is committed. The test fails without the change.

--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -11,11 +11,20 @@
 	}
 	l.resetTimeout()
 	l.leader = ""
-	if l.Configuration().IsVoter(l.id) {
+	if l.mayCampaign() {
 		l.preCampaign()
 	}
 }
 
+// mayCampaign tells whether the replica is a voter, or was one before a change that it does
+// not know committed. Without the second a leader that goes down before its own removal is
+// committed leaves nobody to lead: its log is the longest, so it votes for no other. It leads
+// only with the votes of the list in force, and ends once the change is committed.
+func (l *Log) mayCampaign() bool {
+	return l.Configuration().IsVoter(l.id) ||
+		l.ChangePending() && l.ConfigurationAt(l.commit).IsVoter(l.id)
+}
+
 // preCampaign asks whether an election could be won, without a new term: a
 // replica that was cut off would otherwise come back with a higher term and
 // depose a leader that works.
@@ -162,7 +171,7 @@
 }
 
 func (l *Log) onCampaignNow() {
-	if l.role != Leader && l.Configuration().IsVoter(l.id) {
+	if l.role != Leader && l.mayCampaign() {
 		l.campaign(true)
 	}
 }
--- a/laburnumlog/story_test.go
+++ b/laburnumlog/story_test.go
@@ -239,3 +239,20 @@
 	s.run(never, a)
 	require.Equal(t, laburnumlog.Leader, a.log.Role())
 }
+
+// A leader removes itself and goes down after it has appended the list without itself, before
+// anybody else has that. Nobody could lead any more: the other voter lacks the last entry, so
+// the old leader, whose vote it needs, refuses it; and that one was not on its own last list.
+func TestLeaderGoesDownBeforeItsOwnRemovalIsCommitted(t *testing.T) {
+	s := newSimulation(2, 2)
+	a, b := s.replicas[0], s.replicas[1]
+	s.campaign(a)
+	s.run(never, a, b)
+	s.step(a, laburnumlog.ChangeMembers{Configuration: a.log.Configuration().Without(a.id)})
+	require.False(t, a.log.Configuration().IsVoter(a.id))
+	s.run(never, a)
+	s.restart(a)
+	require.True(t, s.heal(), s.problem)
+	require.Equal(t, laburnumlog.Leader, b.log.Role())
+	require.NotEqual(t, laburnumlog.Leader, a.log.Role())
+}
