fix: a voter's place goes to another in one step, so that no moment bears fewer lost disks

What callers saw: an operator's confirmed change could not be read back and no change was taken any more, until the end, though all control VMs were up; nobody gave orders to engines either.

Cause: a voter that is silent was removed first and the VM in its place added a second later. Of the two voters in between both are needed; the settings promise to bear a lost disk, and when one of the two lost its own, no majority could ever come again, though two VMs held all that was confirmed. The class: a change of the members that passes through a list which bears less than the settings say.

Mend: the log takes any list of voters; when more than one differs it goes there by a joint list, in which elections and commits need a majority of both, and whichever leader finds it committed follows it by the new one. Each side bears by itself what it promises, so the joint list does. One step for the policy. Why not fewer removals, more voters or holding changes back: docs/design/replicated-log.md.

--- a/laburnumlog/doc.go
+++ b/laburnumlog/doc.go
@@ -7,7 +7,13 @@
 // orders the entries, and an entry is committed once a majority of the voters has
 // it on disk. Pre-vote keeps a replica that was cut off from raising the term;
 // check-quorum makes a leader step down that hears no majority; learners receive
-// the log without counting; voters change one at a time.
+// the log without counting.
+//
+// A voter is added or removed by itself: two majorities that differ by one voter share
+// one. A voter whose place goes to another is replaced in one step by way of a joint
+// configuration, in which elections and commits need a majority of the voters before and of
+// those to come; the leader follows it by the new list as soon as it is committed. So
+// there is no moment at which the log bears fewer lost disks than either list does.
 //
 // # Usage
 //
--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -62,13 +62,7 @@
 }
 
 func (l *Log) wonVotes() bool {
-	n := 0
-	for _, m := range l.Configuration().Voters() {
-		if l.votes[m.ID] {
-			n++
-		}
-	}
-	return n >= l.Configuration().Majority()
+	return l.Configuration().HasMajority(func(m Member) bool { return l.votes[m.ID] })
 }
 
 func (l *Log) becomeFollower(term uint64, leader ReplicaID) {
--- a/laburnumlog/members.go
+++ b/laburnumlog/members.go
@@ -16,21 +16,48 @@
 	l.resetTimeout()
 }
 
-// changeMembers appends another configuration. Two majorities that differ by one
-// voter always share one, so that no second leader or commit can arise; a
-// second change waits until the first is committed, and none is taken before the
-// leader has committed an entry of its own term.
+// changeMembers appends another configuration, by itself when one voter changes, else the
+// joint one that leads there. Any majority of one shares a voter with any of the next, so
+// that no second leader or commit can arise. A second change waits until the first is
+// committed, and none is taken before the leader has committed an entry of its own term.
+//
+// A voter's place goes to another in one joint step. In two steps, out first or in first,
+// the log stands for a while with as many voters as it needs or with one that is gone among
+// an even number: whoever loses a disk then takes the majority away for good, though the
+// settings promise to bear that. In the joint configuration each list by itself bears it.
 func (l *Log) changeMembers(to Configuration) {
-	settled := l.commit > 0 && l.termAt(l.commit) == l.hard.Term
-	if l.role != Leader || l.handOverTo != "" || l.ChangePending() || !settled {
+	from := l.Configuration()
+	if l.role != Leader || l.handOverTo != "" || l.ChangePending() || !l.ownTermCommitted() {
 		return
 	}
-	if l.Configuration().changes(to) > 1 || len(to.Voters()) == 0 {
+	if from.Joint() || to.Joint() || len(to.Voters()) == 0 {
 		return
 	}
+	if from.changes(to) > 1 {
+		to = from.towards(to)
+	}
 	l.out.Accepted = true
 	l.out.First = l.LastIndex() + 1
-	l.appendEntries(Entry{Index: l.LastIndex() + 1, Term: l.hard.Term, Kind: EntryConfiguration, Configuration: &to})
+	l.appendConfiguration(to)
+}
+
+// settleChange follows a joint configuration by what it leads to as soon as it is committed,
+// whichever leader began it.
+func (l *Log) settleChange() {
+	if l.role != Leader || !l.Configuration().Joint() || l.ChangePending() {
+		return
+	}
+	if l.handOverTo == "" && l.ownTermCommitted() {
+		l.appendConfiguration(l.Configuration().settled())
+	}
+}
+
+func (l *Log) ownTermCommitted() bool {
+	return l.commit > 0 && l.termAt(l.commit) == l.hard.Term
+}
+
+func (l *Log) appendConfiguration(c Configuration) {
+	l.appendEntries(Entry{Index: l.LastIndex() + 1, Term: l.hard.Term, Kind: EntryConfiguration, Configuration: &c})
 	l.syncProgress()
 	l.replicateAll()
 }
@@ -76,7 +103,7 @@
 	var best ReplicaID
 	for _, m := range l.Configuration().Voters() {
 		p, ok := l.progress[m.ID]
-		if ok && p.silent < electionTicks && (best == "" || p.match > l.progress[best].match) {
+		if ok && !m.Leaving && p.silent < electionTicks && (best == "" || p.match > l.progress[best].match) {
 			best = m.ID
 		}
 	}
--- a/laburnumlog/replication.go
+++ b/laburnumlog/replication.go
@@ -66,14 +66,10 @@
 // left are still a majority. A leader counts only the voters that answer; others count
 // all that are on the list. It is negative when a majority is gone already.
 func (l *Log) LossesBorne() int {
-	there := 0
-	for _, m := range l.Configuration().Voters() {
+	return l.Configuration().Spare(func(m Member) bool {
 		p, ok := l.Progress(m.ID)
-		if !ok || !p.Lost && p.SilentTicks < electionTicks {
-			there++
-		}
-	}
-	return there - l.Configuration().Majority()
+		return !ok || !p.Lost && p.SilentTicks < electionTicks
+	})
 }
 
 // syncProgress makes the progress table follow the configuration.
@@ -94,24 +90,18 @@
 }
 
 func (l *Log) tickLeader() {
-	heard := 1
-	for _, m := range l.Configuration().Members {
-		p, ok := l.progress[m.ID]
-		if !ok {
-			continue
-		}
+	for id, p := range l.progress {
 		p.silent++
 		p.unacked++
-		if p.silent < electionTicks && !m.Learner {
-			heard++
-		}
-		l.progress[m.ID] = p
-		l.resend(m.ID)
+		l.progress[id] = p
 	}
-	if !l.Configuration().IsVoter(l.id) {
-		heard--
+	for _, m := range l.Configuration().Members {
+		if m.ID != l.id {
+			l.resend(m.ID)
+		}
 	}
-	if heard < l.Configuration().Majority() {
+	heard := func(m Member) bool { return m.ID == l.id || l.progress[m.ID].silent < electionTicks }
+	if !l.Configuration().HasMajority(heard) {
 		// Check-quorum: without it a leader that is cut off would go on taking
 		// commands that it can never commit.
 		l.becomeFollower(l.hard.Term, "")
@@ -278,14 +268,28 @@
 	l.progress[m.From] = p
 }
 
-// advanceCommit commits what a majority has, if it is of the leader's own term:
-// an entry of an older term held by a majority could still be replaced.
+// advanceCommit commits what a majority has, of each list of a joint configuration, if it
+// is of the leader's own term: an entry of an older term held by a majority could still be
+// replaced.
 func (l *Log) advanceCommit() {
 	if l.role != Leader {
 		return
 	}
+	index := l.LastIndex()
+	for _, voters := range l.Configuration().lists() {
+		index = min(index, l.heldByMajority(voters))
+	}
+	if index > l.commit && l.termAt(index) == l.hard.Term {
+		l.commit = index
+		l.hard.Commit = index
+		l.leaveIfRemoved()
+	}
+}
+
+// heldByMajority is the last index that a majority of the voters has on disk.
+func (l *Log) heldByMajority(voters []Member) uint64 {
 	var held []uint64
-	for _, m := range l.Configuration().Voters() {
+	for _, m := range voters {
 		if m.ID == l.id {
 			held = append(held, l.stable)
 			continue
@@ -293,15 +297,10 @@
 		held = append(held, l.progress[m.ID].match)
 	}
 	if len(held) == 0 {
-		return
+		return 0
 	}
 	slices.Sort(held)
-	index := held[len(held)-l.Configuration().Majority()]
-	if index > l.commit && l.termAt(index) == l.hard.Term {
-		l.commit = index
-		l.hard.Commit = index
-		l.leaveIfRemoved()
-	}
+	return held[len(held)-majority(len(held))]
 }
 
 // leaveIfRemoved ends the leadership of a replica whose removal is committed.
--- a/laburnumlog/step.go
+++ b/laburnumlog/step.go
@@ -10,8 +10,8 @@
 	Receive struct{ Message Message }
 	// Propose asks the leader to append commands, one entry each.
 	Propose struct{ Data [][]byte }
-	// ChangeMembers asks the leader for another configuration, which may
-	// differ by one voter at most.
+	// ChangeMembers asks the leader for another configuration. When more than one
+	// voter changes, the log goes there by way of a joint one.
 	ChangeMembers struct{ Configuration Configuration }
 	// Written says that all writes up to Seq are durable.
 	Written struct{ Seq uint64 }
@@ -88,6 +88,7 @@
 		l.startHandOver()
 	}
 	l.advanceCommit()
+	l.settleChange()
 	l.emitCommitted()
 	l.emitWrite()
 	out := l.out
--- a/laburnumlog/story_test.go
+++ b/laburnumlog/story_test.go
@@ -256,3 +256,26 @@
 	require.Equal(t, laburnumlog.Leader, b.log.Role())
 	require.NotEqual(t, laburnumlog.Leader, a.log.Role())
 }
+
+// The same by way of a joint list: the leader gives its place to a VM that has caught up, both
+// hold the joint list, and the one that it leads to is only on the leader's disk.
+func TestLeaderGoesDownBeforeItsReplacementIsCommitted(t *testing.T) {
+	s := newSimulation(2, 1)
+	a, b := s.replicas[0], s.replicas[1]
+	s.campaign(a)
+	s.run(never, a, b)
+	joining := b.member()
+	joining.Learner = true
+	s.step(a, laburnumlog.ChangeMembers{Configuration: a.log.Configuration().WithMember(joining)})
+	s.run(never, a, b)
+	joining.Learner = false
+	s.step(a, laburnumlog.ChangeMembers{Configuration: laburnumlog.Configuration{Members: []laburnumlog.Member{joining}}})
+	s.run(func() bool { return !a.log.Configuration().Joint() }, a, b)
+	require.True(t, b.log.Configuration().Joint())
+	s.network = nil
+	s.sync(a)
+	s.restart(a)
+	require.True(t, s.heal(), s.problem)
+	require.Equal(t, laburnumlog.Leader, b.log.Role())
+	require.NotEqual(t, laburnumlog.Leader, a.log.Role())
+}
--- a/laburnumlog/values.go
+++ b/laburnumlog/values.go
@@ -18,9 +18,14 @@
 	Address string             `json:"address"`
 	// Learner tells that the member does not count for any majority.
 	Learner bool `json:"learner,omitempty"`
+	// Joining and Leaving are set while several voters change at once: a joining member
+	// counts only among the voters to come, a leaving one only among those before.
+	Joining bool `json:"joining,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
 }
 
-// Configuration is the list of members. It is never changed once built.
+// Configuration is the list of members. It is never changed once built. A joint one is on
+// the way from one list of voters to another and needs a majority of each.
 type Configuration struct {
 	Members []Member `json:"members"`
 }
@@ -140,25 +145,92 @@
 	return c.Members[i], true
 }
 
-// IsVoter tells whether the replica counts for majorities.
+// IsVoter tells whether the replica counts for a majority.
 func (c Configuration) IsVoter(id ReplicaID) bool {
 	m, ok := c.Find(id)
 	return ok && !m.Learner
 }
 
-// Voters returns the members that count.
+// Voters returns the members that count, in a joint configuration those of both lists.
 func (c Configuration) Voters() []Member {
-	var voters []Member
+	return c.filter(func(m Member) bool { return !m.Learner })
+}
+
+// Joint tells whether the configuration is on the way from one list of voters to another.
+func (c Configuration) Joint() bool {
+	return slices.ContainsFunc(c.Members, func(m Member) bool { return m.Joining || m.Leaving })
+}
+
+// lists are the lists of voters of each of which a majority must agree: one, or the one
+// before and the one to come.
+func (c Configuration) lists() [][]Member {
+	if !c.Joint() {
+		return [][]Member{c.Voters()}
+	}
+	return [][]Member{
+		c.filter(func(m Member) bool { return !m.Learner && !m.Joining }),
+		c.filter(func(m Member) bool { return !m.Learner && !m.Leaving }),
+	}
+}
+
+// Spare is how many more voters could disagree so that a majority, of each list of a joint
+// configuration, still agrees; it is negative when there is none.
+func (c Configuration) Spare(agrees func(Member) bool) int {
+	spare := len(c.Members)
+	for _, voters := range c.lists() {
+		n := 0
+		for _, m := range voters {
+			if agrees(m) {
+				n++
+			}
+		}
+		spare = min(spare, n-majority(len(voters)))
+	}
+	return spare
+}
+
+// HasMajority tells whether a majority agrees, of each list of a joint configuration.
+func (c Configuration) HasMajority(agrees func(Member) bool) bool { return c.Spare(agrees) >= 0 }
+
+func majority(voters int) int { return voters/2 + 1 }
+
+func (c Configuration) filter(keep func(Member) bool) []Member {
+	var kept []Member
 	for _, m := range c.Members {
-		if !m.Learner {
-			voters = append(voters, m)
+		if keep(m) {
+			kept = append(kept, m)
+		}
+	}
+	return kept
+}
+
+// towards returns the joint configuration that leads to another.
+func (c Configuration) towards(to Configuration) Configuration {
+	var joint Configuration
+	for _, m := range to.Members {
+		m.Joining = !m.Learner && !c.IsVoter(m.ID)
+		joint.Members = append(joint.Members, m)
+	}
+	for _, m := range c.Voters() {
+		if !to.IsVoter(m.ID) {
+			m.Leaving = true
+			joint = joint.WithMember(m)
 		}
 	}
-	return voters
+	return joint
 }
 
-// Majority is how many voters must agree.
-func (c Configuration) Majority() int { return len(c.Voters())/2 + 1 }
+// settled returns what a joint configuration leads to.
+func (c Configuration) settled() Configuration {
+	var to Configuration
+	for _, m := range c.Members {
+		if !m.Leaving {
+			m.Joining = false
+			to.Members = append(to.Members, m)
+		}
+	}
+	return to
+}
 
 // WithMember returns the configuration with the member added or replaced.
 func (c Configuration) WithMember(m Member) Configuration {
--- a/laburnumquorum/policy.go
+++ b/laburnumquorum/policy.go
@@ -34,15 +34,15 @@
 type Change struct {
 	Event  laburnumlever.LogEvent
 	Member laburnumlog.Member
-	To     laburnumlog.Configuration
+	// Replaced is the voter whose place the member takes, if any.
+	Replaced laburnumlog.ReplicaID
+	To       laburnumlog.Configuration
 }
 
 // Next is the next change of the members, if one is due: a learner is added, caught up,
-// and only then put in the place of the voter that it replaces. The old voter goes
-// first: with it in the list and gone, a majority of four would need all of the three
-// that work.
+// and only then put in the place of the voter that it replaces, in one step.
 func (p Policy) Next(v View) (Change, bool) {
-	if v.Pending {
+	if v.Pending || v.Configuration.Joint() {
 		return Change{}, false
 	}
 	for _, m := range v.Configuration.Members {
@@ -55,28 +55,29 @@
 			continue
 		}
 		m.Learner = true
-		return Change{laburnumlever.EventLearnerAdded, m, v.Configuration.WithMember(m)}, true
+		return Change{Event: laburnumlever.EventLearnerAdded, Member: m, To: v.Configuration.WithMember(m)}, true
 	}
 	return Change{}, false
 }
 
 func (p Policy) tendLearner(v View, m laburnumlog.Member) (Change, bool) {
 	progress, _ := v.Progress(m.ID)
-	remove := Change{laburnumlever.EventLearnerRemoved, m, v.Configuration.Without(m.ID)}
+	remove := Change{Event: laburnumlever.EventLearnerRemoved, Member: m, To: v.Configuration.Without(m.ID)}
 	switch {
 	case progress.SilentTicks > p.ReplaceTicks || progress.Lost:
 		return remove, true
 	case progress.SilentTicks > answersTicks || progress.Match < v.Commit:
 		return Change{}, false // not caught up
 	}
+	m.Learner = false
 	if old, ok := p.replacedBy(v, m.VM); ok {
-		return Change{laburnumlever.EventVoterRemoved, old, v.Configuration.Without(old.ID)}, true
+		to := v.Configuration.Without(old.ID).WithMember(m)
+		return Change{Event: laburnumlever.EventVoterReplaced, Member: m, Replaced: old.ID, To: to}, true
 	}
 	if len(v.Configuration.Voters()) >= p.Target {
 		return remove, true
 	}
-	m.Learner = false
-	return Change{laburnumlever.EventVoterAdded, m, v.Configuration.WithMember(m)}, true
+	return Change{Event: laburnumlever.EventVoterAdded, Member: m, To: v.Configuration.WithMember(m)}, true
 }
 
 // replacedBy finds the voter whose place a replica on the VM would take: the one of
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -196,7 +196,7 @@
 		return
 	}
 	out := v.step(laburnumlog.ChangeMembers{Configuration: change.To})
-	_ = level.Info(v.cfg.logger).Log("event", change.Event, "replica", change.Member.ID, "accepted", out.Accepted)
+	_ = level.Info(v.cfg.logger).Log("event", change.Event, "replica", change.Member.ID, "replaces", change.Replaced, "accepted", out.Accepted)
 }
 
 func (v *Voter) replaceTicks() int {
--- a/logevent.go
+++ b/logevent.go
@@ -87,8 +87,8 @@
 	EventLearnerRemoved
 	// EventVoterAdded is a learner that counts from now on.
 	EventVoterAdded
-	// EventVoterRemoved is a voter that does not count any more.
-	EventVoterRemoved
+	// EventVoterReplaced is a learner that counts from now on in the place of a voter.
+	EventVoterReplaced
 	// EventLeadershipNotHandedOver is a leader that ends without another.
 	EventLeadershipNotHandedOver
 	// EventExpiryNotEncoded is the end of a lease that could not be proposed.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-removedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 170, 184, 194, 205, 218, 239, 255, 273, 284, 300, 316, 331, 345, 359, 374, 392, 410, 423, 432, 446, 461, 474, 489, 500, 513, 539, 557, 571, 588, 607, 628, 637, 647, 664, 674, 683, 695, 711, 718, 726, 733, 740, 757, 773, 787, 805, 818, 835}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 170, 184, 194, 205, 218, 239, 255, 273, 284, 300, 316, 331, 345, 359, 374, 392, 410, 423, 432, 446, 461, 474, 489, 500, 514, 540, 558, 572, 589, 608, 629, 638, 648, 665, 675, 684, 696, 712, 719, 727, 734, 741, 758, 774, 788, 806, 819, 836}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-removedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -59,7 +59,7 @@
 	_ = x[EventLearnerAdded-(32)]
 	_ = x[EventLearnerRemoved-(33)]
 	_ = x[EventVoterAdded-(34)]
-	_ = x[EventVoterRemoved-(35)]
+	_ = x[EventVoterReplaced-(35)]
 	_ = x[EventLeadershipNotHandedOver-(36)]
 	_ = x[EventExpiryNotEncoded-(37)]
 	_ = x[EventReplicaFailed-(38)]
@@ -85,7 +85,7 @@
 	_ = x[EventLogLinesDropped-(58)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterRemoved, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:    EventRequestServed,
@@ -123,30 +123,30 @@
 	_LogEventName[461:474]: EventLearnerAdded,
 	_LogEventName[474:489]: EventLearnerRemoved,
 	_LogEventName[489:500]: EventVoterAdded,
-	_LogEventName[500:513]: EventVoterRemoved,
-	_LogEventName[513:539]: EventLeadershipNotHandedOver,
-	_LogEventName[539:557]: EventExpiryNotEncoded,
-	_LogEventName[557:571]: EventReplicaFailed,
-	_LogEventName[571:588]: EventReplicaWentBack,
-	_LogEventName[588:607]: EventDataFolderDamaged,
-	_LogEventName[607:628]: EventDataFolderWentBack,
-	_LogEventName[628:637]: EventLeaseGot,
-	_LogEventName[637:647]: EventLeaseLost,
-	_LogEventName[647:664]: EventLeaseNotRenewed,
-	_LogEventName[664:674]: EventZoneOwned,
-	_LogEventName[674:683]: EventZoneLost,
-	_LogEventName[683:695]: EventControlLost,
-	_LogEventName[695:711]: EventControlRegained,
-	_LogEventName[711:718]: EventStarted,
-	_LogEventName[718:726]: EventDraining,
-	_LogEventName[726:733]: EventDrained,
-	_LogEventName[733:740]: EventStopped,
-	_LogEventName[740:757]: EventSettingsReloaded,
-	_LogEventName[757:773]: EventSettingsRefused,
-	_LogEventName[773:787]: EventListenerEnded,
-	_LogEventName[787:805]: EventMetricsNotServed,
-	_LogEventName[805:818]: EventUnknownEvent,
-	_LogEventName[818:835]: EventLogLinesDropped,
+	_LogEventName[500:514]: EventVoterReplaced,
+	_LogEventName[514:540]: EventLeadershipNotHandedOver,
+	_LogEventName[540:558]: EventExpiryNotEncoded,
+	_LogEventName[558:572]: EventReplicaFailed,
+	_LogEventName[572:589]: EventReplicaWentBack,
+	_LogEventName[589:608]: EventDataFolderDamaged,
+	_LogEventName[608:629]: EventDataFolderWentBack,
+	_LogEventName[629:638]: EventLeaseGot,
+	_LogEventName[638:648]: EventLeaseLost,
+	_LogEventName[648:665]: EventLeaseNotRenewed,
+	_LogEventName[665:675]: EventZoneOwned,
+	_LogEventName[675:684]: EventZoneLost,
+	_LogEventName[684:696]: EventControlLost,
+	_LogEventName[696:712]: EventControlRegained,
+	_LogEventName[712:719]: EventStarted,
+	_LogEventName[719:727]: EventDraining,
+	_LogEventName[727:734]: EventDrained,
+	_LogEventName[734:741]: EventStopped,
+	_LogEventName[741:758]: EventSettingsReloaded,
+	_LogEventName[758:774]: EventSettingsRefused,
+	_LogEventName[774:788]: EventListenerEnded,
+	_LogEventName[788:806]: EventMetricsNotServed,
+	_LogEventName[806:819]: EventUnknownEvent,
+	_LogEventName[819:836]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -185,30 +185,30 @@
 	_LogEventLowerName[461:474]: EventLearnerAdded,
 	_LogEventLowerName[474:489]: EventLearnerRemoved,
 	_LogEventLowerName[489:500]: EventVoterAdded,
-	_LogEventLowerName[500:513]: EventVoterRemoved,
-	_LogEventLowerName[513:539]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[539:557]: EventExpiryNotEncoded,
-	_LogEventLowerName[557:571]: EventReplicaFailed,
-	_LogEventLowerName[571:588]: EventReplicaWentBack,
-	_LogEventLowerName[588:607]: EventDataFolderDamaged,
-	_LogEventLowerName[607:628]: EventDataFolderWentBack,
-	_LogEventLowerName[628:637]: EventLeaseGot,
-	_LogEventLowerName[637:647]: EventLeaseLost,
-	_LogEventLowerName[647:664]: EventLeaseNotRenewed,
-	_LogEventLowerName[664:674]: EventZoneOwned,
-	_LogEventLowerName[674:683]: EventZoneLost,
-	_LogEventLowerName[683:695]: EventControlLost,
-	_LogEventLowerName[695:711]: EventControlRegained,
-	_LogEventLowerName[711:718]: EventStarted,
-	_LogEventLowerName[718:726]: EventDraining,
-	_LogEventLowerName[726:733]: EventDrained,
-	_LogEventLowerName[733:740]: EventStopped,
-	_LogEventLowerName[740:757]: EventSettingsReloaded,
-	_LogEventLowerName[757:773]: EventSettingsRefused,
-	_LogEventLowerName[773:787]: EventListenerEnded,
-	_LogEventLowerName[787:805]: EventMetricsNotServed,
-	_LogEventLowerName[805:818]: EventUnknownEvent,
-	_LogEventLowerName[818:835]: EventLogLinesDropped,
+	_LogEventLowerName[500:514]: EventVoterReplaced,
+	_LogEventLowerName[514:540]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[540:558]: EventExpiryNotEncoded,
+	_LogEventLowerName[558:572]: EventReplicaFailed,
+	_LogEventLowerName[572:589]: EventReplicaWentBack,
+	_LogEventLowerName[589:608]: EventDataFolderDamaged,
+	_LogEventLowerName[608:629]: EventDataFolderWentBack,
+	_LogEventLowerName[629:638]: EventLeaseGot,
+	_LogEventLowerName[638:648]: EventLeaseLost,
+	_LogEventLowerName[648:665]: EventLeaseNotRenewed,
+	_LogEventLowerName[665:675]: EventZoneOwned,
+	_LogEventLowerName[675:684]: EventZoneLost,
+	_LogEventLowerName[684:696]: EventControlLost,
+	_LogEventLowerName[696:712]: EventControlRegained,
+	_LogEventLowerName[712:719]: EventStarted,
+	_LogEventLowerName[719:727]: EventDraining,
+	_LogEventLowerName[727:734]: EventDrained,
+	_LogEventLowerName[734:741]: EventStopped,
+	_LogEventLowerName[741:758]: EventSettingsReloaded,
+	_LogEventLowerName[758:774]: EventSettingsRefused,
+	_LogEventLowerName[774:788]: EventListenerEnded,
+	_LogEventLowerName[788:806]: EventMetricsNotServed,
+	_LogEventLowerName[806:819]: EventUnknownEvent,
+	_LogEventLowerName[819:836]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -247,30 +247,30 @@
 	_LogEventName[461:474],
 	_LogEventName[474:489],
 	_LogEventName[489:500],
-	_LogEventName[500:513],
-	_LogEventName[513:539],
-	_LogEventName[539:557],
-	_LogEventName[557:571],
-	_LogEventName[571:588],
-	_LogEventName[588:607],
-	_LogEventName[607:628],
-	_LogEventName[628:637],
-	_LogEventName[637:647],
-	_LogEventName[647:664],
-	_LogEventName[664:674],
-	_LogEventName[674:683],
-	_LogEventName[683:695],
-	_LogEventName[695:711],
-	_LogEventName[711:718],
-	_LogEventName[718:726],
-	_LogEventName[726:733],
-	_LogEventName[733:740],
-	_LogEventName[740:757],
-	_LogEventName[757:773],
-	_LogEventName[773:787],
-	_LogEventName[787:805],
-	_LogEventName[805:818],
-	_LogEventName[818:835],
+	_LogEventName[500:514],
+	_LogEventName[514:540],
+	_LogEventName[540:558],
+	_LogEventName[558:572],
+	_LogEventName[572:589],
+	_LogEventName[589:608],
+	_LogEventName[608:629],
+	_LogEventName[629:638],
+	_LogEventName[638:648],
+	_LogEventName[648:665],
+	_LogEventName[665:675],
+	_LogEventName[675:684],
+	_LogEventName[684:696],
+	_LogEventName[696:712],
+	_LogEventName[712:719],
+	_LogEventName[719:727],
+	_LogEventName[727:734],
+	_LogEventName[734:741],
+	_LogEventName[741:758],
+	_LogEventName[758:774],
+	_LogEventName[774:788],
+	_LogEventName[788:806],
+	_LogEventName[806:819],
+	_LogEventName[819:836],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
