perf: a lost disk is repaired when its replica is ready, not at the leader's next look

Until a VM that came back empty counts again, one more lost disk would be one too many. Its hello waited up to a second for the leader's look, and its place again up to a second after it had caught up, which takes milliseconds.

Now the leader decides when the hello comes and at each event while there is a learner. The test repairs with all ticks held back; before, it waits for ever.

--- a/laburnumvoter/lead.go
+++ b/laburnumvoter/lead.go
@@ -20,7 +20,7 @@
 
 // noteRole does what goes with becoming leader and with ceasing to be one.
 func (v *Voter) noteRole() {
-	leads := v.log != nil && v.log.Role() == laburnumlog.Leader
+	leads := v.leads()
 	if leads != v.wasLeader {
 		v.wasLeader = leads
 		if leads {
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -39,7 +39,7 @@
 			delete(v.joiners, vm)
 		}
 	}
-	if v.log.Role() == laburnumlog.Leader {
+	if v.leads() {
 		v.warnSuperseded()
 		v.tendConfiguration()
 		return
@@ -89,6 +89,9 @@
 		v.peers.Notify(h.Member.Address, methodHello, answer)
 	}
 	v.resendBootstrap(h)
+	if v.leads() {
+		v.tendConfiguration()
+	}
 }
 
 // maybeBootstrap makes the first configuration, on the first of the voters by name,
@@ -185,7 +188,9 @@
 	v.use(ev.replica)
 }
 
-// tendConfiguration makes at most one change of the members.
+// tendConfiguration makes at most one change of the members. It is asked at each look, and at
+// once when a replica says hello or a learner may have caught up: until the change is made one
+// more lost disk would be one too many, and waiting for looks was most of that time.
 func (v *Voter) tendConfiguration() {
 	policy := laburnumquorum.Policy{Target: v.cfg.voterTarget, ReplaceTicks: v.replaceTicks()}
 	change, due := policy.Next(laburnumquorum.View{
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -143,7 +143,7 @@
 
 // append puts proposals into the log together, or turns them away.
 func (v *Voter) append(list []proposal) {
-	if v.log == nil || v.log.Role() != laburnumlog.Leader || len(v.waiters)+len(list) > maxWaiting {
+	if !v.leads() || len(v.waiters)+len(list) > maxWaiting {
 		v.turnAway(list)
 		return
 	}
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -172,8 +172,12 @@
 	v.settle()
 }
 
-// settle steps the messages that the replica sent to itself, then publishes.
+// settle goes on with a change of the members that waits for nothing any more, steps the
+// messages that the replica sent to itself, then publishes.
 func (v *Voter) settle() {
+	if v.leads() && len(learners(v.log.Configuration())) > 0 {
+		v.tendConfiguration()
+	}
 	for len(v.inbox) > 0 {
 		m := v.inbox[0]
 		v.inbox = v.inbox[1:]
@@ -184,6 +188,8 @@
 	v.publish()
 }
 
+func (v *Voter) leads() bool { return v.log != nil && v.log.Role() == laburnumlog.Leader }
+
 func (v *Voter) onStarted() {
 	if v.log == nil {
 		return
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,22 @@
 	voters []laburnumlever.Voter
 	opts   []laburnumvoter.Option
 	vms    map[string]*vm
+	// stopped holds back all ticks of all VMs.
+	stopped atomic.Bool
+}
+
+// fleetTimers are timers whose periods the fleet can hold back.
+type fleetTimers struct {
+	laburnumlever.Timers
+	stopped *atomic.Bool
+}
+
+func (t fleetTimers) Every(period time.Duration, fn func(now time.Time)) func() {
+	return t.Timers.Every(period, func(now time.Time) {
+		if !t.stopped.Load() {
+			fn(now)
+		}
+	})
 }
 
 type vm struct {
@@ -63,7 +80,7 @@
 		laburnumvoter.WithProposalTimeout(patience),
 	}, f.opts...)
 	self := laburnumlever.VM{ID: laburnumlever.VMID(name), PeerAddress: name, HasDisk: folder != ""}
-	v, err := laburnumvoter.New(m.loop, m.timers, m.port, self, append(all, opts...)...)
+	v, err := laburnumvoter.New(m.loop, fleetTimers{m.timers, &f.stopped}, m.port, self, append(all, opts...)...)
 	require.NoError(f.t, err)
 	m.Voter = v
 	v.OnCatalogue(func(c laburnumlever.Catalogue) { m.seen <- c.Revision })
@@ -202,6 +219,27 @@
 	b.waitRevision(t, 45)
 }
 
+// A VM lost its folder, is back, and has all of the log within milliseconds. Until it counts
+// again one more lost disk would be one too many; that took up to three looks of the leader, a
+// second apart. Its hello and its acknowledgements must be enough: here no time passes at all.
+func TestLostFolderIsRepairedWithoutWaiting(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	f.vms["a"].apply(t, "first", 0)
+	lost := "c"
+	if f.leader() == lost {
+		lost = "b"
+	}
+	f.stop(lost)
+	require.NoError(t, os.RemoveAll(f.folder(lost)))
+	f.stopped.Store(true)
+	back := f.start(lost, f.folder(lost))
+	f.wait("it counts again", func() bool {
+		s := back.Status()
+		return s.Role == "follower" && len(s.Voters) == 3
+	})
+}
+
 // Two operators hold revision 0 and apply at the same time through different VMs.
 // One must win; the other must be told so, with the revision that won.
 func TestRacingOperators(t *testing.T) {
