fix: a replica whose disk was full counts again once the disk takes writes

Cause: a replica gives up its vote at the first write that fails, rightly, and for good: nobody restarts the process. The same class as a voter removed before the next is added: the voters that are left bear fewer lost disks than the settings promise, here for as long as nobody looks.

Mend: a second after the failure the folder is rewound to what was durable, for a failed sync may leave bytes that can be read and are not on the disk, and opened again as the same instance; if that fails, again a second later. It says hello at once, since its place may have gone to another VM. The want of a leader is counted from the opening.

Tests: TestReplicaComesBackOnceItsDiskTakesWrites fails without the opening, TestOpenedAgainWithoutARestart (every operation refused in turn, then a loss of power) without the rewinding.

--- a/laburnumdisk/crash_test.go
+++ b/laburnumdisk/crash_test.go
@@ -180,6 +180,38 @@
 	}
 }
 
+// The disk refuses one operation, whichever, and takes the next ones again. The folder is
+// rewound and opened without a restart, and then the machine loses power. What the opening
+// found counts as held by the log, so it must be there after that.
+func TestOpenedAgainWithoutARestart(t *testing.T) {
+	writes := []laburnumlog.Write{
+		write(1, 1, 4), write(1, 5, 9), snapshotWrite(4, 1, false), write(2, 8, 12), snapshotWrite(12, 2, false),
+		write(2, 13, 14), snapshotWrite(30, 3, true), write(3, 31, 33), write(4, 33, 35),
+	}
+	opts := func(files *memoryFiles) []laburnumdisk.Option {
+		return []laburnumdisk.Option{laburnumdisk.WithFiles(files), laburnumdisk.WithSegmentBytes(300)}
+	}
+	for _, torn := range []bool{false, true} {
+		for at, failed := 0, true; failed; at++ {
+			files := newMemoryFiles()
+			s, _ := open(t, "data", opts(files)...)
+			files.crash(at, torn)
+			promised := 0
+			for promised < len(writes) && s.Write(writes[promised:promised+1]) == nil {
+				promised++
+			}
+			failed = promised < len(writes)
+			files.left = -1
+			require.NoError(t, s.Rewind())
+			_, found := open(t, "data", opts(files)...)
+			requirePromised(t, found, writes, promised)
+			files.restart()
+			_, r := open(t, "data", opts(files)...)
+			require.Equal(t, summary(found), summary(r), "operation %d refused", at)
+		}
+	}
+}
+
 // drive writes all, starting again after each crash, and checks each start; it
 // tells whether no crash happened.
 func drive(t *testing.T, files *memoryFiles, writes []laburnumlog.Write) bool {
--- a/laburnumdisk/doc.go
+++ b/laburnumdisk/doc.go
@@ -23,5 +23,6 @@
 //	err = store.Write(writes) // durable when it returns nil
 //
 // After an error of Write nothing more is written: what reached the disk is not
-// known, and a second fsync may report success for data that was dropped.
+// known, and a second fsync may report success for data that was dropped. Rewind takes the
+// folder back to what is known, and Open then goes on from there.
 package laburnumdisk
--- a/laburnumdisk/store.go
+++ b/laburnumdisk/store.go
@@ -195,6 +195,15 @@
 	return nil
 }
 
+// Rewind takes the folder of a store that failed back to what was durable before, so that it
+// can be opened again. A write or a sync that failed may have left bytes that can be read and
+// are not on the disk: who opens the folder would count them as held, and a loss of power
+// would take them away after they were acknowledged.
+func (s *Store) Rewind() error {
+	current := s.segments[len(s.segments)-1]
+	return s.cut(current.name, current.size)
+}
+
 // Close closes the folder; what was written is durable already.
 func (s *Store) Close() error {
 	if s.file == nil {
--- a/laburnumvoter/drive.go
+++ b/laburnumvoter/drive.go
@@ -57,7 +57,9 @@
 		return
 	}
 	if ev.err != nil {
+		old := v.writer
 		v.fail(ev.err)
+		v.openLater(func() (*replica, error) { return reopenReplica(v.cfg, v.self, old) })
 		return
 	}
 	v.step(laburnumlog.Written{Seq: ev.seq})
@@ -69,9 +71,9 @@
 	}
 }
 
-// fail takes the replica out for good: after a failed fsync nobody knows what the
-// disk holds, and to acknowledge or lead on would be to promise it. The VM goes
-// on as one without a replica until it is started again.
+// fail takes the replica out: after a failed fsync nobody knows what the disk holds, and to
+// acknowledge or lead on would be to promise it. The VM goes on as one without a replica. One
+// whose disk failed comes back by openLater; one whose log contradicts the others' does not.
 func (v *Voter) fail(err error) {
 	_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventReplicaFailed, "err", err)
 	v.cfg.scope.Counter("voter-failures").Inc(1)
--- a/laburnumvoter/events.go
+++ b/laburnumvoter/events.go
@@ -29,6 +29,8 @@
 	reopened   struct {
 		replica *replica
 		err     error
+		// open is tried again after an error of the disk.
+		open func() (*replica, error)
 	}
 	handingOver struct{ done chan struct{} }
 )
--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -76,6 +76,23 @@
 	f.start(old, f.folder(old)).waitRevision(t, 3)
 }
 
+// A voter's disk takes no writes for a while. Its replica gave up for good: after a second
+// VM's disk had been full, one lost disk stopped the log, with both other VMs up and their disks
+// whole. Once the disk takes writes again the replica must count, without a restart of its VM.
+func TestReplicaComesBackOnceItsDiskTakesWrites(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	files := startWithFaults(f)
+	revision := f.vms["a"].apply(t, "first", 0).Revision
+	for i, name := range []string{f.leader(), "a", "b", "c"} {
+		files[name].fail.Store(true)
+		revision = f.vms[name].apply(t, "change-"+strconv.Itoa(i), revision).Revision
+		f.wait("the failed disk is told", func() bool { return f.vms[name].Status().Role == "disk-failed" })
+		files[name].fail.Store(false)
+		f.wait("it counts again", func() bool { r := f.vms[name].Status().Role; return r == "follower" || r == "leader" })
+		f.vms[name].waitRevision(t, revision)
+	}
+}
+
 // The leader's disk hangs. Heartbeats must go on, or each slow fsync would cost an
 // election; the others' disks make the majority.
 func TestSlowDiskDoesNotStopHeartbeats(t *testing.T) {
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -172,20 +172,10 @@
 	_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventDataFolderWentBack, "replica", m.ID)
 	old := v.writer
 	v.drop()
-	go func() {
+	go v.open(func() (*replica, error) {
 		<-old.done
-		r, err := renewReplica(v.cfg, v.self)
-		v.loop.Post(v, reopened{replica: r, err: err})
-	}()
-}
-
-func (v *Voter) onReopened(ev reopened) {
-	if ev.err != nil {
-		v.failure = ev.err
-		_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventReplicaFailed, "err", ev.err)
-		return
-	}
-	v.use(ev.replica)
+		return renewReplica(v.cfg, v.self)
+	})
 }
 
 // tendConfiguration makes at most one change of the members. It is asked at each look, and at
--- /dev/null
+++ b/laburnumvoter/reopen.go
@@ -0,0 +1,58 @@
+package laburnumvoter
+
+import (
+	"time"
+
+	"laburnumlever"
+
+	"github.com/go-kit/log/level"
+)
+
+// reopenTicks pass before a folder is opened again whose disk failed: a full disk is
+// emptied by somebody, and a second more or less is nothing to that.
+const reopenTicks = 10
+
+// openLater opens a folder again whose disk failed. A VM that gave up its vote for good at the
+// first full disk is one voter less until somebody restarts it, and nobody knows that he
+// must; the disks that the settings promise to lose are then too many.
+func (v *Voter) openLater(open func() (*replica, error)) {
+	v.timers.After(reopenTicks*v.cfg.tick, func(time.Time) { go v.open(open) })
+}
+
+// open runs on a goroutine of its own, since the disk may be slow.
+func (v *Voter) open(open func() (*replica, error)) {
+	v.opening.Lock()
+	defer v.opening.Unlock()
+	if v.isClosed() {
+		return
+	}
+	r, err := open()
+	v.loop.Post(v, reopened{replica: r, err: err, open: open})
+}
+
+func (v *Voter) onReopened(ev reopened) {
+	if ev.err != nil {
+		v.failure = ev.err
+		_ = level.Debug(v.cfg.logger).Log("event", laburnumlever.EventReplicaFailed, "err", ev.err)
+		v.openLater(ev.open)
+		return
+	}
+	if v.isClosed() {
+		if err := ev.replica.store.Close(); err != nil {
+			_ = level.Warn(v.cfg.logger).Log("event", laburnumlever.EventReplicaFailed, "err", err)
+		}
+		return
+	}
+	v.failure = nil
+	v.use(ev.replica)
+	v.begin()
+}
+
+func (v *Voter) isClosed() bool {
+	select {
+	case <-v.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/laburnumvoter/replica.go
+++ b/laburnumvoter/replica.go
@@ -122,3 +122,13 @@
 	}
 	return openReplica(cfg, self)
 }
+
+// reopenReplica opens the folder again after its disk failed, as the same instance, with what
+// was durable before.
+func reopenReplica(cfg config, self laburnumlever.VM, old *writer) (*replica, error) {
+	<-old.done
+	if err := old.store.Rewind(); err != nil {
+		return nil, err
+	}
+	return openReplica(cfg, self)
+}
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -59,6 +59,7 @@
 	startedAt time.Time
 	done      chan struct{}
 	closed    sync.Once
+	opening   sync.Mutex // held while a folder is opened again, which Close waits for
 	mu        sync.Mutex // guards cancel and current, which Close takes from another goroutine
 	cancel    func()
 	current   *writer
@@ -96,6 +97,7 @@
 	v.lastSnapshot = r.snapshotBytes
 	v.after, v.inbox = nil, nil
 	v.logBytes, v.encoding = 0, false
+	v.leaderSeen = v.ticks
 	generation := v.generation
 	v.writer = newWriter(r.store, v.cfg.batch, func(seq uint64, err error) {
 		v.loop.Post(v, wrote{generation: generation, seq: seq, err: err})
@@ -129,6 +131,8 @@
 func (v *Voter) Close() error {
 	v.closed.Do(func() {
 		close(v.done)
+		v.opening.Lock()
+		defer v.opening.Unlock()
 		v.mu.Lock()
 		cancel, current := v.cancel, v.current
 		v.mu.Unlock()
@@ -191,11 +195,19 @@
 func (v *Voter) leads() bool { return v.log != nil && v.log.Role() == laburnumlog.Leader }
 
 func (v *Voter) onStarted() {
-	if v.log == nil {
-		return
+	if v.log != nil {
+		v.begin()
 	}
+}
+
+// begin is what a replica does first. It says hello even if it takes itself for a voter: its
+// place may have gone to another VM while it was away.
+func (v *Voter) begin() {
 	v.tellCatalogue()
-	v.tendMembers()
+	v.sayHello()
+	if !v.configured() {
+		v.maybeBootstrap()
+	}
 }
 
 func (v *Voter) onTick(now time.Time) {
