fix: the first change waits at the leader for the voters that are committed

Each control VM counted the voters by its own list before it passed an operator's first change on.

The leader, which knows the list in force, now holds the first change back until the committed voters bear the losses; a deployment with too few VMs goes on after 12 s as before. A system that has a catalogue is not held up after a restart.

--- a/command.go
+++ b/command.go
@@ -14,6 +14,9 @@
 	Routes *RouteTable     `json:"routes,omitempty"`
 }
 
+// ChangesCatalogue tells whether the command is an operator's change.
+func (c Command) ChangesCatalogue() bool { return c.Apply != nil || c.Routes != nil }
+
 // ApplyCatalogue replaces the catalogue if ExpectedRevision is the current one.
 // A ChangeID seen before gets the recorded result and changes nothing.
 type ApplyCatalogue struct {
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -35,8 +34,8 @@
 	replaceShare = 0.6
 	// handOverTimeout bounds the wait for another voter to lead.
 	handOverTimeout = time.Second
-	// growTimeout is when the log is taken to have all the voters it will get: adding
-	// one takes a second or two.
+	// growTimeout is when the log is taken to have all the voters it will get, this long
+	// after its leader's start.
 	growTimeout = 12 * time.Second
 	// proposalLimit bounds any proposal, those of the director too.
 	proposalLimit = 3 * time.Second
@@ -60,9 +59,8 @@
 	// commits is the time that the log takes for an operator's change.
 	commits tally.Histogram
 
-	startedAt time.Time
-	mu        sync.Mutex
-	registry  *laburnumregistry.Table
+	mu       sync.Mutex
+	registry *laburnumregistry.Table
 }
 
 var (
@@ -73,7 +71,6 @@
 // NewControl makes a control VM that does not run yet. An error is a *StartError.
 func NewControl(settings laburnumsettings.Role, engines laburnumlever.ModelEngines, opts ...Option) (*Control, error) {
 	c := &Control{process: newProcess(settings, opts), loop: laburnumcontrol.New()}
-	c.startedAt = c.timers.Now()
 	c.commits = c.metrics.Scope().Histogram("routes_commit_seconds", commitBuckets)
 	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
 	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self, laburnumfeed.WithSourceLogger(c.logger))
@@ -140,6 +137,7 @@
 	opts := []laburnumvoter.Option{
 		laburnumvoter.WithDataFolder(c.settings.DataFolder),
 		laburnumvoter.WithVoterTarget(voterTarget(c.settings.ControlLosses)),
+		laburnumvoter.WithFirstChange(c.settings.ControlLosses, growTimeout),
 		laburnumvoter.WithContacts(c.contacts),
 		laburnumvoter.WithReplaceAfter(time.Duration(replaceShare * float64(c.settings.Times.CatchUp))),
 		laburnumvoter.WithProposalTimeout(proposalLimit),
@@ -342,9 +340,6 @@
 		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "version", table.Version, "cause", err)
 		return err
 	}
-	if err := c.enoughVoters(); err != nil {
-		return err
-	}
 	began := c.timers.Now()
 	_, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &table})
 	c.commits.RecordDuration(c.timers.Now().Sub(began))
@@ -352,19 +347,6 @@
 	return err
 }
 
-// enoughVoters holds the first change back until the log has grown to as many voters as
-// it takes to bear the losses that the settings name: the seeds found it with three, and
-// if two of those lost their disks right after, what was acknowledged would be gone. A
-// system that has fewer control VMs than that goes on after a while with what it has.
-func (c *Control) enoughVoters() error {
-	want := voterTarget(c.settings.ControlLosses)
-	have := len(c.voter.Status().Voters)
-	if have >= want || c.timers.Now().Sub(c.startedAt) > growTimeout {
-		return nil
-	}
-	return &laburnumlever.NoQuorumError{Detail: fmt.Sprintf("the log has %d voters of %d yet", have, want)}
-}
-
 // voterTarget is how many voters bear the loss of some of them, with their disks.
 func voterTarget(losses int) int { return 2*losses + 1 }
 
--- a/laburnumvoter/options.go
+++ b/laburnumvoter/options.go
@@ -29,20 +29,23 @@
 )
 
 type config struct {
-	folder          string
-	diskOptions     []laburnumdisk.Option
-	stateOptions    []laburnumstate.Option
-	voters          []laburnumlever.Voter
-	candidates      func() []laburnumlever.Voter
-	contacts        func() []laburnumlever.Voter
-	voterTarget     int
-	logger          log.Logger
-	scope           tally.Scope
-	tick            time.Duration
-	proposalTimeout time.Duration
-	replaceAfter    time.Duration
-	snapshotBytes   int
-	batch           int
+	folder       string
+	diskOptions  []laburnumdisk.Option
+	stateOptions []laburnumstate.Option
+	voters       []laburnumlever.Voter
+	candidates   func() []laburnumlever.Voter
+	contacts     func() []laburnumlever.Voter
+	voterTarget  int
+	// firstChangeBears and firstChangeWithin: see WithFirstChange.
+	firstChangeBears  int
+	firstChangeWithin time.Duration
+	logger            log.Logger
+	scope             tally.Scope
+	tick              time.Duration
+	proposalTimeout   time.Duration
+	replaceAfter      time.Duration
+	snapshotBytes     int
+	batch             int
 }
 
 func newConfig(opts []Option) config {
@@ -90,6 +93,14 @@
 // there were first voters. A log founded by fewer grows to it.
 func WithVoterTarget(n int) Option { return func(c *config) { c.voterTarget = n } }
 
+// WithFirstChange holds an operator's first change back until the committed voters bear the
+// loss of that many disks: a log is founded by fewer, and what was confirmed before it has grown
+// would be gone with them. A deployment that has too few VMs goes on after the time given, counted
+// from the leader's start.
+func WithFirstChange(losses int, within time.Duration) Option {
+	return func(c *config) { c.firstChangeBears, c.firstChangeWithin = losses, within }
+}
+
 // WithLogger sets the logger.
 func WithLogger(logger log.Logger) Option { return func(c *config) { c.logger = logger } }
 
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -154,6 +154,10 @@
 		if !p.decided.CompareAndSwap(false, true) {
 			continue
 		}
+		if p.command.ChangesCatalogue() && v.tooFewVoters() {
+			p.reply <- proposeAnswer{Verdict: verdictNotTaken, Detail: "the log has too few voters yet", Voters: v.voterList()}
+			continue
+		}
 		d, err := json.Marshal(entryData{At: at, Command: p.command})
 		if err != nil || len(d) > maxCommandBytes {
 			p.reply <- proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{
@@ -175,6 +179,17 @@
 	}
 }
 
+// tooFewVoters tells whether the first change has to wait. Only committed voters count: a list
+// that another leader takes back bears nothing.
+func (v *Voter) tooFewVoters() bool {
+	if v.machine.Routes() != nil || v.machine.Catalogue().Revision > 0 {
+		return false
+	}
+	committed := v.log.ConfigurationAt(v.log.Commit())
+	bears := committed.Spare(func(laburnumlog.Member) bool { return true })
+	return bears < v.cfg.firstChangeBears && v.timers.Now().Sub(v.startedAt) < v.cfg.firstChangeWithin
+}
+
 func (v *Voter) turnAway(list []proposal) {
 	answer := proposeAnswer{Verdict: verdictNotTaken, Detail: v.notLeading(), Voters: v.voterList()}
 	if v.log != nil {
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -240,6 +240,24 @@
 	})
 }
 
+// A log is founded by three VMs and has two lost disks to bear, for which it needs five. An
+// operator's first change, confirmed before it has grown, would be gone with two of the three.
+// It waits; what was confirmed already does not hold later ones up.
+func TestFirstChangeWaitsForTheVoters(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithVoterTarget(5), laburnumvoter.WithFirstChange(2, time.Hour))
+	f.startAll()
+	f.leader()
+	short, cancel := context.WithTimeout(context.Background(), 40*tick)
+	defer cancel()
+	_, err := f.vms["a"].Propose(short, change("too soon", 0))
+	var none *laburnumlever.NoQuorumError
+	require.ErrorAs(t, err, &none)
+	f.start("d", f.folder("d"))
+	f.start("e", f.folder("e"))
+	require.EqualValues(t, 1, f.vms["a"].apply(t, "first", 0).Revision)
+	require.Len(t, f.vms[f.leader()].Status().Voters, 5)
+}
+
 // Two operators hold revision 0 and apply at the same time through different VMs.
 // One must win; the other must be told so, with the revision that won.
 func TestRacingOperators(t *testing.T) {
