fix: a replica that never catches up does not keep other VMs from a voter's place

A learner that answers heartbeats and takes no entry, as one does whose disk hangs, was waited for without end, and no other VM could take the voter's place meanwhile: the log bore one lost disk less for as long.

After five seconds without an acknowledgement the learner is given up and comes last the next time. The leader looks at the members at each tick rather than each second, and a silent voter's place is free after half of the catch-up time instead of 0.6, which leaves room for an election before: with two VMs replaced at once at other addresses the repair was not done within the 4 s after which the next loss may come (an earlier form of TestRepairIsDoneBeforeTheNextLossMayCome).

--- a/laburnumlog/replication.go
+++ b/laburnumlog/replication.go
@@ -18,11 +18,12 @@
 	lost     bool
 	unacked  int // ticks since the last acknowledgement that brought something new
 	silent   int // ticks since any answer
+	behind   int // ticks for which it has lacked entries and acknowledged none
 }
 
 // probe starts over from the given index, keeping what is known for good.
 func (p progress) probe(next uint64) progress {
-	return progress{match: p.match, next: next, probing: true, silent: p.silent, boot: p.boot, older: p.older, acked: p.acked, lost: p.lost}
+	return progress{match: p.match, next: next, probing: true, silent: p.silent, behind: p.behind, boot: p.boot, older: p.older, acked: p.acked, lost: p.lost}
 }
 
 // heard notes an answer, and tells whether it is from the latest start of the
@@ -43,6 +44,8 @@
 	Match uint64
 	// SilentTicks is how long the member has not answered.
 	SilentTicks int
+	// BehindTicks is how long it has lacked entries without acknowledging any.
+	BehindTicks int
 	// Boot is the highest that the member has answered with.
 	Boot uint64
 	// Older is another start that answered though it is not later: a late
@@ -59,7 +62,9 @@
 	if id == l.id && l.role == Leader {
 		return MemberProgress{Match: l.stable}, true
 	}
-	return MemberProgress{Match: p.match, SilentTicks: p.silent, Boot: p.boot, Older: p.older, Lost: p.lost}, ok
+	return MemberProgress{
+		Match: p.match, SilentTicks: p.silent, BehindTicks: p.behind, Boot: p.boot, Older: p.older, Lost: p.lost,
+	}, ok
 }
 
 // LossesBorne is how many more voters may be lost for good, disks and all, so that those
@@ -93,6 +98,10 @@
 	for id, p := range l.progress {
 		p.silent++
 		p.unacked++
+		p.behind++
+		if p.match >= l.LastIndex() {
+			p.behind = 0
+		}
 		l.progress[id] = p
 	}
 	for _, m := range l.Configuration().Members {
@@ -226,7 +235,7 @@
 	}
 	if m.Index > p.match {
 		p.match = m.Index
-		p.unacked = 0
+		p.unacked, p.behind = 0, 0
 	}
 	p.next = max(p.next, p.match+1)
 	p.inFlight = max(0, p.inFlight-1)
--- a/laburnumquorum/doc.go
+++ b/laburnumquorum/doc.go
@@ -8,8 +8,8 @@
 //
 // # Usage
 //
-//	policy := laburnumquorum.Policy{Target: 3, ReplaceTicks: 24}
-//	if change, ok := policy.Next(view); ok {
+//	keeper := laburnumquorum.NewKeeper(laburnumquorum.Policy{Target: 3, ReplaceTicks: 24})
+//	if change, ok := keeper.Next(view); ok {
 //		out := log.Step(laburnumlog.ChangeMembers{Configuration: change.To})
 //	}
 //
--- a/laburnumquorum/policy.go
+++ b/laburnumquorum/policy.go
@@ -1,12 +1,21 @@
 package laburnumquorum
 
 import (
+	"cmp"
+	"slices"
+	"strings"
+
 	"laburnumlever"
 	"laburnumlever/laburnumlog"
 )
 
-// answersTicks is how long a member may be silent and still count as there.
-const answersTicks = 10
+const (
+	// answersTicks is how long a member may be silent and still count as there.
+	answersTicks = 10
+	// stuckTicks is how long a learner may take nothing before another VM gets its chance: as
+	// long as the log waits for a snapshot to arrive.
+	stuckTicks = 50
+)
 
 // Policy says how many voters there are to be and when one is given up.
 type Policy struct {
@@ -25,8 +34,7 @@
 	Commit uint64
 	// Progress is what the leader knows of a member; false for one it knows nothing of.
 	Progress func(laburnumlog.ReplicaID) (laburnumlog.MemberProgress, bool)
-	// Joiners are the replicas that asked to join lately and may, in the order in
-	// which they are considered.
+	// Joiners are the replicas that asked to join lately and may.
 	Joiners []laburnumlog.Member
 }
 
@@ -39,9 +47,41 @@
 	To       laburnumlog.Configuration
 }
 
+// Keeper decides by a policy, and remembers which VMs did not catch up.
+type Keeper struct {
+	policy Policy
+	// gaveUp are those VMs, the latest last.
+	gaveUp []laburnumlever.VMID
+}
+
+// NewKeeper returns one that remembers nothing yet.
+func NewKeeper(policy Policy) Keeper { return Keeper{policy: policy} }
+
 // Next is the next change of the members, if one is due: a learner is added, caught up,
-// and only then put in the place of the voter that it replaces, in one step.
-func (p Policy) Next(v View) (Change, bool) {
+// and only then put in the place of the voter that it replaces, in one step. A VM whose
+// replica did not catch up comes last the next time: with a disk that hangs and answers to
+// its name it would keep all others from a voter's place for as long.
+func (k *Keeper) Next(v View) (Change, bool) {
+	v.Joiners = k.order(v.Joiners)
+	change, due := k.policy.next(v)
+	if due && change.Event == laburnumlever.EventLearnerRemoved {
+		vm := change.Member.VM
+		k.gaveUp = append(slices.DeleteFunc(slices.Clone(k.gaveUp), func(id laburnumlever.VMID) bool { return id == vm }), vm)
+	}
+	return change, due
+}
+
+// order puts the joiners by name, so that each look sees them alike, and those given up last.
+func (k *Keeper) order(joiners []laburnumlog.Member) []laburnumlog.Member {
+	joiners = slices.Clone(joiners)
+	slices.SortFunc(joiners, func(a, b laburnumlog.Member) int {
+		byTurn := slices.Index(k.gaveUp, a.VM) - slices.Index(k.gaveUp, b.VM)
+		return cmp.Or(byTurn, strings.Compare(string(a.VM), string(b.VM)))
+	})
+	return joiners
+}
+
+func (p Policy) next(v View) (Change, bool) {
 	if v.Pending || v.Configuration.Joint() {
 		return Change{}, false
 	}
@@ -64,7 +104,7 @@
 	progress, _ := v.Progress(m.ID)
 	remove := Change{Event: laburnumlever.EventLearnerRemoved, Member: m, To: v.Configuration.Without(m.ID)}
 	switch {
-	case progress.SilentTicks > p.ReplaceTicks || progress.Lost:
+	case progress.SilentTicks > p.ReplaceTicks || progress.BehindTicks > stuckTicks || progress.Lost:
 		return remove, true
 	case progress.SilentTicks > answersTicks || progress.Match < v.Commit:
 		return Change{}, false // not caught up
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -30,8 +30,8 @@
 	// expirePeriod is how often silent backend servers are looked for.
 	expirePeriod = 500 * time.Millisecond
 	// replaceShare of the time in which a new VM must count passes before a
-	// silent voter is replaced: the rest is for the change itself.
-	replaceShare = 0.6
+	// silent voter is replaced: the rest is for an election before, if the leader was it.
+	replaceShare = 0.5
 	// handOverTimeout bounds the wait for another voter to lead.
 	handOverTimeout = time.Second
 	// growTimeout is when the log is taken to have all the voters it will get, this long
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-	"strings"
-	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumlog"
@@ -13,7 +11,8 @@
 )
 
 const (
-	// membersEvery is how many ticks pass between two looks at the members.
+	// membersEvery is how many ticks pass between two hellos of a replica that wants a
+	// place or a leader.
 	membersEvery = 10
 	// helloTicks is how long a hello is believed, and how long a replica goes
 	// without a leader before it sends one.
@@ -32,7 +31,7 @@
 
 func (v *Voter) configured() bool { return len(v.log.Configuration().Members) > 0 }
 
-// tendMembers runs about once a second.
+// tendMembers runs about once a second on every replica.
 func (v *Voter) tendMembers() {
 	for vm, j := range v.joiners {
 		if v.ticks-j.seen > helloTicks {
@@ -41,7 +40,6 @@
 	}
 	if v.leads() {
 		v.warnSuperseded()
-		v.tendConfiguration()
 		return
 	}
 	_, in := v.log.Configuration().Find(v.log.ID())
@@ -178,12 +176,11 @@
 	})
 }
 
-// tendConfiguration makes at most one change of the members. It is asked at each look, and at
-// once when a replica says hello or a learner may have caught up: until the change is made one
-// more lost disk would be one too many, and waiting for looks was most of that time.
+// tendConfiguration makes at most one change of the members. A leader is asked at each tick, and
+// at once when a replica says hello or a learner may have caught up: until the change is made
+// one more lost disk would be one too many.
 func (v *Voter) tendConfiguration() {
-	policy := laburnumquorum.Policy{Target: v.cfg.voterTarget, ReplaceTicks: v.replaceTicks()}
-	change, due := policy.Next(laburnumquorum.View{
+	change, due := v.keeper.Next(laburnumquorum.View{
 		Configuration: v.log.Configuration(), Pending: v.log.ChangePending(), Commit: v.log.Commit(),
 		Progress: v.log.Progress, Joiners: v.joinersAllowed(),
 	})
@@ -194,12 +191,7 @@
 	_ = level.Info(v.cfg.logger).Log("event", change.Event, "replica", change.Member.ID, "replaces", change.Replaced, "accepted", out.Accepted)
 }
 
-func (v *Voter) replaceTicks() int {
-	return int(v.cfg.replaceAfter / max(v.cfg.tick, time.Millisecond))
-}
-
-// joinersAllowed are the replicas that may join, by the names of their VMs, so that each
-// look sees them alike.
+// joinersAllowed are the replicas that may join.
 func (v *Voter) joinersAllowed() []laburnumlog.Member {
 	var list []laburnumlog.Member
 	for vm, j := range v.joiners {
@@ -207,7 +199,6 @@
 			list = append(list, j.hello.Member)
 		}
 	}
-	slices.SortFunc(list, func(a, b laburnumlog.Member) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	return list
 }
 
--- a/laburnumvoter/options.go
+++ b/laburnumvoter/options.go
@@ -5,6 +5,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumdisk"
+	"laburnumlever/laburnumquorum"
 	"laburnumlever/laburnumstate"
 
 	"github.com/go-kit/log"
@@ -63,6 +64,12 @@
 	return cfg
 }
 
+// policy is who the voters are to be.
+func (c config) policy() laburnumquorum.Policy {
+	ticks := int(c.replaceAfter / max(c.tick, time.Millisecond))
+	return laburnumquorum.Policy{Target: c.voterTarget, ReplaceTicks: ticks}
+}
+
 // Option changes a new voter.
 type Option func(*config)
 
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -7,6 +7,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumlog"
+	"laburnumlever/laburnumquorum"
 	"laburnumlever/laburnumstate"
 )
 
@@ -30,6 +31,7 @@
 	waiters      map[uint64]waiter
 	addresses    map[laburnumlog.ReplicaID]string
 	joiners      map[laburnumlever.VMID]joiner
+	keeper       laburnumquorum.Keeper
 	renewals     map[string]renewal
 	onCatalogue  func(laburnumlever.Catalogue)
 	onRoutes     func(laburnumlever.RouteTable)
@@ -76,6 +78,7 @@
 		onRoutes: func(laburnumlever.RouteTable) {},
 		done:     make(chan struct{}), startedAt: timers.Now(),
 	}
+	v.keeper = laburnumquorum.NewKeeper(v.cfg.policy())
 	v.known.set(v.cfg.voters)
 	if v.cfg.folder != "" {
 		r, err := openReplica(v.cfg, self)
@@ -224,6 +227,9 @@
 	}
 	v.expireLeases(now)
 	v.reportLeaderless()
+	if v.leads() {
+		v.tendConfiguration()
+	}
 	if v.ticks%membersEvery == 0 {
 		v.reportLosses()
 		v.tendMembers()
