--- a/laburnumvoter/drive.go
+++ b/laburnumvoter/drive.go
@@ -84,6 +84,7 @@
 // drop stops the replica that is open.
 func (v *Voter) drop() {
 	v.log = nil
+	v.leaderlessTicks.Store(0)
 	v.generation++
 	v.after, v.inbox = nil, nil
 	v.writer.stop()
--- a/laburnumvoter/report.go
+++ b/laburnumvoter/report.go
@@ -63,9 +63,11 @@
 // after it began and then now and again while it lasts.
 func (v *Voter) reportLeaderless() {
 	if !v.log.Configuration().IsVoter(v.log.ID()) {
+		v.leaderlessTicks.Store(0)
 		return
 	}
 	without := v.leaderless()
+	v.leaderlessTicks.Store(v.ticks - v.leaderSeen)
 	v.cfg.scope.Gauge("leaderless_seconds").Update(without.Seconds())
 	if v.ticks-v.leaderSeen < leaderlessTicks || v.ticks-v.said.leaderless < leaderlessEvery {
 		return
--- a/laburnumvoter/report_test.go
+++ b/laburnumvoter/report_test.go
@@ -1,11 +1,13 @@
 package laburnumvoter_test
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumvoter"
@@ -49,7 +51,7 @@
 // its folder, so that the other waits for a vote that can't come. Its lines must say so: who
 // the voters are, for whose vote it waits, and that this VM is another instance by now.
 func TestLinesTellWhoseVoteIsMissing(t *testing.T) {
-	f := newFleet(t, []string{"a", "b"})
+	f := newFleet(t, []string{"a", "b"}, laburnumvoter.WithProposalTimeout(time.Hour))
 	said := &lines{}
 	f.start("a", f.folder("a"), laburnumvoter.WithLogger(said))
 	f.start("b", f.folder("b"))
@@ -60,6 +62,11 @@
 	f.wait("the want of a leader is told", func() bool {
 		return said.has(laburnumlever.EventNoLeader, "waiting-for [b/", "its VM is another instance now")
 	})
+	// An operator's change is not held until its time is over, here an hour, and told why.
+	_, err := f.vms["a"].Propose(context.Background(), change("second", 1))
+	var none *laburnumlever.NoQuorumError
+	require.ErrorAs(t, err, &none)
+	require.Contains(t, none.Detail, "waiting for b/")
 	require.True(t, said.has(laburnumlever.EventReplicaOpened, "last 0"))
 	require.True(t, said.has(laburnumlever.EventVotersInForce, "voters [a/", "committed true"))
 }
--- a/laburnumvoter/search.go
+++ b/laburnumvoter/search.go
@@ -1,6 +1,7 @@
 package laburnumvoter
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 	// maxRedirects is how many VMs in a row may name another as the leader
 	// before there is a pause: around an election two may name each other.
 	maxRedirects = 2
+	// hopelessTicks without a leader are more than elections take: what is missing then is
+	// votes, and waiting here for them helps nobody.
+	hopelessTicks = 30
 )
 
 // search is one proposal's way to the leader.
@@ -27,6 +31,7 @@
 	redirects int // since the last pause
 	uncertain bool
 	detail    string
+	own       string // what this VM's own replica said last
 }
 
 func (s *search) try(ctx context.Context, cmd laburnumlever.Command) proposeAnswer {
@@ -35,7 +40,9 @@
 		if v.cfg.folder == "" {
 			return proposeAnswer{Verdict: verdictNotTaken, Leader: v.known.leader()}
 		}
-		return v.proposeHere(ctx, cmd)
+		answer := v.proposeHere(ctx, cmd)
+		s.own = answer.Detail
+		return answer
 	}
 	var answer proposeAnswer
 	err := v.peers.Call(ctx, s.target, methodPropose, proposeParams{Command: cmd}, &answer)
@@ -62,6 +69,10 @@
 		s.target = answer.Leader.PeerAddress
 		return ctx.Err() == nil
 	}
+	if s.asked > len(s.known) && s.voter.hopeless() {
+		s.detail = cmp.Or(s.own, s.detail)
+		return false
+	}
 	if len(s.known) > 0 {
 		s.target = s.known[s.asked%len(s.known)].PeerAddress
 	}
@@ -73,6 +84,11 @@
 	return s.voter.pause(ctx, retryPause)
 }
 
+// hopeless tells whether this VM's replica has waited for a leader for so long that votes must
+// be missing. Whoever asks is told so once all that are known were asked, rather than when his
+// time is over.
+func (v *Voter) hopeless() bool { return v.leaderlessTicks.Load() >= hopelessTicks }
+
 func (s *search) failure() error {
 	if s.uncertain {
 		return &laburnumlever.OutcomeUnknownError{Detail: s.detail}
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -52,19 +52,21 @@
 	said         report
 
 	// Any goroutine.
-	status    atomic.Pointer[laburnumlever.VoterStatus]
-	intake    intake
-	known     knownVoters
-	assembly  assembly
-	sending   sendingTable
-	claims    atomic.Uint64
-	startedAt time.Time
-	done      chan struct{}
-	closed    sync.Once
-	opening   sync.Mutex // held while a folder is opened again, which Close waits for
-	mu        sync.Mutex // guards cancel and current, which Close takes from another goroutine
-	cancel    func()
-	current   *writer
+	status   atomic.Pointer[laburnumlever.VoterStatus]
+	intake   intake
+	known    knownVoters
+	assembly assembly
+	sending  sendingTable
+	claims   atomic.Uint64
+	// leaderlessTicks is for how long the replica, if it is a voter, has known of no leader.
+	leaderlessTicks atomic.Uint64
+	startedAt       time.Time
+	done            chan struct{}
+	closed          sync.Once
+	opening         sync.Mutex // held while a folder is opened again, which Close waits for
+	mu              sync.Mutex // guards cancel and current, which Close takes from another goroutine
+	cancel          func()
+	current         *writer
 }
 
 // New makes a voter; Start makes it take part. Errors are those of opening the
