feat: each change of the members says its cause; how long a leaderless voter waits is an option

Causes (voter-missing, disk-lost, voter-silent, learner-silent, -stuck, -went-back, not-needed) are an enum in the lines of members.

Three seconds without a leader was counted in ticks: with the tests' ticks of 5 ms that was 150 ms, which a busy machine takes to elect; TestCutOffLeaderStepsDown failed once for it beside other work (a leader that had lost its voters for 195 ms refused). It is a time now, an option, and short only in the test that is about it.

TestOlderFolderIsANewInstance failed beside the same work: it took the next VM away while the one on the older folder still called itself a follower by that folder, which docs/operations.md warns of.

--- a/laburnumquorum/doc.go
+++ b/laburnumquorum/doc.go
@@ -16,3 +16,5 @@
 // The leader asks again when the change is committed, a replica has caught up or asks
 // to join, and now and then in between.
 package laburnumquorum
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=Cause -trimprefix=Cause -transform=kebab -output=cause_gen.go
--- a/laburnumquorum/policy.go
+++ b/laburnumquorum/policy.go
@@ -38,9 +38,31 @@
 	Joiners []laburnumlog.Member
 }
 
+// Cause says why the members change.
+type Cause int
+
+// The causes.
+const (
+	// CauseVoterMissing is a log with fewer voters than it aims at.
+	CauseVoterMissing Cause = iota
+	// CauseDiskLost is a voter whose VM came back as another instance.
+	CauseDiskLost
+	// CauseVoterSilent is a voter that has not answered for long.
+	CauseVoterSilent
+	// CauseLearnerSilent is a learner that does not answer.
+	CauseLearnerSilent
+	// CauseLearnerStuck is one that answers and takes no entry.
+	CauseLearnerStuck
+	// CauseLearnerWentBack is one whose disk has less than it acknowledged.
+	CauseLearnerWentBack
+	// CauseNotNeeded is a learner whose voter is back.
+	CauseNotNeeded
+)
+
 // Change is one change of the members.
 type Change struct {
 	Event  laburnumlever.LogEvent
+	Cause  Cause
 	Member laburnumlog.Member
 	// Replaced is the voter whose place the member takes, if any.
 	Replaced laburnumlog.ReplicaID
@@ -91,56 +113,60 @@
 		}
 	}
 	for _, m := range v.Joiners {
-		if _, in := v.Configuration.Find(m.ID); in || !p.wanted(v, m.VM) {
+		if _, in := v.Configuration.Find(m.ID); in {
 			continue
 		}
-		m.Learner = true
-		return Change{Event: laburnumlever.EventLearnerAdded, Member: m, To: v.Configuration.WithMember(m)}, true
+		if _, cause, wanted := p.place(v, m.VM); wanted {
+			m.Learner = true
+			return Change{Event: laburnumlever.EventLearnerAdded, Cause: cause, Member: m, To: v.Configuration.WithMember(m)}, true
+		}
 	}
 	return Change{}, false
 }
 
 func (p Policy) tendLearner(v View, m laburnumlog.Member) (Change, bool) {
 	progress, _ := v.Progress(m.ID)
-	remove := Change{Event: laburnumlever.EventLearnerRemoved, Member: m, To: v.Configuration.Without(m.ID)}
+	remove := func(cause Cause) (Change, bool) {
+		return Change{Event: laburnumlever.EventLearnerRemoved, Cause: cause, Member: m, To: v.Configuration.Without(m.ID)}, true
+	}
 	switch {
-	case progress.SilentTicks > p.ReplaceTicks || progress.BehindTicks > stuckTicks || progress.Lost:
-		return remove, true
+	case progress.Lost:
+		return remove(CauseLearnerWentBack)
+	case progress.SilentTicks > p.ReplaceTicks:
+		return remove(CauseLearnerSilent)
+	case progress.BehindTicks > stuckTicks:
+		return remove(CauseLearnerStuck)
 	case progress.SilentTicks > answersTicks || progress.Match < v.Commit:
 		return Change{}, false // not caught up
 	}
-	m.Learner = false
-	if old, ok := p.replacedBy(v, m.VM); ok {
-		to := v.Configuration.Without(old.ID).WithMember(m)
-		return Change{Event: laburnumlever.EventVoterReplaced, Member: m, Replaced: old.ID, To: to}, true
+	old, cause, wanted := p.place(v, m.VM)
+	if !wanted {
+		return remove(CauseNotNeeded)
 	}
-	if len(v.Configuration.Voters()) >= p.Target {
-		return remove, true
+	m.Learner = false
+	change := Change{Event: laburnumlever.EventVoterAdded, Cause: cause, Member: m, To: v.Configuration.WithMember(m)}
+	if old != "" {
+		change.Event, change.Replaced, change.To = laburnumlever.EventVoterReplaced, old, change.To.Without(old)
 	}
-	return Change{Event: laburnumlever.EventVoterAdded, Member: m, To: v.Configuration.WithMember(m)}, true
+	return change, true
 }
 
-// replacedBy finds the voter whose place a replica on the VM would take: the one of
-// the same VM, else one that has been silent for long.
-func (p Policy) replacedBy(v View, vm laburnumlever.VMID) (laburnumlog.Member, bool) {
-	for _, m := range v.Configuration.Voters() {
+// place finds the place that a replica on the VM would take: that of the voter of the same VM,
+// one that is missing, else that of a voter that has been silent for long.
+func (p Policy) place(v View, vm laburnumlever.VMID) (old laburnumlog.ReplicaID, cause Cause, wanted bool) {
+	voters := v.Configuration.Voters()
+	for _, m := range voters {
 		if m.VM == vm {
-			return m, true
+			return m.ID, CauseDiskLost, true
 		}
 	}
-	if len(v.Configuration.Voters()) < p.Target {
-		return laburnumlog.Member{}, false
+	if len(voters) < p.Target {
+		return "", CauseVoterMissing, true
 	}
-	for _, m := range v.Configuration.Voters() {
+	for _, m := range voters {
 		if progress, ok := v.Progress(m.ID); ok && progress.SilentTicks > p.ReplaceTicks {
-			return m, true
+			return m.ID, CauseVoterSilent, true
 		}
 	}
-	return laburnumlog.Member{}, false
-}
-
-// wanted tells whether a replica on the VM should become a voter.
-func (p Policy) wanted(v View, vm laburnumlever.VMID) bool {
-	_, replaces := p.replacedBy(v, vm)
-	return replaces || len(v.Configuration.Voters()) < p.Target
+	return "", 0, false
 }
--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -136,7 +136,8 @@
 func TestOlderFolderIsANewInstance(t *testing.T) {
 	for name, extraStarts := range map[string]int{"same count of starts": 0, "fewer starts": 2} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, []string{"a", "b", "c"})
+			said := &lines{}
+			f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithLogger(said))
 			f.startAll()
 			revision := f.vms["a"].apply(t, "first", 0).Revision
 			f.vms["c"].waitRevision(t, revision)
@@ -161,6 +162,8 @@
 			require.NoError(t, os.RemoveAll(f.folder("c")))
 			require.NoError(t, os.Rename(copied, f.folder("c")))
 			f.start("c", f.folder("c")).waitRevision(t, revision)
+			// Until the leader has found it out, c calls itself a follower by its older folder.
+			f.wait("c is another instance", func() bool { return said.has(laburnumlever.EventVoterReplaced, "replica c/") })
 			f.wait("c counts again", func() bool { s := f.vms["c"].Status(); return s.Role != "learner" && len(s.Voters) == 3 })
 			f.stop("b")
 			require.Equal(t, revision+1, f.vms["c"].apply(t, "last", revision).Revision)
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -188,7 +188,8 @@
 		return
 	}
 	out := v.step(laburnumlog.ChangeMembers{Configuration: change.To})
-	_ = level.Info(v.cfg.logger).Log("event", change.Event, "replica", change.Member.ID, "replaces", change.Replaced, "accepted", out.Accepted)
+	_ = level.Info(v.cfg.logger).Log("event", change.Event, "cause", change.Cause,
+		"replica", change.Member.ID, "replaces", change.Replaced, "accepted", out.Accepted)
 }
 
 // joinersAllowed are the replicas that may join.
--- a/laburnumvoter/options.go
+++ b/laburnumvoter/options.go
@@ -19,6 +19,9 @@
 	// defaultProposalTimeout bridges an election, which takes up to two
 	// timeouts and a round or two.
 	defaultProposalTimeout = 5 * time.Second
+	// defaultLeaderlessPatience is more than elections take: what is missing then is votes,
+	// and waiting for them helps nobody.
+	defaultLeaderlessPatience = 3 * time.Second
 	// defaultReplaceAfter is longer than a restart of a VM, so that a
 	// restart does not move replicas about.
 	defaultReplaceAfter = time.Minute
@@ -44,15 +47,18 @@
 	scope             tally.Scope
 	tick              time.Duration
 	proposalTimeout   time.Duration
-	replaceAfter      time.Duration
-	snapshotBytes     int
-	batch             int
+	// leaderlessPatience: see WithLeaderlessPatience.
+	leaderlessPatience time.Duration
+	replaceAfter       time.Duration
+	snapshotBytes      int
+	batch              int
 }
 
 func newConfig(opts []Option) config {
 	cfg := config{
 		logger: log.NewNopLogger(), scope: tally.NoopScope, tick: defaultTick,
-		proposalTimeout: defaultProposalTimeout, replaceAfter: defaultReplaceAfter,
+		proposalTimeout: defaultProposalTimeout, leaderlessPatience: defaultLeaderlessPatience,
+		replaceAfter:  defaultReplaceAfter,
 		snapshotBytes: defaultSnapshotBytes, batch: defaultBatch,
 	}
 	for _, opt := range opts {
@@ -133,6 +139,12 @@
 	return func(c *config) { c.proposalTimeout = d }
 }
 
+// WithLeaderlessPatience sets how long a voter is without a leader before Propose there no
+// longer waits for one, but fails once all the VMs known were asked.
+func WithLeaderlessPatience(d time.Duration) Option {
+	return func(c *config) { c.leaderlessPatience = d }
+}
+
 // WithReplaceAfter sets how long a voter is silent before another VM with a disk
 // takes its place.
 func WithReplaceAfter(d time.Duration) Option { return func(c *config) { c.replaceAfter = d } }
--- a/laburnumvoter/report_test.go
+++ b/laburnumvoter/report_test.go
@@ -51,7 +51,8 @@
 // its folder, so that the other waits for a vote that can't come. Its lines must say so: who
 // the voters are, for whose vote it waits, and that this VM is another instance by now.
 func TestLinesTellWhoseVoteIsMissing(t *testing.T) {
-	f := newFleet(t, []string{"a", "b"}, laburnumvoter.WithProposalTimeout(time.Hour))
+	f := newFleet(t, []string{"a", "b"}, laburnumvoter.WithProposalTimeout(time.Hour),
+		laburnumvoter.WithLeaderlessPatience(20*tick))
 	said := &lines{}
 	f.start("a", f.folder("a"), laburnumvoter.WithLogger(said))
 	f.start("b", f.folder("b"))
--- a/laburnumvoter/search.go
+++ b/laburnumvoter/search.go
@@ -17,9 +17,6 @@
 	// maxRedirects is how many VMs in a row may name another as the leader
 	// before there is a pause: around an election two may name each other.
 	maxRedirects = 2
-	// hopelessTicks without a leader are more than elections take: what is missing then is
-	// votes, and waiting here for them helps nobody.
-	hopelessTicks = 30
 )
 
 // search is one proposal's way to the leader.
@@ -87,7 +84,9 @@
 // hopeless tells whether this VM's replica has waited for a leader for so long that votes must
 // be missing. Whoever asks is told so once all that are known were asked, rather than when his
 // time is over.
-func (v *Voter) hopeless() bool { return v.leaderlessTicks.Load() >= hopelessTicks }
+func (v *Voter) hopeless() bool {
+	return time.Duration(v.leaderlessTicks.Load())*v.cfg.tick >= v.cfg.leaderlessPatience
+}
 
 func (s *search) failure() error {
 	if s.uncertain {
