test: the lines' test takes its first change again until a leader is there

Its short patience without a leader refused the first change once, before the first election, beside other work; it asks until the change is taken. What it checks is unchanged.

--- a/laburnumvoter/report_test.go
+++ b/laburnumvoter/report_test.go
@@ -56,7 +56,10 @@
 	said := &lines{}
 	f.start("a", f.folder("a"), laburnumvoter.WithLogger(said))
 	f.start("b", f.folder("b"))
-	f.vms["a"].apply(t, "first", 0)
+	f.wait("a change is taken", func() bool {
+		_, err := f.vms["a"].Propose(context.Background(), change("first", 0))
+		return err == nil
+	})
 	f.stop("b")
 	require.NoError(t, os.RemoveAll(f.folder("b")))
 	f.start("b", f.folder("b"))
