fix: VMs that hold questions at a control VM leave room for the log's messages

Cause: calls that are held until there is news, one or two a gateway, and questions for adapters share 512 places with the log's messages, which were then refused.

Mend: notifications have places of their own, and calls a quarter of the process's descriptors. TestHeldCallsLeaveRoomForNotifications never ends without it.

--- a/laburnumpeer/config.go
+++ b/laburnumpeer/config.go
@@ -67,7 +67,8 @@
 // WithIdleTimeout sets after how long without use a connection is closed.
 func WithIdleTimeout(d time.Duration) Option { return func(c *config) { c.idleTimeout = d } }
 
-// WithMaxHandlers bounds the calls from others that are worked on at once.
+// WithMaxHandlers bounds the calls from others that are worked on or held at once, and as many
+// notifications beside them.
 func WithMaxHandlers(n int) Option { return func(c *config) { c.maxHandlers = n } }
 
 // WithLocalIP sets the IP number that connections to others are made from, so that
--- a/laburnumpeer/peers.go
+++ b/laburnumpeer/peers.go
@@ -21,7 +21,8 @@
 	// ctx ends at Close.
 	ctx      context.Context
 	cancel   context.CancelFunc
-	slots    chan struct{}
+	slots    chan struct{} // of calls from others
+	notices  chan struct{} // of notifications
 	mu       sync.Mutex
 	handlers map[string]laburnumlever.PeerHandler
 	links    map[string]*link
@@ -41,6 +42,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		slots:    make(chan struct{}, cfg.maxHandlers),
+		notices:  make(chan struct{}, cfg.maxHandlers),
 		handlers: map[string]laburnumlever.PeerHandler{pingMethod: answerPing},
 		links:    map[string]*link{},
 	}
--- a/laburnumpeer/peers_test.go
+++ b/laburnumpeer/peers_test.go
@@ -124,3 +124,35 @@
 	defer a.Close()
 	require.NoError(t, a.Call(context.Background(), address, "slow", nil, nil))
 }
+
+// Hundreds of gateways hold questions at a control VM until there is news, as many as it takes
+// calls at all. The log's messages, which need no answer, were refused with them: the leader
+// heard no voter and stepped down, again and again, on a calm day.
+func TestHeldCallsLeaveRoomForNotifications(t *testing.T) {
+	const most = 4
+	b := laburnumpeer.New("b", laburnumpeer.WithMaxHandlers(most))
+	held, release := make(chan struct{}, most), make(chan struct{})
+	b.Handle("hold", func(context.Context, laburnumlever.RawMessage) (any, error) {
+		held <- struct{}{}
+		<-release
+		return struct{}{}, nil
+	})
+	told := make(chan struct{}, 1)
+	b.Handle("tell", func(context.Context, laburnumlever.RawMessage) (any, error) {
+		told <- struct{}{}
+		return struct{}{}, nil
+	})
+	address := serve(t, b)
+	t.Cleanup(func() { close(release) })
+	a := laburnumpeer.New("a")
+	defer a.Close()
+	for range most {
+		go func() { _ = a.Call(context.Background(), address, "hold", struct{}{}, nil) }()
+		<-held
+	}
+	var refused *laburnumlever.PeerRefusedError
+	require.ErrorAs(t, a.Call(context.Background(), address, "hold", struct{}{}, nil), &refused)
+	require.Equal(t, "overloaded", refused.Kind)
+	a.Notify(address, "tell", struct{}{})
+	<-told
+}
--- a/laburnumpeer/serve.go
+++ b/laburnumpeer/serve.go
@@ -80,22 +80,33 @@
 		refuse(ctx, conn, req, &UnknownMethodError{Method: req.Method})
 		return
 	}
+	slots := p.slotsFor(req)
 	select {
-	case p.slots <- struct{}{}:
+	case slots <- struct{}{}:
 	default:
 		p.cfg.scope.Counter("peer-overloaded").Inc(1)
 		refuse(ctx, conn, req, &OverloadedError{Limit: p.cfg.maxHandlers})
 		return
 	}
 	started := p.spawn(func() {
-		defer func() { <-p.slots }()
+		defer func() { <-slots }()
 		p.answer(ctx, conn, req, handler)
 	})
 	if !started {
-		<-p.slots
+		<-slots
 	}
 }
 
+// slotsFor keeps notifications apart from calls. A call may be held until there is news, and
+// hundreds of VMs that wait so take all places; the log's messages, which are notifications and
+// over in a moment, were then dropped, and the leader lost its voters again and again.
+func (p *Peers) slotsFor(req *jsonrpc2.Request) chan struct{} {
+	if req.Notif {
+		return p.notices
+	}
+	return p.slots
+}
+
 func (p *Peers) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, handler laburnumlever.PeerHandler) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.callTimeout)
 	defer cancel()
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -75,7 +75,8 @@
 	}
 	host, _, _ := net.SplitHostPort(p.self.PeerAddress)
 	p.peers = laburnumpeer.New(p.self.ID, laburnumpeer.WithLogger(p.logger),
-		laburnumpeer.WithScope(p.metrics.Scope()), laburnumpeer.WithLocalIP(net.ParseIP(host)))
+		laburnumpeer.WithScope(p.metrics.Scope()), laburnumpeer.WithLocalIP(net.ParseIP(host)),
+		laburnumpeer.WithMaxHandlers(max(leastCalls, int(callShare*float64(settings.Descriptors)))))
 	return p
 }
 
@@ -121,6 +122,14 @@
 // take the descriptors that gateways and control VMs need.
 const backendShare = 0.5
 
+const (
+	// callShare of a process's descriptors is how many calls of other VMs it works on or holds
+	// at once: each VM has a connection and holds a question or two on it.
+	callShare = 0.25
+	// leastCalls is the same where the settings don't say how many descriptors there are.
+	leastCalls = 512
+)
+
 // serveBackends is serve for the listener that backend servers and operators call.
 func (p *process) serveBackends(name, address string, server *http.Server) error {
 	ln, err := listen(name, address)
