perf: the director looks only at the engines that hold a model

Each gateway's word on an adapter that it used, each question for one and each event looked at every engine, and the first two sorted them before: with 295 gateways and 3,000 engines a control VM has not the processor for it.

An index of who holds a model, a list of the engines that changed and a sorted list kept until engines come or go take the place of those looks.

--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -100,15 +100,15 @@
 	now := d.timers.Now()
 	var there []laburnumlever.BackendID
 	coming := false
-	for _, id := range d.engineOrder() {
-		a := d.engines[id].adapter(n.key)
-		if a == nil || slices.Contains(n.except, id) {
+	for _, e := range d.engines.holding(n.key.model) {
+		a := e.adapter(n.key)
+		if a == nil || slices.Contains(n.except, e.heartbeat.Backend) {
 			continue
 		}
 		coming = true
 		if a.ready {
 			a.usedAt = now
-			there = append(there, id)
+			there = append(there, e.heartbeat.Backend)
 		}
 	}
 	if len(there) > 0 {
@@ -123,7 +123,7 @@
 
 // used notes when requests used an adapter last, at whichever engine.
 func (d *Director) used(key adapterKey, at time.Time) {
-	for _, e := range d.engines {
+	for _, e := range d.engines.holding(key.model) {
 		if a := e.adapter(key); a != nil && at.After(a.usedAt) {
 			a.usedAt = at
 		}
@@ -146,9 +146,8 @@
 		return
 	}
 	var best *engine
-	for _, id := range d.engineOrder() {
-		e := d.engines[id]
-		if slices.Contains(n.except, id) || !e.takesAdapterOf(n.key.model, now) {
+	for _, e := range d.engines.holding(n.key.model) {
+		if slices.Contains(n.except, e.heartbeat.Backend) || !e.takesAdapterOf(n.key.model, now) {
 			continue
 		}
 		if best == nil || e.adapters() < best.adapters() {
@@ -224,7 +223,7 @@
 }
 
 func (d *Director) onArrived(ev arrived) {
-	e := d.engines[ev.backend]
+	e := d.engines.get(ev.backend)
 	if e == nil {
 		return
 	}
@@ -233,7 +232,7 @@
 		return
 	}
 	a.ready, a.usedAt = true, d.timers.Now()
-	e.changed = true
+	e.touch()
 	_ = level.Debug(d.cfg.logger).Log("event", laburnumlever.EventAdapterThere, "backend", ev.backend, "model", ev.key.model, "adapter", ev.key.adapter)
 	d.tendNeeds(d.timers.Now())
 }
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -66,7 +66,7 @@
 	lastFence uint64
 	services  map[laburnumlever.ServiceName]*laburnumlever.EngineClass
 	records   map[laburnumlever.BackendID]laburnumregistry.Record
-	engines   map[laburnumlever.BackendID]*engine
+	engines   *engineTable
 	demand    *estimator
 	store     map[laburnumlever.ServiceName]*bucket
 	needs     []*need
@@ -92,7 +92,7 @@
 		onOverlay: func(laburnumregistry.Overlay) {}, onDirecting: func(bool) {}, onGone: func(laburnumlever.BackendID) {},
 		services: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:  map[laburnumlever.BackendID]laburnumregistry.Record{},
-		engines:  map[laburnumlever.BackendID]*engine{}, demand: newEstimator(), startedAt: timers.Now(),
+		engines:  newEngineTable(), demand: newEstimator(), startedAt: timers.Now(),
 		store: map[laburnumlever.ServiceName]*bucket{},
 	}
 }
@@ -176,8 +176,10 @@
 	if !d.lease.valid(d.clock()) {
 		return
 	}
-	for _, id := range d.engineOrder() {
-		d.tendEngine(d.engines[id], now)
+	for _, id := range d.engines.ids() {
+		if e := d.engines.get(id); e != nil {
+			d.tendEngine(e, now)
+		}
 	}
 	if now.Sub(d.plannedAt) >= planPeriod {
 		d.plannedAt = now
@@ -197,22 +199,12 @@
 		d.used(adapterKey{model: use.Model, adapter: use.Adapter}, now.Add(-time.Duration(use.Idle)))
 	}
 	for _, id := range ev.news.Unreachable {
-		if e := d.engines[id]; e != nil {
+		if e := d.engines.get(id); e != nil {
 			e.unreachableAt = now
 		}
 	}
 }
 
-// engineOrder is the engines by name, so that each look sees them alike.
-func (d *Director) engineOrder() []laburnumlever.BackendID {
-	ids := make([]laburnumlever.BackendID, 0, len(d.engines))
-	for id := range d.engines {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 func (d *Director) onRoutes(t laburnumlever.RouteTable) {
 	d.services = map[laburnumlever.ServiceName]*laburnumlever.EngineClass{}
 	for _, s := range t.Services {
@@ -221,7 +213,7 @@
 		}
 	}
 	for id, r := range d.records {
-		if d.engines[id] == nil {
+		if d.engines.get(id) == nil {
 			d.onRecord(r)
 		}
 	}
@@ -231,16 +223,14 @@
 	id := r.Heartbeat.Backend
 	if !r.TakesWork() {
 		delete(d.records, id)
-		if d.engines[id] != nil {
-			delete(d.engines, id)
-		}
+		d.engines.remove(id)
 		return
 	}
 	d.records[id] = r
 	if d.services[r.Heartbeat.Service] == nil {
 		return
 	}
-	e := d.engines[id]
+	e := d.engines.get(id)
 	if e == nil || r.Heartbeat.Born > e.heartbeat.Born {
 		e = d.startEngine(r.Heartbeat, e)
 	} else if r.Heartbeat.NewerThan(e.heartbeat) {
@@ -261,19 +251,19 @@
 // start, which counts its orders from nothing and may take it for its own: no other is
 // given while that can be, so that the two never add up to more than it has room for.
 func (d *Director) startEngine(h laburnumlever.Heartbeat, before *engine) *engine {
-	e := newEngine(h)
+	e := newEngine(h, d.engines)
 	e.heardAt = d.timers.Now()
 	if before != nil && (before.sending != nil || before.unsure != nil) {
 		e.tryAt = e.heardAt.Add(strayTime)
 	}
-	d.engines[h.Backend] = e
+	d.engines.put(e)
 	return e
 }
 
 // onHeard notes that an engine is there still. A heartbeat that brings nothing new is
 // not kept as the engine's last: what it does not tell of orders under way is old.
 func (d *Director) onHeard(ev heard) {
-	if e := d.engines[ev.heartbeat.Backend]; e != nil && e.heartbeat.Born == ev.heartbeat.Born && ev.heartbeat.NewerThan(e.heartbeat) {
+	if e := d.engines.get(ev.heartbeat.Backend); e != nil && e.heartbeat.Born == ev.heartbeat.Born && ev.heartbeat.NewerThan(e.heartbeat) {
 		e.heardAt = d.timers.Now()
 	}
 }
@@ -281,7 +271,7 @@
 // forgetEngines starts over from the heartbeats: what was known of orders is of the
 // time before another owner.
 func (d *Director) forgetEngines() {
-	d.engines = map[laburnumlever.BackendID]*engine{}
+	d.engines = newEngineTable()
 	d.store = map[laburnumlever.ServiceName]*bucket{}
 	for _, r := range d.records {
 		d.onRecord(r)
@@ -294,8 +284,8 @@
 		return
 	}
 	var engines []laburnumresidency.Engine
-	for _, id := range d.engineOrder() {
-		if e := d.engines[id]; e.heartbeat.Service == name && !e.down(now, d.cfg.heartbeat) {
+	for _, id := range d.engines.ids() {
+		if e := d.engines.get(id); e.heartbeat.Service == name && !e.down(now, d.cfg.heartbeat) {
 			if !e.known {
 				d.ask(e, now)
 			}
@@ -304,7 +294,7 @@
 	}
 	work, requests := d.demand.loads(now, class.Slots)
 	for _, step := range laburnumresidency.Next(class, engines, work, d.adaptersUsed(engines, now), laburnumresidency.WithRequests(requests)) {
-		d.take(d.engines[step.Engine], class, step, now)
+		d.take(d.engines.get(step.Engine), class, step, now)
 	}
 }
 
@@ -313,7 +303,7 @@
 func (d *Director) adaptersUsed(engines []laburnumresidency.Engine, now time.Time) map[laburnumlever.ModelName]int {
 	used := map[adapterKey]bool{}
 	for _, planned := range engines {
-		for model, h := range d.engines[planned.ID].held {
+		for model, h := range d.engines.get(planned.ID).held {
 			for name, a := range h.adapters {
 				if now.Sub(a.usedAt) < adapterInUse {
 					used[adapterKey{model: model, adapter: name}] = true
@@ -340,7 +330,7 @@
 			return
 		}
 		h.withdrawn, h.withdrawnAt = true, now
-		e.changed = true
+		e.touch()
 		_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventModelWithdrawn, "backend", e.heartbeat.Backend, "model", step.Model, "cause", step.Reason)
 		return
 	}
@@ -363,12 +353,13 @@
 
 // publish tells the gateways what heartbeats do not show yet.
 func (d *Director) publish() {
+	changed := d.engines.takeChanged()
 	if !d.lease.held {
-		return
+		return // a VM that gets the lease starts over with all engines
 	}
-	for _, e := range d.engines {
-		if e.changed {
-			e.changed = false
+	for _, e := range changed {
+		e.changed = false
+		if d.engines.get(e.heartbeat.Backend) == e {
 			d.onOverlay(e.overlay(d.lease.fence))
 		}
 	}
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -44,8 +44,17 @@
 	workingTime time.Duration
 	// overdue tells that the work has taken longer than it should.
 	overdue bool
-	// changed tells that gateways do not know yet what is known here.
+	// changed tells that gateways do not know yet what is known here; see touch.
 	changed bool
+	table   *engineTable
+}
+
+// touch notes that gateways do not know yet what is known of the engine here.
+func (e *engine) touch() {
+	if !e.changed {
+		e.changed = true
+		e.table.noteChanged(e)
+	}
 }
 
 type heldModel struct {
@@ -91,8 +100,9 @@
 	reportLag = time.Second
 )
 
-func newEngine(h laburnumlever.Heartbeat) *engine {
-	e := &engine{heartbeat: h, held: map[laburnumlever.ModelName]*heldModel{}, changed: true}
+func newEngine(h laburnumlever.Heartbeat, table *engineTable) *engine {
+	e := &engine{heartbeat: h, held: map[laburnumlever.ModelName]*heldModel{}, table: table}
+	e.touch()
 	for _, m := range h.Models {
 		e.add(m, true)
 	}
@@ -105,6 +115,7 @@
 	if h == nil {
 		h = &heldModel{adapters: map[laburnumlever.AdapterName]*heldAdapter{}}
 		e.held[m.Name] = h
+		e.table.noteHolder(e, m.Name)
 	}
 	h.version = m.Version
 	for _, a := range m.Adapters {
@@ -130,7 +141,7 @@
 // order for it is under way or unsure.
 func (e *engine) takeHeartbeat(h laburnumlever.Heartbeat, now time.Time) bool {
 	e.heartbeat = h
-	e.changed = true
+	e.touch()
 	for _, m := range h.Models {
 		held := e.add(laburnumlever.HeldModel{Name: m.Name, Version: m.Version}, true)
 		held.listed = true
@@ -213,14 +224,14 @@
 		}
 	}
 	h.dropped[key.adapter] = now
-	e.changed = true
+	e.touch()
 }
 
 // takeState notes how many orders the engine has accepted, and what it holds beside
 // what heartbeats list. While it carries out an order that is not known here, one of
 // another owner's, nothing is known.
 func (e *engine) takeState(s laburnumlever.EngineState, now time.Time) {
-	e.changed = true
+	e.touch()
 	for _, m := range s.Models {
 		h := e.add(laburnumlever.HeldModel{Name: m.Name, Version: m.Version}, true)
 		h.takeReported(withComing(m, s.Coming), now)
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -74,7 +74,7 @@
 }
 
 func (d *Director) onOrdered(ev ordered) {
-	e := d.engines[ev.backend]
+	e := d.engines.get(ev.backend)
 	if e == nil || e.sending == nil || *e.sending != ev.order {
 		return
 	}
@@ -96,7 +96,7 @@
 		e.undo(ev.order)
 		d.loseLease("an engine has seen a higher fencing number")
 	case laburnumlever.VerdictOther:
-		delete(d.engines, ev.backend)
+		d.engines.remove(ev.backend)
 		delete(d.records, ev.backend)
 		d.onGone(ev.backend)
 	default:
@@ -138,7 +138,7 @@
 		// bring nothing new and are not looked at: the order would be under way for ever.
 		e.working = ""
 	}
-	e.changed = true
+	e.touch()
 }
 
 // heldAlready notes that what an order asked for is so. An adapter that nobody uses
@@ -152,7 +152,7 @@
 		e.accepted++
 	case order.Kind == laburnumlever.Unload:
 		delete(e.held, order.Model)
-		e.changed = true
+		e.touch()
 	default:
 	}
 }
@@ -227,7 +227,7 @@
 }
 
 func (d *Director) onStated(ev stated) {
-	e := d.engines[ev.backend]
+	e := d.engines.get(ev.backend)
 	if e == nil {
 		return
 	}
