--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -31,6 +31,9 @@
 	// stateTimeout bounds a question to an engine, orderTimeout an order.
 	stateTimeout = time.Second
 	orderTimeout = time.Second
+	// maxAsking is how many engines are asked for their state at once: each question is a
+	// connection, and a VM that comes to give the orders asks all engines.
+	maxAsking = 64
 	// stateRetry is how long a report lags, and some.
 	stateRetry = 500 * time.Millisecond
 	// unsureRetry is when an order without an answer is sent again.
@@ -67,6 +70,7 @@
 	services  map[laburnumlever.ServiceName]*laburnumlever.EngineClass
 	records   map[laburnumlever.BackendID]laburnumregistry.Record
 	engines   *engineTable
+	asking    int // engines that are being asked for their state
 	demand    *estimator
 	store     map[laburnumlever.ServiceName]*bucket
 	needs     []*need
--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -357,3 +357,20 @@
 		})
 	}
 }
+
+// A VM comes to give the orders to thousands of engines and asks each for its state. All at
+// once, the questions took all its descriptors: it accepted no heartbeat and no voter's
+// connection, and lost the lease again. They must come some at a time, and all in the end.
+func TestEnginesAreAskedSomeAtATime(t *testing.T) {
+	const engines, most = 200, 64
+	w := newWorld(t, 1, engines, 1)
+	w.beat()
+	w.pass(10 * time.Second)
+	asked := 0
+	for _, n := range w.asked {
+		require.LessOrEqual(t, n, most)
+		asked += n
+	}
+	require.GreaterOrEqual(t, asked, engines)
+	require.NotEmpty(t, w.copies())
+}
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -211,12 +211,13 @@
 	return class.Model(name)
 }
 
-// ask asks an engine for its state.
+// ask asks an engine for its state, once others have answered if many are being asked.
 func (d *Director) ask(e *engine, now time.Time) {
-	if e.asking || e.sending != nil || now.Before(e.tryAt) {
+	if e.asking || e.sending != nil || now.Before(e.tryAt) || d.asking >= maxAsking {
 		return
 	}
 	e.asking = true
+	d.asking++
 	to := e.heartbeat
 	d.cfg.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
@@ -227,6 +228,7 @@
 }
 
 func (d *Director) onStated(ev stated) {
+	d.asking--
 	e := d.engines.get(ev.backend)
 	if e == nil {
 		return
--- a/laburnumdirector/world_test.go
+++ b/laburnumdirector/world_test.go
@@ -32,6 +32,7 @@
 	engines   map[laburnumlever.BackendID]*fakeEngine
 	directors []*node
 	orders    []sentOrder
+	asked     map[time.Time]int // how many engines were asked for their state at a moment
 	// renewed is the last renewal of the lease that was seen, renewedAt when.
 	renewed   renewalMark
 	renewedAt time.Time
@@ -92,7 +93,7 @@
 func newWorld(t *testing.T, models, engines, directors int) *world {
 	w := &world{
 		t: t, timers: laburnumtimer.NewManual(time.Unix(1_000_000, 0)), machine: laburnumstate.New(),
-		engines: map[laburnumlever.BackendID]*fakeEngine{},
+		engines: map[laburnumlever.BackendID]*fakeEngine{}, asked: map[time.Time]int{},
 		class:   laburnumlever.EngineClass{Slots: 24, WeightsMB: 200, AdapterSlots: 3, LoadsPerSecond: 3},
 	}
 	w.now = w.timers.Now()
@@ -285,6 +286,7 @@
 type engineCalls struct{ n *node }
 
 func (c engineCalls) State(_ context.Context, to laburnumlever.Heartbeat) (laburnumlever.EngineState, error) {
+	c.n.w.asked[c.n.w.timers.Now()]++
 	e := c.n.w.engines[to.Backend]
 	if e == nil {
 		return laburnumlever.EngineState{}, &laburnumlever.NotSentError{Cause: errors.New("refused")}
