--- a/cmd/laburnumlever/explaincmd.go
+++ b/cmd/laburnumlever/explaincmd.go
@@ -15,8 +15,8 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "explain",
-		Usage:       "say why a model is where it is, or what became of a request",
-		Subcommands: []*cli.Command{explainModelCommand(), explainRequestCommand()},
+		Usage:       "say why a model is where it is, what became of a request, or where a day's requests were lost",
+		Subcommands: []*cli.Command{explainModelCommand(), explainRequestCommand(), explainDayCommand()},
 	}
 }
 
@@ -53,7 +53,7 @@
 			"Example: laburnumlever explain request --logs gateway.log --logs control.log 9c41d07b\n\n" + exitCodesText,
 		Flags: []cli.Flag{
 			vmFlag(), timeoutFlag(), outputFlag(),
-			&cli.StringSliceFlag{Name: "logs", Usage: "a `FILE` of logs, - for standard input; may be given again"},
+			logsFlag(),
 		},
 		OnUsageError: onUsageError,
 		Action: func(c *cli.Context) error {
@@ -74,19 +74,31 @@
 
 // explainFromLogs joins what the logs say of a request.
 func explainFromLogs(c *cli.Context, id string, files []string) error {
+	lines, err := readLogs(c, files)
+	if err != nil {
+		return err
+	}
+	story, err := laburnumexplain.Request(id, lines)
+	if err != nil {
+		return err
+	}
+	return reportExplanation(c, laburnumlever.Explanation{Subject: "request " + id, Lines: story.Text()}, nil)
+}
+
+func logsFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "logs", Usage: "a `FILE` of logs, - for standard input; may be given again"}
+}
+
+func readLogs(c *cli.Context, files []string) ([]laburnumexplain.Line, error) {
 	var lines []laburnumexplain.Line
 	for _, name := range files {
 		more, err := readLog(c, name)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines = append(lines, more...)
 	}
-	story, err := laburnumexplain.Request(id, lines)
-	if err != nil {
-		return err
-	}
-	return reportExplanation(c, laburnumlever.Explanation{Subject: "request " + id, Lines: story.Text()}, nil)
+	return lines, nil
 }
 
 func readLog(c *cli.Context, name string) ([]laburnumexplain.Line, error) {
--- /dev/null
+++ b/cmd/laburnumlever/explaindaycmd.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnumexplain"
+)
+
+// subjectsShown is how many subjects each window names, those that lost most.
+const subjectsShown = 3
+
+func explainDayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "day",
+		Usage: "say where a day's requests were lost",
+		Description: "Joins the logs of gateways and control VMs, and says for the whole, for each model and for\n" +
+			"each span of time how many were asked, in time, late, refused and failed, and by what; and\n" +
+			"how many engines held the model, were loading it or had room. No VM is asked.\n\n" +
+			"Example: laburnumlever explain day --logs gateway.log --logs control.log --picture day.svg\n\n" + exitCodesText,
+		Flags: []cli.Flag{
+			logsFlag(),
+			&cli.DurationFlag{Name: "window", Value: laburnumexplain.DefaultWidth, Usage: "the span of time of a row"},
+			&cli.IntFlag{Name: "most", Value: subjectsShown, Usage: "how many models each span names"},
+			&cli.StringFlag{Name: "picture", Usage: "also draw the day, as SVG, into a `FILE`"},
+		},
+		OnUsageError: onUsageError,
+		Action:       explainDay,
+	}
+}
+
+func explainDay(c *cli.Context) error {
+	files := c.StringSlice("logs")
+	if len(files) == 0 || c.Duration("window") <= 0 {
+		return &usageError{Detail: "--logs names at least one file, and --window is longer than nothing"}
+	}
+	lines, err := readLogs(c, files)
+	if err != nil {
+		return err
+	}
+	day, err := laburnumexplain.NewDay(lines, c.Duration("window"))
+	if err != nil {
+		return err
+	}
+	if name := c.String("picture"); name != "" {
+		if err := drawDay(day, name); err != nil {
+			return err
+		}
+	}
+	return day.WriteText(c.App.Writer, c.Int("most"))
+}
+
+func drawDay(day laburnumexplain.Day, name string) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return &usageError{Detail: err.Error()}
+	}
+	if err := day.WriteSVG(file); err != nil {
+		_ = file.Close()
+		return errors.Wrapf(err, "draw %s", name)
+	}
+	return errors.Wrapf(file.Close(), "close %s", name)
+}
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -78,6 +78,8 @@
 	startedAt time.Time
 	// plannedAt is when the planner was asked last.
 	plannedAt time.Time
+	// laidOutAt is when the layout of a service was told last.
+	laidOutAt map[laburnumlever.ServiceName]time.Time
 }
 
 var _ laburnumlever.Part = (*Director)(nil)
@@ -97,7 +99,8 @@
 		services: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:  map[laburnumlever.BackendID]laburnumregistry.Record{},
 		engines:  newEngineTable(), demand: newEstimator(), startedAt: timers.Now(),
-		store: map[laburnumlever.ServiceName]*bucket{},
+		store:     map[laburnumlever.ServiceName]*bucket{},
+		laidOutAt: map[laburnumlever.ServiceName]time.Time{},
 	}
 }
 
@@ -296,6 +299,7 @@
 			engines = append(engines, e.planned(now))
 		}
 	}
+	d.reportLayout(name, class, engines, now)
 	work, requests := d.demand.loads(now, class.Slots)
 	for _, step := range laburnumresidency.Next(class, engines, work, d.adaptersUsed(engines, now), laburnumresidency.WithRequests(requests)) {
 		d.take(d.engines.get(step.Engine), class, step, now)
--- a/laburnumdirector/world_test.go
+++ b/laburnumdirector/world_test.go
@@ -94,7 +94,7 @@
 	w := &world{
 		t: t, timers: laburnumtimer.NewManual(time.Unix(1_000_000, 0)), machine: laburnumstate.New(),
 		engines: map[laburnumlever.BackendID]*fakeEngine{}, asked: map[time.Time]int{},
-		class:   laburnumlever.EngineClass{Slots: 24, WeightsMB: 200, AdapterSlots: 3, LoadsPerSecond: 3},
+		class: laburnumlever.EngineClass{Slots: 24, WeightsMB: 200, AdapterSlots: 3, LoadsPerSecond: 3},
 	}
 	w.now = w.timers.Now()
 	for i := range models {
--- /dev/null
+++ b/laburnumexplain/daypicture.go
@@ -0,0 +1,50 @@
+package laburnumexplain
+
+import (
+	"io"
+
+	"github.com/wcharczuk/go-chart/v2"
+	"github.com/wcharczuk/go-chart/v2/drawing"
+)
+
+// The picture's size in pixels.
+const (
+	pictureWidth  = 1000
+	pictureHeight = 400
+)
+
+// drawn are the lines of the picture, in colours that differ in lightness too.
+var drawn = []struct {
+	outcome Outcome
+	colour  string
+}{{InTime, "2ca02c"}, {Late, "1f77b4"}, {Refused, "ff7f0e"}, {Failed, "d62728"}}
+
+// WriteSVG draws how many requests ended how in each window. An error is the library's or the
+// writer's.
+func (d Day) WriteSVG(w io.Writer) error {
+	series := []chart.Series{d.series("asked", "888888", func(a Account) int { return a.Asked })}
+	for _, line := range drawn {
+		count := func(a Account) int { return a.Outcomes[line.outcome] }
+		series = append(series, d.series(line.outcome.String(), line.colour, count))
+	}
+	graph := chart.Chart{
+		Title: "requests by how they ended", Width: pictureWidth, Height: pictureHeight,
+		XAxis: chart.XAxis{Name: "seconds"}, YAxis: chart.YAxis{Name: "requests a window"}, Series: series,
+	}
+	graph.Elements = []chart.Renderable{chart.Legend(&graph)}
+	return graph.Render(chart.SVG, w)
+}
+
+// series is a value of each window, drawn from its beginning; the last one is drawn to its end.
+func (d Day) series(name, colour string, value func(Account) int) chart.Series {
+	s := chart.ContinuousSeries{Name: name, Style: chart.Style{StrokeColor: drawing.ColorFromHex(colour)}}
+	for i, win := range d.Windows {
+		s.XValues = append(s.XValues, win.From.Seconds())
+		s.YValues = append(s.YValues, float64(value(win.Total)))
+		if i == len(d.Windows)-1 {
+			s.XValues = append(s.XValues, (win.From + d.Width).Seconds())
+			s.YValues = append(s.YValues, float64(value(win.Total)))
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/laburnumexplain/daytext.go
@@ -0,0 +1,91 @@
+package laburnumexplain
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=Outcome -transform=kebab -output=outcome_gen.go
+
+// causesShown are the causes named in a row, the most frequent first.
+const causesShown = 3
+
+// WriteText writes the day for a reader: the whole, each subject that lost something, and each
+// window with the subjects that lost most in it, as many as asked for. An error is the writer's.
+func (d Day) WriteText(w io.Writer, most int) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(cells ...any) { _, _ = fmt.Fprintln(t, cellsText(cells)) } // Flush tells an error
+	row(fmt.Sprintf("%d requests in %d windows of %s from %s", d.Total.Asked, len(d.Windows), d.Width, d.Start.UTC().Format("2006-01-02 15:04:05")))
+	row()
+	row("subject", "asked", "in time", "late", "refused", "failed", "mostly")
+	row("all", accountCells(d.Total))
+	for _, subject := range mostLost(d.Subjects, len(d.Subjects)) {
+		row(subject, accountCells(*d.Subjects[subject]))
+	}
+	row()
+	row("from", "subject", "asked", "in time", "late", "refused", "failed", "held", "loading", "room", "mostly")
+	for _, win := range d.Windows {
+		from := fmt.Sprintf("%.0f s", win.From.Seconds())
+		row(from, "all", countCells(win.Total), "", "", "", causesText(win.Total))
+		for _, subject := range mostLost(win.Subjects, most) {
+			a := *win.Subjects[subject]
+			row("", subject, countCells(a), layoutCells(win.Layouts[subject]), causesText(a))
+		}
+	}
+	return t.Flush()
+}
+
+// mostLost are the subjects that lost something, those that lost most first.
+func mostLost(accounts map[string]*Account, most int) []string {
+	var list []string
+	for subject, a := range accounts {
+		if a.Lost() > 0 {
+			list = append(list, subject)
+		}
+	}
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(accounts[b].Lost()-accounts[a].Lost(), strings.Compare(a, b))
+	})
+	return list[:min(most, len(list))]
+}
+
+func accountCells(a Account) []any { return append(countCells(a), causesText(a)) }
+
+func countCells(a Account) []any {
+	return []any{a.Asked, a.Outcomes[InTime], a.Outcomes[Late], a.Outcomes[Refused], a.Outcomes[Failed]}
+}
+
+func layoutCells(l Layout) []any {
+	if !l.Known {
+		return []any{"", "", ""}
+	}
+	return []any{l.Held, l.Loading, l.Room}
+}
+
+func causesText(a Account) string {
+	var parts []string
+	for _, c := range a.causes() {
+		if len(parts) == causesShown {
+			break
+		}
+		parts = append(parts, fmt.Sprintf("%s %s %d", c.Outcome, c.Name, a.Causes[c]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// cellsText is a row with its cells, those in lists too, parted by tabs.
+func cellsText(cells []any) string {
+	var parts []string
+	for _, cell := range cells {
+		if list, ok := cell.([]any); ok {
+			parts = append(parts, cellsText(list))
+			continue
+		}
+		parts = append(parts, fmt.Sprint(cell))
+	}
+	return strings.Join(parts, "\t")
+}
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -126,9 +126,13 @@
 }
 
 func (g *Gateway) logServed(q *request, out *answer) {
+	t := timing{
+		target: time.Duration(q.route.Target), pauseTarget: time.Duration(q.route.PauseTarget), waited: q.waited,
+		first: out.firstAt.Sub(q.arrived), pause: out.pause, sends: q.sends,
+	}
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
 		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sends, "taken", q.taken,
-		"waited-ms", millis(q.waited), "first-ms", millis(out.firstAt.Sub(q.arrived)), "pause-ms", millis(out.pause),
+		"late", t.lateness(), "waited-ms", millis(q.waited), "first-ms", millis(t.first), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
 		"routes-version", q.version)
 }
@@ -180,6 +184,7 @@
 	}
 	if q.failed != nil {
 		g.count(laburnumlever.RefusedBackendError)
+		g.logRefusal(q, laburnumlever.RefusedBackendError, q.failed.status, err)
 		q.failed.write(out.w)
 		return
 	}
--- a/laburnumresidency/fill.go
+++ b/laburnumresidency/fill.go
@@ -42,7 +42,7 @@
 		most = fillWork
 	}
 	for m, model := range p.class.Models {
-		if e.Holds(model.Name) || !e.hasRoom(p.class, model) {
+		if e.Holds(model.Name) || !e.HasRoom(p.class, model) {
 			continue
 		}
 		work := p.target.demand[m]
--- a/laburnumresidency/layout.go
+++ b/laburnumresidency/layout.go
@@ -86,7 +86,7 @@
 	for i, e := range p.engines {
 		l.held = append(l.held, make([]bool, len(p.class.Models)))
 		for _, h := range e.Held {
-			if m := p.index(h.Name); m >= 0 && e.serves(h.Name) {
+			if m := p.index(h.Name); m >= 0 && e.Serves(h.Name) {
 				l.set(i, m, true)
 			}
 		}
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -247,7 +247,7 @@
 // yet.
 func (p *planner) loadTime(e, m int) float64 {
 	engine, model := p.engines[e], p.class.Models[m]
-	if engine.serves(model.Name) {
+	if engine.Serves(model.Name) {
 		return 0
 	}
 	return engine.wait() + engine.LoadSeconds(model)
@@ -310,7 +310,7 @@
 	if p.ready(wanted[0]) == 0 {
 		reason = "no engine holds it"
 	}
-	if engine.hasRoom(p.class, m) {
+	if engine.HasRoom(p.class, m) {
 		p.steps = append(p.steps, urgentStep{urgency: p.urgency(wanted[0]), Step: Step{
 			Engine: engine.ID, Kind: laburnumlever.Load, Model: m.Name, FromStore: engine.fromStore(m.Name), Reason: reason,
 		}})
@@ -322,7 +322,7 @@
 func (p *planner) makeRoom(e int, engine *Engine, wanted int, reason string) {
 	for _, h := range engine.Held {
 		m := p.index(h.Name)
-		if m < 0 || p.target.holds(e, m) || !engine.serves(h.Name) {
+		if m < 0 || p.target.holds(e, m) || !engine.Serves(h.Name) {
 			continue
 		}
 		rescued, rescues := p.rescues[e]
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -40,15 +40,15 @@
 	Reason string
 }
 
-// serves tells whether requests for the model can go to the engine, now or once a
+// Serves tells whether requests for the model can go to the engine, now or once a
 // load is done.
-func (e *Engine) serves(model laburnumlever.ModelName) bool {
+func (e *Engine) Serves(model laburnumlever.ModelName) bool {
 	return e.Unloading != model && laburnumlever.Holds(e.Held, model, "")
 }
 
 // ready tells whether requests for the model can go to the engine now.
 func (e *Engine) ready(model laburnumlever.ModelName) bool {
-	return e.serves(model) && e.Loading != model
+	return e.Serves(model) && e.Loading != model
 }
 
 // used is the memory taken, in MB.
@@ -61,7 +61,8 @@
 	return total
 }
 
-func (e *Engine) hasRoom(class *laburnumlever.EngineClass, m laburnumlever.ResidentClass) bool {
+// HasRoom tells whether the model fits beside what the engine holds.
+func (e *Engine) HasRoom(class *laburnumlever.EngineClass, m laburnumlever.ResidentClass) bool {
 	return e.used(class)+size(m) <= class.WeightsMB
 }
 
--- a/logevent.go
+++ b/logevent.go
@@ -33,6 +33,8 @@
 	EventAdapterThere
 	// EventLoadDecided is a model that an engine is to load.
 	EventLoadDecided
+	// EventLayout is how many engines hold which model, told now and again.
+	EventLayout
 	// EventModelWithdrawn is a model that gateways send nothing more for.
 	EventModelWithdrawn
 	// EventOrderAnswered is an engine's answer to an order.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 170, 184, 194, 205, 218, 239, 255, 273, 284, 300, 316, 331, 345, 359, 374, 392, 410, 423, 432, 446, 461, 474, 489, 500, 514, 540, 558, 572, 589, 608, 629, 638, 648, 665, 675, 684, 696, 712, 719, 727, 734, 741, 758, 774, 788, 806, 819, 836}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 190, 200, 211, 224, 245, 261, 279, 290, 306, 322, 337, 351, 365, 380, 398, 416, 429, 438, 452, 467, 480, 495, 506, 520, 546, 564, 578, 595, 614, 635, 644, 654, 671, 681, 690, 702, 718, 725, 733, 740, 747, 764, 780, 794, 812, 825, 842}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -35,57 +35,58 @@
 	_ = x[EventBackendReplaced-(8)]
 	_ = x[EventAdapterThere-(9)]
 	_ = x[EventLoadDecided-(10)]
-	_ = x[EventModelWithdrawn-(11)]
-	_ = x[EventOrderAnswered-(12)]
-	_ = x[EventOrderDone-(13)]
-	_ = x[EventOrderChart-(14)]
-	_ = x[EventOrderRefused-(15)]
-	_ = x[EventOrderOutcomeUnknown-(16)]
-	_ = x[EventEngineNotAsked-(17)]
-	_ = x[EventInventoryNotRead-(18)]
-	_ = x[EventLoadFailed-(19)]
-	_ = x[EventNewsNotEncoded-(20)]
-	_ = x[EventRegistryRefused-(21)]
-	_ = x[EventRoutesProposed-(22)]
-	_ = x[EventRoutesRefused-(23)]
-	_ = x[EventRoutesApplied-(24)]
-	_ = x[EventRoutesInForce-(25)]
-	_ = x[EventRoutesNotFetched-(26)]
-	_ = x[EventCatalogueInForce-(27)]
-	_ = x[EventBecameLeader-(28)]
-	_ = x[EventNoLeader-(29)]
-	_ = x[EventReplicaOpened-(30)]
-	_ = x[EventVotersInForce-(31)]
-	_ = x[EventLearnerAdded-(32)]
-	_ = x[EventLearnerRemoved-(33)]
-	_ = x[EventVoterAdded-(34)]
-	_ = x[EventVoterReplaced-(35)]
-	_ = x[EventLeadershipNotHandedOver-(36)]
-	_ = x[EventExpiryNotEncoded-(37)]
-	_ = x[EventReplicaFailed-(38)]
-	_ = x[EventReplicaWentBack-(39)]
-	_ = x[EventDataFolderDamaged-(40)]
-	_ = x[EventDataFolderWentBack-(41)]
-	_ = x[EventLeaseGot-(42)]
-	_ = x[EventLeaseLost-(43)]
-	_ = x[EventLeaseNotRenewed-(44)]
-	_ = x[EventZoneOwned-(45)]
-	_ = x[EventZoneLost-(46)]
-	_ = x[EventControlLost-(47)]
-	_ = x[EventControlRegained-(48)]
-	_ = x[EventStarted-(49)]
-	_ = x[EventDraining-(50)]
-	_ = x[EventDrained-(51)]
-	_ = x[EventStopped-(52)]
-	_ = x[EventSettingsReloaded-(53)]
-	_ = x[EventSettingsRefused-(54)]
-	_ = x[EventListenerEnded-(55)]
-	_ = x[EventMetricsNotServed-(56)]
-	_ = x[EventUnknownEvent-(57)]
-	_ = x[EventLogLinesDropped-(58)]
+	_ = x[EventLayout-(11)]
+	_ = x[EventModelWithdrawn-(12)]
+	_ = x[EventOrderAnswered-(13)]
+	_ = x[EventOrderDone-(14)]
+	_ = x[EventOrderChart-(15)]
+	_ = x[EventOrderRefused-(16)]
+	_ = x[EventOrderOutcomeUnknown-(17)]
+	_ = x[EventEngineNotAsked-(18)]
+	_ = x[EventInventoryNotRead-(19)]
+	_ = x[EventLoadFailed-(20)]
+	_ = x[EventNewsNotEncoded-(21)]
+	_ = x[EventRegistryRefused-(22)]
+	_ = x[EventRoutesProposed-(23)]
+	_ = x[EventRoutesRefused-(24)]
+	_ = x[EventRoutesApplied-(25)]
+	_ = x[EventRoutesInForce-(26)]
+	_ = x[EventRoutesNotFetched-(27)]
+	_ = x[EventCatalogueInForce-(28)]
+	_ = x[EventBecameLeader-(29)]
+	_ = x[EventNoLeader-(30)]
+	_ = x[EventReplicaOpened-(31)]
+	_ = x[EventVotersInForce-(32)]
+	_ = x[EventLearnerAdded-(33)]
+	_ = x[EventLearnerRemoved-(34)]
+	_ = x[EventVoterAdded-(35)]
+	_ = x[EventVoterReplaced-(36)]
+	_ = x[EventLeadershipNotHandedOver-(37)]
+	_ = x[EventExpiryNotEncoded-(38)]
+	_ = x[EventReplicaFailed-(39)]
+	_ = x[EventReplicaWentBack-(40)]
+	_ = x[EventDataFolderDamaged-(41)]
+	_ = x[EventDataFolderWentBack-(42)]
+	_ = x[EventLeaseGot-(43)]
+	_ = x[EventLeaseLost-(44)]
+	_ = x[EventLeaseNotRenewed-(45)]
+	_ = x[EventZoneOwned-(46)]
+	_ = x[EventZoneLost-(47)]
+	_ = x[EventControlLost-(48)]
+	_ = x[EventControlRegained-(49)]
+	_ = x[EventStarted-(50)]
+	_ = x[EventDraining-(51)]
+	_ = x[EventDrained-(52)]
+	_ = x[EventStopped-(53)]
+	_ = x[EventSettingsReloaded-(54)]
+	_ = x[EventSettingsRefused-(55)]
+	_ = x[EventListenerEnded-(56)]
+	_ = x[EventMetricsNotServed-(57)]
+	_ = x[EventUnknownEvent-(58)]
+	_ = x[EventLogLinesDropped-(59)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventLayout, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:    EventRequestServed,
@@ -99,54 +100,55 @@
 	_LogEventName[114:130]: EventBackendReplaced,
 	_LogEventName[130:143]: EventAdapterThere,
 	_LogEventName[143:155]: EventLoadDecided,
-	_LogEventName[155:170]: EventModelWithdrawn,
-	_LogEventName[170:184]: EventOrderAnswered,
-	_LogEventName[184:194]: EventOrderDone,
-	_LogEventName[194:205]: EventOrderChart,
-	_LogEventName[205:218]: EventOrderRefused,
-	_LogEventName[218:239]: EventOrderOutcomeUnknown,
-	_LogEventName[239:255]: EventEngineNotAsked,
-	_LogEventName[255:273]: EventInventoryNotRead,
-	_LogEventName[273:284]: EventLoadFailed,
-	_LogEventName[284:300]: EventNewsNotEncoded,
-	_LogEventName[300:316]: EventRegistryRefused,
-	_LogEventName[316:331]: EventRoutesProposed,
-	_LogEventName[331:345]: EventRoutesRefused,
-	_LogEventName[345:359]: EventRoutesApplied,
-	_LogEventName[359:374]: EventRoutesInForce,
-	_LogEventName[374:392]: EventRoutesNotFetched,
-	_LogEventName[392:410]: EventCatalogueInForce,
-	_LogEventName[410:423]: EventBecameLeader,
-	_LogEventName[423:432]: EventNoLeader,
-	_LogEventName[432:446]: EventReplicaOpened,
-	_LogEventName[446:461]: EventVotersInForce,
-	_LogEventName[461:474]: EventLearnerAdded,
-	_LogEventName[474:489]: EventLearnerRemoved,
-	_LogEventName[489:500]: EventVoterAdded,
-	_LogEventName[500:514]: EventVoterReplaced,
-	_LogEventName[514:540]: EventLeadershipNotHandedOver,
-	_LogEventName[540:558]: EventExpiryNotEncoded,
-	_LogEventName[558:572]: EventReplicaFailed,
-	_LogEventName[572:589]: EventReplicaWentBack,
-	_LogEventName[589:608]: EventDataFolderDamaged,
-	_LogEventName[608:629]: EventDataFolderWentBack,
-	_LogEventName[629:638]: EventLeaseGot,
-	_LogEventName[638:648]: EventLeaseLost,
-	_LogEventName[648:665]: EventLeaseNotRenewed,
-	_LogEventName[665:675]: EventZoneOwned,
-	_LogEventName[675:684]: EventZoneLost,
-	_LogEventName[684:696]: EventControlLost,
-	_LogEventName[696:712]: EventControlRegained,
-	_LogEventName[712:719]: EventStarted,
-	_LogEventName[719:727]: EventDraining,
-	_LogEventName[727:734]: EventDrained,
-	_LogEventName[734:741]: EventStopped,
-	_LogEventName[741:758]: EventSettingsReloaded,
-	_LogEventName[758:774]: EventSettingsRefused,
-	_LogEventName[774:788]: EventListenerEnded,
-	_LogEventName[788:806]: EventMetricsNotServed,
-	_LogEventName[806:819]: EventUnknownEvent,
-	_LogEventName[819:836]: EventLogLinesDropped,
+	_LogEventName[155:161]: EventLayout,
+	_LogEventName[161:176]: EventModelWithdrawn,
+	_LogEventName[176:190]: EventOrderAnswered,
+	_LogEventName[190:200]: EventOrderDone,
+	_LogEventName[200:211]: EventOrderChart,
+	_LogEventName[211:224]: EventOrderRefused,
+	_LogEventName[224:245]: EventOrderOutcomeUnknown,
+	_LogEventName[245:261]: EventEngineNotAsked,
+	_LogEventName[261:279]: EventInventoryNotRead,
+	_LogEventName[279:290]: EventLoadFailed,
+	_LogEventName[290:306]: EventNewsNotEncoded,
+	_LogEventName[306:322]: EventRegistryRefused,
+	_LogEventName[322:337]: EventRoutesProposed,
+	_LogEventName[337:351]: EventRoutesRefused,
+	_LogEventName[351:365]: EventRoutesApplied,
+	_LogEventName[365:380]: EventRoutesInForce,
+	_LogEventName[380:398]: EventRoutesNotFetched,
+	_LogEventName[398:416]: EventCatalogueInForce,
+	_LogEventName[416:429]: EventBecameLeader,
+	_LogEventName[429:438]: EventNoLeader,
+	_LogEventName[438:452]: EventReplicaOpened,
+	_LogEventName[452:467]: EventVotersInForce,
+	_LogEventName[467:480]: EventLearnerAdded,
+	_LogEventName[480:495]: EventLearnerRemoved,
+	_LogEventName[495:506]: EventVoterAdded,
+	_LogEventName[506:520]: EventVoterReplaced,
+	_LogEventName[520:546]: EventLeadershipNotHandedOver,
+	_LogEventName[546:564]: EventExpiryNotEncoded,
+	_LogEventName[564:578]: EventReplicaFailed,
+	_LogEventName[578:595]: EventReplicaWentBack,
+	_LogEventName[595:614]: EventDataFolderDamaged,
+	_LogEventName[614:635]: EventDataFolderWentBack,
+	_LogEventName[635:644]: EventLeaseGot,
+	_LogEventName[644:654]: EventLeaseLost,
+	_LogEventName[654:671]: EventLeaseNotRenewed,
+	_LogEventName[671:681]: EventZoneOwned,
+	_LogEventName[681:690]: EventZoneLost,
+	_LogEventName[690:702]: EventControlLost,
+	_LogEventName[702:718]: EventControlRegained,
+	_LogEventName[718:725]: EventStarted,
+	_LogEventName[725:733]: EventDraining,
+	_LogEventName[733:740]: EventDrained,
+	_LogEventName[740:747]: EventStopped,
+	_LogEventName[747:764]: EventSettingsReloaded,
+	_LogEventName[764:780]: EventSettingsRefused,
+	_LogEventName[780:794]: EventListenerEnded,
+	_LogEventName[794:812]: EventMetricsNotServed,
+	_LogEventName[812:825]: EventUnknownEvent,
+	_LogEventName[825:842]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -161,54 +163,55 @@
 	_LogEventLowerName[114:130]: EventBackendReplaced,
 	_LogEventLowerName[130:143]: EventAdapterThere,
 	_LogEventLowerName[143:155]: EventLoadDecided,
-	_LogEventLowerName[155:170]: EventModelWithdrawn,
-	_LogEventLowerName[170:184]: EventOrderAnswered,
-	_LogEventLowerName[184:194]: EventOrderDone,
-	_LogEventLowerName[194:205]: EventOrderChart,
-	_LogEventLowerName[205:218]: EventOrderRefused,
-	_LogEventLowerName[218:239]: EventOrderOutcomeUnknown,
-	_LogEventLowerName[239:255]: EventEngineNotAsked,
-	_LogEventLowerName[255:273]: EventInventoryNotRead,
-	_LogEventLowerName[273:284]: EventLoadFailed,
-	_LogEventLowerName[284:300]: EventNewsNotEncoded,
-	_LogEventLowerName[300:316]: EventRegistryRefused,
-	_LogEventLowerName[316:331]: EventRoutesProposed,
-	_LogEventLowerName[331:345]: EventRoutesRefused,
-	_LogEventLowerName[345:359]: EventRoutesApplied,
-	_LogEventLowerName[359:374]: EventRoutesInForce,
-	_LogEventLowerName[374:392]: EventRoutesNotFetched,
-	_LogEventLowerName[392:410]: EventCatalogueInForce,
-	_LogEventLowerName[410:423]: EventBecameLeader,
-	_LogEventLowerName[423:432]: EventNoLeader,
-	_LogEventLowerName[432:446]: EventReplicaOpened,
-	_LogEventLowerName[446:461]: EventVotersInForce,
-	_LogEventLowerName[461:474]: EventLearnerAdded,
-	_LogEventLowerName[474:489]: EventLearnerRemoved,
-	_LogEventLowerName[489:500]: EventVoterAdded,
-	_LogEventLowerName[500:514]: EventVoterReplaced,
-	_LogEventLowerName[514:540]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[540:558]: EventExpiryNotEncoded,
-	_LogEventLowerName[558:572]: EventReplicaFailed,
-	_LogEventLowerName[572:589]: EventReplicaWentBack,
-	_LogEventLowerName[589:608]: EventDataFolderDamaged,
-	_LogEventLowerName[608:629]: EventDataFolderWentBack,
-	_LogEventLowerName[629:638]: EventLeaseGot,
-	_LogEventLowerName[638:648]: EventLeaseLost,
-	_LogEventLowerName[648:665]: EventLeaseNotRenewed,
-	_LogEventLowerName[665:675]: EventZoneOwned,
-	_LogEventLowerName[675:684]: EventZoneLost,
-	_LogEventLowerName[684:696]: EventControlLost,
-	_LogEventLowerName[696:712]: EventControlRegained,
-	_LogEventLowerName[712:719]: EventStarted,
-	_LogEventLowerName[719:727]: EventDraining,
-	_LogEventLowerName[727:734]: EventDrained,
-	_LogEventLowerName[734:741]: EventStopped,
-	_LogEventLowerName[741:758]: EventSettingsReloaded,
-	_LogEventLowerName[758:774]: EventSettingsRefused,
-	_LogEventLowerName[774:788]: EventListenerEnded,
-	_LogEventLowerName[788:806]: EventMetricsNotServed,
-	_LogEventLowerName[806:819]: EventUnknownEvent,
-	_LogEventLowerName[819:836]: EventLogLinesDropped,
+	_LogEventLowerName[155:161]: EventLayout,
+	_LogEventLowerName[161:176]: EventModelWithdrawn,
+	_LogEventLowerName[176:190]: EventOrderAnswered,
+	_LogEventLowerName[190:200]: EventOrderDone,
+	_LogEventLowerName[200:211]: EventOrderChart,
+	_LogEventLowerName[211:224]: EventOrderRefused,
+	_LogEventLowerName[224:245]: EventOrderOutcomeUnknown,
+	_LogEventLowerName[245:261]: EventEngineNotAsked,
+	_LogEventLowerName[261:279]: EventInventoryNotRead,
+	_LogEventLowerName[279:290]: EventLoadFailed,
+	_LogEventLowerName[290:306]: EventNewsNotEncoded,
+	_LogEventLowerName[306:322]: EventRegistryRefused,
+	_LogEventLowerName[322:337]: EventRoutesProposed,
+	_LogEventLowerName[337:351]: EventRoutesRefused,
+	_LogEventLowerName[351:365]: EventRoutesApplied,
+	_LogEventLowerName[365:380]: EventRoutesInForce,
+	_LogEventLowerName[380:398]: EventRoutesNotFetched,
+	_LogEventLowerName[398:416]: EventCatalogueInForce,
+	_LogEventLowerName[416:429]: EventBecameLeader,
+	_LogEventLowerName[429:438]: EventNoLeader,
+	_LogEventLowerName[438:452]: EventReplicaOpened,
+	_LogEventLowerName[452:467]: EventVotersInForce,
+	_LogEventLowerName[467:480]: EventLearnerAdded,
+	_LogEventLowerName[480:495]: EventLearnerRemoved,
+	_LogEventLowerName[495:506]: EventVoterAdded,
+	_LogEventLowerName[506:520]: EventVoterReplaced,
+	_LogEventLowerName[520:546]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[546:564]: EventExpiryNotEncoded,
+	_LogEventLowerName[564:578]: EventReplicaFailed,
+	_LogEventLowerName[578:595]: EventReplicaWentBack,
+	_LogEventLowerName[595:614]: EventDataFolderDamaged,
+	_LogEventLowerName[614:635]: EventDataFolderWentBack,
+	_LogEventLowerName[635:644]: EventLeaseGot,
+	_LogEventLowerName[644:654]: EventLeaseLost,
+	_LogEventLowerName[654:671]: EventLeaseNotRenewed,
+	_LogEventLowerName[671:681]: EventZoneOwned,
+	_LogEventLowerName[681:690]: EventZoneLost,
+	_LogEventLowerName[690:702]: EventControlLost,
+	_LogEventLowerName[702:718]: EventControlRegained,
+	_LogEventLowerName[718:725]: EventStarted,
+	_LogEventLowerName[725:733]: EventDraining,
+	_LogEventLowerName[733:740]: EventDrained,
+	_LogEventLowerName[740:747]: EventStopped,
+	_LogEventLowerName[747:764]: EventSettingsReloaded,
+	_LogEventLowerName[764:780]: EventSettingsRefused,
+	_LogEventLowerName[780:794]: EventListenerEnded,
+	_LogEventLowerName[794:812]: EventMetricsNotServed,
+	_LogEventLowerName[812:825]: EventUnknownEvent,
+	_LogEventLowerName[825:842]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -223,54 +226,55 @@
 	_LogEventName[114:130],
 	_LogEventName[130:143],
 	_LogEventName[143:155],
-	_LogEventName[155:170],
-	_LogEventName[170:184],
-	_LogEventName[184:194],
-	_LogEventName[194:205],
-	_LogEventName[205:218],
-	_LogEventName[218:239],
-	_LogEventName[239:255],
-	_LogEventName[255:273],
-	_LogEventName[273:284],
-	_LogEventName[284:300],
-	_LogEventName[300:316],
-	_LogEventName[316:331],
-	_LogEventName[331:345],
-	_LogEventName[345:359],
-	_LogEventName[359:374],
-	_LogEventName[374:392],
-	_LogEventName[392:410],
-	_LogEventName[410:423],
-	_LogEventName[423:432],
-	_LogEventName[432:446],
-	_LogEventName[446:461],
-	_LogEventName[461:474],
-	_LogEventName[474:489],
-	_LogEventName[489:500],
-	_LogEventName[500:514],
-	_LogEventName[514:540],
-	_LogEventName[540:558],
-	_LogEventName[558:572],
-	_LogEventName[572:589],
-	_LogEventName[589:608],
-	_LogEventName[608:629],
-	_LogEventName[629:638],
-	_LogEventName[638:648],
-	_LogEventName[648:665],
-	_LogEventName[665:675],
-	_LogEventName[675:684],
-	_LogEventName[684:696],
-	_LogEventName[696:712],
-	_LogEventName[712:719],
-	_LogEventName[719:727],
-	_LogEventName[727:734],
-	_LogEventName[734:741],
-	_LogEventName[741:758],
-	_LogEventName[758:774],
-	_LogEventName[774:788],
-	_LogEventName[788:806],
-	_LogEventName[806:819],
-	_LogEventName[819:836],
+	_LogEventName[155:161],
+	_LogEventName[161:176],
+	_LogEventName[176:190],
+	_LogEventName[190:200],
+	_LogEventName[200:211],
+	_LogEventName[211:224],
+	_LogEventName[224:245],
+	_LogEventName[245:261],
+	_LogEventName[261:279],
+	_LogEventName[279:290],
+	_LogEventName[290:306],
+	_LogEventName[306:322],
+	_LogEventName[322:337],
+	_LogEventName[337:351],
+	_LogEventName[351:365],
+	_LogEventName[365:380],
+	_LogEventName[380:398],
+	_LogEventName[398:416],
+	_LogEventName[416:429],
+	_LogEventName[429:438],
+	_LogEventName[438:452],
+	_LogEventName[452:467],
+	_LogEventName[467:480],
+	_LogEventName[480:495],
+	_LogEventName[495:506],
+	_LogEventName[506:520],
+	_LogEventName[520:546],
+	_LogEventName[546:564],
+	_LogEventName[564:578],
+	_LogEventName[578:595],
+	_LogEventName[595:614],
+	_LogEventName[614:635],
+	_LogEventName[635:644],
+	_LogEventName[644:654],
+	_LogEventName[654:671],
+	_LogEventName[671:681],
+	_LogEventName[681:690],
+	_LogEventName[690:702],
+	_LogEventName[702:718],
+	_LogEventName[718:725],
+	_LogEventName[725:733],
+	_LogEventName[733:740],
+	_LogEventName[740:747],
+	_LogEventName[747:764],
+	_LogEventName[764:780],
+	_LogEventName[780:794],
+	_LogEventName[794:812],
+	_LogEventName[812:825],
+	_LogEventName[825:842],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
