--- a/laburnumexplain/day.go
+++ b/laburnumexplain/day.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"net/http"
 	"slices"
 	"time"
 
@@ -18,7 +17,7 @@
 	// InTime is a whole answer in time, Late one that was not.
 	InTime Outcome = iota
 	Late
-	// Refused is a promise that nothing ran; Failed is any other end without a whole answer.
+	// Refused was answered before anything ran; Failed is any other end without a whole answer.
 	Refused
 	Failed
 )
@@ -154,8 +153,8 @@
 	return &d.Windows[n]
 }
 
-// outcomeOf reads an end. What is refused with the promise that nothing ran bears a status
-// that says so.
+// outcomeOf reads an end. A request that no backend server can have run and that was answered
+// is refused; of any other without a whole answer the caller knows nothing.
 func outcomeOf(l Line) (Outcome, string) {
 	if l.Event == laburnumlever.EventRequestServed.String() {
 		if late := word(l.Fields["late"]); late != "" && late != "not" {
@@ -164,12 +163,10 @@
 		return InTime, ""
 	}
 	reason := word(l.Fields["reason"])
-	switch status, _ := l.Fields["status"].(float64); int(status) {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return Refused, reason
-	default:
+	if touched, _ := l.Fields["touched"].(bool); touched || word(l.Fields["status"]) == "0" {
 		return Failed, reason
 	}
+	return Refused, reason
 }
 
 // layouts is the last layout told of each service, by service.
