refactor: requests that wait for a place are a pure package of their own

laburnumwaiting takes over the list, the order and the turn from laburnumgateway with its tests, unchanged but for names, so that an evaluation without a network can use what gateways use.

--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -12,6 +12,7 @@
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumtimer"
+	"laburnumlever/laburnumwaiting"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -31,7 +32,7 @@
 	balance  *laburnumbalance.Table
 	demand   *demand
 	adapters adapterUses
-	waiting  waiting
+	waiting  laburnumwaiting.List
 	paces    paces
 	// replaced are those not told of yet at whose address another has answered.
 	replaced []laburnumlever.BackendID
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -11,6 +11,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumroutes"
+	"laburnumlever/laburnumwaiting"
 
 	"github.com/cockroachdb/errors"
 )
@@ -113,7 +114,7 @@
 	if caller, err := g.dialect.Request(r.Header); err == nil && caller.Wait > 0 {
 		wait = min(wait, time.Duration(waitShare*float64(caller.Wait)))
 	}
-	if g.starting.Add(1) <= maxWaiting {
+	if g.starting.Add(1) <= laburnumwaiting.Most {
 		g.fleet.awaitRoutes(r.Context(), wait)
 	}
 	g.starting.Add(-1)
--- a/laburnumgateway/waiting_internal_test.go
+++ b/laburnumwaiting/list_test.go
@@ -1,4 +1,4 @@
-package laburnumgateway
+package laburnumwaiting_test
 
 import (
 	"testing"
@@ -8,11 +8,13 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumwaiting"
 )
 
 const (
-	testTarget = 300 * time.Millisecond
-	testWait   = 700 * time.Millisecond
+	testWait = 700 * time.Millisecond
+	// testFresh is how long an answer can still begin in time.
+	testFresh = 225 * time.Millisecond
 )
 
 // overload plays callers that come at a steady rate to a model whose engines give a place
@@ -20,7 +22,8 @@
 // later.
 func overload(t *testing.T, ranks []int, asked, places, length time.Duration) (inTime, late map[int]int) {
 	t.Helper()
-	w := &waiting{}
+	w := &laburnumwaiting.List{}
+	given := map[*laburnumwaiting.Request]bool{}
 	inTime, late = map[int]int{}, map[int]int{}
 	start := time.Unix(1_000_000, 0)
 	nextAsked, nextPlace := start, start
@@ -28,24 +31,25 @@
 	for now := start; now.Before(start.Add(length)); now = now.Add(time.Millisecond) {
 		if !now.Before(nextAsked) {
 			nextAsked = nextAsked.Add(asked)
-			require.True(t, w.add(&waiter{
-				query: laburnumbalance.Query{Model: "m0"}, rank: ranks[n%len(ranks)], since: now,
-				freshTill: now.Add(time.Duration(freshShare * float64(testTarget))), ticket: make(chan *laburnumbalance.Ticket, 1),
-			}))
+			r := &laburnumwaiting.Request{
+				Query: laburnumbalance.Query{Model: "m0"}, Rank: ranks[n%len(ranks)], Since: now, FreshTill: now.Add(testFresh),
+			}
+			r.Give = func(*laburnumbalance.Ticket) { given[r] = true }
+			require.True(t, w.Add(r))
 			n++
 		}
-		for _, old := range append([]*waiter(nil), w.list...) {
-			if now.Sub(old.since) > testWait {
-				w.remove(old)
+		for _, old := range w.Requests() {
+			if now.Sub(old.Since) > testWait {
+				w.Remove(old)
 			}
 		}
 		if now.Before(nextPlace) {
 			continue
 		}
 		nextPlace = nextPlace.Add(places)
-		before := append([]*waiter(nil), w.list...)
+		before := w.Requests()
 		free := 1
-		w.serve(now, func(laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+		w.Serve(now, func(laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
 			if free == 0 {
 				return nil, laburnumbalance.Full
 			}
@@ -54,11 +58,11 @@
 		})
 		for _, n := range before {
 			switch {
-			case len(n.ticket) == 0:
-			case now.After(n.freshTill):
-				late[n.rank]++
+			case !given[n]:
+			case now.After(n.FreshTill):
+				late[n.Rank]++
 			default:
-				inTime[n.rank]++
+				inTime[n.Rank]++
 			}
 		}
 	}
