perf: a planning round costs what it touches, not engines times models

Cause: laburnumresidency kept a table of engines by models and went through all of it for each change that it looked at; the number of ready copies was counted anew for each comparison, over all engines. On the control thread of a VM with half a core a round of 204 engines and 353 models took longer than the renewal of a lease may wait.

Ruled out: a cache between rounds. Demand moves every second and engines change with each order, so most of a round would be worked out again.

Change: the layout holds short sorted lists in both directions, the engines in the order of their work, and the copies of each model counted once. A change updates the engines that it touches.

--- a/laburnumresidency/fill.go
+++ b/laburnumresidency/fill.go
@@ -1,6 +1,6 @@
 package laburnumresidency
 
-import "laburnumlever"
+import "slices"
 
 // fillWork is the least work, as a share of an engine's, that a copy in free room must have:
 // a load keeps the engine from adapters, and room that rarely asked models fill has to be
@@ -12,45 +12,59 @@
 //
 // The load it answers: demand moves to another model within seconds, and the weight store
 // loads one or two a second. Loaded while the store is idle, copies are there when demand
-// comes, and what gives way again stays at hand in the engine's memory and on its disk.
-// Thirty heavy days of a deployment of twelve engines: mean worth 0.445 with it (for models
-// with any work), 0.426 without; the spread of such means is 0.01.
+// comes, and what is evicted again stays at hand in the engine's memory and on its disk.
 func (p *planner) fill() {
-	for _, e := range p.engines {
-		if !e.Idle {
+	candidates := p.fillCandidates()
+	if len(candidates) == 0 {
+		return
+	}
+	for e, engine := range p.engines {
+		if !engine.Idle {
 			continue
 		}
-		m := p.likeliest(e)
-		if m == nowhere {
-			continue
+		if m := p.likeliest(e, candidates); m != nowhere {
+			p.copies[m]++
+			p.load(e, m, "free room for what is asked for most", 0)
 		}
-		model := p.class.Models[m]
-		p.held[m]++
-		p.steps = append(p.steps, urgentStep{Step: Step{
-			Engine: e.ID, Kind: laburnumlever.Load, Model: model.Name, FromStore: e.fromStore(model.Name), Reason: "free room for what is asked for most",
-		}})
 	}
 }
 
-// likeliest is the model with most work for each copy, one more counted, of those that the
-// engine has room for; nowhere if there is none with enough. Before anybody has asked,
-// copies beyond the first count instead: whoever placed them knew what is wanted.
-func (p *planner) likeliest(e *Engine) int {
-	asked := len(p.demand) > 0
-	best, most := nowhere, 0.0
-	if asked {
-		most = fillWork
-	}
-	for m, model := range p.class.Models {
-		if e.Holds(model.Name) || !e.HasRoom(p.class, model) {
-			continue
+// fillCandidates are the models that one more copy may be worth having of. Before anybody has
+// asked, copies beyond the first count: whoever placed them knew what is wanted.
+func (p *planner) fillCandidates() []int {
+	var list []int
+	for m := range p.class.Models {
+		if p.fillWeight(m) > p.fillLeast() {
+			list = append(list, m)
 		}
-		work := p.target.demand[m]
-		if !asked {
-			work = float64(p.held[m] - 1)
-		}
-		if a := work / float64(p.held[m]+1); a > most {
-			best, most = m, a
+	}
+	return list
+}
+
+func (p *planner) fillLeast() float64 {
+	if len(p.demand) == 0 {
+		return 0
+	}
+	return fillWork
+}
+
+// fillWeight is the work of each copy of a model, one more counted.
+func (p *planner) fillWeight(m int) float64 {
+	work := p.target.demand[m]
+	if len(p.demand) == 0 {
+		work = float64(p.copies[m] - 1)
+	}
+	return work / float64(p.copies[m]+1)
+}
+
+// likeliest is the model with most weight of those that an engine has room for; nowhere if
+// none has enough.
+func (p *planner) likeliest(e int, candidates []int) int {
+	best, most := nowhere, p.fillLeast()
+	used := p.usedNow(e)
+	for _, m := range candidates {
+		if w := p.fillWeight(m); w > most && used+p.target.size[m] <= p.class.WeightsMB && !slices.Contains(p.heldBy[e], m) {
+			best, most = m, w
 		}
 	}
 	return best
--- a/laburnumresidency/planner_test.go
+++ b/laburnumresidency/planner_test.go
@@ -187,20 +187,24 @@
 	}
 }
 
-// BenchmarkNext is the cost of a round on a fleet of the larger kind: 112 engines, 135
-// models, a dozen of them busy.
+// BenchmarkNext is the cost of a round on fleets of growing size: each engine holds two models,
+// a dozen models are busy, and those that nobody holds are missing.
 func BenchmarkNext(b *testing.B) {
-	class := testClass(135)
-	demand := Demand{}
-	var engines []Engine
-	for i := range 112 {
-		engines = append(engines, testEngine(i, fmt.Sprintf("m%d", i), fmt.Sprintf("m%d", (i*7)%135)))
-		if i < 12 {
-			demand[laburnumlever.ModelName(fmt.Sprintf("m%d", i))] = 2
-		}
-	}
-	for b.Loop() {
-		Next(class, engines, demand, nil)
+	for _, size := range []struct{ engines, models, busy int }{{12, 21, 12}, {60, 111, 12}, {112, 135, 12}, {204, 353, 60}, {600, 1000, 60}, {2100, 370, 60}} {
+		b.Run(fmt.Sprintf("engines=%d/models=%d", size.engines, size.models), func(b *testing.B) {
+			class := testClass(size.models)
+			demand := Demand{}
+			var engines []Engine
+			for i := range size.engines {
+				engines = append(engines, testEngine(i, fmt.Sprintf("m%d", i%size.models), fmt.Sprintf("m%d", (i*7+1)%size.models)))
+				if i < size.busy {
+					demand[laburnumlever.ModelName(fmt.Sprintf("m%d", i))] = 2
+				}
+			}
+			for b.Loop() {
+				Next(class, engines, demand, nil)
+			}
+		})
 	}
 }
 
--- /dev/null
+++ b/laburnumresidency/steps.go
@@ -0,0 +1,95 @@
+package laburnumresidency
+
+import (
+	"cmp"
+	"slices"
+
+	"laburnumlever"
+)
+
+// overloadWork is the work of a copy beyond which all who ask for it are late: a model that
+// few ask for is evicted for another copy at once, and is away while it loads elsewhere.
+const overloadWork = 1.0
+
+// approach takes one step with an engine towards what it should hold: a load if there
+// is room, else the unload of what is not wanted there and is ready elsewhere.
+func (p *planner) approach(e int, engine *Engine) {
+	if !engine.Idle {
+		return
+	}
+	wanted := p.wanted(e)
+	if wanted == nowhere {
+		return
+	}
+	reason := "takes over work of a busy engine"
+	if p.ready[wanted] == 0 {
+		reason = "no engine holds it"
+	}
+	if p.usedNow(e)+p.target.size[wanted] <= p.class.WeightsMB {
+		p.load(e, wanted, reason, p.urgency(wanted))
+		return
+	}
+	p.makeRoom(e, engine, wanted, reason)
+}
+
+// wanted is the model that an engine should load next, the one with fewest ready copies;
+// nowhere where it holds all.
+func (p *planner) wanted(e int) int {
+	best := nowhere
+	for _, m := range p.target.models[e] {
+		if slices.Contains(p.heldBy[e], m) {
+			continue
+		}
+		if best == nowhere || cmp.Or(cmp.Compare(p.ready[m], p.ready[best]), cmp.Compare(p.target.share(best), p.target.share(m))) < 0 {
+			best = m
+		}
+	}
+	return best
+}
+
+// usedNow is the memory taken at an engine, in MB.
+func (p *planner) usedNow(e int) float64 {
+	total := 0.0
+	for _, h := range p.engines[e].Held {
+		if m := p.find(h.Name); m != nowhere {
+			total += p.class.Models[m].WeightsMB + p.class.Models[m].AdapterMB*float64(len(h.Adapters))
+		}
+	}
+	return total
+}
+
+func (p *planner) load(e, m int, reason string, urgency float64) {
+	p.steps = append(p.steps, urgentStep{urgency: urgency, Step: Step{
+		Engine: p.engines[e].ID, Kind: laburnumlever.Load, Model: p.class.Models[m].Name, FromStore: p.fromStore(e, m), Reason: reason,
+	}})
+}
+
+func (p *planner) makeRoom(e int, engine *Engine, wanted int, reason string) {
+	for _, m := range p.heldBy[e] {
+		name := p.class.Models[m].Name
+		if p.target.holds(e, m) || engine.Unloading == name {
+			continue
+		}
+		rescued, rescues := p.rescues[e]
+		rescue := rescues && rescued == wanted && p.outweighs(wanted, m)
+		overload := p.target.copies(m) > 0 && p.target.share(wanted) > overloadWork && p.outweighs(wanted, m)
+		if p.ready[m] >= 2 || rescue || overload {
+			p.steps = append(p.steps, urgentStep{urgency: p.urgency(wanted), Step: Step{
+				Engine: engine.ID, Kind: laburnumlever.Unload, Model: name, Reason: "makes room for a model: " + reason,
+			}})
+			if engine.Loading != name {
+				p.ready[m]--
+			}
+			engine.Unloading = name
+			return
+		}
+	}
+}
+
+// urgency is what waits for a step: the requests for a model that no engine serves.
+func (p *planner) urgency(m int) float64 {
+	if p.ready[m] > 0 {
+		return 0
+	}
+	return p.askedAtLeast(m)
+}
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -46,11 +46,6 @@
 	return e.Unloading != model && laburnumlever.Holds(e.Held, model, "")
 }
 
-// ready tells whether requests for the model can go to the engine now.
-func (e *Engine) ready(model laburnumlever.ModelName) bool {
-	return e.Serves(model) && e.Loading != model
-}
-
 // used is the memory taken, in MB.
 func (e *Engine) used(class *laburnumlever.EngineClass) float64 {
 	total := 0.0
@@ -71,10 +66,6 @@
 	return laburnumlever.Holds(e.Held, model, "")
 }
 
-func (e *Engine) fromStore(model laburnumlever.ModelName) bool {
-	return !slices.Contains(e.InMemory, model) && !slices.Contains(e.OnDisk, model)
-}
-
 // wait is how many seconds pass until the engine takes an order.
 func (e *Engine) wait() float64 {
 	switch {
