perf: rounds of planning run beside the control thread

Cause: a round ran on the control thread, where leases are renewed and the log's messages handled. On 204 engines and 353 models it took longer than a renewal may wait, and the VM that gives the orders lost its own lease.

Ruled out: a shorter round alone. It grows with the fleet, and whatever it takes would still be in the way of the log.

Its steps are carried out for engines whose state is the same as when it began; an unload only if no engine has lost a model meanwhile, since the copy that was to stay may be the one that went. One round a service at a time.

The random schedules now keep rounds back as well.

--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -7,7 +7,6 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumregistry"
-	"laburnumlever/laburnumresidency"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -18,12 +17,6 @@
 	// tickPeriod is how often the director looks for work: short beside the time
 	// of any load.
 	tickPeriod = 100 * time.Millisecond
-	// planPeriod is how often the planner is asked: demand is told once a second.
-	planPeriod = 250 * time.Millisecond
-	// settlePeriods is how many of the engines' heartbeats pass at a VM's start before it
-	// plans: until each has been heard, models seem to be missing, and copies of others
-	// gave way for them in vain.
-	settlePeriods = 3
 	// withdrawTime is how long gateways get to hear that a model goes before its
 	// unload is ordered; one that has not heard is told by the engine that the
 	// request was not run.
@@ -76,8 +69,10 @@
 	needs     []*need
 	// startedAt is when this VM began to hear of engines.
 	startedAt time.Time
-	// plannedAt is when the planner was asked last.
+	// plannedAt is when the planner was asked last, planning the services of which a round is
+	// under way.
 	plannedAt time.Time
+	planning  map[laburnumlever.ServiceName]bool
 	// laidOutAt is when the layout of a service was told last.
 	laidOutAt map[laburnumlever.ServiceName]time.Time
 }
@@ -88,7 +83,7 @@
 func New(loop laburnumlever.Loop, timers laburnumlever.Timers, proposer laburnumlever.Proposer, calls laburnumlever.ModelEngines, self laburnumlever.VM, opts ...Option) *Director {
 	const defaultLease = 3 * time.Second
 	const defaultHeartbeat = time.Second
-	cfg := config{lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock, spawn: func(call func()) { go call() }}
+	cfg := config{lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock, spawn: func(call func()) { go call() }, compute: func(work func()) { go work() }}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
@@ -101,6 +96,7 @@
 		engines:  newEngineTable(), demand: newEstimator(), startedAt: timers.Now(),
 		store:     map[laburnumlever.ServiceName]*bucket{},
 		laidOutAt: map[laburnumlever.ServiceName]time.Time{},
+		planning:  map[laburnumlever.ServiceName]bool{},
 	}
 }
 
@@ -174,6 +170,8 @@
 		d.onArrived(ev)
 	case needed:
 		d.onNeed(ev.need)
+	case planned:
+		d.onPlanned(ev)
 	}
 	d.publish()
 }
@@ -285,71 +283,6 @@
 	}
 }
 
-// plan asks the planner for one service and sends what it says.
-func (d *Director) plan(name laburnumlever.ServiceName, class *laburnumlever.EngineClass, now time.Time) {
-	if now.Sub(d.startedAt) < time.Duration(settlePeriods*float64(d.cfg.heartbeat)) {
-		return
-	}
-	var engines []laburnumresidency.Engine
-	for _, id := range d.engines.ids() {
-		if e := d.engines.get(id); e.heartbeat.Service == name && !e.down(now, d.cfg.heartbeat) {
-			if !e.known {
-				d.ask(e, now)
-			}
-			engines = append(engines, e.planned(now))
-		}
-	}
-	d.reportLayout(name, class, engines, now)
-	work, requests := d.demand.loads(now, class.Slots)
-	for _, step := range laburnumresidency.Next(class, engines, work, d.adaptersUsed(engines, now), laburnumresidency.WithRequests(requests)) {
-		d.take(d.engines.get(step.Engine), class, step, now)
-	}
-}
-
-// adaptersUsed counts the adapters of each model that were used lately, or are asked
-// for.
-func (d *Director) adaptersUsed(engines []laburnumresidency.Engine, now time.Time) map[laburnumlever.ModelName]int {
-	used := map[adapterKey]bool{}
-	for _, planned := range engines {
-		for model, h := range d.engines.get(planned.ID).held {
-			for name, a := range h.adapters {
-				if now.Sub(a.usedAt) < adapterInUse {
-					used[adapterKey{model: model, adapter: name}] = true
-				}
-			}
-		}
-	}
-	for _, n := range d.needs {
-		used[n.key] = true
-	}
-	counts := map[laburnumlever.ModelName]int{}
-	for key := range used {
-		counts[key.model]++
-	}
-	return counts
-}
-
-// take carries a step out: an unload begins with the word to the gateways.
-func (d *Director) take(e *engine, class *laburnumlever.EngineClass, step laburnumresidency.Step, now time.Time) {
-	order := laburnumlever.EngineOrder{Kind: step.Kind, Model: step.Model}
-	if step.Kind == laburnumlever.Unload {
-		h := e.held[step.Model]
-		if h == nil || h.withdrawn {
-			return
-		}
-		h.withdrawn, h.withdrawnAt = true, now
-		e.touch()
-		_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventModelWithdrawn, "backend", e.heartbeat.Backend, "model", step.Model, "cause", step.Reason)
-		return
-	}
-	if step.FromStore && !d.payStore(e, class) {
-		return
-	}
-	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLoadDecided, "backend", e.heartbeat.Backend, "model", step.Model,
-		"from-store", step.FromStore, "cause", step.Reason)
-	d.send(e, order)
-}
-
 func (d *Director) payStore(e *engine, class *laburnumlever.EngineClass) bool {
 	b := d.store[e.heartbeat.Service]
 	if b == nil {
--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -269,7 +269,11 @@
 
 func (w *world) disturb(random *rand.Rand) {
 	e := w.engines[laburnumlever.BackendID(fmt.Sprintf("i-%d", random.IntN(len(w.engines))))]
-	switch random.IntN(6) {
+	switch random.IntN(7) {
+	case 6:
+		n := w.directors[random.IntN(len(w.directors))]
+		n.plansSlowly = !n.plansSlowly
+		n.finishRounds()
 	case 0:
 		e.loseAnswer = true
 	case 1:
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -46,11 +46,21 @@
 	overdue bool
 	// changed tells that gateways do not know yet what is known here; see touch.
 	changed bool
-	table   *engineTable
+	// revision counts the changes of what is known.
+	revision uint64
+	table    *engineTable
 }
 
-// touch notes that gateways do not know yet what is known of the engine here.
+// lose notes that the engine does not hold a model any more.
+func (e *engine) lose(name laburnumlever.ModelName) {
+	delete(e.held, name)
+	e.table.losses++
+}
+
+// touch notes that what is known of the engine here has changed, and that gateways do not
+// know it yet.
 func (e *engine) touch() {
+	e.revision++
 	if !e.changed {
 		e.changed = true
 		e.table.noteChanged(e)
@@ -153,7 +163,7 @@
 	}
 	for name, held := range e.held {
 		if held.listed && !h.Holds(name, "") && !e.pending(name) {
-			delete(e.held, name)
+			e.lose(name)
 		}
 	}
 	return ended
@@ -243,7 +253,7 @@
 	e.known, e.accepted = true, s.Accepted
 	for name, h := range e.held {
 		if !h.listed && !laburnumlever.Holds(s.Models, name, "") && !e.pending(name) {
-			delete(e.held, name)
+			e.lose(name)
 		}
 	}
 	if e.overdue && !s.Busy {
@@ -257,7 +267,7 @@
 // nothing new. Without it the engine would take no other order for ever.
 func (e *engine) endReported(s laburnumlever.EngineState) {
 	if !laburnumlever.Holds(s.Models, e.working, "") {
-		delete(e.held, e.working)
+		e.lose(e.working)
 	}
 	e.working = ""
 }
--- a/laburnumdirector/enginetable.go
+++ b/laburnumdirector/enginetable.go
@@ -17,6 +17,8 @@
 	// holders are the engines that have held a model, and may not any more.
 	holders map[laburnumlever.ModelName]map[laburnumlever.BackendID]*engine
 	changed []*engine
+	// losses counts the engines that went and the models that engines stopped to hold.
+	losses uint64
 }
 
 func newEngineTable() *engineTable {
@@ -37,6 +39,7 @@
 func (t *engineTable) remove(id laburnumlever.BackendID) {
 	delete(t.byID, id)
 	t.order = nil
+	t.losses++
 }
 
 // ids are the identities by name, so that each look sees the engines alike.
--- a/laburnumdirector/events.go
+++ b/laburnumdirector/events.go
@@ -5,6 +5,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumresidency"
 )
 
 type (
@@ -44,6 +45,11 @@
 		key     adapterKey
 	}
 	needed struct{ need *need }
+	// planned is the end of a round of planning.
+	planned struct {
+		round round
+		steps []laburnumresidency.Step
+	}
 )
 
 func (ticked) EventName() string   { return "director-ticked" }
@@ -56,3 +62,4 @@
 func (stated) EventName() string   { return "director-stated" }
 func (arrived) EventName() string  { return "director-arrived" }
 func (needed) EventName() string   { return "director-needed" }
+func (planned) EventName() string  { return "director-planned" }
--- a/laburnumdirector/options.go
+++ b/laburnumdirector/options.go
@@ -19,6 +19,8 @@
 	heartbeat time.Duration
 	// spawn runs a call to another machine beside the control thread.
 	spawn func(call func())
+	// compute runs a round of planning beside the control thread.
+	compute func(work func())
 }
 
 // Option changes a new director.
@@ -45,5 +47,8 @@
 // WithClock sets the clock that leases are measured by.
 func WithClock(clock func() time.Duration) Option { return func(c *config) { c.clock = clock } }
 
+// WithCompute sets how rounds of planning are run; without it each has a goroutine.
+func WithCompute(compute func(work func())) Option { return func(c *config) { c.compute = compute } }
+
 // WithSpawn sets how calls to other machines are run; without it each has a goroutine.
 func WithSpawn(spawn func(call func())) Option { return func(c *config) { c.spawn = spawn } }
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -64,7 +64,7 @@
 	}
 	if order.Adapter == "" {
 		if !e.heartbeat.Holds(order.Model, "") {
-			delete(e.held, order.Model)
+			e.lose(order.Model)
 		}
 		return
 	}
@@ -151,7 +151,7 @@
 		e.drop(adapterKey{model: order.Model, adapter: order.Adapter}, d.timers.Now())
 		e.accepted++
 	case order.Kind == laburnumlever.Unload:
-		delete(e.held, order.Model)
+		e.lose(order.Model)
 		e.touch()
 	default:
 	}
--- /dev/null
+++ b/laburnumdirector/plan.go
@@ -0,0 +1,128 @@
+package laburnumdirector
+
+import (
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumresidency"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// planPeriod is how often the planner is asked: demand is told once a second.
+	planPeriod = 250 * time.Millisecond
+	// settlePeriods is how many of the engines' heartbeats pass at a VM's start before it
+	// plans: until each has been heard, models seem to be missing, and copies of others
+	// would be evicted for them.
+	settlePeriods = 3
+)
+
+// round is the state of a service's engines that a round of planning goes by. It is not
+// changed once the round has begun.
+type round struct {
+	service laburnumlever.ServiceName
+	class   *laburnumlever.EngineClass
+	engines []laburnumresidency.Engine
+	// known and revisions are the engines and the state that the round goes by, losses the
+	// table's count then.
+	known     []*engine
+	revisions []uint64
+	losses    uint64
+}
+
+// plan asks the planner for one service. The round runs beside the control thread: on a large
+// fleet it takes milliseconds, in which leases are renewed and the log goes on.
+func (d *Director) plan(name laburnumlever.ServiceName, class *laburnumlever.EngineClass, now time.Time) {
+	if d.planning[name] || now.Sub(d.startedAt) < time.Duration(settlePeriods*float64(d.cfg.heartbeat)) {
+		return
+	}
+	r := round{service: name, class: class, losses: d.engines.losses}
+	for _, id := range d.engines.ids() {
+		e := d.engines.get(id)
+		if e.heartbeat.Service != name || e.down(now, d.cfg.heartbeat) {
+			continue
+		}
+		if !e.known {
+			d.ask(e, now)
+		}
+		r.engines = append(r.engines, e.planned(now))
+		r.known, r.revisions = append(r.known, e), append(r.revisions, e.revision)
+	}
+	d.reportLayout(name, class, r.engines, now)
+	work, requests := d.demand.loads(now, class.Slots)
+	adapters := d.adaptersUsed(r.known, now)
+	d.planning[name] = true
+	d.cfg.compute(func() {
+		steps := laburnumresidency.Next(class, r.engines, work, adapters, laburnumresidency.WithRequests(requests))
+		d.loop.Post(d, planned{round: r, steps: steps})
+	})
+}
+
+// onPlanned carries out the steps that still fit what is known by now.
+func (d *Director) onPlanned(ev planned) {
+	delete(d.planning, ev.round.service)
+	if !d.lease.valid(d.clock()) || d.services[ev.round.service] != ev.round.class {
+		return
+	}
+	now := d.timers.Now()
+	revisions := map[laburnumlever.BackendID]uint64{}
+	for i, e := range ev.round.known {
+		if d.engines.get(e.heartbeat.Backend) == e {
+			revisions[e.heartbeat.Backend] = ev.round.revisions[i]
+		}
+	}
+	for _, step := range ev.steps {
+		e := d.engines.get(step.Engine)
+		if e == nil || revisions[step.Engine] != e.revision || !e.idle(now) {
+			continue
+		}
+		if step.Kind == laburnumlever.Unload && ev.round.losses != d.engines.losses {
+			continue // the copy that was to stay elsewhere may be gone
+		}
+		d.take(e, ev.round.class, step, now)
+	}
+}
+
+// adaptersUsed counts the adapters of each model that were used lately, or are asked
+// for.
+func (d *Director) adaptersUsed(engines []*engine, now time.Time) map[laburnumlever.ModelName]int {
+	used := map[adapterKey]bool{}
+	for _, e := range engines {
+		for model, h := range e.held {
+			for name, a := range h.adapters {
+				if now.Sub(a.usedAt) < adapterInUse {
+					used[adapterKey{model: model, adapter: name}] = true
+				}
+			}
+		}
+	}
+	for _, n := range d.needs {
+		used[n.key] = true
+	}
+	counts := map[laburnumlever.ModelName]int{}
+	for key := range used {
+		counts[key.model]++
+	}
+	return counts
+}
+
+// take carries a step out. An unload begins with the notice to the gateways.
+func (d *Director) take(e *engine, class *laburnumlever.EngineClass, step laburnumresidency.Step, now time.Time) {
+	if step.Kind == laburnumlever.Unload {
+		h := e.held[step.Model]
+		if h == nil || h.withdrawn {
+			return
+		}
+		h.withdrawn, h.withdrawnAt = true, now
+		e.touch()
+		_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventModelWithdrawn, "backend", e.heartbeat.Backend, "model", step.Model, "cause", step.Reason)
+		return
+	}
+	if step.FromStore && !d.payStore(e, class) {
+		return
+	}
+	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLoadDecided, "backend", e.heartbeat.Backend, "model", step.Model,
+		"from-store", step.FromStore, "cause", step.Reason)
+	d.send(e, laburnumlever.EngineOrder{Kind: step.Kind, Model: step.Model})
+}
--- /dev/null
+++ b/laburnumdirector/plan_test.go
@@ -0,0 +1,92 @@
+package laburnumdirector_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumregistry"
+)
+
+// finishRounds ends the rounds of planning that were kept back.
+func (n *node) finishRounds() {
+	rounds := n.rounds
+	n.rounds = nil
+	for _, round := range rounds {
+		round()
+	}
+}
+
+// settleRounds ends the round that began before the engines had told their state and the one
+// whose loads the store does not allow yet. The next is under way then.
+func (w *world) settleRounds(n *node) {
+	for range 2 {
+		n.finishRounds()
+		w.pass(time.Second)
+	}
+}
+
+// Guards against a slow round of planning that keeps the lease from being renewed.
+func TestSlowRoundHoldsNothingUp(t *testing.T) {
+	w := newWorld(t, 4, 3, 1)
+	n := w.directors[0]
+	n.plansSlowly = true
+	w.beat()
+	w.pass(6 * time.Second)
+	require.Len(t, n.rounds, 1, "one round at a time")
+	require.Empty(t, w.orders)
+	fence := w.machine.Leases()[0].Fence
+	w.settleRounds(n)
+	n.finishRounds()
+	w.pass(time.Second)
+	require.NotEmpty(t, w.orders, "the round's steps are carried out")
+	require.Equal(t, fence, w.machine.Leases()[0].Fence, "the lease was never lost")
+}
+
+// Guards against orders to an engine that has changed since the round of planning began.
+func TestStepsForAChangedEngineAreDropped(t *testing.T) {
+	w := newWorld(t, 1, 1, 1)
+	n := w.directors[0]
+	n.plansSlowly = true
+	w.beat()
+	w.pass(4 * time.Second)
+	w.settleRounds(n)
+	w.engines["i-0"].held[modelName(0)] = map[laburnumlever.AdapterName]bool{}
+	w.beat()
+	w.pass(100 * time.Millisecond)
+	n.finishRounds()
+	w.pass(100 * time.Millisecond)
+	require.Empty(t, w.orders)
+}
+
+// Guards against the unload of a model's last copy: the other copy went while the round of
+// planning was under way.
+func TestUnloadIsDroppedWhenACopyWentMeanwhile(t *testing.T) {
+	w := newWorld(t, 5, 3, 1)
+	n := w.directors[0]
+	hold := func(engine laburnumlever.BackendID, models ...int) {
+		for _, m := range models {
+			w.engines[engine].held[modelName(m)] = map[laburnumlever.AdapterName]bool{}
+		}
+	}
+	hold("i-0", 0, 1)
+	hold("i-1", 0, 2)
+	hold("i-2", 3, 4)
+	n.plansSlowly = true
+	w.beat()
+	w.pass(4 * time.Second)
+	w.ask(4, 60) // the busy model needs the slot of a second copy
+	w.pass(400 * time.Millisecond)
+	n.finishRounds()
+	w.pass(300 * time.Millisecond) // a round that knows of the demand is under way
+	require.Empty(t, w.orders)
+	require.Len(t, n.rounds, 1)
+	delete(w.engines, "i-1")
+	n.director.SetRecord(laburnumregistry.Record{Heartbeat: laburnumlever.Heartbeat{Backend: "i-1"}, Gone: true})
+	w.pass(100 * time.Millisecond)
+	n.finishRounds()
+	w.pass(time.Second)
+	require.Empty(t, w.orders, "the other copy of m0 is the last one")
+}
--- a/laburnumdirector/world_test.go
+++ b/laburnumdirector/world_test.go
@@ -59,9 +59,12 @@
 	frozen   bool
 	// holds keeps calls to other machines back, as on a VM that freezes between a
 	// decision and its write; calls are those kept.
-	holds    bool
-	calls    []func()
-	overlays map[laburnumlever.BackendID]laburnumregistry.Overlay
+	holds bool
+	calls []func()
+	// plansSlowly keeps rounds of planning back; rounds are those kept.
+	plansSlowly bool
+	rounds      []func()
+	overlays    map[laburnumlever.BackendID]laburnumregistry.Overlay
 	// registry keeps from the director what brings nothing new, as on a control VM.
 	registry *laburnumregistry.Table
 }
@@ -132,7 +135,7 @@
 	n.director = laburnumdirector.New(n.loop, w.timers, n, engineCalls{n}, n.vm,
 		laburnumdirector.WithLease(leaseTime), laburnumdirector.WithStore(5*time.Second, 1.1),
 		laburnumdirector.WithClock(func() time.Duration { return time.Duration(w.timers.Now().UnixNano()) }),
-		laburnumdirector.WithSpawn(n.spawn))
+		laburnumdirector.WithSpawn(n.spawn), laburnumdirector.WithCompute(n.compute))
 	n.director.OnLeads(func() bool { return n.leads })
 	n.director.OnOverlay(func(o laburnumregistry.Overlay) { n.overlays[o.Backend] = o })
 	n.director.SetRoutes(laburnumlever.RouteTable{Version: 1, Services: []laburnumlever.RoutedService{{Name: "quotes", Engine: &w.class}}})
@@ -140,6 +143,15 @@
 	w.directors = append(w.directors, n)
 }
 
+// compute runs a round of planning at once, or keeps it.
+func (n *node) compute(work func()) {
+	if n.plansSlowly {
+		n.rounds = append(n.rounds, work)
+		return
+	}
+	work()
+}
+
 // spawn runs a call to another machine at once, or keeps it.
 func (n *node) spawn(call func()) {
 	if n.holds {
