feat: a line tells what the control thread spent its time on

A VM that lost its lease said only that it was not renewed in time; nothing told what the control thread was busy with instead. Each event's time and wait are counted, and every five seconds one line names the busiest kinds and the longest wait.

--- a/laburnumcontrol/loop.go
+++ b/laburnumcontrol/loop.go
@@ -14,6 +14,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"laburnumlever"
 )
@@ -28,11 +29,13 @@
 	stopped bool
 	done    chan struct{}
 	after   func(ev laburnumlever.Event)
+	meter   *Meter
 }
 
 type entry struct {
 	to laburnumlever.Part
 	ev laburnumlever.Event
+	at time.Time
 }
 
 // Option changes a new loop.
@@ -44,9 +47,12 @@
 	return func(l *Loop) { l.after = after }
 }
 
+// WithMeter sets what counts the time that events take.
+func WithMeter(m *Meter) Option { return func(l *Loop) { l.meter = m } }
+
 // New makes a loop that does not run yet.
 func New(opts ...Option) *Loop {
-	l := &Loop{done: make(chan struct{}), after: func(laburnumlever.Event) {}}
+	l := &Loop{done: make(chan struct{}), after: func(laburnumlever.Event) {}, meter: NewMeter()}
 	l.ready = sync.NewCond(&l.mu)
 	for _, opt := range opts {
 		opt(l)
@@ -61,7 +67,7 @@
 	if l.stopped {
 		return
 	}
-	l.queue = append(l.queue, entry{to: to, ev: ev})
+	l.queue = append(l.queue, entry{to: to, ev: ev, at: time.Now()})
 	l.ready.Signal()
 }
 
@@ -112,9 +118,13 @@
 }
 
 func (l *Loop) handle(batch []entry) {
+	began := time.Now()
 	for _, e := range batch {
 		e.to.Handle(e.ev)
 		l.after(e.ev)
+		ended := time.Now()
+		l.meter.handled(e.ev.EventName(), began.Sub(e.at), ended.Sub(began))
+		began = ended
 	}
 }
 
--- /dev/null
+++ b/laburnumcontrol/meter_test.go
@@ -0,0 +1,39 @@
+package laburnumcontrol_test
+
+import (
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumcontrol"
+
+	"github.com/stretchr/testify/require"
+)
+
+type slow struct{}
+
+func (slow) EventName() string { return "slow" }
+
+type sleeper struct{}
+
+func (sleeper) Handle(ev laburnumlever.Event) {
+	if _, ok := ev.(slow); ok {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestMeterTellsWhatTookTheTime(t *testing.T) {
+	meter := laburnumcontrol.NewMeter()
+	loop := laburnumcontrol.New(laburnumcontrol.WithMeter(meter))
+	loop.Post(sleeper{}, slow{})
+	loop.Post(sleeper{}, number(1))
+	loop.Post(sleeper{}, number(2))
+	loop.Drain()
+	usage := meter.Take()
+	require.Equal(t, "slow", usage.Longest.Event)
+	require.Equal(t, []string{"slow", "number"}, []string{usage.Events[0].Event, usage.Events[1].Event})
+	require.Equal(t, 2, usage.Events[1].Count)
+	require.GreaterOrEqual(t, usage.Busy, 10*time.Millisecond)
+	require.GreaterOrEqual(t, usage.Waited, 10*time.Millisecond, "the numbers waited for the slow event")
+	require.Zero(t, meter.Take().Busy)
+}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -27,6 +27,8 @@
 	// proposeTimeout answers an operator before it gives up on this VM, which it
 	// does after a second.
 	proposeTimeout = 900 * time.Millisecond
+	// usagePeriod is how often the control thread's use of its time is told.
+	usagePeriod = 5 * time.Second
 	// expirePeriod is how often silent backend servers are looked for.
 	expirePeriod = 500 * time.Millisecond
 	// replaceShare of the time in which a new VM must count passes before a
@@ -51,6 +53,7 @@
 type Control struct {
 	process
 	loop     *laburnumcontrol.Loop
+	meter    *laburnumcontrol.Meter
 	voter    *laburnumvoter.Voter
 	source   *laburnumfeed.Source
 	follower *laburnumfeed.Follower
@@ -70,7 +73,8 @@
 
 // NewControl makes a control VM that does not run yet. An error is a *StartError.
 func NewControl(settings laburnumsettings.Role, engines laburnumlever.ModelEngines, opts ...Option) (*Control, error) {
-	c := &Control{process: newProcess(settings, opts), loop: laburnumcontrol.New()}
+	meter := laburnumcontrol.NewMeter()
+	c := &Control{process: newProcess(settings, opts), loop: laburnumcontrol.New(laburnumcontrol.WithMeter(meter)), meter: meter}
 	c.commits = c.metrics.Scope().Histogram("routes_commit_seconds", commitBuckets)
 	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
 	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self, laburnumfeed.WithSourceLogger(c.logger))
@@ -191,10 +195,23 @@
 	}
 	c.serveMetrics()
 	c.timers.Every(expirePeriod, c.expire)
+	c.timers.Every(usagePeriod, c.reportUsage)
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "first-start", c.settings.FirstStart)
 	return nil
 }
 
+// reportUsage tells what the control thread was busy with, so that one that falls behind shows
+// what it falls behind with.
+func (c *Control) reportUsage(time.Time) {
+	u := c.meter.Take()
+	events := make([]string, 0, len(u.Events))
+	for _, e := range u.Events {
+		events = append(events, e.String())
+	}
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventControlThread, "span-ms", u.Span.Milliseconds(), "busy-ms", u.Busy.Milliseconds(),
+		"waited-ms", u.Waited.Milliseconds(), "longest", u.Longest.Event, "longest-ms", u.Longest.Took.Milliseconds(), "events", events)
+}
+
 // Shutdown hands the leadership over and ends the process.
 func (c *Control) Shutdown(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
--- a/logevent.go
+++ b/logevent.go
@@ -116,6 +116,8 @@
 
 	// Other VMs and this process.
 
+	// EventControlThread is what the control thread spent its time on.
+	EventControlThread
 	// EventControlLost is a control VM that does not answer.
 	EventControlLost
 	// EventControlRegained is one that answers again.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 190, 200, 211, 224, 245, 261, 279, 290, 306, 322, 337, 351, 365, 380, 398, 416, 429, 438, 452, 467, 480, 495, 506, 520, 546, 564, 578, 595, 614, 635, 644, 654, 671, 681, 690, 702, 718, 725, 733, 740, 747, 764, 780, 794, 812, 825, 842}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 190, 200, 211, 224, 245, 261, 279, 290, 306, 322, 337, 351, 365, 380, 398, 416, 429, 438, 452, 467, 480, 495, 506, 520, 546, 564, 578, 595, 614, 635, 644, 654, 671, 681, 690, 704, 716, 732, 739, 747, 754, 761, 778, 794, 808, 826, 839, 856}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -72,21 +72,22 @@
 	_ = x[EventLeaseNotRenewed-(45)]
 	_ = x[EventZoneOwned-(46)]
 	_ = x[EventZoneLost-(47)]
-	_ = x[EventControlLost-(48)]
-	_ = x[EventControlRegained-(49)]
-	_ = x[EventStarted-(50)]
-	_ = x[EventDraining-(51)]
-	_ = x[EventDrained-(52)]
-	_ = x[EventStopped-(53)]
-	_ = x[EventSettingsReloaded-(54)]
-	_ = x[EventSettingsRefused-(55)]
-	_ = x[EventListenerEnded-(56)]
-	_ = x[EventMetricsNotServed-(57)]
-	_ = x[EventUnknownEvent-(58)]
-	_ = x[EventLogLinesDropped-(59)]
+	_ = x[EventControlThread-(48)]
+	_ = x[EventControlLost-(49)]
+	_ = x[EventControlRegained-(50)]
+	_ = x[EventStarted-(51)]
+	_ = x[EventDraining-(52)]
+	_ = x[EventDrained-(53)]
+	_ = x[EventStopped-(54)]
+	_ = x[EventSettingsReloaded-(55)]
+	_ = x[EventSettingsRefused-(56)]
+	_ = x[EventListenerEnded-(57)]
+	_ = x[EventMetricsNotServed-(58)]
+	_ = x[EventUnknownEvent-(59)]
+	_ = x[EventLogLinesDropped-(60)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventLayout, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventLayout, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThread, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:    EventRequestServed,
@@ -137,18 +138,19 @@
 	_LogEventName[654:671]: EventLeaseNotRenewed,
 	_LogEventName[671:681]: EventZoneOwned,
 	_LogEventName[681:690]: EventZoneLost,
-	_LogEventName[690:702]: EventControlLost,
-	_LogEventName[702:718]: EventControlRegained,
-	_LogEventName[718:725]: EventStarted,
-	_LogEventName[725:733]: EventDraining,
-	_LogEventName[733:740]: EventDrained,
-	_LogEventName[740:747]: EventStopped,
-	_LogEventName[747:764]: EventSettingsReloaded,
-	_LogEventName[764:780]: EventSettingsRefused,
-	_LogEventName[780:794]: EventListenerEnded,
-	_LogEventName[794:812]: EventMetricsNotServed,
-	_LogEventName[812:825]: EventUnknownEvent,
-	_LogEventName[825:842]: EventLogLinesDropped,
+	_LogEventName[690:704]: EventControlThread,
+	_LogEventName[704:716]: EventControlLost,
+	_LogEventName[716:732]: EventControlRegained,
+	_LogEventName[732:739]: EventStarted,
+	_LogEventName[739:747]: EventDraining,
+	_LogEventName[747:754]: EventDrained,
+	_LogEventName[754:761]: EventStopped,
+	_LogEventName[761:778]: EventSettingsReloaded,
+	_LogEventName[778:794]: EventSettingsRefused,
+	_LogEventName[794:808]: EventListenerEnded,
+	_LogEventName[808:826]: EventMetricsNotServed,
+	_LogEventName[826:839]: EventUnknownEvent,
+	_LogEventName[839:856]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -200,18 +202,19 @@
 	_LogEventLowerName[654:671]: EventLeaseNotRenewed,
 	_LogEventLowerName[671:681]: EventZoneOwned,
 	_LogEventLowerName[681:690]: EventZoneLost,
-	_LogEventLowerName[690:702]: EventControlLost,
-	_LogEventLowerName[702:718]: EventControlRegained,
-	_LogEventLowerName[718:725]: EventStarted,
-	_LogEventLowerName[725:733]: EventDraining,
-	_LogEventLowerName[733:740]: EventDrained,
-	_LogEventLowerName[740:747]: EventStopped,
-	_LogEventLowerName[747:764]: EventSettingsReloaded,
-	_LogEventLowerName[764:780]: EventSettingsRefused,
-	_LogEventLowerName[780:794]: EventListenerEnded,
-	_LogEventLowerName[794:812]: EventMetricsNotServed,
-	_LogEventLowerName[812:825]: EventUnknownEvent,
-	_LogEventLowerName[825:842]: EventLogLinesDropped,
+	_LogEventLowerName[690:704]: EventControlThread,
+	_LogEventLowerName[704:716]: EventControlLost,
+	_LogEventLowerName[716:732]: EventControlRegained,
+	_LogEventLowerName[732:739]: EventStarted,
+	_LogEventLowerName[739:747]: EventDraining,
+	_LogEventLowerName[747:754]: EventDrained,
+	_LogEventLowerName[754:761]: EventStopped,
+	_LogEventLowerName[761:778]: EventSettingsReloaded,
+	_LogEventLowerName[778:794]: EventSettingsRefused,
+	_LogEventLowerName[794:808]: EventListenerEnded,
+	_LogEventLowerName[808:826]: EventMetricsNotServed,
+	_LogEventLowerName[826:839]: EventUnknownEvent,
+	_LogEventLowerName[839:856]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -263,18 +266,19 @@
 	_LogEventName[654:671],
 	_LogEventName[671:681],
 	_LogEventName[681:690],
-	_LogEventName[690:702],
-	_LogEventName[702:718],
-	_LogEventName[718:725],
-	_LogEventName[725:733],
-	_LogEventName[733:740],
-	_LogEventName[740:747],
-	_LogEventName[747:764],
-	_LogEventName[764:780],
-	_LogEventName[780:794],
-	_LogEventName[794:812],
-	_LogEventName[812:825],
-	_LogEventName[825:842],
+	_LogEventName[690:704],
+	_LogEventName[704:716],
+	_LogEventName[716:732],
+	_LogEventName[732:739],
+	_LogEventName[739:747],
+	_LogEventName[747:754],
+	_LogEventName[754:761],
+	_LogEventName[761:778],
+	_LogEventName[778:794],
+	_LogEventName[794:808],
+	_LogEventName[808:826],
+	_LogEventName[826:839],
+	_LogEventName[839:856],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
