perf: a route table is decoded where it is used, not with each entry of the log

Cause: a restarted control VM replays its log, and each entry with a route table was decompressed and decoded whole, though only the last counts.

The formats are the same.

--- a/command.go
+++ b/command.go
@@ -11,7 +11,7 @@
 	Answer *RecordAnswer   `json:"answer,omitempty"`
 	Lease  *LeaseCommand   `json:"lease,omitempty"`
 	Intent *OrderIntent    `json:"intent,omitempty"`
-	Routes *RouteTable     `json:"routes,omitempty"`
+	Routes *EncodedRoutes  `json:"routes,omitempty"`
 }
 
 // ChangesCatalogue tells whether the command is an operator's change.
@@ -110,8 +110,8 @@
 	// Intents unresolved under the lease, returned on acquiring it.
 	Intents []OrderIntent `json:"intents,omitempty"`
 	// Routes answers a read of the routes.
-	Routes *RouteTable `json:"routes,omitempty"`
-	Detail string      `json:"detail,omitempty"`
+	Routes *EncodedRoutes `json:"routes,omitempty"`
+	Detail string         `json:"detail,omitempty"`
 }
 
 // VoterStatus is what a VM knows of the replicated log.
--- a/errors.go
+++ b/errors.go
@@ -155,6 +155,19 @@
 
 func (e *NotFoundError) Error() string { return fmt.Sprintf("no %s named %q", e.Kind, e.Name) }
 
+// RoutesEncodingError is a route table that can't be encoded or decoded.
+type RoutesEncodingError struct {
+	Version uint64
+	Cause   error
+}
+
+func (e *RoutesEncodingError) Error() string {
+	return fmt.Sprintf("route table of version %d: %v", e.Version, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RoutesEncodingError) Unwrap() error { return e.Cause }
+
 // InvalidValueError is an argument outside its range.
 type InvalidValueError struct{ Name, Value, Want string }
 
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -357,8 +357,12 @@
 		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "version", table.Version, "cause", err)
 		return err
 	}
+	encoded, err := laburnumlever.EncodeRoutes(table)
+	if err != nil {
+		return err
+	}
 	began := c.timers.Now()
-	_, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &table})
+	_, err = c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &encoded})
 	c.commits.RecordDuration(c.timers.Now().Sub(began))
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "cause", err)
 	return err
@@ -377,7 +381,7 @@
 	if result.Routes == nil {
 		return laburnumlever.RouteTable{}, &laburnumlever.NotFoundError{Kind: "route table", Name: "newest"}
 	}
-	return *result.Routes, nil
+	return result.Routes.Table()
 }
 
 func (c *Control) propose(ctx context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
--- a/laburnumstate/machine.go
+++ b/laburnumstate/machine.go
@@ -51,7 +51,7 @@
 	limits    Limits
 	clock     int64
 	catalogue laburnumlever.Catalogue
-	routes    *laburnumlever.RouteTable // nil before the first
+	routes    *laburnumlever.EncodedRoutes // nil before the first
 	changes   changeTable
 	claims    claimTable
 	leases    leaseTable
@@ -164,13 +164,13 @@
 
 // Routes is the route table with the highest version accepted; nil before the
 // first.
-func (m *Machine) Routes() *laburnumlever.RouteTable { return m.routes }
+func (m *Machine) Routes() *laburnumlever.EncodedRoutes { return m.routes }
 
 // applyRoutes takes a table with a higher version than the one held. A lower or
 // equal one is accepted and changes nothing: its sender has lost an answer, or
 // another operator was faster.
-func (m *Machine) applyRoutes(t laburnumlever.RouteTable) laburnumlever.Result {
-	if m.routes == nil || t.Version > m.routes.Version {
+func (m *Machine) applyRoutes(t laburnumlever.EncodedRoutes) laburnumlever.Result {
+	if m.routes == nil || t.Version() > m.routes.Version() {
 		m.routes = &t
 	}
 	return laburnumlever.Result{Code: laburnumlever.ResultOK}
--- a/laburnumstate/snapshot.go
+++ b/laburnumstate/snapshot.go
@@ -10,14 +10,14 @@
 // tables, so that equal machines have equal images. It does not change when the
 // machine does, so a worker can encode it.
 type Image struct {
-	Clock     int64                       `json:"clock"`
-	Catalogue laburnumlever.Catalogue     `json:"catalogue"`
-	Routes    *laburnumlever.RouteTable   `json:"routes,omitempty"`
-	Changes   []change                    `json:"changes,omitempty"`
-	Claims    []claim                     `json:"claims,omitempty"`
-	Fence     uint64                      `json:"fence"`
-	Leases    []Lease                     `json:"leases,omitempty"`
-	Intents   []laburnumlever.OrderIntent `json:"intents,omitempty"`
+	Clock     int64                        `json:"clock"`
+	Catalogue laburnumlever.Catalogue      `json:"catalogue"`
+	Routes    *laburnumlever.EncodedRoutes `json:"routes,omitempty"`
+	Changes   []change                     `json:"changes,omitempty"`
+	Claims    []claim                      `json:"claims,omitempty"`
+	Fence     uint64                       `json:"fence"`
+	Leases    []Lease                      `json:"leases,omitempty"`
+	Intents   []laburnumlever.OrderIntent  `json:"intents,omitempty"`
 }
 
 // Image copies what a snapshot needs.
--- a/laburnumvoter/drive.go
+++ b/laburnumvoter/drive.go
@@ -135,12 +135,21 @@
 		v.told = catalogue.Revision
 		v.onCatalogue(catalogue)
 	}
-	if routes := v.machine.Routes(); routes != nil && routes.Version > v.toldRoutes {
-		v.toldRoutes = routes.Version
-		v.onRoutes(*routes)
+	if routes := v.machine.Routes(); routes != nil && routes.Version() > v.toldRoutes {
+		v.toldRoutes = routes.Version()
+		v.tellRoutes(*routes)
 	}
 }
 
+func (v *Voter) tellRoutes(routes laburnumlever.EncodedRoutes) {
+	table, err := routes.Table()
+	if err != nil {
+		v.fail(&BadEntryError{Index: v.applied, Cause: err})
+		return
+	}
+	v.onRoutes(table)
+}
+
 // maybeSnapshot has a snapshot encoded once the entries since the last one are as
 // large as it was: the cost of snapshots then stays in proportion to the changes.
 func (v *Voter) maybeSnapshot() {
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -209,6 +209,9 @@
 // place may have gone to another VM while it was away.
 func (v *Voter) begin() {
 	v.tellCatalogue()
+	if v.log == nil { // what it holds can't be read
+		return
+	}
 	v.sayHello()
 	if !v.configured() {
 		v.maybeBootstrap()
