--- /dev/null
+++ b/laburnumdirector/bench_test.go
@@ -0,0 +1,48 @@
+package laburnumdirector_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"laburnumlever"
+)
+
+// BenchmarkSecond is one second of the VM that gives the orders: heartbeats, ticks, rounds of
+// planning, and each gateway's word on demand once and on adapters four times.
+func BenchmarkSecond(b *testing.B) {
+	for _, size := range []struct{ engines, models, gateways int }{{18, 31, 6}, {60, 104, 68}, {204, 353, 294}, {2100, 370, 780}} {
+		b.Run(fmt.Sprintf("engines=%d/models=%d/gateways=%d", size.engines, size.models, size.gateways), func(b *testing.B) {
+			w := newWorld(&testing.T{}, size.models, 0, 1)
+			w.class.LoadsPerSecond = 30
+			for i := range size.engines {
+				w.addEngine(laburnumlever.BackendID(fmt.Sprintf("i-%04d", i)), modelName(i%size.models), modelName((i*7+1)%size.models))
+			}
+			w.beat()
+			w.pass(8 * time.Second)
+			d := w.directors[0].director
+			for b.Loop() {
+				for g := range size.gateways {
+					vm := laburnumlever.VMID(fmt.Sprintf("10.0.1.%d", g))
+					for part := range 4 {
+						d.SetNews(vm, gatewayNews(vm, g, part, size.models))
+					}
+				}
+				w.pass(time.Second)
+			}
+		})
+	}
+}
+
+// gatewayNews is what a gateway with some ten requests a second tells.
+func gatewayNews(vm laburnumlever.VMID, g, part, models int) laburnumlever.GatewayNews {
+	var news laburnumlever.GatewayNews
+	for i := range 8 {
+		model := modelName((g + i*i) % min(models, 60))
+		news.Adapters = append(news.Adapters, laburnumlever.AdapterUse{Model: model, Adapter: laburnumlever.AdapterName(fmt.Sprintf("a%d", i%6))})
+		if part == 0 {
+			news.Demand = append(news.Demand, laburnumlever.ModelDemand{Model: model, VM: vm, RequestsPerSecond: 1, PromptTokens: 700, AnswerTokens: 200})
+		}
+	}
+	return news
+}
