--- a/laburnumgateway/adapteruses.go
+++ b/laburnumdemand/adapteruses.go
@@ -1,4 +1,4 @@
-package laburnumgateway
+package laburnumdemand
 
 import (
 	"slices"
@@ -15,10 +15,10 @@
 	adapterMemory = 4 * time.Second
 )
 
-// adapterUses follows which adapters this VM's requests use, so that the control VM that
+// AdapterUses follows which adapters this VM's requests use, so that the control VM that
 // makes room for one does not choose one at work: its unload would wait for the
 // requests and hold up all others at the engine.
-type adapterUses struct {
+type AdapterUses struct {
 	uses   map[adapterName]*adapterUse
 	toldAt time.Time
 }
@@ -33,7 +33,8 @@
 	endedAt time.Time
 }
 
-func (a *adapterUses) begun(model laburnumlever.ModelName, adapter laburnumlever.AdapterName) {
+// Begun notes that a request that uses an adapter has a slot; no adapter is none.
+func (a *AdapterUses) Begun(model laburnumlever.ModelName, adapter laburnumlever.AdapterName) {
 	if adapter == "" {
 		return
 	}
@@ -47,15 +48,16 @@
 	a.uses[key].running++
 }
 
-func (a *adapterUses) ended(model laburnumlever.ModelName, adapter laburnumlever.AdapterName, now time.Time) {
+// Ended notes that it has ended.
+func (a *AdapterUses) Ended(model laburnumlever.ModelName, adapter laburnumlever.AdapterName, now time.Time) {
 	if u := a.uses[adapterName{model: model, adapter: adapter}]; u != nil {
 		u.running--
 		u.endedAt = now
 	}
 }
 
-// take lists the uses, none sooner than a period after the last time.
-func (a *adapterUses) take(now time.Time) []laburnumlever.AdapterUse {
+// Take lists the uses, none sooner than a period after the last time.
+func (a *AdapterUses) Take(now time.Time) []laburnumlever.AdapterUse {
 	if now.Sub(a.toldAt) < adapterPeriod {
 		return nil
 	}
--- /dev/null
+++ b/laburnumdemand/counter.go
@@ -0,0 +1,98 @@
+package laburnumdemand
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"laburnumlever"
+)
+
+// demandPeriod is how often demand is told: at a few requests a second for a model, a
+// second is the least in which their number means something.
+const demandPeriod = time.Second
+
+// refusedWeight is what a refused request counts for: its caller comes back at least
+// once, under another id, and would be counted twice. A model that nobody serves seemed
+// to be asked for twice as much as it was, and took engines that others needed.
+const refusedWeight = 0.5
+
+// Request is what one request asks of a model.
+type Request struct {
+	Model                      laburnumlever.ModelName
+	PromptTokens, AnswerTokens int
+}
+
+// RequestOf is what a caller's request asks of a model.
+func RequestOf(c laburnumlever.CallerRequest) Request {
+	return Request{Model: c.Model, PromptTokens: c.PromptTokens, AnswerTokens: AnswerTokens(c)}
+}
+
+// AnswerTokens is the likely length of an answer: the caller's estimate, else half of
+// the bound.
+func AnswerTokens(c laburnumlever.CallerRequest) int {
+	if c.AnswerHint > 0 {
+		return min(c.AnswerHint, max(1, c.MaxAnswerTokens))
+	}
+	return c.MaxAnswerTokens / 2
+}
+
+// Counter counts what callers ask of models between two reports.
+type Counter struct {
+	vm       laburnumlever.VMID
+	sequence uint64
+	since    time.Time
+	rows     map[laburnumlever.ModelName]*row
+}
+
+type row struct{ requests, prompt, answer, refused float64 }
+
+// NewCounter makes an empty counter for a gateway.
+func NewCounter(vm laburnumlever.VMID) *Counter {
+	return &Counter{vm: vm, rows: map[laburnumlever.ModelName]*row{}}
+}
+
+// Add counts a request that has ended.
+func (c *Counter) Add(r Request, served bool) {
+	if r.Model == "" {
+		return
+	}
+	counted := c.rows[r.Model]
+	if counted == nil {
+		counted = &row{}
+		c.rows[r.Model] = counted
+	}
+	weight := 1.0
+	if !served {
+		weight = refusedWeight
+		counted.refused++
+	}
+	counted.requests += weight
+	counted.prompt += weight * float64(r.PromptTokens)
+	counted.answer += weight * float64(r.AnswerTokens)
+}
+
+// Take returns the rates since the last time that it did so; none sooner than a period
+// after, since rates over a few requests say nothing.
+func (c *Counter) Take(now time.Time, paces Paces) []laburnumlever.ModelDemand {
+	if c.since.IsZero() {
+		c.since = now
+	}
+	if now.Sub(c.since) < demandPeriod {
+		return nil
+	}
+	span := now.Sub(c.since).Seconds()
+	c.sequence++
+	rows := make([]laburnumlever.ModelDemand, 0, len(c.rows))
+	for model, r := range c.rows {
+		rows = append(rows, laburnumlever.ModelDemand{
+			Model: model, VM: c.vm, Sequence: c.sequence, RequestsPerSecond: r.requests / span,
+			PromptTokens: r.prompt / span, AnswerTokens: r.answer / span, Refused: r.refused / span,
+			ReadTime: laburnumlever.Duration(paces.Of(model)),
+		})
+	}
+	slices.SortFunc(rows, func(a, b laburnumlever.ModelDemand) int { return strings.Compare(string(a.Model), string(b.Model)) })
+	c.rows = map[laburnumlever.ModelName]*row{}
+	c.since = now
+	return rows
+}
--- a/laburnumgateway/pace.go
+++ b/laburnumdemand/paces.go
@@ -1,4 +1,4 @@
-package laburnumgateway
+package laburnumdemand
 
 import (
 	"slices"
@@ -24,10 +24,10 @@
 	paceStep = 7 * time.Millisecond
 )
 
-// paces measures how long engines take to read a token of a prompt for each model.
+// Paces measures how long engines take to read a token of a prompt for each model.
 // Models of one size on disk differ tenfold in that, engines do not tell it, and without
 // it a quick model is given engines that a slow one needs.
-type paces map[laburnumlever.ModelName]*paceRing
+type Paces map[laburnumlever.ModelName]*paceRing
 
 type paceRing struct {
 	samples []time.Duration
@@ -36,9 +36,9 @@
 	estimate time.Duration
 }
 
-// add takes the time in which an answer began after its prompt was sent, and the number
+// Add takes the time in which an answer began after its prompt was sent, and the number
 // of tokens that the engine had to read for it.
-func (p paces) add(model laburnumlever.ModelName, began time.Duration, tokens int) {
+func (p Paces) Add(model laburnumlever.ModelName, began time.Duration, tokens int) {
 	if tokens < paceTokens {
 		return
 	}
@@ -67,9 +67,9 @@
 	return max(1, sorted[int(paceQuantile*float64(len(sorted)))])
 }
 
-// of is the model's time for a token where an engine has little else to do; 0 while it is
+// Of is the model's time for a token where an engine has little else to do; 0 while it is
 // not known.
-func (p paces) of(model laburnumlever.ModelName) time.Duration {
+func (p Paces) Of(model laburnumlever.ModelName) time.Duration {
 	if r := p[model]; r != nil {
 		return r.estimate
 	}
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -8,6 +8,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumdemand"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumroutes"
@@ -30,10 +31,10 @@
 	mu       sync.Mutex
 	registry *laburnumregistry.Table
 	balance  *laburnumbalance.Table
-	demand   *demand
-	adapters adapterUses
+	demand   *laburnumdemand.Counter
+	adapters laburnumdemand.AdapterUses
 	waiting  laburnumwaiting.List
-	paces    paces
+	paces    laburnumdemand.Paces
 	// replaced are those not told of yet at whose address another has answered.
 	replaced []laburnumlever.BackendID
 	gateways int
@@ -52,8 +53,8 @@
 func NewFleet(timers laburnumlever.Timers, vm laburnumlever.VM, period time.Duration, seed uint64, opts ...FleetOption) *Fleet {
 	f := &Fleet{
 		timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
-		balance: laburnumbalance.New(vm.Zone, seed), demand: newDemand(vm.ID),
-		gateways: 1, paces: paces{}, routed: make(chan struct{}),
+		balance: laburnumbalance.New(vm.Zone, seed), demand: laburnumdemand.NewCounter(vm.ID),
+		gateways: 1, paces: laburnumdemand.Paces{}, routed: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -134,7 +135,7 @@
 	replaced := f.replaced
 	f.replaced = nil
 	return laburnumlever.GatewayNews{
-		Demand: f.demand.take(now, f.paces), Adapters: f.adapters.take(now), Unreachable: f.balance.Unreachable(now), Replaced: replaced,
+		Demand: f.demand.Take(now, f.paces), Adapters: f.adapters.Take(now), Unreachable: f.balance.Unreachable(now), Replaced: replaced,
 	}
 }
 
@@ -158,7 +159,7 @@
 func (f *Fleet) using(q *request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.adapters.begun(q.caller.Model, q.caller.Adapter)
+	f.adapters.Begun(q.caller.Model, q.caller.Adapter)
 }
 
 // began notes that the first event of an answer has come.
@@ -166,7 +167,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	took, tokens := f.balance.Began(t, f.timers.Now())
-	f.paces.add(t.Model(), took, tokens)
+	f.paces.Add(t.Model(), took, tokens)
 	f.serveWaiting()
 }
 
@@ -174,7 +175,7 @@
 func (f *Fleet) release(q *request, t *laburnumbalance.Ticket, s laburnumbalance.Sample) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.adapters.ended(q.caller.Model, q.caller.Adapter, f.timers.Now())
+	f.adapters.Ended(q.caller.Model, q.caller.Adapter, f.timers.Now())
 	f.balance.End(t, s, f.timers.Now())
 	f.serveWaiting()
 }
@@ -220,7 +221,7 @@
 func (f *Fleet) asked(q *request, served bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.demand.add(q, served)
+	f.demand.Add(laburnumdemand.RequestOf(q.caller), served)
 }
 
 // useless are the engines that hold a request's model and can't take it now.
@@ -233,7 +234,7 @@
 // query is what a server is chosen for; mu is held.
 func (f *Fleet) query(q *request) laburnumbalance.Query {
 	query := q.query()
-	query.ReadTime = f.paces.of(q.caller.Model)
+	query.ReadTime = f.paces.Of(q.caller.Model)
 	return query
 }
 
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -8,6 +8,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumdemand"
 	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumupstream"
 
@@ -78,7 +79,7 @@
 		return nil, nil, err
 	}
 	call := g.dialect.Reserve(laburnumlever.Reservation{
-		Backend: ticket.Backend.Backend, Tokens: q.caller.PromptTokens + answerTokens(q.caller),
+		Backend: ticket.Backend.Backend, Tokens: q.caller.PromptTokens + laburnumdemand.AnswerTokens(q.caller),
 		For: min(reserveFor, time.Duration(q.service.Engine.ReserveLimit)),
 	})
 	resp, err := conn.Exchange(laburnumupstream.Request{
