perf: a gateway looks only at the servers that may hold a request's model

Cause: each choice of a backend server asked each server of the service whether it holds the model. With 204 engines that took 12 us of full speed, 60 us on a gateway with a fifth of a core, for each request and each turn of the queue; with 2,100 engines 103 us.

Change: the table lists servers by model, kept up with heartbeats and with what a control VM said in between.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -120,15 +120,23 @@
 	rand      *rand.Rand
 	servers   map[laburnumlever.BackendID]*server
 	byService map[laburnumlever.ServiceName][]*server
+	byModel   map[serviceModel][]*server
 	prefixes  *prefixes
 }
 
+// serviceModel names a model of a service.
+type serviceModel struct {
+	service laburnumlever.ServiceName
+	model   laburnumlever.ModelName
+}
+
 // New makes an empty table for a VM in the zone; the seed makes runs repeatable.
 func New(zone laburnumlever.ZoneName, seed uint64) *Table {
 	return &Table{
 		zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // breaks ties, no secret
 		servers:   map[laburnumlever.BackendID]*server{},
 		byService: map[laburnumlever.ServiceName][]*server{},
+		byModel:   map[serviceModel][]*server{},
 		prefixes:  newPrefixes(),
 	}
 }
@@ -152,6 +160,47 @@
 		t.byService[r.Heartbeat.Service] = append(t.byService[r.Heartbeat.Service], s)
 	}
 	s.record = r
+	t.index(s)
+}
+
+// index brings the lists by model up to what the server may hold.
+func (t *Table) index(s *server) {
+	for _, model := range slices.Clone(s.listed) {
+		if !s.record.Heartbeat.Holds(model, "") && !s.wasAdded(model) {
+			t.unlist(s, model)
+		}
+	}
+	for _, held := range s.record.Heartbeat.Models {
+		t.list(s, held.Name)
+	}
+}
+
+func (t *Table) list(s *server, model laburnumlever.ModelName) {
+	if slices.Contains(s.listed, model) {
+		return
+	}
+	s.listed = append(s.listed, model)
+	key := serviceModel{service: s.record.Heartbeat.Service, model: model}
+	t.byModel[key] = append(t.byModel[key], s)
+}
+
+func (t *Table) unlist(s *server, model laburnumlever.ModelName) {
+	s.listed = slices.DeleteFunc(s.listed, func(o laburnumlever.ModelName) bool { return o == model })
+	key := serviceModel{service: s.record.Heartbeat.Service, model: model}
+	t.byModel[key] = slices.DeleteFunc(t.byModel[key], func(o *server) bool { return o == s })
+	if len(t.byModel[key]) == 0 {
+		delete(t.byModel, key)
+	}
+}
+
+// candidates are the servers that may hold a query's model; all of the service for a plain
+// one. With hundreds of engines a look at each for every request takes a gateway longer than
+// the rest of its work.
+func (t *Table) candidates(q Query) []*server {
+	if q.Model == "" {
+		return t.byService[q.Service]
+	}
+	return t.byModel[serviceModel{service: q.Service, model: q.Model}]
 }
 
 // SetOverlay takes what the VM that gives the orders knows of an engine.
@@ -171,12 +220,16 @@
 	delete(t.servers, id)
 	service := s.record.Heartbeat.Service
 	t.byService[service] = slices.DeleteFunc(t.byService[service], func(o *server) bool { return o == s })
+	for _, model := range slices.Clone(s.listed) {
+		t.unlist(s, model)
+	}
 }
 
 // Added notes a model or adapter that a server holds by now.
 func (t *Table) Added(id laburnumlever.BackendID, model laburnumlever.ModelName, adapter laburnumlever.AdapterName, now time.Time) {
 	if s := t.servers[id]; s != nil {
 		s.added = note(s.added, held{model: model, adapter: adapter}, now.Add(addedTime), now)
+		t.list(s, model)
 		delete(s.absent, held{model: model, adapter: adapter})
 	}
 }
@@ -200,7 +253,7 @@
 // adapters they have.
 func (t *Table) Useless(q Query, now time.Time) []laburnumlever.BackendID {
 	var useless []laburnumlever.BackendID
-	for _, s := range t.byService[q.Service] {
+	for _, s := range t.candidates(q) {
 		if s.holds(q.Model, "", now) && (now.Before(s.unreachableTill) || s.overfull(now, q.Queue)) {
 			useless = append(useless, s.record.Heartbeat.Backend)
 		}
@@ -210,14 +263,13 @@
 
 // Pick chooses a server and takes a place there.
 func (t *Table) Pick(q Query, now time.Time) (*Ticket, Verdict) {
-	servers := t.byService[q.Service]
-	if len(servers) == 0 {
+	if len(t.byService[q.Service]) == 0 {
 		return nil, NoServer
 	}
 	verdict := ModelAbsent
 	var best *server
 	bestScore := math.Inf(1)
-	for _, s := range servers {
+	for _, s := range t.candidates(q) {
 		if now.Before(s.unreachableTill) {
 			continue
 		}
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -58,7 +58,9 @@
 	record  laburnumregistry.Record
 	overlay laburnumregistry.Overlay
 	local   bool
-	own     int
+	// listed are the models under which the table lists the server.
+	listed []laburnumlever.ModelName
+	own    int
 	// others is what the last answer told beyond the own count.
 	others   float64
 	othersAt time.Time
@@ -153,6 +155,17 @@
 		(adapter == "" || s.holds(model, "", now))
 }
 
+// wasAdded tells whether the server was said to hold the model, or an adapter of it, before a
+// heartbeat listed it.
+func (s *server) wasAdded(model laburnumlever.ModelName) bool {
+	for key := range s.added {
+		if key.model == model {
+			return true
+		}
+	}
+	return false
+}
+
 // note remembers something until a time and drops what is past.
 func note(m map[held]time.Time, key held, until, now time.Time) map[held]time.Time {
 	if m == nil {
