refactor: how long a request may wait is pure code beside the queue

The shares of a caller's time were constants of the gateway's request, where only a running gateway could use them. They are a value with terms of its own now, tested without a network. Behaviour is unchanged.

--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -114,7 +114,7 @@
 // need be.
 func (g *Gateway) place(ctx context.Context, q *request) (*laburnumbalance.Ticket, error) {
 	start := g.timers.Now()
-	until := q.waitUntil()
+	until := waitTerms.WaitUntil(q.times())
 	defer func() { q.waited += g.timers.Now().Sub(start) }()
 	for {
 		ticket, verdict := g.fleet.await(ctx, q, until)
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -24,15 +24,12 @@
 	// as a rule: those who were turned away with a time to come back came back one or two
 	// seconds later, all together and all late.
 	startWait = time.Second
+	// startShare of the caller's time is the most that it waits for them.
+	startShare = 0.33
 	// startRetry is when it is worth asking such a gateway again afterwards.
 	startRetry = time.Second
 	// retryShare of the time left is the latest that callers come back.
 	retryShare = 0.33
-	// leaveTime, leaveTargets and leavePauses are the platform's word on when
-	// callers leave a stream.
-	leaveTime    = 2 * time.Second
-	leaveTargets = 4
-	leavePauses  = 8
 )
 
 // request is one caller's request and how far it has come.
@@ -112,7 +109,7 @@
 	}
 	wait := startWait
 	if caller, err := g.dialect.Request(r.Header); err == nil && caller.Wait > 0 {
-		wait = min(wait, time.Duration(waitShare*float64(caller.Wait)))
+		wait = min(wait, time.Duration(startShare*float64(caller.Wait)))
 	}
 	if g.starting.Add(1) <= laburnumwaiting.Most {
 		g.fleet.awaitRoutes(r.Context(), wait)
@@ -127,37 +124,12 @@
 	return path
 }
 
-// patience is how long the caller waits for a first part of the answer. Callers of a
-// stream leave it after a gap of leaveTime, leaveTargets times the route's target or
-// leavePauses times its longest pause, whichever is longest.
-func (q *request) patience() time.Duration {
-	whole := q.deadline.Sub(q.arrived)
-	if q.route.Kind != laburnumlever.KindStream {
-		return whole
+// times are what decides how long the request may wait.
+func (q *request) times() laburnumwaiting.Caller {
+	return laburnumwaiting.Caller{
+		Arrived: q.arrived, Deadline: q.deadline, Stream: q.route.Kind == laburnumlever.KindStream,
+		Target: time.Duration(q.route.Target), PauseTarget: time.Duration(q.route.PauseTarget), BrokenAt: q.brokeAt,
 	}
-	return min(whole, q.leaveGap())
-}
-
-// leaveGap is the gap after which callers leave a stream.
-func (q *request) leaveGap() time.Duration {
-	return max(leaveTime, leaveTargets*time.Duration(q.route.Target), leavePauses*time.Duration(q.route.PauseTarget))
-}
-
-// waitUntil is until when the request may wait for a place.
-func (q *request) waitUntil() time.Time {
-	if q.brokeAt.IsZero() {
-		return q.arrived.Add(time.Duration(waitShare * float64(q.patience())))
-	}
-	return q.brokeAt.Add(time.Duration(resumeShare * float64(q.leaveGap())))
-}
-
-// freshTill is until when a place makes a difference for the request: its answer would
-// begin in time, or its broken answer goes on before the caller leaves.
-func (q *request) freshTill() time.Time {
-	if q.brokeAt.IsZero() {
-		return q.arrived.Add(time.Duration(freshShare * float64(q.route.Target)))
-	}
-	return q.waitUntil()
 }
 
 // bound sets the deadline from the caller's patience and the route's timeout.
--- a/laburnumgateway/waiting.go
+++ b/laburnumgateway/waiting.go
@@ -9,28 +9,15 @@
 	"laburnumlever/laburnumwaiting"
 )
 
-const (
-	// waitShare of a caller's patience may pass before it has a place: the rest is
-	// for the answer. One who gets no place in that time would have got none
-	// elsewhere either, and may ask again once.
-	waitShare = 0.33
-	// resumeShare of the gap after which callers leave a stream may pass before a broken one
-	// has a place to go on at: the rest is for reading the prompt and what was written.
-	// Counted from the request's arrival, as for a place to begin at, the time was over
-	// for nearly all: of some 250 streams that broke off on a day on which five of twelve
-	// engines crashed, 122 ended there and then for want of a place.
-	resumeShare = 0.66
-	// freshShare of its target is how long a request may have waited and still be
-	// answered in time: the rest is for the reading of its prompt and the network.
-	freshShare = 0.75
-)
+// waitTerms are how long requests wait for a slot.
+var waitTerms = laburnumwaiting.DefaultTerms()
 
 // await takes a place for a request, waiting for one until the time given.
 func (f *Fleet) await(ctx context.Context, q *request, until time.Time) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
 	now := f.timers.Now()
 	given := make(chan *laburnumbalance.Ticket, 1) // a ticket that nobody takes any more is freed
 	n := &laburnumwaiting.Request{
-		Rank: q.route.Priority, Since: q.arrived, FreshTill: q.freshTill(),
+		Rank: q.route.Priority, Since: q.arrived, FreshTill: waitTerms.FreshUntil(q.times()),
 		Give: func(ticket *laburnumbalance.Ticket) { given <- ticket },
 	}
 	f.mu.Lock()
--- /dev/null
+++ b/laburnumwaiting/terms_test.go
@@ -0,0 +1,28 @@
+package laburnumwaiting_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumwaiting"
+)
+
+func TestTerms(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	terms := laburnumwaiting.DefaultTerms()
+	plain := laburnumwaiting.Caller{Arrived: start, Deadline: start.Add(time.Second)}
+	stream := laburnumwaiting.Caller{
+		Arrived: start, Deadline: start.Add(10 * time.Second), Stream: true,
+		Target: 400 * time.Millisecond, PauseTarget: 250 * time.Millisecond,
+	}
+	require.Equal(t, time.Second, plain.Patience())
+	require.Equal(t, 2*time.Second, stream.Patience(), "a stream's caller leaves after a gap")
+	require.Equal(t, start.Add(660*time.Millisecond), terms.WaitUntil(stream))
+	require.Equal(t, start.Add(300*time.Millisecond), terms.FreshUntil(stream))
+	require.Equal(t, start.Add(time.Second), terms.WithWait(0.5).WaitUntil(stream))
+	stream.BrokenAt = start.Add(3 * time.Second)
+	require.Equal(t, stream.BrokenAt.Add(1320*time.Millisecond), terms.WaitUntil(stream), "counted from the break")
+	require.Equal(t, terms.WaitUntil(stream), terms.FreshUntil(stream))
+}
