feat: the director's planner, demand times and young time are options; adapters can be asked for without waiting

What an evaluation compares has to be told apart by options, and a discrete-event run can't block on an answer. The defaults are what the constants were.

--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -32,28 +32,35 @@
 	key     adapterKey
 	except  []laburnumlever.BackendID
 	since   time.Time
-	answer  chan needAnswer
+	reply   NeedFunc
 }
 
+// NeedFunc takes the engines that hold an adapter by now. Errors: *NotDirectorError,
+// *NoAdapterPlaceError.
+type NeedFunc func(backends []laburnumlever.BackendID, err error)
+
 type needAnswer struct {
 	backends []laburnumlever.BackendID
 	err      error
 }
 
-func (n *need) reply(backends []laburnumlever.BackendID, err error) {
-	n.answer <- needAnswer{backends: backends, err: err}
+// Ask asks for an adapter; reply is called once, on the control thread.
+func (d *Director) Ask(asked laburnumlever.AdapterNeed, reply NeedFunc) {
+	d.loop.Post(d, needed{need: &need{
+		service: asked.Service, key: adapterKey{model: asked.Model, adapter: asked.Adapter}, except: asked.Except,
+		since: d.timers.Now(), reply: reply,
+	}})
 }
 
-// Need asks for an adapter and returns the engines that hold it by now. Errors:
-// *NotDirectorError, *NoAdapterPlaceError, *ClosedError.
+// Need asks for an adapter and waits for the engines that hold it by now. Errors: those of
+// NeedFunc, *ClosedError.
 func (d *Director) Need(ctx context.Context, asked laburnumlever.AdapterNeed) ([]laburnumlever.BackendID, error) {
-	n := &need{
-		service: asked.Service, key: adapterKey{model: asked.Model, adapter: asked.Adapter}, except: asked.Except, since: d.timers.Now(),
-		answer: make(chan needAnswer, 1),
-	}
-	d.loop.Post(d, needed{need: n})
+	answer := make(chan needAnswer, 1)
+	d.Ask(asked, func(backends []laburnumlever.BackendID, err error) {
+		answer <- needAnswer{backends: backends, err: err}
+	})
 	select {
-	case a := <-n.answer:
+	case a := <-answer:
 		return a.backends, a.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -7,6 +7,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumresidency"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -83,7 +84,11 @@
 func New(loop laburnumlever.Loop, timers laburnumlever.Timers, proposer laburnumlever.Proposer, calls laburnumlever.ModelEngines, self laburnumlever.VM, opts ...Option) *Director {
 	const defaultLease = 3 * time.Second
 	const defaultHeartbeat = time.Second
-	cfg := config{lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock, spawn: func(call func()) { go call() }, compute: func(work func()) { go work() }}
+	cfg := config{
+		lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock,
+		spawn: func(call func()) { go call() }, compute: func(work func()) { go work() },
+		next: laburnumresidency.Next, rise: riseTime, fall: fallTime, young: youngTime,
+	}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
@@ -93,7 +98,7 @@
 		onOverlay: func(laburnumregistry.Overlay) {}, onDirecting: func(bool) {}, onGone: func(laburnumlever.BackendID) {},
 		services: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:  map[laburnumlever.BackendID]laburnumregistry.Record{},
-		engines:  newEngineTable(), demand: newEstimator(), startedAt: timers.Now(),
+		engines:  newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall), startedAt: timers.Now(),
 		store:     map[laburnumlever.ServiceName]*bucket{},
 		laidOutAt: map[laburnumlever.ServiceName]time.Time{},
 		planning:  map[laburnumlever.ServiceName]bool{},
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -300,8 +300,9 @@
 		!now.Before(e.tryAt)
 }
 
-// planned is the engine as the planner sees it.
-func (e *engine) planned(now time.Time) laburnumresidency.Engine {
+// planned is the engine as the planner sees it; a copy that came within the young time must
+// stay.
+func (e *engine) planned(now time.Time, young time.Duration) laburnumresidency.Engine {
 	p := laburnumresidency.Engine{
 		ID: e.heartbeat.Backend, Zone: e.heartbeat.Zone, Idle: e.idle(now),
 		InMemory: e.heartbeat.InMemory, OnDisk: e.heartbeat.OnDisk,
@@ -315,7 +316,7 @@
 		if h.withdrawn {
 			p.Unloading = name
 		}
-		if now.Sub(h.since) < youngTime {
+		if now.Sub(h.since) < young {
 			p.Young = append(p.Young, name)
 		}
 	}
--- a/laburnumdirector/estimator.go
+++ b/laburnumdirector/estimator.go
@@ -41,9 +41,10 @@
 
 // estimator follows the demand for each model over all gateways.
 type estimator struct {
-	rows   map[laburnumlever.VMID]gatewayRows
-	smooth map[laburnumlever.ModelName]load
-	at     time.Time
+	rise, fall time.Duration
+	rows       map[laburnumlever.VMID]gatewayRows
+	smooth     map[laburnumlever.ModelName]load
+	at         time.Time
 	// reads is what engines take to read a token of a prompt for each model, as gateways
 	// measured it.
 	reads map[laburnumlever.ModelName]time.Duration
@@ -63,8 +64,8 @@
 	at   time.Time
 }
 
-func newEstimator() *estimator {
-	return &estimator{rows: map[laburnumlever.VMID]gatewayRows{}, smooth: map[laburnumlever.ModelName]load{}, reads: map[laburnumlever.ModelName]time.Duration{}}
+func newEstimator(rise, fall time.Duration) *estimator {
+	return &estimator{rise: rise, fall: fall, rows: map[laburnumlever.VMID]gatewayRows{}, smooth: map[laburnumlever.ModelName]load{}, reads: map[laburnumlever.ModelName]time.Duration{}}
 }
 
 func (s *estimator) add(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand, now time.Time) {
@@ -109,9 +110,9 @@
 	}
 	work, requests := laburnumresidency.Demand{}, map[laburnumlever.ModelName]float64{}
 	for model, was := range s.smooth {
-		limit := fallTime
+		limit := s.fall
 		if current[model].requests > was.requests {
-			limit = riseTime
+			limit = s.rise
 		}
 		is := was.toward(current[model], 1-math.Exp(-span.Seconds()/limit.Seconds()))
 		s.smooth[model] = is
--- a/laburnumdirector/options.go
+++ b/laburnumdirector/options.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"laburnumlever"
+	"laburnumlever/laburnumresidency"
+
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 )
@@ -21,8 +24,17 @@
 	spawn func(call func())
 	// compute runs a round of planning beside the control thread.
 	compute func(work func())
+	// next plans a round.
+	next Planner
+	// rise and fall are how fast the estimate of demand follows.
+	rise, fall time.Duration
+	// young is how long a copy stays at least.
+	young time.Duration
 }
 
+// Planner names the next steps, as laburnumresidency.Next does.
+type Planner func(class *laburnumlever.EngineClass, engines []laburnumresidency.Engine, demand laburnumresidency.Demand, adapters map[laburnumlever.ModelName]int, opts ...laburnumresidency.Option) []laburnumresidency.Step
+
 // Option changes a new director.
 type Option func(*config)
 
@@ -50,5 +62,16 @@
 // WithCompute sets how rounds of planning are run; without it each has a goroutine.
 func WithCompute(compute func(work func())) Option { return func(c *config) { c.compute = compute } }
 
+// WithPlanner sets what plans; without it laburnumresidency.Next does.
+func WithPlanner(next Planner) Option { return func(c *config) { c.next = next } }
+
+// WithDemandTimes sets how fast the estimate of demand follows, up and down.
+func WithDemandTimes(rise, fall time.Duration) Option {
+	return func(c *config) { c.rise, c.fall = rise, fall }
+}
+
+// WithYoungTime sets how long a copy stays at least.
+func WithYoungTime(d time.Duration) Option { return func(c *config) { c.young = d } }
+
 // WithSpawn sets how calls to other machines are run; without it each has a goroutine.
 func WithSpawn(spawn func(call func())) Option { return func(c *config) { c.spawn = spawn } }
--- a/laburnumdirector/plan.go
+++ b/laburnumdirector/plan.go
@@ -46,7 +46,7 @@
 		if !e.known {
 			d.ask(e, now)
 		}
-		r.engines = append(r.engines, e.planned(now))
+		r.engines = append(r.engines, e.planned(now, d.cfg.young))
 		r.known, r.revisions = append(r.known, e), append(r.revisions, e.revision)
 	}
 	d.reportLayout(name, class, r.engines, now)
@@ -54,7 +54,7 @@
 	adapters := d.adaptersUsed(r.known, now)
 	d.planning[name] = true
 	d.cfg.compute(func() {
-		steps := laburnumresidency.Next(class, r.engines, work, adapters, laburnumresidency.WithRequests(requests))
+		steps := d.cfg.next(class, r.engines, work, adapters, laburnumresidency.WithRequests(requests))
 		d.loop.Post(d, planned{round: r, steps: steps})
 	})
 }
