--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -122,8 +122,16 @@
 	byService map[laburnumlever.ServiceName][]*server
 	byModel   map[serviceModel][]*server
 	prefixes  *prefixes
+	freeShare float64
 }
 
+// Option changes a new table.
+type Option func(*Table)
+
+// WithFreeShare sets the share of a server's slots that stays free; below 0 requests queue at
+// the server.
+func WithFreeShare(share float64) Option { return func(t *Table) { t.freeShare = share } }
+
 // serviceModel names a model of a service.
 type serviceModel struct {
 	service laburnumlever.ServiceName
@@ -131,14 +139,18 @@
 }
 
 // New makes an empty table for a VM in the zone; the seed makes runs repeatable.
-func New(zone laburnumlever.ZoneName, seed uint64) *Table {
-	return &Table{
-		zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // breaks ties, no secret
+func New(zone laburnumlever.ZoneName, seed uint64, opts ...Option) *Table {
+	t := &Table{
+		freeShare: freeShare, zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // breaks ties, no secret
 		servers:   map[laburnumlever.BackendID]*server{},
 		byService: map[laburnumlever.ServiceName][]*server{},
 		byModel:   map[serviceModel][]*server{},
 		prefixes:  newPrefixes(),
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // Set takes a record; one that takes no work leaves the choice.
@@ -254,7 +266,7 @@
 func (t *Table) Useless(q Query, now time.Time) []laburnumlever.BackendID {
 	var useless []laburnumlever.BackendID
 	for _, s := range t.candidates(q) {
-		if s.holds(q.Model, "", now) && (now.Before(s.unreachableTill) || s.overfull(now, q.Queue)) {
+		if s.holds(q.Model, "", now) && (now.Before(s.unreachableTill) || t.overfull(s, now, q.Queue)) {
 			useless = append(useless, s.record.Heartbeat.Backend)
 		}
 	}
@@ -282,7 +294,7 @@
 		if verdict != Full {
 			verdict = Full
 		}
-		if s.overfull(now, q.Queue) {
+		if t.overfull(s, now, q.Queue) {
 			continue
 		}
 		if score := t.score(s, q, now); score < bestScore {
@@ -301,9 +313,9 @@
 }
 
 // overfull tells whether what waits at the server is too much already.
-func (s *server) overfull(now time.Time, queue bool) bool {
+func (t *Table) overfull(s *server, now time.Time, queue bool) bool {
 	slots := float64(max(1, s.record.Heartbeat.Slots))
-	return now.Before(s.fullTill) || !queue && s.load(now) >= slots*(1-freeShare) ||
+	return now.Before(s.fullTill) || !queue && s.load(now) >= slots*(1-t.freeShare) ||
 		(s.reading > 0 && s.reading >= s.readingLimit)
 }
 
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -200,7 +201,7 @@
 	status := statusOf(refusal, q)
 	g.count(refusal.Reason)
 	g.logRefusal(q, refusal.Reason, status, err)
-	if after := q.retryAfter(refusal.RetryAfter, g.timers.Now()); after > 0 {
+	if after := q.times().RetryAfter(refusal.RetryAfter, rand.Float64(), g.timers.Now()); after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -28,8 +28,6 @@
 	startShare = 0.33
 	// startRetry is when it is worth asking such a gateway again afterwards.
 	startRetry = time.Second
-	// retryShare of the time left is the latest that callers come back.
-	retryShare = 0.33
 )
 
 // request is one caller's request and how far it has come.
@@ -126,10 +124,12 @@
 
 // times are what decides how long the request may wait.
 func (q *request) times() laburnumwaiting.Caller {
-	return laburnumwaiting.Caller{
-		Arrived: q.arrived, Deadline: q.deadline, Stream: q.route.Kind == laburnumlever.KindStream,
-		Target: time.Duration(q.route.Target), PauseTarget: time.Duration(q.route.PauseTarget), BrokenAt: q.brokeAt,
+	c := laburnumwaiting.Caller{Arrived: q.arrived, Deadline: q.deadline, BrokenAt: q.brokeAt}
+	if q.route != nil {
+		c.Stream = q.route.Kind == laburnumlever.KindStream
+		c.Target, c.PauseTarget = time.Duration(q.route.Target), time.Duration(q.route.PauseTarget)
 	}
+	return c
 }
 
 // bound sets the deadline from the caller's patience and the route's timeout.
@@ -170,20 +170,6 @@
 // first, whatever it asks for.
 func (q *request) queues() bool { return q.urgent && q.taken >= asksOfUrgent }
 
-// retryAfter is when the caller should ask again: as long as told here at least, up to
-// twice that, so that those refused together do not come back together, and so that the
-// caller still has time for the answer then.
-func (q *request) retryAfter(least time.Duration, now time.Time) time.Duration {
-	if least <= 0 {
-		return 0
-	}
-	after := time.Duration(float64(least) * (1 + rand.Float64()))
-	if q.deadline.IsZero() {
-		return after
-	}
-	return min(after, time.Duration(retryShare*float64(q.left(now))))
-}
-
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
 func refuse(reason laburnumlever.RefusalReason, after time.Duration, detail string) error {
--- a/laburnumwaiting/list.go
+++ b/laburnumwaiting/list.go
@@ -28,7 +28,11 @@
 
 // List holds those that wait, the most urgent first and each rank in the order in
 // which they came.
-type List struct{ list []*Request }
+type List struct {
+	// InTurn serves each rank strictly in turn, whoever can still be in time.
+	InTurn bool
+	list   []*Request
+}
 
 // Len is how many wait.
 func (l *List) Len() int { return len(l.list) }
@@ -66,8 +70,8 @@
 // Serve gives places to those that can have one, first to those that it makes in time.
 func (l *List) Serve(now time.Time, pick PickFunc) {
 	none := map[wants]bool{}
-	served := l.serveSome(none, pick, func(r *Request) bool { return !now.After(r.FreshTill) })
-	served += l.serveSome(none, pick, func(r *Request) bool { return now.After(r.FreshTill) })
+	served := l.serveSome(none, pick, func(r *Request) bool { return l.InTurn || !now.After(r.FreshTill) })
+	served += l.serveSome(none, pick, func(r *Request) bool { return !l.InTurn && now.After(r.FreshTill) })
 	if served > 0 {
 		l.list = slices.DeleteFunc(l.list, func(r *Request) bool { return r.served })
 	}
--- a/laburnumwaiting/terms.go
+++ b/laburnumwaiting/terms.go
@@ -18,6 +18,8 @@
 	leaveTime    = 2 * time.Second
 	leaveTargets = 4
 	leavePauses  = 8
+	// retryShare of the time left is the latest that callers come back.
+	retryShare = 0.33
 )
 
 // Caller is what decides how long a request may wait.
@@ -49,6 +51,20 @@
 	return min(whole, c.LeaveGap())
 }
 
+// RetryAfter is when the caller should ask again: as long as told here at least, up to twice
+// that as random from 0 to 1 says, so that those refused together do not come back together,
+// and so that the caller still has time for the answer then. It is 0 where least is.
+func (c Caller) RetryAfter(least time.Duration, random float64, now time.Time) time.Duration {
+	if least <= 0 {
+		return 0
+	}
+	after := time.Duration(float64(least) * (1 + random))
+	if c.Deadline.IsZero() {
+		return after
+	}
+	return min(after, time.Duration(retryShare*float64(c.Deadline.Sub(now))))
+}
+
 // Terms say which share of a caller's time a request may spend in the queue.
 type Terms struct{ wait, resume, fresh float64 }
 
