--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -121,8 +121,10 @@
 	servers   map[laburnumlever.BackendID]*server
 	byService map[laburnumlever.ServiceName][]*server
 	byModel   map[serviceModel][]*server
-	prefixes  *prefixes
-	freeShare float64
+	// unreachable are the servers that took no connection lately, and may by now.
+	unreachable map[laburnumlever.BackendID]struct{}
+	prefixes    *prefixes
+	freeShare   float64
 }
 
 // Option changes a new table.
@@ -142,10 +144,10 @@
 func New(zone laburnumlever.ZoneName, seed uint64, opts ...Option) *Table {
 	t := &Table{
 		freeShare: freeShare, zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // breaks ties, no secret
-		servers:   map[laburnumlever.BackendID]*server{},
-		byService: map[laburnumlever.ServiceName][]*server{},
-		byModel:   map[serviceModel][]*server{},
-		prefixes:  newPrefixes(),
+		servers:     map[laburnumlever.BackendID]*server{},
+		byService:   map[laburnumlever.ServiceName][]*server{},
+		byModel:     map[serviceModel][]*server{},
+		unreachable: map[laburnumlever.BackendID]struct{}{}, prefixes: newPrefixes(),
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -249,10 +251,12 @@
 // Unreachable lists the servers that took no connection lately.
 func (t *Table) Unreachable(now time.Time) []laburnumlever.BackendID {
 	var ids []laburnumlever.BackendID
-	for id, s := range t.servers {
-		if now.Before(s.unreachableTill) {
-			ids = append(ids, id)
+	for id := range t.unreachable {
+		if s := t.servers[id]; s == nil || !now.Before(s.unreachableTill) {
+			delete(t.unreachable, id)
+			continue
 		}
+		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	return ids
@@ -417,6 +421,7 @@
 	}
 	if sample.Unreachable {
 		s.unreachable(now)
+		t.unreachable[id] = struct{}{}
 	} else if !sample.Failed {
 		s.unreachableFor = 0
 	}
--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -1,6 +1,7 @@
 package laburnumdirector
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -209,15 +210,22 @@
 	var key adapterKey
 	for model, h := range e.held {
 		for name, a := range h.adapters {
-			if !a.ready || now.Sub(a.usedAt) < adapterQuiet || (oldest != nil && !a.usedAt.Before(oldest.usedAt)) {
+			k := adapterKey{model: model, adapter: name}
+			if !a.ready || now.Sub(a.usedAt) < adapterQuiet || (oldest != nil && !olderUse(a, k, oldest, key)) {
 				continue
 			}
-			oldest, key = a, adapterKey{model: model, adapter: name}
+			oldest, key = a, k
 		}
 	}
 	return key, oldest != nil
 }
 
+// olderUse tells whether an adapter was used longer ago than another; of two at one time the
+// first by name was.
+func olderUse(a *heldAdapter, ak adapterKey, b *heldAdapter, bk adapterKey) bool {
+	return cmp.Or(a.usedAt.Compare(b.usedAt), compareNames(ak.model, bk.model), cmp.Compare(ak.adapter, bk.adapter)) < 0
+}
+
 // adapterBegun notes that an engine has taken an order for an adapter.
 func (d *Director) adapterBegun(e *engine, order laburnumlever.EngineOrder) {
 	key := adapterKey{model: order.Model, adapter: order.Adapter}
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -87,7 +87,7 @@
 	cfg := config{
 		lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock,
 		spawn: func(call func()) { go call() }, compute: func(work func()) { go work() },
-		next: laburnumresidency.Next, rise: riseTime, fall: fallTime, young: youngTime,
+		next: laburnumresidency.Next, rise: riseTime, fall: fallTime, young: youngTime, quiet: quietTime,
 	}
 	for _, opt := range opts {
 		opt(&cfg)
@@ -98,7 +98,7 @@
 		onOverlay: func(laburnumregistry.Overlay) {}, onDirecting: func(bool) {}, onGone: func(laburnumlever.BackendID) {},
 		services: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:  map[laburnumlever.BackendID]laburnumregistry.Record{},
-		engines:  newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall), startedAt: timers.Now(),
+		engines:  newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), startedAt: timers.Now(),
 		store:     map[laburnumlever.ServiceName]*bucket{},
 		laidOutAt: map[laburnumlever.ServiceName]time.Time{},
 		planning:  map[laburnumlever.ServiceName]bool{},
--- a/laburnumdirector/estimator.go
+++ b/laburnumdirector/estimator.go
@@ -1,7 +1,9 @@
 package laburnumdirector
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"laburnumlever"
@@ -35,6 +37,9 @@
 	// two deployments of 18 and 9 engines.
 	riseTime = time.Second
 	fallTime = 1500 * time.Millisecond
+	// quietTime is after how long without a request nobody asks for a model: a dozen times the
+	// pause between two requests of one that is asked for once a second.
+	quietTime = 10 * time.Second
 	// rowsLife is how long a gateway's last word counts.
 	rowsLife = 5 * time.Second
 )
@@ -48,6 +53,10 @@
 	// reads is what engines take to read a token of a prompt for each model, as gateways
 	// measured it.
 	reads map[laburnumlever.ModelName]time.Duration
+	// askedAt is when each model was asked for last, since when the estimator has listened.
+	askedAt map[laburnumlever.ModelName]time.Time
+	since   time.Time
+	quiet   time.Duration
 }
 
 // load is what callers ask of a model: the work, as a share of one engine's, and the
@@ -64,13 +73,14 @@
 	at   time.Time
 }
 
-func newEstimator(rise, fall time.Duration) *estimator {
-	return &estimator{rise: rise, fall: fall, rows: map[laburnumlever.VMID]gatewayRows{}, smooth: map[laburnumlever.ModelName]load{}, reads: map[laburnumlever.ModelName]time.Duration{}}
+func newEstimator(rise, fall, quiet time.Duration) *estimator {
+	return &estimator{rise: rise, fall: fall, rows: map[laburnumlever.VMID]gatewayRows{}, smooth: map[laburnumlever.ModelName]load{}, reads: map[laburnumlever.ModelName]time.Duration{}, askedAt: map[laburnumlever.ModelName]time.Time{}, quiet: quiet}
 }
 
 func (s *estimator) add(vm laburnumlever.VMID, rows []laburnumlever.ModelDemand, now time.Time) {
 	s.rows[vm] = gatewayRows{rows: rows, at: now}
 	for _, row := range rows {
+		s.askedAt[row.Model] = now
 		s.learnRead(row.Model, time.Duration(row.ReadTime))
 	}
 }
@@ -126,10 +136,29 @@
 	return work, requests
 }
 
+// listen notes that gateways tell this VM from now on: models that nobody has asked for since
+// are not quiet yet.
+func (s *estimator) listen(now time.Time) { s.since = now }
+
+// quietModels are those that nobody has asked for lately.
+func (s *estimator) quietModels(class *laburnumlever.EngineClass, now time.Time) map[laburnumlever.ModelName]bool {
+	quiet := map[laburnumlever.ModelName]bool{}
+	if now.Sub(s.since) <= s.quiet {
+		return quiet
+	}
+	for _, m := range class.Models {
+		if now.Sub(s.askedAt[m.Name]) > s.quiet {
+			quiet[m.Name] = true
+		}
+	}
+	return quiet
+}
+
 // current adds up what the gateways told last.
 func (s *estimator) current(now time.Time, slots int) map[laburnumlever.ModelName]load {
 	sum := map[laburnumlever.ModelName]load{}
-	for vm, g := range s.rows {
+	for _, vm := range slices.Sorted(maps.Keys(s.rows)) { // sums of floats depend on their order
+		g := s.rows[vm]
 		if now.Sub(g.at) > rowsLife {
 			delete(s.rows, vm)
 			continue
--- a/laburnumdirector/estimator_internal_test.go
+++ b/laburnumdirector/estimator_internal_test.go
@@ -18,7 +18,7 @@
 // Callers ask as often for a quick model as for a slow one. The quick one makes a tenth of
 // the work; counted alike, it would get as many engines.
 func TestQuickModelMakesLessWork(t *testing.T) {
-	s := newEstimator(riseTime, fallTime)
+	s := newEstimator(riseTime, fallTime, quietTime)
 	now := time.Unix(1_000_000, 0)
 	s.loads(now, 24)
 	s.add("g", []laburnumlever.ModelDemand{demandOf("quick", 3333*time.Nanosecond), demandOf("slow", 33333*time.Nanosecond), demandOf("unknown", 0)}, now)
@@ -31,7 +31,7 @@
 // One gateway's answers come from busy engines, another's from one that has time. The
 // lower measure counts, and a high one moves it only slowly.
 func TestLowerMeasureOfAModelCounts(t *testing.T) {
-	s := newEstimator(riseTime, fallTime)
+	s := newEstimator(riseTime, fallTime, quietTime)
 	now := time.Unix(1_000_000, 0)
 	s.add("busy", []laburnumlever.ModelDemand{demandOf("m0", 33*time.Microsecond)}, now)
 	s.add("free", []laburnumlever.ModelDemand{demandOf("m0", 3300*time.Nanosecond)}, now)
@@ -45,7 +45,7 @@
 // the estimate must have most of the rise and little of the old demand left: until then the
 // planner leaves six engines to a model that nobody asks for.
 func TestDemandThatMovesOnIsFollowed(t *testing.T) {
-	s := newEstimator(riseTime, fallTime)
+	s := newEstimator(riseTime, fallTime, quietTime)
 	now := time.Unix(1_000_000, 0)
 	step := func(model laburnumlever.ModelName, span time.Duration) (map[laburnumlever.ModelName]float64, time.Time) {
 		var requests map[laburnumlever.ModelName]float64
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -108,6 +108,7 @@
 	d.lease.from += d.handOverTime(ev.result.Fence)
 	d.lastFence = ev.result.Fence
 	d.forgetEngines()
+	d.demand.listen(d.timers.Now())
 	d.onDirecting(true)
 	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLeaseGot, "fence", d.lease.fence, "wait", d.lease.from-d.clock())
 }
--- a/laburnumdirector/options.go
+++ b/laburnumdirector/options.go
@@ -30,6 +30,8 @@
 	rise, fall time.Duration
 	// young is how long a copy stays at least.
 	young time.Duration
+	// quiet is after how long without a request nobody asks for a model.
+	quiet time.Duration
 }
 
 // Planner names the next steps, as laburnumresidency.Next does.
@@ -73,5 +75,9 @@
 // WithYoungTime sets how long a copy stays at least.
 func WithYoungTime(d time.Duration) Option { return func(c *config) { c.young = d } }
 
+// WithQuietTime sets after how long without a request nobody asks for a model, so that it may be
+// left without a copy.
+func WithQuietTime(d time.Duration) Option { return func(c *config) { c.quiet = d } }
+
 // WithSpawn sets how calls to other machines are run; without it each has a goroutine.
 func WithSpawn(spawn func(call func())) Option { return func(c *config) { c.spawn = spawn } }
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"laburnumlever"
@@ -175,8 +177,8 @@
 	if !e.idle(now) {
 		return
 	}
-	for name, h := range e.held {
-		if h.withdrawn && now.Sub(h.withdrawnAt) >= withdrawTime {
+	for _, name := range slices.Sorted(maps.Keys(e.held)) {
+		if h := e.held[name]; h.withdrawn && now.Sub(h.withdrawnAt) >= withdrawTime {
 			d.send(e, laburnumlever.EngineOrder{Kind: laburnumlever.Unload, Model: name})
 			return
 		}
--- a/laburnumdirector/plan.go
+++ b/laburnumdirector/plan.go
@@ -51,10 +51,10 @@
 	}
 	d.reportLayout(name, class, r.engines, now)
 	work, requests := d.demand.loads(now, class.Slots)
-	adapters := d.adaptersUsed(r.known, now)
+	adapters, quiet := d.adaptersUsed(r.known, now), d.demand.quietModels(class, now)
 	d.planning[name] = true
 	d.cfg.compute(func() {
-		steps := d.cfg.next(class, r.engines, work, adapters, laburnumresidency.WithRequests(requests))
+		steps := d.cfg.next(class, r.engines, work, adapters, laburnumresidency.WithRequests(requests), laburnumresidency.WithQuiet(quiet))
 		d.loop.Post(d, planned{round: r, steps: steps})
 	})
 }
--- a/laburnumresidency/missing.go
+++ b/laburnumresidency/missing.go
@@ -29,6 +29,9 @@
 // other engines have too are evicted first; where there are none, the last copy of a model
 // that few ask for is, and comes back after it. To relocate that one first would have
 // most callers wait for two loads in a row.
+//
+// A model that nobody asks for is left without a copy where there is no free room: it is back
+// from an engine's host memory or disk within a second once somebody does.
 func (p *planner) placeMissing() {
 	var missing []int
 	for m := range p.class.Models {
@@ -57,17 +60,17 @@
 	seconds := p.loadTime(e, m)
 	lost := 0.0
 	need := p.target.used[e] + p.target.size[m] - p.class.WeightsMB
-	if need > 0 && need > p.evictable(e, m) {
-		return c, false
+	if need > 0 && (p.quiet[m] || need > p.evictable(e, m)) {
+		return c, false // a model that nobody asks for takes free room only
 	}
 	for _, v := range p.leastUseful(e, need) {
 		if need <= 0 {
 			break
 		}
-		if !p.spare(v) {
-			if !p.outweighs(m, v) {
-				continue
-			}
+		if !p.spare(v) && !p.outweighs(m, v) {
+			continue
+		}
+		if p.target.copies(v) == 1 || !p.spare(v) {
 			lost += p.askedAtLeast(v) * returnTime
 		}
 		seconds += p.unloadSeconds(v)
@@ -90,8 +93,11 @@
 	return total
 }
 
-// spare tells whether another ready copy of a model is left when one is evicted.
-func (p *planner) spare(v int) bool { return p.target.copies(v) > 1 && p.ready[v] >= 2 }
+// spare tells whether a copy of a model can be missed: another ready one is left, or nobody asks
+// for it.
+func (p *planner) spare(v int) bool {
+	return p.target.copies(v) > 1 && p.ready[v] >= 2 || p.quiet[v]
+}
 
 // outweighs tells whether the last copy of one model may be evicted for another that no
 // engine holds.
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -16,6 +16,8 @@
 	// requests are those asked for a second, by model; asked holds them by index.
 	requests map[laburnumlever.ModelName]float64
 	asked    []float64
+	// quiet are the models that nobody has asked for lately.
+	quiet []bool
 	// total is that of all models; 0 where the rates are not known.
 	total    float64
 	adapters map[laburnumlever.ModelName]int
@@ -63,6 +65,16 @@
 	}
 }
 
+// WithQuiet tells which models nobody has asked for lately; without it all count as asked for.
+// Where room is short they have no copy.
+func WithQuiet(quiet map[laburnumlever.ModelName]bool) Option {
+	return func(p *planner) {
+		for m, model := range p.class.Models {
+			p.quiet[m] = quiet[model.Name]
+		}
+	}
+}
+
 // Next names the next steps, at most one an engine, the most urgent first. Adapters
 // counts those of each model that are in use.
 //
@@ -94,6 +106,7 @@
 	p := &planner{
 		class: class, demand: demand, requests: demand, adapters: adapters, rescues: map[int]int{},
 		index: make(map[laburnumlever.ModelName]int, len(class.Models)), asked: make([]float64, len(class.Models)),
+		quiet: make([]bool, len(class.Models)),
 	}
 	for _, opt := range opts {
 		opt(p)
--- a/laburnumresidency/rebalance.go
+++ b/laburnumresidency/rebalance.go
@@ -23,6 +23,9 @@
 	// relocateCost is what it costs in congestion to relocate a model: two engines take
 	// no other order for long, so it pays only where engines are overloaded.
 	relocateCost = 0.4
+	// parkCost is what it costs in congestion that the last copy of a model leaves that nobody
+	// asks for: the next caller waits for a load.
+	parkCost = 0.02
 	// demandTime is how many seconds demand stays where it is, as a rule: what is
 	// done after that is done in vain.
 	demandTime = 12.0
@@ -141,9 +144,21 @@
 	if c.relocates() {
 		c.gain -= relocateCost
 	}
+	c.gain -= parkCost * float64(p.parks(c))
 	return c, true
 }
 
+// parks counts the models that a change leaves without a copy.
+func (p *planner) parks(c change) int {
+	n := 0
+	for _, v := range c.evictions {
+		if v.to == nowhere && p.target.copies(v.model) == 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // risk is what it costs that a model has one copy only: when its engine is lost, all who
 // ask for it are refused until another has loaded it.
 func (p *planner) risk(m int) float64 {
@@ -168,6 +183,9 @@
 	if p.target.copies(v) > 1 {
 		return evicted, true
 	}
+	if p.quiet[v] {
+		return evicted, true
+	}
 	// One model is relocated at a time, and only while it has one copy: those on their
 	// way count as done, and others would be sent after them.
 	if p.copies[v] == 1 && !p.relocating {
--- /dev/null
+++ b/laburnumsimulation/callers.go
@@ -0,0 +1,255 @@
+package laburnumsimulation
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"laburnumlever"
+)
+
+// request is what one caller wants, over all of its tries.
+type request struct {
+	sim          *simulation
+	class        *Class
+	zone         int
+	model        int
+	adapter      laburnumlever.AdapterName
+	prompt       []laburnumlever.PromptPart
+	promptTokens int
+	answerTokens int
+	answerHint   int
+	first        time.Time
+	deadline     time.Time
+	tries        int
+	over         bool
+}
+
+// worth is that of an answer, larger for larger requests.
+func (q *request) worth() float64 {
+	const least, answerWeight = 0.3, 10
+	mean := q.class.Prompt.Mean + q.class.sharedTokens() + answerWeight*q.class.Answer.Mean
+	size := float64(q.promptTokens) + answerWeight*float64(q.answerTokens)
+	return q.class.Worth * min(4, least+(1-least)*size/mean)
+}
+
+func (c *Class) sharedTokens() float64 {
+	total := 0
+	for _, t := range c.SharedTokens {
+		total += t
+	}
+	return float64(total)
+}
+
+// ask sends the request to a gateway of its zone.
+func (q *request) ask() {
+	q.tries++
+	gateways := q.sim.byZone[q.zone]
+	g := gateways[q.sim.callers.random.IntN(len(gateways))]
+	q.sim.after(q.sim.callerLink(), func() {
+		a := &attempt{request: q, gateway: g, arrived: q.sim.now()}
+		a.place()
+		q.sim.after(a.times().Patience(), func() {
+			if !a.started {
+				a.leave()
+			}
+		})
+		q.sim.after(q.deadline.Sub(q.sim.now()), a.leave)
+	})
+}
+
+func (q *request) served(a *attempt) {
+	if q.over {
+		return
+	}
+	q.over = true
+	q.sim.outcome.serve(q, a)
+}
+
+// turnedAway comes back once it was told to, if it may.
+func (q *request) turnedAway(a *attempt, after time.Duration, why string) {
+	if q.tries > q.class.Retries || !q.sim.now().Add(after).Before(q.deadline) {
+		q.end(a, why, true)
+		return
+	}
+	q.sim.outcome.retries++
+	q.sim.after(2*q.sim.callerLink()+after, q.ask)
+}
+
+// failed comes back at once where it may be repeated.
+func (q *request) failed(a *attempt, why string) {
+	if q.class.Resumable && q.tries <= q.class.Retries && why != "left" && q.sim.now().Before(q.deadline) {
+		q.ask()
+		return
+	}
+	q.end(a, why, false)
+}
+
+func (q *request) end(a *attempt, why string, refused bool) {
+	if q.over {
+		return
+	}
+	q.over = true
+	q.sim.outcome.lose(q, a, why, refused)
+}
+
+// callers make the requests of a day.
+type callers struct {
+	sim    *simulation
+	random *rand.Rand
+	// order is the list of models that each class's demand goes by: it moves on with shifts.
+	order  [][]int
+	shifts []shift
+	bursts []burst
+}
+
+type shift struct {
+	at, length time.Duration
+	places     int
+}
+
+type burst struct {
+	from, until time.Duration
+	class       string
+	factor      float64
+}
+
+func newCallers(sim *simulation, seed uint64) *callers {
+	c := &callers{sim: sim, random: rand.New(rand.NewPCG(seed, 3))} //nolint:gosec // repeatable
+	for i := range sim.scenario.Classes {
+		class := &sim.scenario.Classes[i]
+		list := make([]int, 0, class.To-class.From+1)
+		for m := class.From; m <= class.To; m++ {
+			list = append(list, m)
+		}
+		c.order = append(c.order, list)
+	}
+	return c
+}
+
+// start makes the first arrival of each class.
+func (c *callers) start() {
+	for i := range c.sim.scenario.Classes {
+		c.arrive(i, c.most(i))
+	}
+}
+
+// most bounds a class's rate, for a process that is thinned out to what it is at a time.
+func (c *callers) most(class int) float64 {
+	rate := c.sim.scenario.Classes[class].PerSecond
+	most := rate
+	for _, b := range c.bursts {
+		most = max(most, rate*b.factor*2)
+	}
+	return most
+}
+
+func (c *callers) rate(class int, at time.Duration) float64 {
+	cl := c.sim.scenario.Classes[class]
+	rate := cl.PerSecond
+	for _, b := range c.bursts {
+		if (b.class == "" || b.class == cl.Name) && at >= b.from && at < b.until {
+			rate *= b.factor
+		}
+	}
+	return rate
+}
+
+func (c *callers) arrive(class int, most float64) {
+	wait := time.Duration(c.random.ExpFloat64() / most * float64(time.Second))
+	c.sim.after(wait, func() {
+		at := c.sim.elapsed()
+		if at >= time.Duration(c.sim.scenario.Length) {
+			return
+		}
+		if c.random.Float64() < c.rate(class, at)/most {
+			c.newRequest(class).ask()
+		}
+		c.arrive(class, most)
+	})
+}
+
+func (c *callers) newRequest(class int) *request {
+	cl := &c.sim.scenario.Classes[class]
+	q := &request{sim: c.sim, class: cl, zone: c.zone(), first: c.sim.now(), model: c.model(class)}
+	q.deadline = q.first.Add(time.Duration(cl.Timeout))
+	for i, tokens := range cl.SharedTokens {
+		kind := c.random.IntN(max(1, cl.SharedKinds[i]))
+		q.prompt = append(q.prompt, laburnumlever.PromptPart{ID: uint64(class)<<40 | uint64(i)<<32 | uint64(kind), Tokens: tokens})
+		q.promptTokens += tokens
+	}
+	own := c.size(cl.Prompt)
+	q.prompt = append(q.prompt, laburnumlever.PromptPart{ID: c.random.Uint64() | 1<<63, Tokens: own})
+	q.promptTokens += own
+	q.answerTokens = c.size(cl.Answer)
+	q.answerHint = max(1, int(float64(q.answerTokens)*math.Exp(0.5*c.random.NormFloat64())))
+	if adapters := c.sim.models[q.model].kind.Adapters; adapters > 0 && c.random.Float64() < cl.AdapterShare {
+		q.adapter = laburnumlever.AdapterName(fmt.Sprintf("a%d", c.random.IntN(adapters)))
+	}
+	return q
+}
+
+// size draws a number of tokens.
+func (c *callers) size(s Size) int {
+	if s.Spread == 0 {
+		return max(1, int(s.Mean))
+	}
+	d := distuv.LogNormal{Mu: math.Log(s.Mean) - s.Spread*s.Spread/2, Sigma: s.Spread, Src: c.random}
+	value := d.Rand()
+	if s.Most > 0 {
+		value = min(value, s.Most)
+	}
+	return max(1, int(value))
+}
+
+func (c *callers) zone() int {
+	x := c.random.Float64() * c.sim.totalShare
+	for i, z := range c.sim.scenario.Zones {
+		if x -= z.Share; x < 0 {
+			return i
+		}
+	}
+	return len(c.sim.scenario.Zones) - 1
+}
+
+// model draws the model that a request of a class asks for now: by the list before a shift,
+// or that after it, as far as the shift has come.
+func (c *callers) model(class int) int {
+	cl := c.sim.scenario.Classes[class]
+	list := c.order[class]
+	rank := c.rank(cl, len(list))
+	moved := c.moved()
+	return list[(rank+moved)%len(list)]
+}
+
+// moved is by how many places demand has moved on; within a shift, the old and the new demand
+// mix.
+func (c *callers) moved() int {
+	at := c.sim.elapsed()
+	moved := 0
+	for _, s := range c.shifts {
+		switch {
+		case at >= s.at+s.length:
+			moved += s.places
+		case at >= s.at && c.random.Float64() < float64(at-s.at)/float64(max(1, s.length)):
+			moved += s.places
+		}
+	}
+	return moved
+}
+
+// rank draws a place in the list of a class.
+func (c *callers) rank(cl Class, length int) int {
+	active := cl.Active
+	if active <= 0 || active > length {
+		active = length
+	}
+	cumulated := c.sim.cumulated(active, cl.Skew)
+	x := c.random.Float64() * cumulated[active-1]
+	at, _ := slices.BinarySearch(cumulated, x)
+	return min(at, active-1)
+}
--- /dev/null
+++ b/laburnumsimulation/control.go
@@ -0,0 +1,177 @@
+package laburnumsimulation
+
+import (
+	"context"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumcontrol"
+	"laburnumlever/laburnumdirector"
+	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumstate"
+	"laburnumlever/laburnumtimer"
+)
+
+const (
+	// service is the one service of model engines.
+	service laburnumlever.ServiceName = "models"
+	// gatherTime for each VM that asks lies between two publications of a control VM.
+	gatherTime = time.Millisecond
+	// planTime is how long a round of planning takes.
+	planTime = 3 * time.Millisecond
+	// expirePeriod is how often silent engines are looked for.
+	expirePeriod = 500 * time.Millisecond
+	leaseTime    = 3 * time.Second
+	storeWindow  = 5 * time.Second
+	// storeOvershoot is the factor by which the store's rate may be exceeded in a window.
+	storeOvershoot = 1.1
+)
+
+// control is the control VMs as one: the registry, the director and what they tell gateways.
+type control struct {
+	sim      *simulation
+	loop     *laburnumcontrol.Loop
+	director *laburnumdirector.Director
+	registry *laburnumregistry.Table
+	machine  *laburnumstate.Machine
+	gather   *laburnumtimer.Gatherer
+	// cut tells that no lease can be had.
+	cut      bool
+	records  map[laburnumlever.BackendID]laburnumregistry.Record
+	overlays map[laburnumlever.BackendID]laburnumregistry.Overlay
+}
+
+// drainingTimers run the control thread after each of the director's timers.
+type drainingTimers struct {
+	laburnumlever.Timers
+	loop *laburnumcontrol.Loop
+}
+
+// Every implements laburnumlever.Timers.
+func (t drainingTimers) Every(period time.Duration, fn func(now time.Time)) (cancel func()) {
+	return t.Timers.Every(period, func(now time.Time) {
+		fn(now)
+		t.loop.Drain()
+	})
+}
+
+// After implements laburnumlever.Timers.
+func (t drainingTimers) After(d time.Duration, fn func(now time.Time)) (cancel func()) {
+	return t.Timers.After(d, func(now time.Time) {
+		fn(now)
+		t.loop.Drain()
+	})
+}
+
+func newControl(sim *simulation) *control {
+	c := &control{
+		sim: sim, loop: laburnumcontrol.New(), machine: laburnumstate.New(),
+		registry: laburnumregistry.New(time.Duration(sim.scenario.Engines.Heartbeat)),
+		records:  map[laburnumlever.BackendID]laburnumregistry.Record{}, overlays: map[laburnumlever.BackendID]laburnumregistry.Overlay{},
+	}
+	period := func() time.Duration { return time.Duration(len(sim.gateways)+1) * gatherTime }
+	c.gather = laburnumtimer.NewGatherer(sim.timers, period, c.publish)
+	later := func(d time.Duration) func(func()) {
+		return func(call func()) {
+			sim.after(d, func() {
+				call()
+				c.loop.Drain()
+			})
+		}
+	}
+	opts := append([]laburnumdirector.Option{
+		laburnumdirector.WithLease(leaseTime), laburnumdirector.WithStore(storeWindow, storeOvershoot),
+		laburnumdirector.WithHeartbeat(time.Duration(sim.scenario.Engines.Heartbeat)),
+		laburnumdirector.WithClock(func() time.Duration { return time.Duration(sim.now().UnixNano()) }),
+		laburnumdirector.WithSpawn(later(time.Duration(sim.scenario.Links.Far))), laburnumdirector.WithCompute(later(planTime)),
+	}, sim.policy.director(sim)...)
+	c.director = laburnumdirector.New(c.loop, drainingTimers{Timers: sim.timers, loop: c.loop}, c, engineCalls{sim: sim}, laburnumlever.VM{ID: "control", Incarnation: 1}, opts...)
+	c.director.OnLeads(func() bool { return !c.cut })
+	c.director.OnOverlay(c.overlay)
+	c.director.SetRoutes(laburnumlever.RouteTable{Version: 1, Services: []laburnumlever.RoutedService{{Name: service, Engine: sim.class()}}})
+	c.director.Start()
+	sim.timers.Every(expirePeriod, c.expire)
+	return c
+}
+
+// Propose implements laburnumlever.Proposer.
+func (c *control) Propose(_ context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
+	if c.cut {
+		return laburnumlever.Result{}, &laburnumlever.NoQuorumError{Detail: "no leader"}
+	}
+	return c.machine.Apply(c.sim.now().UnixMilli(), cmd), nil
+}
+
+// hear takes a heartbeat.
+func (c *control) hear(h laburnumlever.Heartbeat) {
+	if c.registry.Take(h, c.sim.now()) {
+		c.offer(h.Backend)
+	} else {
+		c.director.SetHeard(h)
+	}
+	c.loop.Drain()
+}
+
+func (c *control) remove(id laburnumlever.BackendID) {
+	if c.registry.Remove(id, c.sim.now()) {
+		c.offer(id)
+	}
+	c.loop.Drain()
+}
+
+func (c *control) expire(now time.Time) {
+	for _, id := range c.registry.Expire(now) {
+		c.offer(id)
+	}
+	c.loop.Drain()
+}
+
+func (c *control) offer(id laburnumlever.BackendID) {
+	if r, ok := c.registry.Record(id); ok {
+		c.records[id] = r
+		c.director.SetRecord(r)
+		c.gather.Poke()
+	}
+}
+
+func (c *control) overlay(o laburnumregistry.Overlay) {
+	c.overlays[o.Backend] = o
+	c.gather.Poke()
+}
+
+// publish tells all gateways what has changed.
+func (c *control) publish() {
+	var records []laburnumregistry.Record
+	var overlays []laburnumregistry.Overlay
+	for _, e := range c.sim.engines { // in a fixed order, so that days repeat
+		if r, ok := c.records[e.id]; ok {
+			records = append(records, r)
+		}
+		if o, ok := c.overlays[e.id]; ok {
+			overlays = append(overlays, o)
+		}
+	}
+	clear(c.records)
+	clear(c.overlays)
+	c.sim.after(time.Duration(c.sim.scenario.Links.Far), func() {
+		for _, g := range c.sim.gateways {
+			g.learn(records, overlays)
+		}
+	})
+}
+
+func (c *control) news(vm laburnumlever.VMID, news laburnumlever.GatewayNews) {
+	c.director.SetNews(vm, news)
+	c.loop.Drain()
+}
+
+// need asks the director for an adapter on behalf of a gateway.
+func (c *control) need(zone laburnumlever.ZoneName, need laburnumlever.AdapterNeed, reply func(ids []laburnumlever.BackendID)) {
+	link := c.sim.link(zone, "")
+	c.sim.after(link, func() {
+		c.director.Ask(need, func(ids []laburnumlever.BackendID, _ error) {
+			c.sim.after(link, func() { reply(ids) })
+		})
+		c.loop.Drain()
+	})
+}
--- /dev/null
+++ b/laburnumsimulation/engine.go
@@ -0,0 +1,249 @@
+package laburnumsimulation
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"laburnumlever"
+)
+
+// engine is a model engine: what it holds, the orders that it takes and its requests.
+type engine struct {
+	sim      *simulation
+	id       laburnumlever.BackendID
+	zone     laburnumlever.ZoneName
+	speed    float64
+	slow     float64 // a factor while something is wrong with it
+	up       bool
+	hangs    bool // down, and connections are not reset
+	leaving  bool
+	born     uint64
+	sequence uint64
+	accepted uint64
+	fence    uint64
+	held     map[int]map[laburnumlever.AdapterName]bool // adapters by model, true once they are there
+	host     []int                                      // models by their last use, the last first
+	disk     []int
+	order    *work
+	batch    batch
+	// reservations are the slots kept for requests that asked for one.
+	reservations map[int]bool
+	cached       map[cachedPart]bool
+}
+
+// work is an order that an engine carries out.
+type work struct {
+	kind  laburnumlever.OrderKind
+	model int
+	start int // of the engine, so that an end after a crash is known
+}
+
+type cachedPart struct {
+	model   int
+	adapter laburnumlever.AdapterName
+	part    uint64
+}
+
+func newEngine(sim *simulation, i int) *engine {
+	cfg := sim.scenario.Engines
+	e := &engine{
+		sim: sim, id: laburnumlever.BackendID(fmt.Sprintf("e-%04d", i)), zone: sim.scenario.Zones[i%len(sim.scenario.Zones)].Name,
+		speed: cfg.Speeds[i%len(cfg.Speeds)], slow: 1, up: true, born: 1,
+		held: map[int]map[laburnumlever.AdapterName]bool{}, cached: map[cachedPart]bool{}, reservations: map[int]bool{},
+	}
+	e.batch.engine = e
+	return e
+}
+
+func (e *engine) slowed(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * e.speed * e.slow)
+}
+
+// used is the memory for weights that is taken, in MB.
+func (e *engine) used() float64 {
+	total := 0.0
+	for m, adapters := range e.held {
+		k := e.sim.models[m].kind
+		total += k.WeightsMB + k.AdapterMB*float64(len(adapters))
+	}
+	return total
+}
+
+func (e *engine) adapters() int {
+	n := 0
+	for _, adapters := range e.held {
+		n += len(adapters)
+	}
+	return n
+}
+
+// heartbeat is what it says of itself.
+func (e *engine) heartbeat() laburnumlever.Heartbeat {
+	e.sequence++
+	h := laburnumlever.Heartbeat{
+		Backend: e.id, Service: service, Address: string(e.id), Zone: e.zone, Born: e.born, Sequence: e.sequence,
+		Slots: e.sim.scenario.Engines.Slots, Leaving: e.leaving, Models: e.models(),
+	}
+	for _, m := range e.host {
+		h.InMemory = append(h.InMemory, e.sim.models[m].name)
+	}
+	for _, m := range e.disk {
+		h.OnDisk = append(h.OnDisk, e.sim.models[m].name)
+	}
+	return h
+}
+
+func (e *engine) models() []laburnumlever.HeldModel {
+	var list []laburnumlever.HeldModel
+	for m, adapters := range e.held {
+		if e.order != nil && e.order.kind == laburnumlever.Load && e.order.model == m {
+			continue
+		}
+		held := laburnumlever.HeldModel{Name: e.sim.models[m].name, Version: 1}
+		for a, there := range adapters {
+			if there {
+				held.Adapters = append(held.Adapters, a)
+			}
+		}
+		slices.Sort(held.Adapters)
+		list = append(list, held)
+	}
+	slices.SortFunc(list, func(a, b laburnumlever.HeldModel) int { return compareNames(a.Name, b.Name) })
+	return list
+}
+
+// beat announces itself.
+func (e *engine) beat() {
+	if e.up {
+		h := e.heartbeat()
+		e.sim.after(e.sim.link(e.zone, ""), func() { e.sim.control.hear(h) })
+	}
+}
+
+// serves tells whether it runs requests for a model and adapter.
+func (e *engine) serves(model int, adapter laburnumlever.AdapterName) bool {
+	adapters, ok := e.held[model]
+	if !ok || (e.order != nil && e.order.model == model) {
+		return false
+	}
+	return adapter == "" || adapters[adapter]
+}
+
+// refusal is why an engine does not take a request.
+type refusal int
+
+const (
+	taken refusal = iota
+	absent
+	full
+)
+
+// take gives a request a slot, or has it wait.
+func (e *engine) take(r *run, reservation int) refusal {
+	if !e.serves(r.attempt.request.model, r.attempt.request.adapter) {
+		return absent
+	}
+	delete(e.reservations, reservation)
+	r.unread = e.missing(r)
+	switch {
+	case e.free(r):
+		e.batch.add(r)
+	case e.batch.preempt(r.urgency):
+		e.batch.add(r)
+	case len(e.batch.waiting) < e.sim.scenario.Engines.Queue:
+		e.wait(r)
+	default:
+		return full
+	}
+	return taken
+}
+
+// free tells whether there is a slot and memory for a request.
+func (e *engine) free(r *run) bool {
+	return e.batch.size()+len(e.reservations) < e.sim.scenario.Engines.Slots &&
+		e.batch.tokens()+r.attempt.request.promptTokens+r.done <= e.sim.scenario.Engines.CacheTokens
+}
+
+// wait queues a request behind the more urgent and those that came before.
+func (e *engine) wait(r *run) {
+	at := len(e.batch.waiting)
+	for i, o := range e.batch.waiting {
+		if o.urgency > r.urgency {
+			at = i
+			break
+		}
+	}
+	e.batch.waiting = slices.Insert(e.batch.waiting, at, r)
+}
+
+// admit gives slots that came free to those that wait.
+func (e *engine) admit() {
+	for len(e.batch.waiting) > 0 && e.free(e.batch.waiting[0]) {
+		r := e.batch.waiting[0]
+		e.batch.waiting = e.batch.waiting[1:]
+		e.batch.add(r)
+	}
+}
+
+// missing is how many tokens of a prompt are not cached; they are from now on.
+func (e *engine) missing(r *run) int {
+	q := r.attempt.request
+	missing, cached := 0, true
+	for _, part := range q.prompt {
+		key := cachedPart{model: q.model, adapter: q.adapter, part: part.ID}
+		cached = cached && e.cached[key]
+		if !cached {
+			missing += part.Tokens
+		}
+		e.cached[key] = true
+	}
+	return missing
+}
+
+// began tells the gateway that an answer has begun.
+func (e *engine) began(r *run) {
+	running, waiting := e.batch.size(), len(e.batch.waiting)
+	e.sim.after(e.batch.stepTime()+e.sim.link(e.zone, r.attempt.gateway.zone), func() {
+		r.attempt.began(r, running, waiting)
+	})
+}
+
+// ended tells the gateway that an answer has ended, and takes the next.
+func (e *engine) ended(r *run) {
+	r.done, r.gone = r.tokens, true
+	e.finishUnload()
+	e.admit()
+	e.sim.after(e.sim.link(e.zone, r.attempt.gateway.zone), func() { r.attempt.answered(r) })
+}
+
+// drop ends a request whose caller has left.
+func (e *engine) drop(r *run) {
+	if r.gone {
+		return
+	}
+	r.gone = true
+	e.batch.remove(r)
+	e.finishUnload()
+	e.admit()
+}
+
+// crash ends everything at the engine. A dark one does not reset its connections.
+func (e *engine) crash(dark bool) {
+	e.up, e.hangs = false, dark
+	e.held, e.order = map[int]map[laburnumlever.AdapterName]bool{}, nil
+	e.reservations, e.cached = map[int]bool{}, map[cachedPart]bool{}
+	e.host = nil
+	for _, r := range e.batch.clear() {
+		r.gone = true
+		if !dark {
+			e.sim.after(e.sim.link(e.zone, r.attempt.gateway.zone), func() { r.attempt.broken(r) })
+		}
+	}
+}
+
+// restart is a start under the same identity: empty, but for its disk.
+func (e *engine) restart() {
+	e.up, e.hangs, e.born, e.sequence, e.accepted, e.fence = true, false, e.born+1, 0, 0, 0
+	e.beat()
+}
--- /dev/null
+++ b/laburnumsimulation/gateway.go
@@ -0,0 +1,94 @@
+package laburnumsimulation
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumdemand"
+	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumwaiting"
+)
+
+const (
+	// budgetRatio, budgetSlack and budgetWindow bound the repeats over all gateways: the slack
+	// is that for each gateway.
+	budgetRatio  = 0.2
+	budgetSlack  = 2
+	budgetWindow = 10 * time.Second
+	// dialTimeout is how long a connection to an engine that hangs takes to fail.
+	dialTimeout = 200 * time.Millisecond
+	// takenRetry is when a request that found an engine's slots taken looks again.
+	takenRetry = laburnumbalance.TakenTime + 10*time.Millisecond
+	// asksOfUrgent is how many engines the most urgent ask for a slot before they queue at one.
+	asksOfUrgent = 2
+	// newsPeriod is how often a gateway tells its news, since each answer brings a question.
+	newsPeriod = 300 * time.Millisecond
+)
+
+// gateway is one gateway VM with what it knows.
+type gateway struct {
+	sim     *simulation
+	id      laburnumlever.VMID
+	zone    laburnumlever.ZoneName
+	table   *laburnumbalance.Table
+	queue   laburnumwaiting.List
+	counter *laburnumdemand.Counter
+	uses    laburnumdemand.AdapterUses
+	paces   laburnumdemand.Paces
+	window  *laburnumretry.Window
+	random  *rand.Rand
+}
+
+func newGateway(sim *simulation, id laburnumlever.VMID, zone laburnumlever.ZoneName, seed uint64) *gateway {
+	g := &gateway{
+		sim: sim, id: id, zone: zone, table: laburnumbalance.New(zone, seed, sim.policy.balance...),
+		counter: laburnumdemand.NewCounter(id), paces: laburnumdemand.Paces{},
+		window: laburnumretry.NewWindow(budgetWindow, budgetRatio, budgetSlack*float64(len(sim.gateways)+1)),
+		random: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // repeatable
+	}
+	g.queue.InTurn = sim.policy.inTurn
+	return g
+}
+
+// learn takes what control VMs told.
+func (g *gateway) learn(records []laburnumregistry.Record, overlays []laburnumregistry.Overlay) {
+	for _, r := range records {
+		g.table.Set(r)
+	}
+	for _, o := range overlays {
+		g.table.SetOverlay(o)
+	}
+	g.serveQueue()
+}
+
+// tell sends its news to the VM that gives the orders.
+func (g *gateway) tell() {
+	now := g.sim.now()
+	news := laburnumlever.GatewayNews{
+		Demand: g.counter.Take(now, g.paces), Adapters: g.uses.Take(now), Unreachable: g.table.Unreachable(now),
+	}
+	if !news.IsZero() {
+		g.sim.after(g.sim.link(g.zone, ""), func() { g.sim.control.news(g.id, news) })
+	}
+}
+
+// serveQueue gives slots that may have come free to those that wait.
+func (g *gateway) serveQueue() {
+	if g.queue.Len() == 0 {
+		return
+	}
+	now := g.sim.now()
+	g.queue.Serve(now, func(q laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+		return g.table.Pick(q, now)
+	})
+}
+
+// count notes what a request asked for, once that is known.
+func (g *gateway) count(q *request, served bool) {
+	g.counter.Add(laburnumdemand.Request{
+		Model: g.sim.models[q.model].name, PromptTokens: q.promptTokens, AnswerTokens: q.answerHint,
+	}, served)
+}
--- /dev/null
+++ b/laburnumsimulation/load.go
@@ -0,0 +1,69 @@
+package laburnumsimulation
+
+import (
+	"fmt"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumsettings"
+)
+
+const (
+	defaultNear      = 200 * time.Microsecond
+	defaultFar       = time.Millisecond
+	defaultCallers   = time.Millisecond
+	defaultHeartbeat = 1200 * time.Millisecond
+)
+
+// Load reads a scenario. All that is wrong is listed in one *ScenarioInvalidError.
+func Load(path string) (Scenario, error) {
+	s := Scenario{
+		Links:   Links{Near: laburnumlever.Duration(defaultNear), Far: laburnumlever.Duration(defaultFar), Callers: laburnumlever.Duration(defaultCallers)},
+		Engines: Engines{EventTokens: 1, Speeds: []float64{1}, Heartbeat: laburnumlever.Duration(defaultHeartbeat)},
+		Value:   Value{Day: 1},
+	}
+	faults := laburnumsettings.ReadFile(path, &s)
+	if len(faults) == 0 {
+		faults = s.check(path)
+	}
+	if len(faults) > 0 {
+		return Scenario{}, &ScenarioInvalidError{Faults: faults}
+	}
+	return s, nil
+}
+
+// check lists what no day could be played with.
+func (s Scenario) check(path string) []laburnumlever.Fault {
+	var faults []laburnumlever.Fault
+	need := func(ok bool, key, problem, want string) {
+		if !ok {
+			faults = append(faults, laburnumlever.Fault{File: path, Line: 1, Key: key, Problem: problem, Want: want})
+		}
+	}
+	need(s.Length > 0, "length", "is not positive", "a time such as \"60s\"")
+	need(len(s.Zones) > 0, "zones", "is empty", "one zone or more")
+	need(s.Engines.Count > 0, "engines.count", "is not positive", "a number of engines")
+	need(s.Engines.Slots > 0, "engines.slots", "is not positive", "a number of slots")
+	need(s.Engines.EventTokens > 0, "engines.event-tokens", "is not positive", "a number of tokens")
+	need(len(s.Engines.Speeds) > 0, "engines.speeds", "is empty", "one factor or more")
+	need(s.Models.Count > 0, "models.count", "is not positive", "a number of models")
+	need(len(s.Models.Kinds) > 0, "models.kinds", "is empty", "one kind or more")
+	for i, k := range s.Models.Kinds {
+		need(k.WeightsMB <= s.Engines.WeightsMB, fmt.Sprintf("models.kinds[%d].weights-mb", i), "is more than an engine has", "at most engines.weights-mb")
+	}
+	for i, z := range s.Zones {
+		need(z.Gateways > 0, fmt.Sprintf("zones[%d].gateways", i), "is not positive", "one gateway or more")
+	}
+	for i, c := range s.Classes {
+		key := fmt.Sprintf("classes[%d]", i)
+		need(c.From >= 0 && c.From <= c.To && c.To < s.Models.Count, key+".to", "names models that do not exist", "0 <= from <= to < models.count")
+		need(len(c.SharedTokens) == len(c.SharedKinds), key+".shared-kinds", "has not as many entries as shared-tokens", "one number for each")
+	}
+	for i, e := range s.Events {
+		key := fmt.Sprintf("events[%d]", i)
+		need(e.Share >= 0 && e.Share <= 1, key+".share", "is not a share", "0 to 1")
+		need(e.Kind != EventBurst && e.Kind != EventSlow || e.Factor > 0, key+".factor", "is not positive", "a factor such as 2")
+		need(e.Kind != EventShift || e.Places != 0, key+".places", "is 0", "by how many places demand moves")
+	}
+	return faults
+}
--- /dev/null
+++ b/laburnumsimulation/orders.go
@@ -0,0 +1,196 @@
+package laburnumsimulation
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"laburnumlever"
+)
+
+// reservedFor is how long a slot is kept for a request that asked for it.
+const reservedFor = 100 * time.Millisecond
+
+// engineCalls carries the director's calls to the engines.
+type engineCalls struct{ sim *simulation }
+
+// DownError is an engine that takes no connection.
+type DownError struct{ Backend laburnumlever.BackendID }
+
+func (e *DownError) Error() string { return string(e.Backend) + " takes no connection" }
+
+// State implements laburnumlever.ModelEngines.
+func (c engineCalls) State(_ context.Context, to laburnumlever.Heartbeat) (laburnumlever.EngineState, error) {
+	e := c.sim.byID[to.Backend]
+	if !e.up {
+		return laburnumlever.EngineState{}, &laburnumlever.NotSentError{Cause: &DownError{Backend: to.Backend}}
+	}
+	return laburnumlever.EngineState{Born: e.born, Accepted: e.accepted, Busy: e.order != nil, Models: e.models()}, nil
+}
+
+// Order implements laburnumlever.ModelEngines.
+func (c engineCalls) Order(_ context.Context, to laburnumlever.Heartbeat, o laburnumlever.EngineOrder) (laburnumlever.EngineVerdict, error) {
+	e := c.sim.byID[to.Backend]
+	if !e.up {
+		return 0, &laburnumlever.NotSentError{Cause: &DownError{Backend: to.Backend}}
+	}
+	c.sim.outcome.orders++
+	return e.carryOut(o), nil
+}
+
+// carryOut takes an order by the platform's rules.
+func (e *engine) carryOut(o laburnumlever.EngineOrder) laburnumlever.EngineVerdict {
+	switch {
+	case o.Fence < e.fence:
+		return laburnumlever.VerdictStaleFence
+	case o.Expect != e.accepted || e.order != nil:
+		return laburnumlever.VerdictConflict
+	}
+	e.fence = o.Fence
+	m := e.sim.modelIndex[o.Model]
+	if o.Adapter != "" {
+		return e.carryOutAdapter(o, m)
+	}
+	if _, holds := e.held[m]; holds == (o.Kind == laburnumlever.Load) {
+		return laburnumlever.VerdictHeld
+	}
+	e.accepted++
+	e.order = &work{kind: o.Kind, model: m, start: int(e.born)}
+	if o.Kind == laburnumlever.Load {
+		e.load(m)
+	} else {
+		e.refuseWaiting(m)
+		e.finishUnload()
+	}
+	return laburnumlever.VerdictAccepted
+}
+
+// load brings a model in, from wherever its weights are nearest.
+func (e *engine) load(m int) {
+	sim, kind := e.sim, e.sim.models[m].kind
+	e.held[m] = map[laburnumlever.AdapterName]bool{}
+	if e.used() > sim.scenario.Engines.WeightsMB {
+		sim.outcome.overcommitted++
+	}
+	span := time.Duration(kind.StoreLoad)
+	fromStore := false
+	switch {
+	case slices.Contains(e.host, m):
+		span = time.Duration(kind.MemoryLoad)
+	case slices.Contains(e.disk, m):
+		span = time.Duration(kind.DiskLoad)
+	default:
+		fromStore = true
+		sim.storeLoads++
+		sim.outcome.storeLoads++
+		if most := sim.scenario.Store.FullSpeed; most > 0 && sim.storeLoads > most {
+			span = span * time.Duration(sim.storeLoads) / time.Duration(most)
+		}
+	}
+	sim.outcome.loads++
+	order := e.order
+	sim.after(span, func() {
+		if fromStore {
+			sim.storeLoads--
+		}
+		if e.order != order || !e.up {
+			return
+		}
+		e.order = nil
+		e.keepWeights(m)
+		e.beat()
+	})
+}
+
+// keepWeights keeps a loaded model's weights in host memory and on disk, in the place of those
+// not used for longest.
+func (e *engine) keepWeights(m int) {
+	e.host = e.kept(e.host, m, e.sim.scenario.Engines.HostMB)
+	e.disk = e.kept(e.disk, m, e.sim.scenario.Engines.DiskMB)
+}
+
+func (e *engine) kept(tier []int, m int, most float64) []int {
+	tier = slices.DeleteFunc(tier, func(o int) bool { return o == m })
+	tier = slices.Insert(tier, 0, m)
+	total := 0.0
+	for i, o := range tier {
+		if total += e.sim.models[o].kind.WeightsMB; total > most {
+			return tier[:i]
+		}
+	}
+	return tier
+}
+
+// refuseWaiting refuses the requests for a model that have not started.
+func (e *engine) refuseWaiting(m int) {
+	e.batch.waiting = slices.DeleteFunc(e.batch.waiting, func(r *run) bool {
+		if r.attempt.request.model != m || r.begun {
+			return false
+		}
+		r.gone = true
+		e.sim.after(e.sim.link(e.zone, r.attempt.gateway.zone), func() { r.attempt.refused(r, full) })
+		return true
+	})
+}
+
+// finishUnload ends an unload once no request uses the model.
+func (e *engine) finishUnload() {
+	if e.order == nil || e.order.kind != laburnumlever.Unload {
+		return
+	}
+	m := e.order.model
+	uses := func(r *run) bool { return r.attempt.request.model == m }
+	if slices.ContainsFunc(e.batch.running, uses) || slices.ContainsFunc(e.batch.reading, uses) || slices.ContainsFunc(e.batch.waiting, uses) {
+		return
+	}
+	delete(e.held, m)
+	e.order = nil
+	for key := range e.cached {
+		if key.model == m {
+			delete(e.cached, key)
+		}
+	}
+	e.beat()
+}
+
+func (e *engine) carryOutAdapter(o laburnumlever.EngineOrder, m int) laburnumlever.EngineVerdict {
+	adapters, holds := e.held[m]
+	if _, there := adapters[o.Adapter]; !holds || there == (o.Kind == laburnumlever.Load) {
+		return laburnumlever.VerdictHeld
+	}
+	e.accepted++
+	if o.Kind == laburnumlever.Unload {
+		delete(adapters, o.Adapter)
+		return laburnumlever.VerdictHeld
+	}
+	adapters[o.Adapter] = false
+	if e.adapters() > e.sim.scenario.Engines.AdapterSlots {
+		e.sim.outcome.overcommitted++
+	}
+	born := e.born
+	e.sim.after(time.Duration(e.sim.models[m].kind.AdapterLoad), func() {
+		if _, still := e.held[m][o.Adapter]; still && e.born == born && e.up {
+			e.held[m][o.Adapter] = true
+		}
+	})
+	return laburnumlever.VerdictAccepted
+}
+
+// reserve keeps a slot for a request that follows, and returns its number; 0 where none is
+// free.
+func (e *engine) reserve(q *request) int {
+	if e.batch.size()+len(e.reservations) >= e.sim.scenario.Engines.Slots ||
+		e.batch.tokens()+q.promptTokens > e.sim.scenario.Engines.CacheTokens {
+		return 0
+	}
+	e.sim.reservations++
+	id := e.sim.reservations
+	e.reservations[id] = true
+	e.sim.after(reservedFor, func() {
+		if e.reservations[id] {
+			delete(e.reservations, id)
+			e.admit()
+		}
+	})
+	return id
+}
--- /dev/null
+++ b/laburnumsimulation/outcome.go
@@ -0,0 +1,156 @@
+package laburnumsimulation
+
+import (
+	"slices"
+	"time"
+)
+
+// windowTime is the length of the windows of which the worst two count.
+const (
+	windowTime   = 2 * time.Second
+	worstWindows = 2
+	// freeRefusal of its target is how long a request may be held before it is refused at no
+	// cost; a refusal at lateRefusal of the caller's time costs the whole worth.
+	freeRefusal = 0.125
+	lateRefusal = 0.75
+)
+
+// share is the worth earned of that owed.
+type share struct{ Earned, Owed float64 }
+
+func (s share) value() float64 {
+	if s.Owed == 0 {
+		return 1
+	}
+	return s.Earned / s.Owed
+}
+
+// Outcome is what became of a day's requests.
+type Outcome struct {
+	// Value is what counts, by the scenario's weights.
+	Value float64 `json:"value"`
+	// Day, WorstWindows, WorstClass and WorstZone are shares of the worth.
+	Day          float64 `json:"day"`
+	WorstWindows float64 `json:"worst-windows"`
+	WorstClass   float64 `json:"worst-class"`
+	WorstZone    float64 `json:"worst-zone"`
+	// Asked counts requests, OnTime, Late, Refused and Failed how they ended.
+	Asked   int `json:"asked"`
+	OnTime  int `json:"on-time"`
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	// LateFirst and LatePause are the late ones by what was late.
+	LateFirst int `json:"late-first"`
+	LatePause int `json:"late-pause"`
+	// Reasons count those refused or failed.
+	Reasons map[string]int `json:"reasons"`
+	// Retries are callers that came back, Preempted answers that were interrupted.
+	Retries    int `json:"retries"`
+	Preempted  int `json:"preempted"`
+	Orders     int `json:"orders"`
+	Loads      int `json:"loads"`
+	StoreLoads int `json:"store-loads"`
+	// Overcommitted counts orders for more than an engine holds, which must not be.
+	Overcommitted int `json:"overcommitted"`
+	// LateRefusals is the worth lost to refusals that came late, as a share of all.
+	LateRefusals float64 `json:"late-refusals"`
+	// Windows are the shares by the time at which requests came.
+	Windows []float64 `json:"windows"`
+}
+
+// tally adds up what became of requests.
+type tally struct {
+	scenario Scenario
+	total    share
+	windows  []share
+	classes  map[string]share
+	zones    []share
+	held     float64
+	Outcome
+	orders, loads, storeLoads, preempted, retries, overcommitted int
+}
+
+func newTally(s Scenario) *tally {
+	return &tally{
+		scenario: s, windows: make([]share, int(time.Duration(s.Length)/windowTime)+1), classes: map[string]share{},
+		zones: make([]share, len(s.Zones)), Outcome: Outcome{Reasons: map[string]int{}},
+	}
+}
+
+func (t *tally) add(q *request, earned float64) {
+	owed := q.worth()
+	t.Asked++
+	plus := func(s share) share { return share{Earned: s.Earned + earned, Owed: s.Owed + owed} }
+	t.total = plus(t.total)
+	w := int(q.first.Sub(q.sim.began) / windowTime)
+	t.windows[w] = plus(t.windows[w])
+	t.classes[q.class.Name] = plus(t.classes[q.class.Name])
+	t.zones[q.zone] = plus(t.zones[q.zone])
+}
+
+// serve notes a whole answer.
+func (t *tally) serve(q *request, a *attempt) {
+	first, pause := a.firstAt.Sub(q.first), a.pause
+	switch {
+	case first > time.Duration(q.class.Target):
+		t.Late++
+		t.LateFirst++
+	case pause > time.Duration(q.class.PauseTarget):
+		t.Late++
+		t.LatePause++
+	default:
+		t.OnTime++
+		t.add(q, q.worth())
+		return
+	}
+	t.add(q, q.worth()*q.class.LateWorth/q.class.Worth)
+}
+
+// lose notes a request without an answer.
+func (t *tally) lose(q *request, a *attempt, why string, refused bool) {
+	t.Reasons[why]++
+	t.add(q, 0)
+	if !refused {
+		t.Failed++
+		return
+	}
+	t.Refused++
+	held := a.sim().now().Sub(a.arrived)
+	free := time.Duration(freeRefusal * float64(q.class.Target))
+	most := time.Duration(lateRefusal * float64(q.class.Timeout))
+	if held > free {
+		t.held += q.worth() * min(1, float64(held-free)/float64(most-free))
+	}
+}
+
+// result is the day's outcome.
+func (t *tally) result(sim *simulation) Outcome {
+	o := t.Outcome
+	o.Orders, o.Loads, o.StoreLoads, o.Preempted, o.Retries, o.Overcommitted = t.orders, t.loads, t.storeLoads, t.preempted, t.retries, t.overcommitted
+	o.Day = t.total.value()
+	for _, w := range t.windows {
+		if w.Owed > 0 {
+			o.Windows = append(o.Windows, w.value())
+		}
+	}
+	sorted := slices.Sorted(slices.Values(o.Windows))
+	n := min(worstWindows, len(sorted))
+	for _, w := range sorted[:n] {
+		o.WorstWindows += w / float64(n)
+	}
+	o.WorstClass, o.WorstZone = 1, 1
+	for _, c := range t.classes {
+		o.WorstClass = min(o.WorstClass, c.value())
+	}
+	for _, z := range t.zones {
+		o.WorstZone = min(o.WorstZone, z.value())
+	}
+	if t.total.Owed > 0 {
+		o.LateRefusals = t.held / t.total.Owed
+	}
+	v := t.scenario.Value
+	o.Value = v.Day*o.Day + v.WorstWindows*o.WorstWindows + v.WorstClass*o.WorstClass + v.WorstZone*o.WorstZone -
+		v.LateRefusal*o.LateRefusals - v.Load*float64(o.Loads)/max(1, float64(o.Asked))*1000
+	return o
+}
--- /dev/null
+++ b/laburnumsimulation/simulation.go
@@ -0,0 +1,314 @@
+package laburnumsimulation
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// leadTime is how long the fleet runs before callers come, endTime how long after they
+	// stop, so that their answers end.
+	leadTime = 8 * time.Second
+	endTime  = 4 * time.Second
+	// drainTime is how long an engine that leaves goes on serving.
+	drainTime = 3 * time.Second
+)
+
+// simulation is one day.
+type simulation struct {
+	scenario   Scenario
+	policy     Policy
+	timers     *clock
+	began      time.Time // when callers begin
+	random     *rand.Rand
+	models     []model
+	modelIndex map[laburnumlever.ModelName]int
+	engines    []*engine
+	byID       map[laburnumlever.BackendID]*engine
+	gateways   []*gateway
+	byZone     [][]*gateway
+	control    *control
+	callers    *callers
+	outcome    *tally
+	storeLoads int // under way
+	// reservations counts those ever made.
+	reservations int
+	totalShare   float64
+	weights      map[weightKey][]float64
+}
+
+type weightKey struct {
+	active int
+	skew   float64
+}
+
+type model struct {
+	name laburnumlever.ModelName
+	kind ModelKind
+}
+
+func (m model) pace() float64 {
+	if m.kind.Pace == 0 {
+		return 1
+	}
+	return m.kind.Pace
+}
+
+// Run plays a day. The same scenario, policy and seed give the same outcome.
+func Run(s Scenario, p Policy, seed uint64) Outcome {
+	sim := newSimulation(s, p, seed)
+	sim.timers.advance(leadTime)
+	sim.began = sim.now()
+	sim.schedule()
+	sim.callers.start()
+	sim.timers.advance(time.Duration(s.Length) + sim.longest() + endTime)
+	return sim.outcome.result(sim)
+}
+
+func newSimulation(s Scenario, p Policy, seed uint64) *simulation {
+	sim := &simulation{
+		scenario: s, policy: p, timers: newClock(time.Unix(1_000_000, 0)), modelIndex: map[laburnumlever.ModelName]int{},
+		byID: map[laburnumlever.BackendID]*engine{}, random: rand.New(rand.NewPCG(seed, 1)), weights: map[weightKey][]float64{}, //nolint:gosec // repeatable
+	}
+	sim.outcome = newTally(s)
+	for i := range s.Models.Count {
+		m := model{name: laburnumlever.ModelName(fmt.Sprintf("m%03d", i)), kind: s.Models.Kinds[i%len(s.Models.Kinds)]}
+		sim.models = append(sim.models, m)
+		sim.modelIndex[m.name] = i
+	}
+	for i := range s.Engines.Count {
+		e := newEngine(sim, i)
+		sim.engines = append(sim.engines, e)
+		sim.byID[e.id] = e
+	}
+	sim.callers = newCallers(sim, seed)
+	sim.addGateways(seed)
+	sim.placeModels()
+	sim.control = newControl(sim)
+	for _, e := range sim.engines {
+		sim.announce(e)
+	}
+	return sim
+}
+
+func (sim *simulation) addGateways(seed uint64) {
+	total := 0
+	for _, z := range sim.scenario.Zones {
+		total += z.Gateways
+		sim.totalShare += z.Share
+	}
+	n := uint64(0)
+	for _, z := range sim.scenario.Zones {
+		var zone []*gateway
+		for range z.Gateways {
+			n++
+			g := newGateway(sim, laburnumlever.VMID(fmt.Sprintf("g%d", n)), z.Name, seed*1_000_003+n)
+			zone = append(zone, g)
+			sim.gateways = append(sim.gateways, g)
+			sim.after(time.Duration(sim.random.Int64N(int64(newsPeriod))), func() {
+				sim.timers.Every(newsPeriod, func(time.Time) { g.tell() })
+			})
+		}
+		sim.byZone = append(sim.byZone, zone)
+	}
+}
+
+// announce has an engine send heartbeats.
+func (sim *simulation) announce(e *engine) {
+	period := time.Duration(sim.scenario.Engines.Heartbeat)
+	sim.after(time.Duration(sim.random.Int64N(int64(period))), func() {
+		e.beat()
+		sim.timers.Every(period, func(time.Time) { e.beat() })
+	})
+}
+
+// placeModels gives each model an engine, and the rest of the room to those asked for most.
+func (sim *simulation) placeModels() {
+	asked := make([]float64, len(sim.models))
+	for i, c := range sim.scenario.Classes {
+		list := sim.callers.order[i]
+		active := c.Active
+		if active <= 0 || active > len(list) {
+			active = len(list)
+		}
+		cumulated := sim.cumulated(active, c.Skew)
+		before := 0.0
+		for rank := range active {
+			asked[list[rank]] += c.PerSecond * c.Answer.Mean * (cumulated[rank] - before) / cumulated[active-1]
+			before = cumulated[rank]
+		}
+	}
+	copies := make([]int, len(sim.models))
+	byDemand := make([]int, len(sim.models))
+	for m := range byDemand {
+		byDemand[m] = m
+	}
+	slices.SortStableFunc(byDemand, func(a, b int) int { return cmp.Compare(asked[b], asked[a]) })
+	for _, m := range byDemand {
+		if sim.placeCopy(m) {
+			copies[m]++
+		}
+	}
+	for {
+		best := -1
+		for _, m := range byDemand {
+			if copies[m] > 0 && (best < 0 || asked[m]/float64(copies[m]) > asked[best]/float64(copies[best])) {
+				best = m
+			}
+		}
+		if best < 0 || asked[best] == 0 || !sim.placeCopy(best) {
+			return
+		}
+		copies[best]++
+	}
+}
+
+// placeCopy puts a model where most memory is free; false if there is none with room.
+func (sim *simulation) placeCopy(m int) bool {
+	var best *engine
+	for _, e := range sim.engines {
+		if _, holds := e.held[m]; holds || e.used()+sim.models[m].kind.WeightsMB > sim.scenario.Engines.WeightsMB {
+			continue
+		}
+		if best == nil || e.used() < best.used() {
+			best = e
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.held[m] = map[laburnumlever.AdapterName]bool{}
+	best.keepWeights(m)
+	return true
+}
+
+// schedule has the day's events happen.
+func (sim *simulation) schedule() {
+	for _, ev := range sim.scenario.Events {
+		at, span := time.Duration(ev.At), time.Duration(ev.For)
+		switch ev.Kind {
+		case EventShift:
+			sim.callers.shifts = append(sim.callers.shifts, shift{at: at, length: span, places: ev.Places})
+		case EventBurst:
+			sim.callers.bursts = append(sim.callers.bursts, burst{from: at, until: at + span, class: ev.Class, factor: ev.Factor})
+		default:
+			sim.after(at, func() { sim.happen(ev, span) })
+		}
+	}
+}
+
+func (sim *simulation) happen(ev Event, span time.Duration) {
+	if ev.Kind == EventNoOrders {
+		sim.control.cut = true
+		sim.after(span, func() { sim.control.cut = false })
+		return
+	}
+	for _, e := range sim.some(ev.Share) {
+		switch ev.Kind {
+		case EventCrash, EventDark:
+			e.crash(ev.Kind == EventDark)
+			sim.after(span, e.restart)
+		case EventGone:
+			e.crash(false)
+		case EventDrain:
+			e.leaving = true
+			e.beat()
+			sim.after(drainTime, func() { sim.leave(e) })
+		case EventSlow:
+			e.slow = ev.Factor
+			sim.after(span, func() { e.slow = 1 })
+		default:
+		}
+	}
+}
+
+// leave ends an engine that drains, once its answers are written.
+func (sim *simulation) leave(e *engine) {
+	if e.batch.size() > 0 {
+		sim.after(drainTime, func() { sim.leave(e) })
+		return
+	}
+	e.up = false
+	sim.control.remove(e.id)
+}
+
+// some draws a share of the engines that are up.
+func (sim *simulation) some(share float64) []*engine {
+	var up []*engine
+	for _, e := range sim.engines {
+		if e.up && !e.leaving {
+			up = append(up, e)
+		}
+	}
+	sim.random.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
+	return up[:int(math.Round(share*float64(len(up))))]
+}
+
+// longest is the longest time that a caller waits for an answer.
+func (sim *simulation) longest() time.Duration {
+	var longest time.Duration
+	for _, c := range sim.scenario.Classes {
+		longest = max(longest, time.Duration(c.Timeout))
+	}
+	return longest
+}
+
+// class is the engines' class as operators describe it.
+func (sim *simulation) class() *laburnumlever.EngineClass {
+	cfg := sim.scenario.Engines
+	class := &laburnumlever.EngineClass{
+		Slots: cfg.Slots, CacheTokens: cfg.CacheTokens, WeightsMB: cfg.WeightsMB, AdapterSlots: cfg.AdapterSlots,
+		LoadsPerSecond: sim.scenario.Store.LoadsPerSecond, ReserveLimit: laburnumlever.Duration(time.Second),
+	}
+	for _, m := range sim.models {
+		class.Models = append(class.Models, laburnumlever.ResidentClass{
+			Name: m.name, WeightsMB: m.kind.WeightsMB, StoreLoad: m.kind.StoreLoad, DiskLoad: m.kind.DiskLoad, MemoryLoad: m.kind.MemoryLoad,
+			Adapters: m.kind.Adapters, AdapterMB: m.kind.AdapterMB,
+		})
+	}
+	return class
+}
+
+// cumulated are the weights of the ranks of models, added up.
+func (sim *simulation) cumulated(active int, skew float64) []float64 {
+	key := weightKey{active: active, skew: skew}
+	if list, ok := sim.weights[key]; ok {
+		return list
+	}
+	list := make([]float64, active)
+	total := 0.0
+	for i := range list {
+		total += math.Pow(float64(i+1), -skew)
+		list[i] = total
+	}
+	sim.weights[key] = list
+	return list
+}
+
+func (sim *simulation) now() time.Time { return sim.timers.Now() }
+
+// elapsed is the time since callers began.
+func (sim *simulation) elapsed() time.Duration { return sim.now().Sub(sim.began) }
+
+func (sim *simulation) after(d time.Duration, fn func()) {
+	sim.timers.After(d, func(time.Time) { fn() })
+}
+
+// link is the delay one way between two zones; an empty one is that of the control VMs, which
+// are everywhere.
+func (sim *simulation) link(a, b laburnumlever.ZoneName) time.Duration {
+	if a == b {
+		return time.Duration(sim.scenario.Links.Near)
+	}
+	return time.Duration(sim.scenario.Links.Far)
+}
+
+func (sim *simulation) callerLink() time.Duration { return time.Duration(sim.scenario.Links.Callers) }
+
+func compareNames(a, b laburnumlever.ModelName) int { return cmp.Compare(a, b) }
