feat: demand is counted when a request arrives; a table compares policies

Cause: gateways counted a model's demand when a request ended or was refused, so that a shift of demand was told a request's length late, and work that hung was told not at all. The counter takes a request when it comes, with the time that requests of its kind take, and corrects it at its end.

--- a/laburnumdemand/counter.go
+++ b/laburnumdemand/counter.go
@@ -12,7 +12,7 @@
 // second is the least in which their number means something.
 const demandPeriod = time.Second
 
-// refusedWeight is what a refused request counts for: its caller comes back at least
+// refusedWeight is what a refused request counts for in the end: its caller comes back at least
 // once, under another id, and would be counted twice. A model that nobody serves seemed
 // to be asked for twice as much as it was, and took engines that others needed.
 const refusedWeight = 0.5
@@ -52,8 +52,19 @@
 	return &Counter{vm: vm, rows: map[laburnumlever.ModelName]*row{}}
 }
 
-// Add counts a request that has ended.
-func (c *Counter) Add(r Request, served bool) {
+// Asked counts a request that has come. Counted at its end, a model that callers turn to would be
+// seen by the time that an answer takes later.
+func (c *Counter) Asked(r Request) { c.add(r, 1) }
+
+// Refused counts that a request was refused.
+func (c *Counter) Refused(r Request) {
+	c.add(r, refusedWeight-1)
+	if counted := c.rows[r.Model]; counted != nil {
+		counted.refused++
+	}
+}
+
+func (c *Counter) add(r Request, weight float64) {
 	if r.Model == "" {
 		return
 	}
@@ -62,11 +73,6 @@
 		counted = &row{}
 		c.rows[r.Model] = counted
 	}
-	weight := 1.0
-	if !served {
-		weight = refusedWeight
-		counted.refused++
-	}
 	counted.requests += weight
 	counted.prompt += weight * float64(r.PromptTokens)
 	counted.answer += weight * float64(r.AnswerTokens)
@@ -86,8 +92,8 @@
 	rows := make([]laburnumlever.ModelDemand, 0, len(c.rows))
 	for model, r := range c.rows {
 		rows = append(rows, laburnumlever.ModelDemand{
-			Model: model, VM: c.vm, Sequence: c.sequence, RequestsPerSecond: r.requests / span,
-			PromptTokens: r.prompt / span, AnswerTokens: r.answer / span, Refused: r.refused / span,
+			Model: model, VM: c.vm, Sequence: c.sequence, RequestsPerSecond: max(0, r.requests/span),
+			PromptTokens: max(0, r.prompt/span), AnswerTokens: max(0, r.answer/span), Refused: r.refused / span,
 			ReadTime: laburnumlever.Duration(paces.Of(model)),
 		})
 	}
--- /dev/null
+++ b/laburnumdemand/counter_test.go
@@ -0,0 +1,36 @@
+package laburnumdemand_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumdemand"
+)
+
+// Guards against demand that is seen only when answers end, seconds after callers have turned to
+// another model.
+func TestDemandIsCountedWhenRequestsCome(t *testing.T) {
+	counter := laburnumdemand.NewCounter("gateway")
+	start := time.Unix(1_000_000, 0)
+	require.Empty(t, counter.Take(start, nil))
+	r := laburnumdemand.Request{Model: "m1", PromptTokens: 700, AnswerTokens: 200}
+	for range 4 {
+		counter.Asked(r)
+	}
+	rows := counter.Take(start.Add(time.Second), nil)
+	require.Len(t, rows, 1)
+	require.InDelta(t, 4, rows[0].RequestsPerSecond, 1e-9)
+	require.InDelta(t, 2800, rows[0].PromptTokens, 1e-9)
+
+	counter.Asked(r)
+	counter.Refused(r)
+	rows = counter.Take(start.Add(2*time.Second), nil)
+	require.InDelta(t, 0.5, rows[0].RequestsPerSecond, 1e-9, "its caller comes back and is counted again")
+	require.InDelta(t, 1, rows[0].Refused, 1e-9)
+
+	counter.Refused(r)
+	rows = counter.Take(start.Add(3*time.Second), nil)
+	require.Zero(t, rows[0].RequestsPerSecond, "refused in the second after it came")
+}
--- a/laburnumdemand/doc.go
+++ b/laburnumdemand/doc.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	counter, paces, uses := laburnumdemand.NewCounter(vm), laburnumdemand.Paces{}, laburnumdemand.AdapterUses{}
-//	counter.Add(laburnumdemand.Request{Model: "m1", PromptTokens: 700, AnswerTokens: 280}, true)
+//	counter.Asked(laburnumdemand.Request{Model: "m1", PromptTokens: 700, AnswerTokens: 280})
 //	news := laburnumlever.GatewayNews{Demand: counter.Take(now, paces), Adapters: uses.Take(now)}
 //
 // The owner of each serialises its calls.
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -218,10 +218,18 @@
 	f.serveWaiting()
 }
 
-func (f *Fleet) asked(q *request, served bool) {
+// asked counts a request that has come.
+func (f *Fleet) asked(q *request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.demand.Add(laburnumdemand.RequestOf(q.caller), served)
+	f.demand.Asked(laburnumdemand.RequestOf(q.caller))
+}
+
+// refused counts that it was not answered.
+func (f *Fleet) refused(q *request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demand.Refused(laburnumdemand.RequestOf(q.caller))
 }
 
 // useless are the engines that hold a request's model and can't take it now.
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -114,10 +114,11 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	g.countRequest(q)
+	g.fleet.asked(q)
 	out := &answer{w: w}
 	err = g.run(ctx, q, out)
-	g.fleet.asked(q, err == nil)
 	if err != nil {
+		g.fleet.refused(q)
 		g.conclude(ctx, q, out, err)
 		return
 	}
--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -326,14 +326,14 @@
 	a.over = true
 	a.pause = max(a.pause, r.pause)
 	a.release(laburnumbalance.Sample{})
-	a.gateway.count(a.request, true)
+	a.gateway.ended(a.request, true)
 	a.request.served(a)
 }
 
 // turnAway refuses a request that has not run.
 func (a *attempt) turnAway(least time.Duration, why string) {
 	a.over = true
-	a.gateway.count(a.request, false)
+	a.gateway.ended(a.request, false)
 	after := a.times().RetryAfter(least, a.gateway.random.Float64(), a.sim().now())
 	a.request.turnedAway(a, after, why)
 }
@@ -341,7 +341,7 @@
 // fail ends a request that may have run.
 func (a *attempt) fail(why string) {
 	a.over = true
-	a.gateway.count(a.request, false)
+	a.gateway.ended(a.request, false)
 	a.request.failed(a, why)
 }
 
@@ -358,6 +358,6 @@
 		}
 		a.release(laburnumbalance.Sample{Failed: e.hangs})
 	}
-	a.gateway.count(a.request, false)
+	a.gateway.ended(a.request, false)
 	a.request.failed(a, "left")
 }
--- a/laburnumsimulation/callers.go
+++ b/laburnumsimulation/callers.go
@@ -52,6 +52,7 @@
 	g := gateways[q.sim.callers.random.IntN(len(gateways))]
 	q.sim.after(q.sim.callerLink(), func() {
 		a := &attempt{request: q, gateway: g, arrived: q.sim.now()}
+		g.asked(q)
 		a.place()
 		q.sim.after(a.times().Patience(), func() {
 			if !a.started {
--- /dev/null
+++ b/laburnumsimulation/compare.go
@@ -0,0 +1,154 @@
+package laburnumsimulation
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// confidence is that of the intervals: they hold the true mean in as many of all comparisons.
+const confidence = 0.95
+
+// Row is one policy over all days of a comparison.
+type Row struct {
+	Policy  string `json:"policy"`
+	Summary string `json:"summary"`
+	// Value is the mean of the days' values, Interval half the width of its confidence
+	// interval.
+	Value    float64 `json:"value"`
+	Interval float64 `json:"interval"`
+	// Gain is the mean difference from the first policy on the same days, GainInterval half the
+	// width of its interval.
+	Gain         float64 `json:"gain"`
+	GainInterval float64 `json:"gain-interval"`
+	// Mean holds the means of the parts of the outcomes.
+	Mean Means `json:"mean"`
+	// Days are the outcomes by seed.
+	Days []Outcome `json:"days"`
+}
+
+// Means are the means over days.
+type Means struct {
+	Day          float64 `json:"day"`
+	WorstWindows float64 `json:"worst-windows"`
+	WorstClass   float64 `json:"worst-class"`
+	OnTime       float64 `json:"on-time"`
+	Late         float64 `json:"late"`
+	Refused      float64 `json:"refused"`
+	Failed       float64 `json:"failed"`
+	Loads        float64 `json:"loads"`
+}
+
+// Table is a comparison of policies on one scenario.
+type Table struct {
+	Scenario string `json:"scenario"`
+	Seeds    int    `json:"seeds"`
+	Rows     []Row  `json:"rows"`
+}
+
+// Progress is told after each day how many of all are played.
+type Progress func(done, all int)
+
+// Compare plays each policy on the same days, as many days at once as there are workers. It ends
+// early with ctx's error.
+func Compare(ctx context.Context, s Scenario, policies []Policy, seeds, workers int, progress Progress) (Table, error) {
+	days := make([][]Outcome, len(policies))
+	for i := range days {
+		days[i] = make([]Outcome, seeds)
+	}
+	type job struct{ policy, seed int }
+	jobs := make(chan job)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	for range max(1, workers) {
+		wg.Go(func() {
+			for j := range jobs {
+				days[j.policy][j.seed] = Run(s, policies[j.policy], uint64(j.seed)+1)
+				mu.Lock()
+				done++
+				progress(done, len(policies)*seeds)
+				mu.Unlock()
+			}
+		})
+	}
+	err := func() error {
+		defer close(jobs)
+		for seed := range seeds {
+			for policy := range policies {
+				select {
+				case jobs <- job{policy: policy, seed: seed}:
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+		}
+		return nil
+	}()
+	wg.Wait()
+	if err != nil {
+		return Table{}, err
+	}
+	t := Table{Scenario: s.Name, Seeds: seeds}
+	for i, p := range policies {
+		t.Rows = append(t.Rows, newRow(p, days[i], days[0]))
+	}
+	return t, nil
+}
+
+func newRow(p Policy, days, first []Outcome) Row {
+	r := Row{Policy: p.Name, Summary: p.Summary, Days: days}
+	values, gains := make([]float64, len(days)), make([]float64, len(days))
+	n := float64(len(days))
+	for i, o := range days {
+		values[i], gains[i] = o.Value, o.Value-first[i].Value
+		asked := max(1, float64(o.Asked))
+		r.Mean.Day += o.Day / n
+		r.Mean.WorstWindows += o.WorstWindows / n
+		r.Mean.WorstClass += o.WorstClass / n
+		r.Mean.OnTime += float64(o.OnTime) / asked / n
+		r.Mean.Late += float64(o.Late) / asked / n
+		r.Mean.Refused += float64(o.Refused) / asked / n
+		r.Mean.Failed += float64(o.Failed) / asked / n
+		r.Mean.Loads += float64(o.Loads) / n
+	}
+	r.Value, r.Interval = interval(values)
+	r.Gain, r.GainInterval = interval(gains)
+	return r
+}
+
+// interval is a mean with half the width of its confidence interval; that of a single value is
+// not known and 0.
+func interval(values []float64) (mean, half float64) {
+	mean, deviation := stat.MeanStdDev(values, nil)
+	n := float64(len(values))
+	if n < 2 || deviation == 0 {
+		return mean, 0
+	}
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}
+	return mean, t.Quantile(1-(1-confidence)/2) * deviation / math.Sqrt(n)
+}
+
+// WriteText writes the table for people.
+func (t Table) WriteText(w io.Writer) error {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s, %d days for each policy; +- are %.0f%% intervals\n\n", t.Scenario, t.Seeds, confidence*100)
+	tab := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tab, "policy\tvalue\tgain\ton time\tlate\trefused\tfailed\tday\tworst windows\tworst class\tloads")
+	for _, r := range t.Rows {
+		fmt.Fprintf(tab, "%s\t%.3f +- %.3f\t%+.3f +- %.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\n", r.Policy, r.Value, r.Interval,
+			r.Gain, r.GainInterval, r.Mean.OnTime, r.Mean.Late, r.Mean.Refused, r.Mean.Failed, r.Mean.Day, r.Mean.WorstWindows, r.Mean.WorstClass, r.Mean.Loads)
+	}
+	if err := tab.Flush(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w, text.String())
+	return err
+}
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -86,9 +86,23 @@
 	})
 }
 
-// count notes what a request asked for, once that is known.
-func (g *gateway) count(q *request, served bool) {
-	g.counter.Add(laburnumdemand.Request{
-		Model: g.sim.models[q.model].name, PromptTokens: q.promptTokens, AnswerTokens: q.answerHint,
-	}, served)
+// demand is what a request asks for.
+func (g *gateway) demand(q *request) laburnumdemand.Request {
+	return laburnumdemand.Request{Model: g.sim.models[q.model].name, PromptTokens: q.promptTokens, AnswerTokens: q.answerHint}
+}
+
+// asked and ended count a request when it comes, or at its end by a policy that does so.
+func (g *gateway) asked(q *request) {
+	if !g.sim.policy.countsEnds {
+		g.counter.Asked(g.demand(q))
+	}
+}
+
+func (g *gateway) ended(q *request, served bool) {
+	if g.sim.policy.countsEnds {
+		g.counter.Asked(g.demand(q))
+	}
+	if !served {
+		g.counter.Refused(g.demand(q))
+	}
 }
--- a/laburnumsimulation/policy.go
+++ b/laburnumsimulation/policy.go
@@ -17,6 +17,8 @@
 	balance       []laburnumbalance.Option
 	terms         laburnumwaiting.Terms
 	inTurn        bool
+	// countsEnds counts demand when requests end.
+	countsEnds bool
 	director      func(sim *simulation) []laburnumdirector.Option
 }
 
@@ -61,6 +63,9 @@
 	for _, q := range []int{2, 4, 7, 15, 1000} {
 		policies = append(policies, today().named(fmt.Sprintf("quiet-%d", q), "trial").withDirector(laburnumdirector.WithQuietTime(time.Duration(q)*time.Second)))
 	}
+	ends := today().named("count-ends", "demand is counted when answers end")
+	ends.countsEnds = true
+	policies = append(policies, ends)
 	turn := today().named("in-turn", "the queue is served strictly in turn")
 	turn.inTurn = true
 	return append(policies, turn)
