feat: busy models displace hardly asked ones; gateways leave the order to engines

A change of copies may now leave such a model without a copy, at a cost by the requests that then wait for it.

--- a/dialect.go
+++ b/dialect.go
@@ -38,8 +38,6 @@
 	Wait time.Duration
 	// Backend is the only one that may run the request.
 	Backend BackendID
-	// Urgency is from 0, the most urgent, to 9.
-	Urgency int
 	// LastEvent makes a stream go on after this event; empty from the start.
 	LastEvent string
 	// Reservation is the place that was reserved for it; empty for none.
--- a/laburnumdirector/estimator.go
+++ b/laburnumdirector/estimator.go
@@ -29,12 +29,9 @@
 	// promptSeconds: models that fit the same engines differ by some ten times, and a
 	// wrong measure does no more harm than that.
 	minPace, maxPace = 0.08, 3.0
-	// riseTime and fallTime are how fast the estimate follows: up within a second, since
-	// callers wait, and down within two. A model that nobody asks for any more holds places
-	// that the next busy one needs, and is back from its engine's own memory or disk in
-	// about a second if it was given up too early. Ten seconds of the old demand cost more:
-	// with 6 s down and 1.5 s up, the mean worth of heavy days was 0.017 and 0.040 lower on
-	// two deployments of 18 and 9 engines.
+	// riseTime and fallTime are how fast the estimate follows. Slower, a model that nobody asks
+	// for any more holds slots that the next busy one needs; faster, copies are loaded and
+	// evicted for what is chance in a second's requests.
 	riseTime = time.Second
 	fallTime = 1500 * time.Millisecond
 	// quietTime is after how long without a request nobody asks for a model: a dozen times the
--- a/laburnumdirector/options.go
+++ b/laburnumdirector/options.go
@@ -26,6 +26,8 @@
 	compute func(work func())
 	// next plans a round.
 	next Planner
+	// rounds are options for each.
+	rounds []laburnumresidency.Option
 	// rise and fall are how fast the estimate of demand follows.
 	rise, fall time.Duration
 	// young is how long a copy stays at least.
@@ -67,6 +69,11 @@
 // WithPlanner sets what plans; without it laburnumresidency.Next does.
 func WithPlanner(next Planner) Option { return func(c *config) { c.next = next } }
 
+// WithPlannerOptions sets options for each round of planning.
+func WithPlannerOptions(opts ...laburnumresidency.Option) Option {
+	return func(c *config) { c.rounds = opts }
+}
+
 // WithDemandTimes sets how fast the estimate of demand follows, up and down.
 func WithDemandTimes(rise, fall time.Duration) Option {
 	return func(c *config) { c.rise, c.fall = rise, fall }
--- a/laburnumdirector/plan.go
+++ b/laburnumdirector/plan.go
@@ -1,6 +1,7 @@
 package laburnumdirector
 
 import (
+	"slices"
 	"time"
 
 	"laburnumlever"
@@ -53,8 +54,9 @@
 	work, requests := d.demand.loads(now, class.Slots)
 	adapters, quiet := d.adaptersUsed(r.known, now), d.demand.quietModels(class, now)
 	d.planning[name] = true
+	opts := append(slices.Clone(d.cfg.rounds), laburnumresidency.WithRequests(requests), laburnumresidency.WithQuiet(quiet))
 	d.cfg.compute(func() {
-		steps := d.cfg.next(class, r.engines, work, adapters, laburnumresidency.WithRequests(requests), laburnumresidency.WithQuiet(quiet))
+		steps := d.cfg.next(class, r.engines, work, adapters, opts...)
 		d.loop.Post(d, planned{round: r, steps: steps})
 	})
 }
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -73,7 +73,7 @@
 	resp, err := conn.Exchange(laburnumupstream.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Body: q.body,
 		Header: g.dialect.Forward(q.header, laburnumlever.Send{
-			Wait: q.left(now), Backend: ticket.Backend.Backend, Urgency: urgency(q), LastEvent: q.lastEvent, Reservation: q.reservation,
+			Wait: q.left(now), Backend: ticket.Backend.Backend, LastEvent: q.lastEvent, Reservation: q.reservation,
 		}),
 	})
 	if err != nil {
@@ -88,14 +88,6 @@
 	return g.pass(ctx, q, out, ticket, resp, sample), resp
 }
 
-func urgency(q *request) int {
-	if q.caller.Model == "" {
-		return -1
-	}
-	const least = 9
-	return min(least, q.route.Priority)
-}
-
 // inspect tells answers that are not to be passed on.
 func (g *Gateway) inspect(q *request, ticket *laburnumbalance.Ticket, resp *http.Response, marks laburnumlever.AnswerMarks, sample *laburnumbalance.Sample) *failure {
 	if marks.RequestID != q.caller.ID && (marks.RequestID != "" || !marks.NotRun) {
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -11,6 +11,7 @@
 // go by their indices.
 type planner struct {
 	class   *laburnumlever.EngineClass
+	policy  Policy
 	engines []*Engine
 	demand  Demand
 	// requests are those asked for a second, by model; asked holds them by index.
@@ -34,6 +35,8 @@
 	// relocating tells that a model with little work is on its way to another engine
 	// to make room where it is.
 	relocating bool
+	// displaced are the models whose last copy is evicted for a busy one.
+	displaced map[int]bool
 	// rescues are the missing models that engines bring back.
 	rescues map[int]int
 	steps   []urgentStep
@@ -104,7 +107,7 @@
 
 func newPlanner(class *laburnumlever.EngineClass, engines []Engine, demand Demand, adapters map[laburnumlever.ModelName]int, opts []Option) *planner {
 	p := &planner{
-		class: class, demand: demand, requests: demand, adapters: adapters, rescues: map[int]int{},
+		class: class, policy: DefaultPolicy(), demand: demand, requests: demand, adapters: adapters, rescues: map[int]int{}, displaced: map[int]bool{},
 		index: make(map[laburnumlever.ModelName]int, len(class.Models)), asked: make([]float64, len(class.Models)),
 		quiet: make([]bool, len(class.Models)),
 	}
@@ -188,11 +191,19 @@
 	}
 	p.least = append(p.least, p.target.models[e]...)
 	if len(p.least) > 1 {
-		slices.SortStableFunc(p.least, func(a, b int) int { return cmp.Compare(p.target.loss(a), p.target.loss(b)) })
+		slices.SortStableFunc(p.least, func(a, b int) int { return cmp.Compare(p.loss(a), p.loss(b)) })
 	}
 	return p.least
 }
 
+// loss is what is missed when a copy of a model goes.
+func (p *planner) loss(m int) float64 {
+	if p.quiet[m] {
+		return p.target.demand[m]
+	}
+	return p.target.loss(m)
+}
+
 // unloadSeconds is how long it takes until a model has left an engine.
 func (p *planner) unloadSeconds(v int) float64 {
 	return unloadTime + busyUnloadTime*min(1, p.target.share(v)/busyWork)
--- a/laburnumresidency/rebalance.go
+++ b/laburnumresidency/rebalance.go
@@ -15,9 +15,12 @@
 	// consideredEngines bounds the engines that a copy may come to, those with least
 	// work first: the others would not be chosen.
 	consideredEngines = 24
-	// minGain is by how much the congestion must fall, beyond the cost, for a change to
-	// be worth its disturbance: a fifth of what one engine at easyWork makes.
-	minGain = 0.05
+	// minGain is by how much the congestion must fall, beyond the cost, for a change that
+	// evicts copies that callers ask for: demand is told as it was in a second, and what that
+	// second had by chance makes gains below it. easyGain is the same for a change that evicts
+	// none.
+	minGain  = 0.4
+	easyGain = 0.05
 	// loadCost is what a load costs in itself, in congestion.
 	loadCost = 0.02
 	// relocateCost is what it costs in congestion to relocate a model: two engines take
@@ -26,6 +29,9 @@
 	// parkCost is what it costs in congestion that the last copy of a model leaves that nobody
 	// asks for: the next caller waits for a load.
 	parkCost = 0.02
+	// absentTime is how many seconds a model is taken to be away whose last copy is evicted for
+	// a busy one: its callers have nowhere else to go, and it waits for room.
+	absentTime = 80.0
 	// demandTime is how many seconds demand stays where it is, as a rule: what is
 	// done after that is done in vain.
 	demandTime = 12.0
@@ -60,18 +66,31 @@
 	for range maxChanges {
 		var best change
 		for _, m := range p.considered() {
-			if c, ok := p.bestCopy(m); ok && c.gain > best.gain {
+			if c, ok := p.bestCopy(m); ok && c.gain >= p.leastGain(c) && c.gain > best.gain {
 				best = c
 			}
 		}
-		if best.gain < minGain {
+		if best.gain == 0 {
 			return
 		}
+		for _, v := range best.evictions {
+			p.displaced[v.model] = p.displaced[v.model] || p.displaces(v)
+		}
 		p.target.apply(best)
 		p.relocating = p.relocating || best.relocates()
 	}
 }
 
+// leastGain is the gain from which a change is made.
+func (p *planner) leastGain(c change) float64 {
+	for _, v := range c.evictions {
+		if !p.quiet[v.model] {
+			return p.policy.minGain
+		}
+	}
+	return min(easyGain, p.policy.minGain)
+}
+
 // considered lists the models with most work, or most adapters without a slot, a copy.
 func (p *planner) considered() []int {
 	type weighted struct {
@@ -144,19 +163,25 @@
 	if c.relocates() {
 		c.gain -= relocateCost
 	}
-	c.gain -= parkCost * float64(p.parks(c))
+	c.gain -= p.displacementCost(c)
 	return c, true
 }
 
-// parks counts the models that a change leaves without a copy.
-func (p *planner) parks(c change) int {
-	n := 0
+// displaces tells whether an eviction leaves a model without a copy.
+func (p *planner) displaces(v eviction) bool {
+	return v.to == nowhere && p.target.copies(v.model) == 1
+}
+
+// displacementCost is what it costs that a change leaves models without a copy, until they are
+// back at another engine.
+func (p *planner) displacementCost(c change) float64 {
+	cost := 0.0
 	for _, v := range c.evictions {
-		if v.to == nowhere && p.target.copies(v.model) == 1 {
-			n++
+		if p.displaces(v) {
+			cost += parkCost + p.asked[v.model]*absentTime/congestedRequests
 		}
 	}
-	return n
+	return cost
 }
 
 // risk is what it costs that a model has one copy only: when its engine is lost, all who
@@ -177,7 +202,7 @@
 	}
 	// Two models with like work would push each other out in turns, as one or the
 	// other has a little more.
-	if coming := p.target.demand[m] / float64(p.target.copies(m)+1); p.target.share(v) > evictShare*coming {
+	if coming := p.target.demand[m] / float64(p.target.copies(m)+1); p.target.share(v) > p.policy.evictShare*coming {
 		return evicted, false
 	}
 	if p.target.copies(v) > 1 {
@@ -188,12 +213,11 @@
 	}
 	// One model is relocated at a time, and only while it has one copy: those on their
 	// way count as done, and others would be sent after them.
-	if p.copies[v] == 1 && !p.relocating {
-		if evicted.to = p.roomElsewhere(v, e, c); evicted.to != nowhere {
-			return evicted, true
-		}
+	if to := p.roomElsewhere(v, e, c); to != nowhere {
+		evicted.to = to
+		return evicted, p.copies[v] == 1 && !p.relocating
 	}
-	return evicted, false
+	return evicted, p.policy.displaces && p.target.share(m) > overloadWork && p.outweighs(m, v)
 }
 
 // roomElsewhere finds the engine with room for a model that has to leave another, that with
--- a/laburnumresidency/steps.go
+++ b/laburnumresidency/steps.go
@@ -73,7 +73,7 @@
 		rescued, rescues := p.rescues[e]
 		rescue := rescues && rescued == wanted && p.outweighs(wanted, m)
 		overload := p.target.copies(m) > 0 && p.target.share(wanted) > overloadWork && p.outweighs(wanted, m)
-		if p.ready[m] >= 2 || rescue || overload || p.quiet[m] {
+		if p.ready[m] >= 2 || rescue || overload || p.quiet[m] || p.displaced[m] {
 			p.steps = append(p.steps, urgentStep{urgency: p.urgency(wanted), Step: Step{
 				Engine: engine.ID, Kind: laburnumlever.Unload, Model: name, Reason: "makes room for a model: " + reason,
 			}})
--- a/laburnumsimulation/debug_test.go
+++ b/laburnumsimulation/debug_test.go
@@ -66,6 +66,18 @@
 				}
 			}
 			fmt.Printf("\n  spare copies of idle models %d\n", spare)
+			var works []string
+			for _, e := range engines {
+				w := 0.0
+				for _, h := range e.Held {
+					if e.Serves(h.Name) && e.Loading != h.Name {
+						w += demand[h.Name] / float64(copies[h.Name])
+					}
+				}
+				b := sim.byID[e.ID].batch.size()
+				works = append(works, fmt.Sprintf("%.1f/%d", w, b))
+			}
+			fmt.Println("   ", works)
 			kinds := map[string]int{}
 			for _, st := range steps {
 				kinds[st.Kind.String()+" "+st.Reason]++
--- a/laburnumsimulation/load.go
+++ b/laburnumsimulation/load.go
@@ -12,6 +12,7 @@
 	defaultNear      = 200 * time.Microsecond
 	defaultFar       = time.Millisecond
 	defaultCallers   = time.Millisecond
+	defaultChunk     = 2048
 	defaultHeartbeat = 1200 * time.Millisecond
 )
 
@@ -19,7 +20,7 @@
 func Load(path string) (Scenario, error) {
 	s := Scenario{
 		Links:   Links{Near: laburnumlever.Duration(defaultNear), Far: laburnumlever.Duration(defaultFar), Callers: laburnumlever.Duration(defaultCallers)},
-		Engines: Engines{EventTokens: 1, Speeds: []float64{1}, Heartbeat: laburnumlever.Duration(defaultHeartbeat)},
+		Engines: Engines{ChunkTokens: defaultChunk, EventTokens: 1, Speeds: []float64{1}, Heartbeat: laburnumlever.Duration(defaultHeartbeat)},
 		Value:   Value{Day: 1},
 	}
 	faults := laburnumsettings.ReadFile(path, &s)
@@ -44,6 +45,7 @@
 	need(len(s.Zones) > 0, "zones", "is empty", "one zone or more")
 	need(s.Engines.Count > 0, "engines.count", "is not positive", "a number of engines")
 	need(s.Engines.Slots > 0, "engines.slots", "is not positive", "a number of slots")
+	need(s.Engines.ChunkTokens > 0, "engines.chunk-tokens", "is not positive", "a number of tokens")
 	need(s.Engines.EventTokens > 0, "engines.event-tokens", "is not positive", "a number of tokens")
 	need(len(s.Engines.Speeds) > 0, "engines.speeds", "is empty", "one factor or more")
 	need(s.Models.Count > 0, "models.count", "is not positive", "a number of models")
--- /dev/null
+++ b/laburnumsimulation/proportional.go
@@ -0,0 +1,108 @@
+package laburnumsimulation
+
+import (
+	"cmp"
+	"slices"
+
+	"laburnumlever"
+	"laburnumlever/laburnumdirector"
+	"laburnumlever/laburnumresidency"
+)
+
+// proportional is a plain policy to compare with: each model has copies in proportion to its
+// work, at least one, wherever there is room.
+func proportional() Policy {
+	return today().named("proportional", "copies in proportion to demand, as many as there is room for").
+		withDirector(laburnumdirector.WithPlanner(planProportional))
+}
+
+// planProportional takes one step at each idle engine: it loads the model that lacks most copies,
+// or unloads the one that has most beyond its part.
+func planProportional(class *laburnumlever.EngineClass, engines []laburnumresidency.Engine, demand laburnumresidency.Demand, _ map[laburnumlever.ModelName]int, _ ...laburnumresidency.Option) []laburnumresidency.Step {
+	p := newProportions(class, engines, demand)
+	var steps []laburnumresidency.Step
+	for i := range engines {
+		e := &engines[i]
+		if !e.Idle {
+			continue
+		}
+		lacking, ok := p.lacking(e)
+		if !ok {
+			continue
+		}
+		if e.HasRoom(class, p.models[lacking]) {
+			steps = append(steps, laburnumresidency.Step{
+				Engine: e.ID, Kind: laburnumlever.Load, Model: lacking, FromStore: !slices.Contains(e.InMemory, lacking) && !slices.Contains(e.OnDisk, lacking),
+			})
+			p.copies[lacking]++
+			continue
+		}
+		if spare, ok := p.spare(e); ok {
+			steps = append(steps, laburnumresidency.Step{Engine: e.ID, Kind: laburnumlever.Unload, Model: spare})
+			p.copies[spare]--
+		}
+	}
+	return steps
+}
+
+// proportions are the copies that models have and should have.
+type proportions struct {
+	models map[laburnumlever.ModelName]laburnumlever.ResidentClass
+	names  []laburnumlever.ModelName
+	copies map[laburnumlever.ModelName]float64
+	wanted map[laburnumlever.ModelName]float64
+}
+
+func newProportions(class *laburnumlever.EngineClass, engines []laburnumresidency.Engine, demand laburnumresidency.Demand) proportions {
+	p := proportions{
+		models: map[laburnumlever.ModelName]laburnumlever.ResidentClass{}, copies: map[laburnumlever.ModelName]float64{},
+		wanted: map[laburnumlever.ModelName]float64{},
+	}
+	places, total, size := 0.0, 0.0, 0.0
+	for _, m := range class.Models {
+		p.models[m.Name] = m
+		p.names = append(p.names, m.Name)
+		total += demand[m.Name]
+		size += m.WeightsMB / float64(len(class.Models))
+	}
+	for _, e := range engines {
+		places += float64(int(class.WeightsMB / size))
+		for _, h := range e.Held {
+			p.copies[h.Name]++
+		}
+	}
+	free := max(0, places-float64(len(class.Models)))
+	for _, m := range class.Models {
+		p.wanted[m.Name] = 1
+		if total > 0 {
+			p.wanted[m.Name] += free * demand[m.Name] / total
+		}
+	}
+	return p
+}
+
+// lacking is the model that lacks most copies of those that an engine does not hold.
+func (p proportions) lacking(e *laburnumresidency.Engine) (laburnumlever.ModelName, bool) {
+	return p.most(func(m laburnumlever.ModelName) (float64, bool) {
+		return p.wanted[m] - p.copies[m], !e.Holds(m) && p.wanted[m]-p.copies[m] >= 0.5
+	})
+}
+
+// spare is the model that has most copies beyond its part of those that an engine holds.
+func (p proportions) spare(e *laburnumresidency.Engine) (laburnumlever.ModelName, bool) {
+	return p.most(func(m laburnumlever.ModelName) (float64, bool) {
+		return p.copies[m] - p.wanted[m], e.Serves(m) && p.copies[m] >= 2 && p.copies[m]-p.wanted[m] >= 0.5
+	})
+}
+
+func (p proportions) most(weigh func(m laburnumlever.ModelName) (float64, bool)) (laburnumlever.ModelName, bool) {
+	var best laburnumlever.ModelName
+	most, found := 0.0, false
+	for _, m := range p.names {
+		w, ok := weigh(m)
+		if ok && (!found || cmp.Compare(w, most) > 0) {
+			best, most, found = m, w, true
+		}
+	}
+	return best, found
+}
--- a/laburnumsimulation/scenario.go
+++ b/laburnumsimulation/scenario.go
@@ -73,6 +73,8 @@
 	StepPerSlot laburnumlever.Duration `json:"step-per-slot"`
 	// ReadTokensPerMS is how many tokens of prompts are read in a millisecond.
 	ReadTokensPerMS float64 `json:"read-tokens-per-ms" required:"true"`
+	// ChunkTokens is how much of the prompts is read in one step.
+	ChunkTokens int `json:"chunk-tokens"`
 	// EventTokens is how many tokens an event of a stream holds.
 	EventTokens int `json:"event-tokens"`
 	// CacheTokens is the memory for running requests.
