perf: no more loads from the weight store than it has time for

Cause: the planner ordered a load for every idle engine that lacked a model. The store shares its rate, so ten loads at once take ten times as long, and the model that most requests wait for comes no sooner than the least wanted. The planner now orders as many as keep the store's rate busy, the most urgent first; loads from an engine's own memory or disk are not counted.

Ruled out: a fixed number of loads. Pattern: a shift of many models at once; TestNoMoreLoadsThanTheStoreHasTimeFor and TestFreeRoomWaitsForLoadsUnderWay fail without it.

--- a/laburnumresidency/golden_test.go
+++ b/laburnumresidency/golden_test.go
@@ -51,6 +51,7 @@
 func randomFleet(seed uint64) fleet {
 	r := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // repeatable
 	class := testClass(3 + r.IntN(70))
+	class.LoadsPerSecond = 0 // no bound by the store
 	for i := range class.Models {
 		class.Models[i].WeightsMB = []float64{42700, 65100, 72700}[r.IntN(3)]
 		class.Models[i].Adapters, class.Models[i].AdapterMB = r.IntN(3)*r.IntN(20), 66
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -32,6 +32,8 @@
 	// included; ready counts those that take requests now.
 	copies []int
 	ready  []int
+	// coming counts the copies on their way, those of this round's steps included.
+	coming []int
 	// relocating tells that a model with little work is on its way to another engine
 	// to make room where it is.
 	relocating bool
@@ -92,17 +94,13 @@
 	for e, engine := range p.engines {
 		p.approach(e, engine)
 	}
-	if len(p.steps) == 0 {
+	if len(p.steps) == 0 && !slices.ContainsFunc(p.engines, (*Engine).loads) {
 		p.fill()
 	}
 	// The store's rate goes to the models that nobody can ask now, not to whichever
 	// engine comes first by name.
 	slices.SortStableFunc(p.steps, func(a, b urgentStep) int { return cmp.Compare(b.urgency, a.urgency) })
-	steps := make([]Step, 0, len(p.steps))
-	for _, s := range p.steps {
-		steps = append(steps, s.Step)
-	}
-	return steps
+	return p.withinStore()
 }
 
 func newPlanner(class *laburnumlever.EngineClass, engines []Engine, demand Demand, adapters map[laburnumlever.ModelName]int, opts []Option) *planner {
@@ -138,11 +136,14 @@
 // countCopies counts the copies of each model, and those that take requests now: one on its
 // way is none yet for those who ask.
 func (p *planner) countCopies() {
-	p.copies, p.ready = make([]int, len(p.class.Models)), make([]int, len(p.class.Models))
+	models := len(p.class.Models)
+	p.copies, p.ready, p.coming = make([]int, models), make([]int, models), make([]int, models)
 	for m := range p.copies {
 		p.copies[m] = p.target.copies(m)
 		for _, e := range p.target.holders[m] {
-			if p.engines[e].Loading != p.class.Models[m].Name {
+			if p.engines[e].Loading == p.class.Models[m].Name {
+				p.coming[m]++
+			} else {
 				p.ready[m]++
 			}
 		}
--- a/laburnumresidency/planner_test.go
+++ b/laburnumresidency/planner_test.go
@@ -336,3 +336,33 @@
 	require.Equal(t, map[laburnumlever.OrderKind]int{laburnumlever.Load: 1, laburnumlever.Unload: 1}, kinds(4))
 	require.Equal(t, map[laburnumlever.OrderKind]int{laburnumlever.Load: 1}, kinds(1.5), "first loaded there where callers are served")
 }
+
+// Guards against loads that slow each other down: the store gives one and a half a second, and
+// three under way take its whole rate.
+func TestNoMoreLoadsThanTheStoreHasTimeFor(t *testing.T) {
+	class := testClass(6)
+	class.LoadsPerSecond = 0.8
+	rates := map[laburnumlever.ModelName]float64{"m4": 9, "m5": 5, "m0": 1}
+	engines := []Engine{testEngine(1), testEngine(2), testEngine(3), testEngine(4), testEngine(5)}
+	engines[0].Idle, engines[0].Loading, engines[0].FreeIn = false, "m3", 2
+	engines[0].Held = []laburnumlever.HeldModel{{Name: "m3"}}
+	engines[4].OnDisk = []laburnumlever.ModelName{"m1"}
+	steps := Next(class, engines, Demand{"m4": 0.4, "m5": 0.2}, nil, WithRequests(rates))
+	var fromStore []laburnumlever.ModelName
+	for _, s := range steps {
+		if s.FromStore {
+			fromStore = append(fromStore, s.Model)
+		}
+	}
+	require.Equal(t, []laburnumlever.ModelName{"m4", "m5"}, fromStore, "one is under way, and the most wanted go first")
+	require.Greater(t, len(steps), len(fromStore), "loads from an engine's own disk take nothing of the store")
+}
+
+// Guards against copies in free room that keep the store from what callers wait for.
+func TestFreeRoomWaitsForLoadsUnderWay(t *testing.T) {
+	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3)}
+	demand := Demand{"m0": 0.2, "m1": 0.2, "m2": 0.15}
+	require.NotEmpty(t, Next(testClass(3), engines, demand, nil))
+	engines[1].Idle, engines[1].Loading = false, "m0"
+	require.Empty(t, Next(testClass(3), engines, demand, nil))
+}
--- a/laburnumresidency/rebalance.go
+++ b/laburnumresidency/rebalance.go
@@ -32,6 +32,9 @@
 	// absentTime is how many seconds a model is taken to be away whose last copy is evicted for
 	// a busy one: its callers have nowhere else to go, and it waits for room.
 	absentTime = 80.0
+	// displaceFactor is by how much more an overloaded model must be asked for than another
+	// whose last copy is evicted for it: one that callers begin to turn to stays.
+	displaceFactor = 10
 	// demandTime is how many seconds demand stays where it is, as a rule: what is
 	// done after that is done in vain.
 	demandTime = 12.0
@@ -217,7 +220,7 @@
 		evicted.to = to
 		return evicted, p.copies[v] == 1 && !p.relocating
 	}
-	return evicted, p.policy.displaces && p.target.share(m) > overloadWork && p.outweighs(m, v)
+	return evicted, p.policy.displaces && p.target.share(m) > overloadWork && p.asked[m] > displaceFactor*p.asked[v]
 }
 
 // roomElsewhere finds the engine with room for a model that has to leave another, that with
--- a/laburnumresidency/steps.go
+++ b/laburnumresidency/steps.go
@@ -86,10 +86,12 @@
 	}
 }
 
-// urgency is what waits for a step: the requests for a model that no engine serves.
+// urgency is what waits for a step: the requests for a model that no engine serves, shared by
+// the copies on their way.
 func (p *planner) urgency(m int) float64 {
 	if p.ready[m] > 0 {
 		return 0
 	}
-	return p.askedAtLeast(m)
+	p.coming[m]++
+	return p.askedAtLeast(m) / float64(p.coming[m])
 }
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -66,6 +66,9 @@
 	return laburnumlever.Holds(e.Held, model, "")
 }
 
+// loads tells whether the engine loads a model.
+func (e *Engine) loads() bool { return e.Loading != "" }
+
 // wait is how many seconds pass until the engine takes an order.
 func (e *Engine) wait() float64 {
 	switch {
