perf: engines that load at the same time load different models

Cause: each idle engine chose the model with fewest ready copies, so that in one round several engines chose the same missing model, and others that callers waited for came a round later. Loads on their way now count after ready copies.

Ruled out: a random choice, which is no better where one model is missing. Pattern: a shift towards several models without a copy.

--- a/laburnumresidency/steps.go
+++ b/laburnumresidency/steps.go
@@ -32,15 +32,17 @@
 	p.makeRoom(e, engine, wanted, reason)
 }
 
-// wanted is the model that an engine should load next, the one with fewest ready copies;
-// nowhere where it holds all.
+// wanted is the model that an engine should load next, the one with fewest copies that are ready
+// or on their way; nowhere where it holds all.
 func (p *planner) wanted(e int) int {
 	best := nowhere
 	for _, m := range p.target.models[e] {
 		if slices.Contains(p.heldBy[e], m) {
 			continue
 		}
-		if best == nowhere || cmp.Or(cmp.Compare(p.ready[m], p.ready[best]), cmp.Compare(p.target.share(best), p.target.share(m))) < 0 {
+		if best == nowhere || cmp.Or(
+			cmp.Compare(p.ready[m], p.ready[best]), cmp.Compare(p.coming[m], p.coming[best]), cmp.Compare(p.target.share(best), p.target.share(m)),
+		) < 0 {
 			best = m
 		}
 	}
