--- a/cmd/laburnumlever/explaincmd.go
+++ b/cmd/laburnumlever/explaincmd.go
@@ -101,18 +101,25 @@
 	return lines, nil
 }
 
-func readLog(c *cli.Context, name string) ([]laburnumexplain.Line, error) {
-	in := c.App.Reader
-	if name != "-" {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, &usageError{Detail: err.Error()}
-		}
-		defer func() { _ = file.Close() }() // it was only read
-		in = file
+func readLog(c *cli.Context, name string) (lines []laburnumexplain.Line, err error) {
+	err = withLog(c, name, func(in io.Reader) error {
+		lines, _, err = laburnumexplain.Read(in)
+		return err
+	})
+	return lines, err
+}
+
+// withLog opens a log, or standard input, for as long as it is read.
+func withLog(c *cli.Context, name string, read func(in io.Reader) error) error {
+	if name == "-" {
+		return errors.Wrapf(read(c.App.Reader), "read %s", name)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return &usageError{Detail: err.Error()}
 	}
-	lines, _, err := laburnumexplain.Read(in)
-	return lines, errors.Wrapf(err, "read %s", name)
+	defer func() { _ = file.Close() }() // it was only read
+	return errors.Wrapf(read(file), "read %s", name)
 }
 
 func reportExplanation(c *cli.Context, e laburnumlever.Explanation, err error) error {
--- a/cmd/laburnumlever/explaindaycmd.go
+++ b/cmd/laburnumlever/explaindaycmd.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -36,11 +37,17 @@
 	if len(files) == 0 || c.Duration("window") <= 0 {
 		return &usageError{Detail: "--logs names at least one file, and --window is longer than nothing"}
 	}
-	lines, err := readLogs(c, files)
-	if err != nil {
-		return err
+	var reader laburnumexplain.DayReader
+	for _, name := range files {
+		err := withLog(c, name, func(in io.Reader) error {
+			_, err := reader.Read(in)
+			return err
+		})
+		if err != nil {
+			return err
+		}
 	}
-	day, err := laburnumexplain.NewDay(lines, c.Duration("window"))
+	day, err := reader.Day(c.Duration("window"))
 	if err != nil {
 		return err
 	}
--- a/laburnumdirector/layout.go
+++ b/laburnumdirector/layout.go
@@ -12,17 +12,23 @@
 // layoutPeriod is how often the layout is told: about as fast as it changes.
 const layoutPeriod = 3 * time.Second
 
+// maxNone bounds the models without a copy that a line names.
+const maxNone = 32
+
 // reportLayout tells how many engines hold each model of a service, how many are loading it,
 // and how many have room for another, so that an hour can be understood afterwards from the
-// lines of the VMs that gave the orders.
+// lines of the VMs that gave the orders. Models held by one engine, which most are, are counted
+// and not named, so that the line stays short with hundreds of them.
 func (d *Director) reportLayout(name laburnumlever.ServiceName, class *laburnumlever.EngineClass, engines []laburnumresidency.Engine, now time.Time) {
 	if now.Sub(d.laidOutAt[name]) < layoutPeriod {
 		return
 	}
 	d.laidOutAt[name] = now
 	held, loading := map[laburnumlever.ModelName]int{}, map[laburnumlever.ModelName]int{}
+	largest := largest(class)
 	room := 0
-	for _, e := range engines {
+	for i := range engines {
+		e := &engines[i]
 		for _, h := range e.Held {
 			switch {
 			case e.Loading == h.Name:
@@ -31,12 +37,23 @@
 				held[h.Name]++
 			}
 		}
-		if e.HasRoom(class, largest(class)) {
+		if e.HasRoom(class, largest) {
 			room++
 		}
 	}
+	one := 0
+	var none []laburnumlever.ModelName
+	for _, m := range class.Models {
+		switch {
+		case held[m.Name] == 1 && loading[m.Name] == 0:
+			one++
+			delete(held, m.Name)
+		case held[m.Name] == 0 && loading[m.Name] == 0 && len(none) < maxNone:
+			none = append(none, m.Name)
+		}
+	}
 	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLayout, "service", name, "engines", len(engines),
-		"room", room, "held", held, "loading", loading)
+		"room", room, "held", held, "loading", loading, "one", one, "none", none)
 }
 
 // largest is the model that takes most memory: an engine with room for it takes any.
--- a/laburnumexplain/day.go
+++ b/laburnumexplain/day.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -91,48 +90,33 @@
 // DefaultWidth is about how long demand stays with one model on a lively day.
 const DefaultWidth = 3 * time.Second
 
-// NewDay reads the lines of all processes. Each try of a caller counts by itself, in the window
-// in which it ended. An error is a *laburnumlever.NotFoundError.
-func NewDay(lines []Line, width time.Duration) (Day, error) {
-	lines = slices.Clone(lines)
-	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
-	first := slices.IndexFunc(lines, func(l Line) bool { return isEnd(l) })
-	if first < 0 {
-		return Day{}, &laburnumlever.NotFoundError{Kind: "line about a request's end", Name: "any"}
-	}
-	d := Day{Start: lines[first].At, Width: width, Subjects: map[string]*Account{}}
+func isEnd(l Line) bool {
+	return l.Event == laburnumlever.EventRequestServed.String() || l.Event == laburnumlever.EventRequestRefused.String()
+}
+
+// newDay is the day of requests' ends and layouts, each in the order of time.
+func newDay(ends []end, told []layoutAt, width time.Duration) Day {
+	d := Day{Start: ends[0].at, Width: width, Subjects: map[string]*Account{}}
 	held := layouts{}
-	for _, l := range lines {
-		switch {
-		case isEnd(l):
-			d.count(l)
-		case l.Event == laburnumlever.EventLayout.String():
-			held.take(l)
-		default:
-			continue
-		}
-		if len(d.Windows) > 0 {
-			held.show(&d.Windows[len(d.Windows)-1])
+	for _, e := range ends {
+		for len(told) > 0 && !told[0].at.After(e.at) {
+			held.take(told[0])
+			told = told[1:]
+			if len(d.Windows) > 0 {
+				held.show(&d.Windows[len(d.Windows)-1])
+			}
 		}
+		d.count(e)
+		held.show(&d.Windows[len(d.Windows)-1])
 	}
-	return d, nil
-}
-
-func isEnd(l Line) bool {
-	return l.Event == laburnumlever.EventRequestServed.String() || l.Event == laburnumlever.EventRequestRefused.String()
+	return d
 }
 
-func (d *Day) count(l Line) {
-	subject := word(l.Fields["model"])
-	if subject == "" {
-		subject = "route " + word(l.Fields["route"])
+func (d *Day) count(e end) {
+	w := d.window(e.at)
+	for _, a := range []*Account{accountOf(w.Subjects, e.subject), accountOf(d.Subjects, e.subject), &w.Total, &d.Total} {
+		a.add(e.outcome, e.cause)
 	}
-	outcome, cause := outcomeOf(l)
-	w := d.window(l.At)
-	accountOf(w.Subjects, subject).add(outcome, cause)
-	accountOf(d.Subjects, subject).add(outcome, cause)
-	w.Total.add(outcome, cause)
-	d.Total.add(outcome, cause)
 }
 
 func accountOf(accounts map[string]*Account, subject string) *Account {
@@ -168,38 +152,3 @@
 	}
 	return Refused, reason
 }
-
-// layouts is the last layout told of each service, by service.
-type layouts map[string]layoutLine
-
-// layoutLine is a layout event's own fields.
-type layoutLine struct {
-	Room    int            `json:"room"`
-	Held    map[string]int `json:"held"`
-	Loading map[string]int `json:"loading"`
-}
-
-// take reads a layout; one that can't be read is passed over, like any other line.
-func (s layouts) take(l Line) {
-	text, err := json.Marshal(l.Fields)
-	if err != nil {
-		return
-	}
-	var told layoutLine
-	if json.Unmarshal(text, &told) == nil {
-		s[word(l.Fields["service"])] = told
-	}
-}
-
-// show puts what was told last into a window.
-func (s layouts) show(w *Window) {
-	for _, told := range s {
-		for subject := range w.Subjects {
-			_, held := told.Held[subject]
-			_, loading := told.Loading[subject]
-			if held || loading {
-				w.Layouts[subject] = Layout{Held: told.Held[subject], Loading: told.Loading[subject], Room: told.Room, Known: true}
-			}
-		}
-	}
-}
--- /dev/null
+++ b/laburnumexplain/dayreader.go
@@ -0,0 +1,82 @@
+package laburnumexplain
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+	"unique"
+
+	"laburnumlever"
+)
+
+// routeSubject begins the subject of a request without a model.
+const routeSubject = "route "
+
+// DayReader reads the logs of any number of VMs into one day. It keeps a few words for each
+// request, not the logs.
+type DayReader struct {
+	ends    []end
+	layouts []layoutAt
+}
+
+// end is how one request ended.
+type end struct {
+	at      time.Time
+	subject string
+	outcome Outcome
+	cause   string
+}
+
+var (
+	servedText  = []byte(laburnumlever.EventRequestServed.String())
+	refusedText = []byte(laburnumlever.EventRequestRefused.String())
+	layoutText  = []byte(laburnumlever.EventLayout.String())
+)
+
+// Read takes one log. Skipped counts lines that should hold an event and don't.
+func (d *DayReader) Read(r io.Reader) (skipped int, err error) {
+	return scan(r, isOfDay, d.take)
+}
+
+// isOfDay tells, without reading it, whether a line may be part of a day.
+func isOfDay(text []byte) bool {
+	return bytes.Contains(text, servedText) || bytes.Contains(text, refusedText) || bytes.Contains(text, layoutText)
+}
+
+func (d *DayReader) take(l Line) {
+	if l.Event == laburnumlever.EventLayout.String() {
+		if told, ok := newLayout(l); ok {
+			d.layouts = append(d.layouts, told)
+		}
+		return
+	}
+	if !isEnd(l) {
+		return
+	}
+	subject := word(l.Fields["model"])
+	if subject == "" {
+		subject = routeSubject + word(l.Fields["route"])
+	}
+	outcome, cause := outcomeOf(l)
+	d.ends = append(d.ends, end{at: l.At, subject: unique.Make(subject).Value(), outcome: outcome, cause: unique.Make(cause).Value()})
+}
+
+// Day is the day of all logs read. Each try of a caller counts by itself, in the window in which
+// it ended. An error is a *NoRequestsError.
+func (d *DayReader) Day(width time.Duration) (Day, error) {
+	if len(d.ends) == 0 {
+		return Day{}, &NoRequestsError{Layouts: len(d.layouts)}
+	}
+	slices.SortStableFunc(d.ends, func(a, b end) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(d.layouts, func(a, b layoutAt) int { return a.at.Compare(b.at) })
+	return newDay(d.ends, d.layouts, width), nil
+}
+
+// NoRequestsError is logs without the end of any request.
+type NoRequestsError struct{ Layouts int }
+
+func (e *NoRequestsError) Error() string {
+	return fmt.Sprintf("no line about a request's end, and %d about what engines hold: name the logs of gateways, which tell of requests", e.Layouts)
+}
--- a/laburnumexplain/doc.go
+++ b/laburnumexplain/doc.go
@@ -8,7 +8,9 @@
 //	story, err := laburnumexplain.Request("9c41d07be2a35f68", lines)
 //	for _, text := range story.Text() { … }
 //
-//	day, err := laburnumexplain.NewDay(lines, laburnumexplain.DefaultWidth)
+//	var reader laburnumexplain.DayReader
+//	skipped, err := reader.Read(log) // of each VM
+//	day, err := reader.Day(laburnumexplain.DefaultWidth)
 //	err = day.WriteText(os.Stdout, 3)
 //
 // Lines that are not JSON objects are passed over and counted: a log may be cut in the
--- a/laburnumexplain/lines.go
+++ b/laburnumexplain/lines.go
@@ -24,16 +24,26 @@
 
 // Read reads a log. Skipped counts the lines that hold no event.
 func Read(r io.Reader) (lines []Line, skipped int, err error) {
+	skipped, err = scan(r, func([]byte) bool { return true }, func(l Line) { lines = append(lines, l) })
+	return lines, skipped, err
+}
+
+// scan reads the lines of a log that may be wanted, one at a time. Skipped counts those of them
+// that hold no event.
+func scan(r io.Reader, wanted func(text []byte) bool, take func(Line)) (skipped int, err error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
+		if !wanted(scanner.Bytes()) {
+			continue
+		}
 		if line, ok := parse(scanner.Bytes()); ok {
-			lines = append(lines, line)
+			take(line)
 		} else {
 			skipped++
 		}
 	}
-	return lines, skipped, scanner.Err()
+	return skipped, scanner.Err()
 }
 
 func parse(text []byte) (Line, bool) {
--- a/laburnumexplain/story_test.go
+++ b/laburnumexplain/story_test.go
@@ -42,3 +42,30 @@
 	_, err = laburnumexplain.Request("r-3", lines)
 	require.Error(t, err)
 }
+
+// Guards against a layout of hundreds of models whose line is kilobytes long: those held by one
+// engine are counted, not named.
+func TestModelsHeldByOneEngineNeedNoName(t *testing.T) {
+	var reader laburnumexplain.DayReader
+	_, err := reader.Read(strings.NewReader(`{"ts":"2026-10-27T08:00:00Z","vm":"core-a","event":"layout","service":"s","room":0,"held":{"oak":3},"loading":{"elm":1},"one":7,"none":["ash"]}
+{"ts":"2026-10-27T08:00:01Z","vm":"front-a","event":"request-refused","model":"oak","reason":"queue-full","status":503,"touched":false}
+{"ts":"2026-10-27T08:00:01Z","vm":"front-a","event":"request-refused","model":"elm","reason":"no-backend","status":503,"touched":false}
+{"ts":"2026-10-27T08:00:01Z","vm":"front-a","event":"request-refused","model":"ash","reason":"no-backend","status":503,"touched":false}
+{"ts":"2026-10-27T08:00:01Z","vm":"front-a","event":"request-refused","model":"fir","reason":"queue-full","status":503,"touched":false}
+{"ts":"2026-10-27T08:00:01Z","vm":"front-a","event":"request-refused","model":"","route":"slots","reason":"queue-full","status":503,"touched":false}
+`))
+	require.NoError(t, err)
+	day, err := reader.Day(laburnumexplain.DefaultWidth)
+	require.NoError(t, err)
+	require.Equal(t, map[string]laburnumexplain.Layout{
+		"oak": {Held: 3, Known: true}, "elm": {Loading: 1, Known: true}, "ash": {Known: true}, "fir": {Held: 1, Known: true},
+	}, day.Windows[0].Layouts)
+}
+
+func TestDayNeedsTheLogsOfGateways(t *testing.T) {
+	var reader laburnumexplain.DayReader
+	_, err := reader.Read(strings.NewReader(`{"ts":"2026-10-27T08:00:00Z","vm":"core-a","event":"layout","service":"s","held":{}}`))
+	require.NoError(t, err)
+	_, err = reader.Day(laburnumexplain.DefaultWidth)
+	require.ErrorContains(t, err, "name the logs of gateways")
+}
--- a/laburnumlogging/logger.go
+++ b/laburnumlogging/logger.go
@@ -23,6 +23,9 @@
 	defaultSize = 1 << 20
 	// routineShare of the buffer is for lines about what went well.
 	routineShare = 0.5
+	// maxWrite bounds one write. A pipe takes so many bytes whole: more may be torn, or mixed
+	// with those of another process.
+	maxWrite = 4096
 	// closeTimeout bounds the wait for the last lines at the end.
 	closeTimeout = 500 * time.Millisecond
 	// eventKey is the field that names what happened.
@@ -162,8 +165,26 @@
 		if !ok {
 			return
 		}
-		_, _ = l.out.Write(lines)
+		for len(lines) > 0 {
+			n := wholeLines(lines)
+			_, _ = l.out.Write(lines[:n])
+			lines = lines[n:]
+		}
+	}
+}
+
+// wholeLines is the length of the first lines that fit into one write, or of the first line.
+func wholeLines(lines []byte) int {
+	if len(lines) <= maxWrite {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:maxWrite], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
 	}
+	return len(lines)
 }
 
 // take waits for lines and returns all that wait as one, with a word on those dropped.
--- a/laburnumlogging/logger_test.go
+++ b/laburnumlogging/logger_test.go
@@ -100,3 +100,38 @@
 			"backend", "i-7f3a91c2", "first-ms", 24, "whole-ms", 310, "sends", 1)
 	}
 }
+
+// sizeWriter notes whether each write is a line, or whole lines that a pipe takes whole.
+type sizeWriter struct {
+	mu    sync.Mutex
+	whole bool
+	out   bytes.Buffer
+	// logged is closed once all lines wait.
+	logged chan struct{}
+}
+
+func (w *sizeWriter) Write(p []byte) (int, error) {
+	<-w.logged
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	const pipe = 4096
+	w.whole = w.whole && bytes.HasSuffix(p, []byte("\n")) && (len(p) <= pipe || bytes.Count(p, []byte("\n")) == 1)
+	return w.out.Write(p)
+}
+
+// Guards against lines that lose their middle: written hundreds at once, they are more than a
+// pipe takes whole.
+func TestWritesAreWholeLinesThatAPipeTakesWhole(t *testing.T) {
+	w := &sizeWriter{whole: true, logged: make(chan struct{})}
+	logger, err := laburnumlogging.New(w, "info")
+	require.NoError(t, err)
+	const lines, long = 400, 9000
+	for i := range lines {
+		require.NoError(t, level.Info(logger).Log("event", "some", "n", i))
+	}
+	require.NoError(t, level.Info(logger).Log("event", "long", "text", strings.Repeat("x", long)))
+	close(w.logged)
+	logger.Close()
+	require.Equal(t, lines+1, bytes.Count(w.out.Bytes(), []byte("\n")))
+	require.True(t, w.whole)
+}
