feat: evaluate compares policies on a scenario of the operator's own

Cause: the evaluation was reachable from tests only, and an operator who asks what happens when ten engines go had nothing to ask.

--- a/cmd/laburnumlever/app.go
+++ b/cmd/laburnumlever/app.go
@@ -49,6 +49,7 @@
 			logLevelCommand(),
 			standInCommand(),
 			loadCommand(),
+			evaluateCommand(),
 			soakCommand(),
 		},
 		HideVersion:    true,
--- /dev/null
+++ b/cmd/laburnumlever/evaluatecmd.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnumsimulation"
+)
+
+// defaultSeeds is how many days each policy plays.
+const defaultSeeds = 20
+
+func evaluateCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "evaluate",
+		Usage: "play days of a fleet as a model and compare policies",
+		Description: "Plays each policy on the same days, without a network, and says which serves callers better, with\n" +
+			"95% intervals. Scenarios are described in docs/evaluation.md. The policies are:\n\n" + policiesText() +
+			"\nExample: laburnumlever evaluate --scenario examples/evaluation/large.jsonc --policy today --policy hindsight\n" +
+			"Example: laburnumlever evaluate --scenario examples/evaluation/carpets.jsonc --engines 8\n\n" + exitCodesText,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "scenario", Usage: "the scenario's `FILE`"},
+			&cli.StringSliceFlag{Name: "policy", Value: cli.NewStringSlice("today"), Usage: "a policy; may be given again, gains are over the first"},
+			&cli.IntFlag{Name: "seeds", Value: defaultSeeds, Usage: "how many days each policy plays"},
+			&cli.IntFlag{Name: "engines", Usage: "another number of engines than the scenario's"},
+			&cli.IntFlag{Name: "workers", Value: max(1, runtime.NumCPU()/2), Usage: "how many days are played at once"},
+			&cli.StringFlag{Name: "plot", Usage: "draw the days over their time into this SVG `FILE`"},
+			&cli.BoolFlag{Name: "quiet", Usage: "show no progress"},
+			outputFlag(),
+		},
+		OnUsageError: onUsageError,
+		Before:       requireFlags("scenario"),
+		Action:       runEvaluate,
+	}
+}
+
+func policiesText() string {
+	var text strings.Builder
+	for _, p := range laburnumsimulation.Policies() {
+		fmt.Fprintf(&text, "  %-16s %s\n", p.Name, p.Summary)
+	}
+	return text.String()
+}
+
+func runEvaluate(c *cli.Context) error {
+	scenario, err := laburnumsimulation.Load(c.String("scenario"))
+	if err != nil {
+		return err
+	}
+	if n := c.Int("engines"); n > 0 {
+		scenario = scenario.WithEngines(n)
+	}
+	if c.Int("seeds") < 1 || c.Int("workers") < 1 {
+		return &usageError{Detail: "--seeds and --workers are 1 or more"}
+	}
+	var policies []laburnumsimulation.Policy
+	for _, name := range c.StringSlice("policy") {
+		policy, err := laburnumsimulation.PolicyNamed(name)
+		if err != nil {
+			return &usageError{Detail: err.Error()}
+		}
+		policies = append(policies, policy)
+	}
+	table, err := laburnumsimulation.Compare(c.Context, scenario, policies, c.Int("seeds"), c.Int("workers"), evaluateProgress(c))
+	if err != nil {
+		return err
+	}
+	if err := plotEvaluation(c.String("plot"), table); err != nil {
+		return err
+	}
+	return reportWriter(c, table, table.WriteText)
+}
+
+// evaluateProgress shows how many days are played, on a terminal.
+func evaluateProgress(c *cli.Context) laburnumsimulation.Progress {
+	if c.Bool("quiet") || !isTerminal(os.Stderr) {
+		return func(int, int) {}
+	}
+	return func(done, all int) {
+		printf(c.App.ErrWriter, "\r%d of %d days", done, all)
+		if done == all {
+			printLine(c.App.ErrWriter)
+		}
+	}
+}
+
+func plotEvaluation(name string, table laburnumsimulation.Table) error {
+	if name == "" {
+		return nil
+	}
+	return writeFile(name, table.WriteSVG)
+}
+
+// writeFile makes a file with what write writes.
+func writeFile(name string, write func(w io.Writer) error) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return &usageError{Detail: err.Error()}
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return errors.Wrapf(err, "draw %s", name)
+	}
+	return errors.Wrapf(file.Close(), "close %s", name)
+}
--- a/cmd/laburnumlever/explaindaycmd.go
+++ b/cmd/laburnumlever/explaindaycmd.go
@@ -2,9 +2,7 @@
 
 import (
 	"io"
-	"os"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v2"
 
 	"laburnumlever/laburnumexplain"
@@ -52,21 +50,9 @@
 		return err
 	}
 	if name := c.String("picture"); name != "" {
-		if err := drawDay(day, name); err != nil {
+		if err := writeFile(name, day.WriteSVG); err != nil {
 			return err
 		}
 	}
 	return day.WriteText(c.App.Writer, c.Int("most"))
 }
-
-func drawDay(day laburnumexplain.Day, name string) error {
-	file, err := os.Create(name)
-	if err != nil {
-		return &usageError{Detail: err.Error()}
-	}
-	if err := day.WriteSVG(file); err != nil {
-		_ = file.Close()
-		return errors.Wrapf(err, "draw %s", name)
-	}
-	return errors.Wrapf(file.Close(), "close %s", name)
-}
--- /dev/null
+++ b/laburnumsimulation/plot.go
@@ -0,0 +1,43 @@
+package laburnumsimulation
+
+import (
+	"io"
+
+	"github.com/wcharczuk/go-chart/v2"
+)
+
+// The picture's size in pixels.
+const (
+	pictureWidth  = 1000
+	pictureHeight = 400
+)
+
+// WriteSVG draws the share of the worth that each policy earned over the day, the mean of its
+// days. An error is the library's or the writer's.
+func (t Table) WriteSVG(w io.Writer) error {
+	graph := chart.Chart{
+		Title: t.Scenario + ": worth earned, by when requests came", Width: pictureWidth, Height: pictureHeight,
+		XAxis: chart.XAxis{Name: "seconds"}, YAxis: chart.YAxis{Name: "share of the worth", Range: &chart.ContinuousRange{Max: 1}},
+	}
+	for _, r := range t.Rows {
+		graph.Series = append(graph.Series, r.series())
+	}
+	graph.Elements = []chart.Renderable{chart.Legend(&graph)}
+	return graph.Render(chart.SVG, w)
+}
+
+// series is the mean of the days' windows, each drawn at its beginning.
+func (r Row) series() chart.Series {
+	s := chart.ContinuousSeries{Name: r.Policy}
+	for i := range r.Days[0].Windows {
+		total, n := 0.0, 0.0
+		for _, day := range r.Days {
+			if i < len(day.Windows) {
+				total, n = total+day.Windows[i], n+1
+			}
+		}
+		s.XValues = append(s.XValues, float64(i)*windowTime.Seconds())
+		s.YValues = append(s.YValues, total/n)
+	}
+	return s
+}
--- a/laburnumsimulation/scenario.go
+++ b/laburnumsimulation/scenario.go
@@ -181,3 +181,9 @@
 	LateRefusal float64 `json:"late-refusal"`
 	Load        float64 `json:"load"`
 }
+
+// WithEngines returns the scenario with another number of engines.
+func (s Scenario) WithEngines(n int) Scenario {
+	s.Engines.Count = n
+	return s
+}
