test: the promise of confirmed changes is checked with disks that hang

A disk that answers nothing for seconds, neither a sync nor an error, was not among the events of the exhaustive and random checks. The leader's, a voter's and a learner's hang in every order with the other events now, and a log of 3, 4 and 6 VMs goes on confirming changes while any one of them does.

Nothing broke: heartbeats and appends go out before the leader's own sync, and a majority of the others commits. So no change of the log. The walks of earlier seeds stay as they were; new ones draw from the longer list.

--- a/laburnumlog/promise_test.go
+++ b/laburnumlog/promise_test.go
@@ -151,7 +151,22 @@
 	return list
 }
 
-// heal links all VMs and brings back those that are dark.
+// stalls are events of disks that answer nothing for a while.
+func stalls() []event {
+	var list []event
+	for _, part := range parts {
+		list = append(list, event{part.name + "'s disk hangs", func(f *fleet) bool {
+			i := part.find(f)
+			if i >= 0 {
+				f.places[i].hung = true
+			}
+			return i >= 0
+		}})
+	}
+	return list
+}
+
+// heal links all VMs and brings back those that are dark, and disks that hang.
 func (f *fleet) heal() {
 	for i, p := range f.places {
 		if p.down {
@@ -185,7 +200,7 @@
 
 // try puts one more event behind the story, in every way.
 func (f *fleet) try(t *testing.T, story []string, changes, left int) {
-	for _, ev := range events() {
+	for _, ev := range append(events(), stalls()...) {
 		c := f.clone()
 		if ev.do(c) {
 			next := fmt.Sprintf("%d changes later %s", changes, ev.name)
@@ -206,7 +221,7 @@
 	}
 	for _, c := range cases {
 		known := &knownStates{}
-		for _, first := range events() {
+		for _, first := range append(events(), stalls()...) {
 			t.Run(fmt.Sprintf("%d VMs, %d losses, %s", c.vms, c.losses, first.name), func(t *testing.T) {
 				t.Parallel()
 				f := newFleet(c.vms, c.losses)
@@ -225,9 +240,8 @@
 
 // walk lets many events happen, each at any moment: in the middle of an exchange of messages, of
 // a change of the members, or of an election.
-func (f *fleet) walk(t *testing.T, seed uint64, steps int) {
+func (f *fleet) walk(t *testing.T, seed uint64, steps int, all []event) {
 	next := numbers(seed)
-	all := events()
 	var story []string
 	for range steps {
 		ev := all[next(len(all))]
@@ -278,11 +292,60 @@
 		t.Run(fmt.Sprintf("seed %d, %d VMs, %d losses", seed, size.vms, size.losses), func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(size.vms, size.losses)
-			f.walk(t, seed+1, 40)
+			f.walk(t, seed+1, 40, events())
 		})
 	}
 }
 
+// Guards against a promise that holds only while disks answer: the random walks again, with disks
+// that hang.
+func TestPromiseHoldsAtRandomWithStalledDisks(t *testing.T) {
+	sizes := []struct{ vms, losses int }{{3, 1}, {5, 2}, {6, 2}}
+	if testing.Short() {
+		sizes = sizes[:1]
+	}
+	for seed := range uint64(*walks) {
+		size := sizes[seed%uint64(len(sizes))]
+		t.Run(fmt.Sprintf("seed %d, %d VMs, %d losses", seed, size.vms, size.losses), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(size.vms, size.losses)
+			f.walk(t, seed+1, 40, append(events(), stalls()...))
+		})
+	}
+}
+
+// Guards against a disk that hangs and holds up the changes of all others: the leader's, one
+// voter's, or a learner's.
+func TestHungDiskHoldsNobodyUp(t *testing.T) {
+	for _, size := range []struct{ vms, losses int }{{3, 1}, {4, 1}, {6, 2}} {
+		for _, part := range parts {
+			t.Run(fmt.Sprintf("%d VMs, %s", size.vms, part.name), func(t *testing.T) {
+				f := newFleet(size.vms, size.losses)
+				f.settle(t)
+				i := part.find(f)
+				if i < 0 {
+					t.Skip("there is none")
+				}
+				f.places[i].hung = true
+				const tickLimit = 30 // a change of its own, or an election and a change
+				before := f.replicas[f.leader()].log.Commit()
+				for range tickLimit {
+					f.tick()
+					f.change()
+				}
+				leader := f.leader()
+				require.GreaterOrEqual(t, leader, 0, "somebody leads")
+				require.Greater(t, f.replicas[leader].log.Commit(), before+5)
+				f.heal()
+				for range 3 {
+					f.pass()
+				}
+				require.Empty(t, f.problem)
+			})
+		}
+	}
+}
+
 // A VM that lost its disk counts as lost until 4 s after it is back, or after the empty one that
 // replaces it is there; then another may lose its own. The repair must be done by then, also
 // when the leader was the one: an election and the silence that makes a place free come first.
--- a/laburnumlog/tolerance_test.go
+++ b/laburnumlog/tolerance_test.go
@@ -29,6 +29,7 @@
 	side       int  // only VMs of one side reach each other
 	down       bool // without power
 	deaf       bool // the log does not get there, all else does
+	hung       bool // its disk answers nothing, neither a sync nor an error
 	leaderless int  // ticks
 }
 
@@ -174,7 +175,7 @@
 			f.deliverFirst()
 		}
 		for i, r := range f.replicas {
-			for len(r.unsaved) > 0 && !f.places[i].down {
+			for len(r.unsaved) > 0 && !f.places[i].down && !f.places[i].hung {
 				if f.paused() {
 					return
 				}
