perf: a control VM that starts again tells its routes at once

Cause: what the disk says is confirmed was applied with the first tick of the log's clock, 100 ms after the start, and gateways without routes turn callers away until then.

Change: a replica's first event gives what is known committed. The test fails on the code before: with a tick of an hour nothing is told.

--- a/laburnumlog/step.go
+++ b/laburnumlog/step.go
@@ -4,6 +4,9 @@
 type Event interface{ isEvent() }
 
 type (
+	// Resume is the first event of a replica that starts from what its disk holds: it gives
+	// what is known committed at once, not with the first tick.
+	Resume struct{}
 	// Tick says that one tick of the driver's clock has passed.
 	Tick struct{}
 	// Receive hands in a message from another replica.
@@ -23,6 +26,7 @@
 	HandOver struct{}
 )
 
+func (Resume) isEvent()        {}
 func (Tick) isEvent()          {}
 func (Receive) isEvent()       {}
 func (Propose) isEvent()       {}
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -208,6 +208,7 @@
 // begin is what a replica does first. It says hello even if it takes itself for a voter: its
 // place may have gone to another VM while it was away.
 func (v *Voter) begin() {
+	v.step(laburnumlog.Resume{})
 	v.tellCatalogue()
 	if v.log == nil { // what it holds can't be read
 		return
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -200,6 +200,24 @@
 	require.Equal(t, laburnumlever.ResultInvalid, a.apply(t, strings.Repeat("large", 1<<20), 20).Code)
 }
 
+// Guards against a control VM that starts again and keeps gateways without routes until the first
+// tick of its clock, though its disk says what is confirmed.
+func TestRestartTellsWhatIsConfirmedAtOnce(t *testing.T) {
+	f := newFleet(t, []string{"a"})
+	m := f.start("a", f.folder("a"))
+	f.leader()
+	m.apply(t, "first", 0)
+	m.apply(t, "second", 1)
+	f.stop("a")
+	m = f.start("a", f.folder("a"), laburnumvoter.WithTick(time.Hour))
+	select {
+	case got := <-m.seen:
+		require.GreaterOrEqual(t, got, uint64(1))
+	case <-time.After(patience):
+		t.Fatal("nothing was told")
+	}
+}
+
 // An operator's change goes to a VM without a disk while the leader is killed.
 // The change must be there afterwards, once, on every VM; the client's try that
 // was lost with the leader is made again by Propose.
