--- a/laburnumsimulation/batch.go
+++ b/laburnumsimulation/batch.go
@@ -54,11 +54,16 @@
 
 // advance brings the steps up to now.
 func (b *batch) advance() {
-	now := b.engine.sim.now()
-	if !b.busy && len(b.running) > 0 {
-		b.steps += float64(now.Sub(b.at)) / float64(b.stepTime())
+	b.steps = b.stepsNow()
+	b.at = b.engine.sim.now()
+}
+
+// stepsNow is how many steps were done by now.
+func (b *batch) stepsNow() float64 {
+	if b.busy || len(b.running) == 0 {
+		return b.steps
 	}
-	b.at = now
+	return b.steps + float64(b.engine.sim.now().Sub(b.at))/float64(b.stepTime())
 }
 
 // add gives a request a slot; its prompt is read when its turn comes.
@@ -203,9 +208,11 @@
 	if !slices.Contains(b.running, r) {
 		return r.done
 	}
-	return min(r.tokens, r.done+int(b.steps-r.from))
+	return r.writtenAt(b.stepsNow())
 }
 
+func (r *run) writtenAt(steps float64) int { return min(r.tokens, r.done+int(steps-r.from)) }
+
 // preempt takes the slot of the newest of the least urgent requests, if one is less urgent; it
 // waits and is read anew.
 func (b *batch) preempt(urgency int) bool {
@@ -231,9 +238,9 @@
 
 // tokens is the memory that requests take.
 func (b *batch) tokens() int {
-	total := 0
+	total, steps := 0, b.stepsNow()
 	for _, r := range b.running {
-		total += r.attempt.request.promptTokens + b.written(r)
+		total += r.attempt.request.promptTokens + r.writtenAt(steps)
 	}
 	for _, r := range b.reading {
 		total += r.attempt.request.promptTokens + r.done
--- /dev/null
+++ b/laburnumsimulation/simulation_test.go
@@ -0,0 +1,184 @@
+package laburnumsimulation
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+)
+
+func scenario(t testing.TB, name string) Scenario {
+	t.Helper()
+	s, err := Load(filepath.Join("..", "examples", "evaluation", name+".jsonc"))
+	require.NoError(t, err)
+	return s
+}
+
+func TestDayRepeats(t *testing.T) {
+	s := scenario(t, "exam")
+	first := Run(s, today(), 3)
+	require.Equal(t, first, Run(s, today(), 3))
+	require.NotEqual(t, first.Value, Run(s, today(), 4).Value)
+	require.Equal(t, first.Asked, first.OnTime+first.Late+first.Refused+first.Failed, "each request ends once")
+}
+
+// Guards against a policy that orders an engine to hold more than it has room for.
+func TestNoPolicyOvercommitsAnEngine(t *testing.T) {
+	for _, p := range Policies() {
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			o := Run(scenario(t, "exam"), p, 1)
+			require.Zero(t, o.Overcommitted)
+			require.Positive(t, o.OnTime)
+		})
+	}
+}
+
+func TestFewerEnginesServeFewer(t *testing.T) {
+	s := scenario(t, "carpets")
+	require.Greater(t, Run(s, today(), 1).Day, Run(s.WithEngines(s.Engines.Count/2), today(), 1).Day+0.1)
+}
+
+// Policies that were tried on whole fleets must come out as they did there: followed slowly,
+// counted late or waited for long, demand is served worse, and plain proportion worst.
+func TestTriesComeOutInTheirOrder(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays many days")
+	}
+	const seeds, workers = 8, 4
+	s := scenario(t, "carpets")
+	names := []string{"today", "slow-demand", "count-ends", "long-wait", "no-displacement", "proportional"}
+	var policies []Policy
+	for _, name := range names {
+		p, err := PolicyNamed(name)
+		require.NoError(t, err)
+		policies = append(policies, p)
+	}
+	table, err := Compare(context.Background(), s, policies, seeds, workers, func(int, int) {})
+	require.NoError(t, err)
+	for _, row := range table.Rows[1:] {
+		require.Negative(t, row.Gain, row.Policy)
+	}
+	require.Less(t, table.Rows[5].Gain+table.Rows[5].GainInterval, 0.0, "proportional")
+}
+
+func TestCompareEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := Compare(ctx, scenario(t, "exam"), []Policy{today()}, 50, 1, func(int, int) {})
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+func TestScenarioFaultsAreListed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "scenario.jsonc")
+	text := `{
+		"name": "bad", "length": "10s", "zones": [{"name": "a", "gateways": 0, "share": 1}],
+		"engines": {"count": 2, "slots": 4, "step": "5ms", "read-tokens-per-ms": 30, "cache-tokens": 1000, "weights-mb": 100},
+		"store": {"loads-per-second": 1},
+		"models": {"count": 2, "kinds": [{"weights-mb": 200, "store-load": "1s", "disk-load": "1s", "memory-load": "1s"}]},
+		"classes": [{"name": "c", "per-second": 1, "worth": 1, "target": "1s", "pause-target": "1s", "timeout": "5s", "to": 7, "prompt": {"mean": 10}, "answer": {"mean": 10}}],
+		"events": [{"at": "1s", "kind": "burst"}, {"at": "1s", "kind": "shift"}],
+	}`
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	_, err := Load(file)
+	var invalid *ScenarioInvalidError
+	require.True(t, errors.As(err, &invalid))
+	var keys []string
+	for _, f := range invalid.Faults {
+		keys = append(keys, f.Key)
+	}
+	require.Equal(t, []string{"models.kinds[0].weights-mb", "zones[0].gateways", "classes[0].to", "events[0].factor", "events[1].places"}, keys)
+}
+
+func TestUnknownPolicyNamesThoseThatExist(t *testing.T) {
+	_, err := PolicyNamed("tomorrow")
+	require.ErrorContains(t, err, "today")
+}
+
+// engineAlone is an engine without a fleet, with some requests in its batch.
+func engineAlone(t *testing.T, answers ...int) (*simulation, *engine, []*run) {
+	t.Helper()
+	s := scenario(t, "exam")
+	s.Engines.StepPerSlot = 0
+	sim := newSimulation(s, today(), 1)
+	e := sim.engines[0]
+	e.held = map[int]map[laburnumlever.AdapterName]bool{}
+	var runs []*run
+	for _, tokens := range answers {
+		r := &run{attempt: &attempt{request: &request{sim: sim, class: &sim.scenario.Classes[0]}, gateway: sim.gateways[0]}, tokens: tokens}
+		runs = append(runs, r)
+	}
+	return sim, e, runs
+}
+
+func TestAnswersTakeAStepAToken(t *testing.T) {
+	sim, e, runs := engineAlone(t, 100, 50)
+	e.batch.add(runs[0])
+	e.batch.add(runs[1])
+	step := time.Duration(sim.scenario.Engines.Step)
+	sim.timers.advance(60 * step)
+	require.Len(t, e.batch.running, 1)
+	require.InDelta(t, 58, e.batch.written(runs[0]), 3)
+	sim.timers.advance(60 * step)
+	require.Empty(t, e.batch.running)
+}
+
+// Guards against pauses that are not seen: a long prompt is read between the steps of the others.
+func TestPromptsPauseOtherAnswers(t *testing.T) {
+	sim, e, runs := engineAlone(t, 100, 10)
+	e.batch.add(runs[0])
+	sim.timers.advance(10 * time.Duration(sim.scenario.Engines.Step))
+	runs[1].unread = sim.scenario.Engines.ChunkTokens
+	e.batch.add(runs[1])
+	sim.timers.advance(time.Second)
+	read := time.Duration(float64(sim.scenario.Engines.ChunkTokens) / sim.scenario.Engines.ReadTokensPerMS * float64(time.Millisecond))
+	require.GreaterOrEqual(t, runs[0].pause, read)
+	require.Less(t, runs[1].pause, read, "its own answer begins after it")
+}
+
+func TestUrgentPreemptsTheNewestOfTheLeastUrgent(t *testing.T) {
+	sim, e, runs := engineAlone(t, 1000, 1000)
+	runs[0].urgency, runs[1].urgency = 1, 1
+	e.batch.add(runs[0])
+	e.batch.add(runs[1])
+	sim.timers.advance(time.Second)
+	require.False(t, e.batch.preempt(1))
+	require.True(t, e.batch.preempt(0))
+	require.Equal(t, []*run{runs[1]}, e.batch.waiting)
+	require.Positive(t, runs[1].done)
+}
+
+func TestClockRunsInOrder(t *testing.T) {
+	c := newClock(time.Unix(0, 0))
+	var got []string
+	c.After(20*time.Millisecond, func(time.Time) { got = append(got, "late") })
+	c.After(10*time.Millisecond, func(time.Time) {
+		got = append(got, "first")
+		c.After(0, func(time.Time) { got = append(got, "second") })
+	})
+	c.After(5*time.Millisecond, func(time.Time) { got = append(got, "cancelled") })()
+	cancel := c.Every(8*time.Millisecond, func(time.Time) { got = append(got, "every") })
+	c.advance(20 * time.Millisecond)
+	cancel()
+	c.advance(20 * time.Millisecond)
+	require.Equal(t, []string{"every", "first", "second", "every", "late"}, got)
+	require.Equal(t, time.Unix(0, 0).Add(40*time.Millisecond), c.Now())
+}
+
+// BenchmarkDay is a day of forty seconds.
+func BenchmarkDay(b *testing.B) {
+	for _, name := range []string{"exam", "carpets", "large"} {
+		b.Run(name, func(b *testing.B) {
+			s := scenario(b, name)
+			for b.Loop() {
+				Run(s, today(), 1)
+			}
+		})
+	}
+}
