refactor: laburnumwaiting is a priority queue of requests, in the field's terms

List is Queue, Add is Push, Give is Admit, Rank is Priority, FreshTill is FreshUntil, places are slots; the bound of the queue is not exported any more and a gateway bounds the requests that wait for its first routes by a constant of its own (the same 256). Behaviour is untouched.

--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -33,7 +33,7 @@
 	balance  *laburnumbalance.Table
 	demand   *laburnumdemand.Counter
 	adapters laburnumdemand.AdapterUses
-	waiting  laburnumwaiting.List
+	queue    laburnumwaiting.Queue
 	paces    laburnumdemand.Paces
 	// replaced are those not told of yet at whose address another has answered.
 	replaced []laburnumlever.BackendID
@@ -80,7 +80,7 @@
 	for _, o := range a.Overlays {
 		f.balance.SetOverlay(o)
 	}
-	f.serveWaiting()
+	f.serveQueue()
 }
 
 // Lost says that a control VM does not answer; the others know the same.
@@ -168,7 +168,7 @@
 	defer f.mu.Unlock()
 	took, tokens := f.balance.Began(t, f.timers.Now())
 	f.paces.Add(t.Model(), took, tokens)
-	f.serveWaiting()
+	f.serveQueue()
 }
 
 // release frees a place and learns from the attempt.
@@ -177,7 +177,7 @@
 	defer f.mu.Unlock()
 	f.adapters.Ended(q.caller.Model, q.caller.Adapter, f.timers.Now())
 	f.balance.End(t, s, f.timers.Now())
-	f.serveWaiting()
+	f.serveQueue()
 }
 
 func (f *Fleet) learnLoad(id laburnumlever.BackendID, marks laburnumlever.AnswerMarks) {
@@ -187,7 +187,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.balance.Learn(id, laburnumbalance.Sample{HasLoad: true, Running: marks.Running, Waiting: marks.Waiting}, f.timers.Now())
-	f.serveWaiting()
+	f.serveQueue()
 }
 
 // gone notes that another backend server has the address now.
@@ -208,14 +208,14 @@
 	for _, id := range ids {
 		f.balance.Added(id, model, adapter, f.timers.Now())
 	}
-	f.serveWaiting()
+	f.serveQueue()
 }
 
 // retryWaiting looks again for places for those that wait.
 func (f *Fleet) retryWaiting() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.serveWaiting()
+	f.serveQueue()
 }
 
 // asked counts a request that has come.
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -26,6 +26,8 @@
 	startWait = time.Second
 	// startShare of the caller's time is the most that it waits for them.
 	startShare = 0.33
+	// maxStarting bounds the requests that wait for the first routes.
+	maxStarting = 256
 	// startRetry is when it is worth asking such a gateway again afterwards.
 	startRetry = time.Second
 )
@@ -109,7 +111,7 @@
 	if caller, err := g.dialect.Request(r.Header); err == nil && caller.Wait > 0 {
 		wait = min(wait, time.Duration(startShare*float64(caller.Wait)))
 	}
-	if g.starting.Add(1) <= laburnumwaiting.Most {
+	if g.starting.Add(1) <= maxStarting {
 		g.fleet.awaitRoutes(r.Context(), wait)
 	}
 	g.starting.Add(-1)
--- a/laburnumgateway/waiting.go
+++ b/laburnumgateway/waiting.go
@@ -12,18 +12,18 @@
 // waitTerms are how long requests wait for a slot.
 var waitTerms = laburnumwaiting.DefaultTerms()
 
-// await takes a place for a request, waiting for one until the time given.
+// await reserves a slot for a request, queueing until the time given.
 func (f *Fleet) await(ctx context.Context, q *request, until time.Time) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
 	now := f.timers.Now()
-	given := make(chan *laburnumbalance.Ticket, 1) // a ticket that nobody takes any more is freed
-	n := &laburnumwaiting.Request{
-		Rank: q.route.Priority, Since: q.arrived, FreshTill: waitTerms.FreshUntil(q.times()),
-		Give: func(ticket *laburnumbalance.Ticket) { given <- ticket },
+	admitted := make(chan *laburnumbalance.Ticket, 1)
+	queued := &laburnumwaiting.Request{
+		Priority: q.route.Priority, Arrived: q.arrived, FreshUntil: waitTerms.FreshUntil(q.times()),
+		Admit: func(ticket *laburnumbalance.Ticket) { admitted <- ticket },
 	}
 	f.mu.Lock()
-	n.Query = f.query(q)
-	ticket, verdict := f.balance.Pick(n.Query, now)
-	if verdict == laburnumbalance.Found || verdict == laburnumbalance.AdapterAbsent || !now.Before(until) || !f.waiting.Add(n) {
+	queued.Query = f.query(q)
+	ticket, verdict := f.balance.Pick(queued.Query, now)
+	if verdict == laburnumbalance.Found || verdict == laburnumbalance.AdapterAbsent || !now.Before(until) || !f.queue.Push(queued) {
 		f.mu.Unlock()
 		return ticket, verdict
 	}
@@ -31,34 +31,34 @@
 	over, cancel := laburnumtimer.Passed(f.timers, until.Sub(now))
 	defer cancel()
 	select {
-	case ticket := <-given:
+	case ticket := <-admitted:
 		return ticket, laburnumbalance.Found
 	case <-over:
 	case <-ctx.Done():
 	}
-	return f.giveUp(n, given, verdict)
+	return f.leaveQueue(queued, admitted, verdict)
 }
 
-// giveUp ends a wait; a place that was given at the last moment is still taken.
-func (f *Fleet) giveUp(n *laburnumwaiting.Request, given <-chan *laburnumbalance.Ticket, verdict laburnumbalance.Verdict) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+// leaveQueue removes a request, or returns the slot that was reserved at the last moment.
+func (f *Fleet) leaveQueue(n *laburnumwaiting.Request, admitted <-chan *laburnumbalance.Ticket, verdict laburnumbalance.Verdict) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.waiting.Remove(n)
+	f.queue.Remove(n)
 	select {
-	case ticket := <-given:
+	case ticket := <-admitted:
 		return ticket, laburnumbalance.Found
 	default:
 		return nil, verdict
 	}
 }
 
-// serveWaiting gives places that have come free; mu is held.
-func (f *Fleet) serveWaiting() {
-	if f.waiting.Len() == 0 {
+// serveQueue admits queued requests to free slots. The caller must hold mu.
+func (f *Fleet) serveQueue() {
+	if f.queue.Len() == 0 {
 		return
 	}
 	now := f.timers.Now()
-	f.waiting.Serve(now, func(q laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+	f.queue.Serve(now, func(q laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
 		return f.balance.Pick(q, now)
 	})
 }
--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -80,7 +80,7 @@
 	}
 	until := sim.policy.terms.WaitUntil(a.times())
 	waiting := &laburnumwaiting.Request{
-		Query: a.query(), Rank: a.request.class.Priority, Since: a.arrived, FreshTill: sim.policy.terms.FreshUntil(a.times()),
+		Query: a.query(), Priority: a.request.class.Priority, Arrived: a.arrived, FreshUntil: sim.policy.terms.FreshUntil(a.times()),
 	}
 	if sim.policy.exactLoads {
 		g.learnExactly(a.request.model)
@@ -94,17 +94,17 @@
 		a.needAdapter(until)
 		return
 	}
-	given := false
-	waiting.Give = func(ticket *laburnumbalance.Ticket) {
-		given = true
+	admitted := false
+	waiting.Admit = func(ticket *laburnumbalance.Ticket) {
+		admitted = true
 		sim.after(0, func() { a.send(ticket) })
 	}
-	if !now.Before(until) || !g.queue.Add(waiting) {
+	if !now.Before(until) || !g.queue.Push(waiting) {
 		a.refuse(verdict)
 		return
 	}
 	sim.after(until.Sub(now), func() {
-		if given {
+		if admitted {
 			return
 		}
 		g.queue.Remove(waiting)
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -34,7 +34,7 @@
 	id      laburnumlever.VMID
 	zone    laburnumlever.ZoneName
 	table   *laburnumbalance.Table
-	queue   laburnumwaiting.List
+	queue   laburnumwaiting.Queue
 	counter *laburnumdemand.Counter
 	uses    laburnumdemand.AdapterUses
 	paces   laburnumdemand.Paces
@@ -49,7 +49,7 @@
 		window: laburnumretry.NewWindow(budgetWindow, budgetRatio, budgetSlack*float64(len(sim.gateways)+1)),
 		random: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // repeatable
 	}
-	g.queue.InTurn = sim.policy.inTurn
+	g.queue.InOrder = sim.policy.inTurn
 	return g
 }
 
--- a/laburnumwaiting/list_test.go
+++ b/laburnumwaiting/queue_test.go
@@ -17,36 +17,35 @@
 	testFresh = 225 * time.Millisecond
 )
 
-// overload plays callers that come at a steady rate to a model whose engines give a place
-// at another, and counts those who got one while their answer could still be in time, and
-// later.
-func overload(t *testing.T, ranks []int, asked, places, length time.Duration) (inTime, late map[int]int) {
+// overload queues requests at one rate while slots come free at another, and counts those
+// admitted while fresh, and later, by priority.
+func overload(t *testing.T, priorities []int, asked, slots, length time.Duration) (inTime, late map[int]int) {
 	t.Helper()
-	w := &laburnumwaiting.List{}
-	given := map[*laburnumwaiting.Request]bool{}
+	w := &laburnumwaiting.Queue{}
+	admitted := map[*laburnumwaiting.Request]bool{}
 	inTime, late = map[int]int{}, map[int]int{}
 	start := time.Unix(1_000_000, 0)
-	nextAsked, nextPlace := start, start
+	nextRequest, nextSlot := start, start
 	n := 0
 	for now := start; now.Before(start.Add(length)); now = now.Add(time.Millisecond) {
-		if !now.Before(nextAsked) {
-			nextAsked = nextAsked.Add(asked)
+		if !now.Before(nextRequest) {
+			nextRequest = nextRequest.Add(asked)
 			r := &laburnumwaiting.Request{
-				Query: laburnumbalance.Query{Model: "m0"}, Rank: ranks[n%len(ranks)], Since: now, FreshTill: now.Add(testFresh),
+				Query: laburnumbalance.Query{Model: "m0"}, Priority: priorities[n%len(priorities)], Arrived: now, FreshUntil: now.Add(testFresh),
 			}
-			r.Give = func(*laburnumbalance.Ticket) { given[r] = true }
-			require.True(t, w.Add(r))
+			r.Admit = func(*laburnumbalance.Ticket) { admitted[r] = true }
+			require.True(t, w.Push(r))
 			n++
 		}
 		for _, old := range w.Requests() {
-			if now.Sub(old.Since) > testWait {
+			if now.Sub(old.Arrived) > testWait {
 				w.Remove(old)
 			}
 		}
-		if now.Before(nextPlace) {
+		if now.Before(nextSlot) {
 			continue
 		}
-		nextPlace = nextPlace.Add(places)
+		nextSlot = nextSlot.Add(slots)
 		before := w.Requests()
 		free := 1
 		w.Serve(now, func(laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
@@ -58,36 +57,32 @@
 		})
 		for _, n := range before {
 			switch {
-			case !given[n]:
-			case now.After(n.FreshTill):
-				late[n.Rank]++
+			case !admitted[n]:
+			case now.After(n.FreshUntil):
+				late[n.Priority]++
 			default:
-				inTime[n.Rank]++
+				inTime[n.Priority]++
 			}
 		}
 	}
 	return inTime, late
 }
 
-// Fifty callers a second ask for what twenty-five places a second can serve. Strictly in
-// turn each would wait as long as callers wait at most, so that all answers are late. Those
-// who can still be in time go first, so nearly every place serves one in time.
+// Guards against a queue in which all answers are late: twice as many requests as slots.
 func TestOverloadServesInTimeWhomItServes(t *testing.T) {
 	inTime, late := overload(t, []int{1}, 20*time.Millisecond, 40*time.Millisecond, 20*time.Second)
 	require.Greater(t, inTime[1], 450)
 	require.Less(t, late[1], 50)
 }
 
-// A moment's burst is over before anybody has waited for long: nobody is turned away, and
-// each is served in the order of coming.
-func TestShortQueueIsServedInTurn(t *testing.T) {
+// Guards against refusals and reordering when as many requests arrive as slots come free.
+func TestShortQueueIsServedInOrder(t *testing.T) {
 	inTime, late := overload(t, []int{1}, 40*time.Millisecond, 40*time.Millisecond, 10*time.Second)
 	require.GreaterOrEqual(t, inTime[1], 249)
 	require.Zero(t, late[1])
 }
 
-// Urgent callers and others share the places of a model that more ask for than it serves.
-// The urgent go first as long as they can be in time.
+// Guards against urgent requests queued behind others in overload.
 func TestUrgentGoFirstWhileTheyAreInTime(t *testing.T) {
 	inTime, _ := overload(t, []int{0, 1}, 20*time.Millisecond, 40*time.Millisecond, 20*time.Second)
 	require.Greater(t, inTime[0], 10*max(1, inTime[1]))
--- a/laburnumwaiting/terms.go
+++ b/laburnumwaiting/terms.go
@@ -3,46 +3,35 @@
 import "time"
 
 const (
-	// waitShare of a caller's patience may pass before it has a slot: the rest is
-	// for the answer. One who gets no slot in that time would have got none
-	// elsewhere either, and may ask again once.
-	waitShare = 0.33
-	// resumeShare of the gap after which callers leave a stream may pass before a broken one
-	// has a slot to go on at: the rest is for reading the prompt and what was written.
-	resumeShare = 0.66
-	// freshShare of its target is how long a request may have waited and still be
-	// answered in time: the rest is for the reading of its prompt and the network.
-	freshShare = 0.75
-	// leaveTime, leaveTargets and leavePauses are the platform's word on when
-	// callers leave a stream.
+	waitShare   = 0.33 // of the caller's patience; the rest is for the answer
+	resumeShare = 0.66 // of the gap after which callers leave; the rest is for reading the prompt again
+	freshShare  = 0.75 // of the latency target; the rest is for reading the prompt and the network
+	retryShare  = 0.33 // of the time left to the deadline, the latest Retry-After
+
+	// Callers leave a stream after a gap. Source: the platform's protocol.
 	leaveTime    = 2 * time.Second
 	leaveTargets = 4
 	leavePauses  = 8
-	// retryShare of the time left is the latest that callers come back.
-	retryShare = 0.33
 )
 
-// Caller is what decides how long a request may wait.
+// Caller holds the times that decide how long a request may be queued.
 type Caller struct {
-	// Arrived is when the request came, Deadline when its caller has no use for the answer
-	// any more.
+	// Arrived is when the request came, Deadline when the caller stops waiting.
 	Arrived, Deadline time.Time
-	// Stream tells that the caller leaves after a gap, not only at the deadline.
+	// Stream tells that the caller also leaves after a gap.
 	Stream bool
-	// Target is the time to the answer's first part, PauseTarget that between two parts.
+	// Target is the time to the first part of the answer, PauseTarget between two parts.
 	Target, PauseTarget time.Duration
-	// BrokenAt is when the caller got the last part of an answer that broke off; zero while
-	// none has.
+	// BrokenAt is when the last part of a broken answer was sent; zero if none broke.
 	BrokenAt time.Time
 }
 
-// LeaveGap is the gap after which callers leave a stream: leaveTime, leaveTargets times its
-// target or leavePauses times its longest pause, whichever is longest.
+// LeaveGap is the gap after which callers leave a stream.
 func (c Caller) LeaveGap() time.Duration {
 	return max(leaveTime, leaveTargets*c.Target, leavePauses*c.PauseTarget)
 }
 
-// Patience is how long the caller waits for a first part of the answer.
+// Patience is how long the caller waits for the first part of the answer.
 func (c Caller) Patience() time.Duration {
 	whole := c.Deadline.Sub(c.Arrived)
 	if !c.Stream {
@@ -51,9 +40,8 @@
 	return min(whole, c.LeaveGap())
 }
 
-// RetryAfter is when the caller should ask again: as long as told here at least, up to twice
-// that as random from 0 to 1 says, so that those refused together do not come back together,
-// and so that the caller still has time for the answer then. It is 0 where least is.
+// RetryAfter spreads retries between least and twice least, by a random number from 0 to 1,
+// and leaves the caller time for the answer. It is 0 where least is.
 func (c Caller) RetryAfter(least time.Duration, random float64, now time.Time) time.Duration {
 	if least <= 0 {
 		return 0
@@ -65,19 +53,19 @@
 	return min(after, time.Duration(retryShare*float64(c.Deadline.Sub(now))))
 }
 
-// Terms say which share of a caller's time a request may spend in the queue.
+// Terms are the shares of a caller's time that a request may be queued for.
 type Terms struct{ wait, resume, fresh float64 }
 
 // DefaultTerms are those of a gateway.
 func DefaultTerms() Terms { return Terms{wait: waitShare, resume: resumeShare, fresh: freshShare} }
 
-// WithWait returns the terms with another share of the patience for the wait for a slot.
+// WithWait returns the terms with another share of the caller's patience.
 func (t Terms) WithWait(share float64) Terms {
 	t.wait = share
 	return t
 }
 
-// WaitUntil is until when the request may wait for a slot.
+// WaitUntil is when a queued request times out.
 func (t Terms) WaitUntil(c Caller) time.Time {
 	if c.BrokenAt.IsZero() {
 		return c.Arrived.Add(time.Duration(t.wait * float64(c.Patience())))
@@ -85,8 +73,8 @@
 	return c.BrokenAt.Add(time.Duration(t.resume * float64(c.LeaveGap())))
 }
 
-// FreshUntil is until when a slot makes a difference for the request: its answer would
-// begin in time, or its broken answer goes on before the caller leaves.
+// FreshUntil is the latest time at which a slot still lets the answer begin in time, or lets
+// a broken answer resume before the caller leaves.
 func (t Terms) FreshUntil(c Caller) time.Time {
 	if c.BrokenAt.IsZero() {
 		return c.Arrived.Add(time.Duration(t.fresh * float64(c.Target)))
