docs: laburnumbalance's comments in the field's terms

Slot for place, endpoint state for what is known of a server, reservation, backoff; comments that told how a value came about went.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -11,56 +11,48 @@
 )
 
 const (
-	// usualReadTime is what a model engine takes to read a token of a prompt where that
-	// was not measured yet.
-	usualReadTime = time.Second / 30000
-	// placeMillis is what each request at a server costs the next one, by the
-	// longer steps of a deeper batch.
-	placeMillis = 1
-	// waitMillis is what each request beyond a server's places costs: a place
-	// comes free once in an answer's time over the number of places.
-	waitMillis = 100
-	// zoneMillis is the price of another zone: above the time of the hop, since
-	// every byte between zones is paid for.
-	zoneMillis = 20
-	// silentMillis is held against a server whose heartbeats have stopped.
-	silentMillis = 200
-	// freeShare of a server's places stays free: what waits, waits on the gateways,
-	// which send first what can still be in time and send it wherever a place comes free
-	// first. At an engine it waits behind all that is more urgent, and there the more
-	// urgent stop answers under way, which then pause for a second. A twentieth covers
-	// what other gateways have sent since the last answer told of it.
+	// defaultReadTime is the time to read a token of a prompt until it is measured.
+	defaultReadTime = time.Second / 30000
+
+	// Terms of the score, in milliseconds.
+	slotMillis    = 1   // for each request at the server: a deeper batch has longer steps
+	queueMillis   = 100 // for each request beyond the server's slots
+	zoneMillis    = 20  // for another zone: bytes between zones are paid for
+	silentMillis  = 200 // for a server whose heartbeats have stopped
+	failureMillis = 250 // for each recent failure: more than a short queue elsewhere
+	jitterMillis  = 2   // breaks ties differently on each VM
+	avoidMillis   = 1e6 // for a server that already failed the request
+
+	// freeShare of a server's slots stays free for what other gateways have sent since its
+	// last answer. Requests queue on gateways rather than at engines, where the urgent
+	// preempt answers under way.
 	freeShare = 0.05
-	// maxFailures bounds what is held against a server, so that it comes back
-	// within seconds once it is sound.
+	// maxFailures bounds the failures of a server, so that it recovers within seconds.
 	maxFailures = 8
-	// jitterMillis breaks ties differently on each VM.
-	jitterMillis = 2
-	// emptyShare of its places taken is when a server has room, whatever it says.
+	// emptyShare is the share of busy slots below which a server can't be full.
 	emptyShare = 0.5
-	// fullTime is how long a server that refused for want of room counts as full.
+	// fullTime is how long a server that refused a request counts as full.
 	fullTime = 300 * time.Millisecond
 )
 
-// Query is what a decision is made for.
+// Query describes a request that needs a server.
 type Query struct {
 	Service laburnumlever.ServiceName
 	// Model and Adapter are empty for a plain service.
 	Model   laburnumlever.ModelName
 	Adapter laburnumlever.AdapterName
 	Prompt  []laburnumlever.PromptPart
-	// Target is the time within which the answer should begin; 0 for none.
+	// Target is the latency target of the answer's first part; 0 for none.
 	Target time.Duration
-	// ReadTime is what the model's engines take to read a token of a prompt; 0 where it
-	// is not known.
+	// ReadTime is the time to read a token of a prompt with this model; 0 if unknown.
 	ReadTime time.Duration
-	// Queue tells that the request may wait at a server, behind those that have a place.
+	// Queue allows the request to queue at a server whose slots are all taken.
 	Queue bool
-	// Avoid are the servers that this request was sent to before.
+	// Avoid are the servers that already failed the request.
 	Avoid []laburnumlever.BackendID
 }
 
-// Verdict says why there is no server.
+// Verdict is the outcome of Pick.
 type Verdict int
 
 // The verdicts.
@@ -68,60 +60,58 @@
 	Found Verdict = iota
 	// NoServer means that no server of the service takes work.
 	NoServer
-	// ModelAbsent means that none of them holds the model.
+	// ModelAbsent means that no server holds the model.
 	ModelAbsent
-	// AdapterAbsent means that some hold the model and none the adapter.
+	// AdapterAbsent means that servers hold the model but not the adapter.
 	AdapterAbsent
-	// Full means that all that could do it have too much waiting.
+	// Full means that no server that holds the model has a free slot.
 	Full
 )
 
-// Ticket is a request's place at a server.
+// Ticket is a slot that a request occupies at a server.
 type Ticket struct {
 	Backend laburnumlever.Heartbeat
 	server  *server
 	query   Query
-	// reading is the time that its prompt takes, until its answer has begun.
+	// reading is the estimated time to read the prompt, in ms; 0 once the answer has begun.
 	reading float64
-	// unread is how many tokens of it the server has not cached, as far as is known.
+	// unread are the tokens of the prompt that the server has probably not cached.
 	unread int
 	since  time.Time
-	// unsure tells that the server may be full for all that is known.
 	unsure bool
 }
 
-// Unsure tells whether the server may have no place for all that is known: it was heard of
-// too long ago, and had much to do then or is not known at all.
+// Unsure tells whether the server's load is stale, so that it may have no free slot.
 func (ticket *Ticket) Unsure() bool { return ticket.unsure }
 
-// Model is the model that the place is for; empty for a plain service.
+// Model is empty for a plain service.
 func (ticket *Ticket) Model() laburnumlever.ModelName { return ticket.query.Model }
 
-// Sample is what came of an attempt.
+// Sample is the outcome of an attempt.
 type Sample struct {
-	// Failed tells that the server did not answer, or wrongly.
+	// Failed means no answer, or an invalid one.
 	Failed bool
-	// Unreachable tells that it took no connection.
+	// Unreachable means that no connection could be opened.
 	Unreachable bool
-	// Full tells that it refused for want of room.
+	// Full means that the server refused the request for lack of a slot.
 	Full bool
-	// Absent tells that it does not hold the model or adapter.
+	// Absent means that the server does not hold the model or adapter.
 	Absent bool
-	// Load is what it said of its load, if HasLoad.
+	// HasLoad tells that Running and Waiting are set.
 	HasLoad          bool
 	Running, Waiting int
-	// Taken tells that it had no place free when it was asked for one.
+	// Taken means that a reservation was refused for lack of a slot.
 	Taken bool
 }
 
-// Table holds the servers.
+// Table holds the endpoint state of the servers.
 type Table struct {
 	zone      laburnumlever.ZoneName
 	rand      *rand.Rand
 	servers   map[laburnumlever.BackendID]*server
 	byService map[laburnumlever.ServiceName][]*server
 	byModel   map[serviceModel][]*server
-	// unreachable are the servers that took no connection lately, and may by now.
+	// unreachable are the servers that could not be connected to lately.
 	unreachable map[laburnumlever.BackendID]struct{}
 	prefixes    *prefixes
 	freeShare   float64
@@ -130,8 +120,8 @@
 // Option changes a new table.
 type Option func(*Table)
 
-// WithFreeShare sets the share of a server's slots that stays free; below 0 requests queue at
-// the server.
+// WithFreeShare sets the share of a server's slots that stays free. A negative share lets
+// requests queue at the server.
 func WithFreeShare(share float64) Option { return func(t *Table) { t.freeShare = share } }
 
 // serviceModel names a model of a service.
@@ -140,7 +130,7 @@
 	model   laburnumlever.ModelName
 }
 
-// New makes an empty table for a VM in the zone; the seed makes runs repeatable.
+// New makes an empty table for a VM in the zone. The seed makes choices repeatable.
 func New(zone laburnumlever.ZoneName, seed uint64, opts ...Option) *Table {
 	t := &Table{
 		freeShare: freeShare, zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // breaks ties, no secret
@@ -155,7 +145,7 @@
 	return t
 }
 
-// Set takes a record; one that takes no work leaves the choice.
+// Set updates a server, or removes it if it takes no work.
 func (t *Table) Set(r laburnumregistry.Record) {
 	id := r.Heartbeat.Backend
 	s := t.servers[id]
@@ -164,8 +154,7 @@
 		return
 	}
 	if s != nil && s.record.Heartbeat.Born < r.Heartbeat.Born {
-		// It has started again: what was known of it is of before.
-		t.remove(id)
+		t.remove(id) // it has restarted
 		s = nil
 	}
 	if s == nil {
@@ -177,7 +166,7 @@
 	t.index(s)
 }
 
-// index brings the lists by model up to what the server may hold.
+// index lists the server under each model that it may hold.
 func (t *Table) index(s *server) {
 	for _, model := range slices.Clone(s.listed) {
 		if !s.record.Heartbeat.Holds(model, "") && !s.wasAdded(model) {
@@ -207,9 +196,7 @@
 	}
 }
 
-// candidates are the servers that may hold a query's model; all of the service for a plain
-// one. With hundreds of engines a look at each for every request takes a gateway longer than
-// the rest of its work.
+// candidates returns the servers that may hold the query's model, or all of a plain service.
 func (t *Table) candidates(q Query) []*server {
 	if q.Model == "" {
 		return t.byService[q.Service]
@@ -217,7 +204,7 @@
 	return t.byModel[serviceModel{service: q.Service, model: q.Model}]
 }
 
-// SetOverlay takes what the VM that gives the orders knows of an engine.
+// SetOverlay updates what the placement leader knows of an engine beyond its heartbeats.
 func (t *Table) SetOverlay(o laburnumregistry.Overlay) {
 	s := t.servers[o.Backend]
 	if s == nil || o.Fence < s.overlay.Fence {
@@ -239,7 +226,7 @@
 	}
 }
 
-// Added notes a model or adapter that a server holds by now.
+// Added records a model or adapter that a server holds before a heartbeat lists it.
 func (t *Table) Added(id laburnumlever.BackendID, model laburnumlever.ModelName, adapter laburnumlever.AdapterName, now time.Time) {
 	if s := t.servers[id]; s != nil {
 		s.added = note(s.added, held{model: model, adapter: adapter}, now.Add(addedTime), now)
@@ -248,7 +235,7 @@
 	}
 }
 
-// Unreachable lists the servers that took no connection lately.
+// Unreachable lists the servers that could not be connected to lately.
 func (t *Table) Unreachable(now time.Time) []laburnumlever.BackendID {
 	var ids []laburnumlever.BackendID
 	for id := range t.unreachable {
@@ -262,11 +249,10 @@
 	return ids
 }
 
-// Len is how many servers take work for the service.
+// Len returns the number of servers that take work for the service.
 func (t *Table) Len(service laburnumlever.ServiceName) int { return len(t.byService[service]) }
 
-// Useless lists the servers that hold a query's model and can't take it now, whatever
-// adapters they have.
+// Useless lists the servers that hold the query's model but are full or unreachable.
 func (t *Table) Useless(q Query, now time.Time) []laburnumlever.BackendID {
 	var useless []laburnumlever.BackendID
 	for _, s := range t.candidates(q) {
@@ -277,7 +263,7 @@
 	return useless
 }
 
-// Pick chooses a server and takes a place there.
+// Pick chooses the server with the lowest score and occupies a slot there.
 func (t *Table) Pick(q Query, now time.Time) (*Ticket, Verdict) {
 	if len(t.byService[q.Service]) == 0 {
 		return nil, NoServer
@@ -316,7 +302,7 @@
 	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q, reading: reading, unread: unread, since: now, unsure: best.unsure(now)}, Found
 }
 
-// overfull tells whether what waits at the server is too much already.
+// overfull tells whether the server has no slot or too many prompts to read.
 func (t *Table) overfull(s *server, now time.Time, queue bool) bool {
 	slots := float64(max(1, s.record.Heartbeat.Slots))
 	return now.Before(s.fullTill) || !queue && s.load(now) >= slots*(1-t.freeShare) ||
@@ -325,9 +311,9 @@
 
 func (t *Table) score(s *server, q Query, now time.Time) float64 {
 	load := s.load(now)
-	score := placeMillis*load + s.blame(now) + jitterMillis*t.rand.Float64()
+	score := slotMillis*load + s.blame(now) + jitterMillis*t.rand.Float64()
 	if over := load + 1 - float64(max(1, s.record.Heartbeat.Slots)); over > 0 {
-		score += waitMillis * over
+		score += queueMillis * over
 	}
 	if !s.local {
 		score += zoneMillis
@@ -341,7 +327,7 @@
 	return score + s.reading + t.readMillis(s, q)
 }
 
-// readMillis is how long the server reads what it has not cached of the prompt.
+// readMillis is the time to read the part of the prompt that is not cached.
 func (t *Table) readMillis(s *server, q Query) float64 {
 	return q.readMillis(t.prefixes.missing(s.record.Heartbeat, q))
 }
@@ -349,16 +335,13 @@
 func (q Query) readMillis(tokens int) float64 {
 	read := q.ReadTime
 	if read <= 0 {
-		read = usualReadTime
+		read = defaultReadTime
 	}
 	return float64(tokens) * float64(read) / float64(time.Millisecond)
 }
 
-// avoidMillis puts a server behind all others that could do it.
-const avoidMillis = 1e6
-
-// Began notes that the answer has begun. It returns how long that took and how many tokens
-// of the prompt the server had to read for it.
+// Began records that the answer has begun. It returns the time to the first part and the
+// number of prompt tokens that the server had to read.
 func (t *Table) Began(ticket *Ticket, now time.Time) (time.Duration, int) {
 	if ticket == nil || ticket.server == nil || ticket.reading == 0 {
 		return 0, 0
@@ -369,13 +352,12 @@
 	return took, ticket.unread
 }
 
-// read takes the prompt out of what the server has to read.
 func (ticket *Ticket) read() {
 	ticket.server.reading = max(0, ticket.server.reading-ticket.reading)
 	ticket.reading = 0
 }
 
-// End frees the place and learns from the attempt. A nil ticket is no place.
+// End frees the slot and learns from the attempt. It ignores a nil ticket.
 func (t *Table) End(ticket *Ticket, sample Sample, now time.Time) {
 	if ticket == nil || ticket.server == nil {
 		return
@@ -392,7 +374,7 @@
 	}
 }
 
-// Learn takes what a server's answer says while the request still runs there.
+// Learn updates a server from an answer, also while the request is still running.
 func (t *Table) Learn(id laburnumlever.BackendID, sample Sample, now time.Time) {
 	s := t.servers[id]
 	if s == nil {
@@ -410,8 +392,8 @@
 	}
 	if sample.Full {
 		s.fullTill = now.Add(fullTime)
-		// One that refuses for want of room while it has little to do is not full
-		// but broken; its health answers say nothing of that.
+		// A server that refuses while its slots are free is failing, whatever its health
+		// checks say.
 		if s.load(now) < emptyShare*float64(s.record.Heartbeat.Slots) {
 			s.fail(now)
 		}
--- a/laburnumbalance/doc.go
+++ b/laburnumbalance/doc.go
@@ -1,23 +1,18 @@
-// Package laburnumbalance decides which backend server gets a request, on fleets
-// whose model engines hold different models and cache parts of prompts. It is
-// pure: time is passed in and no network is touched.
+// Package laburnumbalance chooses the backend server for a request, on fleets whose model
+// engines hold different models and cache prefixes of prompts. It is pure.
 //
-// The load patterns it answers: several gateways send to the same engines and each
-// sees the others' work only through answers that lag; an engine reads the prompts of
-// new requests between the tokens of those that run, so a prompt that it has cached
-// costs the others nothing; an engine that is full makes a request wait for a whole
-// other answer; one that fails fast looks idle and would draw all work.
+// Load patterns: hundreds of gateways send to the same engines and learn of each other's
+// requests only from answers. A prompt that is not cached is read between the tokens of the
+// answers under way and delays them. A full engine queues a request for a whole answer. A
+// server that fails fast looks idle.
 //
-//   - A server's load is this gateway's own count, which is exact, and what the last
-//     answer said beyond it, which fades within three seconds.
-//   - A score estimates, in milliseconds, what the request costs there: reading what is
-//     not cached, waiting when all places are taken, another zone's bytes, and failures
-//     seen lately. The lowest score wins.
-//   - A server that was heard of too long ago, and had much to do then or is not known at
-//     all, is unsure: it may be full by now, and is asked for a place before a request goes
-//     there. One that had none counts as full until its next word or some moments later.
-//   - What an engine says it does not hold, or that it is full, counts at once and
-//     until its next word.
+//   - The load of a server is this gateway's own count, which is exact, plus what the last
+//     answer reported beyond it, which fades.
+//   - The score estimates the cost of the request in milliseconds: reading the prompt, queueing,
+//     traffic between zones, recent failures. The lowest score wins.
+//   - A server with a stale report and much load is unsure: a slot is reserved there before
+//     the request is sent. A refused reservation counts as full for a moment.
+//   - A server that answers that it is full, or lacks the model, is believed at once.
 //
 // # Usage
 //
@@ -27,5 +22,5 @@
 //	…
 //	table.End(ticket, laburnumbalance.Sample{…}, now)
 //
-// A Table is not safe for concurrent use: its owner serialises calls.
+// A Table is not safe for concurrent use.
 package laburnumbalance
--- a/laburnumbalance/prefixes.go
+++ b/laburnumbalance/prefixes.go
@@ -2,13 +2,10 @@
 
 import "laburnumlever"
 
-// generationSize bounds the parts remembered: two generations of this size hold
-// the last prompts of a gateway for about a minute at a few hundred requests a
-// second, longer than engines keep what is not used.
+// generationSize bounds the prompt parts remembered; two generations are kept.
 const generationSize = 1 << 14
 
-// cachedPart names a part of a prompt as an engine has read it: with another model, or
-// another adapter of it, the same part has to be read again.
+// cachedPart is the cache key of a prompt part: engines cache by model and adapter.
 type cachedPart struct {
 	backend laburnumlever.BackendID
 	born    uint64
@@ -21,8 +18,7 @@
 	return cachedPart{backend: to.Backend, born: to.Born, model: q.Model, adapter: q.Adapter, id: part.ID}
 }
 
-// prefixes remembers which parts of prompts went to which server. It is right as
-// long as the server has not dropped them; a wrong guess costs one reading.
+// prefixes estimates which prompt parts each server has cached, by what was sent there.
 type prefixes struct {
 	young, old map[cachedPart]struct{}
 }
@@ -40,8 +36,7 @@
 	}
 }
 
-// missing is how many tokens of the prompt the server has to read: all from the
-// first part that it has not seen.
+// missing returns the tokens after the cached prefix of the prompt.
 func (p *prefixes) missing(to laburnumlever.Heartbeat, q Query) int {
 	tokens := 0
 	cached := true
