--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -19,33 +19,27 @@
 )
 
 const (
-	// maxStored bounds an answer that is read whole before it is passed on, so
-	// that one that breaks off can be told as such, or asked for again.
-	maxStored = 1 << 20
-	// eventBuffer takes a usual event in one read.
+	maxStored   = 1 << 20 // bytes of an answer that is buffered, so that it can be retried if it breaks
 	eventBuffer = 4 << 10
-	// maxEvent bounds one event of a stream.
-	maxEvent = 1 << 20
-	// streamType begins the content type of a series of events.
-	streamType = "text/event-stream"
+	maxEvent    = 1 << 20 // bytes of an event
+	streamType  = "text/event-stream"
 )
 
-// hopHeaders concern one connection only, or are this server's own to set.
+// hopHeaders are not forwarded.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade", "Te"}
 
-// answer is what has gone to the caller.
+// answer is the state of the response to the caller.
 type answer struct {
 	w       http.ResponseWriter
 	started bool
-	// firstAt and lastAt are when the first and last parts were passed on, pause
-	// the longest time between two.
+	// firstAt and lastAt are when the first and last parts were written, pause is the longest
+	// time between two.
 	firstAt, lastAt time.Time
 	pause           time.Duration
-	// events is how many parts were passed on.
-	events int
+	events          int
 }
 
-// passed notes that a part of the answer has gone to the caller.
+// passed records that a part was written.
 func (a *answer) passed(now time.Time) {
 	if a.firstAt.IsZero() {
 		a.firstAt = now
@@ -56,7 +50,7 @@
 	a.events++
 }
 
-// storedAnswer is a whole answer of a backend server.
+// storedAnswer is a buffered answer.
 type storedAnswer struct {
 	status int
 	header http.Header
@@ -78,7 +72,7 @@
 	}
 }
 
-// pass passes an answer on to the caller.
+// pass forwards an answer to the caller.
 func (g *Gateway) pass(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, sample *laburnumbalance.Sample) *failure {
 	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), streamType) {
 		return g.passStream(ctx, q, out, ticket, resp, sample)
@@ -104,13 +98,12 @@
 	return nil
 }
 
-// failedAnswer keeps a backend server's word that it failed, which the caller gets
-// unless another attempt does better.
+// failedAnswer stores an error answer, which the caller gets if no other attempt succeeds.
 func (g *Gateway) failedAnswer(q *request, stored *storedAnswer, sample *laburnumbalance.Sample) *failure {
 	sample.Failed = true
 	if promisesNotRun(stored.status) {
-		// Without the mark the backend server may have run the request, and
-		// the status would promise the caller that it has not.
+		// The backend server may have run the request, but the status would promise that it
+		// has not.
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: &AnswerStatusError{Status: stored.status}}
 	}
 	q.failed = stored
@@ -126,7 +119,7 @@
 	}
 }
 
-// passLong passes on an answer too long to be kept.
+// passLong streams an answer that is too long to be buffered.
 func (g *Gateway) passLong(ctx context.Context, out *answer, resp *http.Response, head []byte) *failure {
 	copyHeader(out.w.Header(), resp.Header)
 	if resp.ContentLength > 0 {
@@ -147,8 +140,7 @@
 	return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: &BrokenAnswerError{Cause: err}}
 }
 
-// passStream passes whole events on as they come. What is left of a broken event is
-// dropped, so that the stream can go on elsewhere behind the last whole one.
+// passStream forwards complete events, so that a broken stream can resume after the last one.
 func (g *Gateway) passStream(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, sample *laburnumbalance.Sample) *failure {
 	if !out.started {
 		copyHeader(out.w.Header(), resp.Header)
@@ -190,8 +182,8 @@
 	}
 }
 
-// follows checks that an event is the one after the last, where ids are numbers: a
-// stream that goes on elsewhere could otherwise lose or repeat a piece.
+// follows checks that numeric event ids are consecutive: a resumed stream must not lose or
+// repeat an event.
 func (g *Gateway) follows(q *request, event []byte) *failure {
 	id, ok := g.dialect.EventID(event)
 	if !ok {
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -13,8 +13,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// answerSlack is what an answer may be late at a backend server's own end before
-// this VM ends it: the clocks start a network's delay apart.
+// answerSlack lets a backend server's own timeout fire before the gateway's.
 const answerSlack = 100 * time.Millisecond
 
 // try makes one attempt. A nil failure means that the whole answer was passed on.
@@ -49,8 +48,7 @@
 	return fail
 }
 
-// connectionLimit is this VM's part of the connections that one backend server
-// takes.
+// connectionLimit is this gateway's share of a backend server's connection limit.
 func (g *Gateway) connectionLimit(q *request) int {
 	if q.service.MaxConnections == 0 {
 		return 0
@@ -63,7 +61,7 @@
 	return errors.As(err, &dial)
 }
 
-// exchange sends the request on a connection and passes the answer on.
+// exchange sends the request and forwards the answer.
 func (g *Gateway) exchange(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn, sample *laburnumbalance.Sample) (*failure, *http.Response) {
 	now := g.timers.Now()
 	if err := conn.SetDeadline(q.deadline.Add(answerSlack)); err != nil {
@@ -88,7 +86,7 @@
 	return g.pass(ctx, q, out, ticket, resp, sample), resp
 }
 
-// inspect tells answers that are not to be passed on.
+// inspect returns a failure for an answer that must not be forwarded.
 func (g *Gateway) inspect(q *request, ticket *laburnumbalance.Ticket, resp *http.Response, marks laburnumlever.AnswerMarks, sample *laburnumbalance.Sample) *failure {
 	if marks.RequestID != q.caller.ID && (marks.RequestID != "" || !marks.NotRun) {
 		sample.Failed = true
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -9,15 +9,14 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// latencyBuckets reach from the time of a hop between two zones to the longest time that
-// routes give a request; each is about twice the one before.
+// latencyBuckets range from a hop between zones to the longest timeout of a route.
 var latencyBuckets = tally.DurationBuckets{
 	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
 	100 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond,
 	time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second,
 }
 
-// counters are those of the callers' path, looked up once.
+// counters caches the metrics of requests.
 type counters struct {
 	requests, served tally.Counter
 	refusals         map[laburnumlever.RefusalReason]tally.Counter
@@ -31,7 +30,7 @@
 
 //go:generate go tool -modfile=../tools/go.mod enumer -type=reserveOutcome -transform=kebab -trimprefix=reserve -output=reserveoutcome_gen.go
 
-// reserveOutcome is what came of asking an engine for a place first.
+// reserveOutcome is the outcome of a reservation.
 type reserveOutcome int
 
 const (
@@ -40,9 +39,9 @@
 	reserveUnanswered
 )
 
-// latencies are the times of one service's answers.
+// latencies are the histograms of a service.
 type latencies struct {
-	// wait is for a place, first to the first part of the answer, pause the longest
+	// wait is the time in the queue, first to the first part of the answer, pause the longest
 	// between two parts, whole to the last part.
 	wait, first, pause, whole tally.Histogram
 }
@@ -66,7 +65,7 @@
 	return c
 }
 
-// answered notes the times of an answer that was passed on whole.
+// answered records the times of a complete answer.
 func (c *counters) answered(q *request, out *answer) {
 	l := c.of(q.service.Name)
 	l.wait.RecordDuration(q.waited)
@@ -77,8 +76,7 @@
 	}
 }
 
-// of returns a service's histograms. Services are few and named by operators, so they may
-// be a label.
+// of returns a service's histograms. Services are a bounded label: operators name them.
 func (c *counters) of(service laburnumlever.ServiceName) *latencies {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/laburnumgateway/doc.go
+++ b/laburnumgateway/doc.go
@@ -1,5 +1,5 @@
-// Package laburnumgateway takes callers' requests on fleets that route by host and
-// path, and passes each on to one backend server at a time.
+// Package laburnumgateway is the HTTP gateway: it routes callers' requests by host and path and
+// forwards each to one backend server at a time.
 //
 // # Usage
 //
@@ -9,13 +9,11 @@
 //	…
 //	gateway.Drain(ctx)
 //
-// # What a caller may be told
+// # Outcomes
 //
-// Each attempt ends in one of four ways: not sent, not run (the backend server says
-// so), unknown, or answered. A request is refused as not run (503) only if all its
-// attempts ended in the first two; after an unknown one it is 502, or 504 when its
-// time is over. A request of a route that may not be repeated is never sent again
-// after an unknown attempt. A broken stream of a resumable route goes on elsewhere
-// after its last whole event; the connection to the first backend server is closed
-// before.
+// An attempt ends as not sent, not run (the backend server says so), unknown, or answered. A
+// request is refused with 503 only if all its attempts were not sent or not run. After an unknown
+// one it is 502, or 504 past its deadline. A request of a route that is not repeatable is never
+// retried after an unknown attempt. A broken stream of a resumable route resumes at another
+// backend server after its last complete event, once the connection to the first is closed.
 package laburnumgateway
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -19,8 +19,8 @@
 	"github.com/go-kit/log/level"
 )
 
-// Fleet is what a gateway knows of backend servers and routes. It takes the feeds
-// of the control VMs and may be used from any goroutine.
+// Fleet is a gateway's view of backend servers and routes, updated by the feeds of the control
+// VMs. It is safe for concurrent use.
 type Fleet struct {
 	timers laburnumlever.Timers
 	logger log.Logger
@@ -35,7 +35,7 @@
 	adapters laburnumdemand.AdapterUses
 	queue    laburnumwaiting.Queue
 	paces    laburnumdemand.Paces
-	// replaced are those not told of yet at whose address another has answered.
+	// replaced are backend servers whose address another one answered at, not reported yet.
 	replaced []laburnumlever.BackendID
 	gateways int
 }
@@ -48,8 +48,8 @@
 // WithFleetLogger sets the log; without it nothing is logged.
 func WithFleetLogger(logger log.Logger) FleetOption { return func(f *Fleet) { f.logger = logger } }
 
-// NewFleet makes an empty fleet for a VM. The seed makes choices repeatable; the
-// period is that of the heartbeats.
+// NewFleet makes an empty fleet for a VM. The seed makes choices repeatable, period is the
+// heartbeats'.
 func NewFleet(timers laburnumlever.Timers, vm laburnumlever.VM, period time.Duration, seed uint64, opts ...FleetOption) *Fleet {
 	f := &Fleet{
 		timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
@@ -62,7 +62,7 @@
 	return f
 }
 
-// Learn takes what a control VM knows.
+// Learn merges the answer of a control VM's feed.
 func (f *Fleet) Learn(_ string, a laburnumfeed.Answer) {
 	now := f.timers.Now()
 	f.mu.Lock()
@@ -83,10 +83,10 @@
 	f.serveQueue()
 }
 
-// Lost says that a control VM does not answer; the others know the same.
+// Lost ignores that a feed broke off, as the other control VMs have the same state.
 func (f *Fleet) Lost(string) {}
 
-// LearnRoutes takes a route table; one not newer changes nothing.
+// LearnRoutes puts a route table in force if it is newer.
 func (f *Fleet) LearnRoutes(t laburnumlever.RouteTable) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -99,7 +99,7 @@
 	_ = level.Info(f.logger).Log("event", laburnumlever.EventRoutesInForce, "version", t.Version, "routes", len(t.Routes))
 }
 
-// awaitRoutes waits until there are routes, for the time given at most.
+// awaitRoutes waits for the first route table.
 func (f *Fleet) awaitRoutes(ctx context.Context, wait time.Duration) {
 	over, cancel := laburnumtimer.Passed(f.timers, wait)
 	defer cancel()
@@ -110,15 +110,14 @@
 	}
 }
 
-// Sweep forgets the backend servers that are gone for long; they left the choice when they
-// went.
+// Sweep drops tombstones of backend servers that are gone for long.
 func (f *Fleet) Sweep() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.registry.ForgetGone(f.timers.Now())
 }
 
-// RoutesVersion is the version in force here; 0 for none.
+// RoutesVersion returns the version in force; 0 for none.
 func (f *Fleet) RoutesVersion() uint64 {
 	if x := f.index.Load(); x != nil {
 		return x.Table().Version
@@ -126,8 +125,8 @@
 	return 0
 }
 
-// News is what callers asked for and which adapters they used since the last call, and
-// the backend servers that take no connection.
+// News returns demand and adapter use since the last call, and the backend servers that can't
+// be connected to or were replaced.
 func (f *Fleet) News() laburnumlever.GatewayNews {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -155,14 +154,14 @@
 	return false
 }
 
-// using notes that a request has a place.
+// using counts an adapter in use.
 func (f *Fleet) using(q *request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.adapters.Begun(q.caller.Model, q.caller.Adapter)
 }
 
-// began notes that the first event of an answer has come.
+// began records the first event of an answer.
 func (f *Fleet) began(t *laburnumbalance.Ticket) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -171,7 +170,7 @@
 	f.serveQueue()
 }
 
-// release frees a place and learns from the attempt.
+// release frees the slot of an attempt and learns from its outcome.
 func (f *Fleet) release(q *request, t *laburnumbalance.Ticket, s laburnumbalance.Sample) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -190,7 +189,7 @@
 	f.serveQueue()
 }
 
-// gone notes that another backend server has the address now.
+// gone removes a backend server whose address another one answered at.
 func (f *Fleet) gone(id laburnumlever.BackendID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -211,43 +210,42 @@
 	f.serveQueue()
 }
 
-// retryWaiting looks again for places for those that wait.
-func (f *Fleet) retryWaiting() {
+func (f *Fleet) retryQueue() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.serveQueue()
 }
 
-// asked counts a request that has come.
+// asked counts a request.
 func (f *Fleet) asked(q *request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.demand.Asked(laburnumdemand.RequestOf(q.caller))
 }
 
-// refused counts that it was not answered.
+// refused counts a refused request.
 func (f *Fleet) refused(q *request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.demand.Refused(laburnumdemand.RequestOf(q.caller))
 }
 
-// useless are the engines that hold a request's model and can't take it now.
+// useless lists engines that hold the request's model but are full or unreachable.
 func (f *Fleet) useless(q *request) []laburnumlever.BackendID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.balance.Useless(f.query(q), f.timers.Now())
 }
 
-// query is what a server is chosen for; mu is held.
+// query describes the request to the balancer. The caller must hold mu.
 func (f *Fleet) query(q *request) laburnumbalance.Query {
 	query := q.query()
 	query.ReadTime = f.paces.Of(q.caller.Model)
 	return query
 }
 
-// Gateways is how many gateways there are, the largest number ever heard of: while
-// it changes, shares must not add up to more than the whole.
+// Gateways returns the largest number of gateways seen: while it changes, the shares of all
+// gateways must not exceed the whole.
 func (f *Fleet) Gateways() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -14,35 +14,29 @@
 )
 
 const (
-	// noBackendRetry is when it is worth asking again where nothing can do the
-	// request: a load from an engine's disk takes about that long.
-	noBackendRetry = time.Second
-	// drainRetry sends callers of a VM that ends to another at once.
-	drainRetry = 50 * time.Millisecond
-	// fullRetry is when a place may be free again where all are taken.
-	fullRetry = 500 * time.Millisecond
-	// adapterWait bounds the wait for an adapter, which is loaded in some ten
-	// milliseconds; beyond it something is wrong.
-	adapterWait = 400 * time.Millisecond
-	// adapterPause is between two questions for an adapter: a place for one comes
-	// free when an engine has loaded a model, or another adapter falls out of use.
-	adapterPause = 2 * time.Millisecond
+	// Least Retry-After.
+	noBackendRetry = time.Second            // about a load from an engine's disk
+	drainRetry     = 50 * time.Millisecond  // another gateway can serve the request
+	fullRetry      = 500 * time.Millisecond // slots come free all the time
+
+	adapterWait  = 400 * time.Millisecond // many times a usual load of an adapter
+	adapterPause = 2 * time.Millisecond   // between two requests for an adapter
 )
 
-// failure is an attempt that brought no whole answer.
+// failure is the outcome of an attempt without a complete answer.
 type failure struct {
 	stage  laburnumretry.Stage
 	reason laburnumlever.RefusalReason
 	cause  error
-	// taken tells that the engine had no place when it was asked for one first.
+	// taken tells that the reservation was refused for lack of a slot.
 	taken bool
 }
 
-// run attempts the request until it is answered or given up. The error is a
+// run attempts the request until it is answered or refused. The error is a
 // *laburnumlever.RefusalError or a *CallerGoneError.
 func (g *Gateway) run(ctx context.Context, q *request, out *answer) error {
 	for {
-		ticket, err := g.place(ctx, q)
+		ticket, err := g.acquire(ctx, q)
 		if err != nil {
 			return err
 		}
@@ -51,10 +45,8 @@
 			return nil
 		}
 		if fail.taken {
-			// Nothing went wrong and nothing was sent: it is no try, and the next place may
-			// be anywhere.
-			q.tries--
-			g.timers.After(takenRetry, func(time.Time) { g.fleet.retryWaiting() })
+			q.tries-- // nothing was sent
+			g.timers.After(takenRetry, func(time.Time) { g.fleet.retryQueue() })
 			continue
 		}
 		_ = level.Info(g.logger).Log("event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
@@ -74,7 +66,7 @@
 	}
 }
 
-// refusal is what a failed attempt means for the caller.
+// refusal converts a failed attempt to the error for the caller.
 func (g *Gateway) refusal(ctx context.Context, fail *failure) error {
 	var gone *CallerGoneError
 	if errors.As(fail.cause, &gone) {
@@ -93,7 +85,7 @@
 	return refusal
 }
 
-// again tells whether another attempt is to be made, and pays for it.
+// again decides on another attempt and charges the retry budget.
 func (g *Gateway) again(ctx context.Context, q *request, out *answer, fail *failure) (laburnumlever.RetryReason, bool) {
 	var gone *CallerGoneError
 	if ctx.Err() != nil || errors.As(fail.cause, &gone) {
@@ -110,9 +102,9 @@
 	return reason, ok
 }
 
-// place finds a backend server, waiting for a place and having an adapter loaded if
-// need be.
-func (g *Gateway) place(ctx context.Context, q *request) (*laburnumbalance.Ticket, error) {
+// acquire gets a slot at a backend server. It queues, and requests a load of the adapter, if
+// needed.
+func (g *Gateway) acquire(ctx context.Context, q *request) (*laburnumbalance.Ticket, error) {
 	start := g.timers.Now()
 	until := waitTerms.WaitUntil(q.times())
 	defer func() { q.waited += g.timers.Now().Sub(start) }()
@@ -122,7 +114,7 @@
 			return ticket, nil
 		}
 		if verdict != laburnumbalance.AdapterAbsent || g.adapters == nil {
-			return nil, noPlace(verdict)
+			return nil, noSlot(verdict)
 		}
 		err := g.needAdapter(ctx, q)
 		if !g.timers.Now().Before(until) {
@@ -134,8 +126,8 @@
 	}
 }
 
-// adapterAbsent is a refusal for want of an adapter; the cause is nil where an engine has
-// it that can't be reached from here.
+// adapterAbsent is the refusal when the adapter did not arrive in time. A nil cause means that
+// it is loaded, on engines that can't be connected to.
 func adapterAbsent(cause error) error {
 	detail := "no engine that can be reached holds the adapter"
 	if cause != nil {
@@ -144,7 +136,7 @@
 	return refuse(laburnumlever.RefusedNoBackend, noBackendRetry, detail)
 }
 
-func noPlace(verdict laburnumbalance.Verdict) error {
+func noSlot(verdict laburnumbalance.Verdict) error {
 	switch verdict {
 	case laburnumbalance.Full:
 		return refuse(laburnumlever.RefusedQueueFull, fullRetry, "all backend servers that could do it are full")
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -19,14 +19,14 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Adapters has an adapter loaded beside its model.
+// Adapters loads adapters on demand.
 type Adapters interface {
-	// Need asks for an adapter and returns the engines that hold it by now.
+	// Need waits until an adapter is loaded and returns the engines that hold it.
 	Need(ctx context.Context, need laburnumlever.AdapterNeed) ([]laburnumlever.BackendID, error)
 }
 
-// Budget bounds the repeats over all gateways: in any window of the length, for
-// each service, Ratio times its requests and Slack.
+// Budget bounds the retries of all gateways in any window, for each service, by Ratio times its
+// requests plus Slack.
 type Budget struct {
 	Window time.Duration
 	Ratio  float64
@@ -44,11 +44,9 @@
 	logger   log.Logger
 	counters *counters
 	inFlight atomic.Int64
-	// starting counts the requests that wait for the first routes.
-	starting atomic.Int64
+	starting atomic.Int64 // requests that wait for the first routes
 	draining atomic.Bool
-	// leaving tells that the balancer has had the time to take notice, so that
-	// long work is not begun any more.
+	// leaving is set once the balancer has noticed the drain; streams are refused from then on.
 	leaving atomic.Bool
 	endsAt  atomic.Pointer[time.Time]
 
@@ -67,11 +65,10 @@
 	return func(g *Gateway) { g.counters = newCounters(scope) }
 }
 
-// WithAdapters sets who has adapters loaded; without it they are only used where
-// they are.
+// WithAdapters loads adapters on demand; without it only loaded ones are used.
 func WithAdapters(a Adapters) Option { return func(g *Gateway) { g.adapters = a } }
 
-// WithBudget sets the bound on repeats; without it there are none.
+// WithBudget sets the retry budget; without it nothing is retried.
 func WithBudget(b Budget) Option { return func(g *Gateway) { g.budget = b } }
 
 // WithPool sets the connections to backend servers.
@@ -92,10 +89,10 @@
 	return g
 }
 
-// InFlight counts the requests under way.
+// InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
-// ServeHTTP answers one request.
+// ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
@@ -160,7 +157,7 @@
 	g.window(q.service.Name).Request(g.timers.Now())
 }
 
-// mayRepeat takes one repeat out of the budget.
+// mayRepeat charges a retry to the budget.
 func (g *Gateway) mayRepeat(q *request) bool {
 	if g.budget.Window <= 0 {
 		return false
@@ -171,7 +168,7 @@
 	return g.window(q.service.Name).Repeat(g.timers.Now(), gateways)
 }
 
-// conclude tells the caller what became of a request that has no answer.
+// conclude ends a request that has no complete answer.
 func (g *Gateway) conclude(ctx context.Context, q *request, out *answer, err error) {
 	var gone *CallerGoneError
 	if errors.As(err, &gone) || (ctx.Err() != nil && !expired(ctx)) {
@@ -193,7 +190,7 @@
 	g.answerRefusal(out.w, q, err)
 }
 
-// answerRefusal writes a refusal of this VM's own.
+// answerRefusal writes a refusal by the gateway itself.
 func (g *Gateway) answerRefusal(w http.ResponseWriter, q *request, err error) {
 	var refusal *laburnumlever.RefusalError
 	if !errors.As(err, &refusal) {
@@ -210,9 +207,8 @@
 	_, _ = w.Write([]byte(refusal.Reason.String() + "\n")) // an error means that the caller is gone
 }
 
-// statusOf maps a refusal to a status. 503 promises that the request has not run
-// and never will; a request that may have run gets 502, or 504 when its time is
-// over.
+// statusOf maps a refusal to a status. 503 promises that the request never ran; a request that
+// may have run gets 502, or 504 past its deadline.
 func statusOf(refusal *laburnumlever.RefusalError, q *request) int {
 	switch refusal.Reason {
 	case laburnumlever.RefusedBadRequest:
--- a/laburnumgateway/lateness.go
+++ b/laburnumgateway/lateness.go
@@ -4,31 +4,30 @@
 
 //go:generate go tool -modfile=../tools/go.mod enumer -type=lateness -transform=kebab -trimprefix=late -output=lateness_gen.go
 
-// lateness says why a caller got a whole answer too late to be on time.
+// lateness is the reason why a complete answer was late.
 type lateness int
 
 const (
 	// lateNot is an answer on time.
 	lateNot lateness = iota
-	// lateWaited would have been on time without the wait for a place.
+	// lateWaited would have been on time without queueing.
 	lateWaited
-	// lateResent went to more than one backend server before its first part came.
+	// lateResent was sent to more than one backend server before its first part.
 	lateResent
-	// lateReading had its first part late from the one backend server that it went to.
+	// lateReading got its first part late from the only backend server.
 	lateReading
-	// latePaused began on time and then had too long a pause.
+	// latePaused began on time and paused too long.
 	latePaused
 )
 
-// timing is what decides whether an answer is on time. A target of 0 is none.
+// timing holds the targets and measured times of an answer. A target of 0 is none.
 type timing struct {
 	target, pauseTarget  time.Duration
 	waited, first, pause time.Duration
 	sends                int
 }
 
-// lateness names the largest single reason: what alone, taken away, would have been enough
-// comes first.
+// lateness returns the first reason without which the answer would have been on time.
 func (t timing) lateness() lateness {
 	switch {
 	case t.target > 0 && t.first > t.target && t.first-t.waited <= t.target:
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -17,22 +17,17 @@
 )
 
 const (
-	// defaultBodyBytes bounds a body while the routes do not.
-	defaultBodyBytes = 4 << 20
-	// startWait is how long requests wait at a gateway that has no routes yet. After a
-	// loss of power on all VMs the control VMs are up half a second after the gateways,
-	// as a rule: those who were turned away with a time to come back came back one or two
-	// seconds later, all together and all late.
-	startWait = time.Second
-	// startShare of the caller's time is the most that it waits for them.
-	startShare = 0.33
-	// maxStarting bounds the requests that wait for the first routes.
+	defaultBodyBytes = 4 << 20 // limit of a body if the catalogue sets none
+
+	// Requests that arrive before the first routes are queued: refused ones would all return
+	// at once, and late.
+	startWait   = time.Second
+	startShare  = 0.33 // of the caller's timeout, at most
 	maxStarting = 256
-	// startRetry is when it is worth asking such a gateway again afterwards.
-	startRetry = time.Second
+	startRetry  = time.Second // least Retry-After
 )
 
-// request is one caller's request and how far it has come.
+// request is the state of a caller's request.
 type request struct {
 	caller   laburnumlever.CallerRequest
 	route    *laburnumlever.Route
@@ -46,32 +41,25 @@
 	deadline time.Time
 	version  uint64
 
-	// sends counts the backend servers that the request went to, tries also
-	// those to which no connection could be made.
+	// sends counts the attempts that were sent, tries also those without a connection.
 	sends, tries int
 	avoid        []laburnumlever.BackendID
 	// touched tells that a backend server may have run the request.
 	touched bool
-	// backend is the one that the last attempt went to, waited the time spent for a
-	// place.
-	backend laburnumlever.BackendID
-	waited  time.Duration
-	// reservation is the place that its engine keeps for it; empty for none.
+	backend laburnumlever.BackendID // of the last attempt
+	waited  time.Duration           // in the queue
+	// reservation is a slot reserved at the engine; empty for none.
 	reservation laburnumlever.ReservationID
-	// taken counts the engines that had no place when they were asked first.
-	taken int
-	// urgent tells that no route to its service is more urgent.
-	urgent bool
-	// lastEvent is the id of the last event that the caller has.
-	lastEvent string
-	// brokeAt is when the caller got the last part of an answer that broke off; zero while
-	// none has.
+	taken       int  // refused reservations
+	urgent      bool // no route to its service is more urgent
+	lastEvent   string
+	// brokeAt is when the last part of a broken answer was written; zero if none broke.
 	brokeAt time.Time
-	// failed is a backend server's whole answer that says that it failed.
+	// failed is an error answer of a backend server.
 	failed *storedAnswer
 }
 
-// read takes a request in. The error is a *laburnumlever.RefusalError.
+// read parses a request. The error is a *laburnumlever.RefusalError.
 func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*request, error) {
 	now := g.timers.Now()
 	q := &request{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, arrived: now}
@@ -101,8 +89,7 @@
 	return q, q.readBody(w, r, index.Table().Callers.BodyBytes)
 }
 
-// routes returns the routes in force. A gateway that has none yet waits for them, for a
-// share of the caller's time at most; nil where none came.
+// routes returns the routes in force. It waits for the first ones and returns nil on a timeout.
 func (g *Gateway) routes(r *http.Request) *laburnumroutes.Index {
 	if index := g.fleet.index.Load(); index != nil {
 		return index
@@ -118,13 +105,13 @@
 	return g.fleet.index.Load()
 }
 
-// pathOf is the path of a request target without its query.
+// pathOf strips the query.
 func pathOf(target string) string {
 	path, _, _ := strings.Cut(target, "?")
 	return path
 }
 
-// times are what decides how long the request may wait.
+// times decide how long the request may be queued.
 func (q *request) times() laburnumwaiting.Caller {
 	c := laburnumwaiting.Caller{Arrived: q.arrived, Deadline: q.deadline, BrokenAt: q.brokeAt}
 	if q.route != nil {
@@ -134,7 +121,7 @@
 	return c
 }
 
-// bound sets the deadline from the caller's patience and the route's timeout.
+// bound sets the deadline to the shorter of the caller's and the route's timeout.
 func (q *request) bound() {
 	limit := time.Duration(q.route.Timeout)
 	if q.caller.Wait > 0 && q.caller.Wait < limit {
@@ -167,10 +154,9 @@
 	}
 }
 
-// queues tells whether the request goes to an engine's own queue: engines serve the most
-// urgent first there, while a place that comes free otherwise goes to whichever gateway asks
-// first, whatever it asks for.
-func (q *request) queues() bool { return q.urgent && q.taken >= asksOfUrgent }
+// queues tells whether the request may queue at an engine. Engines serve the most urgent first,
+// while a slot that comes free otherwise goes to whichever gateway reserves it first.
+func (q *request) queues() bool { return q.urgent && q.taken >= urgentReservations }
 
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
@@ -180,7 +166,7 @@
 	}
 }
 
-// expired tells whether a context ended by its deadline, not by the caller.
+// expired tells a deadline from a caller that is gone.
 func expired(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -16,39 +16,31 @@
 )
 
 const (
-	// reserveFor is how long a place is kept between its reservation and the request, which
-	// follows on the same connection at once.
+	// reserveFor is the lifetime of a reservation; the request follows at once on the same
+	// connection.
 	reserveFor = 100 * time.Millisecond
-	// reserveTimeout bounds the question for a place, which an engine answers without any
-	// work: twice the longest way there and back between regions. One that stays mute
-	// costs its caller no more than that, and the request has surely not run there.
+	// reserveTimeout is twice the longest round trip between zones.
 	reserveTimeout = 300 * time.Millisecond
-	// maxReserved bounds the answer to it.
-	maxReserved = 4 << 10
-	// asksOfUrgent is how many engines the most urgent requests ask for a place: of two, one
-	// has far less to do than the average.
-	asksOfUrgent = 2
-	// takenRetry is when an engine whose places were all taken is asked again: the choice
-	// leaves it out for as long, and a little more lets that time pass first.
+	maxReserved    = 4 << 10 // bytes of an answer
+	// urgentReservations are the engines that an urgent request is refused a slot at before it
+	// queues at one: the power of two choices.
+	urgentReservations = 2
+	// takenRetry is just after the balancer considers a full engine again.
 	takenRetry = laburnumbalance.TakenTime + 10*time.Millisecond
 )
 
-// reserve asks the engine for a place first where it may have none for all that is known. A
-// failure means that the request was not sent; resp is the answer after which the connection
-// can be used again, or nil.
+// reserve reserves a slot before the request is sent, if the engine's load is stale. A
+// failure means that the request was not sent. The connection can be reused if resp is not nil.
 //
-// The load it answers: sixty gateways send to engines of a dozen places, and each hears of an
-// engine every few seconds only. Sent on the strength of that, requests wait in an engine's
-// queue behind the more urgent while other engines have places free. Asked first, a full engine
-// costs one way there and back. On a deployment of 112 engines, in the first 20 s of a heavy
-// day, requests of the second class waited 121 ms at the median and 1.6 s for one in ten at
-// their engine without it, 39 and 224 ms with it, from the gateways' logs.
+// Load pattern: many gateways send to engines with few slots, and each hears of an engine every
+// few seconds. Without reservations requests queue at a full engine while others have free
+// slots.
 func (g *Gateway) reserve(ctx context.Context, q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn, sample *laburnumbalance.Sample) (fail *failure, resp *http.Response) {
 	q.reservation = ""
 	if !ticket.Unsure() || q.queues() || q.service.Engine == nil || q.service.Engine.ReserveLimit == 0 {
 		return nil, nil
 	}
-	resp, body, err := g.askForPlace(q, ticket, conn)
+	resp, body, err := g.requestSlot(q, ticket, conn)
 	if err != nil {
 		sample.Failed = ctx.Err() == nil
 		g.counters.reservations[reserveUnanswered].Inc(1)
@@ -57,7 +49,7 @@
 	id, ok, err := g.dialect.Reserved(resp.StatusCode, body)
 	switch {
 	case err != nil:
-		// The engine gets the request as it is: what it can't do is no reason to refuse.
+		// An engine that can't reserve gets the request without a reservation.
 		g.counters.reservations[reserveUnanswered].Inc(1)
 		_ = level.Info(g.logger).Log("event", laburnumlever.EventPlaceNotReserved, "request-id", q.caller.ID, "backend", q.backend, "cause", err)
 	case ok:
@@ -72,8 +64,8 @@
 	return nil, nil
 }
 
-// askForPlace asks the question and reads the answer whole.
-func (g *Gateway) askForPlace(q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn) (*http.Response, []byte, error) {
+// requestSlot sends the reservation and reads the whole answer.
+func (g *Gateway) requestSlot(q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn) (*http.Response, []byte, error) {
 	now := g.timers.Now()
 	if err := conn.SetDeadline(now.Add(min(reserveTimeout, q.left(now)))); err != nil {
 		return nil, nil, err
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -14,22 +14,15 @@
 )
 
 const (
-	// headerTimeout and idleTimeout hold until an operator's limits are known;
-	// callers stay within theirs, so these only end what is broken.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes is four times what operators allow as a rule.
+	// Server limits, above those that the catalogue sets for callers.
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 64 << 10
-	// noticeTime is how long the balancer takes to see that this VM is not ready:
-	// two questions a second apart, and one on its way.
-	noticeTime = 3 * time.Second
-	// lastWork is how long before its end a draining gateway takes no request any
-	// more: most plain ones are answered in a tenth of it.
-	lastWork = 2500 * time.Millisecond
-	// quietCheck is how often a draining gateway looks whether it is done.
-	quietCheck = 50 * time.Millisecond
-	// quietChecks in a row without a request end the wait.
-	quietChecks = 10
+
+	noticeTime  = 3 * time.Second         // two failed health checks of the balancer
+	lastWork    = 2500 * time.Millisecond // requests are refused this long before the end of a drain
+	quietCheck  = 50 * time.Millisecond
+	quietChecks = 10 // checks in a row without a request end the drain
 )
 
 // Server serves the gateway on a listener.
@@ -43,12 +36,11 @@
 // Ready tells whether the balancer may send callers here.
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.fleet.Ready() }
 
-// Drain ends the service in order: it says that it is not ready, goes on serving
-// what still comes while the balancer takes notice, each answer with the word that
-// the connection ends, and returns once nothing is under way or ctx ends.
+// Drain reports the gateway as not ready, serves requests until the balancer has noticed, each
+// with "Connection: close", and returns when none is in flight or ctx ends.
 //
-// Idle connections are not closed: a request may be on its way on one, and its caller
-// could not tell whether it was run.
+// Idle connections stay open: a request may be on its way, and its caller could not tell whether
+// it was run.
 func (g *Gateway) Drain(ctx context.Context) {
 	g.draining.Store(true)
 	if end, ok := ctx.Deadline(); ok {
@@ -66,8 +58,7 @@
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventDrained, "in-flight", g.InFlight())
 }
 
-// tooLate tells whether a request that comes now may outlast the process: its answer
-// would be cut off, and its caller could not tell whether it was run.
+// tooLate tells whether a request could outlast the process. Its answer would be cut off.
 func (g *Gateway) tooLate(q *request) bool {
 	if g.leaving.Load() && q.route.Kind == laburnumlever.KindStream {
 		return true
@@ -76,8 +67,7 @@
 	return end != nil && g.timers.Now().Add(lastWork).After(*end)
 }
 
-// Sweep closes connections to backend servers that have been idle for too long, and
-// forgets backend servers that are gone for long.
+// Sweep closes idle connections and drops tombstones.
 func (g *Gateway) Sweep() {
 	g.pool.Sweep()
 	g.fleet.Sweep()
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -22,8 +22,8 @@
 	dialTimeout = 200 * time.Millisecond
 	// takenRetry is when a request that found an engine's slots taken looks again.
 	takenRetry = laburnumbalance.TakenTime + 10*time.Millisecond
-	// asksOfUrgent is how many engines the most urgent ask for a slot before they queue at one.
-	asksOfUrgent = 2
+	// urgentReservations as in laburnumgateway.
+	urgentReservations = 2
 	// newsPeriod is how often a gateway tells its news, since each answer brings a question.
 	newsPeriod = 300 * time.Millisecond
 )
