--- a/laburnumresidency/change.go
+++ b/laburnumresidency/change.go
@@ -2,22 +2,22 @@
 
 import "slices"
 
-// eviction is a model that leaves an engine; to is where its last copy goes, or nowhere.
+// eviction is a model to unload; to is where its last copy moves, or nowhere.
 type eviction struct{ model, to int }
 
-// change is a copy of a model that comes to an engine, and what is evicted for it.
+// change is a new copy with its evictions.
 type change struct {
 	engine, model int
 	evictions     []eviction
 	gain          float64
 }
 
-// relocates tells whether the last copy of a model moves to another engine.
+// relocates tells whether a last copy moves to another engine.
 func (c change) relocates() bool {
 	return slices.ContainsFunc(c.evictions, func(v eviction) bool { return v.to != nowhere })
 }
 
-// sizeAt is the memory that relocated models take at an engine.
+// sizeAt is the memory that relocated models take at an engine, in MB.
 func (c change) sizeAt(l *layout, e int) float64 {
 	total := 0.0
 	for _, v := range c.evictions {
--- a/laburnumresidency/doc.go
+++ b/laburnumresidency/doc.go
@@ -1,25 +1,22 @@
-// Package laburnumresidency decides which model engine holds which model, on
-// engines with room for a few models of many. It is pure: it looks at what the
-// engines hold and at the demand, and names the next steps.
+// Package laburnumresidency plans which model engine holds which model, on engines with memory for
+// a few models of many. It is pure: from what engines hold and the demand it computes the next
+// orders.
 //
-// The load pattern it answers: hundreds of models on fewer places, a few of which
-// get most requests, and these change within minutes or at once. Without it a model
-// whose only engine dies is unreachable, and one that becomes busy keeps the one
-// engine that it had when nobody asked for it.
+// Load patterns: hundreds of models share the engines, a few of them get most requests, and these
+// change within seconds. The engine that holds the only copy of a model fails.
 //
-//   - A model that no engine holds comes first: it goes where there is room, else in
-//     the place of a copy that another engine holds too.
-//   - Then demand: while one engine has clearly more work than another could take
-//     over, the model that makes most of that work gets one more copy.
-//   - A load costs what its source costs: an engine that has the weights in memory or
-//     on disk is preferred to one that fetches them from the store.
-//   - The last copy of a model is only given up for one that is asked for while it is
-//     not.
+//   - Missing models come first: in free memory, else by evicting copies that other engines hold
+//     too, models without demand, or a last copy with far less demand.
+//   - Then rebalancing: the copy that lowers congestion most is added, as long as its gain exceeds
+//     the cost of its load, evictions and relocations.
+//   - A load costs what its source costs: engines with the weights in host memory or on disk are
+//     preferred to the weight store.
+//   - Idle loads fill free memory with the models likeliest to need another copy.
 //
 // # Usage
 //
-//	steps := laburnumresidency.Next(class, engines, demand)
+//	steps := laburnumresidency.Next(class, engines, demand, adapters)
 //
-// A step is one order to one engine. Engines with an order under way get none; what
-// needs an unload before a load takes two rounds.
+// An engine gets at most one order a round, and none while one is in progress. An unload before a
+// load takes two rounds.
 package laburnumresidency
--- a/laburnumresidency/fill.go
+++ b/laburnumresidency/fill.go
@@ -2,17 +2,14 @@
 
 import "slices"
 
-// fillWork is the least work, as a share of an engine's, that a copy in free room must have:
-// a load keeps the engine from adapters, and room that rarely asked models fill has to be
-// made again for one that is asked for.
+// fillWork is the least work of a copy in free memory, as a share of an engine's. Rarely used
+// copies would have to be evicted again.
 const fillWork = 0.05
 
-// fill gives room that is free to one more copy of the models likeliest to need it, while
-// there is nothing else to do.
+// fill loads copies into free memory while nothing else is loading.
 //
-// The load it answers: demand moves to another model within seconds, and the weight store
-// loads one or two a second. Loaded while the store is idle, copies are there when demand
-// comes, and what is evicted again stays at hand in the engine's memory and on its disk.
+// Load pattern: demand moves to another model faster than the weight store loads copies. Evicted
+// copies stay in the engine's host memory and on its disk.
 func (p *planner) fill() {
 	candidates := p.fillCandidates()
 	if len(candidates) == 0 {
@@ -29,8 +26,8 @@
 	}
 }
 
-// fillCandidates are the models that one more copy may be worth having of. Before anybody has
-// asked, copies beyond the first count: whoever placed them knew what is wanted.
+// fillCandidates lists the models for which another copy is useful. Before the first requests the
+// number of initial copies stands for demand.
 func (p *planner) fillCandidates() []int {
 	var list []int
 	for m := range p.class.Models {
@@ -48,7 +45,7 @@
 	return fillWork
 }
 
-// fillWeight is the work of each copy of a model, one more counted.
+// fillWeight is the work per copy with another copy.
 func (p *planner) fillWeight(m int) float64 {
 	work := p.target.demand[m]
 	if len(p.demand) == 0 {
@@ -57,8 +54,7 @@
 	return work / float64(p.copies[m]+1)
 }
 
-// likeliest is the model with most weight of those that an engine has room for; nowhere if
-// none has enough.
+// likeliest returns the candidate with most weight that fits an engine, or nowhere.
 func (p *planner) likeliest(e int, candidates []int) int {
 	best, most := nowhere, p.fillLeast()
 	used := p.usedNow(e)
--- a/laburnumresidency/layout.go
+++ b/laburnumresidency/layout.go
@@ -8,17 +8,13 @@
 )
 
 const (
-	// easyWork is the share of an engine's work up to which a request finds a slot at once
-	// nearly always, and few prompts meet. What is beyond it counts more.
-	easyWork = 0.5
-	// overWeight is by how much more.
-	overWeight = 4
-	// nowhere is no engine, and no model.
-	nowhere = -1
+	easyWork   = 0.5 // work up to which requests find a free slot at once
+	overWeight = 4   // of the congestion beyond easyWork
+	nowhere    = -1  // no engine, or no model
 )
 
-// layout is which engine holds which model, by their indices, with the work that follows.
-// Each operation costs what it touches, not the size of the fleet.
+// layout maps engines to models, with the resulting work. Operations cost what they touch, not the
+// size of the fleet.
 type layout struct {
 	size   []float64
 	demand []float64
@@ -31,14 +27,13 @@
 	work    []float64
 	// ranked are the engines in the order of their work.
 	ranked []int
-	// delta is the change of work that relief looks at, touched the engines that it is not
-	// zero for.
+	// delta is the change of work evaluated by relief, touched the engines with one.
 	delta   []float64
 	touched []int
 	stale   []bool // scratch of update
 }
 
-// newLayout notes what engines hold or will hold once the orders under way are done.
+// newLayout is the layout after the orders in progress.
 func newLayout(p *planner) *layout {
 	engines, models := len(p.engines), len(p.class.Models)
 	l := &layout{
@@ -65,7 +60,7 @@
 	return l
 }
 
-// size is the memory that a model takes, with room for a few adapters beside it.
+// size is the memory of a model with some adapters, in MB.
 func size(m laburnumlever.ResidentClass) float64 {
 	const spareAdapters = 4
 	return m.WeightsMB + m.AdapterMB*float64(min(m.Adapters, spareAdapters))
@@ -79,8 +74,7 @@
 
 func (l *layout) copies(m int) int { return len(l.holders[m]) }
 
-// set notes that an engine holds a model, or does not any more. The work is brought up to it
-// by update.
+// set adds or removes a copy. The caller must update the work.
 func (l *layout) set(e, m int, held bool) {
 	if l.holds(e, m) == held {
 		return
@@ -104,7 +98,7 @@
 	return slices.Delete(sorted, at, at+1)
 }
 
-// update works out the work of the engines that a change of some models touches.
+// update recomputes the work of the engine and of all that hold the models.
 func (l *layout) update(engine int, models ...int) {
 	l.refresh(engine)
 	for _, m := range models {
@@ -131,7 +125,7 @@
 	l.work[e] = l.sum(e)
 }
 
-// sum is the work of an engine, a model's shared evenly by its copies.
+// sum is the work of an engine.
 func (l *layout) sum(e int) float64 {
 	work := 0.0
 	for _, m := range l.models[e] {
@@ -140,10 +134,10 @@
 	return work
 }
 
-// share is the work that one copy of a model brings.
+// share is the work per copy of a model.
 func (l *layout) share(m int) float64 { return l.demand[m] / float64(max(1, l.copies(m))) }
 
-// loss is the work that the other copies must take over when one goes.
+// loss is the work that moves to each other copy if one is evicted.
 func (l *layout) loss(m int) float64 {
 	n := l.copies(m)
 	if n <= 1 {
@@ -153,14 +147,13 @@
 	return l.demand[m]/float64(n-1) - l.demand[m]/float64(n)
 }
 
-// congestion is how much callers suffer from an engine's work.
+// congestion is the cost of an engine's work to its callers.
 func congestion(work float64) float64 {
 	over := max(0, work-easyWork)
 	return work*work + overWeight*over*over
 }
 
-// relief is by how much a change lowers the congestion of all engines, and the number of
-// adapters of its model without a slot.
+// relief is the reduction of congestion and of adapters without a slot by a change.
 func (l *layout) relief(c change) float64 {
 	l.shift(c.model, c.engine, nowhere)
 	for _, v := range c.evictions {
@@ -178,8 +171,8 @@
 	return relief + shortageWeight*min(l.shortage(c.model), l.slotsFor(c.engine, c.model))
 }
 
-// shift notes how work moves when a model gets a copy at one engine and loses that at
-// another; either may be nowhere.
+// shift adds the change of work when a model gets a copy at one engine and loses that at another;
+// either may be nowhere.
 func (l *layout) shift(m, gets, loses int) {
 	if l.demand[m] == 0 {
 		return
@@ -213,8 +206,7 @@
 	l.delta[e] += work
 }
 
-// slotsFor is how many adapters of a model find a slot at an engine, where its slots are
-// shared by its models as their adapters are.
+// slotsFor is the model's part of an engine's adapter slots.
 func (l *layout) slotsFor(e, m int) float64 {
 	if l.need[m] == 0 {
 		return 0
@@ -228,7 +220,7 @@
 	return l.slots * l.need[m] / total
 }
 
-// shortage is how many adapters of a model find no slot at once.
+// shortage is the number of a model's adapters without a slot.
 func (l *layout) shortage(m int) float64 {
 	if l.need[m] == 0 || l.slots == 0 {
 		return 0
@@ -240,7 +232,7 @@
 	return max(0, l.need[m]-slots)
 }
 
-// apply makes a change.
+// apply applies a change.
 func (l *layout) apply(c change) {
 	models := []int{c.model}
 	for _, v := range c.evictions {
--- a/laburnumresidency/missing.go
+++ b/laburnumresidency/missing.go
@@ -6,32 +6,20 @@
 )
 
 const (
-	// congestedRequests is how many requests a unit of congestion costs while demand stays:
-	// an engine with twice its work gives some twenty callers a second an answer that
-	// is late, for demandTime, and a late answer is worth a third.
-	congestedRequests = 80
-	// returnTime is how many seconds a model is away whose last copy is evicted: the
-	// time of an unload and a load elsewhere.
-	returnTime = 8.0
-	// outweighFactor is by how much more a model must be asked for than another whose
-	// last copy is evicted for it, so that two with like demand don't take turns.
+	congestedRequests = 80  // requests lost to a unit of congestion within demandTime
+	returnTime        = 8.0 // seconds until an evicted model is loaded elsewhere
+	// outweighFactor is the least ratio of requests for which a missing model evicts a last
+	// copy, so that two with similar demand do not evict each other in turns.
 	outweighFactor = 3
-	// leastAsked stands for the requests a second of a model that nobody asked for
-	// lately: it has to be there when somebody does.
-	leastAsked = 0.1
+	leastAsked     = 0.1 // requests per second assumed of a model without any
 )
 
-// placeMissing finds engines for the models that none holds, the most wanted first.
+// placeMissing places the models that no engine holds, those with most requests first.
 //
-// The load it answers: an engine dies, leaves or is cut off, and with it the only copy of
-// the model that most callers ask for. Each second until it is back costs all of these
-// callers, so what counts is the time, in requests that are refused meanwhile. Copies that
-// other engines have too are evicted first; where there are none, the last copy of a model
-// that few ask for is, and comes back after it. To relocate that one first would have
-// most callers wait for two loads in a row.
-//
-// A model that nobody asks for is left without a copy where there is no free room: it is back
-// from an engine's host memory or disk within a second once somebody does.
+// Load pattern: an engine with the only copy of a busy model fails. All requests for the model are
+// refused until it is loaded elsewhere, so the cost of a placement is the number of requests
+// refused meanwhile. Copies held twice are evicted first, then the last copy of a model with far
+// fewer requests. A model without requests takes free memory only.
 func (p *planner) placeMissing() {
 	var missing []int
 	for m := range p.class.Models {
@@ -48,20 +36,19 @@
 	}
 }
 
-// cheapest finds the engine where a missing model costs the fewest requests.
+// cheapest finds the engine with the lowest cost for a missing model.
 func (p *planner) cheapest(m int) (change, bool) {
 	return bestOf(p.target.ranked, func(e int) (change, bool) { return p.restore(e, m) })
 }
 
-// restore works out what it costs to bring a missing model to an engine; the gain is that
-// cost, negative, in requests.
+// restore evaluates a load of a missing model. The gain is its cost in requests, negative.
 func (p *planner) restore(e, m int) (change, bool) {
 	c := change{engine: e, model: m, evictions: p.evictions[:0]}
 	seconds := p.loadTime(e, m)
 	lost := 0.0
 	need := p.target.used[e] + p.target.size[m] - p.class.WeightsMB
 	if need > 0 && (p.quiet[m] || need > p.evictable(e, m)) {
-		return c, false // a model that nobody asks for takes free room only
+		return c, false
 	}
 	for _, v := range p.leastUseful(e, need) {
 		if need <= 0 {
@@ -82,7 +69,7 @@
 	return c, true
 }
 
-// evictable is the memory at an engine that a missing model may take from others.
+// evictable is the memory at an engine that a missing model may take, in MB.
 func (p *planner) evictable(e, m int) float64 {
 	total := 0.0
 	for _, v := range p.target.models[e] {
@@ -93,14 +80,12 @@
 	return total
 }
 
-// spare tells whether a copy of a model can be missed: another ready one is left, or nobody asks
-// for it.
+// spare tells whether another ready copy is left, or the model has no requests.
 func (p *planner) spare(v int) bool {
 	return p.target.copies(v) > 1 && p.ready[v] >= 2 || p.quiet[v]
 }
 
-// outweighs tells whether the last copy of one model may be evicted for another that no
-// engine holds.
+// outweighs tells whether a missing model may evict the last copy of another.
 func (p *planner) outweighs(m, v int) bool {
 	return p.asked[m] > outweighFactor*p.asked[v]
 }
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -7,42 +7,38 @@
 	"laburnumlever"
 )
 
-// planner holds one round: what the engines hold, and what they should. Engines and models
-// go by their indices.
+// planner is the state of a round. Engines and models go by their indices.
 type planner struct {
 	class   *laburnumlever.EngineClass
 	policy  Policy
 	engines []*Engine
 	demand  Demand
-	// requests are those asked for a second, by model; asked holds them by index.
+	// requests are the rates by model, per second; asked holds them by index.
 	requests map[laburnumlever.ModelName]float64
 	asked    []float64
-	// quiet are the models that nobody has asked for lately.
-	quiet []bool
-	// total is that of all models; 0 where the rates are not known.
+	quiet    []bool // models without recent requests
+	// total is the sum of the rates; 0 if they are unknown.
 	total    float64
 	adapters map[laburnumlever.ModelName]int
 	target   *layout
 	index    map[laburnumlever.ModelName]int
-	// heldBy are the models that take memory at each engine, tiers where it has weights at
-	// hand.
+	// heldBy are the models that take memory at each engine, tiers its weights outside the
+	// accelerator.
 	heldBy [][]int
 	tiers  []tier
-	// copies counts those of each model at the start of the round, those on their way
-	// included; ready counts those that take requests now.
+	// copies counts the copies of each model, loading ones included; ready counts those that
+	// take requests, coming those that load, with this round's steps.
 	copies []int
 	ready  []int
-	// coming counts the copies on their way, those of this round's steps included.
 	coming []int
-	// relocating tells that a model with little work is on its way to another engine
-	// to make room where it is.
+	// relocating tells that a last copy is being moved to another engine.
 	relocating bool
-	// displaced are the models whose last copy is evicted for a busy one.
+	// displaced are the models whose last copy is evicted for a busy model.
 	displaced map[int]bool
-	// rescues are the missing models that engines bring back.
+	// rescues are the missing models by the engine that loads them.
 	rescues map[int]int
 	steps   []urgentStep
-	// least and evictions are scratch space of one evaluation.
+	// least and evictions are scratch space.
 	least     []int
 	evictions []eviction
 }
@@ -50,7 +46,7 @@
 // tier is the weights that an engine can load without the store.
 type tier struct{ inMemory, onDisk []int }
 
-// urgentStep is a step with the number of requests a second that wait for it.
+// urgentStep is a step with the rate of requests that can't be served without it.
 type urgentStep struct {
 	Step
 	urgency float64
@@ -59,8 +55,8 @@
 // Option changes a round.
 type Option func(*planner)
 
-// WithRequests tells how many requests a second callers make for each model, served or
-// not. Without it they are taken to be as the work.
+// WithRequests sets the rate of requests for each model, served or not. The default is the
+// demand.
 func WithRequests(rates map[laburnumlever.ModelName]float64) Option {
 	return func(p *planner) {
 		p.requests = rates
@@ -70,8 +66,7 @@
 	}
 }
 
-// WithQuiet tells which models nobody has asked for lately; without it all count as asked for.
-// Where room is short they have no copy.
+// WithQuiet sets the models without recent requests, which have no copy where memory is short.
 func WithQuiet(quiet map[laburnumlever.ModelName]bool) Option {
 	return func(p *planner) {
 		for m, model := range p.class.Models {
@@ -80,13 +75,11 @@
 	}
 }
 
-// Next names the next steps, at most one an engine, the most urgent first. Adapters
-// counts those of each model that are in use.
+// Next returns the next steps, at most one per engine, the most urgent first. The adapters are
+// the numbers in use by model.
 //
-// The whole of what the engines should hold is worked out anew each time, from what
-// they hold now and with the price of each load. What is under way counts as done, so
-// a change of several steps is found again until it is done, and demand that swings a
-// little changes nothing.
+// Each round computes the whole target layout from the current one. Orders in progress count as
+// done, so a change of several steps is found again until it is complete.
 func Next(class *laburnumlever.EngineClass, engines []Engine, demand Demand, adapters map[laburnumlever.ModelName]int, opts ...Option) []Step {
 	p := newPlanner(class, engines, demand, adapters, opts)
 	p.placeMissing()
@@ -97,8 +90,6 @@
 	if len(p.steps) == 0 && !slices.ContainsFunc(p.engines, (*Engine).loads) {
 		p.fill()
 	}
-	// The store's rate goes to the models that nobody can ask now, not to whichever
-	// engine comes first by name.
 	slices.SortStableFunc(p.steps, func(a, b urgentStep) int { return cmp.Compare(b.urgency, a.urgency) })
 	return p.withinStore()
 }
@@ -133,8 +124,7 @@
 	return p
 }
 
-// countCopies counts the copies of each model, and those that take requests now: one on its
-// way is none yet for those who ask.
+// countCopies counts the copies of each model.
 func (p *planner) countCopies() {
 	models := len(p.class.Models)
 	p.copies, p.ready, p.coming = make([]int, models), make([]int, models), make([]int, models)
@@ -150,15 +140,13 @@
 	}
 }
 
-// loadsRelocated tells whether the engine loads a second copy of a model that does not need
-// one.
+// loadsRelocated tells whether the engine loads a second copy of a model without work.
 func (p *planner) loadsRelocated(e *Engine) bool {
 	m := p.find(e.Loading)
 	return m != nowhere && p.copies[m] == 2 && p.target.demand[m] < idleShare
 }
 
-// loadTime is how many seconds pass until a copy is there that the engine does not hold
-// yet.
+// loadTime is the time until the engine holds a copy, in seconds.
 func (p *planner) loadTime(e, m int) float64 {
 	if slices.Contains(p.heldBy[e], m) && p.engines[e].Unloading != p.class.Models[m].Name {
 		return 0
@@ -166,7 +154,7 @@
 	return p.engines[e].wait() + p.loadSeconds(e, m)
 }
 
-// loadSeconds is how long a load takes at an engine.
+// loadSeconds is the duration of a load from the nearest tier.
 func (p *planner) loadSeconds(e, m int) float64 {
 	switch model := &p.class.Models[m]; {
 	case slices.Contains(p.tiers[e].inMemory, m):
@@ -178,13 +166,12 @@
 	}
 }
 
-// fromStore tells whether a load at an engine takes the weights from the store.
+// fromStore tells whether a load fetches the weights from the store.
 func (p *planner) fromStore(e, m int) bool {
 	return !slices.Contains(p.tiers[e].inMemory, m) && !slices.Contains(p.tiers[e].onDisk, m)
 }
 
-// leastUseful lists what an engine should hold, what would be missed least first; nothing
-// where no memory is needed.
+// leastUseful lists an engine's models in the order of eviction; none if no memory is needed.
 func (p *planner) leastUseful(e int, need float64) []int {
 	p.least = p.least[:0]
 	if need <= 0 {
@@ -197,7 +184,7 @@
 	return p.least
 }
 
-// loss is what is missed when a copy of a model goes.
+// loss is the cost of evicting a copy.
 func (p *planner) loss(m int) float64 {
 	if p.quiet[m] {
 		return p.target.demand[m]
@@ -205,12 +192,12 @@
 	return p.target.loss(m)
 }
 
-// unloadSeconds is how long it takes until a model has left an engine.
+// unloadSeconds is the duration of an unload, in seconds.
 func (p *planner) unloadSeconds(v int) float64 {
 	return unloadTime + busyUnloadTime*min(1, p.target.share(v)/busyWork)
 }
 
-// blockCost is what it costs that an engine takes no adapters while it loads.
+// blockCost is the cost of a load for adapters, which the engine can't load meanwhile.
 func (p *planner) blockCost(e, m int) float64 {
 	blocked := 0.0
 	for _, held := range p.target.models[e] {
@@ -222,7 +209,7 @@
 	return adapterWeight * blocked * p.loadSeconds(e, m)
 }
 
-// bestOf is the change with most gain over some engines; false where none is possible.
+// bestOf returns the change with the highest gain over some engines; false if none is possible.
 func bestOf(engines []int, try func(e int) (change, bool)) (change, bool) {
 	var best change
 	found := false
@@ -236,7 +223,7 @@
 	return best, found
 }
 
-// find is a model's index; nowhere when it is not in the class.
+// find returns a model's index, or nowhere.
 func (p *planner) find(name laburnumlever.ModelName) int {
 	if m, ok := p.index[name]; ok {
 		return m
@@ -244,7 +231,7 @@
 	return nowhere
 }
 
-// indices are those of the models that are in the class.
+// indices returns those of the models in the class.
 func (p *planner) indices(names []laburnumlever.ModelName) []int {
 	list := make([]int, 0, len(names))
 	for _, name := range names {
--- a/laburnumresidency/rebalance.go
+++ b/laburnumresidency/rebalance.go
@@ -6,65 +6,45 @@
 )
 
 const (
-	// maxChanges bounds the changes of one round: more would be out of date before
-	// the engines had carried them out.
-	maxChanges = 12
-	// consideredModels bounds the models that may get another copy in a round, those
-	// with most work a copy first.
-	consideredModels = 12
-	// consideredEngines bounds the engines that a copy may come to, those with least
-	// work first: the others would not be chosen.
-	consideredEngines = 24
-	// minGain is by how much the congestion must fall, beyond the cost, for a change that
-	// evicts copies that callers ask for: demand is told as it was in a second, and what that
-	// second had by chance makes gains below it. easyGain is the same for a change that evicts
-	// none.
-	minGain  = 0.4
-	easyGain = 0.05
-	// loadCost is what a load costs in itself, in congestion.
-	loadCost = 0.02
-	// relocateCost is what it costs in congestion to relocate a model: two engines take
-	// no other order for long, so it pays only where engines are overloaded.
-	relocateCost = 0.4
-	// parkCost is what it costs in congestion that the last copy of a model leaves that nobody
-	// asks for: the next caller waits for a load.
-	parkCost = 0.02
-	// absentTime is how many seconds a model is taken to be away whose last copy is evicted for
-	// a busy one: its callers have nowhere else to go, and it waits for room.
+	// Bounds of a round. More changes would be outdated before engines complete them; engines
+	// beyond the least busy would not be chosen.
+	maxChanges        = 12
+	consideredModels  = 12 // with most work per copy
+	consideredEngines = 24 // with least work
+
+	// Least gain of a change, in congestion. Demand is sampled once a second, and noise alone
+	// would make smaller gains evict copies in use.
+	minGain  = 0.4  // if it evicts copies in use
+	easyGain = 0.05 // otherwise
+
+	// Costs, in congestion.
+	loadCost       = 0.02  // of a load
+	relocateCost   = 0.4   // of moving a last copy: two engines are blocked
+	parkCost       = 0.02  // of evicting a last copy: the next caller waits for a load
+	adapterWeight  = 0.002 // of an adapter in use, for each second in which its engine loads a model
+	shortageWeight = 0.05  // of an adapter in use without a slot
+	riskWeight     = 0.2   // of a single copy of a model with all requests
+
+	// absentTime is the time until a displaced model has memory again, in seconds.
 	absentTime = 80.0
-	// displaceFactor is by how much more an overloaded model must be asked for than another
-	// whose last copy is evicted for it: one that callers begin to turn to stays.
+	// displaceFactor is the least ratio of requests for which a last copy is displaced.
 	displaceFactor = 10
-	// demandTime is how many seconds demand stays where it is, as a rule: what is
-	// done after that is done in vain.
+	// demandTime is the time that demand for a model lasts, in seconds; a change that
+	// takes as long gains nothing.
 	demandTime = 12.0
-	// unloadTime is how many seconds an unload takes with the notice to the gateways
-	// before it, busyUnloadTime how many more when a copy with busyWork or more has
-	// to finish its answers first.
-	unloadTime     = 0.4
+
+	// Durations in seconds. A copy with busyWork or more finishes its answers before it
+	// unloads.
+	unloadTime     = 0.4 // with the notice to gateways before it
 	busyUnloadTime = 3.0
 	busyWork       = 0.1
-	// busyWait is how many seconds an engine with an order under way needs for it
-	// where that is not known.
-	busyWait = 3.0
-	// riskWeight is the congestion that it counts for when a model that all callers ask
-	// for has one copy only: an engine lost now and then, and seconds to load another.
-	riskWeight = 0.2
-	// adapterWeight is the congestion that an adapter in use makes for each second in
-	// which its engine loads a model and takes no other adapter.
-	adapterWeight = 0.002
-	// shortageWeight is the congestion that an adapter in use without a slot makes:
-	// its callers wait while adapters evict each other.
-	shortageWeight = 0.05
-	// evictShare of the work that a new copy will have is the most that a copy may
-	// have which is evicted for it.
-	evictShare = 0.3
-	// idleShare of an engine's work is as good as none.
-	idleShare = 0.02
+	busyWait       = 3.0 // of an order in progress whose duration is unknown
+
+	evictShare = 0.3  // of a new copy's work, the most that an evicted copy may have
+	idleShare  = 0.02 // of an engine's work, negligible
 )
 
-// rebalance gives models one more copy each as long as that eases the engines by more than
-// it costs.
+// rebalance adds the best copy until no change gains enough.
 func (p *planner) rebalance() {
 	for range maxChanges {
 		var best change
@@ -84,7 +64,7 @@
 	}
 }
 
-// leastGain is the gain from which a change is made.
+// leastGain is the threshold for a change.
 func (p *planner) leastGain(c change) float64 {
 	for _, v := range c.evictions {
 		if !p.quiet[v.model] {
@@ -94,7 +74,7 @@
 	return min(easyGain, p.policy.minGain)
 }
 
-// considered lists the models with most work, or most adapters without a slot, a copy.
+// considered lists the models with most work, or most adapters without a slot, per copy.
 func (p *planner) considered() []int {
 	type weighted struct {
 		model  int
@@ -118,8 +98,7 @@
 	return models
 }
 
-// bestCopy finds the engine where one more copy of the model eases most, among those with
-// least work.
+// bestCopy finds the best engine for one more copy, among those with least work.
 func (p *planner) bestCopy(m int) (change, bool) {
 	engines := make([]int, 0, consideredEngines)
 	for _, e := range p.target.ranked {
@@ -133,9 +112,8 @@
 	return bestOf(engines, func(e int) (change, bool) { return p.addCopy(e, m) })
 }
 
-// addCopy works out what a copy at an engine brings, what is evicted for it, and where
-// the last copy of what is evicted can go. What comes late is worth less: demand has
-// moved on by then.
+// addCopy evaluates a copy at an engine with its evictions and relocations. The gain shrinks with
+// the delay, as demand moves on.
 func (p *planner) addCopy(e, m int) (change, bool) {
 	c := change{engine: e, model: m, evictions: p.evictions[:0]}
 	delay := p.loadTime(e, m)
@@ -170,13 +148,12 @@
 	return c, true
 }
 
-// displaces tells whether an eviction leaves a model without a copy.
+// displaces tells whether an eviction removes the last copy.
 func (p *planner) displaces(v eviction) bool {
 	return v.to == nowhere && p.target.copies(v.model) == 1
 }
 
-// displacementCost is what it costs that a change leaves models without a copy, until they are
-// back at another engine.
+// displacementCost is the cost of requests for the models that a change leaves without a copy.
 func (p *planner) displacementCost(c change) float64 {
 	cost := 0.0
 	for _, v := range c.evictions {
@@ -187,8 +164,8 @@
 	return cost
 }
 
-// risk is what it costs that a model has one copy only: when its engine is lost, all who
-// ask for it are refused until another has loaded it.
+// risk is the cost of a single copy: if its engine fails, all requests are refused until another
+// has loaded the model.
 func (p *planner) risk(m int) float64 {
 	if p.target.copies(m) != 1 || p.total == 0 {
 		return 0
@@ -196,15 +173,13 @@
 	return riskWeight * p.asked[m] / p.total
 }
 
-// evict tells whether a model may leave an engine for another, and where its last copy
-// goes.
+// evict tells whether a model may be evicted for another, and where its last copy moves.
 func (p *planner) evict(e, v, m int, c change) (eviction, bool) {
 	evicted := eviction{model: v, to: nowhere}
 	if slices.Contains(p.engines[e].Young, p.class.Models[v].Name) {
 		return evicted, false
 	}
-	// Two models with like work would push each other out in turns, as one or the
-	// other has a little more.
+	// Models with similar work would evict each other in turns.
 	if coming := p.target.demand[m] / float64(p.target.copies(m)+1); p.target.share(v) > p.policy.evictShare*coming {
 		return evicted, false
 	}
@@ -214,8 +189,8 @@
 	if p.quiet[v] {
 		return evicted, true
 	}
-	// One model is relocated at a time, and only while it has one copy: those on their
-	// way count as done, and others would be sent after them.
+	// One relocation at a time: orders in progress count as done, so that others would
+	// follow.
 	if to := p.roomElsewhere(v, e, c); to != nowhere {
 		evicted.to = to
 		return evicted, p.copies[v] == 1 && !p.relocating
@@ -223,8 +198,7 @@
 	return evicted, p.policy.displaces && p.target.share(m) > overloadWork && p.asked[m] > displaceFactor*p.asked[v]
 }
 
-// roomElsewhere finds the engine with room for a model that has to leave another, that with
-// least work.
+// roomElsewhere finds the least busy engine with memory for a model.
 func (p *planner) roomElsewhere(m, not int, c change) int {
 	for _, e := range p.target.ranked {
 		if e != not && p.engines[e].Idle && !p.target.holds(e, m) &&
--- a/laburnumresidency/steps.go
+++ b/laburnumresidency/steps.go
@@ -7,12 +7,12 @@
 	"laburnumlever"
 )
 
-// overloadWork is the work of a copy beyond which all who ask for it are late: a model that
-// few ask for is evicted for another copy at once, and is away while it loads elsewhere.
+// overloadWork is the work of a copy from which its answers are late, so that a last copy with
+// few requests is evicted for another copy at once.
 const overloadWork = 1.0
 
-// approach takes one step with an engine towards what it should hold: a load if there
-// is room, else the unload of what is not wanted there and is ready elsewhere.
+// approach adds an engine's next step towards the target: a load if there is memory, else the
+// unload of a model that is ready elsewhere.
 func (p *planner) approach(e int, engine *Engine) {
 	if !engine.Idle {
 		return
@@ -32,8 +32,8 @@
 	p.makeRoom(e, engine, wanted, reason)
 }
 
-// wanted is the model that an engine should load next, the one with fewest copies that are ready
-// or on their way; nowhere where it holds all.
+// wanted returns the model that an engine should load next, that with fewest ready and loading
+// copies, or nowhere.
 func (p *planner) wanted(e int) int {
 	best := nowhere
 	for _, m := range p.target.models[e] {
@@ -49,7 +49,7 @@
 	return best
 }
 
-// usedNow is the memory taken at an engine, in MB.
+// usedNow is the memory in use at an engine, in MB.
 func (p *planner) usedNow(e int) float64 {
 	total := 0.0
 	for _, h := range p.engines[e].Held {
@@ -88,8 +88,8 @@
 	}
 }
 
-// urgency is what waits for a step: the requests for a model that no engine serves, shared by
-// the copies on their way.
+// urgency is the rate of requests for a model without a ready copy, divided by the copies that
+// load.
 func (p *planner) urgency(m int) float64 {
 	if p.ready[m] > 0 {
 		return 0
--- a/laburnumresidency/store.go
+++ b/laburnumresidency/store.go
@@ -2,11 +2,11 @@
 
 import "laburnumlever"
 
-// storeShare of the loads that keep the store's rate busy are under way at once. Each load beyond
-// takes as much time from the others as it saves, and the most urgent wait for the least.
+// storeShare is the part of the store's capacity for concurrent loads that is used. Loads beyond
+// it slow down the urgent ones.
 const storeShare = 0.9
 
-// withinStore returns the steps, without the loads from the weight store for which it has no time.
+// withinStore drops the loads that exceed the capacity of the weight store.
 func (p *planner) withinStore() []Step {
 	steps := make([]Step, 0, len(p.steps))
 	left := p.storeSlots() - p.storeLoads()
@@ -22,7 +22,7 @@
 	return steps
 }
 
-// storeSlots is how many loads from the store are best under way at once.
+// storeSlots is the number of concurrent loads from the store.
 func (p *planner) storeSlots() int {
 	if p.class.LoadsPerSecond <= 0 {
 		return len(p.engines)
@@ -35,7 +35,7 @@
 	return max(1, int(storeShare*p.class.LoadsPerSecond*mean))
 }
 
-// storeLoads counts those under way.
+// storeLoads counts the loads from the store in progress.
 func (p *planner) storeLoads() int {
 	n := 0
 	for e, engine := range p.engines {
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -6,30 +6,26 @@
 	"laburnumlever"
 )
 
-// Engine is what the planner knows of one model engine.
+// Engine is the state of a model engine.
 type Engine struct {
 	ID   laburnumlever.BackendID
 	Zone laburnumlever.ZoneName
-	// Held are the models that take memory, those on their way in or out
-	// included.
-	Held []laburnumlever.HeldModel
-	// Loading and Unloading are on their way; empty for none.
-	Loading, Unloading laburnumlever.ModelName
-	// Idle tells that the engine takes an order now.
+	// Held are the models that take memory, loading and unloading ones included.
+	Held               []laburnumlever.HeldModel
+	Loading, Unloading laburnumlever.ModelName // empty for none
+	// Idle tells that the engine accepts an order.
 	Idle bool
-	// FreeIn is how many seconds it takes, as far as is known, until one that is not
-	// idle takes an order; 0 where nothing is known.
+	// FreeIn is the time until the order in progress ends, in seconds; 0 if unknown.
 	FreeIn           float64
 	InMemory, OnDisk []laburnumlever.ModelName
-	// Young are models that came too short a time ago to be given up.
+	// Young are models loaded too recently to be evicted.
 	Young []laburnumlever.ModelName
 }
 
-// Demand is the work that each model makes, as a share of one engine's: 1 keeps one
-// engine as busy as it may be.
+// Demand is the work of each model, as a share of an engine's capacity.
 type Demand map[laburnumlever.ModelName]float64
 
-// Step is one order to one engine.
+// Step is an order to an engine.
 type Step struct {
 	Engine laburnumlever.BackendID
 	Kind   laburnumlever.OrderKind
@@ -40,13 +36,12 @@
 	Reason string
 }
 
-// Serves tells whether requests for the model can go to the engine, now or once a
-// load is done.
+// Serves tells whether the engine holds or loads the model.
 func (e *Engine) Serves(model laburnumlever.ModelName) bool {
 	return e.Unloading != model && laburnumlever.Holds(e.Held, model, "")
 }
 
-// used is the memory taken, in MB.
+// used is the memory in use, in MB.
 func (e *Engine) used(class *laburnumlever.EngineClass) float64 {
 	total := 0.0
 	for _, h := range e.Held {
@@ -56,12 +51,12 @@
 	return total
 }
 
-// HasRoom tells whether the model fits beside what the engine holds.
+// HasRoom tells whether the model fits into free memory.
 func (e *Engine) HasRoom(class *laburnumlever.EngineClass, m laburnumlever.ResidentClass) bool {
 	return e.used(class)+size(m) <= class.WeightsMB
 }
 
-// Holds tells whether the model takes memory at the engine.
+// Holds tells whether the model takes memory.
 func (e *Engine) Holds(model laburnumlever.ModelName) bool {
 	return laburnumlever.Holds(e.Held, model, "")
 }
@@ -69,7 +64,7 @@
 // loads tells whether the engine loads a model.
 func (e *Engine) loads() bool { return e.Loading != "" }
 
-// wait is how many seconds pass until the engine takes an order.
+// wait is the time until the engine accepts an order, in seconds.
 func (e *Engine) wait() float64 {
 	switch {
 	case e.Idle:
@@ -81,7 +76,7 @@
 	}
 }
 
-// LoadSeconds is how long a load takes at the engine.
+// LoadSeconds is the duration of a load from the nearest tier.
 func (e *Engine) LoadSeconds(m laburnumlever.ResidentClass) float64 {
 	switch {
 	case slices.Contains(e.InMemory, m.Name):
--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -66,7 +66,9 @@
 	return 0
 }
 
-func (a *attempt) queues() bool { return a.request.class.Priority == 0 && a.taken >= urgentReservations }
+func (a *attempt) queues() bool {
+	return a.request.class.Priority == 0 && a.taken >= urgentReservations
+}
 
 // place looks for a slot, and waits for one if it must.
 func (a *attempt) place() {
