--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -12,22 +12,14 @@
 )
 
 const (
-	// adapterLoad is how long a gateway waits after an engine has taken the order
-	// for an adapter; one that comes a little later makes the engine say that the
-	// request was not run.
-	adapterLoad = 12 * time.Millisecond
-	// needLimit is how long a question for an adapter is worth answering.
-	needLimit = 400 * time.Millisecond
-	// adapterQuiet is how long an adapter must be unused before it gives way: longer
-	// than the gateways' word on it is on its way.
-	adapterQuiet = 400 * time.Millisecond
-	// adapterInUse is how long an adapter counts as in use for the plan.
-	adapterInUse = 3 * time.Second
-	// comingLimit is how many adapters may be on their way to one engine.
-	comingLimit = 4
+	adapterLoad  = 12 * time.Millisecond  // expected duration of an adapter's load
+	needLimit    = 400 * time.Millisecond // timeout of a gateway's need
+	adapterQuiet = 400 * time.Millisecond // unused, before an adapter may be evicted
+	adapterInUse = 3 * time.Second        // since the last use, for the planner
+	comingLimit  = 4                      // concurrent loads of adapters at an engine
 )
 
-// need is a gateway's question for an adapter.
+// need is a gateway's request for an adapter.
 type need struct {
 	service laburnumlever.ServiceName
 	key     adapterKey
@@ -36,7 +28,7 @@
 	reply   NeedFunc
 }
 
-// NeedFunc takes the engines that hold an adapter by now. Errors: *NotDirectorError,
+// NeedFunc receives the engines that hold an adapter. Errors: *NotDirectorError,
 // *NoAdapterPlaceError.
 type NeedFunc func(backends []laburnumlever.BackendID, err error)
 
@@ -45,7 +37,7 @@
 	err      error
 }
 
-// Ask asks for an adapter; reply is called once, on the control thread.
+// Ask requests an adapter; reply is called once, on the control thread.
 func (d *Director) Ask(asked laburnumlever.AdapterNeed, reply NeedFunc) {
 	d.loop.Post(d, needed{need: &need{
 		service: asked.Service, key: adapterKey{model: asked.Model, adapter: asked.Adapter}, except: asked.Except,
@@ -53,8 +45,8 @@
 	}})
 }
 
-// Need asks for an adapter and waits for the engines that hold it by now. Errors: those of
-// NeedFunc, *ClosedError.
+// Need requests an adapter and waits for the engines that hold it. Errors: those of NeedFunc,
+// *ClosedError.
 func (d *Director) Need(ctx context.Context, asked laburnumlever.AdapterNeed) ([]laburnumlever.BackendID, error) {
 	answer := make(chan needAnswer, 1)
 	d.Ask(asked, func(backends []laburnumlever.BackendID, err error) {
@@ -80,7 +72,7 @@
 	}
 }
 
-// tendNeeds tries those again that wait.
+// tendNeeds retries pending needs.
 func (d *Director) tendNeeds(now time.Time) {
 	var left []*need
 	for _, n := range d.needs {
@@ -103,7 +95,7 @@
 	d.needs = nil
 }
 
-// serve answers a question whose adapter is there, or sees to it that it comes.
+// serve replies to a need whose adapter is loaded, or orders its load.
 func (d *Director) serve(n *need) bool {
 	now := d.timers.Now()
 	var there []laburnumlever.BackendID
@@ -129,7 +121,7 @@
 	return false
 }
 
-// used notes when requests used an adapter last, at whichever engine.
+// used updates the time of an adapter's last use at all engines.
 func (d *Director) used(key adapterKey, at time.Time) {
 	for _, e := range d.engines.holding(key.model) {
 		if a := e.adapter(key); a != nil && at.After(a.usedAt) {
@@ -146,8 +138,8 @@
 	return h.adapters[key.adapter]
 }
 
-// bring orders the adapter to the engine with the model that has most places, or
-// makes one by giving up the adapter unused for longest.
+// bring loads the adapter at the engine with most free adapter slots, or evicts the least recently
+// used one there.
 func (d *Director) bring(n *need, now time.Time) {
 	class := d.services[n.service]
 	if class == nil {
@@ -180,8 +172,8 @@
 	return h != nil && !h.withdrawn && e.takesAdapter(now)
 }
 
-// takesAdapter tells whether an order for an adapter can be sent: an engine that is
-// loading a model refuses it.
+// takesAdapter tells whether the engine accepts an order for an adapter; one that is loading a
+// model refuses it.
 func (e *engine) takesAdapter(now time.Time) bool {
 	coming := 0
 	for _, h := range e.held {
@@ -204,7 +196,7 @@
 	return used+m.AdapterMB <= class.WeightsMB
 }
 
-// unused is the adapter at the engine that nobody has asked for the longest.
+// unused returns the least recently used adapter.
 func (e *engine) unused(now time.Time) (adapterKey, bool) {
 	var oldest *heldAdapter
 	var key adapterKey
@@ -220,13 +212,12 @@
 	return key, oldest != nil
 }
 
-// olderUse tells whether an adapter was used longer ago than another; of two at one time the
-// first by name was.
+// olderUse orders adapters by their last use, then by name.
 func olderUse(a *heldAdapter, ak adapterKey, b *heldAdapter, bk adapterKey) bool {
 	return cmp.Or(a.usedAt.Compare(b.usedAt), compareNames(ak.model, bk.model), cmp.Compare(ak.adapter, bk.adapter)) < 0
 }
 
-// adapterBegun notes that an engine has taken an order for an adapter.
+// adapterBegun records an accepted order for an adapter.
 func (d *Director) adapterBegun(e *engine, order laburnumlever.EngineOrder) {
 	key := adapterKey{model: order.Model, adapter: order.Adapter}
 	if order.Kind == laburnumlever.Unload {
--- a/laburnumdirector/bucket.go
+++ b/laburnumdirector/bucket.go
@@ -2,24 +2,23 @@
 
 import "time"
 
-// spareLoads is how many loads beyond the rate a window allows in any case; one less
-// is used, for a load that begins a little later than it was ordered.
+// spareLoads is one less than the store allows beyond its rate, since loads may begin later than
+// ordered.
 const spareLoads = 2
 
-// burst is how many loads may begin at once after a quiet time, so that no window
-// holds more than the store allows.
+// burst is the size of the bucket, so that no window exceeds what the store allows.
 func (c config) burst(rate float64) float64 {
 	return spareLoads + max(0, rate*c.window.Seconds()*(c.overshoot-1))
 }
 
-// bucket bounds the loads from the weight store. It starts empty: another VM may
-// have used up the rate a moment ago.
+// bucket is a token bucket for loads from the weight store. It starts empty: another owner may have
+// used up the rate.
 type bucket struct {
 	tokens float64
 	at     time.Duration
 }
 
-// take pays for one load at the rate a second, if it can.
+// take takes a token, refilled at a rate per second.
 func (b *bucket) take(now time.Duration, rate, burst float64) bool {
 	if b.at == 0 {
 		b.at = now
--- a/laburnumdirector/clock.go
+++ b/laburnumdirector/clock.go
@@ -6,9 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// bootClock is the time since the machine's start, that of its suspensions
-// included. The steady clock of the runtime stands still while a VM is suspended, so
-// a lease that it measures would outlive its term.
+// bootClock is the time since boot, including suspensions. The runtime's monotonic clock stops
+// while a VM is suspended, so a lease would outlive its term.
 func bootClock() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -15,31 +15,20 @@
 )
 
 const (
-	// tickPeriod is how often the director looks for work: short beside the time
-	// of any load.
-	tickPeriod = 100 * time.Millisecond
-	// withdrawTime is how long gateways get to hear that a model goes before its
-	// unload is ordered; one that has not heard is told by the engine that the
-	// request was not run.
-	withdrawTime = 250 * time.Millisecond
-	// stateTimeout bounds a question to an engine, orderTimeout an order.
+	tickPeriod   = 100 * time.Millisecond
+	withdrawTime = 250 * time.Millisecond // between the notice to gateways and an unload
 	stateTimeout = time.Second
 	orderTimeout = time.Second
-	// maxAsking is how many engines are asked for their state at once: each question is a
-	// connection, and a VM that comes to give the orders asks all engines.
-	maxAsking = 64
-	// stateRetry is how long a report lags, and some.
-	stateRetry = 500 * time.Millisecond
-	// unsureRetry is when an order without an answer is sent again.
-	unsureRetry = 300 * time.Millisecond
-	// workSlack is how much longer than expected an order's work may take before
-	// the engine is asked.
-	workSlack = 4 * time.Second
-	// workStretch multiplies the expected time: many loads at once take longer.
+	maxAsking    = 64                     // concurrent state requests, each with a connection
+	stateRetry   = 500 * time.Millisecond // longer than a state report lags
+	unsureRetry  = 300 * time.Millisecond
+	// The state of an engine is requested when an order takes workStretch times as long as
+	// expected and workSlack more; concurrent loads are slower.
+	workSlack   = 4 * time.Second
 	workStretch = 3
 )
 
-// Director is a part of the control thread.
+// Director orders engines to load and unload models while its VM holds the placement lease.
 type Director struct {
 	loop     laburnumlever.Loop
 	timers   laburnumlever.Timers
@@ -60,27 +49,23 @@
 	// Control thread only, from here on.
 	lease lease
 	// lastFence is the fencing number of the last lease of this VM since its start.
-	lastFence uint64
-	services  map[laburnumlever.ServiceName]*laburnumlever.EngineClass
-	records   map[laburnumlever.BackendID]laburnumregistry.Record
-	engines   *engineTable
-	asking    int // engines that are being asked for their state
-	demand    *estimator
-	store     map[laburnumlever.ServiceName]*bucket
-	needs     []*need
-	// startedAt is when this VM began to hear of engines.
-	startedAt time.Time
-	// plannedAt is when the planner was asked last, planning the services of which a round is
-	// under way.
-	plannedAt time.Time
-	planning  map[laburnumlever.ServiceName]bool
-	// laidOutAt is when the layout of a service was told last.
-	laidOutAt map[laburnumlever.ServiceName]time.Time
+	lastFence  uint64
+	services   map[laburnumlever.ServiceName]*laburnumlever.EngineClass
+	records    map[laburnumlever.BackendID]laburnumregistry.Record
+	engines    *engineTable
+	asking     int // state requests in flight
+	demand     *estimator
+	store      map[laburnumlever.ServiceName]*bucket
+	needs      []*need
+	startedAt  time.Time
+	lastPlan   time.Time
+	planning   map[laburnumlever.ServiceName]bool // rounds in progress
+	lastLayout map[laburnumlever.ServiceName]time.Time
 }
 
 var _ laburnumlever.Part = (*Director)(nil)
 
-// New makes a director that does not run yet.
+// New makes a director, to be started with Start.
 func New(loop laburnumlever.Loop, timers laburnumlever.Timers, proposer laburnumlever.Proposer, calls laburnumlever.ModelEngines, self laburnumlever.VM, opts ...Option) *Director {
 	const defaultLease = 3 * time.Second
 	const defaultHeartbeat = time.Second
@@ -99,33 +84,32 @@
 		services: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:  map[laburnumlever.BackendID]laburnumregistry.Record{},
 		engines:  newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), startedAt: timers.Now(),
-		store:     map[laburnumlever.ServiceName]*bucket{},
-		laidOutAt: map[laburnumlever.ServiceName]time.Time{},
-		planning:  map[laburnumlever.ServiceName]bool{},
+		store:      map[laburnumlever.ServiceName]*bucket{},
+		lastLayout: map[laburnumlever.ServiceName]time.Time{},
+		planning:   map[laburnumlever.ServiceName]bool{},
 	}
 }
 
-// OnLeads sets how to find out whether this VM leads the log; set it before Start.
+// OnLeads sets the function that tells whether this VM leads the log; set it before Start.
 func (d *Director) OnLeads(leads func() bool) { d.leads = leads }
 
-// OnOverlay sets who is told, on the control thread, what the director knows of an
-// engine.
+// OnOverlay sets the callback for changes of an engine that no heartbeat shows yet. It runs on the
+// control thread.
 func (d *Director) OnOverlay(fn func(laburnumregistry.Overlay)) { d.onOverlay = fn }
 
-// OnDirecting sets who is told, on the control thread, whether this VM gives the
-// orders.
+// OnDirecting sets the callback for gaining and losing the lease. It runs on the control thread.
 func (d *Director) OnDirecting(fn func(directs bool)) { d.onDirecting = fn }
 
-// OnGone sets who is told, on the control thread, that an engine's address is
-// another's now.
+// OnGone sets the callback for an engine whose address another one answers at. It runs on the
+// control thread.
 func (d *Director) OnGone(fn func(laburnumlever.BackendID)) { d.onGone = fn }
 
-// Start makes the director look for work.
+// Start starts the director's timer.
 func (d *Director) Start() {
 	d.cancel = d.timers.Every(tickPeriod, func(now time.Time) { d.loop.Post(d, ticked{now: now}) })
 }
 
-// Close ends it; questions that wait fail.
+// Close stops the director and fails pending calls of Need.
 func (d *Director) Close() {
 	d.once.Do(func() {
 		if d.cancel != nil {
@@ -135,21 +119,21 @@
 	})
 }
 
-// SetRecord takes news of a backend server; any goroutine.
+// SetRecord updates a backend server. It is safe for concurrent use.
 func (d *Director) SetRecord(r laburnumregistry.Record) { d.loop.Post(d, recorded{record: r}) }
 
-// SetHeard notes that a heartbeat has come which brought nothing new; any goroutine.
+// SetHeard records a heartbeat without changes. It is safe for concurrent use.
 func (d *Director) SetHeard(h laburnumlever.Heartbeat) { d.loop.Post(d, heard{heartbeat: h}) }
 
-// SetRoutes takes the routes in force; any goroutine.
+// SetRoutes sets the routes in force. It is safe for concurrent use.
 func (d *Director) SetRoutes(t laburnumlever.RouteTable) { d.loop.Post(d, routed{table: t}) }
 
-// SetNews takes what a gateway tells; any goroutine.
+// SetNews updates a gateway's demand and adapter use. It is safe for concurrent use.
 func (d *Director) SetNews(vm laburnumlever.VMID, news laburnumlever.GatewayNews) {
 	d.loop.Post(d, told{vm: vm, news: news})
 }
 
-// Handle runs on the control thread.
+// Handle implements laburnumlever.Part.
 func (d *Director) Handle(ev laburnumlever.Event) {
 	switch ev := ev.(type) {
 	case ticked:
@@ -157,10 +141,8 @@
 	case recorded:
 		d.onRecord(ev.record)
 	case heard:
-		// What gateways are told does not depend on it. Publishing looks at each engine,
-		// and done for each heartbeat it grows with the square of the engines.
 		d.onHeard(ev)
-		return
+		return // nothing to publish
 	case routed:
 		d.onRoutes(ev.table)
 	case told:
@@ -191,8 +173,8 @@
 			d.tendEngine(e, now)
 		}
 	}
-	if now.Sub(d.plannedAt) >= planPeriod {
-		d.plannedAt = now
+	if now.Sub(d.lastPlan) >= planPeriod {
+		d.lastPlan = now
 		for name, class := range d.services {
 			d.plan(name, class, now)
 		}
@@ -252,14 +234,12 @@
 	e.silent = r.Silent
 }
 
-// strayTime is how long an order without an answer may be on its way to be carried out: the
-// longest that the platform's operators name for orders that come late.
+// strayTime is the longest delay of an order in the network. Source: the platform's protocol.
 const strayTime = 12 * time.Second
 
-// startEngine notes a start of an engine; before is what was known of the one before it
-// under the same identity, or nil. An order that has no answer yet may still reach the new
-// start, which counts its orders from nothing and may take it for its own: no other is
-// given while that can be, so that the two never add up to more than it has room for.
+// startEngine registers a restarted engine; before is its previous state, or nil. An order without
+// an answer may still reach the new process, which counts its orders from zero and may accept it.
+// No other order is sent meanwhile, so that the two can't overcommit its memory.
 func (d *Director) startEngine(h laburnumlever.Heartbeat, before *engine) *engine {
 	e := newEngine(h, d.engines)
 	e.heardAt = d.timers.Now()
@@ -270,16 +250,16 @@
 	return e
 }
 
-// onHeard notes that an engine is there still. A heartbeat that brings nothing new is
-// not kept as the engine's last: what it does not tell of orders under way is old.
+// onHeard records that an engine is alive. The heartbeat does not become its last one, as it may be
+// older than the orders in progress.
 func (d *Director) onHeard(ev heard) {
 	if e := d.engines.get(ev.heartbeat.Backend); e != nil && e.heartbeat.Born == ev.heartbeat.Born && ev.heartbeat.NewerThan(e.heartbeat) {
 		e.heardAt = d.timers.Now()
 	}
 }
 
-// forgetEngines starts over from the heartbeats: what was known of orders is of the
-// time before another owner.
+// forgetEngines rebuilds the engines from their heartbeats, since another owner may have sent
+// orders.
 func (d *Director) forgetEngines() {
 	d.engines = newEngineTable()
 	d.store = map[laburnumlever.ServiceName]*bucket{}
@@ -297,11 +277,11 @@
 	return class.LoadsPerSecond <= 0 || b.take(d.clock(), class.LoadsPerSecond, d.cfg.burst(class.LoadsPerSecond))
 }
 
-// publish tells the gateways what heartbeats do not show yet.
+// publish sends overlays of changed engines to the gateways.
 func (d *Director) publish() {
 	changed := d.engines.takeChanged()
 	if !d.lease.held {
-		return // a VM that gets the lease starts over with all engines
+		return // all engines are rebuilt with the next lease
 	}
 	for _, e := range changed {
 		e.changed = false
--- a/laburnumdirector/doc.go
+++ b/laburnumdirector/doc.go
@@ -1,21 +1,17 @@
-// Package laburnumdirector gives the orders to model engines. Of all control VMs one
-// does so at a time: the holder of a lease in the replicated log, under the lease's
-// fencing number.
+// Package laburnumdirector orders model engines to load and unload models. One control VM does so
+// at a time: the holder of the placement lease, under the lease's fencing number.
 //
 // # What it guards against
 //
-//   - Two owners that take turns: a new holder waits as long as a lease lasts before
-//     its first order, and a holder looks at its lease and at a clock that goes on
-//     while the VM is suspended before each order.
-//   - An order whose answer is lost, or that is carried out seconds late: each order
-//     names the number of orders that the engine must have accepted before, so of two
-//     with one number at most one takes effect. An order of unknown outcome is sent
-//     again with its number until the engine has taken it or something else in its
-//     place; until then its model counts as held.
-//   - An engine asked to hold more than it has: what counts is all that may be on the
-//     engine, with what is on its way in and not yet surely out.
-//   - The weight store overrun: a bucket that pays for each order that may load from
-//     it, sent again or not.
+//   - Two owners: a new holder waits for a whole lease before its first order. A holder checks its
+//     lease before each order, by a clock that counts suspensions of the VM.
+//   - An order whose answer is lost, or that takes effect late: each order names the number of
+//     orders that the engine must have accepted, so at most one of two with the same number takes
+//     effect. An order of unknown outcome is retried under its number until the engine has
+//     accepted it or another; its model counts as held until then.
+//   - Memory overcommitted: a model counts as held while its load or unload may be in progress.
+//   - Weight store overload: a token bucket is charged for each load that may use the store,
+//     retries included.
 //
 // # Usage
 //
@@ -23,6 +19,6 @@
 //		laburnumdirector.WithLease(3*time.Second))
 //	director.OnOverlay(source.SetOverlay)
 //	director.Start()
-//	director.Post…  // records, routes, demand: see the methods
-//	backends, err := director.Need(ctx, service, model, adapter)
+//	director.SetRecord(record) // also SetRoutes, SetNews, SetHeard
+//	backends, err := director.Need(ctx, need)
 package laburnumdirector
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -14,51 +14,45 @@
 	adapter laburnumlever.AdapterName
 }
 
-// engine is what the director knows of one model engine. Its held models are all
-// that may be there: what is on its way in, and not yet surely out, included.
+// engine is the state of a model engine. Held models include those that may still be loading or
+// unloading.
 type engine struct {
 	heartbeat laburnumlever.Heartbeat
 	silent    bool
-	// heardAt is when its last news came, unreachableAt when a gateway last said
-	// that it took no connection.
+	// heardAt is the time of its last heartbeat, unreachableAt of the last report that it can't be
+	// connected to.
 	heardAt, unreachableAt time.Time
-	// accepted is the number of orders that the engine has accepted, if known.
+	// accepted is the number of accepted orders, if known.
 	known    bool
 	accepted uint64
 	asking   bool
 	held     map[laburnumlever.ModelName]*heldModel
-	// sending is the order whose answer is awaited; unsure one whose answer was
-	// lost, to be sent again.
+	// sending is the order in flight, unsure an order of unknown outcome, to be retried.
 	sending *laburnumlever.EngineOrder
 	unsure  *laburnumlever.EngineOrder
 	tryAt   time.Time
-	// sentAfter is the sequence of the last heartbeat before the last order was sent.
+	// sentAfter is the sequence of the last heartbeat before the last order.
 	sentAfter uint64
-	// working is the model that is being loaded or unloaded, and the sequence of
-	// the last heartbeat that can't show its end.
+	// working is the model being loaded or unloaded; heartbeats up to workingAfter can't show
+	// its end.
 	working      laburnumlever.ModelName
 	workingKind  laburnumlever.OrderKind
 	workingSince time.Time
 	workingAfter uint64
-	// workingTime is how long that takes, as far as is known; 0 where it is not.
-	workingTime time.Duration
-	// overdue tells that the work has taken longer than it should.
-	overdue bool
-	// changed tells that gateways do not know yet what is known here; see touch.
-	changed bool
-	// revision counts the changes of what is known.
-	revision uint64
-	table    *engineTable
+	workingTime  time.Duration // expected; 0 if unknown
+	overdue      bool
+	changed      bool   // since the last overlay
+	revision     uint64 // number of changes
+	table        *engineTable
 }
 
-// lose notes that the engine does not hold a model any more.
+// lose removes a model.
 func (e *engine) lose(name laburnumlever.ModelName) {
 	delete(e.held, name)
 	e.table.losses++
 }
 
-// touch notes that what is known of the engine here has changed, and that gateways do not
-// know it yet.
+// touch records a change that gateways have to learn of.
 func (e *engine) touch() {
 	e.revision++
 	if !e.changed {
@@ -69,45 +63,31 @@
 
 type heldModel struct {
 	version int
-	// since is when the model was first seen here.
-	since time.Time
-	// listed tells that a heartbeat has listed it: only then does a later one that
-	// does not show that it is gone. A heartbeat may be seconds old when it comes,
-	// from before the model was loaded.
+	since   time.Time
+	// listed tells that a heartbeat has listed the model. Only then does one without it mean that
+	// it is gone: heartbeats may be older than the load.
 	listed bool
-	// withdrawnAt is when gateways were told to send nothing more for it.
+	// withdrawnAt is when gateways were told to stop using the copy.
 	withdrawnAt time.Time
 	withdrawn   bool
 	adapters    map[laburnumlever.AdapterName]*heldAdapter
-	// dropped are adapters given up lately, which a late heartbeat may list.
+	// dropped are adapters unloaded lately, which a late heartbeat may list.
 	dropped map[laburnumlever.AdapterName]time.Time
 }
 
 type heldAdapter struct {
 	ready  bool
 	usedAt time.Time
-	// since is when it was ordered; a report on its way then does not list it.
-	since time.Time
-	// listed is as that of a model.
-	listed bool
+	since  time.Time // of the order
+	listed bool      // as in heldModel
 }
 
-// youngTime is how long a copy stays at least: what is given up sooner was loaded in
-// vain.
-const youngTime = 8 * time.Second
-
 const (
-	// unreachableMemory is how long a gateway's word counts that an engine took no
-	// connection; it is said again every second while it is so.
-	unreachableMemory = 3 * time.Second
-	// duePeriods is after how many of its periods a heartbeat is due: they come within
-	// a few milliseconds of their time where nothing is wrong.
-	duePeriods = 1.25
-	// heartbeatLag is how old a heartbeat may be when it comes, as a rule; one that
-	// is older makes an adapter that is gone count as held until the next.
-	heartbeatLag = 2500 * time.Millisecond
-	// reportLag is how old a report may be.
-	reportLag = time.Second
+	youngTime         = 8 * time.Second // least lifetime of a copy
+	unreachableMemory = 3 * time.Second // gateways repeat their reports every second
+	duePeriods        = 1.25            // heartbeat periods until one is overdue
+	heartbeatLag      = 2500 * time.Millisecond
+	reportLag         = time.Second
 )
 
 func newEngine(h laburnumlever.Heartbeat, table *engineTable) *engine {
@@ -119,7 +99,7 @@
 	return e
 }
 
-// add notes a model with adapters as held.
+// add adds a model with adapters.
 func (e *engine) add(m laburnumlever.HeldModel, ready bool) *heldModel {
 	h := e.held[m.Name]
 	if h == nil {
@@ -137,7 +117,7 @@
 	return h
 }
 
-// adapters counts those held or on their way.
+// adapters counts held and loading adapters.
 func (e *engine) adapters() int {
 	n := 0
 	for _, h := range e.held {
@@ -146,9 +126,8 @@
 	return n
 }
 
-// takeHeartbeat notes what a newer heartbeat shows, and tells whether an order's work
-// has ended. What a heartbeat lists is held; what it does not list is not, unless an
-// order for it is under way or unsure.
+// takeHeartbeat applies a newer heartbeat and tells whether the order in progress has ended. A
+// model that is not listed is gone unless an order may be loading it.
 func (e *engine) takeHeartbeat(h laburnumlever.Heartbeat, now time.Time) bool {
 	e.heartbeat = h
 	e.touch()
@@ -169,7 +148,7 @@
 	return ended
 }
 
-// workEnded tells whether a heartbeat shows the end of the order being carried out.
+// workEnded tells whether a heartbeat shows the end of the order in progress.
 func (e *engine) workEnded(h laburnumlever.Heartbeat) bool {
 	if e.working == "" || h.Sequence <= e.workingAfter {
 		return false
@@ -177,7 +156,7 @@
 	return h.Holds(e.working, "") == (e.workingKind == laburnumlever.Load)
 }
 
-// pending tells whether an order may be bringing the model.
+// pending tells whether an order may be loading the model.
 func (e *engine) pending(name laburnumlever.ModelName) bool {
 	loads := func(o *laburnumlever.EngineOrder) bool {
 		return o != nil && o.Kind == laburnumlever.Load && o.Model == name
@@ -185,7 +164,7 @@
 	return loads(e.sending) || loads(e.unsure) || (e.working == name && e.workingKind == laburnumlever.Load)
 }
 
-// takeListed brings the adapters up to a heartbeat.
+// takeListed applies a heartbeat to the adapters.
 func (h *heldModel) takeListed(listed laburnumlever.HeldModel, now time.Time) {
 	for _, name := range listed.Adapters {
 		if now.Sub(h.dropped[name]) < heartbeatLag {
@@ -203,8 +182,8 @@
 	}
 }
 
-// takeReported brings the adapters up to a report that knows of all orders accepted:
-// what it does not list, and no heartbeat has, is not there.
+// takeReported applies a state report to the adapters. The report covers all accepted orders, so
+// that adapters neither listed there nor by a heartbeat are gone.
 func (h *heldModel) takeReported(reported laburnumlever.HeldModel, now time.Time) {
 	for _, name := range reported.Adapters {
 		if h.adapters[name] == nil && now.Sub(h.dropped[name]) > reportLag {
@@ -218,7 +197,7 @@
 	}
 }
 
-// drop notes that an adapter is given up.
+// drop removes an adapter.
 func (e *engine) drop(key adapterKey, now time.Time) {
 	h := e.held[key.model]
 	if h == nil {
@@ -237,9 +216,8 @@
 	e.touch()
 }
 
-// takeState notes how many orders the engine has accepted, and what it holds beside
-// what heartbeats list. While it carries out an order that is not known here, one of
-// another owner's, nothing is known.
+// takeState applies a state report. The number of accepted orders stays unknown while an order of
+// another owner is in progress.
 func (e *engine) takeState(s laburnumlever.EngineState, now time.Time) {
 	e.touch()
 	for _, m := range s.Models {
@@ -262,9 +240,8 @@
 	e.overdue = false
 }
 
-// endReported ends the work of an order by the engine's report, for want of a heartbeat
-// that shows its end: it came to nothing, or the heartbeat was lost, and later ones bring
-// nothing new. Without it the engine would take no other order for ever.
+// endReported ends an overdue order: it failed, or the heartbeat with its end was lost. Otherwise
+// the engine would never be idle again.
 func (e *engine) endReported(s laburnumlever.EngineState) {
 	if !laburnumlever.Holds(s.Models, e.working, "") {
 		e.lose(e.working)
@@ -272,7 +249,7 @@
 	e.working = ""
 }
 
-// withComing adds a model's adapters that are on their way.
+// withComing adds a model's loading adapters.
 func withComing(m laburnumlever.HeldModel, coming []laburnumlever.HeldModel) laburnumlever.HeldModel {
 	m.Adapters = slices.Clone(m.Adapters)
 	for _, c := range coming {
@@ -283,25 +260,22 @@
 	return m
 }
 
-// down tells whether nobody can reach the engine, as far as is known: it has fallen
-// silent, or a heartbeat is due and a gateway, or this VM with an order, could not
-// connect since the last. Waiting for the silence alone leaves callers of its models
-// without an answer for two heartbeats more. A VM that is itself cut off from the
-// engines says that none takes a connection; their heartbeats show that it is wrong.
+// down tells whether the engine is unreachable: it is silent, or a heartbeat is overdue and a
+// connection has failed since the last one. Neither sign suffices: silence takes two periods more,
+// and a VM that is cut off reports all engines.
 func (e *engine) down(now time.Time, period time.Duration) bool {
 	refused := now.Sub(e.unreachableAt) < unreachableMemory && e.heardAt.Before(e.unreachableAt)
 	due := now.Sub(e.heardAt) > time.Duration(duePeriods*float64(period))
 	return e.silent || (refused && due)
 }
 
-// idle tells whether the engine takes an order now.
+// idle tells whether the engine accepts an order.
 func (e *engine) idle(now time.Time) bool {
 	return e.known && e.sending == nil && e.unsure == nil && e.working == "" && !e.silent && !e.asking &&
 		!now.Before(e.tryAt)
 }
 
-// planned is the engine as the planner sees it; a copy that came within the young time must
-// stay.
+// planned converts the engine for the planner.
 func (e *engine) planned(now time.Time, young time.Duration) laburnumresidency.Engine {
 	p := laburnumresidency.Engine{
 		ID: e.heartbeat.Backend, Zone: e.heartbeat.Zone, Idle: e.idle(now),
@@ -332,11 +306,10 @@
 	return p
 }
 
-// leastLeft is the least that is taken to be left, in seconds, of work that goes on
-// longer than expected: loads that share the store or an unload that waits for answers.
+// leastLeft is assumed of orders that take longer than expected, in seconds.
 const leastLeft = 0.3
 
-// workLeft is how many seconds the order under way still takes; 0 where that is not known.
+// workLeft is the expected rest of the order in progress, in seconds; 0 if unknown.
 func (e *engine) workLeft(now time.Time) float64 {
 	if e.workingTime == 0 {
 		return 0
--- a/laburnumdirector/enginetable.go
+++ b/laburnumdirector/enginetable.go
@@ -7,17 +7,15 @@
 	"laburnumlever"
 )
 
-// engineTable holds the engines, with an index of who may hold a model and a list of those
-// that changed. With thousands of engines a look at each of them for every gateway's word on an
-// adapter takes more than a control VM has.
+// engineTable indexes the engines by identity and by model, and lists those that changed.
 type engineTable struct {
 	byID map[laburnumlever.BackendID]*engine
-	// order is the identities by name; nil when engines have come or gone since.
+	// order holds the sorted identities; nil after a change.
 	order []laburnumlever.BackendID
-	// holders are the engines that have held a model, and may not any more.
+	// holders are the engines that have held a model, including former ones.
 	holders map[laburnumlever.ModelName]map[laburnumlever.BackendID]*engine
 	changed []*engine
-	// losses counts the engines that went and the models that engines stopped to hold.
+	// losses counts removed engines and models.
 	losses uint64
 }
 
@@ -30,7 +28,7 @@
 
 func (t *engineTable) get(id laburnumlever.BackendID) *engine { return t.byID[id] }
 
-// put adds an engine, in the place of one with the same identity.
+// put adds or replaces an engine.
 func (t *engineTable) put(e *engine) {
 	t.byID[e.heartbeat.Backend] = e
 	t.order = nil
@@ -42,7 +40,7 @@
 	t.losses++
 }
 
-// ids are the identities by name, so that each look sees the engines alike.
+// ids returns the sorted identities.
 func (t *engineTable) ids() []laburnumlever.BackendID {
 	if t.order == nil {
 		t.order = make([]laburnumlever.BackendID, 0, len(t.byID))
@@ -54,7 +52,7 @@
 	return t.order
 }
 
-// noteHolder is called when an engine begins to hold a model.
+// noteHolder indexes an engine under a model.
 func (t *engineTable) noteHolder(e *engine, model laburnumlever.ModelName) {
 	if t.holders[model] == nil {
 		t.holders[model] = map[laburnumlever.BackendID]*engine{}
@@ -62,7 +60,7 @@
 	t.holders[model][e.heartbeat.Backend] = e
 }
 
-// holding returns the engines that hold a model, by name.
+// holding returns the engines that hold a model, sorted.
 func (t *engineTable) holding(model laburnumlever.ModelName) []*engine {
 	var list []*engine
 	for id, e := range t.holders[model] {
@@ -78,10 +76,10 @@
 	return list
 }
 
-// noteChanged is called for an engine of which gateways do not know yet what is known here.
+// noteChanged lists an engine for the next overlays.
 func (t *engineTable) noteChanged(e *engine) { t.changed = append(t.changed, e) }
 
-// takeChanged returns those engines, and forgets them.
+// takeChanged returns and clears the list.
 func (t *engineTable) takeChanged() []*engine {
 	changed := t.changed
 	t.changed = nil
--- a/laburnumdirector/errors.go
+++ b/laburnumdirector/errors.go
@@ -6,12 +6,12 @@
 	"laburnumlever"
 )
 
-// NotDirectorError is a question to a control VM that gives no orders now.
+// NotDirectorError is a call to a control VM that does not hold the placement lease.
 type NotDirectorError struct{ VM laburnumlever.VMID }
 
 func (e *NotDirectorError) Error() string { return fmt.Sprintf("%s gives no orders", e.VM) }
 
-// NoAdapterPlaceError is an adapter for which no engine has a place.
+// NoAdapterPlaceError is an adapter that no engine has a slot for.
 type NoAdapterPlaceError struct {
 	Model   laburnumlever.ModelName
 	Adapter laburnumlever.AdapterName
@@ -22,7 +22,7 @@
 	return fmt.Sprintf("no engine takes the adapter %s/%s: %s", e.Model, e.Adapter, e.Detail)
 }
 
-// ClosedError is a question to a director that has ended.
+// ClosedError is a call to a closed director.
 type ClosedError struct{}
 
 func (e *ClosedError) Error() string { return "the director has ended" }
--- a/laburnumdirector/estimator.go
+++ b/laburnumdirector/estimator.go
@@ -11,56 +11,44 @@
 )
 
 const (
-	// tokenSeconds is how long a request holds a place for each token of its
-	// answer, promptSeconds how long an engine reads for each token of a prompt where
-	// that was not measured yet. Engines do not tell their speed; only the proportion
-	// between models matters for the choice, and the size for how early a busy engine
-	// gets help.
-	tokenSeconds  = 0.006
-	promptSeconds = 1.0 / 30000
-	// promptShare of an engine's time may go to prompts: they are read between the
-	// tokens of all other requests there, and at more the pauses between these
-	// become too long whenever a few prompts meet.
+	// Engines do not report their speed. Only ratios between models matter for placement, the
+	// absolute values decide how early a busy model gets another copy.
+	tokenSeconds  = 0.006       // of a slot, for a token of an answer
+	promptSeconds = 1.0 / 30000 // of an engine, for a token of a prompt, until measured
+
+	// promptShare of an engine's time may go to prompts: they are read between the tokens of all
+	// answers, which pause meanwhile.
 	promptShare = 0.5
-	// readRise is the part of the way that the time to read a token goes up at a higher
-	// measure, some a second: an estimate that was too low is right within a minute.
-	readRise = 0.01
-	// minPace and maxPace bound what is believed of a model's time to read, beside
-	// promptSeconds: models that fit the same engines differ by some ten times, and a
-	// wrong measure does no more harm than that.
+	readRise    = 0.01 // smoothing factor of a higher measured time to read a token
+	// minPace and maxPace bound the measured time, as factors of promptSeconds.
 	minPace, maxPace = 0.08, 3.0
-	// riseTime and fallTime are how fast the estimate follows. Slower, a model that nobody asks
-	// for any more holds slots that the next busy one needs; faster, copies are loaded and
-	// evicted for what is chance in a second's requests.
+
+	// Time constants of the estimate. Slower, former demand holds memory that current demand
+	// needs; faster, copies follow noise.
 	riseTime = time.Second
 	fallTime = 1500 * time.Millisecond
-	// quietTime is after how long without a request nobody asks for a model: a dozen times the
-	// pause between two requests of one that is asked for once a second.
-	quietTime = 10 * time.Second
-	// rowsLife is how long a gateway's last word counts.
-	rowsLife = 5 * time.Second
+
+	quietTime = 10 * time.Second // without requests, after which a model may lose its last copy
+	rowsLife  = 5 * time.Second  // of a gateway's last report
 )
 
-// estimator follows the demand for each model over all gateways.
+// estimator smooths the demand for each model over all gateways.
 type estimator struct {
 	rise, fall time.Duration
 	rows       map[laburnumlever.VMID]gatewayRows
 	smooth     map[laburnumlever.ModelName]load
 	at         time.Time
-	// reads is what engines take to read a token of a prompt for each model, as gateways
-	// measured it.
-	reads map[laburnumlever.ModelName]time.Duration
-	// askedAt is when each model was asked for last, since when the estimator has listened.
-	askedAt map[laburnumlever.ModelName]time.Time
-	since   time.Time
+	// reads is the measured time to read a token of a prompt, by model.
+	reads   map[laburnumlever.ModelName]time.Duration
+	askedAt map[laburnumlever.ModelName]time.Time // of the last request
+	since   time.Time                             // of the first report
 	quiet   time.Duration
 }
 
-// load is what callers ask of a model: the work, as a share of one engine's, and the
-// requests a second.
+// load is the work of a model, as a share of an engine's, and its requests per second.
 type load struct{ work, requests float64 }
 
-// toward moves a load towards another by a share of the way.
+// toward interpolates between two loads.
 func (l load) toward(to load, share float64) load {
 	return load{work: l.work + share*(to.work-l.work), requests: l.requests + share*(to.requests-l.requests)}
 }
@@ -82,8 +70,7 @@
 	}
 }
 
-// learnRead takes a gateway's measure. A lower one counts more: what is wanted is the
-// time without other work, and engines have other work most of the time.
+// learnRead prefers lower measurements, since others include the wait for other prompts.
 func (s *estimator) learnRead(model laburnumlever.ModelName, read time.Duration) {
 	was := s.reads[model]
 	switch {
@@ -95,7 +82,7 @@
 	}
 }
 
-// readSeconds is what an engine takes to read a token of a prompt for the model.
+// readSeconds is the time to read a token of a prompt.
 func (s *estimator) readSeconds(model laburnumlever.ModelName) float64 {
 	read := s.reads[model]
 	if read == 0 {
@@ -104,8 +91,8 @@
 	return min(maxPace, max(minPace, read.Seconds()/promptSeconds)) * promptSeconds
 }
 
-// loads returns the work of each model, for engines with the number of places, and the
-// requests a second for it.
+// loads returns the work and the requests per second of each model, for engines with a number of
+// slots.
 func (s *estimator) loads(now time.Time, slots int) (laburnumresidency.Demand, map[laburnumlever.ModelName]float64) {
 	current := s.current(now, slots)
 	span := now.Sub(s.at)
@@ -133,11 +120,11 @@
 	return work, requests
 }
 
-// listen notes that gateways tell this VM from now on: models that nobody has asked for since
-// are not quiet yet.
+// listen sets the time from which gateways report to this VM. Models are quiet a whole quiet time
+// after it at the earliest.
 func (s *estimator) listen(now time.Time) { s.since = now }
 
-// quietModels are those that nobody has asked for lately.
+// quietModels are those without recent requests.
 func (s *estimator) quietModels(class *laburnumlever.EngineClass, now time.Time) map[laburnumlever.ModelName]bool {
 	quiet := map[laburnumlever.ModelName]bool{}
 	if now.Sub(s.since) <= s.quiet {
@@ -151,7 +138,7 @@
 	return quiet
 }
 
-// current adds up what the gateways told last.
+// current sums the last reports of the gateways.
 func (s *estimator) current(now time.Time, slots int) map[laburnumlever.ModelName]load {
 	sum := map[laburnumlever.ModelName]load{}
 	for _, vm := range slices.Sorted(maps.Keys(s.rows)) { // sums of floats depend on their order
--- a/laburnumdirector/events.go
+++ b/laburnumdirector/events.go
@@ -10,36 +10,36 @@
 
 type (
 	ticked struct{ now time.Time }
-	// recorded is news of a backend server.
+	// recorded is an update of a backend server.
 	recorded struct{ record laburnumregistry.Record }
-	// heard says that a heartbeat came which brought nothing new.
+	// heard is a heartbeat without changes.
 	heard  struct{ heartbeat laburnumlever.Heartbeat }
 	routed struct{ table laburnumlever.RouteTable }
-	// told is what a gateway tells.
+	// told is a gateway's demand and adapter use.
 	told struct {
 		vm   laburnumlever.VMID
 		news laburnumlever.GatewayNews
 	}
-	// leased is the answer to a try to get or renew the lease.
+	// leased is the result of acquiring or renewing the lease.
 	leased struct {
 		sentAt time.Duration
 		result laburnumlever.Result
 		err    error
 	}
-	// ordered is an engine's answer to an order.
+	// ordered is the result of an order.
 	ordered struct {
 		backend laburnumlever.BackendID
 		order   laburnumlever.EngineOrder
 		verdict laburnumlever.EngineVerdict
 		err     error
 	}
-	// stated is an engine's state.
+	// stated is the result of a state request.
 	stated struct {
 		backend laburnumlever.BackendID
 		state   laburnumlever.EngineState
 		err     error
 	}
-	// arrived says that an adapter has had the time to load.
+	// arrived is the expected end of an adapter's load.
 	arrived struct {
 		backend laburnumlever.BackendID
 		key     adapterKey
--- a/laburnumdirector/layout.go
+++ b/laburnumdirector/layout.go
@@ -9,21 +9,19 @@
 	"github.com/go-kit/log/level"
 )
 
-// layoutPeriod is how often the layout is told: about as fast as it changes.
-const layoutPeriod = 3 * time.Second
-
-// maxNone bounds the models without a copy that a line names.
-const maxNone = 32
+const (
+	layoutPeriod = 3 * time.Second
+	maxNone      = 32 // models without a copy that a line names
+)
 
-// reportLayout tells how many engines hold each model of a service, how many are loading it,
-// and how many have room for another, so that an hour can be understood afterwards from the
-// lines of the VMs that gave the orders. Models held by one engine, which most are, are counted
-// and not named, so that the line stays short with hundreds of them.
+// reportLayout logs how many engines hold and load each model of a service, and how many have free
+// memory. Models with one copy are only counted, so that the line stays short with hundreds of
+// them.
 func (d *Director) reportLayout(name laburnumlever.ServiceName, class *laburnumlever.EngineClass, engines []laburnumresidency.Engine, now time.Time) {
-	if now.Sub(d.laidOutAt[name]) < layoutPeriod {
+	if now.Sub(d.lastLayout[name]) < layoutPeriod {
 		return
 	}
-	d.laidOutAt[name] = now
+	d.lastLayout[name] = now
 	held, loading := map[laburnumlever.ModelName]int{}, map[laburnumlever.ModelName]int{}
 	largest := largest(class)
 	room := 0
@@ -56,7 +54,7 @@
 		"room", room, "held", held, "loading", loading, "one", one, "none", none)
 }
 
-// largest is the model that takes most memory: an engine with room for it takes any.
+// largest returns the model with most weights.
 func largest(class *laburnumlever.EngineClass) laburnumlever.ResidentClass {
 	var largest laburnumlever.ResidentClass
 	for _, m := range class.Models {
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -10,46 +10,34 @@
 )
 
 const (
-	// leaseName names the lease in the log.
 	leaseName = "engines"
-	// termShare of the time that two owners must be apart is the lease's term: the
-	// shorter, the sooner another can begin to wait.
-	termShare = 0.5
-	// renewShare of the lease passes before it is renewed, so that two renewals
-	// may fail.
-	renewShare = 0.3
-	// safeShare of the lease is used: the rest is for an order on its way and for
-	// clocks that run at different speeds.
-	safeShare = 0.7
-	// leaseTimeout bounds one try.
+	// termShare is the lease's term as a share of the time between two owners. A short term
+	// lets the next owner begin to wait early.
+	termShare  = 0.5
+	renewShare = 0.3 // of the term before a renewal, so that two renewals may fail
+	safeShare  = 0.7 // of the term that is used; the rest is for orders in flight and clock drift
+
 	leaseTimeout = time.Second
-	// firstFence is the fencing number of the first grant ever: nobody can have
-	// given orders before.
-	firstFence = 1
-	// arrivalTime is how long the last order before a lease's end may be on its way to
-	// an engine: it is given up at the end, and what its connection carried by then
-	// arrives within a network's delay.
-	arrivalTime = 150 * time.Millisecond
+	// firstFence is the fencing number of the first lease ever, which has no owner before it.
+	firstFence  = 1
+	arrivalTime = 150 * time.Millisecond // network delay of the last order under a lease
 )
 
-// lease is what the director knows of its own. Times are of the clock that goes on
-// while the VM is suspended.
+// lease is the state of the director's lease, by a clock that counts suspensions.
 type lease struct {
 	held  bool
 	fence uint64
-	// until is when it may have been given to another, counted from when the last
-	// grant or renewal was asked for.
-	until time.Duration
-	// from is when the first order may be sent.
-	from   time.Duration
+	// until counts from the request of the last grant or renewal.
+	until  time.Duration
+	from   time.Duration // of the first order
 	asking bool
 	asked  time.Duration
 }
 
-// valid tells whether an order may be sent now.
+// valid tells whether an order may be sent.
 func (l *lease) valid(now time.Duration) bool { return l.held && now >= l.from && now < l.until }
 
-// tendLease gets the lease if this VM leads the log, and renews what it holds.
+// tendLease acquires the lease if this VM leads the log, and renews it.
 func (d *Director) tendLease() {
 	now := d.clock()
 	if d.lease.held && now >= d.lease.until {
@@ -71,7 +59,7 @@
 	d.askLease(kind, now)
 }
 
-// term is how long the lease lasts without a renewal.
+// term is the lifetime of the lease without a renewal.
 func (d *Director) term() time.Duration { return time.Duration(termShare * float64(d.cfg.lease)) }
 
 func (d *Director) askLease(kind laburnumlever.CommandKind, now time.Duration) {
@@ -113,11 +101,9 @@
 	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLeaseGot, "fence", d.lease.fence, "wait", d.lease.from-d.clock())
 }
 
-// handOverTime is how long the first order under a new lease waits, so that it comes as
-// long after the last of the owner before as two owners must be apart. A lease is granted
-// at the earliest a whole term after the owner before asked for its last renewal, and that
-// owner's last order went out when the safe share of the term was over. With nobody in
-// between, a VM goes on from its own lease at once.
+// handOverTime is the delay of the first order under a new lease. A lease is granted at the
+// earliest a whole term after the previous owner's last renewal, and that owner's last order was
+// sent within the safe share of the term. A VM continues from its own lease at once.
 func (d *Director) handOverTime(fence uint64) time.Duration {
 	if fence == firstFence || fence == d.lastFence || fence == d.lastFence+1 {
 		return 0
@@ -126,7 +112,7 @@
 	return max(0, d.cfg.lease+arrivalTime-idle)
 }
 
-// safeTerm is the part of the term in which orders are sent.
+// safeTerm is the part of the term that is used.
 func (d *Director) safeTerm() time.Duration { return time.Duration(safeShare * float64(d.term())) }
 
 func (d *Director) loseLease(why string) {
--- a/laburnumdirector/options.go
+++ b/laburnumdirector/options.go
@@ -20,29 +20,23 @@
 	clock     func() time.Duration
 	// heartbeat is the period of the engines' heartbeats.
 	heartbeat time.Duration
-	// spawn runs a call to another machine beside the control thread.
-	spawn func(call func())
-	// compute runs a round of planning beside the control thread.
-	compute func(work func())
-	// next plans a round.
-	next Planner
-	// rounds are options for each.
-	rounds []laburnumresidency.Option
-	// rise and fall are how fast the estimate of demand follows.
+	spawn     func(call func()) // runs remote calls off the control thread
+	compute   func(work func()) // runs planning rounds off the control thread
+	next      Planner
+	rounds    []laburnumresidency.Option // for each planning round
+	// rise and fall are the time constants of the demand estimate.
 	rise, fall time.Duration
-	// young is how long a copy stays at least.
-	young time.Duration
-	// quiet is after how long without a request nobody asks for a model.
-	quiet time.Duration
+	young      time.Duration // least lifetime of a copy
+	quiet      time.Duration // without requests, after which a model may lose its last copy
 }
 
-// Planner names the next steps, as laburnumresidency.Next does.
+// Planner has the signature of laburnumresidency.Next.
 type Planner func(class *laburnumlever.EngineClass, engines []laburnumresidency.Engine, demand laburnumresidency.Demand, adapters map[laburnumlever.ModelName]int, opts ...laburnumresidency.Option) []laburnumresidency.Step
 
 // Option changes a new director.
 type Option func(*config)
 
-// WithLease sets how long the lease lasts, and how far apart two owners stay.
+// WithLease sets the least time between the orders of two owners.
 func WithLease(d time.Duration) Option { return func(c *config) { c.lease = d } }
 
 // WithHeartbeat sets the period of the engines' heartbeats.
@@ -63,28 +57,27 @@
 // WithClock sets the clock that leases are measured by.
 func WithClock(clock func() time.Duration) Option { return func(c *config) { c.clock = clock } }
 
-// WithCompute sets how rounds of planning are run; without it each has a goroutine.
+// WithCompute sets how planning rounds are run; the default is a goroutine each.
 func WithCompute(compute func(work func())) Option { return func(c *config) { c.compute = compute } }
 
-// WithPlanner sets what plans; without it laburnumresidency.Next does.
+// WithPlanner sets the planner; the default is laburnumresidency.Next.
 func WithPlanner(next Planner) Option { return func(c *config) { c.next = next } }
 
-// WithPlannerOptions sets options for each round of planning.
+// WithPlannerOptions sets options for each planning round.
 func WithPlannerOptions(opts ...laburnumresidency.Option) Option {
 	return func(c *config) { c.rounds = opts }
 }
 
-// WithDemandTimes sets how fast the estimate of demand follows, up and down.
+// WithDemandTimes sets the time constants of the demand estimate, up and down.
 func WithDemandTimes(rise, fall time.Duration) Option {
 	return func(c *config) { c.rise, c.fall = rise, fall }
 }
 
-// WithYoungTime sets how long a copy stays at least.
+// WithYoungTime sets the least lifetime of a copy.
 func WithYoungTime(d time.Duration) Option { return func(c *config) { c.young = d } }
 
-// WithQuietTime sets after how long without a request nobody asks for a model, so that it may be
-// left without a copy.
+// WithQuietTime sets the time without requests after which a model may lose its last copy.
 func WithQuietTime(d time.Duration) Option { return func(c *config) { c.quiet = d } }
 
-// WithSpawn sets how calls to other machines are run; without it each has a goroutine.
+// WithSpawn sets how remote calls are run; the default is a goroutine each.
 func WithSpawn(spawn func(call func())) Option { return func(c *config) { c.spawn = spawn } }
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -12,8 +12,8 @@
 	"github.com/go-kit/log/level"
 )
 
-// send sends an order under the lease, if it still holds at this moment: a VM that
-// was frozen since the last tick must not act on a lease that has run out.
+// send sends an order. It checks the lease again, as the VM may have been suspended since the last
+// tick.
 func (d *Director) send(e *engine, order laburnumlever.EngineOrder) {
 	if !d.lease.valid(d.clock()) || e.sending != nil || !e.known {
 		return
@@ -29,7 +29,7 @@
 			d.loop.Post(d, ordered{backend: to.Backend, order: order, err: &laburnumlever.NotSentError{Cause: &NotDirectorError{VM: d.self.ID}}})
 			return
 		}
-		// A connection that takes long must not carry the order out after the lease.
+		// A slow connection must not deliver the order after the lease.
 		ctx, cancel := context.WithTimeout(context.Background(), min(orderTimeout, left))
 		defer cancel()
 		verdict, err := d.calls.Order(ctx, to, order)
@@ -37,7 +37,7 @@
 	})
 }
 
-// note counts what an order brings from the moment at which it may be carried out.
+// note counts a model as held from the moment that its load is sent.
 func (e *engine) note(order laburnumlever.EngineOrder, now time.Time) {
 	if order.Kind != laburnumlever.Load {
 		return
@@ -58,7 +58,7 @@
 	}
 }
 
-// undo takes back what note counted, once the order surely has no effect.
+// undo reverts note, once the order can't take effect.
 func (e *engine) undo(order laburnumlever.EngineOrder) {
 	h := e.held[order.Model]
 	if order.Kind != laburnumlever.Load || h == nil {
@@ -102,7 +102,7 @@
 		delete(d.records, ev.backend)
 		d.onGone(ev.backend)
 	default:
-		// Another order was there first: what is believed is wrong.
+		// The engine has accepted an order of another owner.
 		e.undo(ev.order)
 		e.known, e.tryAt = false, now.Add(stateRetry)
 	}
@@ -123,7 +123,7 @@
 	d.cfg.scope.Counter("orders-unsure").Inc(1)
 }
 
-// begun notes that the engine carries an order out.
+// begun records an accepted order.
 func (d *Director) begun(e *engine, order laburnumlever.EngineOrder, now time.Time) {
 	if order.Adapter != "" {
 		d.adapterBegun(e, order)
@@ -136,15 +136,14 @@
 	}
 	e.workingAfter = e.sentAfter
 	if e.workEnded(e.heartbeat) {
-		// The engine's word on the end has overtaken its answer. The heartbeats to come
-		// bring nothing new and are not looked at: the order would be under way for ever.
+		// The heartbeat with the end has overtaken the answer, and later ones bring no change.
 		e.working = ""
 	}
 	e.touch()
 }
 
-// heldAlready notes that what an order asked for is so. An adapter that nobody uses
-// is unloaded at once, which counts as an order accepted.
+// heldAlready handles an order without effect. An unused adapter is unloaded at once, which counts
+// as an accepted order.
 func (d *Director) heldAlready(e *engine, order laburnumlever.EngineOrder) {
 	switch {
 	case order.Kind == laburnumlever.Load && order.Adapter != "":
@@ -159,8 +158,8 @@
 	}
 }
 
-// tendEngine sends again what is unsure, asks an engine whose work takes too long,
-// and sends the unloads whose time has come.
+// tendEngine retries orders of unknown outcome, requests the state of overdue engines and sends
+// due unloads.
 func (d *Director) tendEngine(e *engine, now time.Time) {
 	if e.sending != nil || now.Before(e.tryAt) {
 		return
@@ -185,8 +184,7 @@
 	}
 }
 
-// resend sends an order of unknown outcome again with its number: taken now, or
-// refused because it or another was taken, it has no second effect.
+// resend retries an order of unknown outcome under its number, so that it can't take effect twice.
 func (d *Director) resend(e *engine) {
 	order := *e.unsure
 	class := d.services[e.heartbeat.Service]
@@ -196,7 +194,7 @@
 	d.send(e, laburnumlever.EngineOrder{Kind: order.Kind, Model: order.Model, Adapter: order.Adapter})
 }
 
-// expected is how long an order's work may take before the engine is asked.
+// expected is the duration after which an order is overdue.
 func (d *Director) expected(e *engine) time.Duration {
 	if m, ok := d.model(e, e.working); ok {
 		return workStretch*time.Duration(m.StoreLoad) + workSlack
@@ -204,7 +202,7 @@
 	return workSlack
 }
 
-// model finds a model among those of the engine's service.
+// model returns a model of the engine's service.
 func (d *Director) model(e *engine, name laburnumlever.ModelName) (laburnumlever.ResidentClass, bool) {
 	class := d.services[e.heartbeat.Service]
 	if class == nil {
@@ -213,7 +211,7 @@
 	return class.Model(name)
 }
 
-// ask asks an engine for its state, once others have answered if many are being asked.
+// ask requests an engine's state, unless too many requests are in flight.
 func (d *Director) ask(e *engine, now time.Time) {
 	if e.asking || e.sending != nil || now.Before(e.tryAt) || d.asking >= maxAsking {
 		return
@@ -242,12 +240,12 @@
 		return
 	}
 	if ev.state.Born != 0 && ev.state.Born != e.heartbeat.Born {
-		// It has started again, or speaks of before its start: a heartbeat will tell.
+		// The engine has restarted, or the state is from before; a heartbeat will tell.
 		e.known, e.tryAt = false, d.timers.Now().Add(stateRetry)
 		return
 	}
 	if e.sending != nil || (e.known && ev.state.Accepted < e.accepted) {
-		return // older than what is known
+		return // outdated
 	}
 	e.takeState(ev.state, d.timers.Now())
 }
--- a/laburnumdirector/plan.go
+++ b/laburnumdirector/plan.go
@@ -11,29 +11,25 @@
 )
 
 const (
-	// planPeriod is how often the planner is asked: demand is told once a second.
 	planPeriod = 250 * time.Millisecond
-	// settlePeriods is how many of the engines' heartbeats pass at a VM's start before it
-	// plans: until each has been heard, models seem to be missing, and copies of others
-	// would be evicted for them.
+	// settlePeriods is the number of heartbeat periods before the first round. Until all engines
+	// are known, their models seem to be missing and others would be evicted for them.
 	settlePeriods = 3
 )
 
-// round is the state of a service's engines that a round of planning goes by. It is not
-// changed once the round has begun.
+// round is an immutable snapshot of a service's engines.
 type round struct {
 	service laburnumlever.ServiceName
 	class   *laburnumlever.EngineClass
 	engines []laburnumresidency.Engine
-	// known and revisions are the engines and the state that the round goes by, losses the
-	// table's count then.
+	// known, revisions and losses are the state of the engines at the snapshot.
 	known     []*engine
 	revisions []uint64
 	losses    uint64
 }
 
-// plan asks the planner for one service. The round runs beside the control thread: on a large
-// fleet it takes milliseconds, in which leases are renewed and the log goes on.
+// plan starts a planning round for a service. It runs off the control thread, which renews leases
+// and advances the log meanwhile.
 func (d *Director) plan(name laburnumlever.ServiceName, class *laburnumlever.EngineClass, now time.Time) {
 	if d.planning[name] || now.Sub(d.startedAt) < time.Duration(settlePeriods*float64(d.cfg.heartbeat)) {
 		return
@@ -61,7 +57,7 @@
 	})
 }
 
-// onPlanned carries out the steps that still fit what is known by now.
+// onPlanned executes the steps of engines that have not changed since the snapshot.
 func (d *Director) onPlanned(ev planned) {
 	delete(d.planning, ev.round.service)
 	if !d.lease.valid(d.clock()) || d.services[ev.round.service] != ev.round.class {
@@ -80,14 +76,13 @@
 			continue
 		}
 		if step.Kind == laburnumlever.Unload && ev.round.losses != d.engines.losses {
-			continue // the copy that was to stay elsewhere may be gone
+			continue // the other copy may be gone
 		}
 		d.take(e, ev.round.class, step, now)
 	}
 }
 
-// adaptersUsed counts the adapters of each model that were used lately, or are asked
-// for.
+// adaptersUsed counts the adapters in use, or needed, by model.
 func (d *Director) adaptersUsed(engines []*engine, now time.Time) map[laburnumlever.ModelName]int {
 	used := map[adapterKey]bool{}
 	for _, e := range engines {
@@ -109,7 +104,7 @@
 	return counts
 }
 
-// take carries a step out. An unload begins with the notice to the gateways.
+// take executes a step. An unload begins with a notice to the gateways.
 func (d *Director) take(e *engine, class *laburnumlever.EngineClass, step laburnumresidency.Step, now time.Time) {
 	if step.Kind == laburnumlever.Unload {
 		h := e.held[step.Model]
