feat: failures that gateways see of a backend server add up

Ruled out: paths. Only errors that a server answered itself count, and crossed or broken events; what may be a cut link doesn't, or a gateway that is cut off would call all servers broken.

Change: gateways report the outcomes of servers with failures to the control VM that holds the placement lease (laburnumbalance.Outcomes).

--- a/backend.go
+++ b/backend.go
@@ -220,9 +220,19 @@
 	Unreachable []BackendID `json:"unreachable,omitempty"`
 	// Replaced are backend servers at whose address another answered.
 	Replaced []BackendID `json:"replaced,omitempty"`
+	// Outcomes are those of backend servers with failures since the last report.
+	Outcomes []BackendOutcome `json:"outcomes,omitempty"`
+}
+
+// BackendOutcome counts the answers of a backend server to one VM.
+type BackendOutcome struct {
+	Backend BackendID `json:"backend"`
+	// Failed are errors that the server answered itself, Answered are all others.
+	Failed   int `json:"failed"`
+	Answered int `json:"answered,omitempty"`
 }
 
 // IsZero tells whether there is nothing to tell.
 func (n GatewayNews) IsZero() bool {
-	return len(n.Demand)+len(n.Adapters)+len(n.Unreachable)+len(n.Replaced) == 0
+	return len(n.Demand)+len(n.Adapters)+len(n.Unreachable)+len(n.Replaced)+len(n.Outcomes) == 0
 }
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -1,6 +1,7 @@
 package laburnumbalance
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -91,6 +92,8 @@
 type Sample struct {
 	// Failed means no answer, or an invalid one.
 	Failed bool
+	// Faulty means that the server itself answered with an error, so that no path is to blame.
+	Faulty bool
 	// Unreachable means that no connection could be opened.
 	Unreachable bool
 	// Full means that the server refused the request for lack of a slot.
@@ -113,8 +116,10 @@
 	byModel   map[serviceModel][]*server
 	// unreachable are the servers that could not be connected to lately.
 	unreachable map[laburnumlever.BackendID]struct{}
-	prefixes    *prefixes
-	freeShare   float64
+	// failing are the servers with failures since the last report.
+	failing   map[laburnumlever.BackendID]*server
+	prefixes  *prefixes
+	freeShare float64
 }
 
 // Option changes a new table.
@@ -138,6 +143,7 @@
 		byService:   map[laburnumlever.ServiceName][]*server{},
 		byModel:     map[serviceModel][]*server{},
 		unreachable: map[laburnumlever.BackendID]struct{}{}, prefixes: newPrefixes(),
+		failing: map[laburnumlever.BackendID]*server{},
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -205,11 +211,14 @@
 }
 
 // SetOverlay updates what the placement leader knows of an engine beyond its heartbeats.
-func (t *Table) SetOverlay(o laburnumregistry.Overlay) {
+func (t *Table) SetOverlay(o laburnumregistry.Overlay, now time.Time) {
 	s := t.servers[o.Backend]
 	if s == nil || o.Fence < s.overlay.Fence {
 		return
 	}
+	if o.Outliers > 0 && o.Born == s.record.Heartbeat.Born && (o.Fence > s.overlay.Fence || o.Outliers > s.overlay.Outliers) {
+		s.suspect(now)
+	}
 	s.overlay = o
 }
 
@@ -219,6 +228,7 @@
 		return
 	}
 	delete(t.servers, id)
+	delete(t.failing, id)
 	service := s.record.Heartbeat.Service
 	t.byService[service] = slices.DeleteFunc(t.byService[service], func(o *server) bool { return o == s })
 	for _, model := range slices.Clone(s.listed) {
@@ -235,6 +245,33 @@
 	}
 }
 
+// Outcomes returns the outcomes since the last call, of servers with failures.
+func (t *Table) Outcomes() []laburnumlever.BackendOutcome {
+	var outcomes []laburnumlever.BackendOutcome
+	for id, s := range t.failing {
+		outcomes = append(outcomes, laburnumlever.BackendOutcome{Backend: id, Failed: s.failed, Answered: s.answered})
+		s.failed, s.answered = 0, 0
+	}
+	clear(t.failing)
+	slices.SortFunc(outcomes, func(a, b laburnumlever.BackendOutcome) int { return cmp.Compare(a.Backend, b.Backend) })
+	return outcomes
+}
+
+// count adds the outcome of an attempt to the next report.
+func (t *Table) count(s *server, sample Sample) {
+	switch {
+	case sample.Faulty:
+		t.countFailure(s)
+	case !sample.Failed && !sample.Unreachable && !sample.Full && !sample.Taken:
+		s.answered++
+	}
+}
+
+func (t *Table) countFailure(s *server) {
+	s.failed++
+	t.failing[s.record.Heartbeat.Backend] = s
+}
+
 // Unreachable lists the servers that could not be connected to lately.
 func (t *Table) Unreachable(now time.Time) []laburnumlever.BackendID {
 	var ids []laburnumlever.BackendID
@@ -366,6 +403,7 @@
 	ticket.read()
 	ticket.server = nil
 	s.own--
+	t.count(s, sample)
 	t.Learn(s.record.Heartbeat.Backend, sample, now)
 	if sample.Absent {
 		key := held{model: ticket.query.Model, adapter: ticket.query.Adapter}
@@ -396,6 +434,7 @@
 		// checks say.
 		if s.load(now) < emptyShare*float64(s.record.Heartbeat.Slots) {
 			s.fail(now)
+			t.countFailure(s)
 		}
 	}
 	if sample.Failed {
--- a/laburnumbalance/doc.go
+++ b/laburnumbalance/doc.go
@@ -12,6 +12,8 @@
 //     traffic between zones, recent failures. The lowest score wins.
 //   - A server with a stale report and much load is unsure: a slot is reserved there before
 //     the request is sent. A refused reservation counts as full for a moment.
+//   - Outcomes of servers with failures are reported, so that the failures seen by all gateways add
+//     up; a server that the control VMs detect as an outlier counts as failed here too.
 //   - A server that answers that it is full, or lacks the model, is believed at once.
 //
 // # Usage
--- a/laburnumbalance/index_test.go
+++ b/laburnumbalance/index_test.go
@@ -28,7 +28,7 @@
 		case 1:
 			table.Added(id, name(), "", now)
 		case 2:
-			table.SetOverlay(laburnumregistry.Overlay{Backend: id, Fence: sequence, Withdrawn: []laburnumlever.ModelName{name()}})
+			table.SetOverlay(laburnumregistry.Overlay{Backend: id, Fence: sequence, Withdrawn: []laburnumlever.ModelName{name()}}, now)
 		case 3:
 			now = now.Add(time.Second)
 		default:
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -59,6 +59,8 @@
 	readingLimit float64
 	failures     float64
 	failedAt     time.Time
+	// failed and answered count outcomes since the last failure was reported.
+	failed, answered int
 	// unreachableTill ends the current backoff, unreachableFor is its length.
 	unreachableTill time.Time
 	unreachableFor  time.Duration
@@ -113,6 +115,12 @@
 	return s.failures / math.Exp2(age)
 }
 
+// suspect counts as one failure, unless this VM has seen some itself.
+func (s *server) suspect(now time.Time) {
+	s.failures = max(1, s.failuresAt(now))
+	s.failedAt = now
+}
+
 func (s *server) fail(now time.Time) {
 	s.failures = min(s.failuresAt(now)+1, maxFailures)
 	s.failedAt = now
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumoutlier"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumresidency"
 
@@ -55,6 +56,7 @@
 	engines    *engineTable
 	asking     int // state requests in flight
 	demand     *estimator
+	outliers   *laburnumoutlier.Detector
 	store      map[laburnumlever.ServiceName]*bucket
 	needs      []*need
 	startedAt  time.Time
@@ -83,7 +85,7 @@
 		onOverlay: func(laburnumregistry.Overlay) {}, onDirecting: func(bool) {}, onGone: func(laburnumlever.BackendID) {},
 		services: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:  map[laburnumlever.BackendID]laburnumregistry.Record{},
-		engines:  newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), startedAt: timers.Now(),
+		engines:  newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), outliers: laburnumoutlier.New(), startedAt: timers.Now(),
 		store:      map[laburnumlever.ServiceName]*bucket{},
 		lastLayout: map[laburnumlever.ServiceName]time.Time{},
 		planning:   map[laburnumlever.ServiceName]bool{},
@@ -190,6 +192,7 @@
 	for _, use := range ev.news.Adapters {
 		d.used(adapterKey{model: use.Model, adapter: use.Adapter}, now.Add(-time.Duration(use.Idle)))
 	}
+	d.onOutcomes(ev.news.Outcomes, now)
 	for _, id := range ev.news.Unreachable {
 		if e := d.engines.get(id); e != nil {
 			e.unreachableAt = now
@@ -286,13 +289,15 @@
 	for _, e := range changed {
 		e.changed = false
 		if d.engines.get(e.heartbeat.Backend) == e {
-			d.onOverlay(e.overlay(d.lease.fence))
+			d.onOverlay(e.overlay(d.lease.fence, d.outliers.Count(e.heartbeat.Backend)))
 		}
 	}
 }
 
-func (e *engine) overlay(fence uint64) laburnumregistry.Overlay {
-	o := laburnumregistry.Overlay{Backend: e.heartbeat.Backend, Fence: fence, Born: e.heartbeat.Born, Sequence: e.heartbeat.Sequence}
+func (e *engine) overlay(fence, outliers uint64) laburnumregistry.Overlay {
+	o := laburnumregistry.Overlay{
+		Backend: e.heartbeat.Backend, Fence: fence, Born: e.heartbeat.Born, Sequence: e.heartbeat.Sequence, Outliers: outliers,
+	}
 	for name, h := range e.held {
 		if h.withdrawn {
 			o.Withdrawn = append(o.Withdrawn, name)
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumoutlier"
 
 	"github.com/go-kit/log/level"
 )
@@ -97,6 +98,7 @@
 	d.lastFence = ev.result.Fence
 	d.forgetEngines()
 	d.demand.listen(d.timers.Now())
+	d.outliers = laburnumoutlier.New()
 	d.onDirecting(true)
 	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLeaseGot, "fence", d.lease.fence, "wait", d.lease.from-d.clock())
 }
--- /dev/null
+++ b/laburnumdirector/outliers.go
@@ -0,0 +1,29 @@
+package laburnumdirector
+
+import (
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumregistry"
+
+	"github.com/go-kit/log/level"
+)
+
+// onOutcomes adds the outcomes that a gateway reports and tells all gateways of outliers.
+func (d *Director) onOutcomes(outcomes []laburnumlever.BackendOutcome, now time.Time) {
+	for _, id := range d.outliers.Add(outcomes, now) {
+		r, ok := d.records[id]
+		if !ok || !d.lease.held {
+			continue
+		}
+		_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventOutlierDetected, "backend", id, "service", r.Heartbeat.Service)
+		d.cfg.scope.Counter("outliers").Inc(1)
+		if e := d.engines.get(id); e != nil {
+			e.touch()
+			continue
+		}
+		d.onOverlay(laburnumregistry.Overlay{
+			Backend: id, Fence: d.lease.fence, Born: r.Heartbeat.Born, Sequence: r.Heartbeat.Sequence, Outliers: d.outliers.Count(id),
+		})
+	}
+}
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -100,7 +100,7 @@
 
 // failedAnswer stores an error answer, which the caller gets if no other attempt succeeds.
 func (g *Gateway) failedAnswer(q *request, stored *storedAnswer, sample *laburnumbalance.Sample) *failure {
-	sample.Failed = true
+	sample.Failed, sample.Faulty = true, true
 	if promisesNotRun(stored.status) {
 		// The backend server may have run the request, but the status would promise that it
 		// has not.
@@ -166,7 +166,7 @@
 			g.fleet.began(ticket)
 		}
 		if fail := g.follows(q, event); fail != nil {
-			sample.Failed = true
+			sample.Failed, sample.Faulty = true, true
 			return fail
 		}
 		if _, err := out.w.Write(event); err != nil {
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -89,7 +89,7 @@
 // inspect returns a failure for an answer that must not be forwarded.
 func (g *Gateway) inspect(q *request, ticket *laburnumbalance.Ticket, resp *http.Response, marks laburnumlever.AnswerMarks, sample *laburnumbalance.Sample) *failure {
 	if marks.RequestID != q.caller.ID && (marks.RequestID != "" || !marks.NotRun) {
-		sample.Failed = true
+		sample.Failed, sample.Faulty = true, true
 		return &failure{
 			stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCrossedAnswer,
 			cause: &CrossedAnswerError{Want: q.caller.ID, Got: marks.RequestID},
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -78,7 +78,7 @@
 			"leaving", merged.Heartbeat.Leaving, "gone", merged.Gone, "silent", merged.Silent, "models", len(merged.Heartbeat.Models))
 	}
 	for _, o := range a.Overlays {
-		f.balance.SetOverlay(o)
+		f.balance.SetOverlay(o, now)
 	}
 	f.serveQueue()
 }
@@ -125,8 +125,8 @@
 	return 0
 }
 
-// News returns demand and adapter use since the last call, and the backend servers that can't
-// be connected to or were replaced.
+// News returns demand, adapter use and failures since the last call, and the backend servers that
+// can't be connected to or were replaced.
 func (f *Fleet) News() laburnumlever.GatewayNews {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -135,6 +135,7 @@
 	f.replaced = nil
 	return laburnumlever.GatewayNews{
 		Demand: f.demand.Take(now, f.paces), Adapters: f.adapters.Take(now), Unreachable: f.balance.Unreachable(now), Replaced: replaced,
+		Outcomes: f.balance.Outcomes(),
 	}
 }
 
--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -396,3 +396,12 @@
 	require.NotEmpty(t, got.header.Get("Retry-After"))
 	require.Less(t, time.Since(begun), 1500*time.Millisecond, "two thirds of two seconds, and some")
 }
+
+// Guards against failures that only one gateway learns of.
+func TestErrorsOfABackendServerAreReported(t *testing.T) {
+	server := newBackend(t, "i-1", func(conn net.Conn, a arrival, _ int) { plain(conn, a, 500, "broken") })
+	b := newBench(t, server.heartbeat("booking"))
+	require.Equal(t, 500, b.send("POST", "/confirm/x", "visit").status)
+	require.Equal(t, []laburnumlever.BackendOutcome{{Backend: "i-1", Failed: 1}}, b.fleet.News().Outcomes)
+	require.Empty(t, b.fleet.News().Outcomes)
+}
--- a/laburnumregistry/overlay.go
+++ b/laburnumregistry/overlay.go
@@ -20,6 +20,9 @@
 	Withdrawn []laburnumlever.ModelName `json:"withdrawn,omitempty"`
 	// Adapters are those that are there, by model.
 	Adapters []laburnumlever.HeldModel `json:"adapters,omitempty"`
+	// Outliers counts how often the backend server was detected as an outlier under the fencing
+	// number.
+	Outliers uint64 `json:"outliers,omitempty"`
 }
 
 // Holds tells whether requests for the model, and the adapter unless it is empty,
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -59,7 +59,7 @@
 		g.table.Set(r)
 	}
 	for _, o := range overlays {
-		g.table.SetOverlay(o)
+		g.table.SetOverlay(o, g.sim.now())
 	}
 	g.serveQueue()
 }
@@ -69,6 +69,7 @@
 	now := g.sim.now()
 	news := laburnumlever.GatewayNews{
 		Demand: g.counter.Take(now, g.paces), Adapters: g.uses.Take(now), Unreachable: g.table.Unreachable(now),
+		Outcomes: g.table.Outcomes(),
 	}
 	if !news.IsZero() {
 		g.sim.after(g.sim.link(g.zone, ""), func() { g.sim.control.news(g.id, news) })
--- a/logevent.go
+++ b/logevent.go
@@ -35,6 +35,8 @@
 	EventLoadDecided
 	// EventLayout is how many engines hold which model, told now and again.
 	EventLayout
+	// EventOutlierDetected is a backend server that answers errors to several gateways.
+	EventOutlierDetected
 	// EventModelWithdrawn is a model that gateways send nothing more for.
 	EventModelWithdrawn
 	// EventOrderAnswered is an engine's answer to an order.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 190, 200, 211, 224, 245, 261, 279, 290, 306, 322, 337, 351, 365, 380, 398, 416, 429, 438, 452, 467, 480, 495, 506, 520, 546, 564, 578, 595, 614, 635, 644, 654, 671, 681, 690, 704, 716, 732, 739, 747, 754, 761, 778, 794, 808, 826, 839, 856}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 177, 192, 206, 216, 227, 240, 261, 277, 295, 306, 322, 338, 353, 367, 381, 396, 414, 432, 445, 454, 468, 483, 496, 511, 522, 536, 562, 580, 594, 611, 630, 651, 660, 670, 687, 697, 706, 720, 732, 748, 755, 763, 770, 777, 794, 810, 824, 842, 855, 872}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -36,58 +36,59 @@
 	_ = x[EventAdapterThere-(9)]
 	_ = x[EventLoadDecided-(10)]
 	_ = x[EventLayout-(11)]
-	_ = x[EventModelWithdrawn-(12)]
-	_ = x[EventOrderAnswered-(13)]
-	_ = x[EventOrderDone-(14)]
-	_ = x[EventOrderChart-(15)]
-	_ = x[EventOrderRefused-(16)]
-	_ = x[EventOrderOutcomeUnknown-(17)]
-	_ = x[EventEngineNotAsked-(18)]
-	_ = x[EventInventoryNotRead-(19)]
-	_ = x[EventLoadFailed-(20)]
-	_ = x[EventNewsNotEncoded-(21)]
-	_ = x[EventRegistryRefused-(22)]
-	_ = x[EventRoutesProposed-(23)]
-	_ = x[EventRoutesRefused-(24)]
-	_ = x[EventRoutesApplied-(25)]
-	_ = x[EventRoutesInForce-(26)]
-	_ = x[EventRoutesNotFetched-(27)]
-	_ = x[EventCatalogueInForce-(28)]
-	_ = x[EventBecameLeader-(29)]
-	_ = x[EventNoLeader-(30)]
-	_ = x[EventReplicaOpened-(31)]
-	_ = x[EventVotersInForce-(32)]
-	_ = x[EventLearnerAdded-(33)]
-	_ = x[EventLearnerRemoved-(34)]
-	_ = x[EventVoterAdded-(35)]
-	_ = x[EventVoterReplaced-(36)]
-	_ = x[EventLeadershipNotHandedOver-(37)]
-	_ = x[EventExpiryNotEncoded-(38)]
-	_ = x[EventReplicaFailed-(39)]
-	_ = x[EventReplicaWentBack-(40)]
-	_ = x[EventDataFolderDamaged-(41)]
-	_ = x[EventDataFolderWentBack-(42)]
-	_ = x[EventLeaseGot-(43)]
-	_ = x[EventLeaseLost-(44)]
-	_ = x[EventLeaseNotRenewed-(45)]
-	_ = x[EventZoneOwned-(46)]
-	_ = x[EventZoneLost-(47)]
-	_ = x[EventControlThread-(48)]
-	_ = x[EventControlLost-(49)]
-	_ = x[EventControlRegained-(50)]
-	_ = x[EventStarted-(51)]
-	_ = x[EventDraining-(52)]
-	_ = x[EventDrained-(53)]
-	_ = x[EventStopped-(54)]
-	_ = x[EventSettingsReloaded-(55)]
-	_ = x[EventSettingsRefused-(56)]
-	_ = x[EventListenerEnded-(57)]
-	_ = x[EventMetricsNotServed-(58)]
-	_ = x[EventUnknownEvent-(59)]
-	_ = x[EventLogLinesDropped-(60)]
+	_ = x[EventOutlierDetected-(12)]
+	_ = x[EventModelWithdrawn-(13)]
+	_ = x[EventOrderAnswered-(14)]
+	_ = x[EventOrderDone-(15)]
+	_ = x[EventOrderChart-(16)]
+	_ = x[EventOrderRefused-(17)]
+	_ = x[EventOrderOutcomeUnknown-(18)]
+	_ = x[EventEngineNotAsked-(19)]
+	_ = x[EventInventoryNotRead-(20)]
+	_ = x[EventLoadFailed-(21)]
+	_ = x[EventNewsNotEncoded-(22)]
+	_ = x[EventRegistryRefused-(23)]
+	_ = x[EventRoutesProposed-(24)]
+	_ = x[EventRoutesRefused-(25)]
+	_ = x[EventRoutesApplied-(26)]
+	_ = x[EventRoutesInForce-(27)]
+	_ = x[EventRoutesNotFetched-(28)]
+	_ = x[EventCatalogueInForce-(29)]
+	_ = x[EventBecameLeader-(30)]
+	_ = x[EventNoLeader-(31)]
+	_ = x[EventReplicaOpened-(32)]
+	_ = x[EventVotersInForce-(33)]
+	_ = x[EventLearnerAdded-(34)]
+	_ = x[EventLearnerRemoved-(35)]
+	_ = x[EventVoterAdded-(36)]
+	_ = x[EventVoterReplaced-(37)]
+	_ = x[EventLeadershipNotHandedOver-(38)]
+	_ = x[EventExpiryNotEncoded-(39)]
+	_ = x[EventReplicaFailed-(40)]
+	_ = x[EventReplicaWentBack-(41)]
+	_ = x[EventDataFolderDamaged-(42)]
+	_ = x[EventDataFolderWentBack-(43)]
+	_ = x[EventLeaseGot-(44)]
+	_ = x[EventLeaseLost-(45)]
+	_ = x[EventLeaseNotRenewed-(46)]
+	_ = x[EventZoneOwned-(47)]
+	_ = x[EventZoneLost-(48)]
+	_ = x[EventControlThread-(49)]
+	_ = x[EventControlLost-(50)]
+	_ = x[EventControlRegained-(51)]
+	_ = x[EventStarted-(52)]
+	_ = x[EventDraining-(53)]
+	_ = x[EventDrained-(54)]
+	_ = x[EventStopped-(55)]
+	_ = x[EventSettingsReloaded-(56)]
+	_ = x[EventSettingsRefused-(57)]
+	_ = x[EventListenerEnded-(58)]
+	_ = x[EventMetricsNotServed-(59)]
+	_ = x[EventUnknownEvent-(60)]
+	_ = x[EventLogLinesDropped-(61)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventLayout, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThread, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventLayout, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThread, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:    EventRequestServed,
@@ -102,55 +103,56 @@
 	_LogEventName[130:143]: EventAdapterThere,
 	_LogEventName[143:155]: EventLoadDecided,
 	_LogEventName[155:161]: EventLayout,
-	_LogEventName[161:176]: EventModelWithdrawn,
-	_LogEventName[176:190]: EventOrderAnswered,
-	_LogEventName[190:200]: EventOrderDone,
-	_LogEventName[200:211]: EventOrderChart,
-	_LogEventName[211:224]: EventOrderRefused,
-	_LogEventName[224:245]: EventOrderOutcomeUnknown,
-	_LogEventName[245:261]: EventEngineNotAsked,
-	_LogEventName[261:279]: EventInventoryNotRead,
-	_LogEventName[279:290]: EventLoadFailed,
-	_LogEventName[290:306]: EventNewsNotEncoded,
-	_LogEventName[306:322]: EventRegistryRefused,
-	_LogEventName[322:337]: EventRoutesProposed,
-	_LogEventName[337:351]: EventRoutesRefused,
-	_LogEventName[351:365]: EventRoutesApplied,
-	_LogEventName[365:380]: EventRoutesInForce,
-	_LogEventName[380:398]: EventRoutesNotFetched,
-	_LogEventName[398:416]: EventCatalogueInForce,
-	_LogEventName[416:429]: EventBecameLeader,
-	_LogEventName[429:438]: EventNoLeader,
-	_LogEventName[438:452]: EventReplicaOpened,
-	_LogEventName[452:467]: EventVotersInForce,
-	_LogEventName[467:480]: EventLearnerAdded,
-	_LogEventName[480:495]: EventLearnerRemoved,
-	_LogEventName[495:506]: EventVoterAdded,
-	_LogEventName[506:520]: EventVoterReplaced,
-	_LogEventName[520:546]: EventLeadershipNotHandedOver,
-	_LogEventName[546:564]: EventExpiryNotEncoded,
-	_LogEventName[564:578]: EventReplicaFailed,
-	_LogEventName[578:595]: EventReplicaWentBack,
-	_LogEventName[595:614]: EventDataFolderDamaged,
-	_LogEventName[614:635]: EventDataFolderWentBack,
-	_LogEventName[635:644]: EventLeaseGot,
-	_LogEventName[644:654]: EventLeaseLost,
-	_LogEventName[654:671]: EventLeaseNotRenewed,
-	_LogEventName[671:681]: EventZoneOwned,
-	_LogEventName[681:690]: EventZoneLost,
-	_LogEventName[690:704]: EventControlThread,
-	_LogEventName[704:716]: EventControlLost,
-	_LogEventName[716:732]: EventControlRegained,
-	_LogEventName[732:739]: EventStarted,
-	_LogEventName[739:747]: EventDraining,
-	_LogEventName[747:754]: EventDrained,
-	_LogEventName[754:761]: EventStopped,
-	_LogEventName[761:778]: EventSettingsReloaded,
-	_LogEventName[778:794]: EventSettingsRefused,
-	_LogEventName[794:808]: EventListenerEnded,
-	_LogEventName[808:826]: EventMetricsNotServed,
-	_LogEventName[826:839]: EventUnknownEvent,
-	_LogEventName[839:856]: EventLogLinesDropped,
+	_LogEventName[161:177]: EventOutlierDetected,
+	_LogEventName[177:192]: EventModelWithdrawn,
+	_LogEventName[192:206]: EventOrderAnswered,
+	_LogEventName[206:216]: EventOrderDone,
+	_LogEventName[216:227]: EventOrderChart,
+	_LogEventName[227:240]: EventOrderRefused,
+	_LogEventName[240:261]: EventOrderOutcomeUnknown,
+	_LogEventName[261:277]: EventEngineNotAsked,
+	_LogEventName[277:295]: EventInventoryNotRead,
+	_LogEventName[295:306]: EventLoadFailed,
+	_LogEventName[306:322]: EventNewsNotEncoded,
+	_LogEventName[322:338]: EventRegistryRefused,
+	_LogEventName[338:353]: EventRoutesProposed,
+	_LogEventName[353:367]: EventRoutesRefused,
+	_LogEventName[367:381]: EventRoutesApplied,
+	_LogEventName[381:396]: EventRoutesInForce,
+	_LogEventName[396:414]: EventRoutesNotFetched,
+	_LogEventName[414:432]: EventCatalogueInForce,
+	_LogEventName[432:445]: EventBecameLeader,
+	_LogEventName[445:454]: EventNoLeader,
+	_LogEventName[454:468]: EventReplicaOpened,
+	_LogEventName[468:483]: EventVotersInForce,
+	_LogEventName[483:496]: EventLearnerAdded,
+	_LogEventName[496:511]: EventLearnerRemoved,
+	_LogEventName[511:522]: EventVoterAdded,
+	_LogEventName[522:536]: EventVoterReplaced,
+	_LogEventName[536:562]: EventLeadershipNotHandedOver,
+	_LogEventName[562:580]: EventExpiryNotEncoded,
+	_LogEventName[580:594]: EventReplicaFailed,
+	_LogEventName[594:611]: EventReplicaWentBack,
+	_LogEventName[611:630]: EventDataFolderDamaged,
+	_LogEventName[630:651]: EventDataFolderWentBack,
+	_LogEventName[651:660]: EventLeaseGot,
+	_LogEventName[660:670]: EventLeaseLost,
+	_LogEventName[670:687]: EventLeaseNotRenewed,
+	_LogEventName[687:697]: EventZoneOwned,
+	_LogEventName[697:706]: EventZoneLost,
+	_LogEventName[706:720]: EventControlThread,
+	_LogEventName[720:732]: EventControlLost,
+	_LogEventName[732:748]: EventControlRegained,
+	_LogEventName[748:755]: EventStarted,
+	_LogEventName[755:763]: EventDraining,
+	_LogEventName[763:770]: EventDrained,
+	_LogEventName[770:777]: EventStopped,
+	_LogEventName[777:794]: EventSettingsReloaded,
+	_LogEventName[794:810]: EventSettingsRefused,
+	_LogEventName[810:824]: EventListenerEnded,
+	_LogEventName[824:842]: EventMetricsNotServed,
+	_LogEventName[842:855]: EventUnknownEvent,
+	_LogEventName[855:872]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -166,55 +168,56 @@
 	_LogEventLowerName[130:143]: EventAdapterThere,
 	_LogEventLowerName[143:155]: EventLoadDecided,
 	_LogEventLowerName[155:161]: EventLayout,
-	_LogEventLowerName[161:176]: EventModelWithdrawn,
-	_LogEventLowerName[176:190]: EventOrderAnswered,
-	_LogEventLowerName[190:200]: EventOrderDone,
-	_LogEventLowerName[200:211]: EventOrderChart,
-	_LogEventLowerName[211:224]: EventOrderRefused,
-	_LogEventLowerName[224:245]: EventOrderOutcomeUnknown,
-	_LogEventLowerName[245:261]: EventEngineNotAsked,
-	_LogEventLowerName[261:279]: EventInventoryNotRead,
-	_LogEventLowerName[279:290]: EventLoadFailed,
-	_LogEventLowerName[290:306]: EventNewsNotEncoded,
-	_LogEventLowerName[306:322]: EventRegistryRefused,
-	_LogEventLowerName[322:337]: EventRoutesProposed,
-	_LogEventLowerName[337:351]: EventRoutesRefused,
-	_LogEventLowerName[351:365]: EventRoutesApplied,
-	_LogEventLowerName[365:380]: EventRoutesInForce,
-	_LogEventLowerName[380:398]: EventRoutesNotFetched,
-	_LogEventLowerName[398:416]: EventCatalogueInForce,
-	_LogEventLowerName[416:429]: EventBecameLeader,
-	_LogEventLowerName[429:438]: EventNoLeader,
-	_LogEventLowerName[438:452]: EventReplicaOpened,
-	_LogEventLowerName[452:467]: EventVotersInForce,
-	_LogEventLowerName[467:480]: EventLearnerAdded,
-	_LogEventLowerName[480:495]: EventLearnerRemoved,
-	_LogEventLowerName[495:506]: EventVoterAdded,
-	_LogEventLowerName[506:520]: EventVoterReplaced,
-	_LogEventLowerName[520:546]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[546:564]: EventExpiryNotEncoded,
-	_LogEventLowerName[564:578]: EventReplicaFailed,
-	_LogEventLowerName[578:595]: EventReplicaWentBack,
-	_LogEventLowerName[595:614]: EventDataFolderDamaged,
-	_LogEventLowerName[614:635]: EventDataFolderWentBack,
-	_LogEventLowerName[635:644]: EventLeaseGot,
-	_LogEventLowerName[644:654]: EventLeaseLost,
-	_LogEventLowerName[654:671]: EventLeaseNotRenewed,
-	_LogEventLowerName[671:681]: EventZoneOwned,
-	_LogEventLowerName[681:690]: EventZoneLost,
-	_LogEventLowerName[690:704]: EventControlThread,
-	_LogEventLowerName[704:716]: EventControlLost,
-	_LogEventLowerName[716:732]: EventControlRegained,
-	_LogEventLowerName[732:739]: EventStarted,
-	_LogEventLowerName[739:747]: EventDraining,
-	_LogEventLowerName[747:754]: EventDrained,
-	_LogEventLowerName[754:761]: EventStopped,
-	_LogEventLowerName[761:778]: EventSettingsReloaded,
-	_LogEventLowerName[778:794]: EventSettingsRefused,
-	_LogEventLowerName[794:808]: EventListenerEnded,
-	_LogEventLowerName[808:826]: EventMetricsNotServed,
-	_LogEventLowerName[826:839]: EventUnknownEvent,
-	_LogEventLowerName[839:856]: EventLogLinesDropped,
+	_LogEventLowerName[161:177]: EventOutlierDetected,
+	_LogEventLowerName[177:192]: EventModelWithdrawn,
+	_LogEventLowerName[192:206]: EventOrderAnswered,
+	_LogEventLowerName[206:216]: EventOrderDone,
+	_LogEventLowerName[216:227]: EventOrderChart,
+	_LogEventLowerName[227:240]: EventOrderRefused,
+	_LogEventLowerName[240:261]: EventOrderOutcomeUnknown,
+	_LogEventLowerName[261:277]: EventEngineNotAsked,
+	_LogEventLowerName[277:295]: EventInventoryNotRead,
+	_LogEventLowerName[295:306]: EventLoadFailed,
+	_LogEventLowerName[306:322]: EventNewsNotEncoded,
+	_LogEventLowerName[322:338]: EventRegistryRefused,
+	_LogEventLowerName[338:353]: EventRoutesProposed,
+	_LogEventLowerName[353:367]: EventRoutesRefused,
+	_LogEventLowerName[367:381]: EventRoutesApplied,
+	_LogEventLowerName[381:396]: EventRoutesInForce,
+	_LogEventLowerName[396:414]: EventRoutesNotFetched,
+	_LogEventLowerName[414:432]: EventCatalogueInForce,
+	_LogEventLowerName[432:445]: EventBecameLeader,
+	_LogEventLowerName[445:454]: EventNoLeader,
+	_LogEventLowerName[454:468]: EventReplicaOpened,
+	_LogEventLowerName[468:483]: EventVotersInForce,
+	_LogEventLowerName[483:496]: EventLearnerAdded,
+	_LogEventLowerName[496:511]: EventLearnerRemoved,
+	_LogEventLowerName[511:522]: EventVoterAdded,
+	_LogEventLowerName[522:536]: EventVoterReplaced,
+	_LogEventLowerName[536:562]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[562:580]: EventExpiryNotEncoded,
+	_LogEventLowerName[580:594]: EventReplicaFailed,
+	_LogEventLowerName[594:611]: EventReplicaWentBack,
+	_LogEventLowerName[611:630]: EventDataFolderDamaged,
+	_LogEventLowerName[630:651]: EventDataFolderWentBack,
+	_LogEventLowerName[651:660]: EventLeaseGot,
+	_LogEventLowerName[660:670]: EventLeaseLost,
+	_LogEventLowerName[670:687]: EventLeaseNotRenewed,
+	_LogEventLowerName[687:697]: EventZoneOwned,
+	_LogEventLowerName[697:706]: EventZoneLost,
+	_LogEventLowerName[706:720]: EventControlThread,
+	_LogEventLowerName[720:732]: EventControlLost,
+	_LogEventLowerName[732:748]: EventControlRegained,
+	_LogEventLowerName[748:755]: EventStarted,
+	_LogEventLowerName[755:763]: EventDraining,
+	_LogEventLowerName[763:770]: EventDrained,
+	_LogEventLowerName[770:777]: EventStopped,
+	_LogEventLowerName[777:794]: EventSettingsReloaded,
+	_LogEventLowerName[794:810]: EventSettingsRefused,
+	_LogEventLowerName[810:824]: EventListenerEnded,
+	_LogEventLowerName[824:842]: EventMetricsNotServed,
+	_LogEventLowerName[842:855]: EventUnknownEvent,
+	_LogEventLowerName[855:872]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -230,55 +233,56 @@
 	_LogEventName[130:143],
 	_LogEventName[143:155],
 	_LogEventName[155:161],
-	_LogEventName[161:176],
-	_LogEventName[176:190],
-	_LogEventName[190:200],
-	_LogEventName[200:211],
-	_LogEventName[211:224],
-	_LogEventName[224:245],
-	_LogEventName[245:261],
-	_LogEventName[261:279],
-	_LogEventName[279:290],
-	_LogEventName[290:306],
+	_LogEventName[161:177],
+	_LogEventName[177:192],
+	_LogEventName[192:206],
+	_LogEventName[206:216],
+	_LogEventName[216:227],
+	_LogEventName[227:240],
+	_LogEventName[240:261],
+	_LogEventName[261:277],
+	_LogEventName[277:295],
+	_LogEventName[295:306],
 	_LogEventName[306:322],
-	_LogEventName[322:337],
-	_LogEventName[337:351],
-	_LogEventName[351:365],
-	_LogEventName[365:380],
-	_LogEventName[380:398],
-	_LogEventName[398:416],
-	_LogEventName[416:429],
-	_LogEventName[429:438],
-	_LogEventName[438:452],
-	_LogEventName[452:467],
-	_LogEventName[467:480],
-	_LogEventName[480:495],
-	_LogEventName[495:506],
-	_LogEventName[506:520],
-	_LogEventName[520:546],
-	_LogEventName[546:564],
-	_LogEventName[564:578],
-	_LogEventName[578:595],
-	_LogEventName[595:614],
-	_LogEventName[614:635],
-	_LogEventName[635:644],
-	_LogEventName[644:654],
-	_LogEventName[654:671],
-	_LogEventName[671:681],
-	_LogEventName[681:690],
-	_LogEventName[690:704],
-	_LogEventName[704:716],
-	_LogEventName[716:732],
-	_LogEventName[732:739],
-	_LogEventName[739:747],
-	_LogEventName[747:754],
-	_LogEventName[754:761],
-	_LogEventName[761:778],
-	_LogEventName[778:794],
-	_LogEventName[794:808],
-	_LogEventName[808:826],
-	_LogEventName[826:839],
-	_LogEventName[839:856],
+	_LogEventName[322:338],
+	_LogEventName[338:353],
+	_LogEventName[353:367],
+	_LogEventName[367:381],
+	_LogEventName[381:396],
+	_LogEventName[396:414],
+	_LogEventName[414:432],
+	_LogEventName[432:445],
+	_LogEventName[445:454],
+	_LogEventName[454:468],
+	_LogEventName[468:483],
+	_LogEventName[483:496],
+	_LogEventName[496:511],
+	_LogEventName[511:522],
+	_LogEventName[522:536],
+	_LogEventName[536:562],
+	_LogEventName[562:580],
+	_LogEventName[580:594],
+	_LogEventName[594:611],
+	_LogEventName[611:630],
+	_LogEventName[630:651],
+	_LogEventName[651:660],
+	_LogEventName[660:670],
+	_LogEventName[670:687],
+	_LogEventName[687:697],
+	_LogEventName[697:706],
+	_LogEventName[706:720],
+	_LogEventName[720:732],
+	_LogEventName[732:748],
+	_LogEventName[748:755],
+	_LogEventName[755:763],
+	_LogEventName[763:770],
+	_LogEventName[770:777],
+	_LogEventName[777:794],
+	_LogEventName[794:810],
+	_LogEventName[810:824],
+	_LogEventName[824:842],
+	_LogEventName[842:855],
+	_LogEventName[855:872],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
