feat: the evaluation knows more of the policies that were tried

no-fill, fast-demand, no-reservations; engine-queue is without reservations, as when it was tried on whole fleets: with them a refused slot was asked for again at once, so that the policy was one that polls engines.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -126,7 +126,7 @@
 type Option func(*Table)
 
 // WithFreeShare sets the share of a server's slots that stays free. A negative share lets
-// requests queue at the server.
+// requests queue at the server, which needs slots that are not reserved first.
 func WithFreeShare(share float64) Option { return func(t *Table) { t.freeShare = share } }
 
 // serviceModel names a model of a service.
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -87,7 +87,7 @@
 	for e, engine := range p.engines {
 		p.approach(e, engine)
 	}
-	if len(p.steps) == 0 && !slices.ContainsFunc(p.engines, (*Engine).loads) {
+	if p.policy.fills && len(p.steps) == 0 && !slices.ContainsFunc(p.engines, (*Engine).loads) {
 		p.fill()
 	}
 	slices.SortStableFunc(p.steps, func(a, b urgentStep) int { return cmp.Compare(b.urgency, a.urgency) })
--- a/laburnumresidency/policy.go
+++ b/laburnumresidency/policy.go
@@ -4,12 +4,13 @@
 type Policy struct {
 	evictShare float64
 	displaces  bool
+	fills      bool
 	minGain    float64
 }
 
 // DefaultPolicy is the policy in production.
 func DefaultPolicy() Policy {
-	return Policy{evictShare: evictShare, displaces: true, minGain: minGain}
+	return Policy{evictShare: evictShare, displaces: true, fills: true, minGain: minGain}
 }
 
 // WithEvictShare returns the policy with another share of a new copy's work up to which copies
@@ -26,6 +27,12 @@
 	return p
 }
 
+// WithFill returns the policy with free memory filled while nothing loads, or not.
+func (p Policy) WithFill(fills bool) Policy {
+	p.fills = fills
+	return p
+}
+
 // WithMinGain returns the policy with another gain from which copies are evicted that callers
 // ask for.
 func (p Policy) WithMinGain(gain float64) Policy {
--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -164,7 +164,7 @@
 	g.uses.Begun(sim.models[a.request.model].name, a.request.adapter)
 	e := sim.byID[ticket.Backend.Backend]
 	link := sim.link(g.zone, e.zone)
-	asks := ticket.Unsure() && !a.queues()
+	asks := ticket.Unsure() && !a.queues() && !sim.policy.sendsUnsure
 	sim.after(link, func() {
 		switch {
 		case !e.up && e.hangs:
--- a/laburnumsimulation/policy.go
+++ b/laburnumsimulation/policy.go
@@ -23,6 +23,8 @@
 	countsEnds bool
 	// urgency has engines preempt the less urgent.
 	urgency bool
+	// sendsUnsure sends requests to engines with stale loads without a reservation.
+	sendsUnsure bool
 	// exactLoads has gateways know the load of each engine.
 	exactLoads bool
 }
@@ -71,13 +73,18 @@
 		today().named("no-quiet", "models that nobody asks for keep their copy").withDirector(laburnumdirector.WithQuietTime(never)),
 		today().named("no-displacement", "last copies are evicted only where nobody asks for them").
 			withDirector(planOptions(laburnumresidency.DefaultPolicy().WithDisplacement(false))),
+		today().named("no-fill", "free memory stays free").
+			withDirector(planOptions(laburnumresidency.DefaultPolicy().WithFill(false))),
 		today().named("eager", "changes are made for any gain").
 			withDirector(planOptions(laburnumresidency.DefaultPolicy().WithMinGain(smallGain))),
 		today().named("evict-more", "copies are evicted for others with one and a half times their work").
 			withDirector(planOptions(laburnumresidency.DefaultPolicy().WithEvictShare(largeShare))),
 		today().named("slow-demand", "demand is followed within 1.5 s up and 6 s down").withDirector(laburnumdirector.WithDemandTimes(usualTime, slowTime)),
+		today().named("fast-demand", "demand is followed within 0.5 s up and 0.75 s down").withDirector(laburnumdirector.WithDemandTimes(fastRise, fastFall)),
 		today().named("long-wait", "requests wait for three quarters of their callers' patience").withTerms(laburnumwaiting.DefaultTerms().WithWait(longWait)),
-		today().named("engine-queue", "requests queue at engines up to a fifth of their slots").withBalance(laburnumbalance.WithFreeShare(-engineQueue)),
+		today().named("engine-queue", "requests queue at engines up to a fifth of their slots, without reservations").
+			with(func(p *Policy) { p.sendsUnsure = true }).withBalance(laburnumbalance.WithFreeShare(-engineQueue)),
+		today().named("no-reservations", "requests are sent to engines with stale loads").with(func(p *Policy) { p.sendsUnsure = true }),
 		today().named("in-turn", "the queue is served strictly in turn").with(func(p *Policy) { p.inTurn = true }),
 		today().named("urgency", "engines preempt the less urgent for the more urgent").with(func(p *Policy) { p.urgency = true }),
 		today().named("count-ends", "demand is counted when answers end").with(func(p *Policy) { p.countsEnds = true }),
@@ -92,6 +99,8 @@
 	largeShare  = 0.66
 	usualTime   = 1500 * time.Millisecond
 	slowTime    = 6 * time.Second
+	fastRise    = 500 * time.Millisecond
+	fastFall    = 750 * time.Millisecond
 	longWait    = 0.75
 	engineQueue = 0.2
 )
