perf: few gateways try a full engine again sooner

Load pattern: an engine's slots are all taken, one comes free every 20 to 40 ms, and each gateway tried it again 150 ms after a refused reservation, while its requests were queued. With six gateways a slot stayed free for some 25 ms, with hundreds of gateways for none.

Ruled out: one short time for all. Hundreds of gateways that poll every 40 ms send an engine thousands of reservations a second.

Change: the time is 7 ms for each gateway, 40 ms at least and 150 ms, as before, at most.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -120,6 +120,7 @@
 	failing   map[laburnumlever.BackendID]*server
 	prefixes  *prefixes
 	freeShare float64
+	retryTime time.Duration
 }
 
 // Option changes a new table.
@@ -138,7 +139,7 @@
 // New makes an empty table for a VM in the zone. The seed makes choices repeatable.
 func New(zone laburnumlever.ZoneName, seed uint64, opts ...Option) *Table {
 	t := &Table{
-		freeShare: freeShare, zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // breaks ties, no secret
+		freeShare: freeShare, retryTime: maxRetry, zone: zone, rand: rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // breaks ties, no secret
 		servers:     map[laburnumlever.BackendID]*server{},
 		byService:   map[laburnumlever.ServiceName][]*server{},
 		byModel:     map[serviceModel][]*server{},
@@ -151,6 +152,14 @@
 	return t
 }
 
+// SetGateways sets how many gateways send to the servers.
+func (t *Table) SetGateways(n int) {
+	t.retryTime = min(maxRetry, max(minRetry, time.Duration(n)*retryPerGateway))
+}
+
+// RetryTime is the time after which a server with all slots taken is tried again.
+func (t *Table) RetryTime() time.Duration { return t.retryTime }
+
 // Set updates a server, or removes it if it takes no work.
 func (t *Table) Set(r laburnumregistry.Record) {
 	id := r.Heartbeat.Backend
@@ -341,9 +350,16 @@
 
 // overfull tells whether the server has no slot or too many prompts to read.
 func (t *Table) overfull(s *server, now time.Time, queue bool) bool {
-	slots := float64(max(1, s.record.Heartbeat.Slots))
-	return now.Before(s.fullTill) || !queue && s.load(now) >= slots*(1-t.freeShare) ||
-		(s.reading > 0 && s.reading >= s.readingLimit)
+	return now.Before(s.fullTill) || !queue && t.noSlot(s, now) || (s.reading > 0 && s.reading >= s.readingLimit)
+}
+
+// noSlot tells whether the server's slots are taken, as far as is known.
+func (t *Table) noSlot(s *server, now time.Time) bool {
+	limit := float64(max(1, s.record.Heartbeat.Slots)) * (1 - t.freeShare)
+	if s.taken {
+		return now.Sub(s.othersAt) < t.retryTime || float64(s.own) >= limit
+	}
+	return s.load(now) >= limit
 }
 
 func (t *Table) score(s *server, q Query, now time.Time) float64 {
--- /dev/null
+++ b/laburnumbalance/retry_test.go
@@ -0,0 +1,26 @@
+package laburnumbalance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumbalance"
+)
+
+// Guards against slots that stay free while requests are queued on few gateways, and against
+// hundreds of gateways that poll full engines.
+func TestFullServerIsTriedAgainByTheNumberOfGateways(t *testing.T) {
+	for gateways, wait := range map[int]time.Duration{6: 42 * time.Millisecond, 294: 150 * time.Millisecond} {
+		table := newTable(record(1, "brest", "m0"))
+		table.SetGateways(gateways)
+		require.Equal(t, wait, table.RetryTime())
+		ticket, _ := table.Pick(query("m0"), start)
+		table.End(ticket, laburnumbalance.Sample{Taken: true}, start)
+		_, verdict := table.Pick(query("m0"), start.Add(wait-time.Millisecond))
+		require.Equal(t, laburnumbalance.Full, verdict)
+		_, verdict = table.Pick(query("m0"), start.Add(wait))
+		require.Equal(t, laburnumbalance.Found, verdict)
+	}
+}
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -19,13 +19,16 @@
 	// readingTarget divides a latency target: the rest is for the network and the queue.
 	readingTarget = 2
 
-	loadFade = 3 * time.Second        // a reported load fades to nothing
-	sureTime = 200 * time.Millisecond // a reported load counts as current
-	// TakenTime is how long a server whose slots were all taken is left out: until freeShare
-	// of its reported load has faded.
-	TakenTime       = time.Duration(freeShare * float64(loadFade))
+	loadFade        = 3 * time.Second        // a reported load fades to nothing
+	sureTime        = 200 * time.Millisecond // a reported load counts as current
 	failureHalfLife = 4 * time.Second
 
+	// A server whose slots are all taken is tried again after a time that grows with the number
+	// of gateways, since any of them that finds a free slot uses it.
+	retryPerGateway = 7 * time.Millisecond
+	minRetry        = 40 * time.Millisecond
+	maxRetry        = 150 * time.Millisecond
+
 	// Backoff for a server that can't be connected to, doubled with each failure.
 	unreachableTime = 300 * time.Millisecond
 	unreachableMost = time.Second
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -68,6 +68,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.gateways = max(f.gateways, a.Gateways)
+	f.balance.SetGateways(f.gateways)
 	for _, r := range a.Backends {
 		if !f.registry.Merge(r, now) {
 			continue
@@ -211,10 +212,16 @@
 	f.serveQueue()
 }
 
-func (f *Fleet) retryQueue() {
+// retryQueueLater serves the queue once the balancer tries an engine with all slots taken again.
+func (f *Fleet) retryQueueLater() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.serveQueue()
+	wait := f.balance.RetryTime() + retrySlack
+	f.mu.Unlock()
+	f.timers.After(wait, func(time.Time) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.serveQueue()
+	})
 }
 
 // asked counts a request.
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -46,7 +46,7 @@
 		}
 		if fail.taken {
 			q.tries-- // nothing was sent
-			g.timers.After(takenRetry, func(time.Time) { g.fleet.retryQueue() })
+			g.fleet.retryQueueLater()
 			continue
 		}
 		_ = level.Info(g.logger).Log("event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -25,8 +25,8 @@
 	// urgentReservations are the engines that an urgent request is refused a slot at before it
 	// queues at one: the power of two choices.
 	urgentReservations = 2
-	// takenRetry is just after the balancer considers a full engine again.
-	takenRetry = laburnumbalance.TakenTime + 10*time.Millisecond
+	// retrySlack has the queue served just after the balancer considers a full engine again.
+	retrySlack = 10 * time.Millisecond
 )
 
 // reserve reserves a slot before the request is sent, if the engine's load is stale. A
--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -196,7 +196,7 @@
 	a.taken++
 	a.tries--
 	a.release(laburnumbalance.Sample{Taken: true})
-	sim.after(takenRetry, a.gateway.serveQueue)
+	sim.after(a.gateway.table.RetryTime()+retrySlack, a.gateway.serveQueue)
 	a.place()
 }
 
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -20,8 +20,8 @@
 	budgetWindow = 10 * time.Second
 	// dialTimeout is how long a connection to an engine that hangs takes to fail.
 	dialTimeout = 200 * time.Millisecond
-	// takenRetry is when a request that found an engine's slots taken looks again.
-	takenRetry = laburnumbalance.TakenTime + 10*time.Millisecond
+	// retrySlack as in laburnumgateway.
+	retrySlack = 10 * time.Millisecond
 	// urgentReservations as in laburnumgateway.
 	urgentReservations = 2
 	// newsPeriod is how often a gateway tells its news, since each answer brings a question.
--- a/laburnumsimulation/simulation.go
+++ b/laburnumsimulation/simulation.go
@@ -109,6 +109,7 @@
 		for range z.Gateways {
 			n++
 			g := newGateway(sim, laburnumlever.VMID(fmt.Sprintf("g%d", n)), z.Name, seed*1_000_003+n)
+			g.table.SetGateways(total)
 			zone = append(zone, g)
 			sim.gateways = append(sim.gateways, g)
 			sim.after(time.Duration(sim.random.Int64N(int64(newsPeriod))), func() {
