fix: gateways stop asking a control VM for adapters that gives no orders any more

Until another has the lease and has waited, every request for an adapter asks anew 2 ms after each refusal: 9,346 questions in 5 s at one control VM and 4,920 at the one that takes over, which has 0.3 of a core. Its control thread did not run for 0.33 and 0.83 s, it lost its lease three times within two seconds, and its questions to 200 engines timed out.

Ruled out: planning (26 ms in those 5 s) and gateways' reports (390 ms, of which 327 in one event that waited for the processor).

--- /dev/null
+++ b/laburnumfeed/director_test.go
@@ -0,0 +1,33 @@
+package laburnumfeed
+
+import (
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against gateways that go on asking a control VM which gives no orders any more.
+func TestVMThatStepsDownIsNotAskedForAdapters(t *testing.T) {
+	const first, second = "10.0.0.9:7000", "10.0.0.8:7000"
+	timers := laburnumtimer.NewManual(time.Unix(1_000_000, 0))
+	f := NewFollower(&darkPeers{asked: make(chan struct{})}, timers, laburnumlever.VM{ID: "10.0.0.1"}, nil, routesHeld(1))
+	defer f.Close()
+	says := func(director laburnumlever.VMID) Answer {
+		return Answer{meta: meta{Director: director, Controls: []laburnumlever.VM{{ID: "a", PeerAddress: first}, {ID: "b", PeerAddress: second}}}}
+	}
+	f.noteDirector(first, says("a"))
+	require.Equal(t, first, f.Director())
+	f.noteDirector(second, says(""))
+	require.Equal(t, first, f.Director(), "others do not know")
+	f.noteDirector(first, says(""))
+	require.Empty(t, f.Director())
+	f.noteDirector(second, says("b"))
+	f.Refused(first)
+	require.Equal(t, second, f.Director(), "a late refusal of another")
+	f.Refused(second)
+	require.Empty(t, f.Director())
+}
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -222,24 +222,35 @@
 	return f.addresses[f.director]
 }
 
+// Refused forgets the control VM at the address as the one that gives the orders.
+func (f *Follower) Refused(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.addresses[f.director] == address {
+		f.director = ""
+	}
+}
+
 func (f *Follower) learn(address string, a Answer) {
 	for _, vm := range a.Controls {
 		f.follow(vm.PeerAddress, vm.Zone)
 	}
-	f.noteDirector(a)
+	f.noteDirector(address, a)
 	f.sink.Learn(address, a)
 	if a.RoutesVersion > f.sink.RoutesVersion() {
 		f.fetchRoutes(address)
 	}
 }
 
-func (f *Follower) noteDirector(a Answer) {
+// noteDirector keeps who gives the orders. Only the VM that does names itself, so that of the others
+// only the one known so far can take it back.
+func (f *Follower) noteDirector(address string, a Answer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, vm := range a.Controls {
 		f.addresses[vm.ID] = vm.PeerAddress
 	}
-	if a.Director != "" {
+	if a.Director != "" || f.addresses[f.director] == address {
 		f.director = a.Director
 	}
 }
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -19,8 +19,11 @@
 	drainRetry     = 50 * time.Millisecond  // another gateway can serve the request
 	fullRetry      = 500 * time.Millisecond // slots come free all the time
 
-	adapterWait  = 400 * time.Millisecond // many times a usual load of an adapter
-	adapterPause = 2 * time.Millisecond   // between two requests for an adapter
+	adapterWait = 400 * time.Millisecond // many times a usual load of an adapter
+
+	// Backoff between two requests for an adapter.
+	adapterPause     = 2 * time.Millisecond
+	adapterPauseMost = 50 * time.Millisecond
 )
 
 // failure is the outcome of an attempt without a complete answer.
@@ -107,6 +110,7 @@
 func (g *Gateway) acquire(ctx context.Context, q *request) (*laburnumbalance.Ticket, error) {
 	start := g.timers.Now()
 	until := waitTerms.WaitUntil(q.times())
+	backoff := laburnumretry.Backoff{Least: adapterPause, Most: adapterPauseMost}
 	defer func() { q.waited += g.timers.Now().Sub(start) }()
 	for {
 		ticket, verdict := g.fleet.await(ctx, q, until)
@@ -120,7 +124,7 @@
 		if !g.timers.Now().Before(until) {
 			return nil, adapterAbsent(err)
 		}
-		if ctx.Err() != nil || !laburnumtimer.Wait(ctx.Done(), g.timers, adapterPause) {
+		if ctx.Err() != nil || !laburnumtimer.Wait(ctx.Done(), g.timers, backoff.Next()) {
 			return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "adapter not there in time")
 		}
 	}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -12,9 +12,13 @@
 	"laburnumlever/laburnumupstream"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 )
 
+// kindNotDirector is the kind of a *laburnumdirector.NotDirectorError.
+const kindNotDirector = "not-director"
+
 // sweepPeriod is how often idle connections are looked through.
 const sweepPeriod = time.Second
 
@@ -68,6 +72,10 @@
 	}
 	var answer needAnswer
 	err := g.peers.Call(ctx, address, methodNeed, need, &answer)
+	var refused *laburnumlever.PeerRefusedError
+	if errors.As(err, &refused) && refused.Kind == kindNotDirector {
+		g.follower.Refused(address)
+	}
 	return answer.Backends, err
 }
 
--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -13,8 +13,9 @@
 	// noBackendRetry and fullRetry are when it is worth asking again.
 	noBackendRetry = time.Second
 	fullRetry      = 500 * time.Millisecond
-	// adapterPause is between two questions for an adapter.
-	adapterPause = 2 * time.Millisecond
+	// adapterPause and adapterPauseMost as in laburnumgateway.
+	adapterPause     = 2 * time.Millisecond
+	adapterPauseMost = 50 * time.Millisecond
 )
 
 // attempt is one try of a caller, at one gateway, as laburnumgateway makes it.
@@ -38,6 +39,7 @@
 	firstAt  time.Time
 	waited   time.Duration
 	waitFrom time.Time
+	backoff  laburnumretry.Backoff // of requests for an adapter
 }
 
 func (a *attempt) sim() *simulation { return a.gateway.sim }
@@ -145,7 +147,7 @@
 			a.turnAway(noBackendRetry, "no-adapter")
 			return
 		}
-		sim.after(adapterPause, a.place)
+		sim.after(a.backoff.Next(), a.place)
 	})
 }
 
