refactor: the planner's, the layout's and the evaluation's functions within the linter's limits

Ruled out: raising the limits. The planner's condition for unloading a model has the same terms, in a function with a name.

--- a/laburnumdirector/layout.go
+++ b/laburnumdirector/layout.go
@@ -22,20 +22,11 @@
 		return
 	}
 	d.lastLayout[name] = now
-	held, loading := map[laburnumlever.ModelName]int{}, map[laburnumlever.ModelName]int{}
+	held, loading := countCopies(engines)
 	largest := largest(class)
 	room := 0
 	for i := range engines {
-		e := &engines[i]
-		for _, h := range e.Held {
-			switch {
-			case e.Loading == h.Name:
-				loading[h.Name]++
-			case e.Serves(h.Name):
-				held[h.Name]++
-			}
-		}
-		if e.HasRoom(class, largest) {
+		if engines[i].HasRoom(class, largest) {
 			room++
 		}
 	}
@@ -54,6 +45,23 @@
 		"room", room, "held", held, "loading", loading, "one", one, "none", none)
 }
 
+// countCopies returns how many engines hold each model ready, and how many load it.
+func countCopies(engines []laburnumresidency.Engine) (held, loading map[laburnumlever.ModelName]int) {
+	held, loading = map[laburnumlever.ModelName]int{}, map[laburnumlever.ModelName]int{}
+	for i := range engines {
+		e := &engines[i]
+		for _, h := range e.Held {
+			switch {
+			case e.Loading == h.Name:
+				loading[h.Name]++
+			case e.Serves(h.Name):
+				held[h.Name]++
+			}
+		}
+	}
+	return held, loading
+}
+
 // largest returns the model with most weights.
 func largest(class *laburnumlever.EngineClass) laburnumlever.ResidentClass {
 	var largest laburnumlever.ResidentClass
--- a/laburnumresidency/steps.go
+++ b/laburnumresidency/steps.go
@@ -69,23 +69,32 @@
 func (p *planner) makeRoom(e int, engine *Engine, wanted int, reason string) {
 	for _, m := range p.heldBy[e] {
 		name := p.class.Models[m].Name
-		if p.target.holds(e, m) || engine.Unloading == name {
+		if p.target.holds(e, m) || engine.Unloading == name || !p.mayGo(e, m, wanted) {
 			continue
 		}
-		rescued, rescues := p.rescues[e]
-		rescue := rescues && rescued == wanted && p.outweighs(wanted, m)
-		overload := p.target.copies(m) > 0 && p.target.share(wanted) > overloadWork && p.outweighs(wanted, m)
-		if p.ready[m] >= 2 || rescue || overload || p.quiet[m] || p.displaced[m] {
-			p.steps = append(p.steps, urgentStep{urgency: p.urgency(wanted), Step: Step{
-				Engine: engine.ID, Kind: laburnumlever.Unload, Model: name, Reason: "makes room for a model: " + reason,
-			}})
-			if engine.Loading != name {
-				p.ready[m]--
-			}
-			engine.Unloading = name
-			return
+		p.steps = append(p.steps, urgentStep{urgency: p.urgency(wanted), Step: Step{
+			Engine: engine.ID, Kind: laburnumlever.Unload, Model: name, Reason: "makes room for a model: " + reason,
+		}})
+		if engine.Loading != name {
+			p.ready[m]--
 		}
+		engine.Unloading = name
+		return
+	}
+}
+
+// mayGo reports whether model m of engine e may be unloaded for the wanted one: another copy is
+// ready, it is hardly asked for, or the wanted one is needed more.
+func (p *planner) mayGo(e, m, wanted int) bool {
+	if p.ready[m] >= 2 || p.quiet[m] || p.displaced[m] {
+		return true
+	}
+	if !p.outweighs(wanted, m) {
+		return false
 	}
+	rescued, rescues := p.rescues[e]
+	overload := p.target.copies(m) > 0 && p.target.share(wanted) > overloadWork
+	return rescues && rescued == wanted || overload
 }
 
 // urgency is the rate of requests for a model without a ready copy, divided by the copies that
--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -90,13 +90,14 @@
 		g.learnExactly(a.request.model)
 	}
 	ticket, verdict := g.table.Pick(waiting.Query, now)
-	switch {
-	case verdict == laburnumbalance.Found:
+	switch verdict {
+	case laburnumbalance.Found:
 		a.send(ticket)
 		return
-	case verdict == laburnumbalance.AdapterAbsent:
+	case laburnumbalance.AdapterAbsent:
 		a.needAdapter(until)
 		return
+	default:
 	}
 	admitted := false
 	waiting.Admit = func(ticket *laburnumbalance.Ticket) {
--- a/laburnumsimulation/compare.go
+++ b/laburnumsimulation/compare.go
@@ -141,11 +141,11 @@
 // WriteText writes the table for people.
 func (t Table) WriteText(w io.Writer) error {
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s, %d days for each policy; +- are %.0f%% intervals\n\n", t.Scenario, t.Seeds, confidence*100)
+	_, _ = fmt.Fprintf(&text, "%s, %d days for each policy; +- are %.0f%% intervals\n\n", t.Scenario, t.Seeds, confidence*100)
 	tab := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tab, "policy\tvalue\tgain\ton time\tlate\tby pause\trefused\tfailed\tday\tworst windows\tworst class\tloads")
+	_, _ = fmt.Fprintln(tab, "policy\tvalue\tgain\ton time\tlate\tby pause\trefused\tfailed\tday\tworst windows\tworst class\tloads")
 	for _, r := range t.Rows {
-		fmt.Fprintf(tab, "%s\t%.3f +- %.3f\t%+.3f +- %.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\n", r.Policy, r.Value, r.Interval,
+		_, _ = fmt.Fprintf(tab, "%s\t%.3f +- %.3f\t%+.3f +- %.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\n", r.Policy, r.Value, r.Interval,
 			r.Gain, r.GainInterval, r.Mean.OnTime, r.Mean.Late, r.Mean.LatePause, r.Mean.Refused, r.Mean.Failed, r.Mean.Day, r.Mean.WorstWindows, r.Mean.WorstClass, r.Mean.Loads)
 	}
 	if err := tab.Flush(); err != nil {
--- a/laburnumsimulation/outcome.go
+++ b/laburnumsimulation/outcome.go
@@ -125,7 +125,7 @@
 }
 
 // result is the day's outcome.
-func (t *tally) result(sim *simulation) Outcome {
+func (t *tally) result() Outcome {
 	o := t.Outcome
 	o.Orders, o.Loads, o.StoreLoads, o.Preempted, o.Retries, o.Overcommitted = t.orders, t.loads, t.storeLoads, t.preempted, t.retries, t.overcommitted
 	o.Day = t.total.value()
--- a/laburnumsimulation/simulation.go
+++ b/laburnumsimulation/simulation.go
@@ -68,7 +68,7 @@
 	sim.schedule()
 	sim.callers.start()
 	sim.timers.advance(time.Duration(s.Length) + sim.longest() + endTime)
-	return sim.outcome.result(sim)
+	return sim.outcome.result()
 }
 
 func newSimulation(s Scenario, p Policy, seed uint64) *simulation {
@@ -131,6 +131,29 @@
 
 // placeModels gives each model an engine, and the rest of the room to those asked for most.
 func (sim *simulation) placeModels() {
+	asked := sim.askedPerSecond()
+	byDemand := make([]int, len(sim.models))
+	for m := range byDemand {
+		byDemand[m] = m
+	}
+	slices.SortStableFunc(byDemand, func(a, b int) int { return cmp.Compare(asked[b], asked[a]) })
+	copies := make([]int, len(sim.models))
+	for _, m := range byDemand {
+		if sim.placeCopy(m) {
+			copies[m]++
+		}
+	}
+	for {
+		best := mostAskedPerCopy(byDemand, asked, copies)
+		if best < 0 || !sim.placeCopy(best) {
+			return
+		}
+		copies[best]++
+	}
+}
+
+// askedPerSecond returns the slots that each model's requests need at the start of the day.
+func (sim *simulation) askedPerSecond() []float64 {
 	asked := make([]float64, len(sim.models))
 	for i, c := range sim.scenario.Classes {
 		list := sim.callers.order[i]
@@ -145,29 +168,21 @@
 			before = cumulated[rank]
 		}
 	}
-	copies := make([]int, len(sim.models))
-	byDemand := make([]int, len(sim.models))
-	for m := range byDemand {
-		byDemand[m] = m
-	}
-	slices.SortStableFunc(byDemand, func(a, b int) int { return cmp.Compare(asked[b], asked[a]) })
-	for _, m := range byDemand {
-		if sim.placeCopy(m) {
-			copies[m]++
-		}
-	}
-	for {
-		best := -1
-		for _, m := range byDemand {
-			if copies[m] > 0 && (best < 0 || asked[m]/float64(copies[m]) > asked[best]/float64(copies[best])) {
-				best = m
-			}
+	return asked
+}
+
+// mostAskedPerCopy returns the model whose copies are asked for most, negative if none is.
+func mostAskedPerCopy(models []int, asked []float64, copies []int) int {
+	best := -1
+	for _, m := range models {
+		if copies[m] == 0 || asked[m] == 0 {
+			continue
 		}
-		if best < 0 || asked[best] == 0 || !sim.placeCopy(best) {
-			return
+		if best < 0 || asked[m]/float64(copies[m]) > asked[best]/float64(copies[best]) {
+			best = m
 		}
-		copies[best]++
 	}
+	return best
 }
 
 // placeCopy puts a model where most memory is free; false if there is none with room.
