perf: requests wait for a fifth of their callers' patience in place of a third

Cause: under overload a request that gets its slot after a third of its timeout is mostly answered late, and takes the slot from one that would have been on time; and who is refused then learns so late that there is no time left for a retry elsewhere.

Hypothesis: a shorter wait serves more on time. One change, 0.33 to 0.2.

--- a/laburnumwaiting/terms.go
+++ b/laburnumwaiting/terms.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	waitShare   = 0.33 // of the caller's patience; the rest is for the answer
+	waitShare   = 0.2  // of the caller's patience; the rest is for the answer
 	resumeShare = 0.66 // of the gap after which callers leave; the rest is for reading the prompt again
 	freshShare  = 0.75 // of the latency target; the rest is for reading the prompt and the network
 	retryShare  = 0.33 // of the time left to the deadline, the latest Retry-After
