--- a/laburnumsimulation/doc.go
+++ b/laburnumsimulation/doc.go
@@ -23,8 +23,8 @@
 //
 // # Usage
 //
-//	scenario, err := laburnumsimulation.Load("examples/evaluation/shift-large.jsonc")
+//	scenario, err := laburnumsimulation.Load("examples/evaluation/large.jsonc")
 //	policy, err := laburnumsimulation.PolicyNamed("today")
 //	outcome := laburnumsimulation.Run(scenario, policy, 1)
-//	table := laburnumsimulation.Compare(ctx, scenario, policies, 100, progress)
+//	table, err := laburnumsimulation.Compare(ctx, scenario, policies, 100, workers, progress)
 package laburnumsimulation
