test: the soak disturbs the disks below control VMs

Cause: the soak killed, stopped, wiped and cut VMs off, but their disks always answered. A disk that hangs, is slow, runs full in the middle of a write or fails to sync was met only in tests with a file interface of our own, not by the real programs.

The means: the kernel asks the soak for a verdict on each sync and write of a control VM (seccomp user notification). Ruled out: a hidden option of the program or a shared file interface (not from outside), a file system in user space and a library loaded before the program's (need a tool, or a program linked to the C library), ptrace (stops every thread at every call).

New check: a VM that served doesn't end unasked.

Not there: a folder that goes back to an older copy, and jumps of the time of day.

--- a/cmd/laburnumlever/soakcmd.go
+++ b/cmd/laburnumlever/soakcmd.go
@@ -22,6 +22,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds, one after the other"},
 			&cli.DurationFlag{Name: "length", Value: 15 * time.Second, Usage: "how long faults come in each run"},
+			&cli.BoolFlag{Name: "disks", Usage: "have the disks of control VMs misbehave too; Linux only"},
 			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for logs; a temporary one without it"},
 		},
 		OnUsageError: onUsageError,
@@ -44,7 +45,7 @@
 	for i := range c.Int("seeds") {
 		seed := c.Uint64("seed") + uint64(i) //nolint:gosec // a count
 		ok, err := soakOne(c, laburnumsoak.Config{
-			Program: program, Folder: filepath.Join(root, fmt.Sprintf("seed-%d", seed)), Seed: seed, Length: c.Duration("length"),
+			Program: program, Folder: filepath.Join(root, fmt.Sprintf("seed-%d", seed)), Seed: seed, Length: c.Duration("length"), Disks: c.Bool("disks"),
 		})
 		if err != nil {
 			return err
--- a/cmd/laburnumlever/standincmd.go
+++ b/cmd/laburnumlever/standincmd.go
@@ -33,6 +33,7 @@
 			standInServiceCommand(),
 			standInWeightStoreCommand(),
 			standInLinkCommand(),
+			standInDiskCommand(),
 			standInPlatformServerCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/laburnumlever/standindiskcmd.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"os"
+
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnumdiskfault"
+)
+
+func standInDiskCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "disk",
+		Usage: "become another laburnumlever command whose disk a soak disturbs",
+		Description: "Started by soak only: the socket to it is the third descriptor.\n\n" +
+			"Example: laburnumlever stand-in disk -- control --settings control.jsonc\n\n" + exitCodesText,
+		Hidden:       true,
+		OnUsageError: onUsageError,
+		Action:       runDisk,
+	}
+}
+
+func runDisk(c *cli.Context) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	return laburnumdiskfault.Launch(program, append([]string{os.Args[0]}, c.Args().Slice()...))
+}
--- /dev/null
+++ b/laburnumdiskfault/supervise_linux.go
@@ -0,0 +1,212 @@
+package laburnumdiskfault
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// notice is a call of the program that waits for a verdict, as the kernel writes it.
+type notice struct {
+	id     uint64
+	thread uint32
+	_      uint32
+	number int32
+	_      uint32
+	_      uint64
+	args   [6]uint64
+}
+
+// continueFlag has the kernel carry the call out (SECCOMP_USER_NOTIF_FLAG_CONTINUE).
+const continueFlag = 1
+
+// verdict is the answer to a notice, as the kernel reads it.
+type verdict struct {
+	id    uint64
+	value int64
+	errno int32
+	flags uint32
+}
+
+func (n notice) proceeds() verdict { return verdict{id: n.id, flags: continueFlag} }
+
+func (n notice) returns(value int) verdict { return verdict{id: n.id, value: int64(value)} }
+
+func (n notice) fails(errno unix.Errno) verdict { return verdict{id: n.id, errno: -int32(errno)} } //nolint:gosec // small numbers
+
+func (n notice) syncs() bool { return n.number == unix.SYS_FSYNC || n.number == unix.SYS_FDATASYNC }
+
+// Start starts a command that calls Launch, and supervises it until it ends. The error is that of
+// the start or an *UnavailableError; then the command has ended.
+func (d *Disk) Start(cmd *exec.Cmd) error {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return &UnavailableError{Step: "make a socket", Cause: err}
+	}
+	ours, theirs := pair[0], os.NewFile(uintptr(pair[1]), "launch")
+	defer func() { _ = unix.Close(ours) }()
+	cmd.ExtraFiles = []*os.File{theirs}
+	err = cmd.Start()
+	_ = theirs.Close()
+	if err != nil {
+		return err
+	}
+	listener, err := receive(ours)
+	if err != nil {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		return err
+	}
+	s := &supervisor{disk: d, pid: cmd.Process.Pid, listener: listener, ended: make(chan struct{})}
+	go s.run()
+	return nil
+}
+
+// receive takes the listener from a launcher; one that ends without it has closed its end.
+func receive(socket int) (int, error) {
+	one, control := make([]byte, 1), make([]byte, unix.CmsgSpace(int(unsafe.Sizeof(int32(0)))))
+	_, n, _, _, err := unix.Recvmsg(socket, one, control, unix.MSG_CMSG_CLOEXEC)
+	if err != nil {
+		return 0, &UnavailableError{Step: "receive the listener", Cause: err}
+	}
+	messages, err := unix.ParseSocketControlMessage(control[:n])
+	if err != nil || len(messages) == 0 {
+		return 0, &UnavailableError{Step: "receive the listener", Cause: unix.EPIPE}
+	}
+	fds, err := unix.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) == 0 {
+		return 0, &UnavailableError{Step: "receive the listener", Cause: unix.EPIPE}
+	}
+	return fds[0], nil
+}
+
+// supervisor answers the notices of one process.
+type supervisor struct {
+	disk     *Disk
+	pid      int
+	listener int
+	// ended is closed when the process has ended.
+	ended chan struct{}
+	wg    sync.WaitGroup
+}
+
+func (s *supervisor) run() {
+	defer func() {
+		close(s.ended)
+		s.wg.Wait()
+		_ = unix.Close(s.listener)
+	}()
+	for {
+		fds := []unix.PollFd{{Fd: int32(s.listener), Events: unix.POLLIN}} //nolint:gosec // a descriptor
+		if _, err := unix.Poll(fds, -1); err != nil {
+			if err == unix.EINTR {
+				continue
+			}
+			return
+		}
+		if fds[0].Revents&unix.POLLIN == 0 {
+			return
+		}
+		var n notice
+		if errno := s.control(unix.SECCOMP_IOCTL_NOTIF_RECV, unsafe.Pointer(&n)); errno != 0 {
+			continue // the call was interrupted in the meantime
+		}
+		if state, _ := s.disk.now(); state.Mode == Healthy {
+			s.answer(n.proceeds())
+			continue
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.answer(s.decide(n))
+		}()
+	}
+}
+
+func (s *supervisor) control(request uint, arg unsafe.Pointer) unix.Errno {
+	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(s.listener), uintptr(request), uintptr(arg))
+	return errno
+}
+
+// answer gives a verdict; a process that was killed while it waited needs none.
+func (s *supervisor) answer(v verdict) {
+	_ = s.control(unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&v))
+}
+
+// decide waits as long as the disk's state asks for and returns the verdict.
+func (s *supervisor) decide(n notice) verdict {
+	path, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", s.pid, n.args[0]))
+	if err != nil || !s.disk.holds(path) {
+		return n.proceeds()
+	}
+	state := s.awaitAnswering()
+	switch {
+	case state.Mode == Slow && n.syncs():
+		select {
+		case <-time.After(state.Delay):
+		case <-s.ended:
+		}
+	case state.Mode == Full && !n.syncs():
+		return s.short(n)
+	case state.Mode == Failing && n.syncs():
+		return n.fails(unix.EIO)
+	}
+	return n.proceeds()
+}
+
+// awaitAnswering waits until the disk isn't stalled, or the process has ended.
+func (s *supervisor) awaitAnswering() State {
+	for {
+		state, changed := s.disk.now()
+		if state.Mode != Stalled {
+			return state
+		}
+		select {
+		case <-changed:
+		case <-s.ended:
+			return State{}
+		}
+	}
+}
+
+// short carries out half of a write, by the program's own descriptor. The program tries the rest
+// again, until a single byte finds no room.
+func (s *supervisor) short(n notice) verdict {
+	half := int(n.args[2]) / 2 //nolint:gosec // a length
+	if half == 0 || n.number != unix.SYS_WRITE {
+		return n.fails(unix.ENOSPC)
+	}
+	done, err := s.writeFor(n, half)
+	if err != nil || done <= 0 {
+		return n.fails(unix.ENOSPC)
+	}
+	return n.returns(done)
+}
+
+// writeFor writes the first bytes that the program wants to write.
+func (s *supervisor) writeFor(n notice, size int) (int, error) {
+	process, err := unix.PidfdOpen(s.pid, 0)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = unix.Close(process) }()
+	file, err := unix.PidfdGetfd(process, int(n.args[0]), 0) //nolint:gosec // a descriptor
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = unix.Close(file) }()
+	data := make([]byte, size)
+	local := []unix.Iovec{{Base: &data[0]}}
+	local[0].SetLen(size)
+	remote := []unix.RemoteIovec{{Base: uintptr(n.args[1]), Len: size}}
+	got, err := unix.ProcessVMReadv(s.pid, local, remote, 0)
+	if err != nil {
+		return 0, err
+	}
+	return unix.Write(file, data[:got])
+}
--- a/laburnumsoak/faults.go
+++ b/laburnumsoak/faults.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumdiskfault"
 	"laburnumlever/laburnumstandin"
 )
 
@@ -20,6 +21,8 @@
 	// mostDown is how long a process is away or stopped at most: longer than the lease's
 	// term and than the silence after which a voter is replaced.
 	mostDown = 4 * time.Second
+	// restartPause is between two starts of a process whose disk is disturbed.
+	restartPause = 300 * time.Millisecond
 	// leastDelay and mostDelay are added each way by a slow link: up to what callers' targets
 	// bear, so that answers come late and not never.
 	leastDelay, mostDelay = 20 * time.Millisecond, 300 * time.Millisecond
@@ -39,6 +42,11 @@
 	silenceFrom
 	resets
 	delays
+	// The last are faults of the disk below a control VM.
+	stall
+	slowSyncs
+	fullDisk
+	failedSyncs
 	kinds
 )
 
@@ -46,6 +54,7 @@
 	return [...]string{
 		"kill", "stop", "term", "kill and wipe",
 		"silence the link to", "silence towards", "silence from", "reset the link to", "delay the link to",
+		"stall the disk of", "slow syncs of", "fill the disk of", "fail syncs of",
 	}[k]
 }
 
@@ -59,13 +68,14 @@
 	mu      sync.Mutex
 	busy    map[*process]bool
 	bent    map[*linkPoint]bool
+	ill     map[*process]bool
 	wiped   bool
 	story   []string
 	problem error
 }
 
 func newFaults(f *fleet, seed uint64) *faults {
-	return &faults{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busy: map[*process]bool{}, bent: map[*linkPoint]bool{}} //nolint:gosec // repeatable
+	return &faults{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busy: map[*process]bool{}, bent: map[*linkPoint]bool{}, ill: map[*process]bool{}} //nolint:gosec // repeatable
 }
 
 // run disturbs until ctx ends, then waits until all processes are back.
@@ -77,6 +87,8 @@
 		gap := leastGap + time.Duration(x.random.Int64N(int64(mostGap-leastGap)))
 		delay := leastDelay + time.Duration(x.random.Int64N(int64(mostDelay-leastDelay)))
 		switch {
+		case kind >= stall:
+			x.disturbDisk(x.fleet.controls[n%controlVMs], kind, down, delay)
 		case kind >= silence:
 			x.disturbLink(x.fleet.links[n], kind, down, delay)
 		case x.take(all[n], &kind):
@@ -127,6 +139,38 @@
 	}()
 }
 
+// disturbDisk does a fault of a control VM's disk, and undoes it on its own. The program goes on
+// or ends by itself, and is killed and started again by other faults meanwhile.
+func (x *faults) disturbDisk(p *process, kind faultKind, down, delay time.Duration) {
+	state := laburnumdiskfault.State{Mode: laburnumdiskfault.Stalled}
+	switch kind {
+	case slowSyncs:
+		state = laburnumdiskfault.State{Mode: laburnumdiskfault.Slow, Delay: delay}
+	case fullDisk:
+		state.Mode = laburnumdiskfault.Full
+	case failedSyncs:
+		state.Mode = laburnumdiskfault.Failing
+	default:
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ill[p] || p.disk == nil {
+		return
+	}
+	x.ill[p] = true
+	x.tell(kind, p.name)
+	p.disk.Set(state)
+	x.wg.Add(1)
+	go func() {
+		defer x.wg.Done()
+		time.Sleep(down)
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		p.disk.Set(laburnumdiskfault.State{})
+		delete(x.ill, p)
+	}()
+}
+
 // tell notes a fault in the story; mu is held.
 func (x *faults) tell(kind faultKind, name string) {
 	x.story = append(x.story, fmt.Sprintf("%.1f s %s %s", time.Since(x.start).Seconds(), kind, name))
@@ -175,7 +219,26 @@
 		p.end(syscall.SIGKILL)
 	}
 	time.Sleep(down / 2)
-	x.done(p, p.start())
+	x.done(p, x.restart(p))
+}
+
+// restart starts a process, as a service manager does: again after a while if its disk was
+// disturbed meanwhile. A control VM that can't read or write its data folder ends with an error.
+func (x *faults) restart(p *process) error {
+	for {
+		before := x.isIll(p)
+		err := p.start()
+		if err == nil || !before && !x.isIll(p) {
+			return err
+		}
+		time.Sleep(restartPause)
+	}
+}
+
+func (x *faults) isIll(p *process) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.ill[p]
 }
 
 func (x *faults) done(p *process, err error) {
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumdiskfault"
 	"laburnumlever/laburnumsettings"
 )
 
@@ -53,7 +54,11 @@
 	const most = 250
 	f := &fleet{cfg: cfg, record: r, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most))}
 	for i := range controlVMs {
-		f.controls = append(f.controls, f.vm("control", fmt.Sprintf("control-%d", i+1), i+1))
+		p := f.vm("control", fmt.Sprintf("control-%d", i+1), i+1)
+		if cfg.Disks {
+			p.disk = laburnumdiskfault.New(f.dataFolder(p.name))
+		}
+		f.controls = append(f.controls, p)
 	}
 	for i := range gatewayVMs {
 		f.gateways = append(f.gateways, f.vm("gateway", fmt.Sprintf("gateway-%d", i+1), firstGateway+i))
@@ -75,7 +80,7 @@
 // vm is a process of the system. Its settings are written anew at each start.
 func (f *fleet) vm(role, name string, number int) *process {
 	f.addLink(name, f.address(number, peerPort), f.address(number, peerListenPort))
-	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder}
+	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder, exited: f.record.exited}
 	p.args = func() []string {
 		path := filepath.Join(f.cfg.Folder, name+".jsonc")
 		data, _ := json.Marshal(f.settings(role, name, number)) //nolint:errchkjson // texts and numbers only
--- a/laburnumsoak/process.go
+++ b/laburnumsoak/process.go
@@ -7,9 +7,11 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"laburnumlever/laburnumdiskfault"
 )
 
 const (
@@ -31,9 +33,15 @@
 	args func() []string
 	// line takes each line that it writes.
 	line func(string)
+	// disk stands below its data folder; nil if it has none.
+	disk *laburnumdiskfault.Disk
+	// exited is told of an end that nobody asked for.
+	exited func(name string)
 
 	cmd   *exec.Cmd
 	ended chan struct{}
+	// asked is set once the process is to end.
+	asked *atomic.Bool
 }
 
 // start runs the process and waits until it says that it serves.
@@ -42,19 +50,22 @@
 	if err != nil {
 		return &StartError{Process: p.name, Cause: err}
 	}
-	cmd := exec.CommandContext(context.Background(), p.program, p.args()...) //nolint:gosec // the program that runs this
-	cmd.Args[0] = programName
+	cmd := p.command()
 	cmd.Stderr = log
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return &StartError{Process: p.name, Cause: err}
 	}
-	if err := cmd.Start(); err != nil {
+	start := cmd.Start
+	if p.disk != nil {
+		start = func() error { return p.disk.Start(cmd) }
+	}
+	if err := start(); err != nil {
 		return &StartError{Process: p.name, Cause: err}
 	}
-	p.cmd, p.ended = cmd, make(chan struct{})
+	p.cmd, p.ended, p.asked = cmd, make(chan struct{}), &atomic.Bool{}
 	ready := make(chan struct{})
-	go p.follow(cmd, bufio.NewScanner(out), log, ready, p.ended)
+	go p.follow(cmd, bufio.NewScanner(out), log, ready, p.ended, p.asked)
 	select {
 	case <-ready:
 		return nil
@@ -65,22 +76,39 @@
 	}
 }
 
+// command is the program as it is started next, through the launcher where it has a disk.
+func (p *process) command() *exec.Cmd {
+	args := p.args()
+	if p.disk != nil {
+		args = append([]string{"stand-in", "disk", "--"}, args...)
+	}
+	cmd := exec.CommandContext(context.Background(), p.program, args...) //nolint:gosec // the program that runs this
+	cmd.Args[0] = programName
+	return cmd
+}
+
 // follow keeps what the process writes and waits for its end.
-func (p *process) follow(cmd *exec.Cmd, lines *bufio.Scanner, log *os.File, ready, ended chan struct{}) {
+func (p *process) follow(cmd *exec.Cmd, lines *bufio.Scanner, log *os.File, ready, ended chan struct{}, asked *atomic.Bool) {
 	defer close(ended)
 	defer func() { _ = log.Close() }()
-	var once sync.Once
+	served := false
 	for lines.Scan() {
 		text := lines.Text()
 		_, _ = log.WriteString(text + "\n")
 		if strings.HasPrefix(text, "ready ") || strings.Contains(text, `"event":"started"`) {
-			once.Do(func() { close(ready) })
+			if !served {
+				close(ready)
+			}
+			served = true
 		}
 		if p.line != nil {
 			p.line(text)
 		}
 	}
 	_ = cmd.Wait() // how it ended shows in its log
+	if served && !asked.Load() && p.exited != nil {
+		p.exited(p.name)
+	}
 }
 
 func (p *process) signal(sig syscall.Signal) {
@@ -94,6 +122,7 @@
 	if p.cmd == nil {
 		return
 	}
+	p.asked.Store(true)
 	p.signal(sig)
 	select {
 	case <-p.ended:
--- a/laburnumsoak/record.go
+++ b/laburnumsoak/record.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// exited notes that a process of the system ended though nobody asked it to.
+func (r *record) exited(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fail("%s ended by itself", name)
+}
+
 // conclude checks what can be told only when all processes have had their say.
 func (r *record) conclude() []string {
 	r.mu.Lock()
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -26,6 +26,8 @@
 	Seed uint64
 	// Length is how long faults come.
 	Length time.Duration
+	// Disks has the disks below control VMs misbehave too; it needs Linux.
+	Disks bool
 }
 
 // Report is what came of a run.
