docs: laburnumfeed's comments in the field's terms

Long polls for held questions, endpoint state for news of backend servers, the director for the VM that gives the orders. Notes on how values were found leave the comments. Ruled out: renaming identifiers, which other packages use. Behaviour is untouched: only comment lines change, and the package's tests pass.

--- a/laburnumfeed/askers.go
+++ b/laburnumfeed/askers.go
@@ -7,32 +7,30 @@
 )
 
 const (
-	// gatewayMemory is how long a gateway counts after its last question.
+	// gatewayMemory is how long a gateway counts after its last poll.
 	gatewayMemory = 30 * time.Second
-	// controlMemory is the same for a control VM: longer than a restart, so that
-	// nobody forgets the address of one that is only down for a moment.
+	// controlMemory is the same for a control VM: longer than a restart.
 	controlMemory = 20 * time.Second
-	// hearTime is after how long without a question another control VM counts as out of
-	// reach: each asks at least once in holdTime, and one question may be lost.
+	// hearTime is how long another control VM counts as reachable after its last poll: each
+	// polls at least once in holdTime, and one poll may be lost.
 	hearTime = 2*holdTime + 500*time.Millisecond
-	// recountTime is how old a count of the askers may be: the count looks at each, and
-	// done for each question it grows with the square of the gateways.
+	// recountTime bounds the age of a count of the pollers. A count for each poll would be
+	// quadratic in the gateways.
 	recountTime = 200 * time.Millisecond
 )
 
-// askers are the VMs that ask a source. Its owner serialises calls.
+// askers are the VMs that poll a source. It is not safe for concurrent use.
 type askers struct {
-	controls map[laburnumlever.VMID]knownControl
-	// gatewayAt is when each gateway last asked.
+	controls  map[laburnumlever.VMID]knownControl
 	gatewayAt map[laburnumlever.VMID]time.Time
 	counted   int
 	countedAt time.Time
 }
 
-// knownControl is a control VM that asked, or was named by one that did.
+// knownControl is a control VM that polled, or was named by one that did.
 type knownControl struct {
 	vm laburnumlever.VM
-	// namedAt is when it was last heard of, askedAt when it last asked itself.
+	// namedAt is when it was last named, askedAt when it last polled itself.
 	namedAt, askedAt time.Time
 }
 
@@ -40,7 +38,7 @@
 	return askers{controls: map[laburnumlever.VMID]knownControl{}, gatewayAt: map[laburnumlever.VMID]time.Time{}}
 }
 
-// heardOf notes a control VM and tells whether it is new, or at another address.
+// heardOf records a control VM and reports whether it is new or has another address.
 func (a *askers) heardOf(vm laburnumlever.VM, now time.Time) bool {
 	known, ok := a.controls[vm.ID]
 	if ok && known.vm.Incarnation > vm.Incarnation {
@@ -51,7 +49,7 @@
 	return moved
 }
 
-// asked notes that a VM asked.
+// asked records a poll.
 func (a *askers) asked(vm laburnumlever.VM, now time.Time) {
 	if !vm.HasDisk {
 		if _, ok := a.gatewayAt[vm.ID]; !ok {
@@ -66,12 +64,12 @@
 	}
 }
 
-// others are the control VMs heard of lately.
+// others returns the control VMs named within controlMemory.
 func (a *askers) others(now time.Time) []laburnumlever.VM {
 	return a.controlsThat(func(known knownControl) bool { return now.Sub(known.namedAt) < controlMemory })
 }
 
-// near are the control VMs that asked lately.
+// near returns the control VMs that polled within hearTime.
 func (a *askers) near(now time.Time) []laburnumlever.VM {
 	return a.controlsThat(func(known knownControl) bool { return now.Sub(known.askedAt) < hearTime })
 }
@@ -86,15 +84,14 @@
 	return out
 }
 
-// isolated tells whether no majority of the control VMs, this one included, has asked
-// lately. A control VM that is cut off from the others still answers, with what it knew
-// before: of a backend server that leaves meanwhile it never hears.
+// isolated reports whether fewer than a majority of the control VMs, this one included, have
+// polled lately. A control VM that is cut off still answers, with outdated endpoint state.
 func (a *askers) isolated(now time.Time) bool {
 	all, near := len(a.others(now))+1, len(a.near(now))+1
 	return 2*near <= all
 }
 
-// gateways counts the gateways that asked lately.
+// gateways counts the gateways that polled within gatewayMemory.
 func (a *askers) gateways(now time.Time) int {
 	if now.Sub(a.countedAt) < recountTime {
 		return a.counted
@@ -108,5 +105,5 @@
 	return a.counted
 }
 
-// count is how many VMs ask, those that went a while ago included.
+// count is how many VMs poll, with those that stopped up to their memory ago.
 func (a *askers) count() int { return len(a.gatewayAt) + len(a.controls) }
--- a/laburnumfeed/choice.go
+++ b/laburnumfeed/choice.go
@@ -9,26 +9,22 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// recordSources is from how many control VMs a VM hears of backend servers. Control VMs
-// tell each other what they hear, so one would do; with three, two may be lost or cut off
-// at once before news waits for the loss to be noticed. With all of them, what a control
-// VM sends grows with the number of control VMs too, and every VM hears everything that
-// often: eight times at 300 VMs.
+// recordSources is how many control VMs a VM gets endpoint state from. Control VMs replicate it to
+// each other, so one would do; with three, two may fail before updates wait for the failure to
+// be detected. Polling all of them would multiply the traffic by their number.
 const recordSources = 3
 
-// standing is what a follower knows of one control VM.
+// standing is a follower's view of one control VM.
 type standing struct {
 	address string
 	zone    laburnumlever.ZoneName
-	// lost tells that the last question failed, isolated that it hears no majority of
-	// the control VMs.
+	// lost is set while polls fail, isolated while it is cut off from a majority of the control VMs.
 	lost, isolated bool
 }
 
-// chooseRecordSources picks the control VMs that a VM hears of backend servers from. Those
-// that answer and hear the others go first, then the VM's own availability zone, which a
-// cut of the zone leaves it; the rest are spread over the VMs by a hash, so that all
-// control VMs have an equal share and keep it while others come and go.
+// chooseRecordSources picks the control VMs that a VM gets endpoint state from: reachable ones
+// first, then one of the VM's own availability zone, which stays reachable when the zone is cut
+// off, then by rendezvous hashing, which balances them and keeps choices stable.
 func chooseRecordSources(self laburnumlever.VM, known []standing) []string {
 	ranked := slices.Clone(known)
 	slices.SortFunc(ranked, func(a, b standing) int {
@@ -47,7 +43,7 @@
 	return chosen
 }
 
-// compareFlags puts false before true.
+// compareFlags orders false before true.
 func compareFlags(a, b bool) int {
 	switch {
 	case a == b:
@@ -59,11 +55,11 @@
 	}
 }
 
-// spread ranks an address for a key: each key has an order of its own.
+// spread is the rendezvous hash of an address for a key.
 func spread(key, address string) uint64 { return xxhash.Sum64String(key + "/" + address) }
 
-// nearest is the peer address of one of the VMs in an availability zone, the same for a key
-// while they are the same; empty where none is.
+// nearest returns the peer address of one VM in an availability zone, stable for a key; empty if
+// there is none.
 func nearest(vms []laburnumlever.VM, zone laburnumlever.ZoneName, key string) string {
 	best := ""
 	for _, vm := range vms {
--- a/laburnumfeed/doc.go
+++ b/laburnumfeed/doc.go
@@ -1,12 +1,10 @@
-// Package laburnumfeed brings what control VMs know to the gateways and to each
-// other: backend servers, the version of the routes, who the control VMs are.
+// Package laburnumfeed distributes state from control VMs to gateways and to each other by long
+// polls: endpoint state of backend servers, the version of the routes, the control VMs.
 //
-// Every VM asks every control VM that it knows for what is newer than the cursor
-// it holds; a gateway asks three of them for backend servers too. The question
-// waits at the control VM until there is something, so news is on its way within a
-// moment of being learned, and a VM that lost its link asks again with its old
-// cursor and misses nothing. A push over a gossip's rounds would take several of
-// their periods; a backend server that leaves has two seconds.
+// Every VM polls every control VM that it knows of for changes after a cursor; a gateway gets
+// endpoint state from three of them. A poll is held until there is a change, and a VM that
+// reconnects resumes from its cursor. Gossip would take several rounds, and a backend server that
+// leaves must be known everywhere within two seconds.
 //
 // # Usage
 //
@@ -18,9 +16,8 @@
 //
 // # Cost
 //
-// A VM holds one question open at each control VM: with 68 gateways and 8 control
-// VMs, 544 questions a second at most when nothing happens. The routes themselves
-// are fetched from one control VM only. News that follows closely is told together,
-// after a millisecond for each VM that asks, and encoded once for all of them, so
-// that a control VM gives a thousand answers a second at most.
+// A VM has one poll open at each control VM, renewed each second: 544 a second with 68 gateways
+// and 8 control VMs at rest. Routes are fetched from one control VM only. Changes are batched for
+// a millisecond for each VM that polls and encoded once, so that a control VM sends at most a
+// thousand answers a second.
 package laburnumfeed
--- a/laburnumfeed/errors.go
+++ b/laburnumfeed/errors.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// MessageError is a message between VMs that can't be read.
+// MessageError is a message between VMs that can't be decoded.
 type MessageError struct {
 	Method string
 	Cause  error
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -14,32 +14,32 @@
 )
 
 const (
-	// askTimeout is holdTime and a slow VM's delay on top.
+	// askTimeout is holdTime with a margin for a slow VM.
 	askTimeout = 3 * time.Second
-	// retryPause is between two questions after a failure: short beside the two
-	// seconds that a leaving backend server has, and few messages.
+	// retryPause is between two polls after a failure: short beside the two seconds in which a
+	// leaving backend server must be known.
 	retryPause = 200 * time.Millisecond
-	// startPause is the same for a VM that has no routes yet, and so serves nobody.
+	// startPause is the same for a VM that can't serve yet, for lack of routes.
 	startPause = 50 * time.Millisecond
 	// routesTimeout bounds one fetch of the routes.
 	routesTimeout = 2 * time.Second
 )
 
-// Sink takes what a follower learns, on any goroutine.
+// Sink receives what a follower learns, on any goroutine.
 type Sink interface {
-	// Learn takes an answer of the control VM at the address.
+	// Learn receives an answer of the control VM at the address.
 	Learn(address string, a Answer)
-	// Lost says that the control VM at the address does not answer.
+	// Lost is called when the control VM at the address stops answering.
 	Lost(address string)
-	// LearnRoutes takes a route table.
+	// LearnRoutes receives a route table.
 	LearnRoutes(t laburnumlever.RouteTable)
-	// RoutesVersion is the version held; 0 for none.
+	// RoutesVersion is the current version; 0 for none.
 	RoutesVersion() uint64
-	// News is what to tell the control VM that gives the orders.
+	// News is the gateway's report to the director.
 	News() laburnumlever.GatewayNews
 }
 
-// Follower asks all control VMs that it knows of.
+// Follower polls all control VMs that it knows of.
 type Follower struct {
 	peers  laburnumlever.Peers
 	timers laburnumlever.Timers
@@ -52,17 +52,17 @@
 	mu        sync.Mutex
 	following map[string]*followed
 	addresses map[laburnumlever.VMID]string
-	director  laburnumlever.VMID // the VM that gives the orders
+	director  laburnumlever.VMID
 	fetching  bool
 }
 
-// followed is one control VM that is asked.
+// followed is one control VM that is polled.
 type followed struct {
 	standing
-	// chosen tells that it is asked for backend servers too.
+	// chosen is set if it is polled for endpoint state too.
 	chosen bool
-	// boot and cursor are those of its last answer; recordsTo is the cursor up to which
-	// it has told of backend servers.
+	// boot and cursor are those of its last answer; recordsTo is the cursor up to which it has sent
+	// endpoint state.
 	boot, cursor, recordsTo uint64
 }
 
@@ -88,13 +88,13 @@
 	return f
 }
 
-// Close ends the questions.
+// Close ends the polls.
 func (f *Follower) Close() { f.once.Do(func() { close(f.done) }) }
 
-// Follow asks one more control VM from now on.
+// Follow adds a control VM to poll.
 func (f *Follower) Follow(address string) { f.follow(address, "") }
 
-// follow is Follow for a control VM whose availability zone is known; empty if it is not.
+// follow is Follow with the control VM's availability zone; empty if it is unknown.
 func (f *Follower) follow(address string, zone laburnumlever.ZoneName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,8 +114,8 @@
 	f.choose()
 }
 
-// choose settles which control VMs are asked for backend servers; mu is held. A control
-// VM asks all others, of which there are few: it passes on what they tell.
+// choose selects the control VMs to get endpoint state from; mu is held. A control VM polls all
+// others, of which there are few, since it replicates what they send.
 func (f *Follower) choose() {
 	var known []standing
 	for _, c := range f.following {
@@ -127,7 +127,7 @@
 	}
 }
 
-// run asks one control VM until Close.
+// run polls one control VM until Close.
 func (f *Follower) run(c *followed) {
 	for {
 		a, err := f.ask(c)
@@ -145,7 +145,7 @@
 	}
 }
 
-// note keeps how a question ended and says when a control VM is lost or regained.
+// note records the result of a poll and reports when a control VM is lost or regained.
 func (f *Follower) note(c *followed, a Answer, err error) {
 	f.mu.Lock()
 	was := c.standing
@@ -167,7 +167,7 @@
 	}
 }
 
-// pause is how long to wait after a question that failed.
+// pause is the time between a failed poll and the next.
 func (f *Follower) pause() time.Duration {
 	if f.sink.RoutesVersion() == 0 {
 		return startPause
@@ -196,8 +196,8 @@
 	return a, nil
 }
 
-// question asks for what is newer than the last answer. A control VM that was not asked
-// for backend servers lately is asked from where it last told of them.
+// question is a poll for what follows the last answer. Endpoint state resumes from where the
+// control VM last sent it.
 func (f *Follower) question(c *followed) request {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -214,15 +214,14 @@
 	return address == f.addresses[f.director]
 }
 
-// Director is the peer address of the control VM that gives the orders; empty
-// while it is not known.
+// Director is the peer address of the director; empty while it is unknown.
 func (f *Follower) Director() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.addresses[f.director]
 }
 
-// Refused forgets the control VM at the address as the one that gives the orders.
+// Refused forgets the director if it is the control VM at the address.
 func (f *Follower) Refused(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -242,8 +241,8 @@
 	}
 }
 
-// noteDirector keeps who gives the orders. Only the VM that does names itself, so that of the others
-// only the one known so far can take it back.
+// noteDirector records the director. Only the director names itself, so of the other control VMs
+// only the previous one can take it back.
 func (f *Follower) noteDirector(address string, a Answer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -255,8 +254,8 @@
 	}
 }
 
-// fetchRoutes fetches the table once, whoever is first to tell of it. A fetch that
-// fails is made good by the next answer, within a second.
+// fetchRoutes fetches the table from the first control VM that announces it. A failed fetch is
+// repeated at the next answer, within a second.
 func (f *Follower) fetchRoutes(address string) {
 	f.mu.Lock()
 	busy := f.fetching
--- a/laburnumfeed/newslog.go
+++ b/laburnumfeed/newslog.go
@@ -7,22 +7,19 @@
 	"laburnumlever"
 )
 
-// pageItems is how many items one answer has at most: some 180 KB of records at 350 bytes
-// each. At the start every VM asks for everything at once; with 3,000 backend servers and
-// 300 gateways whole answers come to several hundred MB at a control VM (worked out), which
-// had 280 MB and ended. Smaller pages are more round trips: a control VM took 73%
-// of its processor at 300 VMs with 128, 63% with 512 and idle connections closed sooner.
+// pageItems bounds the items of one answer. At the start every VM polls for everything at once, and
+// whole answers to hundreds of VMs would exhaust a control VM's memory; smaller pages cost more
+// round trips.
 const pageItems = 512
 
-// compactAbove is how many outdated items a log keeps beyond as many as are valid.
+// compactAbove is how many outdated items a log keeps beyond the number of valid ones.
 const compactAbove = 64
 
-// newsLog holds the newest item for each backend server in the order of their cursors,
-// encoded once for all who ask. Looking for what is newer than a cursor takes a time that
-// grows with what is newer, not with what is held. Its owner serialises calls.
+// newsLog holds the newest encoded item of each backend server, ordered by cursor. Reading after a
+// cursor takes time linear in what follows. It is not safe for concurrent use.
 type newsLog struct {
 	items []newsItem
-	// at is the cursor of each backend server's valid item; older ones are outdated.
+	// at is the cursor of each backend server's valid item.
 	at map[laburnumlever.BackendID]uint64
 }
 
@@ -34,7 +31,7 @@
 
 func newNewsLog() *newsLog { return &newsLog{at: map[laburnumlever.BackendID]uint64{}} }
 
-// put takes an item at a cursor above all before.
+// put appends an item at a cursor above all others.
 func (l *newsLog) put(id laburnumlever.BackendID, at uint64, encoded json.RawMessage) {
 	l.at[id] = at
 	l.items = append(l.items, newsItem{backend: id, at: at, encoded: encoded})
@@ -59,7 +56,7 @@
 	return out
 }
 
-// newer tells whether there is an item newer than a cursor up to another.
+// newer reports whether there is an item newer than a cursor up to another.
 func (l *newsLog) newer(since, until uint64) bool {
 	found := false
 	l.each(since, until, func(newsItem) bool {
@@ -69,8 +66,8 @@
 	return found
 }
 
-// page returns the cursor up to which one answer reaches that begins after since: until,
-// or less if there are more than pageItems.
+// page returns the last cursor of an answer that begins after since: until, or less if there are
+// more than pageItems.
 func (l *newsLog) page(since, until uint64) uint64 {
 	n := 0
 	end := until
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -15,21 +15,19 @@
 )
 
 const (
-	// holdTime is how long a question waits when there is no news: short enough
-	// that demand flows and a dead link shows, long enough to cost little.
+	// holdTime is how long a poll is held without changes. Polls carry gateways' reports, and one
+	// that isn't answered reveals a dead link.
 	holdTime = time.Second
-	// gatherTime for each VM that asks lies between two publications at least: at some
-	// 0.1 ms of a control VM for an answer (taken, not measured) a tenth of a core at most
-	// goes to news however many VMs there are and however often backend servers change.
-	// Nine gateways hear of a change within 10 ms, three hundred within 300 ms; a backend
-	// server that leaves has two seconds.
+	// gatherTime for each VM that polls is the least time between two publications, so that the
+	// processor time for answers is bounded: a change takes 10 ms to reach nine gateways and
+	// 300 ms to reach three hundred, of the two seconds that a leaving backend server has.
 	gatherTime = time.Millisecond
 )
 
-// NewsFunc takes what a gateway tells.
+// NewsFunc receives a gateway's report.
 type NewsFunc func(vm laburnumlever.VMID, news laburnumlever.GatewayNews)
 
-// Source answers the questions on a control VM. It may be used from any goroutine.
+// Source answers polls on a control VM. It is safe for concurrent use.
 type Source struct {
 	timers laburnumlever.Timers
 	logger log.Logger
@@ -40,13 +38,13 @@
 
 	mu     sync.Mutex
 	cursor uint64 // of the newest news
-	// published is the cursor up to which questions are answered.
+	// published is the cursor up to which polls are answered.
 	published uint64
 	changed   chan struct{} // closed at the next publication
 	records   *newsLog
 	overlays  *newsLog
 	routes    *laburnumlever.RouteTable
-	// encoded is the table as gateways get it; nil until the first asks.
+	// encoded is the table for gateways; nil until the first fetch.
 	encoded  laburnumlever.RawMessage
 	director laburnumlever.VMID
 	askers   askers
@@ -54,13 +52,12 @@
 	// the routes or the director.
 	controlsAt uint64
 	metaAt     uint64
-	// answers are those encoded since the last publication: VMs that follow along ask
-	// from the same cursor, and share one.
+	// answers are those encoded since the last publication: VMs that are up to date share one.
 	answers   map[answerKey]laburnumlever.RawMessage
 	answersAt time.Time
 }
 
-// answerKey is what an answer depends on beside the state of its source.
+// answerKey identifies an answer within one publication.
 type answerKey struct {
 	since   uint64
 	records bool
@@ -90,15 +87,15 @@
 	return s
 }
 
-// OnNews sets the function that takes the gateways' news; set it before serving.
+// OnNews sets the function for the gateways' reports; set it before serving.
 func (s *Source) OnNews(fn NewsFunc) { s.onNews = fn }
 
-// SetRecord offers a backend server's record to all who ask.
+// SetRecord publishes a backend server's record.
 func (s *Source) SetRecord(r laburnumregistry.Record) {
 	s.put(s.records, r.Heartbeat.Backend, r)
 }
 
-// SetOverlay offers what the VM that gives the orders, this one, knows of an engine.
+// SetOverlay publishes an engine's overlay, on the director.
 func (s *Source) SetOverlay(o laburnumregistry.Overlay) {
 	s.put(s.overlays, o.Backend, o)
 }
@@ -115,14 +112,14 @@
 	s.gather.Poke()
 }
 
-// ClearOverlays drops all, when another VM gives the orders.
+// ClearOverlays drops all overlays, when another VM becomes the director.
 func (s *Source) ClearOverlays() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.overlays.clear()
 }
 
-// Forget drops a backend server that nobody needs to hear of any more.
+// Forget drops a backend server.
 func (s *Source) Forget(id laburnumlever.BackendID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,7 +127,7 @@
 	s.overlays.remove(id)
 }
 
-// SetRoutes offers a route table.
+// SetRoutes publishes a route table.
 func (s *Source) SetRoutes(t laburnumlever.RouteTable) {
 	s.mu.Lock()
 	newer := s.routes == nil || t.Version > s.routes.Version
@@ -144,7 +141,7 @@
 	}
 }
 
-// SetDirector tells who gives the orders.
+// SetDirector publishes the director.
 func (s *Source) SetDirector(vm laburnumlever.VMID) {
 	s.mu.Lock()
 	other := s.director != vm
@@ -158,7 +155,7 @@
 	}
 }
 
-// NoteControl notes a control VM that was heard of.
+// NoteControl records a control VM.
 func (s *Source) NoteControl(vm laburnumlever.VM) {
 	s.mu.Lock()
 	other := vm.ID != s.self.ID && s.askers.heardOf(vm, s.timers.Now())
@@ -171,16 +168,15 @@
 	}
 }
 
-// Controls are the other control VMs heard of lately.
+// Controls returns the other known control VMs.
 func (s *Source) Controls() []laburnumlever.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.askers.others(s.timers.Now())
 }
 
-// Nearest is the peer address of a control VM in an availability zone, one of several by a
-// hash of the key, this VM included; empty where none has asked lately, or this VM hears
-// no majority and so can't tell who is there.
+// Nearest returns the peer address of a control VM in an availability zone, one of several by a
+// hash of the key, this VM included; empty if none polled lately, or if this VM is isolated.
 func (s *Source) Nearest(zone laburnumlever.ZoneName, key string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,7 +187,7 @@
 	return nearest(append(s.askers.near(now), s.self), zone, key)
 }
 
-// bump returns the cursor of what changes now; mu is held.
+// bump returns the cursor of the next change; mu is held.
 func (s *Source) bump() uint64 {
 	s.cursor++
 	return s.cursor
@@ -204,7 +200,7 @@
 	return time.Duration(s.askers.count()) * gatherTime
 }
 
-// publish answers the questions that wait.
+// publish answers the polls that are held.
 func (s *Source) publish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -240,7 +236,7 @@
 	}
 }
 
-// noteAsker notes who asks; a gateway is only counted.
+// noteAsker records the VM that polls; a gateway is only counted.
 func (s *Source) noteAsker(vm laburnumlever.VM) {
 	if vm.HasDisk {
 		s.NoteControl(vm)
@@ -250,8 +246,8 @@
 	s.askers.asked(vm, s.timers.Now())
 }
 
-// newsFor tells whether anything published is newer than the question knows, and what is
-// closed at the next publication.
+// newsFor reports whether anything published follows the request's cursor, with the channel that
+// is closed at the next publication.
 func (s *Source) newsFor(q request) (bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -262,8 +258,7 @@
 	return news, s.changed
 }
 
-// since is the cursor that a question is answered from: that of another start counts for
-// nothing.
+// since is the cursor to answer from: 0 if the request's is from another start.
 func (s *Source) since(q request) uint64 {
 	if q.Boot != s.boot {
 		return 0
@@ -271,7 +266,7 @@
 	return q.Since
 }
 
-// page is the cursor up to which one answer reaches.
+// page is the last cursor of an answer.
 func (s *Source) page(since uint64, records bool) uint64 {
 	end := s.overlays.page(since, s.published)
 	if records {
@@ -280,7 +275,7 @@
 	return end
 }
 
-// answer returns the encoded answer, made once for all who ask the same.
+// answer returns the encoded answer, which VMs with the same request share.
 func (s *Source) answer(q request) (laburnumlever.RawMessage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -301,7 +296,7 @@
 	return encoded, nil
 }
 
-// collect is what is newer than a cursor, a page at most; mu is held.
+// collect returns the changes after a cursor, at most a page; mu is held.
 func (s *Source) collect(key answerKey, now time.Time) answerEncoded {
 	end := s.page(key.since, key.records)
 	a := answerEncoded{
@@ -322,8 +317,7 @@
 	return a
 }
 
-// handleRoutes gives the table without the operators' own text, which only control
-// VMs need. It is encoded once for all gateways.
+// handleRoutes returns the table without the operators' document, which only control VMs need.
 func (s *Source) handleRoutes(context.Context, laburnumlever.RawMessage) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
