docs: laburnumregistry's comments in the field's terms

Endpoint state, tombstones, relayed heartbeats; the stories above tests become one line that names the failure they guard against. Ruled out: renaming identifiers. Behaviour is untouched: only comments change, and the package's tests pass.

--- a/laburnumregistry/doc.go
+++ b/laburnumregistry/doc.go
@@ -1,11 +1,9 @@
-// Package laburnumregistry keeps what is known of backend servers that announce
-// themselves by heartbeats. It is pure: time is passed in, and what it returns says
-// whether others need to be told.
+// Package laburnumregistry keeps the endpoint state of backend servers that announce themselves by
+// heartbeats. It is pure: time is passed in, and results say whether other VMs need to be told.
 //
-// Heartbeats come late, out of order, through other VMs, and from backend servers
-// that have died since. The higher sequence of one identity wins; an identity that
-// has said that it leaves never comes back; one that is gone stays known for a
-// while, so that a late heartbeat does not bring it back to life.
+// Heartbeats arrive late, out of order, through other VMs, and from backend servers that have
+// ended. The higher sequence of one identity wins; an identity that is leaving never comes back;
+// one that is gone leaves a tombstone, so that a late heartbeat does not revive it.
 //
 // # Usage
 //
--- a/laburnumregistry/overlay.go
+++ b/laburnumregistry/overlay.go
@@ -6,27 +6,26 @@
 	"laburnumlever"
 )
 
-// Overlay is what the VM that gives the orders knows of an engine beyond its
-// heartbeats. The one under the higher fencing number counts; under the same, the
-// later one.
+// Overlay is what the director knows of an engine beyond its heartbeats. The higher fencing number
+// wins, then the later one.
 type Overlay struct {
 	Backend laburnumlever.BackendID `json:"backend"`
 	Fence   uint64                  `json:"fence"`
-	// Born is the start of the engine that it speaks of.
+	// Born identifies the start of the engine that it describes.
 	Born uint64 `json:"born,omitempty"`
-	// Sequence is that of the last heartbeat known when it was made.
+	// Sequence is that of the engine's last heartbeat before it.
 	Sequence uint64 `json:"sequence"`
-	// Withdrawn are models that gateways must send nothing more for.
+	// Withdrawn are models that no request may be sent for any more.
 	Withdrawn []laburnumlever.ModelName `json:"withdrawn,omitempty"`
-	// Adapters are those that are there, by model.
+	// Adapters are the loaded adapters by model.
 	Adapters []laburnumlever.HeldModel `json:"adapters,omitempty"`
 	// Outliers counts how often the backend server was detected as an outlier under the fencing
 	// number.
 	Outliers uint64 `json:"outliers,omitempty"`
 }
 
-// Holds tells whether requests for the model, and the adapter unless it is empty,
-// may go to an engine with the heartbeat.
+// Holds reports whether requests for the model, and the adapter unless it is empty, may be sent to
+// an engine with the heartbeat.
 func (o Overlay) Holds(h laburnumlever.Heartbeat, model laburnumlever.ModelName, adapter laburnumlever.AdapterName) bool {
 	if o.Born != h.Born {
 		o = Overlay{}
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -10,31 +10,31 @@
 )
 
 const (
-	// silentPeriods is how many heartbeats in a row are missed before a backend
-	// server counts as silent: one may be lost and one late.
+	// silentPeriods is how many consecutive heartbeats are missed before a backend server counts as
+	// silent: one may be lost and one late.
 	silentPeriods = 3
-	// forgetAfter is how long a silent or gone backend server stays known, far
-	// above the time by which a heartbeat can be late.
+	// forgetAfter is how long the record of a silent backend server, or a tombstone, is kept: far
+	// longer than a heartbeat can be late.
 	forgetAfter = 2 * time.Minute
 )
 
-// Record is what is known of one backend server.
+// Record is the endpoint state of one backend server.
 type Record struct {
 	Heartbeat laburnumlever.Heartbeat `json:"heartbeat"`
-	// Gone tells that it has ended or will within moments.
+	// Gone marks a tombstone: it has ended, or will within moments.
 	Gone bool `json:"gone,omitempty"`
-	// Silent tells that its heartbeats have stopped.
+	// Silent is set when its heartbeats have stopped.
 	Silent bool `json:"silent,omitempty"`
 }
 
-// TakesWork tells whether new work may be sent to the backend server. A silent one
-// may: its path to the control VMs may be cut and that to the gateways not.
+// TakesWork reports whether new requests may be sent to the backend server. A silent one may be cut
+// off from the control VMs only.
 func (r Record) TakesWork() bool { return !r.Gone && !r.Heartbeat.Leaving }
 
 type entry struct {
 	record Record
 	heard  time.Time
-	// alive is the sequence of the last heartbeat that was told of without its content.
+	// alive is the sequence of the last heartbeat that was relayed without its content.
 	alive uint64
 }
 
@@ -44,17 +44,17 @@
 	entries map[laburnumlever.BackendID]*entry
 }
 
-// New makes an empty table for backend servers with the given heartbeat period.
+// New returns an empty table for backend servers with the given heartbeat period.
 func New(period time.Duration) *Table {
 	return &Table{period: period, entries: map[laburnumlever.BackendID]*entry{}}
 }
 
-// Take notes a heartbeat and tells whether the record changed for others.
+// Take records a heartbeat and reports whether the record changed for others.
 func (t *Table) Take(h laburnumlever.Heartbeat, now time.Time) bool {
 	e := t.entries[h.Backend]
 	if e == nil || h.Born > e.record.Heartbeat.Born {
-		// One that starts again under its identity is another: that the last start has
-		// ended, or left, says nothing of it.
+		// A restart under the same identity is a new backend server: the tombstone of the last
+		// start doesn't apply.
 		t.entries[h.Backend] = &entry{record: Record{Heartbeat: h}, heard: now}
 		return true
 	}
@@ -68,9 +68,9 @@
 	return before.Silent || !sameNews(before.Heartbeat, h)
 }
 
-// Alive notes that another VM heard a heartbeat which brought it nothing new, and tells
-// whether the record changed for others. One that is not known here, or known by an older
-// heartbeat, is left as it is: what it brought comes from the VM that heard it.
+// Alive records a heartbeat that another VM received and that changed nothing there, and reports
+// whether the record changed for others. One that is unknown here, or known by an older
+// heartbeat, is left as it is: its content comes from the VM that received it.
 func (t *Table) Alive(id laburnumlever.BackendID, born, sequence uint64, now time.Time) bool {
 	e := t.entries[id]
 	if e == nil || e.record.Gone || e.record.Heartbeat.Born != born || sequence <= max(e.alive, e.record.Heartbeat.Sequence) {
@@ -82,7 +82,7 @@
 	return changed
 }
 
-// Merge notes a record that another VM has sent and tells whether it changed.
+// Merge takes a record from another VM and reports whether it changed.
 func (t *Table) Merge(r Record, now time.Time) bool {
 	id := r.Heartbeat.Backend
 	e := t.entries[id]
@@ -100,8 +100,7 @@
 	return changed
 }
 
-// mergeGone notes the end of a start of a backend server; that of an earlier start than
-// the one known is old.
+// mergeGone takes a tombstone; one of an earlier start than the known one is outdated.
 func (t *Table) mergeGone(r Record, now time.Time) bool {
 	id := r.Heartbeat.Backend
 	e := t.entries[id]
@@ -112,15 +111,14 @@
 	return r.Heartbeat.Born == e.record.Heartbeat.Born && t.Remove(id, now)
 }
 
-// sameWord tells whether two heartbeats under one identity are the same.
+// sameWord reports whether two heartbeats under one identity are the same.
 func sameWord(a, b laburnumlever.Heartbeat) bool {
 	return a.Born == b.Born && a.Sequence == b.Sequence
 }
 
-// Adopt notes a record that another control VM has sent and tells whether it changed.
-// Who is silent here is judged by what is heard here: control VMs that took each other's
-// word on the same heartbeat would call a dead backend server silent and heard again in
-// turns, for ever, each turn being news for all.
+// Adopt takes a record from another control VM and reports whether it changed. Silence is detected
+// by each control VM from what it receives itself: if they took it from each other, a dead
+// backend server would be marked silent and alive in turns for ever.
 func (t *Table) Adopt(r Record, now time.Time) bool {
 	e := t.entries[r.Heartbeat.Backend]
 	if e != nil && !r.Gone && !r.Heartbeat.NewerThan(e.record.Heartbeat) {
@@ -129,13 +127,13 @@
 	return t.Merge(r, now)
 }
 
-// sameNews compares two heartbeats but for their sequence.
+// sameNews compares two heartbeats without their sequence.
 func sameNews(a, b laburnumlever.Heartbeat) bool {
 	a.Sequence, b.Sequence = 0, 0
 	return reflect.DeepEqual(a, b)
 }
 
-// Remove notes that a backend server is gone, known or not.
+// Remove leaves a tombstone for a backend server, known or not.
 func (t *Table) Remove(id laburnumlever.BackendID, now time.Time) bool {
 	e := t.entries[id]
 	if e == nil {
@@ -150,7 +148,7 @@
 	return true
 }
 
-// Expire marks those silent whose heartbeats have stopped and returns them.
+// Expire marks backend servers whose heartbeats have stopped as silent and returns them.
 func (t *Table) Expire(now time.Time) []laburnumlever.BackendID {
 	var changed []laburnumlever.BackendID
 	for id, e := range t.entries {
@@ -163,16 +161,15 @@
 	return changed
 }
 
-// Forget drops those that are gone, or have been silent, for long and returns them. Each
-// start of a backend server has an identity of its own, so without it the table grows
-// with every release. It is for a VM that hears the heartbeats itself.
+// Forget drops tombstones and records of silent backend servers after forgetAfter and returns them.
+// Each start of a backend server has its own identity, so the table would grow with every
+// release. It is for a VM that receives the heartbeats itself.
 func (t *Table) Forget(now time.Time) []laburnumlever.BackendID {
 	return t.forget(now, func(r Record) bool { return r.Gone || r.Silent })
 }
 
-// ForgetGone is Forget for a VM that is told of backend servers by others. It hears nothing
-// while nothing changes, so one that a single control VM called silent may be alive and at
-// work; only the word that it is gone is final.
+// ForgetGone is Forget for a VM that gets records from others: it gets none while nothing changes,
+// so only tombstones are dropped.
 func (t *Table) ForgetGone(now time.Time) {
 	t.forget(now, func(r Record) bool { return r.Gone })
 }
@@ -189,7 +186,7 @@
 	return forgotten
 }
 
-// Record returns what is known of a backend server.
+// Record returns the record of a backend server.
 func (t *Table) Record(id laburnumlever.BackendID) (Record, bool) {
 	e := t.entries[id]
 	if e == nil {
@@ -198,7 +195,7 @@
 	return e.record, true
 }
 
-// Records returns all, in the order of their identities.
+// Records returns all records, ordered by identity.
 func (t *Table) Records() []Record {
 	out := make([]Record, 0, len(t.entries))
 	for _, e := range t.entries {
--- a/laburnumregistry/registry_test.go
+++ b/laburnumregistry/registry_test.go
@@ -24,20 +24,19 @@
 
 func leaving(h *laburnumlever.Heartbeat) { h.Leaving = true }
 
-// A backend server says that it leaves; an older heartbeat, held up on its way, comes
-// after it. Requests must not go there again: it ends while they run.
+// Guards against a late heartbeat that revives a backend server which is leaving.
 func TestLateHeartbeatDoesNotUndoLeaving(t *testing.T) {
 	table := laburnumregistry.New(period)
 	require.True(t, table.Take(beat(1), start))
 	require.True(t, table.Take(beat(5, leaving), start.Add(time.Second)))
 	require.False(t, table.Take(beat(4), start.Add(2*time.Second)))
-	table.Take(beat(6), start.Add(3*time.Second)) // even a newer one that forgets to say it
+	table.Take(beat(6), start.Add(3*time.Second)) // a newer one doesn't repeat it
 	r, ok := table.Record("i-1")
 	require.True(t, ok)
 	require.False(t, r.TakesWork())
 }
 
-// A backend server is gone, and a heartbeat that it sent before comes seconds later.
+// Guards against a late heartbeat that revives a backend server which is gone.
 func TestLateHeartbeatDoesNotRaiseTheDead(t *testing.T) {
 	table := laburnumregistry.New(period)
 	require.True(t, table.Remove("i-1", start))
@@ -46,9 +45,7 @@
 	require.True(t, r.Gone)
 }
 
-// Heartbeats stop for a moment, as at a cut between the backend servers and the control
-// VMs, while callers still reach it. It is silent, but work may still go there; the next
-// heartbeat makes it whole again, and both are news for the others.
+// Guards against backend servers that are taken out because control VMs can't reach them.
 func TestSilenceIsNewsAndEnds(t *testing.T) {
 	table := laburnumregistry.New(period)
 	table.Take(beat(1), start)
@@ -62,7 +59,7 @@
 	require.False(t, r.Silent)
 }
 
-// Every heartbeat that only says "still here" must cost the gateways nothing.
+// Guards against heartbeats without changes that are sent on to gateways.
 func TestUnchangedHeartbeatIsNoNews(t *testing.T) {
 	table := laburnumregistry.New(period)
 	table.Take(beat(1), start)
@@ -71,7 +68,7 @@
 	}
 }
 
-// Two control VMs tell a gateway of one backend server, one of them from before it left.
+// Guards against an outdated record that revives a backend server which is leaving.
 func TestMergeKeepsTheNewest(t *testing.T) {
 	table := laburnumregistry.New(period)
 	require.True(t, table.Merge(laburnumregistry.Record{Heartbeat: beat(7, leaving)}, start))
@@ -96,10 +93,7 @@
 	require.True(t, o.Holds(h, "m0", "a1"), "a newer heartbeat lists it")
 }
 
-// A backend server dies without a word. Each of two control VMs notices the silence and
-// tells the other, who has the same heartbeat. If they took each other's word on it, it
-// would be silent and heard again in turns, and models would be planned onto it for as
-// long as it is remembered.
+// Guards against a dead backend server that control VMs mark silent and alive in turns.
 func TestControlVMsAgreeThatADeadServerIsSilent(t *testing.T) {
 	one, two := laburnumregistry.New(period), laburnumregistry.New(period)
 	one.Take(beat(1), start)
@@ -122,9 +116,7 @@
 	require.False(t, r.Silent)
 }
 
-// A control VM has called a backend server silent. Another's word that it is not, sent
-// before that one had noticed and about the same heartbeat, comes afterwards. Taken, the
-// dead one would be given models again until the next silence.
+// Guards against an outdated record that undoes a control VM's detection of silence.
 func TestAnothersWordOnAnOldHeartbeatIsNoNews(t *testing.T) {
 	one, two := laburnumregistry.New(period), laburnumregistry.New(period)
 	one.Take(beat(1), start)
@@ -136,8 +128,7 @@
 	require.True(t, r.Silent)
 }
 
-// Releases replace backend servers day after day, each start under a new identity. Those
-// gone for minutes must not be kept, and one that lives must, however long it is known.
+// Guards against tables that grow with every release, and against live servers being dropped.
 func TestGoneBackendServersAreForgotten(t *testing.T) {
 	table := laburnumregistry.New(period)
 	other := func(h *laburnumlever.Heartbeat) { h.Backend = "i-2" }
@@ -152,9 +143,7 @@
 	require.Equal(t, []laburnumlever.BackendID{"i-2"}, table.Forget(start.Add(time.Hour)))
 }
 
-// A backend server speaks to one control VM, and the others are told only that it is alive.
-// It does not fall silent there; a word from before its last heartbeat, or about one that
-// is gone, counts for nothing.
+// Guards against silence where only another control VM gets heartbeats, and against late ones.
 func TestWordThatABackendServerIsAliveKeepsItHeard(t *testing.T) {
 	const period = time.Second
 	now := time.Unix(1_000_000, 0)
@@ -177,9 +166,7 @@
 	require.False(t, table.Alive("i-2", 0, 1, now), "not known here yet")
 }
 
-// An engine crashes and starts again under its identity. Its words begin at one again; taken
-// for late ones, it would be unknown for as long as it ran before. Words of the earlier
-// start, and that it has ended, come late and say nothing of the new one.
+// Guards against heartbeats of a restarted engine that are taken for late ones.
 func TestStartUnderTheSameIdentityIsAnother(t *testing.T) {
 	born := func(at uint64) func(*laburnumlever.Heartbeat) {
 		return func(h *laburnumlever.Heartbeat) { h.Born = at }
