docs: laburnumroles's comments in the field's terms

Drain, transfer of leadership, linearizable read, tombstone, relayed heartbeats; measured figures leave the comments, stories above tests become one line. Ruled out: renaming identifiers. Behaviour is untouched: only comments change.

--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -24,26 +24,24 @@
 )
 
 const (
-	// proposeTimeout answers an operator before it gives up on this VM, which it
-	// does after a second.
+	// proposeTimeout is below an operator's own timeout of a second.
 	proposeTimeout = 900 * time.Millisecond
-	// usagePeriod is how often the control thread's use of its time is told.
+	// usagePeriod is how often the control thread's use of its time is logged.
 	usagePeriod = 5 * time.Second
-	// expirePeriod is how often silent backend servers are looked for.
+	// expirePeriod is how often silent backend servers are detected.
 	expirePeriod = 500 * time.Millisecond
-	// replaceShare of the time in which a new VM must count passes before a
-	// silent voter is replaced: the rest is for an election before, if the leader was it.
+	// replaceShare of the time for replacing a VM passes before a silent voter is replaced; the rest
+	// is for an election, if it was the leader.
 	replaceShare = 0.5
-	// handOverTimeout bounds the wait for another voter to lead.
+	// handOverTimeout bounds the transfer of leadership at shutdown.
 	handOverTimeout = time.Second
-	// growTimeout is when the log is taken to have all the voters it will get, this long
-	// after its leader's start.
+	// growTimeout after its leader's start the log counts as grown to all the voters it will get.
 	growTimeout = 12 * time.Second
-	// proposalLimit bounds any proposal, those of the director too.
+	// proposalLimit bounds every proposal, also the director's.
 	proposalLimit = 3 * time.Second
 )
 
-// commitBuckets reach from one sync of a disk to the time that an operator waits.
+// commitBuckets reach from one sync of a disk to an operator's timeout.
 var commitBuckets = tally.DurationBuckets{
 	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
 	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second,
@@ -59,7 +57,7 @@
 	follower *laburnumfeed.Follower
 	director *laburnumdirector.Director
 	relay    *relay
-	// commits is the time that the log takes for an operator's change.
+	// commits is the time to commit an operator's change.
 	commits tally.Histogram
 
 	mu       sync.Mutex
@@ -71,7 +69,7 @@
 	_ laburnumfeed.Sink          = (*Control)(nil)
 )
 
-// NewControl makes a control VM that does not run yet. An error is a *StartError.
+// NewControl returns a control VM that is not started. An error is a *StartError.
 func NewControl(settings laburnumsettings.Role, engines laburnumlever.ModelEngines, opts ...Option) (*Control, error) {
 	meter := laburnumcontrol.NewMeter()
 	c := &Control{process: newProcess(settings, opts), loop: laburnumcontrol.New(laburnumcontrol.WithMeter(meter)), meter: meter}
@@ -103,8 +101,8 @@
 	c.director = d
 }
 
-// news takes what a gateway tells. A backend server whose address is another's now has
-// ended without a word; that is known here before its heartbeats are missed.
+// news takes a gateway's report. A backend server whose address another one has now is gone, which
+// is known before its heartbeats are missed.
 func (c *Control) news(vm laburnumlever.VMID, news laburnumlever.GatewayNews) {
 	for _, id := range news.Replaced {
 		c.gone(id)
@@ -112,7 +110,7 @@
 	c.director.SetNews(vm, news)
 }
 
-// gone notes that an engine's address is another's now.
+// gone records that an engine's address belongs to another one now.
 func (c *Control) gone(backend laburnumlever.BackendID) {
 	c.remove(backend)
 	c.relay.addGone(backend)
@@ -160,7 +158,7 @@
 	return nil
 }
 
-// contacts are the control VMs that this one knows of, the seeds included.
+// contacts returns the known control VMs, the seeds included.
 func (c *Control) contacts() []laburnumlever.Voter {
 	var voters []laburnumlever.Voter
 	for _, v := range c.settings.SeedVoters() {
@@ -181,7 +179,7 @@
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes))
 }
 
-// Start runs the control VM; handler serves the platform's calls.
+// Start starts the control VM; handler serves the platform's calls.
 func (c *Control) Start(handler http.Handler) error {
 	if err := c.servePeers(); err != nil {
 		return err
@@ -200,8 +198,7 @@
 	return nil
 }
 
-// reportUsage tells what the control thread was busy with, so that one that falls behind shows
-// what it falls behind with.
+// reportUsage logs what the control thread spent its time on.
 func (c *Control) reportUsage(time.Time) {
 	u := c.meter.Take()
 	events := make([]string, 0, len(u.Events))
@@ -212,7 +209,7 @@
 		"waited-ms", u.Waited.Milliseconds(), "longest", u.Longest.Event, "longest-ms", u.Longest.Took.Milliseconds(), "events", events)
 }
 
-// Shutdown hands the leadership over and ends the process.
+// Shutdown transfers leadership and ends the process.
 func (c *Control) Shutdown(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
@@ -227,16 +224,15 @@
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventStopped, "role", "control")
 }
 
-// Heartbeat takes a backend server's word about itself.
+// Heartbeat takes a backend server's heartbeat.
 func (c *Control) Heartbeat(_ context.Context, h laburnumlever.Heartbeat) (string, error) {
 	c.relay.add(h, c.take(h))
 	return c.heartbeatAddress(h), nil
 }
 
-// heartbeatAddress is where a backend server's later heartbeats are best sent: a control VM
-// of its own availability zone. Left to themselves, backend servers gather at the one that
-// happened to answer: before 1,003 of them the busiest control VM had 1,644 connections and
-// the one in the middle 358; with it, and idle connections closed, 1,268 and 325.
+// heartbeatAddress is where a backend server should send later heartbeats: a control VM of its own
+// availability zone. Without it, backend servers stay with the one that answered first, which
+// may end up with most of the connections.
 func (c *Control) heartbeatAddress(h laburnumlever.Heartbeat) string {
 	peer := c.source.Nearest(h.Zone, string(h.Backend))
 	host, _, err := net.SplitHostPort(peer)
@@ -250,14 +246,14 @@
 	return net.JoinHostPort(host, port)
 }
 
-// Remove takes a backend server's word that it is gone.
+// Remove takes a backend server's deregistration.
 func (c *Control) Remove(_ context.Context, backend laburnumlever.BackendID) error {
 	c.remove(backend)
 	c.relay.addGone(backend)
 	return nil
 }
 
-// take notes a heartbeat and tells whether it brought something new.
+// take records a heartbeat and reports whether it changed anything.
 func (c *Control) take(h laburnumlever.Heartbeat) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -269,7 +265,7 @@
 	return false
 }
 
-// takeAlive notes that another control VM heard a heartbeat that brought nothing new.
+// takeAlive records a heartbeat that another control VM received and that changed nothing.
 func (c *Control) takeAlive(a alive) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -287,7 +283,7 @@
 	}
 }
 
-// offer puts a record into the feed; mu is held.
+// offer publishes a record; mu is held.
 func (c *Control) offer(id laburnumlever.BackendID) {
 	r, ok := c.registry.Record(id)
 	if !ok {
@@ -300,8 +296,8 @@
 		"gone", r.Gone, "silent", r.Silent)
 }
 
-// noteLevel logs a backend server that is new, leaves or falls silent, and only at the
-// debug level that its models changed: orders are logged where they are given.
+// noteLevel logs a backend server that is new, leaves or falls silent at info level, changes of
+// its models at debug level, since orders are logged anyway.
 func (c *Control) noteLevel(r laburnumregistry.Record) log.Logger {
 	if r.Gone || r.Silent || r.Heartbeat.Leaving || r.Heartbeat.Sequence <= 1 {
 		return level.Info(c.logger)
@@ -309,8 +305,7 @@
 	return level.Debug(c.logger)
 }
 
-// tellControls sends what was heard lately to the other control VMs, so that each knows
-// who is alive whichever one a backend server talks to.
+// tellControls relays recent heartbeats to the other control VMs.
 func (c *Control) tellControls(news relayed) {
 	encoded, err := json.Marshal(news)
 	if err != nil {
@@ -351,7 +346,7 @@
 	}
 }
 
-// ApplyRoutes puts a table into force through the log.
+// ApplyRoutes commits a table to the log.
 func (c *Control) ApplyRoutes(ctx context.Context, table laburnumlever.RouteTable) error {
 	if err := laburnumroutes.Check(table); err != nil {
 		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "version", table.Version, "cause", err)
@@ -368,11 +363,10 @@
 	return err
 }
 
-// voterTarget is how many voters bear the loss of some of them, with their disks.
+// voterTarget is how many voters tolerate the loss of some of them with their disks.
 func voterTarget(losses int) int { return 2*losses + 1 }
 
-// ReadRoutes reads the newest table through the log, so that a VM that is cut off
-// says that it can't be sure.
+// ReadRoutes is a linearizable read of the table; on a VM without a quorum it fails.
 func (c *Control) ReadRoutes(ctx context.Context) (laburnumlever.RouteTable, error) {
 	result, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandReadRoutes})
 	if err != nil {
@@ -390,7 +384,7 @@
 	return c.voter.Propose(ctx, cmd)
 }
 
-// Learn takes what another control VM knows.
+// Learn takes changes from another control VM.
 func (c *Control) Learn(_ string, a laburnumfeed.Answer) {
 	for _, vm := range a.Controls {
 		if vm.HasDisk {
@@ -407,20 +401,19 @@
 	}
 }
 
-// Lost says that another control VM does not answer.
+// Lost does nothing: other control VMs are polled until they answer.
 func (c *Control) Lost(string) {}
 
-// LearnRoutes does nothing: routes come to a control VM through the log.
+// LearnRoutes does nothing: a control VM gets routes from the log.
 func (c *Control) LearnRoutes(laburnumlever.RouteTable) {}
 
-// RoutesVersion keeps the follower from fetching routes, which come through the log.
+// RoutesVersion keeps the follower from fetching routes, which come from the log.
 func (c *Control) RoutesVersion() uint64 { return ^uint64(0) }
 
-// News is none: callers come to gateways.
+// News is empty: callers are served by gateways.
 func (c *Control) News() laburnumlever.GatewayNews { return laburnumlever.GatewayNews{} }
 
-// Reload takes changed settings: other seeds are followed from now on, beside those
-// known.
+// Reload applies changed settings: new seeds are polled beside the known control VMs.
 func (c *Control) Reload(settings laburnumsettings.Role) {
 	c.reload(settings, c.follower)
 }
--- a/laburnumroles/doc.go
+++ b/laburnumroles/doc.go
@@ -1,7 +1,6 @@
-// Package laburnumroles puts together the processes of a system that has its work
-// split over two kinds of VM: gateways, which serve callers and keep nothing, and
-// control VMs, which keep the state, hear the backend servers and the operators,
-// and give the orders to engines.
+// Package laburnumroles assembles the processes of the two kinds of VM: gateways, which serve callers
+// and keep nothing, and control VMs, which hold the replicated state, take heartbeats and operators'
+// calls, and place models on engines.
 //
 // # Usage
 //
@@ -15,9 +14,10 @@
 //	…
 //	gateway.Shutdown(ctx)
 //
-// The way of the data: backend servers announce themselves to a control VM, which
-// tells the other control VMs and offers the news to all gateways (laburnumfeed). An
-// operator's routes go through the replicated log (laburnumvoter) and from each
-// control VM to the gateways the same way. The control VM that holds the lease
-// (laburnumdirector) gives the orders to engines.
+// # Data flow
+//
+// Backend servers announce themselves to a control VM, which relays their heartbeats to the other
+// control VMs and publishes endpoint state to all gateways (laburnumfeed). An operator's routes are
+// committed to the replicated log (laburnumvoter) and published by each control VM the same way. The
+// control VM that holds the placement lease orders engines to load and unload (laburnumdirector).
 package laburnumroles
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -16,10 +16,10 @@
 	"github.com/go-kit/log/level"
 )
 
-// kindNotDirector is the kind of a *laburnumdirector.NotDirectorError.
+// kindNotDirector is the kind of a *laburnumdirector.NotDirectorError on the wire.
 const kindNotDirector = "not-director"
 
-// sweepPeriod is how often idle connections are looked through.
+// sweepPeriod is how often idle connections are closed.
 const sweepPeriod = time.Second
 
 // Gateway is a gateway VM's process.
@@ -30,7 +30,7 @@
 	follower *laburnumfeed.Follower
 }
 
-// NewGateway makes a gateway that does not run yet.
+// NewGateway returns a gateway that is not started.
 func NewGateway(settings laburnumsettings.Role, dialect laburnumlever.Dialect, opts ...Option) *Gateway {
 	g := &Gateway{process: newProcess(settings, opts)}
 	seed := xxhash.Sum64String(string(g.self.ID))
@@ -48,7 +48,7 @@
 	return g
 }
 
-// Start runs the gateway; ready answers whether callers may be sent here.
+// Start starts the gateway; ready serves the balancer's readiness check.
 func (g *Gateway) Start(ready func(ready func() bool) http.Handler) error {
 	g.follower = laburnumfeed.NewFollower(g.peers, g.timers, g.self, g.seedPeers(), g.fleet,
 		laburnumfeed.WithLogger(g.logger))
@@ -64,7 +64,7 @@
 	return nil
 }
 
-// Need asks the control VM that gives the orders for an adapter.
+// Need asks the director for an adapter.
 func (g *Gateway) Need(ctx context.Context, need laburnumlever.AdapterNeed) ([]laburnumlever.BackendID, error) {
 	address := g.follower.Director()
 	if address == "" {
@@ -79,7 +79,7 @@
 	return answer.Backends, err
 }
 
-// Shutdown ends the gateway in order: what is under way finishes unless ctx ends.
+// Shutdown drains the gateway until ctx ends, and ends it.
 func (g *Gateway) Shutdown(ctx context.Context) {
 	g.gateway.Drain(ctx)
 	g.follower.Close()
@@ -87,6 +87,5 @@
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventStopped, "role", "gateway")
 }
 
-// Reload takes changed settings: other seeds are followed from now on, beside those
-// known.
+// Reload applies changed settings: new seeds are polled beside the known control VMs.
 func (g *Gateway) Reload(settings laburnumsettings.Role) { g.reload(settings, g.follower) }
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -8,21 +8,21 @@
 	methodRelay = "heartbeat-relay"
 )
 
-// needAnswer names the engines that hold it by now.
+// needAnswer names the engines that hold the adapter.
 type needAnswer struct {
 	Backends []laburnumlever.BackendID `json:"backends"`
 }
 
-// relayed is what another control VM heard of backend servers lately.
+// relayed are heartbeats that another control VM received.
 type relayed struct {
-	// Heartbeats are those that brought something new.
+	// Heartbeats are those that changed something.
 	Heartbeats []laburnumlever.Heartbeat `json:"heartbeats,omitempty"`
-	// Alive are the backend servers whose heartbeats did not.
+	// Alive are the backend servers whose heartbeats changed nothing.
 	Alive []alive                   `json:"alive,omitempty"`
 	Gone  []laburnumlever.BackendID `json:"gone,omitempty"`
 }
 
-// alive tells of a heartbeat that brought nothing new.
+// alive is a heartbeat that changed nothing.
 type alive struct {
 	Backend  laburnumlever.BackendID `json:"backend"`
 	Born     uint64                  `json:"born,omitempty"`
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -23,7 +23,7 @@
 	"laburnumlever/platform"
 )
 
-// patience is when a test gives up on a cause: far above what a busy machine needs.
+// patience bounds the wait for a cause, far above what a busy machine needs.
 const patience = 60 * time.Second
 
 // site is a small deployment of the platform in this process: control VMs, a gateway,
@@ -84,7 +84,7 @@
 	s.t.Cleanup(func() { s.stop(i) })
 }
 
-// stop ends a control VM without handing anything over.
+// stop ends a control VM without a transfer of leadership.
 func (s *site) stop(i int) {
 	if s.stopped[i] {
 		return
@@ -127,7 +127,7 @@
 	return resp.StatusCode, text
 }
 
-// until calls until the status comes, as the operator and backend servers do.
+// until repeats a call until it returns the status.
 func (s *site) until(status int, what string, call func() (int, []byte)) []byte {
 	var body []byte
 	last := 0
@@ -170,7 +170,7 @@
 	return x
 }
 
-// announce says once that it is there, to the control VM given, and returns the status.
+// announce sends one heartbeat to the control VM given and returns the status.
 func (x *server) announce(control int) int {
 	document := map[string]any{
 		"service": x.service, "address": strings.TrimPrefix(x.http.URL, "http://"), "zone": "brest", "slots": 8,
@@ -218,9 +218,8 @@
 	_, _ = io.WriteString(w, "confirmed")
 }
 
-// A whole session on the platform: the system starts for the first time, an operator
-// sends a manifest, backend servers announce themselves, callers are served, a control VM
-// dies in the middle, the manifest changes, a backend server leaves.
+// Guards the whole path: first start, a manifest, backend servers, callers, a control VM that dies,
+// a changed manifest, a backend server that leaves.
 func TestSessionOnThePlatform(t *testing.T) {
 	s := newSite(t, 3, 1)
 	put := func(control int, body []byte) func() (int, []byte) {
@@ -288,9 +287,7 @@
 	require.Equal(t, before, plain.arrivals.Load())
 }
 
-// Two control VMs may be lost with their disks. The three seeds found the log and
-// acknowledge nothing until it has grown to five; then two lose their disks at once, come
-// back empty, and what was acknowledged must be there.
+// Guards against losing confirmed changes while the log grows to the voters that bear two losses.
 func TestAcknowledgedChangeOutlivesTwoLostDisks(t *testing.T) {
 	s := newSite(t, 5, 2)
 	s.until(200, "first manifest", func() (int, []byte) {
@@ -310,8 +307,7 @@
 	})
 }
 
-// A control VM that is cut off from the others, here since they are gone, can't know
-// whether there is a newer manifest. It must say so.
+// Guards against reads of an outdated manifest on a control VM without a quorum.
 func TestControlVMWithoutQuorumIsNotSure(t *testing.T) {
 	s := newSite(t, 3, 1)
 	s.until(200, "first manifest", func() (int, []byte) {
@@ -327,8 +323,8 @@
 	}
 }
 
-// BenchmarkHeartbeat is what a backend server's word that it is there still costs a control
-// VM, from the bytes of the call to the answer.
+// BenchmarkHeartbeat is the processor time of a heartbeat on a control VM, from the call's bytes to
+// the answer.
 func BenchmarkHeartbeat(b *testing.B) {
 	settings := laburnumsettings.Role{
 		VM: "127.0.0.1", Zone: "brest", PeerPort: 7600, Seeds: []string{"127.0.0.1:7601"}, DataFolder: b.TempDir(),
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -19,16 +19,14 @@
 	"golang.org/x/net/netutil"
 )
 
-// headerTimeout bounds how long a connection may take to send its headers, so
-// that half-open connections do not pile up.
+// headerTimeout closes connections that never send a whole request.
 const headerTimeout = 5 * time.Second
 
-// idleTimeout closes connections that nobody uses, after about three of a backend server's
-// heartbeats. Those that turned to another control VM leave theirs open, and thousands of
-// them are a control VM's memory.
+// idleTimeout is about three heartbeats. Backend servers that turned to another control VM leave
+// their connections open, and thousands of them exhaust a control VM's memory.
 const idleTimeout = 4 * time.Second
 
-// process is what both kinds of VM have.
+// process is the part common to both kinds of VM.
 type process struct {
 	settings laburnumsettings.Role
 	logger   log.Logger
@@ -37,8 +35,7 @@
 	self     laburnumlever.VM
 	peers    *laburnumpeer.Peers
 	servers  []*http.Server
-	// peerListener is closed before the links, so that whoever starts the process
-	// again finds the address free: the links' own end closes it a moment later.
+	// peerListener is closed before the links, so that a restarted process finds the address free.
 	peerListener net.Listener
 }
 
@@ -48,7 +45,7 @@
 // WithLogger sets the log; without it nothing is logged.
 func WithLogger(logger log.Logger) Option { return func(p *process) { p.logger = logger } }
 
-// WithMetrics sets the metrics that the process counts into and serves.
+// WithMetrics sets the process's metrics.
 func WithMetrics(metrics *laburnummetrics.Metrics) Option {
 	return func(p *process) { p.metrics = metrics }
 }
@@ -116,21 +113,20 @@
 	}()
 }
 
-// backendShare of a process's descriptors is for connections of backend servers and
-// operators. After an outage thousands of backend servers try one control VM after the
-// other; what is over the share waits to be accepted, so that these connections alone never
-// take the descriptors that gateways and control VMs need.
+// backendShare of a process's descriptors is for backend servers and operators. After an outage
+// thousands of backend servers try one control VM after the other; connections over the share
+// wait in the accept queue, so that gateways and control VMs can still connect.
 const backendShare = 0.5
 
 const (
-	// callShare of a process's descriptors is how many calls of other VMs it works on or holds
-	// at once: each VM has a connection and holds a question or two on it.
+	// callShare of a process's descriptors bounds concurrent calls of other VMs: each VM has one
+	// connection with one or two polls on it.
 	callShare = 0.25
-	// leastCalls is the same where the settings don't say how many descriptors there are.
+	// leastCalls is the same without a setting for descriptors.
 	leastCalls = 512
 )
 
-// serveBackends is serve for the listener that backend servers and operators call.
+// serveBackends is serve for the listener of backend servers and operators.
 func (p *process) serveBackends(name, address string, server *http.Server) error {
 	ln, err := listen(name, address)
 	if err != nil {
@@ -158,15 +154,15 @@
 	return nil
 }
 
-// serveMetrics shows the counters. A port that another process has is no reason not to
-// serve callers: it is logged, and the process goes on without showing them.
+// serveMetrics serves the metrics. A port in use is logged, and the process serves callers without
+// metrics.
 func (p *process) serveMetrics() {
 	if err := p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metrics.Handler())); err != nil {
 		_ = level.Error(p.logger).Log("event", laburnumlever.EventMetricsNotServed, "cause", err)
 	}
 }
 
-// seedPeers are the peer addresses of the seeds.
+// seedPeers returns the peer addresses of the seeds.
 func (p *process) seedPeers() []string {
 	var addresses []string
 	for _, v := range p.settings.SeedVoters() {
@@ -185,8 +181,8 @@
 	_ = p.peers.Close()
 }
 
-// reload notes changed settings. What a process listens on and where its data are can't
-// change while it runs; the seeds can.
+// reload applies changed settings: the seeds. Listeners and the data folder can't change while
+// the process runs.
 func (p *process) reload(settings laburnumsettings.Role, follower *laburnumfeed.Follower) {
 	for _, v := range settings.SeedVoters() {
 		follower.Follow(v.PeerAddress)
--- a/laburnumroles/process_internal_test.go
+++ b/laburnumroles/process_internal_test.go
@@ -12,9 +12,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// After an outage thousands of backend servers try each control VM. Those over a share of
-// its descriptors wait until others have gone, so that gateways and other control VMs still
-// find descriptors left.
+// Guards against reconnecting backend servers that take all descriptors of a control VM.
 func TestBackendServersTakeAShareOfTheDescriptorsOnly(t *testing.T) {
 	const address = "127.0.0.1:17391"
 	p := process{settings: laburnumsettings.Role{Descriptors: 4}, logger: log.NewNopLogger()}
--- a/laburnumroles/relay.go
+++ b/laburnumroles/relay.go
@@ -8,14 +8,12 @@
 	"laburnumlever/laburnumtimer"
 )
 
-// relayPeriod lies between two messages of a control VM to another about backend servers:
-// a fortieth of the two seconds in which a leaving one must be known everywhere. A message
-// for each heartbeat costs each control VM as much as one from a backend server, 48 µs, for
-// each heartbeat in the whole fleet: an eighth of a core at 2,500 a second (worked out).
+// relayPeriod batches heartbeats for the other control VMs: a fortieth of the two seconds in which
+// a leaving backend server must be known everywhere. One message for each heartbeat would make
+// each control VM's work grow with the whole fleet's heartbeats.
 const relayPeriod = 50 * time.Millisecond
 
-// relay gathers what this control VM hears of backend servers for the others. It may be
-// used from any goroutine.
+// relay batches heartbeats for the other control VMs. It is safe for concurrent use.
 type relay struct {
 	gather *laburnumtimer.Gatherer
 	send   func(relayed)
@@ -30,7 +28,7 @@
 	return r
 }
 
-// add passes a heartbeat on, whole if it brought something new.
+// add relays a heartbeat, whole if it changed something.
 func (r *relay) add(h laburnumlever.Heartbeat, changed bool) {
 	r.mu.Lock()
 	if changed {
@@ -42,7 +40,7 @@
 	r.gather.Poke()
 }
 
-// addGone passes on that a backend server is gone.
+// addGone relays a tombstone.
 func (r *relay) addGone(id laburnumlever.BackendID) {
 	r.mu.Lock()
 	r.next.Gone = append(r.next.Gone, id)
--- a/laburnumroles/relay_test.go
+++ b/laburnumroles/relay_test.go
@@ -10,9 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Two and a half thousand heartbeats a second come to the control VMs, and nearly all bring
-// nothing new. The others hear of them in one message a period, whole only where something
-// changed.
+// Guards against a relayed message for each heartbeat that changed nothing.
 func TestRelayGathersWhatIsHeard(t *testing.T) {
 	timers := laburnumtimer.NewManual(time.Unix(1_000_000, 0))
 	var sent []relayed
