docs: the director is called so, and tests name the failure in one line

Comments that told how a value was found say what it is. Behaviour is untouched: only comments change.

--- a/backend.go
+++ b/backend.go
@@ -210,7 +210,7 @@
 	Except []BackendID `json:"except,omitempty"`
 }
 
-// GatewayNews is what a gateway tells the control VM that gives the orders.
+// GatewayNews is a gateway's report to the director.
 type GatewayNews struct {
 	// Demand is there once a second.
 	Demand []ModelDemand `json:"demand,omitempty"`
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// defaultReadTime is the time to read a token of a prompt until it is measured.
+	// defaultReadTime is the time to read a token of a prompt before the first answer.
 	defaultReadTime = time.Second / 30000
 
 	// Terms of the score, in milliseconds.
--- a/laburnumdirector/bench_test.go
+++ b/laburnumdirector/bench_test.go
@@ -8,8 +8,8 @@
 	"laburnumlever"
 )
 
-// BenchmarkSecond is one second of the VM that gives the orders: heartbeats, ticks, rounds of
-// planning, and each gateway's word on demand once and on adapters four times.
+// BenchmarkSecond is one second of the director: heartbeats, ticks, planning rounds, and each
+// gateway's report on demand once and on adapters four times.
 func BenchmarkSecond(b *testing.B) {
 	for _, size := range []struct{ engines, models, gateways int }{{18, 31, 6}, {60, 104, 68}, {204, 353, 294}, {2100, 370, 780}} {
 		b.Run(fmt.Sprintf("engines=%d/models=%d/gateways=%d", size.engines, size.models, size.gateways), func(b *testing.B) {
--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -97,9 +97,7 @@
 	require.Equal(t, laburnumlever.VMID("10.0.0.1"), w.orders[len(w.orders)-1].by)
 }
 
-// The owner dies, and until another gives orders no model moves and no adapter comes.
-// The new owner must wait no longer than two owners have to be apart: the old one was
-// allowed its last order before its lease ran out.
+// Guards against a new director that waits longer than two directors have to be apart.
 func TestTakeoverWaitsNoLongerThanItMust(t *testing.T) {
 	w := newWorld(t, 8, 5, 2)
 	w.beat()
@@ -362,9 +360,7 @@
 	}
 }
 
-// A VM comes to give the orders to thousands of engines and asks each for its state. All at
-// once, the questions took all its descriptors: it accepted no heartbeat and no voter's
-// connection, and lost the lease again. They must come some at a time, and all in the end.
+// Guards against a new director that queries all engines at once and runs out of descriptors.
 func TestEnginesAreAskedSomeAtATime(t *testing.T) {
 	const engines, most = 200, 64
 	w := newWorld(t, 1, engines, 1)
--- a/laburnumdirector/enginetable_internal_test.go
+++ b/laburnumdirector/enginetable_internal_test.go
@@ -10,10 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Three thousand engines, and hundreds of gateways that tell every second which adapters they
-// used: a look at each engine for each word took a control VM more than its processor, and it
-// lost the lease over it. The index must find the same engines as a look at each, whatever came
-// and went.
+// Guards against an index of adapters that misses an engine which a scan of all would find.
 func TestIndexFindsWhoHoldsAModel(t *testing.T) {
 	const engines, models = 12, 5
 	table := newEngineTable()
--- a/laburnumdirector/estimator.go
+++ b/laburnumdirector/estimator.go
@@ -14,13 +14,13 @@
 	// Engines do not report their speed. Only ratios between models matter for placement, the
 	// absolute values decide how early a busy model gets another copy.
 	tokenSeconds  = 0.006       // of a slot, for a token of an answer
-	promptSeconds = 1.0 / 30000 // of an engine, for a token of a prompt, until measured
+	promptSeconds = 1.0 / 30000 // of an engine, for a token of a prompt, before the first report
 
 	// promptShare of an engine's time may go to prompts: they are read between the tokens of all
 	// answers, which pause meanwhile.
 	promptShare = 0.5
-	readRise    = 0.01 // smoothing factor of a higher measured time to read a token
-	// minPace and maxPace bound the measured time, as factors of promptSeconds.
+	readRise    = 0.01 // smoothing factor of a rising time to read a token
+	// minPace and maxPace bound the reported time, as factors of promptSeconds.
 	minPace, maxPace = 0.08, 3.0
 
 	// Time constants of the estimate. Slower, former demand holds memory that current demand
@@ -38,7 +38,7 @@
 	rows       map[laburnumlever.VMID]gatewayRows
 	smooth     map[laburnumlever.ModelName]load
 	at         time.Time
-	// reads is the measured time to read a token of a prompt, by model.
+	// reads is the reported time to read a token of a prompt, by model.
 	reads   map[laburnumlever.ModelName]time.Duration
 	askedAt map[laburnumlever.ModelName]time.Time // of the last request
 	since   time.Time                             // of the first report
--- a/laburnumdisk/crash_test.go
+++ b/laburnumdisk/crash_test.go
@@ -180,9 +180,7 @@
 	}
 }
 
-// The disk refuses one operation, whichever, and takes the next ones again. The folder is
-// rewound and opened without a restart, and then the machine loses power. What the opening
-// found counts as held by the log, so it must be there after that.
+// Guards against data that a folder opened again after an error counts as durable and loses.
 func TestOpenedAgainWithoutARestart(t *testing.T) {
 	writes := []laburnumlog.Write{
 		write(1, 1, 4), write(1, 5, 9), snapshotWrite(4, 1, false), write(2, 8, 12), snapshotWrite(12, 2, false),
--- a/laburnumexplain/day.go
+++ b/laburnumexplain/day.go
@@ -61,7 +61,7 @@
 	return list
 }
 
-// Layout is how many engines held a model, as the VM that gave the orders last told.
+// Layout is how many engines held a model, by the director's last line before the window.
 type Layout struct {
 	// Held and Loading count engines, Room those with room for one more model.
 	Held, Loading, Room int
--- a/laburnumlog/members.go
+++ b/laburnumlog/members.go
@@ -21,9 +21,9 @@
 // that no second leader or commit can arise. A second change waits until the first is
 // committed, and none is taken before the leader has committed an entry of its own term.
 //
-// A voter's place goes to another in one joint step. In two steps, out first or in first,
+// A voter is replaced by another in one joint step. In two steps, out first or in first,
 // the log stands for a while with as many voters as it needs or with one that is gone among
-// an even number: whoever loses a disk then takes the majority away for good, though the
+// an even number: one lost disk then takes the majority away for good, though the
 // settings promise to bear that. In the joint configuration each list by itself bears it.
 func (l *Log) changeMembers(to Configuration) {
 	from := l.Configuration()
--- a/laburnumlog/promise_test.go
+++ b/laburnumlog/promise_test.go
@@ -35,9 +35,7 @@
 	require.False(t, in, "the spare VM has the place")
 }
 
-// A spare VM that has caught up takes a silent voter's place. Two steps, out first or in first,
-// pass through two voters or through four of which one is gone: both bear no lost disk. It
-// must be one change, whose every list bears one.
+// Guards against replacing a voter by way of configurations that don't bear a lost disk.
 func TestVoterIsReplacedInOneStep(t *testing.T) {
 	f := newFleet(4, 1)
 	f.settle(t)
@@ -54,9 +52,7 @@
 	}, steps)
 }
 
-// A voter is gone, and the first spare VM that is asked to catch up answers to its name but takes
-// no entry, as one does whose disk hangs. The log stood with a voter short for as long as that
-// lasted, with another spare VM beside; that one must get the place.
+// Guards against a learner that never catches up and keeps another VM from replacing a voter.
 func TestAnotherVMGetsThePlaceOfAStuckLearner(t *testing.T) {
 	f := newFleet(5, 1)
 	f.settle(t)
@@ -346,9 +342,7 @@
 	}
 }
 
-// A VM that lost its disk counts as lost until 4 s after it is back, or after the empty one that
-// replaces it is there; then another may lose its own. The repair must be done by then, also
-// when the leader was the one: an election and the silence that makes a place free come first.
+// Guards against a repair that isn't done 4 s after a VM with a lost disk is back or replaced.
 func TestRepairIsDoneBeforeTheNextLossMayCome(t *testing.T) {
 	const catchUpTicks, darkTicks = 40, 10
 	for _, size := range []struct{ vms, losses int }{{3, 1}, {4, 1}, {5, 2}, {8, 2}} {
--- a/laburnumpeer/peers_test.go
+++ b/laburnumpeer/peers_test.go
@@ -125,9 +125,7 @@
 	require.NoError(t, a.Call(context.Background(), address, "slow", nil, nil))
 }
 
-// Hundreds of gateways hold questions at a control VM until there is news, as many as it takes
-// calls at all. The log's messages, which need no answer, were refused with them: the leader
-// heard no voter and stepped down, again and again, on a calm day.
+// Guards against long polls starving the log's messages of worker slots.
 func TestHeldCallsLeaveRoomForNotifications(t *testing.T) {
 	const most = 4
 	b := laburnumpeer.New("b", laburnumpeer.WithMaxHandlers(most))
--- a/laburnumresidency/golden_test.go
+++ b/laburnumresidency/golden_test.go
@@ -16,9 +16,7 @@
 
 var update = flag.Bool("update", false, "write golden files anew")
 
-// Guards against a faster planner that decides something else: without displacement and with a
-// small gain, the steps of 300 random fleets are those of the planner that looked at every
-// engine for every model.
+// Guards against a planner whose steps for 300 random fleets change unintentionally.
 func TestStepsOfRandomFleets(t *testing.T) {
 	const fleets = 300
 	golden := filepath.Join("testdata", "steps.golden")
--- a/laburnumsimulation/engine.go
+++ b/laburnumsimulation/engine.go
@@ -177,7 +177,7 @@
 	e.batch.waiting = slices.Insert(e.batch.waiting, at, r)
 }
 
-// admit gives slots that came free to those that wait.
+// admit assigns free slots to queued requests.
 func (e *engine) admit() {
 	for len(e.batch.waiting) > 0 && e.free(e.batch.waiting[0]) {
 		r := e.batch.waiting[0]
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -64,7 +64,7 @@
 	g.serveQueue()
 }
 
-// tell sends its news to the VM that gives the orders.
+// tell sends its report to the director.
 func (g *gateway) tell() {
 	now := g.sim.now()
 	news := laburnumlever.GatewayNews{
@@ -76,7 +76,7 @@
 	}
 }
 
-// serveQueue gives slots that may have come free to those that wait.
+// serveQueue assigns free slots to queued requests.
 func (g *gateway) serveQueue() {
 	if g.queue.Len() == 0 {
 		return
--- a/laburnumsimulation/scenario.go
+++ b/laburnumsimulation/scenario.go
@@ -26,7 +26,7 @@
 	EventDrain
 	// EventSlow makes a Share of the engines Factor times slower for For.
 	EventSlow
-	// EventNoOrders leaves the fleet without a VM that gives orders for For.
+	// EventNoOrders leaves the fleet without a director for For.
 	EventNoOrders
 )
 
--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -76,9 +76,7 @@
 	f.start(old, f.folder(old)).waitRevision(t, 3)
 }
 
-// A voter's disk takes no writes for a while. Its replica gave up for good: after a second
-// VM's disk had been full, one lost disk stopped the log, with both other VMs up and their disks
-// whole. Once the disk takes writes again the replica must count, without a restart of its VM.
+// Guards against a replica that gives up for good when its disk refuses writes for a while.
 func TestReplicaComesBackOnceItsDiskTakesWrites(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	files := startWithFaults(f)
@@ -181,8 +179,7 @@
 	require.NotEqual(t, old, f.leader())
 }
 
-// The leader, which also holds the lease, dies. The others saw its last renewal; whoever
-// leads then must not count the whole term again, or nobody gives orders for that long.
+// Guards against a new leader that counts a dead director's whole lease term again.
 func TestLeaseOfADeadLeaderIsNotCountedAgain(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	f.startAll()
--- a/laburnumvoter/search.go
+++ b/laburnumvoter/search.go
@@ -82,8 +82,7 @@
 }
 
 // hopeless tells whether this VM's replica has waited for a leader for so long that votes must
-// be missing. Whoever asks is told so once all that are known were asked, rather than when his
-// time is over.
+// be missing. The caller gets the error once all known VMs were asked, before its timeout.
 func (v *Voter) hopeless() bool {
 	return time.Duration(v.leaderlessTicks.Load())*v.cfg.tick >= v.cfg.leaderlessPatience
 }
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -268,9 +268,7 @@
 	b.waitRevision(t, 45)
 }
 
-// A VM lost its folder, is back, and has all of the log within milliseconds. Until it counts
-// again one more lost disk would be one too many; that took up to three looks of the leader, a
-// second apart. Its hello and its acknowledgements must be enough: here no time passes at all.
+// Guards against a voter with a lost folder that counts again only at the leader's next check.
 func TestLostFolderIsRepairedWithoutWaiting(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	f.startAll()
@@ -289,9 +287,7 @@
 	})
 }
 
-// A log is founded by three VMs and has two lost disks to bear, for which it needs five. An
-// operator's first change, confirmed before it has grown, would be gone with two of the three.
-// It waits; what was confirmed already does not hold later ones up.
+// Guards against a first change confirmed by fewer voters than bear the losses of the settings.
 func TestFirstChangeWaitsForTheVoters(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithVoterTarget(5), laburnumvoter.WithFirstChange(2, time.Hour))
 	f.startAll()
--- a/logevent.go
+++ b/logevent.go
@@ -105,9 +105,9 @@
 	EventDataFolderDamaged
 	// EventDataFolderWentBack is a data folder that has less than it had.
 	EventDataFolderWentBack
-	// EventLeaseGot is this VM giving the orders.
+	// EventLeaseGot is this VM becoming the director.
 	EventLeaseGot
-	// EventLeaseLost is another's turn, or nobody's.
+	// EventLeaseLost is this VM ceasing to be the director.
 	EventLeaseLost
 	// EventLeaseNotRenewed is a renewal that failed.
 	EventLeaseNotRenewed
