--- a/cmd/laburnumlever/evaluatecmd.go
+++ b/cmd/laburnumlever/evaluatecmd.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"runtime"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v2"
 
 	"laburnumlever/laburnumsimulation"
@@ -96,16 +94,3 @@
 	}
 	return writeFile(name, table.WriteSVG)
 }
-
-// writeFile makes a file with what write writes.
-func writeFile(name string, write func(w io.Writer) error) error {
-	file, err := os.Create(name)
-	if err != nil {
-		return &usageError{Detail: err.Error()}
-	}
-	if err := write(file); err != nil {
-		_ = file.Close()
-		return errors.Wrapf(err, "draw %s", name)
-	}
-	return errors.Wrapf(file.Close(), "close %s", name)
-}
--- a/cmd/laburnumlever/output.go
+++ b/cmd/laburnumlever/output.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v2"
 
 	"laburnumlever/laburnumoperator"
@@ -96,3 +98,16 @@
 func printf(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
 
 func printLine(w io.Writer, values ...any) { _, _ = fmt.Fprintln(w, values...) }
+
+// writeFile makes a file with what write writes.
+func writeFile(name string, write func(w io.Writer) error) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return &usageError{Detail: err.Error()}
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return errors.Wrapf(err, "write %s", name)
+	}
+	return errors.Wrapf(file.Close(), "close %s", name)
+}
--- a/cmd/laburnumlever/soakcmd.go
+++ b/cmd/laburnumlever/soakcmd.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"time"
@@ -23,6 +25,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds, one after the other"},
 			&cli.DurationFlag{Name: "length", Value: 15 * time.Second, Usage: "how long faults come in each run"},
 			&cli.BoolFlag{Name: "disks", Usage: "have the disks of control VMs misbehave too; Linux only"},
+			&cli.StringFlag{Name: "report", Usage: "write what came of each seed into this JSON `FILE`, to compare two programs"},
 			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for logs; a temporary one without it"},
 		},
 		OnUsageError: onUsageError,
@@ -41,38 +44,54 @@
 			return err
 		}
 	}
+	var reports []laburnumsoak.Report
 	failed := 0
 	for i := range c.Int("seeds") {
 		seed := c.Uint64("seed") + uint64(i) //nolint:gosec // a count
-		ok, err := soakOne(c, laburnumsoak.Config{
+		report, err := soakOne(c, laburnumsoak.Config{
 			Program: program, Folder: filepath.Join(root, fmt.Sprintf("seed-%d", seed)), Seed: seed, Length: c.Duration("length"), Disks: c.Bool("disks"),
 		})
 		if err != nil {
 			return err
 		}
-		if !ok {
+		reports = append(reports, report)
+		if len(report.Violations) > 0 {
 			failed++
 		}
 	}
+	if err := writeSoakReport(c.String("report"), reports); err != nil {
+		return err
+	}
 	if failed > 0 {
 		return &soakFailedError{Seeds: failed, Folder: root}
 	}
 	return nil
 }
 
-// soakOne plays a seed and prints what came of it.
-func soakOne(c *cli.Context, cfg laburnumsoak.Config) (bool, error) {
+func writeSoakReport(name string, reports []laburnumsoak.Report) error {
+	if name == "" {
+		return nil
+	}
+	return writeFile(name, func(w io.Writer) error {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(reports)
+	})
+}
+
+// soakOne plays a seed and prints what came of it. The logs of a seed with violations stay.
+func soakOne(c *cli.Context, cfg laburnumsoak.Config) (laburnumsoak.Report, error) {
 	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
-		return false, err
+		return laburnumsoak.Report{}, err
 	}
 	report, err := laburnumsoak.Run(c.Context, cfg)
 	if err != nil {
-		return false, err
+		return report, err
 	}
 	printf(c.App.Writer, "seed %d: %d faults, %d requests, %d served, %d changes acknowledged, %d violations\n",
 		cfg.Seed, len(report.Faults), report.Sent, report.Served, report.Acknowledged, len(report.Violations))
 	if len(report.Violations) == 0 {
-		return true, os.RemoveAll(cfg.Folder)
+		return report, os.RemoveAll(cfg.Folder)
 	}
 	for _, fault := range report.Faults {
 		printf(c.App.Writer, "  fault %s\n", fault)
@@ -80,5 +99,5 @@
 	for _, violation := range report.Violations {
 		printf(c.App.Writer, "  wrong: %s\n", violation)
 	}
-	return false, nil
+	return report, nil
 }
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -32,12 +32,15 @@
 
 // Report is what came of a run.
 type Report struct {
+	Seed uint64 `json:"seed"`
 	// Sent and Served count the callers' requests, Acknowledged the operator's changes.
-	Sent, Served, Acknowledged int
+	Sent         int `json:"sent"`
+	Served       int `json:"served"`
+	Acknowledged int `json:"acknowledged"`
 	// Faults are those that came, in order.
-	Faults []string
+	Faults []string `json:"faults"`
 	// Violations are what should not have been seen.
-	Violations []string
+	Violations []string `json:"violations,omitempty"`
 }
 
 // Run plays one run. The error is a *StartError or a *NotReadyError: the system did not come
@@ -73,7 +76,7 @@
 	l.conclude(ctx)
 	f.end() // what backend servers have to say of their runs has come then
 	return Report{
-		Sent: r.sent, Served: r.served, Acknowledged: len(r.acked), Faults: x.story, Violations: r.conclude(),
+		Seed: cfg.Seed, Sent: r.sent, Served: r.served, Acknowledged: len(r.acked), Faults: x.story, Violations: r.conclude(),
 	}, x.problem
 }
 
