test: an order that waits in a frozen director is one again

Cause: the guards' run showed this test to pass without its guard. It held back what the director sends in the half second after the first; since the store's rate bounds the loads under way, all orders are out by then, and only calls for state and lease were held.

--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -159,10 +159,11 @@
 func TestOrderDecidedBeforeAFreezeIsNotSentAfterIt(t *testing.T) {
 	w := newWorld(t, 8, 5, 2)
 	w.beat()
-	w.pass(time.Second)
+	w.pass(10 * time.Second)
 	old := w.directors[0]
 	old.holds = true
-	w.pass(500 * time.Millisecond)
+	old.director.Ask(laburnumlever.AdapterNeed{Service: "quotes", Model: modelName(0), Adapter: "a1"}, func([]laburnumlever.BackendID, error) {})
+	old.loop.Drain()
 	require.NotEmpty(t, old.calls)
 	old.frozen, old.leads = true, false
 	w.directors[1].leads = true
