fix: a request that arrives in the last moment of a drain isn't cut off

Cause: a drain ends once ten checks, 50 ms apart, found no request in flight, and the process then closes its connections. Nothing looked at what came after the last check, and new requests were taken until the end. With six gateways half a second without a request hardly comes before the balancer has moved all callers; of 294 gateways, with eight requests a second each, many have one while callers still come on kept connections.

Ruled out: the grace period (8 s, ended after 4.4), the signal's handling, and the server's side, which had not run it.

Change: after the ten checks the gateway refuses all requests as not run, and ends when two checks in a row found none in flight, by which time their answers are flushed. The new test, on a manual clock, fails on the code before: the drain had ended with a request at a backend server.

--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -152,6 +152,10 @@
 func newBareBench(t testing.TB, opts ...laburnumgateway.Option) *bench {
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
+	return newBareBenchWith(t, timers, opts...)
+}
+
+func newBareBenchWith(t testing.TB, timers laburnumlever.Timers, opts ...laburnumgateway.Option) *bench {
 	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1)
 	b := &bench{t: t, fleet: fleet, gateway: laburnumgateway.New(fleet, platform.Dialect{}, timers, opts...), client: &http.Client{}}
 	b.start()
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -48,6 +48,8 @@
 	draining atomic.Bool
 	// leaving is set once the balancer has noticed the drain; streams are refused from then on.
 	leaving atomic.Bool
+	// closing is set before the end of a drain; all requests are refused from then on.
+	closing atomic.Bool
 	endsAt  atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumgateway"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumtimer"
 )
 
 func ok(conn net.Conn, a arrival, _ int) { plain(conn, a, 200, "done") }
@@ -331,6 +332,52 @@
 	<-drained
 }
 
+// Guards against requests that arrive in the last moment of a drain and are cut off.
+func TestRequestOfADrainsLastMomentIsFinished(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := newBackend(t, "i-1", func(conn net.Conn, a arrival, n int) {
+		close(arrived)
+		<-release
+		ok(conn, a, n)
+	})
+	timers := laburnumtimer.NewManual(time.Now())
+	b := newBareBenchWith(t, timers)
+	b.fleet.LearnRoutes(testRoutes())
+	b.fleet.Learn("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{server.heartbeat("booking")}})
+	idle := timers.Pending()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		b.gateway.Drain(t.Context())
+	}()
+	waits := func() { // the drain waits for its next check
+		require.Eventually(t, func() bool { return timers.Pending() > idle }, 5*time.Second, time.Millisecond)
+	}
+	checks := func(n int) {
+		for range n {
+			waits()
+			timers.Advance(50 * time.Millisecond)
+		}
+	}
+	waits()
+	timers.Advance(3 * time.Second) // the balancer has noticed
+	checks(9)
+	waits()
+	got := make(chan reply, 1)
+	go func() { got <- b.send("POST", "/confirm/x", "visit") }()
+	<-arrived
+	checks(2)
+	waits()
+	close(release)
+	require.Equal(t, http.StatusOK, (<-got).status)
+	require.Eventually(t, func() bool { return b.gateway.InFlight() == 0 }, 5*time.Second, time.Millisecond)
+	checks(10)
+	waits()
+	require.Equal(t, http.StatusServiceUnavailable, b.send("POST", "/confirm/x", "visit").status, "nothing is begun any more")
+	checks(2)
+	<-drained
+}
+
 // An engine ends in the middle of a stream, and the only other one is full for some
 // tenths more. A place to go on comes long before the caller leaves; the stream ended there
 // and then before, since its wait was counted from the request's arrival.
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -22,7 +22,8 @@
 	noticeTime  = 3 * time.Second         // two failed health checks of the balancer
 	lastWork    = 2500 * time.Millisecond // requests are refused this long before the end of a drain
 	quietCheck  = 50 * time.Millisecond
-	quietChecks = 10 // checks in a row without a request end the drain
+	quietChecks = 10 // checks in a row without a request, after which new ones are refused
+	lastChecks  = 2  // checks in a row without a request end the drain; answers are flushed by then
 )
 
 // Server serves the gateway on a listener.
@@ -37,7 +38,8 @@
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.fleet.Ready() }
 
 // Drain reports the gateway as not ready, serves requests until the balancer has noticed, each
-// with "Connection: close", and returns when none is in flight or ctx ends.
+// with "Connection: close", and returns when none is in flight or ctx ends. Once it is idle for a
+// while it refuses new ones: one that begins just before the end would be cut off.
 //
 // Idle connections stay open: a request may be on its way, and its caller could not tell whether
 // it was run.
@@ -49,18 +51,26 @@
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventDraining, "in-flight", g.InFlight())
 	laburnumtimer.Wait(ctx.Done(), g.timers, noticeTime)
 	g.leaving.Store(true)
-	for quiet := 0; quiet < quietChecks && ctx.Err() == nil; quiet++ {
+	g.awaitIdle(ctx, quietChecks)
+	g.closing.Store(true)
+	g.awaitIdle(ctx, lastChecks)
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventDrained, "in-flight", g.InFlight())
+}
+
+// awaitIdle returns when checks in a row found no request in flight, or ctx ends.
+func (g *Gateway) awaitIdle(ctx context.Context, checks int) {
+	for idle := 0; idle < checks && ctx.Err() == nil; {
+		laburnumtimer.Wait(ctx.Done(), g.timers, quietCheck)
+		idle++
 		if g.InFlight() > 0 {
-			quiet = 0
+			idle = 0
 		}
-		laburnumtimer.Wait(ctx.Done(), g.timers, quietCheck)
 	}
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventDrained, "in-flight", g.InFlight())
 }
 
 // tooLate tells whether a request could outlast the process. Its answer would be cut off.
 func (g *Gateway) tooLate(q *request) bool {
-	if g.leaving.Load() && q.route.Kind == laburnumlever.KindStream {
+	if g.closing.Load() || g.leaving.Load() && q.route.Kind == laburnumlever.KindStream {
 		return true
 	}
 	end := g.endsAt.Load()
