test: a guard's row for the last moment of a drain

Without the refusal of new requests before the end of a drain the test fails at its check that nothing is begun any more; it ended in a panic of the test's own backend server, which now counts arrivals in place of closing a channel twice.

--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -334,9 +334,9 @@
 
 // Guards against requests that arrive in the last moment of a drain and are cut off.
 func TestRequestOfADrainsLastMomentIsFinished(t *testing.T) {
-	arrived, release := make(chan struct{}), make(chan struct{})
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
 	server := newBackend(t, "i-1", func(conn net.Conn, a arrival, n int) {
-		close(arrived)
+		arrived <- struct{}{}
 		<-release
 		ok(conn, a, n)
 	})
