--- a/cmd/laburnumlever/evaluatecmd.go
+++ b/cmd/laburnumlever/evaluatecmd.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	if err := plotEvaluation(c.String("plot"), table); err != nil {
+	if err := writeFile(c.String("plot"), table.WriteSVG); err != nil {
 		return err
 	}
 	return reportWriter(c, table, table.WriteText)
@@ -87,10 +87,3 @@
 		}
 	}
 }
-
-func plotEvaluation(name string, table laburnumsimulation.Table) error {
-	if name == "" {
-		return nil
-	}
-	return writeFile(name, table.WriteSVG)
-}
--- a/cmd/laburnumlever/explaindaycmd.go
+++ b/cmd/laburnumlever/explaindaycmd.go
@@ -49,10 +49,8 @@
 	if err != nil {
 		return err
 	}
-	if name := c.String("picture"); name != "" {
-		if err := writeFile(name, day.WriteSVG); err != nil {
-			return err
-		}
+	if err := writeFile(c.String("picture"), day.WriteSVG); err != nil {
+		return err
 	}
 	return day.WriteText(c.App.Writer, c.Int("most"))
 }
--- a/cmd/laburnumlever/output.go
+++ b/cmd/laburnumlever/output.go
@@ -88,7 +88,11 @@
 		text(c.App.Writer)
 		return nil
 	}
-	encoder := json.NewEncoder(c.App.Writer)
+	return writeJSON(c.App.Writer, value)
+}
+
+func writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
 	encoder.SetEscapeHTML(false)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(value)
@@ -99,8 +103,11 @@
 
 func printLine(w io.Writer, values ...any) { _, _ = fmt.Fprintln(w, values...) }
 
-// writeFile makes a file with what write writes.
+// writeFile makes a file with what write writes; without a name it does nothing.
 func writeFile(name string, write func(w io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
 	file, err := os.Create(name)
 	if err != nil {
 		return &usageError{Detail: err.Error()}
--- a/cmd/laburnumlever/soakcmd.go
+++ b/cmd/laburnumlever/soakcmd.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -59,7 +58,7 @@
 			failed++
 		}
 	}
-	if err := writeSoakReport(c.String("report"), reports); err != nil {
+	if err := writeFile(c.String("report"), func(w io.Writer) error { return writeJSON(w, reports) }); err != nil {
 		return err
 	}
 	if failed > 0 {
@@ -68,17 +67,6 @@
 	return nil
 }
 
-func writeSoakReport(name string, reports []laburnumsoak.Report) error {
-	if name == "" {
-		return nil
-	}
-	return writeFile(name, func(w io.Writer) error {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(reports)
-	})
-}
-
 // soakOne plays a seed and prints what came of it. The logs of a seed with violations stay.
 func soakOne(c *cli.Context, cfg laburnumsoak.Config) (laburnumsoak.Report, error) {
 	if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
