--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -74,7 +74,7 @@
 	cfg := config{
 		lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock,
 		spawn: func(call func()) { go call() }, compute: func(work func()) { go work() },
-		next: laburnumresidency.Next, rise: riseTime, fall: fallTime, young: youngTime, quiet: quietTime,
+		next: laburnumresidency.Next, rise: riseTime, fall: fallTime, quiet: quietTime,
 	}
 	for _, opt := range opts {
 		opt(&cfg)
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -276,7 +276,7 @@
 }
 
 // planned converts the engine for the planner.
-func (e *engine) planned(now time.Time, young time.Duration) laburnumresidency.Engine {
+func (e *engine) planned(now time.Time) laburnumresidency.Engine {
 	p := laburnumresidency.Engine{
 		ID: e.heartbeat.Backend, Zone: e.heartbeat.Zone, Idle: e.idle(now),
 		InMemory: e.heartbeat.InMemory, OnDisk: e.heartbeat.OnDisk,
@@ -290,7 +290,7 @@
 		if h.withdrawn {
 			p.Unloading = name
 		}
-		if now.Sub(h.since) < young {
+		if now.Sub(h.since) < youngTime {
 			p.Young = append(p.Young, name)
 		}
 	}
--- a/laburnumdirector/options.go
+++ b/laburnumdirector/options.go
@@ -26,7 +26,6 @@
 	rounds    []laburnumresidency.Option // for each planning round
 	// rise and fall are the time constants of the demand estimate.
 	rise, fall time.Duration
-	young      time.Duration // least lifetime of a copy
 	quiet      time.Duration // without requests, after which a model may lose its last copy
 }
 
@@ -73,9 +72,6 @@
 	return func(c *config) { c.rise, c.fall = rise, fall }
 }
 
-// WithYoungTime sets the least lifetime of a copy.
-func WithYoungTime(d time.Duration) Option { return func(c *config) { c.young = d } }
-
 // WithQuietTime sets the time without requests after which a model may lose its last copy.
 func WithQuietTime(d time.Duration) Option { return func(c *config) { c.quiet = d } }
 
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -131,7 +131,7 @@
 	}
 	e.working, e.workingKind, e.workingSince, e.workingTime = order.Model, order.Kind, now, 0
 	if m, ok := d.model(e, order.Model); ok && order.Kind == laburnumlever.Load {
-		p := e.planned(now, d.cfg.young)
+		p := e.planned(now)
 		e.workingTime = time.Duration(p.LoadSeconds(m) * float64(time.Second))
 	}
 	e.workingAfter = e.sentAfter
--- a/laburnumdirector/plan.go
+++ b/laburnumdirector/plan.go
@@ -43,7 +43,7 @@
 		if !e.known {
 			d.ask(e, now)
 		}
-		r.engines = append(r.engines, e.planned(now, d.cfg.young))
+		r.engines = append(r.engines, e.planned(now))
 		r.known, r.revisions = append(r.known, e), append(r.revisions, e.revision)
 	}
 	d.reportLayout(name, class, r.engines, now)
--- a/laburnumgateway/lateness.go
+++ b/laburnumgateway/lateness.go
@@ -20,7 +20,7 @@
 	latePaused
 )
 
-// timing holds the targets and measured times of an answer. A target of 0 is none.
+// timing holds the targets and the times of an answer. A target of 0 is none.
 type timing struct {
 	target, pauseTarget  time.Duration
 	waited, first, pause time.Duration
