test: the second answer is on the idle connection before the next request

Cause: the fake server wrote the second answer right after the first, and the test sent its next request without waiting for it. When the request went first, the gateway read the second answer in its place, saw the identity of another request and refused it, which is right.

The test now waits until the connection is idle before the second answer, and until the gateway's socket holds it before the next request. The other order is a test of its own: nothing but an error reaches the caller, and the connection isn't used again.

--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"laburnumlever"
 	"laburnumlever/laburnumfeed"
@@ -119,6 +120,17 @@
 	_, _ = conn.Write(out.Bytes())
 }
 
+// untilReceived waits until the other side's socket holds all that was written.
+func untilReceived(t testing.TB, conn net.Conn) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		unacknowledged := -1
+		_ = raw.Control(func(fd uintptr) { unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		return unacknowledged == 0
+	}, 10*time.Second, time.Millisecond)
+}
+
 // events writes the head of a stream and the events from first to last, as chunks.
 func events(conn net.Conn, a arrival, first, last int) {
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -205,17 +205,43 @@
 // A server sends a second answer on a connection that has gone idle. The next request
 // must not be taken for answered by it.
 func TestExtraAnswerOnAnIdleConnection(t *testing.T) {
+	idle, extra := make(chan struct{}), make(chan net.Conn, 1)
 	server := newBackend(t, "i-1", func(conn net.Conn, a arrival, n int) {
 		plain(conn, a, 200, fmt.Sprintf("answer-%d", n))
 		if n == 1 {
+			<-idle
 			plain(conn, a, 200, "answer-1-again")
+			extra <- conn
 		}
 	})
 	b := newBench(t, server.heartbeat("booking"))
 	require.Equal(t, "answer-1", b.send("POST", "/confirm/x", "visit").body)
+	close(idle)
+	untilReceived(t, <-extra)
 	require.Equal(t, "answer-2", b.send("POST", "/confirm/x", "visit", idHeader, "r-2").body)
 }
 
+// The second answer comes when the next request is already on its way. It must reach
+// nobody, and neither may what follows on this connection.
+func TestExtraAnswerOnAConnectionInUse(t *testing.T) {
+	var first arrival
+	server := newBackend(t, "i-1", func(conn net.Conn, a arrival, n int) {
+		if n == 1 {
+			first = a
+		}
+		if n == 2 {
+			plain(conn, first, 200, "answer-1-again")
+		}
+		plain(conn, a, 200, fmt.Sprintf("answer-%d", n))
+	})
+	b := newBench(t, server.heartbeat("booking"))
+	require.Equal(t, "answer-1", b.send("POST", "/confirm/x", "visit").body)
+	crossed := b.send("POST", "/confirm/x", "visit", idHeader, "r-2")
+	require.Equal(t, http.StatusBadGateway, crossed.status)
+	require.NotContains(t, crossed.body, "answer-")
+	require.Equal(t, "answer-3", b.send("POST", "/confirm/x", "visit", idHeader, "r-3").body)
+}
+
 // Part of an answer, cut off. It must not look whole.
 func TestCutAnswerIsAFailure(t *testing.T) {
 	server := newBackend(t, "i-1", func(conn net.Conn, a arrival, _ int) {
