--- a/laburnumvoter/doc.go
+++ b/laburnumvoter/doc.go
@@ -1,15 +1,16 @@
-// Package laburnumvoter drives the replicated log, its disk and the state machine
-// on the control thread, and puts commands through it from any VM.
+// Package laburnumvoter runs a replica of the replicated log with its disk and state
+// machine, and proposes commands from any VM.
 //
-// On a VM with a data folder it is a replica. A worker makes writes durable and
-// posts an event when done, so that a slow disk stops acknowledgements but not
-// heartbeats. On a VM without one it only forwards commands to the leader.
+// A VM with a data folder is a replica. A worker syncs writes and posts an event when
+// done, so that a slow disk delays acknowledgements but not heartbeats. A VM without one
+// forwards commands to the leader.
 //
-// What it guards against: a caller's command lost with the leader (Propose tries
-// again; commands carry what makes a repetition harmless), a data folder that was
-// lost or went back (it is a new instance, added again as a learner and counted
-// only once it has caught up), and a disk that fails (the replica stops taking
-// part at once and says so in its status).
+// # Failures
+//
+//   - The leader fails with a proposal under way: Propose retries; commands are idempotent.
+//   - A data folder is lost or was restored from an older copy: the replica rejoins as a new
+//     instance, a learner until it has caught up.
+//   - The disk fails: the replica stops at once, and opens the folder again once it can.
 //
 // # Usage
 //
--- a/laburnumvoter/drive.go
+++ b/laburnumvoter/drive.go
@@ -10,14 +10,14 @@
 	"github.com/go-kit/log/level"
 )
 
-// entryData is what an entry of the log carries.
+// entryData is the payload of a log entry.
 type entryData struct {
 	// At is the leader's clock in milliseconds; see laburnumstate.
 	At      int64                 `json:"at"`
 	Command laburnumlever.Command `json:"command"`
 }
 
-// step takes one event through the log and does what it asks.
+// step feeds one event to the log and carries out its output.
 func (v *Voter) step(ev laburnumlog.Event) laburnumlog.Output {
 	if v.log == nil {
 		return laburnumlog.Output{}
@@ -71,9 +71,9 @@
 	}
 }
 
-// fail takes the replica out: after a failed fsync nobody knows what the disk holds, and to
-// acknowledge or lead on would be to promise it. The VM goes on as one without a replica. One
-// whose disk failed comes back by openLater; one whose log contradicts the others' does not.
+// fail stops the replica: after a failed fsync the disk's contents are unknown, so it must
+// neither acknowledge nor lead. The VM goes on without a replica. After a disk failure
+// openLater opens the folder again; a log that contradicts the others stays closed.
 func (v *Voter) fail(err error) {
 	_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventReplicaFailed, "err", err)
 	v.cfg.scope.Counter("voter-failures").Inc(1)
@@ -81,7 +81,7 @@
 	v.drop()
 }
 
-// drop stops the replica that is open.
+// drop stops the open replica.
 func (v *Voter) drop() {
 	v.log = nil
 	v.leaderlessTicks.Store(0)
@@ -150,8 +150,8 @@
 	v.onRoutes(table)
 }
 
-// maybeSnapshot has a snapshot encoded once the entries since the last one are as
-// large as it was: the cost of snapshots then stays in proportion to the changes.
+// maybeSnapshot encodes a snapshot once the entries since the last one are as large as it,
+// which keeps the cost of snapshots proportional to the changes.
 func (v *Voter) maybeSnapshot() {
 	if v.log == nil || v.encoding || v.logBytes < max(v.cfg.snapshotBytes, v.lastSnapshot) {
 		return
--- a/laburnumvoter/events.go
+++ b/laburnumvoter/events.go
@@ -10,9 +10,9 @@
 	ticked   struct{ now time.Time }
 	started  struct{}
 	received struct{ message wireMessage }
-	// proposed says that the intake holds proposals.
+	// proposed means that the intake holds proposals.
 	proposed struct{}
-	// wrote says that the writes up to seq are durable, or that the disk failed.
+	// wrote means that the writes up to seq are durable, or that the disk failed.
 	wrote struct {
 		generation int
 		seq        uint64
@@ -29,7 +29,7 @@
 	reopened   struct {
 		replica *replica
 		err     error
-		// open is tried again after an error of the disk.
+		// open is retried after a disk error.
 		open func() (*replica, error)
 	}
 	handingOver struct{ done chan struct{} }
--- a/laburnumvoter/lead.go
+++ b/laburnumvoter/lead.go
@@ -11,14 +11,14 @@
 	"github.com/go-kit/log/level"
 )
 
-// renewal is when this VM last saw a lease change.
+// renewal is the last change of a lease seen by this VM.
 type renewal struct {
 	fence    uint64
 	renewals uint64
 	since    time.Time
 }
 
-// noteRole does what goes with becoming leader and with ceasing to be one.
+// noteRole handles a change of leadership.
 func (v *Voter) noteRole() {
 	leads := v.leads()
 	if leads != v.wasLeader {
@@ -42,17 +42,15 @@
 	}
 }
 
-// clock goes on from the latest time in the log by this VM's monotonic clock, so
-// that a wrong wall clock can't move it.
+// clock continues the latest time in the log by the monotonic clock, so that a wrong wall
+// clock has no effect.
 func (v *Voter) clock(now time.Time) int64 {
 	return v.clockBase + now.Sub(v.clockFrom).Milliseconds()
 }
 
-// expireLeases proposes the end of leases that were not renewed in time. The time
-// runs from when this VM saw the last renewal, which is after its holder sent it, so a
-// holder that counts from its sending always ends first. Every VM watches, so that one
-// that comes to lead need not wait for the whole term again: when the holder dies with
-// the leader, the lease has run out by the end of the election.
+// expireLeases proposes the end of leases that were not renewed in time, counted from when
+// this VM saw the last renewal. The holder counts from when it sent it, so it always stops
+// first. All VMs keep count, so that a new leader need not wait a whole term.
 func (v *Voter) expireLeases(now time.Time) {
 	leads := v.log.Role() == laburnumlog.Leader
 	for _, l := range v.machine.Leases() {
@@ -68,7 +66,7 @@
 		if !leads || now.Sub(seen.since) < time.Duration(l.TTL) {
 			continue
 		}
-		// Counting starts over, so that an expiry that is lost is proposed again.
+		// Restarted, so that a lost expiry is proposed again.
 		v.renewals[l.Name] = renewal{fence: l.Fence, renewals: l.Renewals, since: now}
 		v.proposeExpiry(laburnumlever.LeaseCommand{
 			Name: l.Name, Holder: l.Holder, Incarnation: l.Incarnation, Fence: l.Fence, Renewals: l.Renewals,
@@ -86,8 +84,8 @@
 	v.step(laburnumlog.Propose{Data: [][]byte{data}})
 }
 
-// HandOver asks another voter to lead, if this one does, and returns once it does
-// not any more, or with ctx's error.
+// HandOver transfers leadership to another voter and returns once this VM doesn't lead, or
+// with ctx's error.
 func (v *Voter) HandOver(ctx context.Context) error {
 	done := make(chan struct{})
 	v.loop.Post(v, handingOver{done: done})
@@ -103,7 +101,7 @@
 
 func (v *Voter) onHandingOver(ev handingOver) {
 	if v.log != nil && len(v.log.Configuration().Voters()) == 1 {
-		// There is nobody to hand over to.
+		// no other voter
 		close(ev.done)
 		return
 	}
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// membersEvery is how many ticks pass between two hellos of a replica that wants a
-	// place or a leader.
+	// membersEvery is the number of ticks between two hellos of a replica that is no
+	// voter or has no leader.
 	membersEvery = 10
-	// helloTicks is how long a hello is believed, and how long a replica goes
-	// without a leader before it sends one.
+	// helloTicks is how long a hello is valid, and how long a replica is without a
+	// leader before it sends one.
 	helloTicks = 30
 )
 
-// joiner is a replica that said hello.
+// joiner is a replica that has sent a hello.
 type joiner struct {
 	hello helloMessage
 	seen  uint64 // tick
@@ -31,7 +31,7 @@
 
 func (v *Voter) configured() bool { return len(v.log.Configuration().Members) > 0 }
 
-// tendMembers runs about once a second on every replica.
+// tendMembers runs about once a second on each replica.
 func (v *Voter) tendMembers() {
 	for vm, j := range v.joiners {
 		if v.ticks-j.seen > helloTicks {
@@ -92,9 +92,9 @@
 	}
 }
 
-// maybeBootstrap makes the first configuration, on the first of the voters by name,
-// once all of them have said that they have none. If one had lost its folder, or
-// were cut off, the others could hold a log already; so all must answer.
+// maybeBootstrap creates the first configuration, on the first voter by name, once all
+// voters have reported that they have none. All must answer: the others could hold a log
+// already if one had lost its folder or was cut off.
 func (v *Voter) maybeBootstrap() {
 	voters := slices.Clone(v.cfg.voters)
 	slices.SortFunc(voters, func(a, b laburnumlever.Voter) int {
@@ -126,8 +126,8 @@
 	}
 }
 
-// resendBootstrap gives the first configuration to a member that has not got it,
-// when its first sender went down before it was told to all.
+// resendBootstrap sends the first configuration to a member without it, in case the first
+// sender failed halfway.
 func (v *Voter) resendBootstrap(h helloMessage) {
 	if h.Configured || v.log.SnapshotIndex() != 1 {
 		return
@@ -147,7 +147,8 @@
 	}
 }
 
-// warnSuperseded tells members whose disk went back that they are new instances.
+// warnSuperseded tells members whose disk was restored from an older copy that they are
+// new instances.
 func (v *Voter) warnSuperseded() {
 	for _, m := range v.log.Configuration().Members {
 		p, ok := v.log.Progress(m.ID)
@@ -161,8 +162,8 @@
 	}
 }
 
-// onSuperseded starts over as a new instance: the folder is set aside and opened
-// again, empty, on a worker.
+// onSuperseded restarts the replica as a new instance: the folder is renamed, and an empty
+// one opened, by a worker.
 func (v *Voter) onSuperseded(m supersededMessage) {
 	if v.log == nil || m.ID != v.log.ID() || m.Boot != v.boot {
 		return
@@ -176,9 +177,9 @@
 	})
 }
 
-// tendConfiguration makes at most one change of the members. A leader is asked at each tick, and
-// at once when a replica says hello or a learner may have caught up: until the change is made
-// one more lost disk would be one too many.
+// tendConfiguration makes at most one change of the members. It runs at each tick of a
+// leader, and when a replica sends a hello or a learner may have caught up, since until then
+// the log tolerates one lost disk less.
 func (v *Voter) tendConfiguration() {
 	change, due := v.keeper.Next(laburnumquorum.View{
 		Configuration: v.log.Configuration(), Pending: v.log.ChangePending(), Commit: v.log.Commit(),
@@ -192,7 +193,7 @@
 		"replica", change.Member.ID, "replaces", change.Replaced, "accepted", out.Accepted)
 }
 
-// joinersAllowed are the replicas that may join.
+// joinersAllowed returns the replicas that may join.
 func (v *Voter) joinersAllowed() []laburnumlog.Member {
 	var list []laburnumlog.Member
 	for vm, j := range v.joiners {
--- a/laburnumvoter/options.go
+++ b/laburnumvoter/options.go
@@ -13,22 +13,18 @@
 )
 
 const (
-	// defaultTick makes heartbeats go out ten times within the shortest
-	// election timeout, which is ten ticks: 1 s.
+	// defaultTick is a tenth of the shortest election timeout.
 	defaultTick = 100 * time.Millisecond
-	// defaultProposalTimeout bridges an election, which takes up to two
-	// timeouts and a round or two.
+	// defaultProposalTimeout outlasts an election: two timeouts and a round or two.
 	defaultProposalTimeout = 5 * time.Second
-	// defaultLeaderlessPatience is more than elections take: what is missing then is votes,
-	// and waiting for them helps nobody.
+	// defaultLeaderlessPatience outlasts elections; without a leader for longer, a
+	// quorum is missing.
 	defaultLeaderlessPatience = 3 * time.Second
-	// defaultReplaceAfter is longer than a restart of a VM, so that a
-	// restart does not move replicas about.
+	// defaultReplaceAfter outlasts a restart of a VM.
 	defaultReplaceAfter = time.Minute
-	// defaultSnapshotBytes of entries make a snapshot worth its cost.
+	// defaultSnapshotBytes is the size of entries after which a snapshot is taken.
 	defaultSnapshotBytes = 4 << 20
-	// defaultBatch bounds the commands that share one append and the writes
-	// that share one fsync.
+	// defaultBatch bounds the commands of one append and the writes of one fsync.
 	defaultBatch = 512
 )
 
@@ -70,7 +66,7 @@
 	return cfg
 }
 
-// policy is who the voters are to be.
+// policy decides the voters.
 func (c config) policy() laburnumquorum.Policy {
 	ticks := int(c.replaceAfter / max(c.tick, time.Millisecond))
 	return laburnumquorum.Policy{Target: c.voterTarget, ReplaceTicks: ticks}
@@ -79,37 +75,34 @@
 // Option changes a new voter.
 type Option func(*config)
 
-// WithDataFolder makes the VM hold a replica in the folder; empty means none.
+// WithDataFolder makes the VM a replica with its data in the folder; empty means none.
 func WithDataFolder(path string) Option { return func(c *config) { c.folder = path } }
 
-// WithVoters sets the first voters, the same on all VMs. Their number stays the
-// number of voters that the leader restores; once the log exists, it holds the
-// list in force.
+// WithVoters sets the first voters, the same on all VMs. The leader keeps their number;
+// the list in force is in the log.
 func WithVoters(voters []laburnumlever.Voter) Option {
 	return func(c *config) { c.voters = voters }
 }
 
-// WithCandidates sets who may take a lost voter's place, besides the first voters.
-// It is called on the control thread. Without it any replica that asks may.
+// WithCandidates sets who may replace a lost voter, besides the first voters; without it
+// any replica may. It is called on the control thread.
 func WithCandidates(candidates func() []laburnumlever.Voter) Option {
 	return func(c *config) { c.candidates = candidates }
 }
 
-// WithContacts sets whom a VM asks that knows of no voters, or not of the present
-// ones: a replica that was emptied, or one that was not there when the log was
-// founded. It may be called on any goroutine.
+// WithContacts sets the VMs to ask for the voters in force: a replica with a new folder
+// doesn't know them. It may be called on any goroutine.
 func WithContacts(contacts func() []laburnumlever.Voter) Option {
 	return func(c *config) { c.contacts = contacts }
 }
 
-// WithVoterTarget sets how many voters the leader aims at; without it as many as
-// there were first voters. A log founded by fewer grows to it.
+// WithVoterTarget sets how many voters the leader aims at; by default the number of first
+// voters. A log that started with fewer grows to it.
 func WithVoterTarget(n int) Option { return func(c *config) { c.voterTarget = n } }
 
-// WithFirstChange holds an operator's first change back until the committed voters bear the
-// loss of that many disks: a log is founded by fewer, and what was confirmed before it has grown
-// would be gone with them. A deployment that has too few VMs goes on after the time given, counted
-// from the leader's start.
+// WithFirstChange delays an operator's first change until the committed voters tolerate the
+// loss of that many disks, since a log starts with fewer voters. A deployment with too few
+// VMs goes on after the time given, counted from the leader's start.
 func WithFirstChange(losses int, within time.Duration) Option {
 	return func(c *config) { c.firstChangeBears, c.firstChangeWithin = losses, within }
 }
@@ -120,7 +113,7 @@
 // WithScope sets where counters go.
 func WithScope(scope tally.Scope) Option { return func(c *config) { c.scope = scope } }
 
-// WithDisk sets options of the data folder, such as file operations that fail.
+// WithDisk sets options of the data folder.
 func WithDisk(opts ...laburnumdisk.Option) Option {
 	return func(c *config) { c.diskOptions = opts }
 }
@@ -130,28 +123,27 @@
 	return func(c *config) { c.stateOptions = opts }
 }
 
-// WithTick sets the length of a tick. An election starts after 10 to 20 ticks
-// without a leader.
+// WithTick sets the length of a tick. An election starts after 10 to 20 ticks without a
+// leader.
 func WithTick(d time.Duration) Option { return func(c *config) { c.tick = d } }
 
-// WithProposalTimeout bounds how long Propose tries.
+// WithProposalTimeout sets the timeout of Propose.
 func WithProposalTimeout(d time.Duration) Option {
 	return func(c *config) { c.proposalTimeout = d }
 }
 
-// WithLeaderlessPatience sets how long a voter is without a leader before Propose there no
-// longer waits for one, but fails once all the VMs known were asked.
+// WithLeaderlessPatience sets how long a voter is without a leader before Propose fails once
+// all known VMs were asked, in place of waiting.
 func WithLeaderlessPatience(d time.Duration) Option {
 	return func(c *config) { c.leaderlessPatience = d }
 }
 
-// WithReplaceAfter sets how long a voter is silent before another VM with a disk
-// takes its place.
+// WithReplaceAfter sets how long a voter is silent before another VM replaces it.
 func WithReplaceAfter(d time.Duration) Option { return func(c *config) { c.replaceAfter = d } }
 
-// WithSnapshotBytes sets after how many bytes of entries a snapshot is taken.
+// WithSnapshotBytes sets the size of entries after which a snapshot is taken.
 func WithSnapshotBytes(n int) Option { return func(c *config) { c.snapshotBytes = n } }
 
-// WithBatch sets how many commands may share an append, and writes an fsync; 1
-// turns batching off.
+// WithBatch bounds the commands of an append and the writes of an fsync; 1 turns batching
+// off.
 func WithBatch(n int) Option { return func(c *config) { c.batch = max(1, n) } }
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	// maxWaiting bounds the proposals under way on one leader.
+	// maxWaiting bounds the proposals in flight on one leader.
 	maxWaiting = 1 << 14
-	// maxCommandBytes bounds one command: a larger entry would not fit a frame
-	// between VMs, and the log would send it again and again without end.
+	// maxCommandBytes bounds a command: a larger entry would not fit into a frame, and
+	// the log would resend it for ever.
 	maxCommandBytes = 4 << 20
 )
 
-// waiter is a proposal whose entry is in the log.
+// waiter is a proposal whose entry is in the log but not yet committed.
 type waiter struct {
 	term  uint64
 	reply chan proposeAnswer
@@ -30,20 +30,18 @@
 type proposal struct {
 	command laburnumlever.Command
 	reply   chan proposeAnswer
-	// decided is set once, by whoever is first: the control thread that puts
-	// the command into the log, or a proposer that gives up. So a command given
-	// up before it was taken is surely never taken.
+	// decided is set once, by the control thread when it appends the command or by the
+	// proposer when it gives up. So a command given up first is never appended.
 	decided *atomic.Bool
 }
 
-// intake collects proposals of other goroutines, so that those that come in
-// together go into the log together.
+// intake batches proposals from other goroutines.
 type intake struct {
 	mu   sync.Mutex
 	list []proposal
 }
 
-// add tells whether the control thread needs to be told.
+// add tells whether the control thread must be notified.
 func (i *intake) add(p proposal) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -59,10 +57,9 @@
 	return list
 }
 
-// Propose returns once the command is committed and applied. It finds the leader
-// and tries again through elections until ctx or the proposal timeout ends. A
-// *NoQuorumError says that the command was surely not committed, an
-// *OutcomeUnknownError that it may yet be.
+// Propose returns once the command is committed and applied. It finds the leader and retries
+// through elections until ctx or the proposal timeout ends. A *NoQuorumError means that the
+// command was not and will not be committed, an *OutcomeUnknownError that it may be.
 func (v *Voter) Propose(ctx context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
 	cmd = v.identified(cmd)
 	ctx, cancel := v.bounded(ctx)
@@ -84,8 +81,7 @@
 	}
 }
 
-// identified gives a claim its own name, so that a try whose answer was lost is
-// known again.
+// identified gives a claim an id, so that a retry after a lost answer is recognised.
 func (v *Voter) identified(cmd laburnumlever.Command) laburnumlever.Command {
 	if cmd.Claim == nil || cmd.Claim.Claim != "" {
 		return cmd
@@ -97,14 +93,14 @@
 	return cmd
 }
 
-// bounded ends with ctx, the proposal timeout or Close, whichever is first.
+// bounded returns a context that ends with ctx, the proposal timeout or Close.
 func (v *Voter) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := v.timers.After(v.cfg.proposalTimeout, func(time.Time) { cancel() })
 	return ctx, func() { stop(); cancel() }
 }
 
-// proposeHere tries on this VM's own replica.
+// proposeHere proposes to this VM's own replica.
 func (v *Voter) proposeHere(ctx context.Context, cmd laburnumlever.Command) proposeAnswer {
 	p := proposal{command: cmd, reply: make(chan proposeAnswer, 1), decided: &atomic.Bool{}}
 	if v.intake.add(p) {
@@ -141,7 +137,7 @@
 	}
 }
 
-// append puts proposals into the log together, or turns them away.
+// append appends proposals to the log as one batch, or rejects them.
 func (v *Voter) append(list []proposal) {
 	if !v.leads() || len(v.waiters)+len(list) > maxWaiting {
 		v.turnAway(list)
@@ -179,8 +175,8 @@
 	}
 }
 
-// tooFewVoters tells whether the first change has to wait. Only committed voters count: a list
-// that another leader takes back bears nothing.
+// tooFewVoters tells whether the first change has to wait. Only committed voters count, since
+// another leader may undo an uncommitted configuration.
 func (v *Voter) tooFewVoters() bool {
 	if v.machine.Routes() != nil || v.machine.Catalogue().Revision > 0 {
 		return false
@@ -202,8 +198,8 @@
 	}
 }
 
-// releaseWaiters answers all that wait when this VM stops to lead: their entries
-// may or may not be committed by the next leader.
+// releaseWaiters answers all proposals in flight when this VM loses leadership: the next
+// leader may or may not commit them.
 func (v *Voter) releaseWaiters(detail string) {
 	for index, w := range v.waiters {
 		w.reply <- proposeAnswer{Verdict: verdictUnknown, Detail: detail}
--- a/laburnumvoter/reopen.go
+++ b/laburnumvoter/reopen.go
@@ -8,18 +8,16 @@
 	"github.com/go-kit/log/level"
 )
 
-// reopenTicks pass before a folder is opened again whose disk failed: a full disk is
-// emptied by somebody, and a second more or less is nothing to that.
+// reopenTicks is the pause before a folder is opened again after a disk failure.
 const reopenTicks = 10
 
-// openLater opens a folder again whose disk failed. A VM that gave up its vote for good at the
-// first full disk is one voter less until somebody restarts it, and nobody knows that he
-// must; the disks that the settings promise to lose are then too many.
+// openLater opens a folder again after a disk failure. Without it a disk that was full for a
+// moment would cost the log a voter until the VM is restarted.
 func (v *Voter) openLater(open func() (*replica, error)) {
 	v.timers.After(reopenTicks*v.cfg.tick, func(time.Time) { go v.open(open) })
 }
 
-// open runs on a goroutine of its own, since the disk may be slow.
+// open runs on its own goroutine, since the disk may be slow.
 func (v *Voter) open(open func() (*replica, error)) {
 	v.opening.Lock()
 	defer v.opening.Unlock()
--- a/laburnumvoter/replica.go
+++ b/laburnumvoter/replica.go
@@ -14,19 +14,18 @@
 	"github.com/google/uuid"
 )
 
-// replica is an open data folder with the log and state that it gave.
+// replica is an open data folder with the log and state read from it.
 type replica struct {
 	store   *laburnumdisk.Store
 	log     *laburnumlog.Log
 	machine *laburnumstate.Machine
 	boot    uint64
-	// snapshotBytes is the size of the snapshot that it started from.
+	// snapshotBytes is the size of the snapshot read.
 	snapshotBytes int
 }
 
-// openReplica opens the folder. A damaged one is set aside and said so, and the VM
-// starts as a new instance: to go on with part of a log would be to forget what
-// was acknowledged.
+// openReplica opens the folder. A damaged one is renamed and logged, and the VM starts as a
+// new instance: a part of a log may lack acknowledged entries.
 func openReplica(cfg config, self laburnumlever.VM) (*replica, error) {
 	store, recovered, err := laburnumdisk.Open(cfg.folder, cfg.diskOptions...)
 	var damaged *laburnumdisk.DamagedError
@@ -52,8 +51,7 @@
 	return &replica{store: store, log: l, machine: machine, boot: boot, snapshotBytes: len(recovered.Snapshot.Data)}, nil
 }
 
-// writer makes writes durable on a goroutine of its own, as many together as have
-// come in meanwhile.
+// writer syncs writes on its own goroutine, batching those that queue up meanwhile.
 type writer struct {
 	mu      sync.Mutex
 	ready   *sync.Cond
@@ -78,7 +76,7 @@
 	w.ready.Signal()
 }
 
-// run writes until it is stopped, and closes the store.
+// run writes until stopped, then closes the store.
 func (w *writer) run() {
 	defer close(w.done)
 	for {
@@ -107,7 +105,7 @@
 	return writes
 }
 
-// stop ends run after what is queued.
+// stop ends run once the queue is written.
 func (w *writer) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -123,8 +121,8 @@
 	return openReplica(cfg, self)
 }
 
-// reopenReplica opens the folder again after its disk failed, as the same instance, with what
-// was durable before.
+// reopenReplica opens the folder again after a disk failure, as the same instance with what
+// was durable.
 func reopenReplica(cfg config, self laburnumlever.VM, old *writer) (*replica, error) {
 	<-old.done
 	if err := old.store.Rewind(); err != nil {
--- a/laburnumvoter/report.go
+++ b/laburnumvoter/report.go
@@ -11,26 +11,24 @@
 )
 
 const (
-	// leaderlessTicks go by without a leader before it is said: more than an
-	// election takes.
+	// leaderlessTicks without a leader are logged; they outlast an election.
 	leaderlessTicks = 20
-	// leaderlessEvery is how many ticks pass until it is said again.
+	// leaderlessEvery is the number of ticks until it is logged again.
 	leaderlessEvery = 50
-	// noLeader is the gauge of losses borne on a VM that knows of no leader.
+	// noLeader is the value of the losses-borne gauge without a leader.
 	noLeader = -1
 )
 
-// report is what was last said of the voters, so that each change is said once.
+// report is the state last logged, so that each change is logged once.
 type report struct {
-	configuration uint64 // the index of the one that was said
+	configuration uint64 // its index
 	committed     bool
-	since         time.Time // when it was first seen here
-	leaderless    uint64    // the tick at which the want of a leader was last said
+	since         time.Time // when it was appended here
+	leaderless    uint64    // the tick of the last line about a missing leader
 }
 
-// reportOpened tells what the replica found in its folder: its instance, how far its log
-// goes and who the voters are by it. After a loss of disks this tells an emptied VM from
-// one that was only down.
+// reportOpened logs what the folder held: instance, last index and voters. After a loss of
+// disks it tells an empty replica from one that was only down.
 func (v *Voter) reportOpened() {
 	c := v.log.Configuration()
 	_ = level.Info(v.cfg.logger).Log("event", laburnumlever.EventReplicaOpened, "replica", v.log.ID(),
@@ -39,8 +37,8 @@
 	v.said = report{configuration: v.log.ConfigurationIndex(), committed: !v.log.ChangePending(), since: v.timers.Now()}
 }
 
-// reportVoters tells each change of the voters twice: when this replica appends it, from
-// when on it counts, and when it is committed, with the time that took.
+// reportVoters logs each configuration when it is appended, from when it is in force, and
+// when it is committed.
 func (v *Voter) reportVoters() {
 	if v.log == nil {
 		return
@@ -59,8 +57,8 @@
 		"took", v.timers.Now().Sub(v.said.since))
 }
 
-// reportLeaderless tells a voter's want of a leader, and whose votes it waits for, a while
-// after it began and then now and again while it lasts.
+// reportLeaderless logs from time to time that there is no leader, and which votes are
+// missing.
 func (v *Voter) reportLeaderless() {
 	if !v.log.Configuration().IsVoter(v.log.ID()) {
 		v.leaderlessTicks.Store(0)
@@ -77,13 +75,12 @@
 		"last", v.log.LastIndex(), "voters", names(v.log.Configuration().Voters()), "waiting-for", v.waitingFor())
 }
 
-// leaderless is how long no leader has been known.
+// leaderless returns the time without a known leader.
 func (v *Voter) leaderless() time.Duration {
 	return time.Duration(v.ticks-v.leaderSeen) * v.cfg.tick
 }
 
-// waitingFor names the voters without whose votes this replica does not lead, and what
-// is known of each.
+// waitingFor names the voters whose votes are missing, and what is known of each.
 func (v *Voter) waitingFor() []string {
 	var missing []string
 	for _, m := range v.log.Configuration().Voters() {
@@ -104,7 +101,7 @@
 	return missing
 }
 
-// reportLosses shows how many more disks may be lost.
+// reportLosses updates the gauge of disks that may still be lost.
 func (v *Voter) reportLosses() {
 	borne := v.log.LossesBorne()
 	if v.log.Leader() == "" {
@@ -113,7 +110,7 @@
 	v.cfg.scope.Gauge("losses_borne").Update(float64(borne))
 }
 
-// notLeading says why this VM takes no commands.
+// notLeading tells why this VM takes no commands.
 func (v *Voter) notLeading() string {
 	if v.failure != nil {
 		return v.failure.Error()
--- a/laburnumvoter/search.go
+++ b/laburnumvoter/search.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	// retryPause is between two tries when no other VM is known to ask.
+	// retryPause is the pause when there is no other VM to ask.
 	retryPause = 50 * time.Millisecond
-	// maxRedirects is how many VMs in a row may name another as the leader
-	// before there is a pause: around an election two may name each other.
+	// maxRedirects bounds redirects without a pause: during an election two VMs may name
+	// each other.
 	maxRedirects = 2
 )
 
-// search is one proposal's way to the leader.
+// search finds the leader for one proposal.
 type search struct {
 	voter     *Voter
 	known     []laburnumlever.Voter
@@ -28,7 +28,7 @@
 	redirects int // since the last pause
 	uncertain bool
 	detail    string
-	own       string // what this VM's own replica said last
+	own       string // last answer of this VM's own replica
 }
 
 func (s *search) try(ctx context.Context, cmd laburnumlever.Command) proposeAnswer {
@@ -56,7 +56,7 @@
 	return proposeAnswer{Verdict: verdictUnknown, Detail: err.Error()}
 }
 
-// next picks whom to ask now, and tells whether there is time left.
+// next picks the next VM to ask, and tells whether there is time left.
 func (s *search) next(ctx context.Context, answer proposeAnswer) bool {
 	if len(answer.Voters) > 0 {
 		s.known = answer.Voters
@@ -81,8 +81,8 @@
 	return s.voter.pause(ctx, retryPause)
 }
 
-// hopeless tells whether this VM's replica has waited for a leader for so long that votes must
-// be missing. The caller gets the error once all known VMs were asked, before its timeout.
+// hopeless tells whether this replica has been without a leader for longer than elections
+// take, so that Propose fails once all known VMs were asked.
 func (v *Voter) hopeless() bool {
 	return time.Duration(v.leaderlessTicks.Load())*v.cfg.tick >= v.cfg.leaderlessPatience
 }
@@ -94,7 +94,7 @@
 	return &laburnumlever.NoQuorumError{Detail: s.detail}
 }
 
-// pause waits, and tells whether ctx still stands.
+// pause waits, and tells whether ctx is still alive.
 func (v *Voter) pause(ctx context.Context, d time.Duration) bool {
 	woken := make(chan struct{})
 	stop := v.timers.After(d, func(time.Time) { close(woken) })
@@ -108,7 +108,7 @@
 	return false
 }
 
-// knownVoters is what any goroutine may read of the voters.
+// knownVoters is a copy of the voters for other goroutines.
 type knownVoters struct {
 	mu     sync.Mutex
 	voters []laburnumlever.Voter
--- a/laburnumvoter/status.go
+++ b/laburnumvoter/status.go
@@ -5,14 +5,14 @@
 	"laburnumlever/laburnumlog"
 )
 
-// Roles in a status besides those of the log.
+// Roles besides those of the log.
 const (
 	roleClient  = "client"
 	roleLearner = "learner"
 	roleFailed  = "disk-failed"
 )
 
-// Status is what this VM knows of the log; any goroutine may ask.
+// Status returns what this VM knows of the log. It may be called on any goroutine.
 func (v *Voter) Status() laburnumlever.VoterStatus { return *v.status.Load() }
 
 // publishedKey changes whenever a status does.
@@ -67,7 +67,7 @@
 	return v.log.Role().String()
 }
 
-// voterList is the list in force, or the first voters while there is none.
+// voterList returns the voters in force, or the first voters without a log.
 func (v *Voter) voterList() []laburnumlever.Voter {
 	if v.log == nil || len(v.log.Configuration().Members) == 0 {
 		return v.known.list()
--- a/laburnumvoter/transmit.go
+++ b/laburnumvoter/transmit.go
@@ -10,15 +10,14 @@
 	"laburnumlever/laburnumlog"
 )
 
-// chunkBytes bounds one part of a snapshot, so that heartbeats on the same link
-// do not wait behind a large message.
+// chunkBytes bounds a part of a snapshot, so that heartbeats don't queue behind it.
 const chunkBytes = 256 << 10
 
-// chunkTicks is how long one part may take, less than the log waits before it asks
-// for a snapshot again.
+// chunkTicks is the timeout of a part, below the time after which the log resends a
+// snapshot.
 const chunkTicks = 30
 
-// transmit sends a log message; to itself it goes through the inbox.
+// transmit sends a log message; one to this replica goes through the inbox.
 func (v *Voter) transmit(m laburnumlog.Message) {
 	if v.log != nil && m.To == v.log.ID() {
 		v.inbox = append(v.inbox, m)
@@ -53,7 +52,7 @@
 	v.step(laburnumlog.Receive{Message: m.Message})
 }
 
-// sendingTable tells which members a snapshot is being sent to.
+// sendingTable holds the members to which a snapshot is being sent.
 type sendingTable struct {
 	mu   sync.Mutex
 	busy map[laburnumlog.ReplicaID]bool
@@ -78,8 +77,8 @@
 	delete(t.busy, id)
 }
 
-// sendSnapshot sends the snapshot in parts, one at a time. What is lost is sent
-// again from the start when the log asks for it again.
+// sendSnapshot sends the snapshot in parts, one at a time. After a loss the log sends it again
+// from the start.
 func (v *Voter) sendSnapshot(address string, m wireMessage) {
 	if !v.sending.begin(m.To) {
 		return
@@ -101,8 +100,8 @@
 	}()
 }
 
-// callBriefly sends one part. A VM that is frozen answers nothing: the sender then
-// gives up before the log asks for the snapshot again, or that would find it busy.
+// callBriefly sends one part. It times out on a frozen VM before the log sends the snapshot
+// again, which would find the table busy.
 func (v *Voter) callBriefly(address string, part chunkParams, answer *chunkAnswer) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -111,7 +110,7 @@
 	return v.peers.Call(ctx, address, methodChunk, part, answer)
 }
 
-// assembly holds the parts of the one snapshot that is coming in.
+// assembly holds the parts of an incoming snapshot.
 type assembly struct {
 	mu   sync.Mutex
 	from laburnumlog.ReplicaID
@@ -120,8 +119,8 @@
 	data []byte
 }
 
-// take adds a part, and returns the whole once it is there. A part that does not
-// go on from the last one is refused; the sender then starts over.
+// take adds a part, and returns the snapshot once it is complete. A part out of order is
+// rejected, and the sender starts over.
 func (a *assembly) take(p chunkParams) (whole []byte, done, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -11,8 +11,8 @@
 	"laburnumlever/laburnumstate"
 )
 
-// Voter is a VM's part in the replicated log. It implements laburnumlever.Part and
-// laburnumlever.Proposer.
+// Voter runs a replica, if the VM has a data folder, and proposes commands. It implements
+// laburnumlever.Part and laburnumlever.Proposer.
 type Voter struct {
 	loop   laburnumlever.Loop
 	timers laburnumlever.Timers
@@ -21,7 +21,7 @@
 	cfg    config
 
 	// Control thread only, from here on.
-	log          *laburnumlog.Log // nil on a VM without a replica, or when its disk failed
+	log          *laburnumlog.Log // nil without a replica, or after a disk failure
 	machine      *laburnumstate.Machine
 	boot         uint64
 	writer       *writer
@@ -36,8 +36,8 @@
 	onCatalogue  func(laburnumlever.Catalogue)
 	onRoutes     func(laburnumlever.RouteTable)
 	applied      uint64
-	told         uint64 // the revision last given to onCatalogue
-	toldRoutes   uint64 // the version last given to onRoutes
+	told         uint64 // the revision last passed to onCatalogue
+	toldRoutes   uint64 // the version last passed to onRoutes
 	logBytes     int    // of entries since the last snapshot
 	lastSnapshot int    // size of the last snapshot
 	encoding     bool
@@ -58,19 +58,19 @@
 	assembly assembly
 	sending  sendingTable
 	claims   atomic.Uint64
-	// leaderlessTicks is for how long the replica, if it is a voter, has known of no leader.
+	// leaderlessTicks is how long a voter has known of no leader.
 	leaderlessTicks atomic.Uint64
 	startedAt       time.Time
 	done            chan struct{}
 	closed          sync.Once
-	opening         sync.Mutex // held while a folder is opened again, which Close waits for
-	mu              sync.Mutex // guards cancel and current, which Close takes from another goroutine
+	opening         sync.Mutex // held while a folder is opened again; Close waits for it
+	mu              sync.Mutex // guards cancel and current
 	cancel          func()
 	current         *writer
 }
 
-// New makes a voter; Start makes it take part. Errors are those of opening the
-// data folder: *laburnumdisk.IOError and *laburnumstate.ImageError.
+// New makes a voter, to be started by Start. Errors are those of opening the data folder:
+// *laburnumdisk.IOError and *laburnumstate.ImageError.
 func New(loop laburnumlever.Loop, timers laburnumlever.Timers, peers laburnumlever.Peers, self laburnumlever.VM, opts ...Option) (*Voter, error) {
 	v := &Voter{
 		loop: loop, timers: timers, peers: peers, self: self, cfg: newConfig(opts),
@@ -94,7 +94,7 @@
 	return v, nil
 }
 
-// use takes a replica that was opened and starts its writer.
+// use installs an opened replica and starts its writer.
 func (v *Voter) use(r *replica) {
 	v.generation++
 	v.log, v.machine, v.boot = r.log, r.machine, r.boot
@@ -114,15 +114,15 @@
 	v.reportOpened()
 }
 
-// OnCatalogue sets the function that is called on the control thread for each
-// revision newly applied, and after recovery. Set it before Start.
+// OnCatalogue sets the function called on the control thread for each revision newly applied,
+// and after recovery. Set it before Start.
 func (v *Voter) OnCatalogue(fn func(laburnumlever.Catalogue)) { v.onCatalogue = fn }
 
-// OnRoutes sets the function that is called on the control thread for each route
-// table newly applied, and after recovery. Set it before Start.
+// OnRoutes sets the function called on the control thread for each route table newly applied,
+// and after recovery. Set it before Start.
 func (v *Voter) OnRoutes(fn func(laburnumlever.RouteTable)) { v.onRoutes = fn }
 
-// Start makes the voter take part.
+// Start starts the replica.
 func (v *Voter) Start() {
 	v.loop.Post(v, started{})
 	cancel := v.timers.Every(v.cfg.tick, func(now time.Time) { v.loop.Post(v, ticked{now: now}) })
@@ -131,8 +131,8 @@
 	v.cancel = cancel
 }
 
-// Close ends the voter's part, once what is queued for the disk is written. It
-// does not hand over; call HandOver before for that.
+// Close stops the replica once queued writes are on disk. It doesn't hand over leadership;
+// call HandOver before.
 func (v *Voter) Close() error {
 	v.closed.Do(func() {
 		close(v.done)
@@ -181,8 +181,8 @@
 	v.settle()
 }
 
-// settle goes on with a change of the members that waits for nothing any more, steps the
-// messages that the replica sent to itself, then publishes.
+// settle continues a pending change of the members, handles messages of the replica to
+// itself, then publishes the status.
 func (v *Voter) settle() {
 	if v.leads() && len(learners(v.log.Configuration())) > 0 {
 		v.tendConfiguration()
@@ -205,12 +205,12 @@
 	}
 }
 
-// begin is what a replica does first. It says hello even if it takes itself for a voter: its
-// place may have gone to another VM while it was away.
+// begin starts a replica. It sends a hello even if it is a voter by its own log, since it may
+// have been replaced while it was down.
 func (v *Voter) begin() {
 	v.step(laburnumlog.Resume{})
 	v.tellCatalogue()
-	if v.log == nil { // what it holds can't be read
+	if v.log == nil { // an entry could not be applied
 		return
 	}
 	v.sayHello()
--- a/laburnumvoter/wire.go
+++ b/laburnumvoter/wire.go
@@ -15,13 +15,13 @@
 	logPrefix        = "log-"
 )
 
-// wireMessage is a log message with the address that its sender answers at.
+// wireMessage is a log message with the address of its sender.
 type wireMessage struct {
 	laburnumlog.Message
 	Address string `json:"address"`
 }
 
-// helloMessage is what a replica without a leader tells of itself.
+// helloMessage announces a replica without a leader.
 type helloMessage struct {
 	Member laburnumlog.Member `json:"member"`
 	Boot   uint64             `json:"boot"`
@@ -35,19 +35,19 @@
 	Configuration laburnumlog.Configuration `json:"configuration"`
 }
 
-// supersededMessage tells a replica that its disk went back: it must not go on as
-// the instance that it was. Boot guards against a late copy.
+// supersededMessage tells a replica that its disk was restored from an older copy, so that it
+// must restart as a new instance. Boot guards against a late message.
 type supersededMessage struct {
 	ID   laburnumlog.ReplicaID `json:"id"`
 	Boot uint64                `json:"boot"`
 }
 
-// verdict is what became of one try to propose.
+// verdict is the outcome of one attempt to propose.
 type verdict string
 
 const (
 	verdictDone     verdict = "done"
-	verdictNotTaken verdict = "not-taken" // surely not in any log from this try
+	verdictNotTaken verdict = "not-taken" // not in any log by this attempt
 	verdictUnknown  verdict = "unknown"
 )
 
@@ -58,13 +58,13 @@
 type proposeAnswer struct {
 	Verdict verdict              `json:"verdict"`
 	Result  laburnumlever.Result `json:"result"`
-	// Leader is where to try next, when known.
+	// Leader is the VM to try next, if known.
 	Leader laburnumlever.Voter   `json:"leader"`
 	Voters []laburnumlever.Voter `json:"voters,omitempty"`
 	Detail string                `json:"detail,omitempty"`
 }
 
-// chunkParams is one part of a snapshot; the message comes with the first.
+// chunkParams is a part of a snapshot; the first one carries the message.
 type chunkParams struct {
 	Message wireMessage `json:"message"`
 	Offset  int         `json:"offset"`
