--- a/laburnumquorum/doc.go
+++ b/laburnumquorum/doc.go
@@ -1,10 +1,10 @@
-// Package laburnumquorum decides who the voters of the log are to be: which replica
-// is to catch up, when it counts, and which voter it takes the place of. It does no
-// I/O and reads no clock; time comes as ticks of silence in what the leader sees.
+// Package laburnumquorum decides the members of the replicated log: which replica becomes a
+// learner, when it becomes a voter, and which voter it replaces. It is pure; time comes as
+// ticks of silence in the leader's view.
 //
-// It answers three losses: a VM whose data folder is lost and that comes back as a new
-// instance, a voter that stays silent while another VM with a disk is there, and a log
-// that was founded by fewer voters than it needs to bear the losses of the settings.
+// It handles a VM that lost its data folder and comes back as a new instance, a voter that is
+// silent while another VM with a disk is available, and a log that started with fewer voters
+// than needed to tolerate the losses in the settings.
 //
 // # Usage
 //
@@ -13,8 +13,8 @@
 //		out := log.Step(laburnumlog.ChangeMembers{Configuration: change.To})
 //	}
 //
-// The leader asks again when the change is committed, a replica has caught up or asks
-// to join, and now and then in between.
+// The leader calls Next when a change is committed, when a replica has caught up or asks to
+// join, and at each tick.
 package laburnumquorum
 
 //go:generate go tool -modfile=../tools/go.mod enumer -type=Cause -trimprefix=Cause -transform=kebab -output=cause_gen.go
--- a/laburnumquorum/policy.go
+++ b/laburnumquorum/policy.go
@@ -10,35 +10,35 @@
 )
 
 const (
-	// answersTicks is how long a member may be silent and still count as there.
+	// answersTicks is how long a member may be silent and still count as up.
 	answersTicks = 10
-	// stuckTicks is how long a learner may take nothing before another VM gets its chance: as
-	// long as the log waits for a snapshot to arrive.
+	// stuckTicks is how long a learner may acknowledge nothing before another VM is tried:
+	// as long as the log waits for a snapshot.
 	stuckTicks = 50
 )
 
-// Policy says how many voters there are to be and when one is given up.
+// Policy is the number of voters and when one is replaced.
 type Policy struct {
 	// Target is how many voters the log aims at.
 	Target int
-	// ReplaceTicks of silence make a voter's place free for another VM.
+	// ReplaceTicks is how long a voter is silent before it may be replaced.
 	ReplaceTicks int
 }
 
-// View is what a leader sees of the replicas.
+// View is what a leader knows of the replicas.
 type View struct {
 	// Configuration is the one in force, and Pending tells that it is not committed yet.
 	Configuration laburnumlog.Configuration
 	Pending       bool
 	// Commit is the last index known committed.
 	Commit uint64
-	// Progress is what the leader knows of a member; false for one it knows nothing of.
+	// Progress returns the progress of a member; false if it is unknown.
 	Progress func(laburnumlog.ReplicaID) (laburnumlog.MemberProgress, bool)
-	// Joiners are the replicas that asked to join lately and may.
+	// Joiners are the replicas that asked to join lately and are allowed to.
 	Joiners []laburnumlog.Member
 }
 
-// Cause says why the members change.
+// Cause is why the members change.
 type Cause int
 
 // The causes.
@@ -51,9 +51,9 @@
 	CauseVoterSilent
 	// CauseLearnerSilent is a learner that does not answer.
 	CauseLearnerSilent
-	// CauseLearnerStuck is one that answers and takes no entry.
+	// CauseLearnerStuck is one that answers but acknowledges no entry.
 	CauseLearnerStuck
-	// CauseLearnerWentBack is one whose disk has less than it acknowledged.
+	// CauseLearnerWentBack is one whose disk holds less than it acknowledged.
 	CauseLearnerWentBack
 	// CauseNotNeeded is a learner whose voter is back.
 	CauseNotNeeded
@@ -64,25 +64,24 @@
 	Event  laburnumlever.LogEvent
 	Cause  Cause
 	Member laburnumlog.Member
-	// Replaced is the voter whose place the member takes, if any.
+	// Replaced is the voter that the member replaces, if any.
 	Replaced laburnumlog.ReplicaID
 	To       laburnumlog.Configuration
 }
 
-// Keeper decides by a policy, and remembers which VMs did not catch up.
+// Keeper applies a policy, and remembers which VMs did not catch up.
 type Keeper struct {
 	policy Policy
 	// gaveUp are those VMs, the latest last.
 	gaveUp []laburnumlever.VMID
 }
 
-// NewKeeper returns one that remembers nothing yet.
+// NewKeeper makes a keeper.
 func NewKeeper(policy Policy) Keeper { return Keeper{policy: policy} }
 
-// Next is the next change of the members, if one is due: a learner is added, caught up,
-// and only then put in the place of the voter that it replaces, in one step. A VM whose
-// replica did not catch up comes last the next time: with a disk that hangs and answers to
-// its name it would keep all others from a voter's place for as long.
+// Next returns the next change of the members, if one is due: a learner is added, catches up,
+// then replaces a voter in one step. A VM whose replica did not catch up comes last the next
+// time, since one with a stalled disk would otherwise block all others.
 func (k *Keeper) Next(v View) (Change, bool) {
 	v.Joiners = k.order(v.Joiners)
 	change, due := k.policy.next(v)
@@ -93,7 +92,7 @@
 	return change, due
 }
 
-// order puts the joiners by name, so that each look sees them alike, and those given up last.
+// order sorts the joiners by name, those given up last.
 func (k *Keeper) order(joiners []laburnumlog.Member) []laburnumlog.Member {
 	joiners = slices.Clone(joiners)
 	slices.SortFunc(joiners, func(a, b laburnumlog.Member) int {
@@ -151,8 +150,8 @@
 	return change, true
 }
 
-// place finds the place that a replica on the VM would take: that of the voter of the same VM,
-// one that is missing, else that of a voter that has been silent for long.
+// place finds the voter that a replica on the VM would replace: that of the same VM, none if
+// voters are missing, else one that has been silent for long.
 func (p Policy) place(v View, vm laburnumlever.VMID) (old laburnumlog.ReplicaID, cause Cause, wanted bool) {
 	voters := v.Configuration.Voters()
 	for _, m := range voters {
