--- a/laburnumretry/attempt.go
+++ b/laburnumretry/attempt.go
@@ -2,18 +2,17 @@
 
 import "laburnumlever"
 
-// maxTries bounds the attempts of one request that reach nobody: each costs a dial
-// timeout at most.
+// maxTries bounds the attempts of a request that fail to connect.
 const maxTries = 4
 
-// Stage is how far a failed attempt came.
+// Stage is how far a failed attempt got.
 type Stage int
 
 // The stages.
 const (
 	// StageNotSent means that no byte went out.
 	StageNotSent Stage = iota
-	// StageNotRun means that the backend server says that it did not run it.
+	// StageNotRun means that the backend server reports that it did not run it.
 	StageNotRun
 	// StageUnknown means that it may have run.
 	StageUnknown
@@ -34,22 +33,20 @@
 // Attempt is a request of a route whose last attempt has failed.
 type Attempt struct {
 	Stage Stage
-	// Touched tells that an attempt before may have run.
+	// Touched tells that an earlier attempt may have run.
 	Touched bool
-	// Started tells that the caller has a part of the answer.
+	// Started tells that the caller has received a part of the answer.
 	Started bool
 	// Repeatable and Resumable are the route's.
 	Repeatable, Resumable bool
-	// Sends counts the backend servers that it was sent to, Tries also those that
-	// could not be reached.
+	// Sends counts the attempts that were sent, Tries also those that failed to connect.
 	Sends, Tries int
-	// MaxSends is the route's bound on Sends.
+	// MaxSends is the route's limit of Sends.
 	MaxSends int
 }
 
-// Next tells whether another attempt would be true and allowed, and whether the
-// budget has to pay for it: an attempt that was never sent has cost nobody
-// anything.
+// Next tells whether another attempt is safe and allowed, and whether it is charged to the
+// retry budget: one that was never sent is free.
 func (a Attempt) Next() (reason laburnumlever.RetryReason, paid, ok bool) {
 	switch {
 	case a.forbidden():
--- a/laburnumretry/backoff.go
+++ b/laburnumretry/backoff.go
@@ -5,9 +5,8 @@
 // Backoff spaces retries: the wait doubles from Least up to Most. The zero value of its state is
 // ready to use.
 //
-// Load pattern: for seconds no control VM can serve what hundreds of gateways ask for. Retried
-// at a fixed short interval, their requests take the processor that the next control VM needs to
-// take over.
+// Load pattern: for seconds no control VM serves the calls of hundreds of gateways. Retried at a
+// fixed short interval, they starve the control VM that takes over.
 type Backoff struct {
 	Least, Most time.Duration
 	wait        time.Duration
--- a/laburnumretry/budget.go
+++ b/laburnumretry/budget.go
@@ -1,13 +1,9 @@
-// Package laburnumretry decides whether a failed attempt is followed by another.
+// Package laburnumretry decides whether a failed attempt is retried.
 //
-// The load pattern it answers: backend servers that fail because they are
-// overloaded. Without a bound each failure brings more work: three attempts a
-// request make three times the load at the moment when there is least room, and
-// what was a short overload lasts. The budget is a share of the traffic: every
-// first attempt pays a tenth of a retry in, every retry takes one out. A tenth
-// is enough for single servers that die (one of ten or more), and adds at most a
-// tenth to a saturated fleet. Retries never stack: a request has at most three
-// attempts, and a retry pays nothing in.
+// Load pattern: backend servers fail because they are overloaded. Without a limit retries
+// multiply the load when there is least capacity, so that a short overload lasts. A retry
+// budget is a share of the traffic: each first attempt adds a tenth of a retry, each retry
+// takes one. A request has at most three attempts, and retries add nothing.
 //
 // # Usage
 //
@@ -16,63 +12,61 @@
 //	reason, verdict := budget.Decide(laburnumretry.Situation{…})
 //	if verdict == laburnumretry.Again { … }
 //
-// A Budget is not safe for concurrent use. It needs no clock: traffic itself
-// fills it.
+// A Budget is not safe for concurrent use. It needs no clock.
 package laburnumretry
 
 import "laburnumlever"
 
 const (
-	// perRequest is what one first attempt pays in.
+	// perRequest is the share of a retry that a first attempt adds.
 	perRequest = 0.1
-	// maxSaved bounds a burst of retries after a quiet hour.
+	// maxSaved bounds a burst of retries after a quiet time.
 	maxSaved = 20
-	// initial lets a VM that has just started survive the death of one server.
+	// initial covers the failure of one server right after a start.
 	initial = 5
 	// maxAttempts of one request, the first included.
 	maxAttempts = 3
 )
 
-// Verdict says what to do after a failed attempt.
+// Verdict is what to do after a failed attempt.
 type Verdict int
 
 // The verdicts.
 const (
-	// GiveUp means that another attempt is not allowed or brings nothing.
+	// GiveUp means that another attempt is not allowed or useless.
 	GiveUp Verdict = iota
-	// Again means that another attempt may be made; it has been paid for.
+	// Again means that another attempt may be made; it has been charged.
 	Again
-	// OverBudget means that only the budget forbids it.
+	// OverBudget means that only the budget forbids another attempt.
 	OverBudget
 )
 
-// Situation is a request whose attempt has failed.
+// Situation is a request with a failed attempt.
 type Situation struct {
 	Reason  laburnumlever.RefusalReason
 	Outcome laburnumlever.RequestOutcome
 	// Once tells that the request may run at most once.
 	Once bool
-	// Started tells that the caller has been given a part of the answer.
+	// Started tells that the caller has received a part of the answer.
 	Started bool
-	// Stream tells that the answer is a stream of tokens, which can be resumed
-	// or replayed from where it broke.
+	// Stream tells that the answer is a stream of tokens, which can be resumed.
 	Stream bool
-	// CanResume tells that the backend server resumes streams itself.
+	// CanResume tells that the backend server resumes streams.
 	CanResume bool
-	// Attempts made until now.
+	// Attempts is the number of attempts so far.
 	Attempts int
 }
 
-// Budget is the balance of one VM.
+// Budget is the retry budget of a VM.
 type Budget struct{ saved float64 }
 
-// NewBudget returns a budget for a VM that has just started.
+// NewBudget makes the budget of a VM that has just started.
 func NewBudget() *Budget { return &Budget{saved: initial} }
 
-// FirstAttempt pays in for a request that starts.
+// FirstAttempt adds the share of a new request.
 func (b *Budget) FirstAttempt() { b.saved = min(maxSaved, b.saved+perRequest) }
 
-// Decide says whether to try again and why, and pays for it.
+// Decide tells whether to retry and why, and charges the retry.
 func (b *Budget) Decide(s Situation) (laburnumlever.RetryReason, Verdict) {
 	reason, ok := allowed(s)
 	if !ok || s.Attempts >= maxAttempts {
@@ -85,7 +79,7 @@
 	return reason, Again
 }
 
-// allowed tells whether another attempt could be true and useful.
+// allowed tells whether another attempt is safe and useful.
 func allowed(s Situation) (laburnumlever.RetryReason, bool) {
 	if !retryable(s.Reason) {
 		return 0, false
--- a/laburnumretry/window.go
+++ b/laburnumretry/window.go
@@ -3,28 +3,26 @@
 import "time"
 
 const (
-	// windowParts is into how many parts a window is divided: what a part holds is
-	// forgotten together, and counted until the last of it is out of the window.
+	// windowParts is the number of buckets of a window; a bucket counts until all of it
+	// is out of the window.
 	windowParts = 10
-	// ownShare of the ratio is used by this VM. The rest is for requests that are
-	// counted here in one window and there in the next.
+	// ownShare of the ratio is used; the rest covers requests at the edges of windows.
 	ownShare = 0.7
-	// slackShare of the slack is shared out among the gateways; the rest is for
-	// those that were started again within the window and have forgotten theirs.
+	// slackShare of the slack is split among the gateways; the rest covers gateways
+	// restarted within the window.
 	slackShare = 0.5
 )
 
-// Window bounds repeats by a share of the requests seen in a sliding window, and a
-// slack. It keeps a bound that holds over all gateways together without asking
-// them: the shares of the requests add up by themselves, and the slack is split
-// into fixed parts.
+// Window limits retries to a share of the requests in a sliding window, plus a slack. The limit
+// holds for all gateways together without coordination: shares of requests add up, and the
+// slack is split evenly.
 //
 // A Window is not safe for concurrent use.
 type Window struct {
 	ratio, slack float64
 	part         time.Duration
-	// start is when the window was first used: the time since then is steady,
-	// while the time of day may jump.
+	// start is when the window was first used; times are relative to it, since the time
+	// of day may jump.
 	start time.Time
 	parts []windowPart
 }
@@ -35,9 +33,8 @@
 	repeats  int
 }
 
-// NewWindow makes an empty window: of the requests in any span of the length, at
-// most ratio times as many repeats as there are requests, plus slack, over all
-// gateways.
+// NewWindow makes an empty window: in any span of the length, all gateways together make at
+// most ratio times as many retries as there are requests, plus slack.
 func NewWindow(length time.Duration, ratio, slack float64) *Window {
 	return &Window{ratio: ratio, slack: slack, part: length / windowParts}
 }
@@ -45,8 +42,8 @@
 // Request counts a first attempt.
 func (w *Window) Request(now time.Time) { w.at(now).requests++ }
 
-// Repeat tells whether one more attempt is allowed, and counts it; gateways is how
-// many share the slack.
+// Repeat tells whether a retry is allowed, and counts it; gateways is the number that share the
+// slack.
 func (w *Window) Repeat(now time.Time, gateways int) bool {
 	last := w.at(now)
 	requests, repeats := 0, 0
@@ -62,7 +59,7 @@
 	return true
 }
 
-// at returns the part that now falls into and drops those out of the window.
+// at returns the current bucket and drops those out of the window.
 func (w *Window) at(now time.Time) *windowPart {
 	if w.start.IsZero() {
 		w.start = now
