--- a/laburnumexplain/day.go
+++ b/laburnumexplain/day.go
@@ -8,15 +8,16 @@
 	"laburnumlever"
 )
 
-// Outcome is how requests ended, in the order in which a reader wants them.
+// Outcome is how a request ended.
 type Outcome int
 
 // The outcomes.
 const (
-	// InTime is a whole answer in time, Late one that was not.
+	// InTime is a complete answer in time, Late one that was not.
 	InTime Outcome = iota
 	Late
-	// Refused was answered before anything ran; Failed is any other end without a whole answer.
+	// Refused was answered before anything ran; Failed is any other end without a complete
+	// answer.
 	Refused
 	Failed
 )
@@ -61,15 +62,15 @@
 	return list
 }
 
-// Layout is how many engines held a model, by the director's last line before the window.
+// Layout is how many engines held a model, by the last "layout" line before the window.
 type Layout struct {
 	// Held and Loading count engines, Room those with room for one more model.
 	Held, Loading, Room int
-	// Known tells that some VM told it in or before the window.
+	// Known tells that it was logged in or before the window.
 	Known bool
 }
 
-// Window is a span of the day.
+// Window is a part of the day.
 type Window struct {
 	From time.Duration // since the day's start
 	// Subjects are models, or routes for requests without one.
@@ -78,7 +79,7 @@
 	Total    Account
 }
 
-// Day is what logs say of all requests of a span of time.
+// Day is the outcome of all requests in the logs.
 type Day struct {
 	Start    time.Time
 	Width    time.Duration // of a window
@@ -87,14 +88,14 @@
 	Total    Account
 }
 
-// DefaultWidth is about how long demand stays with one model on a lively day.
+// DefaultWidth is the default width of windows.
 const DefaultWidth = 3 * time.Second
 
 func isEnd(l Line) bool {
 	return l.Event == laburnumlever.EventRequestServed.String() || l.Event == laburnumlever.EventRequestRefused.String()
 }
 
-// newDay is the day of requests' ends and layouts, each in the order of time.
+// newDay makes a day of requests' ends and layouts, each sorted by time.
 func newDay(ends []end, told []layoutAt, width time.Duration) Day {
 	d := Day{Start: ends[0].at, Width: width, Subjects: map[string]*Account{}}
 	held := layouts{}
@@ -126,7 +127,7 @@
 	return accounts[subject]
 }
 
-// window is the one that the time is in; lines come in order.
+// window returns the window of a time; lines come sorted.
 func (d *Day) window(at time.Time) *Window {
 	n := int(at.Sub(d.Start) / d.Width)
 	for len(d.Windows) <= n {
@@ -137,8 +138,8 @@
 	return &d.Windows[n]
 }
 
-// outcomeOf reads an end. A request that no backend server can have run and that was answered
-// is refused; of any other without a whole answer the caller knows nothing.
+// outcomeOf classifies an end. A request that was answered and can't have run is refused; any
+// other without a complete answer has failed.
 func outcomeOf(l Line) (Outcome, string) {
 	if l.Event == laburnumlever.EventRequestServed.String() {
 		if late := word(l.Fields["late"]); late != "" && late != "not" {
--- a/laburnumexplain/daypicture.go
+++ b/laburnumexplain/daypicture.go
@@ -13,7 +13,7 @@
 	pictureHeight = 400
 )
 
-// drawn are the lines of the picture, in colours that differ in lightness too.
+// drawn are the lines of the picture, in colours of different lightness.
 var drawn = []struct {
 	outcome Outcome
 	colour  string
@@ -35,7 +35,7 @@
 	return graph.Render(chart.SVG, w)
 }
 
-// series is a value of each window, drawn from its beginning; the last one is drawn to its end.
+// series is a value of each window, as steps.
 func (d Day) series(name, colour string, value func(Account) int) chart.Series {
 	s := chart.ContinuousSeries{Name: name, Style: chart.Style{StrokeColor: drawing.ColorFromHex(colour)}}
 	for i, win := range d.Windows {
--- a/laburnumexplain/dayreader.go
+++ b/laburnumexplain/dayreader.go
@@ -11,11 +11,11 @@
 	"laburnumlever"
 )
 
-// routeSubject begins the subject of a request without a model.
+// routeSubject is the prefix of the subject of a request without a model.
 const routeSubject = "route "
 
-// DayReader reads the logs of any number of VMs into one day. It keeps a few words for each
-// request, not the logs.
+// DayReader reads the logs of any number of VMs into one day. Its memory grows with the number
+// of requests, not with the size of the logs.
 type DayReader struct {
 	ends    []end
 	layouts []layoutAt
@@ -35,12 +35,12 @@
 	layoutText  = []byte(laburnumlever.EventLayout.String())
 )
 
-// Read takes one log. Skipped counts lines that should hold an event and don't.
+// Read reads a log. Skipped counts lines that should hold an event but don't.
 func (d *DayReader) Read(r io.Reader) (skipped int, err error) {
 	return scan(r, isOfDay, d.take)
 }
 
-// isOfDay tells, without reading it, whether a line may be part of a day.
+// isOfDay tells, without decoding it, whether a line may be part of a day.
 func isOfDay(text []byte) bool {
 	return bytes.Contains(text, servedText) || bytes.Contains(text, refusedText) || bytes.Contains(text, layoutText)
 }
@@ -63,8 +63,8 @@
 	d.ends = append(d.ends, end{at: l.At, subject: unique.Make(subject).Value(), outcome: outcome, cause: unique.Make(cause).Value()})
 }
 
-// Day is the day of all logs read. Each try of a caller counts by itself, in the window in which
-// it ended. An error is a *NoRequestsError.
+// Day returns the day of all logs read. Each attempt of a caller counts as a request, in the
+// window in which it ended. An error is a *NoRequestsError.
 func (d *DayReader) Day(width time.Duration) (Day, error) {
 	if len(d.ends) == 0 {
 		return Day{}, &NoRequestsError{Layouts: len(d.layouts)}
@@ -74,7 +74,7 @@
 	return newDay(d.ends, d.layouts, width), nil
 }
 
-// NoRequestsError is logs without the end of any request.
+// NoRequestsError means that the logs hold no end of a request.
 type NoRequestsError struct{ Layouts int }
 
 func (e *NoRequestsError) Error() string {
--- a/laburnumexplain/daytext.go
+++ b/laburnumexplain/daytext.go
@@ -11,11 +11,11 @@
 
 //go:generate go tool -modfile=../tools/go.mod enumer -type=Outcome -transform=kebab -output=outcome_gen.go
 
-// causesShown are the causes named in a row, the most frequent first.
+// causesShown is the number of causes in a row, the most frequent first.
 const causesShown = 3
 
-// WriteText writes the day for a reader: the whole, each subject that lost something, and each
-// window with the subjects that lost most in it, as many as asked for. An error is the writer's.
+// WriteText writes tables: the total, each subject with losses, and each window with the
+// subjects that lost most in it. An error is the writer's.
 func (d Day) WriteText(w io.Writer, most int) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	row := func(cells ...any) { _, _ = fmt.Fprintln(t, cellsText(cells)) } // Flush tells an error
@@ -39,7 +39,7 @@
 	return t.Flush()
 }
 
-// mostLost are the subjects that lost something, those that lost most first.
+// mostLost returns the subjects with losses, largest first.
 func mostLost(accounts map[string]*Account, most int) []string {
 	var list []string
 	for subject, a := range accounts {
@@ -77,7 +77,7 @@
 	return strings.Join(parts, ", ")
 }
 
-// cellsText is a row with its cells, those in lists too, parted by tabs.
+// cellsText joins the cells of a row, flattening lists, by tabs.
 func cellsText(cells []any) string {
 	var parts []string
 	for _, cell := range cells {
--- a/laburnumexplain/doc.go
+++ b/laburnumexplain/doc.go
@@ -1,6 +1,6 @@
-// Package laburnumexplain says, from logs alone, what became of a caller's request, and where a
-// day's requests were lost: it joins the lines of several processes into one timeline and names
-// the cause, or counts how requests ended by model, span of time and cause.
+// Package laburnumexplain explains from logs what became of a request, and where requests were
+// lost. It joins the lines of several processes into one timeline and names the cause, or
+// counts how requests ended by model, time window and cause.
 //
 // # Usage
 //
@@ -13,7 +13,6 @@
 //	day, err := reader.Day(laburnumexplain.DefaultWidth)
 //	err = day.WriteText(os.Stdout, 3)
 //
-// Lines that are not JSON objects are passed over and counted: a log may be cut in the
-// middle of a line. What stands before the object in a line, as a collector writes it, is
-// ignored.
+// Lines without a JSON object are skipped and counted: a log may be cut in the middle of a
+// line. A collector's prefix before the object is ignored.
 package laburnumexplain
--- a/laburnumexplain/layouts.go
+++ b/laburnumexplain/layouts.go
@@ -14,8 +14,8 @@
 	layoutLine
 }
 
-// layoutLine is a layout event's own fields. Models that neither Held, Loading nor None names are
-// held by one engine if One is not 0; otherwise nothing is known of them.
+// layoutLine holds the fields of a layout event. Models that Held, Loading and None don't name
+// are held by one engine if One is not 0; otherwise they are unknown.
 type layoutLine struct {
 	Room    int            `json:"room"`
 	Held    map[string]int `json:"held"`
@@ -24,7 +24,7 @@
 	None    []string       `json:"none"`
 }
 
-// newLayout reads a layout event; false for one that can't be read.
+// newLayout decodes a layout event.
 func newLayout(l Line) (layoutAt, bool) {
 	text, err := json.Marshal(l.Fields)
 	if err != nil {
@@ -34,7 +34,7 @@
 	return told, json.Unmarshal(text, &told.layoutLine) == nil
 }
 
-// of is the layout of one subject; false where nothing is known of it.
+// of returns the layout of a subject; false if it is unknown.
 func (l layoutLine) of(subject string) (Layout, bool) {
 	held, isHeld := l.Held[subject]
 	loading, isLoading := l.Loading[subject]
@@ -47,12 +47,12 @@
 	return Layout{Held: held, Loading: loading, Room: l.Room, Known: true}, true
 }
 
-// layouts is the last layout told of each service.
+// layouts is the last layout of each service.
 type layouts map[string]layoutLine
 
 func (s layouts) take(told layoutAt) { s[told.service] = told.layoutLine }
 
-// show puts what was told last into a window.
+// show copies the last layouts to a window.
 func (s layouts) show(w *Window) {
 	for _, told := range s {
 		for subject := range w.Subjects {
--- a/laburnumexplain/lines.go
+++ b/laburnumexplain/lines.go
@@ -22,14 +22,13 @@
 	Fields map[string]any
 }
 
-// Read reads a log. Skipped counts the lines that hold no event.
+// Read reads a log. Skipped counts the lines without an event.
 func Read(r io.Reader) (lines []Line, skipped int, err error) {
 	skipped, err = scan(r, func([]byte) bool { return true }, func(l Line) { lines = append(lines, l) })
 	return lines, skipped, err
 }
 
-// scan reads the lines of a log that may be wanted, one at a time. Skipped counts those of them
-// that hold no event.
+// scan decodes the wanted lines of a log one at a time. Skipped counts those without an event.
 func scan(r io.Reader, wanted func(text []byte) bool, take func(Line)) (skipped int, err error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
@@ -71,7 +70,7 @@
 // is tells whether a field has the value.
 func (l Line) is(field, value string) bool { return value != "" && word(l.Fields[field]) == value }
 
-// text is the line for a reader: the fields that say most first.
+// text formats the line, the most important fields first.
 func (l Line) text() string {
 	first := []string{"reason", "stage", "status", "backend", "model", "adapter", "cause"}
 	var parts []string
--- a/laburnumexplain/story.go
+++ b/laburnumexplain/story.go
@@ -8,11 +8,11 @@
 	"laburnumlever"
 )
 
-// before is how long before a request news counts that may have decided its fate: loads
-// and heartbeats take effect within some seconds.
+// before is how long before a request events may have affected it: loads and heartbeats take
+// effect within seconds.
 const before = 15 * time.Second
 
-// Story is what became of a request.
+// Story is the timeline of a request.
 type Story struct {
 	ID string
 	// Cause is one sentence.
@@ -20,7 +20,7 @@
 	Lines []Line
 }
 
-// causes say what a reason means and where to look.
+// causes describe each reason and where to look.
 var causes = map[string]string{
 	"no-backend":          "no backend server could do it: look for the model's loads and withdrawals, and for servers that went",
 	"queue-full":          "all backend servers that could do it were full until its wait was over",
@@ -39,7 +39,7 @@
 	"too-large":           "its body was too large",
 }
 
-// Request joins what the lines say of a request. An error is a
+// Request collects the lines about a request. An error is a
 // *laburnumlever.NotFoundError.
 func Request(id string, lines []Line) (Story, error) {
 	story := Story{ID: id}
@@ -62,8 +62,8 @@
 	return story, nil
 }
 
-// concerns tells whether an event of another kind may have decided the request's fate: of
-// a backend server that it was sent to, of its model, or of the gateway that took it.
+// concerns tells whether another event may have affected the request: one of a backend server
+// that it was sent to, of its model, or of its gateway.
 func concerns(l Line, own []Line) bool {
 	if l.Event == "request-served" || l.Event == "request-refused" || l.Event == "attempt-failed" {
 		return false
@@ -98,7 +98,7 @@
 	}
 }
 
-// Text is the story for a reader, a line an event.
+// Text formats the story, one line for each event.
 func (s Story) Text() []string {
 	out := []string{"cause: " + s.Cause}
 	start := s.Lines[0].At
