--- a/laburnumroutes/check.go
+++ b/laburnumroutes/check.go
@@ -7,7 +7,7 @@
 	"laburnumlever"
 )
 
-// Check lists all that is wrong in a table. An error is a
+// Check reports all faults of a table. An error is a
 // *laburnumlever.RoutesInvalidError.
 func Check(t laburnumlever.RouteTable) error {
 	c := checker{services: map[laburnumlever.ServiceName]bool{}, places: map[place]laburnumlever.RouteName{}}
--- a/laburnumroutes/doc.go
+++ b/laburnumroutes/doc.go
@@ -8,6 +8,5 @@
 //	route, ok := index.Find("ficu95.example", "/quotes/today")
 //	service, ok := laburnumroutes.Pick(*route, rand.Uint64())
 //
-// A look-up takes as many steps as the path has segments, whatever the number of
-// routes: an operator may add hundreds at once while callers' requests run.
+// A look-up takes as many steps as the path has segments, whatever the number of routes.
 package laburnumroutes
--- a/laburnumroutes/index.go
+++ b/laburnumroutes/index.go
@@ -7,7 +7,7 @@
 	"laburnumlever"
 )
 
-// Index finds routes by host and path. It is never changed once built.
+// Index finds routes by host and path. It is immutable.
 type Index struct {
 	table  laburnumlever.RouteTable
 	byHost map[string]map[string]*laburnumlever.Route
@@ -43,11 +43,10 @@
 	return !ok || priority <= most
 }
 
-// Table is the table that the index was made of.
+// Table returns the table of the index.
 func (x *Index) Table() laburnumlever.RouteTable { return x.table }
 
-// Find returns the route with the longest prefix that begins the path. Prefixes
-// end with a slash, so only as many candidates as the path has slashes are tried.
+// Find returns the route with the longest prefix of the path.
 func (x *Index) Find(host, path string) (*laburnumlever.Route, bool) {
 	prefixes := x.byHost[normalHost(host)]
 	if prefixes == nil {
@@ -61,8 +60,7 @@
 	return nil, false
 }
 
-// Pick chooses one of the route's services by weight; draw is any number, and the
-// same one gives the same service.
+// Pick chooses one of the route's services by weight; draw is a random number.
 func Pick(r laburnumlever.Route, draw uint64) laburnumlever.ServiceName {
 	total := 0
 	for _, share := range r.Split {
@@ -81,7 +79,7 @@
 	return ""
 }
 
-// normalHost drops the port and the case, which callers may write as they like.
+// normalHost drops the port and lowers the case.
 func normalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
