--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -45,12 +45,8 @@
 	counters *counters
 	inFlight atomic.Int64
 	starting atomic.Int64 // requests that wait for the first routes
-	draining atomic.Bool
-	// leaving is set once the balancer has noticed the drain; streams are refused from then on.
-	leaving atomic.Bool
-	// closing is set before the end of a drain; all requests are refused from then on.
-	closing atomic.Bool
-	endsAt  atomic.Pointer[time.Time]
+	drain    atomic.Int32 // a drainStage
+	endsAt   atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	windows map[laburnumlever.ServiceName]*laburnumretry.Window
@@ -98,7 +94,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.draining.Load() {
+	if g.stage() != drainNone {
 		w.Header().Set("Connection", "close")
 	}
 	q, err := g.read(w, r)
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -26,6 +26,24 @@
 	lastChecks  = 2  // checks in a row without a request end the drain; answers are flushed by then
 )
 
+// drainStage is how far a drain has got.
+type drainStage int32
+
+// The stages.
+const (
+	drainNone drainStage = iota
+	// drainNoticing waits for the balancer to notice; all requests are served.
+	drainNoticing
+	// drainEmptying refuses streams, which could outlast the process.
+	drainEmptying
+	// drainClosing refuses all requests.
+	drainClosing
+)
+
+func (g *Gateway) stage() drainStage { return drainStage(g.drain.Load()) }
+
+func (g *Gateway) enter(stage drainStage) { g.drain.Store(int32(stage)) }
+
 // Server serves the gateway on a listener.
 func (g *Gateway) Server() *http.Server {
 	return &http.Server{
@@ -35,7 +53,7 @@
 }
 
 // Ready tells whether the balancer may send callers here.
-func (g *Gateway) Ready() bool { return !g.draining.Load() && g.fleet.Ready() }
+func (g *Gateway) Ready() bool { return g.stage() == drainNone && g.fleet.Ready() }
 
 // Drain reports the gateway as not ready, serves requests until the balancer has noticed, each
 // with "Connection: close", and returns when none is in flight or ctx ends. Once it is idle for a
@@ -44,15 +62,15 @@
 // Idle connections stay open: a request may be on its way, and its caller could not tell whether
 // it was run.
 func (g *Gateway) Drain(ctx context.Context) {
-	g.draining.Store(true)
+	g.enter(drainNoticing)
 	if end, ok := ctx.Deadline(); ok {
 		g.endsAt.Store(&end)
 	}
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventDraining, "in-flight", g.InFlight())
 	laburnumtimer.Wait(ctx.Done(), g.timers, noticeTime)
-	g.leaving.Store(true)
+	g.enter(drainEmptying)
 	g.awaitIdle(ctx, quietChecks)
-	g.closing.Store(true)
+	g.enter(drainClosing)
 	g.awaitIdle(ctx, lastChecks)
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventDrained, "in-flight", g.InFlight())
 }
@@ -70,7 +88,8 @@
 
 // tooLate tells whether a request could outlast the process. Its answer would be cut off.
 func (g *Gateway) tooLate(q *request) bool {
-	if g.closing.Load() || g.leaving.Load() && q.route.Kind == laburnumlever.KindStream {
+	stage := g.stage()
+	if stage == drainClosing || stage == drainEmptying && q.route.Kind == laburnumlever.KindStream {
 		return true
 	}
 	end := g.endsAt.Load()
