refactor: retry times and reservations stand once, for gateways and the evaluation

The evaluation repeated constants of the gateway; they are now the terms' and the balancer's own, so that a policy that moves one can't drift from production. Behaviour is untouched.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -34,6 +34,12 @@
 	emptyShare = 0.5
 	// fullTime is how long a server that refused a request counts as full.
 	fullTime = 300 * time.Millisecond
+
+	// UrgentReservations is the number of engines that refuse an urgent request a slot before
+	// it queues at one: the power of two choices.
+	UrgentReservations = 2
+	// RetrySlack after RetryTime the queue is served again.
+	RetrySlack = 10 * time.Millisecond
 )
 
 // Query describes a request that needs a server.
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -215,7 +215,7 @@
 // retryQueueLater serves the queue once the balancer tries an engine with all slots taken again.
 func (f *Fleet) retryQueueLater() {
 	f.mu.Lock()
-	wait := f.balance.RetryTime() + retrySlack
+	wait := f.balance.RetryTime() + laburnumbalance.RetrySlack
 	f.mu.Unlock()
 	f.timers.After(wait, func(time.Time) {
 		f.mu.Lock()
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -8,22 +8,15 @@
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumtimer"
+	"laburnumlever/laburnumwaiting"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 )
 
 const (
-	// Least Retry-After.
-	noBackendRetry = time.Second            // about a load from an engine's disk
-	drainRetry     = 50 * time.Millisecond  // another gateway can serve the request
-	fullRetry      = 500 * time.Millisecond // slots come free all the time
-
+	drainRetry  = 50 * time.Millisecond  // least Retry-After: another gateway can serve the request
 	adapterWait = 400 * time.Millisecond // many times a usual load of an adapter
-
-	// Backoff between two requests for an adapter.
-	adapterPause     = 2 * time.Millisecond
-	adapterPauseMost = 50 * time.Millisecond
 )
 
 // failure is the outcome of an attempt without a complete answer.
@@ -78,7 +71,7 @@
 	if ctx.Err() != nil && !expired(ctx) {
 		return &CallerGoneError{Cause: ctx.Err()}
 	}
-	refusal := &laburnumlever.RefusalError{Reason: fail.reason, RetryAfter: fullRetry, Detail: fail.cause.Error()}
+	refusal := &laburnumlever.RefusalError{Reason: fail.reason, RetryAfter: waitTerms.Retry(laburnumbalance.Full), Detail: fail.cause.Error()}
 	if expired(ctx) {
 		refusal.Reason, refusal.RetryAfter = laburnumlever.RefusedDeadline, 0
 	}
@@ -110,7 +103,7 @@
 func (g *Gateway) acquire(ctx context.Context, q *request) (*laburnumbalance.Ticket, error) {
 	start := g.timers.Now()
 	until := waitTerms.WaitUntil(q.times())
-	backoff := laburnumretry.Backoff{Least: adapterPause, Most: adapterPauseMost}
+	backoff := laburnumwaiting.AdapterBackoff()
 	defer func() { q.waited += g.timers.Now().Sub(start) }()
 	for {
 		ticket, verdict := g.fleet.await(ctx, q, until)
@@ -125,7 +118,7 @@
 			return nil, adapterAbsent(err)
 		}
 		if ctx.Err() != nil || !laburnumtimer.Wait(ctx.Done(), g.timers, backoff.Next()) {
-			return nil, refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "adapter not there in time")
+			return nil, noBackend(laburnumbalance.AdapterAbsent, "adapter not there in time")
 		}
 	}
 }
@@ -137,19 +130,23 @@
 	if cause != nil {
 		detail = "adapter: " + cause.Error()
 	}
-	return refuse(laburnumlever.RefusedNoBackend, noBackendRetry, detail)
+	return noBackend(laburnumbalance.AdapterAbsent, detail)
+}
+
+func noBackend(verdict laburnumbalance.Verdict, detail string) error {
+	return refuse(laburnumlever.RefusedNoBackend, waitTerms.Retry(verdict), detail)
 }
 
 func noSlot(verdict laburnumbalance.Verdict) error {
 	switch verdict {
 	case laburnumbalance.Full:
-		return refuse(laburnumlever.RefusedQueueFull, fullRetry, "all backend servers that could do it are full")
+		return refuse(laburnumlever.RefusedQueueFull, waitTerms.Retry(verdict), "all backend servers that could do it are full")
 	case laburnumbalance.NoServer:
-		return refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no backend server of the service takes work")
+		return noBackend(verdict, "no backend server of the service takes work")
 	case laburnumbalance.AdapterAbsent:
-		return refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no engine holds the adapter")
+		return noBackend(verdict, "no engine holds the adapter")
 	default:
-		return refuse(laburnumlever.RefusedNoBackend, noBackendRetry, "no engine holds the model")
+		return noBackend(verdict, "no engine holds the model")
 	}
 }
 
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -156,7 +156,7 @@
 
 // queues tells whether the request may queue at an engine. Engines serve the most urgent first,
 // while a slot that comes free otherwise goes to whichever gateway reserves it first.
-func (q *request) queues() bool { return q.urgent && q.taken >= urgentReservations }
+func (q *request) queues() bool { return q.urgent && q.taken >= laburnumbalance.UrgentReservations }
 
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -22,11 +22,6 @@
 	// reserveTimeout is twice the longest round trip between zones.
 	reserveTimeout = 300 * time.Millisecond
 	maxReserved    = 4 << 10 // bytes of an answer
-	// urgentReservations are the engines that an urgent request is refused a slot at before it
-	// queues at one: the power of two choices.
-	urgentReservations = 2
-	// retrySlack has the queue served just after the balancer considers a full engine again.
-	retrySlack = 10 * time.Millisecond
 )
 
 // reserve reserves a slot before the request is sent, if the engine's load is stale. A
--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -9,15 +9,6 @@
 	"laburnumlever/laburnumwaiting"
 )
 
-const (
-	// noBackendRetry and fullRetry are when it is worth asking again.
-	noBackendRetry = time.Second
-	fullRetry      = 500 * time.Millisecond
-	// adapterPause and adapterPauseMost as in laburnumgateway.
-	adapterPause     = 2 * time.Millisecond
-	adapterPauseMost = 50 * time.Millisecond
-)
-
 // attempt is one try of a caller, at one gateway, as laburnumgateway makes it.
 type attempt struct {
 	request  *request
@@ -69,7 +60,7 @@
 }
 
 func (a *attempt) queues() bool {
-	return a.request.class.Priority == 0 && a.taken >= urgentReservations
+	return a.request.class.Priority == 0 && a.taken >= laburnumbalance.UrgentReservations
 }
 
 // place looks for a slot, and waits for one if it must.
@@ -125,10 +116,10 @@
 		return
 	}
 	if verdict == laburnumbalance.Full {
-		a.turnAway(fullRetry, "full")
+		a.turnAway(verdict, "full")
 		return
 	}
-	a.turnAway(noBackendRetry, "no-engine")
+	a.turnAway(verdict, "no-engine")
 }
 
 // needAdapter asks for the adapter, and looks again once it is there.
@@ -145,7 +136,7 @@
 			return
 		}
 		if !sim.now().Before(until) {
-			a.turnAway(noBackendRetry, "no-adapter")
+			a.turnAway(laburnumbalance.AdapterAbsent, "no-adapter")
 			return
 		}
 		sim.after(a.backoff.Next(), a.place)
@@ -199,7 +190,7 @@
 	a.taken++
 	a.tries--
 	a.release(laburnumbalance.Sample{Taken: true})
-	sim.after(a.gateway.table.RetryTime()+retrySlack, a.gateway.serveQueue)
+	sim.after(a.gateway.table.RetryTime()+laburnumbalance.RetrySlack, a.gateway.serveQueue)
 	a.place()
 }
 
@@ -288,7 +279,7 @@
 	case a.started || stage == laburnumretry.StageUnknown:
 		a.fail(why)
 	default:
-		a.turnAway(fullRetry, why)
+		a.turnAway(laburnumbalance.Full, why)
 	}
 }
 
@@ -329,10 +320,10 @@
 }
 
 // turnAway refuses a request that has not run.
-func (a *attempt) turnAway(least time.Duration, why string) {
+func (a *attempt) turnAway(verdict laburnumbalance.Verdict, why string) {
 	a.over = true
 	a.gateway.ended(a.request, false)
-	after := a.times().RetryAfter(least, a.gateway.random.Float64(), a.sim().now())
+	after := a.times().RetryAfter(a.sim().policy.terms.Retry(verdict), a.gateway.random.Float64(), a.sim().now())
 	a.request.turnedAway(a, after, why)
 }
 
--- a/laburnumsimulation/callers.go
+++ b/laburnumsimulation/callers.go
@@ -10,7 +10,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"laburnumlever"
-	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumwaiting"
 )
 
 // request is what one caller wants, over all of its tries.
@@ -52,10 +52,7 @@
 	gateways := q.sim.byZone[q.zone]
 	g := gateways[q.sim.callers.random.IntN(len(gateways))]
 	q.sim.after(q.sim.callerLink(), func() {
-		a := &attempt{
-			request: q, gateway: g, arrived: q.sim.now(),
-			backoff: laburnumretry.Backoff{Least: adapterPause, Most: adapterPauseMost},
-		}
+		a := &attempt{request: q, gateway: g, arrived: q.sim.now(), backoff: laburnumwaiting.AdapterBackoff()}
 		g.asked(q)
 		a.place()
 		q.sim.after(a.times().Patience(), func() {
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -20,10 +20,6 @@
 	budgetWindow = 10 * time.Second
 	// dialTimeout is how long a connection to an engine that hangs takes to fail.
 	dialTimeout = 200 * time.Millisecond
-	// retrySlack as in laburnumgateway.
-	retrySlack = 10 * time.Millisecond
-	// urgentReservations as in laburnumgateway.
-	urgentReservations = 2
 	// newsPeriod is how often a gateway tells its news, since each answer brings a question.
 	newsPeriod = 300 * time.Millisecond
 )
--- a/laburnumwaiting/terms.go
+++ b/laburnumwaiting/terms.go
@@ -1,6 +1,11 @@
 package laburnumwaiting
 
-import "time"
+import (
+	"time"
+
+	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumretry"
+)
 
 const (
 	waitShare   = 0.2  // of the caller's patience; the rest is for the answer
@@ -8,6 +13,14 @@
 	freshShare  = 0.75 // of the latency target; the rest is for reading the prompt and the network
 	retryShare  = 0.33 // of the time left to the deadline, the latest Retry-After
 
+	// Least Retry-After.
+	fullRetry   = 500 * time.Millisecond // slots come free all the time
+	absentRetry = time.Second            // about a load from an engine's disk
+
+	// Backoff between two requests for an adapter.
+	adapterPause     = 2 * time.Millisecond
+	adapterPauseMost = 50 * time.Millisecond
+
 	// Callers leave a stream after a gap. Source: the platform's protocol.
 	leaveTime    = 2 * time.Second
 	leaveTargets = 4
@@ -53,11 +66,37 @@
 	return min(after, time.Duration(retryShare*float64(c.Deadline.Sub(now))))
 }
 
-// Terms are the shares of a caller's time that a request may be queued for.
-type Terms struct{ wait, resume, fresh float64 }
+// Terms are the shares of a caller's time that a request may be queued for, and when callers
+// are told to come back.
+type Terms struct {
+	wait, resume, fresh float64
+	full, absent        time.Duration
+}
 
 // DefaultTerms are those of a gateway.
-func DefaultTerms() Terms { return Terms{wait: waitShare, resume: resumeShare, fresh: freshShare} }
+func DefaultTerms() Terms {
+	return Terms{wait: waitShare, resume: resumeShare, fresh: freshShare, full: fullRetry, absent: absentRetry}
+}
+
+// WithRetry returns the terms with other least times of Retry-After: for servers that are full,
+// and for a model or adapter that is absent.
+func (t Terms) WithRetry(full, absent time.Duration) Terms {
+	t.full, t.absent = full, absent
+	return t
+}
+
+// Retry is the least Retry-After of a request refused for the verdict.
+func (t Terms) Retry(verdict laburnumbalance.Verdict) time.Duration {
+	if verdict == laburnumbalance.Full {
+		return t.full
+	}
+	return t.absent
+}
+
+// AdapterBackoff spaces the requests for an adapter that is not loaded yet.
+func AdapterBackoff() laburnumretry.Backoff {
+	return laburnumretry.Backoff{Least: adapterPause, Most: adapterPauseMost}
+}
 
 // WithWait returns the terms with another share of the caller's patience.
 func (t Terms) WithWait(share float64) Terms {
