fix: a new director counts from the last renewal, not from the grant of its lease

Cause: after a director is lost the log first elects a leader, which takes one to two seconds and a half; the lease is granted then, and the new director waited as if the last renewal had been one term ago.

Ruled out: not to wait at all where engines check fencing numbers; two owners that are both alive may not take turns within the lease's length either.

The leader says with the lease's expiry how long it has not seen a renewal, by its own steady clock: at most the true time, since it counts from when it saw the renewal. The new director waits from there on. Without the field, as from an older VM, it waits as before. Test: TestTakeoverCountsFromTheLastRenewal, which failed first (no order in that time); owners stay apart in it as in the others.

--- a/command.go
+++ b/command.go
@@ -83,6 +83,8 @@
 	// Renewals, for an expiry, is how many renewals the leader had seen: a
 	// renewal committed before the expiry makes the expiry void.
 	Renewals uint64 `json:"renewals,omitempty"`
+	// Idle, for an expiry, is at most the time since the last renewal was sent.
+	Idle Duration `json:"idle,omitempty"`
 }
 
 // OrderIntent is recorded before an order goes to an engine that does not
@@ -102,6 +104,8 @@
 	Revision uint64 `json:"revision,omitempty"`
 	// Fence of the lease, for lease commands.
 	Fence uint64 `json:"fence,omitempty"`
+	// Idle is at most the time for which the lease had not been renewed when it expired.
+	Idle Duration `json:"idle,omitempty"`
 	// Holder of the lease, or the VM that holds the claim.
 	Holder VMID `json:"holder,omitempty"`
 	// Outcome and Answer of a claim that is settled.
--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -118,6 +118,29 @@
 		"with the time to get the lease, to ask the engines for their state and to see the demand")
 }
 
+// Guards against a new director that counts from the grant of its lease where the log had no
+// leader for long after the previous owner's last renewal.
+func TestTakeoverCountsFromTheLastRenewal(t *testing.T) {
+	const election = 1200 * time.Millisecond
+	w := newWorld(t, 8, 5, 2)
+	w.beat()
+	w.pass(2 * time.Second)
+	w.directors[0].frozen, w.directors[0].cut = true, true
+	w.directors[0].leads = false
+	w.pass(leaseTime/2 + election)
+	w.directors[1].leads = true
+	w.expire()
+	granted := w.timers.Now()
+	before := len(w.orders)
+	for range 12 {
+		w.ask(0, 120)
+		w.pass(leaseTime / 12)
+	}
+	w.checkOwners()
+	require.Greater(t, len(w.orders), before)
+	require.Less(t, w.orders[before].at.Sub(granted), leaseTime+900*time.Millisecond-election)
+}
+
 // The owner loses the log for a second and its lease runs out, but nobody else gets it.
 // It goes on at once when the log is back: there is no other owner to be apart from.
 func TestOwnerGoesOnWhenNobodyWasInBetween(t *testing.T) {
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -94,7 +94,7 @@
 	}
 	d.lease.held, d.lease.fence = true, ev.result.Fence
 	d.lease.from = d.clock()
-	d.lease.from += d.handOverTime(ev.result.Fence)
+	d.lease.from += d.handOverTime(ev.result)
 	d.lastFence = ev.result.Fence
 	d.forgetEngines()
 	d.demand.listen(d.timers.Now())
@@ -103,15 +103,16 @@
 	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLeaseGot, "fence", d.lease.fence, "wait", d.lease.from-d.clock())
 }
 
-// handOverTime is the delay of the first order under a new lease. A lease is granted at the
-// earliest a whole term after the previous owner's last renewal, and that owner's last order was
-// sent within the safe share of the term. A VM continues from its own lease at once.
-func (d *Director) handOverTime(fence uint64) time.Duration {
-	if fence == firstFence || fence == d.lastFence || fence == d.lastFence+1 {
+// handOverTime is the delay of the first order under a new lease. The previous owner sent its
+// last order within the safe share of the term after its last renewal. A lease is granted a whole
+// term after that renewal, or later, when the log had no leader. A VM continues from its own
+// lease at once.
+func (d *Director) handOverTime(granted laburnumlever.Result) time.Duration {
+	if granted.Fence == firstFence || granted.Fence == d.lastFence || granted.Fence == d.lastFence+1 {
 		return 0
 	}
-	idle := d.term() - d.safeTerm()
-	return max(0, d.cfg.lease+arrivalTime-idle)
+	unused := max(d.term(), time.Duration(granted.Idle)) - d.safeTerm()
+	return max(0, d.cfg.lease+arrivalTime-unused)
 }
 
 // safeTerm is the part of the term that is used.
--- a/laburnumdirector/world_test.go
+++ b/laburnumdirector/world_test.go
@@ -187,6 +187,7 @@
 			w.machine.Apply(w.timers.Now().UnixMilli(), laburnumlever.Command{
 				Kind: laburnumlever.CommandExpireLease, Lease: &laburnumlever.LeaseCommand{
 					Name: l.Name, Holder: l.Holder, Incarnation: l.Incarnation, Fence: l.Fence, Renewals: l.Renewals,
+					Idle: laburnumlever.Duration(w.timers.Now().Sub(w.renewedAt)),
 				},
 			})
 		}
--- a/laburnumstate/leases.go
+++ b/laburnumstate/leases.go
@@ -16,6 +16,8 @@
 	TTL         laburnumlever.Duration `json:"ttl"`
 	// Renewals counts the renewals since the grant.
 	Renewals uint64 `json:"renewals"`
+	// Idle is at most the time for which the last holder had not renewed it.
+	Idle laburnumlever.Duration `json:"idle,omitempty"`
 }
 
 func (l Lease) held(by laburnumlever.LeaseCommand) bool {
@@ -54,7 +56,7 @@
 		return laburnumlever.Result{Code: laburnumlever.ResultNotHolder, Holder: l.Holder, Fence: l.Fence}
 	}
 	if kind == laburnumlever.CommandReleaseLease {
-		return t.free(i)
+		return t.free(i, 0)
 	}
 	return t.renew(i, c)
 }
@@ -76,8 +78,11 @@
 		return laburnumlever.Result{Code: laburnumlever.ResultConflict, Holder: l.Holder, Fence: l.Fence}
 	}
 	t.fence++
+	idle := t.list[i].Idle
 	t.replace(i, Lease{Name: c.Name, Holder: c.Holder, Incarnation: c.Incarnation, Fence: t.fence, TTL: c.TTL})
-	return t.granted(i)
+	result := t.granted(i)
+	result.Idle = idle
+	return result
 }
 
 func (t *leaseTable) granted(i int) laburnumlever.Result {
@@ -108,12 +113,12 @@
 	if l.Holder == "" || l.Fence != c.Fence || l.Renewals != c.Renewals {
 		return laburnumlever.Result{Code: laburnumlever.ResultNotHolder, Holder: l.Holder, Fence: l.Fence}
 	}
-	return t.free(i)
+	return t.free(i, c.Idle)
 }
 
-func (t *leaseTable) free(i int) laburnumlever.Result {
+func (t *leaseTable) free(i int, idle laburnumlever.Duration) laburnumlever.Result {
 	l := t.list[i]
-	t.replace(i, Lease{Name: l.Name, Fence: l.Fence, TTL: l.TTL})
+	t.replace(i, Lease{Name: l.Name, Fence: l.Fence, TTL: l.TTL, Idle: idle})
 	return laburnumlever.Result{Code: laburnumlever.ResultOK, Fence: l.Fence}
 }
 
--- a/laburnumstate/machine_test.go
+++ b/laburnumstate/machine_test.go
@@ -146,6 +146,19 @@
 	require.Len(t, granted.Intents, 1)
 }
 
+// Guards against a time of the last owner but one, or of one that released its lease.
+func TestIdleTimeOfALeaseIsOfItsLastHolder(t *testing.T) {
+	m := laburnumstate.New()
+	expire := lease(laburnumlever.CommandExpireLease, "a", 1, 0)
+	expire.Lease.Idle = laburnumlever.Duration(2 * time.Second)
+	require.Zero(t, m.Apply(0, lease(laburnumlever.CommandAcquireLease, "a", 0, 0)).Idle)
+	m.Apply(0, expire)
+	require.Equal(t, expire.Lease.Idle, m.Apply(0, lease(laburnumlever.CommandAcquireLease, "b", 0, 0)).Idle)
+	require.Zero(t, m.Apply(0, lease(laburnumlever.CommandAcquireLease, "b", 0, 0)).Idle, "a renewal")
+	m.Apply(0, lease(laburnumlever.CommandReleaseLease, "b", 2, 0))
+	require.Zero(t, m.Apply(0, lease(laburnumlever.CommandAcquireLease, "c", 0, 0)).Idle)
+}
+
 // An answer too large to keep, or pushed out by newer ones, must never come back
 // as an empty answer, and its request must never run again.
 func TestAnswersBeyondTheBoundsBecomeUnknown(t *testing.T) {
--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -185,10 +185,12 @@
 	f.startAll()
 	f.vms["a"].apply(t, "first", 0)
 	const ttl = time.Hour
+	var granted laburnumlever.Result
 	acquire := func(vm string, holder laburnumlever.VMID) bool {
 		r, err := f.vms[vm].Propose(context.Background(), laburnumlever.Command{Kind: laburnumlever.CommandAcquireLease, Lease: &laburnumlever.LeaseCommand{
 			Name: "engines", Holder: holder, Incarnation: 1, TTL: laburnumlever.Duration(ttl),
 		}})
+		granted = r
 		return err == nil && r.Code == laburnumlever.ResultOK
 	}
 	require.True(t, acquire("a", "x"))
@@ -207,6 +209,8 @@
 	require.False(t, acquire(next, "y"), "not before the term is over")
 	f.pass(ttl / 2)
 	f.wait("another gets the lease, counted from the last renewal", func() bool { return acquire(next, "y") })
+	require.GreaterOrEqual(t, time.Duration(granted.Idle), ttl, "all the time since the last renewal")
+	require.Less(t, time.Duration(granted.Idle), ttl+ttl/4)
 }
 
 // A holder stops renewing; its lease must end by the leader's clock, and the next
--- a/laburnumvoter/lead.go
+++ b/laburnumvoter/lead.go
@@ -15,7 +15,9 @@
 type renewal struct {
 	fence    uint64
 	renewals uint64
-	since    time.Time
+	seen     time.Time
+	// expired is when an expiry was proposed last.
+	expired time.Time
 }
 
 // noteRole handles a change of leadership.
@@ -58,18 +60,19 @@
 			delete(v.renewals, l.Name)
 			continue
 		}
-		seen, ok := v.renewals[l.Name]
-		if !ok || seen.fence != l.Fence || seen.renewals != l.Renewals {
-			v.renewals[l.Name] = renewal{fence: l.Fence, renewals: l.Renewals, since: now}
+		last, ok := v.renewals[l.Name]
+		if !ok || last.fence != l.Fence || last.renewals != l.Renewals {
+			v.renewals[l.Name] = renewal{fence: l.Fence, renewals: l.Renewals, seen: now, expired: now}
 			continue
 		}
-		if !leads || now.Sub(seen.since) < time.Duration(l.TTL) {
+		if !leads || now.Sub(last.expired) < time.Duration(l.TTL) {
 			continue
 		}
-		// Restarted, so that a lost expiry is proposed again.
-		v.renewals[l.Name] = renewal{fence: l.Fence, renewals: l.Renewals, since: now}
+		last.expired = now // a lost expiry is proposed again after another term
+		v.renewals[l.Name] = last
 		v.proposeExpiry(laburnumlever.LeaseCommand{
 			Name: l.Name, Holder: l.Holder, Incarnation: l.Incarnation, Fence: l.Fence, Renewals: l.Renewals,
+			Idle: laburnumlever.Duration(now.Sub(last.seen)),
 		}, now)
 	}
 }
