perf: refused callers are told to come back after two seconds

Load pattern: demand moves and engines crash, and for five to fifteen seconds engines are full. Callers told to come back after half a second met the same overload, were refused a second time and were out of tries.

Policy soon is the way before.

--- a/laburnumsimulation/policy.go
+++ b/laburnumsimulation/policy.go
@@ -82,6 +82,8 @@
 		today().named("slow-demand", "demand is followed within 1.5 s up and 6 s down").withDirector(laburnumdirector.WithDemandTimes(usualTime, slowTime)),
 		today().named("fast-demand", "demand is followed within 0.5 s up and 0.75 s down").withDirector(laburnumdirector.WithDemandTimes(fastRise, fastFall)),
 		today().named("long-wait", "requests wait for three quarters of their callers' patience").withTerms(laburnumwaiting.DefaultTerms().WithWait(longWait)),
+		today().named("soon", "refused callers are told to come back after half a second, or a second if no engine holds the model").
+			withTerms(laburnumwaiting.DefaultTerms().WithRetry(soonFull, soonAbsent)),
 		today().named("engine-queue", "requests queue at engines up to a fifth of their slots, without reservations").
 			with(func(p *Policy) { p.sendsUnsure = true }).withBalance(laburnumbalance.WithFreeShare(-engineQueue)),
 		today().named("no-reservations", "requests are sent to engines with stale loads").with(func(p *Policy) { p.sendsUnsure = true }),
@@ -103,6 +105,8 @@
 	fastFall    = 750 * time.Millisecond
 	longWait    = 0.75
 	engineQueue = 0.2
+	soonFull    = 500 * time.Millisecond
+	soonAbsent  = time.Second
 )
 
 func planOptions(policy laburnumresidency.Policy) laburnumdirector.Option {
--- a/laburnumwaiting/terms.go
+++ b/laburnumwaiting/terms.go
@@ -13,9 +13,10 @@
 	freshShare  = 0.75 // of the latency target; the rest is for reading the prompt and the network
 	retryShare  = 0.33 // of the time left to the deadline, the latest Retry-After
 
-	// Least Retry-After.
-	fullRetry   = 500 * time.Millisecond // slots come free all the time
-	absentRetry = time.Second            // about a load from an engine's disk
+	// Least Retry-After. Overload after a shift of demand lasts seconds: callers that come
+	// back sooner meet it again.
+	fullRetry   = 2 * time.Second
+	absentRetry = 2 * time.Second
 
 	// Backoff between two requests for an adapter.
 	adapterPause     = 2 * time.Millisecond
