feat: status of gateways and control VMs

An operator of hundreds of VMs had logs and metrics only. GET /status on the address for metrics, and 'status --vm' there, give the log's state, the director and counts of VMs, backend servers, copies and absent models; nothing in it grows with the fleet but the number of services. Any other path still gives the metrics.

--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -15,7 +15,9 @@
 	return &cli.Command{
 		Name:  "status",
 		Usage: "show what a VM knows of itself and the fleet",
-		Description: "Shows the revision, the VMs, the backend servers with what they hold, and the zone owners.\n\n" +
+		Description: "Shows the revision, the VMs, the backend servers with what they hold, and the zone owners.\n" +
+			"Of a gateway or a control VM, asked at its address for metrics, it shows the log, the director\n" +
+			"and counts of VMs, backend servers and models.\n\n" +
 			"Example: laburnumlever status --vm 10.0.1.7:8081\n\n" + exitCodesText,
 		Flags:        []cli.Flag{vmFlag(), timeoutFlag(), outputFlag()},
 		OnUsageError: onUsageError,
@@ -32,6 +34,10 @@
 }
 
 func printStatus(w io.Writer, s laburnumlever.Status) {
+	if s.Role != nil {
+		printRoleStatus(w, *s.Role, s.Voter)
+		return
+	}
 	ready := "ready"
 	if s.View.NotReady != "" {
 		ready = "not ready: " + s.View.NotReady
@@ -52,6 +58,34 @@
 	printf(w, "moves: %d\n", s.Moves)
 }
 
+func printRoleStatus(w io.Writer, s laburnumlever.RoleStatus, log laburnumlever.VoterStatus) {
+	printf(w, "%s VM %s in %s\n", s.Role, s.VM, s.Zone)
+	if s.Role == "gateway" {
+		printf(w, "ready: %t, %d in flight, %d queued\n", s.Ready, s.InFlight, s.Queued)
+	} else {
+		printf(w, "log: %s, leader %s, term %d, applied %d, %d voters\n", log.Role, orNone(string(log.Leader)), log.Term, log.Applied, len(log.Voters))
+	}
+	printf(w, "director: %s\n", orNone(s.Director))
+	printf(w, "routes: version %d\n", s.RoutesVersion)
+	printf(w, "gateways: %d\n", s.Gateways)
+	if s.Controls > 0 {
+		printf(w, "control VMs: %d\n", s.Controls)
+	}
+	for _, c := range s.Services {
+		printf(w, "service %s: %d serving, %d of them silent, %d leaving\n", c.Service, c.Serving, c.Silent, c.Leaving)
+		if c.Models > 0 {
+			printf(w, "  models: %d, %d copies, %d absent %v\n", c.Models, c.Copies, c.Absent, c.Examples)
+		}
+	}
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
 func printBackend(w io.Writer, b laburnumlever.Backend) {
 	state := "takes work"
 	switch {
--- a/command.go
+++ b/command.go
@@ -149,6 +149,8 @@
 	// ZoneOwners maps a lease holder to each zone, as far as this VM knows.
 	ZoneOwners map[ZoneName]VMID `json:"zone-owners,omitempty"`
 	Moves      uint64            `json:"moves"`
+	// Role is set by gateways and control VMs, which leave out View, ZoneOwners and Moves.
+	Role *RoleStatus `json:"role,omitempty"`
 }
 
 // ApplyRequest is an operator's change: exactly what ApplyCatalogue carries,
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// Director returns the director published; empty for none.
+func (s *Source) Director() laburnumlever.VMID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.director
+}
+
+// Gateways returns the number of gateways that polled lately.
+func (s *Source) Gateways() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.askers.gateways(s.timers.Now())
+}
+
 // NoteControl records a control VM.
 func (s *Source) NoteControl(vm laburnumlever.VM) {
 	s.mu.Lock()
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -140,6 +140,19 @@
 	}
 }
 
+// Status returns what the gateway knows of the fleet, and its queue.
+func (f *Fleet) Status() laburnumlever.RoleStatus {
+	x := f.index.Load()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	status := laburnumlever.RoleStatus{Gateways: f.gateways, Queued: f.queue.Len()}
+	if x != nil {
+		status.RoutesVersion = x.Table().Version
+		status.Services = f.registry.Summary(x.Table().Services)
+	}
+	return status
+}
+
 // Ready tells whether the VM can serve: it has routes and knows a backend server.
 func (f *Fleet) Ready() bool {
 	x := f.index.Load()
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumlever"
@@ -59,6 +60,8 @@
 	relay    *relay
 	// commits is the time to commit an operator's change.
 	commits tally.Histogram
+	// routes is the table in force.
+	routes atomic.Pointer[laburnumlever.RouteTable]
 
 	mu       sync.Mutex
 	registry *laburnumregistry.Table
@@ -174,6 +177,7 @@
 
 // routesApplied runs on the control thread.
 func (c *Control) routesApplied(t laburnumlever.RouteTable) {
+	c.routes.Store(&t)
 	c.source.SetRoutes(t)
 	c.director.SetRoutes(t)
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes))
@@ -191,7 +195,7 @@
 	if err := c.serveBackends("control", c.settings.Listen.Control, newServer(handler)); err != nil {
 		return err
 	}
-	c.serveMetrics()
+	c.serveMetrics(c.status)
 	c.timers.Every(expirePeriod, c.expire)
 	c.timers.Every(usagePeriod, c.reportUsage)
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "first-start", c.settings.FirstStart)
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -58,7 +58,7 @@
 	if err := g.serve("ready", g.settings.Listen.Ready, newServer(ready(g.gateway.Ready))); err != nil {
 		return err
 	}
-	g.serveMetrics()
+	g.serveMetrics(g.status)
 	g.timers.Every(sweepPeriod, func(time.Time) { g.gateway.Sweep() })
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventStarted, "role", "gateway", "callers", g.settings.Listen.Callers)
 	return nil
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -18,11 +18,14 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumfleet"
+	"laburnumlever/laburnumoperator"
 	"laburnumlever/laburnumroles"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/platform"
 )
 
+const metricsPort = 7605
+
 // patience bounds the wait for a cause, far above what a busy machine needs.
 const patience = 60 * time.Second
 
@@ -61,7 +64,7 @@
 func (s *site) settings(ip string) laburnumsettings.Role {
 	second := laburnumlever.Duration(time.Second)
 	return laburnumsettings.Role{
-		VM: laburnumlever.VMID(ip), Zone: "brest", PeerPort: s.port, Seeds: []string{s.control(0), s.control(1), s.control(2)},
+		VM: laburnumlever.VMID(ip), Zone: "brest", PeerPort: s.port, MetricsPort: metricsPort, Seeds: []string{s.control(0), s.control(1), s.control(2)},
 		Times: laburnumsettings.RoleTimes{Heartbeat: second, Grace: 8 * second, Lease: 3 * second, CatchUp: 4 * second, Apply: 2 * second},
 		Retry: laburnumsettings.RoleRetry{Ratio: 0.2, Slack: 50, Window: 10 * second}, Log: laburnumsettings.Log{Level: "info"},
 	}
@@ -138,6 +141,18 @@
 	return body
 }
 
+// status waits until a VM's status meets a condition, and returns it.
+func (s *site) status(ip string, what string, met func(laburnumlever.Status) bool) laburnumlever.Status {
+	client := laburnumoperator.NewClient(fmt.Sprintf("%s:%d", ip, metricsPort))
+	var status laburnumlever.Status
+	require.Eventually(s.t, func() bool {
+		var err error
+		status, err = client.Status(s.t.Context())
+		return err == nil && status.Role != nil && met(status)
+	}, patience, 20*time.Millisecond, what)
+	return status
+}
+
 func manifest(version int, prefix string) []byte {
 	return fmt.Appendf(nil, `{"version":%d,"routes":[
 		{"name":"confirm","hostname":"quotes.example","path_prefix":"/%s/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"priority":1,"service":"rdv","max_attempts":1},
@@ -253,6 +268,7 @@
 	}
 	require.Equal(t, 4, strings.Count(string(s.until(200, "quoted", quote("m0"))), "data: w"))
 	s.until(200, "adapter on first use", quote("m0/a1"))
+	s.checkStatus()
 	status, _ = s.call("POST", "http://"+s.callers+"/none/", nil, "X-Laburnumlever-Request-Id", "r-3")
 	require.Equal(t, 404, status)
 
@@ -287,6 +303,23 @@
 	require.Equal(t, before, plain.arrivals.Load())
 }
 
+// checkStatus asks a control VM and the gateway while one backend server of each service is there.
+func (s *site) checkStatus() {
+	services := []laburnumlever.ServiceStatus{{Service: "rdv", Serving: 1}, {Service: "devis", Serving: 1, Models: 1, Copies: 1}}
+	control := s.status(s.ip(1), "a control VM knows all", func(status laburnumlever.Status) bool {
+		return status.Role.Gateways == 1 && status.Role.Controls == 3 && status.Role.RoutesVersion == 7 && len(status.Voter.Voters) == 3
+	})
+	require.Equal(s.t, "control", control.Role.Role)
+	require.Equal(s.t, services, control.Role.Services)
+	gateway := s.status(s.ip(50), "the gateway knows the director", func(status laburnumlever.Status) bool { return status.Role.Director != "" })
+	require.Equal(s.t, "gateway", gateway.Role.Role)
+	require.True(s.t, gateway.Role.Ready)
+	require.Equal(s.t, services, gateway.Role.Services)
+	code, text := s.call("GET", fmt.Sprintf("http://%s:%d/metrics", s.ip(50), metricsPort), nil)
+	require.Equal(s.t, 200, code)
+	require.Contains(s.t, string(text), "laburnumlever_requests")
+}
+
 // Guards against losing confirmed changes while the log grows to the voters that bear two losses.
 func TestAcknowledgedChangeOutlivesTwoLostDisks(t *testing.T) {
 	s := newSite(t, 5, 2)
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -154,14 +154,6 @@
 	return nil
 }
 
-// serveMetrics serves the metrics. A port in use is logged, and the process serves callers without
-// metrics.
-func (p *process) serveMetrics() {
-	if err := p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metrics.Handler())); err != nil {
-		_ = level.Error(p.logger).Log("event", laburnumlever.EventMetricsNotServed, "cause", err)
-	}
-}
-
 // seedPeers returns the peer addresses of the seeds.
 func (p *process) seedPeers() []string {
 	var addresses []string
