fix: a replaced voter that comes back no longer warns that there is no leader

An operator would look for a lost quorum.

Cause: it still holds the configuration in which it votes, and nobody tells it of a later one, since the leader sends nothing to VMs that aren't members.

The leader's answer to its hello says now that it is no member; it logs that once, and warns again when no leader answers. Test: TestReplacedVoterKnowsThatItIsStandby, which fails without the guard.

--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -129,6 +129,32 @@
 	require.EqualValues(t, 2, d.apply(t, "second", 1).Revision)
 }
 
+// Guards against a replaced voter that comes back and warns for ever that the log has no leader.
+func TestReplacedVoterKnowsThatItIsStandby(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithReplaceAfter(60*tick))
+	f.startAll()
+	f.vms["a"].apply(t, "first", 0)
+	f.stop("c")
+	d := f.start("d", f.folder("d"))
+	f.wait("d is a voter", func() bool {
+		s := d.Status()
+		return s.Role != "learner" && len(s.Voters) == 3 && s.Applied > 0
+	})
+	said := &lines{}
+	c := f.start("c", f.folder("c"), laburnumvoter.WithLogger(said))
+	f.wait("it is told", func() bool { return said.has(laburnumlever.EventVoterStandby, "replica c/") })
+	for range 60 { // ticks, far more than a voter without a leader keeps quiet
+		f.waitTick(c)
+	}
+	require.False(t, said.has(laburnumlever.EventNoLeader))
+	_, err := c.Propose(context.Background(), change("second", 1))
+	require.NoError(t, err, "it finds the leader")
+	for _, voter := range []string{"a", "b", "d"} {
+		f.stop(voter)
+	}
+	f.wait("without any leader it says so again", func() bool { return said.has(laburnumlever.EventNoLeader) })
+}
+
 // A VM is restored from a copy of its folder that is older than what it had
 // acknowledged since. It must come back as a new instance and catch up.
 func TestOlderFolderIsANewInstance(t *testing.T) {
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -82,9 +82,15 @@
 	}
 	v.joiners[h.Member.VM] = joiner{hello: h, seen: v.ticks}
 	v.addresses[h.Member.ID] = h.Member.Address
+	if h.Standby {
+		v.noteStandby(h.Member.VM)
+	}
 	if !h.Answer {
-		answer := helloMessage{Member: v.member(), Boot: v.boot, Configured: v.configured(), Answer: true}
-		v.peers.Notify(h.Member.Address, methodHello, answer)
+		_, in := v.log.Configuration().Find(h.Member.ID)
+		v.peers.Notify(h.Member.Address, methodHello, helloMessage{
+			Member: v.member(), Boot: v.boot, Configured: v.configured(), Answer: true,
+			Standby: v.leads() && h.Configured && !in && !v.log.ChangePending(),
+		})
 	}
 	v.resendBootstrap(h)
 	if v.leads() {
--- a/laburnumvoter/report.go
+++ b/laburnumvoter/report.go
@@ -60,8 +60,9 @@
 // reportLeaderless logs from time to time that there is no leader, and which votes are
 // missing.
 func (v *Voter) reportLeaderless() {
-	if !v.log.Configuration().IsVoter(v.log.ID()) {
+	if !v.log.Configuration().IsVoter(v.log.ID()) || v.isStandby() {
 		v.leaderlessTicks.Store(0)
+		v.cfg.scope.Gauge("leaderless_seconds").Update(0)
 		return
 	}
 	without := v.leaderless()
@@ -75,6 +76,17 @@
 		"last", v.log.LastIndex(), "voters", names(v.log.Configuration().Voters()), "waiting-for", v.waitingFor())
 }
 
+// noteStandby records a leader's word that this replica was replaced while it was down.
+func (v *Voter) noteStandby(leader laburnumlever.VMID) {
+	if !v.isStandby() {
+		_ = level.Info(v.cfg.logger).Log("event", laburnumlever.EventVoterStandby, "replica", v.log.ID(), "leader", leader)
+	}
+	v.standbyUntil = v.ticks + helloTicks
+}
+
+// isStandby tells whether a leader has answered lately that this replica is no member.
+func (v *Voter) isStandby() bool { return v.ticks < v.standbyUntil }
+
 // leaderless returns the time without a known leader.
 func (v *Voter) leaderless() time.Duration {
 	return time.Duration(v.ticks-v.leaderSeen) * v.cfg.tick
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -43,6 +43,7 @@
 	encoding     bool
 	ticks        uint64
 	leaderSeen   uint64 // the tick when a leader was last known
+	standbyUntil uint64 // the tick until which a leader's word counts that the replica is no member
 	wasLeader    bool
 	clockBase    int64
 	clockFrom    time.Time
--- a/laburnumvoter/wire.go
+++ b/laburnumvoter/wire.go
@@ -28,6 +28,8 @@
 	// Configured tells that the replica has a configuration on its disk.
 	Configured bool `json:"configured,omitempty"`
 	Answer     bool `json:"answer,omitempty"`
+	// Standby tells, in a leader's answer, that the asking replica is no member.
+	Standby bool `json:"standby,omitempty"`
 }
 
 // bootstrapMessage carries the first configuration.
--- a/logevent.go
+++ b/logevent.go
@@ -93,6 +93,8 @@
 	EventVoterAdded
 	// EventVoterReplaced is a learner that counts from now on in the place of a voter.
 	EventVoterReplaced
+	// EventVoterStandby is a VM whose replica another one has replaced.
+	EventVoterStandby
 	// EventLeadershipNotHandedOver is a leader that ends without another.
 	EventLeadershipNotHandedOver
 	// EventExpiryNotEncoded is the end of a lease that could not be proposed.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 177, 192, 206, 216, 227, 240, 261, 277, 295, 306, 322, 338, 353, 367, 381, 396, 414, 432, 445, 454, 468, 483, 496, 511, 522, 536, 562, 580, 594, 611, 630, 651, 660, 670, 687, 697, 706, 720, 732, 748, 755, 763, 770, 777, 794, 810, 824, 842, 855, 872}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 177, 192, 206, 216, 227, 240, 261, 277, 295, 306, 322, 338, 353, 367, 381, 396, 414, 432, 445, 454, 468, 483, 496, 511, 522, 536, 549, 575, 593, 607, 624, 643, 664, 673, 683, 700, 710, 719, 733, 745, 761, 768, 776, 783, 790, 807, 823, 837, 855, 868, 885}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -62,33 +62,34 @@
 	_ = x[EventLearnerRemoved-(35)]
 	_ = x[EventVoterAdded-(36)]
 	_ = x[EventVoterReplaced-(37)]
-	_ = x[EventLeadershipNotHandedOver-(38)]
-	_ = x[EventExpiryNotEncoded-(39)]
-	_ = x[EventReplicaFailed-(40)]
-	_ = x[EventReplicaWentBack-(41)]
-	_ = x[EventDataFolderDamaged-(42)]
-	_ = x[EventDataFolderWentBack-(43)]
-	_ = x[EventLeaseGot-(44)]
-	_ = x[EventLeaseLost-(45)]
-	_ = x[EventLeaseNotRenewed-(46)]
-	_ = x[EventZoneOwned-(47)]
-	_ = x[EventZoneLost-(48)]
-	_ = x[EventControlThread-(49)]
-	_ = x[EventControlLost-(50)]
-	_ = x[EventControlRegained-(51)]
-	_ = x[EventStarted-(52)]
-	_ = x[EventDraining-(53)]
-	_ = x[EventDrained-(54)]
-	_ = x[EventStopped-(55)]
-	_ = x[EventSettingsReloaded-(56)]
-	_ = x[EventSettingsRefused-(57)]
-	_ = x[EventListenerEnded-(58)]
-	_ = x[EventMetricsNotServed-(59)]
-	_ = x[EventUnknownEvent-(60)]
-	_ = x[EventLogLinesDropped-(61)]
+	_ = x[EventVoterStandby-(38)]
+	_ = x[EventLeadershipNotHandedOver-(39)]
+	_ = x[EventExpiryNotEncoded-(40)]
+	_ = x[EventReplicaFailed-(41)]
+	_ = x[EventReplicaWentBack-(42)]
+	_ = x[EventDataFolderDamaged-(43)]
+	_ = x[EventDataFolderWentBack-(44)]
+	_ = x[EventLeaseGot-(45)]
+	_ = x[EventLeaseLost-(46)]
+	_ = x[EventLeaseNotRenewed-(47)]
+	_ = x[EventZoneOwned-(48)]
+	_ = x[EventZoneLost-(49)]
+	_ = x[EventControlThread-(50)]
+	_ = x[EventControlLost-(51)]
+	_ = x[EventControlRegained-(52)]
+	_ = x[EventStarted-(53)]
+	_ = x[EventDraining-(54)]
+	_ = x[EventDrained-(55)]
+	_ = x[EventStopped-(56)]
+	_ = x[EventSettingsReloaded-(57)]
+	_ = x[EventSettingsRefused-(58)]
+	_ = x[EventListenerEnded-(59)]
+	_ = x[EventMetricsNotServed-(60)]
+	_ = x[EventUnknownEvent-(61)]
+	_ = x[EventLogLinesDropped-(62)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventLayout, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThread, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventPlaceNotReserved, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendKnown, EventBackendReplaced, EventAdapterThere, EventLoadDecided, EventLayout, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderChart, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineNotAsked, EventInventoryNotRead, EventLoadFailed, EventNewsNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInForce, EventRoutesNotFetched, EventCatalogueInForce, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersInForce, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaWentBack, EventDataFolderDamaged, EventDataFolderWentBack, EventLeaseGot, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThread, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:    EventRequestServed,
@@ -129,30 +130,31 @@
 	_LogEventName[496:511]: EventLearnerRemoved,
 	_LogEventName[511:522]: EventVoterAdded,
 	_LogEventName[522:536]: EventVoterReplaced,
-	_LogEventName[536:562]: EventLeadershipNotHandedOver,
-	_LogEventName[562:580]: EventExpiryNotEncoded,
-	_LogEventName[580:594]: EventReplicaFailed,
-	_LogEventName[594:611]: EventReplicaWentBack,
-	_LogEventName[611:630]: EventDataFolderDamaged,
-	_LogEventName[630:651]: EventDataFolderWentBack,
-	_LogEventName[651:660]: EventLeaseGot,
-	_LogEventName[660:670]: EventLeaseLost,
-	_LogEventName[670:687]: EventLeaseNotRenewed,
-	_LogEventName[687:697]: EventZoneOwned,
-	_LogEventName[697:706]: EventZoneLost,
-	_LogEventName[706:720]: EventControlThread,
-	_LogEventName[720:732]: EventControlLost,
-	_LogEventName[732:748]: EventControlRegained,
-	_LogEventName[748:755]: EventStarted,
-	_LogEventName[755:763]: EventDraining,
-	_LogEventName[763:770]: EventDrained,
-	_LogEventName[770:777]: EventStopped,
-	_LogEventName[777:794]: EventSettingsReloaded,
-	_LogEventName[794:810]: EventSettingsRefused,
-	_LogEventName[810:824]: EventListenerEnded,
-	_LogEventName[824:842]: EventMetricsNotServed,
-	_LogEventName[842:855]: EventUnknownEvent,
-	_LogEventName[855:872]: EventLogLinesDropped,
+	_LogEventName[536:549]: EventVoterStandby,
+	_LogEventName[549:575]: EventLeadershipNotHandedOver,
+	_LogEventName[575:593]: EventExpiryNotEncoded,
+	_LogEventName[593:607]: EventReplicaFailed,
+	_LogEventName[607:624]: EventReplicaWentBack,
+	_LogEventName[624:643]: EventDataFolderDamaged,
+	_LogEventName[643:664]: EventDataFolderWentBack,
+	_LogEventName[664:673]: EventLeaseGot,
+	_LogEventName[673:683]: EventLeaseLost,
+	_LogEventName[683:700]: EventLeaseNotRenewed,
+	_LogEventName[700:710]: EventZoneOwned,
+	_LogEventName[710:719]: EventZoneLost,
+	_LogEventName[719:733]: EventControlThread,
+	_LogEventName[733:745]: EventControlLost,
+	_LogEventName[745:761]: EventControlRegained,
+	_LogEventName[761:768]: EventStarted,
+	_LogEventName[768:776]: EventDraining,
+	_LogEventName[776:783]: EventDrained,
+	_LogEventName[783:790]: EventStopped,
+	_LogEventName[790:807]: EventSettingsReloaded,
+	_LogEventName[807:823]: EventSettingsRefused,
+	_LogEventName[823:837]: EventListenerEnded,
+	_LogEventName[837:855]: EventMetricsNotServed,
+	_LogEventName[855:868]: EventUnknownEvent,
+	_LogEventName[868:885]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -194,30 +196,31 @@
 	_LogEventLowerName[496:511]: EventLearnerRemoved,
 	_LogEventLowerName[511:522]: EventVoterAdded,
 	_LogEventLowerName[522:536]: EventVoterReplaced,
-	_LogEventLowerName[536:562]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[562:580]: EventExpiryNotEncoded,
-	_LogEventLowerName[580:594]: EventReplicaFailed,
-	_LogEventLowerName[594:611]: EventReplicaWentBack,
-	_LogEventLowerName[611:630]: EventDataFolderDamaged,
-	_LogEventLowerName[630:651]: EventDataFolderWentBack,
-	_LogEventLowerName[651:660]: EventLeaseGot,
-	_LogEventLowerName[660:670]: EventLeaseLost,
-	_LogEventLowerName[670:687]: EventLeaseNotRenewed,
-	_LogEventLowerName[687:697]: EventZoneOwned,
-	_LogEventLowerName[697:706]: EventZoneLost,
-	_LogEventLowerName[706:720]: EventControlThread,
-	_LogEventLowerName[720:732]: EventControlLost,
-	_LogEventLowerName[732:748]: EventControlRegained,
-	_LogEventLowerName[748:755]: EventStarted,
-	_LogEventLowerName[755:763]: EventDraining,
-	_LogEventLowerName[763:770]: EventDrained,
-	_LogEventLowerName[770:777]: EventStopped,
-	_LogEventLowerName[777:794]: EventSettingsReloaded,
-	_LogEventLowerName[794:810]: EventSettingsRefused,
-	_LogEventLowerName[810:824]: EventListenerEnded,
-	_LogEventLowerName[824:842]: EventMetricsNotServed,
-	_LogEventLowerName[842:855]: EventUnknownEvent,
-	_LogEventLowerName[855:872]: EventLogLinesDropped,
+	_LogEventLowerName[536:549]: EventVoterStandby,
+	_LogEventLowerName[549:575]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[575:593]: EventExpiryNotEncoded,
+	_LogEventLowerName[593:607]: EventReplicaFailed,
+	_LogEventLowerName[607:624]: EventReplicaWentBack,
+	_LogEventLowerName[624:643]: EventDataFolderDamaged,
+	_LogEventLowerName[643:664]: EventDataFolderWentBack,
+	_LogEventLowerName[664:673]: EventLeaseGot,
+	_LogEventLowerName[673:683]: EventLeaseLost,
+	_LogEventLowerName[683:700]: EventLeaseNotRenewed,
+	_LogEventLowerName[700:710]: EventZoneOwned,
+	_LogEventLowerName[710:719]: EventZoneLost,
+	_LogEventLowerName[719:733]: EventControlThread,
+	_LogEventLowerName[733:745]: EventControlLost,
+	_LogEventLowerName[745:761]: EventControlRegained,
+	_LogEventLowerName[761:768]: EventStarted,
+	_LogEventLowerName[768:776]: EventDraining,
+	_LogEventLowerName[776:783]: EventDrained,
+	_LogEventLowerName[783:790]: EventStopped,
+	_LogEventLowerName[790:807]: EventSettingsReloaded,
+	_LogEventLowerName[807:823]: EventSettingsRefused,
+	_LogEventLowerName[823:837]: EventListenerEnded,
+	_LogEventLowerName[837:855]: EventMetricsNotServed,
+	_LogEventLowerName[855:868]: EventUnknownEvent,
+	_LogEventLowerName[868:885]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -259,30 +262,31 @@
 	_LogEventName[496:511],
 	_LogEventName[511:522],
 	_LogEventName[522:536],
-	_LogEventName[536:562],
-	_LogEventName[562:580],
-	_LogEventName[580:594],
-	_LogEventName[594:611],
-	_LogEventName[611:630],
-	_LogEventName[630:651],
-	_LogEventName[651:660],
-	_LogEventName[660:670],
-	_LogEventName[670:687],
-	_LogEventName[687:697],
-	_LogEventName[697:706],
-	_LogEventName[706:720],
-	_LogEventName[720:732],
-	_LogEventName[732:748],
-	_LogEventName[748:755],
-	_LogEventName[755:763],
-	_LogEventName[763:770],
-	_LogEventName[770:777],
-	_LogEventName[777:794],
-	_LogEventName[794:810],
-	_LogEventName[810:824],
-	_LogEventName[824:842],
-	_LogEventName[842:855],
-	_LogEventName[855:872],
+	_LogEventName[536:549],
+	_LogEventName[549:575],
+	_LogEventName[575:593],
+	_LogEventName[593:607],
+	_LogEventName[607:624],
+	_LogEventName[624:643],
+	_LogEventName[643:664],
+	_LogEventName[664:673],
+	_LogEventName[673:683],
+	_LogEventName[683:700],
+	_LogEventName[700:710],
+	_LogEventName[710:719],
+	_LogEventName[719:733],
+	_LogEventName[733:745],
+	_LogEventName[745:761],
+	_LogEventName[761:768],
+	_LogEventName[768:776],
+	_LogEventName[776:783],
+	_LogEventName[783:790],
+	_LogEventName[790:807],
+	_LogEventName[807:823],
+	_LogEventName[823:837],
+	_LogEventName[837:855],
+	_LogEventName[855:868],
+	_LogEventName[868:885],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
