test: the order of tries, by more than their intervals

The policies that its text names, and which were tried on whole fleets, have now to lose by more than their interval, of 16 days, and none more than proportional; no-displacement, which it doesn't name and no fleet has shown, is out of it.

--- a/laburnumsimulation/simulation_test.go
+++ b/laburnumsimulation/simulation_test.go
@@ -45,15 +45,16 @@
 	require.Greater(t, Run(s, today(), 1).Day, Run(s.WithEngines(s.Engines.Count/2), today(), 1).Day+0.1)
 }
 
-// Policies that were tried on whole fleets must come out as they did there: followed slowly,
-// counted late or waited for long, demand is served worse, and plain proportion worst.
+// Policies that were tried on whole fleets must come out as they did there, by more than the
+// interval: followed slowly, counted late or waited for long, demand is served worse, and plain
+// proportion worst.
 func TestTriesComeOutInTheirOrder(t *testing.T) {
 	if testing.Short() {
 		t.Skip("plays many days")
 	}
-	const seeds, workers = 8, 4
+	const seeds, workers = 16, 4
 	s := scenario(t, "carpets")
-	names := []string{"today", "slow-demand", "count-ends", "long-wait", "no-displacement", "proportional"}
+	names := []string{"today", "slow-demand", "count-ends", "long-wait", "proportional"}
 	var policies []Policy
 	for _, name := range names {
 		p, err := PolicyNamed(name)
@@ -63,9 +64,9 @@
 	table, err := Compare(context.Background(), s, policies, seeds, workers, func(int, int) {})
 	require.NoError(t, err)
 	for _, row := range table.Rows[1:] {
-		require.Negative(t, row.Gain, row.Policy)
+		require.Negative(t, row.Gain+row.GainInterval, row.Policy)
+		require.GreaterOrEqual(t, row.Gain, table.Rows[4].Gain, "none is worse than proportional")
 	}
-	require.Less(t, table.Rows[5].Gain+table.Rows[5].GainInterval, 0.0, "proportional")
 }
 
 func TestCompareEndsWithItsContext(t *testing.T) {
