--- a/laburnumsoak/faults.go
+++ b/laburnumsoak/faults.go
@@ -47,6 +47,8 @@
 	slowSyncs
 	fullDisk
 	failedSyncs
+	// rewind puts back an older copy of a control VM's data folder.
+	rewind
 	kinds
 )
 
@@ -54,7 +56,7 @@
 	return [...]string{
 		"kill", "stop", "term", "kill and wipe",
 		"silence the link to", "silence towards", "silence from", "reset the link to", "delay the link to",
-		"stall the disk of", "slow syncs of", "fill the disk of", "fail syncs of",
+		"stall the disk of", "slow syncs of", "fill the disk of", "fail syncs of", "kill and rewind",
 	}[k]
 }
 
@@ -86,10 +88,13 @@
 		down := time.Duration(x.random.Int64N(int64(mostDown)))
 		gap := leastGap + time.Duration(x.random.Int64N(int64(mostGap-leastGap)))
 		delay := leastDelay + time.Duration(x.random.Int64N(int64(mostDelay-leastDelay)))
+		if kind == rewind {
+			n %= controlVMs // the first of all
+		}
 		switch {
-		case kind >= stall:
+		case kind >= stall && kind < rewind:
 			x.disturbDisk(x.fleet.controls[n%controlVMs], kind, down, delay)
-		case kind >= silence:
+		case kind >= silence && kind < stall:
 			x.disturbLink(x.fleet.links[n], kind, down, delay)
 		case x.take(all[n], &kind):
 			x.wg.Add(1)
@@ -176,7 +181,7 @@
 	x.story = append(x.story, fmt.Sprintf("%.1f s %s %s", time.Since(x.start).Seconds(), kind, name))
 }
 
-// take reserves a process for a fault. One disk is lost in a run: the system bears the loss
+// take reserves a process for a fault. One disk is lost or goes back in a run: the system bears the loss
 // of one at a time, and when it has caught up shows only inside.
 func (x *faults) take(p *process, kind *faultKind) bool {
 	x.mu.Lock()
@@ -188,10 +193,11 @@
 	for _, c := range x.fleet.controls {
 		isControl = isControl || c == p
 	}
-	if *kind == wipe && (x.wiped || !isControl) {
-		*kind = kill
+	loses := *kind == wipe || *kind == rewind
+	if loses && (x.wiped || !isControl) {
+		*kind, loses = kill, false
 	}
-	x.wiped = x.wiped || *kind == wipe
+	x.wiped = x.wiped || loses
 	x.busy[p] = true
 	x.tell(*kind, p.name)
 	return true
@@ -215,6 +221,11 @@
 			x.done(p, err)
 			return
 		}
+	case rewind:
+		if err := x.rewind(p, down); err != nil {
+			x.done(p, err)
+			return
+		}
 	default:
 		p.end(syscall.SIGKILL)
 	}
@@ -222,6 +233,26 @@
 	x.done(p, x.restart(p))
 }
 
+// rewind copies a process's data folder, has it run on for a while, and kills it with the copy in
+// the folder's place.
+func (x *faults) rewind(p *process, runs time.Duration) error {
+	folder := x.fleet.dataFolder(p.name)
+	older := folder + "-older"
+	p.end(syscall.SIGKILL)
+	if err := os.CopyFS(older, os.DirFS(folder)); err != nil {
+		return err
+	}
+	if err := x.restart(p); err != nil {
+		return err
+	}
+	time.Sleep(runs)
+	p.end(syscall.SIGKILL)
+	if err := os.RemoveAll(folder); err != nil {
+		return err
+	}
+	return os.Rename(older, folder)
+}
+
 // restart starts a process, as a service manager does: again after a while if its disk was
 // disturbed meanwhile. A control VM that can't read or write its data folder ends with an error.
 func (x *faults) restart(p *process) error {
