--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -113,9 +113,8 @@
 	close(hold)
 }
 
-// A voter is gone for good, and a spare VM has a disk: it must take the place
-// without an operator, and then count: a second loss right after loses nothing.
-func TestGoneVoterIsReplaced(t *testing.T) {
+// fleetWithReplacedVoter returns a fleet with one change, in which d has replaced c, and d.
+func fleetWithReplacedVoter(t *testing.T) (*fleet, *vm) {
 	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithReplaceAfter(60*tick))
 	f.startAll()
 	f.vms["a"].apply(t, "first", 0)
@@ -125,21 +124,20 @@
 		s := d.Status()
 		return s.Role != "learner" && len(s.Voters) == 3 && s.Applied > 0
 	})
+	return f, d
+}
+
+// A voter is gone for good, and a spare VM has a disk: it must take the place
+// without an operator, and then count: a second loss right after loses nothing.
+func TestGoneVoterIsReplaced(t *testing.T) {
+	f, d := fleetWithReplacedVoter(t)
 	f.stop("b")
 	require.EqualValues(t, 2, d.apply(t, "second", 1).Revision)
 }
 
 // Guards against a replaced voter that comes back and warns for ever that the log has no leader.
 func TestReplacedVoterKnowsThatItIsStandby(t *testing.T) {
-	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithReplaceAfter(60*tick))
-	f.startAll()
-	f.vms["a"].apply(t, "first", 0)
-	f.stop("c")
-	d := f.start("d", f.folder("d"))
-	f.wait("d is a voter", func() bool {
-		s := d.Status()
-		return s.Role != "learner" && len(s.Voters) == 3 && s.Applied > 0
-	})
+	f, _ := fleetWithReplacedVoter(t)
 	said := &lines{}
 	c := f.start("c", f.folder("c"), laburnumvoter.WithLogger(said))
 	f.wait("it is told", func() bool { return said.has(laburnumlever.EventVoterStandby, "replica c/") })
