feat: log lines identify the attempts at one request, and whether its answer had begun

What could not be told from the lines of an engine's crash: which attempts are a caller's repeats of one request (ids are new for each), and which of the broken ones the engine had begun to answer. attempt-failed has both now, as digest and begun, for attempts that may have run; explain request shows the other attempts with the same digest. The digest is computed after a failure only. No decision depends on either.

--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -53,8 +53,9 @@
 		return timeline, &laburnumlever.NotFoundError{Kind: "line about the request", Name: id}
 	}
 	own := timeline.Lines
+	digest := digestOf(own)
 	for _, l := range lines {
-		if !l.is("request-id", id) && mayAffect(l, own) {
+		if !l.is("request-id", id) && (l.is("digest", digest) || mayAffect(l, own)) {
 			timeline.Lines = append(timeline.Lines, l)
 		}
 	}
@@ -63,6 +64,17 @@
 	return timeline, nil
 }
 
+// digestOf returns the digest of the request's content, which the lines about the caller's other
+// attempts at the same request have as well; empty if no line has one.
+func digestOf(own []Line) string {
+	for _, l := range own {
+		if digest := fieldText(l.Fields["digest"]); digest != "" {
+			return digest
+		}
+	}
+	return ""
+}
+
 // mayAffect reports whether another event may have affected the request: it concerns a backend
 // server that the request was sent to, its model, or its gateway.
 func mayAffect(l Line, own []Line) bool {
--- a/laburnumexplain/timeline_test.go
+++ b/laburnumexplain/timeline_test.go
@@ -69,3 +69,18 @@
 	_, err = reader.Day(laburnumexplain.DefaultWidth)
 	require.ErrorContains(t, err, "name the logs of gateways")
 }
+
+// Guards against a crashing request whose earlier attempts, with other ids on other gateways, are missing from its timeline.
+func TestTimelineShowsOtherAttemptsAtTheSameRequest(t *testing.T) {
+	lines, _, err := laburnumexplain.Read(strings.NewReader(
+		`{"ts":"2026-10-27T08:26:40Z","vm":"front-a","event":"attempt-failed","request-id":"r-1","backend":"i-1","stage":"unknown","begun":true,"digest":"aa"}
+{"ts":"2026-10-27T08:26:41Z","vm":"front-b","event":"attempt-failed","request-id":"r-2","backend":"i-2","stage":"unknown","begun":true,"digest":"bb"}
+{"ts":"2026-10-27T08:26:50Z","vm":"front-c","event":"attempt-failed","request-id":"r-3","backend":"i-3","stage":"unknown","begun":true,"digest":"aa"}
+`))
+	require.NoError(t, err)
+	timeline, err := laburnumexplain.NewTimeline("r-3", lines)
+	require.NoError(t, err)
+	text := strings.Join(timeline.Text(), "\n")
+	require.Contains(t, text, "i-1")
+	require.NotContains(t, text, "i-2")
+}
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -84,7 +84,11 @@
 	if fail := g.checkAnswer(q, ticket, resp, headers, result); fail != nil {
 		return fail, resp
 	}
-	return g.forwardAnswer(ctx, q, out, ticket, resp, result), resp
+	fail := g.forwardAnswer(ctx, q, out, ticket, resp, result)
+	if fail != nil {
+		fail.begun = true
+	}
+	return fail, resp
 }
 
 // checkAnswer returns a failure for an answer that must not be forwarded: one to another request, or
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -24,6 +24,8 @@
 	stage  laburnumretry.Stage
 	reason laburnumlever.RefusalReason
 	cause  error
+	// begun is set if the backend server had begun to answer.
+	begun bool
 	// slotRefused is set if the engine refused the reservation because it had no free slot.
 	slotRefused bool
 }
@@ -45,8 +47,7 @@
 			g.fleet.scheduleQueueRetry()
 			continue
 		}
-		_ = level.Info(g.logger).Log("event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
-			"stage", fail.stage.String(), "reason", fail.reason, "cause", fail.cause)
+		g.logFailedAttempt(q, ticket, fail)
 		q.avoid = append(q.avoid, ticket.Backend.Backend)
 		if fail.stage == laburnumretry.StageUnknown {
 			q.mayHaveRun = true
@@ -62,6 +63,17 @@
 	}
 }
 
+func (g *Gateway) logFailedAttempt(q *request, ticket *laburnumbalance.Ticket, fail *failure) {
+	fields := []any{
+		"event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
+		"stage", fail.stage.String(), "reason", fail.reason, "cause", fail.cause,
+	}
+	if fail.stage == laburnumretry.StageUnknown {
+		fields = append(fields, "begun", fail.begun, "digest", q.digest())
+	}
+	_ = level.Info(g.logger).Log(fields...)
+}
+
 // refusal converts a failed attempt to the error for the caller.
 func (g *Gateway) refusal(ctx context.Context, fail *failure) error {
 	var gone *CallerGoneError
