--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/urfave/cli/v2"
@@ -26,6 +27,7 @@
 			&cli.IntFlag{Name: "break-after", Usage: "break off each stream after this number of `EVENTS`; 0 for never"},
 			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs"},
 			&cli.DurationFlag{Name: "delay", Usage: "delay before the start of each answer"},
+			&cli.StringFlag{Name: "crash-text", Usage: "exit at each request whose body contains this `TEXT`, once it has begun to run"},
 		},
 		OnUsageError: onUsageError,
 		Before:       requireFlags("id", "service"),
@@ -34,7 +36,10 @@
 			if err != nil {
 				return err
 			}
-			behaviour := laburnumstandin.PlatformBehaviour{AbortStreamAfter: c.Int("break-after"), Delay: c.Duration("delay")}
+			behaviour := laburnumstandin.PlatformBehaviour{
+				AbortStreamAfter: c.Int("break-after"), Delay: c.Duration("delay"),
+				CrashText: c.String("crash-text"), Crash: func() { os.Exit(exitFailure) },
+			}
 			if c.Bool("print-runs") {
 				behaviour.OnRun = func(id string) { printf(c.App.Writer, "ran %s\n", id) }
 			}
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -99,17 +99,28 @@
 }
 
 func (s *deployment) startGateway() {
-	ip := s.ip(50)
-	s.callers, s.ready = ip+":7602", ip+":7603"
+	s.gateway = s.startGatewayAt(0)
+	s.callers, s.ready = s.gatewayAddress(0), s.ip(firstGateway)+":7603"
+}
+
+// firstGateway is the number of the first gateway's address.
+const firstGateway = 50
+
+// gatewayAddress returns the address of a gateway for callers.
+func (s *deployment) gatewayAddress(i int) string { return s.ip(firstGateway+i) + ":7602" }
+
+func (s *deployment) startGatewayAt(i int) *laburnumroles.Gateway {
+	ip := s.ip(firstGateway + i)
 	settings := s.settings(ip)
-	settings.Listen.Callers, settings.Listen.Ready = s.callers, s.ready
-	s.gateway = laburnumroles.NewGateway(settings, platform.Dialect{})
-	require.NoError(s.t, s.gateway.Start(platform.NewReadyHandler))
+	settings.Listen.Callers, settings.Listen.Ready = s.gatewayAddress(i), ip+":7603"
+	gateway := laburnumroles.NewGateway(settings, platform.Dialect{})
+	require.NoError(s.t, gateway.Start(platform.NewReadyHandler))
 	s.t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		s.gateway.Shutdown(ctx)
+		gateway.Shutdown(ctx)
 	})
+	return gateway
 }
 
 func (s *deployment) call(method, url string, body []byte, headers ...string) (int, []byte) {
@@ -311,11 +322,11 @@
 	})
 	require.Equal(s.t, "control", control.Role.Role)
 	require.Equal(s.t, services, control.Role.Services)
-	gateway := s.status(s.ip(50), "gateway knows the director", func(status laburnumlever.Status) bool { return status.Role.Director != "" })
+	gateway := s.status(s.ip(firstGateway), "gateway knows the director", func(status laburnumlever.Status) bool { return status.Role.Director != "" })
 	require.Equal(s.t, "gateway", gateway.Role.Role)
 	require.True(s.t, gateway.Role.Ready)
 	require.Equal(s.t, services, gateway.Role.Services)
-	code, text := s.call("GET", fmt.Sprintf("http://%s:%d/metrics", s.ip(50), metricsPort), nil)
+	code, text := s.call("GET", fmt.Sprintf("http://%s:%d/metrics", s.ip(firstGateway), metricsPort), nil)
 	require.Equal(s.t, 200, code)
 	require.Contains(s.t, string(text), "laburnumlever_requests")
 }
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -32,6 +32,11 @@
 	Delay time.Duration
 	// OnRun, unless nil, is called with the id of each request that runs.
 	OnRun func(id string)
+	// CrashText, unless empty, crashes the server at each request whose body contains it, once it
+	// has begun to run: an engine has sent the head of its answer by then.
+	CrashText string
+	// Crash ends the server and all of its connections. It is required with CrashText.
+	Crash func()
 }
 
 // PlatformServer stands in for a backend server of the users' platform: it sends periodic
@@ -200,6 +205,9 @@
 	s.mu.Lock()
 	engine := len(s.models) > 0
 	s.mu.Unlock()
+	if s.behaviour.CrashText != "" && bytes.Contains(body, []byte(s.behaviour.CrashText)) {
+		s.crash(w, engine)
+	}
 	if !engine {
 		_, _ = fmt.Fprintf(w, "%s ran %s %s: %s\n", s.id, r.Method, r.URL.Path, body)
 		return
@@ -207,6 +215,16 @@
 	s.stream(w, r)
 }
 
+// crash ends the server in the middle of a request.
+func (s *PlatformServer) crash(w http.ResponseWriter, engine bool) {
+	if engine {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush() // the connection ends either way
+	}
+	s.behaviour.Crash()
+	panic(http.ErrAbortHandler)
+}
+
 func (s *PlatformServer) stream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
