test: guards against crashing requests are each noticed

Two of the nine tests passed without their guard: a queued request was refused at the end of its time in the queue as well, and a planned end did not look like a broken connection.

--- a/laburnumgateway/quarantine_test.go
+++ b/laburnumgateway/quarantine_test.go
@@ -53,6 +53,10 @@
 func newQuarantineHarness(t *testing.T, records ...laburnumregistry.Record) (*harness, *reports, tally.TestScope) {
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
+	return newQuarantineHarnessWith(t, timers, records...)
+}
+
+func newQuarantineHarnessWith(t *testing.T, timers laburnumlever.Timers, records ...laburnumregistry.Record) (*harness, *reports, tally.TestScope) {
 	r := &reports{to: map[string]laburnumquarantine.Report{}}
 	scope := tally.NewTestScope("", nil)
 	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1, laburnumgateway.WithQuarantineReporter(r))
@@ -63,6 +67,9 @@
 	return b, r, scope
 }
 
+// stillClock returns timers that do not fire, so that a request's time in the queue does not end.
+func stillClock() laburnumlever.Timers { return laburnumtimer.NewManual(time.Now().Add(time.Hour)) }
+
 func digestOf(method, path, body string) laburnumlever.RequestDigest {
 	return laburnumlever.NewRequestDigest(method, "quotes.example", path, []byte(body))
 }
@@ -119,10 +126,11 @@
 func TestPlannedEndOfAServerIsNoCrash(t *testing.T) {
 	var leaving, crashing *backend
 	end := make(chan struct{})
-	leaving = newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, n int) {
+	leaving = newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
 		writeEvents(conn, a, 1, 1)
 		<-end
-		crashAtOnce(func() net.Listener { return leaving.ln })(conn, a, n)
+		_ = leaving.ln.Close()
+		_ = conn.Close()
 	})
 	crashing = newBackend(t, "i-2", crashAtOnce(func() net.Listener { return crashing.ln }))
 	record := leaving.heartbeat("quotes", "m0")
@@ -157,6 +165,10 @@
 	require.Equal(t, []laburnumlever.RequestDigest{digestOf("GET", "/lookup/x", "poison")}, reports.sent().Refused)
 	require.Equal(t, 200, b.send("GET", "/lookup/x", "other").status)
 
+	busy, _, _ := newQuarantineHarnessWith(t, stillClock())
+	busy.list("a", laburnumquarantine.Quarantined, digestOf("GET", "/lookup/x", "poison"))
+	require.Equal(t, "quarantined\n", busy.send("GET", "/lookup/x", "poison").body, "not after a time in the queue")
+
 	b.list("a", laburnumquarantine.Held, digestOf("GET", "/lookup/x", "held"))
 	after, err = strconv.ParseFloat(b.send("GET", "/lookup/x", "held").header.Get("Retry-After"), 64)
 	require.NoError(t, err)
@@ -166,8 +178,7 @@
 // Guards against a request that waits for a slot although it is known by now that it will not be sent.
 func TestQueuedRequestIsRefusedWhenItIsQuarantined(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
-	record := server.heartbeat("quotes", "m0")
-	b, _, _ := newQuarantineHarness(t, record)
+	b, _, _ := newQuarantineHarnessWith(t, stillClock(), server.heartbeat("quotes", "m0"))
 	ended := make(chan callerResponse, 1)
 	go func() { ended <- b.send("POST", "/quote/x", "poison", "X-Laburnumlever-Model", "m1") }()
 	require.Eventually(t, func() bool { return b.fleet.Status().Queued == 1 }, 10*time.Second, time.Millisecond)
