--- a/laburnumgateway/quarantine_test.go
+++ b/laburnumgateway/quarantine_test.go
@@ -225,3 +225,61 @@
 	require.Eventually(t, func() bool { return len(reports.sentTo("a").Listed) == 1 }, 10*time.Second, 10*time.Millisecond)
 	require.Equal(t, laburnumquarantine.Entry{Digest: digest, State: laburnumquarantine.Quarantined}, reports.sentTo("a").Listed[0])
 }
+
+// Guards against refusing a request that many callers send because several servers crashed together while they ran it.
+func TestRequestThatWasAnsweredIsNotSuspected(t *testing.T) {
+	var server *backend
+	crashed := make(chan struct{})
+	server = newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+		if a.body == "poison" {
+			crashAtOnce(func() net.Listener { return server.ln })(conn, a, 0)
+			close(crashed)
+			return
+		}
+		if a.request.Header.Get(idHeader) == "hangs" {
+			<-crashed
+			_ = conn.Close()
+			return
+		}
+		writeAnswer(conn, a, 200, "done")
+	})
+	b, reports, _ := newQuarantineHarness(t, server.heartbeat("booking"))
+	require.Equal(t, 200, b.send("GET", "/lookup/x", "popular").status)
+	go func() { b.send("GET", "/lookup/x", "popular", idHeader, "hangs") }()
+	require.Eventually(t, func() bool { return len(server.requests()) == 2 }, 10*time.Second, time.Millisecond)
+	require.Error(t, b.send("GET", "/lookup/x", "poison").err)
+	require.Eventually(t, func() bool { return len(reports.sent().Sightings) > 0 }, 10*time.Second, time.Millisecond)
+	for _, s := range reports.sent().Sightings {
+		require.Equal(t, digestOf("GET", "/lookup/x", "poison"), s.Digest)
+	}
+}
+
+// Guards against missing the crash of a backend server behind a proxy that accepts connections for it.
+func TestCrashBehindAProxyIsReported(t *testing.T) {
+	server := newBackend(t, "i-1", crashAtOnce(func() net.Listener { return nopListener{} }))
+	proxy, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = proxy.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := proxy.Accept()
+			if err != nil {
+				return
+			}
+			if n == 0 {
+				go server.serve(conn)
+			} else {
+				_ = conn.Close()
+			}
+		}
+	}()
+	record := server.heartbeat("quotes", "m0")
+	record.Heartbeat.Address = proxy.Addr().String()
+	b, reports, _ := newQuarantineHarness(t, record)
+	require.Error(t, b.send("POST", "/draft/x", "poison", "X-Laburnumlever-Model", "m0").err)
+	require.Eventually(t, func() bool { return len(reports.sent().Sightings) == 1 }, 10*time.Second, time.Millisecond)
+}
+
+type nopListener struct{ net.Listener }
+
+func (nopListener) Close() error { return nil }
