test: the soak repeats requests at which backend servers crash

Backend servers of the soak crash at a text in a request's body and are restarted a second later; one caller for each service repeats such a request at both gateways while VMs are killed, paused, cut off and restarted. Checked: no other request is refused as a crashing one, and once the faults are over the gateways refuse both requests, which run at most three times more later than 3 s after the third crash.

--- /dev/null
+++ b/laburnumsoak/crashing.go
@@ -0,0 +1,173 @@
+package laburnumsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// crashText is the text in a request's body at which a backend server crashes; it also begins
+	// the ids of these requests.
+	crashText = "poison"
+	// crashPause is the longest time between two attempts of a caller at a crashing request.
+	crashPause = 600 * time.Millisecond
+	// crashDown is how long a crashed backend server is down.
+	crashDown = time.Second
+	// contactTime is the time after which VMs that are in touch must know a crashing request.
+	contactTime = 3 * time.Second
+	// crashesBorne is the number of crashes after which a request counts as a crashing one,
+	// repeatsBorne that of its runs later than contactTime after them.
+	crashesBorne, repeatsBorne = 3, 3
+	// crashCheckTime is how long the crashing requests are repeated for the check after the run.
+	crashCheckTime = 3 * time.Second
+)
+
+// services of the run, each with a crashing request of its own.
+var services = []string{"booking", "quotes"}
+
+// sendCrashing sends the crashing request of a service and reports whether it was refused as one.
+func (l *load) sendCrashing(service string, gateway int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	id := fmt.Sprintf("%s-%s-%d", crashText, service, l.calls.Add(1))
+	send := l.caller.Confirm
+	if service == "quotes" {
+		send = l.caller.Quote
+	}
+	status, body, err := send(ctx, l.fleet.gateway(gateway), id, crashText)
+	if err == nil && promisesNotRun(status) {
+		l.record.refusedAsNotRun(id)
+	}
+	return err == nil && status == http.StatusServiceUnavailable && isQuarantined(body)
+}
+
+// isQuarantined reports whether a refusal names a crashing request as its reason.
+func isQuarantined(body []byte) bool { return strings.TrimSpace(string(body)) == "quarantined" }
+
+// repeatCrashing sends the crashing request of a service again and again until ctx ends.
+func (l *load) repeatCrashing(ctx context.Context, service string) {
+	l.repeat(ctx, 0, func(int) {
+		l.sendCrashing(service, rand.IntN(gatewayVMs))
+		time.Sleep(rand.N(crashPause))
+	})
+}
+
+// checkCrashing checks that the gateways stop a crashing request once all faults are over.
+func (l *load) checkCrashing(ctx context.Context, service string) {
+	calm := time.Now()
+	var refused [gatewayVMs]bool
+	repeat := func() {
+		for i := range refused {
+			refused[i] = l.sendCrashing(service, i)
+		}
+	}
+	if !await(ctx, recoveryTimeout, func() bool { repeat(); return l.record.crashingRuns(service, time.Time{}) >= crashesBorne }) {
+		l.record.violated("the crashing request of %s ran fewer than %d times in %s", service, crashesBorne, recoveryTimeout)
+		return
+	}
+	known := time.Now().Add(contactTime)
+	if at := l.record.crashesBorneAt(service); at.Before(calm) {
+		known = calm.Add(contactTime)
+	}
+	await(ctx, time.Until(known.Add(crashCheckTime)), func() bool { repeat(); return false })
+	if n := l.record.crashingRuns(service, known); n > repeatsBorne {
+		l.record.violated("the crashing request of %s ran %d times later than %s after its third crash", service, n, contactTime)
+	}
+	for i, ok := range refused {
+		if !ok {
+			l.record.violated("gateway-%d does not refuse the crashing request of %s", i+1, service)
+		}
+	}
+}
+
+// crashingRan records that a backend server began to run the crashing request of its service.
+func (r *recorder) crashingRan(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashing[service] = append(r.crashing[service], time.Now())
+}
+
+// crashingRuns returns how often the crashing request of a service has run since a time.
+func (r *recorder) crashingRuns(service string, since time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, at := range r.crashing[service] {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// crashesBorneAt returns when the request ran for the last time that may be borne.
+func (r *recorder) crashesBorneAt(service string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashing[service][crashesBorne-1]
+}
+
+// refusedAsNotRun records a refusal which promises that the request did not run.
+func (r *recorder) refusedAsNotRun(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused[id] = true
+}
+
+// refusedFor checks the refusal of a request that crashes nothing.
+func (r *recorder) refusedFor(id string, body []byte) {
+	if isQuarantined(body) {
+		r.violated("request %s was refused as one that crashes backend servers", id)
+	}
+}
+
+// violated records a violation.
+func (r *recorder) violated(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addViolation(format, args...)
+}
+
+// serverExited restarts a backend server that has crashed, unless the run ends.
+func (x *faultInjector) serverExited(p *process) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.closed {
+		return
+	}
+	x.crashes.Go(func() {
+		time.Sleep(crashDown)
+		if x.reserveEnded(p) {
+			x.release(p, x.restart(p))
+		}
+	})
+}
+
+// reserveEnded waits until no other fault uses the process, and marks it as busy. It reports false
+// if the process has been restarted by then or the run ends.
+func (x *faultInjector) reserveEnded(p *process) bool {
+	for ; ; time.Sleep(restartPause) {
+		x.mu.Lock()
+		busy, closed := x.busyProcesses[p], x.closed
+		ended := !busy && p.hasEnded()
+		if ended && !closed {
+			x.busyProcesses[p] = true
+		}
+		x.mu.Unlock()
+		if !busy || closed {
+			return ended && !closed
+		}
+	}
+}
+
+// close waits until no crashed backend server is being restarted, and ends restarts.
+func (x *faultInjector) close() {
+	x.mu.Lock()
+	x.closed = true
+	x.mu.Unlock()
+	x.crashes.Wait()
+}
--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -8,7 +8,8 @@
 // of it. Where the machine allows a process to be supervised (laburnumdiskfault), the disks of
 // control VMs stall, are slow or full, or fail to sync. The links between the VMs and to the
 // backend servers freeze in one or both directions, reset their connections, or delay traffic.
-// Callers keep their connections open until the process at the other end exits.
+// Callers keep their connections open until the process at the other end exits. For each service one
+// caller repeats a request at which backend servers crash; they are restarted a second later.
 // The seed determines which faults are injected and when. Their effect also depends on the
 // timing of the machine, so a failing seed may pass when repeated: its logs are kept.
 //
@@ -16,7 +17,9 @@
 // refused as not run did not run, and an answered one did; streams deliver each event once and in
 // order, and a stream that ends as complete is complete; a read of the manifest returns no version
 // older than those acknowledged before the read was sent; no process of the system exits on its
-// own. After the run, a change must be acknowledged and read back, and callers must be served.
+// own; no other request is refused as one that crashes backend servers. After the run, a change must
+// be acknowledged and read back, callers must be served, and all gateways must refuse the crashing
+// requests, which run at most three times more.
 //
 // # Usage
 //
--- a/laburnumsoak/faultinjector.go
+++ b/laburnumsoak/faultinjector.go
@@ -66,8 +66,11 @@
 	random *rand.Rand
 	start  time.Time
 	wg     sync.WaitGroup
+	// crashes are the restarts of backend servers that have crashed.
+	crashes sync.WaitGroup
 
 	mu            sync.Mutex
+	closed        bool
 	busyProcesses map[*process]bool
 	faultyLinks   map[*faultLink]bool
 	faultyDisks   map[*process]bool
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -46,6 +46,8 @@
 	links []*faultLink
 	// bootstrapped is set once the log exists: later starts are not a first start.
 	bootstrapped atomic.Bool
+	// serverExited is called when a backend server has crashed.
+	serverExited func(p *process)
 	starts       atomic.Int64
 }
 
@@ -53,7 +55,7 @@
 // from the seed, so that concurrent runs with the same seed don't collide.
 func newFleet(cfg Config, r *recorder) *fleet {
 	const most = 250
-	f := &fleet{cfg: cfg, record: r, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most))}
+	f := &fleet{cfg: cfg, record: r, serverExited: func(*process) {}, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most))}
 	for i := range controlVMs {
 		p := f.vm("control", fmt.Sprintf("control-%d", i+1), i+1)
 		if cfg.Disks {
@@ -119,10 +121,10 @@
 // server defines a backend server; each start has a new instance id.
 func (f *fleet) server(name, service string, number int) *process {
 	f.addLink(name, f.address(number, serverPort), f.address(number, serverListenPort))
-	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder}
+	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder, onUnexpectedExit: func(p *process) { f.serverExited(p) }}
 	p.args = func() []string {
 		id := fmt.Sprintf("i-%s-%d", name, f.starts.Add(1))
-		args := []string{"stand-in", "platform-server", "--listen", f.address(number, serverListenPort), "--announce", f.address(number, serverPort), "--id", id, "--service", service, "--announce-period", "300ms", "--print-runs"}
+		args := []string{"stand-in", "platform-server", "--listen", f.address(number, serverListenPort), "--announce", f.address(number, serverPort), "--id", id, "--service", service, "--announce-period", "300ms", "--print-runs", "--crash-text", crashText}
 		if service == "quotes" {
 			args = append(args, "--model", "m0")
 		}
@@ -132,9 +134,13 @@
 		return args
 	}
 	p.onLine = func(text string) {
-		if id, ok := strings.CutPrefix(text, ranPrefix); ok && service == "booking" {
+		id, ok := strings.CutPrefix(text, ranPrefix)
+		if ok && service == "booking" {
 			f.record.requestRan(id)
 		}
+		if ok && strings.HasPrefix(id, crashText) {
+			f.record.crashingRan(service)
+		}
 	}
 	return p
 }
--- a/laburnumsoak/load.go
+++ b/laburnumsoak/load.go
@@ -48,6 +48,9 @@
 	for i := range callers {
 		l.repeat(ctx, callerPause, func(n int) { l.sendRequest(n%streamEvery == i%streamEvery) })
 	}
+	for _, service := range services {
+		l.repeatCrashing(ctx, service)
+	}
 	l.repeat(ctx, applyPause, func(int) { l.apply(rand.IntN(controlVMs)) })
 	l.repeat(ctx, readPause, func(int) { l.read(rand.IntN(controlVMs)) })
 	l.wg.Wait()
@@ -72,12 +75,15 @@
 	id := fmt.Sprintf("r-%d", l.calls.Add(1))
 	gateway := l.fleet.gateway(rand.IntN(gatewayVMs))
 	if stream {
-		_, events, whole, _ := l.caller.Quote(ctx, gateway, id) // the events received are checked even if the stream failed
-		l.record.streamEnded(id, events, whole)
+		status, body, err := l.caller.Quote(ctx, gateway, id, "oak")
+		whole := err == nil && status == http.StatusOK
+		l.record.streamEnded(id, laburnumstandin.EventIDs(body), whole) // the events received are checked even if the stream failed
+		l.record.refusedFor(id, body)
 		return whole
 	}
-	status, err := l.caller.Confirm(ctx, gateway, id)
+	status, body, err := l.caller.Confirm(ctx, gateway, id, "visit")
 	l.record.bookingEnded(id, status, err)
+	l.record.refusedFor(id, body)
 	return err == nil && status == http.StatusOK
 }
 
--- a/laburnumsoak/process.go
+++ b/laburnumsoak/process.go
@@ -35,7 +35,7 @@
 	// disk injects faults into its data folder; nil if there is none.
 	disk *laburnumdiskfault.Disk
 	// onUnexpectedExit, if set, is called when a ready process exits without being stopped.
-	onUnexpectedExit func(name string)
+	onUnexpectedExit func(p *process)
 
 	cmd   *exec.Cmd
 	ended chan struct{}
@@ -106,7 +106,17 @@
 	}
 	_ = cmd.Wait() // its log shows the reason
 	if served && !asked.Load() && p.onUnexpectedExit != nil {
-		p.onUnexpectedExit(p.name)
+		p.onUnexpectedExit(p)
+	}
+}
+
+// hasEnded reports whether the last start of the process has exited.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -18,6 +18,8 @@
 	// answered and refused are the non-idempotent requests that were answered and those that
 	// were refused with a status that promises that they did not run.
 	answered, refused map[string]bool
+	// crashing holds the times at which the crashing request of a service ran.
+	crashing map[string][]time.Time
 	// acked lists the acknowledged changes.
 	acked      []ack
 	sent       int
@@ -31,7 +33,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
@@ -119,10 +121,8 @@
 }
 
 // processExited records that a process of the system exited without being stopped.
-func (r *recorder) processExited(name string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.addViolation("%s exited unexpectedly", name)
+func (r *recorder) processExited(p *process) {
+	r.violated("%s exited unexpectedly", p.name)
 }
 
 // check applies the checks that need the output of all processes, and returns all violations.
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -51,3 +51,12 @@
 	r.streamEnded("s", []int{1, 2, 3, 4}, true)
 	require.Empty(t, r.check())
 }
+
+// Guards against a check for crashing requests that never fails.
+func TestRefusalOfAnInnocentRequestIsReported(t *testing.T) {
+	r := newRecorder()
+	r.refusedFor("a", []byte("no-backend\n"))
+	require.Empty(t, r.check())
+	r.refusedFor("b", []byte("quarantined\n"))
+	require.Equal(t, []string{"request b was refused as one that crashes backend servers"}, r.check())
+}
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -62,6 +63,8 @@
 		return Report{}, &NotReadyError{What: "callers are served", Time: bootstrapTimeout}
 	}
 	x := newFaultInjector(f, cfg.Seed)
+	defer x.close()
+	f.serverExited = x.serverExited
 	faultCtx, cancel := context.WithTimeout(ctx, cfg.Length)
 	defer cancel()
 	loadCtx, stop := context.WithCancel(ctx)
@@ -74,6 +77,12 @@
 	stop()
 	<-done
 	l.checkRecovery(ctx)
+	var checks sync.WaitGroup
+	for _, service := range services {
+		checks.Go(func() { l.checkCrashing(ctx, service) })
+	}
+	checks.Wait()
+	x.close()
 	f.stop() // the output of backend servers is complete afterwards
 	return Report{
 		Seed: cfg.Seed, Sent: r.sent, Served: r.served, Acknowledged: len(r.acked), Faults: x.history, Violations: r.check(),
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -25,16 +25,18 @@
 	return &PlatformCaller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle}}}
 }
 
-// Confirm sends a non-idempotent request and returns the HTTP status.
-func (c *PlatformCaller) Confirm(ctx context.Context, gateway, id string) (int, error) {
-	status, _, err := c.send(ctx, http.MethodPost, gateway+"/confirm/x", id, "", []byte("visit"))
-	return status, err
+// Confirm sends a non-idempotent request and returns the HTTP status and the body.
+func (c *PlatformCaller) Confirm(ctx context.Context, gateway, id, text string) (int, []byte, error) {
+	return c.send(ctx, http.MethodPost, gateway+"/confirm/x", id, "", []byte(text))
+}
+
+// Quote requests a stream and returns the HTTP status and as much of the body as was received.
+func (c *PlatformCaller) Quote(ctx context.Context, gateway, id, text string) (int, []byte, error) {
+	return c.send(ctx, http.MethodPost, gateway+"/quote/x", id, "m0", []byte(text))
 }
 
-// Quote requests a stream and returns the HTTP status, the ids of its events and whether
-// the stream ended without an error.
-func (c *PlatformCaller) Quote(ctx context.Context, gateway, id string) (int, []int, bool, error) {
-	status, body, err := c.send(ctx, http.MethodPost, gateway+"/quote/x", id, "m0", []byte("oak"))
+// EventIDs returns the ids of the events in a stream's body.
+func EventIDs(body []byte) []int {
 	var events []int
 	lines := bufio.NewScanner(bytes.NewReader(body))
 	for lines.Scan() {
@@ -43,7 +45,7 @@
 			events = append(events, n)
 		}
 	}
-	return status, events, err == nil && status == http.StatusOK, err
+	return events
 }
 
 // PlatformEvents is the number of events in a PlatformServer's stream.
