--- a/laburnumgateway/crashes.go
+++ b/laburnumgateway/crashes.go
@@ -11,7 +11,6 @@
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumtimer"
-	"laburnumlever/laburnumupstream"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -52,13 +51,6 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// refusesConnections reports whether a probe failed because nothing listens at the address, rather
-// than for want of an answer.
-func refusesConnections(err error) bool {
-	var closed *laburnumupstream.ClosedError
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &closed)
-}
-
 // requestBroken records a request whose connection the backend server ended.
 func (d *crashDetector) requestBroken(q *request, ticket *laburnumbalance.Ticket) {
 	to := ticket.Backend
@@ -86,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := d.gateway.pool.Probe(ctx, address)
-	crashed := refusesConnections(err) && !d.gateway.fleet.leaving(id.Backend)
+	crashed := errors.Is(err, syscall.ECONNREFUSED) && !d.gateway.fleet.leaving(id.Backend)
 	d.mu.Lock()
 	s := d.servers[id]
 	s.probed, s.crashed = true, crashed
--- a/laburnumgateway/quarantine.go
+++ b/laburnumgateway/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"laburnumlever"
@@ -87,15 +86,9 @@
 		"several backend servers crashed while they ran the request; it is refused until it has not been sent for "+state.RefusalTime().String())
 }
 
-// reportCrash reports requests that were on a backend server when it crashed, except for those that
-// were answered recently.
+// reportCrash reports requests that were on a backend server when it crashed.
 func (f *Fleet) reportCrash(sightings []laburnumquarantine.Sighting) {
-	f.mu.Lock()
-	sightings = slices.DeleteFunc(sightings, func(s laburnumquarantine.Sighting) bool { return f.answered.Contains(s.Digest) })
-	f.mu.Unlock()
-	if len(sightings) > 0 {
-		f.reporter.ReportToAll(laburnumquarantine.Report{Sightings: sightings})
-	}
+	f.reporter.ReportToAll(laburnumquarantine.Report{Sightings: sightings})
 }
 
 // avoidCrashed has the balancer avoid a backend server that has crashed.
@@ -115,14 +108,10 @@
 	f.serveQueue()
 }
 
-// recordAnswered records a complete answer, and reports it if the request is listed.
-func (f *Fleet) recordAnswered(q *request) {
-	digest := q.digest()
-	f.mu.Lock()
-	f.answered.Add(digest)
-	f.mu.Unlock()
+// reportCompleted reports a complete answer to a listed request.
+func (f *Fleet) reportCompleted(q *request) {
 	if f.quarantineState(q) != laburnumquarantine.Cleared {
-		f.reporter.ReportToAll(laburnumquarantine.Report{Completed: []laburnumlever.RequestDigest{digest}})
+		f.reporter.ReportToAll(laburnumquarantine.Report{Completed: []laburnumlever.RequestDigest{q.digest()}})
 	}
 }
 
--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -11,8 +11,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // readBufferSize, in bytes, fits a typical answer or a few events of a stream in one read.
@@ -106,22 +104,6 @@
 	buf.Write(q.Body)
 }
 
-// awaitEnd returns a *ClosedError if the peer ends the connection within d, before any byte.
-func (c *Conn) awaitEnd(d time.Duration) error {
-	if err := c.SetDeadline(time.Now().Add(d)); err != nil {
-		return &ClosedError{Address: c.address, Cause: err}
-	}
-	_, err := c.r.Peek(1)
-	var timeout net.Error
-	if err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()) {
-		return &ClosedError{Address: c.address, Cause: err}
-	}
-	if err := c.SetDeadline(time.Time{}); err != nil {
-		return &ClosedError{Address: c.address, Cause: err}
-	}
-	return nil
-}
-
 // noPendingInput tells whether an idle connection can be reused: it can't if there are bytes to read
 // or the peer has closed it. It peeks at the socket without blocking; a connection that isn't a
 // syscall.Conn passes.
--- a/laburnumupstream/errors.go
+++ b/laburnumupstream/errors.go
@@ -35,16 +35,3 @@
 func (e *ConnectionLimitError) Error() string {
 	return fmt.Sprintf("all %d connections to %s are in use", e.Limit, e.Address)
 }
-
-// ClosedError reports that the peer ended a new connection to Address before it sent a byte.
-type ClosedError struct {
-	Address string
-	Cause   error
-}
-
-func (e *ClosedError) Error() string {
-	return fmt.Sprintf("connection to %s ended at once: %v", e.Address, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ClosedError) Unwrap() error { return e.Cause }
--- a/laburnumupstream/pool.go
+++ b/laburnumupstream/pool.go
@@ -27,8 +27,6 @@
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
-	// probeReadTime is how long Probe waits for the end of a new connection.
-	probeReadTime = 20 * time.Millisecond
 )
 
 // Pool keeps idle connections by address and counts the open ones. It is safe for concurrent use.
@@ -74,19 +72,13 @@
 	return p.dial(ctx, address, limit)
 }
 
-// Probe tells whether a backend server still accepts connections, and keeps the connection for the
-// next request. There is no limit, since the open connections may be those of a crashed backend
-// server. Errors: *DialError, and *ClosedError if the connection ends at once, as it does behind a
-// proxy whose target refuses connections.
+// Probe dials address and keeps the connection for the next request. There is no limit, since the
+// open connections may be those of a crashed backend server. An error is a *DialError.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address, 0)
 	if err != nil {
 		return err
 	}
-	if err := c.awaitEnd(probeReadTime); err != nil {
-		c.Close()
-		return err
-	}
 	p.putIdle(c, defaultIdleTimeout)
 	return nil
 }
