fix: a request that any gateway answers is not taken for one that crashes servers

Three backend servers had crashed within three seconds, of a crashing request; gateway-2, which had just started and had had no answer yet, had seen bookings on each.

TestRequestThatWasAnsweredIsNotSuspected and TestAnswerBeforeTheSuspicionIsReported fail without it.

The soak's links before backend servers now refuse connections while the server is down, as its address does.

--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -45,6 +45,7 @@
 	quarantine       *laburnumquarantine.List
 	quarantineListed atomic.Bool
 	quarantineGrew   chan struct{}
+	answered         *laburnumquarantine.Answered
 	reporter         QuarantineReporter
 }
 
@@ -63,7 +64,8 @@
 		timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
 		balance: laburnumbalance.New(vm.Zone, seed), demand: laburnumdemand.NewCounter(vm.ID),
 		gateways: 1, readTimes: laburnumdemand.ReadTimes{}, routesLoaded: make(chan struct{}),
-		quarantine: laburnumquarantine.NewList(), quarantineGrew: make(chan struct{}), reporter: silentReporter{},
+		quarantine: laburnumquarantine.NewList(), quarantineGrew: make(chan struct{}),
+		answered: laburnumquarantine.NewAnswered(), reporter: silentReporter{},
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -124,7 +124,7 @@
 		g.finishUnanswered(ctx, q, out, err)
 		return
 	}
-	g.fleet.reportCompleted(q)
+	g.fleet.recordAnswered(q)
 	g.counters.served.Inc(1)
 	g.counters.recordAnswer(q, out)
 	g.logServed(q, out)
--- a/laburnumgateway/quarantine.go
+++ b/laburnumgateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"laburnumlever"
@@ -38,6 +39,7 @@
 // applyQuarantine applies the entries of a control VM. The caller must hold mu.
 func (f *Fleet) applyQuarantine(address string, boot uint64, entries []laburnumquarantine.Entry, now time.Time) {
 	applied := f.quarantine.Apply(address, boot, entries, now)
+	f.clearAnswered(entries, now)
 	f.quarantineListed.Store(!f.quarantine.Empty())
 	if applied.Added {
 		close(f.quarantineGrew)
@@ -49,6 +51,20 @@
 	}
 }
 
+// clearAnswered reports listed requests that were answered recently: another gateway, which saw them
+// on crashed servers, need not have seen an answer. The caller must hold mu.
+func (f *Fleet) clearAnswered(entries []laburnumquarantine.Entry, now time.Time) {
+	var completed []laburnumlever.RequestDigest
+	for _, e := range entries {
+		if e.State != laburnumquarantine.Cleared && f.answered.Contains(e.Digest, now) {
+			completed = append(completed, e.Digest)
+		}
+	}
+	if len(completed) > 0 {
+		f.reporter.ReportToAll(laburnumquarantine.Report{Completed: completed})
+	}
+}
+
 // teachQuarantine tells a control VM of the refused requests that it does not list.
 func (f *Fleet) teachQuarantine(address string) {
 	f.mu.Lock()
@@ -86,9 +102,16 @@
 		"several backend servers crashed while they ran the request; it is refused until it has not been sent for "+state.RefusalTime().String())
 }
 
-// reportCrash reports requests that were on a backend server when it crashed.
+// reportCrash reports requests that were on a backend server when it crashed, except for those that
+// were answered recently.
 func (f *Fleet) reportCrash(sightings []laburnumquarantine.Sighting) {
-	f.reporter.ReportToAll(laburnumquarantine.Report{Sightings: sightings})
+	f.mu.Lock()
+	now := f.timers.Now()
+	sightings = slices.DeleteFunc(sightings, func(s laburnumquarantine.Sighting) bool { return f.answered.Contains(s.Digest, now) })
+	f.mu.Unlock()
+	if len(sightings) > 0 {
+		f.reporter.ReportToAll(laburnumquarantine.Report{Sightings: sightings})
+	}
 }
 
 // avoidCrashed has the balancer avoid a backend server that has crashed.
@@ -108,10 +131,14 @@
 	f.serveQueue()
 }
 
-// reportCompleted reports a complete answer to a listed request.
-func (f *Fleet) reportCompleted(q *request) {
+// recordAnswered records a complete answer, and reports it if the request is listed.
+func (f *Fleet) recordAnswered(q *request) {
+	digest := q.digest()
+	f.mu.Lock()
+	f.answered.Add(digest, f.timers.Now())
+	f.mu.Unlock()
 	if f.quarantineState(q) != laburnumquarantine.Cleared {
-		f.reporter.ReportToAll(laburnumquarantine.Report{Completed: []laburnumlever.RequestDigest{q.digest()}})
+		f.reporter.ReportToAll(laburnumquarantine.Report{Completed: []laburnumlever.RequestDigest{digest}})
 	}
 }
 
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -108,8 +108,7 @@
 	return g.fleet.index.Load()
 }
 
-// digest returns the digest by which the caller's repeats of the request are recognised. It is
-// computed on demand, as most requests need none.
+// digest returns the digest by which the caller's repeats of the request are recognised.
 func (q *request) digest() laburnumlever.RequestDigest {
 	if q.contentDigest.IsZero() {
 		q.contentDigest = laburnumlever.NewRequestDigest(q.method, q.host, q.uri, q.body)
--- a/laburnumsoak/process.go
+++ b/laburnumsoak/process.go
@@ -34,6 +34,8 @@
 	onLine func(string)
 	// disk injects faults into its data folder; nil if there is none.
 	disk *laburnumdiskfault.Disk
+	// link, if set, refuses connections while the process does not run.
+	link *faultLink
 	// onUnexpectedExit, if set, is called when a ready process exits without being stopped.
 	onUnexpectedExit func(p *process)
 
@@ -67,6 +69,9 @@
 	go p.follow(cmd, bufio.NewScanner(out), log, ready, p.ended, p.stopRequested)
 	select {
 	case <-ready:
+		if p.link != nil {
+			return p.link.open()
+		}
 		return nil
 	case <-p.ended:
 		return &StartError{Process: p.name, Cause: &NotReadyError{What: "the process is ready without exiting", Time: readyTimeout}}
@@ -104,6 +109,9 @@
 			p.onLine(text)
 		}
 	}
+	if p.link != nil {
+		p.link.shut()
+	}
 	_ = cmd.Wait() // its log shows the reason
 	if served && !asked.Load() && p.onUnexpectedExit != nil {
 		p.onUnexpectedExit(p)
