--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -5,6 +5,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumslotqueue"
 )
@@ -74,6 +75,10 @@
 	}
 	sim, g := a.sim(), a.gateway
 	now := sim.now()
+	if g.refusesCrashing(a.request) {
+		a.refuseCrashing()
+		return
+	}
 	if a.waitingSince.IsZero() {
 		a.waitingSince = now
 	}
@@ -159,6 +164,11 @@
 		g.table.End(ticket, laburnumbalance.AttemptResult{}, now)
 		return
 	}
+	if g.refusesCrashing(a.request) {
+		g.table.End(ticket, laburnumbalance.AttemptResult{}, now)
+		a.refuseCrashing()
+		return
+	}
 	a.waited += now.Sub(a.waitingSince)
 	a.waitingSince = time.Time{}
 	a.ticket = ticket
@@ -213,6 +223,9 @@
 		return
 	}
 	a.sent++
+	if a.request.crashing != nil {
+		a.request.crashing.sent()
+	}
 	r := &run{attempt: a, engine: e.id, urgency: a.urgency(), answerTokens: a.request.answerTokens, written: a.written}
 	a.run = r
 	if outcome := e.accept(r, reservation); outcome != admitted {
@@ -253,6 +266,7 @@
 		return
 	}
 	a.recordProgress(r)
+	a.gateway.reportBroken(a.request, a.sim().byID[r.engine])
 	a.release(laburnumbalance.AttemptResult{Failed: true})
 	a.mayHaveRun = true
 	if a.started {
@@ -278,6 +292,7 @@
 	next := laburnumretry.Attempt{
 		Stage: stage, MayHaveRun: a.mayHaveRun, Started: a.started, Idempotent: c.Resumable, Resumable: c.Resumable,
 		Sent: a.sent, Tries: a.tries, MaxSent: max(1, c.Attempts),
+		Suspect: stage == laburnumretry.StageUnknown && a.gateway.quarantineState(a.request) != laburnumquarantine.Cleared,
 	}
 	_, paid, ok := next.Next()
 	now := a.sim().now()
@@ -326,10 +341,20 @@
 	a.finished = true
 	a.pause = max(a.pause, r.pause)
 	a.release(laburnumbalance.AttemptResult{})
+	if a.gateway.quarantineState(a.request) != laburnumquarantine.Cleared {
+		a.gateway.reportCrashing(laburnumquarantine.Report{Completed: []laburnumlever.RequestDigest{a.request.digest()}}, 0)
+	}
 	a.gateway.countEnd(a.request, true)
 	a.request.onServed(a)
 }
 
+// refuseCrashing ends an attempt at a request that crashes engines. Its caller gains nothing from
+// coming back.
+func (a *attempt) refuseCrashing() {
+	a.finished = true
+	a.request.finishUnserved(a, "quarantined", true)
+}
+
 // refuse ends an attempt that has not run, and sends the caller a Retry-After.
 func (a *attempt) refuse(verdict laburnumbalance.Verdict, why string) {
 	a.finished = true
--- a/laburnumsimulation/control.go
+++ b/laburnumsimulation/control.go
@@ -7,6 +7,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumdirector"
 	"laburnumlever/laburnumeventloop"
+	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumstate"
 	"laburnumlever/laburnumtimer"
@@ -41,6 +42,9 @@
 	noQuorum bool
 	records  map[laburnumlever.BackendID]laburnumregistry.Record
 	overlays map[laburnumlever.BackendID]laburnumregistry.Overlay
+	detector *laburnumquarantine.Detector
+	// quarantine are the entries that have not been published yet.
+	quarantine []laburnumquarantine.Entry
 }
 
 // drainingTimers drains the control loop after each of the director's timers.
@@ -70,6 +74,7 @@
 		sim: sim, loop: laburnumeventloop.New(), machine: laburnumstate.New(),
 		registry: laburnumregistry.New(time.Duration(sim.scenario.Engines.Heartbeat)),
 		records:  map[laburnumlever.BackendID]laburnumregistry.Record{}, overlays: map[laburnumlever.BackendID]laburnumregistry.Overlay{},
+		detector: laburnumquarantine.NewDetector(),
 	}
 	period := func() time.Duration { return time.Duration(len(sim.gateways)+1) * publishDelayPerVM }
 	c.publisher = laburnumtimer.NewCoalescer(sim.timers, period, c.publish)
@@ -141,7 +146,7 @@
 	c.publisher.Trigger()
 }
 
-// publish sends the records and overlays that have changed to all gateways.
+// publish sends what has changed to all gateways.
 func (c *control) publish() {
 	var records []laburnumregistry.Record
 	var overlays []laburnumregistry.Overlay
@@ -155,9 +160,11 @@
 	}
 	clear(c.records)
 	clear(c.overlays)
+	quarantine := c.quarantine
+	c.quarantine = nil
 	c.sim.after(time.Duration(c.sim.scenario.Links.Far), func() {
 		for _, g := range c.sim.gateways {
-			g.receiveUpdates(records, overlays)
+			g.receiveUpdates(records, overlays, quarantine)
 		}
 	})
 }
--- a/laburnumsimulation/engine.go
+++ b/laburnumsimulation/engine.go
@@ -206,6 +206,9 @@
 
 // onAnswerStarted reports the first event of an answer to the gateway.
 func (e *engine) onAnswerStarted(r *run) {
+	if q := r.attempt.request; q.crashing != nil {
+		q.crashing.begun(e)
+	}
 	running, waiting := e.batch.size(), len(e.batch.waiting)
 	e.sim.after(e.batch.stepTime()+e.sim.link(e.zone, r.attempt.gateway.zone), func() {
 		r.attempt.onAnswerStarted(r, running, waiting)
--- a/laburnumsimulation/enums_gen.go
+++ b/laburnumsimulation/enums_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _EventKindName = "shiftburstcrashdarkgonedrainslowno-orders"
+const _EventKindName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requests"
 
-var _EventKindIndex = [...]uint8{0, 5, 10, 15, 19, 23, 28, 32, 41}
+var _EventKindIndex = [...]uint8{0, 5, 10, 15, 19, 23, 28, 32, 41, 58}
 
-const _EventKindLowerName = "shiftburstcrashdarkgonedrainslowno-orders"
+const _EventKindLowerName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requests"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -33,9 +33,10 @@
 	_ = x[EventDrain-(5)]
 	_ = x[EventSlow-(6)]
 	_ = x[EventNoOrders-(7)]
+	_ = x[EventCrashingRequests-(8)]
 }
 
-var _EventKindValues = []EventKind{EventShift, EventBurst, EventCrash, EventDark, EventGone, EventDrain, EventSlow, EventNoOrders}
+var _EventKindValues = []EventKind{EventShift, EventBurst, EventCrash, EventDark, EventGone, EventDrain, EventSlow, EventNoOrders, EventCrashingRequests}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:5]:   EventShift,
@@ -46,6 +47,7 @@
 	_EventKindName[23:28]: EventDrain,
 	_EventKindName[28:32]: EventSlow,
 	_EventKindName[32:41]: EventNoOrders,
+	_EventKindName[41:58]: EventCrashingRequests,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -57,6 +59,7 @@
 	_EventKindLowerName[23:28]: EventDrain,
 	_EventKindLowerName[28:32]: EventSlow,
 	_EventKindLowerName[32:41]: EventNoOrders,
+	_EventKindLowerName[41:58]: EventCrashingRequests,
 }
 
 var _EventKindNames = []string{
@@ -68,6 +71,7 @@
 	_EventKindName[23:28],
 	_EventKindName[28:32],
 	_EventKindName[32:41],
+	_EventKindName[41:58],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -7,6 +7,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumdemand"
+	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumslotqueue"
@@ -38,6 +39,7 @@
 	readTimes   laburnumdemand.ReadTimes
 	retryBudget *laburnumretry.Window
 	random      *rand.Rand
+	quarantine  *laburnumquarantine.List
 }
 
 // newGateway returns a gateway that the caller appends to sim.gateways. The slack of its retry budget
@@ -48,19 +50,21 @@
 		counter: laburnumdemand.NewCounter(id), readTimes: laburnumdemand.ReadTimes{},
 		retryBudget: laburnumretry.NewWindow(budgetWindow, budgetRatio, budgetSlack*float64(len(sim.gateways)+1)),
 		random:      rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // repeatable
+		quarantine:  laburnumquarantine.NewList(),
 	}
 	g.queue.InOrder = sim.policy.strictOrder
 	return g
 }
 
-// receiveUpdates applies records and overlays published by the control VMs.
-func (g *gateway) receiveUpdates(records []laburnumregistry.Record, overlays []laburnumregistry.Overlay) {
+// receiveUpdates applies what the control VMs have published.
+func (g *gateway) receiveUpdates(records []laburnumregistry.Record, overlays []laburnumregistry.Overlay, quarantine []laburnumquarantine.Entry) {
 	for _, r := range records {
 		g.table.Set(r)
 	}
 	for _, o := range overlays {
 		g.table.SetOverlay(o, g.sim.now())
 	}
+	g.quarantine.Apply("control", 1, quarantine, g.sim.now())
 	g.serveQueue()
 }
 
--- a/laburnumsimulation/outcome.go
+++ b/laburnumsimulation/outcome.go
@@ -56,6 +56,11 @@
 	// Overcommitted counts orders that exceed the memory or adapter slots of an engine. It must be
 	// 0.
 	Overcommitted int `json:"overcommitted"`
+	// Crashes counts engines that requests have crashed. LateRepeats is the largest number of times
+	// that one of these requests was sent to engines later than the contact time after its third
+	// crash.
+	Crashes     int `json:"crashes,omitempty"`
+	LateRepeats int `json:"late-repeats,omitempty"`
 	// LateRefusals is the penalty for late refusals as a share of the possible worth.
 	LateRefusals float64 `json:"late-refusals"`
 	// Windows holds the share of worth earned by window of arrival; windows without requests are
--- a/laburnumsimulation/policy.go
+++ b/laburnumsimulation/policy.go
@@ -26,6 +26,8 @@
 	// skipsReservations sends requests without a reservation to engines whose load is not known
 	// exactly.
 	skipsReservations bool
+	// servesCrashing has gateways serve requests that crash engines.
+	servesCrashing bool
 	// exactLoads gives gateways the current load of each engine.
 	exactLoads bool
 }
@@ -90,6 +92,7 @@
 		productionPolicy().named("no-reservations", "requests are sent without a reservation to engines with stale loads").modified(func(p *Policy) { p.skipsReservations = true }),
 		productionPolicy().named("in-turn", "queues are served strictly in order").modified(func(p *Policy) { p.strictOrder = true }),
 		productionPolicy().named("urgency", "engines preempt less urgent requests for more urgent ones").modified(func(p *Policy) { p.preempts = true }),
+		productionPolicy().named("no-quarantine", "requests that crash engines are served").modified(func(p *Policy) { p.servesCrashing = true }),
 		productionPolicy().named("count-ends", "demand is counted when answers end").modified(func(p *Policy) { p.countsAtEnd = true }),
 	}
 }
--- a/laburnumsimulation/scenario.go
+++ b/laburnumsimulation/scenario.go
@@ -29,6 +29,9 @@
 	// EventNoOrders leaves the fleet without a placement lease, so that no orders are sent, for
 	// For.
 	EventNoOrders
+	// EventCrashingRequests has Count callers repeat a request of Class for For, each its own, that
+	// crashes the engines that run it. They pause Every on average between two attempts.
+	EventCrashingRequests
 )
 
 // Scenario describes a fleet, its callers and the events of one day.
@@ -171,6 +174,8 @@
 	Share  float64                `json:"share"`
 	Factor float64                `json:"factor"`
 	Places int                    `json:"places"`
+	Count  int                    `json:"count"`
+	Every  laburnumlever.Duration `json:"every"`
 }
 
 // Value holds the weights of the score of a day.
--- a/laburnumsimulation/simulation.go
+++ b/laburnumsimulation/simulation.go
@@ -218,6 +218,8 @@
 			sim.workload.shifts = append(sim.workload.shifts, shift{at: at, length: span, ranks: ev.Places})
 		case EventBurst:
 			sim.workload.bursts = append(sim.workload.bursts, burst{from: at, until: at + span, class: ev.Class, factor: ev.Factor})
+		case EventCrashingRequests:
+			sim.after(at, func() { sim.workload.startCrashing(ev) })
 		default:
 			sim.after(at, func() { sim.applyEvent(ev, span) })
 		}
--- a/laburnumsimulation/simulation_test.go
+++ b/laburnumsimulation/simulation_test.go
@@ -183,3 +183,19 @@
 		})
 	}
 }
+
+// Guards against requests that crash engine after engine, and against refusing the innocent ones that their crashes end.
+func TestCrashingRequestsAreStopped(t *testing.T) {
+	const allowedRepeats = 3
+	s := scenario(t, "crashing")
+	served, err := PolicyNamed("no-quarantine")
+	require.NoError(t, err)
+	for seed := range uint64(5) {
+		today, without := Run(s, productionPolicy(), seed), Run(s, served, seed)
+		t.Logf("seed %d: %d crashes (%d without quarantine), %d late repeats (%d), day %.3f (%.3f), %d innocent requests refused",
+			seed, today.Crashes, without.Crashes, today.LateRepeats, without.LateRepeats, today.Day, without.Day, today.Reasons["quarantined"])
+		require.LessOrEqual(t, today.LateRepeats, allowedRepeats, "seed %d", seed)
+		require.Greater(t, without.LateRepeats, allowedRepeats, "seed %d", seed)
+		require.Greater(t, today.Day, without.Day, "seed %d", seed)
+	}
+}
--- a/laburnumsimulation/workload.go
+++ b/laburnumsimulation/workload.go
@@ -16,6 +16,7 @@
 // request is one request of a caller over all of its attempts.
 type request struct {
 	sim          *simulation
+	id           uint64 // by content
 	class        *Class
 	zone         int
 	model        int
@@ -28,6 +29,8 @@
 	deadline     time.Time
 	tries        int
 	finished     bool
+	// crashing is set if the request crashes the engines that run it.
+	crashing *crashingCaller
 }
 
 // worth returns the value of an answer on time. It grows with the size of the request.
@@ -69,6 +72,10 @@
 		return
 	}
 	q.finished = true
+	if q.crashing != nil {
+		q.crashing.attemptEnded()
+		return
+	}
 	q.sim.outcome.recordServed(q, a)
 }
 
@@ -96,6 +103,10 @@
 		return
 	}
 	q.finished = true
+	if q.crashing != nil {
+		q.crashing.attemptEnded()
+		return
+	}
 	q.sim.outcome.recordUnserved(q, a, why, refused)
 }
 
@@ -108,6 +119,8 @@
 	modelsByRank [][]int
 	shifts       []shift
 	bursts       []burst
+	crashing     []*crashingCaller
+	lastID       uint64
 }
 
 type shift struct {
@@ -179,7 +192,7 @@
 
 func (c *workload) newRequest(class int) *request {
 	cl := &c.sim.scenario.Classes[class]
-	q := &request{sim: c.sim, class: cl, zone: c.sampleZone(), createdAt: c.sim.now(), model: c.sampleModel(class)}
+	q := &request{sim: c.sim, id: c.nextID(), class: cl, zone: c.sampleZone(), createdAt: c.sim.now(), model: c.sampleModel(class)}
 	q.deadline = q.createdAt.Add(time.Duration(cl.Timeout))
 	for i, tokens := range cl.SharedTokens {
 		kind := c.random.IntN(max(1, cl.SharedKinds[i]))
