feat: log lines tell the limits that backend servers name

What could not be told from the lines: whether an answer named a limit, and which gateways had been told. limit-changed and limit-unclear are logged now, once a change; a limit that is no decimal number is a typed error. No decision depends on it.

--- a/dialect.go
+++ b/dialect.go
@@ -76,6 +76,13 @@
 	// Running, Waiting and Slots are the server's load; valid if HasLoad is set.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// Limit is the number of requests per second that the server accepts from all VMs together;
+	// valid if HasLimit is set.
+	HasLimit bool
+	Limit    float64
+	// LimitError is set if the answer names a limit that can't be read. It is an
+	// *InvalidValueError.
+	LimitError error
 }
 
 // Dialect translates the platform's HTTP headers between callers, this system and
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -46,7 +46,9 @@
 	quarantineListed atomic.Bool
 	quarantineGrew   chan struct{}
 	answered         *laburnumquarantine.Answered
-	reporter         QuarantineReporter
+	// limits are those that backend servers name.
+	limits   map[limitKey]namedLimit
+	reporter QuarantineReporter
 }
 
 var _ laburnumfeed.Sink = (*Fleet)(nil)
@@ -65,7 +67,7 @@
 		balance: laburnumbalance.New(vm.Zone, seed), demand: laburnumdemand.NewCounter(vm.ID),
 		gateways: 1, readTimes: laburnumdemand.ReadTimes{}, routesLoaded: make(chan struct{}),
 		quarantine: laburnumquarantine.NewList(), quarantineGrew: make(chan struct{}),
-		answered: laburnumquarantine.NewAnswered(), reporter: silentReporter{},
+		answered: laburnumquarantine.NewAnswered(), limits: map[limitKey]namedLimit{}, reporter: silentReporter{},
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/logevent.go
+++ b/logevent.go
@@ -46,6 +46,10 @@
 	EventRequestReleased
 	// EventQuarantineNotReported is a gateway's report on crashes that no control VM accepted.
 	EventQuarantineNotReported
+	// EventLimitChanged is a backend server that names a request limit, another one, or none any more.
+	EventLimitChanged
+	// EventLimitUnclear is an answer that names a limit which can't be read.
+	EventLimitUnclear
 	// EventOutlierDetected is a backend server that returns errors to several gateways.
 	EventOutlierDetected
 	// EventModelWithdrawn is a model for which gateways send no more requests.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 195, 211, 234, 250, 265, 279, 289, 300, 313, 334, 350, 368, 379, 395, 411, 426, 440, 454, 469, 487, 505, 518, 527, 541, 556, 569, 584, 595, 609, 622, 648, 666, 680, 697, 716, 737, 746, 756, 773, 783, 792, 806, 818, 834, 841, 849, 856, 863, 880, 896, 910, 928, 941, 958}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 195, 211, 234, 247, 260, 276, 291, 305, 315, 326, 339, 360, 376, 394, 405, 421, 437, 452, 466, 480, 495, 513, 531, 544, 553, 567, 582, 595, 610, 621, 635, 648, 674, 692, 706, 723, 742, 763, 772, 782, 799, 809, 818, 832, 844, 860, 867, 875, 882, 889, 906, 922, 936, 954, 967, 984}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -40,60 +40,62 @@
 	_ = x[EventRequestQuarantined-(13)]
 	_ = x[EventRequestReleased-(14)]
 	_ = x[EventQuarantineNotReported-(15)]
-	_ = x[EventOutlierDetected-(16)]
-	_ = x[EventModelWithdrawn-(17)]
-	_ = x[EventOrderAnswered-(18)]
-	_ = x[EventOrderDone-(19)]
-	_ = x[EventOrderStateChanged-(20)]
-	_ = x[EventOrderRefused-(21)]
-	_ = x[EventOrderOutcomeUnknown-(22)]
-	_ = x[EventEngineStateNotRead-(23)]
-	_ = x[EventInventoryNotRead-(24)]
-	_ = x[EventLoadFailed-(25)]
-	_ = x[EventBackendStateNotEncoded-(26)]
-	_ = x[EventRegistryRefused-(27)]
-	_ = x[EventRoutesProposed-(28)]
-	_ = x[EventRoutesRefused-(29)]
-	_ = x[EventRoutesApplied-(30)]
-	_ = x[EventRoutesInEffect-(31)]
-	_ = x[EventRoutesNotFetched-(32)]
-	_ = x[EventCatalogueInEffect-(33)]
-	_ = x[EventBecameLeader-(34)]
-	_ = x[EventNoLeader-(35)]
-	_ = x[EventReplicaOpened-(36)]
-	_ = x[EventVotersChanged-(37)]
-	_ = x[EventLearnerAdded-(38)]
-	_ = x[EventLearnerRemoved-(39)]
-	_ = x[EventVoterAdded-(40)]
-	_ = x[EventVoterReplaced-(41)]
-	_ = x[EventVoterStandby-(42)]
-	_ = x[EventLeadershipNotHandedOver-(43)]
-	_ = x[EventExpiryNotEncoded-(44)]
-	_ = x[EventReplicaFailed-(45)]
-	_ = x[EventReplicaRegressed-(46)]
-	_ = x[EventDataFolderDamaged-(47)]
-	_ = x[EventDataFolderRegressed-(48)]
-	_ = x[EventLeaseAcquired-(49)]
-	_ = x[EventLeaseLost-(50)]
-	_ = x[EventLeaseNotRenewed-(51)]
-	_ = x[EventZoneOwned-(52)]
-	_ = x[EventZoneLost-(53)]
-	_ = x[EventControlThreadTimes-(54)]
-	_ = x[EventControlLost-(55)]
-	_ = x[EventControlRegained-(56)]
-	_ = x[EventStarted-(57)]
-	_ = x[EventDraining-(58)]
-	_ = x[EventDrained-(59)]
-	_ = x[EventStopped-(60)]
-	_ = x[EventSettingsReloaded-(61)]
-	_ = x[EventSettingsRefused-(62)]
-	_ = x[EventListenerEnded-(63)]
-	_ = x[EventMetricsNotServed-(64)]
-	_ = x[EventUnknownEvent-(65)]
-	_ = x[EventLogLinesDropped-(66)]
+	_ = x[EventLimitChanged-(16)]
+	_ = x[EventLimitUnclear-(17)]
+	_ = x[EventOutlierDetected-(18)]
+	_ = x[EventModelWithdrawn-(19)]
+	_ = x[EventOrderAnswered-(20)]
+	_ = x[EventOrderDone-(21)]
+	_ = x[EventOrderStateChanged-(22)]
+	_ = x[EventOrderRefused-(23)]
+	_ = x[EventOrderOutcomeUnknown-(24)]
+	_ = x[EventEngineStateNotRead-(25)]
+	_ = x[EventInventoryNotRead-(26)]
+	_ = x[EventLoadFailed-(27)]
+	_ = x[EventBackendStateNotEncoded-(28)]
+	_ = x[EventRegistryRefused-(29)]
+	_ = x[EventRoutesProposed-(30)]
+	_ = x[EventRoutesRefused-(31)]
+	_ = x[EventRoutesApplied-(32)]
+	_ = x[EventRoutesInEffect-(33)]
+	_ = x[EventRoutesNotFetched-(34)]
+	_ = x[EventCatalogueInEffect-(35)]
+	_ = x[EventBecameLeader-(36)]
+	_ = x[EventNoLeader-(37)]
+	_ = x[EventReplicaOpened-(38)]
+	_ = x[EventVotersChanged-(39)]
+	_ = x[EventLearnerAdded-(40)]
+	_ = x[EventLearnerRemoved-(41)]
+	_ = x[EventVoterAdded-(42)]
+	_ = x[EventVoterReplaced-(43)]
+	_ = x[EventVoterStandby-(44)]
+	_ = x[EventLeadershipNotHandedOver-(45)]
+	_ = x[EventExpiryNotEncoded-(46)]
+	_ = x[EventReplicaFailed-(47)]
+	_ = x[EventReplicaRegressed-(48)]
+	_ = x[EventDataFolderDamaged-(49)]
+	_ = x[EventDataFolderRegressed-(50)]
+	_ = x[EventLeaseAcquired-(51)]
+	_ = x[EventLeaseLost-(52)]
+	_ = x[EventLeaseNotRenewed-(53)]
+	_ = x[EventZoneOwned-(54)]
+	_ = x[EventZoneLost-(55)]
+	_ = x[EventControlThreadTimes-(56)]
+	_ = x[EventControlLost-(57)]
+	_ = x[EventControlRegained-(58)]
+	_ = x[EventStarted-(59)]
+	_ = x[EventDraining-(60)]
+	_ = x[EventDrained-(61)]
+	_ = x[EventStopped-(62)]
+	_ = x[EventSettingsReloaded-(63)]
+	_ = x[EventSettingsRefused-(64)]
+	_ = x[EventListenerEnded-(65)]
+	_ = x[EventMetricsNotServed-(66)]
+	_ = x[EventUnknownEvent-(67)]
+	_ = x[EventLogLinesDropped-(68)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventLimitUnclear, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:    EventRequestServed,
@@ -112,57 +114,59 @@
 	_LogEventName[176:195]: EventRequestQuarantined,
 	_LogEventName[195:211]: EventRequestReleased,
 	_LogEventName[211:234]: EventQuarantineNotReported,
-	_LogEventName[234:250]: EventOutlierDetected,
-	_LogEventName[250:265]: EventModelWithdrawn,
-	_LogEventName[265:279]: EventOrderAnswered,
-	_LogEventName[279:289]: EventOrderDone,
-	_LogEventName[289:300]: EventOrderStateChanged,
-	_LogEventName[300:313]: EventOrderRefused,
-	_LogEventName[313:334]: EventOrderOutcomeUnknown,
-	_LogEventName[334:350]: EventEngineStateNotRead,
-	_LogEventName[350:368]: EventInventoryNotRead,
-	_LogEventName[368:379]: EventLoadFailed,
-	_LogEventName[379:395]: EventBackendStateNotEncoded,
-	_LogEventName[395:411]: EventRegistryRefused,
-	_LogEventName[411:426]: EventRoutesProposed,
-	_LogEventName[426:440]: EventRoutesRefused,
-	_LogEventName[440:454]: EventRoutesApplied,
-	_LogEventName[454:469]: EventRoutesInEffect,
-	_LogEventName[469:487]: EventRoutesNotFetched,
-	_LogEventName[487:505]: EventCatalogueInEffect,
-	_LogEventName[505:518]: EventBecameLeader,
-	_LogEventName[518:527]: EventNoLeader,
-	_LogEventName[527:541]: EventReplicaOpened,
-	_LogEventName[541:556]: EventVotersChanged,
-	_LogEventName[556:569]: EventLearnerAdded,
-	_LogEventName[569:584]: EventLearnerRemoved,
-	_LogEventName[584:595]: EventVoterAdded,
-	_LogEventName[595:609]: EventVoterReplaced,
-	_LogEventName[609:622]: EventVoterStandby,
-	_LogEventName[622:648]: EventLeadershipNotHandedOver,
-	_LogEventName[648:666]: EventExpiryNotEncoded,
-	_LogEventName[666:680]: EventReplicaFailed,
-	_LogEventName[680:697]: EventReplicaRegressed,
-	_LogEventName[697:716]: EventDataFolderDamaged,
-	_LogEventName[716:737]: EventDataFolderRegressed,
-	_LogEventName[737:746]: EventLeaseAcquired,
-	_LogEventName[746:756]: EventLeaseLost,
-	_LogEventName[756:773]: EventLeaseNotRenewed,
-	_LogEventName[773:783]: EventZoneOwned,
-	_LogEventName[783:792]: EventZoneLost,
-	_LogEventName[792:806]: EventControlThreadTimes,
-	_LogEventName[806:818]: EventControlLost,
-	_LogEventName[818:834]: EventControlRegained,
-	_LogEventName[834:841]: EventStarted,
-	_LogEventName[841:849]: EventDraining,
-	_LogEventName[849:856]: EventDrained,
-	_LogEventName[856:863]: EventStopped,
-	_LogEventName[863:880]: EventSettingsReloaded,
-	_LogEventName[880:896]: EventSettingsRefused,
-	_LogEventName[896:910]: EventListenerEnded,
-	_LogEventName[910:928]: EventMetricsNotServed,
-	_LogEventName[928:941]: EventUnknownEvent,
-	_LogEventName[941:958]: EventLogLinesDropped,
+	_LogEventName[234:247]: EventLimitChanged,
+	_LogEventName[247:260]: EventLimitUnclear,
+	_LogEventName[260:276]: EventOutlierDetected,
+	_LogEventName[276:291]: EventModelWithdrawn,
+	_LogEventName[291:305]: EventOrderAnswered,
+	_LogEventName[305:315]: EventOrderDone,
+	_LogEventName[315:326]: EventOrderStateChanged,
+	_LogEventName[326:339]: EventOrderRefused,
+	_LogEventName[339:360]: EventOrderOutcomeUnknown,
+	_LogEventName[360:376]: EventEngineStateNotRead,
+	_LogEventName[376:394]: EventInventoryNotRead,
+	_LogEventName[394:405]: EventLoadFailed,
+	_LogEventName[405:421]: EventBackendStateNotEncoded,
+	_LogEventName[421:437]: EventRegistryRefused,
+	_LogEventName[437:452]: EventRoutesProposed,
+	_LogEventName[452:466]: EventRoutesRefused,
+	_LogEventName[466:480]: EventRoutesApplied,
+	_LogEventName[480:495]: EventRoutesInEffect,
+	_LogEventName[495:513]: EventRoutesNotFetched,
+	_LogEventName[513:531]: EventCatalogueInEffect,
+	_LogEventName[531:544]: EventBecameLeader,
+	_LogEventName[544:553]: EventNoLeader,
+	_LogEventName[553:567]: EventReplicaOpened,
+	_LogEventName[567:582]: EventVotersChanged,
+	_LogEventName[582:595]: EventLearnerAdded,
+	_LogEventName[595:610]: EventLearnerRemoved,
+	_LogEventName[610:621]: EventVoterAdded,
+	_LogEventName[621:635]: EventVoterReplaced,
+	_LogEventName[635:648]: EventVoterStandby,
+	_LogEventName[648:674]: EventLeadershipNotHandedOver,
+	_LogEventName[674:692]: EventExpiryNotEncoded,
+	_LogEventName[692:706]: EventReplicaFailed,
+	_LogEventName[706:723]: EventReplicaRegressed,
+	_LogEventName[723:742]: EventDataFolderDamaged,
+	_LogEventName[742:763]: EventDataFolderRegressed,
+	_LogEventName[763:772]: EventLeaseAcquired,
+	_LogEventName[772:782]: EventLeaseLost,
+	_LogEventName[782:799]: EventLeaseNotRenewed,
+	_LogEventName[799:809]: EventZoneOwned,
+	_LogEventName[809:818]: EventZoneLost,
+	_LogEventName[818:832]: EventControlThreadTimes,
+	_LogEventName[832:844]: EventControlLost,
+	_LogEventName[844:860]: EventControlRegained,
+	_LogEventName[860:867]: EventStarted,
+	_LogEventName[867:875]: EventDraining,
+	_LogEventName[875:882]: EventDrained,
+	_LogEventName[882:889]: EventStopped,
+	_LogEventName[889:906]: EventSettingsReloaded,
+	_LogEventName[906:922]: EventSettingsRefused,
+	_LogEventName[922:936]: EventListenerEnded,
+	_LogEventName[936:954]: EventMetricsNotServed,
+	_LogEventName[954:967]: EventUnknownEvent,
+	_LogEventName[967:984]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -182,57 +186,59 @@
 	_LogEventLowerName[176:195]: EventRequestQuarantined,
 	_LogEventLowerName[195:211]: EventRequestReleased,
 	_LogEventLowerName[211:234]: EventQuarantineNotReported,
-	_LogEventLowerName[234:250]: EventOutlierDetected,
-	_LogEventLowerName[250:265]: EventModelWithdrawn,
-	_LogEventLowerName[265:279]: EventOrderAnswered,
-	_LogEventLowerName[279:289]: EventOrderDone,
-	_LogEventLowerName[289:300]: EventOrderStateChanged,
-	_LogEventLowerName[300:313]: EventOrderRefused,
-	_LogEventLowerName[313:334]: EventOrderOutcomeUnknown,
-	_LogEventLowerName[334:350]: EventEngineStateNotRead,
-	_LogEventLowerName[350:368]: EventInventoryNotRead,
-	_LogEventLowerName[368:379]: EventLoadFailed,
-	_LogEventLowerName[379:395]: EventBackendStateNotEncoded,
-	_LogEventLowerName[395:411]: EventRegistryRefused,
-	_LogEventLowerName[411:426]: EventRoutesProposed,
-	_LogEventLowerName[426:440]: EventRoutesRefused,
-	_LogEventLowerName[440:454]: EventRoutesApplied,
-	_LogEventLowerName[454:469]: EventRoutesInEffect,
-	_LogEventLowerName[469:487]: EventRoutesNotFetched,
-	_LogEventLowerName[487:505]: EventCatalogueInEffect,
-	_LogEventLowerName[505:518]: EventBecameLeader,
-	_LogEventLowerName[518:527]: EventNoLeader,
-	_LogEventLowerName[527:541]: EventReplicaOpened,
-	_LogEventLowerName[541:556]: EventVotersChanged,
-	_LogEventLowerName[556:569]: EventLearnerAdded,
-	_LogEventLowerName[569:584]: EventLearnerRemoved,
-	_LogEventLowerName[584:595]: EventVoterAdded,
-	_LogEventLowerName[595:609]: EventVoterReplaced,
-	_LogEventLowerName[609:622]: EventVoterStandby,
-	_LogEventLowerName[622:648]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[648:666]: EventExpiryNotEncoded,
-	_LogEventLowerName[666:680]: EventReplicaFailed,
-	_LogEventLowerName[680:697]: EventReplicaRegressed,
-	_LogEventLowerName[697:716]: EventDataFolderDamaged,
-	_LogEventLowerName[716:737]: EventDataFolderRegressed,
-	_LogEventLowerName[737:746]: EventLeaseAcquired,
-	_LogEventLowerName[746:756]: EventLeaseLost,
-	_LogEventLowerName[756:773]: EventLeaseNotRenewed,
-	_LogEventLowerName[773:783]: EventZoneOwned,
-	_LogEventLowerName[783:792]: EventZoneLost,
-	_LogEventLowerName[792:806]: EventControlThreadTimes,
-	_LogEventLowerName[806:818]: EventControlLost,
-	_LogEventLowerName[818:834]: EventControlRegained,
-	_LogEventLowerName[834:841]: EventStarted,
-	_LogEventLowerName[841:849]: EventDraining,
-	_LogEventLowerName[849:856]: EventDrained,
-	_LogEventLowerName[856:863]: EventStopped,
-	_LogEventLowerName[863:880]: EventSettingsReloaded,
-	_LogEventLowerName[880:896]: EventSettingsRefused,
-	_LogEventLowerName[896:910]: EventListenerEnded,
-	_LogEventLowerName[910:928]: EventMetricsNotServed,
-	_LogEventLowerName[928:941]: EventUnknownEvent,
-	_LogEventLowerName[941:958]: EventLogLinesDropped,
+	_LogEventLowerName[234:247]: EventLimitChanged,
+	_LogEventLowerName[247:260]: EventLimitUnclear,
+	_LogEventLowerName[260:276]: EventOutlierDetected,
+	_LogEventLowerName[276:291]: EventModelWithdrawn,
+	_LogEventLowerName[291:305]: EventOrderAnswered,
+	_LogEventLowerName[305:315]: EventOrderDone,
+	_LogEventLowerName[315:326]: EventOrderStateChanged,
+	_LogEventLowerName[326:339]: EventOrderRefused,
+	_LogEventLowerName[339:360]: EventOrderOutcomeUnknown,
+	_LogEventLowerName[360:376]: EventEngineStateNotRead,
+	_LogEventLowerName[376:394]: EventInventoryNotRead,
+	_LogEventLowerName[394:405]: EventLoadFailed,
+	_LogEventLowerName[405:421]: EventBackendStateNotEncoded,
+	_LogEventLowerName[421:437]: EventRegistryRefused,
+	_LogEventLowerName[437:452]: EventRoutesProposed,
+	_LogEventLowerName[452:466]: EventRoutesRefused,
+	_LogEventLowerName[466:480]: EventRoutesApplied,
+	_LogEventLowerName[480:495]: EventRoutesInEffect,
+	_LogEventLowerName[495:513]: EventRoutesNotFetched,
+	_LogEventLowerName[513:531]: EventCatalogueInEffect,
+	_LogEventLowerName[531:544]: EventBecameLeader,
+	_LogEventLowerName[544:553]: EventNoLeader,
+	_LogEventLowerName[553:567]: EventReplicaOpened,
+	_LogEventLowerName[567:582]: EventVotersChanged,
+	_LogEventLowerName[582:595]: EventLearnerAdded,
+	_LogEventLowerName[595:610]: EventLearnerRemoved,
+	_LogEventLowerName[610:621]: EventVoterAdded,
+	_LogEventLowerName[621:635]: EventVoterReplaced,
+	_LogEventLowerName[635:648]: EventVoterStandby,
+	_LogEventLowerName[648:674]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[674:692]: EventExpiryNotEncoded,
+	_LogEventLowerName[692:706]: EventReplicaFailed,
+	_LogEventLowerName[706:723]: EventReplicaRegressed,
+	_LogEventLowerName[723:742]: EventDataFolderDamaged,
+	_LogEventLowerName[742:763]: EventDataFolderRegressed,
+	_LogEventLowerName[763:772]: EventLeaseAcquired,
+	_LogEventLowerName[772:782]: EventLeaseLost,
+	_LogEventLowerName[782:799]: EventLeaseNotRenewed,
+	_LogEventLowerName[799:809]: EventZoneOwned,
+	_LogEventLowerName[809:818]: EventZoneLost,
+	_LogEventLowerName[818:832]: EventControlThreadTimes,
+	_LogEventLowerName[832:844]: EventControlLost,
+	_LogEventLowerName[844:860]: EventControlRegained,
+	_LogEventLowerName[860:867]: EventStarted,
+	_LogEventLowerName[867:875]: EventDraining,
+	_LogEventLowerName[875:882]: EventDrained,
+	_LogEventLowerName[882:889]: EventStopped,
+	_LogEventLowerName[889:906]: EventSettingsReloaded,
+	_LogEventLowerName[906:922]: EventSettingsRefused,
+	_LogEventLowerName[922:936]: EventListenerEnded,
+	_LogEventLowerName[936:954]: EventMetricsNotServed,
+	_LogEventLowerName[954:967]: EventUnknownEvent,
+	_LogEventLowerName[967:984]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -252,57 +258,59 @@
 	_LogEventName[176:195],
 	_LogEventName[195:211],
 	_LogEventName[211:234],
-	_LogEventName[234:250],
-	_LogEventName[250:265],
-	_LogEventName[265:279],
-	_LogEventName[279:289],
-	_LogEventName[289:300],
-	_LogEventName[300:313],
-	_LogEventName[313:334],
-	_LogEventName[334:350],
-	_LogEventName[350:368],
-	_LogEventName[368:379],
-	_LogEventName[379:395],
-	_LogEventName[395:411],
-	_LogEventName[411:426],
-	_LogEventName[426:440],
-	_LogEventName[440:454],
-	_LogEventName[454:469],
-	_LogEventName[469:487],
-	_LogEventName[487:505],
-	_LogEventName[505:518],
-	_LogEventName[518:527],
-	_LogEventName[527:541],
-	_LogEventName[541:556],
-	_LogEventName[556:569],
-	_LogEventName[569:584],
-	_LogEventName[584:595],
-	_LogEventName[595:609],
-	_LogEventName[609:622],
-	_LogEventName[622:648],
-	_LogEventName[648:666],
-	_LogEventName[666:680],
-	_LogEventName[680:697],
-	_LogEventName[697:716],
-	_LogEventName[716:737],
-	_LogEventName[737:746],
-	_LogEventName[746:756],
-	_LogEventName[756:773],
-	_LogEventName[773:783],
-	_LogEventName[783:792],
-	_LogEventName[792:806],
-	_LogEventName[806:818],
-	_LogEventName[818:834],
-	_LogEventName[834:841],
-	_LogEventName[841:849],
-	_LogEventName[849:856],
-	_LogEventName[856:863],
-	_LogEventName[863:880],
-	_LogEventName[880:896],
-	_LogEventName[896:910],
-	_LogEventName[910:928],
-	_LogEventName[928:941],
-	_LogEventName[941:958],
+	_LogEventName[234:247],
+	_LogEventName[247:260],
+	_LogEventName[260:276],
+	_LogEventName[276:291],
+	_LogEventName[291:305],
+	_LogEventName[305:315],
+	_LogEventName[315:326],
+	_LogEventName[326:339],
+	_LogEventName[339:360],
+	_LogEventName[360:376],
+	_LogEventName[376:394],
+	_LogEventName[394:405],
+	_LogEventName[405:421],
+	_LogEventName[421:437],
+	_LogEventName[437:452],
+	_LogEventName[452:466],
+	_LogEventName[466:480],
+	_LogEventName[480:495],
+	_LogEventName[495:513],
+	_LogEventName[513:531],
+	_LogEventName[531:544],
+	_LogEventName[544:553],
+	_LogEventName[553:567],
+	_LogEventName[567:582],
+	_LogEventName[582:595],
+	_LogEventName[595:610],
+	_LogEventName[610:621],
+	_LogEventName[621:635],
+	_LogEventName[635:648],
+	_LogEventName[648:674],
+	_LogEventName[674:692],
+	_LogEventName[692:706],
+	_LogEventName[706:723],
+	_LogEventName[723:742],
+	_LogEventName[742:763],
+	_LogEventName[763:772],
+	_LogEventName[772:782],
+	_LogEventName[782:799],
+	_LogEventName[799:809],
+	_LogEventName[809:818],
+	_LogEventName[818:832],
+	_LogEventName[832:844],
+	_LogEventName[844:860],
+	_LogEventName[860:867],
+	_LogEventName[867:875],
+	_LogEventName[875:882],
+	_LogEventName[882:889],
+	_LogEventName[889:906],
+	_LogEventName[906:922],
+	_LogEventName[922:936],
+	_LogEventName[936:954],
+	_LogEventName[954:967],
+	_LogEventName[967:984],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
