--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -19,6 +19,7 @@
 	// announceTimeout is how long a backend server of the platform waits for the response
 	// to a heartbeat before it tries the next control VM.
 	announceTimeout = time.Second
+	limitHeader     = "Server-Limit"
 	// platformEvents is the number of events in each stream.
 	platformEvents = 4
 )
@@ -56,6 +57,8 @@
 	accepted int
 	leaving  bool
 	models   []platformModel
+	// limit is named in answers unless it is empty.
+	limit string
 }
 
 type platformModel struct {
@@ -88,6 +91,14 @@
 	s.announce("draining")
 }
 
+// SetLimit has the backend server name a limit of requests per second in its answers, or none if the
+// text is empty. It does not enforce it.
+func (s *PlatformServer) SetLimit(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = text
+}
+
 // Close stops the announcements.
 func (s *PlatformServer) Close() {
 	if s.cancel != nil {
@@ -204,6 +215,9 @@
 	w.Header().Set("X-Laburnumlever-Server-Stamp", "stamp-of-"+s.id)
 	s.mu.Lock()
 	engine := len(s.models) > 0
+	if s.limit != "" {
+		w.Header().Set(limitHeader, s.limit)
+	}
 	s.mu.Unlock()
 	if s.behaviour.CrashText != "" && bytes.Contains(body, []byte(s.behaviour.CrashText)) {
 		s.crash(w, engine)
