fix: a queued request may miss that it is in quarantine

A queued request that is woken checks whether it is refused now, and then takes the channel of the next wake-up. If the list grew in between, the request missed it and waited for a slot to the end of its time in the queue; it is refused only then. Found by reading; not seen in a run. The channel is now taken before the check.

--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -37,8 +37,7 @@
 		case ticket := <-admitted:
 			return ticket, laburnumbalance.Found
 		case <-grew:
-			if !f.quarantineState(q).Refused() {
-				grew = f.nextGrowth()
+			if grew = f.nextGrowth(); !f.quarantineState(q).Refused() {
 				continue
 			}
 		case <-over:
