--- a/enums.go
+++ b/enums.go
@@ -71,6 +71,8 @@
 	RefusedCallerGone
 	// RefusedQuarantined is a request that has crashed the backend servers that ran it.
 	RefusedQuarantined
+	// RefusedBackendLimited is a request that only backend servers could serve whose limits are used up.
+	RefusedBackendLimited
 )
 
 // RetryReason is the reason why a request was retried.
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -17,13 +17,14 @@
 	defaultReadTime = time.Second / 30000
 
 	// Terms of a server's score, in milliseconds.
-	slotMillis    = 1   // for each request at the server: a larger batch has longer steps
-	queueMillis   = 100 // for each request beyond the server's slots
-	zoneMillis    = 20  // for a server in another zone: traffic between zones is billed
-	silentMillis  = 200 // for a server whose heartbeats have stopped
-	failureMillis = 250 // for each recent failure: more than a short queue elsewhere
-	jitterMillis  = 2   // upper bound of a random term that breaks ties differently on each VM
-	avoidMillis   = 1e6 // for a server that already failed the request
+	slotMillis    = 1    // for each request at the server: a larger batch has longer steps
+	queueMillis   = 100  // for each request beyond the server's slots
+	zoneMillis    = 20   // for a server in another zone: traffic between zones is billed
+	silentMillis  = 200  // for a server whose heartbeats have stopped
+	failureMillis = 250  // for each recent failure: more than a short queue elsewhere
+	jitterMillis  = 2    // upper bound of a random term that breaks ties differently on each VM
+	permitMillis  = -1e3 // for a server that the request has a permit for, which is lost otherwise
+	avoidMillis   = 1e6  // for a server that already failed the request
 
 	// freeShare is the share of a server's slots kept free for requests that other gateways have
 	// sent since its last answer. Requests queue on gateways rather than at engines, since an
@@ -60,12 +61,25 @@
 	Queue bool
 	// Avoid are the servers that already failed the request.
 	Avoid []laburnumlever.BackendID
+	// Permit allows the request on a limited server; the zero Permit allows none.
+	Permit Permit
+}
+
+// Permit allows one request on a limited server, from a time until another.
+type Permit struct {
+	Backend     laburnumlever.BackendID
+	From, Until time.Time
+}
+
+// covers reports whether the permit is for the server and has not expired.
+func (p Permit) covers(s *server, now time.Time) bool {
+	return p.Backend == s.record.Heartbeat.Backend && now.Before(p.Until)
 }
 
 // Verdict is the result of Pick.
 type Verdict int
 
-// The verdicts.
+// The verdicts. Of those on several servers the last one counts.
 const (
 	// Found means that a server was chosen.
 	Found Verdict = iota
@@ -73,10 +87,15 @@
 	NoServer
 	// ModelAbsent means that no server outside backoff holds the model.
 	ModelAbsent
-	// AdapterAbsent means that servers outside backoff hold the model, but none the adapter.
+	// Limited means that every server outside backoff that holds the model is limited, and that the
+	// request has no permit for one.
+	Limited
+	// AdapterAbsent means that servers outside backoff hold the model, but none the adapter, except for
+	// limited ones.
 	AdapterAbsent
-	// Full means that every server outside backoff that holds the model and adapter has no free
-	// slot, has just refused a request or has too many unread prompts.
+	// Full means that every server outside backoff that holds the model and adapter, except for
+	// limited ones, has no free slot, has just refused a request or has too many unread prompts, or
+	// that the request's permit is not valid yet.
 	Full
 )
 
@@ -91,8 +110,12 @@
 	uncached  int
 	since     time.Time // when Pick returned the ticket
 	mayBeFull bool
+	limited   bool
 }
 
+// Limited tells whether the server is limited.
+func (ticket *Ticket) Limited() bool { return ticket.limited }
+
 // MayBeFull tells whether the server may have no free slot, since its load was stale at Pick or its
 // last reservation was refused.
 func (ticket *Ticket) MayBeFull() bool { return ticket.mayBeFull }
@@ -233,6 +256,33 @@
 	return t.byModel[serviceModel{service: q.Service, model: q.Model}]
 }
 
+// SetLimited records whether requests need a permit for the server.
+func (t *Table) SetLimited(id laburnumlever.BackendID, limited bool) {
+	if s := t.servers[id]; s != nil {
+		s.limited = limited
+	}
+}
+
+// LimitedServers returns the limited servers that could take the query with a permit, best first.
+func (t *Table) LimitedServers(q Query, now time.Time) []laburnumlever.Heartbeat {
+	type candidate struct {
+		server laburnumlever.Heartbeat
+		score  float64
+	}
+	var candidates []candidate
+	for _, s := range t.candidates(q) {
+		if s.limited && !now.Before(s.unreachableUntil) && s.holds(q.Model, q.Adapter, now) {
+			candidates = append(candidates, candidate{server: s.record.Heartbeat, score: t.score(s, q, now)})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	servers := make([]laburnumlever.Heartbeat, 0, len(candidates))
+	for _, c := range candidates {
+		servers = append(servers, c.server)
+	}
+	return servers
+}
+
 // SetOverlay updates what the director knows of an engine beyond its heartbeats. An overlay of an
 // earlier director (a lower fencing number) is ignored.
 func (t *Table) SetOverlay(o laburnumregistry.Overlay, now time.Time) {
@@ -313,14 +363,25 @@
 // Len returns the number of servers that accept requests for the service.
 func (t *Table) Len(service laburnumlever.ServiceName) int { return len(t.byService[service]) }
 
-// Unavailable returns the servers that hold the query's model but are full or unreachable.
+// Unavailable returns the servers that hold the query's model but are full, unreachable or, unless all
+// are, limited.
 func (t *Table) Unavailable(q Query, now time.Time) []laburnumlever.BackendID {
-	var unavailable []laburnumlever.BackendID
+	var unavailable, limited []laburnumlever.BackendID
+	unlimited := false
 	for _, s := range t.candidates(q) {
-		if s.holds(q.Model, "", now) && (now.Before(s.unreachableUntil) || t.saturated(s, now, q.Queue)) {
+		if !s.holds(q.Model, "", now) {
+			continue
+		}
+		unlimited = unlimited || !s.limited
+		if s.limited {
+			limited = append(limited, s.record.Heartbeat.Backend)
+		} else if now.Before(s.unreachableUntil) || t.saturated(s, now, q.Queue) {
 			unavailable = append(unavailable, s.record.Heartbeat.Backend)
 		}
 	}
+	if unlimited {
+		return append(unavailable, limited...)
+	}
 	return unavailable
 }
 
@@ -333,19 +394,8 @@
 	var best *server
 	bestScore := math.Inf(1)
 	for _, s := range t.candidates(q) {
-		if now.Before(s.unreachableUntil) {
-			continue
-		}
-		if !s.holds(q.Model, q.Adapter, now) {
-			if verdict == ModelAbsent && q.Adapter != "" && s.holds(q.Model, "", now) {
-				verdict = AdapterAbsent
-			}
-			continue
-		}
-		if verdict != Full {
-			verdict = Full
-		}
-		if t.saturated(s, now, q.Queue) {
+		if v := t.verdictOn(s, q, now); v != Found {
+			verdict = max(verdict, v)
 			continue
 		}
 		if score := t.score(s, q, now); score < bestScore {
@@ -360,7 +410,27 @@
 	unreadPromptTime := q.readMillis(uncached)
 	best.unreadPromptTime += unreadPromptTime
 	t.prefixes.add(best.record.Heartbeat, q)
-	return &Ticket{Backend: best.record.Heartbeat, server: best, query: q, unreadPromptTime: unreadPromptTime, uncached: uncached, since: now, mayBeFull: best.mayBeFull(now)}, Found
+	return &Ticket{
+		Backend: best.record.Heartbeat, server: best, query: q, unreadPromptTime: unreadPromptTime, uncached: uncached, since: now,
+		mayBeFull: best.mayBeFull(now), limited: best.limited,
+	}, Found
+}
+
+// verdictOn returns whether one server can take the query, and why not: ModelAbsent also if it is
+// unreachable.
+func (t *Table) verdictOn(s *server, q Query, now time.Time) Verdict {
+	switch {
+	case now.Before(s.unreachableUntil) || !s.holds(q.Model, "", now):
+		return ModelAbsent
+	case !s.holds(q.Model, q.Adapter, now):
+		return AdapterAbsent
+	case s.limited && !q.Permit.covers(s, now):
+		return Limited
+	case s.limited && now.Before(q.Permit.From) || t.saturated(s, now, q.Queue):
+		return Full
+	default:
+		return Found
+	}
 }
 
 // saturated tells whether the server has recently refused a request, has no free slot (unless the
@@ -393,6 +463,9 @@
 	if s.record.Silent {
 		score += silentMillis
 	}
+	if s.limited && q.Permit.covers(s, now) {
+		score += permitMillis
+	}
 	if slices.Contains(q.Avoid, s.record.Heartbeat.Backend) {
 		score += avoidMillis
 	}
--- a/laburnumbalance/doc.go
+++ b/laburnumbalance/doc.go
@@ -14,6 +14,7 @@
 //     the request is sent. A refused reservation marks the server as full for RetryTime.
 //   - Outcomes of servers with failures are reported to the control VMs, which add them up over all
 //     gateways; a server that they detect as an outlier counts as failed here too.
+//   - A server that has named a limit gets only requests with a permit for it.
 //   - A server that answers that it is full, or does not hold the model, is excluded at once for a
 //     short time.
 //
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -49,6 +49,8 @@
 	record  laburnumregistry.Record
 	overlay laburnumregistry.Overlay
 	local   bool
+	// limited tells that requests need a permit for the server.
+	limited bool
 	// listed are the models under which the table lists the server.
 	listed []laburnumlever.ModelName
 	own    int // running requests of this VM
--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -33,6 +33,7 @@
 	"deadline":            "its deadline passed before an answer arrived",
 	"retry-budget":        "another attempt was allowed, but the retry budget was exhausted",
 	"quarantined":         "several backend servers crashed while they ran it: look for the other attempts with its digest, and for request-quarantined on control VMs",
+	"backend-limited":     "all backend servers that could serve it name limits that are used up: look for limit-changed, and for slot-requested of this request",
 	"draining":            "the gateway was draining and sent the caller to another one",
 	"not-ready":           "the gateway had not received routes yet",
 	"unknown-service":     "no route of the gateway matches its host and path",
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -216,6 +216,25 @@
 	return slices.Sorted(maps.Keys(f.controls))
 }
 
+// ControlsFor returns the peer addresses of the control VMs that answer, in the order in which they
+// serve a key of an availability zone. The order is the same on all VMs that know the same control VMs.
+func (f *Follower) ControlsFor(zone laburnumlever.ZoneName, key string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var known []controlState
+	for _, c := range f.controls {
+		if !c.lost {
+			known = append(known, c.controlState)
+		}
+	}
+	slices.SortFunc(known, compareFor(zone, key))
+	addresses := make([]string, 0, len(known))
+	for _, c := range known {
+		addresses = append(addresses, c.address)
+	}
+	return addresses
+}
+
 func (f *Follower) isDirector(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"laburnumlever"
+	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
 )
@@ -33,6 +34,7 @@
 	Overlays []laburnumregistry.Overlay `json:"overlays,omitempty"`
 	// Quarantine is sent with endpoint state.
 	Quarantine []laburnumquarantine.Entry `json:"quarantine,omitempty"`
+	Limits     []laburnumlimit.Limit      `json:"limits,omitempty"`
 }
 
 // encodedAnswer is an Answer whose items are already encoded.
@@ -42,6 +44,7 @@
 	Overlays []json.RawMessage `json:"overlays,omitempty"`
 
 	Quarantine []json.RawMessage `json:"quarantine,omitempty"`
+	Limits     []json.RawMessage `json:"limits,omitempty"`
 }
 
 // compressThreshold is the size in bytes above which an answer is compressed. Batches of changes are
--- a/laburnumfeed/recordsources.go
+++ b/laburnumfeed/recordsources.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// compareFor orders the control VMs by which one serves a key of an availability zone: those of the
+// zone first, each by rendezvous hash.
+func compareFor(zone laburnumlever.ZoneName, key string) func(a, b controlState) int {
+	return func(a, b controlState) int {
+		return cmp.Or(
+			compareFlags(a.zone != zone, b.zone != zone),
+			cmp.Compare(rendezvousHash(key, a.address), rendezvousHash(key, b.address)),
+			cmp.Compare(a.address, b.address),
+		)
+	}
+}
+
 // rendezvousHash is the rendezvous hash of an address for a key.
 func rendezvousHash(key, address string) uint64 { return xxhash.Sum64String(key + "/" + address) }
 
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumtimer"
@@ -47,7 +48,9 @@
 	overlays  *itemLog
 	// quarantine holds the entries of requests by digest.
 	quarantine *itemLog
-	routes     *laburnumlever.RouteTable
+	// limits holds the limits of the backend servers whose slots this VM grants.
+	limits *itemLog
+	routes *laburnumlever.RouteTable
 	// encodedRoutes is the route table as sent to other VMs; nil until it is first fetched.
 	encodedRoutes laburnumlever.RawMessage
 	director      laburnumlever.VMID
@@ -79,7 +82,7 @@
 func NewSource(peers laburnumlever.Peers, timers laburnumlever.Timers, self laburnumlever.VM, opts ...SourceOption) *Source {
 	s := &Source{
 		timers: timers, logger: log.NewNopLogger(), self: self, boot: self.Incarnation, changed: make(chan struct{}),
-		records: newItemLog(), overlays: newItemLog(), quarantine: newItemLog(), pollers: newPollers(),
+		records: newItemLog(), overlays: newItemLog(), quarantine: newItemLog(), limits: newItemLog(), pollers: newPollers(),
 		onGatewayReport: func(laburnumlever.VMID, laburnumlever.GatewayReport) {},
 		cursor:          1, published: 1, controlsCursor: 1, metaCursor: 1, answers: map[answerKey]laburnumlever.RawMessage{},
 	}
@@ -110,6 +113,18 @@
 	s.put(s.quarantine, e.Digest.String(), e)
 }
 
+// SetLimit publishes the limit of a backend server.
+func (s *Source) SetLimit(l laburnumlimit.Limit) {
+	s.put(s.limits, string(l.Backend), l)
+}
+
+// ForgetLimit drops the limit of a backend server without publishing a change.
+func (s *Source) ForgetLimit(id laburnumlever.BackendID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits.remove(string(id))
+}
+
 // ForgetQuarantine drops the entry of a request without publishing a change.
 func (s *Source) ForgetQuarantine(digest laburnumlever.RequestDigest) {
 	s.mu.Lock()
@@ -219,6 +234,21 @@
 	return pickInZone(append(s.pollers.reachable(now), s.self), zone, key)
 }
 
+// IsFirstFor reports whether this VM is the first to serve a key of an availability zone, among the
+// control VMs named recently, whether or not they are reachable.
+func (s *Source) IsFirstFor(zone laburnumlever.ZoneName, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	compare := compareFor(zone, key)
+	self := controlState{address: s.self.PeerAddress, zone: s.self.Zone}
+	for _, vm := range s.pollers.others(s.timers.Now()) {
+		if compare(controlState{address: vm.PeerAddress, zone: vm.Zone}, self) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // nextCursor returns the cursor of the next change. The caller holds mu.
 func (s *Source) nextCursor() uint64 {
 	s.cursor++
@@ -285,7 +315,7 @@
 	defer s.mu.Unlock()
 	since := s.since(q)
 	latest := max(s.controlsCursor, s.metaCursor)
-	found := (latest > since && latest <= s.published) || s.overlays.hasNewer(since, s.published) ||
+	found := (latest > since && latest <= s.published) || s.overlays.hasNewer(since, s.published) || s.limits.hasNewer(since, s.published) ||
 		(q.Records && (s.records.hasNewer(since, s.published) || s.quarantine.hasNewer(since, s.published)))
 	return found, s.changed
 }
@@ -301,7 +331,7 @@
 
 // pageEnd returns the last cursor of an answer.
 func (s *Source) pageEnd(since uint64, records bool) uint64 {
-	end := s.overlays.pageEnd(since, s.published)
+	end := min(s.overlays.pageEnd(since, s.published), s.limits.pageEnd(since, s.published))
 	if records {
 		end = min(end, s.records.pageEnd(since, s.published), s.quarantine.pageEnd(since, s.published))
 	}
@@ -337,6 +367,7 @@
 			Boot: s.boot, Cursor: end, Director: s.director, Gateways: s.pollers.gateways(now), Isolated: s.pollers.isolated(now),
 		},
 		Overlays: s.overlays.itemsIn(key.since, end),
+		Limits:   s.limits.itemsIn(key.since, end),
 	}
 	if s.routes != nil {
 		a.RoutesVersion = s.routes.Version
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -85,7 +85,7 @@
 	}
 	headers := g.dialect.Answer(resp.StatusCode, resp.Header)
 	g.fleet.updateLoad(ticket.Backend.Backend, headers)
-	g.fleet.observeLimit(ticket, now, resp.StatusCode, headers)
+	g.fleet.observeLimit(ticket.Backend, now, resp.StatusCode, headers)
 	if fail := g.checkAnswer(q, ticket, resp, headers, result); fail != nil {
 		return fail, resp
 	}
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -24,6 +24,7 @@
 	refusals     map[laburnumlever.RefusalReason]tally.Counter
 	retries      map[laburnumlever.RetryReason]tally.Counter
 	reservations map[reserveOutcome]tally.Counter
+	slots        map[slotOutcome]tally.Counter
 	scope        tally.Scope
 
 	mu        sync.Mutex
@@ -55,12 +56,15 @@
 	c := &counters{
 		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
-		reservations: map[reserveOutcome]tally.Counter{},
-		latencies:    map[laburnumlever.ServiceName]*latencies{},
+		reservations: map[reserveOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
+		latencies: map[laburnumlever.ServiceName]*latencies{},
 	}
 	for _, outcome := range reserveOutcomeValues() {
 		c.reservations[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("reservations")
 	}
+	for _, outcome := range slotOutcomeValues() {
+		c.slots[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("limit_slots")
+	}
 	for _, reason := range laburnumlever.RefusalReasonValues() {
 		c.refusals[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals")
 	}
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -10,6 +10,7 @@
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumdemand"
 	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumroutes"
@@ -23,6 +24,7 @@
 // Fleet is a gateway's view of backend servers and routes, updated by the feeds of the control
 // VMs. It is safe for concurrent use.
 type Fleet struct {
+	vm     laburnumlever.VMID
 	timers laburnumlever.Timers
 	logger log.Logger
 	index  atomic.Pointer[laburnumroutes.Index]
@@ -41,14 +43,16 @@
 	replaced []laburnumlever.BackendID
 	gateways int // the largest number seen
 	// quarantine lists requests that crash backend servers. quarantineListed is set unless it is
-	// empty, quarantineGrew is closed when further requests are refused.
+	// empty.
 	quarantine       *laburnumquarantine.List
 	quarantineListed atomic.Bool
-	quarantineGrew   chan struct{}
 	answered         *laburnumquarantine.Answered
+	reporter         QuarantineReporter
 	// limits are those that backend servers name.
-	limits   map[limitKey]namedLimit
-	reporter QuarantineReporter
+	limits  *laburnumlimit.Table
+	keepers LimitKeepers
+	// queueWoken is closed when queued requests must check whether they can still be served.
+	queueWoken chan struct{}
 }
 
 var _ laburnumfeed.Sink = (*Fleet)(nil)
@@ -63,11 +67,11 @@
 // makes the balancer's random choices reproducible.
 func NewFleet(timers laburnumlever.Timers, vm laburnumlever.VM, period time.Duration, seed uint64, opts ...FleetOption) *Fleet {
 	f := &Fleet{
-		timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
+		vm: vm.ID, timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
 		balance: laburnumbalance.New(vm.Zone, seed), demand: laburnumdemand.NewCounter(vm.ID),
 		gateways: 1, readTimes: laburnumdemand.ReadTimes{}, routesLoaded: make(chan struct{}),
-		quarantine: laburnumquarantine.NewList(), quarantineGrew: make(chan struct{}),
-		answered: laburnumquarantine.NewAnswered(), limits: map[limitKey]namedLimit{}, reporter: silentReporter{},
+		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), reporter: silentReporter{},
+		limits: laburnumlimit.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -87,7 +91,7 @@
 			continue
 		}
 		merged, _ := f.registry.Record(r.Heartbeat.Backend)
-		f.balance.Set(merged)
+		f.updateBackend(merged)
 		_ = level.Debug(f.logger).Log("event", laburnumlever.EventBackendChanged, "backend", r.Heartbeat.Backend, "sequence", merged.Heartbeat.Sequence,
 			"leaving", merged.Heartbeat.Leaving, "gone", merged.Gone, "silent", merged.Silent, "models", len(merged.Heartbeat.Models))
 	}
@@ -95,6 +99,7 @@
 		f.balance.SetOverlay(o, now)
 	}
 	f.applyQuarantine(address, a.Boot, a.Quarantine, now)
+	f.applyLimits(a.Limits, now)
 	f.serveQueue()
 }
 
@@ -229,7 +234,7 @@
 	if f.registry.Remove(id, f.timers.Now()) {
 		f.replaced = append(f.replaced, id)
 		r, _ := f.registry.Record(id)
-		f.balance.Set(r)
+		f.updateBackend(r)
 		_ = level.Info(f.logger).Log("event", laburnumlever.EventBackendReplaced, "backend", id)
 	}
 }
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -120,6 +120,7 @@
 	start := g.timers.Now()
 	until := waitPolicy.QueueDeadline(q.queueTimes())
 	backoff := laburnumslotqueue.AdapterBackoff()
+	q.permit, q.slotRequested, q.probes = laburnumbalance.Permit{}, false, false
 	defer func() { q.waited += g.timers.Now().Sub(start) }()
 	for {
 		ticket, verdict := g.fleet.awaitSlot(ctx, q, until)
@@ -130,6 +131,13 @@
 		if verdict == laburnumbalance.Found {
 			return ticket, nil
 		}
+		if verdict == laburnumbalance.Limited {
+			if q.slotRequested {
+				return nil, g.limitedRefusal(q)
+			}
+			g.requestSlot(ctx, q, until)
+			continue
+		}
 		if verdict != laburnumbalance.AdapterAbsent || g.adapters == nil {
 			return nil, noSlotRefusal(verdict)
 		}
--- a/laburnumgateway/quarantine.go
+++ b/laburnumgateway/quarantine.go
@@ -42,8 +42,7 @@
 	f.clearAnswered(entries, now)
 	f.quarantineListed.Store(!f.quarantine.Empty())
 	if applied.Added {
-		close(f.quarantineGrew)
-		f.quarantineGrew = make(chan struct{})
+		f.wakeQueue()
 	}
 	if applied.Started && !f.quarantine.Empty() {
 		delay := minRestartDelay + rand.N(maxRestartDelay-minRestartDelay)
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -51,8 +51,13 @@
 	// reservation is a slot reserved at the engine; empty for none.
 	reservation         laburnumlever.ReservationID
 	refusedReservations int
-	mostUrgent          bool // no route to the same service has a more urgent priority
-	lastEventID         string
+	// permit allows the attempt to use a limited backend server. slotRequested is set once a slot there
+	// was requested for the attempt, probes if it was requested although another server is free.
+	permit        laburnumbalance.Permit
+	slotRequested bool
+	probes        bool
+	mostUrgent    bool // no route to the same service has a more urgent priority
+	lastEventID   string
 	// brokenAt is when the last part of an answer that broke off was written; zero if none did.
 	brokenAt time.Time
 	// contentDigest is zero until digest is first called.
@@ -161,7 +166,7 @@
 	return laburnumbalance.Query{
 		Service: q.service.Name, Model: q.caller.Model, Adapter: q.caller.Adapter,
 		Prompt: q.caller.Prompt, Target: time.Duration(q.route.Target), Avoid: q.avoid,
-		Queue: q.queuesAtEngine(),
+		Queue: q.queuesAtEngine(), Permit: q.permit,
 	}
 }
 
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -25,7 +25,7 @@
 )
 
 // reserve reserves a slot at the engine before the request is sent, if the known load of the engine
-// is stale. A failure means that the request was not sent. The connection can be reused if resp is
+// is stale. A limited engine gets no requests beyond those that have a permit. A failure means that the request was not sent. The connection can be reused if resp is
 // not nil.
 //
 // Load pattern: many gateways send to engines with few slots, and each gets the load of an engine
@@ -33,7 +33,7 @@
 // free slots.
 func (g *Gateway) reserve(ctx context.Context, q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn, result *laburnumbalance.AttemptResult) (fail *failure, resp *http.Response) {
 	q.reservation = ""
-	if !ticket.MayBeFull() || q.queuesAtEngine() || q.service.Engine == nil || q.service.Engine.ReserveLimit == 0 {
+	if !ticket.MayBeFull() || ticket.Limited() || q.queuesAtEngine() || q.service.Engine == nil || q.service.Engine.ReserveLimit == 0 {
 		return nil, nil
 	}
 	resp, body, err := g.sendReservation(q, ticket, conn)
@@ -76,6 +76,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if headers := g.dialect.Answer(resp.StatusCode, resp.Header); headers.HasLimit || headers.LimitError != nil {
+		g.fleet.observeLimit(ticket.Backend, now, resp.StatusCode, headers)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReserveAnswer))
 	if err != nil || resp.Close {
 		return nil, nil, &BrokenAnswerError{Cause: err}
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -13,7 +13,8 @@
 var waitPolicy = laburnumslotqueue.DefaultPolicy()
 
 // awaitSlot reserves a slot for a request. If none is free, it queues the request at most until the
-// given time.
+// given time, or the time of its permit. It returns Limited if the request should request a slot at a
+// limited backend server, or can't be served without one.
 func (f *Fleet) awaitSlot(ctx context.Context, q *request, until time.Time) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
 	now := f.timers.Now()
 	admitted := make(chan *laburnumbalance.Ticket, 1)
@@ -23,35 +24,100 @@
 	}
 	f.mu.Lock()
 	queued.Query = f.query(q)
-	ticket, verdict := f.balance.Pick(queued.Query, now)
-	if verdict == laburnumbalance.Found || verdict == laburnumbalance.AdapterAbsent || !now.Before(until) || !f.queue.Push(queued) {
+	ticket, verdict := f.pick(q, queued.Query, now)
+	if waitsInQueue(verdict) {
+		until = f.awaitPermit(q, until, now)
+	}
+	if !waitsInQueue(verdict) || !now.Before(until) || !f.queue.Push(queued) {
 		f.mu.Unlock()
 		return ticket, verdict
 	}
-	var grew <-chan struct{} = f.quarantineGrew
+	woken := f.queueWoken
 	f.mu.Unlock()
 	over, cancel := laburnumtimer.AfterChannel(f.timers, until.Sub(now))
 	defer cancel()
+	if ticket, woke := f.awaitAdmission(ctx, q, queued.Query, admitted, woken, over); ticket != nil {
+		return ticket, laburnumbalance.Found
+	} else if woke {
+		verdict = laburnumbalance.Limited
+	}
+	return f.leaveQueue(queued, admitted, verdict)
+}
+
+// pick reserves a slot for a request, if one is free. The caller must hold mu.
+func (f *Fleet) pick(q *request, query laburnumbalance.Query, now time.Time) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+	if f.probesLimit(q, query, now) {
+		return nil, laburnumbalance.Limited
+	}
+	ticket, verdict := f.balance.Pick(query, now)
+	if verdict != laburnumbalance.Found && f.needsSlot(q, query, now) {
+		verdict = laburnumbalance.Limited
+	}
+	return ticket, verdict
+}
+
+// awaitAdmission waits until a queued request is admitted or its time is over. It tells whether the
+// request must leave the queue earlier.
+func (f *Fleet) awaitAdmission(ctx context.Context, q *request, query laburnumbalance.Query, admitted <-chan *laburnumbalance.Ticket, woken, over <-chan struct{}) (*laburnumbalance.Ticket, bool) {
 	for {
 		select {
 		case ticket := <-admitted:
-			return ticket, laburnumbalance.Found
-		case <-grew:
-			if grew = f.nextGrowth(); !f.quarantineState(q).Refused() {
-				continue
+			return ticket, false
+		case <-woken:
+			if woken = f.nextWake(q, query); woken == nil {
+				return nil, true
 			}
 		case <-over:
+			return nil, false
 		case <-ctx.Done():
+			return nil, false
 		}
-		return f.leaveQueue(queued, admitted, verdict)
 	}
 }
 
-// nextGrowth returns the channel that is closed when further requests are refused.
-func (f *Fleet) nextGrowth() <-chan struct{} {
+// waitsInQueue tells whether a request that got the verdict waits for a slot.
+func waitsInQueue(verdict laburnumbalance.Verdict) bool {
+	switch verdict {
+	case laburnumbalance.Found, laburnumbalance.AdapterAbsent, laburnumbalance.Limited:
+		return false
+	default:
+		return true
+	}
+}
+
+// awaitPermit has the queue served when the request's permit becomes valid, and returns until when the
+// request waits. The caller must hold mu.
+func (f *Fleet) awaitPermit(q *request, until, now time.Time) time.Time {
+	if !now.Before(q.permit.From) {
+		return until
+	}
+	f.timers.After(q.permit.From.Sub(now), func(time.Time) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.serveQueue()
+	})
+	if q.permit.Until.After(until) {
+		return q.permit.Until
+	}
+	return until
+}
+
+// wakeQueue has the queued requests check whether they can still be served. The caller must hold mu.
+func (f *Fleet) wakeQueue() {
+	close(f.queueWoken)
+	f.queueWoken = make(chan struct{})
+}
+
+// nextWake returns the channel that is closed at the next wakeQueue. It returns nil if the request must
+// leave the queue, because it is refused or needs a slot at a limited backend server.
+func (f *Fleet) nextWake(q *request, query laburnumbalance.Query) <-chan struct{} {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.quarantineGrew
+	woken, needsSlot := f.queueWoken, f.needsSlot(q, query, f.timers.Now())
+	f.mu.Unlock()
+	if needsSlot || f.quarantineState(q).Refused() {
+		return nil
+	}
+	return woken
 }
 
 // leaveQueue removes a request from the queue. If it was admitted in the meantime, it returns the
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -62,6 +62,8 @@
 	relay    *relay
 	// quarantine finds requests that crash backend servers.
 	quarantine *quarantine
+	// limits grants slots at limited backend servers.
+	limits *limits
 	// commitTimes are the times to commit an operator's change.
 	commitTimes tally.Histogram
 	// routes is the route table in effect; nil before the first one.
@@ -87,6 +89,9 @@
 	c.peers.Handle(methodHeartbeatRelay, c.handleRelay)
 	c.quarantine = newQuarantine(c.timers, c.source, c.logger, c.metrics.Scope())
 	c.peers.Handle(methodQuarantineReport, c.quarantine.handleReport)
+	c.limits = newLimits(c.timers, c.source, c.logger, c.metrics.Scope())
+	c.peers.Handle(methodLimitReport, c.limits.handleReport)
+	c.peers.Handle(methodLimitSlot, c.limits.handleSlot)
 	if err := c.buildVoter(); err != nil {
 		return nil, err
 	}
@@ -205,6 +210,7 @@
 	}
 	c.serveMetrics(c.status)
 	c.quarantine.start()
+	c.limits.start()
 	c.timers.Every(expirePeriod, c.expire)
 	c.timers.Every(usagePeriod, c.reportUsage)
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "first-start", c.settings.FirstStart)
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -19,6 +19,9 @@
 // kindNotDirector identifies a *laburnumdirector.NotDirectorError on the wire.
 const kindNotDirector = "not-director"
 
+// kindUnknownMethod identifies the answer of a VM that does not know a method.
+const kindUnknownMethod = "unknown-method"
+
 // sweepPeriod is the interval between sweeps that close idle connections.
 const sweepPeriod = time.Second
 
@@ -35,8 +38,11 @@
 	g := &Gateway{process: newProcess(settings, opts)}
 	seed := xxhash.Sum64String(string(g.self.ID))
 	reporter := newQuarantineReporter(g.peers, g.timers, g.logger, func() []string { return g.follower.Controls() })
+	keepers := newLimitKeepers(g.peers, g.timers, g.logger, func(zone laburnumlever.ZoneName, id laburnumlever.BackendID) []string {
+		return g.follower.ControlsFor(zone, string(id))
+	})
 	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
-		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter))
+		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithLimitKeepers(keepers))
 	scope := g.metrics.Scope()
 	g.gateway = laburnumgateway.New(g.fleet, dialect, g.timers,
 		laburnumgateway.WithLogger(g.logger), laburnumgateway.WithScope(scope),
--- a/laburnumroles/limit_test.go
+++ b/laburnumroles/limit_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"laburnumlever"
 	"laburnumlever/laburnumstandin"
 )
 
@@ -89,8 +90,14 @@
 type limitedFleet struct {
 	*deployment
 	served, refused []atomic.Int64
+	// wrong counts refusals for other reasons than a limit, or without a Retry-After; slow those that
+	// took longer than a request may wait for a slot.
+	wrong, slow atomic.Int64
 }
 
+// slowRefusal is longer than a fifth of the route's timeout, for which a request may be queued.
+const slowRefusal = 1500 * time.Millisecond
+
 func newLimitedFleet(t *testing.T, gateways int) *limitedFleet {
 	f := &limitedFleet{deployment: newDeployment(t, 3, 1), served: make([]atomic.Int64, gateways), refused: make([]atomic.Int64, gateways)}
 	for i := 1; i < gateways; i++ {
@@ -102,8 +109,16 @@
 	return f
 }
 
+// quote sends a request and checks its refusal.
 func (f *limitedFleet) quote(gateway int, id string) int {
-	status, _ := f.call("POST", "http://"+f.gatewayAddress(gateway)+"/quote/x", []byte(id), "X-Laburnumlever-Request-Id", id, "X-Laburnumlever-Model", "m0")
+	began := time.Now()
+	status, body := f.call("POST", "http://"+f.gatewayAddress(gateway)+"/quote/x", []byte(id), "X-Laburnumlever-Request-Id", id, "X-Laburnumlever-Model", "m0")
+	if status != http.StatusOK && string(body) != "backend-limited\n" {
+		f.wrong.Add(1)
+	}
+	if status != http.StatusOK && time.Since(began) > slowRefusal {
+		f.slow.Add(1)
+	}
 	return status
 }
 
@@ -150,10 +165,85 @@
 	limited.SetLimit("3")
 	f.pass(contactTime)
 	known := time.Now()
-	refusedBefore := f.refused[0].Load() + f.refused[1].Load() + f.refused[2].Load()
-	f.pass(2 * limitWindow)
+	refusedBefore := total(f.refused)
+	f.pass(limitWindow + time.Second)
+	t.Logf("%d requests in %v, %d in the busiest %v", limited.arrivalsSince(known), time.Since(known), limited.busiestWindow(known), limitWindow)
 	require.LessOrEqual(t, limited.busiestWindow(known), allowedBy(limit))
 	require.Greater(t, other.arrivalsSince(known), limited.arrivalsSince(known), "the other engine takes the rest")
-	refused := f.refused[0].Load() + f.refused[1].Load() + f.refused[2].Load() - refusedBefore
-	require.Zero(t, refused, "nobody is refused while another engine has room")
+	require.Zero(t, total(f.refused)-refusedBefore, "nobody is refused while another engine has room")
+	limited.SetLimit("")
+	require.Eventually(t, func() bool { return limited.arrivalsSince(time.Now().Add(-time.Second)) > 20 }, eventuallyTimeout, 10*time.Millisecond,
+		"the end of the limit is noticed")
+}
+
+func total(counts []atomic.Int64) int64 {
+	sum := int64(0)
+	for i := range counts {
+		sum += counts[i].Load()
+	}
+	return sum
+}
+
+// Guards against a limit that is exceeded where no other engine holds the model, wasted, used by one gateway alone, or kept after its end.
+func TestLimitHoldsWithoutAnotherEngine(t *testing.T) {
+	const gateways, limit = 3, 3.0
+	f := newLimitedFleet(t, gateways)
+	limited := f.startLimitedEngine("i-limited")
+	f.startCallers(4)
+	limited.SetLimit("3")
+	f.pass(contactTime)
+	known := time.Now()
+	var before [gateways]int64
+	for gateway := range gateways {
+		before[gateway] = f.served[gateway].Load()
+	}
+	f.pass(limitWindow + time.Second)
+	t.Logf("%d requests in %v, %d in the busiest %v", limited.arrivalsSince(known), time.Since(known), limited.busiestWindow(known), limitWindow)
+	require.LessOrEqual(t, limited.busiestWindow(known), allowedBy(limit))
+	require.GreaterOrEqual(t, limited.arrivalsSince(known), int(limit*limitWindow.Seconds()/2), "half of the limit is used")
+	for gateway := range gateways {
+		require.Greater(t, f.served[gateway].Load(), before[gateway], "gateway %d", gateway)
+	}
+	require.Zero(t, f.wrong.Load(), "refused for another reason")
+	require.Zero(t, f.slow.Load(), "refused too late")
+	limited.SetLimit("")
+	f.recovers()
+}
+
+// recovers waits until no request is refused for a while.
+func (f *limitedFleet) recovers() {
+	require.Eventually(f.t, func() bool {
+		refused, served := total(f.refused), total(f.served)
+		f.pass(500 * time.Millisecond)
+		return total(f.refused) == refused && total(f.served) > served+20
+	}, eventuallyTimeout, 10*time.Millisecond)
+}
+
+// Guards against a limit that is exceeded when control VMs and gateways restart, or when the engine names another.
+func TestLimitHoldsWhileVMsRestart(t *testing.T) {
+	const gateways, limit = 3, 3.0
+	f := newLimitedFleet(t, gateways)
+	limited, _ := f.startLimitedEngine("i-limited"), f.startLimitedEngine("i-other")
+	f.startCallers(4)
+	limited.SetLimit("6")
+	f.pass(contactTime)
+	limited.SetLimit("3")
+	f.pass(contactTime)
+	known := time.Now()
+	for i := range f.controls {
+		f.stop(i)
+		f.pass(time.Second)
+		f.startControl(i, 1, false)
+		f.status(f.ip(i), "control VM knows the gateways", func(status laburnumlever.Status) bool { return status.Role.Gateways == gateways })
+	}
+	f.startGatewayAt(gateways)
+	for n := range 10 {
+		f.quote(gateways, fmt.Sprint("new-", n))
+	}
+	f.pass(limitWindow)
+	t.Logf("%d requests in %v, %d in the busiest %v", limited.arrivalsSince(known), time.Since(known), limited.busiestWindow(known), limitWindow)
+	require.LessOrEqual(t, limited.busiestWindow(known), allowedBy(limit))
+	require.Positive(t, limited.arrivalsSince(known))
+	limited.SetLimit("")
+	f.recovers()
 }
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -7,6 +7,8 @@
 	methodAdapterRequest   = "adapter-need"
 	methodHeartbeatRelay   = "heartbeat-relay"
 	methodQuarantineReport = "quarantine-report"
+	methodLimitReport      = "limit-report"
+	methodLimitSlot        = "limit-slot"
 )
 
 // adapterRequestAnswer lists the engines that hold the adapter.
--- a/laburnumslotqueue/policy.go
+++ b/laburnumslotqueue/policy.go
@@ -91,10 +91,12 @@
 
 // MinRetryAfter returns the least delay before a retry of a request refused with the verdict.
 func (p Policy) MinRetryAfter(verdict laburnumbalance.Verdict) time.Duration {
-	if verdict == laburnumbalance.Full {
+	switch verdict {
+	case laburnumbalance.Full, laburnumbalance.Limited:
 		return p.full
+	default:
+		return p.absent
 	}
-	return p.absent
 }
 
 // AdapterBackoff returns the backoff between requests to load an adapter.
--- a/laburnumslotqueue/queue.go
+++ b/laburnumslotqueue/queue.go
@@ -79,12 +79,12 @@
 }
 
 // admit reserves slots for the eligible requests and returns the number of admitted ones. It skips
-// targets in full and adds those without a free slot.
+// requests without a permit for targets in full, and adds the targets without a free slot.
 func (q *Queue) admit(full map[target]bool, reserve ReserveFunc, eligible func(*Request) bool) int {
 	admitted := 0
 	for _, r := range q.requests {
 		key := target{service: r.Query.Service, model: r.Query.Model, adapter: r.Query.Adapter}
-		if full[key] || !eligible(r) {
+		if full[key] && r.Query.Permit == (laburnumbalance.Permit{}) || !eligible(r) {
 			continue
 		}
 		ticket, verdict := reserve(r.Query)
--- a/logevent.go
+++ b/logevent.go
@@ -50,6 +50,12 @@
 	EventLimitChanged
 	// EventLimitUnclear is an answer that names a limit which can't be read.
 	EventLimitUnclear
+	// EventSlotRequested is a request that asked for a slot at a limited backend server.
+	EventSlotRequested
+	// EventSlotUnanswered is a request for a slot that no control VM answered.
+	EventSlotUnanswered
+	// EventLimitNotReported is a change of a limit that no control VM accepted.
+	EventLimitNotReported
 	// EventOutlierDetected is a backend server that returns errors to several gateways.
 	EventOutlierDetected
 	// EventModelWithdrawn is a model for which gateways send no more requests.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 195, 211, 234, 247, 260, 276, 291, 305, 315, 326, 339, 360, 376, 394, 405, 421, 437, 452, 466, 480, 495, 513, 531, 544, 553, 567, 582, 595, 610, 621, 635, 648, 674, 692, 706, 723, 742, 763, 772, 782, 799, 809, 818, 832, 844, 860, 867, 875, 882, 889, 906, 922, 936, 954, 967, 984}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 195, 211, 234, 247, 260, 274, 289, 307, 323, 338, 352, 362, 373, 386, 407, 423, 441, 452, 468, 484, 499, 513, 527, 542, 560, 578, 591, 600, 614, 629, 642, 657, 668, 682, 695, 721, 739, 753, 770, 789, 810, 819, 829, 846, 856, 865, 879, 891, 907, 914, 922, 929, 936, 953, 969, 983, 1001, 1014, 1031}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -42,203 +42,212 @@
 	_ = x[EventQuarantineNotReported-(15)]
 	_ = x[EventLimitChanged-(16)]
 	_ = x[EventLimitUnclear-(17)]
-	_ = x[EventOutlierDetected-(18)]
-	_ = x[EventModelWithdrawn-(19)]
-	_ = x[EventOrderAnswered-(20)]
-	_ = x[EventOrderDone-(21)]
-	_ = x[EventOrderStateChanged-(22)]
-	_ = x[EventOrderRefused-(23)]
-	_ = x[EventOrderOutcomeUnknown-(24)]
-	_ = x[EventEngineStateNotRead-(25)]
-	_ = x[EventInventoryNotRead-(26)]
-	_ = x[EventLoadFailed-(27)]
-	_ = x[EventBackendStateNotEncoded-(28)]
-	_ = x[EventRegistryRefused-(29)]
-	_ = x[EventRoutesProposed-(30)]
-	_ = x[EventRoutesRefused-(31)]
-	_ = x[EventRoutesApplied-(32)]
-	_ = x[EventRoutesInEffect-(33)]
-	_ = x[EventRoutesNotFetched-(34)]
-	_ = x[EventCatalogueInEffect-(35)]
-	_ = x[EventBecameLeader-(36)]
-	_ = x[EventNoLeader-(37)]
-	_ = x[EventReplicaOpened-(38)]
-	_ = x[EventVotersChanged-(39)]
-	_ = x[EventLearnerAdded-(40)]
-	_ = x[EventLearnerRemoved-(41)]
-	_ = x[EventVoterAdded-(42)]
-	_ = x[EventVoterReplaced-(43)]
-	_ = x[EventVoterStandby-(44)]
-	_ = x[EventLeadershipNotHandedOver-(45)]
-	_ = x[EventExpiryNotEncoded-(46)]
-	_ = x[EventReplicaFailed-(47)]
-	_ = x[EventReplicaRegressed-(48)]
-	_ = x[EventDataFolderDamaged-(49)]
-	_ = x[EventDataFolderRegressed-(50)]
-	_ = x[EventLeaseAcquired-(51)]
-	_ = x[EventLeaseLost-(52)]
-	_ = x[EventLeaseNotRenewed-(53)]
-	_ = x[EventZoneOwned-(54)]
-	_ = x[EventZoneLost-(55)]
-	_ = x[EventControlThreadTimes-(56)]
-	_ = x[EventControlLost-(57)]
-	_ = x[EventControlRegained-(58)]
-	_ = x[EventStarted-(59)]
-	_ = x[EventDraining-(60)]
-	_ = x[EventDrained-(61)]
-	_ = x[EventStopped-(62)]
-	_ = x[EventSettingsReloaded-(63)]
-	_ = x[EventSettingsRefused-(64)]
-	_ = x[EventListenerEnded-(65)]
-	_ = x[EventMetricsNotServed-(66)]
-	_ = x[EventUnknownEvent-(67)]
-	_ = x[EventLogLinesDropped-(68)]
+	_ = x[EventSlotRequested-(18)]
+	_ = x[EventSlotUnanswered-(19)]
+	_ = x[EventLimitNotReported-(20)]
+	_ = x[EventOutlierDetected-(21)]
+	_ = x[EventModelWithdrawn-(22)]
+	_ = x[EventOrderAnswered-(23)]
+	_ = x[EventOrderDone-(24)]
+	_ = x[EventOrderStateChanged-(25)]
+	_ = x[EventOrderRefused-(26)]
+	_ = x[EventOrderOutcomeUnknown-(27)]
+	_ = x[EventEngineStateNotRead-(28)]
+	_ = x[EventInventoryNotRead-(29)]
+	_ = x[EventLoadFailed-(30)]
+	_ = x[EventBackendStateNotEncoded-(31)]
+	_ = x[EventRegistryRefused-(32)]
+	_ = x[EventRoutesProposed-(33)]
+	_ = x[EventRoutesRefused-(34)]
+	_ = x[EventRoutesApplied-(35)]
+	_ = x[EventRoutesInEffect-(36)]
+	_ = x[EventRoutesNotFetched-(37)]
+	_ = x[EventCatalogueInEffect-(38)]
+	_ = x[EventBecameLeader-(39)]
+	_ = x[EventNoLeader-(40)]
+	_ = x[EventReplicaOpened-(41)]
+	_ = x[EventVotersChanged-(42)]
+	_ = x[EventLearnerAdded-(43)]
+	_ = x[EventLearnerRemoved-(44)]
+	_ = x[EventVoterAdded-(45)]
+	_ = x[EventVoterReplaced-(46)]
+	_ = x[EventVoterStandby-(47)]
+	_ = x[EventLeadershipNotHandedOver-(48)]
+	_ = x[EventExpiryNotEncoded-(49)]
+	_ = x[EventReplicaFailed-(50)]
+	_ = x[EventReplicaRegressed-(51)]
+	_ = x[EventDataFolderDamaged-(52)]
+	_ = x[EventDataFolderRegressed-(53)]
+	_ = x[EventLeaseAcquired-(54)]
+	_ = x[EventLeaseLost-(55)]
+	_ = x[EventLeaseNotRenewed-(56)]
+	_ = x[EventZoneOwned-(57)]
+	_ = x[EventZoneLost-(58)]
+	_ = x[EventControlThreadTimes-(59)]
+	_ = x[EventControlLost-(60)]
+	_ = x[EventControlRegained-(61)]
+	_ = x[EventStarted-(62)]
+	_ = x[EventDraining-(63)]
+	_ = x[EventDrained-(64)]
+	_ = x[EventStopped-(65)]
+	_ = x[EventSettingsReloaded-(66)]
+	_ = x[EventSettingsRefused-(67)]
+	_ = x[EventListenerEnded-(68)]
+	_ = x[EventMetricsNotServed-(69)]
+	_ = x[EventUnknownEvent-(70)]
+	_ = x[EventLogLinesDropped-(71)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventLimitUnclear, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
-	_LogEventName[0:14]:    EventRequestServed,
-	_LogEventName[14:29]:   EventRequestRefused,
-	_LogEventName[29:43]:   EventAttemptFailed,
-	_LogEventName[43:61]:   EventReservationUnclear,
-	_LogEventName[61:75]:   EventCrossedAnswer,
-	_LogEventName[75:82]:   EventRefused,
-	_LogEventName[82:101]:  EventAnswerNotRecorded,
-	_LogEventName[101:114]: EventBackendChanged,
-	_LogEventName[114:130]: EventBackendReplaced,
-	_LogEventName[130:143]: EventAdapterLoaded,
-	_LogEventName[143:155]: EventLoadDecided,
-	_LogEventName[155:161]: EventLayout,
-	_LogEventName[161:176]: EventBackendCrashed,
-	_LogEventName[176:195]: EventRequestQuarantined,
-	_LogEventName[195:211]: EventRequestReleased,
-	_LogEventName[211:234]: EventQuarantineNotReported,
-	_LogEventName[234:247]: EventLimitChanged,
-	_LogEventName[247:260]: EventLimitUnclear,
-	_LogEventName[260:276]: EventOutlierDetected,
-	_LogEventName[276:291]: EventModelWithdrawn,
-	_LogEventName[291:305]: EventOrderAnswered,
-	_LogEventName[305:315]: EventOrderDone,
-	_LogEventName[315:326]: EventOrderStateChanged,
-	_LogEventName[326:339]: EventOrderRefused,
-	_LogEventName[339:360]: EventOrderOutcomeUnknown,
-	_LogEventName[360:376]: EventEngineStateNotRead,
-	_LogEventName[376:394]: EventInventoryNotRead,
-	_LogEventName[394:405]: EventLoadFailed,
-	_LogEventName[405:421]: EventBackendStateNotEncoded,
-	_LogEventName[421:437]: EventRegistryRefused,
-	_LogEventName[437:452]: EventRoutesProposed,
-	_LogEventName[452:466]: EventRoutesRefused,
-	_LogEventName[466:480]: EventRoutesApplied,
-	_LogEventName[480:495]: EventRoutesInEffect,
-	_LogEventName[495:513]: EventRoutesNotFetched,
-	_LogEventName[513:531]: EventCatalogueInEffect,
-	_LogEventName[531:544]: EventBecameLeader,
-	_LogEventName[544:553]: EventNoLeader,
-	_LogEventName[553:567]: EventReplicaOpened,
-	_LogEventName[567:582]: EventVotersChanged,
-	_LogEventName[582:595]: EventLearnerAdded,
-	_LogEventName[595:610]: EventLearnerRemoved,
-	_LogEventName[610:621]: EventVoterAdded,
-	_LogEventName[621:635]: EventVoterReplaced,
-	_LogEventName[635:648]: EventVoterStandby,
-	_LogEventName[648:674]: EventLeadershipNotHandedOver,
-	_LogEventName[674:692]: EventExpiryNotEncoded,
-	_LogEventName[692:706]: EventReplicaFailed,
-	_LogEventName[706:723]: EventReplicaRegressed,
-	_LogEventName[723:742]: EventDataFolderDamaged,
-	_LogEventName[742:763]: EventDataFolderRegressed,
-	_LogEventName[763:772]: EventLeaseAcquired,
-	_LogEventName[772:782]: EventLeaseLost,
-	_LogEventName[782:799]: EventLeaseNotRenewed,
-	_LogEventName[799:809]: EventZoneOwned,
-	_LogEventName[809:818]: EventZoneLost,
-	_LogEventName[818:832]: EventControlThreadTimes,
-	_LogEventName[832:844]: EventControlLost,
-	_LogEventName[844:860]: EventControlRegained,
-	_LogEventName[860:867]: EventStarted,
-	_LogEventName[867:875]: EventDraining,
-	_LogEventName[875:882]: EventDrained,
-	_LogEventName[882:889]: EventStopped,
-	_LogEventName[889:906]: EventSettingsReloaded,
-	_LogEventName[906:922]: EventSettingsRefused,
-	_LogEventName[922:936]: EventListenerEnded,
-	_LogEventName[936:954]: EventMetricsNotServed,
-	_LogEventName[954:967]: EventUnknownEvent,
-	_LogEventName[967:984]: EventLogLinesDropped,
+	_LogEventName[0:14]:      EventRequestServed,
+	_LogEventName[14:29]:     EventRequestRefused,
+	_LogEventName[29:43]:     EventAttemptFailed,
+	_LogEventName[43:61]:     EventReservationUnclear,
+	_LogEventName[61:75]:     EventCrossedAnswer,
+	_LogEventName[75:82]:     EventRefused,
+	_LogEventName[82:101]:    EventAnswerNotRecorded,
+	_LogEventName[101:114]:   EventBackendChanged,
+	_LogEventName[114:130]:   EventBackendReplaced,
+	_LogEventName[130:143]:   EventAdapterLoaded,
+	_LogEventName[143:155]:   EventLoadDecided,
+	_LogEventName[155:161]:   EventLayout,
+	_LogEventName[161:176]:   EventBackendCrashed,
+	_LogEventName[176:195]:   EventRequestQuarantined,
+	_LogEventName[195:211]:   EventRequestReleased,
+	_LogEventName[211:234]:   EventQuarantineNotReported,
+	_LogEventName[234:247]:   EventLimitChanged,
+	_LogEventName[247:260]:   EventLimitUnclear,
+	_LogEventName[260:274]:   EventSlotRequested,
+	_LogEventName[274:289]:   EventSlotUnanswered,
+	_LogEventName[289:307]:   EventLimitNotReported,
+	_LogEventName[307:323]:   EventOutlierDetected,
+	_LogEventName[323:338]:   EventModelWithdrawn,
+	_LogEventName[338:352]:   EventOrderAnswered,
+	_LogEventName[352:362]:   EventOrderDone,
+	_LogEventName[362:373]:   EventOrderStateChanged,
+	_LogEventName[373:386]:   EventOrderRefused,
+	_LogEventName[386:407]:   EventOrderOutcomeUnknown,
+	_LogEventName[407:423]:   EventEngineStateNotRead,
+	_LogEventName[423:441]:   EventInventoryNotRead,
+	_LogEventName[441:452]:   EventLoadFailed,
+	_LogEventName[452:468]:   EventBackendStateNotEncoded,
+	_LogEventName[468:484]:   EventRegistryRefused,
+	_LogEventName[484:499]:   EventRoutesProposed,
+	_LogEventName[499:513]:   EventRoutesRefused,
+	_LogEventName[513:527]:   EventRoutesApplied,
+	_LogEventName[527:542]:   EventRoutesInEffect,
+	_LogEventName[542:560]:   EventRoutesNotFetched,
+	_LogEventName[560:578]:   EventCatalogueInEffect,
+	_LogEventName[578:591]:   EventBecameLeader,
+	_LogEventName[591:600]:   EventNoLeader,
+	_LogEventName[600:614]:   EventReplicaOpened,
+	_LogEventName[614:629]:   EventVotersChanged,
+	_LogEventName[629:642]:   EventLearnerAdded,
+	_LogEventName[642:657]:   EventLearnerRemoved,
+	_LogEventName[657:668]:   EventVoterAdded,
+	_LogEventName[668:682]:   EventVoterReplaced,
+	_LogEventName[682:695]:   EventVoterStandby,
+	_LogEventName[695:721]:   EventLeadershipNotHandedOver,
+	_LogEventName[721:739]:   EventExpiryNotEncoded,
+	_LogEventName[739:753]:   EventReplicaFailed,
+	_LogEventName[753:770]:   EventReplicaRegressed,
+	_LogEventName[770:789]:   EventDataFolderDamaged,
+	_LogEventName[789:810]:   EventDataFolderRegressed,
+	_LogEventName[810:819]:   EventLeaseAcquired,
+	_LogEventName[819:829]:   EventLeaseLost,
+	_LogEventName[829:846]:   EventLeaseNotRenewed,
+	_LogEventName[846:856]:   EventZoneOwned,
+	_LogEventName[856:865]:   EventZoneLost,
+	_LogEventName[865:879]:   EventControlThreadTimes,
+	_LogEventName[879:891]:   EventControlLost,
+	_LogEventName[891:907]:   EventControlRegained,
+	_LogEventName[907:914]:   EventStarted,
+	_LogEventName[914:922]:   EventDraining,
+	_LogEventName[922:929]:   EventDrained,
+	_LogEventName[929:936]:   EventStopped,
+	_LogEventName[936:953]:   EventSettingsReloaded,
+	_LogEventName[953:969]:   EventSettingsRefused,
+	_LogEventName[969:983]:   EventListenerEnded,
+	_LogEventName[983:1001]:  EventMetricsNotServed,
+	_LogEventName[1001:1014]: EventUnknownEvent,
+	_LogEventName[1014:1031]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
-	_LogEventLowerName[0:14]:    EventRequestServed,
-	_LogEventLowerName[14:29]:   EventRequestRefused,
-	_LogEventLowerName[29:43]:   EventAttemptFailed,
-	_LogEventLowerName[43:61]:   EventReservationUnclear,
-	_LogEventLowerName[61:75]:   EventCrossedAnswer,
-	_LogEventLowerName[75:82]:   EventRefused,
-	_LogEventLowerName[82:101]:  EventAnswerNotRecorded,
-	_LogEventLowerName[101:114]: EventBackendChanged,
-	_LogEventLowerName[114:130]: EventBackendReplaced,
-	_LogEventLowerName[130:143]: EventAdapterLoaded,
-	_LogEventLowerName[143:155]: EventLoadDecided,
-	_LogEventLowerName[155:161]: EventLayout,
-	_LogEventLowerName[161:176]: EventBackendCrashed,
-	_LogEventLowerName[176:195]: EventRequestQuarantined,
-	_LogEventLowerName[195:211]: EventRequestReleased,
-	_LogEventLowerName[211:234]: EventQuarantineNotReported,
-	_LogEventLowerName[234:247]: EventLimitChanged,
-	_LogEventLowerName[247:260]: EventLimitUnclear,
-	_LogEventLowerName[260:276]: EventOutlierDetected,
-	_LogEventLowerName[276:291]: EventModelWithdrawn,
-	_LogEventLowerName[291:305]: EventOrderAnswered,
-	_LogEventLowerName[305:315]: EventOrderDone,
-	_LogEventLowerName[315:326]: EventOrderStateChanged,
-	_LogEventLowerName[326:339]: EventOrderRefused,
-	_LogEventLowerName[339:360]: EventOrderOutcomeUnknown,
-	_LogEventLowerName[360:376]: EventEngineStateNotRead,
-	_LogEventLowerName[376:394]: EventInventoryNotRead,
-	_LogEventLowerName[394:405]: EventLoadFailed,
-	_LogEventLowerName[405:421]: EventBackendStateNotEncoded,
-	_LogEventLowerName[421:437]: EventRegistryRefused,
-	_LogEventLowerName[437:452]: EventRoutesProposed,
-	_LogEventLowerName[452:466]: EventRoutesRefused,
-	_LogEventLowerName[466:480]: EventRoutesApplied,
-	_LogEventLowerName[480:495]: EventRoutesInEffect,
-	_LogEventLowerName[495:513]: EventRoutesNotFetched,
-	_LogEventLowerName[513:531]: EventCatalogueInEffect,
-	_LogEventLowerName[531:544]: EventBecameLeader,
-	_LogEventLowerName[544:553]: EventNoLeader,
-	_LogEventLowerName[553:567]: EventReplicaOpened,
-	_LogEventLowerName[567:582]: EventVotersChanged,
-	_LogEventLowerName[582:595]: EventLearnerAdded,
-	_LogEventLowerName[595:610]: EventLearnerRemoved,
-	_LogEventLowerName[610:621]: EventVoterAdded,
-	_LogEventLowerName[621:635]: EventVoterReplaced,
-	_LogEventLowerName[635:648]: EventVoterStandby,
-	_LogEventLowerName[648:674]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[674:692]: EventExpiryNotEncoded,
-	_LogEventLowerName[692:706]: EventReplicaFailed,
-	_LogEventLowerName[706:723]: EventReplicaRegressed,
-	_LogEventLowerName[723:742]: EventDataFolderDamaged,
-	_LogEventLowerName[742:763]: EventDataFolderRegressed,
-	_LogEventLowerName[763:772]: EventLeaseAcquired,
-	_LogEventLowerName[772:782]: EventLeaseLost,
-	_LogEventLowerName[782:799]: EventLeaseNotRenewed,
-	_LogEventLowerName[799:809]: EventZoneOwned,
-	_LogEventLowerName[809:818]: EventZoneLost,
-	_LogEventLowerName[818:832]: EventControlThreadTimes,
-	_LogEventLowerName[832:844]: EventControlLost,
-	_LogEventLowerName[844:860]: EventControlRegained,
-	_LogEventLowerName[860:867]: EventStarted,
-	_LogEventLowerName[867:875]: EventDraining,
-	_LogEventLowerName[875:882]: EventDrained,
-	_LogEventLowerName[882:889]: EventStopped,
-	_LogEventLowerName[889:906]: EventSettingsReloaded,
-	_LogEventLowerName[906:922]: EventSettingsRefused,
-	_LogEventLowerName[922:936]: EventListenerEnded,
-	_LogEventLowerName[936:954]: EventMetricsNotServed,
-	_LogEventLowerName[954:967]: EventUnknownEvent,
-	_LogEventLowerName[967:984]: EventLogLinesDropped,
+	_LogEventLowerName[0:14]:      EventRequestServed,
+	_LogEventLowerName[14:29]:     EventRequestRefused,
+	_LogEventLowerName[29:43]:     EventAttemptFailed,
+	_LogEventLowerName[43:61]:     EventReservationUnclear,
+	_LogEventLowerName[61:75]:     EventCrossedAnswer,
+	_LogEventLowerName[75:82]:     EventRefused,
+	_LogEventLowerName[82:101]:    EventAnswerNotRecorded,
+	_LogEventLowerName[101:114]:   EventBackendChanged,
+	_LogEventLowerName[114:130]:   EventBackendReplaced,
+	_LogEventLowerName[130:143]:   EventAdapterLoaded,
+	_LogEventLowerName[143:155]:   EventLoadDecided,
+	_LogEventLowerName[155:161]:   EventLayout,
+	_LogEventLowerName[161:176]:   EventBackendCrashed,
+	_LogEventLowerName[176:195]:   EventRequestQuarantined,
+	_LogEventLowerName[195:211]:   EventRequestReleased,
+	_LogEventLowerName[211:234]:   EventQuarantineNotReported,
+	_LogEventLowerName[234:247]:   EventLimitChanged,
+	_LogEventLowerName[247:260]:   EventLimitUnclear,
+	_LogEventLowerName[260:274]:   EventSlotRequested,
+	_LogEventLowerName[274:289]:   EventSlotUnanswered,
+	_LogEventLowerName[289:307]:   EventLimitNotReported,
+	_LogEventLowerName[307:323]:   EventOutlierDetected,
+	_LogEventLowerName[323:338]:   EventModelWithdrawn,
+	_LogEventLowerName[338:352]:   EventOrderAnswered,
+	_LogEventLowerName[352:362]:   EventOrderDone,
+	_LogEventLowerName[362:373]:   EventOrderStateChanged,
+	_LogEventLowerName[373:386]:   EventOrderRefused,
+	_LogEventLowerName[386:407]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[407:423]:   EventEngineStateNotRead,
+	_LogEventLowerName[423:441]:   EventInventoryNotRead,
+	_LogEventLowerName[441:452]:   EventLoadFailed,
+	_LogEventLowerName[452:468]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[468:484]:   EventRegistryRefused,
+	_LogEventLowerName[484:499]:   EventRoutesProposed,
+	_LogEventLowerName[499:513]:   EventRoutesRefused,
+	_LogEventLowerName[513:527]:   EventRoutesApplied,
+	_LogEventLowerName[527:542]:   EventRoutesInEffect,
+	_LogEventLowerName[542:560]:   EventRoutesNotFetched,
+	_LogEventLowerName[560:578]:   EventCatalogueInEffect,
+	_LogEventLowerName[578:591]:   EventBecameLeader,
+	_LogEventLowerName[591:600]:   EventNoLeader,
+	_LogEventLowerName[600:614]:   EventReplicaOpened,
+	_LogEventLowerName[614:629]:   EventVotersChanged,
+	_LogEventLowerName[629:642]:   EventLearnerAdded,
+	_LogEventLowerName[642:657]:   EventLearnerRemoved,
+	_LogEventLowerName[657:668]:   EventVoterAdded,
+	_LogEventLowerName[668:682]:   EventVoterReplaced,
+	_LogEventLowerName[682:695]:   EventVoterStandby,
+	_LogEventLowerName[695:721]:   EventLeadershipNotHandedOver,
+	_LogEventLowerName[721:739]:   EventExpiryNotEncoded,
+	_LogEventLowerName[739:753]:   EventReplicaFailed,
+	_LogEventLowerName[753:770]:   EventReplicaRegressed,
+	_LogEventLowerName[770:789]:   EventDataFolderDamaged,
+	_LogEventLowerName[789:810]:   EventDataFolderRegressed,
+	_LogEventLowerName[810:819]:   EventLeaseAcquired,
+	_LogEventLowerName[819:829]:   EventLeaseLost,
+	_LogEventLowerName[829:846]:   EventLeaseNotRenewed,
+	_LogEventLowerName[846:856]:   EventZoneOwned,
+	_LogEventLowerName[856:865]:   EventZoneLost,
+	_LogEventLowerName[865:879]:   EventControlThreadTimes,
+	_LogEventLowerName[879:891]:   EventControlLost,
+	_LogEventLowerName[891:907]:   EventControlRegained,
+	_LogEventLowerName[907:914]:   EventStarted,
+	_LogEventLowerName[914:922]:   EventDraining,
+	_LogEventLowerName[922:929]:   EventDrained,
+	_LogEventLowerName[929:936]:   EventStopped,
+	_LogEventLowerName[936:953]:   EventSettingsReloaded,
+	_LogEventLowerName[953:969]:   EventSettingsRefused,
+	_LogEventLowerName[969:983]:   EventListenerEnded,
+	_LogEventLowerName[983:1001]:  EventMetricsNotServed,
+	_LogEventLowerName[1001:1014]: EventUnknownEvent,
+	_LogEventLowerName[1014:1031]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -260,57 +269,60 @@
 	_LogEventName[211:234],
 	_LogEventName[234:247],
 	_LogEventName[247:260],
-	_LogEventName[260:276],
-	_LogEventName[276:291],
-	_LogEventName[291:305],
-	_LogEventName[305:315],
-	_LogEventName[315:326],
-	_LogEventName[326:339],
-	_LogEventName[339:360],
-	_LogEventName[360:376],
-	_LogEventName[376:394],
-	_LogEventName[394:405],
-	_LogEventName[405:421],
-	_LogEventName[421:437],
-	_LogEventName[437:452],
-	_LogEventName[452:466],
-	_LogEventName[466:480],
-	_LogEventName[480:495],
-	_LogEventName[495:513],
-	_LogEventName[513:531],
-	_LogEventName[531:544],
-	_LogEventName[544:553],
-	_LogEventName[553:567],
-	_LogEventName[567:582],
-	_LogEventName[582:595],
-	_LogEventName[595:610],
-	_LogEventName[610:621],
-	_LogEventName[621:635],
-	_LogEventName[635:648],
-	_LogEventName[648:674],
-	_LogEventName[674:692],
-	_LogEventName[692:706],
-	_LogEventName[706:723],
-	_LogEventName[723:742],
-	_LogEventName[742:763],
-	_LogEventName[763:772],
-	_LogEventName[772:782],
-	_LogEventName[782:799],
-	_LogEventName[799:809],
-	_LogEventName[809:818],
-	_LogEventName[818:832],
-	_LogEventName[832:844],
-	_LogEventName[844:860],
-	_LogEventName[860:867],
-	_LogEventName[867:875],
-	_LogEventName[875:882],
-	_LogEventName[882:889],
-	_LogEventName[889:906],
-	_LogEventName[906:922],
-	_LogEventName[922:936],
-	_LogEventName[936:954],
-	_LogEventName[954:967],
-	_LogEventName[967:984],
+	_LogEventName[260:274],
+	_LogEventName[274:289],
+	_LogEventName[289:307],
+	_LogEventName[307:323],
+	_LogEventName[323:338],
+	_LogEventName[338:352],
+	_LogEventName[352:362],
+	_LogEventName[362:373],
+	_LogEventName[373:386],
+	_LogEventName[386:407],
+	_LogEventName[407:423],
+	_LogEventName[423:441],
+	_LogEventName[441:452],
+	_LogEventName[452:468],
+	_LogEventName[468:484],
+	_LogEventName[484:499],
+	_LogEventName[499:513],
+	_LogEventName[513:527],
+	_LogEventName[527:542],
+	_LogEventName[542:560],
+	_LogEventName[560:578],
+	_LogEventName[578:591],
+	_LogEventName[591:600],
+	_LogEventName[600:614],
+	_LogEventName[614:629],
+	_LogEventName[629:642],
+	_LogEventName[642:657],
+	_LogEventName[657:668],
+	_LogEventName[668:682],
+	_LogEventName[682:695],
+	_LogEventName[695:721],
+	_LogEventName[721:739],
+	_LogEventName[739:753],
+	_LogEventName[753:770],
+	_LogEventName[770:789],
+	_LogEventName[789:810],
+	_LogEventName[810:819],
+	_LogEventName[819:829],
+	_LogEventName[829:846],
+	_LogEventName[846:856],
+	_LogEventName[856:865],
+	_LogEventName[865:879],
+	_LogEventName[879:891],
+	_LogEventName[891:907],
+	_LogEventName[907:914],
+	_LogEventName[914:922],
+	_LogEventName[922:929],
+	_LogEventName[929:936],
+	_LogEventName[936:953],
+	_LogEventName[953:969],
+	_LogEventName[969:983],
+	_LogEventName[983:1001],
+	_LogEventName[1001:1014],
+	_LogEventName[1014:1031],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantined"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limited"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantined"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limited"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -50,9 +50,10 @@
 	_ = x[RefusedOutcomeUnknown-(22)]
 	_ = x[RefusedCallerGone-(23)]
 	_ = x[RefusedQuarantined-(24)]
+	_ = x[RefusedBackendLimited-(25)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -80,6 +81,7 @@
 	_RefusalReasonName[274:289]: RefusedOutcomeUnknown,
 	_RefusalReasonName[289:300]: RefusedCallerGone,
 	_RefusalReasonName[300:311]: RefusedQuarantined,
+	_RefusalReasonName[311:326]: RefusedBackendLimited,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -108,6 +110,7 @@
 	_RefusalReasonLowerName[274:289]: RefusedOutcomeUnknown,
 	_RefusalReasonLowerName[289:300]: RefusedCallerGone,
 	_RefusalReasonLowerName[300:311]: RefusedQuarantined,
+	_RefusalReasonLowerName[311:326]: RefusedBackendLimited,
 }
 
 var _RefusalReasonNames = []string{
@@ -136,6 +139,7 @@
 	_RefusalReasonName[274:289],
 	_RefusalReasonName[289:300],
 	_RefusalReasonName[300:311],
+	_RefusalReasonName[311:326],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
