test: the soak learns limits that backend servers name

Backend servers name limits, change them and end them while processes are killed and links cut; afterwards, with all faults over, one server of the plain service and all engines of the model name 2 a second, and the run checks what they get, that each gateway gets a part, that nothing is refused beside a free server, that refusals are told as backend-limited, and that all is served again at the end.

--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -9,7 +9,8 @@
 // control VMs stall, are slow or full, or fail to sync. The links between the VMs and to the
 // backend servers freeze in one or both directions, reset their connections, or delay traffic.
 // Callers keep their connections open until the process at the other end exits. For each service one
-// caller repeats a request at which backend servers crash; they are restarted a second later.
+// caller repeats a request at which backend servers crash; they are restarted a second later. Backend
+// servers name limits, change them and end them.
 // The seed determines which faults are injected and when. Their effect also depends on the
 // timing of the machine, so a failing seed may pass when repeated: its logs are kept.
 //
@@ -19,7 +20,9 @@
 // older than those acknowledged before the read was sent; no process of the system exits on its
 // own; no other request is refused as one that crashes backend servers. After the run, a change must
 // be acknowledged and read back, callers must be served, and all gateways must refuse the crashing
-// requests, which run at most three times more.
+// requests, which run at most three times more. A backend server that then names a limit must get no more than
+// one and a half times as much; requests are refused only where all servers are limited, and then as
+// such; each gateway gets a part of a limit, and everything is served once it has ended.
 //
 // # Usage
 //
--- a/laburnumsoak/faultinjector.go
+++ b/laburnumsoak/faultinjector.go
@@ -49,6 +49,8 @@
 	failedSyncs
 	// rewind kills a control VM and restores an older copy of its data folder.
 	rewind
+	// nameLimit has a backend server name a limit.
+	nameLimit
 	kindCount
 )
 
@@ -56,7 +58,7 @@
 	return [...]string{
 		"kill", "stop", "term", "kill and wipe",
 		"silence the link to", "silence towards", "silence from", "reset the link to", "delay the link to",
-		"stall the disk of", "slow syncs of", "fill the disk of", "fail syncs of", "kill and rewind",
+		"stall the disk of", "slow syncs of", "fill the disk of", "fail syncs of", "kill and rewind", "name a limit at",
 	}[k]
 }
 
@@ -74,13 +76,15 @@
 	busyProcesses map[*process]bool
 	faultyLinks   map[*faultLink]bool
 	faultyDisks   map[*process]bool
-	dataLost      bool
-	history       []string
-	firstErr      error
+	// limitedServers are the backend servers that name a limit.
+	limitedServers map[*process]bool
+	dataLost       bool
+	history        []string
+	firstErr       error
 }
 
 func newFaultInjector(f *fleet, seed uint64) *faultInjector {
-	return &faultInjector{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busyProcesses: map[*process]bool{}, faultyLinks: map[*faultLink]bool{}, faultyDisks: map[*process]bool{}} //nolint:gosec // repeatable
+	return &faultInjector{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busyProcesses: map[*process]bool{}, faultyLinks: map[*faultLink]bool{}, faultyDisks: map[*process]bool{}, limitedServers: map[*process]bool{}} //nolint:gosec // repeatable
 }
 
 // run injects faults until ctx ends, then waits until all of them are undone.
@@ -95,6 +99,8 @@
 			n %= controlVMs // control VMs are listed first
 		}
 		switch {
+		case kind == nameLimit:
+			x.injectLimit(x.fleet.servers[n%len(x.fleet.servers)], kind, down)
 		case kind >= stallDisk && kind < rewind:
 			x.injectDiskFault(x.fleet.controls[n%controlVMs], kind, down, delay)
 		case kind >= freezeLink && kind < stallDisk:
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -121,10 +121,10 @@
 // server defines a backend server; each start has a new instance id.
 func (f *fleet) server(name, service string, number int) *process {
 	link := f.addLink(name, f.address(number, serverPort), f.address(number, serverListenPort))
-	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder, link: link, onUnexpectedExit: func(p *process) { f.serverExited(p) }}
+	p := &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder, link: link, address: f.address(number, serverListenPort), onUnexpectedExit: func(p *process) { f.serverExited(p) }}
 	p.args = func() []string {
 		id := fmt.Sprintf("i-%s-%d", name, f.starts.Add(1))
-		args := []string{"stand-in", "platform-server", "--listen", f.address(number, serverListenPort), "--announce", f.address(number, serverPort), "--id", id, "--service", service, "--announce-period", "300ms", "--print-runs", "--crash-text", crashText}
+		args := []string{"stand-in", "platform-server", "--listen", p.address, "--announce", f.address(number, serverPort), "--id", id, "--service", service, "--announce-period", "300ms", "--print-runs", "--crash-text", crashText}
 		if service == "quotes" {
 			args = append(args, "--model", "m0")
 		}
@@ -135,6 +135,9 @@
 	}
 	p.onLine = func(text string) {
 		id, ok := strings.CutPrefix(text, ranPrefix)
+		if ok {
+			f.record.ranOn(name)
+		}
 		if ok && service == "booking" {
 			f.record.requestRan(id)
 		}
--- a/laburnumsoak/process.go
+++ b/laburnumsoak/process.go
@@ -30,6 +30,8 @@
 	folder  string
 	// args returns the arguments of the next start.
 	args func() []string
+	// address is where it listens; empty for a VM.
+	address string
 	// onLine, if set, is called with each line of its standard output.
 	onLine func(string)
 	// disk injects faults into its data folder; nil if there is none.
--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -20,6 +20,8 @@
 	answered, refused map[string]bool
 	// crashing holds the times at which the crashing request of a service ran.
 	crashing map[string][]time.Time
+	// ranAt holds the times at which each backend server ran requests.
+	ranAt map[string][]time.Time
 	// acked lists the acknowledged changes.
 	acked      []ack
 	sent       int
@@ -33,7 +35,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -60,3 +60,43 @@
 	r.refusedFor("b", []byte("quarantined\n"))
 	require.Equal(t, []string{"request b was refused as one that crashes backend servers"}, r.check())
 }
+
+// Guards against a check for limits that never fails.
+func TestEachFaultOfALimitIsReported(t *testing.T) {
+	known := time.Unix(1_000_000, 0)
+	limited := []*process{{name: "quotes-1"}}
+	good := func() *limitCheck {
+		return &limitCheck{load: &load{record: newRecorder()}, served: [gatewayVMs]int{10, 10}}
+	}
+	for name, test := range map[string]struct {
+		change func(c *limitCheck)
+		want   []string
+	}{
+		"none": {func(*limitCheck) {}, nil},
+		"beyond the limit": {func(c *limitCheck) {
+			for i := range 18 {
+				c.record.ranAt["quotes-1"] = append(c.record.ranAt["quotes-1"], known.Add(time.Duration(i)*time.Millisecond))
+			}
+		}, []string{"quotes-1 named a limit of 2 a second and got 18 requests in 4s, allowed 17"}},
+		"before it was known": {func(c *limitCheck) {
+			for range 18 {
+				c.record.ranAt["quotes-1"] = append(c.record.ranAt["quotes-1"], known.Add(-time.Millisecond))
+			}
+		}, nil},
+		"refused beside a free server": {func(c *limitCheck) { c.refused = 1 }, []string{"1 bookings were refused although a server without a limit had room"}},
+		"a gateway without a part":     {func(c *limitCheck) { c.served[1] = 0 }, []string{"gateway-2 served no stream while the engines were limited"}},
+		"limits not used":              {func(c *limitCheck) { c.served = [gatewayVMs]int{4, 5} }, []string{"9 streams were served within the limits, at least 10 expected"}},
+		"refused for another reason": {func(c *limitCheck) {
+			c.begin()
+			c.note(0, false, "a", false, []byte("backend-limited\n"))
+			c.note(0, false, "b", false, []byte("no-backend\n"))
+		}, []string{"request b was answered \"no-backend\\n\" while all engines of its model were limited"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := good()
+			test.change(c)
+			c.verify(limited, known)
+			require.Equal(t, test.want, c.record.check())
+		})
+	}
+}
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -82,6 +82,7 @@
 		checks.Go(func() { l.checkCrashing(ctx, service) })
 	}
 	checks.Wait()
+	l.checkLimits(ctx)
 	x.close()
 	f.stop() // the output of backend servers is complete afterwards
 	return Report{
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -22,6 +22,9 @@
 	limitHeader     = "Server-Limit"
 	// platformEvents is the number of events in each stream.
 	platformEvents = 4
+	// LimitPath is the path of a PUT that sets the limit, as SetLimit does. It is not part of the
+	// platform's protocol.
+	LimitPath = "/stand-in/limit"
 )
 
 // PlatformBehaviour injects faults into a PlatformServer and observes the requests it runs.
@@ -151,13 +154,21 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// ServeHTTP serves reports, orders and requests.
+// ServeHTTP serves reports, orders and requests, except for those to an earlier instance at its address.
 func (s *PlatformServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("X-Laburnumlever-Expect-Instance"); want != "" && want != s.id {
+		w.Header().Set("X-Laburnumlever-Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	switch r.URL.Path {
 	case "/v1/report":
 		s.report(w)
 	case "/v1/order":
 		s.order(w, r)
+	case LimitPath:
+		text, _ := io.ReadAll(r.Body) // whoever disconnects sends it again
+		s.SetLimit(string(text))
 	default:
 		s.answer(w, r)
 	}
