test: the simulation learns limits that engines name

An event has engines name a limit for a time; the simulated gateways learn it from answers, request slots from the keeper and probe, as the real ones do. The outcome has the largest number of requests beyond what an engine's limit allows.

--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -5,6 +5,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumslotqueue"
@@ -32,6 +33,10 @@
 	waited              time.Duration
 	waitingSince        time.Time
 	backoff             laburnumretry.Backoff // between requests for an adapter
+	sentAt              time.Time
+	permit              laburnumbalance.Permit
+	slotRequested       bool
+	probes              bool
 }
 
 func (a *attempt) sim() *simulation { return a.gateway.sim }
@@ -49,6 +54,7 @@
 	return laburnumbalance.Query{
 		Service: service, Model: a.sim().models[q.model].name, Adapter: q.adapter, Prompt: q.prompt, Target: time.Duration(q.class.Target),
 		ReadTime: a.gateway.readTimes.Of(a.sim().models[q.model].name), Queue: a.queuesAtEngine(), Avoid: a.avoid,
+		Permit: a.permit,
 	}
 }
 
@@ -89,30 +95,56 @@
 	if sim.policy.exactLoads {
 		g.observeExactLoads(a.request.model)
 	}
-	ticket, verdict := g.table.Pick(waiting.Query, now)
-	switch verdict {
-	case laburnumbalance.Found:
+	ticket, verdict := a.pick(waiting.Query)
+	switch {
+	case verdict == laburnumbalance.Found:
 		a.send(ticket)
 		return
-	case laburnumbalance.AdapterAbsent:
+	case verdict == laburnumbalance.Limited && !a.slotRequested:
+		a.requestSlot(waiting.Query, until)
+		return
+	case verdict == laburnumbalance.AdapterAbsent:
 		a.requestAdapter(until)
 		return
 	default:
 	}
-	admitted := false
+	if a.permit.Until.After(until) {
+		until = a.permit.Until
+	}
+	a.enqueue(waiting, verdict, until)
+}
+
+// pick reserves a slot, if one is free. It returns Limited if the request should request a slot at a
+// limited engine.
+func (a *attempt) pick(query laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+	if a.probesLimit(query) {
+		return nil, laburnumbalance.Limited
+	}
+	ticket, verdict := a.gateway.table.Pick(query, a.sim().now())
+	if verdict != laburnumbalance.Found && a.needsSlot(query) {
+		verdict = laburnumbalance.Limited
+	}
+	return ticket, verdict
+}
+
+// enqueue queues the request until the given time.
+func (a *attempt) enqueue(waiting *laburnumslotqueue.Request, verdict laburnumbalance.Verdict, until time.Time) {
+	sim, g := a.sim(), a.gateway
+	now := sim.now()
 	waiting.Admit = func(ticket *laburnumbalance.Ticket) {
-		admitted = true
+		delete(g.queued, waiting)
 		sim.after(0, func() { a.send(ticket) })
 	}
-	if !now.Before(until) || !g.queue.Push(waiting) {
+	if verdict == laburnumbalance.Limited || !now.Before(until) || !g.queue.Push(waiting) {
 		a.giveUp(verdict)
 		return
 	}
+	g.queued[waiting] = a
 	sim.after(until.Sub(now), func() {
-		if admitted {
+		if g.queued[waiting] == nil {
 			return
 		}
-		g.queue.Remove(waiting)
+		g.leaveQueue(waiting)
 		if !a.finished {
 			a.giveUp(verdict)
 		}
@@ -126,11 +158,14 @@
 		a.fail("broken")
 		return
 	}
-	if verdict == laburnumbalance.Full {
+	switch verdict {
+	case laburnumbalance.Full:
 		a.refuse(verdict, "full")
-		return
+	case laburnumbalance.Limited:
+		a.refuse(verdict, "limited")
+	default:
+		a.refuse(verdict, "no-engine")
 	}
-	a.refuse(verdict, "no-engine")
 }
 
 // requestAdapter asks the director to load the adapter and searches for a slot again after the
@@ -172,11 +207,12 @@
 	a.waited += now.Sub(a.waitingSince)
 	a.waitingSince = time.Time{}
 	a.ticket = ticket
+	a.sentAt = now
 	a.tries++
 	g.uses.RequestStarted(sim.models[a.request.model].name, a.request.adapter)
 	e := sim.byID[ticket.Backend.Backend]
 	link := sim.link(g.zone, e.zone)
-	reserves := ticket.MayBeFull() && !a.queuesAtEngine() && !sim.policy.skipsReservations
+	reserves := ticket.MayBeFull() && !ticket.Limited() && !a.queuesAtEngine() && !sim.policy.skipsReservations
 	sim.after(link, func() {
 		switch {
 		case !e.up && e.hangs:
@@ -210,7 +246,7 @@
 	a.tries--
 	a.release(laburnumbalance.AttemptResult{ReservationRefused: true})
 	sim.after(a.gateway.table.RetryTime()+laburnumbalance.RetrySlack, a.gateway.serveQueue)
-	a.findSlot()
+	a.acquire()
 }
 
 // deliver hands the request to the engine once it has crossed the link.
@@ -228,6 +264,7 @@
 	}
 	r := &run{attempt: a, engine: e.id, urgency: a.urgency(), answerTokens: a.request.answerTokens, written: a.written}
 	a.run = r
+	e.countArrival()
 	if outcome := e.accept(r, reservation); outcome != admitted {
 		r.finished = true
 		a.sim().after(link, func() { a.onRefused(r, outcome) })
@@ -301,7 +338,7 @@
 	}
 	switch {
 	case ok:
-		a.findSlot()
+		a.acquire()
 	case a.started || stage == laburnumretry.StageUnknown:
 		a.fail(why)
 	default:
@@ -317,7 +354,7 @@
 }
 
 // onAnswerStarted handles the first event of an answer.
-func (a *attempt) onAnswerStarted(r *run, running, waiting int) {
+func (a *attempt) onAnswerStarted(r *run, running, waiting int, limit laburnumlimit.Limit) {
 	if a.finished || a.run != r || a.ticket == nil {
 		return
 	}
@@ -325,6 +362,7 @@
 	took, tokens := g.table.AnswerStarted(a.ticket, now)
 	g.readTimes.Add(a.ticket.Model(), took, tokens)
 	g.table.Observe(a.ticket.Backend.Backend, laburnumbalance.AttemptResult{HasLoad: true, Running: running, Waiting: waiting}, now)
+	g.observeLimit(limit, a.sentAt)
 	if a.started {
 		a.pause = max(a.pause, now.Sub(a.lastAt))
 	} else {
--- a/laburnumsimulation/control.go
+++ b/laburnumsimulation/control.go
@@ -7,6 +7,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumdirector"
 	"laburnumlever/laburnumeventloop"
+	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumstate"
@@ -45,6 +46,9 @@
 	detector *laburnumquarantine.Detector
 	// quarantine are the entries that have not been published yet.
 	quarantine []laburnumquarantine.Entry
+	// keeper grants slots at limited engines; limits have not been published yet.
+	keeper *laburnumlimit.Keeper
+	limits []laburnumlimit.Limit
 }
 
 // drainingTimers drains the control loop after each of the director's timers.
@@ -74,7 +78,7 @@
 		sim: sim, loop: laburnumeventloop.New(), machine: laburnumstate.New(),
 		registry: laburnumregistry.New(time.Duration(sim.scenario.Engines.Heartbeat)),
 		records:  map[laburnumlever.BackendID]laburnumregistry.Record{}, overlays: map[laburnumlever.BackendID]laburnumregistry.Overlay{},
-		detector: laburnumquarantine.NewDetector(),
+		detector: laburnumquarantine.NewDetector(), keeper: laburnumlimit.NewKeeper(),
 	}
 	period := func() time.Duration { return time.Duration(len(sim.gateways)+1) * publishDelayPerVM }
 	c.publisher = laburnumtimer.NewCoalescer(sim.timers, period, c.publish)
@@ -160,11 +164,11 @@
 	}
 	clear(c.records)
 	clear(c.overlays)
-	quarantine := c.quarantine
-	c.quarantine = nil
+	quarantine, limits := c.quarantine, c.limits
+	c.quarantine, c.limits = nil, nil
 	c.sim.after(time.Duration(c.sim.scenario.Links.Far), func() {
 		for _, g := range c.sim.gateways {
-			g.receiveUpdates(records, overlays, quarantine)
+			g.receiveUpdates(records, overlays, quarantine, limits)
 		}
 	})
 }
--- a/laburnumsimulation/engine.go
+++ b/laburnumsimulation/engine.go
@@ -30,6 +30,7 @@
 	// reservations holds the ids of slots reserved for requests on their way.
 	reservations map[int]bool
 	cached       map[cachedPart]bool
+	limit        *engineLimit // nil for none
 }
 
 // activeOrder is the order that an engine executes.
@@ -209,9 +210,9 @@
 	if q := r.attempt.request; q.crashing != nil {
 		q.crashing.begun(e)
 	}
-	running, waiting := e.batch.size(), len(e.batch.waiting)
+	running, waiting, limit := e.batch.size(), len(e.batch.waiting), e.namedLimit()
 	e.sim.after(e.batch.stepTime()+e.sim.link(e.zone, r.attempt.gateway.zone), func() {
-		r.attempt.onAnswerStarted(r, running, waiting)
+		r.attempt.onAnswerStarted(r, running, waiting, limit)
 	})
 }
 
--- a/laburnumsimulation/enums_gen.go
+++ b/laburnumsimulation/enums_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _EventKindName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requests"
+const _EventKindName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslimit"
 
-var _EventKindIndex = [...]uint8{0, 5, 10, 15, 19, 23, 28, 32, 41, 58}
+var _EventKindIndex = [...]uint8{0, 5, 10, 15, 19, 23, 28, 32, 41, 58, 63}
 
-const _EventKindLowerName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requests"
+const _EventKindLowerName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslimit"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -34,9 +34,10 @@
 	_ = x[EventSlow-(6)]
 	_ = x[EventNoOrders-(7)]
 	_ = x[EventCrashingRequests-(8)]
+	_ = x[EventLimit-(9)]
 }
 
-var _EventKindValues = []EventKind{EventShift, EventBurst, EventCrash, EventDark, EventGone, EventDrain, EventSlow, EventNoOrders, EventCrashingRequests}
+var _EventKindValues = []EventKind{EventShift, EventBurst, EventCrash, EventDark, EventGone, EventDrain, EventSlow, EventNoOrders, EventCrashingRequests, EventLimit}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:5]:   EventShift,
@@ -48,6 +49,7 @@
 	_EventKindName[28:32]: EventSlow,
 	_EventKindName[32:41]: EventNoOrders,
 	_EventKindName[41:58]: EventCrashingRequests,
+	_EventKindName[58:63]: EventLimit,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -60,6 +62,7 @@
 	_EventKindLowerName[28:32]: EventSlow,
 	_EventKindLowerName[32:41]: EventNoOrders,
 	_EventKindLowerName[41:58]: EventCrashingRequests,
+	_EventKindLowerName[58:63]: EventLimit,
 }
 
 var _EventKindNames = []string{
@@ -72,6 +75,7 @@
 	_EventKindName[28:32],
 	_EventKindName[32:41],
 	_EventKindName[41:58],
+	_EventKindName[58:63],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -7,6 +7,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumdemand"
+	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumretry"
@@ -40,6 +41,9 @@
 	retryBudget *laburnumretry.Window
 	random      *rand.Rand
 	quarantine  *laburnumquarantine.List
+	limits      *laburnumlimit.Table
+	// queued are the attempts whose requests are in the queue.
+	queued map[*laburnumslotqueue.Request]*attempt
 }
 
 // newGateway returns a gateway that the caller appends to sim.gateways. The slack of its retry budget
@@ -50,21 +54,24 @@
 		counter: laburnumdemand.NewCounter(id), readTimes: laburnumdemand.ReadTimes{},
 		retryBudget: laburnumretry.NewWindow(budgetWindow, budgetRatio, budgetSlack*float64(len(sim.gateways)+1)),
 		random:      rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // repeatable
-		quarantine:  laburnumquarantine.NewList(),
+		quarantine:  laburnumquarantine.NewList(), limits: laburnumlimit.NewTable(id), queued: map[*laburnumslotqueue.Request]*attempt{},
 	}
 	g.queue.InOrder = sim.policy.strictOrder
 	return g
 }
 
 // receiveUpdates applies what the control VMs have published.
-func (g *gateway) receiveUpdates(records []laburnumregistry.Record, overlays []laburnumregistry.Overlay, quarantine []laburnumquarantine.Entry) {
+func (g *gateway) receiveUpdates(records []laburnumregistry.Record, overlays []laburnumregistry.Overlay, quarantine []laburnumquarantine.Entry, limits []laburnumlimit.Limit) {
 	for _, r := range records {
 		g.table.Set(r)
+		_, limited := g.limits.Limit(r.Heartbeat.Backend, r.Heartbeat.Incarnation)
+		g.table.SetLimited(r.Heartbeat.Backend, limited)
 	}
 	for _, o := range overlays {
 		g.table.SetOverlay(o, g.sim.now())
 	}
 	g.quarantine.Apply("control", 1, quarantine, g.sim.now())
+	g.applyLimits(limits)
 	g.serveQueue()
 }
 
--- a/laburnumsimulation/load.go
+++ b/laburnumsimulation/load.go
@@ -66,6 +66,7 @@
 		key := fmt.Sprintf("events[%d]", i)
 		require(e.Share >= 0 && e.Share <= 1, key+".share", "is not between 0 and 1", "a share of the engines from 0 to 1")
 		require(e.Kind != EventBurst && e.Kind != EventSlow || e.Factor > 0, key+".factor", "is not positive", "a factor such as 2")
+		require(e.PerSecond >= 0, key+".per-second", "is negative", "the requests per second that an engine takes")
 		require(e.Kind != EventShift || e.Places != 0, key+".places", "is 0", "the number of ranks by which demand shifts")
 	}
 	return faults
--- a/laburnumsimulation/outcome.go
+++ b/laburnumsimulation/outcome.go
@@ -61,6 +61,9 @@
 	// crash.
 	Crashes     int `json:"crashes,omitempty"`
 	LateRepeats int `json:"late-repeats,omitempty"`
+	// OverLimit is the largest number of requests beyond those allowed by its limit that an engine got
+	// in one window.
+	OverLimit int `json:"over-limit,omitempty"`
 	// LateRefusals is the penalty for late refusals as a share of the possible worth.
 	LateRefusals float64 `json:"late-refusals"`
 	// Windows holds the share of worth earned by window of arrival; windows without requests are
--- a/laburnumsimulation/policy.go
+++ b/laburnumsimulation/policy.go
@@ -28,6 +28,8 @@
 	skipsReservations bool
 	// servesCrashing has gateways serve requests that crash engines.
 	servesCrashing bool
+	// ignoresLimits has gateways ignore the limits that engines name.
+	ignoresLimits bool
 	// exactLoads gives gateways the current load of each engine.
 	exactLoads bool
 }
@@ -93,6 +95,7 @@
 		productionPolicy().named("in-turn", "queues are served strictly in order").modified(func(p *Policy) { p.strictOrder = true }),
 		productionPolicy().named("urgency", "engines preempt less urgent requests for more urgent ones").modified(func(p *Policy) { p.preempts = true }),
 		productionPolicy().named("no-quarantine", "requests that crash engines are served").modified(func(p *Policy) { p.servesCrashing = true }),
+		productionPolicy().named("no-limits", "limits that engines name are ignored").modified(func(p *Policy) { p.ignoresLimits = true }),
 		productionPolicy().named("count-ends", "demand is counted when answers end").modified(func(p *Policy) { p.countsAtEnd = true }),
 	}
 }
--- a/laburnumsimulation/scenario.go
+++ b/laburnumsimulation/scenario.go
@@ -32,6 +32,8 @@
 	// EventCrashingRequests has Count callers repeat a request of Class for For, each its own, that
 	// crashes the engines that run it. They pause Every on average between two attempts.
 	EventCrashingRequests
+	// EventLimit has a Share of the engines name a limit of PerSecond requests per second for For.
+	EventLimit
 )
 
 // Scenario describes a fleet, its callers and the events of one day.
@@ -176,6 +178,8 @@
 	Places int                    `json:"places"`
 	Count  int                    `json:"count"`
 	Every  laburnumlever.Duration `json:"every"`
+	// PerSecond is a number of requests per second.
+	PerSecond float64 `json:"per-second"`
 }
 
 // Value holds the weights of the score of a day.
--- a/laburnumsimulation/simulation.go
+++ b/laburnumsimulation/simulation.go
@@ -246,6 +246,8 @@
 		case EventSlow:
 			e.slowFactor = ev.Factor
 			sim.after(span, func() { e.slowFactor = 1 })
+		case EventLimit:
+			e.nameLimit(ev.PerSecond, span)
 		default:
 		}
 	}
--- a/laburnumsimulation/simulation_test.go
+++ b/laburnumsimulation/simulation_test.go
@@ -199,3 +199,16 @@
 		require.Greater(t, today.Day, without.Day, "seed %d", seed)
 	}
 }
+
+// Guards against engines that get more than the limit that they name, and against refusing what other engines could serve.
+func TestLimitsOfEnginesAreKept(t *testing.T) {
+	s := scenario(t, "limits")
+	ignored, err := PolicyNamed("no-limits")
+	require.NoError(t, err)
+	for seed := range uint64(5) {
+		today, without := Run(s, productionPolicy(), seed), Run(s, ignored, seed)
+		t.Logf("seed %d: %d over the limit (%d where it is ignored), day %.3f (%.3f), %d refused as limited", seed, today.OverLimit, without.OverLimit, today.Day, without.Day, today.Reasons["limited"])
+		require.Zero(t, today.OverLimit, "seed %d", seed)
+		require.Positive(t, without.OverLimit, "seed %d", seed)
+	}
+}
--- a/laburnumsimulation/workload.go
+++ b/laburnumsimulation/workload.go
@@ -57,7 +57,7 @@
 	q.sim.after(q.sim.callerLink(), func() {
 		a := &attempt{request: q, gateway: g, arrived: q.sim.now(), backoff: laburnumslotqueue.AdapterBackoff()}
 		g.countArrival(q)
-		a.findSlot()
+		a.acquire()
 		q.sim.after(a.caller().Patience(), func() {
 			if !a.started {
 				a.cancel()
