fix: many gateways at many limited servers ask a keeper too often

Cause: the time to ask again was bounded by 2 s whatever the number of gateways, and followed from one server only. It now follows from the gateways that ask at all servers of the keeper: 100 refused requests a second for one server and 5,000 in all, until 30 s (TestMoreGatewaysAskLessOften failed before: 2 s for each). Whether a gateway got more than its part is looked up only where it matters, since it walks over all gateways.

--- a/laburnumlimit/keeper.go
+++ b/laburnumlimit/keeper.go
@@ -23,11 +23,14 @@
 	overusedFactor = 1.1
 	// usageHalfLife is the time in which the slots that a gateway got count half.
 	usageHalfLife = 5 * time.Second
-	// asksPerSecond is the number of requests for a slot that a limited server's keeper gets in a
-	// second from gateways that get none.
-	asksPerSecond = 100
-	// maxRetryIn bounds the time until it is worth while to ask again.
-	maxRetryIn = 2 * time.Second
+	// Gateways that get no slot ask again so late that a keeper gets serverAsks such requests in a second
+	// for one server, and allAsks in all, but after maxRetryIn at the latest.
+	serverAsks = 100
+	allAsks    = 5000
+	maxRetryIn = 30 * time.Second
+	// askedTime is how long a gateway is known to ask for slots; it exceeds maxRetryIn.
+	askedTime  = 40 * time.Second
+	dropPeriod = time.Second
 
 	// maxLimits is the number of servers whose limits are kept.
 	maxLimits = 4096
@@ -36,6 +39,8 @@
 // Keeper grants the slots of backend servers on a control VM.
 type Keeper struct {
 	servers map[laburnumlever.BackendID]*server
+	// asking is the number of gateways that ask for slots, added up over the servers.
+	asking int
 }
 
 // server is the state of a limited backend server.
@@ -47,6 +52,8 @@
 	next time.Time
 	// usage is what gateways got that competed for slots recently.
 	usage map[laburnumlever.VMID]usage
+	// droppedAt is when those that no longer ask were last dropped.
+	droppedAt time.Time
 }
 
 // usage is the number of slots that a gateway got, decayed as of the time.
@@ -113,21 +120,34 @@
 	if s.limit.Ended {
 		return SlotAnswer{Granted: true, Limit: s.limit}
 	}
-	return s.reserve(q, share, now)
+	k.noteAsked(s, q.Gateway, now)
+	return k.reserve(s, q, share, now)
 }
 
-func (s *server) reserve(q SlotRequest, share float64, now time.Time) SlotAnswer {
+// noteAsked records that a gateway asks for a server's slot.
+func (k *Keeper) noteAsked(s *server, gateway laburnumlever.VMID, now time.Time) {
+	k.asking -= len(s.usage)
+	u := s.usage[gateway]
+	u.asked = now
+	s.usage[gateway] = u
+	if now.Sub(s.droppedAt) > dropPeriod {
+		s.dropIdle(now)
+	}
+	k.asking += len(s.usage)
+}
+
+func (k *Keeper) reserve(s *server, q SlotRequest, share float64, now time.Time) SlotAnswer {
 	interval := s.limit.interval(share)
 	if earliest := now.Add(-idleSlots(share) * interval); s.next.Before(earliest) {
 		s.next = earliest
 	}
 	wait := min(MaxWait, max(0, time.Duration(q.Wait)))
-	if s.overused(q.Gateway, now) {
-		wait = time.Duration(overusedWaitShare * float64(wait))
-	}
 	in := max(0, s.next.Sub(now))
+	if overusedWait := time.Duration(overusedWaitShare * float64(wait)); in > overusedWait && s.overused(q.Gateway, now) {
+		wait = overusedWait
+	}
 	if in > wait {
-		return SlotAnswer{In: laburnumlever.Duration(s.retryIn(in - wait)), Limit: s.limit}
+		return SlotAnswer{In: laburnumlever.Duration(k.retryIn(s, in-wait)), Limit: s.limit}
 	}
 	s.next = s.next.Add(interval)
 	u := s.usage[q.Gateway]
@@ -146,26 +166,29 @@
 
 // retryIn returns the time until a gateway without a slot should ask again: not before one may be
 // free, and the later the more gateways compete.
-func (s *server) retryIn(free time.Duration) time.Duration {
-	competing := time.Duration(len(s.usage)) * time.Second / asksPerSecond
-	return min(maxRetryIn, max(free, competing))
+func (k *Keeper) retryIn(s *server, free time.Duration) time.Duration {
+	forServer := time.Duration(len(s.usage)) * time.Second / serverAsks
+	forAll := time.Duration(k.asking) * time.Second / allAsks
+	return min(maxRetryIn, max(free, forServer, forAll))
 }
 
-// overused records that a gateway asks, and reports whether it got more than its part of the slots
-// that competing gateways got.
+// overused reports whether a gateway got more than its part of the slots that competing gateways got.
 func (s *server) overused(gateway laburnumlever.VMID, now time.Time) bool {
-	own := s.usage[gateway]
-	own.asked = now
-	s.usage[gateway] = own
-	total := 0.0
-	for id, u := range s.usage {
-		if now.Sub(u.asked) > contentionTime {
-			delete(s.usage, id)
-			continue
+	own := s.usage[gateway].decayed(now)
+	total, competing := 0.0, 0
+	for _, u := range s.usage {
+		if now.Sub(u.asked) <= contentionTime {
+			total += u.decayed(now)
+			competing++
 		}
-		total += u.decayed(now)
 	}
-	return own.decayed(now)*float64(len(s.usage)) > overusedFactor*total
+	return own*float64(competing) > overusedFactor*total
+}
+
+// dropIdle drops gateways that no longer ask.
+func (s *server) dropIdle(now time.Time) {
+	s.droppedAt = now
+	maps.DeleteFunc(s.usage, func(_ laburnumlever.VMID, u usage) bool { return now.Sub(u.asked) > askedTime })
 }
 
 // decayed returns the slots that still count.
@@ -176,10 +199,14 @@
 	return u.slots * math.Exp2(-now.Sub(u.at).Seconds()/usageHalfLife.Seconds())
 }
 
-// Sweep drops limits that no gateway has asked or told of for a long time, and returns their servers.
+// Sweep drops limits that no gateway has asked or told of for a long time, and returns their servers. It
+// also drops what gateways got that no longer compete.
 func (k *Keeper) Sweep(now time.Time) []laburnumlever.BackendID {
 	var dropped []laburnumlever.BackendID
+	k.asking = 0
 	for _, id := range slices.Sorted(maps.Keys(k.servers)) {
+		k.servers[id].dropIdle(now)
+		k.asking += len(k.servers[id].usage)
 		if now.Sub(k.servers[id].usedAt) > retention {
 			delete(k.servers, id)
 			dropped = append(dropped, id)
--- a/laburnumlimit/keeper_test.go
+++ b/laburnumlimit/keeper_test.go
@@ -134,6 +134,28 @@
 	require.InDelta(t, 240, granted[1]+granted[2], 10)
 }
 
+// Guards against a keeper that gets more requests for slots than it can answer when many servers are limited.
+func TestMoreGatewaysAskLessOften(t *testing.T) {
+	retryIn := func(servers, gateways int) time.Duration {
+		k := laburnumlimit.NewKeeper()
+		longest := time.Duration(0)
+		for server := range servers {
+			l := laburnumlimit.Limit{Backend: laburnumlever.BackendID(fmt.Sprint("i-", server)), PerSecond: 2}
+			k.Report(laburnumlimit.Report{Limit: l}, start)
+			for gateway := range gateways {
+				if a := k.Reserve(ask(gateway, l, 0), laburnumlimit.FullShare, start); !a.Granted {
+					longest = max(longest, time.Duration(a.In))
+				}
+			}
+		}
+		return longest
+	}
+	require.Equal(t, 500*time.Millisecond, retryIn(1, 6), "until the next slot")
+	require.InDelta(t, 100, 780/retryIn(1, 780).Seconds(), 1)
+	require.InDelta(t, 5000, 60*780/retryIn(60, 780).Seconds(), 50)
+	require.Equal(t, 30*time.Second, retryIn(210, 780))
+}
+
 // Guards against memory that grows with the number of servers, or is kept for ever.
 func TestKeptLimitsAreBounded(t *testing.T) {
 	k := laburnumlimit.NewKeeper()
--- a/laburnumroles/limits.go
+++ b/laburnumroles/limits.go
@@ -15,8 +15,8 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// limitSweepPeriod is the interval between checks for limits that no gateway asks of any more.
-const limitSweepPeriod = time.Minute
+// limitSweepPeriod is the interval between checks for limits and gateways that are to be dropped.
+const limitSweepPeriod = 10 * time.Second
 
 // limits is the part of a control VM that grants slots at limited backend servers and publishes their
 // limits. It is safe for concurrent use.
