--- a/laburnumfeed/spread_bench_test.go
+++ b/laburnumfeed/spread_bench_test.go
@@ -12,6 +12,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumtimer"
 )
@@ -61,34 +62,58 @@
 	return json.Unmarshal(encoded, result)
 }
 
-// quarantineSink tells when it has received a request's entry.
-type quarantineSink struct {
+// spreadSink tells when it has received the entry of a request or a limit.
+type spreadSink struct {
 	mu       sync.Mutex
-	seen     map[laburnumlever.RequestDigest]bool
+	seen     map[any]bool
 	received func()
 }
 
-func (s *quarantineSink) HandleAnswer(_ string, a laburnumfeed.Answer) {
+func (s *spreadSink) HandleAnswer(_ string, a laburnumfeed.Answer) {
+	for _, e := range a.Quarantine {
+		s.note(e.Digest)
+	}
+	for _, l := range a.Limits {
+		s.note(l)
+	}
+}
+
+func (s *spreadSink) note(entry any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range a.Quarantine {
-		if !s.seen[e.Digest] {
-			s.seen[e.Digest] = true
-			s.received()
-		}
+	if !s.seen[entry] {
+		s.seen[entry] = true
+		s.received()
 	}
 }
 
-func (*quarantineSink) ControlLost(string)                    {}
-func (*quarantineSink) HandleRoutes(laburnumlever.RouteTable) {}
-func (*quarantineSink) RoutesVersion() uint64                 { return 1 }
-func (*quarantineSink) GatewayReport() laburnumlever.GatewayReport {
+func (*spreadSink) ControlLost(string)                    {}
+func (*spreadSink) HandleRoutes(laburnumlever.RouteTable) {}
+func (*spreadSink) RoutesVersion() uint64                 { return 1 }
+func (*spreadSink) GatewayReport() laburnumlever.GatewayReport {
 	return laburnumlever.GatewayReport{}
 }
 
 // BenchmarkQuarantineSpread measures how long an entry takes from the control VMs to all gateways,
 // without a network, and the bytes that one gateway receives for it.
 func BenchmarkQuarantineSpread(b *testing.B) {
+	benchmarkSpread(b, func(sources []*laburnumfeed.Source, n int) {
+		digest := laburnumlever.NewRequestDigest("POST", "quotes.example", fmt.Sprint(n), nil)
+		for _, s := range sources {
+			s.SetQuarantine(laburnumquarantine.Entry{Digest: digest, State: laburnumquarantine.Held, Crashes: 3})
+		}
+	})
+}
+
+// BenchmarkLimitSpread measures how long a limit takes from its keeper to all gateways, without a network,
+// and the bytes that one gateway receives for it.
+func BenchmarkLimitSpread(b *testing.B) {
+	benchmarkSpread(b, func(sources []*laburnumfeed.Source, n int) {
+		sources[0].SetLimit(laburnumlimit.Limit{Backend: "i-0a54d9326c", Incarnation: 1, PerSecond: float64(n)})
+	})
+}
+
+func benchmarkSpread(b *testing.B, publish func(sources []*laburnumfeed.Source, n int)) {
 	for _, size := range []struct{ gateways, controls int }{{6, 4}, {294, 6}, {780, 10}} {
 		b.Run(fmt.Sprintf("gateways=%d", size.gateways), func(b *testing.B) {
 			timers := laburnumtimer.New()
@@ -105,19 +130,16 @@
 			var wg sync.WaitGroup
 			for i := range size.gateways {
 				vm := laburnumlever.VM{ID: laburnumlever.VMID(fmt.Sprintf("gateway-%d", i))}
-				sink := &quarantineSink{seen: map[laburnumlever.RequestDigest]bool{}, received: wg.Done}
+				sink := &spreadSink{seen: map[any]bool{}, received: wg.Done}
 				follower := laburnumfeed.NewFollower(memoryPeers{network: network}, timers, vm, addresses, sink)
 				defer follower.Close()
 			}
 			require.Eventually(b, func() bool { return sources[0].Gateways() == size.gateways }, time.Minute, time.Millisecond)
-			n := uint64(0)
+			n := 0
 			for b.Loop() {
 				n++
 				wg.Add(size.gateways)
-				digest := laburnumlever.NewRequestDigest("POST", "quotes.example", fmt.Sprint(n), nil)
-				for _, s := range sources {
-					s.SetQuarantine(laburnumquarantine.Entry{Digest: digest, State: laburnumquarantine.Held, Crashes: 3})
-				}
+				publish(sources, n)
 				wg.Wait()
 			}
 			network.mu.Lock()
