--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -168,6 +168,7 @@
 	if err != nil {
 		return err
 	}
+	control.SetRoutesDecoder(platform.DecodeManifest)
 	handler, err := platform.NewHandler(control)
 	if err != nil {
 		return err
--- a/command.go
+++ b/command.go
@@ -115,7 +115,9 @@
 	Intents []OrderIntent `json:"intents,omitempty"`
 	// Routes is the result of CommandReadRoutes.
 	Routes *EncodedRoutes `json:"routes,omitempty"`
-	Detail string         `json:"detail,omitempty"`
+	// RoutesVersion is the version of the route table after CommandNoop; 0 for none, and from earlier builds.
+	RoutesVersion uint64 `json:"routes-version,omitempty"`
+	Detail        string `json:"detail,omitempty"`
 }
 
 // VoterStatus is the state of the replicated log as seen by one VM.
--- a/dialect.go
+++ b/dialect.go
@@ -28,8 +28,12 @@
 	// Prompt lists the parts in order; the last one is specific to this request or
 	// its session.
 	Prompt []PromptPart
+	// CountsTokens reports whether the caller named PromptTokens and MaxAnswerTokens.
+	CountsTokens bool
 	// LastEvent is the ID of the last stream event that the caller received.
 	LastEvent string
+	// Key identifies the caller's client account; empty for none. It must not be logged or passed on.
+	Key string
 }
 
 // ForwardParams holds the values that this VM adds to the headers of a forwarded request.
@@ -43,6 +47,13 @@
 	LastEvent string
 	// Reservation is the slot reserved for the request; empty for none.
 	Reservation ReservationID
+	// HideKey removes the caller's key. It is set if there are client accounts.
+	HideKey bool
+	// Account is the caller's client account; empty for none.
+	Account AccountName
+	// Urgency is the priority at the backend server, valid if HasUrgency is set; 0 is the most urgent.
+	Urgency    int
+	HasUrgency bool
 }
 
 // ReservationID identifies a slot that a model engine reserved for one request.
--- a/doc.go
+++ b/doc.go
@@ -27,4 +27,4 @@
 //go:generate go tool -modfile=tools/go.mod enumer -type=RefusalReason -trimprefix=Refused -transform=kebab -text -json -output=refusalreason_gen.go
 //go:generate go tool -modfile=tools/go.mod enumer -type=RetryReason -trimprefix=Retry -transform=kebab -text -json -output=retryreason_gen.go
 //go:generate go tool -modfile=tools/go.mod enumer -type=LogEvent -linecomment -trimprefix=Event -transform=kebab -output=logevent_gen.go
-//go:generate go tool -modfile=tools/go.mod enumer -type=BackendKind,OrderKind,OrderOutcome,AttemptState,RequestOutcome,CommandKind,ResultCode,Priority,VMState,RequestKind,EngineVerdict -trimprefix=Order,Attempt,Outcome,Command,Result,VM,Kind,Verdict -transform=kebab -text -json -output=enums_gen.go
+//go:generate go tool -modfile=tools/go.mod enumer -type=BackendKind,OrderKind,OrderOutcome,AttemptState,RequestOutcome,CommandKind,ResultCode,Priority,VMState,RequestKind,EngineVerdict,QuotaUnit -trimprefix=Order,Attempt,Outcome,Command,Result,VM,Kind,Verdict,Quota -transform=kebab -text -json -output=enums_gen.go
--- a/enums.go
+++ b/enums.go
@@ -73,6 +73,22 @@
 	RefusedQuarantined
 	// RefusedBackendLimited is a request that only backend servers could serve whose limits are used up.
 	RefusedBackendLimited
+	// RefusedUnknownKey is a request whose key belongs to no client account.
+	RefusedUnknownKey
+	// RefusedKeysUnconfirmed is a request with a key that may have been revoked, as this VM has not
+	// confirmed for too long that its route table is the newest.
+	RefusedKeysUnconfirmed
+	// RefusedOverQuota is a request beyond the quota of its client account.
+	RefusedOverQuota
+)
+
+// QuotaUnit is the unit of a client account's quota.
+type QuotaUnit int
+
+// The units of a quota.
+const (
+	QuotaRequests QuotaUnit = iota
+	QuotaTokens
 )
 
 // RetryReason is the reason why a request was retried.
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -8,6 +8,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumoutlier"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumtimer"
 	"laburnumlever/laburnumresidency"
 
 	"github.com/go-kit/log"
@@ -72,7 +73,7 @@
 	const defaultLease = 3 * time.Second
 	const defaultHeartbeat = time.Second
 	cfg := config{
-		lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: bootClock,
+		lease: defaultLease, heartbeat: defaultHeartbeat, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: laburnumtimer.SinceBoot,
 		spawn: func(call func()) { go call() }, compute: func(work func()) { go work() },
 		planner: laburnumresidency.NextSteps, rise: riseTime, fall: fallTime, quiet: quietTime,
 	}
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -265,7 +265,7 @@
 	f.noteDirector(address, a)
 	f.sink.HandleAnswer(address, a)
 	if a.RoutesVersion > f.sink.RoutesVersion() {
-		f.fetchRoutes(address)
+		f.FetchRoutes(address)
 	}
 }
 
@@ -282,9 +282,9 @@
 	}
 }
 
-// fetchRoutes fetches the route table from the first control VM that announces a newer version. A
+// FetchRoutes fetches the route table from a control VM that has a newer version, unless one is being fetched. A
 // failed fetch is retried at the next answer, within a second.
-func (f *Follower) fetchRoutes(address string) {
+func (f *Follower) FetchRoutes(address string) {
 	f.mu.Lock()
 	busy := f.fetching
 	f.fetching = true
--- /dev/null
+++ b/laburnumgateway/accounts.go
@@ -0,0 +1,226 @@
+package laburnumgateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumrevocation"
+	"laburnumlever/laburnumroutes"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// confirmPeriod is the age of the last confirmation at which the next one is requested.
+	confirmPeriod = time.Second
+	// confirmCheckPeriod is the interval between checks of that age, and between attempts after a failure.
+	confirmCheckPeriod = 250 * time.Millisecond
+	// confirmWait bounds the time that a request waits for a confirmation.
+	confirmWait = 300 * time.Millisecond
+	// confirmWaitShare is the largest share of the caller's timeout that is spent on it.
+	confirmWaitShare = 0.33
+	// unconfirmedRetryAfter is the minimum Retry-After while keys can't be confirmed.
+	unconfirmedRetryAfter = time.Second
+)
+
+// RoutesConfirmer asks control VMs whether the route table in effect is the newest, and fetches the newest. The
+// results arrive by Fleet.ConfirmRoutes and Fleet.HandleRoutes.
+type RoutesConfirmer interface {
+	Confirm(ctx context.Context) error
+}
+
+// KeyTimes bound how long keys are accepted without a confirmation that the route table is the newest.
+type KeyTimes struct {
+	// Revoke is the time after which a revoked key must be refused everywhere; 0 for no bound.
+	Revoke time.Duration
+	// Apply is the time within which a new key must be known to VMs that are not cut off.
+	Apply time.Duration
+}
+
+// WithRoutesConfirmer sets how keys are kept current; by default each key of the table in effect is accepted.
+func WithRoutesConfirmer(c RoutesConfirmer, times KeyTimes) FleetOption {
+	return func(f *Fleet) {
+		f.keys.confirmer, f.keys.times = c, times
+		f.keys.view = laburnumrevocation.NewView(times.Revoke)
+	}
+}
+
+// keys is what a gateway knows of how current the keys of its client accounts are. It is safe for concurrent use.
+type keys struct {
+	confirmer RoutesConfirmer
+	times     KeyTimes
+
+	mu   sync.Mutex
+	view *laburnumrevocation.View
+	// asking is closed when the confirmation that is being requested has arrived or failed; nil without one.
+	asking chan struct{}
+	// failedAt is when a confirmation last failed.
+	failedAt time.Duration
+	failed   bool
+	// unconfirmed is set while the log says that keys are refused.
+	unconfirmed bool
+}
+
+func newKeys() keys { return keys{view: laburnumrevocation.NewView(0)} }
+
+// ConfirmRoutes records that no table newer than the version had been acknowledged at a time of
+// laburnumtimer.SinceBoot.
+func (f *Fleet) ConfirmRoutes(version uint64, asOf time.Duration) {
+	f.keys.mu.Lock()
+	defer f.keys.mu.Unlock()
+	f.keys.view.Confirm(laburnumrevocation.Confirmation{Version: version, AsOf: asOf})
+}
+
+// setVersion records the version of the route table in effect.
+func (k *keys) setVersion(version uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.view.SetVersion(version)
+}
+
+// accepted reports whether keys of the table in effect may be accepted, and whether keys that it lacks are
+// certainly unknown.
+func (k *keys) accepted() (accepts, complete bool) {
+	if k.confirmer == nil {
+		return true, true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := laburnumtimer.SinceBoot()
+	age, ok := k.view.Age(now)
+	return k.view.Accepts(now), ok && age < k.times.Apply
+}
+
+// refresh requests a confirmation unless one is being requested, and waits for it at most for the given time. It
+// does nothing right after a failure.
+func (f *Fleet) refresh(ctx context.Context, wait time.Duration) {
+	k := &f.keys
+	k.mu.Lock()
+	asking := k.asking
+	if asking == nil {
+		if k.failed && laburnumtimer.SinceBoot()-k.failedAt < confirmCheckPeriod {
+			k.mu.Unlock()
+			return
+		}
+		asking = make(chan struct{})
+		k.asking = asking
+		go f.confirm(asking)
+	}
+	k.mu.Unlock()
+	over, cancel := laburnumtimer.AfterChannel(f.timers, wait)
+	defer cancel()
+	select {
+	case <-asking:
+	case <-over:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Fleet) confirm(done chan struct{}) {
+	err := f.keys.confirmer.Confirm(context.Background())
+	k := &f.keys
+	k.mu.Lock()
+	now := laburnumtimer.SinceBoot()
+	k.asking, k.failed, k.failedAt = nil, err != nil, now
+	accepts := k.view.Accepts(now)
+	age, _ := k.view.Age(now)
+	changed := k.unconfirmed == accepts
+	k.unconfirmed = !accepts
+	k.mu.Unlock()
+	close(done)
+	switch {
+	case !changed:
+	case accepts:
+		_ = level.Info(f.logger).Log("event", laburnumlever.EventKeysConfirmed, "routes-version", f.RoutesVersion())
+	default:
+		_ = level.Warn(f.logger).Log("event", laburnumlever.EventKeysUnconfirmed, "routes-version", f.RoutesVersion(), "age-ms", millis(age), "cause", err)
+	}
+}
+
+// keepConfirmed requests a confirmation if the last one is old. It does not block.
+func (f *Fleet) keepConfirmed() {
+	x := f.index.Load()
+	if f.keys.confirmer == nil || x == nil || !x.Table().ChecksKeys() {
+		return
+	}
+	f.keys.mu.Lock()
+	age, ok := f.keys.view.Age(laburnumtimer.SinceBoot())
+	f.keys.mu.Unlock()
+	if !ok || age >= confirmPeriod {
+		f.refresh(context.Background(), 0)
+	}
+}
+
+// StartConfirming keeps the route table confirmed.
+func (f *Fleet) StartConfirming() {
+	f.timers.Every(confirmCheckPeriod, func(time.Time) { f.keepConfirmed() })
+}
+
+// servesKeys reports whether requests can be served as far as keys are concerned: that of at least one route.
+func (f *Fleet) servesKeys(x *laburnumroutes.Index) bool {
+	if !x.Table().ChecksKeys() || x.HasPublic() {
+		return true
+	}
+	accepts, _ := f.keys.accepted()
+	return accepts
+}
+
+// currentIndex returns the route table to use for a key. It first requests a confirmation if the key can't be
+// decided on without one.
+func (f *Fleet) currentIndex(ctx context.Context, x *laburnumroutes.Index, caller laburnumlever.CallerRequest) *laburnumroutes.Index {
+	if !x.Table().ChecksKeys() {
+		return x
+	}
+	accepts, complete := f.keys.accepted()
+	if accepts && (complete || x.Account(caller.Key) != nil) {
+		return x
+	}
+	wait := confirmWait
+	if caller.Timeout > 0 {
+		wait = min(wait, time.Duration(confirmWaitShare*float64(caller.Timeout)))
+	}
+	f.refresh(ctx, wait)
+	return f.index.Load()
+}
+
+// identify finds the request's client account. The error is a *laburnumlever.RefusalError.
+func (f *Fleet) identify(q *request, x *laburnumroutes.Index) error {
+	if !x.Table().ChecksKeys() {
+		return nil
+	}
+	q.checksKeys = true
+	accepts, complete := f.keys.accepted()
+	if accepts {
+		q.account, q.accountIndex = x.Account(q.caller.Key), x
+	}
+	switch {
+	case q.account != nil || q.route.Public:
+		return nil
+	case !accepts || !complete:
+		return newRefusal(laburnumlever.RefusedKeysUnconfirmed, unconfirmedRetryAfter, "no control VM has confirmed recently that the key is valid")
+	default:
+		return newRefusal(laburnumlever.RefusedUnknownKey, 0, "the key belongs to no client account")
+	}
+}
+
+// recheckKey refuses a request whose key has been revoked since it was identified, or may have been.
+func (f *Fleet) recheckKey(ctx context.Context, q *request) error {
+	if q.account == nil {
+		return nil
+	}
+	x := f.currentIndex(ctx, f.index.Load(), q.caller)
+	if accepts, _ := f.keys.accepted(); !accepts {
+		return newRefusal(laburnumlever.RefusedKeysUnconfirmed, unconfirmedRetryAfter, "no control VM has confirmed recently that the key is valid")
+	}
+	if x == q.accountIndex {
+		return nil
+	}
+	if a := x.Account(q.caller.Key); x.Table().ChecksKeys() && (a == nil || a.Name != q.account.Name) {
+		return newRefusal(laburnumlever.RefusedUnknownKey, 0, "the key was revoked while the request waited")
+	}
+	q.accountIndex = x
+	return nil
+}
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -68,6 +68,9 @@
 
 // exchange sends the request and forwards the answer.
 func (g *Gateway) exchange(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn, result *laburnumbalance.AttemptResult) (*failure, *http.Response) {
+	if err := g.fleet.recheckKey(ctx, q); err != nil {
+		return &failure{stage: laburnumretry.StageNotSent, cause: err, refused: err}, nil
+	}
 	now := g.timers.Now()
 	if err := conn.SetDeadline(q.deadline.Add(backendTimeoutSlack)); err != nil {
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}, nil
@@ -75,9 +78,7 @@
 	q.sent++
 	resp, err := conn.Exchange(laburnumupstream.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Body: q.body,
-		Header: g.dialect.Forward(q.header, laburnumlever.ForwardParams{
-			Timeout: q.remaining(now), Backend: ticket.Backend.Backend, LastEvent: q.lastEventID, Reservation: q.reservation,
-		}),
+		Header: g.dialect.Forward(q.header, q.forwardParams(ticket.Backend.Backend, now)),
 	})
 	if err != nil {
 		result.Failed = ctx.Err() == nil
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -28,6 +28,7 @@
 	timers laburnumlever.Timers
 	logger log.Logger
 	index  atomic.Pointer[laburnumroutes.Index]
+	keys   keys
 	// routesLoaded is closed when the first route table arrives.
 	routesLoaded chan struct{}
 
@@ -69,7 +70,7 @@
 	f := &Fleet{
 		vm: vm.ID, timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
 		balance: laburnumbalance.New(vm.Zone, seed), demand: laburnumdemand.NewCounter(vm.ID),
-		gateways: 1, readTimes: laburnumdemand.ReadTimes{}, routesLoaded: make(chan struct{}),
+		gateways: 1, keys: newKeys(), readTimes: laburnumdemand.ReadTimes{}, routesLoaded: make(chan struct{}),
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), reporter: silentReporter{},
 		limits: laburnumlimit.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}),
 	}
@@ -110,12 +111,17 @@
 func (f *Fleet) HandleRoutes(t laburnumlever.RouteTable) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.RoutesVersion() >= t.Version {
+	if x := f.index.Load(); x != nil && (x.Table().Version > t.Version || x.Table().Version == t.Version && x.Table().Format >= t.Format) {
 		return
 	}
+	if t.Format < laburnumlever.TableFormat {
+		_ = level.Warn(f.logger).Log("event", laburnumlever.EventAccountsUnknown, "version", t.Version)
+	}
 	if f.index.Swap(laburnumroutes.NewIndex(t)) == nil {
 		close(f.routesLoaded)
 	}
+	f.keys.setVersion(t.Version)
+	f.keepConfirmed()
 	_ = level.Info(f.logger).Log("event", laburnumlever.EventRoutesInEffect, "version", t.Version, "routes", len(t.Routes))
 }
 
@@ -178,7 +184,7 @@
 // their services.
 func (f *Fleet) Ready() bool {
 	x := f.index.Load()
-	if x == nil {
+	if x == nil || !f.servesKeys(x) {
 		return false
 	}
 	f.mu.Lock()
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -29,6 +29,8 @@
 	begun bool
 	// broken is set if the backend server ended the connection.
 	broken bool
+	// refused is the refusal of a request that may not be sent any more; nil for none.
+	refused error
 	// slotRefused is set if the engine refused the reservation because it had no free slot.
 	slotRefused bool
 }
@@ -45,6 +47,9 @@
 		if fail == nil {
 			return nil
 		}
+		if fail.refused != nil {
+			return fail.refused
+		}
 		if fail.slotRefused {
 			q.tries-- // the request was not sent
 			g.fleet.scheduleQueueRetry()
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -236,6 +236,10 @@
 	default:
 	}
 	switch {
+	case !q.mayHaveRun && refusal.Reason == laburnumlever.RefusedUnknownKey:
+		return http.StatusUnauthorized
+	case !q.mayHaveRun && refusal.Reason == laburnumlever.RefusedOverQuota:
+		return http.StatusTooManyRequests
 	case !q.mayHaveRun:
 		return http.StatusServiceUnavailable
 	case refusal.Reason == laburnumlever.RefusedDeadline:
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -49,7 +49,14 @@
 	backend    laburnumlever.BackendID // of the last attempt
 	waited     time.Duration           // in the queue
 	// reservation is a slot reserved at the engine; empty for none.
-	reservation         laburnumlever.ReservationID
+	reservation laburnumlever.ReservationID
+	// checksKeys is set if there are client accounts. account is that of the caller, nil for none, and
+	// accountIndex the routes in which it was last found.
+	checksKeys   bool
+	account      *laburnumlever.Account
+	accountIndex *laburnumroutes.Index
+	// rank is the priority by account and route.
+	rank                int
 	refusedReservations int
 	// permit allows the attempt to use a limited backend server. slotRequested is set once a slot there
 	// was requested for the attempt, probes if it was requested although another server is free.
@@ -74,24 +81,29 @@
 	if index == nil {
 		return q, newRefusal(laburnumlever.RefusedNotReady, notReadyRetryAfter, "no route table received yet")
 	}
+	caller, err := g.dialect.Request(r.Header)
+	q.caller, q.lastEventID = caller, caller.LastEvent
+	index = g.fleet.currentIndex(r.Context(), index, caller)
 	q.routesVersion = index.Table().Version
 	route, ok := index.Find(r.Host, pathOf(r.RequestURI))
 	if !ok {
 		return q, newRefusal(laburnumlever.RefusedUnknownService, 0, "no route matches the host and path")
 	}
 	q.route = route
-	caller, err := g.dialect.Request(r.Header)
 	if err != nil {
 		return q, newRefusal(laburnumlever.RefusedBadRequest, 0, err.Error())
 	}
 	if caller.ID == "" {
 		return q, newRefusal(laburnumlever.RefusedBadRequest, 0, "the request id header is missing")
 	}
-	q.caller, q.lastEventID = caller, caller.LastEvent
+	if err := g.fleet.identify(q, index); err != nil {
+		return q, err
+	}
 	if q.service, ok = index.Table().Service(laburnumroutes.Pick(*route, rand.Uint64())); !ok {
 		return q, newRefusal(laburnumlever.RefusedUnknownService, 0, "the route's service is missing from the route table")
 	}
-	q.mostUrgent = index.MostUrgent(q.service.Name, route.Priority)
+	q.rank = index.Rank(route, q.account)
+	q.mostUrgent = index.MostUrgent(q.service.Name, q.rank)
 	q.setDeadline()
 	return q, q.readBody(w, r, index.Table().Callers.BodyBytes)
 }
@@ -177,6 +189,18 @@
 	return q.mostUrgent && q.refusedReservations >= laburnumbalance.UrgentReservations
 }
 
+// forwardParams returns what is added to the headers for a backend server.
+func (q *request) forwardParams(backend laburnumlever.BackendID, now time.Time) laburnumlever.ForwardParams {
+	params := laburnumlever.ForwardParams{
+		Timeout: q.remaining(now), Backend: backend, LastEvent: q.lastEventID, Reservation: q.reservation, HideKey: q.checksKeys,
+	}
+	if q.account != nil {
+		params.Account = q.account.Name
+		params.Urgency, params.HasUrgency = q.account.Priority, q.accountIndex.DiffersByAccount()
+	}
+	return params
+}
+
 func (q *request) remaining(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
 func newRefusal(reason laburnumlever.RefusalReason, after time.Duration, detail string) error {
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -19,7 +19,7 @@
 	now := f.timers.Now()
 	admitted := make(chan *laburnumbalance.Ticket, 1)
 	queued := &laburnumslotqueue.Request{
-		Priority: q.route.Priority, Arrived: q.arrived, OnTimeUntil: waitPolicy.OnTimeUntil(q.queueTimes()),
+		Priority: q.rank, Arrived: q.arrived, OnTimeUntil: waitPolicy.OnTimeUntil(q.queueTimes()),
 		Admit: func(ticket *laburnumbalance.Ticket) { admitted <- ticket },
 	}
 	f.mu.Lock()
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -62,6 +62,10 @@
 	relay    *relay
 	// quarantine finds requests that crash backend servers.
 	quarantine *quarantine
+	// confirmations confirms which route table is the newest.
+	confirmations *confirmations
+	// decodeRoutes decodes the operators' text of tables from builds that know no client accounts; nil for none.
+	decodeRoutes func(document []byte) (laburnumlever.RouteTable, error)
 	// limits grants slots at limited backend servers.
 	limits *limits
 	// commitTimes are the times to commit an operator's change.
@@ -95,6 +99,8 @@
 	if err := c.buildVoter(); err != nil {
 		return nil, err
 	}
+	c.confirmations = &confirmations{peers: c.peers, voter: c.voter, self: c.self.ID}
+	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
 	c.buildDirector(engines)
 	return c, nil
 }
@@ -189,12 +195,32 @@
 
 // routesApplied publishes a committed route table. It runs on the control thread.
 func (c *Control) routesApplied(t laburnumlever.RouteTable) {
+	t = c.withAccounts(t)
 	c.routes.Store(&t)
 	c.source.SetRoutes(t)
 	c.director.SetRoutes(t)
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes))
 }
 
+// SetRoutesDecoder sets the decoder of the operators' text of a route table, for tables from builds that know no client
+// accounts; call it before Start.
+func (c *Control) SetRoutesDecoder(decode func(document []byte) (laburnumlever.RouteTable, error)) {
+	c.decodeRoutes = decode
+}
+
+// withAccounts adds the client accounts to a table from a build that knows none.
+func (c *Control) withAccounts(t laburnumlever.RouteTable) laburnumlever.RouteTable {
+	if t.Format >= laburnumlever.TableFormat || c.decodeRoutes == nil || len(t.Document) == 0 {
+		return t
+	}
+	decoded, err := c.decodeRoutes(t.Document)
+	if err != nil || laburnumroutes.Check(decoded) != nil {
+		_ = level.Error(c.logger).Log("event", laburnumlever.EventAccountsUnknown, "version", t.Version, "cause", err)
+		return t
+	}
+	return decoded
+}
+
 // Start starts the control VM; handler serves operators and backend servers. Errors:
 // *laburnumlever.ListenError.
 func (c *Control) Start(handler http.Handler) error {
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -41,8 +41,15 @@
 	keepers := newLimitKeepers(g.peers, g.timers, g.logger, func(zone laburnumlever.ZoneName, id laburnumlever.BackendID) []string {
 		return g.follower.ControlsFor(zone, string(id))
 	})
+	confirmer := routesConfirmer{
+		peers: g.peers, self: g.self,
+		follower: func() *laburnumfeed.Follower { return g.follower }, fleet: func() *laburnumgateway.Fleet { return g.fleet },
+	}
 	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
-		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithLimitKeepers(keepers))
+		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithLimitKeepers(keepers),
+		laburnumgateway.WithRoutesConfirmer(confirmer, laburnumgateway.KeyTimes{
+			Revoke: time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
+		}))
 	scope := g.metrics.Scope()
 	g.gateway = laburnumgateway.New(g.fleet, dialect, g.timers,
 		laburnumgateway.WithLogger(g.logger), laburnumgateway.WithScope(scope),
@@ -67,6 +74,7 @@
 		return err
 	}
 	g.serveMetrics(g.status)
+	g.fleet.StartConfirming()
 	g.timers.Every(sweepPeriod, func(time.Time) { g.gateway.Sweep() })
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventStarted, "role", "gateway", "callers", g.settings.Listen.Callers)
 	return nil
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -9,6 +9,7 @@
 	methodQuarantineReport = "quarantine-report"
 	methodLimitReport      = "limit-report"
 	methodLimitSlot        = "limit-slot"
+	methodConfirmRoutes    = "routes-confirm"
 )
 
 // adapterRequestAnswer lists the engines that hold the adapter.
--- a/laburnumroutes/check.go
+++ b/laburnumroutes/check.go
@@ -23,6 +23,7 @@
 	for i, r := range t.Routes {
 		c.checkRoute(fmt.Sprintf("routes[%d]", i), r)
 	}
+	c.checkAccounts(t.Accounts)
 	if len(c.faults) > 0 {
 		return &laburnumlever.RoutesInvalidError{Faults: c.faults}
 	}
@@ -69,3 +70,25 @@
 		c.add(key+".split", "has weights that add up to 0", "at least one service with a weight above 0")
 	}
 }
+
+// checkAccounts checks client accounts. Faults name accounts, never keys.
+func (c *checker) checkAccounts(accounts []laburnumlever.Account) {
+	names := map[laburnumlever.AccountName]bool{}
+	owners := map[laburnumlever.KeyHash]laburnumlever.AccountName{}
+	for i, a := range accounts {
+		key := fmt.Sprintf("accounts[%d]", i)
+		if names[a.Name] || a.Name == "" {
+			c.add(key+".name", fmt.Sprintf("account name %q is empty or used twice", a.Name), "unique account names")
+		}
+		names[a.Name] = true
+		if a.Quota.Rate < 0 || a.Quota.Burst < 0 || a.Quota.PlainTokens < 0 {
+			c.add(key+".quota", fmt.Sprintf("of account %q has a negative number", a.Name), "numbers of 0 or more")
+		}
+		for _, hash := range a.Keys {
+			if owner, taken := owners[hash]; taken && owner != a.Name {
+				c.add(key+".keys", fmt.Sprintf("account %q has a key of account %q", a.Name, owner), "keys that belong to one account")
+			}
+			owners[hash] = a.Name
+		}
+	}
+}
--- a/laburnumroutes/index.go
+++ b/laburnumroutes/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 
 	"laburnumlever"
@@ -14,6 +15,14 @@
 	byHost map[string]map[string]*laburnumlever.Route
 	// topPriority is the priority of each service's most urgent route; 0 is the most urgent.
 	topPriority map[laburnumlever.ServiceName]int
+	// accounts are the client accounts by the hashes of their keys, topAccount the priority of the most urgent
+	// one.
+	accounts   map[laburnumlever.KeyHash]*laburnumlever.Account
+	topAccount int
+	// hasPublic is set if a route needs no key.
+	hasPublic bool
+	// ranks is the number of priorities of routes.
+	ranks int
 }
 
 // NewIndex indexes a table that Check has accepted.
@@ -27,10 +36,51 @@
 		}
 		x.byHost[host][r.PathPrefix] = r
 		x.recordPriority(r)
+		x.ranks = max(x.ranks, r.Priority+1)
+		x.hasPublic = x.hasPublic || r.Public
 	}
+	x.indexAccounts()
 	return x
 }
 
+func (x *Index) indexAccounts() {
+	x.accounts = make(map[laburnumlever.KeyHash]*laburnumlever.Account, len(x.table.Accounts))
+	for i := range x.table.Accounts {
+		a := &x.table.Accounts[i]
+		if i == 0 || a.Priority < x.topAccount {
+			x.topAccount = a.Priority
+		}
+		for _, hash := range a.Keys {
+			x.accounts[hash] = a
+		}
+	}
+}
+
+// Account returns the client account that a key belongs to; nil for none. The time that it takes tells nothing of
+// the keys.
+func (x *Index) Account(key string) *laburnumlever.Account {
+	if key == "" || len(x.accounts) == 0 {
+		return nil
+	}
+	return x.accounts[laburnumlever.HashKey(x.table.KeySalt, key)]
+}
+
+// Rank returns the priority of a request: first by its client account, which is nil for none, then by its route.
+func (x *Index) Rank(r *laburnumlever.Route, a *laburnumlever.Account) int {
+	if a == nil {
+		return r.Priority
+	}
+	return (a.Priority-x.topAccount)*x.ranks + r.Priority
+}
+
+// HasPublic reports whether a route needs no key.
+func (x *Index) HasPublic() bool { return x.hasPublic }
+
+// DiffersByAccount reports whether client accounts differ in priority.
+func (x *Index) DiffersByAccount() bool {
+	return slices.ContainsFunc(x.table.Accounts, func(a laburnumlever.Account) bool { return a.Priority != x.topAccount })
+}
+
 func (x *Index) recordPriority(r *laburnumlever.Route) {
 	for _, share := range r.Split {
 		if top, ok := x.topPriority[share.Service]; !ok || r.Priority < top {
--- a/laburnumsettings/role.go
+++ b/laburnumsettings/role.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strconv"
+	"time"
 
 	"laburnumlever"
 )
@@ -39,6 +40,7 @@
 	ControlLosses int       `json:"control-losses"`
 	Times         RoleTimes `json:"times"`
 	Retry         RoleRetry `json:"retry"`
+	Quota         RoleQuota `json:"quota"`
 	// StoreOvershoot is the amount by which the weight store's rate limit may be
 	// exceeded within StoreWindow.
 	StoreOvershoot float64                `json:"store-overshoot"`
@@ -70,6 +72,9 @@
 	CatchUp laburnumlever.Duration `json:"catch-up"`
 	// Apply is the time within which a change must take effect on all VMs.
 	Apply laburnumlever.Duration `json:"apply"`
+	// Revoke is the time after which no VM may run a request with a revoked key, even if it is cut off; 0 if
+	// only VMs that can be reached must keep to Apply.
+	Revoke laburnumlever.Duration `json:"revoke"`
 }
 
 // RoleRetry is the retry budget over all gateways.
@@ -79,6 +84,18 @@
 	Window laburnumlever.Duration `json:"window"`
 }
 
+// RoleQuota holds the terms on which the quotas of client accounts are checked over all gateways.
+type RoleQuota struct {
+	Overshoot float64                `json:"overshoot"`
+	Slack     float64                `json:"slack"`
+	Window    laburnumlever.Duration `json:"window"`
+}
+
+// Terms returns the terms as the parts that keep quotas use them.
+func (q RoleQuota) Terms() laburnumlever.QuotaTerms {
+	return laburnumlever.QuotaTerms{Window: time.Duration(q.Window), Overshoot: q.Overshoot, Slack: q.Slack}
+}
+
 // LoadRoleSettings reads the settings of a gateway or control VM. The error is a
 // *laburnumlever.SettingsInvalidError that lists all faults.
 func LoadRoleSettings(path string) (RoleSettings, error) {
--- a/laburnumstate/machine.go
+++ b/laburnumstate/machine.go
@@ -110,10 +110,14 @@
 
 // readResult returns the result of a command that does not change the state.
 func (m *Machine) readResult(cmd laburnumlever.Command) laburnumlever.Result {
-	if cmd.Kind == laburnumlever.CommandReadRoutes {
+	switch {
+	case m.routes == nil:
+		return laburnumlever.Result{}
+	case cmd.Kind == laburnumlever.CommandReadRoutes:
 		return laburnumlever.Result{Routes: m.routes}
+	default:
+		return laburnumlever.Result{RoutesVersion: m.routes.Version()}
 	}
-	return laburnumlever.Result{}
 }
 
 func (m *Machine) dispatch(cmd laburnumlever.Command) laburnumlever.Result {
--- a/laburnumdirector/clock.go
+++ b/laburnumtimer/bootclock.go
@@ -1,4 +1,4 @@
-package laburnumdirector
+package laburnumtimer
 
 import (
 	"time"
@@ -6,9 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// bootClock returns the time since boot, including suspensions. The runtime's monotonic clock stops
+// SinceBoot returns the time since the VM's boot, including suspensions. The runtime's monotonic clock stops
 // while a VM is suspended, so by that clock a lease would seem valid after its term.
-func bootClock() time.Duration {
+func SinceBoot() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		return time.Since(processStart) // a kernel without this clock does not suspend
--- a/logevent.go
+++ b/logevent.go
@@ -56,6 +56,18 @@
 	EventSlotUnanswered
 	// EventLimitNotReported is a change of a limit that no control VM accepted.
 	EventLimitNotReported
+	// EventKeysConfirmed is a gateway that knows again that no key was revoked recently, and for how long it
+	// did not.
+	EventKeysConfirmed
+	// EventKeysUnconfirmed is a gateway that refuses requests with keys, as it can't confirm that its route
+	// table is the newest.
+	EventKeysUnconfirmed
+	// EventAccountsUnknown is a route table from a VM whose build knows no client accounts.
+	EventAccountsUnknown
+	// EventQuotaUsedUp is a client account that has used up its quota at a control VM.
+	EventQuotaUsedUp
+	// EventQuotaUnanswered is a request for a part of a quota that no control VM answered.
+	EventQuotaUnanswered
 	// EventOutlierDetected is a backend server that returns errors to several gateways.
 	EventOutlierDetected
 	// EventModelWithdrawn is a model for which gateways send no more requests.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 195, 211, 234, 247, 260, 274, 289, 307, 323, 338, 352, 362, 373, 386, 407, 423, 441, 452, 468, 484, 499, 513, 527, 542, 560, 578, 591, 600, 614, 629, 642, 657, 668, 682, 695, 721, 739, 753, 770, 789, 810, 819, 829, 846, 856, 865, 879, 891, 907, 914, 922, 929, 936, 953, 969, 983, 1001, 1014, 1031}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 195, 211, 234, 247, 260, 274, 289, 307, 321, 337, 353, 366, 382, 398, 413, 427, 437, 448, 461, 482, 498, 516, 527, 543, 559, 574, 588, 602, 617, 635, 653, 666, 675, 689, 704, 717, 732, 743, 757, 770, 796, 814, 828, 845, 864, 885, 894, 904, 921, 931, 940, 954, 966, 982, 989, 997, 1004, 1011, 1028, 1044, 1058, 1076, 1089, 1106}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -45,60 +45,65 @@
 	_ = x[EventSlotRequested-(18)]
 	_ = x[EventSlotUnanswered-(19)]
 	_ = x[EventLimitNotReported-(20)]
-	_ = x[EventOutlierDetected-(21)]
-	_ = x[EventModelWithdrawn-(22)]
-	_ = x[EventOrderAnswered-(23)]
-	_ = x[EventOrderDone-(24)]
-	_ = x[EventOrderStateChanged-(25)]
-	_ = x[EventOrderRefused-(26)]
-	_ = x[EventOrderOutcomeUnknown-(27)]
-	_ = x[EventEngineStateNotRead-(28)]
-	_ = x[EventInventoryNotRead-(29)]
-	_ = x[EventLoadFailed-(30)]
-	_ = x[EventBackendStateNotEncoded-(31)]
-	_ = x[EventRegistryRefused-(32)]
-	_ = x[EventRoutesProposed-(33)]
-	_ = x[EventRoutesRefused-(34)]
-	_ = x[EventRoutesApplied-(35)]
-	_ = x[EventRoutesInEffect-(36)]
-	_ = x[EventRoutesNotFetched-(37)]
-	_ = x[EventCatalogueInEffect-(38)]
-	_ = x[EventBecameLeader-(39)]
-	_ = x[EventNoLeader-(40)]
-	_ = x[EventReplicaOpened-(41)]
-	_ = x[EventVotersChanged-(42)]
-	_ = x[EventLearnerAdded-(43)]
-	_ = x[EventLearnerRemoved-(44)]
-	_ = x[EventVoterAdded-(45)]
-	_ = x[EventVoterReplaced-(46)]
-	_ = x[EventVoterStandby-(47)]
-	_ = x[EventLeadershipNotHandedOver-(48)]
-	_ = x[EventExpiryNotEncoded-(49)]
-	_ = x[EventReplicaFailed-(50)]
-	_ = x[EventReplicaRegressed-(51)]
-	_ = x[EventDataFolderDamaged-(52)]
-	_ = x[EventDataFolderRegressed-(53)]
-	_ = x[EventLeaseAcquired-(54)]
-	_ = x[EventLeaseLost-(55)]
-	_ = x[EventLeaseNotRenewed-(56)]
-	_ = x[EventZoneOwned-(57)]
-	_ = x[EventZoneLost-(58)]
-	_ = x[EventControlThreadTimes-(59)]
-	_ = x[EventControlLost-(60)]
-	_ = x[EventControlRegained-(61)]
-	_ = x[EventStarted-(62)]
-	_ = x[EventDraining-(63)]
-	_ = x[EventDrained-(64)]
-	_ = x[EventStopped-(65)]
-	_ = x[EventSettingsReloaded-(66)]
-	_ = x[EventSettingsRefused-(67)]
-	_ = x[EventListenerEnded-(68)]
-	_ = x[EventMetricsNotServed-(69)]
-	_ = x[EventUnknownEvent-(70)]
-	_ = x[EventLogLinesDropped-(71)]
+	_ = x[EventKeysConfirmed-(21)]
+	_ = x[EventKeysUnconfirmed-(22)]
+	_ = x[EventAccountsUnknown-(23)]
+	_ = x[EventQuotaUsedUp-(24)]
+	_ = x[EventQuotaUnanswered-(25)]
+	_ = x[EventOutlierDetected-(26)]
+	_ = x[EventModelWithdrawn-(27)]
+	_ = x[EventOrderAnswered-(28)]
+	_ = x[EventOrderDone-(29)]
+	_ = x[EventOrderStateChanged-(30)]
+	_ = x[EventOrderRefused-(31)]
+	_ = x[EventOrderOutcomeUnknown-(32)]
+	_ = x[EventEngineStateNotRead-(33)]
+	_ = x[EventInventoryNotRead-(34)]
+	_ = x[EventLoadFailed-(35)]
+	_ = x[EventBackendStateNotEncoded-(36)]
+	_ = x[EventRegistryRefused-(37)]
+	_ = x[EventRoutesProposed-(38)]
+	_ = x[EventRoutesRefused-(39)]
+	_ = x[EventRoutesApplied-(40)]
+	_ = x[EventRoutesInEffect-(41)]
+	_ = x[EventRoutesNotFetched-(42)]
+	_ = x[EventCatalogueInEffect-(43)]
+	_ = x[EventBecameLeader-(44)]
+	_ = x[EventNoLeader-(45)]
+	_ = x[EventReplicaOpened-(46)]
+	_ = x[EventVotersChanged-(47)]
+	_ = x[EventLearnerAdded-(48)]
+	_ = x[EventLearnerRemoved-(49)]
+	_ = x[EventVoterAdded-(50)]
+	_ = x[EventVoterReplaced-(51)]
+	_ = x[EventVoterStandby-(52)]
+	_ = x[EventLeadershipNotHandedOver-(53)]
+	_ = x[EventExpiryNotEncoded-(54)]
+	_ = x[EventReplicaFailed-(55)]
+	_ = x[EventReplicaRegressed-(56)]
+	_ = x[EventDataFolderDamaged-(57)]
+	_ = x[EventDataFolderRegressed-(58)]
+	_ = x[EventLeaseAcquired-(59)]
+	_ = x[EventLeaseLost-(60)]
+	_ = x[EventLeaseNotRenewed-(61)]
+	_ = x[EventZoneOwned-(62)]
+	_ = x[EventZoneLost-(63)]
+	_ = x[EventControlThreadTimes-(64)]
+	_ = x[EventControlLost-(65)]
+	_ = x[EventControlRegained-(66)]
+	_ = x[EventStarted-(67)]
+	_ = x[EventDraining-(68)]
+	_ = x[EventDrained-(69)]
+	_ = x[EventStopped-(70)]
+	_ = x[EventSettingsReloaded-(71)]
+	_ = x[EventSettingsRefused-(72)]
+	_ = x[EventListenerEnded-(73)]
+	_ = x[EventMetricsNotServed-(74)]
+	_ = x[EventUnknownEvent-(75)]
+	_ = x[EventLogLinesDropped-(76)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -122,57 +127,62 @@
 	_LogEventName[260:274]:   EventSlotRequested,
 	_LogEventName[274:289]:   EventSlotUnanswered,
 	_LogEventName[289:307]:   EventLimitNotReported,
-	_LogEventName[307:323]:   EventOutlierDetected,
-	_LogEventName[323:338]:   EventModelWithdrawn,
-	_LogEventName[338:352]:   EventOrderAnswered,
-	_LogEventName[352:362]:   EventOrderDone,
-	_LogEventName[362:373]:   EventOrderStateChanged,
-	_LogEventName[373:386]:   EventOrderRefused,
-	_LogEventName[386:407]:   EventOrderOutcomeUnknown,
-	_LogEventName[407:423]:   EventEngineStateNotRead,
-	_LogEventName[423:441]:   EventInventoryNotRead,
-	_LogEventName[441:452]:   EventLoadFailed,
-	_LogEventName[452:468]:   EventBackendStateNotEncoded,
-	_LogEventName[468:484]:   EventRegistryRefused,
-	_LogEventName[484:499]:   EventRoutesProposed,
-	_LogEventName[499:513]:   EventRoutesRefused,
-	_LogEventName[513:527]:   EventRoutesApplied,
-	_LogEventName[527:542]:   EventRoutesInEffect,
-	_LogEventName[542:560]:   EventRoutesNotFetched,
-	_LogEventName[560:578]:   EventCatalogueInEffect,
-	_LogEventName[578:591]:   EventBecameLeader,
-	_LogEventName[591:600]:   EventNoLeader,
-	_LogEventName[600:614]:   EventReplicaOpened,
-	_LogEventName[614:629]:   EventVotersChanged,
-	_LogEventName[629:642]:   EventLearnerAdded,
-	_LogEventName[642:657]:   EventLearnerRemoved,
-	_LogEventName[657:668]:   EventVoterAdded,
-	_LogEventName[668:682]:   EventVoterReplaced,
-	_LogEventName[682:695]:   EventVoterStandby,
-	_LogEventName[695:721]:   EventLeadershipNotHandedOver,
-	_LogEventName[721:739]:   EventExpiryNotEncoded,
-	_LogEventName[739:753]:   EventReplicaFailed,
-	_LogEventName[753:770]:   EventReplicaRegressed,
-	_LogEventName[770:789]:   EventDataFolderDamaged,
-	_LogEventName[789:810]:   EventDataFolderRegressed,
-	_LogEventName[810:819]:   EventLeaseAcquired,
-	_LogEventName[819:829]:   EventLeaseLost,
-	_LogEventName[829:846]:   EventLeaseNotRenewed,
-	_LogEventName[846:856]:   EventZoneOwned,
-	_LogEventName[856:865]:   EventZoneLost,
-	_LogEventName[865:879]:   EventControlThreadTimes,
-	_LogEventName[879:891]:   EventControlLost,
-	_LogEventName[891:907]:   EventControlRegained,
-	_LogEventName[907:914]:   EventStarted,
-	_LogEventName[914:922]:   EventDraining,
-	_LogEventName[922:929]:   EventDrained,
-	_LogEventName[929:936]:   EventStopped,
-	_LogEventName[936:953]:   EventSettingsReloaded,
-	_LogEventName[953:969]:   EventSettingsRefused,
-	_LogEventName[969:983]:   EventListenerEnded,
-	_LogEventName[983:1001]:  EventMetricsNotServed,
-	_LogEventName[1001:1014]: EventUnknownEvent,
-	_LogEventName[1014:1031]: EventLogLinesDropped,
+	_LogEventName[307:321]:   EventKeysConfirmed,
+	_LogEventName[321:337]:   EventKeysUnconfirmed,
+	_LogEventName[337:353]:   EventAccountsUnknown,
+	_LogEventName[353:366]:   EventQuotaUsedUp,
+	_LogEventName[366:382]:   EventQuotaUnanswered,
+	_LogEventName[382:398]:   EventOutlierDetected,
+	_LogEventName[398:413]:   EventModelWithdrawn,
+	_LogEventName[413:427]:   EventOrderAnswered,
+	_LogEventName[427:437]:   EventOrderDone,
+	_LogEventName[437:448]:   EventOrderStateChanged,
+	_LogEventName[448:461]:   EventOrderRefused,
+	_LogEventName[461:482]:   EventOrderOutcomeUnknown,
+	_LogEventName[482:498]:   EventEngineStateNotRead,
+	_LogEventName[498:516]:   EventInventoryNotRead,
+	_LogEventName[516:527]:   EventLoadFailed,
+	_LogEventName[527:543]:   EventBackendStateNotEncoded,
+	_LogEventName[543:559]:   EventRegistryRefused,
+	_LogEventName[559:574]:   EventRoutesProposed,
+	_LogEventName[574:588]:   EventRoutesRefused,
+	_LogEventName[588:602]:   EventRoutesApplied,
+	_LogEventName[602:617]:   EventRoutesInEffect,
+	_LogEventName[617:635]:   EventRoutesNotFetched,
+	_LogEventName[635:653]:   EventCatalogueInEffect,
+	_LogEventName[653:666]:   EventBecameLeader,
+	_LogEventName[666:675]:   EventNoLeader,
+	_LogEventName[675:689]:   EventReplicaOpened,
+	_LogEventName[689:704]:   EventVotersChanged,
+	_LogEventName[704:717]:   EventLearnerAdded,
+	_LogEventName[717:732]:   EventLearnerRemoved,
+	_LogEventName[732:743]:   EventVoterAdded,
+	_LogEventName[743:757]:   EventVoterReplaced,
+	_LogEventName[757:770]:   EventVoterStandby,
+	_LogEventName[770:796]:   EventLeadershipNotHandedOver,
+	_LogEventName[796:814]:   EventExpiryNotEncoded,
+	_LogEventName[814:828]:   EventReplicaFailed,
+	_LogEventName[828:845]:   EventReplicaRegressed,
+	_LogEventName[845:864]:   EventDataFolderDamaged,
+	_LogEventName[864:885]:   EventDataFolderRegressed,
+	_LogEventName[885:894]:   EventLeaseAcquired,
+	_LogEventName[894:904]:   EventLeaseLost,
+	_LogEventName[904:921]:   EventLeaseNotRenewed,
+	_LogEventName[921:931]:   EventZoneOwned,
+	_LogEventName[931:940]:   EventZoneLost,
+	_LogEventName[940:954]:   EventControlThreadTimes,
+	_LogEventName[954:966]:   EventControlLost,
+	_LogEventName[966:982]:   EventControlRegained,
+	_LogEventName[982:989]:   EventStarted,
+	_LogEventName[989:997]:   EventDraining,
+	_LogEventName[997:1004]:  EventDrained,
+	_LogEventName[1004:1011]: EventStopped,
+	_LogEventName[1011:1028]: EventSettingsReloaded,
+	_LogEventName[1028:1044]: EventSettingsRefused,
+	_LogEventName[1044:1058]: EventListenerEnded,
+	_LogEventName[1058:1076]: EventMetricsNotServed,
+	_LogEventName[1076:1089]: EventUnknownEvent,
+	_LogEventName[1089:1106]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -197,57 +207,62 @@
 	_LogEventLowerName[260:274]:   EventSlotRequested,
 	_LogEventLowerName[274:289]:   EventSlotUnanswered,
 	_LogEventLowerName[289:307]:   EventLimitNotReported,
-	_LogEventLowerName[307:323]:   EventOutlierDetected,
-	_LogEventLowerName[323:338]:   EventModelWithdrawn,
-	_LogEventLowerName[338:352]:   EventOrderAnswered,
-	_LogEventLowerName[352:362]:   EventOrderDone,
-	_LogEventLowerName[362:373]:   EventOrderStateChanged,
-	_LogEventLowerName[373:386]:   EventOrderRefused,
-	_LogEventLowerName[386:407]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[407:423]:   EventEngineStateNotRead,
-	_LogEventLowerName[423:441]:   EventInventoryNotRead,
-	_LogEventLowerName[441:452]:   EventLoadFailed,
-	_LogEventLowerName[452:468]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[468:484]:   EventRegistryRefused,
-	_LogEventLowerName[484:499]:   EventRoutesProposed,
-	_LogEventLowerName[499:513]:   EventRoutesRefused,
-	_LogEventLowerName[513:527]:   EventRoutesApplied,
-	_LogEventLowerName[527:542]:   EventRoutesInEffect,
-	_LogEventLowerName[542:560]:   EventRoutesNotFetched,
-	_LogEventLowerName[560:578]:   EventCatalogueInEffect,
-	_LogEventLowerName[578:591]:   EventBecameLeader,
-	_LogEventLowerName[591:600]:   EventNoLeader,
-	_LogEventLowerName[600:614]:   EventReplicaOpened,
-	_LogEventLowerName[614:629]:   EventVotersChanged,
-	_LogEventLowerName[629:642]:   EventLearnerAdded,
-	_LogEventLowerName[642:657]:   EventLearnerRemoved,
-	_LogEventLowerName[657:668]:   EventVoterAdded,
-	_LogEventLowerName[668:682]:   EventVoterReplaced,
-	_LogEventLowerName[682:695]:   EventVoterStandby,
-	_LogEventLowerName[695:721]:   EventLeadershipNotHandedOver,
-	_LogEventLowerName[721:739]:   EventExpiryNotEncoded,
-	_LogEventLowerName[739:753]:   EventReplicaFailed,
-	_LogEventLowerName[753:770]:   EventReplicaRegressed,
-	_LogEventLowerName[770:789]:   EventDataFolderDamaged,
-	_LogEventLowerName[789:810]:   EventDataFolderRegressed,
-	_LogEventLowerName[810:819]:   EventLeaseAcquired,
-	_LogEventLowerName[819:829]:   EventLeaseLost,
-	_LogEventLowerName[829:846]:   EventLeaseNotRenewed,
-	_LogEventLowerName[846:856]:   EventZoneOwned,
-	_LogEventLowerName[856:865]:   EventZoneLost,
-	_LogEventLowerName[865:879]:   EventControlThreadTimes,
-	_LogEventLowerName[879:891]:   EventControlLost,
-	_LogEventLowerName[891:907]:   EventControlRegained,
-	_LogEventLowerName[907:914]:   EventStarted,
-	_LogEventLowerName[914:922]:   EventDraining,
-	_LogEventLowerName[922:929]:   EventDrained,
-	_LogEventLowerName[929:936]:   EventStopped,
-	_LogEventLowerName[936:953]:   EventSettingsReloaded,
-	_LogEventLowerName[953:969]:   EventSettingsRefused,
-	_LogEventLowerName[969:983]:   EventListenerEnded,
-	_LogEventLowerName[983:1001]:  EventMetricsNotServed,
-	_LogEventLowerName[1001:1014]: EventUnknownEvent,
-	_LogEventLowerName[1014:1031]: EventLogLinesDropped,
+	_LogEventLowerName[307:321]:   EventKeysConfirmed,
+	_LogEventLowerName[321:337]:   EventKeysUnconfirmed,
+	_LogEventLowerName[337:353]:   EventAccountsUnknown,
+	_LogEventLowerName[353:366]:   EventQuotaUsedUp,
+	_LogEventLowerName[366:382]:   EventQuotaUnanswered,
+	_LogEventLowerName[382:398]:   EventOutlierDetected,
+	_LogEventLowerName[398:413]:   EventModelWithdrawn,
+	_LogEventLowerName[413:427]:   EventOrderAnswered,
+	_LogEventLowerName[427:437]:   EventOrderDone,
+	_LogEventLowerName[437:448]:   EventOrderStateChanged,
+	_LogEventLowerName[448:461]:   EventOrderRefused,
+	_LogEventLowerName[461:482]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[482:498]:   EventEngineStateNotRead,
+	_LogEventLowerName[498:516]:   EventInventoryNotRead,
+	_LogEventLowerName[516:527]:   EventLoadFailed,
+	_LogEventLowerName[527:543]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[543:559]:   EventRegistryRefused,
+	_LogEventLowerName[559:574]:   EventRoutesProposed,
+	_LogEventLowerName[574:588]:   EventRoutesRefused,
+	_LogEventLowerName[588:602]:   EventRoutesApplied,
+	_LogEventLowerName[602:617]:   EventRoutesInEffect,
+	_LogEventLowerName[617:635]:   EventRoutesNotFetched,
+	_LogEventLowerName[635:653]:   EventCatalogueInEffect,
+	_LogEventLowerName[653:666]:   EventBecameLeader,
+	_LogEventLowerName[666:675]:   EventNoLeader,
+	_LogEventLowerName[675:689]:   EventReplicaOpened,
+	_LogEventLowerName[689:704]:   EventVotersChanged,
+	_LogEventLowerName[704:717]:   EventLearnerAdded,
+	_LogEventLowerName[717:732]:   EventLearnerRemoved,
+	_LogEventLowerName[732:743]:   EventVoterAdded,
+	_LogEventLowerName[743:757]:   EventVoterReplaced,
+	_LogEventLowerName[757:770]:   EventVoterStandby,
+	_LogEventLowerName[770:796]:   EventLeadershipNotHandedOver,
+	_LogEventLowerName[796:814]:   EventExpiryNotEncoded,
+	_LogEventLowerName[814:828]:   EventReplicaFailed,
+	_LogEventLowerName[828:845]:   EventReplicaRegressed,
+	_LogEventLowerName[845:864]:   EventDataFolderDamaged,
+	_LogEventLowerName[864:885]:   EventDataFolderRegressed,
+	_LogEventLowerName[885:894]:   EventLeaseAcquired,
+	_LogEventLowerName[894:904]:   EventLeaseLost,
+	_LogEventLowerName[904:921]:   EventLeaseNotRenewed,
+	_LogEventLowerName[921:931]:   EventZoneOwned,
+	_LogEventLowerName[931:940]:   EventZoneLost,
+	_LogEventLowerName[940:954]:   EventControlThreadTimes,
+	_LogEventLowerName[954:966]:   EventControlLost,
+	_LogEventLowerName[966:982]:   EventControlRegained,
+	_LogEventLowerName[982:989]:   EventStarted,
+	_LogEventLowerName[989:997]:   EventDraining,
+	_LogEventLowerName[997:1004]:  EventDrained,
+	_LogEventLowerName[1004:1011]: EventStopped,
+	_LogEventLowerName[1011:1028]: EventSettingsReloaded,
+	_LogEventLowerName[1028:1044]: EventSettingsRefused,
+	_LogEventLowerName[1044:1058]: EventListenerEnded,
+	_LogEventLowerName[1058:1076]: EventMetricsNotServed,
+	_LogEventLowerName[1076:1089]: EventUnknownEvent,
+	_LogEventLowerName[1089:1106]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -272,57 +287,62 @@
 	_LogEventName[260:274],
 	_LogEventName[274:289],
 	_LogEventName[289:307],
-	_LogEventName[307:323],
-	_LogEventName[323:338],
-	_LogEventName[338:352],
-	_LogEventName[352:362],
-	_LogEventName[362:373],
-	_LogEventName[373:386],
-	_LogEventName[386:407],
-	_LogEventName[407:423],
-	_LogEventName[423:441],
-	_LogEventName[441:452],
-	_LogEventName[452:468],
-	_LogEventName[468:484],
-	_LogEventName[484:499],
-	_LogEventName[499:513],
-	_LogEventName[513:527],
-	_LogEventName[527:542],
-	_LogEventName[542:560],
-	_LogEventName[560:578],
-	_LogEventName[578:591],
-	_LogEventName[591:600],
-	_LogEventName[600:614],
-	_LogEventName[614:629],
-	_LogEventName[629:642],
-	_LogEventName[642:657],
-	_LogEventName[657:668],
-	_LogEventName[668:682],
-	_LogEventName[682:695],
-	_LogEventName[695:721],
-	_LogEventName[721:739],
-	_LogEventName[739:753],
-	_LogEventName[753:770],
-	_LogEventName[770:789],
-	_LogEventName[789:810],
-	_LogEventName[810:819],
-	_LogEventName[819:829],
-	_LogEventName[829:846],
-	_LogEventName[846:856],
-	_LogEventName[856:865],
-	_LogEventName[865:879],
-	_LogEventName[879:891],
-	_LogEventName[891:907],
-	_LogEventName[907:914],
-	_LogEventName[914:922],
-	_LogEventName[922:929],
-	_LogEventName[929:936],
-	_LogEventName[936:953],
-	_LogEventName[953:969],
-	_LogEventName[969:983],
-	_LogEventName[983:1001],
-	_LogEventName[1001:1014],
-	_LogEventName[1014:1031],
+	_LogEventName[307:321],
+	_LogEventName[321:337],
+	_LogEventName[337:353],
+	_LogEventName[353:366],
+	_LogEventName[366:382],
+	_LogEventName[382:398],
+	_LogEventName[398:413],
+	_LogEventName[413:427],
+	_LogEventName[427:437],
+	_LogEventName[437:448],
+	_LogEventName[448:461],
+	_LogEventName[461:482],
+	_LogEventName[482:498],
+	_LogEventName[498:516],
+	_LogEventName[516:527],
+	_LogEventName[527:543],
+	_LogEventName[543:559],
+	_LogEventName[559:574],
+	_LogEventName[574:588],
+	_LogEventName[588:602],
+	_LogEventName[602:617],
+	_LogEventName[617:635],
+	_LogEventName[635:653],
+	_LogEventName[653:666],
+	_LogEventName[666:675],
+	_LogEventName[675:689],
+	_LogEventName[689:704],
+	_LogEventName[704:717],
+	_LogEventName[717:732],
+	_LogEventName[732:743],
+	_LogEventName[743:757],
+	_LogEventName[757:770],
+	_LogEventName[770:796],
+	_LogEventName[796:814],
+	_LogEventName[814:828],
+	_LogEventName[828:845],
+	_LogEventName[845:864],
+	_LogEventName[864:885],
+	_LogEventName[885:894],
+	_LogEventName[894:904],
+	_LogEventName[904:921],
+	_LogEventName[921:931],
+	_LogEventName[931:940],
+	_LogEventName[940:954],
+	_LogEventName[954:966],
+	_LogEventName[966:982],
+	_LogEventName[982:989],
+	_LogEventName[989:997],
+	_LogEventName[997:1004],
+	_LogEventName[1004:1011],
+	_LogEventName[1011:1028],
+	_LogEventName[1028:1044],
+	_LogEventName[1044:1058],
+	_LogEventName[1058:1076],
+	_LogEventName[1076:1089],
+	_LogEventName[1089:1106],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limited"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedunknown-keykeys-unconfirmedover-quota"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326, 337, 353, 363}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limited"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedunknown-keykeys-unconfirmedover-quota"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -51,9 +51,12 @@
 	_ = x[RefusedCallerGone-(23)]
 	_ = x[RefusedQuarantined-(24)]
 	_ = x[RefusedBackendLimited-(25)]
+	_ = x[RefusedUnknownKey-(26)]
+	_ = x[RefusedKeysUnconfirmed-(27)]
+	_ = x[RefusedOverQuota-(28)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -82,6 +85,9 @@
 	_RefusalReasonName[289:300]: RefusedCallerGone,
 	_RefusalReasonName[300:311]: RefusedQuarantined,
 	_RefusalReasonName[311:326]: RefusedBackendLimited,
+	_RefusalReasonName[326:337]: RefusedUnknownKey,
+	_RefusalReasonName[337:353]: RefusedKeysUnconfirmed,
+	_RefusalReasonName[353:363]: RefusedOverQuota,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -111,6 +117,9 @@
 	_RefusalReasonLowerName[289:300]: RefusedCallerGone,
 	_RefusalReasonLowerName[300:311]: RefusedQuarantined,
 	_RefusalReasonLowerName[311:326]: RefusedBackendLimited,
+	_RefusalReasonLowerName[326:337]: RefusedUnknownKey,
+	_RefusalReasonLowerName[337:353]: RefusedKeysUnconfirmed,
+	_RefusalReasonLowerName[353:363]: RefusedOverQuota,
 }
 
 var _RefusalReasonNames = []string{
@@ -140,6 +149,9 @@
 	_RefusalReasonName[289:300],
 	_RefusalReasonName[300:311],
 	_RefusalReasonName[311:326],
+	_RefusalReasonName[326:337],
+	_RefusalReasonName[337:353],
+	_RefusalReasonName[353:363],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
--- a/routes.go
+++ b/routes.go
@@ -13,10 +13,20 @@
 	Routes   []Route         `json:"routes"`
 	Services []RoutedService `json:"services"`
 	Callers  CallerLimits    `json:"callers"`
+	// Accounts are the client accounts; without any, callers need no key. KeySalt is the salt of the hashes
+	// of their keys.
+	Accounts []Account `json:"accounts,omitempty"`
+	KeySalt  []byte    `json:"key-salt,omitempty"`
+	// Format is the TableFormat of the VM that decoded the operators' text.
+	Format int `json:"format,omitempty"`
 	// Document is the text that the operators sent, returned to them unchanged.
 	Document []byte `json:"document,omitempty"`
 }
 
+// TableFormat is the format of route tables that this build writes. Tables of format 0 lack the client
+// accounts, which earlier builds do not know, except in Document.
+const TableFormat = 1
+
 // Route maps the requests for one host and path prefix to services.
 type Route struct {
 	Name       RouteName   `json:"name"`
@@ -41,6 +51,8 @@
 	// PrefersPrefix reports whether prompts of this route share parts that backend
 	// servers cache.
 	PrefersPrefix bool `json:"prefers-prefix,omitempty"`
+	// Public reports whether callers need no key, even if there are client accounts.
+	Public bool `json:"public,omitempty"`
 }
 
 // RouteShare is the weight of one service in a route.
