feat: quotas of client accounts over all gateways

Each account has several keepers, control VMs that each own an equal share of its quota, so that no change of a keeper has to be agreed on and a lost one costs its share only. A gateway takes tokens from any of them, somewhat ahead of its need; they expire after a part of the overshoot that the platform allows, which bounds what all gateways spend in a window by what the keepers granted. Beyond the quota a request is refused at once with 429 and the time at which one of its size will fit.

--- a/enums.go
+++ b/enums.go
@@ -80,6 +80,8 @@
 	RefusedKeysUnconfirmed
 	// RefusedOverQuota is a request beyond the quota of its client account.
 	RefusedOverQuota
+	// RefusedQuotaUnanswered is a request of a client account with a quota that no control VM grants a part of.
+	RefusedQuotaUnanswered
 )
 
 // QuotaUnit is the unit of a client account's quota.
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -249,6 +249,22 @@
 	return true
 }
 
+// Rank returns how many of the control VMs named recently, this one included, come before it for a key, and their
+// number.
+func (s *Source) Rank(key string) (rank, controls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	others := s.pollers.others(s.timers.Now())
+	compare := compareFor("", key)
+	self := controlState{address: s.self.PeerAddress, zone: s.self.Zone}
+	for _, vm := range others {
+		if compare(controlState{address: vm.PeerAddress, zone: vm.Zone}, self) < 0 {
+			rank++
+		}
+	}
+	return rank, len(others) + 1
+}
+
 // nextCursor returns the cursor of the next change. The caller holds mu.
 func (s *Source) nextCursor() uint64 {
 	s.cursor++
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -29,6 +29,7 @@
 	logger log.Logger
 	index  atomic.Pointer[laburnumroutes.Index]
 	keys   keys
+	quota  quota
 	// routesLoaded is closed when the first route table arrives.
 	routesLoaded chan struct{}
 
@@ -121,6 +122,7 @@
 		close(f.routesLoaded)
 	}
 	f.keys.setVersion(t.Version)
+	f.quota.setAccounts(t.Accounts)
 	f.keepConfirmed()
 	_ = level.Info(f.logger).Log("event", laburnumlever.EventRoutesInEffect, "version", t.Version, "routes", len(t.Routes))
 }
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -116,10 +116,15 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	if err := g.payQuota(ctx, q); err != nil {
+		g.answerRefusal(w, q, err)
+		return
+	}
 	g.fleet.countDemand(q)
 	out := &answer{w: w}
 	err = g.run(ctx, q, out)
 	if err != nil {
+		g.fleet.quota.refund(q)
 		g.fleet.countRefusedDemand(q)
 		g.finishUnanswered(ctx, q, out, err)
 		return
--- /dev/null
+++ b/laburnumgateway/quota.go
@@ -0,0 +1,128 @@
+package laburnumgateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumquota"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// quotaTimeout bounds the time that a request waits for a part of its account's quota.
+	quotaTimeout = 400 * time.Millisecond
+	// quotaUnansweredRetryAfter is the minimum Retry-After if no control VM answers.
+	quotaUnansweredRetryAfter = time.Second
+)
+
+// QuotaKeepers are the control VMs that grant tokens of client accounts' quotas.
+type QuotaKeepers interface {
+	// Grant asks the keepers of an account in turn until one grants the need of the first ask. The grants are
+	// dated from when the first keeper was asked, in terms of laburnumtimer.SinceBoot. An error means that no keeper
+	// answered.
+	Grant(ctx context.Context, account laburnumlever.Account, asks []laburnumquota.Ask) (grants []laburnumquota.Grant, asked time.Duration, err error)
+}
+
+// WithQuotaKeepers sets the control VMs that grant quotas; by default quotas are not kept.
+func WithQuotaKeepers(keepers QuotaKeepers, terms laburnumquota.Terms) FleetOption {
+	return func(f *Fleet) {
+		f.quota.keepers, f.quota.wallet = keepers, laburnumquota.NewWallet(terms)
+	}
+}
+
+// quota is what a gateway holds of the quotas of client accounts. It is safe for concurrent use.
+type quota struct {
+	keepers QuotaKeepers
+
+	mu     sync.Mutex
+	wallet *laburnumquota.Wallet
+}
+
+// setAccounts drops the tokens of accounts that are gone.
+func (k *quota) setAccounts(accounts []laburnumlever.Account) {
+	if k.keepers == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.wallet.Keep(accounts)
+}
+
+// spend spends tokens on a request. If there are too few it returns what to ask the keepers for, or the time until
+// the request will fit.
+func (k *quota) spend(q *request, cost float64) (asks []laburnumquota.Ask, retryIn time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := laburnumtimer.SinceBoot()
+	receipt, ok := k.wallet.Spend(q.account.Name, cost, now)
+	if ok {
+		q.receipt = receipt
+		return nil, 0
+	}
+	if in := k.wallet.RetryIn(q.account.Name, now); in > 0 {
+		return nil, in
+	}
+	return k.wallet.Asks(q.account.Name, cost, now), 0
+}
+
+// receive adds the keepers' grants and spends tokens on a request. If there are too few it returns the time until the
+// request will fit.
+func (k *quota) receive(q *request, cost float64, grants []laburnumquota.Grant, asked time.Duration) (retryIn time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := laburnumtimer.SinceBoot()
+	k.wallet.Apply(grants, asked)
+	receipt, ok := k.wallet.Spend(q.account.Name, cost, now)
+	if ok {
+		q.receipt = receipt
+		return 0
+	}
+	in := laburnumquota.FitsIn(grants, q.account.Name)
+	k.wallet.UsedUp(q.account.Name, in, now)
+	return in
+}
+
+// refund returns the tokens of a request that certainly did not run.
+func (k *quota) refund(q *request) {
+	if q.mayHaveRun || q.receipt.Tokens == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.wallet.Refund(q.receipt, laburnumtimer.SinceBoot())
+}
+
+// payQuota charges a request to its account's quota. Repeated attempts at a request are not charged again. The error is
+// a *laburnumlever.RefusalError.
+func (g *Gateway) payQuota(ctx context.Context, q *request) error {
+	k := &g.fleet.quota
+	if k.keepers == nil || q.account == nil || !q.account.Quota.Limited() {
+		return nil
+	}
+	cost := q.account.Quota.Cost(q.caller)
+	asks, retryIn := k.spend(q, cost)
+	if asks == nil {
+		return overQuota(q, retryIn)
+	}
+	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
+	defer cancel()
+	grants, asked, err := k.keepers.Grant(ctx, *q.account, asks)
+	if err != nil {
+		_ = level.Info(g.logger).Log("event", laburnumlever.EventQuotaUnanswered, "request-id", q.caller.ID, "account", q.account.Name, "cause", err)
+		return newRefusal(laburnumlever.RefusedQuotaUnanswered, quotaUnansweredRetryAfter, "no control VM grants a part of the account's quota")
+	}
+	return overQuota(q, k.receive(q, cost, grants, asked))
+}
+
+// overQuota refuses a request that does not fit its account's quota yet; nil for a time of 0.
+func overQuota(q *request, retryIn time.Duration) error {
+	if retryIn <= 0 {
+		return nil
+	}
+	return newRefusal(laburnumlever.RefusedOverQuota, retryIn, fmt.Sprintf("client account %q has used up its quota", q.account.Name))
+}
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -10,6 +10,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
 
@@ -55,6 +56,8 @@
 	checksKeys   bool
 	account      *laburnumlever.Account
 	accountIndex *laburnumroutes.Index
+	// receipt is what was spent of the account's quota.
+	receipt laburnumquota.Receipt
 	// rank is the priority by account and route.
 	rank                int
 	refusedReservations int
--- /dev/null
+++ b/laburnumquota/keeper.go
@@ -0,0 +1,92 @@
+package laburnumquota
+
+import (
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// wantShare is the part of the tokens left that one gateway gets ahead of its need.
+	wantShare = 0.25
+	// minRetryIn and maxRetryIn bound the time until a refused need is said to fit.
+	minRetryIn = 50 * time.Millisecond
+	maxRetryIn = 30 * time.Second
+)
+
+// Keeper grants a control VM's shares of the quotas of client accounts. It is not safe for concurrent use.
+type Keeper struct {
+	terms   Terms
+	buckets map[laburnumlever.AccountName]*bucket
+}
+
+// bucket holds the tokens of one account.
+type bucket struct {
+	rate, capacity float64
+	unlimited      bool
+	// level is negative after a request larger than the capacity.
+	level float64
+	// waiting is what callers were told to come back for and have not yet had the time to.
+	waiting float64
+	at      time.Duration
+}
+
+// NewKeeper returns a keeper without accounts.
+func NewKeeper(terms Terms) *Keeper {
+	return &Keeper{terms: terms, buckets: map[laburnumlever.AccountName]*bucket{}}
+}
+
+// SetShares sets the accounts and the shares of their quotas that this keeper owns, from 0 to 1. An account that is new
+// to it starts without tokens, as another keeper may have granted them.
+func (k *Keeper) SetShares(accounts []laburnumlever.Account, share func(laburnumlever.Account) float64, now time.Duration) {
+	old := k.buckets
+	k.buckets = make(map[laburnumlever.AccountName]*bucket, len(accounts))
+	for _, a := range accounts {
+		b := old[a.Name]
+		if b == nil {
+			b = &bucket{at: now}
+		}
+		b.refill(now)
+		part := share(a)
+		b.unlimited, b.rate, b.capacity = !a.Quota.Limited(), part*a.Quota.Rate, part*k.terms.capacity(a.Quota)
+		b.level = min(b.level, b.capacity)
+		k.buckets[a.Name] = b
+	}
+}
+
+// Answer answers the asks of a gateway.
+func (k *Keeper) Answer(asks []Ask, now time.Duration) []Grant {
+	grants := make([]Grant, 0, len(asks))
+	for _, a := range asks {
+		b := k.buckets[a.Account]
+		switch {
+		case b == nil, !b.unlimited && b.rate <= 0:
+			grants = append(grants, Grant{Account: a.Account, Elsewhere: true})
+		case b.unlimited:
+			grants = append(grants, Grant{Account: a.Account, Tokens: a.Need + a.Want})
+		default:
+			grants = append(grants, b.answer(a, now))
+		}
+	}
+	return grants
+}
+
+func (b *bucket) answer(a Ask, now time.Duration) Grant {
+	b.refill(now)
+	fits := min(a.Need, b.capacity)
+	if a.Need > 0 && b.level < fits {
+		in := time.Duration((fits - b.level + b.waiting) / b.rate * float64(time.Second))
+		b.waiting += a.Need
+		return Grant{Account: a.Account, RetryIn: laburnumlever.Duration(min(maxRetryIn, max(minRetryIn, in)))}
+	}
+	tokens := a.Need + max(0, min(a.Want, wantShare*(b.level-a.Need)))
+	b.level -= tokens
+	return Grant{Account: a.Account, Tokens: tokens}
+}
+
+func (b *bucket) refill(now time.Duration) {
+	added := b.rate * max(0, now-b.at).Seconds()
+	b.level = min(b.capacity, b.level+added)
+	b.waiting = max(0, b.waiting-added)
+	b.at = now
+}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -14,6 +14,7 @@
 	"laburnumlever/laburnumeventloop"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumlog"
+	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumsettings"
@@ -64,6 +65,8 @@
 	quarantine *quarantine
 	// confirmations confirms which route table is the newest.
 	confirmations *confirmations
+	// quotas grants shares of client accounts' quotas.
+	quotas *quotas
 	// decodeRoutes decodes the operators' text of tables from builds that know no client accounts; nil for none.
 	decodeRoutes func(document []byte) (laburnumlever.RouteTable, error)
 	// limits grants slots at limited backend servers.
@@ -101,6 +104,9 @@
 	}
 	c.confirmations = &confirmations{peers: c.peers, voter: c.voter, self: c.self.ID}
 	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
+	c.quotas = newQuotas(c.timers, c.source, c.confirmations, c.logger, c.metrics.Scope(),
+		laburnumquota.Terms(settings.Quota.Terms()), time.Duration(settings.Times.Revoke))
+	c.peers.Handle(methodQuotaGrant, c.quotas.handle)
 	c.buildDirector(engines)
 	return c, nil
 }
@@ -198,6 +204,7 @@
 	t = c.withAccounts(t)
 	c.routes.Store(&t)
 	c.source.SetRoutes(t)
+	c.quotas.setRoutes(t)
 	c.director.SetRoutes(t)
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes))
 }
@@ -237,6 +244,7 @@
 	c.serveMetrics(c.status)
 	c.quarantine.start()
 	c.limits.start()
+	c.quotas.start()
 	c.timers.Every(expirePeriod, c.expire)
 	c.timers.Every(usagePeriod, c.reportUsage)
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "first-start", c.settings.FirstStart)
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -8,6 +8,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumupstream"
 
@@ -38,15 +39,19 @@
 	g := &Gateway{process: newProcess(settings, opts)}
 	seed := xxhash.Sum64String(string(g.self.ID))
 	reporter := newQuarantineReporter(g.peers, g.timers, g.logger, func() []string { return g.follower.Controls() })
-	keepers := newLimitKeepers(g.peers, g.timers, g.logger, func(zone laburnumlever.ZoneName, id laburnumlever.BackendID) []string {
+	calls := newKeeperCalls(g.peers, g.timers)
+	keepers := newLimitKeepers(calls, g.timers, g.logger, func(zone laburnumlever.ZoneName, id laburnumlever.BackendID) []string {
 		return g.follower.ControlsFor(zone, string(id))
 	})
+	terms := laburnumquota.Terms(settings.Quota.Terms())
+	quotas := &quotaKeepers{calls: calls, terms: terms, self: g.self, follower: func() *laburnumfeed.Follower { return g.follower }}
 	confirmer := routesConfirmer{
 		peers: g.peers, self: g.self,
 		follower: func() *laburnumfeed.Follower { return g.follower }, fleet: func() *laburnumgateway.Fleet { return g.fleet },
 	}
 	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
 		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithLimitKeepers(keepers),
+		laburnumgateway.WithQuotaKeepers(quotas, terms),
 		laburnumgateway.WithRoutesConfirmer(confirmer, laburnumgateway.KeyTimes{
 			Revoke: time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
 		}))
--- /dev/null
+++ b/laburnumroles/keepercalls.go
@@ -0,0 +1,55 @@
+package laburnumroles
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"laburnumlever"
+)
+
+const (
+	// keeperTimeout bounds a call to a control VM that grants something: the longest round trip between availability
+	// zones.
+	keeperTimeout = 150 * time.Millisecond
+	// keeperBackoff is how long a control VM that did not answer is not asked again.
+	keeperBackoff = time.Second
+)
+
+// keeperCalls calls control VMs that grant something, and passes over those that have just not answered. It is safe for
+// concurrent use.
+type keeperCalls struct {
+	peers  laburnumlever.Peers
+	timers laburnumlever.Timers
+
+	mu sync.Mutex
+	// failed is when control VMs last did not answer.
+	failed map[string]time.Time
+}
+
+func newKeeperCalls(peers laburnumlever.Peers, timers laburnumlever.Timers) *keeperCalls {
+	return &keeperCalls{peers: peers, timers: timers, failed: map[string]time.Time{}}
+}
+
+// call calls one control VM.
+func (k *keeperCalls) call(ctx context.Context, address, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, keeperTimeout)
+	defer cancel()
+	err := k.peers.Call(ctx, address, method, params, result)
+	if err != nil {
+		k.mu.Lock()
+		k.failed[address] = k.timers.Now()
+		k.mu.Unlock()
+	}
+	return err
+}
+
+// answering returns the first of the control VMs, without those that have just not answered.
+func (k *keeperCalls) answering(addresses []string, most int) []string {
+	now := k.timers.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	addresses = slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return now.Sub(k.failed[address]) < keeperBackoff })
+	return addresses[:min(most, len(addresses))]
+}
--- a/laburnumroles/limitkeepers.go
+++ b/laburnumroles/limitkeepers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,19 +15,13 @@
 	"github.com/go-kit/log/level"
 )
 
-const (
-	// slotAttempts is the number of control VMs that are asked for a slot.
-	slotAttempts = 2
-	// slotAttemptTimeout is the longest round trip between availability zones.
-	slotAttemptTimeout = 150 * time.Millisecond
-	// keeperBackoff is how long a control VM that did not answer is not asked again.
-	keeperBackoff = time.Second
-)
+// slotAttempts is the number of control VMs that are asked for a slot.
+const slotAttempts = 2
 
 // limitKeepers asks control VMs for slots at limited backend servers, and tells them of limits. It is
 // safe for concurrent use.
 type limitKeepers struct {
-	peers  laburnumlever.Peers
+	calls  *keeperCalls
 	timers laburnumlever.Timers
 	logger log.Logger
 	// controls returns the peer addresses of the control VMs for a backend server, best first.
@@ -36,8 +29,6 @@
 	coalescer *laburnumtimer.Coalescer
 
 	mu sync.Mutex
-	// failed is when control VMs last did not answer.
-	failed map[string]time.Time
 	// pending are the reports that no control VM has received.
 	pending map[laburnumlever.BackendID]pendingLimit
 }
@@ -50,10 +41,10 @@
 
 var _ laburnumgateway.LimitKeepers = (*limitKeepers)(nil)
 
-func newLimitKeepers(peers laburnumlever.Peers, timers laburnumlever.Timers, logger log.Logger, controls func(laburnumlever.ZoneName, laburnumlever.BackendID) []string) *limitKeepers {
+func newLimitKeepers(calls *keeperCalls, timers laburnumlever.Timers, logger log.Logger, controls func(laburnumlever.ZoneName, laburnumlever.BackendID) []string) *limitKeepers {
 	k := &limitKeepers{
-		peers: peers, timers: timers, logger: logger, controls: controls,
-		failed: map[string]time.Time{}, pending: map[laburnumlever.BackendID]pendingLimit{},
+		calls: calls, timers: timers, logger: logger, controls: controls,
+		pending: map[laburnumlever.BackendID]pendingLimit{},
 	}
 	k.coalescer = laburnumtimer.NewCoalescer(timers, func() time.Duration { return reportPeriod }, func() { go k.flush() })
 	return k
@@ -70,33 +61,14 @@
 // callFirst calls the first control VM for the report's backend server that answers.
 func (k *limitKeepers) callFirst(ctx context.Context, r laburnumlimit.Report, method string, params, result any) error {
 	var err error = &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
-	for _, address := range k.answering(r) {
-		if err = k.call(ctx, address, method, params, result); err == nil {
+	for _, address := range k.calls.answering(k.controls(r.Zone, r.Backend), slotAttempts) {
+		if err = k.calls.call(ctx, address, method, params, result); err == nil {
 			return nil
 		}
-		k.mu.Lock()
-		k.failed[address] = k.timers.Now()
-		k.mu.Unlock()
 	}
 	return err
 }
 
-func (k *limitKeepers) call(ctx context.Context, address, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, slotAttemptTimeout)
-	defer cancel()
-	return k.peers.Call(ctx, address, method, params, result)
-}
-
-// answering returns the control VMs to ask, best first, without those that have just not answered.
-func (k *limitKeepers) answering(r laburnumlimit.Report) []string {
-	addresses := k.controls(r.Zone, r.Backend)
-	now := k.timers.Now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	addresses = slices.DeleteFunc(addresses, func(address string) bool { return now.Sub(k.failed[address]) < keeperBackoff })
-	return addresses[:min(slotAttempts, len(addresses))]
-}
-
 // Report implements laburnumgateway.LimitKeepers.
 func (k *limitKeepers) Report(r laburnumlimit.Report) {
 	k.mu.Lock()
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -10,6 +10,7 @@
 	methodLimitReport      = "limit-report"
 	methodLimitSlot        = "limit-slot"
 	methodConfirmRoutes    = "routes-confirm"
+	methodQuotaGrant       = "quota-grant"
 )
 
 // adapterRequestAnswer lists the engines that hold the adapter.
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedunknown-keykeys-unconfirmedover-quota"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedunknown-keykeys-unconfirmedover-quotaquota-unanswered"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326, 337, 353, 363}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326, 337, 353, 363, 379}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedunknown-keykeys-unconfirmedover-quota"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedunknown-keykeys-unconfirmedover-quotaquota-unanswered"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -54,9 +54,10 @@
 	_ = x[RefusedUnknownKey-(26)]
 	_ = x[RefusedKeysUnconfirmed-(27)]
 	_ = x[RefusedOverQuota-(28)]
+	_ = x[RefusedQuotaUnanswered-(29)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -88,6 +89,7 @@
 	_RefusalReasonName[326:337]: RefusedUnknownKey,
 	_RefusalReasonName[337:353]: RefusedKeysUnconfirmed,
 	_RefusalReasonName[353:363]: RefusedOverQuota,
+	_RefusalReasonName[363:379]: RefusedQuotaUnanswered,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -120,6 +122,7 @@
 	_RefusalReasonLowerName[326:337]: RefusedUnknownKey,
 	_RefusalReasonLowerName[337:353]: RefusedKeysUnconfirmed,
 	_RefusalReasonLowerName[353:363]: RefusedOverQuota,
+	_RefusalReasonLowerName[363:379]: RefusedQuotaUnanswered,
 }
 
 var _RefusalReasonNames = []string{
@@ -152,6 +155,7 @@
 	_RefusalReasonName[326:337],
 	_RefusalReasonName[337:353],
 	_RefusalReasonName[353:363],
+	_RefusalReasonName[363:379],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
