--- a/laburnumlog/exhaustive_test.go
+++ b/laburnumlog/exhaustive_test.go
@@ -24,6 +24,7 @@
 	}
 	c.network = slices.Clone(s.network)
 	c.committed, c.leaders, c.dead = maps.Clone(s.committed), maps.Clone(s.leaders), maps.Clone(s.dead)
+	c.proposed = maps.Clone(s.proposed)
 	return &c
 }
 
@@ -103,11 +104,11 @@
 		messages[i] = m.Digest()
 	}
 	slices.Sort(messages)
-	return xxhash.Sum64(fmt.Append(text, messages, b))
+	return xxhash.Sum64(fmt.Append(text, messages, b, s.proposed)) // maps are printed in the order of their keys
 }
 
-// Guards against two leaders in a term and against lost committed entries, in every order of events
-// in small elections, such as a crash between a vote and its sync.
+// Guards against two leaders in a term, lost committed entries and proposals that confirm less than was committed before
+// them, in every order of events in small elections.
 func TestSmallSchedulesExhaustively(t *testing.T) {
 	votes := []laburnumlog.MessageKind{laburnumlog.MessageVote, laburnumlog.MessageVoteAnswer}
 	all := append(votes, laburnumlog.MessageAppend, laburnumlog.MessageAppendAnswer)
@@ -119,6 +120,7 @@
 		"two candidates, the third voter crashes":  {budget{campaigns: [3]int{1, 1, 0}, crashes: [3]int{0, 0, 1}}, votes, 3},
 		"a single voter crashes and leads again":   {budget{campaigns: [3]int{2}, crashes: [3]int{1}, proposals: 1}, all, 1},
 		"two candidates, one crashes":              {budget{campaigns: [3]int{1, 1, 0}, crashes: [3]int{1, 0, 0}}, votes, 3},
+		"a replaced leader of two gets a proposal": {budget{campaigns: [3]int{1, 1, 0}, proposals: 2}, all, 2},
 		"a leader of two crashes, the other leads": {budget{campaigns: [3]int{1, 1, 0}, crashes: [3]int{1, 0, 0}}, all, 2},
 	}
 	for name, c := range cases {
--- a/laburnumlog/schedule_test.go
+++ b/laburnumlog/schedule_test.go
@@ -184,7 +184,16 @@
 		s.proposals++
 		data = append(data, fmt.Appendf(nil, "proposal %d", s.proposals))
 	}
-	s.step(r, laburnumlog.Propose{Data: data})
+	before := uint64(0)
+	for index := range s.committed {
+		before = max(before, index)
+	}
+	out := s.step(r, laburnumlog.Propose{Data: data})
+	for i := range n {
+		if out.Accepted {
+			s.proposed[position{out.First + uint64(i), r.log.Term()}] = before
+		}
+	}
 }
 
 // loseDisk replaces the disk by an empty one, unless that would destroy a majority: no
--- a/laburnumlog/simulation_test.go
+++ b/laburnumlog/simulation_test.go
@@ -30,6 +30,9 @@
 	hash  uint64
 }
 
+// position identifies a proposal in a leader's log.
+type position struct{ index, term uint64 }
+
 // simulation holds the replicas, the messages in flight and the committed entries. problem
 // describes the first violated invariant.
 type simulation struct {
@@ -38,6 +41,8 @@
 	committed map[uint64]committedEntry
 	leaders   map[uint64]laburnumlog.ReplicaID
 	dead      map[laburnumlog.ReplicaID]bool
+	// proposed holds, for each proposal, the highest index that was committed when it was made.
+	proposed  map[position]uint64
 	proposals int
 	problem   string
 }
@@ -45,7 +50,7 @@
 func newSimulation(n, voters int) *simulation {
 	s := &simulation{
 		committed: map[uint64]committedEntry{}, leaders: map[uint64]laburnumlog.ReplicaID{},
-		dead: map[laburnumlog.ReplicaID]bool{},
+		dead: map[laburnumlog.ReplicaID]bool{}, proposed: map[position]uint64{},
 	}
 	var first laburnumlog.Configuration
 	for i := range n {
@@ -97,7 +102,7 @@
 	return h
 }
 
-func (s *simulation) step(r *replica, ev laburnumlog.Event) {
+func (s *simulation) step(r *replica, ev laburnumlog.Event) laburnumlog.Output {
 	out := r.log.Step(ev)
 	if out.Fault != nil {
 		s.fail("%s: %v", r.id, out.Fault)
@@ -114,6 +119,7 @@
 		s.apply(r, e)
 	}
 	s.checkLeader(r)
+	return out
 }
 
 func (s *simulation) apply(r *replica, e laburnumlog.Entry) {
@@ -122,6 +128,9 @@
 	}
 	r.applied = e.Index
 	r.hash = xxhash.Sum64String(fmt.Sprintf("%x %d %d %s", r.hash, e.Index, e.Term, e.Data))
+	if before, ok := s.proposed[position{e.Index, e.Term}]; ok && before >= e.Index {
+		s.fail("%s commits proposal %d of term %d, though index %d was committed before it was made", r.id, e.Index, e.Term, before)
+	}
 	known, ok := s.committed[e.Index]
 	if ok && (known.entry.Term != e.Term || string(known.entry.Data) != string(e.Data)) {
 		s.fail("%s applies term %d at index %d, which is committed with term %d", r.id, e.Term, e.Index, known.entry.Term)
--- /dev/null
+++ b/laburnumquota/model_test.go
@@ -0,0 +1,293 @@
+package laburnumquota_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumquota"
+)
+
+const (
+	account = laburnumlever.AccountName("acme")
+	zones   = 4
+	// tick is the resolution of the model.
+	tick = 5 * time.Millisecond
+	// meanCost is what a request of the model costs on average, in tokens.
+	meanCost = 1000
+)
+
+// terms are those of a platform that allows some overshoot.
+var terms = laburnumquota.Terms{Window: 8 * time.Second, Overshoot: 0.1, Slack: 7400}
+
+// way is how gateways share a quota.
+type way int
+
+const (
+	// sharedKeepers is the package's own: several keepers, each with a share.
+	sharedKeepers way = iota
+	// singleKeeper has one keeper; while it is down nobody else may grant.
+	singleKeeper
+	// dividedByGateways gives each gateway an equal part, without messages.
+	dividedByGateways
+)
+
+// scenario is a fleet and the demand for one account's quota.
+type scenario struct {
+	name               string
+	way                way
+	gateways, controls int
+	quota              laburnumlever.Quota
+	// demand is the requests per second of all gateways in terms of the quota's rate, by time.
+	demand func(now time.Duration) float64
+	// zone is the only zone with demand by time; -1 for all.
+	zone func(now time.Duration) int
+	// faults are played if set: keepers are killed, gateways restart and freeze, zones are cut off.
+	faults bool
+	// loweredAt is when the quota is lowered to a quarter; 0 for never.
+	loweredAt time.Duration
+	length    time.Duration
+}
+
+type use struct {
+	at   time.Duration
+	cost float64
+}
+
+// fleet is a run of a scenario.
+type fleet struct {
+	scenario
+	random  *rand.Rand
+	keepers []*modelKeeper
+	wallets []*laburnumquota.Wallet
+	buckets []float64 // of gateways with an equal part
+	frozen  []time.Duration
+	// preferred is the keeper that last granted something to a gateway.
+	preferred []int
+	cut       [zones]time.Duration
+	uses      []use
+	requests  int
+	refused   int
+	messages  int
+}
+
+type modelKeeper struct {
+	keeper    *laburnumquota.Keeper
+	downUntil time.Duration
+}
+
+func newFleet(s scenario, seed uint64) *fleet {
+	f := &fleet{scenario: s, random: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // a model
+	if s.way == singleKeeper {
+		f.controls = 1
+	}
+	for range f.controls {
+		f.keepers = append(f.keepers, &modelKeeper{})
+	}
+	for i := range f.controls {
+		f.startKeeper(i, 0)
+	}
+	for range s.gateways {
+		f.wallets = append(f.wallets, laburnumquota.NewWallet(terms))
+		f.buckets = append(f.buckets, s.quota.Burst/float64(s.gateways))
+		f.frozen, f.preferred = append(f.frozen, 0), append(f.preferred, -1)
+	}
+	return f
+}
+
+func (f *fleet) accounts() []laburnumlever.Account {
+	return []laburnumlever.Account{{Name: account, Quota: f.quota}}
+}
+
+func (f *fleet) startKeeper(i int, now time.Duration) {
+	f.keepers[i].keeper = laburnumquota.NewKeeper(terms)
+	f.setShares(i, now)
+}
+
+func (f *fleet) setShares(i int, now time.Duration) {
+	f.keepers[i].keeper.SetShares(f.accounts(), func(a laburnumlever.Account) float64 {
+		if holders := terms.Holders(a.Quota, f.controls); i < holders {
+			return 1 / float64(holders)
+		}
+		return 0
+	}, now)
+}
+
+// run plays the scenario and leaves out the first seconds, in which keepers save up tokens.
+func (f *fleet) run() {
+	const warmUp = 3 * time.Second
+	nextFault := warmUp
+	for now := tick; now < f.length; now += tick {
+		if f.loweredAt > 0 && now >= f.loweredAt && now < f.loweredAt+tick {
+			f.quota.Rate, f.quota.Burst = f.quota.Rate/4, f.quota.Burst/4
+			for i := range f.keepers {
+				f.setShares(i, now)
+			}
+		}
+		if f.faults && now >= nextFault {
+			f.disturb(now)
+			nextFault += time.Duration(f.random.Int64N(int64(3 * time.Second)))
+		}
+		if now < warmUp {
+			continue
+		}
+		for i := range f.wallets {
+			f.buckets[i] = min(f.quota.Burst/float64(f.gateways), f.buckets[i]+f.quota.Rate*tick.Seconds()/float64(f.gateways))
+			for range f.arrivals(i, now) {
+				f.request(i, now)
+			}
+		}
+	}
+}
+
+// arrivals draws the number of requests that reach a gateway in a tick.
+func (f *fleet) arrivals(gateway int, now time.Duration) int {
+	if now < f.frozen[gateway] {
+		return 0
+	}
+	share := 1 / float64(f.gateways)
+	if zone := f.zone(now); zone >= 0 {
+		if gateway%zones != zone {
+			return 0
+		}
+		share *= zones
+	}
+	mean := f.demand(now) * f.quotaAtStart() / meanCost * share * tick.Seconds()
+	n, p := 0, f.random.Float64()
+	for p > math.Exp(-mean) {
+		p *= f.random.Float64()
+		n++
+	}
+	return n
+}
+
+// quotaAtStart is the rate that the demand refers to.
+func (f *fleet) quotaAtStart() float64 { return f.scenario.quota.Rate }
+
+func (f *fleet) request(gateway int, now time.Duration) {
+	cost := 200 + f.random.ExpFloat64()*(meanCost-200)
+	cost = min(cost, 4500)
+	f.requests++
+	if !f.admit(gateway, cost, now) {
+		f.refused++
+		return
+	}
+	f.uses = append(f.uses, use{now, cost})
+}
+
+func (f *fleet) admit(gateway int, cost float64, now time.Duration) bool {
+	if f.way == dividedByGateways {
+		if f.buckets[gateway] < cost {
+			return false
+		}
+		f.buckets[gateway] -= cost
+		return true
+	}
+	w := f.wallets[gateway]
+	if _, ok := w.Spend(account, cost, now); ok {
+		return true
+	}
+	if w.RetryIn(account, now) > 0 {
+		return false
+	}
+	grants := f.ask(gateway, w.Asks(account, cost, now), now)
+	w.Apply(grants, now)
+	if _, ok := w.Spend(account, cost, now); ok {
+		return true
+	}
+	w.UsedUp(account, laburnumquota.FitsIn(grants, account), now)
+	return false
+}
+
+// order returns the keepers in the order in which a gateway asks them: the one that granted last, those of its own
+// zone, the others by lot.
+func (f *fleet) order(gateway int) []int {
+	order := rand.New(rand.NewPCG(uint64(gateway), 2)).Perm(len(f.keepers)) //nolint:gosec // a model
+	rank := func(i int) int {
+		switch {
+		case i == f.preferred[gateway]:
+			return 0
+		case i%zones == gateway%zones:
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return rank(a) - rank(b) })
+	return order
+}
+
+// ask asks up to four keepers that the gateway reaches.
+func (f *fleet) ask(gateway int, asks []laburnumquota.Ask, now time.Duration) []laburnumquota.Grant {
+	var grants []laburnumquota.Grant
+	asked := 0
+	for _, i := range f.order(gateway) {
+		if asked == 4 || !f.reaches(gateway, i, now) {
+			continue
+		}
+		f.messages++
+		grants = append(grants, f.keepers[i].keeper.Answer(asks, now)...)
+		if last := grants[len(grants)-1]; !last.Elsewhere {
+			asked++
+			if !last.Refused() {
+				f.preferred[gateway] = i
+				return grants
+			}
+		}
+		asks = []laburnumquota.Ask{{Account: account, Need: asks[0].Need}}
+	}
+	return grants
+}
+
+func (f *fleet) reaches(gateway, keeper int, now time.Duration) bool {
+	from, to := gateway%zones, keeper%zones
+	return now >= f.keepers[keeper].downUntil && (from == to || now >= f.cut[from] && now >= f.cut[to])
+}
+
+// disturb plays one fault.
+func (f *fleet) disturb(now time.Duration) {
+	lasts := time.Duration(f.random.Int64N(int64(6 * time.Second)))
+	switch f.random.IntN(4) {
+	case 0:
+		i := f.random.IntN(len(f.keepers))
+		f.keepers[i].downUntil = now + lasts
+		f.startKeeper(i, now+lasts)
+	case 1:
+		f.wallets[f.random.IntN(f.gateways)] = laburnumquota.NewWallet(terms)
+	case 2:
+		f.frozen[f.random.IntN(f.gateways)] = now + lasts
+	case 3:
+		f.cut[f.random.IntN(zones)] = now + lasts
+	}
+}
+
+// busiest returns the most that was used in one window, as a share of what a quota allows.
+func (f *fleet) busiest(q laburnumlever.Quota, from time.Duration) float64 {
+	allowed := (q.Rate*terms.Window.Seconds()+q.Burst)*(1+terms.Overshoot) + terms.Slack
+	most, sum, first := 0.0, 0.0, 0
+	for i, u := range f.uses {
+		if u.at < from {
+			first = i + 1
+			continue
+		}
+		sum += u.cost
+		for f.uses[first].at <= u.at-terms.Window {
+			sum -= f.uses[first].cost
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most / allowed
+}
+
+func (f *fleet) String() string {
+	return fmt.Sprintf("%s with %d gateways: %.2f of the allowance, %.2f%% refused, %.2f messages a request",
+		f.name, f.gateways, f.busiest(f.scenario.quota, 0), 100*float64(f.refused)/float64(max(1, f.requests)), float64(f.messages)/float64(max(1, f.requests)))
+}
+
+func everywhere(time.Duration) int { return -1 }
+
+func steady(x float64) func(time.Duration) float64 { return func(time.Duration) float64 { return x } }
--- a/laburnumroles/quotakeepers.go
+++ b/laburnumroles/quotakeepers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"laburnumlever"
@@ -11,8 +13,12 @@
 	"laburnumlever/laburnumtimer"
 )
 
-// quotaAttempts is the number of control VMs that are asked for a part of a quota.
-const quotaAttempts = 4
+const (
+	// quotaAttempts is the number of control VMs that are asked for a part of a quota.
+	quotaAttempts = 4
+	// preferTime is how long the control VM that granted something is asked first.
+	preferTime = 2 * time.Second
+)
 
 // quotaRequest asks a control VM for parts of quotas.
 type quotaRequest struct {
@@ -30,6 +36,15 @@
 	terms    laburnumquota.Terms
 	self     laburnumlever.VM
 	follower func() *laburnumfeed.Follower
+
+	mu sync.Mutex
+	// granted are the control VMs that last granted something of an account.
+	granted map[laburnumlever.AccountName]lastGrant
+}
+
+type lastGrant struct {
+	address string
+	at      time.Duration
 }
 
 var _ laburnumgateway.QuotaKeepers = (*quotaKeepers)(nil)
@@ -53,6 +68,7 @@
 				continue
 			}
 			if !g.Refused() {
+				k.noteGranted(account.Name, address, asked)
 				return grants, asked, nil
 			}
 			answered = answered || !g.Elsewhere
@@ -65,13 +81,33 @@
 	return nil, 0, err
 }
 
-// controls returns the control VMs to ask, best first: for an account that all keep those of the own availability
-// zone, else its keepers.
+// controls returns the control VMs to ask, best first: the one that has just granted something; for an account that all
+// keep those of the own availability zone, else its keepers.
 func (k *quotaKeepers) controls(account laburnumlever.Account) []string {
 	follower := k.follower()
 	known := len(follower.Controls())
+	addresses := follower.ControlsFor(k.self.Zone, string(k.self.ID))
 	if k.terms.Holders(account.Quota, known) < known {
-		return follower.ControlsFor("", string(account.Name))
+		addresses = follower.ControlsFor("", string(account.Name))
+	}
+	k.mu.Lock()
+	last := k.granted[account.Name]
+	k.mu.Unlock()
+	if i := slices.Index(addresses, last.address); i > 0 && laburnumtimer.SinceBoot()-last.at < preferTime {
+		addresses = slices.Insert(slices.Delete(addresses, i, i+1), 0, last.address)
+	}
+	return addresses
+}
+
+// noteGranted records which control VM granted something of an account. One that is not the first choice is asked first
+// for preferTime.
+func (k *quotaKeepers) noteGranted(account laburnumlever.AccountName, address string, at time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.granted == nil {
+		k.granted = map[laburnumlever.AccountName]lastGrant{}
+	}
+	if last := k.granted[account]; last.address != address || at-last.at >= preferTime {
+		k.granted[account] = lastGrant{address: address, at: at}
 	}
-	return follower.ControlsFor(k.self.Zone, string(k.self.ID))
 }
