--- a/laburnumquota/keeper.go
+++ b/laburnumquota/keeper.go
@@ -7,7 +7,11 @@
 )
 
 const (
-	// wantShare is the part of the tokens left that one gateway gets ahead of its need.
+	// Below freeShare of its allowance an account is granted whatever it needs. Beyond that it is granted no faster
+	// than pacedShare of the allowance in a span, so that a hot account is served evenly instead of by turns.
+	freeShare  = 0.6
+	pacedShare = 0.97
+	// wantShare is the part of what may be granted freely that one gateway gets ahead of its need.
 	wantShare = 0.25
 	// minRetryIn and maxRetryIn bound the time until a refused need is said to fit.
 	minRetryIn = 50 * time.Millisecond
@@ -20,15 +24,17 @@
 	buckets map[laburnumlever.AccountName]*bucket
 }
 
-// bucket holds the tokens of one account.
+// bucket is a share of one account's quota.
 type bucket struct {
-	rate, capacity float64
-	unlimited      bool
-	// level is negative after a request larger than the capacity.
-	level float64
-	// waiting is what callers were told to come back for and have not yet had the time to.
-	waiting float64
-	at      time.Duration
+	span time.Duration
+	// allowance is what may be granted in a span.
+	allowance float64
+	unlimited bool
+	granted   grantWindow
+	// debt is what was granted ahead of the pace, waiting what callers were told to come back for and have not yet
+	// had the time to.
+	debt, waiting float64
+	at            time.Duration
 }
 
 // NewKeeper returns a keeper without accounts.
@@ -36,31 +42,52 @@
 	return &Keeper{terms: terms, buckets: map[laburnumlever.AccountName]*bucket{}}
 }
 
-// SetShares sets the accounts and the shares of their quotas that this keeper owns, from 0 to 1. An account that is new
-// to it starts without tokens, as another keeper may have granted them.
+// SetShares sets the accounts and the shares of their quotas that this keeper owns, from 0 to 1. A share that is new to it
+// counts as used up, as the VM may have granted it before it was restarted.
 func (k *Keeper) SetShares(accounts []laburnumlever.Account, share func(laburnumlever.Account) float64, now time.Duration) {
 	old := k.buckets
 	k.buckets = make(map[laburnumlever.AccountName]*bucket, len(accounts))
 	for _, a := range accounts {
+		allowance := share(a) * k.terms.allowance(a.Quota)
 		b := old[a.Name]
 		if b == nil {
-			b = &bucket{at: now}
+			b = newBucket(k.terms.span(), allowance, now)
 		}
-		b.refill(now)
-		part := share(a)
-		b.unlimited, b.rate, b.capacity = !a.Quota.Limited(), part*a.Quota.Rate, part*k.terms.capacity(a.Quota)
-		b.level = min(b.level, b.capacity)
+		b.unlimited = !a.Quota.Limited()
+		b.setAllowance(allowance, now)
 		k.buckets[a.Name] = b
 	}
 }
 
+// newBucket returns a bucket that counts as used evenly in the span before now.
+func newBucket(span time.Duration, allowance float64, now time.Duration) *bucket {
+	b := &bucket{span: span, allowance: allowance, granted: newGrantWindow(span, now), at: now}
+	for i := range b.granted.counts {
+		b.granted.counts[i] = allowance / float64(len(b.granted.counts))
+	}
+	b.granted.sum = allowance
+	return b
+}
+
+// setAllowance changes the allowance. What was granted under a higher one counts in proportion.
+func (b *bucket) setAllowance(allowance float64, now time.Duration) {
+	b.advance(now)
+	switch {
+	case b.allowance <= 0 && allowance > 0:
+		*b = *newBucket(b.span, allowance, now)
+	case allowance < b.allowance:
+		b.granted.scale(allowance / b.allowance)
+	}
+	b.allowance = allowance
+}
+
 // Answer answers the asks of a gateway.
 func (k *Keeper) Answer(asks []Ask, now time.Duration) []Grant {
 	grants := make([]Grant, 0, len(asks))
 	for _, a := range asks {
 		b := k.buckets[a.Account]
 		switch {
-		case b == nil, !b.unlimited && b.rate <= 0:
+		case b == nil, !b.unlimited && b.allowance <= 0:
 			grants = append(grants, Grant{Account: a.Account, Elsewhere: true})
 		case b.unlimited:
 			grants = append(grants, Grant{Account: a.Account, Tokens: a.Need + a.Want})
@@ -72,21 +99,40 @@
 }
 
 func (b *bucket) answer(a Ask, now time.Duration) Grant {
-	b.refill(now)
-	fits := min(a.Need, b.capacity)
-	if a.Need > 0 && b.level < fits {
-		in := time.Duration((fits - b.level + b.waiting) / b.rate * float64(time.Second))
-		b.waiting += a.Need
-		return Grant{Account: a.Account, RetryIn: laburnumlever.Duration(min(maxRetryIn, max(minRetryIn, in)))}
+	b.advance(now)
+	free := freeShare*b.allowance - b.granted.sum
+	if a.Need > 0 && a.Need > free {
+		if in := b.fitsIn(a.Need, now); in > 0 {
+			b.waiting += a.Need
+			return Grant{Account: a.Account, RetryIn: laburnumlever.Duration(in)}
+		}
+	}
+	tokens := a.Need + max(0, min(a.Want, wantShare*(free-a.Need)))
+	b.granted.add(tokens)
+	if a.Need > free {
+		b.debt += tokens
 	}
-	tokens := a.Need + max(0, min(a.Want, wantShare*(b.level-a.Need)))
-	b.level -= tokens
 	return Grant{Account: a.Account, Tokens: tokens}
 }
 
-func (b *bucket) refill(now time.Duration) {
-	added := b.rate * max(0, now-b.at).Seconds()
-	b.level = min(b.capacity, b.level+added)
-	b.waiting = max(0, b.waiting-added)
-	b.at = now
+// fitsIn returns the time until a need beyond the free share fits; 0 for now.
+func (b *bucket) fitsIn(need float64, now time.Duration) time.Duration {
+	excess := b.granted.sum + min(need, b.allowance) - b.allowance
+	if excess <= 0 && b.debt <= 0 {
+		return 0
+	}
+	in := time.Duration((max(0, b.debt) + b.waiting) / b.pace() * float64(time.Second))
+	if excess > 0 {
+		in = max(in, b.granted.freeIn(excess, now))
+	}
+	return min(maxRetryIn, max(minRetryIn, in))
+}
+
+// pace returns the tokens per second beyond the free share.
+func (b *bucket) pace() float64 { return pacedShare * b.allowance / b.span.Seconds() }
+
+func (b *bucket) advance(now time.Duration) {
+	passed := b.pace() * max(0, now-b.at).Seconds()
+	b.debt, b.waiting, b.at = max(0, b.debt-passed), max(0, b.waiting-passed), now
+	b.granted.advance(now)
 }
--- a/laburnumquota/terms.go
+++ b/laburnumquota/terms.go
@@ -8,14 +8,15 @@
 
 const (
 	// grantTimeShare is the part of the overshoot that is left for tokens granted before a window and spent in it.
-	grantTimeShare = 0.6
-	// capacityShare is the part of what remains of the allowance that may be used at once; the rest is for
-	// keepers that disagree on their number.
-	capacityShare = 0.9
-	// defaultGrantTime applies where the terms allow no overshoot.
+	grantTimeShare = 0.4
+	// defaultGrantTime applies where the terms allow no overshoot, defaultWindow where they name no window.
 	defaultGrantTime = 100 * time.Millisecond
-	// holderParts is the number of keepers of an account whose quota allows no more at once than the slack.
-	holderParts = 2
+	defaultWindow    = 8 * time.Second
+	// allowanceShare is the part of a window's allowance that is given out. The rest is for keepers that disagree on
+	// their number.
+	allowanceShare = 0.95
+	// minPart times the slack is the least that a keeper of an account may grant in a window.
+	minPart = 1.5
 )
 
 // Terms are the terms on which quotas are checked, and what follows from them.
@@ -29,18 +30,26 @@
 	return defaultGrantTime
 }
 
-// capacity returns what may be used of a quota at once, such that the allowance of no window is exceeded.
-func (t Terms) capacity(q laburnumlever.Quota) float64 {
-	window := t.Window.Seconds()
-	allowance := (q.Rate*window+q.Burst)*(1+t.Overshoot) + t.Slack
-	return max(q.Burst, capacityShare*(allowance-q.Rate*(window+t.GrantTime().Seconds())))
+// span returns the time in which all tokens that are spent in one window were granted.
+func (t Terms) span() time.Duration { return t.window() + t.GrantTime() }
+
+func (t Terms) window() time.Duration {
+	if t.Window > 0 {
+		return t.Window
+	}
+	return defaultWindow
+}
+
+// allowance returns what may be granted of a quota in a span.
+func (t Terms) allowance(q laburnumlever.Quota) float64 {
+	return allowanceShare * ((q.Rate*t.window().Seconds()+q.Burst)*(1+t.Overshoot) + t.Slack)
 }
 
 // Holders returns the number of keepers of an account, at most the number of control VMs: as many as leave each
-// enough for a large request.
+// enough for some large requests.
 func (t Terms) Holders(q laburnumlever.Quota, controls int) int {
 	if t.Slack <= 0 {
 		return max(1, controls)
 	}
-	return max(1, min(controls, int(holderParts*t.capacity(q)/t.Slack)))
+	return max(1, min(controls, int(t.allowance(q)/(minPart*t.Slack))))
 }
