--- a/laburnumroles/quotakeepers.go
+++ b/laburnumroles/quotakeepers.go
@@ -81,14 +81,15 @@
 	return nil, 0, err
 }
 
-// controls returns the control VMs to ask, best first: the one that has just granted something; for an account that all
-// keep those of the own availability zone, else its keepers.
+// controls returns the keepers of an account that answer, best first: the one that has just granted something, then
+// those of the own availability zone.
 func (k *quotaKeepers) controls(account laburnumlever.Account) []string {
 	follower := k.follower()
-	known := len(follower.Controls())
 	addresses := follower.ControlsFor(k.self.Zone, string(k.self.ID))
-	if k.terms.Holders(account.Quota, known) < known {
-		addresses = follower.ControlsFor("", string(account.Name))
+	if known := len(follower.Controls()); k.terms.Holders(account.Quota, known) < known {
+		holders := follower.ControlsFor("", string(account.Name))
+		holders = holders[:min(len(holders), k.terms.Holders(account.Quota, known))]
+		addresses = slices.DeleteFunc(addresses, func(address string) bool { return !slices.Contains(holders, address) })
 	}
 	k.mu.Lock()
 	last := k.granted[account.Name]
