--- a/laburnumroles/confirm.go
+++ b/laburnumroles/confirm.go
@@ -11,6 +11,7 @@
 	"laburnumlever/laburnumlog"
 	"laburnumlever/laburnumrevocation"
 	"laburnumlever/laburnumtimer"
+	"laburnumlever/laburnumvoter"
 
 	"golang.org/x/sync/singleflight"
 )
@@ -39,11 +40,7 @@
 // concurrent use.
 type confirmations struct {
 	peers laburnumlever.Peers
-	voter interface {
-		laburnumlever.Proposer
-		Status() laburnumlever.VoterStatus
-	}
-	self  laburnumlever.VMID
+	voter *laburnumvoter.Voter
 	group singleflight.Group
 
 	mu   sync.Mutex
@@ -105,7 +102,7 @@
 // before the question.
 func (c *confirmations) request(ctx context.Context) (laburnumrevocation.Confirmation, error) {
 	asked := laburnumtimer.SinceBoot()
-	if address := c.leaderAddress(); address != "" {
+	if address := c.voter.LeaderAddress(); address != "" {
 		var answer confirmAnswer
 		if err := c.peers.Call(ctx, address, methodConfirmRoutes, confirmRequest{Leader: true}, &answer); err == nil {
 			return laburnumrevocation.Confirmation{Version: answer.Version, AsOf: asked - time.Duration(answer.Age)}, nil
@@ -125,14 +122,3 @@
 	}
 	return laburnumrevocation.Confirmation{Version: result.RoutesVersion, AsOf: asked}, nil
 }
-
-// leaderAddress returns the peer address of the leader; empty if it is unknown or this VM.
-func (c *confirmations) leaderAddress() string {
-	status := c.voter.Status()
-	for _, v := range status.Voters {
-		if v.VM == status.Leader && v.VM != c.self {
-			return v.PeerAddress
-		}
-	}
-	return ""
-}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -102,7 +102,7 @@
 	if err := c.buildVoter(); err != nil {
 		return nil, err
 	}
-	c.confirmations = &confirmations{peers: c.peers, voter: c.voter, self: c.self.ID}
+	c.confirmations = &confirmations{peers: c.peers, voter: c.voter}
 	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
 	c.quotas = newQuotas(c.timers, c.source, c.confirmations, c.logger, c.metrics.Scope(),
 		laburnumquota.Terms(settings.Quota.Terms()), time.Duration(settings.Times.Revoke))
@@ -458,11 +458,17 @@
 // ControlLost does nothing: other control VMs are polled until they answer.
 func (c *Control) ControlLost(string) {}
 
-// HandleRoutes does nothing: a control VM gets routes from the log.
-func (c *Control) HandleRoutes(laburnumlever.RouteTable) {}
+// HandleRoutes takes the client accounts of a route table that a control VM without a vote has fetched.
+func (c *Control) HandleRoutes(t laburnumlever.RouteTable) { c.quotas.setRoutes(t) }
 
-// RoutesVersion keeps the follower from fetching routes, which come from the log.
-func (c *Control) RoutesVersion() uint64 { return ^uint64(0) }
+// RoutesVersion returns the version of the client accounts in effect. A voter fetches no routes, as it gets them from the
+// log.
+func (c *Control) RoutesVersion() uint64 {
+	if c.voter.Votes() {
+		return ^uint64(0)
+	}
+	return c.quotas.version()
+}
 
 // GatewayReport is empty: only gateways serve callers and have backend state to report.
 func (c *Control) GatewayReport() laburnumlever.GatewayReport { return laburnumlever.GatewayReport{} }
--- a/laburnumroles/quotas.go
+++ b/laburnumroles/quotas.go
@@ -41,6 +41,8 @@
 	mu       sync.Mutex
 	keeper   *laburnumquota.Keeper
 	accounts []laburnumlever.Account
+	// routesVersion is the version of the route table that the accounts are of.
+	routesVersion uint64
 	// loggedAt is when a refusal was last logged for an account.
 	loggedAt map[laburnumlever.AccountName]time.Time
 }
@@ -70,10 +72,20 @@
 func (u *quotas) setRoutes(t laburnumlever.RouteTable) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.accounts = t.Accounts
+	if t.Version <= u.routesVersion {
+		return
+	}
+	u.routesVersion, u.accounts = t.Version, t.Accounts
 	u.setShares()
 }
 
+// version returns the version of the route table whose accounts are in effect; 0 for none.
+func (u *quotas) version() uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.routesVersion
+}
+
 // setShares sets the shares that this VM owns. The caller holds mu.
 func (u *quotas) setShares() {
 	if len(u.accounts) == 0 {
--- a/laburnumvoter/status.go
+++ b/laburnumvoter/status.go
@@ -15,6 +15,31 @@
 // Status returns the log's state as this VM knows it. It may be called on any goroutine.
 func (v *Voter) Status() laburnumlever.VoterStatus { return *v.status.Load() }
 
+// Votes reports whether this VM is a voter, so that it gets each committed entry.
+func (v *Voter) Votes() bool {
+	switch v.Status().Role {
+	case laburnumlog.Leader.String(), laburnumlog.Follower.String(), laburnumlog.Candidate.String():
+		return true
+	default:
+		return false
+	}
+}
+
+// LeaderAddress returns the peer address of the leader as far as this VM knows; empty if it is unknown or this VM.
+func (v *Voter) LeaderAddress() string {
+	status := v.Status()
+	address := v.known.leader().PeerAddress
+	for _, known := range status.Voters {
+		if known.VM == status.Leader {
+			address = known.PeerAddress
+		}
+	}
+	if address == v.self.PeerAddress {
+		return ""
+	}
+	return address
+}
+
 // publishedKey is the part of the state from which a status is built, to publish only changes.
 type publishedKey struct {
 	role          string
