--- a/laburnumquota/grantwindow.go
+++ b/laburnumquota/grantwindow.go
@@ -3,7 +3,7 @@
 import "time"
 
 // slots is the number of parts that a span is counted in.
-const slots = 64
+const slots = 128
 
 // grantWindow counts what was granted in the last span. It counts a slot until all of it has left the span.
 type grantWindow struct {
--- a/laburnumquota/keeper.go
+++ b/laburnumquota/keeper.go
@@ -8,9 +8,14 @@
 
 const (
 	// Below freeShare of its allowance an account is granted whatever it needs. Beyond that it is granted no faster
-	// than pacedShare of the allowance in a span, so that a hot account is served evenly instead of by turns.
-	freeShare  = 0.6
-	pacedShare = 0.97
+	// than pacedShare of the allowance in a span, and paceBurst at once, so that a hot account is served evenly instead
+	// of by turns.
+	freeShare  = 0.55
+	pacedShare = 0.96
+	paceBurst  = 0.03
+	// restartShare is the part of that pace in the first span of a share. What was granted of it before a restart is
+	// not known, and need not have been granted evenly.
+	restartShare = 0.85
 	// wantShare is the part of what may be granted freely that one gateway gets ahead of its need.
 	wantShare = 0.25
 	// minRetryIn and maxRetryIn bound the time until a refused need is said to fit.
@@ -35,6 +40,8 @@
 	// had the time to.
 	debt, waiting float64
 	at            time.Duration
+	// knownAt is when all that was granted in a span is known.
+	knownAt time.Duration
 }
 
 // NewKeeper returns a keeper without accounts.
@@ -61,7 +68,7 @@
 
 // newBucket returns a bucket that counts as used evenly in the span before now.
 func newBucket(span time.Duration, allowance float64, now time.Duration) *bucket {
-	b := &bucket{span: span, allowance: allowance, granted: newGrantWindow(span, now), at: now}
+	b := &bucket{span: span, allowance: allowance, granted: newGrantWindow(span, now), at: now, knownAt: now + span}
 	for i := range b.granted.counts {
 		b.granted.counts[i] = allowance / float64(len(b.granted.counts))
 	}
@@ -118,10 +125,11 @@
 // fitsIn returns the time until a need beyond the free share fits; 0 for now.
 func (b *bucket) fitsIn(need float64, now time.Duration) time.Duration {
 	excess := b.granted.sum + min(need, b.allowance) - b.allowance
-	if excess <= 0 && b.debt <= 0 {
+	burst := paceBurst * b.allowance
+	if excess <= 0 && b.debt <= burst {
 		return 0
 	}
-	in := time.Duration((max(0, b.debt) + b.waiting) / b.pace() * float64(time.Second))
+	in := time.Duration((max(0, b.debt-burst) + b.waiting) / b.pace() * float64(time.Second))
 	if excess > 0 {
 		in = max(in, b.granted.freeIn(excess, now))
 	}
@@ -129,7 +137,13 @@
 }
 
 // pace returns the tokens per second beyond the free share.
-func (b *bucket) pace() float64 { return pacedShare * b.allowance / b.span.Seconds() }
+func (b *bucket) pace() float64 {
+	pace := pacedShare * b.allowance / b.span.Seconds()
+	if b.at < b.knownAt {
+		return restartShare * pace
+	}
+	return pace
+}
 
 func (b *bucket) advance(now time.Duration) {
 	passed := b.pace() * max(0, now-b.at).Seconds()
--- a/laburnumquota/terms.go
+++ b/laburnumquota/terms.go
@@ -8,13 +8,14 @@
 
 const (
 	// grantTimeShare is the part of the overshoot that is left for tokens granted before a window and spent in it.
-	grantTimeShare = 0.4
+	grantTimeShare = 0.2
 	// defaultGrantTime applies where the terms allow no overshoot, defaultWindow where they name no window.
 	defaultGrantTime = 100 * time.Millisecond
 	defaultWindow    = 8 * time.Second
-	// allowanceShare is the part of a window's allowance that is given out. The rest is for keepers that disagree on
-	// their number.
+	// allowanceShare and slackShare are the parts of a window's allowance and of the slack in it that are given out. The
+	// rest is for keepers that disagree on their number or were restarted.
 	allowanceShare = 0.95
+	slackShare     = 0.5
 	// minPart times the slack is the least that a keeper of an account may grant in a window.
 	minPart = 1.5
 )
@@ -42,7 +43,7 @@
 
 // allowance returns what may be granted of a quota in a span.
 func (t Terms) allowance(q laburnumlever.Quota) float64 {
-	return allowanceShare * ((q.Rate*t.window().Seconds()+q.Burst)*(1+t.Overshoot) + t.Slack)
+	return allowanceShare*(q.Rate*t.window().Seconds()+q.Burst)*(1+t.Overshoot) + slackShare*t.Slack
 }
 
 // Holders returns the number of keepers of an account, at most the number of control VMs: as many as leave each
