--- a/laburnumquota/terms.go
+++ b/laburnumquota/terms.go
@@ -9,15 +9,15 @@
 const (
 	// grantTimeShare is the part of the overshoot that is left for tokens granted before a window and spent in it.
 	grantTimeShare = 0.2
-	// defaultGrantTime applies where the terms allow no overshoot, defaultWindow where they name no window.
+	// defaultGrantTime applies where the terms allow no overshoot.
 	defaultGrantTime = 100 * time.Millisecond
-	defaultWindow    = 8 * time.Second
-	// allowanceShare and slackShare are the parts of a window's allowance and of the slack in it that are given out. The
-	// rest is for keepers that disagree on their number or were restarted.
-	allowanceShare = 0.95
-	slackShare     = 0.5
-	// minPart times the slack is the least that a keeper of an account may grant in a window.
-	minPart = 1.5
+	// What the allowance of a window holds beyond the rate is given out: rateShare of it evenly, capacityShare of it and
+	// slackShare of the slack at once. The rest is for keepers that disagree on their number.
+	rateShare     = 0.45
+	capacityShare = 0.45
+	slackShare    = 0.85
+	// minPart times the slack is what each keeper of an account may at least grant at once.
+	minPart = 0.45
 )
 
 // Terms are the terms on which quotas are checked, and what follows from them.
@@ -32,25 +32,30 @@
 }
 
 // span returns the time in which all tokens that are spent in one window were granted.
-func (t Terms) span() time.Duration { return t.window() + t.GrantTime() }
+func (t Terms) span() time.Duration { return t.Window + t.GrantTime() }
 
-func (t Terms) window() time.Duration {
-	if t.Window > 0 {
-		return t.Window
-	}
-	return defaultWindow
+// spare returns what the allowance of a window holds beyond the rate, without the slack.
+func (t Terms) spare(q laburnumlever.Quota) float64 {
+	allowance := (q.Rate*t.Window.Seconds() + q.Burst) * (1 + t.Overshoot)
+	return max(0, allowance-q.Rate*t.span().Seconds())
+}
+
+// rate returns what is granted of a quota in a second. It is above the quota's own rate as far as the allowance of a
+// window permits.
+func (t Terms) rate(q laburnumlever.Quota) float64 {
+	return q.Rate + rateShare*t.spare(q)/t.span().Seconds()
 }
 
-// allowance returns what may be granted of a quota in a span.
-func (t Terms) allowance(q laburnumlever.Quota) float64 {
-	return allowanceShare*(q.Rate*t.window().Seconds()+q.Burst)*(1+t.Overshoot) + slackShare*t.Slack
+// capacity returns what may be granted of a quota at once.
+func (t Terms) capacity(q laburnumlever.Quota) float64 {
+	return capacityShare*t.spare(q) + slackShare*t.Slack
 }
 
 // Holders returns the number of keepers of an account, at most the number of control VMs: as many as leave each
-// enough for some large requests.
+// enough for a large request.
 func (t Terms) Holders(q laburnumlever.Quota, controls int) int {
 	if t.Slack <= 0 {
 		return max(1, controls)
 	}
-	return max(1, min(controls, int(t.allowance(q)/(minPart*t.Slack))))
+	return max(1, min(controls, int(t.capacity(q)/(minPart*t.Slack))))
 }
