test: keys, revocation and quotas at the gateway and over small fleets

Found by these tests: a refusal before the body is read was held back until the caller had sent the body, since the server reads it first; the answer to an unknown key now closes its connection.

--- a/account.go
+++ b/account.go
@@ -93,6 +93,12 @@
 	return t
 }
 
+// WithoutDocument returns a copy of the table without the operators' text, which holds the keys.
+func (t RouteTable) WithoutDocument() RouteTable {
+	t.Document = nil
+	return t
+}
+
 // ChecksKeys reports whether callers must identify themselves with a client account's key.
 func (t RouteTable) ChecksKeys() bool { return len(t.Accounts) > 0 }
 
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -408,9 +408,7 @@
 	if s.encodedRoutes != nil {
 		return s.encodedRoutes, nil
 	}
-	table := *s.routes
-	table.Document = nil
-	encoded, err := json.Marshal(table)
+	encoded, err := json.Marshal(s.routes.WithoutDocument())
 	if err != nil {
 		return nil, &MessageError{Method: methodRoutes, Cause: err}
 	}
--- /dev/null
+++ b/laburnumgateway/accounts_test.go
@@ -0,0 +1,243 @@
+package laburnumgateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumquota"
+	"laburnumlever/laburnumtimer"
+)
+
+const (
+	keyHeader     = "X-Api-Key"
+	accountHeader = "X-Laburnumlever-Tenant"
+	revokeTime    = 400 * time.Millisecond
+)
+
+// accountRoutes returns routes with one client account for each key, named after it; the lookup route is public.
+func accountRoutes(version uint64, keys ...string) laburnumlever.RouteTable {
+	t := testRoutes()
+	t.Version, t.Format = version, laburnumlever.TableFormat
+	t.Routes[1].Public = true
+	salt := []byte("salt")
+	var accounts []laburnumlever.Account
+	for _, key := range keys {
+		accounts = append(accounts, laburnumlever.Account{
+			Name: laburnumlever.AccountName("account-of-" + key), Keys: []laburnumlever.KeyHash{laburnumlever.HashKey(salt, key)},
+			Quota: laburnumlever.Quota{Rate: 10, Burst: 10},
+		})
+	}
+	return t.WithAccounts(salt, accounts)
+}
+
+// controlVMs stand in for the control VMs of a gateway: they confirm the newest route table and grant quotas.
+type controlVMs struct {
+	fleet *laburnumgateway.Fleet
+
+	mu     sync.Mutex
+	routes laburnumlever.RouteTable
+	cutOff bool
+	left   float64
+	asks   int
+}
+
+func (c *controlVMs) Confirm(context.Context) error {
+	asked := laburnumtimer.SinceBoot()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cutOff {
+		return &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
+	}
+	c.fleet.HandleRoutes(c.routes)
+	c.fleet.ConfirmRoutes(c.routes.Version, asked)
+	return nil
+}
+
+func (c *controlVMs) Grant(_ context.Context, account laburnumlever.Account, asks []laburnumquota.Ask) ([]laburnumquota.Grant, time.Duration, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asks++
+	if c.cutOff {
+		return nil, 0, &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
+	}
+	grant := laburnumquota.Grant{Account: account.Name, RetryIn: laburnumlever.Duration(3 * time.Second)}
+	if c.left >= asks[0].Need {
+		c.left -= asks[0].Need
+		grant = laburnumquota.Grant{Account: account.Name, Tokens: asks[0].Need}
+	}
+	return []laburnumquota.Grant{grant}, laburnumtimer.SinceBoot(), nil
+}
+
+func (c *controlVMs) set(change func(*controlVMs)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(c)
+}
+
+// newAccountHarness starts a gateway with client accounts and plenty of quota.
+func newAccountHarness(t *testing.T, server *backend, keys ...string) (*harness, *controlVMs) {
+	timers := laburnumtimer.New()
+	t.Cleanup(timers.Close)
+	c := &controlVMs{routes: accountRoutes(1, keys...), left: 1000}
+	c.fleet = laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1,
+		laburnumgateway.WithRoutesConfirmer(c, laburnumgateway.KeyTimes{Revoke: revokeTime, Apply: revokeTime / 2}),
+		laburnumgateway.WithQuotaKeepers(c, laburnumquota.Terms{Window: 100 * time.Second, Overshoot: 0.5}))
+	b := newHarnessOfFleet(t, c.fleet, timers)
+	c.fleet.HandleRoutes(c.routes)
+	c.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: record(server, "booking")})
+	return b, c
+}
+
+// Guards against keys that are passed on and against callers who name an account themselves.
+func TestBackendGetsTheAccountAndNotTheKey(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, _ := newAccountHarness(t, server, "k1", "k2")
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k2", accountHeader, "account-of-k1").status)
+	require.Equal(t, 200, b.send("GET", "/lookup/x", "", accountHeader, "account-of-k1").status)
+	require.Equal(t, 200, b.send("GET", "/lookup/x", "", keyHeader, "no such key").status)
+	got := server.requests()
+	require.Len(t, got, 3)
+	for i, want := range []string{"account-of-k2", "", ""} {
+		require.Equal(t, want, got[i].request.Header.Get(accountHeader))
+		require.Empty(t, got[i].request.Header.Values(keyHeader))
+	}
+}
+
+// Guards against callers without a valid key who make the gateway read and keep their bodies.
+func TestUnknownKeyIsRefusedBeforeTheBodyIsRead(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, _ := newAccountHarness(t, server, "k1")
+	for _, key := range []string{"", "k2", "account-of-k1"} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+		require.NoError(t, err)
+		fmt.Fprintf(conn, "POST /confirm/x HTTP/1.1\r\nHost: quotes.example\r\n%s: r-1\r\n%s: %s\r\nContent-Length: 900\r\n\r\n", idHeader, keyHeader, key)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusUnauthorized, resp.StatusCode, "key %q", key)
+		require.NoError(t, resp.Body.Close())
+		require.NoError(t, conn.Close())
+	}
+	require.Empty(t, server.requests())
+}
+
+// Guards against revoked keys that a gateway without control VMs goes on to accept, and against refusals there sooner
+// than needed or on public routes.
+func TestKeysOfACutOffGatewayAreRefusedAfterTheRevokeTime(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	cut := time.Now()
+	c.set(func(c *controlVMs) { c.cutOff = true; c.left = 1000 })
+	for time.Since(cut) < revokeTime/2 {
+		if got := b.send("POST", "/confirm/x", "visit", keyHeader, "k1"); time.Since(cut) < revokeTime/2 {
+			require.NotEqual(t, http.StatusUnauthorized, got.status)
+		}
+	}
+	require.Eventually(t, func() bool { return time.Since(cut) > revokeTime }, 10*time.Second, time.Millisecond)
+	before := len(server.requests())
+	got := b.send("POST", "/confirm/x", "visit", keyHeader, "k1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "keys-unconfirmed\n", got.body)
+	require.Len(t, server.requests(), before)
+	require.Equal(t, 200, b.send("GET", "/lookup/x", "").status)
+	c.set(func(c *controlVMs) { c.cutOff = false })
+	require.Eventually(t, func() bool { return b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status == 200 }, 10*time.Second, 20*time.Millisecond)
+}
+
+// Guards against a new key that is refused for good by a gateway that has not heard of it yet.
+func TestUnknownKeyIsLookedUpIfTheTableMayBeOld(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	c.set(func(c *controlVMs) { c.routes = accountRoutes(2, "k1", "k2") })
+	known := time.Now()
+	require.Eventually(t, func() bool { return time.Since(known) > revokeTime/2 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k2").status)
+}
+
+// Guards against a request that waits for a slot while its key is revoked and is then sent.
+func TestKeyRevokedWhileARequestWaitsIsRefused(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	c.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: gone(server, "booking")})
+	status := make(chan int)
+	go func() { status <- b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status }()
+	require.Eventually(t, func() bool { return c.fleet.Status().Queued == 1 }, 10*time.Second, time.Millisecond)
+	c.set(func(c *controlVMs) { c.routes = accountRoutes(2, "k2") })
+	c.fleet.HandleRoutes(accountRoutes(2, "k2"))
+	other := newBackend(t, "i-2", answerOK)
+	c.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: record(other, "booking")})
+	require.Equal(t, http.StatusUnauthorized, <-status)
+	require.Empty(t, other.requests())
+}
+
+// Guards against accounts beyond their quota that are served, or refused without the time to come back.
+func TestOverQuotaIsRefusedAtOnceWithTheTimeToComeBack(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	c.set(func(c *controlVMs) { c.left = 2 })
+	for range 2 {
+		require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	}
+	got := b.send("POST", "/confirm/x", "visit", keyHeader, "k1")
+	require.Equal(t, http.StatusTooManyRequests, got.status)
+	require.Equal(t, "over-quota\n", got.body)
+	var after float64
+	_, err := fmt.Sscan(got.header.Get("Retry-After"), &after)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, after, 2.5)
+	require.Len(t, server.requests(), 2)
+	require.Equal(t, 3, c.asks, "a refused account is not asked for again at once")
+	require.Equal(t, http.StatusTooManyRequests, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	require.Equal(t, 3, c.asks)
+}
+
+// Guards against requests that no control VM grants a quota for and that are told to be beyond it.
+func TestUnansweredQuotaIsNotToldAsUsedUp(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	c.set(func(c *controlVMs) { c.cutOff = true })
+	got := b.send("POST", "/confirm/x", "visit", keyHeader, "k1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "quota-unanswered\n", got.body)
+}
+
+// Guards against requests that never ran and use up their account's quota.
+func TestRequestThatDidNotRunIsRefunded(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	c.set(func(c *controlVMs) { c.left = 1 })
+	c.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: gone(server, "booking")})
+	require.Equal(t, http.StatusServiceUnavailable, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	other := newBackend(t, "i-2", answerOK)
+	c.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: record(other, "booking")})
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	require.Equal(t, 1, c.asks)
+	require.Equal(t, http.StatusTooManyRequests, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+}
+
+// Guards against old and new VMs that share a fleet: a table from an old one lacks the accounts, and the same table from
+// a new one must take its place.
+func TestTableWithAccountsReplacesTheSameTableWithout(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	old := testRoutes()
+	old.Version = 2
+	c.fleet.HandleRoutes(old)
+	c.set(func(c *controlVMs) { c.routes = accountRoutes(2, "k1") })
+	c.fleet.HandleRoutes(accountRoutes(2, "k1"))
+	require.Equal(t, http.StatusUnauthorized, b.send("POST", "/confirm/x", "visit").status)
+}
--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -231,3 +231,15 @@
 	text, err := io.ReadAll(resp.Body)
 	return callerResponse{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
 }
+
+// record returns a backend server's record of a service.
+func record(b *backend, service string) []laburnumregistry.Record {
+	return []laburnumregistry.Record{b.heartbeat(service)}
+}
+
+// gone returns the record of a backend server that is gone.
+func gone(b *backend, service string) []laburnumregistry.Record {
+	r := b.heartbeat(service)
+	r.Gone, r.Heartbeat.Sequence = true, r.Heartbeat.Sequence+1
+	return []laburnumregistry.Record{r}
+}
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -215,15 +215,25 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if refusal.Reason == laburnumlever.RefusedUnknownKey && !q.bodyRead {
+		// Otherwise the server reads the body first, which a caller may send slowly or not at all.
+		w.Header().Set("Connection", "close")
+	}
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(refusal.Reason.String() + "\n")) // an error means that the caller has disconnected
 }
 
-// retryAfter returns the Retry-After of a refusal; 0 for none. The end of a quarantine is told as it
-// is, even beyond the caller's deadline: an earlier retry can't be served.
+// retryAfter returns the Retry-After of a refusal; 0 for none. The end of a quarantine and the time at which a
+// quota has room are told as they are, even beyond the caller's deadline: an earlier retry can't be served.
 func (g *Gateway) retryAfter(q *request, refusal *laburnumlever.RefusalError) time.Duration {
-	if refusal.Reason == laburnumlever.RefusedQuarantined {
+	switch refusal.Reason {
+	case laburnumlever.RefusedQuarantined:
 		return refusal.RetryAfter
+	case laburnumlever.RefusedOverQuota:
+		return refusal.RetryAfter + time.Duration(quotaRetrySpread*rand.Float64()*float64(refusal.RetryAfter))
+	case laburnumlever.RefusedUnknownKey:
+		return 0
+	default:
 	}
 	return q.queueTimes().RetryAfter(refusal.RetryAfter, rand.Float64(), g.timers.Now())
 }
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -38,6 +38,7 @@
 	host          string
 	header        http.Header
 	body          []byte
+	bodyRead      bool
 	arrived       time.Time
 	deadline      time.Time
 	routesVersion uint64
@@ -165,6 +166,7 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	q.bodyRead = true
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -41,6 +41,8 @@
 	callers  string
 	ready    string
 	folders  []string
+	// change, unless nil, changes the settings of each VM.
+	change func(*laburnumsettings.RoleSettings)
 }
 
 func newDeployment(t *testing.T, controls, losses int) *deployment {
@@ -63,11 +65,15 @@
 
 func (s *deployment) settings(ip string) laburnumsettings.RoleSettings {
 	second := laburnumlever.Duration(time.Second)
-	return laburnumsettings.RoleSettings{
+	settings := laburnumsettings.RoleSettings{
 		VM: laburnumlever.VMID(ip), Zone: "brest", PeerPort: s.port, MetricsPort: metricsPort, Seeds: []string{s.control(0), s.control(1), s.control(2)},
 		Times: laburnumsettings.RoleTimes{Heartbeat: second, Grace: 8 * second, Lease: 3 * second, CatchUp: 4 * second, Apply: 2 * second},
 		Retry: laburnumsettings.RoleRetry{Ratio: 0.2, Slack: 50, Window: 10 * second}, Log: laburnumsettings.Log{Level: "info"},
 	}
+	if s.change != nil {
+		s.change(&settings)
+	}
+	return settings
 }
 
 func (s *deployment) startControl(i, losses int, first bool) {
