--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/urfave/cli/v2"
 
@@ -67,10 +68,20 @@
 	}
 	printf(w, "director: %s\n", orNone(s.Director))
 	printf(w, "routes: version %d\n", s.RoutesVersion)
+	if k := s.Keys; k != nil {
+		accepted := "accepted"
+		if !k.Accepted {
+			accepted = "refused"
+		}
+		printf(w, "keys: %s, %d of %d accounts, routes known to be the newest %s ago\n", accepted, k.Keys, k.Accounts, time.Duration(k.Age).Round(time.Millisecond))
+	}
 	printf(w, "gateways: %d\n", s.Gateways)
 	if s.Controls > 0 {
 		printf(w, "control VMs: %d\n", s.Controls)
 	}
+	for _, a := range s.Accounts {
+		printf(w, "account %s: %.0f of %.0f a second, %d refused, keys %v\n", a.Account, a.Used, a.Rate, a.Refused, a.Keys)
+	}
 	for _, c := range s.Services {
 		printf(w, "service %s: %d serving, %d of them silent, %d leaving\n", c.Service, c.Serving, c.Silent, c.Leaving)
 		if c.Models > 0 {
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -8,8 +8,8 @@
 	"laburnumlever"
 	"laburnumlever/laburnumoutlier"
 	"laburnumlever/laburnumregistry"
-	"laburnumlever/laburnumtimer"
 	"laburnumlever/laburnumresidency"
+	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
--- a/laburnumgateway/accounts.go
+++ b/laburnumgateway/accounts.go
@@ -94,6 +94,24 @@
 	return k.view.Accepts(now), ok && age < k.times.Apply
 }
 
+// status returns whether the keys of a table are accepted; nil for a table without client accounts.
+func (k *keys) status(t laburnumlever.RouteTable) *laburnumlever.KeysStatus {
+	if !t.ChecksKeys() {
+		return nil
+	}
+	status := &laburnumlever.KeysStatus{Accounts: len(t.Accounts)}
+	for _, a := range t.Accounts {
+		status.Keys += len(a.Keys)
+	}
+	status.Accepted, _ = k.accepted()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if age, ok := k.view.Age(laburnumtimer.SinceBoot()); ok {
+		status.Age = laburnumlever.Duration(age)
+	}
+	return status
+}
+
 // refresh requests a confirmation unless one is being requested, and waits for it at most for the given time. It
 // does nothing right after a failure.
 func (f *Fleet) refresh(ctx context.Context, wait time.Duration) {
--- a/laburnumquota/keeper.go
+++ b/laburnumquota/keeper.go
@@ -1,6 +1,9 @@
 package laburnumquota
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"laburnumlever"
@@ -29,6 +32,33 @@
 	// waiting is what callers were told to come back for and have not yet had the time to.
 	waiting float64
 	at      time.Duration
+	// used is what was granted lately, decayed as of at; refused counts refused needs.
+	used    float64
+	refused uint64
+}
+
+// Usage is the use of a share of one account's quota.
+type Usage struct {
+	Account laburnumlever.AccountName
+	// Rate is the share and Used what was granted of it lately, both per second.
+	Rate, Used float64
+	// Refused counts refused needs.
+	Refused uint64
+}
+
+// Usage returns the use of the keeper's shares, the largest first.
+func (k *Keeper) Usage(now time.Duration) []Usage {
+	var list []Usage
+	for name, b := range k.buckets {
+		if b.rate > 0 && !b.unlimited {
+			b.refill(now)
+			list = append(list, Usage{Account: name, Rate: b.rate, Used: b.used * math.Ln2 / costHalfLife.Seconds(), Refused: b.refused})
+		}
+	}
+	slices.SortFunc(list, func(a, b Usage) int {
+		return cmp.Or(-cmp.Compare(a.Used/a.Rate, b.Used/b.Rate), cmp.Compare(a.Account, b.Account))
+	})
+	return list
 }
 
 // NewKeeper returns a keeper without accounts.
@@ -76,15 +106,19 @@
 	if fits := min(a.Need, b.capacity); a.Need > 0 && b.level < fits {
 		in := time.Duration((fits - b.level + b.waiting) / b.rate * float64(time.Second))
 		b.waiting += a.Need
+		b.refused++
 		return Grant{Account: a.Account, RetryIn: laburnumlever.Duration(min(maxRetryIn, max(minRetryIn, in)))}
 	}
 	tokens := a.Need + max(0, min(a.Want, wantShare*(b.level-a.Need)))
 	b.level -= tokens
+	b.used += tokens
 	return Grant{Account: a.Account, Tokens: tokens}
 }
 
 func (b *bucket) refill(now time.Duration) {
-	added := b.rate * max(0, now-b.at).Seconds()
+	passed := max(0, now-b.at).Seconds()
+	added := b.rate * passed
+	b.used *= math.Exp2(-passed / costHalfLife.Seconds())
 	b.level = min(b.capacity, b.level+added)
 	b.waiting = max(0, b.waiting-added)
 	b.at = now
--- a/laburnumroles/quotas.go
+++ b/laburnumroles/quotas.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,6 +134,26 @@
 	return nil
 }
 
+// status returns the use of this VM's shares.
+func (u *quotas) status() []laburnumlever.AccountStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var list []laburnumlever.AccountStatus
+	for _, usage := range u.keeper.Usage(laburnumtimer.SinceBoot()) {
+		if len(list) == laburnumlever.MaxAccountStatuses {
+			break
+		}
+		status := laburnumlever.AccountStatus{Account: usage.Account, Rate: usage.Rate, Used: usage.Used, Refused: usage.Refused}
+		if i := slices.IndexFunc(u.accounts, func(a laburnumlever.Account) bool { return a.Name == usage.Account }); i >= 0 {
+			for _, key := range u.accounts[i].Keys {
+				status.Keys = append(status.Keys, key.Fingerprint())
+			}
+		}
+		list = append(list, status)
+	}
+	return list
+}
+
 // record counts an answer, and logs that an account has used up its quota. The caller holds mu.
 func (u *quotas) record(g laburnumquota.Grant) {
 	switch {
--- a/laburnumroles/status.go
+++ b/laburnumroles/status.go
@@ -47,6 +47,7 @@
 func (c *Control) status() laburnumlever.Status {
 	role := laburnumlever.RoleStatus{Role: "control", VM: c.self.ID, Zone: c.self.Zone, Director: string(c.source.Director())}
 	role.Gateways, role.Controls = c.source.Gateways(), len(c.source.Controls())+1
+	role.Accounts = c.quotas.status()
 	if routes := c.routes.Load(); routes != nil {
 		role.RoutesVersion = routes.Version
 		c.mu.Lock()
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -18,10 +18,40 @@
 	Ready    bool `json:"ready,omitempty"`
 	InFlight int  `json:"in-flight,omitempty"`
 	Queued   int  `json:"queued,omitempty"`
+	// Keys is set by gateways if there are client accounts.
+	Keys *KeysStatus `json:"keys,omitempty"`
+	// Accounts are the client accounts with a quota that a control VM grants parts of, at most
+	// MaxAccountStatuses of them, those with the largest use first.
+	Accounts []AccountStatus `json:"accounts,omitempty"`
 	// Services are the services of the routes in effect.
 	Services []ServiceStatus `json:"services,omitempty"`
 }
 
+// MaxAccountStatuses is the number of client accounts in a status.
+const MaxAccountStatuses = 64
+
+// KeysStatus tells whether a gateway accepts the keys of client accounts.
+type KeysStatus struct {
+	Accepted bool `json:"accepted"`
+	// Age is the time since the routes in effect were last known to be the newest.
+	Age Duration `json:"age"`
+	// Accounts and Keys count those of the routes in effect.
+	Accounts int `json:"accounts"`
+	Keys     int `json:"keys"`
+}
+
+// AccountStatus is the use of a control VM's share of a client account's quota.
+type AccountStatus struct {
+	Account AccountName `json:"account"`
+	// Keys are the fingerprints of its keys.
+	Keys []string `json:"keys,omitempty"`
+	// Rate is the share of the quota and Used what was granted of it lately, both per second.
+	Rate float64 `json:"rate"`
+	Used float64 `json:"used"`
+	// Refused counts the needs that were refused.
+	Refused uint64 `json:"refused"`
+}
+
 // ServiceStatus counts the backend servers of a service.
 type ServiceStatus struct {
 	Service ServiceName `json:"service"`
