--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -41,7 +42,7 @@
 				CrashText: c.String("crash-text"), Crash: func() { os.Exit(exitFailure) },
 			}
 			if c.Bool("print-runs") {
-				behaviour.OnRun = func(id string) { printf(c.App.Writer, "ran %s\n", id) }
+				behaviour.OnRun = func(run laburnumstandin.PlatformRun) { printRun(c.App.Writer, run) }
 			}
 			address := c.String("announce")
 			if address == "" {
@@ -64,3 +65,15 @@
 func (b platformBackend) Start() { b.server.Start(b.period) }
 func (b platformBackend) Leave() { b.server.Leave() }
 func (b platformBackend) Close() { b.server.Close() }
+
+// printRun prints the id of a request, its client account if it has one, and that its key was passed on.
+func printRun(w io.Writer, run laburnumstandin.PlatformRun) {
+	line := "ran " + run.ID
+	if run.Account != "" {
+		line += " " + run.Account
+	}
+	if run.Key != "" {
+		line += " with its key"
+	}
+	printf(w, "%s\n", line)
+}
--- a/laburnumroles/crashingrequest_test.go
+++ b/laburnumroles/crashingrequest_test.go
@@ -62,7 +62,7 @@
 	engine = laburnumstandin.NewPlatformServer(fmt.Sprintf("i-%d", e.starts), "devis", ln.Addr().String(), controls, []string{"m0"},
 		laburnumstandin.PlatformBehaviour{
 			CrashText: crashText,
-			OnRun:     e.requestRan,
+			OnRun:     func(run laburnumstandin.PlatformRun) { e.requestRan(run.ID) },
 			Crash: func() {
 				if crashed.CompareAndSwap(false, true) {
 					_ = server.Close()
--- a/laburnumroles/limit_test.go
+++ b/laburnumroles/limit_test.go
@@ -39,7 +39,7 @@
 		controls = append(controls, s.control(i))
 	}
 	e.PlatformServer = laburnumstandin.NewPlatformServer(id, "devis", ln.Addr().String(), controls, []string{"m0"},
-		laburnumstandin.PlatformBehaviour{OnRun: func(string) {
+		laburnumstandin.PlatformBehaviour{OnRun: func(laburnumstandin.PlatformRun) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.arrivals = append(e.arrivals, time.Now())
--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -10,7 +10,8 @@
 // backend servers freeze in one or both directions, reset their connections, or delay traffic.
 // Callers keep their connections open until the process at the other end exits. For each service one
 // caller repeats a request at which backend servers crash; they are restarted a second later. Backend
-// servers name limits, change them and end them.
+// servers name limits, change them and end them. Callers have the keys of client accounts; each change takes one key
+// away and adds another, and one account sends all the time what exceeds its quota.
 // The seed determines which faults are injected and when. Their effect also depends on the
 // timing of the machine, so a failing seed may pass when repeated: its logs are kept.
 //
@@ -18,7 +19,8 @@
 // refused as not run did not run, and an answered one did; streams deliver each event once and in
 // order, and a stream that ends as complete is complete; a read of the manifest returns no version
 // older than those acknowledged before the read was sent; no process of the system exits on its
-// own; no other request is refused as one that crashes backend servers. After the run, a change must
+// own; no other request is refused as one that crashes backend servers; a request runs for the account of its key, which
+// is not passed on, not with a key that was taken away longer than the revoke time before, and not beyond the quota. After the run, a change must
 // be acknowledged and read back, callers must be served, and all gateways must refuse the crashing
 // requests, which run at most three times more. A backend server that then names a limit must get no more than
 // one and a half times as much; requests are refused only where all servers are limited, and then as
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -100,7 +100,8 @@
 	s := laburnumsettings.RoleSettings{
 		VM: laburnumlever.VMID(fmt.Sprintf("%s.%d", f.net, number)), Name: name, Zone: "brest", Region: "bretagne",
 		PeerPort: peerPort, FirstStart: !f.bootstrapped.Load(), ControlLosses: 1,
-		Times:       laburnumsettings.RoleTimes{Heartbeat: second, Grace: 4 * second, Lease: 3 * second, CatchUp: 4 * second, Apply: 2 * second},
+		Times:       laburnumsettings.RoleTimes{Heartbeat: second, Grace: 4 * second, Lease: 3 * second, CatchUp: 4 * second, Apply: 2 * second, Revoke: laburnumlever.Duration(revokeTime)},
+		Quota:       laburnumsettings.RoleQuota{Overshoot: quotaOvershoot, Slack: quotaSlack, Window: laburnumlever.Duration(quotaWindow)},
 		Retry:       laburnumsettings.RoleRetry{Ratio: 0.2, Slack: 52, Window: 10 * second},
 		StoreWindow: 5 * second, StoreOvershoot: 1.1, ChecksFencing: true, Log: laburnumsettings.Log{Level: "info"},
 	}
@@ -134,9 +135,11 @@
 		return args
 	}
 	p.onLine = func(text string) {
-		id, ok := strings.CutPrefix(text, ranPrefix)
+		run, ok := strings.CutPrefix(text, ranPrefix)
+		id, account, _ := strings.Cut(run, " ")
 		if ok {
 			f.record.ranOn(name)
+			f.record.ranFor(id, account)
 		}
 		if ok && service == "booking" {
 			f.record.requestRan(id)
--- a/laburnumsoak/load.go
+++ b/laburnumsoak/load.go
@@ -40,7 +40,7 @@
 }
 
 func newLoad(f *fleet, r *recorder) *load {
-	return &load{fleet: f, record: r, caller: laburnumstandin.NewPlatformCaller()}
+	return &load{fleet: f, record: r, caller: laburnumstandin.NewPlatformCaller().WithKey(usualKey)}
 }
 
 // run generates load until ctx ends and the requests in flight have finished.
@@ -53,6 +53,7 @@
 	}
 	l.repeat(ctx, applyPause, func(int) { l.apply(rand.IntN(controlVMs)) })
 	l.repeat(ctx, readPause, func(int) { l.read(rand.IntN(controlVMs)) })
+	l.useAccounts(ctx)
 	l.wg.Wait()
 }
 
@@ -91,7 +92,7 @@
 func (l *load) apply(control int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
-	status, err := l.caller.Apply(ctx, l.fleet.control(control), l.version+1)
+	status, err := l.caller.Apply(ctx, l.fleet.control(control), l.version+1, accountsOf(l.version+1)...)
 	if err != nil || status != http.StatusOK {
 		return false
 	}
--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -22,6 +22,8 @@
 	crashing map[string][]time.Time
 	// ranAt holds the times at which each backend server ran requests.
 	ranAt map[string][]time.Time
+	// keyed holds the requests of the accounts that the run checks, by id.
+	keyed map[string]*keyedRequest
 	// acked lists the acknowledged changes.
 	acked      []ack
 	sent       int
@@ -35,7 +37,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
@@ -144,5 +146,6 @@
 			r.addViolation("request %s was answered but no backend server ran it", id)
 		}
 	}
+	r.checkAccounts()
 	return r.violations
 }
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -83,6 +83,7 @@
 	}
 	checks.Wait()
 	l.checkLimits(ctx)
+	l.checkKeys(ctx)
 	x.close()
 	f.stop() // the output of backend servers is complete afterwards
 	return Report{
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -17,7 +17,24 @@
 
 // PlatformCaller stands in for callers and operators of the users' platform. It keeps
 // connections alive and reuses each until the peer closes it.
-type PlatformCaller struct{ client *http.Client }
+type PlatformCaller struct {
+	client *http.Client
+	key    string
+}
+
+// PlatformAccount is a client account of the stand-in manifest.
+type PlatformAccount struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api_keys"`
+	// Rate and Burst are its quota in requests; 0 for none.
+	Rate  float64 `json:"rate_per_s"`
+	Burst float64 `json:"burst"`
+}
+
+// WithKey returns a caller with a client account's key, on the same connections.
+func (c *PlatformCaller) WithKey(key string) *PlatformCaller {
+	return &PlatformCaller{client: c.client, key: key}
+}
 
 // NewPlatformCaller makes a caller with its own connection pool.
 func NewPlatformCaller() *PlatformCaller {
@@ -52,8 +69,8 @@
 func PlatformEvents() int { return platformEvents }
 
 // Apply sends a manifest with the version and returns the HTTP status.
-func (c *PlatformCaller) Apply(ctx context.Context, control string, version int) (int, error) {
-	status, _, err := c.send(ctx, http.MethodPut, control+"/v1/config", "", "", platformManifest(version))
+func (c *PlatformCaller) Apply(ctx context.Context, control string, version int, accounts ...PlatformAccount) (int, error) {
+	status, _, err := c.send(ctx, http.MethodPut, control+"/v1/config", "", "", platformManifest(version, accounts))
 	return status, err
 }
 
@@ -78,6 +95,9 @@
 		req.Host = platformHost
 		req.Header.Set("X-Laburnumlever-Request-Id", id)
 	}
+	if c.key != "" {
+		req.Header.Set(keyHeader, c.key)
+	}
 	if model != "" {
 		req.Header.Set("X-Laburnumlever-Model", model)
 	}
@@ -92,12 +112,13 @@
 
 // platformManifest has one route for non-idempotent requests and one for streams that can
 // be resumed on another backend server.
-func platformManifest(version int) []byte {
+func platformManifest(version int, accounts []PlatformAccount) []byte {
+	tenants, _ := json.Marshal(accounts) //nolint:errchkjson // texts and numbers only
 	return fmt.Appendf(nil, `{"version":%d,"routes":[`+
 		`{"name":"confirm","hostname":"`+platformHost+`","path_prefix":"/confirm/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"priority":1,"service":"booking","max_attempts":1},`+
 		`{"name":"quote","hostname":"`+platformHost+`","path_prefix":"/quote/","kind":"streaming","timeout_ms":9000,"target_latency_ms":300,"priority":1,"service":"quotes","max_attempts":2,"resumable":true,"gap_aim_ms":150}],`+
 		`"services":[{"name":"booking","health_path":"/health","max_conns":200},`+
 		`{"name":"quotes","health_path":"/health","max_conns":200,"engine":{"slots":8,"kv_capacity":90000,"weights_mb":80000,"adapter_slots":2,"loads_per_s":3,`+
 		`"models":[{"name":"m0","weights_mb":72700,"load_s":0.2,"warm_s":0.1,"disk_s":0.1,"adapters":0,"adapter_mb":66}]}}],`+
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version)
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":%s}`, version, tenants)
 }
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -20,6 +20,8 @@
 	// to a heartbeat before it tries the next control VM.
 	announceTimeout = time.Second
 	limitHeader     = "Server-Limit"
+	keyHeader       = "X-Api-Key"
+	accountHeader   = "X-Laburnumlever-Tenant"
 	// platformEvents is the number of events in each stream.
 	platformEvents = 4
 	// LimitPath is the path of a PUT that sets the limit, as SetLimit does. It is not part of the
@@ -34,8 +36,8 @@
 	AbortStreamAfter int
 	// Delay is the time before each response starts.
 	Delay time.Duration
-	// OnRun, unless nil, is called with the id of each request that runs.
-	OnRun func(id string)
+	// OnRun, unless nil, is called with each request that runs.
+	OnRun func(run PlatformRun)
 	// CrashText, unless empty, crashes the server at each request whose body contains it, once it
 	// has begun to run: an engine has sent the head of its answer by then.
 	CrashText string
@@ -43,6 +45,13 @@
 	Crash func()
 }
 
+// PlatformRun is a request that a PlatformServer runs.
+type PlatformRun struct {
+	ID string
+	// Account is the caller's client account, and Key its key, which must not be passed on.
+	Account, Key string
+}
+
 // PlatformServer stands in for a backend server of the users' platform: it sends periodic
 // announcements, serves requests, and obeys load and unload orders if it has models. It is
 // safe for use by many goroutines.
@@ -220,7 +229,9 @@
 		laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.Delay)
 	}
 	if s.behaviour.OnRun != nil {
-		s.behaviour.OnRun(r.Header.Get("X-Laburnumlever-Request-Id"))
+		s.behaviour.OnRun(PlatformRun{
+			ID: r.Header.Get("X-Laburnumlever-Request-Id"), Account: r.Header.Get(accountHeader), Key: r.Header.Get(keyHeader),
+		})
 	}
 	w.Header().Set("X-Laburnumlever-Request-Id", r.Header.Get("X-Laburnumlever-Request-Id"))
 	w.Header().Set("X-Laburnumlever-Server-Stamp", "stamp-of-"+s.id)
