--- a/laburnumquota/keeper_bench_test.go
+++ b/laburnumquota/keeper_bench_test.go
@@ -4,14 +4,13 @@
 	"testing"
 	"time"
 
-	"laburnumlever"
 	"laburnumlever/laburnumquota"
 )
 
 // BenchmarkAnswer measures a keeper's answer to one ask.
 func BenchmarkAnswer(b *testing.B) {
 	k := laburnumquota.NewKeeper(terms)
-	k.SetShares([]laburnumlever.Account{{Name: account, Quota: quotaOf(100_000)}}, func(laburnumlever.Account) float64 { return 1 }, 0)
+	k.SetShares(accountsWith(quotaOf(100_000)), wholeShare, 0)
 	n := time.Duration(0)
 	for b.Loop() {
 		n += time.Millisecond
--- a/laburnumquota/model_test.go
+++ b/laburnumquota/model_test.go
@@ -98,17 +98,20 @@
 	return f
 }
 
-func (f *fleet) accounts() []laburnumlever.Account {
-	return []laburnumlever.Account{{Name: account, Quota: f.quota}}
+// accountsWith returns the model's account with a quota.
+func accountsWith(q laburnumlever.Quota) []laburnumlever.Account {
+	return []laburnumlever.Account{{Name: account, Quota: q}}
 }
 
+func wholeShare(laburnumlever.Account) float64 { return 1 }
+
 func (f *fleet) startKeeper(i int, now time.Duration) {
 	f.keepers[i].keeper = laburnumquota.NewKeeper(terms)
 	f.setShares(i, now)
 }
 
 func (f *fleet) setShares(i int, now time.Duration) {
-	f.keepers[i].keeper.SetShares(f.accounts(), func(a laburnumlever.Account) float64 {
+	f.keepers[i].keeper.SetShares(accountsWith(f.quota), func(a laburnumlever.Account) float64 {
 		if holders := terms.Holders(a.Quota, f.controls); i < holders {
 			return 1 / float64(holders)
 		}
--- /dev/null
+++ b/laburnumquota/wallet_test.go
@@ -0,0 +1,46 @@
+package laburnumquota_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumquota"
+)
+
+// Guards against tokens that a gateway spends long after they were granted, as after a freeze.
+func TestTokensExpire(t *testing.T) {
+	w := laburnumquota.NewWallet(terms)
+	w.Apply([]laburnumquota.Grant{{Account: account, Tokens: 100}}, time.Second)
+	receipt, ok := w.Spend(account, 40, time.Second)
+	require.True(t, ok)
+	late := time.Second + terms.GrantTime()
+	_, ok = w.Spend(account, 40, late)
+	require.False(t, ok)
+	w.Refund(receipt, late)
+	_, ok = w.Spend(account, 1, late)
+	require.False(t, ok, "a refund doesn't make tokens last longer")
+}
+
+// Guards against a request for more than the keepers hold at once that is refused for good.
+func TestRequestBeyondTheCapacityIsServedByAFullShare(t *testing.T) {
+	k := laburnumquota.NewKeeper(terms)
+	k.SetShares(accountsWith(quotaOf(1000)), wholeShare, 0)
+	ask := []laburnumquota.Ask{{Account: account, Need: 100_000}}
+	require.True(t, k.Answer(ask, time.Second)[0].Refused())
+	require.False(t, k.Answer(ask, time.Minute)[0].Refused())
+	require.Greater(t, time.Duration(k.Answer(ask, time.Minute)[0].RetryIn), 20*time.Second)
+}
+
+// Guards against callers beyond a quota who are all told to come back at the same time.
+func TestRefusedCallersAreToldToComeBackOneAfterTheOther(t *testing.T) {
+	k := laburnumquota.NewKeeper(terms)
+	k.SetShares(accountsWith(quotaOf(1000)), wholeShare, 0)
+	last := time.Duration(0)
+	for range 5 {
+		in := time.Duration(k.Answer([]laburnumquota.Ask{{Account: account, Need: 1000}}, 0)[0].RetryIn)
+		require.Greater(t, in, last+500*time.Millisecond)
+		last = in
+	}
+}
--- a/laburnumroles/accounts_test.go
+++ b/laburnumroles/accounts_test.go
@@ -1,6 +1,8 @@
 package laburnumroles_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,6 +14,8 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumfleet"
+	"laburnumlever/laburnumpeer"
+	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumsettings"
 )
 
@@ -155,3 +159,28 @@
 	require.LessOrEqual(t, most, allowed)
 	require.Greater(t, most, quotaRate, "the quota is there to be used")
 }
+
+// Guards against a control VM that is cut off and goes on to grant a quota that others share among themselves by then.
+func TestQuotaIsNotGrantedBehindACut(t *testing.T) {
+	s, _ := newAccountDeployment(t, 1, accountManifest(7, []string{"k1", "k2"}, []string{"k1"}))
+	s.until(200, "within the quota", s.confirm(0, "k1"))
+	s.stop(1)
+	s.stop(2)
+	ask := []byte(`{"asks":[{"account":"account-of-k1","need":1}]}`)
+	peers := laburnumpeer.New("test")
+	t.Cleanup(func() { _ = peers.Close() })
+	granted := func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var answer struct{ Grants []laburnumquota.Grant }
+		err := peers.Call(ctx, fmt.Sprintf("%s:%d", s.ip(0), s.port), "quota-grant", json.RawMessage(ask), &answer)
+		return err == nil
+	}
+	stopped := time.Now()
+	require.Eventually(t, func() bool { return time.Since(stopped) > revokeTime+time.Second }, eventuallyTimeout, 10*time.Millisecond)
+	for range 5 {
+		require.False(t, granted())
+	}
+	s.startControl(1, 1, false)
+	require.Eventually(t, granted, eventuallyTimeout, 20*time.Millisecond)
+}
