perf: a request is charged to its account's quota when it has a slot

A gateway that has just started waits for its first confirmation as long as for its first routes: in the second after all VMs had lost power 737 requests were refused as keys-unconfirmed.

--- a/laburnumgateway/accounts.go
+++ b/laburnumgateway/accounts.go
@@ -18,6 +18,8 @@
 	confirmPeriod = time.Second
 	// confirmCheckPeriod is the interval between checks of that age, and between attempts after a failure.
 	confirmCheckPeriod = 250 * time.Millisecond
+	// startConfirmPause is the time between attempts of a gateway that has just started.
+	startConfirmPause = 50 * time.Millisecond
 	// confirmWait bounds the time that a request waits for a confirmation.
 	confirmWait = 300 * time.Millisecond
 	// confirmWaitShare is the largest share of the caller's timeout that is spent on it.
@@ -119,7 +121,7 @@
 	k.mu.Lock()
 	asking := k.asking
 	if asking == nil {
-		if k.failed && laburnumtimer.SinceBoot()-k.failedAt < confirmCheckPeriod {
+		if k.failed && laburnumtimer.SinceBoot()-k.failedAt < k.retryPause() {
 			k.mu.Unlock()
 			return
 		}
@@ -137,6 +139,14 @@
 	}
 }
 
+// retryPause is the time after a failure in which no confirmation is requested. The caller holds mu.
+func (k *keys) retryPause() time.Duration {
+	if _, ok := k.view.Age(0); !ok {
+		return startConfirmPause
+	}
+	return confirmCheckPeriod
+}
+
 func (f *Fleet) confirm(done chan struct{}) {
 	err := f.keys.confirmer.Confirm(context.Background())
 	k := &f.keys
@@ -196,12 +206,37 @@
 	if accepts && (complete || x.Account(caller.Key) != nil) {
 		return x
 	}
+	f.awaitConfirmation(ctx, caller)
+	return f.index.Load()
+}
+
+// awaitConfirmation requests a confirmation and waits for it. A gateway that has just started waits longer, as it does
+// for its first route table, and asks again: after an outage of all VMs the log has no leader for a while.
+func (f *Fleet) awaitConfirmation(ctx context.Context, caller laburnumlever.CallerRequest) {
+	started := f.keys.everConfirmed()
 	wait := confirmWait
+	if !started {
+		wait = firstRoutesWait
+	}
 	if caller.Timeout > 0 {
 		wait = min(wait, time.Duration(confirmWaitShare*float64(caller.Timeout)))
 	}
+	until := f.timers.Now().Add(wait)
 	f.refresh(ctx, wait)
-	return f.index.Load()
+	for !started && !f.keys.everConfirmed() && f.timers.Now().Before(until) {
+		if !laburnumtimer.Wait(ctx.Done(), f.timers, startConfirmPause) {
+			return
+		}
+		f.refresh(ctx, until.Sub(f.timers.Now()))
+	}
+}
+
+// everConfirmed reports whether a confirmation of the table in effect has arrived since the start.
+func (k *keys) everConfirmed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.view.Age(0)
+	return ok
 }
 
 // identify finds the request's client account. The error is a *laburnumlever.RefusalError.
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -116,7 +116,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	if err := g.payQuota(ctx, q); err != nil {
+	if err := g.fleet.quota.refuse(q); err != nil {
 		g.answerRefusal(w, q, err)
 		return
 	}
--- a/laburnumgateway/quota.go
+++ b/laburnumgateway/quota.go
@@ -99,16 +99,33 @@
 	k.wallet.Refund(q.receipt, laburnumtimer.SinceBoot())
 }
 
-// payQuota charges a request to its account's quota. Repeated attempts at a request are not charged again. The error is
-// a *laburnumlever.RefusalError.
+// limited reports whether a request is charged to a quota.
+func (k *quota) limited(q *request) bool {
+	return k.keepers != nil && q.account != nil && q.account.Quota.Limited()
+}
+
+// refuse refuses a request whose account is known to have used up its quota. The error is a
+// *laburnumlever.RefusalError.
+func (k *quota) refuse(q *request) error {
+	if !k.limited(q) {
+		return nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return overQuota(q, k.wallet.RetryIn(q.account.Name, laburnumtimer.SinceBoot()))
+}
+
+// payQuota charges a request to its account's quota. That is done when it has a slot: one that waits in vain uses
+// nothing. Repeated attempts are not charged again. The error is a *laburnumlever.RefusalError.
 func (g *Gateway) payQuota(ctx context.Context, q *request) error {
 	k := &g.fleet.quota
-	if k.keepers == nil || q.account == nil || !q.account.Quota.Limited() {
+	if !k.limited(q) || q.charged {
 		return nil
 	}
 	cost := q.account.Quota.Cost(q.caller)
 	asks, retryIn := k.spend(q, cost)
 	if asks == nil {
+		q.charged = retryIn == 0
 		return overQuota(q, retryIn)
 	}
 	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
@@ -118,7 +135,9 @@
 		_ = level.Info(g.logger).Log("event", laburnumlever.EventQuotaUnanswered, "request-id", q.caller.ID, "account", q.account.Name, "cause", err)
 		return newRefusal(laburnumlever.RefusedQuotaUnanswered, quotaUnansweredRetryAfter, "no control VM grants a part of the account's quota")
 	}
-	return overQuota(q, k.receive(q, cost, grants, asked))
+	retryIn = k.receive(q, cost, grants, asked)
+	q.charged = retryIn == 0
+	return overQuota(q, retryIn)
 }
 
 // overQuota refuses a request that does not fit its account's quota yet; nil for a time of 0.
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -57,7 +57,8 @@
 	checksKeys   bool
 	account      *laburnumlever.Account
 	accountIndex *laburnumroutes.Index
-	// receipt is what was spent of the account's quota.
+	// charged is set once the request has been charged to its account's quota, with the receipt.
+	charged bool
 	receipt laburnumquota.Receipt
 	// rank is the priority by account and route.
 	rank                int
