perf: gateways ask again for a used-up quota as soon as it may have room

A refused gateway took the account for used up for the whole time that callers were told, up to 250 ms, though what had been refused is not kept for it. Keepers now tell both times; the shorter one grows with the asks that they refuse.

--- a/laburnumgateway/accounts_test.go
+++ b/laburnumgateway/accounts_test.go
@@ -72,7 +72,7 @@
 	if c.cutOff {
 		return nil, 0, &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
 	}
-	grant := laburnumquota.Grant{Account: account.Name, RetryIn: laburnumlever.Duration(3 * time.Second)}
+	grant := laburnumquota.Grant{Account: account.Name, RetryIn: laburnumlever.Duration(3 * time.Second), AskIn: laburnumlever.Duration(time.Second)}
 	if c.left >= asks[0].Need {
 		c.left -= asks[0].Need
 		grant = laburnumquota.Grant{Account: account.Name, Tokens: asks[0].Need}
--- a/laburnumgateway/quota.go
+++ b/laburnumgateway/quota.go
@@ -84,9 +84,9 @@
 		q.receipt = receipt
 		return 0
 	}
-	in := laburnumquota.FitsIn(grants, q.account.Name)
-	k.wallet.UsedUp(q.account.Name, in, now)
-	return in
+	fitsIn, askIn := laburnumquota.Refusal(grants, q.account.Name)
+	k.wallet.UsedUp(q.account.Name, fitsIn, askIn, now)
+	return fitsIn
 }
 
 // refund returns the tokens of a request that certainly did not run.
--- a/laburnumquota/doc.go
+++ b/laburnumquota/doc.go
@@ -15,7 +15,7 @@
 //	receipt, ok := wallet.Spend("acme", 1200, now)
 //	if !ok {
 //		asks := wallet.Asks("acme", 1200, now)                                 // sent to a keeper
-//		wallet.Apply(grants, asked, now)
+//		wallet.Apply(grants, asked)
 //	}
 //
 // Times are those of one VM's clock that counts suspensions.
--- a/laburnumquota/keeper.go
+++ b/laburnumquota/keeper.go
@@ -14,7 +14,11 @@
 	wantShare = 0.25
 	// minRetryIn and maxRetryIn bound the time until a refused need is said to fit.
 	minRetryIn = 50 * time.Millisecond
-	maxRetryIn = 30 * time.Second
+	// minAskIn is the shortest time until a gateway should ask again. It grows with the asks that are refused in a
+	// second, from refusedAsks on, so that many gateways before a hot account don't take the keeper's time.
+	minAskIn    = 20 * time.Millisecond
+	refusedAsks = 200
+	maxRetryIn  = 30 * time.Second
 )
 
 // Keeper grants a control VM's shares of the quotas of client accounts. It is not safe for concurrent use.
@@ -32,9 +36,10 @@
 	// waiting is what callers were told to come back for and have not yet had the time to.
 	waiting float64
 	at      time.Duration
-	// used is what was granted lately, decayed as of at; refused counts refused needs.
-	used    float64
-	refused uint64
+	// used is what was granted lately and refusedLately how many needs were refused, decayed as of at; refused counts
+	// the latter.
+	used, refusedLately float64
+	refused             uint64
 }
 
 // Usage is the use of a share of one account's quota.
@@ -107,7 +112,11 @@
 		in := time.Duration((fits - b.level + b.waiting) / b.rate * float64(time.Second))
 		b.waiting += a.Need
 		b.refused++
-		return Grant{Account: a.Account, RetryIn: laburnumlever.Duration(min(maxRetryIn, max(minRetryIn, in)))}
+		b.refusedLately++
+		return Grant{
+			Account: a.Account, RetryIn: laburnumlever.Duration(min(maxRetryIn, max(minRetryIn, in))),
+			AskIn: laburnumlever.Duration(b.askIn(fits - b.level)),
+		}
 	}
 	tokens := a.Need + max(0, min(a.Want, wantShare*(b.level-a.Need)))
 	b.level -= tokens
@@ -115,10 +124,18 @@
 	return Grant{Account: a.Account, Tokens: tokens}
 }
 
+// askIn returns the time until an amount has been added, or longer if many asks are refused.
+func (b *bucket) askIn(amount float64) time.Duration {
+	in := max(minAskIn, time.Duration(amount/b.rate*float64(time.Second)))
+	crowd := b.refusedLately * math.Ln2 / costHalfLife.Seconds() / refusedAsks
+	return min(maxAskIn, time.Duration(max(1, crowd)*float64(in)))
+}
+
 func (b *bucket) refill(now time.Duration) {
 	passed := max(0, now-b.at).Seconds()
 	added := b.rate * passed
-	b.used *= math.Exp2(-passed / costHalfLife.Seconds())
+	decay := math.Exp2(-passed / costHalfLife.Seconds())
+	b.used, b.refusedLately = b.used*decay, b.refusedLately*decay
 	b.level = min(b.capacity, b.level+added)
 	b.waiting = max(0, b.waiting-added)
 	b.at = now
--- a/laburnumquota/messages.go
+++ b/laburnumquota/messages.go
@@ -20,6 +20,9 @@
 	Tokens  float64                   `json:"tokens,omitempty"`
 	// RetryIn, if the need was not granted, is the time until it will fit.
 	RetryIn laburnumlever.Duration `json:"retry-in,omitempty"`
+	// AskIn is when it is worth while to ask this keeper again, which may be sooner: what was refused is not kept for
+	// who asked.
+	AskIn laburnumlever.Duration `json:"ask-in,omitempty"`
 	// Elsewhere is set if this keeper has no share of the quota, so that its refusal says nothing.
 	Elsewhere bool `json:"elsewhere,omitempty"`
 }
@@ -27,13 +30,14 @@
 // Refused reports whether the need of an ask was refused.
 func (g Grant) Refused() bool { return g.RetryIn > 0 || g.Elsewhere }
 
-// FitsIn returns the shortest time until a keeper says that a refused need will fit.
-func FitsIn(grants []Grant, account laburnumlever.AccountName) time.Duration {
-	in := maxRetryIn
+// Refusal returns the shortest times until a refused need will fit and until it is worth while to ask again, over all
+// keepers that refused it.
+func Refusal(grants []Grant, account laburnumlever.AccountName) (fitsIn, askIn time.Duration) {
+	fitsIn, askIn = maxRetryIn, maxAskIn
 	for _, g := range grants {
 		if g.Account == account && g.RetryIn > 0 {
-			in = min(in, time.Duration(g.RetryIn))
+			fitsIn, askIn = min(fitsIn, time.Duration(g.RetryIn)), min(askIn, time.Duration(g.AskIn))
 		}
 	}
-	return in
+	return fitsIn, askIn
 }
--- a/laburnumquota/model_test.go
+++ b/laburnumquota/model_test.go
@@ -201,7 +201,8 @@
 	if _, ok := w.Spend(account, cost, now); ok {
 		return true
 	}
-	w.UsedUp(account, laburnumquota.FitsIn(grants, account), now)
+	fitsIn, askIn := laburnumquota.Refusal(grants, account)
+	w.UsedUp(account, fitsIn, askIn, now)
 	return false
 }
 
--- a/laburnumquota/wallet.go
+++ b/laburnumquota/wallet.go
@@ -14,8 +14,8 @@
 	// minExpected is the number of requests that must be expected within the grant time for tokens to be taken
 	// ahead of the need.
 	minExpected = 0.8
-	// emptyTime is the longest time for which an account is taken to be used up without asking again.
-	emptyTime = 250 * time.Millisecond
+	// maxAskIn is the longest time for which an account is taken to be used up without asking again.
+	maxAskIn = time.Second
 )
 
 // Wallet holds a gateway's tokens. It is not safe for concurrent use.
@@ -120,10 +120,10 @@
 	}
 }
 
-// UsedUp records that the keepers refused a need, and when it will fit.
-func (w *Wallet) UsedUp(account laburnumlever.AccountName, fitsIn, now time.Duration) {
+// UsedUp records that the keepers refused a need, when it will fit and when to ask again.
+func (w *Wallet) UsedUp(account laburnumlever.AccountName, fitsIn, askIn, now time.Duration) {
 	p := w.purse(account)
-	p.fitsAt, p.emptyUntil = now+fitsIn, now+min(fitsIn, emptyTime)
+	p.fitsAt, p.emptyUntil = now+fitsIn, now+min(askIn, maxAskIn)
 }
 
 // Keep drops the accounts that are not listed.
