--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -24,9 +24,6 @@
 	result := laburnumbalance.AttemptResult{}
 	g.fleet.beginAdapterUse(q)
 	defer func() { g.fleet.release(q, ticket, result) }()
-	if err := g.payQuota(ctx, q); err != nil {
-		return &failure{stage: laburnumretry.StageNotSent, cause: err, refused: err}
-	}
 	conn, err := g.pool.Get(ctx, ticket.Backend.Address, g.connectionLimit(q))
 	if err != nil {
 		result.Unreachable = ctx.Err() == nil && isDialError(err)
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -43,6 +43,10 @@
 		if err != nil {
 			return err
 		}
+		if err := g.payQuota(ctx, q); err != nil {
+			g.fleet.cancelSlot(ticket)
+			return err
+		}
 		fail := g.attempt(ctx, q, out, ticket)
 		if fail == nil {
 			return nil
--- a/laburnumquota/fleet_test.go
+++ b/laburnumquota/fleet_test.go
@@ -31,8 +31,8 @@
 				name: "hot", gateways: c.gateways, controls: c.controls, quota: quotaOf(c.rate), demand: steady(7.5 * usual), zone: everywhere, faults: true, length: 40 * time.Second,
 			}, uint64(seed))
 			f.run()
-			require.LessOrEqual(t, f.busiest(f.scenario.quota, 0), 1.0, "%d gateways, %v a second, seed %d", c.gateways, c.rate, seed)
-			require.Greater(t, f.busiest(f.scenario.quota, 0), 0.5, "the quota is there to be used")
+			require.LessOrEqual(t, f.busiest(f.quota, 0), 1.0, "%d gateways, %v a second, seed %d", c.gateways, c.rate, seed)
+			require.Greater(t, f.busiest(f.quota, 0), 0.5, "the quota is there to be used")
 		}
 	}
 }
--- a/laburnumquota/model_test.go
+++ b/laburnumquota/model_test.go
@@ -69,6 +69,8 @@
 	preferred []int
 	cut       [zones]time.Duration
 	uses      []use
+	// startRate is the rate of the quota that the demand refers to.
+	startRate float64
 	requests  int
 	refused   int
 	messages  int
@@ -80,7 +82,7 @@
 }
 
 func newFleet(s scenario, seed uint64) *fleet {
-	f := &fleet{scenario: s, random: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // a model
+	f := &fleet{scenario: s, startRate: s.quota.Rate, random: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // a model
 	if s.way == singleKeeper {
 		f.controls = 1
 	}
@@ -158,7 +160,7 @@
 		}
 		share *= zones
 	}
-	mean := f.demand(now) * f.quotaAtStart() / meanCost * share * tick.Seconds()
+	mean := f.demand(now) * f.startRate / meanCost * share * tick.Seconds()
 	n, p := 0, f.random.Float64()
 	for p > math.Exp(-mean) {
 		p *= f.random.Float64()
@@ -167,9 +169,6 @@
 	return n
 }
 
-// quotaAtStart is the rate that the demand refers to.
-func (f *fleet) quotaAtStart() float64 { return f.scenario.quota.Rate }
-
 func (f *fleet) request(gateway int, now time.Duration) {
 	cost := 200 + f.random.ExpFloat64()*(meanCost-200)
 	cost = min(cost, 4500)
@@ -289,7 +288,7 @@
 
 func (f *fleet) String() string {
 	return fmt.Sprintf("%s with %d gateways: %.2f of the allowance, %.2f%% refused, %.2f messages a request",
-		f.name, f.gateways, f.busiest(f.scenario.quota, 0), 100*float64(f.refused)/float64(max(1, f.requests)), float64(f.messages)/float64(max(1, f.requests)))
+		f.name, f.gateways, f.busiest(f.quota, 0), 100*float64(f.refused)/float64(max(1, f.requests)), float64(f.messages)/float64(max(1, f.requests)))
 }
 
 func everywhere(time.Duration) int { return -1 }
