--- a/laburnumgateway/accounts_test.go
+++ b/laburnumgateway/accounts_test.go
@@ -132,8 +132,7 @@
 	require.Empty(t, server.requests())
 }
 
-// Guards against revoked keys that a gateway without control VMs goes on to accept, and against refusals there sooner
-// than needed or on public routes.
+// Guards against revoked keys that a cut-off gateway goes on to accept, and against refusals there sooner than needed.
 func TestKeysOfACutOffGatewayAreRefusedAfterTheRevokeTime(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
 	b, c := newAccountHarness(t, server, "k1")
@@ -229,8 +228,7 @@
 	require.Equal(t, http.StatusTooManyRequests, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
 }
 
-// Guards against old and new VMs that share a fleet: a table from an old one lacks the accounts, and the same table from
-// a new one must take its place.
+// Guards against keys that stay unchecked since the table came from a VM of an earlier build, which knows no accounts.
 func TestTableWithAccountsReplacesTheSameTableWithout(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
 	b, c := newAccountHarness(t, server, "k1")
--- a/laburnumquota/fleet_test.go
+++ b/laburnumquota/fleet_test.go
@@ -19,8 +19,7 @@
 	return laburnumlever.Quota{Rate: rate, Burst: rate, Unit: laburnumlever.QuotaTokens}
 }
 
-// Guards against hot accounts that get more than their quota while keepers are killed, gateways restart and freeze and
-// zones are cut off.
+// Guards against hot accounts that get more than their quota while VMs are killed, frozen and cut off.
 func TestQuotaHoldsWhileVMsComeAndGo(t *testing.T) {
 	for _, c := range []struct {
 		gateways, controls, seeds int
--- a/laburnumrevocation/view_test.go
+++ b/laburnumrevocation/view_test.go
@@ -56,8 +56,7 @@
 
 func (m vm) clock(now time.Duration) time.Duration { return now + m.offset }
 
-// Guards against a revoked key that is accepted after the limit, for every combination of delays, freezes and
-// cached answers on the way of a confirmation from the log to the gateway.
+// Guards against a revoked key that is accepted after the limit because a confirmation was delayed, frozen or cached.
 func TestRevokedKeyIsRefusedInTimeWhateverTheDelays(t *testing.T) {
 	gateway, control, leader := vm{17 * time.Second}, vm{-3 * time.Second}, vm{400 * time.Second}
 	delays := []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 7 * time.Second}
--- a/laburnumroles/accounts_test.go
+++ b/laburnumroles/accounts_test.go
@@ -95,8 +95,7 @@
 	require.Equal(t, http.StatusBadRequest, status)
 }
 
-// Guards against a gateway that goes on to accept keys although it can't know whether they were revoked: it reaches a
-// control VM, but that one has no majority.
+// Guards against a gateway that accepts revoked keys because the control VM that it reaches has no majority.
 func TestKeysAreRefusedBehindAControlVMWithoutAMajority(t *testing.T) {
 	s, server := newAccountDeployment(t, 1, accountManifest(7, []string{"k1"}, nil))
 	s.until(200, "valid key", s.confirm(0, "k1"))
