fix: control VMs and gateways keep notes on accounts that are gone

Worked out, not seen: the notes of when a refusal was last logged and of who granted last were kept for every account that ever was.

--- a/laburnumroles/quotakeepers.go
+++ b/laburnumroles/quotakeepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -108,7 +109,8 @@
 	if k.granted == nil {
 		k.granted = map[laburnumlever.AccountName]lastGrant{}
 	}
-	if last := k.granted[account]; last.address != address || at-last.at >= preferTime {
+	maps.DeleteFunc(k.granted, func(_ laburnumlever.AccountName, g lastGrant) bool { return at-g.at >= preferTime })
+	if last := k.granted[account]; last.address != address {
 		k.granted[account] = lastGrant{address: address, at: at}
 	}
 }
--- a/laburnumroles/quotas.go
+++ b/laburnumroles/quotas.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -77,6 +78,10 @@
 		return
 	}
 	u.routesVersion, u.accounts = t.Version, t.Accounts
+	maps.DeleteFunc(u.loggedAt, func(name laburnumlever.AccountName, _ time.Time) bool {
+		_, known := t.Account(name)
+		return !known
+	})
 	u.setShares()
 }
 
