fix: a revoked key may be accepted by a table that is being replaced

Worked out, not seen: a request that had loaded the old table asked whether keys are accepted after the new one had taken effect and been confirmed, and looked its key up in the old one. The look-up now says which table it is of; one that has been replaced is not accepted (TestReplacedTableIsNotAccepted).

--- a/laburnumgateway/accounts.go
+++ b/laburnumgateway/accounts.go
@@ -83,9 +83,9 @@
 	k.view.SetVersion(version)
 }
 
-// accepted reports whether keys of the table in effect may be accepted, and whether keys that it lacks are
-// certainly unknown.
-func (k *keys) accepted() (accepts, complete bool) {
+// accepted reports whether keys of a table may be accepted, and whether keys that it lacks are certainly unknown. A table
+// that has just been replaced is not accepted.
+func (k *keys) accepted(x *laburnumroutes.Index) (accepts, complete bool) {
 	if k.confirmer == nil {
 		return true, true
 	}
@@ -93,11 +93,12 @@
 	defer k.mu.Unlock()
 	now := laburnumtimer.SinceBoot()
 	age, ok := k.view.Age(now)
-	return k.view.Accepts(now), ok && age < k.times.Apply
+	return k.view.AcceptsVersion(x.Table().Version, now), ok && age < k.times.Apply
 }
 
 // status returns whether the keys of a table are accepted; nil for a table without client accounts.
-func (k *keys) status(t laburnumlever.RouteTable) *laburnumlever.KeysStatus {
+func (k *keys) status(x *laburnumroutes.Index) *laburnumlever.KeysStatus {
+	t := x.Table()
 	if !t.ChecksKeys() {
 		return nil
 	}
@@ -105,7 +106,7 @@
 	for _, a := range t.Accounts {
 		status.Keys += len(a.Keys)
 	}
-	status.Accepted, _ = k.accepted()
+	status.Accepted, _ = k.accepted(x)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if age, ok := k.view.Age(laburnumtimer.SinceBoot()); ok {
@@ -192,7 +193,7 @@
 	if !x.Table().ChecksKeys() || x.HasPublic() {
 		return true
 	}
-	accepts, _ := f.keys.accepted()
+	accepts, _ := f.keys.accepted(x)
 	return accepts
 }
 
@@ -202,7 +203,7 @@
 	if !x.Table().ChecksKeys() {
 		return x
 	}
-	accepts, complete := f.keys.accepted()
+	accepts, complete := f.keys.accepted(x)
 	if accepts && (complete || x.Account(caller.Key) != nil) {
 		return x
 	}
@@ -245,7 +246,7 @@
 		return nil
 	}
 	q.checksKeys = true
-	accepts, complete := f.keys.accepted()
+	accepts, complete := f.keys.accepted(x)
 	if accepts {
 		q.account, q.accountIndex = x.Account(q.caller.Key), x
 	}
@@ -265,7 +266,7 @@
 		return nil
 	}
 	x := f.currentIndex(ctx, f.index.Load(), q.caller)
-	if accepts, _ := f.keys.accepted(); !accepts {
+	if accepts, _ := f.keys.accepted(x); !accepts {
 		return newRefusal(laburnumlever.RefusedKeysUnconfirmed, unconfirmedRetryAfter, "no control VM has confirmed recently that the key is valid")
 	}
 	if x == q.accountIndex {
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -178,7 +178,7 @@
 	if x != nil {
 		status.RoutesVersion = x.Table().Version
 		status.Services = f.registry.Summary(x.Table().Services)
-		status.Keys = f.keys.status(x.Table())
+		status.Keys = f.keys.status(x)
 	}
 	return status
 }
--- a/laburnumrevocation/view.go
+++ b/laburnumrevocation/view.go
@@ -57,6 +57,12 @@
 // Age returns the time since the table in effect was last known to be the newest, and whether it ever was.
 func (v *View) Age(now time.Duration) (time.Duration, bool) { return now - v.asOf, v.confirmed }
 
+// AcceptsVersion reports whether keys of a table may be accepted. One that is older than the table in effect is never
+// accepted: what is known of the newer one doesn't hold for it.
+func (v *View) AcceptsVersion(version uint64, now time.Duration) bool {
+	return v.limit <= 0 || version >= v.version && v.Accepts(now)
+}
+
 // Accepts reports whether keys of the table in effect may be accepted.
 func (v *View) Accepts(now time.Duration) bool {
 	if v.limit <= 0 {
--- a/laburnumrevocation/view_test.go
+++ b/laburnumrevocation/view_test.go
@@ -106,3 +106,14 @@
 	choose(0)
 	require.Positive(t, accepted)
 }
+
+// Guards against a key looked up in a table that was replaced meanwhile by one that revokes it.
+func TestReplacedTableIsNotAccepted(t *testing.T) {
+	v := laburnumrevocation.NewView(limit)
+	v.SetVersion(3)
+	v.Confirm(confirmation(4, time.Second))
+	require.False(t, v.AcceptsVersion(3, time.Second))
+	v.SetVersion(4)
+	require.False(t, v.AcceptsVersion(3, time.Second))
+	require.True(t, v.AcceptsVersion(4, time.Second))
+}
