fix: a gateway's timers stand still while it awaits a confirmation

Cause: the check whether the last confirmation is old runs on the timer service's goroutine and waited there for the confirmation, so that no other timer of the gateway fired, the deadlines of its queue among them. The check now only starts the request.

TestTimersGoOnWhileAConfirmationIsAwaited failed before: no timer within 10 s.

--- a/laburnumgateway/accounts.go
+++ b/laburnumgateway/accounts.go
@@ -115,22 +115,29 @@
 	return status
 }
 
-// refresh requests a confirmation unless one is being requested, and waits for it at most for the given time. It
-// does nothing right after a failure.
-func (f *Fleet) refresh(ctx context.Context, wait time.Duration) {
+// requestConfirmation requests a confirmation unless one is being requested, and returns a channel that is closed when it
+// has arrived or failed. It returns nil right after a failure. It does not block.
+func (f *Fleet) requestConfirmation() <-chan struct{} {
 	k := &f.keys
 	k.mu.Lock()
-	asking := k.asking
+	defer k.mu.Unlock()
+	if k.asking != nil {
+		return k.asking
+	}
+	if k.failed && laburnumtimer.SinceBoot()-k.failedAt < k.retryPause() {
+		return nil
+	}
+	k.asking = make(chan struct{})
+	go f.confirm(k.asking)
+	return k.asking
+}
+
+// refresh requests a confirmation and waits for it at most for the given time. It does nothing right after a failure.
+func (f *Fleet) refresh(ctx context.Context, wait time.Duration) {
+	asking := f.requestConfirmation()
 	if asking == nil {
-		if k.failed && laburnumtimer.SinceBoot()-k.failedAt < k.retryPause() {
-			k.mu.Unlock()
-			return
-		}
-		asking = make(chan struct{})
-		k.asking = asking
-		go f.confirm(asking)
+		return
 	}
-	k.mu.Unlock()
 	over, cancel := laburnumtimer.AfterChannel(f.timers, wait)
 	defer cancel()
 	select {
@@ -179,7 +186,7 @@
 	age, ok := f.keys.view.Age(laburnumtimer.SinceBoot())
 	f.keys.mu.Unlock()
 	if !ok || age >= confirmPeriod {
-		f.refresh(context.Background(), 0)
+		f.requestConfirmation()
 	}
 }
 
--- a/laburnumgateway/accounts_test.go
+++ b/laburnumgateway/accounts_test.go
@@ -239,3 +239,36 @@
 	c.fleet.HandleRoutes(accountRoutes(2, "k1"))
 	require.Equal(t, http.StatusUnauthorized, b.send("POST", "/confirm/x", "visit").status)
 }
+
+// Guards against timers that stand still, and with them all deadlines of the queue, while control VMs don't answer.
+func TestTimersGoOnWhileAConfirmationIsAwaited(t *testing.T) {
+	timers := laburnumtimer.New()
+	t.Cleanup(timers.Close)
+	c := &hangingConfirmer{asked: make(chan struct{}), release: make(chan struct{})}
+	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1,
+		laburnumgateway.WithRoutesConfirmer(c, laburnumgateway.KeyTimes{Revoke: revokeTime, Apply: revokeTime}))
+	fleet.StartConfirming()
+	go fleet.HandleRoutes(accountRoutes(1, "k1"))
+	<-c.asked
+	fired := make(chan struct{})
+	timers.After(time.Second, func(time.Time) { close(fired) })
+	select {
+	case <-fired:
+	case <-time.After(10 * time.Second):
+		t.Error("a timer waits for the control VMs")
+	}
+	require.Equal(t, uint64(1), fleet.RoutesVersion())
+	close(c.release)
+}
+
+// hangingConfirmer does not answer until it is released.
+type hangingConfirmer struct {
+	once           sync.Once
+	asked, release chan struct{}
+}
+
+func (c *hangingConfirmer) Confirm(context.Context) error {
+	c.once.Do(func() { close(c.asked) })
+	<-c.release
+	return nil
+}
