fix: restarted control VMs each grant the whole of every quota for a moment

Worked out while reading the change, not seen in a run: a control VM that has just started has heard of no other one, so its share of each quota was the whole, until the next look at the shares a second later. After all control VMs had restarted eight of them would each have granted a hot account's whole rate. The voters that the log names count now as well.

TestStartedControlVMSharesQuotasWithTheVoters failed before: a rate above the whole quota.

--- a/laburnumroles/quotas.go
+++ b/laburnumroles/quotas.go
@@ -99,6 +99,8 @@
 	}
 	u.keeper.SetShares(u.accounts, func(a laburnumlever.Account) float64 {
 		rank, controls := u.source.Rank(string(a.Name))
+		// A VM that has just started has heard of no other one yet, and would take the whole quota for its share.
+		controls = max(controls, len(u.confirmations.voter.Status().Voters))
 		holders := u.terms.Holders(a.Quota, controls)
 		if rank >= holders {
 			return 0
