feat: log lines and status show software versions and resumed streams

Neither logs nor metrics could tell the hypotheses on streams of two versions apart: no line held a software version or said that a request takes up a stream. Heartbeats now keep the version of the server's software, the adapter reads which attempt a caller resumes, and request-served, request-refused, attempt-failed, backend-known and status show them. Nothing decides by them yet.

--- a/backend.go
+++ b/backend.go
@@ -12,6 +12,9 @@
 	RegionName string
 	// BackendID identifies a backend server, which chooses it itself.
 	BackendID string
+	// SoftwareVersion names the software that a backend server runs, not the weights that it serves; empty if
+	// unknown. It belongs to one incarnation of the server.
+	SoftwareVersion string
 	// AcceleratorID names an accelerator within its engine.
 	AcceleratorID string
 	// OrderID identifies one order to an engine; ids are never reused.
--- a/dialect.go
+++ b/dialect.go
@@ -32,6 +32,9 @@
 	CountsTokens bool
 	// LastEvent is the ID of the last stream event that the caller received.
 	LastEvent string
+	// Resumes is the ID of the attempt that brought the first event of the stream that LastEvent is of; empty if
+	// the caller names none.
+	Resumes string
 	// Key identifies the caller's client account; empty for none. It must not be logged or passed on.
 	Key string
 }
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -14,7 +14,9 @@
 	// over.
 	Incarnation uint64 `json:"born,omitempty"`
 	Sequence    uint64 `json:"sequence"`
-	Slots       int    `json:"slots"`
+	// Software is omitted by VMs of earlier builds, which drop it.
+	Software SoftwareVersion `json:"software,omitempty"`
+	Slots    int             `json:"slots"`
 	// Leaving reports whether the backend server accepts no new requests.
 	Leaving bool `json:"leaving,omitempty"`
 	// Remaining is how long a leaving backend server will still run, if it leaves at short
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -150,6 +150,7 @@
 		copyHeader(out.w.Header(), resp.Header)
 		out.w.WriteHeader(http.StatusOK)
 		out.started = true
+		q.software = ticket.Backend.Software
 	}
 	flusher := http.NewResponseController(out.w)
 	r := bufio.NewReaderSize(resp.Body, eventBufferSize)
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -99,7 +99,7 @@
 		}
 		merged, _ := f.registry.Record(r.Heartbeat.Backend)
 		f.updateBackend(merged)
-		_ = level.Debug(f.logger).Log("event", laburnumlever.EventBackendChanged, "backend", r.Heartbeat.Backend, "sequence", merged.Heartbeat.Sequence,
+		_ = level.Debug(f.logger).Log("event", laburnumlever.EventBackendChanged, "backend", r.Heartbeat.Backend, "software", merged.Heartbeat.Software, "sequence", merged.Heartbeat.Sequence,
 			"leaving", merged.Heartbeat.Leaving, "gone", merged.Gone, "silent", merged.Silent, "models", len(merged.Heartbeat.Models))
 	}
 	for _, o := range a.Overlays {
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -80,7 +80,7 @@
 func (g *Gateway) logFailedAttempt(q *request, ticket *laburnumbalance.Ticket, fail *failure) {
 	fields := []any{
 		"event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
-		"stage", fail.stage.String(), "reason", fail.reason, "via", q.via, "cause", fail.cause,
+		"software", ticket.Backend.Software, "stage", fail.stage.String(), "reason", fail.reason, "via", q.via, "cause", fail.cause,
 	}
 	if fail.stage == laburnumretry.StageUnknown {
 		fields = append(fields, "begun", fail.begun, "digest", q.digest())
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -146,7 +146,7 @@
 		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sent, "taken", q.refusedReservations,
 		"via", q.via, "late", t.lateness(), "waited-ms", millis(q.waited), "first-ms", millis(t.first), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
-		"routes-version", q.routesVersion)
+		"routes-version", q.routesVersion, "software", q.software, "resumes", q.caller.Resumes)
 }
 
 func millis(d time.Duration) int64 { return d.Milliseconds() }
@@ -278,5 +278,6 @@
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestRefused, "request-id", q.caller.ID, "route", route, "reason", reason,
 		"status", status, "touched", q.mayHaveRun, "sends", q.sent, "tries", q.tries, "taken", q.refusedReservations, "routes-version", q.routesVersion,
 		"model", q.caller.Model, "adapter", q.caller.Adapter, "via", q.via, "avoid", q.avoid, "digest", q.contentDigest,
+		"software", q.software, "resumes", q.caller.Resumes,
 		"ms", g.timers.Now().Sub(q.arrived).Milliseconds(), "cause", err)
 }
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -49,8 +49,10 @@
 	// mayHaveRun is set once a backend server may have run the request.
 	mayHaveRun bool
 	backend    laburnumlever.BackendID // of the last attempt
-	via        string                  // the VM that the last attempt's connection went through; empty for none
-	waited     time.Duration           // in the queue
+	// software is the software version of the server that brought the first part of the answer; empty before.
+	software laburnumlever.SoftwareVersion
+	via      string        // the VM that the last attempt's connection went through; empty for none
+	waited   time.Duration // in the queue
 	// reservation is a slot reserved at the engine; empty for none.
 	reservation laburnumlever.ReservationID
 	// checksKeys is set if there are client accounts. account is that of the caller, nil for none, and
--- a/laburnumregistry/summary.go
+++ b/laburnumregistry/summary.go
@@ -28,6 +28,12 @@
 		if e.record.Silent {
 			c.Silent++
 		}
+		if h.Software != "" {
+			if c.Software == nil {
+				c.Software = map[laburnumlever.SoftwareVersion]int{}
+			}
+			c.Software[h.Software]++
+		}
 		c.Copies += len(h.Models)
 		for _, m := range h.Models {
 			held[h.Service][m.Name] = true
--- a/laburnumregistry/summary_test.go
+++ b/laburnumregistry/summary_test.go
@@ -16,7 +16,7 @@
 	now := time.Unix(1_000_000, 0)
 	table := laburnumregistry.New(time.Second)
 	take := func(id laburnumlever.BackendID, leaving bool, models ...laburnumlever.ModelName) {
-		h := laburnumlever.Heartbeat{Backend: id, Service: "quotes", Sequence: 1, Leaving: leaving}
+		h := laburnumlever.Heartbeat{Backend: id, Service: "quotes", Sequence: 1, Leaving: leaving, Software: "v1"}
 		for _, m := range models {
 			h.Models = append(h.Models, laburnumlever.EngineModel{Name: m})
 		}
@@ -31,7 +31,7 @@
 		{Name: "m0"}, {Name: "m1"}, {Name: "m2"}, {Name: "m3"},
 	}}}
 	require.Equal(t, []laburnumlever.ServiceStatus{
-		{Service: "quotes", Serving: 2, Leaving: 1, Models: 4, Absent: 2, Copies: 3, Examples: []laburnumlever.ModelName{"m2", "m3"}},
+		{Service: "quotes", Serving: 2, Leaving: 1, Software: map[laburnumlever.SoftwareVersion]int{"v1": 2}, Models: 4, Absent: 2, Copies: 3, Examples: []laburnumlever.ModelName{"m2", "m3"}},
 		{Service: "booking"},
 	}, table.Summary([]laburnumlever.RoutedService{quotes, {Name: "booking"}}))
 }
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -353,7 +353,7 @@
 	c.source.SetRecord(r)
 	c.director.SetRecord(r)
 	_ = c.recordLogger(r).Log("event", laburnumlever.EventBackendChanged, "backend", id, "service", r.Heartbeat.Service,
-		"address", r.Heartbeat.Address, "sequence", r.Heartbeat.Sequence, "leaving", r.Heartbeat.Leaving,
+		"address", r.Heartbeat.Address, "software", r.Heartbeat.Software, "sequence", r.Heartbeat.Sequence, "leaving", r.Heartbeat.Leaving,
 		"gone", r.Gone, "silent", r.Silent)
 }
 
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -60,6 +60,8 @@
 	Serving int `json:"serving"`
 	Silent  int `json:"silent"`
 	Leaving int `json:"leaving"`
+	// Software counts the serving backend servers by software version, without those whose version is unknown.
+	Software map[SoftwareVersion]int `json:"software,omitempty"`
 	// Models counts the models in the catalogue, Absent those of them that no serving
 	// engine has loaded.
 	Models int `json:"models,omitempty"`
