--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -25,6 +25,8 @@
 			&cli.StringSliceFlag{Name: "control", Usage: "`ADDRESS` of a control VM; may be repeated"},
 			&cli.StringFlag{Name: "announce", Usage: "`ADDRESS` that it announces, if it differs from the listen address, as behind a link"},
 			&cli.DurationFlag{Name: "announce-period", Value: time.Second, Usage: "how often it announces itself"},
+			&cli.StringFlag{Name: "software", Usage: "software `VERSION` that it announces and names in the events of streams"},
+			&cli.DurationFlag{Name: "event-pause", Usage: "time between two events of a stream"},
 			&cli.IntFlag{Name: "break-after", Usage: "break off each stream after this number of `EVENTS`; 0 for never"},
 			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs"},
 			&cli.DurationFlag{Name: "delay", Usage: "delay before the start of each answer"},
@@ -40,7 +42,7 @@
 				return err
 			}
 			behaviour := laburnumstandin.PlatformBehaviour{
-				AbortStreamAfter: c.Int("break-after"), Delay: c.Duration("delay"),
+				AbortStreamAfter: c.Int("break-after"), Delay: c.Duration("delay"), Software: c.String("software"), EventPause: c.Duration("event-pause"),
 				Slots: c.Int("slots"), Queue: c.Int("queue"), CrashText: c.String("crash-text"), Crash: func() { os.Exit(exitFailure) },
 			}
 			if c.Bool("print-runs") {
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -172,6 +172,25 @@
 	return status
 }
 
+// fleetKnows waits until a VM knows a number of serving engines of a software version.
+func (s *deployment) fleetKnows(ip, software string, n int) {
+	s.status(ip, fmt.Sprint(n, " servers of ", software), func(status laburnumlever.Status) bool {
+		for _, service := range status.Role.Services {
+			if service.Software[laburnumlever.SoftwareVersion(software)] == n {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// killGateway ends the first gateway without a drain.
+func (s *deployment) killGateway() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.gateway.Shutdown(ctx)
+}
+
 func manifest(version int, prefix string) []byte {
 	return fmt.Appendf(nil, `{"version":%d,"routes":[
 		{"name":"confirm","hostname":"quotes.example","path_prefix":"/%s/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"priority":1,"service":"rdv","max_attempts":1},
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -44,12 +44,40 @@
 
 // Confirm sends a non-idempotent request and returns the HTTP status and the body.
 func (c *PlatformCaller) Confirm(ctx context.Context, gateway, id, text string) (int, []byte, error) {
-	return c.send(ctx, http.MethodPost, gateway+"/confirm/x", id, "", []byte(text))
+	return c.send(ctx, http.MethodPost, gateway+"/confirm/x", []byte(text), requestHeaders{id: id})
 }
 
 // Quote requests a stream and returns the HTTP status and as much of the body as was received.
 func (c *PlatformCaller) Quote(ctx context.Context, gateway, id, text string) (int, []byte, error) {
-	return c.send(ctx, http.MethodPost, gateway+"/quote/x", id, "m0", []byte(text))
+	return c.send(ctx, http.MethodPost, gateway+"/quote/x", []byte(text), requestHeaders{id: id, model: "m0"})
+}
+
+// Resume takes a stream up after its last event; resumes is the id of the attempt that brought the first one.
+func (c *PlatformCaller) Resume(ctx context.Context, gateway, id, text string, lastEvent int, resumes string) (int, []byte, error) {
+	return c.send(ctx, http.MethodPost, gateway+"/quote/x", []byte(text),
+		requestHeaders{id: id, model: "m0", lastEvent: strconv.Itoa(lastEvent), resumes: resumes})
+}
+
+// StreamEvent is an event of a stream.
+type StreamEvent struct {
+	ID int
+	// Software is the software version of the server that sent it; empty if it names none.
+	Software string
+}
+
+// StreamEvents returns the whole events in as much of a stream's body as was received.
+func StreamEvents(body []byte) []StreamEvent {
+	var events []StreamEvent
+	for text := range strings.SplitSeq(string(body), "\n\n") {
+		id, data, ok := strings.Cut(text, "\n")
+		if id, ok = strings.CutPrefix(id, "id: "); !ok {
+			continue
+		}
+		n, _ := strconv.Atoi(id) // an invalid id becomes 0, which no event has
+		_, software, _ := strings.Cut(data, softwareMark)
+		events = append(events, StreamEvent{ID: n, Software: software})
+	}
+	return events
 }
 
 // EventIDs returns the ids of the events in a stream's body.
@@ -70,13 +98,13 @@
 
 // Apply sends a manifest with the version and returns the HTTP status.
 func (c *PlatformCaller) Apply(ctx context.Context, control string, version int, accounts ...PlatformAccount) (int, error) {
-	status, _, err := c.send(ctx, http.MethodPut, control+"/v1/config", "", "", platformManifest(version, accounts))
+	status, _, err := c.send(ctx, http.MethodPut, control+"/v1/config", platformManifest(version, accounts), requestHeaders{})
 	return status, err
 }
 
 // Read fetches the current manifest and returns the HTTP status and its version.
 func (c *PlatformCaller) Read(ctx context.Context, control string) (int, int, error) {
-	status, body, err := c.send(ctx, http.MethodGet, control+"/v1/config", "", "", nil)
+	status, body, err := c.send(ctx, http.MethodGet, control+"/v1/config", nil, requestHeaders{})
 	if err != nil || status != http.StatusOK {
 		return status, 0, err
 	}
@@ -85,21 +113,25 @@
 	return status, m.Version, err
 }
 
+// requestHeaders are the headers of a request on a route; empty ones are left out.
+type requestHeaders struct{ id, model, lastEvent, resumes string }
+
 // send makes a call and returns the HTTP status and as much of the body as was received.
-func (c *PlatformCaller) send(ctx context.Context, method, url, id, model string, body []byte) (int, []byte, error) {
+func (c *PlatformCaller) send(ctx context.Context, method, url string, body []byte, headers requestHeaders) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
-	if id != "" {
+	if headers.id != "" {
 		req.Host = platformHost
-		req.Header.Set("X-Laburnumlever-Request-Id", id)
-	}
-	if c.key != "" {
-		req.Header.Set(keyHeader, c.key)
 	}
-	if model != "" {
-		req.Header.Set("X-Laburnumlever-Model", model)
+	for name, value := range map[string]string{
+		"X-Laburnumlever-Request-Id": headers.id, keyHeader: c.key, "X-Laburnumlever-Model": headers.model,
+		"Last-Event-Id": headers.lastEvent, "Resumes": headers.resumes,
+	} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -27,6 +27,10 @@
 	// healthPath is the path of health checks in the stand-in manifest.
 	healthPath  = "/health"
 	defaultZone = "brest"
+	// defaultSoftware is the software version of servers without one of their own.
+	defaultSoftware = "v1"
+	// softwareMark precedes the software version in an event.
+	softwareMark = " of "
 	// defaultSlots is the number of slots that a server announces which runs any number of requests.
 	defaultSlots = 8
 	// platformEvents is the number of events in each stream.
@@ -41,6 +45,11 @@
 	// AbortStreamAfter aborts the connection of each stream after that many events; 0
 	// disables it.
 	AbortStreamAfter int
+	// Software is the software version that the server announces and names in each event of its streams. Without it,
+	// it announces defaultSoftware and names none.
+	Software string
+	// EventPause is the time between two events of a stream.
+	EventPause time.Duration
 	// Zone is the availability zone that the server announces; empty for that of the stand-in fleets.
 	Zone string
 	// Delay is the time before each response starts.
@@ -153,7 +162,7 @@
 		state = "draining"
 	}
 	document := map[string]any{
-		"service": s.service, "address": s.address, "zone": cmp.Or(s.behaviour.Zone, defaultZone), "version": "v1", "slots": cmp.Or(s.behaviour.Slots, defaultSlots),
+		"service": s.service, "address": s.address, "zone": cmp.Or(s.behaviour.Zone, defaultZone), "version": cmp.Or(s.behaviour.Software, defaultSoftware), "slots": cmp.Or(s.behaviour.Slots, defaultSlots),
 		"state": state, "cold_remaining_ms": 0, "seq": s.sequence,
 	}
 	if len(s.models) > 0 {
@@ -309,9 +318,20 @@
 		if s.behaviour.AbortStreamAfter > 0 && i > s.behaviour.AbortStreamAfter {
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d\n\n", i, model, i)
+		if s.behaviour.EventPause > 0 && i > first {
+			laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.EventPause)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d%s\n\n", i, model, i, s.softwareText())
 		_ = flusher.Flush()
 	}
 }
 
+// softwareText is what an event says of the server's software version.
+func (s *PlatformServer) softwareText() string {
+	if s.behaviour.Software == "" {
+		return ""
+	}
+	return softwareMark + s.behaviour.Software
+}
+
 var _ http.Handler = (*PlatformServer)(nil)
