--- a/enums.go
+++ b/enums.go
@@ -87,6 +87,10 @@
 	// RefusedLinksLost is a request at a VM that has lost its links to all backend servers and finds no other VM to
 	// connect through.
 	RefusedLinksLost
+	// RefusedStreamUnknown is a request that takes up a stream of which it is not known which software version began it.
+	RefusedStreamUnknown
+	// RefusedStreamVersionGone is a request that takes up a stream whose software version no backend server runs.
+	RefusedStreamVersionGone
 )
 
 // QuotaUnit is the unit of a client account's quota.
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -64,6 +64,16 @@
 	Avoid []laburnumlever.BackendID
 	// Permit allows the request on a limited server; the zero Permit allows none.
 	Permit Permit
+	// Software is the only software version whose servers may take the request; empty for any.
+	Software laburnumlever.SoftwareVersion
+	// ExceptSoftware are software versions whose servers may not take the request.
+	ExceptSoftware []laburnumlever.SoftwareVersion
+}
+
+// fits reports whether a server runs software that may take the request.
+func (q Query) fits(s *server) bool {
+	software := s.record.Heartbeat.Software
+	return (q.Software == "" || q.Software == software) && !slices.Contains(q.ExceptSoftware, software)
 }
 
 // Permit allows one request on a limited server, from a time until another.
@@ -274,7 +284,7 @@
 	}
 	var candidates []candidate
 	for _, s := range t.candidates(q) {
-		if s.limited && !now.Before(s.unreachableUntil) && s.holds(q.Model, q.Adapter, now) {
+		if s.limited && q.fits(s) && !now.Before(s.unreachableUntil) && s.holds(q.Model, q.Adapter, now) {
 			candidates = append(candidates, candidate{server: s.record.Heartbeat, score: t.score(s, q, now)})
 		}
 	}
@@ -387,8 +397,13 @@
 // Len returns the number of servers that accept requests for the service.
 func (t *Table) Len(service laburnumlever.ServiceName) int { return len(t.byService[service]) }
 
-// Unavailable returns the servers that hold the query's model but are full, unreachable or, unless all
-// are, limited.
+// HasSoftware reports whether a server that accepts requests for the service runs a software version.
+func (t *Table) HasSoftware(service laburnumlever.ServiceName, software laburnumlever.SoftwareVersion) bool {
+	return slices.ContainsFunc(t.byService[service], func(s *server) bool { return s.record.Heartbeat.Software == software })
+}
+
+// Unavailable returns the servers that hold the query's model but are full, unreachable, of another software version or,
+// unless all are, limited.
 func (t *Table) Unavailable(q Query, now time.Time) []laburnumlever.BackendID {
 	var unavailable, limited []laburnumlever.BackendID
 	unlimited := false
@@ -396,6 +411,10 @@
 		if !s.holds(q.Model, "", now) {
 			continue
 		}
+		if !q.fits(s) {
+			unavailable = append(unavailable, s.record.Heartbeat.Backend)
+			continue
+		}
 		unlimited = unlimited || !s.limited
 		if s.limited {
 			limited = append(limited, s.record.Heartbeat.Backend)
@@ -418,6 +437,9 @@
 	var best *server
 	bestScore := math.Inf(1)
 	for _, s := range t.candidates(q) {
+		if !q.fits(s) {
+			continue
+		}
 		if v := t.verdictOn(s, q, now); v != Found {
 			verdict = max(verdict, v)
 			continue
--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -36,6 +36,8 @@
 	"backend-limited":     "all backend servers that could serve it name limits that are used up: look for limit-changed, and for slot-requested of this request",
 	"backend-brittle":     "the backend servers that could serve it fall over if they must reject requests, and had no room: look for brittle-changed, and for slot-requested of this request",
 	"links-lost":          "the gateway reached no backend server, and no other gateway opened connections for it: look for links-lost and links-verified of the gateway",
+	"stream-unknown":      "no VM that answered knew which software version began the stream that it takes up: look for stream-not-recorded, and for the attempt that it resumes",
+	"stream-version-gone": "no backend server runs the software version that began the stream that it takes up: look for backend-known with that software",
 	"unknown-key":         "its key belongs to no client account in the routes of that version: look for routes-in-force on the gateway, and for when the key was revoked",
 	"keys-unconfirmed":    "no control VM had confirmed for too long that the gateway's routes are the newest, so that its key may have been revoked: look for keys-unconfirmed, control-lost and became-leader",
 	"over-quota":          "its client account had used up its quota: look for quota-used-up on control VMs",
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -113,4 +113,6 @@
 	// Isolated is set if the control VM can't reach a majority of the control VMs: its endpoint state
 	// may be stale.
 	Isolated bool `json:"isolated,omitempty"`
+	// Complete is set if the VM has all endpoint state of the last minutes, and has sent all of it.
+	Complete bool `json:"complete,omitempty"`
 }
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -38,6 +38,7 @@
 	self            laburnumlever.VM
 	boot            uint64
 	onGatewayReport GatewayReportFunc
+	complete        func() bool
 	batcher         *laburnumtimer.Coalescer
 
 	mu     sync.Mutex
@@ -80,14 +81,19 @@
 // WithSourceLogger sets the logger; the default discards all lines.
 func WithSourceLogger(logger log.Logger) SourceOption { return func(s *Source) { s.logger = logger } }
 
+// WithCompleteness sets whether the VM has all endpoint state of the last minutes; by default it never has.
+func WithCompleteness(complete func() bool) SourceOption {
+	return func(s *Source) { s.complete = complete }
+}
+
 // NewSource returns a source whose handlers are registered with peers. The incarnation of self must
 // differ from that of earlier starts, so that followers discard cursors from those.
 func NewSource(peers laburnumlever.Peers, timers laburnumlever.Timers, self laburnumlever.VM, opts ...SourceOption) *Source {
 	s := &Source{
 		timers: timers, logger: log.NewNopLogger(), self: self, boot: self.Incarnation, changed: make(chan struct{}),
 		records: newItemLog(), overlays: newItemLog(), quarantine: newItemLog(), limits: newItemLog(), brittle: newItemLog(), pollers: newPollers(),
-		onGatewayReport: func(laburnumlever.VMID, laburnumlever.GatewayReport) {},
-		cursor:          1, published: 1, controlsCursor: 1, metaCursor: 1, answers: map[answerKey]laburnumlever.RawMessage{},
+		onGatewayReport: func(laburnumlever.VMID, laburnumlever.GatewayReport) {}, complete: func() bool { return false },
+		cursor: 1, published: 1, controlsCursor: 1, metaCursor: 1, answers: map[answerKey]laburnumlever.RawMessage{},
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -216,6 +222,13 @@
 	return s.pollers.gateways(s.timers.Now())
 }
 
+// Isolated reports whether this VM can't reach a majority of the control VMs.
+func (s *Source) Isolated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pollers.isolated(s.timers.Now())
+}
+
 // NoteControl records another control VM and publishes it if it is new or its address changed.
 func (s *Source) NoteControl(vm laburnumlever.VM) {
 	s.mu.Lock()
@@ -408,6 +421,7 @@
 	if key.records {
 		a.Backends = s.records.itemsIn(key.since, end)
 		a.Quarantine = s.quarantine.itemsIn(key.since, end)
+		a.Complete = end >= s.published && s.complete()
 	}
 	if s.controlsCursor > key.since {
 		a.Controls = append(s.pollers.others(now), s.self)
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -150,7 +150,6 @@
 		copyHeader(out.w.Header(), resp.Header)
 		out.w.WriteHeader(http.StatusOK)
 		out.started = true
-		q.software = ticket.Backend.Software
 	}
 	flusher := http.NewResponseController(out.w)
 	r := bufio.NewReaderSize(resp.Body, eventBufferSize)
@@ -169,6 +168,7 @@
 		if first {
 			first = false
 			g.fleet.recordFirstEvent(ticket)
+			g.beginStream(ctx, q, ticket)
 		}
 		out.heard()
 		if fail := g.checkEventID(q, event); fail != nil {
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -90,6 +90,9 @@
 	if err := g.fleet.recheckKey(ctx, q); err != nil {
 		return &failure{stage: laburnumretry.StageNotSent, cause: err, refused: err}, nil
 	}
+	if !g.fleet.isStill(ticket.Backend) {
+		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedNoBackend, cause: &ServerChangedError{Backend: ticket.Backend.Backend}}, nil
+	}
 	now := g.timers.Now()
 	if err := conn.SetDeadline(q.deadline.Add(backendTimeoutSlack)); err != nil {
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}, nil
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -24,7 +24,10 @@
 	// linksLost counts losses of this VM's links to the backend servers.
 	linksLost tally.Counter
 	// detours counts backend servers to which connections began to be opened through other VMs.
-	detours      tally.Counter
+	detours tally.Counter
+	// streamsRecorded and streamsUnrecorded count streams whose software version some control VM keeps, or none.
+	streamsRecorded, streamsUnrecorded tally.Counter
+
 	refusals     map[laburnumlever.RefusalReason]tally.Counter
 	retries      map[laburnumlever.RetryReason]tally.Counter
 	reservations map[reserveOutcome]tally.Counter
@@ -63,6 +66,8 @@
 		reservations: map[reserveOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
 		latencies: map[laburnumlever.ServiceName]*latencies{},
 	}
+	c.streamsRecorded = scope.Tagged(map[string]string{"outcome": "kept"}).Counter("stream_records")
+	c.streamsUnrecorded = scope.Tagged(map[string]string{"outcome": "not-kept"}).Counter("stream_records")
 	for _, outcome := range reserveOutcomeValues() {
 		c.reservations[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("reservations")
 	}
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -1,6 +1,10 @@
 package laburnumgateway
 
-import "fmt"
+import (
+	"fmt"
+
+	"laburnumlever"
+)
 
 // CrossedAnswerError is an answer with request id Got instead of Want.
 type CrossedAnswerError struct{ Want, Got string }
@@ -41,3 +45,10 @@
 
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Cause }
+
+// ServerChangedError is a backend server that another incarnation has replaced since it was chosen.
+type ServerChangedError struct{ Backend laburnumlever.BackendID }
+
+func (e *ServerChangedError) Error() string {
+	return fmt.Sprintf("backend server %q has restarted or is gone", e.Backend)
+}
--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -101,7 +101,7 @@
 }
 
 func (b *backend) heartbeat(service string, models ...string) laburnumregistry.Record {
-	h := laburnumlever.Heartbeat{Backend: b.id, Service: laburnumlever.ServiceName(service), Address: b.ln.Addr().String(), Zone: "brest", Sequence: 1, Slots: 8}
+	h := laburnumlever.Heartbeat{Backend: b.id, Service: laburnumlever.ServiceName(service), Address: b.ln.Addr().String(), Zone: "brest", Sequence: 1, Software: "v1", Slots: 8}
 	for _, m := range models {
 		h.Models = append(h.Models, laburnumlever.EngineModel{Name: laburnumlever.ModelName(m)})
 	}
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -58,6 +58,7 @@
 	limits  *laburnumlimit.Table
 	brittle *laburnumconcurrency.Table
 	keepers LimitKeepers
+	streams *streams
 	// queueWoken is closed when queued requests must check whether they can still be served.
 	queueWoken chan struct{}
 }
@@ -78,7 +79,7 @@
 		balance: laburnumbalance.New(vm.Zone, seed), demand: laburnumdemand.NewCounter(vm.ID),
 		gateways: 1, keys: newKeys(), readTimes: laburnumdemand.ReadTimes{}, routesLoaded: make(chan struct{}),
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), reporter: silentReporter{},
-		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}),
+		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -93,7 +94,11 @@
 	defer f.mu.Unlock()
 	f.gateways = max(f.gateways, a.Gateways)
 	f.balance.SetGateways(f.gateways)
+	versions := map[laburnumlever.ServiceName][]laburnumlever.SoftwareVersion{}
 	for _, r := range a.Backends {
+		if _, noted := versions[r.Heartbeat.Service]; !noted {
+			versions[r.Heartbeat.Service] = f.registry.Software(r.Heartbeat.Service)
+		}
 		if !f.registry.Merge(r, now) {
 			continue
 		}
@@ -105,6 +110,8 @@
 	for _, o := range a.Overlays {
 		f.balance.SetOverlay(o, now)
 	}
+	f.noteVersions(versions)
+	f.noteAnswer(address, a)
 	f.applyQuarantine(address, a.Boot, a.Quarantine, now)
 	f.applyLimits(a.Limits, now)
 	f.applyBrittle(a.Brittle, now)
@@ -306,6 +313,7 @@
 func (f *Fleet) query(q *request) laburnumbalance.Query {
 	query := q.query()
 	query.ReadTime = f.readTimes.Of(q.caller.Model)
+	query.ExceptSoftware = f.settlingVersions(q)
 	return query
 }
 
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -39,6 +39,10 @@
 // *laburnumlever.RefusalError or a *CallerGoneError.
 func (g *Gateway) run(ctx context.Context, q *request, out *answer) error {
 	defer g.fleet.returnLease(q, nil)
+	defer g.fleet.streams.remove(q)
+	if err := g.findVersion(ctx, q); err != nil {
+		return err
+	}
 	for {
 		ticket, err := g.acquire(ctx, q)
 		if err != nil {
@@ -113,6 +117,9 @@
 	if ctx.Err() != nil || errors.As(fail.cause, &gone) {
 		return 0, false
 	}
+	if out.events > 0 && q.software == "" {
+		return 0, false // no other server is known to run the same software
+	}
 	reason, paid, ok := laburnumretry.Attempt{
 		Stage: fail.stage, MayHaveRun: q.mayHaveRun, Started: out.started, Idempotent: q.route.Repeatable(),
 		Resumable: q.route.Resumable, Sent: q.sent, Tries: q.tries, MaxSent: q.route.MaxAttempts,
@@ -135,6 +142,9 @@
 	q.permit, q.slotRequested, q.probes = laburnumbalance.Permit{}, false, false
 	defer func() { q.waited += g.timers.Now().Sub(start) }()
 	for {
+		if g.fleet.versionGone(q) {
+			return nil, newRefusal(laburnumlever.RefusedStreamVersionGone, 0, "no backend server runs software version "+string(q.software)+", which began the stream")
+		}
 		ticket, verdict := g.fleet.awaitSlot(ctx, q, until)
 		if err := g.fleet.refuseQuarantined(q); err != nil {
 			g.fleet.cancelSlot(ticket)
--- a/laburnumgateway/limits.go
+++ b/laburnumgateway/limits.go
@@ -143,6 +143,7 @@
 	default:
 		f.limits.Forget(r.Heartbeat.Backend)
 		f.brittle.Forget(r.Heartbeat.Backend)
+		f.wakeQueue()
 	}
 	f.restrict(r.Heartbeat.Backend)
 }
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -49,7 +49,8 @@
 	// mayHaveRun is set once a backend server may have run the request.
 	mayHaveRun bool
 	backend    laburnumlever.BackendID // of the last attempt
-	// software is the software version of the server that brought the first part of the answer; empty before.
+	// software is the software version that began the request's stream, the only one at which it may go on; empty while
+	// it has not begun.
 	software laburnumlever.SoftwareVersion
 	via      string        // the VM that the last attempt's connection went through; empty for none
 	waited   time.Duration // in the queue
@@ -191,7 +192,7 @@
 	return laburnumbalance.Query{
 		Service: q.service.Name, Model: q.caller.Model, Adapter: q.caller.Adapter,
 		Prompt: q.caller.Prompt, Target: time.Duration(q.route.Target), Avoid: q.avoid,
-		Queue: q.queuesAtEngine(), Permit: q.permit,
+		Queue: q.queuesAtEngine(), Permit: q.permit, Software: q.software,
 	}
 }
 
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -121,7 +121,7 @@
 	f.mu.Lock()
 	woken, needsSlot := f.queueWoken, f.needsSlot(q, query, f.timers.Now())
 	f.mu.Unlock()
-	if needsSlot || f.quarantineState(q).Refused() {
+	if needsSlot || f.quarantineState(q).Refused() || f.versionGone(q) {
 		return nil
 	}
 	return woken
--- /dev/null
+++ b/laburnumgateway/streams_test.go
@@ -0,0 +1,315 @@
+package laburnumgateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumstream"
+	"laburnumlever/laburnumtimer"
+)
+
+// fakeStreamKeepers are control VMs that keep all records and answer with fixed opinions.
+type fakeStreamKeepers struct {
+	opinions []laburnumstream.Opinion
+	asked    int
+	// keeping is called before records are kept.
+	keeping func()
+
+	mu   sync.Mutex
+	kept []laburnumstream.Record
+	// at are the records kept at one control VM.
+	at map[string][]laburnumstream.Record
+}
+
+func (k *fakeStreamKeepers) Keep(_ context.Context, records []laburnumstream.Record) int {
+	if k.keeping != nil {
+		k.keeping()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.kept = append(k.kept, records...)
+	return 2
+}
+
+func (k *fakeStreamKeepers) KeepAt(_ context.Context, address string, records []laburnumstream.Record) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.at == nil {
+		k.at = map[string][]laburnumstream.Record{}
+	}
+	k.at[address] = append(k.at[address], records...)
+	return true
+}
+
+func (k *fakeStreamKeepers) Ask(context.Context, string, laburnumlever.ServiceName) ([]laburnumstream.Opinion, int) {
+	return k.opinions, k.asked
+}
+
+func (k *fakeStreamKeepers) records() []laburnumstream.Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]laburnumstream.Record(nil), k.kept...)
+}
+
+// newStreamHarness starts a gateway that keeps records at the keepers and knows engines of model m0.
+func newStreamHarness(t *testing.T, keepers *fakeStreamKeepers, records ...laburnumregistry.Record) *harness {
+	timers := laburnumtimer.New()
+	t.Cleanup(timers.Close)
+	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1,
+		laburnumgateway.WithStreamKeepers(keepers), laburnumgateway.WithFirstStart(true))
+	b := newHarnessOfFleet(t, fleet, timers, laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}))
+	b.fleet.HandleRoutes(testRoutes())
+	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: records})
+	return b
+}
+
+// engineOf returns the record of an engine with a software version.
+func engineOf(b *backend, software laburnumlever.SoftwareVersion) laburnumregistry.Record {
+	r := b.heartbeat("quotes", "m0")
+	r.Heartbeat.Software = software
+	return r
+}
+
+// resumes answers with the events from the caller's last one to the sixth.
+func resumes(conn net.Conn, a receivedRequest, _ int) {
+	last := 0
+	_, _ = fmt.Sscan(a.request.Header.Get("Last-Event-Id"), &last)
+	writeEvents(conn, a, last+1, 6)
+	writeLastChunk(conn)
+}
+
+func quote(b *harness, id string, headers ...string) callerResponse {
+	return b.send("POST", "/quote/x", "oak", append([]string{"X-Laburnumlever-Model", "m0", idHeader, id}, headers...)...)
+}
+
+// Guards against a gateway that dies after a stream's first event and before anyone else knows the version that began it.
+func TestRecordIsKeptBeforeTheFirstEventLeaves(t *testing.T) {
+	var kept atomic.Bool
+	keepers := &fakeStreamKeepers{keeping: func() { time.Sleep(20 * time.Millisecond); kept.Store(true) }}
+	old, changed := newBackend(t, "i-1", resumes), newBackend(t, "i-2", resumes)
+	b := newStreamHarness(t, keepers, engineOf(old, "v1"), engineOf(changed, "v2"))
+	req, err := http.NewRequest(http.MethodPost, b.server.URL+"/quote/x", strings.NewReader("oak"))
+	require.NoError(t, err)
+	req.Host = "quotes.example"
+	req.Header.Set(idHeader, "r-1")
+	req.Header.Set("X-Laburnumlever-Model", "m0")
+	resp, err := b.client.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = bufio.NewReader(resp.Body).ReadString('\n')
+	require.NoError(t, err)
+	require.True(t, kept.Load())
+	require.Len(t, keepers.records(), 1)
+	require.Equal(t, "r-1", keepers.records()[0].Stream)
+}
+
+// Guards against messages for streams of services that have one version only.
+func TestStreamsOfOneVersionNeedNoRecord(t *testing.T) {
+	keepers := &fakeStreamKeepers{}
+	server := newBackend(t, "i-1", resumes)
+	b := newStreamHarness(t, keepers, engineOf(server, "v1"))
+	require.Equal(t, 200, quote(b, "r-1").status)
+	require.Empty(t, keepers.records())
+}
+
+// Guards against a stream that goes on at another engine although nobody knows the version that began it.
+func TestStreamOfAnUnknownVersionDoesNotGoOn(t *testing.T) {
+	breaks := func(conn net.Conn, a receivedRequest, _ int) {
+		writeEvents(conn, a, 1, 2)
+		time.Sleep(20 * time.Millisecond) // the caller reads them meanwhile
+		_ = conn.Close()
+	}
+	first, second := newBackend(t, "i-1", breaks), newBackend(t, "i-2", breaks)
+	b := newStreamHarness(t, &fakeStreamKeepers{}, engineOf(first, ""), engineOf(second, ""))
+	require.Error(t, quote(b, "r-1").err)
+	require.Len(t, append(first.requests(), second.requests()...), 1)
+}
+
+// Guards against a stream that is taken up at a version that is guessed, and against one that is refused although it is known.
+func TestTakingUpAStream(t *testing.T) {
+	opinion := func(software laburnumlever.SoftwareVersion, versions ...laburnumlever.SoftwareVersion) laburnumstream.Opinion {
+		return laburnumstream.Opinion{Known: laburnumstream.Known{Software: software}, Versions: versions, Current: true, Complete: true}
+	}
+	const changed = "i-v2"
+	for name, tt := range map[string]struct {
+		versions []laburnumlever.SoftwareVersion
+		opinions []laburnumstream.Opinion
+		asked    int
+		headers  []string
+		status   int
+		reason   string
+		retry    bool
+		// by is the engine that goes on with the stream.
+		by string
+	}{
+		"recorded":              {opinions: []laburnumstream.Opinion{opinion("v2", "v1", "v2")}, asked: 2, headers: []string{"Resumes", "r-0"}, status: 200, by: changed},
+		"recorded, prefixed":    {opinions: []laburnumstream.Opinion{opinion("v2", "v1", "v2")}, asked: 2, headers: []string{"X-Laburnumlever-Resumes", "r-0"}, status: 200, by: changed},
+		"unknown id":            {opinions: []laburnumstream.Opinion{opinion("", "v1", "v2")}, asked: 1, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown"},
+		"nobody answers":        {asked: 2, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown", retry: true},
+		"no id, two versions":   {opinions: []laburnumstream.Opinion{opinion("", "v1", "v2")}, asked: 1, status: 503, reason: "stream-unknown"},
+		"no id, one version":    {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{opinion("", "v2")}, asked: 1, status: 200, by: changed},
+		"version gone":          {opinions: []laburnumstream.Opinion{opinion("v0", "v0", "v1", "v2")}, asked: 1, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-version-gone"},
+		"others know of v0":     {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{opinion("", "v0", "v2")}, asked: 1, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown"},
+		"a version not named":   {versions: []laburnumlever.SoftwareVersion{"", "v2"}, opinions: []laburnumstream.Opinion{opinion("", "v2")}, asked: 1, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown"},
+		"this gateway knows it": {headers: []string{"Resumes", "own"}, status: 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			keepers := &fakeStreamKeepers{opinions: tt.opinions, asked: tt.asked}
+			versions := tt.versions
+			if versions == nil {
+				versions = []laburnumlever.SoftwareVersion{"v1", "v2"}
+			}
+			var records []laburnumregistry.Record
+			engines := map[string]*backend{}
+			for _, v := range versions {
+				id := "i-" + string(v)
+				engines[id] = newBackend(t, id, resumes)
+				records = append(records, engineOf(engines[id], v))
+			}
+			b := newStreamHarness(t, keepers, records...)
+			by := tt.by
+			if len(tt.headers) > 0 && tt.headers[1] == "own" {
+				require.Equal(t, 200, quote(b, "own").status)
+				by = "i-" + string(keepers.records()[0].Software)
+			}
+			before := map[string]int{}
+			for id, e := range engines {
+				before[id] = len(e.requests())
+			}
+			got := quote(b, "r-9", append([]string{"Last-Event-Id", "2"}, tt.headers...)...)
+			require.Equal(t, tt.status, got.status, got.body)
+			require.Contains(t, got.body, tt.reason)
+			require.Equal(t, tt.retry, got.header.Get("Retry-After") != "")
+			for id, e := range engines {
+				want := before[id]
+				if id == by {
+					want++
+				}
+				require.Len(t, e.requests(), want, id)
+			}
+			if by != "" {
+				require.True(t, strings.HasPrefix(got.body, "id: 3\n"), got.body)
+			}
+		})
+	}
+}
+
+// Guards against a resumed stream that reaches an engine which restarted with another version while its slot was reserved.
+func TestServerThatRestartsBeforeTheSendGetsNoStream(t *testing.T) {
+	var b *harness
+	var server *backend
+	server = newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, n int) {
+		if a.request.URL.Path == "/v1/hold-take" {
+			restarted := engineOf(server, "v2")
+			restarted.Heartbeat.Incarnation, restarted.Heartbeat.Sequence = 2, 1
+			b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{restarted}})
+			writeAnswer(conn, a, 200, `{"hold":"h1"}`)
+			return
+		}
+		resumes(conn, a, n)
+	})
+	first := engineOf(server, "v1")
+	first.Heartbeat.Incarnation = 1
+	keepers := &fakeStreamKeepers{opinions: []laburnumstream.Opinion{{Known: laburnumstream.Known{Software: "v1"}}}, asked: 1}
+	b = newStreamHarness(t, keepers, first)
+	table := testRoutes()
+	table.Version++
+	table.Services[1].Engine.ReserveLimit = laburnumlever.Duration(time.Second)
+	b.fleet.HandleRoutes(table)
+	got := quote(b, "r-9", "Last-Event-Id", "2", "Resumes", "r-0")
+	require.Equal(t, 503, got.status)
+	require.Contains(t, got.body, "stream-version-gone")
+	for _, a := range server.requests() {
+		require.Equal(t, "/v1/hold-take", a.request.URL.Path)
+	}
+}
+
+// streamInFlight sends a request whose stream ends when release is closed, and waits for its first event.
+func streamInFlight(t *testing.T, b *harness, release chan struct{}) (ended chan callerResponse) {
+	ended = make(chan callerResponse, 1)
+	go func() { ended <- quote(b, "r-1") }()
+	t.Cleanup(func() { close(release); <-ended })
+	return ended
+}
+
+// Guards against streams from the time of one version that nobody can tell apart once a second one has come.
+func TestStreamsInFlightAreKeptWhenASecondVersionComes(t *testing.T) {
+	release, began := make(chan struct{}), make(chan struct{})
+	slow := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+		writeEvents(conn, a, 1, 1)
+		close(began)
+		<-release
+		writeLastChunk(conn)
+	})
+	keepers := &fakeStreamKeepers{}
+	b := newStreamHarness(t, keepers, engineOf(slow, "v1"))
+	streamInFlight(t, b, release)
+	<-began
+	require.Empty(t, keepers.records())
+	changed := newBackend(t, "i-2", resumes)
+	require.Eventually(t, func() bool {
+		b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{engineOf(changed, "v2")}})
+		return len(keepers.records()) > 0
+	}, 5*time.Second, 10*time.Millisecond)
+	require.Equal(t, laburnumstream.Record{Stream: "r-1", Software: "v1"}, keepers.records()[0])
+}
+
+// Guards against records that are lost with a control VM that restarts.
+func TestStreamsInFlightAreKeptAgainAtARestartedControlVM(t *testing.T) {
+	release, began := make(chan struct{}), make(chan struct{})
+	slow := func(conn net.Conn, a receivedRequest, _ int) {
+		writeEvents(conn, a, 1, 1)
+		close(began)
+		<-release
+		writeLastChunk(conn)
+	}
+	old, changed := newBackend(t, "i-1", slow), newBackend(t, "i-2", slow)
+	keepers := &fakeStreamKeepers{}
+	b := newStreamHarness(t, keepers, engineOf(old, "v1"), engineOf(changed, "v2"))
+	answerOf := func(boot uint64) laburnumfeed.Answer {
+		var a laburnumfeed.Answer
+		a.Boot = boot
+		return a
+	}
+	b.fleet.HandleAnswer("c-1", answerOf(1))
+	streamInFlight(t, b, release)
+	<-began
+	require.Eventually(t, func() bool { return len(keepers.records()) == 1 }, 5*time.Second, time.Millisecond)
+	b.fleet.HandleAnswer("c-1", answerOf(1))
+	b.fleet.HandleAnswer("c-1", answerOf(2))
+	require.Eventually(t, func() bool {
+		keepers.mu.Lock()
+		defer keepers.mu.Unlock()
+		return len(keepers.at["c-1"]) == 1
+	}, 5*time.Second, time.Millisecond)
+}
+
+// Guards against streams at a version that other VMs have not heard of, and would take up as those of the only one.
+func TestNoStreamBeginsAtAVersionThatIsNew(t *testing.T) {
+	old, changed := newBackend(t, "i-1", resumes), newBackend(t, "i-2", resumes)
+	b := newStreamHarness(t, &fakeStreamKeepers{}, engineOf(old, "v1"))
+	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{engineOf(changed, "v2")}})
+	for i := range 20 {
+		require.Equal(t, 200, quote(b, fmt.Sprint("r-", i)).status)
+	}
+	require.Empty(t, changed.requests())
+	gone := engineOf(old, "v1")
+	gone.Gone, gone.Heartbeat.Sequence = true, 2
+	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{gone}})
+	require.Eventually(t, func() bool { return quote(b, "later").status == 200 }, 5*time.Second, 10*time.Millisecond)
+	require.NotEmpty(t, changed.requests())
+}
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -1,6 +1,7 @@
 package laburnumregistry
 
 import (
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -25,6 +26,8 @@
 	Gone bool `json:"gone,omitempty"`
 	// Silent is set while heartbeats are missing.
 	Silent bool `json:"silent,omitempty"`
+	// EarlierSoftware is the software version of an earlier incarnation with the identity; empty if it is the same.
+	EarlierSoftware laburnumlever.SoftwareVersion `json:"earlier-software,omitempty"`
 }
 
 // AcceptsRequests reports whether new requests may be sent to the backend server. A silent one is
@@ -42,11 +45,16 @@
 type Table struct {
 	period  time.Duration
 	entries map[laburnumlever.BackendID]*entry
+	// software counts the records of each service by software version.
+	software map[laburnumlever.ServiceName]map[laburnumlever.SoftwareVersion]int
 }
 
 // New returns an empty table for backend servers that send a heartbeat every period.
 func New(period time.Duration) *Table {
-	return &Table{period: period, entries: map[laburnumlever.BackendID]*entry{}}
+	return &Table{
+		period: period, entries: map[laburnumlever.BackendID]*entry{},
+		software: map[laburnumlever.ServiceName]map[laburnumlever.SoftwareVersion]int{},
+	}
 }
 
 // ApplyHeartbeat applies a heartbeat and reports whether the record changed in more than the sequence
@@ -56,7 +64,7 @@
 	if e == nil || h.Incarnation > e.record.Heartbeat.Incarnation {
 		// A restart under the same identity is a new backend server: a tombstone of an earlier
 		// incarnation does not apply to it.
-		t.entries[h.Backend] = &entry{record: Record{Heartbeat: h}, heardAt: now}
+		t.start(Record{Heartbeat: h}, now)
 		return true
 	}
 	if !h.NewerThan(e.record.Heartbeat) || e.record.Gone {
@@ -65,10 +73,60 @@
 	e.heardAt = now
 	before := e.record
 	h.Leaving = h.Leaving || before.Heartbeat.Leaving
-	e.record = Record{Heartbeat: h}
+	if h.Software == "" { // VMs of earlier builds drop it
+		h.Software = before.Heartbeat.Software
+	}
+	r := Record{Heartbeat: h, EarlierSoftware: before.EarlierSoftware}
+	if h.Software != before.Heartbeat.Software {
+		r.EarlierSoftware = before.Heartbeat.Software
+	}
+	t.change(e, r)
 	return before.Silent || !equalExceptSequence(before.Heartbeat, h)
 }
 
+// start adds the record of an incarnation, in place of that of an earlier one.
+func (t *Table) start(r Record, now time.Time) {
+	id := r.Heartbeat.Backend
+	e := t.entries[id]
+	if e == nil {
+		e = &entry{}
+	} else if earlier := e.record.Heartbeat.Software; earlier != r.Heartbeat.Software {
+		r.EarlierSoftware = earlier
+	}
+	t.change(e, r)
+	t.entries[id] = &entry{record: r, heardAt: now}
+}
+
+// change replaces a record and counts its software version.
+func (t *Table) change(e *entry, r Record) {
+	t.count(e.record, -1)
+	e.record = r
+	t.count(r, 1)
+}
+
+// count adds to the counts of a record's software versions.
+func (t *Table) count(r Record, n int) {
+	service := r.Heartbeat.Service
+	if service == "" {
+		return
+	}
+	if t.software[service] == nil {
+		t.software[service] = map[laburnumlever.SoftwareVersion]int{}
+	}
+	counts := t.software[service]
+	counts[r.Heartbeat.Software] += n
+	if r.EarlierSoftware != "" {
+		counts[r.EarlierSoftware] += n
+	}
+	maps.DeleteFunc(counts, func(_ laburnumlever.SoftwareVersion, n int) bool { return n == 0 })
+}
+
+// Software returns the software versions of a service's backend servers, with those whose tombstones are kept; an empty
+// one stands for a server whose version is unknown.
+func (t *Table) Software(service laburnumlever.ServiceName) []laburnumlever.SoftwareVersion {
+	return slices.Sorted(maps.Keys(t.software[service]))
+}
+
 // KeepAlive applies the sequence of a heartbeat that another VM received and that changed nothing
 // there. It reports whether the record was silent before, so that other VMs must get it. Unknown
 // backend servers, tombstones and other incarnations are ignored, and the content of an older
@@ -97,10 +155,16 @@
 		return true
 	}
 	changed := t.ApplyHeartbeat(r.Heartbeat, now)
-	if e = t.entries[id]; changed && e.record.Silent != r.Silent {
-		e.record.Silent = r.Silent
+	if !changed {
+		return false
 	}
-	return changed
+	merged := t.entries[id].record
+	merged.Silent = r.Silent
+	if merged.EarlierSoftware == "" {
+		merged.EarlierSoftware = r.EarlierSoftware
+	}
+	t.change(t.entries[id], merged)
+	return true
 }
 
 // mergeTombstone applies a tombstone, unless it is of an earlier incarnation than the known one.
@@ -108,7 +172,7 @@
 	id := r.Heartbeat.Backend
 	e := t.entries[id]
 	if e == nil || r.Heartbeat.Incarnation > e.record.Heartbeat.Incarnation {
-		t.entries[id] = &entry{record: r, heardAt: now}
+		t.start(r, now)
 		return true
 	}
 	return r.Heartbeat.Incarnation == e.record.Heartbeat.Incarnation && t.Remove(id, now)
@@ -184,6 +248,7 @@
 	var pruned []laburnumlever.BackendID
 	for id, e := range t.entries {
 		if droppable(e.record) && now.Sub(e.heardAt) > pruneAfter {
+			t.count(e.record, -1)
 			delete(t.entries, id)
 			pruned = append(pruned, id)
 		}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -73,6 +73,8 @@
 	brittle *brittle
 	// limits grants slots at limited backend servers.
 	limits *limits
+	// streams keeps which software versions began streams.
+	streams *streams
 	// commitTimes are the times to commit an operator's change.
 	commitTimes tally.Histogram
 	// routes is the route table in effect; nil before the first one.
@@ -93,7 +95,10 @@
 	c := &Control{process: newProcess(settings, opts), loop: laburnumeventloop.New(laburnumeventloop.WithMeter(meter)), meter: meter}
 	c.commitTimes = c.metrics.Scope().Histogram("routes_commit_seconds", commitTimeBuckets)
 	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
-	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self, laburnumfeed.WithSourceLogger(c.logger))
+	c.streams = newStreams(c.timers, c.serviceSoftware, func() bool { return c.source.Isolated() }, time.Duration(settings.Times.Heartbeat), settings.FirstStart, c.metrics.Scope())
+	c.peers.Handle(methodStreamRecord, c.streams.handleRecord)
+	c.peers.Handle(methodStreamLookup, c.streams.handleLookup)
+	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self, laburnumfeed.WithSourceLogger(c.logger), laburnumfeed.WithCompleteness(c.streams.complete))
 	c.relay = newRelay(c.timers, c.relayToControls)
 	c.peers.Handle(methodHeartbeatRelay, c.handleRelay)
 	c.quarantine = newQuarantine(c.timers, c.source, c.logger, c.metrics.Scope())
@@ -251,6 +256,7 @@
 	c.quarantine.start()
 	c.limits.start()
 	c.brittle.start()
+	c.streams.start()
 	c.quotas.start()
 	c.timers.Every(expirePeriod, c.expire)
 	c.timers.Every(usagePeriod, c.reportUsage)
@@ -460,6 +466,16 @@
 			c.publishRecord(r.Heartbeat.Backend)
 		}
 	}
+	if a.Complete {
+		c.streams.setComplete()
+	}
+}
+
+// serviceSoftware returns the software versions of a service's backend servers.
+func (c *Control) serviceSoftware(service laburnumlever.ServiceName) []laburnumlever.SoftwareVersion {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.registry.Software(service)
 }
 
 // ControlLost does nothing: other control VMs are polled until they answer.
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -49,6 +49,7 @@
 	})
 	terms := laburnumquota.Terms(settings.Quota.Terms())
 	quotas := &quotaKeepers{calls: calls, terms: terms, self: g.self, follower: func() *laburnumfeed.Follower { return g.follower }}
+	keepStreams := newStreamKeepers(calls, g.timers, g.logger, g.self, settings.ControlLosses, func() *laburnumfeed.Follower { return g.follower })
 	confirmer := routesConfirmer{
 		peers: g.peers, self: g.self,
 		follower: func() *laburnumfeed.Follower { return g.follower }, fleet: func() *laburnumgateway.Fleet { return g.fleet },
@@ -56,6 +57,7 @@
 	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
 		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithLimitKeepers(keepers),
 		laburnumgateway.WithQuotaKeepers(quotas, terms),
+		laburnumgateway.WithStreamKeepers(keepStreams), laburnumgateway.WithFirstStart(settings.FirstStart),
 		laburnumgateway.WithRoutesConfirmer(confirmer, laburnumgateway.KeyTimes{
 			Revoke: time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
 		}))
--- a/laburnumroles/keepercalls.go
+++ b/laburnumroles/keepercalls.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"laburnumlever"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -42,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(ctx, keeperTimeout+wait)
 	defer cancel()
 	err := k.peers.Call(ctx, address, method, params, result)
-	if err != nil {
+	if err != nil && !isUnknownMethod(err) {
 		k.mu.Lock()
 		k.failed[address] = k.timers.Now()
 		k.mu.Unlock()
@@ -50,6 +52,12 @@
 	return err
 }
 
+// isUnknownMethod reports whether a VM of an earlier build answered that it doesn't know a method.
+func isUnknownMethod(err error) bool {
+	var refused *laburnumlever.PeerRefusedError
+	return errors.As(err, &refused) && refused.Kind == kindUnknownMethod
+}
+
 // answering returns the first of the control VMs, without those that have just not answered.
 func (k *keeperCalls) answering(addresses []string, most int) []string {
 	now := k.timers.Now()
--- a/laburnumroles/limitkeepers.go
+++ b/laburnumroles/limitkeepers.go
@@ -11,7 +11,6 @@
 	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumtimer"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
@@ -136,8 +135,7 @@
 	p.Age = laburnumlever.Duration(k.timers.Now().Sub(p.at))
 	var answer struct{}
 	err := k.callFirst(context.Background(), p.Report, methodLimitReport, p.Report, &answer)
-	var refused *laburnumlever.PeerRefusedError
-	if errors.As(err, &refused) && refused.Kind == kindUnknownMethod {
+	if isUnknownMethod(err) {
 		return nil
 	}
 	return err
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -14,6 +14,8 @@
 	methodHelpers          = "tunnel-helpers"
 	methodLease            = "brittle-lease"
 	methodReturnLeases     = "brittle-return"
+	methodStreamRecord     = "stream-record"
+	methodStreamLookup     = "stream-lookup"
 )
 
 // adapterRequestAnswer lists the engines that hold the adapter.
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -69,8 +69,9 @@
 func StreamEvents(body []byte) []StreamEvent {
 	var events []StreamEvent
 	for text := range strings.SplitSeq(string(body), "\n\n") {
-		id, data, ok := strings.Cut(text, "\n")
-		if id, ok = strings.CutPrefix(id, "id: "); !ok {
+		id, data, _ := strings.Cut(text, "\n")
+		id, ok := strings.CutPrefix(id, "id: ")
+		if !ok {
 			continue
 		}
 		n, _ := strconv.Atoi(id) // an invalid id becomes 0, which no event has
--- a/logevent.go
+++ b/logevent.go
@@ -48,6 +48,13 @@
 	EventLinksLost
 	// EventLinksRestored is a gateway whose links are back, and for how long they were lost.
 	EventLinksRestored
+	// EventSoftwareVersionNew is a software version that a service did not have before.
+	EventSoftwareVersionNew
+	// EventStreamNotRecorded is a control VM that did not keep which software versions began streams.
+	EventStreamNotRecorded
+	// EventStreamVersionUnknown is a stream that a caller takes up and of which no VM that answers knows the software
+	// version.
+	EventStreamVersionUnknown
 	// EventLinksVerified is a gateway that suspected its links, and what was probed.
 	EventLinksVerified
 	// EventRequestQuarantined is a request that gateways refuse from now on, since the backend
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 189, 202, 212, 226, 240, 259, 275, 298, 311, 326, 339, 353, 368, 386, 400, 416, 432, 445, 461, 477, 492, 506, 516, 527, 540, 561, 577, 595, 606, 622, 638, 653, 667, 681, 696, 714, 732, 745, 754, 768, 783, 796, 811, 822, 836, 849, 875, 893, 907, 924, 943, 964, 973, 983, 1000, 1010, 1019, 1033, 1045, 1061, 1068, 1076, 1083, 1090, 1107, 1123, 1137, 1155, 1168, 1185}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 189, 202, 212, 226, 246, 265, 287, 301, 320, 336, 359, 372, 387, 400, 414, 429, 447, 461, 477, 493, 506, 522, 538, 553, 567, 577, 588, 601, 622, 638, 656, 667, 683, 699, 714, 728, 742, 757, 775, 793, 806, 815, 829, 844, 857, 872, 883, 897, 910, 936, 954, 968, 985, 1004, 1025, 1034, 1044, 1061, 1071, 1080, 1094, 1106, 1122, 1129, 1137, 1144, 1151, 1168, 1184, 1198, 1216, 1229, 1246}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -41,75 +41,78 @@
 	_ = x[EventDetourClosed-(14)]
 	_ = x[EventLinksLost-(15)]
 	_ = x[EventLinksRestored-(16)]
-	_ = x[EventLinksVerified-(17)]
-	_ = x[EventRequestQuarantined-(18)]
-	_ = x[EventRequestReleased-(19)]
-	_ = x[EventQuarantineNotReported-(20)]
-	_ = x[EventLimitChanged-(21)]
-	_ = x[EventBrittleChanged-(22)]
-	_ = x[EventLimitUnclear-(23)]
-	_ = x[EventSlotRequested-(24)]
-	_ = x[EventSlotUnanswered-(25)]
-	_ = x[EventLimitNotReported-(26)]
-	_ = x[EventKeysConfirmed-(27)]
-	_ = x[EventKeysUnconfirmed-(28)]
-	_ = x[EventAccountsUnknown-(29)]
-	_ = x[EventQuotaUsedUp-(30)]
-	_ = x[EventQuotaUnanswered-(31)]
-	_ = x[EventOutlierDetected-(32)]
-	_ = x[EventModelWithdrawn-(33)]
-	_ = x[EventOrderAnswered-(34)]
-	_ = x[EventOrderDone-(35)]
-	_ = x[EventOrderStateChanged-(36)]
-	_ = x[EventOrderRefused-(37)]
-	_ = x[EventOrderOutcomeUnknown-(38)]
-	_ = x[EventEngineStateNotRead-(39)]
-	_ = x[EventInventoryNotRead-(40)]
-	_ = x[EventLoadFailed-(41)]
-	_ = x[EventBackendStateNotEncoded-(42)]
-	_ = x[EventRegistryRefused-(43)]
-	_ = x[EventRoutesProposed-(44)]
-	_ = x[EventRoutesRefused-(45)]
-	_ = x[EventRoutesApplied-(46)]
-	_ = x[EventRoutesInEffect-(47)]
-	_ = x[EventRoutesNotFetched-(48)]
-	_ = x[EventCatalogueInEffect-(49)]
-	_ = x[EventBecameLeader-(50)]
-	_ = x[EventNoLeader-(51)]
-	_ = x[EventReplicaOpened-(52)]
-	_ = x[EventVotersChanged-(53)]
-	_ = x[EventLearnerAdded-(54)]
-	_ = x[EventLearnerRemoved-(55)]
-	_ = x[EventVoterAdded-(56)]
-	_ = x[EventVoterReplaced-(57)]
-	_ = x[EventVoterStandby-(58)]
-	_ = x[EventLeadershipNotHandedOver-(59)]
-	_ = x[EventExpiryNotEncoded-(60)]
-	_ = x[EventReplicaFailed-(61)]
-	_ = x[EventReplicaRegressed-(62)]
-	_ = x[EventDataFolderDamaged-(63)]
-	_ = x[EventDataFolderRegressed-(64)]
-	_ = x[EventLeaseAcquired-(65)]
-	_ = x[EventLeaseLost-(66)]
-	_ = x[EventLeaseNotRenewed-(67)]
-	_ = x[EventZoneOwned-(68)]
-	_ = x[EventZoneLost-(69)]
-	_ = x[EventControlThreadTimes-(70)]
-	_ = x[EventControlLost-(71)]
-	_ = x[EventControlRegained-(72)]
-	_ = x[EventStarted-(73)]
-	_ = x[EventDraining-(74)]
-	_ = x[EventDrained-(75)]
-	_ = x[EventStopped-(76)]
-	_ = x[EventSettingsReloaded-(77)]
-	_ = x[EventSettingsRefused-(78)]
-	_ = x[EventListenerEnded-(79)]
-	_ = x[EventMetricsNotServed-(80)]
-	_ = x[EventUnknownEvent-(81)]
-	_ = x[EventLogLinesDropped-(82)]
+	_ = x[EventSoftwareVersionNew-(17)]
+	_ = x[EventStreamNotRecorded-(18)]
+	_ = x[EventStreamVersionUnknown-(19)]
+	_ = x[EventLinksVerified-(20)]
+	_ = x[EventRequestQuarantined-(21)]
+	_ = x[EventRequestReleased-(22)]
+	_ = x[EventQuarantineNotReported-(23)]
+	_ = x[EventLimitChanged-(24)]
+	_ = x[EventBrittleChanged-(25)]
+	_ = x[EventLimitUnclear-(26)]
+	_ = x[EventSlotRequested-(27)]
+	_ = x[EventSlotUnanswered-(28)]
+	_ = x[EventLimitNotReported-(29)]
+	_ = x[EventKeysConfirmed-(30)]
+	_ = x[EventKeysUnconfirmed-(31)]
+	_ = x[EventAccountsUnknown-(32)]
+	_ = x[EventQuotaUsedUp-(33)]
+	_ = x[EventQuotaUnanswered-(34)]
+	_ = x[EventOutlierDetected-(35)]
+	_ = x[EventModelWithdrawn-(36)]
+	_ = x[EventOrderAnswered-(37)]
+	_ = x[EventOrderDone-(38)]
+	_ = x[EventOrderStateChanged-(39)]
+	_ = x[EventOrderRefused-(40)]
+	_ = x[EventOrderOutcomeUnknown-(41)]
+	_ = x[EventEngineStateNotRead-(42)]
+	_ = x[EventInventoryNotRead-(43)]
+	_ = x[EventLoadFailed-(44)]
+	_ = x[EventBackendStateNotEncoded-(45)]
+	_ = x[EventRegistryRefused-(46)]
+	_ = x[EventRoutesProposed-(47)]
+	_ = x[EventRoutesRefused-(48)]
+	_ = x[EventRoutesApplied-(49)]
+	_ = x[EventRoutesInEffect-(50)]
+	_ = x[EventRoutesNotFetched-(51)]
+	_ = x[EventCatalogueInEffect-(52)]
+	_ = x[EventBecameLeader-(53)]
+	_ = x[EventNoLeader-(54)]
+	_ = x[EventReplicaOpened-(55)]
+	_ = x[EventVotersChanged-(56)]
+	_ = x[EventLearnerAdded-(57)]
+	_ = x[EventLearnerRemoved-(58)]
+	_ = x[EventVoterAdded-(59)]
+	_ = x[EventVoterReplaced-(60)]
+	_ = x[EventVoterStandby-(61)]
+	_ = x[EventLeadershipNotHandedOver-(62)]
+	_ = x[EventExpiryNotEncoded-(63)]
+	_ = x[EventReplicaFailed-(64)]
+	_ = x[EventReplicaRegressed-(65)]
+	_ = x[EventDataFolderDamaged-(66)]
+	_ = x[EventDataFolderRegressed-(67)]
+	_ = x[EventLeaseAcquired-(68)]
+	_ = x[EventLeaseLost-(69)]
+	_ = x[EventLeaseNotRenewed-(70)]
+	_ = x[EventZoneOwned-(71)]
+	_ = x[EventZoneLost-(72)]
+	_ = x[EventControlThreadTimes-(73)]
+	_ = x[EventControlLost-(74)]
+	_ = x[EventControlRegained-(75)]
+	_ = x[EventStarted-(76)]
+	_ = x[EventDraining-(77)]
+	_ = x[EventDrained-(78)]
+	_ = x[EventStopped-(79)]
+	_ = x[EventSettingsReloaded-(80)]
+	_ = x[EventSettingsRefused-(81)]
+	_ = x[EventListenerEnded-(82)]
+	_ = x[EventMetricsNotServed-(83)]
+	_ = x[EventUnknownEvent-(84)]
+	_ = x[EventLogLinesDropped-(85)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -129,72 +132,75 @@
 	_LogEventName[189:202]:   EventDetourClosed,
 	_LogEventName[202:212]:   EventLinksLost,
 	_LogEventName[212:226]:   EventLinksRestored,
-	_LogEventName[226:240]:   EventLinksVerified,
-	_LogEventName[240:259]:   EventRequestQuarantined,
-	_LogEventName[259:275]:   EventRequestReleased,
-	_LogEventName[275:298]:   EventQuarantineNotReported,
-	_LogEventName[298:311]:   EventLimitChanged,
-	_LogEventName[311:326]:   EventBrittleChanged,
-	_LogEventName[326:339]:   EventLimitUnclear,
-	_LogEventName[339:353]:   EventSlotRequested,
-	_LogEventName[353:368]:   EventSlotUnanswered,
-	_LogEventName[368:386]:   EventLimitNotReported,
-	_LogEventName[386:400]:   EventKeysConfirmed,
-	_LogEventName[400:416]:   EventKeysUnconfirmed,
-	_LogEventName[416:432]:   EventAccountsUnknown,
-	_LogEventName[432:445]:   EventQuotaUsedUp,
-	_LogEventName[445:461]:   EventQuotaUnanswered,
-	_LogEventName[461:477]:   EventOutlierDetected,
-	_LogEventName[477:492]:   EventModelWithdrawn,
-	_LogEventName[492:506]:   EventOrderAnswered,
-	_LogEventName[506:516]:   EventOrderDone,
-	_LogEventName[516:527]:   EventOrderStateChanged,
-	_LogEventName[527:540]:   EventOrderRefused,
-	_LogEventName[540:561]:   EventOrderOutcomeUnknown,
-	_LogEventName[561:577]:   EventEngineStateNotRead,
-	_LogEventName[577:595]:   EventInventoryNotRead,
-	_LogEventName[595:606]:   EventLoadFailed,
-	_LogEventName[606:622]:   EventBackendStateNotEncoded,
-	_LogEventName[622:638]:   EventRegistryRefused,
-	_LogEventName[638:653]:   EventRoutesProposed,
-	_LogEventName[653:667]:   EventRoutesRefused,
-	_LogEventName[667:681]:   EventRoutesApplied,
-	_LogEventName[681:696]:   EventRoutesInEffect,
-	_LogEventName[696:714]:   EventRoutesNotFetched,
-	_LogEventName[714:732]:   EventCatalogueInEffect,
-	_LogEventName[732:745]:   EventBecameLeader,
-	_LogEventName[745:754]:   EventNoLeader,
-	_LogEventName[754:768]:   EventReplicaOpened,
-	_LogEventName[768:783]:   EventVotersChanged,
-	_LogEventName[783:796]:   EventLearnerAdded,
-	_LogEventName[796:811]:   EventLearnerRemoved,
-	_LogEventName[811:822]:   EventVoterAdded,
-	_LogEventName[822:836]:   EventVoterReplaced,
-	_LogEventName[836:849]:   EventVoterStandby,
-	_LogEventName[849:875]:   EventLeadershipNotHandedOver,
-	_LogEventName[875:893]:   EventExpiryNotEncoded,
-	_LogEventName[893:907]:   EventReplicaFailed,
-	_LogEventName[907:924]:   EventReplicaRegressed,
-	_LogEventName[924:943]:   EventDataFolderDamaged,
-	_LogEventName[943:964]:   EventDataFolderRegressed,
-	_LogEventName[964:973]:   EventLeaseAcquired,
-	_LogEventName[973:983]:   EventLeaseLost,
-	_LogEventName[983:1000]:  EventLeaseNotRenewed,
-	_LogEventName[1000:1010]: EventZoneOwned,
-	_LogEventName[1010:1019]: EventZoneLost,
-	_LogEventName[1019:1033]: EventControlThreadTimes,
-	_LogEventName[1033:1045]: EventControlLost,
-	_LogEventName[1045:1061]: EventControlRegained,
-	_LogEventName[1061:1068]: EventStarted,
-	_LogEventName[1068:1076]: EventDraining,
-	_LogEventName[1076:1083]: EventDrained,
-	_LogEventName[1083:1090]: EventStopped,
-	_LogEventName[1090:1107]: EventSettingsReloaded,
-	_LogEventName[1107:1123]: EventSettingsRefused,
-	_LogEventName[1123:1137]: EventListenerEnded,
-	_LogEventName[1137:1155]: EventMetricsNotServed,
-	_LogEventName[1155:1168]: EventUnknownEvent,
-	_LogEventName[1168:1185]: EventLogLinesDropped,
+	_LogEventName[226:246]:   EventSoftwareVersionNew,
+	_LogEventName[246:265]:   EventStreamNotRecorded,
+	_LogEventName[265:287]:   EventStreamVersionUnknown,
+	_LogEventName[287:301]:   EventLinksVerified,
+	_LogEventName[301:320]:   EventRequestQuarantined,
+	_LogEventName[320:336]:   EventRequestReleased,
+	_LogEventName[336:359]:   EventQuarantineNotReported,
+	_LogEventName[359:372]:   EventLimitChanged,
+	_LogEventName[372:387]:   EventBrittleChanged,
+	_LogEventName[387:400]:   EventLimitUnclear,
+	_LogEventName[400:414]:   EventSlotRequested,
+	_LogEventName[414:429]:   EventSlotUnanswered,
+	_LogEventName[429:447]:   EventLimitNotReported,
+	_LogEventName[447:461]:   EventKeysConfirmed,
+	_LogEventName[461:477]:   EventKeysUnconfirmed,
+	_LogEventName[477:493]:   EventAccountsUnknown,
+	_LogEventName[493:506]:   EventQuotaUsedUp,
+	_LogEventName[506:522]:   EventQuotaUnanswered,
+	_LogEventName[522:538]:   EventOutlierDetected,
+	_LogEventName[538:553]:   EventModelWithdrawn,
+	_LogEventName[553:567]:   EventOrderAnswered,
+	_LogEventName[567:577]:   EventOrderDone,
+	_LogEventName[577:588]:   EventOrderStateChanged,
+	_LogEventName[588:601]:   EventOrderRefused,
+	_LogEventName[601:622]:   EventOrderOutcomeUnknown,
+	_LogEventName[622:638]:   EventEngineStateNotRead,
+	_LogEventName[638:656]:   EventInventoryNotRead,
+	_LogEventName[656:667]:   EventLoadFailed,
+	_LogEventName[667:683]:   EventBackendStateNotEncoded,
+	_LogEventName[683:699]:   EventRegistryRefused,
+	_LogEventName[699:714]:   EventRoutesProposed,
+	_LogEventName[714:728]:   EventRoutesRefused,
+	_LogEventName[728:742]:   EventRoutesApplied,
+	_LogEventName[742:757]:   EventRoutesInEffect,
+	_LogEventName[757:775]:   EventRoutesNotFetched,
+	_LogEventName[775:793]:   EventCatalogueInEffect,
+	_LogEventName[793:806]:   EventBecameLeader,
+	_LogEventName[806:815]:   EventNoLeader,
+	_LogEventName[815:829]:   EventReplicaOpened,
+	_LogEventName[829:844]:   EventVotersChanged,
+	_LogEventName[844:857]:   EventLearnerAdded,
+	_LogEventName[857:872]:   EventLearnerRemoved,
+	_LogEventName[872:883]:   EventVoterAdded,
+	_LogEventName[883:897]:   EventVoterReplaced,
+	_LogEventName[897:910]:   EventVoterStandby,
+	_LogEventName[910:936]:   EventLeadershipNotHandedOver,
+	_LogEventName[936:954]:   EventExpiryNotEncoded,
+	_LogEventName[954:968]:   EventReplicaFailed,
+	_LogEventName[968:985]:   EventReplicaRegressed,
+	_LogEventName[985:1004]:  EventDataFolderDamaged,
+	_LogEventName[1004:1025]: EventDataFolderRegressed,
+	_LogEventName[1025:1034]: EventLeaseAcquired,
+	_LogEventName[1034:1044]: EventLeaseLost,
+	_LogEventName[1044:1061]: EventLeaseNotRenewed,
+	_LogEventName[1061:1071]: EventZoneOwned,
+	_LogEventName[1071:1080]: EventZoneLost,
+	_LogEventName[1080:1094]: EventControlThreadTimes,
+	_LogEventName[1094:1106]: EventControlLost,
+	_LogEventName[1106:1122]: EventControlRegained,
+	_LogEventName[1122:1129]: EventStarted,
+	_LogEventName[1129:1137]: EventDraining,
+	_LogEventName[1137:1144]: EventDrained,
+	_LogEventName[1144:1151]: EventStopped,
+	_LogEventName[1151:1168]: EventSettingsReloaded,
+	_LogEventName[1168:1184]: EventSettingsRefused,
+	_LogEventName[1184:1198]: EventListenerEnded,
+	_LogEventName[1198:1216]: EventMetricsNotServed,
+	_LogEventName[1216:1229]: EventUnknownEvent,
+	_LogEventName[1229:1246]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -215,72 +221,75 @@
 	_LogEventLowerName[189:202]:   EventDetourClosed,
 	_LogEventLowerName[202:212]:   EventLinksLost,
 	_LogEventLowerName[212:226]:   EventLinksRestored,
-	_LogEventLowerName[226:240]:   EventLinksVerified,
-	_LogEventLowerName[240:259]:   EventRequestQuarantined,
-	_LogEventLowerName[259:275]:   EventRequestReleased,
-	_LogEventLowerName[275:298]:   EventQuarantineNotReported,
-	_LogEventLowerName[298:311]:   EventLimitChanged,
-	_LogEventLowerName[311:326]:   EventBrittleChanged,
-	_LogEventLowerName[326:339]:   EventLimitUnclear,
-	_LogEventLowerName[339:353]:   EventSlotRequested,
-	_LogEventLowerName[353:368]:   EventSlotUnanswered,
-	_LogEventLowerName[368:386]:   EventLimitNotReported,
-	_LogEventLowerName[386:400]:   EventKeysConfirmed,
-	_LogEventLowerName[400:416]:   EventKeysUnconfirmed,
-	_LogEventLowerName[416:432]:   EventAccountsUnknown,
-	_LogEventLowerName[432:445]:   EventQuotaUsedUp,
-	_LogEventLowerName[445:461]:   EventQuotaUnanswered,
-	_LogEventLowerName[461:477]:   EventOutlierDetected,
-	_LogEventLowerName[477:492]:   EventModelWithdrawn,
-	_LogEventLowerName[492:506]:   EventOrderAnswered,
-	_LogEventLowerName[506:516]:   EventOrderDone,
-	_LogEventLowerName[516:527]:   EventOrderStateChanged,
-	_LogEventLowerName[527:540]:   EventOrderRefused,
-	_LogEventLowerName[540:561]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[561:577]:   EventEngineStateNotRead,
-	_LogEventLowerName[577:595]:   EventInventoryNotRead,
-	_LogEventLowerName[595:606]:   EventLoadFailed,
-	_LogEventLowerName[606:622]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[622:638]:   EventRegistryRefused,
-	_LogEventLowerName[638:653]:   EventRoutesProposed,
-	_LogEventLowerName[653:667]:   EventRoutesRefused,
-	_LogEventLowerName[667:681]:   EventRoutesApplied,
-	_LogEventLowerName[681:696]:   EventRoutesInEffect,
-	_LogEventLowerName[696:714]:   EventRoutesNotFetched,
-	_LogEventLowerName[714:732]:   EventCatalogueInEffect,
-	_LogEventLowerName[732:745]:   EventBecameLeader,
-	_LogEventLowerName[745:754]:   EventNoLeader,
-	_LogEventLowerName[754:768]:   EventReplicaOpened,
-	_LogEventLowerName[768:783]:   EventVotersChanged,
-	_LogEventLowerName[783:796]:   EventLearnerAdded,
-	_LogEventLowerName[796:811]:   EventLearnerRemoved,
-	_LogEventLowerName[811:822]:   EventVoterAdded,
-	_LogEventLowerName[822:836]:   EventVoterReplaced,
-	_LogEventLowerName[836:849]:   EventVoterStandby,
-	_LogEventLowerName[849:875]:   EventLeadershipNotHandedOver,
-	_LogEventLowerName[875:893]:   EventExpiryNotEncoded,
-	_LogEventLowerName[893:907]:   EventReplicaFailed,
-	_LogEventLowerName[907:924]:   EventReplicaRegressed,
-	_LogEventLowerName[924:943]:   EventDataFolderDamaged,
-	_LogEventLowerName[943:964]:   EventDataFolderRegressed,
-	_LogEventLowerName[964:973]:   EventLeaseAcquired,
-	_LogEventLowerName[973:983]:   EventLeaseLost,
-	_LogEventLowerName[983:1000]:  EventLeaseNotRenewed,
-	_LogEventLowerName[1000:1010]: EventZoneOwned,
-	_LogEventLowerName[1010:1019]: EventZoneLost,
-	_LogEventLowerName[1019:1033]: EventControlThreadTimes,
-	_LogEventLowerName[1033:1045]: EventControlLost,
-	_LogEventLowerName[1045:1061]: EventControlRegained,
-	_LogEventLowerName[1061:1068]: EventStarted,
-	_LogEventLowerName[1068:1076]: EventDraining,
-	_LogEventLowerName[1076:1083]: EventDrained,
-	_LogEventLowerName[1083:1090]: EventStopped,
-	_LogEventLowerName[1090:1107]: EventSettingsReloaded,
-	_LogEventLowerName[1107:1123]: EventSettingsRefused,
-	_LogEventLowerName[1123:1137]: EventListenerEnded,
-	_LogEventLowerName[1137:1155]: EventMetricsNotServed,
-	_LogEventLowerName[1155:1168]: EventUnknownEvent,
-	_LogEventLowerName[1168:1185]: EventLogLinesDropped,
+	_LogEventLowerName[226:246]:   EventSoftwareVersionNew,
+	_LogEventLowerName[246:265]:   EventStreamNotRecorded,
+	_LogEventLowerName[265:287]:   EventStreamVersionUnknown,
+	_LogEventLowerName[287:301]:   EventLinksVerified,
+	_LogEventLowerName[301:320]:   EventRequestQuarantined,
+	_LogEventLowerName[320:336]:   EventRequestReleased,
+	_LogEventLowerName[336:359]:   EventQuarantineNotReported,
+	_LogEventLowerName[359:372]:   EventLimitChanged,
+	_LogEventLowerName[372:387]:   EventBrittleChanged,
+	_LogEventLowerName[387:400]:   EventLimitUnclear,
+	_LogEventLowerName[400:414]:   EventSlotRequested,
+	_LogEventLowerName[414:429]:   EventSlotUnanswered,
+	_LogEventLowerName[429:447]:   EventLimitNotReported,
+	_LogEventLowerName[447:461]:   EventKeysConfirmed,
+	_LogEventLowerName[461:477]:   EventKeysUnconfirmed,
+	_LogEventLowerName[477:493]:   EventAccountsUnknown,
+	_LogEventLowerName[493:506]:   EventQuotaUsedUp,
+	_LogEventLowerName[506:522]:   EventQuotaUnanswered,
+	_LogEventLowerName[522:538]:   EventOutlierDetected,
+	_LogEventLowerName[538:553]:   EventModelWithdrawn,
+	_LogEventLowerName[553:567]:   EventOrderAnswered,
+	_LogEventLowerName[567:577]:   EventOrderDone,
+	_LogEventLowerName[577:588]:   EventOrderStateChanged,
+	_LogEventLowerName[588:601]:   EventOrderRefused,
+	_LogEventLowerName[601:622]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[622:638]:   EventEngineStateNotRead,
+	_LogEventLowerName[638:656]:   EventInventoryNotRead,
+	_LogEventLowerName[656:667]:   EventLoadFailed,
+	_LogEventLowerName[667:683]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[683:699]:   EventRegistryRefused,
+	_LogEventLowerName[699:714]:   EventRoutesProposed,
+	_LogEventLowerName[714:728]:   EventRoutesRefused,
+	_LogEventLowerName[728:742]:   EventRoutesApplied,
+	_LogEventLowerName[742:757]:   EventRoutesInEffect,
+	_LogEventLowerName[757:775]:   EventRoutesNotFetched,
+	_LogEventLowerName[775:793]:   EventCatalogueInEffect,
+	_LogEventLowerName[793:806]:   EventBecameLeader,
+	_LogEventLowerName[806:815]:   EventNoLeader,
+	_LogEventLowerName[815:829]:   EventReplicaOpened,
+	_LogEventLowerName[829:844]:   EventVotersChanged,
+	_LogEventLowerName[844:857]:   EventLearnerAdded,
+	_LogEventLowerName[857:872]:   EventLearnerRemoved,
+	_LogEventLowerName[872:883]:   EventVoterAdded,
+	_LogEventLowerName[883:897]:   EventVoterReplaced,
+	_LogEventLowerName[897:910]:   EventVoterStandby,
+	_LogEventLowerName[910:936]:   EventLeadershipNotHandedOver,
+	_LogEventLowerName[936:954]:   EventExpiryNotEncoded,
+	_LogEventLowerName[954:968]:   EventReplicaFailed,
+	_LogEventLowerName[968:985]:   EventReplicaRegressed,
+	_LogEventLowerName[985:1004]:  EventDataFolderDamaged,
+	_LogEventLowerName[1004:1025]: EventDataFolderRegressed,
+	_LogEventLowerName[1025:1034]: EventLeaseAcquired,
+	_LogEventLowerName[1034:1044]: EventLeaseLost,
+	_LogEventLowerName[1044:1061]: EventLeaseNotRenewed,
+	_LogEventLowerName[1061:1071]: EventZoneOwned,
+	_LogEventLowerName[1071:1080]: EventZoneLost,
+	_LogEventLowerName[1080:1094]: EventControlThreadTimes,
+	_LogEventLowerName[1094:1106]: EventControlLost,
+	_LogEventLowerName[1106:1122]: EventControlRegained,
+	_LogEventLowerName[1122:1129]: EventStarted,
+	_LogEventLowerName[1129:1137]: EventDraining,
+	_LogEventLowerName[1137:1144]: EventDrained,
+	_LogEventLowerName[1144:1151]: EventStopped,
+	_LogEventLowerName[1151:1168]: EventSettingsReloaded,
+	_LogEventLowerName[1168:1184]: EventSettingsRefused,
+	_LogEventLowerName[1184:1198]: EventListenerEnded,
+	_LogEventLowerName[1198:1216]: EventMetricsNotServed,
+	_LogEventLowerName[1216:1229]: EventUnknownEvent,
+	_LogEventLowerName[1229:1246]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -301,72 +310,75 @@
 	_LogEventName[189:202],
 	_LogEventName[202:212],
 	_LogEventName[212:226],
-	_LogEventName[226:240],
-	_LogEventName[240:259],
-	_LogEventName[259:275],
-	_LogEventName[275:298],
-	_LogEventName[298:311],
-	_LogEventName[311:326],
-	_LogEventName[326:339],
-	_LogEventName[339:353],
-	_LogEventName[353:368],
-	_LogEventName[368:386],
-	_LogEventName[386:400],
-	_LogEventName[400:416],
-	_LogEventName[416:432],
-	_LogEventName[432:445],
-	_LogEventName[445:461],
+	_LogEventName[226:246],
+	_LogEventName[246:265],
+	_LogEventName[265:287],
+	_LogEventName[287:301],
+	_LogEventName[301:320],
+	_LogEventName[320:336],
+	_LogEventName[336:359],
+	_LogEventName[359:372],
+	_LogEventName[372:387],
+	_LogEventName[387:400],
+	_LogEventName[400:414],
+	_LogEventName[414:429],
+	_LogEventName[429:447],
+	_LogEventName[447:461],
 	_LogEventName[461:477],
-	_LogEventName[477:492],
-	_LogEventName[492:506],
-	_LogEventName[506:516],
-	_LogEventName[516:527],
-	_LogEventName[527:540],
-	_LogEventName[540:561],
-	_LogEventName[561:577],
-	_LogEventName[577:595],
-	_LogEventName[595:606],
-	_LogEventName[606:622],
+	_LogEventName[477:493],
+	_LogEventName[493:506],
+	_LogEventName[506:522],
+	_LogEventName[522:538],
+	_LogEventName[538:553],
+	_LogEventName[553:567],
+	_LogEventName[567:577],
+	_LogEventName[577:588],
+	_LogEventName[588:601],
+	_LogEventName[601:622],
 	_LogEventName[622:638],
-	_LogEventName[638:653],
-	_LogEventName[653:667],
-	_LogEventName[667:681],
-	_LogEventName[681:696],
-	_LogEventName[696:714],
-	_LogEventName[714:732],
-	_LogEventName[732:745],
-	_LogEventName[745:754],
-	_LogEventName[754:768],
-	_LogEventName[768:783],
-	_LogEventName[783:796],
-	_LogEventName[796:811],
-	_LogEventName[811:822],
-	_LogEventName[822:836],
-	_LogEventName[836:849],
-	_LogEventName[849:875],
-	_LogEventName[875:893],
-	_LogEventName[893:907],
-	_LogEventName[907:924],
-	_LogEventName[924:943],
-	_LogEventName[943:964],
-	_LogEventName[964:973],
-	_LogEventName[973:983],
-	_LogEventName[983:1000],
-	_LogEventName[1000:1010],
-	_LogEventName[1010:1019],
-	_LogEventName[1019:1033],
-	_LogEventName[1033:1045],
-	_LogEventName[1045:1061],
-	_LogEventName[1061:1068],
-	_LogEventName[1068:1076],
-	_LogEventName[1076:1083],
-	_LogEventName[1083:1090],
-	_LogEventName[1090:1107],
-	_LogEventName[1107:1123],
-	_LogEventName[1123:1137],
-	_LogEventName[1137:1155],
-	_LogEventName[1155:1168],
-	_LogEventName[1168:1185],
+	_LogEventName[638:656],
+	_LogEventName[656:667],
+	_LogEventName[667:683],
+	_LogEventName[683:699],
+	_LogEventName[699:714],
+	_LogEventName[714:728],
+	_LogEventName[728:742],
+	_LogEventName[742:757],
+	_LogEventName[757:775],
+	_LogEventName[775:793],
+	_LogEventName[793:806],
+	_LogEventName[806:815],
+	_LogEventName[815:829],
+	_LogEventName[829:844],
+	_LogEventName[844:857],
+	_LogEventName[857:872],
+	_LogEventName[872:883],
+	_LogEventName[883:897],
+	_LogEventName[897:910],
+	_LogEventName[910:936],
+	_LogEventName[936:954],
+	_LogEventName[954:968],
+	_LogEventName[968:985],
+	_LogEventName[985:1004],
+	_LogEventName[1004:1025],
+	_LogEventName[1025:1034],
+	_LogEventName[1034:1044],
+	_LogEventName[1044:1061],
+	_LogEventName[1061:1071],
+	_LogEventName[1071:1080],
+	_LogEventName[1080:1094],
+	_LogEventName[1094:1106],
+	_LogEventName[1106:1122],
+	_LogEventName[1122:1129],
+	_LogEventName[1129:1137],
+	_LogEventName[1137:1144],
+	_LogEventName[1144:1151],
+	_LogEventName[1151:1168],
+	_LogEventName[1168:1184],
+	_LogEventName[1184:1198],
+	_LogEventName[1198:1216],
+	_LogEventName[1216:1229],
+	_LogEventName[1229:1246],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lost"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-loststream-unknownstream-version-gone"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326, 341, 352, 368, 378, 394, 404}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326, 341, 352, 368, 378, 394, 404, 418, 437}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lost"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-loststream-unknownstream-version-gone"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -57,9 +57,11 @@
 	_ = x[RefusedOverQuota-(29)]
 	_ = x[RefusedQuotaUnanswered-(30)]
 	_ = x[RefusedLinksLost-(31)]
+	_ = x[RefusedStreamUnknown-(32)]
+	_ = x[RefusedStreamVersionGone-(33)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedStreamUnknown, RefusedStreamVersionGone}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -94,6 +96,8 @@
 	_RefusalReasonName[368:378]: RefusedOverQuota,
 	_RefusalReasonName[378:394]: RefusedQuotaUnanswered,
 	_RefusalReasonName[394:404]: RefusedLinksLost,
+	_RefusalReasonName[404:418]: RefusedStreamUnknown,
+	_RefusalReasonName[418:437]: RefusedStreamVersionGone,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -129,6 +133,8 @@
 	_RefusalReasonLowerName[368:378]: RefusedOverQuota,
 	_RefusalReasonLowerName[378:394]: RefusedQuotaUnanswered,
 	_RefusalReasonLowerName[394:404]: RefusedLinksLost,
+	_RefusalReasonLowerName[404:418]: RefusedStreamUnknown,
+	_RefusalReasonLowerName[418:437]: RefusedStreamVersionGone,
 }
 
 var _RefusalReasonNames = []string{
@@ -164,6 +170,8 @@
 	_RefusalReasonName[368:378],
 	_RefusalReasonName[378:394],
 	_RefusalReasonName[394:404],
+	_RefusalReasonName[404:418],
+	_RefusalReasonName[418:437],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
