fix: a gateway stops when a control VM restarts

Cause: the list of streams in flight held its lock while it asked which services need records, and that takes the same lock. The fleet's lock was held as well, so that the gateway handled no feed and no request. The test for the restart had two versions, for which the second lock isn't taken. The list is copied first now; TestControlVMThatRestartsDoesNotStopTheGateway hung before.

--- a/laburnumgateway/streams.go
+++ b/laburnumgateway/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -121,9 +122,10 @@
 // running returns the records of the streams of some services that have not ended.
 func (s *streams) running(of func(laburnumlever.ServiceName) bool) []laburnumstream.Record {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	inFlight := maps.Clone(s.inFlight)
+	s.mu.Unlock()
 	var records []laburnumstream.Record
-	for q, r := range s.inFlight {
+	for q, r := range inFlight {
 		if of(q.service.Name) {
 			records = append(records, r)
 		}
