test: the soak plays releases that leave two software versions running

A service of four engines of its own: two keep their version, the others are released or killed anew every second while all VMs are killed, paused, cut off and restarted. Callers take up broken streams at any gateway. Checked: a stream has events of one version, each once and in order; after the run a gateway is killed and at least half of its streams go on at the other one.

--- a/cmd/laburnumlever/soakcmd.go
+++ b/cmd/laburnumlever/soakcmd.go
@@ -79,8 +79,8 @@
 	if err != nil {
 		return report, err
 	}
-	printf(c.App.Writer, "seed %d: %d faults, %d requests, %d served, %d changes acknowledged, %d violations\n",
-		cfg.Seed, len(report.Faults), report.Sent, report.Served, report.Acknowledged, len(report.Violations))
+	printf(c.App.Writer, "seed %d: %d faults, %d requests, %d served, %d changes acknowledged, %d of %d broken streams taken up, %d violations\n",
+		cfg.Seed, len(report.Faults), report.Sent, report.Served, report.Acknowledged, report.TakenUp, report.Broken, len(report.Violations))
 	if len(report.Violations) == 0 {
 		return report, os.RemoveAll(cfg.Folder)
 	}
--- a/laburnumsoak/faultinjector.go
+++ b/laburnumsoak/faultinjector.go
@@ -93,7 +93,7 @@
 
 // run injects faults until ctx ends, then waits until all of them are undone.
 func (x *faultInjector) run(ctx context.Context) {
-	all := x.fleet.all()
+	all := x.fleet.injected()
 	for {
 		n, kind := x.random.IntN(len(all)), faultKind(x.random.IntN(int(kindCount)))
 		down := time.Duration(x.random.Int64N(int64(maxDown)))
@@ -114,7 +114,7 @@
 
 // inject injects a fault into the process, link or backend server with the number, unless it has one already.
 func (x *faultInjector) inject(kind faultKind, n int, down, delay time.Duration) {
-	all := x.fleet.all()
+	all := x.fleet.injected()
 	switch {
 	case kind == loseLinks:
 		x.injectLostLinks(n%gatewayVMs, x.fleet.lostLinks(uint64(n)), lostModes[n%len(lostModes)], down) //nolint:gosec // not negative
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -47,6 +47,9 @@
 	controls []*process
 	gateways []*process
 	servers  []*process
+	// drafts are the backend servers of a service of two software versions; versions are those that they run.
+	drafts   []*process
+	versions [draftServers]atomic.Int64
 	// links are in front of the peer listeners of all VMs and of the backend servers.
 	links []*faultLink
 	// bootstrapped is set once the log exists: later starts are not a first start.
@@ -69,13 +72,20 @@
 		f.controls = append(f.controls, p)
 	}
 	for i := range gatewayVMs {
-		f.gateways = append(f.gateways, f.vm("gateway", fmt.Sprintf("gateway-%d", i+1), firstGateway+i))
+		p := f.vm("gateway", fmt.Sprintf("gateway-%d", i+1), firstGateway+i)
+		if cfg.releasesVersions() {
+			p.older = "" // an earlier build may take no notice of software versions
+		}
+		f.gateways = append(f.gateways, p)
 	}
 	for i := range serversPerService {
 		f.servers = append(f.servers,
 			f.server(fmt.Sprintf("booking-%d", i+1), "booking", firstServer+2*i),
 			f.server(fmt.Sprintf("quotes-%d", i+1), "quotes", firstServer+2*i+1))
 	}
+	for i := range draftServers {
+		f.drafts = append(f.drafts, f.draftServer(i))
+	}
 	return f
 }
 
@@ -133,17 +143,11 @@
 		f.serverExited(p)
 	}
 	p.args = func() []string {
-		id := fmt.Sprintf("i-%s-%d", name, f.starts.Add(1))
-		args := []string{
-			"stand-in", "platform-server", "--listen", p.address, "--announce", f.address(number, serverPort), "--id", id, "--service", service, "--announce-period", "300ms", "--print-runs", "--crash-text", crashText,
-			"--slots", strconv.Itoa(serverSlots), "--queue", strconv.Itoa(serverQueue), "--delay", serverDelay.String(),
-		}
+		args := append(f.serverArgs(p, number),
+			"--crash-text", crashText, "--slots", strconv.Itoa(serverSlots), "--queue", strconv.Itoa(serverQueue), "--delay", serverDelay.String())
 		if service == "quotes" {
 			args = append(args, "--model", "m0")
 		}
-		for i := range controlVMs {
-			args = append(args, "--control", f.control(i))
-		}
 		return args
 	}
 	p.onLine = func(text string) {
@@ -163,11 +167,24 @@
 	return p
 }
 
+// serverArgs are the arguments of every backend server.
+func (f *fleet) serverArgs(p *process, number int) []string {
+	args := []string{
+		"stand-in", "platform-server", "--listen", p.address, "--announce", f.address(number, serverPort),
+		"--id", fmt.Sprintf("i-%s-%d", p.name, f.starts.Add(1)), "--service", p.service, "--announce-period", "300ms", "--print-runs",
+	}
+	for i := range controlVMs {
+		args = append(args, "--control", f.control(i))
+	}
+	return args
+}
+
 func (f *fleet) all() []*process {
 	var list []*process
 	list = append(list, f.controls...)
 	list = append(list, f.gateways...)
-	return append(list, f.servers...)
+	list = append(list, f.servers...)
+	return append(list, f.drafts...)
 }
 
 func (f *fleet) start() error {
--- a/laburnumsoak/links.go
+++ b/laburnumsoak/links.go
@@ -43,7 +43,7 @@
 func (f *fleet) lostLinks(seed uint64) []*faultLink {
 	all := seed/uint64(len(lostModes))%2 == 0
 	var links []*faultLink
-	for _, p := range f.servers {
+	for _, p := range append(f.servers[:len(f.servers):len(f.servers)], f.drafts...) {
 		if all || p.service == plainService {
 			links = append(links, p.link)
 		}
--- a/laburnumsoak/load.go
+++ b/laburnumsoak/load.go
@@ -51,6 +51,9 @@
 	for _, service := range services {
 		l.repeatCrashing(ctx, service)
 	}
+	for range draftCallers {
+		l.repeat(ctx, callerPause, func(int) { l.takeDraft(rand.IntN(gatewayVMs)) })
+	}
 	l.repeat(ctx, applyPause, func(int) { l.apply(rand.IntN(controlVMs)) })
 	l.repeat(ctx, readPause, func(int) { l.read(rand.IntN(controlVMs)) })
 	l.useAccounts(ctx)
--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -26,6 +26,8 @@
 	keyed map[string]*keyedRequest
 	// falls counts how often backend servers of a service have ended by themselves.
 	falls map[string]int
+	// drafts counts the streams of two versions' service, and what became of those that broke.
+	drafts draftCounts
 	// acked lists the acknowledged changes.
 	acked      []ack
 	sent       int
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -41,6 +41,11 @@
 	Sent         int `json:"sent"`
 	Served       int `json:"served"`
 	Acknowledged int `json:"acknowledged"`
+	// Streams counts the streams of the service of two software versions that began, Broken those of them whose first attempt
+	// broke, and TakenUp those that went on at another attempt.
+	Streams int `json:"streams"`
+	Broken  int `json:"broken"`
+	TakenUp int `json:"taken-up"`
 	// Faults lists the injected faults in order, each with its time since the start.
 	Faults []string `json:"faults"`
 	// Violations lists the violated invariants.
@@ -76,12 +81,29 @@
 		defer close(done)
 		l.run(loadCtx)
 	}()
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		x.releases(faultCtx, cfg.Seed)
+	}()
 	x.run(faultCtx)
+	<-released
 	stop()
 	<-done
 	if err := x.upgrade(); err != nil {
 		return Report{}, err
 	}
+	l.checkAfterFaults(ctx, x)
+	x.close()
+	f.stop() // the output of backend servers is complete afterwards
+	return Report{
+		Seed: cfg.Seed, Sent: r.sent, Served: r.served, Acknowledged: len(r.acked),
+		Streams: r.drafts.begun, Broken: r.drafts.broken, TakenUp: r.drafts.takenUp, Faults: x.history, Violations: r.check(),
+	}, x.firstErr
+}
+
+// checkAfterFaults runs the checks that need a system without faults.
+func (l *load) checkAfterFaults(ctx context.Context, x *faultInjector) {
 	l.checkRecovery(ctx)
 	var checks sync.WaitGroup
 	for _, service := range services {
@@ -90,13 +112,9 @@
 	checks.Wait()
 	l.checkLimits(ctx)
 	l.checkKeys(ctx)
-	l.checkLostLinks(ctx, cfg.Seed)
+	l.checkVersions(ctx, x)
+	l.checkLostLinks(ctx, l.fleet.cfg.Seed)
 	l.checkBrittle(ctx)
-	x.close()
-	f.stop() // the output of backend servers is complete afterwards
-	return Report{
-		Seed: cfg.Seed, Sent: r.sent, Served: r.served, Acknowledged: len(r.acked), Faults: x.history, Violations: r.check(),
-	}, x.firstErr
 }
 
 // checkRecovery checks that the system has recovered: a change is acknowledged, a read is
