feat: attempt-failed shows the rest that a backend server asks for

The lines of the incident couldn't tell a full server from one that had asked for rest. Nothing decides by them yet.

--- a/dialect.go
+++ b/dialect.go
@@ -98,7 +98,11 @@
 	// HasBrittle is set.
 	HasBrittle bool
 	Brittle    float64
-	// LimitError is set if the answer names a limit or brittleness that can't be read. It is an
+	// Rest is the time for which the server, which turned the request away, wants nothing more from this VM; 0 for none.
+	Rest time.Duration
+	// Leaving reports whether the server is about to stop.
+	Leaving bool
+	// LimitError is set if the answer names a limit, brittleness, rest or leave that can't be read. It is an
 	// *InvalidValueError.
 	LimitError error
 }
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -134,7 +134,7 @@
 	if !headers.NotRun {
 		return nil
 	}
-	cause := &AnswerStatusError{Status: resp.StatusCode}
+	cause := &AnswerStatusError{Status: resp.StatusCode, Rest: headers.Rest}
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		if headers.Backend != "" && headers.Backend != ticket.Backend.Backend {
 			g.fleet.removeReplaced(ticket.Backend.Backend)
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"laburnumlever"
 )
@@ -14,9 +15,16 @@
 }
 
 // AnswerStatusError is an HTTP status of a backend server which means that the attempt failed.
-type AnswerStatusError struct{ Status int }
+type AnswerStatusError struct {
+	Status int
+	// Rest is the time for which the server wants nothing; 0 for none.
+	Rest time.Duration
+}
 
 func (e *AnswerStatusError) Error() string {
+	if e.Rest > 0 {
+		return fmt.Sprintf("backend server answered with status %d and wants nothing for %s", e.Status, e.Rest)
+	}
 	return fmt.Sprintf("backend server answered with status %d", e.Status)
 }
 
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -86,6 +86,10 @@
 		"event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
 		"software", ticket.Backend.Software, "stage", fail.stage.String(), "reason", fail.reason, "via", q.via, "cause", fail.cause,
 	}
+	var status *AnswerStatusError
+	if errors.As(fail.cause, &status) && status.Rest > 0 {
+		fields = append(fields, "rest-ms", millis(status.Rest))
+	}
 	if fail.stage == laburnumretry.StageUnknown {
 		fields = append(fields, "begun", fail.begun, "digest", q.digest())
 	}
