test: servers that rest or say that they leave, listed as known red

Backend servers that had asked a gateway for rest got more of its requests ("sent more than 2 requests to a server that rests", two servers of three with a third that is full), a rest counted as a failure ("served by server 0 of [48 12 3514]" after all three had rested), callers were told backend-busy, and a server that says in its answers that it leaves got requests until it was gone. So the first hypothesis: the time isn't read.

Stand-ins ask for rest, say that they leave, and check per VM what they get afterwards; links keep the source's address so that servers tell VMs apart.

--- a/laburnumstandin/link.go
+++ b/laburnumstandin/link.go
@@ -159,7 +159,8 @@
 	if l.awaitOpen(source, true) != nil {
 		return
 	}
-	var dialer net.Dialer
+	// The target sees the source's IP address, as without the link.
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
 	outbound, err := dialer.DialContext(l.ctx, "tcp", l.target)
 	if err != nil {
 		return
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumlever/laburnumtimer"
@@ -85,6 +86,8 @@
 	timers    *laburnumtimer.Timers
 	cancel    func()
 	room      *room // nil for any number of requests
+	rests     rests
+	runs      atomic.Int64
 
 	mu       sync.Mutex
 	sequence int
@@ -136,6 +139,9 @@
 	s.limit = text
 }
 
+// Runs returns the number of requests that the server has run.
+func (s *PlatformServer) Runs() int64 { return s.runs.Load() }
+
 // Close stops the announcements.
 func (s *PlatformServer) Close() {
 	if s.cancel != nil {
@@ -205,6 +211,11 @@
 	case LimitPath:
 		text, _ := io.ReadAll(r.Body) // whoever disconnects sends it again
 		s.SetLimit(string(text))
+	case RestPath:
+		text, _ := io.ReadAll(r.Body) // as above
+		s.SetRest(string(text))
+	case LeavePath:
+		s.SayLeaving()
 	case BrittlePath:
 		text, _ := io.ReadAll(r.Body) // as above
 		rejections, err := strconv.Atoi(string(text))
@@ -260,6 +271,9 @@
 func (s *PlatformServer) answer(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body) // a caller that disconnects gets no response
 	w.Header().Set("X-Laburnumlever-Request-Id", r.Header.Get("X-Laburnumlever-Request-Id"))
+	if s.rest(w, r) {
+		return
+	}
 	if n, ok := s.brittleness(); ok {
 		w.Header().Set(brittleHeader, strconv.Itoa(n))
 	}
@@ -273,6 +287,7 @@
 	if s.behaviour.Delay > 0 {
 		laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.Delay)
 	}
+	s.runs.Add(1)
 	if s.behaviour.OnRun != nil {
 		s.behaviour.OnRun(PlatformRun{
 			ID: r.Header.Get("X-Laburnumlever-Request-Id"), Account: r.Header.Get(accountHeader), Key: r.Header.Get(keyHeader),
