--- a/backend.go
+++ b/backend.go
@@ -226,10 +226,18 @@
 	Unreachable []BackendID `json:"unreachable,omitempty"`
 	// Replaced are backend servers whose address another backend server now answers at.
 	Replaced []BackendID `json:"replaced,omitempty"`
+	// Leaving are backend servers that said in an answer that they leave, since the last report.
+	Leaving []BackendStart `json:"leaving,omitempty"`
 	// Outcomes count answers of the backend servers that failed requests since the last report.
 	Outcomes []BackendOutcome `json:"outcomes,omitempty"`
 }
 
+// BackendStart identifies one start of a backend server.
+type BackendStart struct {
+	Backend     BackendID `json:"backend"`
+	Incarnation uint64    `json:"born,omitempty"`
+}
+
 // BackendOutcome counts the answers of a backend server to one VM.
 type BackendOutcome struct {
 	Backend BackendID `json:"backend"`
@@ -241,5 +249,5 @@
 
 // IsZero reports whether the report is empty.
 func (r GatewayReport) IsZero() bool {
-	return len(r.Demand)+len(r.Adapters)+len(r.Unreachable)+len(r.Replaced)+len(r.Outcomes) == 0
+	return len(r.Demand)+len(r.Adapters)+len(r.Unreachable)+len(r.Replaced)+len(r.Leaving)+len(r.Outcomes) == 0
 }
--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -84,6 +84,9 @@
 	}
 	for _, c := range s.Services {
 		printf(w, "service %s: %d serving, %d of them silent, %d leaving\n", c.Service, c.Serving, c.Silent, c.Leaving)
+		if c.Resting > 0 {
+			printf(w, "  resting: %d\n", c.Resting)
+		}
 		for _, software := range slices.Sorted(maps.Keys(c.Software)) {
 			printf(w, "  software %s: %d serving\n", software, c.Software[software])
 		}
--- a/enums.go
+++ b/enums.go
@@ -87,6 +87,8 @@
 	// RefusedLinksLost is a request at a VM that has lost its links to all backend servers and finds no other VM to
 	// connect through.
 	RefusedLinksLost
+	// RefusedBackendResting is a request that only backend servers could serve which have asked for rest.
+	RefusedBackendResting
 	// RefusedStreamUnknown is a request that takes up a stream of which it is not known which software version began it.
 	RefusedStreamUnknown
 	// RefusedStreamVersionGone is a request that takes up a stream whose software version no backend server runs.
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -74,6 +74,10 @@
 	// attempt that did not fail.
 	unreachableUntil time.Time
 	unreachableTime  time.Duration
+	// restUntil is when the server takes requests of this VM again, after a rest that it asked for. recovering is set from then
+	// until it answers, trialing while the request runs that it gets meanwhile.
+	restUntil            time.Time
+	recovering, trialing bool
 	// absent are the models and adapters that the server has answered to be absent, loaded those that
 	// ModelLoaded has reported. Until its time, an entry overrides the heartbeat, which may be older.
 	absent map[heldModel]time.Time
--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -35,6 +35,7 @@
 	"quarantined":         "several backend servers crashed while they ran it: look for the other attempts with its digest, and for request-quarantined on control VMs",
 	"backend-limited":     "all backend servers that could serve it name limits that are used up: look for limit-changed, and for slot-requested of this request",
 	"backend-brittle":     "the backend servers that could serve it fall over if they must reject requests, and had no room: look for brittle-changed, and for slot-requested of this request",
+	"backend-resting":     "all backend servers that could serve it had asked this gateway for rest: look for backend-rests, and for the end of the rest in the cause",
 	"links-lost":          "the gateway reached no backend server, and no other gateway opened connections for it: look for links-lost and links-verified of the gateway",
 	"stream-unknown":      "no VM that answered knew which software version began the stream that it takes up: look for stream-not-recorded, and for the attempt that it resumes",
 	"stream-version-gone": "no backend server runs the software version that began the stream that it takes up: look for backend-known with that software",
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -90,8 +90,8 @@
 	if err := g.fleet.recheckKey(ctx, q); err != nil {
 		return &failure{stage: laburnumretry.StageNotSent, cause: err, refused: err}, nil
 	}
-	if !g.fleet.isStill(ticket.Backend) {
-		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedNoBackend, cause: &ServerChangedError{Backend: ticket.Backend.Backend}}, nil
+	if err := g.fleet.checkSend(ticket.Backend); err != nil {
+		return notSendable(err), nil
 	}
 	now := g.timers.Now()
 	if err := conn.SetDeadline(q.deadline.Add(backendTimeoutSlack)); err != nil {
@@ -108,8 +108,8 @@
 	}
 	g.links.heard(wait, conn)
 	headers := g.dialect.Answer(resp.StatusCode, resp.Header)
-	g.fleet.updateLoad(ticket.Backend.Backend, headers)
-	g.fleet.observeLimit(ticket.Backend, now, resp.StatusCode, headers)
+	result.Rested = headers.Rest > 0
+	g.observeAnswer(ticket, conn, now, resp.StatusCode, headers)
 	if fail := g.checkAnswer(q, ticket, resp, headers, result); fail != nil {
 		return fail, resp
 	}
@@ -143,6 +143,11 @@
 		}
 		return &failure{stage: laburnumretry.StageNotRun, reason: laburnumlever.RefusedNoBackend, cause: cause}
 	}
-	result.Full = true
+	result.Full = !result.Rested
 	return &failure{stage: laburnumretry.StageNotRun, reason: laburnumlever.RefusedBackendBusy, cause: cause}
 }
+
+// notSendable is the failure of an attempt at a backend server that must not be sent anything any more.
+func notSendable(err error) *failure {
+	return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedNoBackend, cause: err, unsent: true}
+}
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -25,6 +25,8 @@
 	linksLost tally.Counter
 	// detours counts backend servers to which connections began to be opened through other VMs.
 	detours tally.Counter
+	// rests counts rests that backend servers asked for, leaves servers that said in an answer that they leave.
+	rests, leaves tally.Counter
 	// streamsRecorded and streamsUnrecorded count streams whose software version some control VM keeps, or none.
 	streamsRecorded, streamsUnrecorded tally.Counter
 
@@ -66,6 +68,7 @@
 		reservations: map[reserveOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
 		latencies: map[laburnumlever.ServiceName]*latencies{},
 	}
+	c.rests, c.leaves = scope.Counter("backend_rests"), scope.Counter("backend_leaves")
 	c.streamsRecorded = scope.Tagged(map[string]string{"outcome": "kept"}).Counter("stream_records")
 	c.streamsUnrecorded = scope.Tagged(map[string]string{"outcome": "not-kept"}).Counter("stream_records")
 	for _, outcome := range reserveOutcomeValues() {
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -58,5 +58,12 @@
 type ServerChangedError struct{ Backend laburnumlever.BackendID }
 
 func (e *ServerChangedError) Error() string {
-	return fmt.Sprintf("backend server %q has restarted or is gone", e.Backend)
+	return fmt.Sprintf("backend server %q has restarted, leaves or is gone", e.Backend)
+}
+
+// ServerRestsError is a backend server that has asked for rest since it was chosen.
+type ServerRestsError struct{ Backend laburnumlever.BackendID }
+
+func (e *ServerRestsError) Error() string {
+	return fmt.Sprintf("backend server %q has asked for rest", e.Backend)
 }
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -45,6 +45,8 @@
 	// replaced lists backend servers whose address now belongs to another one and that have not
 	// been reported yet.
 	replaced []laburnumlever.BackendID
+	// leavers are those that have said in an answer that they leave, and have not been reported yet.
+	leavers  []laburnumlever.BackendStart
 	gateways int // the largest number seen
 	// linksDoubted is set while failures to connect may be those of this VM's own links.
 	linksDoubted atomic.Bool
@@ -174,15 +176,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.timers.Now()
-	replaced := f.replaced
-	f.replaced = nil
+	replaced, leavers := f.replaced, f.leavers
+	f.replaced, f.leavers = nil, nil
 	unreachable := f.balance.Unreachable(now)
 	if f.linksDoubted.Load() {
 		unreachable = nil
 	}
 	return laburnumlever.GatewayReport{
 		Demand: f.demand.Take(now, f.readTimes), Adapters: f.adapters.Take(now), Unreachable: unreachable, Replaced: replaced,
-		Outcomes: f.balance.Outcomes(),
+		Outcomes: f.balance.Outcomes(), Leaving: leavers,
 	}
 }
 
@@ -195,6 +197,9 @@
 	if x != nil {
 		status.RoutesVersion = x.Table().Version
 		status.Services = f.registry.Summary(x.Table().Services)
+		for i, s := range status.Services {
+			status.Services[i].Resting = f.balance.Resting(s.Service, f.timers.Now())
+		}
 		status.Keys = f.keys.status(x)
 	}
 	return status
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -31,8 +31,9 @@
 	broken bool
 	// refused is the refusal of a request that may not be sent any more; nil for none.
 	refused error
-	// slotRefused is set if the engine refused the reservation because it had no free slot.
-	slotRefused bool
+	// slotRefused is set if the engine refused the reservation because it had no free slot, unsent if the backend server must
+	// not be sent anything any more.
+	slotRefused, unsent bool
 }
 
 // run makes attempts until the request is answered or refused. The error is a
@@ -60,7 +61,7 @@
 		if fail.refused != nil {
 			return fail.refused
 		}
-		if fail.slotRefused {
+		if fail.slotRefused || fail.unsent {
 			q.tries-- // the request was not sent
 			g.fleet.scheduleQueueRetry()
 			continue
@@ -157,6 +158,9 @@
 		if verdict == laburnumbalance.Found {
 			return ticket, nil
 		}
+		if err := g.fleet.refuseAfter(verdict, q); err != nil {
+			return nil, err
+		}
 		if verdict == laburnumbalance.Limited {
 			if q.slotRequested {
 				return nil, g.limitedRefusal(q)
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumtunnel"
 	"laburnumlever/laburnumupstream"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,8 @@
 	counters       *counters
 	crashes        *crashDetector
 	links          *links
+	notify         NoticeFunc
+	refusesServer  func(address string)
 	inFlight       atomic.Int64
 	awaitingRoutes atomic.Int64              // requests queued until the first route table arrives
 	drain          atomic.Int32              // a drainStage
@@ -80,6 +83,7 @@
 	g := &Gateway{
 		fleet: fleet, dialect: dialect, timers: timers, logger: log.NewNopLogger(),
 		counters: newCounters(tally.NoopScope), retryWindows: map[laburnumlever.ServiceName]*laburnumretry.Window{},
+		notify: func(context.Context, string, laburnumtunnel.Notice) error { return nil }, refusesServer: func(string) {},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -225,14 +229,14 @@
 	_, _ = w.Write([]byte(refusal.Reason.String() + "\n")) // an error means that the caller has disconnected
 }
 
-// retryAfter returns the Retry-After of a refusal; 0 for none. The end of a quarantine and the time at which a
+// retryAfter returns the Retry-After of a refusal; 0 for none. The end of a quarantine or a rest and the time at which a
 // quota has room are told as they are, even beyond the caller's deadline: an earlier retry can't be served.
 func (g *Gateway) retryAfter(q *request, refusal *laburnumlever.RefusalError) time.Duration {
 	switch refusal.Reason {
 	case laburnumlever.RefusedQuarantined:
 		return refusal.RetryAfter
-	case laburnumlever.RefusedOverQuota:
-		return refusal.RetryAfter + time.Duration(quotaRetrySpread*rand.Float64()*float64(refusal.RetryAfter))
+	case laburnumlever.RefusedOverQuota, laburnumlever.RefusedBackendResting:
+		return refusal.RetryAfter + time.Duration(exactRetrySpread*rand.Float64()*float64(refusal.RetryAfter))
 	case laburnumlever.RefusedUnknownKey:
 		return 0
 	default:
--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -458,12 +458,13 @@
 	return probedServer{}, false
 }
 
-// probed returns a backend server to be probed, and false if it accepts no requests. A brittle plain server gets no call, lest
-// it counts as one that it rejects.
+// probed returns a backend server to be probed, and false if it accepts no requests. One that rests gets no call, nor does a
+// brittle plain server, lest it counts as one that it rejects.
 func (f *Fleet) probed(x *laburnumroutes.Index, r laburnumregistry.Record) (probedServer, bool) {
 	service, ok := x.Table().Service(r.Heartbeat.Service)
 	_, brittle := f.brittle.Limit(r.Heartbeat.Backend, r.Heartbeat.Incarnation)
-	s := probedServer{address: r.Heartbeat.Address, silent: brittle && service.Engine == nil}
+	resting := f.balance.IsResting(r.Heartbeat, f.timers.Now())
+	s := probedServer{address: r.Heartbeat.Address, silent: resting || brittle && service.Engine == nil}
 	return s, ok && r.AcceptsRequests()
 }
 
@@ -474,6 +475,16 @@
 	return f.registry.HasAddress(address)
 }
 
+// takesRequestsAt reports whether an address belongs to a backend server that takes requests of this VM.
+func (f *Fleet) takesRequestsAt(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	return slices.ContainsFunc(f.registry.Records(), func(r laburnumregistry.Record) bool {
+		return r.Heartbeat.Address == address && r.AcceptsRequests() && !f.balance.IsResting(r.Heartbeat, now)
+	})
+}
+
 // linksChanged has queued requests served by what is reachable now. After a loss, failures to connect say nothing of the
 // servers.
 func (f *Fleet) linksChanged(lost bool) {
--- a/laburnumgateway/quota.go
+++ b/laburnumgateway/quota.go
@@ -18,8 +18,8 @@
 	quotaTimeout = 400 * time.Millisecond
 	// quotaUnansweredRetryAfter is the minimum Retry-After if no control VM answers.
 	quotaUnansweredRetryAfter = time.Second
-	// quotaRetrySpread is the part of a Retry-After by which callers beyond the same quota are spread.
-	quotaRetrySpread = 0.5
+	// exactRetrySpread is the part by which a Retry-After that is told as it is spreads callers that wait for the same.
+	exactRetrySpread = 0.5
 )
 
 // QuotaKeepers are the control VMs that grant tokens of client accounts' quotas.
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -36,6 +36,9 @@
 	if !ticket.MayBeFull() || ticket.Limited() || q.queuesAtEngine() || q.service.Engine == nil || q.service.Engine.ReserveLimit == 0 {
 		return nil, nil
 	}
+	if err := g.fleet.checkSend(ticket.Backend); err != nil {
+		return notSendable(err), nil
+	}
 	resp, body, err := g.sendReservation(q, ticket, conn)
 	if err != nil {
 		result.Failed = ctx.Err() == nil
@@ -79,8 +82,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if headers := g.dialect.Answer(resp.StatusCode, resp.Header); headers.HasLimit || headers.LimitError != nil {
-		g.fleet.observeLimit(ticket.Backend, now, resp.StatusCode, headers)
+	if headers := g.dialect.Answer(resp.StatusCode, resp.Header); headers.HasLimit || headers.LimitError != nil || headers.Rest > 0 || headers.Leaving {
+		g.observeAnswer(ticket, conn, now, resp.StatusCode, headers)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReserveAnswer))
 	if err != nil || resp.Close {
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -64,9 +64,9 @@
 // CanHelp reports whether connections to backend servers can be opened for another VM.
 func (g *Gateway) CanHelp() bool { return g.stage() == drainNone && !g.links.doubted() }
 
-// CanReach reports whether this VM connects directly to the backend server at an address.
+// CanReach reports whether this VM connects directly to the backend server at an address, which has not asked it for rest.
 func (g *Gateway) CanReach(address string) bool {
-	return g.fleet.KnowsServer(address) && !g.links.hasDetour(address)
+	return g.fleet.takesRequestsAt(address) && !g.links.hasDetour(address)
 }
 
 // HelpFailed records that a backend server accepted no connection for another VM.
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -32,6 +32,9 @@
 		f.queue.Arrived(queued, now)
 	}
 	ticket, verdict := f.pick(q, queued.Query, now)
+	if verdict == laburnumbalance.Resting {
+		verdict = f.waitsForRest(queued.Query, until, now)
+	}
 	if waitsInQueue(verdict) {
 		until = f.awaitPermit(q, until, now)
 	}
@@ -85,7 +88,7 @@
 // waitsInQueue tells whether a request that got the verdict waits for a slot.
 func waitsInQueue(verdict laburnumbalance.Verdict) bool {
 	switch verdict {
-	case laburnumbalance.Found, laburnumbalance.AdapterAbsent, laburnumbalance.Limited:
+	case laburnumbalance.Found, laburnumbalance.AdapterAbsent, laburnumbalance.Limited, laburnumbalance.Resting:
 		return false
 	default:
 		return true
@@ -119,9 +122,10 @@
 // leave the queue, because it is refused or needs a slot at a limited backend server.
 func (f *Fleet) nextWake(q *request, query laburnumbalance.Query) <-chan struct{} {
 	f.mu.Lock()
-	woken, needsSlot := f.queueWoken, f.needsSlot(q, query, f.timers.Now())
+	now := f.timers.Now()
+	woken, leave := f.queueWoken, f.needsSlot(q, query, now) || f.restsTooLong(q, query, now)
 	f.mu.Unlock()
-	if needsSlot || f.quarantineState(q).Refused() || f.versionGone(q) {
+	if leave || f.quarantineState(q).Refused() || f.versionGone(q) {
 		return nil
 	}
 	return woken
--- a/laburnumgateway/streams.go
+++ b/laburnumgateway/streams.go
@@ -235,14 +235,6 @@
 	return !f.balance.HasSoftware(q.service.Name, q.software)
 }
 
-// isStill reports whether a ticket's backend server is still the incarnation that it was when it was picked.
-func (f *Fleet) isStill(h laburnumlever.Heartbeat) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	r, ok := f.registry.Record(h.Backend)
-	return ok && r.Heartbeat.Incarnation == h.Incarnation && r.Heartbeat.Software == h.Software
-}
-
 // keepStreams has the streams in flight kept by control VMs, at one address or where each belongs. It does not block.
 func (f *Fleet) keepStreams(address string, records []laburnumstream.Record) {
 	if len(records) == 0 {
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -68,7 +68,7 @@
 		return true
 	}
 	if !h.NewerThan(e.record.Heartbeat) || e.record.Gone {
-		return false
+		return t.mergeLeaving(Record{Heartbeat: h})
 	}
 	e.heardAt = now
 	before := e.record
@@ -121,6 +121,26 @@
 	maps.DeleteFunc(counts, func(_ laburnumlever.SoftwareVersion, n int) bool { return n == 0 })
 }
 
+// MarkLeaving records that an incarnation of a backend server leaves, and reports whether that is new.
+func (t *Table) MarkLeaving(id laburnumlever.BackendID, incarnation uint64) (Record, bool) {
+	e := t.entries[id]
+	if e == nil || e.record.Gone || e.record.Heartbeat.Incarnation != incarnation || e.record.Heartbeat.Leaving {
+		return Record{}, false
+	}
+	e.record.Heartbeat.Leaving = true
+	return e.record, true
+}
+
+// mergeLeaving applies that a backend server leaves by a record that is not newer, and reports whether that is new: the server may
+// have said so in an answer.
+func (t *Table) mergeLeaving(r Record) bool {
+	if !r.Heartbeat.Leaving {
+		return false
+	}
+	_, changed := t.MarkLeaving(r.Heartbeat.Backend, r.Heartbeat.Incarnation)
+	return changed
+}
+
 // Software returns the software versions of a service's backend servers, with those whose tombstones are kept; an empty
 // one stands for a server whose version is unknown.
 func (t *Table) Software(service laburnumlever.ServiceName) []laburnumlever.SoftwareVersion {
@@ -150,9 +170,10 @@
 	if r.Gone {
 		return t.mergeTombstone(r, now)
 	}
-	if e != nil && sameHeartbeat(r.Heartbeat, e.record.Heartbeat) && r.Silent != e.record.Silent {
+	if e != nil && sameHeartbeat(r.Heartbeat, e.record.Heartbeat) {
+		changed := r.Silent != e.record.Silent
 		e.record.Silent = r.Silent
-		return true
+		return t.mergeLeaving(r) || changed
 	}
 	changed := t.ApplyHeartbeat(r.Heartbeat, now)
 	if !changed {
@@ -190,7 +211,7 @@
 func (t *Table) MergeFromControl(r Record, now time.Time) bool {
 	e := t.entries[r.Heartbeat.Backend]
 	if e != nil && !r.Gone && !r.Heartbeat.NewerThan(e.record.Heartbeat) {
-		return false
+		return t.mergeLeaving(r)
 	}
 	return t.Merge(r, now)
 }
--- a/laburnumregistry/software_test.go
+++ b/laburnumregistry/software_test.go
@@ -56,3 +56,31 @@
 	require.True(t, table.ApplyHeartbeat(versioned("i-1", 2, 2, "v2"), now))
 	require.Contains(t, table.Software("quotes"), laburnumlever.SoftwareVersion("v2"))
 }
+
+// Guards against a server that has said in an answer that it leaves, and is used again at its next heartbeat.
+func TestServerThatSaidThatItLeavesStaysLeaving(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	table, gateway, control := laburnumregistry.New(time.Second), laburnumregistry.New(time.Second), laburnumregistry.New(time.Second)
+	for _, other := range []*laburnumregistry.Table{table, gateway, control} {
+		other.ApplyHeartbeat(versioned("i-1", 1, 1, "v1"), now)
+	}
+	r, changed := table.MarkLeaving("i-1", 1)
+	require.True(t, changed)
+	_, changed = table.MarkLeaving("i-1", 1)
+	require.False(t, changed)
+	_, changed = table.MarkLeaving("i-1", 2)
+	require.False(t, changed, "another incarnation")
+	table.ApplyHeartbeat(versioned("i-1", 1, 2, "v1"), now)
+	kept, _ := table.Record("i-1")
+	require.False(t, kept.AcceptsRequests())
+	require.True(t, gateway.Merge(r, now), "told to others with the same heartbeat")
+	require.True(t, control.MergeFromControl(r, now))
+	require.False(t, control.MergeFromControl(r, now))
+	for _, other := range []*laburnumregistry.Table{gateway, control} {
+		kept, _ := other.Record("i-1")
+		require.False(t, kept.AcceptsRequests())
+	}
+	table.ApplyHeartbeat(versioned("i-1", 2, 1, "v1"), now)
+	kept, _ = table.Record("i-1")
+	require.True(t, kept.AcceptsRequests(), "it ends with the incarnation")
+}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -144,6 +144,9 @@
 	for _, id := range report.Replaced {
 		c.removeAndRelay(id)
 	}
+	for _, b := range report.Leaving {
+		c.markLeaving(b)
+	}
 	c.director.SetGatewayReport(vm, report)
 }
 
@@ -154,6 +157,16 @@
 	c.relay.addGone(backend)
 }
 
+// markLeaving records that a backend server has told a gateway that it leaves, and relays it to the other control VMs.
+func (c *Control) markLeaving(b laburnumlever.BackendStart) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, changed := c.registry.MarkLeaving(b.Backend, b.Incarnation); changed {
+		c.publishRecord(b.Backend)
+		c.relay.addHeartbeat(r.Heartbeat, true)
+	}
+}
+
 // leaseChanged announces whether this VM holds the placement lease. It runs on the control thread.
 func (c *Control) leaseChanged(held bool) {
 	if held {
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -70,6 +70,8 @@
 			Window: time.Duration(settings.Retry.Window), Ratio: settings.Retry.Ratio, Slack: settings.Retry.Slack,
 		}),
 		laburnumgateway.WithAdapterLoader(g),
+		laburnumgateway.WithHelperNotices(laburnumtunnel.Notify),
+		laburnumgateway.WithServerRefused(func(address string) { go g.tunnels.Retire(address) }),
 	)
 	g.tunnels = g.newTunnelServer()
 	return g
--- a/laburnumroles/tunnels.go
+++ b/laburnumroles/tunnels.go
@@ -69,7 +69,7 @@
 }
 
 func (g *Gateway) newTunnelServer() *laburnumtunnel.Server {
-	return laburnumtunnel.NewServer(g.gateway.CanReach, g.gateway.CanHelp, laburnumtunnel.WithScope(g.metrics.Scope()), laburnumtunnel.WithDialFailed(g.gateway.HelpFailed),
+	return laburnumtunnel.NewServer(g.gateway.CanReach, g.gateway.CanHelp, laburnumtunnel.WithScope(g.metrics.Scope()), laburnumtunnel.WithDialFailed(g.gateway.HelpFailed), laburnumtunnel.WithNotices(g.gateway.HandleNotice),
 		laburnumtunnel.WithLocalIP(g.localIP()), laburnumtunnel.WithLimit(max(minTunnels, int(tunnelShare*float64(g.settings.Descriptors)/2))))
 }
 
--- a/laburnumtunnel/server.go
+++ b/laburnumtunnel/server.go
@@ -31,6 +31,7 @@
 type Server struct {
 	reaches   func(address string) bool
 	available func() bool
+	noticed   func(Notice)
 	// dialFailed is called with the address of a server that accepts no connection.
 	dialFailed func(address string)
 	dialer     *net.Dialer
@@ -49,6 +50,8 @@
 // tunnel is a connection of another VM and the one to the server.
 type tunnel struct {
 	near, far net.Conn
+	// address is the server's.
+	address string
 	// writing guards writes to near.
 	writing sync.Mutex
 }
@@ -77,8 +80,8 @@
 func NewServer(reaches func(address string) bool, available func() bool, opts ...ServerOption) *Server {
 	s := &Server{
 		reaches: reaches, available: available, limit: defaultLimit, tunnels: map[*tunnel]struct{}{}, changed: make(chan struct{}),
-		dialFailed: func(string) {},
-		dialer:     laburnumupstream.Dialer(nil),
+		dialFailed: func(string) {}, noticed: func(Notice) {},
+		dialer: laburnumupstream.Dialer(nil),
 	}
 	s.setScope(tally.NoopScope)
 	for _, opt := range opts {
@@ -91,8 +94,12 @@
 	s.opened, s.refused, s.carried = scope.Counter("tunnels_opened"), scope.Counter("tunnels_refused"), scope.Gauge("tunnels")
 }
 
-// ServeHTTP opens a tunnel and carries it until either side ends it.
+// ServeHTTP opens a tunnel and carries it until either side ends it, or takes a notice.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost && r.URL.Path == noticePath {
+		s.takeNotice(w, r)
+		return
+	}
 	if r.Method != http.MethodConnect {
 		w.WriteHeader(http.StatusMethodNotAllowed)
 		return
@@ -116,7 +123,7 @@
 		_ = far.Close()
 		return
 	}
-	s.carry(&tunnel{near: near, far: far})
+	s.carry(&tunnel{near: near, far: far, address: r.Host})
 }
 
 // check returns the status of a call that is refused, else 200.
--- a/logevent.go
+++ b/logevent.go
@@ -48,6 +48,12 @@
 	EventLinksLost
 	// EventLinksRestored is a gateway whose links are back, and for how long they were lost.
 	EventLinksRestored
+	// EventBackendRests is a backend server that has asked for rest.
+	EventBackendRests
+	// EventBackendLeaves is a backend server that has said in an answer that it leaves.
+	EventBackendLeaves
+	// EventHelperNotNoticed is a helper that was not told what a backend server asked of it.
+	EventHelperNotNoticed
 	// EventSoftwareVersionNew is a software version that a service did not have before.
 	EventSoftwareVersionNew
 	// EventStreamNotRecorded is a control VM that did not keep which software versions began streams.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-noticedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 189, 202, 212, 226, 246, 265, 287, 301, 320, 336, 359, 372, 387, 400, 414, 429, 447, 461, 477, 493, 506, 522, 538, 553, 567, 577, 588, 601, 622, 638, 656, 667, 683, 699, 714, 728, 742, 757, 775, 793, 806, 815, 829, 844, 857, 872, 883, 897, 910, 936, 954, 968, 985, 1004, 1025, 1034, 1044, 1061, 1071, 1080, 1094, 1106, 1122, 1129, 1137, 1144, 1151, 1168, 1184, 1198, 1216, 1229, 1246}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 189, 202, 212, 226, 239, 253, 271, 291, 310, 332, 346, 365, 381, 404, 417, 432, 445, 459, 474, 492, 506, 522, 538, 551, 567, 583, 598, 612, 622, 633, 646, 667, 683, 701, 712, 728, 744, 759, 773, 787, 802, 820, 838, 851, 860, 874, 889, 902, 917, 928, 942, 955, 981, 999, 1013, 1030, 1049, 1070, 1079, 1089, 1106, 1116, 1125, 1139, 1151, 1167, 1174, 1182, 1189, 1196, 1213, 1229, 1243, 1261, 1274, 1291}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-noticedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -41,78 +41,81 @@
 	_ = x[EventDetourClosed-(14)]
 	_ = x[EventLinksLost-(15)]
 	_ = x[EventLinksRestored-(16)]
-	_ = x[EventSoftwareVersionNew-(17)]
-	_ = x[EventStreamNotRecorded-(18)]
-	_ = x[EventStreamVersionUnknown-(19)]
-	_ = x[EventLinksVerified-(20)]
-	_ = x[EventRequestQuarantined-(21)]
-	_ = x[EventRequestReleased-(22)]
-	_ = x[EventQuarantineNotReported-(23)]
-	_ = x[EventLimitChanged-(24)]
-	_ = x[EventBrittleChanged-(25)]
-	_ = x[EventLimitUnclear-(26)]
-	_ = x[EventSlotRequested-(27)]
-	_ = x[EventSlotUnanswered-(28)]
-	_ = x[EventLimitNotReported-(29)]
-	_ = x[EventKeysConfirmed-(30)]
-	_ = x[EventKeysUnconfirmed-(31)]
-	_ = x[EventAccountsUnknown-(32)]
-	_ = x[EventQuotaUsedUp-(33)]
-	_ = x[EventQuotaUnanswered-(34)]
-	_ = x[EventOutlierDetected-(35)]
-	_ = x[EventModelWithdrawn-(36)]
-	_ = x[EventOrderAnswered-(37)]
-	_ = x[EventOrderDone-(38)]
-	_ = x[EventOrderStateChanged-(39)]
-	_ = x[EventOrderRefused-(40)]
-	_ = x[EventOrderOutcomeUnknown-(41)]
-	_ = x[EventEngineStateNotRead-(42)]
-	_ = x[EventInventoryNotRead-(43)]
-	_ = x[EventLoadFailed-(44)]
-	_ = x[EventBackendStateNotEncoded-(45)]
-	_ = x[EventRegistryRefused-(46)]
-	_ = x[EventRoutesProposed-(47)]
-	_ = x[EventRoutesRefused-(48)]
-	_ = x[EventRoutesApplied-(49)]
-	_ = x[EventRoutesInEffect-(50)]
-	_ = x[EventRoutesNotFetched-(51)]
-	_ = x[EventCatalogueInEffect-(52)]
-	_ = x[EventBecameLeader-(53)]
-	_ = x[EventNoLeader-(54)]
-	_ = x[EventReplicaOpened-(55)]
-	_ = x[EventVotersChanged-(56)]
-	_ = x[EventLearnerAdded-(57)]
-	_ = x[EventLearnerRemoved-(58)]
-	_ = x[EventVoterAdded-(59)]
-	_ = x[EventVoterReplaced-(60)]
-	_ = x[EventVoterStandby-(61)]
-	_ = x[EventLeadershipNotHandedOver-(62)]
-	_ = x[EventExpiryNotEncoded-(63)]
-	_ = x[EventReplicaFailed-(64)]
-	_ = x[EventReplicaRegressed-(65)]
-	_ = x[EventDataFolderDamaged-(66)]
-	_ = x[EventDataFolderRegressed-(67)]
-	_ = x[EventLeaseAcquired-(68)]
-	_ = x[EventLeaseLost-(69)]
-	_ = x[EventLeaseNotRenewed-(70)]
-	_ = x[EventZoneOwned-(71)]
-	_ = x[EventZoneLost-(72)]
-	_ = x[EventControlThreadTimes-(73)]
-	_ = x[EventControlLost-(74)]
-	_ = x[EventControlRegained-(75)]
-	_ = x[EventStarted-(76)]
-	_ = x[EventDraining-(77)]
-	_ = x[EventDrained-(78)]
-	_ = x[EventStopped-(79)]
-	_ = x[EventSettingsReloaded-(80)]
-	_ = x[EventSettingsRefused-(81)]
-	_ = x[EventListenerEnded-(82)]
-	_ = x[EventMetricsNotServed-(83)]
-	_ = x[EventUnknownEvent-(84)]
-	_ = x[EventLogLinesDropped-(85)]
+	_ = x[EventBackendRests-(17)]
+	_ = x[EventBackendLeaves-(18)]
+	_ = x[EventHelperNotNoticed-(19)]
+	_ = x[EventSoftwareVersionNew-(20)]
+	_ = x[EventStreamNotRecorded-(21)]
+	_ = x[EventStreamVersionUnknown-(22)]
+	_ = x[EventLinksVerified-(23)]
+	_ = x[EventRequestQuarantined-(24)]
+	_ = x[EventRequestReleased-(25)]
+	_ = x[EventQuarantineNotReported-(26)]
+	_ = x[EventLimitChanged-(27)]
+	_ = x[EventBrittleChanged-(28)]
+	_ = x[EventLimitUnclear-(29)]
+	_ = x[EventSlotRequested-(30)]
+	_ = x[EventSlotUnanswered-(31)]
+	_ = x[EventLimitNotReported-(32)]
+	_ = x[EventKeysConfirmed-(33)]
+	_ = x[EventKeysUnconfirmed-(34)]
+	_ = x[EventAccountsUnknown-(35)]
+	_ = x[EventQuotaUsedUp-(36)]
+	_ = x[EventQuotaUnanswered-(37)]
+	_ = x[EventOutlierDetected-(38)]
+	_ = x[EventModelWithdrawn-(39)]
+	_ = x[EventOrderAnswered-(40)]
+	_ = x[EventOrderDone-(41)]
+	_ = x[EventOrderStateChanged-(42)]
+	_ = x[EventOrderRefused-(43)]
+	_ = x[EventOrderOutcomeUnknown-(44)]
+	_ = x[EventEngineStateNotRead-(45)]
+	_ = x[EventInventoryNotRead-(46)]
+	_ = x[EventLoadFailed-(47)]
+	_ = x[EventBackendStateNotEncoded-(48)]
+	_ = x[EventRegistryRefused-(49)]
+	_ = x[EventRoutesProposed-(50)]
+	_ = x[EventRoutesRefused-(51)]
+	_ = x[EventRoutesApplied-(52)]
+	_ = x[EventRoutesInEffect-(53)]
+	_ = x[EventRoutesNotFetched-(54)]
+	_ = x[EventCatalogueInEffect-(55)]
+	_ = x[EventBecameLeader-(56)]
+	_ = x[EventNoLeader-(57)]
+	_ = x[EventReplicaOpened-(58)]
+	_ = x[EventVotersChanged-(59)]
+	_ = x[EventLearnerAdded-(60)]
+	_ = x[EventLearnerRemoved-(61)]
+	_ = x[EventVoterAdded-(62)]
+	_ = x[EventVoterReplaced-(63)]
+	_ = x[EventVoterStandby-(64)]
+	_ = x[EventLeadershipNotHandedOver-(65)]
+	_ = x[EventExpiryNotEncoded-(66)]
+	_ = x[EventReplicaFailed-(67)]
+	_ = x[EventReplicaRegressed-(68)]
+	_ = x[EventDataFolderDamaged-(69)]
+	_ = x[EventDataFolderRegressed-(70)]
+	_ = x[EventLeaseAcquired-(71)]
+	_ = x[EventLeaseLost-(72)]
+	_ = x[EventLeaseNotRenewed-(73)]
+	_ = x[EventZoneOwned-(74)]
+	_ = x[EventZoneLost-(75)]
+	_ = x[EventControlThreadTimes-(76)]
+	_ = x[EventControlLost-(77)]
+	_ = x[EventControlRegained-(78)]
+	_ = x[EventStarted-(79)]
+	_ = x[EventDraining-(80)]
+	_ = x[EventDrained-(81)]
+	_ = x[EventStopped-(82)]
+	_ = x[EventSettingsReloaded-(83)]
+	_ = x[EventSettingsRefused-(84)]
+	_ = x[EventListenerEnded-(85)]
+	_ = x[EventMetricsNotServed-(86)]
+	_ = x[EventUnknownEvent-(87)]
+	_ = x[EventLogLinesDropped-(88)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNoticed, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -132,75 +135,78 @@
 	_LogEventName[189:202]:   EventDetourClosed,
 	_LogEventName[202:212]:   EventLinksLost,
 	_LogEventName[212:226]:   EventLinksRestored,
-	_LogEventName[226:246]:   EventSoftwareVersionNew,
-	_LogEventName[246:265]:   EventStreamNotRecorded,
-	_LogEventName[265:287]:   EventStreamVersionUnknown,
-	_LogEventName[287:301]:   EventLinksVerified,
-	_LogEventName[301:320]:   EventRequestQuarantined,
-	_LogEventName[320:336]:   EventRequestReleased,
-	_LogEventName[336:359]:   EventQuarantineNotReported,
-	_LogEventName[359:372]:   EventLimitChanged,
-	_LogEventName[372:387]:   EventBrittleChanged,
-	_LogEventName[387:400]:   EventLimitUnclear,
-	_LogEventName[400:414]:   EventSlotRequested,
-	_LogEventName[414:429]:   EventSlotUnanswered,
-	_LogEventName[429:447]:   EventLimitNotReported,
-	_LogEventName[447:461]:   EventKeysConfirmed,
-	_LogEventName[461:477]:   EventKeysUnconfirmed,
-	_LogEventName[477:493]:   EventAccountsUnknown,
-	_LogEventName[493:506]:   EventQuotaUsedUp,
-	_LogEventName[506:522]:   EventQuotaUnanswered,
-	_LogEventName[522:538]:   EventOutlierDetected,
-	_LogEventName[538:553]:   EventModelWithdrawn,
-	_LogEventName[553:567]:   EventOrderAnswered,
-	_LogEventName[567:577]:   EventOrderDone,
-	_LogEventName[577:588]:   EventOrderStateChanged,
-	_LogEventName[588:601]:   EventOrderRefused,
-	_LogEventName[601:622]:   EventOrderOutcomeUnknown,
-	_LogEventName[622:638]:   EventEngineStateNotRead,
-	_LogEventName[638:656]:   EventInventoryNotRead,
-	_LogEventName[656:667]:   EventLoadFailed,
-	_LogEventName[667:683]:   EventBackendStateNotEncoded,
-	_LogEventName[683:699]:   EventRegistryRefused,
-	_LogEventName[699:714]:   EventRoutesProposed,
-	_LogEventName[714:728]:   EventRoutesRefused,
-	_LogEventName[728:742]:   EventRoutesApplied,
-	_LogEventName[742:757]:   EventRoutesInEffect,
-	_LogEventName[757:775]:   EventRoutesNotFetched,
-	_LogEventName[775:793]:   EventCatalogueInEffect,
-	_LogEventName[793:806]:   EventBecameLeader,
-	_LogEventName[806:815]:   EventNoLeader,
-	_LogEventName[815:829]:   EventReplicaOpened,
-	_LogEventName[829:844]:   EventVotersChanged,
-	_LogEventName[844:857]:   EventLearnerAdded,
-	_LogEventName[857:872]:   EventLearnerRemoved,
-	_LogEventName[872:883]:   EventVoterAdded,
-	_LogEventName[883:897]:   EventVoterReplaced,
-	_LogEventName[897:910]:   EventVoterStandby,
-	_LogEventName[910:936]:   EventLeadershipNotHandedOver,
-	_LogEventName[936:954]:   EventExpiryNotEncoded,
-	_LogEventName[954:968]:   EventReplicaFailed,
-	_LogEventName[968:985]:   EventReplicaRegressed,
-	_LogEventName[985:1004]:  EventDataFolderDamaged,
-	_LogEventName[1004:1025]: EventDataFolderRegressed,
-	_LogEventName[1025:1034]: EventLeaseAcquired,
-	_LogEventName[1034:1044]: EventLeaseLost,
-	_LogEventName[1044:1061]: EventLeaseNotRenewed,
-	_LogEventName[1061:1071]: EventZoneOwned,
-	_LogEventName[1071:1080]: EventZoneLost,
-	_LogEventName[1080:1094]: EventControlThreadTimes,
-	_LogEventName[1094:1106]: EventControlLost,
-	_LogEventName[1106:1122]: EventControlRegained,
-	_LogEventName[1122:1129]: EventStarted,
-	_LogEventName[1129:1137]: EventDraining,
-	_LogEventName[1137:1144]: EventDrained,
-	_LogEventName[1144:1151]: EventStopped,
-	_LogEventName[1151:1168]: EventSettingsReloaded,
-	_LogEventName[1168:1184]: EventSettingsRefused,
-	_LogEventName[1184:1198]: EventListenerEnded,
-	_LogEventName[1198:1216]: EventMetricsNotServed,
-	_LogEventName[1216:1229]: EventUnknownEvent,
-	_LogEventName[1229:1246]: EventLogLinesDropped,
+	_LogEventName[226:239]:   EventBackendRests,
+	_LogEventName[239:253]:   EventBackendLeaves,
+	_LogEventName[253:271]:   EventHelperNotNoticed,
+	_LogEventName[271:291]:   EventSoftwareVersionNew,
+	_LogEventName[291:310]:   EventStreamNotRecorded,
+	_LogEventName[310:332]:   EventStreamVersionUnknown,
+	_LogEventName[332:346]:   EventLinksVerified,
+	_LogEventName[346:365]:   EventRequestQuarantined,
+	_LogEventName[365:381]:   EventRequestReleased,
+	_LogEventName[381:404]:   EventQuarantineNotReported,
+	_LogEventName[404:417]:   EventLimitChanged,
+	_LogEventName[417:432]:   EventBrittleChanged,
+	_LogEventName[432:445]:   EventLimitUnclear,
+	_LogEventName[445:459]:   EventSlotRequested,
+	_LogEventName[459:474]:   EventSlotUnanswered,
+	_LogEventName[474:492]:   EventLimitNotReported,
+	_LogEventName[492:506]:   EventKeysConfirmed,
+	_LogEventName[506:522]:   EventKeysUnconfirmed,
+	_LogEventName[522:538]:   EventAccountsUnknown,
+	_LogEventName[538:551]:   EventQuotaUsedUp,
+	_LogEventName[551:567]:   EventQuotaUnanswered,
+	_LogEventName[567:583]:   EventOutlierDetected,
+	_LogEventName[583:598]:   EventModelWithdrawn,
+	_LogEventName[598:612]:   EventOrderAnswered,
+	_LogEventName[612:622]:   EventOrderDone,
+	_LogEventName[622:633]:   EventOrderStateChanged,
+	_LogEventName[633:646]:   EventOrderRefused,
+	_LogEventName[646:667]:   EventOrderOutcomeUnknown,
+	_LogEventName[667:683]:   EventEngineStateNotRead,
+	_LogEventName[683:701]:   EventInventoryNotRead,
+	_LogEventName[701:712]:   EventLoadFailed,
+	_LogEventName[712:728]:   EventBackendStateNotEncoded,
+	_LogEventName[728:744]:   EventRegistryRefused,
+	_LogEventName[744:759]:   EventRoutesProposed,
+	_LogEventName[759:773]:   EventRoutesRefused,
+	_LogEventName[773:787]:   EventRoutesApplied,
+	_LogEventName[787:802]:   EventRoutesInEffect,
+	_LogEventName[802:820]:   EventRoutesNotFetched,
+	_LogEventName[820:838]:   EventCatalogueInEffect,
+	_LogEventName[838:851]:   EventBecameLeader,
+	_LogEventName[851:860]:   EventNoLeader,
+	_LogEventName[860:874]:   EventReplicaOpened,
+	_LogEventName[874:889]:   EventVotersChanged,
+	_LogEventName[889:902]:   EventLearnerAdded,
+	_LogEventName[902:917]:   EventLearnerRemoved,
+	_LogEventName[917:928]:   EventVoterAdded,
+	_LogEventName[928:942]:   EventVoterReplaced,
+	_LogEventName[942:955]:   EventVoterStandby,
+	_LogEventName[955:981]:   EventLeadershipNotHandedOver,
+	_LogEventName[981:999]:   EventExpiryNotEncoded,
+	_LogEventName[999:1013]:  EventReplicaFailed,
+	_LogEventName[1013:1030]: EventReplicaRegressed,
+	_LogEventName[1030:1049]: EventDataFolderDamaged,
+	_LogEventName[1049:1070]: EventDataFolderRegressed,
+	_LogEventName[1070:1079]: EventLeaseAcquired,
+	_LogEventName[1079:1089]: EventLeaseLost,
+	_LogEventName[1089:1106]: EventLeaseNotRenewed,
+	_LogEventName[1106:1116]: EventZoneOwned,
+	_LogEventName[1116:1125]: EventZoneLost,
+	_LogEventName[1125:1139]: EventControlThreadTimes,
+	_LogEventName[1139:1151]: EventControlLost,
+	_LogEventName[1151:1167]: EventControlRegained,
+	_LogEventName[1167:1174]: EventStarted,
+	_LogEventName[1174:1182]: EventDraining,
+	_LogEventName[1182:1189]: EventDrained,
+	_LogEventName[1189:1196]: EventStopped,
+	_LogEventName[1196:1213]: EventSettingsReloaded,
+	_LogEventName[1213:1229]: EventSettingsRefused,
+	_LogEventName[1229:1243]: EventListenerEnded,
+	_LogEventName[1243:1261]: EventMetricsNotServed,
+	_LogEventName[1261:1274]: EventUnknownEvent,
+	_LogEventName[1274:1291]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -221,75 +227,78 @@
 	_LogEventLowerName[189:202]:   EventDetourClosed,
 	_LogEventLowerName[202:212]:   EventLinksLost,
 	_LogEventLowerName[212:226]:   EventLinksRestored,
-	_LogEventLowerName[226:246]:   EventSoftwareVersionNew,
-	_LogEventLowerName[246:265]:   EventStreamNotRecorded,
-	_LogEventLowerName[265:287]:   EventStreamVersionUnknown,
-	_LogEventLowerName[287:301]:   EventLinksVerified,
-	_LogEventLowerName[301:320]:   EventRequestQuarantined,
-	_LogEventLowerName[320:336]:   EventRequestReleased,
-	_LogEventLowerName[336:359]:   EventQuarantineNotReported,
-	_LogEventLowerName[359:372]:   EventLimitChanged,
-	_LogEventLowerName[372:387]:   EventBrittleChanged,
-	_LogEventLowerName[387:400]:   EventLimitUnclear,
-	_LogEventLowerName[400:414]:   EventSlotRequested,
-	_LogEventLowerName[414:429]:   EventSlotUnanswered,
-	_LogEventLowerName[429:447]:   EventLimitNotReported,
-	_LogEventLowerName[447:461]:   EventKeysConfirmed,
-	_LogEventLowerName[461:477]:   EventKeysUnconfirmed,
-	_LogEventLowerName[477:493]:   EventAccountsUnknown,
-	_LogEventLowerName[493:506]:   EventQuotaUsedUp,
-	_LogEventLowerName[506:522]:   EventQuotaUnanswered,
-	_LogEventLowerName[522:538]:   EventOutlierDetected,
-	_LogEventLowerName[538:553]:   EventModelWithdrawn,
-	_LogEventLowerName[553:567]:   EventOrderAnswered,
-	_LogEventLowerName[567:577]:   EventOrderDone,
-	_LogEventLowerName[577:588]:   EventOrderStateChanged,
-	_LogEventLowerName[588:601]:   EventOrderRefused,
-	_LogEventLowerName[601:622]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[622:638]:   EventEngineStateNotRead,
-	_LogEventLowerName[638:656]:   EventInventoryNotRead,
-	_LogEventLowerName[656:667]:   EventLoadFailed,
-	_LogEventLowerName[667:683]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[683:699]:   EventRegistryRefused,
-	_LogEventLowerName[699:714]:   EventRoutesProposed,
-	_LogEventLowerName[714:728]:   EventRoutesRefused,
-	_LogEventLowerName[728:742]:   EventRoutesApplied,
-	_LogEventLowerName[742:757]:   EventRoutesInEffect,
-	_LogEventLowerName[757:775]:   EventRoutesNotFetched,
-	_LogEventLowerName[775:793]:   EventCatalogueInEffect,
-	_LogEventLowerName[793:806]:   EventBecameLeader,
-	_LogEventLowerName[806:815]:   EventNoLeader,
-	_LogEventLowerName[815:829]:   EventReplicaOpened,
-	_LogEventLowerName[829:844]:   EventVotersChanged,
-	_LogEventLowerName[844:857]:   EventLearnerAdded,
-	_LogEventLowerName[857:872]:   EventLearnerRemoved,
-	_LogEventLowerName[872:883]:   EventVoterAdded,
-	_LogEventLowerName[883:897]:   EventVoterReplaced,
-	_LogEventLowerName[897:910]:   EventVoterStandby,
-	_LogEventLowerName[910:936]:   EventLeadershipNotHandedOver,
-	_LogEventLowerName[936:954]:   EventExpiryNotEncoded,
-	_LogEventLowerName[954:968]:   EventReplicaFailed,
-	_LogEventLowerName[968:985]:   EventReplicaRegressed,
-	_LogEventLowerName[985:1004]:  EventDataFolderDamaged,
-	_LogEventLowerName[1004:1025]: EventDataFolderRegressed,
-	_LogEventLowerName[1025:1034]: EventLeaseAcquired,
-	_LogEventLowerName[1034:1044]: EventLeaseLost,
-	_LogEventLowerName[1044:1061]: EventLeaseNotRenewed,
-	_LogEventLowerName[1061:1071]: EventZoneOwned,
-	_LogEventLowerName[1071:1080]: EventZoneLost,
-	_LogEventLowerName[1080:1094]: EventControlThreadTimes,
-	_LogEventLowerName[1094:1106]: EventControlLost,
-	_LogEventLowerName[1106:1122]: EventControlRegained,
-	_LogEventLowerName[1122:1129]: EventStarted,
-	_LogEventLowerName[1129:1137]: EventDraining,
-	_LogEventLowerName[1137:1144]: EventDrained,
-	_LogEventLowerName[1144:1151]: EventStopped,
-	_LogEventLowerName[1151:1168]: EventSettingsReloaded,
-	_LogEventLowerName[1168:1184]: EventSettingsRefused,
-	_LogEventLowerName[1184:1198]: EventListenerEnded,
-	_LogEventLowerName[1198:1216]: EventMetricsNotServed,
-	_LogEventLowerName[1216:1229]: EventUnknownEvent,
-	_LogEventLowerName[1229:1246]: EventLogLinesDropped,
+	_LogEventLowerName[226:239]:   EventBackendRests,
+	_LogEventLowerName[239:253]:   EventBackendLeaves,
+	_LogEventLowerName[253:271]:   EventHelperNotNoticed,
+	_LogEventLowerName[271:291]:   EventSoftwareVersionNew,
+	_LogEventLowerName[291:310]:   EventStreamNotRecorded,
+	_LogEventLowerName[310:332]:   EventStreamVersionUnknown,
+	_LogEventLowerName[332:346]:   EventLinksVerified,
+	_LogEventLowerName[346:365]:   EventRequestQuarantined,
+	_LogEventLowerName[365:381]:   EventRequestReleased,
+	_LogEventLowerName[381:404]:   EventQuarantineNotReported,
+	_LogEventLowerName[404:417]:   EventLimitChanged,
+	_LogEventLowerName[417:432]:   EventBrittleChanged,
+	_LogEventLowerName[432:445]:   EventLimitUnclear,
+	_LogEventLowerName[445:459]:   EventSlotRequested,
+	_LogEventLowerName[459:474]:   EventSlotUnanswered,
+	_LogEventLowerName[474:492]:   EventLimitNotReported,
+	_LogEventLowerName[492:506]:   EventKeysConfirmed,
+	_LogEventLowerName[506:522]:   EventKeysUnconfirmed,
+	_LogEventLowerName[522:538]:   EventAccountsUnknown,
+	_LogEventLowerName[538:551]:   EventQuotaUsedUp,
+	_LogEventLowerName[551:567]:   EventQuotaUnanswered,
+	_LogEventLowerName[567:583]:   EventOutlierDetected,
+	_LogEventLowerName[583:598]:   EventModelWithdrawn,
+	_LogEventLowerName[598:612]:   EventOrderAnswered,
+	_LogEventLowerName[612:622]:   EventOrderDone,
+	_LogEventLowerName[622:633]:   EventOrderStateChanged,
+	_LogEventLowerName[633:646]:   EventOrderRefused,
+	_LogEventLowerName[646:667]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[667:683]:   EventEngineStateNotRead,
+	_LogEventLowerName[683:701]:   EventInventoryNotRead,
+	_LogEventLowerName[701:712]:   EventLoadFailed,
+	_LogEventLowerName[712:728]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[728:744]:   EventRegistryRefused,
+	_LogEventLowerName[744:759]:   EventRoutesProposed,
+	_LogEventLowerName[759:773]:   EventRoutesRefused,
+	_LogEventLowerName[773:787]:   EventRoutesApplied,
+	_LogEventLowerName[787:802]:   EventRoutesInEffect,
+	_LogEventLowerName[802:820]:   EventRoutesNotFetched,
+	_LogEventLowerName[820:838]:   EventCatalogueInEffect,
+	_LogEventLowerName[838:851]:   EventBecameLeader,
+	_LogEventLowerName[851:860]:   EventNoLeader,
+	_LogEventLowerName[860:874]:   EventReplicaOpened,
+	_LogEventLowerName[874:889]:   EventVotersChanged,
+	_LogEventLowerName[889:902]:   EventLearnerAdded,
+	_LogEventLowerName[902:917]:   EventLearnerRemoved,
+	_LogEventLowerName[917:928]:   EventVoterAdded,
+	_LogEventLowerName[928:942]:   EventVoterReplaced,
+	_LogEventLowerName[942:955]:   EventVoterStandby,
+	_LogEventLowerName[955:981]:   EventLeadershipNotHandedOver,
+	_LogEventLowerName[981:999]:   EventExpiryNotEncoded,
+	_LogEventLowerName[999:1013]:  EventReplicaFailed,
+	_LogEventLowerName[1013:1030]: EventReplicaRegressed,
+	_LogEventLowerName[1030:1049]: EventDataFolderDamaged,
+	_LogEventLowerName[1049:1070]: EventDataFolderRegressed,
+	_LogEventLowerName[1070:1079]: EventLeaseAcquired,
+	_LogEventLowerName[1079:1089]: EventLeaseLost,
+	_LogEventLowerName[1089:1106]: EventLeaseNotRenewed,
+	_LogEventLowerName[1106:1116]: EventZoneOwned,
+	_LogEventLowerName[1116:1125]: EventZoneLost,
+	_LogEventLowerName[1125:1139]: EventControlThreadTimes,
+	_LogEventLowerName[1139:1151]: EventControlLost,
+	_LogEventLowerName[1151:1167]: EventControlRegained,
+	_LogEventLowerName[1167:1174]: EventStarted,
+	_LogEventLowerName[1174:1182]: EventDraining,
+	_LogEventLowerName[1182:1189]: EventDrained,
+	_LogEventLowerName[1189:1196]: EventStopped,
+	_LogEventLowerName[1196:1213]: EventSettingsReloaded,
+	_LogEventLowerName[1213:1229]: EventSettingsRefused,
+	_LogEventLowerName[1229:1243]: EventListenerEnded,
+	_LogEventLowerName[1243:1261]: EventMetricsNotServed,
+	_LogEventLowerName[1261:1274]: EventUnknownEvent,
+	_LogEventLowerName[1274:1291]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -310,75 +319,78 @@
 	_LogEventName[189:202],
 	_LogEventName[202:212],
 	_LogEventName[212:226],
-	_LogEventName[226:246],
-	_LogEventName[246:265],
-	_LogEventName[265:287],
-	_LogEventName[287:301],
-	_LogEventName[301:320],
-	_LogEventName[320:336],
-	_LogEventName[336:359],
-	_LogEventName[359:372],
-	_LogEventName[372:387],
-	_LogEventName[387:400],
-	_LogEventName[400:414],
-	_LogEventName[414:429],
-	_LogEventName[429:447],
-	_LogEventName[447:461],
-	_LogEventName[461:477],
-	_LogEventName[477:493],
-	_LogEventName[493:506],
+	_LogEventName[226:239],
+	_LogEventName[239:253],
+	_LogEventName[253:271],
+	_LogEventName[271:291],
+	_LogEventName[291:310],
+	_LogEventName[310:332],
+	_LogEventName[332:346],
+	_LogEventName[346:365],
+	_LogEventName[365:381],
+	_LogEventName[381:404],
+	_LogEventName[404:417],
+	_LogEventName[417:432],
+	_LogEventName[432:445],
+	_LogEventName[445:459],
+	_LogEventName[459:474],
+	_LogEventName[474:492],
+	_LogEventName[492:506],
 	_LogEventName[506:522],
 	_LogEventName[522:538],
-	_LogEventName[538:553],
-	_LogEventName[553:567],
-	_LogEventName[567:577],
-	_LogEventName[577:588],
-	_LogEventName[588:601],
-	_LogEventName[601:622],
-	_LogEventName[622:638],
-	_LogEventName[638:656],
-	_LogEventName[656:667],
+	_LogEventName[538:551],
+	_LogEventName[551:567],
+	_LogEventName[567:583],
+	_LogEventName[583:598],
+	_LogEventName[598:612],
+	_LogEventName[612:622],
+	_LogEventName[622:633],
+	_LogEventName[633:646],
+	_LogEventName[646:667],
 	_LogEventName[667:683],
-	_LogEventName[683:699],
-	_LogEventName[699:714],
-	_LogEventName[714:728],
-	_LogEventName[728:742],
-	_LogEventName[742:757],
-	_LogEventName[757:775],
-	_LogEventName[775:793],
-	_LogEventName[793:806],
-	_LogEventName[806:815],
-	_LogEventName[815:829],
-	_LogEventName[829:844],
-	_LogEventName[844:857],
-	_LogEventName[857:872],
-	_LogEventName[872:883],
-	_LogEventName[883:897],
-	_LogEventName[897:910],
-	_LogEventName[910:936],
-	_LogEventName[936:954],
-	_LogEventName[954:968],
-	_LogEventName[968:985],
-	_LogEventName[985:1004],
-	_LogEventName[1004:1025],
-	_LogEventName[1025:1034],
-	_LogEventName[1034:1044],
-	_LogEventName[1044:1061],
-	_LogEventName[1061:1071],
-	_LogEventName[1071:1080],
-	_LogEventName[1080:1094],
-	_LogEventName[1094:1106],
-	_LogEventName[1106:1122],
-	_LogEventName[1122:1129],
-	_LogEventName[1129:1137],
-	_LogEventName[1137:1144],
-	_LogEventName[1144:1151],
-	_LogEventName[1151:1168],
-	_LogEventName[1168:1184],
-	_LogEventName[1184:1198],
-	_LogEventName[1198:1216],
-	_LogEventName[1216:1229],
-	_LogEventName[1229:1246],
+	_LogEventName[683:701],
+	_LogEventName[701:712],
+	_LogEventName[712:728],
+	_LogEventName[728:744],
+	_LogEventName[744:759],
+	_LogEventName[759:773],
+	_LogEventName[773:787],
+	_LogEventName[787:802],
+	_LogEventName[802:820],
+	_LogEventName[820:838],
+	_LogEventName[838:851],
+	_LogEventName[851:860],
+	_LogEventName[860:874],
+	_LogEventName[874:889],
+	_LogEventName[889:902],
+	_LogEventName[902:917],
+	_LogEventName[917:928],
+	_LogEventName[928:942],
+	_LogEventName[942:955],
+	_LogEventName[955:981],
+	_LogEventName[981:999],
+	_LogEventName[999:1013],
+	_LogEventName[1013:1030],
+	_LogEventName[1030:1049],
+	_LogEventName[1049:1070],
+	_LogEventName[1070:1079],
+	_LogEventName[1079:1089],
+	_LogEventName[1089:1106],
+	_LogEventName[1106:1116],
+	_LogEventName[1116:1125],
+	_LogEventName[1125:1139],
+	_LogEventName[1139:1151],
+	_LogEventName[1151:1167],
+	_LogEventName[1167:1174],
+	_LogEventName[1174:1182],
+	_LogEventName[1182:1189],
+	_LogEventName[1189:1196],
+	_LogEventName[1196:1213],
+	_LogEventName[1213:1229],
+	_LogEventName[1229:1243],
+	_LogEventName[1243:1261],
+	_LogEventName[1261:1274],
+	_LogEventName[1274:1291],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-loststream-unknownstream-version-gone"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326, 341, 352, 368, 378, 394, 404, 418, 437}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326, 341, 352, 368, 378, 394, 404, 419, 433, 452}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-loststream-unknownstream-version-gone"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -57,11 +57,12 @@
 	_ = x[RefusedOverQuota-(29)]
 	_ = x[RefusedQuotaUnanswered-(30)]
 	_ = x[RefusedLinksLost-(31)]
-	_ = x[RefusedStreamUnknown-(32)]
-	_ = x[RefusedStreamVersionGone-(33)]
+	_ = x[RefusedBackendResting-(32)]
+	_ = x[RefusedStreamUnknown-(33)]
+	_ = x[RefusedStreamVersionGone-(34)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedStreamUnknown, RefusedStreamVersionGone}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -96,8 +97,9 @@
 	_RefusalReasonName[368:378]: RefusedOverQuota,
 	_RefusalReasonName[378:394]: RefusedQuotaUnanswered,
 	_RefusalReasonName[394:404]: RefusedLinksLost,
-	_RefusalReasonName[404:418]: RefusedStreamUnknown,
-	_RefusalReasonName[418:437]: RefusedStreamVersionGone,
+	_RefusalReasonName[404:419]: RefusedBackendResting,
+	_RefusalReasonName[419:433]: RefusedStreamUnknown,
+	_RefusalReasonName[433:452]: RefusedStreamVersionGone,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -133,8 +135,9 @@
 	_RefusalReasonLowerName[368:378]: RefusedOverQuota,
 	_RefusalReasonLowerName[378:394]: RefusedQuotaUnanswered,
 	_RefusalReasonLowerName[394:404]: RefusedLinksLost,
-	_RefusalReasonLowerName[404:418]: RefusedStreamUnknown,
-	_RefusalReasonLowerName[418:437]: RefusedStreamVersionGone,
+	_RefusalReasonLowerName[404:419]: RefusedBackendResting,
+	_RefusalReasonLowerName[419:433]: RefusedStreamUnknown,
+	_RefusalReasonLowerName[433:452]: RefusedStreamVersionGone,
 }
 
 var _RefusalReasonNames = []string{
@@ -170,8 +173,9 @@
 	_RefusalReasonName[368:378],
 	_RefusalReasonName[378:394],
 	_RefusalReasonName[394:404],
-	_RefusalReasonName[404:418],
-	_RefusalReasonName[418:437],
+	_RefusalReasonName[404:419],
+	_RefusalReasonName[419:433],
+	_RefusalReasonName[433:452],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -60,6 +60,8 @@
 	Serving int `json:"serving"`
 	Silent  int `json:"silent"`
 	Leaving int `json:"leaving"`
+	// Resting counts the serving backend servers that have asked a gateway for rest; gateways set it.
+	Resting int `json:"resting,omitempty"`
 	// Software counts the serving backend servers by software version, without those whose version is unknown.
 	Software map[SoftwareVersion]int `json:"software,omitempty"`
 	// Models counts the models in the catalogue, Absent those of them that no serving
