--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -483,11 +483,23 @@
 		return AdapterAbsent
 	case s.trialing:
 		return Full
-	case s.limited && !q.Permit.covers(s, now):
+	case s.limited:
+		return t.limitedVerdict(s, q, now)
+	case t.saturated(s, now, q.Queue):
+		return Full
+	default:
+		return Found
+	}
+}
+
+// limitedVerdict is verdictOn for a limited server that holds what the query needs.
+func (t *Table) limitedVerdict(s *server, q Query, now time.Time) Verdict {
+	switch {
+	case !q.Permit.covers(s, now):
 		return Limited
-	case s.limited && q.Permit.Leased:
+	case q.Permit.Leased:
 		return Found
-	case s.limited && now.Before(q.Permit.From) || t.saturated(s, now, q.Queue):
+	case now.Before(q.Permit.From) || t.saturated(s, now, q.Queue):
 		return Full
 	default:
 		return Found
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -29,6 +29,10 @@
 	if err != nil {
 		return g.connectFailed(ctx, ticket, err, &result)
 	}
+	if err := g.fleet.checkSend(ticket.Backend); err != nil {
+		g.pool.PutUnused(conn)
+		return notSendable(err)
+	}
 	q.via = conn.Via()
 	wait := g.links.begin(q, ticket.Backend, conn)
 	defer g.links.end(wait)
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -151,16 +151,13 @@
 			return nil, newRefusal(laburnumlever.RefusedStreamVersionGone, 0, "no backend server runs software version "+string(q.software)+", which began the stream")
 		}
 		ticket, verdict := g.fleet.awaitSlot(ctx, q, until)
-		if err := g.fleet.refuseQuarantined(q); err != nil {
+		if err := g.fleet.refuseAfter(verdict, q); err != nil {
 			g.fleet.cancelSlot(ticket)
 			return nil, err
 		}
 		if verdict == laburnumbalance.Found {
 			return ticket, nil
 		}
-		if err := g.fleet.refuseAfter(verdict, q); err != nil {
-			return nil, err
-		}
 		if verdict == laburnumbalance.Limited {
 			if q.slotRequested {
 				return nil, g.limitedRefusal(q)
--- a/laburnumgateway/rests.go
+++ b/laburnumgateway/rests.go
@@ -150,8 +150,12 @@
 	return resting && !end.Before(waitPolicy.QueueDeadline(q.queueTimes()))
 }
 
-// refuseAfter refuses a request that found only resting servers, or was woken in the queue for it; nil for others.
+// refuseAfter refuses a request that is in quarantine by now, or found only resting servers, or was woken in the queue for
+// them; nil for others.
 func (f *Fleet) refuseAfter(verdict laburnumbalance.Verdict, q *request) error {
+	if err := f.refuseQuarantined(q); err != nil {
+		return err
+	}
 	switch verdict {
 	case laburnumbalance.Resting, laburnumbalance.Limited:
 		return f.restRefusal(q)
