--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -25,13 +25,9 @@
 	result := laburnumbalance.AttemptResult{}
 	g.fleet.beginAdapterUse(q)
 	defer func() { g.fleet.release(q, ticket, result) }()
-	conn, err := g.pool.Get(ctx, ticket.Backend.Address, g.connectionLimit(q))
-	if err != nil {
-		return g.connectFailed(ctx, ticket, err, &result)
-	}
-	if err := g.fleet.checkSend(ticket.Backend); err != nil {
-		g.pool.PutUnused(conn)
-		return notSendable(err)
+	conn, fail := g.connect(ctx, q, ticket, &result)
+	if fail != nil {
+		return fail
 	}
 	q.via = conn.Via()
 	wait := g.links.begin(q, ticket.Backend, conn)
@@ -62,6 +58,19 @@
 	return fail
 }
 
+// connect returns a connection to the ticket's backend server, if it may still be sent something.
+func (g *Gateway) connect(ctx context.Context, q *request, ticket *laburnumbalance.Ticket, result *laburnumbalance.AttemptResult) (*laburnumupstream.Conn, *failure) {
+	conn, err := g.pool.Get(ctx, ticket.Backend.Address, g.connectionLimit(q))
+	if err != nil {
+		return nil, g.connectFailed(ctx, ticket, err, result)
+	}
+	if err := g.fleet.checkSend(ticket.Backend); err != nil {
+		conn.Close()
+		return nil, notSendable(err)
+	}
+	return conn, nil
+}
+
 // connectFailed is the failure of an attempt without a connection.
 func (g *Gateway) connectFailed(ctx context.Context, ticket *laburnumbalance.Ticket, err error, result *laburnumbalance.AttemptResult) *failure {
 	if !g.links.detourFailed(ticket.Backend, err) && g.links.tunnelFailed(err) {
--- a/laburnumupstream/pool.go
+++ b/laburnumupstream/pool.go
@@ -215,9 +215,6 @@
 	p.putIdle(c, idle)
 }
 
-// PutUnused returns a connection that nothing was sent on.
-func (p *Pool) PutUnused(c *Conn) { p.putIdle(c, defaultIdleTimeout) }
-
 // putIdle keeps a connection for a share of the backend server's idle timeout.
 func (p *Pool) putIdle(c *Conn, timeout time.Duration) {
 	c.usableUntil = p.now().Add(time.Duration(float64(timeout) * keepAliveShare))
