test: the soak plays servers that rest or say that they leave

The engines of two versions also ask for rest, up to 2 s, twice in a row, and before half of their ends they say for 3 s in their answers that they leave while their heartbeats say ready. With an earlier build's program this is played in the runs whose gateways are all new.

--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -13,7 +13,8 @@
 // servers name limits, change them and end them, and say that they are brittle: they fall over if they reject too much. A
 // gateway loses its links to all backend servers, or to those of one service: they hang, are reset, or refuse new connections.
 // The engines of one service run two software versions at a time: some are released anew again and again, the others keep theirs.
-// Callers take up broken streams of it at any gateway.
+// They ask for rest, and some say in their answers that they leave before they announce it. Callers take up broken streams of
+// it at any gateway.
 // Callers have the keys of client accounts; each change takes one key away and adds another, and one account sends all the time
 // what exceeds its quota.
 // The seed determines which faults are injected and when. Their effect also depends on the
@@ -31,7 +32,8 @@
 // such; each gateway gets a part of a limit, and everything is served once it has ended. A gateway that has lost its links to all
 // backend servers, or to those of one service, serves first tries at least two thirds as often as the other one, and brittle servers that have more
 // callers than room fall over at most twice. A stream has events of one software version only, and when a gateway is killed at least half
-// of its streams go on at the other one.
+// of its streams go on at the other one. No gateway without a fault sends a server more than two requests while that rests, or any
+// later than two seconds after the server told it that it leaves.
 //
 // With an earlier build's program, each start of a VM runs either build, so that both share the fleet, its log and its data; all
 // VMs are restarted with the newer one before the checks after the run.
--- a/laburnumsoak/faultinjector.go
+++ b/laburnumsoak/faultinjector.go
@@ -156,10 +156,12 @@
 	x.faultyLinks[l] = true
 	x.logFault(kind, l.name)
 	l.link.Set(state)
+	ended := x.fleet.disturb(l.name)
 	x.wg.Add(1)
 	go func() {
 		defer x.wg.Done()
 		time.Sleep(down)
+		ended()
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		l.link.Set(laburnumstandin.LinkState{})
@@ -230,6 +232,7 @@
 // injectProcessFault injects a fault into a reserved process, undoes it and releases the process.
 func (x *faultInjector) injectProcessFault(p *process, kind faultKind, down time.Duration) {
 	defer x.wg.Done()
+	defer x.fleet.disturb(p.name)()
 	switch kind {
 	case pause:
 		p.signal(syscall.SIGSTOP)
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -37,6 +37,8 @@
 	serverDelay              = 20 * time.Millisecond
 	// ranPrefix starts the line that a stand-in prints for each request it runs.
 	ranPrefix = "ran "
+	// brokenPrefix starts the line that it prints for each VM that sends it more than it asked for.
+	brokenPrefix = "broken "
 )
 
 // fleet is the set of processes and links of a run.
@@ -50,6 +52,8 @@
 	// drafts are the backend servers of a service of two software versions; versions are those that they run.
 	drafts   []*process
 	versions [draftServers]atomic.Int64
+	// disturbances are when VMs last had a fault.
+	disturbances disturbances
 	// links are in front of the peer listeners of all VMs and of the backend servers.
 	links []*faultLink
 	// bootstrapped is set once the log exists: later starts are not a first start.
--- a/laburnumsoak/versions.go
+++ b/laburnumsoak/versions.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -33,8 +34,8 @@
 // draftCounts counts drafts.
 type draftCounts struct{ begun, broken, takenUp int }
 
-// releasesVersions reports whether servers of several software versions serve side by side. With an earlier build's program, they
-// do in every second run, and only control VMs run that build.
+// releasesVersions reports whether servers of several software versions serve side by side, ask for rest and say in their answers
+// that they leave. With an earlier build's program, they do in every second run, and only control VMs run that build.
 func (cfg Config) releasesVersions() bool { return cfg.Older == "" || cfg.Seed%2 == 1 }
 
 // injected are the processes that the faults of the main sequence apply to.
@@ -49,6 +50,11 @@
 	link := f.addLink(name, f.address(number, serverPort), f.address(number, serverListenPort))
 	p := &process{name: name, service: "drafts", program: f.cfg.Program, folder: f.cfg.Folder, link: link, address: f.address(number, serverListenPort)}
 	f.versions[i].Store(1)
+	p.onLine = func(text string) {
+		if vm, ok := strings.CutPrefix(text, brokenPrefix); ok {
+			f.serverBroken(name, vm)
+		}
+	}
 	p.args = func() []string {
 		return append(f.serverArgs(p, number), "--model", "m0", "--event-pause", draftPause.String(),
 			"--software", fmt.Sprintf("v%d", f.versions[i].Load()))
@@ -62,9 +68,12 @@
 	random := rand.New(rand.NewPCG(seed, draftServers)) //nolint:gosec // repeatable
 	next := int64(1)
 	for {
-		if next++; next%3 == 0 {
+		switch next++; next % 4 {
+		case 0:
 			x.releaseAt(keptServers+random.IntN(draftServers-keptServers), next, syscall.SIGKILL, random)
-		} else {
+		case 1:
+			x.restAt(random.IntN(draftServers), random)
+		default:
 			x.releaseAt(random.IntN(draftServers), next, syscall.SIGTERM, random)
 		}
 		select {
@@ -89,7 +98,12 @@
 		x.fleet.versions[i].Store(version)
 	}
 	x.history = append(x.history, fmt.Sprintf("%.1f s restart %s (%s) as v%d", time.Since(x.start).Seconds(), p.name, sig, x.fleet.versions[i].Load()))
+	says := random.IntN(2) == 0 && x.fleet.cfg.releasesVersions()
 	x.wg.Go(func() {
+		if sig == syscall.SIGTERM && says { // it says so in its answers before it announces it
+			x.fleet.put(p, laburnumstandin.LeavePath, "")
+			time.Sleep(leaveTime)
+		}
 		p.stop(sig)
 		time.Sleep(down)
 		x.release(p, x.restart(p))
--- a/laburnumstandin/platformrest.go
+++ b/laburnumstandin/platformrest.go
@@ -31,8 +31,9 @@
 	leaving bool
 	asked   map[string]*askedRest
 	told    map[string]time.Time
-	// broken are the VMs that sent too much, and why.
-	broken []string
+	// broken are the VMs that sent too much, and why; onBroken, unless nil, is called with each.
+	broken   []string
+	onBroken func(vm, text string)
 }
 
 // askedRest is a rest that one VM was asked for.
@@ -70,12 +71,12 @@
 		r.asked, r.told = map[string]*askedRest{}, map[string]time.Time{}
 	}
 	if at, ok := r.told[vm]; ok && now.Sub(at) > leaveNotice {
-		r.broken = append(r.broken, vm+" sent a request "+now.Sub(at).String()+" after it was told that the server leaves")
+		r.breaks(vm, "sent a request "+now.Sub(at).String()+" after it was told that the server leaves")
 		r.told[vm] = now
 	}
 	if a := r.asked[vm]; a != nil && now.After(a.at.Add(restNotice)) && now.Before(a.until) {
 		if a.arrivals++; a.arrivals == restTolerance+1 {
-			r.broken = append(r.broken, vm+" sent more than "+strconv.Itoa(restTolerance)+" requests to a server that rests")
+			r.breaks(vm, "sent more than "+strconv.Itoa(restTolerance)+" requests to a server that rests")
 		}
 	}
 	if r.text == "" {
@@ -88,6 +89,14 @@
 	return true, r.text
 }
 
+// breaks records that a VM sent too much; the caller holds mu.
+func (r *rests) breaks(vm, text string) {
+	r.broken = append(r.broken, vm+" "+text)
+	if r.onBroken != nil {
+		r.onBroken(vm, text)
+	}
+}
+
 // tell has an answer say that the server leaves, if it does.
 func (r *rests) tell(vm string, header http.Header, now time.Time) {
 	r.mu.Lock()
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -57,6 +57,8 @@
 	Delay time.Duration
 	// OnRun, unless nil, is called with each request that runs.
 	OnRun func(run PlatformRun)
+	// OnBroken, unless nil, is called with each VM that sends the server more than it asked for, and what it sent.
+	OnBroken func(vm, text string)
 	// CrashText, unless empty, crashes the server at each request whose body contains it, once it
 	// has begun to run: an engine has sent the head of its answer by then.
 	CrashText string
@@ -109,6 +111,7 @@
 // engine.
 func NewPlatformServer(id, service, address string, controls, models []string, behaviour PlatformBehaviour) *PlatformServer {
 	s := &PlatformServer{id: id, service: service, address: address, controls: controls, behaviour: behaviour, timers: laburnumtimer.New()}
+	s.rests.onBroken = behaviour.OnBroken
 	if behaviour.Slots > 0 {
 		s.room = newRoom(behaviour.Slots, behaviour.Queue)
 	}
