--- a/laburnumsimulation/gateway.go
+++ b/laburnumsimulation/gateway.go
@@ -116,6 +116,7 @@
 
 // countArrival counts the demand of an arriving request, unless the policy counts it at the end.
 func (g *gateway) countArrival(q *request) {
+	g.retryBudget.CountRequest(g.sim.now())
 	if !g.sim.policy.countsAtEnd {
 		g.counter.Received(g.workOf(q))
 	}
