--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -39,6 +39,8 @@
 	slotRequested       bool
 	lease               *lease
 	probes              bool
+	// software is the version that brought the first event.
+	software laburnumlever.SoftwareVersion
 }
 
 func (a *attempt) sim() *simulation { return a.gateway.sim }
@@ -56,7 +58,7 @@
 	return laburnumbalance.Query{
 		Service: service, Model: a.sim().models[q.model].name, Adapter: q.adapter, Prompt: q.prompt, Target: time.Duration(q.class.Target),
 		ReadTime: a.gateway.readTimes.Of(a.sim().models[q.model].name), Queue: a.queuesAtEngine(), Avoid: a.avoid,
-		Permit: a.permit,
+		Permit: a.permit, Software: a.boundTo(),
 	}
 }
 
@@ -97,9 +99,6 @@
 	waiting := &laburnumslotqueue.Request{
 		Query: a.query(), Priority: a.request.class.Priority, Arrived: a.arrived, OnTimeUntil: sim.policy.waitPolicy.OnTimeUntil(a.caller()),
 	}
-	if sim.policy.exactLoads {
-		g.observeExactLoads(a.request.model)
-	}
 	ticket, verdict := a.pick(waiting.Query)
 	switch {
 	case verdict == laburnumbalance.Found:
@@ -122,6 +121,9 @@
 // pick reserves a slot, if one is free. It returns Limited if the request should request a slot at a
 // limited engine.
 func (a *attempt) pick(query laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+	if a.sim().policy.exactLoads {
+		a.gateway.observeExactLoads(a.request.model)
+	}
 	if a.probesLimit(query) {
 		return nil, laburnumbalance.Limited
 	}
@@ -286,7 +288,9 @@
 			return
 		}
 		a.sim().after(link, func() { a.onRefused(r, outcome) })
+		return
 	}
+	a.countMixed(e)
 }
 
 // release frees the slot and records the result of the attempt in the balancing table.
@@ -387,6 +391,7 @@
 		a.pause = max(a.pause, now.Sub(a.lastAt))
 	} else {
 		a.started, a.firstAt = true, now.Add(a.sim().callerLink())
+		a.software = a.ticket.Backend.Software
 	}
 	g.serveQueue()
 }
--- a/laburnumsimulation/engine.go
+++ b/laburnumsimulation/engine.go
@@ -32,6 +32,7 @@
 	cached       map[cachedPart]bool
 	limit        *engineLimit // nil for none
 	brittle      *brittleness // nil for none
+	software     laburnumlever.SoftwareVersion
 }
 
 // activeOrder is the order that an engine executes.
@@ -51,7 +52,7 @@
 	cfg := sim.scenario.Engines
 	e := &engine{
 		sim: sim, id: laburnumlever.BackendID(fmt.Sprintf("e-%04d", i)), zone: sim.scenario.Zones[i%len(sim.scenario.Zones)].Name,
-		timeFactor: cfg.Speeds[i%len(cfg.Speeds)], slowFactor: 1, up: true, incarnation: 1,
+		timeFactor: cfg.Speeds[i%len(cfg.Speeds)], slowFactor: 1, software: "v1", up: true, incarnation: 1,
 		held: map[int]map[laburnumlever.AdapterName]bool{}, cached: map[cachedPart]bool{}, reservations: map[int]bool{},
 	}
 	e.batch.engine = e
@@ -86,7 +87,7 @@
 	e.sequence++
 	h := laburnumlever.Heartbeat{
 		Backend: e.id, Service: service, Address: string(e.id), Zone: e.zone, Incarnation: e.incarnation, Sequence: e.sequence,
-		Slots: e.sim.scenario.Engines.Slots, Leaving: e.draining, Models: e.models(),
+		Software: e.software, Slots: e.sim.scenario.Engines.Slots, Leaving: e.draining, Models: e.models(),
 	}
 	for _, m := range e.host {
 		h.InMemory = append(h.InMemory, e.sim.models[m].name)
--- a/laburnumsimulation/enums_gen.go
+++ b/laburnumsimulation/enums_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _EventKindName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslost-linksbrittlelimit"
+const _EventKindName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslost-linksbrittlereleaselimit"
 
-var _EventKindIndex = [...]uint8{0, 5, 10, 15, 19, 23, 28, 32, 41, 58, 68, 75, 80}
+var _EventKindIndex = [...]uint8{0, 5, 10, 15, 19, 23, 28, 32, 41, 58, 68, 75, 82, 87}
 
-const _EventKindLowerName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslost-linksbrittlelimit"
+const _EventKindLowerName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslost-linksbrittlereleaselimit"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -36,10 +36,11 @@
 	_ = x[EventCrashingRequests-(8)]
 	_ = x[EventLostLinks-(9)]
 	_ = x[EventBrittle-(10)]
-	_ = x[EventLimit-(11)]
+	_ = x[EventRelease-(11)]
+	_ = x[EventLimit-(12)]
 }
 
-var _EventKindValues = []EventKind{EventShift, EventBurst, EventCrash, EventDark, EventGone, EventDrain, EventSlow, EventNoOrders, EventCrashingRequests, EventLostLinks, EventBrittle, EventLimit}
+var _EventKindValues = []EventKind{EventShift, EventBurst, EventCrash, EventDark, EventGone, EventDrain, EventSlow, EventNoOrders, EventCrashingRequests, EventLostLinks, EventBrittle, EventRelease, EventLimit}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:5]:   EventShift,
@@ -53,7 +54,8 @@
 	_EventKindName[41:58]: EventCrashingRequests,
 	_EventKindName[58:68]: EventLostLinks,
 	_EventKindName[68:75]: EventBrittle,
-	_EventKindName[75:80]: EventLimit,
+	_EventKindName[75:82]: EventRelease,
+	_EventKindName[82:87]: EventLimit,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -68,7 +70,8 @@
 	_EventKindLowerName[41:58]: EventCrashingRequests,
 	_EventKindLowerName[58:68]: EventLostLinks,
 	_EventKindLowerName[68:75]: EventBrittle,
-	_EventKindLowerName[75:80]: EventLimit,
+	_EventKindLowerName[75:82]: EventRelease,
+	_EventKindLowerName[82:87]: EventLimit,
 }
 
 var _EventKindNames = []string{
@@ -83,7 +86,8 @@
 	_EventKindName[41:58],
 	_EventKindName[58:68],
 	_EventKindName[68:75],
-	_EventKindName[75:80],
+	_EventKindName[75:82],
+	_EventKindName[82:87],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/laburnumsimulation/policy.go
+++ b/laburnumsimulation/policy.go
@@ -34,6 +34,8 @@
 	lostLinks lostLinksPolicy
 	// ignoresBrittle has gateways send to brittle engines as to others.
 	ignoresBrittle bool
+	// joinsVersions has a stream go on at engines of any software version.
+	joinsVersions bool
 	// exactLoads gives gateways the current load of each engine.
 	exactLoads bool
 }
@@ -107,6 +109,7 @@
 		productionPolicy().named("no-help", "a gateway without links to the engines takes them for dead").
 			modified(func(p *Policy) { p.lostLinks = takeServersForDead }),
 		productionPolicy().named("no-leases", "requests are sent to brittle engines without leases").modified(func(p *Policy) { p.ignoresBrittle = true }),
+		productionPolicy().named("any-version", "streams go on at engines of any software version").modified(func(p *Policy) { p.joinsVersions = true }),
 		productionPolicy().named("count-ends", "demand is counted when answers end").modified(func(p *Policy) { p.countsAtEnd = true }),
 	}
 }
--- a/laburnumsimulation/simulation.go
+++ b/laburnumsimulation/simulation.go
@@ -245,25 +245,32 @@
 		return
 	}
 	for _, e := range sim.sampleEngines(ev.Share) {
-		switch ev.Kind {
-		case EventCrash, EventDark:
-			e.crash(ev.Kind == EventDark)
-			sim.after(span, e.restart)
-		case EventGone:
-			e.crash(false)
-		case EventDrain:
-			e.draining = true
-			e.sendHeartbeat()
-			sim.after(drainTime, func() { sim.finishDrain(e) })
-		case EventSlow:
-			e.slowFactor = ev.Factor
-			sim.after(span, func() { e.slowFactor = 1 })
-		case EventLimit:
-			e.nameLimit(ev.PerSecond, span)
-		case EventBrittle:
-			e.beBrittle(ev.PerSecond, span)
-		default:
-		}
+		sim.applyTo(e, ev, span)
+	}
+}
+
+// applyTo applies an event to one engine.
+func (sim *simulation) applyTo(e *engine, ev Event, span time.Duration) {
+	switch ev.Kind {
+	case EventCrash, EventDark:
+		e.crash(ev.Kind == EventDark)
+		sim.after(span, e.restart)
+	case EventGone:
+		e.crash(false)
+	case EventDrain:
+		e.draining = true
+		e.sendHeartbeat()
+		sim.after(drainTime, func() { sim.finishDrain(e) })
+	case EventSlow:
+		e.slowFactor = ev.Factor
+		sim.after(span, func() { e.slowFactor = 1 })
+	case EventLimit:
+		e.nameLimit(ev.PerSecond, span)
+	case EventRelease:
+		e.release(span)
+	case EventBrittle:
+		e.beBrittle(ev.PerSecond, span)
+	default:
 	}
 }
 
--- a/laburnumsimulation/simulation_test.go
+++ b/laburnumsimulation/simulation_test.go
@@ -239,3 +239,16 @@
 		require.Greater(t, today.Day, ignored.Day-0.03, "seed %d", seed)
 	}
 }
+
+// Guards against streams that go on at another software version.
+func TestStreamsKeepTheirVersion(t *testing.T) {
+	s := scenario(t, "versions")
+	anyVersion, err := PolicyNamed("any-version")
+	require.NoError(t, err)
+	for seed := range uint64(2) {
+		today, joined := Run(s, productionPolicy(), seed), Run(s, anyVersion, seed)
+		t.Logf("seed %d: day %.3f (%.3f with any version), %d of two versions (%d)", seed, today.Day, joined.Day, today.Mixed, joined.Mixed)
+		require.Zero(t, today.Mixed)
+		require.Greater(t, joined.Mixed, 0)
+	}
+}
