--- a/laburnumsimulation/attempt.go
+++ b/laburnumsimulation/attempt.go
@@ -110,6 +110,8 @@
 	case verdict == laburnumbalance.AdapterAbsent:
 		a.requestAdapter(until)
 		return
+	case a.refusedForRest(waiting.Query, verdict, until):
+		return
 	default:
 	}
 	if a.permit.Until.After(until) {
@@ -280,6 +282,11 @@
 	r := &run{attempt: a, engine: e.id, urgency: a.urgency(), answerTokens: a.request.answerTokens, written: a.written}
 	a.run = r
 	e.countArrival()
+	if length := e.turnsAway(a.gateway.id); length > 0 {
+		r.finished = true
+		a.sim().after(link, func() { a.onTurnedAway(r, length) })
+		return
+	}
 	if outcome := e.accept(r, reservation); outcome != admitted {
 		r.finished = true
 		if outcome == engineFull && e.reject() {
@@ -387,6 +394,7 @@
 	g.table.Observe(a.ticket.Backend.Backend, laburnumbalance.AttemptResult{HasLoad: true, Running: running, Waiting: waiting}, now)
 	g.observeLimit(limit, a.sentAt)
 	g.observeBrittle(brittle, a.sentAt)
+	g.table.RestOver(a.ticket)
 	if a.started {
 		a.pause = max(a.pause, now.Sub(a.lastAt))
 	} else {
--- a/laburnumsimulation/engine.go
+++ b/laburnumsimulation/engine.go
@@ -32,6 +32,7 @@
 	cached       map[cachedPart]bool
 	limit        *engineLimit // nil for none
 	brittle      *brittleness // nil for none
+	rest         *rest        // nil while the engine takes requests
 	software     laburnumlever.SoftwareVersion
 }
 
--- a/laburnumsimulation/enums_gen.go
+++ b/laburnumsimulation/enums_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _EventKindName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslost-linksbrittlereleaselimit"
+const _EventKindName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslost-linksbrittlerestreleaselimit"
 
-var _EventKindIndex = [...]uint8{0, 5, 10, 15, 19, 23, 28, 32, 41, 58, 68, 75, 82, 87}
+var _EventKindIndex = [...]uint8{0, 5, 10, 15, 19, 23, 28, 32, 41, 58, 68, 75, 79, 86, 91}
 
-const _EventKindLowerName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslost-linksbrittlereleaselimit"
+const _EventKindLowerName = "shiftburstcrashdarkgonedrainslowno-orderscrashing-requestslost-linksbrittlerestreleaselimit"
 
 func (i EventKind) String() string {
 	if i < 0 || i >= EventKind(len(_EventKindIndex)-1) {
@@ -36,11 +36,12 @@
 	_ = x[EventCrashingRequests-(8)]
 	_ = x[EventLostLinks-(9)]
 	_ = x[EventBrittle-(10)]
-	_ = x[EventRelease-(11)]
-	_ = x[EventLimit-(12)]
+	_ = x[EventRest-(11)]
+	_ = x[EventRelease-(12)]
+	_ = x[EventLimit-(13)]
 }
 
-var _EventKindValues = []EventKind{EventShift, EventBurst, EventCrash, EventDark, EventGone, EventDrain, EventSlow, EventNoOrders, EventCrashingRequests, EventLostLinks, EventBrittle, EventRelease, EventLimit}
+var _EventKindValues = []EventKind{EventShift, EventBurst, EventCrash, EventDark, EventGone, EventDrain, EventSlow, EventNoOrders, EventCrashingRequests, EventLostLinks, EventBrittle, EventRest, EventRelease, EventLimit}
 
 var _EventKindNameToValueMap = map[string]EventKind{
 	_EventKindName[0:5]:   EventShift,
@@ -54,8 +55,9 @@
 	_EventKindName[41:58]: EventCrashingRequests,
 	_EventKindName[58:68]: EventLostLinks,
 	_EventKindName[68:75]: EventBrittle,
-	_EventKindName[75:82]: EventRelease,
-	_EventKindName[82:87]: EventLimit,
+	_EventKindName[75:79]: EventRest,
+	_EventKindName[79:86]: EventRelease,
+	_EventKindName[86:91]: EventLimit,
 }
 
 var _EventKindLowerNameToValueMap = map[string]EventKind{
@@ -70,8 +72,9 @@
 	_EventKindLowerName[41:58]: EventCrashingRequests,
 	_EventKindLowerName[58:68]: EventLostLinks,
 	_EventKindLowerName[68:75]: EventBrittle,
-	_EventKindLowerName[75:82]: EventRelease,
-	_EventKindLowerName[82:87]: EventLimit,
+	_EventKindLowerName[75:79]: EventRest,
+	_EventKindLowerName[79:86]: EventRelease,
+	_EventKindLowerName[86:91]: EventLimit,
 }
 
 var _EventKindNames = []string{
@@ -86,8 +89,9 @@
 	_EventKindName[41:58],
 	_EventKindName[58:68],
 	_EventKindName[68:75],
-	_EventKindName[75:82],
-	_EventKindName[82:87],
+	_EventKindName[75:79],
+	_EventKindName[79:86],
+	_EventKindName[86:91],
 }
 
 // EventKindString retrieves an enum value from the enum constants string name.
--- a/laburnumsimulation/outcome.go
+++ b/laburnumsimulation/outcome.go
@@ -63,6 +63,8 @@
 	LateRepeats int `json:"late-repeats,omitempty"`
 	// Falls counts how often brittle engines fell over.
 	Falls int `json:"falls,omitempty"`
+	// InRest is the largest number of requests that an engine got from one gateway while that should leave it in peace.
+	InRest int `json:"in-rest,omitempty"`
 	// Mixed counts the times that a stream went on at another software version.
 	Mixed int `json:"mixed,omitempty"`
 	// OverLimit is the largest number of requests beyond those allowed by its limit that an engine got
--- a/laburnumsimulation/policy.go
+++ b/laburnumsimulation/policy.go
@@ -34,6 +34,8 @@
 	lostLinks lostLinksPolicy
 	// ignoresBrittle has gateways send to brittle engines as to others.
 	ignoresBrittle bool
+	// ignoresRests has gateways take engines that ask for rest for full ones.
+	ignoresRests bool
 	// joinsVersions has a stream go on at engines of any software version.
 	joinsVersions bool
 	// exactLoads gives gateways the current load of each engine.
@@ -109,6 +111,7 @@
 		productionPolicy().named("no-help", "a gateway without links to the engines takes them for dead").
 			modified(func(p *Policy) { p.lostLinks = takeServersForDead }),
 		productionPolicy().named("no-leases", "requests are sent to brittle engines without leases").modified(func(p *Policy) { p.ignoresBrittle = true }),
+		productionPolicy().named("no-rests", "engines that ask for rest count as full").modified(func(p *Policy) { p.ignoresRests = true }),
 		productionPolicy().named("any-version", "streams go on at engines of any software version").modified(func(p *Policy) { p.joinsVersions = true }),
 		productionPolicy().named("count-ends", "demand is counted when answers end").modified(func(p *Policy) { p.countsAtEnd = true }),
 	}
--- a/laburnumsimulation/scenario.go
+++ b/laburnumsimulation/scenario.go
@@ -38,6 +38,8 @@
 	// EventBrittle has a Share of the engines fall over for three seconds, for For, whenever they reject more than
 	// PerSecond requests in a second.
 	EventBrittle
+	// EventRest has a Share of the engines turn requests away for For and ask for rests of Factor seconds.
+	EventRest
 	// EventRelease restarts a Share of the engines as another software version, after For.
 	EventRelease
 	// EventLimit has a Share of the engines name a limit of PerSecond requests per second for For.
--- a/laburnumsimulation/simulation.go
+++ b/laburnumsimulation/simulation.go
@@ -266,6 +266,8 @@
 		sim.after(span, func() { e.slowFactor = 1 })
 	case EventLimit:
 		e.nameLimit(ev.PerSecond, span)
+	case EventRest:
+		e.turnAway(time.Duration(ev.Factor*float64(time.Second)), span)
 	case EventRelease:
 		e.release(span)
 	case EventBrittle:
--- a/laburnumsimulation/simulation_test.go
+++ b/laburnumsimulation/simulation_test.go
@@ -252,3 +252,17 @@
 		require.Greater(t, joined.Mixed, 0)
 	}
 }
+
+// Guards against engines that get requests while they rest.
+func TestRestsAreKept(t *testing.T) {
+	s := scenario(t, "rests")
+	noRests, err := PolicyNamed("no-rests")
+	require.NoError(t, err)
+	for seed := range uint64(2) {
+		today, restless := Run(s, productionPolicy(), seed), Run(s, noRests, seed)
+		t.Logf("seed %d: day %.3f (%.3f without rests), %d requests in a rest (%d)", seed, today.Day, restless.Day, today.InRest, restless.InRest)
+		require.LessOrEqual(t, today.InRest, 2)
+		require.Greater(t, restless.InRest, 2)
+		require.Greater(t, today.Day, restless.Day-0.03)
+	}
+}
