fix: control VMs send a resting engine no orders and reports

An engine that turns a control VM's order or report away with 503 and Retry-After wants nothing from that VM either; the time wasn't read, and the planning round asked again at its own pace. What is held back counts as not sent, so that no outcome is unknown.

--- a/errors.go
+++ b/errors.go
@@ -132,6 +132,16 @@
 	return fmt.Sprintf("VM at %s answered %s: %s", e.Address, e.Kind, e.Detail)
 }
 
+// BackendRestsError is a backend server that wants nothing from this VM for a time.
+type BackendRestsError struct {
+	Backend BackendID
+	Rest    time.Duration
+}
+
+func (e *BackendRestsError) Error() string {
+	return fmt.Sprintf("backend server %q wants nothing for %s", e.Backend, e.Rest)
+}
+
 // NotSentError is an order or request that was never sent.
 type NotSentError struct{ Cause error }
 
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -123,7 +123,7 @@
 }
 
 func (c *Control) buildDirector(engines laburnumlever.ModelEngines) {
-	d := laburnumdirector.New(c.loop, c.timers, c.voter, engines, c.self,
+	d := laburnumdirector.New(c.loop, c.timers, c.voter, newRestingEngines(engines, c.timers), c.self,
 		laburnumdirector.WithLease(time.Duration(c.settings.Times.Lease)),
 		laburnumdirector.WithHeartbeat(time.Duration(c.settings.Times.Heartbeat)),
 		laburnumdirector.WithStore(time.Duration(c.settings.StoreWindow), c.settings.StoreOvershoot),
