--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -36,16 +36,18 @@
 
 // Gateway is the http.Handler that serves callers on one VM.
 type Gateway struct {
-	fleet          *Fleet
-	dialect        laburnumlever.Dialect
-	timers         laburnumlever.Timers
-	pool           *laburnumupstream.Pool
-	adapters       AdapterLoader
-	retryBudget    RetryBudget
-	logger         log.Logger
-	counters       *counters
-	crashes        *crashDetector
-	links          *links
+	fleet       *Fleet
+	dialect     laburnumlever.Dialect
+	timers      laburnumlever.Timers
+	pool        *laburnumupstream.Pool
+	adapters    AdapterLoader
+	retryBudget RetryBudget
+	logger      log.Logger
+	counters    *counters
+	crashes     *crashDetector
+	links       *links
+	// notify tells a helper what a backend server asked of it; refusesServer is called with the address of one that takes no
+	// requests of this VM from now on.
 	notify         NoticeFunc
 	refusesServer  func(address string)
 	inFlight       atomic.Int64
--- a/laburnumgateway/rests.go
+++ b/laburnumgateway/rests.go
@@ -45,19 +45,19 @@
 	}
 	g.fleet.observeLimit(to, sentAt, status, headers)
 	if conn.Tunnelled() && (headers.Leaving || headers.Rest > 0) {
-		g.noticeHelper(conn.Via(), laburnumtunnel.Notice{
+		g.notifyHelper(conn.Via(), laburnumtunnel.Notice{
 			Address: to.Address, Backend: to.Backend, Incarnation: to.Incarnation, Leaving: headers.Leaving, Rest: laburnumlever.Duration(headers.Rest),
 		})
 	}
 }
 
-// noticeHelper tells a helper what a backend server, which knows the helper only, asked of it. It does not block.
-func (g *Gateway) noticeHelper(helper string, n laburnumtunnel.Notice) {
+// notifyHelper tells a helper what a backend server, which knows the helper only, asked of it. It does not block.
+func (g *Gateway) notifyHelper(helper string, n laburnumtunnel.Notice) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 		defer cancel()
 		if err := g.notify(ctx, helper, n); err != nil {
-			_ = level.Info(g.logger).Log("event", laburnumlever.EventHelperNotNoticed, "helper", helper, "backend", n.Backend, "cause", err)
+			_ = level.Info(g.logger).Log("event", laburnumlever.EventHelperNotNotified, "helper", helper, "backend", n.Backend, "cause", err)
 		}
 	}()
 }
--- a/logevent.go
+++ b/logevent.go
@@ -52,8 +52,8 @@
 	EventBackendRests
 	// EventBackendLeaves is a backend server that has said in an answer that it leaves.
 	EventBackendLeaves
-	// EventHelperNotNoticed is a helper that was not told what a backend server asked of it.
-	EventHelperNotNoticed
+	// EventHelperNotNotified is a helper that was not told what a backend server asked of it.
+	EventHelperNotNotified
 	// EventSoftwareVersionNew is a software version that a service did not have before.
 	EventSoftwareVersionNew
 	// EventStreamNotRecorded is a control VM that did not keep which software versions began streams.
