--- a/laburnumroles/rest_test.go
+++ b/laburnumroles/rest_test.go
@@ -195,7 +195,7 @@
 	p.servers[1].SetRest("2")
 	var both sync.WaitGroup
 	both.Go(func() { p.sendFor(0, 3*time.Second) })
-	<-time.After(200 * time.Millisecond)
+	<-time.After(700 * time.Millisecond) // the helper has got no answer of the resting servers itself
 	both.Go(func() { p.sendFor(1, 3*time.Second) })
 	both.Wait()
 	p.requireKept()
