fix: a majority of control VMs isn't one of all that ever were

A gateway never forgets the address of a control VM. After some replacements it took a majority of all addresses for one of the control VMs, and would have refused each stream of a service with one version that was taken up without a record, after waiting for those that are gone. The control VMs say of how many they are: those named within 20 s, or that vote in the log if these are more, as one that is cut off for long forgets the others.

--- a/laburnumgateway/streams.go
+++ b/laburnumgateway/streams.go
@@ -35,8 +35,8 @@
 	Keep(ctx context.Context, records []laburnumstream.Record) int
 	// KeepAt has records kept by the control VM at the address.
 	KeepAt(ctx context.Context, address string, records []laburnumstream.Record) bool
-	// Ask returns the opinions of the control VMs that answer, and the number of those asked.
-	Ask(ctx context.Context, stream string, service laburnumlever.ServiceName) ([]laburnumstream.Opinion, int)
+	// Ask returns the opinions of the control VMs that answer.
+	Ask(ctx context.Context, stream string, service laburnumlever.ServiceName) []laburnumstream.Opinion
 }
 
 // WithStreamKeepers sets the control VMs that keep the versions of streams; by default there are none.
@@ -56,8 +56,8 @@
 
 func (noStreamKeepers) KeepAt(context.Context, string, []laburnumstream.Record) bool { return false }
 
-func (noStreamKeepers) Ask(context.Context, string, laburnumlever.ServiceName) ([]laburnumstream.Opinion, int) {
-	return nil, 0
+func (noStreamKeepers) Ask(context.Context, string, laburnumlever.ServiceName) []laburnumstream.Opinion {
+	return nil
 }
 
 // streams are the resumable streams that this gateway has begun or taken up.
@@ -218,11 +218,10 @@
 	f.mu.Unlock()
 	if q.caller.Resumes != "" {
 		if own.Known = f.streams.known(q.caller.Resumes, now); own.Software != "" || own.Several {
-			return laburnumstream.Resolve(own, nil, 0)
+			return laburnumstream.Resolve(own, nil)
 		}
 	}
-	opinions, asked := f.streams.keepers.Ask(ctx, q.caller.Resumes, q.service.Name)
-	return laburnumstream.Resolve(own, opinions, asked)
+	return laburnumstream.Resolve(own, f.streams.keepers.Ask(ctx, q.caller.Resumes, q.service.Name))
 }
 
 // versionGone reports whether no backend server runs the software version that began the request's stream.
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -95,7 +95,7 @@
 	c := &Control{process: newProcess(settings, opts), loop: laburnumeventloop.New(laburnumeventloop.WithMeter(meter)), meter: meter}
 	c.commitTimes = c.metrics.Scope().Histogram("routes_commit_seconds", commitTimeBuckets)
 	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
-	c.streams = newStreams(c.timers, c.serviceSoftware, func() bool { return c.source.Isolated() }, time.Duration(settings.Times.Heartbeat), settings.FirstStart, c.metrics.Scope())
+	c.streams = newStreams(c.timers, c.serviceSoftware, func() bool { return c.source.Isolated() }, c.controlCount, time.Duration(settings.Times.Heartbeat), settings.FirstStart, c.metrics.Scope())
 	c.peers.Handle(methodStreamRecord, c.streams.handleRecord)
 	c.peers.Handle(methodStreamLookup, c.streams.handleLookup)
 	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self, laburnumfeed.WithSourceLogger(c.logger), laburnumfeed.WithCompleteness(c.streams.complete))
@@ -484,6 +484,13 @@
 	}
 }
 
+// controlCount returns the number of control VMs, this one included. One that has been cut off for long knows the others by the log
+// only.
+func (c *Control) controlCount() int {
+	_, n := c.source.Rank("")
+	return max(n, len(c.voter.Status().Voters))
+}
+
 // serviceSoftware returns the software versions of a service's backend servers.
 func (c *Control) serviceSoftware(service laburnumlever.ServiceName) []laburnumlever.SoftwareVersion {
 	c.mu.Lock()
--- a/laburnumroles/streamkeepers.go
+++ b/laburnumroles/streamkeepers.go
@@ -99,7 +99,7 @@
 }
 
 // Ask implements laburnumgateway.StreamKeepers.
-func (k *streamKeepers) Ask(ctx context.Context, stream string, service laburnumlever.ServiceName) ([]laburnumstream.Opinion, int) {
+func (k *streamKeepers) Ask(ctx context.Context, stream string, service laburnumlever.ServiceName) []laburnumstream.Opinion {
 	addresses := k.follower().Controls()
 	answers := make(chan *laburnumstream.Opinion, len(addresses))
 	for _, address := range addresses {
@@ -121,5 +121,5 @@
 			}
 		}
 	}
-	return opinions, len(addresses)
+	return opinions
 }
--- a/laburnumroles/streams.go
+++ b/laburnumroles/streams.go
@@ -34,7 +34,9 @@
 	// software returns the software versions of a service's backend servers.
 	software func(laburnumlever.ServiceName) []laburnumlever.SoftwareVersion
 	// isolated reports whether this VM can't reach a majority of the control VMs, which may know other versions.
-	isolated  func() bool
+	isolated func() bool
+	// controls returns the number of control VMs that this one knows of, itself included.
+	controls  func() int
 	startedAt time.Time
 	heartbeat time.Duration
 	kept      tally.Counter
@@ -50,9 +52,9 @@
 	caughtUp bool
 }
 
-func newStreams(timers laburnumlever.Timers, software func(laburnumlever.ServiceName) []laburnumlever.SoftwareVersion, isolated func() bool, heartbeat time.Duration, first bool, scope tally.Scope) *streams {
+func newStreams(timers laburnumlever.Timers, software func(laburnumlever.ServiceName) []laburnumlever.SoftwareVersion, isolated func() bool, controls func() int, heartbeat time.Duration, first bool, scope tally.Scope) *streams {
 	return &streams{
-		timers: timers, software: software, isolated: isolated, heartbeat: heartbeat, startedAt: timers.Now(), keeper: laburnumstream.NewKeeper(), caughtUp: first,
+		timers: timers, software: software, isolated: isolated, controls: controls, heartbeat: heartbeat, startedAt: timers.Now(), keeper: laburnumstream.NewKeeper(), caughtUp: first,
 		kept: scope.Counter("stream_records"), known: scope.Gauge("stream_records_kept"),
 		found:  scope.Tagged(map[string]string{"outcome": "found"}).Counter("stream_lookups"),
 		missed: scope.Tagged(map[string]string{"outcome": "missed"}).Counter("stream_lookups"),
@@ -114,7 +116,7 @@
 		return nil, &laburnumfeed.MessageError{Method: methodStreamLookup, Cause: err}
 	}
 	now := s.timers.Now()
-	o := laburnumstream.Opinion{Versions: s.software(q.Service)}
+	o := laburnumstream.Opinion{Versions: s.software(q.Service), Controls: s.controls()}
 	if s.inContact(now) {
 		o.Complete = s.complete()
 		o.Current = o.Complete || now.Sub(s.startedAt) >= s.currentAfter()
--- a/laburnumstream/doc.go
+++ b/laburnumstream/doc.go
@@ -12,7 +12,7 @@
 //	keeper.Put(record, now)
 //	opinion := laburnumstream.Opinion{Record: keeper.Get(id, now), Versions: versions, Complete: complete}
 //
-//	software, verdict := laburnumstream.Resolve(own, opinions, len(controls)) // on a gateway
+//	software, verdict := laburnumstream.Resolve(own, opinions) // on a gateway
 //
 // # Safety
 //
--- a/laburnumstream/resolve.go
+++ b/laburnumstream/resolve.go
@@ -23,6 +23,8 @@
 	// Current reports whether the VM knows all servers that announce themselves now, Complete whether it has for Life.
 	Current  bool `json:"current,omitempty"`
 	Complete bool `json:"complete,omitempty"`
+	// Controls is the number of control VMs that the VM knows of.
+	Controls int `json:"controls,omitempty"`
 }
 
 //go:generate go tool -modfile=../tools/go.mod enumer -type=Verdict -transform=kebab -output=verdict_gen.go
@@ -41,8 +43,8 @@
 )
 
 // Resolve returns the software version at which a stream may go on. own is this VM's opinion, others are those of the
-// control VMs that answered, of as many as were asked.
-func Resolve(own Opinion, others []Opinion, asked int) (laburnumlever.SoftwareVersion, Verdict) {
+// control VMs that answered.
+func Resolve(own Opinion, others []Opinion) (laburnumlever.SoftwareVersion, Verdict) {
 	all := append([]Opinion{own}, others...)
 	software, several := recorded(all)
 	switch {
@@ -51,10 +53,11 @@
 	case software != "":
 		return software, Decided
 	}
-	if only, ok := onlyVersion(all); ok && 2*currentOf(others) > asked && slices.ContainsFunc(all, func(o Opinion) bool { return o.Complete }) {
+	current, controls := currentOf(others)
+	if only, ok := onlyVersion(all); ok && 2*current > controls && slices.ContainsFunc(all, func(o Opinion) bool { return o.Complete }) {
 		return only, Decided
 	}
-	if currentOf(others) < asked {
+	if current == 0 || current < controls {
 		return "", Undecided
 	}
 	return "", Unknowable
@@ -73,15 +76,16 @@
 	return software, false
 }
 
-// currentOf counts the opinions of VMs that know all servers which announce themselves.
-func currentOf(opinions []Opinion) int {
-	n := 0
+// currentOf counts the opinions of VMs that know all servers which announce themselves, and returns the largest number of control
+// VMs that one of them knows of.
+func currentOf(opinions []Opinion) (current, controls int) {
 	for _, o := range opinions {
 		if o.Current {
-			n++
+			current++
+			controls = max(controls, o.Controls)
 		}
 	}
-	return n
+	return current, controls
 }
 
 // onlyVersion returns the version of all servers that anyone knows, if it is one.
