--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -54,14 +54,14 @@
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Cause }
 
-// ServerChangedError is a backend server that another incarnation has replaced since it was chosen.
+// ServerChangedError is a backend server that another incarnation has replaced since it was picked.
 type ServerChangedError struct{ Backend laburnumlever.BackendID }
 
 func (e *ServerChangedError) Error() string {
 	return fmt.Sprintf("backend server %q has restarted, leaves or is gone", e.Backend)
 }
 
-// ServerRestsError is a backend server that has asked for rest since it was chosen.
+// ServerRestsError is a backend server that has asked for rest since it was picked.
 type ServerRestsError struct{ Backend laburnumlever.BackendID }
 
 func (e *ServerRestsError) Error() string {
