fix: streams of callers that name none go on after a loss of power

They named no stream, as callers of the earlier protocol don't.

Such a stream can't be looked up, whoever is asked; it goes on at the only version that anyone who answers knows, and is refused if there are two. Callers that name their stream are held to the proof as before.

--- a/laburnumgateway/streams.go
+++ b/laburnumgateway/streams.go
@@ -221,7 +221,11 @@
 			return laburnumstream.Resolve(own, nil)
 		}
 	}
-	return laburnumstream.Resolve(own, f.streams.keepers.Ask(ctx, q.caller.Resumes, q.service.Name))
+	opinions := f.streams.keepers.Ask(ctx, q.caller.Resumes, q.service.Name)
+	if q.caller.Resumes == "" {
+		return laburnumstream.ResolveUnnamed(own, opinions)
+	}
+	return laburnumstream.Resolve(own, opinions)
 }
 
 // versionGone reports whether no backend server runs the software version that began the request's stream.
--- a/laburnumgateway/streams_test.go
+++ b/laburnumgateway/streams_test.go
@@ -150,6 +150,8 @@
 		"nobody answers":        {headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown", retry: true},
 		"no id, two versions":   {opinions: []laburnumstream.Opinion{opinion("", "v1", "v2")}, status: 503, reason: "stream-unknown"},
 		"no id, one version":    {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{opinion("", "v2")}, status: 200, by: changed},
+		"no id, nobody answers": {versions: []laburnumlever.SoftwareVersion{"v2"}, status: 200, by: changed},
+		"no id, others know v1": {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{opinion("", "v1")}, status: 503, reason: "stream-unknown"},
 		"version gone":          {opinions: []laburnumstream.Opinion{opinion("v0", "v0", "v1", "v2")}, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-version-gone"},
 		"others know of v0":     {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{opinion("", "v0", "v2")}, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown"},
 		"a version not named":   {versions: []laburnumlever.SoftwareVersion{"", "v2"}, opinions: []laburnumstream.Opinion{opinion("", "v2")}, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown"},
--- a/laburnumstream/resolve.go
+++ b/laburnumstream/resolve.go
@@ -63,6 +63,15 @@
 	return "", Unknowable
 }
 
+// ResolveUnnamed is Resolve for a caller of an earlier protocol, who does not name the stream. It can't have a record; it goes on
+// at the only version that anyone knows.
+func ResolveUnnamed(own Opinion, others []Opinion) (laburnumlever.SoftwareVersion, Verdict) {
+	if only, ok := onlyVersion(append([]Opinion{own}, others...)); ok {
+		return only, Decided
+	}
+	return "", Unknowable
+}
+
 // recorded returns the version of the records, and whether these differ.
 func recorded(all []Opinion) (software laburnumlever.SoftwareVersion, several bool) {
 	for _, o := range all {
