fix: a caller that leaves doesn't count against control VMs

A lookup or record of a stream uses its caller's context, and any failed call had its control VM passed over for a second: one caller that left during a lookup had all of them passed over at that gateway, for quotas, limits and leases as well. A call that its caller cancelled tells nothing of the VM now; the test failed before. The time limit of a call counts as before.

--- a/laburnumroles/keepercalls.go
+++ b/laburnumroles/keepercalls.go
@@ -41,10 +41,11 @@
 
 // callWaiting calls one control VM that may wait before it answers.
 func (k *keeperCalls) callWaiting(ctx context.Context, address, method string, wait time.Duration, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, keeperTimeout+wait)
+	callCtx, cancel := context.WithTimeout(ctx, keeperTimeout+wait)
 	defer cancel()
-	err := k.peers.Call(ctx, address, method, params, result)
-	if err != nil && !isUnknownMethod(err) {
+	err := k.peers.Call(callCtx, address, method, params, result)
+	left := errors.Is(ctx.Err(), context.Canceled)
+	if err != nil && !left && !isUnknownMethod(err) {
 		k.mu.Lock()
 		k.failed[address] = k.timers.Now()
 		k.mu.Unlock()
