feat: a log line for crashes that were not confirmed

A gateway that notices broken connections probes the server and, if it refuses, asks another VM; whatever came out but "crashed" left no line. It says now what the server answered, what the other VM saw, and which requests were on it.

--- a/laburnumgateway/crashes.go
+++ b/laburnumgateway/crashes.go
@@ -24,6 +24,8 @@
 	// crashMemory is how long the result of a probe applies to requests whose connections broke at
 	// the same time but were noticed later.
 	crashMemory = time.Second
+	// maxLoggedDigests bounds the requests in a log line.
+	maxLoggedDigests = 8
 )
 
 // crashDetector tells a crash of a backend server from a broken connection: after a crash its
@@ -78,7 +80,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := d.gateway.pool.Probe(ctx, address)
-	crashed := errors.Is(err, syscall.ECONNREFUSED) && !d.gateway.fleet.leaving(id.Backend) && d.gateway.links.confirmsCrash(ctx, address, err)
+	refused, leaving := errors.Is(err, syscall.ECONNREFUSED), d.gateway.fleet.leaving(id.Backend)
+	var confirmed bool
+	var others error
+	if refused && !leaving {
+		confirmed, others = d.gateway.links.confirmsCrash(ctx, address, err)
+	}
+	crashed := refused && !leaving && confirmed
 	d.mu.Lock()
 	s := d.servers[id]
 	s.probed, s.crashed = true, crashed
@@ -90,6 +98,9 @@
 		d.gateway.counters.crashes.Inc(1)
 		d.gateway.fleet.avoidCrashed(id)
 		d.gateway.fleet.reportCrash(sightings)
+	} else {
+		_ = level.Info(d.gateway.logger).Log("event", laburnumlever.EventCrashUnconfirmed, "backend", id.Backend, "requests", len(sightings),
+			"digests", digestsOf(sightings), "leaving", leaving, "cause", err, "others", others)
 	}
 	timers.After(crashMemory, func(time.Time) {
 		d.mu.Lock()
@@ -97,3 +108,12 @@
 		delete(d.servers, id)
 	})
 }
+
+// digestsOf returns the requests of some sightings, at most maxLoggedDigests.
+func digestsOf(sightings []laburnumquarantine.Sighting) []laburnumlever.RequestDigest {
+	var digests []laburnumlever.RequestDigest
+	for _, s := range sightings[:min(maxLoggedDigests, len(sightings))] {
+		digests = append(digests, s.Digest)
+	}
+	return digests
+}
--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -158,22 +158,22 @@
 }
 
 // confirmsCrash reports whether a backend server that refuses connections has crashed, by what another VM sees. If none
-// answers it has, unless the links are suspected.
-func (l *links) confirmsCrash(ctx context.Context, address string, err error) bool {
+// answers it has, unless the links are suspected. The error is that of the other VM.
+func (l *links) confirmsCrash(ctx context.Context, address string, err error) (bool, error) {
 	var dial *laburnumupstream.DialError
 	if !l.gateway.pool.HasTunnels() || errors.As(err, &dial) && dial.Tunnelled {
-		return true // nobody can be asked, or another VM has seen it
+		return true, nil // nobody can be asked, or another VM has seen it
 	}
 	conn, err := l.gateway.pool.Open(ctx, address, true)
 	if err == nil {
 		conn.Close()
-		return false
+		return false, nil
 	}
 	var nobody *laburnumtunnel.NoHelperError
 	if errors.As(err, &nobody) {
-		return !l.suspected()
+		return !l.suspected(), err
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return errors.Is(err, syscall.ECONNREFUSED), err
 }
 
 // check verifies a suspicion, or probes whether lost links are back. It does not block.
--- a/logevent.go
+++ b/logevent.go
@@ -39,6 +39,9 @@
 	EventLayout
 	// EventBackendCrashed is a backend server that crashed with requests of this gateway.
 	EventBackendCrashed
+	// EventCrashUnconfirmed is a backend server that broke connections and was not found to have crashed, with the
+	// requests on it, what it answered and what another VM saw.
+	EventCrashUnconfirmed
 	// EventDetourOpened is a backend server to which a gateway opens connections through other gateways from now on, since
 	// only these reach it.
 	EventDetourOpened
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 189, 202, 212, 226, 239, 253, 272, 292, 311, 333, 347, 366, 382, 405, 418, 433, 446, 460, 475, 493, 507, 523, 539, 552, 568, 584, 599, 613, 623, 634, 647, 668, 684, 702, 713, 729, 745, 760, 774, 788, 803, 821, 839, 852, 861, 875, 890, 903, 918, 929, 943, 956, 982, 1000, 1014, 1031, 1050, 1071, 1080, 1090, 1107, 1117, 1126, 1140, 1152, 1168, 1175, 1183, 1190, 1197, 1214, 1230, 1244, 1262, 1275, 1292}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 219, 229, 243, 256, 270, 289, 309, 328, 350, 364, 383, 399, 422, 435, 450, 463, 477, 492, 510, 524, 540, 556, 569, 585, 601, 616, 630, 640, 651, 664, 685, 701, 719, 730, 746, 762, 777, 791, 805, 820, 838, 856, 869, 878, 892, 907, 920, 935, 946, 960, 973, 999, 1017, 1031, 1048, 1067, 1088, 1097, 1107, 1124, 1134, 1143, 1157, 1169, 1185, 1192, 1200, 1207, 1214, 1231, 1247, 1261, 1279, 1292, 1309}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crasheddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -37,85 +37,86 @@
 	_ = x[EventLoadDecided-(10)]
 	_ = x[EventLayout-(11)]
 	_ = x[EventBackendCrashed-(12)]
-	_ = x[EventDetourOpened-(13)]
-	_ = x[EventDetourClosed-(14)]
-	_ = x[EventLinksLost-(15)]
-	_ = x[EventLinksRestored-(16)]
-	_ = x[EventBackendRests-(17)]
-	_ = x[EventBackendLeaves-(18)]
-	_ = x[EventHelperNotNotified-(19)]
-	_ = x[EventSoftwareVersionNew-(20)]
-	_ = x[EventStreamNotRecorded-(21)]
-	_ = x[EventStreamVersionUnknown-(22)]
-	_ = x[EventLinksVerified-(23)]
-	_ = x[EventRequestQuarantined-(24)]
-	_ = x[EventRequestReleased-(25)]
-	_ = x[EventQuarantineNotReported-(26)]
-	_ = x[EventLimitChanged-(27)]
-	_ = x[EventBrittleChanged-(28)]
-	_ = x[EventLimitUnclear-(29)]
-	_ = x[EventSlotRequested-(30)]
-	_ = x[EventSlotUnanswered-(31)]
-	_ = x[EventLimitNotReported-(32)]
-	_ = x[EventKeysConfirmed-(33)]
-	_ = x[EventKeysUnconfirmed-(34)]
-	_ = x[EventAccountsUnknown-(35)]
-	_ = x[EventQuotaUsedUp-(36)]
-	_ = x[EventQuotaUnanswered-(37)]
-	_ = x[EventOutlierDetected-(38)]
-	_ = x[EventModelWithdrawn-(39)]
-	_ = x[EventOrderAnswered-(40)]
-	_ = x[EventOrderDone-(41)]
-	_ = x[EventOrderStateChanged-(42)]
-	_ = x[EventOrderRefused-(43)]
-	_ = x[EventOrderOutcomeUnknown-(44)]
-	_ = x[EventEngineStateNotRead-(45)]
-	_ = x[EventInventoryNotRead-(46)]
-	_ = x[EventLoadFailed-(47)]
-	_ = x[EventBackendStateNotEncoded-(48)]
-	_ = x[EventRegistryRefused-(49)]
-	_ = x[EventRoutesProposed-(50)]
-	_ = x[EventRoutesRefused-(51)]
-	_ = x[EventRoutesApplied-(52)]
-	_ = x[EventRoutesInEffect-(53)]
-	_ = x[EventRoutesNotFetched-(54)]
-	_ = x[EventCatalogueInEffect-(55)]
-	_ = x[EventBecameLeader-(56)]
-	_ = x[EventNoLeader-(57)]
-	_ = x[EventReplicaOpened-(58)]
-	_ = x[EventVotersChanged-(59)]
-	_ = x[EventLearnerAdded-(60)]
-	_ = x[EventLearnerRemoved-(61)]
-	_ = x[EventVoterAdded-(62)]
-	_ = x[EventVoterReplaced-(63)]
-	_ = x[EventVoterStandby-(64)]
-	_ = x[EventLeadershipNotHandedOver-(65)]
-	_ = x[EventExpiryNotEncoded-(66)]
-	_ = x[EventReplicaFailed-(67)]
-	_ = x[EventReplicaRegressed-(68)]
-	_ = x[EventDataFolderDamaged-(69)]
-	_ = x[EventDataFolderRegressed-(70)]
-	_ = x[EventLeaseAcquired-(71)]
-	_ = x[EventLeaseLost-(72)]
-	_ = x[EventLeaseNotRenewed-(73)]
-	_ = x[EventZoneOwned-(74)]
-	_ = x[EventZoneLost-(75)]
-	_ = x[EventControlThreadTimes-(76)]
-	_ = x[EventControlLost-(77)]
-	_ = x[EventControlRegained-(78)]
-	_ = x[EventStarted-(79)]
-	_ = x[EventDraining-(80)]
-	_ = x[EventDrained-(81)]
-	_ = x[EventStopped-(82)]
-	_ = x[EventSettingsReloaded-(83)]
-	_ = x[EventSettingsRefused-(84)]
-	_ = x[EventListenerEnded-(85)]
-	_ = x[EventMetricsNotServed-(86)]
-	_ = x[EventUnknownEvent-(87)]
-	_ = x[EventLogLinesDropped-(88)]
+	_ = x[EventCrashUnconfirmed-(13)]
+	_ = x[EventDetourOpened-(14)]
+	_ = x[EventDetourClosed-(15)]
+	_ = x[EventLinksLost-(16)]
+	_ = x[EventLinksRestored-(17)]
+	_ = x[EventBackendRests-(18)]
+	_ = x[EventBackendLeaves-(19)]
+	_ = x[EventHelperNotNotified-(20)]
+	_ = x[EventSoftwareVersionNew-(21)]
+	_ = x[EventStreamNotRecorded-(22)]
+	_ = x[EventStreamVersionUnknown-(23)]
+	_ = x[EventLinksVerified-(24)]
+	_ = x[EventRequestQuarantined-(25)]
+	_ = x[EventRequestReleased-(26)]
+	_ = x[EventQuarantineNotReported-(27)]
+	_ = x[EventLimitChanged-(28)]
+	_ = x[EventBrittleChanged-(29)]
+	_ = x[EventLimitUnclear-(30)]
+	_ = x[EventSlotRequested-(31)]
+	_ = x[EventSlotUnanswered-(32)]
+	_ = x[EventLimitNotReported-(33)]
+	_ = x[EventKeysConfirmed-(34)]
+	_ = x[EventKeysUnconfirmed-(35)]
+	_ = x[EventAccountsUnknown-(36)]
+	_ = x[EventQuotaUsedUp-(37)]
+	_ = x[EventQuotaUnanswered-(38)]
+	_ = x[EventOutlierDetected-(39)]
+	_ = x[EventModelWithdrawn-(40)]
+	_ = x[EventOrderAnswered-(41)]
+	_ = x[EventOrderDone-(42)]
+	_ = x[EventOrderStateChanged-(43)]
+	_ = x[EventOrderRefused-(44)]
+	_ = x[EventOrderOutcomeUnknown-(45)]
+	_ = x[EventEngineStateNotRead-(46)]
+	_ = x[EventInventoryNotRead-(47)]
+	_ = x[EventLoadFailed-(48)]
+	_ = x[EventBackendStateNotEncoded-(49)]
+	_ = x[EventRegistryRefused-(50)]
+	_ = x[EventRoutesProposed-(51)]
+	_ = x[EventRoutesRefused-(52)]
+	_ = x[EventRoutesApplied-(53)]
+	_ = x[EventRoutesInEffect-(54)]
+	_ = x[EventRoutesNotFetched-(55)]
+	_ = x[EventCatalogueInEffect-(56)]
+	_ = x[EventBecameLeader-(57)]
+	_ = x[EventNoLeader-(58)]
+	_ = x[EventReplicaOpened-(59)]
+	_ = x[EventVotersChanged-(60)]
+	_ = x[EventLearnerAdded-(61)]
+	_ = x[EventLearnerRemoved-(62)]
+	_ = x[EventVoterAdded-(63)]
+	_ = x[EventVoterReplaced-(64)]
+	_ = x[EventVoterStandby-(65)]
+	_ = x[EventLeadershipNotHandedOver-(66)]
+	_ = x[EventExpiryNotEncoded-(67)]
+	_ = x[EventReplicaFailed-(68)]
+	_ = x[EventReplicaRegressed-(69)]
+	_ = x[EventDataFolderDamaged-(70)]
+	_ = x[EventDataFolderRegressed-(71)]
+	_ = x[EventLeaseAcquired-(72)]
+	_ = x[EventLeaseLost-(73)]
+	_ = x[EventLeaseNotRenewed-(74)]
+	_ = x[EventZoneOwned-(75)]
+	_ = x[EventZoneLost-(76)]
+	_ = x[EventControlThreadTimes-(77)]
+	_ = x[EventControlLost-(78)]
+	_ = x[EventControlRegained-(79)]
+	_ = x[EventStarted-(80)]
+	_ = x[EventDraining-(81)]
+	_ = x[EventDrained-(82)]
+	_ = x[EventStopped-(83)]
+	_ = x[EventSettingsReloaded-(84)]
+	_ = x[EventSettingsRefused-(85)]
+	_ = x[EventListenerEnded-(86)]
+	_ = x[EventMetricsNotServed-(87)]
+	_ = x[EventUnknownEvent-(88)]
+	_ = x[EventLogLinesDropped-(89)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -131,82 +132,83 @@
 	_LogEventName[143:155]:   EventLoadDecided,
 	_LogEventName[155:161]:   EventLayout,
 	_LogEventName[161:176]:   EventBackendCrashed,
-	_LogEventName[176:189]:   EventDetourOpened,
-	_LogEventName[189:202]:   EventDetourClosed,
-	_LogEventName[202:212]:   EventLinksLost,
-	_LogEventName[212:226]:   EventLinksRestored,
-	_LogEventName[226:239]:   EventBackendRests,
-	_LogEventName[239:253]:   EventBackendLeaves,
-	_LogEventName[253:272]:   EventHelperNotNotified,
-	_LogEventName[272:292]:   EventSoftwareVersionNew,
-	_LogEventName[292:311]:   EventStreamNotRecorded,
-	_LogEventName[311:333]:   EventStreamVersionUnknown,
-	_LogEventName[333:347]:   EventLinksVerified,
-	_LogEventName[347:366]:   EventRequestQuarantined,
-	_LogEventName[366:382]:   EventRequestReleased,
-	_LogEventName[382:405]:   EventQuarantineNotReported,
-	_LogEventName[405:418]:   EventLimitChanged,
-	_LogEventName[418:433]:   EventBrittleChanged,
-	_LogEventName[433:446]:   EventLimitUnclear,
-	_LogEventName[446:460]:   EventSlotRequested,
-	_LogEventName[460:475]:   EventSlotUnanswered,
-	_LogEventName[475:493]:   EventLimitNotReported,
-	_LogEventName[493:507]:   EventKeysConfirmed,
-	_LogEventName[507:523]:   EventKeysUnconfirmed,
-	_LogEventName[523:539]:   EventAccountsUnknown,
-	_LogEventName[539:552]:   EventQuotaUsedUp,
-	_LogEventName[552:568]:   EventQuotaUnanswered,
-	_LogEventName[568:584]:   EventOutlierDetected,
-	_LogEventName[584:599]:   EventModelWithdrawn,
-	_LogEventName[599:613]:   EventOrderAnswered,
-	_LogEventName[613:623]:   EventOrderDone,
-	_LogEventName[623:634]:   EventOrderStateChanged,
-	_LogEventName[634:647]:   EventOrderRefused,
-	_LogEventName[647:668]:   EventOrderOutcomeUnknown,
-	_LogEventName[668:684]:   EventEngineStateNotRead,
-	_LogEventName[684:702]:   EventInventoryNotRead,
-	_LogEventName[702:713]:   EventLoadFailed,
-	_LogEventName[713:729]:   EventBackendStateNotEncoded,
-	_LogEventName[729:745]:   EventRegistryRefused,
-	_LogEventName[745:760]:   EventRoutesProposed,
-	_LogEventName[760:774]:   EventRoutesRefused,
-	_LogEventName[774:788]:   EventRoutesApplied,
-	_LogEventName[788:803]:   EventRoutesInEffect,
-	_LogEventName[803:821]:   EventRoutesNotFetched,
-	_LogEventName[821:839]:   EventCatalogueInEffect,
-	_LogEventName[839:852]:   EventBecameLeader,
-	_LogEventName[852:861]:   EventNoLeader,
-	_LogEventName[861:875]:   EventReplicaOpened,
-	_LogEventName[875:890]:   EventVotersChanged,
-	_LogEventName[890:903]:   EventLearnerAdded,
-	_LogEventName[903:918]:   EventLearnerRemoved,
-	_LogEventName[918:929]:   EventVoterAdded,
-	_LogEventName[929:943]:   EventVoterReplaced,
-	_LogEventName[943:956]:   EventVoterStandby,
-	_LogEventName[956:982]:   EventLeadershipNotHandedOver,
-	_LogEventName[982:1000]:  EventExpiryNotEncoded,
-	_LogEventName[1000:1014]: EventReplicaFailed,
-	_LogEventName[1014:1031]: EventReplicaRegressed,
-	_LogEventName[1031:1050]: EventDataFolderDamaged,
-	_LogEventName[1050:1071]: EventDataFolderRegressed,
-	_LogEventName[1071:1080]: EventLeaseAcquired,
-	_LogEventName[1080:1090]: EventLeaseLost,
-	_LogEventName[1090:1107]: EventLeaseNotRenewed,
-	_LogEventName[1107:1117]: EventZoneOwned,
-	_LogEventName[1117:1126]: EventZoneLost,
-	_LogEventName[1126:1140]: EventControlThreadTimes,
-	_LogEventName[1140:1152]: EventControlLost,
-	_LogEventName[1152:1168]: EventControlRegained,
-	_LogEventName[1168:1175]: EventStarted,
-	_LogEventName[1175:1183]: EventDraining,
-	_LogEventName[1183:1190]: EventDrained,
-	_LogEventName[1190:1197]: EventStopped,
-	_LogEventName[1197:1214]: EventSettingsReloaded,
-	_LogEventName[1214:1230]: EventSettingsRefused,
-	_LogEventName[1230:1244]: EventListenerEnded,
-	_LogEventName[1244:1262]: EventMetricsNotServed,
-	_LogEventName[1262:1275]: EventUnknownEvent,
-	_LogEventName[1275:1292]: EventLogLinesDropped,
+	_LogEventName[176:193]:   EventCrashUnconfirmed,
+	_LogEventName[193:206]:   EventDetourOpened,
+	_LogEventName[206:219]:   EventDetourClosed,
+	_LogEventName[219:229]:   EventLinksLost,
+	_LogEventName[229:243]:   EventLinksRestored,
+	_LogEventName[243:256]:   EventBackendRests,
+	_LogEventName[256:270]:   EventBackendLeaves,
+	_LogEventName[270:289]:   EventHelperNotNotified,
+	_LogEventName[289:309]:   EventSoftwareVersionNew,
+	_LogEventName[309:328]:   EventStreamNotRecorded,
+	_LogEventName[328:350]:   EventStreamVersionUnknown,
+	_LogEventName[350:364]:   EventLinksVerified,
+	_LogEventName[364:383]:   EventRequestQuarantined,
+	_LogEventName[383:399]:   EventRequestReleased,
+	_LogEventName[399:422]:   EventQuarantineNotReported,
+	_LogEventName[422:435]:   EventLimitChanged,
+	_LogEventName[435:450]:   EventBrittleChanged,
+	_LogEventName[450:463]:   EventLimitUnclear,
+	_LogEventName[463:477]:   EventSlotRequested,
+	_LogEventName[477:492]:   EventSlotUnanswered,
+	_LogEventName[492:510]:   EventLimitNotReported,
+	_LogEventName[510:524]:   EventKeysConfirmed,
+	_LogEventName[524:540]:   EventKeysUnconfirmed,
+	_LogEventName[540:556]:   EventAccountsUnknown,
+	_LogEventName[556:569]:   EventQuotaUsedUp,
+	_LogEventName[569:585]:   EventQuotaUnanswered,
+	_LogEventName[585:601]:   EventOutlierDetected,
+	_LogEventName[601:616]:   EventModelWithdrawn,
+	_LogEventName[616:630]:   EventOrderAnswered,
+	_LogEventName[630:640]:   EventOrderDone,
+	_LogEventName[640:651]:   EventOrderStateChanged,
+	_LogEventName[651:664]:   EventOrderRefused,
+	_LogEventName[664:685]:   EventOrderOutcomeUnknown,
+	_LogEventName[685:701]:   EventEngineStateNotRead,
+	_LogEventName[701:719]:   EventInventoryNotRead,
+	_LogEventName[719:730]:   EventLoadFailed,
+	_LogEventName[730:746]:   EventBackendStateNotEncoded,
+	_LogEventName[746:762]:   EventRegistryRefused,
+	_LogEventName[762:777]:   EventRoutesProposed,
+	_LogEventName[777:791]:   EventRoutesRefused,
+	_LogEventName[791:805]:   EventRoutesApplied,
+	_LogEventName[805:820]:   EventRoutesInEffect,
+	_LogEventName[820:838]:   EventRoutesNotFetched,
+	_LogEventName[838:856]:   EventCatalogueInEffect,
+	_LogEventName[856:869]:   EventBecameLeader,
+	_LogEventName[869:878]:   EventNoLeader,
+	_LogEventName[878:892]:   EventReplicaOpened,
+	_LogEventName[892:907]:   EventVotersChanged,
+	_LogEventName[907:920]:   EventLearnerAdded,
+	_LogEventName[920:935]:   EventLearnerRemoved,
+	_LogEventName[935:946]:   EventVoterAdded,
+	_LogEventName[946:960]:   EventVoterReplaced,
+	_LogEventName[960:973]:   EventVoterStandby,
+	_LogEventName[973:999]:   EventLeadershipNotHandedOver,
+	_LogEventName[999:1017]:  EventExpiryNotEncoded,
+	_LogEventName[1017:1031]: EventReplicaFailed,
+	_LogEventName[1031:1048]: EventReplicaRegressed,
+	_LogEventName[1048:1067]: EventDataFolderDamaged,
+	_LogEventName[1067:1088]: EventDataFolderRegressed,
+	_LogEventName[1088:1097]: EventLeaseAcquired,
+	_LogEventName[1097:1107]: EventLeaseLost,
+	_LogEventName[1107:1124]: EventLeaseNotRenewed,
+	_LogEventName[1124:1134]: EventZoneOwned,
+	_LogEventName[1134:1143]: EventZoneLost,
+	_LogEventName[1143:1157]: EventControlThreadTimes,
+	_LogEventName[1157:1169]: EventControlLost,
+	_LogEventName[1169:1185]: EventControlRegained,
+	_LogEventName[1185:1192]: EventStarted,
+	_LogEventName[1192:1200]: EventDraining,
+	_LogEventName[1200:1207]: EventDrained,
+	_LogEventName[1207:1214]: EventStopped,
+	_LogEventName[1214:1231]: EventSettingsReloaded,
+	_LogEventName[1231:1247]: EventSettingsRefused,
+	_LogEventName[1247:1261]: EventListenerEnded,
+	_LogEventName[1261:1279]: EventMetricsNotServed,
+	_LogEventName[1279:1292]: EventUnknownEvent,
+	_LogEventName[1292:1309]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -223,82 +225,83 @@
 	_LogEventLowerName[143:155]:   EventLoadDecided,
 	_LogEventLowerName[155:161]:   EventLayout,
 	_LogEventLowerName[161:176]:   EventBackendCrashed,
-	_LogEventLowerName[176:189]:   EventDetourOpened,
-	_LogEventLowerName[189:202]:   EventDetourClosed,
-	_LogEventLowerName[202:212]:   EventLinksLost,
-	_LogEventLowerName[212:226]:   EventLinksRestored,
-	_LogEventLowerName[226:239]:   EventBackendRests,
-	_LogEventLowerName[239:253]:   EventBackendLeaves,
-	_LogEventLowerName[253:272]:   EventHelperNotNotified,
-	_LogEventLowerName[272:292]:   EventSoftwareVersionNew,
-	_LogEventLowerName[292:311]:   EventStreamNotRecorded,
-	_LogEventLowerName[311:333]:   EventStreamVersionUnknown,
-	_LogEventLowerName[333:347]:   EventLinksVerified,
-	_LogEventLowerName[347:366]:   EventRequestQuarantined,
-	_LogEventLowerName[366:382]:   EventRequestReleased,
-	_LogEventLowerName[382:405]:   EventQuarantineNotReported,
-	_LogEventLowerName[405:418]:   EventLimitChanged,
-	_LogEventLowerName[418:433]:   EventBrittleChanged,
-	_LogEventLowerName[433:446]:   EventLimitUnclear,
-	_LogEventLowerName[446:460]:   EventSlotRequested,
-	_LogEventLowerName[460:475]:   EventSlotUnanswered,
-	_LogEventLowerName[475:493]:   EventLimitNotReported,
-	_LogEventLowerName[493:507]:   EventKeysConfirmed,
-	_LogEventLowerName[507:523]:   EventKeysUnconfirmed,
-	_LogEventLowerName[523:539]:   EventAccountsUnknown,
-	_LogEventLowerName[539:552]:   EventQuotaUsedUp,
-	_LogEventLowerName[552:568]:   EventQuotaUnanswered,
-	_LogEventLowerName[568:584]:   EventOutlierDetected,
-	_LogEventLowerName[584:599]:   EventModelWithdrawn,
-	_LogEventLowerName[599:613]:   EventOrderAnswered,
-	_LogEventLowerName[613:623]:   EventOrderDone,
-	_LogEventLowerName[623:634]:   EventOrderStateChanged,
-	_LogEventLowerName[634:647]:   EventOrderRefused,
-	_LogEventLowerName[647:668]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[668:684]:   EventEngineStateNotRead,
-	_LogEventLowerName[684:702]:   EventInventoryNotRead,
-	_LogEventLowerName[702:713]:   EventLoadFailed,
-	_LogEventLowerName[713:729]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[729:745]:   EventRegistryRefused,
-	_LogEventLowerName[745:760]:   EventRoutesProposed,
-	_LogEventLowerName[760:774]:   EventRoutesRefused,
-	_LogEventLowerName[774:788]:   EventRoutesApplied,
-	_LogEventLowerName[788:803]:   EventRoutesInEffect,
-	_LogEventLowerName[803:821]:   EventRoutesNotFetched,
-	_LogEventLowerName[821:839]:   EventCatalogueInEffect,
-	_LogEventLowerName[839:852]:   EventBecameLeader,
-	_LogEventLowerName[852:861]:   EventNoLeader,
-	_LogEventLowerName[861:875]:   EventReplicaOpened,
-	_LogEventLowerName[875:890]:   EventVotersChanged,
-	_LogEventLowerName[890:903]:   EventLearnerAdded,
-	_LogEventLowerName[903:918]:   EventLearnerRemoved,
-	_LogEventLowerName[918:929]:   EventVoterAdded,
-	_LogEventLowerName[929:943]:   EventVoterReplaced,
-	_LogEventLowerName[943:956]:   EventVoterStandby,
-	_LogEventLowerName[956:982]:   EventLeadershipNotHandedOver,
-	_LogEventLowerName[982:1000]:  EventExpiryNotEncoded,
-	_LogEventLowerName[1000:1014]: EventReplicaFailed,
-	_LogEventLowerName[1014:1031]: EventReplicaRegressed,
-	_LogEventLowerName[1031:1050]: EventDataFolderDamaged,
-	_LogEventLowerName[1050:1071]: EventDataFolderRegressed,
-	_LogEventLowerName[1071:1080]: EventLeaseAcquired,
-	_LogEventLowerName[1080:1090]: EventLeaseLost,
-	_LogEventLowerName[1090:1107]: EventLeaseNotRenewed,
-	_LogEventLowerName[1107:1117]: EventZoneOwned,
-	_LogEventLowerName[1117:1126]: EventZoneLost,
-	_LogEventLowerName[1126:1140]: EventControlThreadTimes,
-	_LogEventLowerName[1140:1152]: EventControlLost,
-	_LogEventLowerName[1152:1168]: EventControlRegained,
-	_LogEventLowerName[1168:1175]: EventStarted,
-	_LogEventLowerName[1175:1183]: EventDraining,
-	_LogEventLowerName[1183:1190]: EventDrained,
-	_LogEventLowerName[1190:1197]: EventStopped,
-	_LogEventLowerName[1197:1214]: EventSettingsReloaded,
-	_LogEventLowerName[1214:1230]: EventSettingsRefused,
-	_LogEventLowerName[1230:1244]: EventListenerEnded,
-	_LogEventLowerName[1244:1262]: EventMetricsNotServed,
-	_LogEventLowerName[1262:1275]: EventUnknownEvent,
-	_LogEventLowerName[1275:1292]: EventLogLinesDropped,
+	_LogEventLowerName[176:193]:   EventCrashUnconfirmed,
+	_LogEventLowerName[193:206]:   EventDetourOpened,
+	_LogEventLowerName[206:219]:   EventDetourClosed,
+	_LogEventLowerName[219:229]:   EventLinksLost,
+	_LogEventLowerName[229:243]:   EventLinksRestored,
+	_LogEventLowerName[243:256]:   EventBackendRests,
+	_LogEventLowerName[256:270]:   EventBackendLeaves,
+	_LogEventLowerName[270:289]:   EventHelperNotNotified,
+	_LogEventLowerName[289:309]:   EventSoftwareVersionNew,
+	_LogEventLowerName[309:328]:   EventStreamNotRecorded,
+	_LogEventLowerName[328:350]:   EventStreamVersionUnknown,
+	_LogEventLowerName[350:364]:   EventLinksVerified,
+	_LogEventLowerName[364:383]:   EventRequestQuarantined,
+	_LogEventLowerName[383:399]:   EventRequestReleased,
+	_LogEventLowerName[399:422]:   EventQuarantineNotReported,
+	_LogEventLowerName[422:435]:   EventLimitChanged,
+	_LogEventLowerName[435:450]:   EventBrittleChanged,
+	_LogEventLowerName[450:463]:   EventLimitUnclear,
+	_LogEventLowerName[463:477]:   EventSlotRequested,
+	_LogEventLowerName[477:492]:   EventSlotUnanswered,
+	_LogEventLowerName[492:510]:   EventLimitNotReported,
+	_LogEventLowerName[510:524]:   EventKeysConfirmed,
+	_LogEventLowerName[524:540]:   EventKeysUnconfirmed,
+	_LogEventLowerName[540:556]:   EventAccountsUnknown,
+	_LogEventLowerName[556:569]:   EventQuotaUsedUp,
+	_LogEventLowerName[569:585]:   EventQuotaUnanswered,
+	_LogEventLowerName[585:601]:   EventOutlierDetected,
+	_LogEventLowerName[601:616]:   EventModelWithdrawn,
+	_LogEventLowerName[616:630]:   EventOrderAnswered,
+	_LogEventLowerName[630:640]:   EventOrderDone,
+	_LogEventLowerName[640:651]:   EventOrderStateChanged,
+	_LogEventLowerName[651:664]:   EventOrderRefused,
+	_LogEventLowerName[664:685]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[685:701]:   EventEngineStateNotRead,
+	_LogEventLowerName[701:719]:   EventInventoryNotRead,
+	_LogEventLowerName[719:730]:   EventLoadFailed,
+	_LogEventLowerName[730:746]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[746:762]:   EventRegistryRefused,
+	_LogEventLowerName[762:777]:   EventRoutesProposed,
+	_LogEventLowerName[777:791]:   EventRoutesRefused,
+	_LogEventLowerName[791:805]:   EventRoutesApplied,
+	_LogEventLowerName[805:820]:   EventRoutesInEffect,
+	_LogEventLowerName[820:838]:   EventRoutesNotFetched,
+	_LogEventLowerName[838:856]:   EventCatalogueInEffect,
+	_LogEventLowerName[856:869]:   EventBecameLeader,
+	_LogEventLowerName[869:878]:   EventNoLeader,
+	_LogEventLowerName[878:892]:   EventReplicaOpened,
+	_LogEventLowerName[892:907]:   EventVotersChanged,
+	_LogEventLowerName[907:920]:   EventLearnerAdded,
+	_LogEventLowerName[920:935]:   EventLearnerRemoved,
+	_LogEventLowerName[935:946]:   EventVoterAdded,
+	_LogEventLowerName[946:960]:   EventVoterReplaced,
+	_LogEventLowerName[960:973]:   EventVoterStandby,
+	_LogEventLowerName[973:999]:   EventLeadershipNotHandedOver,
+	_LogEventLowerName[999:1017]:  EventExpiryNotEncoded,
+	_LogEventLowerName[1017:1031]: EventReplicaFailed,
+	_LogEventLowerName[1031:1048]: EventReplicaRegressed,
+	_LogEventLowerName[1048:1067]: EventDataFolderDamaged,
+	_LogEventLowerName[1067:1088]: EventDataFolderRegressed,
+	_LogEventLowerName[1088:1097]: EventLeaseAcquired,
+	_LogEventLowerName[1097:1107]: EventLeaseLost,
+	_LogEventLowerName[1107:1124]: EventLeaseNotRenewed,
+	_LogEventLowerName[1124:1134]: EventZoneOwned,
+	_LogEventLowerName[1134:1143]: EventZoneLost,
+	_LogEventLowerName[1143:1157]: EventControlThreadTimes,
+	_LogEventLowerName[1157:1169]: EventControlLost,
+	_LogEventLowerName[1169:1185]: EventControlRegained,
+	_LogEventLowerName[1185:1192]: EventStarted,
+	_LogEventLowerName[1192:1200]: EventDraining,
+	_LogEventLowerName[1200:1207]: EventDrained,
+	_LogEventLowerName[1207:1214]: EventStopped,
+	_LogEventLowerName[1214:1231]: EventSettingsReloaded,
+	_LogEventLowerName[1231:1247]: EventSettingsRefused,
+	_LogEventLowerName[1247:1261]: EventListenerEnded,
+	_LogEventLowerName[1261:1279]: EventMetricsNotServed,
+	_LogEventLowerName[1279:1292]: EventUnknownEvent,
+	_LogEventLowerName[1292:1309]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -315,82 +318,83 @@
 	_LogEventName[143:155],
 	_LogEventName[155:161],
 	_LogEventName[161:176],
-	_LogEventName[176:189],
-	_LogEventName[189:202],
-	_LogEventName[202:212],
-	_LogEventName[212:226],
-	_LogEventName[226:239],
-	_LogEventName[239:253],
-	_LogEventName[253:272],
-	_LogEventName[272:292],
-	_LogEventName[292:311],
-	_LogEventName[311:333],
-	_LogEventName[333:347],
-	_LogEventName[347:366],
-	_LogEventName[366:382],
-	_LogEventName[382:405],
-	_LogEventName[405:418],
-	_LogEventName[418:433],
-	_LogEventName[433:446],
-	_LogEventName[446:460],
-	_LogEventName[460:475],
-	_LogEventName[475:493],
-	_LogEventName[493:507],
-	_LogEventName[507:523],
-	_LogEventName[523:539],
-	_LogEventName[539:552],
-	_LogEventName[552:568],
-	_LogEventName[568:584],
-	_LogEventName[584:599],
-	_LogEventName[599:613],
-	_LogEventName[613:623],
-	_LogEventName[623:634],
-	_LogEventName[634:647],
-	_LogEventName[647:668],
-	_LogEventName[668:684],
-	_LogEventName[684:702],
-	_LogEventName[702:713],
-	_LogEventName[713:729],
-	_LogEventName[729:745],
-	_LogEventName[745:760],
-	_LogEventName[760:774],
-	_LogEventName[774:788],
-	_LogEventName[788:803],
-	_LogEventName[803:821],
-	_LogEventName[821:839],
-	_LogEventName[839:852],
-	_LogEventName[852:861],
-	_LogEventName[861:875],
-	_LogEventName[875:890],
-	_LogEventName[890:903],
-	_LogEventName[903:918],
-	_LogEventName[918:929],
-	_LogEventName[929:943],
-	_LogEventName[943:956],
-	_LogEventName[956:982],
-	_LogEventName[982:1000],
-	_LogEventName[1000:1014],
-	_LogEventName[1014:1031],
-	_LogEventName[1031:1050],
-	_LogEventName[1050:1071],
-	_LogEventName[1071:1080],
-	_LogEventName[1080:1090],
-	_LogEventName[1090:1107],
-	_LogEventName[1107:1117],
-	_LogEventName[1117:1126],
-	_LogEventName[1126:1140],
-	_LogEventName[1140:1152],
-	_LogEventName[1152:1168],
-	_LogEventName[1168:1175],
-	_LogEventName[1175:1183],
-	_LogEventName[1183:1190],
-	_LogEventName[1190:1197],
-	_LogEventName[1197:1214],
-	_LogEventName[1214:1230],
-	_LogEventName[1230:1244],
-	_LogEventName[1244:1262],
-	_LogEventName[1262:1275],
-	_LogEventName[1275:1292],
+	_LogEventName[176:193],
+	_LogEventName[193:206],
+	_LogEventName[206:219],
+	_LogEventName[219:229],
+	_LogEventName[229:243],
+	_LogEventName[243:256],
+	_LogEventName[256:270],
+	_LogEventName[270:289],
+	_LogEventName[289:309],
+	_LogEventName[309:328],
+	_LogEventName[328:350],
+	_LogEventName[350:364],
+	_LogEventName[364:383],
+	_LogEventName[383:399],
+	_LogEventName[399:422],
+	_LogEventName[422:435],
+	_LogEventName[435:450],
+	_LogEventName[450:463],
+	_LogEventName[463:477],
+	_LogEventName[477:492],
+	_LogEventName[492:510],
+	_LogEventName[510:524],
+	_LogEventName[524:540],
+	_LogEventName[540:556],
+	_LogEventName[556:569],
+	_LogEventName[569:585],
+	_LogEventName[585:601],
+	_LogEventName[601:616],
+	_LogEventName[616:630],
+	_LogEventName[630:640],
+	_LogEventName[640:651],
+	_LogEventName[651:664],
+	_LogEventName[664:685],
+	_LogEventName[685:701],
+	_LogEventName[701:719],
+	_LogEventName[719:730],
+	_LogEventName[730:746],
+	_LogEventName[746:762],
+	_LogEventName[762:777],
+	_LogEventName[777:791],
+	_LogEventName[791:805],
+	_LogEventName[805:820],
+	_LogEventName[820:838],
+	_LogEventName[838:856],
+	_LogEventName[856:869],
+	_LogEventName[869:878],
+	_LogEventName[878:892],
+	_LogEventName[892:907],
+	_LogEventName[907:920],
+	_LogEventName[920:935],
+	_LogEventName[935:946],
+	_LogEventName[946:960],
+	_LogEventName[960:973],
+	_LogEventName[973:999],
+	_LogEventName[999:1017],
+	_LogEventName[1017:1031],
+	_LogEventName[1031:1048],
+	_LogEventName[1048:1067],
+	_LogEventName[1067:1088],
+	_LogEventName[1088:1097],
+	_LogEventName[1097:1107],
+	_LogEventName[1107:1124],
+	_LogEventName[1124:1134],
+	_LogEventName[1134:1143],
+	_LogEventName[1143:1157],
+	_LogEventName[1157:1169],
+	_LogEventName[1169:1185],
+	_LogEventName[1185:1192],
+	_LogEventName[1192:1200],
+	_LogEventName[1200:1207],
+	_LogEventName[1207:1214],
+	_LogEventName[1214:1231],
+	_LogEventName[1231:1247],
+	_LogEventName[1247:1261],
+	_LogEventName[1261:1279],
+	_LogEventName[1279:1292],
+	_LogEventName[1292:1309],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
