fix: crashes of several servers at once count for the requests on them

Cause: a gateway reports the requests on a crashed server only once it knows that the server crashed. If the server refuses a connection, it asks another gateway, and where none helps it doesn't count a crash while its own links are suspected. Two servers that end within two seconds are such a suspicion, for all gateways alike, and a gateway that suspects its links helps nobody. So exactly while servers end one after the other, crashes aren't counted, and the sightings were dropped for good after the one probe.

A probe that nobody could decide is repeated now, every 0.2 s for longer than such a suspicion lasts. The first probe that can tell decides, as before: a server that another gateway reaches has not crashed. TestServersThatCrashTogetherAreReported failed before (no sighting in 10 s).

--- a/laburnumgateway/crashes.go
+++ b/laburnumgateway/crashes.go
@@ -21,6 +21,11 @@
 	// crashing process may close its connections before its listener.
 	probeDelay   = 30 * time.Millisecond
 	probeTimeout = 200 * time.Millisecond
+	// probePause is the time between two probes of a server of which nobody can tell whether it has crashed: several that
+	// crash at once look like lost links, and other VMs that see the same help nobody. maxProbes of them outlast such a
+	// suspicion.
+	probePause = 200 * time.Millisecond
+	maxProbes  = 12
 	// crashMemory is how long the result of a probe applies to requests whose connections broke at
 	// the same time but were noticed later.
 	crashMemory = time.Second
@@ -77,16 +82,13 @@
 func (d *crashDetector) probe(id laburnumquarantine.Crash, address string) {
 	timers := d.gateway.timers
 	laburnumtimer.Wait(nil, timers, probeDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	err := d.gateway.pool.Probe(ctx, address)
-	refused, leaving := errors.Is(err, syscall.ECONNREFUSED), d.gateway.fleet.leaving(id.Backend)
-	var confirmed bool
-	var others error
-	if refused && !leaving {
-		confirmed, others = d.gateway.links.confirmsCrash(ctx, address, err)
+	verdict := d.judge(id, address)
+	probes := 1
+	for ; verdict.crash == crashUndecided && probes < maxProbes; probes++ {
+		laburnumtimer.Wait(nil, timers, probePause)
+		verdict = d.judge(id, address)
 	}
-	crashed := refused && !leaving && confirmed
+	crashed := verdict.crash == crashConfirmed
 	d.mu.Lock()
 	s := d.servers[id]
 	s.probed, s.crashed = true, crashed
@@ -94,13 +96,13 @@
 	s.sightings = nil
 	d.mu.Unlock()
 	if crashed {
-		_ = level.Info(d.gateway.logger).Log("event", laburnumlever.EventBackendCrashed, "backend", id.Backend, "requests", len(sightings))
+		_ = level.Info(d.gateway.logger).Log("event", laburnumlever.EventBackendCrashed, "backend", id.Backend, "requests", len(sightings), "probes", probes)
 		d.gateway.counters.crashes.Inc(1)
 		d.gateway.fleet.avoidCrashed(id)
 		d.gateway.fleet.reportCrash(sightings)
 	} else {
-		_ = level.Info(d.gateway.logger).Log("event", laburnumlever.EventCrashUnconfirmed, "backend", id.Backend, "requests", len(sightings),
-			"digests", digestsOf(sightings), "leaving", leaving, "cause", err, "others", others)
+		_ = level.Info(d.gateway.logger).Log("event", laburnumlever.EventCrashUnconfirmed, "backend", id.Backend, "verdict", verdict.crash,
+			"probes", probes, "requests", len(sightings), "digests", digestsOf(sightings), "cause", verdict.cause, "others", verdict.others)
 	}
 	timers.After(crashMemory, func(time.Time) {
 		d.mu.Lock()
@@ -109,6 +111,43 @@
 	})
 }
 
+// crashVerdict is the result of a probe.
+type crashVerdict struct {
+	crash crashState
+	// cause is the error of the probe, others that of another VM.
+	cause, others error
+}
+
+// judge probes a backend server that has broken connections.
+func (d *crashDetector) judge(id laburnumquarantine.Crash, address string) crashVerdict {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	v := crashVerdict{cause: d.gateway.pool.Probe(ctx, address)}
+	switch {
+	case v.cause == nil || d.gateway.fleet.leaving(id.Backend):
+		v.crash = crashRefuted
+	case errors.Is(v.cause, syscall.ECONNREFUSED):
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		v.crash, v.others = d.gateway.links.judgeCrash(ctx, address, v.cause)
+	default:
+	}
+	return v
+}
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=crashState -transform=kebab -trimprefix=crash -text -output=crashstate_gen.go
+
+// crashState is what is known of a backend server that has broken connections.
+type crashState int
+
+const (
+	// crashUndecided means that nobody can tell yet.
+	crashUndecided crashState = iota
+	crashConfirmed
+	// crashRefuted means that the server runs, or ends as planned.
+	crashRefuted
+)
+
 // digestsOf returns the requests of some sightings, at most maxLoggedDigests.
 func digestsOf(sightings []laburnumquarantine.Sighting) []laburnumlever.RequestDigest {
 	var digests []laburnumlever.RequestDigest
--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -157,23 +157,26 @@
 	return l.monitor.Suspected(servers, l.gateway.timers.Now())
 }
 
-// confirmsCrash reports whether a backend server that refuses connections has crashed, by what another VM sees. If none
-// answers it has, unless the links are suspected. The error is that of the other VM.
-func (l *links) confirmsCrash(ctx context.Context, address string, err error) (bool, error) {
+// judgeCrash decides whether a backend server that refuses connections has crashed, by what another VM sees. If none
+// helps it has, unless the links are suspected. The error is that of the other VM.
+func (l *links) judgeCrash(ctx context.Context, address string, err error) (crashState, error) {
 	var dial *laburnumupstream.DialError
 	if !l.gateway.pool.HasTunnels() || errors.As(err, &dial) && dial.Tunnelled {
-		return true, nil // nobody can be asked, or another VM has seen it
+		return crashConfirmed, nil // nobody can be asked, or another VM has seen it
 	}
 	conn, err := l.gateway.pool.Open(ctx, address, true)
-	if err == nil {
-		conn.Close()
-		return false, nil
-	}
 	var nobody *laburnumtunnel.NoHelperError
-	if errors.As(err, &nobody) {
-		return !l.suspected(), err
+	switch {
+	case err == nil:
+		conn.Close()
+		return crashRefuted, nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return crashConfirmed, err
+	case errors.As(err, &nobody) && !l.suspected():
+		return crashConfirmed, err
+	default:
+		return crashUndecided, err
 	}
-	return errors.Is(err, syscall.ECONNREFUSED), err
 }
 
 // check verifies a suspicion, or probes whether lost links are back. It does not block.
--- a/laburnumgateway/links_test.go
+++ b/laburnumgateway/links_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -199,6 +200,35 @@
 	}
 }
 
+// Guards against servers whose crashes at the same moment look like lost links, so that the requests on them are never counted.
+func TestServersThatCrashTogetherAreReported(t *testing.T) {
+	var servers [2]*backend
+	both := make(chan struct{}, len(servers))
+	crash := make(chan struct{})
+	for i := range servers {
+		servers[i] = newBackend(t, "i-"+strconv.Itoa(i), func(conn net.Conn, a receivedRequest, _ int) {
+			both <- struct{}{}
+			<-crash
+			_ = servers[i].ln.Close()
+			writeEvents(conn, a, 1, 0)
+			_ = conn.Close()
+		})
+	}
+	r := &reports{}
+	b := newLinksHarness(t, &fakeTunnels{err: &laburnumtunnel.NoHelperError{}}, r, []laburnumregistry.Record{
+		servers[0].heartbeat("quotes", "m0"), servers[1].heartbeat("quotes", "m1"), answers("i-2")(t).heartbeat("booking"),
+	})
+	var ended sync.WaitGroup
+	for i := range servers {
+		ended.Go(func() { _ = b.send("POST", "/draft/x", "poison", "X-Laburnumlever-Model", "m"+strconv.Itoa(i)) })
+	}
+	<-both
+	<-both
+	close(crash)
+	ended.Wait()
+	require.Eventually(t, func() bool { return len(r.sent().Sightings) == len(servers) }, 10*time.Second, time.Millisecond)
+}
+
 // Guards against a crash that goes unnoticed since it broke a connection through another VM.
 func TestRefusedTunnelIsACrash(t *testing.T) {
 	err := &laburnumtunnel.ServerUnreachableError{Address: "10.0.0.7:80", Helper: "10.0.0.2:7000", Refused: true}
