--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -47,6 +47,9 @@
 	printf(w, "catalogue: revision %d, %d models, %d services\n", s.View.Catalogue.Revision,
 		len(s.View.Catalogue.Models), len(s.View.Catalogue.Services))
 	printf(w, "log: %s, leader %s, term %d, applied %d\n", s.Voter.Role, s.Voter.Leader, s.Voter.Term, s.Voter.Applied)
+	if len(s.Voter.WaitsFor) > 0 {
+		printf(w, "log: waits for %v to register this start\n", s.Voter.WaitsFor)
+	}
 	for _, vm := range s.View.VMs {
 		printf(w, "VM %s in %s: %s\n", vm.ID, vm.Zone, vm.State)
 	}
--- a/command.go
+++ b/command.go
@@ -122,14 +122,16 @@
 
 // VoterStatus is the state of the replicated log as seen by one VM.
 type VoterStatus struct {
-	// Role is leader, follower, candidate or learner, or client on a VM without a
-	// replica.
+	// Role is leader, follower, candidate or learner, unconfirmed before enough other VMs have
+	// registered the start of the replica, or client on a VM without a replica.
 	Role    string  `json:"role"`
 	Term    uint64  `json:"term"`
 	Leader  VMID    `json:"leader,omitempty"`
 	Commit  uint64  `json:"commit"`
 	Applied uint64  `json:"applied"`
 	Voters  []Voter `json:"voters"`
+	// WaitsFor are the VMs that have not registered the start of an unconfirmed replica.
+	WaitsFor []VMID `json:"waits-for,omitempty"`
 }
 
 // Voter is a VM that holds a replica of the log.
--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -1,6 +1,10 @@
 package laburnumlog
 
 func (l *Log) tick() {
+	l.tickStarts()
+	if !l.start.confirmed {
+		return
+	}
 	l.elapsed++
 	if l.role == Leader {
 		l.tickLeader()
@@ -93,7 +97,16 @@
 	if m.To != l.id {
 		return
 	}
+	l.heardAt[m.From.VM()] = l.ticks
 	switch {
+	case m.Kind == MessageStart:
+		l.onStart(m)
+		return
+	case m.Kind == MessageStartAnswer:
+		l.onStartAnswer(m)
+		return
+	case !l.start.confirmed:
+		return
 	case m.Term > l.hard.Term:
 		if !l.adoptHigherTerm(m) {
 			return
@@ -162,6 +175,7 @@
 		l.onSnapshot(m)
 	case MessageCampaignNow:
 		l.onCampaignNow()
+	default: // receive handles starts
 	}
 }
 
--- a/laburnumlog/enums_gen.go
+++ b/laburnumlog/enums_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _MessageKindName = "message-pre-votemessage-pre-vote-answermessage-votemessage-vote-answermessage-appendmessage-append-answermessage-heartbeatmessage-heartbeat-answermessage-snapshotmessage-campaign-now"
+const _MessageKindName = "message-pre-votemessage-pre-vote-answermessage-votemessage-vote-answermessage-appendmessage-append-answermessage-heartbeatmessage-heartbeat-answermessage-snapshotmessage-campaign-nowmessage-startmessage-start-answer"
 
-var _MessageKindIndex = [...]uint8{0, 16, 39, 51, 70, 84, 105, 122, 146, 162, 182}
+var _MessageKindIndex = [...]uint8{0, 16, 39, 51, 70, 84, 105, 122, 146, 162, 182, 195, 215}
 
-const _MessageKindLowerName = "message-pre-votemessage-pre-vote-answermessage-votemessage-vote-answermessage-appendmessage-append-answermessage-heartbeatmessage-heartbeat-answermessage-snapshotmessage-campaign-now"
+const _MessageKindLowerName = "message-pre-votemessage-pre-vote-answermessage-votemessage-vote-answermessage-appendmessage-append-answermessage-heartbeatmessage-heartbeat-answermessage-snapshotmessage-campaign-nowmessage-startmessage-start-answer"
 
 func (i MessageKind) String() string {
 	if i < 0 || i >= MessageKind(len(_MessageKindIndex)-1) {
@@ -35,9 +35,11 @@
 	_ = x[MessageHeartbeatAnswer-(7)]
 	_ = x[MessageSnapshot-(8)]
 	_ = x[MessageCampaignNow-(9)]
+	_ = x[MessageStart-(10)]
+	_ = x[MessageStartAnswer-(11)]
 }
 
-var _MessageKindValues = []MessageKind{MessagePreVote, MessagePreVoteAnswer, MessageVote, MessageVoteAnswer, MessageAppend, MessageAppendAnswer, MessageHeartbeat, MessageHeartbeatAnswer, MessageSnapshot, MessageCampaignNow}
+var _MessageKindValues = []MessageKind{MessagePreVote, MessagePreVoteAnswer, MessageVote, MessageVoteAnswer, MessageAppend, MessageAppendAnswer, MessageHeartbeat, MessageHeartbeatAnswer, MessageSnapshot, MessageCampaignNow, MessageStart, MessageStartAnswer}
 
 var _MessageKindNameToValueMap = map[string]MessageKind{
 	_MessageKindName[0:16]:    MessagePreVote,
@@ -50,6 +52,8 @@
 	_MessageKindName[122:146]: MessageHeartbeatAnswer,
 	_MessageKindName[146:162]: MessageSnapshot,
 	_MessageKindName[162:182]: MessageCampaignNow,
+	_MessageKindName[182:195]: MessageStart,
+	_MessageKindName[195:215]: MessageStartAnswer,
 }
 
 var _MessageKindLowerNameToValueMap = map[string]MessageKind{
@@ -63,6 +67,8 @@
 	_MessageKindLowerName[122:146]: MessageHeartbeatAnswer,
 	_MessageKindLowerName[146:162]: MessageSnapshot,
 	_MessageKindLowerName[162:182]: MessageCampaignNow,
+	_MessageKindLowerName[182:195]: MessageStart,
+	_MessageKindLowerName[195:215]: MessageStartAnswer,
 }
 
 var _MessageKindNames = []string{
@@ -76,6 +82,8 @@
 	_MessageKindName[122:146],
 	_MessageKindName[146:162],
 	_MessageKindName[162:182],
+	_MessageKindName[182:195],
+	_MessageKindName[195:215],
 }
 
 // MessageKindString retrieves an enum value from the enum constants string name.
--- a/laburnumlog/exhaustive_test.go
+++ b/laburnumlog/exhaustive_test.go
@@ -126,7 +126,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			e := explorer{seen: map[uint64]bool{}, kinds: c.kinds, limit: 200000}
-			e.explore(t, newSimulation(c.voters, c.voters), c.budget)
+			e.explore(t, newSimulation(c.voters, c.voters, 0), c.budget)
 			t.Logf("%d states", len(e.seen))
 		})
 	}
--- a/laburnumlog/fleet_test.go
+++ b/laburnumlog/fleet_test.go
@@ -77,7 +77,7 @@
 
 func newFleet(n, losses int) *fleet {
 	f := &fleet{
-		simulation: newSimulation(n, 3), faults: make([]vmFaults, n), losses: losses, nextVM: n, verified: &verifiedStates{},
+		simulation: newSimulation(n, 3, losses), faults: make([]vmFaults, n), losses: losses, nextVM: n, verified: &verifiedStates{},
 		target: 2*losses + 1,
 	}
 	for range n {
@@ -125,6 +125,7 @@
 		if f.faults[i].down {
 			continue
 		}
+		f.meetOthers(i)
 		f.step(r, laburnumlog.Tick{})
 		f.faults[i].leaderlessTicks++
 		if r.log.Leader() != "" {
@@ -202,6 +203,35 @@
 		return
 	}
 	f.step(f.replicas[to], laburnumlog.Receive{Message: m})
+	f.replaceSuperseded(to)
+}
+
+// meetOthers lets a replica that has just started, is no member or has no leader meet all others.
+func (f *fleet) meetOthers(i int) {
+	r := f.replicas[i]
+	_, in := r.log.Configuration().Find(r.id)
+	due := f.ticks%secondTicks == 0 && (!in || f.faults[i].leaderlessTicks > joinRequestTicks)
+	if r.met && !due {
+		return
+	}
+	r.met = true
+	for j, other := range f.replicas {
+		if i != j && f.reaches(i, j) {
+			f.step(r, laburnumlog.Met{Start: other.start()})
+			f.step(other, laburnumlog.Met{Start: r.start()})
+		}
+	}
+}
+
+func (r *replica) start() laburnumlog.Start {
+	return laburnumlog.Start{Replica: r.id, Boot: r.log.Boot()}
+}
+
+// replaceSuperseded starts a replica with an empty disk in place of one that runs on an older copy.
+func (f *fleet) replaceSuperseded(i int) {
+	if f.replicas[i].superseded {
+		f.newDisk(f.replicas[i])
+	}
 }
 
 // proposeChange proposes a command as an operator does. The first one waits until the log has
@@ -301,6 +331,17 @@
 	return true
 }
 
+// rollBackDiskOf replaces the VM's disk by an older copy, unless that would exceed the tolerated
+// losses.
+func (f *fleet) rollBackDiskOf(i int) bool {
+	if f.lossesUsed >= f.losses {
+		return false
+	}
+	f.lossesUsed++
+	f.rollBack(f.replicas[i])
+	return true
+}
+
 // replaceVM removes the VM permanently and adds an empty one at another address.
 func (f *fleet) replaceVM(i int) bool {
 	if !f.loseDiskOf(i) {
--- a/laburnumlog/log.go
+++ b/laburnumlog/log.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"laburnumlever"
 )
 
 const (
@@ -64,6 +66,12 @@
 	random         uint64
 	transferTarget ReplicaID
 
+	start startCheck
+	// ticks is the number of ticks since the start, heardAt the tick at which a VM was last heard.
+	ticks         uint64
+	heardAt       map[laburnumlever.VMID]uint64
+	startsChanged bool
+
 	seq         uint64
 	pending     []pendingWrite
 	unwritten   uint64 // index of the first entry not yet returned in a Write
@@ -120,6 +128,8 @@
 	l.configurations = []configurationAt{{index: l.baseIndex, configuration: l.snapshot.Configuration}}
 	l.trackConfigurations(l.entries)
 	l.progress = map[ReplicaID]progress{}
+	l.heardAt = map[laburnumlever.VMID]uint64{}
+	l.start = l.newStartCheck()
 	l.resetTimeout()
 	return l
 }
@@ -133,12 +143,17 @@
 	c.progress = maps.Clone(l.progress)
 	c.votes = maps.Clone(l.votes)
 	c.pending = slices.Clone(l.pending)
+	c.start.registered = maps.Clone(l.start.registered)
+	c.heardAt = maps.Clone(l.heardAt)
 	return &c
 }
 
 // ID returns the replica's own ID.
 func (l *Log) ID() ReplicaID { return l.id }
 
+// Boot returns the identifier of this start.
+func (l *Log) Boot() uint64 { return l.boot }
+
 // Role returns the replica's role in its current term.
 func (l *Log) Role() Role { return l.role }
 
--- a/laburnumlog/loss_tolerance_test.go
+++ b/laburnumlog/loss_tolerance_test.go
@@ -178,12 +178,17 @@
 // explore runs the fleet after an event, and tries every next event at once and after each
 // membership change.
 func (f *fleet) explore(t *testing.T, trace []string, left int) {
+	f.exploreEvents(t, trace, left, append(faultEvents(), diskStalls()...))
+}
+
+// exploreEvents is explore with the next events to try.
+func (f *fleet) exploreEvents(t *testing.T, trace []string, left int, events []event) {
 	for n := range maxChanges {
 		if f.problem != "" {
 			t.Fatalf("%s: %s", strings.Join(trace, ", "), f.problem)
 		}
 		if left > 0 {
-			f.exploreNext(t, trace, n, left)
+			f.exploreNext(t, trace, n, left, events)
 		}
 		if !f.untilMembersChange() {
 			break
@@ -194,13 +199,13 @@
 	}
 }
 
-// exploreNext tries every event as the next one after the trace.
-func (f *fleet) exploreNext(t *testing.T, trace []string, changes, left int) {
-	for _, ev := range append(faultEvents(), diskStalls()...) {
+// exploreNext tries every one of the events as the next one after the trace.
+func (f *fleet) exploreNext(t *testing.T, trace []string, changes, left int, events []event) {
+	for _, ev := range events {
 		c := f.clone()
 		if ev.inject(c) {
 			next := fmt.Sprintf("%d membership changes later %s", changes, ev.name)
-			c.explore(t, append(trace[:len(trace):len(trace)], next), left-1)
+			c.exploreEvents(t, append(trace[:len(trace):len(trace)], next), left-1, events)
 		}
 	}
 }
--- /dev/null
+++ b/laburnumlog/older_copy_test.go
@@ -0,0 +1,88 @@
+package laburnumlog_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// rollBacks returns the events in which a VM gets an older copy of its disk.
+func rollBacks() []event {
+	var list []event
+	for _, target := range faultTargets {
+		list = append(list, event{target.name + " gets an older copy of its disk", func(f *fleet) bool {
+			i := target.find(f)
+			return i >= 0 && f.rollBackDiskOf(i)
+		}})
+	}
+	return list
+}
+
+// Guards against a confirmed change that goes back: a voter on an older copy of its disk elects one that was down when the
+// change was made, while the only other voter that holds the change is down.
+func TestOlderCopyOfADiskElectsNobodyWithoutTheChange(t *testing.T) {
+	f := newFleet(4, 1)
+	f.settle(t)
+	leader, behind, copied := f.leader(), f.nonLeaderVoter(0), f.nonLeaderVoter(1)
+	f.faults[behind].down = true
+	f.restart(f.replicas[copied])
+	f.runTicks(8)
+	require.Equal(t, leader, f.leader())
+	changed := f.replicas[leader].log.Commit()
+	require.Greater(t, changed, f.replicas[behind].log.LastIndex())
+	f.faults[leader].down = true
+	require.True(t, f.rollBackDiskOf(copied))
+	f.faults[behind].down = false
+	f.restart(f.replicas[behind])
+	f.runTicks(recoverTicks)
+	require.Empty(t, f.problem)
+	f.clearFaults()
+	f.runTicks(recoverTicks)
+	require.Empty(t, f.problem)
+	require.Greater(t, f.replicas[f.leader()].log.Commit(), changed)
+}
+
+// runTicks advances the fleet, with some proposals.
+func (f *fleet) runTicks(n int) {
+	for i := range n {
+		f.tick()
+		if i%3 == 0 {
+			f.proposeChange()
+		}
+	}
+}
+
+// Guards against an older copy of a disk that loses a change or leaves no leader, at any moment and beside any other event.
+func TestOlderCopiesExhaustively(t *testing.T) {
+	known := &verifiedStates{}
+	all := append(faultEvents(), rollBacks()...)
+	for _, first := range all {
+		t.Run(first.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(4, 1)
+			f.verified = known
+			f.settle(t)
+			if first.inject(f) {
+				f.exploreEvents(t, []string{first.name}, 1+*deeper, rollBacks())
+			}
+		})
+	}
+}
+
+// Guards against the same in long sequences of random events.
+func TestOlderCopiesOnRandomWalks(t *testing.T) {
+	sizes := []struct{ vms, losses int }{{4, 1}, {5, 1}, {6, 2}}
+	if testing.Short() {
+		sizes = sizes[:1]
+	}
+	for seed := range 4 * uint64(*walks) {
+		size := sizes[seed%uint64(len(sizes))]
+		t.Run(fmt.Sprintf("seed %d, %d VMs, %d losses", seed, size.vms, size.losses), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(size.vms, size.losses)
+			f.verified = nil // checked as the walk goes on; every state would be one of some thousand
+			f.randomWalk(t, seed+1, 80, append(append(faultEvents(), rollBacks()...), rollBacks()...))
+		})
+	}
+}
--- a/laburnumlog/regression_test.go
+++ b/laburnumlog/regression_test.go
@@ -41,7 +41,7 @@
 // then restarts before an entry of its own term is committed, a replica with a later entry can
 // win the election and replace the old one, and an acknowledged change would be lost.
 func TestEntryOfOlderTermIsNotCommittedByCount(t *testing.T) {
-	s := newSimulation(3, 3)
+	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
 	elect := func(r *replica) {
 		for range 5 {
@@ -73,7 +73,7 @@
 // that it had acknowledged, so a majority could hold less than was committed. A delayed rejection
 // from before the restart must not be mistaken for a rolled-back disk.
 func TestRolledBackDiskIsDetected(t *testing.T) {
-	s := newSimulation(3, 3)
+	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
 	old := b.disk
 	s.campaign(a)
@@ -101,7 +101,7 @@
 // Guards against a partitioned leader that keeps an uncommitted membership change after the
 // others have elected a new leader: it would count majorities among the wrong voters.
 func TestUncommittedMembershipChangeIsRolledBack(t *testing.T) {
-	s := newSimulation(4, 3)
+	s := newSimulation(4, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
 	s.campaign(a)
 	s.run(never, a, b, c)
@@ -125,7 +125,7 @@
 // Guards against a replica that installs the leader's snapshot but keeps its divergent log tail
 // on disk: after a restart the tail would follow the snapshot.
 func TestSnapshotDropsDivergentTail(t *testing.T) {
-	s := newSimulation(3, 3)
+	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
 	s.campaign(a)
 	s.run(never, a, b, c)
@@ -150,7 +150,7 @@
 // election but has the complete log, which delayed the restarted voter. The leader must find
 // the matching index by probing.
 func TestRestartedVoterGetsNoSnapshot(t *testing.T) {
-	s := newSimulation(3, 3)
+	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
 	s.campaign(a)
 	s.run(never, a, b, c)
@@ -175,7 +175,7 @@
 // Guards against a leader that counts new entries as durable because it had synced others,
 // since replaced, at the same indexes: a single crash could lose committed entries.
 func TestReplacedTailIsNotCountedAsDurable(t *testing.T) {
-	s := newSimulation(3, 3)
+	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
 	s.campaign(a)
 	s.run(never, a, b, c)
@@ -207,7 +207,7 @@
 // own term. A previous leader's change may still be pending; majorities of the two
 // configurations need not overlap, so two leaders could commit.
 func TestMembershipChangeRequiresCommitInOwnTerm(t *testing.T) {
-	s := newSimulation(4, 3)
+	s := newSimulation(4, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
 	s.campaign(a)
 	s.run(func() bool { return a.log.Role() == laburnumlog.Leader }, a, b, c)
@@ -224,7 +224,7 @@
 // Guards against a single voter that leads before its own vote is durable: after a crash it could
 // lead the same term a second time, with different entries.
 func TestOwnVoteCountsOnceDurable(t *testing.T) {
-	s := newSimulation(1, 1)
+	s := newSimulation(1, 1, 0)
 	a := s.replicas[0]
 	for range 40 {
 		s.step(a, laburnumlog.Tick{})
@@ -239,7 +239,7 @@
 // appended its own removal. The other voter lacks that entry, so the old leader, whose vote it
 // needs, rejects it; and the old leader is no voter of its own last configuration.
 func TestLeaderRestartsBeforeItsRemovalIsCommitted(t *testing.T) {
-	s := newSimulation(2, 2)
+	s := newSimulation(2, 2, 0)
 	a, b := s.replicas[0], s.replicas[1]
 	s.campaign(a)
 	s.run(never, a, b)
@@ -255,7 +255,7 @@
 // Guards against the same with a joint configuration: the leader is replaced by a learner that
 // caught up. Both hold the joint configuration, but only the leader's disk holds the final one.
 func TestLeaderRestartsBeforeItsReplacementIsCommitted(t *testing.T) {
-	s := newSimulation(2, 1)
+	s := newSimulation(2, 1, 0)
 	a, b := s.replicas[0], s.replicas[1]
 	s.campaign(a)
 	s.run(never, a, b)
--- a/laburnumlog/schedule_test.go
+++ b/laburnumlog/schedule_test.go
@@ -307,7 +307,7 @@
 // reordered, replicas may restart, disks may be lost and voters may change.
 func TestRandomSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSimulation(4, rapid.IntRange(1, 3).Draw(t, "voters"))
+		s := newSimulation(4, rapid.IntRange(1, 3).Draw(t, "voters"), 0)
 		for i := range rapid.IntRange(0, 400).Draw(t, "steps") {
 			s.applyAction(rapid.IntRange(0, 99).Draw(t, "kind"), rapid.IntRange(0, 3).Draw(t, "who"), rapid.IntRange(0, 255).Draw(t, "which"))
 			if s.problem != "" {
@@ -325,7 +325,7 @@
 func TestLongSchedules(t *testing.T) {
 	for seed := range uint64(150) {
 		n := 3 + int(seed%3)
-		s := newSimulation(n, 3)
+		s := newSimulation(n, 3, 0)
 		next := seededRandom(seed)
 		for i := range 4000 {
 			s.applyAction(next(100), next(n), next(1<<16))
--- a/laburnumlog/simulation_test.go
+++ b/laburnumlog/simulation_test.go
@@ -23,6 +23,13 @@
 	applied     uint64
 	hash        uint64 // over all applied entries
 	lastLedTerm uint64 // last term in which the replica was seen as leader
+	// older is the disk from which the replica last started, olderBoot its count of starts.
+	older     laburnumlog.Recovered
+	olderBoot uint64
+	// superseded is set once the replica is known to run on an older copy of its disk.
+	superseded bool
+	// met is set once the replica has met the others since its start.
+	met bool
 }
 
 type committedEntry struct {
@@ -44,11 +51,14 @@
 	// proposed holds, for each proposal, the highest index that was committed when it was made.
 	proposed  map[position]uint64
 	proposals int
+	starts    uint32
+	tolerance int
 	problem   string
 }
 
-func newSimulation(n, voters int) *simulation {
+func newSimulation(n, voters, tolerance int) *simulation {
 	s := &simulation{
+		tolerance: tolerance,
 		committed: map[uint64]committedEntry{}, leaders: map[uint64]laburnumlog.ReplicaID{},
 		dead: map[laburnumlog.ReplicaID]bool{}, proposed: map[position]uint64{},
 	}
@@ -86,16 +96,30 @@
 
 // restart starts the replica from the state on its disk.
 func (s *simulation) restart(r *replica) {
+	r.older, r.olderBoot = cloneDisk(r.disk), r.boot
 	r.boot++
-	r.unsynced = nil
+	s.starts++
+	r.unsynced, r.superseded, r.met = nil, false, false
 	r.lastLedTerm = 0
 	recovered := r.disk
 	recovered.Entries = slices.Clone(r.disk.Entries)
 	seed := xxhash.Sum64String(string(r.id)) + r.boot
-	r.log = laburnumlog.New(r.id, recovered, laburnumlog.WithSeed(seed|1), laburnumlog.WithRetained(2), laburnumlog.WithBoot(laburnumlog.Boot(r.boot, 0)))
+	r.log = laburnumlog.New(r.id, recovered, laburnumlog.WithSeed(seed|1), laburnumlog.WithRetained(2), laburnumlog.WithBoot(laburnumlog.Boot(r.boot, s.starts)), laburnumlog.WithTolerance(s.tolerance))
 	r.applied, r.hash = recovered.Snapshot.Index, hashOf(recovered.Snapshot.Data)
 }
 
+func cloneDisk(disk laburnumlog.Recovered) laburnumlog.Recovered {
+	disk.Entries = slices.Clone(disk.Entries)
+	return disk
+}
+
+// rollBack restarts the replica from the copy of its disk from before its last start.
+func (s *simulation) rollBack(r *replica) {
+	s.dead[r.id] = true
+	r.disk, r.boot = r.older, r.olderBoot
+	s.restart(r)
+}
+
 func hashOf(data []byte) uint64 {
 	var h uint64
 	_, _ = fmt.Sscanf(string(data), "%x", &h)
@@ -107,6 +131,7 @@
 	if out.Fault != nil {
 		s.fail("%s: %v", r.id, out.Fault)
 	}
+	r.superseded = r.superseded || out.Superseded
 	s.network = append(s.network, out.Messages...)
 	if out.Write != nil {
 		r.unsynced = append(r.unsynced, *out.Write)
--- a/laburnumlog/step.go
+++ b/laburnumlog/step.go
@@ -9,6 +9,12 @@
 	Resume struct{}
 	// Tick reports that one tick of the driver's clock has passed.
 	Tick struct{}
+	// Met reports a replica that runs on another VM. Unaware is set if its program does not know
+	// of starts.
+	Met struct {
+		Start   Start
+		Unaware bool
+	}
 	// Receive delivers a message from another replica.
 	Receive struct{ Message Message }
 	// Propose asks the leader to append commands, one entry each.
@@ -28,6 +34,7 @@
 
 func (Resume) isEvent()             {}
 func (Tick) isEvent()               {}
+func (Met) isEvent()                {}
 func (Receive) isEvent()            {}
 func (Propose) isEvent()            {}
 func (ChangeMembers) isEvent()      {}
@@ -64,6 +71,9 @@
 	// index First. Otherwise nothing was appended.
 	Accepted bool
 	First    uint64
+	// Superseded is set when the replica was started from an older copy of its disk. The driver
+	// must start it again as a new replica with an empty disk.
+	Superseded bool
 	// Fault is set when the replicas' logs conflict in a way that no loss of messages
 	// explains. The driver must stop the replica.
 	Fault error
@@ -75,6 +85,10 @@
 	l.out = Output{}
 	l.after = nil
 	switch ev := ev.(type) {
+	case Resume:
+		l.announceAll()
+	case Met:
+		l.meet(ev)
 	case Tick:
 		l.tick()
 	case Receive:
@@ -127,7 +141,7 @@
 }
 
 func (l *Log) emitWrite() {
-	hard := l.hard.Term != l.emittedHard.Term || l.hard.Vote != l.emittedHard.Vote
+	hard := l.hard.Term != l.emittedHard.Term || l.hard.Vote != l.emittedHard.Vote || l.startsChanged
 	entries := l.entriesFrom(l.unwritten)
 	changed := hard || len(entries) > 0 || l.newSnapshot
 	if !changed && (len(l.after) == 0 || len(l.pending) == 0) {
@@ -144,7 +158,7 @@
 	l.pending = append(l.pending, pendingWrite{seq: l.seq, index: last, term: l.termAt(last), hard: l.hard})
 	l.emittedHard = l.hard
 	l.unwritten = last + 1
-	l.newSnapshot, l.reset = false, false
+	l.newSnapshot, l.reset, l.startsChanged = false, false, false
 	l.out.Write = w
 }
 
--- a/laburnumlog/values.go
+++ b/laburnumlog/values.go
@@ -55,6 +55,8 @@
 	Term   uint64    `json:"term"`
 	Vote   ReplicaID `json:"vote,omitempty"`
 	Commit uint64    `json:"commit"`
+	// Starts are the starts of other VMs that this replica has registered.
+	Starts Starts `json:"starts,omitempty"`
 }
 
 // Snapshot is the applied state that replaces all entries up to and including Index.
@@ -88,6 +90,8 @@
 	MessageHeartbeatAnswer
 	MessageSnapshot
 	MessageCampaignNow
+	MessageStart
+	MessageStartAnswer
 )
 
 // Message is sent from one replica to another.
@@ -113,6 +117,11 @@
 	// Force, in a vote request, marks an election that the leader asked for.
 	Force    bool      `json:"force,omitempty"`
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	// Announced, in the answer to an announced start, is that start's Boot; a Reject means that the
+	// replica was started from an older copy of its disk.
+	Announced uint64 `json:"announced,omitempty"`
+	// Starts, in an announced start and its answer, are those that the sender knows.
+	Starts Starts `json:"starts,omitempty"`
 }
 
 // Role is a replica's Raft role in its current term.
--- a/laburnumvoter/members.go
+++ b/laburnumvoter/members.go
@@ -43,7 +43,7 @@
 		return
 	}
 	_, in := v.log.Configuration().Find(v.log.ID())
-	if !in || v.ticks-v.leaderSeen > helloTicks {
+	if !in || v.ticks-v.leaderSeen > helloTicks || !v.log.StartConfirmed() {
 		v.sendHello()
 	}
 	if !v.configured() {
@@ -52,7 +52,7 @@
 }
 
 func (v *Voter) sendHello() {
-	m := helloMessage{Member: v.member(), Boot: v.boot, Configured: v.configured()}
+	m := helloMessage{Member: v.member(), Boot: v.boot, Configured: v.configured(), KnowsStarts: true}
 	for _, address := range v.helloAddresses() {
 		v.peers.Notify(address, methodHello, m)
 	}
@@ -85,10 +85,17 @@
 	if h.Standby {
 		v.setStandby(h.Member.VM)
 	}
+	v.step(laburnumlog.Met{
+		Start:   laburnumlog.Start{Replica: h.Member.ID, Boot: h.Boot, Address: h.Member.Address},
+		Unaware: h.Answer && !h.KnowsStarts,
+	})
+	if v.log == nil { // it runs on an older copy of its folder
+		return
+	}
 	if !h.Answer {
 		_, in := v.log.Configuration().Find(h.Member.ID)
 		v.peers.Notify(h.Member.Address, methodHello, helloMessage{
-			Member: v.member(), Boot: v.boot, Configured: v.configured(), Answer: true,
+			Member: v.member(), Boot: v.boot, Configured: v.configured(), Answer: true, KnowsStarts: true,
 			Standby: v.isLeader() && h.Configured && !in && !v.log.ChangePending(),
 		})
 	}
@@ -168,13 +175,19 @@
 	}
 }
 
-// onSuperseded restarts the replica as a new instance. A separate goroutine waits for the old
-// writer, quarantines the folder's files and opens the then empty folder.
+// onSuperseded restarts the replica as a new instance.
 func (v *Voter) onSuperseded(m supersededMessage) {
 	if v.log == nil || m.ID != v.log.ID() || m.Boot != v.boot {
 		return
 	}
-	_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventDataFolderRegressed, "replica", m.ID)
+	v.recreate()
+}
+
+// recreate restarts the replica as a new instance, since its data folder lacks what it has promised.
+// A separate goroutine waits for the old writer, quarantines the folder's files and opens the then
+// empty folder.
+func (v *Voter) recreate() {
+	_ = level.Error(v.cfg.logger).Log("event", laburnumlever.EventDataFolderRegressed, "replica", v.log.ID(), "boot", v.boot)
 	old := v.writer
 	v.stopReplica()
 	go v.open(func() (*replica, error) {
--- a/laburnumvoter/options.go
+++ b/laburnumvoter/options.go
@@ -73,6 +73,9 @@
 	return laburnumquorum.Policy{Target: c.voterTarget, ReplaceTicks: ticks}
 }
 
+// tolerance returns how many disks of the voters may be lost at once.
+func (c config) tolerance() int { return max(0, (c.voterTarget-1)/2) }
+
 // Option configures a new voter.
 type Option func(*config)
 
--- a/laburnumvoter/report.go
+++ b/laburnumvoter/report.go
@@ -25,6 +25,8 @@
 	committed      bool
 	since          time.Time // when the configuration was appended here
 	leaderlessTick uint64    // the tick of the last log line about a missing leader
+	openedTick     uint64    // the tick at which the replica was opened
+	startConfirmed bool
 }
 
 // reportOpened logs what the folder held: instance, last index and voters. After a loss of disks
@@ -34,7 +36,7 @@
 	_ = level.Info(v.cfg.logger).Log("event", laburnumlever.EventReplicaOpened, "replica", v.log.ID(),
 		"last", v.log.LastIndex(), "commit", v.log.Commit(), "term", v.log.Term(),
 		"voters", names(c.Voters()), "configuration", v.log.ConfigurationIndex())
-	v.logged = loggedState{configuration: v.log.ConfigurationIndex(), committed: !v.log.ChangePending(), since: v.timers.Now()}
+	v.logged = loggedState{configuration: v.log.ConfigurationIndex(), committed: !v.log.ChangePending(), since: v.timers.Now(), openedTick: v.ticks}
 }
 
 // reportVoters logs each configuration when it is appended, which is when it takes effect, and
@@ -129,12 +131,50 @@
 		return v.failure.Error()
 	}
 	const detail = "this VM is not the leader"
+	if v.log != nil && !v.log.StartConfirmed() {
+		return detail + "; its start is not registered by " + joined(v.unregisteredBy())
+	}
 	if v.log == nil || v.log.Leader() != "" || !v.log.Configuration().IsVoter(v.log.ID()) {
 		return detail
 	}
 	return detail + "; no leader for " + v.leaderless().String() + ", waiting for " + strings.Join(v.missingVotes(), ", ")
 }
 
+// reportStart logs once that enough VMs have registered this start, or how long that takes.
+func (v *Voter) reportStart() {
+	if v.log == nil || v.logged.startConfirmed {
+		return
+	}
+	if !v.log.StartConfirmed() && (v.ticks-v.logged.openedTick)%leaderlessRepeatTicks != leaderlessLogTicks {
+		return
+	}
+	waited := time.Duration(v.ticks-v.logged.openedTick) * v.cfg.tick
+	if v.log.StartConfirmed() {
+		v.logged.startConfirmed = true
+		_ = level.Info(v.cfg.logger).Log("event", laburnumlever.EventStartConfirmed, "replica", v.log.ID(), "boot", v.boot,
+			"took", waited, "unregistered-by", joined(vmsOf(v.log.UnregisteredBy())))
+		return
+	}
+	_ = level.Warn(v.cfg.logger).Log("event", laburnumlever.EventStartUnconfirmed, "replica", v.log.ID(), "boot", v.boot,
+		"for", waited, "waiting-for", joined(v.unregisteredBy()))
+}
+
+func vmsOf(ids []laburnumlog.ReplicaID) []laburnumlever.VMID {
+	var vms []laburnumlever.VMID
+	for _, id := range ids {
+		vms = append(vms, id.VM())
+	}
+	return vms
+}
+
+func joined(vms []laburnumlever.VMID) string {
+	list := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, string(vm))
+	}
+	return strings.Join(list, ", ")
+}
+
 func learners(c laburnumlog.Configuration) []laburnumlog.Member {
 	var list []laburnumlog.Member
 	for _, m := range c.Members {
--- a/laburnumvoter/status.go
+++ b/laburnumvoter/status.go
@@ -10,6 +10,8 @@
 	roleClient  = "client"
 	roleLearner = "learner"
 	roleFailed  = "disk-failed"
+	// roleUnconfirmed is that of a replica whose start is not registered by enough other VMs yet.
+	roleUnconfirmed = "unconfirmed"
 )
 
 // Status returns the log's state as this VM knows it. It may be called on any goroutine.
@@ -48,6 +50,8 @@
 	commit        uint64
 	applied       uint64
 	configuration uint64
+	// unregistered is the number of VMs that have not registered this start.
+	unregistered int
 }
 
 func (v *Voter) statusKey() publishedKey {
@@ -56,7 +60,7 @@
 	}
 	return publishedKey{
 		role: v.roleName(), term: v.log.Term(), leader: v.log.Leader(), commit: v.log.Commit(),
-		applied: v.applied, configuration: v.log.ConfigurationIndex(),
+		applied: v.applied, configuration: v.log.ConfigurationIndex(), unregistered: len(v.unregisteredBy()),
 	}
 }
 
@@ -77,12 +81,24 @@
 		if m, ok := v.log.Configuration().Find(v.log.Leader()); ok {
 			s.Leader = m.VM
 		}
+		s.WaitsFor = v.unregisteredBy()
 		v.known.set(s.Voters)
 	}
 	v.status.Store(&s)
 }
 
+// unregisteredBy returns the VMs that have not registered this start, while it waits for them.
+func (v *Voter) unregisteredBy() []laburnumlever.VMID {
+	if v.log.StartConfirmed() {
+		return nil
+	}
+	return vmsOf(v.log.UnregisteredBy())
+}
+
 func (v *Voter) roleName() string {
+	if !v.log.StartConfirmed() {
+		return roleUnconfirmed
+	}
 	if !v.log.Configuration().IsVoter(v.log.ID()) {
 		return roleLearner
 	}
--- a/laburnumvoter/step.go
+++ b/laburnumvoter/step.go
@@ -31,6 +31,10 @@
 	for _, m := range out.Messages {
 		v.transmit(m)
 	}
+	if out.Superseded {
+		v.recreate()
+		return laburnumlog.Output{}
+	}
 	if out.Write != nil {
 		v.pendingAfter = append(v.pendingAfter, laburnumlog.Write{Seq: out.Write.Seq, DeferredMessages: out.Write.DeferredMessages})
 		write := *out.Write
--- a/laburnumvoter/transmit.go
+++ b/laburnumvoter/transmit.go
@@ -39,7 +39,11 @@
 	if m, ok := v.log.Configuration().Find(id); ok {
 		return m.Address
 	}
-	return v.addresses[id]
+	if address, ok := v.addresses[id]; ok {
+		return address
+	}
+	start, _ := v.log.Starts().Of(id.VM())
+	return start.Address
 }
 
 func (v *Voter) onReceived(m wireMessage) {
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -195,6 +195,7 @@
 	}
 	v.updateRole()
 	v.reportVoters()
+	v.reportStart()
 	v.publish()
 }
 
--- a/laburnumvoter/wire.go
+++ b/laburnumvoter/wire.go
@@ -30,6 +30,8 @@
 	Answer     bool `json:"answer,omitempty"`
 	// Standby means, in a leader's answer, that the replica that sent the hello is no member.
 	Standby bool `json:"standby,omitempty"`
+	// KnowsStarts is set by programs that register the starts of other VMs.
+	KnowsStarts bool `json:"knows-starts,omitempty"`
 }
 
 // bootstrapMessage carries the first configuration of the log.
--- a/logevent.go
+++ b/logevent.go
@@ -146,6 +146,10 @@
 	EventNoLeader
 	// EventReplicaOpened is a replica opened from its data folder, with what it found there.
 	EventReplicaOpened
+	// EventStartConfirmed is a replica that takes part in elections, since enough VMs have registered its start.
+	EventStartConfirmed
+	// EventStartUnconfirmed is a replica that waits for that, and the VMs that it is waiting for.
+	EventStartUnconfirmed
 	// EventVotersChanged is a change of the voters or learners in this VM's replica.
 	EventVotersChanged // voters-in-force
 	// EventLearnerAdded is a learner that was added to catch up with the log.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 219, 229, 243, 256, 270, 289, 309, 328, 350, 364, 383, 399, 422, 435, 450, 463, 477, 492, 510, 524, 540, 556, 569, 585, 601, 616, 630, 640, 651, 664, 685, 701, 719, 730, 746, 762, 777, 791, 805, 820, 838, 856, 869, 878, 892, 907, 920, 935, 946, 960, 973, 999, 1017, 1031, 1048, 1067, 1088, 1097, 1107, 1124, 1134, 1143, 1157, 1169, 1185, 1192, 1200, 1207, 1214, 1231, 1247, 1261, 1279, 1292, 1309}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 219, 229, 243, 256, 270, 289, 309, 328, 350, 364, 383, 399, 422, 435, 450, 463, 477, 492, 510, 524, 540, 556, 569, 585, 601, 616, 630, 640, 651, 664, 685, 701, 719, 730, 746, 762, 777, 791, 805, 820, 838, 856, 869, 878, 892, 907, 924, 939, 952, 967, 978, 992, 1005, 1031, 1049, 1063, 1080, 1099, 1120, 1129, 1139, 1156, 1166, 1175, 1189, 1201, 1217, 1224, 1232, 1239, 1246, 1263, 1279, 1293, 1311, 1324, 1341}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -84,39 +84,41 @@
 	_ = x[EventBecameLeader-(57)]
 	_ = x[EventNoLeader-(58)]
 	_ = x[EventReplicaOpened-(59)]
-	_ = x[EventVotersChanged-(60)]
-	_ = x[EventLearnerAdded-(61)]
-	_ = x[EventLearnerRemoved-(62)]
-	_ = x[EventVoterAdded-(63)]
-	_ = x[EventVoterReplaced-(64)]
-	_ = x[EventVoterStandby-(65)]
-	_ = x[EventLeadershipNotHandedOver-(66)]
-	_ = x[EventExpiryNotEncoded-(67)]
-	_ = x[EventReplicaFailed-(68)]
-	_ = x[EventReplicaRegressed-(69)]
-	_ = x[EventDataFolderDamaged-(70)]
-	_ = x[EventDataFolderRegressed-(71)]
-	_ = x[EventLeaseAcquired-(72)]
-	_ = x[EventLeaseLost-(73)]
-	_ = x[EventLeaseNotRenewed-(74)]
-	_ = x[EventZoneOwned-(75)]
-	_ = x[EventZoneLost-(76)]
-	_ = x[EventControlThreadTimes-(77)]
-	_ = x[EventControlLost-(78)]
-	_ = x[EventControlRegained-(79)]
-	_ = x[EventStarted-(80)]
-	_ = x[EventDraining-(81)]
-	_ = x[EventDrained-(82)]
-	_ = x[EventStopped-(83)]
-	_ = x[EventSettingsReloaded-(84)]
-	_ = x[EventSettingsRefused-(85)]
-	_ = x[EventListenerEnded-(86)]
-	_ = x[EventMetricsNotServed-(87)]
-	_ = x[EventUnknownEvent-(88)]
-	_ = x[EventLogLinesDropped-(89)]
+	_ = x[EventStartConfirmed-(60)]
+	_ = x[EventStartUnconfirmed-(61)]
+	_ = x[EventVotersChanged-(62)]
+	_ = x[EventLearnerAdded-(63)]
+	_ = x[EventLearnerRemoved-(64)]
+	_ = x[EventVoterAdded-(65)]
+	_ = x[EventVoterReplaced-(66)]
+	_ = x[EventVoterStandby-(67)]
+	_ = x[EventLeadershipNotHandedOver-(68)]
+	_ = x[EventExpiryNotEncoded-(69)]
+	_ = x[EventReplicaFailed-(70)]
+	_ = x[EventReplicaRegressed-(71)]
+	_ = x[EventDataFolderDamaged-(72)]
+	_ = x[EventDataFolderRegressed-(73)]
+	_ = x[EventLeaseAcquired-(74)]
+	_ = x[EventLeaseLost-(75)]
+	_ = x[EventLeaseNotRenewed-(76)]
+	_ = x[EventZoneOwned-(77)]
+	_ = x[EventZoneLost-(78)]
+	_ = x[EventControlThreadTimes-(79)]
+	_ = x[EventControlLost-(80)]
+	_ = x[EventControlRegained-(81)]
+	_ = x[EventStarted-(82)]
+	_ = x[EventDraining-(83)]
+	_ = x[EventDrained-(84)]
+	_ = x[EventStopped-(85)]
+	_ = x[EventSettingsReloaded-(86)]
+	_ = x[EventSettingsRefused-(87)]
+	_ = x[EventListenerEnded-(88)]
+	_ = x[EventMetricsNotServed-(89)]
+	_ = x[EventUnknownEvent-(90)]
+	_ = x[EventLogLinesDropped-(91)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -179,36 +181,38 @@
 	_LogEventName[856:869]:   EventBecameLeader,
 	_LogEventName[869:878]:   EventNoLeader,
 	_LogEventName[878:892]:   EventReplicaOpened,
-	_LogEventName[892:907]:   EventVotersChanged,
-	_LogEventName[907:920]:   EventLearnerAdded,
-	_LogEventName[920:935]:   EventLearnerRemoved,
-	_LogEventName[935:946]:   EventVoterAdded,
-	_LogEventName[946:960]:   EventVoterReplaced,
-	_LogEventName[960:973]:   EventVoterStandby,
-	_LogEventName[973:999]:   EventLeadershipNotHandedOver,
-	_LogEventName[999:1017]:  EventExpiryNotEncoded,
-	_LogEventName[1017:1031]: EventReplicaFailed,
-	_LogEventName[1031:1048]: EventReplicaRegressed,
-	_LogEventName[1048:1067]: EventDataFolderDamaged,
-	_LogEventName[1067:1088]: EventDataFolderRegressed,
-	_LogEventName[1088:1097]: EventLeaseAcquired,
-	_LogEventName[1097:1107]: EventLeaseLost,
-	_LogEventName[1107:1124]: EventLeaseNotRenewed,
-	_LogEventName[1124:1134]: EventZoneOwned,
-	_LogEventName[1134:1143]: EventZoneLost,
-	_LogEventName[1143:1157]: EventControlThreadTimes,
-	_LogEventName[1157:1169]: EventControlLost,
-	_LogEventName[1169:1185]: EventControlRegained,
-	_LogEventName[1185:1192]: EventStarted,
-	_LogEventName[1192:1200]: EventDraining,
-	_LogEventName[1200:1207]: EventDrained,
-	_LogEventName[1207:1214]: EventStopped,
-	_LogEventName[1214:1231]: EventSettingsReloaded,
-	_LogEventName[1231:1247]: EventSettingsRefused,
-	_LogEventName[1247:1261]: EventListenerEnded,
-	_LogEventName[1261:1279]: EventMetricsNotServed,
-	_LogEventName[1279:1292]: EventUnknownEvent,
-	_LogEventName[1292:1309]: EventLogLinesDropped,
+	_LogEventName[892:907]:   EventStartConfirmed,
+	_LogEventName[907:924]:   EventStartUnconfirmed,
+	_LogEventName[924:939]:   EventVotersChanged,
+	_LogEventName[939:952]:   EventLearnerAdded,
+	_LogEventName[952:967]:   EventLearnerRemoved,
+	_LogEventName[967:978]:   EventVoterAdded,
+	_LogEventName[978:992]:   EventVoterReplaced,
+	_LogEventName[992:1005]:  EventVoterStandby,
+	_LogEventName[1005:1031]: EventLeadershipNotHandedOver,
+	_LogEventName[1031:1049]: EventExpiryNotEncoded,
+	_LogEventName[1049:1063]: EventReplicaFailed,
+	_LogEventName[1063:1080]: EventReplicaRegressed,
+	_LogEventName[1080:1099]: EventDataFolderDamaged,
+	_LogEventName[1099:1120]: EventDataFolderRegressed,
+	_LogEventName[1120:1129]: EventLeaseAcquired,
+	_LogEventName[1129:1139]: EventLeaseLost,
+	_LogEventName[1139:1156]: EventLeaseNotRenewed,
+	_LogEventName[1156:1166]: EventZoneOwned,
+	_LogEventName[1166:1175]: EventZoneLost,
+	_LogEventName[1175:1189]: EventControlThreadTimes,
+	_LogEventName[1189:1201]: EventControlLost,
+	_LogEventName[1201:1217]: EventControlRegained,
+	_LogEventName[1217:1224]: EventStarted,
+	_LogEventName[1224:1232]: EventDraining,
+	_LogEventName[1232:1239]: EventDrained,
+	_LogEventName[1239:1246]: EventStopped,
+	_LogEventName[1246:1263]: EventSettingsReloaded,
+	_LogEventName[1263:1279]: EventSettingsRefused,
+	_LogEventName[1279:1293]: EventListenerEnded,
+	_LogEventName[1293:1311]: EventMetricsNotServed,
+	_LogEventName[1311:1324]: EventUnknownEvent,
+	_LogEventName[1324:1341]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -272,36 +276,38 @@
 	_LogEventLowerName[856:869]:   EventBecameLeader,
 	_LogEventLowerName[869:878]:   EventNoLeader,
 	_LogEventLowerName[878:892]:   EventReplicaOpened,
-	_LogEventLowerName[892:907]:   EventVotersChanged,
-	_LogEventLowerName[907:920]:   EventLearnerAdded,
-	_LogEventLowerName[920:935]:   EventLearnerRemoved,
-	_LogEventLowerName[935:946]:   EventVoterAdded,
-	_LogEventLowerName[946:960]:   EventVoterReplaced,
-	_LogEventLowerName[960:973]:   EventVoterStandby,
-	_LogEventLowerName[973:999]:   EventLeadershipNotHandedOver,
-	_LogEventLowerName[999:1017]:  EventExpiryNotEncoded,
-	_LogEventLowerName[1017:1031]: EventReplicaFailed,
-	_LogEventLowerName[1031:1048]: EventReplicaRegressed,
-	_LogEventLowerName[1048:1067]: EventDataFolderDamaged,
-	_LogEventLowerName[1067:1088]: EventDataFolderRegressed,
-	_LogEventLowerName[1088:1097]: EventLeaseAcquired,
-	_LogEventLowerName[1097:1107]: EventLeaseLost,
-	_LogEventLowerName[1107:1124]: EventLeaseNotRenewed,
-	_LogEventLowerName[1124:1134]: EventZoneOwned,
-	_LogEventLowerName[1134:1143]: EventZoneLost,
-	_LogEventLowerName[1143:1157]: EventControlThreadTimes,
-	_LogEventLowerName[1157:1169]: EventControlLost,
-	_LogEventLowerName[1169:1185]: EventControlRegained,
-	_LogEventLowerName[1185:1192]: EventStarted,
-	_LogEventLowerName[1192:1200]: EventDraining,
-	_LogEventLowerName[1200:1207]: EventDrained,
-	_LogEventLowerName[1207:1214]: EventStopped,
-	_LogEventLowerName[1214:1231]: EventSettingsReloaded,
-	_LogEventLowerName[1231:1247]: EventSettingsRefused,
-	_LogEventLowerName[1247:1261]: EventListenerEnded,
-	_LogEventLowerName[1261:1279]: EventMetricsNotServed,
-	_LogEventLowerName[1279:1292]: EventUnknownEvent,
-	_LogEventLowerName[1292:1309]: EventLogLinesDropped,
+	_LogEventLowerName[892:907]:   EventStartConfirmed,
+	_LogEventLowerName[907:924]:   EventStartUnconfirmed,
+	_LogEventLowerName[924:939]:   EventVotersChanged,
+	_LogEventLowerName[939:952]:   EventLearnerAdded,
+	_LogEventLowerName[952:967]:   EventLearnerRemoved,
+	_LogEventLowerName[967:978]:   EventVoterAdded,
+	_LogEventLowerName[978:992]:   EventVoterReplaced,
+	_LogEventLowerName[992:1005]:  EventVoterStandby,
+	_LogEventLowerName[1005:1031]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1031:1049]: EventExpiryNotEncoded,
+	_LogEventLowerName[1049:1063]: EventReplicaFailed,
+	_LogEventLowerName[1063:1080]: EventReplicaRegressed,
+	_LogEventLowerName[1080:1099]: EventDataFolderDamaged,
+	_LogEventLowerName[1099:1120]: EventDataFolderRegressed,
+	_LogEventLowerName[1120:1129]: EventLeaseAcquired,
+	_LogEventLowerName[1129:1139]: EventLeaseLost,
+	_LogEventLowerName[1139:1156]: EventLeaseNotRenewed,
+	_LogEventLowerName[1156:1166]: EventZoneOwned,
+	_LogEventLowerName[1166:1175]: EventZoneLost,
+	_LogEventLowerName[1175:1189]: EventControlThreadTimes,
+	_LogEventLowerName[1189:1201]: EventControlLost,
+	_LogEventLowerName[1201:1217]: EventControlRegained,
+	_LogEventLowerName[1217:1224]: EventStarted,
+	_LogEventLowerName[1224:1232]: EventDraining,
+	_LogEventLowerName[1232:1239]: EventDrained,
+	_LogEventLowerName[1239:1246]: EventStopped,
+	_LogEventLowerName[1246:1263]: EventSettingsReloaded,
+	_LogEventLowerName[1263:1279]: EventSettingsRefused,
+	_LogEventLowerName[1279:1293]: EventListenerEnded,
+	_LogEventLowerName[1293:1311]: EventMetricsNotServed,
+	_LogEventLowerName[1311:1324]: EventUnknownEvent,
+	_LogEventLowerName[1324:1341]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -366,35 +372,37 @@
 	_LogEventName[869:878],
 	_LogEventName[878:892],
 	_LogEventName[892:907],
-	_LogEventName[907:920],
-	_LogEventName[920:935],
-	_LogEventName[935:946],
-	_LogEventName[946:960],
-	_LogEventName[960:973],
-	_LogEventName[973:999],
-	_LogEventName[999:1017],
-	_LogEventName[1017:1031],
-	_LogEventName[1031:1048],
-	_LogEventName[1048:1067],
-	_LogEventName[1067:1088],
-	_LogEventName[1088:1097],
-	_LogEventName[1097:1107],
-	_LogEventName[1107:1124],
-	_LogEventName[1124:1134],
-	_LogEventName[1134:1143],
-	_LogEventName[1143:1157],
-	_LogEventName[1157:1169],
-	_LogEventName[1169:1185],
-	_LogEventName[1185:1192],
-	_LogEventName[1192:1200],
-	_LogEventName[1200:1207],
-	_LogEventName[1207:1214],
-	_LogEventName[1214:1231],
-	_LogEventName[1231:1247],
-	_LogEventName[1247:1261],
-	_LogEventName[1261:1279],
-	_LogEventName[1279:1292],
-	_LogEventName[1292:1309],
+	_LogEventName[907:924],
+	_LogEventName[924:939],
+	_LogEventName[939:952],
+	_LogEventName[952:967],
+	_LogEventName[967:978],
+	_LogEventName[978:992],
+	_LogEventName[992:1005],
+	_LogEventName[1005:1031],
+	_LogEventName[1031:1049],
+	_LogEventName[1049:1063],
+	_LogEventName[1063:1080],
+	_LogEventName[1080:1099],
+	_LogEventName[1099:1120],
+	_LogEventName[1120:1129],
+	_LogEventName[1129:1139],
+	_LogEventName[1139:1156],
+	_LogEventName[1156:1166],
+	_LogEventName[1166:1175],
+	_LogEventName[1175:1189],
+	_LogEventName[1189:1201],
+	_LogEventName[1201:1217],
+	_LogEventName[1217:1224],
+	_LogEventName[1224:1232],
+	_LogEventName[1232:1239],
+	_LogEventName[1239:1246],
+	_LogEventName[1246:1263],
+	_LogEventName[1263:1279],
+	_LogEventName[1279:1293],
+	_LogEventName[1293:1311],
+	_LogEventName[1311:1324],
+	_LogEventName[1324:1341],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
