fix: copies of a crashing request are sent one at a time

Cause: a request is held once it was on three crashed servers, and its copies weren't counted. While no server holds the model, copies gather at all gateways and go together to the first that has loaded it: 2 copies at 5.47 s, 13 within a millisecond at 10.06, 18 at 14.58, each on one server. The third copy had ended at 10.06, so that three more were allowed from 14.06 on.

Where three copies have ended with fewer servers, all gateways together send one at a time now, granted by a control VM; the others are refused at once with a reason of their own, under-trial. The next two servers end the trials and the request is held, as before; an answer clears it. Control VMs and gateways of earlier builds ignore the new field and calls.

--- a/enums.go
+++ b/enums.go
@@ -71,6 +71,9 @@
 	RefusedCallerGone
 	// RefusedQuarantined is a request that has crashed the backend servers that ran it.
 	RefusedQuarantined
+	// RefusedUnderTrial is a request of which several copies were on crashed backend servers, while another copy is being
+	// tried.
+	RefusedUnderTrial
 	// RefusedBackendLimited is a request that only backend servers could serve whose limits are used up.
 	RefusedBackendLimited
 	// RefusedBackendBrittle is a request that only brittle backend servers could serve which have no room for it.
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -56,6 +56,9 @@
 	quarantineListed atomic.Bool
 	answered         *laburnumquarantine.Answered
 	reporter         QuarantineReporter
+	trialKeepers     TrialKeepers
+	// trials are the requests of which a copy is under way that must be alone.
+	trials map[laburnumlever.RequestDigest]struct{}
 	// limits are those that backend servers name.
 	limits  *laburnumlimit.Table
 	brittle *laburnumconcurrency.Table
@@ -81,6 +84,7 @@
 		balance: laburnumbalance.New(vm.Zone, seed), demand: laburnumdemand.NewCounter(vm.ID),
 		gateways: 1, keys: newKeys(), readTimes: laburnumdemand.ReadTimes{}, routesLoaded: make(chan struct{}),
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), reporter: silentReporter{},
+		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
 	}
 	for _, opt := range opts {
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -49,12 +49,13 @@
 		if err != nil {
 			return err
 		}
-		if err := g.payQuota(ctx, q); err != nil {
+		if err := g.admit(ctx, q); err != nil {
 			g.fleet.cancelSlot(ticket)
 			return err
 		}
 		fail := g.attempt(ctx, q, out, ticket)
 		g.fleet.returnLease(q, fail)
+		g.endTrial(q, fail)
 		if fail == nil {
 			return nil
 		}
@@ -82,6 +83,18 @@
 	}
 }
 
+// admit decides whether a request that has a slot may be sent. The error is a *laburnumlever.RefusalError.
+func (g *Gateway) admit(ctx context.Context, q *request) error {
+	if err := g.beginTrial(ctx, q); err != nil {
+		return err
+	}
+	err := g.payQuota(ctx, q)
+	if err != nil {
+		g.endTrial(q, nil)
+	}
+	return err
+}
+
 func (g *Gateway) logFailedAttempt(q *request, ticket *laburnumbalance.Ticket, fail *failure) {
 	fields := []any{
 		"event", laburnumlever.EventAttemptFailed, "request-id", q.caller.ID, "backend", ticket.Backend.Backend,
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -75,7 +75,9 @@
 	slotRequested bool
 	probes        bool
 	// lease is the place on a brittle backend server that the request holds; nil for none.
-	lease       *lease
+	lease *lease
+	// trial is the trial that the request holds; nil for none.
+	trial       *requestTrial
 	mostUrgent  bool // no route to the same service has a more urgent priority
 	lastEventID string
 	// brokenAt is when the last part of an answer that broke off was written; zero if none did.
--- a/laburnumquarantine/detector.go
+++ b/laburnumquarantine/detector.go
@@ -61,6 +61,8 @@
 	// gateways.
 	elsewhere State
 	seen      time.Time
+	// ends is the number of its copies that were on crashed servers.
+	ends int
 	// state is set by each evaluation.
 	state State
 }
@@ -110,6 +112,7 @@
 	}
 	s := d.suspect(sighting.Digest)
 	s.seen = now
+	s.ends++
 	if slices.Contains(s.crashes, c) {
 		return
 	}
@@ -184,7 +187,7 @@
 	var changed []Entry
 	for digest, e := range entries {
 		old, ok := d.listed[digest]
-		if !ok || old.entry.State != e.State || d.mustRefresh(old) {
+		if !ok || old.entry.State != e.State || old.entry.Alone != e.Alone || d.mustRefresh(old) {
 			d.listed[digest] = listing{entry: e, at: now}
 			changed = append(changed, e)
 		}
@@ -228,7 +231,7 @@
 	}
 	entries := make(map[laburnumlever.RequestDigest]Entry, len(list))
 	for _, s := range list {
-		entries[s.digest] = Entry{Digest: s.digest, State: s.state, Crashes: len(s.crashes)}
+		entries[s.digest] = Entry{Digest: s.digest, State: s.state, Crashes: len(s.crashes), Alone: s.state == Suspect && s.ends >= holdCrashes}
 	}
 	return entries
 }
@@ -244,6 +247,8 @@
 // ownState returns the state that follows from the crashes.
 func (d *Detector) ownState(s *suspect) State {
 	switch {
+	case len(s.crashes) < suspectCrashes && s.ends >= holdCrashes:
+		return Suspect
 	case len(s.crashes) < suspectCrashes:
 		return Cleared
 	case len(s.crashes) < holdCrashes:
--- a/laburnumquarantine/detector_test.go
+++ b/laburnumquarantine/detector_test.go
@@ -196,3 +196,42 @@
 		d.Changes(now)
 	}
 }
+
+// Guards against copies of one request that wait for the next server and end it together, since only servers are counted.
+func TestCopiesOnOneServerAreTriedAlone(t *testing.T) {
+	d := laburnumquarantine.NewDetector()
+	now := time.Unix(1_000_000, 0)
+	crash := laburnumquarantine.Crash{Backend: "i-1"}
+	copies := laburnumlever.NewRequestDigest("POST", "quotes.example", "/quote/x", []byte("poison"))
+	single := laburnumlever.NewRequestDigest("POST", "quotes.example", "/quote/x", []byte("oak"))
+	report := laburnumquarantine.Report{Sightings: []laburnumquarantine.Sighting{{Crash: crash, Digest: copies}, {Crash: crash, Digest: copies}, {Crash: crash, Digest: single}}}
+	d.Add(report, now)
+	require.Empty(t, d.Changes(now))
+	d.Add(laburnumquarantine.Report{Sightings: report.Sightings[:1]}, now)
+	changes := d.Changes(now)
+	require.Equal(t, []laburnumquarantine.Entry{{Digest: copies, State: laburnumquarantine.Suspect, Crashes: 1, Alone: true}}, changes)
+
+	list := laburnumquarantine.NewList()
+	list.Apply("10.0.0.1:7000", 1, changes, now)
+	require.True(t, list.Alone(copies))
+	require.False(t, list.Alone(single))
+	d.Add(laburnumquarantine.Report{Completed: []laburnumlever.RequestDigest{copies}}, now)
+	list.Apply("10.0.0.1:7000", 1, d.Changes(now), now)
+	require.False(t, list.Alone(copies), "a server has answered it")
+}
+
+// Guards against two copies of a suspected request at once, and against a trial that outlives its gateway.
+func TestOneTrialAtATime(t *testing.T) {
+	trials := laburnumquarantine.NewTrials()
+	now := time.Unix(1_000_000, 0)
+	ask := laburnumquarantine.TrialRequest{Digest: laburnumlever.RequestDigest{1}, Hold: laburnumlever.Duration(time.Second)}
+	first := trials.Begin(ask, now)
+	require.True(t, first.Granted)
+	require.False(t, trials.Begin(ask, now.Add(999*time.Millisecond)).Granted)
+	second := trials.Begin(ask, now.Add(time.Second))
+	require.True(t, second.Granted)
+	trials.End(laburnumquarantine.TrialEnd{Digest: ask.Digest, Trial: first.Trial})
+	require.False(t, trials.Begin(ask, now.Add(time.Second)).Granted, "the end of an earlier trial")
+	trials.End(laburnumquarantine.TrialEnd{Digest: ask.Digest, Trial: second.Trial})
+	require.True(t, trials.Begin(ask, now.Add(time.Second)).Granted)
+}
--- a/laburnumquarantine/doc.go
+++ b/laburnumquarantine/doc.go
@@ -11,6 +11,8 @@
 //   - A Detector on each control VM holds a request that was on three crashed servers, for a time
 //     after which the caller of an innocent one has given up. If the request crashes a server once
 //     more, it is quarantined. While servers crash for other reasons, more crashes are needed.
+//   - Copies of one request may be on a server together. Where three of them have ended with fewer
+//     servers, all gateways together send one at a time (Trials), until it is answered or held.
 //   - A request that a server answered completely is cleared.
 //   - A List on each gateway contains the entries of several control VMs. A request is refused while
 //     one of them holds it or has it in quarantine.
--- a/laburnumquarantine/entry.go
+++ b/laburnumquarantine/entry.go
@@ -15,8 +15,8 @@
 const (
 	// Cleared is a request that is not suspected, or no longer.
 	Cleared State = iota
-	// Suspect is a request that was on several crashed servers. It is served, but not retried after
-	// a crash, and an answer to it is reported.
+	// Suspect is a request that was on several crashed servers, or of which several copies were on one.
+	// It is served, but not retried after a crash, and an answer to it is reported.
 	Suspect
 	// Held is a request that is refused for HoldTime. It may have been on the crashed servers by
 	// chance, as the retries of an innocent request follow a crashing one.
@@ -55,6 +55,9 @@
 	State  State                       `json:"state"`
 	// Crashes is the number of servers that crashed with the request.
 	Crashes int `json:"crashes,omitempty"`
+	// Alone is set if only one copy of the request may run at a time: as many as hold a request have ended with
+	// servers, on fewer servers.
+	Alone bool `json:"alone,omitempty"`
 }
 
 // Crash identifies the incarnation of a backend server that crashed.
--- a/laburnumquarantine/list.go
+++ b/laburnumquarantine/list.go
@@ -30,6 +30,8 @@
 type source struct {
 	boot   uint64
 	states map[laburnumlever.RequestDigest]State
+	// alone are the requests of which only one copy may run at a time.
+	alone map[laburnumlever.RequestDigest]struct{}
 }
 
 // known is a refused request.
@@ -63,7 +65,7 @@
 	s := l.sources[address]
 	if s == nil || s.boot != boot {
 		l.Forget(address)
-		s = &source{boot: boot, states: map[laburnumlever.RequestDigest]State{}}
+		s = &source{boot: boot, states: map[laburnumlever.RequestDigest]State{}, alone: map[laburnumlever.RequestDigest]struct{}{}}
 		l.sources[address] = s
 		applied.Started = true
 	}
@@ -97,6 +99,11 @@
 		s.states[e.Digest] = e.State
 	}
 	l.entries += len(s.states) - before
+	if e.Alone {
+		s.alone[e.Digest] = struct{}{}
+	} else {
+		delete(s.alone, e.Digest)
+	}
 }
 
 // learn records that a request is refused and reports whether that is new. The control VM with more
@@ -147,6 +154,16 @@
 	return Cleared
 }
 
+// Alone reports whether only one copy of a request may run at a time.
+func (l *List) Alone(digest laburnumlever.RequestDigest) bool {
+	for _, s := range l.sources {
+		if _, ok := s.alone[digest]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Refuse records that a caller sent a refused request, and reports whether the control VMs must be
 // told so.
 func (l *List) Refuse(digest laburnumlever.RequestDigest, now time.Time) bool {
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -103,6 +103,8 @@
 	c.peers.Handle(methodHeartbeatRelay, c.handleRelay)
 	c.quarantine = newQuarantine(c.timers, c.source, c.logger, c.metrics.Scope())
 	c.peers.Handle(methodQuarantineReport, c.quarantine.handleReport)
+	c.peers.Handle(methodTrialBegin, c.quarantine.handleTrialBegin)
+	c.peers.Handle(methodTrialEnd, c.quarantine.handleTrialEnd)
 	c.limits = newLimits(c.timers, c.source, c.logger, c.metrics.Scope())
 	c.peers.Handle(methodLimitReport, c.limits.handleReport)
 	c.peers.Handle(methodLimitSlot, c.limits.handleSlot)
--- a/laburnumroles/crashingrequest_test.go
+++ b/laburnumroles/crashingrequest_test.go
@@ -37,6 +37,9 @@
 	// crashes and arrivals are the times of crashes, and of requests whose id begins with crashText.
 	crashes, arrivals []time.Time
 	closed            bool
+	// down is how long a crashed engine is down, delay how long a request runs before the engine crashes: further copies of
+	// it begin to run meanwhile.
+	down, delay time.Duration
 }
 
 func (e *crashingEngines) start(address string) {
@@ -54,6 +57,7 @@
 	}
 	server := &http.Server{ReadHeaderTimeout: time.Second}
 	var crashed atomic.Bool
+	gone := make(chan struct{})
 	var controls []string
 	for i := range e.deployment.controls {
 		controls = append(controls, e.deployment.control(i))
@@ -64,12 +68,16 @@
 			CrashText: crashText,
 			OnRun:     func(run laburnumstandin.PlatformRun) { e.requestRan(run.ID) },
 			Crash: func() {
-				if crashed.CompareAndSwap(false, true) {
-					_ = server.Close()
-					engine.Close()
-					e.engineCrashed()
-					time.AfterFunc(time.Second, func() { e.start(ln.Addr().String()) })
+				if !crashed.CompareAndSwap(false, true) {
+					<-gone
+					return
 				}
+				<-time.After(e.delay)
+				_ = server.Close()
+				engine.Close()
+				e.engineCrashed()
+				close(gone)
+				time.AfterFunc(e.down, func() { e.start(ln.Addr().String()) })
 			},
 		})
 	server.Handler = engine
@@ -82,6 +90,7 @@
 		if crashed.CompareAndSwap(false, true) {
 			_ = server.Close()
 			engine.Close()
+			close(gone)
 		}
 	})
 }
@@ -132,6 +141,10 @@
 }
 
 func newCrashingFleet(t *testing.T, gateways, engines int) *crashingFleet {
+	return newCrashingFleetWith(t, gateways, engines, time.Second, 0)
+}
+
+func newCrashingFleetWith(t *testing.T, gateways, engines int, down, delay time.Duration) *crashingFleet {
 	s := newDeployment(t, 3, 1)
 	for i := 1; i < gateways; i++ {
 		s.startGatewayAt(i)
@@ -139,7 +152,7 @@
 	s.until(200, "first manifest", func() (int, []byte) {
 		return s.call("PUT", "http://"+s.control(0)+"/v1/config", manifest(7, "confirm"))
 	})
-	f := &crashingFleet{deployment: s, engines: &crashingEngines{deployment: s}}
+	f := &crashingFleet{deployment: s, engines: &crashingEngines{deployment: s, down: down, delay: delay}}
 	for range engines {
 		f.engines.start(s.ip(firstEngine) + ":0")
 	}
@@ -251,3 +264,57 @@
 	}
 	require.Len(t, f.engines.arrivals, arrivals)
 }
+
+// endedSince returns how long ago the last of its copies that may be borne reached an engine; 0 before it.
+func (e *crashingEngines) endedSince() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.arrivals) < crashesBorne {
+		return 0
+	}
+	return time.Since(e.arrivals[crashesBorne-1])
+}
+
+// lateCopies returns the number of copies later than contactTime after that one.
+func (e *crashingEngines) lateCopies() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.arrivals {
+		if at.Sub(e.arrivals[crashesBorne-1]) > contactTime {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against copies of a crashing request that wait on all gateways and are sent together to the next engine with its model.
+func TestCopiesOfACrashingRequestAreSentOneAtATime(t *testing.T) {
+	const gateways, callers, down = 3, 12, contactTime + time.Second
+	f := newCrashingFleetWith(t, gateways, 1, down, 100*time.Millisecond)
+	var all sync.WaitGroup
+	var refused atomic.Int64
+	done := make(chan struct{})
+	for caller := range callers {
+		all.Go(func() {
+			pause := time.NewTicker(100 * time.Millisecond)
+			defer pause.Stop()
+			for n := 0; ; n++ {
+				if _, body := f.quote(caller%gateways, fmt.Sprintf("%s-%d-%d", crashText, caller, n), crashText); string(body) == "under-trial\n" {
+					refused.Add(1)
+				}
+				select {
+				case <-done:
+					return
+				case <-pause.C:
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return f.engines.endedSince() > 3*down }, time.Minute, 50*time.Millisecond)
+	close(done)
+	all.Wait()
+	t.Logf("%d crashes, %d copies, %d refused beside another", len(f.engines.crashes), len(f.engines.arrivals), refused.Load())
+	require.LessOrEqual(t, f.engines.lateCopies(), repeatsBorne)
+	f.awaitServed(0)
+}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -47,6 +47,9 @@
 	keepers := newLimitKeepers(calls, g.timers, g.logger, func(zone laburnumlever.ZoneName, id laburnumlever.BackendID) []string {
 		return g.follower.ControlsFor(zone, string(id))
 	})
+	trials := &trialKeepers{calls: calls, logger: g.logger, controls: func(digest laburnumlever.RequestDigest) []string {
+		return g.follower.ControlsFor("", digest.String())
+	}}
 	terms := laburnumquota.Terms(settings.Quota.Terms())
 	quotas := &quotaKeepers{calls: calls, terms: terms, self: g.self, follower: func() *laburnumfeed.Follower { return g.follower }}
 	keepStreams := newStreamKeepers(calls, g.timers, g.logger, g.self, settings.ControlLosses, func() *laburnumfeed.Follower { return g.follower })
@@ -55,7 +58,7 @@
 		follower: func() *laburnumfeed.Follower { return g.follower }, fleet: func() *laburnumgateway.Fleet { return g.fleet },
 	}
 	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
-		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithLimitKeepers(keepers),
+		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithTrialKeepers(trials), laburnumgateway.WithLimitKeepers(keepers),
 		laburnumgateway.WithQuotaKeepers(quotas, terms),
 		laburnumgateway.WithStreamKeepers(keepStreams), laburnumgateway.WithFirstStart(settings.FirstStart),
 		laburnumgateway.WithRoutesConfirmer(confirmer, laburnumgateway.KeyTimes{
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -7,6 +7,8 @@
 	methodAdapterRequest   = "adapter-need"
 	methodHeartbeatRelay   = "heartbeat-relay"
 	methodQuarantineReport = "quarantine-report"
+	methodTrialBegin       = "quarantine-trial"
+	methodTrialEnd         = "quarantine-trial-end"
 	methodLimitReport      = "limit-report"
 	methodLimitSlot        = "limit-slot"
 	methodConfirmRoutes    = "routes-confirm"
--- a/laburnumroles/quarantine.go
+++ b/laburnumroles/quarantine.go
@@ -39,6 +39,7 @@
 
 	mu       sync.Mutex
 	detector *laburnumquarantine.Detector
+	trials   *laburnumquarantine.Trials
 	// refused are the requests that are held or in quarantine.
 	refused map[laburnumlever.RequestDigest]laburnumquarantine.State
 	cleared map[laburnumlever.RequestDigest]time.Time
@@ -46,7 +47,7 @@
 
 func newQuarantine(timers laburnumlever.Timers, source *laburnumfeed.Source, logger log.Logger, scope tally.Scope) *quarantine {
 	q := &quarantine{
-		timers: timers, source: source, logger: logger, detector: laburnumquarantine.NewDetector(),
+		timers: timers, source: source, logger: logger, detector: laburnumquarantine.NewDetector(), trials: laburnumquarantine.NewTrials(),
 		size: scope.Gauge("suspect_requests"), listed: scope.Gauge("quarantined_requests"),
 		refused: map[laburnumlever.RequestDigest]laburnumquarantine.State{}, cleared: map[laburnumlever.RequestDigest]time.Time{},
 	}
--- /dev/null
+++ b/laburnumroles/trials.go
@@ -0,0 +1,71 @@
+package laburnumroles
+
+import (
+	"context"
+	"encoding/json"
+
+	"laburnumlever"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumquarantine"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// trialAttempts is the number of control VMs that are asked for a trial.
+const trialAttempts = 2
+
+// trialKeepers asks control VMs for trials of suspected requests.
+type trialKeepers struct {
+	calls  *keeperCalls
+	logger log.Logger
+	// controls returns the peer addresses of the control VMs for a request, best first.
+	controls func(laburnumlever.RequestDigest) []string
+}
+
+var _ laburnumgateway.TrialKeepers = (*trialKeepers)(nil)
+
+// BeginTrial implements laburnumgateway.TrialKeepers. Errors: *laburnumlever.NotFoundError while no control VM answers,
+// and those of a call to another VM.
+func (k *trialKeepers) BeginTrial(ctx context.Context, q laburnumquarantine.TrialRequest) (laburnumquarantine.TrialAnswer, string, error) {
+	var err error = &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
+	for _, address := range k.calls.answering(k.controls(q.Digest), trialAttempts) {
+		var answer laburnumquarantine.TrialAnswer
+		if err = k.calls.call(ctx, address, methodTrialBegin, q, &answer); err == nil {
+			return answer, address, nil
+		}
+	}
+	return laburnumquarantine.TrialAnswer{}, "", err
+}
+
+// EndTrial implements laburnumgateway.TrialKeepers. A trial whose end is lost ends by itself.
+func (k *trialKeepers) EndTrial(address string, e laburnumquarantine.TrialEnd) {
+	go func() {
+		var answer struct{}
+		if err := k.calls.call(context.Background(), address, methodTrialEnd, e, &answer); err != nil {
+			_ = level.Debug(k.logger).Log("event", laburnumlever.EventQuarantineNotReported, "address", address, "cause", err)
+		}
+	}()
+}
+
+func (q *quarantine) handleTrialBegin(_ context.Context, params laburnumlever.RawMessage) (any, error) {
+	var ask laburnumquarantine.TrialRequest
+	if err := json.Unmarshal(params, &ask); err != nil {
+		return nil, &laburnumfeed.MessageError{Method: methodTrialBegin, Cause: err}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.trials.Begin(ask, q.timers.Now()), nil
+}
+
+func (q *quarantine) handleTrialEnd(_ context.Context, params laburnumlever.RawMessage) (any, error) {
+	var end laburnumquarantine.TrialEnd
+	if err := json.Unmarshal(params, &end); err != nil {
+		return nil, &laburnumfeed.MessageError{Method: methodTrialEnd, Cause: err}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.trials.End(end)
+	return struct{}{}, nil
+}
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 326, 341, 352, 368, 378, 394, 404, 419, 433, 452}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 337, 352, 363, 379, 389, 405, 415, 430, 444, 463}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -50,19 +50,20 @@
 	_ = x[RefusedOutcomeUnknown-(22)]
 	_ = x[RefusedCallerGone-(23)]
 	_ = x[RefusedQuarantined-(24)]
-	_ = x[RefusedBackendLimited-(25)]
-	_ = x[RefusedBackendBrittle-(26)]
-	_ = x[RefusedUnknownKey-(27)]
-	_ = x[RefusedKeysUnconfirmed-(28)]
-	_ = x[RefusedOverQuota-(29)]
-	_ = x[RefusedQuotaUnanswered-(30)]
-	_ = x[RefusedLinksLost-(31)]
-	_ = x[RefusedBackendResting-(32)]
-	_ = x[RefusedStreamUnknown-(33)]
-	_ = x[RefusedStreamVersionGone-(34)]
+	_ = x[RefusedUnderTrial-(25)]
+	_ = x[RefusedBackendLimited-(26)]
+	_ = x[RefusedBackendBrittle-(27)]
+	_ = x[RefusedUnknownKey-(28)]
+	_ = x[RefusedKeysUnconfirmed-(29)]
+	_ = x[RefusedOverQuota-(30)]
+	_ = x[RefusedQuotaUnanswered-(31)]
+	_ = x[RefusedLinksLost-(32)]
+	_ = x[RefusedBackendResting-(33)]
+	_ = x[RefusedStreamUnknown-(34)]
+	_ = x[RefusedStreamVersionGone-(35)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -90,16 +91,17 @@
 	_RefusalReasonName[274:289]: RefusedOutcomeUnknown,
 	_RefusalReasonName[289:300]: RefusedCallerGone,
 	_RefusalReasonName[300:311]: RefusedQuarantined,
-	_RefusalReasonName[311:326]: RefusedBackendLimited,
-	_RefusalReasonName[326:341]: RefusedBackendBrittle,
-	_RefusalReasonName[341:352]: RefusedUnknownKey,
-	_RefusalReasonName[352:368]: RefusedKeysUnconfirmed,
-	_RefusalReasonName[368:378]: RefusedOverQuota,
-	_RefusalReasonName[378:394]: RefusedQuotaUnanswered,
-	_RefusalReasonName[394:404]: RefusedLinksLost,
-	_RefusalReasonName[404:419]: RefusedBackendResting,
-	_RefusalReasonName[419:433]: RefusedStreamUnknown,
-	_RefusalReasonName[433:452]: RefusedStreamVersionGone,
+	_RefusalReasonName[311:322]: RefusedUnderTrial,
+	_RefusalReasonName[322:337]: RefusedBackendLimited,
+	_RefusalReasonName[337:352]: RefusedBackendBrittle,
+	_RefusalReasonName[352:363]: RefusedUnknownKey,
+	_RefusalReasonName[363:379]: RefusedKeysUnconfirmed,
+	_RefusalReasonName[379:389]: RefusedOverQuota,
+	_RefusalReasonName[389:405]: RefusedQuotaUnanswered,
+	_RefusalReasonName[405:415]: RefusedLinksLost,
+	_RefusalReasonName[415:430]: RefusedBackendResting,
+	_RefusalReasonName[430:444]: RefusedStreamUnknown,
+	_RefusalReasonName[444:463]: RefusedStreamVersionGone,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -128,16 +130,17 @@
 	_RefusalReasonLowerName[274:289]: RefusedOutcomeUnknown,
 	_RefusalReasonLowerName[289:300]: RefusedCallerGone,
 	_RefusalReasonLowerName[300:311]: RefusedQuarantined,
-	_RefusalReasonLowerName[311:326]: RefusedBackendLimited,
-	_RefusalReasonLowerName[326:341]: RefusedBackendBrittle,
-	_RefusalReasonLowerName[341:352]: RefusedUnknownKey,
-	_RefusalReasonLowerName[352:368]: RefusedKeysUnconfirmed,
-	_RefusalReasonLowerName[368:378]: RefusedOverQuota,
-	_RefusalReasonLowerName[378:394]: RefusedQuotaUnanswered,
-	_RefusalReasonLowerName[394:404]: RefusedLinksLost,
-	_RefusalReasonLowerName[404:419]: RefusedBackendResting,
-	_RefusalReasonLowerName[419:433]: RefusedStreamUnknown,
-	_RefusalReasonLowerName[433:452]: RefusedStreamVersionGone,
+	_RefusalReasonLowerName[311:322]: RefusedUnderTrial,
+	_RefusalReasonLowerName[322:337]: RefusedBackendLimited,
+	_RefusalReasonLowerName[337:352]: RefusedBackendBrittle,
+	_RefusalReasonLowerName[352:363]: RefusedUnknownKey,
+	_RefusalReasonLowerName[363:379]: RefusedKeysUnconfirmed,
+	_RefusalReasonLowerName[379:389]: RefusedOverQuota,
+	_RefusalReasonLowerName[389:405]: RefusedQuotaUnanswered,
+	_RefusalReasonLowerName[405:415]: RefusedLinksLost,
+	_RefusalReasonLowerName[415:430]: RefusedBackendResting,
+	_RefusalReasonLowerName[430:444]: RefusedStreamUnknown,
+	_RefusalReasonLowerName[444:463]: RefusedStreamVersionGone,
 }
 
 var _RefusalReasonNames = []string{
@@ -166,16 +169,17 @@
 	_RefusalReasonName[274:289],
 	_RefusalReasonName[289:300],
 	_RefusalReasonName[300:311],
-	_RefusalReasonName[311:326],
-	_RefusalReasonName[326:341],
-	_RefusalReasonName[341:352],
-	_RefusalReasonName[352:368],
-	_RefusalReasonName[368:378],
-	_RefusalReasonName[378:394],
-	_RefusalReasonName[394:404],
-	_RefusalReasonName[404:419],
-	_RefusalReasonName[419:433],
-	_RefusalReasonName[433:452],
+	_RefusalReasonName[311:322],
+	_RefusalReasonName[322:337],
+	_RefusalReasonName[337:352],
+	_RefusalReasonName[352:363],
+	_RefusalReasonName[363:379],
+	_RefusalReasonName[379:389],
+	_RefusalReasonName[389:405],
+	_RefusalReasonName[405:415],
+	_RefusalReasonName[415:430],
+	_RefusalReasonName[430:444],
+	_RefusalReasonName[444:463],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
