fix: brittle servers that fell together are still brittle when they are back

Cause: a server that starts counts as brittle if another of its service is known to be. When all of them fall together none is known any more: each is back after two seconds as another server, gets all that waits, falls again, and nothing is served for two seconds more.

A gateway remembers for 30 s that a service was brittle, until one of its servers answers that it is not. TestServersThatFellTogetherArePresumedBrittle failed before (Presume: false).

--- a/laburnumconcurrency/keeper_test.go
+++ b/laburnumconcurrency/keeper_test.go
@@ -141,6 +141,29 @@
 	require.True(t, table.Observe(laburnumconcurrency.Observation{Limit: ended, SentAt: at(1500 * time.Millisecond)}, at(2*time.Second)))
 }
 
+// Guards against servers that fall over together and, once they are back, get all that waits, since no other brittle one is known.
+func TestServersThatFellTogetherArePresumedBrittle(t *testing.T) {
+	table := laburnumconcurrency.NewTable("g1")
+	l := brittleServer(4)
+	require.True(t, table.Observe(laburnumconcurrency.Observation{Limit: l, SentAt: at(0)}, at(0)))
+	table.Forget(l.Backend, at(10*time.Second))
+	back := l
+	back.Backend = "i-2"
+	require.True(t, table.Presume(back, at(12*time.Second)))
+	limit, brittle := table.Limit(back.Backend, 0)
+	require.True(t, brittle)
+	require.InDelta(t, rejectionsBorne, limit.Rejections, 0)
+	table.Forget(back.Backend, at(13*time.Second))
+	late := l
+	late.Backend = "i-3"
+	require.False(t, table.Presume(late, at(time.Minute)), "long after the last one that said so")
+	require.True(t, table.Observe(laburnumconcurrency.Observation{Limit: l, SentAt: at(time.Minute)}, at(time.Minute)))
+	ended := l
+	ended.Ended = true
+	require.True(t, table.Observe(laburnumconcurrency.Observation{Limit: ended, SentAt: at(61 * time.Second)}, at(62*time.Second)))
+	require.False(t, table.Presume(late, at(62*time.Second)), "the service is no longer brittle")
+}
+
 // Guards against gateways that together exceed what a server bears while no control VM answers.
 func TestSharesWithoutAKeeperAreBorne(t *testing.T) {
 	for _, gateways := range []int{1, 6, 57, 294, 780} {
--- a/laburnumconcurrency/table.go
+++ b/laburnumconcurrency/table.go
@@ -15,6 +15,10 @@
 // askAgainPart is the part of the time until a lease is free after which a gateway asks again.
 const askAgainPart = 4
 
+// serviceMemory is how long servers that start count as brittle after the last brittle one of their service was known: all
+// of them may fall over together, and are back after some seconds.
+const serviceMemory = 30 * time.Second
+
 // Observation is what an answer of a backend server tells.
 type Observation struct {
 	Limit
@@ -26,6 +30,14 @@
 type Table struct {
 	vm      laburnumlever.VMID
 	servers map[laburnumlever.BackendID]*known
+	// services are those of which a server has said that it is brittle, and none since that it is not.
+	services map[laburnumlever.ServiceName]brittleService
+}
+
+// brittleService is what the last brittle server of a service said.
+type brittleService struct {
+	rejections float64
+	seen       time.Time
 }
 
 // known is a brittle server.
@@ -42,7 +54,7 @@
 
 // NewTable returns an empty table for the gateway on a VM.
 func NewTable(vm laburnumlever.VMID) *Table {
-	return &Table{vm: vm, servers: map[laburnumlever.BackendID]*known{}}
+	return &Table{vm: vm, servers: map[laburnumlever.BackendID]*known{}, services: map[laburnumlever.ServiceName]brittleService{}}
 }
 
 // Len returns the number of brittle servers.
@@ -65,6 +77,7 @@
 			return false
 		}
 		delete(t.servers, o.Backend)
+		delete(t.services, k.limit.Service)
 		return true
 	}
 	return t.set(o.Limit, false, now)
@@ -78,20 +91,31 @@
 			return false
 		}
 		delete(t.servers, l.Backend)
+		delete(t.services, k.limit.Service)
 		return true
 	}
 	return t.set(l, false, now)
 }
 
-// Presume records a server that has just started as brittle if others of its service are, and reports whether it did.
+// Presume records a server that has just started as brittle if others of its service are, or were lately, and reports
+// whether it did.
 func (t *Table) Presume(l Limit, now time.Time) bool {
 	if k := t.servers[l.Backend]; k != nil && k.limit.Incarnation >= l.Incarnation {
 		return false
 	}
+	s, ok := t.services[l.Service]
+	if !ok || !t.anyBrittle(l.Service) && now.Sub(s.seen) >= serviceMemory {
+		return false
+	}
+	l.Rejections = s.rejections
+	return t.set(l, true, now)
+}
+
+// anyBrittle reports whether a server of the service has said that it is brittle.
+func (t *Table) anyBrittle(service laburnumlever.ServiceName) bool {
 	for _, k := range t.servers {
-		if k.limit.Service == l.Service && !k.presumed {
-			l.Rejections = k.limit.Rejections
-			return t.set(l, true, now)
+		if k.limit.Service == service && !k.presumed {
+			return true
 		}
 	}
 	return false
@@ -102,6 +126,9 @@
 	if k != nil && l.Incarnation < k.limit.Incarnation {
 		return false
 	}
+	if !presumed {
+		t.services[l.Service] = brittleService{rejections: l.Rejections, seen: now}
+	}
 	if k == nil || k.limit.Incarnation != l.Incarnation {
 		t.servers[l.Backend] = &known{limit: l, since: now, presumed: presumed}
 		return true
@@ -115,7 +142,20 @@
 }
 
 // Forget drops a server that is gone.
-func (t *Table) Forget(backend laburnumlever.BackendID) { delete(t.servers, backend) }
+func (t *Table) Forget(backend laburnumlever.BackendID, now time.Time) {
+	k := t.servers[backend]
+	if k == nil {
+		return
+	}
+	delete(t.servers, backend)
+	if s, ok := t.services[k.limit.Service]; ok && !k.presumed {
+		s.seen = now
+		t.services[k.limit.Service] = s
+	}
+}
+
+// Presumes reports whether a server that starts may count as brittle.
+func (t *Table) Presumes() bool { return len(t.services) > 0 }
 
 // Refused records that a request that could wait got no lease, and the time until one like it gets one. The gateway asks again
 // earlier, so that the server's queue does not run empty meanwhile.
--- a/laburnumgateway/brittle.go
+++ b/laburnumgateway/brittle.go
@@ -45,7 +45,7 @@
 
 // presumeBrittle takes a backend server that has started for brittle if others of its service are. The caller must hold mu.
 func (f *Fleet) presumeBrittle(h laburnumlever.Heartbeat) {
-	if f.brittle.Len() > 0 && f.brittle.Presume(brittleLimit(h), f.timers.Now()) {
+	if f.brittle.Presumes() && f.brittle.Presume(brittleLimit(h), f.timers.Now()) {
 		f.brittleChanged(brittleLimit(h))
 	}
 }
--- a/laburnumgateway/limits.go
+++ b/laburnumgateway/limits.go
@@ -142,7 +142,7 @@
 	case r.AcceptsRequests():
 	default:
 		f.limits.Forget(r.Heartbeat.Backend)
-		f.brittle.Forget(r.Heartbeat.Backend)
+		f.brittle.Forget(r.Heartbeat.Backend, f.timers.Now())
 		f.wakeQueue()
 	}
 	f.restrict(r.Heartbeat.Backend)
