fix: a control VM leases no brittle server whose keeper answers it

What callers saw: brittle servers fell in bursts at gateways on a busy machine although each request had a lease (TestBrittleServersStandABurstOfManyGateways beside four busy processes: 1 fall, 16 of 40 served a second; half is wanted).

Cause: a gateway whose keeper doesn't answer within 150 ms asks another control VM for a second, and that one leases a part of the slots, at least one, since the keeper may have failed. It had not: the keeper leased all four slots to the other gateways, two others one each, and a server with room for four and one waiting rejected three of six in a second.

Evidence: the sends to the server that fell, traced: leases of three control VMs at once within 0.1 s before each rejection (48.15 to 48.27, 48.51 to 48.53, 48.74 to 48.89), while calls for leases ended in time-outs (5 to 23 a play).

Whether the keeper is gone is found out by the control VM that is asked in its place: while the keeper answers it, it leases nothing and says so, and the gateway asks the keeper again. A keeper that is down or frozen doesn't answer the check, and the part is leased as before. The counter brittle_leases has an outcome for it. Earlier builds take the answer for a refusal.

--- a/laburnumconcurrency/limit.go
+++ b/laburnumconcurrency/limit.go
@@ -11,6 +11,8 @@
 	FullShare = 1.0
 	// StandInShare is the share that another control VM grants while the keeper may be running.
 	StandInShare = 0.25
+	// KeeperRetry is the time after which it is worth while to ask the keeper again.
+	KeeperRetry = 100 * time.Millisecond
 	// MaxWait is the longest time that a request waits at a keeper.
 	MaxWait = time.Second
 	// Grace is how long a gateway may begin to use a lease.
@@ -55,6 +57,8 @@
 	Lease   LeaseID `json:"lease,omitempty"`
 	// RetryIn is, without a lease, the time until it is worth while to ask again.
 	RetryIn laburnumlever.Duration `json:"retry-in,omitempty"`
+	// Keeper is, in the refusal of a control VM that grants nothing since the server's keeper answers it, the keeper's address.
+	Keeper string `json:"keeper,omitempty"`
 	// Limit is what the control VM knows. If it has ended, no lease is needed.
 	Limit Limit `json:"limit"`
 }
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -265,16 +265,21 @@
 // IsFirstFor reports whether this VM is the first to serve a key of an availability zone, among the
 // control VMs named recently, whether or not they are reachable.
 func (s *Source) IsFirstFor(zone laburnumlever.ZoneName, key string) bool {
+	return s.FirstFor(zone, key) == s.self.PeerAddress
+}
+
+// FirstFor returns the peer address of the control VM that IsFirstFor holds for.
+func (s *Source) FirstFor(zone laburnumlever.ZoneName, key string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	compare := compareFor(zone, key)
-	self := controlState{address: s.self.PeerAddress, zone: s.self.Zone}
+	first := controlState{address: s.self.PeerAddress, zone: s.self.Zone}
 	for _, vm := range s.pollers.others(s.timers.Now()) {
-		if compare(controlState{address: vm.PeerAddress, zone: vm.Zone}, self) < 0 {
-			return false
+		if other := (controlState{address: vm.PeerAddress, zone: vm.Zone}); compare(other, first) < 0 {
+			first = other
 		}
 	}
-	return true
+	return first.address
 }
 
 // Rank returns how many of the control VMs named recently, this one included, come before it for a key, and their
--- a/laburnumroles/brittle.go
+++ b/laburnumroles/brittle.go
@@ -25,18 +25,24 @@
 	timers laburnumlever.Timers
 	source *laburnumfeed.Source
 	logger log.Logger
-	// granted and refused count requests for leases.
-	granted, refused tally.Counter
+	// self is this VM's peer address.
+	self string
+	// keepers tells which other control VMs answer.
+	keepers *keeperChecks
+	// granted, refused and deferred count requests for leases; the last are left to the keeper.
+	granted, refused, deferred tally.Counter
 
 	mu     sync.Mutex
 	keeper *laburnumconcurrency.Keeper
 }
 
-func newBrittle(timers laburnumlever.Timers, source *laburnumfeed.Source, logger log.Logger, scope tally.Scope) *brittle {
+func newBrittle(timers laburnumlever.Timers, peers laburnumlever.Peers, self string, source *laburnumfeed.Source, logger log.Logger, scope tally.Scope) *brittle {
 	return &brittle{
-		timers: timers, source: source, logger: logger, keeper: laburnumconcurrency.NewKeeper(),
+		self: self, keepers: newKeeperChecks(peers, timers), timers: timers, source: source, logger: logger, keeper: laburnumconcurrency.NewKeeper(),
 		granted: scope.Tagged(map[string]string{"outcome": "granted"}).Counter("brittle_leases"),
 		refused: scope.Tagged(map[string]string{"outcome": "refused"}).Counter("brittle_leases"),
+
+		deferred: scope.Tagged(map[string]string{"outcome": "deferred"}).Counter("brittle_leases"),
 	}
 }
 
@@ -61,9 +67,13 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, &laburnumfeed.MessageError{Method: methodLease, Cause: err}
 	}
-	share := laburnumconcurrency.StandInShare
-	if b.source.IsFirstFor(q.Zone, string(q.Backend)) {
-		share = laburnumconcurrency.FullShare
+	share := laburnumconcurrency.FullShare
+	if first := b.source.FirstFor(q.Zone, string(q.Backend)); first != b.self {
+		if b.keepers.answers(first) {
+			b.deferred.Inc(1)
+			return laburnumconcurrency.Answer{RetryIn: laburnumlever.Duration(laburnumconcurrency.KeeperRetry), Keeper: first, Limit: q.Limit}, nil
+		}
+		share = laburnumconcurrency.StandInShare
 	}
 	b.mu.Lock()
 	now := b.timers.Now()
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -108,7 +108,7 @@
 	c.limits = newLimits(c.timers, c.source, c.logger, c.metrics.Scope())
 	c.peers.Handle(methodLimitReport, c.limits.handleReport)
 	c.peers.Handle(methodLimitSlot, c.limits.handleSlot)
-	c.brittle = newBrittle(c.timers, c.source, c.logger, c.metrics.Scope())
+	c.brittle = newBrittle(c.timers, c.peers, c.self.PeerAddress, c.source, c.logger, c.metrics.Scope())
 	c.peers.Handle(methodLease, c.brittle.handleLease)
 	c.peers.Handle(methodReturnLeases, c.brittle.handleReturn)
 	c.peers.Handle(methodHelpers, c.handleHelpers)
--- a/laburnumroles/keepercalls.go
+++ b/laburnumroles/keepercalls.go
@@ -53,6 +53,13 @@
 	return err
 }
 
+// answers records that a control VM answers others.
+func (k *keeperCalls) answers(address string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.failed, address)
+}
+
 // isUnknownMethod reports whether a VM of an earlier build answered that it doesn't know a method.
 func isUnknownMethod(err error) bool {
 	var refused *laburnumlever.PeerRefusedError
--- a/laburnumroles/limitkeepers.go
+++ b/laburnumroles/limitkeepers.go
@@ -76,12 +76,25 @@
 	for _, address := range k.calls.answering(k.controls(q.Zone, q.Backend), slotAttempts) {
 		var answer laburnumconcurrency.Answer
 		if err = k.calls.callWaiting(ctx, address, methodLease, time.Duration(q.Wait), q, &answer); err == nil {
-			return answer, address, nil
+			return k.leaseOfKeeper(ctx, q, answer, address)
 		}
 	}
 	return laburnumconcurrency.Answer{}, "", err
 }
 
+// leaseOfKeeper asks the server's keeper again if another control VM answered that it still grants leases.
+func (k *limitKeepers) leaseOfKeeper(ctx context.Context, q laburnumconcurrency.Request, answer laburnumconcurrency.Answer, address string) (laburnumconcurrency.Answer, string, error) {
+	if answer.Keeper == "" {
+		return answer, address, nil
+	}
+	k.calls.answers(answer.Keeper)
+	var again laburnumconcurrency.Answer
+	if err := k.calls.callWaiting(ctx, answer.Keeper, methodLease, time.Duration(q.Wait), q, &again); err != nil {
+		return answer, address, nil //nolint:nilerr // the other control VM's refusal is the answer
+	}
+	return again, answer.Keeper, nil
+}
+
 // Return implements laburnumgateway.LimitKeepers.
 func (k *limitKeepers) Return(to laburnumlever.Heartbeat, address string, r laburnumconcurrency.Release) {
 	if address != "" {
