fix: a pause doesn't read as a brittle server without room

What callers saw: bookings refused although brittle servers had room in their time, above all on a busy machine, and told to come back a second later.

Cause: a keeper judged the wait for a lease by the rate at which leases came back within the last half second. After a pause of that length, of the keeper itself or of the gateways, the rate is zero: all but a few requests that could wait 0.9 s were refused with a Retry-After of a second.

The wait follows from how long leases are out, of which a pause changes little: (waiting + 1) times their mean time over the bound.

TestPauseIsNoLackOfRoom failed before.

--- a/laburnumconcurrency/doc.go
+++ b/laburnumconcurrency/doc.go
@@ -8,7 +8,7 @@
 // # Leases
 //
 // The keeper grants a lease at once while fewer are out than the server has slots. Else the request waits at the keeper in
-// the order of arrival, if a place will be free in its time by the rate at which leases come back; otherwise it is refused
+// the order of arrival, if a place will be free in its time by how long leases are out; otherwise it is refused
 // at once, with the time after which it is worth while to ask again. Whatever a gateway doesn't return ends by itself at the
 // request's deadline.
 //
--- a/laburnumconcurrency/keeper.go
+++ b/laburnumconcurrency/keeper.go
@@ -25,8 +25,8 @@
 	lowerTime = 3 * time.Second
 	// rejectionPause is how long nothing is granted after that.
 	rejectionPause = 200 * time.Millisecond
-	// rateHalfLife is the half-life of the rate at which leases come back.
-	rateHalfLife = 500 * time.Millisecond
+	// holdWeight is the weight of the last lease in the mean time that leases are out.
+	holdWeight = 0.125
 )
 
 // Keeper grants leases of brittle backend servers on a control VM.
@@ -43,17 +43,19 @@
 	limit Limit
 	// learnedAt is when the keeper learned of it, usedAt when a gateway last asked or told of it.
 	learnedAt, usedAt time.Time
-	// leases are those that are out, with their ends.
-	leases  map[LeaseID]time.Time
+	// leases are those that are out.
+	leases  map[LeaseID]lease
 	waiting []*Waiter
-	// rate is the number of leases a second that came back lately, as of ratedAt.
-	rate    float64
-	ratedAt time.Time
+	// hold is the mean time that leases were out; 0 before the first came back.
+	hold time.Duration
 	// lowered is by how much the bound is lower until loweredUntil; nothing is granted until pausedUntil.
 	lowered                   int
 	loweredUntil, pausedUntil time.Time
 }
 
+// lease is a lease that is out.
+type lease struct{ since, end time.Time }
+
 // Waiter is a request that waits for a lease.
 type Waiter struct {
 	// Granted receives the lease; it is closed without one if the server is no longer brittle.
@@ -76,7 +78,7 @@
 		if len(k.servers) >= maxServers {
 			return false
 		}
-		k.servers[l.Backend] = &server{limit: l, learnedAt: now, usedAt: now, leases: map[LeaseID]time.Time{}, ratedAt: now}
+		k.servers[l.Backend] = &server{limit: l, learnedAt: now, usedAt: now, leases: map[LeaseID]lease{}}
 		return true
 	}
 	s.usedAt = now
@@ -142,9 +144,9 @@
 	if s == nil {
 		return
 	}
-	if _, ok := s.leases[r.Lease]; ok {
+	if l, ok := s.leases[r.Lease]; ok {
 		delete(s.leases, r.Lease)
-		s.countReturn(now)
+		s.countHold(now.Sub(l.since))
 	}
 	if r.Rejected {
 		s.lower(now)
@@ -189,7 +191,7 @@
 
 func (k *Keeper) grant(s *server, q Request, now time.Time) LeaseID {
 	k.lastLease++
-	s.leases[k.lastLease] = now.Add(Grace + max(0, time.Duration(q.Hold)))
+	s.leases[k.lastLease] = lease{since: now, end: now.Add(Grace + max(0, time.Duration(q.Hold)))}
 	return k.lastLease
 }
 
@@ -223,28 +225,26 @@
 }
 
 func (s *server) expire(now time.Time) {
-	maps.DeleteFunc(s.leases, func(_ LeaseID, end time.Time) bool { return !now.Before(end) })
-}
-
-// countReturn counts a lease that came back.
-func (s *server) countReturn(now time.Time) {
-	s.rate = s.rateAt(now) + 1/rateHalfLife.Seconds()
-	s.ratedAt = now
+	maps.DeleteFunc(s.leases, func(_ LeaseID, l lease) bool { return !now.Before(l.end) })
 }
 
-// rateAt returns the rate, which fades linearly.
-func (s *server) rateAt(now time.Time) float64 {
-	return s.rate * max(0, 1-now.Sub(s.ratedAt).Seconds()/rateHalfLife.Seconds())
+// countHold counts how long a lease that came back was out.
+func (s *server) countHold(d time.Duration) {
+	if s.hold == 0 {
+		s.hold = d
+		return
+	}
+	s.hold += time.Duration(holdWeight * float64(d-s.hold))
 }
 
-// waitTime estimates the time until a further request gets a lease: from the number of those that wait before it and the
-// rate at which leases come back.
+// waitTime estimates the time until a further request gets a lease, from the number of those that wait before it and the
+// time that leases are out. What came back lately is no measure: after a pause it would read as no room at all.
 func (s *server) waitTime(share float64, now time.Time) time.Duration {
-	ahead := float64(len(s.waiting) + 1)
-	if rate := s.rateAt(now); rate > 0 {
-		return time.Duration(ahead / rate * float64(time.Second))
+	bound := s.bound(share, now)
+	if s.hold > 0 {
+		return time.Duration(len(s.waiting)+1) * s.hold / time.Duration(bound)
 	}
-	if len(s.waiting) < s.bound(share, now) {
+	if len(s.waiting) < bound {
 		return 0
 	}
 	return MaxWait
--- a/laburnumconcurrency/keeper_test.go
+++ b/laburnumconcurrency/keeper_test.go
@@ -74,6 +74,21 @@
 	require.True(t, answer.Granted, "one that no longer waits holds nothing")
 }
 
+// Guards against a keeper that takes a pause, in which no lease came back, for a server that has no room, and refuses all.
+func TestPauseIsNoLackOfRoom(t *testing.T) {
+	k, l := knownServer(2)
+	for range 8 {
+		a, _ := k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(0))
+		k.Release(laburnumconcurrency.Release{Backend: l.Backend, Lease: a.Lease}, at(100*time.Millisecond))
+	}
+	k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(time.Second))
+	k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(time.Second))
+	for range 6 {
+		_, waiter := k.Acquire(ask(l, 800*time.Millisecond), laburnumconcurrency.FullShare, at(1700*time.Millisecond))
+		require.NotNil(t, waiter, "all slots are out for longer than usual, and come back")
+	}
+}
+
 // Guards against a server with less room than it has slots that rejects again and again.
 func TestRejectionsLowerTheBound(t *testing.T) {
 	k, l := knownServer(2)
