fix: a control VM out of the log follows the routes

Cause: routes come from the log only. A control VM that is no voter, or whose replica has stopped, keeps what it had and hands it out; a spare one has none. It fetched newer tables from other control VMs, but for the accounts in them.

It puts into effect what it fetches, and an older table from the log no longer takes the place of a newer one: a learner applies all earlier ones. TestControlVMWithoutAVoteFollowsTheRoutes failed before (no routes in 60 s).

--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -77,8 +77,9 @@
 	streams *streams
 	// commitTimes are the times to commit an operator's change.
 	commitTimes tally.Histogram
-	// routes is the route table in effect; nil before the first one.
-	routes atomic.Pointer[laburnumlever.RouteTable]
+	// routes is the route table in effect; nil before the first one. routesMu is held while it is changed.
+	routes   atomic.Pointer[laburnumlever.RouteTable]
+	routesMu sync.Mutex
 
 	mu       sync.Mutex
 	registry *laburnumregistry.Table
@@ -226,13 +227,21 @@
 }
 
 // routesApplied publishes a committed route table. It runs on the control thread.
-func (c *Control) routesApplied(t laburnumlever.RouteTable) {
-	t = c.withAccounts(t)
+func (c *Control) routesApplied(t laburnumlever.RouteTable) { c.setRoutes(c.withAccounts(t), "log") }
+
+// setRoutes puts a route table into effect, unless a newer one is: a learner that has fetched the newest applies earlier
+// ones from the log.
+func (c *Control) setRoutes(t laburnumlever.RouteTable, from string) {
+	c.routesMu.Lock()
+	defer c.routesMu.Unlock()
+	if current := c.routes.Load(); current != nil && current.Version > t.Version {
+		return
+	}
 	c.routes.Store(&t)
 	c.source.SetRoutes(t)
 	c.quotas.setRoutes(t)
 	c.director.SetRoutes(t)
-	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes))
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes), "from", from)
 }
 
 // SetRoutesDecoder sets the decoder of the operators' text of a route table, for tables from builds that know no client
@@ -503,16 +512,18 @@
 // ControlLost does nothing: other control VMs are polled until they answer.
 func (c *Control) ControlLost(string) {}
 
-// HandleRoutes takes the client accounts of a route table that a control VM without a vote has fetched.
-func (c *Control) HandleRoutes(t laburnumlever.RouteTable) { c.quotas.setRoutes(t) }
+// HandleRoutes puts a route table into effect that a control VM without a vote has fetched: it gets none from the log.
+func (c *Control) HandleRoutes(t laburnumlever.RouteTable) { c.setRoutes(t, "feed") }
 
-// RoutesVersion returns the version of the client accounts in effect. A voter fetches no routes, as it gets them from the
-// log.
+// RoutesVersion returns the version of the routes in effect. A voter fetches no routes, as it gets them from the log.
 func (c *Control) RoutesVersion() uint64 {
 	if c.voter.Votes() {
 		return ^uint64(0)
 	}
-	return c.quotas.version()
+	if routes := c.routes.Load(); routes != nil {
+		return routes.Version
+	}
+	return 0
 }
 
 // GatewayReport is empty: only gateways serve callers and have backend state to report.
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -417,3 +417,17 @@
 		require.Equal(b, http.StatusOK, w.Code)
 	}
 }
+
+// Guards against a control VM out of the log that goes on handing out the routes that it had, or none.
+func TestControlVMWithoutAVoteFollowsTheRoutes(t *testing.T) {
+	s := newDeployment(t, 3, 1)
+	s.folders = append(s.folders, t.TempDir())
+	s.startControl(3, 1, false)
+	for _, version := range []int{7, 8} {
+		s.until(200, "manifest", func() (int, []byte) {
+			return s.call("PUT", "http://"+s.control(0)+"/v1/config", manifest(version, "confirm"))
+		})
+		status := s.status(s.ip(3), "it has the newest routes", func(status laburnumlever.Status) bool { return status.Role.RoutesVersion == uint64(version) })
+		require.NotContains(t, []string{"leader", "follower", "candidate"}, status.Voter.Role)
+	}
+}
--- a/laburnumroles/quotas.go
+++ b/laburnumroles/quotas.go
@@ -85,13 +85,6 @@
 	u.setShares()
 }
 
-// version returns the version of the route table whose accounts are in effect; 0 for none.
-func (u *quotas) version() uint64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.routesVersion
-}
-
 // setShares sets the shares that this VM owns. The caller holds mu.
 func (u *quotas) setShares() {
 	if len(u.accounts) == 0 {
