--- a/laburnumlog/older_copy_test.go
+++ b/laburnumlog/older_copy_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"laburnumlever/laburnumlog"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -43,6 +45,35 @@
 	require.Greater(t, f.replicas[f.leader()].log.Commit(), changed)
 }
 
+// Guards against a vote, an acknowledgement or a campaign by a replica that can't know whether its disk is the newest.
+func TestUnregisteredStartPromisesNothing(t *testing.T) {
+	f := newFleet(4, 1)
+	f.settle(t)
+	r := f.replicas[f.nonLeaderVoter(0)]
+	f.restart(r)
+	term := r.log.Term() + 1
+	last := r.log.LastIndex()
+	leader := f.replicas[f.leader()].id
+	for _, m := range []laburnumlog.Message{
+		{Kind: laburnumlog.MessagePreVote, Index: last + 9, LogTerm: term},
+		{Kind: laburnumlog.MessageVote, Index: last + 9, LogTerm: term, Force: true},
+		{Kind: laburnumlog.MessageHeartbeat},
+		{Kind: laburnumlog.MessageAppend, Index: last, LogTerm: r.log.TermAt(last)},
+		{Kind: laburnumlog.MessageCampaignNow},
+	} {
+		m.From, m.To, m.Term = leader, r.id, term
+		out := r.log.Step(laburnumlog.Receive{Message: m})
+		require.Empty(t, out.Messages, m.Kind)
+		require.Nil(t, out.Write, m.Kind)
+	}
+	for range secondTicks {
+		for _, m := range r.log.Step(laburnumlog.Tick{}).Messages {
+			require.Equal(t, laburnumlog.MessageStart, m.Kind)
+		}
+	}
+	require.False(t, r.log.StartConfirmed())
+}
+
 // runTicks advances the fleet, with some proposals.
 func (f *fleet) runTicks(n int) {
 	for i := range n {
