fix: a start waits no longer than an election does

Cause: all VMs lost power, one its disk, and a VM that had been replaced at another address 15 s before was still known to the others' folders. Two of four VMs didn't register the starts, one may be missing, so all waited five seconds, and the election timeout began only then: no leader from 48.0 to 54.1 s, with the last version on the disks and not in force.

A start waits two seconds, the longest election timeout, which passes meanwhile; a VM without a voter is forgotten once it is silent for as long as a silent voter is replaced after.

--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -2,15 +2,12 @@
 
 func (l *Log) tick() {
 	l.tickStarts()
-	if !l.start.confirmed {
-		return
-	}
 	l.elapsed++
 	if l.role == Leader {
 		l.tickLeader()
 		return
 	}
-	if l.elapsed < l.timeout {
+	if l.elapsed < l.timeout || !l.start.confirmed {
 		return
 	}
 	l.resetTimeout()
--- a/laburnumlog/log.go
+++ b/laburnumlog/log.go
@@ -70,6 +70,7 @@
 	// ticks is the number of ticks since the start, heardAt the tick at which a VM was last heard.
 	ticks         uint64
 	heardAt       map[laburnumlever.VMID]uint64
+	forgetTicks   uint64
 	startsChanged bool
 
 	seq         uint64
@@ -112,7 +113,7 @@
 // replica. The state machine starts from recovered.Snapshot, and the first step returns the
 // later entries that are known to be committed.
 func New(id ReplicaID, recovered Recovered, opts ...Option) *Log {
-	l := &Log{id: id, hard: recovered.Hard, snapshot: recovered.Snapshot, random: 1, retain: retainedEntries}
+	l := &Log{id: id, hard: recovered.Hard, snapshot: recovered.Snapshot, random: 1, retain: retainedEntries, forgetTicks: forgetTicks}
 	for _, opt := range opts {
 		opt(l)
 	}
--- a/laburnumlog/starts.go
+++ b/laburnumlog/starts.go
@@ -13,8 +13,9 @@
 	announceTicks = 2
 	// spreadTicks is the same for a confirmed start, to VMs that have not registered it.
 	spreadTicks = 10
-	// witnessTicks is how long a start waits for VMs that do not answer.
-	witnessTicks = 50
+	// witnessTicks is how long a start waits for VMs that do not answer: the longest election
+	// timeout, which passes meanwhile.
+	witnessTicks = 2 * electionTicks
 	// forgetTicks is how long a VM without a voter may be silent before its start is forgotten.
 	forgetTicks = 600
 )
@@ -78,6 +79,9 @@
 // it is 0, and starts are not registered.
 func WithTolerance(losses int) Option { return func(l *Log) { l.start.losses = losses } }
 
+// WithForgetTicks sets after how many silent ticks the start of a VM without a voter is forgotten.
+func WithForgetTicks(n int) Option { return func(l *Log) { l.forgetTicks = uint64(max(1, n)) } }
+
 // newStartCheck returns the check of this start, by the starts and voters on the disk.
 func (l *Log) newStartCheck() startCheck {
 	c := startCheck{losses: l.start.losses, registered: map[ReplicaID]bool{}}
@@ -192,7 +196,7 @@
 	for _, e := range l.hard.Starts {
 		vm := e.Replica.VM()
 		isVoter := slices.ContainsFunc(l.Configuration().Voters(), func(m Member) bool { return m.ID.VM() == vm })
-		if !isVoter && l.ticks-l.heardAt[vm] > forgetTicks {
+		if !isVoter && l.ticks-l.heardAt[vm] > l.forgetTicks {
 			l.setStarts(l.hard.Starts.Without(vm))
 		}
 	}
@@ -232,9 +236,12 @@
 }
 
 func (l *Log) confirmStart() {
-	if !l.start.confirmed && !l.out.Superseded && l.start.complete(l.ticks) {
-		l.start.confirmed = true
-		l.resetTimeout()
+	if l.start.confirmed || l.out.Superseded || !l.start.complete(l.ticks) {
+		return
+	}
+	l.start.confirmed = true
+	if l.elapsed >= l.timeout { // spread, as the others waited as long
+		l.timeout = l.elapsed + 1 + int(l.random%electionTicks)
 	}
 }
 
--- a/laburnumvoter/replica.go
+++ b/laburnumvoter/replica.go
@@ -47,7 +47,8 @@
 	id := laburnumlog.ReplicaID(string(self.ID) + "/" + identity.Instance)
 	seed := xxhash.Sum64String(string(id)) | 1 // the xorshift generator must not start from 0
 	boot := laburnumlog.Boot(identity.Boot, uuid.New().ID())
-	l := laburnumlog.New(id, recovered, laburnumlog.WithSeed(seed), laburnumlog.WithBoot(boot), laburnumlog.WithTolerance(cfg.tolerance()))
+	l := laburnumlog.New(id, recovered, laburnumlog.WithSeed(seed), laburnumlog.WithBoot(boot), laburnumlog.WithTolerance(cfg.tolerance()),
+		laburnumlog.WithForgetTicks(cfg.policy().ReplaceTicks))
 	return &replica{store: store, log: l, machine: machine, boot: boot, snapshotBytes: len(recovered.Snapshot.Data)}, nil
 }
 
--- a/laburnumvoter/report.go
+++ b/laburnumvoter/report.go
@@ -27,6 +27,8 @@
 	leaderlessTick uint64    // the tick of the last log line about a missing leader
 	openedTick     uint64    // the tick at which the replica was opened
 	startConfirmed bool
+	// unconfirmedTick is the tick of the last log line about a start that is not confirmed.
+	unconfirmedTick uint64
 }
 
 // reportOpened logs what the folder held: instance, last index and voters. After a loss of disks
@@ -145,7 +147,7 @@
 	if v.log == nil || v.logged.startConfirmed {
 		return
 	}
-	if !v.log.StartConfirmed() && (v.ticks-v.logged.openedTick)%leaderlessRepeatTicks != leaderlessLogTicks {
+	if !v.log.StartConfirmed() && (v.ticks-v.logged.openedTick < leaderlessLogTicks || v.logged.unconfirmedTick > 0 && v.ticks-v.logged.unconfirmedTick < leaderlessRepeatTicks) {
 		return
 	}
 	waited := time.Duration(v.ticks-v.logged.openedTick) * v.cfg.tick
@@ -155,6 +157,7 @@
 			"took", waited, "unregistered-by", joined(vmsOf(v.log.UnregisteredBy())))
 		return
 	}
+	v.logged.unconfirmedTick = v.ticks
 	_ = level.Warn(v.cfg.logger).Log("event", laburnumlever.EventStartUnconfirmed, "replica", v.log.ID(), "boot", v.boot,
 		"for", waited, "waiting-for", joined(v.unregisteredBy()))
 }
