--- a/laburnumlog/older_copy_test.go
+++ b/laburnumlog/older_copy_test.go
@@ -21,8 +21,7 @@
 	return list
 }
 
-// Guards against a confirmed change that goes back: a voter on an older copy of its disk elects one that was down when the
-// change was made, while the only other voter that holds the change is down.
+// Guards against a voter on an older copy of its disk that elects one without a confirmed change, which then goes back.
 func TestOlderCopyOfADiskElectsNobodyWithoutTheChange(t *testing.T) {
 	f := newFleet(4, 1)
 	f.settle(t)
