docs: plainer comments on keepers and brittle services

From the last read of the diff; no behaviour changes. The check of another control VM sounded as if it told something of the gateway, and the memory of a brittle service said when it begins in a way that took two reads.

--- a/laburnumconcurrency/table.go
+++ b/laburnumconcurrency/table.go
@@ -15,7 +15,7 @@
 // askAgainPart is the part of the time until a lease is free after which a gateway asks again.
 const askAgainPart = 4
 
-// serviceMemory is how long servers that start count as brittle after the last brittle one of their service was known: all
+// serviceMemory is how long after the last brittle server of a service was lost a server that starts counts as brittle: all
 // of them may fall over together, and are back after some seconds.
 const serviceMemory = 30 * time.Second
 
--- a/laburnumroles/keeperchecks.go
+++ b/laburnumroles/keeperchecks.go
@@ -18,8 +18,8 @@
 	keeperCheckTime = 250 * time.Millisecond
 )
 
-// keeperChecks finds out whether other control VMs answer. Only then it is known that a gateway which asks this VM in the
-// place of another one, since that did not answer in time, is alone in that. It is safe for concurrent use.
+// keeperChecks finds out whether other control VMs answer this one. A gateway asks this VM in the place of a keeper that was
+// too slow for it, and which may well be running. It is safe for concurrent use.
 type keeperChecks struct {
 	peers  laburnumlever.Peers
 	timers laburnumlever.Timers
@@ -50,7 +50,7 @@
 	return answered == true
 }
 
-// check returns nothing to the control VM, which changes nothing and which builds of any age answer.
+// check calls the control VM with an empty list of returned leases, which it answers without effect.
 func (k *keeperChecks) check(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), keeperCheckTimeout)
 	defer cancel()
