--- a/dialect.go
+++ b/dialect.go
@@ -39,6 +39,18 @@
 	Key string
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the last one.
+func (c CallerRequest) SharedParts() []PartID {
+	if len(c.Prompt) < 2 {
+		return nil
+	}
+	ids := make([]PartID, 0, len(c.Prompt)-1)
+	for _, part := range c.Prompt[:len(c.Prompt)-1] {
+		ids = append(ids, PartID(part.ID))
+	}
+	return ids
+}
+
 // ForwardParams holds the values that this VM adds to the headers of a forwarded request.
 type ForwardParams struct {
 	// Timeout is the time left until the caller's deadline.
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -105,7 +105,7 @@
 		fields = append(fields, "rest-ms", millis(status.Rest))
 	}
 	if fail.stage == laburnumretry.StageUnknown {
-		fields = append(fields, "begun", fail.begun, "digest", q.digest())
+		fields = append(fields, "begun", fail.begun, "digest", q.digest(), "parts", q.caller.SharedParts())
 	}
 	_ = level.Info(g.logger).Log(fields...)
 }
