--- /dev/null
+++ b/laburnumroles/crashingpart_test.go
@@ -0,0 +1,154 @@
+package laburnumroles_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// endsUnderPart is the number of crashes after which a part counts as one that crashes engines.
+	endsUnderPart = 5
+	// serviceTime is the time, from the last of these crashes, after which sound requests must begin again.
+	serviceTime = 2 * contactTime
+	firstPart   = "aa"
+)
+
+// partCrashes are the crashes under a part and the arrivals of requests with it.
+type partCrashes struct {
+	part              string
+	crashes, arrivals []time.Time
+}
+
+// lateArrivals returns the number of arrivals later than contactTime after the fifth crash.
+func (p partCrashes) lateArrivals() int {
+	if len(p.crashes) < endsUnderPart {
+		return 0
+	}
+	n := 0
+	for _, at := range p.arrivals {
+		if at.Sub(p.crashes[endsUnderPart-1]) > contactTime {
+			n++
+		}
+	}
+	return n
+}
+
+// soundShare counts sound requests that were served at the first attempt.
+type soundShare struct{ sent, served int }
+
+func (s soundShare) share() float64 { return float64(s.served) / float64(max(1, s.sent)) }
+
+// partLoad sends sound requests, and others with parts at which engines crash, no two alike, to all gateways.
+type partLoad struct {
+	*crashingFleet
+	gateways int
+
+	mu    sync.Mutex
+	n     int
+	sound []soundResult
+	all   sync.WaitGroup
+}
+
+type soundResult struct {
+	at     time.Time
+	served bool
+}
+
+func (l *partLoad) send(prefix, parts string) bool {
+	l.mu.Lock()
+	l.n++
+	n := l.n
+	l.mu.Unlock()
+	id := fmt.Sprintf("%s-%d", prefix, n)
+	status, _ := l.call("POST", "http://"+l.gatewayAddress(n%l.gateways)+"/quote/x", []byte(id),
+		"X-Laburnumlever-Request-Id", id, "X-Laburnumlever-Model", "m0", "X-Laburnumlever-Prefix-Hash", fmt.Sprintf("%s,%x:50", parts, 0x100000+n))
+	return status == http.StatusOK
+}
+
+// repeat calls fn once a period until done is closed, without waiting for its end.
+func (l *partLoad) repeat(done <-chan struct{}, period time.Duration, fn func()) {
+	l.all.Go(func() {
+		tick := time.NewTicker(period)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+				l.all.Go(fn)
+			}
+		}
+	})
+}
+
+func (l *partLoad) sendSound() {
+	at := time.Now()
+	served := l.send("sound", firstPart+":100")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sound = append(l.sound, soundResult{at: at, served: served})
+}
+
+// served returns the share of the sound requests sent from a time on that were served, before another one.
+func (l *partLoad) served(from, until time.Time) soundShare {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var s soundShare
+	for _, r := range l.sound {
+		if r.at.Before(from) || !r.at.Before(until) {
+			continue
+		}
+		s.sent++
+		if r.served {
+			s.served++
+		}
+	}
+	return s
+}
+
+// crashesOf returns the crashes of engines so far, and the arrivals of requests with the part.
+func (l *partLoad) crashesOf(part string) partCrashes {
+	e := l.engines
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return partCrashes{part: part, crashes: append([]time.Time{}, e.crashes...), arrivals: append([]time.Time{}, e.arrivals...)}
+}
+
+// Guards against a part of prompts that ends engine after engine, since no two requests with it are alike, and against refusing the sound requests beside it.
+func TestPartThatCrashesEnginesIsStopped(t *testing.T) {
+	const gateways, engines, part = 3, 12, "dead"
+	f := newCrashingFleetOf(t, gateways, engines, &crashingEngines{
+		down: 3 * time.Second, delay: 30 * time.Millisecond, parts: []string{part}, eventPause: 40 * time.Millisecond,
+	})
+	l := &partLoad{crashingFleet: f, gateways: gateways}
+	done := make(chan struct{})
+	l.repeat(done, 30*time.Millisecond, l.sendSound)
+	begin := time.Now()
+	<-time.After(2 * time.Second)
+	calm := l.served(begin, time.Now())
+	l.repeat(done, 120*time.Millisecond, func() { l.send(crashText, firstPart+":100,"+part+":60") })
+	var fifth time.Time
+	require.Eventually(t, func() bool {
+		if c := l.crashesOf(part); len(c.crashes) >= endsUnderPart {
+			fifth = c.crashes[endsUnderPart-1]
+		}
+		return !fifth.IsZero() && time.Since(fifth) > serviceTime+3*time.Second || time.Since(begin) > 20*time.Second
+	}, time.Minute, 50*time.Millisecond)
+	close(done)
+	l.all.Wait()
+	ended := l.crashesOf(part)
+	if fifth.IsZero() {
+		fifth = ended.crashes[len(ended.crashes)-1]
+	}
+	after := l.served(fifth.Add(serviceTime), time.Now())
+	t.Logf("%d engines ended, %d of %d arrivals late; sound requests served: %.3f of %d before, %.3f of %d after",
+		len(ended.crashes), ended.lateArrivals(), len(ended.arrivals), calm.share(), calm.sent, after.share(), after.sent)
+	require.LessOrEqual(t, ended.lateArrivals(), repeatsBorne)
+	require.GreaterOrEqual(t, after.sent, 20)
+	require.GreaterOrEqual(t, after.share(), calm.share()/2)
+}
--- a/laburnumroles/crashingrequest_test.go
+++ b/laburnumroles/crashingrequest_test.go
@@ -40,6 +40,9 @@
 	// down is how long a crashed engine is down, delay how long a request runs before the engine crashes: further copies of
 	// it begin to run meanwhile.
 	down, delay time.Duration
+	// parts are those at which engines crash as well, eventPause the time between two events of a stream.
+	parts      []string
+	eventPause time.Duration
 }
 
 func (e *crashingEngines) start(address string) {
@@ -65,8 +68,8 @@
 	var engine *laburnumstandin.PlatformServer
 	engine = laburnumstandin.NewPlatformServer(fmt.Sprintf("i-%d", e.starts), "devis", ln.Addr().String(), controls, []string{"m0"},
 		laburnumstandin.PlatformBehaviour{
-			CrashText: crashText,
-			OnRun:     func(run laburnumstandin.PlatformRun) { e.requestRan(run.ID) },
+			CrashText: crashText, CrashParts: e.parts, EventPause: e.eventPause,
+			OnRun: func(run laburnumstandin.PlatformRun) { e.requestRan(run.ID) },
 			Crash: func() {
 				if !crashed.CompareAndSwap(false, true) {
 					<-gone
@@ -145,14 +148,19 @@
 }
 
 func newCrashingFleetWith(t *testing.T, gateways, engines int, down, delay time.Duration) *crashingFleet {
+	return newCrashingFleetOf(t, gateways, engines, &crashingEngines{down: down, delay: delay})
+}
+
+func newCrashingFleetOf(t *testing.T, gateways, engines int, crashing *crashingEngines) *crashingFleet {
 	s := newDeployment(t, 3, 1)
+	crashing.deployment = s
 	for i := 1; i < gateways; i++ {
 		s.startGatewayAt(i)
 	}
 	s.until(200, "first manifest", func() (int, []byte) {
 		return s.call("PUT", "http://"+s.control(0)+"/v1/config", manifest(7, "confirm"))
 	})
-	f := &crashingFleet{deployment: s, engines: &crashingEngines{deployment: s, down: down, delay: delay}}
+	f := &crashingFleet{deployment: s, engines: crashing}
 	for range engines {
 		f.engines.start(s.ip(firstEngine) + ":0")
 	}
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -25,6 +25,7 @@
 	limitHeader     = "Server-Limit"
 	keyHeader       = "X-Api-Key"
 	accountHeader   = "X-Laburnumlever-Tenant"
+	partsHeader     = "X-Laburnumlever-Prefix-Hash"
 	// healthPath is the path of health checks in the stand-in manifest.
 	healthPath  = "/health"
 	defaultZone = "brest"
@@ -62,7 +63,9 @@
 	// CrashText, unless empty, crashes the server at each request whose body contains it, once it
 	// has begun to run: an engine has sent the head of its answer by then.
 	CrashText string
-	// Crash ends the server and all of its connections. It is required with CrashText and SetBrittle.
+	// CrashParts crash the server in the same way at each request with one of them in its prompt, other than as the last part.
+	CrashParts []string
+	// Crash ends the server and all of its connections. It is required with CrashText, CrashParts and SetBrittle.
 	Crash func()
 	// Slots is the number of requests that run at once, Queue that of those that wait; more are rejected. With 0
 	// slots all run.
@@ -303,7 +306,7 @@
 		w.Header().Set(limitHeader, s.limit)
 	}
 	s.mu.Unlock()
-	if s.behaviour.CrashText != "" && bytes.Contains(body, []byte(s.behaviour.CrashText)) {
+	if s.crashedBy(r, body) {
 		s.crash(w, engine)
 	}
 	if !engine {
@@ -313,6 +316,21 @@
 	s.stream(w, r)
 }
 
+// crashedBy reports whether a request crashes the server.
+func (s *PlatformServer) crashedBy(r *http.Request, body []byte) bool {
+	if s.behaviour.CrashText != "" && bytes.Contains(body, []byte(s.behaviour.CrashText)) {
+		return true
+	}
+	parts := strings.Split(r.Header.Get(partsHeader), ",")
+	for _, part := range parts[:len(parts)-1] {
+		id, _, _ := strings.Cut(part, ":")
+		if slices.Contains(s.behaviour.CrashParts, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // crash ends the server in the middle of a request.
 func (s *PlatformServer) crash(w http.ResponseWriter, engine bool) {
 	if engine {
