--- a/enums.go
+++ b/enums.go
@@ -74,6 +74,9 @@
 	// RefusedUnderTrial is a request of which several copies were on crashed backend servers, while another copy is being
 	// tried.
 	RefusedUnderTrial
+	// RefusedPartQuarantined is a request with a part of its prompt that has crashed the backend servers which ran requests
+	// with it.
+	RefusedPartQuarantined
 	// RefusedBackendLimited is a request that only backend servers could serve whose limits are used up.
 	RefusedBackendLimited
 	// RefusedBackendBrittle is a request that only brittle backend servers could serve which have no room for it.
--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -32,6 +32,7 @@
 	"crossed-answer":      "a backend server returned another request's answer, which was dropped",
 	"deadline":            "its deadline passed before an answer arrived",
 	"retry-budget":        "another attempt was allowed, but the retry budget was exhausted",
+	"part-quarantined":    "several backend servers crashed while they ran requests with a part of its prompt: look for part-quarantined on control VMs, and for attempt-failed with the part",
 	"quarantined":         "several backend servers crashed while they ran it: look for the other attempts with its digest, and for request-quarantined on control VMs",
 	"backend-limited":     "all backend servers that could serve it name limits that are used up: look for limit-changed, and for slot-requested of this request",
 	"backend-brittle":     "the backend servers that could serve it fall over if they must reject requests, and had no room: look for brittle-changed, and for slot-requested of this request",
@@ -66,7 +67,7 @@
 	own := timeline.Lines
 	digest := digestOf(own)
 	for _, l := range lines {
-		if !l.is("request-id", id) && (l.is("digest", digest) || mayAffect(l, own)) {
+		if !l.is("request-id", id) && (l.is("digest", digest) || concernsPart(l, own) || mayAffect(l, own)) {
 			timeline.Lines = append(timeline.Lines, l)
 		}
 	}
@@ -86,6 +87,21 @@
 	return ""
 }
 
+// concernsPart reports whether a line is about a part of the request's prompt.
+func concernsPart(l Line, own []Line) bool {
+	part := fieldText(l.Fields["part"])
+	if part == "" {
+		return false
+	}
+	for _, o := range own {
+		parts, _ := o.Fields["parts"].([]any)
+		if slices.ContainsFunc(parts, func(p any) bool { return fieldText(p) == part }) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayAffect reports whether another event may have affected the request: it concerns a backend
 // server that the request was sent to, its model, or its gateway.
 func mayAffect(l Line, own []Line) bool {
--- a/laburnumexplain/timeline_test.go
+++ b/laburnumexplain/timeline_test.go
@@ -84,3 +84,19 @@
 	require.Contains(t, text, "i-1")
 	require.NotContains(t, text, "i-2")
 }
+
+// Guards against a refusal for a part of the prompt whose timeline doesn't show which servers crashed under the part.
+func TestTimelineShowsTheRefusedPart(t *testing.T) {
+	lines, _, err := laburnumexplain.Read(strings.NewReader(
+		`{"ts":"2026-10-27T08:20:00Z","vm":"core-a","event":"part-quarantined","part":"5c1e07a2","service":"devis","crashes":3,"backends":["i-1","i-2","i-3"]}
+{"ts":"2026-10-27T08:20:00Z","vm":"core-a","event":"part-quarantined","part":"91bd3f06","service":"devis","crashes":3,"backends":["i-4"]}
+{"ts":"2026-10-27T08:26:50Z","vm":"front-c","event":"request-refused","request-id":"r-3","reason":"part-quarantined","parts":["aa","5c1e07a2"],"cause":"refused"}
+`))
+	require.NoError(t, err)
+	timeline, err := laburnumexplain.NewTimeline("r-3", lines)
+	require.NoError(t, err)
+	require.Contains(t, timeline.Cause, "part of its prompt")
+	text := strings.Join(timeline.Text(), "\n")
+	require.Contains(t, text, "i-3")
+	require.NotContains(t, text, "i-4")
+}
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -96,7 +96,8 @@
 		return g.storeErrorAnswer(q, stored, result)
 	}
 	out.started = true
-	out.recordPart(g.timers.Now())
+	q.begunAt = g.timers.Now()
+	out.recordPart(q.begunAt)
 	stored.write(out.w)
 	return nil
 }
@@ -167,6 +168,7 @@
 		}
 		if first {
 			first = false
+			q.begunAt = g.timers.Now()
 			g.fleet.recordFirstEvent(ticket)
 			g.beginStream(ctx, q, ticket)
 		}
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"laburnumlever"
@@ -21,7 +22,7 @@
 // attempt makes one attempt. A nil failure means that the complete answer was forwarded.
 func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket) *failure {
 	q.tries++
-	q.backend, q.via = ticket.Backend.Backend, ""
+	q.backend, q.via, q.begunAt, q.sound = ticket.Backend.Backend, "", time.Time{}, false
 	result := laburnumbalance.AttemptResult{}
 	g.fleet.beginAdapterUse(q)
 	defer func() { g.fleet.release(q, ticket, result) }()
@@ -48,6 +49,7 @@
 		if wait != nil {
 			g.links.failed(ticket.Backend)
 		}
+		g.fleet.recordLasting(q)
 		g.crashes.requestBroken(q, ticket)
 	}
 	if stop() && fail == nil {
@@ -130,10 +132,18 @@
 	fail := g.forwardAnswer(ctx, q, out, ticket, resp, result)
 	if fail != nil {
 		fail.begun = true
+	} else {
+		q.sound = provesWhole(resp)
 	}
 	return fail, resp
 }
 
+// provesWhole reports whether a server that crashes can't have ended the answer: its end shows in the answer itself. One that ends
+// with its connection looks whole then.
+func provesWhole(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // checkAnswer returns a failure for an answer that must not be forwarded: one to another request, or
 // one which says that the request did not run.
 func (g *Gateway) checkAnswer(q *request, ticket *laburnumbalance.Ticket, resp *http.Response, headers laburnumlever.AnswerHeaders, result *laburnumbalance.AttemptResult) *failure {
--- a/laburnumgateway/crashes.go
+++ b/laburnumgateway/crashes.go
@@ -44,7 +44,10 @@
 
 // brokenServer is a backend server whose connections broke.
 type brokenServer struct {
+	brokenAt  time.Time
 	sightings []laburnumquarantine.Sighting
+	// parts counts the requests with each shared part.
+	parts map[laburnumquarantine.Part]int
 	// probed is set once the probe has ended, crashed is its result.
 	probed, crashed bool
 }
@@ -68,16 +71,28 @@
 	s := d.servers[id]
 	switch {
 	case s == nil:
-		d.servers[id] = &brokenServer{sightings: []laburnumquarantine.Sighting{sighting}}
+		s = &brokenServer{brokenAt: d.gateway.timers.Now(), parts: map[laburnumquarantine.Part]int{}}
+		d.servers[id] = s
+		s.add(q, sighting)
 		go d.probe(id, to.Address)
 	case !s.probed:
-		s.sightings = append(s.sightings, sighting)
+		s.add(q, sighting)
 	case s.crashed:
-		d.gateway.fleet.reportCrash([]laburnumquarantine.Sighting{sighting})
+		late := &brokenServer{brokenAt: s.brokenAt, parts: map[laburnumquarantine.Part]int{}}
+		late.add(q, sighting)
+		d.gateway.fleet.reportCrash(id, late)
 	default: // the server still runs
 	}
 }
 
+// add adds a request that was on the server.
+func (s *brokenServer) add(q *request, sighting laburnumquarantine.Sighting) {
+	s.sightings = append(s.sightings, sighting)
+	for _, part := range q.sharedParts() {
+		s.parts[part]++
+	}
+}
+
 // probe finds out whether a backend server has crashed, and reports the requests on it if so.
 func (d *crashDetector) probe(id laburnumquarantine.Crash, address string) {
 	timers := d.gateway.timers
@@ -92,14 +107,15 @@
 	d.mu.Lock()
 	s := d.servers[id]
 	s.probed, s.crashed = true, crashed
-	sightings := s.sightings
-	s.sightings = nil
+	broken := *s
+	s.sightings, s.parts = nil, nil
 	d.mu.Unlock()
+	sightings := broken.sightings
 	if crashed {
 		_ = level.Info(d.gateway.logger).Log("event", laburnumlever.EventBackendCrashed, "backend", id.Backend, "requests", len(sightings), "probes", probes)
 		d.gateway.counters.crashes.Inc(1)
 		d.gateway.fleet.avoidCrashed(id)
-		d.gateway.fleet.reportCrash(sightings)
+		d.gateway.fleet.reportCrash(id, &broken)
 	} else {
 		_ = level.Info(d.gateway.logger).Log("event", laburnumlever.EventCrashUnconfirmed, "backend", id.Backend, "verdict", verdict.crash,
 			"probes", probes, "requests", len(sightings), "digests", digestsOf(sightings), "cause", verdict.cause, "others", verdict.others)
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -55,6 +55,7 @@
 	quarantine       *laburnumquarantine.List
 	quarantineListed atomic.Bool
 	answered         *laburnumquarantine.Answered
+	partAnswers      *laburnumquarantine.PartAnswers
 	reporter         QuarantineReporter
 	trialKeepers     TrialKeepers
 	// trials are the requests of which a copy is under way that must be alone.
@@ -83,7 +84,7 @@
 		vm: vm.ID, zone: vm.Zone, timers: timers, logger: log.NewNopLogger(), registry: laburnumregistry.New(period),
 		balance: laburnumbalance.New(vm.Zone, seed), demand: laburnumdemand.NewCounter(vm.ID),
 		gateways: 1, keys: newKeys(), readTimes: laburnumdemand.ReadTimes{}, routesLoaded: make(chan struct{}),
-		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), reporter: silentReporter{},
+		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), partAnswers: laburnumquarantine.NewPartAnswers(), reporter: silentReporter{},
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
 	}
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -235,7 +235,7 @@
 // quota has room are told as they are, even beyond the caller's deadline: an earlier retry can't be served.
 func (g *Gateway) retryAfter(q *request, refusal *laburnumlever.RefusalError) time.Duration {
 	switch refusal.Reason {
-	case laburnumlever.RefusedQuarantined:
+	case laburnumlever.RefusedQuarantined, laburnumlever.RefusedPartQuarantined:
 		return refusal.RetryAfter
 	case laburnumlever.RefusedOverQuota, laburnumlever.RefusedBackendResting:
 		return refusal.RetryAfter + time.Duration(exactRetrySpread*rand.Float64()*float64(refusal.RetryAfter))
--- a/laburnumgateway/quarantine.go
+++ b/laburnumgateway/quarantine.go
@@ -17,6 +17,9 @@
 	maxRestartDelay = 2500 * time.Millisecond
 )
 
+// lastingTime is how long a backend server answers a request until it can't be one that crashes servers as it begins to run.
+const lastingTime = 500 * time.Millisecond
+
 // QuarantineReporter sends a gateway's reports on crashing requests. It does not block.
 type QuarantineReporter interface {
 	// ReportToAll sends a report to all control VMs.
@@ -50,17 +53,24 @@
 	}
 }
 
-// clearAnswered reports listed requests that were answered recently: another gateway, which saw them
+// clearAnswered reports listed requests and parts that were answered recently: another gateway, which saw them
 // on crashed servers, need not have seen an answer. The caller must hold mu.
 func (f *Fleet) clearAnswered(entries []laburnumquarantine.Entry, now time.Time) {
-	var completed []laburnumlever.RequestDigest
+	var r laburnumquarantine.Report
 	for _, e := range entries {
-		if e.State != laburnumquarantine.Cleared && f.answered.Contains(e.Digest, now) {
-			completed = append(completed, e.Digest)
+		switch {
+		case e.State == laburnumquarantine.Cleared:
+		case e.Part != nil:
+			if at := f.partAnswers.Last(*e.Part); !at.IsZero() {
+				r.Answers = append(r.Answers, laburnumquarantine.PartAnswer{Part: *e.Part, AnsweredAt: at})
+			}
+		case f.answered.Contains(e.Digest, now):
+			r.Completed = append(r.Completed, e.Digest)
+		default:
 		}
 	}
-	if len(completed) > 0 {
-		f.reporter.ReportToAll(laburnumquarantine.Report{Completed: completed})
+	if !r.IsZero() {
+		f.reporter.ReportToAll(r)
 	}
 }
 
@@ -74,42 +84,95 @@
 	}
 }
 
-// quarantineState returns what the list of crashing requests says of a request.
+// quarantineState returns what the list says of a request and of the parts of its prompt.
 func (f *Fleet) quarantineState(q *request) laburnumquarantine.State {
 	if !f.quarantineListed.Load() {
 		return laburnumquarantine.Cleared
 	}
-	digest := q.digest()
+	digest, parts := q.digest(), q.digestsOfParts()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.quarantine.State(digest, f.timers.Now())
+	now := f.timers.Now()
+	state := f.quarantine.State(digest, now)
+	for _, d := range parts {
+		state = max(state, f.quarantine.State(d, now))
+	}
+	return state
 }
 
-// refuseQuarantined returns a refusal if the request is held or in quarantine, else nil.
+// refuseQuarantined returns a refusal if the request or a part of its prompt is refused, else nil. A request that may be the next
+// trial of a part is not refused.
 func (f *Fleet) refuseQuarantined(q *request) error {
-	state := f.quarantineState(q)
-	if !state.Refused() {
+	if !f.quarantineState(q).Refused() {
 		return nil
 	}
 	f.mu.Lock()
-	report := f.quarantine.Refuse(q.digest(), f.timers.Now())
+	now := f.timers.Now()
+	state := f.quarantine.State(q.digest(), now)
+	part, after := f.refusedPart(q, now)
+	var refused laburnumlever.RequestDigest
+	switch {
+	case state.Refused():
+		refused = q.digest()
+	case part != nil:
+		refused = part.Digest()
+	default:
+		f.mu.Unlock()
+		return nil
+	}
+	report := f.quarantine.Refuse(refused, now)
 	f.mu.Unlock()
 	if report {
-		f.reporter.ReportToAll(laburnumquarantine.Report{Refused: []laburnumlever.RequestDigest{q.digest()}})
+		f.reporter.ReportToAll(laburnumquarantine.Report{Refused: []laburnumlever.RequestDigest{refused}})
+	}
+	if !state.Refused() {
+		return partRefusal(part.ID, after)
 	}
 	return newRefusal(laburnumlever.RefusedQuarantined, state.RefusalTime(),
 		"several backend servers crashed while they ran the request; it is refused until it has not been sent for "+state.RefusalTime().String())
 }
 
-// reportCrash reports requests that were on a backend server when it crashed, except for those that
-// were answered recently.
-func (f *Fleet) reportCrash(sightings []laburnumquarantine.Sighting) {
+// refusedPart returns the refused part whose next trial is last, and the time until then; nil if all may be tried now. The caller
+// must hold mu.
+func (f *Fleet) refusedPart(q *request, now time.Time) (*laburnumquarantine.Part, time.Duration) {
+	var part *laburnumquarantine.Part
+	var after time.Duration
+	for i, digest := range q.digestsOfParts() {
+		if !f.quarantine.State(digest, now).Refused() {
+			continue
+		}
+		in, _ := f.quarantine.TrialIn(digest, now)
+		if _, running := f.trials[digest]; running && q.trial == nil {
+			in = max(in, laburnumquarantine.TrialRetry)
+		}
+		if in > after {
+			part, after = &q.parts[i], in
+		}
+	}
+	return part, after
+}
+
+func partRefusal(part laburnumlever.PartID, after time.Duration) error {
+	return newRefusal(laburnumlever.RefusedPartQuarantined, after,
+		"several backend servers crashed while they ran requests with part "+part.String()+" of the prompt; it is tried again in "+after.Round(time.Millisecond).String())
+}
+
+// reportCrash reports the requests that were on a backend server when it crashed, except for those that were answered recently,
+// and the parts of their prompts.
+func (f *Fleet) reportCrash(id laburnumquarantine.Crash, s *brokenServer) {
 	f.mu.Lock()
 	now := f.timers.Now()
-	sightings = slices.DeleteFunc(sightings, func(s laburnumquarantine.Sighting) bool { return f.answered.Contains(s.Digest, now) })
+	r := laburnumquarantine.Report{
+		Sightings: slices.DeleteFunc(s.sightings, func(s laburnumquarantine.Sighting) bool { return f.answered.Contains(s.Digest, now) }),
+	}
+	for part, n := range s.parts {
+		r.Parts = append(r.Parts, laburnumquarantine.PartSighting{
+			Crash: id, Part: part, Requests: n, CrashedAt: s.brokenAt, AnsweredAt: f.partAnswers.Last(part),
+		})
+	}
 	f.mu.Unlock()
-	if len(sightings) > 0 {
-		f.reporter.ReportToAll(laburnumquarantine.Report{Sightings: sightings})
+	if !r.IsZero() {
+		f.reporter.ReportToAll(r)
 	}
 }
 
@@ -130,8 +193,11 @@
 	f.serveQueue()
 }
 
-// recordAnswered records a complete answer, and reports it if the request is listed.
+// recordAnswered records a complete answer, and reports it if the request or a part of its prompt is listed.
 func (f *Fleet) recordAnswered(q *request) {
+	if !q.sound {
+		return
+	}
 	digest := q.digest()
 	f.mu.Lock()
 	f.answered.Add(digest, f.timers.Now())
@@ -139,6 +205,44 @@
 	if f.quarantineState(q) != laburnumquarantine.Cleared {
 		f.reporter.ReportToAll(laburnumquarantine.Report{Completed: []laburnumlever.RequestDigest{digest}})
 	}
+	f.recordParts(q)
+}
+
+// recordLasting records an answer that was broken off after so long that its request can't have crashed the server.
+func (f *Fleet) recordLasting(q *request) {
+	if !q.begunAt.IsZero() && f.timers.Now().Sub(q.begunAt) >= lastingTime {
+		f.recordParts(q)
+	}
+}
+
+// recordParts records that the parts of a request's prompt don't crash servers, and reports it if one is listed.
+func (f *Fleet) recordParts(q *request) {
+	parts := q.sharedParts()
+	if len(parts) == 0 {
+		return
+	}
+	var digests []laburnumlever.RequestDigest
+	if f.quarantineListed.Load() {
+		digests = q.digestsOfParts()
+	}
+	var r laburnumquarantine.Report
+	f.mu.Lock()
+	now := f.timers.Now()
+	for _, part := range parts {
+		f.partAnswers.Add(part, q.begunAt, now)
+	}
+	for i, digest := range digests {
+		if f.quarantine.Listed(digest) {
+			r.Answers = append(r.Answers, laburnumquarantine.PartAnswer{Part: parts[i], AnsweredAt: q.begunAt})
+		}
+		if f.quarantine.State(digest, now).Refused() {
+			r.Completed = append(r.Completed, digest) // a control VM of an earlier build may refuse it as a request
+		}
+	}
+	f.mu.Unlock()
+	if !r.IsZero() {
+		f.reporter.ReportToAll(r)
+	}
 }
 
 // leaving reports whether a backend server is known to leave or to be gone.
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -5,11 +5,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
@@ -84,6 +86,13 @@
 	brokenAt time.Time
 	// contentDigest is zero until digest is first called.
 	contentDigest laburnumlever.RequestDigest
+	// parts are the shared parts of the prompt and partDigests their digests, nil until they are first asked for.
+	parts       []laburnumquarantine.Part
+	partDigests []laburnumlever.RequestDigest
+	// begunAt is when the last backend server began to answer; zero if it has not. sound is set once its answer shows that the
+	// request does not crash servers.
+	begunAt time.Time
+	sound   bool
 	// errorAnswer is the last error answer of a backend server; nil for none.
 	errorAnswer *bufferedAnswer
 }
@@ -148,6 +157,29 @@
 	return q.contentDigest
 }
 
+// sharedParts returns the shared parts of the prompt, each once.
+func (q *request) sharedParts() []laburnumquarantine.Part {
+	if q.parts != nil || q.route == nil {
+		return q.parts
+	}
+	for _, id := range q.caller.SharedParts() {
+		if part := (laburnumquarantine.Part{Service: q.service.Name, ID: id}); !slices.Contains(q.parts, part) {
+			q.parts = append(q.parts, part)
+		}
+	}
+	return q.parts
+}
+
+// digestsOfParts returns the digests that stand for all requests with one of the shared parts.
+func (q *request) digestsOfParts() []laburnumlever.RequestDigest {
+	if q.partDigests == nil {
+		for _, part := range q.sharedParts() {
+			q.partDigests = append(q.partDigests, part.Digest())
+		}
+	}
+	return q.partDigests
+}
+
 // pathOf returns a request target without its query.
 func pathOf(target string) string {
 	path, _, _ := strings.Cut(target, "?")
--- a/laburnumgateway/trials.go
+++ b/laburnumgateway/trials.go
@@ -43,25 +43,29 @@
 // beginTrial refuses a request that must be alone while another copy of it is under way.
 func (g *Gateway) beginTrial(ctx context.Context, q *request) error {
 	f := g.fleet
-	if !f.mustBeAlone(q) {
+	digest, part, needed := f.neededTrial(q)
+	if !needed {
 		return nil
 	}
-	digest := q.digest()
 	if !f.reserveTrial(digest) {
-		return trialRefusal()
+		return trialRefusal(part, laburnumquarantine.TrialRetry)
 	}
-	ask := laburnumquarantine.TrialRequest{Digest: digest, Hold: laburnumlever.Duration(q.remaining(g.timers.Now()))}
+	ask := laburnumquarantine.TrialRequest{Digest: digest, Part: part, Hold: laburnumlever.Duration(q.remaining(g.timers.Now()))}
 	// Not ended with the caller's context: the answer may hold a trial, which must be ended.
 	answer, keeper, err := f.trialKeepers.BeginTrial(context.WithoutCancel(ctx), ask)
-	if err == nil && !answer.Granted {
+	// Without a control VM each gateway tries one copy of a request by itself, but no refused part.
+	if err == nil && !answer.Granted || err != nil && part != nil {
 		f.releaseTrial(digest)
-		return trialRefusal()
+		return trialRefusal(part, max(laburnumquarantine.TrialRetry, time.Duration(answer.RetryIn)))
 	}
 	q.trial = &requestTrial{TrialEnd: laburnumquarantine.TrialEnd{Digest: digest, Trial: answer.Trial}, keeper: keeper}
 	return nil
 }
 
-func trialRefusal() error {
+func trialRefusal(part *laburnumquarantine.Part, after time.Duration) error {
+	if part != nil {
+		return partRefusal(part.ID, after)
+	}
 	return newRefusal(laburnumlever.RefusedUnderTrial, laburnumquarantine.TrialRetry,
 		"several copies of the request were on backend servers that crashed; another copy is being tried")
 }
@@ -86,6 +90,24 @@
 	end(g.timers.Now())
 }
 
+// neededTrial returns of what a request must be a trial, if of anything: of a refused part, or of the request itself.
+func (f *Fleet) neededTrial(q *request) (laburnumlever.RequestDigest, *laburnumquarantine.Part, bool) {
+	if !f.quarantineListed.Load() {
+		return laburnumlever.RequestDigest{}, nil, false
+	}
+	parts, digests := q.sharedParts(), q.digestsOfParts()
+	f.mu.Lock()
+	now := f.timers.Now()
+	for i, digest := range digests {
+		if f.quarantine.State(digest, now).Refused() {
+			f.mu.Unlock()
+			return digest, &parts[i], true
+		}
+	}
+	f.mu.Unlock()
+	return q.digest(), nil, f.mustBeAlone(q)
+}
+
 // mustBeAlone reports whether only one copy of a request may run at a time.
 func (f *Fleet) mustBeAlone(q *request) bool {
 	if !f.quarantineListed.Load() {
--- a/laburnumquarantine/detector.go
+++ b/laburnumquarantine/detector.go
@@ -95,6 +95,9 @@
 		}
 	}
 	for _, e := range r.Listed {
+		if e.Part != nil {
+			continue
+		}
 		s := d.suspect(e.Digest)
 		s.elsewhere, s.seen = max(s.elsewhere, e.State), now
 	}
--- a/laburnumquarantine/entry.go
+++ b/laburnumquarantine/entry.go
@@ -58,6 +58,14 @@
 	// Alone is set if only one copy of the request may run at a time: as many as hold a request have ended with
 	// servers, on fewer servers.
 	Alone bool `json:"alone,omitempty"`
+	// Part is set if the entry is that of all requests with a part of their prompts; the digest is the part's.
+	Part *Part `json:"part,omitempty"`
+	// Known is set for a part that was answered shortly before the crashes. Trials is the number of trials that have crashed a
+	// server since it is refused.
+	Known  bool `json:"known,omitempty"`
+	Trials int  `json:"trials,omitempty"`
+	// RetryIn is the time from the entry's publication until a refused part may be tried again.
+	RetryIn laburnumlever.Duration `json:"retry-in,omitempty"`
 }
 
 // Crash identifies the incarnation of a backend server that crashed.
@@ -81,6 +89,9 @@
 	Refused []laburnumlever.RequestDigest `json:"refused,omitempty"`
 	// Listed are refused requests that the receiving control VM has not listed since it started.
 	Listed []Entry `json:"listed,omitempty"`
+	// Parts are the shared parts of the requests that were on crashed servers, Answers those of listed parts.
+	Parts   []PartSighting `json:"parts,omitempty"`
+	Answers []PartAnswer   `json:"answers,omitempty"`
 }
 
 // MaxReport is the largest number of items of each kind in a report.
@@ -88,7 +99,7 @@
 
 // IsZero reports whether the report is empty.
 func (r Report) IsZero() bool {
-	return len(r.Sightings)+len(r.Completed)+len(r.Refused)+len(r.Listed) == 0
+	return len(r.Sightings)+len(r.Completed)+len(r.Refused)+len(r.Listed)+len(r.Parts)+len(r.Answers) == 0
 }
 
 // Merged returns the report with the items of another one, cut to MaxReport of each kind.
@@ -98,9 +109,29 @@
 		Completed: firstDigests(slices.Concat(r.Completed, other.Completed)),
 		Refused:   firstDigests(slices.Concat(r.Refused, other.Refused)),
 		Listed:    firstEntries(slices.Concat(r.Listed, other.Listed)),
+		Parts:     firstParts(slices.Concat(r.Parts, other.Parts)),
+		Answers:   latestAnswers(slices.Concat(r.Answers, other.Answers)),
 	}
 }
 
+func firstParts(list []PartSighting) []PartSighting { return list[:min(len(list), MaxReport)] }
+
+// latestAnswers returns the last answer of each part.
+func latestAnswers(list []PartAnswer) []PartAnswer {
+	var latest []PartAnswer
+	for _, a := range list {
+		i := slices.IndexFunc(latest, func(b PartAnswer) bool { return a.Part == b.Part })
+		switch {
+		case i >= 0 && a.AnsweredAt.After(latest[i].AnsweredAt):
+			latest[i] = a
+		case i < 0 && len(latest) < MaxReport:
+			latest = append(latest, a)
+		default:
+		}
+	}
+	return latest
+}
+
 func firstSightings(list []Sighting) []Sighting { return list[:min(len(list), MaxReport)] }
 
 func firstDigests(list []laburnumlever.RequestDigest) []laburnumlever.RequestDigest {
--- a/laburnumquarantine/list.go
+++ b/laburnumquarantine/list.go
@@ -32,6 +32,8 @@
 	states map[laburnumlever.RequestDigest]State
 	// alone are the requests of which only one copy may run at a time.
 	alone map[laburnumlever.RequestDigest]struct{}
+	// watched are the suspected parts that were answered shortly before.
+	watched map[laburnumlever.RequestDigest]struct{}
 }
 
 // known is a refused request.
@@ -40,6 +42,10 @@
 	// seen is when a source listed the request or a caller sent it, reported when the latter was
 	// last reported.
 	seen, reported time.Time
+	// part is set for one of a prompt, trialAt is when it may be tried again.
+	part    *Part
+	trialAt time.Time
+	entry   Entry
 }
 
 // NewList returns an empty list.
@@ -65,7 +71,7 @@
 	s := l.sources[address]
 	if s == nil || s.boot != boot {
 		l.Forget(address)
-		s = &source{boot: boot, states: map[laburnumlever.RequestDigest]State{}, alone: map[laburnumlever.RequestDigest]struct{}{}}
+		s = &source{boot: boot, states: map[laburnumlever.RequestDigest]State{}, alone: map[laburnumlever.RequestDigest]struct{}{}, watched: map[laburnumlever.RequestDigest]struct{}{}}
 		l.sources[address] = s
 		applied.Started = true
 	}
@@ -99,10 +105,15 @@
 		s.states[e.Digest] = e.State
 	}
 	l.entries += len(s.states) - before
-	if e.Alone {
-		s.alone[e.Digest] = struct{}{}
+	setMember(s.alone, e.Digest, e.Alone)
+	setMember(s.watched, e.Digest, e.State == Suspect && e.Known)
+}
+
+func setMember(set map[laburnumlever.RequestDigest]struct{}, digest laburnumlever.RequestDigest, member bool) {
+	if member {
+		set[digest] = struct{}{}
 	} else {
-		delete(s.alone, e.Digest)
+		delete(set, digest)
 	}
 }
 
@@ -111,15 +122,26 @@
 func (l *List) learn(e Entry, now time.Time) bool {
 	if k := l.known[e.Digest]; k != nil {
 		k.seen, k.state = now, max(k.state, e.State)
+		k.update(e, now)
 		return false
 	}
 	if len(l.known) >= maxKnown {
 		l.dropOldest()
 	}
-	l.known[e.Digest] = &known{state: e.State, seen: now}
+	k := &known{state: e.State, seen: now}
+	k.update(e, now)
+	l.known[e.Digest] = k
 	return true
 }
 
+// update takes what an entry tells of a part, unless another one told of more trials.
+func (k *known) update(e Entry, now time.Time) {
+	if e.Part == nil || k.part != nil && e.Trials < k.entry.Trials {
+		return
+	}
+	k.part, k.entry, k.trialAt = e.Part, e, now.Add(time.Duration(e.RetryIn))
+}
+
 func (l *List) dropOldest() {
 	var oldest laburnumlever.RequestDigest
 	var at time.Time
@@ -147,13 +169,32 @@
 		return k.state
 	}
 	for _, s := range l.sources {
-		if s.states[digest] == Suspect {
+		if _, watched := s.watched[digest]; s.states[digest] == Suspect && !watched {
 			return Suspect
 		}
 	}
 	return Cleared
 }
 
+// Listed reports whether a request or part is listed at all.
+func (l *List) Listed(digest laburnumlever.RequestDigest) bool {
+	for _, s := range l.sources {
+		if s.states[digest] != Cleared {
+			return true
+		}
+	}
+	return l.known[digest] != nil
+}
+
+// TrialIn returns the time until a refused part may be tried again; false for what is no refused part.
+func (l *List) TrialIn(digest laburnumlever.RequestDigest, now time.Time) (time.Duration, bool) {
+	k := l.known[digest]
+	if k == nil || k.part == nil {
+		return 0, false
+	}
+	return max(0, k.trialAt.Sub(now)), true
+}
+
 // Alone reports whether only one copy of a request may run at a time.
 func (l *List) Alone(digest laburnumlever.RequestDigest) bool {
 	for _, s := range l.sources {
@@ -189,7 +230,9 @@
 	var missing []Entry
 	for digest := range l.known {
 		if state := l.State(digest, now); state.Refused() && !s.states[digest].Refused() {
-			missing = append(missing, Entry{Digest: digest, State: state})
+			e := l.known[digest].entry
+			e.Digest, e.State, e.RetryIn = digest, state, 0
+			missing = append(missing, e)
 		}
 	}
 	slices.SortFunc(missing, func(a, b Entry) int {
--- a/laburnumquarantine/trials.go
+++ b/laburnumquarantine/trials.go
@@ -21,12 +21,16 @@
 	Digest laburnumlever.RequestDigest `json:"digest"`
 	// Hold is how long the copy may run.
 	Hold laburnumlever.Duration `json:"hold"`
+	// Part is set for a trial of a refused part; the digest is the part's.
+	Part *Part `json:"part,omitempty"`
 }
 
 // TrialAnswer answers a TrialRequest. Without a trial another copy is under way.
 type TrialAnswer struct {
 	Granted bool   `json:"granted,omitempty"`
 	Trial   uint64 `json:"trial,omitempty"`
+	// RetryIn is the time until the next trial of a part that was refused one.
+	RetryIn laburnumlever.Duration `json:"retry-in,omitempty"`
 }
 
 // TrialEnd ends a trial.
--- a/laburnumroles/quarantine.go
+++ b/laburnumroles/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,21 +36,27 @@
 	logger  log.Logger
 	verdict *laburnumtimer.Coalescer
 	// size is the number of requests that evidence is kept of, listed that of refused requests.
-	size, listed tally.Gauge
+	size, listed           tally.Gauge
+	partsSize, partsListed tally.Gauge
 
 	mu       sync.Mutex
 	detector *laburnumquarantine.Detector
+	parts    *laburnumquarantine.PartDetector
 	trials   *laburnumquarantine.Trials
 	// refused are the requests that are held or in quarantine.
 	refused map[laburnumlever.RequestDigest]laburnumquarantine.State
 	cleared map[laburnumlever.RequestDigest]time.Time
+	// refusedParts are the parts that are refused, with the number of crashes.
+	refusedParts map[laburnumlever.RequestDigest]laburnumquarantine.Entry
 }
 
 func newQuarantine(timers laburnumlever.Timers, source *laburnumfeed.Source, logger log.Logger, scope tally.Scope) *quarantine {
 	q := &quarantine{
-		timers: timers, source: source, logger: logger, detector: laburnumquarantine.NewDetector(), trials: laburnumquarantine.NewTrials(),
+		timers: timers, source: source, logger: logger, detector: laburnumquarantine.NewDetector(), parts: laburnumquarantine.NewPartDetector(), trials: laburnumquarantine.NewTrials(),
 		size: scope.Gauge("suspect_requests"), listed: scope.Gauge("quarantined_requests"),
+		partsSize: scope.Gauge("suspect_parts"), partsListed: scope.Gauge("quarantined_parts"),
 		refused: map[laburnumlever.RequestDigest]laburnumquarantine.State{}, cleared: map[laburnumlever.RequestDigest]time.Time{},
+		refusedParts: map[laburnumlever.RequestDigest]laburnumquarantine.Entry{},
 	}
 	q.verdict = laburnumtimer.NewCoalescer(timers, func() time.Duration { return verdictInterval }, q.publish)
 	return q
@@ -64,9 +71,15 @@
 		return nil, &laburnumfeed.MessageError{Method: methodQuarantineReport, Cause: err}
 	}
 	q.mu.Lock()
-	q.detector.Add(laburnumquarantine.Report{}.Merged(report), q.timers.Now())
+	now := q.timers.Now()
+	report = laburnumquarantine.Report{}.Merged(report.Received(now))
+	q.detector.Add(report, now)
+	q.parts.Add(report, now)
 	q.mu.Unlock()
 	q.verdict.Trigger()
+	if len(report.Parts) > 0 {
+		q.timers.After(laburnumquarantine.KnownPartDelay, func(time.Time) { q.verdict.Trigger() })
+	}
 	return struct{}{}, nil
 }
 
@@ -75,7 +88,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.timers.Now()
-	for _, e := range q.detector.Changes(now) {
+	for _, e := range slices.Concat(q.detector.Changes(now), q.parts.Changes(now)) {
 		q.logChange(e)
 		delete(q.cleared, e.Digest)
 		if e.State == laburnumquarantine.Cleared {
@@ -86,10 +99,17 @@
 	requests, _ := q.detector.Size()
 	q.size.Update(float64(requests))
 	q.listed.Update(float64(len(q.refused)))
+	parts, refused := q.parts.Size()
+	q.partsSize.Update(float64(parts))
+	q.partsListed.Update(float64(refused))
 }
 
 // logChange logs that a request is refused or released. The caller holds mu.
 func (q *quarantine) logChange(e laburnumquarantine.Entry) {
+	if e.Part != nil {
+		q.logPart(e)
+		return
+	}
 	before := q.refused[e.Digest]
 	switch {
 	case e.State.Refused() && e.State != before:
@@ -102,6 +122,21 @@
 	}
 }
 
+// logPart logs that requests with a part are refused or served again. The caller holds mu.
+func (q *quarantine) logPart(e laburnumquarantine.Entry) {
+	before, refused := q.refusedParts[e.Digest]
+	switch {
+	case e.State.Refused() && (!refused || before.Trials != e.Trials):
+		q.refusedParts[e.Digest] = e
+		_ = level.Warn(q.logger).Log("event", laburnumlever.EventPartQuarantined, "part", e.Part.ID, "service", e.Part.Service, "digest", e.Digest,
+			"crashes", e.Crashes, "trials", e.Trials, "known", e.Known, "retry-in", e.RetryIn, "backends", q.parts.Backends(*e.Part))
+	case !e.State.Refused() && refused:
+		delete(q.refusedParts, e.Digest)
+		_ = level.Info(q.logger).Log("event", laburnumlever.EventPartReleased, "part", e.Part.ID, "service", e.Part.Service, "digest", e.Digest, "state", e.State)
+	default:
+	}
+}
+
 // sweep ends quarantines that are over and drops old entries of the feed.
 func (q *quarantine) sweep(now time.Time) {
 	q.verdict.Trigger()
--- a/laburnumroles/quarantinereporter.go
+++ b/laburnumroles/quarantinereporter.go
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	var answer struct{}
-	err := r.peers.Call(ctx, address, methodQuarantineReport, report, &answer)
+	err := r.peers.Call(ctx, address, methodQuarantineReport, report.Sent(r.timers.Now()), &answer)
 	if err == nil {
 		return nil
 	}
--- a/laburnumroles/trials.go
+++ b/laburnumroles/trials.go
@@ -56,7 +56,13 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.trials.Begin(ask, q.timers.Now()), nil
+	now := q.timers.Now()
+	if ask.Part != nil {
+		if wait := q.parts.TrialIn(*ask.Part, now); wait > 0 {
+			return laburnumquarantine.TrialAnswer{RetryIn: laburnumlever.Duration(wait)}, nil
+		}
+	}
+	return q.trials.Begin(ask, now), nil
 }
 
 func (q *quarantine) handleTrialEnd(_ context.Context, params laburnumlever.RawMessage) (any, error) {
--- a/logevent.go
+++ b/logevent.go
@@ -71,6 +71,11 @@
 	EventRequestQuarantined
 	// EventRequestReleased is a request that is no longer in quarantine.
 	EventRequestReleased
+	// EventPartQuarantined is a part of prompts; gateways refuse requests with it from now on, since backend servers that ran
+	// such requests crashed.
+	EventPartQuarantined
+	// EventPartReleased is a part that is no longer in quarantine.
+	EventPartReleased
 	// EventQuarantineNotReported is a gateway's report on crashes that no control VM accepted.
 	EventQuarantineNotReported
 	// EventLimitChanged is a backend server that names a request limit, another one, or none any more.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 219, 229, 243, 256, 270, 289, 309, 328, 350, 364, 383, 399, 422, 435, 450, 463, 477, 492, 510, 524, 540, 556, 569, 585, 601, 616, 630, 640, 651, 664, 685, 701, 719, 730, 746, 762, 777, 791, 805, 820, 838, 856, 869, 878, 892, 907, 924, 939, 952, 967, 978, 992, 1005, 1031, 1049, 1063, 1080, 1099, 1120, 1129, 1139, 1156, 1166, 1175, 1189, 1201, 1217, 1224, 1232, 1239, 1246, 1263, 1279, 1293, 1311, 1324, 1341}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 219, 229, 243, 256, 270, 289, 309, 328, 350, 364, 383, 399, 415, 428, 451, 464, 479, 492, 506, 521, 539, 553, 569, 585, 598, 614, 630, 645, 659, 669, 680, 693, 714, 730, 748, 759, 775, 791, 806, 820, 834, 849, 867, 885, 898, 907, 921, 936, 953, 968, 981, 996, 1007, 1021, 1034, 1060, 1078, 1092, 1109, 1128, 1149, 1158, 1168, 1185, 1195, 1204, 1218, 1230, 1246, 1253, 1261, 1268, 1275, 1292, 1308, 1322, 1340, 1353, 1370}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -51,74 +51,76 @@
 	_ = x[EventLinksVerified-(24)]
 	_ = x[EventRequestQuarantined-(25)]
 	_ = x[EventRequestReleased-(26)]
-	_ = x[EventQuarantineNotReported-(27)]
-	_ = x[EventLimitChanged-(28)]
-	_ = x[EventBrittleChanged-(29)]
-	_ = x[EventLimitUnclear-(30)]
-	_ = x[EventSlotRequested-(31)]
-	_ = x[EventSlotUnanswered-(32)]
-	_ = x[EventLimitNotReported-(33)]
-	_ = x[EventKeysConfirmed-(34)]
-	_ = x[EventKeysUnconfirmed-(35)]
-	_ = x[EventAccountsUnknown-(36)]
-	_ = x[EventQuotaUsedUp-(37)]
-	_ = x[EventQuotaUnanswered-(38)]
-	_ = x[EventOutlierDetected-(39)]
-	_ = x[EventModelWithdrawn-(40)]
-	_ = x[EventOrderAnswered-(41)]
-	_ = x[EventOrderDone-(42)]
-	_ = x[EventOrderStateChanged-(43)]
-	_ = x[EventOrderRefused-(44)]
-	_ = x[EventOrderOutcomeUnknown-(45)]
-	_ = x[EventEngineStateNotRead-(46)]
-	_ = x[EventInventoryNotRead-(47)]
-	_ = x[EventLoadFailed-(48)]
-	_ = x[EventBackendStateNotEncoded-(49)]
-	_ = x[EventRegistryRefused-(50)]
-	_ = x[EventRoutesProposed-(51)]
-	_ = x[EventRoutesRefused-(52)]
-	_ = x[EventRoutesApplied-(53)]
-	_ = x[EventRoutesInEffect-(54)]
-	_ = x[EventRoutesNotFetched-(55)]
-	_ = x[EventCatalogueInEffect-(56)]
-	_ = x[EventBecameLeader-(57)]
-	_ = x[EventNoLeader-(58)]
-	_ = x[EventReplicaOpened-(59)]
-	_ = x[EventStartConfirmed-(60)]
-	_ = x[EventStartUnconfirmed-(61)]
-	_ = x[EventVotersChanged-(62)]
-	_ = x[EventLearnerAdded-(63)]
-	_ = x[EventLearnerRemoved-(64)]
-	_ = x[EventVoterAdded-(65)]
-	_ = x[EventVoterReplaced-(66)]
-	_ = x[EventVoterStandby-(67)]
-	_ = x[EventLeadershipNotHandedOver-(68)]
-	_ = x[EventExpiryNotEncoded-(69)]
-	_ = x[EventReplicaFailed-(70)]
-	_ = x[EventReplicaRegressed-(71)]
-	_ = x[EventDataFolderDamaged-(72)]
-	_ = x[EventDataFolderRegressed-(73)]
-	_ = x[EventLeaseAcquired-(74)]
-	_ = x[EventLeaseLost-(75)]
-	_ = x[EventLeaseNotRenewed-(76)]
-	_ = x[EventZoneOwned-(77)]
-	_ = x[EventZoneLost-(78)]
-	_ = x[EventControlThreadTimes-(79)]
-	_ = x[EventControlLost-(80)]
-	_ = x[EventControlRegained-(81)]
-	_ = x[EventStarted-(82)]
-	_ = x[EventDraining-(83)]
-	_ = x[EventDrained-(84)]
-	_ = x[EventStopped-(85)]
-	_ = x[EventSettingsReloaded-(86)]
-	_ = x[EventSettingsRefused-(87)]
-	_ = x[EventListenerEnded-(88)]
-	_ = x[EventMetricsNotServed-(89)]
-	_ = x[EventUnknownEvent-(90)]
-	_ = x[EventLogLinesDropped-(91)]
+	_ = x[EventPartQuarantined-(27)]
+	_ = x[EventPartReleased-(28)]
+	_ = x[EventQuarantineNotReported-(29)]
+	_ = x[EventLimitChanged-(30)]
+	_ = x[EventBrittleChanged-(31)]
+	_ = x[EventLimitUnclear-(32)]
+	_ = x[EventSlotRequested-(33)]
+	_ = x[EventSlotUnanswered-(34)]
+	_ = x[EventLimitNotReported-(35)]
+	_ = x[EventKeysConfirmed-(36)]
+	_ = x[EventKeysUnconfirmed-(37)]
+	_ = x[EventAccountsUnknown-(38)]
+	_ = x[EventQuotaUsedUp-(39)]
+	_ = x[EventQuotaUnanswered-(40)]
+	_ = x[EventOutlierDetected-(41)]
+	_ = x[EventModelWithdrawn-(42)]
+	_ = x[EventOrderAnswered-(43)]
+	_ = x[EventOrderDone-(44)]
+	_ = x[EventOrderStateChanged-(45)]
+	_ = x[EventOrderRefused-(46)]
+	_ = x[EventOrderOutcomeUnknown-(47)]
+	_ = x[EventEngineStateNotRead-(48)]
+	_ = x[EventInventoryNotRead-(49)]
+	_ = x[EventLoadFailed-(50)]
+	_ = x[EventBackendStateNotEncoded-(51)]
+	_ = x[EventRegistryRefused-(52)]
+	_ = x[EventRoutesProposed-(53)]
+	_ = x[EventRoutesRefused-(54)]
+	_ = x[EventRoutesApplied-(55)]
+	_ = x[EventRoutesInEffect-(56)]
+	_ = x[EventRoutesNotFetched-(57)]
+	_ = x[EventCatalogueInEffect-(58)]
+	_ = x[EventBecameLeader-(59)]
+	_ = x[EventNoLeader-(60)]
+	_ = x[EventReplicaOpened-(61)]
+	_ = x[EventStartConfirmed-(62)]
+	_ = x[EventStartUnconfirmed-(63)]
+	_ = x[EventVotersChanged-(64)]
+	_ = x[EventLearnerAdded-(65)]
+	_ = x[EventLearnerRemoved-(66)]
+	_ = x[EventVoterAdded-(67)]
+	_ = x[EventVoterReplaced-(68)]
+	_ = x[EventVoterStandby-(69)]
+	_ = x[EventLeadershipNotHandedOver-(70)]
+	_ = x[EventExpiryNotEncoded-(71)]
+	_ = x[EventReplicaFailed-(72)]
+	_ = x[EventReplicaRegressed-(73)]
+	_ = x[EventDataFolderDamaged-(74)]
+	_ = x[EventDataFolderRegressed-(75)]
+	_ = x[EventLeaseAcquired-(76)]
+	_ = x[EventLeaseLost-(77)]
+	_ = x[EventLeaseNotRenewed-(78)]
+	_ = x[EventZoneOwned-(79)]
+	_ = x[EventZoneLost-(80)]
+	_ = x[EventControlThreadTimes-(81)]
+	_ = x[EventControlLost-(82)]
+	_ = x[EventControlRegained-(83)]
+	_ = x[EventStarted-(84)]
+	_ = x[EventDraining-(85)]
+	_ = x[EventDrained-(86)]
+	_ = x[EventStopped-(87)]
+	_ = x[EventSettingsReloaded-(88)]
+	_ = x[EventSettingsRefused-(89)]
+	_ = x[EventListenerEnded-(90)]
+	_ = x[EventMetricsNotServed-(91)]
+	_ = x[EventUnknownEvent-(92)]
+	_ = x[EventLogLinesDropped-(93)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -148,71 +150,73 @@
 	_LogEventName[350:364]:   EventLinksVerified,
 	_LogEventName[364:383]:   EventRequestQuarantined,
 	_LogEventName[383:399]:   EventRequestReleased,
-	_LogEventName[399:422]:   EventQuarantineNotReported,
-	_LogEventName[422:435]:   EventLimitChanged,
-	_LogEventName[435:450]:   EventBrittleChanged,
-	_LogEventName[450:463]:   EventLimitUnclear,
-	_LogEventName[463:477]:   EventSlotRequested,
-	_LogEventName[477:492]:   EventSlotUnanswered,
-	_LogEventName[492:510]:   EventLimitNotReported,
-	_LogEventName[510:524]:   EventKeysConfirmed,
-	_LogEventName[524:540]:   EventKeysUnconfirmed,
-	_LogEventName[540:556]:   EventAccountsUnknown,
-	_LogEventName[556:569]:   EventQuotaUsedUp,
-	_LogEventName[569:585]:   EventQuotaUnanswered,
-	_LogEventName[585:601]:   EventOutlierDetected,
-	_LogEventName[601:616]:   EventModelWithdrawn,
-	_LogEventName[616:630]:   EventOrderAnswered,
-	_LogEventName[630:640]:   EventOrderDone,
-	_LogEventName[640:651]:   EventOrderStateChanged,
-	_LogEventName[651:664]:   EventOrderRefused,
-	_LogEventName[664:685]:   EventOrderOutcomeUnknown,
-	_LogEventName[685:701]:   EventEngineStateNotRead,
-	_LogEventName[701:719]:   EventInventoryNotRead,
-	_LogEventName[719:730]:   EventLoadFailed,
-	_LogEventName[730:746]:   EventBackendStateNotEncoded,
-	_LogEventName[746:762]:   EventRegistryRefused,
-	_LogEventName[762:777]:   EventRoutesProposed,
-	_LogEventName[777:791]:   EventRoutesRefused,
-	_LogEventName[791:805]:   EventRoutesApplied,
-	_LogEventName[805:820]:   EventRoutesInEffect,
-	_LogEventName[820:838]:   EventRoutesNotFetched,
-	_LogEventName[838:856]:   EventCatalogueInEffect,
-	_LogEventName[856:869]:   EventBecameLeader,
-	_LogEventName[869:878]:   EventNoLeader,
-	_LogEventName[878:892]:   EventReplicaOpened,
-	_LogEventName[892:907]:   EventStartConfirmed,
-	_LogEventName[907:924]:   EventStartUnconfirmed,
-	_LogEventName[924:939]:   EventVotersChanged,
-	_LogEventName[939:952]:   EventLearnerAdded,
-	_LogEventName[952:967]:   EventLearnerRemoved,
-	_LogEventName[967:978]:   EventVoterAdded,
-	_LogEventName[978:992]:   EventVoterReplaced,
-	_LogEventName[992:1005]:  EventVoterStandby,
-	_LogEventName[1005:1031]: EventLeadershipNotHandedOver,
-	_LogEventName[1031:1049]: EventExpiryNotEncoded,
-	_LogEventName[1049:1063]: EventReplicaFailed,
-	_LogEventName[1063:1080]: EventReplicaRegressed,
-	_LogEventName[1080:1099]: EventDataFolderDamaged,
-	_LogEventName[1099:1120]: EventDataFolderRegressed,
-	_LogEventName[1120:1129]: EventLeaseAcquired,
-	_LogEventName[1129:1139]: EventLeaseLost,
-	_LogEventName[1139:1156]: EventLeaseNotRenewed,
-	_LogEventName[1156:1166]: EventZoneOwned,
-	_LogEventName[1166:1175]: EventZoneLost,
-	_LogEventName[1175:1189]: EventControlThreadTimes,
-	_LogEventName[1189:1201]: EventControlLost,
-	_LogEventName[1201:1217]: EventControlRegained,
-	_LogEventName[1217:1224]: EventStarted,
-	_LogEventName[1224:1232]: EventDraining,
-	_LogEventName[1232:1239]: EventDrained,
-	_LogEventName[1239:1246]: EventStopped,
-	_LogEventName[1246:1263]: EventSettingsReloaded,
-	_LogEventName[1263:1279]: EventSettingsRefused,
-	_LogEventName[1279:1293]: EventListenerEnded,
-	_LogEventName[1293:1311]: EventMetricsNotServed,
-	_LogEventName[1311:1324]: EventUnknownEvent,
-	_LogEventName[1324:1341]: EventLogLinesDropped,
+	_LogEventName[399:415]:   EventPartQuarantined,
+	_LogEventName[415:428]:   EventPartReleased,
+	_LogEventName[428:451]:   EventQuarantineNotReported,
+	_LogEventName[451:464]:   EventLimitChanged,
+	_LogEventName[464:479]:   EventBrittleChanged,
+	_LogEventName[479:492]:   EventLimitUnclear,
+	_LogEventName[492:506]:   EventSlotRequested,
+	_LogEventName[506:521]:   EventSlotUnanswered,
+	_LogEventName[521:539]:   EventLimitNotReported,
+	_LogEventName[539:553]:   EventKeysConfirmed,
+	_LogEventName[553:569]:   EventKeysUnconfirmed,
+	_LogEventName[569:585]:   EventAccountsUnknown,
+	_LogEventName[585:598]:   EventQuotaUsedUp,
+	_LogEventName[598:614]:   EventQuotaUnanswered,
+	_LogEventName[614:630]:   EventOutlierDetected,
+	_LogEventName[630:645]:   EventModelWithdrawn,
+	_LogEventName[645:659]:   EventOrderAnswered,
+	_LogEventName[659:669]:   EventOrderDone,
+	_LogEventName[669:680]:   EventOrderStateChanged,
+	_LogEventName[680:693]:   EventOrderRefused,
+	_LogEventName[693:714]:   EventOrderOutcomeUnknown,
+	_LogEventName[714:730]:   EventEngineStateNotRead,
+	_LogEventName[730:748]:   EventInventoryNotRead,
+	_LogEventName[748:759]:   EventLoadFailed,
+	_LogEventName[759:775]:   EventBackendStateNotEncoded,
+	_LogEventName[775:791]:   EventRegistryRefused,
+	_LogEventName[791:806]:   EventRoutesProposed,
+	_LogEventName[806:820]:   EventRoutesRefused,
+	_LogEventName[820:834]:   EventRoutesApplied,
+	_LogEventName[834:849]:   EventRoutesInEffect,
+	_LogEventName[849:867]:   EventRoutesNotFetched,
+	_LogEventName[867:885]:   EventCatalogueInEffect,
+	_LogEventName[885:898]:   EventBecameLeader,
+	_LogEventName[898:907]:   EventNoLeader,
+	_LogEventName[907:921]:   EventReplicaOpened,
+	_LogEventName[921:936]:   EventStartConfirmed,
+	_LogEventName[936:953]:   EventStartUnconfirmed,
+	_LogEventName[953:968]:   EventVotersChanged,
+	_LogEventName[968:981]:   EventLearnerAdded,
+	_LogEventName[981:996]:   EventLearnerRemoved,
+	_LogEventName[996:1007]:  EventVoterAdded,
+	_LogEventName[1007:1021]: EventVoterReplaced,
+	_LogEventName[1021:1034]: EventVoterStandby,
+	_LogEventName[1034:1060]: EventLeadershipNotHandedOver,
+	_LogEventName[1060:1078]: EventExpiryNotEncoded,
+	_LogEventName[1078:1092]: EventReplicaFailed,
+	_LogEventName[1092:1109]: EventReplicaRegressed,
+	_LogEventName[1109:1128]: EventDataFolderDamaged,
+	_LogEventName[1128:1149]: EventDataFolderRegressed,
+	_LogEventName[1149:1158]: EventLeaseAcquired,
+	_LogEventName[1158:1168]: EventLeaseLost,
+	_LogEventName[1168:1185]: EventLeaseNotRenewed,
+	_LogEventName[1185:1195]: EventZoneOwned,
+	_LogEventName[1195:1204]: EventZoneLost,
+	_LogEventName[1204:1218]: EventControlThreadTimes,
+	_LogEventName[1218:1230]: EventControlLost,
+	_LogEventName[1230:1246]: EventControlRegained,
+	_LogEventName[1246:1253]: EventStarted,
+	_LogEventName[1253:1261]: EventDraining,
+	_LogEventName[1261:1268]: EventDrained,
+	_LogEventName[1268:1275]: EventStopped,
+	_LogEventName[1275:1292]: EventSettingsReloaded,
+	_LogEventName[1292:1308]: EventSettingsRefused,
+	_LogEventName[1308:1322]: EventListenerEnded,
+	_LogEventName[1322:1340]: EventMetricsNotServed,
+	_LogEventName[1340:1353]: EventUnknownEvent,
+	_LogEventName[1353:1370]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -243,71 +247,73 @@
 	_LogEventLowerName[350:364]:   EventLinksVerified,
 	_LogEventLowerName[364:383]:   EventRequestQuarantined,
 	_LogEventLowerName[383:399]:   EventRequestReleased,
-	_LogEventLowerName[399:422]:   EventQuarantineNotReported,
-	_LogEventLowerName[422:435]:   EventLimitChanged,
-	_LogEventLowerName[435:450]:   EventBrittleChanged,
-	_LogEventLowerName[450:463]:   EventLimitUnclear,
-	_LogEventLowerName[463:477]:   EventSlotRequested,
-	_LogEventLowerName[477:492]:   EventSlotUnanswered,
-	_LogEventLowerName[492:510]:   EventLimitNotReported,
-	_LogEventLowerName[510:524]:   EventKeysConfirmed,
-	_LogEventLowerName[524:540]:   EventKeysUnconfirmed,
-	_LogEventLowerName[540:556]:   EventAccountsUnknown,
-	_LogEventLowerName[556:569]:   EventQuotaUsedUp,
-	_LogEventLowerName[569:585]:   EventQuotaUnanswered,
-	_LogEventLowerName[585:601]:   EventOutlierDetected,
-	_LogEventLowerName[601:616]:   EventModelWithdrawn,
-	_LogEventLowerName[616:630]:   EventOrderAnswered,
-	_LogEventLowerName[630:640]:   EventOrderDone,
-	_LogEventLowerName[640:651]:   EventOrderStateChanged,
-	_LogEventLowerName[651:664]:   EventOrderRefused,
-	_LogEventLowerName[664:685]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[685:701]:   EventEngineStateNotRead,
-	_LogEventLowerName[701:719]:   EventInventoryNotRead,
-	_LogEventLowerName[719:730]:   EventLoadFailed,
-	_LogEventLowerName[730:746]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[746:762]:   EventRegistryRefused,
-	_LogEventLowerName[762:777]:   EventRoutesProposed,
-	_LogEventLowerName[777:791]:   EventRoutesRefused,
-	_LogEventLowerName[791:805]:   EventRoutesApplied,
-	_LogEventLowerName[805:820]:   EventRoutesInEffect,
-	_LogEventLowerName[820:838]:   EventRoutesNotFetched,
-	_LogEventLowerName[838:856]:   EventCatalogueInEffect,
-	_LogEventLowerName[856:869]:   EventBecameLeader,
-	_LogEventLowerName[869:878]:   EventNoLeader,
-	_LogEventLowerName[878:892]:   EventReplicaOpened,
-	_LogEventLowerName[892:907]:   EventStartConfirmed,
-	_LogEventLowerName[907:924]:   EventStartUnconfirmed,
-	_LogEventLowerName[924:939]:   EventVotersChanged,
-	_LogEventLowerName[939:952]:   EventLearnerAdded,
-	_LogEventLowerName[952:967]:   EventLearnerRemoved,
-	_LogEventLowerName[967:978]:   EventVoterAdded,
-	_LogEventLowerName[978:992]:   EventVoterReplaced,
-	_LogEventLowerName[992:1005]:  EventVoterStandby,
-	_LogEventLowerName[1005:1031]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1031:1049]: EventExpiryNotEncoded,
-	_LogEventLowerName[1049:1063]: EventReplicaFailed,
-	_LogEventLowerName[1063:1080]: EventReplicaRegressed,
-	_LogEventLowerName[1080:1099]: EventDataFolderDamaged,
-	_LogEventLowerName[1099:1120]: EventDataFolderRegressed,
-	_LogEventLowerName[1120:1129]: EventLeaseAcquired,
-	_LogEventLowerName[1129:1139]: EventLeaseLost,
-	_LogEventLowerName[1139:1156]: EventLeaseNotRenewed,
-	_LogEventLowerName[1156:1166]: EventZoneOwned,
-	_LogEventLowerName[1166:1175]: EventZoneLost,
-	_LogEventLowerName[1175:1189]: EventControlThreadTimes,
-	_LogEventLowerName[1189:1201]: EventControlLost,
-	_LogEventLowerName[1201:1217]: EventControlRegained,
-	_LogEventLowerName[1217:1224]: EventStarted,
-	_LogEventLowerName[1224:1232]: EventDraining,
-	_LogEventLowerName[1232:1239]: EventDrained,
-	_LogEventLowerName[1239:1246]: EventStopped,
-	_LogEventLowerName[1246:1263]: EventSettingsReloaded,
-	_LogEventLowerName[1263:1279]: EventSettingsRefused,
-	_LogEventLowerName[1279:1293]: EventListenerEnded,
-	_LogEventLowerName[1293:1311]: EventMetricsNotServed,
-	_LogEventLowerName[1311:1324]: EventUnknownEvent,
-	_LogEventLowerName[1324:1341]: EventLogLinesDropped,
+	_LogEventLowerName[399:415]:   EventPartQuarantined,
+	_LogEventLowerName[415:428]:   EventPartReleased,
+	_LogEventLowerName[428:451]:   EventQuarantineNotReported,
+	_LogEventLowerName[451:464]:   EventLimitChanged,
+	_LogEventLowerName[464:479]:   EventBrittleChanged,
+	_LogEventLowerName[479:492]:   EventLimitUnclear,
+	_LogEventLowerName[492:506]:   EventSlotRequested,
+	_LogEventLowerName[506:521]:   EventSlotUnanswered,
+	_LogEventLowerName[521:539]:   EventLimitNotReported,
+	_LogEventLowerName[539:553]:   EventKeysConfirmed,
+	_LogEventLowerName[553:569]:   EventKeysUnconfirmed,
+	_LogEventLowerName[569:585]:   EventAccountsUnknown,
+	_LogEventLowerName[585:598]:   EventQuotaUsedUp,
+	_LogEventLowerName[598:614]:   EventQuotaUnanswered,
+	_LogEventLowerName[614:630]:   EventOutlierDetected,
+	_LogEventLowerName[630:645]:   EventModelWithdrawn,
+	_LogEventLowerName[645:659]:   EventOrderAnswered,
+	_LogEventLowerName[659:669]:   EventOrderDone,
+	_LogEventLowerName[669:680]:   EventOrderStateChanged,
+	_LogEventLowerName[680:693]:   EventOrderRefused,
+	_LogEventLowerName[693:714]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[714:730]:   EventEngineStateNotRead,
+	_LogEventLowerName[730:748]:   EventInventoryNotRead,
+	_LogEventLowerName[748:759]:   EventLoadFailed,
+	_LogEventLowerName[759:775]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[775:791]:   EventRegistryRefused,
+	_LogEventLowerName[791:806]:   EventRoutesProposed,
+	_LogEventLowerName[806:820]:   EventRoutesRefused,
+	_LogEventLowerName[820:834]:   EventRoutesApplied,
+	_LogEventLowerName[834:849]:   EventRoutesInEffect,
+	_LogEventLowerName[849:867]:   EventRoutesNotFetched,
+	_LogEventLowerName[867:885]:   EventCatalogueInEffect,
+	_LogEventLowerName[885:898]:   EventBecameLeader,
+	_LogEventLowerName[898:907]:   EventNoLeader,
+	_LogEventLowerName[907:921]:   EventReplicaOpened,
+	_LogEventLowerName[921:936]:   EventStartConfirmed,
+	_LogEventLowerName[936:953]:   EventStartUnconfirmed,
+	_LogEventLowerName[953:968]:   EventVotersChanged,
+	_LogEventLowerName[968:981]:   EventLearnerAdded,
+	_LogEventLowerName[981:996]:   EventLearnerRemoved,
+	_LogEventLowerName[996:1007]:  EventVoterAdded,
+	_LogEventLowerName[1007:1021]: EventVoterReplaced,
+	_LogEventLowerName[1021:1034]: EventVoterStandby,
+	_LogEventLowerName[1034:1060]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1060:1078]: EventExpiryNotEncoded,
+	_LogEventLowerName[1078:1092]: EventReplicaFailed,
+	_LogEventLowerName[1092:1109]: EventReplicaRegressed,
+	_LogEventLowerName[1109:1128]: EventDataFolderDamaged,
+	_LogEventLowerName[1128:1149]: EventDataFolderRegressed,
+	_LogEventLowerName[1149:1158]: EventLeaseAcquired,
+	_LogEventLowerName[1158:1168]: EventLeaseLost,
+	_LogEventLowerName[1168:1185]: EventLeaseNotRenewed,
+	_LogEventLowerName[1185:1195]: EventZoneOwned,
+	_LogEventLowerName[1195:1204]: EventZoneLost,
+	_LogEventLowerName[1204:1218]: EventControlThreadTimes,
+	_LogEventLowerName[1218:1230]: EventControlLost,
+	_LogEventLowerName[1230:1246]: EventControlRegained,
+	_LogEventLowerName[1246:1253]: EventStarted,
+	_LogEventLowerName[1253:1261]: EventDraining,
+	_LogEventLowerName[1261:1268]: EventDrained,
+	_LogEventLowerName[1268:1275]: EventStopped,
+	_LogEventLowerName[1275:1292]: EventSettingsReloaded,
+	_LogEventLowerName[1292:1308]: EventSettingsRefused,
+	_LogEventLowerName[1308:1322]: EventListenerEnded,
+	_LogEventLowerName[1322:1340]: EventMetricsNotServed,
+	_LogEventLowerName[1340:1353]: EventUnknownEvent,
+	_LogEventLowerName[1353:1370]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -338,71 +344,73 @@
 	_LogEventName[350:364],
 	_LogEventName[364:383],
 	_LogEventName[383:399],
-	_LogEventName[399:422],
-	_LogEventName[422:435],
-	_LogEventName[435:450],
-	_LogEventName[450:463],
-	_LogEventName[463:477],
-	_LogEventName[477:492],
-	_LogEventName[492:510],
-	_LogEventName[510:524],
-	_LogEventName[524:540],
-	_LogEventName[540:556],
-	_LogEventName[556:569],
+	_LogEventName[399:415],
+	_LogEventName[415:428],
+	_LogEventName[428:451],
+	_LogEventName[451:464],
+	_LogEventName[464:479],
+	_LogEventName[479:492],
+	_LogEventName[492:506],
+	_LogEventName[506:521],
+	_LogEventName[521:539],
+	_LogEventName[539:553],
+	_LogEventName[553:569],
 	_LogEventName[569:585],
-	_LogEventName[585:601],
-	_LogEventName[601:616],
-	_LogEventName[616:630],
-	_LogEventName[630:640],
-	_LogEventName[640:651],
-	_LogEventName[651:664],
-	_LogEventName[664:685],
-	_LogEventName[685:701],
-	_LogEventName[701:719],
-	_LogEventName[719:730],
-	_LogEventName[730:746],
-	_LogEventName[746:762],
-	_LogEventName[762:777],
-	_LogEventName[777:791],
-	_LogEventName[791:805],
-	_LogEventName[805:820],
-	_LogEventName[820:838],
-	_LogEventName[838:856],
-	_LogEventName[856:869],
-	_LogEventName[869:878],
-	_LogEventName[878:892],
-	_LogEventName[892:907],
-	_LogEventName[907:924],
-	_LogEventName[924:939],
-	_LogEventName[939:952],
-	_LogEventName[952:967],
-	_LogEventName[967:978],
-	_LogEventName[978:992],
-	_LogEventName[992:1005],
-	_LogEventName[1005:1031],
-	_LogEventName[1031:1049],
-	_LogEventName[1049:1063],
-	_LogEventName[1063:1080],
-	_LogEventName[1080:1099],
-	_LogEventName[1099:1120],
-	_LogEventName[1120:1129],
-	_LogEventName[1129:1139],
-	_LogEventName[1139:1156],
-	_LogEventName[1156:1166],
-	_LogEventName[1166:1175],
-	_LogEventName[1175:1189],
-	_LogEventName[1189:1201],
-	_LogEventName[1201:1217],
-	_LogEventName[1217:1224],
-	_LogEventName[1224:1232],
-	_LogEventName[1232:1239],
-	_LogEventName[1239:1246],
-	_LogEventName[1246:1263],
-	_LogEventName[1263:1279],
-	_LogEventName[1279:1293],
-	_LogEventName[1293:1311],
-	_LogEventName[1311:1324],
-	_LogEventName[1324:1341],
+	_LogEventName[585:598],
+	_LogEventName[598:614],
+	_LogEventName[614:630],
+	_LogEventName[630:645],
+	_LogEventName[645:659],
+	_LogEventName[659:669],
+	_LogEventName[669:680],
+	_LogEventName[680:693],
+	_LogEventName[693:714],
+	_LogEventName[714:730],
+	_LogEventName[730:748],
+	_LogEventName[748:759],
+	_LogEventName[759:775],
+	_LogEventName[775:791],
+	_LogEventName[791:806],
+	_LogEventName[806:820],
+	_LogEventName[820:834],
+	_LogEventName[834:849],
+	_LogEventName[849:867],
+	_LogEventName[867:885],
+	_LogEventName[885:898],
+	_LogEventName[898:907],
+	_LogEventName[907:921],
+	_LogEventName[921:936],
+	_LogEventName[936:953],
+	_LogEventName[953:968],
+	_LogEventName[968:981],
+	_LogEventName[981:996],
+	_LogEventName[996:1007],
+	_LogEventName[1007:1021],
+	_LogEventName[1021:1034],
+	_LogEventName[1034:1060],
+	_LogEventName[1060:1078],
+	_LogEventName[1078:1092],
+	_LogEventName[1092:1109],
+	_LogEventName[1109:1128],
+	_LogEventName[1128:1149],
+	_LogEventName[1149:1158],
+	_LogEventName[1158:1168],
+	_LogEventName[1168:1185],
+	_LogEventName[1185:1195],
+	_LogEventName[1195:1204],
+	_LogEventName[1204:1218],
+	_LogEventName[1218:1230],
+	_LogEventName[1230:1246],
+	_LogEventName[1246:1253],
+	_LogEventName[1253:1261],
+	_LogEventName[1261:1268],
+	_LogEventName[1268:1275],
+	_LogEventName[1275:1292],
+	_LogEventName[1292:1308],
+	_LogEventName[1308:1322],
+	_LogEventName[1322:1340],
+	_LogEventName[1340:1353],
+	_LogEventName[1353:1370],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 337, 352, 363, 379, 389, 405, 415, 430, 444, 463}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 338, 353, 368, 379, 395, 405, 421, 431, 446, 460, 479}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gone"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -51,19 +51,20 @@
 	_ = x[RefusedCallerGone-(23)]
 	_ = x[RefusedQuarantined-(24)]
 	_ = x[RefusedUnderTrial-(25)]
-	_ = x[RefusedBackendLimited-(26)]
-	_ = x[RefusedBackendBrittle-(27)]
-	_ = x[RefusedUnknownKey-(28)]
-	_ = x[RefusedKeysUnconfirmed-(29)]
-	_ = x[RefusedOverQuota-(30)]
-	_ = x[RefusedQuotaUnanswered-(31)]
-	_ = x[RefusedLinksLost-(32)]
-	_ = x[RefusedBackendResting-(33)]
-	_ = x[RefusedStreamUnknown-(34)]
-	_ = x[RefusedStreamVersionGone-(35)]
+	_ = x[RefusedPartQuarantined-(26)]
+	_ = x[RefusedBackendLimited-(27)]
+	_ = x[RefusedBackendBrittle-(28)]
+	_ = x[RefusedUnknownKey-(29)]
+	_ = x[RefusedKeysUnconfirmed-(30)]
+	_ = x[RefusedOverQuota-(31)]
+	_ = x[RefusedQuotaUnanswered-(32)]
+	_ = x[RefusedLinksLost-(33)]
+	_ = x[RefusedBackendResting-(34)]
+	_ = x[RefusedStreamUnknown-(35)]
+	_ = x[RefusedStreamVersionGone-(36)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedPartQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -92,16 +93,17 @@
 	_RefusalReasonName[289:300]: RefusedCallerGone,
 	_RefusalReasonName[300:311]: RefusedQuarantined,
 	_RefusalReasonName[311:322]: RefusedUnderTrial,
-	_RefusalReasonName[322:337]: RefusedBackendLimited,
-	_RefusalReasonName[337:352]: RefusedBackendBrittle,
-	_RefusalReasonName[352:363]: RefusedUnknownKey,
-	_RefusalReasonName[363:379]: RefusedKeysUnconfirmed,
-	_RefusalReasonName[379:389]: RefusedOverQuota,
-	_RefusalReasonName[389:405]: RefusedQuotaUnanswered,
-	_RefusalReasonName[405:415]: RefusedLinksLost,
-	_RefusalReasonName[415:430]: RefusedBackendResting,
-	_RefusalReasonName[430:444]: RefusedStreamUnknown,
-	_RefusalReasonName[444:463]: RefusedStreamVersionGone,
+	_RefusalReasonName[322:338]: RefusedPartQuarantined,
+	_RefusalReasonName[338:353]: RefusedBackendLimited,
+	_RefusalReasonName[353:368]: RefusedBackendBrittle,
+	_RefusalReasonName[368:379]: RefusedUnknownKey,
+	_RefusalReasonName[379:395]: RefusedKeysUnconfirmed,
+	_RefusalReasonName[395:405]: RefusedOverQuota,
+	_RefusalReasonName[405:421]: RefusedQuotaUnanswered,
+	_RefusalReasonName[421:431]: RefusedLinksLost,
+	_RefusalReasonName[431:446]: RefusedBackendResting,
+	_RefusalReasonName[446:460]: RefusedStreamUnknown,
+	_RefusalReasonName[460:479]: RefusedStreamVersionGone,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -131,16 +133,17 @@
 	_RefusalReasonLowerName[289:300]: RefusedCallerGone,
 	_RefusalReasonLowerName[300:311]: RefusedQuarantined,
 	_RefusalReasonLowerName[311:322]: RefusedUnderTrial,
-	_RefusalReasonLowerName[322:337]: RefusedBackendLimited,
-	_RefusalReasonLowerName[337:352]: RefusedBackendBrittle,
-	_RefusalReasonLowerName[352:363]: RefusedUnknownKey,
-	_RefusalReasonLowerName[363:379]: RefusedKeysUnconfirmed,
-	_RefusalReasonLowerName[379:389]: RefusedOverQuota,
-	_RefusalReasonLowerName[389:405]: RefusedQuotaUnanswered,
-	_RefusalReasonLowerName[405:415]: RefusedLinksLost,
-	_RefusalReasonLowerName[415:430]: RefusedBackendResting,
-	_RefusalReasonLowerName[430:444]: RefusedStreamUnknown,
-	_RefusalReasonLowerName[444:463]: RefusedStreamVersionGone,
+	_RefusalReasonLowerName[322:338]: RefusedPartQuarantined,
+	_RefusalReasonLowerName[338:353]: RefusedBackendLimited,
+	_RefusalReasonLowerName[353:368]: RefusedBackendBrittle,
+	_RefusalReasonLowerName[368:379]: RefusedUnknownKey,
+	_RefusalReasonLowerName[379:395]: RefusedKeysUnconfirmed,
+	_RefusalReasonLowerName[395:405]: RefusedOverQuota,
+	_RefusalReasonLowerName[405:421]: RefusedQuotaUnanswered,
+	_RefusalReasonLowerName[421:431]: RefusedLinksLost,
+	_RefusalReasonLowerName[431:446]: RefusedBackendResting,
+	_RefusalReasonLowerName[446:460]: RefusedStreamUnknown,
+	_RefusalReasonLowerName[460:479]: RefusedStreamVersionGone,
 }
 
 var _RefusalReasonNames = []string{
@@ -170,16 +173,17 @@
 	_RefusalReasonName[289:300],
 	_RefusalReasonName[300:311],
 	_RefusalReasonName[311:322],
-	_RefusalReasonName[322:337],
-	_RefusalReasonName[337:352],
-	_RefusalReasonName[352:363],
-	_RefusalReasonName[363:379],
-	_RefusalReasonName[379:389],
-	_RefusalReasonName[389:405],
-	_RefusalReasonName[405:415],
-	_RefusalReasonName[415:430],
-	_RefusalReasonName[430:444],
-	_RefusalReasonName[444:463],
+	_RefusalReasonName[322:338],
+	_RefusalReasonName[338:353],
+	_RefusalReasonName[353:368],
+	_RefusalReasonName[368:379],
+	_RefusalReasonName[379:395],
+	_RefusalReasonName[395:405],
+	_RefusalReasonName[405:421],
+	_RefusalReasonName[421:431],
+	_RefusalReasonName[431:446],
+	_RefusalReasonName[446:460],
+	_RefusalReasonName[460:479],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
