fix: servers that end one after the other are no lost links

Cause: a failure counted against the links for two seconds even after a server had answered on a connection opened since, if no other gateway could be asked about the failed one. The fix: a direct answer to a probe shows that the links work, and all failures up to it are those of servers. Links that count as lost while nobody helps are restored by one server, as nothing is lost by trying it.

--- a/laburnumreachability/monitor.go
+++ b/laburnumreachability/monitor.go
@@ -34,6 +34,8 @@
 // Monitor is a VM's view of its links to the backend servers.
 type Monitor struct {
 	lost bool
+	// unaided is set while the links are lost and no other VM could be asked.
+	unaided bool
 	// doubted is set from a suspicion until a server answers directly.
 	doubted   bool
 	doubtedAt time.Time
@@ -171,15 +173,18 @@
 	case direct > 0:
 		m.heardAt = now
 		m.doubted = false
+		clear(m.failed) // the links work, so that the servers have failed themselves
 	case helped > 0:
 		m.lost = reached >= min(minServers, servers)
 	default:
 		m.lost = len(probes) >= ProbedServers && m.Hanging(now)
+		m.unaided = m.lost
 	}
 	return m.lost
 }
 
-// Restored applies direct probes made while the links are lost, and reports whether they are back.
+// Restored applies direct probes made while the links are lost, and reports whether they are back. One server suffices where no
+// other VM could be asked: nothing is lost by trying it.
 func (m *Monitor) Restored(probes []Probe, servers int, now time.Time) bool {
 	direct := 0
 	for _, p := range probes {
@@ -187,10 +192,14 @@
 			direct++
 		}
 	}
-	if !m.lost || direct == 0 || direct < min(minServers, servers) {
+	needed := min(minServers, servers)
+	if m.unaided {
+		needed = 1
+	}
+	if !m.lost || direct == 0 || direct < needed {
 		return false
 	}
-	m.lost, m.doubted = false, false
+	m.lost, m.doubted, m.unaided = false, false, false
 	m.heardAt, m.verifiedAt = now, now
 	clear(m.failed)
 	return true
--- a/laburnumreachability/monitor_test.go
+++ b/laburnumreachability/monitor_test.go
@@ -319,3 +319,24 @@
 	}
 	return list[:n]
 }
+
+// Guards against servers that end one after the other and are taken for lost links, though others answer on new connections.
+func TestServersThatEndTogetherAreNoLostLinks(t *testing.T) {
+	m := suspecting(t)
+	list := probes(false, false, false)
+	list[3].Direct = true
+	require.False(t, m.Verified(list, servers, at(100*time.Millisecond)))
+	require.False(t, m.Suspected(servers, at(100*time.Millisecond)), "a server has answered on a connection opened since")
+	m.Failed(address(5), at(200*time.Millisecond))
+	require.False(t, m.Suspected(servers, at(200*time.Millisecond)), "one more has ended")
+}
+
+// Guards against requests that are refused though a server answers, while other VMs help no more than they can be helped.
+func TestOneServerRestoresLinksThatNobodyHelpsWith(t *testing.T) {
+	m := suspecting(t)
+	require.True(t, m.Verified(probes(false, false, false), servers, at(time.Second)))
+	list := probes(false, false, false)
+	list[0].Direct = true
+	require.True(t, m.Restored(list, servers, at(2*time.Second)))
+	require.False(t, m.Lost())
+}
