fix: an engine's successor confirms that it crashed

Cause: with no server left to answer, lost links and ended servers look alike, and other gateways see the same. After 2.4 s the probes ended undecided; once the server's address accepted connections again, it counted as a server that had run all the while. The fix: probes go on until another server, or another start of it, is announced at the address, which proves that the one before has ended. An address that connects again without one stays undecided.

--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -21,6 +21,8 @@
 	requests, served tally.Counter
 	// crashes counts crashes of backend servers that had requests of this gateway.
 	crashes tally.Counter
+	// crashesUnconfirmed counts servers that broke connections of which nobody could tell whether they had crashed.
+	crashesUnconfirmed tally.Counter
 	// linksLost counts losses of this VM's links to the backend servers.
 	linksLost tally.Counter
 	// detours counts backend servers to which connections began to be opened through other VMs.
@@ -68,6 +70,7 @@
 		reservations: map[reserveOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
 		latencies: map[laburnumlever.ServiceName]*latencies{},
 	}
+	c.crashesUnconfirmed = scope.Counter("backend_crashes_unconfirmed")
 	c.rests, c.leaves = scope.Counter("backend_rests"), scope.Counter("backend_leaves")
 	c.streamsRecorded = scope.Tagged(map[string]string{"outcome": "kept"}).Counter("stream_records")
 	c.streamsUnrecorded = scope.Tagged(map[string]string{"outcome": "not-kept"}).Counter("stream_records")
--- a/laburnumgateway/crashes.go
+++ b/laburnumgateway/crashes.go
@@ -23,9 +23,9 @@
 	probeTimeout = 200 * time.Millisecond
 	// probePause is the time between two probes of a server of which nobody can tell whether it has crashed: several that
 	// crash at once look like lost links, and other VMs that see the same help nobody. maxProbes of them outlast such a
-	// suspicion.
+	// suspicion, and the time until the successor of a crashed server is announced.
 	probePause = 200 * time.Millisecond
-	maxProbes  = 12
+	maxProbes  = 40
 	// crashMemory is how long the result of a probe applies to requests whose connections broke at
 	// the same time but were noticed later.
 	crashMemory = time.Second
@@ -44,7 +44,9 @@
 
 // brokenServer is a backend server whose connections broke.
 type brokenServer struct {
-	brokenAt  time.Time
+	brokenAt time.Time
+	// before are the servers known at its address when the first connection broke.
+	before    []laburnumlever.BackendStart
 	sightings []laburnumquarantine.Sighting
 	// parts counts the requests with each shared part.
 	parts map[laburnumquarantine.Part]int
@@ -71,10 +73,12 @@
 	s := d.servers[id]
 	switch {
 	case s == nil:
-		s = &brokenServer{brokenAt: d.gateway.timers.Now(), parts: map[laburnumquarantine.Part]int{}}
+		s = &brokenServer{
+			brokenAt: d.gateway.timers.Now(), before: d.gateway.fleet.serversAt(to.Address), parts: map[laburnumquarantine.Part]int{},
+		}
 		d.servers[id] = s
 		s.add(q, sighting)
-		go d.probe(id, to.Address)
+		go d.probe(id, to.Address, s.before)
 	case !s.probed:
 		s.add(q, sighting)
 	case s.crashed:
@@ -94,14 +98,21 @@
 }
 
 // probe finds out whether a backend server has crashed, and reports the requests on it if so.
-func (d *crashDetector) probe(id laburnumquarantine.Crash, address string) {
+func (d *crashDetector) probe(id laburnumquarantine.Crash, address string, before []laburnumlever.BackendStart) {
 	timers := d.gateway.timers
 	laburnumtimer.Wait(nil, timers, probeDelay)
 	verdict := d.judge(id, address)
 	probes := 1
 	for ; verdict.crash == crashUndecided && probes < maxProbes; probes++ {
 		laburnumtimer.Wait(nil, timers, probePause)
-		verdict = d.judge(id, address)
+		switch next := d.judge(id, address); {
+		case d.gateway.fleet.hasSuccessor(address, before):
+			verdict.crash = crashConfirmed
+		case next.cause == nil:
+			// Its links may be back, or a successor whose announcement is on its way.
+		default:
+			verdict = next
+		}
 	}
 	crashed := verdict.crash == crashConfirmed
 	d.mu.Lock()
@@ -117,6 +128,9 @@
 		d.gateway.fleet.avoidCrashed(id)
 		d.gateway.fleet.reportCrash(id, &broken)
 	} else {
+		if verdict.crash == crashUndecided {
+			d.gateway.counters.crashesUnconfirmed.Inc(1)
+		}
 		_ = level.Info(d.gateway.logger).Log("event", laburnumlever.EventCrashUnconfirmed, "backend", id.Backend, "verdict", verdict.crash,
 			"probes", probes, "requests", len(sightings), "digests", digestsOf(sightings), "cause", verdict.cause, "others", verdict.others)
 	}
--- a/laburnumgateway/quarantine.go
+++ b/laburnumgateway/quarantine.go
@@ -245,6 +245,24 @@
 	}
 }
 
+// serversAt returns the backend servers known at an address.
+func (f *Fleet) serversAt(address string) []laburnumlever.BackendStart {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var servers []laburnumlever.BackendStart
+	for _, r := range f.registry.Records() {
+		if r.Heartbeat.Address == address {
+			servers = append(servers, laburnumlever.BackendStart{Backend: r.Heartbeat.Backend, Incarnation: r.Heartbeat.Incarnation})
+		}
+	}
+	return servers
+}
+
+// hasSuccessor reports whether another backend server than those from before is known at an address.
+func (f *Fleet) hasSuccessor(address string, before []laburnumlever.BackendStart) bool {
+	return slices.ContainsFunc(f.serversAt(address), func(s laburnumlever.BackendStart) bool { return !slices.Contains(before, s) })
+}
+
 // leaving reports whether a backend server is known to leave or to be gone.
 func (f *Fleet) leaving(id laburnumlever.BackendID) bool {
 	f.mu.Lock()
--- a/laburnumroles/crashingpart_test.go
+++ b/laburnumroles/crashingpart_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -152,3 +154,45 @@
 	require.GreaterOrEqual(t, after.sent, 20)
 	require.GreaterOrEqual(t, after.share(), calm.share()/2)
 }
+
+// metric returns the sum of a counter over all gateways.
+func (l *partLoad) metric(name string) int {
+	sum := 0
+	for i := range l.gateways {
+		_, text := l.call("GET", fmt.Sprintf("http://%s:%d/metrics", l.ip(firstGateway+i), metricsPort), nil)
+		for line := range strings.Lines(string(text)) {
+			if !strings.HasPrefix(line, name) {
+				continue
+			}
+			fields := strings.Fields(line)
+			n, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+			require.NoError(l.t, err)
+			sum += int(n)
+		}
+	}
+	return sum
+}
+
+// Guards against engines that end together and are taken for lost links: their ends aren't counted, and callers are refused once they are back.
+func TestEnginesThatEndTogetherAreCounted(t *testing.T) {
+	const gateways, engines, down = 3, 12, 3 * time.Second
+	f := newCrashingFleetOf(t, gateways, engines, &crashingEngines{down: down, eventPause: 100 * time.Millisecond})
+	l := &partLoad{crashingFleet: f, gateways: gateways}
+	done := make(chan struct{})
+	l.repeat(done, 5*time.Millisecond, l.sendSound)
+	begin := time.Now()
+	<-time.After(2 * time.Second)
+	calm := l.served(begin, time.Now())
+	f.engines.killAll()
+	ended := time.Now()
+	require.Eventually(t, func() bool { return time.Since(ended) > 2*contactTime+3*time.Second }, time.Minute, 50*time.Millisecond)
+	close(done)
+	l.all.Wait()
+	after := l.served(ended.Add(serviceTime), time.Now())
+	counted, unconfirmed := l.metric("laburnumlever_backend_crashes "), l.metric("laburnumlever_backend_crashes_unconfirmed ")
+	t.Logf("%d engines ended, %d ends counted by %d gateways, %d not confirmed, %d refused for lost links; sound requests served: %.3f of %d before, %.3f of %d after",
+		len(f.engines.crashes), counted, gateways, unconfirmed, l.metric(`laburnumlever_refusals{reason="links-lost"`), calm.share(), calm.sent, after.share(), after.sent)
+	require.GreaterOrEqual(t, counted, engines)
+	require.Zero(t, unconfirmed)
+	require.GreaterOrEqual(t, after.share(), calm.share()/2)
+}
--- a/laburnumroles/crashingrequest_test.go
+++ b/laburnumroles/crashingrequest_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,6 +45,20 @@
 	// parts are those at which engines crash as well, eventPause the time between two events of a stream.
 	parts      []string
 	eventPause time.Duration
+	// kills end the engines that run, by their identities.
+	kills map[string]func()
+}
+
+// killAll ends all engines that run at once.
+func (e *crashingEngines) killAll() {
+	e.mu.Lock()
+	kills := slices.Collect(maps.Values(e.kills))
+	e.mu.Unlock()
+	var all sync.WaitGroup
+	for _, kill := range kills {
+		all.Go(kill)
+	}
+	all.Wait()
 }
 
 func (e *crashingEngines) start(address string) {
@@ -66,7 +82,23 @@
 		controls = append(controls, e.deployment.control(i))
 	}
 	var engine *laburnumstandin.PlatformServer
-	engine = laburnumstandin.NewPlatformServer(fmt.Sprintf("i-%d", e.starts), "devis", ln.Addr().String(), controls, []string{"m0"},
+	id := fmt.Sprintf("i-%d", e.starts)
+	end := func() {
+		_ = server.Close()
+		engine.Close()
+		e.engineCrashed(id)
+		close(gone)
+		time.AfterFunc(e.down, func() { e.start(ln.Addr().String()) })
+	}
+	if e.kills == nil {
+		e.kills = map[string]func(){}
+	}
+	e.kills[id] = func() {
+		if crashed.CompareAndSwap(false, true) {
+			end()
+		}
+	}
+	engine = laburnumstandin.NewPlatformServer(id, "devis", ln.Addr().String(), controls, []string{"m0"},
 		laburnumstandin.PlatformBehaviour{
 			CrashText: crashText, CrashParts: e.parts, EventPause: e.eventPause,
 			OnRun: func(run laburnumstandin.PlatformRun) { e.requestRan(run.ID) },
@@ -76,11 +108,7 @@
 					return
 				}
 				<-time.After(e.delay)
-				_ = server.Close()
-				engine.Close()
-				e.engineCrashed()
-				close(gone)
-				time.AfterFunc(e.down, func() { e.start(ln.Addr().String()) })
+				end()
 			},
 		})
 	server.Handler = engine
@@ -107,9 +135,10 @@
 	e.arrivals = append(e.arrivals, time.Now())
 }
 
-func (e *crashingEngines) engineCrashed() {
+func (e *crashingEngines) engineCrashed(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	delete(e.kills, id)
 	e.crashes = append(e.crashes, time.Now())
 }
 
