fix: whole events before a break reach their caller

What callers saw: of a stream cut inside an event the whole events that had come in the same read were withheld: the caller got an empty answer cut off, and took the stream up from an earlier event. Cause: events are flushed once nothing is buffered, and a break returned before.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -161,6 +161,7 @@
 		event, err = readEvent(r, event[:0])
 		if err != nil && (!errors.Is(err, io.EOF) || len(event) > 0) {
 			result.Failed = ctx.Err() == nil
+			_ = flusher.Flush() // the whole events before the break; a caller that has gone is noticed by the next write
 			return brokenAnswer(ctx, err)
 		}
 		if err != nil {
