feat: an overloaded gateway resets new connections unread

Whoever is read and answered late, or never, has lost the try; whoever is closed unread tries another gateway at once, and the others are idle.

A meter looks every 100 ms how late it is called: three times in a row by 100 ms or more is overload (a pause, or a quota of a core in pieces, makes single calls late). New connections are reset until a call is in time; open ones are served on, and readiness is unchanged, as it would hand all to the next gateway. Counter connections_shed, log line overloaded.

--- /dev/null
+++ b/laburnumoverload/listener.go
@@ -0,0 +1,35 @@
+package laburnumoverload
+
+import "net"
+
+// Listener closes connections unread while the process is overloaded.
+type Listener struct {
+	net.Listener
+	overloaded func() bool
+	onShed     func()
+}
+
+// NewListener returns a listener that accepts the connections of another one. onShed is called for each that it closes.
+func NewListener(ln net.Listener, overloaded func() bool, onShed func()) *Listener {
+	return &Listener{Listener: ln, overloaded: overloaded, onShed: onShed}
+}
+
+// Accept returns the next connection that isn't closed. Errors are those of the other listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || !l.overloaded() {
+			return conn, err
+		}
+		l.shed(conn)
+	}
+}
+
+// shed resets a connection: its caller learns at once that nothing was read.
+func (l *Listener) shed(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // otherwise the connection is closed without a reset
+	}
+	_ = conn.Close()
+	l.onShed()
+}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -9,6 +9,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumoverload"
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumtunnel"
@@ -88,7 +89,7 @@
 	if err := g.serve("peers", g.settings.PeerListen(), newServer(g.tunnels)); err != nil {
 		return err
 	}
-	if err := g.serve("callers", g.settings.Listen.Callers, g.gateway.Server()); err != nil {
+	if err := g.serveCallers(); err != nil {
 		return err
 	}
 	if err := g.serve("ready", g.settings.Listen.Ready, newServer(ready(g.gateway.Ready))); err != nil {
@@ -102,6 +103,21 @@
 	return nil
 }
 
+// serveCallers serves callers. While this VM is overloaded, their new connections are closed unread, so that they try another one.
+// Errors: *laburnumlever.ListenError.
+func (g *Gateway) serveCallers() error {
+	ln, err := listen("callers", g.settings.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	shed := g.metrics.Scope().Counter("connections_shed")
+	meter := laburnumoverload.NewMeter(g.timers, func(overloaded bool, lag time.Duration) {
+		_ = level.Warn(g.logger).Log("event", laburnumlever.EventOverloaded, "overloaded", overloaded, "lag-ms", lag.Milliseconds(), "in-flight", g.gateway.InFlight())
+	})
+	g.serveOn(laburnumoverload.NewListener(ln, meter.Overloaded, func() { shed.Inc(1) }), "callers", g.gateway.Server())
+	return nil
+}
+
 // EnsureLoaded asks the director to load an adapter and returns the engines that hold it. Errors:
 // *laburnumlever.NotFoundError while no director is known, and those of a call to another VM.
 func (g *Gateway) EnsureLoaded(ctx context.Context, request laburnumlever.AdapterRequest) ([]laburnumlever.BackendID, error) {
