feat: the gate sees a late link, too, and turns a share of the connections away

The gate also takes how long after they were accepted new connections bring their first byte; the fastest of four or more counts, so that slow callers and lost packets don't. A share is accepted that falls by 0.7 with each late look and rises slowly, in place of none.

--- a/laburnumroles/crashingpart_test.go
+++ b/laburnumroles/crashingpart_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,3 +198,47 @@
 	require.Zero(t, unconfirmed)
 	require.GreaterOrEqual(t, after.share(), calm.share()/2)
 }
+
+// Guards against a gateway that falls behind while it gets most new connections, and against callers who are lost with it once it ends.
+func TestGatewayWithMostNewConnectionsServes(t *testing.T) {
+	const gateways, engines, phase = 4, 6, 3 * time.Second
+	f := newCrashingFleetOf(t, gateways, engines, &crashingEngines{down: time.Second, eventPause: 20 * time.Millisecond})
+	l := &partLoad{crashingFleet: f, gateways: gateways}
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var served, sent [gateways]atomic.Int64
+	send := func(gateway int) {
+		n := sent[gateway].Add(1)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.gatewayAddress(gateway)+"/quote/x", strings.NewReader("oak"))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Host = "quotes.example"
+		req.Header.Set("X-Laburnumlever-Request-Id", fmt.Sprintf("skewed-%d-%d", gateway, n))
+		req.Header.Set("X-Laburnumlever-Model", "m0")
+		resp, err := client.Do(req)
+		if err != nil {
+			return // a try that failed
+		}
+		defer resp.Body.Close()
+		if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
+			served[gateway].Add(1)
+		}
+	}
+	for gateway := range 2 {
+		done := make(chan struct{})
+		l.repeat(done, 3*time.Millisecond, func() { send(gateway) })
+		l.repeat(done, 30*time.Millisecond, func() { send(2 + gateway) })
+		<-time.After(phase)
+		close(done)
+		l.all.Wait()
+	}
+	f.killGateway()
+	for gateway := range 3 {
+		send(1 + gateway)
+	}
+	t.Logf("%d and %d requests on new connections to one gateway, %d and %d of them served", sent[0].Load(), sent[1].Load(), served[0].Load(), served[1].Load())
+	for gateway := range gateways {
+		require.GreaterOrEqual(t, 4*served[gateway].Load(), 3*sent[gateway].Load(), "gateway %d", gateway)
+	}
+}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -111,10 +111,12 @@
 		return err
 	}
 	shed := g.metrics.Scope().Counter("connections_shed")
-	meter := laburnumoverload.NewMeter(g.timers, func(overloaded bool, lag time.Duration) {
-		_ = level.Warn(g.logger).Log("event", laburnumlever.EventOverloaded, "overloaded", overloaded, "lag-ms", lag.Milliseconds(), "in-flight", g.gateway.InFlight())
-	})
-	g.serveOn(laburnumoverload.NewListener(ln, meter.Overloaded, func() { shed.Inc(1) }), "callers", g.gateway.Server())
+	gate := laburnumoverload.NewGate(g.timers, laburnumoverload.WithOnChange(func(overloaded bool, delay time.Duration) {
+		_ = level.Warn(g.logger).Log("event", laburnumlever.EventOverloaded, "overloaded", overloaded, "delay-ms", delay.Milliseconds(), "in-flight", g.gateway.InFlight())
+	}))
+	server := g.gateway.Server()
+	server.ConnState = gate.ConnState
+	g.serveOn(laburnumoverload.NewListener(ln, gate.Admit, func() { shed.Inc(1) }), "callers", server)
 	return nil
 }
 
--- a/logevent.go
+++ b/logevent.go
@@ -216,7 +216,8 @@
 	EventMetricsNotServed
 	// EventUnknownEvent is an event that its Part can't handle.
 	EventUnknownEvent
-	// EventOverloaded is a gateway that gets to run late all the time, or no longer: it resets new connections meanwhile.
+	// EventOverloaded is a gateway whose processor or link is late all the time, or no longer: it resets a part of the new
+	// connections meanwhile.
 	EventOverloaded
 	// EventLogLinesDropped is the number of log lines dropped because the buffer was full.
 	EventLogLinesDropped
