test: the soak sends requests of which no two are alike but for a part at which servers crash

All requests for streams share a first part; a caller sends others with a second part at which engines exit. After the faults all gateways must refuse these, with three runs at most later than the contact time, and no other request is refused for a part.

--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -32,6 +32,7 @@
 			&cli.DurationFlag{Name: "delay", Usage: "delay before the start of each answer"},
 			&cli.IntFlag{Name: "slots", Usage: "how many requests run at once; 0 for any number"},
 			&cli.IntFlag{Name: "queue", Usage: "how many requests wait for a slot; more are rejected"},
+			&cli.StringSliceFlag{Name: "crash-part", Usage: "exit in the same way at each request with this `PART` in its prompt, other than as the last one; may be repeated"},
 			&cli.StringFlag{Name: "crash-text", Usage: "exit at each request whose body contains this `TEXT`, once it has begun to run"},
 		},
 		OnUsageError: onUsageError,
@@ -43,7 +44,7 @@
 			}
 			behaviour := laburnumstandin.PlatformBehaviour{
 				AbortStreamAfter: c.Int("break-after"), Delay: c.Duration("delay"), Software: c.String("software"), EventPause: c.Duration("event-pause"),
-				Slots: c.Int("slots"), Queue: c.Int("queue"), CrashText: c.String("crash-text"), Crash: func() { os.Exit(exitFailure) },
+				Slots: c.Int("slots"), Queue: c.Int("queue"), CrashText: c.String("crash-text"), CrashParts: c.StringSlice("crash-part"), Crash: func() { os.Exit(exitFailure) },
 			}
 			if c.Bool("print-runs") {
 				behaviour.OnRun = func(run laburnumstandin.PlatformRun) { printRun(c.App.Writer, run) }
--- a/laburnumsoak/crashing.go
+++ b/laburnumsoak/crashing.go
@@ -14,6 +14,9 @@
 	// crashText is the text in a request's body at which a backend server crashes; it also begins
 	// the ids of these requests.
 	crashText = "poison"
+	// crashPart is the part of a prompt at which a backend server crashes, whatever else the request holds. soundPart is another
+	// one that all requests for streams have.
+	crashPart, soundPart = "dead", "aa"
 	// crashPause is the longest time between two attempts of a caller at a crashing request.
 	crashPause = 600 * time.Millisecond
 	// crashDown is how long a crashed backend server is down.
@@ -27,76 +30,92 @@
 	crashCheckTime = 3 * time.Second
 )
 
-// services of the run, each with a crashing request of its own.
-var services = []string{"booking", "quotes"}
+// The kinds of crashing requests: one of each service that is repeated, and some with the same part of which no two are alike.
+const (
+	crashBooking = "booking"
+	crashQuote   = "quotes"
+	crashByPart  = "part"
+)
 
-// sendCrashing sends the crashing request of a service and reports whether it was refused as one.
-func (l *load) sendCrashing(service string, gateway int) bool {
+var crashKinds = []string{crashBooking, crashQuote, crashByPart}
+
+// sendCrashing sends a crashing request of a kind and reports whether it was refused as one.
+func (l *load) sendCrashing(kind string, gateway int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	id := fmt.Sprintf("%s-%s-%d", crashText, service, l.calls.Add(1))
-	send := l.caller.Confirm
-	if service == "quotes" {
-		send = l.caller.Quote
+	id := fmt.Sprintf("%s-%s-%d", crashText, kind, l.calls.Add(1))
+	var status int
+	var body []byte
+	var err error
+	switch kind {
+	case crashByPart:
+		status, body, err = l.caller.Quote(ctx, l.fleet.gateway(gateway), id, id[len(crashText):], soundPart, crashPart)
+	case crashQuote:
+		status, body, err = l.caller.Quote(ctx, l.fleet.gateway(gateway), id, crashText, soundPart)
+	default:
+		status, body, err = l.caller.Confirm(ctx, l.fleet.gateway(gateway), id, crashText)
 	}
-	status, body, err := send(ctx, l.fleet.gateway(gateway), id, crashText)
 	if err == nil && promisesNotRun(status) {
 		l.record.refusedAsNotRun(id)
 	}
 	return err == nil && status == http.StatusServiceUnavailable && isQuarantined(body)
 }
 
-// isQuarantined reports whether a refusal names a crashing request as its reason.
-func isQuarantined(body []byte) bool { return strings.TrimSpace(string(body)) == "quarantined" }
+// isQuarantined reports whether a refusal names a crashing request, or a part of it, as its reason.
+func isQuarantined(body []byte) bool {
+	reason := strings.TrimSpace(string(body))
+	return reason == "quarantined" || reason == "part-quarantined"
+}
 
-// repeatCrashing sends the crashing request of a service again and again until ctx ends.
-func (l *load) repeatCrashing(ctx context.Context, service string) {
+// repeatCrashing sends crashing requests of a kind again and again until ctx ends.
+func (l *load) repeatCrashing(ctx context.Context, kind string) {
 	l.repeat(ctx, 0, func(int) {
-		l.sendCrashing(service, rand.IntN(gatewayVMs))
+		l.sendCrashing(kind, rand.IntN(gatewayVMs))
 		time.Sleep(rand.N(crashPause))
 	})
 }
 
 // checkCrashing checks that the gateways stop a crashing request once all faults are over.
-func (l *load) checkCrashing(ctx context.Context, service string) {
+func (l *load) checkCrashing(ctx context.Context, kind string) {
 	var refused [gatewayVMs]bool
 	repeat := func() bool {
 		for i := range refused {
-			refused[i] = l.sendCrashing(service, i)
+			refused[i] = l.sendCrashing(kind, i)
 		}
 		return !slices.Contains(refused[:], false)
 	}
 	// A server that was killed with the request on it counts as crashed by it too, so that it may
 	// be refused after fewer runs.
-	if !await(ctx, recoveryTimeout, func() bool { return repeat() || l.record.crashingRuns(service, time.Time{}) >= crashesBorne }) {
-		l.record.violated("the crashing request of %s is neither refused nor did it run %d times in %s", service, crashesBorne, recoveryTimeout)
+	if !await(ctx, recoveryTimeout, func() bool { return repeat() || l.record.crashingRuns(kind, time.Time{}) >= crashesBorne }) {
+		l.record.violated("a crashing request of kind %s is neither refused nor did one run %d times in %s", kind, crashesBorne, recoveryTimeout)
 		return
 	}
 	known := time.Now().Add(contactTime)
 	await(ctx, contactTime+crashCheckTime, func() bool { repeat(); return false })
-	if n := l.record.crashingRuns(service, known); n > repeatsBorne {
-		l.record.violated("the crashing request of %s ran %d times later than %s after its third crash", service, n, contactTime)
+	await(ctx, crashCheckTime, repeat) // one of the last may have been the trial of a part
+	if n := l.record.crashingRuns(kind, known); n > repeatsBorne {
+		l.record.violated("crashing requests of kind %s ran %d times later than %s after its third crash", kind, n, contactTime)
 	}
 	for i, ok := range refused {
 		if !ok {
-			l.record.violated("gateway-%d does not refuse the crashing request of %s", i+1, service)
+			l.record.violated("gateway-%d does not refuse crashing requests of kind %s", i+1, kind)
 		}
 	}
 }
 
-// crashingRan records that a backend server began to run the crashing request of its service.
-func (r *recorder) crashingRan(service string) {
+// crashingRan records that a backend server began to run a crashing request of a kind.
+func (r *recorder) crashingRan(kind string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashing[service] = append(r.crashing[service], time.Now())
+	r.crashing[kind] = append(r.crashing[kind], time.Now())
 }
 
-// crashingRuns returns how often the crashing request of a service has run since a time.
-func (r *recorder) crashingRuns(service string, since time.Time) int {
+// crashingRuns returns how often crashing requests of a kind have run since a time.
+func (r *recorder) crashingRuns(kind string, since time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
-	for _, at := range r.crashing[service] {
+	for _, at := range r.crashing[kind] {
 		if at.After(since) {
 			n++
 		}
--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -9,7 +9,8 @@
 // control VMs stall, are slow or full, or fail to sync. The links between the VMs and to the
 // backend servers freeze in one or both directions, reset their connections, or delay traffic.
 // Callers keep their connections open until the process at the other end exits. For each service one
-// caller repeats a request at which backend servers crash; they are restarted a second later. Backend
+// caller repeats a request at which backend servers crash, and one sends requests of which no two are alike but for a part at which they
+// crash; they are restarted a second later. Backend
 // servers name limits, change them and end them, and say that they are brittle: they fall over if they reject too much. A
 // gateway loses its links to all backend servers, or to those of one service: they hang, are reset, or refuse new connections.
 // The engines of one service run two software versions at a time: some are released anew again and again, the others keep theirs.
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -148,7 +148,7 @@
 	}
 	p.args = func() []string {
 		args := append(f.serverArgs(p, number),
-			"--crash-text", crashText, "--slots", strconv.Itoa(serverSlots), "--queue", strconv.Itoa(serverQueue), "--delay", serverDelay.String())
+			"--crash-text", crashText, "--crash-part", crashPart, "--slots", strconv.Itoa(serverSlots), "--queue", strconv.Itoa(serverQueue), "--delay", serverDelay.String())
 		if service == "quotes" {
 			args = append(args, "--model", "m0")
 		}
@@ -164,8 +164,8 @@
 		if ok && service == "booking" {
 			f.record.requestRan(id)
 		}
-		if ok && strings.HasPrefix(id, crashText) {
-			f.record.crashingRan(service)
+		if kind, _, found := strings.Cut(strings.TrimPrefix(id, crashText+"-"), "-"); ok && found && strings.HasPrefix(id, crashText) {
+			f.record.crashingRan(kind)
 		}
 	}
 	return p
--- a/laburnumsoak/load.go
+++ b/laburnumsoak/load.go
@@ -48,8 +48,8 @@
 	for i := range callers {
 		l.repeat(ctx, callerPause, func(n int) { l.sendRequest(n%streamEvery == i%streamEvery) })
 	}
-	for _, service := range services {
-		l.repeatCrashing(ctx, service)
+	for _, kind := range crashKinds {
+		l.repeatCrashing(ctx, kind)
 	}
 	for range draftCallers {
 		l.repeat(ctx, callerPause, func(int) { l.takeDraft(rand.IntN(gatewayVMs)) })
@@ -89,7 +89,7 @@
 func (l *load) sendOnce(ctx context.Context, gateway string, stream bool) bool {
 	id := fmt.Sprintf("r-%d", l.calls.Add(1))
 	if stream {
-		status, body, err := l.caller.Quote(ctx, gateway, id, "oak")
+		status, body, err := l.caller.Quote(ctx, gateway, id, "oak", soundPart)
 		whole := err == nil && status == http.StatusOK
 		l.record.streamEnded(id, laburnumstandin.EventIDs(body), whole) // the events received are checked even if the stream failed
 		l.record.refusedFor(id, body)
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -106,8 +106,8 @@
 func (l *load) checkAfterFaults(ctx context.Context, x *faultInjector) {
 	l.checkRecovery(ctx)
 	var checks sync.WaitGroup
-	for _, service := range services {
-		checks.Go(func() { l.checkCrashing(ctx, service) })
+	for _, kind := range crashKinds {
+		checks.Go(func() { l.checkCrashing(ctx, kind) })
 	}
 	checks.Wait()
 	l.checkLimits(ctx)
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -8,8 +8,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // platformHost is the hostname of the stand-in manifest's routes.
@@ -18,6 +21,9 @@
 // draftPath is a path of the stand-in manifest's second route for streams.
 const draftPath = "/draft/x"
 
+// partTokens is what follows the ID of a part in a prompt.
+const partTokens = ":50"
+
 // PlatformCaller stands in for callers and operators of the users' platform. It keeps
 // connections alive and reuses each until the peer closes it.
 type PlatformCaller struct {
@@ -50,9 +56,12 @@
 	return c.send(ctx, http.MethodPost, gateway+"/confirm/x", []byte(text), requestHeaders{id: id})
 }
 
-// Quote requests a stream and returns the HTTP status and as much of the body as was received.
-func (c *PlatformCaller) Quote(ctx context.Context, gateway, id, text string) (int, []byte, error) {
-	return c.send(ctx, http.MethodPost, gateway+"/quote/x", []byte(text), requestHeaders{id: id, model: "m0"})
+// Quote requests a stream and returns the HTTP status and as much of the body as was received. Its prompt has the parts, and one of
+// its own.
+func (c *PlatformCaller) Quote(ctx context.Context, gateway, id, text string, parts ...string) (int, []byte, error) {
+	own := fmt.Sprintf("%x", xxhash.Sum64String(id))
+	prompt := strings.Join(append(slices.Clone(parts), own), partTokens+",") + partTokens
+	return c.send(ctx, http.MethodPost, gateway+"/quote/x", []byte(text), requestHeaders{id: id, model: "m0", parts: prompt})
 }
 
 // Draft is Quote for the other service of engines.
@@ -123,7 +132,7 @@
 }
 
 // requestHeaders are the headers of a request on a route; empty ones are left out.
-type requestHeaders struct{ id, model, lastEvent, resumes string }
+type requestHeaders struct{ id, model, lastEvent, resumes, parts string }
 
 // send makes a call and returns the HTTP status and as much of the body as was received.
 func (c *PlatformCaller) send(ctx context.Context, method, url string, body []byte, headers requestHeaders) (int, []byte, error) {
@@ -136,7 +145,7 @@
 	}
 	for name, value := range map[string]string{
 		"X-Laburnumlever-Request-Id": headers.id, keyHeader: c.key, "X-Laburnumlever-Model": headers.model,
-		"Last-Event-Id": headers.lastEvent, "Resumes": headers.resumes,
+		"Last-Event-Id": headers.lastEvent, "Resumes": headers.resumes, partsHeader: headers.parts,
 	} {
 		if value != "" {
 			req.Header.Set(name, value)
