fix: lost links are noticed where servers answer other VMs late

A probe that a busy machine answers late is no lost server.

The fix: a verification gives each other VM 600 ms, and ends as soon as the probes tell enough: one server that answers directly, or two that answer others alone. So it mostly ends sooner than before, which always waited for the slowest of four; direct probes that wait for the links' return keep their 300 ms. TestServersThatAnswerOthersLateAreReached (400 ms) failed before.

--- a/laburnumgateway/detours.go
+++ b/laburnumgateway/detours.go
@@ -38,7 +38,7 @@
 	g := l.gateway
 	probe := laburnumreachability.Probe{Address: to.Address}
 	if s, ok := g.fleet.serverAt(to.Address); ok {
-		probe = l.probe([]probedServer{s}, true)[0]
+		probe = l.verifyProbes([]probedServer{s})[0]
 	}
 	now := g.timers.Now()
 	l.mu.Lock()
@@ -107,7 +107,7 @@
 	if !ok {
 		return // not announced now; the next check forgets it
 	}
-	if l.probeOne(s, false) != nil {
+	if l.probeDirectly(s) != nil {
 		return // still lost
 	}
 	l.mu.Lock()
--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -13,7 +13,6 @@
 	"laburnumlever/laburnumreachability"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumroutes"
-	"laburnumlever/laburnumtimer"
 	"laburnumlever/laburnumtunnel"
 	"laburnumlever/laburnumupstream"
 
@@ -26,12 +25,6 @@
 	linkCheckPeriod = 250 * time.Millisecond
 	// restoreChecks is the number of checks after which servers are probed again while the links are lost.
 	restoreChecks = 2
-	// tunnelProbeDelay is how long a direct probe may take before the server is probed through another VM as well.
-	tunnelProbeDelay = 100 * time.Millisecond
-	// tunnelProbes is the number of other VMs through which a server is probed if connections through them bring nothing.
-	tunnelProbes = 2
-	// linkProbeTimeout bounds a probe of a backend server, directly or through another VM.
-	linkProbeTimeout = 300 * time.Millisecond
 )
 
 // links decides whether this gateway's own links to the backend servers work. While they don't, connections are opened
@@ -207,7 +200,7 @@
 // verify finds out whether the links are lost.
 func (l *links) verify(suspects []string) {
 	g := l.gateway
-	probes := l.probe(g.fleet.sampleServers(suspects, laburnumreachability.ProbedServers), true)
+	probes := l.verifyProbes(g.fleet.sampleServers(suspects, laburnumreachability.ProbedServers))
 	servers, now := g.fleet.serverCount(), g.timers.Now()
 	l.mu.Lock()
 	lost := l.monitor.Verified(probes, servers, now)
@@ -231,16 +224,16 @@
 func (l *links) probeLost() {
 	g := l.gateway
 	sample := g.fleet.sampleServers(nil, laburnumreachability.ProbedServers)
-	probes := l.probe(sample, l.unaided.Load())
+	probes := l.directProbes(sample)
+	if direct, _, _ := countProbes(probes); direct == 0 && l.unaided.Load() && l.findsHelper(sample) {
+		l.unaided.Store(false)
+	}
 	servers, now := g.fleet.serverCount(), g.timers.Now()
 	l.mu.Lock()
 	restored := l.monitor.Restored(probes, servers, now)
 	lostAt := l.lostAt
 	l.probing = false
 	l.mu.Unlock()
-	if _, _, helped := countProbes(probes); helped > 0 {
-		l.unaided.Store(false)
-	}
 	if !restored {
 		l.abortSilent(now)
 		return
@@ -290,113 +283,6 @@
 	}
 }
 
-// probedServer is a backend server to probe.
-type probedServer struct {
-	address string
-	// silent is set if it gets no call, only a connection.
-	silent bool
-}
-
-// probe probes backend servers directly and, if asked to, through other VMs.
-func (l *links) probe(servers []probedServer, tunnels bool) []laburnumreachability.Probe {
-	probes := make([]laburnumreachability.Probe, len(servers))
-	var all sync.WaitGroup
-	for i, s := range servers {
-		p := &probes[i]
-		p.Address = s.address
-		answered := make(chan struct{})
-		failed := make(chan struct{})
-		all.Go(func() {
-			if p.Direct = l.probeOne(s, false) == nil; p.Direct {
-				close(answered)
-			} else {
-				close(failed)
-			}
-		})
-		if tunnels {
-			all.Go(func() {
-				if !l.awaitProbe(answered, failed) {
-					p.Reached, p.Helped = l.probeThroughOthers(s)
-				}
-			})
-		}
-	}
-	all.Wait()
-	return probes
-}
-
-// awaitProbe waits until a direct probe has failed or takes long, and reports whether it was answered.
-func (l *links) awaitProbe(answered, failed <-chan struct{}) bool {
-	slow, cancel := laburnumtimer.AfterChannel(l.gateway.timers, tunnelProbeDelay)
-	defer cancel()
-	select {
-	case <-answered:
-		return true
-	case <-failed:
-	case <-slow:
-	}
-	return false
-}
-
-// probeThroughOthers reports whether a backend server answers another VM, and whether one was found. A VM that has lost its
-// own links may open a connection that brings nothing, so another one is asked then.
-func (l *links) probeThroughOthers(s probedServer) (answered, helped bool) {
-	for range tunnelProbes {
-		err := l.probeOne(s, true)
-		var nobody *laburnumtunnel.NoHelperError
-		var lost *laburnumupstream.LostError
-		switch {
-		case errors.As(err, &nobody):
-			return false, helped
-		case !errors.As(err, &lost):
-			return err == nil, true
-		}
-		helped = true
-	}
-	return false, helped
-}
-
-// probeOne probes a backend server on a new connection. Errors: *laburnumupstream.DialError, *laburnumupstream.LostError.
-func (l *links) probeOne(s probedServer, tunnelled bool) error {
-	ctx, cancel := context.WithTimeout(context.Background(), linkProbeTimeout)
-	defer cancel()
-	conn, err := l.gateway.pool.Open(ctx, s.address, tunnelled)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	if s.silent {
-		return nil
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		if err := conn.SetDeadline(deadline); err != nil {
-			return &laburnumupstream.LostError{Address: s.address, Cause: err}
-		}
-	}
-	call := l.gateway.dialect.ProbeCall()
-	resp, err := conn.Exchange(laburnumupstream.Request{Method: call.Method, URI: call.URI, Host: s.address, Header: call.Header, Body: call.Body})
-	if err != nil {
-		return err
-	}
-	_ = resp.Body.Close()
-	return nil
-}
-
-func countProbes(probes []laburnumreachability.Probe) (direct, reached, helped int) {
-	for _, p := range probes {
-		if p.Direct {
-			direct++
-		}
-		if p.Reached {
-			reached++
-		}
-		if p.Helped {
-			helped++
-		}
-	}
-	return direct, reached, helped
-}
-
 // serverCount returns the number of backend servers that accept requests.
 func (f *Fleet) serverCount() int {
 	x := f.index.Load()
--- a/laburnumgateway/links_test.go
+++ b/laburnumgateway/links_test.go
@@ -30,8 +30,9 @@
 	real   map[string]string
 	dialed atomic.Int64
 	err    error
-	// hang has connections through the other VM hang.
-	hang bool
+	// hang has connections through the other VM hang, delay is the time that they take.
+	hang  bool
+	delay time.Duration
 }
 
 func (f *fakeTunnels) Dial(ctx context.Context, address string) (net.Conn, error) {
@@ -43,6 +44,13 @@
 	if f.err != nil {
 		return nil, f.err
 	}
+	if f.delay > 0 {
+		select {
+		case <-time.After(f.delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", cmp.Or(f.real[address], address))
 	if err != nil {
@@ -96,6 +104,14 @@
 	require.True(t, b.gateway.Ready())
 }
 
+// Guards against a gateway whose links are lost unnoticed since others reach the servers late, as on a busy machine.
+func TestServersThatAnswerOthersLateAreReached(t *testing.T) {
+	records, tunnels := behindLostLinks(t, "booking", answers("i-1")(t), answers("i-2")(t), answers("i-3")(t))
+	tunnels.delay = 400 * time.Millisecond
+	b := newLinksHarness(t, tunnels, &reports{}, records)
+	require.Eventually(t, func() bool { return b.send("POST", "/confirm/x", "visit").status == http.StatusOK }, 10*time.Second, time.Millisecond)
+}
+
 // Guards against a gateway that refuses what a single server could serve, which only other VMs reach, and tells others that it is down.
 func TestServerThatOnlyOthersReachIsServedThroughThem(t *testing.T) {
 	records, tunnels := behindLostLinks(t, "booking", answers("i-1")(t))
--- a/laburnumreachability/monitor.go
+++ b/laburnumreachability/monitor.go
@@ -9,8 +9,8 @@
 const (
 	// ProbedServers is the number of servers that are probed to verify a suspicion.
 	ProbedServers = 4
-	// minServers is the number of servers that must agree: one may have failed itself.
-	minServers = 2
+	// MinServers is the number of servers that must agree: one may have failed itself.
+	MinServers = 2
 	// suspicionTime is how long a failure counts.
 	suspicionTime = 2 * time.Second
 	// silenceTime exceeds the usual time to the first part of an answer, since all servers must be silent.
@@ -108,7 +108,7 @@
 // Suspected reports whether connections to several of the known number of servers failed lately.
 func (m *Monitor) Suspected(servers int, now time.Time) bool {
 	maps.DeleteFunc(m.failed, func(_ string, at time.Time) bool { return now.Sub(at) > suspicionTime })
-	return m.lost || servers > 0 && len(m.failed) >= min(minServers, servers)
+	return m.lost || servers > 0 && len(m.failed) >= min(MinServers, servers)
 }
 
 // Suspicion reports whether the links must be verified, and the servers that raised the suspicion. It is called
@@ -125,12 +125,12 @@
 	if m.Suspected(servers, now) {
 		suspects = slices.Sorted(maps.Keys(m.failed))
 	}
-	if len(suspects) == 0 || len(suspects) < min(minServers, servers) {
+	if len(suspects) == 0 || len(suspects) < min(MinServers, servers) {
 		return nil, false
 	}
 	m.verifiedAt = now
 	m.doubted, m.doubtedAt = true, now
-	return suspects[:min(minServers, len(suspects))], true
+	return suspects[:min(MinServers, len(suspects))], true
 }
 
 // silentServers returns the servers that owe answers, if nothing was received from any server for silenceTime.
@@ -175,7 +175,7 @@
 		m.doubted = false
 		clear(m.failed) // the links work, so that the servers have failed themselves
 	case helped > 0:
-		m.lost = reached >= min(minServers, servers)
+		m.lost = reached >= min(MinServers, servers)
 	default:
 		m.lost = len(probes) >= ProbedServers && m.Hanging(now)
 		m.unaided = m.lost
@@ -192,7 +192,7 @@
 			direct++
 		}
 	}
-	needed := min(minServers, servers)
+	needed := min(MinServers, servers)
 	if m.unaided {
 		needed = 1
 	}
