feat: operators see refused parts, and have them served again

`status` of a control VM lists the refused parts with their crashes, trials and the next trial; `lift-part SERVICE PART` tells all control VMs that the part is answered from now on, by the report that gateways send of an answer, so that builds of before parts ignore it. TestOperatorsLiftARefusedPart, three control VMs and two gateways.

--- a/cmd/laburnumlever/app.go
+++ b/cmd/laburnumlever/app.go
@@ -47,6 +47,7 @@
 			catalogueCommand(),
 			statusCommand(),
 			explainCommand(),
+			liftPartCommand(),
 			logLevelCommand(),
 			standInCommand(),
 			loadCommand(),
--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -85,6 +85,9 @@
 	for _, a := range s.Accounts {
 		printf(w, "account %s: %.0f of %.0f a second, %d refused, keys %v\n", a.Account, a.Used, a.Rate, a.Refused, a.Keys)
 	}
+	for _, p := range s.Parts {
+		printf(w, "part %s of %s: refused, %d crashes, %d of them in trials, next trial in %s\n", p.Part, p.Service, p.Crashes, p.Trials, time.Duration(p.RetryIn).Round(time.Second))
+	}
 	for _, c := range s.Services {
 		printf(w, "service %s: %d serving, %d of them silent, %d leaving\n", c.Service, c.Serving, c.Silent, c.Leaving)
 		if c.Resting > 0 {
--- a/laburnumoperator/client.go
+++ b/laburnumoperator/client.go
@@ -84,6 +84,12 @@
 	return explanation, err
 }
 
+// LiftPart has a control VM serve requests with a part of their prompts again.
+func (c *Client) LiftPart(ctx context.Context, lift laburnumlever.PartLift) error {
+	var lifted laburnumlever.PartLift
+	return c.call(ctx, http.MethodPost, "/quarantine/lift", lift, &lifted)
+}
+
 // SetLogLevel changes the VM's log level.
 func (c *Client) SetLogLevel(ctx context.Context, level string) error {
 	var set LogLevel
--- a/laburnumquarantine/partdetector.go
+++ b/laburnumquarantine/partdetector.go
@@ -197,16 +197,6 @@
 	p.refusedAt, p.wasKnown, p.taught, p.taughtTrials = now, e.Known, max(holdPartCrashes, e.Crashes), e.Trials
 }
 
-// Lift serves a part again, and reports whether it was refused.
-func (d *PartDetector) Lift(part Part, now time.Time) bool {
-	p := d.parts[part]
-	if p == nil || !p.refused() {
-		return false
-	}
-	d.answered(part, now)
-	return true
-}
-
 // bound drops the parts with the fewest crashes, the oldest of them first.
 func (d *PartDetector) bound() {
 	if len(d.parts) <= maxSuspectParts {
@@ -308,6 +298,20 @@
 	return max(0, p.trialAt().Sub(now))
 }
 
+// Refused returns the refused parts, at most n, those with the most crashes first.
+func (d *PartDetector) Refused(n int, now time.Time) []Entry {
+	var entries []Entry
+	for _, p := range d.parts {
+		if p.refused() {
+			entries = append(entries, d.entry(p, now))
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), bytes.Compare(a.Digest[:], b.Digest[:]))
+	})
+	return entries[:min(n, len(entries))]
+}
+
 // Backends returns the crashed servers that a part was on.
 func (d *PartDetector) Backends(part Part) []laburnumlever.BackendID {
 	var ids []laburnumlever.BackendID
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -276,7 +276,7 @@
 	if err := c.serveBackends("control", c.settings.Listen.Control, newServer(handler)); err != nil {
 		return err
 	}
-	c.serveMetrics(c.status)
+	c.serveMetrics(c.status, operatorCall{pattern: "POST " + liftPath, handle: c.handleLift})
 	c.quarantine.start()
 	c.limits.start()
 	c.brittle.start()
--- a/laburnumroles/crashingpart_test.go
+++ b/laburnumroles/crashingpart_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumoperator"
 )
 
 const (
@@ -242,3 +245,33 @@
 		require.GreaterOrEqual(t, 4*served[gateway].Load(), 3*sent[gateway].Load(), "gateway %d", gateway)
 	}
 }
+
+// Guards against a part that operators can't see, or can't have served again once the engines are mended, and against control VMs that refuse it on.
+func TestOperatorsLiftARefusedPart(t *testing.T) {
+	const gateways, part = 2, "dead"
+	f := newCrashingFleetOf(t, gateways, 6, &crashingEngines{down: time.Second, delay: 10 * time.Millisecond, parts: []string{part}})
+	l := &partLoad{crashingFleet: f, gateways: gateways}
+	refused := func() bool {
+		_, body := l.call("POST", "http://"+l.gatewayAddress(0)+"/quote/x", []byte("oak"), "X-Laburnumlever-Request-Id", "oak",
+			"X-Laburnumlever-Model", "m0", "X-Laburnumlever-Prefix-Hash", firstPart+":100,"+part+":60,1:5")
+		return string(body) == "part-quarantined\n"
+	}
+	require.Eventually(t, func() bool { l.sendSound(); return l.sound[len(l.sound)-1].served }, eventuallyTimeout, 20*time.Millisecond)
+	for n := 0; !refused(); n++ {
+		require.Less(t, n, 1000)
+		l.send(crashText, firstPart+":100,"+part+":60")
+	}
+	for i := range f.controls {
+		f.status(f.ip(i), "the refused part", func(status laburnumlever.Status) bool {
+			return len(status.Role.Parts) == 1 && status.Role.Parts[0].Part == 0xdead && status.Role.Parts[0].Crashes >= 3
+		})
+	}
+	client := laburnumoperator.NewClient(fmt.Sprintf("%s:%d", f.ip(1), metricsPort))
+	require.NoError(t, client.LiftPart(t.Context(), laburnumlever.PartLift{Service: "devis", Part: 0xdead}))
+	require.Eventually(t, func() bool { return !refused() }, eventuallyTimeout, 20*time.Millisecond)
+	for i := range f.controls {
+		f.status(f.ip(i), "no refused part", func(status laburnumlever.Status) bool { return len(status.Role.Parts) == 0 })
+	}
+	var unexpected *laburnumoperator.UnexpectedAnswerError
+	require.ErrorAs(t, client.LiftPart(t.Context(), laburnumlever.PartLift{}), &unexpected)
+}
--- a/laburnumroles/quarantine.go
+++ b/laburnumroles/quarantine.go
@@ -70,9 +70,14 @@
 	if err := json.Unmarshal(params, &report); err != nil {
 		return nil, &laburnumfeed.MessageError{Method: methodQuarantineReport, Cause: err}
 	}
-	q.mu.Lock()
 	now := q.timers.Now()
-	report = laburnumquarantine.Report{}.Merged(report.Received(now))
+	q.add(laburnumquarantine.Report{}.Merged(report.Received(now)), now)
+	return struct{}{}, nil
+}
+
+// add adds a report, with times, to the evidence.
+func (q *quarantine) add(report laburnumquarantine.Report, now time.Time) {
+	q.mu.Lock()
 	q.detector.Add(report, now)
 	q.parts.Add(report, now)
 	q.mu.Unlock()
@@ -80,7 +85,6 @@
 	if len(report.Parts) > 0 {
 		q.timers.After(laburnumquarantine.KnownPartDelay, func(time.Time) { q.verdict.Trigger() })
 	}
-	return struct{}{}, nil
 }
 
 // publish evaluates the evidence and publishes what has changed.
--- a/laburnumroles/status.go
+++ b/laburnumroles/status.go
@@ -17,15 +17,24 @@
 
 // serveMetrics serves the metrics and the status. If the port is in use, it logs this and the process
 // runs without them.
-func (p *process) serveMetrics(status func() laburnumlever.Status) {
-	if err := p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metricsHandler(status))); err != nil {
+func (p *process) serveMetrics(status func() laburnumlever.Status, calls ...operatorCall) {
+	if err := p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metricsHandler(status, calls))); err != nil {
 		_ = level.Error(p.logger).Log("event", laburnumlever.EventMetricsNotServed, "cause", err)
 	}
 }
 
+// operatorCall is a further call of operators, a pattern of http.ServeMux with its handler.
+type operatorCall struct {
+	pattern string
+	handle  http.HandlerFunc
+}
+
 // metricsHandler serves the status at statusPath and the metrics at every other path.
-func (p *process) metricsHandler(status func() laburnumlever.Status) http.Handler {
+func (p *process) metricsHandler(status func() laburnumlever.Status, calls []operatorCall) http.Handler {
 	mux := http.NewServeMux()
+	for _, call := range calls {
+		mux.HandleFunc(call.pattern, call.handle)
+	}
 	mux.Handle("/", p.metrics.Handler())
 	mux.Handle(metricsPath, p.metrics.Handler())
 	mux.HandleFunc("GET "+statusPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -48,6 +57,7 @@
 	role := laburnumlever.RoleStatus{Role: "control", VM: c.self.ID, Zone: c.self.Zone, Director: string(c.source.Director())}
 	role.Gateways, role.Controls = c.source.Gateways(), len(c.source.Controls())+1
 	role.Accounts = c.quotas.status()
+	role.Parts = c.quarantine.status()
 	if routes := c.routes.Load(); routes != nil {
 		role.RoutesVersion = routes.Version
 		c.mu.Lock()
--- a/logevent.go
+++ b/logevent.go
@@ -74,6 +74,8 @@
 	// EventPartQuarantined is a part of prompts; gateways refuse requests with it from now on, since backend servers that ran
 	// such requests crashed.
 	EventPartQuarantined
+	// EventPartLifted is a part that an operator has served again.
+	EventPartLifted
 	// EventPartReleased is a part that is no longer in quarantine.
 	EventPartReleased
 	// EventQuarantineNotReported is a gateway's report on crashes that no control VM accepted.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 219, 229, 243, 256, 270, 289, 309, 328, 350, 364, 383, 399, 415, 428, 451, 464, 479, 492, 506, 521, 539, 553, 569, 585, 598, 614, 630, 645, 659, 669, 680, 693, 714, 730, 748, 759, 775, 791, 806, 820, 834, 849, 867, 885, 898, 907, 921, 936, 953, 968, 981, 996, 1007, 1021, 1034, 1060, 1078, 1092, 1109, 1128, 1149, 1158, 1168, 1185, 1195, 1204, 1218, 1230, 1246, 1253, 1261, 1268, 1275, 1292, 1308, 1322, 1340, 1353, 1363, 1380}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 219, 229, 243, 256, 270, 289, 309, 328, 350, 364, 383, 399, 415, 426, 439, 462, 475, 490, 503, 517, 532, 550, 564, 580, 596, 609, 625, 641, 656, 670, 680, 691, 704, 725, 741, 759, 770, 786, 802, 817, 831, 845, 860, 878, 896, 909, 918, 932, 947, 964, 979, 992, 1007, 1018, 1032, 1045, 1071, 1089, 1103, 1120, 1139, 1160, 1169, 1179, 1196, 1206, 1215, 1229, 1241, 1257, 1264, 1272, 1279, 1286, 1303, 1319, 1333, 1351, 1364, 1374, 1391}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -52,76 +52,77 @@
 	_ = x[EventRequestQuarantined-(25)]
 	_ = x[EventRequestReleased-(26)]
 	_ = x[EventPartQuarantined-(27)]
-	_ = x[EventPartReleased-(28)]
-	_ = x[EventQuarantineNotReported-(29)]
-	_ = x[EventLimitChanged-(30)]
-	_ = x[EventBrittleChanged-(31)]
-	_ = x[EventLimitUnclear-(32)]
-	_ = x[EventSlotRequested-(33)]
-	_ = x[EventSlotUnanswered-(34)]
-	_ = x[EventLimitNotReported-(35)]
-	_ = x[EventKeysConfirmed-(36)]
-	_ = x[EventKeysUnconfirmed-(37)]
-	_ = x[EventAccountsUnknown-(38)]
-	_ = x[EventQuotaUsedUp-(39)]
-	_ = x[EventQuotaUnanswered-(40)]
-	_ = x[EventOutlierDetected-(41)]
-	_ = x[EventModelWithdrawn-(42)]
-	_ = x[EventOrderAnswered-(43)]
-	_ = x[EventOrderDone-(44)]
-	_ = x[EventOrderStateChanged-(45)]
-	_ = x[EventOrderRefused-(46)]
-	_ = x[EventOrderOutcomeUnknown-(47)]
-	_ = x[EventEngineStateNotRead-(48)]
-	_ = x[EventInventoryNotRead-(49)]
-	_ = x[EventLoadFailed-(50)]
-	_ = x[EventBackendStateNotEncoded-(51)]
-	_ = x[EventRegistryRefused-(52)]
-	_ = x[EventRoutesProposed-(53)]
-	_ = x[EventRoutesRefused-(54)]
-	_ = x[EventRoutesApplied-(55)]
-	_ = x[EventRoutesInEffect-(56)]
-	_ = x[EventRoutesNotFetched-(57)]
-	_ = x[EventCatalogueInEffect-(58)]
-	_ = x[EventBecameLeader-(59)]
-	_ = x[EventNoLeader-(60)]
-	_ = x[EventReplicaOpened-(61)]
-	_ = x[EventStartConfirmed-(62)]
-	_ = x[EventStartUnconfirmed-(63)]
-	_ = x[EventVotersChanged-(64)]
-	_ = x[EventLearnerAdded-(65)]
-	_ = x[EventLearnerRemoved-(66)]
-	_ = x[EventVoterAdded-(67)]
-	_ = x[EventVoterReplaced-(68)]
-	_ = x[EventVoterStandby-(69)]
-	_ = x[EventLeadershipNotHandedOver-(70)]
-	_ = x[EventExpiryNotEncoded-(71)]
-	_ = x[EventReplicaFailed-(72)]
-	_ = x[EventReplicaRegressed-(73)]
-	_ = x[EventDataFolderDamaged-(74)]
-	_ = x[EventDataFolderRegressed-(75)]
-	_ = x[EventLeaseAcquired-(76)]
-	_ = x[EventLeaseLost-(77)]
-	_ = x[EventLeaseNotRenewed-(78)]
-	_ = x[EventZoneOwned-(79)]
-	_ = x[EventZoneLost-(80)]
-	_ = x[EventControlThreadTimes-(81)]
-	_ = x[EventControlLost-(82)]
-	_ = x[EventControlRegained-(83)]
-	_ = x[EventStarted-(84)]
-	_ = x[EventDraining-(85)]
-	_ = x[EventDrained-(86)]
-	_ = x[EventStopped-(87)]
-	_ = x[EventSettingsReloaded-(88)]
-	_ = x[EventSettingsRefused-(89)]
-	_ = x[EventListenerEnded-(90)]
-	_ = x[EventMetricsNotServed-(91)]
-	_ = x[EventUnknownEvent-(92)]
-	_ = x[EventOverloaded-(93)]
-	_ = x[EventLogLinesDropped-(94)]
+	_ = x[EventPartLifted-(28)]
+	_ = x[EventPartReleased-(29)]
+	_ = x[EventQuarantineNotReported-(30)]
+	_ = x[EventLimitChanged-(31)]
+	_ = x[EventBrittleChanged-(32)]
+	_ = x[EventLimitUnclear-(33)]
+	_ = x[EventSlotRequested-(34)]
+	_ = x[EventSlotUnanswered-(35)]
+	_ = x[EventLimitNotReported-(36)]
+	_ = x[EventKeysConfirmed-(37)]
+	_ = x[EventKeysUnconfirmed-(38)]
+	_ = x[EventAccountsUnknown-(39)]
+	_ = x[EventQuotaUsedUp-(40)]
+	_ = x[EventQuotaUnanswered-(41)]
+	_ = x[EventOutlierDetected-(42)]
+	_ = x[EventModelWithdrawn-(43)]
+	_ = x[EventOrderAnswered-(44)]
+	_ = x[EventOrderDone-(45)]
+	_ = x[EventOrderStateChanged-(46)]
+	_ = x[EventOrderRefused-(47)]
+	_ = x[EventOrderOutcomeUnknown-(48)]
+	_ = x[EventEngineStateNotRead-(49)]
+	_ = x[EventInventoryNotRead-(50)]
+	_ = x[EventLoadFailed-(51)]
+	_ = x[EventBackendStateNotEncoded-(52)]
+	_ = x[EventRegistryRefused-(53)]
+	_ = x[EventRoutesProposed-(54)]
+	_ = x[EventRoutesRefused-(55)]
+	_ = x[EventRoutesApplied-(56)]
+	_ = x[EventRoutesInEffect-(57)]
+	_ = x[EventRoutesNotFetched-(58)]
+	_ = x[EventCatalogueInEffect-(59)]
+	_ = x[EventBecameLeader-(60)]
+	_ = x[EventNoLeader-(61)]
+	_ = x[EventReplicaOpened-(62)]
+	_ = x[EventStartConfirmed-(63)]
+	_ = x[EventStartUnconfirmed-(64)]
+	_ = x[EventVotersChanged-(65)]
+	_ = x[EventLearnerAdded-(66)]
+	_ = x[EventLearnerRemoved-(67)]
+	_ = x[EventVoterAdded-(68)]
+	_ = x[EventVoterReplaced-(69)]
+	_ = x[EventVoterStandby-(70)]
+	_ = x[EventLeadershipNotHandedOver-(71)]
+	_ = x[EventExpiryNotEncoded-(72)]
+	_ = x[EventReplicaFailed-(73)]
+	_ = x[EventReplicaRegressed-(74)]
+	_ = x[EventDataFolderDamaged-(75)]
+	_ = x[EventDataFolderRegressed-(76)]
+	_ = x[EventLeaseAcquired-(77)]
+	_ = x[EventLeaseLost-(78)]
+	_ = x[EventLeaseNotRenewed-(79)]
+	_ = x[EventZoneOwned-(80)]
+	_ = x[EventZoneLost-(81)]
+	_ = x[EventControlThreadTimes-(82)]
+	_ = x[EventControlLost-(83)]
+	_ = x[EventControlRegained-(84)]
+	_ = x[EventStarted-(85)]
+	_ = x[EventDraining-(86)]
+	_ = x[EventDrained-(87)]
+	_ = x[EventStopped-(88)]
+	_ = x[EventSettingsReloaded-(89)]
+	_ = x[EventSettingsRefused-(90)]
+	_ = x[EventListenerEnded-(91)]
+	_ = x[EventMetricsNotServed-(92)]
+	_ = x[EventUnknownEvent-(93)]
+	_ = x[EventOverloaded-(94)]
+	_ = x[EventLogLinesDropped-(95)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -152,73 +153,74 @@
 	_LogEventName[364:383]:   EventRequestQuarantined,
 	_LogEventName[383:399]:   EventRequestReleased,
 	_LogEventName[399:415]:   EventPartQuarantined,
-	_LogEventName[415:428]:   EventPartReleased,
-	_LogEventName[428:451]:   EventQuarantineNotReported,
-	_LogEventName[451:464]:   EventLimitChanged,
-	_LogEventName[464:479]:   EventBrittleChanged,
-	_LogEventName[479:492]:   EventLimitUnclear,
-	_LogEventName[492:506]:   EventSlotRequested,
-	_LogEventName[506:521]:   EventSlotUnanswered,
-	_LogEventName[521:539]:   EventLimitNotReported,
-	_LogEventName[539:553]:   EventKeysConfirmed,
-	_LogEventName[553:569]:   EventKeysUnconfirmed,
-	_LogEventName[569:585]:   EventAccountsUnknown,
-	_LogEventName[585:598]:   EventQuotaUsedUp,
-	_LogEventName[598:614]:   EventQuotaUnanswered,
-	_LogEventName[614:630]:   EventOutlierDetected,
-	_LogEventName[630:645]:   EventModelWithdrawn,
-	_LogEventName[645:659]:   EventOrderAnswered,
-	_LogEventName[659:669]:   EventOrderDone,
-	_LogEventName[669:680]:   EventOrderStateChanged,
-	_LogEventName[680:693]:   EventOrderRefused,
-	_LogEventName[693:714]:   EventOrderOutcomeUnknown,
-	_LogEventName[714:730]:   EventEngineStateNotRead,
-	_LogEventName[730:748]:   EventInventoryNotRead,
-	_LogEventName[748:759]:   EventLoadFailed,
-	_LogEventName[759:775]:   EventBackendStateNotEncoded,
-	_LogEventName[775:791]:   EventRegistryRefused,
-	_LogEventName[791:806]:   EventRoutesProposed,
-	_LogEventName[806:820]:   EventRoutesRefused,
-	_LogEventName[820:834]:   EventRoutesApplied,
-	_LogEventName[834:849]:   EventRoutesInEffect,
-	_LogEventName[849:867]:   EventRoutesNotFetched,
-	_LogEventName[867:885]:   EventCatalogueInEffect,
-	_LogEventName[885:898]:   EventBecameLeader,
-	_LogEventName[898:907]:   EventNoLeader,
-	_LogEventName[907:921]:   EventReplicaOpened,
-	_LogEventName[921:936]:   EventStartConfirmed,
-	_LogEventName[936:953]:   EventStartUnconfirmed,
-	_LogEventName[953:968]:   EventVotersChanged,
-	_LogEventName[968:981]:   EventLearnerAdded,
-	_LogEventName[981:996]:   EventLearnerRemoved,
-	_LogEventName[996:1007]:  EventVoterAdded,
-	_LogEventName[1007:1021]: EventVoterReplaced,
-	_LogEventName[1021:1034]: EventVoterStandby,
-	_LogEventName[1034:1060]: EventLeadershipNotHandedOver,
-	_LogEventName[1060:1078]: EventExpiryNotEncoded,
-	_LogEventName[1078:1092]: EventReplicaFailed,
-	_LogEventName[1092:1109]: EventReplicaRegressed,
-	_LogEventName[1109:1128]: EventDataFolderDamaged,
-	_LogEventName[1128:1149]: EventDataFolderRegressed,
-	_LogEventName[1149:1158]: EventLeaseAcquired,
-	_LogEventName[1158:1168]: EventLeaseLost,
-	_LogEventName[1168:1185]: EventLeaseNotRenewed,
-	_LogEventName[1185:1195]: EventZoneOwned,
-	_LogEventName[1195:1204]: EventZoneLost,
-	_LogEventName[1204:1218]: EventControlThreadTimes,
-	_LogEventName[1218:1230]: EventControlLost,
-	_LogEventName[1230:1246]: EventControlRegained,
-	_LogEventName[1246:1253]: EventStarted,
-	_LogEventName[1253:1261]: EventDraining,
-	_LogEventName[1261:1268]: EventDrained,
-	_LogEventName[1268:1275]: EventStopped,
-	_LogEventName[1275:1292]: EventSettingsReloaded,
-	_LogEventName[1292:1308]: EventSettingsRefused,
-	_LogEventName[1308:1322]: EventListenerEnded,
-	_LogEventName[1322:1340]: EventMetricsNotServed,
-	_LogEventName[1340:1353]: EventUnknownEvent,
-	_LogEventName[1353:1363]: EventOverloaded,
-	_LogEventName[1363:1380]: EventLogLinesDropped,
+	_LogEventName[415:426]:   EventPartLifted,
+	_LogEventName[426:439]:   EventPartReleased,
+	_LogEventName[439:462]:   EventQuarantineNotReported,
+	_LogEventName[462:475]:   EventLimitChanged,
+	_LogEventName[475:490]:   EventBrittleChanged,
+	_LogEventName[490:503]:   EventLimitUnclear,
+	_LogEventName[503:517]:   EventSlotRequested,
+	_LogEventName[517:532]:   EventSlotUnanswered,
+	_LogEventName[532:550]:   EventLimitNotReported,
+	_LogEventName[550:564]:   EventKeysConfirmed,
+	_LogEventName[564:580]:   EventKeysUnconfirmed,
+	_LogEventName[580:596]:   EventAccountsUnknown,
+	_LogEventName[596:609]:   EventQuotaUsedUp,
+	_LogEventName[609:625]:   EventQuotaUnanswered,
+	_LogEventName[625:641]:   EventOutlierDetected,
+	_LogEventName[641:656]:   EventModelWithdrawn,
+	_LogEventName[656:670]:   EventOrderAnswered,
+	_LogEventName[670:680]:   EventOrderDone,
+	_LogEventName[680:691]:   EventOrderStateChanged,
+	_LogEventName[691:704]:   EventOrderRefused,
+	_LogEventName[704:725]:   EventOrderOutcomeUnknown,
+	_LogEventName[725:741]:   EventEngineStateNotRead,
+	_LogEventName[741:759]:   EventInventoryNotRead,
+	_LogEventName[759:770]:   EventLoadFailed,
+	_LogEventName[770:786]:   EventBackendStateNotEncoded,
+	_LogEventName[786:802]:   EventRegistryRefused,
+	_LogEventName[802:817]:   EventRoutesProposed,
+	_LogEventName[817:831]:   EventRoutesRefused,
+	_LogEventName[831:845]:   EventRoutesApplied,
+	_LogEventName[845:860]:   EventRoutesInEffect,
+	_LogEventName[860:878]:   EventRoutesNotFetched,
+	_LogEventName[878:896]:   EventCatalogueInEffect,
+	_LogEventName[896:909]:   EventBecameLeader,
+	_LogEventName[909:918]:   EventNoLeader,
+	_LogEventName[918:932]:   EventReplicaOpened,
+	_LogEventName[932:947]:   EventStartConfirmed,
+	_LogEventName[947:964]:   EventStartUnconfirmed,
+	_LogEventName[964:979]:   EventVotersChanged,
+	_LogEventName[979:992]:   EventLearnerAdded,
+	_LogEventName[992:1007]:  EventLearnerRemoved,
+	_LogEventName[1007:1018]: EventVoterAdded,
+	_LogEventName[1018:1032]: EventVoterReplaced,
+	_LogEventName[1032:1045]: EventVoterStandby,
+	_LogEventName[1045:1071]: EventLeadershipNotHandedOver,
+	_LogEventName[1071:1089]: EventExpiryNotEncoded,
+	_LogEventName[1089:1103]: EventReplicaFailed,
+	_LogEventName[1103:1120]: EventReplicaRegressed,
+	_LogEventName[1120:1139]: EventDataFolderDamaged,
+	_LogEventName[1139:1160]: EventDataFolderRegressed,
+	_LogEventName[1160:1169]: EventLeaseAcquired,
+	_LogEventName[1169:1179]: EventLeaseLost,
+	_LogEventName[1179:1196]: EventLeaseNotRenewed,
+	_LogEventName[1196:1206]: EventZoneOwned,
+	_LogEventName[1206:1215]: EventZoneLost,
+	_LogEventName[1215:1229]: EventControlThreadTimes,
+	_LogEventName[1229:1241]: EventControlLost,
+	_LogEventName[1241:1257]: EventControlRegained,
+	_LogEventName[1257:1264]: EventStarted,
+	_LogEventName[1264:1272]: EventDraining,
+	_LogEventName[1272:1279]: EventDrained,
+	_LogEventName[1279:1286]: EventStopped,
+	_LogEventName[1286:1303]: EventSettingsReloaded,
+	_LogEventName[1303:1319]: EventSettingsRefused,
+	_LogEventName[1319:1333]: EventListenerEnded,
+	_LogEventName[1333:1351]: EventMetricsNotServed,
+	_LogEventName[1351:1364]: EventUnknownEvent,
+	_LogEventName[1364:1374]: EventOverloaded,
+	_LogEventName[1374:1391]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -250,73 +252,74 @@
 	_LogEventLowerName[364:383]:   EventRequestQuarantined,
 	_LogEventLowerName[383:399]:   EventRequestReleased,
 	_LogEventLowerName[399:415]:   EventPartQuarantined,
-	_LogEventLowerName[415:428]:   EventPartReleased,
-	_LogEventLowerName[428:451]:   EventQuarantineNotReported,
-	_LogEventLowerName[451:464]:   EventLimitChanged,
-	_LogEventLowerName[464:479]:   EventBrittleChanged,
-	_LogEventLowerName[479:492]:   EventLimitUnclear,
-	_LogEventLowerName[492:506]:   EventSlotRequested,
-	_LogEventLowerName[506:521]:   EventSlotUnanswered,
-	_LogEventLowerName[521:539]:   EventLimitNotReported,
-	_LogEventLowerName[539:553]:   EventKeysConfirmed,
-	_LogEventLowerName[553:569]:   EventKeysUnconfirmed,
-	_LogEventLowerName[569:585]:   EventAccountsUnknown,
-	_LogEventLowerName[585:598]:   EventQuotaUsedUp,
-	_LogEventLowerName[598:614]:   EventQuotaUnanswered,
-	_LogEventLowerName[614:630]:   EventOutlierDetected,
-	_LogEventLowerName[630:645]:   EventModelWithdrawn,
-	_LogEventLowerName[645:659]:   EventOrderAnswered,
-	_LogEventLowerName[659:669]:   EventOrderDone,
-	_LogEventLowerName[669:680]:   EventOrderStateChanged,
-	_LogEventLowerName[680:693]:   EventOrderRefused,
-	_LogEventLowerName[693:714]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[714:730]:   EventEngineStateNotRead,
-	_LogEventLowerName[730:748]:   EventInventoryNotRead,
-	_LogEventLowerName[748:759]:   EventLoadFailed,
-	_LogEventLowerName[759:775]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[775:791]:   EventRegistryRefused,
-	_LogEventLowerName[791:806]:   EventRoutesProposed,
-	_LogEventLowerName[806:820]:   EventRoutesRefused,
-	_LogEventLowerName[820:834]:   EventRoutesApplied,
-	_LogEventLowerName[834:849]:   EventRoutesInEffect,
-	_LogEventLowerName[849:867]:   EventRoutesNotFetched,
-	_LogEventLowerName[867:885]:   EventCatalogueInEffect,
-	_LogEventLowerName[885:898]:   EventBecameLeader,
-	_LogEventLowerName[898:907]:   EventNoLeader,
-	_LogEventLowerName[907:921]:   EventReplicaOpened,
-	_LogEventLowerName[921:936]:   EventStartConfirmed,
-	_LogEventLowerName[936:953]:   EventStartUnconfirmed,
-	_LogEventLowerName[953:968]:   EventVotersChanged,
-	_LogEventLowerName[968:981]:   EventLearnerAdded,
-	_LogEventLowerName[981:996]:   EventLearnerRemoved,
-	_LogEventLowerName[996:1007]:  EventVoterAdded,
-	_LogEventLowerName[1007:1021]: EventVoterReplaced,
-	_LogEventLowerName[1021:1034]: EventVoterStandby,
-	_LogEventLowerName[1034:1060]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1060:1078]: EventExpiryNotEncoded,
-	_LogEventLowerName[1078:1092]: EventReplicaFailed,
-	_LogEventLowerName[1092:1109]: EventReplicaRegressed,
-	_LogEventLowerName[1109:1128]: EventDataFolderDamaged,
-	_LogEventLowerName[1128:1149]: EventDataFolderRegressed,
-	_LogEventLowerName[1149:1158]: EventLeaseAcquired,
-	_LogEventLowerName[1158:1168]: EventLeaseLost,
-	_LogEventLowerName[1168:1185]: EventLeaseNotRenewed,
-	_LogEventLowerName[1185:1195]: EventZoneOwned,
-	_LogEventLowerName[1195:1204]: EventZoneLost,
-	_LogEventLowerName[1204:1218]: EventControlThreadTimes,
-	_LogEventLowerName[1218:1230]: EventControlLost,
-	_LogEventLowerName[1230:1246]: EventControlRegained,
-	_LogEventLowerName[1246:1253]: EventStarted,
-	_LogEventLowerName[1253:1261]: EventDraining,
-	_LogEventLowerName[1261:1268]: EventDrained,
-	_LogEventLowerName[1268:1275]: EventStopped,
-	_LogEventLowerName[1275:1292]: EventSettingsReloaded,
-	_LogEventLowerName[1292:1308]: EventSettingsRefused,
-	_LogEventLowerName[1308:1322]: EventListenerEnded,
-	_LogEventLowerName[1322:1340]: EventMetricsNotServed,
-	_LogEventLowerName[1340:1353]: EventUnknownEvent,
-	_LogEventLowerName[1353:1363]: EventOverloaded,
-	_LogEventLowerName[1363:1380]: EventLogLinesDropped,
+	_LogEventLowerName[415:426]:   EventPartLifted,
+	_LogEventLowerName[426:439]:   EventPartReleased,
+	_LogEventLowerName[439:462]:   EventQuarantineNotReported,
+	_LogEventLowerName[462:475]:   EventLimitChanged,
+	_LogEventLowerName[475:490]:   EventBrittleChanged,
+	_LogEventLowerName[490:503]:   EventLimitUnclear,
+	_LogEventLowerName[503:517]:   EventSlotRequested,
+	_LogEventLowerName[517:532]:   EventSlotUnanswered,
+	_LogEventLowerName[532:550]:   EventLimitNotReported,
+	_LogEventLowerName[550:564]:   EventKeysConfirmed,
+	_LogEventLowerName[564:580]:   EventKeysUnconfirmed,
+	_LogEventLowerName[580:596]:   EventAccountsUnknown,
+	_LogEventLowerName[596:609]:   EventQuotaUsedUp,
+	_LogEventLowerName[609:625]:   EventQuotaUnanswered,
+	_LogEventLowerName[625:641]:   EventOutlierDetected,
+	_LogEventLowerName[641:656]:   EventModelWithdrawn,
+	_LogEventLowerName[656:670]:   EventOrderAnswered,
+	_LogEventLowerName[670:680]:   EventOrderDone,
+	_LogEventLowerName[680:691]:   EventOrderStateChanged,
+	_LogEventLowerName[691:704]:   EventOrderRefused,
+	_LogEventLowerName[704:725]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[725:741]:   EventEngineStateNotRead,
+	_LogEventLowerName[741:759]:   EventInventoryNotRead,
+	_LogEventLowerName[759:770]:   EventLoadFailed,
+	_LogEventLowerName[770:786]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[786:802]:   EventRegistryRefused,
+	_LogEventLowerName[802:817]:   EventRoutesProposed,
+	_LogEventLowerName[817:831]:   EventRoutesRefused,
+	_LogEventLowerName[831:845]:   EventRoutesApplied,
+	_LogEventLowerName[845:860]:   EventRoutesInEffect,
+	_LogEventLowerName[860:878]:   EventRoutesNotFetched,
+	_LogEventLowerName[878:896]:   EventCatalogueInEffect,
+	_LogEventLowerName[896:909]:   EventBecameLeader,
+	_LogEventLowerName[909:918]:   EventNoLeader,
+	_LogEventLowerName[918:932]:   EventReplicaOpened,
+	_LogEventLowerName[932:947]:   EventStartConfirmed,
+	_LogEventLowerName[947:964]:   EventStartUnconfirmed,
+	_LogEventLowerName[964:979]:   EventVotersChanged,
+	_LogEventLowerName[979:992]:   EventLearnerAdded,
+	_LogEventLowerName[992:1007]:  EventLearnerRemoved,
+	_LogEventLowerName[1007:1018]: EventVoterAdded,
+	_LogEventLowerName[1018:1032]: EventVoterReplaced,
+	_LogEventLowerName[1032:1045]: EventVoterStandby,
+	_LogEventLowerName[1045:1071]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1071:1089]: EventExpiryNotEncoded,
+	_LogEventLowerName[1089:1103]: EventReplicaFailed,
+	_LogEventLowerName[1103:1120]: EventReplicaRegressed,
+	_LogEventLowerName[1120:1139]: EventDataFolderDamaged,
+	_LogEventLowerName[1139:1160]: EventDataFolderRegressed,
+	_LogEventLowerName[1160:1169]: EventLeaseAcquired,
+	_LogEventLowerName[1169:1179]: EventLeaseLost,
+	_LogEventLowerName[1179:1196]: EventLeaseNotRenewed,
+	_LogEventLowerName[1196:1206]: EventZoneOwned,
+	_LogEventLowerName[1206:1215]: EventZoneLost,
+	_LogEventLowerName[1215:1229]: EventControlThreadTimes,
+	_LogEventLowerName[1229:1241]: EventControlLost,
+	_LogEventLowerName[1241:1257]: EventControlRegained,
+	_LogEventLowerName[1257:1264]: EventStarted,
+	_LogEventLowerName[1264:1272]: EventDraining,
+	_LogEventLowerName[1272:1279]: EventDrained,
+	_LogEventLowerName[1279:1286]: EventStopped,
+	_LogEventLowerName[1286:1303]: EventSettingsReloaded,
+	_LogEventLowerName[1303:1319]: EventSettingsRefused,
+	_LogEventLowerName[1319:1333]: EventListenerEnded,
+	_LogEventLowerName[1333:1351]: EventMetricsNotServed,
+	_LogEventLowerName[1351:1364]: EventUnknownEvent,
+	_LogEventLowerName[1364:1374]: EventOverloaded,
+	_LogEventLowerName[1374:1391]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -348,73 +351,74 @@
 	_LogEventName[364:383],
 	_LogEventName[383:399],
 	_LogEventName[399:415],
-	_LogEventName[415:428],
-	_LogEventName[428:451],
-	_LogEventName[451:464],
-	_LogEventName[464:479],
-	_LogEventName[479:492],
-	_LogEventName[492:506],
-	_LogEventName[506:521],
-	_LogEventName[521:539],
-	_LogEventName[539:553],
-	_LogEventName[553:569],
-	_LogEventName[569:585],
-	_LogEventName[585:598],
-	_LogEventName[598:614],
-	_LogEventName[614:630],
-	_LogEventName[630:645],
-	_LogEventName[645:659],
-	_LogEventName[659:669],
-	_LogEventName[669:680],
-	_LogEventName[680:693],
-	_LogEventName[693:714],
-	_LogEventName[714:730],
-	_LogEventName[730:748],
-	_LogEventName[748:759],
-	_LogEventName[759:775],
-	_LogEventName[775:791],
-	_LogEventName[791:806],
-	_LogEventName[806:820],
-	_LogEventName[820:834],
-	_LogEventName[834:849],
-	_LogEventName[849:867],
-	_LogEventName[867:885],
-	_LogEventName[885:898],
-	_LogEventName[898:907],
-	_LogEventName[907:921],
-	_LogEventName[921:936],
-	_LogEventName[936:953],
-	_LogEventName[953:968],
-	_LogEventName[968:981],
-	_LogEventName[981:996],
-	_LogEventName[996:1007],
-	_LogEventName[1007:1021],
-	_LogEventName[1021:1034],
-	_LogEventName[1034:1060],
-	_LogEventName[1060:1078],
-	_LogEventName[1078:1092],
-	_LogEventName[1092:1109],
-	_LogEventName[1109:1128],
-	_LogEventName[1128:1149],
-	_LogEventName[1149:1158],
-	_LogEventName[1158:1168],
-	_LogEventName[1168:1185],
-	_LogEventName[1185:1195],
-	_LogEventName[1195:1204],
-	_LogEventName[1204:1218],
-	_LogEventName[1218:1230],
-	_LogEventName[1230:1246],
-	_LogEventName[1246:1253],
-	_LogEventName[1253:1261],
-	_LogEventName[1261:1268],
-	_LogEventName[1268:1275],
-	_LogEventName[1275:1292],
-	_LogEventName[1292:1308],
-	_LogEventName[1308:1322],
-	_LogEventName[1322:1340],
-	_LogEventName[1340:1353],
-	_LogEventName[1353:1363],
-	_LogEventName[1363:1380],
+	_LogEventName[415:426],
+	_LogEventName[426:439],
+	_LogEventName[439:462],
+	_LogEventName[462:475],
+	_LogEventName[475:490],
+	_LogEventName[490:503],
+	_LogEventName[503:517],
+	_LogEventName[517:532],
+	_LogEventName[532:550],
+	_LogEventName[550:564],
+	_LogEventName[564:580],
+	_LogEventName[580:596],
+	_LogEventName[596:609],
+	_LogEventName[609:625],
+	_LogEventName[625:641],
+	_LogEventName[641:656],
+	_LogEventName[656:670],
+	_LogEventName[670:680],
+	_LogEventName[680:691],
+	_LogEventName[691:704],
+	_LogEventName[704:725],
+	_LogEventName[725:741],
+	_LogEventName[741:759],
+	_LogEventName[759:770],
+	_LogEventName[770:786],
+	_LogEventName[786:802],
+	_LogEventName[802:817],
+	_LogEventName[817:831],
+	_LogEventName[831:845],
+	_LogEventName[845:860],
+	_LogEventName[860:878],
+	_LogEventName[878:896],
+	_LogEventName[896:909],
+	_LogEventName[909:918],
+	_LogEventName[918:932],
+	_LogEventName[932:947],
+	_LogEventName[947:964],
+	_LogEventName[964:979],
+	_LogEventName[979:992],
+	_LogEventName[992:1007],
+	_LogEventName[1007:1018],
+	_LogEventName[1018:1032],
+	_LogEventName[1032:1045],
+	_LogEventName[1045:1071],
+	_LogEventName[1071:1089],
+	_LogEventName[1089:1103],
+	_LogEventName[1103:1120],
+	_LogEventName[1120:1139],
+	_LogEventName[1139:1160],
+	_LogEventName[1160:1169],
+	_LogEventName[1169:1179],
+	_LogEventName[1179:1196],
+	_LogEventName[1196:1206],
+	_LogEventName[1206:1215],
+	_LogEventName[1215:1229],
+	_LogEventName[1229:1241],
+	_LogEventName[1241:1257],
+	_LogEventName[1257:1264],
+	_LogEventName[1264:1272],
+	_LogEventName[1272:1279],
+	_LogEventName[1279:1286],
+	_LogEventName[1286:1303],
+	_LogEventName[1303:1319],
+	_LogEventName[1319:1333],
+	_LogEventName[1333:1351],
+	_LogEventName[1351:1364],
+	_LogEventName[1364:1374],
+	_LogEventName[1374:1391],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -23,6 +23,8 @@
 	// Accounts are the client accounts with a quota that a control VM grants parts of, at most
 	// MaxAccountStatuses of them, those with the largest use first.
 	Accounts []AccountStatus `json:"accounts,omitempty"`
+	// Parts are the parts of prompts that a control VM refuses, at most MaxPartStatuses of them, those with the most crashes first.
+	Parts []PartStatus `json:"parts,omitempty"`
 	// Services are the services of the routes in effect.
 	Services []ServiceStatus `json:"services,omitempty"`
 }
@@ -30,6 +32,26 @@
 // MaxAccountStatuses is the number of client accounts in a status.
 const MaxAccountStatuses = 64
 
+// MaxPartStatuses is the number of parts of prompts in a status.
+const MaxPartStatuses = 64
+
+// PartStatus is a part of prompts with which requests are refused.
+type PartStatus struct {
+	Service ServiceName `json:"service"`
+	Part    PartID      `json:"part"`
+	// Crashes counts the backend servers that crashed under it since the last answer, Trials those of them in a trial.
+	Crashes int `json:"crashes"`
+	Trials  int `json:"trials,omitempty"`
+	// RetryIn is the time until it may be tried again.
+	RetryIn Duration `json:"retry-in"`
+}
+
+// PartLift asks for a part of prompts to be served again.
+type PartLift struct {
+	Service ServiceName `json:"service"`
+	Part    PartID      `json:"part"`
+}
+
 // KeysStatus tells whether a gateway accepts the keys of client accounts.
 type KeysStatus struct {
 	Accepted bool `json:"accepted"`
