fix: a refused part is listed again while it is sent, and a crashed server's address isn't probed for seconds

Read through: gateways that see no request with a refused part for an hour would have served it again, as nothing refreshed their entry; and an address that accepts connections again was connected to forty times while its successor's announcement was awaited.

--- a/laburnumgateway/crashes.go
+++ b/laburnumgateway/crashes.go
@@ -102,16 +102,17 @@
 	timers := d.gateway.timers
 	laburnumtimer.Wait(nil, timers, probeDelay)
 	verdict := d.judge(id, address)
-	probes := 1
+	probes, connects := 1, false
 	for ; verdict.crash == crashUndecided && probes < maxProbes; probes++ {
 		laburnumtimer.Wait(nil, timers, probePause)
-		switch next := d.judge(id, address); {
-		case d.gateway.fleet.hasSuccessor(address, before):
+		if d.gateway.fleet.hasSuccessor(address, before) {
 			verdict.crash = crashConfirmed
-		case next.cause == nil:
-			// Its links may be back, or a successor whose announcement is on its way.
-		default:
-			verdict = next
+		} else if !connects {
+			next := d.judge(id, address)
+			// The links may be back, or there is a successor whose announcement is on its way.
+			if connects = next.cause == nil; !connects {
+				verdict = next
+			}
 		}
 	}
 	crashed := verdict.crash == crashConfirmed
--- a/laburnumquarantine/partdetector.go
+++ b/laburnumquarantine/partdetector.go
@@ -22,6 +22,8 @@
 	// Requests that are under way when a part is refused end servers until inFlightTime later. Crashes from then on are those of
 	// trials.
 	inFlightTime = time.Second
+	// refreshPartAfter is the time after which a refused part is listed again while requests with it still come.
+	refreshPartAfter = Retention / 4
 	// maxPartCrashes bounds the crashes that are kept of a part, maxSuspectParts the parts.
 	maxPartCrashes  = 24
 	maxSuspectParts = 4096
@@ -38,7 +40,7 @@
 type PartDetector struct {
 	crashes map[Crash]*partCrash
 	parts   map[Part]*suspectPart
-	listed  map[Part]Entry
+	listed  map[Part]listing
 }
 
 // partCrash is a crash of a backend server.
@@ -76,7 +78,7 @@
 
 // NewPartDetector returns a detector without evidence.
 func NewPartDetector() *PartDetector {
-	return &PartDetector{crashes: map[Crash]*partCrash{}, parts: map[Part]*suspectPart{}, listed: map[Part]Entry{}}
+	return &PartDetector{crashes: map[Crash]*partCrash{}, parts: map[Part]*suspectPart{}, listed: map[Part]listing{}}
 }
 
 // Size returns the number of parts that evidence is kept of, and of those that are refused.
@@ -247,16 +249,18 @@
 	for part, p := range d.parts {
 		e := d.entry(p, now)
 		old, listed := d.listed[part]
-		if e.State == Cleared || listed && old.State == e.State && old.Crashes == e.Crashes {
+		same := listed && old.entry.State == e.State && old.entry.Crashes == e.Crashes
+		// Gateways that see no request with the part keep the entry as long as it is listed now and then.
+		if e.State == Cleared || same && (!p.refused() || p.seen.Sub(old.at) < refreshPartAfter) {
 			continue
 		}
-		d.listed[part] = e
+		d.listed[part] = listing{entry: e, at: now}
 		changed = append(changed, e)
 	}
-	for part, e := range d.listed {
+	for part, l := range d.listed {
 		if p := d.parts[part]; p == nil || d.entry(p, now).State == Cleared {
 			delete(d.listed, part)
-			changed = append(changed, Entry{Digest: e.Digest, Part: e.Part, State: Cleared})
+			changed = append(changed, Entry{Digest: l.entry.Digest, Part: l.entry.Part, State: Cleared})
 		}
 	}
 	slices.SortFunc(changed, func(a, b Entry) int { return bytes.Compare(a.Digest[:], b.Digest[:]) })
--- a/laburnumquarantine/partdetector_test.go
+++ b/laburnumquarantine/partdetector_test.go
@@ -139,6 +139,20 @@
 	require.Empty(t, requests.Changes(start), "a part is no request")
 }
 
+// Guards against a part that is served again at gateways which see no request with it for an hour, while others refuse it.
+func TestRefusedPartIsListedAgainWhileItIsSent(t *testing.T) {
+	d := laburnumquarantine.NewPartDetector()
+	refusePart(t, d, 7)
+	now, listed := start, 0
+	for now.Sub(start) < 3*laburnumquarantine.Retention {
+		now = now.Add(time.Minute)
+		d.Add(laburnumquarantine.Report{Refused: []laburnumlever.RequestDigest{modelPart(7).Digest()}}, now)
+		listed += len(d.Changes(now))
+	}
+	require.InDelta(t, 12, listed, 1, "four times an hour")
+	require.Equal(t, map[int]laburnumquarantine.State{7: cleared}, partStates(d, now.Add(laburnumquarantine.Retention+time.Minute)))
+}
+
 // Guards against ages in reports that depend on when they are sent, or on the clocks of two VMs.
 func TestReportsCarryAges(t *testing.T) {
 	sent := laburnumquarantine.Report{Parts: []laburnumquarantine.PartSighting{{
