test: a part that rides along is served; guards

The guard of the fewest parts went unnoticed by the model (rare parts are few in it); TestPartThatRidesAlongIsServed notices it.

--- a/laburnumquarantine/partdetector.go
+++ b/laburnumquarantine/partdetector.go
@@ -248,10 +248,7 @@
 	var changed []Entry
 	for part, p := range d.parts {
 		e := d.entry(p, now)
-		old, listed := d.listed[part]
-		same := listed && old.entry.State == e.State && old.entry.Crashes == e.Crashes
-		// Gateways that see no request with the part keep the entry as long as it is listed now and then.
-		if e.State == Cleared || same && (!p.refused() || p.seen.Sub(old.at) < refreshPartAfter) {
+		if e.State == Cleared || !d.mustList(p, e) {
 			continue
 		}
 		d.listed[part] = listing{entry: e, at: now}
@@ -267,6 +264,16 @@
 	return changed
 }
 
+// mustList reports whether an entry must be listed: it has changed, or the part is refused and was seen long after. Gateways that see
+// no request with the part keep the entry as long as it is listed now and then.
+func (d *PartDetector) mustList(p *suspectPart, e Entry) bool {
+	old, listed := d.listed[p.part]
+	if !listed || old.entry.State != e.State || old.entry.Crashes != e.Crashes {
+		return true
+	}
+	return p.refused() && p.seen.Sub(old.at) >= refreshPartAfter
+}
+
 func (d *PartDetector) entry(p *suspectPart, now time.Time) Entry {
 	if !p.refused() && len(p.ends) < suspectCrashes {
 		return Entry{}
--- a/laburnumquarantine/partdetector_test.go
+++ b/laburnumquarantine/partdetector_test.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// Guards against a part that is refused since it rides along with one that crashes servers, before anybody has answered it.
+func TestPartThatRidesAlongIsServed(t *testing.T) {
+	d := laburnumquarantine.NewPartDetector()
+	for server := range 4 {
+		partCrash(d, server, start, nil, 7, 8)
+		partCrash(d, server, start, nil, 8) // another gateway's request
+	}
+	states := partStates(d, start)
+	require.Equal(t, quarantined, states[7])
+	require.NotEqual(t, quarantined, states[8])
+	for server := range 3 {
+		partCrash(d, 10+server, start, nil, 8)
+	}
+	require.Equal(t, quarantined, partStates(d, start)[8], "servers crash without the other")
+}
+
 // Guards against one service's engines that keep another service from a part, or from the evidence on it.
 func TestPartsOfTwoServicesAreApart(t *testing.T) {
 	d := laburnumquarantine.NewPartDetector()
