--- a/laburnumquarantine/doc.go
+++ b/laburnumquarantine/doc.go
@@ -1,4 +1,4 @@
-// Package laburnumquarantine finds requests that crash the backend servers that run them, and keeps
+// Package laburnumquarantine finds requests, and parts of prompts, that crash the backend servers which run them, and keeps
 // the list of those that gateways refuse. It does no I/O and reads no clock.
 //
 // Load pattern: a caller repeats a request that crashes each backend server within moments. Each
@@ -14,20 +14,26 @@
 //   - Copies of one request may be on a server together. Where three of them have ended with fewer
 //     servers, all gateways together send one at a time (Trials), until it is answered or held.
 //   - A request that a server answered completely is cleared.
+//   - A part that prompts share may crash servers whatever else its requests hold, so that no two of these have the same digest.
+//     Gateways report the parts of what was on a crashed server, with when each was last answered. A PartDetector refuses the
+//     fewest parts that explain the crashes since; one request of the whole fleet at a time tries a refused part.
 //   - A List on each gateway contains the entries of several control VMs. A request is refused while
 //     one of them holds it or has it in quarantine.
 //
-// Both are bounded: see maxSuspects, maxEntries and Retention.
+// All are bounded: see maxSuspects, maxEntries, maxSuspectParts and Retention.
 //
 // # Usage
 //
 //	detector := laburnumquarantine.NewDetector() // on a control VM
 //	detector.Add(report, now)
 //	publish(detector.Changes(now))
+//	parts := laburnumquarantine.NewPartDetector() // beside it
+//	parts.Add(report.Received(now), now)
+//	publish(parts.Changes(now)) // and again after KnownPartDelay
 //
 //	list := laburnumquarantine.NewList() // on a gateway
 //	list.Apply(source, boot, entries, now)
 //	if list.State(digest, now).Refused() { refuse() }
 //
-// Neither is safe for concurrent use.
+// None is safe for concurrent use.
 package laburnumquarantine
