fix: a part whose answers end with their connections can be cleared

Read through: such answers cleared nothing, so that a sound part refused once would have been served one request at a time. One that went on for half a second counts, as one that was broken off after that does. TestLongAnswerThatEndsWithItsConnectionClearsAPart failed before (no answer reported).

--- a/laburnumgateway/parts_test.go
+++ b/laburnumgateway/parts_test.go
@@ -136,6 +136,21 @@
 	require.Empty(t, reports.sent().Completed)
 }
 
+// Guards against a part that no answer can clear since all of them end with their connections.
+func TestLongAnswerThatEndsWithItsConnectionClearsAPart(t *testing.T) {
+	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+		unframedHead(conn, a)
+		fmt.Fprint(conn, "id: 1\ndata: one\n\n")
+		<-time.After(600 * time.Millisecond)
+		fmt.Fprint(conn, "id: 2\ndata: two\n\n")
+		_ = conn.Close()
+	})
+	b, reports, _ := newQuarantineHarness(t, server.heartbeat("quotes", "m0"))
+	b.listPart(laburnumquarantine.Suspect, 0)
+	require.NoError(t, b.quote("one", "dead:10").err)
+	require.Len(t, reports.sent().Answers, 1)
+}
+
 // Guards against a stream cut inside an event that reaches its caller as whole, and against one that isn't resumed where it may be.
 func TestStreamCutInsideAnEventIsBrokenOff(t *testing.T) {
 	var runs atomic.Int64
--- a/laburnumgateway/quarantine.go
+++ b/laburnumgateway/quarantine.go
@@ -196,6 +196,7 @@
 // recordAnswered records a complete answer, and reports it if the request or a part of its prompt is listed.
 func (f *Fleet) recordAnswered(q *request) {
 	if !q.sound {
+		f.recordLasting(q)
 		return
 	}
 	digest := q.digest()
@@ -208,7 +209,8 @@
 	f.recordParts(q)
 }
 
-// recordLasting records an answer that was broken off after so long that its request can't have crashed the server.
+// recordLasting records an answer that ended, by a break or with its connection, after so long that its request can't have crashed
+// the server.
 func (f *Fleet) recordLasting(q *request) {
 	if !q.begunAt.IsZero() && f.timers.Now().Sub(q.begunAt) >= lastingTime {
 		f.recordParts(q)
