--- a/laburnumroles/crashingpart_test.go
+++ b/laburnumroles/crashingpart_test.go
@@ -251,8 +251,11 @@
 	const gateways, part = 2, "dead"
 	f := newCrashingFleetOf(t, gateways, 6, &crashingEngines{down: time.Second, delay: 10 * time.Millisecond, parts: []string{part}})
 	l := &partLoad{crashingFleet: f, gateways: gateways}
+	checks := 0
 	refused := func() bool {
-		_, body := l.call("POST", "http://"+l.gatewayAddress(0)+"/quote/x", []byte("oak"), "X-Laburnumlever-Request-Id", "oak",
+		checks++
+		id := fmt.Sprint("check-", checks) // no two are alike, or they would be refused as repeats of one request
+		_, body := l.call("POST", "http://"+l.gatewayAddress(0)+"/quote/x", []byte(id), "X-Laburnumlever-Request-Id", id,
 			"X-Laburnumlever-Model", "m0", "X-Laburnumlever-Prefix-Hash", firstPart+":100,"+part+":60,1:5")
 		return string(body) == "part-quarantined\n"
 	}
