--- a/laburnumoverload/listener.go
+++ b/laburnumoverload/listener.go
@@ -31,6 +31,6 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // otherwise the connection is closed without a reset
 	}
-	_ = conn.Close()
 	l.onShed()
+	_ = conn.Close()
 }
