fix: a queued request that may try a refused part isn't told that servers are limited

What callers saw: a request queued with a part that is refused and may be tried at once left the queue at each change of the list, as one that must be refused; it was not, asked for a slot at limited servers, and at the second change was refused as backend-limited, though no server is limited. Cause: the queue asked whether a part is refused, the refusal whether it may be tried. Both ask the same now.

--- a/laburnumgateway/parts_test.go
+++ b/laburnumgateway/parts_test.go
@@ -71,6 +71,23 @@
 	require.Empty(t, server.requests())
 }
 
+// Guards against a queued request that is told that servers are limited, since its part may be tried at once and the queue is woken twice.
+func TestQueuedRequestThatMayBeATrialStaysQueued(t *testing.T) {
+	server := newBackend(t, "i-1", streamWhole)
+	b, _, _ := newQuarantineHarnessWith(t, stillClock(), server.heartbeat("quotes", "m1"))
+	ended := make(chan callerResponse, 1)
+	go func() { ended <- b.quote("one", "aa:10,dead:10") }()
+	require.Eventually(t, func() bool { return b.fleet.Status().Queued == 1 }, 10*time.Second, time.Millisecond)
+	b.listPart(laburnumquarantine.Quarantined, 0)
+	for i := range 3 {
+		b.list("b", laburnumquarantine.Held, digestOf("POST", "/quote/x", fmt.Sprint("other-", i)))
+		require.Never(t, func() bool { return len(ended) > 0 }, 50*time.Millisecond, time.Millisecond)
+	}
+	b.listPart(laburnumquarantine.Cleared, 0)
+	b.listPart(laburnumquarantine.Quarantined, time.Minute)
+	require.Equal(t, "part-quarantined\n", (<-ended).body)
+}
+
 // Guards against several trials of a part at one gateway, and against one that no control VM has granted.
 func TestRefusedPartIsNotTriedWithoutAControlVM(t *testing.T) {
 	server := newBackend(t, "i-1", streamWhole)
--- a/laburnumgateway/quarantine.go
+++ b/laburnumgateway/quarantine.go
@@ -132,6 +132,18 @@
 		"several backend servers crashed while they ran the request; it is refused until it has not been sent for "+state.RefusalTime().String())
 }
 
+// refusesContent reports whether the request or a part of its prompt is refused, and it may not be the next trial of the part.
+func (f *Fleet) refusesContent(q *request) bool {
+	if !f.quarantineState(q).Refused() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.timers.Now()
+	part, _ := f.refusedPart(q, now)
+	return part != nil || f.quarantine.State(q.digest(), now).Refused()
+}
+
 // refusedPart returns the refused part whose next trial is last, and the time until then; nil if all may be tried now. The caller
 // must hold mu.
 func (f *Fleet) refusedPart(q *request, now time.Time) (*laburnumquarantine.Part, time.Duration) {
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -125,7 +125,7 @@
 	now := f.timers.Now()
 	woken, leave := f.queueWoken, f.needsSlot(q, query, now) || f.restsTooLong(q, query, now)
 	f.mu.Unlock()
-	if leave || f.quarantineState(q).Refused() || f.versionGone(q) {
+	if leave || f.refusesContent(q) || f.versionGone(q) {
 		return nil
 	}
 	return woken
