--- a/laburnumgateway/detours.go
+++ b/laburnumgateway/detours.go
@@ -48,6 +48,8 @@
 	}
 	l.mu.Unlock()
 	if !open {
+		_ = level.Info(g.logger).Log("event", laburnumlever.EventDetourNotOpened, "backend", to.Backend, "address", to.Address,
+			"answered", probe.Direct, "answered-other", probe.Reached, "asked-other", probe.Helped, "cause", probe.Cause)
 		return
 	}
 	g.counters.detours.Inc(1)
--- a/laburnumgateway/linkprobes.go
+++ b/laburnumgateway/linkprobes.go
@@ -76,8 +76,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tunnelProbeTimeout)
 	defer cancel()
 	_, _, helped := countProbes(l.probeAll(servers, func(s probedServer) laburnumreachability.Probe {
-		_, helped := l.probeThroughOthers(ctx, s)
-		return laburnumreachability.Probe{Address: s.address, Helped: helped}
+		_, helped, err := l.probeThroughOthers(ctx, s)
+		return laburnumreachability.Probe{Address: s.address, Helped: helped, Cause: err}
 	}, func(probes []laburnumreachability.Probe) bool { return probes[len(probes)-1].Helped }))
 	return helped > 0
 }
@@ -104,7 +104,7 @@
 	if p.Direct {
 		return p
 	}
-	p.Reached, p.Helped = l.probeThroughOthers(ctx, s)
+	p.Reached, p.Helped, p.Cause = l.probeThroughOthers(ctx, s)
 	if ended {
 		return p
 	}
@@ -121,22 +121,22 @@
 	return p
 }
 
-// probeThroughOthers reports whether a backend server answers another VM, and whether one was found. A VM that has lost its
-// own links may open a connection that brings nothing, so another one is asked then.
-func (l *links) probeThroughOthers(ctx context.Context, s probedServer) (answered, helped bool) {
+// probeThroughOthers reports whether a backend server answers another VM, whether one was found, and the last error. A VM that
+// has lost its own links may open a connection that brings nothing, so another one is asked then.
+func (l *links) probeThroughOthers(ctx context.Context, s probedServer) (answered, helped bool, err error) {
 	for range tunnelProbes {
-		err := l.probeThroughOther(ctx, s)
+		err = l.probeThroughOther(ctx, s)
 		var nobody *laburnumtunnel.NoHelperError
 		var lost *laburnumupstream.LostError
 		switch {
 		case errors.As(err, &nobody):
-			return false, helped
+			return false, helped, err
 		case !errors.As(err, &lost):
-			return err == nil, true
+			return err == nil, true, err
 		}
 		helped = true
 	}
-	return false, helped
+	return false, helped, err
 }
 
 func (l *links) probeThroughOther(ctx context.Context, s probedServer) error {
--- a/laburnumreachability/monitor.go
+++ b/laburnumreachability/monitor.go
@@ -29,6 +29,8 @@
 	Direct bool
 	// Helped is set if another VM could be asked to connect to it, and Reached if it answered that VM.
 	Helped, Reached bool
+	// Cause is why it was not reached through another VM, if one was asked in vain.
+	Cause error
 }
 
 // Monitor is a VM's view of its links to the backend servers.
--- a/logevent.go
+++ b/logevent.go
@@ -45,6 +45,9 @@
 	// EventDetourOpened is a backend server to which a gateway opens connections through other gateways from now on, since
 	// only these reach it.
 	EventDetourOpened
+	// EventDetourNotOpened is a backend server that failed repeatedly and was probed without such a result, and what the
+	// probes brought.
+	EventDetourNotOpened
 	// EventDetourClosed is the end of that, and why.
 	EventDetourClosed
 	// EventLinksLost is a gateway that has lost its own links to the backend servers, and what was probed.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 219, 229, 243, 256, 270, 289, 309, 328, 350, 364, 383, 399, 415, 426, 439, 462, 475, 490, 503, 517, 532, 550, 564, 580, 596, 609, 625, 641, 656, 670, 680, 691, 704, 725, 741, 759, 770, 786, 802, 817, 831, 845, 860, 878, 896, 909, 918, 932, 947, 964, 979, 992, 1007, 1018, 1032, 1045, 1071, 1089, 1103, 1120, 1139, 1160, 1169, 1179, 1196, 1206, 1215, 1229, 1241, 1257, 1264, 1272, 1279, 1286, 1303, 1319, 1333, 1351, 1364, 1374, 1391}
+var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 223, 236, 246, 260, 273, 287, 306, 326, 345, 367, 381, 400, 416, 432, 443, 456, 479, 492, 507, 520, 534, 549, 567, 581, 597, 613, 626, 642, 658, 673, 687, 697, 708, 721, 742, 758, 776, 787, 803, 819, 834, 848, 862, 877, 895, 913, 926, 935, 949, 964, 981, 996, 1009, 1024, 1035, 1049, 1062, 1088, 1106, 1120, 1137, 1156, 1177, 1186, 1196, 1213, 1223, 1232, 1246, 1258, 1274, 1281, 1289, 1296, 1303, 1320, 1336, 1350, 1368, 1381, 1391, 1408}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -39,90 +39,91 @@
 	_ = x[EventBackendCrashed-(12)]
 	_ = x[EventCrashUnconfirmed-(13)]
 	_ = x[EventDetourOpened-(14)]
-	_ = x[EventDetourClosed-(15)]
-	_ = x[EventLinksLost-(16)]
-	_ = x[EventLinksRestored-(17)]
-	_ = x[EventBackendRests-(18)]
-	_ = x[EventBackendLeaves-(19)]
-	_ = x[EventHelperNotNotified-(20)]
-	_ = x[EventSoftwareVersionNew-(21)]
-	_ = x[EventStreamNotRecorded-(22)]
-	_ = x[EventStreamVersionUnknown-(23)]
-	_ = x[EventLinksVerified-(24)]
-	_ = x[EventRequestQuarantined-(25)]
-	_ = x[EventRequestReleased-(26)]
-	_ = x[EventPartQuarantined-(27)]
-	_ = x[EventPartLifted-(28)]
-	_ = x[EventPartReleased-(29)]
-	_ = x[EventQuarantineNotReported-(30)]
-	_ = x[EventLimitChanged-(31)]
-	_ = x[EventBrittleChanged-(32)]
-	_ = x[EventLimitUnclear-(33)]
-	_ = x[EventSlotRequested-(34)]
-	_ = x[EventSlotUnanswered-(35)]
-	_ = x[EventLimitNotReported-(36)]
-	_ = x[EventKeysConfirmed-(37)]
-	_ = x[EventKeysUnconfirmed-(38)]
-	_ = x[EventAccountsUnknown-(39)]
-	_ = x[EventQuotaUsedUp-(40)]
-	_ = x[EventQuotaUnanswered-(41)]
-	_ = x[EventOutlierDetected-(42)]
-	_ = x[EventModelWithdrawn-(43)]
-	_ = x[EventOrderAnswered-(44)]
-	_ = x[EventOrderDone-(45)]
-	_ = x[EventOrderStateChanged-(46)]
-	_ = x[EventOrderRefused-(47)]
-	_ = x[EventOrderOutcomeUnknown-(48)]
-	_ = x[EventEngineStateNotRead-(49)]
-	_ = x[EventInventoryNotRead-(50)]
-	_ = x[EventLoadFailed-(51)]
-	_ = x[EventBackendStateNotEncoded-(52)]
-	_ = x[EventRegistryRefused-(53)]
-	_ = x[EventRoutesProposed-(54)]
-	_ = x[EventRoutesRefused-(55)]
-	_ = x[EventRoutesApplied-(56)]
-	_ = x[EventRoutesInEffect-(57)]
-	_ = x[EventRoutesNotFetched-(58)]
-	_ = x[EventCatalogueInEffect-(59)]
-	_ = x[EventBecameLeader-(60)]
-	_ = x[EventNoLeader-(61)]
-	_ = x[EventReplicaOpened-(62)]
-	_ = x[EventStartConfirmed-(63)]
-	_ = x[EventStartUnconfirmed-(64)]
-	_ = x[EventVotersChanged-(65)]
-	_ = x[EventLearnerAdded-(66)]
-	_ = x[EventLearnerRemoved-(67)]
-	_ = x[EventVoterAdded-(68)]
-	_ = x[EventVoterReplaced-(69)]
-	_ = x[EventVoterStandby-(70)]
-	_ = x[EventLeadershipNotHandedOver-(71)]
-	_ = x[EventExpiryNotEncoded-(72)]
-	_ = x[EventReplicaFailed-(73)]
-	_ = x[EventReplicaRegressed-(74)]
-	_ = x[EventDataFolderDamaged-(75)]
-	_ = x[EventDataFolderRegressed-(76)]
-	_ = x[EventLeaseAcquired-(77)]
-	_ = x[EventLeaseLost-(78)]
-	_ = x[EventLeaseNotRenewed-(79)]
-	_ = x[EventZoneOwned-(80)]
-	_ = x[EventZoneLost-(81)]
-	_ = x[EventControlThreadTimes-(82)]
-	_ = x[EventControlLost-(83)]
-	_ = x[EventControlRegained-(84)]
-	_ = x[EventStarted-(85)]
-	_ = x[EventDraining-(86)]
-	_ = x[EventDrained-(87)]
-	_ = x[EventStopped-(88)]
-	_ = x[EventSettingsReloaded-(89)]
-	_ = x[EventSettingsRefused-(90)]
-	_ = x[EventListenerEnded-(91)]
-	_ = x[EventMetricsNotServed-(92)]
-	_ = x[EventUnknownEvent-(93)]
-	_ = x[EventOverloaded-(94)]
-	_ = x[EventLogLinesDropped-(95)]
+	_ = x[EventDetourNotOpened-(15)]
+	_ = x[EventDetourClosed-(16)]
+	_ = x[EventLinksLost-(17)]
+	_ = x[EventLinksRestored-(18)]
+	_ = x[EventBackendRests-(19)]
+	_ = x[EventBackendLeaves-(20)]
+	_ = x[EventHelperNotNotified-(21)]
+	_ = x[EventSoftwareVersionNew-(22)]
+	_ = x[EventStreamNotRecorded-(23)]
+	_ = x[EventStreamVersionUnknown-(24)]
+	_ = x[EventLinksVerified-(25)]
+	_ = x[EventRequestQuarantined-(26)]
+	_ = x[EventRequestReleased-(27)]
+	_ = x[EventPartQuarantined-(28)]
+	_ = x[EventPartLifted-(29)]
+	_ = x[EventPartReleased-(30)]
+	_ = x[EventQuarantineNotReported-(31)]
+	_ = x[EventLimitChanged-(32)]
+	_ = x[EventBrittleChanged-(33)]
+	_ = x[EventLimitUnclear-(34)]
+	_ = x[EventSlotRequested-(35)]
+	_ = x[EventSlotUnanswered-(36)]
+	_ = x[EventLimitNotReported-(37)]
+	_ = x[EventKeysConfirmed-(38)]
+	_ = x[EventKeysUnconfirmed-(39)]
+	_ = x[EventAccountsUnknown-(40)]
+	_ = x[EventQuotaUsedUp-(41)]
+	_ = x[EventQuotaUnanswered-(42)]
+	_ = x[EventOutlierDetected-(43)]
+	_ = x[EventModelWithdrawn-(44)]
+	_ = x[EventOrderAnswered-(45)]
+	_ = x[EventOrderDone-(46)]
+	_ = x[EventOrderStateChanged-(47)]
+	_ = x[EventOrderRefused-(48)]
+	_ = x[EventOrderOutcomeUnknown-(49)]
+	_ = x[EventEngineStateNotRead-(50)]
+	_ = x[EventInventoryNotRead-(51)]
+	_ = x[EventLoadFailed-(52)]
+	_ = x[EventBackendStateNotEncoded-(53)]
+	_ = x[EventRegistryRefused-(54)]
+	_ = x[EventRoutesProposed-(55)]
+	_ = x[EventRoutesRefused-(56)]
+	_ = x[EventRoutesApplied-(57)]
+	_ = x[EventRoutesInEffect-(58)]
+	_ = x[EventRoutesNotFetched-(59)]
+	_ = x[EventCatalogueInEffect-(60)]
+	_ = x[EventBecameLeader-(61)]
+	_ = x[EventNoLeader-(62)]
+	_ = x[EventReplicaOpened-(63)]
+	_ = x[EventStartConfirmed-(64)]
+	_ = x[EventStartUnconfirmed-(65)]
+	_ = x[EventVotersChanged-(66)]
+	_ = x[EventLearnerAdded-(67)]
+	_ = x[EventLearnerRemoved-(68)]
+	_ = x[EventVoterAdded-(69)]
+	_ = x[EventVoterReplaced-(70)]
+	_ = x[EventVoterStandby-(71)]
+	_ = x[EventLeadershipNotHandedOver-(72)]
+	_ = x[EventExpiryNotEncoded-(73)]
+	_ = x[EventReplicaFailed-(74)]
+	_ = x[EventReplicaRegressed-(75)]
+	_ = x[EventDataFolderDamaged-(76)]
+	_ = x[EventDataFolderRegressed-(77)]
+	_ = x[EventLeaseAcquired-(78)]
+	_ = x[EventLeaseLost-(79)]
+	_ = x[EventLeaseNotRenewed-(80)]
+	_ = x[EventZoneOwned-(81)]
+	_ = x[EventZoneLost-(82)]
+	_ = x[EventControlThreadTimes-(83)]
+	_ = x[EventControlLost-(84)]
+	_ = x[EventControlRegained-(85)]
+	_ = x[EventStarted-(86)]
+	_ = x[EventDraining-(87)]
+	_ = x[EventDrained-(88)]
+	_ = x[EventStopped-(89)]
+	_ = x[EventSettingsReloaded-(90)]
+	_ = x[EventSettingsRefused-(91)]
+	_ = x[EventListenerEnded-(92)]
+	_ = x[EventMetricsNotServed-(93)]
+	_ = x[EventUnknownEvent-(94)]
+	_ = x[EventOverloaded-(95)]
+	_ = x[EventLogLinesDropped-(96)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -140,87 +141,88 @@
 	_LogEventName[161:176]:   EventBackendCrashed,
 	_LogEventName[176:193]:   EventCrashUnconfirmed,
 	_LogEventName[193:206]:   EventDetourOpened,
-	_LogEventName[206:219]:   EventDetourClosed,
-	_LogEventName[219:229]:   EventLinksLost,
-	_LogEventName[229:243]:   EventLinksRestored,
-	_LogEventName[243:256]:   EventBackendRests,
-	_LogEventName[256:270]:   EventBackendLeaves,
-	_LogEventName[270:289]:   EventHelperNotNotified,
-	_LogEventName[289:309]:   EventSoftwareVersionNew,
-	_LogEventName[309:328]:   EventStreamNotRecorded,
-	_LogEventName[328:350]:   EventStreamVersionUnknown,
-	_LogEventName[350:364]:   EventLinksVerified,
-	_LogEventName[364:383]:   EventRequestQuarantined,
-	_LogEventName[383:399]:   EventRequestReleased,
-	_LogEventName[399:415]:   EventPartQuarantined,
-	_LogEventName[415:426]:   EventPartLifted,
-	_LogEventName[426:439]:   EventPartReleased,
-	_LogEventName[439:462]:   EventQuarantineNotReported,
-	_LogEventName[462:475]:   EventLimitChanged,
-	_LogEventName[475:490]:   EventBrittleChanged,
-	_LogEventName[490:503]:   EventLimitUnclear,
-	_LogEventName[503:517]:   EventSlotRequested,
-	_LogEventName[517:532]:   EventSlotUnanswered,
-	_LogEventName[532:550]:   EventLimitNotReported,
-	_LogEventName[550:564]:   EventKeysConfirmed,
-	_LogEventName[564:580]:   EventKeysUnconfirmed,
-	_LogEventName[580:596]:   EventAccountsUnknown,
-	_LogEventName[596:609]:   EventQuotaUsedUp,
-	_LogEventName[609:625]:   EventQuotaUnanswered,
-	_LogEventName[625:641]:   EventOutlierDetected,
-	_LogEventName[641:656]:   EventModelWithdrawn,
-	_LogEventName[656:670]:   EventOrderAnswered,
-	_LogEventName[670:680]:   EventOrderDone,
-	_LogEventName[680:691]:   EventOrderStateChanged,
-	_LogEventName[691:704]:   EventOrderRefused,
-	_LogEventName[704:725]:   EventOrderOutcomeUnknown,
-	_LogEventName[725:741]:   EventEngineStateNotRead,
-	_LogEventName[741:759]:   EventInventoryNotRead,
-	_LogEventName[759:770]:   EventLoadFailed,
-	_LogEventName[770:786]:   EventBackendStateNotEncoded,
-	_LogEventName[786:802]:   EventRegistryRefused,
-	_LogEventName[802:817]:   EventRoutesProposed,
-	_LogEventName[817:831]:   EventRoutesRefused,
-	_LogEventName[831:845]:   EventRoutesApplied,
-	_LogEventName[845:860]:   EventRoutesInEffect,
-	_LogEventName[860:878]:   EventRoutesNotFetched,
-	_LogEventName[878:896]:   EventCatalogueInEffect,
-	_LogEventName[896:909]:   EventBecameLeader,
-	_LogEventName[909:918]:   EventNoLeader,
-	_LogEventName[918:932]:   EventReplicaOpened,
-	_LogEventName[932:947]:   EventStartConfirmed,
-	_LogEventName[947:964]:   EventStartUnconfirmed,
-	_LogEventName[964:979]:   EventVotersChanged,
-	_LogEventName[979:992]:   EventLearnerAdded,
-	_LogEventName[992:1007]:  EventLearnerRemoved,
-	_LogEventName[1007:1018]: EventVoterAdded,
-	_LogEventName[1018:1032]: EventVoterReplaced,
-	_LogEventName[1032:1045]: EventVoterStandby,
-	_LogEventName[1045:1071]: EventLeadershipNotHandedOver,
-	_LogEventName[1071:1089]: EventExpiryNotEncoded,
-	_LogEventName[1089:1103]: EventReplicaFailed,
-	_LogEventName[1103:1120]: EventReplicaRegressed,
-	_LogEventName[1120:1139]: EventDataFolderDamaged,
-	_LogEventName[1139:1160]: EventDataFolderRegressed,
-	_LogEventName[1160:1169]: EventLeaseAcquired,
-	_LogEventName[1169:1179]: EventLeaseLost,
-	_LogEventName[1179:1196]: EventLeaseNotRenewed,
-	_LogEventName[1196:1206]: EventZoneOwned,
-	_LogEventName[1206:1215]: EventZoneLost,
-	_LogEventName[1215:1229]: EventControlThreadTimes,
-	_LogEventName[1229:1241]: EventControlLost,
-	_LogEventName[1241:1257]: EventControlRegained,
-	_LogEventName[1257:1264]: EventStarted,
-	_LogEventName[1264:1272]: EventDraining,
-	_LogEventName[1272:1279]: EventDrained,
-	_LogEventName[1279:1286]: EventStopped,
-	_LogEventName[1286:1303]: EventSettingsReloaded,
-	_LogEventName[1303:1319]: EventSettingsRefused,
-	_LogEventName[1319:1333]: EventListenerEnded,
-	_LogEventName[1333:1351]: EventMetricsNotServed,
-	_LogEventName[1351:1364]: EventUnknownEvent,
-	_LogEventName[1364:1374]: EventOverloaded,
-	_LogEventName[1374:1391]: EventLogLinesDropped,
+	_LogEventName[206:223]:   EventDetourNotOpened,
+	_LogEventName[223:236]:   EventDetourClosed,
+	_LogEventName[236:246]:   EventLinksLost,
+	_LogEventName[246:260]:   EventLinksRestored,
+	_LogEventName[260:273]:   EventBackendRests,
+	_LogEventName[273:287]:   EventBackendLeaves,
+	_LogEventName[287:306]:   EventHelperNotNotified,
+	_LogEventName[306:326]:   EventSoftwareVersionNew,
+	_LogEventName[326:345]:   EventStreamNotRecorded,
+	_LogEventName[345:367]:   EventStreamVersionUnknown,
+	_LogEventName[367:381]:   EventLinksVerified,
+	_LogEventName[381:400]:   EventRequestQuarantined,
+	_LogEventName[400:416]:   EventRequestReleased,
+	_LogEventName[416:432]:   EventPartQuarantined,
+	_LogEventName[432:443]:   EventPartLifted,
+	_LogEventName[443:456]:   EventPartReleased,
+	_LogEventName[456:479]:   EventQuarantineNotReported,
+	_LogEventName[479:492]:   EventLimitChanged,
+	_LogEventName[492:507]:   EventBrittleChanged,
+	_LogEventName[507:520]:   EventLimitUnclear,
+	_LogEventName[520:534]:   EventSlotRequested,
+	_LogEventName[534:549]:   EventSlotUnanswered,
+	_LogEventName[549:567]:   EventLimitNotReported,
+	_LogEventName[567:581]:   EventKeysConfirmed,
+	_LogEventName[581:597]:   EventKeysUnconfirmed,
+	_LogEventName[597:613]:   EventAccountsUnknown,
+	_LogEventName[613:626]:   EventQuotaUsedUp,
+	_LogEventName[626:642]:   EventQuotaUnanswered,
+	_LogEventName[642:658]:   EventOutlierDetected,
+	_LogEventName[658:673]:   EventModelWithdrawn,
+	_LogEventName[673:687]:   EventOrderAnswered,
+	_LogEventName[687:697]:   EventOrderDone,
+	_LogEventName[697:708]:   EventOrderStateChanged,
+	_LogEventName[708:721]:   EventOrderRefused,
+	_LogEventName[721:742]:   EventOrderOutcomeUnknown,
+	_LogEventName[742:758]:   EventEngineStateNotRead,
+	_LogEventName[758:776]:   EventInventoryNotRead,
+	_LogEventName[776:787]:   EventLoadFailed,
+	_LogEventName[787:803]:   EventBackendStateNotEncoded,
+	_LogEventName[803:819]:   EventRegistryRefused,
+	_LogEventName[819:834]:   EventRoutesProposed,
+	_LogEventName[834:848]:   EventRoutesRefused,
+	_LogEventName[848:862]:   EventRoutesApplied,
+	_LogEventName[862:877]:   EventRoutesInEffect,
+	_LogEventName[877:895]:   EventRoutesNotFetched,
+	_LogEventName[895:913]:   EventCatalogueInEffect,
+	_LogEventName[913:926]:   EventBecameLeader,
+	_LogEventName[926:935]:   EventNoLeader,
+	_LogEventName[935:949]:   EventReplicaOpened,
+	_LogEventName[949:964]:   EventStartConfirmed,
+	_LogEventName[964:981]:   EventStartUnconfirmed,
+	_LogEventName[981:996]:   EventVotersChanged,
+	_LogEventName[996:1009]:  EventLearnerAdded,
+	_LogEventName[1009:1024]: EventLearnerRemoved,
+	_LogEventName[1024:1035]: EventVoterAdded,
+	_LogEventName[1035:1049]: EventVoterReplaced,
+	_LogEventName[1049:1062]: EventVoterStandby,
+	_LogEventName[1062:1088]: EventLeadershipNotHandedOver,
+	_LogEventName[1088:1106]: EventExpiryNotEncoded,
+	_LogEventName[1106:1120]: EventReplicaFailed,
+	_LogEventName[1120:1137]: EventReplicaRegressed,
+	_LogEventName[1137:1156]: EventDataFolderDamaged,
+	_LogEventName[1156:1177]: EventDataFolderRegressed,
+	_LogEventName[1177:1186]: EventLeaseAcquired,
+	_LogEventName[1186:1196]: EventLeaseLost,
+	_LogEventName[1196:1213]: EventLeaseNotRenewed,
+	_LogEventName[1213:1223]: EventZoneOwned,
+	_LogEventName[1223:1232]: EventZoneLost,
+	_LogEventName[1232:1246]: EventControlThreadTimes,
+	_LogEventName[1246:1258]: EventControlLost,
+	_LogEventName[1258:1274]: EventControlRegained,
+	_LogEventName[1274:1281]: EventStarted,
+	_LogEventName[1281:1289]: EventDraining,
+	_LogEventName[1289:1296]: EventDrained,
+	_LogEventName[1296:1303]: EventStopped,
+	_LogEventName[1303:1320]: EventSettingsReloaded,
+	_LogEventName[1320:1336]: EventSettingsRefused,
+	_LogEventName[1336:1350]: EventListenerEnded,
+	_LogEventName[1350:1368]: EventMetricsNotServed,
+	_LogEventName[1368:1381]: EventUnknownEvent,
+	_LogEventName[1381:1391]: EventOverloaded,
+	_LogEventName[1391:1408]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -239,87 +241,88 @@
 	_LogEventLowerName[161:176]:   EventBackendCrashed,
 	_LogEventLowerName[176:193]:   EventCrashUnconfirmed,
 	_LogEventLowerName[193:206]:   EventDetourOpened,
-	_LogEventLowerName[206:219]:   EventDetourClosed,
-	_LogEventLowerName[219:229]:   EventLinksLost,
-	_LogEventLowerName[229:243]:   EventLinksRestored,
-	_LogEventLowerName[243:256]:   EventBackendRests,
-	_LogEventLowerName[256:270]:   EventBackendLeaves,
-	_LogEventLowerName[270:289]:   EventHelperNotNotified,
-	_LogEventLowerName[289:309]:   EventSoftwareVersionNew,
-	_LogEventLowerName[309:328]:   EventStreamNotRecorded,
-	_LogEventLowerName[328:350]:   EventStreamVersionUnknown,
-	_LogEventLowerName[350:364]:   EventLinksVerified,
-	_LogEventLowerName[364:383]:   EventRequestQuarantined,
-	_LogEventLowerName[383:399]:   EventRequestReleased,
-	_LogEventLowerName[399:415]:   EventPartQuarantined,
-	_LogEventLowerName[415:426]:   EventPartLifted,
-	_LogEventLowerName[426:439]:   EventPartReleased,
-	_LogEventLowerName[439:462]:   EventQuarantineNotReported,
-	_LogEventLowerName[462:475]:   EventLimitChanged,
-	_LogEventLowerName[475:490]:   EventBrittleChanged,
-	_LogEventLowerName[490:503]:   EventLimitUnclear,
-	_LogEventLowerName[503:517]:   EventSlotRequested,
-	_LogEventLowerName[517:532]:   EventSlotUnanswered,
-	_LogEventLowerName[532:550]:   EventLimitNotReported,
-	_LogEventLowerName[550:564]:   EventKeysConfirmed,
-	_LogEventLowerName[564:580]:   EventKeysUnconfirmed,
-	_LogEventLowerName[580:596]:   EventAccountsUnknown,
-	_LogEventLowerName[596:609]:   EventQuotaUsedUp,
-	_LogEventLowerName[609:625]:   EventQuotaUnanswered,
-	_LogEventLowerName[625:641]:   EventOutlierDetected,
-	_LogEventLowerName[641:656]:   EventModelWithdrawn,
-	_LogEventLowerName[656:670]:   EventOrderAnswered,
-	_LogEventLowerName[670:680]:   EventOrderDone,
-	_LogEventLowerName[680:691]:   EventOrderStateChanged,
-	_LogEventLowerName[691:704]:   EventOrderRefused,
-	_LogEventLowerName[704:725]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[725:741]:   EventEngineStateNotRead,
-	_LogEventLowerName[741:759]:   EventInventoryNotRead,
-	_LogEventLowerName[759:770]:   EventLoadFailed,
-	_LogEventLowerName[770:786]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[786:802]:   EventRegistryRefused,
-	_LogEventLowerName[802:817]:   EventRoutesProposed,
-	_LogEventLowerName[817:831]:   EventRoutesRefused,
-	_LogEventLowerName[831:845]:   EventRoutesApplied,
-	_LogEventLowerName[845:860]:   EventRoutesInEffect,
-	_LogEventLowerName[860:878]:   EventRoutesNotFetched,
-	_LogEventLowerName[878:896]:   EventCatalogueInEffect,
-	_LogEventLowerName[896:909]:   EventBecameLeader,
-	_LogEventLowerName[909:918]:   EventNoLeader,
-	_LogEventLowerName[918:932]:   EventReplicaOpened,
-	_LogEventLowerName[932:947]:   EventStartConfirmed,
-	_LogEventLowerName[947:964]:   EventStartUnconfirmed,
-	_LogEventLowerName[964:979]:   EventVotersChanged,
-	_LogEventLowerName[979:992]:   EventLearnerAdded,
-	_LogEventLowerName[992:1007]:  EventLearnerRemoved,
-	_LogEventLowerName[1007:1018]: EventVoterAdded,
-	_LogEventLowerName[1018:1032]: EventVoterReplaced,
-	_LogEventLowerName[1032:1045]: EventVoterStandby,
-	_LogEventLowerName[1045:1071]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1071:1089]: EventExpiryNotEncoded,
-	_LogEventLowerName[1089:1103]: EventReplicaFailed,
-	_LogEventLowerName[1103:1120]: EventReplicaRegressed,
-	_LogEventLowerName[1120:1139]: EventDataFolderDamaged,
-	_LogEventLowerName[1139:1160]: EventDataFolderRegressed,
-	_LogEventLowerName[1160:1169]: EventLeaseAcquired,
-	_LogEventLowerName[1169:1179]: EventLeaseLost,
-	_LogEventLowerName[1179:1196]: EventLeaseNotRenewed,
-	_LogEventLowerName[1196:1206]: EventZoneOwned,
-	_LogEventLowerName[1206:1215]: EventZoneLost,
-	_LogEventLowerName[1215:1229]: EventControlThreadTimes,
-	_LogEventLowerName[1229:1241]: EventControlLost,
-	_LogEventLowerName[1241:1257]: EventControlRegained,
-	_LogEventLowerName[1257:1264]: EventStarted,
-	_LogEventLowerName[1264:1272]: EventDraining,
-	_LogEventLowerName[1272:1279]: EventDrained,
-	_LogEventLowerName[1279:1286]: EventStopped,
-	_LogEventLowerName[1286:1303]: EventSettingsReloaded,
-	_LogEventLowerName[1303:1319]: EventSettingsRefused,
-	_LogEventLowerName[1319:1333]: EventListenerEnded,
-	_LogEventLowerName[1333:1351]: EventMetricsNotServed,
-	_LogEventLowerName[1351:1364]: EventUnknownEvent,
-	_LogEventLowerName[1364:1374]: EventOverloaded,
-	_LogEventLowerName[1374:1391]: EventLogLinesDropped,
+	_LogEventLowerName[206:223]:   EventDetourNotOpened,
+	_LogEventLowerName[223:236]:   EventDetourClosed,
+	_LogEventLowerName[236:246]:   EventLinksLost,
+	_LogEventLowerName[246:260]:   EventLinksRestored,
+	_LogEventLowerName[260:273]:   EventBackendRests,
+	_LogEventLowerName[273:287]:   EventBackendLeaves,
+	_LogEventLowerName[287:306]:   EventHelperNotNotified,
+	_LogEventLowerName[306:326]:   EventSoftwareVersionNew,
+	_LogEventLowerName[326:345]:   EventStreamNotRecorded,
+	_LogEventLowerName[345:367]:   EventStreamVersionUnknown,
+	_LogEventLowerName[367:381]:   EventLinksVerified,
+	_LogEventLowerName[381:400]:   EventRequestQuarantined,
+	_LogEventLowerName[400:416]:   EventRequestReleased,
+	_LogEventLowerName[416:432]:   EventPartQuarantined,
+	_LogEventLowerName[432:443]:   EventPartLifted,
+	_LogEventLowerName[443:456]:   EventPartReleased,
+	_LogEventLowerName[456:479]:   EventQuarantineNotReported,
+	_LogEventLowerName[479:492]:   EventLimitChanged,
+	_LogEventLowerName[492:507]:   EventBrittleChanged,
+	_LogEventLowerName[507:520]:   EventLimitUnclear,
+	_LogEventLowerName[520:534]:   EventSlotRequested,
+	_LogEventLowerName[534:549]:   EventSlotUnanswered,
+	_LogEventLowerName[549:567]:   EventLimitNotReported,
+	_LogEventLowerName[567:581]:   EventKeysConfirmed,
+	_LogEventLowerName[581:597]:   EventKeysUnconfirmed,
+	_LogEventLowerName[597:613]:   EventAccountsUnknown,
+	_LogEventLowerName[613:626]:   EventQuotaUsedUp,
+	_LogEventLowerName[626:642]:   EventQuotaUnanswered,
+	_LogEventLowerName[642:658]:   EventOutlierDetected,
+	_LogEventLowerName[658:673]:   EventModelWithdrawn,
+	_LogEventLowerName[673:687]:   EventOrderAnswered,
+	_LogEventLowerName[687:697]:   EventOrderDone,
+	_LogEventLowerName[697:708]:   EventOrderStateChanged,
+	_LogEventLowerName[708:721]:   EventOrderRefused,
+	_LogEventLowerName[721:742]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[742:758]:   EventEngineStateNotRead,
+	_LogEventLowerName[758:776]:   EventInventoryNotRead,
+	_LogEventLowerName[776:787]:   EventLoadFailed,
+	_LogEventLowerName[787:803]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[803:819]:   EventRegistryRefused,
+	_LogEventLowerName[819:834]:   EventRoutesProposed,
+	_LogEventLowerName[834:848]:   EventRoutesRefused,
+	_LogEventLowerName[848:862]:   EventRoutesApplied,
+	_LogEventLowerName[862:877]:   EventRoutesInEffect,
+	_LogEventLowerName[877:895]:   EventRoutesNotFetched,
+	_LogEventLowerName[895:913]:   EventCatalogueInEffect,
+	_LogEventLowerName[913:926]:   EventBecameLeader,
+	_LogEventLowerName[926:935]:   EventNoLeader,
+	_LogEventLowerName[935:949]:   EventReplicaOpened,
+	_LogEventLowerName[949:964]:   EventStartConfirmed,
+	_LogEventLowerName[964:981]:   EventStartUnconfirmed,
+	_LogEventLowerName[981:996]:   EventVotersChanged,
+	_LogEventLowerName[996:1009]:  EventLearnerAdded,
+	_LogEventLowerName[1009:1024]: EventLearnerRemoved,
+	_LogEventLowerName[1024:1035]: EventVoterAdded,
+	_LogEventLowerName[1035:1049]: EventVoterReplaced,
+	_LogEventLowerName[1049:1062]: EventVoterStandby,
+	_LogEventLowerName[1062:1088]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1088:1106]: EventExpiryNotEncoded,
+	_LogEventLowerName[1106:1120]: EventReplicaFailed,
+	_LogEventLowerName[1120:1137]: EventReplicaRegressed,
+	_LogEventLowerName[1137:1156]: EventDataFolderDamaged,
+	_LogEventLowerName[1156:1177]: EventDataFolderRegressed,
+	_LogEventLowerName[1177:1186]: EventLeaseAcquired,
+	_LogEventLowerName[1186:1196]: EventLeaseLost,
+	_LogEventLowerName[1196:1213]: EventLeaseNotRenewed,
+	_LogEventLowerName[1213:1223]: EventZoneOwned,
+	_LogEventLowerName[1223:1232]: EventZoneLost,
+	_LogEventLowerName[1232:1246]: EventControlThreadTimes,
+	_LogEventLowerName[1246:1258]: EventControlLost,
+	_LogEventLowerName[1258:1274]: EventControlRegained,
+	_LogEventLowerName[1274:1281]: EventStarted,
+	_LogEventLowerName[1281:1289]: EventDraining,
+	_LogEventLowerName[1289:1296]: EventDrained,
+	_LogEventLowerName[1296:1303]: EventStopped,
+	_LogEventLowerName[1303:1320]: EventSettingsReloaded,
+	_LogEventLowerName[1320:1336]: EventSettingsRefused,
+	_LogEventLowerName[1336:1350]: EventListenerEnded,
+	_LogEventLowerName[1350:1368]: EventMetricsNotServed,
+	_LogEventLowerName[1368:1381]: EventUnknownEvent,
+	_LogEventLowerName[1381:1391]: EventOverloaded,
+	_LogEventLowerName[1391:1408]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -338,87 +341,88 @@
 	_LogEventName[161:176],
 	_LogEventName[176:193],
 	_LogEventName[193:206],
-	_LogEventName[206:219],
-	_LogEventName[219:229],
-	_LogEventName[229:243],
-	_LogEventName[243:256],
-	_LogEventName[256:270],
-	_LogEventName[270:289],
-	_LogEventName[289:309],
-	_LogEventName[309:328],
-	_LogEventName[328:350],
-	_LogEventName[350:364],
-	_LogEventName[364:383],
-	_LogEventName[383:399],
-	_LogEventName[399:415],
-	_LogEventName[415:426],
-	_LogEventName[426:439],
-	_LogEventName[439:462],
-	_LogEventName[462:475],
-	_LogEventName[475:490],
-	_LogEventName[490:503],
-	_LogEventName[503:517],
-	_LogEventName[517:532],
-	_LogEventName[532:550],
-	_LogEventName[550:564],
-	_LogEventName[564:580],
-	_LogEventName[580:596],
-	_LogEventName[596:609],
-	_LogEventName[609:625],
-	_LogEventName[625:641],
-	_LogEventName[641:656],
-	_LogEventName[656:670],
-	_LogEventName[670:680],
-	_LogEventName[680:691],
-	_LogEventName[691:704],
-	_LogEventName[704:725],
-	_LogEventName[725:741],
-	_LogEventName[741:759],
-	_LogEventName[759:770],
-	_LogEventName[770:786],
-	_LogEventName[786:802],
-	_LogEventName[802:817],
-	_LogEventName[817:831],
-	_LogEventName[831:845],
-	_LogEventName[845:860],
-	_LogEventName[860:878],
-	_LogEventName[878:896],
-	_LogEventName[896:909],
-	_LogEventName[909:918],
-	_LogEventName[918:932],
-	_LogEventName[932:947],
-	_LogEventName[947:964],
-	_LogEventName[964:979],
-	_LogEventName[979:992],
-	_LogEventName[992:1007],
-	_LogEventName[1007:1018],
-	_LogEventName[1018:1032],
-	_LogEventName[1032:1045],
-	_LogEventName[1045:1071],
-	_LogEventName[1071:1089],
-	_LogEventName[1089:1103],
-	_LogEventName[1103:1120],
-	_LogEventName[1120:1139],
-	_LogEventName[1139:1160],
-	_LogEventName[1160:1169],
-	_LogEventName[1169:1179],
-	_LogEventName[1179:1196],
-	_LogEventName[1196:1206],
-	_LogEventName[1206:1215],
-	_LogEventName[1215:1229],
-	_LogEventName[1229:1241],
-	_LogEventName[1241:1257],
-	_LogEventName[1257:1264],
-	_LogEventName[1264:1272],
-	_LogEventName[1272:1279],
-	_LogEventName[1279:1286],
-	_LogEventName[1286:1303],
-	_LogEventName[1303:1319],
-	_LogEventName[1319:1333],
-	_LogEventName[1333:1351],
-	_LogEventName[1351:1364],
-	_LogEventName[1364:1374],
-	_LogEventName[1374:1391],
+	_LogEventName[206:223],
+	_LogEventName[223:236],
+	_LogEventName[236:246],
+	_LogEventName[246:260],
+	_LogEventName[260:273],
+	_LogEventName[273:287],
+	_LogEventName[287:306],
+	_LogEventName[306:326],
+	_LogEventName[326:345],
+	_LogEventName[345:367],
+	_LogEventName[367:381],
+	_LogEventName[381:400],
+	_LogEventName[400:416],
+	_LogEventName[416:432],
+	_LogEventName[432:443],
+	_LogEventName[443:456],
+	_LogEventName[456:479],
+	_LogEventName[479:492],
+	_LogEventName[492:507],
+	_LogEventName[507:520],
+	_LogEventName[520:534],
+	_LogEventName[534:549],
+	_LogEventName[549:567],
+	_LogEventName[567:581],
+	_LogEventName[581:597],
+	_LogEventName[597:613],
+	_LogEventName[613:626],
+	_LogEventName[626:642],
+	_LogEventName[642:658],
+	_LogEventName[658:673],
+	_LogEventName[673:687],
+	_LogEventName[687:697],
+	_LogEventName[697:708],
+	_LogEventName[708:721],
+	_LogEventName[721:742],
+	_LogEventName[742:758],
+	_LogEventName[758:776],
+	_LogEventName[776:787],
+	_LogEventName[787:803],
+	_LogEventName[803:819],
+	_LogEventName[819:834],
+	_LogEventName[834:848],
+	_LogEventName[848:862],
+	_LogEventName[862:877],
+	_LogEventName[877:895],
+	_LogEventName[895:913],
+	_LogEventName[913:926],
+	_LogEventName[926:935],
+	_LogEventName[935:949],
+	_LogEventName[949:964],
+	_LogEventName[964:981],
+	_LogEventName[981:996],
+	_LogEventName[996:1009],
+	_LogEventName[1009:1024],
+	_LogEventName[1024:1035],
+	_LogEventName[1035:1049],
+	_LogEventName[1049:1062],
+	_LogEventName[1062:1088],
+	_LogEventName[1088:1106],
+	_LogEventName[1106:1120],
+	_LogEventName[1120:1137],
+	_LogEventName[1137:1156],
+	_LogEventName[1156:1177],
+	_LogEventName[1177:1186],
+	_LogEventName[1186:1196],
+	_LogEventName[1196:1213],
+	_LogEventName[1213:1223],
+	_LogEventName[1223:1232],
+	_LogEventName[1232:1246],
+	_LogEventName[1246:1258],
+	_LogEventName[1258:1274],
+	_LogEventName[1274:1281],
+	_LogEventName[1281:1289],
+	_LogEventName[1289:1296],
+	_LogEventName[1296:1303],
+	_LogEventName[1303:1320],
+	_LogEventName[1320:1336],
+	_LogEventName[1336:1350],
+	_LogEventName[1350:1368],
+	_LogEventName[1368:1381],
+	_LogEventName[1381:1391],
+	_LogEventName[1391:1408],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
