--- a/laburnumgateway/linkprobes.go
+++ b/laburnumgateway/linkprobes.go
@@ -100,6 +100,8 @@
 	case p.Direct = <-direct:
 		ended = true
 	case <-slow:
+	case <-ctx.Done():
+		return p // given up
 	}
 	if p.Direct {
 		return p
--- a/laburnumtunnel/client.go
+++ b/laburnumtunnel/client.go
@@ -53,8 +53,9 @@
 	mu      sync.Mutex
 	helpers Helpers
 	next    int
-	// askedAt is when the directory was last asked, failedAt when helpers last did not help.
+	// askedAt is when the directory was last asked, askErr its failure, failedAt when helpers last did not help.
 	askedAt  time.Time
+	askErr   error
 	failedAt map[string]time.Time
 }
 
@@ -80,8 +81,7 @@
 
 // Dial connects to a server through a helper. Errors: *ServerUnreachableError, *NoHelperError.
 func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
-	c.refresh(ctx)
-	var last error
+	last := c.refresh(ctx)
 	var unreached []*ServerUnreachableError
 	for _, helper := range c.candidates() {
 		conn, err := c.dialThrough(ctx, helper, address)
@@ -120,36 +120,41 @@
 	return opinions[0]
 }
 
-// refresh asks the directory for helpers if the known ones are old or do not help.
-func (c *Client) refresh(ctx context.Context) {
-	if c.fresh() {
-		return
+// refresh asks the directory for helpers if the known ones are old or do not help. It returns the last question's failure. A
+// question that is given up says nothing of the directory, so that the next one is asked at once.
+func (c *Client) refresh(ctx context.Context) error {
+	if fresh, err := c.fresh(); fresh {
+		return err
 	}
 	select {
 	case c.asking <- struct{}{}:
 		defer func() { <-c.asking }()
 	case <-ctx.Done():
-		return
+		return ctx.Err()
 	}
-	if c.fresh() {
-		return
+	if fresh, err := c.fresh(); fresh {
+		return err
 	}
 	helpers, err := c.directory.Helpers(ctx)
+	if err != nil && ctx.Err() != nil {
+		return ctx.Err()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.askedAt = c.timers.Now()
+	c.askedAt, c.askErr = c.timers.Now(), err
 	if err == nil {
 		c.helpers = helpers
 	}
+	return err
 }
 
-// fresh reports whether the directory need not be asked.
-func (c *Client) fresh() bool {
+// fresh reports whether the directory need not be asked, and the last question's failure.
+func (c *Client) fresh() (bool, error) {
 	usable := len(c.candidates()) > 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age := c.timers.Now().Sub(c.askedAt)
-	return age < directoryPause || usable && age < directoryAge
+	return age < directoryPause || usable && age < directoryAge, c.askErr
 }
 
 // candidates returns the helpers to ask, each time beginning with another one, the second of them elsewhere if there is one.
--- a/laburnumtunnel/tunnel_test.go
+++ b/laburnumtunnel/tunnel_test.go
@@ -89,6 +89,13 @@
 	return laburnumtunnel.Helpers(d), nil
 }
 
+// askedDirectory names helpers unless the question is given up.
+type askedDirectory struct{ directory }
+
+func (d askedDirectory) Helpers(ctx context.Context) (laburnumtunnel.Helpers, error) {
+	return laburnumtunnel.Helpers(d.directory), ctx.Err()
+}
+
 func newClient(t testing.TB, helpers ...string) *laburnumtunnel.Client {
 	return newClientOf(t, laburnumtunnel.Helpers{Near: helpers})
 }
@@ -246,3 +253,21 @@
 	}
 	require.EqualValues(t, 1, asked.Load(), "a helper that is refuted is left alone for a while")
 }
+
+// Guards against probes that find no helper since one before them was given up, as those of working links are.
+func TestQuestionThatIsGivenUpIsNoAnswer(t *testing.T) {
+	server, _ := echoServer(t)
+	h := startHelper(t, server)
+	timers := laburnumtimer.New()
+	t.Cleanup(timers.Close)
+	client := laburnumtunnel.NewClient(askedDirectory{directory{Near: []string{h.address}}}, timers)
+	for range 10 {
+		ctx, giveUp := context.WithCancel(t.Context())
+		giveUp()
+		_, err := client.Dial(ctx, server)
+		require.ErrorIs(t, err, context.Canceled)
+	}
+	conn, err := client.Dial(t.Context(), server)
+	require.NoError(t, err)
+	require.Equal(t, "line", say(t, conn, "line"))
+}
