fix: leases of brittle servers whose messages are lost come back

While VMs are busy, brittle servers served 36 to 65 requests a second of 120 (TestBrittleServersStandABurst at a load of 14 to 23, half wanted).

Cause, one of two: a gateway that got no answer to its request for a lease within 150 ms had been granted one all the same, which it never knew and never returned; and a return that wasn't answered was sent once. Each kept a slot until the request's deadline.

Evidence: a line of each keeper for each server and 100 ms.

A request for a lease has an id, by which its gateway returns what it may have got; returns are sent until they arrive, for three seconds; ids of leases begin at random, since those of an earlier keeper may come back late. Control VMs of earlier builds ignore the id.

Not the whole of it: what else slots wait for at that load is the time that messages take (leases are out for 330 ms).

--- a/laburnumconcurrency/keeper.go
+++ b/laburnumconcurrency/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,6 +26,8 @@
 	lowerTime = 3 * time.Second
 	// rejectionPause is how long nothing is granted after that.
 	rejectionPause = 200 * time.Millisecond
+	// firstLeases is the number of ids at which a keeper may begin.
+	firstLeases = 1 << 62
 	// holdWeight is the weight of the last lease in the mean time that leases are out.
 	holdWeight = 0.125
 )
@@ -54,7 +57,10 @@
 }
 
 // lease is a lease that is out.
-type lease struct{ since, end time.Time }
+type lease struct {
+	since, end time.Time
+	ask        AskID
+}
 
 // Waiter is a request that waits for a lease.
 type Waiter struct {
@@ -66,7 +72,9 @@
 }
 
 // NewKeeper returns a keeper that knows no servers.
-func NewKeeper() *Keeper { return &Keeper{servers: map[laburnumlever.BackendID]*server{}} }
+func NewKeeper() *Keeper {
+	return &Keeper{servers: map[laburnumlever.BackendID]*server{}, lastLease: LeaseID(rand.Uint64N(firstLeases))}
+}
 
 // Len returns the number of servers that the keeper knows, including those that are no longer brittle.
 func (k *Keeper) Len() int { return len(k.servers) }
@@ -128,9 +136,7 @@
 	if s == nil {
 		return
 	}
-	before := len(s.waiting)
-	s.waiting = slices.DeleteFunc(s.waiting, func(o *Waiter) bool { return o == w })
-	k.waiting -= before - len(s.waiting)
+	k.drop(s, func(o *Waiter) bool { return o == w })
 	select {
 	case lease := <-w.Granted:
 		k.Release(Release{Backend: w.request.Backend, Lease: lease}, now)
@@ -138,7 +144,7 @@
 	}
 }
 
-// Release returns a lease and grants what is free to those that wait.
+// Release returns a lease, or ends a request for one, and grants what is free to those that wait.
 func (k *Keeper) Release(r Release, now time.Time) {
 	s := k.servers[r.Backend]
 	if s == nil {
@@ -147,13 +153,29 @@
 	if l, ok := s.leases[r.Lease]; ok {
 		delete(s.leases, r.Lease)
 		s.countHold(now.Sub(l.since))
+		if r.Rejected { // once: a return may be sent again
+			s.lower(now)
+		}
 	}
-	if r.Rejected {
-		s.lower(now)
+	if r.Lease == 0 && r.Ask != 0 {
+		k.withdraw(s, r.Ask)
 	}
 	k.serve(s, now)
 }
 
+// withdraw ends a request whose gateway got no answer, and the lease that it may have got.
+func (k *Keeper) withdraw(s *server, ask AskID) {
+	maps.DeleteFunc(s.leases, func(_ LeaseID, l lease) bool { return l.ask == ask })
+	k.drop(s, func(w *Waiter) bool { return w.request.Ask == ask })
+}
+
+// drop removes the waiters that match.
+func (k *Keeper) drop(s *server, matches func(*Waiter) bool) {
+	before := len(s.waiting)
+	s.waiting = slices.DeleteFunc(s.waiting, matches)
+	k.waiting -= before - len(s.waiting)
+}
+
 // Tick ends leases whose time is over, and grants what is free.
 func (k *Keeper) Tick(now time.Time) {
 	for _, s := range k.servers {
@@ -191,7 +213,7 @@
 
 func (k *Keeper) grant(s *server, q Request, now time.Time) LeaseID {
 	k.lastLease++
-	s.leases[k.lastLease] = lease{since: now, end: now.Add(Grace + max(0, time.Duration(q.Hold)))}
+	s.leases[k.lastLease] = lease{since: now, end: now.Add(Grace + max(0, time.Duration(q.Hold))), ask: q.Ask}
 	return k.lastLease
 }
 
--- a/laburnumconcurrency/keeper_test.go
+++ b/laburnumconcurrency/keeper_test.go
@@ -55,6 +55,33 @@
 	require.True(t, again.Granted, "the leases have ended at their requests' deadlines")
 }
 
+// Guards against a slot that is out until a request's deadline since its gateway got no answer, and knows no lease to return.
+func TestLeaseWhoseAnswerIsLostComesBack(t *testing.T) {
+	k, l := knownServer(1)
+	lost, waits := ask(l, 0), ask(l, time.Second)
+	lost.Ask, waits.Ask = laburnumconcurrency.NewAskID(), laburnumconcurrency.NewAskID()
+	granted, _ := k.Acquire(lost, laburnumconcurrency.FullShare, at(0))
+	require.True(t, granted.Granted)
+	_, waiter := k.Acquire(waits, laburnumconcurrency.FullShare, at(0))
+	require.NotNil(t, waiter)
+	k.Release(laburnumconcurrency.Release{Backend: l.Backend, Ask: waits.Ask}, at(0))
+	k.Release(laburnumconcurrency.Release{Backend: l.Backend, Ask: lost.Ask}, at(0))
+	require.Empty(t, waiter.Granted, "it no longer waits")
+	again, _ := k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(0))
+	require.True(t, again.Granted)
+}
+
+// Guards against a return that is sent again and ends the lease of another request, which a keeper grants after a restart.
+func TestLeasesOfAnEarlierKeeperAreOthers(t *testing.T) {
+	k, l := knownServer(1)
+	first, _ := k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(0))
+	k, l = knownServer(1)
+	_, _ = k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(0))
+	k.Release(laburnumconcurrency.Release{Backend: l.Backend, Lease: first.Lease}, at(0))
+	again, _ := k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(0))
+	require.False(t, again.Granted)
+}
+
 // Guards against requests that overtake those that wait, and that wait although there is no room in their time.
 func TestWaitingRequestsAreServedInOrder(t *testing.T) {
 	k, l := knownServer(1)
--- a/laburnumconcurrency/limit.go
+++ b/laburnumconcurrency/limit.go
@@ -1,6 +1,7 @@
 package laburnumconcurrency
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"laburnumlever"
@@ -37,11 +38,19 @@
 	return l.Incarnation == other.Incarnation && l.Ended == other.Ended && (l.Ended || l.Slots == other.Slots && l.Rejections == other.Rejections)
 }
 
-// LeaseID identifies a lease of one keeper.
+// LeaseID identifies a lease. Those of a keeper that has started again differ from those before, which may still come back.
 type LeaseID uint64
 
+// AskID identifies a request for a lease, over all gateways.
+type AskID uint64
+
+// NewAskID returns an id that no other request has.
+func NewAskID() AskID { return AskID(rand.Uint64() | 1) }
+
 // Request asks for a lease.
 type Request struct {
+	// Ask identifies the request, so that a gateway that gets no answer can return what it was granted; 0 from earlier builds.
+	Ask     AskID              `json:"ask,omitempty"`
 	Gateway laburnumlever.VMID `json:"gateway"`
 	Limit
 	// Zone is the availability zone of the backend server.
@@ -67,6 +76,8 @@
 type Release struct {
 	Backend laburnumlever.BackendID `json:"backend"`
 	Lease   LeaseID                 `json:"lease,omitempty"`
+	// Ask is, without a lease, a request that got no answer and needs none any more.
+	Ask AskID `json:"ask,omitempty"`
 	// Rejected tells that the server rejected the request for want of room.
 	Rejected bool `json:"rejected,omitempty"`
 	// Change is what the server's answer said of its brittleness, if that was news to the gateway.
--- a/laburnumroles/brittle.go
+++ b/laburnumroles/brittle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,7 +123,7 @@
 		if r.Change != nil {
 			b.learn(*r.Change, now)
 		}
-		if r.Lease != 0 {
+		if r.Lease != 0 || r.Ask != 0 {
 			b.keeper.Release(r, now)
 		}
 	}
@@ -138,44 +139,78 @@
 	b.source.SetBrittle(l)
 }
 
+const (
+	// leaseReturnPeriod is the interval between two batches.
+	leaseReturnPeriod = 2 * time.Millisecond
+	// leaseReturnRetryDelay is the time until returns that a control VM didn't answer are sent again, leaseReturnTime how long
+	// they are sent.
+	leaseReturnRetryDelay = 100 * time.Millisecond
+	leaseReturnTime       = 3 * time.Second
+)
+
 // leaseReturns sends a gateway's returned leases to the control VMs, in batches.
 type leaseReturns struct {
 	calls     *keeperCalls
+	timers    laburnumlever.Timers
 	logger    log.Logger
 	coalescer *laburnumtimer.Coalescer
 
 	mu sync.Mutex
 	// pending are those that were not sent yet, by the address of the control VM.
-	pending map[string][]laburnumconcurrency.Release
+	pending map[string][]leaseReturn
 }
 
-// leaseReturnPeriod is the interval between two batches.
-const leaseReturnPeriod = 2 * time.Millisecond
+// leaseReturn is a returned lease, sent until a time.
+type leaseReturn struct {
+	release laburnumconcurrency.Release
+	until   time.Time
+}
 
 func newLeaseReturns(calls *keeperCalls, timers laburnumlever.Timers, logger log.Logger) *leaseReturns {
-	r := &leaseReturns{calls: calls, logger: logger, pending: map[string][]laburnumconcurrency.Release{}}
+	r := &leaseReturns{calls: calls, timers: timers, logger: logger, pending: map[string][]leaseReturn{}}
 	r.coalescer = laburnumtimer.NewCoalescer(timers, func() time.Duration { return leaseReturnPeriod }, func() { go r.flush() })
 	return r
 }
 
 func (r *leaseReturns) add(address string, release laburnumconcurrency.Release) {
+	r.addAll(address, []leaseReturn{{release: release, until: r.timers.Now().Add(leaseReturnTime)}})
+}
+
+func (r *leaseReturns) addAll(address string, returns []leaseReturn) {
 	r.mu.Lock()
-	r.pending[address] = append(r.pending[address], release)
+	r.pending[address] = append(r.pending[address], returns...)
 	r.mu.Unlock()
 	r.coalescer.Trigger()
 }
 
-// flush sends what is pending. What does not arrive ends by itself: a lease at its request's deadline, and a change is told
-// again with the next request for a lease.
+// flush sends what is pending, to all control VMs at once: one that hangs must not hold up the leases of another.
 func (r *leaseReturns) flush() {
 	r.mu.Lock()
 	pending := r.pending
-	r.pending = map[string][]laburnumconcurrency.Release{}
+	r.pending = map[string][]leaseReturn{}
 	r.mu.Unlock()
-	for address, returned := range pending {
-		var answer struct{}
-		if err := r.calls.call(context.Background(), address, methodReturnLeases, returned, &answer); err != nil {
-			_ = level.Debug(r.logger).Log("event", laburnumlever.EventLimitNotReported, "leases", len(returned), "cause", err)
-		}
+	for address, returns := range pending {
+		go r.send(address, returns)
+	}
+}
+
+// send sends returns to a control VM, and again for a while if it doesn't answer: each lease holds a slot. What does not
+// arrive ends by itself: a lease at its request's deadline, and a change is told again with the next request for a lease.
+func (r *leaseReturns) send(address string, returns []leaseReturn) {
+	releases := make([]laburnumconcurrency.Release, 0, len(returns))
+	for _, sent := range returns {
+		releases = append(releases, sent.release)
+	}
+	var answer struct{}
+	err := r.calls.call(context.Background(), address, methodReturnLeases, releases, &answer)
+	if err == nil {
+		return
+	}
+	_ = level.Debug(r.logger).Log("event", laburnumlever.EventLimitNotReported, "address", address, "leases", len(returns), "cause", err)
+	now := r.timers.Now()
+	returns = slices.DeleteFunc(returns, func(sent leaseReturn) bool { return !now.Before(sent.until) })
+	if len(returns) == 0 || isUnknownMethod(err) {
+		return
 	}
+	r.timers.After(leaseReturnRetryDelay, func(time.Time) { r.addAll(address, returns) })
 }
--- a/laburnumroles/limitkeepers.go
+++ b/laburnumroles/limitkeepers.go
@@ -11,6 +11,7 @@
 	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumtimer"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
@@ -72,16 +73,27 @@
 
 // Lease implements laburnumgateway.LimitKeepers, with the errors of Reserve.
 func (k *limitKeepers) Lease(ctx context.Context, q laburnumconcurrency.Request) (laburnumconcurrency.Answer, string, error) {
+	q.Ask = laburnumconcurrency.NewAskID()
 	var err error = &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
 	for _, address := range k.calls.answering(k.controls(q.Zone, q.Backend), slotAttempts) {
 		var answer laburnumconcurrency.Answer
-		if err = k.calls.callWaiting(ctx, address, methodLease, time.Duration(q.Wait), q, &answer); err == nil {
+		if err = k.askLease(ctx, address, q, &answer); err == nil {
 			return k.leaseOfKeeper(ctx, q, answer, address)
 		}
 	}
 	return laburnumconcurrency.Answer{}, "", err
 }
 
+// askLease asks one control VM. One that doesn't answer in time may have granted a lease, which is returned.
+func (k *limitKeepers) askLease(ctx context.Context, address string, q laburnumconcurrency.Request, answer *laburnumconcurrency.Answer) error {
+	err := k.calls.callWaiting(ctx, address, methodLease, time.Duration(q.Wait), q, answer)
+	var lost *laburnumlever.PeerLostError
+	if errors.As(err, &lost) {
+		k.returns.add(address, laburnumconcurrency.Release{Backend: q.Backend, Ask: q.Ask})
+	}
+	return err
+}
+
 // leaseOfKeeper asks the server's keeper again if another control VM answered that it still grants leases.
 func (k *limitKeepers) leaseOfKeeper(ctx context.Context, q laburnumconcurrency.Request, answer laburnumconcurrency.Answer, address string) (laburnumconcurrency.Answer, string, error) {
 	if answer.Keeper == "" {
@@ -89,7 +101,7 @@
 	}
 	k.calls.answers(answer.Keeper)
 	var again laburnumconcurrency.Answer
-	if err := k.calls.callWaiting(ctx, answer.Keeper, methodLease, time.Duration(q.Wait), q, &again); err != nil {
+	if err := k.askLease(ctx, answer.Keeper, q, &again); err != nil {
 		return answer, address, nil //nolint:nilerr // the other control VM's refusal is the answer
 	}
 	return again, answer.Keeper, nil
