--- a/laburnumroles/keepercalls.go
+++ b/laburnumroles/keepercalls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumretry"
 
 	"github.com/cockroachdb/errors"
 )
@@ -15,8 +16,8 @@
 	// keeperTimeout bounds a call to a control VM that grants something: the longest round trip between availability
 	// zones.
 	keeperTimeout = 150 * time.Millisecond
-	// keeperBackoff is how long a control VM that did not answer is not asked again.
-	keeperBackoff = time.Second
+	// minKeeperBackoff and maxKeeperBackoff bound how long a control VM that did not answer is not asked again.
+	minKeeperBackoff, maxKeeperBackoff = 100 * time.Millisecond, time.Second
 )
 
 // keeperCalls calls control VMs that grant something, and passes over those that have just not answered. It is safe for
@@ -25,13 +26,12 @@
 	peers  laburnumlever.Peers
 	timers laburnumlever.Timers
 
-	mu sync.Mutex
-	// failed is when control VMs last did not answer.
-	failed map[string]time.Time
+	mu       sync.Mutex
+	backoffs *laburnumretry.Backoffs
 }
 
 func newKeeperCalls(peers laburnumlever.Peers, timers laburnumlever.Timers) *keeperCalls {
-	return &keeperCalls{peers: peers, timers: timers, failed: map[string]time.Time{}}
+	return &keeperCalls{peers: peers, timers: timers, backoffs: laburnumretry.NewBackoffs(minKeeperBackoff, maxKeeperBackoff)}
 }
 
 // call calls one control VM.
@@ -43,12 +43,17 @@
 func (k *keeperCalls) callWaiting(ctx context.Context, address, method string, wait time.Duration, params, result any) error {
 	callCtx, cancel := context.WithTimeout(ctx, keeperTimeout+wait)
 	defer cancel()
+	began := k.timers.Now()
 	err := k.peers.Call(callCtx, address, method, params, result)
 	left := errors.Is(ctx.Err(), context.Canceled)
-	if err != nil && !left && !isUnknownMethod(err) {
+	switch {
+	case err == nil:
+		k.answers(address)
+	case !left && !isUnknownMethod(err):
 		k.mu.Lock()
-		k.failed[address] = k.timers.Now()
+		k.backoffs.Failed(address, began, k.timers.Now())
 		k.mu.Unlock()
+	default: // it says nothing of the control VM
 	}
 	return err
 }
@@ -57,7 +62,7 @@
 func (k *keeperCalls) answers(address string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.failed, address)
+	k.backoffs.Succeeded(address)
 }
 
 // isUnknownMethod reports whether a VM of an earlier build answered that it doesn't know a method.
@@ -71,6 +76,6 @@
 	now := k.timers.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	addresses = slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return now.Sub(k.failed[address]) < keeperBackoff })
+	addresses = slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return !k.backoffs.Allows(address, now) })
 	return addresses[:min(most, len(addresses))]
 }
--- a/laburnumtunnel/client.go
+++ b/laburnumtunnel/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumupstream"
 
 	"github.com/cockroachdb/errors"
@@ -22,8 +23,9 @@
 	helperTimeout = 300 * time.Millisecond
 	// maxHelpers is the number of helpers that are asked for one tunnel.
 	maxHelpers = 3
-	// helperBackoff is how long a helper that did not help is not asked again.
-	helperBackoff = time.Second
+	// minHelperBackoff and maxHelperBackoff bound how long a helper that did not help is not asked again. The first time is short:
+	// it may be the only one whose links work, and late once.
+	minHelperBackoff, maxHelperBackoff = 100 * time.Millisecond, time.Second
 	// opinions is the number of helpers that must not reach a server before it counts as unreachable: one may have lost
 	// its own links without knowing yet.
 	opinions = 2
@@ -53,10 +55,10 @@
 	mu      sync.Mutex
 	helpers Helpers
 	next    int
-	// askedAt is when the directory was last asked, askErr its failure, failedAt when helpers last did not help.
+	// askedAt is when the directory was last asked, askErr its failure.
 	askedAt  time.Time
 	askErr   error
-	failedAt map[string]time.Time
+	backoffs *laburnumretry.Backoffs
 }
 
 // ClientOption changes a new client.
@@ -70,7 +72,7 @@
 // NewClient returns a client that knows no helper yet.
 func NewClient(directory Directory, timers laburnumlever.Timers, opts ...ClientOption) *Client {
 	c := &Client{
-		directory: directory, timers: timers, asking: make(chan struct{}, 1), failedAt: map[string]time.Time{},
+		directory: directory, timers: timers, asking: make(chan struct{}, 1), backoffs: laburnumretry.NewBackoffs(minHelperBackoff, maxHelperBackoff),
 		dialer: laburnumupstream.Dialer(nil),
 	}
 	for _, opt := range opts {
@@ -84,10 +86,12 @@
 	last := c.refresh(ctx)
 	var unreached []*ServerUnreachableError
 	for _, helper := range c.candidates() {
+		began := c.timers.Now()
 		conn, err := c.dialThrough(ctx, helper, address)
 		if err == nil {
+			c.helperAnswered(helper)
 			for _, u := range unreached {
-				c.helperFailed(u.Helper)
+				c.helperFailed(u.Helper, began)
 			}
 			return conn, nil
 		}
@@ -102,7 +106,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		c.helperFailed(helper)
+		c.helperFailed(helper, began)
 	}
 	if len(unreached) > 0 {
 		return nil, agreed(unreached)
@@ -171,7 +175,7 @@
 // rotated returns the helpers that may be asked now, beginning with the next one.
 func (c *Client) rotated(helpers []string) []string {
 	now := c.timers.Now()
-	usable := slices.DeleteFunc(slices.Clone(helpers), func(h string) bool { return now.Sub(c.failedAt[h]) < helperBackoff })
+	usable := slices.DeleteFunc(slices.Clone(helpers), func(h string) bool { return !c.backoffs.Allows(h, now) })
 	if len(usable) == 0 {
 		return nil
 	}
@@ -179,16 +183,16 @@
 	return slices.Concat(usable[first:], usable[:first])
 }
 
-func (c *Client) helperFailed(helper string) {
+func (c *Client) helperFailed(helper string, began time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.timers.Now()
-	for h, at := range c.failedAt {
-		if now.Sub(at) >= helperBackoff {
-			delete(c.failedAt, h)
-		}
-	}
-	c.failedAt[helper] = now
+	c.backoffs.Failed(helper, began, c.timers.Now())
+}
+
+func (c *Client) helperAnswered(helper string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.backoffs.Succeeded(helper)
 }
 
 // dialThrough opens a tunnel through one helper.
--- a/laburnumtunnel/tunnel_test.go
+++ b/laburnumtunnel/tunnel_test.go
@@ -271,3 +271,20 @@
 	require.NoError(t, err)
 	require.Equal(t, "line", say(t, conn, "line"))
 }
+
+// Guards against a gateway that knows no helper for a second since the only one that can help was late once.
+func TestOnlyHelperIsAskedAgainSoon(t *testing.T) {
+	server, _ := echoServer(t)
+	h := startHelper(t, server)
+	timers := laburnumtimer.NewManual(time.Unix(1_790_000_000, 0))
+	client := laburnumtunnel.NewClient(directory{Near: []string{h.address}}, timers)
+	h.available = false
+	_, err := client.Dial(t.Context(), server)
+	var nobody *laburnumtunnel.NoHelperError
+	require.ErrorAs(t, err, &nobody)
+	h.available = true
+	timers.Advance(250 * time.Millisecond)
+	conn, err := client.Dial(t.Context(), server)
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+}
