fix: slots of brittle servers are refilled while messages are under way

With all leases out and five requests waiting for each server, brittle servers served 60 to 70 requests a second of 120 on busy machines: a slot stood idle from its answer until the next request came, over two calls between VMs (leases out for 330 ms, of which a request takes 200 ms).

One lease more than slots goes to a request that waits, at servers of four slots and more, which queue a few requests. A server that rejects one gets none for 30 seconds, and none is granted for a server that bears no rejection, by a stand-in or by a newcomer.

--- a/laburnumconcurrency/keeper.go
+++ b/laburnumconcurrency/keeper.go
@@ -24,6 +24,10 @@
 	newcomerTime = time.Second
 	// lowerTime is how long the bound of a server stays lower after it rejected a request with a lease.
 	lowerTime = 3 * time.Second
+	// earlySlots is the number of slots from which on one lease more is granted to a request that waits: it reaches the server
+	// about when another one ends, and a server queues a few requests. After a rejection none is for cautionTime.
+	earlySlots  = 4
+	cautionTime = 30 * time.Second
 	// rejectionPause is how long nothing is granted after that.
 	rejectionPause = 200 * time.Millisecond
 	// firstLeases is the number of ids at which a keeper may begin.
@@ -54,6 +58,8 @@
 	// lowered is by how much the bound is lower until loweredUntil; nothing is granted until pausedUntil.
 	lowered                   int
 	loweredUntil, pausedUntil time.Time
+	// cautiousUntil is until when no lease is granted early.
+	cautiousUntil time.Time
 }
 
 // lease is a lease that is out.
@@ -120,6 +126,9 @@
 		return Answer{Granted: true, Lease: k.grant(s, q, now), Limit: s.limit}, nil
 	}
 	wait := min(MaxWait, time.Duration(q.Wait))
+	if wait > 0 && len(s.waiting) == 0 && s.freeToWaiting(share, now) > 0 {
+		return Answer{Granted: true, Lease: k.grant(s, q, now), Limit: s.limit}, nil
+	}
 	full := len(s.waiting) >= maxWaiting*s.limit.Slots || k.waiting >= maxAllWaiting
 	if in := s.waitTime(share, now); wait <= 0 || in > wait || full {
 		return Answer{RetryIn: laburnumlever.Duration(max(minRetryIn, in)), Limit: s.limit}, nil
@@ -200,7 +209,7 @@
 func (k *Keeper) serve(s *server, now time.Time) {
 	for len(s.waiting) > 0 {
 		w := s.waiting[0]
-		if now.Before(w.until) && s.free(w.share, now) <= 0 {
+		if now.Before(w.until) && s.freeToWaiting(w.share, now) <= 0 {
 			return
 		}
 		s.waiting = s.waiting[1:]
@@ -225,6 +234,17 @@
 	return s.bound(share, now) - len(s.leases)
 }
 
+// freeToWaiting returns the number of leases that may be granted to requests that wait: without one more than slots, each slot
+// stands idle while the messages of a lease are under way.
+func (s *server) freeToWaiting(share float64, now time.Time) int {
+	free := s.free(share, now)
+	early := s.limit.Slots >= earlySlots && s.limit.Rejections >= 1 && share >= FullShare && now.Sub(s.learnedAt) >= newcomerTime
+	if early && !now.Before(s.cautiousUntil) {
+		free++
+	}
+	return free
+}
+
 // bound returns the number of leases at once, at least one.
 func (s *server) bound(share float64, now time.Time) int {
 	if now.Sub(s.learnedAt) < newcomerTime {
@@ -243,7 +263,7 @@
 		s.lowered = 0
 	}
 	s.lowered = min(s.lowered+1, s.limit.Slots-1)
-	s.loweredUntil, s.pausedUntil = now.Add(lowerTime), now.Add(rejectionPause)
+	s.loweredUntil, s.pausedUntil, s.cautiousUntil = now.Add(lowerTime), now.Add(rejectionPause), now.Add(cautionTime)
 }
 
 func (s *server) expire(now time.Time) {
--- a/laburnumconcurrency/keeper_test.go
+++ b/laburnumconcurrency/keeper_test.go
@@ -101,6 +101,31 @@
 	require.True(t, answer.Granted, "one that no longer waits holds nothing")
 }
 
+// Guards against slots that stand idle while the messages of their leases are under way, and against a server that rejects again and
+// again since one request more is sent to it than it has slots.
+func TestSlotsAreRefilledEarly(t *testing.T) {
+	k, l := knownServer(4)
+	held := make([]laburnumconcurrency.Answer, l.Slots)
+	for i := range held {
+		held[i], _ = k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(0))
+		require.True(t, held[i].Granted)
+	}
+	refused, _ := k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(0))
+	require.False(t, refused.Granted, "nobody waits")
+	early, _ := k.Acquire(ask(l, time.Second), laburnumconcurrency.FullShare, at(0))
+	require.True(t, early.Granted)
+	_, waiter := k.Acquire(ask(l, time.Second), laburnumconcurrency.FullShare, at(0))
+	require.NotNil(t, waiter, "one more than slots")
+	k.Release(laburnumconcurrency.Release{Backend: l.Backend, Lease: early.Lease, Rejected: true}, at(0))
+	for _, a := range held {
+		k.Release(laburnumconcurrency.Release{Backend: l.Backend, Lease: a.Lease}, at(500*time.Millisecond))
+	}
+	for granted := 1; granted <= l.Slots; granted++ { // the one that waited has got a lease
+		a, _ := k.Acquire(ask(l, time.Second), laburnumconcurrency.FullShare, at(3500*time.Millisecond))
+		require.Equal(t, granted < l.Slots, a.Granted, "no more than slots after a rejection")
+	}
+}
+
 // Guards against a keeper that takes a pause, in which no lease came back, for a server that has no room, and refuses all.
 func TestPauseIsNoLackOfRoom(t *testing.T) {
 	k, l := knownServer(2)
