fix: a pause of control VMs is no loss of them

A gateway uses its share once no control VM has answered it for a second, by when leases are back; until then it asks again soon.

--- a/laburnumconcurrency/table.go
+++ b/laburnumconcurrency/table.go
@@ -15,6 +15,9 @@
 // askAgainPart is the part of the time until a lease is free after which a gateway asks again.
 const askAgainPart = 4
 
+// aloneTime is how long no control VM answers until a gateway uses its share.
+const aloneTime = time.Second
+
 // serviceMemory is how long after the last brittle server of a service was lost a server that starts counts as brittle: all
 // of them may fall over together, and are back after some seconds.
 const serviceMemory = 30 * time.Second
@@ -32,6 +35,8 @@
 	servers map[laburnumlever.BackendID]*known
 	// services are those of which a server has said that it is brittle, and none since that it is not.
 	services map[laburnumlever.ServiceName]brittleService
+	// answeredAt is when a control VM last answered a request for a lease.
+	answeredAt time.Time
 }
 
 // brittleService is what the last brittle server of a service said.
@@ -173,6 +178,13 @@
 	return 0
 }
 
+// Answered records that a control VM answered a request for a lease.
+func (t *Table) Answered(now time.Time) { t.answeredAt = now }
+
+// Alone reports whether no control VM has answered for so long that their leases are no longer in use: a short pause of
+// theirs is none of the servers.
+func (t *Table) Alone(now time.Time) bool { return now.Sub(t.answeredAt) >= aloneTime }
+
 // Share reports whether a request may run without a control VM, within this gateway's share of the slots.
 func (t *Table) Share(backend laburnumlever.BackendID, gateways int) bool {
 	k := t.servers[backend]
--- a/laburnumgateway/brittle.go
+++ b/laburnumgateway/brittle.go
@@ -131,7 +131,13 @@
 	defer f.mu.Unlock()
 	now := f.timers.Now()
 	outcome := slotRefused
+	if a.err == nil {
+		f.brittle.Answered(now)
+	}
 	switch {
+	case a.err != nil && !f.brittle.Alone(now):
+		outcome = slotUnanswered
+		f.brittle.Refused(server.Backend, laburnumconcurrency.KeeperRetry, now)
 	case a.err != nil && f.brittle.Share(server.Backend, f.gateways):
 		outcome = slotShared
 		q.lease = &lease{server: server}
--- a/laburnumgateway/brittle_test.go
+++ b/laburnumgateway/brittle_test.go
@@ -21,8 +21,10 @@
 
 // leaseKeeper is a control VM that leases places on brittle servers.
 type leaseKeeper struct {
-	mu       sync.Mutex
-	refuses  bool
+	mu      sync.Mutex
+	refuses bool
+	// silent has no request answered.
+	silent   bool
 	granted  []laburnumlever.BackendID
 	returned []laburnumconcurrency.Release
 }
@@ -36,6 +38,9 @@
 func (k *leaseKeeper) Lease(_ context.Context, q laburnumconcurrency.Request) (laburnumconcurrency.Answer, string, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.silent {
+		return laburnumconcurrency.Answer{}, "", &laburnumlever.PeerLostError{Address: "10.0.0.9:7000"}
+	}
 	if k.refuses {
 		return laburnumconcurrency.Answer{RetryIn: laburnumlever.Duration(time.Second), Limit: q.Limit}, "10.0.0.9:7000", nil
 	}
@@ -105,6 +110,24 @@
 	require.Equal(t, before, after, "the server no longer says that it is brittle")
 }
 
+// Guards against gateways that use their shares of a brittle server while its control VM pauses, on top of the leases that are out.
+func TestPauseOfControlVMsIsNoLossOfThem(t *testing.T) {
+	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) { writeAnswer(conn, a, 200, "ok", "Server-Brittle: 2") })
+	k := &leaseKeeper{}
+	b := newBrittleHarness(t, k, server.heartbeat("booking"))
+	began := time.Now()
+	for range 2 { // the second one with a lease
+		require.Equal(t, http.StatusOK, b.send("POST", "/confirm/x", "visit").status)
+	}
+	k.silent = true
+	got := b.send("POST", "/confirm/x", "visit")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "backend-brittle\n", got.body)
+	require.Len(t, server.requests(), 2)
+	require.Eventually(t, func() bool { return b.send("POST", "/confirm/x", "visit").status == http.StatusOK }, 10*time.Second, 10*time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(began), time.Second)
+}
+
 // Guards against leases for a server that has answered that it isn't brittle, each time that its heartbeat changes.
 func TestServerThatIsNotBrittleNeedsNoLease(t *testing.T) {
 	brittle := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) { writeAnswer(conn, a, 200, "ok", "Server-Brittle: 2") })
