--- a/cmd/laburnumlever/soakcmd.go
+++ b/cmd/laburnumlever/soakcmd.go
@@ -25,6 +25,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds to run, one after the other"},
 			&cli.DurationFlag{Name: "length", Value: 15 * time.Second, Usage: "how long to inject faults in each run"},
 			&cli.BoolFlag{Name: "disks", Usage: "also inject disk faults into control VMs; Linux only"},
+			&cli.IntFlag{Name: "gateways", Value: 2, Usage: fmt.Sprintf("how many gateways to run, up to %d", laburnumsoak.MaxGateways)},
 			&cli.StringFlag{Name: "older", Usage: "the `PROGRAM` of an earlier build, from which VMs are started as well"},
 			&cli.StringFlag{Name: "report", Usage: "write the result of each seed to this JSON `FILE`, to compare two programs"},
 			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for logs; a temporary folder by default"},
@@ -51,7 +52,7 @@
 		seed := c.Uint64("seed") + uint64(i) //nolint:gosec // a count
 		report, err := runSeed(c, laburnumsoak.Config{
 			Program: program, Folder: filepath.Join(root, fmt.Sprintf("seed-%d", seed)), Seed: seed, Length: c.Duration("length"), Disks: c.Bool("disks"),
-			Older: c.String("older"),
+			Older: c.String("older"), Gateways: c.Int("gateways"),
 		})
 		if err != nil {
 			return err
--- a/laburnumsoak/accounts.go
+++ b/laburnumsoak/accounts.go
@@ -55,12 +55,12 @@
 // useAccounts sends requests of the rolling and the hot account until ctx ends.
 func (l *load) useAccounts(ctx context.Context) {
 	l.repeat(ctx, rollingPause, func(int) {
-		l.sendRolling(max(1, l.record.newest()+1-rand.IntN(rollingSpan)), rand.IntN(gatewayVMs))
+		l.sendRolling(max(1, l.record.newest()+1-rand.IntN(rollingSpan)), l.fleet.anyGateway())
 	})
 	for range hotCallers {
 		l.repeat(ctx, hotPause, func(int) {
 			id := fmt.Sprintf("%s%d", hotPrefix, l.calls.Add(1))
-			l.sendKeyed(id, hotKey, 0, rand.IntN(gatewayVMs))
+			l.sendKeyed(id, hotKey, 0, l.fleet.anyGateway())
 		})
 	}
 }
--- a/laburnumsoak/crashing.go
+++ b/laburnumsoak/crashing.go
@@ -70,7 +70,7 @@
 // repeatCrashing sends crashing requests of a kind again and again until ctx ends.
 func (l *load) repeatCrashing(ctx context.Context, kind string) {
 	l.repeat(ctx, 0, func(int) {
-		l.sendCrashing(kind, rand.IntN(gatewayVMs))
+		l.sendCrashing(kind, l.fleet.anyGateway())
 		time.Sleep(rand.N(crashPause))
 	})
 }
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -20,6 +20,8 @@
 	controlVMs        = 4
 	gatewayVMs        = 2
 	serversPerService = 2
+	// MaxGateways is the number of gateways that have addresses.
+	MaxGateways = firstServer - firstGateway
 	// seedVMs is how many control VMs the settings name.
 	seedVMs = 3
 	// The ports are the same on all VMs, each of which has its own address.
@@ -75,7 +77,7 @@
 		}
 		f.controls = append(f.controls, p)
 	}
-	for i := range gatewayVMs {
+	for i := range max(gatewayVMs, min(cfg.Gateways, MaxGateways)) {
 		p := f.vm("gateway", fmt.Sprintf("gateway-%d", i+1), firstGateway+i)
 		if cfg.releasesVersions() {
 			p.older = "" // an earlier build may take no notice of software versions
@@ -99,6 +101,9 @@
 
 func (f *fleet) gateway(i int) string { return f.address(firstGateway+i, callerPort) }
 
+// anyGateway returns the index of a random gateway.
+func (f *fleet) anyGateway() int { return rand.IntN(len(f.gateways)) }
+
 // vm defines a gateway or control VM. Its settings file is rewritten at each start.
 func (f *fleet) vm(role, name string, number int) *process {
 	f.addLink(name, f.address(number, peerPort), f.address(number, peerListenPort))
--- a/laburnumsoak/load.go
+++ b/laburnumsoak/load.go
@@ -52,7 +52,7 @@
 		l.repeatCrashing(ctx, kind)
 	}
 	for range draftCallers {
-		l.repeat(ctx, callerPause, func(int) { l.takeDraft(rand.IntN(gatewayVMs)) })
+		l.repeat(ctx, callerPause, func(int) { l.takeDraft(l.fleet.anyGateway()) })
 	}
 	l.repeat(ctx, applyPause, func(int) { l.apply(rand.IntN(controlVMs)) })
 	l.repeat(ctx, readPause, func(int) { l.read(rand.IntN(controlVMs)) })
@@ -76,7 +76,7 @@
 func (l *load) sendRequest(stream bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return l.sendOnce(ctx, l.fleet.gateway(rand.IntN(gatewayVMs)), stream)
+	return l.sendOnce(ctx, l.fleet.gateway(l.fleet.anyGateway()), stream)
 }
 
 // sendTo is sendRequest to one gateway.
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -30,6 +30,8 @@
 	// Older is the path of an earlier build's program; empty for none. With it, each start of a VM runs either build, and all run
 	// the newer one for the checks after the run.
 	Older string
+	// Gateways is the number of gateways, at most MaxGateways; two if it is less. The checks after the run send to the first two.
+	Gateways int
 	// Disks also injects faults into the disks of control VMs; it needs Linux.
 	Disks bool
 }
--- a/laburnumsoak/versions.go
+++ b/laburnumsoak/versions.go
@@ -149,7 +149,7 @@
 	began := d.try(ctx, l, gateway)
 	tookUp, broken := false, began && !d.ended()
 	for try := 1; try < draftTries && began && !d.ended(); try++ {
-		tookUp = d.try(ctx, l, rand.IntN(gatewayVMs)) || tookUp
+		tookUp = d.try(ctx, l, l.fleet.anyGateway()) || tookUp
 	}
 	l.record.draftEnded(d, broken, tookUp)
 }
