--- a/laburnumtunnel/client.go
+++ b/laburnumtunnel/client.go
@@ -89,7 +89,7 @@
 		began := c.timers.Now()
 		conn, err := c.dialThrough(ctx, helper, address)
 		if err == nil {
-			c.helperAnswered(helper)
+			conn.answered = func(heard bool) { c.helperHeard(helper, began, heard) }
 			for _, u := range unreached {
 				c.helperFailed(u.Helper, began)
 			}
@@ -189,7 +189,13 @@
 	c.backoffs.Failed(helper, began, c.timers.Now())
 }
 
-func (c *Client) helperAnswered(helper string) {
+// helperHeard records that the first bytes came through a helper, or that none came in time: one that has lost its own links
+// without knowing yet opens tunnels that bring nothing.
+func (c *Client) helperHeard(helper string, began time.Time, heard bool) {
+	if !heard {
+		c.helperFailed(helper, began)
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.backoffs.Succeeded(helper)
--- a/laburnumtunnel/frames.go
+++ b/laburnumtunnel/frames.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"os"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,9 @@
 	rest    int // bytes of the current frame that have not been read
 	ended   bool
 	leaving bool
+	// heard is set once bytes came through the helper; answered is told that they did, or that none came in time.
+	heard    bool
+	answered func(bool)
 }
 
 // Reusable reports whether the tunnel may carry another request.
@@ -75,7 +79,12 @@
 // nextFrame reads the length of the next frame.
 func (c *Conn) nextFrame() error {
 	var length [lengthBytes]byte
-	if _, err := io.ReadFull(c.r, length[:]); err != nil {
+	_, err := io.ReadFull(c.r, length[:])
+	if !c.heard && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)) {
+		c.heard = true
+		c.answered(err == nil)
+	}
+	if err != nil {
 		return broken(err)
 	}
 	switch n := binary.BigEndian.Uint16(length[:]); n {
--- a/laburnumtunnel/tunnel_test.go
+++ b/laburnumtunnel/tunnel_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -288,3 +289,35 @@
 	require.NoError(t, err)
 	require.NoError(t, conn.Close())
 }
+
+// Guards against a server that counts as failed since the helpers that were asked hang with it, having lost their own links.
+func TestHelperThatBringsNothingIsPassedOver(t *testing.T) {
+	server, _ := echoServer(t)
+	frozen, sound := listen(t), startHelper(t, server)
+	go func() {
+		for {
+			conn, err := frozen.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 Connection established\r\n\r\n")
+		}
+	}()
+	client := laburnumtunnel.NewClient(directory{Near: []string{frozen.Addr().String(), sound.address}}, laburnumtimer.NewManual(time.Unix(1_790_000_000, 0)))
+	hung := 0
+	for range 6 {
+		conn, err := client.Dial(t.Context(), server)
+		require.NoError(t, err)
+		if conn.RemoteAddr().String() == frozen.Addr().String() {
+			hung++
+			require.NoError(t, conn.SetDeadline(time.Now().Add(50*time.Millisecond)))
+			_, err := conn.Read(make([]byte, 1))
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		} else {
+			require.Equal(t, "line", say(t, conn, "line"))
+		}
+		require.NoError(t, conn.Close())
+	}
+	require.LessOrEqual(t, hung, 1)
+}
