--- a/laburnumtunnel/client.go
+++ b/laburnumtunnel/client.go
@@ -154,9 +154,9 @@
 
 // fresh reports whether the directory need not be asked, and the last question's failure.
 func (c *Client) fresh() (bool, error) {
-	usable := len(c.candidates()) > 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	usable := len(c.usable(c.helpers.Near))+len(c.usable(c.helpers.Elsewhere)) > 0
 	age := c.timers.Now().Sub(c.askedAt)
 	return age < directoryPause || usable && age < directoryAge, c.askErr
 }
@@ -174,8 +174,7 @@
 
 // rotated returns the helpers that may be asked now, beginning with the next one.
 func (c *Client) rotated(helpers []string) []string {
-	now := c.timers.Now()
-	usable := slices.DeleteFunc(slices.Clone(helpers), func(h string) bool { return !c.backoffs.Allows(h, now) })
+	usable := c.usable(helpers)
 	if len(usable) == 0 {
 		return nil
 	}
@@ -183,6 +182,12 @@
 	return slices.Concat(usable[first:], usable[:first])
 }
 
+// usable returns the helpers that may be asked now. The caller must hold mu.
+func (c *Client) usable(helpers []string) []string {
+	now := c.timers.Now()
+	return slices.DeleteFunc(slices.Clone(helpers), func(h string) bool { return !c.backoffs.Allows(h, now) })
+}
+
 func (c *Client) helperFailed(helper string, began time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/laburnumtunnel/tunnel_test.go
+++ b/laburnumtunnel/tunnel_test.go
@@ -321,3 +321,17 @@
 	}
 	require.LessOrEqual(t, hung, 1)
 }
+
+// Guards against a gateway that asks the same of two helpers each time, also where the first try brought nothing.
+func TestHelpersTakeTurns(t *testing.T) {
+	server, _ := echoServer(t)
+	asked := map[string]int{}
+	client := newClient(t, startHelper(t, server).address, startHelper(t, server).address)
+	for range 6 {
+		conn, err := client.Dial(t.Context(), server)
+		require.NoError(t, err)
+		asked[conn.RemoteAddr().String()]++
+		require.NoError(t, conn.Close())
+	}
+	require.Len(t, asked, 2)
+}
