fix: ends of trials are sent until they arrive

A request that must be alone, or a refused part, could be tried by nobody for up to ten seconds if the control VM that had granted a trial was busy when it ended: the end was sent once.

The end is sent again for three seconds; ids of trials begin at random, since ends for an earlier keeper may come late. TestEndsOfTrialsAreSentUntilTheyArrive: two lost answers; the old code sends one.

--- a/laburnumquarantine/trials.go
+++ b/laburnumquarantine/trials.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"laburnumlever"
@@ -14,6 +15,8 @@
 	TrialRetry = time.Second
 	// maxTrials bounds the trials at once.
 	maxTrials = 4096
+	// firstTrials is the number of ids at which a keeper may begin.
+	firstTrials = 1 << 62
 )
 
 // TrialRequest asks whether a copy of a request may be sent now.
@@ -50,9 +53,9 @@
 	until time.Time
 }
 
-// NewTrials returns a keeper that knows of no trial.
+// NewTrials returns a keeper that knows of no trial. Its ids begin at random: the ends of an earlier one's trials may still come.
 func NewTrials() *Trials {
-	return &Trials{running: map[laburnumlever.RequestDigest]trial{}}
+	return &Trials{running: map[laburnumlever.RequestDigest]trial{}, last: rand.Uint64N(firstTrials)}
 }
 
 // Begin begins a trial, unless one is under way.
--- a/laburnumroles/brittle_internal_test.go
+++ b/laburnumroles/brittle_internal_test.go
@@ -11,6 +11,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumconcurrency"
+	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumtimer"
 )
 
@@ -21,6 +22,7 @@
 	lost     int
 	asked    []laburnumconcurrency.AskID
 	returned []laburnumconcurrency.Release
+	ended    []laburnumquarantine.TrialEnd
 }
 
 func (b *busyKeeper) Call(_ context.Context, address, method string, params, _ any) error {
@@ -34,10 +36,22 @@
 		b.lost--
 		return &laburnumlever.PeerLostError{Address: address}
 	}
-	b.returned = append(b.returned, params.([]laburnumconcurrency.Release)...)
+	switch told := params.(type) {
+	case []laburnumconcurrency.Release:
+		b.returned = append(b.returned, told...)
+	case laburnumquarantine.TrialEnd:
+		b.ended = append(b.ended, told)
+	}
 	return nil
 }
 
+// ends returns the trials whose ends the control VM was told.
+func (b *busyKeeper) ends() []laburnumquarantine.TrialEnd {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
 // returns returns what the control VM was told.
 func (b *busyKeeper) returns() []laburnumconcurrency.Release {
 	b.mu.Lock()
@@ -69,3 +83,14 @@
 	require.Eventually(t, func() bool { return len(keeper.returns()) > 0 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, []laburnumconcurrency.Release{{Backend: "i-1", Ask: keeper.asked[0]}}, keeper.returns())
 }
+
+// Guards against a refused part that nobody can clear for ten seconds since a control VM was busy when its trial ended.
+func TestEndsOfTrialsAreSentUntilTheyArrive(t *testing.T) {
+	keeper := &busyKeeper{lost: 2}
+	timers := laburnumtimer.New()
+	t.Cleanup(timers.Close)
+	k := &trialKeepers{calls: newKeeperCalls(keeper, timers), logger: log.NewNopLogger()}
+	k.EndTrial("c-1", laburnumquarantine.TrialEnd{Trial: 7})
+	require.Eventually(t, func() bool { return len(keeper.ends()) > 0 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, []laburnumquarantine.TrialEnd{{Trial: 7}}, keeper.ends())
+}
--- a/laburnumroles/trials.go
+++ b/laburnumroles/trials.go
@@ -3,18 +3,26 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumgateway"
 	"laburnumlever/laburnumquarantine"
+	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
 
-// trialAttempts is the number of control VMs that are asked for a trial.
-const trialAttempts = 2
+const (
+	// trialAttempts is the number of control VMs that are asked for a trial.
+	trialAttempts = 2
+	// trialEndRetryDelay is the time until the end of a trial that a control VM didn't answer is sent again, trialEndTime how
+	// long it is sent.
+	trialEndRetryDelay = 100 * time.Millisecond
+	trialEndTime       = 3 * time.Second
+)
 
 // trialKeepers asks control VMs for trials of suspected requests.
 type trialKeepers struct {
@@ -39,12 +47,22 @@
 	return laburnumquarantine.TrialAnswer{}, "", err
 }
 
-// EndTrial implements laburnumgateway.TrialKeepers. A trial whose end is lost ends by itself.
+// EndTrial implements laburnumgateway.TrialKeepers. The end is sent until it arrives: while the trial stands, no other copy
+// can show that the request is sound.
 func (k *trialKeepers) EndTrial(address string, e laburnumquarantine.TrialEnd) {
+	until := k.calls.timers.Now().Add(trialEndTime)
 	go func() {
-		var answer struct{}
-		if err := k.calls.call(context.Background(), address, methodTrialEnd, e, &answer); err != nil {
+		for {
+			var answer struct{}
+			err := k.calls.call(context.Background(), address, methodTrialEnd, e, &answer)
+			if err == nil {
+				return
+			}
 			_ = level.Debug(k.logger).Log("event", laburnumlever.EventQuarantineNotReported, "address", address, "cause", err)
+			if isUnknownMethod(err) || !k.calls.timers.Now().Before(until) {
+				return // it ends by itself
+			}
+			laburnumtimer.Wait(nil, k.calls.timers, trialEndRetryDelay)
 		}
 	}()
 }
