fix: returns of leases that are sent again tell no old change

Found by reading: since returns are sent until they arrive, what an answer said of a server's brittleness could arrive after a newer answer's, and a server that is no longer brittle be taken for one until its next answer. A change is told once, as before; the next request for a lease tells it again.

--- a/laburnumroles/brittle.go
+++ b/laburnumroles/brittle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -207,10 +206,21 @@
 		return
 	}
 	_ = level.Debug(r.logger).Log("event", laburnumlever.EventLimitNotReported, "address", address, "leases", len(returns), "cause", err)
-	now := r.timers.Now()
-	returns = slices.DeleteFunc(returns, func(sent leaseReturn) bool { return !now.Before(sent.until) })
+	returns = unsentLeases(returns, r.timers.Now())
 	if len(returns) == 0 || isUnknownMethod(err) {
 		return
 	}
 	r.timers.After(leaseReturnRetryDelay, func(time.Time) { r.addAll(address, returns) })
 }
+
+// unsentLeases returns the returns that are worth sending again, without changes: by then a newer one may have been told.
+func unsentLeases(returns []leaseReturn, now time.Time) []leaseReturn {
+	var unsent []leaseReturn
+	for _, r := range returns {
+		r.release.Change = nil
+		if now.Before(r.until) && (r.release.Lease != 0 || r.release.Ask != 0) {
+			unsent = append(unsent, r)
+		}
+	}
+	return unsent
+}
--- a/laburnumroles/brittle_internal_test.go
+++ b/laburnumroles/brittle_internal_test.go
@@ -75,6 +75,17 @@
 	require.Equal(t, []laburnumconcurrency.Release{{Backend: "i-1", Lease: 7}}, keeper.returns())
 }
 
+// Guards against an old change that overtakes a newer one since it is sent again.
+func TestChangesAreNotSentAgain(t *testing.T) {
+	keeper := &busyKeeper{lost: 2}
+	k := keepersOf(t, keeper)
+	change := laburnumconcurrency.Limit{Backend: "i-1", Slots: 4, Rejections: 2}
+	k.Return(laburnumlever.Heartbeat{Backend: "i-1"}, "c-1", laburnumconcurrency.Release{Backend: "i-1", Change: &change})
+	k.Return(laburnumlever.Heartbeat{Backend: "i-1"}, "c-1", laburnumconcurrency.Release{Backend: "i-1", Lease: 7, Change: &change})
+	require.Eventually(t, func() bool { return len(keeper.returns()) > 0 }, 10*time.Second, time.Millisecond)
+	require.Contains(t, keeper.returns(), laburnumconcurrency.Release{Backend: "i-1", Lease: 7})
+}
+
 // Guards against a slot of a brittle server that is out until a deadline since the lease came too late for the gateway.
 func TestLeasesThatComeTooLateAreReturned(t *testing.T) {
 	keeper := &busyKeeper{}
