--- a/laburnumconcurrency/keeper_test.go
+++ b/laburnumconcurrency/keeper_test.go
@@ -101,8 +101,7 @@
 	require.True(t, answer.Granted, "one that no longer waits holds nothing")
 }
 
-// Guards against slots that stand idle while the messages of their leases are under way, and against a server that rejects again and
-// again since one request more is sent to it than it has slots.
+// Guards against slots that stand idle while messages are under way, and against a server that rejects each request beyond its slots.
 func TestSlotsAreRefilledEarly(t *testing.T) {
 	k, l := knownServer(4)
 	held := make([]laburnumconcurrency.Answer, l.Slots)
