fix: a caller that leaves says nothing of other VMs

At a gateway without links one caller that left, or whose time was over, while another VM was asked to connect made the gateway count as one that nobody helps: it told the load balancer that it is not ready. A detour to a single server ended for all callers in the same way.

Evidence: TestCallerThatLeavesSaysNothingOfHelpers, not ready within 300 ms of one such caller before.

What a connection brought after its request has ended is no longer used.

--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -75,7 +75,8 @@
 
 // connectFailed is the failure of an attempt without a connection.
 func (g *Gateway) connectFailed(ctx context.Context, ticket *laburnumbalance.Ticket, err error, result *laburnumbalance.AttemptResult) *failure {
-	if !g.links.detourFailed(ticket.Backend, err) && g.links.tunnelFailed(err) {
+	// A caller that has left, or whose time is over, says nothing of the other VMs.
+	if ctx.Err() == nil && !g.links.detourFailed(ticket.Backend, err) && g.links.tunnelFailed(err) {
 		refused := newRefusal(laburnumlever.RefusedLinksLost, drainRetryAfter, err.Error())
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedLinksLost, cause: err, refused: refused}
 	}
--- a/laburnumgateway/linkprobes.go
+++ b/laburnumgateway/linkprobes.go
@@ -76,8 +76,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tunnelProbeTimeout)
 	defer cancel()
 	_, _, helped := countProbes(l.probeAll(servers, func(s probedServer) laburnumreachability.Probe {
-		_, helped, err := l.probeThroughOthers(ctx, s)
-		return laburnumreachability.Probe{Address: s.address, Helped: helped, Cause: err}
+		_, helped, _ := l.probeThroughOthers(ctx, s)
+		return laburnumreachability.Probe{Address: s.address, Helped: helped}
 	}, func(probes []laburnumreachability.Probe) bool { return probes[len(probes)-1].Helped }))
 	return helped > 0
 }
--- a/laburnumgateway/links_test.go
+++ b/laburnumgateway/links_test.go
@@ -30,6 +30,9 @@
 	real   map[string]string
 	dialed atomic.Int64
 	err    error
+	// unanswered has other VMs answer nothing until the context ends, gaveUp counts how often it did.
+	unanswered atomic.Bool
+	gaveUp     atomic.Int64
 	// hang has connections through the other VM hang, delay is the time that they take.
 	hang  bool
 	delay time.Duration
@@ -37,6 +40,11 @@
 
 func (f *fakeTunnels) Dial(ctx context.Context, address string) (net.Conn, error) {
 	f.dialed.Add(1)
+	if f.unanswered.Load() {
+		<-ctx.Done()
+		f.gaveUp.Add(1)
+		return nil, &laburnumtunnel.NoHelperError{Cause: ctx.Err()}
+	}
 	if f.hang {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -194,6 +202,27 @@
 	require.False(t, b.gateway.Ready(), "the load balancer prefers other gateways")
 }
 
+// Guards against a gateway that refuses everybody, or leaves the load balancer, since one caller left while another VM was asked.
+func TestCallerThatLeavesSaysNothingOfHelpers(t *testing.T) {
+	records, tunnels := behindLostLinks(t, "booking", answers("i-1")(t), answers("i-2")(t), answers("i-3")(t))
+	b := newLinksHarness(t, tunnels, &reports{}, records)
+	require.Eventually(t, func() bool { return b.send("POST", "/confirm/x", "visit").status == http.StatusOK }, 10*time.Second, time.Millisecond)
+	tunnels.unanswered.Store(true)
+	require.Eventually(t, func() bool {
+		ctx, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer leave()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/confirm/x", nil)
+		require.NoError(t, err)
+		req.Host = "quotes.example"
+		req.Header.Set(idHeader, "r-1")
+		if resp, err := b.client.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+		return tunnels.gaveUp.Load() > 0
+	}, 10*time.Second, time.Millisecond)
+	require.Never(t, func() bool { return !b.gateway.Ready() }, 300*time.Millisecond, time.Millisecond)
+}
+
 // Guards against innocent requests in quarantine, since all connections of their gateway were reset.
 func TestResetLinksAreNoCrash(t *testing.T) {
 	var server *backend
