--- a/laburnumconcurrency/doc.go
+++ b/laburnumconcurrency/doc.go
@@ -10,15 +10,18 @@
 // The keeper grants a lease at once while fewer are out than the server has slots. Else the request waits at the keeper in
 // the order of arrival, if a place will be free in its time by how long leases are out; otherwise it is refused
 // at once, with the time after which it is worth while to ask again. Whatever a gateway doesn't return ends by itself at the
-// request's deadline.
+// request's deadline; a gateway that got no answer returns its request by the request's own id.
 //
-// A server that rejects a request in spite of its lease has less room than slots: the keeper lowers its bound by one
-// for a while.
+// One lease more than slots goes to a request that waits, so that no slot stands idle while messages are under way: a server
+// queues a few requests. This holds for servers of several slots that bear a rejection.
+//
+// A server that rejects a request in spite of its lease has less room than that: the keeper lowers its bound by one, and
+// grants none beyond its slots, for a while.
 //
 // # When the keeper fails
 //
 // Another control VM grants a part of the slots, for the keeper may still run. A keeper that has just learned of a server
-// does so too until leases that it doesn't know of have ended. Without any control VM, a gateway uses its share: the slots
+// does so too until leases that it doesn't know of have ended. Once no control VM has answered it for a second, a gateway uses its share: the slots
 // divided by the number of gateways, or one slot on a few gateways chosen by hash.
 //
 // # Which servers
--- a/laburnumreachability/doc.go
+++ b/laburnumreachability/doc.go
@@ -18,7 +18,7 @@
 // While the links are doubted, which is until a server answers directly, a VM is no witness for others: in a zone that is cut off
 // its VMs would confirm to each other that all servers have failed.
 //
-// Once the links are lost, servers are probed directly until two of them answer.
+// Once the links are lost, servers are probed directly until two of them answer, or one where no other VM could be asked.
 //
 // Links to some servers may be lost while others work. A server that fails twice in a row is probed in the same way; if
 // it answers another VM alone, connections to it make a detour until it answers directly again.
