--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -28,7 +28,7 @@
 	"backend-unreachable": "the chosen backend servers accepted no connection",
 	"backend-busy":        "the backend server refused it because it was full",
 	"backend-error":       "a backend server closed the connection early or answered with an error",
-	"broken-stream":       "the stream was interrupted and could not be resumed on another backend server",
+	"broken-stream":       "the stream was interrupted and could not be resumed on another backend server: look for ended-by in its attempt-failed, and for why it was not-retried",
 	"crossed-answer":      "a backend server returned another request's answer, which was dropped",
 	"deadline":            "its deadline passed before an answer arrived",
 	"retry-budget":        "another attempt was allowed, but the retry budget was exhausted",
--- /dev/null
+++ b/laburnumgateway/attemptend.go
@@ -0,0 +1,44 @@
+package laburnumgateway
+
+import (
+	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
+)
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=attemptEnd -transform=kebab -trimprefix=end -text -output=attemptend_gen.go
+
+// attemptEnd is why this VM ended an attempt.
+type attemptEnd int
+
+const (
+	// endNone means that this VM did not end it.
+	endNone attemptEnd = iota
+	// endDeadline means that the request's time was over.
+	endDeadline
+	// endCallerGone means that the caller had left.
+	endCallerGone
+	// endDetour means that the server answered other VMs only.
+	endDetour
+	// endLinksLost means that this VM had lost its links to the servers.
+	endLinksLost
+)
+
+// describeEnd has the failure of an attempt name what ended it, if that was this VM.
+func (fail *failure) describeEnd(ctx context.Context, verdict attemptEnd) {
+	if !errors.Is(fail.cause, net.ErrClosed) {
+		return
+	}
+	switch {
+	case verdict != endNone:
+		fail.end = verdict
+	case deadlineExceeded(ctx):
+		fail.end = endDeadline
+	case ctx.Err() != nil:
+		fail.end = endCallerGone
+	default:
+		return
+	}
+	fail.cause = &AttemptEndedError{By: fail.end, Cause: fail.cause}
+}
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -32,6 +32,10 @@
 	// streamsRecorded and streamsUnrecorded count streams whose software version some control VM keeps, or none.
 	streamsRecorded, streamsUnrecorded tally.Counter
 
+	// attemptsEnded and answersCut count attempts that a verdict on links ended, before and after a part of the answer was
+	// received.
+	attemptsEnded, answersCut map[attemptEnd]tally.Counter
+
 	refusals     map[laburnumlever.RefusalReason]tally.Counter
 	retries      map[laburnumlever.RetryReason]tally.Counter
 	reservations map[reserveOutcome]tally.Counter
@@ -68,7 +72,12 @@
 		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), linksLost: scope.Counter("links_lost"), detours: scope.Counter("detours"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
 		reservations: map[reserveOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
-		latencies: map[laburnumlever.ServiceName]*latencies{},
+		latencies:     map[laburnumlever.ServiceName]*latencies{},
+		attemptsEnded: map[attemptEnd]tally.Counter{}, answersCut: map[attemptEnd]tally.Counter{},
+	}
+	for _, verdict := range []attemptEnd{endDetour, endLinksLost} {
+		tagged := scope.Tagged(map[string]string{"verdict": verdict.String()})
+		c.attemptsEnded[verdict], c.answersCut[verdict] = tagged.Counter("attempts_ended"), tagged.Counter("answers_cut")
 	}
 	c.crashesUnconfirmed = scope.Counter("backend_crashes_unconfirmed")
 	c.rests, c.leaves = scope.Counter("backend_rests"), scope.Counter("backend_leaves")
--- a/laburnumgateway/detours.go
+++ b/laburnumgateway/detours.go
@@ -36,6 +36,7 @@
 // probeForDetour has connections to a backend server opened through other VMs if it answers these alone.
 func (l *links) probeForDetour(to laburnumlever.Heartbeat) {
 	g := l.gateway
+	began := g.timers.Now()
 	probe := laburnumreachability.Probe{Address: to.Address}
 	if s, ok := g.fleet.serverAt(to.Address); ok {
 		probe = l.verifyProbes([]probedServer{s})[0]
@@ -53,10 +54,11 @@
 		return
 	}
 	g.counters.detours.Inc(1)
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventDetourOpened, "backend", to.Backend, "address", to.Address)
-	l.abort(func(w *laburnumreachability.Wait, a *directAttempt) bool {
+	ended, begun := l.abort(endDetour, func(w *laburnumreachability.Wait, a *directAttempt) bool {
 		return a.to.Address == to.Address && w.Silent(now)
 	})
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventDetourOpened, "backend", to.Backend, "address", to.Address,
+		"probed-ms", millis(g.timers.Now().Sub(began)), "ended", ended, "begun", begun)
 	g.fleet.reachable(to.Backend)
 }
 
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -38,6 +38,19 @@
 // Unwrap returns the cause.
 func (e *BrokenAnswerError) Unwrap() error { return e.Cause }
 
+// AttemptEndedError is an attempt that this VM ended by closing its connection.
+type AttemptEndedError struct {
+	By    attemptEnd
+	Cause error
+}
+
+func (e *AttemptEndedError) Error() string {
+	return fmt.Sprintf("ended by this VM (%s): %v", e.By, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *AttemptEndedError) Unwrap() error { return e.Cause }
+
 // EventGapError is a stream in which the event with id Got follows the one with id Last, although
 // ids must be consecutive.
 type EventGapError struct{ Last, Got string }
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -27,8 +27,9 @@
 	cause  error
 	// begun is set if the backend server had begun to answer.
 	begun bool
-	// broken is set if the backend server ended the connection.
+	// broken is set if the backend server ended the connection, end if this VM did.
 	broken bool
+	end    attemptEnd
 	// refused is the refusal of a request that may not be sent any more; nil for none.
 	refused error
 	// slotRefused is set if the engine refused the reservation because it had no free slot, unsent if the backend server must
@@ -105,7 +106,7 @@
 		fields = append(fields, "rest-ms", millis(status.Rest))
 	}
 	if fail.stage == laburnumretry.StageUnknown {
-		fields = append(fields, "begun", fail.begun, "digest", q.digest(), "parts", q.caller.SharedParts())
+		fields = append(fields, "begun", fail.begun, "ended-by", fail.end, "digest", q.digest(), "parts", q.caller.SharedParts())
 	}
 	_ = level.Info(g.logger).Log(fields...)
 }
@@ -136,14 +137,18 @@
 		return 0, false
 	}
 	if out.events > 0 && q.software == "" {
-		return 0, false // no other server is known to run the same software
+		q.obstacle = laburnumretry.ObstacleVersion // no other server is known to run the same software
+		return 0, false
 	}
-	reason, paid, ok := laburnumretry.Attempt{
+	failed := laburnumretry.Attempt{
 		Stage: fail.stage, MayHaveRun: q.mayHaveRun, Started: out.started, Idempotent: q.route.Repeatable(),
 		Resumable: q.route.Resumable, Sent: q.sent, Tries: q.tries, MaxSent: q.route.MaxAttempts,
 		Suspect: fail.broken && g.fleet.quarantineState(q) != laburnumquarantine.Cleared,
-	}.Next()
+	}
+	q.obstacle = failed.Obstacle()
+	reason, paid, ok := failed.Next()
 	if ok && paid && !g.chargeRetry(q) {
+		q.obstacle = laburnumretry.ObstacleBudget
 		fail.reason = laburnumlever.RefusedRetryBudget
 		return 0, false
 	}
--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -52,6 +52,9 @@
 	retryable bool
 	// countedAt is when its silence last counted as a failure.
 	countedAt time.Time
+	// endedBy is the verdict that ended it, begun is set once a part of the answer was received.
+	endedBy attemptEnd
+	begun   bool
 }
 
 func newLinks(g *Gateway) *links {
@@ -90,9 +93,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.monitor.Heard(w, conn.OpenedAt(), l.gateway.timers.Now())
+	l.attempts[w].begun = true
 	l.detours.Heard(w.Address(), conn.OpenedAt())
 }
 
+// endedBy returns the verdict that ended an attempt, if one did.
+func (l *links) endedBy(w *laburnumreachability.Wait) attemptEnd {
+	if w == nil {
+		return endNone
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.attempts[w].endedBy
+}
+
 func (l *links) end(w *laburnumreachability.Wait) {
 	if w == nil {
 		return
@@ -263,24 +277,33 @@
 
 // abortSilent ends attempts on lost links whose requests may be sent again.
 func (l *links) abortSilent(now time.Time) {
-	l.abort(func(w *laburnumreachability.Wait, _ *directAttempt) bool {
+	l.abort(endLinksLost, func(w *laburnumreachability.Wait, _ *directAttempt) bool {
 		return w.Silent(now) && l.monitor.Hanging(now)
 	})
 }
 
-// abort ends the attempts that match and whose requests may be sent again.
-func (l *links) abort(matches func(*laburnumreachability.Wait, *directAttempt) bool) {
+// abort ends the attempts that match and whose requests may be sent again. It returns how many, and how many of these had got a
+// part of their answers.
+func (l *links) abort(verdict attemptEnd, matches func(*laburnumreachability.Wait, *directAttempt) bool) (ended, begun int) {
 	l.mu.Lock()
 	var conns []*laburnumupstream.Conn
 	for w, a := range l.attempts {
-		if a.retryable && matches(w, a) {
-			conns = append(conns, a.conn)
+		if !a.retryable || a.endedBy != endNone || !matches(w, a) {
+			continue
+		}
+		a.endedBy = verdict
+		conns = append(conns, a.conn)
+		if a.begun {
+			begun++
 		}
 	}
 	l.mu.Unlock()
 	for _, conn := range conns {
 		conn.Close()
 	}
+	l.gateway.counters.attemptsEnded[verdict].Inc(int64(len(conns) - begun))
+	l.gateway.counters.answersCut[verdict].Inc(int64(begun))
+	return len(conns), begun
 }
 
 // serverCount returns the number of backend servers that accept requests.
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -13,6 +13,7 @@
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumquota"
+	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
 
@@ -93,6 +94,8 @@
 	// request does not crash servers.
 	begunAt time.Time
 	sound   bool
+	// obstacle is why the request was not sent again after its last attempt.
+	obstacle laburnumretry.Obstacle
 	// errorAnswer is the last error answer of a backend server; nil for none.
 	errorAnswer *bufferedAnswer
 }
--- a/laburnumretry/attempt.go
+++ b/laburnumretry/attempt.go
@@ -48,11 +48,36 @@
 	Suspect bool
 }
 
+//go:generate go tool -modfile=../tools/go.mod enumer -type=Obstacle -transform=kebab -trimprefix=Obstacle -text -output=obstacle_gen.go
+
+// Obstacle is why a request is not attempted again.
+type Obstacle int
+
+// The obstacles.
+const (
+	// ObstacleNone means that another attempt is safe and allowed.
+	ObstacleNone Obstacle = iota
+	// ObstacleSuspect means that the request may crash servers.
+	ObstacleSuspect
+	// ObstacleTries means that too many attempts were made.
+	ObstacleTries
+	// ObstacleSends means that the route allows no more servers.
+	ObstacleSends
+	// ObstacleStarted means that the caller has a part of an answer that can't be resumed.
+	ObstacleStarted
+	// ObstacleMayHaveRun means that the request may have run, and must not run again.
+	ObstacleMayHaveRun
+	// ObstacleBudget means that the retry budget is used up.
+	ObstacleBudget
+	// ObstacleVersion means that the software version that began the stream is not known.
+	ObstacleVersion
+)
+
 // Next tells whether another attempt is safe and allowed, and whether it is charged to the
 // retry budget: a request that was never sent is retried free of charge.
 func (a Attempt) Next() (reason laburnumlever.RetryReason, charged, ok bool) {
 	switch {
-	case a.forbidden():
+	case a.Obstacle() != ObstacleNone:
 		return 0, false, false
 	case a.neverSent():
 		return laburnumlever.RetryNotSent, false, true
@@ -68,8 +93,21 @@
 // neverSent tells whether no backend server has received the request yet.
 func (a Attempt) neverSent() bool { return a.Stage == StageNotSent && !a.MayHaveRun && a.Sent == 0 }
 
-func (a Attempt) forbidden() bool {
+// Obstacle returns why another attempt is unsafe or not allowed, apart from the retry budget.
+func (a Attempt) Obstacle() Obstacle {
 	mayHaveRun := a.MayHaveRun || a.Stage == StageUnknown
-	return a.Suspect || a.Tries >= maxTries || a.Sent >= max(1, a.MaxSent) && !a.neverSent() ||
-		a.Started && !a.Resumable || mayHaveRun && !a.Idempotent
+	switch {
+	case a.Suspect:
+		return ObstacleSuspect
+	case a.Tries >= maxTries:
+		return ObstacleTries
+	case a.Sent >= max(1, a.MaxSent) && !a.neverSent():
+		return ObstacleSends
+	case a.Started && !a.Resumable:
+		return ObstacleStarted
+	case mayHaveRun && !a.Idempotent:
+		return ObstacleMayHaveRun
+	default:
+		return ObstacleNone
+	}
 }
