--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -44,9 +44,7 @@
 	}
 	fail, resp := g.exchange( //nolint:bodyclose // the connection is closed or reused as a whole
 		ctx, q, out, ticket, conn, wait, &result)
-	if fail != nil {
-		fail.describeEnd(ctx, g.links.endedBy(wait))
-	}
+	fail.describeEnd(ctx, g.links.endedBy(wait))
 	if fail != nil && fail.stage == laburnumretry.StageUnknown && ctx.Err() == nil && isBroken(fail.cause) {
 		fail.broken = true
 		if wait != nil {
--- a/laburnumgateway/attemptend.go
+++ b/laburnumgateway/attemptend.go
@@ -27,7 +27,7 @@
 
 // describeEnd has the failure of an attempt name what ended it, if that was this VM.
 func (fail *failure) describeEnd(ctx context.Context, verdict attemptEnd) {
-	if !errors.Is(fail.cause, net.ErrClosed) {
+	if fail == nil || !errors.Is(fail.cause, net.ErrClosed) {
 		return
 	}
 	switch {
--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -50,6 +50,10 @@
 func newBackend(t testing.TB, id string, answer func(conn net.Conn, a receivedRequest, n int)) *backend {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return newBackendOn(t, id, ln, answer)
+}
+
+func newBackendOn(t testing.TB, id string, ln net.Listener, answer func(conn net.Conn, a receivedRequest, n int)) *backend {
 	b := &backend{t: t, id: laburnumlever.BackendID(id), ln: ln, answer: answer}
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
@@ -207,6 +211,11 @@
 	}
 }
 
+// announce tells the gateway of more backend servers.
+func (b *harness) announce(records ...laburnumregistry.Record) {
+	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: records})
+}
+
 type callerResponse struct {
 	status int
 	header http.Header
--- a/laburnumgateway/links_test.go
+++ b/laburnumgateway/links_test.go
@@ -36,10 +36,15 @@
 	// hang has connections through the other VM hang, delay is the time that they take.
 	hang  bool
 	delay time.Duration
+	// onDial is called first, and may wait.
+	onDial func(ctx context.Context)
 }
 
 func (f *fakeTunnels) Dial(ctx context.Context, address string) (net.Conn, error) {
 	f.dialed.Add(1)
+	if f.onDial != nil {
+		f.onDial(ctx)
+	}
 	if f.unanswered.Load() {
 		<-ctx.Done()
 		f.gaveUp.Add(1)
@@ -83,12 +88,14 @@
 	return records, tunnels
 }
 
-func newLinksHarness(t *testing.T, tunnels laburnumupstream.Tunnels, r *reports, records []laburnumregistry.Record) *harness {
+func newLinksHarness(t *testing.T, tunnels laburnumupstream.Tunnels, r *reports, records []laburnumregistry.Record, opts ...laburnumgateway.Option) *harness {
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
 	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1, laburnumgateway.WithQuarantineReporter(r))
-	b := newHarnessOfFleet(t, fleet, timers, laburnumgateway.WithPool(laburnumupstream.New(laburnumupstream.WithTunnels(tunnels))),
-		laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}))
+	b := newHarnessOfFleet(t, fleet, timers, append([]laburnumgateway.Option{
+		laburnumgateway.WithPool(laburnumupstream.New(laburnumupstream.WithTunnels(tunnels))),
+		laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}),
+	}, opts...)...)
 	b.gateway.Start()
 	b.fleet.HandleRoutes(testRoutes())
 	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: records})
--- /dev/null
+++ b/laburnumgateway/silence_test.go
@@ -0,0 +1,239 @@
+package laburnumgateway_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"laburnumlever"
+	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumregistry"
+)
+
+// silentServer is a fake backend server that can fall silent for everybody: it answers nothing and the kernel no new connection.
+type silentServer struct {
+	*backend
+	t testing.TB
+
+	mu    sync.Mutex
+	awake chan struct{}
+	begun int
+	// silenced is closed once the silence has begun.
+	silenced chan struct{}
+}
+
+// nextEventTime is how long the server works on the next event of a stream once it goes on.
+const nextEventTime = 500 * time.Millisecond
+
+// newSilentServer returns a server that streams two events, falls silent when all the streams have got that far, and goes on with
+// two more.
+func newSilentServer(t testing.TB, id string, streams int) *silentServer {
+	s := &silentServer{t: t, awake: make(chan struct{}), silenced: make(chan struct{})}
+	close(s.awake)
+	s.backend = newBackendOn(t, id, &pausingListener{Listener: shortQueueListener(t), server: s}, func(conn net.Conn, a receivedRequest, _ int) {
+		<-s.silence()
+		if !strings.HasPrefix(a.request.URL.Path, "/quote/") {
+			writeAnswer(conn, a, http.StatusNotFound, "")
+			return
+		}
+		writeEvents(conn, a, 1, 2)
+		s.mu.Lock()
+		if s.begun++; s.begun == streams {
+			s.awake = make(chan struct{})
+			s.fillQueue()
+			close(s.silenced)
+		}
+		s.mu.Unlock()
+		<-s.silenced
+		<-s.silence()
+		<-time.After(nextEventTime)
+		for i := 3; i <= 4; i++ {
+			writeChunk(conn, "id: "+strconv.Itoa(i)+"\ndata: word-"+strconv.Itoa(i)+"\n\n")
+		}
+		writeLastChunk(conn)
+	})
+	t.Cleanup(s.wake)
+	return s
+}
+
+// silence returns a channel that is closed once the server is awake.
+func (s *silentServer) silence() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.awake
+}
+
+// streams returns the number of streams that have begun.
+func (s *silentServer) streams() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
+
+func (s *silentServer) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.awake:
+	default:
+		close(s.awake)
+	}
+}
+
+// fillQueue has the kernel drop further connections until the server is awake.
+func (s *silentServer) fillQueue() {
+	for range 2 * acceptQueue {
+		go func() {
+			if conn, err := net.Dial("tcp", s.ln.Addr().String()); err == nil {
+				s.t.Cleanup(func() { _ = conn.Close() })
+			}
+		}()
+	}
+}
+
+// pausingListener accepts nothing while its server is silent.
+type pausingListener struct {
+	net.Listener
+	server *silentServer
+}
+
+func (l *pausingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		<-l.server.silence()
+	}
+	return conn, err
+}
+
+// acceptQueue is the number of connections that the kernel completes before a silent server accepts them.
+const acceptQueue = 8
+
+// shortQueueListener listens with a short queue of connections to be accepted.
+func shortQueueListener(t testing.TB) net.Listener {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, unix.Listen(fd, acceptQueue))
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	require.NoError(t, err)
+	return ln
+}
+
+// patientRoutes are the usual routes with more time than a silence takes.
+func patientRoutes() laburnumlever.RouteTable {
+	routes := testRoutes()
+	routes.Version++
+	for i := range routes.Routes {
+		routes.Routes[i].Timeout = laburnumlever.Duration(10 * time.Second)
+	}
+	return routes
+}
+
+// resumeStream answers with the events after the last one that the caller has.
+func resumeStream(conn net.Conn, a receivedRequest, _ int) {
+	last, _ := strconv.Atoi(a.request.Header.Get("Last-Event-Id"))
+	writeEvents(conn, a, last+1, 4)
+	writeLastChunk(conn)
+}
+
+// quotes are the answers to streams that were sent at the same time.
+func (b *harness) quotes(n int) []callerResponse {
+	answers := make([]callerResponse, n)
+	var all sync.WaitGroup
+	for i := range answers {
+		all.Go(func() {
+			answers[i] = b.send("POST", "/quote/x", "text", "X-Laburnumlever-Model", "m0", idHeader, "r-"+strconv.Itoa(i))
+		})
+	}
+	all.Wait()
+	return answers
+}
+
+// Guards against answers cut under a server that was silent for everybody, since it answered another VM first when it went on.
+func TestServerThatWakesBetweenTwoProbesIsReached(t *testing.T) {
+	const streams = 3
+	silent := newSilentServer(t, "i-1", streams)
+	other := newBackend(t, "i-2", resumeStream)
+	tunnels := &fakeTunnels{onDial: func(ctx context.Context) {
+		// A new direct connection has 200 ms, which are over by then.
+		time.AfterFunc(250*time.Millisecond, silent.wake)
+		select {
+		case <-silent.silence():
+		case <-ctx.Done():
+		}
+	}}
+	b := newLinksHarness(t, tunnels, &reports{}, []laburnumregistry.Record{
+		silent.heartbeat("quotes", "m0"), answers("i-3")(t).heartbeat("booking"),
+	})
+	b.fleet.HandleRoutes(patientRoutes())
+	ended := make(chan []callerResponse, 1)
+	go func() { ended <- b.quotes(streams) }()
+	require.Eventually(t, func() bool { return silent.streams() == streams }, 10*time.Second, time.Millisecond)
+	b.announce(other.heartbeat("quotes", "m0"))
+	for i, got := range <-ended {
+		require.NoError(t, got.err, "stream %d", i)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Contains(t, got.body, "word-4")
+	}
+	require.Positive(t, tunnels.dialed.Load(), "another VM was asked")
+	require.Equal(t, streams, silent.streams())
+	require.Empty(t, other.requests(), "nothing was sent again")
+	require.True(t, b.gateway.CanReach(silent.ln.Addr().String()))
+	require.True(t, b.gateway.CanHelp())
+}
+
+// Guards against answers that are given up on a link that hangs although the request has nowhere else to go on.
+func TestAnswerThatCanGoOnNowhereElseIsNotEnded(t *testing.T) {
+	const streams = 3
+	for _, tt := range []struct {
+		name     string
+		attempts int
+		others   bool
+		budget   float64
+		// wantMoved is the number of streams that go on at another server.
+		wantMoved int
+	}{
+		{name: "no other server holds the model", attempts: 2, budget: 50},
+		{name: "the route allows one server", attempts: 1, others: true, budget: 50},
+		{name: "the retry budget is used up", attempts: 2, others: true},
+		{name: "another server is free", attempts: 2, others: true, budget: 50, wantMoved: streams},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			hanging, other, reached := newSilentServer(t, "i-1", streams), newBackend(t, "i-2", resumeStream), answers("i-1")(t)
+			address := hanging.ln.Addr().String()
+			b := newLinksHarness(t, &fakeTunnels{real: map[string]string{address: reached.ln.Addr().String()}}, &reports{}, []laburnumregistry.Record{
+				hanging.heartbeat("quotes", "m0"), answers("i-3")(t).heartbeat("booking"),
+			}, laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{Window: 10 * time.Second, Slack: tt.budget}))
+			routes := patientRoutes()
+			for i := range routes.Routes {
+				routes.Routes[i].MaxAttempts = tt.attempts
+			}
+			b.fleet.HandleRoutes(routes)
+			ended := make(chan []callerResponse, 1)
+			go func() { ended <- b.quotes(streams) }()
+			require.Eventually(t, func() bool { return hanging.streams() == streams }, 10*time.Second, time.Millisecond)
+			if tt.others {
+				b.announce(other.heartbeat("quotes", "m0"))
+			}
+			require.Eventually(t, func() bool { return !b.gateway.CanReach(address) }, 10*time.Second, time.Millisecond, "only others reach it")
+			hanging.wake()
+			for i, got := range <-ended {
+				require.NoError(t, got.err, "stream %d", i)
+				require.Equal(t, 4, strings.Count(got.body, "word-"), "stream %d", i)
+			}
+			require.Len(t, other.requests(), tt.wantMoved)
+		})
+	}
+}
