fix: a server that wakes between two probes is no server that only others reach

Callers lost answers that sound engines had begun: their gateway closed the connections in the millisecond in which it opened a detour.

Cause: a direct probe that failed while a server was silent for everybody, and a later probe through another VM that the server answered when it went on, were read as one look.

A server that has answered another VM is now probed directly once more, and through others again after that probe has begun. It counts as out of this VM's reach only if it answers others on both sides of a direct probe that fails. A silence can't look like that unless it begins and ends between the two. A link that hangs is known some 0.4 s later, one that is reset as soon as before.

--- a/laburnumgateway/linkprobes.go
+++ b/laburnumgateway/linkprobes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"laburnumlever/laburnumreachability"
@@ -19,12 +20,15 @@
 	// tunnelProbeTimeout how long each of them has: on busy machines a server that runs answers late.
 	tunnelProbes       = 2
 	tunnelProbeTimeout = 600 * time.Millisecond
-	// verifyTimeout bounds the probes of a server, directly and through others. They end sooner once they tell enough.
-	verifyTimeout = tunnelProbeDelay + tunnelProbes*tunnelProbeTimeout
-	// directSlack is how long a direct probe may take after the server has answered another VM.
-	directSlack = 100 * time.Millisecond
-	// directProbeTimeout bounds a direct probe that is made again and again, until lost links are back.
+	// othersTimeout bounds a direct probe of a server and those through others.
+	othersTimeout = tunnelProbeDelay + tunnelProbes*tunnelProbeTimeout
+	// verifyTimeout bounds the probes of a server, directly and through others, each made twice. They end sooner once they tell
+	// enough.
+	verifyTimeout = 2 * othersTimeout
+	// directProbeTimeout bounds a direct probe of a server that others reach.
 	directProbeTimeout = 300 * time.Millisecond
+	// directProbes is the number of these: a server that begins to accept connections again may miss the first one.
+	directProbes = 2
 )
 
 // probedServer is a backend server to probe.
@@ -90,11 +94,25 @@
 
 // probeBothWays probes a backend server directly and, if that takes long or fails, through other VMs.
 func (l *links) probeBothWays(ctx context.Context, s probedServer) laburnumreachability.Probe {
+	p := l.probeOnce(ctx, s)
+	if p.Direct || !p.Reached {
+		return p
+	}
+	p.Direct, p.Cause = l.probeAgain(ctx, s)
+	p.Reached = !p.Direct && p.Cause == nil
+	return p
+}
+
+// probeOnce probes a backend server directly and, if that takes long or fails, through other VMs. One that answers others may have
+// been silent for everybody before.
+func (l *links) probeOnce(ctx context.Context, s probedServer) laburnumreachability.Probe {
+	ctx, cancel := context.WithTimeout(ctx, othersTimeout)
+	defer cancel()
 	p := laburnumreachability.Probe{Address: s.address}
 	direct := make(chan bool, 1)
 	go func() { direct <- l.probeOne(ctx, s, false) == nil }()
-	slow, cancel := laburnumtimer.AfterChannel(l.gateway.timers, tunnelProbeDelay)
-	defer cancel()
+	slow, stop := laburnumtimer.AfterChannel(l.gateway.timers, tunnelProbeDelay)
+	defer stop()
 	ended := false
 	select {
 	case p.Direct = <-direct:
@@ -107,20 +125,53 @@
 		return p
 	}
 	p.Reached, p.Helped, p.Cause = l.probeThroughOthers(ctx, s)
-	if ended {
-		return p
-	}
-	if !p.Reached {
+	if !ended && !p.Reached {
 		p.Direct = <-direct
-		return p
 	}
-	late, cancel := laburnumtimer.AfterChannel(l.gateway.timers, directSlack)
+	return p
+}
+
+// probeAgain probes a backend server that has answered another VM, and reports whether it answers directly. A nil error means
+// that it has answered others again since the direct probe began, so that its silence is no reason for that probe to fail.
+func (l *links) probeAgain(ctx context.Context, s probedServer) (answers bool, err error) {
+	direct := make(chan bool, 1)
+	go func() { direct <- l.answersDirectly(s) }()
+	slow, cancel := laburnumtimer.AfterChannel(l.gateway.timers, tunnelProbeDelay)
 	defer cancel()
+	ended := false
 	select {
-	case p.Direct = <-direct:
-	case <-late:
+	case answers = <-direct:
+		ended = true
+	case <-slow:
 	}
-	return p
+	if answers {
+		return true, nil
+	}
+	_, _, err = l.probeThroughOthers(ctx, s)
+	if !ended {
+		answers = <-direct
+	}
+	return answers, err
+}
+
+// answersDirectly reports whether a backend server answers one of several direct probes. One that refuses or resets the first is
+// not asked again.
+func (l *links) answersDirectly(s probedServer) bool {
+	for range directProbes {
+		err := l.probeDirectly(s)
+		if err == nil {
+			return true
+		}
+		if !isTimeout(err) {
+			return false
+		}
+	}
+	return false
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // probeThroughOthers reports whether a backend server answers another VM, whether one was found, and the last error. A VM that
--- a/laburnumgateway/silence_test.go
+++ b/laburnumgateway/silence_test.go
@@ -165,7 +165,9 @@
 	const streams = 3
 	silent := newSilentServer(t, "i-1", streams)
 	other := newBackend(t, "i-2", resumeStream)
-	tunnels := &fakeTunnels{onDial: func(ctx context.Context) {
+	// The other VM's connections must not meet the queue that the silence has filled.
+	elsewhere := answers("i-1")(t)
+	tunnels := &fakeTunnels{real: map[string]string{silent.ln.Addr().String(): elsewhere.ln.Addr().String()}, onDial: func(ctx context.Context) {
 		// A new direct connection has 200 ms, which are over by then.
 		time.AfterFunc(250*time.Millisecond, silent.wake)
 		select {
