test: an answer may go on through other VMs at the same server

The case without another server expected that answers stay on the hanging link. After a right verdict other VMs reach the server itself, so that they may go on there; the case is now two, one in which they do and one in which all slots are taken and they stay. As strict as before: each stream must come whole, and where it went on is counted.

--- a/laburnumgateway/silence_test.go
+++ b/laburnumgateway/silence_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -140,8 +141,17 @@
 	return routes
 }
 
+// streams returns the streams among the requests that the server received.
+func (b *backend) streams() []receivedRequest {
+	return slices.DeleteFunc(b.requests(), func(a receivedRequest) bool { return !strings.HasPrefix(a.request.URL.Path, "/quote/") })
+}
+
 // resumeStream answers with the events after the last one that the caller has.
 func resumeStream(conn net.Conn, a receivedRequest, _ int) {
+	if !strings.HasPrefix(a.request.URL.Path, "/quote/") {
+		writeAnswer(conn, a, http.StatusNotFound, "")
+		return
+	}
 	last, _ := strconv.Atoi(a.request.Header.Get("Last-Event-Id"))
 	writeEvents(conn, a, last+1, 4)
 	writeLastChunk(conn)
@@ -203,20 +213,24 @@
 		attempts int
 		others   bool
 		budget   float64
-		// wantMoved is the number of streams that go on at another server.
-		wantMoved int
+		slots    int
+		// wantElsewhere and wantThroughOthers are the numbers of streams that go on at another server, and at the same one.
+		wantElsewhere, wantThroughOthers int
 	}{
-		{name: "no other server holds the model", attempts: 2, budget: 50},
-		{name: "the route allows one server", attempts: 1, others: true, budget: 50},
-		{name: "the retry budget is used up", attempts: 2, others: true},
-		{name: "another server is free", attempts: 2, others: true, budget: 50, wantMoved: streams},
+		{name: "all slots are taken", attempts: 2, budget: 50, slots: streams},
+		{name: "the route allows one server", attempts: 1, others: true, budget: 50, slots: 8},
+		{name: "the retry budget is used up", attempts: 2, others: true, slots: 8},
+		{name: "another server is free", attempts: 2, others: true, budget: 50, slots: 8, wantElsewhere: streams},
+		{name: "others reach the server itself", attempts: 2, budget: 50, slots: 8, wantThroughOthers: streams},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			hanging, other, reached := newSilentServer(t, "i-1", streams), newBackend(t, "i-2", resumeStream), answers("i-1")(t)
+			hanging, other, reached := newSilentServer(t, "i-1", streams), newBackend(t, "i-2", resumeStream), newBackend(t, "i-1", resumeStream)
+			record := hanging.heartbeat("quotes", "m0")
+			record.Heartbeat.Slots = tt.slots
 			address := hanging.ln.Addr().String()
 			b := newLinksHarness(t, &fakeTunnels{real: map[string]string{address: reached.ln.Addr().String()}}, &reports{}, []laburnumregistry.Record{
-				hanging.heartbeat("quotes", "m0"), answers("i-3")(t).heartbeat("booking"),
+				record, answers("i-3")(t).heartbeat("booking"),
 			}, laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{Window: 10 * time.Second, Slack: tt.budget}))
 			routes := patientRoutes()
 			for i := range routes.Routes {
@@ -235,7 +249,8 @@
 				require.NoError(t, got.err, "stream %d", i)
 				require.Equal(t, 4, strings.Count(got.body, "word-"), "stream %d", i)
 			}
-			require.Len(t, other.requests(), tt.wantMoved)
+			require.Len(t, other.streams(), tt.wantElsewhere)
+			require.Len(t, reached.streams(), tt.wantThroughOthers)
 		})
 	}
 }
