fix: a verdict on links ends only attempts whose requests go on elsewhere

Callers lost streams that could be resumed by their route: "broken-stream" with one send and no second one, up to 16 at once.

Cause: when a detour opens or links are lost, all silent attempts were closed whose routes may be repeated or resumed. Whether the request had a send, a share of the retry budget or a server with room left was asked afterwards; where it had not, the answer was lost for nothing, also after a right verdict.

An attempt is ended now only if the same rules that decide on retries allow another, the software version is known, a server has room, and the retry is charged before the connection is closed. Others stay, and get what the links still bring. What this VM ended itself no longer counts as a failure of the server either.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -471,6 +471,11 @@
 	}, Found
 }
 
+// HasRoom reports whether a server could take the query now.
+func (t *Table) HasRoom(q Query, now time.Time) bool {
+	return slices.ContainsFunc(t.candidates(q), func(s *server) bool { return q.fits(s) && t.verdictOn(s, q, now) == Found })
+}
+
 // verdictOn returns whether one server can take the query, and why not: ModelAbsent also if it is
 // unreachable.
 func (t *Table) verdictOn(s *server, q Query, now time.Time) Verdict {
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -31,7 +31,7 @@
 		return fail
 	}
 	q.via = conn.Via()
-	wait := g.links.begin(q, ticket.Backend, conn)
+	wait := g.links.begin(q, out, ticket.Backend, conn)
 	defer g.links.end(wait)
 	stop := conn.CloseOnDone(ctx)
 	if fail, resp := g.reserve(ctx, q, ticket, conn, &result); fail != nil { //nolint:bodyclose // its body has been read
@@ -44,7 +44,7 @@
 	}
 	fail, resp := g.exchange( //nolint:bodyclose // the connection is closed or reused as a whole
 		ctx, q, out, ticket, conn, wait, &result)
-	fail.describeEnd(ctx, g.links.endedBy(wait))
+	fail.describeEnd(ctx, g.links.endedBy(wait), &result)
 	if fail != nil && fail.stage == laburnumretry.StageUnknown && ctx.Err() == nil && isBroken(fail.cause) {
 		fail.broken = true
 		if wait != nil {
--- a/laburnumgateway/attemptend.go
+++ b/laburnumgateway/attemptend.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 
+	"laburnumlever/laburnumbalance"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -25,8 +27,11 @@
 	endLinksLost
 )
 
-// describeEnd has the failure of an attempt name what ended it, if that was this VM.
-func (fail *failure) describeEnd(ctx context.Context, verdict attemptEnd) {
+// paid reports whether the next attempt was charged to the retry budget before this one was ended.
+func (e attemptEnd) paid() bool { return e == endDetour || e == endLinksLost }
+
+// describeEnd has the failure of an attempt name what ended it, if that was this VM: then it is none of the server's.
+func (fail *failure) describeEnd(ctx context.Context, verdict attemptEnd, result *laburnumbalance.AttemptResult) {
 	if fail == nil || !errors.Is(fail.cause, net.ErrClosed) {
 		return
 	}
@@ -40,5 +45,6 @@
 	default:
 		return
 	}
+	result.Failed = false
 	fail.cause = &AttemptEndedError{By: fail.end, Cause: fail.cause}
 }
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -140,14 +140,11 @@
 		q.obstacle = laburnumretry.ObstacleVersion // no other server is known to run the same software
 		return 0, false
 	}
-	failed := laburnumretry.Attempt{
-		Stage: fail.stage, MayHaveRun: q.mayHaveRun, Started: out.started, Idempotent: q.route.Repeatable(),
-		Resumable: q.route.Resumable, Sent: q.sent, Tries: q.tries, MaxSent: q.route.MaxAttempts,
-		Suspect: fail.broken && g.fleet.quarantineState(q) != laburnumquarantine.Cleared,
-	}
+	failed := q.attempted(fail.stage, out)
+	failed.Suspect = fail.broken && g.fleet.quarantineState(q) != laburnumquarantine.Cleared
 	q.obstacle = failed.Obstacle()
 	reason, paid, ok := failed.Next()
-	if ok && paid && !g.chargeRetry(q) {
+	if ok && paid && !fail.end.paid() && !g.chargeRetry(q.service.Name) {
 		q.obstacle = laburnumretry.ObstacleBudget
 		fail.reason = laburnumlever.RefusedRetryBudget
 		return 0, false
@@ -155,6 +152,14 @@
 	return reason, ok
 }
 
+// attempted returns the request's state after an attempt that got to a stage.
+func (q *request) attempted(stage laburnumretry.Stage, out *answer) laburnumretry.Attempt {
+	return laburnumretry.Attempt{
+		Stage: stage, MayHaveRun: q.mayHaveRun, Started: out.started, Idempotent: q.route.Repeatable(),
+		Resumable: q.route.Resumable, Sent: q.sent, Tries: q.tries, MaxSent: q.route.MaxAttempts,
+	}
+}
+
 // acquire reserves a slot on a backend server. If needed, it has the adapter loaded and queues the
 // request.
 func (g *Gateway) acquire(ctx context.Context, q *request) (*laburnumbalance.Ticket, error) {
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -177,14 +177,14 @@
 }
 
 // chargeRetry charges a retry to the budget and tells whether it was within the budget.
-func (g *Gateway) chargeRetry(q *request) bool {
+func (g *Gateway) chargeRetry(service laburnumlever.ServiceName) bool {
 	if g.retryBudget.Window <= 0 {
 		return false
 	}
 	gateways := g.fleet.Gateways()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryWindow(q.service.Name).AllowRetry(g.timers.Now(), gateways)
+	return g.retryWindow(service).AllowRetry(g.timers.Now(), gateways)
 }
 
 // finishUnanswered ends a request without a complete answer: it answers with the backend server's
--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumreachability"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumtunnel"
 	"laburnumlever/laburnumupstream"
@@ -48,8 +50,11 @@
 type directAttempt struct {
 	to   laburnumlever.Heartbeat
 	conn *laburnumupstream.Conn
-	// retryable is set if the request may be sent again.
-	retryable bool
+	// next is the request's state if the attempt were ended now, query what it needs. stream is set if the caller gets the
+	// answer part by part.
+	next   laburnumretry.Attempt
+	query  laburnumbalance.Query
+	stream bool
 	// countedAt is when its silence last counted as a failure.
 	countedAt time.Time
 	// endedBy is the verdict that ended it, begun is set once a part of the answer was received.
@@ -57,6 +62,28 @@
 	begun   bool
 }
 
+// newDirectAttempt returns the attempt that a request begins.
+func newDirectAttempt(q *request, out *answer, to laburnumlever.Heartbeat, conn *laburnumupstream.Conn) *directAttempt {
+	a := &directAttempt{to: to, conn: conn, next: q.attempted(laburnumretry.StageUnknown, out), query: q.query(), stream: q.route.Kind == laburnumlever.KindStream}
+	a.next.Sent++
+	a.query.Permit = laburnumbalance.Permit{}
+	return a
+}
+
+// heard records that a part of the answer was received.
+func (a *directAttempt) heard() {
+	if a.begun = true; a.stream && !a.next.Started {
+		a.next.Started = true
+		a.query.Software = a.to.Software
+	}
+}
+
+// mayMove reports whether the request may be sent again if the attempt is ended, apart from the retry budget and the room at
+// servers. A stream goes on only at a server of a known software version.
+func (a *directAttempt) mayMove() bool {
+	return a.endedBy == endNone && a.next.Obstacle() == laburnumretry.ObstacleNone && (!a.next.Started || a.to.Software != "")
+}
+
 func newLinks(g *Gateway) *links {
 	return &links{
 		gateway: g, monitor: laburnumreachability.New(), detours: laburnumreachability.NewDetours(),
@@ -74,14 +101,14 @@
 }
 
 // begin records that a request is sent on a connection; nil for a connection through another VM.
-func (l *links) begin(q *request, to laburnumlever.Heartbeat, conn *laburnumupstream.Conn) *laburnumreachability.Wait {
+func (l *links) begin(q *request, out *answer, to laburnumlever.Heartbeat, conn *laburnumupstream.Conn) *laburnumreachability.Wait {
 	if conn.Tunnelled() {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w := l.monitor.Begin(to.Address, l.gateway.timers.Now())
-	l.attempts[w] = &directAttempt{to: to, conn: conn, retryable: q.route.Repeatable() || q.route.Resumable}
+	l.attempts[w] = newDirectAttempt(q, out, to, conn)
 	return w
 }
 
@@ -93,7 +120,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.monitor.Heard(w, conn.OpenedAt(), l.gateway.timers.Now())
-	l.attempts[w].begun = true
+	l.attempts[w].heard()
 	l.detours.Heard(w.Address(), conn.OpenedAt())
 }
 
@@ -282,28 +309,67 @@
 	})
 }
 
-// abort ends the attempts that match and whose requests may be sent again. It returns how many, and how many of these had got a
-// part of their answers.
+// abort ends the attempts that match and whose requests go on elsewhere: those without another send, a server with room or a share
+// of the retry budget would only lose what the links may still bring. It returns how many, and how many of these had got a part of
+// their answers.
 func (l *links) abort(verdict attemptEnd, matches func(*laburnumreachability.Wait, *directAttempt) bool) (ended, begun int) {
-	l.mu.Lock()
-	var conns []*laburnumupstream.Conn
-	for w, a := range l.attempts {
-		if !a.retryable || a.endedBy != endNone || !matches(w, a) {
+	for _, w := range l.movable(matches) {
+		a := l.take(w, verdict, matches)
+		if a == nil {
 			continue
 		}
-		a.endedBy = verdict
-		conns = append(conns, a.conn)
-		if a.begun {
+		a.conn.Close()
+		if ended++; a.begun {
 			begun++
 		}
 	}
+	l.gateway.counters.attemptsEnded[verdict].Inc(int64(ended - begun))
+	l.gateway.counters.answersCut[verdict].Inc(int64(begun))
+	return ended, begun
+}
+
+// movable returns the attempts that match and whose requests may be sent again.
+func (l *links) movable(matches func(*laburnumreachability.Wait, *directAttempt) bool) []*laburnumreachability.Wait {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var movable []*laburnumreachability.Wait
+	for w, a := range l.attempts {
+		if a.mayMove() && matches(w, a) {
+			movable = append(movable, w)
+		}
+	}
+	return movable
+}
+
+// take marks an attempt as ended and charges the next one to the retry budget. It returns nil if the attempt has changed or its request
+// can't go on now.
+func (l *links) take(w *laburnumreachability.Wait, verdict attemptEnd, matches func(*laburnumreachability.Wait, *directAttempt) bool) *directAttempt {
+	l.mu.Lock()
+	a := l.attempts[w]
+	if a == nil {
+		l.mu.Unlock()
+		return nil
+	}
+	query := a.query
 	l.mu.Unlock()
-	for _, conn := range conns {
-		conn.Close()
+	query.Avoid = append(slices.Clone(query.Avoid), a.to.Backend)
+	if !l.gateway.fleet.hasRoom(query) || !l.gateway.chargeRetry(query.Service) {
+		return nil
 	}
-	l.gateway.counters.attemptsEnded[verdict].Inc(int64(len(conns) - begun))
-	l.gateway.counters.answersCut[verdict].Inc(int64(begun))
-	return len(conns), begun
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.attempts[w] != a || !a.mayMove() || !matches(w, a) {
+		return nil
+	}
+	a.endedBy = verdict
+	return a
+}
+
+// hasRoom reports whether a backend server could take the query now.
+func (f *Fleet) hasRoom(query laburnumbalance.Query) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balance.HasRoom(query, f.timers.Now())
 }
 
 // serverCount returns the number of backend servers that accept requests.
