fix: answers stay while nobody confirms that links are lost

Callers lost answers when all servers were silent for a second and no other VM could be asked, as while control VMs are killed or frozen.

Cause: four silent servers count as lost links then, for want of a better word, and the verdict closed the silent attempts, which went on nowhere since no VM helped. New requests are refused as before, truthfully and at once; attempts are ended only while another VM helps.

--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -302,8 +302,12 @@
 	return !l.monitor.Lost() || !l.unaided.Load()
 }
 
-// abortSilent ends attempts on lost links whose requests may be sent again.
+// abortSilent ends attempts on lost links whose requests may be sent again. While no other VM helps they would get no further, and
+// nobody has shown that the servers are not just silent.
 func (l *links) abortSilent(now time.Time) {
+	if l.unaided.Load() {
+		return
+	}
 	l.abort(endLinksLost, func(w *laburnumreachability.Wait, _ *directAttempt) bool {
 		return w.Silent(now) && l.monitor.Hanging(now)
 	})
--- a/laburnumgateway/silence_test.go
+++ b/laburnumgateway/silence_test.go
@@ -12,12 +12,14 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
 	"laburnumlever"
 	"laburnumlever/laburnumgateway"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumtunnel"
 )
 
 // silentServer is a fake backend server that can fall silent for everybody: it answers nothing and the kernel no new connection.
@@ -254,3 +256,33 @@
 		})
 	}
 }
+
+// Guards against answers cut since all servers were silent at once and no other VM could be asked whose fault that is.
+func TestAnswersAreKeptWhileNobodyConfirmsLostLinks(t *testing.T) {
+	const servers = 4
+	var silent [servers]*silentServer
+	var records []laburnumregistry.Record
+	for i := range silent {
+		silent[i] = newSilentServer(t, "i-"+strconv.Itoa(i), 1)
+		records = append(records, silent[i].heartbeat("quotes", "m"+strconv.Itoa(i)))
+	}
+	b := newLinksHarness(t, &fakeTunnels{err: &laburnumtunnel.NoHelperError{}}, &reports{}, records)
+	b.fleet.HandleRoutes(patientRoutes())
+	var ended sync.WaitGroup
+	for i := range silent {
+		ended.Go(func() {
+			got := b.send("POST", "/quote/x", "text", "X-Laburnumlever-Model", "m"+strconv.Itoa(i))
+			assert.NoError(t, got.err)
+			assert.Equal(t, 4, strings.Count(got.body, "word-"))
+		})
+	}
+	require.Eventually(t, func() bool { return !b.gateway.Ready() }, 10*time.Second, time.Millisecond, "the links count as lost")
+	for _, s := range silent {
+		s.wake()
+	}
+	ended.Wait()
+	for _, s := range silent {
+		require.Equal(t, 1, s.streams(), "nothing was sent again")
+	}
+	require.Eventually(t, b.gateway.Ready, 10*time.Second, time.Millisecond)
+}
