test: each request of a caller that leaves needs a new connection

Cause: the provocation, not the product. Callers of 50 ms come until one leaves during a question to another VM. A question is asked only for a new connection. Once each of the three servers had an idle connection from an earlier request, all callers were answered over these and none left.

The servers of the test now end each connection after its answer, so that every caller's request asks another VM.

--- a/laburnumgateway/links_test.go
+++ b/laburnumgateway/links_test.go
@@ -83,6 +83,11 @@
 	return records, tunnels
 }
 
+// answersOnce returns a server that ends each connection after one answer, so that each request needs a new one.
+func answersOnce(t *testing.T, id string) *backend {
+	return newBackend(t, id, func(conn net.Conn, a receivedRequest, _ int) { writeAnswer(conn, a, 200, "ok", "Connection: close") })
+}
+
 func newLinksHarness(t *testing.T, tunnels laburnumupstream.Tunnels, r *reports, records []laburnumregistry.Record) *harness {
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
@@ -204,7 +209,7 @@
 
 // Guards against a gateway that refuses everybody, or leaves the load balancer, since one caller left while another VM was asked.
 func TestCallerThatLeavesSaysNothingOfHelpers(t *testing.T) {
-	records, tunnels := behindLostLinks(t, "booking", answers("i-1")(t), answers("i-2")(t), answers("i-3")(t))
+	records, tunnels := behindLostLinks(t, "booking", answersOnce(t, "i-1"), answersOnce(t, "i-2"), answersOnce(t, "i-3"))
 	b := newLinksHarness(t, tunnels, &reports{}, records)
 	require.Eventually(t, func() bool { return b.send("POST", "/confirm/x", "visit").status == http.StatusOK }, 10*time.Second, time.Millisecond)
 	tunnels.unanswered.Store(true)
