fix: a refusal reaches callers that are still sending their body

Callers saw a reset instead of their refusal (unknown route, unknown key, a drain, no routes yet) with bodies over 256 kB, and waited for their own body with smaller ones that they sent slowly: Go's server reads up to 256 kB of an unread body before it writes the head, and closes 500 ms later.

A refusal of a request whose body was not read is now written and flushed at once, with its length. The rest of the body is read and dropped, at most as many bytes as the route table's limit and for at most 3 s. If it ends within, the connection serves the next request; if not, it is closed, first for writing, since what follows must not be parsed as a request. The answer to an unknown key needs no "Connection: close" any more. A declared length over the limit is refused without reading.

--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -223,12 +223,7 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	if refusal.Reason == laburnumlever.RefusedUnknownKey && !q.bodyRead {
-		// Otherwise the server reads the body first, which a caller may send slowly or not at all.
-		w.Header().Set("Connection", "close")
-	}
-	w.WriteHeader(status)
-	_, _ = w.Write([]byte(refusal.Reason.String() + "\n")) // an error means that the caller has disconnected
+	q.writeRefusal(w, status, refusal.Reason.String()+"\n")
 }
 
 // retryAfter returns the Retry-After of a refusal; 0 for none. The end of a quarantine or a rest and the time at which a
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -40,7 +39,7 @@
 	host          string
 	header        http.Header
 	body          []byte
-	bodyRead      bool
+	incoming      *incomingBody // nil once the body has been read
 	arrived       time.Time
 	deadline      time.Time
 	routesVersion uint64
@@ -100,7 +99,7 @@
 // parseRequest reads and parses a request. The error is a *laburnumlever.RefusalError.
 func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
 	now := g.timers.Now()
-	q := &request{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, arrived: now}
+	q := &request{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, arrived: now, incoming: newIncomingBody(w, r)}
 	index := g.routes(r)
 	if index == nil {
 		return q, newRefusal(laburnumlever.RefusedNotReady, notReadyRetryAfter, "no route table received yet")
@@ -108,6 +107,9 @@
 	caller, err := g.dialect.Request(r.Header)
 	q.caller, q.lastEventID = caller, caller.LastEvent
 	index = g.fleet.currentIndex(r.Context(), index, caller)
+	if limit := index.Table().Callers.BodyBytes; limit > 0 && q.incoming != nil {
+		q.incoming.limit = int64(limit)
+	}
 	q.routesVersion = index.Table().Version
 	route, ok := index.Find(r.Host, pathOf(r.RequestURI))
 	if !ok {
@@ -129,7 +131,7 @@
 	q.rank = index.Rank(route, q.account)
 	q.mostUrgent = index.MostUrgent(q.service.Name, q.rank)
 	q.setDeadline()
-	return q, q.readBody(w, r, index.Table().Callers.BodyBytes)
+	return q, q.readBody(r)
 }
 
 // routes returns the route table in effect. If there is none yet it waits for the first one, and
@@ -205,23 +207,6 @@
 	q.deadline = q.arrived.Add(limit)
 }
 
-func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int) error {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	q.bodyRead = true
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return newRefusal(laburnumlever.RefusedTooLarge, 0, err.Error())
-	case err != nil:
-		return newRefusal(laburnumlever.RefusedCallerGone, 0, "request body is incomplete: "+err.Error())
-	}
-	q.body = body
-	return nil
-}
-
 func (q *request) query() laburnumbalance.Query {
 	return laburnumbalance.Query{
 		Service: q.service.Name, Model: q.caller.Model, Adapter: q.caller.Adapter,
