fix: requests whose bodies are still coming are refused before a drain ends

Requests whose bodies were still coming when a gateway's grace was over ended with neither an answer nor a refusal: whether a request may outlast the drain was decided after its body had been read, and the reading had no bound in time.

It is decided before the body is read as well, and again after it. They also end at the request's own deadline. The rest of the body is dropped as after other refusals, at most until the drain's deadline.

Evidence: before, TestBodiesThatOutlastADrainAreRefused (with a length, in chunks), TestRequestsThatMayOutlastADrainAreRefusedBeforeTheirBody and TestBodyThatOutlastsItsDeadlineIsRefused failed with "i/o timeout" after 10 s without an answer; they pass now.

--- a/laburnumgateway/bodies.go
+++ b/laburnumgateway/bodies.go
@@ -1,9 +1,11 @@
 package laburnumgateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -34,21 +36,34 @@
 	return &incomingBody{body: r.Body, controller: http.NewResponseController(w), limit: defaultBodyBytes}
 }
 
-// readBody reads the request's body, up to the limit. The error is a *laburnumlever.RefusalError.
-func (q *request) readBody(r *http.Request) error {
-	if q.incoming == nil {
-		return nil
+// readBody reads the request's body, up to the limit, until its deadline or until a drain needs the rest of its time. The error is a
+// *laburnumlever.RefusalError.
+func (g *Gateway) readBody(q *request, r *http.Request) error {
+	in := q.incoming
+	if r.ContentLength > in.limit {
+		return tooLarge(in.limit)
 	}
-	limit := q.incoming.limit
-	if r.ContentLength > limit {
-		return tooLarge(limit)
+	_ = in.controller.SetReadDeadline(q.deadline)
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(g.bodies, func() {
+		defer close(interrupted)
+		_ = in.controller.SetReadDeadline(time.Unix(0, 1))
+	})
+	body, err := io.ReadAll(io.LimitReader(in.body, in.limit+1))
+	drained := !stop()
+	if drained {
+		<-interrupted
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	_ = in.controller.SetReadDeadline(time.Time{}) // else the server takes its end for the caller's
+	switch {
+	case err != nil && drained:
+		return g.drainRefusal()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return newRefusal(laburnumlever.RefusedDeadline, 0, "the request body did not arrive in time")
+	case err != nil:
 		return newRefusal(laburnumlever.RefusedCallerGone, 0, "request body is incomplete: "+err.Error())
-	}
-	if int64(len(body)) > limit {
-		return tooLarge(limit)
+	case int64(len(body)) > in.limit:
+		return tooLarge(in.limit)
 	}
 	q.body, q.incoming = body, nil
 	return nil
@@ -59,7 +74,10 @@
 }
 
 // writeRefusal writes a complete answer. If the request's body has not been read yet, it is dropped after that.
-func (q *request) writeRefusal(w http.ResponseWriter, status int, text string) {
+func (g *Gateway) writeRefusal(w http.ResponseWriter, q *request, status int, text string) {
+	if g.stage() != drainNone {
+		w.Header().Set("Connection", "close")
+	}
 	if q.incoming != nil {
 		_ = q.incoming.controller.EnableFullDuplex() // otherwise the server reads some of the body first
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -68,24 +86,32 @@
 	_, _ = io.WriteString(w, text) // an error means that the caller has disconnected
 	if q.incoming != nil {
 		_ = q.incoming.controller.Flush()
-		q.incoming.drop()
+		q.incoming.drop(g.dropEnd())
 	}
 }
 
-// drop reads the rest of the body. A connection whose body does not end within the bounds is closed: what follows
-// must not be taken for a request.
-func (b *incomingBody) drop() {
-	until := time.Now().Add(dropTime)
-	_ = b.controller.SetReadDeadline(until)
+// dropEnd returns when a refused body that has not ended is given up.
+func (g *Gateway) dropEnd() time.Time {
+	end := time.Now().Add(dropTime)
+	if drain := g.drainDeadline.Load(); drain != nil && drain.Before(end) {
+		return *drain
+	}
+	return end
+}
+
+// drop reads the rest of the body, at most until end. A connection whose body does not end within the bounds is closed: what
+// follows must not be taken for a request.
+func (b *incomingBody) drop(end time.Time) {
+	_ = b.controller.SetReadDeadline(end.Add(-lingerTime))
 	if _, err := io.CopyN(io.Discard, b.body, b.limit+1); errors.Is(err, io.EOF) {
 		_ = b.controller.SetReadDeadline(time.Time{})
 		return
 	}
-	b.linger(until)
+	b.linger(end)
 }
 
 // linger closes the connection for writing and reads what still comes, so that the answer is not lost to a reset.
-func (b *incomingBody) linger(until time.Time) {
+func (b *incomingBody) linger(end time.Time) {
 	conn, _, err := b.controller.Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler) // closes the connection
@@ -94,9 +120,6 @@
 	if half, ok := conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	if least := time.Now().Add(lingerTime); until.Before(least) {
-		until = least
-	}
-	_ = conn.SetReadDeadline(until)
+	_ = conn.SetReadDeadline(end)
 	_, _ = io.CopyN(io.Discard, conn, b.limit)
 }
--- a/laburnumgateway/bodies_test.go
+++ b/laburnumgateway/bodies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -147,3 +148,62 @@
 	c.writeHead("/confirm/x", "Content-Length: 1025")
 	require.Equal(t, http.StatusRequestEntityTooLarge, c.read().StatusCode)
 }
+
+// Guards against a drain that ends while bodies are still coming, with neither an answer nor a refusal.
+func TestBodiesThatOutlastADrainAreRefused(t *testing.T) {
+	for name, head := range map[string]string{"with a length": "Content-Length: 900", "in chunks": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			b, server := newBodyHarness(t, 1000)
+			c := b.dialRaw()
+			c.writeHead("/confirm/x", head)
+			c.write("5\r\nvisit\r\n")
+			require.Eventually(t, func() bool { return b.gateway.InFlight() == 1 }, callerPatience, time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			drained := make(chan struct{})
+			go func() {
+				defer close(drained)
+				b.gateway.Drain(ctx)
+			}()
+			resp := c.read()
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.NotEmpty(t, resp.Header.Get("Retry-After"))
+			require.True(t, resp.Close)
+			require.NoError(t, ctx.Err(), "the refusal must come before the drain ends")
+			require.NoError(t, c.conn.Close())
+			<-drained
+			require.Zero(t, b.gateway.InFlight())
+			require.Empty(t, server.requests())
+		})
+	}
+}
+
+// Guards against reading the body of a request that the drain refuses in any case.
+func TestRequestsThatMayOutlastADrainAreRefusedBeforeTheirBody(t *testing.T) {
+	b, _ := newBodyHarness(t, 1000)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		b.gateway.Drain(ctx)
+	}()
+	require.Eventually(t, func() bool { return !b.gateway.Ready() }, callerPatience, time.Millisecond)
+	c := b.dialRaw()
+	c.writeHead("/confirm/x", "Content-Length: 900")
+	resp := c.read()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.NoError(t, c.conn.Close())
+	<-drained
+}
+
+// Guards against bodies that hold a request beyond its deadline.
+func TestBodyThatOutlastsItsDeadlineIsRefused(t *testing.T) {
+	b, server := newBodyHarness(t, 1000)
+	c := b.dialRaw()
+	c.writeHead("/confirm/x", "Content-Length: 900", "X-Laburnumlever-Deadline-Ms: 100")
+	resp := c.read()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Empty(t, server.requests())
+}
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -54,6 +54,9 @@
 	awaitingRoutes atomic.Int64              // requests queued until the first route table arrives
 	drain          atomic.Int32              // a drainStage
 	drainDeadline  atomic.Pointer[time.Time] // nil if no drain with a deadline has started
+	// bodies ends when a drain has no time left for requests whose bodies are still coming.
+	bodies    context.Context //nolint:containedctx // it outlives any call
+	endBodies context.CancelFunc
 
 	mu           sync.Mutex
 	retryWindows map[laburnumlever.ServiceName]*laburnumretry.Window
@@ -87,6 +90,7 @@
 		counters: newCounters(tally.NoopScope), retryWindows: map[laburnumlever.ServiceName]*laburnumretry.Window{},
 		notify: func(context.Context, string, laburnumtunnel.Notice) error { return nil }, refusesServer: func(string) {},
 	}
+	g.bodies, g.endBodies = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -108,15 +112,11 @@
 	if g.stage() != drainNone {
 		w.Header().Set("Connection", "close")
 	}
-	q, err := g.parseRequest(w, r)
+	q, err := g.accept(w, r)
 	if err != nil {
 		g.answerRefusal(w, q, err)
 		return
 	}
-	if g.mayOutlastDrain(q) {
-		g.answerRefusal(w, q, newRefusal(laburnumlever.RefusedDraining, drainRetryAfter, "the gateway is draining and may stop before the answer is complete"))
-		return
-	}
 	g.countRequest(q)
 	if err := g.fleet.refuseQuarantined(q); err != nil {
 		g.answerRefusal(w, q, err)
@@ -223,7 +223,7 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	q.writeRefusal(w, status, refusal.Reason.String()+"\n")
+	g.writeRefusal(w, q, status, refusal.Reason.String()+"\n")
 }
 
 // retryAfter returns the Retry-After of a refusal; 0 for none. The end of a quarantine or a rest and the time at which a
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -96,7 +96,29 @@
 	errorAnswer *bufferedAnswer
 }
 
-// parseRequest reads and parses a request. The error is a *laburnumlever.RefusalError.
+// accept parses a request and reads its body, unless the process may end before the answer is complete. The error is a
+// *laburnumlever.RefusalError.
+func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*request, error) {
+	q, err := g.parseRequest(w, r)
+	if err != nil {
+		return q, err
+	}
+	if g.mayOutlastDrain(q) {
+		return q, g.drainRefusal()
+	}
+	if q.incoming == nil {
+		return q, nil
+	}
+	if err := g.readBody(q, r); err != nil {
+		return q, err
+	}
+	if g.mayOutlastDrain(q) {
+		return q, g.drainRefusal()
+	}
+	return q, nil
+}
+
+// parseRequest parses a request without its body. The error is a *laburnumlever.RefusalError.
 func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
 	now := g.timers.Now()
 	q := &request{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, arrived: now, incoming: newIncomingBody(w, r)}
@@ -131,7 +153,7 @@
 	q.rank = index.Rank(route, q.account)
 	q.mostUrgent = index.MostUrgent(q.service.Name, q.rank)
 	q.setDeadline()
-	return q, q.readBody(r)
+	return q, nil
 }
 
 // routes returns the route table in effect. If there is none yet it waits for the first one, and
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -83,6 +83,7 @@
 	g.enter(drainNoticing)
 	if end, ok := ctx.Deadline(); ok {
 		g.drainDeadline.Store(&end)
+		defer g.timers.After(end.Add(-refuseBeforeEnd).Sub(g.timers.Now()), func(time.Time) { g.endBodies() })()
 	}
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventDraining, "in-flight", g.InFlight())
 	laburnumtimer.Wait(ctx.Done(), g.timers, balancerNoticeTime)
@@ -105,6 +106,10 @@
 	}
 }
 
+func (g *Gateway) drainRefusal() error {
+	return newRefusal(laburnumlever.RefusedDraining, drainRetryAfter, "the gateway is draining and may stop before the answer is complete")
+}
+
 // mayOutlastDrain tells whether the process could end before the request is answered, which would
 // truncate the answer.
 func (g *Gateway) mayOutlastDrain(q *request) bool {
