--- /dev/null
+++ b/laburnumgateway/bodies.go
@@ -0,0 +1,125 @@
+package laburnumgateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"laburnumlever"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// A refused request's body is read and dropped, since a caller that has not sent all of it may not look for the answer, and
+	// a connection that is closed with unread bytes is reset. The bounds keep callers from holding connections in this way.
+	dropTime   = 3 * time.Second
+	lingerTime = 500 * time.Millisecond
+)
+
+// incomingBody is a request's body that has not been read to its end.
+type incomingBody struct {
+	body       io.Reader
+	controller *http.ResponseController
+	limit      int64 // bytes
+}
+
+// newIncomingBody returns nil for a request without a body.
+func newIncomingBody(w http.ResponseWriter, r *http.Request) *incomingBody {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	return &incomingBody{body: r.Body, controller: http.NewResponseController(w), limit: defaultBodyBytes}
+}
+
+// readBody reads the request's body, up to the limit, until its deadline or until a drain needs the rest of its time. The error is a
+// *laburnumlever.RefusalError.
+func (g *Gateway) readBody(q *request, r *http.Request) error {
+	in := q.incoming
+	if r.ContentLength > in.limit {
+		return tooLarge(in.limit)
+	}
+	_ = in.controller.SetReadDeadline(q.deadline)
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(g.bodies, func() {
+		defer close(interrupted)
+		_ = in.controller.SetReadDeadline(time.Unix(0, 1))
+	})
+	body, err := io.ReadAll(io.LimitReader(in.body, in.limit+1))
+	drained := !stop()
+	if drained {
+		<-interrupted
+	}
+	_ = in.controller.SetReadDeadline(time.Time{}) // else the server takes its end for the caller's
+	switch {
+	case err != nil && drained:
+		return g.drainRefusal()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return newRefusal(laburnumlever.RefusedDeadline, 0, "the request body did not arrive in time")
+	case err != nil:
+		return newRefusal(laburnumlever.RefusedCallerGone, 0, "request body is incomplete: "+err.Error())
+	case int64(len(body)) > in.limit:
+		return tooLarge(in.limit)
+	}
+	q.body, q.incoming = body, nil
+	return nil
+}
+
+func tooLarge(limit int64) error {
+	return newRefusal(laburnumlever.RefusedTooLarge, 0, fmt.Sprintf("the body is longer than %d bytes", limit))
+}
+
+// writeRefusal writes a complete answer. If the request's body has not been read yet, it is dropped after that.
+func (g *Gateway) writeRefusal(w http.ResponseWriter, q *request, status int, text string) {
+	if g.stage() != drainNone {
+		w.Header().Set("Connection", "close")
+	}
+	if q.incoming != nil {
+		_ = q.incoming.controller.EnableFullDuplex() // otherwise the server reads some of the body first
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text) // an error means that the caller has disconnected
+	if q.incoming != nil {
+		_ = q.incoming.controller.Flush()
+		q.incoming.drop(g.dropEnd())
+	}
+}
+
+// dropEnd returns when a refused body that has not ended is given up.
+func (g *Gateway) dropEnd() time.Time {
+	end := time.Now().Add(dropTime)
+	if drain := g.drainDeadline.Load(); drain != nil && drain.Before(end) {
+		return *drain
+	}
+	return end
+}
+
+// drop reads the rest of the body, at most until end. A connection whose body does not end within the bounds is closed: what
+// follows must not be taken for a request.
+func (b *incomingBody) drop(end time.Time) {
+	_ = b.controller.SetReadDeadline(end.Add(-lingerTime))
+	if _, err := io.CopyN(io.Discard, b.body, b.limit+1); errors.Is(err, io.EOF) {
+		_ = b.controller.SetReadDeadline(time.Time{})
+		return
+	}
+	b.linger(end)
+}
+
+// linger closes the connection for writing and reads what still comes, so that the answer is not lost to a reset.
+func (b *incomingBody) linger(end time.Time) {
+	conn, _, err := b.controller.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // closes the connection
+	}
+	defer func() { _ = conn.Close() }()
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = conn.SetReadDeadline(end)
+	_, _ = io.CopyN(io.Discard, conn, b.limit)
+}
