feat: silent servers, gateways on a share of a core and configs in series in the soak

Callers saw begun answers cut although their servers went on with them: a gateway took servers that fell silent for about a second for servers, or links, out of its own reach. The soak's servers were paused for up to four seconds, but always beside kills and cut links, so that no cut answer could be told from an allowed one.

Seven servers of three more services have no other fault than silence (stopped for 0.8 to 1.6 s, then continued: the kernel accepts connections, nothing is answered): one, those of one service, or all. Gateways run 25 of every 100 ms for four of every six seconds. With each version of the manifest a route comes or goes, one moves to another service, and time limits, body limit and idle limit change. Callers send idempotent and non-idempotent requests and streams that may and may not be resumed, every fourth with 300 kB.

Checked: no whole request without a complete answer or a refusal, and no begun answer cut that its server goes on with, unless a gateway was killed or ended after its grace meanwhile (its own, or one through which it may reach servers). The servers see the cut themselves, so that answers taken up elsewhere count too.

--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -26,9 +26,9 @@
 			&cli.StringFlag{Name: "announce", Usage: "`ADDRESS` that it announces, if it differs from the listen address, as behind a link"},
 			&cli.DurationFlag{Name: "announce-period", Value: time.Second, Usage: "how often it announces itself"},
 			&cli.StringFlag{Name: "software", Usage: "software `VERSION` that it announces and names in the events of streams"},
-			&cli.DurationFlag{Name: "event-pause", Usage: "time between two events of a stream"},
+			&cli.DurationFlag{Name: "event-pause", Usage: "time between two events of a stream, and between the halves of a plain answer"},
 			&cli.IntFlag{Name: "break-after", Usage: "break off each stream after this number of `EVENTS`; 0 for never"},
-			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs, and with each VM that sends more than the server asked for"},
+			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs or whose begun answer is cut, and with each VM that sends more than the server asked for"},
 			&cli.DurationFlag{Name: "delay", Usage: "delay before the start of each answer"},
 			&cli.IntFlag{Name: "slots", Usage: "how many requests run at once; 0 for any number"},
 			&cli.IntFlag{Name: "queue", Usage: "how many requests wait for a slot; more are rejected"},
@@ -48,6 +48,7 @@
 			}
 			if c.Bool("print-runs") {
 				behaviour.OnRun = func(run laburnumstandin.PlatformRun) { printRun(c.App.Writer, run) }
+				behaviour.OnCut = func(id string) { printf(c.App.Writer, "cut %s\n", id) }
 				behaviour.OnBroken = func(vm, text string) { printf(c.App.Writer, "broken %s %s\n", vm, text) }
 			}
 			address := c.String("announce")
--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -16,6 +16,8 @@
 // The engines of one service run two software versions at a time: some are released anew again and again, the others keep theirs.
 // They ask for rest, and some say in their answers that they leave before they announce it. Callers take up broken streams of
 // it at any gateway.
+// Servers of three more services have no other fault than that one, those of one service or all fall silent for about a second and
+// go on, while gateways run for a quarter of the time only, and while the routes to them come, go and move to another service and their limits change.
 // Callers have the keys of client accounts; each change takes one key away and adds another, and one account sends all the time
 // what exceeds its quota.
 // The seed determines which faults are injected and when. Their effect also depends on the
@@ -34,7 +36,8 @@
 // backend servers, or to those of one service, serves first tries at least two thirds as often as the other one, and brittle servers that have more
 // callers than room fall over at most twice. A stream has events of one software version only, and when a gateway is killed at least half
 // of its streams go on at the other one. No gateway without a fault sends a server more than two requests while that rests, or any
-// later than two seconds after the server told it that it leaves.
+// later than two seconds after the server told it that it leaves. Unless a gateway is killed or ends after its grace, no
+// whole request to the servers that only fall silent goes without an answer or a refusal, and none of their answers is cut.
 //
 // With an earlier build's program, each start of a VM runs either build, so that both share the fleet, its log and its data; all
 // VMs are restarted with the newer one before the checks after the run.
--- a/laburnumsoak/faultinjector.go
+++ b/laburnumsoak/faultinjector.go
@@ -78,8 +78,10 @@
 	mu            sync.Mutex
 	closed        bool
 	busyProcesses map[*process]bool
-	faultyLinks   map[*faultLink]bool
-	faultyDisks   map[*process]bool
+	// paused are the processes that a fault has paused or is about to pause.
+	paused      map[*process]bool
+	faultyLinks map[*faultLink]bool
+	faultyDisks map[*process]bool
 	// limitedServers are the backend servers that name a limit.
 	limitedServers map[*process]bool
 	dataLost       bool
@@ -88,7 +90,7 @@
 }
 
 func newFaultInjector(f *fleet, seed uint64) *faultInjector {
-	return &faultInjector{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busyProcesses: map[*process]bool{}, faultyLinks: map[*faultLink]bool{}, faultyDisks: map[*process]bool{}, limitedServers: map[*process]bool{}} //nolint:gosec // repeatable
+	return &faultInjector{fleet: f, random: rand.New(rand.NewPCG(seed, seed)), start: time.Now(), busyProcesses: map[*process]bool{}, paused: map[*process]bool{}, faultyLinks: map[*faultLink]bool{}, faultyDisks: map[*process]bool{}, limitedServers: map[*process]bool{}} //nolint:gosec // repeatable
 }
 
 // run injects faults until ctx ends, then waits until all of them are undone.
@@ -225,6 +227,7 @@
 	}
 	x.dataLost = x.dataLost || loses
 	x.busyProcesses[p] = true
+	x.paused[p] = *kind == pause
 	x.logFault(*kind, p.name)
 	return true
 }
@@ -303,6 +306,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(x.busyProcesses, p)
+	delete(x.paused, p)
 	if err != nil && x.firstErr == nil {
 		x.firstErr = err
 	}
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"laburnumlever"
@@ -54,6 +55,8 @@
 	// drafts are the backend servers of a service of two software versions; versions are those that they run.
 	drafts   []*process
 	versions [draftServers]atomic.Int64
+	// steady are the backend servers that fall silent and never end.
+	steady []*process
 	// disturbances are when VMs last had a fault.
 	disturbances disturbances
 	// links are in front of the peer listeners of all VMs and of the backend servers.
@@ -92,6 +95,7 @@
 	for i := range draftServers {
 		f.drafts = append(f.drafts, f.draftServer(i))
 	}
+	f.steady = f.steadyServers()
 	return f
 }
 
@@ -108,6 +112,9 @@
 func (f *fleet) vm(role, name string, number int) *process {
 	f.addLink(name, f.address(number, peerPort), f.address(number, peerListenPort))
 	p := &process{name: name, program: f.cfg.Program, older: f.cfg.Older, folder: f.cfg.Folder, onUnexpectedExit: f.record.processExited}
+	if role == "gateway" {
+		p.onStopped = func(sig syscall.Signal, asked time.Time) { f.record.gatewayEnded(name, sig, asked) }
+	}
 	p.args = func() []string {
 		path := filepath.Join(f.cfg.Folder, name+".jsonc")
 		data, _ := json.Marshal(f.settings(role, name, number)) //nolint:errchkjson // texts and numbers only
@@ -193,7 +200,8 @@
 	list = append(list, f.controls...)
 	list = append(list, f.gateways...)
 	list = append(list, f.servers...)
-	return append(list, f.drafts...)
+	list = append(list, f.drafts...)
+	return append(list, f.steady...)
 }
 
 func (f *fleet) start() error {
--- a/laburnumsoak/load.go
+++ b/laburnumsoak/load.go
@@ -57,6 +57,7 @@
 	l.repeat(ctx, applyPause, func(int) { l.apply(rand.IntN(controlVMs)) })
 	l.repeat(ctx, readPause, func(int) { l.read(rand.IntN(controlVMs)) })
 	l.useAccounts(ctx)
+	l.useSteady(ctx)
 	l.wg.Wait()
 }
 
--- a/laburnumsoak/process.go
+++ b/laburnumsoak/process.go
@@ -47,6 +47,11 @@
 	link *faultLink
 	// onUnexpectedExit, if set, is called when a ready process exits without being stopped.
 	onUnexpectedExit func(p *process)
+	// onStopped, if set, is called when it has exited after a signal.
+	onStopped func(sig syscall.Signal, asked time.Time)
+
+	// running is the last start, for those that signal it while it may be started again.
+	running atomic.Pointer[os.Process]
 
 	cmd   *exec.Cmd
 	ended chan struct{}
@@ -73,6 +78,7 @@
 	if err := start(); err != nil {
 		return &StartError{Process: p.name, Cause: err}
 	}
+	p.running.Store(cmd.Process)
 	p.cmd, p.ended, p.stopRequested = cmd, make(chan struct{}), &atomic.Bool{}
 	ready := make(chan struct{})
 	go p.follow(cmd, bufio.NewScanner(out), log, ready, p.ended, p.stopRequested)
@@ -147,12 +153,20 @@
 	}
 }
 
+// signalRunning is signal for goroutines that do not own the process.
+func (p *process) signalRunning(sig syscall.Signal) {
+	if running := p.running.Load(); running != nil {
+		_ = running.Signal(sig) // as above
+	}
+}
+
 // stop sends a signal and waits for the process to exit; after exitTimeout it is killed.
 func (p *process) stop(sig syscall.Signal) {
 	if p.cmd == nil {
 		return
 	}
 	p.stopRequested.Store(true)
+	asked := time.Now()
 	p.signal(sig)
 	select {
 	case <-p.ended:
@@ -161,4 +175,7 @@
 		<-p.ended
 	}
 	p.cmd = nil
+	if p.onStopped != nil {
+		p.onStopped(sig, asked)
+	}
 }
--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -28,6 +28,10 @@
 	falls map[string]int
 	// drafts counts the streams of two versions' service, and what became of those that broke.
 	drafts draftCounts
+	// steady holds the requests to the steady servers by id, cuts those whose answers they saw cut, with the server.
+	steady      map[string]steadyRequest
+	cuts        []cutAnswer
+	gatewayEnds []gatewayEnd
 	// acked lists the acknowledged changes.
 	acked      []ack
 	sent       int
@@ -41,7 +45,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
@@ -151,5 +155,6 @@
 		}
 	}
 	r.checkAccounts()
+	r.checkSteady()
 	return r.violations
 }
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -1,6 +1,7 @@
 package laburnumsoak
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -52,6 +53,40 @@
 	require.Empty(t, r.check())
 }
 
+// Guards against checks of silent servers that never fail, and against those that blame a gateway's end.
+func TestCutAnswersOfSoundServersAreReported(t *testing.T) {
+	asked := time.Unix(1_000_000, 0)
+	const lost = "request look-1 at gateway-1 ended after 3s with neither an answer nor a refusal: unexpected EOF"
+	const cut = "the answer to request look-1 at gateway-1 was cut at forms-1, which went on with it"
+	for name, test := range map[string]struct {
+		whole bool
+		end   gatewayEnd
+		want  []string
+	}{
+		"no end":                  {true, gatewayEnd{}, []string{lost, cut}},
+		"body not sent":           {false, gatewayEnd{}, []string{cut}},
+		"killed":                  {true, gatewayEnd{gateway: "gateway-1", killed: true, asked: asked, endedAt: asked}, nil},
+		"killed before":           {true, gatewayEnd{gateway: "gateway-1", killed: true, asked: asked.Add(-9 * time.Second), endedAt: asked.Add(-9 * time.Second)}, []string{lost, cut}},
+		"ended within its grace":  {true, gatewayEnd{gateway: "gateway-1", asked: asked, endedAt: asked.Add(2 * time.Second)}, []string{lost, cut}},
+		"ended after its grace":   {true, gatewayEnd{gateway: "gateway-1", asked: asked.Add(-3 * time.Second), endedAt: asked.Add(2 * time.Second)}, nil},
+		"helper killed":           {true, gatewayEnd{gateway: "gateway-2", killed: true, asked: asked.Add(time.Second), endedAt: asked.Add(time.Second)}, nil},
+		"helper killed long ago":  {true, gatewayEnd{gateway: "gateway-2", killed: true, asked: asked.Add(-time.Second), endedAt: asked.Add(-time.Second)}, []string{lost, cut}},
+		"helper within its grace": {true, gatewayEnd{gateway: "gateway-2", asked: asked, endedAt: asked.Add(2 * time.Second)}, []string{lost, cut}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRecorder()
+			r.steadyEnded("look-1", steadyRequest{
+				gateway: "gateway-1", sentAt: asked.Add(-2 * time.Second), endedAt: asked.Add(time.Second), whole: test.whole, err: io.ErrUnexpectedEOF,
+			})
+			r.cuts = []cutAnswer{{id: "look-1", server: "forms-1", at: asked.Add(time.Second)}}
+			if test.end.gateway != "" {
+				r.gatewayEnds = []gatewayEnd{test.end}
+			}
+			require.Equal(t, test.want, r.check())
+		})
+	}
+}
+
 // Guards against a check for crashing requests that never fails.
 func TestRefusalOfAnInnocentRequestIsReported(t *testing.T) {
 	r := newRecorder()
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -83,13 +83,12 @@
 		defer close(done)
 		l.run(loadCtx)
 	}()
-	released := make(chan struct{})
-	go func() {
-		defer close(released)
-		x.releases(faultCtx, cfg.Seed)
-	}()
+	var beside sync.WaitGroup
+	beside.Go(func() { x.releases(faultCtx, cfg.Seed) })
+	beside.Go(func() { x.silences(faultCtx, cfg.Seed) })
+	beside.Go(func() { x.shares(faultCtx) })
 	x.run(faultCtx)
-	<-released
+	beside.Wait()
 	stop()
 	<-done
 	if err := x.upgrade(); err != nil {
--- a/laburnumsoak/versions.go
+++ b/laburnumsoak/versions.go
@@ -41,7 +41,7 @@
 // injected are the processes that the faults of the main sequence apply to.
 func (f *fleet) injected() []*process {
 	all := f.all()
-	return all[:len(all)-len(f.drafts)]
+	return all[:len(all)-len(f.drafts)-len(f.steady)]
 }
 
 // draftServer defines a backend server of the service of two software versions. Its version is that of the last release.
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -69,6 +69,15 @@
 	return c.send(ctx, http.MethodPost, gateway+draftPath, []byte(text), requestHeaders{id: id, model: "m0"})
 }
 
+// Request sends a request on a route of the series, a stream's on an engine's.
+func (c *PlatformCaller) Request(ctx context.Context, gateway string, route SeriesRoute, id string, body []byte) (int, []byte, error) {
+	headers := requestHeaders{id: id}
+	if route.Streams() {
+		headers.model = "m0"
+	}
+	return c.send(ctx, http.MethodPost, gateway+"/"+route.String()+"/x", body, headers)
+}
+
 // Resume takes a stream of Draft up after its last event; resumes is the id of the attempt that brought the first one.
 func (c *PlatformCaller) Resume(ctx context.Context, gateway, id, text string, lastEvent int, resumes string) (int, []byte, error) {
 	return c.send(ctx, http.MethodPost, gateway+draftPath, []byte(text),
@@ -159,21 +168,3 @@
 	text, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, text, err
 }
-
-// platformEngine describes the engines of the stand-in manifest.
-const platformEngine = `{"slots":8,"kv_capacity":90000,"weights_mb":80000,"adapter_slots":2,"loads_per_s":3,` +
-	`"models":[{"name":"m0","weights_mb":72700,"load_s":0.2,"warm_s":0.1,"disk_s":0.1,"adapters":0,"adapter_mb":66}]}`
-
-// platformManifest has one route for non-idempotent requests and two for streams that can
-// be resumed on another backend server.
-func platformManifest(version int, accounts []PlatformAccount) []byte {
-	tenants, _ := json.Marshal(accounts) //nolint:errchkjson // texts and numbers only
-	return fmt.Appendf(nil, `{"version":%d,"routes":[`+
-		`{"name":"confirm","hostname":"`+platformHost+`","path_prefix":"/confirm/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"priority":1,"service":"booking","max_attempts":1},`+
-		`{"name":"quote","hostname":"`+platformHost+`","path_prefix":"/quote/","kind":"streaming","timeout_ms":9000,"target_latency_ms":300,"priority":1,"service":"quotes","max_attempts":2,"resumable":true,"gap_aim_ms":150},`+
-		`{"name":"draft","hostname":"`+platformHost+`","path_prefix":"/draft/","kind":"streaming","timeout_ms":9000,"target_latency_ms":300,"priority":2,"service":"drafts","max_attempts":2,"resumable":true,"gap_aim_ms":150}],`+
-		`"services":[{"name":"booking","health_path":"/health","max_conns":200},`+
-		`{"name":"quotes","health_path":"/health","max_conns":200,"engine":`+platformEngine+`},`+
-		`{"name":"drafts","health_path":"/health","max_conns":200,"engine":`+platformEngine+`}],`+
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":%s}`, version, tenants)
-}
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -50,7 +50,7 @@
 	// Software is the software version that the server announces and names in each event of its streams. Without it,
 	// it announces defaultSoftware and names none.
 	Software string
-	// EventPause is the time between two events of a stream.
+	// EventPause is the time between two events of a stream, and between the two halves of a plain answer.
 	EventPause time.Duration
 	// Zone is the availability zone that the server announces; empty for that of the stand-in fleets.
 	Zone string
@@ -58,6 +58,9 @@
 	Delay time.Duration
 	// OnRun, unless nil, is called with each request that runs.
 	OnRun func(run PlatformRun)
+	// OnCut, unless nil, is called with the id of each request whose connection is closed after its answer has begun and before
+	// that is complete.
+	OnCut func(id string)
 	// OnBroken, unless nil, is called with each VM that sends the server more than it asked for, and what it sent.
 	OnBroken func(vm, text string)
 	// CrashText, unless empty, crashes the server at each request whose body contains it, once it
@@ -310,12 +313,38 @@
 		s.crash(w, engine)
 	}
 	if !engine {
-		_, _ = fmt.Fprintf(w, "%s ran %s %s: %s\n", s.id, r.Method, r.URL.Path, body)
+		s.plainAnswer(w, r, body)
 		return
 	}
 	s.stream(w, r)
 }
 
+func (s *PlatformServer) plainAnswer(w http.ResponseWriter, r *http.Request, body []byte) {
+	text := fmt.Appendf(nil, "%s ran %s %s: %s\n", s.id, r.Method, r.URL.Path, body)
+	half := len(text) / 2
+	if s.behaviour.EventPause > 0 {
+		_, _ = w.Write(text[:half])
+		_ = http.NewResponseController(w).Flush()
+		laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.EventPause)
+		if s.cut(r) {
+			return
+		}
+		text = text[half:]
+	}
+	_, _ = w.Write(text)
+}
+
+// cut reports whether the connection of a request was closed, as seen when a part of its answer is due.
+func (s *PlatformServer) cut(r *http.Request) bool {
+	if r.Context().Err() == nil {
+		return false
+	}
+	if s.behaviour.OnCut != nil {
+		s.behaviour.OnCut(r.Header.Get("X-Laburnumlever-Request-Id"))
+	}
+	return true
+}
+
 // crashedBy reports whether a request crashes the server.
 func (s *PlatformServer) crashedBy(r *http.Request, body []byte) bool {
 	if s.behaviour.CrashText != "" && bytes.Contains(body, []byte(s.behaviour.CrashText)) {
@@ -356,6 +385,9 @@
 		}
 		if s.behaviour.EventPause > 0 && i > first {
 			laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.EventPause)
+			if s.cut(r) {
+				return
+			}
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d%s\n\n", i, model, i, s.softwareText())
 		_ = flusher.Flush()
--- a/laburnumstandin/platformserver_test.go
+++ b/laburnumstandin/platformserver_test.go
@@ -1,10 +1,12 @@
 package laburnumstandin_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -23,3 +25,52 @@
 		require.Equal(t, status, w.Code, "instance %q", want)
 	}
 }
+
+// Guards against a check for cut answers that never fails, and against one that reports answers that were received whole.
+func TestPlatformServerReportsCutAnswers(t *testing.T) {
+	for name, models := range map[string][]string{"a stream": {"m0"}, "a plain answer": nil} {
+		t.Run(name, func(t *testing.T) {
+			cut := make(chan string, 2)
+			s := laburnumstandin.NewPlatformServer("i-1", "essays", "127.0.0.1:1", nil, models, laburnumstandin.PlatformBehaviour{
+				EventPause: 50 * time.Millisecond, OnCut: func(id string) { cut <- id },
+			})
+			t.Cleanup(s.Close)
+			server := httptest.NewServer(s)
+			t.Cleanup(server.Close)
+			get := func(id string) *http.Response {
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/essay/x", strings.NewReader("oak"))
+				require.NoError(t, err)
+				r.Header.Set("X-Laburnumlever-Request-Id", id)
+				resp, err := server.Client().Do(r)
+				require.NoError(t, err)
+				return resp
+			}
+			whole := get("whole")
+			_, err := io.Copy(io.Discard, whole.Body)
+			require.NoError(t, err)
+			require.NoError(t, whole.Body.Close())
+			require.NoError(t, get("left").Body.Close())
+			require.Equal(t, "left", <-cut)
+			require.Empty(t, cut)
+		})
+	}
+}
+
+// Guards against a series of manifests in which no route comes, goes or moves.
+func TestRoutesOfTheSeriesChange(t *testing.T) {
+	var documents []string
+	control := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body) // checked below
+		documents = append(documents, string(body))
+	}))
+	t.Cleanup(control.Close)
+	caller := laburnumstandin.NewPlatformCaller()
+	for version := 1; version <= 3; version++ {
+		_, err := caller.Apply(t.Context(), strings.TrimPrefix(control.URL, "http://"), version)
+		require.NoError(t, err)
+	}
+	require.Contains(t, documents[1], `"/coming/"`)
+	require.NotContains(t, documents[2], `"/coming/"`)
+	require.Regexp(t, `"/moving/"[^}]*"service":"forms"`, documents[0])
+	require.Regexp(t, `"/moving/"[^}]*"service":"desk"`, documents[1])
+}
