test: lost VMs that stay away in the model of the log

The model of the tolerated losses loses power on all VMs, learners and spare VMs too, at once with the lost disks; but the lost VMs came back empty at the same moment. Now each choice of lost disks is also tried with the lost VMs staying away, so that the others have to elect and commit by themselves.

--- a/laburnumlog/fleet_test.go
+++ b/laburnumlog/fleet_test.go
@@ -356,24 +356,31 @@
 
 // checkLossTolerance verifies the settings' promise for the current disks: if any of the
 // tolerated number of VMs lose their disks and all others lose power, the log elects a leader
-// once all are back and still holds every committed entry.
+// once all are back and still holds every committed entry, whether the lost ones come back empty or
+// stay away.
 func (f *fleet) checkLossTolerance() {
 	if !f.confirmed || f.verified == nil || f.problem != "" || !f.verified.add(f.fingerprint()) {
 		return
 	}
-	f.checkRecovery(nil)
+	f.checkRecovery(nil, false)
 	for _, lost := range combinations(len(f.replicas), f.losses-f.lossesUsed) {
-		f.checkRecovery(lost)
+		f.checkRecovery(lost, false)
+		f.checkRecovery(lost, true)
 	}
 }
 
-func (f *fleet) checkRecovery(lost []int) {
+// checkRecovery checks the recovery after all VMs have lost power and some of them their disks. With
+// stayAway, the latter do not come back.
+func (f *fleet) checkRecovery(lost []int, stayAway bool) {
 	c := f.clone()
 	c.verified = nil
 	for _, i := range lost {
 		c.newDisk(c.replicas[i])
 	}
 	c.restartAll()
+	for _, i := range lost {
+		c.faults[i].down = stayAway
+	}
 	newest := c.newestCommitted()
 	for range recoverTicks {
 		c.tick()
@@ -392,9 +399,9 @@
 	i := c.leader()
 	switch {
 	case c.problem != "":
-		f.fail("%s, after the disks of %s were lost: %s", f.describe(), f.vmsOf(lost), c.problem)
+		f.fail("%s, after the disks of %s were lost (stay away: %t): %s", f.describe(), f.vmsOf(lost), stayAway, c.problem)
 	case i < 0 || c.replicas[i].log.Commit() <= newest:
-		f.fail("no leader that commits after the disks of %s were lost, with %s", f.vmsOf(lost), f.describe())
+		f.fail("no leader that commits after the disks of %s were lost (stay away: %t), with %s", f.vmsOf(lost), stayAway, f.describe())
 	}
 }
 
