fix: a body that ends as the drain ends its read is refused

By reading: where a drain ended the read of a body in the moment in which its last byte had come, the server could take the ended read for the caller's leaving, and the request ended with no answer. Such a request is refused now, as all are from then on; it was sent nowhere.

--- a/laburnumgateway/bodies.go
+++ b/laburnumgateway/bodies.go
@@ -56,7 +56,7 @@
 	}
 	_ = in.controller.SetReadDeadline(time.Time{}) // else the server takes its end for the caller's
 	switch {
-	case err != nil && drained:
+	case drained: // the server may have taken the end of the read for the caller's as well
 		return g.drainRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return newRefusal(laburnumlever.RefusedDeadline, 0, "the request body did not arrive in time")
