feat: a power loss of all VMs beside a lost disk in the soak

The soak lost one control VM's folder at a time, with the others up or killed at other moments.

A kill leaves what the kernel has of a file; unsynced writes are lost in the model of the log only.

--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -39,6 +39,9 @@
 // later than two seconds after the server told it that it leaves. Unless a gateway is killed or ends after its grace, no
 // whole request to the servers that only fall silent goes without an answer or a refusal, and none of their answers is cut.
 //
+// With disk faults, a control VM then loses its folder while all other VMs are killed at the same moment; what was acknowledged must
+// be read back, and changes and callers served.
+//
 // With an earlier build's program, each start of a VM runs either build, so that both share the fleet, its log and its data; all
 // VMs are restarted with the newer one before the checks after the run.
 //
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -32,7 +32,8 @@
 	Older string
 	// Gateways is the number of gateways, at most MaxGateways; two if it is less. The checks after the run send to the first two.
 	Gateways int
-	// Disks also injects faults into the disks of control VMs; it needs Linux.
+	// Disks also injects faults into the disks of control VMs, and has all VMs lose power after the run while one of them loses its
+	// disk; it needs Linux.
 	Disks bool
 }
 
@@ -116,6 +117,9 @@
 	l.checkVersions(ctx, x)
 	l.checkLostLinks(ctx, l.fleet.cfg.Seed)
 	l.checkBrittle(ctx)
+	if l.fleet.cfg.Disks {
+		l.checkPowerLoss(ctx, x)
+	}
 }
 
 // checkRecovery checks that the system has recovered: a change is acknowledged, a read is
