--- a/laburnumsoak/silences.go
+++ b/laburnumsoak/silences.go
@@ -106,10 +106,11 @@
 	}
 }
 
-// shares has the gateways run for a share of the time, again and again until ctx ends.
+// shares has the gateways read their settings again and run for a share of the time, again and again until ctx ends.
 func (x *faultInjector) shares(ctx context.Context) {
 	for ctx.Err() == nil {
-		x.log("a quarter of a core for the gateways")
+		x.log("settings read again, a quarter of a core for the gateways")
+		x.reloadGateways()
 		var ends []func()
 		for _, p := range x.fleet.gateways {
 			ends = append(ends, x.fleet.disturb(p.name))
@@ -130,6 +131,17 @@
 	}
 }
 
+// reloadGateways has the gateways without a fault read their settings again; others may not be ready for the signal.
+func (x *faultInjector) reloadGateways() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range x.fleet.gateways {
+		if !x.busyProcesses[p] {
+			p.signalRunning(syscall.SIGHUP)
+		}
+	}
+}
+
 // signalGateways signals the gateways that run and are not paused by a fault.
 func (x *faultInjector) signalGateways(sig syscall.Signal) {
 	x.mu.Lock()
