feat(quota): gateways hold reserves for when no control VM answers

Callers saw 503 quota-unanswered for requests below their account's quota as long as no control VM answered, and 429 in the second after all were restarted. A gateway had tokens for 0.16 s only.

A gateway now also holds reserves of accounts that use at most 0.75 of their quota: tokens for twice what it expects to spend in 0.75 of a window. It spends them when no control VM answers, and before it says 429. Level and reserves of a keeper together stay within its capacity, so that a window sees no more than before. A keeper with reserves has a larger capacity and refills at the quota's own rate, which sum up to the same allowance; it returns to the faster rate when a window has passed within the smaller one.

Old builds ignore the new fields and are granted no reserves; the bound of a keeper holds for itself.

--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -43,7 +43,7 @@
 	"unknown-key":         "its key belongs to no client account in the routes of that version: look for routes-in-force on the gateway, and for when the key was revoked",
 	"keys-unconfirmed":    "no control VM had confirmed for too long that the gateway's routes are the newest, so that its key may have been revoked: look for keys-unconfirmed, control-lost and became-leader",
 	"over-quota":          "its client account had used up its quota: look for quota-used-up on control VMs",
-	"quota-unanswered":    "its client account has a quota and no control VM granted a part of it: look for control-lost and keys-unconfirmed",
+	"quota-unanswered":    "no control VM answered for its client account's quota, which may not be used up, and the gateway had no reserve of it left: look for quota-unanswered, control-lost and became-leader",
 	"draining":            "the gateway was draining and sent the caller to another one",
 	"not-ready":           "the gateway had not received routes yet",
 	"unknown-service":     "no route of the gateway matches its host and path",
--- a/laburnumgateway/quota.go
+++ b/laburnumgateway/quota.go
@@ -45,7 +45,7 @@
 	wallet *laburnumquota.Wallet
 }
 
-// setAccounts drops the tokens of accounts that are gone.
+// setAccounts drops the tokens of accounts that are gone, and the reserves of those whose quota has changed.
 func (k *quota) setAccounts(accounts []laburnumlever.Account) {
 	if k.keepers == nil {
 		return
@@ -67,6 +67,9 @@
 		return nil, 0
 	}
 	if in := k.wallet.RetryIn(q.account.Name, now); in > 0 {
+		if k.wallet.SpendReserve(q.account.Name, cost, now) {
+			return nil, 0
+		}
 		return nil, in
 	}
 	return k.wallet.Asks(q.account.Name, cost, now), 0
@@ -86,9 +89,19 @@
 	}
 	fitsIn, askIn := laburnumquota.Refusal(grants, q.account.Name)
 	k.wallet.UsedUp(q.account.Name, fitsIn, askIn, now)
+	if k.wallet.SpendReserve(q.account.Name, cost, now) {
+		return 0
+	}
 	return fitsIn
 }
 
+// spendReserve spends tokens of the reserves on a request that no control VM grants tokens for, if there are enough.
+func (k *quota) spendReserve(q *request, cost float64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.wallet.SpendReserve(q.account.Name, cost, laburnumtimer.SinceBoot())
+}
+
 // refund returns the tokens of a request that certainly did not run.
 func (k *quota) refund(q *request) {
 	if q.mayHaveRun || q.receipt.Tokens == 0 {
@@ -112,7 +125,11 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return overQuota(q, k.wallet.RetryIn(q.account.Name, laburnumtimer.SinceBoot()))
+	now := laburnumtimer.SinceBoot()
+	if k.wallet.HasReserve(q.account.Name, q.account.Quota.Cost(q.caller), now) {
+		return nil
+	}
+	return overQuota(q, k.wallet.RetryIn(q.account.Name, now))
 }
 
 // payQuota charges a request to its account's quota. That is done when it has a slot: one that waits in vain uses
@@ -132,8 +149,12 @@
 	defer cancel()
 	grants, asked, err := k.keepers.Grant(ctx, *q.account, asks)
 	if err != nil {
-		_ = level.Info(g.logger).Log("event", laburnumlever.EventQuotaUnanswered, "request-id", q.caller.ID, "account", q.account.Name, "cause", err)
-		return newRefusal(laburnumlever.RefusedQuotaUnanswered, quotaUnansweredRetryAfter, "no control VM grants a part of the account's quota")
+		q.charged = k.spendReserve(q, cost)
+		_ = level.Info(g.logger).Log("event", laburnumlever.EventQuotaUnanswered, "request-id", q.caller.ID, "account", q.account.Name, "reserve", q.charged, "cause", err)
+		if q.charged {
+			return nil
+		}
+		return newRefusal(laburnumlever.RefusedQuotaUnanswered, quotaUnansweredRetryAfter, "no control VM grants a part of the account's quota, and the gateway has no reserve of it left")
 	}
 	retryIn = k.receive(q, cost, grants, asked)
 	q.charged = retryIn == 0
--- a/laburnumquota/fleet_test.go
+++ b/laburnumquota/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,3 +105,53 @@
 		}
 	}
 }
+
+// silences are times without answers: all control VMs are killed, all are cut off, one zone's are killed, one is frozen.
+var silences = []struct {
+	name string
+	silence
+}{
+	{"killed", silence{from: 15 * time.Second, to: 16500 * time.Millisecond}},
+	{"killed, 3 s", silence{from: 15 * time.Second, to: 18 * time.Second}},
+	{"cut", silence{from: 15 * time.Second, to: 18 * time.Second, kept: true}},
+	{"a zone's killed", silence{from: 15 * time.Second, to: 18 * time.Second, keepers: []int{0, 4}}},
+	{"one frozen", silence{from: 15 * time.Second, to: 18 * time.Second, keepers: []int{1}, kept: true}},
+}
+
+// TestSilenceMeasures prints what is refused while control VMs don't answer; it checks nothing.
+func TestSilenceMeasures(t *testing.T) {
+	if !*measures {
+		t.Skip("run with -measures -v")
+	}
+	for _, c := range silences {
+		for _, size := range []struct{ gateways, controls int }{{6, 4}, {57, 8}, {294, 8}, {780, 10}} {
+			for _, rate := range []float64{2000, 30_000, 100_000, 240_000} {
+				f := newFleet(scenario{
+					name: fmt.Sprintf("%s, %v/s", c.name, rate), gateways: size.gateways, controls: size.controls, quota: quotaOf(rate), demand: steady(usual), zone: everywhere,
+					silences: []silence{c.silence}, length: 33 * time.Second,
+				}, 1)
+				f.run()
+				t.Log(f)
+			}
+		}
+	}
+}
+
+// Guards against gateways that refuse all requests of an account below its quota while no control VM answers.
+func TestReservesServeWhileNoControlVMAnswers(t *testing.T) {
+	for _, c := range []struct {
+		gateways, controls int
+		rate               float64
+		refused            float64
+	}{{6, 4, 100_000, 0.3}, {6, 4, 240_000, 0.2}, {57, 8, 240_000, 0.5}} {
+		for _, kept := range []bool{false, true} {
+			f := newFleet(scenario{
+				name: "silence", gateways: c.gateways, controls: c.controls, quota: quotaOf(c.rate), demand: steady(usual), zone: everywhere,
+				silences: []silence{{from: 15 * time.Second, to: 16500 * time.Millisecond, kept: kept}}, length: 21 * time.Second,
+			}, 1)
+			f.run()
+			require.LessOrEqual(t, float64(f.refusedInSilence)/float64(f.requestsInSilence), c.refused, f.String())
+			require.LessOrEqual(t, f.busiest(f.quota, 0), 1.0)
+		}
+	}
+}
--- a/laburnumquota/messages.go
+++ b/laburnumquota/messages.go
@@ -12,6 +12,9 @@
 	// Need is what waiting requests cost, Want what is expected to be spent soon beyond it.
 	Need float64 `json:"need,omitempty"`
 	Want float64 `json:"want,omitempty"`
+	// Held lists reserves to hold for longer, and Reserve is what to add to them.
+	Held    []HeldReserve `json:"held,omitempty"`
+	Reserve float64       `json:"reserve,omitempty"`
 }
 
 // Grant is a keeper's answer to an Ask.
@@ -25,6 +28,9 @@
 	AskIn laburnumlever.Duration `json:"ask-in,omitempty"`
 	// Elsewhere is set if this keeper has no share of the quota, so that its refusal says nothing.
 	Elsewhere bool `json:"elsewhere,omitempty"`
+	// Reserve is a new reserve, and Extended are the IDs of those that may be held for longer.
+	Reserve  *Reserve `json:"reserve,omitempty"`
+	Extended []uint64 `json:"extended,omitempty"`
 }
 
 // Refused reports whether the need of an ask was refused.
--- a/laburnumquota/model_test.go
+++ b/laburnumquota/model_test.go
@@ -47,11 +47,22 @@
 	zone func(now time.Duration) int
 	// faults are played if set: keepers are killed, gateways restart and freeze, zones are cut off.
 	faults bool
+	// silences are the times at which gateways get no answer.
+	silences []silence
 	// loweredAt is when the quota is lowered to a quarter; 0 for never.
 	loweredAt time.Duration
 	length    time.Duration
 }
 
+// silence is a time in which control VMs don't answer.
+type silence struct {
+	from, to time.Duration
+	// kept is set if keepers keep their state, as behind a cut or in a freeze; otherwise they restart.
+	kept bool
+	// keepers are those that are silent; all if it is empty.
+	keepers []int
+}
+
 type use struct {
 	at   time.Duration
 	cost float64
@@ -74,6 +85,8 @@
 	requests  int
 	refused   int
 	messages  int
+	// requestsInSilence and refusedInSilence count those that came while control VMs didn't answer.
+	requestsInSilence, refusedInSilence int
 }
 
 type modelKeeper struct {
@@ -93,13 +106,19 @@
 		f.startKeeper(i, 0)
 	}
 	for range s.gateways {
-		f.wallets = append(f.wallets, laburnumquota.NewWallet(terms))
+		f.wallets = append(f.wallets, f.newWallet())
 		f.buckets = append(f.buckets, s.quota.Burst/float64(s.gateways))
 		f.frozen, f.preferred = append(f.frozen, 0), append(f.preferred, -1)
 	}
 	return f
 }
 
+func (f *fleet) newWallet() *laburnumquota.Wallet {
+	w := laburnumquota.NewWallet(terms)
+	w.Keep(accountsWith(f.quota))
+	return w
+}
+
 // accountsWith returns the model's account with a quota.
 func accountsWith(q laburnumlever.Quota) []laburnumlever.Account {
 	return []laburnumlever.Account{{Name: account, Quota: q}}
@@ -131,7 +150,11 @@
 			for i := range f.keepers {
 				f.setShares(i, now)
 			}
+			for _, w := range f.wallets {
+				w.Keep(accountsWith(f.quota))
+			}
 		}
+		f.silence(now)
 		if f.faults && now >= nextFault {
 			f.disturb(now)
 			nextFault += time.Duration(f.random.Int64N(int64(3 * time.Second)))
@@ -148,6 +171,29 @@
 	}
 }
 
+// silence begins the silences that are due.
+func (f *fleet) silence(now time.Duration) {
+	for _, s := range f.silences {
+		if now < s.from || now >= s.from+tick {
+			continue
+		}
+		for i := range f.keepers {
+			if len(s.keepers) > 0 && !slices.Contains(s.keepers, i) {
+				continue
+			}
+			f.keepers[i].downUntil = s.to
+			if !s.kept {
+				f.startKeeper(i, s.to)
+			}
+		}
+	}
+}
+
+// silent reports whether a time lies in a silence.
+func (f *fleet) silent(now time.Duration) bool {
+	return slices.ContainsFunc(f.silences, func(s silence) bool { return now >= s.from && now < s.to })
+}
+
 // arrivals draws the number of requests that reach a gateway in a tick.
 func (f *fleet) arrivals(gateway int, now time.Duration) int {
 	if now < f.frozen[gateway] {
@@ -173,8 +219,14 @@
 	cost := 200 + f.random.ExpFloat64()*(meanCost-200)
 	cost = min(cost, 4500)
 	f.requests++
+	if f.silent(now) {
+		f.requestsInSilence++
+	}
 	if !f.admit(gateway, cost, now) {
 		f.refused++
+		if f.silent(now) {
+			f.refusedInSilence++
+		}
 		return
 	}
 	f.uses = append(f.uses, use{now, cost})
@@ -200,6 +252,9 @@
 	if _, ok := w.Spend(account, cost, now); ok {
 		return true
 	}
+	if w.SpendReserve(account, cost, now) {
+		return true
+	}
 	fitsIn, askIn := laburnumquota.Refusal(grants, account)
 	w.UsedUp(account, fitsIn, askIn, now)
 	return false
@@ -259,7 +314,7 @@
 		f.keepers[i].downUntil = now + lasts
 		f.startKeeper(i, now+lasts)
 	case 1:
-		f.wallets[f.random.IntN(f.gateways)] = laburnumquota.NewWallet(terms)
+		f.wallets[f.random.IntN(f.gateways)] = f.newWallet()
 	case 2:
 		f.frozen[f.random.IntN(f.gateways)] = now + lasts
 	case 3:
@@ -287,8 +342,12 @@
 }
 
 func (f *fleet) String() string {
-	return fmt.Sprintf("%s with %d gateways: %.2f of the allowance, %.2f%% refused, %.2f messages a request",
+	text := fmt.Sprintf("%s with %d gateways: %.2f of the allowance, %.2f%% refused, %.2f messages a request",
 		f.name, f.gateways, f.busiest(f.quota, 0), 100*float64(f.refused)/float64(max(1, f.requests)), float64(f.messages)/float64(max(1, f.requests)))
+	if len(f.silences) > 0 {
+		text += fmt.Sprintf(", %.1f%% of %d refused in the silence", 100*float64(f.refusedInSilence)/float64(max(1, f.requestsInSilence)), f.requestsInSilence)
+	}
+	return text
 }
 
 func everywhere(time.Duration) int { return -1 }
--- a/laburnumquota/terms.go
+++ b/laburnumquota/terms.go
@@ -18,6 +18,8 @@
 	slackShare    = 0.85
 	// minPart times the slack is what each keeper of an account may at least grant at once.
 	minPart = 0.45
+	// needsShare is the part of the capacity that is not granted as reserves.
+	needsShare = 0.5
 )
 
 // Terms are the terms on which quotas are checked, and what follows from them.
@@ -51,6 +53,36 @@
 	return capacityShare*t.spare(q) + slackShare*t.Slack
 }
 
+// ReserveTime returns how long a gateway may spend a reserve after it last asked the keeper.
+func (t Terms) ReserveTime() time.Duration {
+	if d := time.Duration(reserveTimeShare * float64(t.Window)); d > 0 {
+		return d
+	}
+	return defaultGrantTime
+}
+
+// keeperReserveTime returns how long a keeper counts a reserve.
+func (t Terms) keeperReserveTime() time.Duration {
+	return time.Duration(keeperTimeFactor * float64(t.ReserveTime()))
+}
+
+// share is what a keeper with a part of a quota may grant: rate a second and capacity at once. While it keeps reserves it is
+// slower and has more at once, which together allow the same in a window.
+type share struct {
+	rate, capacity           float64
+	slowRate, largerCapacity float64
+	// needs is the part of largerCapacity that is not granted as reserves.
+	needs float64
+}
+
+func (t Terms) share(q laburnumlever.Quota, part float64) share {
+	rate, slowRate, capacity := part*t.rate(q), part*q.Rate, part*t.capacity(q)
+	return share{
+		rate: rate, capacity: capacity, slowRate: slowRate, largerCapacity: capacity + (rate-slowRate)*t.span().Seconds(),
+		needs: max(needsShare*capacity, min(capacity, minPart*t.Slack)),
+	}
+}
+
 // Holders returns the number of keepers of an account, at most the number of control VMs: as many as leave each
 // enough for a large request.
 func (t Terms) Holders(q laburnumlever.Quota, controls int) int {
--- a/laburnumquota/wallet.go
+++ b/laburnumquota/wallet.go
@@ -16,12 +16,17 @@
 	minExpected = 0.8
 	// maxAskIn is the longest time for which an account is taken to be used up without asking again.
 	maxAskIn = time.Second
+	// reserveMeans is the least reserve of an account with requests, in requests of the mean cost.
+	reserveMeans = 1.5
+	// reserveFactor times what is expected to be spent in the reserve time is kept as a reserve: demand varies.
+	reserveFactor = 2
 )
 
 // Wallet holds a gateway's tokens. It is not safe for concurrent use.
 type Wallet struct {
 	terms  Terms
 	purses map[laburnumlever.AccountName]*purse
+	quotas map[laburnumlever.AccountName]laburnumlever.Quota
 }
 
 // purse holds the tokens of one account.
@@ -30,6 +35,7 @@
 	// spent and requests are what was spent and on how many requests, decayed as of at.
 	spent, requests float64
 	at              time.Duration
+	reserves        purseReserves
 	// emptyUntil is until when the account is taken to be used up, fitsAt when a request will fit.
 	emptyUntil, fitsAt time.Duration
 }
@@ -82,6 +88,23 @@
 	return receipt, true
 }
 
+// SpendReserve spends tokens of the reserves on a request that no keeper grants tokens for, if there are enough. They are
+// not refunded.
+func (w *Wallet) SpendReserve(account laburnumlever.AccountName, cost float64, now time.Duration) bool {
+	p := w.purse(account)
+	if p.reserves.left(now) < cost {
+		return false
+	}
+	p.reserves.spend(cost)
+	p.count(cost, now)
+	return true
+}
+
+// HasReserve reports whether SpendReserve would succeed.
+func (w *Wallet) HasReserve(account laburnumlever.AccountName, cost float64, now time.Duration) bool {
+	return w.purse(account).reserves.left(now) >= cost
+}
+
 // Refund returns the tokens of a request that certainly did not run.
 func (w *Wallet) Refund(r Receipt, now time.Duration) {
 	if r.Tokens > 0 && now < r.until {
@@ -100,20 +123,33 @@
 
 // Asks returns what to ask a keeper for: the need of an account, and what other accounts are expected to spend.
 func (w *Wallet) Asks(account laburnumlever.AccountName, need float64, now time.Duration) []Ask {
-	asks := []Ask{{Account: account, Need: need, Want: w.purse(account).wanted(w.terms.GrantTime(), now)}}
+	asks := []Ask{w.ask(account, need, now)}
 	for name, p := range w.purses {
-		if want := p.wanted(w.terms.GrantTime(), now); name != account && want > 0 && now >= p.emptyUntil {
-			asks = append(asks, Ask{Account: name, Want: want})
+		if name == account || now < p.emptyUntil {
+			continue
+		}
+		if a := w.ask(name, 0, now); a.Want > 0 {
+			asks = append(asks, a)
 		}
 	}
 	return asks
 }
 
+func (w *Wallet) ask(account laburnumlever.AccountName, need float64, now time.Duration) Ask {
+	p := w.purse(account)
+	a := Ask{Account: account, Need: need, Want: p.wanted(w.terms.GrantTime(), now)}
+	if need > 0 || a.Want > 0 {
+		a.Reserve, a.Held = p.reserves.ask(p.reserveTarget(need, w.terms.ReserveTime(), now), w.terms.ReserveTime(), now)
+	}
+	return a
+}
+
 // Apply adds granted tokens. Asked is when the ask was sent: the tokens expire relative to it.
 func (w *Wallet) Apply(grants []Grant, asked time.Duration) {
 	for _, g := range grants {
+		p := w.purse(g.Account)
+		p.reserves.apply(g, w.quotas[g.Account], asked+w.terms.ReserveTime())
 		if g.Tokens > 0 {
-			p := w.purse(g.Account)
 			p.add(timedTokens{tokens: g.Tokens, until: asked + w.terms.GrantTime()})
 			p.emptyUntil = 0
 		}
@@ -126,11 +162,20 @@
 	p.fitsAt, p.emptyUntil = now+fitsIn, now+min(askIn, maxAskIn)
 }
 
-// Keep drops the accounts that are not listed.
+// Keep drops the accounts that are not listed, and the reserves of those whose quota has changed.
 func (w *Wallet) Keep(accounts []laburnumlever.Account) {
-	for name := range w.purses {
-		if !slices.ContainsFunc(accounts, func(a laburnumlever.Account) bool { return a.Name == name }) {
+	old := w.quotas
+	w.quotas = make(map[laburnumlever.AccountName]laburnumlever.Quota, len(accounts))
+	for _, a := range accounts {
+		w.quotas[a.Name] = a.Quota
+	}
+	for name, p := range w.purses {
+		quota, known := w.quotas[name]
+		switch {
+		case !known:
 			delete(w.purses, name)
+		case quota != old[name]:
+			p.reserves.dropAll()
 		}
 	}
 }
@@ -175,3 +220,19 @@
 	}
 	return max(0, p.spent*perSecond*within.Seconds()-p.left())
 }
+
+// reserveTarget returns the reserves that an account should have: for what it is expected to spend in a time, and for a
+// request at least.
+func (p *purse) reserveTarget(need float64, within, now time.Duration) float64 {
+	p.decay(now)
+	perSecond := math.Ln2 / costHalfLife.Seconds()
+	return max(need, reserveMeans*p.mean(), reserveFactor*p.spent*perSecond*within.Seconds())
+}
+
+// mean returns the mean cost of a request.
+func (p *purse) mean() float64 {
+	if p.requests <= 0 {
+		return 0
+	}
+	return p.spent / p.requests
+}
