fix: a request that arrives as a gateway ends is answered or refused

After its drain a gateway closed the listeners and all callers' connections at one moment (http.Server.Close): a request that was being read then ended with its connection. http.Server.Shutdown would not mend it: it drops a request that has been read when it begins.

Callers' connections now know whether a part of a request has been read. At the end idle ones are ended by a read deadline, which a read that has already got bytes outlives; the others serve what they have begun to read, which gets its refusal with "Connection: close" by then, and are closed after it. The last 150 ms of the time are kept for this, and it ends with the time at the latest.

--- /dev/null
+++ b/laburnumgateway/callers.go
@@ -0,0 +1,169 @@
+package laburnumgateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Callers is a listener that closes callers' connections at the end of the process without losing a request: idle ones at
+// once, the others as soon as their request has been answered. http.Server.Shutdown drops a request that it has read when
+// it begins.
+type Callers struct {
+	net.Listener
+
+	mu      sync.Mutex
+	open    map[*callerConn]struct{}
+	retired bool
+	none    chan struct{} // closed once the last connection is closed after Retire; nil before
+}
+
+// NewCallers returns a listener that accepts the connections of another one.
+func NewCallers(ln net.Listener) *Callers {
+	return &Callers{Listener: ln, open: map[*callerConn]struct{}{}}
+}
+
+// Accept returns the next connection. Errors are those of the other listener.
+func (c *Callers) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	own := &callerConn{Conn: conn, callers: c}
+	c.mu.Lock()
+	c.open[own] = struct{}{}
+	retired := c.retired
+	c.mu.Unlock()
+	if retired {
+		own.retire()
+	}
+	return own, nil
+}
+
+// ConnState records when connections become idle. It is a hook of http.Server.
+func (c *Callers) ConnState(conn net.Conn, state http.ConnState) {
+	if own, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		own.idle()
+	}
+}
+
+// Retire closes idle connections, and new ones, and returns when all connections are closed or ctx ends.
+func (c *Callers) Retire(ctx context.Context) {
+	c.mu.Lock()
+	var open []*callerConn
+	for conn := range c.open {
+		open = append(open, conn)
+	}
+	if c.none == nil {
+		c.none = make(chan struct{})
+		c.checkNone()
+	}
+	c.retired = true
+	none := c.none
+	c.mu.Unlock()
+	for _, conn := range open {
+		conn.retire()
+	}
+	select {
+	case <-none:
+	case <-ctx.Done():
+	}
+}
+
+// checkNone must be called with the mutex held.
+func (c *Callers) checkNone() {
+	if c.none == nil || len(c.open) > 0 {
+		return
+	}
+	select {
+	case <-c.none:
+	default:
+		close(c.none)
+	}
+}
+
+func (c *Callers) closed(conn *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+	c.checkNone()
+}
+
+// callerConn is a caller's connection that knows whether a part of a request has been read.
+type callerConn struct {
+	net.Conn
+	callers *Callers
+
+	mu            sync.Mutex
+	busy, retired bool
+}
+
+// longAgo is a deadline that ends reads at once.
+var longAgo = time.Unix(1, 0)
+
+// Read reads what the caller sent.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begin()
+	}
+	return n, err
+}
+
+// begin records that a part of a request has been read: the rest of it may be read even after retire.
+func (c *callerConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired && !c.busy {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+	c.busy = true
+}
+
+func (c *callerConn) idle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	c.endIdle()
+}
+
+func (c *callerConn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
+	c.endIdle()
+}
+
+// endIdle ends the read of an idle connection that is retired, for which the server closes it. A read that has got bytes meanwhile
+// returns them. It must be called with the mutex held.
+func (c *callerConn) endIdle() {
+	if c.retired && !c.busy {
+		_ = c.Conn.SetReadDeadline(longAgo)
+	}
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection is retired and idle.
+func (c *callerConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired && !c.busy {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// CloseWrite closes the connection for writing.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return c.Conn.Close()
+}
+
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	defer c.callers.closed(c)
+	return c.Conn.Close()
+}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -29,11 +30,15 @@
 // sweepPeriod is the interval between sweeps that close idle connections.
 const sweepPeriod = time.Second
 
+// closeTime is kept of the time for a shutdown, so that the last answers are written before their connections are closed.
+const closeTime = 150 * time.Millisecond
+
 // Gateway is a gateway VM's process.
 type Gateway struct {
 	process
 	fleet    *laburnumgateway.Fleet
 	gateway  *laburnumgateway.Gateway
+	callers  *laburnumgateway.Callers
 	follower *laburnumfeed.Follower
 	// tunnels carries connections of other gateways.
 	tunnels *laburnumtunnel.Server
@@ -115,8 +120,12 @@
 		_ = level.Warn(g.logger).Log("event", laburnumlever.EventOverloaded, "overloaded", overloaded, "delay-ms", delay.Milliseconds(), "in-flight", g.gateway.InFlight())
 	}))
 	server := g.gateway.Server()
-	server.ConnState = gate.ConnState
-	g.serveOn(laburnumoverload.NewListener(ln, gate.Admit, func() { shed.Inc(1) }), "callers", server)
+	g.callers = laburnumgateway.NewCallers(laburnumoverload.NewListener(ln, gate.Admit, func() { shed.Inc(1) }))
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		gate.ConnState(conn, state)
+		g.callers.ConnState(conn, state)
+	}
+	g.serveOn(g.callers, "callers", server)
 	return nil
 }
 
@@ -138,14 +147,25 @@
 
 // Shutdown drains the gateway, at most until ctx ends, and stops it.
 func (g *Gateway) Shutdown(ctx context.Context) {
+	draining, cancel := endingBefore(ctx, closeTime)
+	defer cancel()
 	var drains sync.WaitGroup
-	drains.Go(func() { g.tunnels.Drain(ctx) })
-	g.gateway.Drain(ctx)
+	drains.Go(func() { g.tunnels.Drain(draining) })
+	g.gateway.Drain(draining)
 	drains.Wait()
+	g.callers.Retire(ctx)
 	g.follower.Close()
 	g.close()
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventStopped, "role", "gateway")
 }
 
+// endingBefore returns a context that ends a time before the deadline of ctx, if it has one.
+func endingBefore(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	if end, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(ctx, end.Add(-d))
+	}
+	return context.WithCancel(ctx)
+}
+
 // Reload applies changed settings: new seeds are polled in addition to the known control VMs.
 func (g *Gateway) Reload(settings laburnumsettings.RoleSettings) { g.reload(settings, g.follower) }
