fix: a gateway that ends before its grace is over explains no cut answer in the soak

A cut that a server saw up to 1.6 s after such an end was taken for one by the end of the grace, so that the check was too weak. The case fails without the change: the cut was not reported.

--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -69,6 +69,7 @@
 		"killed before":           {true, gatewayEnd{gateway: "gateway-1", killed: true, asked: asked.Add(-9 * time.Second), endedAt: asked.Add(-9 * time.Second)}, []string{lost, cut}},
 		"ended within its grace":  {true, gatewayEnd{gateway: "gateway-1", asked: asked, endedAt: asked.Add(2 * time.Second)}, []string{lost, cut}},
 		"ended after its grace":   {true, gatewayEnd{gateway: "gateway-1", asked: asked.Add(-3 * time.Second), endedAt: asked.Add(2 * time.Second)}, nil},
+		"ended before its grace":  {true, gatewayEnd{gateway: "gateway-1", asked: asked.Add(-3 * time.Second), endedAt: asked.Add(-500 * time.Millisecond)}, []string{lost, cut}},
 		"helper killed":           {true, gatewayEnd{gateway: "gateway-2", killed: true, asked: asked.Add(time.Second), endedAt: asked.Add(time.Second)}, nil},
 		"helper killed long ago":  {true, gatewayEnd{gateway: "gateway-2", killed: true, asked: asked.Add(-time.Second), endedAt: asked.Add(-time.Second)}, []string{lost, cut}},
 		"helper within its grace": {true, gatewayEnd{gateway: "gateway-2", asked: asked, endedAt: asked.Add(2 * time.Second)}, []string{lost, cut}},
--- a/laburnumsoak/steady.go
+++ b/laburnumsoak/steady.go
@@ -72,7 +72,7 @@
 // explainsCut reports whether a gateway's end explains a cut. A silent server sees it once it goes on.
 func (e gatewayEnd) explainsCut(c cutAnswer) bool {
 	from, to := e.span()
-	return c.at.After(from) && c.at.Before(to.Add(maxSilence))
+	return from.Before(to) && c.at.After(from) && c.at.Before(to.Add(maxSilence))
 }
 
 // useSteady sends requests to the steady servers until ctx ends.
