test(quota): ways to serve while no control VM answers, compared

The model plays silences (all control VMs killed, cut off, a zone's killed, one frozen, every second gateway cut off) with four ways: without reserves, with reserves, with tokens for 1.5 s ahead of the need, and uncharged use at the rate of the second before.

go test ./laburnumquota -run SilenceMeasures -measures -v (60 s).

--- a/laburnumquota/fleet_test.go
+++ b/laburnumquota/fleet_test.go
@@ -106,37 +106,63 @@
 	}
 }
 
-// silences are times without answers: all control VMs are killed, all are cut off, one zone's are killed, one is frozen.
-var silences = []struct {
-	name string
-	silence
-}{
-	{"killed", silence{from: 15 * time.Second, to: 16500 * time.Millisecond}},
-	{"killed, 3 s", silence{from: 15 * time.Second, to: 18 * time.Second}},
-	{"cut", silence{from: 15 * time.Second, to: 18 * time.Second, kept: true}},
-	{"a zone's killed", silence{from: 15 * time.Second, to: 18 * time.Second, keepers: []int{0, 4}}},
-	{"one frozen", silence{from: 15 * time.Second, to: 18 * time.Second, keepers: []int{1}, kept: true}},
-}
-
 // TestSilenceMeasures prints what is refused while control VMs don't answer; it checks nothing.
 func TestSilenceMeasures(t *testing.T) {
 	if !*measures {
-		t.Skip("run with -measures -v")
+		return
 	}
+	const from = 15 * time.Second
+	silences := []struct {
+		name string
+		hot  bool
+		silence
+	}{
+		{"killed for 1.5 s", false, silence{from: from, to: from + 1500*time.Millisecond}},
+		{"killed for 3 s", false, silence{from: from, to: from + 3*time.Second}},
+		{"cut off for 3 s", false, silence{from: from, to: from + 3*time.Second, kept: true}},
+		{"a zone's killed for 3 s", false, silence{from: from, to: from + 3*time.Second, keepers: []int{0, 4}}},
+		{"one frozen for 3 s", false, silence{from: from, to: from + 3*time.Second, kept: true, keepers: []int{1}}},
+		{"hot, half of the gateways cut off for 3 s", true, silence{from: from, to: from + 3*time.Second, half: true}},
+	}
+	ways := []struct {
+		name string
+		way  way
+	}{{"reserves", sharedKeepers}, {"without", withoutReserves}, {"long tokens", longTokens}, {"uncharged", uncharged}}
 	for _, c := range silences {
 		for _, size := range []struct{ gateways, controls int }{{6, 4}, {57, 8}, {294, 8}, {780, 10}} {
 			for _, rate := range []float64{2000, 30_000, 100_000, 240_000} {
-				f := newFleet(scenario{
-					name: fmt.Sprintf("%s, %v/s", c.name, rate), gateways: size.gateways, controls: size.controls, quota: quotaOf(rate), demand: steady(usual), zone: everywhere,
-					silences: []silence{c.silence}, length: 33 * time.Second,
-				}, 1)
-				f.run()
-				t.Log(f)
+				text := fmt.Sprintf("%s, %d gateways, %.0f/s:", c.name, size.gateways, rate)
+				for _, w := range ways {
+					demand := usual
+					if c.hot {
+						demand = 4
+					}
+					text += " " + w.name + " " + silenceMeasure(scenario{
+						way: w.way, gateways: size.gateways, controls: size.controls, quota: quotaOf(rate), demand: steady(demand), zone: everywhere,
+						silences: []silence{c.silence}, length: 21 * time.Second,
+					})
+				}
+				t.Log(text)
 			}
 		}
 	}
 }
 
+// silenceMeasure plays a scenario with some seeds and returns what was refused in the silence, what was refused else, in
+// percent, and the most used in a window as a part of the allowance.
+func silenceMeasure(s scenario) string {
+	inSilence, allInSilence, refused, requests, most := 0, 0, 0, 0, 0.0
+	for seed := range uint64(4) {
+		f := newFleet(s, seed+1)
+		f.run()
+		inSilence, allInSilence = inSilence+f.refusedInSilence, allInSilence+f.requestsInSilence
+		refused, requests = refused+f.refused, requests+f.requests
+		most = max(most, f.busiest(f.quota, 0))
+	}
+	part := func(n, all int) float64 { return 100 * float64(n) / float64(max(1, all)) }
+	return fmt.Sprintf("%.0f/%.1f/%.2f", part(inSilence, allInSilence), part(refused-inSilence, requests-allInSilence), most)
+}
+
 // Guards against gateways that refuse all requests of an account below its quota while no control VM answers.
 func TestReservesServeWhileNoControlVMAnswers(t *testing.T) {
 	for _, c := range []struct {
--- a/laburnumquota/model_test.go
+++ b/laburnumquota/model_test.go
@@ -23,6 +23,9 @@
 // terms are those of a platform that allows some overshoot.
 var terms = laburnumquota.Terms{Window: 8 * time.Second, Overshoot: 0.1, Slack: 7400}
 
+// longTime is the time for which the ways longTokens and uncharged let gateways go on without an answer.
+const longTime = 1500 * time.Millisecond
+
 // way is how gateways share a quota.
 type way int
 
@@ -33,6 +36,13 @@
 	singleKeeper
 	// dividedByGateways gives each gateway an equal part, without messages.
 	dividedByGateways
+	// withoutReserves has shared keepers, and gateways with tokens for the next moment only.
+	withoutReserves
+	// longTokens has shared keepers that grant tokens for longTime ahead of the need, all of which are charged. Keepers
+	// grant less, as a window sees the grants of that time before it too.
+	longTokens
+	// uncharged lets gateways that get no answer go on as before, for as long as longTime.
+	uncharged
 )
 
 // scenario is a fleet and the demand for one account's quota.
@@ -61,11 +71,14 @@
 	kept bool
 	// keepers are those that are silent; all if it is empty.
 	keepers []int
+	// half is set if every second gateway gets no answer and the others do.
+	half bool
 }
 
 type use struct {
-	at   time.Duration
-	cost float64
+	at      time.Duration
+	cost    float64
+	gateway int
 }
 
 // fleet is a run of a scenario.
@@ -78,6 +91,7 @@
 	frozen  []time.Duration
 	// preferred is the keeper that last granted something to a gateway.
 	preferred []int
+	pasts     []past
 	cut       [zones]time.Duration
 	uses      []use
 	// startRate is the rate of the quota that the demand refers to.
@@ -89,6 +103,12 @@
 	requestsInSilence, refusedInSilence int
 }
 
+// past is what a gateway goes on with while it gets no answer.
+type past struct {
+	silentSince time.Duration
+	rate, spent float64
+}
+
 type modelKeeper struct {
 	keeper    *laburnumquota.Keeper
 	downUntil time.Duration
@@ -109,12 +129,41 @@
 		f.wallets = append(f.wallets, f.newWallet())
 		f.buckets = append(f.buckets, s.quota.Burst/float64(s.gateways))
 		f.frozen, f.preferred = append(f.frozen, 0), append(f.preferred, -1)
+		f.pasts = append(f.pasts, past{})
 	}
 	return f
 }
 
+// walletTerms are those of a grant time of longTime for longTokens.
+func (f *fleet) walletTerms() laburnumquota.Terms {
+	t := terms
+	if f.way == longTokens {
+		t.Overshoot *= float64(longTime) / float64(terms.GrantTime())
+	}
+	return t
+}
+
+// keeperTerms are those of a window that includes the time of tokens granted before it.
+func (f *fleet) keeperTerms() laburnumquota.Terms {
+	t := terms
+	if f.way == longTokens {
+		t.Window += longTime
+	}
+	return t
+}
+
+// keeperQuota is the quota of which such a window allows as much as f.quota.
+func (f *fleet) keeperQuota() laburnumlever.Quota {
+	q := f.quota
+	if f.way == longTokens {
+		part := (terms.Window + time.Second).Seconds() / (terms.Window + longTime + time.Second).Seconds()
+		q.Rate, q.Burst = q.Rate*part, q.Burst*part
+	}
+	return q
+}
+
 func (f *fleet) newWallet() *laburnumquota.Wallet {
-	w := laburnumquota.NewWallet(terms)
+	w := laburnumquota.NewWallet(f.walletTerms())
 	w.Keep(accountsWith(f.quota))
 	return w
 }
@@ -127,12 +176,12 @@
 func wholeShare(laburnumlever.Account) float64 { return 1 }
 
 func (f *fleet) startKeeper(i int, now time.Duration) {
-	f.keepers[i].keeper = laburnumquota.NewKeeper(terms)
+	f.keepers[i].keeper = laburnumquota.NewKeeper(f.keeperTerms())
 	f.setShares(i, now)
 }
 
 func (f *fleet) setShares(i int, now time.Duration) {
-	f.keepers[i].keeper.SetShares(accountsWith(f.quota), func(a laburnumlever.Account) float64 {
+	f.keepers[i].keeper.SetShares(accountsWith(f.keeperQuota()), func(a laburnumlever.Account) float64 {
 		if holders := terms.Holders(a.Quota, f.controls); i < holders {
 			return 1 / float64(holders)
 		}
@@ -174,7 +223,7 @@
 // silence begins the silences that are due.
 func (f *fleet) silence(now time.Duration) {
 	for _, s := range f.silences {
-		if now < s.from || now >= s.from+tick {
+		if s.half || now < s.from || now >= s.from+tick {
 			continue
 		}
 		for i := range f.keepers {
@@ -229,7 +278,7 @@
 		}
 		return
 	}
-	f.uses = append(f.uses, use{now, cost})
+	f.uses = append(f.uses, use{now, cost, gateway})
 }
 
 func (f *fleet) admit(gateway int, cost float64, now time.Duration) bool {
@@ -247,12 +296,16 @@
 	if w.RetryIn(account, now) > 0 {
 		return false
 	}
-	grants := f.ask(gateway, w.Asks(account, cost, now), now)
+	asks := w.Asks(account, cost, now)
+	if f.way != sharedKeepers {
+		asks[0].Reserve, asks[0].Held = 0, nil
+	}
+	grants := f.ask(gateway, asks, now)
 	w.Apply(grants, now)
 	if _, ok := w.Spend(account, cost, now); ok {
 		return true
 	}
-	if w.SpendReserve(account, cost, now) {
+	if w.SpendReserve(account, cost, now) || f.way == uncharged && f.goesOn(gateway, cost, grants, now) {
 		return true
 	}
 	fitsIn, askIn := laburnumquota.Refusal(grants, account)
@@ -260,6 +313,29 @@
 	return false
 }
 
+// goesOn reports whether a gateway without an answer serves a request uncharged: it goes on at the rate of the second
+// before.
+func (f *fleet) goesOn(gateway int, cost float64, grants []laburnumquota.Grant, now time.Duration) bool {
+	p := &f.pasts[gateway]
+	if len(grants) > 0 {
+		p.silentSince = 0
+		return false
+	}
+	if p.silentSince == 0 {
+		p.silentSince, p.spent, p.rate = now, 0, 0
+		for _, u := range f.uses {
+			if u.gateway == gateway && u.at > now-time.Second {
+				p.rate += u.cost
+			}
+		}
+	}
+	if now-p.silentSince > longTime || p.spent+cost > p.rate*longTime.Seconds() {
+		return false
+	}
+	p.spent += cost
+	return true
+}
+
 // order returns the keepers in the order in which a gateway asks them: the one that granted last, those of its own
 // zone, the others by lot.
 func (f *fleet) order(gateway int) []int {
@@ -301,6 +377,9 @@
 }
 
 func (f *fleet) reaches(gateway, keeper int, now time.Duration) bool {
+	if gateway%2 == 0 && slices.ContainsFunc(f.silences, func(s silence) bool { return s.half && now >= s.from && now < s.to }) {
+		return false
+	}
 	from, to := gateway%zones, keeper%zones
 	return now >= f.keepers[keeper].downUntil && (from == to || now >= f.cut[from] && now >= f.cut[to])
 }
--- a/laburnumquota/orders_test.go
+++ b/laburnumquota/orders_test.go
@@ -88,7 +88,7 @@
 
 func (o *order) use(cost float64) {
 	if cost > 0 {
-		o.uses = append(o.uses, use{o.now, cost})
+		o.uses = append(o.uses, use{at: o.now, cost: cost})
 	}
 }
 
