--- a/laburnumgateway/accounts_test.go
+++ b/laburnumgateway/accounts_test.go
@@ -50,7 +50,9 @@
 	routes laburnumlever.RouteTable
 	cutOff bool
 	left   float64
-	asks   int
+	// reserve is granted with the next ask.
+	reserve float64
+	asks    int
 }
 
 func (c *controlVMs) Confirm(context.Context) error {
@@ -77,6 +79,10 @@
 		c.left -= asks[0].Need
 		grant = laburnumquota.Grant{Account: account.Name, Tokens: asks[0].Need}
 	}
+	if c.reserve > 0 {
+		grant.Reserve = &laburnumquota.Reserve{ID: 1, Tokens: c.reserve, Quota: account.Quota}
+		c.reserve = 0
+	}
 	return []laburnumquota.Grant{grant}, laburnumtimer.SinceBoot(), nil
 }
 
@@ -214,6 +220,33 @@
 	require.Equal(t, "quota-unanswered\n", got.body)
 }
 
+// Guards against requests below their account's quota that are refused as soon as no control VM answers.
+func TestReserveServesWhileNoControlVMAnswers(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	c.set(func(c *controlVMs) { c.reserve = 2 })
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	c.set(func(c *controlVMs) { c.cutOff = true })
+	for range 2 {
+		require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	}
+	got := b.send("POST", "/confirm/x", "visit", keyHeader, "k1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "quota-unanswered\n", got.body)
+	require.Len(t, server.requests(), 3)
+}
+
+// Guards against reserves that lie idle while their account is refused.
+func TestReserveIsSpentBeforeAnAccountIsRefused(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	c.set(func(c *controlVMs) { c.left, c.reserve = 1, 2 })
+	for range 3 {
+		require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	}
+	require.Equal(t, http.StatusTooManyRequests, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+}
+
 // Guards against requests that never ran and use up their account's quota.
 func TestRequestThatDidNotRunIsRefunded(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
