--- a/laburnumquota/fleet_test.go
+++ b/laburnumquota/fleet_test.go
@@ -181,3 +181,29 @@
 		}
 	}
 }
+
+// Guards against reserves of a higher quota that are spent after it was lowered while no control VM answered.
+func TestLoweredQuotaBindsReserves(t *testing.T) {
+	const (
+		loweredAt = 15 * time.Second
+		learnedIn = 2500 * time.Millisecond
+	)
+	demand := func(now time.Duration) float64 {
+		switch {
+		case now < loweredAt:
+			return usual
+		case now < loweredAt+learnedIn:
+			return 0
+		default:
+			return 4
+		}
+	}
+	for seed := range uint64(5) {
+		f := newFleet(scenario{
+			name: "lowered", gateways: 57, controls: 8, quota: quotaOf(100_000), demand: demand, zone: everywhere, loweredAt: loweredAt, learnedIn: learnedIn,
+			silences: []silence{{from: loweredAt + tick, to: loweredAt + learnedIn}}, length: 40 * time.Second,
+		}, seed)
+		f.run()
+		require.LessOrEqual(t, f.busiest(f.quota, loweredAt+learnedIn), 1.0)
+	}
+}
--- a/laburnumquota/model_test.go
+++ b/laburnumquota/model_test.go
@@ -59,9 +59,9 @@
 	faults bool
 	// silences are the times at which gateways get no answer.
 	silences []silence
-	// loweredAt is when the quota is lowered to a quarter; 0 for never.
-	loweredAt time.Duration
-	length    time.Duration
+	// loweredAt is when the quota is lowered to a quarter; 0 for never. Every second gateway learns it learnedIn later.
+	loweredAt, learnedIn time.Duration
+	length               time.Duration
 }
 
 // silence is a time in which control VMs don't answer.
@@ -199,10 +199,8 @@
 			for i := range f.keepers {
 				f.setShares(i, now)
 			}
-			for _, w := range f.wallets {
-				w.Keep(accountsWith(f.quota))
-			}
 		}
+		f.learn(now)
 		f.silence(now)
 		if f.faults && now >= nextFault {
 			f.disturb(now)
@@ -220,6 +218,15 @@
 	}
 }
 
+// learn tells the gateways of the lowered quota when they learn it.
+func (f *fleet) learn(now time.Duration) {
+	for i, w := range f.wallets {
+		if at := f.loweredAt + time.Duration(i%2)*f.learnedIn; f.loweredAt > 0 && now >= at && now < at+tick {
+			w.Keep(accountsWith(f.quota))
+		}
+	}
+}
+
 // silence begins the silences that are due.
 func (f *fleet) silence(now time.Duration) {
 	for _, s := range f.silences {
