fix: answers that the caller has a part of are not ended by a verdict on links

Callers lost answers of more than 1 MB, and events on a route that may be repeated but is no stream, in the middle, while their bytes came.

Cause: only events of stream routes counted as begun and as heard; other bytes did not, so that an answer that flowed looked silent, and a verdict ended it as one that may be sent again. Each read of an answer is heard, and an attempt counts as started before the first byte goes to its caller.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -38,8 +39,24 @@
 	firstAt, lastAt time.Time
 	pause           time.Duration
 	events          int // parts written
-	// heard is called for each part of the answer that arrives.
+	// heard is called for each part of the answer that arrives, begin before the first part is written; it returns false if the
+	// attempt has been ended.
 	heard func()
+	begin func() bool
+}
+
+// start writes the head unless it was written before. It returns false if the attempt has been ended.
+func (a *answer) start(header http.Header, status int) bool {
+	if a.started {
+		return true
+	}
+	if !a.begin() {
+		return false
+	}
+	copyHeader(a.w.Header(), header)
+	a.w.WriteHeader(status)
+	a.started = true
+	return true
 }
 
 // recordPart records that a part of the answer was written.
@@ -80,6 +97,7 @@
 	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), streamType) {
 		return g.forwardStream(ctx, q, out, ticket, resp, result)
 	}
+	resp.Body = heardBody{ReadCloser: resp.Body, heard: out.heard}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
 	if err != nil {
 		result.Failed = ctx.Err() == nil
@@ -125,12 +143,12 @@
 
 // forwardLong streams an answer that is too long to be buffered. Head is the part read so far.
 func (g *Gateway) forwardLong(ctx context.Context, out *answer, resp *http.Response, head []byte) *failure {
-	copyHeader(out.w.Header(), resp.Header)
 	if resp.ContentLength > 0 {
 		out.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	out.started = true
-	out.w.WriteHeader(resp.StatusCode)
+	if !out.start(resp.Header, resp.StatusCode) {
+		return brokenAnswer(ctx, net.ErrClosed)
+	}
 	if _, err := io.Copy(out.w, io.MultiReader(bytes.NewReader(head), resp.Body)); err != nil {
 		return brokenAnswer(ctx, err)
 	}
@@ -147,10 +165,8 @@
 // forwardStream forwards complete server-sent events only, so that a broken stream can resume after
 // the last one.
 func (g *Gateway) forwardStream(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
-	if !out.started {
-		copyHeader(out.w.Header(), resp.Header)
-		out.w.WriteHeader(http.StatusOK)
-		out.started = true
+	if !out.start(resp.Header, http.StatusOK) {
+		return brokenAnswer(ctx, net.ErrClosed)
 	}
 	flusher := http.NewResponseController(out.w)
 	r := bufio.NewReaderSize(resp.Body, eventBufferSize)
@@ -225,3 +241,17 @@
 		}
 	}
 }
+
+// heardBody reports each part of an answer that arrives.
+type heardBody struct {
+	io.ReadCloser
+	heard func()
+}
+
+func (b heardBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.heard()
+	}
+	return n, err
+}
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -131,6 +131,7 @@
 		return fail, resp
 	}
 	out.heard = func() { g.links.heard(wait, conn) }
+	out.begin = func() bool { return g.links.started(wait) }
 	fail := g.forwardAnswer(ctx, q, out, ticket, resp, result)
 	if fail != nil {
 		fail.begun = true
--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -50,11 +50,9 @@
 type directAttempt struct {
 	to   laburnumlever.Heartbeat
 	conn *laburnumupstream.Conn
-	// next is the request's state if the attempt were ended now, query what it needs. stream is set if the caller gets the
-	// answer part by part.
-	next   laburnumretry.Attempt
-	query  laburnumbalance.Query
-	stream bool
+	// next is the request's state if the attempt were ended now, query what it needs.
+	next  laburnumretry.Attempt
+	query laburnumbalance.Query
 	// countedAt is when its silence last counted as a failure.
 	countedAt time.Time
 	// endedBy is the verdict that ended it, begun is set once a part of the answer was received.
@@ -64,20 +62,12 @@
 
 // newDirectAttempt returns the attempt that a request begins.
 func newDirectAttempt(q *request, out *answer, to laburnumlever.Heartbeat, conn *laburnumupstream.Conn) *directAttempt {
-	a := &directAttempt{to: to, conn: conn, next: q.attempted(laburnumretry.StageUnknown, out), query: q.query(), stream: q.route.Kind == laburnumlever.KindStream}
+	a := &directAttempt{to: to, conn: conn, next: q.attempted(laburnumretry.StageUnknown, out), query: q.query()}
 	a.next.Sent++
 	a.query.Permit = laburnumbalance.Permit{}
 	return a
 }
 
-// heard records that a part of the answer was received.
-func (a *directAttempt) heard() {
-	if a.begun = true; a.stream && !a.next.Started {
-		a.next.Started = true
-		a.query.Software = a.to.Software
-	}
-}
-
 // mayMove reports whether the request may be sent again if the attempt is ended, apart from the retry budget and the room at
 // servers. A stream goes on only at a server of a known software version.
 func (a *directAttempt) mayMove() bool {
@@ -120,10 +110,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.monitor.Heard(w, conn.OpenedAt(), l.gateway.timers.Now())
-	l.attempts[w].heard()
+	l.attempts[w].begun = true
 	l.detours.Heard(w.Address(), conn.OpenedAt())
 }
 
+// started records that the caller is about to get a part of the answer. It returns false if the attempt has been ended.
+func (l *links) started(w *laburnumreachability.Wait) bool {
+	if w == nil {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.attempts[w]
+	if a.endedBy != endNone {
+		return false
+	}
+	a.next.Started, a.query.Software = true, a.to.Software
+	return true
+}
+
 // endedBy returns the verdict that ended an attempt, if one did.
 func (l *links) endedBy(w *laburnumreachability.Wait) attemptEnd {
 	if w == nil {
--- a/laburnumgateway/silence_test.go
+++ b/laburnumgateway/silence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -117,6 +119,9 @@
 	return conn, err
 }
 
+// maxBufferedAnswer is the length of an answer up to which a broken one is sent again.
+const maxBufferedAnswer = 1 << 20
+
 // acceptQueue is the number of connections that the kernel completes before a silent server accepts them.
 const acceptQueue = 8
 
@@ -286,3 +291,68 @@
 	}
 	require.Eventually(t, b.gateway.Ready, 10*time.Second, time.Millisecond)
 }
+
+// Guards against answers cut in the middle that can't be resumed, since only events of streams counted as heard and as begun.
+func TestAnswersInPartsAreNotEnded(t *testing.T) {
+	const size = maxBufferedAnswer + 30*1000
+	event := "data: word\n\n"
+	for _, tt := range []struct {
+		name string
+		head func(conn net.Conn)
+		part string
+		// parts follow the head, each after a pause.
+		parts int
+		pause time.Duration
+		want  int
+	}{
+		{
+			name: "longer than is buffered",
+			head: func(conn net.Conn) {
+				fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n%s", size, strings.Repeat("x", maxBufferedAnswer))
+			},
+			part: strings.Repeat("y", 1000), parts: 30, pause: 100 * time.Millisecond, want: size,
+		},
+		{
+			name: "events on a route that is no stream",
+			head: func(conn net.Conn) {
+				fmt.Fprintf(conn, "Content-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", 2*len(event), event)
+			},
+			part: event, parts: 1, pause: 2500 * time.Millisecond, want: 2 * len(event),
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			begun := make(chan struct{}, 1)
+			flowing := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+				if a.request.Header.Get(idHeader) != "r-flow" {
+					writeAnswer(conn, a, http.StatusOK, "ok")
+					return
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-flow\r\n%s: s1\r\n", idHeader, stampHeader)
+				tt.head(conn)
+				begun <- struct{}{}
+				for range tt.parts {
+					<-time.After(tt.pause)
+					_, _ = io.WriteString(conn, tt.part)
+				}
+			})
+			address := flowing.ln.Addr().String()
+			b := newLinksHarness(t, &fakeTunnels{real: map[string]string{address: answers("i-1")(t).ln.Addr().String()}}, &reports{},
+				[]laburnumregistry.Record{flowing.heartbeat("booking")})
+			b.fleet.HandleRoutes(patientRoutes())
+			ended := make(chan callerResponse, 1)
+			go func() { ended <- b.send("GET", "/lookup/x", "", idHeader, "r-flow") }()
+			<-begun
+			require.NoError(t, flowing.ln.Close())
+			var others sync.WaitGroup
+			defer others.Wait()
+			require.Eventually(t, func() bool {
+				others.Go(func() { _ = b.send("GET", "/lookup/x", "") })
+				return !b.gateway.CanReach(address) || !b.gateway.CanHelp()
+			}, 10*time.Second, 30*time.Millisecond, "new connections are refused")
+			got := <-ended
+			require.NoError(t, got.err)
+			require.Len(t, got.body, tt.want)
+		})
+	}
+}
