fix: a second look counts only between two answers that are close together

Found by the review of: a server that answers another VM between two silences could still be taken for one that only others reach, since the last question to others may come long after the direct probes are over. Evidence: TestServerThatIsSilentTwiceIsReached failed (three begun streams sent again), and passes.

The direct probe counts only if the answers to others before and after it are less than the shortest silence apart; else it is made again, up to three times. Looks that contradict each other tell nothing, so that one question that fails no longer doubles the pause until a detour.

--- a/laburnumgateway/linkprobes.go
+++ b/laburnumgateway/linkprobes.go
@@ -27,6 +27,10 @@
 	verifyTimeout = 2 * othersTimeout
 	// directProbeTimeout bounds a direct probe of a server that others reach.
 	directProbeTimeout = 300 * time.Millisecond
+	// minSilence is the time within which a server that is awake before and after it was not silent for long enough to miss the
+	// direct probes in between, and secondLooks how often that is tried: others may answer late.
+	minSilence  = 500 * time.Millisecond
+	secondLooks = 3
 	// directProbes is the number of these: a server that begins to accept connections again may miss the first one.
 	directProbes = 2
 )
@@ -92,14 +96,30 @@
 	return direct > 0 || reached >= laburnumreachability.MinServers
 }
 
-// probeBothWays probes a backend server directly and, if that takes long or fails, through other VMs.
+// probeBothWays probes a backend server directly and, if that takes long or fails, through other VMs. One that answers others may
+// have been silent for everybody before, so it is probed directly again between two answers to others. Probes that contradict each
+// other tell nothing.
 func (l *links) probeBothWays(ctx context.Context, s probedServer) laburnumreachability.Probe {
 	p := l.probeOnce(ctx, s)
 	if p.Direct || !p.Reached {
 		return p
 	}
-	p.Direct, p.Cause = l.probeAgain(ctx, s)
-	p.Reached = !p.Direct && p.Cause == nil
+	answered := l.gateway.timers.Now()
+	for range secondLooks {
+		direct, at, err := l.probeAgain(ctx, s)
+		switch {
+		case direct:
+			p.Direct, p.Reached = true, false
+			return p
+		case err == nil && at.Sub(answered) < minSilence:
+			return p
+		case err == nil:
+			answered = at
+		default:
+			answered, p.Cause = time.Time{}, err
+		}
+	}
+	p.Reached, p.Helped = false, false
 	return p
 }
 
@@ -132,8 +152,8 @@
 }
 
 // probeAgain probes a backend server that has answered another VM, and reports whether it answers directly. A nil error means
-// that it has answered others again since the direct probe began, so that its silence is no reason for that probe to fail.
-func (l *links) probeAgain(ctx context.Context, s probedServer) (answers bool, err error) {
+// that it has answered others again since the direct probe began, and when.
+func (l *links) probeAgain(ctx context.Context, s probedServer) (answers bool, at time.Time, err error) {
 	direct := make(chan bool, 1)
 	go func() { direct <- l.answersDirectly(s) }()
 	slow, cancel := laburnumtimer.AfterChannel(l.gateway.timers, tunnelProbeDelay)
@@ -145,13 +165,14 @@
 	case <-slow:
 	}
 	if answers {
-		return true, nil
+		return true, at, nil
 	}
 	_, _, err = l.probeThroughOthers(ctx, s)
+	at = l.gateway.timers.Now()
 	if !ended {
 		answers = <-direct
 	}
-	return answers, err
+	return answers, at, err
 }
 
 // answersDirectly reports whether a backend server answers one of several direct probes. One that refuses or resets the first is
--- a/laburnumgateway/silence_test.go
+++ b/laburnumgateway/silence_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	begun int
 	// silenced is closed once the silence has begun.
 	silenced chan struct{}
+	// again is closed once the last silence is over, if there are several.
+	again chan struct{}
 }
 
 // nextEventTime is how long the server works on the next event of a stream once it goes on.
@@ -42,8 +45,9 @@
 // newSilentServer returns a server that streams two events, falls silent when all the streams have got that far, and goes on with
 // two more.
 func newSilentServer(t testing.TB, id string, streams int) *silentServer {
-	s := &silentServer{t: t, awake: make(chan struct{}), silenced: make(chan struct{})}
+	s := &silentServer{t: t, awake: make(chan struct{}), silenced: make(chan struct{}), again: make(chan struct{})}
 	close(s.awake)
+	close(s.again)
 	s.backend = newBackendOn(t, id, &pausingListener{Listener: shortQueueListener(t), server: s}, func(conn net.Conn, a receivedRequest, _ int) {
 		<-s.silence()
 		if !strings.HasPrefix(a.request.URL.Path, "/quote/") {
@@ -60,6 +64,7 @@
 		s.mu.Unlock()
 		<-s.silenced
 		<-s.silence()
+		<-s.again
 		<-time.After(nextEventTime)
 		for i := 3; i <= 4; i++ {
 			writeChunk(conn, "id: "+strconv.Itoa(i)+"\ndata: word-"+strconv.Itoa(i)+"\n\n")
@@ -94,6 +99,15 @@
 	}
 }
 
+// sleepAgain has the server fall silent once more for a time.
+func (s *silentServer) sleepAgain(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.awake = make(chan struct{})
+	s.fillQueue()
+	time.AfterFunc(d, func() { s.wake(); close(s.again) })
+}
+
 // fillQueue has the kernel drop further connections until the server is awake.
 func (s *silentServer) fillQueue() {
 	for range 2 * acceptQueue {
@@ -356,3 +370,37 @@
 		})
 	}
 }
+
+// Guards against two silences, with a moment between them in which another VM is answered, taken for a lost link.
+func TestServerThatIsSilentTwiceIsReached(t *testing.T) {
+	const streams = 3
+	silent, other, elsewhere := newSilentServer(t, "i-1", streams), newBackend(t, "i-2", resumeStream), answers("i-1")(t)
+	silent.again = make(chan struct{})
+	var dials atomic.Int64
+	tunnels := &fakeTunnels{real: map[string]string{silent.ln.Addr().String(): elsewhere.ln.Addr().String()}, onDial: func(ctx context.Context) {
+		first := dials.Add(1) == 1
+		if first {
+			time.AfterFunc(250*time.Millisecond, silent.wake)
+		}
+		select {
+		case <-silent.silence():
+		case <-ctx.Done():
+		}
+		if first {
+			silent.sleepAgain(660 * time.Millisecond)
+		}
+	}}
+	b := newLinksHarness(t, tunnels, &reports{}, []laburnumregistry.Record{
+		silent.heartbeat("quotes", "m0"), answers("i-3")(t).heartbeat("booking"),
+	})
+	b.fleet.HandleRoutes(patientRoutes())
+	ended := make(chan []callerResponse, 1)
+	go func() { ended <- b.quotes(streams) }()
+	require.Eventually(t, func() bool { return silent.streams() == streams }, 10*time.Second, time.Millisecond)
+	b.announce(other.heartbeat("quotes", "m0"))
+	for i, got := range <-ended {
+		require.NoError(t, got.err, "stream %d", i)
+	}
+	require.Positive(t, dials.Load(), "another VM was asked")
+	require.Empty(t, other.requests(), "nothing was sent again")
+}
