--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -44,6 +44,8 @@
 	probing bool
 	checks  int
 	lostAt  time.Time
+	// confirmed is set if servers answered other VMs as the links were found lost.
+	confirmed bool
 }
 
 // directAttempt is an attempt on a direct connection.
@@ -249,11 +251,11 @@
 	probes := l.verifyProbes(g.fleet.sampleServers(suspects, laburnumreachability.ProbedServers))
 	servers, now := g.fleet.serverCount(), g.timers.Now()
 	l.mu.Lock()
+	direct, reached, helped := countProbes(probes)
 	lost := l.monitor.Verified(probes, servers, now)
 	l.probing = false
-	l.lostAt = now
+	l.lostAt, l.confirmed = now, lost && reached > 0
 	l.mu.Unlock()
-	direct, reached, helped := countProbes(probes)
 	event := laburnumlever.EventLinksVerified
 	if lost {
 		event = laburnumlever.EventLinksLost
@@ -307,14 +309,11 @@
 	return !l.monitor.Lost() || !l.unaided.Load()
 }
 
-// abortSilent ends attempts on lost links whose requests may be sent again. While no other VM helps they would get no further, and
-// nobody has shown that the servers are not just silent.
+// abortSilent ends attempts on lost links whose requests may be sent again, unless nobody has shown that the servers are not just
+// silent.
 func (l *links) abortSilent(now time.Time) {
-	if l.unaided.Load() {
-		return
-	}
 	l.abort(endLinksLost, func(w *laburnumreachability.Wait, _ *directAttempt) bool {
-		return w.Silent(now) && l.monitor.Hanging(now)
+		return l.confirmed && w.Silent(now) && l.monitor.Hanging(now)
 	})
 }
 
--- a/laburnumgateway/silence_test.go
+++ b/laburnumgateway/silence_test.go
@@ -404,3 +404,43 @@
 	require.Positive(t, dials.Load(), "another VM was asked")
 	require.Empty(t, other.requests(), "nothing was sent again")
 }
+
+// Guards against answers ended on links that nobody has shown to be lost, since a helper that reaches nobody was found later.
+func TestHelperThatReachesNobodyEndsNoAnswer(t *testing.T) {
+	const servers = 4
+	var silent [servers]*silentServer
+	var records []laburnumregistry.Record
+	for i := range silent {
+		silent[i] = newSilentServer(t, "i-"+strconv.Itoa(i), 1)
+		records = append(records, silent[i].heartbeat("quotes", "m"+strconv.Itoa(i)))
+	}
+	tunnels := &helperlessTunnels{}
+	b := newLinksHarness(t, tunnels, &reports{}, records)
+	b.fleet.HandleRoutes(patientRoutes())
+	var ended sync.WaitGroup
+	for i := range silent {
+		ended.Go(func() {
+			got := b.send("POST", "/quote/x", "text", "X-Laburnumlever-Model", "m"+strconv.Itoa(i))
+			assert.NoError(t, got.err)
+			assert.Equal(t, 4, strings.Count(got.body, "word-"))
+		})
+	}
+	require.Eventually(t, func() bool { return !b.gateway.Ready() }, 10*time.Second, time.Millisecond, "the links count as lost")
+	tunnels.helps.Store(true)
+	require.Eventually(t, b.gateway.Ready, 10*time.Second, time.Millisecond, "another VM helps")
+	<-time.After(100 * time.Millisecond)
+	for _, s := range silent {
+		s.wake()
+	}
+	ended.Wait()
+}
+
+// helperlessTunnels find no helper at first, then one that reaches no server.
+type helperlessTunnels struct{ helps atomic.Bool }
+
+func (h *helperlessTunnels) Dial(_ context.Context, address string) (net.Conn, error) {
+	if h.helps.Load() {
+		return nil, &laburnumtunnel.ServerUnreachableError{Address: address}
+	}
+	return nil, &laburnumtunnel.NoHelperError{}
+}
