fix: a detour ends no request beside an answer that flows

Found by the review: where new connections to a server are refused and open ones live on, a detour ended requests that their server still worked on, and had them run again elsewhere. The filter asked for silence of the request, not of the link. The server also counts as reachable before its attempts are looked at, so that those that only it can take move.

--- a/laburnumgateway/detours.go
+++ b/laburnumgateway/detours.go
@@ -54,12 +54,12 @@
 		return
 	}
 	g.counters.detours.Inc(1)
+	g.fleet.reachable(to.Backend)
 	ended, begun := l.abort(endDetour, func(w *laburnumreachability.Wait, a *directAttempt) bool {
-		return a.to.Address == to.Address && w.Silent(now)
+		return a.to.Address == to.Address && w.Silent(now) && l.hanging(to.Address, now)
 	})
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventDetourOpened, "backend", to.Backend, "address", to.Address,
 		"probed-ms", millis(g.timers.Now().Sub(began)), "ended", ended, "begun", begun)
-	g.fleet.reachable(to.Backend)
 }
 
 // detourFailed ends the detour of a backend server if no other VM connected to it, and reports whether there was one.
--- a/laburnumgateway/silence_test.go
+++ b/laburnumgateway/silence_test.go
@@ -444,3 +444,54 @@
 	}
 	return nil, &laburnumtunnel.NoHelperError{}
 }
+
+// Guards against a request ended at a server that works on it, while another answer flows over the same link.
+func TestRequestBesideAnAnswerThatFlowsIsNotEnded(t *testing.T) {
+	begun := make(chan struct{}, 2)
+	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+		id := a.request.Header.Get(idHeader)
+		if id != "r-flow" && id != "r-work" {
+			writeAnswer(conn, a, http.StatusNotFound, "")
+			return
+		}
+		begun <- struct{}{}
+		if id == "r-work" {
+			<-time.After(3 * time.Second)
+			writeEvents(conn, a, 1, 4)
+			writeLastChunk(conn)
+			return
+		}
+		writeEvents(conn, a, 1, 1)
+		for i := 2; i <= 35; i++ {
+			<-time.After(100 * time.Millisecond)
+			writeChunk(conn, fmt.Sprintf("id: %d\ndata: word-%d\n\n", i, i))
+		}
+		writeLastChunk(conn)
+	})
+	other, reached := newBackend(t, "i-2", resumeStream), newBackend(t, "i-1", resumeStream)
+	address := server.ln.Addr().String()
+	b := newLinksHarness(t, &fakeTunnels{real: map[string]string{address: reached.ln.Addr().String()}}, &reports{}, []laburnumregistry.Record{
+		server.heartbeat("quotes", "m0", "m1"), answers("i-3")(t).heartbeat("booking"),
+	})
+	b.fleet.HandleRoutes(patientRoutes())
+	var all sync.WaitGroup
+	for _, id := range []string{"r-flow", "r-work"} {
+		all.Go(func() {
+			got := b.send("POST", "/quote/x", "text", "X-Laburnumlever-Model", "m0", idHeader, id)
+			assert.NoError(t, got.err)
+			assert.Contains(t, got.body, "word-4")
+		})
+	}
+	<-begun
+	<-begun
+	b.announce(other.heartbeat("quotes", "m0"))
+	<-time.After(nextEventTime + 100*time.Millisecond) // the request counts as silent by then
+	require.NoError(t, server.ln.Close())
+	require.Eventually(t, func() bool {
+		all.Go(func() { _ = b.send("POST", "/draft/x", "text", "X-Laburnumlever-Model", "m1", idHeader, "r-new") })
+		return !b.gateway.CanReach(address)
+	}, 10*time.Second, 100*time.Millisecond, "only others reach it")
+	all.Wait()
+	require.Empty(t, other.streams(), "the request was not sent again")
+	require.Empty(t, reached.streams(), "the request was not sent again")
+}
