fix: a caller that only stops sending gets no success that no server gave

Found by the review: a caller that closed its connection for writing got "200 OK" without a server's stamp, or the regular end of a stream in its middle, since the handler returned without an answer. Evidence: TestCallerThatStopsSendingGetsNoFalseSuccess failed, and passes: the connection is aborted.

--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -194,7 +194,7 @@
 	if errors.As(err, &gone) || (ctx.Err() != nil && !deadlineExceeded(ctx)) {
 		g.countRefusal(laburnumlever.RefusedCallerGone)
 		g.logRefusal(q, laburnumlever.RefusedCallerGone, 0, err)
-		return
+		panic(http.ErrAbortHandler) // a caller that has only stopped sending must not take what it got for complete
 	}
 	if out.started {
 		g.countRefusal(laburnumlever.RefusedBrokenStream)
--- a/laburnumgateway/silence_test.go
+++ b/laburnumgateway/silence_test.go
@@ -495,3 +495,22 @@
 	require.Empty(t, other.streams(), "the request was not sent again")
 	require.Empty(t, reached.streams(), "the request was not sent again")
 }
+
+// Guards against a success that no server gave, for a caller that has only stopped sending.
+func TestCallerThatStopsSendingGetsNoFalseSuccess(t *testing.T) {
+	slow := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+		<-time.After(300 * time.Millisecond)
+		writeAnswer(conn, a, http.StatusOK, "ok")
+	})
+	b := newHarness(t, slow.heartbeat("booking"))
+	conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /confirm/x HTTP/1.1\r\nHost: quotes.example\r\n"+idHeader+": r-1\r\nContent-Length: 2\r\n\r\nhi")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(slow.requests()) == 1 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	got, _ := io.ReadAll(conn) // a reset is as good
+	require.False(t, strings.HasPrefix(string(got), "HTTP/1.1 200") && !strings.Contains(string(got), stampHeader), "%q", got)
+}
