fix: no silent servers in soaks with gateways of an earlier build

An earlier build's gateways cut answers of servers that fall silent, so that a mixed soak would report the old build's fault. Servers fall silent, and gateways get a share of a core, in the runs in which all gateways are of the new build: every second one, as for rests and software versions.

--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -86,8 +86,10 @@
 	}()
 	var beside sync.WaitGroup
 	beside.Go(func() { x.releases(faultCtx, cfg.Seed) })
-	beside.Go(func() { x.silences(faultCtx, cfg.Seed) })
-	beside.Go(func() { x.shares(faultCtx) })
+	if cfg.releasesVersions() { // an earlier build's gateways cut answers of silent servers
+		beside.Go(func() { x.silences(faultCtx, cfg.Seed) })
+		beside.Go(func() { x.shares(faultCtx) })
+	}
 	x.run(faultCtx)
 	beside.Wait()
 	stop()
--- a/laburnumsoak/versions.go
+++ b/laburnumsoak/versions.go
@@ -34,8 +34,8 @@
 // draftCounts counts drafts.
 type draftCounts struct{ begun, broken, takenUp int }
 
-// releasesVersions reports whether servers of several software versions serve side by side, ask for rest and say in their answers
-// that they leave. With an earlier build's program, they do in every second run, and only control VMs run that build.
+// releasesVersions reports whether servers of several software versions serve side by side, ask for rest, say in their answers
+// that they leave, and fall silent while gateways have a share of a core. With an earlier build's program, they do in every second run, and only control VMs run that build.
 func (cfg Config) releasesVersions() bool { return cfg.Older == "" || cfg.Seed%2 == 1 }
 
 // injected are the processes that the faults of the main sequence apply to.
