fix: time limits and connections that are turned away unread excuse a request in the soak

Its lines show two cases that are allowed:

- The ten cut answers, and the same ten requests, took 24.1 to 24.6 s; their gateways ended them by the time limit of the route (15 s; the three traced say "deadline" or "i/o timeout" with the reason deadline).
- The 63 others were resets 1 to 100 ms after their start.
Their gateways have no line about the five looked up and said "overloaded" with delays of 1.1 and 2.4 s just before: an overloaded gateway resets new connections unread (laburnumoverload), so that callers try elsewhere.

A request is excused now if it lasted for the shortest time limit of its routes, or if its new connection was reset and no server ran it. Resets of open connections, of requests that ran, and any other end of a new connection are reported as before (test).

--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -29,8 +29,10 @@
 	// drafts counts the streams of two versions' service, and what became of those that broke.
 	drafts draftCounts
 	// steady holds the requests to the steady servers by id, cuts those whose answers they saw cut, with the server.
-	steady      map[string]steadyRequest
-	cuts        []cutAnswer
+	steady map[string]steadyRequest
+	cuts   []cutAnswer
+	// steadyRan are the requests that steady servers have run.
+	steadyRan   map[string]bool
 	gatewayEnds []gatewayEnd
 	// acked lists the acknowledged changes.
 	acked      []ack
@@ -45,7 +47,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]bool{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -88,6 +89,33 @@
 	}
 }
 
+// Guards against checks that blame a gateway for the time limit of a route or for connections that it turned away unread, and against
+// those that excuse resets of open connections.
+func TestRequestsTurnedAwayOrOverdueAreNotReported(t *testing.T) {
+	sent := time.Unix(1_000_000, 0)
+	for name, test := range map[string]struct {
+		q    steadyRequest
+		ran  bool
+		lost bool
+	}{
+		"reset of a new connection":                   {steadyRequest{endedAt: sent.Add(time.Second), fresh: true, err: syscall.ECONNRESET}, false, false},
+		"reset of a new connection whose request ran": {steadyRequest{endedAt: sent.Add(time.Second), fresh: true, err: syscall.ECONNRESET}, true, true},
+		"reset of an open connection":                 {steadyRequest{endedAt: sent.Add(time.Second), err: syscall.ECONNRESET}, false, true},
+		"end of a new connection":                     {steadyRequest{endedAt: sent.Add(time.Second), fresh: true, err: io.ErrUnexpectedEOF}, false, true},
+		"beyond the time limit":                       {steadyRequest{endedAt: sent.Add(15 * time.Second), err: io.ErrUnexpectedEOF}, false, false},
+		"just within the time limit":                  {steadyRequest{endedAt: sent.Add(15*time.Second - 1), err: io.ErrUnexpectedEOF}, false, true},
+		"an answer or a refusal came":                 {steadyRequest{endedAt: sent.Add(time.Second)}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRecorder()
+			test.q.sentAt, test.q.whole = sent, true
+			r.steadyEnded("look-1", test.q)
+			r.steadyRan["look-1"] = test.ran
+			require.Equal(t, test.lost, len(r.check()) > 0)
+		})
+	}
+}
+
 // Guards against a check for crashing requests that never fails.
 func TestRefusalOfAnInnocentRequestIsReported(t *testing.T) {
 	r := newRecorder()
--- a/laburnumsoak/silences.go
+++ b/laburnumsoak/silences.go
@@ -39,6 +39,10 @@
 		if id, ok := strings.CutPrefix(text, cutPrefix); ok {
 			f.record.answerCut(p.name, id)
 		}
+		if run, ok := strings.CutPrefix(text, ranPrefix); ok {
+			id, _, _ := strings.Cut(run, " ")
+			f.record.steadyRequestRan(id)
+		}
 	}
 	p.args = func() []string {
 		args := append(f.serverArgs(p, number), "--event-pause", steadyPause.String())
--- a/laburnumsoak/steady.go
+++ b/laburnumsoak/steady.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"laburnumlever/laburnumstandin"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -34,9 +36,19 @@
 	sentAt, endedAt time.Time
 	// whole is set once it was sent whole.
 	whole bool
+	// fresh is set if it was sent on a new connection.
+	fresh bool
 	err   error
 }
 
+// turnedAway reports whether its connection was reset at once, as an overloaded gateway does to new ones that it has not read from.
+func (q steadyRequest) turnedAway() bool { return q.fresh && errors.Is(q.err, syscall.ECONNRESET) }
+
+// overdue reports whether it may have reached the time limit of its route.
+func (q steadyRequest) overdue() bool {
+	return q.endedAt.Sub(q.sentAt) >= laburnumstandin.SeriesTimeoutMS*time.Millisecond
+}
+
 // gatewayEnd is an end of a gateway's process.
 type gatewayEnd struct {
 	gateway        string
@@ -97,6 +109,7 @@
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GetConn:      func(string) { q.whole = false },
+		GotConn:      func(info httptrace.GotConnInfo) { q.fresh = !info.Reused },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { q.whole = info.Err == nil },
 	})
 	status, answer, err := l.caller.Request(ctx, l.fleet.gateway(gateway), route, id, body)
@@ -114,6 +127,13 @@
 	r.steady[id] = q
 }
 
+// steadyRequestRan records that a server ran a request.
+func (r *recorder) steadyRequestRan(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.steadyRan[id] = true
+}
+
 // answerCut records that a server saw the connection of a request closed in the middle of its answer.
 func (r *recorder) answerCut(server, id string) {
 	r.mu.Lock()
@@ -131,7 +151,7 @@
 // checkSteady checks that no request remained without an answer or a refusal, and that no answer was cut. The caller holds mu.
 func (r *recorder) checkSteady() {
 	for id, q := range r.steady {
-		if q.whole && q.err != nil && !r.explained(q) {
+		if q.whole && q.err != nil && (!q.turnedAway() || r.steadyRan[id]) && !r.explained(q) {
 			r.addViolation("request %s at %s ended after %s with neither an answer nor a refusal: %v", id, q.gateway, q.endedAt.Sub(q.sentAt).Round(time.Millisecond), q.err)
 		}
 	}
@@ -143,5 +163,5 @@
 }
 
 func (r *recorder) explained(q steadyRequest) bool {
-	return slices.ContainsFunc(r.gatewayEnds, func(e gatewayEnd) bool { return e.explains(q) })
+	return q.overdue() || slices.ContainsFunc(r.gatewayEnds, func(e gatewayEnd) bool { return e.explains(q) })
 }
