feat(quota): status tells what gateways hold as reserves

Operators saw neither from status nor from a log how much of a quota gateways hold for when no control VM answers. Older control VMs leave the field out, which shows as 0.

--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -83,7 +83,7 @@
 		printf(w, "control VMs: %d\n", s.Controls)
 	}
 	for _, a := range s.Accounts {
-		printf(w, "account %s: %.0f of %.0f a second, %d refused, keys %v\n", a.Account, a.Used, a.Rate, a.Refused, a.Keys)
+		printf(w, "account %s: %.0f of %.0f a second, %.0f reserved, %d refused, keys %v\n", a.Account, a.Used, a.Rate, a.Reserved, a.Refused, a.Keys)
 	}
 	for _, p := range s.Parts {
 		printf(w, "part %s of %s: refused, %d crashes, %d of them in trials, next trial in %s\n", p.Part, p.Service, p.Crashes, p.Trials, time.Duration(p.RetryIn).Round(time.Second))
--- a/laburnumquota/keeper.go
+++ b/laburnumquota/keeper.go
@@ -63,6 +63,8 @@
 	Account laburnumlever.AccountName
 	// Rate is the share and Used what was granted of it lately, both per second.
 	Rate, Used float64
+	// Reserved is what gateways hold as reserves.
+	Reserved float64
 	// Refused counts refused needs.
 	Refused uint64
 }
@@ -73,7 +75,7 @@
 	for name, b := range k.buckets {
 		if b.rate > 0 && !b.unlimited {
 			b.refill(now, k.terms.span())
-			list = append(list, Usage{Account: name, Rate: b.rate, Used: b.used * math.Ln2 / costHalfLife.Seconds(), Refused: b.refused})
+			list = append(list, Usage{Account: name, Rate: b.rate, Used: b.used * math.Ln2 / costHalfLife.Seconds(), Reserved: b.reserves.total, Refused: b.refused})
 		}
 	}
 	slices.SortFunc(list, func(a, b Usage) int {
--- a/laburnumquota/reserves_test.go
+++ b/laburnumquota/reserves_test.go
@@ -99,6 +99,14 @@
 	require.Empty(t, reserveOf(k, []laburnumquota.HeldReserve{{ID: g.Reserve.ID}}, time.Minute).Extended)
 }
 
+// Guards against reserves that operators don't see.
+func TestUsageTellsReserves(t *testing.T) {
+	k := fullKeeper()
+	g := reserveOf(k, nil, time.Minute)
+	require.InDelta(t, g.Reserve.Tokens, k.Usage(time.Minute)[0].Reserved, 0.1)
+	require.Zero(t, k.Usage(2 * time.Minute)[0].Reserved)
+}
+
 // Guards against reserves that leave an account less while it uses its quota.
 func TestBusyAccountGetsNoReserves(t *testing.T) {
 	k := fullKeeper()
--- a/laburnumroles/quotas.go
+++ b/laburnumroles/quotas.go
@@ -143,7 +143,7 @@
 		if len(list) == laburnumlever.MaxAccountStatuses {
 			break
 		}
-		status := laburnumlever.AccountStatus{Account: usage.Account, Rate: usage.Rate, Used: usage.Used, Refused: usage.Refused}
+		status := laburnumlever.AccountStatus{Account: usage.Account, Rate: usage.Rate, Used: usage.Used, Reserved: usage.Reserved, Refused: usage.Refused}
 		if i := slices.IndexFunc(u.accounts, func(a laburnumlever.Account) bool { return a.Name == usage.Account }); i >= 0 {
 			for _, key := range u.accounts[i].Keys {
 				status.Keys = append(status.Keys, key.Fingerprint())
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -70,6 +70,8 @@
 	// Rate is the share of the quota and Used what was granted of it lately, both per second.
 	Rate float64 `json:"rate"`
 	Used float64 `json:"used"`
+	// Reserved is what gateways hold as reserves.
+	Reserved float64 `json:"reserved,omitempty"`
 	// Refused counts the needs that were refused.
 	Refused uint64 `json:"refused"`
 }
