fix(quota): asks stay small while reserves are spent

An ask named each used-up reserve again until its time was over, some hundred bytes for each after a silence, and a gateway could gather any number of small ones. A used-up reserve is told once; from 16 on no more is asked for.

--- a/laburnumquota/pursereserves.go
+++ b/laburnumquota/pursereserves.go
@@ -12,6 +12,8 @@
 	freshShare = 0.7
 	// surplus times the target is what a gateway keeps of its reserves at most.
 	surplus = 2
+	// maxReserves bounds the reserves of one account, each of which asks tell the keeper about.
+	maxReserves = 16
 )
 
 // purseReserves are a gateway's reserves of one account.
@@ -49,7 +51,8 @@
 	}
 }
 
-// ask returns what to ask a keeper for so that reserves of a size last for longer, and drops what is beyond it.
+// ask returns what to ask a keeper for so that reserves of a size last for longer, and drops what is
+// beyond it. A keeper is told once of one that is used up.
 func (r *purseReserves) ask(target float64, lasts, now time.Duration) (add float64, held []HeldReserve) {
 	r.drop(r.left(now) - surplus*target)
 	fresh := now + time.Duration(freshShare*float64(lasts))
@@ -61,6 +64,10 @@
 		}
 		target -= x.left()
 	}
+	r.list = slices.DeleteFunc(r.list, func(x purseReserve) bool { return x.told && x.left() <= 0 })
+	if len(r.list) >= maxReserves {
+		return 0, held
+	}
 	return max(0, target), held
 }
 
--- a/laburnumquota/reserves_test.go
+++ b/laburnumquota/reserves_test.go
@@ -91,6 +91,22 @@
 	require.False(t, w.SpendReserve(account, 1, time.Second), "of a keeper that knows another quota")
 }
 
+// Guards against asks that grow with the reserves that were granted.
+func TestAsksStaySmall(t *testing.T) {
+	w := laburnumquota.NewWallet(terms)
+	w.Keep(accountsWith(quotaOf(10_000)))
+	for id := range uint64(40) {
+		w.Apply([]laburnumquota.Grant{{Account: account, Reserve: &laburnumquota.Reserve{ID: id, Tokens: 10, Quota: quotaOf(10_000)}}}, time.Second)
+	}
+	require.True(t, w.SpendReserve(account, 200, time.Second))
+	a := w.Asks(account, 1000, time.Second)[0]
+	require.Len(t, a.Held, 20, "those that were spent")
+	require.Zero(t, a.Reserve, "there are enough of them")
+	require.Empty(t, w.Asks(account, 1000, time.Second)[0].Held)
+	late := time.Second + terms.ReserveTime()*9/10
+	require.Len(t, w.Asks(account, 1000, late)[0].Held, 20, "those that are left")
+}
+
 // Guards against reserves of a quota that was lowered and that a keeper lets gateways hold on to.
 func TestReserveOfAnotherQuotaIsNotExtended(t *testing.T) {
 	k := fullKeeper()
