--- a/laburnumquota/doc.go
+++ b/laburnumquota/doc.go
@@ -5,6 +5,9 @@
 // in a window is bounded by what the keepers granted in that window and shortly before, whoever is cut off, frozen or
 // restarted.
 //
+// A gateway also holds reserves, which last longer, for when no keeper answers. A keeper charges a reserve when it
+// grants it and leaves it less to grant at once for as long as the reserve may be spent.
+//
 // # Usage
 //
 //	keeper := laburnumquota.NewKeeper(terms)                                   // on a control VM
@@ -15,7 +18,8 @@
 //	receipt, ok := wallet.Spend("acme", 1200, now)
 //	if !ok {
 //		asks := wallet.Asks("acme", 1200, now)                                 // sent to a keeper
-//		wallet.Apply(grants, asked)
+//		wallet.Apply(grants, asked)                                            // or, without an answer:
+//		ok = wallet.SpendReserve("acme", 1200, now)
 //	}
 //
 // Times are those of one VM's clock that counts suspensions.
