fix: requests that a gateway ends as it stops are refused or named

Requests that were in flight when a gateway's grace was over ended with their connection: no answer, no refusal. Streams that it cut off then were logged and counted as caller-gone, "the caller disconnected", since their contexts ended with the connections that the gateway itself had closed.

After the drain, and before connections are closed, the gateway now ends the contexts of all requests with a cause of their own. What has not begun to be answered is refused: 503 with Retry-After if it has not run, 502 if it may have. What has is cut off. The context is the server's base context, so that a request costs nothing more.

--- a/enums.go
+++ b/enums.go
@@ -99,6 +99,8 @@
 	RefusedStreamUnknown
 	// RefusedStreamVersionGone is a request that takes up a stream whose software version no backend server runs.
 	RefusedStreamVersionGone
+	// RefusedVMStopped is a request that was in flight when this VM's time to shut down was over.
+	RefusedVMStopped
 )
 
 // QuotaUnit is the unit of a client account's quota.
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -138,6 +138,9 @@
 }
 
 func brokenAnswer(ctx context.Context, err error) *failure {
+	if stopped(ctx) {
+		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedVMStopped, cause: &VMStoppedError{}}
+	}
 	if ctx.Err() != nil && !deadlineExceeded(ctx) {
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: err}}
 	}
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -54,6 +54,11 @@
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Cause }
 
+// VMStoppedError ends the requests in flight when the VM's time to shut down is over.
+type VMStoppedError struct{}
+
+func (e *VMStoppedError) Error() string { return "this VM stops and its time to shut down is over" }
+
 // ServerChangedError is a backend server that another incarnation has replaced since it was picked.
 type ServerChangedError struct{ Backend laburnumlever.BackendID }
 
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -57,6 +57,9 @@
 	// bodies ends when a drain has no time left for requests whose bodies are still coming.
 	bodies    context.Context //nolint:containedctx // it outlives any call
 	endBodies context.CancelFunc
+	// requests is the parent of all requests' contexts.
+	requests    context.Context //nolint:containedctx // as above
+	endRequests context.CancelCauseFunc
 
 	mu           sync.Mutex
 	retryWindows map[laburnumlever.ServiceName]*laburnumretry.Window
@@ -90,7 +93,8 @@
 		counters: newCounters(tally.NoopScope), retryWindows: map[laburnumlever.ServiceName]*laburnumretry.Window{},
 		notify: func(context.Context, string, laburnumtunnel.Notice) error { return nil }, refusesServer: func(string) {},
 	}
-	g.bodies, g.endBodies = context.WithCancel(context.Background())
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
+	g.bodies, g.endBodies = context.WithCancel(g.requests)
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -190,6 +194,10 @@
 // finishUnanswered ends a request without a complete answer: it answers with the backend server's
 // error answer if there is one, else with a refusal. It aborts an answer that has started.
 func (g *Gateway) finishUnanswered(ctx context.Context, q *request, out *answer, err error) {
+	if stopped(ctx) {
+		g.finishStopped(q, out, err)
+		return
+	}
 	var gone *CallerGoneError
 	if errors.As(err, &gone) || (ctx.Err() != nil && !deadlineExceeded(ctx)) {
 		g.countRefusal(laburnumlever.RefusedCallerGone)
@@ -210,6 +218,22 @@
 	g.answerRefusal(out.w, q, err)
 }
 
+// finishStopped ends a request that is in flight when the VM stops.
+func (g *Gateway) finishStopped(q *request, out *answer, err error) {
+	if out.started {
+		g.countRefusal(laburnumlever.RefusedVMStopped)
+		g.logRefusal(q, laburnumlever.RefusedVMStopped, 0, &VMStoppedError{})
+		panic(http.ErrAbortHandler)
+	}
+	refusal := &laburnumlever.RefusalError{
+		Reason: laburnumlever.RefusedVMStopped, Outcome: laburnumlever.OutcomeUnknown, Detail: err.Error(),
+	}
+	if !q.mayHaveRun {
+		refusal.Outcome, refusal.RetryAfter = laburnumlever.OutcomeNotRun, drainRetryAfter
+	}
+	g.answerRefusal(out.w, q, refusal)
+}
+
 // answerRefusal answers with a refusal of the gateway's own.
 func (g *Gateway) answerRefusal(w http.ResponseWriter, q *request, err error) {
 	var refusal *laburnumlever.RefusalError
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -264,6 +264,12 @@
 	}
 }
 
+// stopped tells whether ctx ended because the VM stops.
+func stopped(ctx context.Context) bool {
+	var stop *VMStoppedError
+	return errors.As(context.Cause(ctx), &stop)
+}
+
 // deadlineExceeded tells whether ctx ended by its deadline rather than by the caller disconnecting.
 func deadlineExceeded(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	stdlog "log"
+	"net"
 	"net/http"
 	"time"
 
@@ -51,7 +52,8 @@
 func (g *Gateway) Server() *http.Server {
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: stdlog.New(io.Discard, "", 0), // the gateway logs the outcome of each request
+		BaseContext: func(net.Listener) context.Context { return g.requests },
+		ErrorLog:    stdlog.New(io.Discard, "", 0), // the gateway logs the outcome of each request
 	}
 }
 
@@ -94,6 +96,9 @@
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventDrained, "in-flight", g.InFlight())
 }
 
+// Stop ends the requests that are in flight after Drain: those whose answers have begun are cut off, the others refused.
+func (g *Gateway) Stop() { g.endRequests(&VMStoppedError{}) }
+
 // awaitIdle returns after the given number of consecutive checks without a request in flight, or
 // when ctx ends.
 func (g *Gateway) awaitIdle(ctx context.Context, checks int) {
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -153,6 +153,7 @@
 	drains.Go(func() { g.tunnels.Drain(draining) })
 	g.gateway.Drain(draining)
 	drains.Wait()
+	g.gateway.Stop()
 	g.callers.Retire(ctx)
 	g.follower.Close()
 	g.close()
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -117,11 +117,11 @@
 // gatewayAddress returns the address of a gateway for callers.
 func (s *deployment) gatewayAddress(i int) string { return s.ip(firstGateway+i) + ":7602" }
 
-func (s *deployment) startGatewayAt(i int) *laburnumroles.Gateway {
+func (s *deployment) startGatewayAt(i int, opts ...laburnumroles.Option) *laburnumroles.Gateway {
 	ip := s.ip(firstGateway + i)
 	settings := s.settings(ip)
 	settings.Listen.Callers, settings.Listen.Ready = s.gatewayAddress(i), ip+":7603"
-	gateway := laburnumroles.NewGateway(settings, platform.Dialect{})
+	gateway := laburnumroles.NewGateway(settings, platform.Dialect{}, opts...)
 	require.NoError(s.t, gateway.Start(platform.NewReadyHandler))
 	s.t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -214,6 +214,8 @@
 	arrivals   atomic.Int64
 	accepted   atomic.Int64
 	adapter    atomic.Value
+	// silent is set if requests get no answer, and streams one event only.
+	silent atomic.Bool
 }
 
 func (s *deployment) startBackendServer(id, service string) *backendServer {
@@ -260,6 +262,12 @@
 		return
 	}
 	x.arrivals.Add(1)
+	if x.silent.Load() {
+		_, _ = io.Copy(io.Discard, r.Body) // else the end of the connection is not noticed
+		x.beginStream(w, r)
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("X-Laburnumlever-Request-Id", r.Header.Get("X-Laburnumlever-Request-Id"))
 	w.Header().Set("X-Laburnumlever-Server-Stamp", "s-"+x.id)
 	if x.service == "devis" {
@@ -272,6 +280,18 @@
 	_, _ = io.WriteString(w, "confirmed")
 }
 
+// beginStream writes the first event of a stream.
+func (x *backendServer) beginStream(w http.ResponseWriter, r *http.Request) {
+	if x.service != "devis" {
+		return
+	}
+	w.Header().Set("X-Laburnumlever-Request-Id", r.Header.Get("X-Laburnumlever-Request-Id"))
+	w.Header().Set("X-Laburnumlever-Server-Stamp", "s-"+x.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	fmt.Fprint(w, "id: 1\ndata: w1\n\n")
+	_ = http.NewResponseController(w).Flush()
+}
+
 // Guards the path from first start to serving: a manifest, backend servers, callers, the loss of a
 // control VM, a changed manifest, a leaving backend server.
 func TestPlatformEndToEnd(t *testing.T) {
