fix: a caller that closes its side only gets no empty success

A caller that closed its connection for writing and waited for the answer got "200 OK" with an empty body for a request that a backend server was still at work on, and a stream cut off midway that looked complete: the gateway takes the end of what the caller sends for its leaving, and returned without an answer, which the HTTP server then completed by itself.

Nothing changes for who has left. An answer that has begun is cut off, one that has not is a refusal: 503 if the request has not run, 502 if it may have.

--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -202,6 +202,7 @@
 	if errors.As(err, &gone) || (ctx.Err() != nil && !deadlineExceeded(ctx)) {
 		g.countRefusal(laburnumlever.RefusedCallerGone)
 		g.logRefusal(q, laburnumlever.RefusedCallerGone, 0, err)
+		g.endGone(q, out)
 		return
 	}
 	if out.started {
@@ -218,6 +219,19 @@
 	g.answerRefusal(out.w, q, err)
 }
 
+// endGone ends the answer to a caller that has left. It may have closed its side of the connection only, so that it would take what
+// the server writes by itself for a success.
+func (g *Gateway) endGone(q *request, out *answer) {
+	if out.started {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusServiceUnavailable
+	if q.mayHaveRun {
+		status = http.StatusBadGateway
+	}
+	g.writeRefusal(out.w, q, status, laburnumlever.RefusedCallerGone.String()+"\n")
+}
+
 // finishStopped ends a request that is in flight when the VM stops.
 func (g *Gateway) finishStopped(q *request, out *answer, err error) {
 	if out.started {
