--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -45,6 +45,7 @@
 	"over-quota":          "its client account had used up its quota: look for quota-used-up on control VMs",
 	"quota-unanswered":    "its client account has a quota and no control VM granted a part of it: look for control-lost and keys-unconfirmed",
 	"draining":            "the gateway was draining and sent the caller to another one",
+	"internal-error":      "the gateway's own code panicked: look for request-panicked, which has the stack",
 	"vm-stopped":          "the gateway had been told to stop, and its time to finish requests was over: look for draining and stopped of the gateway",
 	"not-ready":           "the gateway had not received routes yet",
 	"unknown-service":     "no route of the gateway matches its host and path",
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -54,6 +54,11 @@
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Cause }
 
+// PanicError is a panic of the gateway's own code at a request.
+type PanicError struct{ Value any }
+
+func (e *PanicError) Error() string { return fmt.Sprintf("the gateway panicked: %v", e.Value) }
+
 // VMStoppedError ends the requests in flight when the VM's time to shut down is over.
 type VMStoppedError struct{}
 
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -116,8 +117,10 @@
 	if g.stage() != drainNone {
 		w.Header().Set("Connection", "close")
 	}
-	q, err := g.accept(w, r)
-	if err != nil {
+	q := g.newRequest(w, r)
+	out := &answer{w: w}
+	defer g.endPanicked(q, out)
+	if err := g.accept(q, r); err != nil {
 		g.answerRefusal(w, q, err)
 		return
 	}
@@ -133,9 +136,7 @@
 		return
 	}
 	g.fleet.countDemand(q)
-	out := &answer{w: w}
-	err = g.run(ctx, q, out)
-	if err != nil {
+	if err := g.run(ctx, q, out); err != nil {
 		g.fleet.quota.refund(q)
 		g.fleet.countRefusedDemand(q)
 		g.finishUnanswered(ctx, q, out, err)
@@ -232,6 +233,27 @@
 	g.writeRefusal(out.w, q, status, laburnumlever.RefusedCallerGone.String()+"\n")
 }
 
+// endPanicked, if deferred, answers a request at which the gateway panicked, and logs the panic: the HTTP server would close the
+// connection.
+func (g *Gateway) endPanicked(q *request, out *answer) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if err, ok := value.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(value)
+	}
+	cause := &PanicError{Value: value}
+	_ = level.Error(g.logger).Log("event", laburnumlever.EventRequestPanicked, "request-id", q.caller.ID, "cause", cause, "stack", string(debug.Stack()))
+	if out.started {
+		g.countRefusal(laburnumlever.RefusedInternalError)
+		g.logRefusal(q, laburnumlever.RefusedInternalError, 0, cause)
+		panic(http.ErrAbortHandler)
+	}
+	q.mayHaveRun = q.mayHaveRun || q.sent > 0
+	g.answerRefusal(out.w, q, &laburnumlever.RefusalError{Reason: laburnumlever.RefusedInternalError, Outcome: laburnumlever.OutcomeUnknown, Detail: cause.Error()})
+}
+
 // finishStopped ends a request that is in flight when the VM stops.
 func (g *Gateway) finishStopped(q *request, out *answer, err error) {
 	if out.started {
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -98,33 +98,36 @@
 
 // accept parses a request and reads its body, unless the process may end before the answer is complete. The error is a
 // *laburnumlever.RefusalError.
-func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*request, error) {
-	q, err := g.parseRequest(w, r)
-	if err != nil {
-		return q, err
+func (g *Gateway) accept(q *request, r *http.Request) error {
+	if err := g.parseRequest(q, r); err != nil {
+		return err
 	}
 	if g.mayOutlastDrain(q) {
-		return q, g.drainRefusal()
+		return g.drainRefusal()
 	}
 	if q.incoming == nil {
-		return q, nil
+		return nil
 	}
 	if err := g.readBody(q, r); err != nil {
-		return q, err
+		return err
 	}
 	if g.mayOutlastDrain(q) {
-		return q, g.drainRefusal()
+		return g.drainRefusal()
+	}
+	return nil
+}
+
+func (g *Gateway) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	return &request{
+		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, arrived: g.timers.Now(), incoming: newIncomingBody(w, r),
 	}
-	return q, nil
 }
 
 // parseRequest parses a request without its body. The error is a *laburnumlever.RefusalError.
-func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
-	now := g.timers.Now()
-	q := &request{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, arrived: now, incoming: newIncomingBody(w, r)}
+func (g *Gateway) parseRequest(q *request, r *http.Request) error {
 	index := g.routes(r)
 	if index == nil {
-		return q, newRefusal(laburnumlever.RefusedNotReady, notReadyRetryAfter, "no route table received yet")
+		return newRefusal(laburnumlever.RefusedNotReady, notReadyRetryAfter, "no route table received yet")
 	}
 	caller, err := g.dialect.Request(r.Header)
 	q.caller, q.lastEventID = caller, caller.LastEvent
@@ -135,25 +138,25 @@
 	q.routesVersion = index.Table().Version
 	route, ok := index.Find(r.Host, pathOf(r.RequestURI))
 	if !ok {
-		return q, newRefusal(laburnumlever.RefusedUnknownService, 0, "no route matches the host and path")
+		return newRefusal(laburnumlever.RefusedUnknownService, 0, "no route matches the host and path")
 	}
 	q.route = route
 	if err != nil {
-		return q, newRefusal(laburnumlever.RefusedBadRequest, 0, err.Error())
+		return newRefusal(laburnumlever.RefusedBadRequest, 0, err.Error())
 	}
 	if caller.ID == "" {
-		return q, newRefusal(laburnumlever.RefusedBadRequest, 0, "the request id header is missing")
+		return newRefusal(laburnumlever.RefusedBadRequest, 0, "the request id header is missing")
 	}
 	if err := g.fleet.identify(q, index); err != nil {
-		return q, err
+		return err
 	}
 	if q.service, ok = index.Table().Service(laburnumroutes.Pick(*route, rand.Uint64())); !ok {
-		return q, newRefusal(laburnumlever.RefusedUnknownService, 0, "the route's service is missing from the route table")
+		return newRefusal(laburnumlever.RefusedUnknownService, 0, "the route's service is missing from the route table")
 	}
 	q.rank = index.Rank(route, q.account)
 	q.mostUrgent = index.MostUrgent(q.service.Name, q.rank)
 	q.setDeadline()
-	return q, nil
+	return nil
 }
 
 // routes returns the route table in effect. If there is none yet it waits for the first one, and
--- a/laburnumgateway/unanswered_test.go
+++ b/laburnumgateway/unanswered_test.go
@@ -1,12 +1,23 @@
 package laburnumgateway_test
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumtimer"
+	"laburnumlever/platform"
 )
 
 // Guards against an empty success for a caller that closes its side of the connection for writing and waits for the answer.
@@ -40,3 +51,68 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// panickingDialect panics at a request or at its answer.
+type panickingDialect struct {
+	platform.Dialect
+	atRequest bool
+}
+
+func (d panickingDialect) Request(h http.Header) (laburnumlever.CallerRequest, error) {
+	if d.atRequest {
+		panic("no such request")
+	}
+	return d.Dialect.Request(h)
+}
+
+func (d panickingDialect) Answer(int, http.Header) laburnumlever.AnswerHeaders {
+	panic("no such answer")
+}
+
+// Guards against requests that end with their connection, and without a line, since the gateway panics.
+func TestPanicIsAnsweredAndLogged(t *testing.T) {
+	for name, tt := range map[string]struct {
+		atRequest bool
+		want      int
+		line      string
+	}{
+		"before it is sent": {true, http.StatusServiceUnavailable, "event=request-panicked"},
+		"after it is sent":  {false, http.StatusBadGateway, "event=request-panicked request-id=r-1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newBackend(t, "i-1", answerOK)
+			timers := laburnumtimer.New()
+			t.Cleanup(timers.Close)
+			lines := &lockedBuffer{}
+			fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1)
+			b := &harness{t: t, fleet: fleet, client: &http.Client{}, gateway: laburnumgateway.New(fleet, panickingDialect{atRequest: tt.atRequest}, timers,
+				laburnumgateway.WithLogger(log.NewLogfmtLogger(lines)))}
+			b.start()
+			b.fleet.HandleRoutes(testRoutes())
+			b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{server.heartbeat("booking")}})
+			got := b.send("POST", "/confirm/x", "visit")
+			require.NoError(t, got.err)
+			require.Equal(t, tt.want, got.status)
+			require.Contains(t, lines.String(), tt.line)
+			require.Contains(t, lines.String(), "reason=internal-error")
+			require.Eventually(t, func() bool { return b.gateway.InFlight() == 0 }, callerPatience, time.Millisecond)
+		})
+	}
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
--- a/logevent.go
+++ b/logevent.go
@@ -12,6 +12,8 @@
 	EventRequestServed LogEvent = iota
 	// EventRequestRefused is a request that ended without a complete answer.
 	EventRequestRefused
+	// EventRequestPanicked is a request at which the gateway's own code panicked, with the stack.
+	EventRequestPanicked
 	// EventAttemptFailed is an attempt at a backend server that returned no complete answer.
 	EventAttemptFailed
 	// EventReservationUnclear is an engine's answer to a slot reservation that is neither a grant
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 43, 61, 75, 82, 101, 114, 130, 143, 155, 161, 176, 193, 206, 223, 236, 246, 260, 273, 287, 306, 326, 345, 367, 381, 400, 416, 432, 443, 456, 479, 492, 507, 520, 534, 549, 567, 581, 597, 613, 626, 642, 658, 673, 687, 697, 708, 721, 742, 758, 776, 787, 803, 819, 834, 848, 862, 877, 895, 913, 926, 935, 949, 964, 981, 996, 1009, 1024, 1035, 1049, 1062, 1088, 1106, 1120, 1137, 1156, 1177, 1186, 1196, 1213, 1223, 1232, 1246, 1258, 1274, 1281, 1289, 1296, 1303, 1320, 1336, 1350, 1368, 1381, 1391, 1408}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 146, 159, 171, 177, 192, 209, 222, 239, 252, 262, 276, 289, 303, 322, 342, 361, 383, 397, 416, 432, 448, 459, 472, 495, 508, 523, 536, 550, 565, 583, 597, 613, 629, 642, 658, 674, 689, 703, 713, 724, 737, 758, 774, 792, 803, 819, 835, 850, 864, 878, 893, 911, 929, 942, 951, 965, 980, 997, 1012, 1025, 1040, 1051, 1065, 1078, 1104, 1122, 1136, 1153, 1172, 1193, 1202, 1212, 1229, 1239, 1248, 1262, 1274, 1290, 1297, 1305, 1312, 1319, 1336, 1352, 1366, 1384, 1397, 1407, 1424}
 
-const _LogEventLowerName = "request-servedrequest-refusedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -26,403 +26,407 @@
 	var x [1]struct{}
 	_ = x[EventRequestServed-(0)]
 	_ = x[EventRequestRefused-(1)]
-	_ = x[EventAttemptFailed-(2)]
-	_ = x[EventReservationUnclear-(3)]
-	_ = x[EventCrossedAnswer-(4)]
-	_ = x[EventRefused-(5)]
-	_ = x[EventAnswerNotRecorded-(6)]
-	_ = x[EventBackendChanged-(7)]
-	_ = x[EventBackendReplaced-(8)]
-	_ = x[EventAdapterLoaded-(9)]
-	_ = x[EventLoadDecided-(10)]
-	_ = x[EventLayout-(11)]
-	_ = x[EventBackendCrashed-(12)]
-	_ = x[EventCrashUnconfirmed-(13)]
-	_ = x[EventDetourOpened-(14)]
-	_ = x[EventDetourNotOpened-(15)]
-	_ = x[EventDetourClosed-(16)]
-	_ = x[EventLinksLost-(17)]
-	_ = x[EventLinksRestored-(18)]
-	_ = x[EventBackendRests-(19)]
-	_ = x[EventBackendLeaves-(20)]
-	_ = x[EventHelperNotNotified-(21)]
-	_ = x[EventSoftwareVersionNew-(22)]
-	_ = x[EventStreamNotRecorded-(23)]
-	_ = x[EventStreamVersionUnknown-(24)]
-	_ = x[EventLinksVerified-(25)]
-	_ = x[EventRequestQuarantined-(26)]
-	_ = x[EventRequestReleased-(27)]
-	_ = x[EventPartQuarantined-(28)]
-	_ = x[EventPartLifted-(29)]
-	_ = x[EventPartReleased-(30)]
-	_ = x[EventQuarantineNotReported-(31)]
-	_ = x[EventLimitChanged-(32)]
-	_ = x[EventBrittleChanged-(33)]
-	_ = x[EventLimitUnclear-(34)]
-	_ = x[EventSlotRequested-(35)]
-	_ = x[EventSlotUnanswered-(36)]
-	_ = x[EventLimitNotReported-(37)]
-	_ = x[EventKeysConfirmed-(38)]
-	_ = x[EventKeysUnconfirmed-(39)]
-	_ = x[EventAccountsUnknown-(40)]
-	_ = x[EventQuotaUsedUp-(41)]
-	_ = x[EventQuotaUnanswered-(42)]
-	_ = x[EventOutlierDetected-(43)]
-	_ = x[EventModelWithdrawn-(44)]
-	_ = x[EventOrderAnswered-(45)]
-	_ = x[EventOrderDone-(46)]
-	_ = x[EventOrderStateChanged-(47)]
-	_ = x[EventOrderRefused-(48)]
-	_ = x[EventOrderOutcomeUnknown-(49)]
-	_ = x[EventEngineStateNotRead-(50)]
-	_ = x[EventInventoryNotRead-(51)]
-	_ = x[EventLoadFailed-(52)]
-	_ = x[EventBackendStateNotEncoded-(53)]
-	_ = x[EventRegistryRefused-(54)]
-	_ = x[EventRoutesProposed-(55)]
-	_ = x[EventRoutesRefused-(56)]
-	_ = x[EventRoutesApplied-(57)]
-	_ = x[EventRoutesInEffect-(58)]
-	_ = x[EventRoutesNotFetched-(59)]
-	_ = x[EventCatalogueInEffect-(60)]
-	_ = x[EventBecameLeader-(61)]
-	_ = x[EventNoLeader-(62)]
-	_ = x[EventReplicaOpened-(63)]
-	_ = x[EventStartConfirmed-(64)]
-	_ = x[EventStartUnconfirmed-(65)]
-	_ = x[EventVotersChanged-(66)]
-	_ = x[EventLearnerAdded-(67)]
-	_ = x[EventLearnerRemoved-(68)]
-	_ = x[EventVoterAdded-(69)]
-	_ = x[EventVoterReplaced-(70)]
-	_ = x[EventVoterStandby-(71)]
-	_ = x[EventLeadershipNotHandedOver-(72)]
-	_ = x[EventExpiryNotEncoded-(73)]
-	_ = x[EventReplicaFailed-(74)]
-	_ = x[EventReplicaRegressed-(75)]
-	_ = x[EventDataFolderDamaged-(76)]
-	_ = x[EventDataFolderRegressed-(77)]
-	_ = x[EventLeaseAcquired-(78)]
-	_ = x[EventLeaseLost-(79)]
-	_ = x[EventLeaseNotRenewed-(80)]
-	_ = x[EventZoneOwned-(81)]
-	_ = x[EventZoneLost-(82)]
-	_ = x[EventControlThreadTimes-(83)]
-	_ = x[EventControlLost-(84)]
-	_ = x[EventControlRegained-(85)]
-	_ = x[EventStarted-(86)]
-	_ = x[EventDraining-(87)]
-	_ = x[EventDrained-(88)]
-	_ = x[EventStopped-(89)]
-	_ = x[EventSettingsReloaded-(90)]
-	_ = x[EventSettingsRefused-(91)]
-	_ = x[EventListenerEnded-(92)]
-	_ = x[EventMetricsNotServed-(93)]
-	_ = x[EventUnknownEvent-(94)]
-	_ = x[EventOverloaded-(95)]
-	_ = x[EventLogLinesDropped-(96)]
+	_ = x[EventRequestPanicked-(2)]
+	_ = x[EventAttemptFailed-(3)]
+	_ = x[EventReservationUnclear-(4)]
+	_ = x[EventCrossedAnswer-(5)]
+	_ = x[EventRefused-(6)]
+	_ = x[EventAnswerNotRecorded-(7)]
+	_ = x[EventBackendChanged-(8)]
+	_ = x[EventBackendReplaced-(9)]
+	_ = x[EventAdapterLoaded-(10)]
+	_ = x[EventLoadDecided-(11)]
+	_ = x[EventLayout-(12)]
+	_ = x[EventBackendCrashed-(13)]
+	_ = x[EventCrashUnconfirmed-(14)]
+	_ = x[EventDetourOpened-(15)]
+	_ = x[EventDetourNotOpened-(16)]
+	_ = x[EventDetourClosed-(17)]
+	_ = x[EventLinksLost-(18)]
+	_ = x[EventLinksRestored-(19)]
+	_ = x[EventBackendRests-(20)]
+	_ = x[EventBackendLeaves-(21)]
+	_ = x[EventHelperNotNotified-(22)]
+	_ = x[EventSoftwareVersionNew-(23)]
+	_ = x[EventStreamNotRecorded-(24)]
+	_ = x[EventStreamVersionUnknown-(25)]
+	_ = x[EventLinksVerified-(26)]
+	_ = x[EventRequestQuarantined-(27)]
+	_ = x[EventRequestReleased-(28)]
+	_ = x[EventPartQuarantined-(29)]
+	_ = x[EventPartLifted-(30)]
+	_ = x[EventPartReleased-(31)]
+	_ = x[EventQuarantineNotReported-(32)]
+	_ = x[EventLimitChanged-(33)]
+	_ = x[EventBrittleChanged-(34)]
+	_ = x[EventLimitUnclear-(35)]
+	_ = x[EventSlotRequested-(36)]
+	_ = x[EventSlotUnanswered-(37)]
+	_ = x[EventLimitNotReported-(38)]
+	_ = x[EventKeysConfirmed-(39)]
+	_ = x[EventKeysUnconfirmed-(40)]
+	_ = x[EventAccountsUnknown-(41)]
+	_ = x[EventQuotaUsedUp-(42)]
+	_ = x[EventQuotaUnanswered-(43)]
+	_ = x[EventOutlierDetected-(44)]
+	_ = x[EventModelWithdrawn-(45)]
+	_ = x[EventOrderAnswered-(46)]
+	_ = x[EventOrderDone-(47)]
+	_ = x[EventOrderStateChanged-(48)]
+	_ = x[EventOrderRefused-(49)]
+	_ = x[EventOrderOutcomeUnknown-(50)]
+	_ = x[EventEngineStateNotRead-(51)]
+	_ = x[EventInventoryNotRead-(52)]
+	_ = x[EventLoadFailed-(53)]
+	_ = x[EventBackendStateNotEncoded-(54)]
+	_ = x[EventRegistryRefused-(55)]
+	_ = x[EventRoutesProposed-(56)]
+	_ = x[EventRoutesRefused-(57)]
+	_ = x[EventRoutesApplied-(58)]
+	_ = x[EventRoutesInEffect-(59)]
+	_ = x[EventRoutesNotFetched-(60)]
+	_ = x[EventCatalogueInEffect-(61)]
+	_ = x[EventBecameLeader-(62)]
+	_ = x[EventNoLeader-(63)]
+	_ = x[EventReplicaOpened-(64)]
+	_ = x[EventStartConfirmed-(65)]
+	_ = x[EventStartUnconfirmed-(66)]
+	_ = x[EventVotersChanged-(67)]
+	_ = x[EventLearnerAdded-(68)]
+	_ = x[EventLearnerRemoved-(69)]
+	_ = x[EventVoterAdded-(70)]
+	_ = x[EventVoterReplaced-(71)]
+	_ = x[EventVoterStandby-(72)]
+	_ = x[EventLeadershipNotHandedOver-(73)]
+	_ = x[EventExpiryNotEncoded-(74)]
+	_ = x[EventReplicaFailed-(75)]
+	_ = x[EventReplicaRegressed-(76)]
+	_ = x[EventDataFolderDamaged-(77)]
+	_ = x[EventDataFolderRegressed-(78)]
+	_ = x[EventLeaseAcquired-(79)]
+	_ = x[EventLeaseLost-(80)]
+	_ = x[EventLeaseNotRenewed-(81)]
+	_ = x[EventZoneOwned-(82)]
+	_ = x[EventZoneLost-(83)]
+	_ = x[EventControlThreadTimes-(84)]
+	_ = x[EventControlLost-(85)]
+	_ = x[EventControlRegained-(86)]
+	_ = x[EventStarted-(87)]
+	_ = x[EventDraining-(88)]
+	_ = x[EventDrained-(89)]
+	_ = x[EventStopped-(90)]
+	_ = x[EventSettingsReloaded-(91)]
+	_ = x[EventSettingsRefused-(92)]
+	_ = x[EventListenerEnded-(93)]
+	_ = x[EventMetricsNotServed-(94)]
+	_ = x[EventUnknownEvent-(95)]
+	_ = x[EventOverloaded-(96)]
+	_ = x[EventLogLinesDropped-(97)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
 	_LogEventName[14:29]:     EventRequestRefused,
-	_LogEventName[29:43]:     EventAttemptFailed,
-	_LogEventName[43:61]:     EventReservationUnclear,
-	_LogEventName[61:75]:     EventCrossedAnswer,
-	_LogEventName[75:82]:     EventRefused,
-	_LogEventName[82:101]:    EventAnswerNotRecorded,
-	_LogEventName[101:114]:   EventBackendChanged,
-	_LogEventName[114:130]:   EventBackendReplaced,
-	_LogEventName[130:143]:   EventAdapterLoaded,
-	_LogEventName[143:155]:   EventLoadDecided,
-	_LogEventName[155:161]:   EventLayout,
-	_LogEventName[161:176]:   EventBackendCrashed,
-	_LogEventName[176:193]:   EventCrashUnconfirmed,
-	_LogEventName[193:206]:   EventDetourOpened,
-	_LogEventName[206:223]:   EventDetourNotOpened,
-	_LogEventName[223:236]:   EventDetourClosed,
-	_LogEventName[236:246]:   EventLinksLost,
-	_LogEventName[246:260]:   EventLinksRestored,
-	_LogEventName[260:273]:   EventBackendRests,
-	_LogEventName[273:287]:   EventBackendLeaves,
-	_LogEventName[287:306]:   EventHelperNotNotified,
-	_LogEventName[306:326]:   EventSoftwareVersionNew,
-	_LogEventName[326:345]:   EventStreamNotRecorded,
-	_LogEventName[345:367]:   EventStreamVersionUnknown,
-	_LogEventName[367:381]:   EventLinksVerified,
-	_LogEventName[381:400]:   EventRequestQuarantined,
-	_LogEventName[400:416]:   EventRequestReleased,
-	_LogEventName[416:432]:   EventPartQuarantined,
-	_LogEventName[432:443]:   EventPartLifted,
-	_LogEventName[443:456]:   EventPartReleased,
-	_LogEventName[456:479]:   EventQuarantineNotReported,
-	_LogEventName[479:492]:   EventLimitChanged,
-	_LogEventName[492:507]:   EventBrittleChanged,
-	_LogEventName[507:520]:   EventLimitUnclear,
-	_LogEventName[520:534]:   EventSlotRequested,
-	_LogEventName[534:549]:   EventSlotUnanswered,
-	_LogEventName[549:567]:   EventLimitNotReported,
-	_LogEventName[567:581]:   EventKeysConfirmed,
-	_LogEventName[581:597]:   EventKeysUnconfirmed,
-	_LogEventName[597:613]:   EventAccountsUnknown,
-	_LogEventName[613:626]:   EventQuotaUsedUp,
-	_LogEventName[626:642]:   EventQuotaUnanswered,
-	_LogEventName[642:658]:   EventOutlierDetected,
-	_LogEventName[658:673]:   EventModelWithdrawn,
-	_LogEventName[673:687]:   EventOrderAnswered,
-	_LogEventName[687:697]:   EventOrderDone,
-	_LogEventName[697:708]:   EventOrderStateChanged,
-	_LogEventName[708:721]:   EventOrderRefused,
-	_LogEventName[721:742]:   EventOrderOutcomeUnknown,
-	_LogEventName[742:758]:   EventEngineStateNotRead,
-	_LogEventName[758:776]:   EventInventoryNotRead,
-	_LogEventName[776:787]:   EventLoadFailed,
-	_LogEventName[787:803]:   EventBackendStateNotEncoded,
-	_LogEventName[803:819]:   EventRegistryRefused,
-	_LogEventName[819:834]:   EventRoutesProposed,
-	_LogEventName[834:848]:   EventRoutesRefused,
-	_LogEventName[848:862]:   EventRoutesApplied,
-	_LogEventName[862:877]:   EventRoutesInEffect,
-	_LogEventName[877:895]:   EventRoutesNotFetched,
-	_LogEventName[895:913]:   EventCatalogueInEffect,
-	_LogEventName[913:926]:   EventBecameLeader,
-	_LogEventName[926:935]:   EventNoLeader,
-	_LogEventName[935:949]:   EventReplicaOpened,
-	_LogEventName[949:964]:   EventStartConfirmed,
-	_LogEventName[964:981]:   EventStartUnconfirmed,
-	_LogEventName[981:996]:   EventVotersChanged,
-	_LogEventName[996:1009]:  EventLearnerAdded,
-	_LogEventName[1009:1024]: EventLearnerRemoved,
-	_LogEventName[1024:1035]: EventVoterAdded,
-	_LogEventName[1035:1049]: EventVoterReplaced,
-	_LogEventName[1049:1062]: EventVoterStandby,
-	_LogEventName[1062:1088]: EventLeadershipNotHandedOver,
-	_LogEventName[1088:1106]: EventExpiryNotEncoded,
-	_LogEventName[1106:1120]: EventReplicaFailed,
-	_LogEventName[1120:1137]: EventReplicaRegressed,
-	_LogEventName[1137:1156]: EventDataFolderDamaged,
-	_LogEventName[1156:1177]: EventDataFolderRegressed,
-	_LogEventName[1177:1186]: EventLeaseAcquired,
-	_LogEventName[1186:1196]: EventLeaseLost,
-	_LogEventName[1196:1213]: EventLeaseNotRenewed,
-	_LogEventName[1213:1223]: EventZoneOwned,
-	_LogEventName[1223:1232]: EventZoneLost,
-	_LogEventName[1232:1246]: EventControlThreadTimes,
-	_LogEventName[1246:1258]: EventControlLost,
-	_LogEventName[1258:1274]: EventControlRegained,
-	_LogEventName[1274:1281]: EventStarted,
-	_LogEventName[1281:1289]: EventDraining,
-	_LogEventName[1289:1296]: EventDrained,
-	_LogEventName[1296:1303]: EventStopped,
-	_LogEventName[1303:1320]: EventSettingsReloaded,
-	_LogEventName[1320:1336]: EventSettingsRefused,
-	_LogEventName[1336:1350]: EventListenerEnded,
-	_LogEventName[1350:1368]: EventMetricsNotServed,
-	_LogEventName[1368:1381]: EventUnknownEvent,
-	_LogEventName[1381:1391]: EventOverloaded,
-	_LogEventName[1391:1408]: EventLogLinesDropped,
+	_LogEventName[29:45]:     EventRequestPanicked,
+	_LogEventName[45:59]:     EventAttemptFailed,
+	_LogEventName[59:77]:     EventReservationUnclear,
+	_LogEventName[77:91]:     EventCrossedAnswer,
+	_LogEventName[91:98]:     EventRefused,
+	_LogEventName[98:117]:    EventAnswerNotRecorded,
+	_LogEventName[117:130]:   EventBackendChanged,
+	_LogEventName[130:146]:   EventBackendReplaced,
+	_LogEventName[146:159]:   EventAdapterLoaded,
+	_LogEventName[159:171]:   EventLoadDecided,
+	_LogEventName[171:177]:   EventLayout,
+	_LogEventName[177:192]:   EventBackendCrashed,
+	_LogEventName[192:209]:   EventCrashUnconfirmed,
+	_LogEventName[209:222]:   EventDetourOpened,
+	_LogEventName[222:239]:   EventDetourNotOpened,
+	_LogEventName[239:252]:   EventDetourClosed,
+	_LogEventName[252:262]:   EventLinksLost,
+	_LogEventName[262:276]:   EventLinksRestored,
+	_LogEventName[276:289]:   EventBackendRests,
+	_LogEventName[289:303]:   EventBackendLeaves,
+	_LogEventName[303:322]:   EventHelperNotNotified,
+	_LogEventName[322:342]:   EventSoftwareVersionNew,
+	_LogEventName[342:361]:   EventStreamNotRecorded,
+	_LogEventName[361:383]:   EventStreamVersionUnknown,
+	_LogEventName[383:397]:   EventLinksVerified,
+	_LogEventName[397:416]:   EventRequestQuarantined,
+	_LogEventName[416:432]:   EventRequestReleased,
+	_LogEventName[432:448]:   EventPartQuarantined,
+	_LogEventName[448:459]:   EventPartLifted,
+	_LogEventName[459:472]:   EventPartReleased,
+	_LogEventName[472:495]:   EventQuarantineNotReported,
+	_LogEventName[495:508]:   EventLimitChanged,
+	_LogEventName[508:523]:   EventBrittleChanged,
+	_LogEventName[523:536]:   EventLimitUnclear,
+	_LogEventName[536:550]:   EventSlotRequested,
+	_LogEventName[550:565]:   EventSlotUnanswered,
+	_LogEventName[565:583]:   EventLimitNotReported,
+	_LogEventName[583:597]:   EventKeysConfirmed,
+	_LogEventName[597:613]:   EventKeysUnconfirmed,
+	_LogEventName[613:629]:   EventAccountsUnknown,
+	_LogEventName[629:642]:   EventQuotaUsedUp,
+	_LogEventName[642:658]:   EventQuotaUnanswered,
+	_LogEventName[658:674]:   EventOutlierDetected,
+	_LogEventName[674:689]:   EventModelWithdrawn,
+	_LogEventName[689:703]:   EventOrderAnswered,
+	_LogEventName[703:713]:   EventOrderDone,
+	_LogEventName[713:724]:   EventOrderStateChanged,
+	_LogEventName[724:737]:   EventOrderRefused,
+	_LogEventName[737:758]:   EventOrderOutcomeUnknown,
+	_LogEventName[758:774]:   EventEngineStateNotRead,
+	_LogEventName[774:792]:   EventInventoryNotRead,
+	_LogEventName[792:803]:   EventLoadFailed,
+	_LogEventName[803:819]:   EventBackendStateNotEncoded,
+	_LogEventName[819:835]:   EventRegistryRefused,
+	_LogEventName[835:850]:   EventRoutesProposed,
+	_LogEventName[850:864]:   EventRoutesRefused,
+	_LogEventName[864:878]:   EventRoutesApplied,
+	_LogEventName[878:893]:   EventRoutesInEffect,
+	_LogEventName[893:911]:   EventRoutesNotFetched,
+	_LogEventName[911:929]:   EventCatalogueInEffect,
+	_LogEventName[929:942]:   EventBecameLeader,
+	_LogEventName[942:951]:   EventNoLeader,
+	_LogEventName[951:965]:   EventReplicaOpened,
+	_LogEventName[965:980]:   EventStartConfirmed,
+	_LogEventName[980:997]:   EventStartUnconfirmed,
+	_LogEventName[997:1012]:  EventVotersChanged,
+	_LogEventName[1012:1025]: EventLearnerAdded,
+	_LogEventName[1025:1040]: EventLearnerRemoved,
+	_LogEventName[1040:1051]: EventVoterAdded,
+	_LogEventName[1051:1065]: EventVoterReplaced,
+	_LogEventName[1065:1078]: EventVoterStandby,
+	_LogEventName[1078:1104]: EventLeadershipNotHandedOver,
+	_LogEventName[1104:1122]: EventExpiryNotEncoded,
+	_LogEventName[1122:1136]: EventReplicaFailed,
+	_LogEventName[1136:1153]: EventReplicaRegressed,
+	_LogEventName[1153:1172]: EventDataFolderDamaged,
+	_LogEventName[1172:1193]: EventDataFolderRegressed,
+	_LogEventName[1193:1202]: EventLeaseAcquired,
+	_LogEventName[1202:1212]: EventLeaseLost,
+	_LogEventName[1212:1229]: EventLeaseNotRenewed,
+	_LogEventName[1229:1239]: EventZoneOwned,
+	_LogEventName[1239:1248]: EventZoneLost,
+	_LogEventName[1248:1262]: EventControlThreadTimes,
+	_LogEventName[1262:1274]: EventControlLost,
+	_LogEventName[1274:1290]: EventControlRegained,
+	_LogEventName[1290:1297]: EventStarted,
+	_LogEventName[1297:1305]: EventDraining,
+	_LogEventName[1305:1312]: EventDrained,
+	_LogEventName[1312:1319]: EventStopped,
+	_LogEventName[1319:1336]: EventSettingsReloaded,
+	_LogEventName[1336:1352]: EventSettingsRefused,
+	_LogEventName[1352:1366]: EventListenerEnded,
+	_LogEventName[1366:1384]: EventMetricsNotServed,
+	_LogEventName[1384:1397]: EventUnknownEvent,
+	_LogEventName[1397:1407]: EventOverloaded,
+	_LogEventName[1407:1424]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
 	_LogEventLowerName[0:14]:      EventRequestServed,
 	_LogEventLowerName[14:29]:     EventRequestRefused,
-	_LogEventLowerName[29:43]:     EventAttemptFailed,
-	_LogEventLowerName[43:61]:     EventReservationUnclear,
-	_LogEventLowerName[61:75]:     EventCrossedAnswer,
-	_LogEventLowerName[75:82]:     EventRefused,
-	_LogEventLowerName[82:101]:    EventAnswerNotRecorded,
-	_LogEventLowerName[101:114]:   EventBackendChanged,
-	_LogEventLowerName[114:130]:   EventBackendReplaced,
-	_LogEventLowerName[130:143]:   EventAdapterLoaded,
-	_LogEventLowerName[143:155]:   EventLoadDecided,
-	_LogEventLowerName[155:161]:   EventLayout,
-	_LogEventLowerName[161:176]:   EventBackendCrashed,
-	_LogEventLowerName[176:193]:   EventCrashUnconfirmed,
-	_LogEventLowerName[193:206]:   EventDetourOpened,
-	_LogEventLowerName[206:223]:   EventDetourNotOpened,
-	_LogEventLowerName[223:236]:   EventDetourClosed,
-	_LogEventLowerName[236:246]:   EventLinksLost,
-	_LogEventLowerName[246:260]:   EventLinksRestored,
-	_LogEventLowerName[260:273]:   EventBackendRests,
-	_LogEventLowerName[273:287]:   EventBackendLeaves,
-	_LogEventLowerName[287:306]:   EventHelperNotNotified,
-	_LogEventLowerName[306:326]:   EventSoftwareVersionNew,
-	_LogEventLowerName[326:345]:   EventStreamNotRecorded,
-	_LogEventLowerName[345:367]:   EventStreamVersionUnknown,
-	_LogEventLowerName[367:381]:   EventLinksVerified,
-	_LogEventLowerName[381:400]:   EventRequestQuarantined,
-	_LogEventLowerName[400:416]:   EventRequestReleased,
-	_LogEventLowerName[416:432]:   EventPartQuarantined,
-	_LogEventLowerName[432:443]:   EventPartLifted,
-	_LogEventLowerName[443:456]:   EventPartReleased,
-	_LogEventLowerName[456:479]:   EventQuarantineNotReported,
-	_LogEventLowerName[479:492]:   EventLimitChanged,
-	_LogEventLowerName[492:507]:   EventBrittleChanged,
-	_LogEventLowerName[507:520]:   EventLimitUnclear,
-	_LogEventLowerName[520:534]:   EventSlotRequested,
-	_LogEventLowerName[534:549]:   EventSlotUnanswered,
-	_LogEventLowerName[549:567]:   EventLimitNotReported,
-	_LogEventLowerName[567:581]:   EventKeysConfirmed,
-	_LogEventLowerName[581:597]:   EventKeysUnconfirmed,
-	_LogEventLowerName[597:613]:   EventAccountsUnknown,
-	_LogEventLowerName[613:626]:   EventQuotaUsedUp,
-	_LogEventLowerName[626:642]:   EventQuotaUnanswered,
-	_LogEventLowerName[642:658]:   EventOutlierDetected,
-	_LogEventLowerName[658:673]:   EventModelWithdrawn,
-	_LogEventLowerName[673:687]:   EventOrderAnswered,
-	_LogEventLowerName[687:697]:   EventOrderDone,
-	_LogEventLowerName[697:708]:   EventOrderStateChanged,
-	_LogEventLowerName[708:721]:   EventOrderRefused,
-	_LogEventLowerName[721:742]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[742:758]:   EventEngineStateNotRead,
-	_LogEventLowerName[758:776]:   EventInventoryNotRead,
-	_LogEventLowerName[776:787]:   EventLoadFailed,
-	_LogEventLowerName[787:803]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[803:819]:   EventRegistryRefused,
-	_LogEventLowerName[819:834]:   EventRoutesProposed,
-	_LogEventLowerName[834:848]:   EventRoutesRefused,
-	_LogEventLowerName[848:862]:   EventRoutesApplied,
-	_LogEventLowerName[862:877]:   EventRoutesInEffect,
-	_LogEventLowerName[877:895]:   EventRoutesNotFetched,
-	_LogEventLowerName[895:913]:   EventCatalogueInEffect,
-	_LogEventLowerName[913:926]:   EventBecameLeader,
-	_LogEventLowerName[926:935]:   EventNoLeader,
-	_LogEventLowerName[935:949]:   EventReplicaOpened,
-	_LogEventLowerName[949:964]:   EventStartConfirmed,
-	_LogEventLowerName[964:981]:   EventStartUnconfirmed,
-	_LogEventLowerName[981:996]:   EventVotersChanged,
-	_LogEventLowerName[996:1009]:  EventLearnerAdded,
-	_LogEventLowerName[1009:1024]: EventLearnerRemoved,
-	_LogEventLowerName[1024:1035]: EventVoterAdded,
-	_LogEventLowerName[1035:1049]: EventVoterReplaced,
-	_LogEventLowerName[1049:1062]: EventVoterStandby,
-	_LogEventLowerName[1062:1088]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1088:1106]: EventExpiryNotEncoded,
-	_LogEventLowerName[1106:1120]: EventReplicaFailed,
-	_LogEventLowerName[1120:1137]: EventReplicaRegressed,
-	_LogEventLowerName[1137:1156]: EventDataFolderDamaged,
-	_LogEventLowerName[1156:1177]: EventDataFolderRegressed,
-	_LogEventLowerName[1177:1186]: EventLeaseAcquired,
-	_LogEventLowerName[1186:1196]: EventLeaseLost,
-	_LogEventLowerName[1196:1213]: EventLeaseNotRenewed,
-	_LogEventLowerName[1213:1223]: EventZoneOwned,
-	_LogEventLowerName[1223:1232]: EventZoneLost,
-	_LogEventLowerName[1232:1246]: EventControlThreadTimes,
-	_LogEventLowerName[1246:1258]: EventControlLost,
-	_LogEventLowerName[1258:1274]: EventControlRegained,
-	_LogEventLowerName[1274:1281]: EventStarted,
-	_LogEventLowerName[1281:1289]: EventDraining,
-	_LogEventLowerName[1289:1296]: EventDrained,
-	_LogEventLowerName[1296:1303]: EventStopped,
-	_LogEventLowerName[1303:1320]: EventSettingsReloaded,
-	_LogEventLowerName[1320:1336]: EventSettingsRefused,
-	_LogEventLowerName[1336:1350]: EventListenerEnded,
-	_LogEventLowerName[1350:1368]: EventMetricsNotServed,
-	_LogEventLowerName[1368:1381]: EventUnknownEvent,
-	_LogEventLowerName[1381:1391]: EventOverloaded,
-	_LogEventLowerName[1391:1408]: EventLogLinesDropped,
+	_LogEventLowerName[29:45]:     EventRequestPanicked,
+	_LogEventLowerName[45:59]:     EventAttemptFailed,
+	_LogEventLowerName[59:77]:     EventReservationUnclear,
+	_LogEventLowerName[77:91]:     EventCrossedAnswer,
+	_LogEventLowerName[91:98]:     EventRefused,
+	_LogEventLowerName[98:117]:    EventAnswerNotRecorded,
+	_LogEventLowerName[117:130]:   EventBackendChanged,
+	_LogEventLowerName[130:146]:   EventBackendReplaced,
+	_LogEventLowerName[146:159]:   EventAdapterLoaded,
+	_LogEventLowerName[159:171]:   EventLoadDecided,
+	_LogEventLowerName[171:177]:   EventLayout,
+	_LogEventLowerName[177:192]:   EventBackendCrashed,
+	_LogEventLowerName[192:209]:   EventCrashUnconfirmed,
+	_LogEventLowerName[209:222]:   EventDetourOpened,
+	_LogEventLowerName[222:239]:   EventDetourNotOpened,
+	_LogEventLowerName[239:252]:   EventDetourClosed,
+	_LogEventLowerName[252:262]:   EventLinksLost,
+	_LogEventLowerName[262:276]:   EventLinksRestored,
+	_LogEventLowerName[276:289]:   EventBackendRests,
+	_LogEventLowerName[289:303]:   EventBackendLeaves,
+	_LogEventLowerName[303:322]:   EventHelperNotNotified,
+	_LogEventLowerName[322:342]:   EventSoftwareVersionNew,
+	_LogEventLowerName[342:361]:   EventStreamNotRecorded,
+	_LogEventLowerName[361:383]:   EventStreamVersionUnknown,
+	_LogEventLowerName[383:397]:   EventLinksVerified,
+	_LogEventLowerName[397:416]:   EventRequestQuarantined,
+	_LogEventLowerName[416:432]:   EventRequestReleased,
+	_LogEventLowerName[432:448]:   EventPartQuarantined,
+	_LogEventLowerName[448:459]:   EventPartLifted,
+	_LogEventLowerName[459:472]:   EventPartReleased,
+	_LogEventLowerName[472:495]:   EventQuarantineNotReported,
+	_LogEventLowerName[495:508]:   EventLimitChanged,
+	_LogEventLowerName[508:523]:   EventBrittleChanged,
+	_LogEventLowerName[523:536]:   EventLimitUnclear,
+	_LogEventLowerName[536:550]:   EventSlotRequested,
+	_LogEventLowerName[550:565]:   EventSlotUnanswered,
+	_LogEventLowerName[565:583]:   EventLimitNotReported,
+	_LogEventLowerName[583:597]:   EventKeysConfirmed,
+	_LogEventLowerName[597:613]:   EventKeysUnconfirmed,
+	_LogEventLowerName[613:629]:   EventAccountsUnknown,
+	_LogEventLowerName[629:642]:   EventQuotaUsedUp,
+	_LogEventLowerName[642:658]:   EventQuotaUnanswered,
+	_LogEventLowerName[658:674]:   EventOutlierDetected,
+	_LogEventLowerName[674:689]:   EventModelWithdrawn,
+	_LogEventLowerName[689:703]:   EventOrderAnswered,
+	_LogEventLowerName[703:713]:   EventOrderDone,
+	_LogEventLowerName[713:724]:   EventOrderStateChanged,
+	_LogEventLowerName[724:737]:   EventOrderRefused,
+	_LogEventLowerName[737:758]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[758:774]:   EventEngineStateNotRead,
+	_LogEventLowerName[774:792]:   EventInventoryNotRead,
+	_LogEventLowerName[792:803]:   EventLoadFailed,
+	_LogEventLowerName[803:819]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[819:835]:   EventRegistryRefused,
+	_LogEventLowerName[835:850]:   EventRoutesProposed,
+	_LogEventLowerName[850:864]:   EventRoutesRefused,
+	_LogEventLowerName[864:878]:   EventRoutesApplied,
+	_LogEventLowerName[878:893]:   EventRoutesInEffect,
+	_LogEventLowerName[893:911]:   EventRoutesNotFetched,
+	_LogEventLowerName[911:929]:   EventCatalogueInEffect,
+	_LogEventLowerName[929:942]:   EventBecameLeader,
+	_LogEventLowerName[942:951]:   EventNoLeader,
+	_LogEventLowerName[951:965]:   EventReplicaOpened,
+	_LogEventLowerName[965:980]:   EventStartConfirmed,
+	_LogEventLowerName[980:997]:   EventStartUnconfirmed,
+	_LogEventLowerName[997:1012]:  EventVotersChanged,
+	_LogEventLowerName[1012:1025]: EventLearnerAdded,
+	_LogEventLowerName[1025:1040]: EventLearnerRemoved,
+	_LogEventLowerName[1040:1051]: EventVoterAdded,
+	_LogEventLowerName[1051:1065]: EventVoterReplaced,
+	_LogEventLowerName[1065:1078]: EventVoterStandby,
+	_LogEventLowerName[1078:1104]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1104:1122]: EventExpiryNotEncoded,
+	_LogEventLowerName[1122:1136]: EventReplicaFailed,
+	_LogEventLowerName[1136:1153]: EventReplicaRegressed,
+	_LogEventLowerName[1153:1172]: EventDataFolderDamaged,
+	_LogEventLowerName[1172:1193]: EventDataFolderRegressed,
+	_LogEventLowerName[1193:1202]: EventLeaseAcquired,
+	_LogEventLowerName[1202:1212]: EventLeaseLost,
+	_LogEventLowerName[1212:1229]: EventLeaseNotRenewed,
+	_LogEventLowerName[1229:1239]: EventZoneOwned,
+	_LogEventLowerName[1239:1248]: EventZoneLost,
+	_LogEventLowerName[1248:1262]: EventControlThreadTimes,
+	_LogEventLowerName[1262:1274]: EventControlLost,
+	_LogEventLowerName[1274:1290]: EventControlRegained,
+	_LogEventLowerName[1290:1297]: EventStarted,
+	_LogEventLowerName[1297:1305]: EventDraining,
+	_LogEventLowerName[1305:1312]: EventDrained,
+	_LogEventLowerName[1312:1319]: EventStopped,
+	_LogEventLowerName[1319:1336]: EventSettingsReloaded,
+	_LogEventLowerName[1336:1352]: EventSettingsRefused,
+	_LogEventLowerName[1352:1366]: EventListenerEnded,
+	_LogEventLowerName[1366:1384]: EventMetricsNotServed,
+	_LogEventLowerName[1384:1397]: EventUnknownEvent,
+	_LogEventLowerName[1397:1407]: EventOverloaded,
+	_LogEventLowerName[1407:1424]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
 	_LogEventName[0:14],
 	_LogEventName[14:29],
-	_LogEventName[29:43],
-	_LogEventName[43:61],
-	_LogEventName[61:75],
-	_LogEventName[75:82],
-	_LogEventName[82:101],
-	_LogEventName[101:114],
-	_LogEventName[114:130],
-	_LogEventName[130:143],
-	_LogEventName[143:155],
-	_LogEventName[155:161],
-	_LogEventName[161:176],
-	_LogEventName[176:193],
-	_LogEventName[193:206],
-	_LogEventName[206:223],
-	_LogEventName[223:236],
-	_LogEventName[236:246],
-	_LogEventName[246:260],
-	_LogEventName[260:273],
-	_LogEventName[273:287],
-	_LogEventName[287:306],
-	_LogEventName[306:326],
-	_LogEventName[326:345],
-	_LogEventName[345:367],
-	_LogEventName[367:381],
-	_LogEventName[381:400],
-	_LogEventName[400:416],
+	_LogEventName[29:45],
+	_LogEventName[45:59],
+	_LogEventName[59:77],
+	_LogEventName[77:91],
+	_LogEventName[91:98],
+	_LogEventName[98:117],
+	_LogEventName[117:130],
+	_LogEventName[130:146],
+	_LogEventName[146:159],
+	_LogEventName[159:171],
+	_LogEventName[171:177],
+	_LogEventName[177:192],
+	_LogEventName[192:209],
+	_LogEventName[209:222],
+	_LogEventName[222:239],
+	_LogEventName[239:252],
+	_LogEventName[252:262],
+	_LogEventName[262:276],
+	_LogEventName[276:289],
+	_LogEventName[289:303],
+	_LogEventName[303:322],
+	_LogEventName[322:342],
+	_LogEventName[342:361],
+	_LogEventName[361:383],
+	_LogEventName[383:397],
+	_LogEventName[397:416],
 	_LogEventName[416:432],
-	_LogEventName[432:443],
-	_LogEventName[443:456],
-	_LogEventName[456:479],
-	_LogEventName[479:492],
-	_LogEventName[492:507],
-	_LogEventName[507:520],
-	_LogEventName[520:534],
-	_LogEventName[534:549],
-	_LogEventName[549:567],
-	_LogEventName[567:581],
-	_LogEventName[581:597],
+	_LogEventName[432:448],
+	_LogEventName[448:459],
+	_LogEventName[459:472],
+	_LogEventName[472:495],
+	_LogEventName[495:508],
+	_LogEventName[508:523],
+	_LogEventName[523:536],
+	_LogEventName[536:550],
+	_LogEventName[550:565],
+	_LogEventName[565:583],
+	_LogEventName[583:597],
 	_LogEventName[597:613],
-	_LogEventName[613:626],
-	_LogEventName[626:642],
+	_LogEventName[613:629],
+	_LogEventName[629:642],
 	_LogEventName[642:658],
-	_LogEventName[658:673],
-	_LogEventName[673:687],
-	_LogEventName[687:697],
-	_LogEventName[697:708],
-	_LogEventName[708:721],
-	_LogEventName[721:742],
-	_LogEventName[742:758],
-	_LogEventName[758:776],
-	_LogEventName[776:787],
-	_LogEventName[787:803],
+	_LogEventName[658:674],
+	_LogEventName[674:689],
+	_LogEventName[689:703],
+	_LogEventName[703:713],
+	_LogEventName[713:724],
+	_LogEventName[724:737],
+	_LogEventName[737:758],
+	_LogEventName[758:774],
+	_LogEventName[774:792],
+	_LogEventName[792:803],
 	_LogEventName[803:819],
-	_LogEventName[819:834],
-	_LogEventName[834:848],
-	_LogEventName[848:862],
-	_LogEventName[862:877],
-	_LogEventName[877:895],
-	_LogEventName[895:913],
-	_LogEventName[913:926],
-	_LogEventName[926:935],
-	_LogEventName[935:949],
-	_LogEventName[949:964],
-	_LogEventName[964:981],
-	_LogEventName[981:996],
-	_LogEventName[996:1009],
-	_LogEventName[1009:1024],
-	_LogEventName[1024:1035],
-	_LogEventName[1035:1049],
-	_LogEventName[1049:1062],
-	_LogEventName[1062:1088],
-	_LogEventName[1088:1106],
-	_LogEventName[1106:1120],
-	_LogEventName[1120:1137],
-	_LogEventName[1137:1156],
-	_LogEventName[1156:1177],
-	_LogEventName[1177:1186],
-	_LogEventName[1186:1196],
-	_LogEventName[1196:1213],
-	_LogEventName[1213:1223],
-	_LogEventName[1223:1232],
-	_LogEventName[1232:1246],
-	_LogEventName[1246:1258],
-	_LogEventName[1258:1274],
-	_LogEventName[1274:1281],
-	_LogEventName[1281:1289],
-	_LogEventName[1289:1296],
-	_LogEventName[1296:1303],
-	_LogEventName[1303:1320],
-	_LogEventName[1320:1336],
-	_LogEventName[1336:1350],
-	_LogEventName[1350:1368],
-	_LogEventName[1368:1381],
-	_LogEventName[1381:1391],
-	_LogEventName[1391:1408],
+	_LogEventName[819:835],
+	_LogEventName[835:850],
+	_LogEventName[850:864],
+	_LogEventName[864:878],
+	_LogEventName[878:893],
+	_LogEventName[893:911],
+	_LogEventName[911:929],
+	_LogEventName[929:942],
+	_LogEventName[942:951],
+	_LogEventName[951:965],
+	_LogEventName[965:980],
+	_LogEventName[980:997],
+	_LogEventName[997:1012],
+	_LogEventName[1012:1025],
+	_LogEventName[1025:1040],
+	_LogEventName[1040:1051],
+	_LogEventName[1051:1065],
+	_LogEventName[1065:1078],
+	_LogEventName[1078:1104],
+	_LogEventName[1104:1122],
+	_LogEventName[1122:1136],
+	_LogEventName[1136:1153],
+	_LogEventName[1153:1172],
+	_LogEventName[1172:1193],
+	_LogEventName[1193:1202],
+	_LogEventName[1202:1212],
+	_LogEventName[1212:1229],
+	_LogEventName[1229:1239],
+	_LogEventName[1239:1248],
+	_LogEventName[1248:1262],
+	_LogEventName[1262:1274],
+	_LogEventName[1274:1290],
+	_LogEventName[1290:1297],
+	_LogEventName[1297:1305],
+	_LogEventName[1305:1312],
+	_LogEventName[1312:1319],
+	_LogEventName[1319:1336],
+	_LogEventName[1336:1352],
+	_LogEventName[1352:1366],
+	_LogEventName[1366:1384],
+	_LogEventName[1384:1397],
+	_LogEventName[1397:1407],
+	_LogEventName[1407:1424],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stopped"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedinternal-error"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 338, 353, 368, 379, 395, 405, 421, 431, 446, 460, 479, 489}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 338, 353, 368, 379, 395, 405, 421, 431, 446, 460, 479, 489, 503}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stopped"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedinternal-error"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -63,9 +63,10 @@
 	_ = x[RefusedStreamUnknown-(35)]
 	_ = x[RefusedStreamVersionGone-(36)]
 	_ = x[RefusedVMStopped-(37)]
+	_ = x[RefusedInternalError-(38)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedPartQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone, RefusedVMStopped}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedPartQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone, RefusedVMStopped, RefusedInternalError}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -106,6 +107,7 @@
 	_RefusalReasonName[446:460]: RefusedStreamUnknown,
 	_RefusalReasonName[460:479]: RefusedStreamVersionGone,
 	_RefusalReasonName[479:489]: RefusedVMStopped,
+	_RefusalReasonName[489:503]: RefusedInternalError,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -147,6 +149,7 @@
 	_RefusalReasonLowerName[446:460]: RefusedStreamUnknown,
 	_RefusalReasonLowerName[460:479]: RefusedStreamVersionGone,
 	_RefusalReasonLowerName[479:489]: RefusedVMStopped,
+	_RefusalReasonLowerName[489:503]: RefusedInternalError,
 }
 
 var _RefusalReasonNames = []string{
@@ -188,6 +191,7 @@
 	_RefusalReasonName[446:460],
 	_RefusalReasonName[460:479],
 	_RefusalReasonName[479:489],
+	_RefusalReasonName[489:503],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
