--- a/laburnumgateway/unanswered_test.go
+++ b/laburnumgateway/unanswered_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -116,3 +117,45 @@
 	defer l.mu.Unlock()
 	return l.all.String()
 }
+
+// droppedRoutes are routes without those to the booking service.
+func droppedRoutes() laburnumlever.RouteTable {
+	routes := testRoutes()
+	routes.Version = 2
+	routes.Services, routes.Routes = routes.Services[1:], routes.Routes[2:]
+	return routes
+}
+
+// Guards against a request that is queued for a service which new routes drop, and ends with its connection.
+func TestQueuedRequestOfADroppedServiceIsAnswered(t *testing.T) {
+	b := newHarness(t)
+	got := make(chan callerResponse, 1)
+	go func() { got <- b.send("POST", "/confirm/x", "visit", "X-Laburnumlever-Deadline-Ms", "1000") }()
+	require.Eventually(t, func() bool { return b.gateway.InFlight() == 1 }, callerPatience, time.Millisecond)
+	b.fleet.HandleRoutes(droppedRoutes())
+	answer := <-got
+	require.NoError(t, answer.err)
+	require.Equal(t, http.StatusServiceUnavailable, answer.status)
+}
+
+// Guards against a request whose route is dropped between its head and its body, and that ends with its connection.
+func TestRequestWhoseRouteIsDroppedBeforeItsBodyIsAnswered(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b := newHarness(t, server.heartbeat("booking"))
+	c := b.dialRaw()
+	c.writeHead("/confirm/x", "Content-Length: 5")
+	require.Eventually(t, func() bool { return b.gateway.InFlight() == 1 }, callerPatience, time.Millisecond)
+	b.fleet.HandleRoutes(droppedRoutes())
+	c.write("visit")
+	require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, c.read().StatusCode)
+	c.writeHead("/confirm/x", "Content-Length: 0")
+	require.Equal(t, http.StatusNotFound, c.read().StatusCode)
+}
+
+// Guards against a reset of callers whose headers are over the limit of the server.
+func TestHeadersOverTheServersLimitAreRefused(t *testing.T) {
+	b := newHarness(t)
+	c := b.dialRaw()
+	c.writeHead("/confirm/x", "X-Long: "+strings.Repeat("x", 128<<10))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, c.read().StatusCode)
+}
