fix: a refusal before the first routes is logged with its request

A request that was refused since the gateway had no routes yet was logged without its id, so that explain request could not find it: the caller's headers were read after that.

Evidence: before, TestRefusalBeforeTheFirstRoutesIsLoggedWithItsRequest failed since the line had an empty request-id; it passes now.

Beside a load of 27 on 8 cores TestCallerThatLeavesSaysNothingOfHelpers failed in one run of the package with -race -short; alone it passed 12 of 12 at a load of 25 to 28, and 12 of 12 on.

--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -125,12 +125,12 @@
 
 // parseRequest parses a request without its body. The error is a *laburnumlever.RefusalError.
 func (g *Gateway) parseRequest(q *request, r *http.Request) error {
-	index := g.routes(r)
+	caller, err := g.dialect.Request(r.Header)
+	q.caller, q.lastEventID = caller, caller.LastEvent
+	index := g.routes(r, caller.Timeout)
 	if index == nil {
 		return newRefusal(laburnumlever.RefusedNotReady, notReadyRetryAfter, "no route table received yet")
 	}
-	caller, err := g.dialect.Request(r.Header)
-	q.caller, q.lastEventID = caller, caller.LastEvent
 	index = g.fleet.currentIndex(r.Context(), index, caller)
 	if limit := index.Table().Callers.BodyBytes; limit > 0 && q.incoming != nil {
 		q.incoming.limit = int64(limit)
@@ -161,13 +161,13 @@
 
 // routes returns the route table in effect. If there is none yet it waits for the first one, and
 // returns nil on a timeout.
-func (g *Gateway) routes(r *http.Request) *laburnumroutes.Index {
+func (g *Gateway) routes(r *http.Request, timeout time.Duration) *laburnumroutes.Index {
 	if index := g.fleet.index.Load(); index != nil {
 		return index
 	}
 	wait := firstRoutesWait
-	if caller, err := g.dialect.Request(r.Header); err == nil && caller.Timeout > 0 {
-		wait = min(wait, time.Duration(firstRoutesWaitShare*float64(caller.Timeout)))
+	if timeout > 0 {
+		wait = min(wait, time.Duration(firstRoutesWaitShare*float64(timeout)))
 	}
 	if g.awaitingRoutes.Add(1) <= maxAwaitingRoutes {
 		g.fleet.awaitRoutes(r.Context(), wait)
--- a/laburnumgateway/unanswered_test.go
+++ b/laburnumgateway/unanswered_test.go
@@ -159,3 +159,11 @@
 	c.writeHead("/confirm/x", "X-Long: "+strings.Repeat("x", 128<<10))
 	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, c.read().StatusCode)
 }
+
+// Guards against refusals that no line links to their request.
+func TestRefusalBeforeTheFirstRoutesIsLoggedWithItsRequest(t *testing.T) {
+	lines := &lockedBuffer{}
+	b := newUnconfiguredHarness(t, laburnumgateway.WithLogger(log.NewLogfmtLogger(lines)))
+	require.Equal(t, http.StatusServiceUnavailable, b.send("POST", "/confirm/x", "visit", "X-Laburnumlever-Deadline-Ms", "100").status)
+	require.Contains(t, lines.String(), "event=request-refused request-id=r-1")
+}
