--- a/enums.go
+++ b/enums.go
@@ -99,6 +99,10 @@
 	RefusedStreamUnknown
 	// RefusedStreamVersionGone is a request that takes up a stream whose software version no backend server runs.
 	RefusedStreamVersionGone
+	// RefusedVMStopped is a request that was in flight when this VM's time to shut down was over.
+	RefusedVMStopped
+	// RefusedInternalError is a request at which this VM's own code panicked.
+	RefusedInternalError
 )
 
 // QuotaUnit is the unit of a client account's quota.
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,9 @@
 	// bodies ends when a drain has no time left for requests whose bodies are still coming.
 	bodies    context.Context //nolint:containedctx // it outlives any call
 	endBodies context.CancelFunc
+	// requests is the parent of all requests' contexts.
+	requests    context.Context //nolint:containedctx // as above
+	endRequests context.CancelCauseFunc
 
 	mu           sync.Mutex
 	retryWindows map[laburnumlever.ServiceName]*laburnumretry.Window
@@ -90,7 +94,8 @@
 		counters: newCounters(tally.NoopScope), retryWindows: map[laburnumlever.ServiceName]*laburnumretry.Window{},
 		notify: func(context.Context, string, laburnumtunnel.Notice) error { return nil }, refusesServer: func(string) {},
 	}
-	g.bodies, g.endBodies = context.WithCancel(context.Background())
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
+	g.bodies, g.endBodies = context.WithCancel(g.requests)
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -112,8 +117,10 @@
 	if g.stage() != drainNone {
 		w.Header().Set("Connection", "close")
 	}
-	q, err := g.accept(w, r)
-	if err != nil {
+	q := g.newRequest(w, r)
+	out := &answer{w: w}
+	defer g.endPanicked(q, out)
+	if err := g.accept(q, r); err != nil {
 		g.answerRefusal(w, q, err)
 		return
 	}
@@ -129,9 +136,7 @@
 		return
 	}
 	g.fleet.countDemand(q)
-	out := &answer{w: w}
-	err = g.run(ctx, q, out)
-	if err != nil {
+	if err := g.run(ctx, q, out); err != nil {
 		g.fleet.quota.refund(q)
 		g.fleet.countRefusedDemand(q)
 		g.finishUnanswered(ctx, q, out, err)
@@ -190,11 +195,16 @@
 // finishUnanswered ends a request without a complete answer: it answers with the backend server's
 // error answer if there is one, else with a refusal. It aborts an answer that has started.
 func (g *Gateway) finishUnanswered(ctx context.Context, q *request, out *answer, err error) {
+	if stopped(ctx) {
+		g.finishStopped(q, out, err)
+		return
+	}
 	var gone *CallerGoneError
 	if errors.As(err, &gone) || (ctx.Err() != nil && !deadlineExceeded(ctx)) {
 		g.countRefusal(laburnumlever.RefusedCallerGone)
 		g.logRefusal(q, laburnumlever.RefusedCallerGone, 0, err)
-		panic(http.ErrAbortHandler) // a caller that has only stopped sending must not take what it got for complete
+		g.endGone(q, out)
+		return
 	}
 	if out.started {
 		g.countRefusal(laburnumlever.RefusedBrokenStream)
@@ -210,6 +220,56 @@
 	g.answerRefusal(out.w, q, err)
 }
 
+// endGone ends the answer to a caller that has left. It may have closed its side of the connection only, so that it would take what
+// the server writes by itself for a success.
+func (g *Gateway) endGone(q *request, out *answer) {
+	if out.started {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusServiceUnavailable
+	if q.mayHaveRun {
+		status = http.StatusBadGateway
+	}
+	g.writeRefusal(out.w, q, status, laburnumlever.RefusedCallerGone.String()+"\n")
+}
+
+// endPanicked, if deferred, answers a request at which the gateway panicked, and logs the panic: the HTTP server would close the
+// connection.
+func (g *Gateway) endPanicked(q *request, out *answer) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if err, ok := value.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(value)
+	}
+	cause := &PanicError{Value: value}
+	_ = level.Error(g.logger).Log("event", laburnumlever.EventRequestPanicked, "request-id", q.caller.ID, "cause", cause, "stack", string(debug.Stack()))
+	if out.started {
+		g.countRefusal(laburnumlever.RefusedInternalError)
+		g.logRefusal(q, laburnumlever.RefusedInternalError, 0, cause)
+		panic(http.ErrAbortHandler)
+	}
+	q.mayHaveRun = q.mayHaveRun || q.sent > 0
+	g.answerRefusal(out.w, q, &laburnumlever.RefusalError{Reason: laburnumlever.RefusedInternalError, Outcome: laburnumlever.OutcomeUnknown, Detail: cause.Error()})
+}
+
+// finishStopped ends a request that is in flight when the VM stops.
+func (g *Gateway) finishStopped(q *request, out *answer, err error) {
+	if out.started {
+		g.countRefusal(laburnumlever.RefusedVMStopped)
+		g.logRefusal(q, laburnumlever.RefusedVMStopped, 0, &VMStoppedError{})
+		panic(http.ErrAbortHandler)
+	}
+	refusal := &laburnumlever.RefusalError{
+		Reason: laburnumlever.RefusedVMStopped, Outcome: laburnumlever.OutcomeUnknown, Detail: err.Error(),
+	}
+	if !q.mayHaveRun {
+		refusal.Outcome, refusal.RetryAfter = laburnumlever.OutcomeNotRun, drainRetryAfter
+	}
+	g.answerRefusal(out.w, q, refusal)
+}
+
 // answerRefusal answers with a refusal of the gateway's own.
 func (g *Gateway) answerRefusal(w http.ResponseWriter, q *request, err error) {
 	var refusal *laburnumlever.RefusalError
