fix: connections that a server closes early are not reused for long

Callers got 502 for requests that can't be repeated, about one in a hundred under engines that close idle connections sooner than they announce; each also began the judgement of a crash.

Cause: idle connections are reused for three quarters of the announced time, whatever became of the last ones. Failures later than 50 ms after the request are taken for the server's own end.

--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -469,3 +470,30 @@
 	require.Equal(t, []laburnumlever.BackendOutcome{{Backend: "i-1", Failed: 1}}, b.fleet.GatewayReport().Outcomes)
 	require.Empty(t, b.fleet.GatewayReport().Outcomes)
 }
+
+// Guards against requests lost again and again on connections that a server closes sooner than it announces.
+func TestConnectionsThatAreClosedEarlyAreNotReusedForLong(t *testing.T) {
+	const allowed, pause, requests = 50 * time.Millisecond, 100 * time.Millisecond, 20
+	var mu sync.Mutex
+	last := map[net.Conn]time.Time{}
+	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, n int) {
+		mu.Lock()
+		at, reused := last[conn]
+		last[conn] = time.Now()
+		mu.Unlock()
+		if reused && time.Since(at) > allowed {
+			resetConnection(conn, a, n)
+			return
+		}
+		writeAnswer(conn, a, http.StatusOK, "done", "Keep-Alive: timeout=5")
+	})
+	b := newHarness(t, server.heartbeat("booking"))
+	lost := 0
+	for range requests {
+		if b.send("POST", "/confirm/x", "visit").status != http.StatusOK {
+			lost++
+		}
+		<-time.After(pause)
+	}
+	require.LessOrEqual(t, lost, 2)
+}
--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // readBufferSize, in bytes, fits a typical answer or a few events of a stream in one read.
@@ -31,6 +34,10 @@
 	// usableUntil is the end of the idle timeout. After it the backend server may close the
 	// connection, so it is not reused.
 	usableUntil time.Time
+	// idleSince is when it last became idle. onIdleClosed is called if the backend server turns out to have closed it since; nil
+	// for a new connection.
+	idleSince    time.Time
+	onIdleClosed func()
 	// tunnelled is set if it goes through another VM.
 	tunnelled bool
 	// openedAt is when it began to be opened.
@@ -89,12 +96,15 @@
 	}
 	buf.Reset()
 	q.write(buf)
+	began := time.Now()
 	_, err := c.conn.Write(buf.Bytes())
 	writeBuffers.Put(buf)
 	if err != nil {
+		c.noteIdleClose(err, began)
 		return nil, &LostError{Address: c.address, Cause: err}
 	}
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
+	c.noteIdleClose(err, began)
 	for err == nil && resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 		resp, err = http.ReadResponse(c.r, &http.Request{Method: q.Method})
 	}
@@ -104,6 +114,24 @@
 	return resp, nil
 }
 
+// closedTime is how soon a request on a connection that had been closed fails. Later, the server may have crashed.
+const closedTime = 50 * time.Millisecond
+
+// noteIdleClose tells whether the first answer on a reused connection shows that it had been closed.
+func (c *Conn) noteIdleClose(err error, began time.Time) {
+	if c.onIdleClosed == nil {
+		return
+	}
+	if time.Since(began) >= closedTime {
+		c.onIdleClosed = nil
+		return
+	}
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		c.onIdleClosed()
+	}
+	c.onIdleClosed = nil
+}
+
 func (q Request) write(buf *bytes.Buffer) {
 	buf.WriteString(q.Method)
 	buf.WriteByte(' ')
--- a/laburnumupstream/pool.go
+++ b/laburnumupstream/pool.go
@@ -41,6 +41,8 @@
 	mu   sync.Mutex
 	idle map[string][]*Conn // most recently used last
 	open map[string]int     // connections in use or idle
+	// lifetimes shorten the reuse of idle connections to servers that close them early.
+	lifetimes lifetimes
 	// detours are the addresses to which connections are opened through other VMs whatever tunnelled says.
 	detours map[string]struct{}
 }
@@ -194,8 +196,13 @@
 		c := list[len(list)-1]
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
-		if c.tunnelled == tunnelled && p.now().Before(c.usableUntil) && c.noPendingInput() {
-			return c
+		now := p.now()
+		if c.tunnelled == tunnelled && now.Before(c.usableUntil) {
+			if c.noPendingInput() {
+				c.onIdleClosed = func() { p.lifetimes.closed(address, now.Sub(c.idleSince), now) }
+				return c
+			}
+			p.lifetimes.closed(address, now.Sub(c.idleSince), now)
 		}
 		c.Close()
 	}
@@ -217,7 +224,8 @@
 
 // putIdle keeps a connection for a share of the backend server's idle timeout.
 func (p *Pool) putIdle(c *Conn, timeout time.Duration) {
-	c.usableUntil = p.now().Add(time.Duration(float64(timeout) * keepAliveShare))
+	c.idleSince = p.now()
+	c.usableUntil = c.idleSince.Add(p.lifetimes.bound(c.address, time.Duration(float64(timeout)*keepAliveShare), c.idleSince))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.address] = append(p.idle[c.address], c)
