--- a/laburnumgateway/attemptend.go
+++ b/laburnumgateway/attemptend.go
@@ -21,6 +21,8 @@
 	endDeadline
 	// endCallerGone means that the caller had left.
 	endCallerGone
+	// endStopped means that this VM stopped.
+	endStopped
 	// endDetour means that the server answered other VMs only.
 	endDetour
 	// endLinksLost means that this VM had lost its links to the servers.
@@ -40,6 +42,8 @@
 		fail.end = verdict
 	case deadlineExceeded(ctx):
 		fail.end = endDeadline
+	case stopped(ctx):
+		fail.end = endStopped
 	case ctx.Err() != nil:
 		fail.end = endCallerGone
 	default:
--- a/laburnumgateway/attemptend_gen.go
+++ b/laburnumgateway/attemptend_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _attemptEndName = "nonedeadlinecaller-gonedetourlinks-lost"
+const _attemptEndName = "nonedeadlinecaller-gonestoppeddetourlinks-lost"
 
-var _attemptEndIndex = [...]uint8{0, 4, 12, 23, 29, 39}
+var _attemptEndIndex = [...]uint8{0, 4, 12, 23, 30, 36, 46}
 
-const _attemptEndLowerName = "nonedeadlinecaller-gonedetourlinks-lost"
+const _attemptEndLowerName = "nonedeadlinecaller-gonestoppeddetourlinks-lost"
 
 func (i attemptEnd) String() string {
 	if i < 0 || i >= attemptEnd(len(_attemptEndIndex)-1) {
@@ -27,34 +27,38 @@
 	_ = x[endNone-(0)]
 	_ = x[endDeadline-(1)]
 	_ = x[endCallerGone-(2)]
-	_ = x[endDetour-(3)]
-	_ = x[endLinksLost-(4)]
+	_ = x[endStopped-(3)]
+	_ = x[endDetour-(4)]
+	_ = x[endLinksLost-(5)]
 }
 
-var _attemptEndValues = []attemptEnd{endNone, endDeadline, endCallerGone, endDetour, endLinksLost}
+var _attemptEndValues = []attemptEnd{endNone, endDeadline, endCallerGone, endStopped, endDetour, endLinksLost}
 
 var _attemptEndNameToValueMap = map[string]attemptEnd{
 	_attemptEndName[0:4]:   endNone,
 	_attemptEndName[4:12]:  endDeadline,
 	_attemptEndName[12:23]: endCallerGone,
-	_attemptEndName[23:29]: endDetour,
-	_attemptEndName[29:39]: endLinksLost,
+	_attemptEndName[23:30]: endStopped,
+	_attemptEndName[30:36]: endDetour,
+	_attemptEndName[36:46]: endLinksLost,
 }
 
 var _attemptEndLowerNameToValueMap = map[string]attemptEnd{
 	_attemptEndLowerName[0:4]:   endNone,
 	_attemptEndLowerName[4:12]:  endDeadline,
 	_attemptEndLowerName[12:23]: endCallerGone,
-	_attemptEndLowerName[23:29]: endDetour,
-	_attemptEndLowerName[29:39]: endLinksLost,
+	_attemptEndLowerName[23:30]: endStopped,
+	_attemptEndLowerName[30:36]: endDetour,
+	_attemptEndLowerName[36:46]: endLinksLost,
 }
 
 var _attemptEndNames = []string{
 	_attemptEndName[0:4],
 	_attemptEndName[4:12],
 	_attemptEndName[12:23],
-	_attemptEndName[23:29],
-	_attemptEndName[29:39],
+	_attemptEndName[23:30],
+	_attemptEndName[30:36],
+	_attemptEndName[36:46],
 }
 
 // attemptEndString retrieves an enum value from the enum constants string name.
--- a/laburnummembership/messages_fuzz_test.go
+++ b/laburnummembership/messages_fuzz_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// FuzzMessages guards against messages of another VM that cause a panic, at once or as they are passed on, or an answer that
-// can't be encoded.
+// FuzzMessages guards against messages of another VM that cause a panic, also when passed on, or an answer that can't be encoded.
 func FuzzMessages(f *testing.F) {
 	packed := packedUpdates{
 		VMs:      []laburnumlever.VM{{ID: "vm-9", PeerAddress: "10.0.0.9:1", Incarnation: 3, State: laburnumlever.VMAlive}},
--- a/laburnumroles/shutdown_test.go
+++ b/laburnumroles/shutdown_test.go
@@ -105,6 +105,7 @@
 	_ = resp.Body.Close() // it fails as well
 	<-done
 	require.NotContains(t, lines.text(), "reason=caller-gone")
+	require.NotContains(t, lines.text(), "ended-by=caller-gone")
 	require.Contains(t, lines.text(), "reason=vm-stopped")
 }
 
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -89,8 +89,7 @@
 	}
 }
 
-// Guards against checks that blame a gateway for the time limit of a route or for connections that it turned away unread, and against
-// those that excuse resets of open connections.
+// Guards against checks that blame a gateway for time limits or connections turned away unread, or excuse resets of open connections.
 func TestRequestsTurnedAwayOrOverdueAreNotReported(t *testing.T) {
 	sent := time.Unix(1_000_000, 0)
 	for name, test := range map[string]struct {
--- a/laburnumstate/command_fuzz_test.go
+++ b/laburnumstate/command_fuzz_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// FuzzCommand guards against commands of another VM or of the log that cause a panic, or after which the state can't be encoded
-// and decoded: every voter would stop at the same entry.
+// FuzzCommand guards against commands that cause a panic or leave a state that can't be encoded and decoded, at which all voters stop.
 func FuzzCommand(f *testing.F) {
 	for _, cmd := range []laburnumlever.Command{
 		claim("k", 1, "c"), answer("k", laburnumlever.OutcomeAnswered, "yes"), apply("x", 0, "one"),
--- a/laburnumtunnel/frames_fuzz_test.go
+++ b/laburnumtunnel/frames_fuzz_test.go
@@ -13,8 +13,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// FuzzFrames guards against bytes of a helper that cause a panic, more bytes than were sent, or a broken tunnel that ends like a
-// whole one.
+// FuzzFrames guards against bytes of a helper that cause a panic, add bytes, or end a broken tunnel like a whole one.
 func FuzzFrames(f *testing.F) {
 	var b frameBuffer
 	f.Add(append(append([]byte{}, b.frame(copy(b.payload(), "HTTP/1.1 200 OK"))...), mark(endLength)...))
