test: the end of a drain waits until a refused request has ended

Since a refusal is flushed before the rest of its body is read, so the caller may have it while the request still counts as in flight; the drain then takes one check more than the test's clock passes.

--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -395,6 +395,7 @@
 	passChecks(10)
 	awaitCheck()
 	require.Equal(t, http.StatusServiceUnavailable, b.send("POST", "/confirm/x", "visit").status, "new requests must be refused")
+	require.Eventually(t, func() bool { return b.gateway.InFlight() == 0 }, 5*time.Second, time.Millisecond)
 	passChecks(2)
 	<-drained
 }
