fix: a process does not pick a port twice before it is bound

Sessions that run at the same time pick random free ports, free them and bind them later; two could pick the same. Ports picked by this process are not picked again for a minute.

--- a/laburnumfleet/ports.go
+++ b/laburnumfleet/ports.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
+	"time"
 )
 
 // Peer addresses must be known before any VM runs, so their ports are reserved, freed
@@ -19,6 +21,29 @@
 	portTries = 100
 )
 
+// bindTime is how long a port that this process has picked may not be bound yet, and is not picked again.
+const bindTime = time.Minute
+
+// pickedPorts are the ports that this process has picked, and when.
+var pickedPorts struct {
+	mu sync.Mutex
+	at map[int]time.Time
+}
+
+// pickPort reports whether a port may be picked, and records that it is.
+func pickPort(port int) bool {
+	pickedPorts.mu.Lock()
+	defer pickedPorts.mu.Unlock()
+	if time.Since(pickedPorts.at[port]) < bindTime {
+		return false
+	}
+	if pickedPorts.at == nil {
+		pickedPorts.at = map[int]time.Time{}
+	}
+	pickedPorts.at[port] = time.Now()
+	return true
+}
+
 // ReservePorts picks count different free addresses on loopback at random. Errors:
 // *StartError.
 func ReservePorts(ctx context.Context, count int) ([]string, error) {
@@ -40,6 +65,9 @@
 	var last error
 	for range portTries {
 		port := minPort + rand.IntN(maxPort-minPort)
+		if !pickPort(port) {
+			continue
+		}
 		ln, err := cfg.Listen(ctx, "tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err == nil {
 			return ln, nil
