--- a/laburnumtunnel/tunnel_test.go
+++ b/laburnumtunnel/tunnel_test.go
@@ -318,6 +318,7 @@
 			require.Equal(t, "line", say(t, conn, "line"))
 		}
 		require.NoError(t, conn.Close())
+		require.Eventually(t, func() bool { return sound.Carried() == 0 }, eventually, time.Millisecond, "the helper's limit is two tunnels")
 	}
 	require.LessOrEqual(t, hung, 1)
 }
@@ -326,12 +327,14 @@
 func TestHelpersTakeTurns(t *testing.T) {
 	server, _ := echoServer(t)
 	asked := map[string]int{}
-	client := newClient(t, startHelper(t, server).address, startHelper(t, server).address)
+	one, other := startHelper(t, server), startHelper(t, server)
+	client := newClient(t, one.address, other.address)
 	for range 6 {
 		conn, err := client.Dial(t.Context(), server)
 		require.NoError(t, err)
 		asked[conn.RemoteAddr().String()]++
 		require.NoError(t, conn.Close())
+		require.Eventually(t, func() bool { return one.Carried()+other.Carried() == 0 }, eventually, time.Millisecond, "each helper's limit is two tunnels")
 	}
 	require.Len(t, asked, 2)
 }
