fix: a refused body that its caller has not sent is not awaited

Callers saw: with `Expect: 100-continue`, a refusal came at once, but the connection stayed open for 2.5 s, and the request counted as in flight for as long; a drain that waits for requests under way waits for these too.

Cause: since a refused request's body is read before the connection is closed, a caller that awaits permission to send it is waited for as one that is still sending. It never sends: the refusal is the final answer.

--- a/laburnumgateway/bodies.go
+++ b/laburnumgateway/bodies.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"laburnumlever"
@@ -26,6 +27,8 @@
 	body       io.Reader
 	controller *http.ResponseController
 	limit      int64 // bytes
+	// unsent is set while the caller awaits a 100 Continue before it sends the body.
+	unsent bool
 }
 
 // newIncomingBody returns nil for a request without a body.
@@ -33,7 +36,10 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	return &incomingBody{body: r.Body, controller: http.NewResponseController(w), limit: defaultBodyBytes}
+	return &incomingBody{
+		body: r.Body, controller: http.NewResponseController(w), limit: defaultBodyBytes,
+		unsent: strings.EqualFold(r.Header.Get("Expect"), "100-continue"),
+	}
 }
 
 // readBody reads the request's body, up to the limit, until its deadline or until a drain needs the rest of its time. The error is a
@@ -43,6 +49,7 @@
 	if r.ContentLength > in.limit {
 		return tooLarge(in.limit)
 	}
+	in.unsent = false
 	_ = in.controller.SetReadDeadline(q.deadline)
 	interrupted := make(chan struct{})
 	stop := context.AfterFunc(g.bodies, func() {
@@ -99,9 +106,13 @@
 	return end
 }
 
-// drop reads the rest of the body, at most until end. A connection whose body does not end within the bounds is closed: what
-// follows must not be taken for a request.
+// drop reads the rest of the body, at most until end. A connection whose body does not end within the bounds, or that the caller does not
+// mean to send any more, is closed: what follows must not be taken for a request.
 func (b *incomingBody) drop(end time.Time) {
+	if b.unsent {
+		b.linger(time.Now().Add(lingerTime))
+		return
+	}
 	_ = b.controller.SetReadDeadline(end.Add(-lingerTime))
 	if _, err := io.CopyN(io.Discard, b.body, b.limit+1); errors.Is(err, io.EOF) {
 		_ = b.controller.SetReadDeadline(time.Time{})
--- a/laburnumgateway/bodies_test.go
+++ b/laburnumgateway/bodies_test.go
@@ -127,6 +127,24 @@
 	require.Empty(t, server.requests())
 }
 
+// Guards against a refused request that stays in flight for seconds, for a body that its caller sends only after a 100 Continue.
+func TestRefusedBodyThatIsNotSentIsNotAwaited(t *testing.T) {
+	for name, path := range map[string]string{"no route": "/nowhere/", "too large": "/confirm/x"} {
+		t.Run(name, func(t *testing.T) {
+			b, server := newBodyHarness(t, 1<<10)
+			c := b.dialRaw()
+			c.writeHead(path, "Content-Length: 1025", "Expect: 100-continue")
+			refused := c.read()
+			require.GreaterOrEqual(t, refused.StatusCode, http.StatusBadRequest)
+			require.True(t, refused.Close)
+			begun := time.Now()
+			c.awaitClose()
+			require.Less(t, time.Since(begun), 2*time.Second, "a body that is sent is read for 2.5 s")
+			require.Empty(t, server.requests())
+		})
+	}
+}
+
 // Guards against reading the body of a refused request without end.
 func TestRefusedBodyIsReadUpToTheLimit(t *testing.T) {
 	b, _ := newBodyHarness(t, 1<<10)
