fix: an ended attempt is reported as it was when it was ended

Callers saw nothing; logs and counters (attempts_ended, answers_cut) could count an attempt as an answer that was cut although nothing had come, or the other way round.

Cause: abort read whether a part of the answer had come without the lock under which it is set. take returns the attempt as it was when it was marked.

Evidence: by reading; the race detector never reported it (laburnumgateway, tests of silences and links, passes before and after).

--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -322,8 +322,8 @@
 // their answers.
 func (l *links) abort(verdict attemptEnd, matches func(*laburnumreachability.Wait, *directAttempt) bool) (ended, begun int) {
 	for _, w := range l.movable(matches) {
-		a := l.take(w, verdict, matches)
-		if a == nil {
+		a, ok := l.take(w, verdict, matches)
+		if !ok {
 			continue
 		}
 		a.conn.Close()
@@ -349,28 +349,28 @@
 	return movable
 }
 
-// take marks an attempt as ended and charges the next one to the retry budget. It returns nil if the attempt has changed or its request
-// can't go on now.
-func (l *links) take(w *laburnumreachability.Wait, verdict attemptEnd, matches func(*laburnumreachability.Wait, *directAttempt) bool) *directAttempt {
+// take marks an attempt as ended and charges the next one to the retry budget. It returns the attempt as it was ended, and false if it
+// has changed or its request can't go on now.
+func (l *links) take(w *laburnumreachability.Wait, verdict attemptEnd, matches func(*laburnumreachability.Wait, *directAttempt) bool) (directAttempt, bool) {
 	l.mu.Lock()
 	a := l.attempts[w]
 	if a == nil {
 		l.mu.Unlock()
-		return nil
+		return directAttempt{}, false
 	}
 	query := a.query
 	l.mu.Unlock()
 	query.Avoid = append(slices.Clone(query.Avoid), a.to.Backend)
 	if !l.gateway.fleet.hasRoom(query) || !l.gateway.chargeRetry(query.Service) {
-		return nil
+		return directAttempt{}, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.attempts[w] != a || !a.mayMove() || !matches(w, a) {
-		return nil
+		return directAttempt{}, false
 	}
 	a.endedBy = verdict
-	return a
+	return *a, true
 }
 
 // hasRoom reports whether a backend server could take the query now.
