refactor: names of the probes' bounds say what they bound

A newcomer read minSilence as a silence's length and found directProbes as a constant and a method. maxAnswerGap is the longest time between two answers, probesPerLook a number. No change of behaviour.

--- a/laburnumgateway/linkprobes.go
+++ b/laburnumgateway/linkprobes.go
@@ -27,12 +27,12 @@
 	verifyTimeout = 2 * othersTimeout
 	// directProbeTimeout bounds a direct probe of a server that others reach.
 	directProbeTimeout = 300 * time.Millisecond
-	// minSilence is the time within which a server that is awake before and after it was not silent for long enough to miss the
-	// direct probes in between, and secondLooks how often that is tried: others may answer late.
-	minSilence  = 500 * time.Millisecond
-	secondLooks = 3
-	// directProbes is the number of these: a server that begins to accept connections again may miss the first one.
-	directProbes = 2
+	// maxAnswerGap is the longest time between two answers to others after which the server counts as awake throughout, so that
+	// direct probes made in between tell of the link. Others may answer late, so that it is tried secondLooks times.
+	maxAnswerGap = 500 * time.Millisecond
+	secondLooks  = 3
+	// probesPerLook is the number of direct probes in a look: a server that begins to accept connections again may miss the first one.
+	probesPerLook = 2
 )
 
 // probedServer is a backend server to probe.
@@ -111,7 +111,7 @@
 		case direct:
 			p.Direct, p.Reached = true, false
 			return p
-		case err == nil && at.Sub(answered) < minSilence:
+		case err == nil && at.Sub(answered) < maxAnswerGap:
 			return p
 		case err == nil:
 			answered = at
@@ -178,7 +178,7 @@
 // answersDirectly reports whether a backend server answers one of several direct probes. One that refuses or resets the first is
 // not asked again.
 func (l *links) answersDirectly(s probedServer) bool {
-	for range directProbes {
+	for range probesPerLook {
 		err := l.probeDirectly(s)
 		if err == nil {
 			return true
