docs: one line above the tests of laburnumgateway

22 tests had stories of two or three lines, or none. Each has one line now that names the failure it guards against; the stories are in the history. Comments only.

--- a/laburnumgateway/counters_internal_test.go
+++ b/laburnumgateway/counters_internal_test.go
@@ -10,8 +10,7 @@
 	"laburnumlever"
 )
 
-// Guards against latencies that can't be attributed to a service, or to the queue rather than the
-// engine.
+// Guards against latencies that are attributed to no service, or to the engine rather than the queue.
 func TestLatenciesAreRecordedPerService(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
 	c := newCounters(scope)
--- a/laburnumgateway/gateway_test.go
+++ b/laburnumgateway/gateway_test.go
@@ -26,8 +26,7 @@
 	_ = conn.Close()
 }
 
-// The backend server must get the caller's method, path, query, body and headers, the remaining
-// timeout and the expected instance. Internal headers set by the caller must be removed.
+// Guards against a backend server that gets another request than the caller sent, or internal headers that the caller set.
 func TestRequestIsForwardedUnchanged(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
 	b := newHarness(t, server.heartbeat("booking"))
@@ -55,8 +54,7 @@
 	require.Greater(t, left, 1000)
 }
 
-// Guards against running a non-idempotent request twice. The backend server resets the connection
-// after it has read the request: a retry, or a 503 that invites the caller to retry, could repeat it.
+// Guards against running a non-idempotent request twice, by a retry or a caller invited to retry, after its connection was reset.
 func TestUnansweredNonIdempotentRequestIsNeitherRetriedNorReportedNotRun(t *testing.T) {
 	first, second := newBackend(t, "i-1", resetConnection), newBackend(t, "i-2", resetConnection)
 	b := newHarness(t, first.heartbeat("booking"), second.heartbeat("booking"))
@@ -66,8 +64,7 @@
 	require.Equal(t, 1, len(first.requests())+len(second.requests()))
 }
 
-// A backend server that says that it did not run a request: the request must be retried at another.
-// Only if all say so may the caller get a 503 with Retry-After.
+// Guards against refusing a request that one backend server did not run while another one would.
 func TestNotRunRequestIsRetriedElsewhere(t *testing.T) {
 	notRun := func(conn net.Conn, a receivedRequest, _ int) {
 		writeAnswer(conn, a, 503, "", "X-Laburnumlever-Not-Run: 1")
@@ -84,16 +81,14 @@
 	require.Empty(t, got.header.Get(stampHeader), "a refusal by the gateway must have no server stamp")
 }
 
-// Guards against passing on a 503 without the not-run header, which would tell the caller that the
-// request did not run although that is unknown.
+// Guards against telling a caller that a request did not run, after a 503 that does not say so.
 func TestUnmarked503IsNotReportedAsNotRun(t *testing.T) {
 	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) { writeAnswer(conn, a, 503, "") })
 	b := newHarness(t, server.heartbeat("booking"))
 	require.Equal(t, http.StatusBadGateway, b.send("POST", "/confirm/x", "visit").status)
 }
 
-// An idempotent request that fails at one backend server must be retried at another. If that fails
-// too, the caller must get the backend server's error answer.
+// Guards against an idempotent request that is not retried, and against hiding the backend server's answer if the retry fails too.
 func TestIdempotentRequestIsRetriedOnceElsewhere(t *testing.T) {
 	fails := func(conn net.Conn, a receivedRequest, _ int) { writeAnswer(conn, a, 500, "broken") }
 	first, second := newBackend(t, "i-1", fails), newBackend(t, "i-2", answerOK)
@@ -110,8 +105,7 @@
 	require.Len(t, third.requests(), 1)
 }
 
-// Guards against sending to an address that another backend server has taken over. After its 421 the
-// old instance must get no more requests, even if late heartbeats of it arrive.
+// Guards against sending to an address that another backend server has taken over, after late heartbeats of the old one.
 func TestReplacedBackendGetsNoMoreRequests(t *testing.T) {
 	replaced := newBackend(t, "i-old", func(conn net.Conn, a receivedRequest, _ int) {
 		writeAnswer(conn, a, 421, "", "X-Laburnumlever-Instance-Id: i-new")
@@ -124,9 +118,7 @@
 	require.Empty(t, b.fleet.GatewayReport().Replaced, "must be reported once")
 }
 
-// An engine closes the connection within an event: the caller must get each event complete and once,
-// the rest from another engine. That one starts only after the first connection is closed, so that
-// no two engines work on the request.
+// Guards against events lost or sent twice, and two engines at work at once, when an engine closes the connection within an event.
 func TestBrokenStreamResumesElsewhere(t *testing.T) {
 	breaks := func(conn net.Conn, a receivedRequest, _ int) {
 		writeEvents(conn, a, 1, 3)
@@ -200,8 +192,7 @@
 	require.NotContains(t, got.body, "another's")
 }
 
-// Guards against taking an extra answer, which a backend server sent on an idle connection, for the
-// answer to the next request.
+// Guards against taking an extra answer on an idle connection for the answer to the next request.
 func TestExtraAnswerOnIdleConnectionIsDiscarded(t *testing.T) {
 	sendExtra, sent := make(chan struct{}), make(chan net.Conn, 1)
 	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, n int) {
@@ -219,8 +210,7 @@
 	require.Equal(t, "answer-2", b.send("POST", "/confirm/x", "visit", idHeader, "r-2").body)
 }
 
-// As above, but the extra answer arrives after the next request was sent. Neither it nor the later
-// answers on the connection may be forwarded.
+// Guards against forwarding an extra answer, or those after it, that arrives once the next request has been sent.
 func TestExtraAnswerOnConnectionInUseIsDiscarded(t *testing.T) {
 	var first receivedRequest
 	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, n int) {
@@ -288,6 +278,7 @@
 	}
 }
 
+// Guards against bad requests that reach a backend server, or whose status does not tell what is wrong.
 func TestBadRequests(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
 	b := newHarness(t, server.heartbeat("booking"))
@@ -308,8 +299,7 @@
 	require.Empty(t, server.requests())
 }
 
-// A gateway without routes must answer 503 with Retry-After, not 404, after which callers don't
-// retry.
+// Guards against a 404, after which callers do not retry, from a gateway that has no routes yet.
 func TestGatewayWithoutRoutesIsNotReady(t *testing.T) {
 	b := newUnconfiguredHarness(t)
 	got := b.send("POST", "/confirm/x", "visit")
@@ -318,8 +308,7 @@
 	require.False(t, b.gateway.Ready())
 }
 
-// After a power loss gateways start before the control VMs that serve the routes. Refused callers
-// would all retry together a second or two later, too late; the routes arrive in half that time.
+// Guards against refusing requests for the moment between the start of a gateway and its first routes.
 func TestRequestsAreQueuedUntilTheFirstRoutes(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
 	b := newUnconfiguredHarness(t)
@@ -331,8 +320,7 @@
 	require.Equal(t, 200, (<-got).status)
 }
 
-// A draining gateway must serve until the load balancer has noticed, then refuse requests that may
-// outlast it: their answers would be cut off, and callers could not tell whether they ran.
+// Guards against answers cut off by a drain, and against refusals before the load balancer has noticed it.
 func TestDrainingGatewayRefusesRequestsThatMayOutlastIt(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
 	b := newHarness(t, server.heartbeat("booking"))
@@ -400,8 +388,7 @@
 	<-drained
 }
 
-// Guards against ending a broken stream at once because its wait for a slot is counted from the
-// request's arrival. The only other engine gets a free slot 0.3 s after the first one breaks off.
+// Guards against ending a broken stream at once since its wait for a slot is counted from the arrival of the request.
 func TestBrokenStreamWaitsForASlotToResume(t *testing.T) {
 	broken := make(chan struct{})
 	var first *backend
@@ -448,8 +435,7 @@
 	return []laburnumlever.BackendID{a.holder}, nil
 }
 
-// Guards against keeping a request until its deadline when the only engine with the adapter can't be
-// reached from this gateway, but the control VM names it again and again.
+// Guards against a request that waits until its deadline for the only engine with the adapter, which this gateway cannot reach.
 func TestRequestForUnreachableAdapterIsRefusedInTime(t *testing.T) {
 	server := newBackend(t, "i-1", func(net.Conn, receivedRequest, int) {})
 	loader := fakeAdapterLoader{requests: make(chan laburnumlever.AdapterRequest, 10_000), holder: "i-9"}
--- a/laburnumgateway/lateness_internal_test.go
+++ b/laburnumgateway/lateness_internal_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
+// Guards against late requests that are counted under the wrong cause.
 func TestLatenessReason(t *testing.T) {
 	const ms = time.Millisecond
 	cases := map[string]struct {
--- a/laburnumgateway/reserve_test.go
+++ b/laburnumgateway/reserve_test.go
@@ -47,8 +47,7 @@
 	return strings.Join(list, " ")
 }
 
-// Guards against requests queueing at a full engine while others have free slots. With sixty
-// gateways an engine's load is known only every few seconds, and one that looked idle may be full.
+// Guards against requests that queue at a full engine, whose known load is seconds old, while others have free slots.
 func TestSlotIsReservedWhenEngineLoadIsStale(t *testing.T) {
 	full, free := newReservingEngine(t, "i-1", false), newReservingEngine(t, "i-2", true)
 	b := newReservationHarness(t, full.heartbeat("quotes", "m0"), free.heartbeat("quotes", "m0"))
@@ -65,8 +64,7 @@
 	require.Equal(t, "h-7", first[1].request.Header.Get("X-Laburnumlever-Hold"))
 }
 
-// All engines with the model refuse reservations: the request must be queued, and refused with 503
-// when no slot becomes free.
+// Guards against sending a request to engines that all refuse to reserve a slot, and against asking them again and again.
 func TestRequestQueuesWhenReservationsAreRefused(t *testing.T) {
 	full := newReservingEngine(t, "i-1", false)
 	b := newReservationHarness(t, full.heartbeat("quotes", "m0"))
@@ -78,8 +76,7 @@
 	require.Empty(t, full.closed(), "the connection must be reused")
 }
 
-// Guards against the most urgent requests losing free slots to other gateways. When engines are full
-// such a request must queue at an engine, which serves by priority.
+// Guards against the most urgent requests losing free slots to other gateways while all engines are full.
 func TestMostUrgentRequestQueuesAtAnEngine(t *testing.T) {
 	one, two := newReservingEngine(t, "i-1", false), newReservingEngine(t, "i-2", false)
 	b := newReservationHarness(t, one.heartbeat("quotes", "m0"), two.heartbeat("quotes", "m0"))
@@ -104,8 +101,7 @@
 	require.Equal(t, 200, got.status)
 }
 
-// An engine accepts connections but never answers. The reservation must time out long before the
-// request's deadline, and the request, which was not sent, be retried at another engine.
+// Guards against a request that waits until its deadline for the reservation at an engine that never answers.
 func TestUnresponsiveEngineDelaysOnlyTheReservation(t *testing.T) {
 	unresponsive := newBackend(t, "i-1", func(net.Conn, receivedRequest, int) {})
 	healthy := newReservingEngine(t, "i-2", true)
--- a/laburnumgateway/sweep_test.go
+++ b/laburnumgateway/sweep_test.go
@@ -13,9 +13,7 @@
 	"laburnumlever/laburnumtimer"
 )
 
-// Guards against a gateway dropping a healthy backend server that a partitioned control VM reports
-// as silent. Gateways receive no heartbeats, and unchanged ones are not passed on to them. A backend
-// server that is gone must be dropped.
+// Guards against dropping a healthy backend server that a partitioned control VM reports as silent.
 func TestSweepKeepsSilentBackends(t *testing.T) {
 	timers := laburnumtimer.NewManual(time.Unix(1_000_000, 0))
 	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1)
