feat: counters tell calls for leases that wait from those that don't

Whether gateways ask for more leases of brittle servers than they get showed only in traces of one process: a gateway counted a call without waiting like one that waits, and a keeper a refusal at once like one after waiting in vain.

--- a/laburnumgateway/brittle.go
+++ b/laburnumgateway/brittle.go
@@ -152,8 +152,8 @@
 		f.brittle.Refused(server.Backend, time.Duration(a.RetryIn), now)
 	default: // asked without waiting
 	}
-	g.counters.slots[outcome].Inc(1)
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventSlotRequested, "request-id", q.caller.ID, "backend", server.Backend, "outcome", outcome, "brittle", true)
+	g.counters.countLease(outcome, wait > 0)
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventSlotRequested, "request-id", q.caller.ID, "backend", server.Backend, "outcome", outcome, "brittle", true, "wait-ms", millis(wait))
 	if q.lease == nil {
 		return false
 	}
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -40,7 +40,9 @@
 	retries      map[laburnumlever.RetryReason]tally.Counter
 	reservations map[reserveOutcome]tally.Counter
 	slots        map[slotOutcome]tally.Counter
-	scope        tally.Scope
+	// leaseProbes and leaseWaits count calls for leases of brittle servers that don't wait for one, and those that do.
+	leaseProbes, leaseWaits map[slotOutcome]tally.Counter
+	scope                   tally.Scope
 
 	mu        sync.Mutex
 	latencies map[laburnumlever.ServiceName]*latencies
@@ -72,6 +74,7 @@
 		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), linksLost: scope.Counter("links_lost"), detours: scope.Counter("detours"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
 		reservations: map[reserveOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
+		leaseProbes: map[slotOutcome]tally.Counter{}, leaseWaits: map[slotOutcome]tally.Counter{},
 		latencies:     map[laburnumlever.ServiceName]*latencies{},
 		attemptsEnded: map[attemptEnd]tally.Counter{}, answersCut: map[attemptEnd]tally.Counter{},
 	}
@@ -88,6 +91,8 @@
 	}
 	for _, outcome := range slotOutcomeValues() {
 		c.slots[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("limit_slots")
+		c.leaseProbes[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String(), "waits": "false"}).Counter("lease_calls")
+		c.leaseWaits[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String(), "waits": "true"}).Counter("lease_calls")
 	}
 	for _, reason := range laburnumlever.RefusalReasonValues() {
 		c.refusals[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals")
@@ -125,3 +130,13 @@
 	}
 	return l
 }
+
+// countLease counts a call for a lease.
+func (c *counters) countLease(outcome slotOutcome, waits bool) {
+	c.slots[outcome].Inc(1)
+	if waits {
+		c.leaseWaits[outcome].Inc(1)
+	} else {
+		c.leaseProbes[outcome].Inc(1)
+	}
+}
--- a/laburnumroles/brittle.go
+++ b/laburnumroles/brittle.go
@@ -29,8 +29,9 @@
 	self string
 	// keepers tells which other control VMs answer.
 	keepers *keeperChecks
-	// granted, refused and deferred count requests for leases; the last are left to the keeper.
-	granted, refused, deferred tally.Counter
+	// granted, refused, abandoned and deferred count requests for leases: abandoned are those that waited in vain, deferred
+	// those left to the keeper.
+	granted, refused, abandoned, deferred tally.Counter
 
 	mu     sync.Mutex
 	keeper *laburnumconcurrency.Keeper
@@ -42,6 +43,8 @@
 		granted: scope.Tagged(map[string]string{"outcome": "granted"}).Counter("brittle_leases"),
 		refused: scope.Tagged(map[string]string{"outcome": "refused"}).Counter("brittle_leases"),
 
+		abandoned: scope.Tagged(map[string]string{"outcome": "abandoned"}).Counter("brittle_leases"),
+
 		deferred: scope.Tagged(map[string]string{"outcome": "deferred"}).Counter("brittle_leases"),
 	}
 }
@@ -83,9 +86,12 @@
 	if waiter != nil {
 		answer = b.await(ctx, q, waiter, answer)
 	}
-	if answer.Granted {
+	switch {
+	case answer.Granted:
 		b.granted.Inc(1)
-	} else {
+	case waiter != nil:
+		b.abandoned.Inc(1)
+	default:
 		b.refused.Inc(1)
 	}
 	return answer, nil
