test: calls for leases that the keeper can only refuse

Callers of brittle servers beside load got less than half of what the servers could serve; some eleven calls for a lease were made for each that was granted.

--- a/laburnumgateway/brittle_test.go
+++ b/laburnumgateway/brittle_test.go
@@ -62,7 +62,7 @@
 	return len(k.granted), len(k.returned)
 }
 
-func newBrittleHarness(t *testing.T, k *leaseKeeper, records ...laburnumregistry.Record) *harness {
+func newBrittleHarness(t *testing.T, k laburnumgateway.LimitKeepers, records ...laburnumregistry.Record) *harness {
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
 	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1, laburnumgateway.WithLimitKeepers(k))
