fix: gateways call for leases of brittle servers that the keeper can only refuse

Callers of brittle servers beside load got 9 to 54 of the 120 requests a second that the servers could serve.

Cause: gateways polled the keeper. Each request asked two servers for a lease that is free at once, though others of the same gateway waited there, and then one to wait for. While the answer to a refusal was under way all other requests asked too, so that slower links meant more calls.

A call for a lease that is free at once is now made only if none of the gateway's calls for that server is unanswered and its last refusal named no later time. Calls that wait are bounded by a window, one more after each window of leases and half after a refusal, so that it follows what the keeper's queue takes and the gateways' parts even out. Requests beyond it are refused at once. Nothing changes between VMs, so old builds are served as before.

--- /dev/null
+++ b/laburnumconcurrency/calls.go
@@ -0,0 +1,109 @@
+package laburnumconcurrency
+
+import (
+	"time"
+
+	"laburnumlever"
+)
+
+// Call is a call for a lease that its keeper has not answered yet.
+type Call struct {
+	limit  Limit
+	server *known
+	waits  bool
+	sentAt time.Time
+}
+
+// Limit is the bound of the server as it was known when the call began.
+func (c *Call) Limit() Limit { return c.limit }
+
+// calls are a gateway's calls for a lease of one server that are not answered. The keeper refuses a call that would wait behind
+// too many others. How many of them are this gateway's it learns as congestion control does: one more after each window of
+// leases, half as many after a refusal, so that the gateways' parts of the queue even out.
+type calls struct {
+	waiting, probing int
+	// window is how many may wait, granted the number of leases since it last changed, cutAt when a refusal last halved it.
+	window, granted int
+	cutAt           time.Time
+	// fullUntil is until when no lease is free at once.
+	fullUntil time.Time
+}
+
+// maxWindow is the number of calls that the keeper lets wait for a server.
+func maxWindow(l Limit) int { return maxWaiting * max(1, l.Slots) }
+
+// Begin begins a call for a lease, unless it would be refused. A call that doesn't wait gets none while others wait.
+func (t *Table) Begin(backend laburnumlever.BackendID, waits bool, now time.Time) (*Call, bool) {
+	k := t.servers[backend]
+	switch {
+	case k == nil:
+		return nil, false
+	case waits && !k.mayWait(now), !waits && !k.calls.mayProbe(now):
+		return nil, false
+	case waits:
+		k.calls.waiting++
+	default:
+		k.calls.probing++
+	}
+	return &Call{limit: k.limit, server: k, waits: waits, sentAt: now}, true
+}
+
+// MayWait reports whether a call may wait for a lease.
+func (t *Table) MayWait(backend laburnumlever.BackendID, now time.Time) bool {
+	k := t.servers[backend]
+	return k == nil || k.mayWait(now)
+}
+
+func (k *known) mayWait(now time.Time) bool {
+	return k.calls.waiting < k.calls.window && !now.Before(k.askAt)
+}
+
+func (c *calls) mayProbe(now time.Time) bool {
+	return c.waiting+c.probing == 0 && !now.Before(c.fullUntil)
+}
+
+// Lost ends a call that no control VM answered.
+func (t *Table) Lost(c *Call) {
+	if c.waits {
+		c.server.calls.waiting--
+	} else {
+		c.server.calls.probing--
+	}
+}
+
+// Answered ends a call that a control VM answered.
+func (t *Table) Answered(c *Call, a Answer, now time.Time) {
+	t.answeredAt = now
+	t.Lost(c)
+	k := c.server
+	switch {
+	case a.Granted:
+		k.calls.grow(c, maxWindow(k.limit))
+	case c.waits:
+		k.calls.fullUntil = now.Add(time.Duration(a.RetryIn))
+		if a.Keeper == "" {
+			k.calls.shrink(c, now)
+		}
+		k.refused(time.Duration(a.RetryIn), now)
+	default:
+		k.calls.fullUntil = now.Add(time.Duration(a.RetryIn))
+	}
+}
+
+// grow enlarges the window: by one after as many leases as it has places, to twice its size at a lease that was free, since nobody waits.
+func (c *calls) grow(by *Call, most int) {
+	c.granted++
+	switch {
+	case !by.waits:
+		c.window, c.granted = min(2*c.window, most), 0
+	case c.granted >= c.window:
+		c.window, c.granted = min(c.window+1, most), 0
+	}
+}
+
+// shrink halves the window, once for all calls that were under way.
+func (c *calls) shrink(by *Call, now time.Time) {
+	if by.sentAt.After(c.cutAt) {
+		c.window, c.granted, c.cutAt = max(1, (c.waiting+1)/2), 0, now
+	}
+}
--- a/laburnumconcurrency/doc.go
+++ b/laburnumconcurrency/doc.go
@@ -15,6 +15,9 @@
 // One lease more than slots goes to a request that waits, so that no slot stands idle while messages are under way: a server
 // queues a few requests. This holds for servers of several slots that bear a rejection.
 //
+// A call that would be refused is work for nothing, at the busiest time. So a gateway makes none that doesn't wait while others of
+// its own wait for the server, and keeps as many waiting as the keeper has room for, by the refusals that it gets.
+//
 // A server that rejects a request in spite of its lease has less room than that: the keeper lowers its bound by one, and
 // grants none beyond its slots, for a while.
 //
@@ -38,6 +41,8 @@
 //	table := laburnumconcurrency.NewTable(self)               // on gateways
 //	changed := table.Observe(observation, now)
 //	limit, brittle := table.Limit(backend, incarnation)
+//	call, ok := table.Begin(backend, waits, now)
+//	table.Answered(call, answer, now)
 //
 // Neither is safe for concurrent use.
 package laburnumconcurrency
--- a/laburnumconcurrency/table.go
+++ b/laburnumconcurrency/table.go
@@ -53,6 +53,8 @@
 	presumed bool
 	// askAt is when it is worth while to ask for a lease again.
 	askAt time.Time
+	// calls are this gateway's calls for a lease that are not answered.
+	calls calls
 	// shared is the number of requests that run without a lease, as no control VM answered.
 	shared int
 }
@@ -135,7 +137,7 @@
 		t.services[l.Service] = brittleService{rejections: l.Rejections, seen: now}
 	}
 	if k == nil || k.limit.Incarnation != l.Incarnation {
-		t.servers[l.Backend] = &known{limit: l, since: now, presumed: presumed}
+		t.servers[l.Backend] = &known{limit: l, since: now, presumed: presumed, calls: calls{window: maxWindow(l)}}
 		return true
 	}
 	news := !k.limit.same(l)
@@ -162,14 +164,18 @@
 // Presumes reports whether a server that starts may count as brittle.
 func (t *Table) Presumes() bool { return len(t.services) > 0 }
 
-// Refused records that a request that could wait got no lease, and the time until one like it gets one. The gateway asks again
-// earlier, so that the server's queue does not run empty meanwhile.
+// Refused records that no lease of a server is to be had, and the time until one is. The gateway asks again earlier, so that the
+// server's queue does not run empty meanwhile.
 func (t *Table) Refused(backend laburnumlever.BackendID, retryIn time.Duration, now time.Time) {
 	if k := t.servers[backend]; k != nil {
-		k.askAt = now.Add(retryIn / askAgainPart)
+		k.refused(retryIn, now)
 	}
 }
 
+func (k *known) refused(retryIn time.Duration, now time.Time) {
+	k.askAt = now.Add(retryIn / askAgainPart)
+}
+
 // RetryIn returns how long it is not worth while to ask for a lease; 0 if it is.
 func (t *Table) RetryIn(backend laburnumlever.BackendID, now time.Time) time.Duration {
 	if k := t.servers[backend]; k != nil {
@@ -178,9 +184,6 @@
 	return 0
 }
 
-// Answered records that a control VM answered a request for a lease.
-func (t *Table) Answered(now time.Time) { t.answeredAt = now }
-
 // Alone reports whether no control VM has answered for so long that their leases are no longer in use: a short pause of
 // theirs is none of the servers.
 func (t *Table) Alone(now time.Time) bool { return now.Sub(t.answeredAt) >= aloneTime }
--- a/laburnumgateway/brittle.go
+++ b/laburnumgateway/brittle.go
@@ -61,32 +61,60 @@
 	f.wakeQueue()
 }
 
+// isBrittle reports whether requests to a backend server need a lease. Those to one that names a limit as well do not: its limit is
+// far below its slots.
 func (f *Fleet) isBrittle(h laburnumlever.Heartbeat) bool {
-	_, ok := f.leased(h)
-	return ok
-}
-
-// leased returns the bound of a brittle backend server whose requests need a lease. One that names a limit as well does not: its limit
-// is far below its slots.
-func (f *Fleet) leased(h laburnumlever.Heartbeat) (laburnumconcurrency.Limit, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.leased(h)
+}
+
+// leased is isBrittle. The caller must hold mu.
+func (f *Fleet) leased(h laburnumlever.Heartbeat) bool {
 	if _, limited := f.limits.Limit(h.Backend, h.Incarnation); limited {
-		return laburnumconcurrency.Limit{}, false
+		return false
 	}
-	return f.brittle.Limit(h.Backend, h.Incarnation)
+	_, brittle := f.brittle.Limit(h.Backend, h.Incarnation)
+	return brittle
 }
 
-// awaitLease waits for a lease of the best of the brittle servers.
+// awaitLease waits for a lease of the best of the brittle servers whose keeper lets a call more wait.
 func (g *Gateway) awaitLease(ctx context.Context, q *request, servers []laburnumlever.Heartbeat, wait time.Duration) {
 	for _, server := range servers {
-		if g.fleet.isBrittle(server) {
-			g.requestLease(ctx, q, server, min(wait, laburnumconcurrency.MaxWait))
+		if call, ok := g.fleet.beginLease(server, wait > 0); ok {
+			g.requestLease(ctx, q, server, min(wait, laburnumconcurrency.MaxWait), call)
 			return
 		}
 	}
 }
 
+// probeLease requests a lease of a brittle server, without waiting for one.
+func (g *Gateway) probeLease(ctx context.Context, q *request, server laburnumlever.Heartbeat) bool {
+	call, ok := g.fleet.beginLease(server, false)
+	return ok && g.requestLease(ctx, q, server, 0, call)
+}
+
+// beginLease begins a call for a lease of a brittle server, unless it would be refused.
+func (f *Fleet) beginLease(server laburnumlever.Heartbeat, waits bool) (*laburnumconcurrency.Call, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leased(server) {
+		return nil, false
+	}
+	return f.brittle.Begin(server.Backend, waits, f.timers.Now())
+}
+
+// endLease ends a call for a lease.
+func (f *Fleet) endLease(call *laburnumconcurrency.Call, a leaseAnswer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a.err != nil {
+		f.brittle.Lost(call)
+		return
+	}
+	f.brittle.Answered(call, a.Answer, f.timers.Now())
+}
+
 // leaseAnswer is the answer to a request for a lease.
 type leaseAnswer struct {
 	laburnumconcurrency.Answer
@@ -96,20 +124,18 @@
 
 // requestLease requests a lease of a brittle server, for which the request waits at most for the given time, and sets the
 // request's permit if it gets one.
-func (g *Gateway) requestLease(ctx context.Context, q *request, server laburnumlever.Heartbeat, wait time.Duration) bool {
+func (g *Gateway) requestLease(ctx context.Context, q *request, server laburnumlever.Heartbeat, wait time.Duration, call *laburnumconcurrency.Call) bool {
 	f := g.fleet
-	limit, brittle := f.leased(server)
-	if !brittle {
-		return false
-	}
 	ask := laburnumconcurrency.Request{
-		Gateway: f.vm, Limit: limit, Zone: server.Zone, Wait: laburnumlever.Duration(wait), Hold: laburnumlever.Duration(q.remaining(f.timers.Now())),
+		Gateway: f.vm, Limit: call.Limit(), Zone: server.Zone, Wait: laburnumlever.Duration(wait), Hold: laburnumlever.Duration(q.remaining(f.timers.Now())),
 	}
 	answered := make(chan leaseAnswer, 1)
 	go func() {
 		// Not ended with the caller's context: the answer may hold a lease, which must be returned.
 		answer, keeper, err := f.keepers.Lease(context.WithoutCancel(ctx), ask)
-		answered <- leaseAnswer{Answer: answer, keeper: keeper, err: err}
+		a := leaseAnswer{Answer: answer, keeper: keeper, err: err}
+		f.endLease(call, a)
+		answered <- a
 	}()
 	select {
 	case a := <-answered:
@@ -131,9 +157,6 @@
 	defer f.mu.Unlock()
 	now := f.timers.Now()
 	outcome := slotRefused
-	if a.err == nil {
-		f.brittle.Answered(now)
-	}
 	switch {
 	case a.err != nil && !f.brittle.Alone(now):
 		outcome = slotUnanswered
@@ -148,9 +171,7 @@
 		outcome = slotGranted
 		f.applyBrittle([]laburnumconcurrency.Limit{a.Limit}, now)
 		q.lease = &lease{server: server, id: a.Lease, keeper: a.keeper}
-	case wait > 0:
-		f.brittle.Refused(server.Backend, time.Duration(a.RetryIn), now)
-	default: // asked without waiting
+	default: // endLease has recorded the refusal
 	}
 	g.counters.countLease(outcome, wait > 0)
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventSlotRequested, "request-id", q.caller.ID, "backend", server.Backend, "outcome", outcome, "brittle", true, "wait-ms", millis(wait))
--- a/laburnumgateway/limits.go
+++ b/laburnumgateway/limits.go
@@ -176,7 +176,7 @@
 	now := f.timers.Now()
 	var servers []laburnumlever.Heartbeat
 	for _, s := range f.balance.LimitedServers(f.query(q), now) {
-		if len(servers) < maxSlotRequests && f.limits.RetryIn(s.Backend, wait, now) == 0 && f.brittle.RetryIn(s.Backend, now) == 0 {
+		if len(servers) < maxSlotRequests && f.limits.RetryIn(s.Backend, wait, now) == 0 && f.brittle.MayWait(s.Backend, now) {
 			servers = append(servers, s)
 		}
 	}
@@ -196,7 +196,7 @@
 	}
 	servers := g.fleet.slotServers(q, wait)
 	for _, server := range servers {
-		if g.requestLease(ctx, q, server, 0) {
+		if g.probeLease(ctx, q, server) {
 			return
 		}
 		if g.fleet.isBrittle(server) {
