fix: gateways without a place at a full brittle server ask the more often the larger the fleet is

A keeper told each gateway that it refused the time that one request would wait, whatever the number of gateways: all of them came back after a quarter of that, and all but one were refused again. In the model (four servers of four slots, 20 s) 57 gateways made 13,149 calls for 1,916 leases; the design allows six for each.

The keeper now counts the gateways that it refused and that have got no lease since, and names the time in which each of them would have a turn, at most four seconds: they may stop asking, and the server must not idle. The field is the same, so gateways of old builds follow it as well.

TestRefusedGatewaysTakeTurns failed with "250ms" is not greater than or equal to "2.4s", TestFewCallsForALeaseInLargeFleets with "13149" is not less than or equal to "11496". After: 6,894 calls for 1,917 leases at 57 gateways, 23,590 for 1,920 at 294, 60,725 for 1,920 at 780, which is once a second for each gateway and server at most (go test -race -run 'TestFewCalls|TestRefusedGateways' ./laburnumconcurrency). As many leases as before.

--- a/laburnumconcurrency/calls_test.go
+++ b/laburnumconcurrency/calls_test.go
@@ -19,6 +19,9 @@
 	overloadWait, overloadRun = 600 * time.Millisecond, 200 * time.Millisecond
 	overloadSlots             = 4
 	overloadTime              = 20 * time.Second
+	// callsForALease are one that is granted, one that finds the queue full as the window has grown, and askAgainPart by
+	// gateways that have no place there.
+	callsForALease = 6
 )
 
 // overload is a model of gateways that get several times the requests that brittle servers have room for, with one keeper.
@@ -192,11 +195,17 @@
 	})
 }
 
+// leases is the number of leases that were granted.
+func (o *overload) leases() int {
+	n := 0
+	for _, granted := range o.granted {
+		n += granted
+	}
+	return n
+}
+
 // Guards against gateways that call the keeper of a brittle server many times for a lease, the more the busier the links are.
 func TestFewCallsForALease(t *testing.T) {
-	// One that is granted, one that finds the queue full as the window has grown, and askAgainPart by gateways that have no
-	// place there.
-	const callsForALease = 6
 	for _, c := range []struct {
 		gateways, servers   int
 		roundTrip, interval time.Duration
@@ -213,10 +222,7 @@
 	} {
 		o := newOverload(c.gateways, c.servers, c.roundTrip)
 		o.run(c.interval)
-		leases := 0
-		for _, n := range o.granted {
-			leases += n
-		}
+		leases := o.leases()
 		t.Logf("%d gateways, %d servers, round trips of %v: %d calls, %d leases, %d to %d for a gateway", c.gateways, c.servers, c.roundTrip,
 			o.calls, leases, slices.Min(o.granted), slices.Max(o.granted))
 		require.LessOrEqual(t, o.calls, callsForALease*leases)
@@ -226,3 +232,19 @@
 		require.LessOrEqual(t, o.worst, overloadSlots+1)
 	}
 }
+
+// Guards against gateways without a place in a queue that ask for one the more often, together, the larger the fleet is.
+func TestFewCallsForALeaseInLargeFleets(t *testing.T) {
+	const servers = 4
+	for _, gateways := range []int{57, 294, 780} {
+		o := newOverload(gateways, servers, 10*time.Millisecond)
+		o.run(100 * time.Millisecond)
+		leases := o.leases()
+		t.Logf("%d gateways: %d calls, %d leases, %d to %d for a gateway", gateways, o.calls, leases, slices.Min(o.granted), slices.Max(o.granted))
+		onceASecond := gateways * servers * int(overloadTime/time.Second+1)
+		require.LessOrEqual(t, o.calls, max(callsForALease*leases, onceASecond))
+		room := float64(servers*overloadSlots) * overloadTime.Seconds() / (overloadRun + o.roundTrip).Seconds()
+		require.Greater(t, float64(leases), 0.9*room, "slots stand idle")
+		require.Less(t, slices.Max(o.granted), 4*(leases/gateways+1), "gateways that keep others out")
+	}
+}
--- a/laburnumconcurrency/keeper.go
+++ b/laburnumconcurrency/keeper.go
@@ -19,6 +19,8 @@
 	maxWaiting, maxAllWaiting = 8, 256
 	// minRetryIn is the shortest time after which a gateway without a lease asks again.
 	minRetryIn = 100 * time.Millisecond
+	// maxRetryIn bounds that time as far as it grows with the gateways that ask: they may stop.
+	maxRetryIn = 4 * MaxWait
 	// newcomerTime is how long a keeper that has just learned of a server grants only StandInShare of the slots: leases of
 	// an earlier keeper may be out.
 	newcomerTime = time.Second
@@ -53,6 +55,8 @@
 	// leases are those that are out.
 	leases  map[LeaseID]lease
 	waiting []*Waiter
+	// refused are gateways that were refused and have got no lease since, with the times at which they should ask again.
+	refused map[laburnumlever.VMID]time.Time
 	// hold is the mean time that leases were out; 0 before the first came back.
 	hold time.Duration
 	// lowered is by how much the bound is lower until loweredUntil; nothing is granted until pausedUntil.
@@ -92,7 +96,7 @@
 		if len(k.servers) >= maxServers {
 			return false
 		}
-		k.servers[l.Backend] = &server{limit: l, learnedAt: now, usedAt: now, leases: map[LeaseID]lease{}}
+		k.servers[l.Backend] = &server{limit: l, learnedAt: now, usedAt: now, leases: map[LeaseID]lease{}, refused: map[laburnumlever.VMID]time.Time{}}
 		return true
 	}
 	s.usedAt = now
@@ -131,7 +135,7 @@
 	}
 	full := len(s.waiting) >= maxWaiting*s.limit.Slots || k.waiting >= maxAllWaiting
 	if in := s.waitTime(share, now); wait <= 0 || in > wait || full {
-		return Answer{RetryIn: laburnumlever.Duration(max(minRetryIn, in)), Limit: s.limit}, nil
+		return Answer{RetryIn: laburnumlever.Duration(s.retryIn(q, in, now)), Limit: s.limit}, nil
 	}
 	w := &Waiter{Granted: make(chan LeaseID, 1), request: q, share: share, until: now.Add(wait)}
 	s.waiting = append(s.waiting, w)
@@ -189,6 +193,7 @@
 func (k *Keeper) Tick(now time.Time) {
 	for _, s := range k.servers {
 		s.expire(now)
+		maps.DeleteFunc(s.refused, func(_ laburnumlever.VMID, askAt time.Time) bool { return now.After(askAt) })
 		k.serve(s, now)
 	}
 }
@@ -222,6 +227,7 @@
 
 func (k *Keeper) grant(s *server, q Request, now time.Time) LeaseID {
 	k.lastLease++
+	delete(s.refused, q.Gateway)
 	s.leases[k.lastLease] = lease{since: now, end: now.Add(Grace + max(0, time.Duration(q.Hold))), ask: q.Ask}
 	return k.lastLease
 }
@@ -291,3 +297,17 @@
 	}
 	return MaxWait
 }
+
+// retryIn returns when a gateway that is refused should ask again, so that all those that are refused ask about as often as
+// leases come back.
+func (s *server) retryIn(q Request, wait time.Duration, now time.Time) time.Duration {
+	if q.Wait > 0 {
+		s.refused[q.Gateway] = now
+	}
+	turn := time.Duration(len(s.refused)) * s.hold / time.Duration(s.bound(FullShare, now))
+	in := max(minRetryIn, wait, min(turn, maxRetryIn))
+	if q.Wait > 0 {
+		s.refused[q.Gateway] = now.Add(in)
+	}
+	return in
+}
--- a/laburnumconcurrency/keeper_test.go
+++ b/laburnumconcurrency/keeper_test.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// Guards against gateways that a full server's keeper has ask again so soon that most of their calls are refused once more.
+func TestRefusedGatewaysTakeTurns(t *testing.T) {
+	const gateways, hold = 57, 200 * time.Millisecond
+	k, l := knownServer(4)
+	first, _ := k.Acquire(ask(l, 0), laburnumconcurrency.FullShare, at(-hold))
+	k.Release(laburnumconcurrency.Release{Backend: l.Backend, Lease: first.Lease}, at(0))
+	var last laburnumconcurrency.Answer
+	for i := range 2 * gateways {
+		q := ask(l, hold)
+		q.Gateway = laburnumlever.VMID(fmt.Sprintf("g%d", i%gateways))
+		last, _ = k.Acquire(q, laburnumconcurrency.FullShare, at(0))
+	}
+	served := 2*l.Slots + 1 // some hold a lease, one of them early, or wait for one
+	require.GreaterOrEqual(t, time.Duration(last.RetryIn), time.Duration(gateways-served)*hold/time.Duration(l.Slots))
+}
+
 // Guards against a server with less room than it has slots that rejects again and again.
 func TestRejectionsLowerTheBound(t *testing.T) {
 	k, l := knownServer(2)
