docs: one line above the tests of laburnumproxy and laburnumdirector

43 tests had stories of two or three lines. Each has one line now that names the failure it guards against; where a reader needs more, it stands in the body. The stories are in the history. Comments only, shown by comparing the syntax trees of each changed file without comments.

--- a/laburnumdirector/director_test.go
+++ b/laburnumdirector/director_test.go
@@ -23,8 +23,7 @@
 	return copies
 }
 
-// Guards against models without a copy, or loads beyond the store's rate, after all engines start
-// empty, as after a power loss.
+// Guards against models without a copy, or loads beyond the store's rate, after all engines start empty.
 func TestEmptyEnginesGetEveryModel(t *testing.T) {
 	w := newCluster(t, 8, 5, 1)
 	w.sendHeartbeats()
@@ -39,8 +38,7 @@
 	}
 }
 
-// Guards against requests for an adapter that is never loaded: one that no engine holds, or one for
-// which the engine has no free slot and has to evict an unused adapter.
+// Guards against requests for an adapter that is never loaded, also if the engine must evict an unused adapter for it.
 func TestAdapterIsLoadedOnFirstUse(t *testing.T) {
 	w := newCluster(t, 1, 1, 1)
 	w.sendHeartbeats()
@@ -64,8 +62,7 @@
 	require.Len(t, w.engines["i-0"].held["m0"], 3)
 }
 
-// Guards against overcommitted memory when the answer to an order is lost, or the order arrives
-// seconds late, after newer ones. Its model must count as held until the outcome is known.
+// Guards against overcommitted memory when the answer to an order is lost, or the order arrives after newer ones.
 func TestOrderOfUnknownOutcomeReservesMemory(t *testing.T) {
 	for _, late := range []time.Duration{0, 4 * time.Second, 9 * time.Second} {
 		t.Run(late.String(), func(t *testing.T) {
@@ -80,8 +77,7 @@
 	}
 }
 
-// Guards against two directors that send orders at about the same time, or with the same fencing
-// number, after the first is cut off from the log and the second takes over.
+// Guards against two directors that send orders at about the same time, or with the same fencing number.
 func TestDirectorsDoNotOverlap(t *testing.T) {
 	w := newCluster(t, 8, 5, 2)
 	w.sendHeartbeats()
@@ -117,8 +113,7 @@
 		"including the time to acquire the lease, request the engines' state and learn the demand")
 }
 
-// Guards against a new director that counts its takeover delay from the grant of its lease, where
-// the log had no leader for long after the previous holder's last renewal.
+// Guards against a needless takeover delay, if the log had no leader for long after the previous holder's last renewal.
 func TestTakeoverCountsFromTheLastRenewal(t *testing.T) {
 	const election = 1200 * time.Millisecond
 	w := newCluster(t, 8, 5, 2)
@@ -140,8 +135,7 @@
 	require.Less(t, w.orders[before].at.Sub(granted), leaseTime+900*time.Millisecond-election)
 }
 
-// Guards against a needless takeover delay: a director loses the log for a second, its lease
-// expires, and it acquires the next one with no other holder in between.
+// Guards against a takeover delay for a director that reacquires its lease with no other holder in between.
 func TestReacquiredLeaseResumesAtOnce(t *testing.T) {
 	w := newCluster(t, 4, 4, 1)
 	w.sendHeartbeats()
@@ -158,8 +152,7 @@
 	require.Greater(t, len(w.orders), before)
 }
 
-// Guards against orders from a director that was suspended and resumes after its lease has expired
-// and another director has taken over.
+// Guards against orders from a director that resumes after another one has taken over.
 func TestSuspendedDirectorSendsNothingAfterResume(t *testing.T) {
 	w := newCluster(t, 8, 5, 2)
 	w.sendHeartbeats()
@@ -175,9 +168,7 @@
 	require.Len(t, w.copies(), 8)
 }
 
-// Guards against an order that is decided before the VM is suspended and written after it resumes,
-// when another director has taken over. An engine that does not check fencing numbers would
-// execute it.
+// Guards against an order decided before a VM is suspended and sent after it resumes, when another director leads.
 func TestOrderDecidedBeforeSuspensionIsNotSent(t *testing.T) {
 	w := newCluster(t, 8, 5, 2)
 	w.sendHeartbeats()
@@ -197,6 +188,7 @@
 		call()
 	}
 	for _, o := range w.orders[before:] {
+		// An engine that does not check fencing numbers would execute it.
 		require.NotEqual(t, old.vm.ID, o.by)
 	}
 }
@@ -219,8 +211,7 @@
 	}
 }
 
-// Guards against models of a lost engine that stay missing, because orders still go to the
-// identity that is gone.
+// Guards against models of a lost engine that stay missing because orders still go to it.
 func TestModelsOfAGoneEngineAreRestored(t *testing.T) {
 	w := newCluster(t, 4, 3, 1)
 	w.sendHeartbeats()
@@ -238,9 +229,7 @@
 	require.Len(t, w.copies(), 4)
 }
 
-// Guards against repeated orders to an unreachable engine that looks best for the busiest model as
-// it is empty, while another empty engine stays unused. The first failed connection must exclude it,
-// before its silence does.
+// Guards against repeated orders to an unreachable engine while another empty engine stays unused.
 func TestUnreachableEngineIsPlannedAround(t *testing.T) {
 	w := newCluster(t, 4, 4, 1)
 	for i := range 4 {
@@ -253,11 +242,11 @@
 		w.setDemand(0, 120)
 		w.advance(time.Second)
 	}
+	// A failed connection excludes the engine before its silence does.
 	require.Contains(t, w.engines["i-3"].held, modelName(0))
 }
 
-// Guards against models that move because one gateway is cut off and reports all engines as
-// unreachable, while their heartbeats continue.
+// Guards against models that move because one cut-off gateway reports all engines as unreachable.
 func TestHeartbeatsOutweighAGatewaysReport(t *testing.T) {
 	w := newCluster(t, 4, 3, 1)
 	w.sendHeartbeats()
@@ -271,8 +260,7 @@
 	require.Len(t, w.copies(), 4)
 }
 
-// Guards against overcommitted memory and overlapping directors under random sequences of shifting
-// demand, lost answers, late orders, requests for adapters, slow planning and lost leases.
+// Guards against overcommitted memory and overlapping directors under random sequences of faults.
 func TestRandomSchedules(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -320,9 +308,7 @@
 	}
 }
 
-// Guards against an order that counts as in progress forever: the heartbeat that shows its end
-// overtakes its answer, and later ones bring no change. The engine got no more orders, and callers
-// were refused for minutes while it was idle.
+// Guards against an order that counts as in progress forever, after the heartbeat that shows its end overtook its answer.
 func TestHeartbeatMayOvertakeOrderAnswer(t *testing.T) {
 	w := newCluster(t, 2, 1, 1)
 	w.class.WeightsMB = 100
@@ -340,9 +326,7 @@
 	}
 }
 
-// Guards against an order that counts as in progress forever: the heartbeat that shows its end is
-// lost, and later ones bring no change. The state report requested for the overdue order must end
-// it.
+// Guards against an order that counts as in progress forever, after the heartbeat that shows its end was lost.
 func TestOverdueOrderEndsByStateReport(t *testing.T) {
 	w := newCluster(t, 2, 1, 1)
 	w.class.WeightsMB = 100
@@ -358,9 +342,7 @@
 	require.Contains(t, e.held, modelName(1))
 }
 
-// Guards against overcommitted memory when a delayed order reaches an engine after its restart. The
-// engine counts its orders from zero again, and executes the old order if the count has reached the
-// number that it expects, next to the models ordered since.
+// Guards against overcommitted memory when a delayed order reaches an engine after its restart.
 func TestDelayedOrderMayReachRestartedEngine(t *testing.T) {
 	for late := 2 * time.Second; late < 12*time.Second; late += 500 * time.Millisecond {
 		t.Run(late.String(), func(t *testing.T) {
@@ -371,6 +353,7 @@
 			for len(e.lateOrders) == 0 {
 				w.advance(50 * time.Millisecond)
 			}
+			// It counts its orders from zero again, and accepts the old order once the count has reached its number.
 			e.restart()
 			// The model of the delayed order is loaded on another engine.
 			delete(w.engines, "i-2")
@@ -381,8 +364,7 @@
 	}
 }
 
-// Guards against a new director that requests the state of all engines at once and runs out of
-// file descriptors.
+// Guards against a new director that runs out of file descriptors by requesting the state of all engines at once.
 func TestConcurrentStateRequestsAreLimited(t *testing.T) {
 	const engines, most = 200, 64
 	w := newCluster(t, 1, engines, 1)
--- a/laburnumdirector/estimator_internal_test.go
+++ b/laburnumdirector/estimator_internal_test.go
@@ -15,8 +15,7 @@
 	}
 }
 
-// Guards against a fast model that gets as many engines as a slow one with the same request rate,
-// though it takes a tenth of the work.
+// Guards against a fast model that gets as many engines as a slow one with the same request rate.
 func TestFasterModelCountsAsLessWork(t *testing.T) {
 	s := newEstimator(riseTime, fallTime, quietTime)
 	now := time.Unix(1_000_000, 0)
@@ -28,8 +27,7 @@
 	require.InDelta(t, requests["slow"], requests["quick"], 0.01)
 }
 
-// Guards against read times that include waiting: one gateway measures on busy engines, another on
-// an idle one. The lower value applies, and higher ones raise it only slowly.
+// Guards against read times that include the waiting time on busy engines.
 func TestLowerReadTimeIsPreferred(t *testing.T) {
 	s := newEstimator(riseTime, fallTime, quietTime)
 	now := time.Unix(1_000_000, 0)
@@ -41,9 +39,7 @@
 	require.Less(t, s.readSeconds("m0"), 0.2*promptSeconds)
 }
 
-// Guards against an estimate that follows slowly when demand moves from one model to another. The
-// planner left six engines to a model without requests; within three seconds the estimate must show
-// most of the new demand and little of the old.
+// Guards against engines kept for a model without requests, because its estimate follows a shift of demand slowly.
 func TestEstimateFollowsShiftingDemand(t *testing.T) {
 	s := newEstimator(riseTime, fallTime, quietTime)
 	now := time.Unix(1_000_000, 0)
--- a/laburnumdirector/outliers_test.go
+++ b/laburnumdirector/outliers_test.go
@@ -10,8 +10,7 @@
 	"laburnumlever/laburnumregistry"
 )
 
-// Guards against a failing backend server that each of hundreds of gateways has to detect on its
-// own.
+// Guards against a failing backend server that each gateway has to detect on its own.
 func TestOutliersAreSentToGateways(t *testing.T) {
 	w := newCluster(t, 2, 3, 1)
 	w.sendHeartbeats()
--- a/laburnumdirector/plan_test.go
+++ b/laburnumdirector/plan_test.go
@@ -61,8 +61,7 @@
 	require.Empty(t, w.orders)
 }
 
-// Guards against the unload of a model's last copy, when its other copy was lost during the planning
-// round.
+// Guards against the unload of a model's last copy, when its other copy was lost during the planning round.
 func TestUnloadIsDroppedAfterLossOfACopy(t *testing.T) {
 	w := newCluster(t, 5, 3, 1)
 	n := w.directors[0]
--- a/laburnumproxy/conn_internal_test.go
+++ b/laburnumproxy/conn_internal_test.go
@@ -7,9 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a request being written after its attempt was reported as not-run. A caller's
-// deadline passes before the transport writes to the connection; a late write would then
-// book a second time when the caller retries.
+// Guards against a request that is written after its caller was told that it did not run, and runs twice if resent.
 func TestSealedConnectionRejectsWrites(t *testing.T) {
 	near, far := net.Pipe()
 	defer func() { require.NoError(t, far.Close()) }()
@@ -21,8 +19,7 @@
 	require.ErrorAs(t, err, &sealed)
 }
 
-// Once a byte is written, the call may have run: the connection must not be sealed, as the
-// response may still arrive.
+// Guards against sealing a connection whose request may have run and whose response may still arrive.
 func TestWrittenConnectionIsNotSealed(t *testing.T) {
 	near, far := net.Pipe()
 	defer func() { require.NoError(t, far.Close()) }()
--- a/laburnumproxy/outcome_test.go
+++ b/laburnumproxy/outcome_test.go
@@ -21,8 +21,7 @@
 	conn.Close()
 }
 
-// Guards against reporting not-run for a call that reached the service, as the caller would
-// then book twice. Not-run is correct only if no byte was sent or the service reported it.
+// Guards against reporting not-run for a call that reached the service, which callers would resend and run twice.
 func TestNotRunOnlyWhenNothingWasSent(t *testing.T) {
 	for name, c := range map[string]struct {
 		serve   http.HandlerFunc
@@ -58,8 +57,7 @@
 	}
 }
 
-// Guards against reporting the outcome of the last attempt alone. If the first engine dies
-// with the request and the second is unreachable, the outcome is unknown, not not-run.
+// Guards against reporting not-run because the last attempt did not run, after an earlier one reached an engine.
 func TestOutcomeCoversAllAttempts(t *testing.T) {
 	reachedAny := false
 	for seed := range uint64(8) {
@@ -75,9 +73,7 @@
 	require.True(t, reachedAny)
 }
 
-// Guards against net/http's own retry: if a kept-alive connection dies during the write, it
-// resends a request that has an Idempotency-Key on another connection. The call must be
-// sent once and the outcome reported as unknown.
+// Guards against net/http resending a request that has an Idempotency-Key after its kept-alive connection died.
 func TestTransportDoesNotRetryWrittenRequest(t *testing.T) {
 	b := newFixture(t, nil)
 	var bookings atomic.Int32
@@ -95,9 +91,7 @@
 	require.EqualValues(t, 1, bookings.Load())
 }
 
-// Guards against running a call twice when the caller loses the response and resends through
-// another VM. It gets the recorded response; the same key is separate for another caller,
-// and refused with different content.
+// Guards against running a call twice, or returning another caller's response, when a call is resent through another VM.
 func TestResendReturnsRecordedResponse(t *testing.T) {
 	first := newFixture(t, nil)
 	second := newFixture(t, first.log)
@@ -118,11 +112,11 @@
 	require.Equal(t, "for anna", resent.body)
 	require.EqualValues(t, 1, runs.Load())
 	ask(second, "friday", "anna").requireRefusal(t, "key-mismatch", "not-run")
+	// Keys are separate by caller.
 	require.Equal(t, "for bert", ask(second, "tuesday", "bert").body)
 }
 
-// Guards against running a call twice when the VM that sent it dies before the response is
-// recorded. A resend through another VM is refused with an unknown outcome.
+// Guards against running a call twice when the VM that claimed it dies before its response is recorded.
 func TestVMFailureAfterClaimReportsUnknown(t *testing.T) {
 	log := &fakeLog{claims: map[string]*fakeClaim{}}
 	b := newFixture(t, log)
@@ -133,8 +127,7 @@
 	b.post("/services/booking/visits", "", "Idempotency-Key", "l").requireRefusal(t, "key-in-progress", "unknown")
 }
 
-// Guards against running a call without a claim in a zone that is cut off from the log: it
-// could be run again elsewhere. It is refused as not-run.
+// Guards against running a call without a claim in a zone that is cut off from the log; it could run again elsewhere.
 func TestNoQuorumRefusesClaimedCall(t *testing.T) {
 	log := &fakeLog{claims: map[string]*fakeClaim{}, err: &laburnumlever.NoQuorumError{}}
 	b := newFixture(t, log)
@@ -144,8 +137,7 @@
 	require.Equal(t, "1", got.header.Get("Retry-After"))
 }
 
-// Guards against cancelling a non-idempotent call when its caller disconnects, which would
-// lose its outcome. The call runs to its end and a resend gets its response.
+// Guards against cancelling a non-idempotent call when its caller disconnects, which would lose its outcome.
 func TestNonIdempotentCallSurvivesCallerDisconnect(t *testing.T) {
 	b := newFixture(t, nil)
 	started, resume := make(chan struct{}), make(chan struct{})
@@ -185,8 +177,7 @@
 	(<-got).requireRefusal(t, "deadline", "unknown")
 }
 
-// Guards against buffering the streams of callers that stop reading, which would exhaust
-// memory. The engine is slowed by backpressure, and the request is aborted at the timeout.
+// Guards against buffering the streams of callers that stop reading, which would exhaust memory.
 func TestSlowCallerAppliesBackpressure(t *testing.T) {
 	b := newFixture(t, nil)
 	var written atomic.Int64
@@ -223,8 +214,7 @@
 	require.Less(t, written.Load(), int64(socketBuffers))
 }
 
-// Guards against cutting off streams when a VM is stopped: a draining VM refuses new
-// requests, reports that it is not ready, and waits for its streams to end.
+// Guards against cutting off streams, or accepting new requests, while a VM is stopped.
 func TestDrainWaitsForInFlightRequests(t *testing.T) {
 	b := newFixture(t, nil)
 	started, resume := make(chan struct{}), make(chan struct{})
@@ -253,9 +243,7 @@
 	require.Contains(t, (<-got).body, "[DONE]")
 }
 
-// Guards against a claim that a network partition delays until after the caller was told
-// not-run. The claim must be released, so that a resend runs once instead of being refused
-// as in progress.
+// Guards against refusing a resend as in progress, after a partition delayed the claim of a call reported as not-run.
 func TestDelayedClaimIsReleased(t *testing.T) {
 	b := newFixture(t, nil)
 	var runs atomic.Int32
@@ -272,9 +260,7 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
-// Guards against every call in a partitioned zone waiting for its claim to time out. After
-// the first, calls are refused at once, and one claim a second probes the log, so that
-// calls run again soon after the partition heals.
+// Guards against every call in a partitioned zone waiting for its claim to time out, and refusals after it heals.
 func TestClaimsFailFastWhileLogIsUnreachable(t *testing.T) {
 	b := newFixture(t, nil)
 	b.service(func(http.ResponseWriter, *http.Request) {})
@@ -296,6 +282,7 @@
 		b.post("/services/booking/visits", "", "Idempotency-Key", "k").requireRefusal(t, "no-quorum", "not-run")
 	}
 	require.Equal(t, 1, tries())
+	// One claim a second probes the log.
 	b.timers.Advance(time.Second)
 	b.post("/services/booking/visits", "", "Idempotency-Key", "k").requireRefusal(t, "no-quorum", "not-run")
 	require.Equal(t, 2, tries())
--- a/laburnumproxy/proxy_test.go
+++ b/laburnumproxy/proxy_test.go
@@ -83,8 +83,7 @@
 	return t.Manual.Now()
 }
 
-// Guards against refusing a request right after a model load, when the view has the engine
-// but the index is not yet due for a rebuild.
+// Guards against refusing a request right after a model load, before the index is due for a rebuild.
 func TestRequestAfterModelLoadRefreshesIndex(t *testing.T) {
 	b := newFixture(t, nil)
 	proxy := laburnumproxy.New(b.views, slowTimers{b.timers}, b.log)
@@ -95,8 +94,7 @@
 	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
 }
 
-// Guards against hashing prompts differently from the engines: requests would then miss the
-// engine that has the prompt's prefix cached, and the prompt would be computed again.
+// Guards against hashing prompts differently from the engines, so that requests miss the engine with the cached prefix.
 func TestPromptIsRoutedToCachedPrefix(t *testing.T) {
 	system := strings.Repeat("You estimate \"carpets\". ", 30)
 	hashes := laburnumstandin.PrefixHashes(laburnumstandin.JoinMessages([]string{system, "hall"}))
--- a/laburnumproxy/queue_test.go
+++ b/laburnumproxy/queue_test.go
@@ -12,9 +12,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against leaking slots. With all eight slots of the only engine taken, a ninth caller
-// is served once a slot is released, is refused as not-run at its deadline, or disconnects;
-// all eight slots must be usable afterwards.
+// Guards against slots leaked when a queued request is served, is refused at its deadline or loses its caller.
 func TestQueueForSlot(t *testing.T) {
 	const slots = 8
 	ask := func(ctx context.Context, b *fixture, id string) chan reply {
--- a/laburnumproxy/stream_test.go
+++ b/laburnumproxy/stream_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against truncated responses: when an engine dies mid-stream, the stream is resumed on
-// an engine that supports it, and the caller gets each token once.
+// Guards against truncated responses or repeated tokens when an engine dies mid-stream and another can resume.
 func TestBrokenStreamIsResumed(t *testing.T) {
 	b := newFixture(t, nil)
 	var from atomic.Value
@@ -32,8 +31,7 @@
 	require.Equal(t, 1, strings.Count(got.body, "[DONE]"))
 }
 
-// On engines that can't resume, another engine replays the stream from the first token, and
-// the tokens that the caller already has are skipped.
+// Guards against truncated responses or repeated tokens when no engine can resume and another replays the stream.
 func TestBrokenStreamIsReplayedOnAnotherEngine(t *testing.T) {
 	b := newFixture(t, nil)
 	var calls atomic.Int32
@@ -53,8 +51,7 @@
 	require.Contains(t, got.body, "[DONE]")
 }
 
-// Guards against joining two different responses: if the replay differs from the tokens
-// already forwarded, the caller gets an error event.
+// Guards against joining two different responses when a replay differs from the tokens already forwarded.
 func TestMismatchedReplayIsNotJoined(t *testing.T) {
 	b := newFixture(t, nil)
 	var calls atomic.Int32
@@ -75,8 +72,7 @@
 	require.Contains(t, got.body, `"type":"broken-stream"`)
 }
 
-// Guards against an end marker on a partial response. Every engine here ends its stream
-// early without an end marker, and no replay gets further than the caller already is.
+// Guards against an end marker on a partial response, when every engine ends its stream early without one.
 func TestPartialResponseHasNoEndMarker(t *testing.T) {
 	b := newFixture(t, nil)
 	b.engine(false, func(w http.ResponseWriter, _ *http.Request) { writeTokens(w, 0, 2) })
@@ -87,9 +83,7 @@
 	require.Contains(t, got.body, "event: error\ndata: {\"error\":")
 }
 
-// Guards against forwarding the response to another request, left on a connection whose
-// caller had disconnected. The echoed attempt ID differs, so the response is dropped and
-// the connection is not reused.
+// Guards against forwarding the response to another request, left on a connection whose caller had disconnected.
 func TestCrossedAnswerIsDropped(t *testing.T) {
 	for name, text := range map[string]string{"with a body": `{"text":"another's quote"}`, "without a body": ""} {
 		t.Run(name, func(t *testing.T) {
@@ -114,8 +108,7 @@
 	}
 }
 
-// Guards against an engine working on after its caller disconnects, which would hold a slot
-// needlessly: the proxy closes the connection, and this cancels the engine's request.
+// Guards against an engine that works on, and holds a slot, after its caller has disconnected.
 func TestCallerDisconnectCancelsEngineRequest(t *testing.T) {
 	b := newFixture(t, nil)
 	cancelled := make(chan struct{})
