docs: one line above the tests of laburnumlog and laburnumvoter

33 tests had stories of two or three lines. Each has one line now that names the failure it guards against; where a reader needs more, it stands in the body. Comments only, shown by comparing the syntax trees of each changed file without comments.

--- a/laburnumlog/exhaustive_test.go
+++ b/laburnumlog/exhaustive_test.go
@@ -107,8 +107,7 @@
 	return xxhash.Sum64(fmt.Append(text, messages, b, s.proposed)) // maps are printed in the order of their keys
 }
 
-// Guards against two leaders in a term, lost committed entries and proposals that confirm less than was committed before
-// them, in every order of events in small elections.
+// Guards against two leaders in a term, lost committed entries and stale confirmations, in every order of a few events.
 func TestSmallSchedulesExhaustively(t *testing.T) {
 	votes := []laburnumlog.MessageKind{laburnumlog.MessageVote, laburnumlog.MessageVoteAnswer}
 	all := append(votes, laburnumlog.MessageAppend, laburnumlog.MessageAppendAnswer)
--- a/laburnumlog/loss_tolerance_test.go
+++ b/laburnumlog/loss_tolerance_test.go
@@ -15,9 +15,7 @@
 // manual runs.
 var deeper = flag.Int("deeper", 0, "additional events in sequence in the exhaustive check")
 
-// Guards against removing a partitioned voter a second before its replacement is added: if one of
-// the two remaining voters then loses its disk, the log never again answers a read or accepts a
-// change, although two VMs hold the change. checkLossTolerance reports it at the removal's first sync.
+// Guards against a log that stops for good after a disk loss between the removal of a voter and the addition of another.
 func TestChangeCommittedDuringVoterReplacementSurvivesDiskLoss(t *testing.T) {
 	f := newFleet(4, 1)
 	f.settle(t)
@@ -25,6 +23,7 @@
 	f.faults[isolated].partition = 1
 	for range 6 {
 		f.runSecond()
+		// checkLossTolerance reports the removal alone at its first sync.
 		require.Empty(t, f.problem)
 	}
 	require.Len(t, f.committedVoters(f.replicas[f.leader()]), 3)
@@ -49,8 +48,7 @@
 	}, steps)
 }
 
-// Guards against a learner that never catches up and so prevents any other VM from replacing a
-// voter.
+// Guards against a learner that never catches up and prevents other VMs from replacing a voter.
 func TestStuckLearnerIsReplacedByAnotherVM(t *testing.T) {
 	f := newFleet(5, 1)
 	f.settle(t)
@@ -210,9 +208,7 @@
 	}
 }
 
-// Guards against a disk state from which the tolerated disk losses and a power loss lose a committed
-// change or leave no leader. Tries every sequence of a few events, such as a leader lost during a
-// membership change, a VM that returns outdated or empty, or a replica that never catches up.
+// Guards against disk states from which the tolerated losses lose a committed change or leave no leader, after a few faults.
 func TestLossToleranceExhaustively(t *testing.T) {
 	cases := []struct{ vms, losses, depth int }{{3, 1, 2}, {4, 1, 2}, {5, 1, 1}, {5, 2, 1}, {6, 2, 1}}
 	if testing.Short() {
@@ -280,8 +276,7 @@
 	}
 }
 
-// Guards against the same as TestLossToleranceExhaustively in long sequences of random events that
-// start at the bootstrap, so VMs are lost even before the log has all its voters.
+// Guards against the loss of committed changes by tolerated disk losses, in long random sequences from the bootstrap on.
 func TestLossToleranceOnRandomWalks(t *testing.T) {
 	sizes := []struct{ vms, losses int }{{3, 1}, {4, 1}, {5, 1}, {5, 2}, {6, 2}, {8, 2}}
 	if testing.Short() {
@@ -297,8 +292,7 @@
 	}
 }
 
-// Guards against loss tolerance that holds only while disks respond: the same random walks with
-// disks that hang.
+// Guards against loss tolerance that holds only while disks respond, in random sequences of faults and hung disks.
 func TestLossToleranceOnRandomWalksWithHungDisks(t *testing.T) {
 	sizes := []struct{ vms, losses int }{{3, 1}, {5, 2}, {6, 2}}
 	if testing.Short() {
@@ -345,9 +339,9 @@
 	}
 }
 
-// Guards against a repair that takes longer than 4 s after a VM whose disk was lost returns or is
-// replaced.
+// Guards against a slow repair after a VM whose disk was lost returns or is replaced.
 func TestRepairCompletesWithinDeadline(t *testing.T) {
+	// catchUpTicks are the deadline of 4 s.
 	const catchUpTicks, darkTicks = 40, 10
 	for _, size := range []struct{ vms, losses int }{{3, 1}, {4, 1}, {5, 2}, {8, 2}} {
 		for _, target := range faultTargets[:3] {
--- a/laburnumlog/message_fuzz_test.go
+++ b/laburnumlog/message_fuzz_test.go
@@ -9,8 +9,7 @@
 	"laburnumlever/laburnumlog"
 )
 
-// FuzzMessages guards against messages decoded from another VM's JSON that make a replica panic,
-// at once or in later steps, or decrease its commit index.
+// Guards against messages from another VM that make a replica panic or decrease its commit index.
 func FuzzMessages(f *testing.F) {
 	f.Add([]byte(`[{"kind":"message-append","from":"b/2","to":"a/1","term":3,"index":2,"log-term":1,"commit":9,"entries":[{"index":3,"term":3}]}]`))
 	f.Add([]byte(`[{"kind":"message-append","from":"b/2","to":"a/1","term":3,"index":2,"log-term":1,"entries":[{"index":9,"term":3},{"index":4,"term":2}]}]`))
--- a/laburnumlog/regression_test.go
+++ b/laburnumlog/regression_test.go
@@ -37,9 +37,7 @@
 
 func never() bool { return false }
 
-// Guards against committing an entry of an older term because a majority holds it. If the leader
-// then restarts before an entry of its own term is committed, a replica with a later entry can
-// win the election and replace the old one, and an acknowledged change would be lost.
+// Guards against losing an acknowledged change of an older term that was committed by count and replaced by the next leader.
 func TestEntryOfOlderTermIsNotCommittedByCount(t *testing.T) {
 	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
@@ -69,9 +67,7 @@
 	require.EqualValues(t, 3, s.committed[2].entry.Term)
 }
 
-// Guards against counting a VM that was restored from an older copy of its disk: it lacks entries
-// that it had acknowledged, so a majority could hold less than was committed. A delayed rejection
-// from before the restart must not be mistaken for a rolled-back disk.
+// Guards against a majority that counts a VM restored from an older copy of its disk.
 func TestRolledBackDiskIsDetected(t *testing.T) {
 	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
@@ -82,6 +78,7 @@
 		s.propose(a, 1)
 		s.run(never, a, b, c)
 	}
+	// A delayed rejection from before the restart is no sign of a rolled-back disk.
 	refusal := laburnumlog.Message{Kind: laburnumlog.MessageAppendAnswer, From: b.id, To: a.id, Term: a.log.Term(), Boot: laburnumlog.Boot(1, 0), Reject: true, Index: a.log.LastIndex(), Hint: 1, Commit: 1}
 	s.step(a, laburnumlog.Receive{Message: refusal})
 	p, _ := a.log.Progress(b.id)
@@ -98,8 +95,7 @@
 	require.Equal(t, a.log.LastIndex(), a.log.Commit(), "a and c still commit")
 }
 
-// Guards against a partitioned leader that keeps an uncommitted membership change after the
-// others have elected a new leader: it would count majorities among the wrong voters.
+// Guards against a partitioned leader that keeps an uncommitted membership change and counts the wrong voters.
 func TestUncommittedMembershipChangeIsRolledBack(t *testing.T) {
 	s := newSimulation(4, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
@@ -122,8 +118,7 @@
 	require.Equal(t, b.log.Commit(), a.log.Commit())
 }
 
-// Guards against a replica that installs the leader's snapshot but keeps its divergent log tail
-// on disk: after a restart the tail would follow the snapshot.
+// Guards against a divergent log tail that follows the installed snapshot after a restart.
 func TestSnapshotDropsDivergentTail(t *testing.T) {
 	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
@@ -146,9 +141,7 @@
 	require.Empty(t, s.problem)
 }
 
-// Guards against a leader that sends a whole snapshot to a voter that was down during the
-// election but has the complete log, which delayed the restarted voter. The leader must find
-// the matching index by probing.
+// Guards against sending a whole snapshot to a restarted voter that has the complete log.
 func TestRestartedVoterGetsNoSnapshot(t *testing.T) {
 	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
@@ -172,8 +165,7 @@
 	require.Equal(t, b.log.LastIndex(), c.log.LastIndex())
 }
 
-// Guards against a leader that counts new entries as durable because it had synced others,
-// since replaced, at the same indexes: a single crash could lose committed entries.
+// Guards against committed entries lost in a crash, as the leader counted entries as durable that replaced synced ones.
 func TestReplacedTailIsNotCountedAsDurable(t *testing.T) {
 	s := newSimulation(3, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
@@ -203,9 +195,7 @@
 	require.Equal(t, before+1, a.log.Commit())
 }
 
-// Guards against a new leader that changes the members before it has committed an entry of its
-// own term. A previous leader's change may still be pending; majorities of the two
-// configurations need not overlap, so two leaders could commit.
+// Guards against two leaders that commit, after a new leader changed members while an older change was pending.
 func TestMembershipChangeRequiresCommitInOwnTerm(t *testing.T) {
 	s := newSimulation(4, 3, 0)
 	a, b, c := s.replicas[0], s.replicas[1], s.replicas[2]
@@ -221,8 +211,7 @@
 	require.True(t, a.log.ChangePending())
 }
 
-// Guards against a single voter that leads before its own vote is durable: after a crash it could
-// lead the same term a second time, with different entries.
+// Guards against a single voter that leads the same term twice, with a crash between, as its own vote was not yet durable.
 func TestOwnVoteCountsOnceDurable(t *testing.T) {
 	s := newSimulation(1, 1, 0)
 	a := s.replicas[0]
@@ -235,9 +224,7 @@
 	require.Equal(t, laburnumlog.Leader, a.log.Role())
 }
 
-// Guards against a log without a possible leader, after a leader restarts when only it has
-// appended its own removal. The other voter lacks that entry, so the old leader, whose vote it
-// needs, rejects it; and the old leader is no voter of its own last configuration.
+// Guards against a log without a possible leader, after a leader restarts when only it has appended its own removal.
 func TestLeaderRestartsBeforeItsRemovalIsCommitted(t *testing.T) {
 	s := newSimulation(2, 2, 0)
 	a, b := s.replicas[0], s.replicas[1]
@@ -252,8 +239,7 @@
 	require.NotEqual(t, laburnumlog.Leader, a.log.Role())
 }
 
-// Guards against the same with a joint configuration: the leader is replaced by a learner that
-// caught up. Both hold the joint configuration, but only the leader's disk holds the final one.
+// Guards against a log without a possible leader, after a leader restarts when only it has the final configuration on disk.
 func TestLeaderRestartsBeforeItsReplacementIsCommitted(t *testing.T) {
 	s := newSimulation(2, 1, 0)
 	a, b := s.replicas[0], s.replicas[1]
--- a/laburnumlog/schedule_test.go
+++ b/laburnumlog/schedule_test.go
@@ -302,9 +302,7 @@
 	return true
 }
 
-// Guards against committed entries that are lost or changed, two leaders in a term, and a log
-// that makes no progress once the faults end. At any step messages may be lost, duplicated or
-// reordered, replicas may restart, disks may be lost and voters may change.
+// Guards against lost or changed entries, two leaders in a term and no progress after random faults and membership changes.
 func TestRandomSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(4, rapid.IntRange(1, 3).Draw(t, "voters"), 0)
@@ -320,8 +318,7 @@
 	})
 }
 
-// TestLongSchedules checks the same as TestRandomSchedules over much longer runs than rapid
-// would draw, from fixed seeds.
+// Guards against the failures of TestRandomSchedules in runs that are longer than those rapid draws.
 func TestLongSchedules(t *testing.T) {
 	for seed := range uint64(150) {
 		n := 3 + int(seed%3)
--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -60,8 +60,7 @@
 	return files
 }
 
-// Guards against a leader that keeps acknowledging after its fsync failed. It must report the
-// failure and stop its replica; the change in flight and later ones go to the other voters.
+// Guards against a leader that keeps acknowledging changes after its fsync failed.
 func TestFailingFsyncStepsDown(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	files := startWithFaults(f)
@@ -91,8 +90,7 @@
 	}
 }
 
-// Guards against a slow fsync on the leader that delays heartbeats and so causes an election. The
-// other voters' disks are a majority, so commits must continue.
+// Guards against an election because a slow fsync delays the leader's heartbeats.
 func TestSlowDiskDoesNotStopHeartbeats(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	files := startWithFaults(f)
@@ -128,8 +126,7 @@
 	return f, d
 }
 
-// Guards against a lost voter that is not replaced by a spare VM without an operator, or a
-// replacement that doesn't count: a second loss right afterwards must lose nothing.
+// Guards against losing changes in a second loss, because a spare VM did not replace the first lost voter.
 func TestGoneVoterIsReplaced(t *testing.T) {
 	f, d := fleetWithReplacedVoter(t)
 	f.stop("b")
@@ -154,8 +151,7 @@
 	f.wait("c logs a missing leader once there is none", func() bool { return logs.has(laburnumlever.EventNoLeader) })
 }
 
-// Guards against a VM whose folder was restored from a copy older than what it has acknowledged
-// since: it must come back as a new instance and catch up before it counts.
+// Guards against counting a VM whose folder was restored from an older copy before it has caught up as a new instance.
 func TestOlderFolderIsANewInstance(t *testing.T) {
 	for name, extraStarts := range map[string]int{"same count of starts": 0, "fewer starts": 2} {
 		t.Run(name, func(t *testing.T) {
@@ -238,8 +234,7 @@
 	require.Less(t, time.Duration(granted.Idle), ttl+ttl/4)
 }
 
-// Guards against a lease that outlives its holder: without renewals it must expire by the leader's
-// clock, and the next holder must get a higher fence. A holder that renews keeps it.
+// Guards against a lease that outlives its holder, or whose next holder gets no higher fence.
 func TestLeaseEndsWithoutRenewal(t *testing.T) {
 	f := newFleet(t, []string{"a"})
 	a := f.start("a", f.folder("a"))
--- a/laburnumvoter/report_test.go
+++ b/laburnumvoter/report_test.go
@@ -47,9 +47,7 @@
 
 var _ log.Logger = (*logRecorder)(nil)
 
-// Guards against a missing quorum that the log doesn't explain although every VM is up: one of two
-// voters has lost its data folder, so its old instance can't vote. The log must name the voters, the
-// missing vote, and that its VM now runs another instance.
+// Guards against a missing quorum that neither the log nor the operator's error explains, although every VM is up.
 func TestNoLeaderLogNamesMissingVotes(t *testing.T) {
 	f := newFleet(t, []string{"a", "b"}, laburnumvoter.WithProposalTimeout(time.Hour),
 		laburnumvoter.WithLeaderlessTimeout(20*tick))
@@ -61,6 +59,7 @@
 		return err == nil
 	})
 	f.stop("b")
+	// Its old instance can't vote any more.
 	require.NoError(t, os.RemoveAll(f.folder("b")))
 	f.start("b", f.folder("b"))
 	f.wait("the missing leader is logged", func() bool {
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -200,8 +200,7 @@
 	require.Equal(t, laburnumlever.ResultInvalid, a.apply(t, strings.Repeat("large", 1<<20), 20).Code)
 }
 
-// Guards against a restarted control VM that leaves gateways without routes until its first tick,
-// although the confirmed state is on its disk.
+// Guards against a restarted control VM that delivers the confirmed state on its disk only at its first tick.
 func TestRestartDeliversConfirmedCatalogueAtOnce(t *testing.T) {
 	f := newFleet(t, []string{"a"})
 	m := f.start("a", f.folder("a"))
@@ -218,11 +217,11 @@
 	}
 }
 
-// Guards against a change that is lost or applied twice when the leader is killed. The change is
-// proposed on a VM without a disk; Propose must retry an attempt that was lost with the leader.
+// Guards against changes that are lost or applied twice when the leader is killed.
 func TestChangesSurviveLeaderCrash(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	f.startAll()
+	// It has no disk, and must retry an attempt that was lost with the leader.
 	client := f.start("d", "")
 	revision := uint64(0)
 	for round := range 3 {
@@ -239,9 +238,7 @@
 	require.EqualValues(t, 33, revision)
 }
 
-// Guards against the loss of acknowledged changes when a VM loses its data folder and a second VM is
-// lost right after: the first comes back as a new instance and must catch up before it replaces the
-// old one.
+// Guards against losing acknowledged changes when a VM loses its data folder and a second VM is lost right after.
 func TestLostFolderThenASecondLoss(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithSnapshotBytes(2000))
 	f.startAll()
@@ -267,8 +264,7 @@
 	b.waitRevision(t, 45)
 }
 
-// Guards against a voter that lost its folder and becomes a voter again only at the leader's next
-// tick.
+// Guards against a voter that lost its folder and becomes a voter again only at the leader's next tick.
 func TestLostFolderIsRepairedWithoutWaiting(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	f.startAll()
@@ -287,8 +283,7 @@
 	})
 }
 
-// Guards against a first change that is committed by too few voters to tolerate the configured
-// losses.
+// Guards against a first change that is committed by too few voters to tolerate the configured losses.
 func TestFirstChangeWaitsForTheVoters(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithVoterTarget(5), laburnumvoter.WithFirstChangeTolerance(2, time.Hour))
 	f.startAll()
@@ -304,8 +299,7 @@
 	require.Len(t, f.vms[f.leader()].Status().Voters, 5)
 }
 
-// Guards against both or neither of two concurrent changes at the same revision being applied. One
-// must win; the other must get a conflict with the winning revision.
+// Guards against both or neither of two concurrent changes at the same revision being applied.
 func TestRacingOperators(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	f.startAll()
@@ -322,8 +316,7 @@
 	}
 }
 
-// Guards against a cut-off leader that keeps accepting commands. First it can send but not receive,
-// then neither; it must step down, and the others must elect another leader.
+// Guards against a cut-off leader that keeps accepting commands.
 func TestCutOffLeaderStepsDown(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	f.startAll()
@@ -335,6 +328,7 @@
 			f.net.cut(old, string(v.VM), on && both)
 		}
 	}
+	// It can send but not receive, then neither.
 	cut(true, false)
 	f.wait("the old leader steps down", func() bool { return f.vms[old].Status().Role != "leader" })
 	cut(true, true)
