docs: one line above the tests of laburnummembership and laburnumorder

37 tests had stories of two or three lines. Each has one line now that names the failure it guards against; where a reader needs more, it stands in the body. The stories are in the history. Comments only, shown by comparing the syntax trees of each changed file without comments.

--- a/laburnummembership/bench_test.go
+++ b/laburnummembership/bench_test.go
@@ -58,8 +58,7 @@
 // end.
 const changesPerSecond = 6
 
-// TestMeasureCost is a measurement, not a check. Its results are recorded in
-// docs/membership-measures.md.
+// Measures the cost of membership for docs/membership-measures.md; it checks nothing.
 func TestMeasureCost(t *testing.T) {
 	for _, vms := range sizes(t) {
 		t.Run(strconv.Itoa(vms), func(t *testing.T) { measure(t, vms) })
@@ -151,8 +150,7 @@
 	return m.HeapAlloc
 }
 
-// TestMeasureProcess measures VMs with real sockets in one process, to include the cost of
-// connections and the kernel. Two engines for each VM announce and report.
+// Measures VMs with real sockets in one process, to include the cost of connections and the kernel.
 func TestMeasureProcess(t *testing.T) {
 	for _, count := range sizes(t) {
 		nodes := startNodes(t, count)
--- a/laburnummembership/failures_test.go
+++ b/laburnummembership/failures_test.go
@@ -53,8 +53,7 @@
 	}
 }
 
-// Guards against slow gossip: within three seconds, requests through any VM must use a new
-// engine and stop using one that is leaving.
+// Guards against VMs that use a new engine late, or go on using one that is leaving, because gossip is slow.
 func TestBackendStateReachesAllVMsWithinThreeSeconds(t *testing.T) {
 	for seed := range uint64(40) {
 		f := newJoinedFleet(t, 100+seed)
@@ -83,8 +82,7 @@
 	})
 }
 
-// Guards against callers and orders going on being sent to a VM that crashed, and against a
-// restarted VM staying down.
+// Guards against sending callers and orders to a VM that crashed, and against a restarted VM that stays down.
 func TestDeadVMIsMarkedDownAndRejoins(t *testing.T) {
 	f := newJoinedFleet(t, 1)
 	f.VMs[4].Dead = true
@@ -93,8 +91,7 @@
 	eventually(t, f, 5*time.Second, "alive again", func(n *fleetVM) bool { return n.AliveCount() == 6 })
 }
 
-// A VM is paused (SIGSTOP) for 30 s and marked as down. When it resumes, all its timers and
-// calls have expired; it must not mark the other VMs and its backend servers as down for that.
+// Guards against a VM that marks others as down when it resumes after a pause, as all its timers and calls have expired.
 func TestResumedVMMarksNobodyDown(t *testing.T) {
 	f := newJoinedFleet(t, 2)
 	resumed := f.VMs[3]
@@ -114,9 +111,7 @@
 	eventually(t, f, 5*time.Second, "alive again", func(n *fleetVM) bool { return n.AliveCount() == 6 })
 }
 
-// Links fail in one direction: one VM to another, one to all, or all to one. Guards against
-// trusting a single prober, which would mark healthy VMs as down repeatedly, and their backend
-// servers with them.
+// Guards against healthy VMs marked as down because a single prober has broken links in one direction.
 func TestAsymmetricLinkFailuresMarkNoOtherVMDown(t *testing.T) {
 	cuts := map[string]func(f *fleet) func(from, to *fleetVM) bool{
 		"one to one": func(f *fleet) func(from, to *fleetVM) bool {
@@ -147,9 +142,7 @@
 	}
 }
 
-// A zone is cut off for ten minutes while engines start on both sides. Guards against a side
-// losing its own state, and against the sides never reconnecting because VMs that are down are
-// not probed.
+// Guards against a partitioned zone that loses its own state, or never reconnects as VMs that are down are not probed.
 func TestPartitionedZoneKeepsItsMembersAndHeals(t *testing.T) {
 	f := newJoinedFleet(t, 4)
 	inside := func(n *fleetVM) bool { return n == f.VMs[0] || n == f.VMs[3] }
@@ -173,9 +166,7 @@
 	})
 }
 
-// Guards against work for a backend server whose announcements have stopped (crashed, hung or
-// cut off), and against keeping its old inventory after a restart: requests for those models
-// would fail.
+// Guards against requests for a silent backend server, or for models that it no longer holds after a restart.
 func TestSilentBackendIsMarkedDownAndRestartsEmpty(t *testing.T) {
 	f := newJoinedFleet(t, 5)
 	e := f.AddEngine(1, "zone-1", f.VMs[1], f.VMs[4])
@@ -193,8 +184,7 @@
 	})
 }
 
-// The publisher of an engine loses contact with it or crashes while another VM is still in
-// contact. Guards against marking the healthy engine as down because one VM lost contact.
+// Guards against marking a healthy engine as down because the VM that publishes it lost contact or crashed.
 func TestAnotherVMTakesOverPublishingABackend(t *testing.T) {
 	for _, name := range []string{"link broken", "publisher dead"} {
 		t.Run(name, func(t *testing.T) {
@@ -214,9 +204,7 @@
 	}
 }
 
-// A leaving engine goes on announcing while it finishes its requests, and a VM that was cut off
-// gossips an older state. Guards against that state undoing the leaving: new requests would be
-// cut off.
+// Guards against an older state that undoes the leaving of an engine, whose new requests would be cut off.
 func TestLeavingIsStickyUntilANewIncarnation(t *testing.T) {
 	f := newJoinedFleet(t, 7)
 	e := f.AddEngine(1, "zone-1", f.VMs[1], f.VMs[4])
@@ -234,8 +222,7 @@
 	eventually(t, f, 3*time.Second, "new incarnation takes work", func(n *fleetVM) bool { b, _ := f.Backend(n, id); return b.AcceptsRequests() })
 }
 
-// With a third of all messages lost, no VM may be marked as down and load must still arrive
-// within a second in the engine's zone.
+// Guards against VMs marked as down, or load that arrives late, because a third of all messages is lost.
 func TestMessageLossMarksNobodyDown(t *testing.T) {
 	for seed := range uint64(4) {
 		f := newJoinedFleet(t, 8+seed)
@@ -249,8 +236,7 @@
 	}
 }
 
-// Guards against records of removed VMs staying in memory for ever, and against late gossip
-// restoring them.
+// Guards against records of removed VMs that stay in memory forever, or that late gossip restores.
 func TestRemovedVMIsForgotten(t *testing.T) {
 	f := newJoinedFleet(t, 9)
 	gone := f.VMs[5]
@@ -264,9 +250,7 @@
 	}
 }
 
-// An engine sends its last report while messages are lost, then only announcements. Guards
-// against a VM that missed that row keeping an older load, as each row is sent only a few
-// times.
+// Guards against a VM that keeps an older load after it missed the last report of an engine.
 func TestLastLoadReachesEveryVM(t *testing.T) {
 	for seed := range uint64(10) {
 		f := newJoinedFleet(t, 20+seed)
@@ -275,6 +259,7 @@
 		reports := e.Report.Sequence
 		eventually(t, f, 2*time.Second, "reports", func(*fleetVM) bool { return e.Report.Sequence > reports })
 		e.NoReports = true
+		// Each row is sent only a few times, so some VMs miss it.
 		f.Loss = 0.8
 		f.Advance(time.Second)
 		f.Loss = 0
@@ -285,9 +270,7 @@
 	}
 }
 
-// Inventories change while messages are lost, so VMs miss one delta and receive the next.
-// Guards against applying a delta to an older state: the VM would route to copies that are gone
-// or miss new ones.
+// Guards against inventories that are wrong for good because a delta was applied after a lost one.
 func TestInventoryDeltasConverge(t *testing.T) {
 	f := newJoinedFleet(t, 40)
 	e := f.AddEngine(1, "zone-1", f.VMs[1], f.VMs[4])
@@ -304,8 +287,7 @@
 	})
 }
 
-// Guards against a zone owner missing demand that arrives at other VMs, and against still
-// counting the demand of a VM that crashed.
+// Guards against a zone owner that misses demand arriving at other VMs, or still counts that of a VM that crashed.
 func TestDemandReachesTheZoneOwner(t *testing.T) {
 	f := newJoinedFleet(t, 50)
 	f.SetOwner(f.VMs[1])
--- a/laburnummembership/staleupdates_test.go
+++ b/laburnummembership/staleupdates_test.go
@@ -20,9 +20,7 @@
 	return n, f.Now
 }
 
-// A backend server has restarted at another address when a delayed announcement of its previous
-// incarnation arrives. Guards against sending requests to the old address, which may belong to
-// another process by now.
+// Guards against requests sent to the old address of a restarted backend server after a delayed announcement.
 func TestAnnouncementOfEarlierIncarnationIsRefused(t *testing.T) {
 	n, now := newVMWithRestartedBackend(t)
 	late := laburnumlever.Announcement{Backend: "quote-1", Kind: laburnumlever.Engine, Incarnation: 1, Address: "10.0.9.1:9000"}
@@ -31,8 +29,7 @@
 	require.Equal(t, "10.0.9.2:9000", n.backends.records["quote-1"].state.Announcement.Address)
 }
 
-// Guards against a delayed load report of the previous incarnation giving the new process the
-// old inventory, and making it appear to be in contact.
+// Guards against a restarted backend server that gets its old inventory, or seems in contact, by a delayed report.
 func TestReportOfEarlierIncarnationIsRefused(t *testing.T) {
 	n, now := newVMWithRestartedBackend(t)
 	late := laburnumlever.LoadReport{
@@ -45,8 +42,7 @@
 	require.NoError(t, n.report(laburnumlever.LoadReport{Backend: "quote-1", Incarnation: 2, Sequence: 2}, now))
 }
 
-// Guards against a delayed leave notice of the previous incarnation: the new process would get
-// no work until its next restart.
+// Guards against a restarted backend server that gets no work after a delayed leave notice of its previous incarnation.
 func TestLeaveOfEarlierIncarnationIsRefused(t *testing.T) {
 	n, now := newVMWithRestartedBackend(t)
 	var stale *laburnumlever.StaleNewsError
@@ -54,9 +50,7 @@
 	require.False(t, n.backends.records["quote-1"].state.Leaving)
 }
 
-// A publisher that was cut off gossips a newer state without Leaving, while another VM has
-// received the leave notice. Guards against that state undoing the leaving: requests would go
-// to a process about to end.
+// Guards against requests sent to a leaving process after gossip of a publisher that missed the leave notice.
 func TestNewerStateWithoutLeavingDoesNotUndoIt(t *testing.T) {
 	n, now := newVMWithRestartedBackend(t)
 	require.NoError(t, n.leaveBackend("quote-1", 2, now))
--- a/laburnumorder/httpengines_test.go
+++ b/laburnumorder/httpengines_test.go
@@ -15,8 +15,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against reporting an order as not sent once it had a connection: an engine that
-// closes the connection after reading the order may have applied it.
+// Guards against reporting an order as not sent although the engine may have read and applied it.
 func TestHTTPEngines(t *testing.T) {
 	a := laburnumlever.Announcement{
 		Backend: "e", Incarnation: 3, ChecksFencing: true,
--- a/laburnumorder/owner_test.go
+++ b/laburnumorder/owner_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A zone starts cold with two VMs. One of them becomes the owner, and every model becomes
-// reachable on both kinds of engine.
+// Guards against models that stay missing, or two owners, after a zone starts cold with two VMs.
 func TestAllModelsBecomeReachable(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		w := newHarness(t, checks, checks)
@@ -26,9 +25,7 @@
 	}
 }
 
-// Guards against missing models and over-committed memory when an order or its answer is
-// lost, delayed or duplicated: the owner must neither stop retrying nor treat the order as
-// not sent. The engine counts its memory.
+// Guards against missing models and over-committed memory when an order or its answer is lost, delayed or duplicated.
 func TestLostDelayedAndDuplicatedOrders(t *testing.T) {
 	for name, fault := range map[string]orderFault{"lost": orderLost, "answer lost": answerLost, "late": orderDelayed, "twice": orderDuplicated} {
 		for _, checks := range []bool{true, false} {
@@ -47,8 +44,7 @@
 	}
 }
 
-// The owner is killed after it committed an intent, or after it sent an order that arrives
-// 20 s later. Guards against a new owner that ignores orders of the old one still in flight.
+// Guards against a new owner that ignores orders of the old one still in flight.
 func TestOwnerKilledWithOrderInFlight(t *testing.T) {
 	for name, fault := range map[string]orderFault{"between intent and send": orderLost, "between send and answer": orderDelayed} {
 		for _, checks := range []bool{true, false} {
@@ -67,9 +63,7 @@
 	}
 }
 
-// The owner's VM is frozen just before it sends an order until after its lease has expired
-// and the other VM has filled the memory. Guards against the first VM's order taking effect
-// when it resumes.
+// Guards against an order that a frozen owner sends when it resumes, after another owner has filled the memory.
 func TestFrozenOwnerResumesAndSends(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		w := newHarness(t, checks)
@@ -109,9 +103,7 @@
 	return begun && len(v.work) > 0 && (checks || len(w.quorum.intents) > 0)
 }
 
-// The zone is cut off from the quorum and an engine restarts. Engines that check fencing
-// numbers are still ordered, so the models return; engines that do not check get no orders
-// until the quorum is back.
+// Guards against models missing in a zone that is cut off, and against its orders to engines that check no fencing numbers.
 func TestZoneCutFromQuorum(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		w := newHarness(t, checks, checks)
@@ -137,8 +129,7 @@
 	}
 }
 
-// An owner that was never granted the lease sends no orders, not even to engines that check
-// fencing numbers.
+// Guards against orders from an owner that was never granted the lease, even to engines that check fencing numbers.
 func TestNoOrdersWithoutLease(t *testing.T) {
 	w := newHarness(t, true, false)
 	for _, v := range w.vms {
@@ -148,8 +139,7 @@
 	require.Empty(t, w.orders)
 }
 
-// An engine announces that it checks fencing numbers but does not. Guards against orders to
-// it that neither fencing nor the lease protects.
+// Guards against orders to an engine that announces that it checks fencing numbers but does not.
 func TestEngineIgnoringFencingNumberGetsNoOrders(t *testing.T) {
 	w := newHarness(t, false)
 	w.ignoreFencing = true
@@ -157,8 +147,7 @@
 	require.Empty(t, w.orders)
 }
 
-// Engines keep reporting their copies from before a restart and before new loads. Guards
-// against loading into memory that is in use because of such stale reports.
+// Guards against loading into memory that is in use, because engines report copies from before a restart or a load.
 func TestStaleReportsAndRestarts(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		w := newHarness(t, checks, checks)
@@ -175,9 +164,7 @@
 	}
 }
 
-// Sizes, versions, models and adapters change while loads are in progress, and an
-// accelerator fails. Guards against missing models of the newest catalogue and against
-// over-committed memory.
+// Guards against missing models and over-committed memory when the catalogue changes during loads or an accelerator fails.
 func TestCatalogueChangesUnderLoad(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		w := newHarness(t, checks, checks, checks)
--- a/laburnumorder/schedule_test.go
+++ b/laburnumorder/schedule_test.go
@@ -9,9 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// Random faults: orders lost, delayed or duplicated, VMs frozen, killed and cut off, engines
-// restarted, the catalogue changed, with both kinds of engine. Guards against memory being
-// over-committed at any time, and against missing models after the faults end.
+// Guards against over-committed memory under random faults, and against missing models after they end.
 func TestRandomScheduleNeverOverCommits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newHarness(t, true, false, rapid.Bool().Draw(t, "third engine checks"))
@@ -50,9 +48,7 @@
 	})
 }
 
-// The owners of two zones have stale or no views of each other's engines, freeze and fail
-// while versions and sizes change; no engine fails. Guards against both zones unloading
-// their copies of a model because each relies on the other's.
+// Guards against two zones that both unload their copies of a model because each relies on the other's.
 func TestRandomViewsLoseNoModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newZonesHarness(t, []laburnumlever.ZoneName{"a", "b"}, true, true, true, true)
--- a/laburnumorder/zones_test.go
+++ b/laburnumorder/zones_test.go
@@ -29,9 +29,7 @@
 	require.Len(w.t, names, len(w.catalogue.Models))
 }
 
-// Two zones are partitioned, with the quorum in zone a, and an engine restarts in each.
-// Guards against models that stay missing in a zone whose memory can hold them, and against
-// moves after the partition heals.
+// Guards against models that stay missing in a partitioned zone with memory for them, and against moves after it heals.
 func TestPartitionedZones(t *testing.T) {
 	w := twoZones(t)
 	a, b := w.vms[0], w.vms[1]
@@ -48,8 +46,7 @@
 	require.Len(t, w.orders, before)
 }
 
-// Zone a does not see zone b's engines, b sees all. Guards against each zone waiting for the
-// other to repair a model, and against endless loads and unloads.
+// Guards against zones that wait for each other to repair a model, or load and unload without end, as their views differ.
 func TestDivergingViewsConverge(t *testing.T) {
 	w := twoZones(t)
 	w.vms[0].isolated = true
@@ -62,8 +59,7 @@
 	require.Len(t, w.orders, before)
 }
 
-// All zones load from one weight store. Guards against exceeding its rate or its parallel
-// loads in a cold start after all engines failed.
+// Guards against exceeding the weight store's rate or parallel loads when all zones start cold at once.
 func TestColdStartRespectsWeightStoreLimits(t *testing.T) {
 	zones := []laburnumlever.ZoneName{"a", "b", "c", "d"}
 	w := newZonesHarness(t, zones, true, true, true, true, true, true, true, true)
@@ -92,9 +88,7 @@
 	require.Positive(t, highest)
 }
 
-// Guards against an endless loop after fast changes of versions and sizes: each round the
-// owner unloads a new copy to make room, finds its memory still counted and loads it again.
-// The orders of every round postpone the inventory read that would end the count.
+// Guards against endless unloads and loads of the same copy after fast changes of versions and sizes in full memory.
 func TestVersionChangesConvergeInFullMemory(t *testing.T) {
 	w := newZonesHarness(t, []laburnumlever.ZoneName{"a", "b"}, true, true, true, true)
 	w.run(2 * time.Minute)
@@ -116,15 +110,14 @@
 	w.change(1, func(m *laburnumlever.Model) { m.Adapters = []laburnumlever.Adapter{{Name: "x", SizeMiB: 3}} })
 	w.vms[1].frozen = false
 	w.run(5 * time.Minute)
+	// The orders of a round must not postpone the inventory read that frees the memory still counted.
 	requireCurrent(t, w)
 	before := len(w.orders)
 	w.run(time.Minute)
 	require.Len(t, w.orders, before)
 }
 
-// Versions change twice a second, so that each round has an order for the engine. Guards
-// against orders that keep postponing the inventory read: only a read frees the memory that
-// is counted for settled orders.
+// Guards against orders that keep postponing the inventory read, which alone frees the memory counted for settled orders.
 func TestInventoryIsReadBetweenOrders(t *testing.T) {
 	w := newHarness(t, true)
 	w.catalogue = catalogueOf(1, 1).WithRevision(2)
@@ -139,9 +132,7 @@
 	require.GreaterOrEqual(t, w.claims-claims, seconds/3)
 }
 
-// All engines restart while the VM that owns zone b is frozen, and zone a does not know it.
-// Guards against models that zone a leaves to zone b and that stay missing although zone a
-// has room.
+// Guards against models that stay missing because a zone with room leaves them to the frozen owner of another zone.
 func TestRepairTakenOverFromFrozenOwner(t *testing.T) {
 	w := newZonesHarness(t, []laburnumlever.ZoneName{"a", "b"}, true, true, true)
 	w.run(time.Minute)
