docs: one line above the tests of laburnumresidency and laburnumbalance

31 tests had stories of two or three lines. Each has one line now that names the failure it guards against; where a reader needs more, it stands in the body. The stories are in the history. Comments only, shown by comparing the syntax trees of each changed file without comments.

--- a/laburnumbalance/balance_test.go
+++ b/laburnumbalance/balance_test.go
@@ -34,8 +34,7 @@
 	return t
 }
 
-// Guards against verdicts that mix up the reasons why no server was found: an absent model or
-// adapter has to be loaded, a full service makes the request queue.
+// Guards against verdicts that confuse an absent model or adapter, which must be loaded, with a full service.
 func TestVerdicts(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"))
 	_, verdict := table.Pick(laburnumbalance.Query{Service: "other"}, start)
@@ -55,8 +54,7 @@
 	require.Equal(t, laburnumbalance.Full, verdict)
 }
 
-// Guards against prompts that pile up at one engine, where they delay running streams, while
-// another engine with the model has none to read.
+// Guards against prompts that pile up at one engine, and delay its streams, while another has none to read.
 func TestLongPromptsSpreadOverEngines(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"), record(2, "brest", "m0"))
 	counts := map[laburnumlever.BackendID]int{}
@@ -69,8 +67,7 @@
 	require.Equal(t, 4, counts["i-2"])
 }
 
-// Guards against requests that share a long prompt prefix being sent to an engine that has not
-// cached it: the answer starts later, and running streams there pause for longer.
+// Guards against requests with a shared prompt prefix being sent to an engine that has not cached it.
 func TestSharedPrefixGoesToTheEngineThatCachedIt(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"), record(2, "brest", "m0"))
 	shared := laburnumlever.PromptPart{ID: 77, Tokens: 900}
@@ -83,8 +80,7 @@
 	}
 }
 
-// Guards against an engine that fails every request at once, and so looks idle, attracting all
-// requests. After it recovers it must get requests again.
+// Guards against an engine that fails requests at once, looks idle and attracts all, or gets none after it recovers.
 func TestFailingServerIsAvoidedUntilItRecovers(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"), record(2, "brest", "m0"))
 	now := start
@@ -109,8 +105,7 @@
 	require.Positive(t, counts["i-1"])
 }
 
-// Guards against requests sent again to an engine that answered that it no longer holds the model:
-// each wastes one of the few attempts of a request until the next heartbeat corrects the list.
+// Guards against wasting attempts of requests on an engine that answered that it no longer holds the model.
 func TestAbsentModelIsExcludedUntilTheNextHeartbeat(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"))
 	ticket, _ := table.Pick(query("m0"), start)
@@ -121,8 +116,7 @@
 	require.Equal(t, laburnumbalance.Found, verdict)
 }
 
-// Guards against VMs that overload an engine with prompts because they don't see each other's:
-// late answers must lower the number of concurrent prompts, answers in time raise it.
+// Guards against VMs that overload an engine with prompts because they don't see each other's.
 func TestLateAnswersLowerThePromptLimit(t *testing.T) {
 	concurrentPrompts := func(took time.Duration) int {
 		table := newTable(record(1, "brest", "m0"))
@@ -146,8 +140,7 @@
 	require.Positive(t, concurrentPrompts(400*time.Millisecond))
 }
 
-// Guards against traffic between zones, which is billed, while servers of the own zone have free
-// slots, and against requests that queue there while another zone has free slots.
+// Guards against billed traffic to another zone while the own one has slots, and against queueing while another zone has some.
 func TestOwnZoneIsPreferredUntilFull(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"), record(2, "vannes", "m0"))
 	counts := map[laburnumlever.BackendID]int{}
@@ -169,8 +162,7 @@
 	require.Equal(t, laburnumbalance.NoServer, verdict)
 }
 
-// Guards against an idle engine that refuses requests as full while its health check passes: each
-// refusal wastes one of the few attempts of a request.
+// Guards against wasting attempts on an idle engine that refuses requests as full while its health check passes.
 func TestIdleServerThatRefusesIsAvoided(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"), record(2, "brest", "m0"))
 	now := start
@@ -188,9 +180,7 @@
 	require.Less(t, refused, 20)
 }
 
-// Guards against requests sent again and again to an unreachable engine: each waits for a whole
-// dial timeout, up to four times in a row if no other engine holds the model. The engine must be
-// tried at growing intervals, and be back in use once a connection succeeds.
+// Guards against requests that each wait for the dial timeout of an unreachable engine, and against never using it again.
 func TestUnreachableServerIsBackedOff(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"))
 	now := start
--- a/laburnumbalance/index_test.go
+++ b/laburnumbalance/index_test.go
@@ -12,8 +12,7 @@
 	"laburnumlever/laburnumregistry"
 )
 
-// Guards against an index by model that misses a server which holds the model: after random
-// updates it must find the same servers as a scan of all.
+// Guards against an index by model that misses a server which holds the model.
 func TestIndexFindsTheServersThatHoldAModel(t *testing.T) {
 	const servers, models = 8, 5
 	r := rand.New(rand.NewPCG(3, 1)) //nolint:gosec // repeatable
--- a/laburnumbalance/retry_test.go
+++ b/laburnumbalance/retry_test.go
@@ -9,8 +9,7 @@
 	"laburnumlever/laburnumbalance"
 )
 
-// Guards against free slots that few gateways notice too late, and against hundreds of gateways
-// that poll full engines too often.
+// Guards against free slots that few gateways notice too late, and full engines that hundreds of them poll too often.
 func TestRetryTimeGrowsWithTheNumberOfGateways(t *testing.T) {
 	for gateways, wait := range map[int]time.Duration{6: 42 * time.Millisecond, 294: 150 * time.Millisecond} {
 		table := newTable(record(1, "brest", "m0"))
--- a/laburnumbalance/staleload_test.go
+++ b/laburnumbalance/staleload_test.go
@@ -9,9 +9,7 @@
 	"laburnumlever/laburnumbalance"
 )
 
-// Guards against requests sent to an engine that other gateways have filled since its last report,
-// where they wait for a second. A report of a busy engine must go stale sooner than that of an
-// idle one.
+// Guards against requests that wait at an engine which other gateways have filled since its last report.
 func TestServerMayBeFullOnceItsLoadIsStale(t *testing.T) {
 	for _, c := range []struct {
 		name      string
@@ -34,8 +32,7 @@
 	}
 }
 
-// Guards against repeated reservations at an engine that has just refused one, and against requests
-// sent there later without a reservation.
+// Guards against repeating a reservation at an engine that just refused one, and against requests sent there later without one.
 func TestServerThatRefusedAReservationIsRetried(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"))
 	ticket, _ := table.Pick(query("m0"), start)
--- a/laburnumbalance/unavailable_test.go
+++ b/laburnumbalance/unavailable_test.go
@@ -9,8 +9,7 @@
 	"laburnumlever/laburnumbalance"
 )
 
-// Guards against adapter loads ordered on engines that hold the model but are full or unreachable:
-// the caller excludes the engines listed here.
+// Guards against adapter loads ordered on engines that hold the model but are full or unreachable.
 func TestUnavailableEnginesAreListed(t *testing.T) {
 	table := newTable(record(1, "brest", "m0"), record(2, "brest", "m0"), record(3, "brest", "m0"), record(4, "brest", "m1"))
 	require.Empty(t, table.Unavailable(query("m0"), start))
--- a/laburnumresidency/planner_test.go
+++ b/laburnumresidency/planner_test.go
@@ -28,8 +28,7 @@
 	return e
 }
 
-// Guards against a model that stays missing after the only engine that held it has failed. If all
-// memory is in use, a copy of which another engine holds a second is evicted, never a last copy.
+// Guards against a model that stays missing after the only engine that held it has failed, or is restored by evicting a last copy.
 func TestMissingModelIsRestored(t *testing.T) {
 	class := testClass(5)
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m0", "m2"), testEngine(3, "m0", "m3")}
@@ -45,8 +44,7 @@
 	}}, steps)
 }
 
-// Guards against loads from the weight store when an engine has the weights on its disk, where a
-// load takes a fifth of the time and nothing of the store's rate.
+// Guards against loads from the weight store when an engine has the weights on its disk.
 func TestLoadsPreferTheLocalDisk(t *testing.T) {
 	engines := []Engine{testEngine(1, "m0"), testEngine(2, "m0")}
 	engines[1].OnDisk = []laburnumlever.ModelName{"m1"}
@@ -56,8 +54,7 @@
 	require.False(t, steps[0].FromStore)
 }
 
-// Guards against a busy model that keeps a single copy after demand has moved to it. It must get
-// further copies, in place of models that have more than one and no demand.
+// Guards against a busy model that keeps a single copy after demand has moved to it.
 func TestBusyModelGetsCopies(t *testing.T) {
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3, "m2", "m0")}
 	steps := NextSteps(testClass(3), engines, Demand{"m1": 0.9}, nil)
@@ -73,9 +70,7 @@
 	require.Equal(t, laburnumlever.BackendID("e2"), steps[0].Engine)
 }
 
-// Guards against steps without benefit: every model has a copy, and memory is full or demand is low.
-// Each needless load costs money and takes capacity of the weight store that a missing model may
-// need.
+// Guards against loads without benefit, which take capacity of the weight store that a missing model may need.
 func TestStableFleetNeedsNoSteps(t *testing.T) {
 	demand := Demand{"m0": 0.2, "m1": 0.2, "m2": 0.15}
 	full := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3, "m1", "m2")}
@@ -85,9 +80,7 @@
 	require.Empty(t, NextSteps(testClass(3), full, Demand{}, nil), "no requests yet")
 }
 
-// Guards against free memory that stays unused until demand has moved and callers are refused, when
-// a load comes seconds too late. The models with most demand per copy are loaded first, one load per
-// engine at a time, until no more are useful.
+// Guards against free memory that stays unused until demand has moved and callers are refused.
 func TestFillPrefersMostDemandPerCopy(t *testing.T) {
 	demand := Demand{"m0": 0.2, "m1": 0.2, "m2": 0.15}
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3)}
@@ -104,12 +97,12 @@
 	require.Empty(t, NextSteps(testClass(3), engines, demand, nil))
 }
 
-// Guards against free memory that stays unused after a start, before any requests. Models that were
-// initially placed on more than one engine are loaded.
+// Guards against free memory that stays unused after a start, before any requests.
 func TestFillBeforeDemandFollowsInitialCopies(t *testing.T) {
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3)}
 	steps := NextSteps(testClass(3), engines, Demand{}, nil)
 	require.Len(t, steps, 1)
+	// m0 was initially placed on two engines.
 	require.Equal(t, laburnumlever.ModelName("m0"), steps[0].Model)
 }
 
@@ -153,8 +146,7 @@
 	require.Len(t, copies, 8, "four engines with memory for two models each hold eight models")
 }
 
-// Guards against adapters that evict each other: twelve adapters of a model are in use, and its only
-// engine has eight slots. The model must get a second copy, though the engine has little work.
+// Guards against adapters that evict each other because a model's only engine has fewer slots than adapters are in use.
 func TestAdapterSlotShortageAddsACopy(t *testing.T) {
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2")}
 	steps := NextSteps(testClass(3), engines, Demand{"m0": 0.04}, map[laburnumlever.ModelName]int{"m0": 12})
@@ -164,8 +156,7 @@
 	require.Empty(t, NextSteps(testClass(3), engines, Demand{"m0": 0.04}, map[laburnumlever.ModelName]int{"m0": 8}))
 }
 
-// Guards against eviction of a copy that was just loaded: with alternating demand, the same two
-// models would be loaded in turns.
+// Guards against loading two models in turns under alternating demand, by evicting a copy that was just loaded.
 func TestRecentCopyIsNotEvicted(t *testing.T) {
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m0"), testEngine(3, "m2", "m0")}
 	engines[1].RecentlyLoaded = []laburnumlever.ModelName{"m2", "m0"}
@@ -173,8 +164,7 @@
 	require.Empty(t, NextSteps(testClass(3), engines, Demand{"m1": 0.9}, nil))
 }
 
-// Guards against eviction of a model's only ready copy while its second copy is loading: until the
-// load ends four seconds later, all requests for the model would be refused.
+// Guards against eviction of a model's only ready copy while its second copy is loading.
 func TestLoadingCopyDoesNotCountAsReady(t *testing.T) {
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m1"), testEngine(3, "m3", "m2")}
 	engines[1].Loading, engines[1].Idle = "m1", false
@@ -204,9 +194,7 @@
 	}
 }
 
-// Guards against a missing busy model that is never loaded again because all memory holds last
-// copies of rarely used models, and each round planned another relocation. One of these copies must
-// be evicted at once.
+// Guards against a missing busy model that is never loaded because all memory holds last copies of rarely used models.
 func TestMissingBusyModelEvictsALastCopy(t *testing.T) {
 	engines := []Engine{testEngine(1, "m1", "m2"), testEngine(2, "m3", "m4"), testEngine(3, "m5", "m6")}
 	rates := map[laburnumlever.ModelName]float64{"m0": 90}
@@ -228,8 +216,7 @@
 	require.Empty(t, NextSteps(testClass(7), engines, demand, nil, WithRequests(rates), keeps), "the missing model waits: no other has fewer requests")
 }
 
-// Guards against a model with the work of several engines that stays on one, while the others hold
-// last copies of rarely used models.
+// Guards against a model with the work of several engines on one, while others hold last copies of rarely used models.
 func TestOverloadedModelDisplacesRarelyUsedOnes(t *testing.T) {
 	rates := map[laburnumlever.ModelName]float64{"m0": 90}
 	demand := Demand{"m0": 2.4}
@@ -253,8 +240,7 @@
 	require.Zero(t, unloads(), "the other models have requests too")
 }
 
-// Guards against a busy model that stays on one engine because all other memory holds models without
-// requests.
+// Guards against a busy model that stays on one engine because all other memory holds models without requests.
 func TestQuietModelsAreEvicted(t *testing.T) {
 	quiet := map[laburnumlever.ModelName]bool{"m2": true, "m3": true}
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2", "m3")}
@@ -275,9 +261,7 @@
 	require.Equal(t, []Step{{Engine: "e2", Kind: laburnumlever.Unload, Model: "m3", Reason: "frees memory for a load: no engine holds the model"}}, steps, "m2 has requests")
 }
 
-// Guards against a missing model that waits for a busy engine, load after load, because the planner
-// assumed a fixed remaining time. Here an engine that evicts a spare copy is ready before the one
-// whose load takes four more seconds.
+// Guards against a missing model that waits for a busy engine while another is ready sooner.
 func TestMissingModelLoadsWhereSoonest(t *testing.T) {
 	engines := []Engine{testEngine(1, "m1"), testEngine(2, "m1", "m2"), testEngine(3, "m2", "m3")}
 	engines[0].Idle, engines[0].Loading, engines[0].IdleInSeconds = false, "m1", 4
@@ -291,8 +275,7 @@
 	require.Equal(t, laburnumlever.ModelName("m2"), steps[0].Model)
 }
 
-// Guards against a load of the less requested of two missing models while the weight store has
-// capacity for one load.
+// Guards against loading the less requested of two missing models first, when the weight store has capacity for one load.
 func TestStoreLoadsHighestDemandFirst(t *testing.T) {
 	engines := []Engine{testEngine(1), testEngine(2)}
 	rates := map[laburnumlever.ModelName]float64{"m0": 0.5, "m1": 40}
@@ -301,8 +284,7 @@
 	require.Equal(t, laburnumlever.ModelName("m1"), steps[0].Model)
 }
 
-// Guards against a single copy of the model that gets most requests, even if one engine can serve
-// them: if the engine failed, all of them would be refused until another has loaded the model.
+// Guards against refusing all requests for the most requested model after its only engine has failed.
 func TestModelWithMostRequestsGetsASecondCopy(t *testing.T) {
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2")}
 	rates := map[laburnumlever.ModelName]float64{"m0": 60, "m1": 1, "m2": 1}
@@ -310,8 +292,7 @@
 	require.Equal(t, []Step{{Engine: "e2", Kind: laburnumlever.Load, Model: "m0", FromStore: true, Reason: "relieves a busy engine"}}, steps)
 }
 
-// Guards against an overloaded model that waits for seconds until a smaller, rarely used one is
-// relocated to make room for it. The small model must be evicted at once.
+// Guards against an overloaded model that waits for seconds until a smaller, rarely used one is relocated.
 func TestOverloadEvictsWithoutRelocation(t *testing.T) {
 	class := testClass(5)
 	class.Models[0].WeightsMB = 120000
@@ -330,10 +311,10 @@
 	require.Equal(t, map[laburnumlever.OrderKind]int{laburnumlever.Load: 1}, kinds(1.5), "relocated first, as no copy is overloaded")
 }
 
-// Guards against concurrent loads from the weight store that slow each other down: at 0.8 loads per
-// second of 4.2 s each, three of them take its usable rate.
+// Guards against concurrent loads from the weight store that slow each other down.
 func TestConcurrentStoreLoadsAreLimited(t *testing.T) {
 	class := testClass(6)
+	// Three loads of 4.2 s each use up this rate.
 	class.LoadsPerSecond = 0.8
 	rates := map[laburnumlever.ModelName]float64{"m4": 9, "m5": 5, "m0": 1}
 	engines := []Engine{testEngine(1), testEngine(2), testEngine(3), testEngine(4), testEngine(5)}
