docs: one line above the tests of laburnumfeed, laburnumplacement and others

Each has one line now that names the failure it guards against; where a reader needs more, it stands in the body. The stories are in the history. Comments only, shown by comparing the syntax trees of each changed file without comments.

--- a/laburnumdisk/crash_test.go
+++ b/laburnumdisk/crash_test.go
@@ -160,9 +160,7 @@
 
 func (f *memoryFile) Close() error { return nil }
 
-// Guards against acknowledged writes that are lost in a crash. It crashes at each file operation
-// in turn, and once more soon after, with unsynced data lost or torn; the next start must find all
-// acknowledged writes and accept further ones.
+// Guards against acknowledged writes that are lost in a crash, or a store that accepts no writes after one.
 func TestCrashAtEveryOperation(t *testing.T) {
 	writes := []laburnumlog.Write{
 		write(1, 1, 4), write(1, 5, 9), snapshotWrite(4, 1, false), write(2, 8, 12), snapshotWrite(12, 2, false),
@@ -280,8 +278,7 @@
 	return text
 }
 
-// Guards against a replica that loses its term and vote and so could vote twice: a crash leaves
-// the last segment empty, and the next snapshot covers all older segments, which hold the vote.
+// Guards against a replica that votes twice: the last segment is empty after a crash, and a snapshot covers that of the vote.
 func TestEmptyLastSegmentKeepsTheVote(t *testing.T) {
 	for at := 0; ; at++ {
 		files := newMemoryFiles()
@@ -303,8 +300,7 @@
 	}
 }
 
-// Guards against new entries being appended to old ones on the disk after a crash between the
-// leader's snapshot and its frame.
+// Guards against new entries appended to old ones after a crash between the leader's snapshot and its frame.
 func TestEntriesAfterSnapshotWithoutItsFrame(t *testing.T) {
 	for name, tail := range map[string]uint64{"the old log ends before it": 5, "the old log continues beyond it": 30} {
 		t.Run(name, func(t *testing.T) {
--- a/laburnumdisk/store_test.go
+++ b/laburnumdisk/store_test.go
@@ -113,8 +113,7 @@
 	}
 }
 
-// Guards against the silent loss of acknowledged entries: if the log were truncated at a damaged
-// synced frame, all entries after it would be lost.
+// Guards against the silent loss of acknowledged entries by truncating the log at a damaged synced frame.
 func TestDamageElsewhereIsAnError(t *testing.T) {
 	folder := t.TempDir()
 	s, _ := open(t, folder, laburnumdisk.WithSegmentBytes(300))
--- a/laburnumfeed/follower_test.go
+++ b/laburnumfeed/follower_test.go
@@ -59,9 +59,7 @@
 	return n
 }
 
-// Guards against a slow restart after a power loss: a gateway that starts before the control VMs
-// can't serve without routes and retries fast. One with routes retries slowly, to spare busy control
-// VMs.
+// Guards against a slow restart after a power loss, and against polls of gateways with routes that burden busy control VMs.
 func TestVMWithoutRoutesRetriesSooner(t *testing.T) {
 	require.Equal(t, 20, countPolls(t, 0))
 	require.Equal(t, 5, countPolls(t, 7))
--- a/laburnumfeed/recordsources_test.go
+++ b/laburnumfeed/recordsources_test.go
@@ -20,8 +20,7 @@
 	return known
 }
 
-// Guards against gateways in a partitioned zone that lose the state of the zone's own backend
-// servers, which only control VMs in the zone still receive.
+// Guards against gateways in a partitioned zone that lose the state of the zone's own backend servers.
 func TestControlVMsOfOwnZoneAreChosenFirst(t *testing.T) {
 	self := laburnumlever.VM{ID: "10.0.1.1", Zone: "zone-2"}
 	chosen := chooseRecordSources(self, eightControls())
@@ -30,8 +29,7 @@
 	require.Contains(t, chosen, "10.0.0.6:7000")
 }
 
-// Guards against stale endpoint state from control VMs that fail to answer or are isolated from the
-// majority. They are used only if too few others are left.
+// Guards against stale endpoint state from control VMs that fail to answer or are isolated from the majority.
 func TestLostAndIsolatedControlVMsAreAvoided(t *testing.T) {
 	known := eightControls()
 	for i := range known {
@@ -43,8 +41,7 @@
 	require.Len(t, chooseRecordSources(laburnumlever.VM{}, known[:2]), 2)
 }
 
-// Guards against an uneven load of the polls of 300 gateways on 8 control VMs, before and after one of
-// them fails.
+// Guards against an uneven load of the gateways' polls on the control VMs, also after one of them fails.
 func TestPollsAreBalancedOverControlVMs(t *testing.T) {
 	count := func(known []controlState) map[string]int {
 		n := map[string]int{}
@@ -66,8 +63,7 @@
 	}
 }
 
-// Guards against three thousand backend servers connecting to one control VM and exhausting its file
-// descriptors. Each gets a control VM of its own zone by a hash, and keeps it.
+// Guards against a control VM that runs out of file descriptors because thousands of backend servers connect to it.
 func TestBackendServersAreBalancedOverControlVMsOfTheirZone(t *testing.T) {
 	var vms []laburnumlever.VM
 	for i := range 8 {
--- a/laburnumfeed/source_test.go
+++ b/laburnumfeed/source_test.go
@@ -62,8 +62,7 @@
 	return a
 }
 
-// Guards against a control VM that runs out of memory when hundreds of gateways start and each gets
-// three thousand backend servers in one answer. Pages must deliver every item exactly once.
+// Guards against a control VM that runs out of memory when hundreds of gateways start, and against items lost or sent twice.
 func TestInitialStateIsSentInPages(t *testing.T) {
 	s, peers, timers := newTestSource()
 	const backends = 3*pageItems + 10
@@ -87,8 +86,7 @@
 	}
 }
 
-// Guards against missing a change to a backend server whose earlier record was already sent in a
-// previous page.
+// Guards against missing a change to a backend server whose earlier record was sent in a previous page.
 func TestChangeBetweenPagesIsNotMissed(t *testing.T) {
 	s, peers, timers := newTestSource()
 	for i := range 2 * pageItems {
@@ -109,8 +107,7 @@
 	require.Len(t, received, pageItems+1)
 }
 
-// Guards against changed records waking polls that did not ask for records. With 300 gateways, most
-// polls at a control VM are of that kind.
+// Guards against changed records that wake the polls of gateways which did not ask for records.
 func TestRecordsWakeOnlyPollsForRecords(t *testing.T) {
 	s, peers, timers := newTestSource()
 	s.NoteControl(laburnumlever.VM{ID: "10.0.0.2", PeerAddress: "10.0.0.2:7000", HasDisk: true})
@@ -127,8 +124,7 @@
 	require.True(t, found)
 }
 
-// Guards against the cost of answers growing with the number of pollers while backend servers change
-// constantly: changes are batched for longer, the more VMs poll.
+// Guards against answers whose cost grows with the number of pollers while backend servers change constantly.
 func TestBatchIntervalGrowsWithPollers(t *testing.T) {
 	s, peers, timers := newTestSource()
 	for i := range 300 {
@@ -162,8 +158,7 @@
 	require.Same(t, &one[0], &two[0])
 }
 
-// Guards against gateways that trust a partitioned control VM, which still answers polls but misses
-// changes such as a backend server that is leaving.
+// Guards against gateways that trust a partitioned control VM, which answers polls but misses changes.
 func TestControlVMWithoutMajorityReportsIsolation(t *testing.T) {
 	s, peers, timers := newTestSource()
 	controls := []laburnumlever.VM{
--- a/laburnumnode/node_test.go
+++ b/laburnumnode/node_test.go
@@ -19,9 +19,7 @@
 	Stream    bool   `json:"stream"`
 }
 
-// Guards the path of a request through the whole process: a catalogue applied on one VM,
-// a model loaded by order, a streamed completion through each VM, and a request sent twice
-// under one idempotency key, through two VMs, that must run once.
+// Guards against requests that fail, or keyed ones that run twice, on their way through the whole process.
 func TestEndToEnd(t *testing.T) {
 	f := newFleet(t, 3)
 	f.applyWhenEnginesKnown(0)
@@ -48,8 +46,7 @@
 	return after[:min(8, len(after))]
 }
 
-// Guards against a resent change that is applied twice or rejected, and against a change
-// on top of an outdated revision.
+// Guards against a resent change that is applied twice or rejected, and against a change on top of an outdated revision.
 func TestApplyResendAndConflict(t *testing.T) {
 	f := newFleet(t, 1)
 	f.applyWhenEnginesKnown(0)
@@ -77,8 +74,7 @@
 	require.Contains(t, (<-got).body, "data: [DONE]")
 }
 
-// Guards against a stopped VM that the others notice only by failed probes: until then they
-// would send it calls and consider its zone's lease lost.
+// Guards against a stopped VM that gets calls, and holds its zone's lease, until probes to it fail.
 func TestShutdownIsSeenAsLeft(t *testing.T) {
 	f := newFleet(t, 3)
 	f.applyWhenEnginesKnown(0)
--- a/laburnumnode/publisher_internal_test.go
+++ b/laburnumnode/publisher_internal_test.go
@@ -11,8 +11,7 @@
 	"laburnumlever/laburnumtimer"
 )
 
-// Guards against a view rebuild for each of thousands of backend servers' reports: at 5 ms a
-// view, heartbeats would wait in the control thread's queue and the VM be suspected dead.
+// Guards against view rebuilds for each report, which delay heartbeats until the VM is suspected dead.
 func TestViewRebuildsAreRateLimited(t *testing.T) {
 	const cost = 5 * time.Millisecond
 	timers := laburnumtimer.NewManual(time.Unix(0, 0))
--- a/laburnumnode/tls_test.go
+++ b/laburnumnode/tls_test.go
@@ -42,8 +42,7 @@
 	return files
 }
 
-// Guards against a VM with a certificate from another authority, seeded with the fleet's
-// addresses, joining the fleet or receiving its catalogue. It must stay not ready.
+// Guards against a VM with a certificate of another authority that joins the fleet or gets its catalogue.
 func TestFleetRejectsForeignCertificate(t *testing.T) {
 	files := selfSigned(t)
 	f := newFleet(t, 3, func(s *laburnumsettings.Settings) { s.TLS = files })
--- a/laburnumpeer/config_internal_test.go
+++ b/laburnumpeer/config_internal_test.go
@@ -10,8 +10,7 @@
 // synRetransmit is the delay after which the kernel retransmits an unanswered SYN.
 const synRetransmit = time.Second
 
-// Guards against connecting a second late after a power loss: the SYN to a VM that is still down is
-// lost, and a dial or a backoff that lasts until the retransmission delays the connection.
+// Guards against connecting a second late after a power loss, because a dial or backoff lasts until the SYN is sent again.
 func TestDialTimeoutIsBelowSYNRetransmission(t *testing.T) {
 	cfg := newConfig(nil)
 	require.LessOrEqual(t, cfg.dialTimeout, synRetransmit/3)
--- a/laburnumpeer/peers_test.go
+++ b/laburnumpeer/peers_test.go
@@ -65,8 +65,7 @@
 	require.Equal(t, "unknown-method", refused.Kind)
 }
 
-// Guards against reporting an unknown outcome for a call that was never sent, because the peer refuses
-// connections or the call exceeds the maximum frame size.
+// Guards against reporting an unknown outcome for a call that was never sent.
 func TestUnsentCallIsUnreachable(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -86,8 +85,7 @@
 	require.ErrorAs(t, err, &large)
 }
 
-// Guards against calls that hang for minutes until TCP gives up, when the peer is frozen (SIGSTOP) or
-// partitioned and sends neither an answer nor a RST.
+// Guards against calls that hang until TCP gives up, when a frozen or partitioned peer sends neither an answer nor a RST.
 func TestSilentPeerIsDetectedWithinTwoSeconds(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -105,8 +103,7 @@
 	require.Less(t, time.Since(began), 4*time.Second)
 }
 
-// Guards against closing a healthy link, and reporting an unknown outcome, because a handler takes
-// longer than the silence limit. The peer still answers pings.
+// Guards against closing a healthy link because a handler takes longer than the silence limit.
 func TestSlowAnswerDoesNotCloseLink(t *testing.T) {
 	b := laburnumpeer.New("b")
 	b.Handle("slow", func(ctx context.Context, _ laburnumlever.RawMessage) (any, error) {
--- a/laburnumpeer/tls_test.go
+++ b/laburnumpeer/tls_test.go
@@ -39,8 +39,7 @@
 	return laburnumpeer.WithTLS(cert, private, cert)
 }
 
-// Guards against answering callers without a certificate of a known authority, and against renewed
-// certificates that take effect only after a restart.
+// Guards against answering callers of an unknown authority, and renewed certificates that need a restart.
 func TestMutualTLSRejectsUnknownCertificatesAndReloadsFiles(t *testing.T) {
 	dir := t.TempDir()
 	files := identity(t, dir)
--- a/laburnumplacement/estimator_test.go
+++ b/laburnumplacement/estimator_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against counting a duplicate or late signal twice, and against dropping the demand of one
-// VM when another falls silent.
+// Guards against counting a duplicate or late signal, and against dropping the demand of one VM when another falls silent.
 func TestEstimatorUsesNewestSignalPerVM(t *testing.T) {
 	e := laburnumplacement.NewEstimator()
 	now := time.Unix(0, 0)
--- a/laburnumplacement/measures_test.go
+++ b/laburnumplacement/measures_test.go
@@ -198,8 +198,7 @@
 
 var scenarios = []string{"steady", "tenfold-hour", "engine loss", "zone cut", "catalogue change"}
 
-// TestMeasures compares the planner with a static and a proportional policy. With -measures it
-// prints the results of all scenarios; otherwise it checks one scenario.
+// Guards against a planner that serves less per accelerator, or moves more, than simple policies; -measures prints all.
 func TestMeasures(t *testing.T) {
 	for _, name := range []string{"armor-pose", "kvooditalitus"} {
 		for _, scenario := range scenarios {
--- a/laburnumplacement/planner_test.go
+++ b/laburnumplacement/planner_test.go
@@ -101,12 +101,12 @@
 	}
 }
 
-// Guards against an unreachable model during a version change when the fleet has no room for all
-// new copies beside the old ones. converge checks that after each round.
+// Guards against an unreachable model during a version change without room for all new copies beside the old ones.
 func TestVersionSwitchWithoutGap(t *testing.T) {
 	s := laburnumplacement.Snapshot{Catalogue: catalogueOf(8, 40), Engines: []laburnumplacement.Engine{
 		engineIn("e1", "a", 100), engineIn("e2", "a", 100), engineIn("e3", "b", 100), engineIn("e4", "b", 100),
 	}}
+	// converge checks after each round that every model stays reachable.
 	converge(t, &s)
 	for i := range s.Catalogue.Models {
 		s.Catalogue.Models[i].Version = "v2"
@@ -119,8 +119,7 @@
 	}
 }
 
-// Guards against refused requests after an engine fails in a full fleet: the repair must evict
-// second copies of other models, never the last copy of one.
+// Guards against refused requests after engines fail in a full fleet, or a repair that evicts the last copy of a model.
 func TestLostEngineIsRepairedFromSurplus(t *testing.T) {
 	s := laburnumplacement.Snapshot{Catalogue: catalogueOf(8, 50), Engines: []laburnumplacement.Engine{
 		engineIn("e1", "a", 100), engineIn("e2", "a", 100), engineIn("e3", "b", 100), engineIn("e4", "b", 100),
@@ -134,8 +133,7 @@
 	}
 }
 
-// Guards against placing copies on a leaving engine, and against its models being unreachable once
-// it stops: their replacements are loaded while it still serves.
+// Guards against copies placed on a leaving engine, and against models that are unreachable once it stops.
 func TestLeavingEngineIsReplaced(t *testing.T) {
 	s := laburnumplacement.Snapshot{Catalogue: catalogueOf(4, 40), Engines: []laburnumplacement.Engine{
 		engineIn("e1", "a", 100), engineIn("e2", "b", 100), engineIn("e3", "b", 100),
@@ -217,9 +215,7 @@
 	require.False(t, limiter.Ready(now.Add(quota.Interval), quota, 2))
 }
 
-// Guards against evicting a copy whose memory stays reserved because its load order may still
-// arrive. The eviction frees nothing, and the next round reloads the copy: the weight store does
-// useless loads and the other model never fits.
+// Guards against endless loads because an evicted copy frees nothing while its load order may still arrive.
 func TestCopyWithReservedMemoryIsNotEvicted(t *testing.T) {
 	s := laburnumplacement.Snapshot{Catalogue: catalogueOf(2, 60), Engines: []laburnumplacement.Engine{engineIn("e0", "a", 100)}}
 	converge(t, &s)
@@ -242,8 +238,7 @@
 	require.True(t, slices.ContainsFunc(s.Engines[0].Copies, isNewModel) || slices.ContainsFunc(s.Engines[1].Copies, isNewModel))
 }
 
-// Guards against refused requests when a leaving engine has the only copies of its models: they
-// must be loaded on another engine before it stops.
+// Guards against refused requests when a leaving engine with the only copies of its models stops.
 func TestOnlyCopiesOnLeavingEngineAreReplaced(t *testing.T) {
 	s := laburnumplacement.Snapshot{Catalogue: catalogueOf(4, 40), Engines: []laburnumplacement.Engine{engineIn("e1", "a", 100)}}
 	converge(t, &s)
