docs: one line above the tests of the remaining packages

47 tests had stories of two or three lines. Each has one line now that names the failure it guards against; where a reader needs more, it stands in the body. The stories are in the history. Comments only, shown by comparing the syntax trees of each changed file without comments.

--- a/encodedroutes_test.go
+++ b/encodedroutes_test.go
@@ -38,8 +38,7 @@
 	}
 }
 
-// Guards against a slow restart that decodes every route table of the log, although only the
-// last one is used.
+// Guards against a slow restart that decodes every route table of the log, although only the last is used.
 func TestRoutesAreNotDecodedWithTheirCommand(t *testing.T) {
 	var cmd laburnumlever.Command
 	require.NoError(t, json.Unmarshal([]byte(`{"kind":"apply-routes","routes":{"version":3,"packed":"bm90IGNvbXByZXNzZWQ="}}`), &cmd))
--- a/laburnumadmission/admission_test.go
+++ b/laburnumadmission/admission_test.go
@@ -13,9 +13,7 @@
 
 var start = time.Unix(1_000_000, 0)
 
-// Guards against owners exceeding their limits during a network partition, as they would if
-// VMs adjusted their shares to demand: each side would hand out the same capacity. The
-// shares must never add up to more than the limit.
+// Guards against owners exceeding their limits during a network partition, by shares that add up to more than the limit.
 func TestSharesNeverExceedLimit(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		vms := rapid.IntRange(1, 12).Draw(rt, "vms")
--- a/laburnumdemand/counter_test.go
+++ b/laburnumdemand/counter_test.go
@@ -9,8 +9,7 @@
 	"laburnumlever/laburnumdemand"
 )
 
-// Guards against demand that is counted only when answers end, seconds after it has shifted to
-// another model, and against refused requests that count in full although their callers retry.
+// Guards against demand that is counted only when answers end, and refused requests that count in full although retried.
 func TestDemandIsCountedOnArrival(t *testing.T) {
 	counter := laburnumdemand.NewCounter("gateway")
 	start := time.Unix(1_000_000, 0)
--- a/laburnumdemand/readtimes_internal_test.go
+++ b/laburnumdemand/readtimes_internal_test.go
@@ -7,9 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against estimates that include the time prompts wait behind others at busy engines: two
-// models of equal size that read at different speeds would look alike, and the fast one would be
-// placed on engines that the slow one needs.
+// Guards against read times that include queueing at busy engines, so that fast and slow models look alike.
 func TestReadTimeExcludesQueueingAtBusyEngines(t *testing.T) {
 	times := ReadTimes{}
 	for i := range 60 {
@@ -21,8 +19,7 @@
 	require.InDelta(t, 28, times.Of("slow").Seconds()*1e6, 3)
 }
 
-// Guards against estimates from too few or too short prompts, which mostly measure the network
-// delay.
+// Guards against read times from too few or too short prompts, which mostly measure the network delay.
 func TestReadTimeIsUnknownWithoutEnoughSamples(t *testing.T) {
 	times := ReadTimes{}
 	times.Add("m0", 30*time.Millisecond, 1000)
--- a/laburnumdispatch/announcement_test.go
+++ b/laburnumdispatch/announcement_test.go
@@ -11,9 +11,7 @@
 	"laburnumlever/laburnumrouter"
 )
 
-// Guards against sending a request to a mix of two announcements: a server announces a new
-// address while a request is about to be sent to it, and the sender reads the router's
-// record without a lock.
+// Guards against sending a request to a mix of a server's old and new announcements.
 func TestTicketKeepsAnnouncementOfItsServer(t *testing.T) {
 	view := func(address string) *laburnumrouter.Index {
 		return laburnumrouter.NewIndex(&laburnumlever.View{Backends: []laburnumlever.Backend{{
--- a/laburnumdispatch/loads_test.go
+++ b/laburnumdispatch/loads_test.go
@@ -120,9 +120,7 @@
 	return s
 }
 
-// Guards against overload in which engines work on calls that were abandoned. For each load,
-// the first kind of calls must reach its on-time share and do no worse than any baseline,
-// and retries must stay within a tenth of the calls. -v prints the table.
+// Guards against overload in which engines work on abandoned calls, or retries add more than a tenth to the load.
 func TestLoadPatterns(t *testing.T) {
 	var table strings.Builder
 	table.WriteString("| load | policy | callers | calls | inside target | late | no answer | longest wait | retries | refusals |\n")
--- a/laburnumdistribution/failures_test.go
+++ b/laburnumdistribution/failures_test.go
@@ -29,9 +29,7 @@
 	}
 }
 
-// A revision is accepted while a zone of two VMs is cut off, where one restarts without a disk.
-// Guards against VMs of the zone losing the last revision, missing the new one after the
-// partition heals, or reverting to an older one that is offered late.
+// Guards against a partitioned zone that loses its revision, misses the new one after healing or reverts to an older one.
 func TestPartitionedZoneKeepsItsRevisionAndCatchesUp(t *testing.T) {
 	f := laburnumdistribution.NewFleet(6, 1)
 	f.Publish(0, emptyCatalogue(5))
@@ -52,16 +50,14 @@
 	require.True(t, ok)
 }
 
-// The VMs hold no catalogue and reach no others that do. Guards against reporting a revision that
-// no VM holds.
+// Guards against VMs that report a revision although no VM holds one.
 func TestVMsWithoutCatalogueReportNone(t *testing.T) {
 	f := laburnumdistribution.NewFleet(2, 2)
 	_, ok := f.Until(30*time.Second, func() bool { return f.Revision(0)+f.Revision(1) > 0 })
 	require.False(t, ok)
 }
 
-// TestMeasureSpread is a measurement, not a check. Its results are recorded in
-// docs/membership-measures.md.
+// Measures how fast a revision spreads for docs/membership-measures.md; it checks nothing.
 func TestMeasureSpread(t *testing.T) {
 	chosen := os.Getenv("LABURNUM_VMS")
 	if chosen == "" {
--- a/laburnumexplain/timeline_test.go
+++ b/laburnumexplain/timeline_test.go
@@ -17,8 +17,7 @@
 {"ts":"2026-10-27T08:26:42Z","vm":"front-b","event":"request-served","request-id":"r-2","first-ms":24,"pause-ms":60,"whole-ms":310}
 {"ts":"2026-10-27T08:26:4`
 
-// Guards against a timeline that leaves out events from the logs of other VMs: the refusal is
-// explained by the model's withdrawal from the engine, logged by a control VM.
+// Guards against a timeline that leaves out the cause of a refusal because another VM logged it.
 func TestTimelineOfRefusedRequestShowsCause(t *testing.T) {
 	lines, skipped, err := laburnumexplain.Read(strings.NewReader(logs))
 	require.NoError(t, err)
@@ -43,8 +42,7 @@
 	require.Error(t, err)
 }
 
-// Layout lines list models held by several engines and only count those held by one, since naming
-// hundreds of models would make a line of kilobytes. A model not listed counts as held by one.
+// Guards against models that count as not held because layout lines only count those held by a single engine.
 func TestUnlistedModelsCountAsHeldByOneEngine(t *testing.T) {
 	var reader laburnumexplain.DayReader
 	_, err := reader.Read(strings.NewReader(`{"ts":"2026-10-27T08:00:00Z","vm":"core-a","event":"layout","service":"s","room":0,"held":{"oak":3},"loading":{"elm":1},"one":7,"none":["ash"]}
--- a/laburnumfleet/fleet_test.go
+++ b/laburnumfleet/fleet_test.go
@@ -13,9 +13,7 @@
 	"laburnumlever/laburnumload"
 )
 
-// Guards against example experiments that the example fleets can't run: every model
-// and service that an experiment names, and every engine's zone, must be in the
-// catalogue.
+// Guards against example experiments that the example fleets can't run.
 func TestExampleFleetsMatchCataloguesAndExperiments(t *testing.T) {
 	for name, engines := range map[string]int{"armor-pose": 20, "kvooditalitus": 10} {
 		t.Run(name, func(t *testing.T) {
@@ -49,9 +47,7 @@
 	}
 }
 
-// Guards against a graceful shutdown that cuts answers off. A VM is stopped during a
-// burst: every caller must get a whole answer or a refusal, and a booking that is
-// resent through the other VM must run once.
+// Guards against a graceful shutdown that cuts answers off, or lets a resent booking run twice.
 func TestDrainDuringBurstLosesNoAnswers(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
--- a/laburnumload/plan_test.go
+++ b/laburnumload/plan_test.go
@@ -24,8 +24,7 @@
 	}
 }
 
-// The counts are random, so the bounds are wide: about four standard deviations of a
-// Poisson count, or of a count of bursts.
+// Guards against load that does not have the rates and shapes of its experiment, or differs between runs of one seed.
 func TestPlanFollowsRatesAndShapes(t *testing.T) {
 	for _, tt := range []struct {
 		name        string
@@ -46,6 +45,7 @@
 					firsts++
 				}
 			}
+			// The bounds are wide, as the counts are random: about four standard deviations of a Poisson count, or of a count of bursts.
 			require.GreaterOrEqual(t, firsts, tt.least)
 			require.LessOrEqual(t, firsts, tt.most)
 			require.Equal(t, plan, laburnumload.Plan(experiment(tt.phase), "run"), "the same seed gives the same plan")
--- a/laburnumload/verdict_test.go
+++ b/laburnumload/verdict_test.go
@@ -62,9 +62,7 @@
 	require.False(t, laburnumload.MeetsTargets(class, laburnumload.Answer{FirstToken: time.Second + 1}))
 }
 
-// Guards against double bookings that only the service's ledger shows: a call that runs
-// again when it is resent after a lost answer, and a call that ran although it was refused
-// as not-run, so that the caller books elsewhere.
+// Guards against double bookings that only the service's ledger shows.
 func TestCheckLedger(t *testing.T) {
 	ledger := [][]laburnumstandin.LedgerEntry{{{Key: "once"}, {Key: "twice"}, {Key: "denied"}}, {{Key: "twice"}, {Key: "recovered"}}}
 	results := []laburnumload.CallResult{
--- a/laburnumlogging/logger_test.go
+++ b/laburnumlogging/logger_test.go
@@ -41,9 +41,7 @@
 	return strings.Split(strings.TrimSpace(w.out.String()), "\n")
 }
 
-// Guards against a blocked reader of the process's output that blocks callers or lets memory
-// grow. When the buffer is full, lines about failures are kept in preference to those about
-// successes.
+// Guards against a blocked reader of the output that blocks callers, grows memory or costs lines about failures.
 func TestBlockedOutputDoesNotBlockCallers(t *testing.T) {
 	w := newBlockedWriter()
 	logger, err := laburnumlogging.New(w, "info", laburnumlogging.WithSize(16<<10))
@@ -121,8 +119,7 @@
 	return w.out.Write(p)
 }
 
-// Guards against split or interleaved lines: hundreds of lines in one write exceed the size that
-// a pipe writes atomically.
+// Guards against split or interleaved lines in a pipe, as one write exceeds the size that is atomic.
 func TestPipeWritesAreAtomicWholeLines(t *testing.T) {
 	w := &atomicityWriter{atomic: true, enqueued: make(chan struct{})}
 	logger, err := laburnumlogging.New(w, "info")
--- a/laburnummetrics/metrics_test.go
+++ b/laburnummetrics/metrics_test.go
@@ -35,8 +35,7 @@
 	}
 }
 
-// Guards against a process that panics because two components use one metric name with
-// different labels, as the reporter does by default.
+// Guards against a process that panics because two components use one metric name with different labels.
 func TestConflictingLabelsDoNotPanic(t *testing.T) {
 	metrics := laburnummetrics.New()
 	metrics.Scope().Counter("kebab-name").Inc(3)
@@ -45,8 +44,7 @@
 	require.Contains(t, text(metrics), "laburnumlever_kebab_name 3\n")
 }
 
-// Guards against runtime metrics that come first: monitoring that truncates the response then
-// showed garbage collector metrics during an incident and none of the components' counters.
+// Guards against monitoring that truncates the response and shows runtime metrics but none of the components' own.
 func TestOwnMetricsPrecedeRuntimeMetrics(t *testing.T) {
 	metrics := laburnummetrics.New()
 	defer metrics.Close()
--- a/laburnumoperator/handler_test.go
+++ b/laburnumoperator/handler_test.go
@@ -128,8 +128,7 @@
 	}
 }
 
-// Guards against a client that reports a change as not made when the VM was killed before it
-// answered. Only a failed dial proves that the change was not made.
+// Guards against a client that reports a change as not made when the VM was killed before it answered.
 func TestLostAnswerIsUnknownAndFailedDialIsUnreachable(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/laburnumoutlier/detector_test.go
+++ b/laburnumoutlier/detector_test.go
@@ -14,8 +14,7 @@
 	return []laburnumlever.BackendOutcome{{Backend: "s-1", Failed: failed, Answered: answered}}
 }
 
-// Guards against a failing server that is detected only by a gateway's own failures, which loses a
-// request for each of hundreds of gateways.
+// Guards against a failing server that each gateway detects only by failures of its own requests.
 func TestFailuresOfDifferentGatewaysAddUp(t *testing.T) {
 	d := laburnumoutlier.New()
 	now := time.Unix(1_000_000, 0)
--- a/laburnumqueue/queue_test.go
+++ b/laburnumqueue/queue_test.go
@@ -18,8 +18,7 @@
 
 func anyItem(*laburnumqueue.Item) bool { return true }
 
-// Guards against one caller's hundred requests delaying another caller's single request,
-// which must be served second at the latest.
+// Guards against one caller's many requests delaying another caller's single request.
 func TestHeavyCallerDoesNotStarveAnother(t *testing.T) {
 	q := laburnumqueue.New(1000)
 	for range 100 {
@@ -33,8 +32,7 @@
 	require.LessOrEqual(t, position, 2)
 }
 
-// A long request is queued while short ones keep arriving. Guards against starving it, as
-// shortest first would: it is served after about its own cost in short requests.
+// Guards against a long request that starves while short ones keep arriving, or goes before all of them.
 func TestLongRequestNeitherStarvesNorBlocks(t *testing.T) {
 	q := laburnumqueue.New(1000)
 	for range 50 {
@@ -70,8 +68,7 @@
 	require.Equal(t, 4, batch)
 }
 
-// Guards against one caller keeping the whole queue: when it is full, a request of another
-// caller evicts one of the longest flow.
+// Guards against one caller that keeps the whole queue, so that requests of others are refused.
 func TestFullQueueEvictsFromLongestFlow(t *testing.T) {
 	q := laburnumqueue.New(3)
 	for range 3 {
--- a/laburnumregistry/registry_test.go
+++ b/laburnumregistry/registry_test.go
@@ -93,8 +93,7 @@
 	require.True(t, o.Holds(h, "m0", "a1"), "a newer heartbeat lists it")
 }
 
-// Guards against a stopped backend server whose record flaps between silent and alive because control
-// VMs merge each other's view.
+// Guards against a stopped backend server that flaps between silent and alive as control VMs merge each other's view.
 func TestControlVMsAgreeOnSilence(t *testing.T) {
 	one, two := laburnumregistry.New(period), laburnumregistry.New(period)
 	one.ApplyHeartbeat(heartbeat(1), start)
@@ -144,8 +143,7 @@
 	require.Equal(t, []laburnumlever.BackendID{"i-2"}, table.Prune(start.Add(time.Hour)))
 }
 
-// Guards against marking a backend server silent whose heartbeats only another control VM receives,
-// and against late relayed heartbeats that keep a stopped one alive.
+// Guards against a backend server marked silent that another control VM hears, or kept alive by late relayed heartbeats.
 func TestRelayedHeartbeatsPreventSilence(t *testing.T) {
 	const period = time.Second
 	now := time.Unix(1_000_000, 0)
--- a/laburnumretry/attempt_test.go
+++ b/laburnumretry/attempt_test.go
@@ -37,9 +37,7 @@
 	}
 }
 
-// Guards against retries that double the load while all engines fail: six gateways that do not
-// communicate retry every request. In any span of the window's length, all their retries together
-// must stay within the ratio and the slack.
+// Guards against retries of gateways that don't communicate, which together double the load while all engines fail.
 func TestWindowsOfAllGatewaysShareOneLimit(t *testing.T) {
 	const (
 		gateways = 6
@@ -79,8 +77,7 @@
 	}
 }
 
-// Guards against a window that follows the wall clock: each jump would empty it, so that the slack
-// could be used again. Time is counted from the first use, by the monotonic clock.
+// Guards against a retry window that follows the wall clock, whose jumps would grant the slack again.
 func TestWindowUsesTheMonotonicClock(t *testing.T) {
 	w := NewWindow(10*time.Second, 0, 20)
 	start := time.Now()
--- a/laburnumretry/budget_test.go
+++ b/laburnumretry/budget_test.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// Guards against an overload that persists long after a burst because each refusal causes two more
-// requests: while every engine refuses, retries must stay below a tenth of the traffic.
+// Guards against an overload that persists long after a burst because each refusal causes further requests.
 func TestRetriesStayAShareOfTheTraffic(t *testing.T) {
 	budget := laburnumretry.NewBudget()
 	retries := 0
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -292,8 +292,7 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
-// Guards the path from first start to serving: a manifest, backend servers, callers, the loss of a
-// control VM, a changed manifest, a leaving backend server.
+// Guards against a deployment that fails between first start and serving, on the loss of a control VM or on a change.
 func TestPlatformEndToEnd(t *testing.T) {
 	s := newDeployment(t, 3, 1)
 	put := func(control int, body []byte) func() (int, []byte) {
--- a/laburnumrouter/router_test.go
+++ b/laburnumrouter/router_test.go
@@ -71,8 +71,7 @@
 	require.Equal(t, map[laburnumlever.BackendID]int{"2": 1000}, sendRequests(newRouter(view), start, normalSample))
 }
 
-// Guards against an engine that fails fast attracting most requests because its in-flight
-// count is the lowest. After it recovers, probes must bring it back.
+// Guards against an engine that fails fast and attracts most requests, or gets none after it recovers.
 func TestFailingServerIsAvoidedAndRecovers(t *testing.T) {
 	view := fleet(9, 1, 1)
 	r := newRouter(view)
@@ -123,8 +122,7 @@
 	require.Equal(t, 1000, got["0"]+got["3"])
 }
 
-// Guards against prefix affinity overloading one engine: requests with a shared prefix go to
-// the engine that has it cached only until others are clearly less loaded.
+// Guards against prefix affinity that overloads one engine while others are clearly less loaded.
 func TestPrefixAffinityIsBounded(t *testing.T) {
 	r := newRouter(fleet(9, 1, 1))
 	q := laburnumrouter.Query{Model: "m0", Prefix: laburnumrouter.PrefixHash(strings.Repeat("carpet ", 100))}
--- a/laburnumroutes/priority_test.go
+++ b/laburnumroutes/priority_test.go
@@ -9,8 +9,7 @@
 	"laburnumlever/laburnumroutes"
 )
 
-// Guards against priorities compared across services: a route that is less urgent than those of
-// another service is still the most urgent of its own, where no other request goes first.
+// Guards against priorities compared across services, where the most urgent route of one counts as less urgent.
 func TestMostUrgentComparesRoutesOfOneService(t *testing.T) {
 	route := func(prefix string, priority int, service laburnumlever.ServiceName) laburnumlever.Route {
 		return laburnumlever.Route{
--- a/laburnumroutes/routes_test.go
+++ b/laburnumroutes/routes_test.go
@@ -44,8 +44,7 @@
 	}
 }
 
-// Guards against unusable tables from operators: an accepted table takes effect on all VMs, so each
-// fault must be refused by name.
+// Guards against an unusable table of an operator that is accepted and takes effect on all VMs.
 func TestCheckRefuses(t *testing.T) {
 	change := func(fn func(*laburnumlever.RouteTable)) laburnumlever.RouteTable {
 		x := table("/a/", "/b/")
--- a/laburnumsimulation/simulation_test.go
+++ b/laburnumsimulation/simulation_test.go
@@ -45,9 +45,7 @@
 	require.Greater(t, Run(s, productionPolicy(), 1).Day, Run(s.WithEngines(s.Engines.Count/2), productionPolicy(), 1).Day+0.1)
 }
 
-// Policies that did worse in trials on whole fleets must score worse here too, by more than the
-// confidence interval: slow demand estimates, demand counted at the end and long queueing.
-// Proportional placement is the worst.
+// Guards against a simulation that does not tell apart policies that did worse on whole fleets.
 func TestWorsePoliciesScoreLower(t *testing.T) {
 	if testing.Short() {
 		t.Skip("simulates many days")
--- a/laburnumslotqueue/policy_test.go
+++ b/laburnumslotqueue/policy_test.go
@@ -9,8 +9,7 @@
 	"laburnumlever/laburnumslotqueue"
 )
 
-// Guards against requests queued for so long that the rest of the caller's time is too short for
-// the answer, or for the resumption of a broken stream.
+// Guards against requests queued so long that no time is left for the answer or for resuming a broken stream.
 func TestPolicy(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	policy := laburnumslotqueue.DefaultPolicy()
--- a/laburnumslotqueue/queue_test.go
+++ b/laburnumslotqueue/queue_test.go
@@ -69,16 +69,14 @@
 	return inTime, late
 }
 
-// Guards against a queue that makes all answers late when twice as many requests arrive as can be
-// served.
+// Guards against a queue that makes all answers late when twice as many requests arrive as can be served.
 func TestOverloadedQueueServesMostAnswersInTime(t *testing.T) {
 	inTime, late := overload(t, []int{1}, 20*time.Millisecond, 40*time.Millisecond, 20*time.Second)
 	require.Greater(t, inTime[1], 450)
 	require.Less(t, late[1], 50)
 }
 
-// Guards against refusals and reordering, which make answers late, when as many requests arrive as
-// can be served.
+// Guards against refusals and late answers when no more requests arrive than can be served.
 func TestShortQueueIsServedInOrder(t *testing.T) {
 	inTime, late := overload(t, []int{1}, 40*time.Millisecond, 40*time.Millisecond, 10*time.Second)
 	require.GreaterOrEqual(t, inTime[1], 249)
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -39,8 +39,7 @@
 	}
 }
 
-// Guards against false violations: a lost answer after a run, a read sent before the change was
-// acknowledged, a stream that breaks off.
+// Guards against false violations for lost answers, earlier reads and streams that break off.
 func TestAllowedOutcomesAreNotReported(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	r := newRecorder()
--- a/laburnumstandin/service_test.go
+++ b/laburnumstandin/service_test.go
@@ -19,8 +19,7 @@
 	waitStep  = time.Millisecond
 )
 
-// Guards against a ledger that omits a call whose caller disconnected while it ran;
-// a check for double bookings would then miss a second run.
+// Guards against a ledger that omits a call whose answer is lost, which hides a double booking.
 func TestLedgerRecordsCallsWhoseAnswerIsLost(t *testing.T) {
 	timers := laburnumtimer.NewManual(time.Unix(0, 0))
 	service := laburnumstandin.NewService(laburnumlever.Announcement{Backend: "s1", Service: "booking", Slots: 1},
--- a/laburnumstate/claims_test.go
+++ b/laburnumstate/claims_test.go
@@ -9,9 +9,7 @@
 	"laburnumlever/laburnumstate"
 )
 
-// Guards against a delayed release freeing a later claim on the same key: the release of the
-// first attempt arrives while the second one is claimed and runs, and a third attempt would
-// then run the request twice.
+// Guards against running a request twice because a delayed release freed a later claim on the same key.
 func TestLateReleaseDoesNotFreeALaterClaim(t *testing.T) {
 	m := laburnumstate.New()
 	claim := func(id string) laburnumlever.ResultCode {
--- a/laburnumstate/machine_test.go
+++ b/laburnumstate/machine_test.go
@@ -159,8 +159,7 @@
 	require.Zero(t, m.Apply(0, lease(laburnumlever.CommandAcquireLease, "c", 0, 0)).Idle)
 }
 
-// Guards against an answer that is too large or was evicted being returned as an empty answer,
-// and against its request being run again.
+// Guards against an answer that is too large or was evicted being returned empty, or its request being run again.
 func TestAnswersBeyondTheBoundsBecomeUnknown(t *testing.T) {
 	limits := laburnumstate.DefaultLimits()
 	limits.AnswerBytes, limits.TotalBytes = 8, 10
--- a/laburnumstate/snapshot_fuzz_test.go
+++ b/laburnumstate/snapshot_fuzz_test.go
@@ -9,8 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// FuzzSnapshot guards against snapshots that cause a panic, when decoded or at the next command, or
-// that change when they are decoded and encoded.
+// Guards against snapshots that cause a panic, or that change when they are decoded and encoded.
 func FuzzSnapshot(f *testing.F) {
 	m := laburnumstate.New()
 	for i, cmd := range []laburnumlever.Command{
--- a/laburnumtimer/coalescer_test.go
+++ b/laburnumtimer/coalescer_test.go
@@ -9,8 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a run for each trigger: the first trigger after a pause runs at once, all
-// later ones in the period together at its end.
+// Guards against a run for each trigger, and against a first trigger after a pause that waits for a period.
 func TestCoalescerRunsOncePerPeriod(t *testing.T) {
 	timers := laburnumtimer.NewManual(time.Unix(1_000_000, 0))
 	runs := 0
--- a/packing_test.go
+++ b/packing_test.go
@@ -23,9 +23,7 @@
 	return t
 }
 
-// Guards against sending two thousand routes uncompressed to every voter and gateway. The table
-// of nearly a megabyte kept small control VMs busy for seconds, the leader lost leadership, and
-// gateways answered 404 for the new routes for too long.
+// Guards against large route tables sent uncompressed to every voter and gateway, which keep small control VMs busy.
 func TestLargeTableIsCompressed(t *testing.T) {
 	table := tableOf(1900)
 	data, err := json.Marshal(table)
@@ -47,8 +45,7 @@
 	require.Equal(t, table, got)
 }
 
-// Guards against decoding a compressed table that was truncated on disk as a table without
-// routes.
+// Guards against a compressed table that was truncated on disk and decodes as a table without routes.
 func TestDamagedTableIsAnError(t *testing.T) {
 	data, err := json.Marshal(tableOf(1900))
 	require.NoError(t, err)
