feat: request-refused names the client account

An operator who looks for whom a refusal hit had the account only in the cause of over-quota and in quota-unanswered; other refusals (queue-full, deadline, no-backend) of a request with a valid key named none. The line has the field account now: the name only, empty if the key was not accepted or there are no client accounts.

TestRefusalIsLoggedWithTheAccountAndNotTheKey failed before (no such field); it also checks that neither a valid nor an unknown key is in the log. go test -race ./laburnumgateway passes.

--- a/laburnumgateway/accounts_test.go
+++ b/laburnumgateway/accounts_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"laburnumlever"
@@ -93,14 +94,18 @@
 }
 
 // newAccountHarness starts a gateway with client accounts and plenty of quota.
-func newAccountHarness(t *testing.T, server *backend, keys ...string) (*harness, *controlVMs) {
+func newAccountHarness(t testing.TB, server *backend, keys ...string) (*harness, *controlVMs) {
+	return newAccountHarnessWith(t, server, keys)
+}
+
+func newAccountHarnessWith(t testing.TB, server *backend, keys []string, opts ...laburnumgateway.Option) (*harness, *controlVMs) {
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
 	c := &controlVMs{routes: accountRoutes(1, keys...), left: 1000}
 	c.fleet = laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1,
 		laburnumgateway.WithRoutesConfirmer(c, laburnumgateway.KeyTimes{Revoke: revokeTime, Apply: revokeTime / 2}),
 		laburnumgateway.WithQuotaKeepers(c, laburnumquota.Terms{Window: 100 * time.Second, Overshoot: 0.5}))
-	b := newHarnessOfFleet(t, c.fleet, timers)
+	b := newHarnessOfFleet(t, c.fleet, timers, opts...)
 	c.fleet.HandleRoutes(c.routes)
 	c.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: record(server, "booking")})
 	return b, c
@@ -209,6 +214,21 @@
 	require.Equal(t, 3, c.asks)
 }
 
+// Guards against refusals that can't be attributed to a client account, and against keys in the log.
+func TestRefusalIsLoggedWithTheAccountAndNotTheKey(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	lines := &lockedBuffer{}
+	b, c := newAccountHarnessWith(t, server, []string{"key-1"}, laburnumgateway.WithLogger(log.NewLogfmtLogger(lines)))
+	c.set(func(c *controlVMs) { c.left = 0 })
+	require.Equal(t, http.StatusTooManyRequests, b.send("POST", "/confirm/x", "visit", keyHeader, "key-1").status)
+	require.Equal(t, http.StatusUnauthorized, b.send("POST", "/confirm/x", "visit", keyHeader, "key-2").status)
+	logged := lines.String()
+	require.Regexp(t, `event=request-refused request-id=r-\d+ route=\S+ account=account-of-key-1 reason=over-quota`, logged)
+	require.Regexp(t, `event=request-refused request-id=r-\d+ route=\S+ account= reason=unknown-key`, logged)
+	require.NotContains(t, strings.ReplaceAll(logged, "account-of-key-1", ""), "key-1")
+	require.NotContains(t, logged, "key-2")
+}
+
 // Guards against requests that no control VM grants a quota for and that are told to be beyond it.
 func TestUnansweredQuotaIsNotToldAsUsedUp(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -336,8 +336,8 @@
 	if q.route != nil {
 		route = q.route.Name
 	}
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestRefused, "request-id", q.caller.ID, "route", route, "reason", reason,
-		"status", status, "touched", q.mayHaveRun, "sends", q.sent, "tries", q.tries, "not-retried", q.obstacle, "taken", q.refusedReservations, "routes-version", q.routesVersion,
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestRefused, "request-id", q.caller.ID, "route", route,
+		"account", q.accountName(), "reason", reason, "status", status, "touched", q.mayHaveRun, "sends", q.sent, "tries", q.tries, "not-retried", q.obstacle, "taken", q.refusedReservations, "routes-version", q.routesVersion,
 		"model", q.caller.Model, "adapter", q.caller.Adapter, "via", q.via, "avoid", q.avoid, "digest", q.contentDigest, "parts", q.caller.SharedParts(),
 		"software", q.software, "resumes", q.caller.Resumes,
 		"ms", g.timers.Now().Sub(q.arrived).Milliseconds(), "cause", err)
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -216,6 +216,14 @@
 	return path
 }
 
+// accountName returns the name of the request's client account; empty for none.
+func (q *request) accountName() laburnumlever.AccountName {
+	if q.account == nil {
+		return ""
+	}
+	return q.account.Name
+}
+
 // queueTimes returns the times that decide how long the request may be queued.
 func (q *request) queueTimes() laburnumslotqueue.Caller {
 	c := laburnumslotqueue.Caller{Arrived: q.arrived, Deadline: q.deadline, BrokenAt: q.brokenAt}
