fix: failures count until their verification has ended

Seen: in a trace of TestServersAreNotReportedWhileLinksAreDoubted the doubt about the links ended while the verification was still under way ("doubted true -> false, probing true"), in a process that was paused for more than two seconds. From then on a gateway reports to the director that servers are unreachable, though nobody knows yet whose fault it is.

Cause: a failure counts for 2 s, but a verification may take 2.6 s where other VMs answer late, and longer in a VM that is paused.

Failures are now kept while they are being verified. Nothing else of the monitor changes: a verdict still clears the failures that it explains, and old ones still expire once it is known.

--- a/laburnumreachability/monitor.go
+++ b/laburnumreachability/monitor.go
@@ -41,6 +41,8 @@
 	// doubted is set from a suspicion until a server answers directly.
 	doubted   bool
 	doubtedAt time.Time
+	// verifying is set from a suspicion until it has been verified.
+	verifying bool
 	// failed are the servers to which connections failed, with the time of the first failure.
 	failed map[string]time.Time
 	// waiting counts the requests that wait for a server, with the time since when.
@@ -107,9 +109,12 @@
 // SilentFor returns for how long nothing was received.
 func (w *Wait) SilentFor(now time.Time) time.Duration { return now.Sub(w.since) }
 
-// Suspected reports whether connections to several of the known number of servers failed lately.
+// Suspected reports whether connections to several of the known number of servers failed lately. Failures count at least
+// until a verification has told whose they are.
 func (m *Monitor) Suspected(servers int, now time.Time) bool {
-	maps.DeleteFunc(m.failed, func(_ string, at time.Time) bool { return now.Sub(at) > suspicionTime })
+	if !m.verifying {
+		maps.DeleteFunc(m.failed, func(_ string, at time.Time) bool { return now.Sub(at) > suspicionTime })
+	}
 	return m.lost || servers > 0 && len(m.failed) >= min(MinServers, servers)
 }
 
@@ -130,7 +135,7 @@
 	if len(suspects) == 0 || len(suspects) < min(MinServers, servers) {
 		return nil, false
 	}
-	m.verifiedAt = now
+	m.verifiedAt, m.verifying = now, true
 	m.doubted, m.doubtedAt = true, now
 	return suspects[:min(MinServers, len(suspects))], true
 }
@@ -169,7 +174,7 @@
 			helped++
 		}
 	}
-	m.verifiedAt = now
+	m.verifiedAt, m.verifying = now, false
 	switch {
 	case !m.doubted: // a server has answered on a new connection in the meantime
 	case direct > 0:
--- a/laburnumreachability/monitor_test.go
+++ b/laburnumreachability/monitor_test.go
@@ -120,6 +120,16 @@
 	require.False(t, m.Suspected(servers, at(0)), "both failures are explained")
 }
 
+// Guards against servers that are reported to the director as unreachable while others are still asked about them.
+func TestSuspicionOutlastsASlowVerification(t *testing.T) {
+	m := suspecting(t)
+	for now := time.Duration(0); now < 5*time.Second; now += checkTime {
+		require.True(t, m.Suspected(servers, at(now)), now)
+	}
+	require.False(t, m.Verified(probes(false, false, false)[:2], servers, at(5*time.Second)))
+	require.False(t, m.Suspected(servers, at(5*time.Second)), "nobody could tell, and the failures are old")
+}
+
 // Guards against VMs of one zone without links that take each other's silence for a proof that the servers have failed.
 func TestVMThatDoubtsItsLinksIsNoWitness(t *testing.T) {
 	m := laburnumreachability.New()
