test: closed ports stay with the test that closed them

Seen: TestServersAreNotReportedWhileLinksAreDoubted failed now and then: the request got "200 ok" or "crossed-answer" where every server refuses connections, or two servers were reported as unreachable.

Cause: tests listen on a free port, close it and take its address for that of a crashed server. The system gives the port to the next process that asks for one, so that a server of another test answers there.

laburnumstandin.ClosedPort binds a port and doesn't listen: connections are refused as before, and nobody else gets the port. Fake servers of the gateway's tests hold theirs as well, since many of them crash. The tests of peers, operators' clients and orders closed ports in the same way. No check changed.

--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -19,6 +19,7 @@
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumgateway"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumstandin"
 	"laburnumlever/laburnumtimer"
 	"laburnumlever/platform"
 )
@@ -48,7 +49,10 @@
 }
 
 func newBackend(t testing.TB, id string, answer func(conn net.Conn, a receivedRequest, n int)) *backend {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := laburnumstandin.NewClosedPort() // holds the port once the listener is closed
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = closed.Close() })
+	ln, err := net.Listen("tcp", closed.Address())
 	require.NoError(t, err)
 	return newBackendOn(t, id, ln, answer)
 }
--- a/laburnumgateway/links_test.go
+++ b/laburnumgateway/links_test.go
@@ -19,6 +19,7 @@
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumgateway"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumstandin"
 	"laburnumlever/laburnumtimer"
 	"laburnumlever/laburnumtunnel"
 	"laburnumlever/laburnumupstream"
@@ -77,12 +78,12 @@
 	tunnels := &fakeTunnels{real: map[string]string{}}
 	var records []laburnumregistry.Record
 	for _, b := range servers {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		closed, err := laburnumstandin.NewClosedPort()
 		require.NoError(t, err)
-		require.NoError(t, ln.Close())
+		t.Cleanup(func() { _ = closed.Close() })
 		r := b.heartbeat(service)
-		tunnels.real[ln.Addr().String()] = r.Heartbeat.Address
-		r.Heartbeat.Address = ln.Addr().String()
+		tunnels.real[closed.Address()] = r.Heartbeat.Address
+		r.Heartbeat.Address = closed.Address()
 		records = append(records, r)
 	}
 	return records, tunnels
--- a/laburnumoperator/handler_test.go
+++ b/laburnumoperator/handler_test.go
@@ -14,6 +14,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnummetrics"
 	"laburnumlever/laburnumoperator"
+	"laburnumlever/laburnumstandin"
 )
 
 // fakeOperations returns err from every operation that can fail.
@@ -130,7 +131,10 @@
 
 // Guards against a client that reports a change as not made when the VM was killed before it answered.
 func TestLostAnswerIsUnknownAndFailedDialIsUnreachable(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := laburnumstandin.NewClosedPort()
+	require.NoError(t, err)
+	defer closed.Close()
+	ln, err := net.Listen("tcp", closed.Address())
 	require.NoError(t, err)
 	go func() {
 		conn, err := ln.Accept()
--- a/laburnumorder/httpengines_test.go
+++ b/laburnumorder/httpengines_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -43,10 +42,10 @@
 	require.Error(t, err)
 	require.NotErrorAs(t, err, &notSent)
 
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := laburnumstandin.NewClosedPort()
 	require.NoError(t, err)
-	a.Address = closed.Addr().String()
-	require.NoError(t, closed.Close())
+	defer closed.Close()
+	a.Address = closed.Address()
 	_, err = link.Order(ctx, a, order)
 	require.ErrorAs(t, err, &notSent)
 }
--- a/laburnumpeer/peers_test.go
+++ b/laburnumpeer/peers_test.go
@@ -9,6 +9,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumpeer"
+	"laburnumlever/laburnumstandin"
 
 	"github.com/stretchr/testify/require"
 )
@@ -67,18 +68,17 @@
 
 // Guards against reporting an unknown outcome for a call that was never sent.
 func TestUnsentCallIsUnreachable(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := laburnumstandin.NewClosedPort()
 	require.NoError(t, err)
-	address := ln.Addr().String()
-	require.NoError(t, ln.Close())
+	defer closed.Close()
 	a := laburnumpeer.New("a", laburnumpeer.WithMaxFrame(1024))
 	defer a.Close()
 	var unreachable *laburnumlever.PeerUnreachableError
-	require.ErrorAs(t, a.Call(context.Background(), address, "echo", nil, nil), &unreachable)
+	require.ErrorAs(t, a.Call(context.Background(), closed.Address(), "echo", nil, nil), &unreachable)
 
 	b := laburnumpeer.New("b")
 	b.Handle("echo", echo)
-	address = serve(t, b)
+	address := serve(t, b)
 	err = a.Call(context.Background(), address, "echo", text{Text: string(make([]byte, 4096))}, nil)
 	require.ErrorAs(t, err, &unreachable)
 	var large *laburnumpeer.FrameTooLargeError
