test: the soak tells new connections by what was read on them

http.Transport counts a connection as reused once it has been in the pool of idle ones, also if its request had got another one before it was open, so that the gateway may not even have accepted it. A connection is new now until something was read on it. The reset of a connection on which an answer came is reported as before.

--- a/laburnumsoak/steady.go
+++ b/laburnumsoak/steady.go
@@ -36,7 +36,7 @@
 	sentAt, endedAt time.Time
 	// whole is set once it was sent whole.
 	whole bool
-	// fresh is set if it was sent on a new connection.
+	// fresh is set if it was sent on a connection on which the gateway had answered nothing.
 	fresh bool
 	err   error
 }
@@ -109,7 +109,7 @@
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GetConn:      func(string) { q.whole = false },
-		GotConn:      func(info httptrace.GotConnInfo) { q.fresh = !info.Reused },
+		GotConn:      func(info httptrace.GotConnInfo) { q.fresh = !laburnumstandin.Answered(info.Conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { q.whole = info.Err == nil },
 	})
 	status, answer, err := l.caller.Request(ctx, l.fleet.gateway(gateway), route, id, body)
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -48,7 +49,14 @@
 // NewPlatformCaller makes a caller with its own connection pool.
 func NewPlatformCaller() *PlatformCaller {
 	const idle = 64
-	return &PlatformCaller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle}}}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &callerConn{Conn: conn}, nil
+	}
+	return &PlatformCaller{client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idle}}}
 }
 
 // Confirm sends a non-idempotent request and returns the HTTP status and the body.
