fix: one lost call is no silence of all control VMs

Seen by reading, in the review of the bound on calls for leases: a gateway that had asked nothing for a second, since the keeper had told it to hold off, took its next lost call for the silence of all control VMs and sent requests to the brittle server without a lease, beside those whose leases were out. Before that bound gateways asked so often that this was rare.

Cause: the time was counted from the last answer, not from the first call that got none. It is counted from the first lost call after an answer now; with calls under way while control VMs are silent nothing changes.

TestOneLostCallIsNoSilenceOfTheControlVMs failed before ("Should be false") and passes; go test -race ./laburnumconcurrency passes.

--- a/laburnumconcurrency/calls.go
+++ b/laburnumconcurrency/calls.go
@@ -62,8 +62,7 @@
 	return c.waiting+c.probing == 0 && !now.Before(c.fullUntil)
 }
 
-// Lost ends a call that no control VM answered.
-func (t *Table) Lost(c *Call) {
+func (c *Call) end() {
 	if c.waits {
 		c.server.calls.waiting--
 	} else {
@@ -71,10 +70,21 @@
 	}
 }
 
+// Lost ends a call that no control VM answered.
+func (t *Table) Lost(c *Call) {
+	c.end()
+	if t.lostSince.IsZero() {
+		t.lostSince = c.sentAt
+		if t.answeredAt.After(c.sentAt) {
+			t.lostSince = t.answeredAt
+		}
+	}
+}
+
 // Answered ends a call that a control VM answered.
 func (t *Table) Answered(c *Call, a Answer, now time.Time) {
-	t.answeredAt = now
-	t.Lost(c)
+	t.answeredAt, t.lostSince = now, time.Time{}
+	c.end()
 	k := c.server
 	switch {
 	case a.Granted:
--- a/laburnumconcurrency/calls_test.go
+++ b/laburnumconcurrency/calls_test.go
@@ -248,3 +248,21 @@
 		require.Less(t, slices.Max(o.granted), 4*(leases/gateways+1), "gateways that keep others out")
 	}
 }
+
+// Guards against running requests without a lease after one lost call, since a gateway that was told to hold off had asked nothing before.
+func TestOneLostCallIsNoSilenceOfTheControlVMs(t *testing.T) {
+	table, l := laburnumconcurrency.NewTable("g1"), brittleServer(4)
+	table.Apply(l, at(0))
+	begin := func(now time.Duration) *laburnumconcurrency.Call {
+		call, ok := table.Begin(l.Backend, true, at(now))
+		require.True(t, ok)
+		return call
+	}
+	table.Answered(begin(0), laburnumconcurrency.Answer{Granted: true}, at(0))
+	table.Lost(begin(5 * time.Second))
+	require.False(t, table.Alone(at(5*time.Second+300*time.Millisecond)))
+	table.Lost(begin(6 * time.Second))
+	require.True(t, table.Alone(at(6*time.Second+300*time.Millisecond)))
+	table.Answered(begin(7*time.Second), laburnumconcurrency.Answer{Granted: true}, at(7*time.Second))
+	require.False(t, table.Alone(at(7*time.Second)))
+}
--- a/laburnumconcurrency/table.go
+++ b/laburnumconcurrency/table.go
@@ -35,8 +35,9 @@
 	servers map[laburnumlever.BackendID]*known
 	// services are those of which a server has said that it is brittle, and none since that it is not.
 	services map[laburnumlever.ServiceName]brittleService
-	// answeredAt is when a control VM last answered a request for a lease.
-	answeredAt time.Time
+	// answeredAt is when a control VM last answered a request for a lease, lostSince the time since when none did although asked;
+	// zero if the last one was answered.
+	answeredAt, lostSince time.Time
 }
 
 // brittleService is what the last brittle server of a service said.
@@ -186,7 +187,9 @@
 
 // Alone reports whether no control VM has answered for so long that their leases are no longer in use: a short pause of
 // theirs is none of the servers.
-func (t *Table) Alone(now time.Time) bool { return now.Sub(t.answeredAt) >= aloneTime }
+func (t *Table) Alone(now time.Time) bool {
+	return !t.lostSince.IsZero() && now.Sub(t.lostSince) >= aloneTime
+}
 
 // Share reports whether a request may run without a control VM, within this gateway's share of the slots.
 func (t *Table) Share(backend laburnumlever.BackendID, gateways int) bool {
