--- a/laburnumstandin/closedport.go
+++ b/laburnumstandin/closedport.go
@@ -1,7 +1,6 @@
 package laburnumstandin
 
 import (
-	"net"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -40,8 +39,11 @@
 	if err != nil {
 		return err
 	}
-	bound := name.(*unix.SockaddrInet4)
-	p.address = (&net.TCPAddr{IP: bound.Addr[:], Port: bound.Port}).String()
+	bound, ok := name.(*unix.SockaddrInet4)
+	if !ok {
+		return errors.Newf("socket has an address of type %T", name)
+	}
+	p.address = netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port)).String()
 	return nil
 }
 
