--- a/laburnumconcurrency/calls.go
+++ b/laburnumconcurrency/calls.go
@@ -17,12 +17,13 @@
 // Limit is the bound of the server as it was known when the call began.
 func (c *Call) Limit() Limit { return c.limit }
 
-// calls are a gateway's calls for a lease of one server that are not answered. The keeper refuses a call that would wait behind
-// too many others. How many of them are this gateway's it learns as congestion control does: one more after each window of
-// leases, half as many after a refusal, so that the gateways' parts of the queue even out.
+// calls are a gateway's unanswered calls for leases of one server. The keeper refuses a call that would wait behind too many others,
+// so a window bounds those that wait. It is adjusted as in congestion control, one more after each window of leases and half as many
+// after a refusal, which evens out the gateways' parts of the queue.
 type calls struct {
 	waiting, probing int
-	// window is how many may wait, granted the number of leases since it last changed, cutAt when a refusal last halved it.
+	// window is the number of calls that may wait, granted that of leases since it last changed, cutAt the time of the last refusal that
+	// halved it.
 	window, granted int
 	cutAt           time.Time
 	// fullUntil is until when no lease is free at once.
@@ -100,7 +101,7 @@
 	}
 }
 
-// grow enlarges the window: by one after as many leases as it has places, to twice its size at a lease that was free, since nobody waits.
+// grow enlarges the window: by one after a window of leases, to twice its size after a lease that was free at once, since nobody waits.
 func (c *calls) grow(by *Call, most int) {
 	c.granted++
 	switch {
--- a/laburnumconcurrency/table.go
+++ b/laburnumconcurrency/table.go
@@ -35,8 +35,8 @@
 	servers map[laburnumlever.BackendID]*known
 	// services are those of which a server has said that it is brittle, and none since that it is not.
 	services map[laburnumlever.ServiceName]brittleService
-	// answeredAt is when a control VM last answered a request for a lease, lostSince the time since when none did although asked;
-	// zero if the last one was answered.
+	// answeredAt is when a control VM last answered a call for a lease. lostSince is when calls began to get no answer, zero if the
+	// last one got one.
 	answeredAt, lostSince time.Time
 }
 
