fix: the peers' port is free once they are closed

Nobody saw it yet.

Cause: Close cancels a context, whose hook closes the listener in a goroutine of its own, and waited for the links only. A VM of the old interface that starts again at once could fail with "address already in use". Close now waits for Serve, which waits for the hook.

--- a/laburnumpeer/peers.go
+++ b/laburnumpeer/peers.go
@@ -59,8 +59,20 @@
 
 // Serve accepts connections until Close and then returns nil. Another error of the listener ends it.
 func (p *Peers) Serve(ln net.Listener) error {
-	stop := context.AfterFunc(p.ctx, func() { _ = ln.Close() })
-	defer stop()
+	if !p.begin() {
+		return ln.Close()
+	}
+	defer p.wg.Done()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(p.ctx, func() {
+		defer close(closed)
+		_ = ln.Close()
+	})
+	defer func() {
+		if !stop() {
+			<-closed // else the port is still taken once Close has returned
+		}
+	}()
 	for {
 		conn, err := ln.Accept()
 		if p.ctx.Err() != nil {
@@ -73,7 +85,18 @@
 	}
 }
 
-// Close closes all links and waits for their goroutines. Calls in progress fail.
+// begin has Close wait for a Done. It returns false after Close.
+func (p *Peers) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return false
+	}
+	p.wg.Add(1)
+	return true
+}
+
+// Close closes all links and listeners, and waits until they are. Calls in progress fail.
 func (p *Peers) Close() error {
 	p.mu.Lock()
 	p.cancel()
