fix: a gateway that ends as it starts frees its ports

The test ends a gateway as soon as it has started, and starts one at the same address.

Cause: http.Server.Close closes the listeners that Serve has been called with. On a busy machine the goroutine that calls it had not run yet, so that it closed the listener only later. A gateway or control VM that has been shut down has ended its servers now.

--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"laburnumlever"
@@ -35,6 +36,7 @@
 	self     laburnumlever.VM
 	peers    *laburnumpeer.Peers
 	servers  []*http.Server
+	serving  *sync.WaitGroup
 	// peerListener is closed before the links, so that the address is free for a restarted process.
 	peerListener net.Listener
 }
@@ -56,7 +58,7 @@
 }
 
 func newProcess(settings laburnumsettings.RoleSettings, opts []Option) process {
-	p := process{settings: settings, logger: log.NewNopLogger()}
+	p := process{settings: settings, logger: log.NewNopLogger(), serving: &sync.WaitGroup{}}
 	for _, opt := range opts {
 		opt(&p)
 	}
@@ -110,11 +112,11 @@
 
 func (p *process) serveOn(ln net.Listener, name string, server *http.Server) {
 	p.servers = append(p.servers, server)
-	go func() {
+	p.serving.Go(func() {
 		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			_ = level.Error(p.logger).Log("event", laburnumlever.EventListenerEnded, "listener", name, "cause", err)
 		}
-	}()
+	})
 }
 
 // backendConnectionShare is the share of a process's file descriptors available to backend servers and
@@ -175,6 +177,7 @@
 		_ = p.peerListener.Close()
 	}
 	_ = p.peers.Close()
+	p.serving.Wait() // a server that has just started closes its listener there
 }
 
 // reload applies changed seeds. Listeners and the data folder can't change while the process runs.
--- a/laburnumroles/shutdown_test.go
+++ b/laburnumroles/shutdown_test.go
@@ -87,6 +87,15 @@
 	<-done
 }
 
+// Guards against a gateway that can't start again at its address, since one that ends as it starts leaves its ports taken.
+func TestGatewayThatEndsAsItStartsFreesItsPorts(t *testing.T) {
+	s := newDeployment(t, 3, 1)
+	for range 100 {
+		s.killGateway()
+		s.gateway = s.startGatewayAt(0)
+	}
+}
+
 // Guards against streams that a gateway cuts as its grace is over and counts as callers that left.
 func TestStreamsCutAtTheEndOfTheGraceAreNoLeavingCallers(t *testing.T) {
 	s := newDeployment(t, 3, 1)
