fix: processes without a constructor serve, too

A process that is a zero value serves again: each server has a channel that is closed once it has ended.

--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"laburnumlever"
@@ -36,7 +35,8 @@
 	self     laburnumlever.VM
 	peers    *laburnumpeer.Peers
 	servers  []*http.Server
-	serving  *sync.WaitGroup
+	// served are closed once the servers have ended and their ports are free.
+	served []<-chan struct{}
 	// peerListener is closed before the links, so that the address is free for a restarted process.
 	peerListener net.Listener
 }
@@ -58,7 +58,7 @@
 }
 
 func newProcess(settings laburnumsettings.RoleSettings, opts []Option) process {
-	p := process{settings: settings, logger: log.NewNopLogger(), serving: &sync.WaitGroup{}}
+	p := process{settings: settings, logger: log.NewNopLogger()}
 	for _, opt := range opts {
 		opt(&p)
 	}
@@ -112,11 +112,14 @@
 
 func (p *process) serveOn(ln net.Listener, name string, server *http.Server) {
 	p.servers = append(p.servers, server)
-	p.serving.Go(func() {
+	served := make(chan struct{})
+	p.served = append(p.served, served)
+	go func() {
+		defer close(served)
 		if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			_ = level.Error(p.logger).Log("event", laburnumlever.EventListenerEnded, "listener", name, "cause", err)
 		}
-	})
+	}()
 }
 
 // backendConnectionShare is the share of a process's file descriptors available to backend servers and
@@ -177,7 +180,9 @@
 		_ = p.peerListener.Close()
 	}
 	_ = p.peers.Close()
-	p.serving.Wait() // a server that has just started closes its listener there
+	for _, served := range p.served {
+		<-served // a server that has just started closes its listener late
+	}
 }
 
 // reload applies changed seeds. Listeners and the data folder can't change while the process runs.
