--- a/laburnumpeer/close_test.go
+++ b/laburnumpeer/close_test.go
@@ -7,12 +7,16 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumlever/laburnumpeer"
+	"laburnumlever/laburnumstandin"
 )
 
 // Guards against a VM that can't start again at its address since the port is still taken once it has been closed.
 func TestPortIsFreeOnceClosed(t *testing.T) {
+	port, err := laburnumstandin.NewClosedPort() // nobody else gets it
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = port.Close() })
 	for range 500 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", port.Address())
 		require.NoError(t, err)
 		a := laburnumpeer.New("a")
 		served := make(chan error, 1)
@@ -22,7 +26,7 @@
 		}()
 		<-serving
 		require.NoError(t, a.Close())
-		again, err := net.Listen("tcp", ln.Addr().String())
+		again, err := net.Listen("tcp", port.Address())
 		require.NoError(t, err)
 		require.NoError(t, again.Close())
 		require.NoError(t, <-served)
