--- a/laburnumstandin/closedport.go
+++ b/laburnumstandin/closedport.go
@@ -1,6 +1,8 @@
 package laburnumstandin
 
 import (
+	"fmt"
+	"net"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -14,15 +16,15 @@
 	address string
 }
 
-// NewClosedPort takes a port of the loopback interface. Listening on its address is possible later.
+// NewClosedPort takes a port of the loopback interface. Listening on its address is possible later. Errors: *ClosedPortError.
 func NewClosedPort() (*ClosedPort, error) {
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return nil, errors.Wrap(err, "open socket")
+		return nil, &ClosedPortError{Step: "open a socket", Cause: err}
 	}
 	p := &ClosedPort{fd: fd}
 	if err := p.bind(); err != nil {
-		return nil, errors.CombineErrors(errors.Wrap(err, "bind socket"), p.Close())
+		return nil, &ClosedPortError{Step: "bind a socket", Cause: errors.CombineErrors(err, p.Close())}
 	}
 	return p, nil
 }
@@ -41,7 +43,7 @@
 	}
 	bound, ok := name.(*unix.SockaddrInet4)
 	if !ok {
-		return errors.Newf("socket has an address of type %T", name)
+		return &net.AddrError{Err: "unexpected address type", Addr: fmt.Sprintf("%T", name)}
 	}
 	p.address = netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port)).String()
 	return nil
--- a/laburnumstandin/errors.go
+++ b/laburnumstandin/errors.go
@@ -36,3 +36,14 @@
 type LinkCutError struct{ Target string }
 
 func (e *LinkCutError) Error() string { return "link to " + e.Target + " is cut" }
+
+// ClosedPortError is a port of the loopback interface that could not be taken.
+type ClosedPortError struct {
+	Step  string
+	Cause error
+}
+
+func (e *ClosedPortError) Error() string { return fmt.Sprintf("closed port: %s: %v", e.Step, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ClosedPortError) Unwrap() error { return e.Cause }
