fix: a caller that sends its body without a 100 Continue gets its refusal

The connection still is closed for writing at once, so that callers that read the refusal close it, but it is read from for as long as that of any refused body.

--- a/laburnumgateway/bodies.go
+++ b/laburnumgateway/bodies.go
@@ -110,7 +110,7 @@
 // mean to send any more, is closed: what follows must not be taken for a request.
 func (b *incomingBody) drop(end time.Time) {
 	if b.unsent {
-		b.linger(time.Now().Add(lingerTime))
+		b.linger(end) // some callers send it without a 100 Continue
 		return
 	}
 	_ = b.controller.SetReadDeadline(end.Add(-lingerTime))
