fix: a call that waited for its answer and lost it proves nothing alone

By reading: counted the silence of the control VMs from when the first lost call was sent. A call may wait a second for a lease, so one that waited and whose answer was lost, or late, was taken for a second of silence by itself, and the gateway used its share beside the leases that were out.

The silence counts from when the first call was lost; another one must be lost a second later. TestOneLostCallIsNoSilenceOfTheControlVMs has such a call now and fails with the former count (its guard takes that back).

--- a/laburnumconcurrency/calls.go
+++ b/laburnumconcurrency/calls.go
@@ -39,7 +39,7 @@
 	switch {
 	case k == nil:
 		return nil, false
-	case waits && !k.mayWait(now), !waits && !k.calls.mayProbe(now):
+	case waits && !t.mayWait(k, now), !waits && !t.mayProbe(k, now):
 		return nil, false
 	case waits:
 		k.calls.waiting++
@@ -52,15 +52,16 @@
 // MayWait reports whether a call may wait for a lease.
 func (t *Table) MayWait(backend laburnumlever.BackendID, now time.Time) bool {
 	k := t.servers[backend]
-	return k == nil || k.mayWait(now)
+	return k == nil || t.mayWait(k, now)
 }
 
-func (k *known) mayWait(now time.Time) bool {
+// mayWait reports whether a call may wait.
+func (t *Table) mayWait(k *known, now time.Time) bool {
 	return k.calls.waiting < k.calls.window && !now.Before(k.askAt)
 }
 
-func (c *calls) mayProbe(now time.Time) bool {
-	return c.waiting+c.probing == 0 && !now.Before(c.fullUntil)
+func (t *Table) mayProbe(k *known, now time.Time) bool {
+	return k.calls.waiting+k.calls.probing == 0 && !now.Before(k.calls.fullUntil)
 }
 
 func (c *Call) end() {
@@ -72,19 +73,16 @@
 }
 
 // Lost ends a call that no control VM answered.
-func (t *Table) Lost(c *Call) {
+func (t *Table) Lost(c *Call, now time.Time) {
 	c.end()
 	if t.lostSince.IsZero() {
-		t.lostSince = c.sentAt
-		if t.answeredAt.After(c.sentAt) {
-			t.lostSince = t.answeredAt
-		}
+		t.lostSince = now
 	}
 }
 
 // Answered ends a call that a control VM answered.
 func (t *Table) Answered(c *Call, a Answer, now time.Time) {
-	t.answeredAt, t.lostSince = now, time.Time{}
+	t.lostSince = time.Time{}
 	c.end()
 	k := c.server
 	switch {
--- a/laburnumconcurrency/calls_test.go
+++ b/laburnumconcurrency/calls_test.go
@@ -249,7 +249,7 @@
 	}
 }
 
-// Guards against running requests without a lease after one lost call, since a gateway that was told to hold off had asked nothing before.
+// Guards against running requests without a lease after one lost call of a gateway that asked nothing before, or waited for its answer.
 func TestOneLostCallIsNoSilenceOfTheControlVMs(t *testing.T) {
 	table, l := laburnumconcurrency.NewTable("g1"), brittleServer(4)
 	table.Apply(l, at(0))
@@ -259,10 +259,11 @@
 		return call
 	}
 	table.Answered(begin(0), laburnumconcurrency.Answer{Granted: true}, at(0))
-	table.Lost(begin(5 * time.Second))
-	require.False(t, table.Alone(at(5*time.Second+300*time.Millisecond)))
-	table.Lost(begin(6 * time.Second))
-	require.True(t, table.Alone(at(6*time.Second+300*time.Millisecond)))
-	table.Answered(begin(7*time.Second), laburnumconcurrency.Answer{Granted: true}, at(7*time.Second))
-	require.False(t, table.Alone(at(7*time.Second)))
+	waited := begin(5 * time.Second)
+	table.Lost(waited, at(5*time.Second+laburnumconcurrency.MaxWait+300*time.Millisecond))
+	require.False(t, table.Alone(at(5*time.Second+laburnumconcurrency.MaxWait+300*time.Millisecond)))
+	table.Lost(begin(7*time.Second), at(7*time.Second+500*time.Millisecond))
+	require.True(t, table.Alone(at(7*time.Second+500*time.Millisecond)))
+	table.Answered(begin(8*time.Second), laburnumconcurrency.Answer{Granted: true}, at(8*time.Second))
+	require.False(t, table.Alone(at(8*time.Second)))
 }
--- a/laburnumconcurrency/table.go
+++ b/laburnumconcurrency/table.go
@@ -35,9 +35,8 @@
 	servers map[laburnumlever.BackendID]*known
 	// services are those of which a server has said that it is brittle, and none since that it is not.
 	services map[laburnumlever.ServiceName]brittleService
-	// answeredAt is when a control VM last answered a call for a lease. lostSince is when calls began to get no answer, zero if the
-	// last one got one.
-	answeredAt, lostSince time.Time
+	// lostSince is when the first call for a lease since the last answered one was lost; zero if none was.
+	lostSince time.Time
 }
 
 // brittleService is what the last brittle server of a service said.
--- a/laburnumgateway/brittle.go
+++ b/laburnumgateway/brittle.go
@@ -109,7 +109,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.err != nil {
-		f.brittle.Lost(call)
+		f.brittle.Lost(call, f.timers.Now())
 		return
 	}
 	f.brittle.Answered(call, a.Answer, f.timers.Now())
