fix: a gateway without control VMs is not bound by its window of calls

When no control VM answered any more, as in a zone that is cut off, nothing opened that window: requests came to the gateway's share of a brittle server one at a time, each after a call that waits up to a second in vain.

The window follows from answers, so it bounds nothing once no control VM has answered for a second: calls are made as before. TestWindowBoundsNothingWithoutControlVMs fails without that (its guard takes it back); go test -race ./laburnumconcurrency passes.

--- a/laburnumconcurrency/calls.go
+++ b/laburnumconcurrency/calls.go
@@ -55,13 +55,13 @@
 	return k == nil || t.mayWait(k, now)
 }
 
-// mayWait reports whether a call may wait.
+// mayWait reports whether a call may wait. The window is what keepers have room for, and tells nothing while none answers.
 func (t *Table) mayWait(k *known, now time.Time) bool {
-	return k.calls.waiting < k.calls.window && !now.Before(k.askAt)
+	return (k.calls.waiting < k.calls.window || t.Alone(now)) && !now.Before(k.askAt)
 }
 
 func (t *Table) mayProbe(k *known, now time.Time) bool {
-	return k.calls.waiting+k.calls.probing == 0 && !now.Before(k.calls.fullUntil)
+	return t.Alone(now) || k.calls.waiting+k.calls.probing == 0 && !now.Before(k.calls.fullUntil)
 }
 
 func (c *Call) end() {
--- a/laburnumconcurrency/calls_test.go
+++ b/laburnumconcurrency/calls_test.go
@@ -267,3 +267,25 @@
 	table.Answered(begin(8*time.Second), laburnumconcurrency.Answer{Granted: true}, at(8*time.Second))
 	require.False(t, table.Alone(at(8*time.Second)))
 }
+
+// Guards against a gateway without control VMs that uses its share one request at a time, since keepers had little room before.
+func TestWindowBoundsNothingWithoutControlVMs(t *testing.T) {
+	table, l := laburnumconcurrency.NewTable("g1"), brittleServer(4)
+	table.Apply(l, at(0))
+	for now := range 8 {
+		call, ok := table.Begin(l.Backend, true, at(time.Duration(now)*time.Second))
+		require.True(t, ok)
+		table.Answered(call, laburnumconcurrency.Answer{}, at(time.Duration(now)*time.Second))
+	}
+	call, ok := table.Begin(l.Backend, true, at(8*time.Second))
+	require.True(t, ok)
+	_, ok = table.Begin(l.Backend, true, at(8*time.Second))
+	require.False(t, ok, "the keeper has room for one")
+	table.Lost(call, at(8*time.Second))
+	for range 4 {
+		_, ok = table.Begin(l.Backend, false, at(9*time.Second))
+		require.True(t, ok)
+		_, ok = table.Begin(l.Backend, true, at(9*time.Second))
+		require.True(t, ok)
+	}
+}
