--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -115,6 +115,7 @@
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}, nil
 	}
 	q.sent++
+	q.sentAt = now
 	resp, err := conn.Exchange(laburnumupstream.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Body: q.body,
 		Header: g.dialect.Forward(q.header, q.forwardParams(ticket.Backend.Backend, now)),
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -29,6 +29,8 @@
 	detours tally.Counter
 	// rests counts rests that backend servers asked for, leaves servers that said in an answer that they leave.
 	rests, leaves tally.Counter
+	// callersLeftUnsent and callersLeftSent count callers that left before and after their requests were sent.
+	callersLeftUnsent, callersLeftSent tally.Counter
 	// streamsRecorded and streamsUnrecorded count streams whose software version some control VM keeps, or none.
 	streamsRecorded, streamsUnrecorded tally.Counter
 
@@ -84,6 +86,8 @@
 	}
 	c.crashesUnconfirmed = scope.Counter("backend_crashes_unconfirmed")
 	c.rests, c.leaves = scope.Counter("backend_rests"), scope.Counter("backend_leaves")
+	c.callersLeftUnsent = scope.Tagged(map[string]string{"sent": "false"}).Counter("callers_left")
+	c.callersLeftSent = scope.Tagged(map[string]string{"sent": "true"}).Counter("callers_left")
 	c.streamsRecorded = scope.Tagged(map[string]string{"outcome": "kept"}).Counter("stream_records")
 	c.streamsUnrecorded = scope.Tagged(map[string]string{"outcome": "not-kept"}).Counter("stream_records")
 	for _, outcome := range reserveOutcomeValues() {
@@ -140,3 +144,12 @@
 		c.leaseProbes[outcome].Inc(1)
 	}
 }
+
+// countCallerLeft counts a caller that left before its answer was complete.
+func (c *counters) countCallerLeft(q *request) {
+	if q.sent > 0 {
+		c.callersLeftSent.Inc(1)
+	} else {
+		c.callersLeftUnsent.Inc(1)
+	}
+}
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -202,6 +202,7 @@
 	var gone *CallerGoneError
 	if errors.As(err, &gone) || (ctx.Err() != nil && !deadlineExceeded(ctx)) {
 		g.countRefusal(laburnumlever.RefusedCallerGone)
+		g.counters.countCallerLeft(q)
 		g.logRefusal(q, laburnumlever.RefusedCallerGone, 0, err)
 		g.endGone(q, out)
 		return
@@ -337,7 +338,7 @@
 		route = q.route.Name
 	}
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestRefused, "request-id", q.caller.ID, "route", route,
-		"account", q.accountName(), "reason", reason, "status", status, "touched", q.mayHaveRun, "sends", q.sent, "tries", q.tries, "not-retried", q.obstacle, "taken", q.refusedReservations, "routes-version", q.routesVersion,
+		"account", q.accountName(), "reason", reason, "status", status, "touched", q.mayHaveRun, "sends", q.sent, "sent-ago-ms", q.sentAgo(g.timers.Now()), "tries", q.tries, "not-retried", q.obstacle, "taken", q.refusedReservations, "routes-version", q.routesVersion,
 		"model", q.caller.Model, "adapter", q.caller.Adapter, "via", q.via, "avoid", q.avoid, "digest", q.contentDigest, "parts", q.caller.SharedParts(),
 		"software", q.software, "resumes", q.caller.Resumes,
 		"ms", g.timers.Now().Sub(q.arrived).Milliseconds(), "cause", err)
--- /dev/null
+++ b/laburnumgateway/leaving_test.go
@@ -0,0 +1,70 @@
+package laburnumgateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// leavers is the number of callers that leave while the gateway stands still.
+const leavers = 100
+
+// sendAndLeave has callers send a request and leave, by close or by reset, while nobody accepts their connections.
+func sendAndLeave(t *testing.T, address string, request string) {
+	t.Helper()
+	for i := range leavers {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(conn, request, i)
+		require.NoError(t, err)
+		awaitDelivery(t, conn)
+		if i%2 == 1 {
+			require.NoError(t, conn.(*net.TCPConn).SetLinger(0))
+		}
+		require.NoError(t, conn.Close())
+	}
+}
+
+// testLeaversAreNotServed has a gateway find requests and their callers' closes together as it goes on.
+func testLeaversAreNotServed(t *testing.T, request string) {
+	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) { writeAnswer(conn, a, 200, "done") })
+	b := newHarness(t, server.heartbeat("booking"))
+	still := httptest.NewUnstartedServer(b.gateway)
+	still.Config = b.gateway.Server()
+	sendAndLeave(t, still.Listener.Addr().String(), request)
+	still.Start()
+	t.Cleanup(still.Close)
+	after, err := net.Dial("tcp", still.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = after.Close() }()
+	_, err = fmt.Fprintf(after, request, leavers)
+	require.NoError(t, err)
+	last := fmt.Sprintf("r-%d", leavers)
+	require.Eventually(t, func() bool {
+		for _, r := range server.requests() {
+			if r.request.Header.Get(idHeader) == last {
+				return true
+			}
+		}
+		return false
+	}, callerPatience, time.Millisecond, "the caller that stays is served")
+	require.Eventually(t, func() bool { return b.gateway.InFlight() == 0 }, callerPatience, time.Millisecond)
+	require.Len(t, server.requests(), 1, "the others have left")
+}
+
+// Guards against requests that are sent on although their callers left while the gateway stood still.
+func TestRequestsOfCallersThatLeftAreNotSent(t *testing.T) {
+	t.Run("without-body", func(t *testing.T) {
+		testLeaversAreNotServed(t, "GET /lookup/x HTTP/1.1\r\nHost: quotes.example\r\n"+idHeader+": r-%d\r\n\r\n")
+	})
+	t.Run("with-body", func(t *testing.T) {
+		testLeaversAreNotServed(t, "POST /confirm/x HTTP/1.1\r\nHost: quotes.example\r\n"+idHeader+": r-%d\r\nContent-Length: 5\r\n\r\nvisit")
+	})
+	t.Run("with-a-next-request", func(t *testing.T) {
+		testLeaversAreNotServed(t, "GET /lookup/x HTTP/1.1\r\nHost: quotes.example\r\n"+idHeader+": r-%d\r\n\r\nGET /lo")
+	})
+}
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -45,8 +45,9 @@
 	deadline      time.Time
 	routesVersion uint64
 
-	// sent counts the attempts that were sent; tries also counts those that were not.
+	// sent counts the attempts that were sent, the last one at sentAt; tries also counts those that were not.
 	sent, tries int
+	sentAt      time.Time
 	avoid       []laburnumlever.BackendID
 	// mayHaveRun is set once a backend server may have run the request.
 	mayHaveRun bool
@@ -270,6 +271,14 @@
 	return params
 }
 
+// sentAgo returns how many milliseconds ago the request was last sent to a backend server; -1 if it was not.
+func (q *request) sentAgo(now time.Time) int64 {
+	if q.sent == 0 {
+		return -1
+	}
+	return millis(now.Sub(q.sentAt))
+}
+
 func (q *request) remaining(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
 func newRefusal(reason laburnumlever.RefusalReason, after time.Duration, detail string) error {
