fix: nothing is sent for a caller that has left

Callers saw: engines worked on requests whose callers had left, while those that stayed waited behind them.

Cause: whether the caller is there was left to the HTTP server's background read, a goroutine of its own that begins after the body. A gateway that stood still, or is behind, finds a request and its caller's close together, and whichever goroutine runs first decides.

The class: two signs of one event on two goroutines, of which the one that acts asks nobody. A close behind bytes of a next request is seen, too. An ended context ends the attempt in the same place: before, the request was written to a connection that another goroutine was about to close. A half-close counts as before, as the HTTP server takes it: the caller gets a truthful refusal, not silence.

--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -110,6 +110,9 @@
 	if err := g.fleet.checkSend(ticket.Backend); err != nil {
 		return notSendable(err), nil
 	}
+	if err := g.checkCaller(ctx, q); err != nil {
+		return &failure{stage: laburnumretry.StageNotSent, cause: err, refused: err}, nil
+	}
 	now := g.timers.Now()
 	if err := conn.SetDeadline(q.deadline.Add(backendTimeoutSlack)); err != nil {
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}, nil
--- a/laburnumgateway/callers.go
+++ b/laburnumgateway/callers.go
@@ -5,7 +5,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Callers is a listener that closes callers' connections at the end of the process without losing a request: idle ones at
@@ -98,8 +101,15 @@
 
 	mu            sync.Mutex
 	busy, retired bool
+	// early is set once the server has read a byte while a request is served: of a next one, after which it does not watch the
+	// connection until the request has been answered. noteEarly is called then; nil while no request is watched.
+	early     bool
+	noteEarly func()
 }
 
+// watchedBytes is the size of the reads by which http.Server watches the connection of a request that is served.
+const watchedBytes = 1
+
 // longAgo is a deadline that ends reads at once.
 var longAgo = time.Unix(1, 0)
 
@@ -108,10 +118,42 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.begin()
+		c.setEarly(len(p) == watchedBytes)
 	}
 	return n, err
 }
 
+// onEarly sets the function that is called once the server does not watch the connection while a request is served; nil for none.
+func (c *callerConn) onEarly(fn func()) {
+	c.mu.Lock()
+	early := c.early
+	c.noteEarly = fn
+	c.mu.Unlock()
+	if early && fn != nil {
+		fn()
+	}
+}
+
+func (c *callerConn) setEarly(early bool) {
+	c.mu.Lock()
+	begins := early && !c.early
+	c.early = early
+	note := c.noteEarly
+	c.mu.Unlock()
+	if begins && note != nil {
+		note()
+	}
+}
+
+// SyscallConn implements syscall.Conn, so that the connection's socket can be looked at.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return conn.SyscallConn()
+}
+
 // begin records that a part of a request has been read: the rest of it may be read even after retire.
 func (c *callerConn) begin() {
 	c.mu.Lock()
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -170,6 +170,9 @@
 	q.permit, q.slotRequested, q.probes = laburnumbalance.Permit{}, false, false
 	defer func() { q.waited += g.timers.Now().Sub(start) }()
 	for {
+		if err := g.checkCaller(ctx, q); err != nil {
+			return nil, err
+		}
 		if g.fleet.versionGone(q) {
 			return nil, newRefusal(laburnumlever.RefusedStreamVersionGone, 0, "no backend server runs software version "+string(q.software)+", which began the stream")
 		}
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -129,7 +129,9 @@
 		g.answerRefusal(w, q, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, end := g.watchCaller(r.Context(), q)
+	defer end()
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	if err := g.fleet.quota.refuse(q); err != nil {
 		g.answerRefusal(w, q, err)
--- a/laburnumgateway/leaving_test.go
+++ b/laburnumgateway/leaving_test.go
@@ -8,8 +8,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumgateway"
 )
 
+// goneTime is how long after its caller has left a server may work on.
+const goneTime = 500 * time.Millisecond
+
 // leavers is the number of callers that leave while the gateway stands still.
 const leavers = 100
 
@@ -53,7 +58,11 @@
 		return false
 	}, callerPatience, time.Millisecond, "the caller that stays is served")
 	require.Eventually(t, func() bool { return b.gateway.InFlight() == 0 }, callerPatience, time.Millisecond)
-	require.Len(t, server.requests(), 1, "the others have left")
+	var ids []string
+	for _, r := range server.requests() {
+		ids = append(ids, r.request.Header.Get(idHeader))
+	}
+	require.Equal(t, []string{last}, ids, "the others have left")
 }
 
 // Guards against requests that are sent on although their callers left while the gateway stood still.
@@ -68,3 +77,32 @@
 		testLeaversAreNotServed(t, "GET /lookup/x HTTP/1.1\r\nHost: quotes.example\r\n"+idHeader+": r-%d\r\n\r\nGET /lo")
 	})
 }
+
+// Guards against engines that work on for callers who have sent a part of a next request and left: the HTTP server doesn't watch them.
+func TestCallerThatLeavesBehindANextRequestEndsItsAnswer(t *testing.T) {
+	begun := make(chan struct{})
+	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+		writeEvents(conn, a, 1, 1)
+		close(begun)
+		_, _ = conn.Read(make([]byte, 1)) // works until its caller ends the connection
+	})
+	b := newHarness(t, server.heartbeat("quotes", "m0"))
+	callers := httptest.NewUnstartedServer(b.gateway)
+	callers.Config = b.gateway.Server()
+	callers.Listener = laburnumgateway.NewCallers(callers.Listener)
+	callers.Start()
+	t.Cleanup(callers.Close)
+	conn, err := net.Dial("tcp", callers.Listener.Addr().String())
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(conn, "GET /quote/x HTTP/1.1\r\nHost: quotes.example\r\n%s: r-1\r\nX-Laburnumlever-Model: m0\r\n\r\n", idHeader)
+	require.NoError(t, err)
+	<-begun
+	_, err = fmt.Fprint(conn, "GET /next")
+	require.NoError(t, err)
+	awaitDelivery(t, conn)
+	require.Empty(t, server.closed(), "the caller is still there")
+	left := time.Now()
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool { return len(server.closed()) == 1 }, callerPatience, time.Millisecond)
+	require.Less(t, server.closed()[0].Sub(left), goneTime)
+}
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -32,15 +33,18 @@
 
 // request is a caller's request and the state of its attempts.
 type request struct {
-	caller        laburnumlever.CallerRequest
-	route         *laburnumlever.Route
-	service       laburnumlever.RoutedService
-	method        string
-	uri           string
-	host          string
-	header        http.Header
-	body          []byte
-	incoming      *incomingBody // nil once the body has been read
+	caller   laburnumlever.CallerRequest
+	route    *laburnumlever.Route
+	service  laburnumlever.RoutedService
+	method   string
+	uri      string
+	host     string
+	header   http.Header
+	body     []byte
+	incoming *incomingBody // nil once the body has been read
+	// conn is the caller's connection, nil if it is not known. leave ends the request's context.
+	conn          net.Conn
+	leave         context.CancelCauseFunc
 	arrived       time.Time
 	deadline      time.Time
 	routesVersion uint64
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -36,6 +36,9 @@
 	if !ticket.MayBeFull() || ticket.Limited() || q.queuesAtEngine() || q.service.Engine == nil || q.service.Engine.ReserveLimit == 0 {
 		return nil, nil
 	}
+	if err := g.checkCaller(ctx, q); err != nil {
+		return &failure{stage: laburnumretry.StageNotSent, cause: err, refused: err}, nil
+	}
 	resp, body, err := g.sendReservation(q, ticket, conn)
 	if err != nil {
 		result.Failed = ctx.Err() == nil
--- a/laburnumgateway/streams.go
+++ b/laburnumgateway/streams.go
@@ -188,13 +188,16 @@
 }
 
 // findVersion finds the software version at which a request that takes up a stream may go on. The error is a
-// *laburnumlever.RefusalError.
+// *laburnumlever.RefusalError or a *CallerGoneError.
 func (g *Gateway) findVersion(ctx context.Context, q *request) error {
 	if !q.resumes() {
 		return nil
 	}
 	until := waitPolicy.QueueDeadline(q.queueTimes())
 	for {
+		if err := g.checkCaller(ctx, q); err != nil {
+			return err
+		}
 		software, verdict := g.fleet.streamVersion(ctx, q)
 		if verdict == laburnumstream.Decided {
 			q.software = software
--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"laburnumlever/laburnumsocket"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -157,28 +159,9 @@
 }
 
 // noPendingInput tells whether an idle connection can be reused: it can't if there are bytes to read
-// or the peer has closed it. It peeks at the socket without blocking; a connection that isn't a
-// syscall.Conn passes.
+// or the peer has closed it.
 func (c *Conn) noPendingInput() bool {
-	if c.r.Buffered() > 0 || !c.reusable() {
-		return false
-	}
-	raw, ok := c.conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = errno == syscall.EAGAIN
-		return true // does not block until the socket is readable
-	})
-	return err == nil && empty
+	return c.r.Buffered() == 0 && c.reusable() && laburnumsocket.Look(c.conn) == laburnumsocket.Quiet
 }
 
 // keepAliveTimeout returns the timeout parameter of a Keep-Alive header: how long the backend
