fix: what was given up is not delivered later

Engines got requests whose callers had left seconds before, from gateways that had closed the connection in time.

Cause: the connection to a backend server was closed in an orderly way. What was written to it and not delivered yet, since the link is cut, slow or full, or the server reads late, is delivered by the kernel after the close, for minutes, and the request runs. The same for attempts that were ended to be made again elsewhere. No connection of the gateway was ever reset.

The class: a close is taken for the end of what was sent. Fix: a connection that carries a request which is given up is reset (Conn.Abort), so that the kernel drops what is left: when the caller leaves, at the deadline, when a verdict on the links ends the attempt, after an incomplete answer, and for probes that are given up. Idle connections are closed as before.

--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -33,12 +33,12 @@
 	q.via = conn.Via()
 	wait := g.links.begin(q, out, ticket.Backend, conn)
 	defer g.links.end(wait)
-	stop := conn.CloseOnDone(ctx)
+	stop := conn.AbortOnDone(ctx)
 	if fail, resp := g.reserve(ctx, q, ticket, conn, &result); fail != nil { //nolint:bodyclose // its body has been read
 		if stop() && resp != nil {
 			g.pool.Put(conn, resp)
 		} else {
-			conn.Close()
+			conn.Abort()
 		}
 		return fail
 	}
@@ -56,7 +56,7 @@
 	if stop() && fail == nil {
 		g.pool.Put(conn, resp)
 	} else {
-		conn.Close()
+		conn.Abort()
 	}
 	return fail
 }
--- a/laburnumgateway/linkprobes.go
+++ b/laburnumgateway/linkprobes.go
@@ -225,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
+	defer conn.Abort()
 	if s.silent {
 		return nil
 	}
--- a/laburnumgateway/links.go
+++ b/laburnumgateway/links.go
@@ -326,7 +326,7 @@
 		if !ok {
 			continue
 		}
-		a.conn.Close()
+		a.conn.Abort()
 		if ended++; a.begun {
 			begun++
 		}
--- a/laburnumoverload/listener.go
+++ b/laburnumoverload/listener.go
@@ -1,6 +1,10 @@
 package laburnumoverload
 
-import "net"
+import (
+	"net"
+
+	"laburnumlever/laburnumsocket"
+)
 
 // Listener closes some connections unread.
 type Listener struct {
@@ -28,9 +32,7 @@
 
 // shed resets a connection: its caller learns at once that nothing was read.
 func (l *Listener) shed(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // otherwise the connection is closed without a reset
-	}
+	laburnumsocket.ResetOnClose(conn)
 	l.onShed()
 	_ = conn.Close()
 }
--- a/laburnumtunnel/frames.go
+++ b/laburnumtunnel/frames.go
@@ -61,6 +61,15 @@
 	return conn.SyscallConn()
 }
 
+// SetLinger sets what closing the connection does with bytes that have not been delivered.
+func (c *Conn) SetLinger(seconds int) error {
+	conn, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return conn.SetLinger(seconds)
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	for c.rest == 0 && !c.ended {
--- a/laburnumupstream/abort_test.go
+++ b/laburnumupstream/abort_test.go
@@ -38,7 +38,7 @@
 	ctx, leave := context.WithCancel(t.Context())
 	conn, err := pool.Get(ctx, ln.Addr().String(), 0)
 	require.NoError(t, err)
-	stop := conn.CloseOnDone(ctx)
+	stop := conn.AbortOnDone(ctx)
 	defer stop()
 	far := <-accepted
 	defer far.Close()
--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -70,8 +70,8 @@
 	return !ok || t.Reusable()
 }
 
-// Close closes the connection, so that the backend server stops work on the request in progress.
-// It may be called more than once and from any goroutine.
+// Close closes a connection that carries no request.
+// It may be called more than once and from any goroutine, as may Abort.
 func (c *Conn) Close() {
 	c.closed.Do(func() {
 		_ = c.conn.Close()
@@ -79,10 +79,17 @@
 	})
 }
 
-// CloseOnDone closes the connection when ctx is done before stop is called. Stop returns false if
+// Abort resets the connection, so that the backend server stops work on the request in progress. What it has not received yet is
+// dropped: after an orderly close the kernel would go on delivering it, however long that takes.
+func (c *Conn) Abort() {
+	laburnumsocket.ResetOnClose(c.conn)
+	c.Close()
+}
+
+// AbortOnDone aborts the connection when ctx is done before stop is called. Stop returns false if
 // that has happened.
-func (c *Conn) CloseOnDone(ctx context.Context) (stop func() bool) {
-	return context.AfterFunc(ctx, c.Close)
+func (c *Conn) AbortOnDone(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, c.Abort)
 }
 
 // SetDeadline sets the deadline of all further reads and writes.
--- a/laburnumupstream/doc.go
+++ b/laburnumupstream/doc.go
@@ -21,10 +21,10 @@
 //
 //	pool := laburnumupstream.New()
 //	conn, err := pool.Get(ctx, address, limit)  // *DialError, *ConnectionLimitError: nothing was sent
-//	stop := conn.CloseOnDone(ctx)
+//	stop := conn.AbortOnDone(ctx)
 //	err = conn.SetDeadline(deadline)
 //	resp, err := conn.Exchange(request)         // *LostError: outcome unknown
 //	…read resp.Body…
 //	stop()
-//	pool.Put(conn, resp)  // or conn.Close() after an incomplete answer
+//	pool.Put(conn, resp)  // or conn.Abort() after an incomplete answer
 package laburnumupstream
