--- a/laburnumtunnel/server.go
+++ b/laburnumtunnel/server.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"laburnumlever/laburnumsocket"
 	"laburnumlever/laburnumupstream"
 
 	"github.com/cockroachdb/errors"
@@ -170,7 +171,7 @@
 	}
 	go func() {
 		t.copyUp()
-		t.close()
+		t.abort()
 	}()
 	t.copyDown()
 }
@@ -240,6 +241,12 @@
 	}
 }
 
+// abort drops what the server has not received yet, and closes both connections.
+func (t *tunnel) abort() {
+	laburnumsocket.ResetOnClose(t.far)
+	t.close()
+}
+
 func (t *tunnel) close() {
 	_ = t.near.Close()
 	_ = t.far.Close()
@@ -255,17 +262,15 @@
 	return err
 }
 
-// copyUp copies bytes to the server until the VM ends the tunnel.
+// copyUp copies bytes to the server until the VM ends the tunnel. The VM has given up what it ends the tunnel behind.
 func (t *tunnel) copyUp() {
 	buffer := make([]byte, upBufferSize)
 	for {
 		n, err := t.near.Read(buffer)
-		if n > 0 {
-			if _, werr := t.far.Write(buffer[:n]); werr != nil {
-				return
-			}
+		if err != nil || laburnumsocket.Look(t.near) == laburnumsocket.Closed {
+			return
 		}
-		if err != nil {
+		if _, err := t.far.Write(buffer[:n]); err != nil {
 			return
 		}
 	}
