fix: other senders ask for their callers, and drop what they give up

It asks the socket before each attempt. - Orders to engines, and serve's requests, that are given up were delivered by the kernel later: their connections are reset on close.

The connection of a caller is in the request's context (laburnumsocket.NewContext) for both servers.

--- a/laburnumgateway/leaving.go
+++ b/laburnumgateway/leaving.go
@@ -13,17 +13,10 @@
 // earlyCheckPeriod is the interval between looks at connections that the HTTP server does not watch.
 const earlyCheckPeriod = 250 * time.Millisecond
 
-// callerKey is the context key of a caller's connection.
-type callerKey struct{}
-
-func withCaller(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerKey{}, conn)
-}
-
 // watchCaller returns the context of a request, which ends once its caller is found to have left, and the function that ends the
 // watch. The HTTP server ends its own context as well, but on another goroutine, and not once a byte of a next request has come.
 func (g *Gateway) watchCaller(ctx context.Context, q *request) (watched context.Context, end func()) {
-	q.conn, _ = ctx.Value(callerKey{}).(net.Conn)
+	q.conn = laburnumsocket.FromContext(ctx)
 	ctx, q.leave = context.WithCancelCause(ctx)
 	conn, ok := q.conn.(*callerConn)
 	if !ok {
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumsocket"
 	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log/level"
@@ -52,7 +53,7 @@
 func (g *Gateway) Server() *http.Server {
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return g.requests }, ConnContext: withCaller,
+		BaseContext: func(net.Listener) context.Context { return g.requests }, ConnContext: laburnumsocket.NewContext,
 		ErrorLog:    stdlog.New(io.Discard, "", 0), // the gateway logs the outcome of each request
 	}
 }
--- a/laburnumorder/httpengines.go
+++ b/laburnumorder/httpengines.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumsocket"
 )
 
 const (
@@ -42,7 +43,7 @@
 	h := &HTTPEngines{client: &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         laburnumsocket.ResetOnCloseDialer((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: idlePerEngine,
 		},
--- a/laburnumproxy/conn.go
+++ b/laburnumproxy/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"laburnumlever/laburnumsocket"
 )
 
 const (
@@ -79,10 +81,10 @@
 }
 
 func newTransport(reuse bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := laburnumsocket.ResetOnCloseDialer((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/laburnumproxy/errors.go
+++ b/laburnumproxy/errors.go
@@ -52,11 +52,11 @@
 	return fmt.Sprintf("stream event is longer than %d bytes", e.Limit)
 }
 
-// CallerGoneError reports that writing the response to the caller failed.
+// CallerGoneError reports that the caller closed its connection before the response was complete.
 type CallerGoneError struct{ Cause error }
 
 func (e *CallerGoneError) Error() string {
-	return fmt.Sprintf("writing to the caller failed: %v", e.Cause)
+	return fmt.Sprintf("the caller disconnected: %v", e.Cause)
 }
 
 // Unwrap returns the cause.
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 	"laburnumlever/laburnumdispatch"
 	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumrouter"
+	"laburnumlever/laburnumsocket"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -164,6 +166,9 @@
 	if resume {
 		req.Header.Set(headerResumeFrom, strconv.Itoa(out.tokens))
 	}
+	if laburnumsocket.Look(laburnumsocket.FromContext(ctx)) == laburnumsocket.Closed {
+		return p.newFailure(q, a, to, laburnumlever.RefusedCallerGone, &CallerGoneError{Cause: net.ErrClosed})
+	}
 	resp, err := p.transportFor(q).RoundTrip(req)
 	if err != nil {
 		a.fail()
--- a/laburnumproxy/proxy.go
+++ b/laburnumproxy/proxy.go
@@ -8,6 +8,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumdispatch"
+	"laburnumlever/laburnumsocket"
 
 	"github.com/go-kit/log"
 	"github.com/kataras/iris/v12"
@@ -77,7 +78,7 @@
 func (p *Proxy) Server() *http.Server {
 	return &http.Server{
 		Handler: p, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, ConnContext: laburnumsocket.NewContext,
 	}
 }
 
