fix: bytes without end are no head of an answer

Callers waited until their deadline (504) for a server whose first byte had shown that no answer follows, while another one would have answered; the users' developers saw a gateway take 1.7 GB in 34 s and 252 to 315 MB of memory, 280 allowed.

Cause: heads were read without a bound in bytes, and informational answers were skipped without a bound in count. The class: a read of what a server sends that only its end, or the deadline, bounds.

Fix: what comes is compared with a status line byte by byte, so that the first byte that differs ends the attempt; a head, with the informational answers before it, has 64 KiB and 32 of these. The failure has a type (NoAnswerError); the request goes on elsewhere where its kind allows it, without a verdict on links or a crash, and the server counts as faulty: no network makes such bytes.

--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -124,7 +124,7 @@
 		Header: g.dialect.Forward(q.header, q.forwardParams(ticket.Backend.Backend, now)),
 	})
 	if err != nil {
-		result.Failed = ctx.Err() == nil
+		result.Failed, result.Faulty = ctx.Err() == nil, isNoAnswer(err)
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: err}, nil
 	}
 	g.links.heard(wait, conn)
@@ -145,6 +145,12 @@
 	return fail, resp
 }
 
+// isNoAnswer reports whether the backend server sent bytes that are no answer.
+func isNoAnswer(err error) bool {
+	var wrong *laburnumupstream.NoAnswerError
+	return errors.As(err, &wrong)
+}
+
 // provesWhole reports whether a server that crashes can't have ended the answer: its end shows in the answer itself. One that ends
 // with its connection looks whole then.
 func provesWhole(resp *http.Response) bool {
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -54,7 +54,7 @@
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return g.requests }, ConnContext: laburnumsocket.NewContext,
-		ErrorLog:    stdlog.New(io.Discard, "", 0), // the gateway logs the outcome of each request
+		ErrorLog: stdlog.New(io.Discard, "", 0), // the gateway logs the outcome of each request
 	}
 }
 
--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -32,7 +32,9 @@
 type Conn struct {
 	address string
 	conn    net.Conn
-	r       *bufio.Reader
+	// source limits what r reads while a head is read.
+	source *limitedReader
+	r      *bufio.Reader
 	// usableUntil is the end of the idle timeout. After it the backend server may close the
 	// connection, so it is not reused.
 	usableUntil time.Time
@@ -97,7 +99,7 @@
 
 // Exchange sends a request and reads the head of the answer, skipping informational (1xx) answers
 // other than 101. The caller reads the body. An error is a *LostError: some bytes may have reached
-// the backend server.
+// the backend server. Its cause is a *NoAnswerError if what came is no answer.
 func (c *Conn) Exchange(q Request) (*http.Response, error) {
 	buf, _ := writeBuffers.Get().(*bytes.Buffer)
 	if buf == nil {
@@ -112,11 +114,8 @@
 		c.noteIdleClose(err, began)
 		return nil, &LostError{Address: c.address, Cause: err}
 	}
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
+	resp, err := c.readHead(q.Method)
 	c.noteIdleClose(err, began)
-	for err == nil && resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-		resp, err = http.ReadResponse(c.r, &http.Request{Method: q.Method})
-	}
 	if err != nil {
 		return nil, &LostError{Address: c.address, Cause: err}
 	}
--- a/laburnumupstream/errors.go
+++ b/laburnumupstream/errors.go
@@ -37,3 +37,33 @@
 func (e *ConnectionLimitError) Error() string {
 	return fmt.Sprintf("all %d connections to %s are in use", e.Limit, e.Address)
 }
+
+// NoAnswerError reports bytes that are no answer, and can't become one however many more come. Whether the backend server ran the
+// request is unknown.
+type NoAnswerError struct{ Cause error }
+
+func (e *NoAnswerError) Error() string { return fmt.Sprintf("not an HTTP/1 answer: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NoAnswerError) Unwrap() error { return e.Cause }
+
+// StatusLineError reports the beginning of a first line that is no status line of HTTP/1.
+type StatusLineError struct{ Got string }
+
+func (e *StatusLineError) Error() string {
+	return fmt.Sprintf("the first line begins with %q, want a status line such as HTTP/1.1 200", e.Got)
+}
+
+// HeadTooLongError reports a head longer than Limit bytes.
+type HeadTooLongError struct{ Limit int }
+
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("the head is longer than %d bytes", e.Limit)
+}
+
+// InformationalError reports more than Limit informational answers before an answer.
+type InformationalError struct{ Limit int }
+
+func (e *InformationalError) Error() string {
+	return fmt.Sprintf("more than %d informational answers came before the answer", e.Limit)
+}
--- /dev/null
+++ b/laburnumupstream/head.go
@@ -0,0 +1,96 @@
+package laburnumupstream
+
+import (
+	"bufio"
+	"io"
+	"math"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxHeadBytes bounds the head of an answer, with those of the informational answers before it. The reads of a buffer that holds
+	// the beginning of a body count, too.
+	maxHeadBytes = 64 << 10
+	// maxInformational bounds the informational answers before an answer.
+	maxInformational = 32
+	// statusLine is what the first line of an answer begins with, each 0 standing for any digit.
+	statusLine = "HTTP/1.0 000"
+)
+
+// limitedReader reads from a connection, while left bytes are allowed.
+type limitedReader struct {
+	conn net.Conn
+	left int
+}
+
+func newLimitedReader(conn net.Conn) *limitedReader {
+	return &limitedReader{conn: conn, left: math.MaxInt}
+}
+
+// Read implements io.Reader. A *HeadTooLongError means that no bytes are left.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, &HeadTooLongError{Limit: maxHeadBytes}
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	if l.left != math.MaxInt {
+		l.left -= n
+	}
+	return n, err
+}
+
+// readHead reads the head of an answer, skipping informational ones other than 101. A *NoAnswerError means that what came can't be, or
+// become, an answer.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.source.left = maxHeadBytes
+	defer func() { c.source.left = math.MaxInt }()
+	for range maxInformational + 1 {
+		if err := checkStatusLine(c.r); err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil {
+			return nil, classify(err)
+		}
+		if resp.StatusCode < 100 || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+	return nil, &NoAnswerError{Cause: &InformationalError{Limit: maxInformational}}
+}
+
+// checkStatusLine waits until what the first line begins with has come, or a byte that differs from it: no answer follows then.
+func checkStatusLine(r *bufio.Reader) error {
+	for n := 1; n <= len(statusLine); n++ {
+		got, err := r.Peek(n)
+		if err != nil && len(got) > 0 && errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if !matchesStatusLine(n-1, got[n-1]) {
+			return &NoAnswerError{Cause: &StatusLineError{Got: string(got)}}
+		}
+	}
+	return nil
+}
+
+func matchesStatusLine(i int, b byte) bool {
+	if want := statusLine[i]; want != '0' {
+		return b == want
+	}
+	return b >= '0' && b <= '9'
+}
+
+// classify tells bytes that are no answer from a connection that failed.
+func classify(err error) error {
+	var failed net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &failed) {
+		return err
+	}
+	return &NoAnswerError{Cause: err}
+}
--- a/laburnumupstream/pool.go
+++ b/laburnumupstream/pool.go
@@ -162,8 +162,9 @@
 		return nil, &DialError{Address: address, Tunnelled: tunnelled, Cause: err}
 	}
 	p.scope.Counter("backend-connections").Inc(1)
+	source := newLimitedReader(conn)
 	return &Conn{
-		address: address, conn: conn, r: bufio.NewReaderSize(conn, readBufferSize), tunnelled: tunnelled, openedAt: began,
+		address: address, conn: conn, source: source, r: bufio.NewReaderSize(source, readBufferSize), tunnelled: tunnelled, openedAt: began,
 		onClose: func() { p.connectionClosed(address) },
 	}, nil
 }
