fix: heads of engines' reports and of serve's answers are bounded

Frames between VMs, reports, order answers, health calls and the heads and bodies of callers and operators have bounds already (read in the code).

--- a/laburnumorder/httpengines.go
+++ b/laburnumorder/httpengines.go
@@ -23,6 +23,7 @@
 	idleTimeout       = time.Minute
 	idlePerEngine     = 1
 	maxAnswerBytes    = 4 << 20
+	maxHeaderBytes    = 64 << 10 // of an answer, with the informational answers before it
 	contentTypeJSON   = "application/json"
 	headerContentType = "Content-Type"
 )
@@ -45,7 +46,7 @@
 		Transport: &http.Transport{
 			DialContext:         laburnumsocket.ResetOnCloseDialer((&net.Dialer{Timeout: dialTimeout}).DialContext),
 			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: idlePerEngine,
+			MaxIdleConnsPerHost: idlePerEngine, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}}
 	for _, opt := range opts {
--- a/laburnumproxy/conn.go
+++ b/laburnumproxy/conn.go
@@ -92,7 +92,7 @@
 		},
 		DisableCompression:  true,
 		DisableKeepAlives:   !reuse,
-		MaxIdleConnsPerHost: idleConnsPerHost,
+		MaxIdleConnsPerHost: idleConnsPerHost, MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout:     idleConnTimeout,
 	}
 }
