fix: bodies and events without end share a bound of memory

Bytes without end may come in a body, too. A gateway held up to 1 MiB of each answer, and of each event of a stream: a hundred requests at servers that send an event without end fill a VM's memory.

Fix: 64 KiB of an answer or an event are held as before; what is larger takes a share of a budget of an eighth of the VM's memory. Beyond it an answer is passed on as it comes, whole but not to be retried once it breaks off, and a stream whose event does not end is cut, truthfully, and resumed where its kind allows. A body without end that is within the protocol ends with the caller, or at the deadline.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -1,7 +1,6 @@
 package laburnumgateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -20,10 +19,8 @@
 )
 
 const (
-	maxBuffered     = 1 << 20 // bytes; an answer up to this size is buffered, so that a broken one can be retried
-	eventBufferSize = 4 << 10
-	maxEventBytes   = 1 << 20
-	streamType      = "text/event-stream"
+	maxBuffered = 1 << 20 // bytes; an answer up to this size is buffered, so that a broken one can be retried
+	streamType  = "text/event-stream"
 )
 
 // hopByHopHeaders are response headers that are not forwarded: those about the connection (RFC 9110,
@@ -98,7 +95,13 @@
 		return g.forwardStream(ctx, q, out, ticket, resp, result)
 	}
 	resp.Body = heardBody{ReadCloser: resp.Body, heard: out.heard}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, freeBuffer+1))
+	held := err != nil || len(body) <= freeBuffer
+	if !held && g.buffers.take(maxBuffered) {
+		defer g.buffers.give(maxBuffered)
+		body, err = readOn(body, resp.Body)
+		held = len(body) <= maxBuffered
+	}
 	if err != nil {
 		result.Failed = ctx.Err() == nil
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: &BrokenAnswerError{Cause: err}}
@@ -106,7 +109,7 @@
 	if out.started {
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: &AnswerStatusError{Status: resp.StatusCode}}
 	}
-	if len(body) > maxBuffered {
+	if !held {
 		return g.forwardLong(ctx, out, resp, body)
 	}
 	stored := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
@@ -120,6 +123,13 @@
 	return nil
 }
 
+// readOn reads the rest of an answer of which some was read, at most to one byte more than is buffered.
+func readOn(body []byte, r io.Reader) ([]byte, error) {
+	whole := bytes.NewBuffer(body)
+	_, err := io.Copy(whole, io.LimitReader(r, int64(maxBuffered+1-len(body))))
+	return whole.Bytes(), err
+}
+
 // storeErrorAnswer stores an error answer, which the caller gets if no other attempt succeeds.
 func (g *Gateway) storeErrorAnswer(q *request, stored *bufferedAnswer, result *laburnumbalance.AttemptResult) *failure {
 	result.Failed, result.Faulty = true, true // the balancer takes neither for a fault if it asked for rest
@@ -172,12 +182,11 @@
 		return brokenAnswer(ctx, net.ErrClosed)
 	}
 	flusher := http.NewResponseController(out.w)
-	r := bufio.NewReaderSize(resp.Body, eventBufferSize)
-	event := make([]byte, 0, eventBufferSize)
+	events := newEventReader(resp.Body, g.buffers)
+	defer events.close()
 	first := true
 	for {
-		var err error
-		event, err = readEvent(r, event[:0])
+		event, err := events.next()
 		if err != nil && (!errors.Is(err, io.EOF) || len(event) > 0) {
 			result.Failed = ctx.Err() == nil
 			_ = flusher.Flush() // the whole events before the break; a caller that has gone is noticed by the next write
@@ -201,7 +210,7 @@
 			return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: err}}
 		}
 		out.recordPart(g.timers.Now())
-		if r.Buffered() > 0 {
+		if events.buffered() {
 			continue
 		}
 		if err := flusher.Flush(); err != nil {
@@ -228,23 +237,6 @@
 	return nil
 }
 
-// readEvent reads up to and including the empty line that ends an event.
-func readEvent(r *bufio.Reader, event []byte) ([]byte, error) {
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return event, err
-		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, nil
-		}
-		if len(event) > maxEventBytes {
-			return event, bufio.ErrBufferFull
-		}
-	}
-}
-
 // heardBody reports each part of an answer that arrives.
 type heardBody struct {
 	io.ReadCloser
--- a/laburnumgateway/endless_test.go
+++ b/laburnumgateway/endless_test.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumgateway"
 )
 
 // noticedTime is well below the deadline of the test's routes.
@@ -69,3 +72,35 @@
 		})
 	}
 }
+
+// Guards against events and bodies without end that fill the memory of the VM, and against large answers that are lost to that bound.
+func TestLargeAnswersShareABudgetOfBuffers(t *testing.T) {
+	const large = 300 << 10
+	endless := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+		writeEvents(conn, a, 1, 1)
+		writeWithoutEnd(conn, "", fmt.Sprintf("%x\r\n%s\r\n", 1<<10, strings.Repeat("x", 1<<10)))
+	})
+	big := newBackend(t, "i-2", func(conn net.Conn, a receivedRequest, n int) {
+		if n%2 == 1 && a.request.URL.Path == "/lookup/breaks" {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-1\r\nContent-Length: %d\r\n\r\n%s", idHeader, large, strings.Repeat("x", large-1))
+			_ = conn.Close()
+			return
+		}
+		writeAnswer(conn, a, http.StatusOK, strings.Repeat("x", large))
+	})
+	small := newUnconfiguredHarness(t, laburnumgateway.WithBufferBudget(1<<10), laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}))
+	small.fleet.HandleRoutes(testRoutes())
+	small.announce(endless.heartbeat("quotes", "m0"), big.heartbeat("booking"))
+	began := time.Now()
+	require.Error(t, small.send("POST", "/draft/x", "oak", "X-Laburnumlever-Model", "m0").err, "the stream is cut")
+	require.Less(t, time.Since(began), noticedTime)
+	require.Len(t, small.send("GET", "/lookup/x", "").body, large, "an answer beyond the budget is passed on as it comes")
+
+	sound := newBackend(t, "i-3", func(conn net.Conn, a receivedRequest, _ int) {
+		writeAnswer(conn, a, http.StatusOK, strings.Repeat("x", large))
+	})
+	ample := newHarness(t, big.heartbeat("booking"), sound.heartbeat("booking"))
+	for range 4 {
+		require.Len(t, ample.send("GET", "/lookup/breaks", "").body, large, "a broken answer within the budget is retried")
+	}
+}
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -59,6 +59,13 @@
 	return fmt.Sprintf("event %q follows event %q in the stream, ids must be consecutive", e.Got, e.Last)
 }
 
+// EventTooLongError is an event of a stream of which more than Limit bytes came without its end, and for which no more are held.
+type EventTooLongError struct{ Limit int }
+
+func (e *EventTooLongError) Error() string {
+	return fmt.Sprintf("an event is longer than %d bytes, and no more of it can be held", e.Limit)
+}
+
 // CallerGoneError reports that the caller closed its connection before the answer was complete.
 type CallerGoneError struct{ Cause error }
 
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -46,6 +46,7 @@
 	logger      log.Logger
 	counters    *counters
 	crashes     *crashDetector
+	buffers     *bufferBudget
 	links       *links
 	// notify tells a helper what a backend server asked of it; refusesServer is called with the address of one that takes no
 	// requests of this VM from now on.
@@ -92,7 +93,8 @@
 	g := &Gateway{
 		fleet: fleet, dialect: dialect, timers: timers, logger: log.NewNopLogger(),
 		counters: newCounters(tally.NoopScope), retryWindows: map[laburnumlever.ServiceName]*laburnumretry.Window{},
-		notify: func(context.Context, string, laburnumtunnel.Notice) error { return nil }, refusesServer: func(string) {},
+		buffers: newBufferBudget(defaultBufferBudget),
+		notify:  func(context.Context, string, laburnumtunnel.Notice) error { return nil }, refusesServer: func(string) {},
 	}
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.bodies, g.endBodies = context.WithCancel(g.requests)
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -30,6 +30,13 @@
 // sweepPeriod is the interval between sweeps that close idle connections.
 const sweepPeriod = time.Second
 
+const (
+	// bufferShare is the part of the VM's memory for large answers that are held at once, one in so many bytes.
+	bufferShare = 8
+	// defaultBufferBudget is their memory in bytes if that of the VM is not known.
+	defaultBufferBudget = 32 << 20
+)
+
 // closeTime is kept of the time for a shutdown, so that the last answers are written before their connections are closed.
 const closeTime = 150 * time.Millisecond
 
@@ -78,7 +85,7 @@
 		laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{
 			Window: time.Duration(settings.Retry.Window), Ratio: settings.Retry.Ratio, Slack: settings.Retry.Slack,
 		}),
-		laburnumgateway.WithAdapterLoader(g),
+		laburnumgateway.WithAdapterLoader(g), laburnumgateway.WithBufferBudget(bufferBudget(settings)),
 		laburnumgateway.WithHelperNotices(laburnumtunnel.Notify),
 		laburnumgateway.WithServerRefused(func(address string) { go g.tunnels.Retire(address) }),
 	)
@@ -86,6 +93,14 @@
 	return g
 }
 
+// bufferBudget returns the memory in bytes for large answers that are held at once.
+func bufferBudget(settings laburnumsettings.RoleSettings) int64 {
+	if settings.MemoryMB == 0 {
+		return defaultBufferBudget
+	}
+	return int64(settings.MemoryMB) << 20 / bufferShare
+}
+
 // Start starts the gateway. ready makes the handler of the load balancer's readiness check. Errors:
 // *laburnumlever.ListenError.
 func (g *Gateway) Start(ready func(ready func() bool) http.Handler) error {
