fix: a request is as old as its last bytes

Callers: a gateway that stood still, or is behind, took what had waited in the kernel for new. Engines got more time than the caller had left, requests whose time was over were sent, and late ones went before those that could still be in time.

Fix: the age of a request's last bytes (TCP_INFO) counts as waited. That is the least age: bytes that came later make it younger, never older. The deadline, the queue's order and the time handed to engines follow from the arrival; a request whose time is over is refused as not run, at once.

TestRequestsAreAsOldAsTheirLastBytes failed before: 200 after 300 ms for a caller with 200 ms (the answer came when it no longer waited).

--- a/laburnumgateway/leaving.go
+++ b/laburnumgateway/leaving.go
@@ -16,7 +16,6 @@
 // watchCaller returns the context of a request, which ends once its caller is found to have left, and the function that ends the
 // watch. The HTTP server ends its own context as well, but on another goroutine, and not once a byte of a next request has come.
 func (g *Gateway) watchCaller(ctx context.Context, q *request) (watched context.Context, end func()) {
-	q.conn = laburnumsocket.FromContext(ctx)
 	ctx, q.leave = context.WithCancelCause(ctx)
 	conn, ok := q.conn.(*callerConn)
 	if !ok {
--- a/laburnumgateway/leaving_test.go
+++ b/laburnumgateway/leaving_test.go
@@ -1,9 +1,12 @@
 package laburnumgateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -106,3 +109,36 @@
 	require.Eventually(t, func() bool { return len(server.closed()) == 1 }, callerPatience, time.Millisecond)
 	require.Less(t, server.closed()[0].Sub(left), goneTime)
 }
+
+// Guards against requests that waited in the kernel while the gateway stood still, and count as new: engines get more time than is left.
+func TestRequestsAreAsOldAsTheirLastBytes(t *testing.T) {
+	const waited = 300 * time.Millisecond
+	server := newBackend(t, "i-1", answerOK)
+	b := newHarness(t, server.heartbeat("booking"))
+	still := httptest.NewUnstartedServer(b.gateway)
+	still.Config = b.gateway.Server()
+	callers := map[string]net.Conn{}
+	for _, timeout := range []string{"200", "1500"} {
+		conn, err := net.Dial("tcp", still.Listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = fmt.Fprintf(conn, "GET /lookup/x HTTP/1.1\r\nHost: quotes.example\r\n%s: r-1\r\nX-Laburnumlever-Deadline-Ms: %s\r\n\r\n", idHeader, timeout)
+		require.NoError(t, err)
+		callers[timeout] = conn
+	}
+	<-time.After(waited)
+	still.Start()
+	t.Cleanup(still.Close)
+	status := func(conn net.Conn) int {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusServiceUnavailable, status(callers["200"]), "its time is over, and it has not run")
+	require.Equal(t, http.StatusOK, status(callers["1500"]))
+	require.Len(t, server.requests(), 1)
+	left, err := strconv.Atoi(server.requests()[0].request.Header.Get("X-Laburnumlever-Deadline-Ms"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 1200)
+}
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -16,6 +16,7 @@
 	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
+	"laburnumlever/laburnumsocket"
 
 	"github.com/cockroachdb/errors"
 )
@@ -126,8 +127,10 @@
 }
 
 func (g *Gateway) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	conn := laburnumsocket.FromContext(r.Context())
 	return &request{
-		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, arrived: g.timers.Now(), incoming: newIncomingBody(w, r),
+		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, incoming: newIncomingBody(w, r), conn: conn,
+		arrived: g.timers.Now().Add(-laburnumsocket.SinceReceived(conn)),
 	}
 }
 
--- a/laburnumsocket/look_test.go
+++ b/laburnumsocket/look_test.go
@@ -96,3 +96,19 @@
 		laburnumsocket.Look(conn)
 	}
 }
+
+// Guards against bytes that count as new although they waited until their reader went on.
+func TestSinceReceived(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	near, far := pair(t)
+	_, err := far.Write([]byte("request"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return laburnumsocket.SinceReceived(near) >= wait }, eventually, time.Millisecond)
+	_, err = near.Read(make([]byte, 16))
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, laburnumsocket.SinceReceived(near), wait, "reading must not make it newer")
+	_, err = far.Write([]byte("next"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return laburnumsocket.SinceReceived(near) < wait }, eventually, time.Millisecond)
+	require.Zero(t, laburnumsocket.SinceReceived(nil))
+}
