test: the soak's callers leave, and its servers check what comes after

More than three requests that reach a server over half a second after their callers left (the users' rule GONE) are a violation; a server that did not run in between is excused.

--- a/laburnumproxy/conn.go
+++ b/laburnumproxy/conn.go
@@ -93,6 +93,6 @@
 		DisableCompression:  true,
 		DisableKeepAlives:   !reuse,
 		MaxIdleConnsPerHost: idleConnsPerHost, MaxResponseHeaderBytes: maxHeaderBytes,
-		IdleConnTimeout:     idleConnTimeout,
+		IdleConnTimeout: idleConnTimeout,
 	}
 }
--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -37,7 +37,8 @@
 // callers than room fall over at most twice. A stream has events of one software version only, and when a gateway is killed at least half
 // of its streams go on at the other one. No gateway without a fault sends a server more than two requests while that rests, or any
 // later than two seconds after the server told it that it leaves. Unless a gateway is killed or ends after its grace, no
-// whole request to the servers that only fall silent goes without an answer or a refusal, and none of their answers is cut.
+// whole request to the servers that only fall silent goes without an answer or a refusal, and none of their answers is cut. At most three
+// requests reach one of them later than half a second after their callers have left.
 //
 // With disk faults, a control VM then loses its folder while all other VMs are killed at the same moment; what was acknowledged must
 // be read back, and changes and callers served.
--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -31,8 +31,11 @@
 	// steady holds the requests to the steady servers by id, cuts those whose answers they saw cut, with the server.
 	steady map[string]steadyRequest
 	cuts   []cutAnswer
-	// steadyRan are the requests that steady servers have run.
-	steadyRan   map[string]bool
+	// steadyRan are the requests that steady servers have run, by id.
+	steadyRan map[string]steadyRun
+	// left are the requests of callers that left, by id, silences the times in which steady servers did not run, by name.
+	left        map[string]leaver
+	silences    map[string][]silence
 	gatewayEnds []gatewayEnd
 	// acked lists the acknowledged changes.
 	acked      []ack
@@ -47,7 +50,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]bool{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]steadyRun{}, left: map[string]leaver{}, silences: map[string][]silence{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
@@ -158,5 +161,6 @@
 	}
 	r.checkAccounts()
 	r.checkSteady()
+	r.checkLeavers()
 	return r.violations
 }
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -1,6 +1,7 @@
 package laburnumsoak
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"syscall"
@@ -108,7 +109,9 @@
 			r := newRecorder()
 			test.q.sentAt, test.q.whole = sent, true
 			r.steadyEnded("look-1", test.q)
-			r.steadyRan["look-1"] = test.ran
+			if test.ran {
+				r.steadyRequestRan("forms-1", "look-1")
+			}
 			require.Equal(t, test.lost, len(r.check()) > 0)
 		})
 	}
@@ -162,3 +165,27 @@
 		})
 	}
 }
+
+// Guards against a check for requests that reach servers after their callers left which never fails, and against one that blames a
+// gateway for a server that did not run.
+func TestRequestsOfLeaversAreReported(t *testing.T) {
+	left := time.Unix(1_000_000, 0)
+	late := func(n int, after time.Duration) *recorder {
+		r := newRecorder()
+		for i := range n {
+			id := fmt.Sprintf("%s%d", leaverPrefix, i)
+			r.left[id] = leaver{gateway: "gateway-1", at: left}
+			r.steadyRan[id] = steadyRun{server: "forms-1", at: left.Add(after)}
+		}
+		return r
+	}
+	require.Empty(t, late(maxLateArrive, 2*time.Second).check())
+	require.Len(t, late(maxLateArrive+1, 2*time.Second).check(), 1)
+	require.Empty(t, late(maxLateArrive+1, goneTime).check())
+	r := late(maxLateArrive+1, 2*time.Second)
+	r.serversSilent([]*process{{name: "forms-1"}}, silence{from: left.Add(time.Second), to: left.Add(3 * time.Second)})
+	require.Empty(t, r.check())
+	r = late(maxLateArrive+1, 2*time.Second)
+	r.serversSilent([]*process{{name: "forms-2"}}, silence{from: left.Add(time.Second), to: left.Add(3 * time.Second)})
+	require.Len(t, r.check(), 1)
+}
--- a/laburnumsoak/silences.go
+++ b/laburnumsoak/silences.go
@@ -41,7 +41,7 @@
 		}
 		if run, ok := strings.CutPrefix(text, ranPrefix); ok {
 			id, _, _ := strings.Cut(run, " ")
-			f.record.steadyRequestRan(id)
+			f.record.steadyRequestRan(p.name, id)
 		}
 	}
 	p.args = func() []string {
@@ -89,9 +89,11 @@
 			}
 		}
 		x.log("silence of %s", name)
+		from := time.Now()
 		signalAll(silent, syscall.SIGSTOP)
 		time.Sleep(between(random, minSilence, maxSilence))
 		signalAll(silent, syscall.SIGCONT)
+		x.fleet.record.serversSilent(silent, silence{from: from, to: time.Now().Add(endSlack)})
 		select {
 		case <-ctx.Done():
 			return
--- a/laburnumsoak/steady.go
+++ b/laburnumsoak/steady.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -127,17 +128,32 @@
 	r.steady[id] = q
 }
 
+// steadyRun is a run of a request.
+type steadyRun struct {
+	server string
+	at     time.Time
+}
+
 // steadyRequestRan records that a server ran a request.
-func (r *recorder) steadyRequestRan(id string) {
+func (r *recorder) steadyRequestRan(server, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.steadyRan[id] = true
+	r.steadyRan[id] = steadyRun{server: server, at: time.Now()}
+}
+
+// steadyDid reports whether a server ran a request. The caller holds mu.
+func (r *recorder) steadyDid(id string) bool {
+	_, ran := r.steadyRan[id]
+	return ran
 }
 
 // answerCut records that a server saw the connection of a request closed in the middle of its answer.
 func (r *recorder) answerCut(server, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if strings.HasPrefix(id, leaverPrefix) {
+		return // its caller left
+	}
 	r.cuts = append(r.cuts, cutAnswer{id: id, server: server, at: time.Now()})
 }
 
@@ -151,7 +167,7 @@
 // checkSteady checks that no request remained without an answer or a refusal, and that no answer was cut. The caller holds mu.
 func (r *recorder) checkSteady() {
 	for id, q := range r.steady {
-		if q.whole && q.err != nil && (!q.turnedAway() || r.steadyRan[id]) && !r.explained(q) {
+		if q.whole && q.err != nil && (!q.turnedAway() || r.steadyDid(id)) && !r.explained(q) {
 			r.addViolation("request %s at %s ended after %s with neither an answer nor a refusal: %v", id, q.gateway, q.endedAt.Sub(q.sentAt).Round(time.Millisecond), q.err)
 		}
 	}
