--- a/laburnumsoak/leaving.go
+++ b/laburnumsoak/leaving.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	"laburnumlever/laburnumstandin"
@@ -18,6 +20,11 @@
 	stayLongest   = 1500 * time.Millisecond
 	goneTime      = 500 * time.Millisecond // after its caller has left, a request must not reach a server
 	maxLateArrive = 3                      // requests that may, in a run
+	// In each of stops a gateway stands still for stopTime, while stopLeavers callers send to it and leave after stopStay at most.
+	stops       = 3
+	stopTime    = 2 * time.Second
+	stopLeavers = 24
+	stopStay    = 800 * time.Millisecond
 )
 
 // silence is a time in which a server did not run.
@@ -26,13 +33,35 @@
 // leave has callers leave before they are answered until ctx ends.
 func (l *load) leave(ctx context.Context) {
 	for range leavers {
-		l.repeat(ctx, leaverPause, func(int) { l.sendAndLeave(l.fleet.anyGateway()) })
+		l.repeat(ctx, leaverPause, func(int) { l.sendAndLeave(l.fleet.anyGateway(), stayLongest) })
 	}
 }
 
-func (l *load) sendAndLeave(gateway int) {
+// leaveAtStops has callers leave while a gateway stands still.
+func (l *load) leaveAtStops() {
+	for i := range stops {
+		gateway := i % len(l.fleet.gateways)
+		p := l.fleet.gateways[gateway]
+		p.signal(syscall.SIGSTOP)
+		ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+		var callers sync.WaitGroup
+		for range stopLeavers {
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					l.sendAndLeave(gateway, stopStay)
+				}
+			})
+		}
+		<-ctx.Done()
+		cancel()
+		p.signal(syscall.SIGCONT)
+		callers.Wait()
+	}
+}
+
+func (l *load) sendAndLeave(gateway int, longest time.Duration) {
 	id := fmt.Sprintf("%s%d", leaverPrefix, l.calls.Add(1))
-	stay := stayShortest + time.Duration(rand.Int64N(int64(stayLongest-stayShortest)))
+	stay := stayShortest + time.Duration(rand.Int64N(int64(longest-stayShortest)))
 	ctx, cancel := context.WithTimeout(context.Background(), stay)
 	defer cancel()
 	// Its connection is closed as ctx ends; with an answer or a failure before there is nothing left to check.
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -119,6 +119,7 @@
 	l.checkVersions(ctx, x)
 	l.checkLostLinks(ctx, l.fleet.cfg.Seed)
 	l.checkBrittle(ctx)
+	l.leaveAtStops()
 	if l.fleet.cfg.Disks {
 		l.checkPowerLoss(ctx, x)
 	}
