--- a/laburnumgateway/leaving_test.go
+++ b/laburnumgateway/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumupstream"
 )
 
 // goneTime is how long after its caller has left a server may work on.
@@ -142,3 +144,34 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, left, 1200)
 }
+
+// leaveInDial has the caller leave while a connection to the backend server is opened.
+type leaveInDial struct{ caller chan net.Conn }
+
+func (d leaveInDial) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if err := (<-d.caller).Close(); err != nil {
+		return nil, err
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+// Guards against requests that are sent although their callers left while a connection was opened.
+func TestRequestsOfCallersThatLeaveDuringTheDialAreNotSent(t *testing.T) {
+	const times = 50
+	server := newBackend(t, "i-1", answerOK)
+	tunnels := leaveInDial{caller: make(chan net.Conn, 1)}
+	pool := laburnumupstream.New(laburnumupstream.WithTunnels(tunnels))
+	pool.UseTunnels(true)
+	b := newUnconfiguredHarness(t, laburnumgateway.WithPool(pool))
+	b.fleet.HandleRoutes(testRoutes())
+	b.announce(server.heartbeat("booking"))
+	for range times {
+		conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+		require.NoError(t, err)
+		tunnels.caller <- conn
+		_, err = fmt.Fprintf(conn, "GET /lookup/x HTTP/1.1\r\nHost: quotes.example\r\n%s: r-1\r\n\r\n", idHeader)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return len(tunnels.caller) == 0 && b.gateway.InFlight() == 0 }, callerPatience, time.Millisecond)
+	}
+	require.Empty(t, server.requests())
+}
