fix: copies of other models make room for one that has grown

serve: a zone kept a copy with the old size for good, while the other zone served the new one (TestRandomViewsLoseNoModel, every time). Cause: a copy that outgrows its accelerators is loaded elsewhere first, if there is room by chance; nobody was asked to make room, as is done for models without a copy. Played step by step: 24 and 60 of 100 MiB on one accelerator, 54 wanted, all other engines with 60 on each.

The new copy now goes where it lets the old one go, and others that may be unloaded make room there, or beside it. Continuity is kept by the same rule as before (canEvict).

--- a/laburnumplacement/makeroom.go
+++ b/laburnumplacement/makeroom.go
@@ -155,9 +155,15 @@
 	return f.models[p.model].demand.Peak.Requests / float64(len(f.models[p.model].copies))
 }
 
+// releases reports whether a stable copy of the same model on another engine would let canEvict
+// release a copy: it is in the same zone or in one that precedes it.
+func (f *fleet) releases(p *placement, at int) bool {
+	from, to := f.engines[p.engine].Zone, f.engines[at].Zone
+	return at != p.engine && (to == from || f.precedes(p.model, to, from))
+}
+
 // relocate moves the only copy of another model away: it is loaded where it fits now, and unloaded
-// here in a later round, once the new copy is stable. The destination is in the same zone or in one
-// that precedes it; otherwise canEvict would never release the old copy.
+// here in a later round, once the new copy is stable.
 func (f *fleet) relocate(m int, allowed func(at int) bool) bool {
 	for at := range f.engines {
 		if !allowed(at) {
@@ -179,14 +185,10 @@
 }
 
 func (f *fleet) relocateCopy(p *placement, m int) bool {
-	from := f.engines[p.engine].Zone
 	if f.replacementPending(p.model) {
 		return true
 	}
-	s, ok := f.findEngine(p.model, func(at int) bool {
-		to := f.engines[at].Zone
-		return at != p.engine && (to == from || f.precedes(p.model, to, from))
-	})
+	s, ok := f.findEngine(p.model, func(at int) bool { return f.releases(p, at) })
 	if !ok {
 		return false
 	}
--- a/laburnumplacement/planner_test.go
+++ b/laburnumplacement/planner_test.go
@@ -247,3 +247,37 @@
 	converge(t, &s)
 	require.Len(t, s.Engines[1].Copies, len(s.Catalogue.Models))
 }
+
+// Guards against a copy that keeps its old size for good, since the grown one fits on no engine without other copies making room.
+func TestGrownCopyGetsRoomFromOthers(t *testing.T) {
+	const before, after = 24, 54
+	for _, zones := range [][2]laburnumlever.ZoneName{{"a", "b"}, {"b", "a"}} {
+		s := laburnumplacement.Snapshot{Catalogue: catalogueOf(4, 60), OwnZone: zones[0]}
+		s.Catalogue.Models[0].WeightsMiB = after
+		held := func(e laburnumplacement.Engine, model int, accelerator laburnumlever.AcceleratorID, mib int) laburnumplacement.Engine {
+			c := laburnumplacement.Copy{Stable: true, ModelCopy: laburnumlever.ModelCopy{
+				Model: s.Catalogue.Models[model].Name, Version: "v1", Accelerators: []laburnumlever.AcceleratorID{accelerator}, PartMiB: mib, Ready: true,
+			}}
+			e.Copies = append(e.Copies, c)
+			return e
+		}
+		own, other := string(zones[0]), string(zones[1])
+		s.Engines = []laburnumplacement.Engine{
+			held(held(engineIn("e0", own, 100), 0, "a0", before), 1, "a0", 60),
+			held(held(engineIn("e1", other, 100), 2, "a0", 60), 3, "a1", 60),
+			held(held(engineIn("e2", own, 100), 2, "a0", 60), 3, "a1", 60),
+			held(held(engineIn("e3", other, 100), 1, "a0", 60), 0, "a1", after),
+		}
+		converge(t, &s)
+		for _, e := range s.Engines {
+			for _, c := range e.Copies {
+				m, ok := s.Catalogue.Model(c.Model)
+				require.True(t, ok)
+				require.Equal(t, m.PartMiB(), c.PartMiB, "%s on %s", c.Model, e.ID)
+			}
+		}
+		for _, m := range s.Catalogue.Models {
+			require.Len(t, zonesOf(s, m.Name), 2, m.Name)
+		}
+	}
+}
--- a/laburnumplacement/switchversion.go
+++ b/laburnumplacement/switchversion.go
@@ -119,7 +119,8 @@
 }
 
 // moveOversized replaces a copy that no longer fits its accelerators: a new copy is loaded on
-// another engine, and this one is unloaded as soon as canEvict allows.
+// another engine, if need be in place of copies of other models, and this one is unloaded as soon as
+// canEvict allows. If there is no way, the copies beside it make room.
 func (f *fleet) moveOversized(m int, p *placement) {
 	if f.canEvict(p) {
 		f.planUnload(p, ReasonUpdate, Move{})
@@ -128,7 +129,27 @@
 	if f.replacementPending(m) {
 		return
 	}
-	if s, ok := f.findEngine(m, func(at int) bool { return at != p.engine }); ok {
+	elsewhere := func(at int) bool { return f.releases(p, at) && !f.hasCopy(at, m) }
+	if s, ok := f.findEngine(m, elsewhere); ok {
 		f.planLoad(m, s, ReasonUpdate, Move{Gain: f.models[m].demand.Now.Requests})
+		return
+	}
+	if !f.makeRoom(m, elsewhere) {
+		f.makeRoomBeside(p)
+	}
+}
+
+// makeRoomBeside unloads copies on the accelerators of a copy that has outgrown them.
+func (f *fleet) makeRoomBeside(p *placement) {
+	e := &f.engines[p.engine]
+	if e.unloading {
+		return // the memory is about to be free
+	}
+	for _, other := range e.copies {
+		shares := slices.ContainsFunc(other.Accelerators, func(id laburnumlever.AcceleratorID) bool { return slices.Contains(p.Accelerators, id) })
+		if other != p && shares && !other.planned && !other.StaysReserved && f.canEvict(other) {
+			f.planUnload(other, ReasonUpdate, Move{For: p.Model})
+			return
+		}
 	}
 }
