fix: a head that came while the VM stood still is read

Callers: EOF without an answer from a gateway that was paused for longer than the five seconds that a request's head has. Cause: the deadline passes while nobody reads, and the read ends without looking at what waits in the kernel; the server then closes the connection. Until now nobody could tell whether the head had come.

Fix: when the time is over and bytes wait in the socket, the caller has it once more; a caller that has sent nothing, or sends too slowly, has it not, and bodies keep their deadlines. Once for each request.

The tests of the gateway now serve on its own listener, as gateways do.

--- a/laburnumgateway/callers.go
+++ b/laburnumgateway/callers.go
@@ -4,10 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"laburnumlever/laburnumsocket"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -105,6 +108,10 @@
 	// connection until the request has been answered. noteEarly is called then; nil while no request is watched.
 	early     bool
 	noteEarly func()
+	// readDeadline is the last one that was set, extended is set once it was exceeded while bytes waited in the kernel, and serving
+	// while a request is served.
+	readDeadline      time.Time
+	extended, serving bool
 }
 
 // watchedBytes is the size of the reads by which http.Server watches the connection of a request that is served.
@@ -116,6 +123,9 @@
 // Read reads what the caller sent.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.extend() {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		c.begin()
 		c.setEarly(len(p) == watchedBytes)
@@ -123,6 +133,25 @@
 	return n, err
 }
 
+// extend gives a caller the time for its request's head again, once, if bytes of it waited in the kernel as the time was over: this VM
+// stood still, or is behind, and the server would close the connection without an answer.
+func (c *callerConn) extend() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.serving || c.extended || !c.readDeadline.After(longAgo) || laburnumsocket.Look(c.Conn) != laburnumsocket.Readable {
+		return false
+	}
+	c.extended = true
+	return c.Conn.SetReadDeadline(time.Now().Add(headerTimeout)) == nil
+}
+
+// setServing records that a request's head has been read, or that the request has been answered.
+func (c *callerConn) setServing(serving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.extended = serving, false
+}
+
 // onEarly sets the function that is called once the server does not watch the connection while a request is served; nil for none.
 func (c *callerConn) onEarly(fn func()) {
 	c.mu.Lock()
@@ -182,6 +211,7 @@
 // returns them. It must be called with the mutex held.
 func (c *callerConn) endIdle() {
 	if c.retired && !c.busy {
+		c.readDeadline = longAgo
 		_ = c.Conn.SetReadDeadline(longAgo)
 	}
 }
@@ -193,6 +223,7 @@
 	if c.retired && !c.busy {
 		return nil
 	}
+	c.readDeadline = at
 	return c.Conn.SetReadDeadline(at)
 }
 
--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -188,6 +188,7 @@
 func (b *harness) start() {
 	b.server = httptest.NewUnstartedServer(b.gateway)
 	b.server.Config = b.gateway.Server()
+	b.server.Listener = laburnumgateway.NewCallers(b.server.Listener) // as gateways do
 	b.server.Start()
 	b.t.Cleanup(b.server.Close)
 }
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -120,6 +120,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := g.newRequest(w, r)
+	if conn, ok := q.conn.(*callerConn); ok {
+		conn.setServing(true)
+		defer conn.setServing(false)
+	}
 	out := &answer{w: w}
 	defer g.endPanicked(q, out)
 	if err := g.accept(q, r); err != nil {
