fix: a huge deficit of an account is no short wait

The time is bounded before it is converted (30 s).

TestHugeDeficitIsNoShortWait: 50 ms before, more than 20 s wanted.

--- a/laburnumquota/keeper.go
+++ b/laburnumquota/keeper.go
@@ -188,12 +188,12 @@
 
 func (b *bucket) answer(a Ask, now time.Duration) Grant {
 	if fits := min(a.Need, max(b.needs, b.limit(now)-b.reserves.total)); a.Need > 0 && b.level < fits {
-		in := time.Duration((fits - b.level + b.waiting) / b.perSecond() * float64(time.Second))
+		in := b.timeFor(fits - b.level + b.waiting)
 		b.waiting += a.Need
 		b.refused++
 		b.refusedLately++
 		return Grant{
-			Account: a.Account, RetryIn: laburnumlever.Duration(min(maxRetryIn, max(minRetryIn, in))),
+			Account: a.Account, RetryIn: laburnumlever.Duration(max(minRetryIn, in)),
 			AskIn: laburnumlever.Duration(b.askIn(fits - b.level)),
 		}
 	}
@@ -205,11 +205,16 @@
 
 // askIn returns the time until an amount has been added, or longer if many asks are refused.
 func (b *bucket) askIn(amount float64) time.Duration {
-	in := max(minAskIn, time.Duration(amount/b.perSecond()*float64(time.Second)))
+	in := max(minAskIn, b.timeFor(amount))
 	crowd := b.refusedLately * math.Ln2 / costHalfLife.Seconds() / refusedAsks
 	return min(maxAskIn, time.Duration(max(1, crowd)*float64(in)))
 }
 
+// timeFor returns the time until an amount has been added, at most maxRetryIn: a large enough one has no time.Duration.
+func (b *bucket) timeFor(amount float64) time.Duration {
+	return time.Duration(min(maxRetryIn.Seconds(), amount/b.perSecond()) * float64(time.Second))
+}
+
 // refill adds what came since it was last called. The slow rate ends when level and reserves have been within the smaller
 // capacity for a span.
 func (b *bucket) refill(now, span time.Duration) {
--- a/laburnumquota/wallet_test.go
+++ b/laburnumquota/wallet_test.go
@@ -51,3 +51,14 @@
 	k.SetShares(accountsWith(quotaOf(1000)), wholeShare, time.Hour)
 	require.True(t, k.Answer([]laburnumquota.Ask{{Account: account, Need: 1}}, time.Hour)[0].Refused())
 }
+
+// Guards against callers of an account with a huge deficit who are told to come back at once, again and again.
+func TestHugeDeficitIsNoShortWait(t *testing.T) {
+	k := laburnumquota.NewKeeper(terms)
+	k.SetShares(accountsWith(quotaOf(1000)), wholeShare, 0)
+	require.False(t, k.Answer([]laburnumquota.Ask{{Account: account, Need: 1e18}}, time.Minute)[0].Refused())
+	g := k.Answer([]laburnumquota.Ask{{Account: account, Need: 1}}, time.Minute)[0]
+	require.True(t, g.Refused())
+	require.Greater(t, time.Duration(g.RetryIn), 20*time.Second)
+	require.Greater(t, time.Duration(g.AskIn), 100*time.Millisecond)
+}
