--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -170,12 +170,9 @@
 	q.permit, q.slotRequested, q.probes = laburnumbalance.Permit{}, false, false
 	defer func() { q.waited += g.timers.Now().Sub(start) }()
 	for {
-		if err := g.checkCaller(ctx, q); err != nil {
+		if err := g.checkWait(ctx, q); err != nil {
 			return nil, err
 		}
-		if g.fleet.versionGone(q) {
-			return nil, newRefusal(laburnumlever.RefusedStreamVersionGone, 0, "no backend server runs software version "+string(q.software)+", which began the stream")
-		}
 		ticket, verdict := g.fleet.awaitSlot(ctx, q, until)
 		if err := g.fleet.refuseAfter(verdict, q); err != nil {
 			g.fleet.cancelSlot(ticket)
@@ -204,6 +201,15 @@
 	}
 }
 
+// checkWait returns an error if the request need not wait for a slot: its caller has left, or its stream can't go on. The error is a
+// *laburnumlever.RefusalError or a *CallerGoneError.
+func (g *Gateway) checkWait(ctx context.Context, q *request) error {
+	if g.fleet.versionGone(q) {
+		return newRefusal(laburnumlever.RefusedStreamVersionGone, 0, "no backend server runs software version "+string(q.software)+", which began the stream")
+	}
+	return g.checkCaller(ctx, q)
+}
+
 // adapterAbsentRefusal refuses a request whose adapter was not available in time. A nil cause means
 // that the adapter is loaded, but only on engines that this gateway can't connect to.
 func adapterAbsentRefusal(cause error) error {
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -33,7 +33,7 @@
 // free slots.
 func (g *Gateway) reserve(ctx context.Context, q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn, result *laburnumbalance.AttemptResult) (fail *failure, resp *http.Response) {
 	q.reservation = ""
-	if !ticket.MayBeFull() || ticket.Limited() || q.queuesAtEngine() || q.service.Engine == nil || q.service.Engine.ReserveLimit == 0 {
+	if !needsReservation(q, ticket) {
 		return nil, nil
 	}
 	if err := g.checkCaller(ctx, q); err != nil {
@@ -66,6 +66,11 @@
 	return nil, nil
 }
 
+// needsReservation reports whether a request needs a reserved slot at its engine.
+func needsReservation(q *request, ticket *laburnumbalance.Ticket) bool {
+	return ticket.MayBeFull() && !ticket.Limited() && !q.queuesAtEngine() && q.service.Engine != nil && q.service.Engine.ReserveLimit > 0
+}
+
 // sendReservation asks the engine for a reservation and reads the complete answer.
 func (g *Gateway) sendReservation(q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn) (*http.Response, []byte, error) {
 	now := g.timers.Now()
--- a/laburnumsocket/look.go
+++ b/laburnumsocket/look.go
@@ -42,7 +42,7 @@
 	var one [1]byte
 	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
-	case err == syscall.EAGAIN || err == syscall.EINTR: //nolint:errorlint // a bare errno of the system call
+	case err == syscall.EAGAIN || err == syscall.EINTR:
 		return Quiet
 	case err != nil || n == 0:
 		return Closed
