fix: a refused body that waits in the kernel is read on

Callers that write a large body before they read lost their refusal to a reset: the rest of a refused body is dropped for three seconds, and the time passed while the VM was behind, not the caller. TestRefusalReachesCallerThatWritesItsBodyFirst failed in six of six plays of go test -race -short ./laburnumgateway on two cores beside 45 busy processes (load 60; 16 MiB not read in 2.5 s).

While bytes wait in the socket the caller is not the slow one: the time is given on, for 30 s at most, within the bytes that a body may have. A caller that sends slowly has three seconds as before (TestRefusedBodyIsReadForALimitedTime).

TestRefusedBodyThatWaitsIsReadOn.

--- a/laburnumgateway/bodies.go
+++ b/laburnumgateway/bodies.go
@@ -20,6 +20,8 @@
 	// a connection that is closed with unread bytes is reset. The bounds keep callers from holding connections in this way.
 	dropTime   = 3 * time.Second
 	lingerTime = 500 * time.Millisecond
+	// maxDropTime bounds it while bytes wait to be read, so that it is not the caller who is slow.
+	maxDropTime = 30 * time.Second
 )
 
 // incomingBody is a request's body that has not been read to its end.
@@ -93,13 +95,16 @@
 	_, _ = io.WriteString(w, text) // an error means that the caller has disconnected
 	if q.incoming != nil {
 		_ = q.incoming.controller.Flush()
-		q.incoming.drop(g.dropEnd())
+		if conn, ok := q.conn.(*callerConn); ok {
+			conn.setDropUntil(g.dropEnd(maxDropTime))
+		}
+		q.incoming.drop(g.dropEnd(dropTime))
 	}
 }
 
-// dropEnd returns when a refused body that has not ended is given up.
-func (g *Gateway) dropEnd() time.Time {
-	end := time.Now().Add(dropTime)
+// dropEnd returns when a refused body that has not ended is given up, at most after a time.
+func (g *Gateway) dropEnd(after time.Duration) time.Time {
+	end := time.Now().Add(after)
 	if drain := g.drainDeadline.Load(); drain != nil && drain.Before(end) {
 		return *drain
 	}
--- a/laburnumgateway/callers.go
+++ b/laburnumgateway/callers.go
@@ -109,9 +109,9 @@
 	early     bool
 	noteEarly func()
 	// readDeadline is the last one that was set, extended is set once it was exceeded while bytes waited in the kernel, and serving
-	// while a request is served.
-	readDeadline      time.Time
-	extended, serving bool
+	// while a request is served. dropUntil is until when the rest of a refused body is read.
+	readDeadline, dropUntil time.Time
+	extended, serving       bool
 }
 
 // watchedBytes is the size of the reads by which http.Server watches the connection of a request that is served.
@@ -133,23 +133,39 @@
 	return n, err
 }
 
-// extend gives a caller the time for its request's head again, once, if bytes of it waited in the kernel as the time was over: this VM
-// stood still, or is behind, and the server would close the connection without an answer.
+// extend gives a caller more time if bytes waited in the kernel as its time was over: this VM stood still, or is behind, and the
+// connection would be closed before the answer is read. A request's head has its time again, once; a refused body, of bounded length,
+// until dropUntil.
 func (c *callerConn) extend() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.serving || c.extended || !c.readDeadline.After(longAgo) || laburnumsocket.Look(c.Conn) != laburnumsocket.Readable {
+	if !c.readDeadline.After(longAgo) || laburnumsocket.Look(c.Conn) != laburnumsocket.Readable {
 		return false
 	}
-	c.extended = true
-	return c.Conn.SetReadDeadline(time.Now().Add(headerTimeout)) == nil
+	now, more := time.Now(), headerTimeout
+	switch {
+	case now.Before(c.dropUntil):
+		more = lingerTime
+	case c.serving || c.extended:
+		return false
+	default:
+		c.extended = true
+	}
+	return c.Conn.SetReadDeadline(now.Add(more)) == nil
+}
+
+// setDropUntil sets until when the rest of a refused body is read while bytes of it wait in the kernel.
+func (c *callerConn) setDropUntil(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropUntil = at
 }
 
 // setServing records that a request's head has been read, or that the request has been answered.
 func (c *callerConn) setServing(serving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.extended = serving, false
+	c.serving, c.extended, c.dropUntil = serving, false, time.Time{}
 }
 
 // onEarly sets the function that is called once the server does not watch the connection while a request is served; nil for none.
--- a/laburnumgateway/callers_internal_test.go
+++ b/laburnumgateway/callers_internal_test.go
@@ -65,3 +65,23 @@
 	_, err = conn.Read(make([]byte, 16))
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// Guards against a refused body that is given up, and its answer lost to a reset, since this VM reads it late.
+func TestRefusedBodyThatWaitsIsReadOn(t *testing.T) {
+	conn, far := acceptCaller(t)
+	conn.setServing(true)
+	conn.setDropUntil(time.Now().Add(maxDropTime))
+	_, err := far.Write([]byte("body"))
+	require.NoError(t, err)
+	for _, want := range []string{"b", "o"} {
+		exceed(t, conn)
+		buffer := make([]byte, 1)
+		_, err = conn.Read(buffer)
+		require.NoError(t, err)
+		require.Equal(t, want, string(buffer))
+	}
+	conn.setDropUntil(time.Now())
+	exceed(t, conn)
+	_, err = conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
