test: a version settles until the test's requests are through

TestNoStreamBeginsAtAVersionThatIsNew failed once each in two of nine plays beside 45 busy processes (load 45 to 60): its twenty requests took 0.5 to 0.6 s, and the version settles for 0.5 s, after which streams may begin there. Nothing of the gateway was wrong.

--- a/laburnumgateway/streams_test.go
+++ b/laburnumgateway/streams_test.go
@@ -68,6 +68,10 @@
 func newStreamHarness(t *testing.T, keepers *fakeStreamKeepers, records ...laburnumregistry.Record) *harness {
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
+	return newStreamHarnessWith(t, timers, keepers, records...)
+}
+
+func newStreamHarnessWith(t *testing.T, timers laburnumlever.Timers, keepers *fakeStreamKeepers, records ...laburnumregistry.Record) *harness {
 	fleet := laburnumgateway.NewFleet(timers, laburnumlever.VM{ID: "10.0.0.1", Zone: "brest"}, time.Second, 1,
 		laburnumgateway.WithStreamKeepers(keepers), laburnumgateway.WithFirstStart(true))
 	b := newHarnessOfFleet(t, fleet, timers, laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}))
@@ -308,15 +312,38 @@
 	require.Empty(t, keepers.at)
 }
 
+// settlingTimers hold the calls by which versions settle until they are released: a busy machine takes longer for the requests before.
+type settlingTimers struct {
+	laburnumlever.Timers
+	released chan struct{}
+}
+
+func (s settlingTimers) After(d time.Duration, fn func(now time.Time)) func() {
+	const settleTime = 500 * time.Millisecond
+	if d != settleTime {
+		return s.Timers.After(d, fn)
+	}
+	return s.Timers.After(d, func(now time.Time) {
+		go func() {
+			<-s.released
+			fn(now)
+		}()
+	})
+}
+
 // Guards against streams at a version that other VMs have not heard of, and would take up as those of the only one.
 func TestNoStreamBeginsAtAVersionThatIsNew(t *testing.T) {
 	old, changed := newBackend(t, "i-1", resumes), newBackend(t, "i-2", resumes)
-	b := newStreamHarness(t, &fakeStreamKeepers{}, engineOf(old, "v1"))
+	timers := laburnumtimer.New()
+	t.Cleanup(timers.Close)
+	settling := settlingTimers{Timers: timers, released: make(chan struct{})}
+	b := newStreamHarnessWith(t, settling, &fakeStreamKeepers{}, engineOf(old, "v1"))
 	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{engineOf(changed, "v2")}})
 	for i := range 20 {
 		require.Equal(t, 200, quote(b, fmt.Sprint("r-", i)).status)
 	}
 	require.Empty(t, changed.requests())
+	close(settling.released)
 	gone := engineOf(old, "v1")
 	gone.Gone, gone.Heartbeat.Sequence = true, 2
 	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{gone}})
