--- a/laburnumexplain/timeline.go
+++ b/laburnumexplain/timeline.go
@@ -27,7 +27,7 @@
 	"queue-full":          "all backend servers that could serve it were full until its time in the queue was over",
 	"backend-unreachable": "the chosen backend servers accepted no connection",
 	"backend-busy":        "the backend server refused it because it was full",
-	"backend-error":       "a backend server closed the connection early or answered with an error",
+	"backend-error":       "a backend server closed the connection early, answered with an error or sent bytes that are no answer",
 	"broken-stream":       "the stream was interrupted and could not be resumed on another backend server: look for ended-by in its attempt-failed, and for why it was not-retried",
 	"crossed-answer":      "a backend server returned another request's answer, which was dropped",
 	"deadline":            "its deadline passed before an answer arrived",
@@ -49,7 +49,7 @@
 	"vm-stopped":          "the gateway had been told to stop, and its time to finish requests was over: look for draining and stopped of the gateway",
 	"not-ready":           "the gateway had not received routes yet",
 	"unknown-service":     "no route of the gateway matches its host and path",
-	"caller-gone":         "the caller closed the connection",
+	"caller-gone":         "the caller closed the connection: sent-ago-ms tells whether its request had been sent, and how long before",
 	"bad-request":         "the request was malformed",
 	"too-large":           "its body exceeded the size limit",
 }
