fix: the rest of a long answer to a reservation is no answer to the request

Found by looking for reads whose rest stays in a connection: of an answer to a reservation 4 KiB are read, and the request follows on the same connection. Of a longer one, the rest was taken for the head of the answer to the request: 502 for the caller, whose request had run.

Such an answer counts as broken, so that the connection is reset and the request goes elsewhere. The age of a request has a bound of a minute, beyond which TCP_INFO tells of a connection that never had any bytes.

TestLongAnswerToAReservationIsNotTakenForTheNext: 502 before, 200 and nothing sent there now.

--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -66,6 +66,13 @@
 	return fmt.Sprintf("an event is longer than %d bytes, and no more of it can be held", e.Limit)
 }
 
+// AnswerTooLongError is an answer of more than Limit bytes to a call of this VM's own.
+type AnswerTooLongError struct{ Limit int }
+
+func (e *AnswerTooLongError) Error() string {
+	return fmt.Sprintf("the answer is longer than %d bytes", e.Limit)
+}
+
 // CallerGoneError reports that the caller closed its connection before the answer was complete.
 type CallerGoneError struct{ Cause error }
 
--- a/laburnumgateway/events.go
+++ b/laburnumgateway/events.go
@@ -32,7 +32,8 @@
 // next returns the next event, with the empty line that ends it, which is valid until the next call. With an error it returns the part
 // that came. Errors: *EventTooLongError, and those of the stream.
 func (e *eventReader) next() ([]byte, error) {
-	if e.close(); e.event == nil {
+	e.close()
+	if e.event == nil {
 		e.event = make([]byte, 0, eventBufferSize)
 	}
 	e.event = e.event[:0]
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -90,7 +90,10 @@
 	if headers := g.dialect.Answer(resp.StatusCode, resp.Header); headers.HasLimit || headers.LimitError != nil || headers.Rest > 0 || headers.Leaving {
 		g.observeAnswer(ticket, conn, now, resp.StatusCode, headers)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReserveAnswer))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReserveAnswer+1))
+	if err == nil && len(body) > maxReserveAnswer {
+		err = &AnswerTooLongError{Limit: maxReserveAnswer} // the rest would be taken for the answer to the request
+	}
 	if err != nil || resp.Close {
 		return nil, nil, &BrokenAnswerError{Cause: err}
 	}
--- a/laburnumgateway/reserve_test.go
+++ b/laburnumgateway/reserve_test.go
@@ -113,3 +113,22 @@
 	}
 	require.NotContains(t, requestPaths(unresponsive), "/quote/x")
 }
+
+// Guards against the rest of a long answer to a reservation that is taken for the answer to the request.
+func TestLongAnswerToAReservationIsNotTakenForTheNext(t *testing.T) {
+	const long = 6 << 10
+	engine := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+		if a.request.URL.Path == "/v1/hold-take" {
+			writeAnswer(conn, a, http.StatusOK, `{"hold":"h-7"}`+strings.Repeat(" ", long))
+			return
+		}
+		writeEvents(conn, a, 1, 2)
+		writeLastChunk(conn)
+	})
+	healthy := newReservingEngine(t, "i-2", true)
+	b := newReservationHarness(t, engine.heartbeat("quotes", "m0"), healthy.heartbeat("quotes", "m0"))
+	for range 4 {
+		require.Equal(t, 200, b.send("POST", "/draft/x", "oak floor", "X-Laburnumlever-Model", "m0").status)
+	}
+	require.NotContains(t, requestPaths(engine), "/draft/x")
+}
--- a/laburnumsocket/age.go
+++ b/laburnumsocket/age.go
@@ -7,6 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// maxAge bounds what is taken for an age. Connections without a time of their last bytes have one since the machine's start.
+const maxAge = time.Minute
+
 // SinceReceived returns how long ago the last bytes arrived on a connection: how long, at least, what has just been read waited in the
 // kernel. It is 0 where that is not known.
 func SinceReceived(conn any) time.Duration {
@@ -24,5 +27,8 @@
 			since = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
+	if since > maxAge {
+		return 0
+	}
 	return since
 }
