--- a/laburnumtunnel/client.go
+++ b/laburnumtunnel/client.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -21,6 +23,8 @@
 	// helperTimeout bounds the connection to a helper and its answer; it exceeds the helper's own time to connect to a
 	// server by a round trip between availability zones.
 	helperTimeout = 300 * time.Millisecond
+	// maxHeadBytes bounds the head of a helper's answer.
+	maxHeadBytes = 16 << 10
 	// maxHelpers is the number of helpers that are asked for one tunnel.
 	maxHelpers = 3
 	// minHelperBackoff and maxHelperBackoff bound how long a helper that did not help is not asked again. The first time is short:
@@ -233,11 +237,13 @@
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
-	r := bufio.NewReaderSize(conn, readBufferSize)
+	head := &io.LimitedReader{R: conn, N: maxHeadBytes} // another service may have the address of a helper that is gone
+	r := bufio.NewReaderSize(head, readBufferSize)
 	resp, err := http.ReadResponse(r, req)
 	if err != nil {
 		return nil, err
 	}
+	head.N = math.MaxInt64
 	_ = resp.Body.Close() // a CONNECT's answer has none, or one that is not read
 	switch resp.StatusCode {
 	case http.StatusOK:
--- a/laburnumtunnel/leaving_test.go
+++ b/laburnumtunnel/leaving_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -69,3 +70,27 @@
 	running.Unlock()
 	require.Empty(t, string(<-got))
 }
+
+// Guards against a service that got the address of a helper, and whose bytes without end are taken for the head of an answer.
+func TestBytesWithoutEndAreNoHelper(t *testing.T) {
+	const maxTaken = 4 << 20 // more than a head may have and the socket buffers of a loopback connection hold
+	ln := listen(t)
+	taken := make(chan int, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		n, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nA: ")
+		for err == nil {
+			var more int
+			more, err = io.WriteString(conn, strings.Repeat("x", 1<<10))
+			n += more
+		}
+		taken <- n
+	}()
+	_, err := newClient(t, ln.Addr().String()).Dial(t.Context(), "127.0.0.1:9")
+	require.Error(t, err)
+	require.Less(t, <-taken, maxTaken)
+}
