--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -166,8 +166,7 @@
 	}
 }
 
-// Guards against a check for requests that reach servers after their callers left which never fails, and against one that blames a
-// gateway for a server that did not run.
+// Guards against a check for requests of callers that left which never fails, or blames gateways for servers that did not run.
 func TestRequestsOfLeaversAreReported(t *testing.T) {
 	left := time.Unix(1_000_000, 0)
 	late := func(n int, after time.Duration) *recorder {
