fix: a head that ends at its bound is no answer wherever the bound falls

By reading: when the 64 KiB of heads ended just where an informational answer did, the failure was not one of bytes that are no answer, so that the server did not count as faulty. The read of the status line is classified like the rest of the head. go test ./laburnumupstream passes; no test hits that very byte.

--- a/laburnumupstream/head.go
+++ b/laburnumupstream/head.go
@@ -70,7 +70,7 @@
 			return io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return err
+			return classify(err)
 		}
 		if !matchesStatusLine(n-1, got[n-1]) {
 			return &NoAnswerError{Cause: &StatusLineError{Got: string(got)}}
