fix: a long unmarked 503 is not passed on as not run

Found by reading the change: an answer that is not held as a whole is passed on with its status. A 503 without the mark that its request did not run promised just that to the caller, while a short one is a 502. Answers longer than 1 MiB had this before; since the budget of buffers ones from 64 KiB on had it, too, when the budget was used up.

Such a 503 is a failure of the attempt at any length. TestLongUnmarked503IsNotReportedAsNotRun: 503 before, 502 now, with a small and a large budget.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -95,13 +95,8 @@
 		return g.forwardStream(ctx, q, out, ticket, resp, result)
 	}
 	resp.Body = heardBody{ReadCloser: resp.Body, heard: out.heard}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, freeBuffer+1))
-	held := err != nil || len(body) <= freeBuffer
-	if !held && g.buffers.take(maxBuffered) {
-		defer g.buffers.give(maxBuffered)
-		body, err = readOn(body, resp.Body)
-		held = len(body) <= maxBuffered
-	}
+	body, whole, release, err := g.buffer(resp.Body)
+	defer release()
 	if err != nil {
 		result.Failed = ctx.Err() == nil
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: &BrokenAnswerError{Cause: err}}
@@ -109,7 +104,7 @@
 	if out.started {
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: &AnswerStatusError{Status: resp.StatusCode}}
 	}
-	if !held {
+	if !whole && resp.StatusCode != http.StatusServiceUnavailable { // an unmarked 503 is stored as a failure, whatever its length
 		return g.forwardLong(ctx, out, resp, body)
 	}
 	stored := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
@@ -123,11 +118,20 @@
 	return nil
 }
 
-// readOn reads the rest of an answer of which some was read, at most to one byte more than is buffered.
-func readOn(body []byte, r io.Reader) ([]byte, error) {
-	whole := bytes.NewBuffer(body)
-	_, err := io.Copy(whole, io.LimitReader(r, int64(maxBuffered+1-len(body))))
-	return whole.Bytes(), err
+// buffer reads an answer as far as the budget of buffers allows, and reports whether that is the whole of it. What was read is held
+// until release is called.
+func (g *Gateway) buffer(r io.Reader) (body []byte, whole bool, release func(), err error) {
+	release = func() {}
+	body, err = io.ReadAll(io.LimitReader(r, freeBuffer+1))
+	if err != nil || len(body) <= freeBuffer {
+		return body, true, release, err
+	}
+	if !g.buffers.take(maxBuffered) {
+		return body, false, release, nil
+	}
+	buffered := bytes.NewBuffer(body)
+	_, err = io.Copy(buffered, io.LimitReader(r, int64(maxBuffered+1-len(body))))
+	return buffered.Bytes(), buffered.Len() <= maxBuffered, func() { g.buffers.give(maxBuffered) }, err
 }
 
 // storeErrorAnswer stores an error answer, which the caller gets if no other attempt succeeds.
--- a/laburnumgateway/endless_test.go
+++ b/laburnumgateway/endless_test.go
@@ -104,3 +104,16 @@
 		require.Len(t, ample.send("GET", "/lookup/breaks", "").body, large, "a broken answer within the budget is retried")
 	}
 }
+
+// Guards against a long 503 that is passed on although its server may have run the request.
+func TestLongUnmarked503IsNotReportedAsNotRun(t *testing.T) {
+	for _, budget := range []int64{1 << 10, 32 << 20} {
+		server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+			writeAnswer(conn, a, http.StatusServiceUnavailable, strings.Repeat("x", 2<<20))
+		})
+		b := newUnconfiguredHarness(t, laburnumgateway.WithBufferBudget(budget))
+		b.fleet.HandleRoutes(testRoutes())
+		b.announce(server.heartbeat("booking"))
+		require.Equal(t, http.StatusBadGateway, b.send("POST", "/confirm/x", "visit").status)
+	}
+}
