--- a/dialect.go
+++ b/dialect.go
@@ -102,6 +102,11 @@
 	// Running, Waiting and Slots are the server's load; valid if HasLoad is set.
 	HasLoad                 bool
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the server's machine at this moment, as a multiple of its usual time; 0 if the
+	// server tells none.
+	Pace float64
+	// LoadError is set if the load or the pace can't be read. It is an *InvalidValueError.
+	LoadError error
 	// Limit is the number of requests per second that the server accepts from all VMs together;
 	// valid if HasLimit is set.
 	HasLimit bool
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -29,6 +29,8 @@
 	detours tally.Counter
 	// rests counts rests that backend servers asked for, leaves servers that said in an answer that they leave.
 	rests, leaves tally.Counter
+	// loadsUnclear counts answers whose load or pace can't be read.
+	loadsUnclear tally.Counter
 	// callersLeftUnsent and callersLeftSent count callers that left before and after their requests were sent.
 	callersLeftUnsent, callersLeftSent tally.Counter
 	// streamsRecorded and streamsUnrecorded count streams whose software version some control VM keeps, or none.
@@ -85,6 +87,7 @@
 		c.attemptsEnded[verdict], c.answersCut[verdict] = tagged.Counter("attempts_ended"), tagged.Counter("answers_cut")
 	}
 	c.crashesUnconfirmed = scope.Counter("backend_crashes_unconfirmed")
+	c.loadsUnclear = scope.Counter("loads_unclear")
 	c.rests, c.leaves = scope.Counter("backend_rests"), scope.Counter("backend_leaves")
 	c.callersLeftUnsent = scope.Tagged(map[string]string{"sent": "false"}).Counter("callers_left")
 	c.callersLeftSent = scope.Tagged(map[string]string{"sent": "true"}).Counter("callers_left")
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -22,6 +22,9 @@
 	"github.com/go-kit/log/level"
 )
 
+// maxUnclearLoads bounds the backend servers of which it is noted that they tell an unreadable load.
+const maxUnclearLoads = 4096
+
 // Fleet is a gateway's view of backend servers and routes, updated by the feeds of the control
 // VMs. It is safe for concurrent use.
 type Fleet struct {
@@ -61,10 +64,15 @@
 	// trials are the requests of which a copy is under way that must be alone.
 	trials map[laburnumlever.RequestDigest]struct{}
 	// limits are those that backend servers name.
-	limits  *laburnumlimit.Table
-	brittle *laburnumconcurrency.Table
-	keepers LimitKeepers
-	streams *streams
+	limits         *laburnumlimit.Table
+	brittle        *laburnumconcurrency.Table
+	keepers        LimitKeepers
+	streams        *streams
+	sharedMachines laburnumlever.SharedMachines
+	// paced are the services of which a backend server has told its pace.
+	paced map[laburnumlever.ServiceName]struct{}
+	// unclearLoads are the backend servers of which an unreadable load was logged.
+	unclearLoads map[laburnumlever.BackendID]struct{}
 	// queueWoken is closed when queued requests must check whether they can still be served.
 	queueWoken chan struct{}
 }
@@ -77,6 +85,11 @@
 // WithFleetLogger sets the logger; by default nothing is logged.
 func WithFleetLogger(logger log.Logger) FleetOption { return func(f *Fleet) { f.logger = logger } }
 
+// WithSharedMachines switches on decisions for services whose backend servers tell their pace; by default all are off.
+func WithSharedMachines(decisions laburnumlever.SharedMachines) FleetOption {
+	return func(f *Fleet) { f.sharedMachines = decisions }
+}
+
 // NewFleet returns an empty fleet for a gateway on vm. Period is the interval of heartbeats; seed
 // makes the balancer's random choices reproducible.
 func NewFleet(timers laburnumlever.Timers, vm laburnumlever.VM, period time.Duration, seed uint64, opts ...FleetOption) *Fleet {
@@ -87,6 +100,7 @@
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), partAnswers: laburnumquarantine.NewPartAnswers(), reporter: silentReporter{},
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
+		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paced: map[laburnumlever.ServiceName]struct{}{},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -253,16 +267,42 @@
 }
 
 // updateLoad updates the load of a backend server from the headers of an answer.
-func (f *Fleet) updateLoad(id laburnumlever.BackendID, headers laburnumlever.AnswerHeaders) {
+func (f *Fleet) updateLoad(to laburnumlever.Heartbeat, headers laburnumlever.AnswerHeaders) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := to.Backend
+	f.noteLoadError(id, headers.LoadError)
+	if headers.Pace > 0 {
+		f.paced[to.Service] = struct{}{}
+	}
 	if !headers.HasLoad {
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.balance.Observe(id, laburnumbalance.AttemptResult{HasLoad: true, Running: headers.Running, Waiting: headers.Waiting}, f.timers.Now())
 	f.serveQueue()
 }
 
+// sharesMachines reports whether backend servers of a service have told their pace. The caller must hold mu.
+func (f *Fleet) sharesMachines(service laburnumlever.ServiceName) bool {
+	_, ok := f.paced[service]
+	return ok
+}
+
+// noteLoadError logs that a backend server tells a load which can't be read, once for each server. The caller must hold mu.
+func (f *Fleet) noteLoadError(id laburnumlever.BackendID, cause error) {
+	if cause == nil {
+		return
+	}
+	if _, noted := f.unclearLoads[id]; noted {
+		return
+	}
+	if len(f.unclearLoads) >= maxUnclearLoads {
+		clear(f.unclearLoads)
+	}
+	f.unclearLoads[id] = struct{}{}
+	_ = level.Warn(f.logger).Log("event", laburnumlever.EventLoadUnclear, "backend", id, "cause", cause)
+}
+
 // removeReplaced removes a backend server whose address now belongs to another one.
 func (f *Fleet) removeReplaced(id laburnumlever.BackendID) {
 	f.mu.Lock()
--- a/laburnumgateway/rests.go
+++ b/laburnumgateway/rests.go
@@ -34,7 +34,10 @@
 	if headers.Backend != "" && headers.Backend != to.Backend {
 		return
 	}
-	g.fleet.updateLoad(to.Backend, headers)
+	if headers.LoadError != nil {
+		g.counters.loadsUnclear.Inc(1)
+	}
+	g.fleet.updateLoad(to, headers)
 	if headers.Leaving {
 		g.serverLeaves(to)
 	}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -72,7 +72,7 @@
 	}
 	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
 		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithTrialKeepers(trials), laburnumgateway.WithLimitKeepers(keepers),
-		laburnumgateway.WithQuotaKeepers(quotas, terms),
+		laburnumgateway.WithQuotaKeepers(quotas, terms), laburnumgateway.WithSharedMachines(settings.SharedMachines.Decisions()),
 		laburnumgateway.WithStreamKeepers(keepStreams), laburnumgateway.WithFirstStart(settings.FirstStart),
 		laburnumgateway.WithRoutesConfirmer(confirmer, laburnumgateway.KeyTimes{
 			Revoke: time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
--- a/laburnumsettings/role.go
+++ b/laburnumsettings/role.go
@@ -47,7 +47,9 @@
 	StoreWindow    laburnumlever.Duration `json:"store-window"`
 	// ChecksFencing reports whether engines refuse an outdated fencing number.
 	ChecksFencing bool `json:"checks-fencing"`
-	Log           Log  `json:"log"`
+	// SharedMachines switches on decisions for services whose backend servers share their machines with others.
+	SharedMachines RoleSharedMachines `json:"shared-machines"`
+	Log            Log                `json:"log"`
 }
 
 // RoleListen holds the addresses (IP and port) that the process listens on; empty for
@@ -96,6 +98,22 @@
 	return laburnumlever.QuotaTerms{Window: time.Duration(q.Window), Overshoot: q.Overshoot, Slack: q.Slack}
 }
 
+// RoleSharedMachines switches on decisions for services whose backend servers tell their pace, since they share their machines
+// with others. All are off by default; services whose servers tell none are served as if they were off.
+type RoleSharedMachines struct {
+	// Looks asks a model engine for its load and pace before a prompt is sent there, if they are not known.
+	Looks bool `json:"looks"`
+	// ByUrgency gives slots that are short to the most urgent requests of all gateways.
+	ByUrgency bool `json:"by-urgency"`
+	// KnownReturns tells refused callers when a slot or a model is expected for them.
+	KnownReturns bool `json:"known-returns"`
+}
+
+// Decisions returns the decisions that are switched on.
+func (s RoleSharedMachines) Decisions() laburnumlever.SharedMachines {
+	return laburnumlever.SharedMachines{Looks: s.Looks, ByUrgency: s.ByUrgency, KnownReturns: s.KnownReturns}
+}
+
 // LoadRoleSettings reads the settings of a gateway or control VM. The error is a
 // *laburnumlever.SettingsInvalidError that lists all faults.
 func LoadRoleSettings(path string) (RoleSettings, error) {
--- a/logevent.go
+++ b/logevent.go
@@ -89,6 +89,8 @@
 	EventLimitChanged
 	// EventBrittleChanged is a backend server that is brittle, or no longer is.
 	EventBrittleChanged
+	// EventLoadUnclear is a backend server that tells a load or pace which can't be read, logged once for each server.
+	EventLoadUnclear
 	// EventLimitUnclear is an answer that names a limit which can't be read.
 	EventLimitUnclear
 	// EventSlotRequested is a request that asked for a slot at a limited backend server.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 146, 159, 171, 177, 192, 209, 222, 239, 252, 262, 276, 289, 303, 322, 342, 361, 383, 397, 416, 432, 448, 459, 472, 495, 508, 523, 536, 550, 565, 583, 597, 613, 629, 642, 658, 674, 689, 703, 713, 724, 737, 758, 774, 792, 803, 819, 835, 850, 864, 878, 893, 911, 929, 942, 951, 965, 980, 997, 1012, 1025, 1040, 1051, 1065, 1078, 1104, 1122, 1136, 1153, 1172, 1193, 1202, 1212, 1229, 1239, 1248, 1262, 1274, 1290, 1297, 1305, 1312, 1319, 1336, 1352, 1366, 1384, 1397, 1407, 1424}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 146, 159, 171, 177, 192, 209, 222, 239, 252, 262, 276, 289, 303, 322, 342, 361, 383, 397, 416, 432, 448, 459, 472, 495, 508, 523, 535, 548, 562, 577, 595, 609, 625, 641, 654, 670, 686, 701, 715, 725, 736, 749, 770, 786, 804, 815, 831, 847, 862, 876, 890, 905, 923, 941, 954, 963, 977, 992, 1009, 1024, 1037, 1052, 1063, 1077, 1090, 1116, 1134, 1148, 1165, 1184, 1205, 1214, 1224, 1241, 1251, 1260, 1274, 1286, 1302, 1309, 1317, 1324, 1331, 1348, 1364, 1378, 1396, 1409, 1419, 1436}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -59,72 +59,73 @@
 	_ = x[EventQuarantineNotReported-(32)]
 	_ = x[EventLimitChanged-(33)]
 	_ = x[EventBrittleChanged-(34)]
-	_ = x[EventLimitUnclear-(35)]
-	_ = x[EventSlotRequested-(36)]
-	_ = x[EventSlotUnanswered-(37)]
-	_ = x[EventLimitNotReported-(38)]
-	_ = x[EventKeysConfirmed-(39)]
-	_ = x[EventKeysUnconfirmed-(40)]
-	_ = x[EventAccountsUnknown-(41)]
-	_ = x[EventQuotaUsedUp-(42)]
-	_ = x[EventQuotaUnanswered-(43)]
-	_ = x[EventOutlierDetected-(44)]
-	_ = x[EventModelWithdrawn-(45)]
-	_ = x[EventOrderAnswered-(46)]
-	_ = x[EventOrderDone-(47)]
-	_ = x[EventOrderStateChanged-(48)]
-	_ = x[EventOrderRefused-(49)]
-	_ = x[EventOrderOutcomeUnknown-(50)]
-	_ = x[EventEngineStateNotRead-(51)]
-	_ = x[EventInventoryNotRead-(52)]
-	_ = x[EventLoadFailed-(53)]
-	_ = x[EventBackendStateNotEncoded-(54)]
-	_ = x[EventRegistryRefused-(55)]
-	_ = x[EventRoutesProposed-(56)]
-	_ = x[EventRoutesRefused-(57)]
-	_ = x[EventRoutesApplied-(58)]
-	_ = x[EventRoutesInEffect-(59)]
-	_ = x[EventRoutesNotFetched-(60)]
-	_ = x[EventCatalogueInEffect-(61)]
-	_ = x[EventBecameLeader-(62)]
-	_ = x[EventNoLeader-(63)]
-	_ = x[EventReplicaOpened-(64)]
-	_ = x[EventStartConfirmed-(65)]
-	_ = x[EventStartUnconfirmed-(66)]
-	_ = x[EventVotersChanged-(67)]
-	_ = x[EventLearnerAdded-(68)]
-	_ = x[EventLearnerRemoved-(69)]
-	_ = x[EventVoterAdded-(70)]
-	_ = x[EventVoterReplaced-(71)]
-	_ = x[EventVoterStandby-(72)]
-	_ = x[EventLeadershipNotHandedOver-(73)]
-	_ = x[EventExpiryNotEncoded-(74)]
-	_ = x[EventReplicaFailed-(75)]
-	_ = x[EventReplicaRegressed-(76)]
-	_ = x[EventDataFolderDamaged-(77)]
-	_ = x[EventDataFolderRegressed-(78)]
-	_ = x[EventLeaseAcquired-(79)]
-	_ = x[EventLeaseLost-(80)]
-	_ = x[EventLeaseNotRenewed-(81)]
-	_ = x[EventZoneOwned-(82)]
-	_ = x[EventZoneLost-(83)]
-	_ = x[EventControlThreadTimes-(84)]
-	_ = x[EventControlLost-(85)]
-	_ = x[EventControlRegained-(86)]
-	_ = x[EventStarted-(87)]
-	_ = x[EventDraining-(88)]
-	_ = x[EventDrained-(89)]
-	_ = x[EventStopped-(90)]
-	_ = x[EventSettingsReloaded-(91)]
-	_ = x[EventSettingsRefused-(92)]
-	_ = x[EventListenerEnded-(93)]
-	_ = x[EventMetricsNotServed-(94)]
-	_ = x[EventUnknownEvent-(95)]
-	_ = x[EventOverloaded-(96)]
-	_ = x[EventLogLinesDropped-(97)]
+	_ = x[EventLoadUnclear-(35)]
+	_ = x[EventLimitUnclear-(36)]
+	_ = x[EventSlotRequested-(37)]
+	_ = x[EventSlotUnanswered-(38)]
+	_ = x[EventLimitNotReported-(39)]
+	_ = x[EventKeysConfirmed-(40)]
+	_ = x[EventKeysUnconfirmed-(41)]
+	_ = x[EventAccountsUnknown-(42)]
+	_ = x[EventQuotaUsedUp-(43)]
+	_ = x[EventQuotaUnanswered-(44)]
+	_ = x[EventOutlierDetected-(45)]
+	_ = x[EventModelWithdrawn-(46)]
+	_ = x[EventOrderAnswered-(47)]
+	_ = x[EventOrderDone-(48)]
+	_ = x[EventOrderStateChanged-(49)]
+	_ = x[EventOrderRefused-(50)]
+	_ = x[EventOrderOutcomeUnknown-(51)]
+	_ = x[EventEngineStateNotRead-(52)]
+	_ = x[EventInventoryNotRead-(53)]
+	_ = x[EventLoadFailed-(54)]
+	_ = x[EventBackendStateNotEncoded-(55)]
+	_ = x[EventRegistryRefused-(56)]
+	_ = x[EventRoutesProposed-(57)]
+	_ = x[EventRoutesRefused-(58)]
+	_ = x[EventRoutesApplied-(59)]
+	_ = x[EventRoutesInEffect-(60)]
+	_ = x[EventRoutesNotFetched-(61)]
+	_ = x[EventCatalogueInEffect-(62)]
+	_ = x[EventBecameLeader-(63)]
+	_ = x[EventNoLeader-(64)]
+	_ = x[EventReplicaOpened-(65)]
+	_ = x[EventStartConfirmed-(66)]
+	_ = x[EventStartUnconfirmed-(67)]
+	_ = x[EventVotersChanged-(68)]
+	_ = x[EventLearnerAdded-(69)]
+	_ = x[EventLearnerRemoved-(70)]
+	_ = x[EventVoterAdded-(71)]
+	_ = x[EventVoterReplaced-(72)]
+	_ = x[EventVoterStandby-(73)]
+	_ = x[EventLeadershipNotHandedOver-(74)]
+	_ = x[EventExpiryNotEncoded-(75)]
+	_ = x[EventReplicaFailed-(76)]
+	_ = x[EventReplicaRegressed-(77)]
+	_ = x[EventDataFolderDamaged-(78)]
+	_ = x[EventDataFolderRegressed-(79)]
+	_ = x[EventLeaseAcquired-(80)]
+	_ = x[EventLeaseLost-(81)]
+	_ = x[EventLeaseNotRenewed-(82)]
+	_ = x[EventZoneOwned-(83)]
+	_ = x[EventZoneLost-(84)]
+	_ = x[EventControlThreadTimes-(85)]
+	_ = x[EventControlLost-(86)]
+	_ = x[EventControlRegained-(87)]
+	_ = x[EventStarted-(88)]
+	_ = x[EventDraining-(89)]
+	_ = x[EventDrained-(90)]
+	_ = x[EventStopped-(91)]
+	_ = x[EventSettingsReloaded-(92)]
+	_ = x[EventSettingsRefused-(93)]
+	_ = x[EventListenerEnded-(94)]
+	_ = x[EventMetricsNotServed-(95)]
+	_ = x[EventUnknownEvent-(96)]
+	_ = x[EventOverloaded-(97)]
+	_ = x[EventLogLinesDropped-(98)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -162,69 +163,70 @@
 	_LogEventName[472:495]:   EventQuarantineNotReported,
 	_LogEventName[495:508]:   EventLimitChanged,
 	_LogEventName[508:523]:   EventBrittleChanged,
-	_LogEventName[523:536]:   EventLimitUnclear,
-	_LogEventName[536:550]:   EventSlotRequested,
-	_LogEventName[550:565]:   EventSlotUnanswered,
-	_LogEventName[565:583]:   EventLimitNotReported,
-	_LogEventName[583:597]:   EventKeysConfirmed,
-	_LogEventName[597:613]:   EventKeysUnconfirmed,
-	_LogEventName[613:629]:   EventAccountsUnknown,
-	_LogEventName[629:642]:   EventQuotaUsedUp,
-	_LogEventName[642:658]:   EventQuotaUnanswered,
-	_LogEventName[658:674]:   EventOutlierDetected,
-	_LogEventName[674:689]:   EventModelWithdrawn,
-	_LogEventName[689:703]:   EventOrderAnswered,
-	_LogEventName[703:713]:   EventOrderDone,
-	_LogEventName[713:724]:   EventOrderStateChanged,
-	_LogEventName[724:737]:   EventOrderRefused,
-	_LogEventName[737:758]:   EventOrderOutcomeUnknown,
-	_LogEventName[758:774]:   EventEngineStateNotRead,
-	_LogEventName[774:792]:   EventInventoryNotRead,
-	_LogEventName[792:803]:   EventLoadFailed,
-	_LogEventName[803:819]:   EventBackendStateNotEncoded,
-	_LogEventName[819:835]:   EventRegistryRefused,
-	_LogEventName[835:850]:   EventRoutesProposed,
-	_LogEventName[850:864]:   EventRoutesRefused,
-	_LogEventName[864:878]:   EventRoutesApplied,
-	_LogEventName[878:893]:   EventRoutesInEffect,
-	_LogEventName[893:911]:   EventRoutesNotFetched,
-	_LogEventName[911:929]:   EventCatalogueInEffect,
-	_LogEventName[929:942]:   EventBecameLeader,
-	_LogEventName[942:951]:   EventNoLeader,
-	_LogEventName[951:965]:   EventReplicaOpened,
-	_LogEventName[965:980]:   EventStartConfirmed,
-	_LogEventName[980:997]:   EventStartUnconfirmed,
-	_LogEventName[997:1012]:  EventVotersChanged,
-	_LogEventName[1012:1025]: EventLearnerAdded,
-	_LogEventName[1025:1040]: EventLearnerRemoved,
-	_LogEventName[1040:1051]: EventVoterAdded,
-	_LogEventName[1051:1065]: EventVoterReplaced,
-	_LogEventName[1065:1078]: EventVoterStandby,
-	_LogEventName[1078:1104]: EventLeadershipNotHandedOver,
-	_LogEventName[1104:1122]: EventExpiryNotEncoded,
-	_LogEventName[1122:1136]: EventReplicaFailed,
-	_LogEventName[1136:1153]: EventReplicaRegressed,
-	_LogEventName[1153:1172]: EventDataFolderDamaged,
-	_LogEventName[1172:1193]: EventDataFolderRegressed,
-	_LogEventName[1193:1202]: EventLeaseAcquired,
-	_LogEventName[1202:1212]: EventLeaseLost,
-	_LogEventName[1212:1229]: EventLeaseNotRenewed,
-	_LogEventName[1229:1239]: EventZoneOwned,
-	_LogEventName[1239:1248]: EventZoneLost,
-	_LogEventName[1248:1262]: EventControlThreadTimes,
-	_LogEventName[1262:1274]: EventControlLost,
-	_LogEventName[1274:1290]: EventControlRegained,
-	_LogEventName[1290:1297]: EventStarted,
-	_LogEventName[1297:1305]: EventDraining,
-	_LogEventName[1305:1312]: EventDrained,
-	_LogEventName[1312:1319]: EventStopped,
-	_LogEventName[1319:1336]: EventSettingsReloaded,
-	_LogEventName[1336:1352]: EventSettingsRefused,
-	_LogEventName[1352:1366]: EventListenerEnded,
-	_LogEventName[1366:1384]: EventMetricsNotServed,
-	_LogEventName[1384:1397]: EventUnknownEvent,
-	_LogEventName[1397:1407]: EventOverloaded,
-	_LogEventName[1407:1424]: EventLogLinesDropped,
+	_LogEventName[523:535]:   EventLoadUnclear,
+	_LogEventName[535:548]:   EventLimitUnclear,
+	_LogEventName[548:562]:   EventSlotRequested,
+	_LogEventName[562:577]:   EventSlotUnanswered,
+	_LogEventName[577:595]:   EventLimitNotReported,
+	_LogEventName[595:609]:   EventKeysConfirmed,
+	_LogEventName[609:625]:   EventKeysUnconfirmed,
+	_LogEventName[625:641]:   EventAccountsUnknown,
+	_LogEventName[641:654]:   EventQuotaUsedUp,
+	_LogEventName[654:670]:   EventQuotaUnanswered,
+	_LogEventName[670:686]:   EventOutlierDetected,
+	_LogEventName[686:701]:   EventModelWithdrawn,
+	_LogEventName[701:715]:   EventOrderAnswered,
+	_LogEventName[715:725]:   EventOrderDone,
+	_LogEventName[725:736]:   EventOrderStateChanged,
+	_LogEventName[736:749]:   EventOrderRefused,
+	_LogEventName[749:770]:   EventOrderOutcomeUnknown,
+	_LogEventName[770:786]:   EventEngineStateNotRead,
+	_LogEventName[786:804]:   EventInventoryNotRead,
+	_LogEventName[804:815]:   EventLoadFailed,
+	_LogEventName[815:831]:   EventBackendStateNotEncoded,
+	_LogEventName[831:847]:   EventRegistryRefused,
+	_LogEventName[847:862]:   EventRoutesProposed,
+	_LogEventName[862:876]:   EventRoutesRefused,
+	_LogEventName[876:890]:   EventRoutesApplied,
+	_LogEventName[890:905]:   EventRoutesInEffect,
+	_LogEventName[905:923]:   EventRoutesNotFetched,
+	_LogEventName[923:941]:   EventCatalogueInEffect,
+	_LogEventName[941:954]:   EventBecameLeader,
+	_LogEventName[954:963]:   EventNoLeader,
+	_LogEventName[963:977]:   EventReplicaOpened,
+	_LogEventName[977:992]:   EventStartConfirmed,
+	_LogEventName[992:1009]:  EventStartUnconfirmed,
+	_LogEventName[1009:1024]: EventVotersChanged,
+	_LogEventName[1024:1037]: EventLearnerAdded,
+	_LogEventName[1037:1052]: EventLearnerRemoved,
+	_LogEventName[1052:1063]: EventVoterAdded,
+	_LogEventName[1063:1077]: EventVoterReplaced,
+	_LogEventName[1077:1090]: EventVoterStandby,
+	_LogEventName[1090:1116]: EventLeadershipNotHandedOver,
+	_LogEventName[1116:1134]: EventExpiryNotEncoded,
+	_LogEventName[1134:1148]: EventReplicaFailed,
+	_LogEventName[1148:1165]: EventReplicaRegressed,
+	_LogEventName[1165:1184]: EventDataFolderDamaged,
+	_LogEventName[1184:1205]: EventDataFolderRegressed,
+	_LogEventName[1205:1214]: EventLeaseAcquired,
+	_LogEventName[1214:1224]: EventLeaseLost,
+	_LogEventName[1224:1241]: EventLeaseNotRenewed,
+	_LogEventName[1241:1251]: EventZoneOwned,
+	_LogEventName[1251:1260]: EventZoneLost,
+	_LogEventName[1260:1274]: EventControlThreadTimes,
+	_LogEventName[1274:1286]: EventControlLost,
+	_LogEventName[1286:1302]: EventControlRegained,
+	_LogEventName[1302:1309]: EventStarted,
+	_LogEventName[1309:1317]: EventDraining,
+	_LogEventName[1317:1324]: EventDrained,
+	_LogEventName[1324:1331]: EventStopped,
+	_LogEventName[1331:1348]: EventSettingsReloaded,
+	_LogEventName[1348:1364]: EventSettingsRefused,
+	_LogEventName[1364:1378]: EventListenerEnded,
+	_LogEventName[1378:1396]: EventMetricsNotServed,
+	_LogEventName[1396:1409]: EventUnknownEvent,
+	_LogEventName[1409:1419]: EventOverloaded,
+	_LogEventName[1419:1436]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -263,69 +265,70 @@
 	_LogEventLowerName[472:495]:   EventQuarantineNotReported,
 	_LogEventLowerName[495:508]:   EventLimitChanged,
 	_LogEventLowerName[508:523]:   EventBrittleChanged,
-	_LogEventLowerName[523:536]:   EventLimitUnclear,
-	_LogEventLowerName[536:550]:   EventSlotRequested,
-	_LogEventLowerName[550:565]:   EventSlotUnanswered,
-	_LogEventLowerName[565:583]:   EventLimitNotReported,
-	_LogEventLowerName[583:597]:   EventKeysConfirmed,
-	_LogEventLowerName[597:613]:   EventKeysUnconfirmed,
-	_LogEventLowerName[613:629]:   EventAccountsUnknown,
-	_LogEventLowerName[629:642]:   EventQuotaUsedUp,
-	_LogEventLowerName[642:658]:   EventQuotaUnanswered,
-	_LogEventLowerName[658:674]:   EventOutlierDetected,
-	_LogEventLowerName[674:689]:   EventModelWithdrawn,
-	_LogEventLowerName[689:703]:   EventOrderAnswered,
-	_LogEventLowerName[703:713]:   EventOrderDone,
-	_LogEventLowerName[713:724]:   EventOrderStateChanged,
-	_LogEventLowerName[724:737]:   EventOrderRefused,
-	_LogEventLowerName[737:758]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[758:774]:   EventEngineStateNotRead,
-	_LogEventLowerName[774:792]:   EventInventoryNotRead,
-	_LogEventLowerName[792:803]:   EventLoadFailed,
-	_LogEventLowerName[803:819]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[819:835]:   EventRegistryRefused,
-	_LogEventLowerName[835:850]:   EventRoutesProposed,
-	_LogEventLowerName[850:864]:   EventRoutesRefused,
-	_LogEventLowerName[864:878]:   EventRoutesApplied,
-	_LogEventLowerName[878:893]:   EventRoutesInEffect,
-	_LogEventLowerName[893:911]:   EventRoutesNotFetched,
-	_LogEventLowerName[911:929]:   EventCatalogueInEffect,
-	_LogEventLowerName[929:942]:   EventBecameLeader,
-	_LogEventLowerName[942:951]:   EventNoLeader,
-	_LogEventLowerName[951:965]:   EventReplicaOpened,
-	_LogEventLowerName[965:980]:   EventStartConfirmed,
-	_LogEventLowerName[980:997]:   EventStartUnconfirmed,
-	_LogEventLowerName[997:1012]:  EventVotersChanged,
-	_LogEventLowerName[1012:1025]: EventLearnerAdded,
-	_LogEventLowerName[1025:1040]: EventLearnerRemoved,
-	_LogEventLowerName[1040:1051]: EventVoterAdded,
-	_LogEventLowerName[1051:1065]: EventVoterReplaced,
-	_LogEventLowerName[1065:1078]: EventVoterStandby,
-	_LogEventLowerName[1078:1104]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1104:1122]: EventExpiryNotEncoded,
-	_LogEventLowerName[1122:1136]: EventReplicaFailed,
-	_LogEventLowerName[1136:1153]: EventReplicaRegressed,
-	_LogEventLowerName[1153:1172]: EventDataFolderDamaged,
-	_LogEventLowerName[1172:1193]: EventDataFolderRegressed,
-	_LogEventLowerName[1193:1202]: EventLeaseAcquired,
-	_LogEventLowerName[1202:1212]: EventLeaseLost,
-	_LogEventLowerName[1212:1229]: EventLeaseNotRenewed,
-	_LogEventLowerName[1229:1239]: EventZoneOwned,
-	_LogEventLowerName[1239:1248]: EventZoneLost,
-	_LogEventLowerName[1248:1262]: EventControlThreadTimes,
-	_LogEventLowerName[1262:1274]: EventControlLost,
-	_LogEventLowerName[1274:1290]: EventControlRegained,
-	_LogEventLowerName[1290:1297]: EventStarted,
-	_LogEventLowerName[1297:1305]: EventDraining,
-	_LogEventLowerName[1305:1312]: EventDrained,
-	_LogEventLowerName[1312:1319]: EventStopped,
-	_LogEventLowerName[1319:1336]: EventSettingsReloaded,
-	_LogEventLowerName[1336:1352]: EventSettingsRefused,
-	_LogEventLowerName[1352:1366]: EventListenerEnded,
-	_LogEventLowerName[1366:1384]: EventMetricsNotServed,
-	_LogEventLowerName[1384:1397]: EventUnknownEvent,
-	_LogEventLowerName[1397:1407]: EventOverloaded,
-	_LogEventLowerName[1407:1424]: EventLogLinesDropped,
+	_LogEventLowerName[523:535]:   EventLoadUnclear,
+	_LogEventLowerName[535:548]:   EventLimitUnclear,
+	_LogEventLowerName[548:562]:   EventSlotRequested,
+	_LogEventLowerName[562:577]:   EventSlotUnanswered,
+	_LogEventLowerName[577:595]:   EventLimitNotReported,
+	_LogEventLowerName[595:609]:   EventKeysConfirmed,
+	_LogEventLowerName[609:625]:   EventKeysUnconfirmed,
+	_LogEventLowerName[625:641]:   EventAccountsUnknown,
+	_LogEventLowerName[641:654]:   EventQuotaUsedUp,
+	_LogEventLowerName[654:670]:   EventQuotaUnanswered,
+	_LogEventLowerName[670:686]:   EventOutlierDetected,
+	_LogEventLowerName[686:701]:   EventModelWithdrawn,
+	_LogEventLowerName[701:715]:   EventOrderAnswered,
+	_LogEventLowerName[715:725]:   EventOrderDone,
+	_LogEventLowerName[725:736]:   EventOrderStateChanged,
+	_LogEventLowerName[736:749]:   EventOrderRefused,
+	_LogEventLowerName[749:770]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[770:786]:   EventEngineStateNotRead,
+	_LogEventLowerName[786:804]:   EventInventoryNotRead,
+	_LogEventLowerName[804:815]:   EventLoadFailed,
+	_LogEventLowerName[815:831]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[831:847]:   EventRegistryRefused,
+	_LogEventLowerName[847:862]:   EventRoutesProposed,
+	_LogEventLowerName[862:876]:   EventRoutesRefused,
+	_LogEventLowerName[876:890]:   EventRoutesApplied,
+	_LogEventLowerName[890:905]:   EventRoutesInEffect,
+	_LogEventLowerName[905:923]:   EventRoutesNotFetched,
+	_LogEventLowerName[923:941]:   EventCatalogueInEffect,
+	_LogEventLowerName[941:954]:   EventBecameLeader,
+	_LogEventLowerName[954:963]:   EventNoLeader,
+	_LogEventLowerName[963:977]:   EventReplicaOpened,
+	_LogEventLowerName[977:992]:   EventStartConfirmed,
+	_LogEventLowerName[992:1009]:  EventStartUnconfirmed,
+	_LogEventLowerName[1009:1024]: EventVotersChanged,
+	_LogEventLowerName[1024:1037]: EventLearnerAdded,
+	_LogEventLowerName[1037:1052]: EventLearnerRemoved,
+	_LogEventLowerName[1052:1063]: EventVoterAdded,
+	_LogEventLowerName[1063:1077]: EventVoterReplaced,
+	_LogEventLowerName[1077:1090]: EventVoterStandby,
+	_LogEventLowerName[1090:1116]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1116:1134]: EventExpiryNotEncoded,
+	_LogEventLowerName[1134:1148]: EventReplicaFailed,
+	_LogEventLowerName[1148:1165]: EventReplicaRegressed,
+	_LogEventLowerName[1165:1184]: EventDataFolderDamaged,
+	_LogEventLowerName[1184:1205]: EventDataFolderRegressed,
+	_LogEventLowerName[1205:1214]: EventLeaseAcquired,
+	_LogEventLowerName[1214:1224]: EventLeaseLost,
+	_LogEventLowerName[1224:1241]: EventLeaseNotRenewed,
+	_LogEventLowerName[1241:1251]: EventZoneOwned,
+	_LogEventLowerName[1251:1260]: EventZoneLost,
+	_LogEventLowerName[1260:1274]: EventControlThreadTimes,
+	_LogEventLowerName[1274:1286]: EventControlLost,
+	_LogEventLowerName[1286:1302]: EventControlRegained,
+	_LogEventLowerName[1302:1309]: EventStarted,
+	_LogEventLowerName[1309:1317]: EventDraining,
+	_LogEventLowerName[1317:1324]: EventDrained,
+	_LogEventLowerName[1324:1331]: EventStopped,
+	_LogEventLowerName[1331:1348]: EventSettingsReloaded,
+	_LogEventLowerName[1348:1364]: EventSettingsRefused,
+	_LogEventLowerName[1364:1378]: EventListenerEnded,
+	_LogEventLowerName[1378:1396]: EventMetricsNotServed,
+	_LogEventLowerName[1396:1409]: EventUnknownEvent,
+	_LogEventLowerName[1409:1419]: EventOverloaded,
+	_LogEventLowerName[1419:1436]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -364,69 +367,70 @@
 	_LogEventName[472:495],
 	_LogEventName[495:508],
 	_LogEventName[508:523],
-	_LogEventName[523:536],
-	_LogEventName[536:550],
-	_LogEventName[550:565],
-	_LogEventName[565:583],
-	_LogEventName[583:597],
-	_LogEventName[597:613],
-	_LogEventName[613:629],
-	_LogEventName[629:642],
-	_LogEventName[642:658],
-	_LogEventName[658:674],
-	_LogEventName[674:689],
-	_LogEventName[689:703],
-	_LogEventName[703:713],
-	_LogEventName[713:724],
-	_LogEventName[724:737],
-	_LogEventName[737:758],
-	_LogEventName[758:774],
-	_LogEventName[774:792],
-	_LogEventName[792:803],
-	_LogEventName[803:819],
-	_LogEventName[819:835],
-	_LogEventName[835:850],
-	_LogEventName[850:864],
-	_LogEventName[864:878],
-	_LogEventName[878:893],
-	_LogEventName[893:911],
-	_LogEventName[911:929],
-	_LogEventName[929:942],
-	_LogEventName[942:951],
-	_LogEventName[951:965],
-	_LogEventName[965:980],
-	_LogEventName[980:997],
-	_LogEventName[997:1012],
-	_LogEventName[1012:1025],
-	_LogEventName[1025:1040],
-	_LogEventName[1040:1051],
-	_LogEventName[1051:1065],
-	_LogEventName[1065:1078],
-	_LogEventName[1078:1104],
-	_LogEventName[1104:1122],
-	_LogEventName[1122:1136],
-	_LogEventName[1136:1153],
-	_LogEventName[1153:1172],
-	_LogEventName[1172:1193],
-	_LogEventName[1193:1202],
-	_LogEventName[1202:1212],
-	_LogEventName[1212:1229],
-	_LogEventName[1229:1239],
-	_LogEventName[1239:1248],
-	_LogEventName[1248:1262],
-	_LogEventName[1262:1274],
-	_LogEventName[1274:1290],
-	_LogEventName[1290:1297],
-	_LogEventName[1297:1305],
-	_LogEventName[1305:1312],
-	_LogEventName[1312:1319],
-	_LogEventName[1319:1336],
-	_LogEventName[1336:1352],
-	_LogEventName[1352:1366],
-	_LogEventName[1366:1384],
-	_LogEventName[1384:1397],
-	_LogEventName[1397:1407],
-	_LogEventName[1407:1424],
+	_LogEventName[523:535],
+	_LogEventName[535:548],
+	_LogEventName[548:562],
+	_LogEventName[562:577],
+	_LogEventName[577:595],
+	_LogEventName[595:609],
+	_LogEventName[609:625],
+	_LogEventName[625:641],
+	_LogEventName[641:654],
+	_LogEventName[654:670],
+	_LogEventName[670:686],
+	_LogEventName[686:701],
+	_LogEventName[701:715],
+	_LogEventName[715:725],
+	_LogEventName[725:736],
+	_LogEventName[736:749],
+	_LogEventName[749:770],
+	_LogEventName[770:786],
+	_LogEventName[786:804],
+	_LogEventName[804:815],
+	_LogEventName[815:831],
+	_LogEventName[831:847],
+	_LogEventName[847:862],
+	_LogEventName[862:876],
+	_LogEventName[876:890],
+	_LogEventName[890:905],
+	_LogEventName[905:923],
+	_LogEventName[923:941],
+	_LogEventName[941:954],
+	_LogEventName[954:963],
+	_LogEventName[963:977],
+	_LogEventName[977:992],
+	_LogEventName[992:1009],
+	_LogEventName[1009:1024],
+	_LogEventName[1024:1037],
+	_LogEventName[1037:1052],
+	_LogEventName[1052:1063],
+	_LogEventName[1063:1077],
+	_LogEventName[1077:1090],
+	_LogEventName[1090:1116],
+	_LogEventName[1116:1134],
+	_LogEventName[1134:1148],
+	_LogEventName[1148:1165],
+	_LogEventName[1165:1184],
+	_LogEventName[1184:1205],
+	_LogEventName[1205:1214],
+	_LogEventName[1214:1224],
+	_LogEventName[1224:1241],
+	_LogEventName[1241:1251],
+	_LogEventName[1251:1260],
+	_LogEventName[1260:1274],
+	_LogEventName[1274:1286],
+	_LogEventName[1286:1302],
+	_LogEventName[1302:1309],
+	_LogEventName[1309:1317],
+	_LogEventName[1317:1324],
+	_LogEventName[1324:1331],
+	_LogEventName[1331:1348],
+	_LogEventName[1348:1364],
+	_LogEventName[1364:1378],
+	_LogEventName[1378:1396],
+	_LogEventName[1396:1409],
+	_LogEventName[1409:1419],
+	_LogEventName[1419:1436],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
