--- a/laburnumdisk/snapshot.go
+++ b/laburnumdisk/snapshot.go
@@ -23,11 +23,16 @@
 	return strings.HasPrefix(name, snapshotPrefix) && strings.HasSuffix(name, snapshotSuffix)
 }
 
-// writeAtomically writes a file so that after a crash it either has all its data or was not
-// replaced. It is durable when writeAtomically returns.
+// writeAtomically is WriteAtomically for a file of the store.
 func (s *Store) writeAtomically(name string, data []byte) error {
-	path := filepath.Join(s.folder, name)
-	f, err := s.files.Create(path + tempSuffix)
+	return WriteAtomically(s.files, s.folder, name, data)
+}
+
+// WriteAtomically writes a file of a folder so that after a crash it either has all its data or was not
+// replaced. It is durable when WriteAtomically returns. An error is an *IOError.
+func WriteAtomically(files Files, folder, name string, data []byte) error {
+	path := filepath.Join(folder, name)
+	f, err := files.Create(path + tempSuffix)
 	if err != nil {
 		return &IOError{Operation: "create", File: name, Cause: err}
 	}
@@ -42,15 +47,17 @@
 	if err := f.Close(); err != nil {
 		return &IOError{Operation: "close", File: name, Cause: err}
 	}
-	if err := s.files.Rename(path+tempSuffix, path); err != nil {
+	if err := files.Rename(path+tempSuffix, path); err != nil {
 		return &IOError{Operation: "rename", File: name, Cause: err}
 	}
-	return s.syncFolder()
+	return syncFolder(files, folder)
 }
 
-func (s *Store) syncFolder() error {
-	if err := s.files.SyncFolder(s.folder); err != nil {
-		return &IOError{Operation: "sync folder", File: s.folder, Cause: err}
+func (s *Store) syncFolder() error { return syncFolder(s.files, s.folder) }
+
+func syncFolder(files Files, folder string) error {
+	if err := files.SyncFolder(folder); err != nil {
+		return &IOError{Operation: "sync folder", File: folder, Cause: err}
 	}
 	return nil
 }
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -35,6 +35,8 @@
 	meta
 	Backends []laburnumregistry.Record  `json:"backends,omitempty"`
 	Overlays []laburnumregistry.Overlay `json:"overlays,omitempty"`
+	// Remembered are backend servers from before the control VM's start. VMs of earlier builds ignore them.
+	Remembered []laburnumregistry.Record `json:"remembered,omitempty"`
 	// Quarantine is sent with endpoint state.
 	Quarantine []laburnumquarantine.Entry `json:"quarantine,omitempty"`
 	Limits     []laburnumlimit.Limit      `json:"limits,omitempty"`
@@ -48,6 +50,7 @@
 	Backends []json.RawMessage `json:"backends,omitempty"`
 	Overlays []json.RawMessage `json:"overlays,omitempty"`
 
+	Remembered []json.RawMessage `json:"remembered,omitempty"`
 	Quarantine []json.RawMessage `json:"quarantine,omitempty"`
 	Limits     []json.RawMessage `json:"limits,omitempty"`
 	Brittle    []json.RawMessage `json:"brittle,omitempty"`
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +69,9 @@
 	// cursor share one.
 	answers   map[answerKey]laburnumlever.RawMessage
 	answersAt time.Time
+	// remembered are backend servers from before this start, sent until rememberedUntil to VMs that start.
+	remembered      map[laburnumlever.BackendID]json.RawMessage
+	rememberedUntil time.Time
 }
 
 // answerKey identifies a cached answer between two publications.
@@ -112,6 +117,37 @@
 	s.put(s.records, string(r.Heartbeat.Backend), r)
 }
 
+// SetRemembered sets backend servers from before this start, which VMs that poll for the first time get until a time, unless the
+// servers have been published. Call it before serving.
+func (s *Source) SetRemembered(records []laburnumregistry.Record, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remembered, s.rememberedUntil = map[laburnumlever.BackendID]json.RawMessage{}, until
+	for _, r := range records {
+		encoded, err := json.Marshal(r)
+		if err != nil {
+			_ = level.Error(s.logger).Log("event", laburnumlever.EventBackendStateNotEncoded, "backend", r.Heartbeat.Backend, "cause", err)
+			continue
+		}
+		s.remembered[r.Heartbeat.Backend] = encoded
+	}
+}
+
+// rememberedNow returns the remembered backend servers that have not been published. The caller holds mu.
+func (s *Source) rememberedNow(now time.Time) []json.RawMessage {
+	if !now.Before(s.rememberedUntil) {
+		s.remembered = nil
+		return nil
+	}
+	var records []json.RawMessage
+	for _, id := range slices.Sorted(maps.Keys(s.remembered)) {
+		if _, published := s.records.cursors[string(id)]; !published {
+			records = append(records, s.remembered[id])
+		}
+	}
+	return records
+}
+
 // SetOverlay publishes an engine's overlay. Only the director does so.
 func (s *Source) SetOverlay(o laburnumregistry.Overlay) {
 	s.put(s.overlays, string(o.Backend), o)
@@ -425,6 +461,9 @@
 	}
 	if key.records {
 		a.Backends = s.records.itemsIn(key.since, end)
+		if key.since == 0 {
+			a.Remembered = s.rememberedNow(now)
+		}
 		a.Quarantine = s.quarantine.itemsIn(key.since, end)
 		a.Complete = end >= s.published && s.complete()
 	}
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -69,6 +69,7 @@
 	keepers        LimitKeepers
 	streams        *streams
 	sharedMachines laburnumlever.SharedMachines
+	remembered     remembered
 	// paced are the services of which a backend server has told its pace.
 	paced map[laburnumlever.ServiceName]struct{}
 	// unclearLoads are the backend servers of which an unreadable load was logged.
@@ -101,6 +102,7 @@
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
 		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paced: map[laburnumlever.ServiceName]struct{}{},
+		remembered: newRemembered(timers.Now(), period),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -116,7 +118,9 @@
 	f.gateways = max(f.gateways, a.Gateways)
 	f.balance.SetGateways(f.gateways)
 	versions := map[laburnumlever.ServiceName][]laburnumlever.SoftwareVersion{}
+	f.applyRemembered(a.Remembered, now)
 	for _, r := range a.Backends {
+		delete(f.remembered.ids, r.Heartbeat.Backend)
 		if _, noted := versions[r.Heartbeat.Service]; !noted {
 			versions[r.Heartbeat.Service] = f.registry.Software(r.Heartbeat.Service)
 		}
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -238,6 +238,14 @@
 	return true
 }
 
+// Forget drops the record of a backend server without a tombstone.
+func (t *Table) Forget(id laburnumlever.BackendID) {
+	if e := t.entries[id]; e != nil {
+		t.count(e.record, -1)
+		delete(t.entries, id)
+	}
+}
+
 // MarkSilent marks backend servers without a heartbeat for three periods as silent and returns the
 // newly marked ones, ordered by identity.
 func (t *Table) MarkSilent(now time.Time) []laburnumlever.BackendID {
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -31,6 +31,8 @@
 	operatorProposalTimeout = 900 * time.Millisecond
 	// usagePeriod is the interval between log lines on the control thread's usage.
 	usagePeriod = 5 * time.Second
+	// rememberPeriods is the number of heartbeat periods after the start in which gateways that start get the servers from before.
+	rememberPeriods = 2
 	// expirePeriod is the interval between checks for silent backend servers.
 	expirePeriod = 500 * time.Millisecond
 	// replaceVoterShare is the share of the catch-up time after which a silent voter is replaced. The
@@ -73,6 +75,8 @@
 	brittle *brittle
 	// limits grants slots at limited backend servers.
 	limits *limits
+	// endpoints saves endpoint state; nil if that is off.
+	endpoints *endpoints
 	// streams keeps which software versions began streams.
 	streams *streams
 	// commitTimes are the times to commit an operator's change.
@@ -122,6 +126,10 @@
 		laburnumquota.Terms(settings.Quota.Terms()), time.Duration(settings.Times.Revoke))
 	c.peers.Handle(methodQuotaGrant, c.quotas.handle)
 	c.buildDirector(engines)
+	if settings.RememberServers {
+		c.endpoints = newEndpoints(settings.DataFolder, c.logger)
+		c.source.SetRemembered(c.endpoints.load(), c.timers.Now().Add(rememberPeriods*time.Duration(settings.Times.Heartbeat)))
+	}
 	return c, nil
 }
 
@@ -282,6 +290,9 @@
 	c.brittle.start()
 	c.streams.start()
 	c.quotas.start()
+	if c.endpoints != nil {
+		c.endpoints.start(c.timers, time.Duration(c.settings.Times.Heartbeat), c.records)
+	}
 	c.timers.Every(expirePeriod, c.expire)
 	c.timers.Every(usagePeriod, c.reportUsage)
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "first-start", c.settings.FirstStart)
@@ -382,11 +393,21 @@
 	}
 	c.source.SetRecord(r)
 	c.director.SetRecord(r)
+	if c.endpoints != nil {
+		c.endpoints.noteChange()
+	}
 	_ = c.recordLogger(r).Log("event", laburnumlever.EventBackendChanged, "backend", id, "service", r.Heartbeat.Service,
 		"address", r.Heartbeat.Address, "software", r.Heartbeat.Software, "sequence", r.Heartbeat.Sequence, "leaving", r.Heartbeat.Leaving,
 		"gone", r.Gone, "silent", r.Silent)
 }
 
+// records returns the records of all backend servers.
+func (c *Control) records() []laburnumregistry.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.registry.Records()
+}
+
 // recordLogger returns the logger for a record: info level for a backend server that is new, leaving,
 // silent or gone, and debug level for changes of its models, since orders are logged separately.
 func (c *Control) recordLogger(r laburnumregistry.Record) log.Logger {
--- a/laburnumsettings/role.go
+++ b/laburnumsettings/role.go
@@ -47,6 +47,8 @@
 	StoreWindow    laburnumlever.Duration `json:"store-window"`
 	// ChecksFencing reports whether engines refuse an outdated fencing number.
 	ChecksFencing bool `json:"checks-fencing"`
+	// RememberServers has a control VM save which backend servers it knows, for gateways that start together with it.
+	RememberServers bool `json:"remember-servers"`
 	// SharedMachines switches on decisions for services whose backend servers share their machines with others.
 	SharedMachines RoleSharedMachines `json:"shared-machines"`
 	Log            Log                `json:"log"`
--- a/logevent.go
+++ b/logevent.go
@@ -31,6 +31,15 @@
 
 	// EventBackendChanged is a backend server that is new, leaving, gone or silent.
 	EventBackendChanged // backend-known
+	// EventBackendsRemembered are backend servers that a control VM knew before its start and that a gateway uses until they
+	// announce themselves.
+	EventBackendsRemembered
+	// EventRememberedForgotten are those of them that haven't announced themselves.
+	EventRememberedForgotten
+	// EventEndpointsNotLoaded is a file of endpoint state that can't be read.
+	EventEndpointsNotLoaded
+	// EventEndpointsNotSaved is endpoint state that could not be saved, logged once until it succeeds again.
+	EventEndpointsNotSaved
 	// EventBackendReplaced is an address that another backend server has taken over.
 	EventBackendReplaced
 	// EventAdapterLoaded is an adapter that has been loaded.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 146, 159, 171, 177, 192, 209, 222, 239, 252, 262, 276, 289, 303, 322, 342, 361, 383, 397, 416, 432, 448, 459, 472, 495, 508, 523, 535, 548, 562, 577, 595, 609, 625, 641, 654, 670, 686, 701, 715, 725, 736, 749, 770, 786, 804, 815, 831, 847, 862, 876, 890, 905, 923, 941, 954, 963, 977, 992, 1009, 1024, 1037, 1052, 1063, 1077, 1090, 1116, 1134, 1148, 1165, 1184, 1205, 1214, 1224, 1241, 1251, 1260, 1274, 1286, 1302, 1309, 1317, 1324, 1331, 1348, 1364, 1378, 1396, 1409, 1419, 1436}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 149, 169, 189, 208, 224, 237, 249, 255, 270, 287, 300, 317, 330, 340, 354, 367, 381, 400, 420, 439, 461, 475, 494, 510, 526, 537, 550, 573, 586, 601, 613, 626, 640, 655, 673, 687, 703, 719, 732, 748, 764, 779, 793, 803, 814, 827, 848, 864, 882, 893, 909, 925, 940, 954, 968, 983, 1001, 1019, 1032, 1041, 1055, 1070, 1087, 1102, 1115, 1130, 1141, 1155, 1168, 1194, 1212, 1226, 1243, 1262, 1283, 1292, 1302, 1319, 1329, 1338, 1352, 1364, 1380, 1387, 1395, 1402, 1409, 1426, 1442, 1456, 1474, 1487, 1497, 1514}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -33,99 +33,103 @@
 	_ = x[EventRefused-(6)]
 	_ = x[EventAnswerNotRecorded-(7)]
 	_ = x[EventBackendChanged-(8)]
-	_ = x[EventBackendReplaced-(9)]
-	_ = x[EventAdapterLoaded-(10)]
-	_ = x[EventLoadDecided-(11)]
-	_ = x[EventLayout-(12)]
-	_ = x[EventBackendCrashed-(13)]
-	_ = x[EventCrashUnconfirmed-(14)]
-	_ = x[EventDetourOpened-(15)]
-	_ = x[EventDetourNotOpened-(16)]
-	_ = x[EventDetourClosed-(17)]
-	_ = x[EventLinksLost-(18)]
-	_ = x[EventLinksRestored-(19)]
-	_ = x[EventBackendRests-(20)]
-	_ = x[EventBackendLeaves-(21)]
-	_ = x[EventHelperNotNotified-(22)]
-	_ = x[EventSoftwareVersionNew-(23)]
-	_ = x[EventStreamNotRecorded-(24)]
-	_ = x[EventStreamVersionUnknown-(25)]
-	_ = x[EventLinksVerified-(26)]
-	_ = x[EventRequestQuarantined-(27)]
-	_ = x[EventRequestReleased-(28)]
-	_ = x[EventPartQuarantined-(29)]
-	_ = x[EventPartLifted-(30)]
-	_ = x[EventPartReleased-(31)]
-	_ = x[EventQuarantineNotReported-(32)]
-	_ = x[EventLimitChanged-(33)]
-	_ = x[EventBrittleChanged-(34)]
-	_ = x[EventLoadUnclear-(35)]
-	_ = x[EventLimitUnclear-(36)]
-	_ = x[EventSlotRequested-(37)]
-	_ = x[EventSlotUnanswered-(38)]
-	_ = x[EventLimitNotReported-(39)]
-	_ = x[EventKeysConfirmed-(40)]
-	_ = x[EventKeysUnconfirmed-(41)]
-	_ = x[EventAccountsUnknown-(42)]
-	_ = x[EventQuotaUsedUp-(43)]
-	_ = x[EventQuotaUnanswered-(44)]
-	_ = x[EventOutlierDetected-(45)]
-	_ = x[EventModelWithdrawn-(46)]
-	_ = x[EventOrderAnswered-(47)]
-	_ = x[EventOrderDone-(48)]
-	_ = x[EventOrderStateChanged-(49)]
-	_ = x[EventOrderRefused-(50)]
-	_ = x[EventOrderOutcomeUnknown-(51)]
-	_ = x[EventEngineStateNotRead-(52)]
-	_ = x[EventInventoryNotRead-(53)]
-	_ = x[EventLoadFailed-(54)]
-	_ = x[EventBackendStateNotEncoded-(55)]
-	_ = x[EventRegistryRefused-(56)]
-	_ = x[EventRoutesProposed-(57)]
-	_ = x[EventRoutesRefused-(58)]
-	_ = x[EventRoutesApplied-(59)]
-	_ = x[EventRoutesInEffect-(60)]
-	_ = x[EventRoutesNotFetched-(61)]
-	_ = x[EventCatalogueInEffect-(62)]
-	_ = x[EventBecameLeader-(63)]
-	_ = x[EventNoLeader-(64)]
-	_ = x[EventReplicaOpened-(65)]
-	_ = x[EventStartConfirmed-(66)]
-	_ = x[EventStartUnconfirmed-(67)]
-	_ = x[EventVotersChanged-(68)]
-	_ = x[EventLearnerAdded-(69)]
-	_ = x[EventLearnerRemoved-(70)]
-	_ = x[EventVoterAdded-(71)]
-	_ = x[EventVoterReplaced-(72)]
-	_ = x[EventVoterStandby-(73)]
-	_ = x[EventLeadershipNotHandedOver-(74)]
-	_ = x[EventExpiryNotEncoded-(75)]
-	_ = x[EventReplicaFailed-(76)]
-	_ = x[EventReplicaRegressed-(77)]
-	_ = x[EventDataFolderDamaged-(78)]
-	_ = x[EventDataFolderRegressed-(79)]
-	_ = x[EventLeaseAcquired-(80)]
-	_ = x[EventLeaseLost-(81)]
-	_ = x[EventLeaseNotRenewed-(82)]
-	_ = x[EventZoneOwned-(83)]
-	_ = x[EventZoneLost-(84)]
-	_ = x[EventControlThreadTimes-(85)]
-	_ = x[EventControlLost-(86)]
-	_ = x[EventControlRegained-(87)]
-	_ = x[EventStarted-(88)]
-	_ = x[EventDraining-(89)]
-	_ = x[EventDrained-(90)]
-	_ = x[EventStopped-(91)]
-	_ = x[EventSettingsReloaded-(92)]
-	_ = x[EventSettingsRefused-(93)]
-	_ = x[EventListenerEnded-(94)]
-	_ = x[EventMetricsNotServed-(95)]
-	_ = x[EventUnknownEvent-(96)]
-	_ = x[EventOverloaded-(97)]
-	_ = x[EventLogLinesDropped-(98)]
+	_ = x[EventBackendsRemembered-(9)]
+	_ = x[EventRememberedForgotten-(10)]
+	_ = x[EventEndpointsNotLoaded-(11)]
+	_ = x[EventEndpointsNotSaved-(12)]
+	_ = x[EventBackendReplaced-(13)]
+	_ = x[EventAdapterLoaded-(14)]
+	_ = x[EventLoadDecided-(15)]
+	_ = x[EventLayout-(16)]
+	_ = x[EventBackendCrashed-(17)]
+	_ = x[EventCrashUnconfirmed-(18)]
+	_ = x[EventDetourOpened-(19)]
+	_ = x[EventDetourNotOpened-(20)]
+	_ = x[EventDetourClosed-(21)]
+	_ = x[EventLinksLost-(22)]
+	_ = x[EventLinksRestored-(23)]
+	_ = x[EventBackendRests-(24)]
+	_ = x[EventBackendLeaves-(25)]
+	_ = x[EventHelperNotNotified-(26)]
+	_ = x[EventSoftwareVersionNew-(27)]
+	_ = x[EventStreamNotRecorded-(28)]
+	_ = x[EventStreamVersionUnknown-(29)]
+	_ = x[EventLinksVerified-(30)]
+	_ = x[EventRequestQuarantined-(31)]
+	_ = x[EventRequestReleased-(32)]
+	_ = x[EventPartQuarantined-(33)]
+	_ = x[EventPartLifted-(34)]
+	_ = x[EventPartReleased-(35)]
+	_ = x[EventQuarantineNotReported-(36)]
+	_ = x[EventLimitChanged-(37)]
+	_ = x[EventBrittleChanged-(38)]
+	_ = x[EventLoadUnclear-(39)]
+	_ = x[EventLimitUnclear-(40)]
+	_ = x[EventSlotRequested-(41)]
+	_ = x[EventSlotUnanswered-(42)]
+	_ = x[EventLimitNotReported-(43)]
+	_ = x[EventKeysConfirmed-(44)]
+	_ = x[EventKeysUnconfirmed-(45)]
+	_ = x[EventAccountsUnknown-(46)]
+	_ = x[EventQuotaUsedUp-(47)]
+	_ = x[EventQuotaUnanswered-(48)]
+	_ = x[EventOutlierDetected-(49)]
+	_ = x[EventModelWithdrawn-(50)]
+	_ = x[EventOrderAnswered-(51)]
+	_ = x[EventOrderDone-(52)]
+	_ = x[EventOrderStateChanged-(53)]
+	_ = x[EventOrderRefused-(54)]
+	_ = x[EventOrderOutcomeUnknown-(55)]
+	_ = x[EventEngineStateNotRead-(56)]
+	_ = x[EventInventoryNotRead-(57)]
+	_ = x[EventLoadFailed-(58)]
+	_ = x[EventBackendStateNotEncoded-(59)]
+	_ = x[EventRegistryRefused-(60)]
+	_ = x[EventRoutesProposed-(61)]
+	_ = x[EventRoutesRefused-(62)]
+	_ = x[EventRoutesApplied-(63)]
+	_ = x[EventRoutesInEffect-(64)]
+	_ = x[EventRoutesNotFetched-(65)]
+	_ = x[EventCatalogueInEffect-(66)]
+	_ = x[EventBecameLeader-(67)]
+	_ = x[EventNoLeader-(68)]
+	_ = x[EventReplicaOpened-(69)]
+	_ = x[EventStartConfirmed-(70)]
+	_ = x[EventStartUnconfirmed-(71)]
+	_ = x[EventVotersChanged-(72)]
+	_ = x[EventLearnerAdded-(73)]
+	_ = x[EventLearnerRemoved-(74)]
+	_ = x[EventVoterAdded-(75)]
+	_ = x[EventVoterReplaced-(76)]
+	_ = x[EventVoterStandby-(77)]
+	_ = x[EventLeadershipNotHandedOver-(78)]
+	_ = x[EventExpiryNotEncoded-(79)]
+	_ = x[EventReplicaFailed-(80)]
+	_ = x[EventReplicaRegressed-(81)]
+	_ = x[EventDataFolderDamaged-(82)]
+	_ = x[EventDataFolderRegressed-(83)]
+	_ = x[EventLeaseAcquired-(84)]
+	_ = x[EventLeaseLost-(85)]
+	_ = x[EventLeaseNotRenewed-(86)]
+	_ = x[EventZoneOwned-(87)]
+	_ = x[EventZoneLost-(88)]
+	_ = x[EventControlThreadTimes-(89)]
+	_ = x[EventControlLost-(90)]
+	_ = x[EventControlRegained-(91)]
+	_ = x[EventStarted-(92)]
+	_ = x[EventDraining-(93)]
+	_ = x[EventDrained-(94)]
+	_ = x[EventStopped-(95)]
+	_ = x[EventSettingsReloaded-(96)]
+	_ = x[EventSettingsRefused-(97)]
+	_ = x[EventListenerEnded-(98)]
+	_ = x[EventMetricsNotServed-(99)]
+	_ = x[EventUnknownEvent-(100)]
+	_ = x[EventOverloaded-(101)]
+	_ = x[EventLogLinesDropped-(102)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -137,96 +141,100 @@
 	_LogEventName[91:98]:     EventRefused,
 	_LogEventName[98:117]:    EventAnswerNotRecorded,
 	_LogEventName[117:130]:   EventBackendChanged,
-	_LogEventName[130:146]:   EventBackendReplaced,
-	_LogEventName[146:159]:   EventAdapterLoaded,
-	_LogEventName[159:171]:   EventLoadDecided,
-	_LogEventName[171:177]:   EventLayout,
-	_LogEventName[177:192]:   EventBackendCrashed,
-	_LogEventName[192:209]:   EventCrashUnconfirmed,
-	_LogEventName[209:222]:   EventDetourOpened,
-	_LogEventName[222:239]:   EventDetourNotOpened,
-	_LogEventName[239:252]:   EventDetourClosed,
-	_LogEventName[252:262]:   EventLinksLost,
-	_LogEventName[262:276]:   EventLinksRestored,
-	_LogEventName[276:289]:   EventBackendRests,
-	_LogEventName[289:303]:   EventBackendLeaves,
-	_LogEventName[303:322]:   EventHelperNotNotified,
-	_LogEventName[322:342]:   EventSoftwareVersionNew,
-	_LogEventName[342:361]:   EventStreamNotRecorded,
-	_LogEventName[361:383]:   EventStreamVersionUnknown,
-	_LogEventName[383:397]:   EventLinksVerified,
-	_LogEventName[397:416]:   EventRequestQuarantined,
-	_LogEventName[416:432]:   EventRequestReleased,
-	_LogEventName[432:448]:   EventPartQuarantined,
-	_LogEventName[448:459]:   EventPartLifted,
-	_LogEventName[459:472]:   EventPartReleased,
-	_LogEventName[472:495]:   EventQuarantineNotReported,
-	_LogEventName[495:508]:   EventLimitChanged,
-	_LogEventName[508:523]:   EventBrittleChanged,
-	_LogEventName[523:535]:   EventLoadUnclear,
-	_LogEventName[535:548]:   EventLimitUnclear,
-	_LogEventName[548:562]:   EventSlotRequested,
-	_LogEventName[562:577]:   EventSlotUnanswered,
-	_LogEventName[577:595]:   EventLimitNotReported,
-	_LogEventName[595:609]:   EventKeysConfirmed,
-	_LogEventName[609:625]:   EventKeysUnconfirmed,
-	_LogEventName[625:641]:   EventAccountsUnknown,
-	_LogEventName[641:654]:   EventQuotaUsedUp,
-	_LogEventName[654:670]:   EventQuotaUnanswered,
-	_LogEventName[670:686]:   EventOutlierDetected,
-	_LogEventName[686:701]:   EventModelWithdrawn,
-	_LogEventName[701:715]:   EventOrderAnswered,
-	_LogEventName[715:725]:   EventOrderDone,
-	_LogEventName[725:736]:   EventOrderStateChanged,
-	_LogEventName[736:749]:   EventOrderRefused,
-	_LogEventName[749:770]:   EventOrderOutcomeUnknown,
-	_LogEventName[770:786]:   EventEngineStateNotRead,
-	_LogEventName[786:804]:   EventInventoryNotRead,
-	_LogEventName[804:815]:   EventLoadFailed,
-	_LogEventName[815:831]:   EventBackendStateNotEncoded,
-	_LogEventName[831:847]:   EventRegistryRefused,
-	_LogEventName[847:862]:   EventRoutesProposed,
-	_LogEventName[862:876]:   EventRoutesRefused,
-	_LogEventName[876:890]:   EventRoutesApplied,
-	_LogEventName[890:905]:   EventRoutesInEffect,
-	_LogEventName[905:923]:   EventRoutesNotFetched,
-	_LogEventName[923:941]:   EventCatalogueInEffect,
-	_LogEventName[941:954]:   EventBecameLeader,
-	_LogEventName[954:963]:   EventNoLeader,
-	_LogEventName[963:977]:   EventReplicaOpened,
-	_LogEventName[977:992]:   EventStartConfirmed,
-	_LogEventName[992:1009]:  EventStartUnconfirmed,
-	_LogEventName[1009:1024]: EventVotersChanged,
-	_LogEventName[1024:1037]: EventLearnerAdded,
-	_LogEventName[1037:1052]: EventLearnerRemoved,
-	_LogEventName[1052:1063]: EventVoterAdded,
-	_LogEventName[1063:1077]: EventVoterReplaced,
-	_LogEventName[1077:1090]: EventVoterStandby,
-	_LogEventName[1090:1116]: EventLeadershipNotHandedOver,
-	_LogEventName[1116:1134]: EventExpiryNotEncoded,
-	_LogEventName[1134:1148]: EventReplicaFailed,
-	_LogEventName[1148:1165]: EventReplicaRegressed,
-	_LogEventName[1165:1184]: EventDataFolderDamaged,
-	_LogEventName[1184:1205]: EventDataFolderRegressed,
-	_LogEventName[1205:1214]: EventLeaseAcquired,
-	_LogEventName[1214:1224]: EventLeaseLost,
-	_LogEventName[1224:1241]: EventLeaseNotRenewed,
-	_LogEventName[1241:1251]: EventZoneOwned,
-	_LogEventName[1251:1260]: EventZoneLost,
-	_LogEventName[1260:1274]: EventControlThreadTimes,
-	_LogEventName[1274:1286]: EventControlLost,
-	_LogEventName[1286:1302]: EventControlRegained,
-	_LogEventName[1302:1309]: EventStarted,
-	_LogEventName[1309:1317]: EventDraining,
-	_LogEventName[1317:1324]: EventDrained,
-	_LogEventName[1324:1331]: EventStopped,
-	_LogEventName[1331:1348]: EventSettingsReloaded,
-	_LogEventName[1348:1364]: EventSettingsRefused,
-	_LogEventName[1364:1378]: EventListenerEnded,
-	_LogEventName[1378:1396]: EventMetricsNotServed,
-	_LogEventName[1396:1409]: EventUnknownEvent,
-	_LogEventName[1409:1419]: EventOverloaded,
-	_LogEventName[1419:1436]: EventLogLinesDropped,
+	_LogEventName[130:149]:   EventBackendsRemembered,
+	_LogEventName[149:169]:   EventRememberedForgotten,
+	_LogEventName[169:189]:   EventEndpointsNotLoaded,
+	_LogEventName[189:208]:   EventEndpointsNotSaved,
+	_LogEventName[208:224]:   EventBackendReplaced,
+	_LogEventName[224:237]:   EventAdapterLoaded,
+	_LogEventName[237:249]:   EventLoadDecided,
+	_LogEventName[249:255]:   EventLayout,
+	_LogEventName[255:270]:   EventBackendCrashed,
+	_LogEventName[270:287]:   EventCrashUnconfirmed,
+	_LogEventName[287:300]:   EventDetourOpened,
+	_LogEventName[300:317]:   EventDetourNotOpened,
+	_LogEventName[317:330]:   EventDetourClosed,
+	_LogEventName[330:340]:   EventLinksLost,
+	_LogEventName[340:354]:   EventLinksRestored,
+	_LogEventName[354:367]:   EventBackendRests,
+	_LogEventName[367:381]:   EventBackendLeaves,
+	_LogEventName[381:400]:   EventHelperNotNotified,
+	_LogEventName[400:420]:   EventSoftwareVersionNew,
+	_LogEventName[420:439]:   EventStreamNotRecorded,
+	_LogEventName[439:461]:   EventStreamVersionUnknown,
+	_LogEventName[461:475]:   EventLinksVerified,
+	_LogEventName[475:494]:   EventRequestQuarantined,
+	_LogEventName[494:510]:   EventRequestReleased,
+	_LogEventName[510:526]:   EventPartQuarantined,
+	_LogEventName[526:537]:   EventPartLifted,
+	_LogEventName[537:550]:   EventPartReleased,
+	_LogEventName[550:573]:   EventQuarantineNotReported,
+	_LogEventName[573:586]:   EventLimitChanged,
+	_LogEventName[586:601]:   EventBrittleChanged,
+	_LogEventName[601:613]:   EventLoadUnclear,
+	_LogEventName[613:626]:   EventLimitUnclear,
+	_LogEventName[626:640]:   EventSlotRequested,
+	_LogEventName[640:655]:   EventSlotUnanswered,
+	_LogEventName[655:673]:   EventLimitNotReported,
+	_LogEventName[673:687]:   EventKeysConfirmed,
+	_LogEventName[687:703]:   EventKeysUnconfirmed,
+	_LogEventName[703:719]:   EventAccountsUnknown,
+	_LogEventName[719:732]:   EventQuotaUsedUp,
+	_LogEventName[732:748]:   EventQuotaUnanswered,
+	_LogEventName[748:764]:   EventOutlierDetected,
+	_LogEventName[764:779]:   EventModelWithdrawn,
+	_LogEventName[779:793]:   EventOrderAnswered,
+	_LogEventName[793:803]:   EventOrderDone,
+	_LogEventName[803:814]:   EventOrderStateChanged,
+	_LogEventName[814:827]:   EventOrderRefused,
+	_LogEventName[827:848]:   EventOrderOutcomeUnknown,
+	_LogEventName[848:864]:   EventEngineStateNotRead,
+	_LogEventName[864:882]:   EventInventoryNotRead,
+	_LogEventName[882:893]:   EventLoadFailed,
+	_LogEventName[893:909]:   EventBackendStateNotEncoded,
+	_LogEventName[909:925]:   EventRegistryRefused,
+	_LogEventName[925:940]:   EventRoutesProposed,
+	_LogEventName[940:954]:   EventRoutesRefused,
+	_LogEventName[954:968]:   EventRoutesApplied,
+	_LogEventName[968:983]:   EventRoutesInEffect,
+	_LogEventName[983:1001]:  EventRoutesNotFetched,
+	_LogEventName[1001:1019]: EventCatalogueInEffect,
+	_LogEventName[1019:1032]: EventBecameLeader,
+	_LogEventName[1032:1041]: EventNoLeader,
+	_LogEventName[1041:1055]: EventReplicaOpened,
+	_LogEventName[1055:1070]: EventStartConfirmed,
+	_LogEventName[1070:1087]: EventStartUnconfirmed,
+	_LogEventName[1087:1102]: EventVotersChanged,
+	_LogEventName[1102:1115]: EventLearnerAdded,
+	_LogEventName[1115:1130]: EventLearnerRemoved,
+	_LogEventName[1130:1141]: EventVoterAdded,
+	_LogEventName[1141:1155]: EventVoterReplaced,
+	_LogEventName[1155:1168]: EventVoterStandby,
+	_LogEventName[1168:1194]: EventLeadershipNotHandedOver,
+	_LogEventName[1194:1212]: EventExpiryNotEncoded,
+	_LogEventName[1212:1226]: EventReplicaFailed,
+	_LogEventName[1226:1243]: EventReplicaRegressed,
+	_LogEventName[1243:1262]: EventDataFolderDamaged,
+	_LogEventName[1262:1283]: EventDataFolderRegressed,
+	_LogEventName[1283:1292]: EventLeaseAcquired,
+	_LogEventName[1292:1302]: EventLeaseLost,
+	_LogEventName[1302:1319]: EventLeaseNotRenewed,
+	_LogEventName[1319:1329]: EventZoneOwned,
+	_LogEventName[1329:1338]: EventZoneLost,
+	_LogEventName[1338:1352]: EventControlThreadTimes,
+	_LogEventName[1352:1364]: EventControlLost,
+	_LogEventName[1364:1380]: EventControlRegained,
+	_LogEventName[1380:1387]: EventStarted,
+	_LogEventName[1387:1395]: EventDraining,
+	_LogEventName[1395:1402]: EventDrained,
+	_LogEventName[1402:1409]: EventStopped,
+	_LogEventName[1409:1426]: EventSettingsReloaded,
+	_LogEventName[1426:1442]: EventSettingsRefused,
+	_LogEventName[1442:1456]: EventListenerEnded,
+	_LogEventName[1456:1474]: EventMetricsNotServed,
+	_LogEventName[1474:1487]: EventUnknownEvent,
+	_LogEventName[1487:1497]: EventOverloaded,
+	_LogEventName[1497:1514]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -239,96 +247,100 @@
 	_LogEventLowerName[91:98]:     EventRefused,
 	_LogEventLowerName[98:117]:    EventAnswerNotRecorded,
 	_LogEventLowerName[117:130]:   EventBackendChanged,
-	_LogEventLowerName[130:146]:   EventBackendReplaced,
-	_LogEventLowerName[146:159]:   EventAdapterLoaded,
-	_LogEventLowerName[159:171]:   EventLoadDecided,
-	_LogEventLowerName[171:177]:   EventLayout,
-	_LogEventLowerName[177:192]:   EventBackendCrashed,
-	_LogEventLowerName[192:209]:   EventCrashUnconfirmed,
-	_LogEventLowerName[209:222]:   EventDetourOpened,
-	_LogEventLowerName[222:239]:   EventDetourNotOpened,
-	_LogEventLowerName[239:252]:   EventDetourClosed,
-	_LogEventLowerName[252:262]:   EventLinksLost,
-	_LogEventLowerName[262:276]:   EventLinksRestored,
-	_LogEventLowerName[276:289]:   EventBackendRests,
-	_LogEventLowerName[289:303]:   EventBackendLeaves,
-	_LogEventLowerName[303:322]:   EventHelperNotNotified,
-	_LogEventLowerName[322:342]:   EventSoftwareVersionNew,
-	_LogEventLowerName[342:361]:   EventStreamNotRecorded,
-	_LogEventLowerName[361:383]:   EventStreamVersionUnknown,
-	_LogEventLowerName[383:397]:   EventLinksVerified,
-	_LogEventLowerName[397:416]:   EventRequestQuarantined,
-	_LogEventLowerName[416:432]:   EventRequestReleased,
-	_LogEventLowerName[432:448]:   EventPartQuarantined,
-	_LogEventLowerName[448:459]:   EventPartLifted,
-	_LogEventLowerName[459:472]:   EventPartReleased,
-	_LogEventLowerName[472:495]:   EventQuarantineNotReported,
-	_LogEventLowerName[495:508]:   EventLimitChanged,
-	_LogEventLowerName[508:523]:   EventBrittleChanged,
-	_LogEventLowerName[523:535]:   EventLoadUnclear,
-	_LogEventLowerName[535:548]:   EventLimitUnclear,
-	_LogEventLowerName[548:562]:   EventSlotRequested,
-	_LogEventLowerName[562:577]:   EventSlotUnanswered,
-	_LogEventLowerName[577:595]:   EventLimitNotReported,
-	_LogEventLowerName[595:609]:   EventKeysConfirmed,
-	_LogEventLowerName[609:625]:   EventKeysUnconfirmed,
-	_LogEventLowerName[625:641]:   EventAccountsUnknown,
-	_LogEventLowerName[641:654]:   EventQuotaUsedUp,
-	_LogEventLowerName[654:670]:   EventQuotaUnanswered,
-	_LogEventLowerName[670:686]:   EventOutlierDetected,
-	_LogEventLowerName[686:701]:   EventModelWithdrawn,
-	_LogEventLowerName[701:715]:   EventOrderAnswered,
-	_LogEventLowerName[715:725]:   EventOrderDone,
-	_LogEventLowerName[725:736]:   EventOrderStateChanged,
-	_LogEventLowerName[736:749]:   EventOrderRefused,
-	_LogEventLowerName[749:770]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[770:786]:   EventEngineStateNotRead,
-	_LogEventLowerName[786:804]:   EventInventoryNotRead,
-	_LogEventLowerName[804:815]:   EventLoadFailed,
-	_LogEventLowerName[815:831]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[831:847]:   EventRegistryRefused,
-	_LogEventLowerName[847:862]:   EventRoutesProposed,
-	_LogEventLowerName[862:876]:   EventRoutesRefused,
-	_LogEventLowerName[876:890]:   EventRoutesApplied,
-	_LogEventLowerName[890:905]:   EventRoutesInEffect,
-	_LogEventLowerName[905:923]:   EventRoutesNotFetched,
-	_LogEventLowerName[923:941]:   EventCatalogueInEffect,
-	_LogEventLowerName[941:954]:   EventBecameLeader,
-	_LogEventLowerName[954:963]:   EventNoLeader,
-	_LogEventLowerName[963:977]:   EventReplicaOpened,
-	_LogEventLowerName[977:992]:   EventStartConfirmed,
-	_LogEventLowerName[992:1009]:  EventStartUnconfirmed,
-	_LogEventLowerName[1009:1024]: EventVotersChanged,
-	_LogEventLowerName[1024:1037]: EventLearnerAdded,
-	_LogEventLowerName[1037:1052]: EventLearnerRemoved,
-	_LogEventLowerName[1052:1063]: EventVoterAdded,
-	_LogEventLowerName[1063:1077]: EventVoterReplaced,
-	_LogEventLowerName[1077:1090]: EventVoterStandby,
-	_LogEventLowerName[1090:1116]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1116:1134]: EventExpiryNotEncoded,
-	_LogEventLowerName[1134:1148]: EventReplicaFailed,
-	_LogEventLowerName[1148:1165]: EventReplicaRegressed,
-	_LogEventLowerName[1165:1184]: EventDataFolderDamaged,
-	_LogEventLowerName[1184:1205]: EventDataFolderRegressed,
-	_LogEventLowerName[1205:1214]: EventLeaseAcquired,
-	_LogEventLowerName[1214:1224]: EventLeaseLost,
-	_LogEventLowerName[1224:1241]: EventLeaseNotRenewed,
-	_LogEventLowerName[1241:1251]: EventZoneOwned,
-	_LogEventLowerName[1251:1260]: EventZoneLost,
-	_LogEventLowerName[1260:1274]: EventControlThreadTimes,
-	_LogEventLowerName[1274:1286]: EventControlLost,
-	_LogEventLowerName[1286:1302]: EventControlRegained,
-	_LogEventLowerName[1302:1309]: EventStarted,
-	_LogEventLowerName[1309:1317]: EventDraining,
-	_LogEventLowerName[1317:1324]: EventDrained,
-	_LogEventLowerName[1324:1331]: EventStopped,
-	_LogEventLowerName[1331:1348]: EventSettingsReloaded,
-	_LogEventLowerName[1348:1364]: EventSettingsRefused,
-	_LogEventLowerName[1364:1378]: EventListenerEnded,
-	_LogEventLowerName[1378:1396]: EventMetricsNotServed,
-	_LogEventLowerName[1396:1409]: EventUnknownEvent,
-	_LogEventLowerName[1409:1419]: EventOverloaded,
-	_LogEventLowerName[1419:1436]: EventLogLinesDropped,
+	_LogEventLowerName[130:149]:   EventBackendsRemembered,
+	_LogEventLowerName[149:169]:   EventRememberedForgotten,
+	_LogEventLowerName[169:189]:   EventEndpointsNotLoaded,
+	_LogEventLowerName[189:208]:   EventEndpointsNotSaved,
+	_LogEventLowerName[208:224]:   EventBackendReplaced,
+	_LogEventLowerName[224:237]:   EventAdapterLoaded,
+	_LogEventLowerName[237:249]:   EventLoadDecided,
+	_LogEventLowerName[249:255]:   EventLayout,
+	_LogEventLowerName[255:270]:   EventBackendCrashed,
+	_LogEventLowerName[270:287]:   EventCrashUnconfirmed,
+	_LogEventLowerName[287:300]:   EventDetourOpened,
+	_LogEventLowerName[300:317]:   EventDetourNotOpened,
+	_LogEventLowerName[317:330]:   EventDetourClosed,
+	_LogEventLowerName[330:340]:   EventLinksLost,
+	_LogEventLowerName[340:354]:   EventLinksRestored,
+	_LogEventLowerName[354:367]:   EventBackendRests,
+	_LogEventLowerName[367:381]:   EventBackendLeaves,
+	_LogEventLowerName[381:400]:   EventHelperNotNotified,
+	_LogEventLowerName[400:420]:   EventSoftwareVersionNew,
+	_LogEventLowerName[420:439]:   EventStreamNotRecorded,
+	_LogEventLowerName[439:461]:   EventStreamVersionUnknown,
+	_LogEventLowerName[461:475]:   EventLinksVerified,
+	_LogEventLowerName[475:494]:   EventRequestQuarantined,
+	_LogEventLowerName[494:510]:   EventRequestReleased,
+	_LogEventLowerName[510:526]:   EventPartQuarantined,
+	_LogEventLowerName[526:537]:   EventPartLifted,
+	_LogEventLowerName[537:550]:   EventPartReleased,
+	_LogEventLowerName[550:573]:   EventQuarantineNotReported,
+	_LogEventLowerName[573:586]:   EventLimitChanged,
+	_LogEventLowerName[586:601]:   EventBrittleChanged,
+	_LogEventLowerName[601:613]:   EventLoadUnclear,
+	_LogEventLowerName[613:626]:   EventLimitUnclear,
+	_LogEventLowerName[626:640]:   EventSlotRequested,
+	_LogEventLowerName[640:655]:   EventSlotUnanswered,
+	_LogEventLowerName[655:673]:   EventLimitNotReported,
+	_LogEventLowerName[673:687]:   EventKeysConfirmed,
+	_LogEventLowerName[687:703]:   EventKeysUnconfirmed,
+	_LogEventLowerName[703:719]:   EventAccountsUnknown,
+	_LogEventLowerName[719:732]:   EventQuotaUsedUp,
+	_LogEventLowerName[732:748]:   EventQuotaUnanswered,
+	_LogEventLowerName[748:764]:   EventOutlierDetected,
+	_LogEventLowerName[764:779]:   EventModelWithdrawn,
+	_LogEventLowerName[779:793]:   EventOrderAnswered,
+	_LogEventLowerName[793:803]:   EventOrderDone,
+	_LogEventLowerName[803:814]:   EventOrderStateChanged,
+	_LogEventLowerName[814:827]:   EventOrderRefused,
+	_LogEventLowerName[827:848]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[848:864]:   EventEngineStateNotRead,
+	_LogEventLowerName[864:882]:   EventInventoryNotRead,
+	_LogEventLowerName[882:893]:   EventLoadFailed,
+	_LogEventLowerName[893:909]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[909:925]:   EventRegistryRefused,
+	_LogEventLowerName[925:940]:   EventRoutesProposed,
+	_LogEventLowerName[940:954]:   EventRoutesRefused,
+	_LogEventLowerName[954:968]:   EventRoutesApplied,
+	_LogEventLowerName[968:983]:   EventRoutesInEffect,
+	_LogEventLowerName[983:1001]:  EventRoutesNotFetched,
+	_LogEventLowerName[1001:1019]: EventCatalogueInEffect,
+	_LogEventLowerName[1019:1032]: EventBecameLeader,
+	_LogEventLowerName[1032:1041]: EventNoLeader,
+	_LogEventLowerName[1041:1055]: EventReplicaOpened,
+	_LogEventLowerName[1055:1070]: EventStartConfirmed,
+	_LogEventLowerName[1070:1087]: EventStartUnconfirmed,
+	_LogEventLowerName[1087:1102]: EventVotersChanged,
+	_LogEventLowerName[1102:1115]: EventLearnerAdded,
+	_LogEventLowerName[1115:1130]: EventLearnerRemoved,
+	_LogEventLowerName[1130:1141]: EventVoterAdded,
+	_LogEventLowerName[1141:1155]: EventVoterReplaced,
+	_LogEventLowerName[1155:1168]: EventVoterStandby,
+	_LogEventLowerName[1168:1194]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1194:1212]: EventExpiryNotEncoded,
+	_LogEventLowerName[1212:1226]: EventReplicaFailed,
+	_LogEventLowerName[1226:1243]: EventReplicaRegressed,
+	_LogEventLowerName[1243:1262]: EventDataFolderDamaged,
+	_LogEventLowerName[1262:1283]: EventDataFolderRegressed,
+	_LogEventLowerName[1283:1292]: EventLeaseAcquired,
+	_LogEventLowerName[1292:1302]: EventLeaseLost,
+	_LogEventLowerName[1302:1319]: EventLeaseNotRenewed,
+	_LogEventLowerName[1319:1329]: EventZoneOwned,
+	_LogEventLowerName[1329:1338]: EventZoneLost,
+	_LogEventLowerName[1338:1352]: EventControlThreadTimes,
+	_LogEventLowerName[1352:1364]: EventControlLost,
+	_LogEventLowerName[1364:1380]: EventControlRegained,
+	_LogEventLowerName[1380:1387]: EventStarted,
+	_LogEventLowerName[1387:1395]: EventDraining,
+	_LogEventLowerName[1395:1402]: EventDrained,
+	_LogEventLowerName[1402:1409]: EventStopped,
+	_LogEventLowerName[1409:1426]: EventSettingsReloaded,
+	_LogEventLowerName[1426:1442]: EventSettingsRefused,
+	_LogEventLowerName[1442:1456]: EventListenerEnded,
+	_LogEventLowerName[1456:1474]: EventMetricsNotServed,
+	_LogEventLowerName[1474:1487]: EventUnknownEvent,
+	_LogEventLowerName[1487:1497]: EventOverloaded,
+	_LogEventLowerName[1497:1514]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -341,96 +353,100 @@
 	_LogEventName[91:98],
 	_LogEventName[98:117],
 	_LogEventName[117:130],
-	_LogEventName[130:146],
-	_LogEventName[146:159],
-	_LogEventName[159:171],
-	_LogEventName[171:177],
-	_LogEventName[177:192],
-	_LogEventName[192:209],
-	_LogEventName[209:222],
-	_LogEventName[222:239],
-	_LogEventName[239:252],
-	_LogEventName[252:262],
-	_LogEventName[262:276],
-	_LogEventName[276:289],
-	_LogEventName[289:303],
-	_LogEventName[303:322],
-	_LogEventName[322:342],
-	_LogEventName[342:361],
-	_LogEventName[361:383],
-	_LogEventName[383:397],
-	_LogEventName[397:416],
-	_LogEventName[416:432],
-	_LogEventName[432:448],
-	_LogEventName[448:459],
-	_LogEventName[459:472],
-	_LogEventName[472:495],
-	_LogEventName[495:508],
-	_LogEventName[508:523],
-	_LogEventName[523:535],
-	_LogEventName[535:548],
-	_LogEventName[548:562],
-	_LogEventName[562:577],
-	_LogEventName[577:595],
-	_LogEventName[595:609],
-	_LogEventName[609:625],
-	_LogEventName[625:641],
-	_LogEventName[641:654],
-	_LogEventName[654:670],
-	_LogEventName[670:686],
-	_LogEventName[686:701],
-	_LogEventName[701:715],
-	_LogEventName[715:725],
-	_LogEventName[725:736],
-	_LogEventName[736:749],
-	_LogEventName[749:770],
-	_LogEventName[770:786],
-	_LogEventName[786:804],
-	_LogEventName[804:815],
-	_LogEventName[815:831],
-	_LogEventName[831:847],
-	_LogEventName[847:862],
-	_LogEventName[862:876],
-	_LogEventName[876:890],
-	_LogEventName[890:905],
-	_LogEventName[905:923],
-	_LogEventName[923:941],
-	_LogEventName[941:954],
-	_LogEventName[954:963],
-	_LogEventName[963:977],
-	_LogEventName[977:992],
-	_LogEventName[992:1009],
-	_LogEventName[1009:1024],
-	_LogEventName[1024:1037],
-	_LogEventName[1037:1052],
-	_LogEventName[1052:1063],
-	_LogEventName[1063:1077],
-	_LogEventName[1077:1090],
-	_LogEventName[1090:1116],
-	_LogEventName[1116:1134],
-	_LogEventName[1134:1148],
-	_LogEventName[1148:1165],
-	_LogEventName[1165:1184],
-	_LogEventName[1184:1205],
-	_LogEventName[1205:1214],
-	_LogEventName[1214:1224],
-	_LogEventName[1224:1241],
-	_LogEventName[1241:1251],
-	_LogEventName[1251:1260],
-	_LogEventName[1260:1274],
-	_LogEventName[1274:1286],
-	_LogEventName[1286:1302],
-	_LogEventName[1302:1309],
-	_LogEventName[1309:1317],
-	_LogEventName[1317:1324],
-	_LogEventName[1324:1331],
-	_LogEventName[1331:1348],
-	_LogEventName[1348:1364],
-	_LogEventName[1364:1378],
-	_LogEventName[1378:1396],
-	_LogEventName[1396:1409],
-	_LogEventName[1409:1419],
-	_LogEventName[1419:1436],
+	_LogEventName[130:149],
+	_LogEventName[149:169],
+	_LogEventName[169:189],
+	_LogEventName[189:208],
+	_LogEventName[208:224],
+	_LogEventName[224:237],
+	_LogEventName[237:249],
+	_LogEventName[249:255],
+	_LogEventName[255:270],
+	_LogEventName[270:287],
+	_LogEventName[287:300],
+	_LogEventName[300:317],
+	_LogEventName[317:330],
+	_LogEventName[330:340],
+	_LogEventName[340:354],
+	_LogEventName[354:367],
+	_LogEventName[367:381],
+	_LogEventName[381:400],
+	_LogEventName[400:420],
+	_LogEventName[420:439],
+	_LogEventName[439:461],
+	_LogEventName[461:475],
+	_LogEventName[475:494],
+	_LogEventName[494:510],
+	_LogEventName[510:526],
+	_LogEventName[526:537],
+	_LogEventName[537:550],
+	_LogEventName[550:573],
+	_LogEventName[573:586],
+	_LogEventName[586:601],
+	_LogEventName[601:613],
+	_LogEventName[613:626],
+	_LogEventName[626:640],
+	_LogEventName[640:655],
+	_LogEventName[655:673],
+	_LogEventName[673:687],
+	_LogEventName[687:703],
+	_LogEventName[703:719],
+	_LogEventName[719:732],
+	_LogEventName[732:748],
+	_LogEventName[748:764],
+	_LogEventName[764:779],
+	_LogEventName[779:793],
+	_LogEventName[793:803],
+	_LogEventName[803:814],
+	_LogEventName[814:827],
+	_LogEventName[827:848],
+	_LogEventName[848:864],
+	_LogEventName[864:882],
+	_LogEventName[882:893],
+	_LogEventName[893:909],
+	_LogEventName[909:925],
+	_LogEventName[925:940],
+	_LogEventName[940:954],
+	_LogEventName[954:968],
+	_LogEventName[968:983],
+	_LogEventName[983:1001],
+	_LogEventName[1001:1019],
+	_LogEventName[1019:1032],
+	_LogEventName[1032:1041],
+	_LogEventName[1041:1055],
+	_LogEventName[1055:1070],
+	_LogEventName[1070:1087],
+	_LogEventName[1087:1102],
+	_LogEventName[1102:1115],
+	_LogEventName[1115:1130],
+	_LogEventName[1130:1141],
+	_LogEventName[1141:1155],
+	_LogEventName[1155:1168],
+	_LogEventName[1168:1194],
+	_LogEventName[1194:1212],
+	_LogEventName[1212:1226],
+	_LogEventName[1226:1243],
+	_LogEventName[1243:1262],
+	_LogEventName[1262:1283],
+	_LogEventName[1283:1292],
+	_LogEventName[1292:1302],
+	_LogEventName[1302:1319],
+	_LogEventName[1319:1329],
+	_LogEventName[1329:1338],
+	_LogEventName[1338:1352],
+	_LogEventName[1352:1364],
+	_LogEventName[1364:1380],
+	_LogEventName[1380:1387],
+	_LogEventName[1387:1395],
+	_LogEventName[1395:1402],
+	_LogEventName[1402:1409],
+	_LogEventName[1409:1426],
+	_LogEventName[1426:1442],
+	_LogEventName[1442:1456],
+	_LogEventName[1456:1474],
+	_LogEventName[1474:1487],
+	_LogEventName[1487:1497],
+	_LogEventName[1497:1514],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
