--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 146, 159, 171, 177, 192, 209, 222, 239, 252, 262, 276, 289, 303, 322, 342, 361, 383, 397, 416, 432, 448, 459, 472, 495, 508, 523, 536, 550, 565, 583, 597, 613, 629, 642, 658, 674, 689, 703, 713, 724, 737, 758, 774, 792, 803, 819, 835, 850, 864, 878, 893, 911, 929, 942, 951, 965, 980, 997, 1012, 1025, 1040, 1051, 1065, 1078, 1104, 1122, 1136, 1153, 1172, 1193, 1202, 1212, 1229, 1239, 1248, 1262, 1274, 1290, 1297, 1305, 1312, 1319, 1336, 1352, 1366, 1384, 1397, 1407, 1424}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 149, 169, 189, 208, 224, 237, 249, 255, 270, 287, 300, 317, 330, 340, 354, 367, 381, 400, 420, 439, 461, 475, 494, 510, 526, 537, 550, 573, 586, 601, 613, 626, 640, 655, 673, 687, 703, 719, 732, 748, 764, 779, 793, 803, 814, 827, 848, 864, 882, 893, 909, 925, 940, 954, 968, 983, 1001, 1019, 1032, 1041, 1055, 1070, 1087, 1102, 1115, 1130, 1141, 1155, 1168, 1194, 1212, 1226, 1243, 1262, 1283, 1292, 1302, 1319, 1329, 1338, 1352, 1364, 1380, 1387, 1395, 1402, 1409, 1426, 1442, 1456, 1474, 1487, 1497, 1514}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -33,98 +33,103 @@
 	_ = x[EventRefused-(6)]
 	_ = x[EventAnswerNotRecorded-(7)]
 	_ = x[EventBackendChanged-(8)]
-	_ = x[EventBackendReplaced-(9)]
-	_ = x[EventAdapterLoaded-(10)]
-	_ = x[EventLoadDecided-(11)]
-	_ = x[EventLayout-(12)]
-	_ = x[EventBackendCrashed-(13)]
-	_ = x[EventCrashUnconfirmed-(14)]
-	_ = x[EventDetourOpened-(15)]
-	_ = x[EventDetourNotOpened-(16)]
-	_ = x[EventDetourClosed-(17)]
-	_ = x[EventLinksLost-(18)]
-	_ = x[EventLinksRestored-(19)]
-	_ = x[EventBackendRests-(20)]
-	_ = x[EventBackendLeaves-(21)]
-	_ = x[EventHelperNotNotified-(22)]
-	_ = x[EventSoftwareVersionNew-(23)]
-	_ = x[EventStreamNotRecorded-(24)]
-	_ = x[EventStreamVersionUnknown-(25)]
-	_ = x[EventLinksVerified-(26)]
-	_ = x[EventRequestQuarantined-(27)]
-	_ = x[EventRequestReleased-(28)]
-	_ = x[EventPartQuarantined-(29)]
-	_ = x[EventPartLifted-(30)]
-	_ = x[EventPartReleased-(31)]
-	_ = x[EventQuarantineNotReported-(32)]
-	_ = x[EventLimitChanged-(33)]
-	_ = x[EventBrittleChanged-(34)]
-	_ = x[EventLimitUnclear-(35)]
-	_ = x[EventSlotRequested-(36)]
-	_ = x[EventSlotUnanswered-(37)]
-	_ = x[EventLimitNotReported-(38)]
-	_ = x[EventKeysConfirmed-(39)]
-	_ = x[EventKeysUnconfirmed-(40)]
-	_ = x[EventAccountsUnknown-(41)]
-	_ = x[EventQuotaUsedUp-(42)]
-	_ = x[EventQuotaUnanswered-(43)]
-	_ = x[EventOutlierDetected-(44)]
-	_ = x[EventModelWithdrawn-(45)]
-	_ = x[EventOrderAnswered-(46)]
-	_ = x[EventOrderDone-(47)]
-	_ = x[EventOrderStateChanged-(48)]
-	_ = x[EventOrderRefused-(49)]
-	_ = x[EventOrderOutcomeUnknown-(50)]
-	_ = x[EventEngineStateNotRead-(51)]
-	_ = x[EventInventoryNotRead-(52)]
-	_ = x[EventLoadFailed-(53)]
-	_ = x[EventBackendStateNotEncoded-(54)]
-	_ = x[EventRegistryRefused-(55)]
-	_ = x[EventRoutesProposed-(56)]
-	_ = x[EventRoutesRefused-(57)]
-	_ = x[EventRoutesApplied-(58)]
-	_ = x[EventRoutesInEffect-(59)]
-	_ = x[EventRoutesNotFetched-(60)]
-	_ = x[EventCatalogueInEffect-(61)]
-	_ = x[EventBecameLeader-(62)]
-	_ = x[EventNoLeader-(63)]
-	_ = x[EventReplicaOpened-(64)]
-	_ = x[EventStartConfirmed-(65)]
-	_ = x[EventStartUnconfirmed-(66)]
-	_ = x[EventVotersChanged-(67)]
-	_ = x[EventLearnerAdded-(68)]
-	_ = x[EventLearnerRemoved-(69)]
-	_ = x[EventVoterAdded-(70)]
-	_ = x[EventVoterReplaced-(71)]
-	_ = x[EventVoterStandby-(72)]
-	_ = x[EventLeadershipNotHandedOver-(73)]
-	_ = x[EventExpiryNotEncoded-(74)]
-	_ = x[EventReplicaFailed-(75)]
-	_ = x[EventReplicaRegressed-(76)]
-	_ = x[EventDataFolderDamaged-(77)]
-	_ = x[EventDataFolderRegressed-(78)]
-	_ = x[EventLeaseAcquired-(79)]
-	_ = x[EventLeaseLost-(80)]
-	_ = x[EventLeaseNotRenewed-(81)]
-	_ = x[EventZoneOwned-(82)]
-	_ = x[EventZoneLost-(83)]
-	_ = x[EventControlThreadTimes-(84)]
-	_ = x[EventControlLost-(85)]
-	_ = x[EventControlRegained-(86)]
-	_ = x[EventStarted-(87)]
-	_ = x[EventDraining-(88)]
-	_ = x[EventDrained-(89)]
-	_ = x[EventStopped-(90)]
-	_ = x[EventSettingsReloaded-(91)]
-	_ = x[EventSettingsRefused-(92)]
-	_ = x[EventListenerEnded-(93)]
-	_ = x[EventMetricsNotServed-(94)]
-	_ = x[EventUnknownEvent-(95)]
-	_ = x[EventOverloaded-(96)]
-	_ = x[EventLogLinesDropped-(97)]
+	_ = x[EventBackendsRemembered-(9)]
+	_ = x[EventRememberedForgotten-(10)]
+	_ = x[EventEndpointsNotLoaded-(11)]
+	_ = x[EventEndpointsNotSaved-(12)]
+	_ = x[EventBackendReplaced-(13)]
+	_ = x[EventAdapterLoaded-(14)]
+	_ = x[EventLoadDecided-(15)]
+	_ = x[EventLayout-(16)]
+	_ = x[EventBackendCrashed-(17)]
+	_ = x[EventCrashUnconfirmed-(18)]
+	_ = x[EventDetourOpened-(19)]
+	_ = x[EventDetourNotOpened-(20)]
+	_ = x[EventDetourClosed-(21)]
+	_ = x[EventLinksLost-(22)]
+	_ = x[EventLinksRestored-(23)]
+	_ = x[EventBackendRests-(24)]
+	_ = x[EventBackendLeaves-(25)]
+	_ = x[EventHelperNotNotified-(26)]
+	_ = x[EventSoftwareVersionNew-(27)]
+	_ = x[EventStreamNotRecorded-(28)]
+	_ = x[EventStreamVersionUnknown-(29)]
+	_ = x[EventLinksVerified-(30)]
+	_ = x[EventRequestQuarantined-(31)]
+	_ = x[EventRequestReleased-(32)]
+	_ = x[EventPartQuarantined-(33)]
+	_ = x[EventPartLifted-(34)]
+	_ = x[EventPartReleased-(35)]
+	_ = x[EventQuarantineNotReported-(36)]
+	_ = x[EventLimitChanged-(37)]
+	_ = x[EventBrittleChanged-(38)]
+	_ = x[EventLoadUnclear-(39)]
+	_ = x[EventLimitUnclear-(40)]
+	_ = x[EventSlotRequested-(41)]
+	_ = x[EventSlotUnanswered-(42)]
+	_ = x[EventLimitNotReported-(43)]
+	_ = x[EventKeysConfirmed-(44)]
+	_ = x[EventKeysUnconfirmed-(45)]
+	_ = x[EventAccountsUnknown-(46)]
+	_ = x[EventQuotaUsedUp-(47)]
+	_ = x[EventQuotaUnanswered-(48)]
+	_ = x[EventOutlierDetected-(49)]
+	_ = x[EventModelWithdrawn-(50)]
+	_ = x[EventOrderAnswered-(51)]
+	_ = x[EventOrderDone-(52)]
+	_ = x[EventOrderStateChanged-(53)]
+	_ = x[EventOrderRefused-(54)]
+	_ = x[EventOrderOutcomeUnknown-(55)]
+	_ = x[EventEngineStateNotRead-(56)]
+	_ = x[EventInventoryNotRead-(57)]
+	_ = x[EventLoadFailed-(58)]
+	_ = x[EventBackendStateNotEncoded-(59)]
+	_ = x[EventRegistryRefused-(60)]
+	_ = x[EventRoutesProposed-(61)]
+	_ = x[EventRoutesRefused-(62)]
+	_ = x[EventRoutesApplied-(63)]
+	_ = x[EventRoutesInEffect-(64)]
+	_ = x[EventRoutesNotFetched-(65)]
+	_ = x[EventCatalogueInEffect-(66)]
+	_ = x[EventBecameLeader-(67)]
+	_ = x[EventNoLeader-(68)]
+	_ = x[EventReplicaOpened-(69)]
+	_ = x[EventStartConfirmed-(70)]
+	_ = x[EventStartUnconfirmed-(71)]
+	_ = x[EventVotersChanged-(72)]
+	_ = x[EventLearnerAdded-(73)]
+	_ = x[EventLearnerRemoved-(74)]
+	_ = x[EventVoterAdded-(75)]
+	_ = x[EventVoterReplaced-(76)]
+	_ = x[EventVoterStandby-(77)]
+	_ = x[EventLeadershipNotHandedOver-(78)]
+	_ = x[EventExpiryNotEncoded-(79)]
+	_ = x[EventReplicaFailed-(80)]
+	_ = x[EventReplicaRegressed-(81)]
+	_ = x[EventDataFolderDamaged-(82)]
+	_ = x[EventDataFolderRegressed-(83)]
+	_ = x[EventLeaseAcquired-(84)]
+	_ = x[EventLeaseLost-(85)]
+	_ = x[EventLeaseNotRenewed-(86)]
+	_ = x[EventZoneOwned-(87)]
+	_ = x[EventZoneLost-(88)]
+	_ = x[EventControlThreadTimes-(89)]
+	_ = x[EventControlLost-(90)]
+	_ = x[EventControlRegained-(91)]
+	_ = x[EventStarted-(92)]
+	_ = x[EventDraining-(93)]
+	_ = x[EventDrained-(94)]
+	_ = x[EventStopped-(95)]
+	_ = x[EventSettingsReloaded-(96)]
+	_ = x[EventSettingsRefused-(97)]
+	_ = x[EventListenerEnded-(98)]
+	_ = x[EventMetricsNotServed-(99)]
+	_ = x[EventUnknownEvent-(100)]
+	_ = x[EventOverloaded-(101)]
+	_ = x[EventLogLinesDropped-(102)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -136,95 +141,100 @@
 	_LogEventName[91:98]:     EventRefused,
 	_LogEventName[98:117]:    EventAnswerNotRecorded,
 	_LogEventName[117:130]:   EventBackendChanged,
-	_LogEventName[130:146]:   EventBackendReplaced,
-	_LogEventName[146:159]:   EventAdapterLoaded,
-	_LogEventName[159:171]:   EventLoadDecided,
-	_LogEventName[171:177]:   EventLayout,
-	_LogEventName[177:192]:   EventBackendCrashed,
-	_LogEventName[192:209]:   EventCrashUnconfirmed,
-	_LogEventName[209:222]:   EventDetourOpened,
-	_LogEventName[222:239]:   EventDetourNotOpened,
-	_LogEventName[239:252]:   EventDetourClosed,
-	_LogEventName[252:262]:   EventLinksLost,
-	_LogEventName[262:276]:   EventLinksRestored,
-	_LogEventName[276:289]:   EventBackendRests,
-	_LogEventName[289:303]:   EventBackendLeaves,
-	_LogEventName[303:322]:   EventHelperNotNotified,
-	_LogEventName[322:342]:   EventSoftwareVersionNew,
-	_LogEventName[342:361]:   EventStreamNotRecorded,
-	_LogEventName[361:383]:   EventStreamVersionUnknown,
-	_LogEventName[383:397]:   EventLinksVerified,
-	_LogEventName[397:416]:   EventRequestQuarantined,
-	_LogEventName[416:432]:   EventRequestReleased,
-	_LogEventName[432:448]:   EventPartQuarantined,
-	_LogEventName[448:459]:   EventPartLifted,
-	_LogEventName[459:472]:   EventPartReleased,
-	_LogEventName[472:495]:   EventQuarantineNotReported,
-	_LogEventName[495:508]:   EventLimitChanged,
-	_LogEventName[508:523]:   EventBrittleChanged,
-	_LogEventName[523:536]:   EventLimitUnclear,
-	_LogEventName[536:550]:   EventSlotRequested,
-	_LogEventName[550:565]:   EventSlotUnanswered,
-	_LogEventName[565:583]:   EventLimitNotReported,
-	_LogEventName[583:597]:   EventKeysConfirmed,
-	_LogEventName[597:613]:   EventKeysUnconfirmed,
-	_LogEventName[613:629]:   EventAccountsUnknown,
-	_LogEventName[629:642]:   EventQuotaUsedUp,
-	_LogEventName[642:658]:   EventQuotaUnanswered,
-	_LogEventName[658:674]:   EventOutlierDetected,
-	_LogEventName[674:689]:   EventModelWithdrawn,
-	_LogEventName[689:703]:   EventOrderAnswered,
-	_LogEventName[703:713]:   EventOrderDone,
-	_LogEventName[713:724]:   EventOrderStateChanged,
-	_LogEventName[724:737]:   EventOrderRefused,
-	_LogEventName[737:758]:   EventOrderOutcomeUnknown,
-	_LogEventName[758:774]:   EventEngineStateNotRead,
-	_LogEventName[774:792]:   EventInventoryNotRead,
-	_LogEventName[792:803]:   EventLoadFailed,
-	_LogEventName[803:819]:   EventBackendStateNotEncoded,
-	_LogEventName[819:835]:   EventRegistryRefused,
-	_LogEventName[835:850]:   EventRoutesProposed,
-	_LogEventName[850:864]:   EventRoutesRefused,
-	_LogEventName[864:878]:   EventRoutesApplied,
-	_LogEventName[878:893]:   EventRoutesInEffect,
-	_LogEventName[893:911]:   EventRoutesNotFetched,
-	_LogEventName[911:929]:   EventCatalogueInEffect,
-	_LogEventName[929:942]:   EventBecameLeader,
-	_LogEventName[942:951]:   EventNoLeader,
-	_LogEventName[951:965]:   EventReplicaOpened,
-	_LogEventName[965:980]:   EventStartConfirmed,
-	_LogEventName[980:997]:   EventStartUnconfirmed,
-	_LogEventName[997:1012]:  EventVotersChanged,
-	_LogEventName[1012:1025]: EventLearnerAdded,
-	_LogEventName[1025:1040]: EventLearnerRemoved,
-	_LogEventName[1040:1051]: EventVoterAdded,
-	_LogEventName[1051:1065]: EventVoterReplaced,
-	_LogEventName[1065:1078]: EventVoterStandby,
-	_LogEventName[1078:1104]: EventLeadershipNotHandedOver,
-	_LogEventName[1104:1122]: EventExpiryNotEncoded,
-	_LogEventName[1122:1136]: EventReplicaFailed,
-	_LogEventName[1136:1153]: EventReplicaRegressed,
-	_LogEventName[1153:1172]: EventDataFolderDamaged,
-	_LogEventName[1172:1193]: EventDataFolderRegressed,
-	_LogEventName[1193:1202]: EventLeaseAcquired,
-	_LogEventName[1202:1212]: EventLeaseLost,
-	_LogEventName[1212:1229]: EventLeaseNotRenewed,
-	_LogEventName[1229:1239]: EventZoneOwned,
-	_LogEventName[1239:1248]: EventZoneLost,
-	_LogEventName[1248:1262]: EventControlThreadTimes,
-	_LogEventName[1262:1274]: EventControlLost,
-	_LogEventName[1274:1290]: EventControlRegained,
-	_LogEventName[1290:1297]: EventStarted,
-	_LogEventName[1297:1305]: EventDraining,
-	_LogEventName[1305:1312]: EventDrained,
-	_LogEventName[1312:1319]: EventStopped,
-	_LogEventName[1319:1336]: EventSettingsReloaded,
-	_LogEventName[1336:1352]: EventSettingsRefused,
-	_LogEventName[1352:1366]: EventListenerEnded,
-	_LogEventName[1366:1384]: EventMetricsNotServed,
-	_LogEventName[1384:1397]: EventUnknownEvent,
-	_LogEventName[1397:1407]: EventOverloaded,
-	_LogEventName[1407:1424]: EventLogLinesDropped,
+	_LogEventName[130:149]:   EventBackendsRemembered,
+	_LogEventName[149:169]:   EventRememberedForgotten,
+	_LogEventName[169:189]:   EventEndpointsNotLoaded,
+	_LogEventName[189:208]:   EventEndpointsNotSaved,
+	_LogEventName[208:224]:   EventBackendReplaced,
+	_LogEventName[224:237]:   EventAdapterLoaded,
+	_LogEventName[237:249]:   EventLoadDecided,
+	_LogEventName[249:255]:   EventLayout,
+	_LogEventName[255:270]:   EventBackendCrashed,
+	_LogEventName[270:287]:   EventCrashUnconfirmed,
+	_LogEventName[287:300]:   EventDetourOpened,
+	_LogEventName[300:317]:   EventDetourNotOpened,
+	_LogEventName[317:330]:   EventDetourClosed,
+	_LogEventName[330:340]:   EventLinksLost,
+	_LogEventName[340:354]:   EventLinksRestored,
+	_LogEventName[354:367]:   EventBackendRests,
+	_LogEventName[367:381]:   EventBackendLeaves,
+	_LogEventName[381:400]:   EventHelperNotNotified,
+	_LogEventName[400:420]:   EventSoftwareVersionNew,
+	_LogEventName[420:439]:   EventStreamNotRecorded,
+	_LogEventName[439:461]:   EventStreamVersionUnknown,
+	_LogEventName[461:475]:   EventLinksVerified,
+	_LogEventName[475:494]:   EventRequestQuarantined,
+	_LogEventName[494:510]:   EventRequestReleased,
+	_LogEventName[510:526]:   EventPartQuarantined,
+	_LogEventName[526:537]:   EventPartLifted,
+	_LogEventName[537:550]:   EventPartReleased,
+	_LogEventName[550:573]:   EventQuarantineNotReported,
+	_LogEventName[573:586]:   EventLimitChanged,
+	_LogEventName[586:601]:   EventBrittleChanged,
+	_LogEventName[601:613]:   EventLoadUnclear,
+	_LogEventName[613:626]:   EventLimitUnclear,
+	_LogEventName[626:640]:   EventSlotRequested,
+	_LogEventName[640:655]:   EventSlotUnanswered,
+	_LogEventName[655:673]:   EventLimitNotReported,
+	_LogEventName[673:687]:   EventKeysConfirmed,
+	_LogEventName[687:703]:   EventKeysUnconfirmed,
+	_LogEventName[703:719]:   EventAccountsUnknown,
+	_LogEventName[719:732]:   EventQuotaUsedUp,
+	_LogEventName[732:748]:   EventQuotaUnanswered,
+	_LogEventName[748:764]:   EventOutlierDetected,
+	_LogEventName[764:779]:   EventModelWithdrawn,
+	_LogEventName[779:793]:   EventOrderAnswered,
+	_LogEventName[793:803]:   EventOrderDone,
+	_LogEventName[803:814]:   EventOrderStateChanged,
+	_LogEventName[814:827]:   EventOrderRefused,
+	_LogEventName[827:848]:   EventOrderOutcomeUnknown,
+	_LogEventName[848:864]:   EventEngineStateNotRead,
+	_LogEventName[864:882]:   EventInventoryNotRead,
+	_LogEventName[882:893]:   EventLoadFailed,
+	_LogEventName[893:909]:   EventBackendStateNotEncoded,
+	_LogEventName[909:925]:   EventRegistryRefused,
+	_LogEventName[925:940]:   EventRoutesProposed,
+	_LogEventName[940:954]:   EventRoutesRefused,
+	_LogEventName[954:968]:   EventRoutesApplied,
+	_LogEventName[968:983]:   EventRoutesInEffect,
+	_LogEventName[983:1001]:  EventRoutesNotFetched,
+	_LogEventName[1001:1019]: EventCatalogueInEffect,
+	_LogEventName[1019:1032]: EventBecameLeader,
+	_LogEventName[1032:1041]: EventNoLeader,
+	_LogEventName[1041:1055]: EventReplicaOpened,
+	_LogEventName[1055:1070]: EventStartConfirmed,
+	_LogEventName[1070:1087]: EventStartUnconfirmed,
+	_LogEventName[1087:1102]: EventVotersChanged,
+	_LogEventName[1102:1115]: EventLearnerAdded,
+	_LogEventName[1115:1130]: EventLearnerRemoved,
+	_LogEventName[1130:1141]: EventVoterAdded,
+	_LogEventName[1141:1155]: EventVoterReplaced,
+	_LogEventName[1155:1168]: EventVoterStandby,
+	_LogEventName[1168:1194]: EventLeadershipNotHandedOver,
+	_LogEventName[1194:1212]: EventExpiryNotEncoded,
+	_LogEventName[1212:1226]: EventReplicaFailed,
+	_LogEventName[1226:1243]: EventReplicaRegressed,
+	_LogEventName[1243:1262]: EventDataFolderDamaged,
+	_LogEventName[1262:1283]: EventDataFolderRegressed,
+	_LogEventName[1283:1292]: EventLeaseAcquired,
+	_LogEventName[1292:1302]: EventLeaseLost,
+	_LogEventName[1302:1319]: EventLeaseNotRenewed,
+	_LogEventName[1319:1329]: EventZoneOwned,
+	_LogEventName[1329:1338]: EventZoneLost,
+	_LogEventName[1338:1352]: EventControlThreadTimes,
+	_LogEventName[1352:1364]: EventControlLost,
+	_LogEventName[1364:1380]: EventControlRegained,
+	_LogEventName[1380:1387]: EventStarted,
+	_LogEventName[1387:1395]: EventDraining,
+	_LogEventName[1395:1402]: EventDrained,
+	_LogEventName[1402:1409]: EventStopped,
+	_LogEventName[1409:1426]: EventSettingsReloaded,
+	_LogEventName[1426:1442]: EventSettingsRefused,
+	_LogEventName[1442:1456]: EventListenerEnded,
+	_LogEventName[1456:1474]: EventMetricsNotServed,
+	_LogEventName[1474:1487]: EventUnknownEvent,
+	_LogEventName[1487:1497]: EventOverloaded,
+	_LogEventName[1497:1514]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -237,95 +247,100 @@
 	_LogEventLowerName[91:98]:     EventRefused,
 	_LogEventLowerName[98:117]:    EventAnswerNotRecorded,
 	_LogEventLowerName[117:130]:   EventBackendChanged,
-	_LogEventLowerName[130:146]:   EventBackendReplaced,
-	_LogEventLowerName[146:159]:   EventAdapterLoaded,
-	_LogEventLowerName[159:171]:   EventLoadDecided,
-	_LogEventLowerName[171:177]:   EventLayout,
-	_LogEventLowerName[177:192]:   EventBackendCrashed,
-	_LogEventLowerName[192:209]:   EventCrashUnconfirmed,
-	_LogEventLowerName[209:222]:   EventDetourOpened,
-	_LogEventLowerName[222:239]:   EventDetourNotOpened,
-	_LogEventLowerName[239:252]:   EventDetourClosed,
-	_LogEventLowerName[252:262]:   EventLinksLost,
-	_LogEventLowerName[262:276]:   EventLinksRestored,
-	_LogEventLowerName[276:289]:   EventBackendRests,
-	_LogEventLowerName[289:303]:   EventBackendLeaves,
-	_LogEventLowerName[303:322]:   EventHelperNotNotified,
-	_LogEventLowerName[322:342]:   EventSoftwareVersionNew,
-	_LogEventLowerName[342:361]:   EventStreamNotRecorded,
-	_LogEventLowerName[361:383]:   EventStreamVersionUnknown,
-	_LogEventLowerName[383:397]:   EventLinksVerified,
-	_LogEventLowerName[397:416]:   EventRequestQuarantined,
-	_LogEventLowerName[416:432]:   EventRequestReleased,
-	_LogEventLowerName[432:448]:   EventPartQuarantined,
-	_LogEventLowerName[448:459]:   EventPartLifted,
-	_LogEventLowerName[459:472]:   EventPartReleased,
-	_LogEventLowerName[472:495]:   EventQuarantineNotReported,
-	_LogEventLowerName[495:508]:   EventLimitChanged,
-	_LogEventLowerName[508:523]:   EventBrittleChanged,
-	_LogEventLowerName[523:536]:   EventLimitUnclear,
-	_LogEventLowerName[536:550]:   EventSlotRequested,
-	_LogEventLowerName[550:565]:   EventSlotUnanswered,
-	_LogEventLowerName[565:583]:   EventLimitNotReported,
-	_LogEventLowerName[583:597]:   EventKeysConfirmed,
-	_LogEventLowerName[597:613]:   EventKeysUnconfirmed,
-	_LogEventLowerName[613:629]:   EventAccountsUnknown,
-	_LogEventLowerName[629:642]:   EventQuotaUsedUp,
-	_LogEventLowerName[642:658]:   EventQuotaUnanswered,
-	_LogEventLowerName[658:674]:   EventOutlierDetected,
-	_LogEventLowerName[674:689]:   EventModelWithdrawn,
-	_LogEventLowerName[689:703]:   EventOrderAnswered,
-	_LogEventLowerName[703:713]:   EventOrderDone,
-	_LogEventLowerName[713:724]:   EventOrderStateChanged,
-	_LogEventLowerName[724:737]:   EventOrderRefused,
-	_LogEventLowerName[737:758]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[758:774]:   EventEngineStateNotRead,
-	_LogEventLowerName[774:792]:   EventInventoryNotRead,
-	_LogEventLowerName[792:803]:   EventLoadFailed,
-	_LogEventLowerName[803:819]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[819:835]:   EventRegistryRefused,
-	_LogEventLowerName[835:850]:   EventRoutesProposed,
-	_LogEventLowerName[850:864]:   EventRoutesRefused,
-	_LogEventLowerName[864:878]:   EventRoutesApplied,
-	_LogEventLowerName[878:893]:   EventRoutesInEffect,
-	_LogEventLowerName[893:911]:   EventRoutesNotFetched,
-	_LogEventLowerName[911:929]:   EventCatalogueInEffect,
-	_LogEventLowerName[929:942]:   EventBecameLeader,
-	_LogEventLowerName[942:951]:   EventNoLeader,
-	_LogEventLowerName[951:965]:   EventReplicaOpened,
-	_LogEventLowerName[965:980]:   EventStartConfirmed,
-	_LogEventLowerName[980:997]:   EventStartUnconfirmed,
-	_LogEventLowerName[997:1012]:  EventVotersChanged,
-	_LogEventLowerName[1012:1025]: EventLearnerAdded,
-	_LogEventLowerName[1025:1040]: EventLearnerRemoved,
-	_LogEventLowerName[1040:1051]: EventVoterAdded,
-	_LogEventLowerName[1051:1065]: EventVoterReplaced,
-	_LogEventLowerName[1065:1078]: EventVoterStandby,
-	_LogEventLowerName[1078:1104]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1104:1122]: EventExpiryNotEncoded,
-	_LogEventLowerName[1122:1136]: EventReplicaFailed,
-	_LogEventLowerName[1136:1153]: EventReplicaRegressed,
-	_LogEventLowerName[1153:1172]: EventDataFolderDamaged,
-	_LogEventLowerName[1172:1193]: EventDataFolderRegressed,
-	_LogEventLowerName[1193:1202]: EventLeaseAcquired,
-	_LogEventLowerName[1202:1212]: EventLeaseLost,
-	_LogEventLowerName[1212:1229]: EventLeaseNotRenewed,
-	_LogEventLowerName[1229:1239]: EventZoneOwned,
-	_LogEventLowerName[1239:1248]: EventZoneLost,
-	_LogEventLowerName[1248:1262]: EventControlThreadTimes,
-	_LogEventLowerName[1262:1274]: EventControlLost,
-	_LogEventLowerName[1274:1290]: EventControlRegained,
-	_LogEventLowerName[1290:1297]: EventStarted,
-	_LogEventLowerName[1297:1305]: EventDraining,
-	_LogEventLowerName[1305:1312]: EventDrained,
-	_LogEventLowerName[1312:1319]: EventStopped,
-	_LogEventLowerName[1319:1336]: EventSettingsReloaded,
-	_LogEventLowerName[1336:1352]: EventSettingsRefused,
-	_LogEventLowerName[1352:1366]: EventListenerEnded,
-	_LogEventLowerName[1366:1384]: EventMetricsNotServed,
-	_LogEventLowerName[1384:1397]: EventUnknownEvent,
-	_LogEventLowerName[1397:1407]: EventOverloaded,
-	_LogEventLowerName[1407:1424]: EventLogLinesDropped,
+	_LogEventLowerName[130:149]:   EventBackendsRemembered,
+	_LogEventLowerName[149:169]:   EventRememberedForgotten,
+	_LogEventLowerName[169:189]:   EventEndpointsNotLoaded,
+	_LogEventLowerName[189:208]:   EventEndpointsNotSaved,
+	_LogEventLowerName[208:224]:   EventBackendReplaced,
+	_LogEventLowerName[224:237]:   EventAdapterLoaded,
+	_LogEventLowerName[237:249]:   EventLoadDecided,
+	_LogEventLowerName[249:255]:   EventLayout,
+	_LogEventLowerName[255:270]:   EventBackendCrashed,
+	_LogEventLowerName[270:287]:   EventCrashUnconfirmed,
+	_LogEventLowerName[287:300]:   EventDetourOpened,
+	_LogEventLowerName[300:317]:   EventDetourNotOpened,
+	_LogEventLowerName[317:330]:   EventDetourClosed,
+	_LogEventLowerName[330:340]:   EventLinksLost,
+	_LogEventLowerName[340:354]:   EventLinksRestored,
+	_LogEventLowerName[354:367]:   EventBackendRests,
+	_LogEventLowerName[367:381]:   EventBackendLeaves,
+	_LogEventLowerName[381:400]:   EventHelperNotNotified,
+	_LogEventLowerName[400:420]:   EventSoftwareVersionNew,
+	_LogEventLowerName[420:439]:   EventStreamNotRecorded,
+	_LogEventLowerName[439:461]:   EventStreamVersionUnknown,
+	_LogEventLowerName[461:475]:   EventLinksVerified,
+	_LogEventLowerName[475:494]:   EventRequestQuarantined,
+	_LogEventLowerName[494:510]:   EventRequestReleased,
+	_LogEventLowerName[510:526]:   EventPartQuarantined,
+	_LogEventLowerName[526:537]:   EventPartLifted,
+	_LogEventLowerName[537:550]:   EventPartReleased,
+	_LogEventLowerName[550:573]:   EventQuarantineNotReported,
+	_LogEventLowerName[573:586]:   EventLimitChanged,
+	_LogEventLowerName[586:601]:   EventBrittleChanged,
+	_LogEventLowerName[601:613]:   EventLoadUnclear,
+	_LogEventLowerName[613:626]:   EventLimitUnclear,
+	_LogEventLowerName[626:640]:   EventSlotRequested,
+	_LogEventLowerName[640:655]:   EventSlotUnanswered,
+	_LogEventLowerName[655:673]:   EventLimitNotReported,
+	_LogEventLowerName[673:687]:   EventKeysConfirmed,
+	_LogEventLowerName[687:703]:   EventKeysUnconfirmed,
+	_LogEventLowerName[703:719]:   EventAccountsUnknown,
+	_LogEventLowerName[719:732]:   EventQuotaUsedUp,
+	_LogEventLowerName[732:748]:   EventQuotaUnanswered,
+	_LogEventLowerName[748:764]:   EventOutlierDetected,
+	_LogEventLowerName[764:779]:   EventModelWithdrawn,
+	_LogEventLowerName[779:793]:   EventOrderAnswered,
+	_LogEventLowerName[793:803]:   EventOrderDone,
+	_LogEventLowerName[803:814]:   EventOrderStateChanged,
+	_LogEventLowerName[814:827]:   EventOrderRefused,
+	_LogEventLowerName[827:848]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[848:864]:   EventEngineStateNotRead,
+	_LogEventLowerName[864:882]:   EventInventoryNotRead,
+	_LogEventLowerName[882:893]:   EventLoadFailed,
+	_LogEventLowerName[893:909]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[909:925]:   EventRegistryRefused,
+	_LogEventLowerName[925:940]:   EventRoutesProposed,
+	_LogEventLowerName[940:954]:   EventRoutesRefused,
+	_LogEventLowerName[954:968]:   EventRoutesApplied,
+	_LogEventLowerName[968:983]:   EventRoutesInEffect,
+	_LogEventLowerName[983:1001]:  EventRoutesNotFetched,
+	_LogEventLowerName[1001:1019]: EventCatalogueInEffect,
+	_LogEventLowerName[1019:1032]: EventBecameLeader,
+	_LogEventLowerName[1032:1041]: EventNoLeader,
+	_LogEventLowerName[1041:1055]: EventReplicaOpened,
+	_LogEventLowerName[1055:1070]: EventStartConfirmed,
+	_LogEventLowerName[1070:1087]: EventStartUnconfirmed,
+	_LogEventLowerName[1087:1102]: EventVotersChanged,
+	_LogEventLowerName[1102:1115]: EventLearnerAdded,
+	_LogEventLowerName[1115:1130]: EventLearnerRemoved,
+	_LogEventLowerName[1130:1141]: EventVoterAdded,
+	_LogEventLowerName[1141:1155]: EventVoterReplaced,
+	_LogEventLowerName[1155:1168]: EventVoterStandby,
+	_LogEventLowerName[1168:1194]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1194:1212]: EventExpiryNotEncoded,
+	_LogEventLowerName[1212:1226]: EventReplicaFailed,
+	_LogEventLowerName[1226:1243]: EventReplicaRegressed,
+	_LogEventLowerName[1243:1262]: EventDataFolderDamaged,
+	_LogEventLowerName[1262:1283]: EventDataFolderRegressed,
+	_LogEventLowerName[1283:1292]: EventLeaseAcquired,
+	_LogEventLowerName[1292:1302]: EventLeaseLost,
+	_LogEventLowerName[1302:1319]: EventLeaseNotRenewed,
+	_LogEventLowerName[1319:1329]: EventZoneOwned,
+	_LogEventLowerName[1329:1338]: EventZoneLost,
+	_LogEventLowerName[1338:1352]: EventControlThreadTimes,
+	_LogEventLowerName[1352:1364]: EventControlLost,
+	_LogEventLowerName[1364:1380]: EventControlRegained,
+	_LogEventLowerName[1380:1387]: EventStarted,
+	_LogEventLowerName[1387:1395]: EventDraining,
+	_LogEventLowerName[1395:1402]: EventDrained,
+	_LogEventLowerName[1402:1409]: EventStopped,
+	_LogEventLowerName[1409:1426]: EventSettingsReloaded,
+	_LogEventLowerName[1426:1442]: EventSettingsRefused,
+	_LogEventLowerName[1442:1456]: EventListenerEnded,
+	_LogEventLowerName[1456:1474]: EventMetricsNotServed,
+	_LogEventLowerName[1474:1487]: EventUnknownEvent,
+	_LogEventLowerName[1487:1497]: EventOverloaded,
+	_LogEventLowerName[1497:1514]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -338,95 +353,100 @@
 	_LogEventName[91:98],
 	_LogEventName[98:117],
 	_LogEventName[117:130],
-	_LogEventName[130:146],
-	_LogEventName[146:159],
-	_LogEventName[159:171],
-	_LogEventName[171:177],
-	_LogEventName[177:192],
-	_LogEventName[192:209],
-	_LogEventName[209:222],
-	_LogEventName[222:239],
-	_LogEventName[239:252],
-	_LogEventName[252:262],
-	_LogEventName[262:276],
-	_LogEventName[276:289],
-	_LogEventName[289:303],
-	_LogEventName[303:322],
-	_LogEventName[322:342],
-	_LogEventName[342:361],
-	_LogEventName[361:383],
-	_LogEventName[383:397],
-	_LogEventName[397:416],
-	_LogEventName[416:432],
-	_LogEventName[432:448],
-	_LogEventName[448:459],
-	_LogEventName[459:472],
-	_LogEventName[472:495],
-	_LogEventName[495:508],
-	_LogEventName[508:523],
-	_LogEventName[523:536],
-	_LogEventName[536:550],
-	_LogEventName[550:565],
-	_LogEventName[565:583],
-	_LogEventName[583:597],
-	_LogEventName[597:613],
-	_LogEventName[613:629],
-	_LogEventName[629:642],
-	_LogEventName[642:658],
-	_LogEventName[658:674],
-	_LogEventName[674:689],
-	_LogEventName[689:703],
-	_LogEventName[703:713],
-	_LogEventName[713:724],
-	_LogEventName[724:737],
-	_LogEventName[737:758],
-	_LogEventName[758:774],
-	_LogEventName[774:792],
-	_LogEventName[792:803],
-	_LogEventName[803:819],
-	_LogEventName[819:835],
-	_LogEventName[835:850],
-	_LogEventName[850:864],
-	_LogEventName[864:878],
-	_LogEventName[878:893],
-	_LogEventName[893:911],
-	_LogEventName[911:929],
-	_LogEventName[929:942],
-	_LogEventName[942:951],
-	_LogEventName[951:965],
-	_LogEventName[965:980],
-	_LogEventName[980:997],
-	_LogEventName[997:1012],
-	_LogEventName[1012:1025],
-	_LogEventName[1025:1040],
-	_LogEventName[1040:1051],
-	_LogEventName[1051:1065],
-	_LogEventName[1065:1078],
-	_LogEventName[1078:1104],
-	_LogEventName[1104:1122],
-	_LogEventName[1122:1136],
-	_LogEventName[1136:1153],
-	_LogEventName[1153:1172],
-	_LogEventName[1172:1193],
-	_LogEventName[1193:1202],
-	_LogEventName[1202:1212],
-	_LogEventName[1212:1229],
-	_LogEventName[1229:1239],
-	_LogEventName[1239:1248],
-	_LogEventName[1248:1262],
-	_LogEventName[1262:1274],
-	_LogEventName[1274:1290],
-	_LogEventName[1290:1297],
-	_LogEventName[1297:1305],
-	_LogEventName[1305:1312],
-	_LogEventName[1312:1319],
-	_LogEventName[1319:1336],
-	_LogEventName[1336:1352],
-	_LogEventName[1352:1366],
-	_LogEventName[1366:1384],
-	_LogEventName[1384:1397],
-	_LogEventName[1397:1407],
-	_LogEventName[1407:1424],
+	_LogEventName[130:149],
+	_LogEventName[149:169],
+	_LogEventName[169:189],
+	_LogEventName[189:208],
+	_LogEventName[208:224],
+	_LogEventName[224:237],
+	_LogEventName[237:249],
+	_LogEventName[249:255],
+	_LogEventName[255:270],
+	_LogEventName[270:287],
+	_LogEventName[287:300],
+	_LogEventName[300:317],
+	_LogEventName[317:330],
+	_LogEventName[330:340],
+	_LogEventName[340:354],
+	_LogEventName[354:367],
+	_LogEventName[367:381],
+	_LogEventName[381:400],
+	_LogEventName[400:420],
+	_LogEventName[420:439],
+	_LogEventName[439:461],
+	_LogEventName[461:475],
+	_LogEventName[475:494],
+	_LogEventName[494:510],
+	_LogEventName[510:526],
+	_LogEventName[526:537],
+	_LogEventName[537:550],
+	_LogEventName[550:573],
+	_LogEventName[573:586],
+	_LogEventName[586:601],
+	_LogEventName[601:613],
+	_LogEventName[613:626],
+	_LogEventName[626:640],
+	_LogEventName[640:655],
+	_LogEventName[655:673],
+	_LogEventName[673:687],
+	_LogEventName[687:703],
+	_LogEventName[703:719],
+	_LogEventName[719:732],
+	_LogEventName[732:748],
+	_LogEventName[748:764],
+	_LogEventName[764:779],
+	_LogEventName[779:793],
+	_LogEventName[793:803],
+	_LogEventName[803:814],
+	_LogEventName[814:827],
+	_LogEventName[827:848],
+	_LogEventName[848:864],
+	_LogEventName[864:882],
+	_LogEventName[882:893],
+	_LogEventName[893:909],
+	_LogEventName[909:925],
+	_LogEventName[925:940],
+	_LogEventName[940:954],
+	_LogEventName[954:968],
+	_LogEventName[968:983],
+	_LogEventName[983:1001],
+	_LogEventName[1001:1019],
+	_LogEventName[1019:1032],
+	_LogEventName[1032:1041],
+	_LogEventName[1041:1055],
+	_LogEventName[1055:1070],
+	_LogEventName[1070:1087],
+	_LogEventName[1087:1102],
+	_LogEventName[1102:1115],
+	_LogEventName[1115:1130],
+	_LogEventName[1130:1141],
+	_LogEventName[1141:1155],
+	_LogEventName[1155:1168],
+	_LogEventName[1168:1194],
+	_LogEventName[1194:1212],
+	_LogEventName[1212:1226],
+	_LogEventName[1226:1243],
+	_LogEventName[1243:1262],
+	_LogEventName[1262:1283],
+	_LogEventName[1283:1292],
+	_LogEventName[1292:1302],
+	_LogEventName[1302:1319],
+	_LogEventName[1319:1329],
+	_LogEventName[1329:1338],
+	_LogEventName[1338:1352],
+	_LogEventName[1352:1364],
+	_LogEventName[1364:1380],
+	_LogEventName[1380:1387],
+	_LogEventName[1387:1395],
+	_LogEventName[1395:1402],
+	_LogEventName[1402:1409],
+	_LogEventName[1409:1426],
+	_LogEventName[1426:1442],
+	_LogEventName[1442:1456],
+	_LogEventName[1456:1474],
+	_LogEventName[1474:1487],
+	_LogEventName[1487:1497],
+	_LogEventName[1497:1514],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
