feat: long prompts are sent past engines whose machine is slow just now

Callers: at backend servers that share their machines with others, a stream's events pause for more than their target as a long prompt is read beside it on a machine that is slow for some hundred milliseconds. Cause: a gateway hears from each engine every ten seconds or so and weighed no pace. Change: laburnumpace decides from an engine's pace, the prompt's reading time, the usual time between two events and the routes' pause target whether a prompt would delay running streams. The balancer keeps the pace of each start of a server for 200 ms, multiplies reading and steps by it, and passes over an engine at which the prompt would delay streams, while another one can take it. Where the answer decides, the gateway asks the engine at its health path on the request's own connection; one that is slow or full gives the request back, at most two are asked, and one that shows a free slot needs no reservation. Behind shared-machines.looks; without it, or without a pace told, all is as before.

--- a/dialect.go
+++ b/dialect.go
@@ -139,6 +139,9 @@
 	// ParseReservation parses the answer to a reservation; false means that the engine has no
 	// free slot. An error means that the answer is neither a grant nor a refusal.
 	ParseReservation(status int, body []byte) (ReservationID, bool, error)
+	// LookCall builds the call to which a backend server that tells its load answers at once with it, whatever its load; path is
+	// the service's health path.
+	LookCall(path string, to BackendID) EngineCall
 	// ProbeCall builds a call that a backend server answers while it can be reached, whatever its load.
 	ProbeCall() EngineCall
 	// EventID returns the ID of a stream event, and whether it has one.
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -26,6 +26,7 @@
 	jitterMillis  = 2    // upper bound of a random term that breaks ties differently on each VM
 	permitMillis  = -1e3 // for a server that the request has a permit for, which is lost otherwise
 	avoidMillis   = 1e6  // for a server that already failed the request
+	pauseMillis   = 1e4  // for a server at which the prompt would delay running streams beyond their target
 
 	// freeShare is the share of a server's slots kept free for requests that other gateways have
 	// sent since its last answer. Requests queue on gateways rather than at engines, since an
@@ -58,6 +59,9 @@
 	Target time.Duration
 	// ReadTime is the time that the model takes to read a prompt token; 0 if unknown.
 	ReadTime time.Duration
+	// Interval is the usual time between two events of the service's streams, PauseTarget their shortest target for it; 0 if
+	// unknown. They count at servers that tell their pace.
+	Interval, PauseTarget time.Duration
 	// Queue allows the request to queue at a server whose slots are all taken.
 	Queue bool
 	// Avoid are the servers that already failed the request.
@@ -128,6 +132,8 @@
 	limited   bool
 	// trial is set for the only request that a server gets after a rest until it answers.
 	trial bool
+	// replaceable is set if other servers could have taken the request.
+	replaceable bool
 }
 
 // Limited tells whether the server is limited.
@@ -160,6 +166,8 @@
 	ReservationRefused bool
 	// Rested means that the server turned the request away and asked for rest, which is no fault of it.
 	Rested bool
+	// PassedOver means that the server was asked how it is, and was sent nothing.
+	PassedOver bool
 }
 
 // Table holds the state of the backend servers as seen by this VM.
@@ -353,7 +361,7 @@
 // countOutcome adds the result of an attempt to the next report by Outcomes.
 func (t *Table) countOutcome(s *server, result AttemptResult) {
 	switch {
-	case result.Rested:
+	case result.Rested, result.PassedOver:
 	case result.Faulty:
 		t.countFailure(s)
 	case !result.Failed && !result.Unreachable && !result.Full && !result.ReservationRefused:
@@ -443,6 +451,7 @@
 	verdict := ModelAbsent
 	var best *server
 	bestScore := math.Inf(1)
+	found := 0
 	for _, s := range t.candidates(q) {
 		if !q.fits(s) {
 			continue
@@ -451,6 +460,7 @@
 			verdict = max(verdict, v)
 			continue
 		}
+		found++
 		if score := t.score(s, q, now); score < bestScore {
 			best, bestScore = s, score
 		}
@@ -468,6 +478,7 @@
 	return &Ticket{
 		Backend: best.record.Heartbeat, server: best, query: q, unreadPromptTime: unreadPromptTime, uncached: uncached, since: now,
 		mayBeFull: best.mayBeFull(now), limited: best.limited, trial: trial,
+		replaceable: found > 1,
 	}, Found
 }
 
@@ -530,8 +541,8 @@
 
 // score estimates the cost of sending the request to the server, in milliseconds.
 func (t *Table) score(s *server, q Query, now time.Time) float64 {
-	load := s.load(now)
-	score := slotMillis*load + s.failurePenalty(now) + jitterMillis*t.rand.Float64()
+	load, pace := s.load(now), s.pace.Pace(now)
+	score := slotMillis*load*pace + s.failurePenalty(now) + jitterMillis*t.rand.Float64()
 	if over := load + 1 - float64(max(1, s.record.Heartbeat.Slots)); over > 0 {
 		score += queueMillis * over
 	}
@@ -547,7 +558,8 @@
 	if slices.Contains(q.Avoid, s.record.Heartbeat.Backend) {
 		score += avoidMillis
 	}
-	return score + s.unreadPromptTime + t.readMillis(s, q)
+	read := t.readMillis(s, q)
+	return score + s.unreadPromptTime*pace + read*pace + s.pausePenalty(q.promptOf(read), now)
 }
 
 // readMillis estimates the time that the server takes to read the uncached part of the prompt.
@@ -590,6 +602,9 @@
 	ticket.promptRead()
 	ticket.server = nil
 	s.own--
+	if result.PassedOver {
+		t.prefixes.forget(ticket.Backend, ticket.query, ticket.uncached)
+	}
 	if ticket.trial {
 		s.trialing = false
 	}
--- a/laburnumbalance/prefixes.go
+++ b/laburnumbalance/prefixes.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// forget takes back add for a prompt that was not sent: its last parts, with so many tokens, were not cached before.
+func (p *prefixes) forget(to laburnumlever.Heartbeat, q Query, uncached int) {
+	for i := len(q.Prompt) - 1; i >= 0 && uncached > 0; i-- {
+		key := q.cacheKey(to, q.Prompt[i])
+		delete(p.young, key)
+		delete(p.old, key)
+		uncached -= q.Prompt[i].Tokens
+	}
+}
+
 // uncachedTokens returns the number of tokens after the cached prefix of the prompt.
 func (p *prefixes) uncachedTokens(to laburnumlever.Heartbeat, q Query) int {
 	tokens := 0
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumpace"
 	"laburnumlever/laburnumregistry"
 )
 
@@ -78,6 +79,8 @@
 	// until it answers, trialing while the request runs that it gets meanwhile.
 	restUntil            time.Time
 	recovering, trialing bool
+	// pace is what this start of the server has told.
+	pace laburnumpace.Told
 	// absent are the models and adapters that the server has answered to be absent, loaded those that
 	// ModelLoaded has reported. Until its time, an entry overrides the heartbeat, which may be older.
 	absent map[heldModel]time.Time
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -34,7 +34,7 @@
 	wait := g.links.begin(q, out, ticket.Backend, conn)
 	defer g.links.end(wait)
 	stop := conn.AbortOnDone(ctx)
-	if fail, resp := g.reserve(ctx, q, ticket, conn, &result); fail != nil { //nolint:bodyclose // its body has been read
+	if fail, resp := g.prepare(ctx, q, ticket, conn, &result); fail != nil { //nolint:bodyclose // its body has been read
 		if stop() && resp != nil {
 			g.pool.Put(conn, resp)
 		} else {
@@ -61,6 +61,14 @@
 	return fail
 }
 
+// prepare finds out whether the backend server has room for the request, before it is sent. It returns what reserve does.
+func (g *Gateway) prepare(ctx context.Context, q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn, result *laburnumbalance.AttemptResult) (*failure, *http.Response) {
+	if fail, resp := g.look(ctx, q, ticket, conn, result); fail != nil {
+		return fail, resp
+	}
+	return g.reserve(ctx, q, ticket, conn, result)
+}
+
 // connect returns a connection to the ticket's backend server, if it may still be sent something.
 func (g *Gateway) connect(ctx context.Context, q *request, ticket *laburnumbalance.Ticket, result *laburnumbalance.AttemptResult) (*laburnumupstream.Conn, *failure) {
 	conn, err := g.pool.Get(ctx, ticket.Backend.Address, g.connectionLimit(q))
@@ -129,6 +137,7 @@
 	}
 	g.links.heard(wait, conn)
 	headers := g.dialect.Answer(resp.StatusCode, resp.Header)
+	q.pace = headers.Pace
 	result.Rested = headers.Rest > 0
 	g.observeAnswer(ticket, conn, now, resp.StatusCode, headers)
 	if fail := g.checkAnswer(q, ticket, resp, headers, result); fail != nil {
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -43,6 +43,7 @@
 	refusals     map[laburnumlever.RefusalReason]tally.Counter
 	retries      map[laburnumlever.RetryReason]tally.Counter
 	reservations map[reserveOutcome]tally.Counter
+	looks        map[lookOutcome]tally.Counter
 	slots        map[slotOutcome]tally.Counter
 	// leaseProbes and leaseWaits count calls for leases of brittle servers that don't wait for one, and those that do.
 	leaseProbes, leaseWaits map[slotOutcome]tally.Counter
@@ -77,7 +78,7 @@
 	c := &counters{
 		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), linksLost: scope.Counter("links_lost"), detours: scope.Counter("detours"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
-		reservations: map[reserveOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
+		reservations: map[reserveOutcome]tally.Counter{}, looks: map[lookOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
 		leaseProbes: map[slotOutcome]tally.Counter{}, leaseWaits: map[slotOutcome]tally.Counter{},
 		latencies:     map[laburnumlever.ServiceName]*latencies{},
 		attemptsEnded: map[attemptEnd]tally.Counter{}, answersCut: map[attemptEnd]tally.Counter{},
@@ -96,6 +97,9 @@
 	for _, outcome := range reserveOutcomeValues() {
 		c.reservations[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("reservations")
 	}
+	for _, outcome := range lookOutcomeValues() {
+		c.looks[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("looks")
+	}
 	for _, outcome := range slotOutcomeValues() {
 		c.slots[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("limit_slots")
 		c.leaseProbes[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String(), "waits": "false"}).Counter("lease_calls")
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -12,6 +12,7 @@
 	"laburnumlever/laburnumdemand"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumlimit"
+	"laburnumlever/laburnumpace"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumroutes"
@@ -69,8 +70,8 @@
 	keepers        LimitKeepers
 	streams        *streams
 	sharedMachines laburnumlever.SharedMachines
-	// paced are the services of which a backend server has told its pace.
-	paced map[laburnumlever.ServiceName]struct{}
+	// paces are the services of which a backend server has told its pace.
+	paces map[laburnumlever.ServiceName]*laburnumpace.Service
 	// unclearLoads are the backend servers of which an unreadable load was logged.
 	unclearLoads map[laburnumlever.BackendID]struct{}
 	// queueWoken is closed when queued requests must check whether they can still be served.
@@ -100,7 +101,7 @@
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), partAnswers: laburnumquarantine.NewPartAnswers(), reporter: silentReporter{},
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
-		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paced: map[laburnumlever.ServiceName]struct{}{},
+		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paces: map[laburnumlever.ServiceName]*laburnumpace.Service{},
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -218,6 +219,7 @@
 		status.Services = f.registry.Summary(x.Table().Services)
 		for i, s := range status.Services {
 			status.Services[i].Resting = f.balance.Resting(s.Service, f.timers.Now())
+			status.Services[i].Slow = f.balance.SlowServers(s.Service, f.timers.Now())
 		}
 		status.Keys = f.keys.status(x)
 	}
@@ -272,9 +274,7 @@
 	defer f.mu.Unlock()
 	id := to.Backend
 	f.noteLoadError(id, headers.LoadError)
-	if headers.Pace > 0 {
-		f.paced[to.Service] = struct{}{}
-	}
+	f.notePace(to, headers)
 	if !headers.HasLoad {
 		return
 	}
@@ -284,7 +284,7 @@
 
 // sharesMachines reports whether backend servers of a service have told their pace. The caller must hold mu.
 func (f *Fleet) sharesMachines(service laburnumlever.ServiceName) bool {
-	_, ok := f.paced[service]
+	_, ok := f.paces[service]
 	return ok
 }
 
@@ -364,6 +364,7 @@
 	query := q.query()
 	query.ReadTime = f.readTimes.Of(q.caller.Model)
 	query.ExceptSoftware = f.settlingVersions(q)
+	f.addPace(&query)
 	return query
 }
 
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -33,10 +33,13 @@
 	// refused is the refusal of a request that may not be sent any more; nil for none.
 	refused error
 	// slotRefused is set if the engine refused the reservation because it had no free slot, unsent if the backend server must
-	// not be sent anything any more.
-	slotRefused, unsent bool
+	// not be sent anything any more, passedOver if another one should be picked since this one is slow.
+	slotRefused, unsent, passedOver bool
 }
 
+// picksAgain reports whether the attempt ended before anything was sent, by what the backend server or the fleet says of it.
+func (fail *failure) picksAgain() bool { return fail.slotRefused || fail.unsent || fail.passedOver }
+
 // run makes attempts until the request is answered or refused. The error is a
 // *laburnumlever.RefusalError or a *CallerGoneError.
 func (g *Gateway) run(ctx context.Context, q *request, out *answer) error {
@@ -63,9 +66,11 @@
 		if fail.refused != nil {
 			return fail.refused
 		}
-		if fail.slotRefused || fail.unsent {
+		if fail.picksAgain() {
 			q.tries-- // the request was not sent
-			g.fleet.scheduleQueueRetry()
+			if !fail.passedOver {
+				g.fleet.scheduleQueueRetry()
+			}
 			continue
 		}
 		g.logFailedAttempt(q, ticket, fail)
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -153,6 +153,7 @@
 	g.fleet.recordAnswered(q)
 	g.counters.served.Inc(1)
 	g.counters.recordAnswer(q, out)
+	g.fleet.recordStream(q, out)
 	g.logServed(q, out)
 }
 
@@ -162,7 +163,7 @@
 		first: out.firstAt.Sub(q.arrived), pause: out.pause, sent: q.sent,
 	}
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
-		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sent, "taken", q.refusedReservations,
+		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sent, "taken", q.refusedReservations, "looks", q.looks, "pace", q.pace,
 		"via", q.via, "late", t.lateness(), "waited-ms", millis(q.waited), "first-ms", millis(t.first), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
 		"routes-version", q.routesVersion, "software", q.software, "resumes", q.caller.Resumes)
--- a/laburnumgateway/limits.go
+++ b/laburnumgateway/limits.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// slotTimeout bounds the requests for a slot at a limited backend server, as reserveTimeout does.
+	// slotTimeout bounds the requests for a slot at a limited backend server, as askTimeout does.
 	slotTimeout = 300 * time.Millisecond
 	// maxSlotRequests is the number of limited backend servers that a slot is requested at.
 	maxSlotRequests = 2
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -77,6 +77,9 @@
 	// rank is the priority by account and route.
 	rank                int
 	refusedReservations int
+	// looks counts the backend servers that were asked for their load, pace is that of the one that answered; 0 for none.
+	looks int
+	pace  float64
 	// permit allows the attempt to use a limited backend server. slotRequested is set once a slot there
 	// was requested for the attempt, probes if it was requested although another server is free.
 	permit        laburnumbalance.Permit
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -19,9 +19,9 @@
 	// reservationTTL is the lifetime of a reservation. It can be short: the request follows at
 	// once on the same connection.
 	reservationTTL = 100 * time.Millisecond
-	// reserveTimeout is twice the longest round trip between zones.
-	reserveTimeout   = 300 * time.Millisecond
-	maxReserveAnswer = 4 << 10 // bytes of the answer to a reservation
+	// askTimeout is twice the longest round trip between zones.
+	askTimeout   = 300 * time.Millisecond
+	maxAskAnswer = 4 << 10 // bytes of the answer to a call before the request
 )
 
 // reserve reserves a slot at the engine before the request is sent, if the known load of the engine
@@ -73,29 +73,36 @@
 
 // sendReservation asks the engine for a reservation and reads the complete answer.
 func (g *Gateway) sendReservation(q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn) (*http.Response, []byte, error) {
-	now := g.timers.Now()
-	if err := conn.SetDeadline(now.Add(min(reserveTimeout, q.remaining(now)))); err != nil {
-		return nil, nil, err
-	}
 	call := g.dialect.ReservationCall(laburnumlever.Reservation{
 		Backend: ticket.Backend.Backend, Tokens: q.caller.PromptTokens + laburnumdemand.AnswerTokens(q.caller),
 		TTL: min(reservationTTL, time.Duration(q.service.Engine.ReserveLimit)),
 	})
+	resp, _, body, err := g.askFirst(q, ticket, conn, call)
+	return resp, body, err
+}
+
+// askFirst makes a call on the connection of a request before the request is sent, and reads the complete answer.
+func (g *Gateway) askFirst(q *request, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn, call laburnumlever.EngineCall) (*http.Response, laburnumlever.AnswerHeaders, []byte, error) {
+	now := g.timers.Now()
+	if err := conn.SetDeadline(now.Add(min(askTimeout, q.remaining(now)))); err != nil {
+		return nil, laburnumlever.AnswerHeaders{}, nil, err
+	}
 	resp, err := conn.Exchange(laburnumupstream.Request{
 		Method: call.Method, URI: call.URI, Host: q.host, Header: call.Header, Body: call.Body,
 	})
 	if err != nil {
-		return nil, nil, err
+		return nil, laburnumlever.AnswerHeaders{}, nil, err
 	}
-	if headers := g.dialect.Answer(resp.StatusCode, resp.Header); headers.HasLimit || headers.LimitError != nil || headers.Rest > 0 || headers.Leaving {
+	headers := g.dialect.Answer(resp.StatusCode, resp.Header)
+	if headers.HasLimit || headers.LimitError != nil || headers.Rest > 0 || headers.Leaving {
 		g.observeAnswer(ticket, conn, now, resp.StatusCode, headers)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReserveAnswer+1))
-	if err == nil && len(body) > maxReserveAnswer {
-		err = &AnswerTooLongError{Limit: maxReserveAnswer} // the rest would be taken for the answer to the request
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAskAnswer+1))
+	if err == nil && len(body) > maxAskAnswer {
+		err = &AnswerTooLongError{Limit: maxAskAnswer} // the rest would be taken for the answer to the request
 	}
 	if err != nil || resp.Close {
-		return nil, nil, &BrokenAnswerError{Cause: err}
+		return nil, headers, nil, &BrokenAnswerError{Cause: err}
 	}
-	return resp, body, nil
+	return resp, headers, body, nil
 }
--- a/laburnumroutes/index.go
+++ b/laburnumroutes/index.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"laburnumlever"
 )
@@ -15,6 +16,8 @@
 	byHost map[string]map[string]*laburnumlever.Route
 	// topPriority is the priority of each service's most urgent route; 0 is the most urgent.
 	topPriority map[laburnumlever.ServiceName]int
+	// pauseTargets are the shortest pause targets of each service's routes.
+	pauseTargets map[laburnumlever.ServiceName]laburnumlever.Duration
 	// accounts are the client accounts by the hashes of their keys, topAccount the priority of the most urgent
 	// one.
 	accounts   map[laburnumlever.KeyHash]*laburnumlever.Account
@@ -27,7 +30,10 @@
 
 // NewIndex indexes a table that Check has accepted.
 func NewIndex(table laburnumlever.RouteTable) *Index {
-	x := &Index{table: table, byHost: map[string]map[string]*laburnumlever.Route{}, topPriority: map[laburnumlever.ServiceName]int{}}
+	x := &Index{
+		table: table, byHost: map[string]map[string]*laburnumlever.Route{}, topPriority: map[laburnumlever.ServiceName]int{},
+		pauseTargets: map[laburnumlever.ServiceName]laburnumlever.Duration{},
+	}
 	for i := range table.Routes {
 		r := &table.Routes[i]
 		host := normalHost(r.Host)
@@ -36,6 +42,7 @@
 		}
 		x.byHost[host][r.PathPrefix] = r
 		x.recordPriority(r)
+		x.recordPauseTarget(r)
 		x.ranks = max(x.ranks, r.Priority+1)
 		x.hasPublic = x.hasPublic || r.Public
 	}
@@ -89,6 +96,22 @@
 	}
 }
 
+func (x *Index) recordPauseTarget(r *laburnumlever.Route) {
+	if r.PauseTarget <= 0 {
+		return
+	}
+	for _, share := range r.Split {
+		if shortest, ok := x.pauseTargets[share.Service]; !ok || r.PauseTarget < shortest {
+			x.pauseTargets[share.Service] = r.PauseTarget
+		}
+	}
+}
+
+// PauseTarget returns the shortest target for the pause between two events of the service's streams; 0 for none.
+func (x *Index) PauseTarget(service laburnumlever.ServiceName) time.Duration {
+	return time.Duration(x.pauseTargets[service])
+}
+
 // MostUrgent tells whether no route to the service has a more urgent priority than the given one.
 func (x *Index) MostUrgent(service laburnumlever.ServiceName, priority int) bool {
 	top, ok := x.topPriority[service]
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -86,6 +86,8 @@
 	Leaving int `json:"leaving"`
 	// Resting counts the serving backend servers that have asked a gateway for rest; gateways set it.
 	Resting int `json:"resting,omitempty"`
+	// Slow counts the serving backend servers that told a gateway just now that work takes longer there than usual; gateways set it.
+	Slow int `json:"slow,omitempty"`
 	// Software counts the serving backend servers by software version, without those whose version is unknown.
 	Software map[SoftwareVersion]int `json:"software,omitempty"`
 	// Models counts the models in the catalogue, Absent those of them that no serving
