perf: engines are asked before long prompts from a gateway's first requests

Callers: in the first three seconds of a gateway's traffic, long prompts still went to slow machines unasked. Cause: by the gateways' lines, 65 of 94 prompts of more than 500 tokens sent unasked to slow machines in ten seconds were sent in the first three: a gateway asks only if the prompt would delay streams at the slowest pace that it remembers, and had heard of no slow machine yet; and the usual time between two events was known only after four whole streams. The interval is taken from the first four events of each stream. A pace that can't be meant is bounded, so that the engine's score stays a number. The penalty for delaying streams is below that of a recent failure: before, an engine that had just failed was preferred to a slow one.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -26,7 +26,7 @@
 	jitterMillis  = 2    // upper bound of a random term that breaks ties differently on each VM
 	permitMillis  = -1e3 // for a server that the request has a permit for, which is lost otherwise
 	avoidMillis   = 1e6  // for a server that already failed the request
-	pauseMillis   = 1e4  // for a server at which the prompt would delay running streams beyond their target
+	pauseMillis   = 200  // for a server at which the prompt would delay running streams too long: less than a failure
 
 	// freeShare is the share of a server's slots kept free for requests that other gateways have
 	// sent since its last answer. Requests queue on gateways rather than at engines, since an
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -214,6 +214,7 @@
 			return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: err}}
 		}
 		out.recordPart(g.timers.Now())
+		g.fleet.recordInterval(q, out)
 		if events.buffered() {
 			continue
 		}
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -153,7 +153,6 @@
 	g.fleet.recordAnswered(q)
 	g.counters.served.Inc(1)
 	g.counters.recordAnswer(q, out)
-	g.fleet.recordStream(q, out)
 	g.logServed(q, out)
 }
 
--- a/laburnumgateway/look.go
+++ b/laburnumgateway/look.go
@@ -151,14 +151,15 @@
 	query.Interval, query.PauseTarget = service.Interval(), index.PauseTarget(query.Service)
 }
 
-// recordStream records how long a stream took that was passed on whole, at a service whose backend servers tell their pace.
-func (f *Fleet) recordStream(q *request, out *answer) {
-	if q.route.Kind != laburnumlever.KindStream || !f.sharedMachines.Looks {
+// recordInterval records the time between the first events of a stream, once there are enough of them, at a service whose backend
+// servers tell their pace.
+func (f *Fleet) recordInterval(q *request, out *answer) {
+	if out.events != laburnumpace.Gaps+1 || !f.sharedMachines.Looks {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if service := f.paces[q.service.Name]; service != nil {
-		service.StreamEnded(out.lastAt.Sub(out.firstAt), out.events)
+		service.StreamBegun(out.lastAt.Sub(out.firstAt))
 	}
 }
--- a/laburnumpace/doc.go
+++ b/laburnumpace/doc.go
@@ -11,8 +11,8 @@
 //     taken for the usual one.
 //   - A Prompt says by how much it would delay an event beyond the targets of its service's streams. Of two servers the one with the
 //     smaller overrun is better.
-//   - A Service learns the usual time between two events from streams that were forwarded, and remembers the slowest pace of the
-//     last minutes: only prompts that overrun at that pace are worth a question.
+//   - A Service learns the usual time between two events from streams that are forwarded, and remembers the slowest pace of the
+//     last minutes: only prompts that overrun at that pace are worth a question. Until enough paces were told, all are.
 //
 // # Usage
 //
--- a/laburnumpace/prompt.go
+++ b/laburnumpace/prompt.go
@@ -16,12 +16,14 @@
 	Target time.Duration
 }
 
-// Pauses reports whether reading the prompt would delay an event of running streams beyond their target, at a pace.
+// Pauses reports whether reading the prompt would delay an event of running streams beyond their target, at a pace, which may be
+// infinite.
 func (p Prompt) Pauses(pace float64) bool { return p.overrun(pace) > 0 }
 
-func (p Prompt) overrun(pace float64) time.Duration {
+// overrun returns the delay beyond the target in ns.
+func (p Prompt) overrun(pace float64) float64 {
 	if p.Target <= 0 || p.Reading <= 0 {
 		return 0
 	}
-	return max(0, time.Duration(pace*float64(p.Interval+p.Reading))-time.Duration(targetShare*float64(p.Target)))
+	return max(0, pace*float64(p.Interval+p.Reading)-targetShare*float64(p.Target))
 }
--- a/laburnumpace/service.go
+++ b/laburnumpace/service.go
@@ -1,6 +1,7 @@
 package laburnumpace
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -8,18 +9,22 @@
 const (
 	// slowestTime is the time after which the slowest pace may be forgotten; it is kept for twice that.
 	slowestTime = time.Minute
-	// maxIntervals is the number of latest streams that the usual interval is taken from, minIntervals the least.
+	// minPaces is the number of paces from which the slowest of them is taken for that of the service: with fewer it may well
+	// not be among them.
+	minPaces = 32
+	// maxIntervals is the number of latest streams that the usual interval is taken from.
 	maxIntervals = 32
-	minIntervals = 4
-	// minGaps is the least number of gaps of a stream that tells its interval.
-	minGaps = 3
 )
 
+// Gaps is the number of gaps between a stream's first events that tell its interval.
+const Gaps = 3
+
 // Service is what is known of all servers of a service that tell their pace. The zero value knows nothing.
 type Service struct {
 	// slowest is the slowest pace told since began, before that of the time before it.
 	slowest, before float64
 	began           time.Time
+	paces           int // told so far, up to minPaces
 	// intervals is a ring of the mean times between two events of the latest streams; usual is their median.
 	intervals []time.Duration
 	next      int
@@ -32,18 +37,20 @@
 		s.before, s.slowest, s.began = s.slowest, 0, now
 	}
 	s.slowest = max(s.slowest, pace)
+	s.paces = min(s.paces+1, minPaces)
 }
 
-// Slowest returns the slowest pace of the last minutes.
-func (s *Service) Slowest() float64 { return max(s.slowest, s.before) }
-
-// StreamEnded notes the time from the first event of a stream to the last one of so many.
-func (s *Service) StreamEnded(took time.Duration, events int) {
-	gaps := events - 1
-	if gaps < minGaps {
-		return
+// Slowest returns the slowest pace of the last minutes. It is infinite until enough paces were told.
+func (s *Service) Slowest() float64 {
+	if s.paces < minPaces {
+		return math.Inf(1)
 	}
-	interval := took / time.Duration(gaps)
+	return max(s.slowest, s.before)
+}
+
+// StreamBegun notes the time that the first Gaps gaps between a stream's events took.
+func (s *Service) StreamBegun(took time.Duration) {
+	interval := took / Gaps
 	if len(s.intervals) < maxIntervals {
 		s.intervals = append(s.intervals, interval)
 	} else {
@@ -56,9 +63,4 @@
 }
 
 // Interval returns the usual time between two events of a stream; 0 if it is unknown.
-func (s *Service) Interval() time.Duration {
-	if len(s.intervals) < minIntervals {
-		return 0
-	}
-	return s.usual
-}
+func (s *Service) Interval() time.Duration { return s.usual }
--- a/laburnumpace/told.go
+++ b/laburnumpace/told.go
@@ -7,6 +7,8 @@
 	FreshTime = 200 * time.Millisecond
 	// slowPace is the multiple of the usual time from which a server is reported as slow.
 	slowPace = 1.5
+	// maxPace is the slowest pace that is told apart from slower ones, which can't be meant.
+	maxPace = 1000
 )
 
 // Told is the pace that one start of a server told last, and the load beside it. The zero value is that of a server that told none.
@@ -19,7 +21,7 @@
 
 // With returns what a server tells now: how long work takes there, as a multiple of the usual time, and how many requests run.
 func (Told) With(pace float64, running int, now time.Time) Told {
-	return Told{pace: pace, running: running, at: now}
+	return Told{pace: min(pace, maxPace), running: running, at: now}
 }
 
 // Fresh reports whether the pace still counts.
@@ -42,5 +44,5 @@
 	if t.running == 0 || !t.Fresh(now) {
 		return 0
 	}
-	return p.overrun(t.pace)
+	return time.Duration(p.overrun(t.pace))
 }
