--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -102,7 +102,7 @@
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), partAnswers: laburnumquarantine.NewPartAnswers(), reporter: silentReporter{},
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
-		remembered: newRemembered(timers.Now(), period),
+		remembered:   newRemembered(timers.Now(), period),
 		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paces: map[laburnumlever.ServiceName]*laburnumpace.Service{},
 	}
 	for _, opt := range opts {
