fix: a leader is elected soon after a restart of all VMs

Cause: a start that is confirmed waited out the election timeout of a follower whose leader is silent, though nobody knew a leader. Change: a replica whose start is confirmed and that knows no leader asks for a pre-vote after 1 to 10 ticks. Where a leader works, its followers reject that, as before.

--- a/laburnumlog/regression_test.go
+++ b/laburnumlog/regression_test.go
@@ -260,3 +260,23 @@
 	require.Equal(t, laburnumlog.Leader, b.log.Role())
 	require.NotEqual(t, laburnumlog.Leader, a.log.Role())
 }
+
+// Guards against a full election timeout without a leader after a restart of all VMs, when there is none to wait for.
+func TestLeaderIsElectedSoonAfterARestartOfAllVMs(t *testing.T) {
+	f := newFleet(5, 2)
+	f.settle(t)
+	const restarts = 20
+	soon := 0
+	for range restarts {
+		f.restartAll()
+		for range secondTicks {
+			if f.tick(); f.leader() >= 0 {
+				soon++
+				break
+			}
+		}
+		f.runTicks(recoverTicks)
+		require.Empty(t, f.problem)
+	}
+	require.Greater(t, soon, restarts*9/10, "elected within a second")
+}
--- a/laburnumlog/starts.go
+++ b/laburnumlog/starts.go
@@ -240,7 +240,9 @@
 		return
 	}
 	l.start.confirmed = true
-	if l.elapsed >= l.timeout { // spread, as the others waited as long
+	if l.leader == "" {
+		// A leader that works is heard before its followers would grant a pre-vote; after a restart of all VMs there is none to
+		// wait for.
 		l.timeout = l.elapsed + 1 + int(l.random%electionTicks)
 	}
 }
