fix: a prompt that is too long for any machine is no reason to pass an engine over

Callers: the longest prompts were sent to an engine that nobody had asked, after two at the usual pace had been passed over for them. Cause: a prompt that would delay streams at the usual pace counted as one that a slow machine delays. Change: only what the pace adds to the delay counts.

--- a/laburnumpace/pace_test.go
+++ b/laburnumpace/pace_test.go
@@ -25,6 +25,7 @@
 		{"short prompt, slow machine", 2.5, 3, 10 * time.Millisecond, 0, 0},
 		{"long prompt, usual machine", 1, 3, long, 0, 0},
 		{"long prompt, slow machine", 2.5, 3, long, 0, 75 * time.Millisecond},
+		{"prompt that is too long anywhere", 1, 3, time.Second, 0, 0},
 		{"slow a while ago", 2.5, 3, long, laburnumpace.FreshTime + 1, 0},
 		{"no stream runs", 2.5, 0, long, 0, 0},
 		{"all is cached", 9, 3, 0, 0, 0},
--- a/laburnumpace/prompt.go
+++ b/laburnumpace/prompt.go
@@ -16,14 +16,15 @@
 	Target time.Duration
 }
 
-// Pauses reports whether reading the prompt would delay an event of running streams beyond their target, at a pace, which may be
-// infinite.
+// Pauses reports whether a pace, which may be infinite, makes reading the prompt delay an event of running streams beyond their
+// target, or further beyond it.
 func (p Prompt) Pauses(pace float64) bool { return p.overrun(pace) > 0 }
 
-// overrun returns the delay beyond the target in ns.
+// overrun returns by how much a pace delays an event beyond the target, more than the usual pace would, in ns.
 func (p Prompt) overrun(pace float64) float64 {
 	if p.Target <= 0 || p.Reading <= 0 {
 		return 0
 	}
-	return max(0, pace*float64(p.Interval+p.Reading)-targetShare*float64(p.Target))
+	usual := float64(p.Interval + p.Reading)
+	return max(0, pace*usual-max(usual, targetShare*float64(p.Target)))
 }
--- a/laburnumpace/told.go
+++ b/laburnumpace/told.go
@@ -38,8 +38,8 @@
 // Slow reports whether the server is known to be slow.
 func (t Told) Slow(now time.Time) bool { return t.Pace(now) >= slowPace }
 
-// Overrun returns by how much the prompt would delay an event of the streams that run at the server beyond their target; 0 if it
-// would not, or if it isn't known to.
+// Overrun returns by how much the server's pace would have the prompt delay an event of the streams that run there beyond their
+// target; 0 if it would not, or if it isn't known to. What a prompt delays at any server is no reason to pass one over.
 func (t Told) Overrun(p Prompt, now time.Time) time.Duration {
 	if t.running == 0 || !t.Fresh(now) {
 		return 0
