feat: the director decides how much room less urgent requests leave

Callers: bursts of requests that can wait for seconds hold the slots of engines that urgent requests need. Each gateway orders its own queue only; a free slot goes to the gateway that asks first.

Change: gateways report what the requests of each rank asked for and got (room in their reports, left out when empty; builds without it ignore it). The control VM with the placement lease sums the reports of the last two seconds and publishes for each service the share of slots that each rank leaves free, and the client accounts that ask for far more than their usual. The share rises while more urgent requests get no slot in time, falls otherwise, and ends after three seconds without a renewal. Levels are ordered by fencing number and sequence. Nothing is decided unless shared-machines.by-urgency is set; gateways don't act on levels yet.

Evidence: laburnumroom's tests (urgent requests short: half of the slots kept free within a second; calm: none within four).

--- a/backend.go
+++ b/backend.go
@@ -230,6 +230,8 @@
 	Leaving []BackendStart `json:"leaving,omitempty"`
 	// Outcomes count answers of the backend servers that failed requests since the last report.
 	Outcomes []BackendOutcome `json:"outcomes,omitempty"`
+	// Room is included twice per second, where slots are given by urgency.
+	Room RoomReport `json:"room,omitzero"`
 }
 
 // BackendStart identifies one start of a backend server.
@@ -249,5 +251,5 @@
 
 // IsZero reports whether the report is empty.
 func (r GatewayReport) IsZero() bool {
-	return len(r.Demand)+len(r.Adapters)+len(r.Unreachable)+len(r.Replaced)+len(r.Leaving)+len(r.Outcomes) == 0
+	return len(r.Demand)+len(r.Adapters)+len(r.Unreachable)+len(r.Replaced)+len(r.Leaving)+len(r.Outcomes) == 0 && r.Room.IsZero()
 }
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -9,6 +9,7 @@
 	"laburnumlever/laburnumoutlier"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumresidency"
+	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log"
@@ -47,6 +48,7 @@
 	onOverlay     func(laburnumregistry.Overlay)
 	onLeaseChange func(directs bool)
 	onReplaced    func(laburnumlever.BackendID)
+	onRoom        func(laburnumroom.Level)
 
 	// The following fields are used by the control thread only.
 	lease lease
@@ -58,6 +60,7 @@
 	stateRequests   int // state requests in flight
 	demand          *estimator
 	outliers        *laburnumoutlier.Detector
+	room            *laburnumroom.Keeper
 	storeBuckets    map[laburnumlever.ServiceName]*bucket
 	adapterRequests []*adapterRequest
 	startedAt       time.Time
@@ -86,7 +89,7 @@
 		onOverlay: func(laburnumregistry.Overlay) {}, onLeaseChange: func(bool) {}, onReplaced: func(laburnumlever.BackendID) {},
 		engineClasses: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:       map[laburnumlever.BackendID]laburnumregistry.Record{},
-		engines:       newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), outliers: laburnumoutlier.New(), startedAt: timers.Now(),
+		engines:       newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), outliers: laburnumoutlier.New(), room: laburnumroom.NewKeeper(), startedAt: timers.Now(),
 		storeBuckets: map[laburnumlever.ServiceName]*bucket{},
 		layoutLogged: map[laburnumlever.ServiceName]time.Time{},
 		planning:     map[laburnumlever.ServiceName]bool{},
@@ -172,6 +175,7 @@
 
 func (d *Director) onTick(now time.Time) {
 	d.maintainLease()
+	d.decideRoom(now)
 	if !d.lease.valid(d.clock()) {
 		return
 	}
@@ -198,6 +202,7 @@
 		d.recordAdapterUse(adapterKey{model: use.Model, adapter: use.Adapter}, now.Add(-time.Duration(use.Idle)))
 	}
 	d.onOutcomes(ev.report.Outcomes, now)
+	d.onRoomReport(ev.vm, ev.report.Room, now)
 	for _, id := range ev.report.Unreachable {
 		if e := d.engines.get(id); e != nil {
 			e.unreachableAt = now
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -102,6 +102,7 @@
 	d.rebuildEngines()
 	d.demand.expectReports(d.timers.Now())
 	d.outliers = laburnumoutlier.New()
+	d.room.Begin(d.lease.fence)
 	d.onLeaseChange(true)
 	_ = level.Info(d.cfg.logger).Log("event", laburnumlever.EventLeaseAcquired, "fence", d.lease.fence, "wait", d.lease.validFrom-d.clock())
 }
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -8,6 +8,7 @@
 	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumroom"
 )
 
 // JSON-RPC methods between VMs.
@@ -40,6 +41,8 @@
 	Limits     []laburnumlimit.Limit      `json:"limits,omitempty"`
 	// Brittle are the brittle backend servers.
 	Brittle []laburnumconcurrency.Limit `json:"brittle,omitempty"`
+	// Room holds the levels of services; only the director has any.
+	Room []laburnumroom.Level `json:"room,omitempty"`
 }
 
 // encodedAnswer is an Answer whose items are already encoded.
@@ -51,6 +54,7 @@
 	Quarantine []json.RawMessage `json:"quarantine,omitempty"`
 	Limits     []json.RawMessage `json:"limits,omitempty"`
 	Brittle    []json.RawMessage `json:"brittle,omitempty"`
+	Room       []json.RawMessage `json:"room,omitempty"`
 }
 
 // compressThreshold is the size in bytes above which an answer is compressed. Batches of changes are
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -11,6 +11,7 @@
 	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log"
@@ -54,7 +55,9 @@
 	limits *itemLog
 	// brittle holds the brittle backend servers whose places this VM leases.
 	brittle *itemLog
-	routes  *laburnumlever.RouteTable
+	// room holds the levels of services while this VM is the director.
+	room   *itemLog
+	routes *laburnumlever.RouteTable
 	// encodedRoutes is the route table as sent to other VMs; nil until it is first fetched.
 	encodedRoutes laburnumlever.RawMessage
 	director      laburnumlever.VMID
@@ -91,7 +94,7 @@
 func NewSource(peers laburnumlever.Peers, timers laburnumlever.Timers, self laburnumlever.VM, opts ...SourceOption) *Source {
 	s := &Source{
 		timers: timers, logger: log.NewNopLogger(), self: self, boot: self.Incarnation, changed: make(chan struct{}),
-		records: newItemLog(), overlays: newItemLog(), quarantine: newItemLog(), limits: newItemLog(), brittle: newItemLog(), pollers: newPollers(),
+		records: newItemLog(), overlays: newItemLog(), quarantine: newItemLog(), limits: newItemLog(), brittle: newItemLog(), room: newItemLog(), pollers: newPollers(),
 		onGatewayReport: func(laburnumlever.VMID, laburnumlever.GatewayReport) {}, complete: func() bool { return false },
 		cursor: 1, published: 1, controlsCursor: 1, metaCursor: 1, answers: map[answerKey]laburnumlever.RawMessage{},
 	}
@@ -132,6 +135,18 @@
 	s.put(s.brittle, string(l.Backend), l)
 }
 
+// SetRoom publishes the level of a service. Only the director does so.
+func (s *Source) SetRoom(l laburnumroom.Level) {
+	s.put(s.room, string(l.Service), l)
+}
+
+// ClearRoom drops all levels, for use when another VM becomes the director. Gateways drop them when they are not renewed.
+func (s *Source) ClearRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.room.clear()
+}
+
 // ForgetBrittle drops what was published of a backend server without publishing a change.
 func (s *Source) ForgetBrittle(id laburnumlever.BackendID) {
 	s.mu.Lock()
@@ -365,7 +380,7 @@
 	since := s.since(q)
 	latest := max(s.controlsCursor, s.metaCursor)
 	found := (latest > since && latest <= s.published) || s.overlays.hasNewer(since, s.published) || s.limits.hasNewer(since, s.published) ||
-		s.brittle.hasNewer(since, s.published) ||
+		s.brittle.hasNewer(since, s.published) || s.room.hasNewer(since, s.published) ||
 		(q.Records && (s.records.hasNewer(since, s.published) || s.quarantine.hasNewer(since, s.published)))
 	return found, s.changed
 }
@@ -381,7 +396,7 @@
 
 // pageEnd returns the last cursor of an answer.
 func (s *Source) pageEnd(since uint64, records bool) uint64 {
-	end := min(s.overlays.pageEnd(since, s.published), s.limits.pageEnd(since, s.published), s.brittle.pageEnd(since, s.published))
+	end := min(s.overlays.pageEnd(since, s.published), s.limits.pageEnd(since, s.published), s.brittle.pageEnd(since, s.published), s.room.pageEnd(since, s.published))
 	if records {
 		end = min(end, s.records.pageEnd(since, s.published), s.quarantine.pageEnd(since, s.published))
 	}
@@ -419,6 +434,7 @@
 		Overlays: s.overlays.itemsIn(key.since, end),
 		Limits:   s.limits.itemsIn(key.since, end),
 		Brittle:  s.brittle.itemsIn(key.since, end),
+		Room:     s.room.itemsIn(key.since, end),
 	}
 	if s.routes != nil {
 		a.RoutesVersion = s.routes.Version
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -16,6 +16,7 @@
 	"laburnumlever/laburnumlog"
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumvoter"
@@ -83,6 +84,8 @@
 
 	mu       sync.Mutex
 	registry *laburnumregistry.Table
+	// room holds the levels that this VM has published as the director.
+	room *laburnumroom.Table
 }
 
 var (
@@ -95,7 +98,7 @@
 	meter := laburnumeventloop.NewMeter()
 	c := &Control{process: newProcess(settings, opts), loop: laburnumeventloop.New(laburnumeventloop.WithMeter(meter)), meter: meter}
 	c.commitTimes = c.metrics.Scope().Histogram("routes_commit_seconds", commitTimeBuckets)
-	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
+	c.registry, c.room = laburnumregistry.New(time.Duration(settings.Times.Heartbeat)), laburnumroom.NewTable()
 	c.streams = newStreams(c.timers, c.serviceSoftware, func() bool { return c.source.Isolated() }, c.controlCount, time.Duration(settings.Times.Heartbeat), settings.FirstStart, c.metrics.Scope())
 	c.peers.Handle(methodStreamRecord, c.streams.handleRecord)
 	c.peers.Handle(methodStreamLookup, c.streams.handleLookup)
@@ -134,6 +137,9 @@
 		laburnumdirector.WithScope(c.metrics.Scope()))
 	d.SetLeaderCheck(func() bool { return c.voter.Status().Role == laburnumlog.Leader.String() })
 	d.OnOverlay(c.source.SetOverlay)
+	if c.settings.SharedMachines.ByUrgency {
+		d.OnRoom(c.publishRoom)
+	}
 	d.OnLeaseChange(c.leaseChanged)
 	d.OnReplaced(c.removeAndRelay)
 	c.source.OnGatewayReport(c.recordGatewayReport)
@@ -177,6 +183,7 @@
 		return
 	}
 	c.source.ClearOverlays()
+	c.clearRoom()
 	c.source.SetDirector("")
 }
 
--- a/laburnumroles/status.go
+++ b/laburnumroles/status.go
@@ -58,6 +58,7 @@
 	role.Gateways, role.Controls = c.source.Gateways(), len(c.source.Controls())+1
 	role.Accounts = c.quotas.status()
 	role.Parts = c.quarantine.status()
+	role.Room = c.roomStatus()
 	if routes := c.routes.Load(); routes != nil {
 		role.RoutesVersion = routes.Version
 		c.mu.Lock()
--- a/logevent.go
+++ b/logevent.go
@@ -91,6 +91,8 @@
 	EventBrittleChanged
 	// EventLoadUnclear is a backend server that tells a load or pace which can't be read, logged once for each server.
 	EventLoadUnclear
+	// EventRoomChanged is a change of the share of a service's slots that less urgent requests leave free.
+	EventRoomChanged
 	// EventLimitUnclear is an answer that names a limit which can't be read.
 	EventLimitUnclear
 	// EventSlotRequested is a request that asked for a slot at a limited backend server.
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -25,6 +25,9 @@
 	Accounts []AccountStatus `json:"accounts,omitempty"`
 	// Parts are the parts of prompts that a control VM refuses, at most MaxPartStatuses of them, those with the most crashes first.
 	Parts []PartStatus `json:"parts,omitempty"`
+	// Room lists the services of which less urgent requests leave slots free: on gateways what is in force, on the director what it
+	// has decided.
+	Room []RoomStatus `json:"room,omitempty"`
 	// Services are the services of the routes in effect.
 	Services []ServiceStatus `json:"services,omitempty"`
 }
