feat: less urgent requests leave engines' slots to more urgent ones

Change: where shared-machines.by-urgency is set and a service's servers tell their pace, requests of a rank take a slot only at engines that have the rank's share of slots free, and wait in their gateway's queue otherwise. A quarter of the requests of each rank and streams that go on are exempt, so that no rank gets less than a quarter of what it would get. A slot that an engine reserves is given up if the load told with it leaves too few free. Accounts that surge over all gateways come last within their rank. A level that is not renewed ends: the gateway's own order holds then. Behaviour without the setting is the same.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -66,6 +66,8 @@
 	Permit Permit
 	// Software is the only software version whose servers may take the request; empty for any.
 	Software laburnumlever.SoftwareVersion
+	// Rank is the rank whose headroom at the service the request leaves free; 0, the most urgent, leaves none.
+	Rank int
 	// ExceptSoftware are software versions whose servers may not take the request.
 	ExceptSoftware []laburnumlever.SoftwareVersion
 }
@@ -174,6 +176,7 @@
 	// failing are the servers that have counted a failure since the last call of Outcomes.
 	failing   map[laburnumlever.BackendID]*server
 	prefixes  *prefixes
+	headroom  map[laburnumlever.ServiceName]map[int]float64
 	freeShare float64
 	retryTime time.Duration
 }
@@ -199,7 +202,7 @@
 		byService:   map[laburnumlever.ServiceName][]*server{},
 		byModel:     map[serviceModel][]*server{},
 		unreachable: map[laburnumlever.BackendID]struct{}{}, prefixes: newPrefixes(),
-		failing: map[laburnumlever.BackendID]*server{},
+		failing: map[laburnumlever.BackendID]*server{}, headroom: map[laburnumlever.ServiceName]map[int]float64{},
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -425,7 +428,7 @@
 		unlimited = unlimited || !s.limited
 		if s.limited {
 			limited = append(limited, s.record.Heartbeat.Backend)
-		} else if now.Before(s.unreachableUntil) || now.Before(s.restUntil) || t.saturated(s, now, q.Queue) {
+		} else if now.Before(s.unreachableUntil) || now.Before(s.restUntil) || t.saturated(s, q, now) {
 			unavailable = append(unavailable, s.record.Heartbeat.Backend)
 		}
 	}
@@ -467,7 +470,7 @@
 	t.prefixes.add(best.record.Heartbeat, q)
 	return &Ticket{
 		Backend: best.record.Heartbeat, server: best, query: q, unreadPromptTime: unreadPromptTime, uncached: uncached, since: now,
-		mayBeFull: best.mayBeFull(now), limited: best.limited, trial: trial,
+		mayBeFull: best.mayBeFull(now) || t.mayLackHeadroom(best, q, now), limited: best.limited, trial: trial,
 	}, Found
 }
 
@@ -490,7 +493,7 @@
 		return Full
 	case s.limited:
 		return t.limitedVerdict(s, q, now)
-	case t.saturated(s, now, q.Queue):
+	case t.saturated(s, q, now):
 		return Full
 	default:
 		return Found
@@ -504,7 +507,7 @@
 		return Limited
 	case q.Permit.Leased:
 		return Found
-	case now.Before(q.Permit.From) || t.saturated(s, now, q.Queue):
+	case now.Before(q.Permit.From) || t.saturated(s, q, now):
 		return Full
 	default:
 		return Found
@@ -513,16 +516,17 @@
 
 // saturated tells whether the server has recently refused a request, has no free slot (unless the
 // request may queue there), or has reached the limit on this VM's unread prompts.
-func (t *Table) saturated(s *server, now time.Time, queue bool) bool {
-	return now.Before(s.fullUntil) || !queue && t.noSlot(s, now) || (s.unreadPromptTime > 0 && s.unreadPromptTime >= s.unreadPromptLimit)
+func (t *Table) saturated(s *server, q Query, now time.Time) bool {
+	return now.Before(s.fullUntil) || !q.Queue && t.noSlot(s, q, now) || (s.unreadPromptTime > 0 && s.unreadPromptTime >= s.unreadPromptLimit)
 }
 
-// noSlot tells whether the server's slots are taken, except for freeShare, by its last reported load.
+// noSlot tells whether the server's slots are taken, except for freeShare and the rank's headroom, by its last reported load.
 // After a refused reservation they count as taken until retryTime has passed, and then if this VM's
 // own requests take them.
-func (t *Table) noSlot(s *server, now time.Time) bool {
-	limit := float64(max(1, s.record.Heartbeat.Slots)) * (1 - t.freeShare)
-	if s.reservationRefused {
+func (t *Table) noSlot(s *server, q Query, now time.Time) bool {
+	headroom := t.headroomOf(q)
+	limit := float64(max(1, s.record.Heartbeat.Slots)) * (1 - max(t.freeShare, headroom))
+	if s.reservationRefused && headroom == 0 {
 		return now.Sub(s.othersAt) < t.retryTime || float64(s.own) >= limit
 	}
 	return s.load(now) >= limit
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -203,6 +203,7 @@
 			first = false
 			q.begunAt = g.timers.Now()
 			g.fleet.recordFirstEvent(ticket)
+			g.countFirstEvent(q)
 			g.beginStream(ctx, q, ticket)
 		}
 		out.heard()
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -114,6 +114,7 @@
 		return &failure{stage: laburnumretry.StageNotSent, cause: err, refused: err}, nil
 	}
 	now := g.timers.Now()
+	g.countSlot(q, now)
 	if err := conn.SetDeadline(q.deadline.Add(backendTimeoutSlack)); err != nil {
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}, nil
 	}
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -1,6 +1,7 @@
 package laburnumgateway
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -9,6 +10,9 @@
 	"github.com/uber-go/tally/v4"
 )
 
+// putOffRanks is the number of ranks that are counted apart; the last one includes all after it.
+const putOffRanks = 10
+
 // latencyBuckets range from a round trip between zones to the longest timeout of a route.
 var latencyBuckets = tally.DurationBuckets{
 	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
@@ -48,6 +52,9 @@
 	leaseProbes, leaseWaits map[slotOutcome]tally.Counter
 	scope                   tally.Scope
 
+	// putOff counts less urgent requests that left a free slot to more urgent ones, by rank.
+	putOff [putOffRanks]tally.Counter
+
 	mu        sync.Mutex
 	latencies map[laburnumlever.ServiceName]*latencies
 }
@@ -93,6 +100,9 @@
 	c.callersLeftSent = scope.Tagged(map[string]string{"sent": "true"}).Counter("callers_left")
 	c.streamsRecorded = scope.Tagged(map[string]string{"outcome": "kept"}).Counter("stream_records")
 	c.streamsUnrecorded = scope.Tagged(map[string]string{"outcome": "not-kept"}).Counter("stream_records")
+	for rank := range c.putOff {
+		c.putOff[rank] = scope.Tagged(map[string]string{"rank": strconv.Itoa(rank)}).Counter("requests_put_off")
+	}
 	for _, outcome := range reserveOutcomeValues() {
 		c.reservations[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("reservations")
 	}
@@ -138,6 +148,9 @@
 	return l
 }
 
+// countPutOff counts a request that left a free slot to more urgent ones.
+func (c *counters) countPutOff(rank int) { c.putOff[min(max(0, rank), putOffRanks-1)].Inc(1) }
+
 // countLease counts a call for a lease.
 func (c *counters) countLease(outcome slotOutcome, waits bool) {
 	c.slots[outcome].Inc(1)
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -98,6 +98,14 @@
 	return fmt.Sprintf("backend server %q has restarted, leaves or is gone", e.Backend)
 }
 
+// CrowdedServerError says that an engine has too few free slots for a request of its rank.
+type CrowdedServerError struct{ Backend laburnumlever.BackendID }
+
+// Error implements error.
+func (e *CrowdedServerError) Error() string {
+	return fmt.Sprintf("engine %q leaves its free slots to more urgent requests", e.Backend)
+}
+
 // ServerRestsError is a backend server that has asked for rest since it was picked.
 type ServerRestsError struct{ Backend laburnumlever.BackendID }
 
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -14,6 +14,7 @@
 	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
 	"laburnumlever/laburnumtimer"
@@ -69,6 +70,9 @@
 	keepers        LimitKeepers
 	streams        *streams
 	sharedMachines laburnumlever.SharedMachines
+	// room holds what less urgent requests leave free, roomMeter what requests ask for and get.
+	room      *laburnumroom.Table
+	roomMeter *laburnumroom.Meter
 	// paced are the services of which a backend server has told its pace.
 	paced map[laburnumlever.ServiceName]struct{}
 	// unclearLoads are the backend servers of which an unreadable load was logged.
@@ -101,6 +105,7 @@
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
 		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paced: map[laburnumlever.ServiceName]struct{}{},
+		room: laburnumroom.NewTable(), roomMeter: laburnumroom.NewMeter(vm, timers.Now()),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -136,6 +141,7 @@
 	f.applyQuarantine(address, a.Boot, a.Quarantine, now)
 	f.applyLimits(a.Limits, now)
 	f.applyBrittle(a.Brittle, now)
+	f.applyRoom(a.Room, now)
 	f.serveQueue()
 }
 
@@ -203,7 +209,7 @@
 	}
 	return laburnumlever.GatewayReport{
 		Demand: f.demand.Take(now, f.readTimes), Adapters: f.adapters.Take(now), Unreachable: unreachable, Replaced: replaced,
-		Outcomes: f.balance.Outcomes(), Leaving: leavers,
+		Outcomes: f.balance.Outcomes(), Leaving: leavers, Room: f.roomMeter.Take(now),
 	}
 }
 
@@ -212,7 +218,7 @@
 	x := f.index.Load()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	status := laburnumlever.RoleStatus{Gateways: f.gateways, Queued: f.queue.Len()}
+	status := laburnumlever.RoleStatus{Gateways: f.gateways, Queued: f.queue.Len(), Room: f.room.Status(f.timers.Now())}
 	if x != nil {
 		status.RoutesVersion = x.Table().Version
 		status.Services = f.registry.Summary(x.Table().Services)
@@ -364,6 +370,7 @@
 	query := q.query()
 	query.ReadTime = f.readTimes.Of(q.caller.Model)
 	query.ExceptSoftware = f.settlingVersions(q)
+	query.Rank = f.headroomRank(q)
 	return query
 }
 
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -189,6 +189,7 @@
 			continue
 		}
 		if verdict != laburnumbalance.AdapterAbsent || g.adapters == nil {
+			g.countNoSlot(q, verdict)
 			return nil, noSlotRefusal(verdict)
 		}
 		err := g.loadAdapter(ctx, q)
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -74,6 +74,8 @@
 	receipt laburnumquota.Receipt
 	// arrivalCounted is set once the queue has counted the request for its account.
 	arrivalCounted bool
+	// freePass is set if no headroom applies, slotCounted once it is counted whether the request got a slot in time.
+	freePass, slotCounted bool
 	// rank is the priority by account and route.
 	rank                int
 	refusedReservations int
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -49,6 +49,9 @@
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}, nil
 	}
 	id, ok, err := g.dialect.ParseReservation(resp.StatusCode, body)
+	if ok && g.leavesRoom(q, ticket, resp, result) {
+		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendBusy, cause: &CrowdedServerError{Backend: q.backend}, slotRefused: true}, resp
+	}
 	switch {
 	case err != nil:
 		// The engine does not support reservations: the request is sent without one.
--- /dev/null
+++ b/laburnumgateway/room.go
@@ -0,0 +1,128 @@
+package laburnumgateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumroom"
+
+	"github.com/go-kit/log/level"
+)
+
+// givesByUrgency reports whether the slots of a service are given by urgency over all gateways. The caller must hold mu.
+func (f *Fleet) givesByUrgency(service laburnumlever.ServiceName) bool {
+	return f.sharedMachines.ByUrgency && f.sharesMachines(service)
+}
+
+// applyRoom puts the levels that a control VM told in force. The caller must hold mu.
+func (f *Fleet) applyRoom(levels []laburnumroom.Level, now time.Time) {
+	if !f.sharedMachines.ByUrgency {
+		return
+	}
+	for _, l := range levels {
+		changed := f.room.Apply(l, now)
+		f.timers.After(l.HoldsFor(), func(now time.Time) { f.expireRoom(now) })
+		if changed {
+			f.setRoom(l, "director")
+		}
+	}
+}
+
+// expireRoom ends the levels that were not renewed: from then on the queue's own order holds.
+func (f *Fleet) expireRoom(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.room.Expire(now) {
+		f.setRoom(laburnumroom.Level{Service: l.Service, Fence: l.Fence, Sequence: l.Sequence}, "not-renewed")
+	}
+	f.serveQueue()
+}
+
+// setRoom applies a level to the balancer and the queue. The caller must hold mu.
+func (f *Fleet) setRoom(l laburnumroom.Level, from string) {
+	f.balance.SetHeadroom(l.Service, l.ByRank())
+	f.queue.SetSurging(l.Service, l.Surging)
+	_ = level.Info(f.logger).Log("event", laburnumlever.EventRoomChanged, "service", l.Service, "headroom", l.ByRank(), "surging", l.Surging,
+		"fence", l.Fence, "sequence", l.Sequence, "from", from)
+}
+
+// headroomRank returns the rank whose headroom applies to a request; 0 for none. A stream that goes on gets any slot, as its caller
+// has a part of the answer. The caller must hold mu.
+func (f *Fleet) headroomRank(q *request) int {
+	if q.freePass || !q.brokenAt.IsZero() || !f.givesByUrgency(q.service.Name) {
+		return 0
+	}
+	return q.rank
+}
+
+// countAsked counts a request that asks for a slot for the first time, and decides how it takes part. The caller must hold mu.
+func (f *Fleet) countAsked(q *request, cost float64) {
+	if !f.givesByUrgency(q.service.Name) {
+		q.slotCounted = true
+		return
+	}
+	q.freePass = rand.Float64() < laburnumroom.FreePass
+	f.roomMeter.Asked(q.service.Name, q.rank, q.accountName(), cost)
+}
+
+// countSlot counts a request that has a slot. One that queues at an engine counts with the first event of its answer: when the engine
+// admits it is not told.
+func (g *Gateway) countSlot(q *request, now time.Time) {
+	if !q.queuesAtEngine() {
+		g.countOutcome(q, !now.After(waitPolicy.OnTimeUntil(q.queueTimes())))
+	}
+}
+
+// countFirstEvent counts a request that had no slot when it was sent.
+func (g *Gateway) countFirstEvent(q *request) {
+	target := time.Duration(q.route.Target)
+	g.countOutcome(q, target <= 0 || g.timers.Now().Sub(q.arrived) <= target)
+}
+
+func (g *Gateway) countOutcome(q *request, inTime bool) {
+	if q.slotCounted {
+		return
+	}
+	q.slotCounted = true
+	f := g.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.roomMeter.Served(q.service.Name, q.rank, inTime)
+}
+
+// countNoSlot counts a request that is refused since no slot is free.
+func (g *Gateway) countNoSlot(q *request, verdict laburnumbalance.Verdict) {
+	if verdict != laburnumbalance.Full || q.slotCounted {
+		return
+	}
+	q.slotCounted = true
+	f := g.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.roomMeter.Refused(q.service.Name, q.rank)
+}
+
+// leavesRoom reports whether a request gives up a slot that an engine has reserved for it: the load that the engine tells with it
+// leaves too few slots for more urgent requests. The reservation lapses.
+func (g *Gateway) leavesRoom(q *request, ticket *laburnumbalance.Ticket, resp *http.Response, result *laburnumbalance.AttemptResult) bool {
+	f := g.fleet
+	if q.rank == 0 || !f.sharedMachines.ByUrgency {
+		return false
+	}
+	headers := g.dialect.Answer(resp.StatusCode, resp.Header)
+	if !headers.HasLoad {
+		return false
+	}
+	f.mu.Lock()
+	query := laburnumbalance.Query{Service: q.service.Name, Rank: f.headroomRank(q)}
+	crowded := f.balance.Crowded(query, ticket.Backend.Slots, headers.Running+headers.Waiting)
+	f.mu.Unlock()
+	if crowded {
+		result.HasLoad, result.Running, result.Waiting = true, headers.Running, headers.Waiting
+		g.counters.countPutOff(q.rank)
+	}
+	return crowded
+}
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -30,6 +30,7 @@
 	if !q.arrivalCounted {
 		q.arrivalCounted = true
 		f.queue.Arrived(queued, now)
+		f.countAsked(q, queued.Cost)
 	}
 	ticket, verdict := f.pick(q, queued.Query, now)
 	if verdict == laburnumbalance.Resting {
--- a/laburnumslotqueue/queue.go
+++ b/laburnumslotqueue/queue.go
@@ -59,6 +59,12 @@
 	return true
 }
 
+// SetSurging sets the client accounts that ask for far more than their usual of a service over all gateways. They come last like those
+// whose requests on this gateway show it.
+func (q *Queue) SetSurging(service laburnumlever.ServiceName, accounts []laburnumlever.AccountName) {
+	q.shares.setTold(service, accounts)
+}
+
 // Arrived records a request that asks for a slot for the first time.
 func (q *Queue) Arrived(r *Request, now time.Time) { q.shares.add(r, now) }
 
@@ -84,12 +90,14 @@
 // same slots.
 type target struct {
 	service laburnumlever.ServiceName
+	// rank tells apart requests of which some may take a slot that others must leave free.
+	rank    int
 	model   laburnumlever.ModelName
 	adapter laburnumlever.AdapterName
 }
 
 func (r *Request) target() target {
-	return target{service: r.Query.Service, model: r.Query.Model, adapter: r.Query.Adapter}
+	return target{service: r.Query.Service, rank: r.Query.Rank, model: r.Query.Model, adapter: r.Query.Adapter}
 }
 
 // Serve admits requests while there are free slots, first those whose answer can still start in
--- a/laburnumslotqueue/queue_test.go
+++ b/laburnumslotqueue/queue_test.go
@@ -209,3 +209,41 @@
 	require.Equal(t, 128, queued)
 	require.True(t, w.Push(&laburnumslotqueue.Request{Account: "other"}))
 }
+
+// Guards against a request that may take a free slot, but waits since one before it must leave the slot to more urgent ones.
+func TestRequestBehindOneThatLeavesHeadroomIsServed(t *testing.T) {
+	w := &laburnumslotqueue.Queue{}
+	var served []string
+	for n, rank := range []int{2, 0} {
+		r := &laburnumslotqueue.Request{Query: laburnumbalance.Query{Model: "m0", Rank: rank}, Priority: 2, Arrived: time.Unix(int64(n), 0)}
+		r.Admit = func(*laburnumbalance.Ticket) { served = append(served, fmt.Sprint(rank)) }
+		require.True(t, w.Push(r))
+	}
+	w.Serve(time.Unix(2, 0), func(q laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+		if q.Rank > 0 {
+			return nil, laburnumbalance.Full
+		}
+		return &laburnumbalance.Ticket{}, laburnumbalance.Found
+	})
+	require.Equal(t, []string{"0"}, served)
+}
+
+// Guards against an account that surges over all gateways and is served first by each, as none of them sees the surge.
+func TestAccountThatSurgesElsewhereComesLast(t *testing.T) {
+	w := &laburnumslotqueue.Queue{}
+	w.SetSurging("quotes", []laburnumlever.AccountName{"hot"})
+	serve := func() (served []laburnumlever.AccountName) {
+		for n, account := range []laburnumlever.AccountName{"hot", "other"} {
+			r := &laburnumslotqueue.Request{Query: laburnumbalance.Query{Service: "quotes"}, Account: account, Arrived: time.Unix(int64(n), 0)}
+			r.Admit = func(*laburnumbalance.Ticket) { served = append(served, account) }
+			require.True(t, w.Push(r))
+		}
+		w.Serve(time.Unix(2, 0), func(laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+			return &laburnumbalance.Ticket{}, laburnumbalance.Found
+		})
+		return served
+	}
+	require.Equal(t, []laburnumlever.AccountName{"other", "hot"}, serve())
+	w.SetSurging("quotes", nil)
+	require.Equal(t, []laburnumlever.AccountName{"hot", "other"}, serve())
+}
--- a/laburnumslotqueue/shares.go
+++ b/laburnumslotqueue/shares.go
@@ -23,6 +23,8 @@
 // shares is what client accounts ask for of each service, and all of them together under no name.
 type shares struct {
 	asked map[shareKey]share
+	// told are the accounts that surge over all gateways.
+	told map[shareKey]struct{}
 }
 
 type shareKey struct {
@@ -68,11 +70,25 @@
 	}
 }
 
+// setTold replaces the accounts that surge over all gateways at a service.
+func (s *shares) setTold(service laburnumlever.ServiceName, accounts []laburnumlever.AccountName) {
+	maps.DeleteFunc(s.told, func(key shareKey, _ struct{}) bool { return key.service == service })
+	for _, account := range accounts {
+		if s.told == nil {
+			s.told = map[shareKey]struct{}{}
+		}
+		s.told[shareKey{service: service, account: account}] = struct{}{}
+	}
+}
+
 // surges reports whether a request's account surges.
 func (s *shares) surges(r *Request, now time.Time) bool {
 	if r.Account == "" {
 		return false
 	}
+	if _, told := s.told[r.shareKey()]; told {
+		return true
+	}
 	account, all := s.asked[r.shareKey()].asOf(now), s.asked[shareKey{service: r.Query.Service}].asOf(now)
 	return account.surges() && account.recent > surgePart*all.recent
 }
