feat: engines are told how urgent a request is by account and route

Cause: a request was sent with its urgency only where client accounts differ in priority, and then without that of its route. Engines that queue or preempt treated a report that may wait for seconds like an urgent question.

Change: where slots are given by urgency, each request to a service whose ranks differ is sent with its rank: the account's priority first, then the route's.

Evidence: TestDeadHolderLeavesTheGatewaysOwnOrder reads the header at the engine.

--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -76,6 +76,8 @@
 	arrivalCounted bool
 	// freePass is set if no headroom applies, slotCounted once it is counted whether the request got a slot in time.
 	freePass, slotCounted bool
+	// byUrgency is set if backend servers are told the rank.
+	byUrgency bool
 	// rank is the priority by account and route.
 	rank                int
 	refusedReservations int
@@ -277,6 +279,9 @@
 		params.Account = q.account.Name
 		params.Urgency, params.HasUrgency = q.account.Priority, q.accountIndex.DiffersByAccount()
 	}
+	if q.byUrgency {
+		params.Urgency, params.HasUrgency = q.rank, true
+	}
 	return params
 }
 
--- a/laburnumgateway/room.go
+++ b/laburnumgateway/room.go
@@ -65,6 +65,7 @@
 		return
 	}
 	q.freePass = rand.Float64() < laburnumroom.FreePass
+	q.byUrgency = f.index.Load().Differs(q.service.Name)
 	f.roomMeter.Asked(q.service.Name, q.rank, q.accountName(), cost)
 }
 
--- a/laburnumgateway/room_test.go
+++ b/laburnumgateway/room_test.go
@@ -15,11 +15,14 @@
 	"laburnumlever/laburnumtimer"
 )
 
-const batchRank = 2
+const (
+	batchRank      = 2
+	priorityHeader = "X-Laburnumlever-Request-Priority"
+)
 
 // newRoomHarness is a gateway before one engine that says that seven of its eight slots are taken, and its pace. Drafts are less urgent
 // than quotes.
-func newRoomHarness(t *testing.T, decisions laburnumlever.SharedMachines) *harness {
+func newRoomHarness(t *testing.T, decisions laburnumlever.SharedMachines) (*harness, *backend) {
 	engine := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
 		writeAnswer(conn, a, 200, "done", "X-Laburnumlever-Server-Load: 7,0,8,100")
 	})
@@ -33,7 +36,7 @@
 	b.fleet.HandleRoutes(routes)
 	b.announce(engine.heartbeat("quotes", "m0"))
 	require.Equal(t, 200, b.request("quote", "first").status)
-	return b
+	return b, engine
 }
 
 func (b *harness) request(route, id string) callerResponse {
@@ -44,7 +47,7 @@
 // holds, urgent ones do, and once it is not renewed the gateway serves by the order of its own queue.
 func TestDeadHolderLeavesTheGatewaysOwnOrder(t *testing.T) {
 	const drafts, lifetime = 12, 400 * time.Millisecond
-	b := newRoomHarness(t, laburnumlever.SharedMachines{ByUrgency: true})
+	b, engine := newRoomHarness(t, laburnumlever.SharedMachines{ByUrgency: true})
 	b.fleet.HandleAnswer("", laburnumfeed.Answer{Room: []laburnumroom.Level{{
 		Service: "quotes", Fence: 1, Sequence: 1, Lifetime: laburnumlever.Duration(lifetime), Ranks: []laburnumroom.RankLevel{{Rank: batchRank, Headroom: 0.5}},
 	}}})
@@ -68,6 +71,13 @@
 	}
 	require.Positive(t, putOff, "some waited for the level to end")
 	require.Empty(t, b.fleet.Status().Room)
+	for _, r := range engine.requests()[1:] {
+		want := fmt.Sprint(batchRank)
+		if r.request.Header.Get(idHeader) == "urgent" {
+			want = "0"
+		}
+		require.Equal(t, want, r.request.Header.Get(priorityHeader))
+	}
 	report := laburnumlever.RoomReport{}
 	require.Eventually(t, func() bool { report = b.fleet.GatewayReport().Room; return !report.IsZero() }, 5*time.Second, 10*time.Millisecond)
 	require.Equal(t, uint64(3), report.Incarnation)
@@ -76,7 +86,7 @@
 
 // Guards against a switch that is off and yet changes what gateways send, count or keep free.
 func TestSlotsAreNotGivenByUrgencyUnlessSwitchedOn(t *testing.T) {
-	b := newRoomHarness(t, laburnumlever.SharedMachines{})
+	b, engine := newRoomHarness(t, laburnumlever.SharedMachines{})
 	b.fleet.HandleAnswer("", laburnumfeed.Answer{Room: []laburnumroom.Level{{Service: "quotes", Fence: 1, Sequence: 1, Ranks: []laburnumroom.RankLevel{{Rank: batchRank, Headroom: 0.75}}}}})
 	for n := range 4 {
 		require.Equal(t, 200, b.request("draft", fmt.Sprint(n)).status)
@@ -84,4 +94,7 @@
 	require.Empty(t, b.fleet.Status().Room)
 	time.Sleep(600 * time.Millisecond) // longer than the interval of reports
 	require.True(t, b.fleet.GatewayReport().Room.IsZero())
+	for _, r := range engine.requests() {
+		require.Empty(t, r.request.Header.Get(priorityHeader))
+	}
 }
--- a/laburnumroutes/index.go
+++ b/laburnumroutes/index.go
@@ -15,6 +15,8 @@
 	byHost map[string]map[string]*laburnumlever.Route
 	// topPriority is the priority of each service's most urgent route; 0 is the most urgent.
 	topPriority map[laburnumlever.ServiceName]int
+	// differing are the services whose routes differ in priority.
+	differing map[laburnumlever.ServiceName]struct{}
 	// accounts are the client accounts by the hashes of their keys, topAccount the priority of the most urgent
 	// one.
 	accounts   map[laburnumlever.KeyHash]*laburnumlever.Account
@@ -27,7 +29,7 @@
 
 // NewIndex indexes a table that Check has accepted.
 func NewIndex(table laburnumlever.RouteTable) *Index {
-	x := &Index{table: table, byHost: map[string]map[string]*laburnumlever.Route{}, topPriority: map[laburnumlever.ServiceName]int{}}
+	x := &Index{table: table, byHost: map[string]map[string]*laburnumlever.Route{}, topPriority: map[laburnumlever.ServiceName]int{}, differing: map[laburnumlever.ServiceName]struct{}{}}
 	for i := range table.Routes {
 		r := &table.Routes[i]
 		host := normalHost(r.Host)
@@ -83,12 +85,22 @@
 
 func (x *Index) recordPriority(r *laburnumlever.Route) {
 	for _, share := range r.Split {
-		if top, ok := x.topPriority[share.Service]; !ok || r.Priority < top {
+		top, ok := x.topPriority[share.Service]
+		if ok && r.Priority != top {
+			x.differing[share.Service] = struct{}{}
+		}
+		if !ok || r.Priority < top {
 			x.topPriority[share.Service] = r.Priority
 		}
 	}
 }
 
+// Differs reports whether requests to a service differ in rank.
+func (x *Index) Differs(service laburnumlever.ServiceName) bool {
+	_, differs := x.differing[service]
+	return differs || x.DiffersByAccount()
+}
+
 // MostUrgent tells whether no route to the service has a more urgent priority than the given one.
 func (x *Index) MostUrgent(service laburnumlever.ServiceName, priority int) bool {
 	top, ok := x.topPriority[service]
