perf: costs of accounts are added up once a decision

Cause: each report decayed the sums of all accounts that it names, 64 exponentials a report. Change: reported costs are collected and join the sums with the next decision.

--- a/laburnumroom/accounts.go
+++ b/laburnumroom/accounts.go
@@ -26,6 +26,8 @@
 	since time.Time
 	all   usage
 	each  map[laburnumlever.AccountName]usage
+	// reported are the costs that gateways have reported and that are not in the sums yet.
+	reported map[laburnumlever.AccountName]float64
 }
 
 // usage is a decaying sum of costs with each half-life, as of a time.
@@ -48,27 +50,39 @@
 }
 
 func newAccounts(now time.Time) *accounts {
-	return &accounts{since: now, each: map[laburnumlever.AccountName]usage{}}
+	return &accounts{since: now, each: map[laburnumlever.AccountName]usage{}, reported: map[laburnumlever.AccountName]float64{}}
 }
 
-// add adds the costs that a gateway reports.
-func (a *accounts) add(costs []laburnumlever.AccountCost, now time.Time) {
+// add adds the costs that a gateway reports. They count from the next call of surging: to decay all sums at each report would take
+// most of a keeper's time.
+func (a *accounts) add(costs []laburnumlever.AccountCost) {
+	for _, c := range costs[:min(maxAccounts, len(costs))] {
+		if _, known := a.reported[c.Account]; known || len(a.reported) < maxKept {
+			a.reported[c.Account] += max(0, c.Cost)
+		}
+	}
+}
+
+func (a *accounts) addReported(now time.Time) {
 	if len(a.each) >= maxKept {
 		maps.DeleteFunc(a.each, func(_ laburnumlever.AccountName, u usage) bool { return now.Sub(u.at) > usualHalfLife })
 	}
-	for _, c := range costs[:min(maxAccounts, len(costs))] {
-		cost := max(0, c.Cost)
-		a.all = a.all.plus(cost, now)
-		if _, known := a.each[c.Account]; known || len(a.each) < maxKept {
-			a.each[c.Account] = a.each[c.Account].plus(cost, now)
+	sum := 0.0
+	for name, cost := range a.reported {
+		sum += cost
+		if _, known := a.each[name]; known || len(a.each) < maxKept {
+			a.each[name] = a.each[name].plus(cost, now)
 		}
 	}
+	a.all = a.all.plus(sum, now)
+	clear(a.reported)
 }
 
 // surging returns the accounts whose recent rate is a multiple of their usual one, and a large part of the whole. A sum counts in
 // proportion to what an even rate since the first report would have come to: while reports are young, the sums with the longer
 // half-life have not filled up.
 func (a *accounts) surging(now time.Time) []laburnumlever.AccountName {
+	a.addReported(now)
 	age := now.Sub(a.since)
 	if age < settleTime {
 		return nil
--- a/laburnumroom/keeper.go
+++ b/laburnumroom/keeper.go
@@ -100,7 +100,7 @@
 			s = &service{headroom: map[int]float64{}, accounts: newAccounts(now)}
 			k.services[room.Service] = s
 		}
-		s.accounts.add(room.Accounts, now)
+		s.accounts.add(room.Accounts)
 	}
 }
 
