fix: a few requests of a rare rank don't put off the bulk of all others

Cause: a rank yielded as soon as 2% of any more urgent rank were short, however few requests that were. Change: a rank yields by the number of requests that are short against those with a slot from that rank on: the least urgent first, and only if what they hold is not far more than what is missing.

--- a/laburnumroom/keeper.go
+++ b/laburnumroom/keeper.go
@@ -16,8 +16,8 @@
 	decidePeriod = reportPeriod
 	// renewPeriod is the longest time between two publications of a level that has an effect.
 	renewPeriod = time.Second
-	// toleratedShare is the share of more urgent requests without a slot in time at which the headroom neither rises nor falls to
-	// noise; at scarceShare it rises at its full rate.
+	// toleratedShare is the share of requests up to which those without a slot in time are no shortage; at scarceShare the headroom rises
+	// at its full rate.
 	toleratedShare, scarceShare = 0.02, 0.2
 	// The headroom rises fast, since urgent requests can wait for a fraction of a second only, and falls at half that rate.
 	risePerSecond, fallPerSecond = 0.5, 0.25
@@ -179,20 +179,9 @@
 	}
 }
 
-// move raises the headroom of ranks while more urgent ones are short of slots, and lowers it otherwise. A rank's shortage counts
-// together with that of all more urgent ones, so that a rare rank is not hidden by a frequent one after it.
+// move raises the headroom of ranks while more urgent ones are short of slots, and lowers it otherwise.
 func (s *service) move(pressures []Pressure, elapsed time.Duration) {
-	rising := map[int]float64{}
-	var done, short, scarcity float64
-	for _, p := range pressures {
-		if scarcity > toleratedShare && p.Asked > 0 {
-			rising[p.Rank] = scarcity
-		}
-		done, short = done+p.Done, short+p.Short
-		if done > 0 {
-			scarcity = max(scarcity, short/done)
-		}
-	}
+	rising := scarcities(pressures)
 	for rank := range s.headroom {
 		if _, rises := rising[rank]; !rises {
 			s.lower(rank, fallPerSecond*elapsed.Seconds())
@@ -204,6 +193,27 @@
 	}
 }
 
+// scarcities returns, for each rank that must yield, the requests of more urgent ranks without a slot as a share of those from the rank
+// on that have one: so much of what they hold would serve all. A few requests of a rare rank don't put off the bulk of all others.
+func scarcities(pressures []Pressure) map[int]float64 {
+	behind := 0.0
+	for _, p := range pressures {
+		behind += p.Done - p.Short
+	}
+	yielding := map[int]float64{}
+	var done, short, worst float64
+	for _, p := range pressures {
+		if worst > toleratedShare && short > toleratedShare*behind && p.Asked > 0 {
+			yielding[p.Rank] = short / max(short, behind)
+		}
+		done, short, behind = done+p.Done, short+p.Short, behind-(p.Done-p.Short)
+		if done > 0 {
+			worst = max(worst, short/done)
+		}
+	}
+	return yielding
+}
+
 func (s *service) lower(rank int, by float64) {
 	if s.headroom[rank] -= by; s.headroom[rank] <= 0 {
 		delete(s.headroom, rank)
--- a/laburnumroom/keeper_test.go
+++ b/laburnumroom/keeper_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// Guards against the bulk of all requests being put off for two of a rare rank that found no slot.
+func TestRareRankDoesNotPutOffTheBulk(t *testing.T) {
+	f := newFleet()
+	r := report(1, 0)
+	r.Services[0].Ranks = []laburnumlever.RankRoom{
+		{Rank: 0, Asked: 8, Served: 6, Refused: 2}, {Rank: 3, Asked: 200, Served: 200}, {Rank: 4, Asked: 20, Served: 20},
+	}
+	f.keeper.Report(vm(0), r, f.now)
+	decisions := f.keeper.Decide(f.now)
+	require.Len(t, decisions, 1)
+	require.Zero(t, decisions[0].Level.Headroom(3))
+	require.Positive(t, decisions[0].Level.Headroom(4), "the least urgent yield")
+}
+
 // Guards against counts that act twice, after those that replaced them, or after their gateway has gone.
 func TestOnlyTheNewestReportOfALivingGatewayCounts(t *testing.T) {
 	f := newFleet()
