--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -15,6 +15,7 @@
 	"laburnumlever/laburnumpace"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
 	"laburnumlever/laburnumtimer"
@@ -73,6 +74,9 @@
 	remembered     remembered
 	// paces are the services of which a backend server has told its pace.
 	paces map[laburnumlever.ServiceName]*laburnumpace.Service
+	// room holds what less urgent requests leave free, roomMeter what requests ask for and get.
+	room      *laburnumroom.Table
+	roomMeter *laburnumroom.Meter
 	// unclearLoads are the backend servers of which an unreadable load was logged.
 	unclearLoads map[laburnumlever.BackendID]struct{}
 	// queueWoken is closed when queued requests must check whether they can still be served.
@@ -104,6 +108,7 @@
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
 		remembered:   newRemembered(timers.Now(), period),
 		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paces: map[laburnumlever.ServiceName]*laburnumpace.Service{},
+		room: laburnumroom.NewTable(), roomMeter: laburnumroom.NewMeter(vm, timers.Now()),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -141,6 +146,7 @@
 	f.applyQuarantine(address, a.Boot, a.Quarantine, now)
 	f.applyLimits(a.Limits, now)
 	f.applyBrittle(a.Brittle, now)
+	f.applyRoom(a.Room, now)
 	f.serveQueue()
 }
 
@@ -208,7 +214,7 @@
 	}
 	return laburnumlever.GatewayReport{
 		Demand: f.demand.Take(now, f.readTimes), Adapters: f.adapters.Take(now), Unreachable: unreachable, Replaced: replaced,
-		Outcomes: f.balance.Outcomes(), Leaving: leavers,
+		Outcomes: f.balance.Outcomes(), Leaving: leavers, Room: f.roomMeter.Take(now),
 	}
 }
 
@@ -217,7 +223,7 @@
 	x := f.index.Load()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	status := laburnumlever.RoleStatus{Gateways: f.gateways, Queued: f.queue.Len()}
+	status := laburnumlever.RoleStatus{Gateways: f.gateways, Queued: f.queue.Len(), Room: f.room.Status(f.timers.Now())}
 	if x != nil {
 		status.RoutesVersion = x.Table().Version
 		status.Services = f.registry.Summary(x.Table().Services)
@@ -369,6 +375,7 @@
 	query.ReadTime = f.readTimes.Of(q.caller.Model)
 	query.ExceptSoftware = f.settlingVersions(q)
 	f.addPace(&query)
+	query.Rank = f.headroomRank(q)
 	return query
 }
 
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -74,6 +74,12 @@
 	receipt laburnumquota.Receipt
 	// arrivalCounted is set once the queue has counted the request for its account.
 	arrivalCounted bool
+	// freePass is set if no headroom applies, slotCounted once it is counted whether the request got a slot in time.
+	freePass, slotCounted bool
+	// foundFull is set once all servers that could serve the request were full.
+	foundFull bool
+	// byUrgency is set if backend servers are told the rank.
+	byUrgency bool
 	// rank is the priority by account and route.
 	rank                int
 	refusedReservations int
@@ -278,6 +284,9 @@
 		params.Account = q.account.Name
 		params.Urgency, params.HasUrgency = q.account.Priority, q.accountIndex.DiffersByAccount()
 	}
+	if q.byUrgency {
+		params.Urgency, params.HasUrgency = q.rank, true
+	}
 	return params
 }
 
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -26,12 +26,14 @@
 		queued.Account, queued.Cost = q.account.Name, float64(max(1, q.caller.PromptTokens+q.caller.MaxAnswerTokens))
 	}
 	f.mu.Lock()
+	f.countAsked(q, queued.Cost)
 	queued.Query = f.query(q)
 	if !q.arrivalCounted {
 		q.arrivalCounted = true
 		f.queue.Arrived(queued, now)
 	}
 	ticket, verdict := f.pick(q, queued.Query, now)
+	q.foundFull = q.foundFull || verdict == laburnumbalance.Full
 	if verdict == laburnumbalance.Resting {
 		verdict = f.waitsForRest(queued.Query, until, now)
 	}
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 149, 169, 189, 208, 224, 237, 249, 255, 270, 287, 300, 317, 330, 340, 354, 367, 381, 400, 420, 439, 461, 475, 494, 510, 526, 537, 550, 573, 586, 601, 613, 626, 640, 655, 673, 687, 703, 719, 732, 748, 764, 779, 793, 803, 814, 827, 848, 864, 882, 893, 909, 925, 940, 954, 968, 983, 1001, 1019, 1032, 1041, 1055, 1070, 1087, 1102, 1115, 1130, 1141, 1155, 1168, 1194, 1212, 1226, 1243, 1262, 1283, 1292, 1302, 1319, 1329, 1338, 1352, 1364, 1380, 1387, 1395, 1402, 1409, 1426, 1442, 1456, 1474, 1487, 1497, 1514}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 149, 169, 189, 208, 224, 237, 249, 255, 270, 287, 300, 317, 330, 340, 354, 367, 381, 400, 420, 439, 461, 475, 494, 510, 526, 537, 550, 573, 586, 601, 613, 625, 638, 652, 667, 685, 699, 715, 731, 744, 760, 776, 791, 805, 815, 826, 839, 860, 876, 894, 905, 921, 937, 952, 966, 980, 995, 1013, 1031, 1044, 1053, 1067, 1082, 1099, 1114, 1127, 1142, 1153, 1167, 1180, 1206, 1224, 1238, 1255, 1274, 1295, 1304, 1314, 1331, 1341, 1350, 1364, 1376, 1392, 1399, 1407, 1414, 1421, 1438, 1454, 1468, 1486, 1499, 1509, 1526}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -64,72 +64,73 @@
 	_ = x[EventLimitChanged-(37)]
 	_ = x[EventBrittleChanged-(38)]
 	_ = x[EventLoadUnclear-(39)]
-	_ = x[EventLimitUnclear-(40)]
-	_ = x[EventSlotRequested-(41)]
-	_ = x[EventSlotUnanswered-(42)]
-	_ = x[EventLimitNotReported-(43)]
-	_ = x[EventKeysConfirmed-(44)]
-	_ = x[EventKeysUnconfirmed-(45)]
-	_ = x[EventAccountsUnknown-(46)]
-	_ = x[EventQuotaUsedUp-(47)]
-	_ = x[EventQuotaUnanswered-(48)]
-	_ = x[EventOutlierDetected-(49)]
-	_ = x[EventModelWithdrawn-(50)]
-	_ = x[EventOrderAnswered-(51)]
-	_ = x[EventOrderDone-(52)]
-	_ = x[EventOrderStateChanged-(53)]
-	_ = x[EventOrderRefused-(54)]
-	_ = x[EventOrderOutcomeUnknown-(55)]
-	_ = x[EventEngineStateNotRead-(56)]
-	_ = x[EventInventoryNotRead-(57)]
-	_ = x[EventLoadFailed-(58)]
-	_ = x[EventBackendStateNotEncoded-(59)]
-	_ = x[EventRegistryRefused-(60)]
-	_ = x[EventRoutesProposed-(61)]
-	_ = x[EventRoutesRefused-(62)]
-	_ = x[EventRoutesApplied-(63)]
-	_ = x[EventRoutesInEffect-(64)]
-	_ = x[EventRoutesNotFetched-(65)]
-	_ = x[EventCatalogueInEffect-(66)]
-	_ = x[EventBecameLeader-(67)]
-	_ = x[EventNoLeader-(68)]
-	_ = x[EventReplicaOpened-(69)]
-	_ = x[EventStartConfirmed-(70)]
-	_ = x[EventStartUnconfirmed-(71)]
-	_ = x[EventVotersChanged-(72)]
-	_ = x[EventLearnerAdded-(73)]
-	_ = x[EventLearnerRemoved-(74)]
-	_ = x[EventVoterAdded-(75)]
-	_ = x[EventVoterReplaced-(76)]
-	_ = x[EventVoterStandby-(77)]
-	_ = x[EventLeadershipNotHandedOver-(78)]
-	_ = x[EventExpiryNotEncoded-(79)]
-	_ = x[EventReplicaFailed-(80)]
-	_ = x[EventReplicaRegressed-(81)]
-	_ = x[EventDataFolderDamaged-(82)]
-	_ = x[EventDataFolderRegressed-(83)]
-	_ = x[EventLeaseAcquired-(84)]
-	_ = x[EventLeaseLost-(85)]
-	_ = x[EventLeaseNotRenewed-(86)]
-	_ = x[EventZoneOwned-(87)]
-	_ = x[EventZoneLost-(88)]
-	_ = x[EventControlThreadTimes-(89)]
-	_ = x[EventControlLost-(90)]
-	_ = x[EventControlRegained-(91)]
-	_ = x[EventStarted-(92)]
-	_ = x[EventDraining-(93)]
-	_ = x[EventDrained-(94)]
-	_ = x[EventStopped-(95)]
-	_ = x[EventSettingsReloaded-(96)]
-	_ = x[EventSettingsRefused-(97)]
-	_ = x[EventListenerEnded-(98)]
-	_ = x[EventMetricsNotServed-(99)]
-	_ = x[EventUnknownEvent-(100)]
-	_ = x[EventOverloaded-(101)]
-	_ = x[EventLogLinesDropped-(102)]
+	_ = x[EventRoomChanged-(40)]
+	_ = x[EventLimitUnclear-(41)]
+	_ = x[EventSlotRequested-(42)]
+	_ = x[EventSlotUnanswered-(43)]
+	_ = x[EventLimitNotReported-(44)]
+	_ = x[EventKeysConfirmed-(45)]
+	_ = x[EventKeysUnconfirmed-(46)]
+	_ = x[EventAccountsUnknown-(47)]
+	_ = x[EventQuotaUsedUp-(48)]
+	_ = x[EventQuotaUnanswered-(49)]
+	_ = x[EventOutlierDetected-(50)]
+	_ = x[EventModelWithdrawn-(51)]
+	_ = x[EventOrderAnswered-(52)]
+	_ = x[EventOrderDone-(53)]
+	_ = x[EventOrderStateChanged-(54)]
+	_ = x[EventOrderRefused-(55)]
+	_ = x[EventOrderOutcomeUnknown-(56)]
+	_ = x[EventEngineStateNotRead-(57)]
+	_ = x[EventInventoryNotRead-(58)]
+	_ = x[EventLoadFailed-(59)]
+	_ = x[EventBackendStateNotEncoded-(60)]
+	_ = x[EventRegistryRefused-(61)]
+	_ = x[EventRoutesProposed-(62)]
+	_ = x[EventRoutesRefused-(63)]
+	_ = x[EventRoutesApplied-(64)]
+	_ = x[EventRoutesInEffect-(65)]
+	_ = x[EventRoutesNotFetched-(66)]
+	_ = x[EventCatalogueInEffect-(67)]
+	_ = x[EventBecameLeader-(68)]
+	_ = x[EventNoLeader-(69)]
+	_ = x[EventReplicaOpened-(70)]
+	_ = x[EventStartConfirmed-(71)]
+	_ = x[EventStartUnconfirmed-(72)]
+	_ = x[EventVotersChanged-(73)]
+	_ = x[EventLearnerAdded-(74)]
+	_ = x[EventLearnerRemoved-(75)]
+	_ = x[EventVoterAdded-(76)]
+	_ = x[EventVoterReplaced-(77)]
+	_ = x[EventVoterStandby-(78)]
+	_ = x[EventLeadershipNotHandedOver-(79)]
+	_ = x[EventExpiryNotEncoded-(80)]
+	_ = x[EventReplicaFailed-(81)]
+	_ = x[EventReplicaRegressed-(82)]
+	_ = x[EventDataFolderDamaged-(83)]
+	_ = x[EventDataFolderRegressed-(84)]
+	_ = x[EventLeaseAcquired-(85)]
+	_ = x[EventLeaseLost-(86)]
+	_ = x[EventLeaseNotRenewed-(87)]
+	_ = x[EventZoneOwned-(88)]
+	_ = x[EventZoneLost-(89)]
+	_ = x[EventControlThreadTimes-(90)]
+	_ = x[EventControlLost-(91)]
+	_ = x[EventControlRegained-(92)]
+	_ = x[EventStarted-(93)]
+	_ = x[EventDraining-(94)]
+	_ = x[EventDrained-(95)]
+	_ = x[EventStopped-(96)]
+	_ = x[EventSettingsReloaded-(97)]
+	_ = x[EventSettingsRefused-(98)]
+	_ = x[EventListenerEnded-(99)]
+	_ = x[EventMetricsNotServed-(100)]
+	_ = x[EventUnknownEvent-(101)]
+	_ = x[EventOverloaded-(102)]
+	_ = x[EventLogLinesDropped-(103)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -172,69 +173,70 @@
 	_LogEventName[573:586]:   EventLimitChanged,
 	_LogEventName[586:601]:   EventBrittleChanged,
 	_LogEventName[601:613]:   EventLoadUnclear,
-	_LogEventName[613:626]:   EventLimitUnclear,
-	_LogEventName[626:640]:   EventSlotRequested,
-	_LogEventName[640:655]:   EventSlotUnanswered,
-	_LogEventName[655:673]:   EventLimitNotReported,
-	_LogEventName[673:687]:   EventKeysConfirmed,
-	_LogEventName[687:703]:   EventKeysUnconfirmed,
-	_LogEventName[703:719]:   EventAccountsUnknown,
-	_LogEventName[719:732]:   EventQuotaUsedUp,
-	_LogEventName[732:748]:   EventQuotaUnanswered,
-	_LogEventName[748:764]:   EventOutlierDetected,
-	_LogEventName[764:779]:   EventModelWithdrawn,
-	_LogEventName[779:793]:   EventOrderAnswered,
-	_LogEventName[793:803]:   EventOrderDone,
-	_LogEventName[803:814]:   EventOrderStateChanged,
-	_LogEventName[814:827]:   EventOrderRefused,
-	_LogEventName[827:848]:   EventOrderOutcomeUnknown,
-	_LogEventName[848:864]:   EventEngineStateNotRead,
-	_LogEventName[864:882]:   EventInventoryNotRead,
-	_LogEventName[882:893]:   EventLoadFailed,
-	_LogEventName[893:909]:   EventBackendStateNotEncoded,
-	_LogEventName[909:925]:   EventRegistryRefused,
-	_LogEventName[925:940]:   EventRoutesProposed,
-	_LogEventName[940:954]:   EventRoutesRefused,
-	_LogEventName[954:968]:   EventRoutesApplied,
-	_LogEventName[968:983]:   EventRoutesInEffect,
-	_LogEventName[983:1001]:  EventRoutesNotFetched,
-	_LogEventName[1001:1019]: EventCatalogueInEffect,
-	_LogEventName[1019:1032]: EventBecameLeader,
-	_LogEventName[1032:1041]: EventNoLeader,
-	_LogEventName[1041:1055]: EventReplicaOpened,
-	_LogEventName[1055:1070]: EventStartConfirmed,
-	_LogEventName[1070:1087]: EventStartUnconfirmed,
-	_LogEventName[1087:1102]: EventVotersChanged,
-	_LogEventName[1102:1115]: EventLearnerAdded,
-	_LogEventName[1115:1130]: EventLearnerRemoved,
-	_LogEventName[1130:1141]: EventVoterAdded,
-	_LogEventName[1141:1155]: EventVoterReplaced,
-	_LogEventName[1155:1168]: EventVoterStandby,
-	_LogEventName[1168:1194]: EventLeadershipNotHandedOver,
-	_LogEventName[1194:1212]: EventExpiryNotEncoded,
-	_LogEventName[1212:1226]: EventReplicaFailed,
-	_LogEventName[1226:1243]: EventReplicaRegressed,
-	_LogEventName[1243:1262]: EventDataFolderDamaged,
-	_LogEventName[1262:1283]: EventDataFolderRegressed,
-	_LogEventName[1283:1292]: EventLeaseAcquired,
-	_LogEventName[1292:1302]: EventLeaseLost,
-	_LogEventName[1302:1319]: EventLeaseNotRenewed,
-	_LogEventName[1319:1329]: EventZoneOwned,
-	_LogEventName[1329:1338]: EventZoneLost,
-	_LogEventName[1338:1352]: EventControlThreadTimes,
-	_LogEventName[1352:1364]: EventControlLost,
-	_LogEventName[1364:1380]: EventControlRegained,
-	_LogEventName[1380:1387]: EventStarted,
-	_LogEventName[1387:1395]: EventDraining,
-	_LogEventName[1395:1402]: EventDrained,
-	_LogEventName[1402:1409]: EventStopped,
-	_LogEventName[1409:1426]: EventSettingsReloaded,
-	_LogEventName[1426:1442]: EventSettingsRefused,
-	_LogEventName[1442:1456]: EventListenerEnded,
-	_LogEventName[1456:1474]: EventMetricsNotServed,
-	_LogEventName[1474:1487]: EventUnknownEvent,
-	_LogEventName[1487:1497]: EventOverloaded,
-	_LogEventName[1497:1514]: EventLogLinesDropped,
+	_LogEventName[613:625]:   EventRoomChanged,
+	_LogEventName[625:638]:   EventLimitUnclear,
+	_LogEventName[638:652]:   EventSlotRequested,
+	_LogEventName[652:667]:   EventSlotUnanswered,
+	_LogEventName[667:685]:   EventLimitNotReported,
+	_LogEventName[685:699]:   EventKeysConfirmed,
+	_LogEventName[699:715]:   EventKeysUnconfirmed,
+	_LogEventName[715:731]:   EventAccountsUnknown,
+	_LogEventName[731:744]:   EventQuotaUsedUp,
+	_LogEventName[744:760]:   EventQuotaUnanswered,
+	_LogEventName[760:776]:   EventOutlierDetected,
+	_LogEventName[776:791]:   EventModelWithdrawn,
+	_LogEventName[791:805]:   EventOrderAnswered,
+	_LogEventName[805:815]:   EventOrderDone,
+	_LogEventName[815:826]:   EventOrderStateChanged,
+	_LogEventName[826:839]:   EventOrderRefused,
+	_LogEventName[839:860]:   EventOrderOutcomeUnknown,
+	_LogEventName[860:876]:   EventEngineStateNotRead,
+	_LogEventName[876:894]:   EventInventoryNotRead,
+	_LogEventName[894:905]:   EventLoadFailed,
+	_LogEventName[905:921]:   EventBackendStateNotEncoded,
+	_LogEventName[921:937]:   EventRegistryRefused,
+	_LogEventName[937:952]:   EventRoutesProposed,
+	_LogEventName[952:966]:   EventRoutesRefused,
+	_LogEventName[966:980]:   EventRoutesApplied,
+	_LogEventName[980:995]:   EventRoutesInEffect,
+	_LogEventName[995:1013]:  EventRoutesNotFetched,
+	_LogEventName[1013:1031]: EventCatalogueInEffect,
+	_LogEventName[1031:1044]: EventBecameLeader,
+	_LogEventName[1044:1053]: EventNoLeader,
+	_LogEventName[1053:1067]: EventReplicaOpened,
+	_LogEventName[1067:1082]: EventStartConfirmed,
+	_LogEventName[1082:1099]: EventStartUnconfirmed,
+	_LogEventName[1099:1114]: EventVotersChanged,
+	_LogEventName[1114:1127]: EventLearnerAdded,
+	_LogEventName[1127:1142]: EventLearnerRemoved,
+	_LogEventName[1142:1153]: EventVoterAdded,
+	_LogEventName[1153:1167]: EventVoterReplaced,
+	_LogEventName[1167:1180]: EventVoterStandby,
+	_LogEventName[1180:1206]: EventLeadershipNotHandedOver,
+	_LogEventName[1206:1224]: EventExpiryNotEncoded,
+	_LogEventName[1224:1238]: EventReplicaFailed,
+	_LogEventName[1238:1255]: EventReplicaRegressed,
+	_LogEventName[1255:1274]: EventDataFolderDamaged,
+	_LogEventName[1274:1295]: EventDataFolderRegressed,
+	_LogEventName[1295:1304]: EventLeaseAcquired,
+	_LogEventName[1304:1314]: EventLeaseLost,
+	_LogEventName[1314:1331]: EventLeaseNotRenewed,
+	_LogEventName[1331:1341]: EventZoneOwned,
+	_LogEventName[1341:1350]: EventZoneLost,
+	_LogEventName[1350:1364]: EventControlThreadTimes,
+	_LogEventName[1364:1376]: EventControlLost,
+	_LogEventName[1376:1392]: EventControlRegained,
+	_LogEventName[1392:1399]: EventStarted,
+	_LogEventName[1399:1407]: EventDraining,
+	_LogEventName[1407:1414]: EventDrained,
+	_LogEventName[1414:1421]: EventStopped,
+	_LogEventName[1421:1438]: EventSettingsReloaded,
+	_LogEventName[1438:1454]: EventSettingsRefused,
+	_LogEventName[1454:1468]: EventListenerEnded,
+	_LogEventName[1468:1486]: EventMetricsNotServed,
+	_LogEventName[1486:1499]: EventUnknownEvent,
+	_LogEventName[1499:1509]: EventOverloaded,
+	_LogEventName[1509:1526]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -278,69 +280,70 @@
 	_LogEventLowerName[573:586]:   EventLimitChanged,
 	_LogEventLowerName[586:601]:   EventBrittleChanged,
 	_LogEventLowerName[601:613]:   EventLoadUnclear,
-	_LogEventLowerName[613:626]:   EventLimitUnclear,
-	_LogEventLowerName[626:640]:   EventSlotRequested,
-	_LogEventLowerName[640:655]:   EventSlotUnanswered,
-	_LogEventLowerName[655:673]:   EventLimitNotReported,
-	_LogEventLowerName[673:687]:   EventKeysConfirmed,
-	_LogEventLowerName[687:703]:   EventKeysUnconfirmed,
-	_LogEventLowerName[703:719]:   EventAccountsUnknown,
-	_LogEventLowerName[719:732]:   EventQuotaUsedUp,
-	_LogEventLowerName[732:748]:   EventQuotaUnanswered,
-	_LogEventLowerName[748:764]:   EventOutlierDetected,
-	_LogEventLowerName[764:779]:   EventModelWithdrawn,
-	_LogEventLowerName[779:793]:   EventOrderAnswered,
-	_LogEventLowerName[793:803]:   EventOrderDone,
-	_LogEventLowerName[803:814]:   EventOrderStateChanged,
-	_LogEventLowerName[814:827]:   EventOrderRefused,
-	_LogEventLowerName[827:848]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[848:864]:   EventEngineStateNotRead,
-	_LogEventLowerName[864:882]:   EventInventoryNotRead,
-	_LogEventLowerName[882:893]:   EventLoadFailed,
-	_LogEventLowerName[893:909]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[909:925]:   EventRegistryRefused,
-	_LogEventLowerName[925:940]:   EventRoutesProposed,
-	_LogEventLowerName[940:954]:   EventRoutesRefused,
-	_LogEventLowerName[954:968]:   EventRoutesApplied,
-	_LogEventLowerName[968:983]:   EventRoutesInEffect,
-	_LogEventLowerName[983:1001]:  EventRoutesNotFetched,
-	_LogEventLowerName[1001:1019]: EventCatalogueInEffect,
-	_LogEventLowerName[1019:1032]: EventBecameLeader,
-	_LogEventLowerName[1032:1041]: EventNoLeader,
-	_LogEventLowerName[1041:1055]: EventReplicaOpened,
-	_LogEventLowerName[1055:1070]: EventStartConfirmed,
-	_LogEventLowerName[1070:1087]: EventStartUnconfirmed,
-	_LogEventLowerName[1087:1102]: EventVotersChanged,
-	_LogEventLowerName[1102:1115]: EventLearnerAdded,
-	_LogEventLowerName[1115:1130]: EventLearnerRemoved,
-	_LogEventLowerName[1130:1141]: EventVoterAdded,
-	_LogEventLowerName[1141:1155]: EventVoterReplaced,
-	_LogEventLowerName[1155:1168]: EventVoterStandby,
-	_LogEventLowerName[1168:1194]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1194:1212]: EventExpiryNotEncoded,
-	_LogEventLowerName[1212:1226]: EventReplicaFailed,
-	_LogEventLowerName[1226:1243]: EventReplicaRegressed,
-	_LogEventLowerName[1243:1262]: EventDataFolderDamaged,
-	_LogEventLowerName[1262:1283]: EventDataFolderRegressed,
-	_LogEventLowerName[1283:1292]: EventLeaseAcquired,
-	_LogEventLowerName[1292:1302]: EventLeaseLost,
-	_LogEventLowerName[1302:1319]: EventLeaseNotRenewed,
-	_LogEventLowerName[1319:1329]: EventZoneOwned,
-	_LogEventLowerName[1329:1338]: EventZoneLost,
-	_LogEventLowerName[1338:1352]: EventControlThreadTimes,
-	_LogEventLowerName[1352:1364]: EventControlLost,
-	_LogEventLowerName[1364:1380]: EventControlRegained,
-	_LogEventLowerName[1380:1387]: EventStarted,
-	_LogEventLowerName[1387:1395]: EventDraining,
-	_LogEventLowerName[1395:1402]: EventDrained,
-	_LogEventLowerName[1402:1409]: EventStopped,
-	_LogEventLowerName[1409:1426]: EventSettingsReloaded,
-	_LogEventLowerName[1426:1442]: EventSettingsRefused,
-	_LogEventLowerName[1442:1456]: EventListenerEnded,
-	_LogEventLowerName[1456:1474]: EventMetricsNotServed,
-	_LogEventLowerName[1474:1487]: EventUnknownEvent,
-	_LogEventLowerName[1487:1497]: EventOverloaded,
-	_LogEventLowerName[1497:1514]: EventLogLinesDropped,
+	_LogEventLowerName[613:625]:   EventRoomChanged,
+	_LogEventLowerName[625:638]:   EventLimitUnclear,
+	_LogEventLowerName[638:652]:   EventSlotRequested,
+	_LogEventLowerName[652:667]:   EventSlotUnanswered,
+	_LogEventLowerName[667:685]:   EventLimitNotReported,
+	_LogEventLowerName[685:699]:   EventKeysConfirmed,
+	_LogEventLowerName[699:715]:   EventKeysUnconfirmed,
+	_LogEventLowerName[715:731]:   EventAccountsUnknown,
+	_LogEventLowerName[731:744]:   EventQuotaUsedUp,
+	_LogEventLowerName[744:760]:   EventQuotaUnanswered,
+	_LogEventLowerName[760:776]:   EventOutlierDetected,
+	_LogEventLowerName[776:791]:   EventModelWithdrawn,
+	_LogEventLowerName[791:805]:   EventOrderAnswered,
+	_LogEventLowerName[805:815]:   EventOrderDone,
+	_LogEventLowerName[815:826]:   EventOrderStateChanged,
+	_LogEventLowerName[826:839]:   EventOrderRefused,
+	_LogEventLowerName[839:860]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[860:876]:   EventEngineStateNotRead,
+	_LogEventLowerName[876:894]:   EventInventoryNotRead,
+	_LogEventLowerName[894:905]:   EventLoadFailed,
+	_LogEventLowerName[905:921]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[921:937]:   EventRegistryRefused,
+	_LogEventLowerName[937:952]:   EventRoutesProposed,
+	_LogEventLowerName[952:966]:   EventRoutesRefused,
+	_LogEventLowerName[966:980]:   EventRoutesApplied,
+	_LogEventLowerName[980:995]:   EventRoutesInEffect,
+	_LogEventLowerName[995:1013]:  EventRoutesNotFetched,
+	_LogEventLowerName[1013:1031]: EventCatalogueInEffect,
+	_LogEventLowerName[1031:1044]: EventBecameLeader,
+	_LogEventLowerName[1044:1053]: EventNoLeader,
+	_LogEventLowerName[1053:1067]: EventReplicaOpened,
+	_LogEventLowerName[1067:1082]: EventStartConfirmed,
+	_LogEventLowerName[1082:1099]: EventStartUnconfirmed,
+	_LogEventLowerName[1099:1114]: EventVotersChanged,
+	_LogEventLowerName[1114:1127]: EventLearnerAdded,
+	_LogEventLowerName[1127:1142]: EventLearnerRemoved,
+	_LogEventLowerName[1142:1153]: EventVoterAdded,
+	_LogEventLowerName[1153:1167]: EventVoterReplaced,
+	_LogEventLowerName[1167:1180]: EventVoterStandby,
+	_LogEventLowerName[1180:1206]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1206:1224]: EventExpiryNotEncoded,
+	_LogEventLowerName[1224:1238]: EventReplicaFailed,
+	_LogEventLowerName[1238:1255]: EventReplicaRegressed,
+	_LogEventLowerName[1255:1274]: EventDataFolderDamaged,
+	_LogEventLowerName[1274:1295]: EventDataFolderRegressed,
+	_LogEventLowerName[1295:1304]: EventLeaseAcquired,
+	_LogEventLowerName[1304:1314]: EventLeaseLost,
+	_LogEventLowerName[1314:1331]: EventLeaseNotRenewed,
+	_LogEventLowerName[1331:1341]: EventZoneOwned,
+	_LogEventLowerName[1341:1350]: EventZoneLost,
+	_LogEventLowerName[1350:1364]: EventControlThreadTimes,
+	_LogEventLowerName[1364:1376]: EventControlLost,
+	_LogEventLowerName[1376:1392]: EventControlRegained,
+	_LogEventLowerName[1392:1399]: EventStarted,
+	_LogEventLowerName[1399:1407]: EventDraining,
+	_LogEventLowerName[1407:1414]: EventDrained,
+	_LogEventLowerName[1414:1421]: EventStopped,
+	_LogEventLowerName[1421:1438]: EventSettingsReloaded,
+	_LogEventLowerName[1438:1454]: EventSettingsRefused,
+	_LogEventLowerName[1454:1468]: EventListenerEnded,
+	_LogEventLowerName[1468:1486]: EventMetricsNotServed,
+	_LogEventLowerName[1486:1499]: EventUnknownEvent,
+	_LogEventLowerName[1499:1509]: EventOverloaded,
+	_LogEventLowerName[1509:1526]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -384,69 +387,70 @@
 	_LogEventName[573:586],
 	_LogEventName[586:601],
 	_LogEventName[601:613],
-	_LogEventName[613:626],
-	_LogEventName[626:640],
-	_LogEventName[640:655],
-	_LogEventName[655:673],
-	_LogEventName[673:687],
-	_LogEventName[687:703],
-	_LogEventName[703:719],
-	_LogEventName[719:732],
-	_LogEventName[732:748],
-	_LogEventName[748:764],
-	_LogEventName[764:779],
-	_LogEventName[779:793],
-	_LogEventName[793:803],
-	_LogEventName[803:814],
-	_LogEventName[814:827],
-	_LogEventName[827:848],
-	_LogEventName[848:864],
-	_LogEventName[864:882],
-	_LogEventName[882:893],
-	_LogEventName[893:909],
-	_LogEventName[909:925],
-	_LogEventName[925:940],
-	_LogEventName[940:954],
-	_LogEventName[954:968],
-	_LogEventName[968:983],
-	_LogEventName[983:1001],
-	_LogEventName[1001:1019],
-	_LogEventName[1019:1032],
-	_LogEventName[1032:1041],
-	_LogEventName[1041:1055],
-	_LogEventName[1055:1070],
-	_LogEventName[1070:1087],
-	_LogEventName[1087:1102],
-	_LogEventName[1102:1115],
-	_LogEventName[1115:1130],
-	_LogEventName[1130:1141],
-	_LogEventName[1141:1155],
-	_LogEventName[1155:1168],
-	_LogEventName[1168:1194],
-	_LogEventName[1194:1212],
-	_LogEventName[1212:1226],
-	_LogEventName[1226:1243],
-	_LogEventName[1243:1262],
-	_LogEventName[1262:1283],
-	_LogEventName[1283:1292],
-	_LogEventName[1292:1302],
-	_LogEventName[1302:1319],
-	_LogEventName[1319:1329],
-	_LogEventName[1329:1338],
-	_LogEventName[1338:1352],
-	_LogEventName[1352:1364],
-	_LogEventName[1364:1380],
-	_LogEventName[1380:1387],
-	_LogEventName[1387:1395],
-	_LogEventName[1395:1402],
-	_LogEventName[1402:1409],
-	_LogEventName[1409:1426],
-	_LogEventName[1426:1442],
-	_LogEventName[1442:1456],
-	_LogEventName[1456:1474],
-	_LogEventName[1474:1487],
-	_LogEventName[1487:1497],
-	_LogEventName[1497:1514],
+	_LogEventName[613:625],
+	_LogEventName[625:638],
+	_LogEventName[638:652],
+	_LogEventName[652:667],
+	_LogEventName[667:685],
+	_LogEventName[685:699],
+	_LogEventName[699:715],
+	_LogEventName[715:731],
+	_LogEventName[731:744],
+	_LogEventName[744:760],
+	_LogEventName[760:776],
+	_LogEventName[776:791],
+	_LogEventName[791:805],
+	_LogEventName[805:815],
+	_LogEventName[815:826],
+	_LogEventName[826:839],
+	_LogEventName[839:860],
+	_LogEventName[860:876],
+	_LogEventName[876:894],
+	_LogEventName[894:905],
+	_LogEventName[905:921],
+	_LogEventName[921:937],
+	_LogEventName[937:952],
+	_LogEventName[952:966],
+	_LogEventName[966:980],
+	_LogEventName[980:995],
+	_LogEventName[995:1013],
+	_LogEventName[1013:1031],
+	_LogEventName[1031:1044],
+	_LogEventName[1044:1053],
+	_LogEventName[1053:1067],
+	_LogEventName[1067:1082],
+	_LogEventName[1082:1099],
+	_LogEventName[1099:1114],
+	_LogEventName[1114:1127],
+	_LogEventName[1127:1142],
+	_LogEventName[1142:1153],
+	_LogEventName[1153:1167],
+	_LogEventName[1167:1180],
+	_LogEventName[1180:1206],
+	_LogEventName[1206:1224],
+	_LogEventName[1224:1238],
+	_LogEventName[1238:1255],
+	_LogEventName[1255:1274],
+	_LogEventName[1274:1295],
+	_LogEventName[1295:1304],
+	_LogEventName[1304:1314],
+	_LogEventName[1314:1331],
+	_LogEventName[1331:1341],
+	_LogEventName[1341:1350],
+	_LogEventName[1350:1364],
+	_LogEventName[1364:1376],
+	_LogEventName[1376:1392],
+	_LogEventName[1392:1399],
+	_LogEventName[1399:1407],
+	_LogEventName[1407:1414],
+	_LogEventName[1414:1421],
+	_LogEventName[1421:1438],
+	_LogEventName[1438:1454],
+	_LogEventName[1454:1468],
+	_LogEventName[1468:1486],
+	_LogEventName[1486:1499],
+	_LogEventName[1499:1509],
+	_LogEventName[1509:1526],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
