fix: a request waits for a connection instead of failing at its gateway's limit

Cause: a gateway's share of an engine's connections was first looked at when a connection was asked for. The balancer chose the server by its free slots; the attempt then failed, and the server was avoided. Change: the balancer counts a server as full for this gateway while its own requests there have all of its connections. The request goes to another server, or waits in the queue and is served when one of them ends. Where probes or detours have the connections the request goes back to the queue, unsent, and the server is tried again when a request there ends or after the retry time. Who is refused after that gets queue-full, with the cause in its detail. This changes all deployments, but only where the limit of connections is reached: a failure becomes a wait.

--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -68,6 +68,8 @@
 	Software laburnumlever.SoftwareVersion
 	// ExceptSoftware are software versions whose servers may not take the request.
 	ExceptSoftware []laburnumlever.SoftwareVersion
+	// Connections is the number of connections that this VM may have to one server, each of which carries one request; 0 for any.
+	Connections int
 }
 
 // fits reports whether a server runs software that may take the request.
@@ -109,8 +111,8 @@
 	// limited ones.
 	AdapterAbsent
 	// Full means that every server outside backoff that holds the model and adapter, except for
-	// limited ones, has no free slot, has just refused a request or has too many unread prompts, or
-	// that the request's permit is not valid yet.
+	// limited ones, has no free slot or no connection left for this VM, has just refused a request or has
+	// too many unread prompts, or that the request's permit is not valid yet.
 	Full
 )
 
@@ -160,6 +162,8 @@
 	ReservationRefused bool
 	// Rested means that the server turned the request away and asked for rest, which is no fault of it.
 	Rested bool
+	// NoConnection means that this VM had as many connections to the server open as it may have.
+	NoConnection bool
 }
 
 // Table holds the state of the backend servers as seen by this VM.
@@ -425,7 +429,7 @@
 		unlimited = unlimited || !s.limited
 		if s.limited {
 			limited = append(limited, s.record.Heartbeat.Backend)
-		} else if now.Before(s.unreachableUntil) || now.Before(s.restUntil) || t.saturated(s, now, q.Queue) {
+		} else if now.Before(s.unreachableUntil) || now.Before(s.restUntil) || s.lacksConnection(q.Connections, now) || t.saturated(s, now, q.Queue) {
 			unavailable = append(unavailable, s.record.Heartbeat.Backend)
 		}
 	}
@@ -476,6 +480,13 @@
 	return slices.ContainsFunc(t.candidates(q), func(s *server) bool { return q.fits(s) && t.verdictOn(s, q, now) == Found })
 }
 
+// LacksConnections reports whether a server that could serve the query lacks a connection for it.
+func (t *Table) LacksConnections(q Query, now time.Time) bool {
+	return slices.ContainsFunc(t.candidates(q), func(s *server) bool {
+		return q.fits(s) && s.lacksConnection(q.Connections, now) && s.holds(q.Model, q.Adapter, now)
+	})
+}
+
 // verdictOn returns whether one server can take the query, and why not: ModelAbsent also if it is
 // unreachable.
 func (t *Table) verdictOn(s *server, q Query, now time.Time) Verdict {
@@ -486,7 +497,7 @@
 		return Resting
 	case !s.holds(q.Model, q.Adapter, now):
 		return AdapterAbsent
-	case s.trialing:
+	case s.trialing || s.lacksConnection(q.Connections, now):
 		return Full
 	case s.limited:
 		return t.limitedVerdict(s, q, now)
@@ -590,6 +601,10 @@
 	ticket.promptRead()
 	ticket.server = nil
 	s.own--
+	s.noConnectionUntil = time.Time{}
+	if result.NoConnection {
+		s.noConnectionUntil = now.Add(t.retryTime)
+	}
 	if ticket.trial {
 		s.trialing = false
 	}
--- a/laburnumbalance/balance_test.go
+++ b/laburnumbalance/balance_test.go
@@ -215,3 +215,32 @@
 		table.End(ticket, laburnumbalance.AttemptResult{}, now)
 	}
 }
+
+// Guards against requests sent to a server to which this VM has no connection left, while another server is free.
+func TestServerWithoutAConnectionIsFull(t *testing.T) {
+	now := start
+	table := laburnumbalance.New("brest", 1)
+	for _, h := range []laburnumlever.Heartbeat{
+		{Backend: "i-1", Service: "quotes", Zone: "brest", Slots: 8}, {Backend: "i-2", Service: "quotes", Zone: "lannion", Slots: 8},
+	} {
+		table.Set(laburnumregistry.Record{Heartbeat: h})
+	}
+	query := laburnumbalance.Query{Service: "quotes", Connections: 1}
+	var picked []laburnumlever.BackendID
+	var first *laburnumbalance.Ticket
+	for range 2 {
+		ticket, verdict := table.Pick(query, now)
+		require.Equal(t, laburnumbalance.Found, verdict)
+		picked = append(picked, ticket.Backend.Backend)
+		if first == nil {
+			first = ticket
+		}
+	}
+	require.Equal(t, []laburnumlever.BackendID{"i-1", "i-2"}, picked)
+	_, verdict := table.Pick(query, now)
+	require.Equal(t, laburnumbalance.Full, verdict)
+	require.True(t, table.LacksConnections(query, now))
+	table.End(first, laburnumbalance.AttemptResult{NoConnection: true}, now)
+	require.False(t, table.HasRoom(query, now), "the last request got no connection")
+	require.True(t, table.HasRoom(query, now.Add(table.RetryTime())))
+}
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -58,6 +58,9 @@
 	others    float64
 	othersAt  time.Time
 	fullUntil time.Time
+	// noConnectionUntil is when a connection is asked for again after the last request got none. It is zero once another
+	// request has ended.
+	noConnectionUntil time.Time
 	// reservationRefused tells that the last reservation was refused and that no load has been
 	// reported since.
 	reservationRefused bool
@@ -90,6 +93,11 @@
 	return float64(s.own) + max(0, fade)*s.others
 }
 
+// lacksConnection tells whether this VM's requests have all of the connections that it may have to the server; 0 for any number.
+func (s *server) lacksConnection(limit int, now time.Time) bool {
+	return limit > 0 && (s.own >= limit || now.Before(s.noConnectionUntil))
+}
+
 // mayBeFull tells whether the server may be full, since its last reservation was refused or its load
 // is too old to rely on. A load is too old after currentLoadAge, or after loadDecay if it is below
 // idleShare of the slots.
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -63,7 +63,11 @@
 
 // connect returns a connection to the ticket's backend server, if it may still be sent something.
 func (g *Gateway) connect(ctx context.Context, q *request, ticket *laburnumbalance.Ticket, result *laburnumbalance.AttemptResult) (*laburnumupstream.Conn, *failure) {
-	conn, err := g.pool.Get(ctx, ticket.Backend.Address, g.connectionLimit(q))
+	conn, err := g.pool.Get(ctx, ticket.Backend.Address, connectionShare(q.service, g.fleet.Gateways()))
+	if isConnectionLimit(err) {
+		result.NoConnection = true
+		return nil, notSendable(err)
+	}
 	if err != nil {
 		return nil, g.connectFailed(ctx, ticket, err, result)
 	}
@@ -89,12 +93,17 @@
 	return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}
 }
 
-// connectionLimit is this gateway's share of a backend server's connection limit.
-func (g *Gateway) connectionLimit(q *request) int {
-	if q.service.MaxConnections == 0 {
+// connectionShare is a gateway's share of the connection limit of each backend server of a service; 0 for no limit.
+func connectionShare(service laburnumlever.RoutedService, gateways int) int {
+	if service.MaxConnections == 0 {
 		return 0
 	}
-	return max(1, q.service.MaxConnections/max(1, g.fleet.Gateways()))
+	return max(1, service.MaxConnections/max(1, gateways))
+}
+
+func isConnectionLimit(err error) bool {
+	var limit *laburnumupstream.ConnectionLimitError
+	return errors.As(err, &limit)
 }
 
 func isDialError(err error) bool {
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -359,11 +359,19 @@
 	return f.balance.Unavailable(f.query(q), f.timers.Now())
 }
 
+// lacksConnections reports whether a backend server could serve a request if this gateway might open one more connection to it.
+func (f *Fleet) lacksConnections(q *request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balance.LacksConnections(f.query(q), f.timers.Now())
+}
+
 // query returns the query for the balancer. The caller must hold mu.
 func (f *Fleet) query(q *request) laburnumbalance.Query {
 	query := q.query()
 	query.ReadTime = f.readTimes.Of(q.caller.Model)
 	query.ExceptSoftware = f.settlingVersions(q)
+	query.Connections = connectionShare(q.service, f.gateways)
 	return query
 }
 
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -189,7 +189,7 @@
 			continue
 		}
 		if verdict != laburnumbalance.AdapterAbsent || g.adapters == nil {
-			return nil, noSlotRefusal(verdict)
+			return nil, g.noSlotRefusal(q, verdict)
 		}
 		err := g.loadAdapter(ctx, q)
 		if !g.timers.Now().Before(until) {
@@ -224,10 +224,14 @@
 	return newRefusal(laburnumlever.RefusedNoBackend, waitPolicy.MinRetryAfter(verdict), detail)
 }
 
-func noSlotRefusal(verdict laburnumbalance.Verdict) error {
+func (g *Gateway) noSlotRefusal(q *request, verdict laburnumbalance.Verdict) error {
 	switch verdict {
 	case laburnumbalance.Full:
-		return newRefusal(laburnumlever.RefusedQueueFull, waitPolicy.MinRetryAfter(verdict), "all backend servers that could serve the request are full")
+		detail := "all backend servers that could serve the request are full"
+		if g.fleet.lacksConnections(q) {
+			detail += ", or have all the connections that this gateway may open"
+		}
+		return newRefusal(laburnumlever.RefusedQueueFull, waitPolicy.MinRetryAfter(verdict), detail)
 	case laburnumbalance.NoServer:
 		return noBackendRefusal(verdict, "no backend server of the service accepts requests")
 	case laburnumbalance.AdapterAbsent:
