feat: the director tells gateways which models engines load, and when they are expected

Change: an overlay has the load in progress and the time until its expected end, by the tier that the weights come from, counted from the message. It is left out without a load, once the load takes twice as long as expected, and unless known-returns is set. Builds before this one ignore the field. The director of the tests tells loads, too.

--- a/laburnumdirector/cluster_test.go
+++ b/laburnumdirector/cluster_test.go
@@ -132,7 +132,7 @@
 		registry: laburnumregistry.New(time.Second),
 	}
 	n.director = laburnumdirector.New(n.loop, w.timers, n, engineCalls{n}, n.vm,
-		laburnumdirector.WithLease(leaseTime), laburnumdirector.WithStore(5*time.Second, 1.1),
+		laburnumdirector.WithLease(leaseTime), laburnumdirector.WithStore(5*time.Second, 1.1), laburnumdirector.WithLoadsTold(true),
 		laburnumdirector.WithClock(func() time.Duration { return time.Duration(w.timers.Now().UnixNano()) }),
 		laburnumdirector.WithSpawn(n.spawn), laburnumdirector.WithCompute(n.compute))
 	n.director.SetLeaderCheck(func() bool { return n.isLeader })
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -296,7 +296,11 @@
 	for _, e := range changed {
 		e.changed = false
 		if d.engines.get(e.heartbeat.Backend) == e {
-			d.onOverlay(e.overlay(d.lease.fence, d.outliers.Detections(e.heartbeat.Backend)))
+			o := e.overlay(d.lease.fence, d.outliers.Detections(e.heartbeat.Backend))
+			if d.cfg.tellsLoads {
+				o.Loading = e.loading(d.timers.Now())
+			}
+			d.onOverlay(o)
 		}
 	}
 }
--- a/laburnumdirector/engine.go
+++ b/laburnumdirector/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumresidency"
 )
 
@@ -318,6 +319,15 @@
 	return max(minRemaining, (e.activeDuration - now.Sub(e.activeSince)).Seconds())
 }
 
+// loading returns the load in progress, if its end is expected.
+func (e *engine) loading(now time.Time) []laburnumregistry.ModelLoad {
+	if e.activeModel == "" || e.activeKind != laburnumlever.Load || e.activeDuration == 0 || e.overdue || now.Sub(e.activeSince) > 2*e.activeDuration {
+		return nil
+	}
+	in := time.Duration(e.remainingSeconds(now) * float64(time.Second))
+	return []laburnumregistry.ModelLoad{{Model: e.activeModel, ReadyIn: laburnumlever.Duration(in.Round(time.Millisecond))}}
+}
+
 func compareNames(a, b laburnumlever.ModelName) int {
 	switch {
 	case a < b:
--- a/laburnumdirector/options.go
+++ b/laburnumdirector/options.go
@@ -27,6 +27,7 @@
 	// rise and fall are the time constants of the demand estimate.
 	rise, fall time.Duration
 	quiet      time.Duration // time without requests after which a model may lose its last copy
+	tellsLoads bool          // in overlays
 }
 
 // Planner has the signature of laburnumresidency.NextSteps.
@@ -76,5 +77,8 @@
 // WithQuietTime sets the time without requests after which a model may lose its last copy.
 func WithQuietTime(d time.Duration) Option { return func(c *config) { c.quiet = d } }
 
+// WithLoadsTold adds to overlays which models engines load and when the loads are expected to end.
+func WithLoadsTold(told bool) Option { return func(c *config) { c.tellsLoads = told } }
+
 // WithSpawn sets the function that runs remote calls; the default starts a goroutine for each.
 func WithSpawn(spawn func(call func())) Option { return func(c *config) { c.spawn = spawn } }
--- a/laburnumregistry/overlay.go
+++ b/laburnumregistry/overlay.go
@@ -22,6 +22,15 @@
 	// Outliers is the number of times that the backend server was detected as an outlier under the
 	// fencing number.
 	Outliers uint64 `json:"outliers,omitempty"`
+	// Loading are the models that the engine loads.
+	Loading []ModelLoad `json:"loading,omitempty"`
+}
+
+// ModelLoad is a load under way.
+type ModelLoad struct {
+	Model laburnumlever.ModelName `json:"model"`
+	// ReadyIn is the time until its expected end, counted from the message that tells it.
+	ReadyIn laburnumlever.Duration `json:"ready-in"`
 }
 
 // Holds reports whether requests for the model, and for the adapter unless it is empty, may be sent
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -130,6 +130,7 @@
 		laburnumdirector.WithLease(time.Duration(c.settings.Times.Lease)),
 		laburnumdirector.WithHeartbeat(time.Duration(c.settings.Times.Heartbeat)),
 		laburnumdirector.WithStore(time.Duration(c.settings.StoreWindow), c.settings.StoreOvershoot),
+		laburnumdirector.WithLoadsTold(c.settings.SharedMachines.KnownReturns),
 		laburnumdirector.WithLogger(c.logger),
 		laburnumdirector.WithScope(c.metrics.Scope()))
 	d.SetLeaderCheck(func() bool { return c.voter.Status().Role == laburnumlog.Leader.String() })
