--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -128,6 +128,7 @@
 	}
 	q.sent++
 	q.sentAt = now
+	g.fleet.noteGranted(q)
 	resp, err := conn.Exchange(laburnumupstream.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Body: q.body,
 		Header: g.dialect.Forward(q.header, q.forwardParams(ticket.Backend.Backend, now)),
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumreturn"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -44,6 +45,9 @@
 	retries      map[laburnumlever.RetryReason]tally.Counter
 	reservations map[reserveOutcome]tally.Counter
 	slots        map[slotOutcome]tally.Counter
+	// returnsAtOnce and returnsAfterWait count callers that were told when a slot or a model is expected, before and after they
+	// waited.
+	returnsAtOnce, returnsAfterWait map[laburnumreturn.Kind]tally.Counter
 	// leaseProbes and leaseWaits count calls for leases of brittle servers that don't wait for one, and those that do.
 	leaseProbes, leaseWaits map[slotOutcome]tally.Counter
 	scope                   tally.Scope
@@ -78,6 +82,7 @@
 		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), linksLost: scope.Counter("links_lost"), detours: scope.Counter("detours"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
 		reservations: map[reserveOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
+		returnsAtOnce: map[laburnumreturn.Kind]tally.Counter{}, returnsAfterWait: map[laburnumreturn.Kind]tally.Counter{},
 		leaseProbes: map[slotOutcome]tally.Counter{}, leaseWaits: map[slotOutcome]tally.Counter{},
 		latencies:     map[laburnumlever.ServiceName]*latencies{},
 		attemptsEnded: map[attemptEnd]tally.Counter{}, answersCut: map[attemptEnd]tally.Counter{},
@@ -101,6 +106,10 @@
 		c.leaseProbes[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String(), "waits": "false"}).Counter("lease_calls")
 		c.leaseWaits[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String(), "waits": "true"}).Counter("lease_calls")
 	}
+	for _, kind := range []laburnumreturn.Kind{laburnumreturn.Drain, laburnumreturn.ModelLoad} {
+		c.returnsAtOnce[kind] = scope.Tagged(map[string]string{"expected": kind.String(), "waited": "false"}).Counter("returns_told")
+		c.returnsAfterWait[kind] = scope.Tagged(map[string]string{"expected": kind.String(), "waited": "true"}).Counter("returns_told")
+	}
 	for _, reason := range laburnumlever.RefusalReasonValues() {
 		c.refusals[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals")
 	}
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -14,6 +14,7 @@
 	"laburnumlever/laburnumlimit"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumreturn"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
 	"laburnumlever/laburnumtimer"
@@ -69,6 +70,7 @@
 	keepers        LimitKeepers
 	streams        *streams
 	sharedMachines laburnumlever.SharedMachines
+	returns        returns
 	// paced are the services of which a backend server has told its pace.
 	paced map[laburnumlever.ServiceName]struct{}
 	// unclearLoads are the backend servers of which an unreadable load was logged.
@@ -100,6 +102,7 @@
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), partAnswers: laburnumquarantine.NewPartAnswers(), reporter: silentReporter{},
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
+		returns:      returns{loads: laburnumreturn.Loads{Lag: period}},
 		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paced: map[laburnumlever.ServiceName]struct{}{},
 	}
 	for _, opt := range opts {
@@ -130,6 +133,7 @@
 	}
 	for _, o := range a.Overlays {
 		f.balance.SetOverlay(o, now)
+		f.noteLoads(o, now)
 	}
 	f.noteVersions(versions)
 	f.noteAnswer(address, a)
@@ -263,6 +267,7 @@
 	defer f.mu.Unlock()
 	f.adapters.RequestEnded(q.caller.Model, q.caller.Adapter, f.timers.Now())
 	f.balance.End(t, result, f.timers.Now())
+	f.noteHeld(q, result)
 	f.serveQueue()
 }
 
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -181,6 +181,10 @@
 		if verdict == laburnumbalance.Found {
 			return ticket, nil
 		}
+		extended, again := g.fleet.awaitsLoad(q, verdict, until)
+		if until = extended; again {
+			continue
+		}
 		if verdict == laburnumbalance.Limited {
 			if q.slotRequested {
 				return nil, g.limitedRefusal(q)
@@ -189,18 +193,27 @@
 			continue
 		}
 		if verdict != laburnumbalance.AdapterAbsent || g.adapters == nil {
+			g.fleet.expectSlot(q, verdict)
 			return nil, g.noSlotRefusal(q, verdict)
 		}
-		err := g.loadAdapter(ctx, q)
-		if !g.timers.Now().Before(until) {
-			return nil, adapterAbsentRefusal(err)
-		}
-		if ctx.Err() != nil || !laburnumtimer.Wait(ctx.Done(), g.timers, backoff.Next()) {
-			return nil, noBackendRefusal(laburnumbalance.AdapterAbsent, "the adapter was not loaded in time")
+		if err := g.awaitAdapter(ctx, q, until, &backoff); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// awaitAdapter has an adapter loaded and waits before the next look for a slot. The error is a *laburnumlever.RefusalError.
+func (g *Gateway) awaitAdapter(ctx context.Context, q *request, until time.Time, backoff *laburnumretry.Backoff) error {
+	err := g.loadAdapter(ctx, q)
+	if !g.timers.Now().Before(until) {
+		return adapterAbsentRefusal(err)
+	}
+	if ctx.Err() != nil || !laburnumtimer.Wait(ctx.Done(), g.timers, backoff.Next()) {
+		return noBackendRefusal(laburnumbalance.AdapterAbsent, "the adapter was not loaded in time")
+	}
+	return nil
+}
+
 // checkWait returns an error if the request need not wait for a slot: its caller has left, or its stream can't go on. The error is a
 // *laburnumlever.RefusalError or a *CallerGoneError.
 func (g *Gateway) checkWait(ctx context.Context, q *request) error {
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumreturn"
 	"laburnumlever/laburnumtunnel"
 	"laburnumlever/laburnumupstream"
 
@@ -287,9 +288,11 @@
 	}
 	status := statusOf(refusal, q)
 	g.countRefusal(refusal.Reason)
+	q.retryIn = g.retryAfter(q, refusal)
+	g.tellReturn(q)
 	g.logRefusal(q, refusal.Reason, status, err)
-	if after := g.retryAfter(q, refusal); after > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	if q.retryIn > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(q.retryIn.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	g.writeRefusal(w, q, status, refusal.Reason.String()+"\n")
@@ -307,6 +310,9 @@
 		return 0
 	default:
 	}
+	if q.expected.Kind != laburnumreturn.Default {
+		return q.queueTimes().BoundRetryAfter(q.expected.After(rand.Float64()), g.timers.Now())
+	}
 	return q.queueTimes().RetryAfter(refusal.RetryAfter, rand.Float64(), g.timers.Now())
 }
 
@@ -348,6 +354,6 @@
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestRefused, "request-id", q.caller.ID, "route", route,
 		"account", q.accountName(), "reason", reason, "status", status, "touched", q.mayHaveRun, "sends", q.sent, "sent-ago-ms", q.sentAgo(g.timers.Now()), "tries", q.tries, "not-retried", q.obstacle, "taken", q.refusedReservations, "routes-version", q.routesVersion,
 		"model", q.caller.Model, "adapter", q.caller.Adapter, "via", q.via, "avoid", q.avoid, "digest", q.contentDigest, "parts", q.caller.SharedParts(),
-		"software", q.software, "resumes", q.caller.Resumes,
+		"software", q.software, "resumes", q.caller.Resumes, "retry-in-ms", millis(q.retryIn), "expected", q.expected.Kind, "at-once", q.refusedAtOnce,
 		"ms", g.timers.Now().Sub(q.arrived).Milliseconds(), "cause", err)
 }
--- a/laburnumgateway/limits.go
+++ b/laburnumgateway/limits.go
@@ -136,6 +136,7 @@
 func (f *Fleet) updateBackend(r laburnumregistry.Record) {
 	started := !f.balance.Has(r.Heartbeat.Backend, r.Heartbeat.Incarnation)
 	f.balance.Set(r)
+	f.returns.loads.Keep(r)
 	switch {
 	case r.AcceptsRequests() && started:
 		f.presumeBrittle(r.Heartbeat)
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -14,6 +14,7 @@
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumreturn"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
 	"laburnumlever/laburnumsocket"
@@ -74,6 +75,15 @@
 	receipt laburnumquota.Receipt
 	// arrivalCounted is set once the queue has counted the request for its account.
 	arrivalCounted bool
+	// asked is when the caller first asked, if it was told to return then; else zero.
+	asked time.Time
+	// expected is what is expected for the caller when it is refused, retryIn the delay that it is told.
+	expected laburnumreturn.Expectation
+	retryIn  time.Duration
+	// drainCounted is set while the request waits for a slot, drained from then until it is sent. refusedAtOnce is set if it did not
+	// wait since it would have done so
+	// in vain, loadAwaited if it has waited for the end of a load.
+	drainCounted, drained, refusedAtOnce, loadAwaited bool
 	// rank is the priority by account and route.
 	rank                int
 	refusedReservations int
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -30,7 +30,9 @@
 	if !q.arrivalCounted {
 		q.arrivalCounted = true
 		f.queue.Arrived(queued, now)
+		f.noteReturn(q, now)
 	}
+	queued.Asked = q.asked
 	ticket, verdict := f.pick(q, queued.Query, now)
 	if verdict == laburnumbalance.Resting {
 		verdict = f.waitsForRest(queued.Query, until, now)
@@ -38,10 +40,15 @@
 	if waitsInQueue(verdict) {
 		until = f.awaitPermit(q, until, now)
 	}
+	if f.refusesAtOnce(q, queued, verdict, until, now) {
+		f.mu.Unlock()
+		return nil, verdict
+	}
 	if !waitsInQueue(verdict) || !now.Before(until) || !f.queue.Push(queued) {
 		f.mu.Unlock()
 		return ticket, verdict
 	}
+	f.noteQueued(q, queued, verdict, now)
 	woken := f.queueWoken
 	f.mu.Unlock()
 	over, cancel := laburnumtimer.AfterChannel(f.timers, until.Sub(now))
@@ -51,7 +58,7 @@
 	} else if woke {
 		verdict = laburnumbalance.Limited
 	}
-	return f.leaveQueue(queued, admitted, verdict)
+	return f.leaveQueue(q, queued, admitted, verdict)
 }
 
 // pick reserves a slot for a request, if one is free. The caller must hold mu.
@@ -133,7 +140,7 @@
 
 // leaveQueue removes a request from the queue. If it was admitted in the meantime, it returns the
 // ticket of its slot.
-func (f *Fleet) leaveQueue(n *laburnumslotqueue.Request, admitted <-chan *laburnumbalance.Ticket, verdict laburnumbalance.Verdict) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+func (f *Fleet) leaveQueue(q *request, n *laburnumslotqueue.Request, admitted <-chan *laburnumbalance.Ticket, verdict laburnumbalance.Verdict) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.queue.Remove(n)
@@ -141,6 +148,7 @@
 	case ticket := <-admitted:
 		return ticket, laburnumbalance.Found
 	default:
+		f.noteLeft(q)
 		return nil, verdict
 	}
 }
--- a/laburnumslotqueue/policy.go
+++ b/laburnumslotqueue/policy.go
@@ -63,7 +63,11 @@
 	if least <= 0 {
 		return 0
 	}
-	after := time.Duration(float64(least) * (1 + random))
+	return c.BoundRetryAfter(time.Duration(float64(least)*(1+random)), now)
+}
+
+// BoundRetryAfter bounds a Retry-After by a share of the time left to the deadline.
+func (c Caller) BoundRetryAfter(after time.Duration, now time.Time) time.Duration {
 	if c.Deadline.IsZero() {
 		return after
 	}
@@ -118,6 +122,15 @@
 	return c.BrokenAt.Add(time.Duration(p.resume * float64(c.AbandonGap())))
 }
 
+// LoadDeadline returns until when a request waits for the end of a load that is expected by then. The rest of the caller's patience is
+// for reading the prompt.
+func (p Policy) LoadDeadline(c Caller) time.Time {
+	if !c.BrokenAt.IsZero() {
+		return p.QueueDeadline(c)
+	}
+	return c.Arrived.Add(time.Duration(max(p.wait, p.resume) * float64(c.Patience())))
+}
+
 // OnTimeUntil returns the latest time at which a slot still lets the answer start in time, or lets
 // a broken answer resume before the caller abandons it.
 func (p Policy) OnTimeUntil(c Caller) time.Time {
--- a/laburnumslotqueue/policy_test.go
+++ b/laburnumslotqueue/policy_test.go
@@ -23,7 +23,10 @@
 	require.Equal(t, start.Add(400*time.Millisecond), policy.QueueDeadline(stream))
 	require.Equal(t, start.Add(300*time.Millisecond), policy.OnTimeUntil(stream))
 	require.Equal(t, start.Add(time.Second), policy.WithWaitShare(0.5).QueueDeadline(stream))
+	require.Equal(t, start.Add(1320*time.Millisecond), policy.LoadDeadline(stream))
+	require.Equal(t, 3300*time.Millisecond, stream.BoundRetryAfter(time.Minute, start))
 	stream.BrokenAt = start.Add(3 * time.Second)
 	require.Equal(t, stream.BrokenAt.Add(1320*time.Millisecond), policy.QueueDeadline(stream), "counted from the break")
 	require.Equal(t, policy.QueueDeadline(stream), policy.OnTimeUntil(stream))
+	require.Equal(t, policy.QueueDeadline(stream), policy.LoadDeadline(stream))
 }
--- a/laburnumslotqueue/queue.go
+++ b/laburnumslotqueue/queue.go
@@ -22,6 +22,8 @@
 	// Priority 0 is the most urgent.
 	Priority int
 	Arrived  time.Time
+	// Asked is when the caller first asked, if it was refused and told to return; else zero. The order is by it then.
+	Asked time.Time
 	// OnTimeUntil is the latest time at which a slot still lets the answer start in time.
 	OnTimeUntil time.Time
 	// Account is the client account that the request belongs to; empty for none. Cost is its size in a unit that all
@@ -33,6 +35,13 @@
 	admitted bool
 }
 
+func (r *Request) asked() time.Time {
+	if r.Asked.IsZero() {
+		return r.Arrived
+	}
+	return r.Asked
+}
+
 // Queue orders requests by priority, then by whether their client account asks for far more than its usual, then by arrival.
 type Queue struct {
 	// InOrder serves strictly in that order, whether or not answers can still start in time.
@@ -53,7 +62,7 @@
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(q.requests, r, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Arrived.Compare(b.Arrived), -1)
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.asked().Compare(b.asked()), -1)
 	})
 	q.requests = slices.Insert(q.requests, at, r)
 	return true
@@ -62,6 +71,17 @@
 // Arrived records a request that asks for a slot for the first time.
 func (q *Queue) Arrived(r *Request, now time.Time) { q.shares.add(r, now) }
 
+// Ahead returns the number of queued requests with the same target that get a slot before a request.
+func (q *Queue) Ahead(r *Request, now time.Time) int {
+	n := 0
+	for _, o := range q.requests {
+		if o.target() == r.target() && cmp.Or(cmp.Compare(o.Priority, r.Priority), o.asked().Compare(r.asked())) < 0 && (q.InOrder || !now.After(o.OnTimeUntil)) {
+			n++
+		}
+	}
+	return n
+}
+
 func (q *Queue) queuedBy(account laburnumlever.AccountName) int {
 	n := 0
 	for _, r := range q.requests {
--- a/laburnumslotqueue/queue_test.go
+++ b/laburnumslotqueue/queue_test.go
@@ -209,3 +209,25 @@
 	require.Equal(t, 128, queued)
 	require.True(t, w.Push(&laburnumslotqueue.Request{Account: "other"}))
 }
+
+// Guards against a caller that returns as it was told to and waits behind all that came meanwhile.
+func TestReturnedCallerIsServedByItsFirstArrival(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	w := &laburnumslotqueue.Queue{}
+	var served []string
+	push := func(name string, arrived, asked time.Time, model laburnumlever.ModelName) *laburnumslotqueue.Request {
+		r := &laburnumslotqueue.Request{Query: laburnumbalance.Query{Model: model}, Arrived: arrived, Asked: asked, OnTimeUntil: arrived.Add(testOnTime)}
+		r.Admit = func(*laburnumbalance.Ticket) { served = append(served, name) }
+		require.True(t, w.Push(r))
+		return r
+	}
+	last := push("new", start, time.Time{}, "m0")
+	push("other", start, time.Time{}, "m1")
+	push("returned", start.Add(time.Millisecond), start.Add(-3*time.Second), "m0")
+	require.Equal(t, 1, w.Ahead(last, start.Add(time.Millisecond)))
+	require.Zero(t, w.Ahead(last, start.Add(time.Second)), "what is late gets no slot before others")
+	w.Serve(start.Add(time.Millisecond), func(laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+		return &laburnumbalance.Ticket{}, laburnumbalance.Found
+	})
+	require.Equal(t, []string{"returned", "new", "other"}, served)
+}
