--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -15,6 +15,7 @@
 	"laburnumlever/laburnumpace"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumreturn"
 	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
@@ -71,6 +72,7 @@
 	keepers        LimitKeepers
 	streams        *streams
 	sharedMachines laburnumlever.SharedMachines
+	returns        returns
 	remembered     remembered
 	// paces are the services of which a backend server has told its pace.
 	paces map[laburnumlever.ServiceName]*laburnumpace.Service
@@ -106,6 +108,7 @@
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), partAnswers: laburnumquarantine.NewPartAnswers(), reporter: silentReporter{},
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
+		returns:      returns{loads: laburnumreturn.Loads{Lag: period}},
 		remembered:   newRemembered(timers.Now(), period),
 		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paces: map[laburnumlever.ServiceName]*laburnumpace.Service{},
 		room: laburnumroom.NewTable(), roomMeter: laburnumroom.NewMeter(vm, timers.Now()),
@@ -140,6 +143,7 @@
 	}
 	for _, o := range a.Overlays {
 		f.balance.SetOverlay(o, now)
+		f.noteLoads(o, now)
 	}
 	f.noteVersions(versions)
 	f.noteAnswer(address, a)
@@ -275,6 +279,7 @@
 	defer f.mu.Unlock()
 	f.adapters.RequestEnded(q.caller.Model, q.caller.Adapter, f.timers.Now())
 	f.balance.End(t, result, f.timers.Now())
+	f.noteHeld(q, result)
 	f.serveQueue()
 }
 
@@ -369,6 +374,13 @@
 	return f.balance.Unavailable(f.query(q), f.timers.Now())
 }
 
+// lacksConnections reports whether a backend server could serve a request if this gateway might open one more connection to it.
+func (f *Fleet) lacksConnections(q *request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balance.LacksConnections(f.query(q), f.timers.Now())
+}
+
 // query returns the query for the balancer. The caller must hold mu.
 func (f *Fleet) query(q *request) laburnumbalance.Query {
 	query := q.query()
@@ -376,6 +388,7 @@
 	query.ExceptSoftware = f.settlingVersions(q)
 	f.addPace(&query)
 	query.Rank = f.headroomRank(q)
+	query.Connections = connectionShare(q.service, f.gateways)
 	return query
 }
 
