feat: a gateway's status tells what it refused in the last minute, by reason and account

Operators saw from a gateway's status neither that callers were refused nor which accounts; counters tell reasons only. A window of twelve slots of five seconds counts refusals by reason and client account, in at most 4,096 keys a slot; the status lists at most 64 accounts, the largest first. Keys appear nowhere.

--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v2"
@@ -78,6 +81,7 @@
 		}
 		printf(w, "keys: %s, %d of %d accounts, routes known to be the newest %s ago\n", accepted, k.Keys, k.Accounts, time.Duration(k.Age).Round(time.Millisecond))
 	}
+	printRefusals(w, s.Refusals)
 	printf(w, "gateways: %d\n", s.Gateways)
 	if s.Controls > 0 {
 		printf(w, "control VMs: %d\n", s.Controls)
@@ -102,6 +106,28 @@
 	}
 }
 
+func printRefusals(w io.Writer, s *laburnumlever.RefusalsStatus) {
+	if s == nil {
+		return
+	}
+	printf(w, "refused in the last %s: %d, %s\n", laburnumlever.RefusalsWindow, s.Requests, reasonsText(s.Reasons))
+	for _, a := range s.Accounts {
+		printf(w, "  account %s: %d, %s\n", a.Account, a.Requests, reasonsText(a.Reasons))
+	}
+}
+
+// reasonsText lists reasons with their counts, the most frequent first.
+func reasonsText(counts map[laburnumlever.RefusalReason]int) string {
+	reasons := slices.SortedFunc(maps.Keys(counts), func(a, b laburnumlever.RefusalReason) int {
+		return cmp.Or(counts[b]-counts[a], cmp.Compare(a, b))
+	})
+	var parts []string
+	for _, reason := range reasons {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, counts[reason]))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func orNone(text string) string {
 	if text == "" {
 		return "none"
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -45,6 +45,7 @@
 	retryBudget RetryBudget
 	logger      log.Logger
 	counters    *counters
+	refusals    refusalWindow
 	crashes     *crashDetector
 	buffers     *bufferBudget
 	links       *links
@@ -341,6 +342,7 @@
 }
 
 func (g *Gateway) logRefusal(q *request, reason laburnumlever.RefusalReason, status int, err error) {
+	g.refusals.add(q.accountName(), reason, g.timers.Now())
 	route := laburnumlever.RouteName("")
 	if q.route != nil {
 		route = q.route.Name
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -1,5 +1,7 @@
 package laburnumlever
 
+import "time"
+
 // RoleStatus is the state of a gateway or control VM and of the fleet as it sees it. It
 // holds counts, so its size does not grow with VMs, models or backend servers.
 type RoleStatus struct {
@@ -20,6 +22,8 @@
 	Queued   int  `json:"queued,omitempty"`
 	// Keys is set by gateways if there are client accounts.
 	Keys *KeysStatus `json:"keys,omitempty"`
+	// Refusals are those of a gateway in the last RefusalsWindow; nil for none.
+	Refusals *RefusalsStatus `json:"refusals,omitempty"`
 	// Accounts are the client accounts with a quota that a control VM grants parts of, at most
 	// MaxAccountStatuses of them, those with the largest use first.
 	Accounts []AccountStatus `json:"accounts,omitempty"`
@@ -62,6 +66,24 @@
 	Keys     int `json:"keys"`
 }
 
+// RefusalsWindow is the time over which a status counts refusals.
+const RefusalsWindow = time.Minute
+
+// RefusalsStatus counts the requests that a gateway refused in the last RefusalsWindow.
+type RefusalsStatus struct {
+	Requests int                   `json:"requests"`
+	Reasons  map[RefusalReason]int `json:"reasons"`
+	// Accounts are at most MaxAccountStatuses client accounts, those with the most refusals first.
+	Accounts []AccountRefusals `json:"accounts,omitempty"`
+}
+
+// AccountRefusals counts the requests of one client account that a gateway refused.
+type AccountRefusals struct {
+	Account  AccountName           `json:"account"`
+	Requests int                   `json:"requests"`
+	Reasons  map[RefusalReason]int `json:"reasons"`
+}
+
 // AccountStatus is the use of a control VM's share of a client account's quota.
 type AccountStatus struct {
 	Account AccountName `json:"account"`
