fix: a keeper of quotas and a gateway's wallet bear amounts that make no sense

A request that needs more than a window of the whole quota allows was granted once from a full share, which by itself breaks the quota, and emptied the account for long.

Amounts are read within bounds: no number and negative ones count as none. A need beyond a window's allowance is refused alone: its account isn't taken to be used up, and those told to come back don't wait for it.

--- a/laburnumquota/keeper.go
+++ b/laburnumquota/keeper.go
@@ -46,6 +46,8 @@
 	// bound limits level and reserves until boundUntil: others may still hold reserves of the rest.
 	bound      float64
 	boundUntil time.Duration
+	// allowance is what all keepers together may grant in a window.
+	allowance float64
 	// level is negative after a request larger than the capacity.
 	level    float64
 	reserves reserves
@@ -100,7 +102,7 @@
 			b = &bucket{at: now, quota: a.Quota, slow: true, withinSince: now, reserves: reserves{time: k.terms.keeperReserveTime()}}
 		}
 		b.refill(now, k.terms.span())
-		b.unlimited = !a.Quota.Limited()
+		b.unlimited, b.allowance = !a.Quota.Limited(), k.terms.allowance(a.Quota)+k.terms.Slack
 		b.setShare(k.terms.share(a.Quota, share(a)), a.Quota, now)
 		k.buckets[a.Name] = b
 	}
@@ -135,6 +137,7 @@
 func (k *Keeper) Answer(asks []Ask, now time.Duration) []Grant {
 	grants := make([]Grant, 0, len(asks))
 	for _, a := range asks {
+		a = a.checked()
 		b := k.buckets[a.Account]
 		switch {
 		case b == nil, !b.unlimited && b.rate <= 0:
@@ -187,6 +190,11 @@
 }
 
 func (b *bucket) answer(a Ask, now time.Duration) Grant {
+	if a.Need > b.allowance {
+		// It never fits. Others are not asked to wait for it: AskIn is 0, and it is not in waiting.
+		b.refused++
+		return Grant{Account: a.Account, RetryIn: laburnumlever.Duration(maxRetryIn)}
+	}
 	if fits := min(a.Need, max(b.needs, b.limit(now)-b.reserves.total)); a.Need > 0 && b.level < fits {
 		in := b.timeFor(fits - b.level + b.waiting)
 		b.waiting += a.Need
--- a/laburnumquota/messages.go
+++ b/laburnumquota/messages.go
@@ -1,11 +1,25 @@
 package laburnumquota
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"laburnumlever"
 )
 
+// maxAmount bounds the tokens of a message: sums of such amounts are exact enough and finite.
+const maxAmount = 1e15
+
+// amount returns tokens that another VM names, within bounds. One that is no number, or negative, counts as none: it would stay in
+// all sums, or add tokens that nobody was charged for.
+func amount(tokens float64) float64 {
+	if math.IsNaN(tokens) || math.IsInf(tokens, 0) || tokens < 0 {
+		return 0
+	}
+	return min(tokens, maxAmount)
+}
+
 // Ask asks a keeper for tokens of an account. A request for a large number of tokens is granted whole or not at all.
 type Ask struct {
 	Account laburnumlever.AccountName `json:"account"`
@@ -17,6 +31,16 @@
 	Reserve float64       `json:"reserve,omitempty"`
 }
 
+// checked returns the ask with amounts within bounds.
+func (a Ask) checked() Ask {
+	a.Need, a.Want, a.Reserve = amount(a.Need), amount(a.Want), amount(a.Reserve)
+	a.Held = slices.Clone(a.Held)
+	for i, h := range a.Held {
+		a.Held[i].Spent, a.Held[i].Dropped = amount(h.Spent), amount(h.Dropped)
+	}
+	return a
+}
+
 // Grant is a keeper's answer to an Ask.
 type Grant struct {
 	Account laburnumlever.AccountName `json:"account"`
--- a/laburnumquota/pursereserves.go
+++ b/laburnumquota/pursereserves.go
@@ -89,8 +89,11 @@
 			x.until = max(x.until, until)
 		}
 	}
-	if g.Reserve != nil && g.Reserve.Quota == quota {
-		r.list = append(r.list, purseReserve{HeldReserve: HeldReserve{ID: g.Reserve.ID}, tokens: g.Reserve.Tokens, until: until, told: true})
+	if g.Reserve == nil || g.Reserve.Quota != quota {
+		return
+	}
+	if tokens := amount(g.Reserve.Tokens); tokens > 0 {
+		r.list = append(r.list, purseReserve{HeldReserve: HeldReserve{ID: g.Reserve.ID}, tokens: tokens, until: until, told: true})
 	}
 }
 
--- a/laburnumquota/terms.go
+++ b/laburnumquota/terms.go
@@ -38,8 +38,12 @@
 
 // spare returns what the allowance of a window holds beyond the rate, without the slack.
 func (t Terms) spare(q laburnumlever.Quota) float64 {
-	allowance := (q.Rate*t.Window.Seconds() + q.Burst) * (1 + t.Overshoot)
-	return max(0, allowance-q.Rate*t.span().Seconds())
+	return max(0, t.allowance(q)-q.Rate*t.span().Seconds())
+}
+
+// allowance returns what may be spent of a quota in a window, without the slack.
+func (t Terms) allowance(q laburnumlever.Quota) float64 {
+	return (q.Rate*t.Window.Seconds() + q.Burst) * (1 + t.Overshoot)
 }
 
 // rate returns what is granted of a quota in a second. It is above the quota's own rate as far as the allowance of a
--- a/laburnumquota/wallet.go
+++ b/laburnumquota/wallet.go
@@ -149,8 +149,8 @@
 	for _, g := range grants {
 		p := w.purse(g.Account)
 		p.reserves.apply(g, w.quotas[g.Account], asked+w.terms.ReserveTime())
-		if g.Tokens > 0 {
-			p.add(timedTokens{tokens: g.Tokens, until: asked + w.terms.GrantTime()})
+		if tokens := amount(g.Tokens); tokens > 0 {
+			p.add(timedTokens{tokens: tokens, until: asked + w.terms.GrantTime()})
 			p.emptyUntil = 0
 		}
 	}
