--- a/laburnumslotqueue/queue.go
+++ b/laburnumslotqueue/queue.go
@@ -31,9 +31,11 @@
 	// Admit is called at most once, by Queue.Serve, with the reserved slot.
 	Admit    func(*laburnumbalance.Ticket)
 	admitted bool
+	// beyondUsual is set if the account surges and this is not of the part that is usual for it.
+	beyondUsual bool
 }
 
-// Queue orders requests by priority, then by whether their client account asks for far more than its usual, then by arrival.
+// Queue orders requests by priority, then by whether it is what their client account asks for beyond its usual in a surge, then by arrival.
 type Queue struct {
 	// InOrder serves strictly in that order, whether or not answers can still start in time.
 	InOrder  bool
@@ -96,7 +98,7 @@
 // time.
 func (q *Queue) Serve(now time.Time, reserve ReserveFunc) {
 	full := map[target]bool{}
-	order := q.shares.order(q.requests, now)
+	order := order(q.requests)
 	onTime := func(r *Request) bool { return q.InOrder || !now.After(r.OnTimeUntil) }
 	admitted := q.admit(order, full, reserve, onTime)
 	admitted += q.admit(order, full, reserve, func(r *Request) bool { return !onTime(r) })
--- a/laburnumslotqueue/shares.go
+++ b/laburnumslotqueue/shares.go
@@ -16,6 +16,13 @@
 	// surgeFactor is how many times its usual an account that surges asks for, surgePart the least part of all that is
 	// asked for: the requests of a small account come in bursts by chance.
 	surgeFactor, surgePart = 3, 0.25
+	// learnFactor is how much faster than its usual the requests of an account that surges grow it: a surge is not usual after some
+	// seconds, but a demand that stays is after some minutes.
+	learnFactor = 1.1
+	// minUsualPart is the least part of a surging account's requests that counts as its usual.
+	minUsualPart = 0.125
+	// knownAfter is how long an account must have been seen, without a pause as long, for its usual to be known.
+	knownAfter = 60 * time.Second
 	// maxShares is the number of shares above which old ones are dropped.
 	maxShares = 1024
 )
@@ -34,13 +41,30 @@
 type share struct {
 	recent, usual float64
 	at            time.Time
+	// since is when the account was first seen, or seen again after a pause.
+	since time.Time
+	// within is the part of a request that the usual of a surging account has room for.
+	within float64
 }
 
 func decay(d, halfLife time.Duration) float64 { return math.Exp2(-d.Seconds() / halfLife.Seconds()) }
 
 func (s share) asOf(now time.Time) share {
 	d := now.Sub(s.at)
-	return share{recent: s.recent * decay(d, recentHalfLife), usual: s.usual * decay(d, usualHalfLife), at: now}
+	s.recent, s.usual, s.at = s.recent*decay(d, recentHalfLife), s.usual*decay(d, usualHalfLife), now
+	if d > knownAfter {
+		s.since, s.within = now, 0
+	}
+	return s
+}
+
+// known reports whether the usual rate has been measured for long enough.
+func (s share) known() bool { return s.at.Sub(s.since) >= knownAfter }
+
+// usualPart returns the usual rate as a part of the recent one, at most 1.
+func (s share) usualPart() float64 {
+	recent, usual := s.recent/recentHalfLife.Seconds(), s.usual/usualHalfLife.Seconds()
+	return min(1, max(minUsualPart, usual/max(recent, math.SmallestNonzeroFloat64)))
 }
 
 // surges reports whether the recent rate is a multiple of the usual one. Both sums are rates times their half-lives.
@@ -50,7 +74,7 @@
 
 func (r *Request) shareKey() shareKey { return shareKey{service: r.Query.Service, account: r.Account} }
 
-// add records a request.
+// add records a request, and marks it if its account asks for more than its usual while it surges.
 func (s *shares) add(r *Request, now time.Time) {
 	if r.Account == "" {
 		return
@@ -61,11 +85,31 @@
 	if len(s.asked) >= maxShares {
 		maps.DeleteFunc(s.asked, func(_ shareKey, old share) bool { return now.Sub(old.at) > usualHalfLife })
 	}
-	for _, key := range [...]shareKey{r.shareKey(), {service: r.Query.Service}} {
-		a := s.asked[key].asOf(now)
-		a.recent, a.usual = a.recent+r.Cost, a.usual+r.Cost
-		s.asked[key] = a
+	all := s.asked[shareKey{service: r.Query.Service}].asOf(now)
+	all.recent, all.usual = all.recent+r.Cost, all.usual+r.Cost
+	s.asked[shareKey{service: r.Query.Service}] = all
+	account := s.asked[r.shareKey()].asOf(now)
+	account.recent += r.Cost
+	learned := 1.0
+	if account.surges() && account.recent > surgePart*all.recent {
+		part := account.usualPart()
+		r.beyondUsual = !account.takesUsual(part)
+		if account.known() {
+			learned = min(1, learnFactor*part)
+		}
 	}
+	account.usual += learned * r.Cost
+	s.asked[r.shareKey()] = account
+}
+
+// takesUsual reports whether a request is one of the part that is usual.
+func (s *share) takesUsual(part float64) bool {
+	s.within += part
+	if s.within < 1 {
+		return false
+	}
+	s.within--
+	return true
 }
 
 // surges reports whether a request's account surges.
@@ -77,27 +121,21 @@
 	return account.surges() && account.recent > surgePart*all.recent
 }
 
-// order returns requests, which are in the order of priority and arrival, with those of accounts that surge last in each
-// priority.
-func (s *shares) order(requests []*Request, now time.Time) []*Request {
-	surging := map[shareKey]bool{}
-	for _, r := range requests {
-		if _, ok := surging[r.shareKey()]; !ok && s.surges(r, now) {
-			surging[r.shareKey()] = true
-		}
-	}
-	if len(surging) == 0 {
+// order returns requests, which are in the order of priority and arrival, with what surging accounts ask for beyond their usual last
+// in each priority.
+func order(requests []*Request) []*Request {
+	if !slices.ContainsFunc(requests, func(r *Request) bool { return r.beyondUsual }) {
 		return requests
 	}
 	last := func(r *Request) int {
-		if surging[r.shareKey()] {
+		if r.beyondUsual {
 			return 1
 		}
 		return 0
 	}
-	order := slices.Clone(requests)
-	slices.SortStableFunc(order, func(a, b *Request) int {
+	ordered := slices.Clone(requests)
+	slices.SortStableFunc(ordered, func(a, b *Request) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(last(a), last(b)))
 	})
-	return order
+	return ordered
 }
