--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -169,7 +169,7 @@
 		return err
 	}
 	control.SetRoutesDecoder(platform.DecodeManifest)
-	handler, err := platform.NewHandler(control)
+	handler, err := platform.NewHandler(control, platform.WithForeign(control.HeartbeatRefused))
 	if err != nil {
 		return err
 	}
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -48,8 +48,10 @@
 	sink   Sink
 	logger log.Logger
 	helper func() string
-	done   chan struct{}
-	once   sync.Once
+	// foreign counts entries that can't be read.
+	foreign *ForeignEntries
+	done    chan struct{}
+	once    sync.Once
 
 	mu        sync.Mutex
 	controls  map[string]*polledControl
@@ -74,6 +76,11 @@
 // WithLogger sets the logger; the default discards all lines.
 func WithLogger(logger log.Logger) Option { return func(f *Follower) { f.logger = logger } }
 
+// WithForeignEntries sets where entries that can't be read are counted; by default they are only left out.
+func WithForeignEntries(foreign *ForeignEntries) Option {
+	return func(f *Follower) { f.foreign = foreign }
+}
+
 // WithHelper names where this VM opens connections to backend servers for others; empty while it can't. By default it
 // never can.
 func WithHelper(address func() string) Option { return func(f *Follower) { f.helper = address } }
@@ -269,6 +276,9 @@
 		f.follow(vm.PeerAddress, vm.Zone)
 	}
 	f.noteDirector(address, a)
+	for _, cause := range a.Unreadable {
+		f.foreign.Note(address, cause)
+	}
 	f.sink.HandleAnswer(address, a)
 	if a.RoutesVersion > f.sink.RoutesVersion() {
 		f.FetchRoutes(address)
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"laburnumlever"
 	"laburnumlever/laburnumconcurrency"
@@ -40,6 +41,8 @@
 	Limits     []laburnumlimit.Limit      `json:"limits,omitempty"`
 	// Brittle are the brittle backend servers.
 	Brittle []laburnumconcurrency.Limit `json:"brittle,omitempty"`
+	// Unreadable tells why entries were left out.
+	Unreadable []error `json:"-"`
 }
 
 // encodedAnswer is an Answer whose items are already encoded.
@@ -57,8 +60,66 @@
 // below it; the pages sent to a starting VM are above it and amount to megabytes.
 const compressThreshold = 8 << 10
 
-// plainAnswer is an Answer without UnmarshalJSON.
-type plainAnswer Answer
+// plainAnswer is an Answer whose lists are not decoded yet.
+type plainAnswer struct {
+	meta
+	Backends   json.RawMessage `json:"backends"`
+	Overlays   json.RawMessage `json:"overlays"`
+	Quarantine json.RawMessage `json:"quarantine"`
+	Limits     json.RawMessage `json:"limits"`
+	Brittle    json.RawMessage `json:"brittle"`
+}
+
+// answer decodes the lists. An entry that can't be read leaves the others as they are.
+func (p plainAnswer) answer() Answer {
+	a := Answer{meta: p.meta}
+	a.Unreadable = slices.Concat(
+		DecodeEntries(p.Backends, func(entry json.RawMessage) error {
+			var r laburnumregistry.Record
+			if err := json.Unmarshal(entry, &r); err != nil {
+				return err
+			}
+			if err := r.Check(); err != nil {
+				return err
+			}
+			a.Backends = append(a.Backends, r)
+			return nil
+		}),
+		DecodeEntries(p.Overlays, func(entry json.RawMessage) error {
+			var o laburnumregistry.Overlay
+			err := json.Unmarshal(entry, &o)
+			if err == nil {
+				a.Overlays = append(a.Overlays, o)
+			}
+			return err
+		}),
+		DecodeEntries(p.Quarantine, func(entry json.RawMessage) error {
+			var e laburnumquarantine.Entry
+			err := json.Unmarshal(entry, &e)
+			if err == nil {
+				a.Quarantine = append(a.Quarantine, e)
+			}
+			return err
+		}),
+		DecodeEntries(p.Limits, func(entry json.RawMessage) error {
+			var l laburnumlimit.Limit
+			err := json.Unmarshal(entry, &l)
+			if err == nil {
+				a.Limits = append(a.Limits, l)
+			}
+			return err
+		}),
+		DecodeEntries(p.Brittle, func(entry json.RawMessage) error {
+			var l laburnumconcurrency.Limit
+			err := json.Unmarshal(entry, &l)
+			if err == nil {
+				a.Brittle = append(a.Brittle, l)
+			}
+			return err
+		}),
+	)
+	return a
+}
 
 // packedAnswer contains a compressed encoded answer.
 type packedAnswer struct {
@@ -87,14 +148,19 @@
 		return err
 	}
 	if len(either.Packed) == 0 {
-		*a = Answer(either.plainAnswer)
+		*a = either.answer()
 		return nil
 	}
 	unpacked, err := laburnumlever.Unpack(either.Packed)
 	if err != nil {
 		return err
 	}
-	return json.Unmarshal(unpacked, (*plainAnswer)(a))
+	var plain plainAnswer
+	if err := json.Unmarshal(unpacked, &plain); err != nil {
+		return err
+	}
+	*a = plain.answer()
+	return nil
 }
 
 // meta is the part of an answer other than endpoint state.
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -34,6 +34,16 @@
 // included: it may be partitioned from the control VMs only.
 func (r Record) AcceptsRequests() bool { return !r.Gone && !r.Heartbeat.Leaving }
 
+// Check returns a *laburnumlever.InvalidValueError for a record that names no backend server to use: another writer may have
+// written it.
+func (r Record) Check() error {
+	h := r.Heartbeat
+	if h.Backend == "" || !r.Gone && (h.Service == "" || h.Address == "") || h.Slots < 0 {
+		return &laburnumlever.InvalidValueError{Name: "record", Value: string(h.Backend), Want: "an identity, a service, an address and a slot count"}
+	}
+	return nil
+}
+
 type entry struct {
 	record  Record
 	heardAt time.Time
@@ -67,6 +77,9 @@
 		t.start(Record{Heartbeat: h}, now)
 		return true
 	}
+	if e.record.Heartbeat.Service != "" && h.Service != e.record.Heartbeat.Service {
+		return false // a start of a server runs one service: this is another writer's
+	}
 	if !h.NewerThan(e.record.Heartbeat) || e.record.Gone {
 		return t.mergeLeaving(Record{Heartbeat: h})
 	}
--- a/laburnumregistry/registry_test.go
+++ b/laburnumregistry/registry_test.go
@@ -186,3 +186,15 @@
 	require.True(t, table.Merge(laburnumregistry.Record{Heartbeat: heartbeat(9, incarnation(400)), Gone: true}, start))
 	require.False(t, table.ApplyHeartbeat(heartbeat(8, incarnation(400)), start))
 }
+
+// Guards against another writer's heartbeat under a server's identity that takes the server away from its service.
+func TestServiceOfAStartDoesNotChange(t *testing.T) {
+	table := laburnumregistry.New(time.Second)
+	now := time.Unix(1_000_000, 0)
+	h := laburnumlever.Heartbeat{Backend: "i-1", Service: "quotes", Address: "10.1.0.9:8080", Incarnation: 5, Sequence: 1}
+	require.True(t, table.ApplyHeartbeat(h, now))
+	h.Service, h.Sequence = "no such", 2
+	require.False(t, table.ApplyHeartbeat(h, now))
+	r, _ := table.Record("i-1")
+	require.Equal(t, laburnumlever.ServiceName("quotes"), r.Heartbeat.Service)
+}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -75,6 +75,8 @@
 	limits *limits
 	// streams keeps which software versions began streams.
 	streams *streams
+	// foreign counts entries of other writers.
+	foreign *laburnumfeed.ForeignEntries
 	// commitTimes are the times to commit an operator's change.
 	commitTimes tally.Histogram
 	// routes is the route table in effect; nil before the first one. routesMu is held while it is changed.
@@ -95,6 +97,7 @@
 	meter := laburnumeventloop.NewMeter()
 	c := &Control{process: newProcess(settings, opts), loop: laburnumeventloop.New(laburnumeventloop.WithMeter(meter)), meter: meter}
 	c.commitTimes = c.metrics.Scope().Histogram("routes_commit_seconds", commitTimeBuckets)
+	c.foreign = laburnumfeed.NewForeignEntries(c.logger, c.metrics.Scope())
 	c.registry = laburnumregistry.New(time.Duration(settings.Times.Heartbeat))
 	c.streams = newStreams(c.timers, c.serviceSoftware, func() bool { return c.source.Isolated() }, c.controlCount, time.Duration(settings.Times.Heartbeat), settings.FirstStart, c.metrics.Scope())
 	c.peers.Handle(methodStreamRecord, c.streams.handleRecord)
@@ -272,7 +275,7 @@
 	go c.loop.Run()
 	c.voter.Start()
 	c.director.Start()
-	c.follower = laburnumfeed.NewFollower(c.peers, c.timers, c.self, c.seedPeers(), c, laburnumfeed.WithLogger(c.logger))
+	c.follower = laburnumfeed.NewFollower(c.peers, c.timers, c.self, c.seedPeers(), c, laburnumfeed.WithLogger(c.logger), laburnumfeed.WithForeignEntries(c.foreign))
 	if err := c.serveBackends("control", c.settings.Listen.Control, newServer(handler)); err != nil {
 		return err
 	}
@@ -321,6 +324,11 @@
 	return c.heartbeatAddress(h), nil
 }
 
+// HeartbeatRefused counts a heartbeat that names no backend server to use.
+func (c *Control) HeartbeatRefused(_ laburnumlever.BackendID, cause error) {
+	c.foreign.Note("heartbeat", cause)
+}
+
 // heartbeatAddress returns the control VM, in the backend server's own availability zone, to which it
 // should send its next heartbeats. Without this, backend servers stay with the control VM that answered
 // first, and one VM may end up with most of the connections.
@@ -413,6 +421,9 @@
 	if err := json.Unmarshal(params, &batch); err != nil {
 		return nil, &laburnumfeed.MessageError{Method: methodHeartbeatRelay, Cause: err}
 	}
+	for _, cause := range batch.unreadable {
+		c.foreign.Note(methodHeartbeatRelay, cause)
+	}
 	for _, h := range batch.Heartbeats {
 		c.recordHeartbeat(h)
 	}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -105,7 +105,8 @@
 // *laburnumlever.ListenError.
 func (g *Gateway) Start(ready func(ready func() bool) http.Handler) error {
 	g.follower = laburnumfeed.NewFollower(g.peers, g.timers, g.self, g.seedPeers(), g.fleet,
-		laburnumfeed.WithLogger(g.logger), laburnumfeed.WithHelper(g.helperAddress))
+		laburnumfeed.WithLogger(g.logger), laburnumfeed.WithHelper(g.helperAddress),
+		laburnumfeed.WithForeignEntries(laburnumfeed.NewForeignEntries(g.logger, g.metrics.Scope())))
 	if err := g.serve("peers", g.settings.PeerListen(), newServer(g.tunnels)); err != nil {
 		return err
 	}
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -1,6 +1,13 @@
 package laburnumroles
 
-import "laburnumlever"
+import (
+	"encoding/json"
+	"slices"
+
+	"laburnumlever"
+	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumregistry"
+)
 
 // JSON-RPC methods between VMs.
 const (
@@ -33,6 +40,8 @@
 	Alive []unchangedHeartbeat `json:"alive,omitempty"`
 	// Gone are the removed backend servers.
 	Gone []laburnumlever.BackendID `json:"gone,omitempty"`
+	// unreadable tells why entries were left out.
+	unreadable []error
 }
 
 // unchangedHeartbeat identifies a heartbeat whose content is the same as that of the one before.
@@ -41,3 +50,48 @@
 	Incarnation uint64                  `json:"born,omitempty"`
 	Sequence    uint64                  `json:"sequence"`
 }
+
+// UnmarshalJSON decodes a batch. A heartbeat that can't be read leaves the others as they are.
+func (b *relayBatch) UnmarshalJSON(data []byte) error {
+	var plain struct {
+		Heartbeats json.RawMessage `json:"heartbeats"`
+		Alive      json.RawMessage `json:"alive"`
+		Gone       json.RawMessage `json:"gone"`
+	}
+	if err := json.Unmarshal(data, &plain); err != nil {
+		return err
+	}
+	*b = relayBatch{}
+	b.unreadable = slices.Concat(
+		laburnumfeed.DecodeEntries(plain.Heartbeats, b.addHeartbeat),
+		laburnumfeed.DecodeEntries(plain.Alive, func(entry json.RawMessage) error {
+			var h unchangedHeartbeat
+			err := json.Unmarshal(entry, &h)
+			if err == nil {
+				b.Alive = append(b.Alive, h)
+			}
+			return err
+		}),
+		laburnumfeed.DecodeEntries(plain.Gone, func(entry json.RawMessage) error {
+			var id laburnumlever.BackendID
+			err := json.Unmarshal(entry, &id)
+			if err == nil {
+				b.Gone = append(b.Gone, id)
+			}
+			return err
+		}),
+	)
+	return nil
+}
+
+func (b *relayBatch) addHeartbeat(entry json.RawMessage) error {
+	var h laburnumlever.Heartbeat
+	if err := json.Unmarshal(entry, &h); err != nil {
+		return err
+	}
+	if err := (laburnumregistry.Record{Heartbeat: h}).Check(); err != nil {
+		return err
+	}
+	b.Heartbeats = append(b.Heartbeats, h)
+	return nil
+}
--- a/logevent.go
+++ b/logevent.go
@@ -91,6 +91,8 @@
 	EventBrittleChanged
 	// EventLoadUnclear is a backend server that tells a load or pace which can't be read, logged once for each server.
 	EventLoadUnclear
+	// EventForeignEntry is an entry of another writer that names no backend server to use, logged once for each source and reason.
+	EventForeignEntry
 	// EventLimitUnclear is an answer that names a limit which can't be read.
 	EventLimitUnclear
 	// EventSlotRequested is a request that asked for a slot at a limited backend server.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 146, 159, 171, 177, 192, 209, 222, 239, 252, 262, 276, 289, 303, 322, 342, 361, 383, 397, 416, 432, 448, 459, 472, 495, 508, 523, 535, 548, 562, 577, 595, 609, 625, 641, 654, 670, 686, 701, 715, 725, 736, 749, 770, 786, 804, 815, 831, 847, 862, 876, 890, 905, 923, 941, 954, 963, 977, 992, 1009, 1024, 1037, 1052, 1063, 1077, 1090, 1116, 1134, 1148, 1165, 1184, 1205, 1214, 1224, 1241, 1251, 1260, 1274, 1286, 1302, 1309, 1317, 1324, 1331, 1348, 1364, 1378, 1396, 1409, 1419, 1436}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 146, 159, 171, 177, 192, 209, 222, 239, 252, 262, 276, 289, 303, 322, 342, 361, 383, 397, 416, 432, 448, 459, 472, 495, 508, 523, 535, 548, 561, 575, 590, 608, 622, 638, 654, 667, 683, 699, 714, 728, 738, 749, 762, 783, 799, 817, 828, 844, 860, 875, 889, 903, 918, 936, 954, 967, 976, 990, 1005, 1022, 1037, 1050, 1065, 1076, 1090, 1103, 1129, 1147, 1161, 1178, 1197, 1218, 1227, 1237, 1254, 1264, 1273, 1287, 1299, 1315, 1322, 1330, 1337, 1344, 1361, 1377, 1391, 1409, 1422, 1432, 1449}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -60,72 +60,73 @@
 	_ = x[EventLimitChanged-(33)]
 	_ = x[EventBrittleChanged-(34)]
 	_ = x[EventLoadUnclear-(35)]
-	_ = x[EventLimitUnclear-(36)]
-	_ = x[EventSlotRequested-(37)]
-	_ = x[EventSlotUnanswered-(38)]
-	_ = x[EventLimitNotReported-(39)]
-	_ = x[EventKeysConfirmed-(40)]
-	_ = x[EventKeysUnconfirmed-(41)]
-	_ = x[EventAccountsUnknown-(42)]
-	_ = x[EventQuotaUsedUp-(43)]
-	_ = x[EventQuotaUnanswered-(44)]
-	_ = x[EventOutlierDetected-(45)]
-	_ = x[EventModelWithdrawn-(46)]
-	_ = x[EventOrderAnswered-(47)]
-	_ = x[EventOrderDone-(48)]
-	_ = x[EventOrderStateChanged-(49)]
-	_ = x[EventOrderRefused-(50)]
-	_ = x[EventOrderOutcomeUnknown-(51)]
-	_ = x[EventEngineStateNotRead-(52)]
-	_ = x[EventInventoryNotRead-(53)]
-	_ = x[EventLoadFailed-(54)]
-	_ = x[EventBackendStateNotEncoded-(55)]
-	_ = x[EventRegistryRefused-(56)]
-	_ = x[EventRoutesProposed-(57)]
-	_ = x[EventRoutesRefused-(58)]
-	_ = x[EventRoutesApplied-(59)]
-	_ = x[EventRoutesInEffect-(60)]
-	_ = x[EventRoutesNotFetched-(61)]
-	_ = x[EventCatalogueInEffect-(62)]
-	_ = x[EventBecameLeader-(63)]
-	_ = x[EventNoLeader-(64)]
-	_ = x[EventReplicaOpened-(65)]
-	_ = x[EventStartConfirmed-(66)]
-	_ = x[EventStartUnconfirmed-(67)]
-	_ = x[EventVotersChanged-(68)]
-	_ = x[EventLearnerAdded-(69)]
-	_ = x[EventLearnerRemoved-(70)]
-	_ = x[EventVoterAdded-(71)]
-	_ = x[EventVoterReplaced-(72)]
-	_ = x[EventVoterStandby-(73)]
-	_ = x[EventLeadershipNotHandedOver-(74)]
-	_ = x[EventExpiryNotEncoded-(75)]
-	_ = x[EventReplicaFailed-(76)]
-	_ = x[EventReplicaRegressed-(77)]
-	_ = x[EventDataFolderDamaged-(78)]
-	_ = x[EventDataFolderRegressed-(79)]
-	_ = x[EventLeaseAcquired-(80)]
-	_ = x[EventLeaseLost-(81)]
-	_ = x[EventLeaseNotRenewed-(82)]
-	_ = x[EventZoneOwned-(83)]
-	_ = x[EventZoneLost-(84)]
-	_ = x[EventControlThreadTimes-(85)]
-	_ = x[EventControlLost-(86)]
-	_ = x[EventControlRegained-(87)]
-	_ = x[EventStarted-(88)]
-	_ = x[EventDraining-(89)]
-	_ = x[EventDrained-(90)]
-	_ = x[EventStopped-(91)]
-	_ = x[EventSettingsReloaded-(92)]
-	_ = x[EventSettingsRefused-(93)]
-	_ = x[EventListenerEnded-(94)]
-	_ = x[EventMetricsNotServed-(95)]
-	_ = x[EventUnknownEvent-(96)]
-	_ = x[EventOverloaded-(97)]
-	_ = x[EventLogLinesDropped-(98)]
+	_ = x[EventForeignEntry-(36)]
+	_ = x[EventLimitUnclear-(37)]
+	_ = x[EventSlotRequested-(38)]
+	_ = x[EventSlotUnanswered-(39)]
+	_ = x[EventLimitNotReported-(40)]
+	_ = x[EventKeysConfirmed-(41)]
+	_ = x[EventKeysUnconfirmed-(42)]
+	_ = x[EventAccountsUnknown-(43)]
+	_ = x[EventQuotaUsedUp-(44)]
+	_ = x[EventQuotaUnanswered-(45)]
+	_ = x[EventOutlierDetected-(46)]
+	_ = x[EventModelWithdrawn-(47)]
+	_ = x[EventOrderAnswered-(48)]
+	_ = x[EventOrderDone-(49)]
+	_ = x[EventOrderStateChanged-(50)]
+	_ = x[EventOrderRefused-(51)]
+	_ = x[EventOrderOutcomeUnknown-(52)]
+	_ = x[EventEngineStateNotRead-(53)]
+	_ = x[EventInventoryNotRead-(54)]
+	_ = x[EventLoadFailed-(55)]
+	_ = x[EventBackendStateNotEncoded-(56)]
+	_ = x[EventRegistryRefused-(57)]
+	_ = x[EventRoutesProposed-(58)]
+	_ = x[EventRoutesRefused-(59)]
+	_ = x[EventRoutesApplied-(60)]
+	_ = x[EventRoutesInEffect-(61)]
+	_ = x[EventRoutesNotFetched-(62)]
+	_ = x[EventCatalogueInEffect-(63)]
+	_ = x[EventBecameLeader-(64)]
+	_ = x[EventNoLeader-(65)]
+	_ = x[EventReplicaOpened-(66)]
+	_ = x[EventStartConfirmed-(67)]
+	_ = x[EventStartUnconfirmed-(68)]
+	_ = x[EventVotersChanged-(69)]
+	_ = x[EventLearnerAdded-(70)]
+	_ = x[EventLearnerRemoved-(71)]
+	_ = x[EventVoterAdded-(72)]
+	_ = x[EventVoterReplaced-(73)]
+	_ = x[EventVoterStandby-(74)]
+	_ = x[EventLeadershipNotHandedOver-(75)]
+	_ = x[EventExpiryNotEncoded-(76)]
+	_ = x[EventReplicaFailed-(77)]
+	_ = x[EventReplicaRegressed-(78)]
+	_ = x[EventDataFolderDamaged-(79)]
+	_ = x[EventDataFolderRegressed-(80)]
+	_ = x[EventLeaseAcquired-(81)]
+	_ = x[EventLeaseLost-(82)]
+	_ = x[EventLeaseNotRenewed-(83)]
+	_ = x[EventZoneOwned-(84)]
+	_ = x[EventZoneLost-(85)]
+	_ = x[EventControlThreadTimes-(86)]
+	_ = x[EventControlLost-(87)]
+	_ = x[EventControlRegained-(88)]
+	_ = x[EventStarted-(89)]
+	_ = x[EventDraining-(90)]
+	_ = x[EventDrained-(91)]
+	_ = x[EventStopped-(92)]
+	_ = x[EventSettingsReloaded-(93)]
+	_ = x[EventSettingsRefused-(94)]
+	_ = x[EventListenerEnded-(95)]
+	_ = x[EventMetricsNotServed-(96)]
+	_ = x[EventUnknownEvent-(97)]
+	_ = x[EventOverloaded-(98)]
+	_ = x[EventLogLinesDropped-(99)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -164,69 +165,70 @@
 	_LogEventName[495:508]:   EventLimitChanged,
 	_LogEventName[508:523]:   EventBrittleChanged,
 	_LogEventName[523:535]:   EventLoadUnclear,
-	_LogEventName[535:548]:   EventLimitUnclear,
-	_LogEventName[548:562]:   EventSlotRequested,
-	_LogEventName[562:577]:   EventSlotUnanswered,
-	_LogEventName[577:595]:   EventLimitNotReported,
-	_LogEventName[595:609]:   EventKeysConfirmed,
-	_LogEventName[609:625]:   EventKeysUnconfirmed,
-	_LogEventName[625:641]:   EventAccountsUnknown,
-	_LogEventName[641:654]:   EventQuotaUsedUp,
-	_LogEventName[654:670]:   EventQuotaUnanswered,
-	_LogEventName[670:686]:   EventOutlierDetected,
-	_LogEventName[686:701]:   EventModelWithdrawn,
-	_LogEventName[701:715]:   EventOrderAnswered,
-	_LogEventName[715:725]:   EventOrderDone,
-	_LogEventName[725:736]:   EventOrderStateChanged,
-	_LogEventName[736:749]:   EventOrderRefused,
-	_LogEventName[749:770]:   EventOrderOutcomeUnknown,
-	_LogEventName[770:786]:   EventEngineStateNotRead,
-	_LogEventName[786:804]:   EventInventoryNotRead,
-	_LogEventName[804:815]:   EventLoadFailed,
-	_LogEventName[815:831]:   EventBackendStateNotEncoded,
-	_LogEventName[831:847]:   EventRegistryRefused,
-	_LogEventName[847:862]:   EventRoutesProposed,
-	_LogEventName[862:876]:   EventRoutesRefused,
-	_LogEventName[876:890]:   EventRoutesApplied,
-	_LogEventName[890:905]:   EventRoutesInEffect,
-	_LogEventName[905:923]:   EventRoutesNotFetched,
-	_LogEventName[923:941]:   EventCatalogueInEffect,
-	_LogEventName[941:954]:   EventBecameLeader,
-	_LogEventName[954:963]:   EventNoLeader,
-	_LogEventName[963:977]:   EventReplicaOpened,
-	_LogEventName[977:992]:   EventStartConfirmed,
-	_LogEventName[992:1009]:  EventStartUnconfirmed,
-	_LogEventName[1009:1024]: EventVotersChanged,
-	_LogEventName[1024:1037]: EventLearnerAdded,
-	_LogEventName[1037:1052]: EventLearnerRemoved,
-	_LogEventName[1052:1063]: EventVoterAdded,
-	_LogEventName[1063:1077]: EventVoterReplaced,
-	_LogEventName[1077:1090]: EventVoterStandby,
-	_LogEventName[1090:1116]: EventLeadershipNotHandedOver,
-	_LogEventName[1116:1134]: EventExpiryNotEncoded,
-	_LogEventName[1134:1148]: EventReplicaFailed,
-	_LogEventName[1148:1165]: EventReplicaRegressed,
-	_LogEventName[1165:1184]: EventDataFolderDamaged,
-	_LogEventName[1184:1205]: EventDataFolderRegressed,
-	_LogEventName[1205:1214]: EventLeaseAcquired,
-	_LogEventName[1214:1224]: EventLeaseLost,
-	_LogEventName[1224:1241]: EventLeaseNotRenewed,
-	_LogEventName[1241:1251]: EventZoneOwned,
-	_LogEventName[1251:1260]: EventZoneLost,
-	_LogEventName[1260:1274]: EventControlThreadTimes,
-	_LogEventName[1274:1286]: EventControlLost,
-	_LogEventName[1286:1302]: EventControlRegained,
-	_LogEventName[1302:1309]: EventStarted,
-	_LogEventName[1309:1317]: EventDraining,
-	_LogEventName[1317:1324]: EventDrained,
-	_LogEventName[1324:1331]: EventStopped,
-	_LogEventName[1331:1348]: EventSettingsReloaded,
-	_LogEventName[1348:1364]: EventSettingsRefused,
-	_LogEventName[1364:1378]: EventListenerEnded,
-	_LogEventName[1378:1396]: EventMetricsNotServed,
-	_LogEventName[1396:1409]: EventUnknownEvent,
-	_LogEventName[1409:1419]: EventOverloaded,
-	_LogEventName[1419:1436]: EventLogLinesDropped,
+	_LogEventName[535:548]:   EventForeignEntry,
+	_LogEventName[548:561]:   EventLimitUnclear,
+	_LogEventName[561:575]:   EventSlotRequested,
+	_LogEventName[575:590]:   EventSlotUnanswered,
+	_LogEventName[590:608]:   EventLimitNotReported,
+	_LogEventName[608:622]:   EventKeysConfirmed,
+	_LogEventName[622:638]:   EventKeysUnconfirmed,
+	_LogEventName[638:654]:   EventAccountsUnknown,
+	_LogEventName[654:667]:   EventQuotaUsedUp,
+	_LogEventName[667:683]:   EventQuotaUnanswered,
+	_LogEventName[683:699]:   EventOutlierDetected,
+	_LogEventName[699:714]:   EventModelWithdrawn,
+	_LogEventName[714:728]:   EventOrderAnswered,
+	_LogEventName[728:738]:   EventOrderDone,
+	_LogEventName[738:749]:   EventOrderStateChanged,
+	_LogEventName[749:762]:   EventOrderRefused,
+	_LogEventName[762:783]:   EventOrderOutcomeUnknown,
+	_LogEventName[783:799]:   EventEngineStateNotRead,
+	_LogEventName[799:817]:   EventInventoryNotRead,
+	_LogEventName[817:828]:   EventLoadFailed,
+	_LogEventName[828:844]:   EventBackendStateNotEncoded,
+	_LogEventName[844:860]:   EventRegistryRefused,
+	_LogEventName[860:875]:   EventRoutesProposed,
+	_LogEventName[875:889]:   EventRoutesRefused,
+	_LogEventName[889:903]:   EventRoutesApplied,
+	_LogEventName[903:918]:   EventRoutesInEffect,
+	_LogEventName[918:936]:   EventRoutesNotFetched,
+	_LogEventName[936:954]:   EventCatalogueInEffect,
+	_LogEventName[954:967]:   EventBecameLeader,
+	_LogEventName[967:976]:   EventNoLeader,
+	_LogEventName[976:990]:   EventReplicaOpened,
+	_LogEventName[990:1005]:  EventStartConfirmed,
+	_LogEventName[1005:1022]: EventStartUnconfirmed,
+	_LogEventName[1022:1037]: EventVotersChanged,
+	_LogEventName[1037:1050]: EventLearnerAdded,
+	_LogEventName[1050:1065]: EventLearnerRemoved,
+	_LogEventName[1065:1076]: EventVoterAdded,
+	_LogEventName[1076:1090]: EventVoterReplaced,
+	_LogEventName[1090:1103]: EventVoterStandby,
+	_LogEventName[1103:1129]: EventLeadershipNotHandedOver,
+	_LogEventName[1129:1147]: EventExpiryNotEncoded,
+	_LogEventName[1147:1161]: EventReplicaFailed,
+	_LogEventName[1161:1178]: EventReplicaRegressed,
+	_LogEventName[1178:1197]: EventDataFolderDamaged,
+	_LogEventName[1197:1218]: EventDataFolderRegressed,
+	_LogEventName[1218:1227]: EventLeaseAcquired,
+	_LogEventName[1227:1237]: EventLeaseLost,
+	_LogEventName[1237:1254]: EventLeaseNotRenewed,
+	_LogEventName[1254:1264]: EventZoneOwned,
+	_LogEventName[1264:1273]: EventZoneLost,
+	_LogEventName[1273:1287]: EventControlThreadTimes,
+	_LogEventName[1287:1299]: EventControlLost,
+	_LogEventName[1299:1315]: EventControlRegained,
+	_LogEventName[1315:1322]: EventStarted,
+	_LogEventName[1322:1330]: EventDraining,
+	_LogEventName[1330:1337]: EventDrained,
+	_LogEventName[1337:1344]: EventStopped,
+	_LogEventName[1344:1361]: EventSettingsReloaded,
+	_LogEventName[1361:1377]: EventSettingsRefused,
+	_LogEventName[1377:1391]: EventListenerEnded,
+	_LogEventName[1391:1409]: EventMetricsNotServed,
+	_LogEventName[1409:1422]: EventUnknownEvent,
+	_LogEventName[1422:1432]: EventOverloaded,
+	_LogEventName[1432:1449]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -266,69 +268,70 @@
 	_LogEventLowerName[495:508]:   EventLimitChanged,
 	_LogEventLowerName[508:523]:   EventBrittleChanged,
 	_LogEventLowerName[523:535]:   EventLoadUnclear,
-	_LogEventLowerName[535:548]:   EventLimitUnclear,
-	_LogEventLowerName[548:562]:   EventSlotRequested,
-	_LogEventLowerName[562:577]:   EventSlotUnanswered,
-	_LogEventLowerName[577:595]:   EventLimitNotReported,
-	_LogEventLowerName[595:609]:   EventKeysConfirmed,
-	_LogEventLowerName[609:625]:   EventKeysUnconfirmed,
-	_LogEventLowerName[625:641]:   EventAccountsUnknown,
-	_LogEventLowerName[641:654]:   EventQuotaUsedUp,
-	_LogEventLowerName[654:670]:   EventQuotaUnanswered,
-	_LogEventLowerName[670:686]:   EventOutlierDetected,
-	_LogEventLowerName[686:701]:   EventModelWithdrawn,
-	_LogEventLowerName[701:715]:   EventOrderAnswered,
-	_LogEventLowerName[715:725]:   EventOrderDone,
-	_LogEventLowerName[725:736]:   EventOrderStateChanged,
-	_LogEventLowerName[736:749]:   EventOrderRefused,
-	_LogEventLowerName[749:770]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[770:786]:   EventEngineStateNotRead,
-	_LogEventLowerName[786:804]:   EventInventoryNotRead,
-	_LogEventLowerName[804:815]:   EventLoadFailed,
-	_LogEventLowerName[815:831]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[831:847]:   EventRegistryRefused,
-	_LogEventLowerName[847:862]:   EventRoutesProposed,
-	_LogEventLowerName[862:876]:   EventRoutesRefused,
-	_LogEventLowerName[876:890]:   EventRoutesApplied,
-	_LogEventLowerName[890:905]:   EventRoutesInEffect,
-	_LogEventLowerName[905:923]:   EventRoutesNotFetched,
-	_LogEventLowerName[923:941]:   EventCatalogueInEffect,
-	_LogEventLowerName[941:954]:   EventBecameLeader,
-	_LogEventLowerName[954:963]:   EventNoLeader,
-	_LogEventLowerName[963:977]:   EventReplicaOpened,
-	_LogEventLowerName[977:992]:   EventStartConfirmed,
-	_LogEventLowerName[992:1009]:  EventStartUnconfirmed,
-	_LogEventLowerName[1009:1024]: EventVotersChanged,
-	_LogEventLowerName[1024:1037]: EventLearnerAdded,
-	_LogEventLowerName[1037:1052]: EventLearnerRemoved,
-	_LogEventLowerName[1052:1063]: EventVoterAdded,
-	_LogEventLowerName[1063:1077]: EventVoterReplaced,
-	_LogEventLowerName[1077:1090]: EventVoterStandby,
-	_LogEventLowerName[1090:1116]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1116:1134]: EventExpiryNotEncoded,
-	_LogEventLowerName[1134:1148]: EventReplicaFailed,
-	_LogEventLowerName[1148:1165]: EventReplicaRegressed,
-	_LogEventLowerName[1165:1184]: EventDataFolderDamaged,
-	_LogEventLowerName[1184:1205]: EventDataFolderRegressed,
-	_LogEventLowerName[1205:1214]: EventLeaseAcquired,
-	_LogEventLowerName[1214:1224]: EventLeaseLost,
-	_LogEventLowerName[1224:1241]: EventLeaseNotRenewed,
-	_LogEventLowerName[1241:1251]: EventZoneOwned,
-	_LogEventLowerName[1251:1260]: EventZoneLost,
-	_LogEventLowerName[1260:1274]: EventControlThreadTimes,
-	_LogEventLowerName[1274:1286]: EventControlLost,
-	_LogEventLowerName[1286:1302]: EventControlRegained,
-	_LogEventLowerName[1302:1309]: EventStarted,
-	_LogEventLowerName[1309:1317]: EventDraining,
-	_LogEventLowerName[1317:1324]: EventDrained,
-	_LogEventLowerName[1324:1331]: EventStopped,
-	_LogEventLowerName[1331:1348]: EventSettingsReloaded,
-	_LogEventLowerName[1348:1364]: EventSettingsRefused,
-	_LogEventLowerName[1364:1378]: EventListenerEnded,
-	_LogEventLowerName[1378:1396]: EventMetricsNotServed,
-	_LogEventLowerName[1396:1409]: EventUnknownEvent,
-	_LogEventLowerName[1409:1419]: EventOverloaded,
-	_LogEventLowerName[1419:1436]: EventLogLinesDropped,
+	_LogEventLowerName[535:548]:   EventForeignEntry,
+	_LogEventLowerName[548:561]:   EventLimitUnclear,
+	_LogEventLowerName[561:575]:   EventSlotRequested,
+	_LogEventLowerName[575:590]:   EventSlotUnanswered,
+	_LogEventLowerName[590:608]:   EventLimitNotReported,
+	_LogEventLowerName[608:622]:   EventKeysConfirmed,
+	_LogEventLowerName[622:638]:   EventKeysUnconfirmed,
+	_LogEventLowerName[638:654]:   EventAccountsUnknown,
+	_LogEventLowerName[654:667]:   EventQuotaUsedUp,
+	_LogEventLowerName[667:683]:   EventQuotaUnanswered,
+	_LogEventLowerName[683:699]:   EventOutlierDetected,
+	_LogEventLowerName[699:714]:   EventModelWithdrawn,
+	_LogEventLowerName[714:728]:   EventOrderAnswered,
+	_LogEventLowerName[728:738]:   EventOrderDone,
+	_LogEventLowerName[738:749]:   EventOrderStateChanged,
+	_LogEventLowerName[749:762]:   EventOrderRefused,
+	_LogEventLowerName[762:783]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[783:799]:   EventEngineStateNotRead,
+	_LogEventLowerName[799:817]:   EventInventoryNotRead,
+	_LogEventLowerName[817:828]:   EventLoadFailed,
+	_LogEventLowerName[828:844]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[844:860]:   EventRegistryRefused,
+	_LogEventLowerName[860:875]:   EventRoutesProposed,
+	_LogEventLowerName[875:889]:   EventRoutesRefused,
+	_LogEventLowerName[889:903]:   EventRoutesApplied,
+	_LogEventLowerName[903:918]:   EventRoutesInEffect,
+	_LogEventLowerName[918:936]:   EventRoutesNotFetched,
+	_LogEventLowerName[936:954]:   EventCatalogueInEffect,
+	_LogEventLowerName[954:967]:   EventBecameLeader,
+	_LogEventLowerName[967:976]:   EventNoLeader,
+	_LogEventLowerName[976:990]:   EventReplicaOpened,
+	_LogEventLowerName[990:1005]:  EventStartConfirmed,
+	_LogEventLowerName[1005:1022]: EventStartUnconfirmed,
+	_LogEventLowerName[1022:1037]: EventVotersChanged,
+	_LogEventLowerName[1037:1050]: EventLearnerAdded,
+	_LogEventLowerName[1050:1065]: EventLearnerRemoved,
+	_LogEventLowerName[1065:1076]: EventVoterAdded,
+	_LogEventLowerName[1076:1090]: EventVoterReplaced,
+	_LogEventLowerName[1090:1103]: EventVoterStandby,
+	_LogEventLowerName[1103:1129]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1129:1147]: EventExpiryNotEncoded,
+	_LogEventLowerName[1147:1161]: EventReplicaFailed,
+	_LogEventLowerName[1161:1178]: EventReplicaRegressed,
+	_LogEventLowerName[1178:1197]: EventDataFolderDamaged,
+	_LogEventLowerName[1197:1218]: EventDataFolderRegressed,
+	_LogEventLowerName[1218:1227]: EventLeaseAcquired,
+	_LogEventLowerName[1227:1237]: EventLeaseLost,
+	_LogEventLowerName[1237:1254]: EventLeaseNotRenewed,
+	_LogEventLowerName[1254:1264]: EventZoneOwned,
+	_LogEventLowerName[1264:1273]: EventZoneLost,
+	_LogEventLowerName[1273:1287]: EventControlThreadTimes,
+	_LogEventLowerName[1287:1299]: EventControlLost,
+	_LogEventLowerName[1299:1315]: EventControlRegained,
+	_LogEventLowerName[1315:1322]: EventStarted,
+	_LogEventLowerName[1322:1330]: EventDraining,
+	_LogEventLowerName[1330:1337]: EventDrained,
+	_LogEventLowerName[1337:1344]: EventStopped,
+	_LogEventLowerName[1344:1361]: EventSettingsReloaded,
+	_LogEventLowerName[1361:1377]: EventSettingsRefused,
+	_LogEventLowerName[1377:1391]: EventListenerEnded,
+	_LogEventLowerName[1391:1409]: EventMetricsNotServed,
+	_LogEventLowerName[1409:1422]: EventUnknownEvent,
+	_LogEventLowerName[1422:1432]: EventOverloaded,
+	_LogEventLowerName[1432:1449]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -369,68 +372,69 @@
 	_LogEventName[508:523],
 	_LogEventName[523:535],
 	_LogEventName[535:548],
-	_LogEventName[548:562],
-	_LogEventName[562:577],
-	_LogEventName[577:595],
-	_LogEventName[595:609],
-	_LogEventName[609:625],
-	_LogEventName[625:641],
-	_LogEventName[641:654],
-	_LogEventName[654:670],
-	_LogEventName[670:686],
-	_LogEventName[686:701],
-	_LogEventName[701:715],
-	_LogEventName[715:725],
-	_LogEventName[725:736],
-	_LogEventName[736:749],
-	_LogEventName[749:770],
-	_LogEventName[770:786],
-	_LogEventName[786:804],
-	_LogEventName[804:815],
-	_LogEventName[815:831],
-	_LogEventName[831:847],
-	_LogEventName[847:862],
-	_LogEventName[862:876],
-	_LogEventName[876:890],
-	_LogEventName[890:905],
-	_LogEventName[905:923],
-	_LogEventName[923:941],
-	_LogEventName[941:954],
-	_LogEventName[954:963],
-	_LogEventName[963:977],
-	_LogEventName[977:992],
-	_LogEventName[992:1009],
-	_LogEventName[1009:1024],
-	_LogEventName[1024:1037],
-	_LogEventName[1037:1052],
-	_LogEventName[1052:1063],
-	_LogEventName[1063:1077],
-	_LogEventName[1077:1090],
-	_LogEventName[1090:1116],
-	_LogEventName[1116:1134],
-	_LogEventName[1134:1148],
-	_LogEventName[1148:1165],
-	_LogEventName[1165:1184],
-	_LogEventName[1184:1205],
-	_LogEventName[1205:1214],
-	_LogEventName[1214:1224],
-	_LogEventName[1224:1241],
-	_LogEventName[1241:1251],
-	_LogEventName[1251:1260],
-	_LogEventName[1260:1274],
-	_LogEventName[1274:1286],
-	_LogEventName[1286:1302],
-	_LogEventName[1302:1309],
-	_LogEventName[1309:1317],
-	_LogEventName[1317:1324],
-	_LogEventName[1324:1331],
-	_LogEventName[1331:1348],
-	_LogEventName[1348:1364],
-	_LogEventName[1364:1378],
-	_LogEventName[1378:1396],
-	_LogEventName[1396:1409],
-	_LogEventName[1409:1419],
-	_LogEventName[1419:1436],
+	_LogEventName[548:561],
+	_LogEventName[561:575],
+	_LogEventName[575:590],
+	_LogEventName[590:608],
+	_LogEventName[608:622],
+	_LogEventName[622:638],
+	_LogEventName[638:654],
+	_LogEventName[654:667],
+	_LogEventName[667:683],
+	_LogEventName[683:699],
+	_LogEventName[699:714],
+	_LogEventName[714:728],
+	_LogEventName[728:738],
+	_LogEventName[738:749],
+	_LogEventName[749:762],
+	_LogEventName[762:783],
+	_LogEventName[783:799],
+	_LogEventName[799:817],
+	_LogEventName[817:828],
+	_LogEventName[828:844],
+	_LogEventName[844:860],
+	_LogEventName[860:875],
+	_LogEventName[875:889],
+	_LogEventName[889:903],
+	_LogEventName[903:918],
+	_LogEventName[918:936],
+	_LogEventName[936:954],
+	_LogEventName[954:967],
+	_LogEventName[967:976],
+	_LogEventName[976:990],
+	_LogEventName[990:1005],
+	_LogEventName[1005:1022],
+	_LogEventName[1022:1037],
+	_LogEventName[1037:1050],
+	_LogEventName[1050:1065],
+	_LogEventName[1065:1076],
+	_LogEventName[1076:1090],
+	_LogEventName[1090:1103],
+	_LogEventName[1103:1129],
+	_LogEventName[1129:1147],
+	_LogEventName[1147:1161],
+	_LogEventName[1161:1178],
+	_LogEventName[1178:1197],
+	_LogEventName[1197:1218],
+	_LogEventName[1218:1227],
+	_LogEventName[1227:1237],
+	_LogEventName[1237:1254],
+	_LogEventName[1254:1264],
+	_LogEventName[1264:1273],
+	_LogEventName[1273:1287],
+	_LogEventName[1287:1299],
+	_LogEventName[1299:1315],
+	_LogEventName[1315:1322],
+	_LogEventName[1322:1330],
+	_LogEventName[1330:1337],
+	_LogEventName[1337:1344],
+	_LogEventName[1344:1361],
+	_LogEventName[1361:1377],
+	_LogEventName[1377:1391],
+	_LogEventName[1391:1409],
+	_LogEventName[1409:1422],
+	_LogEventName[1422:1432],
+	_LogEventName[1432:1449],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
