fix: what is kept of a server's earlier start does not count for the one that has its identity now

A late report that an address was taken over, a relayed removal or an order's answer of the earlier start removed the new one, whose heartbeats were then ignored for two minutes. An attempt at the earlier start that ended later counted as a failure of the new one; outliers over all gateways were counted by identity, so that a new start was an outlier at once; leases of brittle servers and slots granted by a limit were kept for the earlier start.

--- a/backend.go
+++ b/backend.go
@@ -226,6 +226,8 @@
 	Unreachable []BackendID `json:"unreachable,omitempty"`
 	// Replaced are backend servers whose address another backend server now answers at.
 	Replaced []BackendID `json:"replaced,omitempty"`
+	// ReplacedStarts tell which starts of them; VMs of earlier builds send none.
+	ReplacedStarts []BackendStart `json:"replaced-starts,omitempty"`
 	// Leaving are backend servers that said in an answer that they leave, since the last report.
 	Leaving []BackendStart `json:"leaving,omitempty"`
 	// Outcomes count answers of the backend servers that failed requests since the last report.
@@ -240,7 +242,8 @@
 
 // BackendOutcome counts the answers of a backend server to one VM.
 type BackendOutcome struct {
-	Backend BackendID `json:"backend"`
+	Backend     BackendID `json:"backend"`
+	Incarnation uint64    `json:"born,omitempty"`
 	// Failed counts errors that the server itself answered with, Answered all other
 	// answers.
 	Failed   int `json:"failed"`
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -342,7 +342,7 @@
 func (t *Table) Outcomes() []laburnumlever.BackendOutcome {
 	var outcomes []laburnumlever.BackendOutcome
 	for id, s := range t.failing {
-		outcomes = append(outcomes, laburnumlever.BackendOutcome{Backend: id, Failed: s.failedSinceReport, Answered: s.answeredSinceReport})
+		outcomes = append(outcomes, laburnumlever.BackendOutcome{Backend: id, Incarnation: s.record.Heartbeat.Incarnation, Failed: s.failedSinceReport, Answered: s.answeredSinceReport})
 		s.failedSinceReport, s.answeredSinceReport = 0, 0
 	}
 	clear(t.failing)
@@ -593,6 +593,9 @@
 	if ticket.trial {
 		s.trialing = false
 	}
+	if t.servers[s.record.Heartbeat.Backend] != s {
+		return // it has restarted or is gone: the result tells nothing of the new start
+	}
 	t.countOutcome(s, result)
 	t.Observe(s.record.Heartbeat.Backend, result, now)
 	if result.Absent {
--- a/laburnumconcurrency/keeper.go
+++ b/laburnumconcurrency/keeper.go
@@ -103,6 +103,10 @@
 	if l.Incarnation < s.limit.Incarnation || s.limit.same(l) {
 		return false
 	}
+	if l.Incarnation > s.limit.Incarnation {
+		clear(s.leases) // it has started again and holds none of those requests
+		s.lowered, s.loweredUntil, s.pausedUntil, s.cautiousUntil = 0, time.Time{}, time.Time{}, time.Time{}
+	}
 	s.limit = l
 	if l.Ended {
 		for _, w := range s.waiting {
--- a/laburnumconcurrency/keeper_test.go
+++ b/laburnumconcurrency/keeper_test.go
@@ -382,3 +382,22 @@
 		k.Release(laburnumconcurrency.Release{Backend: l.Backend, Lease: answer.Lease}, at(0))
 	}
 }
+
+// Guards against leases of a server's earlier start that take the slots of the start which has the identity now.
+func TestLeasesOfAnEarlierStartEnd(t *testing.T) {
+	k := laburnumconcurrency.NewKeeper()
+	now := time.Unix(1_000_000, 0)
+	limit := laburnumconcurrency.Limit{Backend: "i-1", Service: "quotes", Incarnation: 5, Slots: 1}
+	k.Learn(limit, now)
+	now = now.Add(time.Minute)
+	request := laburnumconcurrency.Request{Limit: limit, Gateway: "g-1", Hold: laburnumlever.Duration(time.Hour)}
+	a, _ := k.Acquire(request, 1, now)
+	require.True(t, a.Granted)
+	a, _ = k.Acquire(request, 1, now)
+	require.False(t, a.Granted)
+	limit.Incarnation = 7
+	k.Learn(limit, now)
+	request.Limit = limit
+	a, _ = k.Acquire(request, 1, now)
+	require.True(t, a.Granted)
+}
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -46,7 +46,7 @@
 	isLeader      func() bool
 	onOverlay     func(laburnumregistry.Overlay)
 	onLeaseChange func(directs bool)
-	onReplaced    func(laburnumlever.BackendID)
+	onReplaced    func(laburnumlever.BackendStart)
 
 	// The following fields are used by the control thread only.
 	lease lease
@@ -83,7 +83,7 @@
 	return &Director{
 		loop: loop, timers: timers, proposer: proposer, calls: calls, self: self, cfg: cfg, clock: cfg.clock,
 		done: make(chan struct{}), isLeader: func() bool { return false },
-		onOverlay: func(laburnumregistry.Overlay) {}, onLeaseChange: func(bool) {}, onReplaced: func(laburnumlever.BackendID) {},
+		onOverlay: func(laburnumregistry.Overlay) {}, onLeaseChange: func(bool) {}, onReplaced: func(laburnumlever.BackendStart) {},
 		engineClasses: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:       map[laburnumlever.BackendID]laburnumregistry.Record{},
 		engines:       newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), outliers: laburnumoutlier.New(), startedAt: timers.Now(),
@@ -106,7 +106,7 @@
 
 // OnReplaced sets the callback for an engine at whose address another engine answers. The callback
 // runs on the control thread.
-func (d *Director) OnReplaced(fn func(laburnumlever.BackendID)) { d.onReplaced = fn }
+func (d *Director) OnReplaced(fn func(laburnumlever.BackendStart)) { d.onReplaced = fn }
 
 // Start starts the director's timer.
 func (d *Director) Start() {
@@ -296,7 +296,7 @@
 	for _, e := range changed {
 		e.changed = false
 		if d.engines.get(e.heartbeat.Backend) == e {
-			d.onOverlay(e.overlay(d.lease.fence, d.outliers.Detections(e.heartbeat.Backend)))
+			d.onOverlay(e.overlay(d.lease.fence, d.outliers.Detections(e.heartbeat.Backend, e.heartbeat.Incarnation)))
 		}
 	}
 }
--- a/laburnumdirector/orders.go
+++ b/laburnumdirector/orders.go
@@ -100,7 +100,7 @@
 	case laburnumlever.VerdictOther:
 		d.engines.remove(ev.backend)
 		delete(d.records, ev.backend)
-		d.onReplaced(ev.backend)
+		d.onReplaced(laburnumlever.BackendStart{Backend: ev.backend, Incarnation: e.heartbeat.Incarnation})
 	default:
 		// The engine may have accepted an order of another director, so the count is requested again.
 		e.revertLoad(ev.order)
--- a/laburnumdirector/outliers.go
+++ b/laburnumdirector/outliers.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		d.onOverlay(laburnumregistry.Overlay{
-			Backend: id, Fence: d.lease.fence, Incarnation: r.Heartbeat.Incarnation, Sequence: r.Heartbeat.Sequence, Outliers: d.outliers.Detections(id),
+			Backend: id, Fence: d.lease.fence, Incarnation: r.Heartbeat.Incarnation, Sequence: r.Heartbeat.Sequence, Outliers: d.outliers.Detections(id, r.Heartbeat.Incarnation),
 		})
 	}
 }
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -173,7 +173,7 @@
 	cause := &AnswerStatusError{Status: resp.StatusCode, Rest: headers.Rest}
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		if headers.Backend != "" && headers.Backend != ticket.Backend.Backend {
-			g.fleet.removeReplaced(ticket.Backend.Backend)
+			g.fleet.removeReplaced(ticket.Backend)
 		} else {
 			result.Absent = true
 		}
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -47,7 +47,7 @@
 	readTimes laburnumdemand.ReadTimes
 	// replaced lists backend servers whose address now belongs to another one and that have not
 	// been reported yet.
-	replaced []laburnumlever.BackendID
+	replaced []laburnumlever.BackendStart
 	// leavers are those that have said in an answer that they leave, and have not been reported yet.
 	leavers  []laburnumlever.BackendStart
 	gateways int // the largest number seen
@@ -196,13 +196,17 @@
 	defer f.mu.Unlock()
 	now := f.timers.Now()
 	replaced, leavers := f.replaced, f.leavers
+	var replacedIDs []laburnumlever.BackendID
+	for _, r := range replaced {
+		replacedIDs = append(replacedIDs, r.Backend)
+	}
 	f.replaced, f.leavers = nil, nil
 	unreachable := f.balance.Unreachable(now)
 	if f.linksDoubted.Load() {
 		unreachable = nil
 	}
 	return laburnumlever.GatewayReport{
-		Demand: f.demand.Take(now, f.readTimes), Adapters: f.adapters.Take(now), Unreachable: unreachable, Replaced: replaced,
+		Demand: f.demand.Take(now, f.readTimes), Adapters: f.adapters.Take(now), Unreachable: unreachable, Replaced: replacedIDs, ReplacedStarts: replaced,
 		Outcomes: f.balance.Outcomes(), Leaving: leavers,
 	}
 }
@@ -304,11 +308,12 @@
 }
 
 // removeReplaced removes a backend server whose address now belongs to another one.
-func (f *Fleet) removeReplaced(id laburnumlever.BackendID) {
+func (f *Fleet) removeReplaced(to laburnumlever.Heartbeat) {
+	id := to.Backend
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.registry.Remove(id, f.timers.Now()) {
-		f.replaced = append(f.replaced, id)
+	if f.registry.RemoveStart(id, to.Incarnation, f.timers.Now()) {
+		f.replaced = append(f.replaced, laburnumlever.BackendStart{Backend: id, Incarnation: to.Incarnation})
 		r, _ := f.registry.Record(id)
 		f.updateBackend(r)
 		_ = level.Info(f.logger).Log("event", laburnumlever.EventBackendReplaced, "backend", id)
--- a/laburnumlimit/keeper.go
+++ b/laburnumlimit/keeper.go
@@ -85,6 +85,9 @@
 	if s.limit.same(r.Limit) {
 		return false
 	}
+	if r.Incarnation > s.limit.Incarnation {
+		s.next = now // its window begins anew
+	}
 	s.limit = r.Limit
 	if latest := now.Add(s.limit.interval(FullShare)); s.next.After(latest) {
 		s.next = latest // a higher limit counts at once
--- a/laburnumlimit/keeper_test.go
+++ b/laburnumlimit/keeper_test.go
@@ -168,3 +168,19 @@
 	require.Len(t, k.Sweep(at(11*time.Minute)), 4096)
 	require.Zero(t, k.Len())
 }
+
+// Guards against slots granted of a server's earlier start that the start which has the identity now must wait for.
+func TestSlotsOfAnEarlierStartAreForgotten(t *testing.T) {
+	k := newKeeper(t, limit(1))
+	request := laburnumlimit.SlotRequest{Report: laburnumlimit.Report{Limit: limit(1)}, Gateway: "g-1", Wait: laburnumlever.Duration(3 * time.Second)}
+	for range 3 {
+		k.Reserve(request, 1, start)
+	}
+	reborn := limit(1)
+	reborn.Incarnation = 8
+	require.True(t, k.Report(laburnumlimit.Report{Limit: reborn}, start))
+	request.Limit = reborn
+	a := k.Reserve(request, 1, start)
+	require.True(t, a.Granted)
+	require.Zero(t, a.In)
+}
--- a/laburnumoutlier/detector.go
+++ b/laburnumoutlier/detector.go
@@ -31,6 +31,8 @@
 
 // server holds the recent outcomes of a server, which decay with halfLife.
 type server struct {
+	// incarnation is the newest start that outcomes were reported of.
+	incarnation      uint64
 	failed, answered float64
 	updatedAt        time.Time
 	detectedAt       time.Time
@@ -48,10 +50,13 @@
 	var detected []laburnumlever.BackendID
 	for _, o := range outcomes {
 		s := d.servers[o.Backend]
-		if s == nil {
-			s = &server{updatedAt: now}
+		if s == nil || o.Incarnation > s.incarnation {
+			s = &server{incarnation: o.Incarnation, updatedAt: now}
 			d.servers[o.Backend] = s
 		}
+		if o.Incarnation != 0 && o.Incarnation < s.incarnation {
+			continue
+		}
 		if s.add(o, now) {
 			detected = append(detected, o.Backend)
 		}
@@ -59,9 +64,9 @@
 	return detected
 }
 
-// Detections returns how often a server has been detected as an outlier.
-func (d *Detector) Detections(id laburnumlever.BackendID) uint64 {
-	if s := d.servers[id]; s != nil {
+// Detections returns how often a start of a server has been detected as an outlier.
+func (d *Detector) Detections(id laburnumlever.BackendID, incarnation uint64) uint64 {
+	if s := d.servers[id]; s != nil && (s.incarnation == 0 || s.incarnation == incarnation) {
 		return s.detections
 	}
 	return 0
--- a/laburnumoutlier/detector_test.go
+++ b/laburnumoutlier/detector_test.go
@@ -22,8 +22,8 @@
 	require.Equal(t, []laburnumlever.BackendID{"s-1"}, d.Add(outcome(1, 0), now.Add(200*time.Millisecond)))
 	require.Empty(t, d.Add(outcome(1, 0), now.Add(400*time.Millisecond)), "detected a moment ago")
 	require.NotEmpty(t, d.Add(outcome(1, 0), now.Add(1300*time.Millisecond)))
-	require.EqualValues(t, 2, d.Detections("s-1"))
-	require.Zero(t, d.Detections("s-2"))
+	require.EqualValues(t, 2, d.Detections("s-1", 0))
+	require.Zero(t, d.Detections("s-2", 0))
 }
 
 // Guards against healthy servers detected as outliers because of rare errors.
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -251,6 +251,14 @@
 	return true
 }
 
+// RemoveStart is Remove for one start of a backend server: a newer one stays. Incarnation 0 stands for any.
+func (t *Table) RemoveStart(id laburnumlever.BackendID, incarnation uint64, now time.Time) bool {
+	if incarnation == 0 {
+		return t.Remove(id, now)
+	}
+	return t.mergeTombstone(Record{Heartbeat: laburnumlever.Heartbeat{Backend: id, Incarnation: incarnation}, Gone: true}, now)
+}
+
 // MarkSilent marks backend servers without a heartbeat for three periods as silent and returns the
 // newly marked ones, ordered by identity.
 func (t *Table) MarkSilent(now time.Time) []laburnumlever.BackendID {
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -147,8 +148,8 @@
 // recordGatewayReport processes a gateway's report. A backend server whose address was taken over by
 // another one is removed at once, without waiting for its heartbeats to time out.
 func (c *Control) recordGatewayReport(vm laburnumlever.VMID, report laburnumlever.GatewayReport) {
-	for _, id := range report.Replaced {
-		c.removeAndRelay(id)
+	for _, b := range startsOf(report.Replaced, report.ReplacedStarts) {
+		c.removeAndRelay(b)
 	}
 	for _, b := range report.Leaving {
 		c.markLeaving(b)
@@ -158,9 +159,20 @@
 
 // removeAndRelay removes a backend server whose address was taken over by another one, and relays the
 // removal to the other control VMs.
-func (c *Control) removeAndRelay(backend laburnumlever.BackendID) {
-	c.remove(backend)
-	c.relay.addGone(backend)
+func (c *Control) removeAndRelay(b laburnumlever.BackendStart) {
+	c.remove(b)
+	c.relay.addGone(b)
+}
+
+// startsOf adds the starts to identities: those that are not known are of incarnation 0, which stands for any.
+func startsOf(ids []laburnumlever.BackendID, starts []laburnumlever.BackendStart) []laburnumlever.BackendStart {
+	list := slices.Clone(starts)
+	for _, id := range ids {
+		if !slices.ContainsFunc(starts, func(b laburnumlever.BackendStart) bool { return b.Backend == id }) {
+			list = append(list, laburnumlever.BackendStart{Backend: id})
+		}
+	}
+	return list
 }
 
 // markLeaving records that a backend server has told a gateway that it leaves, and relays it to the other control VMs.
@@ -347,8 +359,12 @@
 
 // Remove deregisters a backend server here and on the other control VMs.
 func (c *Control) Remove(_ context.Context, backend laburnumlever.BackendID) error {
-	c.remove(backend)
-	c.relay.addGone(backend)
+	c.mu.Lock()
+	r, _ := c.registry.Record(backend)
+	c.mu.Unlock()
+	b := laburnumlever.BackendStart{Backend: backend, Incarnation: r.Heartbeat.Incarnation}
+	c.remove(b)
+	c.relay.addGone(b)
 	return nil
 }
 
@@ -374,11 +390,11 @@
 	c.director.SetHeartbeat(laburnumlever.Heartbeat{Backend: h.Backend, Incarnation: h.Incarnation, Sequence: h.Sequence})
 }
 
-func (c *Control) remove(backend laburnumlever.BackendID) {
+func (c *Control) remove(b laburnumlever.BackendStart) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.registry.Remove(backend, c.timers.Now()) {
-		c.publishRecord(backend)
+	if c.registry.RemoveStart(b.Backend, b.Incarnation, c.timers.Now()) {
+		c.publishRecord(b.Backend)
 	}
 }
 
@@ -430,8 +446,8 @@
 	for _, h := range batch.Alive {
 		c.recordUnchanged(h)
 	}
-	for _, id := range batch.Gone {
-		c.remove(id)
+	for _, b := range startsOf(batch.Gone, batch.GoneStarts) {
+		c.remove(b)
 	}
 	return struct{}{}, nil
 }
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -40,6 +40,8 @@
 	Alive []unchangedHeartbeat `json:"alive,omitempty"`
 	// Gone are the removed backend servers.
 	Gone []laburnumlever.BackendID `json:"gone,omitempty"`
+	// GoneStarts tell which starts of them; VMs of earlier builds send none.
+	GoneStarts []laburnumlever.BackendStart `json:"gone-starts,omitempty"`
 	// unreadable tells why entries were left out.
 	unreadable []error
 }
@@ -57,6 +59,7 @@
 		Heartbeats json.RawMessage `json:"heartbeats"`
 		Alive      json.RawMessage `json:"alive"`
 		Gone       json.RawMessage `json:"gone"`
+		GoneStarts json.RawMessage `json:"gone-starts"`
 	}
 	if err := json.Unmarshal(data, &plain); err != nil {
 		return err
@@ -80,6 +83,14 @@
 			}
 			return err
 		}),
+		laburnumfeed.DecodeEntries(plain.GoneStarts, func(entry json.RawMessage) error {
+			var start laburnumlever.BackendStart
+			err := json.Unmarshal(entry, &start)
+			if err == nil {
+				b.GoneStarts = append(b.GoneStarts, start)
+			}
+			return err
+		}),
 	)
 	return nil
 }
--- a/laburnumroles/relay.go
+++ b/laburnumroles/relay.go
@@ -41,9 +41,9 @@
 }
 
 // addGone adds the removal of a backend server to the batch.
-func (r *relay) addGone(id laburnumlever.BackendID) {
+func (r *relay) addGone(b laburnumlever.BackendStart) {
 	r.mu.Lock()
-	r.pending.Gone = append(r.pending.Gone, id)
+	r.pending.Gone, r.pending.GoneStarts = append(r.pending.Gone, b.Backend), append(r.pending.GoneStarts, b)
 	r.mu.Unlock()
 	r.coalescer.Trigger()
 }
