--- a/cmd/laburnumlever/explaincmd.go
+++ b/cmd/laburnumlever/explaincmd.go
@@ -16,7 +16,7 @@
 	return &cli.Command{
 		Name:        "explain",
 		Usage:       "explain a model's placement, a request's outcome, or a day's lost requests",
-		Subcommands: []*cli.Command{explainModelCommand(), explainRequestCommand(), explainDayCommand()},
+		Subcommands: []*cli.Command{explainModelCommand(), explainRequestCommand(), explainDayCommand(), explainPaidCommand()},
 	}
 }
 
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -162,7 +162,7 @@
 		target: time.Duration(q.route.Target), pauseTarget: time.Duration(q.route.PauseTarget), waited: q.waited,
 		first: out.firstAt.Sub(q.arrived), pause: out.pause, sent: q.sent,
 	}
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name, "account", q.accountName(),
 		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sent, "taken", q.refusedReservations,
 		"via", q.via, "late", t.lateness(), "waited-ms", millis(q.waited), "first-ms", millis(t.first), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -299,7 +299,7 @@
 	c.quotas.start()
 	c.timers.Every(expirePeriod, c.expire)
 	c.timers.Every(usagePeriod, c.reportUsage)
-	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "first-start", c.settings.FirstStart)
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "zone", c.self.Zone, "first-start", c.settings.FirstStart)
 	return nil
 }
 
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -120,7 +120,7 @@
 	g.fleet.StartConfirming()
 	g.gateway.Start()
 	g.timers.Every(sweepPeriod, func(time.Time) { g.gateway.Sweep() })
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventStarted, "role", "gateway", "callers", g.settings.Listen.Callers)
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventStarted, "role", "gateway", "zone", g.self.Zone, "callers", g.settings.Listen.Callers)
 	return nil
 }
 
