--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"laburnumlever"
 	"laburnumlever/laburnumconcurrency"
@@ -45,6 +46,8 @@
 	Brittle []laburnumconcurrency.Limit `json:"brittle,omitempty"`
 	// Room holds the levels of services; only the director has any.
 	Room []laburnumroom.Level `json:"room,omitempty"`
+	// Unreadable tells why entries were left out.
+	Unreadable []error `json:"-"`
 }
 
 // encodedAnswer is an Answer whose items are already encoded.
@@ -64,8 +67,87 @@
 // below it; the pages sent to a starting VM are above it and amount to megabytes.
 const compressThreshold = 8 << 10
 
-// plainAnswer is an Answer without UnmarshalJSON.
-type plainAnswer Answer
+// plainAnswer is an Answer whose lists are not decoded yet.
+type plainAnswer struct {
+	meta
+	Backends   json.RawMessage `json:"backends"`
+	Overlays   json.RawMessage `json:"overlays"`
+	Quarantine json.RawMessage `json:"quarantine"`
+	Limits     json.RawMessage `json:"limits"`
+	Brittle    json.RawMessage `json:"brittle"`
+	Remembered json.RawMessage `json:"remembered"`
+	Room       json.RawMessage `json:"room"`
+}
+
+// answer decodes the lists. An entry that can't be read leaves the others as they are.
+func (p plainAnswer) answer() Answer {
+	a := Answer{meta: p.meta}
+	a.Unreadable = slices.Concat(
+		DecodeEntries(p.Backends, func(entry json.RawMessage) error {
+			var r laburnumregistry.Record
+			if err := json.Unmarshal(entry, &r); err != nil {
+				return err
+			}
+			if err := r.Check(); err != nil {
+				return err
+			}
+			a.Backends = append(a.Backends, r)
+			return nil
+		}),
+		DecodeEntries(p.Remembered, func(entry json.RawMessage) error {
+			var r laburnumregistry.Record
+			if err := json.Unmarshal(entry, &r); err != nil {
+				return err
+			}
+			if err := r.Check(); err != nil {
+				return err
+			}
+			a.Remembered = append(a.Remembered, r)
+			return nil
+		}),
+		DecodeEntries(p.Room, func(entry json.RawMessage) error {
+			var l laburnumroom.Level
+			err := json.Unmarshal(entry, &l)
+			if err == nil {
+				a.Room = append(a.Room, l)
+			}
+			return err
+		}),
+		DecodeEntries(p.Overlays, func(entry json.RawMessage) error {
+			var o laburnumregistry.Overlay
+			err := json.Unmarshal(entry, &o)
+			if err == nil {
+				a.Overlays = append(a.Overlays, o)
+			}
+			return err
+		}),
+		DecodeEntries(p.Quarantine, func(entry json.RawMessage) error {
+			var e laburnumquarantine.Entry
+			err := json.Unmarshal(entry, &e)
+			if err == nil {
+				a.Quarantine = append(a.Quarantine, e)
+			}
+			return err
+		}),
+		DecodeEntries(p.Limits, func(entry json.RawMessage) error {
+			var l laburnumlimit.Limit
+			err := json.Unmarshal(entry, &l)
+			if err == nil {
+				a.Limits = append(a.Limits, l)
+			}
+			return err
+		}),
+		DecodeEntries(p.Brittle, func(entry json.RawMessage) error {
+			var l laburnumconcurrency.Limit
+			err := json.Unmarshal(entry, &l)
+			if err == nil {
+				a.Brittle = append(a.Brittle, l)
+			}
+			return err
+		}),
+	)
+	return a
+}
 
 // packedAnswer contains a compressed encoded answer.
 type packedAnswer struct {
@@ -94,14 +176,19 @@
 		return err
 	}
 	if len(either.Packed) == 0 {
-		*a = Answer(either.plainAnswer)
+		*a = either.answer()
 		return nil
 	}
 	unpacked, err := laburnumlever.Unpack(either.Packed)
 	if err != nil {
 		return err
 	}
-	return json.Unmarshal(unpacked, (*plainAnswer)(a))
+	var plain plainAnswer
+	if err := json.Unmarshal(unpacked, &plain); err != nil {
+		return err
+	}
+	*a = plain.answer()
+	return nil
 }
 
 // meta is the part of an answer other than endpoint state.
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -46,6 +46,7 @@
 	retryBudget RetryBudget
 	logger      log.Logger
 	counters    *counters
+	refusals    refusalWindow
 	crashes     *crashDetector
 	buffers     *bufferBudget
 	links       *links
@@ -162,7 +163,7 @@
 		target: time.Duration(q.route.Target), pauseTarget: time.Duration(q.route.PauseTarget), waited: q.waited,
 		first: out.firstAt.Sub(q.arrived), pause: out.pause, sent: q.sent,
 	}
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name, "account", q.accountName(),
 		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sent, "taken", q.refusedReservations, "looks", q.looks, "pace", q.pace,
 		"via", q.via, "late", t.lateness(), "waited-ms", millis(q.waited), "first-ms", millis(t.first), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
@@ -347,6 +348,7 @@
 }
 
 func (g *Gateway) logRefusal(q *request, reason laburnumlever.RefusalReason, status int, err error) {
+	g.refusals.add(q.accountName(), reason, g.timers.Now())
 	route := laburnumlever.RouteName("")
 	if q.route != nil {
 		route = q.route.Name
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +81,8 @@
 	endpoints *endpoints
 	// streams keeps which software versions began streams.
 	streams *streams
+	// foreign counts entries of other writers.
+	foreign *laburnumfeed.ForeignEntries
 	// commitTimes are the times to commit an operator's change.
 	commitTimes tally.Histogram
 	// routes is the route table in effect; nil before the first one. routesMu is held while it is changed.
@@ -102,6 +105,7 @@
 	meter := laburnumeventloop.NewMeter()
 	c := &Control{process: newProcess(settings, opts), loop: laburnumeventloop.New(laburnumeventloop.WithMeter(meter)), meter: meter}
 	c.commitTimes = c.metrics.Scope().Histogram("routes_commit_seconds", commitTimeBuckets)
+	c.foreign = laburnumfeed.NewForeignEntries(c.logger, c.metrics.Scope())
 	c.registry, c.room = laburnumregistry.New(time.Duration(settings.Times.Heartbeat)), laburnumroom.NewTable()
 	c.streams = newStreams(c.timers, c.serviceSoftware, func() bool { return c.source.Isolated() }, c.controlCount, time.Duration(settings.Times.Heartbeat), settings.FirstStart, c.metrics.Scope())
 	c.peers.Handle(methodStreamRecord, c.streams.handleRecord)
@@ -159,8 +163,8 @@
 // recordGatewayReport processes a gateway's report. A backend server whose address was taken over by
 // another one is removed at once, without waiting for its heartbeats to time out.
 func (c *Control) recordGatewayReport(vm laburnumlever.VMID, report laburnumlever.GatewayReport) {
-	for _, id := range report.Replaced {
-		c.removeAndRelay(id)
+	for _, b := range startsOf(report.Replaced, report.ReplacedStarts) {
+		c.removeAndRelay(b)
 	}
 	for _, b := range report.Leaving {
 		c.markLeaving(b)
@@ -170,9 +174,20 @@
 
 // removeAndRelay removes a backend server whose address was taken over by another one, and relays the
 // removal to the other control VMs.
-func (c *Control) removeAndRelay(backend laburnumlever.BackendID) {
-	c.remove(backend)
-	c.relay.addGone(backend)
+func (c *Control) removeAndRelay(b laburnumlever.BackendStart) {
+	c.remove(b)
+	c.relay.addGone(b)
+}
+
+// startsOf adds the starts to identities: those that are not known are of incarnation 0, which stands for any.
+func startsOf(ids []laburnumlever.BackendID, starts []laburnumlever.BackendStart) []laburnumlever.BackendStart {
+	list := slices.Clone(starts)
+	for _, id := range ids {
+		if !slices.ContainsFunc(starts, func(b laburnumlever.BackendStart) bool { return b.Backend == id }) {
+			list = append(list, laburnumlever.BackendStart{Backend: id})
+		}
+	}
+	return list
 }
 
 // markLeaving records that a backend server has told a gateway that it leaves, and relays it to the other control VMs.
@@ -288,7 +303,7 @@
 	go c.loop.Run()
 	c.voter.Start()
 	c.director.Start()
-	c.follower = laburnumfeed.NewFollower(c.peers, c.timers, c.self, c.seedPeers(), c, laburnumfeed.WithLogger(c.logger))
+	c.follower = laburnumfeed.NewFollower(c.peers, c.timers, c.self, c.seedPeers(), c, laburnumfeed.WithLogger(c.logger), laburnumfeed.WithForeignEntries(c.foreign))
 	if err := c.serveBackends("control", c.settings.Listen.Control, newServer(handler)); err != nil {
 		return err
 	}
@@ -303,7 +318,7 @@
 	}
 	c.timers.Every(expirePeriod, c.expire)
 	c.timers.Every(usagePeriod, c.reportUsage)
-	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "first-start", c.settings.FirstStart)
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventStarted, "role", "control", "zone", c.self.Zone, "first-start", c.settings.FirstStart)
 	return nil
 }
 
@@ -340,6 +355,11 @@
 	return c.heartbeatAddress(h), nil
 }
 
+// HeartbeatRefused counts a heartbeat that names no backend server to use.
+func (c *Control) HeartbeatRefused(_ laburnumlever.BackendID, cause error) {
+	c.foreign.Note("heartbeat", cause)
+}
+
 // heartbeatAddress returns the control VM, in the backend server's own availability zone, to which it
 // should send its next heartbeats. Without this, backend servers stay with the control VM that answered
 // first, and one VM may end up with most of the connections.
@@ -358,8 +378,12 @@
 
 // Remove deregisters a backend server here and on the other control VMs.
 func (c *Control) Remove(_ context.Context, backend laburnumlever.BackendID) error {
-	c.remove(backend)
-	c.relay.addGone(backend)
+	c.mu.Lock()
+	r, _ := c.registry.Record(backend)
+	c.mu.Unlock()
+	b := laburnumlever.BackendStart{Backend: backend, Incarnation: r.Heartbeat.Incarnation}
+	c.remove(b)
+	c.relay.addGone(b)
 	return nil
 }
 
@@ -385,11 +409,11 @@
 	c.director.SetHeartbeat(laburnumlever.Heartbeat{Backend: h.Backend, Incarnation: h.Incarnation, Sequence: h.Sequence})
 }
 
-func (c *Control) remove(backend laburnumlever.BackendID) {
+func (c *Control) remove(b laburnumlever.BackendStart) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.registry.Remove(backend, c.timers.Now()) {
-		c.publishRecord(backend)
+	if c.registry.RemoveStart(b.Backend, b.Incarnation, c.timers.Now()) {
+		c.publishRecord(b.Backend)
 	}
 }
 
@@ -442,14 +466,17 @@
 	if err := json.Unmarshal(params, &batch); err != nil {
 		return nil, &laburnumfeed.MessageError{Method: methodHeartbeatRelay, Cause: err}
 	}
+	for _, cause := range batch.unreadable {
+		c.foreign.Note(methodHeartbeatRelay, cause)
+	}
 	for _, h := range batch.Heartbeats {
 		c.recordHeartbeat(h)
 	}
 	for _, h := range batch.Alive {
 		c.recordUnchanged(h)
 	}
-	for _, id := range batch.Gone {
-		c.remove(id)
+	for _, b := range startsOf(batch.Gone, batch.GoneStarts) {
+		c.remove(b)
 	}
 	return struct{}{}, nil
 }
--- a/laburnumslotqueue/queue_test.go
+++ b/laburnumslotqueue/queue_test.go
@@ -236,6 +236,7 @@
 		for n, account := range []laburnumlever.AccountName{"hot", "other"} {
 			r := &laburnumslotqueue.Request{Query: laburnumbalance.Query{Service: "quotes"}, Account: account, Arrived: time.Unix(int64(n), 0)}
 			r.Admit = func(*laburnumbalance.Ticket) { served = append(served, account) }
+			w.Arrived(r, r.Arrived)
 			require.True(t, w.Push(r))
 		}
 		w.Serve(time.Unix(2, 0), func(laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
--- a/logevent.go
+++ b/logevent.go
@@ -102,6 +102,8 @@
 	EventLoadUnclear
 	// EventRoomChanged is a change of the share of a service's slots that less urgent requests leave free.
 	EventRoomChanged
+	// EventForeignEntry is an entry of another writer that names no backend server to use, logged once for each source and reason.
+	EventForeignEntry
 	// EventLimitUnclear is an answer that names a limit which can't be read.
 	EventLimitUnclear
 	// EventSlotRequested is a request that asked for a slot at a limited backend server.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 149, 169, 189, 208, 224, 237, 249, 255, 270, 287, 300, 317, 330, 340, 354, 367, 381, 400, 420, 439, 461, 475, 494, 510, 526, 537, 550, 573, 586, 601, 613, 625, 638, 652, 667, 685, 699, 715, 731, 744, 760, 776, 791, 805, 815, 826, 839, 860, 876, 894, 905, 921, 937, 952, 966, 980, 995, 1013, 1031, 1044, 1053, 1067, 1082, 1099, 1114, 1127, 1142, 1153, 1167, 1180, 1206, 1224, 1238, 1255, 1274, 1295, 1304, 1314, 1331, 1341, 1350, 1364, 1376, 1392, 1399, 1407, 1414, 1421, 1438, 1454, 1468, 1486, 1499, 1509, 1526}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 149, 169, 189, 208, 224, 237, 249, 255, 270, 287, 300, 317, 330, 340, 354, 367, 381, 400, 420, 439, 461, 475, 494, 510, 526, 537, 550, 573, 586, 601, 613, 625, 638, 651, 665, 680, 698, 712, 728, 744, 757, 773, 789, 804, 818, 828, 839, 852, 873, 889, 907, 918, 934, 950, 965, 979, 993, 1008, 1026, 1044, 1057, 1066, 1080, 1095, 1112, 1127, 1140, 1155, 1166, 1180, 1193, 1219, 1237, 1251, 1268, 1287, 1308, 1317, 1327, 1344, 1354, 1363, 1377, 1389, 1405, 1412, 1420, 1427, 1434, 1451, 1467, 1481, 1499, 1512, 1522, 1539}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -65,72 +65,73 @@
 	_ = x[EventBrittleChanged-(38)]
 	_ = x[EventLoadUnclear-(39)]
 	_ = x[EventRoomChanged-(40)]
-	_ = x[EventLimitUnclear-(41)]
-	_ = x[EventSlotRequested-(42)]
-	_ = x[EventSlotUnanswered-(43)]
-	_ = x[EventLimitNotReported-(44)]
-	_ = x[EventKeysConfirmed-(45)]
-	_ = x[EventKeysUnconfirmed-(46)]
-	_ = x[EventAccountsUnknown-(47)]
-	_ = x[EventQuotaUsedUp-(48)]
-	_ = x[EventQuotaUnanswered-(49)]
-	_ = x[EventOutlierDetected-(50)]
-	_ = x[EventModelWithdrawn-(51)]
-	_ = x[EventOrderAnswered-(52)]
-	_ = x[EventOrderDone-(53)]
-	_ = x[EventOrderStateChanged-(54)]
-	_ = x[EventOrderRefused-(55)]
-	_ = x[EventOrderOutcomeUnknown-(56)]
-	_ = x[EventEngineStateNotRead-(57)]
-	_ = x[EventInventoryNotRead-(58)]
-	_ = x[EventLoadFailed-(59)]
-	_ = x[EventBackendStateNotEncoded-(60)]
-	_ = x[EventRegistryRefused-(61)]
-	_ = x[EventRoutesProposed-(62)]
-	_ = x[EventRoutesRefused-(63)]
-	_ = x[EventRoutesApplied-(64)]
-	_ = x[EventRoutesInEffect-(65)]
-	_ = x[EventRoutesNotFetched-(66)]
-	_ = x[EventCatalogueInEffect-(67)]
-	_ = x[EventBecameLeader-(68)]
-	_ = x[EventNoLeader-(69)]
-	_ = x[EventReplicaOpened-(70)]
-	_ = x[EventStartConfirmed-(71)]
-	_ = x[EventStartUnconfirmed-(72)]
-	_ = x[EventVotersChanged-(73)]
-	_ = x[EventLearnerAdded-(74)]
-	_ = x[EventLearnerRemoved-(75)]
-	_ = x[EventVoterAdded-(76)]
-	_ = x[EventVoterReplaced-(77)]
-	_ = x[EventVoterStandby-(78)]
-	_ = x[EventLeadershipNotHandedOver-(79)]
-	_ = x[EventExpiryNotEncoded-(80)]
-	_ = x[EventReplicaFailed-(81)]
-	_ = x[EventReplicaRegressed-(82)]
-	_ = x[EventDataFolderDamaged-(83)]
-	_ = x[EventDataFolderRegressed-(84)]
-	_ = x[EventLeaseAcquired-(85)]
-	_ = x[EventLeaseLost-(86)]
-	_ = x[EventLeaseNotRenewed-(87)]
-	_ = x[EventZoneOwned-(88)]
-	_ = x[EventZoneLost-(89)]
-	_ = x[EventControlThreadTimes-(90)]
-	_ = x[EventControlLost-(91)]
-	_ = x[EventControlRegained-(92)]
-	_ = x[EventStarted-(93)]
-	_ = x[EventDraining-(94)]
-	_ = x[EventDrained-(95)]
-	_ = x[EventStopped-(96)]
-	_ = x[EventSettingsReloaded-(97)]
-	_ = x[EventSettingsRefused-(98)]
-	_ = x[EventListenerEnded-(99)]
-	_ = x[EventMetricsNotServed-(100)]
-	_ = x[EventUnknownEvent-(101)]
-	_ = x[EventOverloaded-(102)]
-	_ = x[EventLogLinesDropped-(103)]
+	_ = x[EventForeignEntry-(41)]
+	_ = x[EventLimitUnclear-(42)]
+	_ = x[EventSlotRequested-(43)]
+	_ = x[EventSlotUnanswered-(44)]
+	_ = x[EventLimitNotReported-(45)]
+	_ = x[EventKeysConfirmed-(46)]
+	_ = x[EventKeysUnconfirmed-(47)]
+	_ = x[EventAccountsUnknown-(48)]
+	_ = x[EventQuotaUsedUp-(49)]
+	_ = x[EventQuotaUnanswered-(50)]
+	_ = x[EventOutlierDetected-(51)]
+	_ = x[EventModelWithdrawn-(52)]
+	_ = x[EventOrderAnswered-(53)]
+	_ = x[EventOrderDone-(54)]
+	_ = x[EventOrderStateChanged-(55)]
+	_ = x[EventOrderRefused-(56)]
+	_ = x[EventOrderOutcomeUnknown-(57)]
+	_ = x[EventEngineStateNotRead-(58)]
+	_ = x[EventInventoryNotRead-(59)]
+	_ = x[EventLoadFailed-(60)]
+	_ = x[EventBackendStateNotEncoded-(61)]
+	_ = x[EventRegistryRefused-(62)]
+	_ = x[EventRoutesProposed-(63)]
+	_ = x[EventRoutesRefused-(64)]
+	_ = x[EventRoutesApplied-(65)]
+	_ = x[EventRoutesInEffect-(66)]
+	_ = x[EventRoutesNotFetched-(67)]
+	_ = x[EventCatalogueInEffect-(68)]
+	_ = x[EventBecameLeader-(69)]
+	_ = x[EventNoLeader-(70)]
+	_ = x[EventReplicaOpened-(71)]
+	_ = x[EventStartConfirmed-(72)]
+	_ = x[EventStartUnconfirmed-(73)]
+	_ = x[EventVotersChanged-(74)]
+	_ = x[EventLearnerAdded-(75)]
+	_ = x[EventLearnerRemoved-(76)]
+	_ = x[EventVoterAdded-(77)]
+	_ = x[EventVoterReplaced-(78)]
+	_ = x[EventVoterStandby-(79)]
+	_ = x[EventLeadershipNotHandedOver-(80)]
+	_ = x[EventExpiryNotEncoded-(81)]
+	_ = x[EventReplicaFailed-(82)]
+	_ = x[EventReplicaRegressed-(83)]
+	_ = x[EventDataFolderDamaged-(84)]
+	_ = x[EventDataFolderRegressed-(85)]
+	_ = x[EventLeaseAcquired-(86)]
+	_ = x[EventLeaseLost-(87)]
+	_ = x[EventLeaseNotRenewed-(88)]
+	_ = x[EventZoneOwned-(89)]
+	_ = x[EventZoneLost-(90)]
+	_ = x[EventControlThreadTimes-(91)]
+	_ = x[EventControlLost-(92)]
+	_ = x[EventControlRegained-(93)]
+	_ = x[EventStarted-(94)]
+	_ = x[EventDraining-(95)]
+	_ = x[EventDrained-(96)]
+	_ = x[EventStopped-(97)]
+	_ = x[EventSettingsReloaded-(98)]
+	_ = x[EventSettingsRefused-(99)]
+	_ = x[EventListenerEnded-(100)]
+	_ = x[EventMetricsNotServed-(101)]
+	_ = x[EventUnknownEvent-(102)]
+	_ = x[EventOverloaded-(103)]
+	_ = x[EventLogLinesDropped-(104)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -174,69 +175,70 @@
 	_LogEventName[586:601]:   EventBrittleChanged,
 	_LogEventName[601:613]:   EventLoadUnclear,
 	_LogEventName[613:625]:   EventRoomChanged,
-	_LogEventName[625:638]:   EventLimitUnclear,
-	_LogEventName[638:652]:   EventSlotRequested,
-	_LogEventName[652:667]:   EventSlotUnanswered,
-	_LogEventName[667:685]:   EventLimitNotReported,
-	_LogEventName[685:699]:   EventKeysConfirmed,
-	_LogEventName[699:715]:   EventKeysUnconfirmed,
-	_LogEventName[715:731]:   EventAccountsUnknown,
-	_LogEventName[731:744]:   EventQuotaUsedUp,
-	_LogEventName[744:760]:   EventQuotaUnanswered,
-	_LogEventName[760:776]:   EventOutlierDetected,
-	_LogEventName[776:791]:   EventModelWithdrawn,
-	_LogEventName[791:805]:   EventOrderAnswered,
-	_LogEventName[805:815]:   EventOrderDone,
-	_LogEventName[815:826]:   EventOrderStateChanged,
-	_LogEventName[826:839]:   EventOrderRefused,
-	_LogEventName[839:860]:   EventOrderOutcomeUnknown,
-	_LogEventName[860:876]:   EventEngineStateNotRead,
-	_LogEventName[876:894]:   EventInventoryNotRead,
-	_LogEventName[894:905]:   EventLoadFailed,
-	_LogEventName[905:921]:   EventBackendStateNotEncoded,
-	_LogEventName[921:937]:   EventRegistryRefused,
-	_LogEventName[937:952]:   EventRoutesProposed,
-	_LogEventName[952:966]:   EventRoutesRefused,
-	_LogEventName[966:980]:   EventRoutesApplied,
-	_LogEventName[980:995]:   EventRoutesInEffect,
-	_LogEventName[995:1013]:  EventRoutesNotFetched,
-	_LogEventName[1013:1031]: EventCatalogueInEffect,
-	_LogEventName[1031:1044]: EventBecameLeader,
-	_LogEventName[1044:1053]: EventNoLeader,
-	_LogEventName[1053:1067]: EventReplicaOpened,
-	_LogEventName[1067:1082]: EventStartConfirmed,
-	_LogEventName[1082:1099]: EventStartUnconfirmed,
-	_LogEventName[1099:1114]: EventVotersChanged,
-	_LogEventName[1114:1127]: EventLearnerAdded,
-	_LogEventName[1127:1142]: EventLearnerRemoved,
-	_LogEventName[1142:1153]: EventVoterAdded,
-	_LogEventName[1153:1167]: EventVoterReplaced,
-	_LogEventName[1167:1180]: EventVoterStandby,
-	_LogEventName[1180:1206]: EventLeadershipNotHandedOver,
-	_LogEventName[1206:1224]: EventExpiryNotEncoded,
-	_LogEventName[1224:1238]: EventReplicaFailed,
-	_LogEventName[1238:1255]: EventReplicaRegressed,
-	_LogEventName[1255:1274]: EventDataFolderDamaged,
-	_LogEventName[1274:1295]: EventDataFolderRegressed,
-	_LogEventName[1295:1304]: EventLeaseAcquired,
-	_LogEventName[1304:1314]: EventLeaseLost,
-	_LogEventName[1314:1331]: EventLeaseNotRenewed,
-	_LogEventName[1331:1341]: EventZoneOwned,
-	_LogEventName[1341:1350]: EventZoneLost,
-	_LogEventName[1350:1364]: EventControlThreadTimes,
-	_LogEventName[1364:1376]: EventControlLost,
-	_LogEventName[1376:1392]: EventControlRegained,
-	_LogEventName[1392:1399]: EventStarted,
-	_LogEventName[1399:1407]: EventDraining,
-	_LogEventName[1407:1414]: EventDrained,
-	_LogEventName[1414:1421]: EventStopped,
-	_LogEventName[1421:1438]: EventSettingsReloaded,
-	_LogEventName[1438:1454]: EventSettingsRefused,
-	_LogEventName[1454:1468]: EventListenerEnded,
-	_LogEventName[1468:1486]: EventMetricsNotServed,
-	_LogEventName[1486:1499]: EventUnknownEvent,
-	_LogEventName[1499:1509]: EventOverloaded,
-	_LogEventName[1509:1526]: EventLogLinesDropped,
+	_LogEventName[625:638]:   EventForeignEntry,
+	_LogEventName[638:651]:   EventLimitUnclear,
+	_LogEventName[651:665]:   EventSlotRequested,
+	_LogEventName[665:680]:   EventSlotUnanswered,
+	_LogEventName[680:698]:   EventLimitNotReported,
+	_LogEventName[698:712]:   EventKeysConfirmed,
+	_LogEventName[712:728]:   EventKeysUnconfirmed,
+	_LogEventName[728:744]:   EventAccountsUnknown,
+	_LogEventName[744:757]:   EventQuotaUsedUp,
+	_LogEventName[757:773]:   EventQuotaUnanswered,
+	_LogEventName[773:789]:   EventOutlierDetected,
+	_LogEventName[789:804]:   EventModelWithdrawn,
+	_LogEventName[804:818]:   EventOrderAnswered,
+	_LogEventName[818:828]:   EventOrderDone,
+	_LogEventName[828:839]:   EventOrderStateChanged,
+	_LogEventName[839:852]:   EventOrderRefused,
+	_LogEventName[852:873]:   EventOrderOutcomeUnknown,
+	_LogEventName[873:889]:   EventEngineStateNotRead,
+	_LogEventName[889:907]:   EventInventoryNotRead,
+	_LogEventName[907:918]:   EventLoadFailed,
+	_LogEventName[918:934]:   EventBackendStateNotEncoded,
+	_LogEventName[934:950]:   EventRegistryRefused,
+	_LogEventName[950:965]:   EventRoutesProposed,
+	_LogEventName[965:979]:   EventRoutesRefused,
+	_LogEventName[979:993]:   EventRoutesApplied,
+	_LogEventName[993:1008]:  EventRoutesInEffect,
+	_LogEventName[1008:1026]: EventRoutesNotFetched,
+	_LogEventName[1026:1044]: EventCatalogueInEffect,
+	_LogEventName[1044:1057]: EventBecameLeader,
+	_LogEventName[1057:1066]: EventNoLeader,
+	_LogEventName[1066:1080]: EventReplicaOpened,
+	_LogEventName[1080:1095]: EventStartConfirmed,
+	_LogEventName[1095:1112]: EventStartUnconfirmed,
+	_LogEventName[1112:1127]: EventVotersChanged,
+	_LogEventName[1127:1140]: EventLearnerAdded,
+	_LogEventName[1140:1155]: EventLearnerRemoved,
+	_LogEventName[1155:1166]: EventVoterAdded,
+	_LogEventName[1166:1180]: EventVoterReplaced,
+	_LogEventName[1180:1193]: EventVoterStandby,
+	_LogEventName[1193:1219]: EventLeadershipNotHandedOver,
+	_LogEventName[1219:1237]: EventExpiryNotEncoded,
+	_LogEventName[1237:1251]: EventReplicaFailed,
+	_LogEventName[1251:1268]: EventReplicaRegressed,
+	_LogEventName[1268:1287]: EventDataFolderDamaged,
+	_LogEventName[1287:1308]: EventDataFolderRegressed,
+	_LogEventName[1308:1317]: EventLeaseAcquired,
+	_LogEventName[1317:1327]: EventLeaseLost,
+	_LogEventName[1327:1344]: EventLeaseNotRenewed,
+	_LogEventName[1344:1354]: EventZoneOwned,
+	_LogEventName[1354:1363]: EventZoneLost,
+	_LogEventName[1363:1377]: EventControlThreadTimes,
+	_LogEventName[1377:1389]: EventControlLost,
+	_LogEventName[1389:1405]: EventControlRegained,
+	_LogEventName[1405:1412]: EventStarted,
+	_LogEventName[1412:1420]: EventDraining,
+	_LogEventName[1420:1427]: EventDrained,
+	_LogEventName[1427:1434]: EventStopped,
+	_LogEventName[1434:1451]: EventSettingsReloaded,
+	_LogEventName[1451:1467]: EventSettingsRefused,
+	_LogEventName[1467:1481]: EventListenerEnded,
+	_LogEventName[1481:1499]: EventMetricsNotServed,
+	_LogEventName[1499:1512]: EventUnknownEvent,
+	_LogEventName[1512:1522]: EventOverloaded,
+	_LogEventName[1522:1539]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -281,69 +283,70 @@
 	_LogEventLowerName[586:601]:   EventBrittleChanged,
 	_LogEventLowerName[601:613]:   EventLoadUnclear,
 	_LogEventLowerName[613:625]:   EventRoomChanged,
-	_LogEventLowerName[625:638]:   EventLimitUnclear,
-	_LogEventLowerName[638:652]:   EventSlotRequested,
-	_LogEventLowerName[652:667]:   EventSlotUnanswered,
-	_LogEventLowerName[667:685]:   EventLimitNotReported,
-	_LogEventLowerName[685:699]:   EventKeysConfirmed,
-	_LogEventLowerName[699:715]:   EventKeysUnconfirmed,
-	_LogEventLowerName[715:731]:   EventAccountsUnknown,
-	_LogEventLowerName[731:744]:   EventQuotaUsedUp,
-	_LogEventLowerName[744:760]:   EventQuotaUnanswered,
-	_LogEventLowerName[760:776]:   EventOutlierDetected,
-	_LogEventLowerName[776:791]:   EventModelWithdrawn,
-	_LogEventLowerName[791:805]:   EventOrderAnswered,
-	_LogEventLowerName[805:815]:   EventOrderDone,
-	_LogEventLowerName[815:826]:   EventOrderStateChanged,
-	_LogEventLowerName[826:839]:   EventOrderRefused,
-	_LogEventLowerName[839:860]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[860:876]:   EventEngineStateNotRead,
-	_LogEventLowerName[876:894]:   EventInventoryNotRead,
-	_LogEventLowerName[894:905]:   EventLoadFailed,
-	_LogEventLowerName[905:921]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[921:937]:   EventRegistryRefused,
-	_LogEventLowerName[937:952]:   EventRoutesProposed,
-	_LogEventLowerName[952:966]:   EventRoutesRefused,
-	_LogEventLowerName[966:980]:   EventRoutesApplied,
-	_LogEventLowerName[980:995]:   EventRoutesInEffect,
-	_LogEventLowerName[995:1013]:  EventRoutesNotFetched,
-	_LogEventLowerName[1013:1031]: EventCatalogueInEffect,
-	_LogEventLowerName[1031:1044]: EventBecameLeader,
-	_LogEventLowerName[1044:1053]: EventNoLeader,
-	_LogEventLowerName[1053:1067]: EventReplicaOpened,
-	_LogEventLowerName[1067:1082]: EventStartConfirmed,
-	_LogEventLowerName[1082:1099]: EventStartUnconfirmed,
-	_LogEventLowerName[1099:1114]: EventVotersChanged,
-	_LogEventLowerName[1114:1127]: EventLearnerAdded,
-	_LogEventLowerName[1127:1142]: EventLearnerRemoved,
-	_LogEventLowerName[1142:1153]: EventVoterAdded,
-	_LogEventLowerName[1153:1167]: EventVoterReplaced,
-	_LogEventLowerName[1167:1180]: EventVoterStandby,
-	_LogEventLowerName[1180:1206]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1206:1224]: EventExpiryNotEncoded,
-	_LogEventLowerName[1224:1238]: EventReplicaFailed,
-	_LogEventLowerName[1238:1255]: EventReplicaRegressed,
-	_LogEventLowerName[1255:1274]: EventDataFolderDamaged,
-	_LogEventLowerName[1274:1295]: EventDataFolderRegressed,
-	_LogEventLowerName[1295:1304]: EventLeaseAcquired,
-	_LogEventLowerName[1304:1314]: EventLeaseLost,
-	_LogEventLowerName[1314:1331]: EventLeaseNotRenewed,
-	_LogEventLowerName[1331:1341]: EventZoneOwned,
-	_LogEventLowerName[1341:1350]: EventZoneLost,
-	_LogEventLowerName[1350:1364]: EventControlThreadTimes,
-	_LogEventLowerName[1364:1376]: EventControlLost,
-	_LogEventLowerName[1376:1392]: EventControlRegained,
-	_LogEventLowerName[1392:1399]: EventStarted,
-	_LogEventLowerName[1399:1407]: EventDraining,
-	_LogEventLowerName[1407:1414]: EventDrained,
-	_LogEventLowerName[1414:1421]: EventStopped,
-	_LogEventLowerName[1421:1438]: EventSettingsReloaded,
-	_LogEventLowerName[1438:1454]: EventSettingsRefused,
-	_LogEventLowerName[1454:1468]: EventListenerEnded,
-	_LogEventLowerName[1468:1486]: EventMetricsNotServed,
-	_LogEventLowerName[1486:1499]: EventUnknownEvent,
-	_LogEventLowerName[1499:1509]: EventOverloaded,
-	_LogEventLowerName[1509:1526]: EventLogLinesDropped,
+	_LogEventLowerName[625:638]:   EventForeignEntry,
+	_LogEventLowerName[638:651]:   EventLimitUnclear,
+	_LogEventLowerName[651:665]:   EventSlotRequested,
+	_LogEventLowerName[665:680]:   EventSlotUnanswered,
+	_LogEventLowerName[680:698]:   EventLimitNotReported,
+	_LogEventLowerName[698:712]:   EventKeysConfirmed,
+	_LogEventLowerName[712:728]:   EventKeysUnconfirmed,
+	_LogEventLowerName[728:744]:   EventAccountsUnknown,
+	_LogEventLowerName[744:757]:   EventQuotaUsedUp,
+	_LogEventLowerName[757:773]:   EventQuotaUnanswered,
+	_LogEventLowerName[773:789]:   EventOutlierDetected,
+	_LogEventLowerName[789:804]:   EventModelWithdrawn,
+	_LogEventLowerName[804:818]:   EventOrderAnswered,
+	_LogEventLowerName[818:828]:   EventOrderDone,
+	_LogEventLowerName[828:839]:   EventOrderStateChanged,
+	_LogEventLowerName[839:852]:   EventOrderRefused,
+	_LogEventLowerName[852:873]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[873:889]:   EventEngineStateNotRead,
+	_LogEventLowerName[889:907]:   EventInventoryNotRead,
+	_LogEventLowerName[907:918]:   EventLoadFailed,
+	_LogEventLowerName[918:934]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[934:950]:   EventRegistryRefused,
+	_LogEventLowerName[950:965]:   EventRoutesProposed,
+	_LogEventLowerName[965:979]:   EventRoutesRefused,
+	_LogEventLowerName[979:993]:   EventRoutesApplied,
+	_LogEventLowerName[993:1008]:  EventRoutesInEffect,
+	_LogEventLowerName[1008:1026]: EventRoutesNotFetched,
+	_LogEventLowerName[1026:1044]: EventCatalogueInEffect,
+	_LogEventLowerName[1044:1057]: EventBecameLeader,
+	_LogEventLowerName[1057:1066]: EventNoLeader,
+	_LogEventLowerName[1066:1080]: EventReplicaOpened,
+	_LogEventLowerName[1080:1095]: EventStartConfirmed,
+	_LogEventLowerName[1095:1112]: EventStartUnconfirmed,
+	_LogEventLowerName[1112:1127]: EventVotersChanged,
+	_LogEventLowerName[1127:1140]: EventLearnerAdded,
+	_LogEventLowerName[1140:1155]: EventLearnerRemoved,
+	_LogEventLowerName[1155:1166]: EventVoterAdded,
+	_LogEventLowerName[1166:1180]: EventVoterReplaced,
+	_LogEventLowerName[1180:1193]: EventVoterStandby,
+	_LogEventLowerName[1193:1219]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1219:1237]: EventExpiryNotEncoded,
+	_LogEventLowerName[1237:1251]: EventReplicaFailed,
+	_LogEventLowerName[1251:1268]: EventReplicaRegressed,
+	_LogEventLowerName[1268:1287]: EventDataFolderDamaged,
+	_LogEventLowerName[1287:1308]: EventDataFolderRegressed,
+	_LogEventLowerName[1308:1317]: EventLeaseAcquired,
+	_LogEventLowerName[1317:1327]: EventLeaseLost,
+	_LogEventLowerName[1327:1344]: EventLeaseNotRenewed,
+	_LogEventLowerName[1344:1354]: EventZoneOwned,
+	_LogEventLowerName[1354:1363]: EventZoneLost,
+	_LogEventLowerName[1363:1377]: EventControlThreadTimes,
+	_LogEventLowerName[1377:1389]: EventControlLost,
+	_LogEventLowerName[1389:1405]: EventControlRegained,
+	_LogEventLowerName[1405:1412]: EventStarted,
+	_LogEventLowerName[1412:1420]: EventDraining,
+	_LogEventLowerName[1420:1427]: EventDrained,
+	_LogEventLowerName[1427:1434]: EventStopped,
+	_LogEventLowerName[1434:1451]: EventSettingsReloaded,
+	_LogEventLowerName[1451:1467]: EventSettingsRefused,
+	_LogEventLowerName[1467:1481]: EventListenerEnded,
+	_LogEventLowerName[1481:1499]: EventMetricsNotServed,
+	_LogEventLowerName[1499:1512]: EventUnknownEvent,
+	_LogEventLowerName[1512:1522]: EventOverloaded,
+	_LogEventLowerName[1522:1539]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -389,68 +392,69 @@
 	_LogEventName[601:613],
 	_LogEventName[613:625],
 	_LogEventName[625:638],
-	_LogEventName[638:652],
-	_LogEventName[652:667],
-	_LogEventName[667:685],
-	_LogEventName[685:699],
-	_LogEventName[699:715],
-	_LogEventName[715:731],
-	_LogEventName[731:744],
-	_LogEventName[744:760],
-	_LogEventName[760:776],
-	_LogEventName[776:791],
-	_LogEventName[791:805],
-	_LogEventName[805:815],
-	_LogEventName[815:826],
-	_LogEventName[826:839],
-	_LogEventName[839:860],
-	_LogEventName[860:876],
-	_LogEventName[876:894],
-	_LogEventName[894:905],
-	_LogEventName[905:921],
-	_LogEventName[921:937],
-	_LogEventName[937:952],
-	_LogEventName[952:966],
-	_LogEventName[966:980],
-	_LogEventName[980:995],
-	_LogEventName[995:1013],
-	_LogEventName[1013:1031],
-	_LogEventName[1031:1044],
-	_LogEventName[1044:1053],
-	_LogEventName[1053:1067],
-	_LogEventName[1067:1082],
-	_LogEventName[1082:1099],
-	_LogEventName[1099:1114],
-	_LogEventName[1114:1127],
-	_LogEventName[1127:1142],
-	_LogEventName[1142:1153],
-	_LogEventName[1153:1167],
-	_LogEventName[1167:1180],
-	_LogEventName[1180:1206],
-	_LogEventName[1206:1224],
-	_LogEventName[1224:1238],
-	_LogEventName[1238:1255],
-	_LogEventName[1255:1274],
-	_LogEventName[1274:1295],
-	_LogEventName[1295:1304],
-	_LogEventName[1304:1314],
-	_LogEventName[1314:1331],
-	_LogEventName[1331:1341],
-	_LogEventName[1341:1350],
-	_LogEventName[1350:1364],
-	_LogEventName[1364:1376],
-	_LogEventName[1376:1392],
-	_LogEventName[1392:1399],
-	_LogEventName[1399:1407],
-	_LogEventName[1407:1414],
-	_LogEventName[1414:1421],
-	_LogEventName[1421:1438],
-	_LogEventName[1438:1454],
-	_LogEventName[1454:1468],
-	_LogEventName[1468:1486],
-	_LogEventName[1486:1499],
-	_LogEventName[1499:1509],
-	_LogEventName[1509:1526],
+	_LogEventName[638:651],
+	_LogEventName[651:665],
+	_LogEventName[665:680],
+	_LogEventName[680:698],
+	_LogEventName[698:712],
+	_LogEventName[712:728],
+	_LogEventName[728:744],
+	_LogEventName[744:757],
+	_LogEventName[757:773],
+	_LogEventName[773:789],
+	_LogEventName[789:804],
+	_LogEventName[804:818],
+	_LogEventName[818:828],
+	_LogEventName[828:839],
+	_LogEventName[839:852],
+	_LogEventName[852:873],
+	_LogEventName[873:889],
+	_LogEventName[889:907],
+	_LogEventName[907:918],
+	_LogEventName[918:934],
+	_LogEventName[934:950],
+	_LogEventName[950:965],
+	_LogEventName[965:979],
+	_LogEventName[979:993],
+	_LogEventName[993:1008],
+	_LogEventName[1008:1026],
+	_LogEventName[1026:1044],
+	_LogEventName[1044:1057],
+	_LogEventName[1057:1066],
+	_LogEventName[1066:1080],
+	_LogEventName[1080:1095],
+	_LogEventName[1095:1112],
+	_LogEventName[1112:1127],
+	_LogEventName[1127:1140],
+	_LogEventName[1140:1155],
+	_LogEventName[1155:1166],
+	_LogEventName[1166:1180],
+	_LogEventName[1180:1193],
+	_LogEventName[1193:1219],
+	_LogEventName[1219:1237],
+	_LogEventName[1237:1251],
+	_LogEventName[1251:1268],
+	_LogEventName[1268:1287],
+	_LogEventName[1287:1308],
+	_LogEventName[1308:1317],
+	_LogEventName[1317:1327],
+	_LogEventName[1327:1344],
+	_LogEventName[1344:1354],
+	_LogEventName[1354:1363],
+	_LogEventName[1363:1377],
+	_LogEventName[1377:1389],
+	_LogEventName[1389:1405],
+	_LogEventName[1405:1412],
+	_LogEventName[1412:1420],
+	_LogEventName[1420:1427],
+	_LogEventName[1427:1434],
+	_LogEventName[1434:1451],
+	_LogEventName[1451:1467],
+	_LogEventName[1467:1481],
+	_LogEventName[1481:1499],
+	_LogEventName[1499:1512],
+	_LogEventName[1512:1522],
+	_LogEventName[1522:1539],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
