--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -65,7 +65,7 @@
 func printRoleStatus(w io.Writer, s laburnumlever.RoleStatus, log laburnumlever.VoterStatus) {
 	printf(w, "%s VM %s in %s\n", s.Role, s.VM, s.Zone)
 	if s.Role == "gateway" {
-		printf(w, "ready: %t, %d in flight, %d queued\n", s.Ready, s.InFlight, s.Queued)
+		printf(w, "ready: %t, %d in flight, %d queued, %d bytes held for slow callers\n", s.Ready, s.InFlight, s.Queued, s.HeldBytes)
 	} else {
 		printf(w, "log: %s, leader %s, term %d, applied %d, %d voters\n", log.Role, orNone(string(log.Leader)), log.Term, log.Applied, len(log.Voters))
 	}
--- a/laburnumgateway/callers.go
+++ b/laburnumgateway/callers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,10 +60,7 @@
 // Retire closes idle connections, and new ones, and returns when all connections are closed or ctx ends.
 func (c *Callers) Retire(ctx context.Context) {
 	c.mu.Lock()
-	var open []*callerConn
-	for conn := range c.open {
-		open = append(open, conn)
-	}
+	open := slices.Collect(maps.Keys(c.open))
 	if c.none == nil {
 		c.none = make(chan struct{})
 		c.checkNone()
@@ -75,6 +74,19 @@
 	select {
 	case <-none:
 	case <-ctx.Done():
+		c.dropHeld()
+	}
+}
+
+// dropHeld ends the connections whose callers have not taken their answers: the end of the process would not reset them.
+func (c *Callers) dropHeld() {
+	c.mu.Lock()
+	open := slices.Collect(maps.Keys(c.open))
+	c.mu.Unlock()
+	for _, conn := range open {
+		if bs := conn.backlogs.Load(); bs != nil {
+			bs.dropHeld(conn, heldStopped)
+		}
 	}
 }
 
@@ -100,6 +112,7 @@
 // callerConn is a caller's connection that knows whether a part of a request has been read.
 type callerConn struct {
 	net.Conn
+	backlogConn
 	callers *Callers
 
 	mu            sync.Mutex
@@ -243,16 +256,30 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
-// CloseWrite closes the connection for writing.
+// CloseWrite closes the connection for writing, once the caller has taken what is held for it.
 func (c *callerConn) CloseWrite() error {
+	if bs := c.backlogs.Load(); bs != nil && bs.closeLater(c, true) {
+		return nil
+	}
+	return c.closeWriteNow()
+}
+
+func (c *callerConn) closeWriteNow() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return c.Conn.Close()
 }
 
-// Close closes the connection.
+// Close closes the connection, once the caller has taken what is held for it.
 func (c *callerConn) Close() error {
+	if bs := c.backlogs.Load(); bs != nil && bs.closeLater(c, false) {
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *callerConn) closeNow() error {
 	defer c.callers.closed(c)
 	return c.Conn.Close()
 }
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -36,6 +36,10 @@
 	// streamsRecorded and streamsUnrecorded count streams whose software version some control VM keeps, or none.
 	streamsRecorded, streamsUnrecorded tally.Counter
 
+	// answersHeld counts answers of which a part was held for a slow caller, by what became of it; heldBytes is what is held now.
+	answersHeld map[heldOutcome]tally.Counter
+	heldBytes   tally.Gauge
+
 	// attemptsEnded and answersCut count attempts that a verdict on links ended, before and after a part of the answer was
 	// received.
 	attemptsEnded, answersCut map[attemptEnd]tally.Counter
@@ -87,6 +91,10 @@
 		c.attemptsEnded[verdict], c.answersCut[verdict] = tagged.Counter("attempts_ended"), tagged.Counter("answers_cut")
 	}
 	c.crashesUnconfirmed = scope.Counter("backend_crashes_unconfirmed")
+	c.answersHeld, c.heldBytes = map[heldOutcome]tally.Counter{}, scope.Gauge("held_bytes")
+	for _, outcome := range heldOutcomeValues() {
+		c.answersHeld[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("answers_held")
+	}
 	c.loadsUnclear = scope.Counter("loads_unclear")
 	c.rests, c.leaves = scope.Counter("backend_rests"), scope.Counter("backend_leaves")
 	c.callersLeftUnsent = scope.Tagged(map[string]string{"sent": "false"}).Counter("callers_left")
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -81,6 +81,18 @@
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Cause }
 
+// SlowCallerError is a caller whose connection this VM ended, since the caller had taken nothing for the time of Silence, or that left,
+// while Held bytes of its answer were held.
+type SlowCallerError struct {
+	Outcome heldOutcome
+	Held    int
+	Silence time.Duration
+}
+
+func (e *SlowCallerError) Error() string {
+	return fmt.Sprintf("the caller took nothing for %s, %d bytes of its answer were held (%s)", e.Silence, e.Held, e.Outcome)
+}
+
 // PanicError is a panic of the gateway's own code at a request.
 type PanicError struct{ Value any }
 
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -47,6 +47,7 @@
 	counters    *counters
 	crashes     *crashDetector
 	buffers     *bufferBudget
+	backlogs    *backlogs
 	links       *links
 	// notify tells a helper what a backend server asked of it; refusesServer is called with the address of one that takes no
 	// requests of this VM from now on.
@@ -105,6 +106,7 @@
 		g.pool = laburnumupstream.New()
 	}
 	g.crashes = newCrashDetector(g)
+	g.backlogs = newBacklogs(g)
 	g.links = newLinks(g)
 	return g
 }
@@ -112,6 +114,9 @@
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
+// HeldBytes returns how much of answers is held for callers that read slowly.
+func (g *Gateway) HeldBytes() int { return g.backlogs.heldBytes() }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
@@ -123,6 +128,7 @@
 	if conn, ok := q.conn.(*callerConn); ok {
 		conn.setServing(true)
 		defer conn.setServing(false)
+		g.backlogs.serveHeld(conn)
 	}
 	out := &answer{w: w}
 	defer g.endPanicked(q, out)
@@ -130,6 +136,7 @@
 		g.answerRefusal(w, q, err)
 		return
 	}
+	g.backlogs.servesRequest(q)
 	g.countRequest(q)
 	if err := g.fleet.refuseQuarantined(q); err != nil {
 		g.answerRefusal(w, q, err)
@@ -161,11 +168,17 @@
 		target: time.Duration(q.route.Target), pauseTarget: time.Duration(q.route.PauseTarget), waited: q.waited,
 		first: out.firstAt.Sub(q.arrived), pause: out.pause, sent: q.sent,
 	}
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
+	fields := []any{
+		"event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
 		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sent, "taken", q.refusedReservations,
 		"via", q.via, "late", t.lateness(), "waited-ms", millis(q.waited), "first-ms", millis(t.first), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
-		"routes-version", q.routesVersion, "software", q.software, "resumes", q.caller.Resumes)
+		"routes-version", q.routesVersion, "software", q.software, "resumes", q.caller.Resumes,
+	}
+	if held := g.backlogs.maxHeld(q); held > 0 {
+		fields = append(fields, "held-bytes", held)
+	}
+	_ = level.Info(g.logger).Log(fields...)
 }
 
 func millis(d time.Duration) int64 { return d.Milliseconds() }
@@ -232,6 +245,7 @@
 // endGone ends the answer to a caller that has left. It may have closed its side of the connection only, so that it would take what
 // the server writes by itself for a success.
 func (g *Gateway) endGone(q *request, out *answer) {
+	g.backlogs.dropHeld(q.conn, heldCallerGone)
 	if out.started {
 		panic(http.ErrAbortHandler)
 	}
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -100,13 +100,13 @@
 // Stop ends the requests that are in flight after Drain: those whose answers have begun are cut off, the others refused.
 func (g *Gateway) Stop() { g.endRequests(&VMStoppedError{}) }
 
-// awaitIdle returns after the given number of consecutive checks without a request in flight, or
+// awaitIdle returns after the given number of consecutive checks without a request in flight or a part of an answer held, or
 // when ctx ends.
 func (g *Gateway) awaitIdle(ctx context.Context, checks int) {
 	for idle := 0; idle < checks && ctx.Err() == nil; {
 		laburnumtimer.Wait(ctx.Done(), g.timers, idleCheckInterval)
 		idle++
-		if g.InFlight() > 0 {
+		if g.InFlight() > 0 || g.HeldBytes() > 0 {
 			idle = 0
 		}
 	}
--- a/laburnumroles/status.go
+++ b/laburnumroles/status.go
@@ -49,6 +49,7 @@
 	role := g.fleet.Status()
 	role.Role, role.VM, role.Zone = "gateway", g.self.ID, g.self.Zone
 	role.Director, role.Ready, role.InFlight = g.follower.Director(), g.gateway.Ready(), g.gateway.InFlight()
+	role.HeldBytes = g.gateway.HeldBytes()
 	return laburnumlever.Status{Role: &role}
 }
 
--- a/logevent.go
+++ b/logevent.go
@@ -16,6 +16,8 @@
 	EventRequestPanicked
 	// EventAttemptFailed is an attempt at a backend server that returned no complete answer.
 	EventAttemptFailed
+	// EventSlowCallerEnded is a caller whose connection was ended since it did not take its answer, and why.
+	EventSlowCallerEnded
 	// EventReservationUnclear is an engine's answer to a slot reservation that is neither a grant
 	// nor a refusal.
 	EventReservationUnclear // place-not-reserved
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 146, 159, 171, 177, 192, 209, 222, 239, 252, 262, 276, 289, 303, 322, 342, 361, 383, 397, 416, 432, 448, 459, 472, 495, 508, 523, 535, 548, 562, 577, 595, 609, 625, 641, 654, 670, 686, 701, 715, 725, 736, 749, 770, 786, 804, 815, 831, 847, 862, 876, 890, 905, 923, 941, 954, 963, 977, 992, 1009, 1024, 1037, 1052, 1063, 1077, 1090, 1116, 1134, 1148, 1165, 1184, 1205, 1214, 1224, 1241, 1251, 1260, 1274, 1286, 1302, 1309, 1317, 1324, 1331, 1348, 1364, 1378, 1396, 1409, 1419, 1436}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 163, 176, 188, 194, 209, 226, 239, 256, 269, 279, 293, 306, 320, 339, 359, 378, 400, 414, 433, 449, 465, 476, 489, 512, 525, 540, 552, 565, 579, 594, 612, 626, 642, 658, 671, 687, 703, 718, 732, 742, 753, 766, 787, 803, 821, 832, 848, 864, 879, 893, 907, 922, 940, 958, 971, 980, 994, 1009, 1026, 1041, 1054, 1069, 1080, 1094, 1107, 1133, 1151, 1165, 1182, 1201, 1222, 1231, 1241, 1258, 1268, 1277, 1291, 1303, 1319, 1326, 1334, 1341, 1348, 1365, 1381, 1395, 1413, 1426, 1436, 1453}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearlimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -28,205 +28,207 @@
 	_ = x[EventRequestRefused-(1)]
 	_ = x[EventRequestPanicked-(2)]
 	_ = x[EventAttemptFailed-(3)]
-	_ = x[EventReservationUnclear-(4)]
-	_ = x[EventCrossedAnswer-(5)]
-	_ = x[EventRefused-(6)]
-	_ = x[EventAnswerNotRecorded-(7)]
-	_ = x[EventBackendChanged-(8)]
-	_ = x[EventBackendReplaced-(9)]
-	_ = x[EventAdapterLoaded-(10)]
-	_ = x[EventLoadDecided-(11)]
-	_ = x[EventLayout-(12)]
-	_ = x[EventBackendCrashed-(13)]
-	_ = x[EventCrashUnconfirmed-(14)]
-	_ = x[EventDetourOpened-(15)]
-	_ = x[EventDetourNotOpened-(16)]
-	_ = x[EventDetourClosed-(17)]
-	_ = x[EventLinksLost-(18)]
-	_ = x[EventLinksRestored-(19)]
-	_ = x[EventBackendRests-(20)]
-	_ = x[EventBackendLeaves-(21)]
-	_ = x[EventHelperNotNotified-(22)]
-	_ = x[EventSoftwareVersionNew-(23)]
-	_ = x[EventStreamNotRecorded-(24)]
-	_ = x[EventStreamVersionUnknown-(25)]
-	_ = x[EventLinksVerified-(26)]
-	_ = x[EventRequestQuarantined-(27)]
-	_ = x[EventRequestReleased-(28)]
-	_ = x[EventPartQuarantined-(29)]
-	_ = x[EventPartLifted-(30)]
-	_ = x[EventPartReleased-(31)]
-	_ = x[EventQuarantineNotReported-(32)]
-	_ = x[EventLimitChanged-(33)]
-	_ = x[EventBrittleChanged-(34)]
-	_ = x[EventLoadUnclear-(35)]
-	_ = x[EventLimitUnclear-(36)]
-	_ = x[EventSlotRequested-(37)]
-	_ = x[EventSlotUnanswered-(38)]
-	_ = x[EventLimitNotReported-(39)]
-	_ = x[EventKeysConfirmed-(40)]
-	_ = x[EventKeysUnconfirmed-(41)]
-	_ = x[EventAccountsUnknown-(42)]
-	_ = x[EventQuotaUsedUp-(43)]
-	_ = x[EventQuotaUnanswered-(44)]
-	_ = x[EventOutlierDetected-(45)]
-	_ = x[EventModelWithdrawn-(46)]
-	_ = x[EventOrderAnswered-(47)]
-	_ = x[EventOrderDone-(48)]
-	_ = x[EventOrderStateChanged-(49)]
-	_ = x[EventOrderRefused-(50)]
-	_ = x[EventOrderOutcomeUnknown-(51)]
-	_ = x[EventEngineStateNotRead-(52)]
-	_ = x[EventInventoryNotRead-(53)]
-	_ = x[EventLoadFailed-(54)]
-	_ = x[EventBackendStateNotEncoded-(55)]
-	_ = x[EventRegistryRefused-(56)]
-	_ = x[EventRoutesProposed-(57)]
-	_ = x[EventRoutesRefused-(58)]
-	_ = x[EventRoutesApplied-(59)]
-	_ = x[EventRoutesInEffect-(60)]
-	_ = x[EventRoutesNotFetched-(61)]
-	_ = x[EventCatalogueInEffect-(62)]
-	_ = x[EventBecameLeader-(63)]
-	_ = x[EventNoLeader-(64)]
-	_ = x[EventReplicaOpened-(65)]
-	_ = x[EventStartConfirmed-(66)]
-	_ = x[EventStartUnconfirmed-(67)]
-	_ = x[EventVotersChanged-(68)]
-	_ = x[EventLearnerAdded-(69)]
-	_ = x[EventLearnerRemoved-(70)]
-	_ = x[EventVoterAdded-(71)]
-	_ = x[EventVoterReplaced-(72)]
-	_ = x[EventVoterStandby-(73)]
-	_ = x[EventLeadershipNotHandedOver-(74)]
-	_ = x[EventExpiryNotEncoded-(75)]
-	_ = x[EventReplicaFailed-(76)]
-	_ = x[EventReplicaRegressed-(77)]
-	_ = x[EventDataFolderDamaged-(78)]
-	_ = x[EventDataFolderRegressed-(79)]
-	_ = x[EventLeaseAcquired-(80)]
-	_ = x[EventLeaseLost-(81)]
-	_ = x[EventLeaseNotRenewed-(82)]
-	_ = x[EventZoneOwned-(83)]
-	_ = x[EventZoneLost-(84)]
-	_ = x[EventControlThreadTimes-(85)]
-	_ = x[EventControlLost-(86)]
-	_ = x[EventControlRegained-(87)]
-	_ = x[EventStarted-(88)]
-	_ = x[EventDraining-(89)]
-	_ = x[EventDrained-(90)]
-	_ = x[EventStopped-(91)]
-	_ = x[EventSettingsReloaded-(92)]
-	_ = x[EventSettingsRefused-(93)]
-	_ = x[EventListenerEnded-(94)]
-	_ = x[EventMetricsNotServed-(95)]
-	_ = x[EventUnknownEvent-(96)]
-	_ = x[EventOverloaded-(97)]
-	_ = x[EventLogLinesDropped-(98)]
+	_ = x[EventSlowCallerEnded-(4)]
+	_ = x[EventReservationUnclear-(5)]
+	_ = x[EventCrossedAnswer-(6)]
+	_ = x[EventRefused-(7)]
+	_ = x[EventAnswerNotRecorded-(8)]
+	_ = x[EventBackendChanged-(9)]
+	_ = x[EventBackendReplaced-(10)]
+	_ = x[EventAdapterLoaded-(11)]
+	_ = x[EventLoadDecided-(12)]
+	_ = x[EventLayout-(13)]
+	_ = x[EventBackendCrashed-(14)]
+	_ = x[EventCrashUnconfirmed-(15)]
+	_ = x[EventDetourOpened-(16)]
+	_ = x[EventDetourNotOpened-(17)]
+	_ = x[EventDetourClosed-(18)]
+	_ = x[EventLinksLost-(19)]
+	_ = x[EventLinksRestored-(20)]
+	_ = x[EventBackendRests-(21)]
+	_ = x[EventBackendLeaves-(22)]
+	_ = x[EventHelperNotNotified-(23)]
+	_ = x[EventSoftwareVersionNew-(24)]
+	_ = x[EventStreamNotRecorded-(25)]
+	_ = x[EventStreamVersionUnknown-(26)]
+	_ = x[EventLinksVerified-(27)]
+	_ = x[EventRequestQuarantined-(28)]
+	_ = x[EventRequestReleased-(29)]
+	_ = x[EventPartQuarantined-(30)]
+	_ = x[EventPartLifted-(31)]
+	_ = x[EventPartReleased-(32)]
+	_ = x[EventQuarantineNotReported-(33)]
+	_ = x[EventLimitChanged-(34)]
+	_ = x[EventBrittleChanged-(35)]
+	_ = x[EventLoadUnclear-(36)]
+	_ = x[EventLimitUnclear-(37)]
+	_ = x[EventSlotRequested-(38)]
+	_ = x[EventSlotUnanswered-(39)]
+	_ = x[EventLimitNotReported-(40)]
+	_ = x[EventKeysConfirmed-(41)]
+	_ = x[EventKeysUnconfirmed-(42)]
+	_ = x[EventAccountsUnknown-(43)]
+	_ = x[EventQuotaUsedUp-(44)]
+	_ = x[EventQuotaUnanswered-(45)]
+	_ = x[EventOutlierDetected-(46)]
+	_ = x[EventModelWithdrawn-(47)]
+	_ = x[EventOrderAnswered-(48)]
+	_ = x[EventOrderDone-(49)]
+	_ = x[EventOrderStateChanged-(50)]
+	_ = x[EventOrderRefused-(51)]
+	_ = x[EventOrderOutcomeUnknown-(52)]
+	_ = x[EventEngineStateNotRead-(53)]
+	_ = x[EventInventoryNotRead-(54)]
+	_ = x[EventLoadFailed-(55)]
+	_ = x[EventBackendStateNotEncoded-(56)]
+	_ = x[EventRegistryRefused-(57)]
+	_ = x[EventRoutesProposed-(58)]
+	_ = x[EventRoutesRefused-(59)]
+	_ = x[EventRoutesApplied-(60)]
+	_ = x[EventRoutesInEffect-(61)]
+	_ = x[EventRoutesNotFetched-(62)]
+	_ = x[EventCatalogueInEffect-(63)]
+	_ = x[EventBecameLeader-(64)]
+	_ = x[EventNoLeader-(65)]
+	_ = x[EventReplicaOpened-(66)]
+	_ = x[EventStartConfirmed-(67)]
+	_ = x[EventStartUnconfirmed-(68)]
+	_ = x[EventVotersChanged-(69)]
+	_ = x[EventLearnerAdded-(70)]
+	_ = x[EventLearnerRemoved-(71)]
+	_ = x[EventVoterAdded-(72)]
+	_ = x[EventVoterReplaced-(73)]
+	_ = x[EventVoterStandby-(74)]
+	_ = x[EventLeadershipNotHandedOver-(75)]
+	_ = x[EventExpiryNotEncoded-(76)]
+	_ = x[EventReplicaFailed-(77)]
+	_ = x[EventReplicaRegressed-(78)]
+	_ = x[EventDataFolderDamaged-(79)]
+	_ = x[EventDataFolderRegressed-(80)]
+	_ = x[EventLeaseAcquired-(81)]
+	_ = x[EventLeaseLost-(82)]
+	_ = x[EventLeaseNotRenewed-(83)]
+	_ = x[EventZoneOwned-(84)]
+	_ = x[EventZoneLost-(85)]
+	_ = x[EventControlThreadTimes-(86)]
+	_ = x[EventControlLost-(87)]
+	_ = x[EventControlRegained-(88)]
+	_ = x[EventStarted-(89)]
+	_ = x[EventDraining-(90)]
+	_ = x[EventDrained-(91)]
+	_ = x[EventStopped-(92)]
+	_ = x[EventSettingsReloaded-(93)]
+	_ = x[EventSettingsRefused-(94)]
+	_ = x[EventListenerEnded-(95)]
+	_ = x[EventMetricsNotServed-(96)]
+	_ = x[EventUnknownEvent-(97)]
+	_ = x[EventOverloaded-(98)]
+	_ = x[EventLogLinesDropped-(99)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
 	_LogEventName[14:29]:     EventRequestRefused,
 	_LogEventName[29:45]:     EventRequestPanicked,
 	_LogEventName[45:59]:     EventAttemptFailed,
-	_LogEventName[59:77]:     EventReservationUnclear,
-	_LogEventName[77:91]:     EventCrossedAnswer,
-	_LogEventName[91:98]:     EventRefused,
-	_LogEventName[98:117]:    EventAnswerNotRecorded,
-	_LogEventName[117:130]:   EventBackendChanged,
-	_LogEventName[130:146]:   EventBackendReplaced,
-	_LogEventName[146:159]:   EventAdapterLoaded,
-	_LogEventName[159:171]:   EventLoadDecided,
-	_LogEventName[171:177]:   EventLayout,
-	_LogEventName[177:192]:   EventBackendCrashed,
-	_LogEventName[192:209]:   EventCrashUnconfirmed,
-	_LogEventName[209:222]:   EventDetourOpened,
-	_LogEventName[222:239]:   EventDetourNotOpened,
-	_LogEventName[239:252]:   EventDetourClosed,
-	_LogEventName[252:262]:   EventLinksLost,
-	_LogEventName[262:276]:   EventLinksRestored,
-	_LogEventName[276:289]:   EventBackendRests,
-	_LogEventName[289:303]:   EventBackendLeaves,
-	_LogEventName[303:322]:   EventHelperNotNotified,
-	_LogEventName[322:342]:   EventSoftwareVersionNew,
-	_LogEventName[342:361]:   EventStreamNotRecorded,
-	_LogEventName[361:383]:   EventStreamVersionUnknown,
-	_LogEventName[383:397]:   EventLinksVerified,
-	_LogEventName[397:416]:   EventRequestQuarantined,
-	_LogEventName[416:432]:   EventRequestReleased,
-	_LogEventName[432:448]:   EventPartQuarantined,
-	_LogEventName[448:459]:   EventPartLifted,
-	_LogEventName[459:472]:   EventPartReleased,
-	_LogEventName[472:495]:   EventQuarantineNotReported,
-	_LogEventName[495:508]:   EventLimitChanged,
-	_LogEventName[508:523]:   EventBrittleChanged,
-	_LogEventName[523:535]:   EventLoadUnclear,
-	_LogEventName[535:548]:   EventLimitUnclear,
-	_LogEventName[548:562]:   EventSlotRequested,
-	_LogEventName[562:577]:   EventSlotUnanswered,
-	_LogEventName[577:595]:   EventLimitNotReported,
-	_LogEventName[595:609]:   EventKeysConfirmed,
-	_LogEventName[609:625]:   EventKeysUnconfirmed,
-	_LogEventName[625:641]:   EventAccountsUnknown,
-	_LogEventName[641:654]:   EventQuotaUsedUp,
-	_LogEventName[654:670]:   EventQuotaUnanswered,
-	_LogEventName[670:686]:   EventOutlierDetected,
-	_LogEventName[686:701]:   EventModelWithdrawn,
-	_LogEventName[701:715]:   EventOrderAnswered,
-	_LogEventName[715:725]:   EventOrderDone,
-	_LogEventName[725:736]:   EventOrderStateChanged,
-	_LogEventName[736:749]:   EventOrderRefused,
-	_LogEventName[749:770]:   EventOrderOutcomeUnknown,
-	_LogEventName[770:786]:   EventEngineStateNotRead,
-	_LogEventName[786:804]:   EventInventoryNotRead,
-	_LogEventName[804:815]:   EventLoadFailed,
-	_LogEventName[815:831]:   EventBackendStateNotEncoded,
-	_LogEventName[831:847]:   EventRegistryRefused,
-	_LogEventName[847:862]:   EventRoutesProposed,
-	_LogEventName[862:876]:   EventRoutesRefused,
-	_LogEventName[876:890]:   EventRoutesApplied,
-	_LogEventName[890:905]:   EventRoutesInEffect,
-	_LogEventName[905:923]:   EventRoutesNotFetched,
-	_LogEventName[923:941]:   EventCatalogueInEffect,
-	_LogEventName[941:954]:   EventBecameLeader,
-	_LogEventName[954:963]:   EventNoLeader,
-	_LogEventName[963:977]:   EventReplicaOpened,
-	_LogEventName[977:992]:   EventStartConfirmed,
-	_LogEventName[992:1009]:  EventStartUnconfirmed,
-	_LogEventName[1009:1024]: EventVotersChanged,
-	_LogEventName[1024:1037]: EventLearnerAdded,
-	_LogEventName[1037:1052]: EventLearnerRemoved,
-	_LogEventName[1052:1063]: EventVoterAdded,
-	_LogEventName[1063:1077]: EventVoterReplaced,
-	_LogEventName[1077:1090]: EventVoterStandby,
-	_LogEventName[1090:1116]: EventLeadershipNotHandedOver,
-	_LogEventName[1116:1134]: EventExpiryNotEncoded,
-	_LogEventName[1134:1148]: EventReplicaFailed,
-	_LogEventName[1148:1165]: EventReplicaRegressed,
-	_LogEventName[1165:1184]: EventDataFolderDamaged,
-	_LogEventName[1184:1205]: EventDataFolderRegressed,
-	_LogEventName[1205:1214]: EventLeaseAcquired,
-	_LogEventName[1214:1224]: EventLeaseLost,
-	_LogEventName[1224:1241]: EventLeaseNotRenewed,
-	_LogEventName[1241:1251]: EventZoneOwned,
-	_LogEventName[1251:1260]: EventZoneLost,
-	_LogEventName[1260:1274]: EventControlThreadTimes,
-	_LogEventName[1274:1286]: EventControlLost,
-	_LogEventName[1286:1302]: EventControlRegained,
-	_LogEventName[1302:1309]: EventStarted,
-	_LogEventName[1309:1317]: EventDraining,
-	_LogEventName[1317:1324]: EventDrained,
-	_LogEventName[1324:1331]: EventStopped,
-	_LogEventName[1331:1348]: EventSettingsReloaded,
-	_LogEventName[1348:1364]: EventSettingsRefused,
-	_LogEventName[1364:1378]: EventListenerEnded,
-	_LogEventName[1378:1396]: EventMetricsNotServed,
-	_LogEventName[1396:1409]: EventUnknownEvent,
-	_LogEventName[1409:1419]: EventOverloaded,
-	_LogEventName[1419:1436]: EventLogLinesDropped,
+	_LogEventName[59:76]:     EventSlowCallerEnded,
+	_LogEventName[76:94]:     EventReservationUnclear,
+	_LogEventName[94:108]:    EventCrossedAnswer,
+	_LogEventName[108:115]:   EventRefused,
+	_LogEventName[115:134]:   EventAnswerNotRecorded,
+	_LogEventName[134:147]:   EventBackendChanged,
+	_LogEventName[147:163]:   EventBackendReplaced,
+	_LogEventName[163:176]:   EventAdapterLoaded,
+	_LogEventName[176:188]:   EventLoadDecided,
+	_LogEventName[188:194]:   EventLayout,
+	_LogEventName[194:209]:   EventBackendCrashed,
+	_LogEventName[209:226]:   EventCrashUnconfirmed,
+	_LogEventName[226:239]:   EventDetourOpened,
+	_LogEventName[239:256]:   EventDetourNotOpened,
+	_LogEventName[256:269]:   EventDetourClosed,
+	_LogEventName[269:279]:   EventLinksLost,
+	_LogEventName[279:293]:   EventLinksRestored,
+	_LogEventName[293:306]:   EventBackendRests,
+	_LogEventName[306:320]:   EventBackendLeaves,
+	_LogEventName[320:339]:   EventHelperNotNotified,
+	_LogEventName[339:359]:   EventSoftwareVersionNew,
+	_LogEventName[359:378]:   EventStreamNotRecorded,
+	_LogEventName[378:400]:   EventStreamVersionUnknown,
+	_LogEventName[400:414]:   EventLinksVerified,
+	_LogEventName[414:433]:   EventRequestQuarantined,
+	_LogEventName[433:449]:   EventRequestReleased,
+	_LogEventName[449:465]:   EventPartQuarantined,
+	_LogEventName[465:476]:   EventPartLifted,
+	_LogEventName[476:489]:   EventPartReleased,
+	_LogEventName[489:512]:   EventQuarantineNotReported,
+	_LogEventName[512:525]:   EventLimitChanged,
+	_LogEventName[525:540]:   EventBrittleChanged,
+	_LogEventName[540:552]:   EventLoadUnclear,
+	_LogEventName[552:565]:   EventLimitUnclear,
+	_LogEventName[565:579]:   EventSlotRequested,
+	_LogEventName[579:594]:   EventSlotUnanswered,
+	_LogEventName[594:612]:   EventLimitNotReported,
+	_LogEventName[612:626]:   EventKeysConfirmed,
+	_LogEventName[626:642]:   EventKeysUnconfirmed,
+	_LogEventName[642:658]:   EventAccountsUnknown,
+	_LogEventName[658:671]:   EventQuotaUsedUp,
+	_LogEventName[671:687]:   EventQuotaUnanswered,
+	_LogEventName[687:703]:   EventOutlierDetected,
+	_LogEventName[703:718]:   EventModelWithdrawn,
+	_LogEventName[718:732]:   EventOrderAnswered,
+	_LogEventName[732:742]:   EventOrderDone,
+	_LogEventName[742:753]:   EventOrderStateChanged,
+	_LogEventName[753:766]:   EventOrderRefused,
+	_LogEventName[766:787]:   EventOrderOutcomeUnknown,
+	_LogEventName[787:803]:   EventEngineStateNotRead,
+	_LogEventName[803:821]:   EventInventoryNotRead,
+	_LogEventName[821:832]:   EventLoadFailed,
+	_LogEventName[832:848]:   EventBackendStateNotEncoded,
+	_LogEventName[848:864]:   EventRegistryRefused,
+	_LogEventName[864:879]:   EventRoutesProposed,
+	_LogEventName[879:893]:   EventRoutesRefused,
+	_LogEventName[893:907]:   EventRoutesApplied,
+	_LogEventName[907:922]:   EventRoutesInEffect,
+	_LogEventName[922:940]:   EventRoutesNotFetched,
+	_LogEventName[940:958]:   EventCatalogueInEffect,
+	_LogEventName[958:971]:   EventBecameLeader,
+	_LogEventName[971:980]:   EventNoLeader,
+	_LogEventName[980:994]:   EventReplicaOpened,
+	_LogEventName[994:1009]:  EventStartConfirmed,
+	_LogEventName[1009:1026]: EventStartUnconfirmed,
+	_LogEventName[1026:1041]: EventVotersChanged,
+	_LogEventName[1041:1054]: EventLearnerAdded,
+	_LogEventName[1054:1069]: EventLearnerRemoved,
+	_LogEventName[1069:1080]: EventVoterAdded,
+	_LogEventName[1080:1094]: EventVoterReplaced,
+	_LogEventName[1094:1107]: EventVoterStandby,
+	_LogEventName[1107:1133]: EventLeadershipNotHandedOver,
+	_LogEventName[1133:1151]: EventExpiryNotEncoded,
+	_LogEventName[1151:1165]: EventReplicaFailed,
+	_LogEventName[1165:1182]: EventReplicaRegressed,
+	_LogEventName[1182:1201]: EventDataFolderDamaged,
+	_LogEventName[1201:1222]: EventDataFolderRegressed,
+	_LogEventName[1222:1231]: EventLeaseAcquired,
+	_LogEventName[1231:1241]: EventLeaseLost,
+	_LogEventName[1241:1258]: EventLeaseNotRenewed,
+	_LogEventName[1258:1268]: EventZoneOwned,
+	_LogEventName[1268:1277]: EventZoneLost,
+	_LogEventName[1277:1291]: EventControlThreadTimes,
+	_LogEventName[1291:1303]: EventControlLost,
+	_LogEventName[1303:1319]: EventControlRegained,
+	_LogEventName[1319:1326]: EventStarted,
+	_LogEventName[1326:1334]: EventDraining,
+	_LogEventName[1334:1341]: EventDrained,
+	_LogEventName[1341:1348]: EventStopped,
+	_LogEventName[1348:1365]: EventSettingsReloaded,
+	_LogEventName[1365:1381]: EventSettingsRefused,
+	_LogEventName[1381:1395]: EventListenerEnded,
+	_LogEventName[1395:1413]: EventMetricsNotServed,
+	_LogEventName[1413:1426]: EventUnknownEvent,
+	_LogEventName[1426:1436]: EventOverloaded,
+	_LogEventName[1436:1453]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -234,101 +236,102 @@
 	_LogEventLowerName[14:29]:     EventRequestRefused,
 	_LogEventLowerName[29:45]:     EventRequestPanicked,
 	_LogEventLowerName[45:59]:     EventAttemptFailed,
-	_LogEventLowerName[59:77]:     EventReservationUnclear,
-	_LogEventLowerName[77:91]:     EventCrossedAnswer,
-	_LogEventLowerName[91:98]:     EventRefused,
-	_LogEventLowerName[98:117]:    EventAnswerNotRecorded,
-	_LogEventLowerName[117:130]:   EventBackendChanged,
-	_LogEventLowerName[130:146]:   EventBackendReplaced,
-	_LogEventLowerName[146:159]:   EventAdapterLoaded,
-	_LogEventLowerName[159:171]:   EventLoadDecided,
-	_LogEventLowerName[171:177]:   EventLayout,
-	_LogEventLowerName[177:192]:   EventBackendCrashed,
-	_LogEventLowerName[192:209]:   EventCrashUnconfirmed,
-	_LogEventLowerName[209:222]:   EventDetourOpened,
-	_LogEventLowerName[222:239]:   EventDetourNotOpened,
-	_LogEventLowerName[239:252]:   EventDetourClosed,
-	_LogEventLowerName[252:262]:   EventLinksLost,
-	_LogEventLowerName[262:276]:   EventLinksRestored,
-	_LogEventLowerName[276:289]:   EventBackendRests,
-	_LogEventLowerName[289:303]:   EventBackendLeaves,
-	_LogEventLowerName[303:322]:   EventHelperNotNotified,
-	_LogEventLowerName[322:342]:   EventSoftwareVersionNew,
-	_LogEventLowerName[342:361]:   EventStreamNotRecorded,
-	_LogEventLowerName[361:383]:   EventStreamVersionUnknown,
-	_LogEventLowerName[383:397]:   EventLinksVerified,
-	_LogEventLowerName[397:416]:   EventRequestQuarantined,
-	_LogEventLowerName[416:432]:   EventRequestReleased,
-	_LogEventLowerName[432:448]:   EventPartQuarantined,
-	_LogEventLowerName[448:459]:   EventPartLifted,
-	_LogEventLowerName[459:472]:   EventPartReleased,
-	_LogEventLowerName[472:495]:   EventQuarantineNotReported,
-	_LogEventLowerName[495:508]:   EventLimitChanged,
-	_LogEventLowerName[508:523]:   EventBrittleChanged,
-	_LogEventLowerName[523:535]:   EventLoadUnclear,
-	_LogEventLowerName[535:548]:   EventLimitUnclear,
-	_LogEventLowerName[548:562]:   EventSlotRequested,
-	_LogEventLowerName[562:577]:   EventSlotUnanswered,
-	_LogEventLowerName[577:595]:   EventLimitNotReported,
-	_LogEventLowerName[595:609]:   EventKeysConfirmed,
-	_LogEventLowerName[609:625]:   EventKeysUnconfirmed,
-	_LogEventLowerName[625:641]:   EventAccountsUnknown,
-	_LogEventLowerName[641:654]:   EventQuotaUsedUp,
-	_LogEventLowerName[654:670]:   EventQuotaUnanswered,
-	_LogEventLowerName[670:686]:   EventOutlierDetected,
-	_LogEventLowerName[686:701]:   EventModelWithdrawn,
-	_LogEventLowerName[701:715]:   EventOrderAnswered,
-	_LogEventLowerName[715:725]:   EventOrderDone,
-	_LogEventLowerName[725:736]:   EventOrderStateChanged,
-	_LogEventLowerName[736:749]:   EventOrderRefused,
-	_LogEventLowerName[749:770]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[770:786]:   EventEngineStateNotRead,
-	_LogEventLowerName[786:804]:   EventInventoryNotRead,
-	_LogEventLowerName[804:815]:   EventLoadFailed,
-	_LogEventLowerName[815:831]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[831:847]:   EventRegistryRefused,
-	_LogEventLowerName[847:862]:   EventRoutesProposed,
-	_LogEventLowerName[862:876]:   EventRoutesRefused,
-	_LogEventLowerName[876:890]:   EventRoutesApplied,
-	_LogEventLowerName[890:905]:   EventRoutesInEffect,
-	_LogEventLowerName[905:923]:   EventRoutesNotFetched,
-	_LogEventLowerName[923:941]:   EventCatalogueInEffect,
-	_LogEventLowerName[941:954]:   EventBecameLeader,
-	_LogEventLowerName[954:963]:   EventNoLeader,
-	_LogEventLowerName[963:977]:   EventReplicaOpened,
-	_LogEventLowerName[977:992]:   EventStartConfirmed,
-	_LogEventLowerName[992:1009]:  EventStartUnconfirmed,
-	_LogEventLowerName[1009:1024]: EventVotersChanged,
-	_LogEventLowerName[1024:1037]: EventLearnerAdded,
-	_LogEventLowerName[1037:1052]: EventLearnerRemoved,
-	_LogEventLowerName[1052:1063]: EventVoterAdded,
-	_LogEventLowerName[1063:1077]: EventVoterReplaced,
-	_LogEventLowerName[1077:1090]: EventVoterStandby,
-	_LogEventLowerName[1090:1116]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1116:1134]: EventExpiryNotEncoded,
-	_LogEventLowerName[1134:1148]: EventReplicaFailed,
-	_LogEventLowerName[1148:1165]: EventReplicaRegressed,
-	_LogEventLowerName[1165:1184]: EventDataFolderDamaged,
-	_LogEventLowerName[1184:1205]: EventDataFolderRegressed,
-	_LogEventLowerName[1205:1214]: EventLeaseAcquired,
-	_LogEventLowerName[1214:1224]: EventLeaseLost,
-	_LogEventLowerName[1224:1241]: EventLeaseNotRenewed,
-	_LogEventLowerName[1241:1251]: EventZoneOwned,
-	_LogEventLowerName[1251:1260]: EventZoneLost,
-	_LogEventLowerName[1260:1274]: EventControlThreadTimes,
-	_LogEventLowerName[1274:1286]: EventControlLost,
-	_LogEventLowerName[1286:1302]: EventControlRegained,
-	_LogEventLowerName[1302:1309]: EventStarted,
-	_LogEventLowerName[1309:1317]: EventDraining,
-	_LogEventLowerName[1317:1324]: EventDrained,
-	_LogEventLowerName[1324:1331]: EventStopped,
-	_LogEventLowerName[1331:1348]: EventSettingsReloaded,
-	_LogEventLowerName[1348:1364]: EventSettingsRefused,
-	_LogEventLowerName[1364:1378]: EventListenerEnded,
-	_LogEventLowerName[1378:1396]: EventMetricsNotServed,
-	_LogEventLowerName[1396:1409]: EventUnknownEvent,
-	_LogEventLowerName[1409:1419]: EventOverloaded,
-	_LogEventLowerName[1419:1436]: EventLogLinesDropped,
+	_LogEventLowerName[59:76]:     EventSlowCallerEnded,
+	_LogEventLowerName[76:94]:     EventReservationUnclear,
+	_LogEventLowerName[94:108]:    EventCrossedAnswer,
+	_LogEventLowerName[108:115]:   EventRefused,
+	_LogEventLowerName[115:134]:   EventAnswerNotRecorded,
+	_LogEventLowerName[134:147]:   EventBackendChanged,
+	_LogEventLowerName[147:163]:   EventBackendReplaced,
+	_LogEventLowerName[163:176]:   EventAdapterLoaded,
+	_LogEventLowerName[176:188]:   EventLoadDecided,
+	_LogEventLowerName[188:194]:   EventLayout,
+	_LogEventLowerName[194:209]:   EventBackendCrashed,
+	_LogEventLowerName[209:226]:   EventCrashUnconfirmed,
+	_LogEventLowerName[226:239]:   EventDetourOpened,
+	_LogEventLowerName[239:256]:   EventDetourNotOpened,
+	_LogEventLowerName[256:269]:   EventDetourClosed,
+	_LogEventLowerName[269:279]:   EventLinksLost,
+	_LogEventLowerName[279:293]:   EventLinksRestored,
+	_LogEventLowerName[293:306]:   EventBackendRests,
+	_LogEventLowerName[306:320]:   EventBackendLeaves,
+	_LogEventLowerName[320:339]:   EventHelperNotNotified,
+	_LogEventLowerName[339:359]:   EventSoftwareVersionNew,
+	_LogEventLowerName[359:378]:   EventStreamNotRecorded,
+	_LogEventLowerName[378:400]:   EventStreamVersionUnknown,
+	_LogEventLowerName[400:414]:   EventLinksVerified,
+	_LogEventLowerName[414:433]:   EventRequestQuarantined,
+	_LogEventLowerName[433:449]:   EventRequestReleased,
+	_LogEventLowerName[449:465]:   EventPartQuarantined,
+	_LogEventLowerName[465:476]:   EventPartLifted,
+	_LogEventLowerName[476:489]:   EventPartReleased,
+	_LogEventLowerName[489:512]:   EventQuarantineNotReported,
+	_LogEventLowerName[512:525]:   EventLimitChanged,
+	_LogEventLowerName[525:540]:   EventBrittleChanged,
+	_LogEventLowerName[540:552]:   EventLoadUnclear,
+	_LogEventLowerName[552:565]:   EventLimitUnclear,
+	_LogEventLowerName[565:579]:   EventSlotRequested,
+	_LogEventLowerName[579:594]:   EventSlotUnanswered,
+	_LogEventLowerName[594:612]:   EventLimitNotReported,
+	_LogEventLowerName[612:626]:   EventKeysConfirmed,
+	_LogEventLowerName[626:642]:   EventKeysUnconfirmed,
+	_LogEventLowerName[642:658]:   EventAccountsUnknown,
+	_LogEventLowerName[658:671]:   EventQuotaUsedUp,
+	_LogEventLowerName[671:687]:   EventQuotaUnanswered,
+	_LogEventLowerName[687:703]:   EventOutlierDetected,
+	_LogEventLowerName[703:718]:   EventModelWithdrawn,
+	_LogEventLowerName[718:732]:   EventOrderAnswered,
+	_LogEventLowerName[732:742]:   EventOrderDone,
+	_LogEventLowerName[742:753]:   EventOrderStateChanged,
+	_LogEventLowerName[753:766]:   EventOrderRefused,
+	_LogEventLowerName[766:787]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[787:803]:   EventEngineStateNotRead,
+	_LogEventLowerName[803:821]:   EventInventoryNotRead,
+	_LogEventLowerName[821:832]:   EventLoadFailed,
+	_LogEventLowerName[832:848]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[848:864]:   EventRegistryRefused,
+	_LogEventLowerName[864:879]:   EventRoutesProposed,
+	_LogEventLowerName[879:893]:   EventRoutesRefused,
+	_LogEventLowerName[893:907]:   EventRoutesApplied,
+	_LogEventLowerName[907:922]:   EventRoutesInEffect,
+	_LogEventLowerName[922:940]:   EventRoutesNotFetched,
+	_LogEventLowerName[940:958]:   EventCatalogueInEffect,
+	_LogEventLowerName[958:971]:   EventBecameLeader,
+	_LogEventLowerName[971:980]:   EventNoLeader,
+	_LogEventLowerName[980:994]:   EventReplicaOpened,
+	_LogEventLowerName[994:1009]:  EventStartConfirmed,
+	_LogEventLowerName[1009:1026]: EventStartUnconfirmed,
+	_LogEventLowerName[1026:1041]: EventVotersChanged,
+	_LogEventLowerName[1041:1054]: EventLearnerAdded,
+	_LogEventLowerName[1054:1069]: EventLearnerRemoved,
+	_LogEventLowerName[1069:1080]: EventVoterAdded,
+	_LogEventLowerName[1080:1094]: EventVoterReplaced,
+	_LogEventLowerName[1094:1107]: EventVoterStandby,
+	_LogEventLowerName[1107:1133]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1133:1151]: EventExpiryNotEncoded,
+	_LogEventLowerName[1151:1165]: EventReplicaFailed,
+	_LogEventLowerName[1165:1182]: EventReplicaRegressed,
+	_LogEventLowerName[1182:1201]: EventDataFolderDamaged,
+	_LogEventLowerName[1201:1222]: EventDataFolderRegressed,
+	_LogEventLowerName[1222:1231]: EventLeaseAcquired,
+	_LogEventLowerName[1231:1241]: EventLeaseLost,
+	_LogEventLowerName[1241:1258]: EventLeaseNotRenewed,
+	_LogEventLowerName[1258:1268]: EventZoneOwned,
+	_LogEventLowerName[1268:1277]: EventZoneLost,
+	_LogEventLowerName[1277:1291]: EventControlThreadTimes,
+	_LogEventLowerName[1291:1303]: EventControlLost,
+	_LogEventLowerName[1303:1319]: EventControlRegained,
+	_LogEventLowerName[1319:1326]: EventStarted,
+	_LogEventLowerName[1326:1334]: EventDraining,
+	_LogEventLowerName[1334:1341]: EventDrained,
+	_LogEventLowerName[1341:1348]: EventStopped,
+	_LogEventLowerName[1348:1365]: EventSettingsReloaded,
+	_LogEventLowerName[1365:1381]: EventSettingsRefused,
+	_LogEventLowerName[1381:1395]: EventListenerEnded,
+	_LogEventLowerName[1395:1413]: EventMetricsNotServed,
+	_LogEventLowerName[1413:1426]: EventUnknownEvent,
+	_LogEventLowerName[1426:1436]: EventOverloaded,
+	_LogEventLowerName[1436:1453]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -336,101 +339,102 @@
 	_LogEventName[14:29],
 	_LogEventName[29:45],
 	_LogEventName[45:59],
-	_LogEventName[59:77],
-	_LogEventName[77:91],
-	_LogEventName[91:98],
-	_LogEventName[98:117],
-	_LogEventName[117:130],
-	_LogEventName[130:146],
-	_LogEventName[146:159],
-	_LogEventName[159:171],
-	_LogEventName[171:177],
-	_LogEventName[177:192],
-	_LogEventName[192:209],
-	_LogEventName[209:222],
-	_LogEventName[222:239],
-	_LogEventName[239:252],
-	_LogEventName[252:262],
-	_LogEventName[262:276],
-	_LogEventName[276:289],
-	_LogEventName[289:303],
-	_LogEventName[303:322],
-	_LogEventName[322:342],
-	_LogEventName[342:361],
-	_LogEventName[361:383],
-	_LogEventName[383:397],
-	_LogEventName[397:416],
-	_LogEventName[416:432],
-	_LogEventName[432:448],
-	_LogEventName[448:459],
-	_LogEventName[459:472],
-	_LogEventName[472:495],
-	_LogEventName[495:508],
-	_LogEventName[508:523],
-	_LogEventName[523:535],
-	_LogEventName[535:548],
-	_LogEventName[548:562],
-	_LogEventName[562:577],
-	_LogEventName[577:595],
-	_LogEventName[595:609],
-	_LogEventName[609:625],
-	_LogEventName[625:641],
-	_LogEventName[641:654],
-	_LogEventName[654:670],
-	_LogEventName[670:686],
-	_LogEventName[686:701],
-	_LogEventName[701:715],
-	_LogEventName[715:725],
-	_LogEventName[725:736],
-	_LogEventName[736:749],
-	_LogEventName[749:770],
-	_LogEventName[770:786],
-	_LogEventName[786:804],
-	_LogEventName[804:815],
-	_LogEventName[815:831],
-	_LogEventName[831:847],
-	_LogEventName[847:862],
-	_LogEventName[862:876],
-	_LogEventName[876:890],
-	_LogEventName[890:905],
-	_LogEventName[905:923],
-	_LogEventName[923:941],
-	_LogEventName[941:954],
-	_LogEventName[954:963],
-	_LogEventName[963:977],
-	_LogEventName[977:992],
-	_LogEventName[992:1009],
-	_LogEventName[1009:1024],
-	_LogEventName[1024:1037],
-	_LogEventName[1037:1052],
-	_LogEventName[1052:1063],
-	_LogEventName[1063:1077],
-	_LogEventName[1077:1090],
-	_LogEventName[1090:1116],
-	_LogEventName[1116:1134],
-	_LogEventName[1134:1148],
-	_LogEventName[1148:1165],
-	_LogEventName[1165:1184],
-	_LogEventName[1184:1205],
-	_LogEventName[1205:1214],
-	_LogEventName[1214:1224],
-	_LogEventName[1224:1241],
-	_LogEventName[1241:1251],
-	_LogEventName[1251:1260],
-	_LogEventName[1260:1274],
-	_LogEventName[1274:1286],
-	_LogEventName[1286:1302],
-	_LogEventName[1302:1309],
-	_LogEventName[1309:1317],
-	_LogEventName[1317:1324],
-	_LogEventName[1324:1331],
-	_LogEventName[1331:1348],
-	_LogEventName[1348:1364],
-	_LogEventName[1364:1378],
-	_LogEventName[1378:1396],
-	_LogEventName[1396:1409],
-	_LogEventName[1409:1419],
-	_LogEventName[1419:1436],
+	_LogEventName[59:76],
+	_LogEventName[76:94],
+	_LogEventName[94:108],
+	_LogEventName[108:115],
+	_LogEventName[115:134],
+	_LogEventName[134:147],
+	_LogEventName[147:163],
+	_LogEventName[163:176],
+	_LogEventName[176:188],
+	_LogEventName[188:194],
+	_LogEventName[194:209],
+	_LogEventName[209:226],
+	_LogEventName[226:239],
+	_LogEventName[239:256],
+	_LogEventName[256:269],
+	_LogEventName[269:279],
+	_LogEventName[279:293],
+	_LogEventName[293:306],
+	_LogEventName[306:320],
+	_LogEventName[320:339],
+	_LogEventName[339:359],
+	_LogEventName[359:378],
+	_LogEventName[378:400],
+	_LogEventName[400:414],
+	_LogEventName[414:433],
+	_LogEventName[433:449],
+	_LogEventName[449:465],
+	_LogEventName[465:476],
+	_LogEventName[476:489],
+	_LogEventName[489:512],
+	_LogEventName[512:525],
+	_LogEventName[525:540],
+	_LogEventName[540:552],
+	_LogEventName[552:565],
+	_LogEventName[565:579],
+	_LogEventName[579:594],
+	_LogEventName[594:612],
+	_LogEventName[612:626],
+	_LogEventName[626:642],
+	_LogEventName[642:658],
+	_LogEventName[658:671],
+	_LogEventName[671:687],
+	_LogEventName[687:703],
+	_LogEventName[703:718],
+	_LogEventName[718:732],
+	_LogEventName[732:742],
+	_LogEventName[742:753],
+	_LogEventName[753:766],
+	_LogEventName[766:787],
+	_LogEventName[787:803],
+	_LogEventName[803:821],
+	_LogEventName[821:832],
+	_LogEventName[832:848],
+	_LogEventName[848:864],
+	_LogEventName[864:879],
+	_LogEventName[879:893],
+	_LogEventName[893:907],
+	_LogEventName[907:922],
+	_LogEventName[922:940],
+	_LogEventName[940:958],
+	_LogEventName[958:971],
+	_LogEventName[971:980],
+	_LogEventName[980:994],
+	_LogEventName[994:1009],
+	_LogEventName[1009:1026],
+	_LogEventName[1026:1041],
+	_LogEventName[1041:1054],
+	_LogEventName[1054:1069],
+	_LogEventName[1069:1080],
+	_LogEventName[1080:1094],
+	_LogEventName[1094:1107],
+	_LogEventName[1107:1133],
+	_LogEventName[1133:1151],
+	_LogEventName[1151:1165],
+	_LogEventName[1165:1182],
+	_LogEventName[1182:1201],
+	_LogEventName[1201:1222],
+	_LogEventName[1222:1231],
+	_LogEventName[1231:1241],
+	_LogEventName[1241:1258],
+	_LogEventName[1258:1268],
+	_LogEventName[1268:1277],
+	_LogEventName[1277:1291],
+	_LogEventName[1291:1303],
+	_LogEventName[1303:1319],
+	_LogEventName[1319:1326],
+	_LogEventName[1326:1334],
+	_LogEventName[1334:1341],
+	_LogEventName[1341:1348],
+	_LogEventName[1348:1365],
+	_LogEventName[1365:1381],
+	_LogEventName[1381:1395],
+	_LogEventName[1395:1413],
+	_LogEventName[1413:1426],
+	_LogEventName[1426:1436],
+	_LogEventName[1436:1453],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -18,6 +18,8 @@
 	Ready    bool `json:"ready,omitempty"`
 	InFlight int  `json:"in-flight,omitempty"`
 	Queued   int  `json:"queued,omitempty"`
+	// HeldBytes is how much of answers a gateway holds for callers that read slowly.
+	HeldBytes int `json:"held-bytes,omitempty"`
 	// Keys is set by gateways if there are client accounts.
 	Keys *KeysStatus `json:"keys,omitempty"`
 	// Accounts are the client accounts with a quota that a control VM grants parts of, at most
