fix: a gateway that stops resets at once whom it holds answers for

A drain waits for slow callers as for requests in flight. Those left at its end kept their connections for the last 150 ms, and with them the process, which meanwhile took new connections and closed them unread.

A search for a caller to end that finds none isn't made again before time has passed, since each of the waiting writers would make it.

--- a/laburnumgateway/backlog.go
+++ b/laburnumgateway/backlog.go
@@ -34,6 +34,8 @@
 	room   *sync.Cond // what waits for room looks again
 	ledger *laburnumbacklog.Ledger
 	open   map[*laburnumbacklog.Answer]*backlog
+	// allRead is set once a victim was looked for in vain, until the next check.
+	allRead bool
 	// stopChecks ends the periodic checks, nil while there are none.
 	stopChecks func()
 }
@@ -211,10 +213,11 @@
 // endVictim makes room in the budget, and reports whether it has.
 func (bs *backlogs) endVictim() bool {
 	now := bs.timers.Now()
-	for {
+	for !bs.allRead {
 		victim := bs.ledger.Victim(now)
 		if victim == nil {
-			return false
+			bs.allRead = true
+			break
 		}
 		b := bs.open[victim]
 		bs.ledger.Delivered(victim, laburnumsocket.Delivered(b.conn.raw), now)
@@ -223,6 +226,7 @@
 			return true
 		}
 	}
+	return false
 }
 
 // check ends the connections of callers that take nothing any more.
@@ -237,9 +241,19 @@
 		bs.end(bs.open[a], heldSilence)
 	}
 	bs.counters.heldBytes.Update(float64(bs.ledger.Held()))
+	bs.allRead = false
 	bs.room.Broadcast() // time passes for victims, and the budget is shared
 }
 
+// endAll drops what is held for all callers.
+func (bs *backlogs) endAll(outcome heldOutcome) {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	for _, b := range bs.open {
+		bs.end(b, outcome)
+	}
+}
+
 // closeLater has a connection closed once the caller has taken all that is held for it, and reports whether anything is.
 func (bs *backlogs) closeLater(c *callerConn, writeOnly bool) bool {
 	bs.mu.Lock()
--- a/laburnumgateway/callers.go
+++ b/laburnumgateway/callers.go
@@ -74,19 +74,6 @@
 	select {
 	case <-none:
 	case <-ctx.Done():
-		c.dropHeld()
-	}
-}
-
-// dropHeld ends the connections whose callers have not taken their answers: the end of the process would not reset them.
-func (c *Callers) dropHeld() {
-	c.mu.Lock()
-	open := slices.Collect(maps.Keys(c.open))
-	c.mu.Unlock()
-	for _, conn := range open {
-		if bs := conn.backlogs.Load(); bs != nil {
-			bs.dropHeld(conn, heldStopped)
-		}
 	}
 }
 
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -98,7 +98,11 @@
 }
 
 // Stop ends the requests that are in flight after Drain: those whose answers have begun are cut off, the others refused.
-func (g *Gateway) Stop() { g.endRequests(&VMStoppedError{}) }
+// Callers that have not taken their answers are reset, as the end of the process would not do.
+func (g *Gateway) Stop() {
+	g.endRequests(&VMStoppedError{})
+	g.backlogs.endAll(heldStopped)
+}
 
 // awaitIdle returns after the given number of consecutive checks without a request in flight or a part of an answer held, or
 // when ctx ends.
