test: the soak has slow readers, and engines whose pace changes

No caller of the soak read slowly, no stand-in told its load or pace, and the decisions for shared machines were off, so that none of these was played beside faults.

Four callers of the servers that only fall silent read through a small receive buffer with pauses of 100 ms to 2 s. Their answers must be whole or visibly cut, and cut only if a gateway's log says that it ended them for want of memory, or for what explained cuts before. A gateway's grace is 3.5 s for them, not 4 s: it ends requests 3.53 s after it was asked to, and a pause beside a silence can last as long. For all other requests the check is as it was. The engines of quotes tell load and pace, also on their health path, and take up to 2.5 times as long. Settings have shared-machines for the build that knows it; they are written for the build that is started.

Not built: bursts of a less urgent route beside an urgent one.

--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "break-after", Usage: "break off each stream after this number of `EVENTS`; 0 for never"},
 			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs or whose begun answer is cut, and with each VM that sends more than the server asked for"},
 			&cli.DurationFlag{Name: "delay", Usage: "delay before the start of each answer"},
+			&cli.IntFlag{Name: "max-pace", Usage: "name load and pace in answers, and take up to this many `PERCENT` of the usual time, as on a machine shared with others; 0 for neither"},
 			&cli.IntFlag{Name: "slots", Usage: "how many requests run at once; 0 for any number"},
 			&cli.IntFlag{Name: "queue", Usage: "how many requests wait for a slot; more are rejected"},
 			&cli.StringSliceFlag{Name: "crash-part", Usage: "exit in the same way at each request with this `PART` in its prompt, other than as the last one; may be repeated"},
@@ -43,7 +44,7 @@
 				return err
 			}
 			behaviour := laburnumstandin.PlatformBehaviour{
-				AbortStreamAfter: c.Int("break-after"), Delay: c.Duration("delay"), Software: c.String("software"), EventPause: c.Duration("event-pause"),
+				AbortStreamAfter: c.Int("break-after"), Delay: c.Duration("delay"), Software: c.String("software"), EventPause: c.Duration("event-pause"), MaxPace: c.Int("max-pace"),
 				Slots: c.Int("slots"), Queue: c.Int("queue"), CrashText: c.String("crash-text"), CrashParts: c.StringSlice("crash-part"), Crash: func() { os.Exit(exitFailure) },
 			}
 			if c.Bool("print-runs") {
--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -18,6 +18,9 @@
 // it at any gateway.
 // Servers of three more services have no other fault than that one, those of one service or all fall silent for about a second and
 // go on, while gateways run for a quarter of the time only, and while the routes to them come, go and move to another service and their limits change.
+// Some callers of theirs read with pauses of up to two seconds. The machines of another service are shared with others: the pace at which its
+// engines work changes four times a second, and answers and health checks tell it. Gateways and control VMs of the new build have all decisions
+// for shared machines switched on.
 // Callers have the keys of client accounts; each change takes one key away and adds another, and one account sends all the time
 // what exceeds its quota.
 // The seed determines which faults are injected and when. Their effect also depends on the
@@ -37,7 +40,8 @@
 // callers than room fall over at most twice. A stream has events of one software version only, and when a gateway is killed at least half
 // of its streams go on at the other one. No gateway without a fault sends a server more than two requests while that rests, or any
 // later than two seconds after the server told it that it leaves. Unless a gateway is killed or ends after its grace, no
-// whole request to the servers that only fall silent goes without an answer or a refusal, and none of their answers is cut. At most three
+// whole request to the servers that only fall silent goes without an answer or a refusal, and none of their answers is cut; a slow reader's may
+// be if a gateway's log says that it ended that for want of memory, and one that ends as complete is complete. At most three
 // requests reach one of them later than half a second after their callers have left.
 //
 // With disk faults, a control VM then loses its folder while all other VMs are killed at the same moment; what was acknowledged must
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -38,6 +38,8 @@
 	// serverDelay how long it works on one.
 	serverSlots, serverQueue = 4, 4
 	serverDelay              = 20 * time.Millisecond
+	// maxPace is how long work takes at most on the machines of some services, in percent of the usual time.
+	maxPace = 250
 	// ranPrefix starts the line that a stand-in prints for each request it runs.
 	ranPrefix = "ran "
 	// brokenPrefix starts the line that it prints for each VM that sends it more than it asked for.
@@ -113,11 +115,12 @@
 	f.addLink(name, f.address(number, peerPort), f.address(number, peerListenPort))
 	p := &process{name: name, program: f.cfg.Program, older: f.cfg.Older, folder: f.cfg.Folder, onUnexpectedExit: f.record.processExited}
 	if role == "gateway" {
+		p.onLine = f.record.slowCallerEnded
 		p.onStopped = func(sig syscall.Signal, asked time.Time) { f.record.gatewayEnded(name, sig, asked) }
 	}
 	p.args = func() []string {
 		path := filepath.Join(f.cfg.Folder, name+".jsonc")
-		data, _ := json.Marshal(f.settings(role, name, number)) //nolint:errchkjson // texts and numbers only
+		data := f.settingsText(f.settings(role, name, number), p.runs == f.cfg.Program)
 		if err := os.WriteFile(path, data, 0o600); err != nil {
 			return nil // the process then reports the missing arguments
 		}
@@ -131,10 +134,11 @@
 	s := laburnumsettings.RoleSettings{
 		VM: laburnumlever.VMID(fmt.Sprintf("%s.%d", f.net, number)), Name: name, Zone: "brest", Region: "bretagne",
 		PeerPort: peerPort, FirstStart: !f.bootstrapped.Load(), ControlLosses: 1,
-		Times:       laburnumsettings.RoleTimes{Heartbeat: second, Grace: 4 * second, Lease: 3 * second, CatchUp: 4 * second, Apply: 2 * second, Revoke: laburnumlever.Duration(revokeTime)},
-		Quota:       laburnumsettings.RoleQuota{Overshoot: quotaOvershoot, Slack: quotaSlack, Window: laburnumlever.Duration(quotaWindow)},
-		Retry:       laburnumsettings.RoleRetry{Ratio: 0.2, Slack: 52, Window: 10 * second},
-		StoreWindow: 5 * second, StoreOvershoot: 1.1, ChecksFencing: true, Log: laburnumsettings.Log{Level: "info"},
+		Times:          laburnumsettings.RoleTimes{Heartbeat: second, Grace: 4 * second, Lease: 3 * second, CatchUp: 4 * second, Apply: 2 * second, Revoke: laburnumlever.Duration(revokeTime)},
+		Quota:          laburnumsettings.RoleQuota{Overshoot: quotaOvershoot, Slack: quotaSlack, Window: laburnumlever.Duration(quotaWindow)},
+		Retry:          laburnumsettings.RoleRetry{Ratio: 0.2, Slack: 52, Window: 10 * second},
+		SharedMachines: laburnumsettings.RoleSharedMachines{Looks: true, ByUrgency: true, KnownReturns: true},
+		StoreWindow:    5 * second, StoreOvershoot: 1.1, ChecksFencing: true, Log: laburnumsettings.Log{Level: "info"},
 	}
 	for i := range seedVMs {
 		s.Seeds = append(s.Seeds, f.control(i))
@@ -148,6 +152,19 @@
 	return s
 }
 
+// settingsText returns the settings for the new build or an earlier one, which does not know all of them.
+func (f *fleet) settingsText(s laburnumsettings.RoleSettings, isNew bool) []byte {
+	data, _ := json.Marshal(s) //nolint:errchkjson // texts and numbers only
+	if isNew {
+		return data
+	}
+	var keys map[string]json.RawMessage
+	_ = json.Unmarshal(data, &keys) // it has just been encoded
+	delete(keys, "shared-machines")
+	data, _ = json.Marshal(keys) //nolint:errchkjson // as above
+	return data
+}
+
 func (f *fleet) dataFolder(name string) string { return filepath.Join(f.cfg.Folder, "data-"+name) }
 
 // server defines a backend server; each start has a new instance id.
@@ -162,7 +179,7 @@
 		args := append(f.serverArgs(p, number),
 			"--crash-text", crashText, "--crash-part", crashPart, "--slots", strconv.Itoa(serverSlots), "--queue", strconv.Itoa(serverQueue), "--delay", serverDelay.String())
 		if service == "quotes" {
-			args = append(args, "--model", "m0")
+			args = append(args, "--model", "m0", "--max-pace", strconv.Itoa(maxPace))
 		}
 		return args
 	}
--- a/laburnumsoak/load.go
+++ b/laburnumsoak/load.go
@@ -58,6 +58,7 @@
 	l.repeat(ctx, readPause, func(int) { l.read(rand.IntN(controlVMs)) })
 	l.useAccounts(ctx)
 	l.useSteady(ctx)
+	l.readSlowly(ctx)
 	l.leave(ctx)
 	l.wg.Wait()
 }
--- a/laburnumsoak/process.go
+++ b/laburnumsoak/process.go
@@ -97,11 +97,11 @@
 
 // command builds the next start of the program, through the disk-fault launcher if it has a disk.
 func (p *process) command() *exec.Cmd {
-	args := p.args()
 	p.runs = p.program
 	if p.older != "" && rand.IntN(2) == 0 {
 		p.runs = p.older
 	}
+	args := p.args() // those of the build that runs
 	if p.disk != nil {
 		args = append([]string{"stand-in", "disk", "--"}, args...)
 	}
--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -33,6 +33,8 @@
 	cuts   []cutAnswer
 	// steadyRan are the requests that steady servers have run, by id.
 	steadyRan map[string]steadyRun
+	// endedForMemory are the requests whose slow callers a gateway ended for want of memory, by id.
+	endedForMemory map[string]bool
 	// left are the requests of callers that left, by id, silences the times in which steady servers did not run, by name.
 	left        map[string]leaver
 	silences    map[string][]silence
@@ -50,7 +52,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]steadyRun{}, left: map[string]leaver{}, silences: map[string][]silence{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]steadyRun{}, left: map[string]leaver{}, endedForMemory: map[string]bool{}, silences: map[string][]silence{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -188,3 +188,14 @@
 	r.serversSilent([]*process{{name: "forms-2"}}, silence{from: left.Add(time.Second), to: left.Add(3 * time.Second)})
 	require.Len(t, r.check(), 1)
 }
+
+// Guards against a check for slow readers that excuses each cut answer that a gateway's log names.
+func TestSlowReadersAreExcusedForMemoryOnly(t *testing.T) {
+	for reason, lost := range map[string]bool{"budget": false, "silence": true, "stopped": true} {
+		r := newRecorder()
+		sent := time.Unix(1_000_000, 0)
+		r.slowCallerEnded(fmt.Sprintf(`{"event":"slow-caller-ended","request-id":"slow-1","reason":%q}`, reason))
+		r.steadyEnded("slow-1", steadyRequest{sentAt: sent, endedAt: sent.Add(time.Second), whole: true, slow: true, err: syscall.ECONNRESET})
+		require.Equal(t, lost, len(r.check()) > 0, reason)
+	}
+}
--- a/laburnumsoak/steady.go
+++ b/laburnumsoak/steady.go
@@ -26,6 +26,8 @@
 	largeEvery, largeBody = 4, 300 << 10
 	// graceTime is how long a gateway that was asked to end goes on with the requests that it has.
 	graceTime = 4 * time.Second
+	// slowGrace is how long at least it goes on with those whose callers read slowly. Servers may fall silent beside a caller's pauses.
+	slowGrace = 3500 * time.Millisecond
 	// endSlack allows for the time between what a process does and when the soak sees it.
 	endSlack = 250 * time.Millisecond
 )
@@ -39,12 +41,22 @@
 	whole bool
 	// fresh is set if it was sent on a connection on which the gateway had answered nothing.
 	fresh bool
-	err   error
+	// slow is set if its caller reads slowly.
+	slow bool
+	err  error
 }
 
 // turnedAway reports whether its connection was reset at once, as an overloaded gateway does to new ones that it has not read from.
 func (q steadyRequest) turnedAway() bool { return q.fresh && errors.Is(q.err, syscall.ECONNRESET) }
 
+// grace is how long its gateway has to go on with it once that was asked to end.
+func (q steadyRequest) grace() time.Duration {
+	if q.slow {
+		return slowGrace
+	}
+	return graceTime
+}
+
 // overdue reports whether it may have reached the time limit of its route.
 func (q steadyRequest) overdue() bool {
 	return q.endedAt.Sub(q.sentAt) >= laburnumstandin.SeriesTimeoutMS*time.Millisecond
@@ -64,10 +76,10 @@
 }
 
 // span returns from when to when a gateway may break what goes through it: as it is killed, or once its grace has ended.
-func (e gatewayEnd) span() (from, to time.Time) {
+func (e gatewayEnd) span(grace time.Duration) (from, to time.Time) {
 	from = e.asked
 	if !e.killed {
-		from = e.asked.Add(graceTime)
+		from = e.asked.Add(grace)
 	}
 	return from.Add(-endSlack), e.endedAt.Add(endSlack)
 }
@@ -75,7 +87,7 @@
 // explains reports whether a gateway's end explains what became of a request: it had the request, or another gateway's connection
 // to the server went through it.
 func (e gatewayEnd) explains(q steadyRequest) bool {
-	from, to := e.span()
+	from, to := e.span(q.grace())
 	if e.gateway == q.gateway {
 		return q.sentAt.Before(to) && q.endedAt.After(from) && from.Before(to)
 	}
@@ -84,7 +96,7 @@
 
 // explainsCut reports whether a gateway's end explains a cut. A silent server sees it once it goes on.
 func (e gatewayEnd) explainsCut(c cutAnswer) bool {
-	from, to := e.span()
+	from, to := e.span(graceTime)
 	return from.Before(to) && c.at.After(from) && c.at.Before(to.Add(maxSilence))
 }
 
@@ -105,7 +117,12 @@
 	if large {
 		body = append(body, bytes.Repeat([]byte("x"), largeBody)...)
 	}
-	q := steadyRequest{gateway: l.fleet.gateways[gateway].name, sentAt: time.Now()}
+	l.sendSteadyBy(l.caller, route, gateway, id, body)
+}
+
+// sendSteadyBy sends a request of one caller, and returns the answer and whether it ended as a whole one.
+func (l *load) sendSteadyBy(caller *laburnumstandin.PlatformCaller, route laburnumstandin.SeriesRoute, gateway int, id string, body []byte) (answer []byte, whole bool) {
+	q := steadyRequest{gateway: l.fleet.gateways[gateway].name, sentAt: time.Now(), slow: caller != l.caller}
 	ctx, cancel := context.WithTimeout(context.Background(), steadyTimeout)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -113,12 +130,14 @@
 		GotConn:      func(info httptrace.GotConnInfo) { q.fresh = !laburnumstandin.Answered(info.Conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { q.whole = info.Err == nil },
 	})
-	status, answer, err := l.caller.Request(ctx, l.fleet.gateway(gateway), route, id, body)
+	status, answer, err := caller.Request(ctx, l.fleet.gateway(gateway), route, id, body)
 	q.endedAt, q.err = time.Now(), err
+	whole = err == nil && status == http.StatusOK
 	if route.Streams() {
-		l.record.streamEnded(id, laburnumstandin.EventIDs(answer), err == nil && status == http.StatusOK)
+		l.record.streamEnded(id, laburnumstandin.EventIDs(answer), whole)
 	}
 	l.record.steadyEnded(id, q)
+	return answer, whole
 }
 
 // steadyEnded records what a caller saw of a request.
@@ -167,17 +186,17 @@
 // checkSteady checks that no request remained without an answer or a refusal, and that no answer was cut. The caller holds mu.
 func (r *recorder) checkSteady() {
 	for id, q := range r.steady {
-		if q.whole && q.err != nil && (!q.turnedAway() || r.steadyDid(id)) && !r.explained(q) {
+		if q.whole && q.err != nil && (!q.turnedAway() || r.steadyDid(id)) && !r.explained(id, q) {
 			r.addViolation("request %s at %s ended after %s with neither an answer nor a refusal: %v", id, q.gateway, q.endedAt.Sub(q.sentAt).Round(time.Millisecond), q.err)
 		}
 	}
 	for _, c := range r.cuts {
-		if q := r.steady[c.id]; !r.explained(q) && !slices.ContainsFunc(r.gatewayEnds, func(e gatewayEnd) bool { return e.explainsCut(c) }) {
+		if q := r.steady[c.id]; !r.explained(c.id, q) && !slices.ContainsFunc(r.gatewayEnds, func(e gatewayEnd) bool { return e.explainsCut(c) }) {
 			r.addViolation("the answer to request %s at %s was cut at %s, which went on with it", c.id, q.gateway, c.server)
 		}
 	}
 }
 
-func (r *recorder) explained(q steadyRequest) bool {
-	return q.overdue() || slices.ContainsFunc(r.gatewayEnds, func(e gatewayEnd) bool { return e.explains(q) })
+func (r *recorder) explained(id string, q steadyRequest) bool {
+	return r.endedForMemory[id] || q.overdue() || slices.ContainsFunc(r.gatewayEnds, func(e gatewayEnd) bool { return e.explains(q) })
 }
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -47,14 +48,21 @@
 }
 
 // NewPlatformCaller makes a caller with its own connection pool.
-func NewPlatformCaller() *PlatformCaller {
+func NewPlatformCaller() *PlatformCaller { return newPlatformCaller(&net.Dialer{}, nil) }
+
+// NewSlowPlatformCaller is NewPlatformCaller for a caller that waits before each read for what pause returns.
+func NewSlowPlatformCaller(pause func() time.Duration) *PlatformCaller {
+	return newPlatformCaller(&net.Dialer{Control: boundReadBuffer}, pause)
+}
+
+func newPlatformCaller(dialer *net.Dialer, pause func() time.Duration) *PlatformCaller {
 	const idle = 64
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &callerConn{Conn: conn}, nil
+		return &callerConn{Conn: conn, pause: pause}, nil
 	}
 	return &PlatformCaller{client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idle}}}
 }
--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -37,6 +37,8 @@
 	defaultSlots = 8
 	// platformEvents is the number of events in each stream.
 	platformEvents = 4
+	// EchoPrefix begins the body of a request whose stream repeats it in each event.
+	EchoPrefix = "echo-"
 	// LimitPath is the path of a PUT that sets the limit, as SetLimit does. It is not part of the
 	// platform's protocol.
 	LimitPath = "/stand-in/limit"
@@ -52,6 +54,9 @@
 	Software string
 	// EventPause is the time between two events of a stream, and between the two halves of a plain answer.
 	EventPause time.Duration
+	// MaxPace is how long work takes at most on the server's machine, which it shares with others, with 100 for as usual. The pace
+	// changes a few times a second, and answers tell the load and the pace; 0 for a machine of its own.
+	MaxPace int
 	// Zone is the availability zone that the server announces; empty for that of the stand-in fleets.
 	Zone string
 	// Delay is the time before each response starts.
@@ -96,6 +101,7 @@
 	room      *room // nil for any number of requests
 	rests     rests
 	runs      atomic.Int64
+	running   atomic.Int64
 
 	mu       sync.Mutex
 	sequence int
@@ -217,6 +223,7 @@
 		s.order(w, r)
 	case healthPath:
 		w.Header().Set("X-Laburnumlever-Instance-Id", s.id)
+		s.tellLoad(w.Header())
 	case LimitPath:
 		text, _ := io.ReadAll(r.Body) // whoever disconnects sends it again
 		s.SetLimit(string(text))
@@ -293,9 +300,12 @@
 		}
 		defer s.room.leave()
 	}
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	if s.behaviour.Delay > 0 {
-		laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.Delay)
+		laburnumtimer.Wait(r.Context().Done(), s.timers, s.work(s.behaviour.Delay))
 	}
+	s.tellLoad(w.Header())
 	s.runs.Add(1)
 	if s.behaviour.OnRun != nil {
 		s.behaviour.OnRun(PlatformRun{
@@ -316,7 +326,7 @@
 		s.plainAnswer(w, r, body)
 		return
 	}
-	s.stream(w, r)
+	s.stream(w, r, body)
 }
 
 func (s *PlatformServer) plainAnswer(w http.ResponseWriter, r *http.Request, body []byte) {
@@ -325,7 +335,7 @@
 	if s.behaviour.EventPause > 0 {
 		_, _ = w.Write(text[:half])
 		_ = http.NewResponseController(w).Flush()
-		laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.EventPause)
+		laburnumtimer.Wait(r.Context().Done(), s.timers, s.work(s.behaviour.EventPause))
 		if s.cut(r) {
 			return
 		}
@@ -370,7 +380,10 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (s *PlatformServer) stream(w http.ResponseWriter, r *http.Request) {
+func (s *PlatformServer) stream(w http.ResponseWriter, r *http.Request, body []byte) {
+	if !bytes.HasPrefix(body, []byte(EchoPrefix)) {
+		body = nil
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
@@ -384,12 +397,12 @@
 			panic(http.ErrAbortHandler)
 		}
 		if s.behaviour.EventPause > 0 && i > first {
-			laburnumtimer.Wait(r.Context().Done(), s.timers, s.behaviour.EventPause)
+			laburnumtimer.Wait(r.Context().Done(), s.timers, s.work(s.behaviour.EventPause))
 			if s.cut(r) {
 				return
 			}
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d%s\n\n", i, model, i, s.softwareText())
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d%s%s\n\n", i, model, i, body, s.softwareText())
 		_ = flusher.Flush()
 	}
 }
--- a/laburnumstandin/platformserver_test.go
+++ b/laburnumstandin/platformserver_test.go
@@ -74,3 +74,18 @@
 	require.Regexp(t, `"/moving/"[^}]*"service":"forms"`, documents[0])
 	require.Regexp(t, `"/moving/"[^}]*"service":"desk"`, documents[1])
 }
+
+// Guards against a soak whose gateways never see the pace of a shared machine, or always the same one.
+func TestPlatformServerTellsAPaceThatChanges(t *testing.T) {
+	s := laburnumstandin.NewPlatformServer("i-1", "quotes", "127.0.0.1:1", nil, []string{"m0"}, laburnumstandin.PlatformBehaviour{MaxPace: 250})
+	t.Cleanup(s.Close)
+	seen := map[string]bool{}
+	require.Eventually(t, func() bool {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/health", nil))
+		text := w.Header().Get("X-Laburnumlever-Server-Load")
+		require.Regexp(t, `^0,0,8,(1\d\d|2[0-4]\d|250)$`, text)
+		seen[text] = true
+		return len(seen) > 2
+	}, 10*time.Second, 50*time.Millisecond)
+}
