--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 77, 91, 98, 117, 130, 149, 169, 189, 208, 224, 237, 249, 255, 270, 287, 300, 317, 330, 340, 354, 367, 381, 400, 420, 439, 461, 475, 494, 510, 526, 537, 550, 573, 586, 601, 613, 625, 638, 651, 665, 680, 698, 712, 728, 744, 757, 773, 789, 804, 818, 828, 839, 852, 873, 889, 907, 918, 934, 950, 965, 979, 993, 1008, 1026, 1044, 1057, 1066, 1080, 1095, 1112, 1127, 1140, 1155, 1166, 1180, 1193, 1219, 1237, 1251, 1268, 1287, 1308, 1317, 1327, 1344, 1354, 1363, 1377, 1389, 1405, 1412, 1420, 1427, 1434, 1451, 1467, 1481, 1499, 1512, 1522, 1539}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1074, 1083, 1097, 1112, 1129, 1144, 1157, 1172, 1183, 1197, 1210, 1236, 1254, 1268, 1285, 1304, 1325, 1334, 1344, 1361, 1371, 1380, 1394, 1406, 1422, 1429, 1437, 1444, 1451, 1468, 1484, 1498, 1516, 1529, 1539, 1556}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -28,217 +28,219 @@
 	_ = x[EventRequestRefused-(1)]
 	_ = x[EventRequestPanicked-(2)]
 	_ = x[EventAttemptFailed-(3)]
-	_ = x[EventReservationUnclear-(4)]
-	_ = x[EventCrossedAnswer-(5)]
-	_ = x[EventRefused-(6)]
-	_ = x[EventAnswerNotRecorded-(7)]
-	_ = x[EventBackendChanged-(8)]
-	_ = x[EventBackendsRemembered-(9)]
-	_ = x[EventRememberedForgotten-(10)]
-	_ = x[EventEndpointsNotLoaded-(11)]
-	_ = x[EventEndpointsNotSaved-(12)]
-	_ = x[EventBackendReplaced-(13)]
-	_ = x[EventAdapterLoaded-(14)]
-	_ = x[EventLoadDecided-(15)]
-	_ = x[EventLayout-(16)]
-	_ = x[EventBackendCrashed-(17)]
-	_ = x[EventCrashUnconfirmed-(18)]
-	_ = x[EventDetourOpened-(19)]
-	_ = x[EventDetourNotOpened-(20)]
-	_ = x[EventDetourClosed-(21)]
-	_ = x[EventLinksLost-(22)]
-	_ = x[EventLinksRestored-(23)]
-	_ = x[EventBackendRests-(24)]
-	_ = x[EventBackendLeaves-(25)]
-	_ = x[EventHelperNotNotified-(26)]
-	_ = x[EventSoftwareVersionNew-(27)]
-	_ = x[EventStreamNotRecorded-(28)]
-	_ = x[EventStreamVersionUnknown-(29)]
-	_ = x[EventLinksVerified-(30)]
-	_ = x[EventRequestQuarantined-(31)]
-	_ = x[EventRequestReleased-(32)]
-	_ = x[EventPartQuarantined-(33)]
-	_ = x[EventPartLifted-(34)]
-	_ = x[EventPartReleased-(35)]
-	_ = x[EventQuarantineNotReported-(36)]
-	_ = x[EventLimitChanged-(37)]
-	_ = x[EventBrittleChanged-(38)]
-	_ = x[EventLoadUnclear-(39)]
-	_ = x[EventRoomChanged-(40)]
-	_ = x[EventForeignEntry-(41)]
-	_ = x[EventLimitUnclear-(42)]
-	_ = x[EventSlotRequested-(43)]
-	_ = x[EventSlotUnanswered-(44)]
-	_ = x[EventLimitNotReported-(45)]
-	_ = x[EventKeysConfirmed-(46)]
-	_ = x[EventKeysUnconfirmed-(47)]
-	_ = x[EventAccountsUnknown-(48)]
-	_ = x[EventQuotaUsedUp-(49)]
-	_ = x[EventQuotaUnanswered-(50)]
-	_ = x[EventOutlierDetected-(51)]
-	_ = x[EventModelWithdrawn-(52)]
-	_ = x[EventOrderAnswered-(53)]
-	_ = x[EventOrderDone-(54)]
-	_ = x[EventOrderStateChanged-(55)]
-	_ = x[EventOrderRefused-(56)]
-	_ = x[EventOrderOutcomeUnknown-(57)]
-	_ = x[EventEngineStateNotRead-(58)]
-	_ = x[EventInventoryNotRead-(59)]
-	_ = x[EventLoadFailed-(60)]
-	_ = x[EventBackendStateNotEncoded-(61)]
-	_ = x[EventRegistryRefused-(62)]
-	_ = x[EventRoutesProposed-(63)]
-	_ = x[EventRoutesRefused-(64)]
-	_ = x[EventRoutesApplied-(65)]
-	_ = x[EventRoutesInEffect-(66)]
-	_ = x[EventRoutesNotFetched-(67)]
-	_ = x[EventCatalogueInEffect-(68)]
-	_ = x[EventBecameLeader-(69)]
-	_ = x[EventNoLeader-(70)]
-	_ = x[EventReplicaOpened-(71)]
-	_ = x[EventStartConfirmed-(72)]
-	_ = x[EventStartUnconfirmed-(73)]
-	_ = x[EventVotersChanged-(74)]
-	_ = x[EventLearnerAdded-(75)]
-	_ = x[EventLearnerRemoved-(76)]
-	_ = x[EventVoterAdded-(77)]
-	_ = x[EventVoterReplaced-(78)]
-	_ = x[EventVoterStandby-(79)]
-	_ = x[EventLeadershipNotHandedOver-(80)]
-	_ = x[EventExpiryNotEncoded-(81)]
-	_ = x[EventReplicaFailed-(82)]
-	_ = x[EventReplicaRegressed-(83)]
-	_ = x[EventDataFolderDamaged-(84)]
-	_ = x[EventDataFolderRegressed-(85)]
-	_ = x[EventLeaseAcquired-(86)]
-	_ = x[EventLeaseLost-(87)]
-	_ = x[EventLeaseNotRenewed-(88)]
-	_ = x[EventZoneOwned-(89)]
-	_ = x[EventZoneLost-(90)]
-	_ = x[EventControlThreadTimes-(91)]
-	_ = x[EventControlLost-(92)]
-	_ = x[EventControlRegained-(93)]
-	_ = x[EventStarted-(94)]
-	_ = x[EventDraining-(95)]
-	_ = x[EventDrained-(96)]
-	_ = x[EventStopped-(97)]
-	_ = x[EventSettingsReloaded-(98)]
-	_ = x[EventSettingsRefused-(99)]
-	_ = x[EventListenerEnded-(100)]
-	_ = x[EventMetricsNotServed-(101)]
-	_ = x[EventUnknownEvent-(102)]
-	_ = x[EventOverloaded-(103)]
-	_ = x[EventLogLinesDropped-(104)]
+	_ = x[EventSlowCallerEnded-(4)]
+	_ = x[EventReservationUnclear-(5)]
+	_ = x[EventCrossedAnswer-(6)]
+	_ = x[EventRefused-(7)]
+	_ = x[EventAnswerNotRecorded-(8)]
+	_ = x[EventBackendChanged-(9)]
+	_ = x[EventBackendsRemembered-(10)]
+	_ = x[EventRememberedForgotten-(11)]
+	_ = x[EventEndpointsNotLoaded-(12)]
+	_ = x[EventEndpointsNotSaved-(13)]
+	_ = x[EventBackendReplaced-(14)]
+	_ = x[EventAdapterLoaded-(15)]
+	_ = x[EventLoadDecided-(16)]
+	_ = x[EventLayout-(17)]
+	_ = x[EventBackendCrashed-(18)]
+	_ = x[EventCrashUnconfirmed-(19)]
+	_ = x[EventDetourOpened-(20)]
+	_ = x[EventDetourNotOpened-(21)]
+	_ = x[EventDetourClosed-(22)]
+	_ = x[EventLinksLost-(23)]
+	_ = x[EventLinksRestored-(24)]
+	_ = x[EventBackendRests-(25)]
+	_ = x[EventBackendLeaves-(26)]
+	_ = x[EventHelperNotNotified-(27)]
+	_ = x[EventSoftwareVersionNew-(28)]
+	_ = x[EventStreamNotRecorded-(29)]
+	_ = x[EventStreamVersionUnknown-(30)]
+	_ = x[EventLinksVerified-(31)]
+	_ = x[EventRequestQuarantined-(32)]
+	_ = x[EventRequestReleased-(33)]
+	_ = x[EventPartQuarantined-(34)]
+	_ = x[EventPartLifted-(35)]
+	_ = x[EventPartReleased-(36)]
+	_ = x[EventQuarantineNotReported-(37)]
+	_ = x[EventLimitChanged-(38)]
+	_ = x[EventBrittleChanged-(39)]
+	_ = x[EventLoadUnclear-(40)]
+	_ = x[EventRoomChanged-(41)]
+	_ = x[EventForeignEntry-(42)]
+	_ = x[EventLimitUnclear-(43)]
+	_ = x[EventSlotRequested-(44)]
+	_ = x[EventSlotUnanswered-(45)]
+	_ = x[EventLimitNotReported-(46)]
+	_ = x[EventKeysConfirmed-(47)]
+	_ = x[EventKeysUnconfirmed-(48)]
+	_ = x[EventAccountsUnknown-(49)]
+	_ = x[EventQuotaUsedUp-(50)]
+	_ = x[EventQuotaUnanswered-(51)]
+	_ = x[EventOutlierDetected-(52)]
+	_ = x[EventModelWithdrawn-(53)]
+	_ = x[EventOrderAnswered-(54)]
+	_ = x[EventOrderDone-(55)]
+	_ = x[EventOrderStateChanged-(56)]
+	_ = x[EventOrderRefused-(57)]
+	_ = x[EventOrderOutcomeUnknown-(58)]
+	_ = x[EventEngineStateNotRead-(59)]
+	_ = x[EventInventoryNotRead-(60)]
+	_ = x[EventLoadFailed-(61)]
+	_ = x[EventBackendStateNotEncoded-(62)]
+	_ = x[EventRegistryRefused-(63)]
+	_ = x[EventRoutesProposed-(64)]
+	_ = x[EventRoutesRefused-(65)]
+	_ = x[EventRoutesApplied-(66)]
+	_ = x[EventRoutesInEffect-(67)]
+	_ = x[EventRoutesNotFetched-(68)]
+	_ = x[EventCatalogueInEffect-(69)]
+	_ = x[EventBecameLeader-(70)]
+	_ = x[EventNoLeader-(71)]
+	_ = x[EventReplicaOpened-(72)]
+	_ = x[EventStartConfirmed-(73)]
+	_ = x[EventStartUnconfirmed-(74)]
+	_ = x[EventVotersChanged-(75)]
+	_ = x[EventLearnerAdded-(76)]
+	_ = x[EventLearnerRemoved-(77)]
+	_ = x[EventVoterAdded-(78)]
+	_ = x[EventVoterReplaced-(79)]
+	_ = x[EventVoterStandby-(80)]
+	_ = x[EventLeadershipNotHandedOver-(81)]
+	_ = x[EventExpiryNotEncoded-(82)]
+	_ = x[EventReplicaFailed-(83)]
+	_ = x[EventReplicaRegressed-(84)]
+	_ = x[EventDataFolderDamaged-(85)]
+	_ = x[EventDataFolderRegressed-(86)]
+	_ = x[EventLeaseAcquired-(87)]
+	_ = x[EventLeaseLost-(88)]
+	_ = x[EventLeaseNotRenewed-(89)]
+	_ = x[EventZoneOwned-(90)]
+	_ = x[EventZoneLost-(91)]
+	_ = x[EventControlThreadTimes-(92)]
+	_ = x[EventControlLost-(93)]
+	_ = x[EventControlRegained-(94)]
+	_ = x[EventStarted-(95)]
+	_ = x[EventDraining-(96)]
+	_ = x[EventDrained-(97)]
+	_ = x[EventStopped-(98)]
+	_ = x[EventSettingsReloaded-(99)]
+	_ = x[EventSettingsRefused-(100)]
+	_ = x[EventListenerEnded-(101)]
+	_ = x[EventMetricsNotServed-(102)]
+	_ = x[EventUnknownEvent-(103)]
+	_ = x[EventOverloaded-(104)]
+	_ = x[EventLogLinesDropped-(105)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
 	_LogEventName[14:29]:     EventRequestRefused,
 	_LogEventName[29:45]:     EventRequestPanicked,
 	_LogEventName[45:59]:     EventAttemptFailed,
-	_LogEventName[59:77]:     EventReservationUnclear,
-	_LogEventName[77:91]:     EventCrossedAnswer,
-	_LogEventName[91:98]:     EventRefused,
-	_LogEventName[98:117]:    EventAnswerNotRecorded,
-	_LogEventName[117:130]:   EventBackendChanged,
-	_LogEventName[130:149]:   EventBackendsRemembered,
-	_LogEventName[149:169]:   EventRememberedForgotten,
-	_LogEventName[169:189]:   EventEndpointsNotLoaded,
-	_LogEventName[189:208]:   EventEndpointsNotSaved,
-	_LogEventName[208:224]:   EventBackendReplaced,
-	_LogEventName[224:237]:   EventAdapterLoaded,
-	_LogEventName[237:249]:   EventLoadDecided,
-	_LogEventName[249:255]:   EventLayout,
-	_LogEventName[255:270]:   EventBackendCrashed,
-	_LogEventName[270:287]:   EventCrashUnconfirmed,
-	_LogEventName[287:300]:   EventDetourOpened,
-	_LogEventName[300:317]:   EventDetourNotOpened,
-	_LogEventName[317:330]:   EventDetourClosed,
-	_LogEventName[330:340]:   EventLinksLost,
-	_LogEventName[340:354]:   EventLinksRestored,
-	_LogEventName[354:367]:   EventBackendRests,
-	_LogEventName[367:381]:   EventBackendLeaves,
-	_LogEventName[381:400]:   EventHelperNotNotified,
-	_LogEventName[400:420]:   EventSoftwareVersionNew,
-	_LogEventName[420:439]:   EventStreamNotRecorded,
-	_LogEventName[439:461]:   EventStreamVersionUnknown,
-	_LogEventName[461:475]:   EventLinksVerified,
-	_LogEventName[475:494]:   EventRequestQuarantined,
-	_LogEventName[494:510]:   EventRequestReleased,
-	_LogEventName[510:526]:   EventPartQuarantined,
-	_LogEventName[526:537]:   EventPartLifted,
-	_LogEventName[537:550]:   EventPartReleased,
-	_LogEventName[550:573]:   EventQuarantineNotReported,
-	_LogEventName[573:586]:   EventLimitChanged,
-	_LogEventName[586:601]:   EventBrittleChanged,
-	_LogEventName[601:613]:   EventLoadUnclear,
-	_LogEventName[613:625]:   EventRoomChanged,
-	_LogEventName[625:638]:   EventForeignEntry,
-	_LogEventName[638:651]:   EventLimitUnclear,
-	_LogEventName[651:665]:   EventSlotRequested,
-	_LogEventName[665:680]:   EventSlotUnanswered,
-	_LogEventName[680:698]:   EventLimitNotReported,
-	_LogEventName[698:712]:   EventKeysConfirmed,
-	_LogEventName[712:728]:   EventKeysUnconfirmed,
-	_LogEventName[728:744]:   EventAccountsUnknown,
-	_LogEventName[744:757]:   EventQuotaUsedUp,
-	_LogEventName[757:773]:   EventQuotaUnanswered,
-	_LogEventName[773:789]:   EventOutlierDetected,
-	_LogEventName[789:804]:   EventModelWithdrawn,
-	_LogEventName[804:818]:   EventOrderAnswered,
-	_LogEventName[818:828]:   EventOrderDone,
-	_LogEventName[828:839]:   EventOrderStateChanged,
-	_LogEventName[839:852]:   EventOrderRefused,
-	_LogEventName[852:873]:   EventOrderOutcomeUnknown,
-	_LogEventName[873:889]:   EventEngineStateNotRead,
-	_LogEventName[889:907]:   EventInventoryNotRead,
-	_LogEventName[907:918]:   EventLoadFailed,
-	_LogEventName[918:934]:   EventBackendStateNotEncoded,
-	_LogEventName[934:950]:   EventRegistryRefused,
-	_LogEventName[950:965]:   EventRoutesProposed,
-	_LogEventName[965:979]:   EventRoutesRefused,
-	_LogEventName[979:993]:   EventRoutesApplied,
-	_LogEventName[993:1008]:  EventRoutesInEffect,
-	_LogEventName[1008:1026]: EventRoutesNotFetched,
-	_LogEventName[1026:1044]: EventCatalogueInEffect,
-	_LogEventName[1044:1057]: EventBecameLeader,
-	_LogEventName[1057:1066]: EventNoLeader,
-	_LogEventName[1066:1080]: EventReplicaOpened,
-	_LogEventName[1080:1095]: EventStartConfirmed,
-	_LogEventName[1095:1112]: EventStartUnconfirmed,
-	_LogEventName[1112:1127]: EventVotersChanged,
-	_LogEventName[1127:1140]: EventLearnerAdded,
-	_LogEventName[1140:1155]: EventLearnerRemoved,
-	_LogEventName[1155:1166]: EventVoterAdded,
-	_LogEventName[1166:1180]: EventVoterReplaced,
-	_LogEventName[1180:1193]: EventVoterStandby,
-	_LogEventName[1193:1219]: EventLeadershipNotHandedOver,
-	_LogEventName[1219:1237]: EventExpiryNotEncoded,
-	_LogEventName[1237:1251]: EventReplicaFailed,
-	_LogEventName[1251:1268]: EventReplicaRegressed,
-	_LogEventName[1268:1287]: EventDataFolderDamaged,
-	_LogEventName[1287:1308]: EventDataFolderRegressed,
-	_LogEventName[1308:1317]: EventLeaseAcquired,
-	_LogEventName[1317:1327]: EventLeaseLost,
-	_LogEventName[1327:1344]: EventLeaseNotRenewed,
-	_LogEventName[1344:1354]: EventZoneOwned,
-	_LogEventName[1354:1363]: EventZoneLost,
-	_LogEventName[1363:1377]: EventControlThreadTimes,
-	_LogEventName[1377:1389]: EventControlLost,
-	_LogEventName[1389:1405]: EventControlRegained,
-	_LogEventName[1405:1412]: EventStarted,
-	_LogEventName[1412:1420]: EventDraining,
-	_LogEventName[1420:1427]: EventDrained,
-	_LogEventName[1427:1434]: EventStopped,
-	_LogEventName[1434:1451]: EventSettingsReloaded,
-	_LogEventName[1451:1467]: EventSettingsRefused,
-	_LogEventName[1467:1481]: EventListenerEnded,
-	_LogEventName[1481:1499]: EventMetricsNotServed,
-	_LogEventName[1499:1512]: EventUnknownEvent,
-	_LogEventName[1512:1522]: EventOverloaded,
-	_LogEventName[1522:1539]: EventLogLinesDropped,
+	_LogEventName[59:76]:     EventSlowCallerEnded,
+	_LogEventName[76:94]:     EventReservationUnclear,
+	_LogEventName[94:108]:    EventCrossedAnswer,
+	_LogEventName[108:115]:   EventRefused,
+	_LogEventName[115:134]:   EventAnswerNotRecorded,
+	_LogEventName[134:147]:   EventBackendChanged,
+	_LogEventName[147:166]:   EventBackendsRemembered,
+	_LogEventName[166:186]:   EventRememberedForgotten,
+	_LogEventName[186:206]:   EventEndpointsNotLoaded,
+	_LogEventName[206:225]:   EventEndpointsNotSaved,
+	_LogEventName[225:241]:   EventBackendReplaced,
+	_LogEventName[241:254]:   EventAdapterLoaded,
+	_LogEventName[254:266]:   EventLoadDecided,
+	_LogEventName[266:272]:   EventLayout,
+	_LogEventName[272:287]:   EventBackendCrashed,
+	_LogEventName[287:304]:   EventCrashUnconfirmed,
+	_LogEventName[304:317]:   EventDetourOpened,
+	_LogEventName[317:334]:   EventDetourNotOpened,
+	_LogEventName[334:347]:   EventDetourClosed,
+	_LogEventName[347:357]:   EventLinksLost,
+	_LogEventName[357:371]:   EventLinksRestored,
+	_LogEventName[371:384]:   EventBackendRests,
+	_LogEventName[384:398]:   EventBackendLeaves,
+	_LogEventName[398:417]:   EventHelperNotNotified,
+	_LogEventName[417:437]:   EventSoftwareVersionNew,
+	_LogEventName[437:456]:   EventStreamNotRecorded,
+	_LogEventName[456:478]:   EventStreamVersionUnknown,
+	_LogEventName[478:492]:   EventLinksVerified,
+	_LogEventName[492:511]:   EventRequestQuarantined,
+	_LogEventName[511:527]:   EventRequestReleased,
+	_LogEventName[527:543]:   EventPartQuarantined,
+	_LogEventName[543:554]:   EventPartLifted,
+	_LogEventName[554:567]:   EventPartReleased,
+	_LogEventName[567:590]:   EventQuarantineNotReported,
+	_LogEventName[590:603]:   EventLimitChanged,
+	_LogEventName[603:618]:   EventBrittleChanged,
+	_LogEventName[618:630]:   EventLoadUnclear,
+	_LogEventName[630:642]:   EventRoomChanged,
+	_LogEventName[642:655]:   EventForeignEntry,
+	_LogEventName[655:668]:   EventLimitUnclear,
+	_LogEventName[668:682]:   EventSlotRequested,
+	_LogEventName[682:697]:   EventSlotUnanswered,
+	_LogEventName[697:715]:   EventLimitNotReported,
+	_LogEventName[715:729]:   EventKeysConfirmed,
+	_LogEventName[729:745]:   EventKeysUnconfirmed,
+	_LogEventName[745:761]:   EventAccountsUnknown,
+	_LogEventName[761:774]:   EventQuotaUsedUp,
+	_LogEventName[774:790]:   EventQuotaUnanswered,
+	_LogEventName[790:806]:   EventOutlierDetected,
+	_LogEventName[806:821]:   EventModelWithdrawn,
+	_LogEventName[821:835]:   EventOrderAnswered,
+	_LogEventName[835:845]:   EventOrderDone,
+	_LogEventName[845:856]:   EventOrderStateChanged,
+	_LogEventName[856:869]:   EventOrderRefused,
+	_LogEventName[869:890]:   EventOrderOutcomeUnknown,
+	_LogEventName[890:906]:   EventEngineStateNotRead,
+	_LogEventName[906:924]:   EventInventoryNotRead,
+	_LogEventName[924:935]:   EventLoadFailed,
+	_LogEventName[935:951]:   EventBackendStateNotEncoded,
+	_LogEventName[951:967]:   EventRegistryRefused,
+	_LogEventName[967:982]:   EventRoutesProposed,
+	_LogEventName[982:996]:   EventRoutesRefused,
+	_LogEventName[996:1010]:  EventRoutesApplied,
+	_LogEventName[1010:1025]: EventRoutesInEffect,
+	_LogEventName[1025:1043]: EventRoutesNotFetched,
+	_LogEventName[1043:1061]: EventCatalogueInEffect,
+	_LogEventName[1061:1074]: EventBecameLeader,
+	_LogEventName[1074:1083]: EventNoLeader,
+	_LogEventName[1083:1097]: EventReplicaOpened,
+	_LogEventName[1097:1112]: EventStartConfirmed,
+	_LogEventName[1112:1129]: EventStartUnconfirmed,
+	_LogEventName[1129:1144]: EventVotersChanged,
+	_LogEventName[1144:1157]: EventLearnerAdded,
+	_LogEventName[1157:1172]: EventLearnerRemoved,
+	_LogEventName[1172:1183]: EventVoterAdded,
+	_LogEventName[1183:1197]: EventVoterReplaced,
+	_LogEventName[1197:1210]: EventVoterStandby,
+	_LogEventName[1210:1236]: EventLeadershipNotHandedOver,
+	_LogEventName[1236:1254]: EventExpiryNotEncoded,
+	_LogEventName[1254:1268]: EventReplicaFailed,
+	_LogEventName[1268:1285]: EventReplicaRegressed,
+	_LogEventName[1285:1304]: EventDataFolderDamaged,
+	_LogEventName[1304:1325]: EventDataFolderRegressed,
+	_LogEventName[1325:1334]: EventLeaseAcquired,
+	_LogEventName[1334:1344]: EventLeaseLost,
+	_LogEventName[1344:1361]: EventLeaseNotRenewed,
+	_LogEventName[1361:1371]: EventZoneOwned,
+	_LogEventName[1371:1380]: EventZoneLost,
+	_LogEventName[1380:1394]: EventControlThreadTimes,
+	_LogEventName[1394:1406]: EventControlLost,
+	_LogEventName[1406:1422]: EventControlRegained,
+	_LogEventName[1422:1429]: EventStarted,
+	_LogEventName[1429:1437]: EventDraining,
+	_LogEventName[1437:1444]: EventDrained,
+	_LogEventName[1444:1451]: EventStopped,
+	_LogEventName[1451:1468]: EventSettingsReloaded,
+	_LogEventName[1468:1484]: EventSettingsRefused,
+	_LogEventName[1484:1498]: EventListenerEnded,
+	_LogEventName[1498:1516]: EventMetricsNotServed,
+	_LogEventName[1516:1529]: EventUnknownEvent,
+	_LogEventName[1529:1539]: EventOverloaded,
+	_LogEventName[1539:1556]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -246,107 +248,108 @@
 	_LogEventLowerName[14:29]:     EventRequestRefused,
 	_LogEventLowerName[29:45]:     EventRequestPanicked,
 	_LogEventLowerName[45:59]:     EventAttemptFailed,
-	_LogEventLowerName[59:77]:     EventReservationUnclear,
-	_LogEventLowerName[77:91]:     EventCrossedAnswer,
-	_LogEventLowerName[91:98]:     EventRefused,
-	_LogEventLowerName[98:117]:    EventAnswerNotRecorded,
-	_LogEventLowerName[117:130]:   EventBackendChanged,
-	_LogEventLowerName[130:149]:   EventBackendsRemembered,
-	_LogEventLowerName[149:169]:   EventRememberedForgotten,
-	_LogEventLowerName[169:189]:   EventEndpointsNotLoaded,
-	_LogEventLowerName[189:208]:   EventEndpointsNotSaved,
-	_LogEventLowerName[208:224]:   EventBackendReplaced,
-	_LogEventLowerName[224:237]:   EventAdapterLoaded,
-	_LogEventLowerName[237:249]:   EventLoadDecided,
-	_LogEventLowerName[249:255]:   EventLayout,
-	_LogEventLowerName[255:270]:   EventBackendCrashed,
-	_LogEventLowerName[270:287]:   EventCrashUnconfirmed,
-	_LogEventLowerName[287:300]:   EventDetourOpened,
-	_LogEventLowerName[300:317]:   EventDetourNotOpened,
-	_LogEventLowerName[317:330]:   EventDetourClosed,
-	_LogEventLowerName[330:340]:   EventLinksLost,
-	_LogEventLowerName[340:354]:   EventLinksRestored,
-	_LogEventLowerName[354:367]:   EventBackendRests,
-	_LogEventLowerName[367:381]:   EventBackendLeaves,
-	_LogEventLowerName[381:400]:   EventHelperNotNotified,
-	_LogEventLowerName[400:420]:   EventSoftwareVersionNew,
-	_LogEventLowerName[420:439]:   EventStreamNotRecorded,
-	_LogEventLowerName[439:461]:   EventStreamVersionUnknown,
-	_LogEventLowerName[461:475]:   EventLinksVerified,
-	_LogEventLowerName[475:494]:   EventRequestQuarantined,
-	_LogEventLowerName[494:510]:   EventRequestReleased,
-	_LogEventLowerName[510:526]:   EventPartQuarantined,
-	_LogEventLowerName[526:537]:   EventPartLifted,
-	_LogEventLowerName[537:550]:   EventPartReleased,
-	_LogEventLowerName[550:573]:   EventQuarantineNotReported,
-	_LogEventLowerName[573:586]:   EventLimitChanged,
-	_LogEventLowerName[586:601]:   EventBrittleChanged,
-	_LogEventLowerName[601:613]:   EventLoadUnclear,
-	_LogEventLowerName[613:625]:   EventRoomChanged,
-	_LogEventLowerName[625:638]:   EventForeignEntry,
-	_LogEventLowerName[638:651]:   EventLimitUnclear,
-	_LogEventLowerName[651:665]:   EventSlotRequested,
-	_LogEventLowerName[665:680]:   EventSlotUnanswered,
-	_LogEventLowerName[680:698]:   EventLimitNotReported,
-	_LogEventLowerName[698:712]:   EventKeysConfirmed,
-	_LogEventLowerName[712:728]:   EventKeysUnconfirmed,
-	_LogEventLowerName[728:744]:   EventAccountsUnknown,
-	_LogEventLowerName[744:757]:   EventQuotaUsedUp,
-	_LogEventLowerName[757:773]:   EventQuotaUnanswered,
-	_LogEventLowerName[773:789]:   EventOutlierDetected,
-	_LogEventLowerName[789:804]:   EventModelWithdrawn,
-	_LogEventLowerName[804:818]:   EventOrderAnswered,
-	_LogEventLowerName[818:828]:   EventOrderDone,
-	_LogEventLowerName[828:839]:   EventOrderStateChanged,
-	_LogEventLowerName[839:852]:   EventOrderRefused,
-	_LogEventLowerName[852:873]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[873:889]:   EventEngineStateNotRead,
-	_LogEventLowerName[889:907]:   EventInventoryNotRead,
-	_LogEventLowerName[907:918]:   EventLoadFailed,
-	_LogEventLowerName[918:934]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[934:950]:   EventRegistryRefused,
-	_LogEventLowerName[950:965]:   EventRoutesProposed,
-	_LogEventLowerName[965:979]:   EventRoutesRefused,
-	_LogEventLowerName[979:993]:   EventRoutesApplied,
-	_LogEventLowerName[993:1008]:  EventRoutesInEffect,
-	_LogEventLowerName[1008:1026]: EventRoutesNotFetched,
-	_LogEventLowerName[1026:1044]: EventCatalogueInEffect,
-	_LogEventLowerName[1044:1057]: EventBecameLeader,
-	_LogEventLowerName[1057:1066]: EventNoLeader,
-	_LogEventLowerName[1066:1080]: EventReplicaOpened,
-	_LogEventLowerName[1080:1095]: EventStartConfirmed,
-	_LogEventLowerName[1095:1112]: EventStartUnconfirmed,
-	_LogEventLowerName[1112:1127]: EventVotersChanged,
-	_LogEventLowerName[1127:1140]: EventLearnerAdded,
-	_LogEventLowerName[1140:1155]: EventLearnerRemoved,
-	_LogEventLowerName[1155:1166]: EventVoterAdded,
-	_LogEventLowerName[1166:1180]: EventVoterReplaced,
-	_LogEventLowerName[1180:1193]: EventVoterStandby,
-	_LogEventLowerName[1193:1219]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1219:1237]: EventExpiryNotEncoded,
-	_LogEventLowerName[1237:1251]: EventReplicaFailed,
-	_LogEventLowerName[1251:1268]: EventReplicaRegressed,
-	_LogEventLowerName[1268:1287]: EventDataFolderDamaged,
-	_LogEventLowerName[1287:1308]: EventDataFolderRegressed,
-	_LogEventLowerName[1308:1317]: EventLeaseAcquired,
-	_LogEventLowerName[1317:1327]: EventLeaseLost,
-	_LogEventLowerName[1327:1344]: EventLeaseNotRenewed,
-	_LogEventLowerName[1344:1354]: EventZoneOwned,
-	_LogEventLowerName[1354:1363]: EventZoneLost,
-	_LogEventLowerName[1363:1377]: EventControlThreadTimes,
-	_LogEventLowerName[1377:1389]: EventControlLost,
-	_LogEventLowerName[1389:1405]: EventControlRegained,
-	_LogEventLowerName[1405:1412]: EventStarted,
-	_LogEventLowerName[1412:1420]: EventDraining,
-	_LogEventLowerName[1420:1427]: EventDrained,
-	_LogEventLowerName[1427:1434]: EventStopped,
-	_LogEventLowerName[1434:1451]: EventSettingsReloaded,
-	_LogEventLowerName[1451:1467]: EventSettingsRefused,
-	_LogEventLowerName[1467:1481]: EventListenerEnded,
-	_LogEventLowerName[1481:1499]: EventMetricsNotServed,
-	_LogEventLowerName[1499:1512]: EventUnknownEvent,
-	_LogEventLowerName[1512:1522]: EventOverloaded,
-	_LogEventLowerName[1522:1539]: EventLogLinesDropped,
+	_LogEventLowerName[59:76]:     EventSlowCallerEnded,
+	_LogEventLowerName[76:94]:     EventReservationUnclear,
+	_LogEventLowerName[94:108]:    EventCrossedAnswer,
+	_LogEventLowerName[108:115]:   EventRefused,
+	_LogEventLowerName[115:134]:   EventAnswerNotRecorded,
+	_LogEventLowerName[134:147]:   EventBackendChanged,
+	_LogEventLowerName[147:166]:   EventBackendsRemembered,
+	_LogEventLowerName[166:186]:   EventRememberedForgotten,
+	_LogEventLowerName[186:206]:   EventEndpointsNotLoaded,
+	_LogEventLowerName[206:225]:   EventEndpointsNotSaved,
+	_LogEventLowerName[225:241]:   EventBackendReplaced,
+	_LogEventLowerName[241:254]:   EventAdapterLoaded,
+	_LogEventLowerName[254:266]:   EventLoadDecided,
+	_LogEventLowerName[266:272]:   EventLayout,
+	_LogEventLowerName[272:287]:   EventBackendCrashed,
+	_LogEventLowerName[287:304]:   EventCrashUnconfirmed,
+	_LogEventLowerName[304:317]:   EventDetourOpened,
+	_LogEventLowerName[317:334]:   EventDetourNotOpened,
+	_LogEventLowerName[334:347]:   EventDetourClosed,
+	_LogEventLowerName[347:357]:   EventLinksLost,
+	_LogEventLowerName[357:371]:   EventLinksRestored,
+	_LogEventLowerName[371:384]:   EventBackendRests,
+	_LogEventLowerName[384:398]:   EventBackendLeaves,
+	_LogEventLowerName[398:417]:   EventHelperNotNotified,
+	_LogEventLowerName[417:437]:   EventSoftwareVersionNew,
+	_LogEventLowerName[437:456]:   EventStreamNotRecorded,
+	_LogEventLowerName[456:478]:   EventStreamVersionUnknown,
+	_LogEventLowerName[478:492]:   EventLinksVerified,
+	_LogEventLowerName[492:511]:   EventRequestQuarantined,
+	_LogEventLowerName[511:527]:   EventRequestReleased,
+	_LogEventLowerName[527:543]:   EventPartQuarantined,
+	_LogEventLowerName[543:554]:   EventPartLifted,
+	_LogEventLowerName[554:567]:   EventPartReleased,
+	_LogEventLowerName[567:590]:   EventQuarantineNotReported,
+	_LogEventLowerName[590:603]:   EventLimitChanged,
+	_LogEventLowerName[603:618]:   EventBrittleChanged,
+	_LogEventLowerName[618:630]:   EventLoadUnclear,
+	_LogEventLowerName[630:642]:   EventRoomChanged,
+	_LogEventLowerName[642:655]:   EventForeignEntry,
+	_LogEventLowerName[655:668]:   EventLimitUnclear,
+	_LogEventLowerName[668:682]:   EventSlotRequested,
+	_LogEventLowerName[682:697]:   EventSlotUnanswered,
+	_LogEventLowerName[697:715]:   EventLimitNotReported,
+	_LogEventLowerName[715:729]:   EventKeysConfirmed,
+	_LogEventLowerName[729:745]:   EventKeysUnconfirmed,
+	_LogEventLowerName[745:761]:   EventAccountsUnknown,
+	_LogEventLowerName[761:774]:   EventQuotaUsedUp,
+	_LogEventLowerName[774:790]:   EventQuotaUnanswered,
+	_LogEventLowerName[790:806]:   EventOutlierDetected,
+	_LogEventLowerName[806:821]:   EventModelWithdrawn,
+	_LogEventLowerName[821:835]:   EventOrderAnswered,
+	_LogEventLowerName[835:845]:   EventOrderDone,
+	_LogEventLowerName[845:856]:   EventOrderStateChanged,
+	_LogEventLowerName[856:869]:   EventOrderRefused,
+	_LogEventLowerName[869:890]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[890:906]:   EventEngineStateNotRead,
+	_LogEventLowerName[906:924]:   EventInventoryNotRead,
+	_LogEventLowerName[924:935]:   EventLoadFailed,
+	_LogEventLowerName[935:951]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[951:967]:   EventRegistryRefused,
+	_LogEventLowerName[967:982]:   EventRoutesProposed,
+	_LogEventLowerName[982:996]:   EventRoutesRefused,
+	_LogEventLowerName[996:1010]:  EventRoutesApplied,
+	_LogEventLowerName[1010:1025]: EventRoutesInEffect,
+	_LogEventLowerName[1025:1043]: EventRoutesNotFetched,
+	_LogEventLowerName[1043:1061]: EventCatalogueInEffect,
+	_LogEventLowerName[1061:1074]: EventBecameLeader,
+	_LogEventLowerName[1074:1083]: EventNoLeader,
+	_LogEventLowerName[1083:1097]: EventReplicaOpened,
+	_LogEventLowerName[1097:1112]: EventStartConfirmed,
+	_LogEventLowerName[1112:1129]: EventStartUnconfirmed,
+	_LogEventLowerName[1129:1144]: EventVotersChanged,
+	_LogEventLowerName[1144:1157]: EventLearnerAdded,
+	_LogEventLowerName[1157:1172]: EventLearnerRemoved,
+	_LogEventLowerName[1172:1183]: EventVoterAdded,
+	_LogEventLowerName[1183:1197]: EventVoterReplaced,
+	_LogEventLowerName[1197:1210]: EventVoterStandby,
+	_LogEventLowerName[1210:1236]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1236:1254]: EventExpiryNotEncoded,
+	_LogEventLowerName[1254:1268]: EventReplicaFailed,
+	_LogEventLowerName[1268:1285]: EventReplicaRegressed,
+	_LogEventLowerName[1285:1304]: EventDataFolderDamaged,
+	_LogEventLowerName[1304:1325]: EventDataFolderRegressed,
+	_LogEventLowerName[1325:1334]: EventLeaseAcquired,
+	_LogEventLowerName[1334:1344]: EventLeaseLost,
+	_LogEventLowerName[1344:1361]: EventLeaseNotRenewed,
+	_LogEventLowerName[1361:1371]: EventZoneOwned,
+	_LogEventLowerName[1371:1380]: EventZoneLost,
+	_LogEventLowerName[1380:1394]: EventControlThreadTimes,
+	_LogEventLowerName[1394:1406]: EventControlLost,
+	_LogEventLowerName[1406:1422]: EventControlRegained,
+	_LogEventLowerName[1422:1429]: EventStarted,
+	_LogEventLowerName[1429:1437]: EventDraining,
+	_LogEventLowerName[1437:1444]: EventDrained,
+	_LogEventLowerName[1444:1451]: EventStopped,
+	_LogEventLowerName[1451:1468]: EventSettingsReloaded,
+	_LogEventLowerName[1468:1484]: EventSettingsRefused,
+	_LogEventLowerName[1484:1498]: EventListenerEnded,
+	_LogEventLowerName[1498:1516]: EventMetricsNotServed,
+	_LogEventLowerName[1516:1529]: EventUnknownEvent,
+	_LogEventLowerName[1529:1539]: EventOverloaded,
+	_LogEventLowerName[1539:1556]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -354,107 +357,108 @@
 	_LogEventName[14:29],
 	_LogEventName[29:45],
 	_LogEventName[45:59],
-	_LogEventName[59:77],
-	_LogEventName[77:91],
-	_LogEventName[91:98],
-	_LogEventName[98:117],
-	_LogEventName[117:130],
-	_LogEventName[130:149],
-	_LogEventName[149:169],
-	_LogEventName[169:189],
-	_LogEventName[189:208],
-	_LogEventName[208:224],
-	_LogEventName[224:237],
-	_LogEventName[237:249],
-	_LogEventName[249:255],
-	_LogEventName[255:270],
-	_LogEventName[270:287],
-	_LogEventName[287:300],
-	_LogEventName[300:317],
-	_LogEventName[317:330],
-	_LogEventName[330:340],
-	_LogEventName[340:354],
-	_LogEventName[354:367],
-	_LogEventName[367:381],
-	_LogEventName[381:400],
-	_LogEventName[400:420],
-	_LogEventName[420:439],
-	_LogEventName[439:461],
-	_LogEventName[461:475],
-	_LogEventName[475:494],
-	_LogEventName[494:510],
-	_LogEventName[510:526],
-	_LogEventName[526:537],
-	_LogEventName[537:550],
-	_LogEventName[550:573],
-	_LogEventName[573:586],
-	_LogEventName[586:601],
-	_LogEventName[601:613],
-	_LogEventName[613:625],
-	_LogEventName[625:638],
-	_LogEventName[638:651],
-	_LogEventName[651:665],
-	_LogEventName[665:680],
-	_LogEventName[680:698],
-	_LogEventName[698:712],
-	_LogEventName[712:728],
-	_LogEventName[728:744],
-	_LogEventName[744:757],
-	_LogEventName[757:773],
-	_LogEventName[773:789],
-	_LogEventName[789:804],
-	_LogEventName[804:818],
-	_LogEventName[818:828],
-	_LogEventName[828:839],
-	_LogEventName[839:852],
-	_LogEventName[852:873],
-	_LogEventName[873:889],
-	_LogEventName[889:907],
-	_LogEventName[907:918],
-	_LogEventName[918:934],
-	_LogEventName[934:950],
-	_LogEventName[950:965],
-	_LogEventName[965:979],
-	_LogEventName[979:993],
-	_LogEventName[993:1008],
-	_LogEventName[1008:1026],
-	_LogEventName[1026:1044],
-	_LogEventName[1044:1057],
-	_LogEventName[1057:1066],
-	_LogEventName[1066:1080],
-	_LogEventName[1080:1095],
-	_LogEventName[1095:1112],
-	_LogEventName[1112:1127],
-	_LogEventName[1127:1140],
-	_LogEventName[1140:1155],
-	_LogEventName[1155:1166],
-	_LogEventName[1166:1180],
-	_LogEventName[1180:1193],
-	_LogEventName[1193:1219],
-	_LogEventName[1219:1237],
-	_LogEventName[1237:1251],
-	_LogEventName[1251:1268],
-	_LogEventName[1268:1287],
-	_LogEventName[1287:1308],
-	_LogEventName[1308:1317],
-	_LogEventName[1317:1327],
-	_LogEventName[1327:1344],
-	_LogEventName[1344:1354],
-	_LogEventName[1354:1363],
-	_LogEventName[1363:1377],
-	_LogEventName[1377:1389],
-	_LogEventName[1389:1405],
-	_LogEventName[1405:1412],
-	_LogEventName[1412:1420],
-	_LogEventName[1420:1427],
-	_LogEventName[1427:1434],
-	_LogEventName[1434:1451],
-	_LogEventName[1451:1467],
-	_LogEventName[1467:1481],
-	_LogEventName[1481:1499],
-	_LogEventName[1499:1512],
-	_LogEventName[1512:1522],
-	_LogEventName[1522:1539],
+	_LogEventName[59:76],
+	_LogEventName[76:94],
+	_LogEventName[94:108],
+	_LogEventName[108:115],
+	_LogEventName[115:134],
+	_LogEventName[134:147],
+	_LogEventName[147:166],
+	_LogEventName[166:186],
+	_LogEventName[186:206],
+	_LogEventName[206:225],
+	_LogEventName[225:241],
+	_LogEventName[241:254],
+	_LogEventName[254:266],
+	_LogEventName[266:272],
+	_LogEventName[272:287],
+	_LogEventName[287:304],
+	_LogEventName[304:317],
+	_LogEventName[317:334],
+	_LogEventName[334:347],
+	_LogEventName[347:357],
+	_LogEventName[357:371],
+	_LogEventName[371:384],
+	_LogEventName[384:398],
+	_LogEventName[398:417],
+	_LogEventName[417:437],
+	_LogEventName[437:456],
+	_LogEventName[456:478],
+	_LogEventName[478:492],
+	_LogEventName[492:511],
+	_LogEventName[511:527],
+	_LogEventName[527:543],
+	_LogEventName[543:554],
+	_LogEventName[554:567],
+	_LogEventName[567:590],
+	_LogEventName[590:603],
+	_LogEventName[603:618],
+	_LogEventName[618:630],
+	_LogEventName[630:642],
+	_LogEventName[642:655],
+	_LogEventName[655:668],
+	_LogEventName[668:682],
+	_LogEventName[682:697],
+	_LogEventName[697:715],
+	_LogEventName[715:729],
+	_LogEventName[729:745],
+	_LogEventName[745:761],
+	_LogEventName[761:774],
+	_LogEventName[774:790],
+	_LogEventName[790:806],
+	_LogEventName[806:821],
+	_LogEventName[821:835],
+	_LogEventName[835:845],
+	_LogEventName[845:856],
+	_LogEventName[856:869],
+	_LogEventName[869:890],
+	_LogEventName[890:906],
+	_LogEventName[906:924],
+	_LogEventName[924:935],
+	_LogEventName[935:951],
+	_LogEventName[951:967],
+	_LogEventName[967:982],
+	_LogEventName[982:996],
+	_LogEventName[996:1010],
+	_LogEventName[1010:1025],
+	_LogEventName[1025:1043],
+	_LogEventName[1043:1061],
+	_LogEventName[1061:1074],
+	_LogEventName[1074:1083],
+	_LogEventName[1083:1097],
+	_LogEventName[1097:1112],
+	_LogEventName[1112:1129],
+	_LogEventName[1129:1144],
+	_LogEventName[1144:1157],
+	_LogEventName[1157:1172],
+	_LogEventName[1172:1183],
+	_LogEventName[1183:1197],
+	_LogEventName[1197:1210],
+	_LogEventName[1210:1236],
+	_LogEventName[1236:1254],
+	_LogEventName[1254:1268],
+	_LogEventName[1268:1285],
+	_LogEventName[1285:1304],
+	_LogEventName[1304:1325],
+	_LogEventName[1325:1334],
+	_LogEventName[1334:1344],
+	_LogEventName[1344:1361],
+	_LogEventName[1361:1371],
+	_LogEventName[1371:1380],
+	_LogEventName[1380:1394],
+	_LogEventName[1394:1406],
+	_LogEventName[1406:1422],
+	_LogEventName[1422:1429],
+	_LogEventName[1429:1437],
+	_LogEventName[1437:1444],
+	_LogEventName[1444:1451],
+	_LogEventName[1451:1468],
+	_LogEventName[1468:1484],
+	_LogEventName[1484:1498],
+	_LogEventName[1498:1516],
+	_LogEventName[1516:1529],
+	_LogEventName[1529:1539],
+	_LogEventName[1539:1556],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
