fix: requests that waited for a model or an adapter don't count as short of a slot

Cause: a request counted as late by when it was sent, whatever it had waited for, though headroom helps only against full servers. Change: it counts as late only if all its servers were full or refused a reservation meanwhile. No test of its own.

--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -76,6 +76,8 @@
 	arrivalCounted bool
 	// freePass is set if no headroom applies, slotCounted once it is counted whether the request got a slot in time.
 	freePass, slotCounted bool
+	// foundFull is set once all servers that could serve the request were full.
+	foundFull bool
 	// byUrgency is set if backend servers are told the rank.
 	byUrgency bool
 	// rank is the priority by account and route.
--- a/laburnumgateway/room.go
+++ b/laburnumgateway/room.go
@@ -74,11 +74,12 @@
 	f.balance.Asked(laburnumbalance.Query{Service: q.service.Name, Model: q.caller.Model}, q.rank, f.timers.Now())
 }
 
-// countSlot counts a request that has a slot. One that queues at an engine counts with the first event of its answer: when the engine
+// countSlot counts a request that has a slot; it is late only if it waited for one, not for a model or an adapter. One that queues at an engine counts with the first event of its answer: when the engine
 // admits it is not told.
 func (g *Gateway) countSlot(q *request, now time.Time) {
 	if !q.queuesAtEngine() {
-		g.countOutcome(q, !now.After(waitPolicy.OnTimeUntil(q.queueTimes())))
+		waited := q.foundFull || q.refusedReservations > 0
+		g.countOutcome(q, !waited || !now.After(waitPolicy.OnTimeUntil(q.queueTimes())))
 	}
 }
 
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -33,6 +33,7 @@
 		f.queue.Arrived(queued, now)
 	}
 	ticket, verdict := f.pick(q, queued.Query, now)
+	q.foundFull = q.foundFull || verdict == laburnumbalance.Full
 	if verdict == laburnumbalance.Resting {
 		verdict = f.waitsForRest(queued.Query, until, now)
 	}
