--- a/laburnumgateway/benchmark_test.go
+++ b/laburnumgateway/benchmark_test.go
@@ -4,8 +4,10 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // BenchmarkUnaryRequest measures sequential requests without a stream on one connection. The cost
@@ -32,3 +34,34 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*length), "ns/event")
 }
+
+// BenchmarkAccounts measures the processor time of a request without and with a client account that has a quota, in turns. It includes
+// the caller and the backend server, but not the messages to control VMs, of which there is at most one a request.
+func BenchmarkAccounts(b *testing.B) {
+	const turn = 50
+	newServer := func() *backend {
+		return newBackend(b, "i-1", func(conn net.Conn, a receivedRequest, _ int) { writeAnswer(conn, a, http.StatusOK, "confirmed") })
+	}
+	without := newHarness(b, newServer().heartbeat("booking"))
+	with, control := newAccountHarness(b, newServer(), "k1")
+	control.set(func(c *controlVMs) { c.left = 1e12 })
+	var used [2]time.Duration
+	for b.Loop() {
+		for i, bench := range []*harness{without, with} {
+			began := processorTime(b)
+			for range turn {
+				require.Equal(b, http.StatusOK, bench.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+			}
+			used[i] += processorTime(b) - began
+		}
+	}
+	for i, unit := range []string{"cpu-ns/without", "cpu-ns/with"} {
+		b.ReportMetric(float64(used[i])/float64(b.N*turn), unit)
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage unix.Rusage
+	require.NoError(b, unix.Getrusage(unix.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
