--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -83,28 +83,8 @@
 func (p plainAnswer) answer() Answer {
 	a := Answer{meta: p.meta}
 	a.Unreadable = slices.Concat(
-		DecodeEntries(p.Backends, func(entry json.RawMessage) error {
-			var r laburnumregistry.Record
-			if err := json.Unmarshal(entry, &r); err != nil {
-				return err
-			}
-			if err := r.Check(); err != nil {
-				return err
-			}
-			a.Backends = append(a.Backends, r)
-			return nil
-		}),
-		DecodeEntries(p.Remembered, func(entry json.RawMessage) error {
-			var r laburnumregistry.Record
-			if err := json.Unmarshal(entry, &r); err != nil {
-				return err
-			}
-			if err := r.Check(); err != nil {
-				return err
-			}
-			a.Remembered = append(a.Remembered, r)
-			return nil
-		}),
+		decodeRecords(p.Backends, &a.Backends),
+		decodeRecords(p.Remembered, &a.Remembered),
 		DecodeEntries(p.Room, func(entry json.RawMessage) error {
 			var l laburnumroom.Level
 			err := json.Unmarshal(entry, &l)
@@ -149,6 +129,21 @@
 	return a
 }
 
+// decodeRecords appends the records of a list that name a backend server to use.
+func decodeRecords(list json.RawMessage, records *[]laburnumregistry.Record) []error {
+	return DecodeEntries(list, func(entry json.RawMessage) error {
+		var r laburnumregistry.Record
+		if err := json.Unmarshal(entry, &r); err != nil {
+			return err
+		}
+		if err := r.Check(); err != nil {
+			return err
+		}
+		*records = append(*records, r)
+		return nil
+	})
+}
+
 // packedAnswer contains a compressed encoded answer.
 type packedAnswer struct {
 	Packed []byte `json:"packed,omitempty"`
