--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -70,8 +70,12 @@
 	Permit Permit
 	// Software is the only software version whose servers may take the request; empty for any.
 	Software laburnumlever.SoftwareVersion
+	// Rank is the rank whose headroom at the service the request leaves free; 0, the most urgent, leaves none.
+	Rank int
 	// ExceptSoftware are software versions whose servers may not take the request.
 	ExceptSoftware []laburnumlever.SoftwareVersion
+	// Connections is the number of connections that this VM may have to one server, each of which carries one request; 0 for any.
+	Connections int
 }
 
 // fits reports whether a server runs software that may take the request.
@@ -113,8 +117,8 @@
 	// limited ones.
 	AdapterAbsent
 	// Full means that every server outside backoff that holds the model and adapter, except for
-	// limited ones, has no free slot, has just refused a request or has too many unread prompts, or
-	// that the request's permit is not valid yet.
+	// limited ones, has no free slot or no connection left for this VM, has just refused a request or has
+	// too many unread prompts, or that the request's permit is not valid yet.
 	Full
 )
 
@@ -168,6 +172,8 @@
 	Rested bool
 	// PassedOver means that the server was asked how it is, and was sent nothing.
 	PassedOver bool
+	// NoConnection means that this VM had as many connections to the server open as it may have.
+	NoConnection bool
 }
 
 // Table holds the state of the backend servers as seen by this VM.
@@ -182,6 +188,8 @@
 	// failing are the servers that have counted a failure since the last call of Outcomes.
 	failing   map[laburnumlever.BackendID]*server
 	prefixes  *prefixes
+	headroom  map[laburnumlever.ServiceName]map[int]float64
+	asked     map[serviceModel]askedModel
 	freeShare float64
 	retryTime time.Duration
 }
@@ -207,7 +215,7 @@
 		byService:   map[laburnumlever.ServiceName][]*server{},
 		byModel:     map[serviceModel][]*server{},
 		unreachable: map[laburnumlever.BackendID]struct{}{}, prefixes: newPrefixes(),
-		failing: map[laburnumlever.BackendID]*server{},
+		failing: map[laburnumlever.BackendID]*server{}, headroom: map[laburnumlever.ServiceName]map[int]float64{}, asked: map[serviceModel]askedModel{},
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -350,7 +358,7 @@
 func (t *Table) Outcomes() []laburnumlever.BackendOutcome {
 	var outcomes []laburnumlever.BackendOutcome
 	for id, s := range t.failing {
-		outcomes = append(outcomes, laburnumlever.BackendOutcome{Backend: id, Failed: s.failedSinceReport, Answered: s.answeredSinceReport})
+		outcomes = append(outcomes, laburnumlever.BackendOutcome{Backend: id, Incarnation: s.record.Heartbeat.Incarnation, Failed: s.failedSinceReport, Answered: s.answeredSinceReport})
 		s.failedSinceReport, s.answeredSinceReport = 0, 0
 	}
 	clear(t.failing)
@@ -433,7 +441,7 @@
 		unlimited = unlimited || !s.limited
 		if s.limited {
 			limited = append(limited, s.record.Heartbeat.Backend)
-		} else if now.Before(s.unreachableUntil) || now.Before(s.restUntil) || t.saturated(s, now, q.Queue) {
+		} else if now.Before(s.unreachableUntil) || now.Before(s.restUntil) || s.lacksConnection(q.Connections, now) || t.saturated(s, q, now) {
 			unavailable = append(unavailable, s.record.Heartbeat.Backend)
 		}
 	}
@@ -477,7 +485,7 @@
 	t.prefixes.add(best.record.Heartbeat, q)
 	return &Ticket{
 		Backend: best.record.Heartbeat, server: best, query: q, unreadPromptTime: unreadPromptTime, uncached: uncached, since: now,
-		mayBeFull: best.mayBeFull(now), limited: best.limited, trial: trial,
+		mayBeFull: best.mayBeFull(now) || t.mayLackHeadroom(best, q, now), limited: best.limited, trial: trial,
 		replaceable: found > 1,
 	}, Found
 }
@@ -487,6 +495,13 @@
 	return slices.ContainsFunc(t.candidates(q), func(s *server) bool { return q.fits(s) && t.verdictOn(s, q, now) == Found })
 }
 
+// LacksConnections reports whether a server that could serve the query lacks a connection for it.
+func (t *Table) LacksConnections(q Query, now time.Time) bool {
+	return slices.ContainsFunc(t.candidates(q), func(s *server) bool {
+		return q.fits(s) && s.lacksConnection(q.Connections, now) && s.holds(q.Model, q.Adapter, now)
+	})
+}
+
 // verdictOn returns whether one server can take the query, and why not: ModelAbsent also if it is
 // unreachable.
 func (t *Table) verdictOn(s *server, q Query, now time.Time) Verdict {
@@ -497,11 +512,11 @@
 		return Resting
 	case !s.holds(q.Model, q.Adapter, now):
 		return AdapterAbsent
-	case s.trialing:
+	case s.trialing || s.lacksConnection(q.Connections, now):
 		return Full
 	case s.limited:
 		return t.limitedVerdict(s, q, now)
-	case t.saturated(s, now, q.Queue):
+	case t.saturated(s, q, now):
 		return Full
 	default:
 		return Found
@@ -515,7 +530,7 @@
 		return Limited
 	case q.Permit.Leased:
 		return Found
-	case now.Before(q.Permit.From) || t.saturated(s, now, q.Queue):
+	case now.Before(q.Permit.From) || t.saturated(s, q, now):
 		return Full
 	default:
 		return Found
@@ -524,16 +539,17 @@
 
 // saturated tells whether the server has recently refused a request, has no free slot (unless the
 // request may queue there), or has reached the limit on this VM's unread prompts.
-func (t *Table) saturated(s *server, now time.Time, queue bool) bool {
-	return now.Before(s.fullUntil) || !queue && t.noSlot(s, now) || (s.unreadPromptTime > 0 && s.unreadPromptTime >= s.unreadPromptLimit)
+func (t *Table) saturated(s *server, q Query, now time.Time) bool {
+	return now.Before(s.fullUntil) || !q.Queue && t.noSlot(s, q, now) || (s.unreadPromptTime > 0 && s.unreadPromptTime >= s.unreadPromptLimit)
 }
 
-// noSlot tells whether the server's slots are taken, except for freeShare, by its last reported load.
+// noSlot tells whether the server's slots are taken, except for freeShare and the rank's headroom, by its last reported load.
 // After a refused reservation they count as taken until retryTime has passed, and then if this VM's
 // own requests take them.
-func (t *Table) noSlot(s *server, now time.Time) bool {
-	limit := float64(max(1, s.record.Heartbeat.Slots)) * (1 - t.freeShare)
-	if s.reservationRefused {
+func (t *Table) noSlot(s *server, q Query, now time.Time) bool {
+	headroom := t.headroomAt(s, q, now)
+	limit := float64(max(1, s.record.Heartbeat.Slots)) * (1 - max(t.freeShare, headroom))
+	if s.reservationRefused && headroom == 0 {
 		return now.Sub(s.othersAt) < t.retryTime || float64(s.own) >= limit
 	}
 	return s.load(now) >= limit
@@ -605,9 +621,16 @@
 	if result.PassedOver {
 		t.prefixes.forget(ticket.Backend, ticket.query, ticket.uncached)
 	}
+	s.noConnectionUntil = time.Time{}
+	if result.NoConnection {
+		s.noConnectionUntil = now.Add(t.retryTime)
+	}
 	if ticket.trial {
 		s.trialing = false
 	}
+	if t.servers[s.record.Heartbeat.Backend] != s {
+		return // it has restarted or is gone: the result tells nothing of the new start
+	}
 	t.countOutcome(s, result)
 	t.Observe(s.record.Heartbeat.Backend, result, now)
 	if result.Absent {
--- a/laburnumdirector/director.go
+++ b/laburnumdirector/director.go
@@ -9,6 +9,7 @@
 	"laburnumlever/laburnumoutlier"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumresidency"
+	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log"
@@ -46,7 +47,8 @@
 	isLeader      func() bool
 	onOverlay     func(laburnumregistry.Overlay)
 	onLeaseChange func(directs bool)
-	onReplaced    func(laburnumlever.BackendID)
+	onReplaced    func(laburnumlever.BackendStart)
+	onRoom        func(laburnumroom.Level)
 
 	// The following fields are used by the control thread only.
 	lease lease
@@ -58,6 +60,7 @@
 	stateRequests   int // state requests in flight
 	demand          *estimator
 	outliers        *laburnumoutlier.Detector
+	room            *laburnumroom.Keeper
 	storeBuckets    map[laburnumlever.ServiceName]*bucket
 	adapterRequests []*adapterRequest
 	startedAt       time.Time
@@ -83,10 +86,10 @@
 	return &Director{
 		loop: loop, timers: timers, proposer: proposer, calls: calls, self: self, cfg: cfg, clock: cfg.clock,
 		done: make(chan struct{}), isLeader: func() bool { return false },
-		onOverlay: func(laburnumregistry.Overlay) {}, onLeaseChange: func(bool) {}, onReplaced: func(laburnumlever.BackendID) {},
+		onOverlay: func(laburnumregistry.Overlay) {}, onLeaseChange: func(bool) {}, onReplaced: func(laburnumlever.BackendStart) {},
 		engineClasses: map[laburnumlever.ServiceName]*laburnumlever.EngineClass{},
 		records:       map[laburnumlever.BackendID]laburnumregistry.Record{},
-		engines:       newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), outliers: laburnumoutlier.New(), startedAt: timers.Now(),
+		engines:       newEngineTable(), demand: newEstimator(cfg.rise, cfg.fall, cfg.quiet), outliers: laburnumoutlier.New(), room: laburnumroom.NewKeeper(), startedAt: timers.Now(),
 		storeBuckets: map[laburnumlever.ServiceName]*bucket{},
 		layoutLogged: map[laburnumlever.ServiceName]time.Time{},
 		planning:     map[laburnumlever.ServiceName]bool{},
@@ -106,7 +109,7 @@
 
 // OnReplaced sets the callback for an engine at whose address another engine answers. The callback
 // runs on the control thread.
-func (d *Director) OnReplaced(fn func(laburnumlever.BackendID)) { d.onReplaced = fn }
+func (d *Director) OnReplaced(fn func(laburnumlever.BackendStart)) { d.onReplaced = fn }
 
 // Start starts the director's timer.
 func (d *Director) Start() {
@@ -172,6 +175,7 @@
 
 func (d *Director) onTick(now time.Time) {
 	d.maintainLease()
+	d.decideRoom(now)
 	if !d.lease.valid(d.clock()) {
 		return
 	}
@@ -198,6 +202,7 @@
 		d.recordAdapterUse(adapterKey{model: use.Model, adapter: use.Adapter}, now.Add(-time.Duration(use.Idle)))
 	}
 	d.onOutcomes(ev.report.Outcomes, now)
+	d.onRoomReport(ev.vm, ev.report.Room, now)
 	for _, id := range ev.report.Unreachable {
 		if e := d.engines.get(id); e != nil {
 			e.unreachableAt = now
@@ -296,7 +301,11 @@
 	for _, e := range changed {
 		e.changed = false
 		if d.engines.get(e.heartbeat.Backend) == e {
-			d.onOverlay(e.overlay(d.lease.fence, d.outliers.Detections(e.heartbeat.Backend)))
+			o := e.overlay(d.lease.fence, d.outliers.Detections(e.heartbeat.Backend, e.heartbeat.Incarnation))
+			if d.cfg.tellsLoads {
+				o.Loading = e.loading(d.timers.Now())
+			}
+			d.onOverlay(o)
 		}
 	}
 }
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -1,14 +1,19 @@
 package laburnumgateway
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumreturn"
 
 	"github.com/uber-go/tally/v4"
 )
 
+// putOffRanks is the number of ranks that are counted apart; the last one includes all after it.
+const putOffRanks = 10
+
 // latencyBuckets range from a round trip between zones to the longest timeout of a route.
 var latencyBuckets = tally.DurationBuckets{
 	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
@@ -36,6 +41,10 @@
 	// streamsRecorded and streamsUnrecorded count streams whose software version some control VM keeps, or none.
 	streamsRecorded, streamsUnrecorded tally.Counter
 
+	// answersHeld counts answers of which a part was held for a slow caller, by what became of it; heldBytes is what is held now.
+	answersHeld map[heldOutcome]tally.Counter
+	heldBytes   tally.Gauge
+
 	// attemptsEnded and answersCut count attempts that a verdict on links ended, before and after a part of the answer was
 	// received.
 	attemptsEnded, answersCut map[attemptEnd]tally.Counter
@@ -45,10 +54,16 @@
 	reservations map[reserveOutcome]tally.Counter
 	looks        map[lookOutcome]tally.Counter
 	slots        map[slotOutcome]tally.Counter
+	// returnsAtOnce and returnsAfterWait count callers that were told when a slot or a model is expected, before and after they
+	// waited.
+	returnsAtOnce, returnsAfterWait map[laburnumreturn.Kind]tally.Counter
 	// leaseProbes and leaseWaits count calls for leases of brittle servers that don't wait for one, and those that do.
 	leaseProbes, leaseWaits map[slotOutcome]tally.Counter
 	scope                   tally.Scope
 
+	// putOff counts less urgent requests that left a free slot to more urgent ones, by rank.
+	putOff [putOffRanks]tally.Counter
+
 	mu        sync.Mutex
 	latencies map[laburnumlever.ServiceName]*latencies
 }
@@ -79,6 +94,7 @@
 		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), linksLost: scope.Counter("links_lost"), detours: scope.Counter("detours"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
 		reservations: map[reserveOutcome]tally.Counter{}, looks: map[lookOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
+		returnsAtOnce: map[laburnumreturn.Kind]tally.Counter{}, returnsAfterWait: map[laburnumreturn.Kind]tally.Counter{},
 		leaseProbes: map[slotOutcome]tally.Counter{}, leaseWaits: map[slotOutcome]tally.Counter{},
 		latencies:     map[laburnumlever.ServiceName]*latencies{},
 		attemptsEnded: map[attemptEnd]tally.Counter{}, answersCut: map[attemptEnd]tally.Counter{},
@@ -88,12 +104,19 @@
 		c.attemptsEnded[verdict], c.answersCut[verdict] = tagged.Counter("attempts_ended"), tagged.Counter("answers_cut")
 	}
 	c.crashesUnconfirmed = scope.Counter("backend_crashes_unconfirmed")
+	c.answersHeld, c.heldBytes = map[heldOutcome]tally.Counter{}, scope.Gauge("held_bytes")
+	for _, outcome := range heldOutcomeValues() {
+		c.answersHeld[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("answers_held")
+	}
 	c.loadsUnclear = scope.Counter("loads_unclear")
 	c.rests, c.leaves = scope.Counter("backend_rests"), scope.Counter("backend_leaves")
 	c.callersLeftUnsent = scope.Tagged(map[string]string{"sent": "false"}).Counter("callers_left")
 	c.callersLeftSent = scope.Tagged(map[string]string{"sent": "true"}).Counter("callers_left")
 	c.streamsRecorded = scope.Tagged(map[string]string{"outcome": "kept"}).Counter("stream_records")
 	c.streamsUnrecorded = scope.Tagged(map[string]string{"outcome": "not-kept"}).Counter("stream_records")
+	for rank := range c.putOff {
+		c.putOff[rank] = scope.Tagged(map[string]string{"rank": strconv.Itoa(rank)}).Counter("requests_put_off")
+	}
 	for _, outcome := range reserveOutcomeValues() {
 		c.reservations[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("reservations")
 	}
@@ -105,6 +128,10 @@
 		c.leaseProbes[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String(), "waits": "false"}).Counter("lease_calls")
 		c.leaseWaits[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String(), "waits": "true"}).Counter("lease_calls")
 	}
+	for _, kind := range []laburnumreturn.Kind{laburnumreturn.Drain, laburnumreturn.ModelLoad} {
+		c.returnsAtOnce[kind] = scope.Tagged(map[string]string{"expected": kind.String(), "waited": "false"}).Counter("returns_told")
+		c.returnsAfterWait[kind] = scope.Tagged(map[string]string{"expected": kind.String(), "waited": "true"}).Counter("returns_told")
+	}
 	for _, reason := range laburnumlever.RefusalReasonValues() {
 		c.refusals[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals")
 	}
@@ -142,6 +169,9 @@
 	return l
 }
 
+// countPutOff counts a request that left a free slot to more urgent ones.
+func (c *counters) countPutOff(rank int) { c.putOff[min(max(0, rank), putOffRanks-1)].Inc(1) }
+
 // countLease counts a call for a lease.
 func (c *counters) countLease(outcome slotOutcome, waits bool) {
 	c.slots[outcome].Inc(1)
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -81,6 +81,18 @@
 // Unwrap returns the cause.
 func (e *CallerGoneError) Unwrap() error { return e.Cause }
 
+// SlowCallerError is a caller whose connection this VM ended, since the caller had taken nothing for the time of Silence, or that left,
+// while Held bytes of its answer were held.
+type SlowCallerError struct {
+	Outcome heldOutcome
+	Held    int
+	Silence time.Duration
+}
+
+func (e *SlowCallerError) Error() string {
+	return fmt.Sprintf("the caller took nothing for %s, %d bytes of its answer were held (%s)", e.Silence, e.Held, e.Outcome)
+}
+
 // PanicError is a panic of the gateway's own code at a request.
 type PanicError struct{ Value any }
 
@@ -98,6 +110,14 @@
 	return fmt.Sprintf("backend server %q has restarted, leaves or is gone", e.Backend)
 }
 
+// CrowdedServerError says that an engine has too few free slots for a request of its rank.
+type CrowdedServerError struct{ Backend laburnumlever.BackendID }
+
+// Error implements error.
+func (e *CrowdedServerError) Error() string {
+	return fmt.Sprintf("engine %q leaves its free slots to more urgent requests", e.Backend)
+}
+
 // ServerRestsError is a backend server that has asked for rest since it was picked.
 type ServerRestsError struct{ Backend laburnumlever.BackendID }
 
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -15,6 +15,8 @@
 	"laburnumlever/laburnumpace"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumreturn"
+	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
 	"laburnumlever/laburnumtimer"
@@ -48,7 +50,7 @@
 	readTimes laburnumdemand.ReadTimes
 	// replaced lists backend servers whose address now belongs to another one and that have not
 	// been reported yet.
-	replaced []laburnumlever.BackendID
+	replaced []laburnumlever.BackendStart
 	// leavers are those that have said in an answer that they leave, and have not been reported yet.
 	leavers  []laburnumlever.BackendStart
 	gateways int // the largest number seen
@@ -70,9 +72,13 @@
 	keepers        LimitKeepers
 	streams        *streams
 	sharedMachines laburnumlever.SharedMachines
+	returns        returns
 	remembered     remembered
 	// paces are the services of which a backend server has told its pace.
 	paces map[laburnumlever.ServiceName]*laburnumpace.Service
+	// room holds what less urgent requests leave free, roomMeter what requests ask for and get.
+	room      *laburnumroom.Table
+	roomMeter *laburnumroom.Meter
 	// unclearLoads are the backend servers of which an unreadable load was logged.
 	unclearLoads map[laburnumlever.BackendID]struct{}
 	// queueWoken is closed when queued requests must check whether they can still be served.
@@ -102,8 +108,10 @@
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), partAnswers: laburnumquarantine.NewPartAnswers(), reporter: silentReporter{},
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
+		returns:      returns{loads: laburnumreturn.Loads{Lag: period}},
 		remembered:   newRemembered(timers.Now(), period),
 		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paces: map[laburnumlever.ServiceName]*laburnumpace.Service{},
+		room: laburnumroom.NewTable(), roomMeter: laburnumroom.NewMeter(vm, timers.Now()),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -135,12 +143,14 @@
 	}
 	for _, o := range a.Overlays {
 		f.balance.SetOverlay(o, now)
+		f.noteLoads(o, now)
 	}
 	f.noteVersions(versions)
 	f.noteAnswer(address, a)
 	f.applyQuarantine(address, a.Boot, a.Quarantine, now)
 	f.applyLimits(a.Limits, now)
 	f.applyBrittle(a.Brittle, now)
+	f.applyRoom(a.Room, now)
 	f.serveQueue()
 }
 
@@ -201,14 +211,18 @@
 	defer f.mu.Unlock()
 	now := f.timers.Now()
 	replaced, leavers := f.replaced, f.leavers
+	var replacedIDs []laburnumlever.BackendID
+	for _, r := range replaced {
+		replacedIDs = append(replacedIDs, r.Backend)
+	}
 	f.replaced, f.leavers = nil, nil
 	unreachable := f.balance.Unreachable(now)
 	if f.linksDoubted.Load() {
 		unreachable = nil
 	}
 	return laburnumlever.GatewayReport{
-		Demand: f.demand.Take(now, f.readTimes), Adapters: f.adapters.Take(now), Unreachable: unreachable, Replaced: replaced,
-		Outcomes: f.balance.Outcomes(), Leaving: leavers,
+		Demand: f.demand.Take(now, f.readTimes), Adapters: f.adapters.Take(now), Unreachable: unreachable, Replaced: replacedIDs, ReplacedStarts: replaced,
+		Outcomes: f.balance.Outcomes(), Leaving: leavers, Room: f.roomMeter.Take(now),
 	}
 }
 
@@ -217,7 +231,7 @@
 	x := f.index.Load()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	status := laburnumlever.RoleStatus{Gateways: f.gateways, Queued: f.queue.Len()}
+	status := laburnumlever.RoleStatus{Gateways: f.gateways, Queued: f.queue.Len(), Room: f.room.Status(f.timers.Now())}
 	if x != nil {
 		status.RoutesVersion = x.Table().Version
 		status.Services = f.registry.Summary(x.Table().Services)
@@ -269,6 +283,7 @@
 	defer f.mu.Unlock()
 	f.adapters.RequestEnded(q.caller.Model, q.caller.Adapter, f.timers.Now())
 	f.balance.End(t, result, f.timers.Now())
+	f.noteHeld(q, result)
 	f.serveQueue()
 }
 
@@ -308,11 +323,12 @@
 }
 
 // removeReplaced removes a backend server whose address now belongs to another one.
-func (f *Fleet) removeReplaced(id laburnumlever.BackendID) {
+func (f *Fleet) removeReplaced(to laburnumlever.Heartbeat) {
+	id := to.Backend
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.registry.Remove(id, f.timers.Now()) {
-		f.replaced = append(f.replaced, id)
+	if f.registry.RemoveStart(id, to.Incarnation, f.timers.Now()) {
+		f.replaced = append(f.replaced, laburnumlever.BackendStart{Backend: id, Incarnation: to.Incarnation})
 		r, _ := f.registry.Record(id)
 		f.updateBackend(r)
 		_ = level.Info(f.logger).Log("event", laburnumlever.EventBackendReplaced, "backend", id)
@@ -363,12 +379,21 @@
 	return f.balance.Unavailable(f.query(q), f.timers.Now())
 }
 
+// lacksConnections reports whether a backend server could serve a request if this gateway might open one more connection to it.
+func (f *Fleet) lacksConnections(q *request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balance.LacksConnections(f.query(q), f.timers.Now())
+}
+
 // query returns the query for the balancer. The caller must hold mu.
 func (f *Fleet) query(q *request) laburnumbalance.Query {
 	query := q.query()
 	query.ReadTime = f.readTimes.Of(q.caller.Model)
 	query.ExceptSoftware = f.settlingVersions(q)
 	f.addPace(&query)
+	query.Rank = f.headroomRank(q)
+	query.Connections = connectionShare(q.service, f.gateways)
 	return query
 }
 
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumreturn"
 	"laburnumlever/laburnumtunnel"
 	"laburnumlever/laburnumupstream"
 
@@ -45,8 +46,10 @@
 	retryBudget RetryBudget
 	logger      log.Logger
 	counters    *counters
+	refusals    refusalWindow
 	crashes     *crashDetector
 	buffers     *bufferBudget
+	backlogs    *backlogs
 	links       *links
 	// notify tells a helper what a backend server asked of it; refusesServer is called with the address of one that takes no
 	// requests of this VM from now on.
@@ -105,6 +108,7 @@
 		g.pool = laburnumupstream.New()
 	}
 	g.crashes = newCrashDetector(g)
+	g.backlogs = newBacklogs(g)
 	g.links = newLinks(g)
 	return g
 }
@@ -112,6 +116,9 @@
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
+// HeldBytes returns how much of answers is held for callers that read slowly.
+func (g *Gateway) HeldBytes() int { return g.backlogs.heldBytes() }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
@@ -123,6 +130,7 @@
 	if conn, ok := q.conn.(*callerConn); ok {
 		conn.setServing(true)
 		defer conn.setServing(false)
+		g.backlogs.serveHeld(conn)
 	}
 	out := &answer{w: w}
 	defer g.endPanicked(q, out)
@@ -130,6 +138,7 @@
 		g.answerRefusal(w, q, err)
 		return
 	}
+	g.backlogs.servesRequest(q)
 	g.countRequest(q)
 	if err := g.fleet.refuseQuarantined(q); err != nil {
 		g.answerRefusal(w, q, err)
@@ -161,11 +170,17 @@
 		target: time.Duration(q.route.Target), pauseTarget: time.Duration(q.route.PauseTarget), waited: q.waited,
 		first: out.firstAt.Sub(q.arrived), pause: out.pause, sent: q.sent,
 	}
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name,
+	fields := []any{
+		"event", laburnumlever.EventRequestServed, "request-id", q.caller.ID, "route", q.route.Name, "account", q.accountName(),
 		"backend", q.backend, "model", q.caller.Model, "adapter", q.caller.Adapter, "sends", q.sent, "taken", q.refusedReservations, "looks", q.looks, "pace", q.pace,
 		"via", q.via, "late", t.lateness(), "waited-ms", millis(q.waited), "first-ms", millis(t.first), "pause-ms", millis(out.pause),
 		"whole-ms", millis(out.lastAt.Sub(q.arrived)), "events", out.events, "prompt-tokens", q.caller.PromptTokens,
-		"routes-version", q.routesVersion, "software", q.software, "resumes", q.caller.Resumes)
+		"routes-version", q.routesVersion, "software", q.software, "resumes", q.caller.Resumes,
+	}
+	if held := g.backlogs.maxHeld(q); held > 0 {
+		fields = append(fields, "held-bytes", held)
+	}
+	_ = level.Info(g.logger).Log(fields...)
 }
 
 func millis(d time.Duration) int64 { return d.Milliseconds() }
@@ -232,6 +247,7 @@
 // endGone ends the answer to a caller that has left. It may have closed its side of the connection only, so that it would take what
 // the server writes by itself for a success.
 func (g *Gateway) endGone(q *request, out *answer) {
+	g.backlogs.dropHeld(q.conn, heldCallerGone)
 	if out.started {
 		panic(http.ErrAbortHandler)
 	}
@@ -287,9 +303,11 @@
 	}
 	status := statusOf(refusal, q)
 	g.countRefusal(refusal.Reason)
+	q.retryIn = g.retryAfter(q, refusal)
+	g.tellReturn(q)
 	g.logRefusal(q, refusal.Reason, status, err)
-	if after := g.retryAfter(q, refusal); after > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	if q.retryIn > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(q.retryIn.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	g.writeRefusal(w, q, status, refusal.Reason.String()+"\n")
@@ -307,6 +325,9 @@
 		return 0
 	default:
 	}
+	if q.expected.Kind != laburnumreturn.Default {
+		return q.queueTimes().BoundRetryAfter(q.expected.After(rand.Float64()), g.timers.Now())
+	}
 	return q.queueTimes().RetryAfter(refusal.RetryAfter, rand.Float64(), g.timers.Now())
 }
 
@@ -341,6 +362,7 @@
 }
 
 func (g *Gateway) logRefusal(q *request, reason laburnumlever.RefusalReason, status int, err error) {
+	g.refusals.add(q.accountName(), reason, g.timers.Now())
 	route := laburnumlever.RouteName("")
 	if q.route != nil {
 		route = q.route.Name
@@ -348,6 +370,6 @@
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventRequestRefused, "request-id", q.caller.ID, "route", route,
 		"account", q.accountName(), "reason", reason, "status", status, "touched", q.mayHaveRun, "sends", q.sent, "sent-ago-ms", q.sentAgo(g.timers.Now()), "tries", q.tries, "not-retried", q.obstacle, "taken", q.refusedReservations, "routes-version", q.routesVersion,
 		"model", q.caller.Model, "adapter", q.caller.Adapter, "via", q.via, "avoid", q.avoid, "digest", q.contentDigest, "parts", q.caller.SharedParts(),
-		"software", q.software, "resumes", q.caller.Resumes,
+		"software", q.software, "resumes", q.caller.Resumes, "retry-in-ms", millis(q.retryIn), "expected", q.expected.Kind, "at-once", q.refusedAtOnce,
 		"ms", g.timers.Now().Sub(q.arrived).Milliseconds(), "cause", err)
 }
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -14,6 +14,7 @@
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumretry"
+	"laburnumlever/laburnumreturn"
 	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumslotqueue"
 	"laburnumlever/laburnumsocket"
@@ -74,6 +75,21 @@
 	receipt laburnumquota.Receipt
 	// arrivalCounted is set once the queue has counted the request for its account.
 	arrivalCounted bool
+	// freePass is set if no headroom applies, slotCounted once it is counted whether the request got a slot in time.
+	freePass, slotCounted bool
+	// foundFull is set once all servers that could serve the request were full.
+	foundFull bool
+	// byUrgency is set if backend servers are told the rank.
+	byUrgency bool
+	// asked is when the caller first asked, if it was told to return then; else zero.
+	asked time.Time
+	// expected is what is expected for the caller when it is refused, retryIn the delay that it is told.
+	expected laburnumreturn.Expectation
+	retryIn  time.Duration
+	// drainCounted is set while the request waits for a slot, drained from then until it is sent. refusedAtOnce is set if it did not
+	// wait since it would have done so
+	// in vain, loadAwaited if it has waited for the end of a load.
+	drainCounted, drained, refusedAtOnce, loadAwaited bool
 	// rank is the priority by account and route.
 	rank                int
 	refusedReservations int
@@ -278,6 +294,9 @@
 		params.Account = q.account.Name
 		params.Urgency, params.HasUrgency = q.account.Priority, q.accountIndex.DiffersByAccount()
 	}
+	if q.byUrgency {
+		params.Urgency, params.HasUrgency = q.rank, true
+	}
 	return params
 }
 
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -105,7 +105,8 @@
 // *laburnumlever.ListenError.
 func (g *Gateway) Start(ready func(ready func() bool) http.Handler) error {
 	g.follower = laburnumfeed.NewFollower(g.peers, g.timers, g.self, g.seedPeers(), g.fleet,
-		laburnumfeed.WithLogger(g.logger), laburnumfeed.WithHelper(g.helperAddress))
+		laburnumfeed.WithLogger(g.logger), laburnumfeed.WithHelper(g.helperAddress),
+		laburnumfeed.WithForeignEntries(laburnumfeed.NewForeignEntries(g.logger, g.metrics.Scope())))
 	if err := g.serve("peers", g.settings.PeerListen(), newServer(g.tunnels)); err != nil {
 		return err
 	}
@@ -119,7 +120,7 @@
 	g.fleet.StartConfirming()
 	g.gateway.Start()
 	g.timers.Every(sweepPeriod, func(time.Time) { g.gateway.Sweep() })
-	_ = level.Info(g.logger).Log("event", laburnumlever.EventStarted, "role", "gateway", "callers", g.settings.Listen.Callers)
+	_ = level.Info(g.logger).Log("event", laburnumlever.EventStarted, "role", "gateway", "zone", g.self.Zone, "callers", g.settings.Listen.Callers)
 	return nil
 }
 
--- a/laburnumroles/status.go
+++ b/laburnumroles/status.go
@@ -49,6 +49,8 @@
 	role := g.fleet.Status()
 	role.Role, role.VM, role.Zone = "gateway", g.self.ID, g.self.Zone
 	role.Director, role.Ready, role.InFlight = g.follower.Director(), g.gateway.Ready(), g.gateway.InFlight()
+	role.Refusals = g.gateway.Refusals()
+	role.HeldBytes = g.gateway.HeldBytes()
 	return laburnumlever.Status{Role: &role}
 }
 
@@ -58,6 +60,7 @@
 	role.Gateways, role.Controls = c.source.Gateways(), len(c.source.Controls())+1
 	role.Accounts = c.quotas.status()
 	role.Parts = c.quarantine.status()
+	role.Room = c.roomStatus()
 	if routes := c.routes.Load(); routes != nil {
 		role.RoutesVersion = routes.Version
 		c.mu.Lock()
--- a/laburnumroutes/index.go
+++ b/laburnumroutes/index.go
@@ -18,6 +18,8 @@
 	topPriority map[laburnumlever.ServiceName]int
 	// pauseTargets are the shortest pause targets of each service's routes.
 	pauseTargets map[laburnumlever.ServiceName]laburnumlever.Duration
+	// differing are the services whose routes differ in priority.
+	differing map[laburnumlever.ServiceName]struct{}
 	// accounts are the client accounts by the hashes of their keys, topAccount the priority of the most urgent
 	// one.
 	accounts   map[laburnumlever.KeyHash]*laburnumlever.Account
@@ -32,7 +34,7 @@
 func NewIndex(table laburnumlever.RouteTable) *Index {
 	x := &Index{
 		table: table, byHost: map[string]map[string]*laburnumlever.Route{}, topPriority: map[laburnumlever.ServiceName]int{},
-		pauseTargets: map[laburnumlever.ServiceName]laburnumlever.Duration{},
+		differing: map[laburnumlever.ServiceName]struct{}{}, pauseTargets: map[laburnumlever.ServiceName]laburnumlever.Duration{},
 	}
 	for i := range table.Routes {
 		r := &table.Routes[i]
@@ -90,7 +92,11 @@
 
 func (x *Index) recordPriority(r *laburnumlever.Route) {
 	for _, share := range r.Split {
-		if top, ok := x.topPriority[share.Service]; !ok || r.Priority < top {
+		top, ok := x.topPriority[share.Service]
+		if ok && r.Priority != top {
+			x.differing[share.Service] = struct{}{}
+		}
+		if !ok || r.Priority < top {
 			x.topPriority[share.Service] = r.Priority
 		}
 	}
@@ -112,6 +118,12 @@
 	return time.Duration(x.pauseTargets[service])
 }
 
+// Differs reports whether requests to a service differ in rank.
+func (x *Index) Differs(service laburnumlever.ServiceName) bool {
+	_, differs := x.differing[service]
+	return differs || x.DiffersByAccount()
+}
+
 // MostUrgent tells whether no route to the service has a more urgent priority than the given one.
 func (x *Index) MostUrgent(service laburnumlever.ServiceName, priority int) bool {
 	top, ok := x.topPriority[service]
--- a/laburnumslotqueue/queue.go
+++ b/laburnumslotqueue/queue.go
@@ -22,6 +22,8 @@
 	// Priority 0 is the most urgent.
 	Priority int
 	Arrived  time.Time
+	// Asked is when the caller first asked, if it was refused and told to return; else zero. The order is by it then.
+	Asked time.Time
 	// OnTimeUntil is the latest time at which a slot still lets the answer start in time.
 	OnTimeUntil time.Time
 	// Account is the client account that the request belongs to; empty for none. Cost is its size in a unit that all
@@ -31,9 +33,18 @@
 	// Admit is called at most once, by Queue.Serve, with the reserved slot.
 	Admit    func(*laburnumbalance.Ticket)
 	admitted bool
+	// beyondUsual is set if the account surges and this is not of the part that is usual for it.
+	beyondUsual bool
 }
 
-// Queue orders requests by priority, then by whether their client account asks for far more than its usual, then by arrival.
+func (r *Request) asked() time.Time {
+	if r.Asked.IsZero() {
+		return r.Arrived
+	}
+	return r.Asked
+}
+
+// Queue orders requests by priority, then by whether it is what their client account asks for beyond its usual in a surge, then by arrival.
 type Queue struct {
 	// InOrder serves strictly in that order, whether or not answers can still start in time.
 	InOrder  bool
@@ -53,15 +64,32 @@
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(q.requests, r, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.Arrived.Compare(b.Arrived), -1)
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.asked().Compare(b.asked()), -1)
 	})
 	q.requests = slices.Insert(q.requests, at, r)
 	return true
 }
 
+// SetSurging sets the client accounts that ask for far more than their usual of a service over all gateways. They come last like those
+// whose requests on this gateway show it.
+func (q *Queue) SetSurging(service laburnumlever.ServiceName, accounts []laburnumlever.AccountName) {
+	q.shares.setTold(service, accounts)
+}
+
 // Arrived records a request that asks for a slot for the first time.
 func (q *Queue) Arrived(r *Request, now time.Time) { q.shares.add(r, now) }
 
+// Ahead returns the number of queued requests with the same target that get a slot before a request.
+func (q *Queue) Ahead(r *Request, now time.Time) int {
+	n := 0
+	for _, o := range q.requests {
+		if o.target() == r.target() && cmp.Or(cmp.Compare(o.Priority, r.Priority), o.asked().Compare(r.asked())) < 0 && (q.InOrder || !now.After(o.OnTimeUntil)) {
+			n++
+		}
+	}
+	return n
+}
+
 func (q *Queue) queuedBy(account laburnumlever.AccountName) int {
 	n := 0
 	for _, r := range q.requests {
@@ -84,19 +112,21 @@
 // same slots.
 type target struct {
 	service laburnumlever.ServiceName
+	// rank tells apart requests of which some may take a slot that others must leave free.
+	rank    int
 	model   laburnumlever.ModelName
 	adapter laburnumlever.AdapterName
 }
 
 func (r *Request) target() target {
-	return target{service: r.Query.Service, model: r.Query.Model, adapter: r.Query.Adapter}
+	return target{service: r.Query.Service, rank: r.Query.Rank, model: r.Query.Model, adapter: r.Query.Adapter}
 }
 
 // Serve admits requests while there are free slots, first those whose answer can still start in
 // time.
 func (q *Queue) Serve(now time.Time, reserve ReserveFunc) {
 	full := map[target]bool{}
-	order := q.shares.order(q.requests, now)
+	order := order(q.requests)
 	onTime := func(r *Request) bool { return q.InOrder || !now.After(r.OnTimeUntil) }
 	admitted := q.admit(order, full, reserve, onTime)
 	admitted += q.admit(order, full, reserve, func(r *Request) bool { return !onTime(r) })
--- a/logevent.go
+++ b/logevent.go
@@ -16,6 +16,8 @@
 	EventRequestPanicked
 	// EventAttemptFailed is an attempt at a backend server that returned no complete answer.
 	EventAttemptFailed
+	// EventSlowCallerEnded is a caller whose connection was ended since it did not take its answer, and why.
+	EventSlowCallerEnded
 	// EventReservationUnclear is an engine's answer to a slot reservation that is neither a grant
 	// nor a refusal.
 	EventReservationUnclear // place-not-reserved
@@ -100,6 +102,10 @@
 	EventBrittleChanged
 	// EventLoadUnclear is a backend server that tells a load or pace which can't be read, logged once for each server.
 	EventLoadUnclear
+	// EventRoomChanged is a change of the share of a service's slots that less urgent requests leave free.
+	EventRoomChanged
+	// EventForeignEntry is an entry of another writer that names no backend server to use, logged once for each source and reason.
+	EventForeignEntry
 	// EventLimitUnclear is an answer that names a limit which can't be read.
 	EventLimitUnclear
 	// EventSlotRequested is a request that asked for a slot at a limited backend server.
