--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -87,8 +87,7 @@
 	expected laburnumreturn.Expectation
 	retryIn  time.Duration
 	// drainCounted is set while the request waits for a slot, drained from then until it is sent. refusedAtOnce is set if it did not
-	// wait since it would have done so
-	// in vain, loadAwaited if it has waited for the end of a load.
+	// wait, since it would have waited in vain, loadAwaited if it has waited for the end of a load.
 	drainCounted, drained, refusedAtOnce, loadAwaited bool
 	// rank is the priority by account and route.
 	rank                int
