--- a/laburnumbalance/pace_test.go
+++ b/laburnumbalance/pace_test.go
@@ -17,8 +17,7 @@
 	return q
 }
 
-// Guards against streams that pause for a long prompt on a slow machine while another engine could have read it, and against
-// prompts that wait, or go to the slowest engine, while all are slow.
+// Guards against streams that pause for a long prompt on a slow machine, and against prompts that wait while all are slow.
 func TestLongPromptIsReadElsewhere(t *testing.T) {
 	near, far := record(1, "brest", "m0"), record(2, "lyon", "m0")
 	for _, c := range []struct {
@@ -45,8 +44,7 @@
 	}
 }
 
-// Guards against a prompt that counts as cached at an engine that was passed over, so that it is sent there after all, and against a
-// pace of an engine's last start that counts for its new one under the same id.
+// Guards against an engine that was passed over and counts as caching the prompt, or as slow after a restart under its id.
 func TestPassedOverEngineIsUsedAgainAfterARestart(t *testing.T) {
 	before := record(1, "brest", "m0")
 	after := before
--- a/laburnumdirector/room_test.go
+++ b/laburnumdirector/room_test.go
@@ -10,8 +10,7 @@
 	"laburnumlever/laburnumroom"
 )
 
-// Guards against two control VMs that both decide which requests leave slots free, and against a new one whose decisions gateways take
-// for old ones.
+// Guards against two control VMs that both decide headroom, and against a new one whose decisions count as old.
 func TestOnlyTheDirectorDecidesHeadroom(t *testing.T) {
 	w := newCluster(t, 2, 3, 2)
 	var decided [2][]laburnumroom.Level
--- a/laburnumfeed/room_test.go
+++ b/laburnumfeed/room_test.go
@@ -11,8 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against levels that don't reach gateways, that come back after another VM became the director, or that builds without them
-// can't read.
+// Guards against levels that don't reach gateways, outlast their director, or can't be read by builds without them.
 func TestRoomLevelsReachGateways(t *testing.T) {
 	s, peers, timers := newTestSource()
 	var reported laburnumlever.GatewayReport
--- a/laburnumgateway/look_test.go
+++ b/laburnumgateway/look_test.go
@@ -56,8 +56,7 @@
 	return b
 }
 
-// Guards against streams that pause for a long prompt on a machine that has turned slow since the gateway last heard from it, and
-// against prompts that are lost with an engine which does not answer its health path.
+// Guards against long prompts on a machine that has turned slow, and against prompts lost with an engine that answers no look.
 func TestLongPromptIsSentAfterALook(t *testing.T) {
 	for _, c := range []struct {
 		name      string
