test: review case 5, requests that go on twice beside a cut

Cause: the verdict that a gateway has lost its links is one of the whole machine, so that it ends attempts at servers that it reaches.

--- a/review/cases/server.go
+++ b/review/cases/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -47,8 +48,10 @@
 	// serve answers a request that has a slot.
 	serve func(ctx context.Context, s *server, x *exchange)
 	// before, if set, may answer a call before anything else; it reports whether it did.
-	before func(ctx context.Context, s *server, x *exchange) bool
-	engine *engine // nil for a plain service
+	// announced is the address that it announces, if that is not its own.
+	announced string
+	before    func(ctx context.Context, s *server, x *exchange) bool
+	engine    *engine // nil for a plain service
 
 	mu       sync.Mutex
 	ln       net.Listener
@@ -304,7 +307,7 @@
 		state = "draining"
 	}
 	document := map[string]any{
-		"service": s.service, "address": s.address(), "zone": s.zone, "version": "v1", "slots": s.slots, "state": state,
+		"service": s.service, "address": cmp.Or(s.announced, s.address()), "zone": s.zone, "version": "v1", "slots": s.slots, "state": state,
 		"cold_remaining_ms": 0, "seq": s.seq,
 	}
 	first := s.beatAt
