style: format the stand-ins of review case 2

Cause: the formatter takes in every file of the tree, also those of a module of its own, and breaks lines that are too long.

--- a/review/cases/limit.go
+++ b/review/cases/limit.go
@@ -14,12 +14,18 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			map[string]any{"name": "quote", "hostname": "quotes.example", "path_prefix": "/quote/", "kind": "streaming", "timeout_ms": 12000, "target_latency_ms": 300,
-				"priority": 1, "service": "devis", "max_attempts": 1, "sticky": true, "resumable": false, "gap_aim_ms": 150},
-			map[string]any{"name": "confirm", "hostname": "visits.example", "path_prefix": "/confirm/", "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 300,
-				"priority": 0, "service": "rdv", "max_attempts": 1},
-			map[string]any{"name": "lookup", "hostname": "visits.example", "path_prefix": "/slots/", "kind": "idempotent", "timeout_ms": 3000, "target_latency_ms": 300,
-				"priority": 0, "service": "rdv", "max_attempts": 2},
+			map[string]any{
+				"name": "quote", "hostname": "quotes.example", "path_prefix": "/quote/", "kind": "streaming", "timeout_ms": 12000, "target_latency_ms": 300,
+				"priority": 1, "service": "devis", "max_attempts": 1, "sticky": true, "resumable": false, "gap_aim_ms": 150,
+			},
+			map[string]any{
+				"name": "confirm", "hostname": "visits.example", "path_prefix": "/confirm/", "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 300,
+				"priority": 0, "service": "rdv", "max_attempts": 1,
+			},
+			map[string]any{
+				"name": "lookup", "hostname": "visits.example", "path_prefix": "/slots/", "kind": "idempotent", "timeout_ms": 3000, "target_latency_ms": 300,
+				"priority": 0, "service": "rdv", "max_attempts": 2,
+			},
 		},
 		"services": []any{
 			map[string]any{"name": "devis", "health_path": "/health", "max_conns": 200, "protocol": "h1", "tls": false, "engine": engine},
