feat: log commands that the log's leader rejects

Whether a change was rejected, and for which size, could not be told from logs or metrics: a command beyond the bound of the log was answered with a result code, and routes-proposed names the error only.

--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -11,6 +11,8 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumlog"
+
+	"github.com/go-kit/log/level"
 )
 
 const (
@@ -159,9 +161,7 @@
 		}
 		d, err := json.Marshal(entryData{At: at, Command: p.command})
 		if err != nil || len(d) > maxCommandBytes {
-			p.reply <- proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{
-				Code: laburnumlever.ResultInvalid, Detail: "the command can't be encoded or is larger than 4 MiB",
-			}}
+			v.rejectCommand(p, len(d), err)
 			continue
 		}
 		data = append(data, d)
@@ -178,6 +178,15 @@
 	}
 }
 
+// rejectCommand answers a command that can't be encoded or is larger than maxCommandBytes.
+func (v *Voter) rejectCommand(p proposal, size int, cause error) {
+	_ = level.Warn(v.cfg.logger).Log("event", laburnumlever.EventCommandRejected, "kind", p.command.Kind, "bytes", size, "limit", maxCommandBytes, "cause", cause)
+	v.cfg.scope.Counter("voter-commands-rejected").Inc(1)
+	p.reply <- proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{
+		Code: laburnumlever.ResultInvalid, Detail: "the command can't be encoded or is larger than 4 MiB",
+	}}
+}
+
 // tooFewVoters reports whether the first change must still be rejected, see
 // WithFirstChangeTolerance. Only committed voters count, since another leader may overwrite an
 // uncommitted configuration.
--- a/logevent.go
+++ b/logevent.go
@@ -153,7 +153,7 @@
 
 	// Routes and the catalogue.
 
-	// EventRoutesProposed is an operator's change of the routes and its result.
+	// EventRoutesProposed is an operator's change of the routes with the size of its text in bytes, and its result.
 	EventRoutesProposed
 	// EventRoutesRefused is an invalid change of the routes.
 	EventRoutesRefused
@@ -170,6 +170,8 @@
 
 	// EventBecameLeader is this VM becoming the leader of the log.
 	EventBecameLeader
+	// EventCommandRejected is a command that the leader can't append to the log, with its size in bytes and why.
+	EventCommandRejected
 	// EventNoLeader is a voter without a leader for a long time, and the voters whose votes it
 	// is waiting for.
 	EventNoLeader
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1074, 1083, 1097, 1112, 1129, 1144, 1157, 1172, 1183, 1197, 1210, 1236, 1254, 1268, 1285, 1304, 1325, 1334, 1344, 1361, 1371, 1380, 1394, 1406, 1422, 1429, 1437, 1444, 1451, 1468, 1484, 1498, 1516, 1529, 1539, 1556}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1074, 1090, 1099, 1113, 1128, 1145, 1160, 1173, 1188, 1199, 1213, 1226, 1252, 1270, 1284, 1301, 1320, 1341, 1350, 1360, 1377, 1387, 1396, 1410, 1422, 1438, 1445, 1453, 1460, 1467, 1484, 1500, 1514, 1532, 1545, 1555, 1572}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leaderno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -95,44 +95,45 @@
 	_ = x[EventRoutesNotFetched-(68)]
 	_ = x[EventCatalogueInEffect-(69)]
 	_ = x[EventBecameLeader-(70)]
-	_ = x[EventNoLeader-(71)]
-	_ = x[EventReplicaOpened-(72)]
-	_ = x[EventStartConfirmed-(73)]
-	_ = x[EventStartUnconfirmed-(74)]
-	_ = x[EventVotersChanged-(75)]
-	_ = x[EventLearnerAdded-(76)]
-	_ = x[EventLearnerRemoved-(77)]
-	_ = x[EventVoterAdded-(78)]
-	_ = x[EventVoterReplaced-(79)]
-	_ = x[EventVoterStandby-(80)]
-	_ = x[EventLeadershipNotHandedOver-(81)]
-	_ = x[EventExpiryNotEncoded-(82)]
-	_ = x[EventReplicaFailed-(83)]
-	_ = x[EventReplicaRegressed-(84)]
-	_ = x[EventDataFolderDamaged-(85)]
-	_ = x[EventDataFolderRegressed-(86)]
-	_ = x[EventLeaseAcquired-(87)]
-	_ = x[EventLeaseLost-(88)]
-	_ = x[EventLeaseNotRenewed-(89)]
-	_ = x[EventZoneOwned-(90)]
-	_ = x[EventZoneLost-(91)]
-	_ = x[EventControlThreadTimes-(92)]
-	_ = x[EventControlLost-(93)]
-	_ = x[EventControlRegained-(94)]
-	_ = x[EventStarted-(95)]
-	_ = x[EventDraining-(96)]
-	_ = x[EventDrained-(97)]
-	_ = x[EventStopped-(98)]
-	_ = x[EventSettingsReloaded-(99)]
-	_ = x[EventSettingsRefused-(100)]
-	_ = x[EventListenerEnded-(101)]
-	_ = x[EventMetricsNotServed-(102)]
-	_ = x[EventUnknownEvent-(103)]
-	_ = x[EventOverloaded-(104)]
-	_ = x[EventLogLinesDropped-(105)]
+	_ = x[EventCommandRejected-(71)]
+	_ = x[EventNoLeader-(72)]
+	_ = x[EventReplicaOpened-(73)]
+	_ = x[EventStartConfirmed-(74)]
+	_ = x[EventStartUnconfirmed-(75)]
+	_ = x[EventVotersChanged-(76)]
+	_ = x[EventLearnerAdded-(77)]
+	_ = x[EventLearnerRemoved-(78)]
+	_ = x[EventVoterAdded-(79)]
+	_ = x[EventVoterReplaced-(80)]
+	_ = x[EventVoterStandby-(81)]
+	_ = x[EventLeadershipNotHandedOver-(82)]
+	_ = x[EventExpiryNotEncoded-(83)]
+	_ = x[EventReplicaFailed-(84)]
+	_ = x[EventReplicaRegressed-(85)]
+	_ = x[EventDataFolderDamaged-(86)]
+	_ = x[EventDataFolderRegressed-(87)]
+	_ = x[EventLeaseAcquired-(88)]
+	_ = x[EventLeaseLost-(89)]
+	_ = x[EventLeaseNotRenewed-(90)]
+	_ = x[EventZoneOwned-(91)]
+	_ = x[EventZoneLost-(92)]
+	_ = x[EventControlThreadTimes-(93)]
+	_ = x[EventControlLost-(94)]
+	_ = x[EventControlRegained-(95)]
+	_ = x[EventStarted-(96)]
+	_ = x[EventDraining-(97)]
+	_ = x[EventDrained-(98)]
+	_ = x[EventStopped-(99)]
+	_ = x[EventSettingsReloaded-(100)]
+	_ = x[EventSettingsRefused-(101)]
+	_ = x[EventListenerEnded-(102)]
+	_ = x[EventMetricsNotServed-(103)]
+	_ = x[EventUnknownEvent-(104)]
+	_ = x[EventOverloaded-(105)]
+	_ = x[EventLogLinesDropped-(106)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -206,41 +207,42 @@
 	_LogEventName[1025:1043]: EventRoutesNotFetched,
 	_LogEventName[1043:1061]: EventCatalogueInEffect,
 	_LogEventName[1061:1074]: EventBecameLeader,
-	_LogEventName[1074:1083]: EventNoLeader,
-	_LogEventName[1083:1097]: EventReplicaOpened,
-	_LogEventName[1097:1112]: EventStartConfirmed,
-	_LogEventName[1112:1129]: EventStartUnconfirmed,
-	_LogEventName[1129:1144]: EventVotersChanged,
-	_LogEventName[1144:1157]: EventLearnerAdded,
-	_LogEventName[1157:1172]: EventLearnerRemoved,
-	_LogEventName[1172:1183]: EventVoterAdded,
-	_LogEventName[1183:1197]: EventVoterReplaced,
-	_LogEventName[1197:1210]: EventVoterStandby,
-	_LogEventName[1210:1236]: EventLeadershipNotHandedOver,
-	_LogEventName[1236:1254]: EventExpiryNotEncoded,
-	_LogEventName[1254:1268]: EventReplicaFailed,
-	_LogEventName[1268:1285]: EventReplicaRegressed,
-	_LogEventName[1285:1304]: EventDataFolderDamaged,
-	_LogEventName[1304:1325]: EventDataFolderRegressed,
-	_LogEventName[1325:1334]: EventLeaseAcquired,
-	_LogEventName[1334:1344]: EventLeaseLost,
-	_LogEventName[1344:1361]: EventLeaseNotRenewed,
-	_LogEventName[1361:1371]: EventZoneOwned,
-	_LogEventName[1371:1380]: EventZoneLost,
-	_LogEventName[1380:1394]: EventControlThreadTimes,
-	_LogEventName[1394:1406]: EventControlLost,
-	_LogEventName[1406:1422]: EventControlRegained,
-	_LogEventName[1422:1429]: EventStarted,
-	_LogEventName[1429:1437]: EventDraining,
-	_LogEventName[1437:1444]: EventDrained,
-	_LogEventName[1444:1451]: EventStopped,
-	_LogEventName[1451:1468]: EventSettingsReloaded,
-	_LogEventName[1468:1484]: EventSettingsRefused,
-	_LogEventName[1484:1498]: EventListenerEnded,
-	_LogEventName[1498:1516]: EventMetricsNotServed,
-	_LogEventName[1516:1529]: EventUnknownEvent,
-	_LogEventName[1529:1539]: EventOverloaded,
-	_LogEventName[1539:1556]: EventLogLinesDropped,
+	_LogEventName[1074:1090]: EventCommandRejected,
+	_LogEventName[1090:1099]: EventNoLeader,
+	_LogEventName[1099:1113]: EventReplicaOpened,
+	_LogEventName[1113:1128]: EventStartConfirmed,
+	_LogEventName[1128:1145]: EventStartUnconfirmed,
+	_LogEventName[1145:1160]: EventVotersChanged,
+	_LogEventName[1160:1173]: EventLearnerAdded,
+	_LogEventName[1173:1188]: EventLearnerRemoved,
+	_LogEventName[1188:1199]: EventVoterAdded,
+	_LogEventName[1199:1213]: EventVoterReplaced,
+	_LogEventName[1213:1226]: EventVoterStandby,
+	_LogEventName[1226:1252]: EventLeadershipNotHandedOver,
+	_LogEventName[1252:1270]: EventExpiryNotEncoded,
+	_LogEventName[1270:1284]: EventReplicaFailed,
+	_LogEventName[1284:1301]: EventReplicaRegressed,
+	_LogEventName[1301:1320]: EventDataFolderDamaged,
+	_LogEventName[1320:1341]: EventDataFolderRegressed,
+	_LogEventName[1341:1350]: EventLeaseAcquired,
+	_LogEventName[1350:1360]: EventLeaseLost,
+	_LogEventName[1360:1377]: EventLeaseNotRenewed,
+	_LogEventName[1377:1387]: EventZoneOwned,
+	_LogEventName[1387:1396]: EventZoneLost,
+	_LogEventName[1396:1410]: EventControlThreadTimes,
+	_LogEventName[1410:1422]: EventControlLost,
+	_LogEventName[1422:1438]: EventControlRegained,
+	_LogEventName[1438:1445]: EventStarted,
+	_LogEventName[1445:1453]: EventDraining,
+	_LogEventName[1453:1460]: EventDrained,
+	_LogEventName[1460:1467]: EventStopped,
+	_LogEventName[1467:1484]: EventSettingsReloaded,
+	_LogEventName[1484:1500]: EventSettingsRefused,
+	_LogEventName[1500:1514]: EventListenerEnded,
+	_LogEventName[1514:1532]: EventMetricsNotServed,
+	_LogEventName[1532:1545]: EventUnknownEvent,
+	_LogEventName[1545:1555]: EventOverloaded,
+	_LogEventName[1555:1572]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -315,41 +317,42 @@
 	_LogEventLowerName[1025:1043]: EventRoutesNotFetched,
 	_LogEventLowerName[1043:1061]: EventCatalogueInEffect,
 	_LogEventLowerName[1061:1074]: EventBecameLeader,
-	_LogEventLowerName[1074:1083]: EventNoLeader,
-	_LogEventLowerName[1083:1097]: EventReplicaOpened,
-	_LogEventLowerName[1097:1112]: EventStartConfirmed,
-	_LogEventLowerName[1112:1129]: EventStartUnconfirmed,
-	_LogEventLowerName[1129:1144]: EventVotersChanged,
-	_LogEventLowerName[1144:1157]: EventLearnerAdded,
-	_LogEventLowerName[1157:1172]: EventLearnerRemoved,
-	_LogEventLowerName[1172:1183]: EventVoterAdded,
-	_LogEventLowerName[1183:1197]: EventVoterReplaced,
-	_LogEventLowerName[1197:1210]: EventVoterStandby,
-	_LogEventLowerName[1210:1236]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1236:1254]: EventExpiryNotEncoded,
-	_LogEventLowerName[1254:1268]: EventReplicaFailed,
-	_LogEventLowerName[1268:1285]: EventReplicaRegressed,
-	_LogEventLowerName[1285:1304]: EventDataFolderDamaged,
-	_LogEventLowerName[1304:1325]: EventDataFolderRegressed,
-	_LogEventLowerName[1325:1334]: EventLeaseAcquired,
-	_LogEventLowerName[1334:1344]: EventLeaseLost,
-	_LogEventLowerName[1344:1361]: EventLeaseNotRenewed,
-	_LogEventLowerName[1361:1371]: EventZoneOwned,
-	_LogEventLowerName[1371:1380]: EventZoneLost,
-	_LogEventLowerName[1380:1394]: EventControlThreadTimes,
-	_LogEventLowerName[1394:1406]: EventControlLost,
-	_LogEventLowerName[1406:1422]: EventControlRegained,
-	_LogEventLowerName[1422:1429]: EventStarted,
-	_LogEventLowerName[1429:1437]: EventDraining,
-	_LogEventLowerName[1437:1444]: EventDrained,
-	_LogEventLowerName[1444:1451]: EventStopped,
-	_LogEventLowerName[1451:1468]: EventSettingsReloaded,
-	_LogEventLowerName[1468:1484]: EventSettingsRefused,
-	_LogEventLowerName[1484:1498]: EventListenerEnded,
-	_LogEventLowerName[1498:1516]: EventMetricsNotServed,
-	_LogEventLowerName[1516:1529]: EventUnknownEvent,
-	_LogEventLowerName[1529:1539]: EventOverloaded,
-	_LogEventLowerName[1539:1556]: EventLogLinesDropped,
+	_LogEventLowerName[1074:1090]: EventCommandRejected,
+	_LogEventLowerName[1090:1099]: EventNoLeader,
+	_LogEventLowerName[1099:1113]: EventReplicaOpened,
+	_LogEventLowerName[1113:1128]: EventStartConfirmed,
+	_LogEventLowerName[1128:1145]: EventStartUnconfirmed,
+	_LogEventLowerName[1145:1160]: EventVotersChanged,
+	_LogEventLowerName[1160:1173]: EventLearnerAdded,
+	_LogEventLowerName[1173:1188]: EventLearnerRemoved,
+	_LogEventLowerName[1188:1199]: EventVoterAdded,
+	_LogEventLowerName[1199:1213]: EventVoterReplaced,
+	_LogEventLowerName[1213:1226]: EventVoterStandby,
+	_LogEventLowerName[1226:1252]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1252:1270]: EventExpiryNotEncoded,
+	_LogEventLowerName[1270:1284]: EventReplicaFailed,
+	_LogEventLowerName[1284:1301]: EventReplicaRegressed,
+	_LogEventLowerName[1301:1320]: EventDataFolderDamaged,
+	_LogEventLowerName[1320:1341]: EventDataFolderRegressed,
+	_LogEventLowerName[1341:1350]: EventLeaseAcquired,
+	_LogEventLowerName[1350:1360]: EventLeaseLost,
+	_LogEventLowerName[1360:1377]: EventLeaseNotRenewed,
+	_LogEventLowerName[1377:1387]: EventZoneOwned,
+	_LogEventLowerName[1387:1396]: EventZoneLost,
+	_LogEventLowerName[1396:1410]: EventControlThreadTimes,
+	_LogEventLowerName[1410:1422]: EventControlLost,
+	_LogEventLowerName[1422:1438]: EventControlRegained,
+	_LogEventLowerName[1438:1445]: EventStarted,
+	_LogEventLowerName[1445:1453]: EventDraining,
+	_LogEventLowerName[1453:1460]: EventDrained,
+	_LogEventLowerName[1460:1467]: EventStopped,
+	_LogEventLowerName[1467:1484]: EventSettingsReloaded,
+	_LogEventLowerName[1484:1500]: EventSettingsRefused,
+	_LogEventLowerName[1500:1514]: EventListenerEnded,
+	_LogEventLowerName[1514:1532]: EventMetricsNotServed,
+	_LogEventLowerName[1532:1545]: EventUnknownEvent,
+	_LogEventLowerName[1545:1555]: EventOverloaded,
+	_LogEventLowerName[1555:1572]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -424,41 +427,42 @@
 	_LogEventName[1025:1043],
 	_LogEventName[1043:1061],
 	_LogEventName[1061:1074],
-	_LogEventName[1074:1083],
-	_LogEventName[1083:1097],
-	_LogEventName[1097:1112],
-	_LogEventName[1112:1129],
-	_LogEventName[1129:1144],
-	_LogEventName[1144:1157],
-	_LogEventName[1157:1172],
-	_LogEventName[1172:1183],
-	_LogEventName[1183:1197],
-	_LogEventName[1197:1210],
-	_LogEventName[1210:1236],
-	_LogEventName[1236:1254],
-	_LogEventName[1254:1268],
-	_LogEventName[1268:1285],
-	_LogEventName[1285:1304],
-	_LogEventName[1304:1325],
-	_LogEventName[1325:1334],
-	_LogEventName[1334:1344],
-	_LogEventName[1344:1361],
-	_LogEventName[1361:1371],
-	_LogEventName[1371:1380],
-	_LogEventName[1380:1394],
-	_LogEventName[1394:1406],
-	_LogEventName[1406:1422],
-	_LogEventName[1422:1429],
-	_LogEventName[1429:1437],
-	_LogEventName[1437:1444],
-	_LogEventName[1444:1451],
-	_LogEventName[1451:1468],
-	_LogEventName[1468:1484],
-	_LogEventName[1484:1498],
-	_LogEventName[1498:1516],
-	_LogEventName[1516:1529],
-	_LogEventName[1529:1539],
-	_LogEventName[1539:1556],
+	_LogEventName[1074:1090],
+	_LogEventName[1090:1099],
+	_LogEventName[1099:1113],
+	_LogEventName[1113:1128],
+	_LogEventName[1128:1145],
+	_LogEventName[1145:1160],
+	_LogEventName[1160:1173],
+	_LogEventName[1173:1188],
+	_LogEventName[1188:1199],
+	_LogEventName[1199:1213],
+	_LogEventName[1213:1226],
+	_LogEventName[1226:1252],
+	_LogEventName[1252:1270],
+	_LogEventName[1270:1284],
+	_LogEventName[1284:1301],
+	_LogEventName[1301:1320],
+	_LogEventName[1320:1341],
+	_LogEventName[1341:1350],
+	_LogEventName[1350:1360],
+	_LogEventName[1360:1377],
+	_LogEventName[1377:1387],
+	_LogEventName[1387:1396],
+	_LogEventName[1396:1410],
+	_LogEventName[1410:1422],
+	_LogEventName[1422:1438],
+	_LogEventName[1438:1445],
+	_LogEventName[1445:1453],
+	_LogEventName[1453:1460],
+	_LogEventName[1460:1467],
+	_LogEventName[1467:1484],
+	_LogEventName[1484:1500],
+	_LogEventName[1500:1514],
+	_LogEventName[1514:1532],
+	_LogEventName[1532:1545],
+	_LogEventName[1545:1555],
+	_LogEventName[1555:1572],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
