fix: a command that the log rejects is an error for its proposer

Propose returned a rejected command with a nil error and a result code, and ApplyRoutes dropped the result. The same way a release of a lease, a resolved intent and a recorded answer that were rejected counted as done.

Propose returns a *CommandRejectedError for every result but ok and repeated, with the result in it, so that who ignores it ignores an error, which the linter finds. Leases, claims, catalogue changes and intents take the result from the error; a release that fails and a record that is rejected are logged; an intent that was resolved before and an answer that was recorded before are no failures.

TestRejectedCommandIsAnError failed in all five cases with the check in Propose taken out.

--- a/command.go
+++ b/command.go
@@ -120,6 +120,15 @@
 	Detail        string `json:"detail,omitempty"`
 }
 
+// Check returns the result of a command that was carried out, which includes a change that is known already. For any other
+// it returns a *CommandRejectedError.
+func (r Result) Check(kind CommandKind) (Result, error) {
+	if r.Code == ResultOK || r.Code == ResultRepeated {
+		return r, nil
+	}
+	return Result{}, &CommandRejectedError{Kind: kind, Result: r}
+}
+
 // VoterStatus is the state of the replicated log as seen by one VM.
 type VoterStatus struct {
 	// Role is leader, follower, candidate or learner, unconfirmed before enough other VMs have
--- a/errors.go
+++ b/errors.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // UnitError is a value with a missing or wrong unit.
@@ -93,6 +95,29 @@
 
 func (e *NoQuorumError) Error() string { return "no quorum: " + e.Detail }
 
+// CommandRejectedError is a command that the log did not carry out, with the reason in Result.
+type CommandRejectedError struct {
+	Kind   CommandKind
+	Result Result
+}
+
+func (e *CommandRejectedError) Error() string {
+	text := fmt.Sprintf("command %s rejected: %s", e.Kind, e.Result.Code)
+	if e.Result.Detail != "" {
+		text += ": " + e.Result.Detail
+	}
+	return text
+}
+
+// Rejection returns the result of a rejected command, and whether err is a *CommandRejectedError.
+func Rejection(err error) (Result, bool) {
+	var rejected *CommandRejectedError
+	if !errors.As(err, &rejected) {
+		return Result{}, false
+	}
+	return rejected.Result, true
+}
+
 // OutcomeUnknownError is a command or request that may or may not take effect.
 type OutcomeUnknownError struct{ Detail string }
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -58,7 +58,8 @@
 type Proposer interface {
 	// Propose returns once the command is committed and applied. A
 	// *NoQuorumError means that it was certainly not committed, an
-	// *OutcomeUnknownError that it may still be.
+	// *OutcomeUnknownError that it may still be, a *CommandRejectedError
+	// that it was not carried out.
 	Propose(ctx context.Context, cmd Command) (Result, error)
 }
 
--- a/laburnumdirector/cluster_test.go
+++ b/laburnumdirector/cluster_test.go
@@ -165,7 +165,7 @@
 	if n.disconnected {
 		return laburnumlever.Result{}, &laburnumlever.NoQuorumError{Detail: "cut off"}
 	}
-	return n.w.machine.Apply(n.w.timers.Now().UnixMilli(), cmd), nil
+	return n.w.machine.Apply(n.w.timers.Now().UnixMilli(), cmd).Check(cmd.Kind)
 }
 
 // recordRenewals records the time of the last lease renewal.
--- a/laburnumdirector/lease.go
+++ b/laburnumdirector/lease.go
@@ -81,15 +81,12 @@
 
 func (d *Director) onLeaseAnswered(ev leaseAnswered) {
 	d.lease.pending = false
+	if _, rejected := laburnumlever.Rejection(ev.err); rejected && d.lease.held {
+		d.loseLease("lease held by another VM")
+	}
 	if ev.err != nil {
 		return // the next tick tries again
 	}
-	if ev.result.Code != laburnumlever.ResultOK {
-		if d.lease.held {
-			d.loseLease("lease held by another VM")
-		}
-		return
-	}
 	d.lease.requestedAt = ev.sentAt
 	d.lease.validUntil = ev.sentAt + d.usableTerm()
 	if d.lease.held && d.lease.fence == ev.result.Fence {
--- a/laburnumnode/operations.go
+++ b/laburnumnode/operations.go
@@ -24,9 +24,9 @@
 	}
 	result, err := n.propose(ctx, req.ApplyCatalogue)
 	if err != nil {
-		return laburnumlever.ApplyAnswer{}, err
+		return laburnumlever.ApplyAnswer{}, applyError(req.ApplyCatalogue, err)
 	}
-	return applyAnswer(req.ApplyCatalogue, result, warnings)
+	return applyAnswer(result, warnings), nil
 }
 
 // resentOr returns the first answer to a change that was accepted before and is
@@ -35,7 +35,7 @@
 func (n *Node) resentOr(ctx context.Context, req laburnumlever.ApplyRequest, fitErr error) (laburnumlever.ApplyAnswer, error) {
 	result, err := n.propose(ctx, req.WithAskOnly(true))
 	if err == nil && result.Code == laburnumlever.ResultRepeated {
-		return applyAnswer(req.ApplyCatalogue, result, nil)
+		return applyAnswer(result, nil), nil
 	}
 	return laburnumlever.ApplyAnswer{}, fitErr
 }
@@ -47,20 +47,22 @@
 	})
 }
 
-func applyAnswer(apply laburnumlever.ApplyCatalogue, result laburnumlever.Result, warnings []string) (laburnumlever.ApplyAnswer, error) {
-	answer := laburnumlever.ApplyAnswer{Revision: result.Revision, Warnings: warnings}
-	switch result.Code {
-	case laburnumlever.ResultOK:
-		return answer, nil
-	case laburnumlever.ResultRepeated:
-		answer.Repeated = true
-		return answer, nil
-	case laburnumlever.ResultConflict:
-		return answer, &laburnumlever.ConflictError{Expected: apply.ExpectedRevision, Current: result.Revision}
-	case laburnumlever.ResultMismatch:
-		return answer, &laburnumlever.MismatchError{Key: apply.ChangeID}
+func applyAnswer(result laburnumlever.Result, warnings []string) laburnumlever.ApplyAnswer {
+	return laburnumlever.ApplyAnswer{Revision: result.Revision, Repeated: result.Code == laburnumlever.ResultRepeated, Warnings: warnings}
+}
+
+// applyError returns the error for operators of a change that was not made.
+func applyError(apply laburnumlever.ApplyCatalogue, err error) error {
+	result, rejected := laburnumlever.Rejection(err)
+	switch {
+	case !rejected:
+		return err
+	case result.Code == laburnumlever.ResultConflict:
+		return &laburnumlever.ConflictError{Expected: apply.ExpectedRevision, Current: result.Revision}
+	case result.Code == laburnumlever.ResultMismatch:
+		return &laburnumlever.MismatchError{Key: apply.ChangeID}
 	default:
-		return answer, &laburnumlever.InvalidValueError{Name: "catalogue", Value: result.Code.String(), Want: "a change that can be applied: " + result.Detail}
+		return &laburnumlever.InvalidValueError{Name: "catalogue", Value: result.Code.String(), Want: "a change that can be applied: " + result.Detail}
 	}
 }
 
--- a/laburnumorder/events.go
+++ b/laburnumorder/events.go
@@ -27,7 +27,6 @@
 type intentAnswered struct {
 	backend laburnumlever.BackendID
 	order   laburnumlever.OrderID
-	result  laburnumlever.Result
 	err     error
 }
 
--- a/laburnumorder/harness_test.go
+++ b/laburnumorder/harness_test.go
@@ -296,7 +296,7 @@
 	if p.v.cutFromQuorum {
 		return laburnumlever.Result{}, &laburnumlever.NoQuorumError{Detail: "cut off"}
 	}
-	return p.v.w.quorum.apply(cmd), nil
+	return p.v.w.quorum.apply(cmd).Check(cmd.Kind)
 }
 
 // quorum grants leases and stores intents like the replicated state machine.
--- a/laburnumorder/lease.go
+++ b/laburnumorder/lease.go
@@ -70,16 +70,16 @@
 
 func (o *Owner) onLease(ev leaseAnswered) {
 	o.lease.busy = false
+	if result, rejected := laburnumlever.Rejection(ev.err); rejected {
+		o.loseLease(result.Holder)
+		return
+	}
 	if ev.err != nil {
 		// The state of the lease is unknown. It expires at its deadline; engines that
 		// check fencing numbers are still ordered under its number.
 		_ = level.Debug(o.logger).Log("event", laburnumlever.EventLeaseNotRenewed, "zone", o.self.Zone, "err", ev.err)
 		return
 	}
-	if ev.result.Code != laburnumlever.ResultOK {
-		o.loseLease(ev.result.Holder)
-		return
-	}
 	// The lease term is counted from before the command was proposed. The quorum starts
 	// counting later, so the lease ends here first.
 	o.lease.until.set(ev.asked.Add(o.ttl - o.ttl/leaseMarginDivisor))
--- a/laburnumorder/owner.go
+++ b/laburnumorder/owner.go
@@ -9,6 +9,7 @@
 	"laburnumlever/laburnumplacement"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -108,7 +109,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	_, _ = o.proposer.Propose(ctx, o.releaseCommand(o.granted.Load()))
+	o.proposeRelease(ctx, o.releaseCommand(o.granted.Load()))
 }
 
 // Owns reports whether this VM owns its zone as far as it knows. It is safe for concurrent
@@ -180,7 +181,14 @@
 func (o *Owner) releaseLease() {
 	cmd := o.releaseCommand(o.lease.fence)
 	o.loseLease("")
-	o.call(func(ctx context.Context) { _, _ = o.proposer.Propose(ctx, cmd) })
+	o.call(func(ctx context.Context) { o.proposeRelease(ctx, cmd) })
+}
+
+// proposeRelease proposes the release of the lease, which expires by itself if that fails.
+func (o *Owner) proposeRelease(ctx context.Context, cmd laburnumlever.Command) {
+	if _, err := o.proposer.Propose(ctx, cmd); err != nil {
+		_ = level.Info(o.logger).Log("event", laburnumlever.EventLeaseNotReleased, "zone", o.self.Zone, "err", err)
+	}
 }
 
 func (o *Owner) releaseCommand(fence uint64) laburnumlever.Command {
--- a/laburnumorder/send.go
+++ b/laburnumorder/send.go
@@ -64,8 +64,8 @@
 	}
 	e.intents[intent.Order.ID] = intent
 	o.call(func(ctx context.Context) {
-		result, err := o.proposer.Propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandRecordIntent, Intent: &intent})
-		o.loop.Post(o, intentAnswered{backend: intent.Backend, order: intent.Order.ID, result: result, err: err})
+		_, err := o.proposer.Propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandRecordIntent, Intent: &intent})
+		o.loop.Post(o, intentAnswered{backend: intent.Backend, order: intent.Order.ID, err: err})
 	})
 }
 
@@ -74,12 +74,12 @@
 	if e.order == nil || e.order.order.ID != ev.order {
 		return
 	}
-	if ev.err != nil || ev.result.Code != laburnumlever.ResultOK {
+	if ev.err != nil {
 		// The order was not sent and never will be. The intent may be in the log
 		// nevertheless, so it is resolved like that of a sent order.
 		o.advance(e, "intent-failed")
 		o.dropOrder(e)
-		if ev.result.Code == laburnumlever.ResultNotHolder {
+		if result, _ := laburnumlever.Rejection(ev.err); result.Code == laburnumlever.ResultNotHolder {
 			o.lease.next = time.Time{}
 		}
 		return
@@ -200,6 +200,9 @@
 	}
 	o.call(func(ctx context.Context) {
 		_, err := o.proposer.Propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandResolveIntent, Intent: &intent})
+		if result, rejected := laburnumlever.Rejection(err); rejected && result.Code == laburnumlever.ResultUnknown {
+			err = nil // resolved before
+		}
 		o.loop.Post(o, intentResolved{backend: intent.Backend, order: id, err: err})
 	})
 }
--- a/laburnumproxy/claim.go
+++ b/laburnumproxy/claim.go
@@ -26,13 +26,13 @@
 // records its outcome. If the VM fails in between, the claim has no recorded response; a
 // resend then gets outcome-unknown and is not run.
 func (p *Proxy) claimAndRun(ctx context.Context, q *request, out *callerResponse) error {
-	result, err := p.claim(ctx, q)
+	err := p.claim(ctx, q)
+	if result, rejected := laburnumlever.Rejection(err); rejected {
+		return p.answerResend(q, out, result)
+	}
 	if err != nil {
 		return err
 	}
-	if result.Code != laburnumlever.ResultOK {
-		return p.answerResend(q, out, result)
-	}
 	q.trace.add(p.timers.Now(), "claimed its idempotency key")
 	recorded := false
 	out.record = func(response *laburnumlever.RecordedAnswer) {
@@ -50,26 +50,28 @@
 }
 
 // claim proposes the claim. Keys are scoped to the caller's credentials: two callers
-// that use the same key must never get each other's responses.
-func (p *Proxy) claim(ctx context.Context, q *request) (laburnumlever.Result, error) {
+// that use the same key must never get each other's responses. Errors: *laburnumlever.CommandRejectedError for
+// a key that is claimed already, *laburnumlever.RefusalError.
+func (p *Proxy) claim(ctx context.Context, q *request) error {
 	if !p.breaker.allow(p.timers.Now()) {
-		return laburnumlever.Result{}, p.noQuorum(q, "the log was unreachable at the last attempt")
+		return p.noQuorum(q, "the log was unreachable at the last attempt")
 	}
 	limited, cancel := p.withTimeout(ctx, claimTimeout)
 	defer cancel()
 	q.claimID = uuid.NewString()
-	result, err := p.proposer.Propose(limited, laburnumlever.Command{
+	_, err := p.proposer.Propose(limited, laburnumlever.Command{
 		Kind: laburnumlever.CommandClaimRequest,
 		Claim: &laburnumlever.ClaimRequest{
 			Owner: q.owner, Service: q.service, Key: q.claimKey(), Digest: q.digest(),
 			VM: p.views.View().Self.ID, At: p.timers.Now().UnixMilli(), Claim: q.claimID,
 		},
 	})
+	_, rejected := laburnumlever.Rejection(err)
 	if ctx.Err() == nil { // a disconnected caller is no evidence about the log
-		p.breaker.record(p.timers.Now(), err == nil)
+		p.breaker.record(p.timers.Now(), err == nil || rejected)
 	}
-	if err == nil {
-		return result, nil
+	if err == nil || rejected {
+		return err
 	}
 	// The call has not been forwarded and is refused below, so its outcome is not-run, even if
 	// the claim is applied after all. In that case the release frees the key for a resend.
@@ -77,7 +79,7 @@
 	if errors.As(err, &unknown) {
 		p.releaseInBackground(p.recordCommand(q, laburnumlever.OutcomeNotRun, nil))
 	}
-	return result, p.noQuorum(q, err.Error())
+	return p.noQuorum(q, err.Error())
 }
 
 func (p *Proxy) noQuorum(q *request, why string) error {
@@ -153,12 +155,22 @@
 		outcome = laburnumlever.OutcomeUnknown // the response is too long to be recorded
 	}
 	_, err := p.proposer.Propose(ctx, p.recordCommand(q, outcome, response))
-	if err != nil {
+	if err != nil && !recordedBefore(err, outcome) {
 		p.counters.recordsFailed.Inc(1)
 		_ = level.Warn(p.logger).Log("event", laburnumlever.EventAnswerNotRecorded, "request-id", q.id, "err", err)
 	}
 }
 
+// recordedBefore reports whether a record was rejected since the same one came before: the log repeats a command whose
+// answer was lost.
+func recordedBefore(err error, outcome laburnumlever.RequestOutcome) bool {
+	result, rejected := laburnumlever.Rejection(err)
+	if outcome == laburnumlever.OutcomeNotRun {
+		return rejected && result.Code == laburnumlever.ResultUnknown
+	}
+	return rejected && result.Code == laburnumlever.ResultAnswered && result.Outcome == outcome
+}
+
 func (p *Proxy) recordCommand(q *request, outcome laburnumlever.RequestOutcome, response *laburnumlever.RecordedAnswer) laburnumlever.Command {
 	return laburnumlever.Command{
 		Kind: laburnumlever.CommandRecordAnswer,
--- a/laburnumproxy/fakes_test.go
+++ b/laburnumproxy/fakes_test.go
@@ -73,20 +73,24 @@
 	if l.err != nil {
 		return laburnumlever.Result{}, l.err
 	}
+	return l.result(cmd).Check(cmd.Kind)
+}
+
+func (l *fakeLog) result(cmd laburnumlever.Command) laburnumlever.Result {
 	if cmd.Kind == laburnumlever.CommandRecordAnswer {
 		c := l.claims[cmd.Answer.Key]
 		if c == nil {
-			return laburnumlever.Result{Code: laburnumlever.ResultUnknown}, nil
+			return laburnumlever.Result{Code: laburnumlever.ResultUnknown}
 		}
 		if c.id != cmd.Answer.Claim {
-			return laburnumlever.Result{Code: laburnumlever.ResultNotHolder}, nil
+			return laburnumlever.Result{Code: laburnumlever.ResultNotHolder}
 		}
 		if cmd.Answer.Outcome == laburnumlever.OutcomeNotRun {
 			delete(l.claims, cmd.Answer.Key)
-			return laburnumlever.Result{}, nil
+			return laburnumlever.Result{}
 		}
 		l.claims[cmd.Answer.Key].record = cmd.Answer
-		return laburnumlever.Result{}, nil
+		return laburnumlever.Result{}
 	}
 	if l.claimedBy != "" {
 		l.claims[cmd.Claim.Key] = &fakeClaim{digest: cmd.Claim.Digest, holder: l.claimedBy}
@@ -95,13 +99,13 @@
 	switch {
 	case c == nil:
 		l.claims[cmd.Claim.Key] = &fakeClaim{id: cmd.Claim.Claim, digest: cmd.Claim.Digest, holder: cmd.Claim.VM}
-		return laburnumlever.Result{Code: laburnumlever.ResultOK}, nil
+		return laburnumlever.Result{Code: laburnumlever.ResultOK}
 	case c.digest != cmd.Claim.Digest:
-		return laburnumlever.Result{Code: laburnumlever.ResultMismatch}, nil
+		return laburnumlever.Result{Code: laburnumlever.ResultMismatch}
 	case c.record == nil:
-		return laburnumlever.Result{Code: laburnumlever.ResultClaimed, Holder: c.holder}, nil
+		return laburnumlever.Result{Code: laburnumlever.ResultClaimed, Holder: c.holder}
 	default:
-		return laburnumlever.Result{Code: laburnumlever.ResultAnswered, Outcome: c.record.Outcome, Answer: c.record.Answer}, nil
+		return laburnumlever.Result{Code: laburnumlever.ResultAnswered, Outcome: c.record.Outcome, Answer: c.record.Answer}
 	}
 }
 
--- a/laburnumproxy/release.go
+++ b/laburnumproxy/release.go
@@ -51,8 +51,8 @@
 func (p *Proxy) tryRelease(release laburnumlever.Command) bool {
 	ctx, cancel := p.withTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	result, err := p.proposer.Propose(ctx, release)
-	if err != nil || result.Code == laburnumlever.ResultUnknown {
+	_, err := p.proposer.Propose(ctx, release)
+	if result, rejected := laburnumlever.Rejection(err); err != nil && (!rejected || result.Code == laburnumlever.ResultUnknown) {
 		return false
 	}
 	p.scope.Counter("claims-freed").Inc(1)
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -504,10 +504,9 @@
 		return err
 	}
 	began := c.timers.Now()
-	result, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &encoded})
+	_, err = c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &encoded})
 	c.commitTimes.RecordDuration(c.timers.Now().Sub(began))
-	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "bytes", len(table.Document),
-		"result", result.Code, "detail", result.Detail, "cause", err)
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "bytes", len(table.Document), "cause", err)
 	return err
 }
 
--- a/laburnumsimulation/control.go
+++ b/laburnumsimulation/control.go
@@ -114,7 +114,7 @@
 	if c.noQuorum {
 		return laburnumlever.Result{}, &laburnumlever.NoQuorumError{Detail: "no leader"}
 	}
-	return c.machine.Apply(c.sim.now().UnixMilli(), cmd), nil
+	return c.machine.Apply(c.sim.now().UnixMilli(), cmd).Check(cmd.Kind)
 }
 
 // receiveHeartbeat records a heartbeat of an engine.
--- a/laburnumvoter/fault_test.go
+++ b/laburnumvoter/fault_test.go
@@ -242,6 +242,9 @@
 		r, err := a.Propose(context.Background(), laburnumlever.Command{Kind: laburnumlever.CommandAcquireLease, Lease: &laburnumlever.LeaseCommand{
 			Name: "zone-1", Holder: holder, Incarnation: 1, TTL: laburnumlever.Duration(40 * tick),
 		}})
+		if rejection, rejected := laburnumlever.Rejection(err); rejected {
+			return rejection
+		}
 		require.NoError(t, err)
 		return r
 	}
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -62,7 +62,7 @@
 // Propose finds the leader and returns the result once the command is committed and applied. It
 // retries during elections until ctx is done or the proposal timeout has passed. A *NoQuorumError
 // means that the command was not and will not be committed, an *OutcomeUnknownError that it may
-// have been or may still be.
+// have been or may still be, a *CommandRejectedError that it was not carried out.
 func (v *Voter) Propose(ctx context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
 	cmd = v.withClaimID(cmd)
 	ctx, cancel := v.withProposalTimeout(ctx)
@@ -72,7 +72,7 @@
 		answer := s.try(ctx, cmd)
 		switch answer.Verdict {
 		case verdictDone:
-			return answer.Result, nil
+			return answer.Result.Check(cmd.Kind)
 		case verdictUnknown:
 			s.uncertain = true
 		default:
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -172,6 +172,15 @@
 	return r
 }
 
+// reject makes a change that the log rejects, and returns its result.
+func (m *vm) reject(t testing.TB, id string, expected uint64) laburnumlever.Result {
+	t.Helper()
+	_, err := m.Propose(context.Background(), change(id, expected))
+	result, rejected := laburnumlever.Rejection(err)
+	require.True(t, rejected, "%v", err)
+	return result
+}
+
 func (m *vm) waitRevision(t testing.TB, want uint64) {
 	t.Helper()
 	deadline := time.After(waitTimeout)
@@ -197,7 +206,35 @@
 	a = f.start("a", f.folder("a"))
 	a.waitRevision(t, 20)
 	require.Equal(t, laburnumlever.ResultRepeated, a.apply(t, "change-7", 7).Code)
-	require.Equal(t, laburnumlever.ResultInvalid, a.apply(t, strings.Repeat("large", 1<<20), 20).Code)
+	require.Equal(t, laburnumlever.ResultInvalid, a.reject(t, strings.Repeat("large", 1<<20), 20).Code)
+}
+
+// Guards against a command that the log rejects and its proposer takes for carried out, on the leader and on another VM.
+func TestRejectedCommandIsAnError(t *testing.T) {
+	f := newFleet(t, []string{"a"})
+	f.start("a", f.folder("a"))
+	client := f.start("d", "")
+	for name, tt := range map[string]struct {
+		cmd  laburnumlever.Command
+		want laburnumlever.ResultCode
+	}{
+		"too large":   {cmd: change(strings.Repeat("large", 1<<20), 0), want: laburnumlever.ResultInvalid},
+		"conflict":    {cmd: change("stale", 7), want: laburnumlever.ResultConflict},
+		"not holder":  {cmd: laburnumlever.Command{Kind: laburnumlever.CommandReleaseLease, Lease: &laburnumlever.LeaseCommand{Name: "none", Holder: "x"}}, want: laburnumlever.ResultUnknown},
+		"no content":  {cmd: laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes}, want: laburnumlever.ResultInvalid},
+		"not claimed": {cmd: laburnumlever.Command{Kind: laburnumlever.CommandRecordAnswer, Answer: &laburnumlever.RecordAnswer{Key: "none"}}, want: laburnumlever.ResultUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, proposer := range []*vm{f.vms["a"], client} {
+				result, err := proposer.Propose(context.Background(), tt.cmd)
+				require.Equal(t, laburnumlever.Result{}, result)
+				var rejected *laburnumlever.CommandRejectedError
+				require.ErrorAs(t, err, &rejected)
+				require.Equal(t, tt.want, rejected.Result.Code)
+				require.Equal(t, tt.cmd.Kind, rejected.Kind)
+			}
+		})
+	}
 }
 
 // Guards against a restarted control VM that delivers the confirmed state on its disk only at its first tick.
@@ -306,7 +343,13 @@
 	for round := range uint64(5) {
 		results := make(chan laburnumlever.Result, 2)
 		for _, name := range []string{"a", "b"} {
-			go func() { results <- f.vms[name].apply(t, name+strconv.FormatUint(round, 10), round) }()
+			go func() {
+				r, err := f.vms[name].Propose(context.Background(), change(name+strconv.FormatUint(round, 10), round))
+				if rejection, rejected := laburnumlever.Rejection(err); rejected {
+					r = rejection
+				}
+				results <- r
+			}()
 		}
 		one, two := <-results, <-results
 		codes := []laburnumlever.ResultCode{one.Code, two.Code}
--- a/logevent.go
+++ b/logevent.go
@@ -209,8 +209,9 @@
 	EventLeaseAcquired // lease-got
 	// EventLeaseLost is this VM losing the lease and ceasing to be the director.
 	EventLeaseLost
-	// EventLeaseNotRenewed is a failed lease renewal.
+	// EventLeaseNotRenewed is a failed lease renewal, EventLeaseNotReleased a failed release.
 	EventLeaseNotRenewed
+	EventLeaseNotReleased
 	// EventZoneOwned is this VM acquiring the placement lease of its availability zone.
 	EventZoneOwned
 	// EventZoneLost is this VM losing the placement lease of its availability zone.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1074, 1090, 1099, 1113, 1128, 1145, 1160, 1173, 1188, 1199, 1213, 1226, 1252, 1270, 1284, 1301, 1320, 1341, 1350, 1360, 1377, 1387, 1396, 1410, 1422, 1438, 1445, 1453, 1460, 1467, 1484, 1500, 1514, 1532, 1545, 1555, 1572}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1074, 1090, 1099, 1113, 1128, 1145, 1160, 1173, 1188, 1199, 1213, 1226, 1252, 1270, 1284, 1301, 1320, 1341, 1350, 1360, 1377, 1395, 1405, 1414, 1428, 1440, 1456, 1463, 1471, 1478, 1485, 1502, 1518, 1532, 1550, 1563, 1573, 1590}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -115,25 +115,26 @@
 	_ = x[EventLeaseAcquired-(88)]
 	_ = x[EventLeaseLost-(89)]
 	_ = x[EventLeaseNotRenewed-(90)]
-	_ = x[EventZoneOwned-(91)]
-	_ = x[EventZoneLost-(92)]
-	_ = x[EventControlThreadTimes-(93)]
-	_ = x[EventControlLost-(94)]
-	_ = x[EventControlRegained-(95)]
-	_ = x[EventStarted-(96)]
-	_ = x[EventDraining-(97)]
-	_ = x[EventDrained-(98)]
-	_ = x[EventStopped-(99)]
-	_ = x[EventSettingsReloaded-(100)]
-	_ = x[EventSettingsRefused-(101)]
-	_ = x[EventListenerEnded-(102)]
-	_ = x[EventMetricsNotServed-(103)]
-	_ = x[EventUnknownEvent-(104)]
-	_ = x[EventOverloaded-(105)]
-	_ = x[EventLogLinesDropped-(106)]
+	_ = x[EventLeaseNotReleased-(91)]
+	_ = x[EventZoneOwned-(92)]
+	_ = x[EventZoneLost-(93)]
+	_ = x[EventControlThreadTimes-(94)]
+	_ = x[EventControlLost-(95)]
+	_ = x[EventControlRegained-(96)]
+	_ = x[EventStarted-(97)]
+	_ = x[EventDraining-(98)]
+	_ = x[EventDrained-(99)]
+	_ = x[EventStopped-(100)]
+	_ = x[EventSettingsReloaded-(101)]
+	_ = x[EventSettingsRefused-(102)]
+	_ = x[EventListenerEnded-(103)]
+	_ = x[EventMetricsNotServed-(104)]
+	_ = x[EventUnknownEvent-(105)]
+	_ = x[EventOverloaded-(106)]
+	_ = x[EventLogLinesDropped-(107)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -227,22 +228,23 @@
 	_LogEventName[1341:1350]: EventLeaseAcquired,
 	_LogEventName[1350:1360]: EventLeaseLost,
 	_LogEventName[1360:1377]: EventLeaseNotRenewed,
-	_LogEventName[1377:1387]: EventZoneOwned,
-	_LogEventName[1387:1396]: EventZoneLost,
-	_LogEventName[1396:1410]: EventControlThreadTimes,
-	_LogEventName[1410:1422]: EventControlLost,
-	_LogEventName[1422:1438]: EventControlRegained,
-	_LogEventName[1438:1445]: EventStarted,
-	_LogEventName[1445:1453]: EventDraining,
-	_LogEventName[1453:1460]: EventDrained,
-	_LogEventName[1460:1467]: EventStopped,
-	_LogEventName[1467:1484]: EventSettingsReloaded,
-	_LogEventName[1484:1500]: EventSettingsRefused,
-	_LogEventName[1500:1514]: EventListenerEnded,
-	_LogEventName[1514:1532]: EventMetricsNotServed,
-	_LogEventName[1532:1545]: EventUnknownEvent,
-	_LogEventName[1545:1555]: EventOverloaded,
-	_LogEventName[1555:1572]: EventLogLinesDropped,
+	_LogEventName[1377:1395]: EventLeaseNotReleased,
+	_LogEventName[1395:1405]: EventZoneOwned,
+	_LogEventName[1405:1414]: EventZoneLost,
+	_LogEventName[1414:1428]: EventControlThreadTimes,
+	_LogEventName[1428:1440]: EventControlLost,
+	_LogEventName[1440:1456]: EventControlRegained,
+	_LogEventName[1456:1463]: EventStarted,
+	_LogEventName[1463:1471]: EventDraining,
+	_LogEventName[1471:1478]: EventDrained,
+	_LogEventName[1478:1485]: EventStopped,
+	_LogEventName[1485:1502]: EventSettingsReloaded,
+	_LogEventName[1502:1518]: EventSettingsRefused,
+	_LogEventName[1518:1532]: EventListenerEnded,
+	_LogEventName[1532:1550]: EventMetricsNotServed,
+	_LogEventName[1550:1563]: EventUnknownEvent,
+	_LogEventName[1563:1573]: EventOverloaded,
+	_LogEventName[1573:1590]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -337,22 +339,23 @@
 	_LogEventLowerName[1341:1350]: EventLeaseAcquired,
 	_LogEventLowerName[1350:1360]: EventLeaseLost,
 	_LogEventLowerName[1360:1377]: EventLeaseNotRenewed,
-	_LogEventLowerName[1377:1387]: EventZoneOwned,
-	_LogEventLowerName[1387:1396]: EventZoneLost,
-	_LogEventLowerName[1396:1410]: EventControlThreadTimes,
-	_LogEventLowerName[1410:1422]: EventControlLost,
-	_LogEventLowerName[1422:1438]: EventControlRegained,
-	_LogEventLowerName[1438:1445]: EventStarted,
-	_LogEventLowerName[1445:1453]: EventDraining,
-	_LogEventLowerName[1453:1460]: EventDrained,
-	_LogEventLowerName[1460:1467]: EventStopped,
-	_LogEventLowerName[1467:1484]: EventSettingsReloaded,
-	_LogEventLowerName[1484:1500]: EventSettingsRefused,
-	_LogEventLowerName[1500:1514]: EventListenerEnded,
-	_LogEventLowerName[1514:1532]: EventMetricsNotServed,
-	_LogEventLowerName[1532:1545]: EventUnknownEvent,
-	_LogEventLowerName[1545:1555]: EventOverloaded,
-	_LogEventLowerName[1555:1572]: EventLogLinesDropped,
+	_LogEventLowerName[1377:1395]: EventLeaseNotReleased,
+	_LogEventLowerName[1395:1405]: EventZoneOwned,
+	_LogEventLowerName[1405:1414]: EventZoneLost,
+	_LogEventLowerName[1414:1428]: EventControlThreadTimes,
+	_LogEventLowerName[1428:1440]: EventControlLost,
+	_LogEventLowerName[1440:1456]: EventControlRegained,
+	_LogEventLowerName[1456:1463]: EventStarted,
+	_LogEventLowerName[1463:1471]: EventDraining,
+	_LogEventLowerName[1471:1478]: EventDrained,
+	_LogEventLowerName[1478:1485]: EventStopped,
+	_LogEventLowerName[1485:1502]: EventSettingsReloaded,
+	_LogEventLowerName[1502:1518]: EventSettingsRefused,
+	_LogEventLowerName[1518:1532]: EventListenerEnded,
+	_LogEventLowerName[1532:1550]: EventMetricsNotServed,
+	_LogEventLowerName[1550:1563]: EventUnknownEvent,
+	_LogEventLowerName[1563:1573]: EventOverloaded,
+	_LogEventLowerName[1573:1590]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -447,22 +450,23 @@
 	_LogEventName[1341:1350],
 	_LogEventName[1350:1360],
 	_LogEventName[1360:1377],
-	_LogEventName[1377:1387],
-	_LogEventName[1387:1396],
-	_LogEventName[1396:1410],
-	_LogEventName[1410:1422],
-	_LogEventName[1422:1438],
-	_LogEventName[1438:1445],
-	_LogEventName[1445:1453],
-	_LogEventName[1453:1460],
-	_LogEventName[1460:1467],
-	_LogEventName[1467:1484],
-	_LogEventName[1484:1500],
-	_LogEventName[1500:1514],
-	_LogEventName[1514:1532],
-	_LogEventName[1532:1545],
-	_LogEventName[1545:1555],
-	_LogEventName[1555:1572],
+	_LogEventName[1377:1395],
+	_LogEventName[1395:1405],
+	_LogEventName[1405:1414],
+	_LogEventName[1414:1428],
+	_LogEventName[1428:1440],
+	_LogEventName[1440:1456],
+	_LogEventName[1456:1463],
+	_LogEventName[1463:1471],
+	_LogEventName[1471:1478],
+	_LogEventName[1478:1485],
+	_LogEventName[1485:1502],
+	_LogEventName[1502:1518],
+	_LogEventName[1518:1532],
+	_LogEventName[1532:1550],
+	_LogEventName[1550:1563],
+	_LogEventName[1563:1573],
+	_LogEventName[1573:1590],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
