perf: messages between VMs are encoded and decoded once less

encoding/json copied what jsonrpc2's messages had encoded themselves, and validated what they validate themselves. The stream calls their methods directly.

--- a/laburnumpeer/stream.go
+++ b/laburnumpeer/stream.go
@@ -42,7 +42,7 @@
 // WriteObject writes one frame. jsonrpc2 serializes the calls. A failed write closes the connection,
 // since the frame may be partly written. Errors: *FrameTooLargeError, before anything is written.
 func (s *stream) WriteObject(obj any) error {
-	body, err := json.Marshal(obj)
+	body, err := encode(obj)
 	if err != nil {
 		return err
 	}
@@ -77,7 +77,23 @@
 	}
 	s.lastRead.Store(time.Now().UnixNano())
 	s.lastFrameBytes = len(body) + 1
-	return json.Unmarshal(body, v)
+	return decode(body, v)
+}
+
+// encode is json.Marshal without another copy of what jsonrpc2's messages have encoded themselves.
+func encode(obj any) ([]byte, error) {
+	if m, ok := obj.(json.Marshaler); ok {
+		return m.MarshalJSON()
+	}
+	return json.Marshal(obj)
+}
+
+// decode is json.Unmarshal without another validation of what jsonrpc2's messages validate themselves.
+func decode(data []byte, into any) error {
+	if m, ok := into.(json.Unmarshaler); ok {
+		return m.UnmarshalJSON(data)
+	}
+	return json.Unmarshal(data, into)
 }
 
 // Close closes the connection.
