fix: notifications that wait for a VM are bounded by their bytes

A link queued up to 256 notifications whatever their size, and the log sends entries as notifications: those of megabytes, for a VM that does not read, fill the memory of the leader.

--- a/laburnumpeer/link.go
+++ b/laburnumpeer/link.go
@@ -28,6 +28,7 @@
 	queue    chan notification
 	wake     chan struct{} // signals that something was sent, for the silence detector
 	inFlight atomic.Int64  // calls in progress and notifications being queued
+	queued   atomic.Int64  // bytes of the queued notifications
 	dialLock chan struct{} // a channel rather than a mutex, so that waiting ends with the context
 
 	mu       sync.Mutex
@@ -86,11 +87,19 @@
 	l.peers.cfg.scope.Counter("peer-dropped-notifications").Inc(1)
 }
 
+// enqueue queues a notification, unless the queue is full by the number of notifications or by their bytes: the other side
+// may not read for seconds.
 func (l *link) enqueue(n notification) bool {
+	size := int64(len(n.params))
+	if l.queued.Add(size) > int64(l.peers.cfg.maxFrame) {
+		l.queued.Add(-size)
+		return false
+	}
 	select {
 	case l.queue <- n:
 		return true
 	default:
+		l.queued.Add(-size)
 		return false
 	}
 }
@@ -105,6 +114,7 @@
 		case <-l.peers.ctx.Done():
 			return
 		case n := <-l.queue:
+			l.queued.Add(-int64(len(n.params)))
 			l.send(n)
 		case <-l.wake:
 		case <-timer.C:
