--- a/laburnumvoter/network_test.go
+++ b/laburnumvoter/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -15,6 +16,15 @@
 	ports map[string]*port
 	cuts  map[[2]string]bool
 	bytes atomic.Int64 // total size of all sent parameters
+	// largest is the size of the largest parameters of a log message.
+	largest atomic.Int64
+}
+
+func (n *network) count(method string, size int) {
+	n.bytes.Add(int64(size))
+	if strings.HasPrefix(method, "log-") && int64(size) > n.largest.Load() {
+		n.largest.Store(int64(size))
+	}
 }
 
 type port struct {
@@ -89,7 +99,7 @@
 
 func (p *port) Notify(address, method string, params any) {
 	data, _ := json.Marshal(params)
-	p.net.bytes.Add(int64(len(data)))
+	p.net.count(method, len(data))
 	to := p.net.reach(p.address, address)
 	if to == nil {
 		return
@@ -106,7 +116,7 @@
 
 func (p *port) Call(ctx context.Context, address, method string, params, result any) error {
 	data, _ := json.Marshal(params)
-	p.net.bytes.Add(int64(len(data)))
+	p.net.count(method, len(data))
 	to := p.net.reach(p.address, address)
 	if to == nil {
 		return &laburnumlever.PeerUnreachableError{Address: address}
--- a/laburnumvoter/transmit.go
+++ b/laburnumvoter/transmit.go
@@ -10,7 +10,7 @@
 	"laburnumlever/laburnumlog"
 )
 
-// chunkBytes bounds one chunk of a snapshot, so that heartbeats don't queue behind a large one.
+// chunkBytes bounds one chunk of a snapshot or a large entry, so that heartbeats don't queue behind it.
 const chunkBytes = 256 << 10
 
 // chunkTicks is the timeout of sending a chunk, in ticks. It is below the time after which the log
@@ -28,11 +28,15 @@
 		return
 	}
 	wire := wireMessage{Message: m, Address: v.self.PeerAddress}
-	if m.Kind == laburnumlog.MessageSnapshot {
-		v.sendSnapshot(address, wire)
+	if len(wire.payload()) > chunkBytes || m.Kind == laburnumlog.MessageSnapshot {
+		v.sendInChunks(address, wire)
 		return
 	}
-	v.peers.Notify(address, logPrefix+m.Kind.String(), wire)
+	v.notify(address, wire)
+}
+
+func (v *Voter) notify(address string, m wireMessage) {
+	v.peers.Notify(address, logPrefix+m.Kind.String(), m)
 }
 
 func (v *Voter) addressOf(id laburnumlog.ReplicaID) string {
@@ -56,13 +60,13 @@
 	v.step(laburnumlog.Receive{Message: m.Message})
 }
 
-// snapshotSends is the set of members to which a snapshot is being sent.
-type snapshotSends struct {
+// chunkedSends is the set of members to which a message is being sent in chunks.
+type chunkedSends struct {
 	mu   sync.Mutex
 	busy map[laburnumlog.ReplicaID]bool
 }
 
-func (t *snapshotSends) begin(id laburnumlog.ReplicaID) bool {
+func (t *chunkedSends) begin(id laburnumlog.ReplicaID) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.busy == nil {
@@ -75,36 +79,37 @@
 	return true
 }
 
-func (t *snapshotSends) end(id laburnumlog.ReplicaID) {
+func (t *chunkedSends) end(id laburnumlog.ReplicaID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.busy, id)
 }
 
-// sendSnapshot sends a snapshot in chunks, one at a time, unless one is already being sent to the
-// member. If a chunk is lost, the log later resends the whole snapshot.
-func (v *Voter) sendSnapshot(address string, m wireMessage) {
-	if !v.snapshotSends.begin(m.To) {
+// sendInChunks sends a snapshot or an entry in chunks, one at a time, unless a message is already being sent to the
+// member this way. If a chunk is lost, the log later resends the whole message.
+func (v *Voter) sendInChunks(address string, m wireMessage) {
+	if !v.chunkedSends.begin(m.To) {
 		return
 	}
 	go func() {
-		defer v.snapshotSends.end(m.To)
-		snapshot := *m.Snapshot
-		data := snapshot.Data
-		snapshot.Data = nil
-		m.Snapshot = &snapshot
+		defer v.chunkedSends.end(m.To)
+		data, rest := m.payload(), m.withPayload(nil)
 		for offset := 0; ; offset += chunkBytes {
 			end := min(len(data), offset+chunkBytes)
-			part := chunkParams{Message: m, Offset: offset, Data: data[offset:end], Last: end == len(data)}
+			part := chunkParams{Message: rest, Offset: offset, Data: data[offset:end], Last: end == len(data)}
 			var answer chunkAnswer
-			if err := v.sendChunk(address, part, &answer); err != nil || !answer.Accepted || part.Last {
+			err := v.sendChunk(address, part, &answer)
+			if err == nil && !answer.Accepted && offset == 0 && m.Kind == laburnumlog.MessageAppend {
+				v.notify(address, m) // a VM of an earlier build takes only snapshots in chunks
+			}
+			if err != nil || !answer.Accepted || part.Last {
 				return
 			}
 		}
 	}()
 }
 
-// sendChunk sends one chunk. On a frozen VM it times out before the log resends the snapshot, which
+// sendChunk sends one chunk. On a frozen VM it times out before the log resends the message, which
 // would otherwise be skipped because this one is still being sent.
 func (v *Voter) sendChunk(address string, part chunkParams, answer *chunkAnswer) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -114,25 +119,30 @@
 	return v.peers.Call(ctx, address, methodChunk, part, answer)
 }
 
-// snapshotAssembly holds the chunks of an incoming snapshot.
-type snapshotAssembly struct {
-	mu    sync.Mutex
-	from  laburnumlog.ReplicaID
-	term  uint64
-	index uint64
-	data  []byte
+// chunkAssembly holds the chunks of an incoming message.
+type chunkAssembly struct {
+	mu   sync.Mutex
+	of   chunkedMessage
+	data []byte
+}
+
+// chunkedMessage identifies a message that is sent in chunks.
+type chunkedMessage struct {
+	kind        laburnumlog.MessageKind
+	from        laburnumlog.ReplicaID
+	term, index uint64
 }
 
-// add appends a chunk, and returns the snapshot once it is complete. It rejects a chunk out of
+// add appends a chunk, and returns the payload once it is complete. It rejects a chunk out of
 // order, after which the sender starts over.
-func (a *snapshotAssembly) add(p chunkParams) (whole []byte, done, ok bool) {
+func (a *chunkAssembly) add(p chunkParams) (whole []byte, done, ok bool) {
+	of := p.Message.chunked()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p.Offset == 0 {
-		a.from, a.term, a.index, a.data = p.Message.From, p.Message.Term, p.Message.Snapshot.Index, nil
+		a.of, a.data = of, nil
 	}
-	same := a.from == p.Message.From && a.term == p.Message.Term && a.index == p.Message.Snapshot.Index
-	if !same || len(a.data) != p.Offset {
+	if a.of != of || len(a.data) != p.Offset {
 		return nil, false, false
 	}
 	a.data = append(a.data, p.Data...)
@@ -140,7 +150,7 @@
 		return nil, false, true
 	}
 	whole, a.data = a.data, nil
-	a.from = ""
+	a.of = chunkedMessage{}
 	return whole, true, true
 }
 
@@ -191,13 +201,12 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
 	}
-	if p.Message.Snapshot == nil {
+	if !p.Message.hasPayload() {
 		return chunkAnswer{}, nil
 	}
 	whole, done, ok := v.assembly.add(p)
 	if done {
-		p.Message.Snapshot.Data = whole
-		v.loop.Post(v, received{message: p.Message})
+		v.loop.Post(v, received{message: p.Message.withPayload(whole)})
 	}
 	return chunkAnswer{Accepted: ok}, nil
 }
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -56,8 +56,8 @@
 	status        atomic.Pointer[laburnumlever.VoterStatus]
 	proposals     proposalQueue
 	known         knownVoters
-	assembly      snapshotAssembly
-	snapshotSends snapshotSends
+	assembly      chunkAssembly
+	chunkedSends  chunkedSends
 	claims        atomic.Uint64
 	// leaderlessTicks is the number of ticks for which this voter has known no leader.
 	leaderlessTicks atomic.Uint64
--- a/laburnumvoter/wire.go
+++ b/laburnumvoter/wire.go
@@ -21,6 +21,48 @@
 	Address string `json:"address"`
 }
 
+// hasPayload reports whether the message can be sent in chunks: it is a snapshot or an append of one entry.
+func (m wireMessage) hasPayload() bool {
+	return m.Snapshot != nil || m.Kind == laburnumlog.MessageAppend && len(m.Entries) == 1
+}
+
+// payload returns the part of the message that can be sent in chunks; nil if there is none.
+func (m wireMessage) payload() []byte {
+	switch {
+	case !m.hasPayload():
+		return nil
+	case m.Snapshot != nil:
+		return m.Snapshot.Data
+	default:
+		return m.Entries[0].Data
+	}
+}
+
+// withPayload returns a copy of the message with another payload.
+func (m wireMessage) withPayload(data []byte) wireMessage {
+	if m.Snapshot != nil {
+		snapshot := *m.Snapshot
+		snapshot.Data = data
+		m.Snapshot = &snapshot
+		return m
+	}
+	entry := m.Entries[0]
+	entry.Data = data
+	m.Entries = []laburnumlog.Entry{entry}
+	return m
+}
+
+// chunked identifies the message among those that are sent in chunks.
+func (m wireMessage) chunked() chunkedMessage {
+	of := chunkedMessage{kind: m.Kind, from: m.From, term: m.Term}
+	if m.Snapshot != nil {
+		of.index = m.Snapshot.Index
+	} else {
+		of.index = m.Entries[0].Index
+	}
+	return of
+}
+
 // helloMessage announces a replica that has just started, is no member or knows no leader.
 type helloMessage struct {
 	Member laburnumlog.Member `json:"member"`
@@ -68,7 +110,7 @@
 	Detail string                `json:"detail,omitempty"`
 }
 
-// chunkParams is one chunk of a snapshot. Message has the snapshot's index and term but no data.
+// chunkParams is one chunk of a snapshot or an entry. Message has its index and term but no data.
 type chunkParams struct {
 	Message wireMessage `json:"message"`
 	Offset  int         `json:"offset"`
