--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -164,11 +164,10 @@
 	if err != nil {
 		return err
 	}
-	control, err := laburnumroles.NewControl(role.settings, platform.NewEngines(), role.options...)
+	control, err := laburnumroles.NewControl(role.settings, platform.NewEngines(), platform.DecodeManifest, role.options...)
 	if err != nil {
 		return err
 	}
-	control.SetRoutesDecoder(platform.DecodeManifest)
 	handler, err := platform.NewHandler(control, platform.WithForeign(control.HeartbeatRefused))
 	if err != nil {
 		return err
--- a/command.go
+++ b/command.go
@@ -115,7 +115,8 @@
 	Intents []OrderIntent `json:"intents,omitempty"`
 	// Routes is the result of CommandReadRoutes.
 	Routes *EncodedRoutes `json:"routes,omitempty"`
-	// RoutesVersion is the version of the route table after CommandNoop; 0 for none, and from earlier builds.
+	// RoutesVersion is the version of the route table after CommandNoop and CommandApplyRoutes; 0 for none, and from
+	// earlier builds.
 	RoutesVersion uint64 `json:"routes-version,omitempty"`
 	Detail        string `json:"detail,omitempty"`
 }
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -18,7 +18,6 @@
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumregistry"
 	"laburnumlever/laburnumroom"
-	"laburnumlever/laburnumroutes"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumvoter"
 
@@ -28,9 +27,6 @@
 )
 
 const (
-	// operatorProposalTimeout bounds a proposal made for an operator. It is below the operator's own
-	// timeout of one second, so that the operator gets an answer.
-	operatorProposalTimeout = 900 * time.Millisecond
 	// usagePeriod is the interval between log lines on the control thread's usage.
 	usagePeriod = 5 * time.Second
 	// rememberPeriods is the number of heartbeat periods after the start in which gateways that start get the servers from before.
@@ -71,8 +67,9 @@
 	confirmations *confirmations
 	// quotas grants shares of client accounts' quotas.
 	quotas *quotas
-	// decodeRoutes decodes the operators' text of tables from builds that know no client accounts; nil for none.
-	decodeRoutes func(document []byte) (laburnumlever.RouteTable, error)
+	// decodeRoutes decodes the operators' text of tables from the log, committed holds the newest of these.
+	decodeRoutes laburnumlever.RoutesDecoder
+	committed    *newestRoutes
 	// brittle leases places on brittle backend servers.
 	brittle *brittle
 	// limits grants slots at limited backend servers.
@@ -100,10 +97,12 @@
 	_ laburnumfeed.Sink          = (*Control)(nil)
 )
 
-// NewControl returns a control VM that is not started. An error is a *StartError.
-func NewControl(settings laburnumsettings.RoleSettings, engines laburnumlever.ModelEngines, opts ...Option) (*Control, error) {
+// NewControl returns a control VM that is not started. decode decodes the operators' text of route tables. An error is a
+// *StartError.
+func NewControl(settings laburnumsettings.RoleSettings, engines laburnumlever.ModelEngines, decode laburnumlever.RoutesDecoder, opts ...Option) (*Control, error) {
 	meter := laburnumeventloop.NewMeter()
-	c := &Control{process: newProcess(settings, opts), loop: laburnumeventloop.New(laburnumeventloop.WithMeter(meter)), meter: meter}
+	c := &Control{process: newProcess(settings, opts), loop: laburnumeventloop.New(laburnumeventloop.WithMeter(meter)), meter: meter, decodeRoutes: decode}
+	c.committed = &newestRoutes{use: c.useCommitted}
 	c.commitTimes = c.metrics.Scope().Histogram("routes_commit_seconds", commitTimeBuckets)
 	c.foreign = laburnumfeed.NewForeignEntries(c.logger, c.metrics.Scope())
 	c.registry, c.room = laburnumregistry.New(time.Duration(settings.Times.Heartbeat)), laburnumroom.NewTable()
@@ -238,7 +237,7 @@
 	if err != nil {
 		return &laburnumlever.StartError{Part: "voter", Cause: err}
 	}
-	voter.OnRoutes(c.routesApplied)
+	voter.OnRoutes(c.committed.put)
 	c.voter = voter
 	return nil
 }
@@ -257,43 +256,6 @@
 	return voters
 }
 
-// routesApplied publishes a committed route table. It runs on the control thread.
-func (c *Control) routesApplied(t laburnumlever.RouteTable) { c.setRoutes(c.withAccounts(t), "log") }
-
-// setRoutes puts a route table into effect, unless a newer one is: a learner that has fetched the newest applies earlier
-// ones from the log.
-func (c *Control) setRoutes(t laburnumlever.RouteTable, from string) {
-	c.routesMu.Lock()
-	defer c.routesMu.Unlock()
-	if current := c.routes.Load(); current != nil && current.Version > t.Version {
-		return
-	}
-	c.routes.Store(&t)
-	c.source.SetRoutes(t)
-	c.quotas.setRoutes(t)
-	c.director.SetRoutes(t)
-	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes), "from", from)
-}
-
-// SetRoutesDecoder sets the decoder of the operators' text of a route table, for tables from builds that know no client
-// accounts; call it before Start.
-func (c *Control) SetRoutesDecoder(decode func(document []byte) (laburnumlever.RouteTable, error)) {
-	c.decodeRoutes = decode
-}
-
-// withAccounts adds the client accounts to a table from a build that knows none.
-func (c *Control) withAccounts(t laburnumlever.RouteTable) laburnumlever.RouteTable {
-	if t.Format >= laburnumlever.TableFormat || c.decodeRoutes == nil || len(t.Document) == 0 {
-		return t
-	}
-	decoded, err := c.decodeRoutes(t.Document)
-	if err != nil || laburnumroutes.Check(decoded) != nil {
-		_ = level.Error(c.logger).Log("event", laburnumlever.EventAccountsUnknown, "version", t.Version, "cause", err)
-		return t
-	}
-	return decoded
-}
-
 // Start starts the control VM; handler serves operators and backend servers. Errors:
 // *laburnumlever.ListenError.
 func (c *Control) Start(handler http.Handler) error {
@@ -493,44 +455,9 @@
 	}
 }
 
-// ApplyRoutes validates a route table and commits it to the log.
-func (c *Control) ApplyRoutes(ctx context.Context, table laburnumlever.RouteTable) error {
-	if err := laburnumroutes.Check(table); err != nil {
-		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "version", table.Version, "cause", err)
-		return err
-	}
-	encoded, err := laburnumlever.EncodeRoutes(table)
-	if err != nil {
-		return err
-	}
-	began := c.timers.Now()
-	_, err = c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &encoded})
-	c.commitTimes.RecordDuration(c.timers.Now().Sub(began))
-	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "bytes", len(table.Document), "cause", err)
-	return err
-}
-
 // voterTarget is the number of voters that tolerates a number of lost voters, disks included.
 func voterTarget(losses int) int { return 2*losses + 1 }
 
-// ReadRoutes is a linearizable read of the route table; it fails without a quorum.
-func (c *Control) ReadRoutes(ctx context.Context) (laburnumlever.RouteTable, error) {
-	result, err := c.propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandReadRoutes})
-	if err != nil {
-		return laburnumlever.RouteTable{}, err
-	}
-	if result.Routes == nil {
-		return laburnumlever.RouteTable{}, &laburnumlever.NotFoundError{Kind: "route table", Name: "newest"}
-	}
-	return result.Routes.Table()
-}
-
-func (c *Control) propose(ctx context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, operatorProposalTimeout)
-	defer cancel()
-	return c.voter.Propose(ctx, cmd)
-}
-
 // HandleAnswer applies changes received from another control VM.
 func (c *Control) HandleAnswer(_ string, a laburnumfeed.Answer) {
 	for _, vm := range a.Controls {
@@ -568,20 +495,6 @@
 // ControlLost does nothing: other control VMs are polled until they answer.
 func (c *Control) ControlLost(string) {}
 
-// HandleRoutes puts a route table into effect that a control VM without a vote has fetched: it gets none from the log.
-func (c *Control) HandleRoutes(t laburnumlever.RouteTable) { c.setRoutes(t, "feed") }
-
-// RoutesVersion returns the version of the routes in effect. A voter fetches no routes, as it gets them from the log.
-func (c *Control) RoutesVersion() uint64 {
-	if c.voter.Votes() {
-		return ^uint64(0)
-	}
-	if routes := c.routes.Load(); routes != nil {
-		return routes.Version
-	}
-	return 0
-}
-
 // GatewayReport is empty: only gateways serve callers and have backend state to report.
 func (c *Control) GatewayReport() laburnumlever.GatewayReport { return laburnumlever.GatewayReport{} }
 
--- /dev/null
+++ b/laburnumroles/controlroutes.go
@@ -0,0 +1,127 @@
+package laburnumroles
+
+import (
+	"context"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumroutes"
+
+	"github.com/go-kit/log/level"
+)
+
+// operatorProposalTimeout bounds a proposal made for an operator. It is below the operator's own timeout of one second, so that
+// the operator gets an answer. Operators wait longer for a large change: for the largest it is proposalTimeout.
+const operatorProposalTimeout = 900 * time.Millisecond
+
+// useCommitted puts a committed route table into effect. One that can't be decoded leaves the earlier one in effect.
+func (c *Control) useCommitted(encoded laburnumlever.EncodedRoutes) {
+	t, err := encoded.Table()
+	if err == nil {
+		t, err = c.decoded(t)
+	}
+	if err != nil {
+		_ = level.Error(c.logger).Log("event", laburnumlever.EventRoutesNotDecoded, "version", encoded.Version(), "cause", err)
+		return
+	}
+	c.setRoutes(t, "log")
+}
+
+// setRoutes puts a route table into effect, unless a newer one is: a learner that has fetched the newest applies earlier
+// ones from the log.
+func (c *Control) setRoutes(t laburnumlever.RouteTable, from string) {
+	c.routesMu.Lock()
+	defer c.routesMu.Unlock()
+	if current := c.routes.Load(); current != nil && current.Version > t.Version {
+		return
+	}
+	c.routes.Store(&t)
+	c.source.SetRoutes(t)
+	c.quotas.setRoutes(t)
+	c.director.SetRoutes(t)
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesApplied, "version", t.Version, "routes", len(t.Routes), "from", from)
+}
+
+// decoded returns the whole table of the operators' text in a table of format 0.
+func (c *Control) decoded(t laburnumlever.RouteTable) (laburnumlever.RouteTable, error) {
+	if t.Format >= laburnumlever.TableFormat || len(t.Document) == 0 {
+		return t, nil
+	}
+	whole, err := c.decodeRoutes(t.Document)
+	if err == nil {
+		err = laburnumroutes.Check(whole)
+	}
+	return whole, err
+}
+
+// ApplyRoutes validates a route table and commits it to the log. Errors: *laburnumlever.RoutesInvalidError, those of the
+// encoding and of a proposal.
+func (c *Control) ApplyRoutes(ctx context.Context, table laburnumlever.RouteTable) error {
+	if err := laburnumroutes.Check(table); err != nil {
+		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "version", table.Version, "bytes", len(table.Document), "cause", err)
+		return err
+	}
+	began := c.timers.Now()
+	newest, err := c.commitRoutes(ctx, table)
+	c.commitTimes.RecordDuration(c.timers.Now().Sub(began))
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "bytes", len(table.Document),
+		"newest", newest, "cause", err)
+	return err
+}
+
+// commitRoutes commits a route table and returns the newest committed version; 0 if a VM of an earlier build committed it.
+func (c *Control) commitRoutes(ctx context.Context, table laburnumlever.RouteTable) (newest uint64, err error) {
+	encoded, err := laburnumlever.EncodeDocument(table.Version, table.Document)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposalTime(len(table.Document)))
+	defer cancel()
+	result, err := c.voter.Propose(ctx, laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &encoded})
+	return result.RoutesVersion, err
+}
+
+// ReadRoutes is a linearizable read of the route table; it fails without a quorum.
+func (c *Control) ReadRoutes(ctx context.Context) (laburnumlever.RouteTable, error) {
+	own, size := c.routes.Load(), laburnumlever.MaxRoutesDocument
+	if own != nil && len(own.Document) > 0 {
+		size = len(own.Document)
+	}
+	result, err := c.propose(ctx, laburnumlever.CommandReadRoutes, size)
+	if err != nil {
+		return laburnumlever.RouteTable{}, err
+	}
+	if result.Routes == nil {
+		return laburnumlever.RouteTable{}, &laburnumlever.NotFoundError{Kind: "route table", Name: "newest"}
+	}
+	return result.Routes.Table()
+}
+
+// propose proposes a command without content, whose result may have an operators' text of a size in bytes.
+func (c *Control) propose(ctx context.Context, kind laburnumlever.CommandKind, size int) (laburnumlever.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposalTime(size))
+	defer cancel()
+	return c.voter.Propose(ctx, laburnumlever.Command{Kind: kind})
+}
+
+// proposalTime returns the timeout of a proposal for an operator, for a text of a size in bytes.
+func proposalTime(size int) time.Duration {
+	share := float64(size) / laburnumlever.MaxRoutesDocument
+	return operatorProposalTimeout + time.Duration(share*float64(proposalTimeout-operatorProposalTimeout))
+}
+
+// HandleRoutes puts a route table into effect that a control VM without a vote has fetched: it gets none from the log.
+func (c *Control) HandleRoutes(t laburnumlever.RouteTable) {
+	c.setRoutes(t, "feed")
+}
+
+// RoutesVersion returns the version of the routes in effect. A voter fetches no routes, as it gets them from the log.
+func (c *Control) RoutesVersion() uint64 {
+	if c.voter.Votes() {
+		return ^uint64(0)
+	}
+	if routes := c.routes.Load(); routes != nil {
+		return routes.Version
+	}
+	return 0
+}
--- a/laburnumroles/doc.go
+++ b/laburnumroles/doc.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	control, err := laburnumroles.NewControl(settings, engines, laburnumroles.WithLogger(logger))
+//	control, err := laburnumroles.NewControl(settings, engines, decode, laburnumroles.WithLogger(logger))
 //	err = control.Start(handler) // handler serves operators and backend servers
 //	…
 //	control.Shutdown(ctx)
--- /dev/null
+++ b/laburnumroles/largemanifest_test.go
@@ -0,0 +1,97 @@
+package laburnumroles_test
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever"
+)
+
+// linkManifest returns a manifest with routes whose prefixes are random links of a length, as signed links are, and the prefix
+// of the last one. It is as long as fits into a number of bytes.
+func linkManifest(t *testing.T, version, link, size int) (text []byte, prefix string) {
+	var document map[string]any
+	require.NoError(t, json.Unmarshal(manifest(version, "confirm"), &document))
+	random := rand.NewChaCha8([32]byte{byte(version)})
+	routes, _ := document["routes"].([]any)
+	length := len(manifest(version, "confirm"))
+	for {
+		token := make([]byte, link)
+		_, _ = random.Read(token) // never fails
+		path := "/" + base64.RawURLEncoding.EncodeToString(token) + "/"
+		route := map[string]any{
+			"name": fmt.Sprint("visit-", len(routes)), "hostname": "quotes.example", "path_prefix": path, "kind": "idempotent",
+			"timeout_ms": 3000, "priority": 0, "service": "rdv", "max_attempts": 2,
+		}
+		encoded, err := json.Marshal(route)
+		require.NoError(t, err)
+		if length += len(encoded) + 1; length > size {
+			break
+		}
+		routes, prefix = append(routes, route), path
+	}
+	document["routes"] = routes
+	text, err := json.Marshal(document)
+	require.NoError(t, err)
+	return append(text, bytes.Repeat([]byte(" "), size-len(text))...), prefix
+}
+
+// putManifest sends a manifest once, waits long enough for the largest, and returns the status.
+func (s *deployment) putManifest(control int, text []byte) int {
+	client := &http.Client{Timeout: 20 * time.Second}
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPut, "http://"+s.control(control)+"/v1/config", bytes.NewReader(text))
+	require.NoError(s.t, err)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a manifest up to the program's bound that is acknowledged and not stored, not in force, or gone after a restart.
+func TestLargeManifestsAreStoredAndInForce(t *testing.T) {
+	s := newDeployment(t, 3, 1)
+	s.until(200, "first manifest", func() (int, []byte) {
+		return s.call("PUT", "http://"+s.control(0)+"/v1/config", manifest(7, "confirm"))
+	})
+	plain := s.startBackendServer("i-rdv", "rdv")
+	require.Equal(t, 200, plain.announce(0))
+	version := 7
+	var last []byte
+	for _, shape := range []struct{ link, size int }{
+		{link: 6000, size: 2_900_000},
+		{link: 24, size: 1_000_000},
+		{link: 24, size: laburnumlever.MaxRoutesDocument},
+		{link: 6000, size: laburnumlever.MaxRoutesDocument},
+	} {
+		version++
+		text, prefix := linkManifest(t, version, shape.link, shape.size)
+		s.until(200, fmt.Sprint("manifest of ", shape.size, " bytes"), func() (int, []byte) { return s.putManifest(version%3, text), nil })
+		for i := range s.controls {
+			body := s.until(200, "read", func() (int, []byte) { return s.call("GET", "http://"+s.control(i)+"/v1/config", nil) })
+			require.True(t, bytes.Equal(text, body), "control VM %d returns %d bytes of version %d", i, len(body), version)
+		}
+		s.until(200, "in force at the gateway", func() (int, []byte) {
+			plain.announce(version % 3)
+			return s.call("GET", "http://"+s.callers+prefix+"today", nil, "X-Laburnumlever-Request-Id", fmt.Sprint("r-", version))
+		})
+		last = text
+	}
+	for i := range s.controls {
+		s.stop(i)
+	}
+	for i := range s.controls {
+		s.startControl(i, 1, false)
+	}
+	body := s.until(200, "read after a restart", func() (int, []byte) { return s.call("GET", "http://"+s.control(1)+"/v1/config", nil) })
+	require.True(t, bytes.Equal(last, body), "%d bytes", len(body))
+}
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -82,7 +82,7 @@
 	settings := s.settings(s.ip(i))
 	settings.Listen.Control = s.control(i)
 	settings.DataFolder, settings.FirstStart, settings.ControlLosses = s.folders[i], first, losses
-	c, err := laburnumroles.NewControl(settings, platform.NewEngines())
+	c, err := laburnumroles.NewControl(settings, platform.NewEngines(), platform.DecodeManifest)
 	require.NoError(s.t, err)
 	handler, err := platform.NewHandler(c)
 	require.NoError(s.t, err)
@@ -422,7 +422,7 @@
 		Times: laburnumsettings.RoleTimes{Heartbeat: laburnumlever.Duration(time.Second), Lease: laburnumlever.Duration(3 * time.Second)},
 		Log:   laburnumsettings.Log{Level: "info"},
 	}
-	control, err := laburnumroles.NewControl(settings, platform.NewEngines())
+	control, err := laburnumroles.NewControl(settings, platform.NewEngines(), platform.DecodeManifest)
 	require.NoError(b, err)
 	handler, err := platform.NewHandler(control)
 	require.NoError(b, err)
--- a/laburnumroles/quotas_internal_test.go
+++ b/laburnumroles/quotas_internal_test.go
@@ -17,7 +17,7 @@
 		DataFolder: t.TempDir(), FirstStart: true,
 		Times: laburnumsettings.RoleTimes{Heartbeat: second, Lease: 3 * second},
 		Quota: laburnumsettings.RoleQuota{Overshoot: 0.1, Window: 8 * second}, Log: laburnumsettings.Log{Level: "info"},
-	}, nil)
+	}, nil, nil)
 	require.NoError(t, err)
 	quota := laburnumlever.Quota{Rate: 300, Burst: 300}
 	c.quotas.setRoutes(laburnumlever.RouteTable{Version: 1}.WithAccounts(nil, []laburnumlever.Account{{Name: "acme", Quota: quota}}))
--- a/laburnumstate/machine.go
+++ b/laburnumstate/machine.go
@@ -177,5 +177,5 @@
 	if m.routes == nil || t.Version() > m.routes.Version() {
 		m.routes = &t
 	}
-	return laburnumlever.Result{Code: laburnumlever.ResultOK}
+	return laburnumlever.Result{Code: laburnumlever.ResultOK, RoutesVersion: m.routes.Version()}
 }
--- a/laburnumvoter/largecommand_test.go
+++ b/laburnumvoter/largecommand_test.go
@@ -1,7 +1,9 @@
 package laburnumvoter_test
 
 import (
+	"bytes"
 	"context"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -36,3 +38,30 @@
 	}
 	require.EqualValues(t, 1, f.vms[leader].apply(t, strings.Repeat("large", 300_000), 0).Revision)
 }
+
+func applyRoutes(t *testing.T, version uint64, document []byte) laburnumlever.Command {
+	t.Helper()
+	encoded, err := laburnumlever.EncodeDocument(version, document)
+	require.NoError(t, err)
+	return laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &encoded}
+}
+
+// Guards against the longest operators' text that does not fit into the log, as it hardly compresses.
+func TestLongestRoutesDocumentIsCommitted(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	random := make([]byte, laburnumlever.MaxRoutesDocument)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(random) // never fails
+	for version, document := range map[uint64][]byte{1: random, 2: append([]byte(strings.Repeat("a", 1<<20)), random[1<<20:]...)} {
+		_, err := f.vms["a"].Propose(context.Background(), applyRoutes(t, version, document))
+		require.NoError(t, err)
+	}
+	for _, m := range f.vms {
+		result, err := m.Propose(context.Background(), laburnumlever.Command{Kind: laburnumlever.CommandReadRoutes})
+		require.NoError(t, err)
+		table, err := result.Routes.Table()
+		require.NoError(t, err)
+		require.EqualValues(t, 2, table.Version)
+		require.True(t, bytes.Equal(random[1<<20:], table.Document[1<<20:]))
+	}
+}
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strconv"
 	"sync"
@@ -18,9 +19,9 @@
 const (
 	// maxWaiters bounds the proposals in flight on one leader.
 	maxWaiters = 1 << 14
-	// maxCommandBytes bounds an encoded command: a larger entry would not fit into a frame
-	// of a peer connection, and the log would resend it forever.
-	maxCommandBytes = 4 << 20
+	// maxCommandBytes bounds an encoded command. It leaves room for the longest operators' text that does not compress, encoded
+	// in base64 twice. An entry of that size, which a message encodes once more, fits into a frame of a peer connection.
+	maxCommandBytes = laburnumlever.MaxRoutesDocument*16/9 + 64<<10
 )
 
 // waiter is a proposal whose entry was appended to the log but is not committed yet.
@@ -183,7 +184,7 @@
 	_ = level.Warn(v.cfg.logger).Log("event", laburnumlever.EventCommandRejected, "kind", p.command.Kind, "bytes", size, "limit", maxCommandBytes, "cause", cause)
 	v.cfg.scope.Counter("voter-commands-rejected").Inc(1)
 	p.reply <- proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{
-		Code: laburnumlever.ResultInvalid, Detail: "the command can't be encoded or is larger than 4 MiB",
+		Code: laburnumlever.ResultInvalid, Detail: fmt.Sprintf("the command of %d bytes can't be encoded or is larger than %d", size, maxCommandBytes),
 	}}
 }
 
--- a/laburnumvoter/step.go
+++ b/laburnumvoter/step.go
@@ -143,19 +143,10 @@
 	}
 	if routes := v.machine.Routes(); routes != nil && routes.Version() > v.notifiedRoutes {
 		v.notifiedRoutes = routes.Version()
-		v.notifyRoutes(*routes)
+		v.onRoutes(*routes)
 	}
 }
 
-func (v *Voter) notifyRoutes(routes laburnumlever.EncodedRoutes) {
-	table, err := routes.Table()
-	if err != nil {
-		v.failReplica(&BadEntryError{Index: v.applied, Cause: err})
-		return
-	}
-	v.onRoutes(table)
-}
-
 // maybeSnapshot encodes a snapshot once the entries applied since the last snapshot are as large
 // as that snapshot, which keeps the cost of snapshots proportional to the changes.
 func (v *Voter) maybeSnapshot() {
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -34,7 +34,7 @@
 	planner          laburnumquorum.Planner
 	renewals         map[string]renewal
 	onCatalogue      func(laburnumlever.Catalogue)
-	onRoutes         func(laburnumlever.RouteTable)
+	onRoutes         func(laburnumlever.EncodedRoutes)
 	applied          uint64
 	notifiedRevision uint64 // the revision last passed to onCatalogue
 	notifiedRoutes   uint64 // the version last passed to onRoutes
@@ -53,12 +53,12 @@
 	logged           loggedState
 
 	// The fields below may be used on any goroutine.
-	status        atomic.Pointer[laburnumlever.VoterStatus]
-	proposals     proposalQueue
-	known         knownVoters
-	assembly      chunkAssembly
-	chunkedSends  chunkedSends
-	claims        atomic.Uint64
+	status       atomic.Pointer[laburnumlever.VoterStatus]
+	proposals    proposalQueue
+	known        knownVoters
+	assembly     chunkAssembly
+	chunkedSends chunkedSends
+	claims       atomic.Uint64
 	// leaderlessTicks is the number of ticks for which this voter has known no leader.
 	leaderlessTicks atomic.Uint64
 	startedAt       time.Time
@@ -78,7 +78,7 @@
 		waiters:   map[uint64]waiter{},
 		addresses: map[laburnumlog.ReplicaID]string{}, joiners: map[laburnumlever.VMID]joiner{},
 		renewals: map[string]renewal{}, onCatalogue: func(laburnumlever.Catalogue) {},
-		onRoutes: func(laburnumlever.RouteTable) {},
+		onRoutes: func(laburnumlever.EncodedRoutes) {},
 		done:     make(chan struct{}), startedAt: timers.Now(),
 	}
 	v.planner = laburnumquorum.NewPlanner(v.cfg.policy())
@@ -121,7 +121,7 @@
 
 // OnRoutes sets the function called on the control thread with each newly applied route table and
 // after recovery. It must be called before Start.
-func (v *Voter) OnRoutes(fn func(laburnumlever.RouteTable)) { v.onRoutes = fn }
+func (v *Voter) OnRoutes(fn func(laburnumlever.EncodedRoutes)) { v.onRoutes = fn }
 
 // Start starts the replica and its ticks.
 func (v *Voter) Start() {
--- a/logevent.go
+++ b/logevent.go
@@ -161,6 +161,8 @@
 	EventRoutesApplied
 	// EventRoutesInEffect is a route table that has taken effect for requests.
 	EventRoutesInEffect // routes-in-force
+	// EventRoutesNotDecoded is a route table of the log that can't be decoded; the earlier one stays in effect.
+	EventRoutesNotDecoded
 	// EventRoutesNotFetched is a failure to fetch a route table.
 	EventRoutesNotFetched
 	// EventCatalogueInEffect is a catalogue that has taken effect for requests.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1074, 1090, 1099, 1113, 1128, 1145, 1160, 1173, 1188, 1199, 1213, 1226, 1252, 1270, 1284, 1301, 1320, 1341, 1350, 1360, 1377, 1395, 1405, 1414, 1428, 1440, 1456, 1463, 1471, 1478, 1485, 1502, 1518, 1532, 1550, 1563, 1573, 1590}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1079, 1092, 1108, 1117, 1131, 1146, 1163, 1178, 1191, 1206, 1217, 1231, 1244, 1270, 1288, 1302, 1319, 1338, 1359, 1368, 1378, 1395, 1413, 1423, 1432, 1446, 1458, 1474, 1481, 1489, 1496, 1503, 1520, 1536, 1550, 1568, 1581, 1591, 1608}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -92,49 +92,50 @@
 	_ = x[EventRoutesRefused-(65)]
 	_ = x[EventRoutesApplied-(66)]
 	_ = x[EventRoutesInEffect-(67)]
-	_ = x[EventRoutesNotFetched-(68)]
-	_ = x[EventCatalogueInEffect-(69)]
-	_ = x[EventBecameLeader-(70)]
-	_ = x[EventCommandRejected-(71)]
-	_ = x[EventNoLeader-(72)]
-	_ = x[EventReplicaOpened-(73)]
-	_ = x[EventStartConfirmed-(74)]
-	_ = x[EventStartUnconfirmed-(75)]
-	_ = x[EventVotersChanged-(76)]
-	_ = x[EventLearnerAdded-(77)]
-	_ = x[EventLearnerRemoved-(78)]
-	_ = x[EventVoterAdded-(79)]
-	_ = x[EventVoterReplaced-(80)]
-	_ = x[EventVoterStandby-(81)]
-	_ = x[EventLeadershipNotHandedOver-(82)]
-	_ = x[EventExpiryNotEncoded-(83)]
-	_ = x[EventReplicaFailed-(84)]
-	_ = x[EventReplicaRegressed-(85)]
-	_ = x[EventDataFolderDamaged-(86)]
-	_ = x[EventDataFolderRegressed-(87)]
-	_ = x[EventLeaseAcquired-(88)]
-	_ = x[EventLeaseLost-(89)]
-	_ = x[EventLeaseNotRenewed-(90)]
-	_ = x[EventLeaseNotReleased-(91)]
-	_ = x[EventZoneOwned-(92)]
-	_ = x[EventZoneLost-(93)]
-	_ = x[EventControlThreadTimes-(94)]
-	_ = x[EventControlLost-(95)]
-	_ = x[EventControlRegained-(96)]
-	_ = x[EventStarted-(97)]
-	_ = x[EventDraining-(98)]
-	_ = x[EventDrained-(99)]
-	_ = x[EventStopped-(100)]
-	_ = x[EventSettingsReloaded-(101)]
-	_ = x[EventSettingsRefused-(102)]
-	_ = x[EventListenerEnded-(103)]
-	_ = x[EventMetricsNotServed-(104)]
-	_ = x[EventUnknownEvent-(105)]
-	_ = x[EventOverloaded-(106)]
-	_ = x[EventLogLinesDropped-(107)]
+	_ = x[EventRoutesNotDecoded-(68)]
+	_ = x[EventRoutesNotFetched-(69)]
+	_ = x[EventCatalogueInEffect-(70)]
+	_ = x[EventBecameLeader-(71)]
+	_ = x[EventCommandRejected-(72)]
+	_ = x[EventNoLeader-(73)]
+	_ = x[EventReplicaOpened-(74)]
+	_ = x[EventStartConfirmed-(75)]
+	_ = x[EventStartUnconfirmed-(76)]
+	_ = x[EventVotersChanged-(77)]
+	_ = x[EventLearnerAdded-(78)]
+	_ = x[EventLearnerRemoved-(79)]
+	_ = x[EventVoterAdded-(80)]
+	_ = x[EventVoterReplaced-(81)]
+	_ = x[EventVoterStandby-(82)]
+	_ = x[EventLeadershipNotHandedOver-(83)]
+	_ = x[EventExpiryNotEncoded-(84)]
+	_ = x[EventReplicaFailed-(85)]
+	_ = x[EventReplicaRegressed-(86)]
+	_ = x[EventDataFolderDamaged-(87)]
+	_ = x[EventDataFolderRegressed-(88)]
+	_ = x[EventLeaseAcquired-(89)]
+	_ = x[EventLeaseLost-(90)]
+	_ = x[EventLeaseNotRenewed-(91)]
+	_ = x[EventLeaseNotReleased-(92)]
+	_ = x[EventZoneOwned-(93)]
+	_ = x[EventZoneLost-(94)]
+	_ = x[EventControlThreadTimes-(95)]
+	_ = x[EventControlLost-(96)]
+	_ = x[EventControlRegained-(97)]
+	_ = x[EventStarted-(98)]
+	_ = x[EventDraining-(99)]
+	_ = x[EventDrained-(100)]
+	_ = x[EventStopped-(101)]
+	_ = x[EventSettingsReloaded-(102)]
+	_ = x[EventSettingsRefused-(103)]
+	_ = x[EventListenerEnded-(104)]
+	_ = x[EventMetricsNotServed-(105)]
+	_ = x[EventUnknownEvent-(106)]
+	_ = x[EventOverloaded-(107)]
+	_ = x[EventLogLinesDropped-(108)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -205,46 +206,47 @@
 	_LogEventName[982:996]:   EventRoutesRefused,
 	_LogEventName[996:1010]:  EventRoutesApplied,
 	_LogEventName[1010:1025]: EventRoutesInEffect,
-	_LogEventName[1025:1043]: EventRoutesNotFetched,
-	_LogEventName[1043:1061]: EventCatalogueInEffect,
-	_LogEventName[1061:1074]: EventBecameLeader,
-	_LogEventName[1074:1090]: EventCommandRejected,
-	_LogEventName[1090:1099]: EventNoLeader,
-	_LogEventName[1099:1113]: EventReplicaOpened,
-	_LogEventName[1113:1128]: EventStartConfirmed,
-	_LogEventName[1128:1145]: EventStartUnconfirmed,
-	_LogEventName[1145:1160]: EventVotersChanged,
-	_LogEventName[1160:1173]: EventLearnerAdded,
-	_LogEventName[1173:1188]: EventLearnerRemoved,
-	_LogEventName[1188:1199]: EventVoterAdded,
-	_LogEventName[1199:1213]: EventVoterReplaced,
-	_LogEventName[1213:1226]: EventVoterStandby,
-	_LogEventName[1226:1252]: EventLeadershipNotHandedOver,
-	_LogEventName[1252:1270]: EventExpiryNotEncoded,
-	_LogEventName[1270:1284]: EventReplicaFailed,
-	_LogEventName[1284:1301]: EventReplicaRegressed,
-	_LogEventName[1301:1320]: EventDataFolderDamaged,
-	_LogEventName[1320:1341]: EventDataFolderRegressed,
-	_LogEventName[1341:1350]: EventLeaseAcquired,
-	_LogEventName[1350:1360]: EventLeaseLost,
-	_LogEventName[1360:1377]: EventLeaseNotRenewed,
-	_LogEventName[1377:1395]: EventLeaseNotReleased,
-	_LogEventName[1395:1405]: EventZoneOwned,
-	_LogEventName[1405:1414]: EventZoneLost,
-	_LogEventName[1414:1428]: EventControlThreadTimes,
-	_LogEventName[1428:1440]: EventControlLost,
-	_LogEventName[1440:1456]: EventControlRegained,
-	_LogEventName[1456:1463]: EventStarted,
-	_LogEventName[1463:1471]: EventDraining,
-	_LogEventName[1471:1478]: EventDrained,
-	_LogEventName[1478:1485]: EventStopped,
-	_LogEventName[1485:1502]: EventSettingsReloaded,
-	_LogEventName[1502:1518]: EventSettingsRefused,
-	_LogEventName[1518:1532]: EventListenerEnded,
-	_LogEventName[1532:1550]: EventMetricsNotServed,
-	_LogEventName[1550:1563]: EventUnknownEvent,
-	_LogEventName[1563:1573]: EventOverloaded,
-	_LogEventName[1573:1590]: EventLogLinesDropped,
+	_LogEventName[1025:1043]: EventRoutesNotDecoded,
+	_LogEventName[1043:1061]: EventRoutesNotFetched,
+	_LogEventName[1061:1079]: EventCatalogueInEffect,
+	_LogEventName[1079:1092]: EventBecameLeader,
+	_LogEventName[1092:1108]: EventCommandRejected,
+	_LogEventName[1108:1117]: EventNoLeader,
+	_LogEventName[1117:1131]: EventReplicaOpened,
+	_LogEventName[1131:1146]: EventStartConfirmed,
+	_LogEventName[1146:1163]: EventStartUnconfirmed,
+	_LogEventName[1163:1178]: EventVotersChanged,
+	_LogEventName[1178:1191]: EventLearnerAdded,
+	_LogEventName[1191:1206]: EventLearnerRemoved,
+	_LogEventName[1206:1217]: EventVoterAdded,
+	_LogEventName[1217:1231]: EventVoterReplaced,
+	_LogEventName[1231:1244]: EventVoterStandby,
+	_LogEventName[1244:1270]: EventLeadershipNotHandedOver,
+	_LogEventName[1270:1288]: EventExpiryNotEncoded,
+	_LogEventName[1288:1302]: EventReplicaFailed,
+	_LogEventName[1302:1319]: EventReplicaRegressed,
+	_LogEventName[1319:1338]: EventDataFolderDamaged,
+	_LogEventName[1338:1359]: EventDataFolderRegressed,
+	_LogEventName[1359:1368]: EventLeaseAcquired,
+	_LogEventName[1368:1378]: EventLeaseLost,
+	_LogEventName[1378:1395]: EventLeaseNotRenewed,
+	_LogEventName[1395:1413]: EventLeaseNotReleased,
+	_LogEventName[1413:1423]: EventZoneOwned,
+	_LogEventName[1423:1432]: EventZoneLost,
+	_LogEventName[1432:1446]: EventControlThreadTimes,
+	_LogEventName[1446:1458]: EventControlLost,
+	_LogEventName[1458:1474]: EventControlRegained,
+	_LogEventName[1474:1481]: EventStarted,
+	_LogEventName[1481:1489]: EventDraining,
+	_LogEventName[1489:1496]: EventDrained,
+	_LogEventName[1496:1503]: EventStopped,
+	_LogEventName[1503:1520]: EventSettingsReloaded,
+	_LogEventName[1520:1536]: EventSettingsRefused,
+	_LogEventName[1536:1550]: EventListenerEnded,
+	_LogEventName[1550:1568]: EventMetricsNotServed,
+	_LogEventName[1568:1581]: EventUnknownEvent,
+	_LogEventName[1581:1591]: EventOverloaded,
+	_LogEventName[1591:1608]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -316,46 +318,47 @@
 	_LogEventLowerName[982:996]:   EventRoutesRefused,
 	_LogEventLowerName[996:1010]:  EventRoutesApplied,
 	_LogEventLowerName[1010:1025]: EventRoutesInEffect,
-	_LogEventLowerName[1025:1043]: EventRoutesNotFetched,
-	_LogEventLowerName[1043:1061]: EventCatalogueInEffect,
-	_LogEventLowerName[1061:1074]: EventBecameLeader,
-	_LogEventLowerName[1074:1090]: EventCommandRejected,
-	_LogEventLowerName[1090:1099]: EventNoLeader,
-	_LogEventLowerName[1099:1113]: EventReplicaOpened,
-	_LogEventLowerName[1113:1128]: EventStartConfirmed,
-	_LogEventLowerName[1128:1145]: EventStartUnconfirmed,
-	_LogEventLowerName[1145:1160]: EventVotersChanged,
-	_LogEventLowerName[1160:1173]: EventLearnerAdded,
-	_LogEventLowerName[1173:1188]: EventLearnerRemoved,
-	_LogEventLowerName[1188:1199]: EventVoterAdded,
-	_LogEventLowerName[1199:1213]: EventVoterReplaced,
-	_LogEventLowerName[1213:1226]: EventVoterStandby,
-	_LogEventLowerName[1226:1252]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1252:1270]: EventExpiryNotEncoded,
-	_LogEventLowerName[1270:1284]: EventReplicaFailed,
-	_LogEventLowerName[1284:1301]: EventReplicaRegressed,
-	_LogEventLowerName[1301:1320]: EventDataFolderDamaged,
-	_LogEventLowerName[1320:1341]: EventDataFolderRegressed,
-	_LogEventLowerName[1341:1350]: EventLeaseAcquired,
-	_LogEventLowerName[1350:1360]: EventLeaseLost,
-	_LogEventLowerName[1360:1377]: EventLeaseNotRenewed,
-	_LogEventLowerName[1377:1395]: EventLeaseNotReleased,
-	_LogEventLowerName[1395:1405]: EventZoneOwned,
-	_LogEventLowerName[1405:1414]: EventZoneLost,
-	_LogEventLowerName[1414:1428]: EventControlThreadTimes,
-	_LogEventLowerName[1428:1440]: EventControlLost,
-	_LogEventLowerName[1440:1456]: EventControlRegained,
-	_LogEventLowerName[1456:1463]: EventStarted,
-	_LogEventLowerName[1463:1471]: EventDraining,
-	_LogEventLowerName[1471:1478]: EventDrained,
-	_LogEventLowerName[1478:1485]: EventStopped,
-	_LogEventLowerName[1485:1502]: EventSettingsReloaded,
-	_LogEventLowerName[1502:1518]: EventSettingsRefused,
-	_LogEventLowerName[1518:1532]: EventListenerEnded,
-	_LogEventLowerName[1532:1550]: EventMetricsNotServed,
-	_LogEventLowerName[1550:1563]: EventUnknownEvent,
-	_LogEventLowerName[1563:1573]: EventOverloaded,
-	_LogEventLowerName[1573:1590]: EventLogLinesDropped,
+	_LogEventLowerName[1025:1043]: EventRoutesNotDecoded,
+	_LogEventLowerName[1043:1061]: EventRoutesNotFetched,
+	_LogEventLowerName[1061:1079]: EventCatalogueInEffect,
+	_LogEventLowerName[1079:1092]: EventBecameLeader,
+	_LogEventLowerName[1092:1108]: EventCommandRejected,
+	_LogEventLowerName[1108:1117]: EventNoLeader,
+	_LogEventLowerName[1117:1131]: EventReplicaOpened,
+	_LogEventLowerName[1131:1146]: EventStartConfirmed,
+	_LogEventLowerName[1146:1163]: EventStartUnconfirmed,
+	_LogEventLowerName[1163:1178]: EventVotersChanged,
+	_LogEventLowerName[1178:1191]: EventLearnerAdded,
+	_LogEventLowerName[1191:1206]: EventLearnerRemoved,
+	_LogEventLowerName[1206:1217]: EventVoterAdded,
+	_LogEventLowerName[1217:1231]: EventVoterReplaced,
+	_LogEventLowerName[1231:1244]: EventVoterStandby,
+	_LogEventLowerName[1244:1270]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1270:1288]: EventExpiryNotEncoded,
+	_LogEventLowerName[1288:1302]: EventReplicaFailed,
+	_LogEventLowerName[1302:1319]: EventReplicaRegressed,
+	_LogEventLowerName[1319:1338]: EventDataFolderDamaged,
+	_LogEventLowerName[1338:1359]: EventDataFolderRegressed,
+	_LogEventLowerName[1359:1368]: EventLeaseAcquired,
+	_LogEventLowerName[1368:1378]: EventLeaseLost,
+	_LogEventLowerName[1378:1395]: EventLeaseNotRenewed,
+	_LogEventLowerName[1395:1413]: EventLeaseNotReleased,
+	_LogEventLowerName[1413:1423]: EventZoneOwned,
+	_LogEventLowerName[1423:1432]: EventZoneLost,
+	_LogEventLowerName[1432:1446]: EventControlThreadTimes,
+	_LogEventLowerName[1446:1458]: EventControlLost,
+	_LogEventLowerName[1458:1474]: EventControlRegained,
+	_LogEventLowerName[1474:1481]: EventStarted,
+	_LogEventLowerName[1481:1489]: EventDraining,
+	_LogEventLowerName[1489:1496]: EventDrained,
+	_LogEventLowerName[1496:1503]: EventStopped,
+	_LogEventLowerName[1503:1520]: EventSettingsReloaded,
+	_LogEventLowerName[1520:1536]: EventSettingsRefused,
+	_LogEventLowerName[1536:1550]: EventListenerEnded,
+	_LogEventLowerName[1550:1568]: EventMetricsNotServed,
+	_LogEventLowerName[1568:1581]: EventUnknownEvent,
+	_LogEventLowerName[1581:1591]: EventOverloaded,
+	_LogEventLowerName[1591:1608]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -429,44 +432,45 @@
 	_LogEventName[1010:1025],
 	_LogEventName[1025:1043],
 	_LogEventName[1043:1061],
-	_LogEventName[1061:1074],
-	_LogEventName[1074:1090],
-	_LogEventName[1090:1099],
-	_LogEventName[1099:1113],
-	_LogEventName[1113:1128],
-	_LogEventName[1128:1145],
-	_LogEventName[1145:1160],
-	_LogEventName[1160:1173],
-	_LogEventName[1173:1188],
-	_LogEventName[1188:1199],
-	_LogEventName[1199:1213],
-	_LogEventName[1213:1226],
-	_LogEventName[1226:1252],
-	_LogEventName[1252:1270],
-	_LogEventName[1270:1284],
-	_LogEventName[1284:1301],
-	_LogEventName[1301:1320],
-	_LogEventName[1320:1341],
-	_LogEventName[1341:1350],
-	_LogEventName[1350:1360],
-	_LogEventName[1360:1377],
-	_LogEventName[1377:1395],
-	_LogEventName[1395:1405],
-	_LogEventName[1405:1414],
-	_LogEventName[1414:1428],
-	_LogEventName[1428:1440],
-	_LogEventName[1440:1456],
-	_LogEventName[1456:1463],
-	_LogEventName[1463:1471],
-	_LogEventName[1471:1478],
-	_LogEventName[1478:1485],
-	_LogEventName[1485:1502],
-	_LogEventName[1502:1518],
-	_LogEventName[1518:1532],
-	_LogEventName[1532:1550],
-	_LogEventName[1550:1563],
-	_LogEventName[1563:1573],
-	_LogEventName[1573:1590],
+	_LogEventName[1061:1079],
+	_LogEventName[1079:1092],
+	_LogEventName[1092:1108],
+	_LogEventName[1108:1117],
+	_LogEventName[1117:1131],
+	_LogEventName[1131:1146],
+	_LogEventName[1146:1163],
+	_LogEventName[1163:1178],
+	_LogEventName[1178:1191],
+	_LogEventName[1191:1206],
+	_LogEventName[1206:1217],
+	_LogEventName[1217:1231],
+	_LogEventName[1231:1244],
+	_LogEventName[1244:1270],
+	_LogEventName[1270:1288],
+	_LogEventName[1288:1302],
+	_LogEventName[1302:1319],
+	_LogEventName[1319:1338],
+	_LogEventName[1338:1359],
+	_LogEventName[1359:1368],
+	_LogEventName[1368:1378],
+	_LogEventName[1378:1395],
+	_LogEventName[1395:1413],
+	_LogEventName[1413:1423],
+	_LogEventName[1423:1432],
+	_LogEventName[1432:1446],
+	_LogEventName[1446:1458],
+	_LogEventName[1458:1474],
+	_LogEventName[1474:1481],
+	_LogEventName[1481:1489],
+	_LogEventName[1489:1496],
+	_LogEventName[1496:1503],
+	_LogEventName[1503:1520],
+	_LogEventName[1520:1536],
+	_LogEventName[1536:1550],
+	_LogEventName[1550:1568],
+	_LogEventName[1568:1581],
+	_LogEventName[1581:1591],
+	_LogEventName[1591:1608],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/packing.go
+++ b/packing.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/base64"
 	"encoding/json"
 	"io"
 
@@ -16,6 +17,11 @@
 	// maxUnpacked bounds the decompressed size in bytes. It is 16 times the largest body
 	// that operators may send.
 	maxUnpacked = 64 << 20
+	// sampleBytes is how much of a table tells whether the rest compresses.
+	sampleBytes = 64 << 10
+	// maxPackedShare is the share of its size that a packed table may have: unpacking takes longer than what little it saves
+	// above that.
+	maxPackedShare = 0.8
 )
 
 // Pack compresses a message. Lists of routes or backend servers are repetitive and
@@ -64,7 +70,7 @@
 	Packed  []byte `json:"packed"`
 }
 
-// MarshalJSON compresses a large table. Two thousand routes take a megabyte plain and a
+// MarshalJSON compresses a large table, if that makes it smaller. Two thousand routes take a megabyte plain and a
 // twentieth of that compressed. Each change sends the whole table through the log to each
 // voter, into snapshots and to every gateway. Encoding, copying and sending a megabyte a
 // few dozen times keeps a small control VM busy for seconds, in which it answers neither
@@ -74,11 +80,18 @@
 	if err != nil || len(data) <= packAbove {
 		return data, err
 	}
-	packed, err := Pack(data)
-	if err != nil {
-		return nil, err
+	for _, part := range [][]byte{data[:min(sampleBytes, len(data))], data} {
+		packed, err := Pack(part)
+		switch {
+		case err != nil:
+			return nil, err
+		case base64.StdEncoding.EncodedLen(len(packed)) > int(maxPackedShare*float64(len(part))):
+			return data, nil
+		case len(part) == len(data):
+			return json.Marshal(packedTable{Version: t.Version, Packed: packed})
+		}
 	}
-	return json.Marshal(packedTable{Version: t.Version, Packed: packed})
+	return data, nil
 }
 
 // UnmarshalJSON decodes a plain or compressed table. A compressed table that is damaged
--- a/packing_test.go
+++ b/packing_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -67,3 +68,16 @@
 		_, _ = json.Marshal(table)
 	}
 }
+
+// Guards against control VMs that take long to unpack a table that packing has hardly made smaller.
+func TestTableThatDoesNotCompressStaysPlain(t *testing.T) {
+	random := make([]byte, 1<<20)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(random) // never fails
+	table := laburnumlever.RouteTable{Version: 7, Document: random}
+	data, err := json.Marshal(table)
+	require.NoError(t, err)
+	require.Contains(t, string(data[:200]), `"document":"`)
+	var got laburnumlever.RouteTable
+	require.NoError(t, json.Unmarshal(data, &got))
+	require.Equal(t, table, got)
+}
--- a/routes.go
+++ b/routes.go
@@ -23,10 +23,13 @@
 	Document []byte `json:"document,omitempty"`
 }
 
-// TableFormat is the format of route tables that this build writes. Tables of format 0 lack the client
-// accounts, which earlier builds do not know, except in Document.
+// TableFormat is the format of route tables that VMs hand to each other decoded. What tables of format 0 lack is in
+// Document: all but the version in those of EncodeDocument, the client accounts in those of builds that know none.
 const TableFormat = 1
 
+// RoutesDecoder decodes the operators' text of a route table. The same text always gives the same table.
+type RoutesDecoder func(document []byte) (RouteTable, error)
+
 // Route maps the requests for one host and path prefix to services.
 type Route struct {
 	Name       RouteName   `json:"name"`
