fix: a route table that is sent again takes no other entry of the log

An operator who gets no answer sends the table again, to another VM, while the first copy is still being committed. Each copy became an entry of the whole size, which delayed the first one further.

The leader answers a table that a committed one overtakes at once, and one that an appended one overtakes together with that: of two tables the higher version counts, and the first of the same, so that the order in which they would have been applied changes nothing.

--- a/laburnumvoter/largecommand_test.go
+++ b/laburnumvoter/largecommand_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 
 	"laburnumlever"
@@ -65,3 +66,29 @@
 		require.True(t, bytes.Equal(random[1<<20:], table.Document[1<<20:]))
 	}
 }
+
+// Guards against a log that fills with copies of a large route table that an operator sends until it is acknowledged.
+func TestRepeatedRoutesTakeOneEntry(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	leader := f.vms[f.leader()]
+	document := bytes.Repeat([]byte("link"), 1<<18)
+	repeat := func(version uint64) {
+		var all sync.WaitGroup
+		for range 20 {
+			all.Go(func() {
+				result, err := leader.Propose(context.Background(), applyRoutes(t, version, document))
+				require.NoError(t, err)
+				require.GreaterOrEqual(t, result.RoutesVersion, version)
+			})
+		}
+		all.Wait()
+	}
+	repeat(5)
+	before := leader.Status().Commit
+	repeat(6)
+	require.Equal(t, before+1, leader.Status().Commit)
+	repeat(6)
+	repeat(4)
+	require.Equal(t, before+1, leader.Status().Commit, "versions that are not higher take none")
+}
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -26,33 +26,49 @@
 
 // waiter is a proposal whose entry was appended to the log but is not committed yet.
 type waiter struct {
-	term  uint64
-	reply chan proposeAnswer
+	*proposal
+	term uint64
 }
 
+
 type proposal struct {
 	command laburnumlever.Command
 	reply   chan proposeAnswer
 	// decided is set once, by the control thread when it appends the command or by the
 	// proposer when it stops waiting, after which the command is never appended.
 	decided *atomic.Bool
+	// overtaken are proposals that this one leaves without effect, and that get the same answer.
+	overtaken []chan proposeAnswer
+}
+
+func (p *proposal) answer(a proposeAnswer) {
+	p.reply <- a
+	for _, reply := range p.overtaken {
+		reply <- a
+	}
+}
+
+// overtakes reports whether the proposal leaves another one without effect: both are route tables, of which that with the
+// higher version counts, and the first of those with the same.
+func (p *proposal) overtakes(other *proposal) bool {
+	return p.command.Routes != nil && other.command.Routes != nil && p.command.Routes.Version() >= other.command.Routes.Version()
 }
 
 // proposalQueue passes proposals from other goroutines to the control thread in batches.
 type proposalQueue struct {
 	mu   sync.Mutex
-	list []proposal
+	list []*proposal
 }
 
 // add reports whether the queue was empty, in which case the control thread must be notified.
-func (i *proposalQueue) add(p proposal) bool {
+func (i *proposalQueue) add(p *proposal) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.list = append(i.list, p)
 	return len(i.list) == 1
 }
 
-func (i *proposalQueue) take() []proposal {
+func (i *proposalQueue) take() []*proposal {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	list := i.list
@@ -107,7 +123,7 @@
 
 // proposeLocally proposes to this VM's own replica.
 func (v *Voter) proposeLocally(ctx context.Context, cmd laburnumlever.Command) proposeAnswer {
-	p := proposal{command: cmd, reply: make(chan proposeAnswer, 1), decided: &atomic.Bool{}}
+	p := &proposal{command: cmd, reply: make(chan proposeAnswer, 1), decided: &atomic.Bool{}}
 	if v.proposals.add(p) {
 		v.loop.Post(v, proposed{})
 	}
@@ -144,20 +160,23 @@
 
 // append appends proposals to the log as one batch, or rejects all of them if this VM isn't the
 // leader or has too many proposals in flight.
-func (v *Voter) append(list []proposal) {
+func (v *Voter) append(list []*proposal) {
 	if !v.isLeader() || len(v.waiters)+len(list) > maxWaiters {
 		v.reject(list)
 		return
 	}
 	at := v.clock(v.timers.Now())
 	data := make([][]byte, 0, len(list))
-	taken := make([]proposal, 0, len(list))
+	taken := make([]*proposal, 0, len(list))
 	for _, p := range list {
 		if !p.decided.CompareAndSwap(false, true) {
 			continue
 		}
 		if p.command.ChangesCatalogue() && v.tooFewVoters() {
-			p.reply <- proposeAnswer{Verdict: verdictNotTaken, Detail: "too few committed voters for the first change; more must join", Voters: v.voterList()}
+			p.answer(proposeAnswer{Verdict: verdictNotTaken, Detail: "too few committed voters for the first change; more must join", Voters: v.voterList()})
+			continue
+		}
+		if v.overtaken(p, taken) {
 			continue
 		}
 		d, err := json.Marshal(entryData{At: at, Command: p.command})
@@ -175,17 +194,45 @@
 	}
 	v.cfg.scope.Counter("voter-proposals").Inc(int64(len(taken)))
 	for i, p := range taken {
-		v.waiters[out.First+uint64(i)] = waiter{term: v.log.Term(), reply: p.reply}
+		index := out.First + uint64(i)
+		v.waiters[index] = waiter{proposal: p, term: v.log.Term()}
+		if p.command.Routes != nil {
+			v.appendedRoutes = p
+		}
+	}
+}
+
+// overtaken reports whether a route table is left without effect by a committed one, which answers it, or by one that waits for
+// its commit or precedes it in a batch, which answers it then. An operator sends a table again until it is acknowledged, and
+// each large copy in the log would delay the acknowledgement.
+func (v *Voter) overtaken(p *proposal, batch []*proposal) bool {
+	if p.command.Routes == nil {
+		return false
+	}
+	if routes := v.machine.Routes(); routes != nil && routes.Version() >= p.command.Routes.Version() {
+		p.answer(proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{RoutesVersion: routes.Version()}})
+		return true
+	}
+	earlier := batch
+	if v.appendedRoutes != nil {
+		earlier = append([]*proposal{v.appendedRoutes}, batch...)
 	}
+	for _, e := range earlier {
+		if e.overtakes(p) {
+			e.overtaken = append(e.overtaken, p.reply)
+			return true
+		}
+	}
+	return false
 }
 
 // rejectCommand answers a command that can't be encoded or is larger than maxCommandBytes.
-func (v *Voter) rejectCommand(p proposal, size int, cause error) {
+func (v *Voter) rejectCommand(p *proposal, size int, cause error) {
 	_ = level.Warn(v.cfg.logger).Log("event", laburnumlever.EventCommandRejected, "kind", p.command.Kind, "bytes", size, "limit", maxCommandBytes, "cause", cause)
 	v.cfg.scope.Counter("voter-commands-rejected").Inc(1)
-	p.reply <- proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{
+	p.answer(proposeAnswer{Verdict: verdictDone, Result: laburnumlever.Result{
 		Code: laburnumlever.ResultInvalid, Detail: fmt.Sprintf("the command of %d bytes can't be encoded or is larger than %d", size, maxCommandBytes),
-	}}
+	}})
 }
 
 // tooFewVoters reports whether the first change must still be rejected, see
@@ -200,7 +247,7 @@
 	return bears < v.cfg.firstChangeTolerance && v.timers.Now().Sub(v.startedAt) < v.cfg.firstChangeTimeout
 }
 
-func (v *Voter) reject(list []proposal) {
+func (v *Voter) reject(list []*proposal) {
 	answer := proposeAnswer{Verdict: verdictNotTaken, Detail: v.notLeaderReason(), Voters: v.voterList()}
 	if v.log != nil {
 		if m, ok := v.log.Configuration().Find(v.log.Leader()); ok && m.ID != v.log.ID() {
@@ -208,15 +255,24 @@
 		}
 	}
 	for _, p := range list {
-		p.reply <- answer
+		p.answer(answer)
 	}
 }
 
 // failWaiters answers all proposals in flight with an unknown outcome: the next leader may or may
 // not commit them.
 func (v *Voter) failWaiters(detail string) {
+	v.appendedRoutes = nil
 	for index, w := range v.waiters {
-		w.reply <- proposeAnswer{Verdict: verdictUnknown, Detail: detail}
+		w.answer(proposeAnswer{Verdict: verdictUnknown, Detail: detail})
 		delete(v.waiters, index)
 	}
 }
+
+// settle answers a proposal that waited for its commit.
+func (v *Voter) settle(p *proposal, a proposeAnswer) {
+	if v.appendedRoutes == p {
+		v.appendedRoutes = nil
+	}
+	p.answer(a)
+}
--- a/laburnumvoter/step.go
+++ b/laburnumvoter/step.go
@@ -115,7 +115,7 @@
 	w, waiting := v.waiters[e.Index]
 	delete(v.waiters, e.Index)
 	if waiting && w.term != e.Term {
-		w.reply <- proposeAnswer{Verdict: verdictNotTaken, Detail: "the entry was overwritten by another leader"}
+		v.settle(w.proposal, proposeAnswer{Verdict: verdictNotTaken, Detail: "the entry was overwritten by another leader"})
 		waiting = false
 	}
 	if e.Kind != laburnumlog.EntryCommand || v.log == nil {
@@ -128,7 +128,7 @@
 	}
 	result := v.machine.Apply(data.At, data.Command)
 	if waiting {
-		w.reply <- proposeAnswer{Verdict: verdictDone, Result: result}
+		v.settle(w.proposal, proposeAnswer{Verdict: verdictDone, Result: result})
 	}
 }
 
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -29,6 +29,7 @@
 	pendingAfter     []laburnumlog.Write
 	inbox            []laburnumlog.Message
 	waiters          map[uint64]waiter
+	appendedRoutes   *proposal // the last route table that waits for its commit; nil for none
 	addresses        map[laburnumlog.ReplicaID]string
 	joiners          map[laburnumlever.VMID]joiner
 	planner          laburnumquorum.Planner
