fix: route tables reach gateways and other VMs in parts

A gateway fetched the table in one message, written within 1.5 s: one of 4 MB never gets through a link of 10 Mbit/s, and each try ends the connection, polls included; a control VM held several copies of it for each gateway that fetched at once, which for 49 gateways (a sixth of 294) is more memory than it has; and a table whose decoded form is above 16 MiB fits into no message.

Tables travel packed, in parts of 128 KiB, one call each; when the version changes meanwhile the fetch starts over. Control VMs without a vote fetch the operators' text in place of the decoded table, so that they can hand it out. VMs of an earlier build are asked, and ask, as before.

TestLargeRoutesAreFetchedInParts, TestRoutesThatChangeBetweenTwoPartsAreFetchedAnew and TestRoutesAreFetchedFromControlVMOfEarlierBuild are new with the method; before, the largest message of the first was the whole table.

--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -22,7 +22,7 @@
 	retryInterval = 200 * time.Millisecond
 	// startRetryInterval replaces retryInterval on a VM that can't serve yet because it has no routes.
 	startRetryInterval = 50 * time.Millisecond
-	// routesTimeout bounds one fetch of the route table.
+	// routesTimeout bounds the fetch of one part of the route table.
 	routesTimeout = 2 * time.Second
 )
 
@@ -48,6 +48,8 @@
 	sink   Sink
 	logger log.Logger
 	helper func() string
+	// document is set if the operators' text of the route table is fetched.
+	document bool
 	// foreign counts entries that can't be read.
 	foreign *ForeignEntries
 	done    chan struct{}
@@ -85,6 +87,9 @@
 // never can.
 func WithHelper(address func() string) Option { return func(f *Follower) { f.helper = address } }
 
+// WithDocument has the operators' text of the route table fetched, in a table of format 0, instead of the decoded table.
+func WithDocument() Option { return func(f *Follower) { f.document = true } }
+
 // NewFollower starts polling the control VMs at the peer addresses in seeds, and all control VMs that
 // their answers name.
 func NewFollower(peers laburnumlever.Peers, timers laburnumlever.Timers, self laburnumlever.VM, seeds []string, sink Sink, opts ...Option) *Follower {
@@ -297,28 +302,3 @@
 		f.director = a.Director
 	}
 }
-
-// FetchRoutes fetches the route table from a control VM that has a newer version, unless one is being fetched. A
-// failed fetch is retried at the next answer, within a second.
-func (f *Follower) FetchRoutes(address string) {
-	f.mu.Lock()
-	busy := f.fetching
-	f.fetching = true
-	f.mu.Unlock()
-	if busy {
-		return
-	}
-	defer func() {
-		f.mu.Lock()
-		f.fetching = false
-		f.mu.Unlock()
-	}()
-	ctx, cancel := context.WithTimeout(context.Background(), routesTimeout)
-	defer cancel()
-	var t laburnumlever.RouteTable
-	if err := f.peers.Call(ctx, address, methodRoutes, struct{}{}, &t); err != nil {
-		_ = level.Warn(f.logger).Log("event", laburnumlever.EventRoutesNotFetched, "address", address, "cause", err)
-		return
-	}
-	f.sink.HandleRoutes(t)
-}
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -14,8 +14,9 @@
 
 // JSON-RPC methods between VMs.
 const (
-	methodPoll   = "feed-next"
-	methodRoutes = "feed-routes"
+	methodPoll       = "feed-next"
+	methodRoutes     = "feed-routes" // of earlier builds
+	methodRoutesPart = "feed-routes-part"
 )
 
 // pollRequest is the body of a poll for changes after a cursor.
--- /dev/null
+++ b/laburnumfeed/routeparts_test.go
@@ -0,0 +1,124 @@
+package laburnumfeed
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"laburnumlever"
+	"laburnumlever/laburnumtimer"
+
+	"github.com/stretchr/testify/require"
+)
+
+// routesSink receives route tables.
+type routesSink struct {
+	sinkAtVersion
+	got chan laburnumlever.RouteTable
+}
+
+func (s *routesSink) HandleRoutes(t laburnumlever.RouteTable) { s.got <- t }
+
+// countedPeers are loopback peers that count the answers of each method, keep the size of the largest, and act before a call.
+type countedPeers struct {
+	*loopbackPeers
+	calls   map[string]int
+	largest int
+	before  func(method string)
+}
+
+func (p *countedPeers) Call(ctx context.Context, address, method string, params, result any) error {
+	p.before(method)
+	if p.handlers[method] == nil {
+		return &laburnumlever.PeerRefusedError{Address: address, Kind: "unknown-method"}
+	}
+	p.calls[method]++
+	var answer json.RawMessage
+	if err := p.loopbackPeers.Call(ctx, address, method, params, &answer); err != nil {
+		return err
+	}
+	p.largest = max(p.largest, len(answer))
+	return json.Unmarshal(answer, result)
+}
+
+// linkTable returns a table with random prefixes, whose document has two megabytes.
+func linkTable(version uint64) laburnumlever.RouteTable {
+	random := rand.New(rand.NewPCG(1, version)) //nolint:gosec // test data
+	t := laburnumlever.RouteTable{Version: version, Format: laburnumlever.TableFormat, Document: make([]byte, 2<<20)}
+	for i := range t.Document {
+		t.Document[i] = byte(random.Uint32())
+	}
+	for range 300 {
+		link := make([]byte, 6000)
+		for i := range link {
+			link[i] = byte('a' + random.Uint32()%26)
+		}
+		t.Routes = append(t.Routes, laburnumlever.Route{Host: "visits.example", PathPrefix: "/" + string(link) + "/", Split: []laburnumlever.RouteShare{{Service: "rdv", Weight: 1}}})
+	}
+	return t
+}
+
+// fetch has a follower fetch the routes of a source.
+func fetch(t *testing.T, peers *countedPeers, timers laburnumlever.Timers, opts ...Option) laburnumlever.RouteTable {
+	t.Helper()
+	peers.calls = map[string]int{}
+	sink := &routesSink{got: make(chan laburnumlever.RouteTable, 1)}
+	f := NewFollower(peers, timers, laburnumlever.VM{ID: "10.0.1.1"}, nil, sink, opts...)
+	defer f.Close()
+	f.FetchRoutes("10.0.0.1:7000")
+	select {
+	case table := <-sink.got:
+		return table
+	default:
+		t.Fatal("no routes fetched")
+		return laburnumlever.RouteTable{}
+	}
+}
+
+func newCountedSource() (*Source, *countedPeers, *laburnumtimer.Manual) {
+	s, loopback, timers := newTestSource()
+	return s, &countedPeers{loopbackPeers: loopback, before: func(string) {}}, timers
+}
+
+// Guards against a large route table in one message, which slow links to gateways carry neither in time nor beside polls, and of
+// which a control VM holds copies for all gateways at once.
+func TestLargeRoutesAreFetchedInParts(t *testing.T) {
+	s, peers, timers := newCountedSource()
+	table := linkTable(7)
+	s.SetRoutes(table)
+	require.Equal(t, table.WithoutDocument(), fetch(t, peers, timers))
+	require.Less(t, peers.largest, 200_000)
+	require.Greater(t, peers.calls[methodRoutesPart], 5)
+	require.Zero(t, peers.calls[methodRoutes])
+
+	document := fetch(t, peers, timers, WithDocument())
+	require.Equal(t, laburnumlever.RouteTable{Version: 7, Document: table.Document}, document)
+	require.Less(t, peers.largest, 200_000)
+}
+
+// Guards against a table joined from the parts of two versions.
+func TestRoutesThatChangeBetweenTwoPartsAreFetchedAnew(t *testing.T) {
+	s, peers, timers := newCountedSource()
+	s.SetRoutes(linkTable(7))
+	newer := linkTable(8)
+	parts := 0
+	peers.before = func(string) {
+		if parts++; parts == 4 {
+			s.SetRoutes(newer)
+			timers.Advance(time.Second)
+		}
+	}
+	require.Equal(t, newer.WithoutDocument(), fetch(t, peers, timers))
+}
+
+// Guards against gateways without routes while control VMs are of an earlier build, which knows no parts.
+func TestRoutesAreFetchedFromControlVMOfEarlierBuild(t *testing.T) {
+	s, peers, timers := newCountedSource()
+	delete(peers.handlers, methodRoutesPart)
+	table := linkTable(7)
+	s.SetRoutes(table)
+	require.Equal(t, table.WithoutDocument(), fetch(t, peers, timers))
+	require.Equal(t, 1, peers.calls[methodRoutes])
+}
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -60,8 +60,10 @@
 	// room holds the levels of services while this VM is the director.
 	room   *itemLog
 	routes *laburnumlever.RouteTable
-	// encodedRoutes is the route table as sent to other VMs; nil until it is first fetched.
-	encodedRoutes laburnumlever.RawMessage
+	// packedRoutes is the route table as sent to gateways, packedDocument as sent to control VMs, encodedRoutes as sent to VMs of
+	// earlier builds; nil until it is first fetched.
+	packedRoutes, packedDocument []byte
+	encodedRoutes                laburnumlever.RawMessage
 	director      laburnumlever.VMID
 	pollers       pollers
 	// controlsCursor is the cursor of the last change of the control VMs, metaCursor that of
@@ -109,6 +111,7 @@
 	s.batcher = laburnumtimer.NewCoalescer(timers, s.batchInterval, s.publish)
 	peers.Handle(methodPoll, s.handlePoll)
 	peers.Handle(methodRoutes, s.handleRoutes)
+	peers.Handle(methodRoutesPart, s.handleRoutesPart)
 	return s
 }
 
@@ -237,7 +240,7 @@
 	newer := s.routes == nil || t.Version > s.routes.Version
 	if newer {
 		s.metaCursor = s.nextCursor()
-		s.routes, s.encodedRoutes = &t, nil
+		s.routes, s.packedRoutes, s.packedDocument, s.encodedRoutes = &t, nil, nil, nil
 	}
 	s.mu.Unlock()
 	if newer {
@@ -489,7 +492,7 @@
 	return a
 }
 
-// handleRoutes returns the route table without the operators' original text, which only control VMs need.
+// handleRoutes is handleRoutesPart for VMs of earlier builds, which fetch the table in one message.
 func (s *Source) handleRoutes(context.Context, laburnumlever.RawMessage) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -265,7 +265,7 @@
 	go c.loop.Run()
 	c.voter.Start()
 	c.director.Start()
-	c.follower = laburnumfeed.NewFollower(c.peers, c.timers, c.self, c.seedPeers(), c, laburnumfeed.WithLogger(c.logger), laburnumfeed.WithForeignEntries(c.foreign))
+	c.follower = laburnumfeed.NewFollower(c.peers, c.timers, c.self, c.seedPeers(), c, laburnumfeed.WithLogger(c.logger), laburnumfeed.WithForeignEntries(c.foreign), laburnumfeed.WithDocument())
 	if err := c.serveBackends("control", c.settings.Listen.Control, newServer(handler)); err != nil {
 		return err
 	}
--- a/laburnumroles/controlroutes.go
+++ b/laburnumroles/controlroutes.go
@@ -112,7 +112,12 @@
 
 // HandleRoutes puts a route table into effect that a control VM without a vote has fetched: it gets none from the log.
 func (c *Control) HandleRoutes(t laburnumlever.RouteTable) {
-	c.setRoutes(t, "feed")
+	whole, err := c.decoded(t)
+	if err != nil {
+		_ = level.Error(c.logger).Log("event", laburnumlever.EventRoutesNotDecoded, "version", t.Version, "cause", err)
+		return
+	}
+	c.setRoutes(whole, "feed")
 }
 
 // RoutesVersion returns the version of the routes in effect. A voter fetches no routes, as it gets them from the log.
--- a/packing.go
+++ b/packing.go
@@ -55,6 +55,44 @@
 	return whole, nil
 }
 
+// MaxRoutesTable is the size in bytes of the largest route table that VMs hand to each other, decoded from the operators' text
+// and before it is packed.
+const MaxRoutesTable = 24 << 20
+
+// Size returns the size in bytes to which MaxRoutesTable applies. An error is a *RoutesEncodingError.
+func (t RouteTable) Size() (int, error) {
+	data, err := json.Marshal(plainTable(t.WithoutDocument()))
+	if err != nil {
+		return 0, &RoutesEncodingError{Version: t.Version, Cause: err}
+	}
+	return len(data), nil
+}
+
+// PackRoutes encodes and compresses a table. An error is a *RoutesEncodingError.
+func PackRoutes(t RouteTable) ([]byte, error) {
+	data, err := json.Marshal(plainTable(t))
+	if err == nil {
+		data, err = Pack(data)
+	}
+	if err != nil {
+		return nil, &RoutesEncodingError{Version: t.Version, Cause: err}
+	}
+	return data, nil
+}
+
+// UnpackRoutes decodes a table of PackRoutes. Damaged data is a *RoutesEncodingError.
+func UnpackRoutes(packed []byte) (RouteTable, error) {
+	whole, err := Unpack(packed)
+	var t plainTable
+	if err == nil {
+		err = json.Unmarshal(whole, &t)
+	}
+	if err != nil {
+		return RouteTable{}, &RoutesEncodingError{Version: t.Version, Cause: err}
+	}
+	return RouteTable(t), nil
+}
+
 // plainTable is a route table without the custom JSON methods.
 type plainTable RouteTable
 
--- a/packing_test.go
+++ b/packing_test.go
@@ -81,3 +81,17 @@
 	require.NoError(t, json.Unmarshal(data, &got))
 	require.Equal(t, table, got)
 }
+
+// Guards against a table that is larger than its text by so much that gateways can't take it.
+func TestSizeOfATableIsThatOfItsDecodedForm(t *testing.T) {
+	table := tableOf(1900)
+	size, err := table.Size()
+	require.NoError(t, err)
+	require.Greater(t, size, 1900*len(`{"name":"r-0","host":"quotes.example"}`))
+	packed, err := laburnumlever.PackRoutes(table.WithoutDocument())
+	require.NoError(t, err)
+	require.Less(t, len(packed), size/5)
+	got, err := laburnumlever.UnpackRoutes(packed)
+	require.NoError(t, err)
+	require.Equal(t, table.WithoutDocument(), got)
+}
