--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -64,8 +64,8 @@
 	// earlier builds; nil until it is first fetched.
 	packedRoutes, packedDocument []byte
 	encodedRoutes                laburnumlever.RawMessage
-	director      laburnumlever.VMID
-	pollers       pollers
+	director                     laburnumlever.VMID
+	pollers                      pollers
 	// controlsCursor is the cursor of the last change of the control VMs, metaCursor that of
 	// the routes or the director.
 	controlsCursor uint64
--- a/laburnumvoter/propose.go
+++ b/laburnumvoter/propose.go
@@ -30,7 +30,6 @@
 	term uint64
 }
 
-
 type proposal struct {
 	command laburnumlever.Command
 	reply   chan proposeAnswer
@@ -172,20 +171,10 @@
 		if !p.decided.CompareAndSwap(false, true) {
 			continue
 		}
-		if p.command.ChangesCatalogue() && v.tooFewVoters() {
-			p.answer(proposeAnswer{Verdict: verdictNotTaken, Detail: "too few committed voters for the first change; more must join", Voters: v.voterList()})
-			continue
-		}
-		if v.overtaken(p, taken) {
-			continue
-		}
-		d, err := json.Marshal(entryData{At: at, Command: p.command})
-		if err != nil || len(d) > maxCommandBytes {
-			v.rejectCommand(p, len(d), err)
-			continue
+		if d, ok := v.encode(p, at, taken); ok {
+			data = append(data, d)
+			taken = append(taken, p)
 		}
-		data = append(data, d)
-		taken = append(taken, p)
 	}
 	out := v.step(laburnumlog.Propose{Data: data})
 	if !out.Accepted {
@@ -202,6 +191,23 @@
 	}
 }
 
+// encode returns the entry of a proposal. If it is not to be appended behind batch, it is answered, or will be.
+func (v *Voter) encode(p *proposal, at int64, batch []*proposal) (data []byte, ok bool) {
+	if p.command.ChangesCatalogue() && v.tooFewVoters() {
+		p.answer(proposeAnswer{Verdict: verdictNotTaken, Detail: "too few committed voters for the first change; more must join", Voters: v.voterList()})
+		return nil, false
+	}
+	if v.overtaken(p, batch) {
+		return nil, false
+	}
+	data, err := json.Marshal(entryData{At: at, Command: p.command})
+	if err != nil || len(data) > maxCommandBytes {
+		v.rejectCommand(p, len(data), err)
+		return nil, false
+	}
+	return data, true
+}
+
 // overtaken reports whether a route table is left without effect by a committed one, which answers it, or by one that waits for
 // its commit or precedes it in a batch, which answers it then. An operator sends a table again until it is acknowledged, and
 // each large copy in the log would delay the acknowledgement.
