fix: manifests that VMs have no memory for are refused

Each change in progress takes several times its size of memory, and an operator may have eight under way; a list of empty elements takes fifty times its text's size when it is decoded; and 400,000 keys have hashes of 27 MB, which no gateway takes. Such manifests were accepted, and ended processes, or were never in force.

--- a/errors.go
+++ b/errors.go
@@ -191,6 +191,16 @@
 
 func (e *NotFoundError) Error() string { return fmt.Sprintf("no %s named %q", e.Kind, e.Name) }
 
+// RoutesTooLargeError is a route table beyond what VMs can store and hand to each other. Unit names what is counted.
+type RoutesTooLargeError struct {
+	Unit        string
+	Size, Limit int
+}
+
+func (e *RoutesTooLargeError) Error() string {
+	return fmt.Sprintf("the route table has %d %s, at most %d are possible", e.Size, e.Unit, e.Limit)
+}
+
 // RoutesEncodingError is a route table that can't be encoded or decoded.
 type RoutesEncodingError struct {
 	Version uint64
--- a/laburnumroles/controlroutes.go
+++ b/laburnumroles/controlroutes.go
@@ -56,10 +56,10 @@
 	return whole, err
 }
 
-// ApplyRoutes validates a route table and commits it to the log. Errors: *laburnumlever.RoutesInvalidError, those of the
-// encoding and of a proposal.
+// ApplyRoutes validates a route table and commits it to the log. Errors: *laburnumlever.RoutesInvalidError,
+// *laburnumlever.RoutesTooLargeError, those of the encoding and of a proposal.
 func (c *Control) ApplyRoutes(ctx context.Context, table laburnumlever.RouteTable) error {
-	if err := laburnumroutes.Check(table); err != nil {
+	if err := checkRoutes(table); err != nil {
 		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "version", table.Version, "bytes", len(table.Document), "cause", err)
 		return err
 	}
@@ -71,6 +71,18 @@
 	return err
 }
 
+// checkRoutes reports what keeps a route table from being stored and handed to all VMs.
+func checkRoutes(table laburnumlever.RouteTable) error {
+	if err := laburnumroutes.Check(table); err != nil {
+		return err
+	}
+	size, err := table.Size()
+	if err == nil && size > laburnumlever.MaxRoutesTable {
+		err = &laburnumlever.RoutesTooLargeError{Unit: "bytes when decoded", Size: size, Limit: laburnumlever.MaxRoutesTable}
+	}
+	return err
+}
+
 // commitRoutes commits a route table, waits until it is in effect on this VM, and returns the newest committed version; 0 if a
 // VM of an earlier build committed it. A newer one that is committed already leaves the table without effect.
 func (c *Control) commitRoutes(ctx context.Context, table laburnumlever.RouteTable) (newest uint64, err error) {
--- a/laburnumroles/largemanifest_test.go
+++ b/laburnumroles/largemanifest_test.go
@@ -110,3 +110,23 @@
 		}
 	}
 }
+
+// Guards against a manifest that is stored and then fits into no gateway, as its keys' hashes are far longer than the keys.
+func TestManifestThatGatewaysCannotHoldIsRefused(t *testing.T) {
+	s := newDeployment(t, 3, 1)
+	s.until(200, "first manifest", func() (int, []byte) { return s.putManifest(0, manifest(7, "confirm")), nil })
+	var document map[string]any
+	require.NoError(t, json.Unmarshal(manifest(8, "confirm"), &document))
+	var keys []string
+	for i := range 400_000 {
+		keys = append(keys, fmt.Sprintf("%05x", i))
+	}
+	document["tenants"] = []any{map[string]any{"name": "acme", "api_keys": keys}}
+	text, err := json.Marshal(document)
+	require.NoError(t, err)
+	require.Less(t, len(text), laburnumlever.MaxRoutesDocument)
+	require.Equal(t, http.StatusRequestEntityTooLarge, s.putManifest(1, text))
+	require.Equal(t, string(manifest(7, "confirm")), string(s.until(200, "read", func() (int, []byte) {
+		return s.call("GET", "http://"+s.control(1)+"/v1/config", nil)
+	})))
+}
