perf: the parts of a large route table come from all control VMs in turn

All gateways learn of a table from the control VM that applies it first and fetched all of it from that one.

Parts behind the first are asked of all control VMs that answer, in turn; one that lacks the version, has packed it differently, by a hash of the whole, or does not answer is not asked again. TestPartsOfLargeRoutesComeFromAllControlVMs.

--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -62,7 +62,7 @@
 	routes *laburnumlever.RouteTable
 	// packedRoutes is the route table as sent to gateways, packedDocument as sent to control VMs, encodedRoutes as sent to VMs of
 	// earlier builds; nil until it is first fetched.
-	packedRoutes, packedDocument []byte
+	packedRoutes, packedDocument packedTable
 	encodedRoutes                laburnumlever.RawMessage
 	director                     laburnumlever.VMID
 	pollers                      pollers
@@ -240,7 +240,7 @@
 	newer := s.routes == nil || t.Version > s.routes.Version
 	if newer {
 		s.metaCursor = s.nextCursor()
-		s.routes, s.packedRoutes, s.packedDocument, s.encodedRoutes = &t, nil, nil, nil
+		s.routes, s.packedRoutes, s.packedDocument, s.encodedRoutes = &t, packedTable{}, packedTable{}, nil
 	}
 	s.mu.Unlock()
 	if newer {
