feat: refused changes are logged and counted; the size of the routes is in status

A manifest that was too large, unreadable or had to wait was answered and left no line. routes-refused names the cause, routes_changes counts what came of each change, status has the size of the operators' text.

--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	handler, err := platform.NewHandler(control, platform.WithForeign(control.HeartbeatRefused))
+	handler, err := platform.NewHandler(control, platform.WithForeign(control.HeartbeatRefused), platform.WithRefused(control.RoutesRefused))
 	if err != nil {
 		return err
 	}
--- a/laburnumroles/controlroutes.go
+++ b/laburnumroles/controlroutes.go
@@ -60,17 +60,32 @@
 // *laburnumlever.RoutesTooLargeError, those of the encoding and of a proposal.
 func (c *Control) ApplyRoutes(ctx context.Context, table laburnumlever.RouteTable) error {
 	if err := checkRoutes(table); err != nil {
-		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "version", table.Version, "bytes", len(table.Document), "cause", err)
+		c.RoutesRefused(err)
 		return err
 	}
 	began := c.timers.Now()
 	newest, err := c.commitRoutes(ctx, table)
 	c.commitTimes.RecordDuration(c.timers.Now().Sub(began))
+	c.countChange(err, "accepted", "failed")
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "bytes", len(table.Document),
 		"newest", newest, "cause", err)
 	return err
 }
 
+// RoutesRefused logs and counts a change of the routes that is refused.
+func (c *Control) RoutesRefused(cause error) {
+	c.countChange(cause, "", "refused")
+	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesRefused, "cause", cause)
+}
+
+func (c *Control) countChange(err error, success, failure string) {
+	outcome := success
+	if err != nil {
+		outcome = failure
+	}
+	c.metrics.Scope().Tagged(map[string]string{"outcome": outcome}).Counter("routes_changes").Inc(1)
+}
+
 // checkRoutes reports what keeps a route table from being stored and handed to all VMs.
 func checkRoutes(table laburnumlever.RouteTable) error {
 	if err := laburnumroutes.Check(table); err != nil {
--- a/laburnumroles/status.go
+++ b/laburnumroles/status.go
@@ -62,7 +62,7 @@
 	role.Parts = c.quarantine.status()
 	role.Room = c.roomStatus()
 	if routes := c.routes.Load(); routes != nil {
-		role.RoutesVersion = routes.Version
+		role.RoutesVersion, role.RoutesBytes = routes.Version, len(routes.Document)
 		c.mu.Lock()
 		role.Services = c.registry.Summary(routes.Services)
 		c.mu.Unlock()
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -11,6 +11,8 @@
 	Zone ZoneName `json:"zone"`
 	// RoutesVersion is the version of the routes in effect; 0 for none.
 	RoutesVersion uint64 `json:"routes-version"`
+	// RoutesBytes is the size of the operators' text of the routes, of at most MaxRoutesDocument bytes; control VMs set it.
+	RoutesBytes int `json:"routes-bytes,omitempty"`
 	// Director is the peer address or the name of the director; empty if unknown.
 	Director string `json:"director,omitempty"`
 	// Gateways and Controls count the known VMs; only a control VM knows the control VMs.
