fix: a message that is too large leaves the connection to a VM open

A message above the frame's 16 MiB closed the connection that heartbeats and calls share, without a line, at each try, and an answer above it never came: the caller waited for its time limit.

TestTooLargeMessageLeavesTheConnectionOpen hung before, as the answer never came.

--- a/laburnumpeer/link.go
+++ b/laburnumpeer/link.go
@@ -11,6 +11,7 @@
 	"laburnumlever"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -58,7 +59,7 @@
 	waiter, err := conn.DispatchCall(ctx, method, params)
 	if err != nil {
 		// The frame was not completely written, so the other side can't have run the call.
-		l.closeConn(conn, err)
+		l.notWritten(conn, method, err)
 		return &laburnumlever.PeerUnreachableError{Address: l.address, Cause: err}
 	}
 	l.noteSent()
@@ -133,13 +134,23 @@
 		err = conn.Notify(l.peers.ctx, n.method, n.params)
 	}
 	if err != nil {
-		l.closeConn(conn, err)
+		l.notWritten(conn, n.method, err)
 		l.peers.cfg.scope.Counter("peer-dropped-notifications").Inc(1)
 		return
 	}
 	l.noteSent()
 }
 
+// notWritten closes the connection after a failed write. A message that is too large leaves it open, since nothing was written.
+func (l *link) notWritten(conn *jsonrpc2.Conn, method string, cause error) {
+	var large *FrameTooLargeError
+	if !errors.As(cause, &large) {
+		l.closeConn(conn, cause)
+		return
+	}
+	_ = level.Error(l.peers.cfg.logger).Log("event", laburnumlever.EventMessageTooLarge, "method", method, "address", l.address, "bytes", large.Size, "limit", large.Limit)
+}
+
 // connect returns the connection and opens it if there is none.
 func (l *link) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
 	select {
--- a/laburnumpeer/peers_test.go
+++ b/laburnumpeer/peers_test.go
@@ -148,3 +148,32 @@
 	a.Notify(address, "tell", struct{}{})
 	<-told
 }
+
+// Guards against a message that is too large and ends the connection of all others, and against an answer that never comes.
+func TestTooLargeMessageLeavesTheConnectionOpen(t *testing.T) {
+	b := laburnumpeer.New("b", laburnumpeer.WithMaxFrame(1024))
+	began, release := make(chan struct{}), make(chan struct{})
+	b.Handle("hold", func(context.Context, laburnumlever.RawMessage) (any, error) {
+		close(began)
+		<-release
+		return struct{}{}, nil
+	})
+	b.Handle("grow", func(context.Context, laburnumlever.RawMessage) (any, error) {
+		return text{Text: string(make([]byte, 4096))}, nil
+	})
+	address := serve(t, b)
+	a := laburnumpeer.New("a", laburnumpeer.WithMaxFrame(1024))
+	defer a.Close()
+	held := make(chan error, 1)
+	go func() { held <- a.Call(context.Background(), address, "hold", struct{}{}, nil) }()
+	<-began
+	large := text{Text: string(make([]byte, 4096))}
+	var unreachable *laburnumlever.PeerUnreachableError
+	require.ErrorAs(t, a.Call(context.Background(), address, "hold", large, nil), &unreachable)
+	a.Notify(address, "hold", large)
+	var refused *laburnumlever.PeerRefusedError
+	require.ErrorAs(t, a.Call(context.Background(), address, "grow", struct{}{}, nil), &refused)
+	require.Equal(t, "frame-too-large", refused.Kind)
+	close(release)
+	require.NoError(t, <-held)
+}
--- a/laburnumpeer/serve.go
+++ b/laburnumpeer/serve.go
@@ -11,6 +11,7 @@
 	"laburnumlever"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -122,8 +123,12 @@
 	if req.Notif {
 		return
 	}
-	// An error means that the connection is closed, which the caller detects itself.
-	_ = conn.Reply(ctx, req.ID, result)
+	// Another error means that the connection is closed, which the caller detects itself.
+	var large *FrameTooLargeError
+	if err := conn.Reply(ctx, req.ID, result); errors.As(err, &large) {
+		_ = level.Error(p.cfg.logger).Log("event", laburnumlever.EventMessageTooLarge, "method", req.Method, "bytes", large.Size, "limit", large.Limit)
+		replyError(ctx, conn, req, err)
+	}
 }
 
 func replyError(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, err error) {
--- a/logevent.go
+++ b/logevent.go
@@ -221,6 +221,8 @@
 
 	// Other VMs and this process.
 
+	// EventMessageTooLarge is a message to another VM, or the answer to one, that is larger than a frame and was not sent.
+	EventMessageTooLarge
 	// EventControlThreadTimes is a breakdown of the time used by the control thread.
 	EventControlThreadTimes // control-thread
 	// EventControlLost is a control VM that does not answer.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1079, 1092, 1108, 1117, 1131, 1146, 1163, 1178, 1191, 1206, 1217, 1231, 1244, 1270, 1288, 1302, 1319, 1338, 1359, 1368, 1378, 1395, 1413, 1423, 1432, 1446, 1458, 1474, 1481, 1489, 1496, 1503, 1520, 1536, 1550, 1568, 1581, 1591, 1608}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1079, 1092, 1108, 1117, 1131, 1146, 1163, 1178, 1191, 1206, 1217, 1231, 1244, 1270, 1288, 1302, 1319, 1338, 1359, 1368, 1378, 1395, 1413, 1423, 1432, 1449, 1463, 1475, 1491, 1498, 1506, 1513, 1520, 1537, 1553, 1567, 1585, 1598, 1608, 1625}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostcontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -119,23 +119,24 @@
 	_ = x[EventLeaseNotReleased-(92)]
 	_ = x[EventZoneOwned-(93)]
 	_ = x[EventZoneLost-(94)]
-	_ = x[EventControlThreadTimes-(95)]
-	_ = x[EventControlLost-(96)]
-	_ = x[EventControlRegained-(97)]
-	_ = x[EventStarted-(98)]
-	_ = x[EventDraining-(99)]
-	_ = x[EventDrained-(100)]
-	_ = x[EventStopped-(101)]
-	_ = x[EventSettingsReloaded-(102)]
-	_ = x[EventSettingsRefused-(103)]
-	_ = x[EventListenerEnded-(104)]
-	_ = x[EventMetricsNotServed-(105)]
-	_ = x[EventUnknownEvent-(106)]
-	_ = x[EventOverloaded-(107)]
-	_ = x[EventLogLinesDropped-(108)]
+	_ = x[EventMessageTooLarge-(95)]
+	_ = x[EventControlThreadTimes-(96)]
+	_ = x[EventControlLost-(97)]
+	_ = x[EventControlRegained-(98)]
+	_ = x[EventStarted-(99)]
+	_ = x[EventDraining-(100)]
+	_ = x[EventDrained-(101)]
+	_ = x[EventStopped-(102)]
+	_ = x[EventSettingsReloaded-(103)]
+	_ = x[EventSettingsRefused-(104)]
+	_ = x[EventListenerEnded-(105)]
+	_ = x[EventMetricsNotServed-(106)]
+	_ = x[EventUnknownEvent-(107)]
+	_ = x[EventOverloaded-(108)]
+	_ = x[EventLogLinesDropped-(109)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -233,20 +234,21 @@
 	_LogEventName[1395:1413]: EventLeaseNotReleased,
 	_LogEventName[1413:1423]: EventZoneOwned,
 	_LogEventName[1423:1432]: EventZoneLost,
-	_LogEventName[1432:1446]: EventControlThreadTimes,
-	_LogEventName[1446:1458]: EventControlLost,
-	_LogEventName[1458:1474]: EventControlRegained,
-	_LogEventName[1474:1481]: EventStarted,
-	_LogEventName[1481:1489]: EventDraining,
-	_LogEventName[1489:1496]: EventDrained,
-	_LogEventName[1496:1503]: EventStopped,
-	_LogEventName[1503:1520]: EventSettingsReloaded,
-	_LogEventName[1520:1536]: EventSettingsRefused,
-	_LogEventName[1536:1550]: EventListenerEnded,
-	_LogEventName[1550:1568]: EventMetricsNotServed,
-	_LogEventName[1568:1581]: EventUnknownEvent,
-	_LogEventName[1581:1591]: EventOverloaded,
-	_LogEventName[1591:1608]: EventLogLinesDropped,
+	_LogEventName[1432:1449]: EventMessageTooLarge,
+	_LogEventName[1449:1463]: EventControlThreadTimes,
+	_LogEventName[1463:1475]: EventControlLost,
+	_LogEventName[1475:1491]: EventControlRegained,
+	_LogEventName[1491:1498]: EventStarted,
+	_LogEventName[1498:1506]: EventDraining,
+	_LogEventName[1506:1513]: EventDrained,
+	_LogEventName[1513:1520]: EventStopped,
+	_LogEventName[1520:1537]: EventSettingsReloaded,
+	_LogEventName[1537:1553]: EventSettingsRefused,
+	_LogEventName[1553:1567]: EventListenerEnded,
+	_LogEventName[1567:1585]: EventMetricsNotServed,
+	_LogEventName[1585:1598]: EventUnknownEvent,
+	_LogEventName[1598:1608]: EventOverloaded,
+	_LogEventName[1608:1625]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -345,20 +347,21 @@
 	_LogEventLowerName[1395:1413]: EventLeaseNotReleased,
 	_LogEventLowerName[1413:1423]: EventZoneOwned,
 	_LogEventLowerName[1423:1432]: EventZoneLost,
-	_LogEventLowerName[1432:1446]: EventControlThreadTimes,
-	_LogEventLowerName[1446:1458]: EventControlLost,
-	_LogEventLowerName[1458:1474]: EventControlRegained,
-	_LogEventLowerName[1474:1481]: EventStarted,
-	_LogEventLowerName[1481:1489]: EventDraining,
-	_LogEventLowerName[1489:1496]: EventDrained,
-	_LogEventLowerName[1496:1503]: EventStopped,
-	_LogEventLowerName[1503:1520]: EventSettingsReloaded,
-	_LogEventLowerName[1520:1536]: EventSettingsRefused,
-	_LogEventLowerName[1536:1550]: EventListenerEnded,
-	_LogEventLowerName[1550:1568]: EventMetricsNotServed,
-	_LogEventLowerName[1568:1581]: EventUnknownEvent,
-	_LogEventLowerName[1581:1591]: EventOverloaded,
-	_LogEventLowerName[1591:1608]: EventLogLinesDropped,
+	_LogEventLowerName[1432:1449]: EventMessageTooLarge,
+	_LogEventLowerName[1449:1463]: EventControlThreadTimes,
+	_LogEventLowerName[1463:1475]: EventControlLost,
+	_LogEventLowerName[1475:1491]: EventControlRegained,
+	_LogEventLowerName[1491:1498]: EventStarted,
+	_LogEventLowerName[1498:1506]: EventDraining,
+	_LogEventLowerName[1506:1513]: EventDrained,
+	_LogEventLowerName[1513:1520]: EventStopped,
+	_LogEventLowerName[1520:1537]: EventSettingsReloaded,
+	_LogEventLowerName[1537:1553]: EventSettingsRefused,
+	_LogEventLowerName[1553:1567]: EventListenerEnded,
+	_LogEventLowerName[1567:1585]: EventMetricsNotServed,
+	_LogEventLowerName[1585:1598]: EventUnknownEvent,
+	_LogEventLowerName[1598:1608]: EventOverloaded,
+	_LogEventLowerName[1608:1625]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -457,20 +460,21 @@
 	_LogEventName[1395:1413],
 	_LogEventName[1413:1423],
 	_LogEventName[1423:1432],
-	_LogEventName[1432:1446],
-	_LogEventName[1446:1458],
-	_LogEventName[1458:1474],
-	_LogEventName[1474:1481],
-	_LogEventName[1481:1489],
-	_LogEventName[1489:1496],
-	_LogEventName[1496:1503],
-	_LogEventName[1503:1520],
-	_LogEventName[1520:1536],
-	_LogEventName[1536:1550],
-	_LogEventName[1550:1568],
-	_LogEventName[1568:1581],
-	_LogEventName[1581:1591],
-	_LogEventName[1591:1608],
+	_LogEventName[1432:1449],
+	_LogEventName[1449:1463],
+	_LogEventName[1463:1475],
+	_LogEventName[1475:1491],
+	_LogEventName[1491:1498],
+	_LogEventName[1498:1506],
+	_LogEventName[1506:1513],
+	_LogEventName[1513:1520],
+	_LogEventName[1520:1537],
+	_LogEventName[1537:1553],
+	_LogEventName[1553:1567],
+	_LogEventName[1567:1585],
+	_LogEventName[1585:1598],
+	_LogEventName[1598:1608],
+	_LogEventName[1608:1625],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
