--- a/errors.go
+++ b/errors.go
@@ -23,6 +23,8 @@
 	// RetryAfter is the delay after which a retry may succeed; 0 if none will.
 	RetryAfter time.Duration
 	Detail     string
+	// Advice is what the caller can do instead of asking again; empty for nothing.
+	Advice string
 }
 
 func (e *RefusalError) Error() string {
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -224,7 +224,7 @@
 // *laburnumlever.RefusalError or a *CallerGoneError.
 func (g *Gateway) checkWait(ctx context.Context, q *request) error {
 	if g.fleet.versionGone(q) {
-		return newRefusal(laburnumlever.RefusedStreamVersionGone, 0, "no backend server runs software version "+string(q.software)+", which began the stream")
+		return cannotGoOn(laburnumlever.RefusedStreamVersionGone, "no backend server runs software version "+string(q.software)+", which began the stream")
 	}
 	return g.checkCaller(ctx, q)
 }
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -310,7 +310,11 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(q.retryIn.Seconds(), 'f', 2, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	g.writeRefusal(w, q, status, refusal.Reason.String()+"\n")
+	text := refusal.Reason.String()
+	if refusal.Advice != "" {
+		text += ": " + refusal.Advice
+	}
+	g.writeRefusal(w, q, status, text+"\n")
 }
 
 // retryAfter returns the Retry-After of a refusal; 0 for none. The end of a quarantine or a rest and the time at which a
--- a/laburnumgateway/streams.go
+++ b/laburnumgateway/streams.go
@@ -22,9 +22,11 @@
 	recordTimeout = 100 * time.Millisecond
 	// lookupPause is the time between two lookups of a stream whose version is undecided.
 	lookupPause = 100 * time.Millisecond
-	// settleTime is how long no stream that can be resumed begins at a software version that is new to the service, so that
-	// all control VMs know of it before: those that do not would take it for the only one.
+	// settleTime is how long at least no stream that can be resumed begins at a software version that is new to the service, so
+	// that the control VMs which know of it have saved it.
 	settleTime = 500 * time.Millisecond
+	// settleTimeout bounds the question whether control VMs know a version.
+	settleTimeout = 200 * time.Millisecond
 	// undecidedRetryAfter is the least Retry-After if a control VM that did not answer may know a stream's version.
 	undecidedRetryAfter = time.Second
 )
@@ -205,7 +207,7 @@
 		}
 		_ = level.Info(g.logger).Log("event", laburnumlever.EventStreamVersionUnknown, "request-id", q.caller.ID, "resumes", q.caller.Resumes, "verdict", verdict)
 		if verdict == laburnumstream.Unknowable {
-			return newRefusal(laburnumlever.RefusedStreamUnknown, 0, "no VM knows which software version began the stream")
+			return cannotGoOn(laburnumlever.RefusedStreamUnknown, "no VM knows which software version began the stream")
 		}
 		if !g.timers.Now().Add(lookupPause).Before(until) || !laburnumtimer.Wait(ctx.Done(), g.timers, lookupPause) {
 			return newRefusal(laburnumlever.RefusedStreamUnknown, undecidedRetryAfter, "the control VMs that may know which software version began the stream do not answer")
@@ -213,6 +215,13 @@
 	}
 }
 
+// cannotGoOn refuses a request that takes up a stream which never can go on.
+func cannotGoOn(reason laburnumlever.RefusalReason, detail string) error {
+	return &laburnumlever.RefusalError{
+		Reason: reason, Outcome: laburnumlever.OutcomeNotRun, Detail: detail, Advice: "request the stream anew, without Last-Event-Id",
+	}
+}
+
 // streamVersion resolves the software version of the stream that a request takes up.
 func (f *Fleet) streamVersion(ctx context.Context, q *request) (laburnumlever.SoftwareVersion, laburnumstream.Verdict) {
 	now := f.timers.Now()
@@ -276,19 +285,23 @@
 	}
 }
 
-// settle has no stream that can be resumed begin at a version for settleTime. The caller must hold mu.
+// settle has no stream that can be resumed begin at a version until a majority of the control VMs know it, for settleTime at least:
+// those that do not know it would take another one for the only one. The caller must hold mu.
 func (f *Fleet) settle(v settlingVersion) {
 	f.streams.settling[v] = struct{}{}
 	_ = level.Info(f.logger).Log("event", laburnumlever.EventSoftwareVersionNew, "service", v.service, "software", v.software)
-	f.timers.After(settleTime, func(time.Time) { f.settled(v) })
+	f.timers.After(settleTime, func(time.Time) { go f.settled(v) })
 }
 
-// settled ends the settling of a version, unless the control VMs that this VM hears from are isolated themselves.
+// settled ends the settling of a version, unless too few control VMs know it or that which this VM hears from is isolated itself.
 func (f *Fleet) settled(v settlingVersion) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	established := laburnumstream.Established(v.software, f.streams.keepers.Ask(ctx, "", v.service))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.streams.cutOff {
-		f.timers.After(settleTime, func(time.Time) { f.settled(v) })
+	if f.streams.cutOff || !established {
+		f.timers.After(settleTime, func(time.Time) { go f.settled(v) })
 		return
 	}
 	delete(f.streams.settling, v)
--- a/laburnumgateway/streams_test.go
+++ b/laburnumgateway/streams_test.go
@@ -154,7 +154,10 @@
 		"nobody answers":        {headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown", retry: true},
 		"no id, two versions":   {opinions: []laburnumstream.Opinion{opinion("", "v1", "v2")}, status: 503, reason: "stream-unknown"},
 		"no id, one version":    {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{opinion("", "v2")}, status: 200, by: changed},
-		"no id, nobody answers": {versions: []laburnumlever.SoftwareVersion{"v2"}, status: 200, by: changed},
+		"no id, nobody answers": {versions: []laburnumlever.SoftwareVersion{"v2"}, status: 503, reason: "stream-unknown", retry: true},
+		"no id, minority":       {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{{Versions: []laburnumlever.SoftwareVersion{"v2"}, Current: true, Complete: true, Controls: 3}}, status: 503, reason: "stream-unknown", retry: true},
+		"no id, all restarted":  {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{{Versions: []laburnumlever.SoftwareVersion{"v2"}, Retained: true, Controls: 1}}, status: 200, by: changed},
+		"no id, all knew v1":    {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{{Versions: []laburnumlever.SoftwareVersion{"v1", "v2"}, Retained: true, Controls: 1}}, status: 503, reason: "stream-unknown"},
 		"no id, others know v1": {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{opinion("", "v1")}, status: 503, reason: "stream-unknown"},
 		"version gone":          {opinions: []laburnumstream.Opinion{opinion("v0", "v0", "v1", "v2")}, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-version-gone"},
 		"others know of v0":     {versions: []laburnumlever.SoftwareVersion{"v2"}, opinions: []laburnumstream.Opinion{opinion("", "v0", "v2")}, headers: []string{"Resumes", "r-0"}, status: 503, reason: "stream-unknown"},
@@ -187,6 +190,9 @@
 			got := quote(b, "r-9", append([]string{"Last-Event-Id", "2"}, tt.headers...)...)
 			require.Equal(t, tt.status, got.status, got.body)
 			require.Contains(t, got.body, tt.reason)
+			if got.status != 200 && !tt.retry {
+				require.Contains(t, got.body, "request the stream anew, without Last-Event-Id")
+			}
 			require.Equal(t, tt.retry, got.header.Get("Retry-After") != "")
 			for id, e := range engines {
 				want := before[id]
@@ -337,7 +343,11 @@
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
 	settling := settlingTimers{Timers: timers, released: make(chan struct{})}
-	b := newStreamHarnessWith(t, settling, &fakeStreamKeepers{}, engineOf(old, "v1"))
+	keepers := &fakeStreamKeepers{opinions: []laburnumstream.Opinion{{Versions: []laburnumlever.SoftwareVersion{"v1"}, Controls: 3}}}
+	for range 2 {
+		keepers.opinions = append(keepers.opinions, laburnumstream.Opinion{Versions: []laburnumlever.SoftwareVersion{"v1", "v2"}, Controls: 3})
+	}
+	b := newStreamHarnessWith(t, settling, keepers, engineOf(old, "v1"))
 	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{engineOf(changed, "v2")}})
 	for i := range 20 {
 		require.Equal(t, 200, quote(b, fmt.Sprint("r-", i)).status)
--- a/laburnumregistry/registry.go
+++ b/laburnumregistry/registry.go
@@ -160,6 +160,17 @@
 	return slices.Sorted(maps.Keys(t.software[service]))
 }
 
+// AllSoftware returns the software versions of each service, see Software.
+func (t *Table) AllSoftware() map[laburnumlever.ServiceName][]laburnumlever.SoftwareVersion {
+	all := make(map[laburnumlever.ServiceName][]laburnumlever.SoftwareVersion, len(t.software))
+	for service, versions := range t.software {
+		if len(versions) > 0 {
+			all[service] = t.Software(service)
+		}
+	}
+	return all
+}
+
 // KeepAlive applies the sequence of a heartbeat that another VM received and that changed nothing
 // there. It reports whether the record was silent before, so that other VMs must get it. Unknown
 // backend servers, tombstones and other incarnations are ignored, and the content of an older
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -12,6 +12,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumdirector"
+	"laburnumlever/laburnumendpoints"
 	"laburnumlever/laburnumeventloop"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumlog"
@@ -76,8 +77,9 @@
 	limits *limits
 	// endpoints saves endpoint state; nil if that is off.
 	endpoints *endpoints
-	// streams keeps which software versions began streams.
-	streams *streams
+	// streams keeps which software versions began streams, versions remembers over restarts which there were.
+	streams  *streams
+	versions *versionList
 	// foreign counts entries of other writers.
 	foreign *laburnumfeed.ForeignEntries
 	// commitTimes are the times to commit an operator's change.
@@ -108,7 +110,12 @@
 	c.commitTimes = c.metrics.Scope().Histogram("routes_commit_seconds", commitTimeBuckets)
 	c.foreign = laburnumfeed.NewForeignEntries(c.logger, c.metrics.Scope())
 	c.registry, c.room = laburnumregistry.New(time.Duration(settings.Times.Heartbeat)), laburnumroom.NewTable()
-	c.streams = newStreams(c.timers, c.serviceSoftware, func() bool { return c.source.Isolated() }, c.controlCount, time.Duration(settings.Times.Heartbeat), settings.FirstStart, c.metrics.Scope())
+	c.versions = &versionList{
+		store: laburnumendpoints.New(settings.DataFolder), timers: c.timers, logger: c.logger, known: c.allSoftware, controls: c.controlCount,
+		start: func() uint64 { return c.voter.Starts() }, confirmed: func() bool { return c.voter.StartConfirmed() },
+		complete: func() bool { return c.streams.complete() },
+	}
+	c.streams = newStreams(c.timers, c.serviceSoftware, func() bool { return c.source.Isolated() }, c.versions, time.Duration(settings.Times.Heartbeat), settings.FirstStart, c.metrics.Scope())
 	c.peers.Handle(methodStreamRecord, c.streams.handleRecord)
 	c.peers.Handle(methodStreamLookup, c.streams.handleLookup)
 	c.source = laburnumfeed.NewSource(c.peers, c.timers, c.self, laburnumfeed.WithSourceLogger(c.logger), laburnumfeed.WithCompleteness(c.streams.complete))
@@ -128,6 +135,7 @@
 	if err := c.buildVoter(); err != nil {
 		return nil, err
 	}
+	c.versions.load(settings.FirstStart)
 	c.confirmations = &confirmations{peers: c.peers, voter: c.voter}
 	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
 	c.quotas = newQuotas(c.timers, c.source, c.confirmations, c.logger, c.metrics.Scope(),
@@ -276,6 +284,7 @@
 	c.limits.start()
 	c.brittle.start()
 	c.streams.start()
+	c.versions.startSaving(time.Duration(c.settings.Times.Heartbeat))
 	c.quotas.start()
 	if c.endpoints != nil {
 		c.endpoints.start(c.timers, time.Duration(c.settings.Times.Heartbeat), c.records)
@@ -389,6 +398,7 @@
 	}
 	c.source.SetRecord(r)
 	c.director.SetRecord(r)
+	c.versions.note(r.Heartbeat)
 	if c.endpoints != nil {
 		c.endpoints.noteChange()
 	}
@@ -487,6 +497,13 @@
 	return max(n, len(c.voter.Status().Voters))
 }
 
+// allSoftware returns the software versions of all services.
+func (c *Control) allSoftware() servicesVersions {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.registry.AllSoftware()
+}
+
 // serviceSoftware returns the software versions of a service's backend servers.
 func (c *Control) serviceSoftware(service laburnumlever.ServiceName) []laburnumlever.SoftwareVersion {
 	c.mu.Lock()
--- a/laburnumroles/streams.go
+++ b/laburnumroles/streams.go
@@ -34,15 +34,15 @@
 	// software returns the software versions of a service's backend servers.
 	software func(laburnumlever.ServiceName) []laburnumlever.SoftwareVersion
 	// isolated reports whether this VM can't reach a majority of the control VMs, which may know other versions.
-	isolated func() bool
-	// controls returns the number of control VMs that this one knows of, itself included.
-	controls  func() int
+	isolated  func() bool
 	startedAt time.Time
 	heartbeat time.Duration
-	kept      tally.Counter
-	known     tally.Gauge
-	found     tally.Counter
-	missed    tally.Counter
+	// versions are those from before this start.
+	versions *versionList
+	kept     tally.Counter
+	known    tally.Gauge
+	found    tally.Counter
+	missed   tally.Counter
 
 	mu     sync.Mutex
 	keeper *laburnumstream.Keeper
@@ -52,9 +52,9 @@
 	caughtUp bool
 }
 
-func newStreams(timers laburnumlever.Timers, software func(laburnumlever.ServiceName) []laburnumlever.SoftwareVersion, isolated func() bool, controls func() int, heartbeat time.Duration, first bool, scope tally.Scope) *streams {
+func newStreams(timers laburnumlever.Timers, software func(laburnumlever.ServiceName) []laburnumlever.SoftwareVersion, isolated func() bool, versions *versionList, heartbeat time.Duration, first bool, scope tally.Scope) *streams {
 	return &streams{
-		timers: timers, software: software, isolated: isolated, controls: controls, heartbeat: heartbeat, startedAt: timers.Now(), keeper: laburnumstream.NewKeeper(), caughtUp: first,
+		timers: timers, software: software, isolated: isolated, versions: versions, heartbeat: heartbeat, startedAt: timers.Now(), keeper: laburnumstream.NewKeeper(), caughtUp: first,
 		kept: scope.Counter("stream_records"), known: scope.Gauge("stream_records_kept"),
 		found:  scope.Tagged(map[string]string{"outcome": "found"}).Counter("stream_lookups"),
 		missed: scope.Tagged(map[string]string{"outcome": "missed"}).Counter("stream_lookups"),
@@ -101,6 +101,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range batch.Records {
+		if r.Stream == "" {
+			continue // a caller without an ID can't name it
+		}
 		if !s.keeper.Put(r, s.timers.Now()) {
 			return nil, &laburnumlever.InvalidValueError{Name: "records", Value: string(r.Software), Want: "records of a known version, fewer of them"}
 		}
@@ -116,7 +119,9 @@
 		return nil, &laburnumfeed.MessageError{Method: methodStreamLookup, Cause: err}
 	}
 	now := s.timers.Now()
-	o := laburnumstream.Opinion{Versions: s.software(q.Service), Controls: s.controls()}
+	o := laburnumstream.Opinion{
+		Versions: s.versions.with(q.Service, s.software(q.Service), now), Controls: s.versions.controlCount(), Retained: s.versions.isRetained(),
+	}
 	if s.inContact(now) {
 		o.Complete = s.complete()
 		o.Current = o.Complete || now.Sub(s.startedAt) >= s.currentAfter()
--- a/laburnumroles/streams_internal_test.go
+++ b/laburnumroles/streams_internal_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
 	"laburnumlever"
+	"laburnumlever/laburnumendpoints"
 	"laburnumlever/laburnumpeer"
 	"laburnumlever/laburnumstream"
 	"laburnumlever/laburnumtimer"
@@ -22,11 +24,22 @@
 
 func threeControls() int { return 3 }
 
+// listOf returns the version list of a control VM that has lost its disk.
+func listOf(t testing.TB, timers laburnumlever.Timers, controls func() int) *versionList {
+	l := &versionList{
+		store: laburnumendpoints.New(t.TempDir()), timers: timers, logger: log.NewNopLogger(), controls: controls,
+		start: func() uint64 { return 1 }, known: func() servicesVersions { return nil }, confirmed: func() bool { return true },
+		complete: func() bool { return false },
+	}
+	l.load(false)
+	return l
+}
+
 // Guards against a control VM that counts as sure while it is isolated, just after that, or just after its start.
 func TestOpinionsOfControlVMs(t *testing.T) {
 	timers := laburnumtimer.NewManual(time.Unix(1_790_000_000, 0))
 	isolated := false
-	s := newStreams(timers, oneVersion, func() bool { return isolated }, threeControls, time.Second, false, tally.NoopScope)
+	s := newStreams(timers, oneVersion, func() bool { return isolated }, listOf(t, timers, threeControls), time.Second, false, tally.NoopScope)
 	opinion := func() laburnumstream.Opinion {
 		answer, err := s.handleLookup(t.Context(), laburnumlever.RawMessage(`{"stream":"a","service":"quotes"}`))
 		require.NoError(t, err)
@@ -46,7 +59,7 @@
 	timers.Advance(currentPeriods * time.Second)
 	require.True(t, opinion().Complete)
 
-	fresh := newStreams(timers, oneVersion, func() bool { return false }, threeControls, time.Second, false, tally.NoopScope)
+	fresh := newStreams(timers, oneVersion, func() bool { return false }, listOf(t, timers, threeControls), time.Second, false, tally.NoopScope)
 	fresh.setComplete()
 	require.True(t, fresh.complete(), "it has the state of one that is complete")
 }
@@ -54,7 +67,7 @@
 // Guards against records that seem to be kept although they are not.
 func TestRecordsThatAreNotKeptAreRefused(t *testing.T) {
 	timers := laburnumtimer.NewManual(time.Unix(1_790_000_000, 0))
-	s := newStreams(timers, oneVersion, func() bool { return false }, threeControls, time.Second, true, tally.NoopScope)
+	s := newStreams(timers, oneVersion, func() bool { return false }, listOf(t, timers, threeControls), time.Second, true, tally.NoopScope)
 	for _, text := range []string{`{"records":[{"stream":"a","software":""}]}`, `{"records":7}`} {
 		_, err := s.handleRecord(t.Context(), laburnumlever.RawMessage(text))
 		require.Error(t, err, text)
@@ -66,7 +79,7 @@
 	timers := laburnumtimer.New()
 	defer timers.Close()
 	control, gateway := laburnumpeer.New("c"), laburnumpeer.New("g")
-	s := newStreams(timers, oneVersion, func() bool { return false }, threeControls, time.Second, true, tally.NoopScope)
+	s := newStreams(timers, oneVersion, func() bool { return false }, listOf(b, timers, threeControls), time.Second, true, tally.NoopScope)
 	control.Handle(methodStreamRecord, s.handleRecord)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
--- a/laburnumstream/orders_test.go
+++ b/laburnumstream/orders_test.go
@@ -1,6 +1,8 @@
 package laburnumstream_test
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 
 	"laburnumlever"
@@ -34,16 +36,19 @@
 	return v.names()[0]
 }
 
-// modelControl is a control VM. Its record is the version that it keeps for the stream; 0 for none.
+// modelControl is a control VM. It has saved versions on its disk, and those before its start it tells when it is asked for an
+// opinion only. Its record is the version that it keeps for the stream; 0 for none.
 type modelControl struct {
-	current, complete, isolated bool
-	knows, record               versionSet
+	current, complete, isolated  bool
+	retained, savedAll           bool
+	knows, saved, before, record versionSet
 }
 
 func (c modelControl) opinion() laburnumstream.Opinion {
 	return laburnumstream.Opinion{
 		Known:    laburnumstream.Known{Software: c.record.name()},
-		Versions: c.knows.names(), Current: c.current && !c.isolated, Controls: modelControls, Complete: c.complete && !c.isolated,
+		Versions: (c.knows | c.before).names(), Current: c.current && !c.isolated, Controls: modelControls, Complete: c.complete && !c.isolated,
+		Retained: c.retained,
 	}
 }
 
@@ -59,15 +64,40 @@
 	begun             versionSet // the version that began the stream; 0 before
 }
 
-// settled reports whether the first gateway may begin streams at the new version: each control VM knows it that is not
-// isolated and has not just started.
+// settled reports whether the first gateway may begin streams at the new version: a majority of the control VMs know it and
+// have had time to save it.
 func (s modelState) settled() bool {
+	known := 0
 	for _, c := range s.controls {
 		if !c.isolated && c.current && c.knows&newVersion == 0 {
 			return false
 		}
+		if c.saved&newVersion != 0 {
+			known++
+		}
+	}
+	return 2*known > modelControls
+}
+
+// sorted returns the state with its control VMs in an order: which of them is which makes no difference.
+func (s modelState) sorted() modelState {
+	slices.SortFunc(s.controls[:], func(a, b modelControl) int { return cmp.Compare(a.key(), b.key()) })
+	return s
+}
+
+// key is a number that differs between different control VMs.
+func (c modelControl) key() int {
+	key := 0
+	for _, set := range []bool{c.current, c.complete, c.isolated, c.retained, c.savedAll} {
+		key <<= 1
+		if set {
+			key |= 1
+		}
+	}
+	for _, versions := range []versionSet{c.knows, c.saved, c.before, c.record} {
+		key = key<<2 | int(versions)
 	}
-	return true
+	return key
 }
 
 // announced returns the versions whose servers announce themselves.
@@ -144,8 +174,12 @@
 		change(&next, &next.controls[i])
 		states = append(states, next)
 	}
-	add(func(_ *modelState, c *modelControl) { *c = modelControl{isolated: c.isolated} }) // it restarts
-	add(func(n *modelState, c *modelControl) {                                            // servers announce themselves
+	add(func(_ *modelState, c *modelControl) { // it restarts
+		*c = modelControl{isolated: c.isolated, retained: c.savedAll, savedAll: c.savedAll, saved: c.saved, before: c.saved}
+	})
+	add(func(_ *modelState, c *modelControl) { *c = modelControl{isolated: c.isolated} }) // it restarts with an empty disk
+	add(func(_ *modelState, c *modelControl) { c.saved, c.savedAll = c.saved|c.knows, c.retained || c.complete })
+	add(func(n *modelState, c *modelControl) { // servers announce themselves
 		c.knows |= n.announced()
 		c.current = true
 	})
@@ -202,31 +236,42 @@
 				others = append(others, c.opinion())
 			}
 		}
-		if got, verdict := laburnumstream.Resolve(own, others); verdict == laburnumstream.Decided {
-			decided = true
-			right = right && got == s.begun.name()
+		for _, resolve := range []func(laburnumstream.Opinion, []laburnumstream.Opinion) (laburnumlever.SoftwareVersion, laburnumstream.Verdict){
+			laburnumstream.Resolve, laburnumstream.ResolveUnnamed,
+		} {
+			if got, verdict := resolve(own, others); verdict == laburnumstream.Decided {
+				decided = true
+				right = right && got == s.begun.name()
+			}
 		}
 	}
 	return decided, right
 }
 
-// Guards against an order of releases, restarts, cuts, lost records and lookups in which a stream goes on at another version.
-func TestNoOrderOfEventsMixesVersions(t *testing.T) {
-	depth := 40 // all states
-	if testing.Short() {
-		depth = 7
+// withoutDisks returns the state of a fleet whose control VMs keep nothing over restarts.
+func (s modelState) withoutDisks() modelState {
+	for i, c := range s.controls {
+		c.retained, c.savedAll, c.before, c.saved = false, false, 0, c.knows
+		s.controls[i] = c
 	}
+	return s
+}
+
+// search checks the states that can be reached within a number of events. change changes each state before it is looked at.
+func search(t *testing.T, depth int, change func(modelState) modelState) {
+	t.Helper()
 	first := modelState{beginner: oldVersion, taker: oldVersion, takerComplete: true}
 	for i := range first.controls {
-		first.controls[i] = modelControl{current: true, complete: true, knows: oldVersion}
+		first.controls[i] = modelControl{current: true, complete: true, retained: true, savedAll: true, knows: oldVersion, saved: oldVersion}
 	}
 	seen := map[modelState]bool{first: true}
 	frontier := []modelState{first}
 	decisions := 0
-	for range depth {
+	for n := 0; n < depth && len(frontier) > 0; n++ {
 		var reached []modelState
 		for _, s := range frontier {
 			for _, next := range s.next() {
+				next = change(next).sorted()
 				if seen[next] {
 					continue
 				}
@@ -246,8 +291,26 @@
 		}
 		frontier = reached
 	}
-	t.Logf("%d states, a version decided in %d", len(seen), decisions)
+	t.Logf("%d states, a version decided in %d, %d states left to go on from", len(seen), decisions, len(frontier))
 	if decisions == 0 {
 		t.Fatal("no version was ever decided")
 	}
 }
+
+// Guards against an order of releases, restarts, cuts, lost records and lookups in which a stream goes on at another version.
+func TestNoOrderOfEventsMixesVersions(t *testing.T) {
+	depth := 40 // all states
+	if testing.Short() {
+		depth = 7
+	}
+	search(t, depth, modelState.withoutDisks)
+}
+
+// Guards against the same where control VMs save what they know, lose their disks, or restart before they have saved.
+func TestNoOrderOfEventsOnDisksMixesVersions(t *testing.T) {
+	depth := 11
+	if testing.Short() {
+		depth = 7
+	}
+	search(t, depth, func(s modelState) modelState { return s })
+}
--- a/laburnumvoter/replica.go
+++ b/laburnumvoter/replica.go
@@ -20,6 +20,8 @@
 	log     *laburnumlog.Log
 	machine *laburnumstate.Machine
 	boot    uint64
+	// starts is the number of starts on the folder, this one included.
+	starts uint64
 	// snapshotBytes is the size of the snapshot read from the folder.
 	snapshotBytes int
 }
@@ -49,7 +51,7 @@
 	boot := laburnumlog.Boot(identity.Boot, uuid.New().ID())
 	l := laburnumlog.New(id, recovered, laburnumlog.WithSeed(seed), laburnumlog.WithBoot(boot), laburnumlog.WithTolerance(cfg.tolerance()),
 		laburnumlog.WithForgetTicks(cfg.policy().ReplaceTicks))
-	return &replica{store: store, log: l, machine: machine, boot: boot, snapshotBytes: len(recovered.Snapshot.Data)}, nil
+	return &replica{store: store, log: l, machine: machine, boot: boot, starts: identity.Boot, snapshotBytes: len(recovered.Snapshot.Data)}, nil
 }
 
 // writer syncs writes to the store on its own goroutine. Writes that queue up during an fsync are
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -60,6 +60,7 @@
 	assembly     chunkAssembly
 	chunkedSends chunkedSends
 	claims       atomic.Uint64
+	starts       atomic.Uint64
 	// leaderlessTicks is the number of ticks for which this voter has known no leader.
 	leaderlessTicks atomic.Uint64
 	startedAt       time.Time
@@ -100,6 +101,7 @@
 func (v *Voter) installReplica(r *replica) {
 	v.generation++
 	v.log, v.machine, v.boot = r.log, r.machine, r.boot
+	v.starts.Store(r.starts)
 	v.applied = r.log.SnapshotIndex()
 	v.lastSnapshot = r.snapshotBytes
 	v.pendingAfter, v.inbox = nil, nil
@@ -116,6 +118,14 @@
 	v.reportOpened()
 }
 
+// Starts returns the number of starts of a replica on the VM's data folder, the last one included; 0 without a folder. A folder
+// that was lost counts anew. It may be called on any goroutine.
+func (v *Voter) Starts() uint64 { return v.starts.Load() }
+
+// StartConfirmed reports whether enough VMs have registered this start, so that the data folder is no older copy. It may be called
+// on any goroutine.
+func (v *Voter) StartConfirmed() bool { return v.Status().Role != roleUnconfirmed }
+
 // OnCatalogue sets the function called on the control thread with each newly applied revision of the
 // catalogue and after recovery. It must be called before Start.
 func (v *Voter) OnCatalogue(fn func(laburnumlever.Catalogue)) { v.onCatalogue = fn }
--- a/logevent.go
+++ b/logevent.go
@@ -42,6 +42,10 @@
 	EventEndpointsNotLoaded
 	// EventEndpointsNotSaved is endpoint state that could not be saved, logged once until it succeeds again.
 	EventEndpointsNotSaved
+	// EventVersionsNotLoaded is a file of software versions that can't be read, EventVersionsNotSaved one that could not be
+	// written, logged once until it succeeds again.
+	EventVersionsNotLoaded
+	EventVersionsNotSaved
 	// EventBackendReplaced is an address that another backend server has taken over.
 	EventBackendReplaced
 	// EventAdapterLoaded is an adapter that has been loaded.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 241, 254, 266, 272, 287, 304, 317, 334, 347, 357, 371, 384, 398, 417, 437, 456, 478, 492, 511, 527, 543, 554, 567, 590, 603, 618, 630, 642, 655, 668, 682, 697, 715, 729, 745, 761, 774, 790, 806, 821, 835, 845, 856, 869, 890, 906, 924, 935, 951, 967, 982, 996, 1010, 1025, 1043, 1061, 1079, 1092, 1108, 1117, 1131, 1146, 1163, 1178, 1191, 1206, 1217, 1231, 1244, 1270, 1288, 1302, 1319, 1338, 1359, 1368, 1378, 1395, 1413, 1423, 1432, 1449, 1463, 1475, 1491, 1498, 1506, 1513, 1520, 1537, 1553, 1567, 1585, 1598, 1608, 1625}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 244, 262, 278, 291, 303, 309, 324, 341, 354, 371, 384, 394, 408, 421, 435, 454, 474, 493, 515, 529, 548, 564, 580, 591, 604, 627, 640, 655, 667, 679, 692, 705, 719, 734, 752, 766, 782, 798, 811, 827, 843, 858, 872, 882, 893, 906, 927, 943, 961, 972, 988, 1004, 1019, 1033, 1047, 1062, 1080, 1098, 1116, 1129, 1145, 1154, 1168, 1183, 1200, 1215, 1228, 1243, 1254, 1268, 1281, 1307, 1325, 1339, 1356, 1375, 1396, 1405, 1415, 1432, 1450, 1460, 1469, 1486, 1500, 1512, 1528, 1535, 1543, 1550, 1557, 1574, 1590, 1604, 1622, 1635, 1645, 1662}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -38,105 +38,107 @@
 	_ = x[EventRememberedForgotten-(11)]
 	_ = x[EventEndpointsNotLoaded-(12)]
 	_ = x[EventEndpointsNotSaved-(13)]
-	_ = x[EventBackendReplaced-(14)]
-	_ = x[EventAdapterLoaded-(15)]
-	_ = x[EventLoadDecided-(16)]
-	_ = x[EventLayout-(17)]
-	_ = x[EventBackendCrashed-(18)]
-	_ = x[EventCrashUnconfirmed-(19)]
-	_ = x[EventDetourOpened-(20)]
-	_ = x[EventDetourNotOpened-(21)]
-	_ = x[EventDetourClosed-(22)]
-	_ = x[EventLinksLost-(23)]
-	_ = x[EventLinksRestored-(24)]
-	_ = x[EventBackendRests-(25)]
-	_ = x[EventBackendLeaves-(26)]
-	_ = x[EventHelperNotNotified-(27)]
-	_ = x[EventSoftwareVersionNew-(28)]
-	_ = x[EventStreamNotRecorded-(29)]
-	_ = x[EventStreamVersionUnknown-(30)]
-	_ = x[EventLinksVerified-(31)]
-	_ = x[EventRequestQuarantined-(32)]
-	_ = x[EventRequestReleased-(33)]
-	_ = x[EventPartQuarantined-(34)]
-	_ = x[EventPartLifted-(35)]
-	_ = x[EventPartReleased-(36)]
-	_ = x[EventQuarantineNotReported-(37)]
-	_ = x[EventLimitChanged-(38)]
-	_ = x[EventBrittleChanged-(39)]
-	_ = x[EventLoadUnclear-(40)]
-	_ = x[EventRoomChanged-(41)]
-	_ = x[EventForeignEntry-(42)]
-	_ = x[EventLimitUnclear-(43)]
-	_ = x[EventSlotRequested-(44)]
-	_ = x[EventSlotUnanswered-(45)]
-	_ = x[EventLimitNotReported-(46)]
-	_ = x[EventKeysConfirmed-(47)]
-	_ = x[EventKeysUnconfirmed-(48)]
-	_ = x[EventAccountsUnknown-(49)]
-	_ = x[EventQuotaUsedUp-(50)]
-	_ = x[EventQuotaUnanswered-(51)]
-	_ = x[EventOutlierDetected-(52)]
-	_ = x[EventModelWithdrawn-(53)]
-	_ = x[EventOrderAnswered-(54)]
-	_ = x[EventOrderDone-(55)]
-	_ = x[EventOrderStateChanged-(56)]
-	_ = x[EventOrderRefused-(57)]
-	_ = x[EventOrderOutcomeUnknown-(58)]
-	_ = x[EventEngineStateNotRead-(59)]
-	_ = x[EventInventoryNotRead-(60)]
-	_ = x[EventLoadFailed-(61)]
-	_ = x[EventBackendStateNotEncoded-(62)]
-	_ = x[EventRegistryRefused-(63)]
-	_ = x[EventRoutesProposed-(64)]
-	_ = x[EventRoutesRefused-(65)]
-	_ = x[EventRoutesApplied-(66)]
-	_ = x[EventRoutesInEffect-(67)]
-	_ = x[EventRoutesNotDecoded-(68)]
-	_ = x[EventRoutesNotFetched-(69)]
-	_ = x[EventCatalogueInEffect-(70)]
-	_ = x[EventBecameLeader-(71)]
-	_ = x[EventCommandRejected-(72)]
-	_ = x[EventNoLeader-(73)]
-	_ = x[EventReplicaOpened-(74)]
-	_ = x[EventStartConfirmed-(75)]
-	_ = x[EventStartUnconfirmed-(76)]
-	_ = x[EventVotersChanged-(77)]
-	_ = x[EventLearnerAdded-(78)]
-	_ = x[EventLearnerRemoved-(79)]
-	_ = x[EventVoterAdded-(80)]
-	_ = x[EventVoterReplaced-(81)]
-	_ = x[EventVoterStandby-(82)]
-	_ = x[EventLeadershipNotHandedOver-(83)]
-	_ = x[EventExpiryNotEncoded-(84)]
-	_ = x[EventReplicaFailed-(85)]
-	_ = x[EventReplicaRegressed-(86)]
-	_ = x[EventDataFolderDamaged-(87)]
-	_ = x[EventDataFolderRegressed-(88)]
-	_ = x[EventLeaseAcquired-(89)]
-	_ = x[EventLeaseLost-(90)]
-	_ = x[EventLeaseNotRenewed-(91)]
-	_ = x[EventLeaseNotReleased-(92)]
-	_ = x[EventZoneOwned-(93)]
-	_ = x[EventZoneLost-(94)]
-	_ = x[EventMessageTooLarge-(95)]
-	_ = x[EventControlThreadTimes-(96)]
-	_ = x[EventControlLost-(97)]
-	_ = x[EventControlRegained-(98)]
-	_ = x[EventStarted-(99)]
-	_ = x[EventDraining-(100)]
-	_ = x[EventDrained-(101)]
-	_ = x[EventStopped-(102)]
-	_ = x[EventSettingsReloaded-(103)]
-	_ = x[EventSettingsRefused-(104)]
-	_ = x[EventListenerEnded-(105)]
-	_ = x[EventMetricsNotServed-(106)]
-	_ = x[EventUnknownEvent-(107)]
-	_ = x[EventOverloaded-(108)]
-	_ = x[EventLogLinesDropped-(109)]
+	_ = x[EventVersionsNotLoaded-(14)]
+	_ = x[EventVersionsNotSaved-(15)]
+	_ = x[EventBackendReplaced-(16)]
+	_ = x[EventAdapterLoaded-(17)]
+	_ = x[EventLoadDecided-(18)]
+	_ = x[EventLayout-(19)]
+	_ = x[EventBackendCrashed-(20)]
+	_ = x[EventCrashUnconfirmed-(21)]
+	_ = x[EventDetourOpened-(22)]
+	_ = x[EventDetourNotOpened-(23)]
+	_ = x[EventDetourClosed-(24)]
+	_ = x[EventLinksLost-(25)]
+	_ = x[EventLinksRestored-(26)]
+	_ = x[EventBackendRests-(27)]
+	_ = x[EventBackendLeaves-(28)]
+	_ = x[EventHelperNotNotified-(29)]
+	_ = x[EventSoftwareVersionNew-(30)]
+	_ = x[EventStreamNotRecorded-(31)]
+	_ = x[EventStreamVersionUnknown-(32)]
+	_ = x[EventLinksVerified-(33)]
+	_ = x[EventRequestQuarantined-(34)]
+	_ = x[EventRequestReleased-(35)]
+	_ = x[EventPartQuarantined-(36)]
+	_ = x[EventPartLifted-(37)]
+	_ = x[EventPartReleased-(38)]
+	_ = x[EventQuarantineNotReported-(39)]
+	_ = x[EventLimitChanged-(40)]
+	_ = x[EventBrittleChanged-(41)]
+	_ = x[EventLoadUnclear-(42)]
+	_ = x[EventRoomChanged-(43)]
+	_ = x[EventForeignEntry-(44)]
+	_ = x[EventLimitUnclear-(45)]
+	_ = x[EventSlotRequested-(46)]
+	_ = x[EventSlotUnanswered-(47)]
+	_ = x[EventLimitNotReported-(48)]
+	_ = x[EventKeysConfirmed-(49)]
+	_ = x[EventKeysUnconfirmed-(50)]
+	_ = x[EventAccountsUnknown-(51)]
+	_ = x[EventQuotaUsedUp-(52)]
+	_ = x[EventQuotaUnanswered-(53)]
+	_ = x[EventOutlierDetected-(54)]
+	_ = x[EventModelWithdrawn-(55)]
+	_ = x[EventOrderAnswered-(56)]
+	_ = x[EventOrderDone-(57)]
+	_ = x[EventOrderStateChanged-(58)]
+	_ = x[EventOrderRefused-(59)]
+	_ = x[EventOrderOutcomeUnknown-(60)]
+	_ = x[EventEngineStateNotRead-(61)]
+	_ = x[EventInventoryNotRead-(62)]
+	_ = x[EventLoadFailed-(63)]
+	_ = x[EventBackendStateNotEncoded-(64)]
+	_ = x[EventRegistryRefused-(65)]
+	_ = x[EventRoutesProposed-(66)]
+	_ = x[EventRoutesRefused-(67)]
+	_ = x[EventRoutesApplied-(68)]
+	_ = x[EventRoutesInEffect-(69)]
+	_ = x[EventRoutesNotDecoded-(70)]
+	_ = x[EventRoutesNotFetched-(71)]
+	_ = x[EventCatalogueInEffect-(72)]
+	_ = x[EventBecameLeader-(73)]
+	_ = x[EventCommandRejected-(74)]
+	_ = x[EventNoLeader-(75)]
+	_ = x[EventReplicaOpened-(76)]
+	_ = x[EventStartConfirmed-(77)]
+	_ = x[EventStartUnconfirmed-(78)]
+	_ = x[EventVotersChanged-(79)]
+	_ = x[EventLearnerAdded-(80)]
+	_ = x[EventLearnerRemoved-(81)]
+	_ = x[EventVoterAdded-(82)]
+	_ = x[EventVoterReplaced-(83)]
+	_ = x[EventVoterStandby-(84)]
+	_ = x[EventLeadershipNotHandedOver-(85)]
+	_ = x[EventExpiryNotEncoded-(86)]
+	_ = x[EventReplicaFailed-(87)]
+	_ = x[EventReplicaRegressed-(88)]
+	_ = x[EventDataFolderDamaged-(89)]
+	_ = x[EventDataFolderRegressed-(90)]
+	_ = x[EventLeaseAcquired-(91)]
+	_ = x[EventLeaseLost-(92)]
+	_ = x[EventLeaseNotRenewed-(93)]
+	_ = x[EventLeaseNotReleased-(94)]
+	_ = x[EventZoneOwned-(95)]
+	_ = x[EventZoneLost-(96)]
+	_ = x[EventMessageTooLarge-(97)]
+	_ = x[EventControlThreadTimes-(98)]
+	_ = x[EventControlLost-(99)]
+	_ = x[EventControlRegained-(100)]
+	_ = x[EventStarted-(101)]
+	_ = x[EventDraining-(102)]
+	_ = x[EventDrained-(103)]
+	_ = x[EventStopped-(104)]
+	_ = x[EventSettingsReloaded-(105)]
+	_ = x[EventSettingsRefused-(106)]
+	_ = x[EventListenerEnded-(107)]
+	_ = x[EventMetricsNotServed-(108)]
+	_ = x[EventUnknownEvent-(109)]
+	_ = x[EventOverloaded-(110)]
+	_ = x[EventLogLinesDropped-(111)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -153,102 +155,104 @@
 	_LogEventName[166:186]:   EventRememberedForgotten,
 	_LogEventName[186:206]:   EventEndpointsNotLoaded,
 	_LogEventName[206:225]:   EventEndpointsNotSaved,
-	_LogEventName[225:241]:   EventBackendReplaced,
-	_LogEventName[241:254]:   EventAdapterLoaded,
-	_LogEventName[254:266]:   EventLoadDecided,
-	_LogEventName[266:272]:   EventLayout,
-	_LogEventName[272:287]:   EventBackendCrashed,
-	_LogEventName[287:304]:   EventCrashUnconfirmed,
-	_LogEventName[304:317]:   EventDetourOpened,
-	_LogEventName[317:334]:   EventDetourNotOpened,
-	_LogEventName[334:347]:   EventDetourClosed,
-	_LogEventName[347:357]:   EventLinksLost,
-	_LogEventName[357:371]:   EventLinksRestored,
-	_LogEventName[371:384]:   EventBackendRests,
-	_LogEventName[384:398]:   EventBackendLeaves,
-	_LogEventName[398:417]:   EventHelperNotNotified,
-	_LogEventName[417:437]:   EventSoftwareVersionNew,
-	_LogEventName[437:456]:   EventStreamNotRecorded,
-	_LogEventName[456:478]:   EventStreamVersionUnknown,
-	_LogEventName[478:492]:   EventLinksVerified,
-	_LogEventName[492:511]:   EventRequestQuarantined,
-	_LogEventName[511:527]:   EventRequestReleased,
-	_LogEventName[527:543]:   EventPartQuarantined,
-	_LogEventName[543:554]:   EventPartLifted,
-	_LogEventName[554:567]:   EventPartReleased,
-	_LogEventName[567:590]:   EventQuarantineNotReported,
-	_LogEventName[590:603]:   EventLimitChanged,
-	_LogEventName[603:618]:   EventBrittleChanged,
-	_LogEventName[618:630]:   EventLoadUnclear,
-	_LogEventName[630:642]:   EventRoomChanged,
-	_LogEventName[642:655]:   EventForeignEntry,
-	_LogEventName[655:668]:   EventLimitUnclear,
-	_LogEventName[668:682]:   EventSlotRequested,
-	_LogEventName[682:697]:   EventSlotUnanswered,
-	_LogEventName[697:715]:   EventLimitNotReported,
-	_LogEventName[715:729]:   EventKeysConfirmed,
-	_LogEventName[729:745]:   EventKeysUnconfirmed,
-	_LogEventName[745:761]:   EventAccountsUnknown,
-	_LogEventName[761:774]:   EventQuotaUsedUp,
-	_LogEventName[774:790]:   EventQuotaUnanswered,
-	_LogEventName[790:806]:   EventOutlierDetected,
-	_LogEventName[806:821]:   EventModelWithdrawn,
-	_LogEventName[821:835]:   EventOrderAnswered,
-	_LogEventName[835:845]:   EventOrderDone,
-	_LogEventName[845:856]:   EventOrderStateChanged,
-	_LogEventName[856:869]:   EventOrderRefused,
-	_LogEventName[869:890]:   EventOrderOutcomeUnknown,
-	_LogEventName[890:906]:   EventEngineStateNotRead,
-	_LogEventName[906:924]:   EventInventoryNotRead,
-	_LogEventName[924:935]:   EventLoadFailed,
-	_LogEventName[935:951]:   EventBackendStateNotEncoded,
-	_LogEventName[951:967]:   EventRegistryRefused,
-	_LogEventName[967:982]:   EventRoutesProposed,
-	_LogEventName[982:996]:   EventRoutesRefused,
-	_LogEventName[996:1010]:  EventRoutesApplied,
-	_LogEventName[1010:1025]: EventRoutesInEffect,
-	_LogEventName[1025:1043]: EventRoutesNotDecoded,
-	_LogEventName[1043:1061]: EventRoutesNotFetched,
-	_LogEventName[1061:1079]: EventCatalogueInEffect,
-	_LogEventName[1079:1092]: EventBecameLeader,
-	_LogEventName[1092:1108]: EventCommandRejected,
-	_LogEventName[1108:1117]: EventNoLeader,
-	_LogEventName[1117:1131]: EventReplicaOpened,
-	_LogEventName[1131:1146]: EventStartConfirmed,
-	_LogEventName[1146:1163]: EventStartUnconfirmed,
-	_LogEventName[1163:1178]: EventVotersChanged,
-	_LogEventName[1178:1191]: EventLearnerAdded,
-	_LogEventName[1191:1206]: EventLearnerRemoved,
-	_LogEventName[1206:1217]: EventVoterAdded,
-	_LogEventName[1217:1231]: EventVoterReplaced,
-	_LogEventName[1231:1244]: EventVoterStandby,
-	_LogEventName[1244:1270]: EventLeadershipNotHandedOver,
-	_LogEventName[1270:1288]: EventExpiryNotEncoded,
-	_LogEventName[1288:1302]: EventReplicaFailed,
-	_LogEventName[1302:1319]: EventReplicaRegressed,
-	_LogEventName[1319:1338]: EventDataFolderDamaged,
-	_LogEventName[1338:1359]: EventDataFolderRegressed,
-	_LogEventName[1359:1368]: EventLeaseAcquired,
-	_LogEventName[1368:1378]: EventLeaseLost,
-	_LogEventName[1378:1395]: EventLeaseNotRenewed,
-	_LogEventName[1395:1413]: EventLeaseNotReleased,
-	_LogEventName[1413:1423]: EventZoneOwned,
-	_LogEventName[1423:1432]: EventZoneLost,
-	_LogEventName[1432:1449]: EventMessageTooLarge,
-	_LogEventName[1449:1463]: EventControlThreadTimes,
-	_LogEventName[1463:1475]: EventControlLost,
-	_LogEventName[1475:1491]: EventControlRegained,
-	_LogEventName[1491:1498]: EventStarted,
-	_LogEventName[1498:1506]: EventDraining,
-	_LogEventName[1506:1513]: EventDrained,
-	_LogEventName[1513:1520]: EventStopped,
-	_LogEventName[1520:1537]: EventSettingsReloaded,
-	_LogEventName[1537:1553]: EventSettingsRefused,
-	_LogEventName[1553:1567]: EventListenerEnded,
-	_LogEventName[1567:1585]: EventMetricsNotServed,
-	_LogEventName[1585:1598]: EventUnknownEvent,
-	_LogEventName[1598:1608]: EventOverloaded,
-	_LogEventName[1608:1625]: EventLogLinesDropped,
+	_LogEventName[225:244]:   EventVersionsNotLoaded,
+	_LogEventName[244:262]:   EventVersionsNotSaved,
+	_LogEventName[262:278]:   EventBackendReplaced,
+	_LogEventName[278:291]:   EventAdapterLoaded,
+	_LogEventName[291:303]:   EventLoadDecided,
+	_LogEventName[303:309]:   EventLayout,
+	_LogEventName[309:324]:   EventBackendCrashed,
+	_LogEventName[324:341]:   EventCrashUnconfirmed,
+	_LogEventName[341:354]:   EventDetourOpened,
+	_LogEventName[354:371]:   EventDetourNotOpened,
+	_LogEventName[371:384]:   EventDetourClosed,
+	_LogEventName[384:394]:   EventLinksLost,
+	_LogEventName[394:408]:   EventLinksRestored,
+	_LogEventName[408:421]:   EventBackendRests,
+	_LogEventName[421:435]:   EventBackendLeaves,
+	_LogEventName[435:454]:   EventHelperNotNotified,
+	_LogEventName[454:474]:   EventSoftwareVersionNew,
+	_LogEventName[474:493]:   EventStreamNotRecorded,
+	_LogEventName[493:515]:   EventStreamVersionUnknown,
+	_LogEventName[515:529]:   EventLinksVerified,
+	_LogEventName[529:548]:   EventRequestQuarantined,
+	_LogEventName[548:564]:   EventRequestReleased,
+	_LogEventName[564:580]:   EventPartQuarantined,
+	_LogEventName[580:591]:   EventPartLifted,
+	_LogEventName[591:604]:   EventPartReleased,
+	_LogEventName[604:627]:   EventQuarantineNotReported,
+	_LogEventName[627:640]:   EventLimitChanged,
+	_LogEventName[640:655]:   EventBrittleChanged,
+	_LogEventName[655:667]:   EventLoadUnclear,
+	_LogEventName[667:679]:   EventRoomChanged,
+	_LogEventName[679:692]:   EventForeignEntry,
+	_LogEventName[692:705]:   EventLimitUnclear,
+	_LogEventName[705:719]:   EventSlotRequested,
+	_LogEventName[719:734]:   EventSlotUnanswered,
+	_LogEventName[734:752]:   EventLimitNotReported,
+	_LogEventName[752:766]:   EventKeysConfirmed,
+	_LogEventName[766:782]:   EventKeysUnconfirmed,
+	_LogEventName[782:798]:   EventAccountsUnknown,
+	_LogEventName[798:811]:   EventQuotaUsedUp,
+	_LogEventName[811:827]:   EventQuotaUnanswered,
+	_LogEventName[827:843]:   EventOutlierDetected,
+	_LogEventName[843:858]:   EventModelWithdrawn,
+	_LogEventName[858:872]:   EventOrderAnswered,
+	_LogEventName[872:882]:   EventOrderDone,
+	_LogEventName[882:893]:   EventOrderStateChanged,
+	_LogEventName[893:906]:   EventOrderRefused,
+	_LogEventName[906:927]:   EventOrderOutcomeUnknown,
+	_LogEventName[927:943]:   EventEngineStateNotRead,
+	_LogEventName[943:961]:   EventInventoryNotRead,
+	_LogEventName[961:972]:   EventLoadFailed,
+	_LogEventName[972:988]:   EventBackendStateNotEncoded,
+	_LogEventName[988:1004]:  EventRegistryRefused,
+	_LogEventName[1004:1019]: EventRoutesProposed,
+	_LogEventName[1019:1033]: EventRoutesRefused,
+	_LogEventName[1033:1047]: EventRoutesApplied,
+	_LogEventName[1047:1062]: EventRoutesInEffect,
+	_LogEventName[1062:1080]: EventRoutesNotDecoded,
+	_LogEventName[1080:1098]: EventRoutesNotFetched,
+	_LogEventName[1098:1116]: EventCatalogueInEffect,
+	_LogEventName[1116:1129]: EventBecameLeader,
+	_LogEventName[1129:1145]: EventCommandRejected,
+	_LogEventName[1145:1154]: EventNoLeader,
+	_LogEventName[1154:1168]: EventReplicaOpened,
+	_LogEventName[1168:1183]: EventStartConfirmed,
+	_LogEventName[1183:1200]: EventStartUnconfirmed,
+	_LogEventName[1200:1215]: EventVotersChanged,
+	_LogEventName[1215:1228]: EventLearnerAdded,
+	_LogEventName[1228:1243]: EventLearnerRemoved,
+	_LogEventName[1243:1254]: EventVoterAdded,
+	_LogEventName[1254:1268]: EventVoterReplaced,
+	_LogEventName[1268:1281]: EventVoterStandby,
+	_LogEventName[1281:1307]: EventLeadershipNotHandedOver,
+	_LogEventName[1307:1325]: EventExpiryNotEncoded,
+	_LogEventName[1325:1339]: EventReplicaFailed,
+	_LogEventName[1339:1356]: EventReplicaRegressed,
+	_LogEventName[1356:1375]: EventDataFolderDamaged,
+	_LogEventName[1375:1396]: EventDataFolderRegressed,
+	_LogEventName[1396:1405]: EventLeaseAcquired,
+	_LogEventName[1405:1415]: EventLeaseLost,
+	_LogEventName[1415:1432]: EventLeaseNotRenewed,
+	_LogEventName[1432:1450]: EventLeaseNotReleased,
+	_LogEventName[1450:1460]: EventZoneOwned,
+	_LogEventName[1460:1469]: EventZoneLost,
+	_LogEventName[1469:1486]: EventMessageTooLarge,
+	_LogEventName[1486:1500]: EventControlThreadTimes,
+	_LogEventName[1500:1512]: EventControlLost,
+	_LogEventName[1512:1528]: EventControlRegained,
+	_LogEventName[1528:1535]: EventStarted,
+	_LogEventName[1535:1543]: EventDraining,
+	_LogEventName[1543:1550]: EventDrained,
+	_LogEventName[1550:1557]: EventStopped,
+	_LogEventName[1557:1574]: EventSettingsReloaded,
+	_LogEventName[1574:1590]: EventSettingsRefused,
+	_LogEventName[1590:1604]: EventListenerEnded,
+	_LogEventName[1604:1622]: EventMetricsNotServed,
+	_LogEventName[1622:1635]: EventUnknownEvent,
+	_LogEventName[1635:1645]: EventOverloaded,
+	_LogEventName[1645:1662]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -266,102 +270,104 @@
 	_LogEventLowerName[166:186]:   EventRememberedForgotten,
 	_LogEventLowerName[186:206]:   EventEndpointsNotLoaded,
 	_LogEventLowerName[206:225]:   EventEndpointsNotSaved,
-	_LogEventLowerName[225:241]:   EventBackendReplaced,
-	_LogEventLowerName[241:254]:   EventAdapterLoaded,
-	_LogEventLowerName[254:266]:   EventLoadDecided,
-	_LogEventLowerName[266:272]:   EventLayout,
-	_LogEventLowerName[272:287]:   EventBackendCrashed,
-	_LogEventLowerName[287:304]:   EventCrashUnconfirmed,
-	_LogEventLowerName[304:317]:   EventDetourOpened,
-	_LogEventLowerName[317:334]:   EventDetourNotOpened,
-	_LogEventLowerName[334:347]:   EventDetourClosed,
-	_LogEventLowerName[347:357]:   EventLinksLost,
-	_LogEventLowerName[357:371]:   EventLinksRestored,
-	_LogEventLowerName[371:384]:   EventBackendRests,
-	_LogEventLowerName[384:398]:   EventBackendLeaves,
-	_LogEventLowerName[398:417]:   EventHelperNotNotified,
-	_LogEventLowerName[417:437]:   EventSoftwareVersionNew,
-	_LogEventLowerName[437:456]:   EventStreamNotRecorded,
-	_LogEventLowerName[456:478]:   EventStreamVersionUnknown,
-	_LogEventLowerName[478:492]:   EventLinksVerified,
-	_LogEventLowerName[492:511]:   EventRequestQuarantined,
-	_LogEventLowerName[511:527]:   EventRequestReleased,
-	_LogEventLowerName[527:543]:   EventPartQuarantined,
-	_LogEventLowerName[543:554]:   EventPartLifted,
-	_LogEventLowerName[554:567]:   EventPartReleased,
-	_LogEventLowerName[567:590]:   EventQuarantineNotReported,
-	_LogEventLowerName[590:603]:   EventLimitChanged,
-	_LogEventLowerName[603:618]:   EventBrittleChanged,
-	_LogEventLowerName[618:630]:   EventLoadUnclear,
-	_LogEventLowerName[630:642]:   EventRoomChanged,
-	_LogEventLowerName[642:655]:   EventForeignEntry,
-	_LogEventLowerName[655:668]:   EventLimitUnclear,
-	_LogEventLowerName[668:682]:   EventSlotRequested,
-	_LogEventLowerName[682:697]:   EventSlotUnanswered,
-	_LogEventLowerName[697:715]:   EventLimitNotReported,
-	_LogEventLowerName[715:729]:   EventKeysConfirmed,
-	_LogEventLowerName[729:745]:   EventKeysUnconfirmed,
-	_LogEventLowerName[745:761]:   EventAccountsUnknown,
-	_LogEventLowerName[761:774]:   EventQuotaUsedUp,
-	_LogEventLowerName[774:790]:   EventQuotaUnanswered,
-	_LogEventLowerName[790:806]:   EventOutlierDetected,
-	_LogEventLowerName[806:821]:   EventModelWithdrawn,
-	_LogEventLowerName[821:835]:   EventOrderAnswered,
-	_LogEventLowerName[835:845]:   EventOrderDone,
-	_LogEventLowerName[845:856]:   EventOrderStateChanged,
-	_LogEventLowerName[856:869]:   EventOrderRefused,
-	_LogEventLowerName[869:890]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[890:906]:   EventEngineStateNotRead,
-	_LogEventLowerName[906:924]:   EventInventoryNotRead,
-	_LogEventLowerName[924:935]:   EventLoadFailed,
-	_LogEventLowerName[935:951]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[951:967]:   EventRegistryRefused,
-	_LogEventLowerName[967:982]:   EventRoutesProposed,
-	_LogEventLowerName[982:996]:   EventRoutesRefused,
-	_LogEventLowerName[996:1010]:  EventRoutesApplied,
-	_LogEventLowerName[1010:1025]: EventRoutesInEffect,
-	_LogEventLowerName[1025:1043]: EventRoutesNotDecoded,
-	_LogEventLowerName[1043:1061]: EventRoutesNotFetched,
-	_LogEventLowerName[1061:1079]: EventCatalogueInEffect,
-	_LogEventLowerName[1079:1092]: EventBecameLeader,
-	_LogEventLowerName[1092:1108]: EventCommandRejected,
-	_LogEventLowerName[1108:1117]: EventNoLeader,
-	_LogEventLowerName[1117:1131]: EventReplicaOpened,
-	_LogEventLowerName[1131:1146]: EventStartConfirmed,
-	_LogEventLowerName[1146:1163]: EventStartUnconfirmed,
-	_LogEventLowerName[1163:1178]: EventVotersChanged,
-	_LogEventLowerName[1178:1191]: EventLearnerAdded,
-	_LogEventLowerName[1191:1206]: EventLearnerRemoved,
-	_LogEventLowerName[1206:1217]: EventVoterAdded,
-	_LogEventLowerName[1217:1231]: EventVoterReplaced,
-	_LogEventLowerName[1231:1244]: EventVoterStandby,
-	_LogEventLowerName[1244:1270]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1270:1288]: EventExpiryNotEncoded,
-	_LogEventLowerName[1288:1302]: EventReplicaFailed,
-	_LogEventLowerName[1302:1319]: EventReplicaRegressed,
-	_LogEventLowerName[1319:1338]: EventDataFolderDamaged,
-	_LogEventLowerName[1338:1359]: EventDataFolderRegressed,
-	_LogEventLowerName[1359:1368]: EventLeaseAcquired,
-	_LogEventLowerName[1368:1378]: EventLeaseLost,
-	_LogEventLowerName[1378:1395]: EventLeaseNotRenewed,
-	_LogEventLowerName[1395:1413]: EventLeaseNotReleased,
-	_LogEventLowerName[1413:1423]: EventZoneOwned,
-	_LogEventLowerName[1423:1432]: EventZoneLost,
-	_LogEventLowerName[1432:1449]: EventMessageTooLarge,
-	_LogEventLowerName[1449:1463]: EventControlThreadTimes,
-	_LogEventLowerName[1463:1475]: EventControlLost,
-	_LogEventLowerName[1475:1491]: EventControlRegained,
-	_LogEventLowerName[1491:1498]: EventStarted,
-	_LogEventLowerName[1498:1506]: EventDraining,
-	_LogEventLowerName[1506:1513]: EventDrained,
-	_LogEventLowerName[1513:1520]: EventStopped,
-	_LogEventLowerName[1520:1537]: EventSettingsReloaded,
-	_LogEventLowerName[1537:1553]: EventSettingsRefused,
-	_LogEventLowerName[1553:1567]: EventListenerEnded,
-	_LogEventLowerName[1567:1585]: EventMetricsNotServed,
-	_LogEventLowerName[1585:1598]: EventUnknownEvent,
-	_LogEventLowerName[1598:1608]: EventOverloaded,
-	_LogEventLowerName[1608:1625]: EventLogLinesDropped,
+	_LogEventLowerName[225:244]:   EventVersionsNotLoaded,
+	_LogEventLowerName[244:262]:   EventVersionsNotSaved,
+	_LogEventLowerName[262:278]:   EventBackendReplaced,
+	_LogEventLowerName[278:291]:   EventAdapterLoaded,
+	_LogEventLowerName[291:303]:   EventLoadDecided,
+	_LogEventLowerName[303:309]:   EventLayout,
+	_LogEventLowerName[309:324]:   EventBackendCrashed,
+	_LogEventLowerName[324:341]:   EventCrashUnconfirmed,
+	_LogEventLowerName[341:354]:   EventDetourOpened,
+	_LogEventLowerName[354:371]:   EventDetourNotOpened,
+	_LogEventLowerName[371:384]:   EventDetourClosed,
+	_LogEventLowerName[384:394]:   EventLinksLost,
+	_LogEventLowerName[394:408]:   EventLinksRestored,
+	_LogEventLowerName[408:421]:   EventBackendRests,
+	_LogEventLowerName[421:435]:   EventBackendLeaves,
+	_LogEventLowerName[435:454]:   EventHelperNotNotified,
+	_LogEventLowerName[454:474]:   EventSoftwareVersionNew,
+	_LogEventLowerName[474:493]:   EventStreamNotRecorded,
+	_LogEventLowerName[493:515]:   EventStreamVersionUnknown,
+	_LogEventLowerName[515:529]:   EventLinksVerified,
+	_LogEventLowerName[529:548]:   EventRequestQuarantined,
+	_LogEventLowerName[548:564]:   EventRequestReleased,
+	_LogEventLowerName[564:580]:   EventPartQuarantined,
+	_LogEventLowerName[580:591]:   EventPartLifted,
+	_LogEventLowerName[591:604]:   EventPartReleased,
+	_LogEventLowerName[604:627]:   EventQuarantineNotReported,
+	_LogEventLowerName[627:640]:   EventLimitChanged,
+	_LogEventLowerName[640:655]:   EventBrittleChanged,
+	_LogEventLowerName[655:667]:   EventLoadUnclear,
+	_LogEventLowerName[667:679]:   EventRoomChanged,
+	_LogEventLowerName[679:692]:   EventForeignEntry,
+	_LogEventLowerName[692:705]:   EventLimitUnclear,
+	_LogEventLowerName[705:719]:   EventSlotRequested,
+	_LogEventLowerName[719:734]:   EventSlotUnanswered,
+	_LogEventLowerName[734:752]:   EventLimitNotReported,
+	_LogEventLowerName[752:766]:   EventKeysConfirmed,
+	_LogEventLowerName[766:782]:   EventKeysUnconfirmed,
+	_LogEventLowerName[782:798]:   EventAccountsUnknown,
+	_LogEventLowerName[798:811]:   EventQuotaUsedUp,
+	_LogEventLowerName[811:827]:   EventQuotaUnanswered,
+	_LogEventLowerName[827:843]:   EventOutlierDetected,
+	_LogEventLowerName[843:858]:   EventModelWithdrawn,
+	_LogEventLowerName[858:872]:   EventOrderAnswered,
+	_LogEventLowerName[872:882]:   EventOrderDone,
+	_LogEventLowerName[882:893]:   EventOrderStateChanged,
+	_LogEventLowerName[893:906]:   EventOrderRefused,
+	_LogEventLowerName[906:927]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[927:943]:   EventEngineStateNotRead,
+	_LogEventLowerName[943:961]:   EventInventoryNotRead,
+	_LogEventLowerName[961:972]:   EventLoadFailed,
+	_LogEventLowerName[972:988]:   EventBackendStateNotEncoded,
+	_LogEventLowerName[988:1004]:  EventRegistryRefused,
+	_LogEventLowerName[1004:1019]: EventRoutesProposed,
+	_LogEventLowerName[1019:1033]: EventRoutesRefused,
+	_LogEventLowerName[1033:1047]: EventRoutesApplied,
+	_LogEventLowerName[1047:1062]: EventRoutesInEffect,
+	_LogEventLowerName[1062:1080]: EventRoutesNotDecoded,
+	_LogEventLowerName[1080:1098]: EventRoutesNotFetched,
+	_LogEventLowerName[1098:1116]: EventCatalogueInEffect,
+	_LogEventLowerName[1116:1129]: EventBecameLeader,
+	_LogEventLowerName[1129:1145]: EventCommandRejected,
+	_LogEventLowerName[1145:1154]: EventNoLeader,
+	_LogEventLowerName[1154:1168]: EventReplicaOpened,
+	_LogEventLowerName[1168:1183]: EventStartConfirmed,
+	_LogEventLowerName[1183:1200]: EventStartUnconfirmed,
+	_LogEventLowerName[1200:1215]: EventVotersChanged,
+	_LogEventLowerName[1215:1228]: EventLearnerAdded,
+	_LogEventLowerName[1228:1243]: EventLearnerRemoved,
+	_LogEventLowerName[1243:1254]: EventVoterAdded,
+	_LogEventLowerName[1254:1268]: EventVoterReplaced,
+	_LogEventLowerName[1268:1281]: EventVoterStandby,
+	_LogEventLowerName[1281:1307]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1307:1325]: EventExpiryNotEncoded,
+	_LogEventLowerName[1325:1339]: EventReplicaFailed,
+	_LogEventLowerName[1339:1356]: EventReplicaRegressed,
+	_LogEventLowerName[1356:1375]: EventDataFolderDamaged,
+	_LogEventLowerName[1375:1396]: EventDataFolderRegressed,
+	_LogEventLowerName[1396:1405]: EventLeaseAcquired,
+	_LogEventLowerName[1405:1415]: EventLeaseLost,
+	_LogEventLowerName[1415:1432]: EventLeaseNotRenewed,
+	_LogEventLowerName[1432:1450]: EventLeaseNotReleased,
+	_LogEventLowerName[1450:1460]: EventZoneOwned,
+	_LogEventLowerName[1460:1469]: EventZoneLost,
+	_LogEventLowerName[1469:1486]: EventMessageTooLarge,
+	_LogEventLowerName[1486:1500]: EventControlThreadTimes,
+	_LogEventLowerName[1500:1512]: EventControlLost,
+	_LogEventLowerName[1512:1528]: EventControlRegained,
+	_LogEventLowerName[1528:1535]: EventStarted,
+	_LogEventLowerName[1535:1543]: EventDraining,
+	_LogEventLowerName[1543:1550]: EventDrained,
+	_LogEventLowerName[1550:1557]: EventStopped,
+	_LogEventLowerName[1557:1574]: EventSettingsReloaded,
+	_LogEventLowerName[1574:1590]: EventSettingsRefused,
+	_LogEventLowerName[1590:1604]: EventListenerEnded,
+	_LogEventLowerName[1604:1622]: EventMetricsNotServed,
+	_LogEventLowerName[1622:1635]: EventUnknownEvent,
+	_LogEventLowerName[1635:1645]: EventOverloaded,
+	_LogEventLowerName[1645:1662]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -379,102 +385,104 @@
 	_LogEventName[166:186],
 	_LogEventName[186:206],
 	_LogEventName[206:225],
-	_LogEventName[225:241],
-	_LogEventName[241:254],
-	_LogEventName[254:266],
-	_LogEventName[266:272],
-	_LogEventName[272:287],
-	_LogEventName[287:304],
-	_LogEventName[304:317],
-	_LogEventName[317:334],
-	_LogEventName[334:347],
-	_LogEventName[347:357],
-	_LogEventName[357:371],
+	_LogEventName[225:244],
+	_LogEventName[244:262],
+	_LogEventName[262:278],
+	_LogEventName[278:291],
+	_LogEventName[291:303],
+	_LogEventName[303:309],
+	_LogEventName[309:324],
+	_LogEventName[324:341],
+	_LogEventName[341:354],
+	_LogEventName[354:371],
 	_LogEventName[371:384],
-	_LogEventName[384:398],
-	_LogEventName[398:417],
-	_LogEventName[417:437],
-	_LogEventName[437:456],
-	_LogEventName[456:478],
-	_LogEventName[478:492],
-	_LogEventName[492:511],
-	_LogEventName[511:527],
-	_LogEventName[527:543],
-	_LogEventName[543:554],
-	_LogEventName[554:567],
-	_LogEventName[567:590],
-	_LogEventName[590:603],
-	_LogEventName[603:618],
-	_LogEventName[618:630],
-	_LogEventName[630:642],
-	_LogEventName[642:655],
-	_LogEventName[655:668],
-	_LogEventName[668:682],
-	_LogEventName[682:697],
-	_LogEventName[697:715],
-	_LogEventName[715:729],
-	_LogEventName[729:745],
-	_LogEventName[745:761],
-	_LogEventName[761:774],
-	_LogEventName[774:790],
-	_LogEventName[790:806],
-	_LogEventName[806:821],
-	_LogEventName[821:835],
-	_LogEventName[835:845],
-	_LogEventName[845:856],
-	_LogEventName[856:869],
-	_LogEventName[869:890],
-	_LogEventName[890:906],
-	_LogEventName[906:924],
-	_LogEventName[924:935],
-	_LogEventName[935:951],
-	_LogEventName[951:967],
-	_LogEventName[967:982],
-	_LogEventName[982:996],
-	_LogEventName[996:1010],
-	_LogEventName[1010:1025],
-	_LogEventName[1025:1043],
-	_LogEventName[1043:1061],
-	_LogEventName[1061:1079],
-	_LogEventName[1079:1092],
-	_LogEventName[1092:1108],
-	_LogEventName[1108:1117],
-	_LogEventName[1117:1131],
-	_LogEventName[1131:1146],
-	_LogEventName[1146:1163],
-	_LogEventName[1163:1178],
-	_LogEventName[1178:1191],
-	_LogEventName[1191:1206],
-	_LogEventName[1206:1217],
-	_LogEventName[1217:1231],
-	_LogEventName[1231:1244],
-	_LogEventName[1244:1270],
-	_LogEventName[1270:1288],
-	_LogEventName[1288:1302],
-	_LogEventName[1302:1319],
-	_LogEventName[1319:1338],
-	_LogEventName[1338:1359],
-	_LogEventName[1359:1368],
-	_LogEventName[1368:1378],
-	_LogEventName[1378:1395],
-	_LogEventName[1395:1413],
-	_LogEventName[1413:1423],
-	_LogEventName[1423:1432],
-	_LogEventName[1432:1449],
-	_LogEventName[1449:1463],
-	_LogEventName[1463:1475],
-	_LogEventName[1475:1491],
-	_LogEventName[1491:1498],
-	_LogEventName[1498:1506],
-	_LogEventName[1506:1513],
-	_LogEventName[1513:1520],
-	_LogEventName[1520:1537],
-	_LogEventName[1537:1553],
-	_LogEventName[1553:1567],
-	_LogEventName[1567:1585],
-	_LogEventName[1585:1598],
-	_LogEventName[1598:1608],
-	_LogEventName[1608:1625],
+	_LogEventName[384:394],
+	_LogEventName[394:408],
+	_LogEventName[408:421],
+	_LogEventName[421:435],
+	_LogEventName[435:454],
+	_LogEventName[454:474],
+	_LogEventName[474:493],
+	_LogEventName[493:515],
+	_LogEventName[515:529],
+	_LogEventName[529:548],
+	_LogEventName[548:564],
+	_LogEventName[564:580],
+	_LogEventName[580:591],
+	_LogEventName[591:604],
+	_LogEventName[604:627],
+	_LogEventName[627:640],
+	_LogEventName[640:655],
+	_LogEventName[655:667],
+	_LogEventName[667:679],
+	_LogEventName[679:692],
+	_LogEventName[692:705],
+	_LogEventName[705:719],
+	_LogEventName[719:734],
+	_LogEventName[734:752],
+	_LogEventName[752:766],
+	_LogEventName[766:782],
+	_LogEventName[782:798],
+	_LogEventName[798:811],
+	_LogEventName[811:827],
+	_LogEventName[827:843],
+	_LogEventName[843:858],
+	_LogEventName[858:872],
+	_LogEventName[872:882],
+	_LogEventName[882:893],
+	_LogEventName[893:906],
+	_LogEventName[906:927],
+	_LogEventName[927:943],
+	_LogEventName[943:961],
+	_LogEventName[961:972],
+	_LogEventName[972:988],
+	_LogEventName[988:1004],
+	_LogEventName[1004:1019],
+	_LogEventName[1019:1033],
+	_LogEventName[1033:1047],
+	_LogEventName[1047:1062],
+	_LogEventName[1062:1080],
+	_LogEventName[1080:1098],
+	_LogEventName[1098:1116],
+	_LogEventName[1116:1129],
+	_LogEventName[1129:1145],
+	_LogEventName[1145:1154],
+	_LogEventName[1154:1168],
+	_LogEventName[1168:1183],
+	_LogEventName[1183:1200],
+	_LogEventName[1200:1215],
+	_LogEventName[1215:1228],
+	_LogEventName[1228:1243],
+	_LogEventName[1243:1254],
+	_LogEventName[1254:1268],
+	_LogEventName[1268:1281],
+	_LogEventName[1281:1307],
+	_LogEventName[1307:1325],
+	_LogEventName[1325:1339],
+	_LogEventName[1339:1356],
+	_LogEventName[1356:1375],
+	_LogEventName[1375:1396],
+	_LogEventName[1396:1405],
+	_LogEventName[1405:1415],
+	_LogEventName[1415:1432],
+	_LogEventName[1432:1450],
+	_LogEventName[1450:1460],
+	_LogEventName[1460:1469],
+	_LogEventName[1469:1486],
+	_LogEventName[1486:1500],
+	_LogEventName[1500:1512],
+	_LogEventName[1512:1528],
+	_LogEventName[1528:1535],
+	_LogEventName[1535:1543],
+	_LogEventName[1543:1550],
+	_LogEventName[1550:1557],
+	_LogEventName[1557:1574],
+	_LogEventName[1574:1590],
+	_LogEventName[1590:1604],
+	_LogEventName[1604:1622],
+	_LogEventName[1622:1635],
+	_LogEventName[1635:1645],
+	_LogEventName[1645:1662],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
