fix: the planner's decisions are the same on processors that fuse multiply and add

Cause: two candidates of equal gain in exact arithmetic differ by rounding, and the compiler fuses x*y + z into one rounding on arm64, not on x86-64.

Change: products that are added are converted to float64 explicitly, which the language defines as a rounding. The golden file is unchanged. `go build -gcflags=-S ./laburnumresidency` has no FMADD, FMSUB or FNMSUB left (11 lines before), and the test passes with and without the flag (without it failed before, 1 of 1).

--- a/laburnumresidency/layout.go
+++ b/laburnumresidency/layout.go
@@ -63,7 +63,7 @@
 // size is the memory of a model with a few of its adapters, in MB.
 func size(m laburnumlever.ModelClass) float64 {
 	const spareAdapters = 4
-	return m.WeightsMB + m.AdapterMB*float64(min(m.Adapters, spareAdapters))
+	return m.WeightsMB + float64(m.AdapterMB*float64(min(m.Adapters, spareAdapters)))
 }
 
 func (l *layout) compare(a, b int) int {
@@ -151,7 +151,7 @@
 // congestion is the cost that an engine's work has for its callers, through waiting.
 func congestion(work float64) float64 {
 	over := max(0, work-uncongestedWork)
-	return work*work + congestionWeight*over*over
+	return float64(work*work) + float64(congestionWeight*over*over)
 }
 
 // relief is the gain of a change: the reduction in congestion, plus that in adapters without a
@@ -170,7 +170,7 @@
 		}
 	}
 	l.touched = l.touched[:0]
-	return relief + shortageWeight*min(l.slotShortage(c.model), l.slotShare(c.engine, c.model))
+	return relief + float64(shortageWeight*min(l.slotShortage(c.model), l.slotShare(c.engine, c.model)))
 }
 
 // shiftWork adds to delta the change in work when a model gains a copy on one engine and loses one
--- a/laburnumresidency/missing.go
+++ b/laburnumresidency/missing.go
@@ -59,14 +59,14 @@
 			continue
 		}
 		if p.target.copies(v) == 1 || !p.isSpare(v) {
-			lost += p.effectiveRate(v) * reloadTime
+			lost += float64(p.effectiveRate(v) * reloadTime)
 		}
 		seconds += p.unloadSeconds(v)
 		shortfall -= p.target.size[v]
 		c.evictions = append(c.evictions, eviction{model: v, to: none})
 	}
 	p.evictions = c.evictions
-	c.gain = congestedRequests*(p.target.relief(c)-p.adapterBlockCost(e, m)) - lost - p.effectiveRate(m)*seconds
+	c.gain = float64(congestedRequests*(p.target.relief(c)-p.adapterBlockCost(e, m))) - lost - float64(p.effectiveRate(m)*seconds)
 	return c, true
 }
 
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -198,7 +198,7 @@
 
 // unloadSeconds is the expected duration of an unload.
 func (p *planner) unloadSeconds(v int) float64 {
-	return unloadTime + busyUnloadTime*min(1, p.target.workPerCopy(v)/busyWork)
+	return unloadTime + float64(busyUnloadTime*min(1, p.target.workPerCopy(v)/busyWork))
 }
 
 // adapterBlockCost is the cost of a model's load to the requests for adapters on the engine, which
--- a/laburnumresidency/rebalance.go
+++ b/laburnumresidency/rebalance.go
@@ -88,7 +88,7 @@
 		}
 		work, shortage := p.target.workPerCopy(m), p.target.slotShortage(m)
 		if work > negligibleWork || shortage > 0 {
-			list = append(list, weighted{model: m, weight: work + shortageWeight*shortage})
+			list = append(list, weighted{model: m, weight: work + float64(shortageWeight*shortage)})
 		}
 	}
 	slices.SortStableFunc(list, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
@@ -140,8 +140,8 @@
 	if shortfall > 0 {
 		return c, false
 	}
-	c.gain = (p.target.relief(c)+p.singleCopyRisk(m))*max(0, 1-delay/demandDuration) -
-		loadCost*float64(loads) - p.adapterBlockCost(e, m)
+	c.gain = float64((p.target.relief(c)+p.singleCopyRisk(m))*max(0, 1-delay/demandDuration)) -
+		float64(loadCost*float64(loads)) - p.adapterBlockCost(e, m)
 	if c.relocates() {
 		c.gain -= relocateCost
 	}
--- a/laburnumresidency/steps.go
+++ b/laburnumresidency/steps.go
@@ -54,7 +54,7 @@
 	total := 0.0
 	for _, h := range p.engines[e].Held {
 		if m := p.indexOf(h.Name); m != none {
-			total += p.class.Models[m].WeightsMB + p.class.Models[m].AdapterMB*float64(len(h.Adapters))
+			total += p.class.Models[m].WeightsMB + float64(p.class.Models[m].AdapterMB*float64(len(h.Adapters)))
 		}
 	}
 	return total
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -46,7 +46,7 @@
 	total := 0.0
 	for _, h := range e.Held {
 		m, _ := class.Model(h.Name)
-		total += m.WeightsMB + m.AdapterMB*float64(len(h.Adapters))
+		total += m.WeightsMB + float64(m.AdapterMB*float64(len(h.Adapters)))
 	}
 	return total
 }
