test: tests of large commands run at the tick of deployments

Cause: these fleets tick every 5 ms, deployments every 100 ms. Elections, the time-out of a chunk and the wait before a resend all shrink with the tick, the megabytes don't. Shown beside 32 busy processes, three plays of the first, all failed: 36 and 48 terms within the 20 s, and an entry for each new leader, which is the fifth of the second test as well.

Change: both run at 100 ms. What they check is unchanged.

--- a/laburnumvoter/largecommand_test.go
+++ b/laburnumvoter/largecommand_test.go
@@ -7,8 +7,10 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumvoter"
 
 	"github.com/stretchr/testify/require"
 )
@@ -47,9 +49,12 @@
 	return laburnumlever.Command{Kind: laburnumlever.CommandApplyRoutes, Routes: &encoded}
 }
 
+// deployedTick is the tick of deployments: with a shorter one elections come faster than megabytes travel on a busy machine.
+const deployedTick = 100 * time.Millisecond
+
 // Guards against the longest operators' text that does not fit into the log, as it hardly compresses.
 func TestLongestRoutesDocumentIsCommitted(t *testing.T) {
-	f := newFleet(t, []string{"a", "b", "c"})
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithTick(deployedTick))
 	f.startAll()
 	random := make([]byte, laburnumlever.MaxRoutesDocument)
 	_, _ = rand.NewChaCha8([32]byte{1}).Read(random) // never fails
@@ -69,7 +74,7 @@
 
 // Guards against a log that fills with copies of a large route table that an operator sends until it is acknowledged.
 func TestRepeatedRoutesTakeOneEntry(t *testing.T) {
-	f := newFleet(t, []string{"a", "b", "c"})
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithTick(deployedTick))
 	f.startAll()
 	leader := f.vms[f.leader()]
 	document := bytes.Repeat([]byte("link"), 1<<18)
