fix: large manifests are acknowledged once gateways have them

What callers saw, on real processes with 0.48 of a core for each of four control VMs and 0.40 for each of six gateways (trials, processes stopped and continued every 100 ms, load 30 to 45): a manifest of 350 routes with random prefixes of 8,000 characters (2.8 MB) was acknowledged after 1.8 and 2.0 s, and its routes were answered 404 for 1.5 to 2.5 s after that; 510 routes (4.1 MB) for 3.2 to 3.6 s. Operators allow 2 s.

Cause: the change was acknowledged once it was committed and in effect on the control VM that took it. Gateways fetch, unpack and index megabytes in their share of a core only then. How long that takes grows with the size, the time that operators allow doesn't.

Change: a gateway that fetched a table in more than one part tells the control VMs once it is in effect. The acknowledgement waits for all gateways that poll the VM which took the change, for up to 3 s in proportion to the size, also when a change is sent again; `routes-proposed` names how many still lacked it (`gateways-without`). Tables of one part, as all of the users' deployments have, are neither waited for nor reported. Gateways of earlier builds send no notice: the wait ends with its time.

--- a/laburnumfeed/helpers.go
+++ b/laburnumfeed/helpers.go
@@ -14,6 +14,8 @@
 	// helper is where it opens connections to backend servers for other VMs; empty while it can't.
 	helper   string
 	polledAt time.Time
+	// routes is the version of the last large route table that it had in effect; 0 for none.
+	routes uint64
 }
 
 // Helpers returns the addresses of up to n gateways that open connections to backend servers for a VM in an availability
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -14,9 +14,10 @@
 
 // JSON-RPC methods between VMs.
 const (
-	methodPoll       = "feed-next"
-	methodRoutes     = "feed-routes" // of earlier builds
-	methodRoutesPart = "feed-routes-part"
+	methodPoll           = "feed-next"
+	methodRoutes         = "feed-routes" // of earlier builds
+	methodRoutesPart     = "feed-routes-part"
+	methodRoutesInEffect = "feed-routes-in-effect"
 )
 
 // pollRequest is the body of a poll for changes after a cursor.
--- a/laburnumfeed/pollers.go
+++ b/laburnumfeed/pollers.go
@@ -57,7 +57,7 @@
 		if _, ok := p.gatewaysByID[vm.ID]; !ok {
 			p.gatewaysCountedAt = time.Time{}
 		}
-		p.gatewaysByID[vm.ID] = polledGateway{zone: vm.Zone, helper: helper, polledAt: now}
+		p.gatewaysByID[vm.ID] = polledGateway{zone: vm.Zone, helper: helper, polledAt: now, routes: p.gatewaysByID[vm.ID].routes}
 		return
 	}
 	if known, ok := p.controls[vm.ID]; ok {
@@ -66,6 +66,26 @@
 	}
 }
 
+// noteRoutes records that a polling gateway has a version of the route table in effect.
+func (p *pollers) noteRoutes(id laburnumlever.VMID, version uint64) {
+	if g, ok := p.gatewaysByID[id]; ok {
+		g.routes = max(g.routes, version)
+		p.gatewaysByID[id] = g
+	}
+}
+
+// withoutRoutes counts the gateways that polled within reachableTime and have not reported a version of the route table, or a newer
+// one.
+func (p *pollers) withoutRoutes(version uint64, now time.Time) int {
+	n := 0
+	for _, g := range p.gatewaysByID {
+		if g.routes < version && now.Sub(g.polledAt) < reachableTime {
+			n++
+		}
+	}
+	return n
+}
+
 // others returns the other control VMs named within controlRetention.
 func (p *pollers) others(now time.Time) []laburnumlever.VM {
 	return p.filterControls(func(known knownControl) bool { return now.Sub(known.namedAt) < controlRetention })
--- a/laburnumfeed/routeparts.go
+++ b/laburnumfeed/routeparts.go
@@ -101,7 +101,7 @@
 		f.fetching = false
 		f.mu.Unlock()
 	}()
-	t, err := f.fetchParts(address)
+	t, parts, err := f.fetchParts(address)
 	var refused *laburnumlever.PeerRefusedError
 	if errors.As(err, &refused) && refused.Kind == kindUnknownMethod {
 		t, err = f.fetchWhole(address)
@@ -111,6 +111,9 @@
 		return
 	}
 	f.sink.HandleRoutes(t)
+	if parts > 1 {
+		f.sendRoutesNotice(t.Version)
+	}
 }
 
 // partsFetch is a route table of which the first parts have been fetched.
@@ -124,8 +127,9 @@
 }
 
 // fetchParts fetches the current route table in parts, those behind the first from all control VMs in turn: all gateways learn of a
-// table from the same VM, which would be the last to answer. It starts over when the version changes meanwhile.
-func (f *Follower) fetchParts(address string) (laburnumlever.RouteTable, error) {
+// table from the same VM, which would be the last to answer. It starts over when the version changes meanwhile. It returns the number
+// of parts as well.
+func (f *Follower) fetchParts(address string) (t laburnumlever.RouteTable, parts int, err error) {
 	fetch := partsFetch{sources: f.routesSources(address)}
 	for fetch.version == 0 || len(fetch.packed) < fetch.total {
 		source := fetch.sources[fetch.asked%len(fetch.sources)]
@@ -135,10 +139,11 @@
 			err = &MessageError{Method: methodRoutesPart, Cause: &laburnumlever.InvalidValueError{Name: "part", Value: "of " + source, Want: "the part that was asked for"}}
 		}
 		if err != nil && !fetch.drop(source) {
-			return laburnumlever.RouteTable{}, err
+			return laburnumlever.RouteTable{}, fetch.asked, err
 		}
 	}
-	return laburnumlever.UnpackRoutes(fetch.packed)
+	t, err = laburnumlever.UnpackRoutes(fetch.packed)
+	return t, fetch.asked, err
 }
 
 // routesSources returns the control VMs that answer, that at the address first.
--- a/laburnumfeed/routeparts_test.go
+++ b/laburnumfeed/routeparts_test.go
@@ -177,3 +177,45 @@
 		require.LessOrEqual(t, peers.calls[address], 1, address)
 	}
 }
+
+// Guards against a large route table that is acknowledged long before gateways have it in effect.
+func TestLargeRoutesAreAwaitedUntilAllGatewaysHaveThem(t *testing.T) {
+	s, peers, timers := newCountedSource()
+	for i := range 3 {
+		s.notePoller(gateway(i), "")
+	}
+	s.SetRoutes(linkTable(7))
+	brief, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	require.Equal(t, 3, s.AwaitRoutes(brief))
+
+	awaited := make(chan int)
+	go func() { awaited <- s.AwaitRoutes(t.Context()) }()
+	for i := range 3 {
+		select {
+		case missing := <-awaited:
+			t.Fatalf("returned %d before gateway %d had the table", missing, i)
+		default:
+		}
+		s.notePoller(gateway(i), "") // another poll does not hide an earlier notice
+		f := NewFollower(peers, timers, gateway(i), nil, &routesSink{got: make(chan laburnumlever.RouteTable, 1)})
+		f.controls = map[string]*polledControl{"10.0.0.1:7000": {controlState: controlState{address: "10.0.0.1:7000"}}}
+		peers.calls = map[string]int{}
+		f.FetchRoutes("10.0.0.1:7000")
+		f.Close()
+	}
+	require.Zero(t, <-awaited)
+}
+
+// Guards against acknowledgements that wait for gateways which have stopped, or which fetch a small table at once and send no notice.
+func TestSmallRoutesAndStoppedGatewaysAreNotAwaited(t *testing.T) {
+	s, _, timers := newCountedSource()
+	s.notePoller(gateway(1), "")
+	small := linkTable(7)
+	small.Routes = small.Routes[:2]
+	s.SetRoutes(small)
+	require.Zero(t, s.AwaitRoutes(t.Context()))
+	s.SetRoutes(linkTable(8))
+	timers.Advance(reachableTime)
+	require.Zero(t, s.AwaitRoutes(t.Context()))
+}
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -64,6 +64,7 @@
 	// earlier builds; nil until it is first fetched.
 	packedRoutes, packedDocument packedTable
 	encodedRoutes                laburnumlever.RawMessage
+	routesNoted                  chan struct{} // closed at the next routesNotice
 	director                     laburnumlever.VMID
 	pollers                      pollers
 	// controlsCursor is the cursor of the last change of the control VMs, metaCursor that of
@@ -100,7 +101,7 @@
 // differ from that of earlier starts, so that followers discard cursors from those.
 func NewSource(peers laburnumlever.Peers, timers laburnumlever.Timers, self laburnumlever.VM, opts ...SourceOption) *Source {
 	s := &Source{
-		timers: timers, logger: log.NewNopLogger(), self: self, boot: self.Incarnation, changed: make(chan struct{}),
+		timers: timers, logger: log.NewNopLogger(), self: self, boot: self.Incarnation, changed: make(chan struct{}), routesNoted: make(chan struct{}),
 		records: newItemLog(), overlays: newItemLog(), quarantine: newItemLog(), limits: newItemLog(), brittle: newItemLog(), room: newItemLog(), pollers: newPollers(),
 		onGatewayReport: func(laburnumlever.VMID, laburnumlever.GatewayReport) {}, complete: func() bool { return false },
 		cursor: 1, published: 1, controlsCursor: 1, metaCursor: 1, answers: map[answerKey]laburnumlever.RawMessage{},
@@ -112,6 +113,7 @@
 	peers.Handle(methodPoll, s.handlePoll)
 	peers.Handle(methodRoutes, s.handleRoutes)
 	peers.Handle(methodRoutesPart, s.handleRoutesPart)
+	peers.Handle(methodRoutesInEffect, s.handleRoutesNotice)
 	return s
 }
 
--- a/laburnumfeed/source_test.go
+++ b/laburnumfeed/source_test.go
@@ -22,7 +22,14 @@
 func (p *loopbackPeers) Handle(method string, handler laburnumlever.PeerHandler) {
 	p.handlers[method] = handler
 }
-func (p *loopbackPeers) Notify(string, string, any) {}
+
+func (p *loopbackPeers) Notify(_, method string, params any) {
+	encoded, err := json.Marshal(params)
+	if handler := p.handlers[method]; err == nil && handler != nil {
+		_, _ = handler(context.Background(), encoded) // a notification has no answer
+	}
+}
+
 func (p *loopbackPeers) Call(ctx context.Context, _, method string, params, result any) error {
 	encoded, err := json.Marshal(params)
 	if err != nil {
--- a/laburnumroles/controlroutes.go
+++ b/laburnumroles/controlroutes.go
@@ -14,6 +14,10 @@
 // the operator gets an answer. Operators wait longer for a large change: for the largest it is proposalTimeout.
 const operatorProposalTimeout = 900 * time.Millisecond
 
+// gatewaysTimeout bounds how long the acknowledgement of the largest change waits for the gateways, which fetch it for longer than
+// operators allow between an acknowledgement and its effect.
+const gatewaysTimeout = 3 * time.Second
+
 // useCommitted puts a committed route table into effect. One that can't be decoded leaves the earlier one in effect.
 func (c *Control) useCommitted(encoded laburnumlever.EncodedRoutes) {
 	t, err := encoded.Table()
@@ -67,11 +71,23 @@
 	newest, err := c.commitRoutes(ctx, table)
 	c.commitTimes.RecordDuration(c.timers.Now().Sub(began))
 	c.countChange(err, "accepted", "failed")
+	missing := 0
+	if err == nil {
+		missing = c.awaitGateways(ctx, len(table.Document))
+	}
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "bytes", len(table.Document),
-		"newest", newest, "cause", err)
+		"newest", newest, "gateways-without", missing, "cause", err)
 	return err
 }
 
+// awaitGateways waits until all gateways have a committed table with an operators' text of a size in bytes in effect, and returns the
+// number of those that don't have it in time: they may be down.
+func (c *Control) awaitGateways(ctx context.Context, size int) (missing int) {
+	ctx, cancel := context.WithTimeout(ctx, sizeShare(size, gatewaysTimeout))
+	defer cancel()
+	return c.source.AwaitRoutes(ctx)
+}
+
 // RoutesRefused logs and counts a change of the routes that is refused.
 func (c *Control) RoutesRefused(cause error) {
 	c.countChange(cause, "", "refused")
@@ -168,8 +184,12 @@
 
 // proposalTime returns the timeout of a proposal for an operator, for a text of a size in bytes.
 func proposalTime(size int) time.Duration {
-	share := float64(size) / laburnumlever.MaxRoutesDocument
-	return operatorProposalTimeout + time.Duration(share*float64(proposalTimeout-operatorProposalTimeout))
+	return operatorProposalTimeout + sizeShare(size, proposalTimeout-operatorProposalTimeout)
+}
+
+// sizeShare returns the share of a time that a text of a size in bytes gets of that for the largest.
+func sizeShare(size int, largest time.Duration) time.Duration {
+	return time.Duration(float64(size) / laburnumlever.MaxRoutesDocument * float64(largest))
 }
 
 // HandleRoutes puts a route table into effect that a control VM without a vote has fetched: it gets none from the log.
--- a/laburnumroles/largemanifest_test.go
+++ b/laburnumroles/largemanifest_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"laburnumlever"
+	"laburnumlever/laburnumpeer"
 )
 
 // linkManifest returns a manifest with routes whose prefixes are random links of a length, as signed links are, and the prefix
@@ -44,6 +45,9 @@
 	return append(text, bytes.Repeat([]byte(" "), size-len(text))...), prefix
 }
 
+// peers returns the address of a control VM for other VMs.
+func (s *deployment) peers(control int) string { return fmt.Sprintf("%s:%d", s.ip(control), s.port) }
+
 // putManifest sends a manifest once, waits long enough for the largest, and returns the status.
 func (s *deployment) putManifest(control int, text []byte) int {
 	client := &http.Client{Timeout: 20 * time.Second}
@@ -130,3 +134,46 @@
 		return s.call("GET", "http://"+s.control(1)+"/v1/config", nil)
 	})))
 }
+
+// Guards against a large manifest that is acknowledged while gateways are still fetching it, so that it is in force too late.
+func TestLargeManifestIsAcknowledgedOnceGatewaysHaveIt(t *testing.T) {
+	s := newDeployment(t, 3, 1)
+	s.until(200, "first manifest", func() (int, []byte) { return s.putManifest(0, manifest(7, "confirm")), nil })
+	slow := laburnumpeer.New("slow")
+	t.Cleanup(func() { require.NoError(t, slow.Close()) })
+	polled := make(chan struct{}, len(s.controls))
+	for i := range s.controls {
+		go func() {
+			poll := map[string]any{"from": laburnumlever.VM{ID: "slow", Zone: "brest"}}
+			for t.Context().Err() == nil {
+				if err := slow.Call(t.Context(), s.peers(i), "feed-next", poll, new(json.RawMessage)); err == nil {
+					select {
+					case polled <- struct{}{}:
+					default:
+					}
+				}
+			}
+		}()
+	}
+	for range s.controls {
+		<-polled
+	}
+	text, _ := linkManifest(t, 8, 6000, laburnumlever.MaxRoutesDocument)
+	answered := make(chan int, 1)
+	go func() { answered <- s.putManifest(1, text) }()
+	require.Eventually(t, func() bool {
+		var status laburnumlever.Status
+		_, body := s.call("GET", fmt.Sprintf("http://%s:%d/status", s.ip(1), metricsPort), nil)
+		return json.Unmarshal(body, &status) == nil && status.Role.RoutesVersion == 8
+	}, eventuallyTimeout, 10*time.Millisecond)
+	require.NoError(t, slow.Call(t.Context(), s.peers(1), "feed-routes-part", map[string]any{}, new(json.RawMessage)))
+	select {
+	case status := <-answered:
+		t.Fatalf("answered %d before the gateway had the manifest", status)
+	default:
+	}
+	for i := range s.controls {
+		slow.Notify(s.peers(i), "feed-routes-in-effect", map[string]any{"from": "slow", "version": 8})
+	}
+	require.Equal(t, http.StatusOK, <-answered)
+}
--- a/logevent.go
+++ b/logevent.go
@@ -167,6 +167,8 @@
 	EventRoutesInEffect // routes-in-force
 	// EventRoutesNotDecoded is a route table of the log that can't be decoded; the earlier one stays in effect.
 	EventRoutesNotDecoded
+	// EventRoutesNotEncoded is a route table that can't be encoded for gateways.
+	EventRoutesNotEncoded
 	// EventRoutesNotFetched is a failure to fetch a route table.
 	EventRoutesNotFetched
 	// EventCatalogueInEffect is a catalogue that has taken effect for requests.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 244, 262, 278, 291, 303, 309, 324, 341, 354, 371, 384, 394, 408, 421, 435, 454, 474, 493, 515, 529, 548, 564, 580, 591, 604, 627, 640, 655, 667, 679, 692, 705, 719, 734, 752, 766, 782, 798, 811, 827, 843, 858, 872, 882, 893, 906, 927, 943, 961, 972, 988, 1004, 1019, 1033, 1047, 1062, 1080, 1098, 1116, 1129, 1145, 1154, 1168, 1183, 1200, 1215, 1228, 1243, 1254, 1268, 1281, 1307, 1325, 1339, 1356, 1375, 1396, 1405, 1415, 1432, 1450, 1460, 1469, 1486, 1500, 1512, 1528, 1535, 1543, 1550, 1557, 1574, 1590, 1604, 1622, 1635, 1645, 1662}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 244, 262, 278, 291, 303, 309, 324, 341, 354, 371, 384, 394, 408, 421, 435, 454, 474, 493, 515, 529, 548, 564, 580, 591, 604, 627, 640, 655, 667, 679, 692, 705, 719, 734, 752, 766, 782, 798, 811, 827, 843, 858, 872, 882, 893, 906, 927, 943, 961, 972, 988, 1004, 1019, 1033, 1047, 1062, 1080, 1098, 1116, 1134, 1147, 1163, 1172, 1186, 1201, 1218, 1233, 1246, 1261, 1272, 1286, 1299, 1325, 1343, 1357, 1374, 1393, 1414, 1423, 1433, 1450, 1468, 1478, 1487, 1504, 1518, 1530, 1546, 1553, 1561, 1568, 1575, 1592, 1608, 1622, 1640, 1653, 1663, 1680}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -95,50 +95,51 @@
 	_ = x[EventRoutesApplied-(68)]
 	_ = x[EventRoutesInEffect-(69)]
 	_ = x[EventRoutesNotDecoded-(70)]
-	_ = x[EventRoutesNotFetched-(71)]
-	_ = x[EventCatalogueInEffect-(72)]
-	_ = x[EventBecameLeader-(73)]
-	_ = x[EventCommandRejected-(74)]
-	_ = x[EventNoLeader-(75)]
-	_ = x[EventReplicaOpened-(76)]
-	_ = x[EventStartConfirmed-(77)]
-	_ = x[EventStartUnconfirmed-(78)]
-	_ = x[EventVotersChanged-(79)]
-	_ = x[EventLearnerAdded-(80)]
-	_ = x[EventLearnerRemoved-(81)]
-	_ = x[EventVoterAdded-(82)]
-	_ = x[EventVoterReplaced-(83)]
-	_ = x[EventVoterStandby-(84)]
-	_ = x[EventLeadershipNotHandedOver-(85)]
-	_ = x[EventExpiryNotEncoded-(86)]
-	_ = x[EventReplicaFailed-(87)]
-	_ = x[EventReplicaRegressed-(88)]
-	_ = x[EventDataFolderDamaged-(89)]
-	_ = x[EventDataFolderRegressed-(90)]
-	_ = x[EventLeaseAcquired-(91)]
-	_ = x[EventLeaseLost-(92)]
-	_ = x[EventLeaseNotRenewed-(93)]
-	_ = x[EventLeaseNotReleased-(94)]
-	_ = x[EventZoneOwned-(95)]
-	_ = x[EventZoneLost-(96)]
-	_ = x[EventMessageTooLarge-(97)]
-	_ = x[EventControlThreadTimes-(98)]
-	_ = x[EventControlLost-(99)]
-	_ = x[EventControlRegained-(100)]
-	_ = x[EventStarted-(101)]
-	_ = x[EventDraining-(102)]
-	_ = x[EventDrained-(103)]
-	_ = x[EventStopped-(104)]
-	_ = x[EventSettingsReloaded-(105)]
-	_ = x[EventSettingsRefused-(106)]
-	_ = x[EventListenerEnded-(107)]
-	_ = x[EventMetricsNotServed-(108)]
-	_ = x[EventUnknownEvent-(109)]
-	_ = x[EventOverloaded-(110)]
-	_ = x[EventLogLinesDropped-(111)]
+	_ = x[EventRoutesNotEncoded-(71)]
+	_ = x[EventRoutesNotFetched-(72)]
+	_ = x[EventCatalogueInEffect-(73)]
+	_ = x[EventBecameLeader-(74)]
+	_ = x[EventCommandRejected-(75)]
+	_ = x[EventNoLeader-(76)]
+	_ = x[EventReplicaOpened-(77)]
+	_ = x[EventStartConfirmed-(78)]
+	_ = x[EventStartUnconfirmed-(79)]
+	_ = x[EventVotersChanged-(80)]
+	_ = x[EventLearnerAdded-(81)]
+	_ = x[EventLearnerRemoved-(82)]
+	_ = x[EventVoterAdded-(83)]
+	_ = x[EventVoterReplaced-(84)]
+	_ = x[EventVoterStandby-(85)]
+	_ = x[EventLeadershipNotHandedOver-(86)]
+	_ = x[EventExpiryNotEncoded-(87)]
+	_ = x[EventReplicaFailed-(88)]
+	_ = x[EventReplicaRegressed-(89)]
+	_ = x[EventDataFolderDamaged-(90)]
+	_ = x[EventDataFolderRegressed-(91)]
+	_ = x[EventLeaseAcquired-(92)]
+	_ = x[EventLeaseLost-(93)]
+	_ = x[EventLeaseNotRenewed-(94)]
+	_ = x[EventLeaseNotReleased-(95)]
+	_ = x[EventZoneOwned-(96)]
+	_ = x[EventZoneLost-(97)]
+	_ = x[EventMessageTooLarge-(98)]
+	_ = x[EventControlThreadTimes-(99)]
+	_ = x[EventControlLost-(100)]
+	_ = x[EventControlRegained-(101)]
+	_ = x[EventStarted-(102)]
+	_ = x[EventDraining-(103)]
+	_ = x[EventDrained-(104)]
+	_ = x[EventStopped-(105)]
+	_ = x[EventSettingsReloaded-(106)]
+	_ = x[EventSettingsRefused-(107)]
+	_ = x[EventListenerEnded-(108)]
+	_ = x[EventMetricsNotServed-(109)]
+	_ = x[EventUnknownEvent-(110)]
+	_ = x[EventOverloaded-(111)]
+	_ = x[EventLogLinesDropped-(112)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -212,47 +213,48 @@
 	_LogEventName[1033:1047]: EventRoutesApplied,
 	_LogEventName[1047:1062]: EventRoutesInEffect,
 	_LogEventName[1062:1080]: EventRoutesNotDecoded,
-	_LogEventName[1080:1098]: EventRoutesNotFetched,
-	_LogEventName[1098:1116]: EventCatalogueInEffect,
-	_LogEventName[1116:1129]: EventBecameLeader,
-	_LogEventName[1129:1145]: EventCommandRejected,
-	_LogEventName[1145:1154]: EventNoLeader,
-	_LogEventName[1154:1168]: EventReplicaOpened,
-	_LogEventName[1168:1183]: EventStartConfirmed,
-	_LogEventName[1183:1200]: EventStartUnconfirmed,
-	_LogEventName[1200:1215]: EventVotersChanged,
-	_LogEventName[1215:1228]: EventLearnerAdded,
-	_LogEventName[1228:1243]: EventLearnerRemoved,
-	_LogEventName[1243:1254]: EventVoterAdded,
-	_LogEventName[1254:1268]: EventVoterReplaced,
-	_LogEventName[1268:1281]: EventVoterStandby,
-	_LogEventName[1281:1307]: EventLeadershipNotHandedOver,
-	_LogEventName[1307:1325]: EventExpiryNotEncoded,
-	_LogEventName[1325:1339]: EventReplicaFailed,
-	_LogEventName[1339:1356]: EventReplicaRegressed,
-	_LogEventName[1356:1375]: EventDataFolderDamaged,
-	_LogEventName[1375:1396]: EventDataFolderRegressed,
-	_LogEventName[1396:1405]: EventLeaseAcquired,
-	_LogEventName[1405:1415]: EventLeaseLost,
-	_LogEventName[1415:1432]: EventLeaseNotRenewed,
-	_LogEventName[1432:1450]: EventLeaseNotReleased,
-	_LogEventName[1450:1460]: EventZoneOwned,
-	_LogEventName[1460:1469]: EventZoneLost,
-	_LogEventName[1469:1486]: EventMessageTooLarge,
-	_LogEventName[1486:1500]: EventControlThreadTimes,
-	_LogEventName[1500:1512]: EventControlLost,
-	_LogEventName[1512:1528]: EventControlRegained,
-	_LogEventName[1528:1535]: EventStarted,
-	_LogEventName[1535:1543]: EventDraining,
-	_LogEventName[1543:1550]: EventDrained,
-	_LogEventName[1550:1557]: EventStopped,
-	_LogEventName[1557:1574]: EventSettingsReloaded,
-	_LogEventName[1574:1590]: EventSettingsRefused,
-	_LogEventName[1590:1604]: EventListenerEnded,
-	_LogEventName[1604:1622]: EventMetricsNotServed,
-	_LogEventName[1622:1635]: EventUnknownEvent,
-	_LogEventName[1635:1645]: EventOverloaded,
-	_LogEventName[1645:1662]: EventLogLinesDropped,
+	_LogEventName[1080:1098]: EventRoutesNotEncoded,
+	_LogEventName[1098:1116]: EventRoutesNotFetched,
+	_LogEventName[1116:1134]: EventCatalogueInEffect,
+	_LogEventName[1134:1147]: EventBecameLeader,
+	_LogEventName[1147:1163]: EventCommandRejected,
+	_LogEventName[1163:1172]: EventNoLeader,
+	_LogEventName[1172:1186]: EventReplicaOpened,
+	_LogEventName[1186:1201]: EventStartConfirmed,
+	_LogEventName[1201:1218]: EventStartUnconfirmed,
+	_LogEventName[1218:1233]: EventVotersChanged,
+	_LogEventName[1233:1246]: EventLearnerAdded,
+	_LogEventName[1246:1261]: EventLearnerRemoved,
+	_LogEventName[1261:1272]: EventVoterAdded,
+	_LogEventName[1272:1286]: EventVoterReplaced,
+	_LogEventName[1286:1299]: EventVoterStandby,
+	_LogEventName[1299:1325]: EventLeadershipNotHandedOver,
+	_LogEventName[1325:1343]: EventExpiryNotEncoded,
+	_LogEventName[1343:1357]: EventReplicaFailed,
+	_LogEventName[1357:1374]: EventReplicaRegressed,
+	_LogEventName[1374:1393]: EventDataFolderDamaged,
+	_LogEventName[1393:1414]: EventDataFolderRegressed,
+	_LogEventName[1414:1423]: EventLeaseAcquired,
+	_LogEventName[1423:1433]: EventLeaseLost,
+	_LogEventName[1433:1450]: EventLeaseNotRenewed,
+	_LogEventName[1450:1468]: EventLeaseNotReleased,
+	_LogEventName[1468:1478]: EventZoneOwned,
+	_LogEventName[1478:1487]: EventZoneLost,
+	_LogEventName[1487:1504]: EventMessageTooLarge,
+	_LogEventName[1504:1518]: EventControlThreadTimes,
+	_LogEventName[1518:1530]: EventControlLost,
+	_LogEventName[1530:1546]: EventControlRegained,
+	_LogEventName[1546:1553]: EventStarted,
+	_LogEventName[1553:1561]: EventDraining,
+	_LogEventName[1561:1568]: EventDrained,
+	_LogEventName[1568:1575]: EventStopped,
+	_LogEventName[1575:1592]: EventSettingsReloaded,
+	_LogEventName[1592:1608]: EventSettingsRefused,
+	_LogEventName[1608:1622]: EventListenerEnded,
+	_LogEventName[1622:1640]: EventMetricsNotServed,
+	_LogEventName[1640:1653]: EventUnknownEvent,
+	_LogEventName[1653:1663]: EventOverloaded,
+	_LogEventName[1663:1680]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -327,47 +329,48 @@
 	_LogEventLowerName[1033:1047]: EventRoutesApplied,
 	_LogEventLowerName[1047:1062]: EventRoutesInEffect,
 	_LogEventLowerName[1062:1080]: EventRoutesNotDecoded,
-	_LogEventLowerName[1080:1098]: EventRoutesNotFetched,
-	_LogEventLowerName[1098:1116]: EventCatalogueInEffect,
-	_LogEventLowerName[1116:1129]: EventBecameLeader,
-	_LogEventLowerName[1129:1145]: EventCommandRejected,
-	_LogEventLowerName[1145:1154]: EventNoLeader,
-	_LogEventLowerName[1154:1168]: EventReplicaOpened,
-	_LogEventLowerName[1168:1183]: EventStartConfirmed,
-	_LogEventLowerName[1183:1200]: EventStartUnconfirmed,
-	_LogEventLowerName[1200:1215]: EventVotersChanged,
-	_LogEventLowerName[1215:1228]: EventLearnerAdded,
-	_LogEventLowerName[1228:1243]: EventLearnerRemoved,
-	_LogEventLowerName[1243:1254]: EventVoterAdded,
-	_LogEventLowerName[1254:1268]: EventVoterReplaced,
-	_LogEventLowerName[1268:1281]: EventVoterStandby,
-	_LogEventLowerName[1281:1307]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1307:1325]: EventExpiryNotEncoded,
-	_LogEventLowerName[1325:1339]: EventReplicaFailed,
-	_LogEventLowerName[1339:1356]: EventReplicaRegressed,
-	_LogEventLowerName[1356:1375]: EventDataFolderDamaged,
-	_LogEventLowerName[1375:1396]: EventDataFolderRegressed,
-	_LogEventLowerName[1396:1405]: EventLeaseAcquired,
-	_LogEventLowerName[1405:1415]: EventLeaseLost,
-	_LogEventLowerName[1415:1432]: EventLeaseNotRenewed,
-	_LogEventLowerName[1432:1450]: EventLeaseNotReleased,
-	_LogEventLowerName[1450:1460]: EventZoneOwned,
-	_LogEventLowerName[1460:1469]: EventZoneLost,
-	_LogEventLowerName[1469:1486]: EventMessageTooLarge,
-	_LogEventLowerName[1486:1500]: EventControlThreadTimes,
-	_LogEventLowerName[1500:1512]: EventControlLost,
-	_LogEventLowerName[1512:1528]: EventControlRegained,
-	_LogEventLowerName[1528:1535]: EventStarted,
-	_LogEventLowerName[1535:1543]: EventDraining,
-	_LogEventLowerName[1543:1550]: EventDrained,
-	_LogEventLowerName[1550:1557]: EventStopped,
-	_LogEventLowerName[1557:1574]: EventSettingsReloaded,
-	_LogEventLowerName[1574:1590]: EventSettingsRefused,
-	_LogEventLowerName[1590:1604]: EventListenerEnded,
-	_LogEventLowerName[1604:1622]: EventMetricsNotServed,
-	_LogEventLowerName[1622:1635]: EventUnknownEvent,
-	_LogEventLowerName[1635:1645]: EventOverloaded,
-	_LogEventLowerName[1645:1662]: EventLogLinesDropped,
+	_LogEventLowerName[1080:1098]: EventRoutesNotEncoded,
+	_LogEventLowerName[1098:1116]: EventRoutesNotFetched,
+	_LogEventLowerName[1116:1134]: EventCatalogueInEffect,
+	_LogEventLowerName[1134:1147]: EventBecameLeader,
+	_LogEventLowerName[1147:1163]: EventCommandRejected,
+	_LogEventLowerName[1163:1172]: EventNoLeader,
+	_LogEventLowerName[1172:1186]: EventReplicaOpened,
+	_LogEventLowerName[1186:1201]: EventStartConfirmed,
+	_LogEventLowerName[1201:1218]: EventStartUnconfirmed,
+	_LogEventLowerName[1218:1233]: EventVotersChanged,
+	_LogEventLowerName[1233:1246]: EventLearnerAdded,
+	_LogEventLowerName[1246:1261]: EventLearnerRemoved,
+	_LogEventLowerName[1261:1272]: EventVoterAdded,
+	_LogEventLowerName[1272:1286]: EventVoterReplaced,
+	_LogEventLowerName[1286:1299]: EventVoterStandby,
+	_LogEventLowerName[1299:1325]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1325:1343]: EventExpiryNotEncoded,
+	_LogEventLowerName[1343:1357]: EventReplicaFailed,
+	_LogEventLowerName[1357:1374]: EventReplicaRegressed,
+	_LogEventLowerName[1374:1393]: EventDataFolderDamaged,
+	_LogEventLowerName[1393:1414]: EventDataFolderRegressed,
+	_LogEventLowerName[1414:1423]: EventLeaseAcquired,
+	_LogEventLowerName[1423:1433]: EventLeaseLost,
+	_LogEventLowerName[1433:1450]: EventLeaseNotRenewed,
+	_LogEventLowerName[1450:1468]: EventLeaseNotReleased,
+	_LogEventLowerName[1468:1478]: EventZoneOwned,
+	_LogEventLowerName[1478:1487]: EventZoneLost,
+	_LogEventLowerName[1487:1504]: EventMessageTooLarge,
+	_LogEventLowerName[1504:1518]: EventControlThreadTimes,
+	_LogEventLowerName[1518:1530]: EventControlLost,
+	_LogEventLowerName[1530:1546]: EventControlRegained,
+	_LogEventLowerName[1546:1553]: EventStarted,
+	_LogEventLowerName[1553:1561]: EventDraining,
+	_LogEventLowerName[1561:1568]: EventDrained,
+	_LogEventLowerName[1568:1575]: EventStopped,
+	_LogEventLowerName[1575:1592]: EventSettingsReloaded,
+	_LogEventLowerName[1592:1608]: EventSettingsRefused,
+	_LogEventLowerName[1608:1622]: EventListenerEnded,
+	_LogEventLowerName[1622:1640]: EventMetricsNotServed,
+	_LogEventLowerName[1640:1653]: EventUnknownEvent,
+	_LogEventLowerName[1653:1663]: EventOverloaded,
+	_LogEventLowerName[1663:1680]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -444,45 +447,46 @@
 	_LogEventName[1062:1080],
 	_LogEventName[1080:1098],
 	_LogEventName[1098:1116],
-	_LogEventName[1116:1129],
-	_LogEventName[1129:1145],
-	_LogEventName[1145:1154],
-	_LogEventName[1154:1168],
-	_LogEventName[1168:1183],
-	_LogEventName[1183:1200],
-	_LogEventName[1200:1215],
-	_LogEventName[1215:1228],
-	_LogEventName[1228:1243],
-	_LogEventName[1243:1254],
-	_LogEventName[1254:1268],
-	_LogEventName[1268:1281],
-	_LogEventName[1281:1307],
-	_LogEventName[1307:1325],
-	_LogEventName[1325:1339],
-	_LogEventName[1339:1356],
-	_LogEventName[1356:1375],
-	_LogEventName[1375:1396],
-	_LogEventName[1396:1405],
-	_LogEventName[1405:1415],
-	_LogEventName[1415:1432],
-	_LogEventName[1432:1450],
-	_LogEventName[1450:1460],
-	_LogEventName[1460:1469],
-	_LogEventName[1469:1486],
-	_LogEventName[1486:1500],
-	_LogEventName[1500:1512],
-	_LogEventName[1512:1528],
-	_LogEventName[1528:1535],
-	_LogEventName[1535:1543],
-	_LogEventName[1543:1550],
-	_LogEventName[1550:1557],
-	_LogEventName[1557:1574],
-	_LogEventName[1574:1590],
-	_LogEventName[1590:1604],
-	_LogEventName[1604:1622],
-	_LogEventName[1622:1635],
-	_LogEventName[1635:1645],
-	_LogEventName[1645:1662],
+	_LogEventName[1116:1134],
+	_LogEventName[1134:1147],
+	_LogEventName[1147:1163],
+	_LogEventName[1163:1172],
+	_LogEventName[1172:1186],
+	_LogEventName[1186:1201],
+	_LogEventName[1201:1218],
+	_LogEventName[1218:1233],
+	_LogEventName[1233:1246],
+	_LogEventName[1246:1261],
+	_LogEventName[1261:1272],
+	_LogEventName[1272:1286],
+	_LogEventName[1286:1299],
+	_LogEventName[1299:1325],
+	_LogEventName[1325:1343],
+	_LogEventName[1343:1357],
+	_LogEventName[1357:1374],
+	_LogEventName[1374:1393],
+	_LogEventName[1393:1414],
+	_LogEventName[1414:1423],
+	_LogEventName[1423:1433],
+	_LogEventName[1433:1450],
+	_LogEventName[1450:1468],
+	_LogEventName[1468:1478],
+	_LogEventName[1478:1487],
+	_LogEventName[1487:1504],
+	_LogEventName[1504:1518],
+	_LogEventName[1518:1530],
+	_LogEventName[1530:1546],
+	_LogEventName[1546:1553],
+	_LogEventName[1553:1561],
+	_LogEventName[1561:1568],
+	_LogEventName[1568:1575],
+	_LogEventName[1575:1592],
+	_LogEventName[1592:1608],
+	_LogEventName[1608:1622],
+	_LogEventName[1622:1640],
+	_LogEventName[1640:1653],
+	_LogEventName[1653:1663],
+	_LogEventName[1663:1680],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
