fix: operators of large changes are answered before they send them again

Change: the wait for the gateways ends 4.5 s after the change came, in proportion to its size, however long the commit took.

--- a/laburnumroles/controlroutes.go
+++ b/laburnumroles/controlroutes.go
@@ -14,9 +14,9 @@
 // the operator gets an answer. Operators wait longer for a large change: for the largest it is proposalTimeout.
 const operatorProposalTimeout = 900 * time.Millisecond
 
-// gatewaysTimeout bounds how long the acknowledgement of the largest change waits for the gateways, which fetch it for longer than
-// operators allow between an acknowledgement and its effect.
-const gatewaysTimeout = 3 * time.Second
+// answerTimeout bounds the time until the largest change is answered, the wait for the gateways included: an operator who gets no
+// answer sends the megabytes again.
+const answerTimeout = 4500 * time.Millisecond
 
 // useCommitted puts a committed route table into effect. One that can't be decoded leaves the earlier one in effect.
 func (c *Control) useCommitted(encoded laburnumlever.EncodedRoutes) {
@@ -73,17 +73,18 @@
 	c.countChange(err, "accepted", "failed")
 	missing := 0
 	if err == nil {
-		missing = c.awaitGateways(ctx, len(table.Document))
+		missing = c.awaitGateways(ctx, began.Add(answerTime(len(table.Document))))
 	}
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesProposed, "version", table.Version, "bytes", len(table.Document),
 		"newest", newest, "gateways-without", missing, "cause", err)
 	return err
 }
 
-// awaitGateways waits until all gateways have a committed table with an operators' text of a size in bytes in effect, and returns the
-// number of those that don't have it in time: they may be down.
-func (c *Control) awaitGateways(ctx context.Context, size int) (missing int) {
-	ctx, cancel := context.WithTimeout(ctx, sizeShare(size, gatewaysTimeout))
+// awaitGateways waits until all gateways have the committed table in effect, at most until a time, and returns the number of those
+// that don't have it by then: they may be down. A large table takes them longer than operators allow between the acknowledgement
+// and its effect.
+func (c *Control) awaitGateways(ctx context.Context, until time.Time) (missing int) {
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(c.timers.Now()))
 	defer cancel()
 	return c.source.AwaitRoutes(ctx)
 }
@@ -184,12 +185,16 @@
 
 // proposalTime returns the timeout of a proposal for an operator, for a text of a size in bytes.
 func proposalTime(size int) time.Duration {
-	return operatorProposalTimeout + sizeShare(size, proposalTimeout-operatorProposalTimeout)
+	return scaled(size, proposalTimeout)
 }
 
-// sizeShare returns the share of a time that a text of a size in bytes gets of that for the largest.
-func sizeShare(size int, largest time.Duration) time.Duration {
-	return time.Duration(float64(size) / laburnumlever.MaxRoutesDocument * float64(largest))
+// answerTime returns the time until an operator's change with a text of a size in bytes is answered.
+func answerTime(size int) time.Duration { return scaled(size, answerTimeout) }
+
+// scaled returns a time between operatorProposalTimeout and that for the largest text, by the size of a text in bytes.
+func scaled(size int, largest time.Duration) time.Duration {
+	share := float64(size) / laburnumlever.MaxRoutesDocument
+	return operatorProposalTimeout + time.Duration(share*float64(largest-operatorProposalTimeout))
 }
 
 // HandleRoutes puts a route table into effect that a control VM without a vote has fetched: it gets none from the log.
