--- a/laburnumfeed/routeparts_test.go
+++ b/laburnumfeed/routeparts_test.go
@@ -82,8 +82,7 @@
 	return s, &countedPeers{loopbackPeers: loopback, before: func(string) {}}, timers
 }
 
-// Guards against a large route table in one message, which slow links to gateways carry neither in time nor beside polls, and of
-// which a control VM holds copies for all gateways at once.
+// Guards against a large route table in one message, which holds up polls and of which a control VM keeps a copy for each gateway.
 func TestLargeRoutesAreFetchedInParts(t *testing.T) {
 	s, peers, timers := newCountedSource()
 	table := linkTable(7)
@@ -144,8 +143,7 @@
 	return p.sources[address].Call(ctx, address, method, params, result)
 }
 
-// Guards against one control VM that sends a large table to all gateways by itself, and against parts of VMs that lack the version,
-// packed it in another way or do not answer.
+// Guards against one control VM that sends a large table to all gateways, and against parts of VMs that have no or another one.
 func TestPartsOfLargeRoutesComeFromAllControlVMs(t *testing.T) {
 	peers := &severalPeers{sources: map[string]*countedPeers{}, calls: map[string]int{}}
 	var timers *laburnumtimer.Manual
--- a/laburnumroles/versionsrestart_test.go
+++ b/laburnumroles/versionsrestart_test.go
@@ -109,8 +109,7 @@
 	}
 }
 
-// Guards against streams that nobody takes up for half a minute after all VMs have come back, though their service has only ever had
-// one version.
+// Guards against streams of a service with one version that are refused for half a minute after all VMs have come back.
 func TestStreamIsTakenUpAfterARestartOfAllVMs(t *testing.T) {
 	t.Parallel()
 	for name, named := range map[string]bool{"named": true, "not named": false} {
