fix: large proposals are forwarded to the leader in chunks

What callers saw: an operator's manifest of 2.9 MB, sent to a slow control VM that does not lead the log, was answered 503 at every try and never in force.

Cause: a forwarded command was one message. The leader's end of the link decodes it before it reads on and answers no ping meanwhile; after 1.7 s the sender closes the link, the proposal is lost and the next try sends it anew.

Evidence, with the race detector on an idle machine: at each try routes-proposed "gave no answer", then peer-link-closed "nothing received for 2.18s", and a leader's control thread that handled no proposal for 60 s. Ruled out: elections (one became-leader) and a commit that outlasts the proposal (nothing was appended).

VMs of an earlier build get whole commands, as before.

The latter's stand-in of a gateway polls ten times a second in place of without a pause, which used four cores; its checks are the same.

--- a/errors.go
+++ b/errors.go
@@ -159,6 +159,9 @@
 	return fmt.Sprintf("VM at %s answered %s: %s", e.Address, e.Kind, e.Detail)
 }
 
+// UnknownMethod reports whether the VM doesn't know the method, as one of an earlier build.
+func (e *PeerRefusedError) UnknownMethod() bool { return e.Kind == "unknown-method" }
+
 // BackendRestsError is a backend server that wants nothing from this VM for a time.
 type BackendRestsError struct {
 	Backend BackendID
--- a/laburnumfeed/routeparts.go
+++ b/laburnumfeed/routeparts.go
@@ -14,13 +14,9 @@
 	"github.com/go-kit/log/level"
 )
 
-const (
-	// routesPartBytes bounds one part of a route table, so that polls on the same connection are not held up on a slow link and
-	// a control VM holds little for each of the gateways that fetch a large table at once.
-	routesPartBytes = 128 << 10
-	// kindUnknownMethod identifies the answer of a VM of an earlier build, which does not know parts.
-	kindUnknownMethod = "unknown-method"
-)
+// routesPartBytes bounds one part of a route table, so that polls on the same connection are not held up on a slow link and
+// a control VM holds little for each of the gateways that fetch a large table at once.
+const routesPartBytes = 128 << 10
 
 // routesPartRequest asks for the part of a version of the route table from an offset on.
 type routesPartRequest struct {
@@ -103,7 +99,7 @@
 	}()
 	t, parts, err := f.fetchParts(address)
 	var refused *laburnumlever.PeerRefusedError
-	if errors.As(err, &refused) && refused.Kind == kindUnknownMethod {
+	if errors.As(err, &refused) && refused.UnknownMethod() {
 		t, err = f.fetchWhole(address)
 	}
 	if err != nil {
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -24,9 +24,6 @@
 // kindNotDirector identifies a *laburnumdirector.NotDirectorError on the wire.
 const kindNotDirector = "not-director"
 
-// kindUnknownMethod identifies the answer of a VM that does not know a method.
-const kindUnknownMethod = "unknown-method"
-
 // sweepPeriod is the interval between sweeps that close idle connections.
 const sweepPeriod = time.Second
 
--- a/laburnumroles/keepercalls.go
+++ b/laburnumroles/keepercalls.go
@@ -68,7 +68,7 @@
 // isUnknownMethod reports whether a VM of an earlier build answered that it doesn't know a method.
 func isUnknownMethod(err error) bool {
 	var refused *laburnumlever.PeerRefusedError
-	return errors.As(err, &refused) && refused.Kind == kindUnknownMethod
+	return errors.As(err, &refused) && refused.UnknownMethod()
 }
 
 // answering returns the first of the control VMs, without those that have just not answered.
--- a/laburnumroles/largemanifest_test.go
+++ b/laburnumroles/largemanifest_test.go
@@ -147,7 +147,9 @@
 	polled := make(chan struct{}, len(s.controls))
 	for i := range s.controls {
 		go func() {
-			poll := map[string]any{"from": laburnumlever.VM{ID: "slow", Zone: "brest"}}
+			poll := map[string]any{"from": laburnumlever.VM{ID: "slow", Zone: "brest"}} // without a cursor it is answered at once
+			next := time.NewTicker(100 * time.Millisecond)
+			defer next.Stop()
 			for t.Context().Err() == nil {
 				if err := slow.Call(t.Context(), s.peers(i), "feed-next", poll, new(json.RawMessage)); err == nil {
 					select {
@@ -155,6 +157,10 @@
 					default:
 					}
 				}
+				select {
+				case <-next.C:
+				case <-t.Context().Done():
+				}
 			}
 		}()
 	}
--- a/laburnumvoter/errors.go
+++ b/laburnumvoter/errors.go
@@ -14,3 +14,10 @@
 
 // Unwrap returns the cause.
 func (e *BadEntryError) Unwrap() error { return e.Cause }
+
+// ChunkOffsetError is an answer to a chunk that asks for an offset outside of the command.
+type ChunkOffsetError struct{ Offset, Size int }
+
+func (e *ChunkOffsetError) Error() string {
+	return fmt.Sprintf("asked for a chunk at offset %d of a command of %d bytes", e.Offset, e.Size)
+}
--- a/laburnumvoter/largecommand_test.go
+++ b/laburnumvoter/largecommand_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,3 +100,87 @@
 	repeat(4)
 	require.Equal(t, before+1, leader.Status().Commit, "versions that are not higher take none")
 }
+
+// follower returns a VM that is not the leader.
+func (f *fleet) follower() *vm {
+	leader := f.leader()
+	for name, m := range f.vms {
+		if name != leader {
+			return m
+		}
+	}
+	return nil
+}
+
+// randomDocument returns a text of 2 MiB that does not compress.
+func randomDocument() []byte {
+	document := make([]byte, 2<<20)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(document) // never fails
+	return document
+}
+
+// Guards against a large command of a VM that is not the leader in one message, which holds up what shares the link.
+func TestLargeProposalTravelsInChunks(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithTick(deployedTick))
+	f.startAll()
+	_, err := f.follower().Propose(context.Background(), applyRoutes(t, 1, randomDocument()))
+	require.NoError(t, err)
+	require.Less(t, f.net.largest.Load(), int64(1<<19), "of a text of 2 MiB")
+}
+
+// Guards against a large command that is never committed where its chunks take longer than one attempt.
+func TestLargeProposalContinuesAfterLostChunks(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithTick(deployedTick))
+	f.startAll()
+	leader, follower := f.vms[f.leader()], f.follower()
+	take := leader.port.handler("propose-chunk")
+	var chunks atomic.Int64
+	leader.port.Handle("propose-chunk", func(ctx context.Context, params laburnumlever.RawMessage) (any, error) {
+		answer, err := take(ctx, params)
+		if chunks.Add(1)%3 == 0 {
+			<-ctx.Done() // the answer is lost
+		}
+		return answer, err
+	})
+	command := applyRoutes(t, 1, randomDocument())
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		result, err := follower.Propose(ctx, command)
+		return err == nil && result.RoutesVersion == 1
+	}, waitTimeout, tick)
+}
+
+// Guards against large commands that a leader of an earlier build doesn't get, since it knows no chunks of them.
+func TestLargeProposalReachesLeaderOfEarlierBuild(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithTick(deployedTick))
+	f.startAll()
+	f.vms[f.leader()].port.Handle("propose-chunk", nil)
+	_, err := f.follower().Propose(context.Background(), applyRoutes(t, 1, randomDocument()))
+	require.NoError(t, err)
+}
+
+// Guards against chunks of abandoned commands that are kept forever, so that no other large command is taken.
+func TestChunksOfAbandonedProposalsExpire(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithTick(deployedTick))
+	f.startAll()
+	follower, leader := f.follower(), f.leader()
+	chunk := func(digest int) (held int, taken bool) {
+		var answer struct {
+			Held   int              `json:"held"`
+			Answer *json.RawMessage `json:"answer"`
+		}
+		params := map[string]any{"digest": strconv.Itoa(digest), "size": 1 << 20, "offset": 0, "data": make([]byte, 1<<10)}
+		require.NoError(t, follower.port.Call(context.Background(), leader, "propose-chunk", params, &answer))
+		return answer.Held, answer.Answer == nil
+	}
+	for digest := range 4 {
+		held, taken := chunk(digest)
+		require.True(t, taken)
+		require.Equal(t, 1<<10, held)
+	}
+	_, taken := chunk(5)
+	require.False(t, taken, "one more than are kept at once")
+	f.advanceClocks(time.Minute)
+	f.wait("a place", func() bool { _, taken := chunk(5); return taken })
+}
--- a/laburnumvoter/network_test.go
+++ b/laburnumvoter/network_test.go
@@ -16,13 +16,13 @@
 	ports map[string]*port
 	cuts  map[[2]string]bool
 	bytes atomic.Int64 // total size of all sent parameters
-	// largest is the size of the largest parameters of a log message.
+	// largest is the size of the largest parameters of a log message or a proposal.
 	largest atomic.Int64
 }
 
 func (n *network) count(method string, size int) {
 	n.bytes.Add(int64(size))
-	if strings.HasPrefix(method, "log-") && int64(size) > n.largest.Load() {
+	if (strings.HasPrefix(method, "log-") || strings.HasPrefix(method, "propose")) && int64(size) > n.largest.Load() {
 		n.largest.Store(int64(size))
 	}
 }
@@ -123,7 +123,7 @@
 	}
 	h := to.handler(method)
 	if h == nil {
-		return &laburnumlever.PeerRefusedError{Address: address, Kind: "no-method"}
+		return &laburnumlever.PeerRefusedError{Address: address, Kind: "unknown-method"}
 	}
 	answer := make(chan []byte, 1)
 	go func() {
--- a/laburnumvoter/search.go
+++ b/laburnumvoter/search.go
@@ -41,8 +41,7 @@
 		s.localDetail = answer.Detail
 		return answer
 	}
-	var answer proposeAnswer
-	err := v.peers.Call(ctx, s.target, methodPropose, proposeParams{Command: cmd}, &answer)
+	answer, err := v.forward(ctx, s.target, cmd)
 	if err == nil {
 		v.known.update(answer, s.target)
 		return answer
--- a/laburnumvoter/transmit.go
+++ b/laburnumvoter/transmit.go
@@ -161,6 +161,7 @@
 	}
 	v.peers.Handle(methodChunk, v.handleChunk)
 	v.peers.Handle(methodPropose, v.handlePropose)
+	v.peers.Handle(methodProposeChunk, v.handleProposeChunk)
 	v.peers.Handle(methodHello, func(_ context.Context, params laburnumlever.RawMessage) (any, error) {
 		var m helloMessage
 		err := json.Unmarshal(params, &m)
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -56,6 +56,7 @@
 	// The fields below may be used on any goroutine.
 	status       atomic.Pointer[laburnumlever.VoterStatus]
 	proposals    proposalQueue
+	uploads      uploads
 	known        knownVoters
 	assembly     chunkAssembly
 	chunkedSends chunkedSends
@@ -234,6 +235,7 @@
 
 func (v *Voter) onTick(now time.Time) {
 	v.ticks++
+	v.uploads.expire(now)
 	if v.log == nil {
 		return
 	}
--- a/laburnumvoter/wire.go
+++ b/laburnumvoter/wire.go
@@ -1,18 +1,21 @@
 package laburnumvoter
 
 import (
+	"encoding/json"
+
 	"laburnumlever"
 	"laburnumlever/laburnumlog"
 )
 
 // Peer methods. A log message is sent to the method named logPrefix and its kind.
 const (
-	methodPropose    = "propose"
-	methodHello      = "log-hello"
-	methodBootstrap  = "log-bootstrap"
-	methodSuperseded = "log-superseded"
-	methodChunk      = "log-snapshot-part"
-	logPrefix        = "log-"
+	methodPropose      = "propose"
+	methodProposeChunk = "propose-chunk"
+	methodHello        = "log-hello"
+	methodBootstrap    = "log-bootstrap"
+	methodSuperseded   = "log-superseded"
+	methodChunk        = "log-snapshot-part"
+	logPrefix          = "log-"
 )
 
 // wireMessage is a log message with the address of its sender.
@@ -101,6 +104,11 @@
 	Command laburnumlever.Command `json:"command"`
 }
 
+// encodedProposeParams are proposeParams with an encoded command.
+type encodedProposeParams struct {
+	Command json.RawMessage `json:"command"`
+}
+
 type proposeAnswer struct {
 	Verdict verdict              `json:"verdict"`
 	Result  laburnumlever.Result `json:"result"`
@@ -110,6 +118,20 @@
 	Detail string                `json:"detail,omitempty"`
 }
 
+// proposeChunkParams is one chunk of an encoded command of a size in bytes, which its SHA-256 identifies.
+type proposeChunkParams struct {
+	Digest string `json:"digest"`
+	Size   int    `json:"size"`
+	Offset int    `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// proposeChunkAnswer has the number of bytes held, or the answer to the proposal once the command is complete.
+type proposeChunkAnswer struct {
+	Held   int            `json:"held"`
+	Answer *proposeAnswer `json:"answer,omitempty"`
+}
+
 // chunkParams is one chunk of a snapshot or an entry. Message has its index and term but no data.
 type chunkParams struct {
 	Message wireMessage `json:"message"`
