fix: streams that are taken up come before new ones in the queue

Cause: a stream in progress fits the servers of its version only, a new one all, and gateways queued both by arrival, so that new ones took the slots that came free at the old version.

Ruled out: records that were lost, servers that had gone.

Within a priority, requests that one version alone can serve now come first.

--- a/laburnumslotqueue/queue.go
+++ b/laburnumslotqueue/queue.go
@@ -44,7 +44,8 @@
 	return r.Asked
 }
 
-// Queue orders requests by priority, then by whether it is what their client account asks for beyond its usual in a surge, then by arrival.
+// Queue orders requests by priority, then by whether it is what their client account asks for beyond its usual in a surge, then by
+// whether they begin a stream that another server version could take as well, then by arrival.
 type Queue struct {
 	// InOrder serves strictly in that order, whether or not answers can still start in time.
 	InOrder  bool
@@ -63,9 +64,7 @@
 	if len(q.requests) >= maxQueued || q.shares.surges(r, r.Arrived) && q.queuedBy(r.Account) >= maxQueuedInSurge {
 		return false
 	}
-	at, _ := slices.BinarySearchFunc(q.requests, r, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.asked().Compare(b.asked()), -1)
-	})
+	at, _ := slices.BinarySearchFunc(q.requests, r, func(a, b *Request) int { return cmp.Or(compare(a, b), -1) })
 	q.requests = slices.Insert(q.requests, at, r)
 	return true
 }
@@ -79,11 +78,11 @@
 // Arrived records a request that asks for a slot for the first time.
 func (q *Queue) Arrived(r *Request, now time.Time) { q.shares.add(r, now) }
 
-// Ahead returns the number of queued requests with the same target that get a slot before a request.
+// Ahead returns the number of queued requests that compete with a request and get a slot before it.
 func (q *Queue) Ahead(r *Request, now time.Time) int {
 	n := 0
 	for _, o := range q.requests {
-		if o.target() == r.target() && cmp.Or(cmp.Compare(o.Priority, r.Priority), o.asked().Compare(r.asked())) < 0 && (q.InOrder || !now.After(o.OnTimeUntil)) {
+		if r.competes(o) && compare(o, r) < 0 && (q.InOrder || !now.After(o.OnTimeUntil)) {
 			n++
 		}
 	}
@@ -116,10 +115,35 @@
 	rank    int
 	model   laburnumlever.ModelName
 	adapter laburnumlever.AdapterName
+	// software is empty for requests that servers of any version can take.
+	software laburnumlever.SoftwareVersion
 }
 
 func (r *Request) target() target {
-	return target{service: r.Query.Service, rank: r.Query.Rank, model: r.Query.Model, adapter: r.Query.Adapter}
+	return target{service: r.Query.Service, rank: r.Query.Rank, model: r.Query.Model, adapter: r.Query.Adapter, software: r.Query.Software}
+}
+
+// competes reports whether a server that a request can take may be one that the other can take.
+func (r *Request) competes(o *Request) bool {
+	a, b := r.target(), o.target()
+	if a.software == "" || b.software == "" {
+		a.software, b.software = "", ""
+	}
+	return a == b
+}
+
+// compare orders requests by priority, then those that take up a stream first, then by when the caller asked. Only the servers of one
+// software version can go on with a stream, and the caller has waited for what came before; a new one can begin at any.
+func compare(a, b *Request) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.place(), b.place()), a.asked().Compare(b.asked()))
+}
+
+// place is a request's place within its priority.
+func (r *Request) place() int {
+	if r.Query.Software != "" {
+		return 0
+	}
+	return 1
 }
 
 // Serve admits requests while there are free slots, first those whose answer can still start in
--- a/laburnumslotqueue/queue_test.go
+++ b/laburnumslotqueue/queue_test.go
@@ -270,3 +270,62 @@
 	})
 	require.Equal(t, []string{"returned", "new", "other"}, served)
 }
+
+// versions has new streams and ones that are taken up at the old software version wait for the slots of two versions, and returns
+// which part of each was admitted. A stream is taken up every takenUpEvery.
+func versions(t *testing.T, slotsOld, slotsNew time.Duration) (begun, takenUp float64) {
+	t.Helper()
+	const takenUpEvery = 40 * time.Millisecond
+	w := &laburnumslotqueue.Queue{}
+	start := time.Unix(1_000_000, 0)
+	asked, admitted := map[laburnumlever.SoftwareVersion]int{}, map[laburnumlever.SoftwareVersion]int{}
+	arrive := func(now time.Time, software laburnumlever.SoftwareVersion) {
+		asked[software]++
+		require.True(t, w.Push(&laburnumslotqueue.Request{
+			Query: laburnumbalance.Query{Model: "m0", Software: software}, Arrived: now, OnTimeUntil: now.Add(testOnTime),
+			Admit: func(*laburnumbalance.Ticket) { admitted[software]++ },
+		}))
+	}
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		arrive(now, "")
+		if now.Sub(start)%takenUpEvery == 0 {
+			arrive(now, "old")
+		}
+		for _, old := range w.Requests() {
+			if now.Sub(old.Arrived) > testWait {
+				w.Remove(old)
+			}
+		}
+		free := map[laburnumlever.SoftwareVersion]int{}
+		if now.Sub(start)%slotsOld == 0 {
+			free["old"]++
+		}
+		if now.Sub(start)%slotsNew == 0 {
+			free["new"]++
+		}
+		w.Serve(now, func(q laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
+			for _, software := range []laburnumlever.SoftwareVersion{"old", "new"} {
+				if free[software] > 0 && (q.Software == "" || q.Software == software) {
+					free[software]--
+					return &laburnumbalance.Ticket{}, laburnumbalance.Found
+				}
+			}
+			return nil, laburnumbalance.Full
+		})
+	}
+	return float64(admitted[""]) / float64(asked[""]), float64(admitted["old"]) / float64(asked["old"])
+}
+
+// Guards against streams that are lost, since new ones take the slots of the only version that can go on with them.
+func TestStreamsTakenUpAreServedBeforeNewOnes(t *testing.T) {
+	begun, takenUp := versions(t, 40*time.Millisecond, 40*time.Millisecond)
+	require.Greater(t, takenUp, 0.95)
+	require.InDelta(t, 0.25, begun, 0.01, "the slots of the new version")
+}
+
+// Guards against new streams that get no slot of one version, since one that waits finds the other version full.
+func TestNewStreamsAreServedBesideAFullVersion(t *testing.T) {
+	begun, _ := versions(t, 400*time.Millisecond, 10*time.Millisecond)
+	require.Greater(t, begun, 0.95)
+}
