--- a/laburnumgateway/reserve_test.go
+++ b/laburnumgateway/reserve_test.go
@@ -132,3 +132,31 @@
 	}
 	require.NotContains(t, requestPaths(engine), "/draft/x")
 }
+
+// Guards against a request that runs though it is refused: a late second answer is taken for the one to its reservation, and the
+// reservation's refusal for the one to the request.
+func TestLateAnswerIsNotTakenForAReservation(t *testing.T) {
+	var first receivedRequest
+	engine := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, n int) {
+		switch {
+		case a.request.URL.Path != "/v1/hold-take":
+			first = a
+			writeEvents(conn, a, 1, 2)
+			writeLastChunk(conn)
+		case n == 1:
+			writeAnswer(conn, a, http.StatusOK, `{"hold":"h-7"}`)
+		default:
+			writeAnswer(conn, first, http.StatusOK, "late")
+			writeAnswer(conn, a, http.StatusServiceUnavailable, "", "X-Laburnumlever-Not-Run: 1")
+		}
+	})
+	b := newReservationHarness(t, engine.heartbeat("quotes", "m0"))
+	send := func(id string) callerResponse {
+		return b.send("POST", "/quote/x", "oak floor", "X-Laburnumlever-Model", "m0", "X-Laburnumlever-Deadline-Ms", "600", idHeader, id)
+	}
+	require.Equal(t, 200, send("r-1").status)
+	require.Equal(t, http.StatusServiceUnavailable, send("r-2").status)
+	for _, a := range engine.requests() {
+		require.NotEqual(t, "r-2", a.request.Header.Get(idHeader), "refused, and at work at the engine")
+	}
+}
--- a/laburnumresidency/planner_test.go
+++ b/laburnumresidency/planner_test.go
@@ -146,6 +146,16 @@
 	require.Len(t, copies, 8, "four engines with memory for two models each hold eight models")
 }
 
+// Guards against a load that crashes an engine, since a model that has left the manifest is not counted in the engine's memory.
+func TestModelThatLeftTheManifestOccupiesMemory(t *testing.T) {
+	class := testClass(2)
+	engines := []Engine{testEngine(1, "withdrawn", "m0"), testEngine(2, "withdrawn", "m0")}
+	for _, step := range NextSteps(class, engines, Demand{"m1": 0.5}, nil) {
+		require.NotEqual(t, laburnumlever.Load, step.Kind, "%v beside two models, with memory for two", step)
+	}
+	require.False(t, engines[0].HasMemoryFor(class, class.Models[1]))
+}
+
 // Guards against adapters that evict each other because a model's only engine has fewer slots than adapters are in use.
 func TestAdapterSlotShortageAddsACopy(t *testing.T) {
 	engines := []Engine{testEngine(1, "m0", "m1"), testEngine(2, "m2")}
