--- a/laburnumgateway/reserve_test.go
+++ b/laburnumgateway/reserve_test.go
@@ -133,8 +133,7 @@
 	require.NotContains(t, requestPaths(engine), "/draft/x")
 }
 
-// Guards against a request that runs though it is refused: a late second answer is taken for the one to its reservation, and the
-// reservation's refusal for the one to the request.
+// Guards against a request that is refused and runs, since another's late second answer is taken for the one to its reservation.
 func TestLateAnswerIsNotTakenForAReservation(t *testing.T) {
 	var first receivedRequest
 	engine := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, n int) {
