test: stand-in servers spoil a share of their streams and answers

No stand-in could: a PlatformServer broke its streams off or crashed, so neither a test nor a soak met bytes that are no event.

go test -race ./laburnumstandin: ok, each form is told, differs from the sound answer and is the same the second time.

--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -66,6 +66,9 @@
 	// OnCut, unless nil, is called with the id of each request whose connection is closed after its answer has begun and before
 	// that is complete.
 	OnCut func(id string)
+	// Spoiling has the server spoil answers, which OnSpoil, unless nil, is called with.
+	Spoiling Spoiling
+	OnSpoil  func(id string, kind Spoil)
 	// OnBroken, unless nil, is called with each VM that sends the server more than it asked for, and what it sent.
 	OnBroken func(vm, text string)
 	// CrashText, unless empty, crashes the server at each request whose body contains it, once it
@@ -109,7 +112,8 @@
 	leaving  bool
 	models   []platformModel
 	// limit is named in answers unless it is empty.
-	limit string
+	limit    string
+	spoiling Spoiling
 }
 
 type platformModel struct {
@@ -122,7 +126,7 @@
 // and announces itself to the control VMs' addresses. A server with models is a model
 // engine.
 func NewPlatformServer(id, service, address string, controls, models []string, behaviour PlatformBehaviour) *PlatformServer {
-	s := &PlatformServer{id: id, service: service, address: address, controls: controls, behaviour: behaviour, timers: laburnumtimer.New()}
+	s := &PlatformServer{id: id, service: service, address: address, controls: controls, behaviour: behaviour, spoiling: behaviour.Spoiling, timers: laburnumtimer.New()}
 	s.rests.onBroken = behaviour.OnBroken
 	if behaviour.Slots > 0 {
 		s.room = newRoom(behaviour.Slots, behaviour.Queue)
@@ -331,6 +335,11 @@
 
 func (s *PlatformServer) plainAnswer(w http.ResponseWriter, r *http.Request, body []byte) {
 	text := fmt.Appendf(nil, "%s ran %s %s: %s\n", s.id, r.Method, r.URL.Path, body)
+	if p := s.draw(r, false, 1); p.at > 0 {
+		s.told(r, p.kind)
+		p.answer(w, text)
+		return
+	}
 	half := len(text) / 2
 	if s.behaviour.EventPause > 0 {
 		_, _ = w.Write(text[:half])
@@ -392,7 +401,11 @@
 	}
 	model, _, _ := strings.Cut(r.Header.Get("X-Laburnumlever-Model"), "/")
 	flusher := http.NewResponseController(w)
-	for i := first; i <= platformEvents; i++ {
+	data := func(i int) string {
+		return fmt.Sprintf("data: %s word %d%s%s\n\n", model, i, body, s.softwareText())
+	}
+	spoils := s.draw(r, true, first)
+	for i := first; i != 0 && i <= platformEvents; {
 		if s.behaviour.AbortStreamAfter > 0 && i > s.behaviour.AbortStreamAfter {
 			panic(http.ErrAbortHandler)
 		}
@@ -402,8 +415,16 @@
 				return
 			}
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s word %d%s%s\n\n", i, model, i, body, s.softwareText())
-		_ = flusher.Flush()
+		parts, next := []string{eventOf("", i, data(i))}, i+1
+		if i == spoils.at {
+			s.told(r, spoils.kind)
+			parts, next = spoils.send(w, i, data)
+		}
+		for _, part := range parts {
+			_, _ = io.WriteString(w, part)
+			_ = flusher.Flush()
+		}
+		i = next
 	}
 }
 
