fix: only the next event of a stream reaches its caller

Cause: nothing decided what an event of a stream is. Whatever came before an empty line was forwarded; an id was compared with the one before only if both were numbers, so that an event without an id, or with one that is no number, passed and replaced the id that the next one was compared with; the first event of a stream could have any number; a stream could end as complete without an event. The head was written before the first event, so that an answer which began with garbage left its receipt on the answer of the next server.

Now Dialect.Event says whether a block is an event (fields of the format and the platform's version line, UTF-8, one id in its only decimal form, data), and eventSequence whether it is the next one, for the first event, a stream that is taken up and one after Last-Event-Id alike. Anything else ends the attempt and its connection, counts as a fault of the server, and the stream goes on elsewhere after the last event. Blocks of comments, of which 256 in a row are allowed, are dropped and feed no timer. The head is written with the first event: with nothing written, a request that can't be sent again gets 502 instead of a cut 200, which the tests of servers that crash before their first event now ask for. A Last-Event-Id that is no number is refused with 400. Events of routes that are no streams are numbered throughout or not at all. The stand-in servers of the tests of looks sent an event without an id on a stream.

--- a/dialect.go
+++ b/dialect.go
@@ -57,9 +57,9 @@
 	Timeout time.Duration
 	// Backend is the only backend server that may run the request.
 	Backend BackendID
-	// LastEvent is the event after which the stream resumes; empty to start from the
-	// beginning.
-	LastEvent string
+	// LastEvent is the number of the event after which the stream resumes, valid if HasLastEvent is set.
+	LastEvent    int64
+	HasLastEvent bool
 	// Reservation is the slot reserved for the request; empty for none.
 	Reservation ReservationID
 	// HideKey removes the caller's key. It is set if there are client accounts.
@@ -124,6 +124,15 @@
 	LimitError error
 }
 
+// StreamEvent is a block of an event stream.
+type StreamEvent struct {
+	// Blank is set if the block is no event, only lines that carry nothing for a caller.
+	Blank bool
+	// Number is the event's place in its stream, valid if HasNumber is set.
+	Number    int64
+	HasNumber bool
+}
+
 // Dialect translates the platform's HTTP headers between callers, this system and
 // backend servers.
 type Dialect interface {
@@ -144,8 +153,12 @@
 	LookCall(path string, to BackendID) EngineCall
 	// ProbeCall builds a call that a backend server answers while it can be reached, whatever its load.
 	ProbeCall() EngineCall
-	// EventID returns the ID of a stream event, and whether it has one.
-	EventID(event []byte) (string, bool)
+	// Event parses a block of lines, up to an empty one, of an event stream. An error is an *EventInvalidError: no backend server that
+	// works sends such bytes.
+	Event(block []byte) (StreamEvent, error)
+	// LastEvent returns the number of the last event that a caller has received, by its ID; that before the first event if id is empty.
+	// An error is an *InvalidValueError.
+	LastEvent(id string) (int64, error)
 }
 
 // FleetControl handles the calls of backend servers and operators on a control VM.
--- a/errors.go
+++ b/errors.go
@@ -226,6 +226,13 @@
 	return fmt.Sprintf("%s: %q is not %s", e.Name, e.Value, e.Want)
 }
 
+// EventInvalidError is a block of an event stream of which Got, the beginning of a line or of the whole block, can't belong to an event.
+type EventInvalidError struct{ Got, Want string }
+
+func (e *EventInvalidError) Error() string {
+	return fmt.Sprintf("%q in an event stream, where only %s can be", e.Got, e.Want)
+}
+
 // RoutesInvalidError lists all faults of a route table.
 type RoutesInvalidError struct{ Faults []Fault }
 
--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -179,37 +179,33 @@
 	return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: &BrokenAnswerError{Cause: err}}
 }
 
-// forwardStream forwards complete server-sent events only, so that a broken stream can resume after
-// the last one.
+// forwardStream forwards a stream event by event. The head is written with the first one, so that an answer that begins with anything
+// else leaves no trace of its server.
 func (g *Gateway) forwardStream(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
-	if !out.start(resp.Header, http.StatusOK) {
-		return brokenAnswer(ctx, net.ErrClosed)
-	}
 	flusher := http.NewResponseController(out.w)
 	events := newEventReader(resp.Body, g.buffers)
 	defer events.close()
-	first := true
-	for {
-		event, err := events.next()
-		if err != nil && (!errors.Is(err, io.EOF) || len(event) > 0) {
-			result.Failed = ctx.Err() == nil
-			_ = flusher.Flush() // the whole events before the break; a caller that has gone is noticed by the next write
+	for first := true; ; first = false {
+		event, err := g.nextEvent(q, events)
+		if err != nil && !errors.Is(err, io.EOF) {
+			result.Failed, result.Faulty = ctx.Err() == nil, isWrongEvent(err)
+			if out.started {
+				_ = flusher.Flush() // the whole events before the break; a caller that has gone is noticed by the next write
+			}
 			return brokenAnswer(ctx, err)
 		}
 		if err != nil {
-			return nil
+			return g.endStream(ctx, q, out, resp, result)
 		}
+		out.heard()
 		if first {
-			first = false
 			q.begunAt = g.timers.Now()
 			g.fleet.recordFirstEvent(ticket)
 			g.countFirstEvent(q)
 			g.beginStream(ctx, q, ticket)
 		}
-		out.heard()
-		if fail := g.checkEventID(q, event); fail != nil {
-			result.Failed, result.Faulty = true, true
-			return fail
+		if !out.start(resp.Header, http.StatusOK) {
+			return brokenAnswer(ctx, net.ErrClosed)
 		}
 		if _, err := out.w.Write(event); err != nil {
 			return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: err}}
@@ -225,24 +221,56 @@
 	}
 }
 
-// checkEventID returns a failure if numeric event ids are not consecutive: a resumed stream must not
-// lose or repeat an event.
-func (g *Gateway) checkEventID(q *request, event []byte) *failure {
-	id, ok := g.dialect.EventID(event)
-	if !ok {
-		return nil
+// maxBlankBlocks bounds the blocks in a row that carry no event.
+const maxBlankBlocks = 256
+
+// nextEvent returns the next event of the stream. Blocks that carry none are dropped. The error is io.EOF at the end of the stream.
+func (g *Gateway) nextEvent(q *request, events *eventReader) ([]byte, error) {
+	for range maxBlankBlocks {
+		block, err := events.next()
+		if errors.Is(err, io.EOF) && len(block) > 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		event, err := g.dialect.Event(block)
+		if err != nil {
+			return nil, err
+		}
+		if event.Blank {
+			continue
+		}
+		return block, q.events.take(event)
 	}
-	got, err := strconv.ParseInt(id, 10, 64)
-	last, lastErr := strconv.ParseInt(q.lastEventID, 10, 64)
-	if err == nil && lastErr == nil && got != last+1 {
-		return &failure{
-			stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: &EventGapError{Last: q.lastEventID, Got: id},
+	return nil, &BlankEventsError{Count: maxBlankBlocks}
+}
+
+// endStream ends a stream whose server says that it is complete.
+func (g *Gateway) endStream(ctx context.Context, q *request, out *answer, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
+	if err := q.events.end(); err != nil {
+		if !provesWhole(resp) {
+			err = io.ErrUnexpectedEOF // the connection was lost
 		}
+		result.Failed, result.Faulty = ctx.Err() == nil, isWrongEvent(err)
+		return brokenAnswer(ctx, err)
+	}
+	if !out.start(resp.Header, http.StatusOK) {
+		return brokenAnswer(ctx, net.ErrClosed)
 	}
-	q.lastEventID = id
 	return nil
 }
 
+// isWrongEvent reports whether the server sent bytes that do not belong to the stream.
+func isWrongEvent(err error) bool {
+	var invalid *laburnumlever.EventInvalidError
+	var gap *EventGapError
+	var numbering *EventNumberingError
+	var none *NoEventsError
+	var blank *BlankEventsError
+	return errors.As(err, &invalid) || errors.As(err, &gap) || errors.As(err, &numbering) || errors.As(err, &none) || errors.As(err, &blank)
+}
+
 // heardBody reports each part of an answer that arrives.
 type heardBody struct {
 	io.ReadCloser
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -51,12 +51,33 @@
 // Unwrap returns the cause.
 func (e *AttemptEndedError) Unwrap() error { return e.Cause }
 
-// EventGapError is a stream in which the event with id Got follows the one with id Last, although
-// ids must be consecutive.
-type EventGapError struct{ Last, Got string }
+// EventGapError is a stream in which event Got came where event Due was due.
+type EventGapError struct{ Due, Got int64 }
 
 func (e *EventGapError) Error() string {
-	return fmt.Sprintf("event %q follows event %q in the stream, ids must be consecutive", e.Got, e.Last)
+	return fmt.Sprintf("event %d of the stream came where event %d was due", e.Got, e.Due)
+}
+
+// EventNumberingError is an event with a number in a stream of events without, or the other way round.
+type EventNumberingError struct{ HasNumber bool }
+
+func (e *EventNumberingError) Error() string {
+	if e.HasNumber {
+		return "an event with a number came in a stream of events without"
+	}
+	return "an event without a number came in a stream of numbered events"
+}
+
+// NoEventsError is a stream that ended as complete without an event.
+type NoEventsError struct{}
+
+func (e *NoEventsError) Error() string { return "the stream ended as complete without an event" }
+
+// BlankEventsError is a stream in which Count blocks in a row carried nothing.
+type BlankEventsError struct{ Count int }
+
+func (e *BlankEventsError) Error() string {
+	return fmt.Sprintf("%d blocks of the stream in a row carried no event", e.Count)
 }
 
 // EventTooLongError is an event of a stream of which more than Limit bytes came without its end, and for which no more are held.
--- /dev/null
+++ b/laburnumgateway/garbage_test.go
@@ -0,0 +1,187 @@
+package laburnumgateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const streamLength = 6
+
+// goOn writes the events that are left of a stream from an event on, and its end.
+func goOn(conn net.Conn, from int) {
+	for i := from; i <= streamLength; i++ {
+		writeChunk(conn, event(i))
+	}
+	writeLastChunk(conn)
+}
+
+func event(i int) string { return fmt.Sprintf("id: %d\ndata: word-%d\n\n", i, i) }
+
+func eventsUpTo(last int) string {
+	var text strings.Builder
+	for i := 1; i <= last; i++ {
+		text.WriteString(event(i))
+	}
+	return text.String()
+}
+
+// garbled are the bytes of a server that spoils a stream after the event LAST.
+var garbled = map[string]string{
+	"random bytes":                "\x93\x1f\x00\xc8garbage\xff\xfe",
+	"random bytes and a new line": "\x93\x1f\xff\n",
+	"random bytes as a block":     "\x93\x1f\xff\n\n",
+	"random text":                 "kq7:zz garbage\n\n",
+	"bytes in a field":            "id: NEXT\ndata: \x93\xff\n\n",
+	"no id":                       "data: word\n\n",
+	"id that is no number":        "id: xNEXT\ndata: word\n\n",
+	"empty id":                    "id:\ndata: word\n\n",
+	"signed id":                   "id: +NEXT\ndata: word\n\n",
+	"id with zeros":               "id: 00NEXT\ndata: word\n\n",
+	"huge id":                     "id: 99999999999999999999999\ndata: word\n\n",
+	"two ids":                     "id: NEXT\nid: NEXT\ndata: word\n\n",
+	"no data":                     "id: NEXT\n\n",
+	"version only":                "x-laburnumlever-weight-versions: 2\n\n",
+	"wrong version":               "x-laburnumlever-weight-versions: two\nid: NEXT\ndata: word\n\n",
+	"event that was there":        "id: LAST\ndata: word\n\n",
+	"event too early":             "id: GAP\ndata: word\n\n",
+	"blocks without an event":     strings.Repeat(": beat\n\n", 1000),
+}
+
+// newSpoilingHarness has the first request spoiled, by whichever server gets it, and later ones answered as they should be.
+func newSpoilingHarness(t *testing.T, spoil func(conn net.Conn, a receivedRequest)) *harness {
+	var requests atomic.Int32
+	answer := func(conn net.Conn, a receivedRequest, _ int) {
+		if requests.Add(1) == 1 {
+			spoil(conn, a)
+			return
+		}
+		last := 0
+		_, _ = fmt.Sscan(a.request.Header.Get("Last-Event-Id"), &last)
+		writeEvents(conn, a, last+1, streamLength)
+		writeLastChunk(conn)
+	}
+	return newHarness(t, newBackend(t, "i-1", answer).heartbeat("quotes", "m0"), newBackend(t, "i-2", answer).heartbeat("quotes", "m0"))
+}
+
+// Guards against bytes that belong to no event of the stream, which reached callers, in streams that then ended as complete.
+func TestGarbageInAStreamReachesNoCaller(t *testing.T) {
+	for name, chunk := range garbled {
+		for _, after := range []int{0, 3} {
+			for _, ends := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s after %d, ends %t", name, after, ends), func(t *testing.T) {
+					t.Parallel()
+					spoil := func(conn net.Conn, a receivedRequest) {
+						writeEvents(conn, a, 1, after)
+						writeChunk(conn, strings.NewReplacer("NEXT", strconv.Itoa(after+1), "LAST", strconv.Itoa(after), "GAP", strconv.Itoa(after+2)).Replace(chunk))
+						if ends {
+							writeLastChunk(conn)
+							return
+						}
+						goOn(conn, after+1)
+					}
+					got := newSpoilingHarness(t, spoil).send("POST", "/quote/x", "oak", "X-Laburnumlever-Model", "m0")
+					require.NoError(t, got.err)
+					require.Equal(t, eventsUpTo(streamLength), got.body)
+
+					once := newSpoilingHarness(t, spoil).send("POST", "/draft/x", "oak", "X-Laburnumlever-Model", "m0")
+					if after == 0 {
+						require.Equal(t, http.StatusBadGateway, once.status, "nothing was written")
+						return
+					}
+					require.Error(t, once.err)
+					require.Equal(t, eventsUpTo(after), once.body)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a stream without events that is taken for a complete one, and one that was over for a broken one.
+func TestStreamWithoutEventsIsBrokenUnlessItGoesOn(t *testing.T) {
+	spoil := func(conn net.Conn, a receivedRequest) {
+		writeEvents(conn, a, 1, 0)
+		writeLastChunk(conn)
+	}
+	model := []string{"X-Laburnumlever-Model", "m0"}
+	b := newSpoilingHarness(t, spoil)
+	got := b.send("POST", "/quote/x", "oak", model...)
+	require.NoError(t, got.err)
+	require.Equal(t, eventsUpTo(streamLength), got.body)
+	require.Equal(t, http.StatusBadGateway, newSpoilingHarness(t, spoil).send("POST", "/draft/x", "oak", model...).status)
+	over := b.send("POST", "/quote/x", "oak", append(model, "Last-Event-Id", "6", "X-Laburnumlever-Resumes", "r-1", idHeader, "r-2")...)
+	require.NoError(t, over.err)
+	require.Equal(t, http.StatusOK, over.status)
+	require.Empty(t, over.body)
+}
+
+// Guards against the head of a server that sent garbage only on the answer of another one.
+func TestHeadIsThatOfTheServerOfTheFirstEvent(t *testing.T) {
+	b := newSpoilingHarness(t, func(conn net.Conn, a receivedRequest) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: spoiled\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			idHeader, a.request.Header.Get(idHeader), stampHeader)
+		writeChunk(conn, "garbage\n\n")
+		writeLastChunk(conn)
+	})
+	require.Equal(t, "s1", b.send("POST", "/quote/x", "oak", "X-Laburnumlever-Model", "m0").header.Get(stampHeader))
+}
+
+// Guards against lines of the event-stream format, and the platform's own, that are taken for garbage.
+func TestLinesOfTheFormatAreNoGarbage(t *testing.T) {
+	lines := "x-laburnumlever-weight-versions: 2\nid: 1\nevent: word\ndata: tab\tand Ünïcode\ndata\n\n" + "id:2\r\ndata:\r\n: beat\r\nretry: 10\r\n\r\n"
+	b := newSpoilingHarness(t, func(conn net.Conn, a receivedRequest) {
+		writeEvents(conn, a, 1, 0)
+		writeChunk(conn, ": beat\n\n")
+		writeChunk(conn, lines)
+		writeChunk(conn, "\nretry: 1\n\n")
+		writeLastChunk(conn)
+	})
+	got := b.send("POST", "/draft/x", "oak", "X-Laburnumlever-Model", "m0")
+	require.NoError(t, got.err)
+	require.Equal(t, lines, got.body)
+}
+
+// Guards against a stream that is joined to one which no server of the platform began.
+func TestLastEventThatIsNoNumberIsRefused(t *testing.T) {
+	b := newSpoilingHarness(t, func(conn net.Conn, a receivedRequest) { answerOK(conn, a, 1) })
+	for _, id := range []string{"x", "-1", "007", "1e3", "9999999999999999999"} {
+		got := b.send("POST", "/quote/x", "oak", "X-Laburnumlever-Model", "m0", "Last-Event-Id", id)
+		require.Equal(t, http.StatusBadRequest, got.status, id)
+	}
+}
+
+// Guards against events with and without numbers in one answer on a route that is no stream, whose servers number as they like.
+func TestEventsOfOtherRoutesAreNumberedThroughoutOrNot(t *testing.T) {
+	tests := map[string]struct {
+		text  string
+		whole bool
+	}{
+		"unnumbered":      {"data: one\n\ndata: two\n\n", true},
+		"numbered":        {eventsUpTo(2), true},
+		"numbers begin":   {"data: one\n\n" + event(1), false},
+		"numbers end":     {event(1) + "data: two\n\n", false},
+		"garbage":         {"data: one\n\n\x93\xff\n\n", false},
+		"number left out": {event(1) + event(3), false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+				writeAnswer(conn, a, http.StatusOK, tt.text, "Content-Type: text/event-stream")
+			})
+			got := newHarness(t, server.heartbeat("booking")).send("POST", "/confirm/x", "visit")
+			if !tt.whole {
+				require.Error(t, got.err)
+				require.True(t, strings.HasPrefix(tt.text, got.body))
+				return
+			}
+			require.NoError(t, got.err)
+			require.Equal(t, tt.text, got.body)
+		})
+	}
+}
--- a/laburnumgateway/links_test.go
+++ b/laburnumgateway/links_test.go
@@ -242,7 +242,7 @@
 	alive := answers("i-1")(t)
 	r := &reports{}
 	b := newLinksHarness(t, &fakeTunnels{real: map[string]string{record.Heartbeat.Address: alive.ln.Addr().String()}}, r, []laburnumregistry.Record{record})
-	require.Error(t, b.send("POST", "/draft/x", "innocent", "X-Laburnumlever-Model", "m0").err)
+	require.Equal(t, http.StatusBadGateway, b.send("POST", "/draft/x", "innocent", "X-Laburnumlever-Model", "m0").status)
 
 	var crashing *backend
 	crashing = newBackend(t, "i-2", crashAtOnce(func() net.Listener { return crashing.ln }))
--- a/laburnumgateway/look_test.go
+++ b/laburnumgateway/look_test.go
@@ -32,7 +32,7 @@
 				writeAnswer(conn, a, http.StatusOK, "", loadHeader+atLook)
 			}
 		default:
-			writeAnswer(conn, a, http.StatusOK, "data: word\n\n", loadHeader+load, "Content-Type: text/event-stream")
+			writeAnswer(conn, a, http.StatusOK, "id: 1\ndata: word\n\n", loadHeader+load, "Content-Type: text/event-stream")
 		}
 	})
 }
@@ -96,7 +96,7 @@
 			close(looked)
 			<-left
 		}
-		writeAnswer(conn, a, http.StatusOK, "data: word\n\n", loadHeader+"1,0,8,300", "Content-Type: text/event-stream")
+		writeAnswer(conn, a, http.StatusOK, "id: 1\ndata: word\n\n", loadHeader+"1,0,8,300", "Content-Type: text/event-stream")
 	})
 	far := newPacedEngine(t, "i-2", "1,0,8,300", "4,0,8,100")
 	b := newLookHarness(t, true, near, far)
--- a/laburnumgateway/parts_test.go
+++ b/laburnumgateway/parts_test.go
@@ -109,7 +109,7 @@
 	})
 	b, reports, _ := newQuarantineHarness(t, crashing.heartbeat("quotes", "m0"))
 	require.Equal(t, 200, b.quote("one", "aa:10").status)
-	require.Error(t, b.quote("two", "aa:10,dead:10").err)
+	require.Equal(t, http.StatusBadGateway, b.quote("two", "aa:10,dead:10").status)
 	require.Eventually(t, func() bool { return len(reports.sent().Parts) == 2 }, 10*time.Second, time.Millisecond)
 	for _, s := range reports.sent().Parts {
 		require.Equal(t, 1, s.Requests)
--- a/laburnumgateway/quarantine_test.go
+++ b/laburnumgateway/quarantine_test.go
@@ -93,7 +93,7 @@
 	first = newBackend(t, "i-1", crashAtOnce(func() net.Listener { return first.ln }))
 	second = newBackend(t, "i-2", crashAtOnce(func() net.Listener { return second.ln }))
 	b, reports, scope := newQuarantineHarness(t, first.heartbeat("quotes", "m0"), second.heartbeat("quotes", "m0"))
-	require.Error(t, b.send("POST", "/quote/x", "poison", "X-Laburnumlever-Model", "m0").err)
+	require.Equal(t, http.StatusBadGateway, b.send("POST", "/quote/x", "poison", "X-Laburnumlever-Model", "m0").status)
 	require.Eventually(t, func() bool { return len(reports.sent().Sightings) == 2 }, 10*time.Second, time.Millisecond)
 	digest := digestOf("POST", "/quote/x", "poison")
 	var servers []laburnumlever.BackendID
@@ -115,7 +115,7 @@
 	crashes = newBackend(t, "i-2", crashAtOnce(func() net.Listener { return crashes.ln }))
 	b, reports, _ := newQuarantineHarness(t, breaks.heartbeat("quotes", "m0"), crashes.heartbeat("quotes", "m1"))
 	require.Error(t, b.send("POST", "/quote/x", "innocent", "X-Laburnumlever-Model", "m0").err)
-	require.Error(t, b.send("POST", "/quote/x", "poison", "X-Laburnumlever-Model", "m1").err)
+	require.Equal(t, http.StatusBadGateway, b.send("POST", "/quote/x", "poison", "X-Laburnumlever-Model", "m1").status)
 	require.Eventually(t, func() bool { return len(reports.sent().Sightings) > 0 }, 10*time.Second, time.Millisecond)
 	for _, s := range reports.sent().Sightings {
 		require.Equal(t, digestOf("POST", "/quote/x", "poison"), s.Digest)
@@ -142,7 +142,7 @@
 	b.fleet.HandleAnswer("", laburnumfeed.Answer{Backends: []laburnumregistry.Record{record}})
 	close(end)
 	require.Error(t, (<-ended).err)
-	require.Error(t, b.send("POST", "/draft/x", "poison", "X-Laburnumlever-Model", "m1").err)
+	require.Equal(t, http.StatusBadGateway, b.send("POST", "/draft/x", "poison", "X-Laburnumlever-Model", "m1").status)
 	require.Eventually(t, func() bool { return len(reports.sent().Sightings) > 0 }, 10*time.Second, time.Millisecond)
 	for _, s := range reports.sent().Sightings {
 		require.Equal(t, laburnumlever.BackendID("i-2"), s.Backend)
@@ -207,7 +207,7 @@
 	second = newBackend(t, "i-2", crashAtOnce(func() net.Listener { return second.ln }))
 	b, _, _ := newQuarantineHarness(t, first.heartbeat("quotes", "m0"), second.heartbeat("quotes", "m0"))
 	b.list("a", laburnumquarantine.Suspect, digestOf("POST", "/quote/x", "poison"))
-	require.Error(t, b.send("POST", "/quote/x", "poison", "X-Laburnumlever-Model", "m0").err)
+	require.Equal(t, http.StatusBadGateway, b.send("POST", "/quote/x", "poison", "X-Laburnumlever-Model", "m0").status)
 	require.Equal(t, 1, len(first.requests())+len(second.requests()))
 }
 
@@ -245,7 +245,7 @@
 	require.Equal(t, 200, b.send("GET", "/lookup/x", "popular").status)
 	go func() { b.send("GET", "/lookup/x", "popular", idHeader, "hangs") }()
 	require.Eventually(t, func() bool { return len(server.requests()) == 2 }, 10*time.Second, time.Millisecond)
-	require.Error(t, b.send("GET", "/lookup/x", "poison").err)
+	require.Equal(t, http.StatusBadGateway, b.send("GET", "/lookup/x", "poison").status)
 	require.Eventually(t, func() bool { return len(reports.sent().Sightings) > 0 }, 10*time.Second, time.Millisecond)
 	for _, s := range reports.sent().Sightings {
 		require.Equal(t, digestOf("GET", "/lookup/x", "poison"), s.Digest)
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -103,9 +103,10 @@
 	// lease is the place on a brittle backend server that the request holds; nil for none.
 	lease *lease
 	// trial is the trial that the request holds; nil for none.
-	trial       *requestTrial
-	mostUrgent  bool // no route to the same service has a more urgent priority
-	lastEventID string
+	trial      *requestTrial
+	mostUrgent bool // no route to the same service has a more urgent priority
+	// events are those of the answer if it is a stream.
+	events eventSequence
 	// brokenAt is when the last part of an answer that broke off was written; zero if none did.
 	brokenAt time.Time
 	// contentDigest is zero until digest is first called.
@@ -155,7 +156,7 @@
 // parseRequest parses a request without its body. The error is a *laburnumlever.RefusalError.
 func (g *Gateway) parseRequest(q *request, r *http.Request) error {
 	caller, err := g.dialect.Request(r.Header)
-	q.caller, q.lastEventID = caller, caller.LastEvent
+	q.caller = caller
 	index := g.routes(r, caller.Timeout)
 	if index == nil {
 		return newRefusal(laburnumlever.RefusedNotReady, notReadyRetryAfter, "no route table received yet")
@@ -176,6 +177,9 @@
 	if caller.ID == "" {
 		return newRefusal(laburnumlever.RefusedBadRequest, 0, "the request id header is missing")
 	}
+	if q.events, err = newEventSequence(g.dialect, route.Kind, caller.LastEvent); err != nil {
+		return newRefusal(laburnumlever.RefusedBadRequest, 0, err.Error())
+	}
 	if err := g.fleet.identify(q, index); err != nil {
 		return err
 	}
@@ -286,9 +290,8 @@
 
 // forwardParams returns what is added to the headers for a backend server.
 func (q *request) forwardParams(backend laburnumlever.BackendID, now time.Time) laburnumlever.ForwardParams {
-	params := laburnumlever.ForwardParams{
-		Timeout: q.remaining(now), Backend: backend, LastEvent: q.lastEventID, Reservation: q.reservation, HideKey: q.checksKeys,
-	}
+	params := laburnumlever.ForwardParams{Timeout: q.remaining(now), Backend: backend, Reservation: q.reservation, HideKey: q.checksKeys}
+	params.LastEvent, params.HasLastEvent = q.events.resumesAfter()
 	if q.account != nil {
 		params.Account = q.account.Name
 		params.Urgency, params.HasUrgency = q.account.Priority, q.accountIndex.DiffersByAccount()
