fix: a broken stream is no whole one for a caller of HTTP/1.0

Such a connection is reset now, in all the places where a begun answer is aborted (broken stream, caller gone, stop of the VM, panic). In HTTP/1.1 the missing last chunk tells it, and events on their way are not dropped.

--- a/laburnumgateway/callers.go
+++ b/laburnumgateway/callers.go
@@ -270,3 +270,11 @@
 	defer c.callers.closed(c)
 	return c.Conn.Close()
 }
+
+// resetCaller has a caller's connection closed with a reset.
+func resetCaller(conn net.Conn) {
+	if own, ok := conn.(*callerConn); ok {
+		conn = own.Conn
+	}
+	laburnumsocket.ResetOnClose(conn)
+}
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -233,7 +233,7 @@
 	if out.started {
 		g.countRefusal(laburnumlever.RefusedBrokenStream)
 		g.logRefusal(q, laburnumlever.RefusedBrokenStream, 0, err)
-		panic(http.ErrAbortHandler) // aborts the connection, so that the caller detects the truncated answer
+		q.abort()
 	}
 	if q.errorAnswer != nil {
 		g.countRefusal(laburnumlever.RefusedBackendError)
@@ -249,7 +249,7 @@
 func (g *Gateway) endGone(q *request, out *answer) {
 	g.backlogs.dropHeld(q.conn, heldCallerGone)
 	if out.started {
-		panic(http.ErrAbortHandler)
+		q.abort()
 	}
 	status := http.StatusServiceUnavailable
 	if q.mayHaveRun {
@@ -273,7 +273,7 @@
 	if out.started {
 		g.countRefusal(laburnumlever.RefusedInternalError)
 		g.logRefusal(q, laburnumlever.RefusedInternalError, 0, cause)
-		panic(http.ErrAbortHandler)
+		q.abort()
 	}
 	q.mayHaveRun = q.mayHaveRun || q.sent > 0
 	g.answerRefusal(out.w, q, &laburnumlever.RefusalError{Reason: laburnumlever.RefusedInternalError, Outcome: laburnumlever.OutcomeUnknown, Detail: cause.Error()})
@@ -284,7 +284,7 @@
 	if out.started {
 		g.countRefusal(laburnumlever.RefusedVMStopped)
 		g.logRefusal(q, laburnumlever.RefusedVMStopped, 0, &VMStoppedError{})
-		panic(http.ErrAbortHandler)
+		q.abort()
 	}
 	refusal := &laburnumlever.RefusalError{
 		Reason: laburnumlever.RefusedVMStopped, Outcome: laburnumlever.OutcomeUnknown, Detail: err.Error(),
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -45,11 +45,13 @@
 	body     []byte
 	incoming *incomingBody // nil once the body has been read
 	// conn is the caller's connection, nil if it is not known. leave ends the request's context.
-	conn          net.Conn
-	leave         context.CancelCauseFunc
-	arrived       time.Time
-	deadline      time.Time
-	routesVersion uint64
+	conn net.Conn
+	// closeDelimited is set if an answer without a length ends with its connection, as in HTTP/1.0.
+	closeDelimited bool
+	leave          context.CancelCauseFunc
+	arrived        time.Time
+	deadline       time.Time
+	routesVersion  uint64
 
 	// sent counts the attempts that were sent, the last one at sentAt; tries also counts those that were not.
 	sent, tries int
@@ -149,10 +151,19 @@
 	conn := laburnumsocket.FromContext(r.Context())
 	return &request{
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, incoming: newIncomingBody(w, r), conn: conn,
-		arrived: g.timers.Now().Add(-laburnumsocket.SinceReceived(conn)),
+		closeDelimited: !r.ProtoAtLeast(1, 1), arrived: g.timers.Now().Add(-laburnumsocket.SinceReceived(conn)),
 	}
 }
 
+// abort ends the caller's connection in the middle of an answer, so that the caller detects that it is truncated. An orderly close would
+// be the end of one that is delimited by it.
+func (q *request) abort() {
+	if q.closeDelimited {
+		resetCaller(q.conn)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // parseRequest parses a request without its body. The error is a *laburnumlever.RefusalError.
 func (g *Gateway) parseRequest(q *request, r *http.Request) error {
 	caller, err := g.dialect.Request(r.Header)
