--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -188,7 +188,7 @@
 	for first := true; ; first = false {
 		event, err := g.nextEvent(q, events)
 		if err != nil && !errors.Is(err, io.EOF) {
-			result.Failed, result.Faulty = ctx.Err() == nil, isWrongEvent(err)
+			result.Failed = ctx.Err() == nil
 			if out.started {
 				_ = flusher.Flush() // the whole events before the break; a caller that has gone is noticed by the next write
 			}
@@ -252,7 +252,7 @@
 		if !provesWhole(resp) {
 			err = io.ErrUnexpectedEOF // the connection was lost
 		}
-		result.Failed, result.Faulty = ctx.Err() == nil, isWrongEvent(err)
+		result.Failed = ctx.Err() == nil
 		return brokenAnswer(ctx, err)
 	}
 	if !out.start(resp.Header, http.StatusOK) {
@@ -261,16 +261,6 @@
 	return nil
 }
 
-// isWrongEvent reports whether the server sent bytes that do not belong to the stream.
-func isWrongEvent(err error) bool {
-	var invalid *laburnumlever.EventInvalidError
-	var gap *EventGapError
-	var numbering *EventNumberingError
-	var none *NoEventsError
-	var blank *BlankEventsError
-	return errors.As(err, &invalid) || errors.As(err, &gap) || errors.As(err, &numbering) || errors.As(err, &none) || errors.As(err, &blank)
-}
-
 // heardBody reports each part of an answer that arrives.
 type heardBody struct {
 	io.ReadCloser
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -20,12 +20,15 @@
 const backendTimeoutSlack = 100 * time.Millisecond
 
 // attempt makes one attempt. A nil failure means that the complete answer was forwarded.
-func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket) *failure {
+func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket) (fail *failure) {
 	q.tries++
 	q.backend, q.via, q.begunAt, q.sound = ticket.Backend.Backend, "", time.Time{}, false
 	result := laburnumbalance.AttemptResult{}
 	g.fleet.beginAdapterUse(q)
-	defer func() { g.fleet.release(q, ticket, result) }()
+	defer func() {
+		g.judgeGarbage(q, out, ticket, fail, &result)
+		g.fleet.release(q, ticket, result)
+	}()
 	conn, fail := g.connect(ctx, q, ticket, &result)
 	if fail != nil {
 		return fail
@@ -143,7 +146,7 @@
 		Header: g.dialect.Forward(q.header, q.forwardParams(ticket.Backend.Backend, now)),
 	})
 	if err != nil {
-		result.Failed, result.Faulty = ctx.Err() == nil, isNoAnswer(err)
+		result.Failed = ctx.Err() == nil
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: err}, nil
 	}
 	g.links.heard(wait, conn)
@@ -165,12 +168,6 @@
 	return fail, resp
 }
 
-// isNoAnswer reports whether the backend server sent bytes that are no answer.
-func isNoAnswer(err error) bool {
-	var wrong *laburnumupstream.NoAnswerError
-	return errors.As(err, &wrong)
-}
-
 // provesWhole reports whether a server that crashes can't have ended the answer: its end shows in the answer itself. One that ends
 // with its connection looks whole then.
 func provesWhole(resp *http.Response) bool {
@@ -181,7 +178,7 @@
 // one which says that the request did not run.
 func (g *Gateway) checkAnswer(q *request, ticket *laburnumbalance.Ticket, resp *http.Response, headers laburnumlever.AnswerHeaders, result *laburnumbalance.AttemptResult) *failure {
 	if headers.RequestID != q.caller.ID && (headers.RequestID != "" || !headers.NotRun) {
-		result.Failed, result.Faulty = true, true
+		result.Failed = true
 		return &failure{
 			stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCrossedAnswer,
 			cause: &CrossedAnswerError{Want: q.caller.ID, Got: headers.RequestID},
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -53,6 +53,7 @@
 	retries      map[laburnumlever.RetryReason]tally.Counter
 	reservations map[reserveOutcome]tally.Counter
 	looks        map[lookOutcome]tally.Counter
+	garbage      map[garbageKind]tally.Counter
 	slots        map[slotOutcome]tally.Counter
 	// returnsAtOnce and returnsAfterWait count callers that were told when a slot or a model is expected, before and after they
 	// waited.
@@ -93,7 +94,7 @@
 	c := &counters{
 		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), linksLost: scope.Counter("links_lost"), detours: scope.Counter("detours"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
-		reservations: map[reserveOutcome]tally.Counter{}, looks: map[lookOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{},
+		reservations: map[reserveOutcome]tally.Counter{}, looks: map[lookOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{}, garbage: map[garbageKind]tally.Counter{},
 		returnsAtOnce: map[laburnumreturn.Kind]tally.Counter{}, returnsAfterWait: map[laburnumreturn.Kind]tally.Counter{},
 		leaseProbes: map[slotOutcome]tally.Counter{}, leaseWaits: map[slotOutcome]tally.Counter{},
 		latencies:     map[laburnumlever.ServiceName]*latencies{},
@@ -123,6 +124,9 @@
 	for _, outcome := range lookOutcomeValues() {
 		c.looks[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("looks")
 	}
+	for _, kind := range garbageKindValues() {
+		c.garbage[kind] = scope.Tagged(map[string]string{"kind": kind.String()}).Counter("garbage_received")
+	}
 	for _, outcome := range slotOutcomeValues() {
 		c.slots[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("limit_slots")
 		c.leaseProbes[outcome] = scope.Tagged(map[string]string{"outcome": outcome.String(), "waits": "false"}).Counter("lease_calls")
--- /dev/null
+++ b/laburnumgateway/garbage.go
@@ -0,0 +1,86 @@
+package laburnumgateway
+
+import (
+	"laburnumlever"
+	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumupstream"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+)
+
+//go:generate go tool -modfile=../tools/go.mod enumer -type=garbageKind -transform=kebab -trimprefix=garbage -output=garbagekind_gen.go
+
+// garbageKind is in which way the bytes of a backend server are no part of an answer.
+type garbageKind int
+
+const (
+	// garbageNotHTTP can't be a head, or a chunk of a body.
+	garbageNotHTTP garbageKind = iota
+	// garbageInvalidEvent is a block of a stream that is no event.
+	garbageInvalidEvent
+	// garbageNumbering is an event without a number in a stream of numbered events, or the other way round.
+	garbageNumbering
+	// garbageOutOfOrder is an event that is not the next one.
+	garbageOutOfOrder
+	// garbageBlankEvents are too many blocks in a row that carry no event.
+	garbageBlankEvents
+	// garbageNoEvents is a stream that ends as complete without an event.
+	garbageNoEvents
+	// garbageCrossedAnswer is an answer that belongs to another request.
+	garbageCrossedAnswer
+	// garbageBytesAfterEnd follows a complete answer.
+	garbageBytesAfterEnd
+)
+
+// garbageOf returns the kind of garbage that an attempt failed for, and whether it was garbage.
+func garbageOf(err error) (garbageKind, bool) {
+	var (
+		notHTTP   *laburnumupstream.NoAnswerError
+		invalid   *laburnumlever.EventInvalidError
+		numbering *EventNumberingError
+		gap       *EventGapError
+		blank     *BlankEventsError
+		none      *NoEventsError
+		crossed   *CrossedAnswerError
+	)
+	switch {
+	case errors.As(err, &notHTTP):
+		return garbageNotHTTP, true
+	case errors.As(err, &invalid):
+		return garbageInvalidEvent, true
+	case errors.As(err, &numbering):
+		return garbageNumbering, true
+	case errors.As(err, &gap):
+		return garbageOutOfOrder, true
+	case errors.As(err, &blank):
+		return garbageBlankEvents, true
+	case errors.As(err, &none):
+		return garbageNoEvents, true
+	case errors.As(err, &crossed):
+		return garbageCrossedAnswer, true
+	default:
+		return 0, false
+	}
+}
+
+// judgeGarbage counts garbage that an attempt failed for against its server, and logs it.
+func (g *Gateway) judgeGarbage(q *request, out *answer, ticket *laburnumbalance.Ticket, fail *failure, result *laburnumbalance.AttemptResult) {
+	if fail == nil || fail.end != endNone {
+		return
+	}
+	kind, ok := garbageOf(fail.cause)
+	if !ok {
+		return
+	}
+	result.Faulty = true
+	g.noteGarbage(q, out, ticket, kind, fail.cause)
+}
+
+// noteGarbage counts and logs garbage.
+func (g *Gateway) noteGarbage(q *request, out *answer, ticket *laburnumbalance.Ticket, kind garbageKind, cause error) {
+	g.counters.garbage[kind].Inc(1)
+	_ = level.Warn(g.logger).Log(
+		"event", laburnumlever.EventGarbageReceived, "request-id", q.caller.ID, "backend", ticket.Backend.Backend, "service", q.service.Name,
+		"address", ticket.Backend.Address, "software", ticket.Backend.Software, "via", q.via, "kind", kind, "events", out.events, "cause", cause)
+}
--- a/laburnumgateway/garbage_test.go
+++ b/laburnumgateway/garbage_test.go
@@ -1,6 +1,7 @@
 package laburnumgateway_test
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,8 +9,15 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"laburnumlever"
+	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumoutlier"
 )
 
 const streamLength = 6
@@ -185,3 +193,39 @@
 		})
 	}
 }
+
+// Guards against servers that send garbage and lose no work by it, whose neighbours lose some, or whom nobody finds in logs and metrics.
+func TestServersThatSendGarbageAreDetected(t *testing.T) {
+	for kind, garbage := range map[string]string{"invalid-event": "5\r\n\x93\xff\n\n\n\r\n", "not-http": "\x93\xff\r\n"} {
+		t.Run(kind, func(t *testing.T) {
+			spoils := func(conn net.Conn, a receivedRequest, n int) {
+				writeEvents(conn, a, 1, 2)
+				if n%3 == 1 {
+					fmt.Fprint(conn, garbage)
+				}
+				goOn(conn, 3)
+			}
+			whole := func(conn net.Conn, a receivedRequest, _ int) {
+				writeEvents(conn, a, 1, 2)
+				goOn(conn, 3)
+			}
+			logged, scope := &bytes.Buffer{}, tally.NewTestScope("", nil)
+			b := newUnconfiguredHarness(t, laburnumgateway.WithScope(scope), laburnumgateway.WithLogger(log.NewLogfmtLogger(log.NewSyncWriter(logged))))
+			b.fleet.HandleRoutes(testRoutes())
+			spoiling, sound := newBackend(t, "i-1", spoils), newBackend(t, "i-2", whole)
+			b.announce(spoiling.heartbeat("quotes", "m0"), sound.heartbeat("quotes", "m0"))
+			for range 30 {
+				_ = b.send("POST", "/draft/x", "oak", "X-Laburnumlever-Model", "m0")
+			}
+			require.Less(t, len(spoiling.requests()), len(sound.requests()))
+			detector, outcomes := laburnumoutlier.New(), b.fleet.GatewayReport().Outcomes
+			_ = detector.Add(outcomes, time.Now())
+			require.Equal(t, []laburnumlever.BackendID{"i-1"}, detector.Add(outcomes, time.Now()), "two gateways report it")
+			b.server.Close()
+			require.Contains(t, logged.String(), "event=garbage-received request-id=r-1 backend=i-1 service=quotes")
+			require.NotContains(t, logged.String(), "event=garbage-received request-id=r-1 backend=i-2")
+			require.Contains(t, logged.String(), "kind="+kind+" events=2")
+			require.Positive(t, scope.Snapshot().Counters()["garbage_received+kind="+kind].Value())
+		})
+	}
+}
--- a/laburnumupstream/head.go
+++ b/laburnumupstream/head.go
@@ -55,6 +55,7 @@
 		if err != nil {
 			return nil, classify(err)
 		}
+		resp.Body = &body{ReadCloser: resp.Body}
 		if resp.StatusCode < 100 || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
@@ -94,3 +95,15 @@
 	}
 	return &NoAnswerError{Cause: err}
 }
+
+// body tells bytes that can't belong to an answer's body from a connection that failed.
+type body struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = classify(err)
+	}
+	return n, err
+}
--- a/logevent.go
+++ b/logevent.go
@@ -16,6 +16,8 @@
 	EventRequestPanicked
 	// EventAttemptFailed is an attempt at a backend server that returned no complete answer.
 	EventAttemptFailed
+	// EventGarbageReceived are bytes of a backend server that are no part of an answer, or not of the one that is due.
+	EventGarbageReceived
 	// EventSlowCallerEnded is a caller whose connection was ended since it did not take its answer, and why.
 	EventSlowCallerEnded
 	// EventReservationUnclear is an engine's answer to a slot reservation that is neither a grant
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 76, 94, 108, 115, 134, 147, 166, 186, 206, 225, 244, 262, 278, 291, 303, 309, 324, 341, 354, 371, 384, 394, 408, 421, 435, 454, 474, 493, 515, 529, 548, 564, 580, 591, 604, 627, 640, 655, 667, 679, 692, 705, 719, 734, 752, 766, 782, 798, 811, 827, 843, 858, 872, 882, 893, 906, 927, 943, 961, 972, 988, 1004, 1019, 1033, 1047, 1062, 1080, 1098, 1116, 1134, 1147, 1163, 1172, 1186, 1201, 1218, 1233, 1246, 1261, 1272, 1286, 1299, 1325, 1343, 1357, 1374, 1393, 1414, 1423, 1433, 1450, 1468, 1478, 1487, 1504, 1518, 1530, 1546, 1553, 1561, 1568, 1575, 1592, 1608, 1622, 1640, 1653, 1663, 1680}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 110, 124, 131, 150, 163, 182, 202, 222, 241, 260, 278, 294, 307, 319, 325, 340, 357, 370, 387, 400, 410, 424, 437, 451, 470, 490, 509, 531, 545, 564, 580, 596, 607, 620, 643, 656, 671, 683, 695, 708, 721, 735, 750, 768, 782, 798, 814, 827, 843, 859, 874, 888, 898, 909, 922, 943, 959, 977, 988, 1004, 1020, 1035, 1049, 1063, 1078, 1096, 1114, 1132, 1150, 1163, 1179, 1188, 1202, 1217, 1234, 1249, 1262, 1277, 1288, 1302, 1315, 1341, 1359, 1373, 1390, 1409, 1430, 1439, 1449, 1466, 1484, 1494, 1503, 1520, 1534, 1546, 1562, 1569, 1577, 1584, 1591, 1608, 1624, 1638, 1656, 1669, 1679, 1696}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -28,233 +28,235 @@
 	_ = x[EventRequestRefused-(1)]
 	_ = x[EventRequestPanicked-(2)]
 	_ = x[EventAttemptFailed-(3)]
-	_ = x[EventSlowCallerEnded-(4)]
-	_ = x[EventReservationUnclear-(5)]
-	_ = x[EventCrossedAnswer-(6)]
-	_ = x[EventRefused-(7)]
-	_ = x[EventAnswerNotRecorded-(8)]
-	_ = x[EventBackendChanged-(9)]
-	_ = x[EventBackendsRemembered-(10)]
-	_ = x[EventRememberedForgotten-(11)]
-	_ = x[EventEndpointsNotLoaded-(12)]
-	_ = x[EventEndpointsNotSaved-(13)]
-	_ = x[EventVersionsNotLoaded-(14)]
-	_ = x[EventVersionsNotSaved-(15)]
-	_ = x[EventBackendReplaced-(16)]
-	_ = x[EventAdapterLoaded-(17)]
-	_ = x[EventLoadDecided-(18)]
-	_ = x[EventLayout-(19)]
-	_ = x[EventBackendCrashed-(20)]
-	_ = x[EventCrashUnconfirmed-(21)]
-	_ = x[EventDetourOpened-(22)]
-	_ = x[EventDetourNotOpened-(23)]
-	_ = x[EventDetourClosed-(24)]
-	_ = x[EventLinksLost-(25)]
-	_ = x[EventLinksRestored-(26)]
-	_ = x[EventBackendRests-(27)]
-	_ = x[EventBackendLeaves-(28)]
-	_ = x[EventHelperNotNotified-(29)]
-	_ = x[EventSoftwareVersionNew-(30)]
-	_ = x[EventStreamNotRecorded-(31)]
-	_ = x[EventStreamVersionUnknown-(32)]
-	_ = x[EventLinksVerified-(33)]
-	_ = x[EventRequestQuarantined-(34)]
-	_ = x[EventRequestReleased-(35)]
-	_ = x[EventPartQuarantined-(36)]
-	_ = x[EventPartLifted-(37)]
-	_ = x[EventPartReleased-(38)]
-	_ = x[EventQuarantineNotReported-(39)]
-	_ = x[EventLimitChanged-(40)]
-	_ = x[EventBrittleChanged-(41)]
-	_ = x[EventLoadUnclear-(42)]
-	_ = x[EventRoomChanged-(43)]
-	_ = x[EventForeignEntry-(44)]
-	_ = x[EventLimitUnclear-(45)]
-	_ = x[EventSlotRequested-(46)]
-	_ = x[EventSlotUnanswered-(47)]
-	_ = x[EventLimitNotReported-(48)]
-	_ = x[EventKeysConfirmed-(49)]
-	_ = x[EventKeysUnconfirmed-(50)]
-	_ = x[EventAccountsUnknown-(51)]
-	_ = x[EventQuotaUsedUp-(52)]
-	_ = x[EventQuotaUnanswered-(53)]
-	_ = x[EventOutlierDetected-(54)]
-	_ = x[EventModelWithdrawn-(55)]
-	_ = x[EventOrderAnswered-(56)]
-	_ = x[EventOrderDone-(57)]
-	_ = x[EventOrderStateChanged-(58)]
-	_ = x[EventOrderRefused-(59)]
-	_ = x[EventOrderOutcomeUnknown-(60)]
-	_ = x[EventEngineStateNotRead-(61)]
-	_ = x[EventInventoryNotRead-(62)]
-	_ = x[EventLoadFailed-(63)]
-	_ = x[EventBackendStateNotEncoded-(64)]
-	_ = x[EventRegistryRefused-(65)]
-	_ = x[EventRoutesProposed-(66)]
-	_ = x[EventRoutesRefused-(67)]
-	_ = x[EventRoutesApplied-(68)]
-	_ = x[EventRoutesInEffect-(69)]
-	_ = x[EventRoutesNotDecoded-(70)]
-	_ = x[EventRoutesNotEncoded-(71)]
-	_ = x[EventRoutesNotFetched-(72)]
-	_ = x[EventCatalogueInEffect-(73)]
-	_ = x[EventBecameLeader-(74)]
-	_ = x[EventCommandRejected-(75)]
-	_ = x[EventNoLeader-(76)]
-	_ = x[EventReplicaOpened-(77)]
-	_ = x[EventStartConfirmed-(78)]
-	_ = x[EventStartUnconfirmed-(79)]
-	_ = x[EventVotersChanged-(80)]
-	_ = x[EventLearnerAdded-(81)]
-	_ = x[EventLearnerRemoved-(82)]
-	_ = x[EventVoterAdded-(83)]
-	_ = x[EventVoterReplaced-(84)]
-	_ = x[EventVoterStandby-(85)]
-	_ = x[EventLeadershipNotHandedOver-(86)]
-	_ = x[EventExpiryNotEncoded-(87)]
-	_ = x[EventReplicaFailed-(88)]
-	_ = x[EventReplicaRegressed-(89)]
-	_ = x[EventDataFolderDamaged-(90)]
-	_ = x[EventDataFolderRegressed-(91)]
-	_ = x[EventLeaseAcquired-(92)]
-	_ = x[EventLeaseLost-(93)]
-	_ = x[EventLeaseNotRenewed-(94)]
-	_ = x[EventLeaseNotReleased-(95)]
-	_ = x[EventZoneOwned-(96)]
-	_ = x[EventZoneLost-(97)]
-	_ = x[EventMessageTooLarge-(98)]
-	_ = x[EventControlThreadTimes-(99)]
-	_ = x[EventControlLost-(100)]
-	_ = x[EventControlRegained-(101)]
-	_ = x[EventStarted-(102)]
-	_ = x[EventDraining-(103)]
-	_ = x[EventDrained-(104)]
-	_ = x[EventStopped-(105)]
-	_ = x[EventSettingsReloaded-(106)]
-	_ = x[EventSettingsRefused-(107)]
-	_ = x[EventListenerEnded-(108)]
-	_ = x[EventMetricsNotServed-(109)]
-	_ = x[EventUnknownEvent-(110)]
-	_ = x[EventOverloaded-(111)]
-	_ = x[EventLogLinesDropped-(112)]
+	_ = x[EventGarbageReceived-(4)]
+	_ = x[EventSlowCallerEnded-(5)]
+	_ = x[EventReservationUnclear-(6)]
+	_ = x[EventCrossedAnswer-(7)]
+	_ = x[EventRefused-(8)]
+	_ = x[EventAnswerNotRecorded-(9)]
+	_ = x[EventBackendChanged-(10)]
+	_ = x[EventBackendsRemembered-(11)]
+	_ = x[EventRememberedForgotten-(12)]
+	_ = x[EventEndpointsNotLoaded-(13)]
+	_ = x[EventEndpointsNotSaved-(14)]
+	_ = x[EventVersionsNotLoaded-(15)]
+	_ = x[EventVersionsNotSaved-(16)]
+	_ = x[EventBackendReplaced-(17)]
+	_ = x[EventAdapterLoaded-(18)]
+	_ = x[EventLoadDecided-(19)]
+	_ = x[EventLayout-(20)]
+	_ = x[EventBackendCrashed-(21)]
+	_ = x[EventCrashUnconfirmed-(22)]
+	_ = x[EventDetourOpened-(23)]
+	_ = x[EventDetourNotOpened-(24)]
+	_ = x[EventDetourClosed-(25)]
+	_ = x[EventLinksLost-(26)]
+	_ = x[EventLinksRestored-(27)]
+	_ = x[EventBackendRests-(28)]
+	_ = x[EventBackendLeaves-(29)]
+	_ = x[EventHelperNotNotified-(30)]
+	_ = x[EventSoftwareVersionNew-(31)]
+	_ = x[EventStreamNotRecorded-(32)]
+	_ = x[EventStreamVersionUnknown-(33)]
+	_ = x[EventLinksVerified-(34)]
+	_ = x[EventRequestQuarantined-(35)]
+	_ = x[EventRequestReleased-(36)]
+	_ = x[EventPartQuarantined-(37)]
+	_ = x[EventPartLifted-(38)]
+	_ = x[EventPartReleased-(39)]
+	_ = x[EventQuarantineNotReported-(40)]
+	_ = x[EventLimitChanged-(41)]
+	_ = x[EventBrittleChanged-(42)]
+	_ = x[EventLoadUnclear-(43)]
+	_ = x[EventRoomChanged-(44)]
+	_ = x[EventForeignEntry-(45)]
+	_ = x[EventLimitUnclear-(46)]
+	_ = x[EventSlotRequested-(47)]
+	_ = x[EventSlotUnanswered-(48)]
+	_ = x[EventLimitNotReported-(49)]
+	_ = x[EventKeysConfirmed-(50)]
+	_ = x[EventKeysUnconfirmed-(51)]
+	_ = x[EventAccountsUnknown-(52)]
+	_ = x[EventQuotaUsedUp-(53)]
+	_ = x[EventQuotaUnanswered-(54)]
+	_ = x[EventOutlierDetected-(55)]
+	_ = x[EventModelWithdrawn-(56)]
+	_ = x[EventOrderAnswered-(57)]
+	_ = x[EventOrderDone-(58)]
+	_ = x[EventOrderStateChanged-(59)]
+	_ = x[EventOrderRefused-(60)]
+	_ = x[EventOrderOutcomeUnknown-(61)]
+	_ = x[EventEngineStateNotRead-(62)]
+	_ = x[EventInventoryNotRead-(63)]
+	_ = x[EventLoadFailed-(64)]
+	_ = x[EventBackendStateNotEncoded-(65)]
+	_ = x[EventRegistryRefused-(66)]
+	_ = x[EventRoutesProposed-(67)]
+	_ = x[EventRoutesRefused-(68)]
+	_ = x[EventRoutesApplied-(69)]
+	_ = x[EventRoutesInEffect-(70)]
+	_ = x[EventRoutesNotDecoded-(71)]
+	_ = x[EventRoutesNotEncoded-(72)]
+	_ = x[EventRoutesNotFetched-(73)]
+	_ = x[EventCatalogueInEffect-(74)]
+	_ = x[EventBecameLeader-(75)]
+	_ = x[EventCommandRejected-(76)]
+	_ = x[EventNoLeader-(77)]
+	_ = x[EventReplicaOpened-(78)]
+	_ = x[EventStartConfirmed-(79)]
+	_ = x[EventStartUnconfirmed-(80)]
+	_ = x[EventVotersChanged-(81)]
+	_ = x[EventLearnerAdded-(82)]
+	_ = x[EventLearnerRemoved-(83)]
+	_ = x[EventVoterAdded-(84)]
+	_ = x[EventVoterReplaced-(85)]
+	_ = x[EventVoterStandby-(86)]
+	_ = x[EventLeadershipNotHandedOver-(87)]
+	_ = x[EventExpiryNotEncoded-(88)]
+	_ = x[EventReplicaFailed-(89)]
+	_ = x[EventReplicaRegressed-(90)]
+	_ = x[EventDataFolderDamaged-(91)]
+	_ = x[EventDataFolderRegressed-(92)]
+	_ = x[EventLeaseAcquired-(93)]
+	_ = x[EventLeaseLost-(94)]
+	_ = x[EventLeaseNotRenewed-(95)]
+	_ = x[EventLeaseNotReleased-(96)]
+	_ = x[EventZoneOwned-(97)]
+	_ = x[EventZoneLost-(98)]
+	_ = x[EventMessageTooLarge-(99)]
+	_ = x[EventControlThreadTimes-(100)]
+	_ = x[EventControlLost-(101)]
+	_ = x[EventControlRegained-(102)]
+	_ = x[EventStarted-(103)]
+	_ = x[EventDraining-(104)]
+	_ = x[EventDrained-(105)]
+	_ = x[EventStopped-(106)]
+	_ = x[EventSettingsReloaded-(107)]
+	_ = x[EventSettingsRefused-(108)]
+	_ = x[EventListenerEnded-(109)]
+	_ = x[EventMetricsNotServed-(110)]
+	_ = x[EventUnknownEvent-(111)]
+	_ = x[EventOverloaded-(112)]
+	_ = x[EventLogLinesDropped-(113)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
 	_LogEventName[14:29]:     EventRequestRefused,
 	_LogEventName[29:45]:     EventRequestPanicked,
 	_LogEventName[45:59]:     EventAttemptFailed,
-	_LogEventName[59:76]:     EventSlowCallerEnded,
-	_LogEventName[76:94]:     EventReservationUnclear,
-	_LogEventName[94:108]:    EventCrossedAnswer,
-	_LogEventName[108:115]:   EventRefused,
-	_LogEventName[115:134]:   EventAnswerNotRecorded,
-	_LogEventName[134:147]:   EventBackendChanged,
-	_LogEventName[147:166]:   EventBackendsRemembered,
-	_LogEventName[166:186]:   EventRememberedForgotten,
-	_LogEventName[186:206]:   EventEndpointsNotLoaded,
-	_LogEventName[206:225]:   EventEndpointsNotSaved,
-	_LogEventName[225:244]:   EventVersionsNotLoaded,
-	_LogEventName[244:262]:   EventVersionsNotSaved,
-	_LogEventName[262:278]:   EventBackendReplaced,
-	_LogEventName[278:291]:   EventAdapterLoaded,
-	_LogEventName[291:303]:   EventLoadDecided,
-	_LogEventName[303:309]:   EventLayout,
-	_LogEventName[309:324]:   EventBackendCrashed,
-	_LogEventName[324:341]:   EventCrashUnconfirmed,
-	_LogEventName[341:354]:   EventDetourOpened,
-	_LogEventName[354:371]:   EventDetourNotOpened,
-	_LogEventName[371:384]:   EventDetourClosed,
-	_LogEventName[384:394]:   EventLinksLost,
-	_LogEventName[394:408]:   EventLinksRestored,
-	_LogEventName[408:421]:   EventBackendRests,
-	_LogEventName[421:435]:   EventBackendLeaves,
-	_LogEventName[435:454]:   EventHelperNotNotified,
-	_LogEventName[454:474]:   EventSoftwareVersionNew,
-	_LogEventName[474:493]:   EventStreamNotRecorded,
-	_LogEventName[493:515]:   EventStreamVersionUnknown,
-	_LogEventName[515:529]:   EventLinksVerified,
-	_LogEventName[529:548]:   EventRequestQuarantined,
-	_LogEventName[548:564]:   EventRequestReleased,
-	_LogEventName[564:580]:   EventPartQuarantined,
-	_LogEventName[580:591]:   EventPartLifted,
-	_LogEventName[591:604]:   EventPartReleased,
-	_LogEventName[604:627]:   EventQuarantineNotReported,
-	_LogEventName[627:640]:   EventLimitChanged,
-	_LogEventName[640:655]:   EventBrittleChanged,
-	_LogEventName[655:667]:   EventLoadUnclear,
-	_LogEventName[667:679]:   EventRoomChanged,
-	_LogEventName[679:692]:   EventForeignEntry,
-	_LogEventName[692:705]:   EventLimitUnclear,
-	_LogEventName[705:719]:   EventSlotRequested,
-	_LogEventName[719:734]:   EventSlotUnanswered,
-	_LogEventName[734:752]:   EventLimitNotReported,
-	_LogEventName[752:766]:   EventKeysConfirmed,
-	_LogEventName[766:782]:   EventKeysUnconfirmed,
-	_LogEventName[782:798]:   EventAccountsUnknown,
-	_LogEventName[798:811]:   EventQuotaUsedUp,
-	_LogEventName[811:827]:   EventQuotaUnanswered,
-	_LogEventName[827:843]:   EventOutlierDetected,
-	_LogEventName[843:858]:   EventModelWithdrawn,
-	_LogEventName[858:872]:   EventOrderAnswered,
-	_LogEventName[872:882]:   EventOrderDone,
-	_LogEventName[882:893]:   EventOrderStateChanged,
-	_LogEventName[893:906]:   EventOrderRefused,
-	_LogEventName[906:927]:   EventOrderOutcomeUnknown,
-	_LogEventName[927:943]:   EventEngineStateNotRead,
-	_LogEventName[943:961]:   EventInventoryNotRead,
-	_LogEventName[961:972]:   EventLoadFailed,
-	_LogEventName[972:988]:   EventBackendStateNotEncoded,
-	_LogEventName[988:1004]:  EventRegistryRefused,
-	_LogEventName[1004:1019]: EventRoutesProposed,
-	_LogEventName[1019:1033]: EventRoutesRefused,
-	_LogEventName[1033:1047]: EventRoutesApplied,
-	_LogEventName[1047:1062]: EventRoutesInEffect,
-	_LogEventName[1062:1080]: EventRoutesNotDecoded,
-	_LogEventName[1080:1098]: EventRoutesNotEncoded,
-	_LogEventName[1098:1116]: EventRoutesNotFetched,
-	_LogEventName[1116:1134]: EventCatalogueInEffect,
-	_LogEventName[1134:1147]: EventBecameLeader,
-	_LogEventName[1147:1163]: EventCommandRejected,
-	_LogEventName[1163:1172]: EventNoLeader,
-	_LogEventName[1172:1186]: EventReplicaOpened,
-	_LogEventName[1186:1201]: EventStartConfirmed,
-	_LogEventName[1201:1218]: EventStartUnconfirmed,
-	_LogEventName[1218:1233]: EventVotersChanged,
-	_LogEventName[1233:1246]: EventLearnerAdded,
-	_LogEventName[1246:1261]: EventLearnerRemoved,
-	_LogEventName[1261:1272]: EventVoterAdded,
-	_LogEventName[1272:1286]: EventVoterReplaced,
-	_LogEventName[1286:1299]: EventVoterStandby,
-	_LogEventName[1299:1325]: EventLeadershipNotHandedOver,
-	_LogEventName[1325:1343]: EventExpiryNotEncoded,
-	_LogEventName[1343:1357]: EventReplicaFailed,
-	_LogEventName[1357:1374]: EventReplicaRegressed,
-	_LogEventName[1374:1393]: EventDataFolderDamaged,
-	_LogEventName[1393:1414]: EventDataFolderRegressed,
-	_LogEventName[1414:1423]: EventLeaseAcquired,
-	_LogEventName[1423:1433]: EventLeaseLost,
-	_LogEventName[1433:1450]: EventLeaseNotRenewed,
-	_LogEventName[1450:1468]: EventLeaseNotReleased,
-	_LogEventName[1468:1478]: EventZoneOwned,
-	_LogEventName[1478:1487]: EventZoneLost,
-	_LogEventName[1487:1504]: EventMessageTooLarge,
-	_LogEventName[1504:1518]: EventControlThreadTimes,
-	_LogEventName[1518:1530]: EventControlLost,
-	_LogEventName[1530:1546]: EventControlRegained,
-	_LogEventName[1546:1553]: EventStarted,
-	_LogEventName[1553:1561]: EventDraining,
-	_LogEventName[1561:1568]: EventDrained,
-	_LogEventName[1568:1575]: EventStopped,
-	_LogEventName[1575:1592]: EventSettingsReloaded,
-	_LogEventName[1592:1608]: EventSettingsRefused,
-	_LogEventName[1608:1622]: EventListenerEnded,
-	_LogEventName[1622:1640]: EventMetricsNotServed,
-	_LogEventName[1640:1653]: EventUnknownEvent,
-	_LogEventName[1653:1663]: EventOverloaded,
-	_LogEventName[1663:1680]: EventLogLinesDropped,
+	_LogEventName[59:75]:     EventGarbageReceived,
+	_LogEventName[75:92]:     EventSlowCallerEnded,
+	_LogEventName[92:110]:    EventReservationUnclear,
+	_LogEventName[110:124]:   EventCrossedAnswer,
+	_LogEventName[124:131]:   EventRefused,
+	_LogEventName[131:150]:   EventAnswerNotRecorded,
+	_LogEventName[150:163]:   EventBackendChanged,
+	_LogEventName[163:182]:   EventBackendsRemembered,
+	_LogEventName[182:202]:   EventRememberedForgotten,
+	_LogEventName[202:222]:   EventEndpointsNotLoaded,
+	_LogEventName[222:241]:   EventEndpointsNotSaved,
+	_LogEventName[241:260]:   EventVersionsNotLoaded,
+	_LogEventName[260:278]:   EventVersionsNotSaved,
+	_LogEventName[278:294]:   EventBackendReplaced,
+	_LogEventName[294:307]:   EventAdapterLoaded,
+	_LogEventName[307:319]:   EventLoadDecided,
+	_LogEventName[319:325]:   EventLayout,
+	_LogEventName[325:340]:   EventBackendCrashed,
+	_LogEventName[340:357]:   EventCrashUnconfirmed,
+	_LogEventName[357:370]:   EventDetourOpened,
+	_LogEventName[370:387]:   EventDetourNotOpened,
+	_LogEventName[387:400]:   EventDetourClosed,
+	_LogEventName[400:410]:   EventLinksLost,
+	_LogEventName[410:424]:   EventLinksRestored,
+	_LogEventName[424:437]:   EventBackendRests,
+	_LogEventName[437:451]:   EventBackendLeaves,
+	_LogEventName[451:470]:   EventHelperNotNotified,
+	_LogEventName[470:490]:   EventSoftwareVersionNew,
+	_LogEventName[490:509]:   EventStreamNotRecorded,
+	_LogEventName[509:531]:   EventStreamVersionUnknown,
+	_LogEventName[531:545]:   EventLinksVerified,
+	_LogEventName[545:564]:   EventRequestQuarantined,
+	_LogEventName[564:580]:   EventRequestReleased,
+	_LogEventName[580:596]:   EventPartQuarantined,
+	_LogEventName[596:607]:   EventPartLifted,
+	_LogEventName[607:620]:   EventPartReleased,
+	_LogEventName[620:643]:   EventQuarantineNotReported,
+	_LogEventName[643:656]:   EventLimitChanged,
+	_LogEventName[656:671]:   EventBrittleChanged,
+	_LogEventName[671:683]:   EventLoadUnclear,
+	_LogEventName[683:695]:   EventRoomChanged,
+	_LogEventName[695:708]:   EventForeignEntry,
+	_LogEventName[708:721]:   EventLimitUnclear,
+	_LogEventName[721:735]:   EventSlotRequested,
+	_LogEventName[735:750]:   EventSlotUnanswered,
+	_LogEventName[750:768]:   EventLimitNotReported,
+	_LogEventName[768:782]:   EventKeysConfirmed,
+	_LogEventName[782:798]:   EventKeysUnconfirmed,
+	_LogEventName[798:814]:   EventAccountsUnknown,
+	_LogEventName[814:827]:   EventQuotaUsedUp,
+	_LogEventName[827:843]:   EventQuotaUnanswered,
+	_LogEventName[843:859]:   EventOutlierDetected,
+	_LogEventName[859:874]:   EventModelWithdrawn,
+	_LogEventName[874:888]:   EventOrderAnswered,
+	_LogEventName[888:898]:   EventOrderDone,
+	_LogEventName[898:909]:   EventOrderStateChanged,
+	_LogEventName[909:922]:   EventOrderRefused,
+	_LogEventName[922:943]:   EventOrderOutcomeUnknown,
+	_LogEventName[943:959]:   EventEngineStateNotRead,
+	_LogEventName[959:977]:   EventInventoryNotRead,
+	_LogEventName[977:988]:   EventLoadFailed,
+	_LogEventName[988:1004]:  EventBackendStateNotEncoded,
+	_LogEventName[1004:1020]: EventRegistryRefused,
+	_LogEventName[1020:1035]: EventRoutesProposed,
+	_LogEventName[1035:1049]: EventRoutesRefused,
+	_LogEventName[1049:1063]: EventRoutesApplied,
+	_LogEventName[1063:1078]: EventRoutesInEffect,
+	_LogEventName[1078:1096]: EventRoutesNotDecoded,
+	_LogEventName[1096:1114]: EventRoutesNotEncoded,
+	_LogEventName[1114:1132]: EventRoutesNotFetched,
+	_LogEventName[1132:1150]: EventCatalogueInEffect,
+	_LogEventName[1150:1163]: EventBecameLeader,
+	_LogEventName[1163:1179]: EventCommandRejected,
+	_LogEventName[1179:1188]: EventNoLeader,
+	_LogEventName[1188:1202]: EventReplicaOpened,
+	_LogEventName[1202:1217]: EventStartConfirmed,
+	_LogEventName[1217:1234]: EventStartUnconfirmed,
+	_LogEventName[1234:1249]: EventVotersChanged,
+	_LogEventName[1249:1262]: EventLearnerAdded,
+	_LogEventName[1262:1277]: EventLearnerRemoved,
+	_LogEventName[1277:1288]: EventVoterAdded,
+	_LogEventName[1288:1302]: EventVoterReplaced,
+	_LogEventName[1302:1315]: EventVoterStandby,
+	_LogEventName[1315:1341]: EventLeadershipNotHandedOver,
+	_LogEventName[1341:1359]: EventExpiryNotEncoded,
+	_LogEventName[1359:1373]: EventReplicaFailed,
+	_LogEventName[1373:1390]: EventReplicaRegressed,
+	_LogEventName[1390:1409]: EventDataFolderDamaged,
+	_LogEventName[1409:1430]: EventDataFolderRegressed,
+	_LogEventName[1430:1439]: EventLeaseAcquired,
+	_LogEventName[1439:1449]: EventLeaseLost,
+	_LogEventName[1449:1466]: EventLeaseNotRenewed,
+	_LogEventName[1466:1484]: EventLeaseNotReleased,
+	_LogEventName[1484:1494]: EventZoneOwned,
+	_LogEventName[1494:1503]: EventZoneLost,
+	_LogEventName[1503:1520]: EventMessageTooLarge,
+	_LogEventName[1520:1534]: EventControlThreadTimes,
+	_LogEventName[1534:1546]: EventControlLost,
+	_LogEventName[1546:1562]: EventControlRegained,
+	_LogEventName[1562:1569]: EventStarted,
+	_LogEventName[1569:1577]: EventDraining,
+	_LogEventName[1577:1584]: EventDrained,
+	_LogEventName[1584:1591]: EventStopped,
+	_LogEventName[1591:1608]: EventSettingsReloaded,
+	_LogEventName[1608:1624]: EventSettingsRefused,
+	_LogEventName[1624:1638]: EventListenerEnded,
+	_LogEventName[1638:1656]: EventMetricsNotServed,
+	_LogEventName[1656:1669]: EventUnknownEvent,
+	_LogEventName[1669:1679]: EventOverloaded,
+	_LogEventName[1679:1696]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -262,115 +264,116 @@
 	_LogEventLowerName[14:29]:     EventRequestRefused,
 	_LogEventLowerName[29:45]:     EventRequestPanicked,
 	_LogEventLowerName[45:59]:     EventAttemptFailed,
-	_LogEventLowerName[59:76]:     EventSlowCallerEnded,
-	_LogEventLowerName[76:94]:     EventReservationUnclear,
-	_LogEventLowerName[94:108]:    EventCrossedAnswer,
-	_LogEventLowerName[108:115]:   EventRefused,
-	_LogEventLowerName[115:134]:   EventAnswerNotRecorded,
-	_LogEventLowerName[134:147]:   EventBackendChanged,
-	_LogEventLowerName[147:166]:   EventBackendsRemembered,
-	_LogEventLowerName[166:186]:   EventRememberedForgotten,
-	_LogEventLowerName[186:206]:   EventEndpointsNotLoaded,
-	_LogEventLowerName[206:225]:   EventEndpointsNotSaved,
-	_LogEventLowerName[225:244]:   EventVersionsNotLoaded,
-	_LogEventLowerName[244:262]:   EventVersionsNotSaved,
-	_LogEventLowerName[262:278]:   EventBackendReplaced,
-	_LogEventLowerName[278:291]:   EventAdapterLoaded,
-	_LogEventLowerName[291:303]:   EventLoadDecided,
-	_LogEventLowerName[303:309]:   EventLayout,
-	_LogEventLowerName[309:324]:   EventBackendCrashed,
-	_LogEventLowerName[324:341]:   EventCrashUnconfirmed,
-	_LogEventLowerName[341:354]:   EventDetourOpened,
-	_LogEventLowerName[354:371]:   EventDetourNotOpened,
-	_LogEventLowerName[371:384]:   EventDetourClosed,
-	_LogEventLowerName[384:394]:   EventLinksLost,
-	_LogEventLowerName[394:408]:   EventLinksRestored,
-	_LogEventLowerName[408:421]:   EventBackendRests,
-	_LogEventLowerName[421:435]:   EventBackendLeaves,
-	_LogEventLowerName[435:454]:   EventHelperNotNotified,
-	_LogEventLowerName[454:474]:   EventSoftwareVersionNew,
-	_LogEventLowerName[474:493]:   EventStreamNotRecorded,
-	_LogEventLowerName[493:515]:   EventStreamVersionUnknown,
-	_LogEventLowerName[515:529]:   EventLinksVerified,
-	_LogEventLowerName[529:548]:   EventRequestQuarantined,
-	_LogEventLowerName[548:564]:   EventRequestReleased,
-	_LogEventLowerName[564:580]:   EventPartQuarantined,
-	_LogEventLowerName[580:591]:   EventPartLifted,
-	_LogEventLowerName[591:604]:   EventPartReleased,
-	_LogEventLowerName[604:627]:   EventQuarantineNotReported,
-	_LogEventLowerName[627:640]:   EventLimitChanged,
-	_LogEventLowerName[640:655]:   EventBrittleChanged,
-	_LogEventLowerName[655:667]:   EventLoadUnclear,
-	_LogEventLowerName[667:679]:   EventRoomChanged,
-	_LogEventLowerName[679:692]:   EventForeignEntry,
-	_LogEventLowerName[692:705]:   EventLimitUnclear,
-	_LogEventLowerName[705:719]:   EventSlotRequested,
-	_LogEventLowerName[719:734]:   EventSlotUnanswered,
-	_LogEventLowerName[734:752]:   EventLimitNotReported,
-	_LogEventLowerName[752:766]:   EventKeysConfirmed,
-	_LogEventLowerName[766:782]:   EventKeysUnconfirmed,
-	_LogEventLowerName[782:798]:   EventAccountsUnknown,
-	_LogEventLowerName[798:811]:   EventQuotaUsedUp,
-	_LogEventLowerName[811:827]:   EventQuotaUnanswered,
-	_LogEventLowerName[827:843]:   EventOutlierDetected,
-	_LogEventLowerName[843:858]:   EventModelWithdrawn,
-	_LogEventLowerName[858:872]:   EventOrderAnswered,
-	_LogEventLowerName[872:882]:   EventOrderDone,
-	_LogEventLowerName[882:893]:   EventOrderStateChanged,
-	_LogEventLowerName[893:906]:   EventOrderRefused,
-	_LogEventLowerName[906:927]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[927:943]:   EventEngineStateNotRead,
-	_LogEventLowerName[943:961]:   EventInventoryNotRead,
-	_LogEventLowerName[961:972]:   EventLoadFailed,
-	_LogEventLowerName[972:988]:   EventBackendStateNotEncoded,
-	_LogEventLowerName[988:1004]:  EventRegistryRefused,
-	_LogEventLowerName[1004:1019]: EventRoutesProposed,
-	_LogEventLowerName[1019:1033]: EventRoutesRefused,
-	_LogEventLowerName[1033:1047]: EventRoutesApplied,
-	_LogEventLowerName[1047:1062]: EventRoutesInEffect,
-	_LogEventLowerName[1062:1080]: EventRoutesNotDecoded,
-	_LogEventLowerName[1080:1098]: EventRoutesNotEncoded,
-	_LogEventLowerName[1098:1116]: EventRoutesNotFetched,
-	_LogEventLowerName[1116:1134]: EventCatalogueInEffect,
-	_LogEventLowerName[1134:1147]: EventBecameLeader,
-	_LogEventLowerName[1147:1163]: EventCommandRejected,
-	_LogEventLowerName[1163:1172]: EventNoLeader,
-	_LogEventLowerName[1172:1186]: EventReplicaOpened,
-	_LogEventLowerName[1186:1201]: EventStartConfirmed,
-	_LogEventLowerName[1201:1218]: EventStartUnconfirmed,
-	_LogEventLowerName[1218:1233]: EventVotersChanged,
-	_LogEventLowerName[1233:1246]: EventLearnerAdded,
-	_LogEventLowerName[1246:1261]: EventLearnerRemoved,
-	_LogEventLowerName[1261:1272]: EventVoterAdded,
-	_LogEventLowerName[1272:1286]: EventVoterReplaced,
-	_LogEventLowerName[1286:1299]: EventVoterStandby,
-	_LogEventLowerName[1299:1325]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1325:1343]: EventExpiryNotEncoded,
-	_LogEventLowerName[1343:1357]: EventReplicaFailed,
-	_LogEventLowerName[1357:1374]: EventReplicaRegressed,
-	_LogEventLowerName[1374:1393]: EventDataFolderDamaged,
-	_LogEventLowerName[1393:1414]: EventDataFolderRegressed,
-	_LogEventLowerName[1414:1423]: EventLeaseAcquired,
-	_LogEventLowerName[1423:1433]: EventLeaseLost,
-	_LogEventLowerName[1433:1450]: EventLeaseNotRenewed,
-	_LogEventLowerName[1450:1468]: EventLeaseNotReleased,
-	_LogEventLowerName[1468:1478]: EventZoneOwned,
-	_LogEventLowerName[1478:1487]: EventZoneLost,
-	_LogEventLowerName[1487:1504]: EventMessageTooLarge,
-	_LogEventLowerName[1504:1518]: EventControlThreadTimes,
-	_LogEventLowerName[1518:1530]: EventControlLost,
-	_LogEventLowerName[1530:1546]: EventControlRegained,
-	_LogEventLowerName[1546:1553]: EventStarted,
-	_LogEventLowerName[1553:1561]: EventDraining,
-	_LogEventLowerName[1561:1568]: EventDrained,
-	_LogEventLowerName[1568:1575]: EventStopped,
-	_LogEventLowerName[1575:1592]: EventSettingsReloaded,
-	_LogEventLowerName[1592:1608]: EventSettingsRefused,
-	_LogEventLowerName[1608:1622]: EventListenerEnded,
-	_LogEventLowerName[1622:1640]: EventMetricsNotServed,
-	_LogEventLowerName[1640:1653]: EventUnknownEvent,
-	_LogEventLowerName[1653:1663]: EventOverloaded,
-	_LogEventLowerName[1663:1680]: EventLogLinesDropped,
+	_LogEventLowerName[59:75]:     EventGarbageReceived,
+	_LogEventLowerName[75:92]:     EventSlowCallerEnded,
+	_LogEventLowerName[92:110]:    EventReservationUnclear,
+	_LogEventLowerName[110:124]:   EventCrossedAnswer,
+	_LogEventLowerName[124:131]:   EventRefused,
+	_LogEventLowerName[131:150]:   EventAnswerNotRecorded,
+	_LogEventLowerName[150:163]:   EventBackendChanged,
+	_LogEventLowerName[163:182]:   EventBackendsRemembered,
+	_LogEventLowerName[182:202]:   EventRememberedForgotten,
+	_LogEventLowerName[202:222]:   EventEndpointsNotLoaded,
+	_LogEventLowerName[222:241]:   EventEndpointsNotSaved,
+	_LogEventLowerName[241:260]:   EventVersionsNotLoaded,
+	_LogEventLowerName[260:278]:   EventVersionsNotSaved,
+	_LogEventLowerName[278:294]:   EventBackendReplaced,
+	_LogEventLowerName[294:307]:   EventAdapterLoaded,
+	_LogEventLowerName[307:319]:   EventLoadDecided,
+	_LogEventLowerName[319:325]:   EventLayout,
+	_LogEventLowerName[325:340]:   EventBackendCrashed,
+	_LogEventLowerName[340:357]:   EventCrashUnconfirmed,
+	_LogEventLowerName[357:370]:   EventDetourOpened,
+	_LogEventLowerName[370:387]:   EventDetourNotOpened,
+	_LogEventLowerName[387:400]:   EventDetourClosed,
+	_LogEventLowerName[400:410]:   EventLinksLost,
+	_LogEventLowerName[410:424]:   EventLinksRestored,
+	_LogEventLowerName[424:437]:   EventBackendRests,
+	_LogEventLowerName[437:451]:   EventBackendLeaves,
+	_LogEventLowerName[451:470]:   EventHelperNotNotified,
+	_LogEventLowerName[470:490]:   EventSoftwareVersionNew,
+	_LogEventLowerName[490:509]:   EventStreamNotRecorded,
+	_LogEventLowerName[509:531]:   EventStreamVersionUnknown,
+	_LogEventLowerName[531:545]:   EventLinksVerified,
+	_LogEventLowerName[545:564]:   EventRequestQuarantined,
+	_LogEventLowerName[564:580]:   EventRequestReleased,
+	_LogEventLowerName[580:596]:   EventPartQuarantined,
+	_LogEventLowerName[596:607]:   EventPartLifted,
+	_LogEventLowerName[607:620]:   EventPartReleased,
+	_LogEventLowerName[620:643]:   EventQuarantineNotReported,
+	_LogEventLowerName[643:656]:   EventLimitChanged,
+	_LogEventLowerName[656:671]:   EventBrittleChanged,
+	_LogEventLowerName[671:683]:   EventLoadUnclear,
+	_LogEventLowerName[683:695]:   EventRoomChanged,
+	_LogEventLowerName[695:708]:   EventForeignEntry,
+	_LogEventLowerName[708:721]:   EventLimitUnclear,
+	_LogEventLowerName[721:735]:   EventSlotRequested,
+	_LogEventLowerName[735:750]:   EventSlotUnanswered,
+	_LogEventLowerName[750:768]:   EventLimitNotReported,
+	_LogEventLowerName[768:782]:   EventKeysConfirmed,
+	_LogEventLowerName[782:798]:   EventKeysUnconfirmed,
+	_LogEventLowerName[798:814]:   EventAccountsUnknown,
+	_LogEventLowerName[814:827]:   EventQuotaUsedUp,
+	_LogEventLowerName[827:843]:   EventQuotaUnanswered,
+	_LogEventLowerName[843:859]:   EventOutlierDetected,
+	_LogEventLowerName[859:874]:   EventModelWithdrawn,
+	_LogEventLowerName[874:888]:   EventOrderAnswered,
+	_LogEventLowerName[888:898]:   EventOrderDone,
+	_LogEventLowerName[898:909]:   EventOrderStateChanged,
+	_LogEventLowerName[909:922]:   EventOrderRefused,
+	_LogEventLowerName[922:943]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[943:959]:   EventEngineStateNotRead,
+	_LogEventLowerName[959:977]:   EventInventoryNotRead,
+	_LogEventLowerName[977:988]:   EventLoadFailed,
+	_LogEventLowerName[988:1004]:  EventBackendStateNotEncoded,
+	_LogEventLowerName[1004:1020]: EventRegistryRefused,
+	_LogEventLowerName[1020:1035]: EventRoutesProposed,
+	_LogEventLowerName[1035:1049]: EventRoutesRefused,
+	_LogEventLowerName[1049:1063]: EventRoutesApplied,
+	_LogEventLowerName[1063:1078]: EventRoutesInEffect,
+	_LogEventLowerName[1078:1096]: EventRoutesNotDecoded,
+	_LogEventLowerName[1096:1114]: EventRoutesNotEncoded,
+	_LogEventLowerName[1114:1132]: EventRoutesNotFetched,
+	_LogEventLowerName[1132:1150]: EventCatalogueInEffect,
+	_LogEventLowerName[1150:1163]: EventBecameLeader,
+	_LogEventLowerName[1163:1179]: EventCommandRejected,
+	_LogEventLowerName[1179:1188]: EventNoLeader,
+	_LogEventLowerName[1188:1202]: EventReplicaOpened,
+	_LogEventLowerName[1202:1217]: EventStartConfirmed,
+	_LogEventLowerName[1217:1234]: EventStartUnconfirmed,
+	_LogEventLowerName[1234:1249]: EventVotersChanged,
+	_LogEventLowerName[1249:1262]: EventLearnerAdded,
+	_LogEventLowerName[1262:1277]: EventLearnerRemoved,
+	_LogEventLowerName[1277:1288]: EventVoterAdded,
+	_LogEventLowerName[1288:1302]: EventVoterReplaced,
+	_LogEventLowerName[1302:1315]: EventVoterStandby,
+	_LogEventLowerName[1315:1341]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1341:1359]: EventExpiryNotEncoded,
+	_LogEventLowerName[1359:1373]: EventReplicaFailed,
+	_LogEventLowerName[1373:1390]: EventReplicaRegressed,
+	_LogEventLowerName[1390:1409]: EventDataFolderDamaged,
+	_LogEventLowerName[1409:1430]: EventDataFolderRegressed,
+	_LogEventLowerName[1430:1439]: EventLeaseAcquired,
+	_LogEventLowerName[1439:1449]: EventLeaseLost,
+	_LogEventLowerName[1449:1466]: EventLeaseNotRenewed,
+	_LogEventLowerName[1466:1484]: EventLeaseNotReleased,
+	_LogEventLowerName[1484:1494]: EventZoneOwned,
+	_LogEventLowerName[1494:1503]: EventZoneLost,
+	_LogEventLowerName[1503:1520]: EventMessageTooLarge,
+	_LogEventLowerName[1520:1534]: EventControlThreadTimes,
+	_LogEventLowerName[1534:1546]: EventControlLost,
+	_LogEventLowerName[1546:1562]: EventControlRegained,
+	_LogEventLowerName[1562:1569]: EventStarted,
+	_LogEventLowerName[1569:1577]: EventDraining,
+	_LogEventLowerName[1577:1584]: EventDrained,
+	_LogEventLowerName[1584:1591]: EventStopped,
+	_LogEventLowerName[1591:1608]: EventSettingsReloaded,
+	_LogEventLowerName[1608:1624]: EventSettingsRefused,
+	_LogEventLowerName[1624:1638]: EventListenerEnded,
+	_LogEventLowerName[1638:1656]: EventMetricsNotServed,
+	_LogEventLowerName[1656:1669]: EventUnknownEvent,
+	_LogEventLowerName[1669:1679]: EventOverloaded,
+	_LogEventLowerName[1679:1696]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -378,115 +381,116 @@
 	_LogEventName[14:29],
 	_LogEventName[29:45],
 	_LogEventName[45:59],
-	_LogEventName[59:76],
-	_LogEventName[76:94],
-	_LogEventName[94:108],
-	_LogEventName[108:115],
-	_LogEventName[115:134],
-	_LogEventName[134:147],
-	_LogEventName[147:166],
-	_LogEventName[166:186],
-	_LogEventName[186:206],
-	_LogEventName[206:225],
-	_LogEventName[225:244],
-	_LogEventName[244:262],
-	_LogEventName[262:278],
-	_LogEventName[278:291],
-	_LogEventName[291:303],
-	_LogEventName[303:309],
-	_LogEventName[309:324],
-	_LogEventName[324:341],
-	_LogEventName[341:354],
-	_LogEventName[354:371],
-	_LogEventName[371:384],
-	_LogEventName[384:394],
-	_LogEventName[394:408],
-	_LogEventName[408:421],
-	_LogEventName[421:435],
-	_LogEventName[435:454],
-	_LogEventName[454:474],
-	_LogEventName[474:493],
-	_LogEventName[493:515],
-	_LogEventName[515:529],
-	_LogEventName[529:548],
-	_LogEventName[548:564],
+	_LogEventName[59:75],
+	_LogEventName[75:92],
+	_LogEventName[92:110],
+	_LogEventName[110:124],
+	_LogEventName[124:131],
+	_LogEventName[131:150],
+	_LogEventName[150:163],
+	_LogEventName[163:182],
+	_LogEventName[182:202],
+	_LogEventName[202:222],
+	_LogEventName[222:241],
+	_LogEventName[241:260],
+	_LogEventName[260:278],
+	_LogEventName[278:294],
+	_LogEventName[294:307],
+	_LogEventName[307:319],
+	_LogEventName[319:325],
+	_LogEventName[325:340],
+	_LogEventName[340:357],
+	_LogEventName[357:370],
+	_LogEventName[370:387],
+	_LogEventName[387:400],
+	_LogEventName[400:410],
+	_LogEventName[410:424],
+	_LogEventName[424:437],
+	_LogEventName[437:451],
+	_LogEventName[451:470],
+	_LogEventName[470:490],
+	_LogEventName[490:509],
+	_LogEventName[509:531],
+	_LogEventName[531:545],
+	_LogEventName[545:564],
 	_LogEventName[564:580],
-	_LogEventName[580:591],
-	_LogEventName[591:604],
-	_LogEventName[604:627],
-	_LogEventName[627:640],
-	_LogEventName[640:655],
-	_LogEventName[655:667],
-	_LogEventName[667:679],
-	_LogEventName[679:692],
-	_LogEventName[692:705],
-	_LogEventName[705:719],
-	_LogEventName[719:734],
-	_LogEventName[734:752],
-	_LogEventName[752:766],
-	_LogEventName[766:782],
+	_LogEventName[580:596],
+	_LogEventName[596:607],
+	_LogEventName[607:620],
+	_LogEventName[620:643],
+	_LogEventName[643:656],
+	_LogEventName[656:671],
+	_LogEventName[671:683],
+	_LogEventName[683:695],
+	_LogEventName[695:708],
+	_LogEventName[708:721],
+	_LogEventName[721:735],
+	_LogEventName[735:750],
+	_LogEventName[750:768],
+	_LogEventName[768:782],
 	_LogEventName[782:798],
-	_LogEventName[798:811],
-	_LogEventName[811:827],
+	_LogEventName[798:814],
+	_LogEventName[814:827],
 	_LogEventName[827:843],
-	_LogEventName[843:858],
-	_LogEventName[858:872],
-	_LogEventName[872:882],
-	_LogEventName[882:893],
-	_LogEventName[893:906],
-	_LogEventName[906:927],
-	_LogEventName[927:943],
-	_LogEventName[943:961],
-	_LogEventName[961:972],
-	_LogEventName[972:988],
+	_LogEventName[843:859],
+	_LogEventName[859:874],
+	_LogEventName[874:888],
+	_LogEventName[888:898],
+	_LogEventName[898:909],
+	_LogEventName[909:922],
+	_LogEventName[922:943],
+	_LogEventName[943:959],
+	_LogEventName[959:977],
+	_LogEventName[977:988],
 	_LogEventName[988:1004],
-	_LogEventName[1004:1019],
-	_LogEventName[1019:1033],
-	_LogEventName[1033:1047],
-	_LogEventName[1047:1062],
-	_LogEventName[1062:1080],
-	_LogEventName[1080:1098],
-	_LogEventName[1098:1116],
-	_LogEventName[1116:1134],
-	_LogEventName[1134:1147],
-	_LogEventName[1147:1163],
-	_LogEventName[1163:1172],
-	_LogEventName[1172:1186],
-	_LogEventName[1186:1201],
-	_LogEventName[1201:1218],
-	_LogEventName[1218:1233],
-	_LogEventName[1233:1246],
-	_LogEventName[1246:1261],
-	_LogEventName[1261:1272],
-	_LogEventName[1272:1286],
-	_LogEventName[1286:1299],
-	_LogEventName[1299:1325],
-	_LogEventName[1325:1343],
-	_LogEventName[1343:1357],
-	_LogEventName[1357:1374],
-	_LogEventName[1374:1393],
-	_LogEventName[1393:1414],
-	_LogEventName[1414:1423],
-	_LogEventName[1423:1433],
-	_LogEventName[1433:1450],
-	_LogEventName[1450:1468],
-	_LogEventName[1468:1478],
-	_LogEventName[1478:1487],
-	_LogEventName[1487:1504],
-	_LogEventName[1504:1518],
-	_LogEventName[1518:1530],
-	_LogEventName[1530:1546],
-	_LogEventName[1546:1553],
-	_LogEventName[1553:1561],
-	_LogEventName[1561:1568],
-	_LogEventName[1568:1575],
-	_LogEventName[1575:1592],
-	_LogEventName[1592:1608],
-	_LogEventName[1608:1622],
-	_LogEventName[1622:1640],
-	_LogEventName[1640:1653],
-	_LogEventName[1653:1663],
-	_LogEventName[1663:1680],
+	_LogEventName[1004:1020],
+	_LogEventName[1020:1035],
+	_LogEventName[1035:1049],
+	_LogEventName[1049:1063],
+	_LogEventName[1063:1078],
+	_LogEventName[1078:1096],
+	_LogEventName[1096:1114],
+	_LogEventName[1114:1132],
+	_LogEventName[1132:1150],
+	_LogEventName[1150:1163],
+	_LogEventName[1163:1179],
+	_LogEventName[1179:1188],
+	_LogEventName[1188:1202],
+	_LogEventName[1202:1217],
+	_LogEventName[1217:1234],
+	_LogEventName[1234:1249],
+	_LogEventName[1249:1262],
+	_LogEventName[1262:1277],
+	_LogEventName[1277:1288],
+	_LogEventName[1288:1302],
+	_LogEventName[1302:1315],
+	_LogEventName[1315:1341],
+	_LogEventName[1341:1359],
+	_LogEventName[1359:1373],
+	_LogEventName[1373:1390],
+	_LogEventName[1390:1409],
+	_LogEventName[1409:1430],
+	_LogEventName[1430:1439],
+	_LogEventName[1439:1449],
+	_LogEventName[1449:1466],
+	_LogEventName[1466:1484],
+	_LogEventName[1484:1494],
+	_LogEventName[1494:1503],
+	_LogEventName[1503:1520],
+	_LogEventName[1520:1534],
+	_LogEventName[1534:1546],
+	_LogEventName[1546:1562],
+	_LogEventName[1562:1569],
+	_LogEventName[1569:1577],
+	_LogEventName[1577:1584],
+	_LogEventName[1584:1591],
+	_LogEventName[1591:1608],
+	_LogEventName[1608:1624],
+	_LogEventName[1624:1638],
+	_LogEventName[1638:1656],
+	_LogEventName[1656:1669],
+	_LogEventName[1669:1679],
+	_LogEventName[1679:1696],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
