--- a/laburnumgateway/garbage_test.go
+++ b/laburnumgateway/garbage_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -229,3 +231,19 @@
 		})
 	}
 }
+
+// Guards against a cut stream that callers take for a whole one, since an orderly close ends all answers of HTTP/1.0.
+func TestCutStreamIsResetForCallersOfHTTP10(t *testing.T) {
+	b := newSpoilingHarness(t, func(conn net.Conn, a receivedRequest) {
+		writeEvents(conn, a, 1, 3)
+		writeChunk(conn, "\x93\xff\n\n")
+		goOn(conn, 4)
+	})
+	conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /draft/x HTTP/1.0\r\nHost: quotes.example\r\n%s: r-1\r\nX-Laburnumlever-Model: m0\r\n\r\n", idHeader)
+	require.NoError(t, err)
+	_, err = io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
