--- a/cmd/laburnumlever/standinplatformservercmd.go
+++ b/cmd/laburnumlever/standinplatformservercmd.go
@@ -28,7 +28,10 @@
 			&cli.StringFlag{Name: "software", Usage: "software `VERSION` that it announces and names in the events of streams"},
 			&cli.DurationFlag{Name: "event-pause", Usage: "time between two events of a stream, and between the halves of a plain answer"},
 			&cli.IntFlag{Name: "break-after", Usage: "break off each stream after this number of `EVENTS`; 0 for never"},
-			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs or whose begun answer is cut, and with each VM that sends more than the server asked for"},
+			&cli.Float64Flag{Name: "spoil-share", Usage: "spoil this `SHARE` of the answers, 0 to 1, as a faulty server does"},
+			&cli.StringSliceFlag{Name: "spoil", Usage: "a `FORM` in which answers are spoiled; may be repeated, all by default"},
+			&cli.Uint64Flag{Name: "spoil-seed", Usage: "which answers are spoiled, and how"},
+			&cli.BoolFlag{Name: "print-runs", Usage: "print a line with the id of each request that runs, whose begun answer is cut or whose answer is spoiled, and with each VM that sends more than the server asked for"},
 			&cli.DurationFlag{Name: "delay", Usage: "delay before the start of each answer"},
 			&cli.IntFlag{Name: "max-pace", Usage: "name load and pace in answers, and take up to this many `PERCENT` of the usual time, as on a machine shared with others; 0 for neither"},
 			&cli.IntFlag{Name: "slots", Usage: "how many requests run at once; 0 for any number"},
@@ -47,9 +50,13 @@
 				AbortStreamAfter: c.Int("break-after"), Delay: c.Duration("delay"), Software: c.String("software"), EventPause: c.Duration("event-pause"), MaxPace: c.Int("max-pace"),
 				Slots: c.Int("slots"), Queue: c.Int("queue"), CrashText: c.String("crash-text"), CrashParts: c.StringSlice("crash-part"), Crash: func() { os.Exit(exitFailure) },
 			}
+			if behaviour.Spoiling, err = spoilingOf(c); err != nil {
+				return err
+			}
 			if c.Bool("print-runs") {
 				behaviour.OnRun = func(run laburnumstandin.PlatformRun) { printRun(c.App.Writer, run) }
 				behaviour.OnCut = func(id string) { printf(c.App.Writer, "cut %s\n", id) }
+				behaviour.OnSpoil = func(id string, kind laburnumstandin.Spoil) { printf(c.App.Writer, "spoiled %s %s\n", id, kind) }
 				behaviour.OnBroken = func(vm, text string) { printf(c.App.Writer, "broken %s %s\n", vm, text) }
 			}
 			address := c.String("announce")
@@ -63,6 +70,22 @@
 	}
 }
 
+// spoilingOf reads how the server spoils answers.
+func spoilingOf(c *cli.Context) (laburnumstandin.Spoiling, error) {
+	spoiling := laburnumstandin.Spoiling{Seed: c.Uint64("spoil-seed"), Share: c.Float64("spoil-share"), Kinds: laburnumstandin.SpoilValues()}
+	if names := c.StringSlice("spoil"); len(names) > 0 {
+		spoiling.Kinds = nil
+		for _, name := range names {
+			kind, err := laburnumstandin.SpoilString(name)
+			if err != nil {
+				return spoiling, onUsageError(c, err, false)
+			}
+			spoiling.Kinds = append(spoiling.Kinds, kind)
+		}
+	}
+	return spoiling, nil
+}
+
 // platformBackend adapts a PlatformServer to the backend interface.
 type platformBackend struct {
 	http.Handler
--- a/laburnumsoak/doc.go
+++ b/laburnumsoak/doc.go
@@ -23,12 +23,15 @@
 // for shared machines switched on.
 // Callers have the keys of client accounts; each change takes one key away and adds another, and one account sends all the time
 // what exceeds its quota.
+// Servers of two more services have no other fault than that they spoil a tenth of their answers: they send bytes that are no event or
+// no chunk, events with a wrong id, ends that come early, or answers that are cut, encoded or another request's.
 // The seed determines which faults are injected and when. Their effect also depends on the
 // timing of the machine, so a failing seed may pass when repeated: its logs are kept.
 //
 // The invariants checked during the run: a non-idempotent request runs at most once; a request
 // refused as not run did not run, and an answered one did; streams deliver each event once and in
-// order, and a stream that ends as complete is complete; a read of the manifest returns no version
+// order and nothing else but comments, and a stream that ends as complete is complete; an answer of one piece is the one that a server
+// made; a read of the manifest returns no version
 // older than those acknowledged before the read was sent; no process of the system exits on its
 // own; no other request is refused as one that crashes backend servers; a request runs for the account of its key, which
 // is not passed on, not with a key that was taken away longer than the revoke time before, and not beyond the quota. After the run, a change must
--- a/laburnumsoak/fleet.go
+++ b/laburnumsoak/fleet.go
@@ -59,6 +59,8 @@
 	versions [draftServers]atomic.Int64
 	// steady are the backend servers that fall silent and never end.
 	steady []*process
+	// garbling are the backend servers that spoil answers.
+	garbling []*process
 	// disturbances are when VMs last had a fault.
 	disturbances disturbances
 	// links are in front of the peer listeners of all VMs and of the backend servers.
@@ -98,6 +100,7 @@
 		f.drafts = append(f.drafts, f.draftServer(i))
 	}
 	f.steady = f.steadyServers()
+	f.garbling = f.garblingServers()
 	return f
 }
 
@@ -218,7 +221,8 @@
 	list = append(list, f.gateways...)
 	list = append(list, f.servers...)
 	list = append(list, f.drafts...)
-	return append(list, f.steady...)
+	list = append(list, f.steady...)
+	return append(list, f.garbling...)
 }
 
 func (f *fleet) start() error {
--- a/laburnumsoak/limits.go
+++ b/laburnumsoak/limits.go
@@ -131,7 +131,7 @@
 	}
 	status, body, err := c.caller.Quote(ctx, address, id, "oak")
 	whole := err == nil && status == http.StatusOK
-	c.record.streamEnded(id, laburnumstandin.EventIDs(body), whole)
+	c.record.streamAnswered(id, status, body, whole)
 	return c.note(gateway, plain, id, whole, body)
 }
 
--- a/laburnumsoak/load.go
+++ b/laburnumsoak/load.go
@@ -58,6 +58,7 @@
 	l.repeat(ctx, readPause, func(int) { l.read(rand.IntN(controlVMs)) })
 	l.useAccounts(ctx)
 	l.useSteady(ctx)
+	l.useGarbling(ctx)
 	l.readSlowly(ctx)
 	l.leave(ctx)
 	l.wg.Wait()
@@ -94,7 +95,7 @@
 	if stream {
 		status, body, err := l.caller.Quote(ctx, gateway, id, "oak", soundPart)
 		whole := err == nil && status == http.StatusOK
-		l.record.streamEnded(id, laburnumstandin.EventIDs(body), whole) // the events received are checked even if the stream failed
+		l.record.streamAnswered(id, status, body, whole) // the events received are checked even if the stream failed
 		l.record.refusedFor(id, body)
 		return whole
 	}
--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -43,6 +43,7 @@
 	acked      []ack
 	sent       int
 	served     int
+	spoiled    int
 	violations []string
 }
 
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -27,6 +27,15 @@
 		"event lost":           {func(r *recorder) { r.streamEnded("a", []int{1, 3}, false) }, "stream a: received event 3 at position 2"},
 		"event twice":          {func(r *recorder) { r.streamEnded("a", []int{1, 2, 2}, false) }, "stream a: received event 2 at position 3"},
 		"ends early":           {func(r *recorder) { r.streamEnded("a", []int{1, 2}, true) }, "stream a ended as complete after 2 events"},
+		"a piece without an id": {func(r *recorder) {
+			r.streamAnswered("a", http.StatusOK, []byte("id: 1\ndata: m0 word 1\n\n\x80\n\n"), false)
+		}, `stream a: a piece that no run made: "\x80"`},
+		"bytes in an event": {func(r *recorder) {
+			r.streamAnswered("a", http.StatusOK, []byte("id: 1\nx\ndata: m0 word 1\n\n"), false)
+		}, `stream a: a piece that no run made: "id: 1\nx\ndata: m0 word 1"`},
+		"bytes at the end": {func(r *recorder) {
+			r.streamAnswered("a", http.StatusOK, []byte("id: 1\ndata: m0 word 1\n\nid: 2\ndata: m0 word 2\n\nid: 3\ndata: m0 word 3\n\nid: 4\ndata: m0 word 4\n\nid"), true)
+		}, `stream a: a piece that no run made: "id"`},
 		"older read": {func(r *recorder) {
 			r.changeAcknowledged(7, now)
 			r.readAnswered(6, now.Add(time.Second))
@@ -51,6 +60,8 @@
 	r.readAnswered(8, now.Add(time.Second))
 	r.streamEnded("s", []int{1, 2}, false)
 	r.streamEnded("s", []int{1, 2, 3, 4}, true)
+	r.streamAnswered("s", http.StatusOK, []byte(": c\n\nretry: 5\n\n: c\nid: 1\ndata: m0 word 1 of v1\n\nid: 2\nda"), false)
+	r.streamAnswered("s", http.StatusServiceUnavailable, []byte("no-backend\n\n"), false)
 	require.Empty(t, r.check())
 }
 
--- a/laburnumsoak/soak.go
+++ b/laburnumsoak/soak.go
@@ -49,6 +49,8 @@
 	Streams int `json:"streams"`
 	Broken  int `json:"broken"`
 	TakenUp int `json:"taken-up"`
+	// Spoiled counts the answers that backend servers spoiled.
+	Spoiled int `json:"spoiled"`
 	// Faults lists the injected faults in order, each with its time since the start.
 	Faults []string `json:"faults"`
 	// Violations lists the violated invariants.
@@ -102,7 +104,7 @@
 	f.stop() // the output of backend servers is complete afterwards
 	return Report{
 		Seed: cfg.Seed, Sent: r.sent, Served: r.served, Acknowledged: len(r.acked),
-		Streams: r.drafts.begun, Broken: r.drafts.broken, TakenUp: r.drafts.takenUp, Faults: x.history, Violations: r.check(),
+		Streams: r.drafts.begun, Broken: r.drafts.broken, TakenUp: r.drafts.takenUp, Spoiled: r.spoiled, Faults: x.history, Violations: r.check(),
 	}, x.firstErr
 }
 
--- a/laburnumsoak/steady.go
+++ b/laburnumsoak/steady.go
@@ -134,7 +134,7 @@
 	q.endedAt, q.err = time.Now(), err
 	whole = err == nil && status == http.StatusOK
 	if route.Streams() {
-		l.record.streamEnded(id, laburnumstandin.EventIDs(answer), whole)
+		l.record.streamAnswered(id, status, answer, whole)
 	}
 	l.record.steadyEnded(id, q)
 	return answer, whole
--- a/laburnumsoak/versions.go
+++ b/laburnumsoak/versions.go
@@ -41,7 +41,7 @@
 // injected are the processes that the faults of the main sequence apply to.
 func (f *fleet) injected() []*process {
 	all := f.all()
-	return all[:len(all)-len(f.drafts)-len(f.steady)]
+	return all[:len(all)-len(f.drafts)-len(f.steady)-len(f.garbling)]
 }
 
 // draftServer defines a backend server of the service of two software versions. Its version is that of the last release.
@@ -136,6 +136,9 @@
 	if status != http.StatusOK {
 		return false
 	}
+	if piece := laburnumstandin.Garbage(body, false); piece != "" {
+		l.record.violated("stream %s: a piece that no run made: %.60q", d.first, piece)
+	}
 	events := laburnumstandin.StreamEvents(body)
 	d.events = append(d.events, events...)
 	return len(events) > 0
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -94,6 +94,15 @@
 	return c.send(ctx, http.MethodPost, gateway+"/"+route.String()+"/x", body, headers)
 }
 
+// RequestGarbled is Request for the routes to servers that spoil answers.
+func (c *PlatformCaller) RequestGarbled(ctx context.Context, gateway string, route GarbledRoute, id string) (int, []byte, error) {
+	headers := requestHeaders{id: id}
+	if route.Streams() {
+		headers.model = "m0"
+	}
+	return c.send(ctx, http.MethodPost, gateway+"/"+route.String()+"/x", []byte(id), headers)
+}
+
 // Resume takes a stream of Draft up after its last event; resumes is the id of the attempt that brought the first one.
 func (c *PlatformCaller) Resume(ctx context.Context, gateway, id, text string, lastEvent int, resumes string) (int, []byte, error) {
 	return c.send(ctx, http.MethodPost, gateway+draftPath, []byte(text),
@@ -136,6 +145,41 @@
 	return events
 }
 
+// Garbage returns the first piece in a stream's body that is neither an event of a PlatformServer, nor a comment or a retry field;
+// empty for none. What follows the last empty line of a body that did not arrive whole is ignored.
+func Garbage(body []byte, whole bool) string {
+	pieces := strings.Split(string(body), "\n\n")
+	last := len(pieces) - 1
+	if !whole || pieces[last] == "" {
+		pieces = pieces[:last]
+	}
+	for _, piece := range pieces {
+		lines := slices.DeleteFunc(strings.Split(piece, "\n"), func(line string) bool {
+			return strings.HasPrefix(line, ":") || strings.HasPrefix(line, "retry: ")
+		})
+		if len(lines) > 0 && !isEvent(lines) {
+			return piece
+		}
+	}
+	return ""
+}
+
+// isEvent reports whether lines are an event that a PlatformServer has made.
+func isEvent(lines []string) bool {
+	id, ok := strings.CutPrefix(lines[0], "id: ")
+	if !ok || len(lines) != 2 {
+		return false
+	}
+	_, text, ok := strings.Cut(lines[1], " word ")
+	n := text[:len(text)-len(strings.TrimLeft(text, "0123456789"))]
+	return ok && n == id && strings.HasPrefix(lines[1], "data: ")
+}
+
+// AnswerIs reports whether the body of a plain answer is that of a PlatformServer which ran the request.
+func AnswerIs(body []byte, path, text string) bool {
+	return strings.HasSuffix(string(body), fmt.Sprintf(" ran POST %s: %s\n", path, text)) && bytes.Count(body, []byte("\n")) == 1
+}
+
 // PlatformEvents is the number of events in a PlatformServer's stream.
 func PlatformEvents() int { return platformEvents }
 
--- a/laburnumstandin/platformmanifest.go
+++ b/laburnumstandin/platformmanifest.go
@@ -86,10 +86,10 @@
 	return fmt.Appendf(nil, `{"version":%d,"routes":[`+
 		`{"name":"confirm","hostname":"`+platformHost+`","path_prefix":"/confirm/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":300,"priority":1,"service":"booking","max_attempts":1},`+
 		`{"name":"quote","hostname":"`+platformHost+`","path_prefix":"/quote/","kind":"streaming","timeout_ms":9000,"target_latency_ms":300,"priority":1,"service":"quotes","max_attempts":2,"resumable":true,"gap_aim_ms":150},`+
-		`{"name":"draft","hostname":"`+platformHost+`","path_prefix":"/draft/","kind":"streaming","timeout_ms":9000,"target_latency_ms":300,"priority":2,"service":"drafts","max_attempts":2,"resumable":true,"gap_aim_ms":150}%s],`+
+		`{"name":"draft","hostname":"`+platformHost+`","path_prefix":"/draft/","kind":"streaming","timeout_ms":9000,"target_latency_ms":300,"priority":2,"service":"drafts","max_attempts":2,"resumable":true,"gap_aim_ms":150}%s%s],`+
 		`"services":[{"name":"booking","health_path":"/health","max_conns":200},`+
 		`{"name":"quotes","health_path":"/health","max_conns":200,"engine":`+platformEngine+`},`+
 		`{"name":"drafts","health_path":"/health","max_conns":200,"engine":`+platformEngine+`}%s],`+
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":%d},"tenants":%s}`,
-		version, seriesRoutes(version), seriesServices, maxSeriesBody+version%limitSteps, idleTimeoutMS+version%limitSteps, tenants)
+		version, seriesRoutes(version), garbledRoutes(), seriesServices+garbledServices, maxSeriesBody+version%limitSteps, idleTimeoutMS+version%limitSteps, tenants)
 }
