fix: what is no event of a stream is not forwarded by serve

Callers got as a part of a stream what a faulty engine had sent and no event of it is: whatever ended in an empty line was forwarded, also without a data line; bytes beside a data line went with it, and of several data lines only the first one was read.

eventData now decides it once, from the event-stream format: each line is a comment or one of the fields data, event, id and retry, and the joined data is the end marker or a JSON object. An empty line ends an event in whatever way its lines end. Anything else is a *NotAnEventError in a *BrokenStreamError, so that the continuation that breaks have already takes the stream up at another engine. Each is logged as stream-garbled with the backend server and counted in streams-garbled. Comments and retry fields go through as before, data of several lines is now accepted.

--- a/laburnumproxy/counters.go
+++ b/laburnumproxy/counters.go
@@ -13,6 +13,7 @@
 	retries       map[laburnumlever.RetryReason]tally.Counter
 	answered      tally.Counter
 	crossed       tally.Counter
+	garbled       tally.Counter
 	fromRecord    tally.Counter
 	recordsFailed tally.Counter
 }
@@ -23,6 +24,7 @@
 		retries:       map[laburnumlever.RetryReason]tally.Counter{},
 		answered:      scope.Counter("requests-answered"),
 		crossed:       scope.Counter("answers-crossed"),
+		garbled:       scope.Counter("streams-garbled"),
 		fromRecord:    scope.Counter("answers-recorded"),
 		recordsFailed: scope.Counter("records-failed"),
 	}
--- a/laburnumproxy/errors.go
+++ b/laburnumproxy/errors.go
@@ -45,6 +45,23 @@
 	return fmt.Sprintf("replay by backend server %q differs from the tokens already forwarded", e.Backend)
 }
 
+// NotAnEventError reports bytes in a stream that are no event of it. Line is the beginning of the line, or of the event's data; Cause
+// is why that could not be decoded, if it has the form of data.
+type NotAnEventError struct {
+	Line  string
+	Cause error
+}
+
+func (e *NotAnEventError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("data of a stream event %q can't be decoded: %v", e.Line, e.Cause)
+	}
+	return fmt.Sprintf("stream holds %q, which is no event", e.Line)
+}
+
+// Unwrap returns the cause.
+func (e *NotAnEventError) Unwrap() error { return e.Cause }
+
 // EventTooLongError reports a stream event longer than Limit bytes.
 type EventTooLongError struct{ Limit int }
 
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -190,12 +190,22 @@
 	out.prepareContinuation(resume)
 	if err := out.forward(resp); err != nil {
 		a.fail()
+		p.noteGarbled(q, to, err)
 		return p.newFailure(q, a, to, forwardFailureReason(ctx, err), err)
 	}
 	a.apply(evAnswerWhole)
 	return nil
 }
 
+// noteGarbled logs and counts a stream with what is no event of it.
+func (p *Proxy) noteGarbled(q *request, to laburnumlever.Announcement, err error) {
+	var garbled *NotAnEventError
+	if errors.As(err, &garbled) {
+		p.counters.garbled.Inc(1)
+		_ = level.Warn(p.logger).Log("event", laburnumlever.EventStreamGarbled, "request-id", q.id, "backend", to.Backend, "err", err)
+	}
+}
+
 // forwardFailureReason classifies an error from forwarding the response.
 func forwardFailureReason(ctx context.Context, err error) laburnumlever.RefusalReason {
 	var gone *CallerGoneError
--- a/laburnumproxy/stream.go
+++ b/laburnumproxy/stream.go
@@ -17,10 +17,11 @@
 	streamBuffer = 4 << 10
 	// maxEvent bounds the size of an event, in bytes.
 	maxEvent = 1 << 20
+	// maxQuoted bounds what an error quotes of an event, in bytes.
+	maxQuoted = 64
 )
 
 var (
-	dataPrefix  = []byte("data:")
 	endOfStream = []byte("[DONE]")
 	readerPool  = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBuffer) }}
 )
@@ -117,9 +118,10 @@
 func readEvent(r *bufio.Reader, event []byte) ([]byte, error) {
 	for {
 		line, err := r.ReadSlice('\n')
+		ends := len(event) > 0 && event[len(event)-1] == '\n' && len(bytes.TrimRight(line, "\r\n")) == 0
 		event = append(event, line...)
 		if err == bufio.ErrBufferFull { //nolint:errorlint // ReadSlice returns it unwrapped, by its contract
-			err = nil
+			err, ends = nil, false
 		}
 		if err != nil {
 			return event, unexpectedEOF(err)
@@ -127,7 +129,7 @@
 		if len(event) > maxEvent {
 			return event, &EventTooLongError{Limit: maxEvent}
 		}
-		if bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\r\n\r\n")) {
+		if ends {
 			return event, nil
 		}
 	}
@@ -143,30 +145,31 @@
 }
 
 func (o *callerResponse) forwardEvent(event []byte) (done bool, err error) {
-	data := eventData(event)
+	data, err := eventData(event)
+	if err != nil {
+		return false, &BrokenStreamError{Tokens: o.tokens, Cause: err}
+	}
 	if bytes.Equal(data, endOfStream) {
 		if o.continuation.textBytes > 0 {
 			return false, &ReplayDiffersError{}
 		}
 		return true, o.write(event)
 	}
-	var c chunk
-	if data != nil {
-		if err := json.Unmarshal(data, &c); err != nil {
-			return false, &BrokenStreamError{Tokens: o.tokens, Cause: err}
-		}
+	c, err := newChunk(data)
+	if err != nil {
+		return false, &BrokenStreamError{Tokens: o.tokens, Cause: err}
 	}
 	if len(c.Error) > 0 {
 		return false, &BrokenStreamError{Tokens: o.tokens, Cause: &engineError{Text: string(c.Error)}}
 	}
 	text := c.text()
-	if skip, err := o.alreadyForwarded(&c, text); skip || err != nil {
+	if skip, err := o.alreadyForwarded(c, text); skip || err != nil {
 		return false, err
 	}
 	if err := o.write(event); err != nil {
 		return false, err
 	}
-	o.countForwarded(&c, text)
+	o.countForwarded(c, text)
 	return false, nil
 }
 
@@ -210,12 +213,39 @@
 	return true, nil
 }
 
-// eventData returns the content of an event's first data line, or nil if it has none.
-func eventData(event []byte) []byte {
+// eventData returns the content of an event's data lines, or nil if it has none. Errors: *NotAnEventError for a line that is neither
+// a comment nor a field of the event-stream format.
+func eventData(event []byte) ([]byte, error) {
+	var data []byte
 	for line := range bytes.Lines(event) {
-		if data, ok := bytes.CutPrefix(line, dataPrefix); ok {
-			return bytes.TrimSpace(data)
+		line = bytes.TrimRight(line, "\r\n")
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "data":
+			if data != nil {
+				value = append(append(data[:len(data):len(data)], '\n'), value...)
+			}
+			data = bytes.TrimSpace(value)
+			if data == nil {
+				data = []byte{}
+			}
+		case "event", "id", "retry":
+		case "": // a comment, or an empty line
+		default:
+			return nil, &NotAnEventError{Line: string(line[:min(len(line), maxQuoted)])}
 		}
 	}
-	return nil
+	return data, nil
+}
+
+// newChunk decodes the content of an event other than the end marker.
+func newChunk(data []byte) (*chunk, error) {
+	if data == nil {
+		return &chunk{}, nil
+	}
+	var c *chunk
+	if err := json.Unmarshal(data, &c); err != nil || c == nil {
+		return nil, &NotAnEventError{Line: string(data[:min(len(data), maxQuoted)]), Cause: err}
+	}
+	return c, nil
 }
--- a/laburnumproxy/stream_test.go
+++ b/laburnumproxy/stream_test.go
@@ -1,13 +1,18 @@
 package laburnumproxy_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 
+	"laburnumlever/laburnumproxy"
+
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 )
 
 // Guards against truncated responses or repeated tokens when an engine dies mid-stream and another can resume.
@@ -122,3 +127,57 @@
 	resp.Body.Close()
 	<-cancelled
 }
+
+// Guards against forwarding as a part of a stream what a faulty engine sent and no event of it is.
+func TestWhatIsNoEventIsNotForwarded(t *testing.T) {
+	const data = `data: {"choices":[{"text":"x "}]}` + "\n"
+	for name, garbage := range map[string]string{
+		"random bytes": "\x80\x02\xff\n\x07:\n\n", "glued before an event": "\x80\x02\n" + data + "\n", "glued behind the data": data + "\xfe\n\n",
+		"data of two events": data + data + "\n", "no object": "data: null\n\n", "no JSON": "data: {\n\n", "another field": "date: 1\n\n", "two ends at once": "data: [DONE]\ndata: [DONE]\n\n",
+	} {
+		for _, tokens := range []int{0, 2} {
+			t.Run(fmt.Sprint(name, " after ", tokens), func(t *testing.T) {
+				scope := tally.NewTestScope("", nil)
+				b := newFixture(t, nil, laburnumproxy.WithScope(scope))
+				var calls atomic.Int32
+				answer := func(w http.ResponseWriter, _ *http.Request) {
+					if calls.Add(1) == 1 {
+						writeTokens(w, 0, tokens)
+						io.WriteString(w, garbage)
+						writeTokens(w, tokens, 4)
+					} else {
+						writeTokens(w, 0, 4)
+					}
+					writeDone(w)
+				}
+				b.engine(false, answer)
+				b.engine(false, answer)
+				sound := httptest.NewRecorder()
+				writeTokens(sound, 0, 4)
+				writeDone(sound)
+				got := b.stream()
+				require.NoError(t, got.err)
+				require.Equal(t, sound.Body.String(), got.body)
+				require.Contains(t, scope.Snapshot().Counters(), "streams-garbled+")
+				require.EqualValues(t, 1, scope.Snapshot().Counters()["streams-garbled+"].Value())
+			})
+		}
+	}
+}
+
+// Guards against taking for garbage what the event-stream format allows beside and in events, and against events joined to others.
+func TestWhatTheFormatAllowsIsForwarded(t *testing.T) {
+	b := newFixture(t, nil)
+	const text = ": still here\n\n" + "retry: 1000\n\n" + "\n: note\r\nid: 1\r\nevent: token\r\ndata: {\"choices\":\r\ndata:  [{\"text\":\"t0 \"}]}\r\n\r\n" +
+		"data: {\"choices\":[{\"text\":\"t1 \"}]}\n\r\n" + "data: {\"choices\":[],\"usage\":{}}\n\ndata: [DONE]\n\n"
+	var calls atomic.Int32
+	b.engine(false, func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		writeTokens(w, 0, 0)
+		io.WriteString(w, text)
+	})
+	got := b.stream()
+	require.NoError(t, got.err)
+	require.Equal(t, text, got.body)
+	require.EqualValues(t, 1, calls.Load())
+}
