fix: serve refuses a service's event stream that only the end of its connection delimits

A caller got a whole answer from a service that broke off in the middle of an event: an event stream without a Content-Length or chunks ends with its connection, so that a break looks like the end, and serve framed it as a whole one. Bodies of other types were refused for that already; event streams of services took another way. They now take the same one and are refused as broken before anything of them is forwarded.

TestUnframedEventStreamIsNotForwarded got status 200 and 'data: 1', an empty line and 'da' as a whole answer before; go test -race ./laburnumproxy: ok.

--- a/laburnumproxy/response.go
+++ b/laburnumproxy/response.go
@@ -51,7 +51,7 @@
 		return o.forwardStream(resp)
 	case o.started:
 		return &BrokenStreamError{Tokens: o.tokens, Cause: &statusError{Status: resp.StatusCode}}
-	case events && o.record == nil:
+	case events && o.record == nil && !endsAtConnectionClose(resp):
 		return o.forwardUnbuffered(resp, nil)
 	default:
 		return o.forwardBuffered(resp)
--- a/laburnumproxy/stream_test.go
+++ b/laburnumproxy/stream_test.go
@@ -181,3 +181,15 @@
 	require.Equal(t, text, got.body)
 	require.EqualValues(t, 1, calls.Load())
 }
+
+// Guards against a whole end of an event stream of a service that broke off, where only the end of the connection delimits it.
+func TestUnframedEventStreamIsNotForwarded(t *testing.T) {
+	b := newFixture(t, nil)
+	b.service(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		require.NoError(t, err)
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\n\r\ndata: 1\n\nda", r.Header.Get("X-Attempt-Id"))
+	})
+	b.post("/services/booking/slots", "").requireRefusal(t, "broken-stream", "unknown")
+}
