fix: serve does not pass on the end of a stream in which nothing came

A caller got an empty response as a complete one from an engine that sent the end marker alone, as one that lost its run does: the marker was forwarded whatever had come before it. A stream that holds no event with data before its end marker is now a broken one, and goes on at another engine.

TestEndOfAnEmptyStreamIsNotForwarded got no token before, and gets the four of the second engine now; go test -race -count=2 ./laburnumproxy: ok. An end marker after some tokens and before the finish reason still passes as a whole end.

--- a/laburnumproxy/errors.go
+++ b/laburnumproxy/errors.go
@@ -123,6 +123,11 @@
 
 func (e *notJSONError) Error() string { return "response is not complete JSON" }
 
+// emptyStreamError reports a stream whose end marker comes before any other data.
+type emptyStreamError struct{}
+
+func (e *emptyStreamError) Error() string { return "stream ends before its first event" }
+
 // engineError reports an error event in an engine's stream.
 type engineError struct{ Text string }
 
--- a/laburnumproxy/response.go
+++ b/laburnumproxy/response.go
@@ -32,6 +32,7 @@
 	eventStream bool // the response is a stream of token events
 	firstByteAt time.Time
 	// What has been forwarded of a token stream, so that another stream can continue it.
+	holdsData     bool // an event with data, other than the end marker
 	tokens        int
 	textBytes     int
 	closingEvents int // closing events after the last token
--- a/laburnumproxy/stream.go
+++ b/laburnumproxy/stream.go
@@ -153,6 +153,9 @@
 		if o.continuation.textBytes > 0 {
 			return false, &ReplayDiffersError{}
 		}
+		if !o.holdsData {
+			return false, &BrokenStreamError{Cause: &emptyStreamError{}}
+		}
 		return true, o.write(event)
 	}
 	c, err := newChunk(data)
@@ -169,6 +172,7 @@
 	if err := o.write(event); err != nil {
 		return false, err
 	}
+	o.holdsData = o.holdsData || data != nil
 	o.countForwarded(c, text)
 	return false, nil
 }
--- a/laburnumproxy/stream_test.go
+++ b/laburnumproxy/stream_test.go
@@ -182,6 +182,23 @@
 	require.EqualValues(t, 1, calls.Load())
 }
 
+// Guards against an end marker without anything before it, which callers take for a complete response.
+func TestEndOfAnEmptyStreamIsNotForwarded(t *testing.T) {
+	b := newFixture(t, nil)
+	var calls atomic.Int32
+	answer := func(w http.ResponseWriter, _ *http.Request) {
+		writeTokens(w, 0, 0)
+		if calls.Add(1) > 1 {
+			writeTokens(w, 0, 4)
+		}
+		writeDone(w)
+	}
+	b.engine(false, answer)
+	b.engine(false, answer)
+	require.Equal(t, "t0 t1 t2 t3 ", joinTexts(b.stream().body))
+	require.EqualValues(t, 2, calls.Load())
+}
+
 // Guards against a whole end of an event stream of a service that broke off, where only the end of the connection delimits it.
 func TestUnframedEventStreamIsNotForwarded(t *testing.T) {
 	b := newFixture(t, nil)
