--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -202,7 +202,7 @@
 	var garbled *NotAnEventError
 	if errors.As(err, &garbled) {
 		p.counters.garbled.Inc(1)
-		_ = level.Warn(p.logger).Log("event", laburnumlever.EventStreamGarbled, "request-id", q.id, "backend", to.Backend, "err", err)
+		_ = level.Warn(p.logger).Log("event", laburnumlever.EventGarbageReceived, "request-id", q.id, "backend", to.Backend, "cause", err)
 	}
 }
 
--- a/logevent.go
+++ b/logevent.go
@@ -25,8 +25,6 @@
 	EventReservationUnclear // place-not-reserved
 	// EventCrossedAnswer is an answer that belongs to another request.
 	EventCrossedAnswer
-	// EventStreamGarbled is a stream in which a backend server sent what is no event of it.
-	EventStreamGarbled
 	// EventRefused is a request that an entry VM refused.
 	EventRefused
 	// EventAnswerNotRecorded is an answer to a non-idempotent request that could not be recorded
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerstream-garbledrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 110, 124, 138, 145, 164, 177, 196, 216, 236, 255, 274, 292, 308, 321, 333, 339, 354, 371, 384, 401, 414, 424, 438, 451, 465, 484, 504, 523, 545, 559, 578, 594, 610, 621, 634, 657, 670, 685, 697, 709, 722, 735, 749, 764, 782, 796, 812, 828, 841, 857, 873, 888, 902, 912, 923, 936, 957, 973, 991, 1002, 1018, 1034, 1049, 1063, 1077, 1092, 1110, 1128, 1146, 1164, 1177, 1193, 1202, 1216, 1231, 1248, 1263, 1276, 1291, 1302, 1316, 1329, 1355, 1373, 1387, 1404, 1423, 1444, 1453, 1463, 1480, 1498, 1508, 1517, 1534, 1548, 1560, 1576, 1583, 1591, 1598, 1605, 1622, 1638, 1652, 1670, 1683, 1693, 1710}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 110, 124, 131, 150, 163, 182, 202, 222, 241, 260, 278, 294, 307, 319, 325, 340, 357, 370, 387, 400, 410, 424, 437, 451, 470, 490, 509, 531, 545, 564, 580, 596, 607, 620, 643, 656, 671, 683, 695, 708, 721, 735, 750, 768, 782, 798, 814, 827, 843, 859, 874, 888, 898, 909, 922, 943, 959, 977, 988, 1004, 1020, 1035, 1049, 1063, 1078, 1096, 1114, 1132, 1150, 1163, 1179, 1188, 1202, 1217, 1234, 1249, 1262, 1277, 1288, 1302, 1315, 1341, 1359, 1373, 1390, 1409, 1430, 1439, 1449, 1466, 1484, 1494, 1503, 1520, 1534, 1546, 1562, 1569, 1577, 1584, 1591, 1608, 1624, 1638, 1656, 1669, 1679, 1696}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerstream-garbledrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -32,116 +32,115 @@
 	_ = x[EventSlowCallerEnded-(5)]
 	_ = x[EventReservationUnclear-(6)]
 	_ = x[EventCrossedAnswer-(7)]
-	_ = x[EventStreamGarbled-(8)]
-	_ = x[EventRefused-(9)]
-	_ = x[EventAnswerNotRecorded-(10)]
-	_ = x[EventBackendChanged-(11)]
-	_ = x[EventBackendsRemembered-(12)]
-	_ = x[EventRememberedForgotten-(13)]
-	_ = x[EventEndpointsNotLoaded-(14)]
-	_ = x[EventEndpointsNotSaved-(15)]
-	_ = x[EventVersionsNotLoaded-(16)]
-	_ = x[EventVersionsNotSaved-(17)]
-	_ = x[EventBackendReplaced-(18)]
-	_ = x[EventAdapterLoaded-(19)]
-	_ = x[EventLoadDecided-(20)]
-	_ = x[EventLayout-(21)]
-	_ = x[EventBackendCrashed-(22)]
-	_ = x[EventCrashUnconfirmed-(23)]
-	_ = x[EventDetourOpened-(24)]
-	_ = x[EventDetourNotOpened-(25)]
-	_ = x[EventDetourClosed-(26)]
-	_ = x[EventLinksLost-(27)]
-	_ = x[EventLinksRestored-(28)]
-	_ = x[EventBackendRests-(29)]
-	_ = x[EventBackendLeaves-(30)]
-	_ = x[EventHelperNotNotified-(31)]
-	_ = x[EventSoftwareVersionNew-(32)]
-	_ = x[EventStreamNotRecorded-(33)]
-	_ = x[EventStreamVersionUnknown-(34)]
-	_ = x[EventLinksVerified-(35)]
-	_ = x[EventRequestQuarantined-(36)]
-	_ = x[EventRequestReleased-(37)]
-	_ = x[EventPartQuarantined-(38)]
-	_ = x[EventPartLifted-(39)]
-	_ = x[EventPartReleased-(40)]
-	_ = x[EventQuarantineNotReported-(41)]
-	_ = x[EventLimitChanged-(42)]
-	_ = x[EventBrittleChanged-(43)]
-	_ = x[EventLoadUnclear-(44)]
-	_ = x[EventRoomChanged-(45)]
-	_ = x[EventForeignEntry-(46)]
-	_ = x[EventLimitUnclear-(47)]
-	_ = x[EventSlotRequested-(48)]
-	_ = x[EventSlotUnanswered-(49)]
-	_ = x[EventLimitNotReported-(50)]
-	_ = x[EventKeysConfirmed-(51)]
-	_ = x[EventKeysUnconfirmed-(52)]
-	_ = x[EventAccountsUnknown-(53)]
-	_ = x[EventQuotaUsedUp-(54)]
-	_ = x[EventQuotaUnanswered-(55)]
-	_ = x[EventOutlierDetected-(56)]
-	_ = x[EventModelWithdrawn-(57)]
-	_ = x[EventOrderAnswered-(58)]
-	_ = x[EventOrderDone-(59)]
-	_ = x[EventOrderStateChanged-(60)]
-	_ = x[EventOrderRefused-(61)]
-	_ = x[EventOrderOutcomeUnknown-(62)]
-	_ = x[EventEngineStateNotRead-(63)]
-	_ = x[EventInventoryNotRead-(64)]
-	_ = x[EventLoadFailed-(65)]
-	_ = x[EventBackendStateNotEncoded-(66)]
-	_ = x[EventRegistryRefused-(67)]
-	_ = x[EventRoutesProposed-(68)]
-	_ = x[EventRoutesRefused-(69)]
-	_ = x[EventRoutesApplied-(70)]
-	_ = x[EventRoutesInEffect-(71)]
-	_ = x[EventRoutesNotDecoded-(72)]
-	_ = x[EventRoutesNotEncoded-(73)]
-	_ = x[EventRoutesNotFetched-(74)]
-	_ = x[EventCatalogueInEffect-(75)]
-	_ = x[EventBecameLeader-(76)]
-	_ = x[EventCommandRejected-(77)]
-	_ = x[EventNoLeader-(78)]
-	_ = x[EventReplicaOpened-(79)]
-	_ = x[EventStartConfirmed-(80)]
-	_ = x[EventStartUnconfirmed-(81)]
-	_ = x[EventVotersChanged-(82)]
-	_ = x[EventLearnerAdded-(83)]
-	_ = x[EventLearnerRemoved-(84)]
-	_ = x[EventVoterAdded-(85)]
-	_ = x[EventVoterReplaced-(86)]
-	_ = x[EventVoterStandby-(87)]
-	_ = x[EventLeadershipNotHandedOver-(88)]
-	_ = x[EventExpiryNotEncoded-(89)]
-	_ = x[EventReplicaFailed-(90)]
-	_ = x[EventReplicaRegressed-(91)]
-	_ = x[EventDataFolderDamaged-(92)]
-	_ = x[EventDataFolderRegressed-(93)]
-	_ = x[EventLeaseAcquired-(94)]
-	_ = x[EventLeaseLost-(95)]
-	_ = x[EventLeaseNotRenewed-(96)]
-	_ = x[EventLeaseNotReleased-(97)]
-	_ = x[EventZoneOwned-(98)]
-	_ = x[EventZoneLost-(99)]
-	_ = x[EventMessageTooLarge-(100)]
-	_ = x[EventControlThreadTimes-(101)]
-	_ = x[EventControlLost-(102)]
-	_ = x[EventControlRegained-(103)]
-	_ = x[EventStarted-(104)]
-	_ = x[EventDraining-(105)]
-	_ = x[EventDrained-(106)]
-	_ = x[EventStopped-(107)]
-	_ = x[EventSettingsReloaded-(108)]
-	_ = x[EventSettingsRefused-(109)]
-	_ = x[EventListenerEnded-(110)]
-	_ = x[EventMetricsNotServed-(111)]
-	_ = x[EventUnknownEvent-(112)]
-	_ = x[EventOverloaded-(113)]
-	_ = x[EventLogLinesDropped-(114)]
+	_ = x[EventRefused-(8)]
+	_ = x[EventAnswerNotRecorded-(9)]
+	_ = x[EventBackendChanged-(10)]
+	_ = x[EventBackendsRemembered-(11)]
+	_ = x[EventRememberedForgotten-(12)]
+	_ = x[EventEndpointsNotLoaded-(13)]
+	_ = x[EventEndpointsNotSaved-(14)]
+	_ = x[EventVersionsNotLoaded-(15)]
+	_ = x[EventVersionsNotSaved-(16)]
+	_ = x[EventBackendReplaced-(17)]
+	_ = x[EventAdapterLoaded-(18)]
+	_ = x[EventLoadDecided-(19)]
+	_ = x[EventLayout-(20)]
+	_ = x[EventBackendCrashed-(21)]
+	_ = x[EventCrashUnconfirmed-(22)]
+	_ = x[EventDetourOpened-(23)]
+	_ = x[EventDetourNotOpened-(24)]
+	_ = x[EventDetourClosed-(25)]
+	_ = x[EventLinksLost-(26)]
+	_ = x[EventLinksRestored-(27)]
+	_ = x[EventBackendRests-(28)]
+	_ = x[EventBackendLeaves-(29)]
+	_ = x[EventHelperNotNotified-(30)]
+	_ = x[EventSoftwareVersionNew-(31)]
+	_ = x[EventStreamNotRecorded-(32)]
+	_ = x[EventStreamVersionUnknown-(33)]
+	_ = x[EventLinksVerified-(34)]
+	_ = x[EventRequestQuarantined-(35)]
+	_ = x[EventRequestReleased-(36)]
+	_ = x[EventPartQuarantined-(37)]
+	_ = x[EventPartLifted-(38)]
+	_ = x[EventPartReleased-(39)]
+	_ = x[EventQuarantineNotReported-(40)]
+	_ = x[EventLimitChanged-(41)]
+	_ = x[EventBrittleChanged-(42)]
+	_ = x[EventLoadUnclear-(43)]
+	_ = x[EventRoomChanged-(44)]
+	_ = x[EventForeignEntry-(45)]
+	_ = x[EventLimitUnclear-(46)]
+	_ = x[EventSlotRequested-(47)]
+	_ = x[EventSlotUnanswered-(48)]
+	_ = x[EventLimitNotReported-(49)]
+	_ = x[EventKeysConfirmed-(50)]
+	_ = x[EventKeysUnconfirmed-(51)]
+	_ = x[EventAccountsUnknown-(52)]
+	_ = x[EventQuotaUsedUp-(53)]
+	_ = x[EventQuotaUnanswered-(54)]
+	_ = x[EventOutlierDetected-(55)]
+	_ = x[EventModelWithdrawn-(56)]
+	_ = x[EventOrderAnswered-(57)]
+	_ = x[EventOrderDone-(58)]
+	_ = x[EventOrderStateChanged-(59)]
+	_ = x[EventOrderRefused-(60)]
+	_ = x[EventOrderOutcomeUnknown-(61)]
+	_ = x[EventEngineStateNotRead-(62)]
+	_ = x[EventInventoryNotRead-(63)]
+	_ = x[EventLoadFailed-(64)]
+	_ = x[EventBackendStateNotEncoded-(65)]
+	_ = x[EventRegistryRefused-(66)]
+	_ = x[EventRoutesProposed-(67)]
+	_ = x[EventRoutesRefused-(68)]
+	_ = x[EventRoutesApplied-(69)]
+	_ = x[EventRoutesInEffect-(70)]
+	_ = x[EventRoutesNotDecoded-(71)]
+	_ = x[EventRoutesNotEncoded-(72)]
+	_ = x[EventRoutesNotFetched-(73)]
+	_ = x[EventCatalogueInEffect-(74)]
+	_ = x[EventBecameLeader-(75)]
+	_ = x[EventCommandRejected-(76)]
+	_ = x[EventNoLeader-(77)]
+	_ = x[EventReplicaOpened-(78)]
+	_ = x[EventStartConfirmed-(79)]
+	_ = x[EventStartUnconfirmed-(80)]
+	_ = x[EventVotersChanged-(81)]
+	_ = x[EventLearnerAdded-(82)]
+	_ = x[EventLearnerRemoved-(83)]
+	_ = x[EventVoterAdded-(84)]
+	_ = x[EventVoterReplaced-(85)]
+	_ = x[EventVoterStandby-(86)]
+	_ = x[EventLeadershipNotHandedOver-(87)]
+	_ = x[EventExpiryNotEncoded-(88)]
+	_ = x[EventReplicaFailed-(89)]
+	_ = x[EventReplicaRegressed-(90)]
+	_ = x[EventDataFolderDamaged-(91)]
+	_ = x[EventDataFolderRegressed-(92)]
+	_ = x[EventLeaseAcquired-(93)]
+	_ = x[EventLeaseLost-(94)]
+	_ = x[EventLeaseNotRenewed-(95)]
+	_ = x[EventLeaseNotReleased-(96)]
+	_ = x[EventZoneOwned-(97)]
+	_ = x[EventZoneLost-(98)]
+	_ = x[EventMessageTooLarge-(99)]
+	_ = x[EventControlThreadTimes-(100)]
+	_ = x[EventControlLost-(101)]
+	_ = x[EventControlRegained-(102)]
+	_ = x[EventStarted-(103)]
+	_ = x[EventDraining-(104)]
+	_ = x[EventDrained-(105)]
+	_ = x[EventStopped-(106)]
+	_ = x[EventSettingsReloaded-(107)]
+	_ = x[EventSettingsRefused-(108)]
+	_ = x[EventListenerEnded-(109)]
+	_ = x[EventMetricsNotServed-(110)]
+	_ = x[EventUnknownEvent-(111)]
+	_ = x[EventOverloaded-(112)]
+	_ = x[EventLogLinesDropped-(113)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventStreamGarbled, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -152,113 +151,112 @@
 	_LogEventName[75:92]:     EventSlowCallerEnded,
 	_LogEventName[92:110]:    EventReservationUnclear,
 	_LogEventName[110:124]:   EventCrossedAnswer,
-	_LogEventName[124:138]:   EventStreamGarbled,
-	_LogEventName[138:145]:   EventRefused,
-	_LogEventName[145:164]:   EventAnswerNotRecorded,
-	_LogEventName[164:177]:   EventBackendChanged,
-	_LogEventName[177:196]:   EventBackendsRemembered,
-	_LogEventName[196:216]:   EventRememberedForgotten,
-	_LogEventName[216:236]:   EventEndpointsNotLoaded,
-	_LogEventName[236:255]:   EventEndpointsNotSaved,
-	_LogEventName[255:274]:   EventVersionsNotLoaded,
-	_LogEventName[274:292]:   EventVersionsNotSaved,
-	_LogEventName[292:308]:   EventBackendReplaced,
-	_LogEventName[308:321]:   EventAdapterLoaded,
-	_LogEventName[321:333]:   EventLoadDecided,
-	_LogEventName[333:339]:   EventLayout,
-	_LogEventName[339:354]:   EventBackendCrashed,
-	_LogEventName[354:371]:   EventCrashUnconfirmed,
-	_LogEventName[371:384]:   EventDetourOpened,
-	_LogEventName[384:401]:   EventDetourNotOpened,
-	_LogEventName[401:414]:   EventDetourClosed,
-	_LogEventName[414:424]:   EventLinksLost,
-	_LogEventName[424:438]:   EventLinksRestored,
-	_LogEventName[438:451]:   EventBackendRests,
-	_LogEventName[451:465]:   EventBackendLeaves,
-	_LogEventName[465:484]:   EventHelperNotNotified,
-	_LogEventName[484:504]:   EventSoftwareVersionNew,
-	_LogEventName[504:523]:   EventStreamNotRecorded,
-	_LogEventName[523:545]:   EventStreamVersionUnknown,
-	_LogEventName[545:559]:   EventLinksVerified,
-	_LogEventName[559:578]:   EventRequestQuarantined,
-	_LogEventName[578:594]:   EventRequestReleased,
-	_LogEventName[594:610]:   EventPartQuarantined,
-	_LogEventName[610:621]:   EventPartLifted,
-	_LogEventName[621:634]:   EventPartReleased,
-	_LogEventName[634:657]:   EventQuarantineNotReported,
-	_LogEventName[657:670]:   EventLimitChanged,
-	_LogEventName[670:685]:   EventBrittleChanged,
-	_LogEventName[685:697]:   EventLoadUnclear,
-	_LogEventName[697:709]:   EventRoomChanged,
-	_LogEventName[709:722]:   EventForeignEntry,
-	_LogEventName[722:735]:   EventLimitUnclear,
-	_LogEventName[735:749]:   EventSlotRequested,
-	_LogEventName[749:764]:   EventSlotUnanswered,
-	_LogEventName[764:782]:   EventLimitNotReported,
-	_LogEventName[782:796]:   EventKeysConfirmed,
-	_LogEventName[796:812]:   EventKeysUnconfirmed,
-	_LogEventName[812:828]:   EventAccountsUnknown,
-	_LogEventName[828:841]:   EventQuotaUsedUp,
-	_LogEventName[841:857]:   EventQuotaUnanswered,
-	_LogEventName[857:873]:   EventOutlierDetected,
-	_LogEventName[873:888]:   EventModelWithdrawn,
-	_LogEventName[888:902]:   EventOrderAnswered,
-	_LogEventName[902:912]:   EventOrderDone,
-	_LogEventName[912:923]:   EventOrderStateChanged,
-	_LogEventName[923:936]:   EventOrderRefused,
-	_LogEventName[936:957]:   EventOrderOutcomeUnknown,
-	_LogEventName[957:973]:   EventEngineStateNotRead,
-	_LogEventName[973:991]:   EventInventoryNotRead,
-	_LogEventName[991:1002]:  EventLoadFailed,
-	_LogEventName[1002:1018]: EventBackendStateNotEncoded,
-	_LogEventName[1018:1034]: EventRegistryRefused,
-	_LogEventName[1034:1049]: EventRoutesProposed,
-	_LogEventName[1049:1063]: EventRoutesRefused,
-	_LogEventName[1063:1077]: EventRoutesApplied,
-	_LogEventName[1077:1092]: EventRoutesInEffect,
-	_LogEventName[1092:1110]: EventRoutesNotDecoded,
-	_LogEventName[1110:1128]: EventRoutesNotEncoded,
-	_LogEventName[1128:1146]: EventRoutesNotFetched,
-	_LogEventName[1146:1164]: EventCatalogueInEffect,
-	_LogEventName[1164:1177]: EventBecameLeader,
-	_LogEventName[1177:1193]: EventCommandRejected,
-	_LogEventName[1193:1202]: EventNoLeader,
-	_LogEventName[1202:1216]: EventReplicaOpened,
-	_LogEventName[1216:1231]: EventStartConfirmed,
-	_LogEventName[1231:1248]: EventStartUnconfirmed,
-	_LogEventName[1248:1263]: EventVotersChanged,
-	_LogEventName[1263:1276]: EventLearnerAdded,
-	_LogEventName[1276:1291]: EventLearnerRemoved,
-	_LogEventName[1291:1302]: EventVoterAdded,
-	_LogEventName[1302:1316]: EventVoterReplaced,
-	_LogEventName[1316:1329]: EventVoterStandby,
-	_LogEventName[1329:1355]: EventLeadershipNotHandedOver,
-	_LogEventName[1355:1373]: EventExpiryNotEncoded,
-	_LogEventName[1373:1387]: EventReplicaFailed,
-	_LogEventName[1387:1404]: EventReplicaRegressed,
-	_LogEventName[1404:1423]: EventDataFolderDamaged,
-	_LogEventName[1423:1444]: EventDataFolderRegressed,
-	_LogEventName[1444:1453]: EventLeaseAcquired,
-	_LogEventName[1453:1463]: EventLeaseLost,
-	_LogEventName[1463:1480]: EventLeaseNotRenewed,
-	_LogEventName[1480:1498]: EventLeaseNotReleased,
-	_LogEventName[1498:1508]: EventZoneOwned,
-	_LogEventName[1508:1517]: EventZoneLost,
-	_LogEventName[1517:1534]: EventMessageTooLarge,
-	_LogEventName[1534:1548]: EventControlThreadTimes,
-	_LogEventName[1548:1560]: EventControlLost,
-	_LogEventName[1560:1576]: EventControlRegained,
-	_LogEventName[1576:1583]: EventStarted,
-	_LogEventName[1583:1591]: EventDraining,
-	_LogEventName[1591:1598]: EventDrained,
-	_LogEventName[1598:1605]: EventStopped,
-	_LogEventName[1605:1622]: EventSettingsReloaded,
-	_LogEventName[1622:1638]: EventSettingsRefused,
-	_LogEventName[1638:1652]: EventListenerEnded,
-	_LogEventName[1652:1670]: EventMetricsNotServed,
-	_LogEventName[1670:1683]: EventUnknownEvent,
-	_LogEventName[1683:1693]: EventOverloaded,
-	_LogEventName[1693:1710]: EventLogLinesDropped,
+	_LogEventName[124:131]:   EventRefused,
+	_LogEventName[131:150]:   EventAnswerNotRecorded,
+	_LogEventName[150:163]:   EventBackendChanged,
+	_LogEventName[163:182]:   EventBackendsRemembered,
+	_LogEventName[182:202]:   EventRememberedForgotten,
+	_LogEventName[202:222]:   EventEndpointsNotLoaded,
+	_LogEventName[222:241]:   EventEndpointsNotSaved,
+	_LogEventName[241:260]:   EventVersionsNotLoaded,
+	_LogEventName[260:278]:   EventVersionsNotSaved,
+	_LogEventName[278:294]:   EventBackendReplaced,
+	_LogEventName[294:307]:   EventAdapterLoaded,
+	_LogEventName[307:319]:   EventLoadDecided,
+	_LogEventName[319:325]:   EventLayout,
+	_LogEventName[325:340]:   EventBackendCrashed,
+	_LogEventName[340:357]:   EventCrashUnconfirmed,
+	_LogEventName[357:370]:   EventDetourOpened,
+	_LogEventName[370:387]:   EventDetourNotOpened,
+	_LogEventName[387:400]:   EventDetourClosed,
+	_LogEventName[400:410]:   EventLinksLost,
+	_LogEventName[410:424]:   EventLinksRestored,
+	_LogEventName[424:437]:   EventBackendRests,
+	_LogEventName[437:451]:   EventBackendLeaves,
+	_LogEventName[451:470]:   EventHelperNotNotified,
+	_LogEventName[470:490]:   EventSoftwareVersionNew,
+	_LogEventName[490:509]:   EventStreamNotRecorded,
+	_LogEventName[509:531]:   EventStreamVersionUnknown,
+	_LogEventName[531:545]:   EventLinksVerified,
+	_LogEventName[545:564]:   EventRequestQuarantined,
+	_LogEventName[564:580]:   EventRequestReleased,
+	_LogEventName[580:596]:   EventPartQuarantined,
+	_LogEventName[596:607]:   EventPartLifted,
+	_LogEventName[607:620]:   EventPartReleased,
+	_LogEventName[620:643]:   EventQuarantineNotReported,
+	_LogEventName[643:656]:   EventLimitChanged,
+	_LogEventName[656:671]:   EventBrittleChanged,
+	_LogEventName[671:683]:   EventLoadUnclear,
+	_LogEventName[683:695]:   EventRoomChanged,
+	_LogEventName[695:708]:   EventForeignEntry,
+	_LogEventName[708:721]:   EventLimitUnclear,
+	_LogEventName[721:735]:   EventSlotRequested,
+	_LogEventName[735:750]:   EventSlotUnanswered,
+	_LogEventName[750:768]:   EventLimitNotReported,
+	_LogEventName[768:782]:   EventKeysConfirmed,
+	_LogEventName[782:798]:   EventKeysUnconfirmed,
+	_LogEventName[798:814]:   EventAccountsUnknown,
+	_LogEventName[814:827]:   EventQuotaUsedUp,
+	_LogEventName[827:843]:   EventQuotaUnanswered,
+	_LogEventName[843:859]:   EventOutlierDetected,
+	_LogEventName[859:874]:   EventModelWithdrawn,
+	_LogEventName[874:888]:   EventOrderAnswered,
+	_LogEventName[888:898]:   EventOrderDone,
+	_LogEventName[898:909]:   EventOrderStateChanged,
+	_LogEventName[909:922]:   EventOrderRefused,
+	_LogEventName[922:943]:   EventOrderOutcomeUnknown,
+	_LogEventName[943:959]:   EventEngineStateNotRead,
+	_LogEventName[959:977]:   EventInventoryNotRead,
+	_LogEventName[977:988]:   EventLoadFailed,
+	_LogEventName[988:1004]:  EventBackendStateNotEncoded,
+	_LogEventName[1004:1020]: EventRegistryRefused,
+	_LogEventName[1020:1035]: EventRoutesProposed,
+	_LogEventName[1035:1049]: EventRoutesRefused,
+	_LogEventName[1049:1063]: EventRoutesApplied,
+	_LogEventName[1063:1078]: EventRoutesInEffect,
+	_LogEventName[1078:1096]: EventRoutesNotDecoded,
+	_LogEventName[1096:1114]: EventRoutesNotEncoded,
+	_LogEventName[1114:1132]: EventRoutesNotFetched,
+	_LogEventName[1132:1150]: EventCatalogueInEffect,
+	_LogEventName[1150:1163]: EventBecameLeader,
+	_LogEventName[1163:1179]: EventCommandRejected,
+	_LogEventName[1179:1188]: EventNoLeader,
+	_LogEventName[1188:1202]: EventReplicaOpened,
+	_LogEventName[1202:1217]: EventStartConfirmed,
+	_LogEventName[1217:1234]: EventStartUnconfirmed,
+	_LogEventName[1234:1249]: EventVotersChanged,
+	_LogEventName[1249:1262]: EventLearnerAdded,
+	_LogEventName[1262:1277]: EventLearnerRemoved,
+	_LogEventName[1277:1288]: EventVoterAdded,
+	_LogEventName[1288:1302]: EventVoterReplaced,
+	_LogEventName[1302:1315]: EventVoterStandby,
+	_LogEventName[1315:1341]: EventLeadershipNotHandedOver,
+	_LogEventName[1341:1359]: EventExpiryNotEncoded,
+	_LogEventName[1359:1373]: EventReplicaFailed,
+	_LogEventName[1373:1390]: EventReplicaRegressed,
+	_LogEventName[1390:1409]: EventDataFolderDamaged,
+	_LogEventName[1409:1430]: EventDataFolderRegressed,
+	_LogEventName[1430:1439]: EventLeaseAcquired,
+	_LogEventName[1439:1449]: EventLeaseLost,
+	_LogEventName[1449:1466]: EventLeaseNotRenewed,
+	_LogEventName[1466:1484]: EventLeaseNotReleased,
+	_LogEventName[1484:1494]: EventZoneOwned,
+	_LogEventName[1494:1503]: EventZoneLost,
+	_LogEventName[1503:1520]: EventMessageTooLarge,
+	_LogEventName[1520:1534]: EventControlThreadTimes,
+	_LogEventName[1534:1546]: EventControlLost,
+	_LogEventName[1546:1562]: EventControlRegained,
+	_LogEventName[1562:1569]: EventStarted,
+	_LogEventName[1569:1577]: EventDraining,
+	_LogEventName[1577:1584]: EventDrained,
+	_LogEventName[1584:1591]: EventStopped,
+	_LogEventName[1591:1608]: EventSettingsReloaded,
+	_LogEventName[1608:1624]: EventSettingsRefused,
+	_LogEventName[1624:1638]: EventListenerEnded,
+	_LogEventName[1638:1656]: EventMetricsNotServed,
+	_LogEventName[1656:1669]: EventUnknownEvent,
+	_LogEventName[1669:1679]: EventOverloaded,
+	_LogEventName[1679:1696]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -270,113 +268,112 @@
 	_LogEventLowerName[75:92]:     EventSlowCallerEnded,
 	_LogEventLowerName[92:110]:    EventReservationUnclear,
 	_LogEventLowerName[110:124]:   EventCrossedAnswer,
-	_LogEventLowerName[124:138]:   EventStreamGarbled,
-	_LogEventLowerName[138:145]:   EventRefused,
-	_LogEventLowerName[145:164]:   EventAnswerNotRecorded,
-	_LogEventLowerName[164:177]:   EventBackendChanged,
-	_LogEventLowerName[177:196]:   EventBackendsRemembered,
-	_LogEventLowerName[196:216]:   EventRememberedForgotten,
-	_LogEventLowerName[216:236]:   EventEndpointsNotLoaded,
-	_LogEventLowerName[236:255]:   EventEndpointsNotSaved,
-	_LogEventLowerName[255:274]:   EventVersionsNotLoaded,
-	_LogEventLowerName[274:292]:   EventVersionsNotSaved,
-	_LogEventLowerName[292:308]:   EventBackendReplaced,
-	_LogEventLowerName[308:321]:   EventAdapterLoaded,
-	_LogEventLowerName[321:333]:   EventLoadDecided,
-	_LogEventLowerName[333:339]:   EventLayout,
-	_LogEventLowerName[339:354]:   EventBackendCrashed,
-	_LogEventLowerName[354:371]:   EventCrashUnconfirmed,
-	_LogEventLowerName[371:384]:   EventDetourOpened,
-	_LogEventLowerName[384:401]:   EventDetourNotOpened,
-	_LogEventLowerName[401:414]:   EventDetourClosed,
-	_LogEventLowerName[414:424]:   EventLinksLost,
-	_LogEventLowerName[424:438]:   EventLinksRestored,
-	_LogEventLowerName[438:451]:   EventBackendRests,
-	_LogEventLowerName[451:465]:   EventBackendLeaves,
-	_LogEventLowerName[465:484]:   EventHelperNotNotified,
-	_LogEventLowerName[484:504]:   EventSoftwareVersionNew,
-	_LogEventLowerName[504:523]:   EventStreamNotRecorded,
-	_LogEventLowerName[523:545]:   EventStreamVersionUnknown,
-	_LogEventLowerName[545:559]:   EventLinksVerified,
-	_LogEventLowerName[559:578]:   EventRequestQuarantined,
-	_LogEventLowerName[578:594]:   EventRequestReleased,
-	_LogEventLowerName[594:610]:   EventPartQuarantined,
-	_LogEventLowerName[610:621]:   EventPartLifted,
-	_LogEventLowerName[621:634]:   EventPartReleased,
-	_LogEventLowerName[634:657]:   EventQuarantineNotReported,
-	_LogEventLowerName[657:670]:   EventLimitChanged,
-	_LogEventLowerName[670:685]:   EventBrittleChanged,
-	_LogEventLowerName[685:697]:   EventLoadUnclear,
-	_LogEventLowerName[697:709]:   EventRoomChanged,
-	_LogEventLowerName[709:722]:   EventForeignEntry,
-	_LogEventLowerName[722:735]:   EventLimitUnclear,
-	_LogEventLowerName[735:749]:   EventSlotRequested,
-	_LogEventLowerName[749:764]:   EventSlotUnanswered,
-	_LogEventLowerName[764:782]:   EventLimitNotReported,
-	_LogEventLowerName[782:796]:   EventKeysConfirmed,
-	_LogEventLowerName[796:812]:   EventKeysUnconfirmed,
-	_LogEventLowerName[812:828]:   EventAccountsUnknown,
-	_LogEventLowerName[828:841]:   EventQuotaUsedUp,
-	_LogEventLowerName[841:857]:   EventQuotaUnanswered,
-	_LogEventLowerName[857:873]:   EventOutlierDetected,
-	_LogEventLowerName[873:888]:   EventModelWithdrawn,
-	_LogEventLowerName[888:902]:   EventOrderAnswered,
-	_LogEventLowerName[902:912]:   EventOrderDone,
-	_LogEventLowerName[912:923]:   EventOrderStateChanged,
-	_LogEventLowerName[923:936]:   EventOrderRefused,
-	_LogEventLowerName[936:957]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[957:973]:   EventEngineStateNotRead,
-	_LogEventLowerName[973:991]:   EventInventoryNotRead,
-	_LogEventLowerName[991:1002]:  EventLoadFailed,
-	_LogEventLowerName[1002:1018]: EventBackendStateNotEncoded,
-	_LogEventLowerName[1018:1034]: EventRegistryRefused,
-	_LogEventLowerName[1034:1049]: EventRoutesProposed,
-	_LogEventLowerName[1049:1063]: EventRoutesRefused,
-	_LogEventLowerName[1063:1077]: EventRoutesApplied,
-	_LogEventLowerName[1077:1092]: EventRoutesInEffect,
-	_LogEventLowerName[1092:1110]: EventRoutesNotDecoded,
-	_LogEventLowerName[1110:1128]: EventRoutesNotEncoded,
-	_LogEventLowerName[1128:1146]: EventRoutesNotFetched,
-	_LogEventLowerName[1146:1164]: EventCatalogueInEffect,
-	_LogEventLowerName[1164:1177]: EventBecameLeader,
-	_LogEventLowerName[1177:1193]: EventCommandRejected,
-	_LogEventLowerName[1193:1202]: EventNoLeader,
-	_LogEventLowerName[1202:1216]: EventReplicaOpened,
-	_LogEventLowerName[1216:1231]: EventStartConfirmed,
-	_LogEventLowerName[1231:1248]: EventStartUnconfirmed,
-	_LogEventLowerName[1248:1263]: EventVotersChanged,
-	_LogEventLowerName[1263:1276]: EventLearnerAdded,
-	_LogEventLowerName[1276:1291]: EventLearnerRemoved,
-	_LogEventLowerName[1291:1302]: EventVoterAdded,
-	_LogEventLowerName[1302:1316]: EventVoterReplaced,
-	_LogEventLowerName[1316:1329]: EventVoterStandby,
-	_LogEventLowerName[1329:1355]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1355:1373]: EventExpiryNotEncoded,
-	_LogEventLowerName[1373:1387]: EventReplicaFailed,
-	_LogEventLowerName[1387:1404]: EventReplicaRegressed,
-	_LogEventLowerName[1404:1423]: EventDataFolderDamaged,
-	_LogEventLowerName[1423:1444]: EventDataFolderRegressed,
-	_LogEventLowerName[1444:1453]: EventLeaseAcquired,
-	_LogEventLowerName[1453:1463]: EventLeaseLost,
-	_LogEventLowerName[1463:1480]: EventLeaseNotRenewed,
-	_LogEventLowerName[1480:1498]: EventLeaseNotReleased,
-	_LogEventLowerName[1498:1508]: EventZoneOwned,
-	_LogEventLowerName[1508:1517]: EventZoneLost,
-	_LogEventLowerName[1517:1534]: EventMessageTooLarge,
-	_LogEventLowerName[1534:1548]: EventControlThreadTimes,
-	_LogEventLowerName[1548:1560]: EventControlLost,
-	_LogEventLowerName[1560:1576]: EventControlRegained,
-	_LogEventLowerName[1576:1583]: EventStarted,
-	_LogEventLowerName[1583:1591]: EventDraining,
-	_LogEventLowerName[1591:1598]: EventDrained,
-	_LogEventLowerName[1598:1605]: EventStopped,
-	_LogEventLowerName[1605:1622]: EventSettingsReloaded,
-	_LogEventLowerName[1622:1638]: EventSettingsRefused,
-	_LogEventLowerName[1638:1652]: EventListenerEnded,
-	_LogEventLowerName[1652:1670]: EventMetricsNotServed,
-	_LogEventLowerName[1670:1683]: EventUnknownEvent,
-	_LogEventLowerName[1683:1693]: EventOverloaded,
-	_LogEventLowerName[1693:1710]: EventLogLinesDropped,
+	_LogEventLowerName[124:131]:   EventRefused,
+	_LogEventLowerName[131:150]:   EventAnswerNotRecorded,
+	_LogEventLowerName[150:163]:   EventBackendChanged,
+	_LogEventLowerName[163:182]:   EventBackendsRemembered,
+	_LogEventLowerName[182:202]:   EventRememberedForgotten,
+	_LogEventLowerName[202:222]:   EventEndpointsNotLoaded,
+	_LogEventLowerName[222:241]:   EventEndpointsNotSaved,
+	_LogEventLowerName[241:260]:   EventVersionsNotLoaded,
+	_LogEventLowerName[260:278]:   EventVersionsNotSaved,
+	_LogEventLowerName[278:294]:   EventBackendReplaced,
+	_LogEventLowerName[294:307]:   EventAdapterLoaded,
+	_LogEventLowerName[307:319]:   EventLoadDecided,
+	_LogEventLowerName[319:325]:   EventLayout,
+	_LogEventLowerName[325:340]:   EventBackendCrashed,
+	_LogEventLowerName[340:357]:   EventCrashUnconfirmed,
+	_LogEventLowerName[357:370]:   EventDetourOpened,
+	_LogEventLowerName[370:387]:   EventDetourNotOpened,
+	_LogEventLowerName[387:400]:   EventDetourClosed,
+	_LogEventLowerName[400:410]:   EventLinksLost,
+	_LogEventLowerName[410:424]:   EventLinksRestored,
+	_LogEventLowerName[424:437]:   EventBackendRests,
+	_LogEventLowerName[437:451]:   EventBackendLeaves,
+	_LogEventLowerName[451:470]:   EventHelperNotNotified,
+	_LogEventLowerName[470:490]:   EventSoftwareVersionNew,
+	_LogEventLowerName[490:509]:   EventStreamNotRecorded,
+	_LogEventLowerName[509:531]:   EventStreamVersionUnknown,
+	_LogEventLowerName[531:545]:   EventLinksVerified,
+	_LogEventLowerName[545:564]:   EventRequestQuarantined,
+	_LogEventLowerName[564:580]:   EventRequestReleased,
+	_LogEventLowerName[580:596]:   EventPartQuarantined,
+	_LogEventLowerName[596:607]:   EventPartLifted,
+	_LogEventLowerName[607:620]:   EventPartReleased,
+	_LogEventLowerName[620:643]:   EventQuarantineNotReported,
+	_LogEventLowerName[643:656]:   EventLimitChanged,
+	_LogEventLowerName[656:671]:   EventBrittleChanged,
+	_LogEventLowerName[671:683]:   EventLoadUnclear,
+	_LogEventLowerName[683:695]:   EventRoomChanged,
+	_LogEventLowerName[695:708]:   EventForeignEntry,
+	_LogEventLowerName[708:721]:   EventLimitUnclear,
+	_LogEventLowerName[721:735]:   EventSlotRequested,
+	_LogEventLowerName[735:750]:   EventSlotUnanswered,
+	_LogEventLowerName[750:768]:   EventLimitNotReported,
+	_LogEventLowerName[768:782]:   EventKeysConfirmed,
+	_LogEventLowerName[782:798]:   EventKeysUnconfirmed,
+	_LogEventLowerName[798:814]:   EventAccountsUnknown,
+	_LogEventLowerName[814:827]:   EventQuotaUsedUp,
+	_LogEventLowerName[827:843]:   EventQuotaUnanswered,
+	_LogEventLowerName[843:859]:   EventOutlierDetected,
+	_LogEventLowerName[859:874]:   EventModelWithdrawn,
+	_LogEventLowerName[874:888]:   EventOrderAnswered,
+	_LogEventLowerName[888:898]:   EventOrderDone,
+	_LogEventLowerName[898:909]:   EventOrderStateChanged,
+	_LogEventLowerName[909:922]:   EventOrderRefused,
+	_LogEventLowerName[922:943]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[943:959]:   EventEngineStateNotRead,
+	_LogEventLowerName[959:977]:   EventInventoryNotRead,
+	_LogEventLowerName[977:988]:   EventLoadFailed,
+	_LogEventLowerName[988:1004]:  EventBackendStateNotEncoded,
+	_LogEventLowerName[1004:1020]: EventRegistryRefused,
+	_LogEventLowerName[1020:1035]: EventRoutesProposed,
+	_LogEventLowerName[1035:1049]: EventRoutesRefused,
+	_LogEventLowerName[1049:1063]: EventRoutesApplied,
+	_LogEventLowerName[1063:1078]: EventRoutesInEffect,
+	_LogEventLowerName[1078:1096]: EventRoutesNotDecoded,
+	_LogEventLowerName[1096:1114]: EventRoutesNotEncoded,
+	_LogEventLowerName[1114:1132]: EventRoutesNotFetched,
+	_LogEventLowerName[1132:1150]: EventCatalogueInEffect,
+	_LogEventLowerName[1150:1163]: EventBecameLeader,
+	_LogEventLowerName[1163:1179]: EventCommandRejected,
+	_LogEventLowerName[1179:1188]: EventNoLeader,
+	_LogEventLowerName[1188:1202]: EventReplicaOpened,
+	_LogEventLowerName[1202:1217]: EventStartConfirmed,
+	_LogEventLowerName[1217:1234]: EventStartUnconfirmed,
+	_LogEventLowerName[1234:1249]: EventVotersChanged,
+	_LogEventLowerName[1249:1262]: EventLearnerAdded,
+	_LogEventLowerName[1262:1277]: EventLearnerRemoved,
+	_LogEventLowerName[1277:1288]: EventVoterAdded,
+	_LogEventLowerName[1288:1302]: EventVoterReplaced,
+	_LogEventLowerName[1302:1315]: EventVoterStandby,
+	_LogEventLowerName[1315:1341]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1341:1359]: EventExpiryNotEncoded,
+	_LogEventLowerName[1359:1373]: EventReplicaFailed,
+	_LogEventLowerName[1373:1390]: EventReplicaRegressed,
+	_LogEventLowerName[1390:1409]: EventDataFolderDamaged,
+	_LogEventLowerName[1409:1430]: EventDataFolderRegressed,
+	_LogEventLowerName[1430:1439]: EventLeaseAcquired,
+	_LogEventLowerName[1439:1449]: EventLeaseLost,
+	_LogEventLowerName[1449:1466]: EventLeaseNotRenewed,
+	_LogEventLowerName[1466:1484]: EventLeaseNotReleased,
+	_LogEventLowerName[1484:1494]: EventZoneOwned,
+	_LogEventLowerName[1494:1503]: EventZoneLost,
+	_LogEventLowerName[1503:1520]: EventMessageTooLarge,
+	_LogEventLowerName[1520:1534]: EventControlThreadTimes,
+	_LogEventLowerName[1534:1546]: EventControlLost,
+	_LogEventLowerName[1546:1562]: EventControlRegained,
+	_LogEventLowerName[1562:1569]: EventStarted,
+	_LogEventLowerName[1569:1577]: EventDraining,
+	_LogEventLowerName[1577:1584]: EventDrained,
+	_LogEventLowerName[1584:1591]: EventStopped,
+	_LogEventLowerName[1591:1608]: EventSettingsReloaded,
+	_LogEventLowerName[1608:1624]: EventSettingsRefused,
+	_LogEventLowerName[1624:1638]: EventListenerEnded,
+	_LogEventLowerName[1638:1656]: EventMetricsNotServed,
+	_LogEventLowerName[1656:1669]: EventUnknownEvent,
+	_LogEventLowerName[1669:1679]: EventOverloaded,
+	_LogEventLowerName[1679:1696]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -388,113 +385,112 @@
 	_LogEventName[75:92],
 	_LogEventName[92:110],
 	_LogEventName[110:124],
-	_LogEventName[124:138],
-	_LogEventName[138:145],
-	_LogEventName[145:164],
-	_LogEventName[164:177],
-	_LogEventName[177:196],
-	_LogEventName[196:216],
-	_LogEventName[216:236],
-	_LogEventName[236:255],
-	_LogEventName[255:274],
-	_LogEventName[274:292],
-	_LogEventName[292:308],
-	_LogEventName[308:321],
-	_LogEventName[321:333],
-	_LogEventName[333:339],
-	_LogEventName[339:354],
-	_LogEventName[354:371],
-	_LogEventName[371:384],
-	_LogEventName[384:401],
-	_LogEventName[401:414],
-	_LogEventName[414:424],
-	_LogEventName[424:438],
-	_LogEventName[438:451],
-	_LogEventName[451:465],
-	_LogEventName[465:484],
-	_LogEventName[484:504],
-	_LogEventName[504:523],
-	_LogEventName[523:545],
-	_LogEventName[545:559],
-	_LogEventName[559:578],
-	_LogEventName[578:594],
-	_LogEventName[594:610],
-	_LogEventName[610:621],
-	_LogEventName[621:634],
-	_LogEventName[634:657],
-	_LogEventName[657:670],
-	_LogEventName[670:685],
-	_LogEventName[685:697],
-	_LogEventName[697:709],
-	_LogEventName[709:722],
-	_LogEventName[722:735],
-	_LogEventName[735:749],
-	_LogEventName[749:764],
-	_LogEventName[764:782],
-	_LogEventName[782:796],
-	_LogEventName[796:812],
-	_LogEventName[812:828],
-	_LogEventName[828:841],
-	_LogEventName[841:857],
-	_LogEventName[857:873],
-	_LogEventName[873:888],
-	_LogEventName[888:902],
-	_LogEventName[902:912],
-	_LogEventName[912:923],
-	_LogEventName[923:936],
-	_LogEventName[936:957],
-	_LogEventName[957:973],
-	_LogEventName[973:991],
-	_LogEventName[991:1002],
-	_LogEventName[1002:1018],
-	_LogEventName[1018:1034],
-	_LogEventName[1034:1049],
+	_LogEventName[124:131],
+	_LogEventName[131:150],
+	_LogEventName[150:163],
+	_LogEventName[163:182],
+	_LogEventName[182:202],
+	_LogEventName[202:222],
+	_LogEventName[222:241],
+	_LogEventName[241:260],
+	_LogEventName[260:278],
+	_LogEventName[278:294],
+	_LogEventName[294:307],
+	_LogEventName[307:319],
+	_LogEventName[319:325],
+	_LogEventName[325:340],
+	_LogEventName[340:357],
+	_LogEventName[357:370],
+	_LogEventName[370:387],
+	_LogEventName[387:400],
+	_LogEventName[400:410],
+	_LogEventName[410:424],
+	_LogEventName[424:437],
+	_LogEventName[437:451],
+	_LogEventName[451:470],
+	_LogEventName[470:490],
+	_LogEventName[490:509],
+	_LogEventName[509:531],
+	_LogEventName[531:545],
+	_LogEventName[545:564],
+	_LogEventName[564:580],
+	_LogEventName[580:596],
+	_LogEventName[596:607],
+	_LogEventName[607:620],
+	_LogEventName[620:643],
+	_LogEventName[643:656],
+	_LogEventName[656:671],
+	_LogEventName[671:683],
+	_LogEventName[683:695],
+	_LogEventName[695:708],
+	_LogEventName[708:721],
+	_LogEventName[721:735],
+	_LogEventName[735:750],
+	_LogEventName[750:768],
+	_LogEventName[768:782],
+	_LogEventName[782:798],
+	_LogEventName[798:814],
+	_LogEventName[814:827],
+	_LogEventName[827:843],
+	_LogEventName[843:859],
+	_LogEventName[859:874],
+	_LogEventName[874:888],
+	_LogEventName[888:898],
+	_LogEventName[898:909],
+	_LogEventName[909:922],
+	_LogEventName[922:943],
+	_LogEventName[943:959],
+	_LogEventName[959:977],
+	_LogEventName[977:988],
+	_LogEventName[988:1004],
+	_LogEventName[1004:1020],
+	_LogEventName[1020:1035],
+	_LogEventName[1035:1049],
 	_LogEventName[1049:1063],
-	_LogEventName[1063:1077],
-	_LogEventName[1077:1092],
-	_LogEventName[1092:1110],
-	_LogEventName[1110:1128],
-	_LogEventName[1128:1146],
-	_LogEventName[1146:1164],
-	_LogEventName[1164:1177],
-	_LogEventName[1177:1193],
-	_LogEventName[1193:1202],
-	_LogEventName[1202:1216],
-	_LogEventName[1216:1231],
-	_LogEventName[1231:1248],
-	_LogEventName[1248:1263],
-	_LogEventName[1263:1276],
-	_LogEventName[1276:1291],
-	_LogEventName[1291:1302],
-	_LogEventName[1302:1316],
-	_LogEventName[1316:1329],
-	_LogEventName[1329:1355],
-	_LogEventName[1355:1373],
-	_LogEventName[1373:1387],
-	_LogEventName[1387:1404],
-	_LogEventName[1404:1423],
-	_LogEventName[1423:1444],
-	_LogEventName[1444:1453],
-	_LogEventName[1453:1463],
-	_LogEventName[1463:1480],
-	_LogEventName[1480:1498],
-	_LogEventName[1498:1508],
-	_LogEventName[1508:1517],
-	_LogEventName[1517:1534],
-	_LogEventName[1534:1548],
-	_LogEventName[1548:1560],
-	_LogEventName[1560:1576],
-	_LogEventName[1576:1583],
-	_LogEventName[1583:1591],
-	_LogEventName[1591:1598],
-	_LogEventName[1598:1605],
-	_LogEventName[1605:1622],
-	_LogEventName[1622:1638],
-	_LogEventName[1638:1652],
-	_LogEventName[1652:1670],
-	_LogEventName[1670:1683],
-	_LogEventName[1683:1693],
-	_LogEventName[1693:1710],
+	_LogEventName[1063:1078],
+	_LogEventName[1078:1096],
+	_LogEventName[1096:1114],
+	_LogEventName[1114:1132],
+	_LogEventName[1132:1150],
+	_LogEventName[1150:1163],
+	_LogEventName[1163:1179],
+	_LogEventName[1179:1188],
+	_LogEventName[1188:1202],
+	_LogEventName[1202:1217],
+	_LogEventName[1217:1234],
+	_LogEventName[1234:1249],
+	_LogEventName[1249:1262],
+	_LogEventName[1262:1277],
+	_LogEventName[1277:1288],
+	_LogEventName[1288:1302],
+	_LogEventName[1302:1315],
+	_LogEventName[1315:1341],
+	_LogEventName[1341:1359],
+	_LogEventName[1359:1373],
+	_LogEventName[1373:1390],
+	_LogEventName[1390:1409],
+	_LogEventName[1409:1430],
+	_LogEventName[1430:1439],
+	_LogEventName[1439:1449],
+	_LogEventName[1449:1466],
+	_LogEventName[1466:1484],
+	_LogEventName[1484:1494],
+	_LogEventName[1494:1503],
+	_LogEventName[1503:1520],
+	_LogEventName[1520:1534],
+	_LogEventName[1534:1546],
+	_LogEventName[1546:1562],
+	_LogEventName[1562:1569],
+	_LogEventName[1569:1577],
+	_LogEventName[1577:1584],
+	_LogEventName[1584:1591],
+	_LogEventName[1591:1608],
+	_LogEventName[1608:1624],
+	_LogEventName[1624:1638],
+	_LogEventName[1638:1656],
+	_LogEventName[1656:1669],
+	_LogEventName[1669:1679],
+	_LogEventName[1679:1696],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
