fix: a stream whose end has bytes behind it is taken up after its last event

The end was not doubted: bytes behind it only kept the connection from being used again.

Such an end is no proof. Where the stream may be resumed, another server is asked for what follows the last event; one where it is over answers with no more events. If none goes on, the answer is complete, as PROTOCOL has it that such bytes belong to no request. Other answers are only noted (garbage-received, bytes-after-end). Bytes that come after the end was read are not seen.

Evidence: "too early" of TestEndWithBytesBehindItIsDoubted fails before.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -31,6 +31,9 @@
 type answer struct {
 	w       http.ResponseWriter
 	started bool
+	// endDoubted is set once an attempt ended the answer, and more bytes came behind it. It is complete unless another attempt adds
+	// to it.
+	endDoubted bool
 	// firstAt and lastAt are when the first and last parts were written; pause is the longest time
 	// between two consecutive parts.
 	firstAt, lastAt time.Time
@@ -64,6 +67,7 @@
 		a.pause = max(a.pause, now.Sub(a.lastAt))
 	}
 	a.lastAt = now
+	a.endDoubted = false
 	a.events++
 }
 
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -160,6 +160,9 @@
 	out.heard = func() { g.links.heard(wait, conn) }
 	out.begin = func() bool { return g.links.started(wait) }
 	fail := g.forwardAnswer(ctx, q, out, ticket, resp, result)
+	if fail == nil {
+		fail = g.checkEnd(q, out, ticket, conn)
+	}
 	if fail != nil {
 		fail.begun = true
 	} else {
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -73,6 +73,11 @@
 
 func (e *NoEventsError) Error() string { return "the stream ended as complete without an event" }
 
+// BytesAfterEndError is an answer that ended as complete, with more bytes behind it.
+type BytesAfterEndError struct{}
+
+func (e *BytesAfterEndError) Error() string { return "more bytes came after the end of the answer" }
+
 // BlankEventsError is a stream in which Count blocks in a row carried nothing.
 type BlankEventsError struct{ Count int }
 
--- a/laburnumgateway/garbage.go
+++ b/laburnumgateway/garbage.go
@@ -3,6 +3,7 @@
 import (
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumupstream"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,7 @@
 		blank     *BlankEventsError
 		none      *NoEventsError
 		crossed   *CrossedAnswerError
+		after     *BytesAfterEndError
 	)
 	switch {
 	case errors.As(err, &notHTTP):
@@ -59,6 +61,8 @@
 		return garbageNoEvents, true
 	case errors.As(err, &crossed):
 		return garbageCrossedAnswer, true
+	case errors.As(err, &after):
+		return garbageBytesAfterEnd, true
 	default:
 		return 0, false
 	}
@@ -84,3 +88,18 @@
 		"event", laburnumlever.EventGarbageReceived, "request-id", q.caller.ID, "backend", ticket.Backend.Backend, "service", q.service.Name,
 		"address", ticket.Backend.Address, "software", ticket.Backend.Software, "via", q.via, "kind", kind, "events", out.events, "cause", cause)
 }
+
+// checkEnd is called after a complete answer. If bytes follow it, a server that spoils its answers has written the end, too. A stream is
+// taken up after its last event then: a server where it is over answers with no more events.
+func (g *Gateway) checkEnd(q *request, out *answer, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn) *failure {
+	if !conn.BytesFollow() {
+		return nil
+	}
+	cause := &BytesAfterEndError{}
+	if _, ok := q.events.resumesAfter(); !ok || !q.route.Resumable {
+		g.noteGarbage(q, out, ticket, garbageBytesAfterEnd, cause)
+		return nil
+	}
+	out.endDoubted = true
+	return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: cause}
+}
--- a/laburnumgateway/garbage_test.go
+++ b/laburnumgateway/garbage_test.go
@@ -247,3 +247,51 @@
 	_, err = io.ReadAll(conn)
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+// Guards against a stream that its server ended too early, with garbage behind the end, and against cutting one that was over.
+func TestEndWithBytesBehindItIsDoubted(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		last       int
+		path, want string
+	}{
+		{"too early", 3, "/quote/x", eventsUpTo(streamLength)},
+		{"over", streamLength, "/quote/x", eventsUpTo(streamLength)},
+		{"can't go on", 3, "/draft/x", eventsUpTo(3)},
+	} {
+		for _, behind := range []string{"\x93\xff", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
+			t.Run(tt.name, func(t *testing.T) {
+				b := newSpoilingHarness(t, func(conn net.Conn, _ receivedRequest) {
+					var text bytes.Buffer
+					fmt.Fprintf(&text, "HTTP/1.1 200 OK\r\n%s: r-1\r\n%s: s1\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s%s",
+						idHeader, stampHeader, len(eventsUpTo(tt.last)), eventsUpTo(tt.last), behind)
+					_, _ = conn.Write(text.Bytes())
+				})
+				got := b.send("POST", tt.path, "oak", "X-Laburnumlever-Model", "m0")
+				require.NoError(t, got.err)
+				require.Equal(t, tt.want, got.body)
+			})
+		}
+	}
+}
+
+// Guards against a whole stream that is cut since no other server can tell whether it was over.
+func TestStreamWithADoubtedEndIsWholeIfNoServerGoesOn(t *testing.T) {
+	server := newBackend(t, "i-1", func(conn net.Conn, _ receivedRequest, _ int) {
+		text := eventsUpTo(3)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-1\r\n%s: s1\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%sgarbage",
+			idHeader, stampHeader, len(text), text)
+	})
+	failing := newBackend(t, "i-2", func(conn net.Conn, a receivedRequest, _ int) {
+		if a.request.Header.Get("Last-Event-Id") == "" {
+			writeAnswer(conn, a, http.StatusServiceUnavailable, "busy", "X-Laburnumlever-Not-Run: 1")
+			return
+		}
+		writeAnswer(conn, a, http.StatusInternalServerError, "error")
+	})
+	for range 4 {
+		got := newHarness(t, server.heartbeat("quotes", "m0"), failing.heartbeat("quotes", "m0")).send("POST", "/quote/x", "oak", "X-Laburnumlever-Model", "m0")
+		require.NoError(t, got.err)
+		require.Equal(t, eventsUpTo(3), got.body)
+	}
+}
--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -164,6 +164,11 @@
 	buf.Write(q.Body)
 }
 
+// BytesFollow reports whether bytes have come after the answer that was read.
+func (c *Conn) BytesFollow() bool {
+	return c.r.Buffered() > 0 || laburnumsocket.Look(c.conn) == laburnumsocket.Readable
+}
+
 // noPendingInput tells whether an idle connection can be reused: it can't if there are bytes to read
 // or the peer has closed it.
 func (c *Conn) noPendingInput() bool {
