fix: a stream that ends in the middle of an event is no crash if it ends as complete

Random bytes before the last chunk were taken for a connection that was lost: they counted for the search for crashed servers and lost links, and not against the server, though nothing of its connection was. Only the end of a connection that ends the answer is taken for such a loss now; before a last chunk or within the length it is garbage (cut-event).

Evidence: the case cut-event of TestServersThatSendGarbageAreDetected fails before.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -190,7 +190,7 @@
 	events := newEventReader(resp.Body, g.buffers)
 	defer events.close()
 	for first := true; ; first = false {
-		event, err := g.nextEvent(q, events)
+		event, err := g.nextEvent(q, resp, events)
 		if err != nil && !errors.Is(err, io.EOF) {
 			result.Failed = ctx.Err() == nil
 			if out.started {
@@ -229,11 +229,11 @@
 const maxBlankBlocks = 256
 
 // nextEvent returns the next event of the stream. Blocks that carry none are dropped. The error is io.EOF at the end of the stream.
-func (g *Gateway) nextEvent(q *request, events *eventReader) ([]byte, error) {
+func (g *Gateway) nextEvent(q *request, resp *http.Response, events *eventReader) ([]byte, error) {
 	for range maxBlankBlocks {
 		block, err := events.next()
 		if errors.Is(err, io.EOF) && len(block) > 0 {
-			return nil, io.ErrUnexpectedEOF
+			return nil, endedEarly(resp, &EventCutError{})
 		}
 		if err != nil {
 			return nil, err
@@ -253,11 +253,8 @@
 // endStream ends a stream whose server says that it is complete.
 func (g *Gateway) endStream(ctx context.Context, q *request, out *answer, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
 	if err := q.events.end(); err != nil {
-		if !provesWhole(resp) {
-			err = io.ErrUnexpectedEOF // the connection was lost
-		}
 		result.Failed = ctx.Err() == nil
-		return brokenAnswer(ctx, err)
+		return brokenAnswer(ctx, endedEarly(resp, err))
 	}
 	if !out.start(resp.Header, http.StatusOK) {
 		return brokenAnswer(ctx, net.ErrClosed)
@@ -265,6 +262,14 @@
 	return nil
 }
 
+// endedEarly returns the error of a stream that ended where it can't be complete: that of its connection if this is what ended it.
+func endedEarly(resp *http.Response, err error) error {
+	if provesWhole(resp) {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
 // heardBody reports each part of an answer that arrives.
 type heardBody struct {
 	io.ReadCloser
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -73,6 +73,13 @@
 
 func (e *NoEventsError) Error() string { return "the stream ended as complete without an event" }
 
+// EventCutError is a stream that ended as complete in the middle of an event.
+type EventCutError struct{}
+
+func (e *EventCutError) Error() string {
+	return "the stream ended as complete in the middle of an event"
+}
+
 // BytesAfterEndError is an answer that ended as complete, with more bytes behind it.
 type BytesAfterEndError struct{}
 
--- a/laburnumgateway/garbage.go
+++ b/laburnumgateway/garbage.go
@@ -28,6 +28,8 @@
 	garbageBlankEvents
 	// garbageNoEvents is a stream that ends as complete without an event.
 	garbageNoEvents
+	// garbageCutEvent is a stream that ends as complete in the middle of an event.
+	garbageCutEvent
 	// garbageCrossedAnswer is an answer that belongs to another request.
 	garbageCrossedAnswer
 	// garbageBytesAfterEnd follows a complete answer.
@@ -43,6 +45,7 @@
 		gap       *EventGapError
 		blank     *BlankEventsError
 		none      *NoEventsError
+		cut       *EventCutError
 		crossed   *CrossedAnswerError
 		after     *BytesAfterEndError
 	)
@@ -59,6 +62,8 @@
 		return garbageBlankEvents, true
 	case errors.As(err, &none):
 		return garbageNoEvents, true
+	case errors.As(err, &cut):
+		return garbageCutEvent, true
 	case errors.As(err, &crossed):
 		return garbageCrossedAnswer, true
 	case errors.As(err, &after):
--- a/laburnumgateway/garbage_test.go
+++ b/laburnumgateway/garbage_test.go
@@ -198,7 +198,7 @@
 
 // Guards against servers that send garbage and lose no work by it, whose neighbours lose some, or whom nobody finds in logs and metrics.
 func TestServersThatSendGarbageAreDetected(t *testing.T) {
-	for kind, garbage := range map[string]string{"invalid-event": "5\r\n\x93\xff\n\n\n\r\n", "not-http": "\x93\xff\r\n"} {
+	for kind, garbage := range map[string]string{"invalid-event": "5\r\n\x93\xff\n\n\n\r\n", "not-http": "\x93\xff\r\n", "cut-event": "4\r\n\x93\xff\xfe\xff\r\n0\r\n\r\n"} {
 		t.Run(kind, func(t *testing.T) {
 			spoils := func(conn net.Conn, a receivedRequest, n int) {
 				writeEvents(conn, a, 1, 2)
@@ -228,6 +228,7 @@
 			require.NotContains(t, logged.String(), "event=garbage-received request-id=r-1 backend=i-2")
 			require.Contains(t, logged.String(), "kind="+kind+" events=2")
 			require.Positive(t, scope.Snapshot().Counters()["garbage_received+kind="+kind].Value())
+			require.NotContains(t, logged.String(), "crash", "the server runs")
 		})
 	}
 }
--- a/laburnumgateway/garbagekind_gen.go
+++ b/laburnumgateway/garbagekind_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _garbageKindName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscrossed-answerbytes-after-end"
+const _garbageKindName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerbytes-after-end"
 
-var _garbageKindIndex = [...]uint8{0, 8, 21, 30, 42, 54, 63, 77, 92}
+var _garbageKindIndex = [...]uint8{0, 8, 21, 30, 42, 54, 63, 72, 86, 101}
 
-const _garbageKindLowerName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscrossed-answerbytes-after-end"
+const _garbageKindLowerName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerbytes-after-end"
 
 func (i garbageKind) String() string {
 	if i < 0 || i >= garbageKind(len(_garbageKindIndex)-1) {
@@ -30,32 +30,35 @@
 	_ = x[garbageOutOfOrder-(3)]
 	_ = x[garbageBlankEvents-(4)]
 	_ = x[garbageNoEvents-(5)]
-	_ = x[garbageCrossedAnswer-(6)]
-	_ = x[garbageBytesAfterEnd-(7)]
+	_ = x[garbageCutEvent-(6)]
+	_ = x[garbageCrossedAnswer-(7)]
+	_ = x[garbageBytesAfterEnd-(8)]
 }
 
-var _garbageKindValues = []garbageKind{garbageNotHTTP, garbageInvalidEvent, garbageNumbering, garbageOutOfOrder, garbageBlankEvents, garbageNoEvents, garbageCrossedAnswer, garbageBytesAfterEnd}
+var _garbageKindValues = []garbageKind{garbageNotHTTP, garbageInvalidEvent, garbageNumbering, garbageOutOfOrder, garbageBlankEvents, garbageNoEvents, garbageCutEvent, garbageCrossedAnswer, garbageBytesAfterEnd}
 
 var _garbageKindNameToValueMap = map[string]garbageKind{
-	_garbageKindName[0:8]:   garbageNotHTTP,
-	_garbageKindName[8:21]:  garbageInvalidEvent,
-	_garbageKindName[21:30]: garbageNumbering,
-	_garbageKindName[30:42]: garbageOutOfOrder,
-	_garbageKindName[42:54]: garbageBlankEvents,
-	_garbageKindName[54:63]: garbageNoEvents,
-	_garbageKindName[63:77]: garbageCrossedAnswer,
-	_garbageKindName[77:92]: garbageBytesAfterEnd,
+	_garbageKindName[0:8]:    garbageNotHTTP,
+	_garbageKindName[8:21]:   garbageInvalidEvent,
+	_garbageKindName[21:30]:  garbageNumbering,
+	_garbageKindName[30:42]:  garbageOutOfOrder,
+	_garbageKindName[42:54]:  garbageBlankEvents,
+	_garbageKindName[54:63]:  garbageNoEvents,
+	_garbageKindName[63:72]:  garbageCutEvent,
+	_garbageKindName[72:86]:  garbageCrossedAnswer,
+	_garbageKindName[86:101]: garbageBytesAfterEnd,
 }
 
 var _garbageKindLowerNameToValueMap = map[string]garbageKind{
-	_garbageKindLowerName[0:8]:   garbageNotHTTP,
-	_garbageKindLowerName[8:21]:  garbageInvalidEvent,
-	_garbageKindLowerName[21:30]: garbageNumbering,
-	_garbageKindLowerName[30:42]: garbageOutOfOrder,
-	_garbageKindLowerName[42:54]: garbageBlankEvents,
-	_garbageKindLowerName[54:63]: garbageNoEvents,
-	_garbageKindLowerName[63:77]: garbageCrossedAnswer,
-	_garbageKindLowerName[77:92]: garbageBytesAfterEnd,
+	_garbageKindLowerName[0:8]:    garbageNotHTTP,
+	_garbageKindLowerName[8:21]:   garbageInvalidEvent,
+	_garbageKindLowerName[21:30]:  garbageNumbering,
+	_garbageKindLowerName[30:42]:  garbageOutOfOrder,
+	_garbageKindLowerName[42:54]:  garbageBlankEvents,
+	_garbageKindLowerName[54:63]:  garbageNoEvents,
+	_garbageKindLowerName[63:72]:  garbageCutEvent,
+	_garbageKindLowerName[72:86]:  garbageCrossedAnswer,
+	_garbageKindLowerName[86:101]: garbageBytesAfterEnd,
 }
 
 var _garbageKindNames = []string{
@@ -65,8 +68,9 @@
 	_garbageKindName[30:42],
 	_garbageKindName[42:54],
 	_garbageKindName[54:63],
-	_garbageKindName[63:77],
-	_garbageKindName[77:92],
+	_garbageKindName[63:72],
+	_garbageKindName[72:86],
+	_garbageKindName[86:101],
 }
 
 // garbageKindString retrieves an enum value from the enum constants string name.
