fix: an answer with a request id is none to a call before a request

A request that isn't idempotent was answered 503 as not run, and ran (rule REFUSED). Cause: an engine's late second answer to an earlier request on a kept connection was taken for the answer to a reservation or a look, so that the answer to that call was taken for the one to the request. Calls of this VM have no id, and engines echo none for them, so an answer with an id ends the connection before the request is sent, as garbage (crossed-answer). Garbage in place of such an answer no longer counts for the search for lost links.

--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -7,10 +7,13 @@
 	"laburnumlever"
 )
 
-// CrossedAnswerError is an answer with request id Got instead of Want.
+// CrossedAnswerError is an answer with request id Got instead of Want, which is empty for a call of this VM's own.
 type CrossedAnswerError struct{ Want, Got string }
 
 func (e *CrossedAnswerError) Error() string {
+	if e.Want == "" {
+		return fmt.Sprintf("the answer to a call of this VM belongs to request %q", e.Got)
+	}
 	return fmt.Sprintf("the answer belongs to request %q, not %q", e.Got, e.Want)
 }
 
--- a/laburnumgateway/garbage.go
+++ b/laburnumgateway/garbage.go
@@ -73,6 +73,11 @@
 	}
 }
 
+func isGarbage(err error) bool {
+	_, ok := garbageOf(err)
+	return ok
+}
+
 // judgeGarbage counts garbage that an attempt failed for against its server, and logs it.
 func (g *Gateway) judgeGarbage(q *request, out *answer, ticket *laburnumbalance.Ticket, fail *failure, result *laburnumbalance.AttemptResult) {
 	if fail == nil || fail.end != endNone {
--- a/laburnumgateway/look.go
+++ b/laburnumgateway/look.go
@@ -51,7 +51,7 @@
 		q.looks = maxLooks
 		g.counters.looks[lookUnanswered].Inc(1)
 		result.Failed = ctx.Err() == nil
-		if result.Failed {
+		if result.Failed && !isGarbage(err) {
 			g.links.failed(ticket.Backend)
 		}
 		return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}, nil
--- a/laburnumgateway/reserve.go
+++ b/laburnumgateway/reserve.go
@@ -42,7 +42,7 @@
 	resp, body, err := g.sendReservation(q, ticket, conn)
 	if err != nil {
 		result.Failed = ctx.Err() == nil
-		if result.Failed && !conn.Tunnelled() {
+		if result.Failed && !conn.Tunnelled() && !isGarbage(err) {
 			g.links.failed(ticket.Backend)
 		}
 		g.counters.reservations[reserveUnanswered].Inc(1)
@@ -97,6 +97,9 @@
 		return nil, laburnumlever.AnswerHeaders{}, nil, err
 	}
 	headers := g.dialect.Answer(resp.StatusCode, resp.Header)
+	if headers.RequestID != "" {
+		return nil, headers, nil, &CrossedAnswerError{Got: headers.RequestID} // the call has no ID to echo
+	}
 	if headers.HasLimit || headers.LimitError != nil || headers.Rest > 0 || headers.Leaving {
 		g.observeAnswer(ticket, conn, now, resp.StatusCode, headers)
 	}
