fix: an event counts as delivered once it is written, not once it is read

The sequence, the version record and the first event's count follow the begun answer now; - a connection lost behind the head of a stream that is taken up ended it (TestLostConnectionDoesNotEndAResumedStream); - a server that answers a resumed stream with anything else, or sends a line without an end, lost nothing (TestWrongAnswerToAResumedStreamIsAFault, TestSpoiledStreamIsAFault); - a Last-Event-Id on a route whose streams can't be resumed made a healthy server faulty (TestCallerCausesNoFaultOfAServer, TestLastEventOfOtherRoutes); - answers of other kinds of routes lost their comments, and empty ones were refused (TestBodyOfAnotherRouteIsUnchanged, TestEmptyEventStreamOfAnotherRoute).

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"laburnumlever"
@@ -95,7 +95,7 @@
 
 // forwardAnswer forwards an answer to the caller. An error answer is stored instead.
 func (g *Gateway) forwardAnswer(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
-	if resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), streamType) {
+	if resp.StatusCode == http.StatusOK && isStream(resp.Header) {
 		return g.forwardStream(ctx, q, out, ticket, resp, result)
 	}
 	resp.Body = heardBody{ReadCloser: resp.Body, heard: out.heard}
@@ -106,6 +106,7 @@
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: &BrokenAnswerError{Cause: err}}
 	}
 	if out.started {
+		result.Failed, result.Faulty = true, true
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: &AnswerStatusError{Status: resp.StatusCode}}
 	}
 	if !whole && resp.StatusCode != http.StatusServiceUnavailable { // an unmarked 503 is stored as a failure, whatever its length
@@ -122,6 +123,12 @@
 	return nil
 }
 
+// isStream reports whether an answer is an event stream.
+func isStream(header http.Header) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && kind == streamType
+}
+
 // buffer reads an answer as far as the budget of buffers allows, and reports whether that is the whole of it. What was read is held
 // until release is called.
 func (g *Gateway) buffer(r io.Reader) (body []byte, whole bool, release func(), err error) {
@@ -190,7 +197,7 @@
 	events := newEventReader(resp.Body, g.buffers)
 	defer events.close()
 	for first := true; ; first = false {
-		event, err := g.nextEvent(q, resp, events)
+		event, next, err := g.nextEvent(q, resp, events)
 		if err != nil && !errors.Is(err, io.EOF) {
 			result.Failed = ctx.Err() == nil
 			if out.started {
@@ -199,18 +206,19 @@
 			return brokenAnswer(ctx, err)
 		}
 		if err != nil {
-			return g.endStream(ctx, q, out, resp, result)
+			return g.endStream(ctx, q, out, resp, result, first)
 		}
 		out.heard()
+		if !out.start(resp.Header, http.StatusOK) {
+			return brokenAnswer(ctx, net.ErrClosed)
+		}
+		q.events = next
 		if first {
 			q.begunAt = g.timers.Now()
 			g.fleet.recordFirstEvent(ticket)
 			g.countFirstEvent(q)
 			g.beginStream(ctx, q, ticket)
 		}
-		if !out.start(resp.Header, http.StatusOK) {
-			return brokenAnswer(ctx, net.ErrClosed)
-		}
 		if _, err := out.w.Write(event); err != nil {
 			return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: err}}
 		}
@@ -228,33 +236,44 @@
 // maxBlankBlocks bounds the blocks in a row that carry no event.
 const maxBlankBlocks = 256
 
-// nextEvent returns the next event of the stream. Blocks that carry none are dropped. The error is io.EOF at the end of the stream.
-func (g *Gateway) nextEvent(q *request, resp *http.Response, events *eventReader) ([]byte, error) {
+// nextEvent returns the next event of the stream, and the sequence with it. Blocks that carry none are dropped, but for those of routes
+// that are no streams. The error is io.EOF at the end of the stream.
+func (g *Gateway) nextEvent(q *request, resp *http.Response, events *eventReader) ([]byte, eventSequence, error) {
+	next := q.events
 	for range maxBlankBlocks {
 		block, err := events.next()
 		if errors.Is(err, io.EOF) && len(block) > 0 {
-			return nil, endedEarly(resp, &EventCutError{})
+			return nil, next, endedEarly(resp, &EventCutError{})
 		}
 		if err != nil {
-			return nil, err
+			return nil, next, err
 		}
 		event, err := g.dialect.Event(block)
-		if err != nil {
-			return nil, err
-		}
-		if event.Blank {
-			continue
+		switch {
+		case err != nil:
+			return nil, next, err
+		case !event.Blank:
+			err = next.take(event)
+			return block, next, err
+		case q.route.Kind != laburnumlever.KindStream:
+			return block, next, nil
 		}
-		return block, q.events.take(event)
 	}
-	return nil, &BlankEventsError{Count: maxBlankBlocks}
+	return nil, next, &BlankEventsError{Count: maxBlankBlocks}
 }
 
-// endStream ends a stream whose server says that it is complete.
-func (g *Gateway) endStream(ctx context.Context, q *request, out *answer, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
-	if err := q.events.end(); err != nil {
+// endStream ends a stream whose server says that it is complete. The attempt brought no event of it if empty is set.
+func (g *Gateway) endStream(ctx context.Context, q *request, out *answer, resp *http.Response, result *laburnumbalance.AttemptResult, empty bool) *failure {
+	err := q.events.end()
+	switch {
+	case empty && !provesWhole(resp):
+		err = io.ErrUnexpectedEOF // that of a connection that was lost looks the same
+	case q.route.Kind != laburnumlever.KindStream:
+		err = nil
+	}
+	if err != nil {
 		result.Failed = ctx.Err() == nil
-		return brokenAnswer(ctx, endedEarly(resp, err))
+		return brokenAnswer(ctx, err)
 	}
 	if !out.start(resp.Header, http.StatusOK) {
 		return brokenAnswer(ctx, net.ErrClosed)
--- a/laburnumgateway/eventsequence.go
+++ b/laburnumgateway/eventsequence.go
@@ -19,16 +19,29 @@
 	last int64
 	// begun is set once the caller has an event.
 	begun bool
+	// named is the number that the caller named of an answer that can't be resumed. A server may begin behind it all the same.
+	named int64
 }
 
-// newEventSequence returns the sequence of a request's answer. The error is a *laburnumlever.InvalidValueError.
-func newEventSequence(dialect laburnumlever.Dialect, kind laburnumlever.RequestKind, lastID string) (eventSequence, error) {
+// newEventSequence returns the sequence of a request's answer; lastID is the ID of the last event that the caller has. The error is a
+// *laburnumlever.InvalidValueError.
+func newEventSequence(dialect laburnumlever.Dialect, route laburnumlever.Route, lastID string) (eventSequence, error) {
 	beforeFirst, err := dialect.LastEvent("")
-	if err != nil || kind != laburnumlever.KindStream {
-		return eventSequence{last: beforeFirst}, err
+	if err != nil {
+		return eventSequence{}, err
 	}
 	last, err := dialect.LastEvent(lastID)
-	return eventSequence{numbering: numbered, last: last, begun: last != beforeFirst}, err
+	switch {
+	case route.Kind == laburnumlever.KindStream && route.Resumable:
+		return eventSequence{numbering: numbered, last: last, begun: last != beforeFirst}, err
+	case err != nil:
+		last = beforeFirst
+	}
+	s := eventSequence{last: beforeFirst, named: last}
+	if route.Kind == laburnumlever.KindStream {
+		s.numbering = numbered
+	}
+	return s, nil
 }
 
 // take takes an event if it is the next one. Errors: *EventNumberingError, *EventGapError.
@@ -40,7 +53,7 @@
 	if s.numbering != numberingOpen && s.numbering != numbering {
 		return &EventNumberingError{HasNumber: event.HasNumber}
 	}
-	if event.HasNumber && event.Number != s.last+1 {
+	if event.HasNumber && event.Number != s.last+1 && (s.begun || event.Number != s.named+1) {
 		return &EventGapError{Due: s.last + 1, Got: event.Number}
 	}
 	s.numbering, s.last, s.begun = numbering, event.Number, true
--- a/laburnumgateway/garbage.go
+++ b/laburnumgateway/garbage.go
@@ -48,11 +48,12 @@
 		cut       *EventCutError
 		crossed   *CrossedAnswerError
 		after     *BytesAfterEndError
+		long      *EventTooLongError
 	)
 	switch {
 	case errors.As(err, &notHTTP):
 		return garbageNotHTTP, true
-	case errors.As(err, &invalid):
+	case errors.As(err, &invalid), errors.As(err, &long) && long.Limit == maxEventBytes:
 		return garbageInvalidEvent, true
 	case errors.As(err, &numbering):
 		return garbageNumbering, true
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -188,7 +188,7 @@
 	if caller.ID == "" {
 		return newRefusal(laburnumlever.RefusedBadRequest, 0, "the request id header is missing")
 	}
-	if q.events, err = newEventSequence(g.dialect, route.Kind, caller.LastEvent); err != nil {
+	if q.events, err = newEventSequence(g.dialect, *route, caller.LastEvent); err != nil {
 		return newRefusal(laburnumlever.RefusedBadRequest, 0, err.Error())
 	}
 	if err := g.fleet.identify(q, index); err != nil {
