fix: serve resets the connection of an HTTP/1.0 caller whose answer broke

A caller of HTTP/1.0 got a broken answer as a whole one: to it the end of the connection is that of the body, and an answer that can't be completed was ended by an orderly close. Callers of HTTP/1.1 see that the last chunk is missing, so they keep the orderly close, which delivers what came.

--- a/laburnumproxy/response.go
+++ b/laburnumproxy/response.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,8 +28,10 @@
 	timers laburnumlever.Timers
 	// record, if set, is called with the complete response before it is forwarded; with nil
 	// if the response is longer than maxBufferedResponse.
-	record      func(response *laburnumlever.RecordedAnswer)
-	started     bool
+	record  func(response *laburnumlever.RecordedAnswer)
+	started bool
+	// endsAtClose is the connection of a caller of HTTP/1.0, to which an orderly close may be the end of the body; nil for others.
+	endsAtClose net.Conn
 	eventStream bool // the response is a stream of token events
 	firstByteAt time.Time
 	// What has been forwarded of a token stream, so that another stream can continue it.
--- a/laburnumproxy/serve.go
+++ b/laburnumproxy/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumsocket"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
@@ -33,6 +34,9 @@
 	defer p.active.remove(f)
 	w.Header().Set(headerRequestID, q.id)
 	out := newCallerResponse(w, q, f, p.timers)
+	if !r.ProtoAtLeast(1, 1) {
+		out.endsAtClose = laburnumsocket.FromContext(r.Context())
+	}
 	err := fn(ctx, q, out, r)
 	p.finish(q, out, err)
 }
@@ -61,6 +65,7 @@
 		p.recordRefusal(q, &refusal)
 		// The caller must not take a truncated body for a complete one: net/http handles this
 		// panic by closing the connection before the end of the body.
+		laburnumsocket.ResetOnClose(out.endsAtClose)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/laburnumproxy/stream_test.go
+++ b/laburnumproxy/stream_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"laburnumlever/laburnumproxy"
@@ -210,3 +212,24 @@
 	})
 	b.post("/services/booking/slots", "").requireRefusal(t, "broken-stream", "unknown")
 }
+
+// Guards against a broken answer that looks whole to a caller of HTTP/1.0, for which the end of the connection is that of the answer.
+func TestBrokenAnswerIsNoWholeOneForACallerOfHTTP10(t *testing.T) {
+	b := newFixture(t, nil)
+	b.service(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, "data: 1\n\n")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	server := httptest.NewUnstartedServer(b.proxy)
+	server.Config = b.proxy.Server()
+	server.Start()
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	fmt.Fprint(conn, "GET /services/booking/slots HTTP/1.0\r\nHost: h\r\n\r\n")
+	_, err = io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
