test: half an unframed body ends by a reset

The stand-in ended half of a body without a length by an orderly close. The protocol has such an answer as whole ("an answer may have no length and end with its connection; one that is reset on the way isn't complete"), so that nothing could tell it from one.

--- a/laburnumstandin/spoil.go
+++ b/laburnumstandin/spoil.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"laburnumlever/laburnumsocket"
 )
 
 //go:generate go tool -modfile=../tools/go.mod enumer -type=Spoil -transform=kebab -trimprefix=Spoil -text -json -output=spoil_gen.go
@@ -52,7 +54,7 @@
 	SpoilSecondAnswer
 	SpoilEncoding
 	SpoilOtherID
-	// SpoilUnframed sends half of a body that only the end of the connection delimits.
+	// SpoilUnframed sends half of a body that only the end of the connection delimits, which is a reset.
 	SpoilUnframed
 	SpoilNoStamp
 )
@@ -268,8 +270,9 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		defer func() { _ = conn.Close() }()
 		_, _ = conn.Write(append(head, half...))
+		laburnumsocket.ResetOnClose(conn)
+		_ = conn.Close()
 	case SpoilEncoding:
 		w.Header().Set("Content-Encoding", "gzip")
 		_, _ = io.WriteString(w, p.garbage())
--- a/laburnumstandin/spoil_test.go
+++ b/laburnumstandin/spoil_test.go
@@ -7,8 +7,10 @@
 	"net/http/httptest"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"laburnumlever/laburnumstandin"
@@ -47,7 +49,7 @@
 
 var dateLine = regexp.MustCompile("Date: .*\r\n")
 
-// rawAnswer returns what a server sends on the connection of a request, without the date.
+// rawAnswer returns what a server sends on the connection of a request, without the date, and whether that ends by a reset.
 func rawAnswer(t *testing.T, server *httptest.Server) string {
 	t.Helper()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
@@ -55,6 +57,9 @@
 	defer conn.Close()
 	fmt.Fprint(conn, "POST /x HTTP/1.1\r\nHost: x\r\nX-Laburnumlever-Request-Id: r-1\r\nContent-Length: 3\r\nConnection: close\r\n\r\noak")
 	answer, err := io.ReadAll(conn)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return dateLine.ReplaceAllString(string(answer), "") + "reset"
+	}
 	require.NoError(t, err)
 	return dateLine.ReplaceAllString(string(answer), "")
 }
