test: a soak that has all VMs fail together and times the stages of their return

VMs are killed together, lose their disks after an acknowledgement or a change that was sent, are replaced or still catch up; the stages of each return are read from their logs.

--- a/cmd/laburnumlever/soakcmd.go
+++ b/cmd/laburnumlever/soakcmd.go
@@ -32,6 +32,7 @@
 		},
 		OnUsageError: onUsageError,
 		Action:       runSoak,
+		Subcommands:  []*cli.Command{soakReturnsCommand()},
 	}
 }
 
--- /dev/null
+++ b/cmd/laburnumlever/soakreturnscmd.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v2"
+
+	"laburnumlever/laburnumsoak"
+)
+
+func soakReturnsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "returns",
+		Usage: "have all VMs of a larger platform fail together and return, and time the stages of each return",
+		Description: "Starts eight control VMs, gateways and engines on loopback, and has VMs fail together and return, with disks\n" +
+			"lost or VMs replaced. The stages of each return are read from the VMs' logs.\n\n" +
+			"Example: laburnumlever soak returns --seed 1 --returns 4\n\n" + exitCodesText,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "determines the faults"},
+			&cli.IntFlag{Name: "returns", Value: 4, Usage: "how many returns to play, one after the other"},
+			&cli.IntFlag{Name: "gateways", Value: 16, Usage: "how many gateways to run"},
+			&cli.IntFlag{Name: "engines", Value: 60, Usage: "how many engines to run, in this process"},
+			&cli.IntFlag{Name: "models", Value: 104, Usage: "how many models the manifest lists"},
+			&cli.Float64Flag{Name: "rate", Value: 200, Usage: "requests per second"},
+			&cli.IntFlag{Name: "processors", Value: 1, Usage: "how many processors each VM uses at a time"},
+			&cli.Float64Flag{Name: "control-share", Usage: "share of a processor that a control VM has; 0 for all"},
+			&cli.Float64Flag{Name: "gateway-share", Usage: "the same of a gateway"},
+			&cli.BoolFlag{Name: "dark", Usage: "have connections to VMs without power hang instead of being refused"},
+			&cli.DurationFlag{Name: "sync-time", Usage: "what each sync of a control VM's disk takes longer; Linux only"},
+			&cli.StringSliceFlag{Name: "kind", Usage: "`NAME` of a fault, in turn instead of at random; may be repeated"},
+			&cli.DurationFlag{Name: "recover", Value: 15 * time.Second, Usage: "time after which a quarter has to be served"},
+			&cli.DurationFlag{Name: "observe", Value: 18 * time.Second, Usage: "how long each return is observed"},
+			&cli.StringFlag{Name: "report", Usage: "write the result to this JSON `FILE`"},
+			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for logs; a temporary folder by default"},
+		},
+		OnUsageError: onUsageError,
+		Action:       runSoakReturns,
+	}
+}
+
+func runSoakReturns(c *cli.Context) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	folder := c.String("folder")
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "laburnumlever-returns-"); err != nil {
+			return err
+		}
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	reports, err := laburnumsoak.RunReturns(c.Context, laburnumsoak.ReturnsConfig{
+		Program: program, Folder: folder, Seed: c.Uint64("seed"), Gateways: c.Int("gateways"), Engines: c.Int("engines"), Models: c.Int("models"),
+		Rate: c.Float64("rate"), Returns: c.Int("returns"), Kinds: c.StringSlice("kind"), Processors: c.Int("processors"),
+		Dark: c.Bool("dark"), SyncTime: c.Duration("sync-time"),
+		ControlShare: c.Float64("control-share"), GatewayShare: c.Float64("gateway-share"), Recover: c.Duration("recover"), Observe: c.Duration("observe"),
+		Print: func(line string) { printf(c.App.Writer, "%s\n", line) },
+	})
+	if err != nil {
+		return err
+	}
+	failed := 0
+	for _, r := range reports {
+		if len(r.Violations) > 0 {
+			failed++
+		}
+	}
+	if err := writeFile(c.String("report"), func(w io.Writer) error { return writeJSON(w, reports) }); err != nil {
+		return err
+	}
+	if failed > 0 {
+		return &soakFailedError{Seeds: failed, Folder: folder}
+	}
+	return nil
+}
--- a/laburnumsoak/process.go
+++ b/laburnumsoak/process.go
@@ -37,6 +37,8 @@
 	folder  string
 	// args returns the arguments of the next start.
 	args func() []string
+	// environment is added to that of this process.
+	environment []string
 	// address is where it listens; empty for a VM.
 	address string
 	// onLine, if set, is called with each line of its standard output.
@@ -107,6 +109,7 @@
 	}
 	cmd := exec.CommandContext(context.Background(), p.runs, args...) //nolint:gosec // the program that runs this
 	cmd.Args[0] = programName
+	cmd.Env = append(os.Environ(), p.environment...)
 	return cmd
 }
 
