--- a/laburnumsoak/returnfleet.go
+++ b/laburnumsoak/returnfleet.go
@@ -23,6 +23,9 @@
 // firstReturnServer is the last octet of the first engine's address.
 const firstReturnServer = 130
 
+// returnStarts is how often a VM that exits is started.
+const returnStarts = 10
+
 // returnZones are the zones of the deployment.
 var returnZones = []string{"a", "b", "c", "d"}
 
@@ -163,7 +166,7 @@
 				light()
 			}
 			f.stages.up(vm)
-			errs <- vm.start()
+			errs <- f.startAgain(vm)
 		})
 	}
 	all.Wait()
@@ -176,6 +179,18 @@
 	return nil
 }
 
+// startAgain starts a VM and, as a service manager does, starts it again if it exits.
+func (f *returnFleet) startAgain(vm *returnVM) error {
+	for attempt := 1; ; attempt++ {
+		err := vm.start()
+		if err == nil || attempt == returnStarts || !vm.hasEnded() {
+			return err
+		}
+		f.cfg.print("   %s exited at its start", vm.name)
+		time.Sleep(restartPause)
+	}
+}
+
 func (f *returnFleet) signalAll(vms []*returnVM, sig syscall.Signal) {
 	for _, vm := range vms {
 		if vm.cmd != nil {
