fix: confirmations of the route table that take longer than anybody waits are told

After all VMs had lost power and returned, callers with keys were answered 503 (keys-unconfirmed) for as long as they were observed, 18 s, though a leader was elected after 2.7 s and all gateways had the routes after 1.5 s. A confirmation is an entry that the log commits. The request for it was given up after 250 ms and its result thrown away, so that control VMs whose disks take 200 ms for a sync never got one, and each attempt put another entry in the queue of the next.

The request now goes on when nobody waits for it any more, and whoever asks meanwhile gets the last confirmation with its age, up to 2 s. An older answer is as true as a new one: gateways count from when it was valid, and the bound for revoked keys stays. A control VM that is cut off has none younger than 2 s soon and answers with an error, so that gateways go on to another one.

--- a/laburnumroles/confirm.go
+++ b/laburnumroles/confirm.go
@@ -20,8 +20,12 @@
 	// confirmCacheTime is how long a control VM answers from its last confirmation. It bounds the rate at which
 	// control VMs ask the leader, and the leader the log.
 	confirmCacheTime = 200 * time.Millisecond
-	// confirmTimeout bounds a control VM's own request for a confirmation.
-	confirmTimeout = 250 * time.Millisecond
+	// leaderAnswerTimeout bounds the call to the leader of the log. It exceeds confirmWait, for which the leader may wait.
+	leaderAnswerTimeout = 250 * time.Millisecond
+	// confirmWait is how long an answer waits for a new confirmation if there is one of at most maxConfirmAge.
+	confirmWait = 150 * time.Millisecond
+	// maxConfirmAge is the age up to which a confirmation is told. Whoever gets an error asks another control VM instead.
+	maxConfirmAge = 2 * time.Second
 )
 
 // confirmRequest asks whether a route table is the newest.
@@ -42,12 +46,20 @@
 	peers laburnumlever.Peers
 	voter *laburnumvoter.Voter
 	group singleflight.Group
+	// request requests a new confirmation.
+	request func(ctx context.Context) (laburnumrevocation.Confirmation, error)
 
 	mu   sync.Mutex
 	last laburnumrevocation.Confirmation
 	ok   bool
 }
 
+func newConfirmations(peers laburnumlever.Peers, voter *laburnumvoter.Voter) *confirmations {
+	c := &confirmations{peers: peers, voter: voter}
+	c.request = c.requestFromLog
+	return c
+}
+
 func (c *confirmations) handle(ctx context.Context, params laburnumlever.RawMessage) (any, error) {
 	var q confirmRequest
 	if err := json.Unmarshal(params, &q); err != nil {
@@ -72,16 +84,15 @@
 	return c.last, c.ok
 }
 
-// confirm returns a confirmation that is at most confirmCacheTime old when it is requested. Errors: those of a call
-// to another VM and of a proposal.
+// confirm returns a confirmation that is at most confirmCacheTime old when it is requested, or an older one if a new one takes
+// longer than confirmWait. A request goes on when nobody waits for it any more: on slow disks each takes longer than anybody
+// waits. Errors: those of a call to another VM and of a proposal.
 func (c *confirmations) confirm(ctx context.Context) (laburnumrevocation.Confirmation, error) {
-	if last, ok := c.latest(); ok && laburnumtimer.SinceBoot()-last.AsOf < confirmCacheTime {
+	if last, ok := c.atMost(confirmCacheTime); ok {
 		return last, nil
 	}
 	result := c.group.DoChan("", func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-		defer cancel()
-		confirmed, err := c.request(ctx)
+		confirmed, err := c.request(context.Background())
 		if err == nil {
 			c.mu.Lock()
 			c.last, c.ok = confirmed, true
@@ -89,6 +100,17 @@
 		}
 		return confirmed, err
 	})
+	waiting, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	select {
+	case r := <-result:
+		confirmed, _ := r.Val.(laburnumrevocation.Confirmation)
+		return confirmed, r.Err
+	case <-waiting.Done():
+	}
+	if last, ok := c.atMost(maxConfirmAge); ok {
+		return last, nil
+	}
 	select {
 	case r := <-result:
 		confirmed, _ := r.Val.(laburnumrevocation.Confirmation)
@@ -98,13 +120,22 @@
 	}
 }
 
-// request asks the leader, or the log if this VM leads or the leader doesn't answer. The confirmation is dated from
-// before the question.
-func (c *confirmations) request(ctx context.Context) (laburnumrevocation.Confirmation, error) {
+// atMost returns the last confirmation if it has at most an age.
+func (c *confirmations) atMost(age time.Duration) (laburnumrevocation.Confirmation, bool) {
+	last, ok := c.latest()
+	return last, ok && laburnumtimer.SinceBoot()-last.AsOf < age
+}
+
+// requestFromLog asks the leader, or the log if this VM leads or the leader doesn't answer. The confirmation is dated from
+// before the question. The time for a proposal bounds it.
+func (c *confirmations) requestFromLog(ctx context.Context) (laburnumrevocation.Confirmation, error) {
 	asked := laburnumtimer.SinceBoot()
 	if address := c.voter.LeaderAddress(); address != "" {
 		var answer confirmAnswer
-		if err := c.peers.Call(ctx, address, methodConfirmRoutes, confirmRequest{Leader: true}, &answer); err == nil {
+		callCtx, cancel := context.WithTimeout(ctx, leaderAnswerTimeout)
+		err := c.peers.Call(callCtx, address, methodConfirmRoutes, confirmRequest{Leader: true}, &answer)
+		cancel()
+		if err == nil {
 			return laburnumrevocation.Confirmation{Version: answer.Version, AsOf: asked - time.Duration(answer.Age)}, nil
 		}
 	}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	c.versions.load(settings.FirstStart)
-	c.confirmations = &confirmations{peers: c.peers, voter: c.voter}
+	c.confirmations = newConfirmations(c.peers, c.voter)
 	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
 	c.quotas = newQuotas(c.timers, c.source, c.confirmations, c.logger, c.metrics.Scope(),
 		laburnumquota.Terms(settings.Quota.Terms()), time.Duration(settings.Times.Revoke))
