--- a/cmd/laburnumlever/soakreturnscmd.go
+++ b/cmd/laburnumlever/soakreturnscmd.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"io"
 	"os"
 	"time"
@@ -23,6 +24,7 @@
 			&cli.IntFlag{Name: "gateways", Value: 16, Usage: "how many gateways to run"},
 			&cli.IntFlag{Name: "engines", Value: 60, Usage: "how many engines to run, in this process"},
 			&cli.IntFlag{Name: "models", Value: 104, Usage: "how many models the manifest lists"},
+			&cli.IntFlag{Name: "idle-routes", Value: 40, Usage: "how many routes without requests the manifest has"},
 			&cli.Float64Flag{Name: "rate", Value: 200, Usage: "requests per second"},
 			&cli.IntFlag{Name: "processors", Value: 1, Usage: "how many processors each VM uses at a time"},
 			&cli.Float64Flag{Name: "control-share", Usage: "share of a processor that a control VM has; 0 for all"},
@@ -32,6 +34,7 @@
 			&cli.StringSliceFlag{Name: "kind", Usage: "`NAME` of a fault, in turn instead of at random; may be repeated"},
 			&cli.DurationFlag{Name: "recover", Value: 15 * time.Second, Usage: "time after which a quarter has to be served"},
 			&cli.DurationFlag{Name: "observe", Value: 18 * time.Second, Usage: "how long each return is observed"},
+			&cli.StringFlag{Name: "program", Usage: "the `PROGRAM` that the VMs run; this one by default"},
 			&cli.StringFlag{Name: "report", Usage: "write the result to this JSON `FILE`"},
 			&cli.StringFlag{Name: "folder", Usage: "`FOLDER` for logs; a temporary folder by default"},
 		},
@@ -45,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	program = cmp.Or(c.String("program"), program)
 	folder := c.String("folder")
 	if folder == "" {
 		if folder, err = os.MkdirTemp("", "laburnumlever-returns-"); err != nil {
@@ -57,7 +61,7 @@
 	reports, err := laburnumsoak.RunReturns(c.Context, laburnumsoak.ReturnsConfig{
 		Program: program, Folder: folder, Seed: c.Uint64("seed"), Gateways: c.Int("gateways"), Engines: c.Int("engines"), Models: c.Int("models"),
 		Rate: c.Float64("rate"), Returns: c.Int("returns"), Kinds: c.StringSlice("kind"), Processors: c.Int("processors"),
-		Dark: c.Bool("dark"), SyncTime: c.Duration("sync-time"),
+		IdleRoutes: c.Int("idle-routes"), Dark: c.Bool("dark"), SyncTime: c.Duration("sync-time"),
 		ControlShare: c.Float64("control-share"), GatewayShare: c.Float64("gateway-share"), Recover: c.Duration("recover"), Observe: c.Duration("observe"),
 		Print: func(line string) { printf(c.App.Writer, "%s\n", line) },
 	})
--- a/laburnumsoak/returndark.go
+++ b/laburnumsoak/returndark.go
@@ -40,8 +40,11 @@
 	return p
 }
 
+// close frees the address. A process that is being started has a copy of the socket until it executes its program.
 func (p *darkPort) close() {
+	syscall.ForkLock.RLock()
 	_ = syscall.Close(p.fd)
+	syscall.ForkLock.RUnlock()
 	for _, conn := range p.fillers {
 		_ = conn.Close()
 	}
--- a/laburnumsoak/returnfleet.go
+++ b/laburnumsoak/returnfleet.go
@@ -114,8 +114,10 @@
 		SharedMachines: laburnumsettings.RoleSharedMachines{Looks: true, KnownReturns: true},
 		StoreWindow:    5 * second, StoreOvershoot: 1.1, ChecksFencing: true, RememberServers: true, Log: laburnumsettings.Log{Level: "info"},
 	}
-	for i := range seedVMs {
-		s.Seeds = append(s.Seeds, f.address(i+1, controlPort))
+	for _, control := range f.controlList() {
+		if len(s.Seeds) < seedVMs && !control.gone {
+			s.Seeds = append(s.Seeds, f.address(control.number, controlPort))
+		}
 	}
 	if vm.isControl {
 		s.MemoryMB = 280
@@ -153,7 +155,7 @@
 	for i, vm := range vms {
 		pause := time.Duration(random.Int64N(int64(stagger) + 1))
 		switch {
-		case late > 0 && i == len(vms)-1-f.cfg.Gateways:
+		case late > 0 && i == max(0, len(vms)-1-f.cfg.Gateways):
 			pause = late
 		case late < 0 && vm.isControl && never < returnLosses:
 			never++
--- a/laburnumsoak/returnload.go
+++ b/laburnumsoak/returnload.go
@@ -20,7 +20,6 @@
 	returnEngineService, returnPlainService = "assist-llm", "dispatch-app"
 	returnHost                              = "quotes.example"
 	returnAccounts                          = 16
-	returnIdleRoutes                        = 40
 	returnCallTimeout                       = 6 * time.Second
 	accountSkew                             = 1.2
 	// quotaFactor is by how much a quota exceeds what its account usually uses, quotaFloor the least one.
@@ -250,7 +249,7 @@
 			"target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": r.attempts,
 		})
 	}
-	for i := range returnIdleRoutes {
+	for i := range l.fleet.cfg.IdleRoutes {
 		routes = append(routes, object{
 			"name": fmt.Sprintf("idle-%d", i), "hostname": returnHost, "path_prefix": fmt.Sprintf("/idle-%d-%d/", i, version), "kind": "idempotent", "timeout_ms": 600,
 			"target_latency_ms": 100, "priority": 1, "service": returnPlainService, "max_attempts": 1,
--- a/laburnumsoak/returns.go
+++ b/laburnumsoak/returns.go
@@ -13,7 +13,8 @@
 
 const (
 	returnControls   = 8
-	returnSpares     = 6
+	returnSpares     = 30
+	maxAbsence       = 5 * time.Second
 	returnLosses     = 2
 	returnCatchUp    = 6 * time.Second
 	returnHeartbeat  = 1200 * time.Millisecond
@@ -36,6 +37,8 @@
 	// Gateways, Engines and Models are the size of the deployment, Rate its requests in a second.
 	Gateways, Engines, Models int
 	Rate                      float64
+	// IdleRoutes is the number of routes without requests, which make the manifest large.
+	IdleRoutes int
 	// Returns is the number of returns.
 	Returns int
 	// Kinds, unless empty, are the kinds of faults.
@@ -90,10 +93,12 @@
 	late time.Duration
 	// before are faults that end some time before.
 	replaced, wiped int
-	afterAck        bool
-	sent            bool
-	down            time.Duration
-	stagger         time.Duration
+	// absent control VMs are down for a while, so that others may take their places as voters.
+	absent   int
+	afterAck bool
+	sent     bool
+	down     time.Duration
+	stagger  time.Duration
 	// settle is the time between the faults before and the last one.
 	settle time.Duration
 }
@@ -116,6 +121,9 @@
 		{name: "sent-wipe-all", lost: 2, leader: true, controls: true, gateways: true, sent: true, down: 700 * ms},
 		{name: "wipe-all-one-late", lost: 2, controls: true, gateways: true, afterAck: true, late: 8 * time.Second, down: 700 * ms, stagger: 1 * time.Second},
 		{name: "kill-all-two-never", controls: true, gateways: true, late: -1, down: 700 * ms},
+		{name: "absent-two-then-wipe-all", absent: 2, settle: 6500 * ms, lost: 2, leader: true, controls: true, gateways: true, afterAck: true, down: 700 * ms},
+		{name: "absent-two-then-kill-all", absent: 2, settle: 500 * ms, controls: true, gateways: true, down: 700 * ms},
+		{name: "absent-replace-then-wipe-all", absent: 1, replaced: 1, settle: 6500 * ms, lost: 2, controls: true, gateways: true, sent: true, down: 700 * ms},
 		{name: "replace-two-then-wipe-all", replaced: 2, settle: 7 * time.Second, lost: 2, leader: true, controls: true, gateways: true, afterAck: true, down: 1500 * ms},
 	}
 }
@@ -203,6 +211,12 @@
 			return report, err
 		}
 	}
+	if x.absent > 0 {
+		away := maxAbsence/4 + time.Duration(random.Int64N(int64(maxAbsence)))
+		if err := f.killSome(f.choose(random, x.absent, false), nil, false, away, 0, random, 0); err != nil {
+			return report, err
+		}
+	}
 	if x.wiped > 0 {
 		if err := f.killSome(f.choose(random, x.wiped, false), nil, true, x.down, 0, random, 0); err != nil {
 			return report, err
