fix: a quota that was granted too late is not told as used up

Callers below their account's quota were answered 429 with a Retry-After of 30 to 45 s, up to 5 in 100 of the requests of a second, for ten seconds after returns of 60 gateways, while the control VMs logged that refused needs fit in 50 to 221 ms. A grant may be spent for the grant time, 160 ms with a window of 8 s and an overshoot of 0.1, from when the first control VM was asked. A control VM that does not answer takes 150 ms of them, so that the grant of the next one is expired on arrival. The gateway found no tokens and no refusal among the grants, and took the default of 30 s for the time until the request fits.

Each grant is now dated from its own ask, whose call is bounded by 150 ms, and a grant that comes late all the same is answered as a quota that no control VM has granted in time. What may be spent in a window stays the same: the tokens still expire relative to when their own keeper was asked.

Evidence: TestGrantThatComesLateIsNotToldAsUsedUp (429, 503 wanted) and TestGrantIsDatedFromItsOwnAsk fail without it. That the late grants of the returns come from a control VM that did not answer before is by reading; no run shows the share of each cause.

--- a/laburnumgateway/accounts_test.go
+++ b/laburnumgateway/accounts_test.go
@@ -54,6 +54,8 @@
 	// reserve is granted with the next ask.
 	reserve float64
 	asks    int
+	// late is how long ago the asks of grants were sent.
+	late time.Duration
 }
 
 func (c *controlVMs) Confirm(context.Context) error {
@@ -84,7 +86,7 @@
 		grant.Reserve = &laburnumquota.Reserve{ID: 1, Tokens: c.reserve, Quota: account.Quota}
 		c.reserve = 0
 	}
-	return []laburnumquota.Grant{grant}, laburnumtimer.SinceBoot(), nil
+	return []laburnumquota.Grant{grant}, laburnumtimer.SinceBoot() - c.late, nil
 }
 
 func (c *controlVMs) set(change func(*controlVMs)) {
@@ -240,6 +242,18 @@
 	require.Equal(t, "quota-unanswered\n", got.body)
 }
 
+// Guards against callers who are told to come back after half a minute since a control VM's grant came too late to be spent.
+func TestGrantThatComesLateIsNotToldAsUsedUp(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	c.set(func(c *controlVMs) { c.late = time.Minute })
+	got := b.send("POST", "/confirm/x", "visit", keyHeader, "k1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "quota-unanswered\n", got.body)
+	c.set(func(c *controlVMs) { c.late = 0 })
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+}
+
 // Guards against requests below their account's quota that are refused as soon as no control VM answers.
 func TestReserveServesWhileNoControlVMAnswers(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
--- a/laburnumgateway/quota.go
+++ b/laburnumgateway/quota.go
@@ -76,8 +76,8 @@
 }
 
 // receive adds the keepers' grants and spends tokens on a request. If there are too few it returns the time until the
-// request will fit.
-func (k *quota) receive(q *request, cost float64, grants []laburnumquota.Grant, asked time.Duration) (retryIn time.Duration) {
+// request will fit, or that the grant came too late to be spent.
+func (k *quota) receive(q *request, cost float64, grants []laburnumquota.Grant, asked time.Duration) (retryIn time.Duration, late bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := laburnumtimer.SinceBoot()
@@ -85,14 +85,17 @@
 	receipt, ok := k.wallet.Spend(q.account.Name, cost, now)
 	if ok {
 		q.receipt = receipt
-		return 0
+		return 0, false
+	}
+	if laburnumquota.Granted(grants, q.account.Name) {
+		return 0, !k.wallet.SpendReserve(q.account.Name, cost, now)
 	}
 	fitsIn, askIn := laburnumquota.Refusal(grants, q.account.Name)
 	k.wallet.UsedUp(q.account.Name, fitsIn, askIn, now)
 	if k.wallet.SpendReserve(q.account.Name, cost, now) {
-		return 0
+		return 0, false
 	}
-	return fitsIn
+	return fitsIn, false
 }
 
 // spendReserve spends tokens of the reserves on a request that no control VM grants tokens for, if there are enough.
@@ -156,8 +159,12 @@
 		}
 		return newRefusal(laburnumlever.RefusedQuotaUnanswered, quotaUnansweredRetryAfter, "no control VM grants a part of the account's quota, and the gateway has no reserve of it left")
 	}
-	retryIn = k.receive(q, cost, grants, asked)
-	q.charged = retryIn == 0
+	retryIn, late := k.receive(q, cost, grants, asked)
+	q.charged = retryIn == 0 && !late
+	if late {
+		_ = level.Info(g.logger).Log("event", laburnumlever.EventQuotaUnanswered, "request-id", q.caller.ID, "account", q.account.Name, "reserve", false, "cause", "the grant came too late", "ms", millis(laburnumtimer.SinceBoot()-asked))
+		return newRefusal(laburnumlever.RefusedQuotaUnanswered, quotaUnansweredRetryAfter, "the part of the account's quota that a control VM granted came too late, and the gateway has no reserve of it left")
+	}
 	return overQuota(q, retryIn)
 }
 
--- a/laburnumquota/messages.go
+++ b/laburnumquota/messages.go
@@ -52,6 +52,8 @@
 	AskIn laburnumlever.Duration `json:"ask-in,omitempty"`
 	// Elsewhere is set if this keeper has no share of the quota, so that its refusal says nothing.
 	Elsewhere bool `json:"elsewhere,omitempty"`
+	// Asked is when the ask was sent, set by who sent it; 0 for the time that all grants have in common.
+	Asked time.Duration `json:"-"`
 	// Reserve is a new reserve, and Extended are the IDs of those that may be held for longer.
 	Reserve  *Reserve `json:"reserve,omitempty"`
 	Extended []uint64 `json:"extended,omitempty"`
@@ -60,6 +62,11 @@
 // Refused reports whether the need of an ask was refused.
 func (g Grant) Refused() bool { return g.RetryIn > 0 || g.Elsewhere }
 
+// Granted reports whether a keeper granted the need of an account.
+func Granted(grants []Grant, account laburnumlever.AccountName) bool {
+	return slices.ContainsFunc(grants, func(g Grant) bool { return g.Account == account && !g.Refused() })
+}
+
 // Refusal returns the shortest times until a refused need will fit and until it is worth while to ask again, over all
 // keepers that refused it.
 func Refusal(grants []Grant, account laburnumlever.AccountName) (fitsIn, askIn time.Duration) {
--- a/laburnumquota/wallet.go
+++ b/laburnumquota/wallet.go
@@ -1,6 +1,7 @@
 package laburnumquota
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -144,13 +145,13 @@
 	return a
 }
 
-// Apply adds granted tokens. Asked is when the ask was sent: the tokens expire relative to it.
+// Apply adds granted tokens. Asked is when the ask was sent, unless a grant has a time of its own: the tokens expire relative to it.
 func (w *Wallet) Apply(grants []Grant, asked time.Duration) {
 	for _, g := range grants {
-		p := w.purse(g.Account)
-		p.reserves.apply(g, w.quotas[g.Account], asked+w.terms.ReserveTime())
+		p, sent := w.purse(g.Account), cmp.Or(g.Asked, asked)
+		p.reserves.apply(g, w.quotas[g.Account], sent+w.terms.ReserveTime())
 		if tokens := amount(g.Tokens); tokens > 0 {
-			p.add(timedTokens{tokens: tokens, until: asked + w.terms.GrantTime()})
+			p.add(timedTokens{tokens: tokens, until: sent + w.terms.GrantTime()})
 			p.emptyUntil = 0
 		}
 	}
--- a/laburnumquota/wallet_test.go
+++ b/laburnumquota/wallet_test.go
@@ -77,3 +77,13 @@
 	require.Greater(t, time.Duration(g.RetryIn), 20*time.Second)
 	require.Greater(t, time.Duration(g.AskIn), 100*time.Millisecond)
 }
+
+// Guards against grants that expire on arrival since another control VM, asked before, did not answer.
+func TestGrantIsDatedFromItsOwnAsk(t *testing.T) {
+	terms := laburnumquota.Terms{Window: 8 * time.Second, Overshoot: 0.1}
+	w := laburnumquota.NewWallet(terms)
+	first, second := time.Hour, time.Hour+terms.GrantTime()
+	w.Apply([]laburnumquota.Grant{{Account: "a", Tokens: 5, Asked: second}}, first)
+	_, ok := w.Spend("a", 5, second+terms.GrantTime()/2)
+	require.True(t, ok)
+}
--- a/laburnumroles/quotakeepers.go
+++ b/laburnumroles/quotakeepers.go
@@ -59,10 +59,14 @@
 	asked := laburnumtimer.SinceBoot()
 	for _, address := range k.calls.answering(k.controls(account), quotaAttempts) {
 		var answer quotaAnswer
+		sent := laburnumtimer.SinceBoot()
 		if failed := k.calls.call(ctx, address, methodQuotaGrant, quotaRequest{Asks: asks}, &answer); failed != nil {
 			err = failed
 			continue
 		}
+		for i := range answer.Grants {
+			answer.Grants[i].Asked = sent
+		}
 		grants = append(grants, answer.Grants...)
 		for _, g := range answer.Grants {
 			if g.Account != account.Name {
