--- a/laburnumsoak/returns.go
+++ b/laburnumsoak/returns.go
@@ -1,6 +1,7 @@
 package laburnumsoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -75,10 +76,15 @@
 
 // StageReport is when VMs met a stage.
 type StageReport struct {
-	Stage             string
-	Met, Of           int
-	First, Half, Last int64
-	Which             string
+	Stage string `json:"stage"`
+	// Met is how many of the VMs met it.
+	Met   int   `json:"met"`
+	Of    int   `json:"of"`
+	First int64 `json:"first"`
+	Half  int64 `json:"half"`
+	Last  int64 `json:"last"`
+	// Which is the last VM.
+	Which string `json:"which"`
 }
 
 // returnFault is a fault that ends with a return.
@@ -203,24 +209,30 @@
 	}
 }
 
-// playReturn has VMs fail and return, and observes it.
-func (f *returnFleet) playReturn(ctx context.Context, l *returnLoad, x returnFault, random *rand.Rand) (ReturnReport, error) {
-	report := ReturnReport{Fault: x.name}
+// playBefore plays the faults that end some time before the last one.
+func (f *returnFleet) playBefore(x returnFault, random *rand.Rand) error {
 	for range x.replaced {
 		if err := f.replace(random); err != nil {
-			return report, err
+			return err
 		}
 	}
 	if x.absent > 0 {
 		away := maxAbsence/4 + time.Duration(random.Int64N(int64(maxAbsence)))
 		if err := f.killSome(f.choose(random, x.absent, false), nil, false, away, 0, random, 0); err != nil {
-			return report, err
+			return err
 		}
 	}
 	if x.wiped > 0 {
-		if err := f.killSome(f.choose(random, x.wiped, false), nil, true, x.down, 0, random, 0); err != nil {
-			return report, err
-		}
+		return f.killSome(f.choose(random, x.wiped, false), nil, true, x.down, 0, random, 0)
+	}
+	return nil
+}
+
+// playReturn has VMs fail and return, and observes it.
+func (f *returnFleet) playReturn(ctx context.Context, l *returnLoad, x returnFault, random *rand.Rand) (ReturnReport, error) {
+	report := ReturnReport{Fault: x.name}
+	if err := f.playBefore(x, random); err != nil {
+		return report, err
 	}
 	wait(ctx, x.settle)
 	report.Before = l.share(time.Now().Add(-4*time.Second), time.Now().Add(-time.Second))
@@ -237,17 +249,8 @@
 		wait(ctx, time.Duration(random.IntN(20))*time.Millisecond)
 	}
 	lost := f.choose(random, x.lost, x.leader)
-	var others []*returnVM
-	for _, vm := range f.vms() {
-		if !slices.Contains(lost, vm) && (vm.isControl && x.controls || !vm.isControl && x.gateways) {
-			others = append(others, vm)
-		}
-	}
-	stagger := x.stagger
-	if stagger == 0 {
-		stagger = returnStagger
-	}
-	if err := f.killSome(lost, others, x.lost > 0, x.down, stagger, random, x.late); err != nil {
+	others := f.othersThatFail(x, lost)
+	if err := f.killSome(lost, others, x.lost > 0, x.down, cmp.Or(x.stagger, returnStagger), random, x.late); err != nil {
 		return report, err
 	}
 	back := f.stages.lastStart()
@@ -262,6 +265,17 @@
 	return report, nil
 }
 
+// othersThatFail returns the VMs that fail beside the lost ones.
+func (f *returnFleet) othersThatFail(x returnFault, lost []*returnVM) []*returnVM {
+	var others []*returnVM
+	for _, vm := range f.vms() {
+		if !slices.Contains(lost, vm) && (vm.isControl && x.controls || !vm.isControl && x.gateways) {
+			others = append(others, vm)
+		}
+	}
+	return others
+}
+
 // killSome kills VMs at the same moment, empties the data folders of lost ones and starts all again.
 func (f *returnFleet) killSome(lost, others []*returnVM, wipe bool, down, stagger time.Duration, random *rand.Rand, late time.Duration) error {
 	all := append(slices.Clone(lost), others...)
--- a/laburnumsoak/returnshares.go
+++ b/laburnumsoak/returnshares.go
@@ -107,31 +107,34 @@
 		}
 		now := time.Now()
 		for _, vm := range f.vms() {
-			running := vm.running.Load()
-			if vm.isControl != isControl || running == nil {
-				continue
-			}
-			s := states[vm]
-			if s == nil || s.process != running {
-				s = &shareState{process: running, began: now}
-				states[vm] = s
-			}
-			used, ok := processorTime(running.Pid)
-			if !ok {
-				continue
-			}
-			allowed := time.Duration(share*float64(now.Sub(s.began))) + shareBurst
-			if unused := allowed - used - shareBurst; unused > 0 { // what was not used is lost
-				s.began = s.began.Add(time.Duration(float64(unused) / share))
-			}
-			if over := used > allowed; over != s.paused {
-				s.paused = over
-				sig := syscall.SIGCONT
-				if over {
-					sig = syscall.SIGSTOP
+			if running := vm.running.Load(); vm.isControl == isControl && running != nil {
+				s := states[vm]
+				if s == nil || s.process != running {
+					s = &shareState{process: running, began: now}
+					states[vm] = s
 				}
-				_ = running.Signal(sig)
+				s.look(now, share)
 			}
 		}
 	}
 }
+
+// look pauses a process that has used more than its share, and continues one that has not.
+func (s *shareState) look(now time.Time, share float64) {
+	used, ok := processorTime(s.process.Pid)
+	if !ok {
+		return
+	}
+	allowed := time.Duration(share*float64(now.Sub(s.began))) + shareBurst
+	if unused := allowed - used - shareBurst; unused > 0 { // what was not used is lost
+		s.began = s.began.Add(time.Duration(float64(unused) / share))
+	}
+	if over := used > allowed; over != s.paused {
+		s.paused = over
+		sig := syscall.SIGCONT
+		if over {
+			sig = syscall.SIGSTOP
+		}
+		_ = s.process.Signal(sig) // fails only if the process has exited
+	}
+}
--- a/laburnumsoak/returnstages.go
+++ b/laburnumsoak/returnstages.go
@@ -19,7 +19,7 @@
 
 // returnStages are the stages in the order of a report.
 var returnStages = []string{
-	"process start", "started", "start confirmed", "leader elected", "routes applied", "routes in force", "servers remembered", "half of servers known", "all servers known",
+	"process start", "started", "start confirmed", "leader elected", "routes applied", "routes in force", "servers remembered",
 	"placement lease", "keys confirmed", "first served",
 }
 
@@ -28,11 +28,8 @@
 	mu     sync.Mutex
 	since  time.Time
 	met    map[string]map[*returnVM]time.Time
-	known  map[*returnVM]map[string]bool
 	lead   string
 	voters []any
-	// Warnings counts warnings by event.
-	warnings map[string]int
 }
 
 func newStages() *stages {
@@ -44,7 +41,7 @@
 func (s *stages) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.since, s.met, s.known, s.warnings = time.Now(), map[string]map[*returnVM]time.Time{}, map[*returnVM]map[string]bool{}, map[string]int{}
+	s.since, s.met = time.Now(), map[string]map[*returnVM]time.Time{}
 }
 
 // lastStart returns when the last VM was started.
@@ -75,7 +72,6 @@
 func (s *stages) up(vm *returnVM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.known, vm)
 	s.mark("process start", vm)
 }
 
@@ -100,9 +96,6 @@
 	if stage, ok := stageOf[event]; ok {
 		s.mark(stage, vm)
 	}
-	if level, _ := line["level"].(string); level == "warn" || level == "error" {
-		s.warnings[event]++
-	}
 	switch event {
 	case "became-leader":
 		s.lead = vm.name
@@ -110,12 +103,6 @@
 		if voters, ok := line["voters"].([]any); ok {
 			s.voters = voters
 		}
-	case "backend-known":
-		if s.known[vm] == nil {
-			s.known[vm] = map[string]bool{}
-		}
-		id, _ := line["backend"].(string)
-		s.known[vm][id] = true
 	default:
 	}
 }
@@ -142,36 +129,40 @@
 	}
 	first["first served"] = served
 	for _, stage := range returnStages {
-		met := first[stage]
-		if len(met) == 0 {
-			continue
-		}
 		for _, isControl := range []bool{true, false} {
-			var times []int64
-			of, last, lastName := 0, time.Time{}, ""
-			for _, vm := range f.vms() {
-				if _, restarted := first["process start"][vm]; vm.isControl != isControl || !restarted && stage != "first served" {
-					continue
-				}
-				of++
-				if at, ok := met[vm]; ok {
-					times = append(times, at.Sub(back).Milliseconds())
-					if at.After(last) {
-						last, lastName = at, vm.name
-					}
-				}
-			}
-			if len(times) == 0 {
-				continue
+			if r, ok := f.stageReport(stage, isControl, back); ok {
+				report.Stages = append(report.Stages, r)
 			}
-			slices.Sort(times)
-			role := "gateways: "
-			if isControl {
-				role = "controls: "
-			}
-			report.Stages = append(report.Stages, StageReport{
-				Stage: role + stage, Met: len(times), Of: of, First: times[0], Half: times[len(times)/2], Last: times[len(times)-1], Which: lastName,
-			})
 		}
 	}
 }
+
+// stageReport returns when the VMs of a role met a stage; false if none did. The caller holds the stages' mu.
+func (f *returnFleet) stageReport(stage string, isControl bool, back time.Time) (StageReport, bool) {
+	r := StageReport{Stage: "gateways: " + stage}
+	if isControl {
+		r.Stage = "controls: " + stage
+	}
+	var times []int64
+	var last time.Time
+	for _, vm := range f.vms() {
+		if _, restarted := f.stages.met["process start"][vm]; vm.isControl != isControl || !restarted && stage != "first served" {
+			continue
+		}
+		r.Of++
+		at, ok := f.stages.met[stage][vm]
+		if !ok {
+			continue
+		}
+		times = append(times, at.Sub(back).Milliseconds())
+		if at.After(last) {
+			last, r.Which = at, vm.name
+		}
+	}
+	if len(times) == 0 {
+		return r, false
+	}
+	slices.Sort(times)
+	r.Met, r.First, r.Half, r.Last = len(times), times[0], times[len(times)/2], times[len(times)-1]
+	return r, true
+}
