fix: voters with slow disks no longer start elections faster than a vote becomes durable

A candidate starts the next election after 0.2 to 1.1 s, another voter after 1 to 1.9 s, however often that has failed. Where a sync takes 0.4 to 0.5 s, votes are not durable by then: the new term discards them, and its own write waits behind theirs. After a loss of power of all VMs and of two disks, three of five voters have to grant their votes, so that the log has no leader; without one no key is confirmed and no request with a key is served.

Timeouts now double with each election without a leader after the first, at most three times, until a leader is known. The first election is as soon as before.

--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -44,6 +44,7 @@
 func (l *Log) campaign(force bool) {
 	l.role = Candidate
 	l.leader = ""
+	l.elections++
 	l.hard.Term++
 	l.hard.Vote = l.id
 	l.votes = map[ReplicaID]bool{}
@@ -71,9 +72,13 @@
 	if term > l.hard.Term {
 		l.hard.Term = term
 		l.hard.Vote = ""
+		l.elections++
 	}
 	l.role = Follower
 	l.leader = leader
+	if leader != "" {
+		l.elections = 0
+	}
 	l.transferTarget = ""
 	l.progress = map[ReplicaID]progress{}
 	l.resetTimeout()
@@ -82,6 +87,7 @@
 func (l *Log) becomeLeader() {
 	l.role = Leader
 	l.leader = l.id
+	l.elections = 0
 	l.elapsed = 0
 	l.progress = map[ReplicaID]progress{}
 	l.appendEntries(Entry{Index: l.LastIndex() + 1, Term: l.hard.Term, Kind: EntryBarrier})
--- a/laburnumlog/log.go
+++ b/laburnumlog/log.go
@@ -13,8 +13,11 @@
 	// and one or two lost heartbeats.
 	electionTicks = 10
 	// retryTicks is the minimum timeout of a candidate before it starts another election.
-	// It is longer than the round trip and the fsync that an election takes.
+	// It is longer than the round trip and the fsync that an election usually takes.
 	retryTicks = 2
+	// maxTimeoutDoublings bounds how often timeouts are doubled, once for each election without a leader after the first. On slow disks
+	// a new election discards the votes of the last one before they are durable, and puts one more write before its own.
+	maxTimeoutDoublings = 3
 	// resendTicks is how long the leader waits for an acknowledgement before it resends.
 	resendTicks = 3
 	// snapshotResendTicks is resendTicks for a snapshot, which takes longer to transfer.
@@ -66,6 +69,8 @@
 	configurations []configurationAt
 	progress       map[ReplicaID]progress
 	votes          map[ReplicaID]bool
+	// elections is the number of elections that this replica has taken part in since it last knew a leader.
+	elections      int
 	elapsed        int
 	timeout        int
 	random         uint64
@@ -258,12 +263,14 @@
 	l.random ^= l.random << 13
 	l.random ^= l.random >> 7
 	l.random ^= l.random << 17
-	l.timeout = electionTicks + int(l.random%electionTicks)
+	doublings := min(max(0, l.elections-1), maxTimeoutDoublings)
+	shortest := uint64(electionTicks)
 	if l.role == Candidate || l.role == PreCandidate {
 		// After a split vote the candidates retry soon: there is no leader to wait for,
 		// and a full election timeout each doubled the time without a leader.
-		l.timeout = retryTicks + int(l.random%electionTicks)
+		shortest = retryTicks
 	}
+	l.timeout = int((shortest + l.random%electionTicks) << doublings)
 	if voters := l.Configuration().Voters(); len(voters) == 1 && voters[0].ID == l.id {
 		l.timeout = 1 // a single voter cannot disturb another leader
 	}
--- /dev/null
+++ b/laburnumlog/slowwrites_test.go
@@ -0,0 +1,87 @@
+package laburnumlog_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumlog"
+)
+
+// delayed is something that happens at a tick.
+type delayed struct {
+	at int
+	do func()
+}
+
+// electionOnSlowDisks returns the ticks until three of five voters, the others down, have a leader that commits; each write takes a
+// number of ticks.
+func electionOnSlowDisks(seed uint64, writeTicks, limit int) int {
+	names := []laburnumlog.ReplicaID{"a", "b", "c", "d", "e"}
+	var configuration laburnumlog.Configuration
+	for _, id := range names {
+		configuration = configuration.WithMember(laburnumlog.Member{ID: id})
+	}
+	logs, free := map[laburnumlog.ReplicaID]*laburnumlog.Log{}, map[laburnumlog.ReplicaID]int{}
+	var queue []delayed
+	now := 0
+	after := func(at int, do func()) { queue = append(queue, delayed{at: at, do: do}) }
+	var step func(id laburnumlog.ReplicaID, ev laburnumlog.Event)
+	send := func(messages []laburnumlog.Message) {
+		for _, m := range messages {
+			if logs[m.To] != nil {
+				after(now, func() { step(m.To, laburnumlog.Receive{Message: m}) })
+			}
+		}
+	}
+	step = func(id laburnumlog.ReplicaID, ev laburnumlog.Event) {
+		out := logs[id].Step(ev)
+		send(out.Messages)
+		if out.Write == nil {
+			return
+		}
+		write := *out.Write
+		free[id] = max(free[id], now) + writeTicks
+		after(free[id], func() {
+			step(id, laburnumlog.Written{Seq: write.Seq})
+			send(write.DeferredMessages)
+		})
+	}
+	drain := func() {
+		for {
+			i := slices.IndexFunc(queue, func(d delayed) bool { return d.at <= now })
+			if i < 0 {
+				return
+			}
+			next := queue[i]
+			queue = slices.Delete(queue, i, i+1)
+			next.do()
+		}
+	}
+	for i, id := range names[:3] {
+		logs[id] = laburnumlog.New(id, laburnumlog.Recovered{}, laburnumlog.WithSeed(seed*977+uint64(i)*131+1))
+		step(id, laburnumlog.Bootstrap{Configuration: configuration})
+	}
+	for ; now < limit; now++ {
+		for _, id := range names[:3] {
+			step(id, laburnumlog.Tick{})
+		}
+		drain()
+		for _, id := range names[:3] {
+			if logs[id].Role() == laburnumlog.Leader && logs[id].Commit() > 1 {
+				return now
+			}
+		}
+	}
+	return limit
+}
+
+// Guards against voters with slow disks that start elections faster than a vote becomes durable, and never elect a leader.
+func TestVotersWithSlowDisksElectALeader(t *testing.T) {
+	for _, writeTicks := range []int{0, 2, 4, 5} {
+		for seed := range uint64(200) {
+			require.Less(t, electionOnSlowDisks(seed+1, writeTicks, recoverTicks), recoverTicks, "seed %d, %d ticks a write", seed+1, writeTicks)
+		}
+	}
+}
