fix: a success without the server's stamp, or with an encoding, is not forwarded

The stamp was read and never looked at.

Such an answer is a broken one now: it goes to another server where the request may be repeated, is 502 elsewhere, and counts against its server (garbage-received). The same cause as that of the garbled streams: bytes that were passed on before it was known that they are an answer.

--- a/dialect.go
+++ b/dialect.go
@@ -99,6 +99,8 @@
 	NotRun bool
 	// Stamped reports whether the answer comes from a backend server itself.
 	Stamped bool
+	// Encoding is how the body is encoded, which no request asks for; empty for not at all.
+	Encoding string
 	// Running, Waiting and Slots are the server's load; valid if HasLoad is set.
 	HasLoad                 bool
 	Running, Waiting, Slots int
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -188,7 +188,7 @@
 		}
 	}
 	if !headers.NotRun {
-		return nil
+		return checkBody(resp, headers, result)
 	}
 	cause := &AnswerStatusError{Status: resp.StatusCode, Rest: headers.Rest}
 	if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -203,6 +203,18 @@
 	return &failure{stage: laburnumretry.StageNotRun, reason: laburnumlever.RefusedBackendBusy, cause: cause}
 }
 
+// checkBody returns a failure for a success whose body is not the backend server's own.
+func checkBody(resp *http.Response, headers laburnumlever.AnswerHeaders, result *laburnumbalance.AttemptResult) *failure {
+	if resp.StatusCode >= http.StatusMultipleChoices || (headers.Stamped && headers.Encoding == "") {
+		return nil
+	}
+	result.Failed = true
+	return &failure{
+		stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError,
+		cause: &ForeignBodyError{Stamped: headers.Stamped, Encoding: headers.Encoding},
+	}
+}
+
 // notSendable is the failure of an attempt at a backend server that must not be sent anything any more.
 func notSendable(err error) *failure {
 	return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedNoBackend, cause: err, unsent: true}
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -31,6 +31,19 @@
 	return fmt.Sprintf("backend server answered with status %d", e.Status)
 }
 
+// ForeignBodyError is a success whose body is not that of a backend server: it has no stamp, or an encoding that nobody asked for.
+type ForeignBodyError struct {
+	Stamped  bool
+	Encoding string
+}
+
+func (e *ForeignBodyError) Error() string {
+	if !e.Stamped {
+		return "the answer has no stamp of a backend server"
+	}
+	return fmt.Sprintf("the answer's body is encoded (%q), which was not asked for", e.Encoding)
+}
+
 // BrokenAnswerError is an answer that ended before it was complete.
 type BrokenAnswerError struct{ Cause error }
 
--- a/laburnumgateway/garbage.go
+++ b/laburnumgateway/garbage.go
@@ -32,6 +32,8 @@
 	garbageCutEvent
 	// garbageCrossedAnswer is an answer that belongs to another request.
 	garbageCrossedAnswer
+	// garbageForeignBody is a success without a stamp, or with a body that is encoded.
+	garbageForeignBody
 	// garbageBytesAfterEnd follows a complete answer.
 	garbageBytesAfterEnd
 )
@@ -47,6 +49,7 @@
 		none      *NoEventsError
 		cut       *EventCutError
 		crossed   *CrossedAnswerError
+		foreign   *ForeignBodyError
 		after     *BytesAfterEndError
 		long      *EventTooLongError
 	)
@@ -67,6 +70,8 @@
 		return garbageCutEvent, true
 	case errors.As(err, &crossed):
 		return garbageCrossedAnswer, true
+	case errors.As(err, &foreign):
+		return garbageForeignBody, true
 	case errors.As(err, &after):
 		return garbageBytesAfterEnd, true
 	default:
--- a/laburnumgateway/garbage_test.go
+++ b/laburnumgateway/garbage_test.go
@@ -296,3 +296,31 @@
 		require.Equal(t, eventsUpTo(3), got.body)
 	}
 }
+
+// Guards against a body that is not the server's, which callers got as a success.
+func TestSuccessWithoutAStampOrWithAnEncodingIsNotForwarded(t *testing.T) {
+	for name, headers := range map[string]string{
+		"no stamp": "Content-Length: 2\r\n\r\nok",
+		"encoded":  stampHeader + ": s1\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+		"stream":   "Content-Type: text/event-stream\r\nContent-Length: 19\r\n\r\nid: 1\ndata: foreign\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			answer := func(conn net.Conn, a receivedRequest, n int) {
+				if requests.Add(1) == 1 {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-1\r\n%s", idHeader, headers)
+					return
+				}
+				answerOK(conn, a, n)
+			}
+			b := newHarness(t, newBackend(t, "i-1", answer).heartbeat("booking"), newBackend(t, "i-2", answer).heartbeat("booking"))
+			got := b.send("GET", "/lookup/x", "")
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			require.NotEmpty(t, got.header.Get(stampHeader))
+			require.Empty(t, got.header.Get("Content-Encoding"))
+			requests.Store(0)
+			require.Equal(t, http.StatusBadGateway, b.send("POST", "/confirm/x", "visit").status)
+		})
+	}
+}
--- a/laburnumgateway/garbagekind_gen.go
+++ b/laburnumgateway/garbagekind_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _garbageKindName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerbytes-after-end"
+const _garbageKindName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerforeign-bodybytes-after-end"
 
-var _garbageKindIndex = [...]uint8{0, 8, 21, 30, 42, 54, 63, 72, 86, 101}
+var _garbageKindIndex = [...]uint8{0, 8, 21, 30, 42, 54, 63, 72, 86, 98, 113}
 
-const _garbageKindLowerName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerbytes-after-end"
+const _garbageKindLowerName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerforeign-bodybytes-after-end"
 
 func (i garbageKind) String() string {
 	if i < 0 || i >= garbageKind(len(_garbageKindIndex)-1) {
@@ -32,10 +32,11 @@
 	_ = x[garbageNoEvents-(5)]
 	_ = x[garbageCutEvent-(6)]
 	_ = x[garbageCrossedAnswer-(7)]
-	_ = x[garbageBytesAfterEnd-(8)]
+	_ = x[garbageForeignBody-(8)]
+	_ = x[garbageBytesAfterEnd-(9)]
 }
 
-var _garbageKindValues = []garbageKind{garbageNotHTTP, garbageInvalidEvent, garbageNumbering, garbageOutOfOrder, garbageBlankEvents, garbageNoEvents, garbageCutEvent, garbageCrossedAnswer, garbageBytesAfterEnd}
+var _garbageKindValues = []garbageKind{garbageNotHTTP, garbageInvalidEvent, garbageNumbering, garbageOutOfOrder, garbageBlankEvents, garbageNoEvents, garbageCutEvent, garbageCrossedAnswer, garbageForeignBody, garbageBytesAfterEnd}
 
 var _garbageKindNameToValueMap = map[string]garbageKind{
 	_garbageKindName[0:8]:    garbageNotHTTP,
@@ -46,7 +47,8 @@
 	_garbageKindName[54:63]:  garbageNoEvents,
 	_garbageKindName[63:72]:  garbageCutEvent,
 	_garbageKindName[72:86]:  garbageCrossedAnswer,
-	_garbageKindName[86:101]: garbageBytesAfterEnd,
+	_garbageKindName[86:98]:  garbageForeignBody,
+	_garbageKindName[98:113]: garbageBytesAfterEnd,
 }
 
 var _garbageKindLowerNameToValueMap = map[string]garbageKind{
@@ -58,7 +60,8 @@
 	_garbageKindLowerName[54:63]:  garbageNoEvents,
 	_garbageKindLowerName[63:72]:  garbageCutEvent,
 	_garbageKindLowerName[72:86]:  garbageCrossedAnswer,
-	_garbageKindLowerName[86:101]: garbageBytesAfterEnd,
+	_garbageKindLowerName[86:98]:  garbageForeignBody,
+	_garbageKindLowerName[98:113]: garbageBytesAfterEnd,
 }
 
 var _garbageKindNames = []string{
@@ -70,7 +73,8 @@
 	_garbageKindName[54:63],
 	_garbageKindName[63:72],
 	_garbageKindName[72:86],
-	_garbageKindName[86:101],
+	_garbageKindName[86:98],
+	_garbageKindName[98:113],
 }
 
 // garbageKindString retrieves an enum value from the enum constants string name.
