--- a/laburnumgateway/garbage.go
+++ b/laburnumgateway/garbage.go
@@ -41,21 +41,37 @@
 // garbageOf returns the kind of garbage that an attempt failed for, and whether it was garbage.
 func garbageOf(err error) (garbageKind, bool) {
 	var (
-		notHTTP   *laburnumupstream.NoAnswerError
+		notHTTP *laburnumupstream.NoAnswerError
+		crossed *CrossedAnswerError
+		foreign *ForeignBodyError
+		after   *BytesAfterEndError
+	)
+	switch {
+	case errors.As(err, &notHTTP):
+		return garbageNotHTTP, true
+	case errors.As(err, &crossed):
+		return garbageCrossedAnswer, true
+	case errors.As(err, &foreign):
+		return garbageForeignBody, true
+	case errors.As(err, &after):
+		return garbageBytesAfterEnd, true
+	default:
+		return garbageInStream(err)
+	}
+}
+
+// garbageInStream is garbageOf for what is no part of an event stream.
+func garbageInStream(err error) (garbageKind, bool) {
+	var (
 		invalid   *laburnumlever.EventInvalidError
+		long      *EventTooLongError
 		numbering *EventNumberingError
 		gap       *EventGapError
 		blank     *BlankEventsError
 		none      *NoEventsError
 		cut       *EventCutError
-		crossed   *CrossedAnswerError
-		foreign   *ForeignBodyError
-		after     *BytesAfterEndError
-		long      *EventTooLongError
 	)
 	switch {
-	case errors.As(err, &notHTTP):
-		return garbageNotHTTP, true
 	case errors.As(err, &invalid), errors.As(err, &long) && long.Limit == maxEventBytes:
 		return garbageInvalidEvent, true
 	case errors.As(err, &numbering):
@@ -68,12 +84,6 @@
 		return garbageNoEvents, true
 	case errors.As(err, &cut):
 		return garbageCutEvent, true
-	case errors.As(err, &crossed):
-		return garbageCrossedAnswer, true
-	case errors.As(err, &foreign):
-		return garbageForeignBody, true
-	case errors.As(err, &after):
-		return garbageBytesAfterEnd, true
 	default:
 		return 0, false
 	}
--- a/laburnumgateway/otherroutes_test.go
+++ b/laburnumgateway/otherroutes_test.go
@@ -13,8 +13,8 @@
 // Guards against a stream that runs twice, since the late answer to a look was taken for that to the request.
 func TestAnswerToALookIsNotThatToTheRequest(t *testing.T) {
 	near := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
-		switch {
-		case a.request.URL.Path == "/health":
+		switch a.request.URL.Path {
+		case "/health":
 			writeAnswer(conn, a, http.StatusOK, "", loadHeader+"4,0,8,100") // an extra answer
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Laburnumlever-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		default:
