--- a/laburnumsoak/returnload.go
+++ b/laburnumsoak/returnload.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"laburnumlever/laburnumstandin"
 )
 
 const (
@@ -126,16 +128,15 @@
 		return err.Error()
 	}
 	req.Host = returnHost
-	req.Header.Set("X-Laburnumlever-Request-Id", fmt.Sprintf("r-%d", l.calls.Add(1)))
-	req.Header.Set(keyHeaderName, accountKey(pickAccount()))
+	name := ""
 	if route.engine {
 		model := rand.IntN(20)
 		if rand.IntN(4) == 0 {
 			model = rand.IntN(min(50, l.fleet.cfg.Models))
 		}
-		req.Header.Set("X-Laburnumlever-Model", modelName(model))
-		req.Header.Set("X-Laburnumlever-Token-Count", "500,35")
+		name = modelName(model)
 	}
+	laburnumstandin.SetModelHeaders(req.Header, fmt.Sprintf("r-%d", l.calls.Add(1)), accountKey(pickAccount()), name, "500,35")
 	resp, err := l.client.Do(req)
 	if err != nil {
 		return shortCause(err)
--- a/laburnumsoak/returnstages.go
+++ b/laburnumsoak/returnstages.go
@@ -8,9 +8,6 @@
 	"time"
 )
 
-// keyHeaderName is the header of a client account's key.
-const keyHeaderName = "X-Api-Key"
-
 // stageOf are the log events that mark a stage.
 var stageOf = map[string]string{
 	"started": "started", "start-confirmed": "start confirmed", "became-leader": "leader elected", "routes-applied": "routes applied",
--- a/laburnumstandin/platformcaller.go
+++ b/laburnumstandin/platformcaller.go
@@ -200,6 +200,16 @@
 	return status, m.Version, err
 }
 
+// SetModelHeaders sets the ID of a request and its caller's key and, unless they are empty, its model and token counts.
+func SetModelHeaders(header http.Header, id, key, model, tokens string) {
+	header.Set(idHeader, id)
+	header.Set(keyHeader, key)
+	if model != "" {
+		header.Set("X-Laburnumlever-Model", model)
+		header.Set("X-Laburnumlever-Token-Count", tokens)
+	}
+}
+
 // requestHeaders are the headers of a request on a route; empty ones are left out.
 type requestHeaders struct{ id, model, lastEvent, resumes, parts string }
 
