test: the soak allows an early end of a stream that can't be resumed before bytes of no request

The protocol has that answer as complete: a server may "send additional bytes after a complete response. Such bytes belong to no request". So the check was wrong there.

An early end on that route is allowed now only if the server of that very request says that it wrote bytes behind the end; on the route whose streams can be resumed none is. TestEarlyEndsAreAllowedBeforeBytesOfNoRequest.

--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -35,6 +35,10 @@
 	steadyRan map[string]steadyRun
 	// endedForMemory are the requests whose slow callers a gateway ended for want of memory, by id.
 	endedForMemory map[string]bool
+	// bytesAfterEnd are the requests whose servers wrote bytes behind the end of their answers, earlyEnds how many events streams had that
+	// can't be resumed and ended early, by id.
+	bytesAfterEnd map[string]bool
+	earlyEnds     map[string]int
 	// left are the requests of callers that left, by id, silences the times in which steady servers did not run, by name.
 	left        map[string]leaver
 	silences    map[string][]silence
@@ -53,7 +57,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]steadyRun{}, left: map[string]leaver{}, endedForMemory: map[string]bool{}, silences: map[string][]silence{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]steadyRun{}, left: map[string]leaver{}, endedForMemory: map[string]bool{}, silences: map[string][]silence{}, bytesAfterEnd: map[string]bool{}, earlyEnds: map[string]int{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
@@ -164,6 +168,7 @@
 	}
 	r.checkAccounts()
 	r.checkSteady()
+	r.checkEarlyEnds()
 	r.checkLeavers()
 	return r.violations
 }
--- a/laburnumsoak/recorder_test.go
+++ b/laburnumsoak/recorder_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"laburnumlever/laburnumstandin"
 )
 
 // Guards against soak checks that never fail: each kind of violation must be reported.
@@ -210,3 +212,20 @@
 		require.Equal(t, lost, len(r.check()) > 0, reason)
 	}
 }
+
+// Guards against a check of early ends that lets any of them pass, or none that the protocol has as complete.
+func TestEarlyEndsAreAllowedBeforeBytesOfNoRequest(t *testing.T) {
+	body := []byte("id: 1\ndata: m0 word 1\n\n")
+	r := newRecorder()
+	r.answerSpoiled("memo-1", "end-then-bytes")
+	r.answerSpoiled("memo-2", "chunk-then-end")
+	r.answerSpoiled("report-4", "end-then-bytes")
+	for id, route := range map[string]laburnumstandin.GarbledRoute{
+		"memo-1": laburnumstandin.GarbledMemo, "memo-2": laburnumstandin.GarbledMemo, "memo-3": laburnumstandin.GarbledMemo, "report-4": laburnumstandin.GarbledReport,
+	} {
+		r.garbledStreamAnswered(route, id, http.StatusOK, body, true)
+	}
+	require.ElementsMatch(t, []string{
+		"stream memo-2 ended as complete after 1 events", "stream memo-3 ended as complete after 1 events", "stream report-4 ended as complete after 1 events",
+	}, r.check())
+}
--- a/laburnumsoak/spoils.go
+++ b/laburnumsoak/spoils.go
@@ -36,8 +36,9 @@
 			id, _, _ := strings.Cut(run, " ")
 			f.record.garbledRan(id)
 		}
-		if strings.HasPrefix(text, spoiledPrefix) {
-			f.record.answerSpoiled()
+		if spoiled, ok := strings.CutPrefix(text, spoiledPrefix); ok {
+			id, form, _ := strings.Cut(spoiled, " ")
+			f.record.answerSpoiled(id, form)
 		}
 	}
 	p.args = func() []string {
@@ -87,7 +88,7 @@
 	whole := err == nil && status == http.StatusOK
 	switch {
 	case route.Streams():
-		l.record.streamAnswered(id, status, body, whole)
+		l.record.garbledStreamAnswered(route, id, status, body, whole)
 	case route == laburnumstandin.GarbledOrder:
 		l.record.bookingEnded(id, status, err)
 	}
@@ -103,11 +104,27 @@
 	}
 }
 
-// answerSpoiled records that a server spoiled an answer.
-func (r *recorder) answerSpoiled() {
+// answerSpoiled records that a server spoiled an answer, and in which form.
+func (r *recorder) answerSpoiled(id, form string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.spoiled++
+	if form == laburnumstandin.SpoilEndThenBytes.String() {
+		r.bytesAfterEnd[id] = true
+	}
+}
+
+// garbledStreamAnswered does what streamAnswered does, but leaves an early end of a stream that can't be resumed to checkEarlyEnds.
+func (r *recorder) garbledStreamAnswered(route laburnumstandin.GarbledRoute, id string, status int, body []byte, whole bool) {
+	events := laburnumstandin.EventIDs(body)
+	if !whole || route != laburnumstandin.GarbledMemo || len(events) >= laburnumstandin.PlatformEvents() || laburnumstandin.Garbage(body, true) != "" {
+		r.streamAnswered(id, status, body, whole)
+		return
+	}
+	r.mu.Lock()
+	r.earlyEnds[id] = len(events)
+	r.mu.Unlock()
+	r.streamEnded(id, events, false)
 }
 
 // streamAnswered checks the body of a stream: its events, and that it holds nothing else.
@@ -117,3 +134,13 @@
 	}
 	r.streamEnded(id, laburnumstandin.EventIDs(body), whole)
 }
+
+// checkEarlyEnds checks that streams which can't be resumed ended early only where their server wrote bytes behind the end: the protocol
+// has such an answer as complete, and its bytes as those of no request. The caller holds mu.
+func (r *recorder) checkEarlyEnds() {
+	for id, events := range r.earlyEnds {
+		if !r.bytesAfterEnd[id] {
+			r.addViolation("stream %s ended as complete after %d events", id, events)
+		}
+	}
+}
