--- a/laburnumsoak/recorder.go
+++ b/laburnumsoak/recorder.go
@@ -35,10 +35,9 @@
 	steadyRan map[string]steadyRun
 	// endedForMemory are the requests whose slow callers a gateway ended for want of memory, by id.
 	endedForMemory map[string]bool
-	// bytesAfterEnd are the requests whose servers wrote bytes behind the end of their answers, earlyEnds how many events streams had that
-	// can't be resumed and ended early, by id.
-	bytesAfterEnd map[string]bool
-	earlyEnds     map[string]int
+	// spoiledForms are the forms in which servers spoiled the answers to a request, earlyEnds the streams that ended early, by id.
+	spoiledForms map[string][]string
+	earlyEnds    map[string]earlyEnd
 	// left are the requests of callers that left, by id, silences the times in which steady servers did not run, by name.
 	left        map[string]leaver
 	silences    map[string][]silence
@@ -57,7 +56,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]steadyRun{}, left: map[string]leaver{}, endedForMemory: map[string]bool{}, silences: map[string][]silence{}, bytesAfterEnd: map[string]bool{}, earlyEnds: map[string]int{}}
+	return &recorder{runs: map[string]int{}, answered: map[string]bool{}, refused: map[string]bool{}, crashing: map[string][]time.Time{}, ranAt: map[string][]time.Time{}, keyed: map[string]*keyedRequest{}, falls: map[string]int{}, steady: map[string]steadyRequest{}, steadyRan: map[string]steadyRun{}, left: map[string]leaver{}, endedForMemory: map[string]bool{}, silences: map[string][]silence{}, spoiledForms: map[string][]string{}, earlyEnds: map[string]earlyEnd{}}
 }
 
 func (r *recorder) addViolation(format string, args ...any) {
--- a/laburnumsoak/spoils.go
+++ b/laburnumsoak/spoils.go
@@ -109,20 +109,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.spoiled++
-	if form == laburnumstandin.SpoilEndThenBytes.String() {
-		r.bytesAfterEnd[id] = true
-	}
+	r.spoiledForms[id] = append(r.spoiledForms[id], form)
 }
 
-// garbledStreamAnswered does what streamAnswered does, but leaves an early end of a stream that can't be resumed to checkEarlyEnds.
+// garbledStreamAnswered does what streamAnswered does, but leaves an early end to checkEarlyEnds.
 func (r *recorder) garbledStreamAnswered(route laburnumstandin.GarbledRoute, id string, status int, body []byte, whole bool) {
 	events := laburnumstandin.EventIDs(body)
-	if !whole || route != laburnumstandin.GarbledMemo || len(events) >= laburnumstandin.PlatformEvents() || laburnumstandin.Garbage(body, true) != "" {
+	if !whole || len(events) >= laburnumstandin.PlatformEvents() || laburnumstandin.Garbage(body, true) != "" {
 		r.streamAnswered(id, status, body, whole)
 		return
 	}
 	r.mu.Lock()
-	r.earlyEnds[id] = len(events)
+	r.earlyEnds[id] = earlyEnd{events: len(events), resumable: route == laburnumstandin.GarbledReport}
 	r.mu.Unlock()
 	r.streamEnded(id, events, false)
 }
@@ -135,12 +133,30 @@
 	r.streamEnded(id, laburnumstandin.EventIDs(body), whole)
 }
 
-// checkEarlyEnds checks that streams which can't be resumed ended early only where their server wrote bytes behind the end: the protocol
-// has such an answer as complete, and its bytes as those of no request. The caller holds mu.
+// earlyEnd is a stream that ended as complete before its last event.
+type earlyEnd struct {
+	events    int
+	resumable bool
+}
+
+// allowed reports whether the forms in which servers spoiled the stream, the last one last, leave no sign of its early end: bytes behind the
+// end of a stream that can't be resumed belong to no request, and an empty stream is one that was over when a second server took it up.
+func (e earlyEnd) allowed(forms []string) bool {
+	if len(forms) == 0 {
+		return false
+	}
+	last := forms[len(forms)-1]
+	if !e.resumable {
+		return last == laburnumstandin.SpoilEndThenBytes.String()
+	}
+	return len(forms) > 1 && (last == laburnumstandin.SpoilEmpty.String() || last == laburnumstandin.SpoilEndThenBytes.String())
+}
+
+// checkEarlyEnds checks that streams ended early only where nothing tells it. The caller holds mu.
 func (r *recorder) checkEarlyEnds() {
-	for id, events := range r.earlyEnds {
-		if !r.bytesAfterEnd[id] {
-			r.addViolation("stream %s ended as complete after %d events", id, events)
+	for id, e := range r.earlyEnds {
+		if !e.allowed(r.spoiledForms[id]) {
+			r.addViolation("stream %s ended as complete after %d events", id, e.events)
 		}
 	}
 }
