fix: a copy of a delayed claim that arrives after its release is released as well

Callers: after a zone's cut, a booking that had been refused as not run was answered key-in-progress until its claim expired, ten minutes later. Cause: a claim is sent again on new connections while links are cut. The first copy that arrives is released; the release counted as final, so that a later copy took the key again and nobody freed it. Change: the release goes on for two minutes once it has freed the claim.

--- a/laburnumproxy/fakes_test.go
+++ b/laburnumproxy/fakes_test.go
@@ -69,6 +69,21 @@
 	l.delayed = nil
 }
 
+// delayedClaim returns the first claim that is delayed.
+func (l *fakeLog) delayedClaim(t *testing.T) laburnumlever.Command {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := slices.IndexFunc(l.delayed, func(cmd laburnumlever.Command) bool { return cmd.Claim != nil })
+	require.NotEqual(t, -1, i)
+	return l.delayed[i]
+}
+
+func (l *fakeLog) openClaims() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.claims)
+}
+
 func (l *fakeLog) apply(cmd laburnumlever.Command) (laburnumlever.Result, error) {
 	if l.err != nil {
 		return laburnumlever.Result{}, l.err
--- a/laburnumproxy/outcome_test.go
+++ b/laburnumproxy/outcome_test.go
@@ -260,6 +260,30 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// Guards against refusing a resend as in progress, after a second copy of a delayed claim arrived once the first was released.
+func TestDelayedCopyOfAReleasedClaimIsReleased(t *testing.T) {
+	b := newFixture(t, nil)
+	var runs atomic.Int32
+	b.service(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	b.log.mu.Lock()
+	b.log.delay = true
+	b.log.mu.Unlock()
+	b.post("/services/booking/visits", "", "Idempotency-Key", "k").requireRefusal(t, "no-quorum", "not-run")
+	claim := b.log.delayedClaim(t)
+	b.log.deliver()
+	require.Eventually(t, func() bool {
+		b.timers.Advance(time.Second)
+		return b.log.openClaims() == 0
+	}, 10*time.Second, time.Millisecond)
+	_, err := b.log.Propose(t.Context(), claim)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		b.timers.Advance(time.Second)
+		return b.post("/services/booking/visits", "", "Idempotency-Key", "k").status == http.StatusOK
+	}, 10*time.Second, time.Millisecond)
+	require.EqualValues(t, 1, runs.Load())
+}
+
 // Guards against every call in a partitioned zone waiting for its claim to time out, and refusals after it heals.
 func TestClaimsFailFastWhileLogIsUnreachable(t *testing.T) {
 	b := newFixture(t, nil)
--- a/laburnumproxy/release.go
+++ b/laburnumproxy/release.go
@@ -13,6 +13,9 @@
 	// claimReleaseTimeout is how long the proxy tries to release a claim: a command delayed by
 	// a network partition arrives once the partition heals, and most last less.
 	claimReleaseTimeout = 10 * time.Minute
+	// claimCopiesTimeout is how long the proxy goes on once it has released a claim: as long as a
+	// connection pauses at most between two retransmissions.
+	claimCopiesTimeout = 2 * time.Minute
 	// The backoff doubles from the minimum to the maximum: most delayed claims arrive soon
 	// after a short partition, and a thousand that never arrive must not keep the log busy.
 	claimReleaseMinBackoff = time.Second
@@ -26,7 +29,8 @@
 // network partition can delay the claim on its way to the log: the caller is told not-run,
 // and the claim is applied once the partition heals. Without the release, a resend would be
 // refused as in progress until the claim expires. The claim may arrive after the first
-// release, so a release that finds no claim is retried.
+// release, so a release that finds no claim is retried. The log was tried more than once, over
+// different connections: each copy of the claim may be applied after the others were released.
 func (p *Proxy) releaseInBackground(release laburnumlever.Command) {
 	select {
 	case p.pendingReleases <- struct{}{}:
@@ -36,18 +40,24 @@
 	}
 	go func() {
 		defer func() { <-p.pendingReleases }()
-		pause := claimReleaseMinBackoff
+		pause, released := claimReleaseMinBackoff, false
 		for end := p.timers.Now().Add(claimReleaseTimeout); p.timers.Now().Before(end); {
-			if p.tryRelease(release) || !laburnumtimer.Wait(p.closed, p.timers, pause) {
+			if p.tryRelease(release) {
+				pause, released = claimReleaseMinBackoff, true
+				end = p.timers.Now().Add(claimCopiesTimeout)
+			}
+			if !laburnumtimer.Wait(p.closed, p.timers, pause) {
 				return
 			}
 			pause = min(2*pause, claimReleaseMaxBackoff)
 		}
-		p.scope.Counter("claims-not-freed").Inc(1)
+		if !released {
+			p.scope.Counter("claims-not-freed").Inc(1)
+		}
 	}()
 }
 
-// tryRelease reports whether the claim is released for good.
+// tryRelease reports whether the log held the claim, or another one on its key, and holds this one no more.
 func (p *Proxy) tryRelease(release laburnumlever.Command) bool {
 	ctx, cancel := p.withTimeout(context.Background(), recordTimeout)
 	defer cancel()
