test: the caller beside the one that takes nothing reads, and the clock goes on

Cause: the test's. Its clock is advanced once. A caller's kernel acknowledges what it took up to 40 ms later; if that comes behind the advance, the caller has taken bytes at the clock's last instant, rightly counts as one that reads, and the clock stands still from then on. Change: the clock is the real one, so that the silent caller is ended only after the same 3 s without a byte taken; the other caller, which took nothing either, now reads 2 KiB every 100 ms and must still get the whole stream.

--- a/laburnumgateway/backlog_test.go
+++ b/laburnumgateway/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
@@ -33,6 +35,7 @@
 type slowCaller struct {
 	t testing.TB
 	net.Conn
+	taken bytes.Buffer
 }
 
 func newSlowCaller(t testing.TB, b *harness, path string) *slowCaller {
@@ -47,10 +50,16 @@
 	return &slowCaller{t: t, Conn: conn}
 }
 
-// readAnswer reads the rest of the answer. The error says that it was cut.
+// take reads some bytes, which readAnswer returns as well.
+func (c *slowCaller) take(n int64) {
+	_, err := io.CopyN(&c.taken, c, n)
+	assert.NoError(c.t, err)
+}
+
+// readAnswer reads the answer. The error says that it was cut.
 func (c *slowCaller) readAnswer() (string, error) {
 	require.NoError(c.t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(&c.taken, c)), nil)
 	if err != nil {
 		return "", err
 	}
@@ -193,14 +202,17 @@
 
 // Guards against one caller that takes nothing and keeps the memory from those that read.
 func TestShortBudgetEndsTheCallerThatTakesNothing(t *testing.T) {
-	timers := laburnumtimer.NewManual(time.Now())
+	timers := laburnumtimer.New()
+	t.Cleanup(timers.Close)
 	server := newBackend(t, "i-1", answerBigStream)
 	b := newBacklogHarness(t, timers, 600<<10, server.heartbeat("quotes", "m0"))
 	silent := newSlowCaller(t, b, "/draft/x")
 	awaitHeld(t, b, true)
-	timers.Advance(laburnumbacklog.MinSilence + time.Second)
 	reading := newSlowCaller(t, b, "/draft/x")
-	require.Eventually(t, func() bool { return len(server.requests()) == 2 && b.gateway.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		reading.take(bigEventBytes)
+		return len(server.requests()) == 2 && b.gateway.InFlight() == 0
+	}, 10*time.Second, 100*time.Millisecond)
 	_, err := silent.readAnswer()
 	require.Error(t, err)
 	body, err := reading.readAnswer()
