test: a draft that is not answered 200 fails its test at once

TestDeadHolderLeavesTheGatewaysOwnOrder hung once beside load (gateway-load): it counted the drafts answered 200 and waited for ever for one that was not. What that draft was answered is not known.

--- a/laburnumgateway/room_test.go
+++ b/laburnumgateway/room_test.go
@@ -54,19 +54,24 @@
 	}}})
 	require.Len(t, b.fleet.Status().Room, 1)
 	began := time.Now()
-	took := make(chan time.Duration, drafts)
+	type outcome struct {
+		callerResponse
+		took time.Duration
+	}
+	outcomes := make(chan outcome, drafts)
 	for n := range drafts {
 		go func() {
-			if b.request("draft", fmt.Sprintf("draft-%d", n)).status == 200 {
-				took <- time.Since(began)
-			}
+			resp := b.request("draft", fmt.Sprintf("draft-%d", n))
+			outcomes <- outcome{resp, time.Since(began)}
 		}()
 	}
 	require.Eventually(t, func() bool { return b.fleet.Status().Queued > 0 }, 5*time.Second, time.Millisecond)
 	require.Equal(t, 200, b.request("quote", "urgent").status)
 	putOff := 0
 	for range drafts {
-		if <-took >= lifetime/2 {
+		draft := <-outcomes
+		require.Equal(t, 200, draft.status, draft.body)
+		if draft.took >= lifetime/2 {
 			putOff++
 		}
 	}
