fix: a doubted end counts only once a second server ends the stream there

Callers: a stream that can be resumed ended as complete before its last event. Cause: an end with bytes behind it was taken up at another server, but counted as the end if no attempt added to it, so also if that server failed or sent garbage. Change: without a second server that ends the stream at the same event it is cut, so that its caller can take it up itself. A caller that has left meanwhile no longer counts as served. Tests: TestStreamWithADoubtedEndIsWholeIfNoServerGoesOn demanded the fault: a second server that fails says nothing of the end. Its place takes TestStreamWithADoubtedEndIsCutUnlessAnotherServerEndsItThere, which pins both outcomes; three of its five cases failed before.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -31,8 +31,8 @@
 type answer struct {
 	w       http.ResponseWriter
 	started bool
-	// endDoubted is set once an attempt ended the answer, and more bytes came behind it. It is complete unless another attempt adds
-	// to it.
+	// endDoubted is set once an attempt ended the answer, and more bytes came behind it. It is complete once another attempt ends it
+	// there as well.
 	endDoubted bool
 	// firstAt and lastAt are when the first and last parts were written; pause is the longest time
 	// between two consecutive parts.
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -43,15 +43,6 @@
 // run makes attempts until the request is answered or refused. The error is a
 // *laburnumlever.RefusalError or a *CallerGoneError.
 func (g *Gateway) run(ctx context.Context, q *request, out *answer) error {
-	err := g.makeAttempts(ctx, q, out)
-	if out.endDoubted {
-		return nil // no attempt could add to it
-	}
-	return err
-}
-
-// makeAttempts makes attempts until one answers the request, or there can be no other one. The error is that of run.
-func (g *Gateway) makeAttempts(ctx context.Context, q *request, out *answer) error {
 	defer g.fleet.returnLease(q, nil)
 	defer g.fleet.streams.remove(q)
 	if err := g.findVersion(ctx, q); err != nil {
--- a/laburnumgateway/garbage.go
+++ b/laburnumgateway/garbage.go
@@ -115,14 +115,14 @@
 		"address", ticket.Backend.Address, "software", ticket.Backend.Software, "via", q.via, "kind", kind, "events", out.events, "cause", cause)
 }
 
-// checkEnd is called after a complete answer. If bytes follow it, a server that spoils its answers has written the end, too. A stream is
-// taken up after its last event then: a server where it is over answers with no more events.
+// checkEnd is called after a complete answer. If bytes follow it, a server that spoils its answers may have written the end, too. A
+// stream is taken up after its last event then: a server where it is over answers with no more events.
 func (g *Gateway) checkEnd(q *request, out *answer, ticket *laburnumbalance.Ticket, conn *laburnumupstream.Conn) *failure {
 	if !conn.BytesFollow() {
 		return nil
 	}
 	cause := &BytesAfterEndError{}
-	if _, ok := q.events.resumesAfter(); !ok || !q.route.Resumable {
+	if _, ok := q.events.resumesAfter(); !ok || !q.route.Resumable || out.endDoubted {
 		g.noteGarbage(q, out, ticket, garbageBytesAfterEnd, cause)
 		return nil
 	}
--- a/laburnumgateway/garbage_test.go
+++ b/laburnumgateway/garbage_test.go
@@ -276,24 +276,36 @@
 	}
 }
 
-// Guards against a whole stream that is cut since no other server can tell whether it was over.
-func TestStreamWithADoubtedEndIsWholeIfNoServerGoesOn(t *testing.T) {
-	server := newBackend(t, "i-1", func(conn net.Conn, _ receivedRequest, _ int) {
-		text := eventsUpTo(3)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-1\r\n%s: s1\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%sgarbage",
-			idHeader, stampHeader, len(text), text)
-	})
-	failing := newBackend(t, "i-2", func(conn net.Conn, a receivedRequest, _ int) {
-		if a.request.Header.Get("Last-Event-Id") == "" {
-			writeAnswer(conn, a, http.StatusServiceUnavailable, "busy", "X-Laburnumlever-Not-Run: 1")
-			return
-		}
-		writeAnswer(conn, a, http.StatusInternalServerError, "error")
-	})
-	for range 4 {
-		got := newHarness(t, server.heartbeat("quotes", "m0"), failing.heartbeat("quotes", "m0")).send("POST", "/quote/x", "oak", "X-Laburnumlever-Model", "m0")
-		require.NoError(t, got.err)
-		require.Equal(t, eventsUpTo(3), got.body)
+// Guards against a stream that ends as complete too early since the server that took it up sent garbage or failed.
+func TestStreamWithADoubtedEndIsCutUnlessAnotherServerEndsItThere(t *testing.T) {
+	for name, tt := range map[string]struct {
+		takeUp func(conn net.Conn, a receivedRequest)
+		whole  bool
+	}{
+		"fails":            {func(conn net.Conn, a receivedRequest) { writeAnswer(conn, a, http.StatusInternalServerError, "error") }, false},
+		"garbage":          {func(conn net.Conn, a receivedRequest) { writeEvents(conn, a, 1, 0); writeChunk(conn, "\x93\xff\n\n") }, false},
+		"event without id": {func(conn net.Conn, a receivedRequest) { writeEvents(conn, a, 1, 0); writeChunk(conn, "data: x\n\n") }, false},
+		"ends it":          {func(conn net.Conn, a receivedRequest) { writeEvents(conn, a, 1, 0); writeLastChunk(conn) }, true},
+		"ends it, doubtful": {func(conn net.Conn, a receivedRequest) {
+			writeEvents(conn, a, 1, 0)
+			_, _ = conn.Write([]byte("0\r\n\r\ngarbage"))
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer := func(conn net.Conn, a receivedRequest, _ int) {
+				if a.request.Header.Get("Last-Event-Id") != "" {
+					tt.takeUp(conn, a)
+					return
+				}
+				text := eventsUpTo(3)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r-1\r\n%s: s1\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%sgarbage",
+					idHeader, stampHeader, len(text), text)
+			}
+			b := newHarness(t, newBackend(t, "i-1", answer).heartbeat("quotes", "m0"), newBackend(t, "i-2", answer).heartbeat("quotes", "m0"))
+			got := b.send("POST", "/quote/x", "oak", "X-Laburnumlever-Model", "m0")
+			require.Equal(t, tt.whole, got.err == nil, "%v", got.err)
+			require.Equal(t, eventsUpTo(3), got.body)
+		})
 	}
 }
 
