fix: a long answer that its server breaks does not count as a good one

Callers: requests went on to a server that breaks off answers beyond 1 MiB, since each counted as answered. Cause: the copy of a long answer did not tell a failed read, the server's, from a failed write, the caller's. Test: as it was it could not see this. It read the report of outcomes for its log first, which empties it, and its garbage was told already. It now also cuts the answer between chunks and within one, and demands no good answer. Beside it: the length of a long answer whose attempt has been ended stayed in the head of the next attempt's answer.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -110,7 +110,7 @@
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: &AnswerStatusError{Status: resp.StatusCode}}
 	}
 	if !whole && resp.StatusCode != http.StatusServiceUnavailable { // an unmarked 503 is stored as a failure, whatever its length
-		return g.forwardLong(ctx, out, resp, body)
+		return g.forwardLong(ctx, out, resp, body, result)
 	}
 	stored := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -167,19 +167,35 @@
 }
 
 // forwardLong streams an answer that is too long to be buffered. Head is the part read so far.
-func (g *Gateway) forwardLong(ctx context.Context, out *answer, resp *http.Response, head []byte) *failure {
+func (g *Gateway) forwardLong(ctx context.Context, out *answer, resp *http.Response, head []byte, result *laburnumbalance.AttemptResult) *failure {
 	if resp.ContentLength > 0 {
 		out.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	if !out.start(resp.Header, resp.StatusCode) {
+		out.w.Header().Del("Content-Length") // it is not that of the next attempt's answer
 		return brokenAnswer(ctx, net.ErrClosed)
 	}
-	if _, err := io.Copy(out.w, io.MultiReader(bytes.NewReader(head), resp.Body)); err != nil {
+	body := &failingReader{Reader: resp.Body}
+	if _, err := io.Copy(out.w, io.MultiReader(bytes.NewReader(head), body)); err != nil {
+		result.Failed = body.failed && ctx.Err() == nil
 		return brokenAnswer(ctx, err)
 	}
 	return nil
 }
 
+// failingReader records whether a read failed, which a copy does not tell from a failed write.
+type failingReader struct {
+	io.Reader
+	failed bool
+}
+
+// Read implements io.Reader.
+func (r *failingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.failed = r.failed || err != nil && !errors.Is(err, io.EOF)
+	return n, err
+}
+
 func brokenAnswer(ctx context.Context, err error) *failure {
 	if stopped(ctx) {
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedVMStopped, cause: &VMStoppedError{}}
--- a/laburnumgateway/garbageedges_test.go
+++ b/laburnumgateway/garbageedges_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -103,17 +104,24 @@
 
 // Guards against a long answer that breaks and counts as a good one.
 func TestBrokenLongAnswerIsAFailure(t *testing.T) {
+	var requests atomic.Int32
+	last := []string{"\x93\xffgarbage\r\n\r\n", "", "9\r\ncut"}
 	server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
 		head(conn, a, "Transfer-Encoding: chunked\r\n")
 		for range 40 {
 			writeChunk(conn, strings.Repeat("x", 64<<10))
 		}
-		fmt.Fprint(conn, "\x93\xffgarbage\r\n\r\n")
+		fmt.Fprint(conn, last[requests.Add(1)-1])
+		_ = conn.Close()
 	})
 	b := newHarness(t, server.heartbeat("booking"))
-	require.Error(t, b.send("POST", "/confirm/x", "oak").err)
-	t.Logf("%+v", b.fleet.GatewayReport().Outcomes)
-	require.Equal(t, 1, failures(b))
+	for range last {
+		require.Error(t, b.send("POST", "/confirm/x", "oak").err)
+	}
+	outcomes := b.fleet.GatewayReport().Outcomes
+	require.Len(t, outcomes, 1)
+	require.Equal(t, 1, outcomes[0].Failed, "garbage is a fault, a lost connection need not be one")
+	require.Zero(t, outcomes[0].Answered)
 }
 
 // Guards against refusing what a server of another kind of route answers to a Last-Event-Id, as if the stream had to begin anew.
