--- a/laburnumvoter/largecommand_test.go
+++ b/laburnumvoter/largecommand_test.go
@@ -93,12 +93,12 @@
 		all.Wait()
 	}
 	repeat(5)
-	before := leader.Status().Commit
+	before := leader.Status()
 	repeat(6)
-	require.Equal(t, before+1, leader.Status().Commit)
+	require.Equal(t, before.Commit+1, leader.Status().Commit, "%+v, then %+v", before, leader.Status())
 	repeat(6)
 	repeat(4)
-	require.Equal(t, before+1, leader.Status().Commit, "versions that are not higher take none")
+	require.Equal(t, before.Commit+1, leader.Status().Commit, "versions that are not higher take none: %+v, then %+v", before, leader.Status())
 }
 
 // follower returns a VM that is not the leader.
