--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -7,7 +7,8 @@
 		l.tickLeader()
 		return
 	}
-	if l.elapsed < l.timeout || !l.start.confirmed {
+	// A new election would discard a vote that is not durable yet, and put one more write before the next one.
+	if l.elapsed < l.timeout || !l.start.confirmed || l.hardStateDirty() {
 		return
 	}
 	l.resetTimeout()
--- a/laburnumlog/log.go
+++ b/laburnumlog/log.go
@@ -15,9 +15,9 @@
 	// retryTicks is the minimum timeout of a candidate before it starts another election.
 	// It is longer than the round trip and the fsync that an election usually takes.
 	retryTicks = 2
-	// maxTimeoutDoublings bounds how often timeouts are doubled, once for each election without a leader after the first. On slow disks
-	// a new election discards the votes of the last one before they are durable, and puts one more write before its own.
-	maxTimeoutDoublings = 3
+	// maxTimeoutDoublings bounds how often timeouts are doubled, once for each election without a leader after the first: on slow disks
+	// the votes of one take longer than a timeout.
+	maxTimeoutDoublings = 2
 	// resendTicks is how long the leader waits for an acknowledgement before it resends.
 	resendTicks = 3
 	// snapshotResendTicks is resendTicks for a snapshot, which takes longer to transfer.
--- a/laburnumlog/slowwrites_test.go
+++ b/laburnumlog/slowwrites_test.go
@@ -79,9 +79,36 @@
 
 // Guards against voters with slow disks that start elections faster than a vote becomes durable, and never elect a leader.
 func TestVotersWithSlowDisksElectALeader(t *testing.T) {
-	for _, writeTicks := range []int{0, 2, 4, 5} {
+	for _, writeTicks := range []int{0, 2, 4, 5, 6} {
 		for seed := range uint64(200) {
 			require.Less(t, electionOnSlowDisks(seed+1, writeTicks, recoverTicks), recoverTicks, "seed %d, %d ticks a write", seed+1, writeTicks)
 		}
 	}
 }
+
+// Guards against voters that have taken part in elections without a leader, and then wait longer for the next one than a recovery may take.
+func TestElectionsWithoutALeaderDelayTheNextOneForABoundedTime(t *testing.T) {
+	configuration := laburnumlog.Configuration{}.WithMember(laburnumlog.Member{ID: "a"}).WithMember(laburnumlog.Member{ID: "b"}).WithMember(laburnumlog.Member{ID: "c"})
+	for seed := range uint64(200) {
+		log := laburnumlog.New("a", laburnumlog.Recovered{}, laburnumlog.WithSeed(seed+1))
+		step := func(ev laburnumlog.Event) laburnumlog.Output {
+			out := log.Step(ev)
+			if out.Write != nil {
+				log.Step(laburnumlog.Written{Seq: out.Write.Seq})
+			}
+			return out
+		}
+		step(laburnumlog.Bootstrap{Configuration: configuration})
+		term := log.Term()
+		for range 10 {
+			term++
+			step(laburnumlog.Receive{Message: laburnumlog.Message{Kind: laburnumlog.MessageVote, From: "b", To: "a", Term: term, Index: 9, LogTerm: term}})
+		}
+		require.Equal(t, term, log.Term())
+		ticks := 0
+		for asked := false; !asked; ticks++ {
+			asked = slices.ContainsFunc(step(laburnumlog.Tick{}).Messages, func(m laburnumlog.Message) bool { return m.Kind == laburnumlog.MessagePreVote })
+			require.Less(t, ticks, recoverTicks, "seed %d", seed+1)
+		}
+	}
+}
--- a/laburnumlog/step.go
+++ b/laburnumlog/step.go
@@ -166,6 +166,9 @@
 	for len(l.pending) > 0 && l.pending[0].seq <= seq {
 		w := l.pending[0]
 		l.pending = l.pending[1:]
+		if l.role != Leader && (l.durableHard.Term != w.hard.Term || l.durableHard.Vote != w.hard.Vote) {
+			l.elapsed = 0 // the answer to the vote leaves only now
+		}
 		l.durableHard = w.hard
 		if w.index > l.stable && w.index <= l.LastIndex() && l.termAt(w.index) == w.term {
 			l.stable = w.index
