test: servers of streaming routes answer with event streams

Nine tests of the gateway had servers that answer a streaming route with a plain 200 of no content type, which no server of the protocol sends. A check that an answer of such a route is a stream would fail them: eight by their harness (returns_test.go, room_test.go), and TestServerThatOnlyOthersReachIsServedThroughThem by its second server. They answer with a stream of one event now. No check or bound changes; all nine pass with and without that check.

--- a/laburnumgateway/fakes_test.go
+++ b/laburnumgateway/fakes_test.go
@@ -148,6 +148,11 @@
 	}
 }
 
+// writeStream writes a complete stream of one event.
+func writeStream(conn net.Conn, a receivedRequest, headers ...string) {
+	writeAnswer(conn, a, http.StatusOK, eventsUpTo(1), append(headers, "Content-Type: text/event-stream")...)
+}
+
 func writeChunk(conn net.Conn, text string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
 
 func writeLastChunk(conn net.Conn) { fmt.Fprint(conn, "0\r\n\r\n") }
--- a/laburnumgateway/links_test.go
+++ b/laburnumgateway/links_test.go
@@ -131,7 +131,7 @@
 // Guards against a gateway that refuses what a single server could serve, which only other VMs reach, and tells others that it is down.
 func TestServerThatOnlyOthersReachIsServedThroughThem(t *testing.T) {
 	records, tunnels := behindLostLinks(t, "booking", answers("i-1")(t))
-	near := answers("i-2")(t)
+	near := newBackend(t, "i-2", func(conn net.Conn, a receivedRequest, _ int) { writeStream(conn, a) })
 	earlier := records[0] // is remembered for a while after it has left the address to another
 	earlier.Heartbeat.Backend, earlier.Gone = "i-0", true
 	b := newLinksHarness(t, tunnels, &reports{}, append(records, earlier, near.heartbeat("quotes", "m0")))
--- a/laburnumgateway/returns_test.go
+++ b/laburnumgateway/returns_test.go
@@ -30,7 +30,7 @@
 
 func newReturnsHarness(t *testing.T, on bool) *returnsHarness {
 	engine := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
-		writeAnswer(conn, a, http.StatusOK, "ok", "X-Laburnumlever-Server-Load: 0,0,8,100")
+		writeStream(conn, a, "X-Laburnumlever-Server-Load: 0,0,8,100")
 	})
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
@@ -126,7 +126,7 @@
 	release := make(chan struct{})
 	h.engine.answer = func(conn net.Conn, a receivedRequest, _ int) {
 		<-release
-		writeAnswer(conn, a, http.StatusOK, "ok", "X-Laburnumlever-Server-Load: 0,0,1,100")
+		writeStream(conn, a, "X-Laburnumlever-Server-Load: 0,0,1,100")
 	}
 	h.announce(full)
 	go func() { h.ended <- h.ask("m0", "held") }()
--- a/laburnumgateway/room_test.go
+++ b/laburnumgateway/room_test.go
@@ -24,7 +24,7 @@
 // than quotes.
 func newRoomHarness(t *testing.T, decisions laburnumlever.SharedMachines) (*harness, *backend) {
 	engine := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
-		writeAnswer(conn, a, 200, "done", "X-Laburnumlever-Server-Load: 7,0,8,100")
+		writeStream(conn, a, "X-Laburnumlever-Server-Load: 7,0,8,100")
 	})
 	timers := laburnumtimer.New()
 	t.Cleanup(timers.Close)
