fix: a success of a streaming route that is no event stream is not forwarded

Cause: only answers whose head says that they are event streams were read as such. All others were buffered and passed on, whatever their route, and counted as good ones of their server.

The protocol answers streaming routes with text/event-stream. Another success is garbage now (NoStreamError, kind no-stream), told before a byte of it is read, in the check that refuses a success without a stamp: it counts against its server, and the request goes to another one if it may be repeated or resumed and is answered 502 otherwise. Streams that are taken up pass the same check. Other statuses, and other kinds of routes, are forwarded as before.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -95,7 +95,7 @@
 
 // forwardAnswer forwards an answer to the caller. An error answer is stored instead.
 func (g *Gateway) forwardAnswer(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
-	if resp.StatusCode == http.StatusOK && isStream(resp.Header) {
+	if isStream(resp) {
 		return g.forwardStream(ctx, q, out, ticket, resp, result)
 	}
 	resp.Body = heardBody{ReadCloser: resp.Body, heard: out.heard}
@@ -124,9 +124,9 @@
 }
 
 // isStream reports whether an answer is an event stream.
-func isStream(header http.Header) bool {
-	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err == nil && kind == streamType
+func isStream(resp *http.Response) bool {
+	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && kind == streamType && resp.StatusCode == http.StatusOK
 }
 
 // buffer reads an answer as far as the budget of buffers allows, and reports whether that is the whole of it. What was read is held
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -188,7 +188,7 @@
 		}
 	}
 	if !headers.NotRun {
-		return checkBody(resp, headers, result)
+		return checkBody(q, resp, headers, result)
 	}
 	cause := &AnswerStatusError{Status: resp.StatusCode, Rest: headers.Rest}
 	if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -203,16 +203,21 @@
 	return &failure{stage: laburnumretry.StageNotRun, reason: laburnumlever.RefusedBackendBusy, cause: cause}
 }
 
-// checkBody returns a failure for a success whose body is not the backend server's own.
-func checkBody(resp *http.Response, headers laburnumlever.AnswerHeaders, result *laburnumbalance.AttemptResult) *failure {
-	if resp.StatusCode >= http.StatusMultipleChoices || (headers.Stamped && headers.Encoding == "") {
+// checkBody returns a failure for a success whose body is not the backend server's own, or is no stream where one is due.
+func checkBody(q *request, resp *http.Response, headers laburnumlever.AnswerHeaders, result *laburnumbalance.AttemptResult) *failure {
+	var cause error
+	switch {
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return nil
+	case !headers.Stamped || headers.Encoding != "":
+		cause = &ForeignBodyError{Stamped: headers.Stamped, Encoding: headers.Encoding}
+	case q.route.Kind == laburnumlever.KindStream && !isStream(resp):
+		cause = &NoStreamError{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
+	default:
 		return nil
 	}
 	result.Failed = true
-	return &failure{
-		stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError,
-		cause: &ForeignBodyError{Stamped: headers.Stamped, Encoding: headers.Encoding},
-	}
+	return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: cause}
 }
 
 // notSendable is the failure of an attempt at a backend server that must not be sent anything any more.
--- a/laburnumgateway/errors.go
+++ b/laburnumgateway/errors.go
@@ -44,6 +44,16 @@
 	return fmt.Sprintf("the answer's body is encoded (%q), which was not asked for", e.Encoding)
 }
 
+// NoStreamError is a success of a streaming route that is no event stream.
+type NoStreamError struct {
+	Status      int
+	ContentType string // empty if the head names none
+}
+
+func (e *NoStreamError) Error() string {
+	return fmt.Sprintf("the answer is no event stream, which its route calls for: status %d, content type %q", e.Status, e.ContentType)
+}
+
 // BrokenAnswerError is an answer that ended before it was complete.
 type BrokenAnswerError struct{ Cause error }
 
--- a/laburnumgateway/garbage.go
+++ b/laburnumgateway/garbage.go
@@ -34,6 +34,8 @@
 	garbageCrossedAnswer
 	// garbageForeignBody is a success without a stamp, or with a body that is encoded.
 	garbageForeignBody
+	// garbageNoStream is a success of a streaming route that is no event stream.
+	garbageNoStream
 	// garbageBytesAfterEnd follows a complete answer.
 	garbageBytesAfterEnd
 )
@@ -44,6 +46,7 @@
 		notHTTP *laburnumupstream.NoAnswerError
 		crossed *CrossedAnswerError
 		foreign *ForeignBodyError
+		other   *NoStreamError
 		after   *BytesAfterEndError
 	)
 	switch {
@@ -53,6 +56,8 @@
 		return garbageCrossedAnswer, true
 	case errors.As(err, &foreign):
 		return garbageForeignBody, true
+	case errors.As(err, &other):
+		return garbageNoStream, true
 	case errors.As(err, &after):
 		return garbageBytesAfterEnd, true
 	default:
--- a/laburnumgateway/garbageedges_test.go
+++ b/laburnumgateway/garbageedges_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"laburnumlever/laburnumgateway"
 )
 
 // failures returns how many faults of servers the gateway reports.
@@ -42,6 +45,38 @@
 	}
 }
 
+// Guards against a server that answers streams with other successes and keeps its work, and against other answers taken for such.
+func TestOnlyASuccessThatIsNoStreamIsGarbage(t *testing.T) {
+	for name, tt := range map[string]struct {
+		status      int
+		contentType string
+		want        int
+		garbage     int
+	}{
+		"other type":    {http.StatusOK, "text/plain", http.StatusBadGateway, 1},
+		"no type":       {http.StatusOK, "", http.StatusBadGateway, 1},
+		"other success": {http.StatusCreated, "text/event-stream", http.StatusBadGateway, 1},
+		"charset":       {http.StatusOK, "Text/Event-Stream; charset=utf-8", http.StatusOK, 0},
+		"refusal":       {http.StatusNotFound, "application/json", http.StatusNotFound, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newBackend(t, "i-1", func(conn net.Conn, a receivedRequest, _ int) {
+				writeAnswer(conn, a, tt.status, eventsUpTo(1), "Content-Type: "+tt.contentType)
+			})
+			scope := tally.NewTestScope("", nil)
+			b := newUnconfiguredHarness(t, laburnumgateway.WithScope(scope))
+			b.fleet.HandleRoutes(testRoutes())
+			b.announce(server.heartbeat("quotes", "m0"))
+			got := b.send("POST", "/draft/x", "oak", "X-Laburnumlever-Model", "m0")
+			require.NoError(t, got.err)
+			require.Equal(t, tt.want, got.status)
+			require.Equal(t, tt.garbage == 0, got.body == eventsUpTo(1), got.body)
+			require.EqualValues(t, tt.garbage, scope.Snapshot().Counters()["garbage_received+kind=no-stream"].Value())
+			require.Equal(t, tt.garbage, failures(b))
+		})
+	}
+}
+
 // Guards against a server whose garbage isn't held against it.
 func TestSpoiledStreamIsAFault(t *testing.T) {
 	for name, spoil := range map[string]func(conn net.Conn){
--- a/laburnumgateway/garbagekind_gen.go
+++ b/laburnumgateway/garbagekind_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _garbageKindName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerforeign-bodybytes-after-end"
+const _garbageKindName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerforeign-bodyno-streambytes-after-end"
 
-var _garbageKindIndex = [...]uint8{0, 8, 21, 30, 42, 54, 63, 72, 86, 98, 113}
+var _garbageKindIndex = [...]uint8{0, 8, 21, 30, 42, 54, 63, 72, 86, 98, 107, 122}
 
-const _garbageKindLowerName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerforeign-bodybytes-after-end"
+const _garbageKindLowerName = "not-httpinvalid-eventnumberingout-of-orderblank-eventsno-eventscut-eventcrossed-answerforeign-bodyno-streambytes-after-end"
 
 func (i garbageKind) String() string {
 	if i < 0 || i >= garbageKind(len(_garbageKindIndex)-1) {
@@ -33,35 +33,38 @@
 	_ = x[garbageCutEvent-(6)]
 	_ = x[garbageCrossedAnswer-(7)]
 	_ = x[garbageForeignBody-(8)]
-	_ = x[garbageBytesAfterEnd-(9)]
+	_ = x[garbageNoStream-(9)]
+	_ = x[garbageBytesAfterEnd-(10)]
 }
 
-var _garbageKindValues = []garbageKind{garbageNotHTTP, garbageInvalidEvent, garbageNumbering, garbageOutOfOrder, garbageBlankEvents, garbageNoEvents, garbageCutEvent, garbageCrossedAnswer, garbageForeignBody, garbageBytesAfterEnd}
+var _garbageKindValues = []garbageKind{garbageNotHTTP, garbageInvalidEvent, garbageNumbering, garbageOutOfOrder, garbageBlankEvents, garbageNoEvents, garbageCutEvent, garbageCrossedAnswer, garbageForeignBody, garbageNoStream, garbageBytesAfterEnd}
 
 var _garbageKindNameToValueMap = map[string]garbageKind{
-	_garbageKindName[0:8]:    garbageNotHTTP,
-	_garbageKindName[8:21]:   garbageInvalidEvent,
-	_garbageKindName[21:30]:  garbageNumbering,
-	_garbageKindName[30:42]:  garbageOutOfOrder,
-	_garbageKindName[42:54]:  garbageBlankEvents,
-	_garbageKindName[54:63]:  garbageNoEvents,
-	_garbageKindName[63:72]:  garbageCutEvent,
-	_garbageKindName[72:86]:  garbageCrossedAnswer,
-	_garbageKindName[86:98]:  garbageForeignBody,
-	_garbageKindName[98:113]: garbageBytesAfterEnd,
+	_garbageKindName[0:8]:     garbageNotHTTP,
+	_garbageKindName[8:21]:    garbageInvalidEvent,
+	_garbageKindName[21:30]:   garbageNumbering,
+	_garbageKindName[30:42]:   garbageOutOfOrder,
+	_garbageKindName[42:54]:   garbageBlankEvents,
+	_garbageKindName[54:63]:   garbageNoEvents,
+	_garbageKindName[63:72]:   garbageCutEvent,
+	_garbageKindName[72:86]:   garbageCrossedAnswer,
+	_garbageKindName[86:98]:   garbageForeignBody,
+	_garbageKindName[98:107]:  garbageNoStream,
+	_garbageKindName[107:122]: garbageBytesAfterEnd,
 }
 
 var _garbageKindLowerNameToValueMap = map[string]garbageKind{
-	_garbageKindLowerName[0:8]:    garbageNotHTTP,
-	_garbageKindLowerName[8:21]:   garbageInvalidEvent,
-	_garbageKindLowerName[21:30]:  garbageNumbering,
-	_garbageKindLowerName[30:42]:  garbageOutOfOrder,
-	_garbageKindLowerName[42:54]:  garbageBlankEvents,
-	_garbageKindLowerName[54:63]:  garbageNoEvents,
-	_garbageKindLowerName[63:72]:  garbageCutEvent,
-	_garbageKindLowerName[72:86]:  garbageCrossedAnswer,
-	_garbageKindLowerName[86:98]:  garbageForeignBody,
-	_garbageKindLowerName[98:113]: garbageBytesAfterEnd,
+	_garbageKindLowerName[0:8]:     garbageNotHTTP,
+	_garbageKindLowerName[8:21]:    garbageInvalidEvent,
+	_garbageKindLowerName[21:30]:   garbageNumbering,
+	_garbageKindLowerName[30:42]:   garbageOutOfOrder,
+	_garbageKindLowerName[42:54]:   garbageBlankEvents,
+	_garbageKindLowerName[54:63]:   garbageNoEvents,
+	_garbageKindLowerName[63:72]:   garbageCutEvent,
+	_garbageKindLowerName[72:86]:   garbageCrossedAnswer,
+	_garbageKindLowerName[86:98]:   garbageForeignBody,
+	_garbageKindLowerName[98:107]:  garbageNoStream,
+	_garbageKindLowerName[107:122]: garbageBytesAfterEnd,
 }
 
 var _garbageKindNames = []string{
@@ -74,7 +77,8 @@
 	_garbageKindName[63:72],
 	_garbageKindName[72:86],
 	_garbageKindName[86:98],
-	_garbageKindName[98:113],
+	_garbageKindName[98:107],
+	_garbageKindName[107:122],
 }
 
 // garbageKindString retrieves an enum value from the enum constants string name.
