fix: a model that has left the manifest occupies memory until it is unloaded

Callers: after a manifest that no longer lists a model, engines that still hold it crash, with all requests that they run (LIMIT). Cause: the planner and the director's checks for models and adapters sum the sizes that the engine class lists. A held model without an entry counts as nothing, and nothing unloads it. Engines report no sizes, so that a model's size is unknown once the manifest has dropped it. Change: such a model leaves no known room. Nothing is loaded beside it, neither a model nor an adapter. The target layout counts it as unloaded, so that the load follows. Listed again, it counts as before.

--- a/laburnumdirector/adapters.go
+++ b/laburnumdirector/adapters.go
@@ -150,7 +150,7 @@
 	}
 	var best *engine
 	for _, e := range d.engines.holdersOf(request.key.model) {
-		if slices.Contains(request.except, e.heartbeat.Backend) || !e.acceptsAdapterOrderFor(request.key.model, now) {
+		if slices.Contains(request.except, e.heartbeat.Backend) || !e.acceptsAdapterOrderFor(request.key.model, now) || e.holdsUnlisted(class) {
 			continue
 		}
 		if best == nil || e.adapterCount() < best.adapterCount() {
@@ -190,6 +190,17 @@
 	return e.readyForOrder(now) && loading < maxAdapterLoads
 }
 
+// holdsUnlisted tells whether the engine holds a model that the class does not list. The size of such a
+// model is unknown, so not even the unload of an adapter makes room beside it.
+func (e *engine) holdsUnlisted(class *laburnumlever.EngineClass) bool {
+	for name := range e.held {
+		if _, ok := class.Model(name); !ok {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *engine) hasMemoryFor(class *laburnumlever.EngineClass, model laburnumlever.ModelName) bool {
 	used := 0.0
 	for name, h := range e.held {
--- a/laburnumdirector/estimator.go
+++ b/laburnumdirector/estimator.go
@@ -125,15 +125,24 @@
 // the quiet time has passed since then.
 func (s *estimator) expectReports(now time.Time) { s.reportsSince = now }
 
-// quietModels returns the models without requests for the quiet time.
-func (s *estimator) quietModels(class *laburnumlever.EngineClass, now time.Time) map[laburnumlever.ModelName]bool {
+// quietModels returns the models without requests for the quiet time, of those that the class lists or
+// an engine holds.
+func (s *estimator) quietModels(class *laburnumlever.EngineClass, engines []laburnumresidency.Engine, now time.Time) map[laburnumlever.ModelName]bool {
 	quiet := map[laburnumlever.ModelName]bool{}
 	if now.Sub(s.reportsSince) <= s.quiet {
 		return quiet
 	}
+	add := func(name laburnumlever.ModelName) {
+		if now.Sub(s.requestedAt[name]) > s.quiet {
+			quiet[name] = true
+		}
+	}
 	for _, m := range class.Models {
-		if now.Sub(s.requestedAt[m.Name]) > s.quiet {
-			quiet[m.Name] = true
+		add(m.Name)
+	}
+	for i := range engines {
+		for _, h := range engines[i].Held {
+			add(h.Name)
 		}
 	}
 	return quiet
--- a/laburnumdirector/plan.go
+++ b/laburnumdirector/plan.go
@@ -49,7 +49,7 @@
 	}
 	d.logLayout(name, class, r.engines, now)
 	work, requests := d.demand.loads(now, class.Slots)
-	adapters, quiet := d.adaptersInUse(r.sources, now), d.demand.quietModels(class, now)
+	adapters, quiet := d.adaptersInUse(r.sources, now), d.demand.quietModels(class, r.engines, now)
 	d.planning[name] = true
 	opts := append(slices.Clone(d.cfg.plannerOptions), laburnumresidency.WithRequests(requests), laburnumresidency.WithQuiet(quiet))
 	d.cfg.compute(func() {
--- a/laburnumresidency/doc.go
+++ b/laburnumresidency/doc.go
@@ -11,6 +11,8 @@
 //     the cost of the load, evictions and relocations.
 //   - The cost of a load depends on the source of the weights: engines that have them in host memory
 //     or on disk are preferred to those that load from the weight store.
+//   - A model that has left the manifest occupies memory of unknown size. Nothing is loaded beside it; it
+//     is unloaded once it has no requests, or earlier by the rules for other evictions.
 //   - While nothing else is loading, free memory is filled with the models likeliest to need another
 //     copy.
 //
--- a/laburnumresidency/missing.go
+++ b/laburnumresidency/missing.go
@@ -45,7 +45,10 @@
 // requests: minus the refused ones, plus those that the change in congestion is worth.
 func (p *planner) evaluateRestore(e, m int) (change, bool) {
 	c := change{engine: e, model: m, evictions: p.evictions[:0]}
-	seconds := p.loadTime(e, m)
+	if !p.mayUnloadAllUnlisted(e, m) {
+		return c, false
+	}
+	seconds := p.loadTime(e, m) + p.unlistedSeconds(e)
 	lost := 0.0
 	shortfall := p.target.used[e] + p.target.size[m] - p.class.WeightsMB
 	if shortfall > 0 && (p.quiet[m] || shortfall > p.evictableSize(e, m)) {
--- a/laburnumresidency/planner.go
+++ b/laburnumresidency/planner.go
@@ -17,6 +17,8 @@
 	requestRates map[laburnumlever.ModelName]float64
 	rates        []float64
 	quiet        []bool // models without recent requests
+	// quietNames are the same models by name, and the unlisted ones among them.
+	quietNames map[laburnumlever.ModelName]bool
 	// totalRate is the sum of the rates; 0 if unknown.
 	totalRate float64
 	adapters  map[laburnumlever.ModelName]int
@@ -26,6 +28,10 @@
 	// and on its disk.
 	heldBy [][]int
 	local  []localWeights
+	// unlisted are the models on each engine that the class does not list, readyUnlisted the number of
+	// their copies that accept requests. The steps of this round change readyUnlisted.
+	unlisted      [][]laburnumlever.ModelName
+	readyUnlisted map[laburnumlever.ModelName]int
 	// copies counts all copies of each model, ready those that accept requests, and loading those
 	// that are being loaded. The steps of this round change ready and loading.
 	copies  []int
@@ -66,10 +72,11 @@
 	}
 }
 
-// WithQuiet sets the models without recent requests. They may lose their last copy if memory is
-// short.
+// WithQuiet sets the models without recent requests, including unlisted ones. They may lose their last
+// copy if memory is short, and unlisted ones lose it in any case.
 func WithQuiet(quiet map[laburnumlever.ModelName]bool) Option {
 	return func(p *planner) {
+		p.quietNames = quiet
 		for m, model := range p.class.Models {
 			p.quiet[m] = quiet[model.Name]
 		}
@@ -99,7 +106,7 @@
 	p := &planner{
 		class: class, policy: DefaultPolicy(), demand: demand, requestRates: demand, adapters: adapters, restoring: map[int]int{}, displaced: map[int]bool{},
 		index: make(map[laburnumlever.ModelName]int, len(class.Models)), rates: make([]float64, len(class.Models)),
-		quiet: make([]bool, len(class.Models)),
+		quiet: make([]bool, len(class.Models)), readyUnlisted: map[laburnumlever.ModelName]int{},
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -110,12 +117,15 @@
 	engines = slices.Clone(engines)
 	slices.SortFunc(engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	p.engines, p.heldBy, p.local = make([]*Engine, len(engines)), make([][]int, len(engines)), make([]localWeights, len(engines))
+	p.unlisted = make([][]laburnumlever.ModelName, len(engines))
 	for e := range engines {
 		engine := &engines[e]
 		p.engines[e], p.local[e] = engine, localWeights{inMemory: p.indices(engine.InMemory), onDisk: p.indices(engine.OnDisk)}
 		for _, h := range engine.Held {
 			if m := p.indexOf(h.Name); m != none {
 				p.heldBy[e] = append(p.heldBy[e], m)
+			} else {
+				p.addUnlisted(e, h.Name)
 			}
 		}
 	}
--- a/laburnumresidency/rebalance.go
+++ b/laburnumresidency/rebalance.go
@@ -117,7 +117,10 @@
 // needs. The gain decreases with the delay, as demand may have moved by then.
 func (p *planner) evaluateCopy(e, m int) (change, bool) {
 	c := change{engine: e, model: m, evictions: p.evictions[:0]}
-	delay := p.loadTime(e, m)
+	if !p.mayUnloadAllUnlisted(e, m) {
+		return c, false
+	}
+	delay := p.loadTime(e, m) + p.unlistedSeconds(e)
 	loads := 1
 	shortfall := p.target.used[e] + p.target.size[m] - p.class.WeightsMB
 	for _, v := range p.evictionOrder(e, shortfall) {
@@ -204,7 +207,7 @@
 // relocationTarget finds the least busy idle engine with memory for a model, or none.
 func (p *planner) relocationTarget(m, except int, c change) int {
 	for _, e := range p.target.byWork {
-		if e != except && p.engines[e].Idle && !p.target.holds(e, m) &&
+		if e != except && p.engines[e].Idle && len(p.unlisted[e]) == 0 && !p.target.holds(e, m) &&
 			p.target.used[e]+p.target.size[m]+c.relocatedSize(p.target, e) <= p.class.WeightsMB {
 			return e
 		}
--- a/laburnumresidency/steps.go
+++ b/laburnumresidency/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"laburnumlever"
@@ -12,12 +13,16 @@
 const overloadWork = 1.0
 
 // planStep adds an engine's next step towards the target layout: a load if it fits into memory, else
-// the unload of a model for it.
+// the unload of a model for it. An engine that holds an unlisted model unloads that one first.
 func (p *planner) planStep(e int, engine *Engine) {
 	if !engine.Idle {
 		return
 	}
 	wanted := p.nextLoad(e)
+	if len(p.unlisted[e]) > 0 {
+		p.unloadUnlisted(e, engine, wanted)
+		return
+	}
 	if wanted == none {
 		return
 	}
@@ -49,8 +54,11 @@
 	return best
 }
 
-// usedMB is the memory in use on an engine, in MB.
+// usedMB is the memory in use on an engine, in MB; infinite if it holds an unlisted model.
 func (p *planner) usedMB(e int) float64 {
+	if len(p.unlisted[e]) > 0 {
+		return math.Inf(1)
+	}
 	total := 0.0
 	for _, h := range p.engines[e].Held {
 		if m := p.indexOf(h.Name); m != none {
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -1,6 +1,7 @@
 package laburnumresidency
 
 import (
+	"math"
 	"slices"
 
 	"laburnumlever"
@@ -41,11 +42,15 @@
 	return e.Unloading != model && laburnumlever.Holds(e.Held, model, "")
 }
 
-// usedMB is the memory in use, in MB.
+// usedMB is the memory in use, in MB; infinite if the class does not list a held model, whose size is
+// then unknown.
 func (e *Engine) usedMB(class *laburnumlever.EngineClass) float64 {
 	total := 0.0
 	for _, h := range e.Held {
-		m, _ := class.Model(h.Name)
+		m, ok := class.Model(h.Name)
+		if !ok {
+			return math.Inf(1)
+		}
 		total += m.WeightsMB + float64(m.AdapterMB*float64(len(h.Adapters)))
 	}
 	return total
