fix: the load of a model that has just left the manifest counts among the store's

Callers: waiting for a model that is loaded from the weight store, they would wait longer, as one load more than the store has capacity for runs at a time. Cause: the planner counts loads in progress by the index of the model in the engine class, which a model that has left the manifest no longer has. Change: they are counted by name. Evidence: TestLoadOfAnUnlistedModelUsesTheStore fails without the fix (one load is ordered beside the one that uses up the store's rate) and passes with it; the golden steps of 300 random fleets are the same.

--- a/laburnumresidency/store.go
+++ b/laburnumresidency/store.go
@@ -38,8 +38,8 @@
 // storeLoads counts the loads in progress from the weight store.
 func (p *planner) storeLoads() int {
 	n := 0
-	for e, engine := range p.engines {
-		if m := p.indexOf(engine.Loading); m != none && p.fromStore(e, m) {
+	for _, engine := range p.engines {
+		if engine.loadsFromStore() {
 			n++
 		}
 	}
--- a/laburnumresidency/unlisted_test.go
+++ b/laburnumresidency/unlisted_test.go
@@ -48,6 +48,21 @@
 	require.Equal(t, []Step{{Engine: "e2", Kind: laburnumlever.Load, Model: "m1", FromStore: true, Reason: "no engine holds the model"}}, steps(), "another engine has free memory")
 }
 
+// Guards against more concurrent loads from the weight store than it has capacity for, after the manifest drops a model that is loading.
+func TestLoadOfAnUnlistedModelUsesTheStore(t *testing.T) {
+	class := testClass(3)
+	// One load of 4.2 s uses up this rate.
+	class.LoadsPerSecond = 0.4
+	engines := []Engine{testEngine(1), testEngine(2, "m0", "m1")}
+	engines[0].Idle, engines[0].Loading, engines[0].IdleInSeconds = false, "withdrawn", 2
+	engines[0].Held = []laburnumlever.EngineModel{{Name: "withdrawn"}}
+	engines = append(engines, testEngine(3))
+	require.Empty(t, NextSteps(class, engines, Demand{"m2": 0.4}, nil))
+
+	engines[0].OnDisk = []laburnumlever.ModelName{"withdrawn"}
+	require.NotEmpty(t, NextSteps(class, engines, Demand{"m2": 0.4}, nil), "a load from an engine's disk does not use the store")
+}
+
 // Guards against loads onto engines with unlisted models, and against engines on which such a model stays, for 300 random fleets.
 func TestRandomFleetsLoadNothingBesideUnlistedModels(t *testing.T) {
 	const fleets = 300
--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -69,6 +69,12 @@
 // isLoading tells whether a load is in progress.
 func (e *Engine) isLoading() bool { return e.Loading != "" }
 
+// loadsFromStore tells whether a load from the weight store is in progress. The model may have left the
+// manifest since it was ordered.
+func (e *Engine) loadsFromStore() bool {
+	return e.isLoading() && !slices.Contains(e.InMemory, e.Loading) && !slices.Contains(e.OnDisk, e.Loading)
+}
+
 // waitSeconds is the expected time until the engine accepts an order.
 func (e *Engine) waitSeconds() float64 {
 	switch {
