--- a/laburnumresidency/values.go
+++ b/laburnumresidency/values.go
@@ -1,6 +1,7 @@
 package laburnumresidency
 
 import (
+	"math"
 	"slices"
 
 	"laburnumlever"
@@ -41,11 +42,15 @@
 	return e.Unloading != model && laburnumlever.Holds(e.Held, model, "")
 }
 
-// usedMB is the memory in use, in MB.
+// usedMB is the memory in use, in MB; infinite if the class does not list a held model, whose size is
+// then unknown.
 func (e *Engine) usedMB(class *laburnumlever.EngineClass) float64 {
 	total := 0.0
 	for _, h := range e.Held {
-		m, _ := class.Model(h.Name)
+		m, ok := class.Model(h.Name)
+		if !ok {
+			return math.Inf(1)
+		}
 		total += m.WeightsMB + float64(m.AdapterMB*float64(len(h.Adapters)))
 	}
 	return total
@@ -64,6 +69,12 @@
 // isLoading tells whether a load is in progress.
 func (e *Engine) isLoading() bool { return e.Loading != "" }
 
+// loadsFromStore tells whether a load from the weight store is in progress. The model may have left the
+// manifest since it was ordered.
+func (e *Engine) loadsFromStore() bool {
+	return e.isLoading() && !slices.Contains(e.InMemory, e.Loading) && !slices.Contains(e.OnDisk, e.Loading)
+}
+
 // waitSeconds is the expected time until the engine accepts an order.
 func (e *Engine) waitSeconds() float64 {
 	switch {
