fix: late reports and gateways' lists from before a part's lift don't refuse it again

Operators: a part that was lifted, or answered, could be refused again without another crash. Cause: a detector forgot a part with its last crash, and so when it was answered. Crashes from before, reported later (an end that nobody can judge takes seconds), counted anew, and a gateway's list taught a restarted control VM a part that had been lifted meanwhile. A lift that came after such a list was older than the refusal, and ignored. Change: the last answer or lift is kept as long as evidence is (Retention, within maxSuspectParts); entries tell the age of the last crash that a part is refused for, and a listed part from before the answer isn't learned, or is released by it. VMs of earlier builds ignore the age; without it a list counts as from now.

--- a/laburnumquarantine/entry.go
+++ b/laburnumquarantine/entry.go
@@ -66,6 +66,9 @@
 	Trials int  `json:"trials,omitempty"`
 	// RetryIn is the time from the entry's publication until a refused part may be tried again.
 	RetryIn laburnumlever.Duration `json:"retry-in,omitempty"`
+	// CrashedAgo is the time from the last crash that a part is refused for until the entry's publication, or its sending in a
+	// report; VMs of an earlier build don't tell it.
+	CrashedAgo laburnumlever.Duration `json:"crashed-ago,omitempty"`
 }
 
 // Crash identifies the incarnation of a backend server that crashed.
--- a/laburnumquarantine/list.go
+++ b/laburnumquarantine/list.go
@@ -42,10 +42,11 @@
 	// seen is when a source listed the request or a caller sent it, reported when the latter was
 	// last reported.
 	seen, reported time.Time
-	// part is set for one of a prompt, trialAt is when it may be tried again.
-	part    *Part
-	trialAt time.Time
-	entry   Entry
+	// part is set for one of a prompt, trialAt is when it may be tried again, refusedFor the last crash that it is refused for:
+	// the earliest that a source told.
+	part                *Part
+	trialAt, refusedFor time.Time
+	entry               Entry
 }
 
 // NewList returns an empty list.
@@ -136,6 +137,9 @@
 
 // update takes what an entry tells of a part, unless another one told of more trials.
 func (k *known) update(e Entry, now time.Time) {
+	if at := now.Add(-time.Duration(e.CrashedAgo)); k.refusedFor.IsZero() || at.Before(k.refusedFor) {
+		k.refusedFor = at
+	}
 	if e.Part == nil || k.part != nil && e.Trials < k.entry.Trials {
 		return
 	}
@@ -230,8 +234,12 @@
 	var missing []Entry
 	for digest := range l.known {
 		if state := l.State(digest, now); state.Refused() && !s.states[digest].Refused() {
-			e := l.known[digest].entry
+			k := l.known[digest]
+			e := k.entry
 			e.Digest, e.State, e.RetryIn = digest, state, 0
+			if e.Part != nil {
+				e.CrashedAgo = age(k.refusedFor, now)
+			}
 			missing = append(missing, e)
 		}
 	}
--- a/laburnumquarantine/partdetector.go
+++ b/laburnumquarantine/partdetector.go
@@ -53,17 +53,19 @@
 	explained bool
 }
 
-// suspectPart is a part that was on crashed servers.
+// suspectPart is a part that was on crashed servers, or was answered: reports of crashes from before the answer may still come.
 type suspectPart struct {
 	part Part
 	// ends are the crashes since the last answer.
 	ends []partEnd
-	// answered is when the last known answer began.
+	// answered is when the last known answer began, or an operator had the part served again.
 	answered time.Time
 	seen     time.Time
 	// refusedAt is when the part was refused; zero if it is not. wasKnown is set if it was answered shortly before.
 	refusedAt time.Time
 	wasKnown  bool
+	// refusedFor is the last of the crashes that the part is refused for.
+	refusedFor time.Time
 	// taught are the crashes, and taughtTrials those of trials, that another control VM or an earlier start of this one counted.
 	taught, taughtTrials int
 }
@@ -116,11 +118,7 @@
 
 func (d *PartDetector) addSighting(s PartSighting, now time.Time) {
 	d.answered(s.Part, s.AnsweredAt)
-	p := d.parts[s.Part]
-	if p == nil {
-		p = &suspectPart{part: s.Part, answered: s.AnsweredAt}
-		d.parts[s.Part] = p
-	}
+	p := d.suspect(s.Part)
 	p.seen = now
 	c := d.crashes[s.Crash]
 	if c == nil {
@@ -141,30 +139,39 @@
 		p.ends = slices.Delete(p.ends, 0, 1)
 	}
 	p.forgive(d)
-	if len(p.ends) == 0 && !p.refused() {
-		delete(d.parts, p.part)
+}
+
+func (d *PartDetector) suspect(part Part) *suspectPart {
+	p := d.parts[part]
+	if p == nil {
+		p = &suspectPart{part: part}
+		d.parts[part] = p
 	}
+	return p
 }
 
-// answered records an answer to a request with the part: crashes from before it don't count.
+// answered records an answer to a request with the part: crashes from before it don't count, also those reported later.
 func (d *PartDetector) answered(part Part, at time.Time) {
-	p := d.parts[part]
-	if p == nil || !at.After(p.answered) {
+	if at.IsZero() {
+		return
+	}
+	p := d.suspect(part)
+	if !at.After(p.answered) {
 		return
 	}
 	p.answered = at
+	if at.After(p.seen) {
+		p.seen = at
+	}
 	p.forgive(d)
 	if p.refused() && (p.count() < holdPartCrashes || at.After(p.refusedAt) || p.known() && !p.wasKnown) {
 		p.release()
 	}
-	if len(p.ends) == 0 && !p.refused() {
-		delete(d.parts, part)
-	}
 }
 
 // release has the part served again.
 func (p *suspectPart) release() {
-	p.refusedAt, p.wasKnown, p.taught, p.taughtTrials = time.Time{}, false, 0, 0
+	p.refusedAt, p.refusedFor, p.wasKnown, p.taught, p.taughtTrials = time.Time{}, time.Time{}, false, 0, 0
 }
 
 // forgive drops crashes from before the last answer.
@@ -176,6 +183,9 @@
 		d.release(e.crash)
 		return true
 	})
+	if !p.refusedFor.After(p.answered) {
+		p.taught, p.taughtTrials = 0, 0
+	}
 }
 
 // release drops a reference to a crash, and the crash with the last one.
@@ -185,18 +195,19 @@
 	}
 }
 
-// learn takes over that a part is refused.
+// learn takes over that a part is refused, unless it was answered since.
 func (d *PartDetector) learn(part Part, e Entry, now time.Time) {
-	p := d.parts[part]
-	if p == nil {
-		p = &suspectPart{part: part}
-		d.parts[part] = p
+	refusedFor := now.Add(-time.Duration(e.CrashedAgo))
+	if p := d.parts[part]; p != nil && !refusedFor.After(p.answered) {
+		return
 	}
+	p := d.suspect(part)
 	p.seen = now
 	if p.refused() {
 		return
 	}
-	p.refusedAt, p.wasKnown, p.taught, p.taughtTrials = now, e.Known, max(holdPartCrashes, e.Crashes), e.Trials
+	p.refusedAt, p.refusedFor, p.wasKnown = now, refusedFor, e.Known
+	p.taught, p.taughtTrials = max(holdPartCrashes, e.Crashes), e.Trials
 }
 
 // bound drops the parts with the fewest crashes, the oldest of them first.
@@ -282,7 +293,7 @@
 	e := Entry{Digest: part.Digest(), Part: &part, Crashes: p.count()}
 	switch {
 	case p.refused():
-		e.State, e.Known = Quarantined, p.wasKnown
+		e.State, e.Known, e.CrashedAgo = Quarantined, p.wasKnown, age(p.refusedFor, now)
 		e.Trials, _ = p.trialCrashes()
 		e.RetryIn = laburnumlever.Duration(max(0, p.trialAt().Sub(now)))
 	default:
@@ -355,12 +366,22 @@
 			considered[p] = true
 			p.explain()
 			if !rank.known || now.Sub(rank.first) >= knownPartDelay {
-				p.refusedAt, p.wasKnown = now, rank.known
+				p.refusedAt, p.refusedFor, p.wasKnown = now, p.lastCrash(), rank.known
 			}
 		}
 	}
 }
 
+func (p *suspectPart) lastCrash() time.Time {
+	var last time.Time
+	for _, e := range p.ends {
+		if e.crash.at.After(last) {
+			last = e.crash.at
+		}
+	}
+	return last
+}
+
 func (p *suspectPart) explain() {
 	for _, e := range p.ends {
 		e.crash.explained = true
--- a/laburnumquarantine/partdetector_test.go
+++ b/laburnumquarantine/partdetector_test.go
@@ -52,6 +52,64 @@
 	require.Equal(t, map[int]laburnumquarantine.State{7: cleared}, partStates(d, trial))
 }
 
+// liftPart reports at now that an operator had the part served again.
+func liftPart(d *laburnumquarantine.PartDetector, id int, lifted, now time.Time) {
+	d.Add(laburnumquarantine.Report{Answers: []laburnumquarantine.PartAnswer{{Part: modelPart(id), AnsweredAt: lifted}}}, now)
+}
+
+// Guards against a lifted part that is refused again for crashes from before the lift, which gateways take seconds to confirm.
+func TestLateCrashesRefuseNoLiftedPart(t *testing.T) {
+	d := laburnumquarantine.NewPartDetector()
+	refusePart(t, d, 7)
+	lifted := start.Add(time.Second)
+	liftPart(d, 7, lifted, lifted)
+	require.Equal(t, map[int]laburnumquarantine.State{7: cleared}, partStates(d, lifted))
+	for server := range 3 {
+		partCrash(d, 10+server, lifted.Add(-time.Millisecond), nil, 7)
+	}
+	require.Empty(t, partStates(d, lifted.Add(time.Second)))
+	later := lifted.Add(2 * time.Minute)
+	for server := range 3 {
+		partCrash(d, 20+server, later, nil, 7)
+	}
+	require.Equal(t, quarantined, partStates(d, later)[7], "it crashes servers since")
+}
+
+// Guards against a control VM that a gateway teaches a part which was lifted before, in whichever order it hears of the two.
+func TestGatewaysTeachNoLiftedPart(t *testing.T) {
+	refusing := laburnumquarantine.NewPartDetector()
+	for server := range 3 {
+		partCrash(refusing, server, start, nil, 7)
+	}
+	list := laburnumquarantine.NewList()
+	list.Apply("10.0.0.1:7000", 1, refusing.Changes(start), start)
+	list.Apply("10.0.0.2:7000", 2, nil, start)
+	lifted, now := start.Add(time.Second), start.Add(2*time.Second)
+	teach := laburnumquarantine.Report{Listed: list.Missing("10.0.0.2:7000", now)}
+	require.Len(t, teach.Listed, 1)
+
+	for _, knew := range []bool{false, true} {
+		d := laburnumquarantine.NewPartDetector()
+		if knew {
+			refusePart(t, d, 7)
+		}
+		liftPart(d, 7, lifted, lifted)
+		d.Changes(lifted)
+		d.Add(teach, now)
+		require.Empty(t, partStates(d, now), "lifted first, refused before that: %t", knew)
+	}
+	d := laburnumquarantine.NewPartDetector()
+	d.Add(teach, now)
+	require.Equal(t, quarantined, partStates(d, now)[7])
+	liftPart(d, 7, lifted, now.Add(time.Second))
+	require.Equal(t, map[int]laburnumquarantine.State{7: cleared}, partStates(d, now.Add(time.Second)), "taught first")
+
+	teach.Listed[0].CrashedAgo = 0
+	d = laburnumquarantine.NewPartDetector()
+	d.Add(teach, now)
+	require.Equal(t, quarantined, partStates(d, now)[7], "by a gateway of an earlier build")
+}
+
 // Guards against trials that end as many servers as the part did.
 func TestTrialsOfAPartBecomeRare(t *testing.T) {
 	d := laburnumquarantine.NewPartDetector()
