fix: a lift is sent to each control VM until it has acknowledged it

Operators: a control VM that was slow or just restarting while a part was lifted refused it on, and told gateways so. Cause: the lift was sent to each other control VM once, for one second. The operator's answer is as before.

--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -64,6 +64,8 @@
 	relay    *relay
 	// quarantine finds requests that crash backend servers.
 	quarantine *quarantine
+	// lifts tells the other control VMs of lifted parts.
+	lifts *lifts
 	// confirmations confirms which route table is the newest.
 	confirmations *confirmations
 	// quotas grants shares of client accounts' quotas.
@@ -122,6 +124,7 @@
 	c.relay = newRelay(c.timers, c.relayToControls)
 	c.peers.Handle(methodHeartbeatRelay, c.handleRelay)
 	c.quarantine = newQuarantine(c.timers, c.source, c.logger, c.metrics.Scope())
+	c.lifts = newLifts(c.peers, c.timers, c.logger, c.source.Controls)
 	c.peers.Handle(methodQuarantineReport, c.quarantine.handleReport)
 	c.peers.Handle(methodTrialBegin, c.quarantine.handleTrialBegin)
 	c.peers.Handle(methodTrialEnd, c.quarantine.handleTrialEnd)
@@ -315,6 +318,7 @@
 	}
 	c.follower.Close()
 	c.director.Close()
+	c.lifts.close()
 	_ = c.voter.Close()
 	c.close()
 	c.loop.Stop()
--- a/laburnumroles/partlift.go
+++ b/laburnumroles/partlift.go
@@ -1,10 +1,8 @@
 package laburnumroles
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"laburnumlever"
 	"laburnumlever/laburnumquarantine"
@@ -13,8 +11,7 @@
 )
 
 const (
-	liftPath    = "/quarantine/lift"
-	liftTimeout = time.Second
+	liftPath = "/quarantine/lift"
 	// maxLift bounds the body of an operator's request, in bytes.
 	maxLift = 4 << 10
 )
@@ -54,14 +51,5 @@
 	}
 	_ = level.Warn(c.logger).Log("event", laburnumlever.EventPartLifted, "part", lift.Part, "service", lift.Service)
 	c.quarantine.add(report, now)
-	for _, vm := range c.source.Controls() {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), liftTimeout)
-			defer cancel()
-			var answer struct{}
-			if err := c.peers.Call(ctx, vm.PeerAddress, methodQuarantineReport, report.Sent(now), &answer); err != nil {
-				_ = level.Info(c.logger).Log("event", laburnumlever.EventQuarantineNotReported, "address", vm.PeerAddress, "cause", err)
-			}
-		}()
-	}
+	c.lifts.add(part, report)
 }
