fix: a lift refuses no part that rode along with the lifted one

Operators: after the only refused part had been lifted, a control VM listed a refused part still, once in a while (TestOperatorsLiftARefusedPart, KNOWN-RED). Cause: a lift forgave the lifted part its crashes, as an answer does, and nothing explained them any more. The part that all requests have in common, on the same engines, was refused in its place, from a second after the first crash on: a slow lift met that, a fast play of the test was over before. Change: the report says that an operator lifted the part; crashes from before count against no part then. VMs of earlier builds take it for an answer. Evidence: TestLiftRefusesNoPartThatRodeAlong failed before and passes.

--- a/laburnumquarantine/part.go
+++ b/laburnumquarantine/part.go
@@ -42,12 +42,14 @@
 	AnsweredAgo laburnumlever.Duration `json:"answered-ago,omitempty"`
 }
 
-// PartAnswer is an answer to a request with a listed part.
+// PartAnswer is an answer to a request with a listed part, or an operator's word for one.
 type PartAnswer struct {
 	Part
 	// AnsweredAt is when the answer began; on the wire it is an age.
 	AnsweredAt  time.Time              `json:"-"`
 	AnsweredAgo laburnumlever.Duration `json:"answered-ago,omitempty"`
+	// Lifted is set if an operator had the part served again: the crashes before count against no part.
+	Lifted bool `json:"lifted,omitempty"`
 }
 
 // Sent returns the report with ages in place of times.
--- a/laburnumquarantine/partdetector.go
+++ b/laburnumquarantine/partdetector.go
@@ -49,8 +49,8 @@
 	at time.Time
 	// parts is the number of suspects that were on the server.
 	parts int
-	// explained is set if a refused part was on it.
-	explained bool
+	// explained is set if a refused part was on it, excused if one that was lifted since.
+	explained, excused bool
 }
 
 // suspectPart is a part that was on crashed servers, or was answered: reports of crashes from before the answer may still come.
@@ -60,7 +60,9 @@
 	ends []partEnd
 	// answered is when the last known answer began, or an operator had the part served again.
 	answered time.Time
-	seen     time.Time
+	// lifted is when an operator did so.
+	lifted time.Time
+	seen   time.Time
 	// refusedAt is when the part was refused; zero if it is not. wasKnown is set if it was answered shortly before.
 	refusedAt time.Time
 	wasKnown  bool
@@ -99,6 +101,9 @@
 		d.addSighting(s, now)
 	}
 	for _, a := range r.Answers {
+		if a.Lifted {
+			d.lift(a.Part, a.AnsweredAt)
+		}
 		d.answered(a.Part, a.AnsweredAt)
 	}
 	for _, digest := range r.Refused {
@@ -169,19 +174,32 @@
 	}
 }
 
+// lift records that an operator had the part served again.
+func (d *PartDetector) lift(part Part, at time.Time) {
+	if p := d.suspect(part); at.After(p.lifted) {
+		p.lifted = at
+	}
+}
+
 // release has the part served again.
 func (p *suspectPart) release() {
 	p.refusedAt, p.refusedFor, p.wasKnown, p.taught, p.taughtTrials = time.Time{}, time.Time{}, false, 0, 0
 }
 
-// forgive drops crashes from before the last answer.
+// forgive drops crashes from before the last answer. Those from before a lift are kept, as they count against no other part
+// either: the operator has mended what led to them.
 func (p *suspectPart) forgive(d *PartDetector) {
 	p.ends = slices.DeleteFunc(p.ends, func(e partEnd) bool {
-		if e.crash.at.After(p.answered) {
+		switch {
+		case !e.crash.at.After(p.lifted):
+			e.crash.excused = true
 			return false
+		case e.crash.at.After(p.answered):
+			return false
+		default:
+			d.release(e.crash)
+			return true
 		}
-		d.release(e.crash)
-		return true
 	})
 	if !p.refusedFor.After(p.answered) {
 		p.taught, p.taughtTrials = 0, 0
@@ -231,12 +249,21 @@
 }
 
 // count returns the number of crashes since the last answer.
-func (p *suspectPart) count() int { return len(p.ends) + p.taught }
+func (p *suspectPart) count() int { return len(p.counted()) + p.taught }
+
+// counted returns the crashes that are not excused.
+func (p *suspectPart) counted() []partEnd {
+	excused := func(e partEnd) bool { return e.crash.excused }
+	if !slices.ContainsFunc(p.ends, excused) {
+		return p.ends
+	}
+	return slices.DeleteFunc(slices.Clone(p.ends), excused)
+}
 
 // trialCrashes returns the number of trials that have crashed a server, and when the last did; the refusal without any.
 func (p *suspectPart) trialCrashes() (int, time.Time) {
 	n, last := p.taughtTrials, p.refusedAt
-	for _, e := range p.ends {
+	for _, e := range p.counted() {
 		if e.crash.at.Sub(p.refusedAt) > inFlightTime {
 			n++
 			if e.crash.at.After(last) {
@@ -286,7 +313,7 @@
 }
 
 func (d *PartDetector) entry(p *suspectPart, now time.Time) Entry {
-	if !p.refused() && len(p.ends) < suspectCrashes {
+	if !p.refused() && len(p.counted()) < suspectCrashes {
 		return Entry{}
 	}
 	part := p.part
@@ -338,7 +365,7 @@
 func (d *PartDetector) Backends(part Part) []laburnumlever.BackendID {
 	var ids []laburnumlever.BackendID
 	if p := d.parts[part]; p != nil {
-		for _, e := range p.ends {
+		for _, e := range p.counted() {
 			ids = append(ids, e.crash.id.Backend)
 		}
 	}
@@ -349,7 +376,7 @@
 // same ones, but some of its requests were answered, or more of them were on each server.
 func (d *PartDetector) refuse(now time.Time) {
 	for _, c := range d.crashes {
-		c.explained = false
+		c.explained = c.excused
 	}
 	for _, p := range d.parts {
 		if p.refused() {
@@ -374,7 +401,7 @@
 
 func (p *suspectPart) lastCrash() time.Time {
 	var last time.Time
-	for _, e := range p.ends {
+	for _, e := range p.counted() {
 		if e.crash.at.After(last) {
 			last = e.crash.at
 		}
@@ -448,7 +475,8 @@
 
 // known reports whether a request with the part was answered shortly before the crashes.
 func (p *suspectPart) known() bool {
-	return !p.answered.IsZero() && len(p.ends) > 0 && p.ends[0].crash.at.Sub(p.answered) <= knownTime
+	ends := p.counted()
+	return !p.answered.IsZero() && len(ends) > 0 && ends[0].crash.at.Sub(p.answered) <= knownTime
 }
 
 // needed returns the number of crashes from which the part is refused; own of the unexplained ones are its own.
@@ -456,7 +484,8 @@
 	if p.known() {
 		return knownPartCrashes
 	}
-	first, last := p.ends[0].crash.at.Add(-unrelatedTime), p.ends[len(p.ends)-1].crash.at.Add(unrelatedTime)
+	ends := p.counted()
+	first, last := ends[0].crash.at.Add(-unrelatedTime), ends[len(ends)-1].crash.at.Add(unrelatedTime)
 	others := -own
 	for _, c := range d.crashes {
 		if !c.explained && c.at.After(first) && c.at.Before(last) {
--- a/laburnumquarantine/partdetector_test.go
+++ b/laburnumquarantine/partdetector_test.go
@@ -54,7 +54,7 @@
 
 // liftPart reports at now that an operator had the part served again.
 func liftPart(d *laburnumquarantine.PartDetector, id int, lifted, now time.Time) {
-	d.Add(laburnumquarantine.Report{Answers: []laburnumquarantine.PartAnswer{{Part: modelPart(id), AnsweredAt: lifted}}}, now)
+	d.Add(laburnumquarantine.Report{Answers: []laburnumquarantine.PartAnswer{{Part: modelPart(id), AnsweredAt: lifted, Lifted: true}}}, now)
 }
 
 // Guards against a lifted part that is refused again for crashes from before the lift, which gateways take seconds to confirm.
@@ -75,6 +75,28 @@
 	require.Equal(t, quarantined, partStates(d, later)[7], "it crashes servers since")
 }
 
+// Guards against a part that is refused once another is lifted, as it rode along on the same servers.
+func TestLiftRefusesNoPartThatRodeAlong(t *testing.T) {
+	d := laburnumquarantine.NewPartDetector()
+	answered := map[int]time.Time{8: start.Add(-time.Second)}
+	for server := range 6 {
+		partCrash(d, server, start, answered, 7, 8)
+	}
+	require.Equal(t, map[int]laburnumquarantine.State{7: quarantined, 8: suspect}, partStates(d, start))
+	lifted := start.Add(2 * laburnumquarantine.KnownPartDelay)
+	liftPart(d, 7, lifted, lifted)
+	require.Equal(t, map[int]laburnumquarantine.State{7: cleared, 8: cleared}, partStates(d, lifted))
+	for server := range 6 {
+		partCrash(d, 10+server, lifted.Add(-time.Millisecond), answered, 8, 7)
+		partCrash(d, 10+server, lifted.Add(-time.Millisecond), answered, 8) // another gateway's request
+	}
+	require.Empty(t, partStates(d, lifted.Add(time.Minute)))
+	for server := range 6 {
+		partCrash(d, 20+server, lifted.Add(time.Minute), nil, 8)
+	}
+	require.Equal(t, quarantined, partStates(d, lifted.Add(time.Minute+laburnumquarantine.KnownPartDelay))[8], "it crashes servers since")
+}
+
 // Guards against a control VM that a gateway teaches a part which was lifted before, in whichever order it hears of the two.
 func TestGatewaysTeachNoLiftedPart(t *testing.T) {
 	refusing := laburnumquarantine.NewPartDetector()
--- a/laburnumroles/partlift.go
+++ b/laburnumroles/partlift.go
@@ -46,7 +46,7 @@
 	part := laburnumquarantine.Part{Service: lift.Service, ID: lift.Part}
 	now := c.timers.Now()
 	report := laburnumquarantine.Report{
-		Answers:   []laburnumquarantine.PartAnswer{{Part: part, AnsweredAt: now}},
+		Answers:   []laburnumquarantine.PartAnswer{{Part: part, AnsweredAt: now, Lifted: true}},
 		Completed: []laburnumlever.RequestDigest{part.Digest()},
 	}
 	_ = level.Warn(c.logger).Log("event", laburnumlever.EventPartLifted, "part", lift.Part, "service", lift.Service)
