--- a/laburnumquarantine/partdetector.go
+++ b/laburnumquarantine/partdetector.go
@@ -49,21 +49,25 @@
 	at time.Time
 	// parts is the number of suspects that were on the server.
 	parts int
-	// explained is set if a refused part was on it.
-	explained bool
+	// explained is set if a refused part was on it, excused if one that was lifted since.
+	explained, excused bool
 }
 
-// suspectPart is a part that was on crashed servers.
+// suspectPart is a part that was on crashed servers, or was answered: reports of crashes from before the answer may still come.
 type suspectPart struct {
 	part Part
 	// ends are the crashes since the last answer.
 	ends []partEnd
-	// answered is when the last known answer began.
+	// answered is when the last known answer began, or an operator had the part served again.
 	answered time.Time
-	seen     time.Time
+	// lifted is when an operator did so.
+	lifted time.Time
+	seen   time.Time
 	// refusedAt is when the part was refused; zero if it is not. wasKnown is set if it was answered shortly before.
 	refusedAt time.Time
 	wasKnown  bool
+	// refusedFor is the last of the crashes that the part is refused for.
+	refusedFor time.Time
 	// taught are the crashes, and taughtTrials those of trials, that another control VM or an earlier start of this one counted.
 	taught, taughtTrials int
 }
@@ -97,6 +101,9 @@
 		d.addSighting(s, now)
 	}
 	for _, a := range r.Answers {
+		if a.Lifted {
+			d.lift(a.Part, a.AnsweredAt)
+		}
 		d.answered(a.Part, a.AnsweredAt)
 	}
 	for _, digest := range r.Refused {
@@ -116,11 +123,7 @@
 
 func (d *PartDetector) addSighting(s PartSighting, now time.Time) {
 	d.answered(s.Part, s.AnsweredAt)
-	p := d.parts[s.Part]
-	if p == nil {
-		p = &suspectPart{part: s.Part, answered: s.AnsweredAt}
-		d.parts[s.Part] = p
-	}
+	p := d.suspect(s.Part)
 	p.seen = now
 	c := d.crashes[s.Crash]
 	if c == nil {
@@ -141,41 +144,66 @@
 		p.ends = slices.Delete(p.ends, 0, 1)
 	}
 	p.forgive(d)
-	if len(p.ends) == 0 && !p.refused() {
-		delete(d.parts, p.part)
+}
+
+func (d *PartDetector) suspect(part Part) *suspectPart {
+	p := d.parts[part]
+	if p == nil {
+		p = &suspectPart{part: part}
+		d.parts[part] = p
 	}
+	return p
 }
 
-// answered records an answer to a request with the part: crashes from before it don't count.
+// answered records an answer to a request with the part: crashes from before it don't count, also those reported later.
 func (d *PartDetector) answered(part Part, at time.Time) {
-	p := d.parts[part]
-	if p == nil || !at.After(p.answered) {
+	if at.IsZero() {
+		return
+	}
+	p := d.suspect(part)
+	if !at.After(p.answered) {
 		return
 	}
 	p.answered = at
+	if at.After(p.seen) {
+		p.seen = at
+	}
 	p.forgive(d)
 	if p.refused() && (p.count() < holdPartCrashes || at.After(p.refusedAt) || p.known() && !p.wasKnown) {
 		p.release()
 	}
-	if len(p.ends) == 0 && !p.refused() {
-		delete(d.parts, part)
+}
+
+// lift records that an operator had the part served again.
+func (d *PartDetector) lift(part Part, at time.Time) {
+	if p := d.suspect(part); at.After(p.lifted) {
+		p.lifted = at
 	}
 }
 
 // release has the part served again.
 func (p *suspectPart) release() {
-	p.refusedAt, p.wasKnown, p.taught, p.taughtTrials = time.Time{}, false, 0, 0
+	p.refusedAt, p.refusedFor, p.wasKnown, p.taught, p.taughtTrials = time.Time{}, time.Time{}, false, 0, 0
 }
 
-// forgive drops crashes from before the last answer.
+// forgive drops crashes from before the last answer. Those from before a lift are kept, as they count against no other part
+// either: the operator has mended what led to them.
 func (p *suspectPart) forgive(d *PartDetector) {
 	p.ends = slices.DeleteFunc(p.ends, func(e partEnd) bool {
-		if e.crash.at.After(p.answered) {
+		switch {
+		case !e.crash.at.After(p.lifted):
+			e.crash.excused = true
 			return false
+		case e.crash.at.After(p.answered):
+			return false
+		default:
+			d.release(e.crash)
+			return true
 		}
-		d.release(e.crash)
-		return true
 	})
+	if !p.refusedFor.After(p.answered) {
+		p.taught, p.taughtTrials = 0, 0
+	}
 }
 
 // release drops a reference to a crash, and the crash with the last one.
@@ -185,18 +213,19 @@
 	}
 }
 
-// learn takes over that a part is refused.
+// learn takes over that a part is refused, unless it was answered since.
 func (d *PartDetector) learn(part Part, e Entry, now time.Time) {
-	p := d.parts[part]
-	if p == nil {
-		p = &suspectPart{part: part}
-		d.parts[part] = p
+	refusedFor := now.Add(-time.Duration(e.CrashedAgo))
+	if p := d.parts[part]; p != nil && !refusedFor.After(p.answered) {
+		return
 	}
+	p := d.suspect(part)
 	p.seen = now
 	if p.refused() {
 		return
 	}
-	p.refusedAt, p.wasKnown, p.taught, p.taughtTrials = now, e.Known, max(holdPartCrashes, e.Crashes), e.Trials
+	p.refusedAt, p.refusedFor, p.wasKnown = now, refusedFor, e.Known
+	p.taught, p.taughtTrials = max(holdPartCrashes, e.Crashes), e.Trials
 }
 
 // bound drops the parts with the fewest crashes, the oldest of them first.
@@ -220,12 +249,21 @@
 }
 
 // count returns the number of crashes since the last answer.
-func (p *suspectPart) count() int { return len(p.ends) + p.taught }
+func (p *suspectPart) count() int { return len(p.counted()) + p.taught }
+
+// counted returns the crashes that are not excused.
+func (p *suspectPart) counted() []partEnd {
+	excused := func(e partEnd) bool { return e.crash.excused }
+	if !slices.ContainsFunc(p.ends, excused) {
+		return p.ends
+	}
+	return slices.DeleteFunc(slices.Clone(p.ends), excused)
+}
 
 // trialCrashes returns the number of trials that have crashed a server, and when the last did; the refusal without any.
 func (p *suspectPart) trialCrashes() (int, time.Time) {
 	n, last := p.taughtTrials, p.refusedAt
-	for _, e := range p.ends {
+	for _, e := range p.counted() {
 		if e.crash.at.Sub(p.refusedAt) > inFlightTime {
 			n++
 			if e.crash.at.After(last) {
@@ -275,14 +313,14 @@
 }
 
 func (d *PartDetector) entry(p *suspectPart, now time.Time) Entry {
-	if !p.refused() && len(p.ends) < suspectCrashes {
+	if !p.refused() && len(p.counted()) < suspectCrashes {
 		return Entry{}
 	}
 	part := p.part
 	e := Entry{Digest: part.Digest(), Part: &part, Crashes: p.count()}
 	switch {
 	case p.refused():
-		e.State, e.Known = Quarantined, p.wasKnown
+		e.State, e.Known, e.CrashedAgo = Quarantined, p.wasKnown, age(p.refusedFor, now)
 		e.Trials, _ = p.trialCrashes()
 		e.RetryIn = laburnumlever.Duration(max(0, p.trialAt().Sub(now)))
 	default:
@@ -327,7 +365,7 @@
 func (d *PartDetector) Backends(part Part) []laburnumlever.BackendID {
 	var ids []laburnumlever.BackendID
 	if p := d.parts[part]; p != nil {
-		for _, e := range p.ends {
+		for _, e := range p.counted() {
 			ids = append(ids, e.crash.id.Backend)
 		}
 	}
@@ -338,7 +376,7 @@
 // same ones, but some of its requests were answered, or more of them were on each server.
 func (d *PartDetector) refuse(now time.Time) {
 	for _, c := range d.crashes {
-		c.explained = false
+		c.explained = c.excused
 	}
 	for _, p := range d.parts {
 		if p.refused() {
@@ -355,12 +393,22 @@
 			considered[p] = true
 			p.explain()
 			if !rank.known || now.Sub(rank.first) >= knownPartDelay {
-				p.refusedAt, p.wasKnown = now, rank.known
+				p.refusedAt, p.refusedFor, p.wasKnown = now, p.lastCrash(), rank.known
 			}
 		}
 	}
 }
 
+func (p *suspectPart) lastCrash() time.Time {
+	var last time.Time
+	for _, e := range p.counted() {
+		if e.crash.at.After(last) {
+			last = e.crash.at
+		}
+	}
+	return last
+}
+
 func (p *suspectPart) explain() {
 	for _, e := range p.ends {
 		e.crash.explained = true
@@ -427,7 +475,8 @@
 
 // known reports whether a request with the part was answered shortly before the crashes.
 func (p *suspectPart) known() bool {
-	return !p.answered.IsZero() && len(p.ends) > 0 && p.ends[0].crash.at.Sub(p.answered) <= knownTime
+	ends := p.counted()
+	return !p.answered.IsZero() && len(ends) > 0 && ends[0].crash.at.Sub(p.answered) <= knownTime
 }
 
 // needed returns the number of crashes from which the part is refused; own of the unexplained ones are its own.
@@ -435,7 +484,8 @@
 	if p.known() {
 		return knownPartCrashes
 	}
-	first, last := p.ends[0].crash.at.Add(-unrelatedTime), p.ends[len(p.ends)-1].crash.at.Add(unrelatedTime)
+	ends := p.counted()
+	first, last := ends[0].crash.at.Add(-unrelatedTime), ends[len(ends)-1].crash.at.Add(unrelatedTime)
 	others := -own
 	for _, c := range d.crashes {
 		if !c.explained && c.at.After(first) && c.at.Before(last) {
