--- a/laburnumproxy/release.go
+++ b/laburnumproxy/release.go
@@ -57,7 +57,7 @@
 	}()
 }
 
-// tryRelease reports whether the log held the claim, or another one on its key, and holds this one no more.
+// tryRelease reports whether the release was applied: it has freed the claim, or the key belongs to another one.
 func (p *Proxy) tryRelease(release laburnumlever.Command) bool {
 	ctx, cancel := p.withTimeout(context.Background(), recordTimeout)
 	defer cancel()
