--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -180,7 +180,7 @@
 // checkAnswer returns a failure for an answer that must not be forwarded: one to another request, or
 // one which says that the request did not run.
 func (g *Gateway) checkAnswer(q *request, ticket *laburnumbalance.Ticket, resp *http.Response, headers laburnumlever.AnswerHeaders, result *laburnumbalance.AttemptResult) *failure {
-	if headers.RequestID != q.caller.ID {
+	if headers.RequestID != q.caller.ID && (headers.RequestID != "" || !headers.NotRun) {
 		result.Failed = true
 		return &failure{
 			stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCrossedAnswer,
