fix: the release of a claim ends although a later claim holds its key

Callers: none saw it yet; the log would have. After a heal each claim that had been given up, up to 1,024 of them, was proposed for release once a second for as long as a resend's claim held the key, ten minutes and two more. Change: a later claim settles the release once; only a claim that was really freed puts off the end and resets the backoff.

--- a/laburnumproxy/fakes_test.go
+++ b/laburnumproxy/fakes_test.go
@@ -39,6 +39,8 @@
 	// delayed holds commands that a network partition delays: their proposers get no result.
 	delay   bool
 	delayed []laburnumlever.Command
+	// releases counts the records that free a claim.
+	releases atomic.Int32
 }
 
 type fakeClaim struct {
@@ -51,6 +53,9 @@
 func (l *fakeLog) Propose(_ context.Context, cmd laburnumlever.Command) (laburnumlever.Result, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if cmd.Answer != nil && cmd.Answer.Outcome == laburnumlever.OutcomeNotRun {
+		l.releases.Add(1)
+	}
 	if l.delay {
 		l.delayed = append(l.delayed, cmd)
 		return laburnumlever.Result{}, &laburnumlever.OutcomeUnknownError{Detail: "no answer"}
@@ -157,6 +162,14 @@
 	return b
 }
 
+// refusedByDelay has a call refused whose claim a network partition delays.
+func (b *fixture) refusedByDelay() {
+	b.log.mu.Lock()
+	b.log.delay = true
+	b.log.mu.Unlock()
+	b.post("/services/booking/visits", "", "Idempotency-Key", "k").requireRefusal(b.t, "no-quorum", "not-run")
+}
+
 // add adds a backend server to the view.
 func (b *fixture) add(change laburnumlever.Announcement) {
 	view := *b.views.View()
--- a/laburnumproxy/outcome_test.go
+++ b/laburnumproxy/outcome_test.go
@@ -248,10 +248,7 @@
 	b := newFixture(t, nil)
 	var runs atomic.Int32
 	b.service(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
-	b.log.mu.Lock()
-	b.log.delay = true
-	b.log.mu.Unlock()
-	b.post("/services/booking/visits", "", "Idempotency-Key", "k").requireRefusal(t, "no-quorum", "not-run")
+	b.refusedByDelay()
 	b.log.deliver()
 	require.Eventually(t, func() bool {
 		b.timers.Advance(time.Second)
@@ -265,10 +262,7 @@
 	b := newFixture(t, nil)
 	var runs atomic.Int32
 	b.service(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
-	b.log.mu.Lock()
-	b.log.delay = true
-	b.log.mu.Unlock()
-	b.post("/services/booking/visits", "", "Idempotency-Key", "k").requireRefusal(t, "no-quorum", "not-run")
+	b.refusedByDelay()
 	claim := b.log.delayedClaim(t)
 	b.log.deliver()
 	require.Eventually(t, func() bool {
@@ -284,6 +278,24 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// Guards against a claim that is released again every second for as long as a later claim holds its key.
+func TestReleasesEndWhileALaterClaimHoldsTheKey(t *testing.T) {
+	b := newFixture(t, nil)
+	b.service(func(http.ResponseWriter, *http.Request) {})
+	b.refusedByDelay()
+	b.log.deliver()
+	require.Eventually(t, func() bool {
+		b.timers.Advance(time.Second)
+		return b.post("/services/booking/visits", "", "Idempotency-Key", "k").status == http.StatusOK
+	}, 10*time.Second, time.Millisecond)
+	before := b.log.releases.Load()
+	for range 600 {
+		b.timers.Advance(time.Second)
+		time.Sleep(time.Millisecond) // the release is proposed by another goroutine
+	}
+	require.LessOrEqual(t, b.log.releases.Load()-before, int32(10), "in ten minutes")
+}
+
 // Guards against every call in a partitioned zone waiting for its claim to time out, and refusals after it heals.
 func TestClaimsFailFastWhileLogIsUnreachable(t *testing.T) {
 	b := newFixture(t, nil)
--- a/laburnumproxy/release.go
+++ b/laburnumproxy/release.go
@@ -40,31 +40,37 @@
 	}
 	go func() {
 		defer func() { <-p.pendingReleases }()
-		pause, released := claimReleaseMinBackoff, false
+		pause, settled := claimReleaseMinBackoff, false
 		for end := p.timers.Now().Add(claimReleaseTimeout); p.timers.Now().Before(end); {
-			if p.tryRelease(release) {
-				pause, released = claimReleaseMinBackoff, true
-				end = p.timers.Now().Add(claimCopiesTimeout)
+			freed, taken := p.tryRelease(release)
+			if freed {
+				pause = claimReleaseMinBackoff
+			}
+			// A later claim on the key keeps it for long, so that finding it must not put off the end again.
+			if freed || taken && !settled {
+				end, settled = p.timers.Now().Add(claimCopiesTimeout), true
 			}
 			if !laburnumtimer.Wait(p.closed, p.timers, pause) {
 				return
 			}
 			pause = min(2*pause, claimReleaseMaxBackoff)
 		}
-		if !released {
+		if !settled {
 			p.scope.Counter("claims-not-freed").Inc(1)
 		}
 	}()
 }
 
-// tryRelease reports whether the release was applied: it has freed the claim, or the key belongs to another one.
-func (p *Proxy) tryRelease(release laburnumlever.Command) bool {
+// tryRelease releases the claim. It reports whether that freed it, and whether another claim holds the key, beside which no copy of
+// this one is applied.
+func (p *Proxy) tryRelease(release laburnumlever.Command) (freed, taken bool) {
 	ctx, cancel := p.withTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	_, err := p.proposer.Propose(ctx, release)
-	if result, rejected := laburnumlever.Rejection(err); err != nil && (!rejected || result.Code == laburnumlever.ResultUnknown) {
-		return false
+	if err == nil {
+		p.scope.Counter("claims-freed").Inc(1)
+		return true, false
 	}
-	p.scope.Counter("claims-freed").Inc(1)
-	return true
+	result, rejected := laburnumlever.Rejection(err)
+	return false, rejected && result.Code != laburnumlever.ResultUnknown
 }
