fix: an event stream whose type has an invalid parameter is a stream

By reading; no server of the protocol is known to send it. Cause: such a type does not parse as a whole, although its kind is told. Result: the new row of TestOnlyASuccessThatIsNoStreamIsGarbage failed before.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -123,10 +123,10 @@
 	return nil
 }
 
-// isStream reports whether an answer is an event stream.
+// isStream reports whether an answer is an event stream. Parameters of its type don't matter, valid or not.
 func isStream(resp *http.Response) bool {
 	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return err == nil && kind == streamType && resp.StatusCode == http.StatusOK
+	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && kind == streamType && resp.StatusCode == http.StatusOK
 }
 
 // buffer reads an answer as far as the budget of buffers allows, and reports whether that is the whole of it. What was read is held
--- a/laburnumgateway/garbageedges_test.go
+++ b/laburnumgateway/garbageedges_test.go
@@ -58,6 +58,7 @@
 		"no type":       {http.StatusOK, "", http.StatusBadGateway, 1},
 		"other success": {http.StatusCreated, "text/event-stream", http.StatusBadGateway, 1},
 		"charset":       {http.StatusOK, "Text/Event-Stream; charset=utf-8", http.StatusOK, 0},
+		"bad parameter": {http.StatusOK, "text/event-stream; charset", http.StatusOK, 0},
 		"refusal":       {http.StatusNotFound, "application/json", http.StatusNotFound, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
