fix: a stand-in engine answers 421 for a model it does not hold

Cause: the stand-in took itself for a plain server while it held no model. It took an unload of the model while the request waited for its delay.

Change: a server made with models stays an engine, and answers 421 for a model or an adapter that it does not hold when the request arrives.

Result: TestPlatformServerRejectsRequestsForModelsItDoesNotHold, red before (200 for 421).

--- a/laburnumstandin/platformserver.go
+++ b/laburnumstandin/platformserver.go
@@ -26,6 +26,7 @@
 	keyHeader       = "X-Api-Key"
 	accountHeader   = "X-Laburnumlever-Tenant"
 	partsHeader     = "X-Laburnumlever-Prefix-Hash"
+	modelHeader     = "X-Laburnumlever-Model"
 	// healthPath is the path of health checks in the stand-in manifest.
 	healthPath  = "/health"
 	defaultZone = "brest"
@@ -102,6 +103,7 @@
 	timers    *laburnumtimer.Timers
 	cancel    func()
 	room      *room // nil for any number of requests
+	engine    bool  // also while it holds no model
 	rests     rests
 	runs      atomic.Int64
 	running   atomic.Int64
@@ -126,7 +128,7 @@
 // and announces itself to the control VMs' addresses. A server with models is a model
 // engine.
 func NewPlatformServer(id, service, address string, controls, models []string, behaviour PlatformBehaviour) *PlatformServer {
-	s := &PlatformServer{id: id, service: service, address: address, controls: controls, behaviour: behaviour, spoiling: behaviour.Spoiling, timers: laburnumtimer.New()}
+	s := &PlatformServer{id: id, service: service, address: address, controls: controls, behaviour: behaviour, spoiling: behaviour.Spoiling, timers: laburnumtimer.New(), engine: len(models) > 0}
 	s.rests.onBroken = behaviour.OnBroken
 	if behaviour.Slots > 0 {
 		s.room = newRoom(behaviour.Slots, behaviour.Queue)
@@ -190,7 +192,7 @@
 		"service": s.service, "address": s.address, "zone": cmp.Or(s.behaviour.Zone, defaultZone), "version": cmp.Or(s.behaviour.Software, defaultSoftware), "slots": cmp.Or(s.behaviour.Slots, defaultSlots),
 		"state": state, "cold_remaining_ms": 0, "seq": s.sequence,
 	}
-	if len(s.models) > 0 {
+	if s.engine {
 		document["models"] = s.models
 	}
 	body, _ := json.Marshal(document) //nolint:errchkjson // strings and numbers only
@@ -294,6 +296,10 @@
 	if s.rest(w, r) {
 		return
 	}
+	if !s.holds(r.Header.Get(modelHeader)) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if n, ok := s.brittleness(); ok {
 		w.Header().Set(brittleHeader, strconv.Itoa(n))
 	}
@@ -318,21 +324,33 @@
 	}
 	w.Header().Set("X-Laburnumlever-Server-Stamp", "stamp-of-"+s.id)
 	s.mu.Lock()
-	engine := len(s.models) > 0
 	if s.limit != "" {
 		w.Header().Set(limitHeader, s.limit)
 	}
 	s.mu.Unlock()
 	if s.crashedBy(r, body) {
-		s.crash(w, engine)
+		s.crash(w, s.engine)
 	}
-	if !engine {
+	if !s.engine {
 		s.plainAnswer(w, r, body)
 		return
 	}
 	s.stream(w, r, body)
 }
 
+// holds reports whether the server holds a model or, as MODEL/ADAPTER, an adapter of it. A server that is no model engine is not
+// asked for one.
+func (s *PlatformServer) holds(name string) bool {
+	if !s.engine || name == "" {
+		return true
+	}
+	model, adapter, _ := strings.Cut(name, "/")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.models, func(m platformModel) bool { return m.Name == model })
+	return i >= 0 && (adapter == "" || slices.Contains(s.models[i].Adapters, adapter))
+}
+
 func (s *PlatformServer) plainAnswer(w http.ResponseWriter, r *http.Request, body []byte) {
 	text := fmt.Appendf(nil, "%s ran %s %s: %s\n", s.id, r.Method, r.URL.Path, body)
 	if p := s.draw(r, false, 1); p.at > 0 {
@@ -399,7 +417,7 @@
 		_, _ = fmt.Sscan(last, &first)
 		first++
 	}
-	model, _, _ := strings.Cut(r.Header.Get("X-Laburnumlever-Model"), "/")
+	model, _, _ := strings.Cut(r.Header.Get(modelHeader), "/")
 	flusher := http.NewResponseController(w)
 	data := func(i int) string {
 		return fmt.Sprintf("data: %s word %d%s%s\n\n", model, i, body, s.softwareText())
--- a/laburnumstandin/platformserver_test.go
+++ b/laburnumstandin/platformserver_test.go
@@ -26,6 +26,31 @@
 	}
 }
 
+// Guards against a model engine that runs requests for models it does not hold, or that answers as a plain server without any.
+func TestPlatformServerRejectsRequestsForModelsItDoesNotHold(t *testing.T) {
+	s := laburnumstandin.NewPlatformServer("i-1", "quotes", "127.0.0.1:1", nil, []string{"m0"}, laburnumstandin.PlatformBehaviour{})
+	t.Cleanup(s.Close)
+	post := func(path, model, body string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+		r.Header.Set("X-Laburnumlever-Model", model)
+		s.ServeHTTP(w, r)
+		return w
+	}
+	order := func(text string) { require.Equal(t, http.StatusAccepted, post("/v1/order", "", text).Code) }
+	status := func(model string) int { return post("/quote/x", model, "oak").Code }
+	require.Equal(t, "text/event-stream", post("/quote/x", "m0", "oak").Header().Get("Content-Type"))
+	require.Equal(t, http.StatusMisdirectedRequest, status("m0/a1"))
+	require.Equal(t, http.StatusMisdirectedRequest, status("m1"))
+	order(`{"op":"load","model":"m0","adapter":"a1","expect":0}`)
+	require.Equal(t, http.StatusOK, status("m0/a1"))
+	order(`{"op":"unload","model":"m0","expect":1}`)
+	require.Equal(t, http.StatusMisdirectedRequest, status("m0"))
+	require.Equal(t, int64(2), s.Runs())
+	order(`{"op":"load","model":"m0","expect":2}`)
+	require.Equal(t, "text/event-stream", post("/quote/x", "m0", "oak").Header().Get("Content-Type"))
+}
+
 // Guards against a check for cut answers that never fails, and against one that reports answers that were received whole.
 func TestPlatformServerReportsCutAnswers(t *testing.T) {
 	for name, models := range map[string][]string{"a stream": {"m0"}, "a plain answer": nil} {
