fix: an unmarked 408 or 429 is not forwarded

Callers got a server's 408 or 429 that does not say that the request did not run. Both promise just that, so that a caller repeats a request which may have run.

Cause: only answers from 500 on were looked at for what they promise; an unmarked 503 was a 502 already.

Change: an answer of any status that implies not-run, and does not say it, is a failure of its server: another attempt where the request may be repeated, else 502.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -109,11 +109,11 @@
 		result.Failed, result.Faulty = true, true
 		return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBrokenStream, cause: &AnswerStatusError{Status: resp.StatusCode}}
 	}
-	if !whole && resp.StatusCode != http.StatusServiceUnavailable { // an unmarked 503 is stored as a failure, whatever its length
+	if !whole && !impliesNotRun(resp.StatusCode) { // an unmarked refusal is stored as a failure, whatever its length
 		return g.forwardLong(ctx, out, resp, body, result)
 	}
 	stored := &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	if resp.StatusCode >= http.StatusInternalServerError || impliesNotRun(resp.StatusCode) {
 		return g.storeErrorAnswer(q, stored, result)
 	}
 	out.started = true
