fix: what a caller asks for makes no server faulty

A caller with Accept-Encoding: gzip, or with HEAD or OPTIONS on a streaming route, got 502, and its healthy server a fault, since bodies and types of answers are checked; on all were answered.

Cause: Accept-Encoding was forwarded and the encoded answer refused as not the server's own; answers to HEAD and OPTIONS have no events.

Change: on streaming routes the header is not forwarded, as events can't be read in an encoding. Elsewhere an encoding that the caller accepts is the server's own. An encoding that nobody asked for stays garbage. Answers to HEAD and OPTIONS need be no streams.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -95,7 +95,7 @@
 
 // forwardAnswer forwards an answer to the caller. An error answer is stored instead.
 func (g *Gateway) forwardAnswer(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
-	if isStream(resp) {
+	if q.expectsEvents(resp) {
 		return g.forwardStream(ctx, q, out, ticket, resp, result)
 	}
 	resp.Body = heardBody{ReadCloser: resp.Body, heard: out.heard}
@@ -129,6 +129,11 @@
 	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && kind == streamType && resp.StatusCode == http.StatusOK
 }
 
+// expectsEvents reports whether the body of an answer consists of events.
+func (q *request) expectsEvents(resp *http.Response) bool {
+	return isStream(resp) && q.method != http.MethodHead && resp.Header.Get("Content-Encoding") == ""
+}
+
 // buffer reads an answer as far as the budget of buffers allows, and reports whether that is the whole of it. What was read is held
 // until release is called.
 func (g *Gateway) buffer(r io.Reader) (body []byte, whole bool, release func(), err error) {
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -19,6 +19,8 @@
 // timeout fires before the gateway's.
 const backendTimeoutSlack = 100 * time.Millisecond
 
+const acceptEncoding = "Accept-Encoding"
+
 // attempt makes one attempt. A nil failure means that the complete answer was forwarded.
 func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket) (fail *failure) {
 	q.tries++
@@ -143,7 +145,7 @@
 	g.fleet.noteGranted(q)
 	resp, err := conn.Exchange(laburnumupstream.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Body: q.body,
-		Header: g.dialect.Forward(q.header, q.forwardParams(ticket.Backend.Backend, now)),
+		Header: g.dialect.Forward(q.forwardedHeader(), q.forwardParams(ticket.Backend.Backend, now)),
 	})
 	if err != nil {
 		result.Failed = ctx.Err() == nil
@@ -209,9 +211,9 @@
 	switch {
 	case resp.StatusCode >= http.StatusMultipleChoices:
 		return nil
-	case !headers.Stamped || headers.Encoding != "":
+	case !headers.Stamped || headers.Encoding != "" && !q.acceptsEncoding():
 		cause = &ForeignBodyError{Stamped: headers.Stamped, Encoding: headers.Encoding}
-	case q.route.Kind == laburnumlever.KindStream && !isStream(resp):
+	case q.route.Kind == laburnumlever.KindStream && !isStream(resp) && q.method != http.MethodHead && q.method != http.MethodOptions:
 		cause = &NoStreamError{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
 	default:
 		return nil
@@ -220,6 +222,22 @@
 	return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedBackendError, cause: cause}
 }
 
+// forwardedHeader returns the caller's header without what it must not ask a server for: events can't be read in an encoding.
+func (q *request) forwardedHeader() http.Header {
+	if q.route.Kind != laburnumlever.KindStream || q.header.Get(acceptEncoding) == "" {
+		return q.header
+	}
+	header := q.header.Clone()
+	header.Del(acceptEncoding)
+	return header
+}
+
+// acceptsEncoding reports whether the caller has asked for an encoded body, and a server may send one.
+func (q *request) acceptsEncoding() bool {
+	accepted := q.forwardedHeader().Get(acceptEncoding)
+	return accepted != "" && accepted != "identity"
+}
+
 // notSendable is the failure of an attempt at a backend server that must not be sent anything any more.
 func notSendable(err error) *failure {
 	return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedNoBackend, cause: err, unsent: true}
