fix: comments of a stream count as heard

While links were in doubt, a stream whose server sends comments and no events, as one does that reads a long prompt, was ended as silent and sent again.

Cause: since blocks without an event are dropped, only events were reported as heard; on all blocks were.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -218,7 +218,7 @@
 	events := newEventReader(resp.Body, g.buffers)
 	defer events.close()
 	for first := true; ; first = false {
-		event, next, err := g.nextEvent(q, resp, events)
+		event, next, err := g.nextEvent(q, out, resp, events)
 		if err != nil && !errors.Is(err, io.EOF) {
 			result.Failed = ctx.Err() == nil
 			if out.started {
@@ -229,7 +229,6 @@
 		if err != nil {
 			return g.endStream(ctx, q, out, resp, result, first)
 		}
-		out.heard()
 		if !out.start(resp.Header, http.StatusOK) {
 			return brokenAnswer(ctx, net.ErrClosed)
 		}
@@ -259,10 +258,13 @@
 
 // nextEvent returns the next event of the stream, and the sequence with it. Blocks that carry none are dropped, but for those of routes
 // that are no streams. The error is io.EOF at the end of the stream.
-func (g *Gateway) nextEvent(q *request, resp *http.Response, events *eventReader) ([]byte, eventSequence, error) {
+func (g *Gateway) nextEvent(q *request, out *answer, resp *http.Response, events *eventReader) ([]byte, eventSequence, error) {
 	next := q.events
 	for range maxBlankBlocks {
 		block, err := events.next()
+		if err == nil {
+			out.heard()
+		}
 		if errors.Is(err, io.EOF) && len(block) > 0 {
 			return nil, next, endedEarly(resp, &EventCutError{})
 		}
