fix: an event is flushed before the gateway waits for more of the stream

A caller got an event only with the next one if a comment, an empty line, a retry field or the beginning of the next event came in the same read behind it.

Cause: an event was flushed unless more bytes were buffered, and blocks without an event were then dropped, or their rest waited for.

Change: what was written is flushed before the next read of the server's connection and at the stream's end or break, so that nothing waits there, and events of one read are still flushed together.

--- a/laburnumgateway/answer.go
+++ b/laburnumgateway/answer.go
@@ -214,16 +214,19 @@
 // forwardStream forwards a stream event by event. The head is written with the first one, so that an answer that begins with anything
 // else leaves no trace of its server.
 func (g *Gateway) forwardStream(ctx context.Context, q *request, out *answer, ticket *laburnumbalance.Ticket, resp *http.Response, result *laburnumbalance.AttemptResult) *failure {
-	flusher := http.NewResponseController(out.w)
-	events := newEventReader(resp.Body, g.buffers)
+	body := &flushingReader{Reader: resp.Body, flush: http.NewResponseController(out.w).Flush}
+	events := newEventReader(body, g.buffers)
 	defer events.close()
 	for first := true; ; first = false {
 		event, next, err := g.nextEvent(q, out, resp, events)
+		if err != nil {
+			body.flushPending() // the whole events before the end or the break
+		}
+		if body.failed != nil {
+			return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: body.failed}}
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			result.Failed = ctx.Err() == nil
-			if out.started {
-				_ = flusher.Flush() // the whole events before the break; a caller that has gone is noticed by the next write
-			}
 			return brokenAnswer(ctx, err)
 		}
 		if err != nil {
@@ -242,14 +245,32 @@
 		if _, err := out.w.Write(event); err != nil {
 			return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: err}}
 		}
+		body.pending = true
 		out.recordPart(g.timers.Now())
 		g.fleet.recordInterval(q, out)
-		if events.buffered() {
-			continue
-		}
-		if err := flusher.Flush(); err != nil {
-			return &failure{stage: laburnumretry.StageUnknown, reason: laburnumlever.RefusedCallerGone, cause: &CallerGoneError{Cause: err}}
-		}
+	}
+}
+
+// flushingReader flushes what was written to the caller before it waits for more of a stream.
+type flushingReader struct {
+	io.Reader
+	flush   func() error
+	pending bool
+	// failed is the error of a flush.
+	failed error
+}
+
+// Read implements io.Reader.
+func (r *flushingReader) Read(p []byte) (int, error) {
+	if r.flushPending(); r.failed != nil {
+		return 0, r.failed
+	}
+	return r.Reader.Read(p)
+}
+
+func (r *flushingReader) flushPending() {
+	if r.pending {
+		r.pending, r.failed = false, r.flush()
 	}
 }
 
--- a/laburnumgateway/events.go
+++ b/laburnumgateway/events.go
@@ -26,9 +26,6 @@
 	return &eventReader{r: bufio.NewReaderSize(r, eventBufferSize), buffers: buffers}
 }
 
-// buffered reports whether bytes of the next event have been read.
-func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
-
 // next returns the next event, with the empty line that ends it, which is valid until the next call. With an error it returns the part
 // that came. Errors: *EventTooLongError, and those of the stream.
 func (e *eventReader) next() ([]byte, error) {
