fix: bytes behind an answer are noticed although their server closed after them

Callers: a stream whose server wrote an end and then other bytes was ended as complete, and its server not counted as one that sends garbage, if the server closed its connection after these bytes and they were not read with the end. Cause: Conn.BytesFollow asked laburnumsocket.Look, which answers Closed for bytes that a close follows, as its other callers need it. A tunnel's socket holds frames, not the server's bytes.

--- a/laburnumsocket/doc.go
+++ b/laburnumsocket/doc.go
@@ -15,5 +15,5 @@
 //	_ = conn.Close()
 //
 // Look makes one or two system calls and never blocks. It may be called while other goroutines read from the connection or write to
-// it.
+// it. Unread is the same with one call, and tells bytes to read even if a close follows them.
 package laburnumsocket
--- a/laburnumsocket/look.go
+++ b/laburnumsocket/look.go
@@ -38,6 +38,26 @@
 	return state
 }
 
+// Unread reports whether a connection has bytes to read, even if it has been closed after them. One whose socket can't be looked at
+// has none.
+func Unread(conn any) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	_ = raw.Control(func(fd uintptr) { // fails on a closed connection only
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return unread
+}
+
 func look(fd int) State {
 	var one [1]byte
 	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/laburnumsocket/look_test.go
+++ b/laburnumsocket/look_test.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// Guards against bytes that are not seen since their connection was closed after them, and against a close taken for bytes.
+func TestUnread(t *testing.T) {
+	for name, test := range map[string]struct{ bytes, closed bool }{
+		"open": {false, false}, "bytes": {true, false}, "closed": {false, true}, "closed after send": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := pair(t)
+			want := laburnumsocket.Quiet
+			if test.bytes {
+				want = laburnumsocket.Readable
+				_, err := far.Write([]byte("garbage"))
+				require.NoError(t, err)
+			}
+			if test.closed {
+				want = laburnumsocket.Closed
+				require.NoError(t, far.Close())
+			}
+			require.Eventually(t, func() bool { return laburnumsocket.Look(near) == want }, eventually, time.Millisecond)
+			require.Equal(t, test.bytes, laburnumsocket.Unread(near))
+			require.Equal(t, test.bytes, laburnumsocket.Unread(near), "looking must change nothing")
+			require.NoError(t, near.Close())
+			require.False(t, laburnumsocket.Unread(near))
+		})
+	}
+	require.False(t, laburnumsocket.Unread(nil))
+}
+
 // Guards against a connection closed on this side that counts as open.
 func TestLookAtOwnClosedConnection(t *testing.T) {
 	near, _ := pair(t)
--- a/laburnumtunnel/frames.go
+++ b/laburnumtunnel/frames.go
@@ -8,6 +8,8 @@
 	"os"
 	"syscall"
 
+	"laburnumlever/laburnumsocket"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -52,6 +54,26 @@
 // Reusable reports whether the tunnel may carry another request.
 func (c *Conn) Reusable() bool { return !c.ended && !c.leaving && c.rest == 0 && c.r.Buffered() == 0 }
 
+// Unread reports whether bytes of the server have come that have not been read. It never blocks. A frame whose length has not come
+// completely doesn't count.
+func (c *Conn) Unread() bool {
+	for c.rest == 0 && !c.ended {
+		switch {
+		case c.r.Buffered() >= lengthBytes:
+			if c.nextFrame() != nil {
+				return false
+			}
+		case !laburnumsocket.Unread(c.Conn):
+			return false
+		default:
+			if _, err := c.r.Peek(c.r.Buffered() + 1); err != nil { // reads what is there
+				return false
+			}
+		}
+	}
+	return c.rest > 0
+}
+
 // SyscallConn implements syscall.Conn, so that an idle tunnel can be checked for bytes to read.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	conn, ok := c.Conn.(syscall.Conn)
--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -164,9 +164,16 @@
 	buf.Write(q.Body)
 }
 
-// BytesFollow reports whether bytes have come after the answer that was read.
+// BytesFollow reports whether bytes have come after the answer that was read, even if the backend server closed the connection after
+// them.
 func (c *Conn) BytesFollow() bool {
-	return c.r.Buffered() > 0 || laburnumsocket.Look(c.conn) == laburnumsocket.Readable
+	if c.r.Buffered() > 0 {
+		return true
+	}
+	if t, ok := c.conn.(interface{ Unread() bool }); ok { // the bytes of a tunnel's socket need not be the server's
+		return t.Unread()
+	}
+	return laburnumsocket.Unread(c.conn)
 }
 
 // noPendingInput tells whether an idle connection can be reused: it can't if there are bytes to read
