fix: a head with a status below 100 or 101, or of HTTP/1.0 with a coding, is no answer

Callers: stamped answers with status 000 or 099 ended the caller's connection (a panic in WriteHeader), those with 101 reached the caller, and chunks under an HTTP/1.0 head reached it with their framing as a body. Cause: such heads parse. readHead took any status outside 102 to 199 as final, and net/http drops the Transfer-Encoding of an HTTP/1.0 head.

--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -97,8 +97,8 @@
 // SetDeadline sets the deadline of all further reads and writes.
 func (c *Conn) SetDeadline(at time.Time) error { return c.conn.SetDeadline(at) }
 
-// Exchange sends a request and reads the head of the answer, skipping informational (1xx) answers
-// other than 101. The caller reads the body. An error is a *LostError: some bytes may have reached
+// Exchange sends a request and reads the head of the answer, skipping informational (1xx) answers;
+// a 101 is no answer. The caller reads the body. An error is a *LostError: some bytes may have reached
 // the backend server. Its cause is a *NoAnswerError if what came is no answer.
 func (c *Conn) Exchange(q Request) (*http.Response, error) {
 	buf, _ := writeBuffers.Get().(*bytes.Buffer)
--- a/laburnumupstream/head.go
+++ b/laburnumupstream/head.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,12 +20,14 @@
 	maxInformational = 32
 	// statusLine is what the first line of an answer begins with, each 0 standing for any digit.
 	statusLine = "HTTP/1.0 000"
+	oldVersion = "HTTP/1.0"
 )
 
-// limitedReader reads from a connection, while left bytes are allowed.
+// limitedReader reads from a connection, while left bytes are allowed. It adds what it reads to record, unless that is nil.
 type limitedReader struct {
-	conn net.Conn
-	left int
+	conn   net.Conn
+	left   int
+	record []byte
 }
 
 func newLimitedReader(conn net.Conn) *limitedReader {
@@ -39,11 +43,14 @@
 	if l.left != math.MaxInt {
 		l.left -= n
 	}
+	if l.record != nil {
+		l.record = append(l.record, p[:n]...)
+	}
 	return n, err
 }
 
-// readHead reads the head of an answer, skipping informational ones other than 101. A *NoAnswerError means that what came can't be, or
-// become, an answer.
+// readHead reads the head of an answer, skipping informational ones. A *NoAnswerError means that what came can't be, or become, an
+// answer: no request asks for a 101.
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.source.left = maxHeadBytes
 	defer func() { c.source.left = math.MaxInt }()
@@ -51,18 +58,41 @@
 		if err := checkStatusLine(c.r); err != nil {
 			return nil, err
 		}
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		resp, err := c.parseHead(method)
 		if err != nil {
 			return nil, classify(err)
 		}
-		resp.Body = &body{ReadCloser: resp.Body}
-		if resp.StatusCode < 100 || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		switch status := resp.StatusCode; {
+		case status < 100 || status == http.StatusSwitchingProtocols:
+			return nil, &NoAnswerError{Cause: &StatusError{Status: status}}
+		case status >= 200:
+			resp.Body = &body{ReadCloser: resp.Body}
 			return resp, nil
 		}
 	}
 	return nil, &NoAnswerError{Cause: &InformationalError{Limit: maxInformational}}
 }
 
+// parseHead parses a head whose first line has begun. An HTTP/1.0 one must have no Transfer-Encoding (RFC 9112, 6.1): net/http drops
+// that, and its framing would be taken for the body.
+func (c *Conn) parseHead(method string) (*http.Response, error) {
+	if version, err := c.r.Peek(len(oldVersion)); err != nil || string(version) != oldVersion {
+		return http.ReadResponse(c.r, &http.Request{Method: method})
+	}
+	buffered, _ := c.r.Peek(c.r.Buffered()) // never fails
+	c.source.record = slices.Clone(buffered)
+	defer func() { c.source.record = nil }()
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	head := c.source.record[:len(c.source.record)-c.r.Buffered()]
+	if bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
+		return nil, &OldCodingError{}
+	}
+	return resp, nil
+}
+
 // checkStatusLine waits until what the first line begins with has come, or a byte that differs from it: no answer follows then.
 func checkStatusLine(r *bufio.Reader) error {
 	for n := 1; n <= len(statusLine); n++ {
