--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -97,8 +97,8 @@
 // SetDeadline sets the deadline of all further reads and writes.
 func (c *Conn) SetDeadline(at time.Time) error { return c.conn.SetDeadline(at) }
 
-// Exchange sends a request and reads the head of the answer, skipping informational (1xx) answers
-// other than 101. The caller reads the body. An error is a *LostError: some bytes may have reached
+// Exchange sends a request and reads the head of the answer, skipping informational (1xx) answers;
+// a 101 is no answer. The caller reads the body. An error is a *LostError: some bytes may have reached
 // the backend server. Its cause is a *NoAnswerError if what came is no answer.
 func (c *Conn) Exchange(q Request) (*http.Response, error) {
 	buf, _ := writeBuffers.Get().(*bytes.Buffer)
@@ -164,9 +164,16 @@
 	buf.Write(q.Body)
 }
 
-// BytesFollow reports whether bytes have come after the answer that was read.
+// BytesFollow reports whether bytes have come after the answer that was read, even if the backend server closed the connection after
+// them.
 func (c *Conn) BytesFollow() bool {
-	return c.r.Buffered() > 0 || laburnumsocket.Look(c.conn) == laburnumsocket.Readable
+	if c.r.Buffered() > 0 {
+		return true
+	}
+	if t, ok := c.conn.(interface{ Unread() bool }); ok { // the bytes of a tunnel's socket need not be the server's
+		return t.Unread()
+	}
+	return laburnumsocket.Unread(c.conn)
 }
 
 // noPendingInput tells whether an idle connection can be reused: it can't if there are bytes to read
