test: the repair of a voter is complete once it replaces no other

A replica without its disk's contents is replaced by way of a joint configuration, which needs a majority of the old voters and of the new ones, and is in effect as soon as it is appended. The repaired VM is a follower from then on. If the leader is killed before the final configuration has reached it, the old voters are the lost replica, the killed leader and the third VM: no majority, so no leader ever. That is not the product's fault: no change can be safe to lose a second disk before it is committed; losses_borne is 0 until then, and the VM's status names its VM twice among the voters.

Change: caughtup waits, besides what it waited for, until the VM is among its voters once. The final configuration is then in its log, and it or the third VM can be elected by the two. The kill still comes as soon as it may. A module test holds up the joint configuration before the third VM: the repaired VM votes and is named twice, no leader is elected in 200 ticks after the leader is gone, and once it is named once another VM may be lost.

--- a/cmd/laburnumlever/fleetcommands_test.go
+++ b/cmd/laburnumlever/fleetcommands_test.go
@@ -32,8 +32,8 @@
 //	lose NAME                deletes the VM's data folder
 //	leader PREFIX VM...      waits until one of the VMs leads the log; sets PREFIX to its
 //	                         name, PREFIX_operators to its address, PREFIXother to the next VM
-//	caughtup VM VM...        waits until the first VM is a voter and has applied all entries
-//	                         that the leader among the VMs has applied
+//	caughtup VM VM...        waits until the first VM is a voter that replaces no other any more
+//	                         and has applied all entries that the leader among the VMs has applied
 //	owner PREFIX VM...       like leader, for a VM that reports to own its zone
 func fleetCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
@@ -159,7 +159,7 @@
 	for deadline := time.Now().Add(awaitTimeout); time.Now().Before(deadline); time.Sleep(awaitInterval) {
 		own, ownErr := statusOf(ts, args[0])
 		votes := own.Voter.Role == "follower" || own.Voter.Role == "leader"
-		if ownErr != nil || !votes {
+		if ownErr != nil || !votes || replaces(own) {
 			continue
 		}
 		for _, name := range args[1:] {
@@ -172,6 +172,18 @@
 	ts.Fatalf("%s has not caught up", args[0])
 }
 
+// replaces reports whether a VM is among its voters twice: as long as its replica replaces one without its disk, the latter counts in one
+// of two majorities as well, so that no further VM may be lost.
+func replaces(s laburnumlever.Status) bool {
+	n := 0
+	for _, voter := range s.Voter.Voters {
+		if voter.VM == s.View.Self.ID {
+			n++
+		}
+	}
+	return n > 1
+}
+
 func statusOf(ts *testscript.TestScript, name string) (laburnumlever.Status, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -1,6 +1,7 @@
 package laburnumvoter_test
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"path/filepath"
@@ -326,6 +327,64 @@
 	})
 }
 
+// Guards against a voter that passes for repaired before its replacement is complete. It votes once the change has reached it. Until then
+// its lost replica counts in one of two majorities as well, so that with a second VM lost the rest elects no leader. Whoever waits
+// for the repair sees that from its voters: its VM is among them twice.
+func TestVoterUnderReplacementIsNamedTwice(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	f.startAll()
+	f.vms["a"].apply(t, "first", 0)
+	f.ticksPaused.Store(true) // no election comes between
+	leader := f.leader()
+	lost, third := "b", "c"
+	switch leader {
+	case lost:
+		lost = "a"
+	case third:
+		third = "a"
+	default:
+	}
+	f.stop(lost)
+	require.NoError(t, os.RemoveAll(f.folder(lost)))
+	var withheld atomic.Bool
+	withheld.Store(true)
+	take := f.vms[third].port.handler("log-message-append")
+	f.vms[third].port.Handle("log-message-append", func(ctx context.Context, params laburnumlever.RawMessage) (any, error) {
+		if withheld.Load() && bytes.Contains(params, []byte(`"joining":true`)) {
+			return nil, nil
+		}
+		return take(ctx, params)
+	})
+	back := f.start(lost, f.folder(lost))
+	named := func() (n int) {
+		for _, voter := range back.Status().Voters {
+			if voter.VM == laburnumlever.VMID(lost) {
+				n++
+			}
+		}
+		return n
+	}
+	f.wait("it votes", func() bool { return back.Status().Role == "follower" && len(back.Status().Voters) > 0 })
+	require.Equal(t, 2, named(), "%+v", back.Status())
+	f.stop(leader)
+	f.ticksPaused.Store(false)
+	for range 200 { // ten times the longest wait for an election
+		f.waitTick(back)
+		f.waitTick(f.vms[third])
+		for _, m := range f.vms {
+			require.NotEqual(t, "leader", m.Status().Role, "%+v", m.Status())
+		}
+	}
+	withheld.Store(false)
+	f.start(leader, f.folder(leader))
+	f.wait("it is repaired", func() bool { return back.Votes() && named() == 1 })
+	f.stop(f.leader())
+	for _, m := range f.vms {
+		require.EqualValues(t, 2, m.apply(t, "second", 1).Revision)
+		return
+	}
+}
+
 // Guards against a first change that is committed by too few voters to tolerate the configured losses.
 func TestFirstChangeWaitsForTheVoters(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"}, laburnumvoter.WithVoterTarget(5), laburnumvoter.WithFirstChangeTolerance(2, time.Hour))
