test: voters with slow messages, and confirmations of over 2 s, fail and are listed

Cause: a leader steps down when a majority has not answered for 1 s, counted from its election, so that on links or VMs that take 0.2 to 0.6 s for a message it is gone before the answers to its first heartbeats can have come. And a control VM tells a confirmation for 2 s only, while keys are valid by it for 5 s (revoke_ms); a commit takes 1.4 to 2 s with syncs of 0.7 s.

--- a/laburnumlog/slowwrites_test.go
+++ b/laburnumlog/slowwrites_test.go
@@ -1,6 +1,7 @@
 package laburnumlog_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -15,9 +16,16 @@
 	do func()
 }
 
-// electionOnSlowDisks returns the ticks until three of five voters, the others down, have a leader that commits; each write takes a
-// number of ticks.
+// electionOnSlowDisks is electionAmongSlowVoters with messages that take no time.
 func electionOnSlowDisks(seed uint64, writeTicks, limit int) int {
+	return electionAmongSlowVoters(seed, writeTicks, 0, 0, limit)
+}
+
+// electionAmongSlowVoters returns the ticks until three of five voters, the others down, have a leader that commits; each write takes a
+// number of ticks, and each message from least to most ticks, those from one voter to another in order.
+func electionAmongSlowVoters(seed uint64, writeTicks, least, most, limit int) int {
+	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // repeatable
+	arrived := map[[2]laburnumlog.ReplicaID]int{}
 	names := []laburnumlog.ReplicaID{"a", "b", "c", "d", "e"}
 	var configuration laburnumlog.Configuration
 	for _, id := range names {
@@ -30,9 +38,16 @@
 	var step func(id laburnumlog.ReplicaID, ev laburnumlog.Event)
 	send := func(messages []laburnumlog.Message) {
 		for _, m := range messages {
-			if logs[m.To] != nil {
-				after(now, func() { step(m.To, laburnumlog.Receive{Message: m}) })
+			if logs[m.To] == nil {
+				continue
+			}
+			at := now
+			if m.From != m.To {
+				link := [2]laburnumlog.ReplicaID{m.From, m.To}
+				at = max(arrived[link], now+least+random.IntN(most-least+1))
+				arrived[link] = at
 			}
+			after(at, func() { step(m.To, laburnumlog.Receive{Message: m}) })
 		}
 	}
 	step = func(id laburnumlog.ReplicaID, ev laburnumlog.Event) {
@@ -86,6 +101,20 @@
 	}
 }
 
+// Guards against voters whose messages take 0.2 to 0.6 s, as on starved machines, and whose leaders step down before the answers to their
+// first heartbeats can have come: few of them have a leader within the time for a recovery, and some never.
+func TestVotersWithSlowMessagesElectALeader(t *testing.T) {
+	const seeds = 200
+	var ticks []int
+	for seed := range uint64(seeds) {
+		n := electionAmongSlowVoters(seed+1, 0, 2, 6, 2*recoverTicks)
+		require.Less(t, n, 2*recoverTicks, "seed %d", seed+1)
+		ticks = append(ticks, n)
+	}
+	slices.Sort(ticks)
+	require.Less(t, ticks[seeds*9/10], recoverTicks)
+}
+
 // Guards against voters that have taken part in elections without a leader, and then wait longer for the next one than a recovery may take.
 func TestElectionsWithoutALeaderDelayTheNextOneForABoundedTime(t *testing.T) {
 	configuration := laburnumlog.Configuration{}.WithMember(laburnumlog.Member{ID: "a"}).WithMember(laburnumlog.Member{ID: "b"}).WithMember(laburnumlog.Member{ID: "c"})
--- a/laburnumroles/confirm_internal_test.go
+++ b/laburnumroles/confirm_internal_test.go
@@ -47,3 +47,21 @@
 	}, maxConfirmAge, time.Millisecond)
 	require.Equal(t, uint64(7), told.Version)
 }
+
+// Guards against control VMs that keep a confirmation of over 2 s to themselves while keys are valid for 5 s: where a commit takes 1.4 to 2 s,
+// gateways refuse keys for up to a second now and then although the log commits.
+func TestConfirmationIsToldForAsLongAsKeysAreValidByIt(t *testing.T) {
+	const age = 3 * time.Second
+	c := newConfirmations(nil, nil)
+	c.last, c.ok = laburnumrevocation.Confirmation{Version: 7, AsOf: laburnumtimer.SinceBoot() - age}, true
+	c.request = func(context.Context) (laburnumrevocation.Confirmation, error) {
+		<-t.Context().Done() // the next one is not committed yet
+		return laburnumrevocation.Confirmation{}, t.Context().Err()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), confirmAttemptTimeout)
+	defer cancel()
+	told, err := c.confirm(ctx)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), told.Version)
+	require.GreaterOrEqual(t, laburnumtimer.SinceBoot()-told.AsOf, age)
+}
