--- a/laburnumgateway/limits_test.go
+++ b/laburnumgateway/limits_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,6 +143,35 @@
 	require.Equal(t, int64(1), b.counter("limit_slots+outcome=granted"))
 }
 
+// lateTimers run what is due at a clock that is ahead by late, as after a time in which the process stood still.
+type lateTimers struct {
+	*laburnumtimer.Manual
+	late atomic.Int64
+}
+
+func (l *lateTimers) Now() time.Time { return l.Manual.Now().Add(time.Duration(l.late.Load())) }
+
+// Guards against a request refused as if engines were full, since the gateway stood still while its slot at a limited one was due.
+func TestLapsedSlotIsRefusedAsLimited(t *testing.T) {
+	server := newBackend(t, "i-1", answerWithLimit(always(2.5)))
+	timers := &lateTimers{Manual: laburnumtimer.NewManual(time.Now().Add(time.Hour))}
+	const in = 200 * time.Millisecond
+	b := newLimitHarnessWith(t, timers, granting(in), server.heartbeat("booking"))
+	b.tell(laburnumlimit.Limit{PerSecond: 2.5})
+	got := make(chan callerResponse, 1)
+	go func() { got <- b.send("POST", "/confirm/x", "visit") }()
+	require.Eventually(t, func() bool { return b.fleet.Status().Queued == 1 }, 10*time.Second, time.Millisecond)
+	timers.late.Store(int64(laburnumlimit.Grace))
+	require.Eventually(t, func() bool {
+		timers.Advance(in)
+		return b.fleet.Status().Queued == 0
+	}, 10*time.Second, time.Millisecond)
+	answer := <-got
+	require.Equal(t, 503, answer.status)
+	require.Equal(t, "backend-limited\n", answer.body)
+	require.Empty(t, server.requests())
+}
+
 // Guards against callers refused because of a limit while another engine is free.
 func TestOtherServersAreUsedFirst(t *testing.T) {
 	limited, other := newBackend(t, "i-1", answerWithLimit(always(1))), newBackend(t, "i-2", answerOK)
