--- a/laburnumlog/slowwrites_test.go
+++ b/laburnumlog/slowwrites_test.go
@@ -101,8 +101,7 @@
 	}
 }
 
-// Guards against voters whose messages take 0.2 to 0.6 s, as on starved machines, and whose leaders step down before the answers to their
-// first heartbeats can have come: few of them have a leader within the time for a recovery, and some never.
+// Guards against leaders that step down before the answers to their first heartbeats can have come.
 func TestVotersWithSlowMessagesElectALeader(t *testing.T) {
 	const seeds = 200
 	var ticks []int
@@ -115,8 +114,7 @@
 	require.Less(t, ticks[seeds*9/10], recoverTicks)
 }
 
-// Guards against a leader without a vote to spare that steps down whenever a follower stands still for 1.5 s, although both follow it: the
-// next election takes 2 to 9 s on a starved machine, in which nothing is committed.
+// Guards against a leader without a vote to spare that steps down whenever a follower stands still for 1.5 s.
 func TestLeaderOutlivesAFollowerThatStandsStill(t *testing.T) {
 	const stillTicks = 15
 	names := []laburnumlog.ReplicaID{"a", "b", "c", "d", "e"} // d and e have lost their disks
--- a/laburnumroles/confirm_internal_test.go
+++ b/laburnumroles/confirm_internal_test.go
@@ -48,8 +48,7 @@
 	require.Equal(t, uint64(7), told.Version)
 }
 
-// Guards against control VMs that keep a confirmation of over 2 s to themselves while keys are valid for 5 s: where a commit takes 1.4 to 2 s,
-// gateways refuse keys for up to a second now and then although the log commits.
+// Guards against keys refused while the log commits, since control VMs keep confirmations of over 2 s to themselves.
 func TestConfirmationIsToldForAsLongAsKeysAreValidByIt(t *testing.T) {
 	const age = 3 * time.Second
 	c := newConfirmations(nil, nil)
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -327,9 +327,7 @@
 	})
 }
 
-// Guards against a voter that passes for repaired before its replacement is complete. It votes once the change has reached it. Until then
-// its lost replica counts in one of two majorities as well, so that with a second VM lost the rest elects no leader. Whoever waits
-// for the repair sees that from its voters: its VM is among them twice.
+// Guards against a voter that passes for repaired while its lost replica still counts in one of two majorities.
 func TestVoterUnderReplacementIsNamedTwice(t *testing.T) {
 	f := newFleet(t, []string{"a", "b", "c"})
 	f.startAll()
