test: a soak of returns can give its VMs few processors

The users' machines had all VMs slow at once, and the soak could only show that through a script around its program.

--shared-processors N has all VMs share N processors of the machine, which the load and the engines leave alone. Nothing else is slowed, so that returns which only starved VMs show can be played on any machine. Not played yet when this was committed.

--- a/cmd/laburnumlever/soakreturnscmd.go
+++ b/cmd/laburnumlever/soakreturnscmd.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "idle-routes", Value: 40, Usage: "how many routes without requests the manifest has"},
 			&cli.Float64Flag{Name: "rate", Value: 200, Usage: "requests per second"},
 			&cli.IntFlag{Name: "processors", Value: 1, Usage: "how many processors each VM uses at a time"},
+			&cli.IntFlag{Name: "shared-processors", Usage: "how many processors all VMs share, which nothing else of the run uses; 0 for all; Linux only"},
 			&cli.Float64Flag{Name: "control-share", Usage: "share of a processor that a control VM has; 0 for all"},
 			&cli.Float64Flag{Name: "gateway-share", Usage: "the same of a gateway"},
 			&cli.BoolFlag{Name: "dark", Usage: "have connections to VMs without power hang instead of being refused"},
@@ -60,7 +61,7 @@
 	}
 	reports, err := laburnumsoak.RunReturns(c.Context, laburnumsoak.ReturnsConfig{
 		Program: program, Folder: folder, Seed: c.Uint64("seed"), Gateways: c.Int("gateways"), Engines: c.Int("engines"), Models: c.Int("models"),
-		Rate: c.Float64("rate"), Returns: c.Int("returns"), Kinds: c.StringSlice("kind"), Processors: c.Int("processors"),
+		Rate: c.Float64("rate"), Returns: c.Int("returns"), Kinds: c.StringSlice("kind"), Processors: c.Int("processors"), SharedProcessors: c.Int("shared-processors"),
 		IdleRoutes: c.Int("idle-routes"), Dark: c.Bool("dark"), SyncTime: c.Duration("sync-time"),
 		ControlShare: c.Float64("control-share"), GatewayShare: c.Float64("gateway-share"), Recover: c.Duration("recover"), Observe: c.Duration("observe"),
 		Print: func(line string) { printf(c.App.Writer, "%s\n", line) },
--- a/laburnumsoak/errors.go
+++ b/laburnumsoak/errors.go
@@ -22,3 +22,19 @@
 }
 
 func (e *NotReadyError) Error() string { return fmt.Sprintf("%s: not met within %s", e.What, e.Time) }
+
+// ProcessorsError reports that VMs can't be given Wanted processors of the Available ones.
+type ProcessorsError struct {
+	Wanted, Available int
+	Cause             error
+}
+
+func (e *ProcessorsError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("VMs can't share %d processors: this process has %d and needs one itself", e.Wanted, e.Available)
+	}
+	return fmt.Sprintf("VMs can't share %d processors: %v", e.Wanted, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ProcessorsError) Unwrap() error { return e.Cause }
--- a/laburnumsoak/process.go
+++ b/laburnumsoak/process.go
@@ -39,6 +39,8 @@
 	args func() []string
 	// environment is added to that of this process.
 	environment []string
+	// processors, unless nil, are the only ones that it runs on.
+	processors *processors
 	// address is where it listens; empty for a VM.
 	address string
 	// onLine, if set, is called with each line of its standard output.
@@ -77,6 +79,10 @@
 	if p.disk != nil {
 		start = func() error { return p.disk.Start(cmd) }
 	}
+	if p.processors != nil {
+		unpinned := start
+		start = func() error { return p.processors.start(unpinned) }
+	}
 	if err := start(); err != nil {
 		return &StartError{Process: p.name, Cause: err}
 	}
--- a/laburnumsoak/returnfleet.go
+++ b/laburnumsoak/returnfleet.go
@@ -44,6 +44,8 @@
 	net        string
 	firstStart bool
 	stages     *stages
+	// processors are those that all VMs share; nil for any.
+	processors *processors
 	// lights end the darkness of VMs without power.
 	lights map[*returnVM]func()
 
@@ -55,9 +57,9 @@
 	spares   int
 }
 
-func newReturnFleet(cfg ReturnsConfig) *returnFleet {
+func newReturnFleet(cfg ReturnsConfig, shared *processors) *returnFleet {
 	const most = 250
-	f := &returnFleet{cfg: cfg, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most)), firstStart: true, stages: newStages()}
+	f := &returnFleet{cfg: cfg, net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(most), 1+rand.IntN(most)), firstStart: true, stages: newStages(), processors: shared}
 	for i := range returnControls {
 		f.controls = append(f.controls, f.vm(true, i+1))
 	}
@@ -82,7 +84,7 @@
 	}
 	name := fmt.Sprintf("%s-%d", role, number)
 	vm := &returnVM{isControl: isControl, number: number, zone: returnZones[number%len(returnZones)]}
-	vm.process = &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder}
+	vm.process = &process{name: name, program: f.cfg.Program, folder: f.cfg.Folder, processors: f.processors}
 	if f.cfg.Processors > 0 {
 		vm.environment = []string{fmt.Sprintf("GOMAXPROCS=%d", f.cfg.Processors)}
 	}
--- a/laburnumsoak/returns.go
+++ b/laburnumsoak/returns.go
@@ -46,6 +46,8 @@
 	Kinds []string
 	// Processors is the number of processors that each VM uses at a time.
 	Processors int
+	// SharedProcessors is the number of processors that all VMs share, and that nothing else of the run uses; 0 for all. It needs Linux.
+	SharedProcessors int
 	// Recover is the time after which a quarter of the requests have to be served, Observe how long requests are observed.
 	Recover, Observe time.Duration
 	// Print, unless nil, is called with each line of the timeline.
@@ -136,14 +138,21 @@
 
 // RunReturns starts a deployment and has its VMs fail together and return, again and again.
 func RunReturns(ctx context.Context, cfg ReturnsConfig) ([]ReturnReport, error) {
-	f := newReturnFleet(cfg)
+	var shared *processors
+	if cfg.SharedProcessors > 0 {
+		var err error
+		if shared, err = shareProcessors(cfg.SharedProcessors); err != nil {
+			return nil, err
+		}
+	}
+	f := newReturnFleet(cfg, shared)
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return nil, err
 	}
 	defer f.closeEngines()
-	shared := f.limitShares(ctx)
-	defer shared()
+	unlimited := f.limitShares(ctx)
+	defer unlimited()
 	l := newReturnLoad(f)
 	if !await(ctx, returnReadyLimit, func() bool { return l.apply(ctx) }) {
 		return nil, &NotReadyError{What: "the first change is acknowledged", Time: returnReadyLimit}
