feat: control VMs log when and why their route table is confirmed, or is not

After a return gateways refuse keys as unconfirmed, and say only that control VMs gave no answer. Whether a control VM waits for a leader, for the leader's answer or for a commit could not be told apart.

routes-confirmed is a control VM's first confirmation after some time without, routes-unconfirmed a request that failed, with its cause; both with the time that it took. The soak of returns shows the first as a stage of its own, between the leader's election and the gateways' confirmations.

--- a/laburnumroles/confirm.go
+++ b/laburnumroles/confirm.go
@@ -13,6 +13,8 @@
 	"laburnumlever/laburnumtimer"
 	"laburnumlever/laburnumvoter"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -46,6 +48,8 @@
 	peers laburnumlever.Peers
 	voter *laburnumvoter.Voter
 	group singleflight.Group
+	// logger gets the first confirmation after some time without, and what the others failed of.
+	logger log.Logger
 	// request requests a new confirmation.
 	request func(ctx context.Context) (laburnumrevocation.Confirmation, error)
 
@@ -55,7 +59,7 @@
 }
 
 func newConfirmations(peers laburnumlever.Peers, voter *laburnumvoter.Voter) *confirmations {
-	c := &confirmations{peers: peers, voter: voter}
+	c := &confirmations{peers: peers, voter: voter, logger: log.NewNopLogger()}
 	c.request = c.requestFromLog
 	return c
 }
@@ -92,12 +96,9 @@
 		return last, nil
 	}
 	result := c.group.DoChan("", func() (any, error) {
+		began := laburnumtimer.SinceBoot()
 		confirmed, err := c.request(context.Background())
-		if err == nil {
-			c.mu.Lock()
-			c.last, c.ok = confirmed, true
-			c.mu.Unlock()
-		}
+		c.note(confirmed, laburnumtimer.SinceBoot()-began, err)
 		return confirmed, err
 	})
 	waiting, cancel := context.WithTimeout(ctx, confirmWait)
@@ -120,6 +121,22 @@
 	}
 }
 
+// note records the outcome of a request for a confirmation.
+func (c *confirmations) note(confirmed laburnumrevocation.Confirmation, took time.Duration, err error) {
+	before, ok := c.atMost(maxConfirmAge)
+	if err != nil {
+		_ = level.Warn(c.logger).Log("event", laburnumlever.EventRoutesUnconfirmed, "took-ms", took.Milliseconds(), "cause", err)
+		return
+	}
+	c.mu.Lock()
+	c.last, c.ok = confirmed, true
+	c.mu.Unlock()
+	if !ok {
+		_ = level.Info(c.logger).Log("event", laburnumlever.EventRoutesConfirmed, "routes-version", confirmed.Version, "before", before.Version,
+			"took-ms", took.Milliseconds())
+	}
+}
+
 // atMost returns the last confirmation if it has at most an age.
 func (c *confirmations) atMost(age time.Duration) (laburnumrevocation.Confirmation, bool) {
 	last, ok := c.latest()
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -140,6 +140,7 @@
 	}
 	c.versions.load(settings.FirstStart)
 	c.confirmations = newConfirmations(c.peers, c.voter)
+	c.confirmations.logger = c.logger
 	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
 	c.quotas = newQuotas(c.timers, c.source, c.confirmations, c.logger, c.metrics.Scope(),
 		laburnumquota.Terms(settings.Quota.Terms()), time.Duration(settings.Times.Revoke))
--- a/laburnumsoak/returnstages.go
+++ b/laburnumsoak/returnstages.go
@@ -11,13 +11,13 @@
 // stageOf are the log events that mark a stage.
 var stageOf = map[string]string{
 	"started": "started", "start-confirmed": "start confirmed", "became-leader": "leader elected", "routes-applied": "routes applied",
-	"routes-in-force": "routes in force", "lease-got": "placement lease", "keys-confirmed": "keys confirmed", "backends-remembered": "servers remembered",
+	"routes-in-force": "routes in force", "lease-got": "placement lease", "keys-confirmed": "keys confirmed", "routes-confirmed": "routes confirmed", "backends-remembered": "servers remembered",
 }
 
 // returnStages are the stages in the order of a report.
 var returnStages = []string{
 	"process start", "started", "start confirmed", "leader elected", "routes applied", "routes in force", "servers remembered",
-	"placement lease", "keys confirmed", "first served",
+	"placement lease", "routes confirmed", "keys confirmed", "first served",
 }
 
 // stages records from the VMs' logs when each met a stage since the last fault.
--- a/logevent.go
+++ b/logevent.go
@@ -126,6 +126,11 @@
 	// EventKeysUnconfirmed is a gateway that refuses requests with keys, as it can't confirm that its route
 	// table is the newest.
 	EventKeysUnconfirmed
+	// EventRoutesConfirmed is a control VM that knows that no newer route table was acknowledged, for the first time since its start
+	// or after some time without.
+	EventRoutesConfirmed
+	// EventRoutesUnconfirmed is a control VM that asked in vain whether its route table is the newest.
+	EventRoutesUnconfirmed
 	// EventAccountsUnknown is a route table from a VM whose build knows no client accounts.
 	EventAccountsUnknown
 	// EventQuotaUsedUp is a client account that has used up its quota at a control VM.
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 110, 124, 131, 150, 163, 182, 202, 222, 241, 260, 278, 294, 307, 319, 325, 340, 357, 370, 387, 400, 410, 424, 437, 451, 470, 490, 509, 531, 545, 564, 580, 596, 607, 620, 643, 656, 671, 683, 695, 708, 721, 735, 750, 768, 782, 798, 814, 827, 843, 859, 874, 888, 898, 909, 922, 943, 959, 977, 988, 1004, 1020, 1035, 1049, 1063, 1078, 1096, 1114, 1132, 1150, 1163, 1179, 1188, 1202, 1217, 1234, 1249, 1262, 1277, 1288, 1302, 1315, 1341, 1359, 1373, 1390, 1409, 1430, 1439, 1449, 1466, 1484, 1494, 1503, 1520, 1534, 1546, 1562, 1569, 1577, 1584, 1591, 1608, 1624, 1638, 1656, 1669, 1679, 1696}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 110, 124, 131, 150, 163, 182, 202, 222, 241, 260, 278, 294, 307, 319, 325, 340, 357, 370, 387, 400, 410, 424, 437, 451, 470, 490, 509, 531, 545, 564, 580, 596, 607, 620, 643, 656, 671, 683, 695, 708, 721, 735, 750, 768, 782, 798, 814, 832, 848, 861, 877, 893, 908, 922, 932, 943, 956, 977, 993, 1011, 1022, 1038, 1054, 1069, 1083, 1097, 1112, 1130, 1148, 1166, 1184, 1197, 1213, 1222, 1236, 1251, 1268, 1283, 1296, 1311, 1322, 1336, 1349, 1375, 1393, 1407, 1424, 1443, 1464, 1473, 1483, 1500, 1518, 1528, 1537, 1554, 1568, 1580, 1596, 1603, 1611, 1618, 1625, 1642, 1658, 1672, 1690, 1703, 1713, 1730}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -76,71 +76,73 @@
 	_ = x[EventLimitNotReported-(49)]
 	_ = x[EventKeysConfirmed-(50)]
 	_ = x[EventKeysUnconfirmed-(51)]
-	_ = x[EventAccountsUnknown-(52)]
-	_ = x[EventQuotaUsedUp-(53)]
-	_ = x[EventQuotaUnanswered-(54)]
-	_ = x[EventOutlierDetected-(55)]
-	_ = x[EventModelWithdrawn-(56)]
-	_ = x[EventOrderAnswered-(57)]
-	_ = x[EventOrderDone-(58)]
-	_ = x[EventOrderStateChanged-(59)]
-	_ = x[EventOrderRefused-(60)]
-	_ = x[EventOrderOutcomeUnknown-(61)]
-	_ = x[EventEngineStateNotRead-(62)]
-	_ = x[EventInventoryNotRead-(63)]
-	_ = x[EventLoadFailed-(64)]
-	_ = x[EventBackendStateNotEncoded-(65)]
-	_ = x[EventRegistryRefused-(66)]
-	_ = x[EventRoutesProposed-(67)]
-	_ = x[EventRoutesRefused-(68)]
-	_ = x[EventRoutesApplied-(69)]
-	_ = x[EventRoutesInEffect-(70)]
-	_ = x[EventRoutesNotDecoded-(71)]
-	_ = x[EventRoutesNotEncoded-(72)]
-	_ = x[EventRoutesNotFetched-(73)]
-	_ = x[EventCatalogueInEffect-(74)]
-	_ = x[EventBecameLeader-(75)]
-	_ = x[EventCommandRejected-(76)]
-	_ = x[EventNoLeader-(77)]
-	_ = x[EventReplicaOpened-(78)]
-	_ = x[EventStartConfirmed-(79)]
-	_ = x[EventStartUnconfirmed-(80)]
-	_ = x[EventVotersChanged-(81)]
-	_ = x[EventLearnerAdded-(82)]
-	_ = x[EventLearnerRemoved-(83)]
-	_ = x[EventVoterAdded-(84)]
-	_ = x[EventVoterReplaced-(85)]
-	_ = x[EventVoterStandby-(86)]
-	_ = x[EventLeadershipNotHandedOver-(87)]
-	_ = x[EventExpiryNotEncoded-(88)]
-	_ = x[EventReplicaFailed-(89)]
-	_ = x[EventReplicaRegressed-(90)]
-	_ = x[EventDataFolderDamaged-(91)]
-	_ = x[EventDataFolderRegressed-(92)]
-	_ = x[EventLeaseAcquired-(93)]
-	_ = x[EventLeaseLost-(94)]
-	_ = x[EventLeaseNotRenewed-(95)]
-	_ = x[EventLeaseNotReleased-(96)]
-	_ = x[EventZoneOwned-(97)]
-	_ = x[EventZoneLost-(98)]
-	_ = x[EventMessageTooLarge-(99)]
-	_ = x[EventControlThreadTimes-(100)]
-	_ = x[EventControlLost-(101)]
-	_ = x[EventControlRegained-(102)]
-	_ = x[EventStarted-(103)]
-	_ = x[EventDraining-(104)]
-	_ = x[EventDrained-(105)]
-	_ = x[EventStopped-(106)]
-	_ = x[EventSettingsReloaded-(107)]
-	_ = x[EventSettingsRefused-(108)]
-	_ = x[EventListenerEnded-(109)]
-	_ = x[EventMetricsNotServed-(110)]
-	_ = x[EventUnknownEvent-(111)]
-	_ = x[EventOverloaded-(112)]
-	_ = x[EventLogLinesDropped-(113)]
+	_ = x[EventRoutesConfirmed-(52)]
+	_ = x[EventRoutesUnconfirmed-(53)]
+	_ = x[EventAccountsUnknown-(54)]
+	_ = x[EventQuotaUsedUp-(55)]
+	_ = x[EventQuotaUnanswered-(56)]
+	_ = x[EventOutlierDetected-(57)]
+	_ = x[EventModelWithdrawn-(58)]
+	_ = x[EventOrderAnswered-(59)]
+	_ = x[EventOrderDone-(60)]
+	_ = x[EventOrderStateChanged-(61)]
+	_ = x[EventOrderRefused-(62)]
+	_ = x[EventOrderOutcomeUnknown-(63)]
+	_ = x[EventEngineStateNotRead-(64)]
+	_ = x[EventInventoryNotRead-(65)]
+	_ = x[EventLoadFailed-(66)]
+	_ = x[EventBackendStateNotEncoded-(67)]
+	_ = x[EventRegistryRefused-(68)]
+	_ = x[EventRoutesProposed-(69)]
+	_ = x[EventRoutesRefused-(70)]
+	_ = x[EventRoutesApplied-(71)]
+	_ = x[EventRoutesInEffect-(72)]
+	_ = x[EventRoutesNotDecoded-(73)]
+	_ = x[EventRoutesNotEncoded-(74)]
+	_ = x[EventRoutesNotFetched-(75)]
+	_ = x[EventCatalogueInEffect-(76)]
+	_ = x[EventBecameLeader-(77)]
+	_ = x[EventCommandRejected-(78)]
+	_ = x[EventNoLeader-(79)]
+	_ = x[EventReplicaOpened-(80)]
+	_ = x[EventStartConfirmed-(81)]
+	_ = x[EventStartUnconfirmed-(82)]
+	_ = x[EventVotersChanged-(83)]
+	_ = x[EventLearnerAdded-(84)]
+	_ = x[EventLearnerRemoved-(85)]
+	_ = x[EventVoterAdded-(86)]
+	_ = x[EventVoterReplaced-(87)]
+	_ = x[EventVoterStandby-(88)]
+	_ = x[EventLeadershipNotHandedOver-(89)]
+	_ = x[EventExpiryNotEncoded-(90)]
+	_ = x[EventReplicaFailed-(91)]
+	_ = x[EventReplicaRegressed-(92)]
+	_ = x[EventDataFolderDamaged-(93)]
+	_ = x[EventDataFolderRegressed-(94)]
+	_ = x[EventLeaseAcquired-(95)]
+	_ = x[EventLeaseLost-(96)]
+	_ = x[EventLeaseNotRenewed-(97)]
+	_ = x[EventLeaseNotReleased-(98)]
+	_ = x[EventZoneOwned-(99)]
+	_ = x[EventZoneLost-(100)]
+	_ = x[EventMessageTooLarge-(101)]
+	_ = x[EventControlThreadTimes-(102)]
+	_ = x[EventControlLost-(103)]
+	_ = x[EventControlRegained-(104)]
+	_ = x[EventStarted-(105)]
+	_ = x[EventDraining-(106)]
+	_ = x[EventDrained-(107)]
+	_ = x[EventStopped-(108)]
+	_ = x[EventSettingsReloaded-(109)]
+	_ = x[EventSettingsRefused-(110)]
+	_ = x[EventListenerEnded-(111)]
+	_ = x[EventMetricsNotServed-(112)]
+	_ = x[EventUnknownEvent-(113)]
+	_ = x[EventOverloaded-(114)]
+	_ = x[EventLogLinesDropped-(115)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventRoutesConfirmed, EventRoutesUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -195,68 +197,70 @@
 	_LogEventName[750:768]:   EventLimitNotReported,
 	_LogEventName[768:782]:   EventKeysConfirmed,
 	_LogEventName[782:798]:   EventKeysUnconfirmed,
-	_LogEventName[798:814]:   EventAccountsUnknown,
-	_LogEventName[814:827]:   EventQuotaUsedUp,
-	_LogEventName[827:843]:   EventQuotaUnanswered,
-	_LogEventName[843:859]:   EventOutlierDetected,
-	_LogEventName[859:874]:   EventModelWithdrawn,
-	_LogEventName[874:888]:   EventOrderAnswered,
-	_LogEventName[888:898]:   EventOrderDone,
-	_LogEventName[898:909]:   EventOrderStateChanged,
-	_LogEventName[909:922]:   EventOrderRefused,
-	_LogEventName[922:943]:   EventOrderOutcomeUnknown,
-	_LogEventName[943:959]:   EventEngineStateNotRead,
-	_LogEventName[959:977]:   EventInventoryNotRead,
-	_LogEventName[977:988]:   EventLoadFailed,
-	_LogEventName[988:1004]:  EventBackendStateNotEncoded,
-	_LogEventName[1004:1020]: EventRegistryRefused,
-	_LogEventName[1020:1035]: EventRoutesProposed,
-	_LogEventName[1035:1049]: EventRoutesRefused,
-	_LogEventName[1049:1063]: EventRoutesApplied,
-	_LogEventName[1063:1078]: EventRoutesInEffect,
-	_LogEventName[1078:1096]: EventRoutesNotDecoded,
-	_LogEventName[1096:1114]: EventRoutesNotEncoded,
-	_LogEventName[1114:1132]: EventRoutesNotFetched,
-	_LogEventName[1132:1150]: EventCatalogueInEffect,
-	_LogEventName[1150:1163]: EventBecameLeader,
-	_LogEventName[1163:1179]: EventCommandRejected,
-	_LogEventName[1179:1188]: EventNoLeader,
-	_LogEventName[1188:1202]: EventReplicaOpened,
-	_LogEventName[1202:1217]: EventStartConfirmed,
-	_LogEventName[1217:1234]: EventStartUnconfirmed,
-	_LogEventName[1234:1249]: EventVotersChanged,
-	_LogEventName[1249:1262]: EventLearnerAdded,
-	_LogEventName[1262:1277]: EventLearnerRemoved,
-	_LogEventName[1277:1288]: EventVoterAdded,
-	_LogEventName[1288:1302]: EventVoterReplaced,
-	_LogEventName[1302:1315]: EventVoterStandby,
-	_LogEventName[1315:1341]: EventLeadershipNotHandedOver,
-	_LogEventName[1341:1359]: EventExpiryNotEncoded,
-	_LogEventName[1359:1373]: EventReplicaFailed,
-	_LogEventName[1373:1390]: EventReplicaRegressed,
-	_LogEventName[1390:1409]: EventDataFolderDamaged,
-	_LogEventName[1409:1430]: EventDataFolderRegressed,
-	_LogEventName[1430:1439]: EventLeaseAcquired,
-	_LogEventName[1439:1449]: EventLeaseLost,
-	_LogEventName[1449:1466]: EventLeaseNotRenewed,
-	_LogEventName[1466:1484]: EventLeaseNotReleased,
-	_LogEventName[1484:1494]: EventZoneOwned,
-	_LogEventName[1494:1503]: EventZoneLost,
-	_LogEventName[1503:1520]: EventMessageTooLarge,
-	_LogEventName[1520:1534]: EventControlThreadTimes,
-	_LogEventName[1534:1546]: EventControlLost,
-	_LogEventName[1546:1562]: EventControlRegained,
-	_LogEventName[1562:1569]: EventStarted,
-	_LogEventName[1569:1577]: EventDraining,
-	_LogEventName[1577:1584]: EventDrained,
-	_LogEventName[1584:1591]: EventStopped,
-	_LogEventName[1591:1608]: EventSettingsReloaded,
-	_LogEventName[1608:1624]: EventSettingsRefused,
-	_LogEventName[1624:1638]: EventListenerEnded,
-	_LogEventName[1638:1656]: EventMetricsNotServed,
-	_LogEventName[1656:1669]: EventUnknownEvent,
-	_LogEventName[1669:1679]: EventOverloaded,
-	_LogEventName[1679:1696]: EventLogLinesDropped,
+	_LogEventName[798:814]:   EventRoutesConfirmed,
+	_LogEventName[814:832]:   EventRoutesUnconfirmed,
+	_LogEventName[832:848]:   EventAccountsUnknown,
+	_LogEventName[848:861]:   EventQuotaUsedUp,
+	_LogEventName[861:877]:   EventQuotaUnanswered,
+	_LogEventName[877:893]:   EventOutlierDetected,
+	_LogEventName[893:908]:   EventModelWithdrawn,
+	_LogEventName[908:922]:   EventOrderAnswered,
+	_LogEventName[922:932]:   EventOrderDone,
+	_LogEventName[932:943]:   EventOrderStateChanged,
+	_LogEventName[943:956]:   EventOrderRefused,
+	_LogEventName[956:977]:   EventOrderOutcomeUnknown,
+	_LogEventName[977:993]:   EventEngineStateNotRead,
+	_LogEventName[993:1011]:  EventInventoryNotRead,
+	_LogEventName[1011:1022]: EventLoadFailed,
+	_LogEventName[1022:1038]: EventBackendStateNotEncoded,
+	_LogEventName[1038:1054]: EventRegistryRefused,
+	_LogEventName[1054:1069]: EventRoutesProposed,
+	_LogEventName[1069:1083]: EventRoutesRefused,
+	_LogEventName[1083:1097]: EventRoutesApplied,
+	_LogEventName[1097:1112]: EventRoutesInEffect,
+	_LogEventName[1112:1130]: EventRoutesNotDecoded,
+	_LogEventName[1130:1148]: EventRoutesNotEncoded,
+	_LogEventName[1148:1166]: EventRoutesNotFetched,
+	_LogEventName[1166:1184]: EventCatalogueInEffect,
+	_LogEventName[1184:1197]: EventBecameLeader,
+	_LogEventName[1197:1213]: EventCommandRejected,
+	_LogEventName[1213:1222]: EventNoLeader,
+	_LogEventName[1222:1236]: EventReplicaOpened,
+	_LogEventName[1236:1251]: EventStartConfirmed,
+	_LogEventName[1251:1268]: EventStartUnconfirmed,
+	_LogEventName[1268:1283]: EventVotersChanged,
+	_LogEventName[1283:1296]: EventLearnerAdded,
+	_LogEventName[1296:1311]: EventLearnerRemoved,
+	_LogEventName[1311:1322]: EventVoterAdded,
+	_LogEventName[1322:1336]: EventVoterReplaced,
+	_LogEventName[1336:1349]: EventVoterStandby,
+	_LogEventName[1349:1375]: EventLeadershipNotHandedOver,
+	_LogEventName[1375:1393]: EventExpiryNotEncoded,
+	_LogEventName[1393:1407]: EventReplicaFailed,
+	_LogEventName[1407:1424]: EventReplicaRegressed,
+	_LogEventName[1424:1443]: EventDataFolderDamaged,
+	_LogEventName[1443:1464]: EventDataFolderRegressed,
+	_LogEventName[1464:1473]: EventLeaseAcquired,
+	_LogEventName[1473:1483]: EventLeaseLost,
+	_LogEventName[1483:1500]: EventLeaseNotRenewed,
+	_LogEventName[1500:1518]: EventLeaseNotReleased,
+	_LogEventName[1518:1528]: EventZoneOwned,
+	_LogEventName[1528:1537]: EventZoneLost,
+	_LogEventName[1537:1554]: EventMessageTooLarge,
+	_LogEventName[1554:1568]: EventControlThreadTimes,
+	_LogEventName[1568:1580]: EventControlLost,
+	_LogEventName[1580:1596]: EventControlRegained,
+	_LogEventName[1596:1603]: EventStarted,
+	_LogEventName[1603:1611]: EventDraining,
+	_LogEventName[1611:1618]: EventDrained,
+	_LogEventName[1618:1625]: EventStopped,
+	_LogEventName[1625:1642]: EventSettingsReloaded,
+	_LogEventName[1642:1658]: EventSettingsRefused,
+	_LogEventName[1658:1672]: EventListenerEnded,
+	_LogEventName[1672:1690]: EventMetricsNotServed,
+	_LogEventName[1690:1703]: EventUnknownEvent,
+	_LogEventName[1703:1713]: EventOverloaded,
+	_LogEventName[1713:1730]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -312,68 +316,70 @@
 	_LogEventLowerName[750:768]:   EventLimitNotReported,
 	_LogEventLowerName[768:782]:   EventKeysConfirmed,
 	_LogEventLowerName[782:798]:   EventKeysUnconfirmed,
-	_LogEventLowerName[798:814]:   EventAccountsUnknown,
-	_LogEventLowerName[814:827]:   EventQuotaUsedUp,
-	_LogEventLowerName[827:843]:   EventQuotaUnanswered,
-	_LogEventLowerName[843:859]:   EventOutlierDetected,
-	_LogEventLowerName[859:874]:   EventModelWithdrawn,
-	_LogEventLowerName[874:888]:   EventOrderAnswered,
-	_LogEventLowerName[888:898]:   EventOrderDone,
-	_LogEventLowerName[898:909]:   EventOrderStateChanged,
-	_LogEventLowerName[909:922]:   EventOrderRefused,
-	_LogEventLowerName[922:943]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[943:959]:   EventEngineStateNotRead,
-	_LogEventLowerName[959:977]:   EventInventoryNotRead,
-	_LogEventLowerName[977:988]:   EventLoadFailed,
-	_LogEventLowerName[988:1004]:  EventBackendStateNotEncoded,
-	_LogEventLowerName[1004:1020]: EventRegistryRefused,
-	_LogEventLowerName[1020:1035]: EventRoutesProposed,
-	_LogEventLowerName[1035:1049]: EventRoutesRefused,
-	_LogEventLowerName[1049:1063]: EventRoutesApplied,
-	_LogEventLowerName[1063:1078]: EventRoutesInEffect,
-	_LogEventLowerName[1078:1096]: EventRoutesNotDecoded,
-	_LogEventLowerName[1096:1114]: EventRoutesNotEncoded,
-	_LogEventLowerName[1114:1132]: EventRoutesNotFetched,
-	_LogEventLowerName[1132:1150]: EventCatalogueInEffect,
-	_LogEventLowerName[1150:1163]: EventBecameLeader,
-	_LogEventLowerName[1163:1179]: EventCommandRejected,
-	_LogEventLowerName[1179:1188]: EventNoLeader,
-	_LogEventLowerName[1188:1202]: EventReplicaOpened,
-	_LogEventLowerName[1202:1217]: EventStartConfirmed,
-	_LogEventLowerName[1217:1234]: EventStartUnconfirmed,
-	_LogEventLowerName[1234:1249]: EventVotersChanged,
-	_LogEventLowerName[1249:1262]: EventLearnerAdded,
-	_LogEventLowerName[1262:1277]: EventLearnerRemoved,
-	_LogEventLowerName[1277:1288]: EventVoterAdded,
-	_LogEventLowerName[1288:1302]: EventVoterReplaced,
-	_LogEventLowerName[1302:1315]: EventVoterStandby,
-	_LogEventLowerName[1315:1341]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1341:1359]: EventExpiryNotEncoded,
-	_LogEventLowerName[1359:1373]: EventReplicaFailed,
-	_LogEventLowerName[1373:1390]: EventReplicaRegressed,
-	_LogEventLowerName[1390:1409]: EventDataFolderDamaged,
-	_LogEventLowerName[1409:1430]: EventDataFolderRegressed,
-	_LogEventLowerName[1430:1439]: EventLeaseAcquired,
-	_LogEventLowerName[1439:1449]: EventLeaseLost,
-	_LogEventLowerName[1449:1466]: EventLeaseNotRenewed,
-	_LogEventLowerName[1466:1484]: EventLeaseNotReleased,
-	_LogEventLowerName[1484:1494]: EventZoneOwned,
-	_LogEventLowerName[1494:1503]: EventZoneLost,
-	_LogEventLowerName[1503:1520]: EventMessageTooLarge,
-	_LogEventLowerName[1520:1534]: EventControlThreadTimes,
-	_LogEventLowerName[1534:1546]: EventControlLost,
-	_LogEventLowerName[1546:1562]: EventControlRegained,
-	_LogEventLowerName[1562:1569]: EventStarted,
-	_LogEventLowerName[1569:1577]: EventDraining,
-	_LogEventLowerName[1577:1584]: EventDrained,
-	_LogEventLowerName[1584:1591]: EventStopped,
-	_LogEventLowerName[1591:1608]: EventSettingsReloaded,
-	_LogEventLowerName[1608:1624]: EventSettingsRefused,
-	_LogEventLowerName[1624:1638]: EventListenerEnded,
-	_LogEventLowerName[1638:1656]: EventMetricsNotServed,
-	_LogEventLowerName[1656:1669]: EventUnknownEvent,
-	_LogEventLowerName[1669:1679]: EventOverloaded,
-	_LogEventLowerName[1679:1696]: EventLogLinesDropped,
+	_LogEventLowerName[798:814]:   EventRoutesConfirmed,
+	_LogEventLowerName[814:832]:   EventRoutesUnconfirmed,
+	_LogEventLowerName[832:848]:   EventAccountsUnknown,
+	_LogEventLowerName[848:861]:   EventQuotaUsedUp,
+	_LogEventLowerName[861:877]:   EventQuotaUnanswered,
+	_LogEventLowerName[877:893]:   EventOutlierDetected,
+	_LogEventLowerName[893:908]:   EventModelWithdrawn,
+	_LogEventLowerName[908:922]:   EventOrderAnswered,
+	_LogEventLowerName[922:932]:   EventOrderDone,
+	_LogEventLowerName[932:943]:   EventOrderStateChanged,
+	_LogEventLowerName[943:956]:   EventOrderRefused,
+	_LogEventLowerName[956:977]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[977:993]:   EventEngineStateNotRead,
+	_LogEventLowerName[993:1011]:  EventInventoryNotRead,
+	_LogEventLowerName[1011:1022]: EventLoadFailed,
+	_LogEventLowerName[1022:1038]: EventBackendStateNotEncoded,
+	_LogEventLowerName[1038:1054]: EventRegistryRefused,
+	_LogEventLowerName[1054:1069]: EventRoutesProposed,
+	_LogEventLowerName[1069:1083]: EventRoutesRefused,
+	_LogEventLowerName[1083:1097]: EventRoutesApplied,
+	_LogEventLowerName[1097:1112]: EventRoutesInEffect,
+	_LogEventLowerName[1112:1130]: EventRoutesNotDecoded,
+	_LogEventLowerName[1130:1148]: EventRoutesNotEncoded,
+	_LogEventLowerName[1148:1166]: EventRoutesNotFetched,
+	_LogEventLowerName[1166:1184]: EventCatalogueInEffect,
+	_LogEventLowerName[1184:1197]: EventBecameLeader,
+	_LogEventLowerName[1197:1213]: EventCommandRejected,
+	_LogEventLowerName[1213:1222]: EventNoLeader,
+	_LogEventLowerName[1222:1236]: EventReplicaOpened,
+	_LogEventLowerName[1236:1251]: EventStartConfirmed,
+	_LogEventLowerName[1251:1268]: EventStartUnconfirmed,
+	_LogEventLowerName[1268:1283]: EventVotersChanged,
+	_LogEventLowerName[1283:1296]: EventLearnerAdded,
+	_LogEventLowerName[1296:1311]: EventLearnerRemoved,
+	_LogEventLowerName[1311:1322]: EventVoterAdded,
+	_LogEventLowerName[1322:1336]: EventVoterReplaced,
+	_LogEventLowerName[1336:1349]: EventVoterStandby,
+	_LogEventLowerName[1349:1375]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1375:1393]: EventExpiryNotEncoded,
+	_LogEventLowerName[1393:1407]: EventReplicaFailed,
+	_LogEventLowerName[1407:1424]: EventReplicaRegressed,
+	_LogEventLowerName[1424:1443]: EventDataFolderDamaged,
+	_LogEventLowerName[1443:1464]: EventDataFolderRegressed,
+	_LogEventLowerName[1464:1473]: EventLeaseAcquired,
+	_LogEventLowerName[1473:1483]: EventLeaseLost,
+	_LogEventLowerName[1483:1500]: EventLeaseNotRenewed,
+	_LogEventLowerName[1500:1518]: EventLeaseNotReleased,
+	_LogEventLowerName[1518:1528]: EventZoneOwned,
+	_LogEventLowerName[1528:1537]: EventZoneLost,
+	_LogEventLowerName[1537:1554]: EventMessageTooLarge,
+	_LogEventLowerName[1554:1568]: EventControlThreadTimes,
+	_LogEventLowerName[1568:1580]: EventControlLost,
+	_LogEventLowerName[1580:1596]: EventControlRegained,
+	_LogEventLowerName[1596:1603]: EventStarted,
+	_LogEventLowerName[1603:1611]: EventDraining,
+	_LogEventLowerName[1611:1618]: EventDrained,
+	_LogEventLowerName[1618:1625]: EventStopped,
+	_LogEventLowerName[1625:1642]: EventSettingsReloaded,
+	_LogEventLowerName[1642:1658]: EventSettingsRefused,
+	_LogEventLowerName[1658:1672]: EventListenerEnded,
+	_LogEventLowerName[1672:1690]: EventMetricsNotServed,
+	_LogEventLowerName[1690:1703]: EventUnknownEvent,
+	_LogEventLowerName[1703:1713]: EventOverloaded,
+	_LogEventLowerName[1713:1730]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -430,67 +436,69 @@
 	_LogEventName[768:782],
 	_LogEventName[782:798],
 	_LogEventName[798:814],
-	_LogEventName[814:827],
-	_LogEventName[827:843],
-	_LogEventName[843:859],
-	_LogEventName[859:874],
-	_LogEventName[874:888],
-	_LogEventName[888:898],
-	_LogEventName[898:909],
-	_LogEventName[909:922],
-	_LogEventName[922:943],
-	_LogEventName[943:959],
-	_LogEventName[959:977],
-	_LogEventName[977:988],
-	_LogEventName[988:1004],
-	_LogEventName[1004:1020],
-	_LogEventName[1020:1035],
-	_LogEventName[1035:1049],
-	_LogEventName[1049:1063],
-	_LogEventName[1063:1078],
-	_LogEventName[1078:1096],
-	_LogEventName[1096:1114],
-	_LogEventName[1114:1132],
-	_LogEventName[1132:1150],
-	_LogEventName[1150:1163],
-	_LogEventName[1163:1179],
-	_LogEventName[1179:1188],
-	_LogEventName[1188:1202],
-	_LogEventName[1202:1217],
-	_LogEventName[1217:1234],
-	_LogEventName[1234:1249],
-	_LogEventName[1249:1262],
-	_LogEventName[1262:1277],
-	_LogEventName[1277:1288],
-	_LogEventName[1288:1302],
-	_LogEventName[1302:1315],
-	_LogEventName[1315:1341],
-	_LogEventName[1341:1359],
-	_LogEventName[1359:1373],
-	_LogEventName[1373:1390],
-	_LogEventName[1390:1409],
-	_LogEventName[1409:1430],
-	_LogEventName[1430:1439],
-	_LogEventName[1439:1449],
-	_LogEventName[1449:1466],
-	_LogEventName[1466:1484],
-	_LogEventName[1484:1494],
-	_LogEventName[1494:1503],
-	_LogEventName[1503:1520],
-	_LogEventName[1520:1534],
-	_LogEventName[1534:1546],
-	_LogEventName[1546:1562],
-	_LogEventName[1562:1569],
-	_LogEventName[1569:1577],
-	_LogEventName[1577:1584],
-	_LogEventName[1584:1591],
-	_LogEventName[1591:1608],
-	_LogEventName[1608:1624],
-	_LogEventName[1624:1638],
-	_LogEventName[1638:1656],
-	_LogEventName[1656:1669],
-	_LogEventName[1669:1679],
-	_LogEventName[1679:1696],
+	_LogEventName[814:832],
+	_LogEventName[832:848],
+	_LogEventName[848:861],
+	_LogEventName[861:877],
+	_LogEventName[877:893],
+	_LogEventName[893:908],
+	_LogEventName[908:922],
+	_LogEventName[922:932],
+	_LogEventName[932:943],
+	_LogEventName[943:956],
+	_LogEventName[956:977],
+	_LogEventName[977:993],
+	_LogEventName[993:1011],
+	_LogEventName[1011:1022],
+	_LogEventName[1022:1038],
+	_LogEventName[1038:1054],
+	_LogEventName[1054:1069],
+	_LogEventName[1069:1083],
+	_LogEventName[1083:1097],
+	_LogEventName[1097:1112],
+	_LogEventName[1112:1130],
+	_LogEventName[1130:1148],
+	_LogEventName[1148:1166],
+	_LogEventName[1166:1184],
+	_LogEventName[1184:1197],
+	_LogEventName[1197:1213],
+	_LogEventName[1213:1222],
+	_LogEventName[1222:1236],
+	_LogEventName[1236:1251],
+	_LogEventName[1251:1268],
+	_LogEventName[1268:1283],
+	_LogEventName[1283:1296],
+	_LogEventName[1296:1311],
+	_LogEventName[1311:1322],
+	_LogEventName[1322:1336],
+	_LogEventName[1336:1349],
+	_LogEventName[1349:1375],
+	_LogEventName[1375:1393],
+	_LogEventName[1393:1407],
+	_LogEventName[1407:1424],
+	_LogEventName[1424:1443],
+	_LogEventName[1443:1464],
+	_LogEventName[1464:1473],
+	_LogEventName[1473:1483],
+	_LogEventName[1483:1500],
+	_LogEventName[1500:1518],
+	_LogEventName[1518:1528],
+	_LogEventName[1528:1537],
+	_LogEventName[1537:1554],
+	_LogEventName[1554:1568],
+	_LogEventName[1568:1580],
+	_LogEventName[1580:1596],
+	_LogEventName[1596:1603],
+	_LogEventName[1603:1611],
+	_LogEventName[1611:1618],
+	_LogEventName[1618:1625],
+	_LogEventName[1625:1642],
+	_LogEventName[1642:1658],
+	_LogEventName[1658:1672],
+	_LogEventName[1672:1690],
+	_LogEventName[1690:1703],
+	_LogEventName[1703:1713],
+	_LogEventName[1713:1730],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
