feat: a leader tells when its own entries are committed

What a gateway waits for after a return is a commit: the proof that no newer route table was acknowledged. The leader's first entry is one already, but was not used as such: keys stayed unconfirmed until somebody had found the leader, asked it and had another entry committed.

The voter notes the time before the first of its own entries that is not committed yet, and tells it once it is. A leader's log holds all that was acknowledged before it led, and what is acknowledged later lies behind its entry, so that the time is a valid one for the confirmation. TestLeadersFirstCommitTellsWhenItLed does not compile without it.

--- a/laburnumvoter/lead.go
+++ b/laburnumvoter/lead.go
@@ -20,6 +20,36 @@
 	expiryProposed time.Time
 }
 
+// ownEntry is an entry that this VM appended as the leader of a term, and a time just before.
+type ownEntry struct {
+	term, index uint64
+	before      time.Duration
+}
+
+// noteAppended records the last entry if this VM, as the leader, has appended one since a step began. While an earlier one of the
+// term is not committed, that one is kept.
+func (v *Voter) noteAppended(lastIndex uint64, began time.Duration) {
+	if !v.isLeader() || v.log.LastIndex() == lastIndex || v.own.term == v.log.Term() && v.own.index > v.applied {
+		return
+	}
+	v.own = ownEntry{term: v.log.Term(), index: v.log.LastIndex(), before: began}
+}
+
+// reportCommitted tells that the recorded entry is committed. A leader's log holds all that was acknowledged before its first entry,
+// and what is acknowledged later is appended behind the recorded one.
+func (v *Voter) reportCommitted() {
+	if !v.isLeader() || v.own.term != v.log.Term() || v.own.index > v.applied {
+		return
+	}
+	own := v.own
+	v.own = ownEntry{}
+	version := uint64(0)
+	if routes := v.machine.Routes(); routes != nil {
+		version = routes.Version()
+	}
+	v.onCommitted(version, own.before)
+}
+
 // updateRole reacts to this VM gaining or losing leadership.
 func (v *Voter) updateRole() {
 	leads := v.isLeader()
--- a/laburnumvoter/step.go
+++ b/laburnumvoter/step.go
@@ -6,6 +6,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumlog"
 	"laburnumlever/laburnumstate"
+	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log/level"
 )
@@ -23,6 +24,7 @@
 	if v.log == nil {
 		return laburnumlog.Output{}
 	}
+	began, lastIndex := laburnumtimer.SinceBoot(), v.log.LastIndex()
 	out := v.log.Step(ev)
 	if out.Fault != nil {
 		v.failReplica(out.Fault)
@@ -54,6 +56,7 @@
 	if v.log == nil { // applying an entry failed and stopped the replica
 		return laburnumlog.Output{}
 	}
+	v.noteAppended(lastIndex, began)
 	return out
 }
 
--- a/laburnumvoter/voter.go
+++ b/laburnumvoter/voter.go
@@ -36,6 +36,8 @@
 	renewals         map[string]renewal
 	onCatalogue      func(laburnumlever.Catalogue)
 	onRoutes         func(laburnumlever.EncodedRoutes)
+	onCommitted      func(routesVersion uint64, asOf time.Duration)
+	own              ownEntry
 	applied          uint64
 	notifiedRevision uint64 // the revision last passed to onCatalogue
 	notifiedRoutes   uint64 // the version last passed to onRoutes
@@ -81,8 +83,8 @@
 		waiters:   map[uint64]waiter{},
 		addresses: map[laburnumlog.ReplicaID]string{}, joiners: map[laburnumlever.VMID]joiner{},
 		renewals: map[string]renewal{}, onCatalogue: func(laburnumlever.Catalogue) {},
-		onRoutes: func(laburnumlever.EncodedRoutes) {},
-		done:     make(chan struct{}), startedAt: timers.Now(),
+		onRoutes: func(laburnumlever.EncodedRoutes) {}, onCommitted: func(uint64, time.Duration) {},
+		done: make(chan struct{}), startedAt: timers.Now(),
 	}
 	v.planner = laburnumquorum.NewPlanner(v.cfg.policy())
 	v.known.set(v.cfg.voters)
@@ -135,6 +137,11 @@
 // after recovery. It must be called before Start.
 func (v *Voter) OnRoutes(fn func(laburnumlever.EncodedRoutes)) { v.onRoutes = fn }
 
+// OnCommitted sets the function called on the control thread when this VM, as the leader, has committed an entry of its own term:
+// no route table newer than the version was acknowledged at the time asOf of laburnumtimer.SinceBoot, just before the entry was
+// appended. It must be called before Start.
+func (v *Voter) OnCommitted(fn func(routesVersion uint64, asOf time.Duration)) { v.onCommitted = fn }
+
 // Start starts the replica and its ticks.
 func (v *Voter) Start() {
 	v.loop.Post(v, started{})
@@ -206,6 +213,7 @@
 		v.step(laburnumlog.Receive{Message: m})
 	}
 	v.updateRole()
+	v.reportCommitted()
 	v.reportVoters()
 	v.reportStart()
 	v.publish()
--- a/laburnumvoter/voter_test.go
+++ b/laburnumvoter/voter_test.go
@@ -93,6 +93,8 @@
 	timers    *laburnumtimer.Timers
 	revisions chan uint64
 	ticks     atomic.Int64
+	// committed receives the times before the VM's own entries that it has committed as the leader.
+	committed chan time.Duration
 }
 
 func newFleet(t testing.TB, names []string, opts ...laburnumvoter.Option) *fleet {
@@ -112,7 +114,7 @@
 
 // start starts a VM. With an empty folder the VM has no replica.
 func (f *fleet) start(name, folder string, opts ...laburnumvoter.Option) *vm {
-	m := &vm{port: f.net.open(name), loop: laburnumeventloop.New(), timers: laburnumtimer.New(), revisions: make(chan uint64, 1<<12)}
+	m := &vm{port: f.net.open(name), loop: laburnumeventloop.New(), timers: laburnumtimer.New(), revisions: make(chan uint64, 1<<12), committed: make(chan time.Duration, 1<<12)}
 	all := append([]laburnumvoter.Option{
 		laburnumvoter.WithDataFolder(folder), laburnumvoter.WithVoters(f.voters), laburnumvoter.WithTick(tick),
 		laburnumvoter.WithProposalTimeout(waitTimeout),
@@ -122,6 +124,12 @@
 	require.NoError(f.t, err)
 	m.Voter = v
 	v.OnCatalogue(func(c laburnumlever.Catalogue) { m.revisions <- c.Revision })
+	v.OnCommitted(func(_ uint64, asOf time.Duration) {
+		select {
+		case m.committed <- asOf:
+		default: // only the first ones are of interest
+		}
+	})
 	go m.loop.Run()
 	v.Start()
 	f.vms[name] = m
@@ -448,3 +456,18 @@
 	cut(false, false)
 	f.vms[old].waitRevision(t, 2)
 }
+
+// Guards against keys that stay unconfirmed after an election until somebody has asked for another commit.
+func TestLeadersFirstCommitTellsWhenItLed(t *testing.T) {
+	f := newFleet(t, []string{"a", "b", "c"})
+	began := laburnumtimer.SinceBoot()
+	f.startAll()
+	f.wait("a leader", func() bool { return f.leader() != "" })
+	select {
+	case asOf := <-f.vms[f.leader()].committed:
+		require.GreaterOrEqual(t, asOf, began)
+		require.LessOrEqual(t, asOf, laburnumtimer.SinceBoot())
+	case <-time.After(waitTimeout):
+		t.Fatal("the leader has committed nothing")
+	}
+}
