fix: questions for confirmations are held instead of given up before their answers

A confirmation took longer than each wait on its way: a gateway gave a control VM 300 ms, a control VM the leader 250 ms, and both asked anew, behind the same queues. One without a leader searched for it by proposals, of which each hop takes half a second among starved VMs, and gave that up after three.

Now a question is held until there is an answer, for 3 s, and dated so that the wait does not make the confirmation older. A late control VM is not given up when the next one is asked. Control VMs ask the leader and, once it is late, all others: whichever leads next answers with its first commit. An older confirmation is told whatever its age, since the gateway judges it; one of over 2 s is a reason to ask another control VM as well.

--- a/laburnumgateway/accounts.go
+++ b/laburnumgateway/accounts.go
@@ -76,6 +76,13 @@
 	f.keys.view.Confirm(laburnumrevocation.Confirmation{Version: version, AsOf: asOf})
 }
 
+// AcceptsKeys reports whether keys of the route table in effect may be accepted.
+func (f *Fleet) AcceptsKeys() bool {
+	f.keys.mu.Lock()
+	defer f.keys.mu.Unlock()
+	return f.keys.view.Accepts(laburnumtimer.SinceBoot())
+}
+
 // setVersion records the version of the route table in effect.
 func (k *keys) setVersion(version uint64) {
 	k.mu.Lock()
--- a/laburnumrevocation/view.go
+++ b/laburnumrevocation/view.go
@@ -11,6 +11,16 @@
 	AsOf    time.Duration
 }
 
+// AgeAt returns the confirmation's age at a time, negative if it is later than that: how long after a question it was made, when it
+// answers one that was held. Clocks that differ in speed must not make it seem later, at either end, so that less than that is told.
+func (c Confirmation) AgeAt(t time.Duration) time.Duration {
+	age := t - c.AsOf
+	if age < 0 {
+		age -= time.Duration(2 * margin * float64(age))
+	}
+	return age
+}
+
 // View is what one VM knows. It is not safe for concurrent use.
 type View struct {
 	limit time.Duration
--- a/laburnumrevocation/view_test.go
+++ b/laburnumrevocation/view_test.go
@@ -117,3 +117,12 @@
 	require.False(t, v.AcceptsVersion(3, time.Second))
 	require.True(t, v.AcceptsVersion(4, time.Second))
 }
+
+// Guards against a held answer that clocks of different speed make seem later than its confirmation.
+func TestHeldConfirmationIsNeverToldAsLaterThanItIs(t *testing.T) {
+	asked, held := 10*time.Second, 3*time.Second
+	age := confirmation(1, asked+held).AgeAt(asked)
+	require.Negative(t, age)
+	require.Less(t, -age, held-held/50)
+	require.Equal(t, time.Second, confirmation(1, asked-time.Second).AgeAt(asked))
+}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -18,6 +18,7 @@
 	"laburnumlever/laburnumlog"
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumregistry"
+	"laburnumlever/laburnumrevocation"
 	"laburnumlever/laburnumroom"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/laburnumvoter"
@@ -140,7 +141,11 @@
 	}
 	c.versions.load(settings.FirstStart)
 	c.confirmations = newConfirmations(c.peers, c.voter)
-	c.confirmations.logger = c.logger
+	c.confirmations.logger, c.confirmations.timers = c.logger, c.timers
+	c.confirmations.self, c.confirmations.contacts = c.self.PeerAddress, c.contacts
+	c.voter.OnCommitted(func(version uint64, asOf time.Duration) {
+		c.confirmations.note(laburnumrevocation.Confirmation{Version: version, AsOf: asOf})
+	})
 	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
 	c.quotas = newQuotas(c.timers, c.source, c.confirmations, c.logger, c.metrics.Scope(),
 		laburnumquota.Terms(settings.Quota.Terms()), time.Duration(settings.Times.Revoke))
--- a/laburnumroles/errors.go
+++ b/laburnumroles/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"laburnumlever"
 )
@@ -15,3 +16,11 @@
 func (e *NotLeaderError) Error() string {
 	return fmt.Sprintf("this VM does not lead the log; the leader it knows of is %q", e.Leader)
 }
+
+// StaleConfirmationError is a control VM's last confirmation that its route table is the newest, of an age at which another
+// control VM may have a newer one.
+type StaleConfirmationError struct{ Age time.Duration }
+
+func (e *StaleConfirmationError) Error() string {
+	return fmt.Sprintf("this VM's last confirmation of the route table is %s old", e.Age)
+}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -64,7 +64,7 @@
 	quotas := &quotaKeepers{calls: calls, terms: terms, self: g.self, follower: func() *laburnumfeed.Follower { return g.follower }}
 	keepStreams := newStreamKeepers(calls, g.timers, g.logger, g.self, settings.ControlLosses, func() *laburnumfeed.Follower { return g.follower })
 	confirmer := routesConfirmer{
-		peers: g.peers, self: g.self,
+		peers: g.peers, timers: g.timers, self: g.self,
 		follower: func() *laburnumfeed.Follower { return g.follower }, fleet: func() *laburnumgateway.Fleet { return g.fleet },
 	}
 	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
--- a/laburnumroles/quotas.go
+++ b/laburnumroles/quotas.go
@@ -125,7 +125,10 @@
 	last, ok := u.confirmations.latest()
 	age := laburnumtimer.SinceBoot() - last.AsOf
 	if !ok || age > u.maxAge {
-		_, err := u.confirmations.confirm(ctx)
+		confirmed, err := u.confirmations.confirm(ctx)
+		if age = laburnumtimer.SinceBoot() - confirmed.AsOf; err == nil && age > u.maxAge {
+			return &StaleConfirmationError{Age: age}
+		}
 		return err
 	}
 	if age > sharesPeriod {
--- a/laburnumroles/routesconfirmer.go
+++ b/laburnumroles/routesconfirmer.go
@@ -7,19 +7,25 @@
 	"laburnumlever"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumgateway"
+	"laburnumlever/laburnumrevocation"
 	"laburnumlever/laburnumtimer"
 )
 
 const (
-	// confirmAttempts is the number of control VMs that a gateway asks for a confirmation.
-	confirmAttempts = 3
-	// confirmAttemptTimeout bounds one of them, which may ask the log's leader first.
+	// confirmAttemptTimeout is the time after which another control VM is asked as well. Earlier builds give the first one up then.
 	confirmAttemptTimeout = 300 * time.Millisecond
+	// quickAttempts is the number of control VMs that are asked at this pace, and slowAttemptTimeout the time before each further
+	// one: where all are late, asking them makes them later.
+	quickAttempts      = 3
+	slowAttemptTimeout = time.Second
+	// confirmTimeout bounds one round of questions. Answers that come later still count.
+	confirmTimeout = confirmHold + time.Second
 )
 
 // routesConfirmer asks control VMs whether the gateway's route table is the newest.
 type routesConfirmer struct {
 	peers    laburnumlever.Peers
+	timers   laburnumlever.Timers
 	self     laburnumlever.VM
 	follower func() *laburnumfeed.Follower
 	fleet    func() *laburnumgateway.Fleet
@@ -28,29 +34,45 @@
 var _ laburnumgateway.RoutesConfirmer = routesConfirmer{}
 
 // Confirm implements laburnumgateway.RoutesConfirmer. Errors: *laburnumlever.NotFoundError while no control VM
-// answers, and those of a call to another VM.
+// answers, *StaleConfirmationError if another one may have a newer confirmation, and those of a call to another VM.
 func (r routesConfirmer) Confirm(ctx context.Context) error {
-	var err error = &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
 	addresses := r.follower().ControlsFor(r.self.Zone, string(r.self.ID))
-	for _, address := range addresses[:min(confirmAttempts, len(addresses))] {
-		if err = r.confirmAt(ctx, address); err == nil {
-			return nil
-		}
+	if len(addresses) == 0 {
+		return &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
 	}
+	round, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	_, err := firstAnswer(round, r.timers, addresses, attemptPause, func(_ context.Context, address string) (laburnumrevocation.Confirmation, error) {
+		return r.confirmAt(ctx, address)
+	})
 	return err
 }
 
-func (r routesConfirmer) confirmAt(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmAttemptTimeout)
+// attemptPause returns the time until the next control VM is asked.
+func attemptPause(asked int) time.Duration {
+	if asked < quickAttempts {
+		return confirmAttemptTimeout
+	}
+	return slowAttemptTimeout
+}
+
+// confirmAt asks one control VM. What it tells counts in any case, but an old confirmation is no reason to ask no other one.
+func (r routesConfirmer) confirmAt(ctx context.Context, address string) (laburnumrevocation.Confirmation, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmCallTimeout)
 	defer cancel()
 	asked := laburnumtimer.SinceBoot()
+	q := confirmRequest{Hold: laburnumlever.Duration(confirmHold), Older: !r.fleet().AcceptsKeys()}
 	var answer confirmAnswer
-	if err := r.peers.Call(ctx, address, methodConfirmRoutes, confirmRequest{}, &answer); err != nil {
-		return err
+	if err := r.peers.Call(ctx, address, methodConfirmRoutes, q, &answer); err != nil {
+		return laburnumrevocation.Confirmation{}, err
 	}
+	confirmed := laburnumrevocation.Confirmation{Version: answer.Version, AsOf: asked - time.Duration(answer.Age)}
 	if answer.Version > r.fleet().RoutesVersion() {
 		r.follower().FetchRoutes(address)
 	}
-	r.fleet().ConfirmRoutes(answer.Version, asked-time.Duration(answer.Age))
-	return nil
+	r.fleet().ConfirmRoutes(confirmed.Version, confirmed.AsOf)
+	if age := laburnumtimer.SinceBoot() - confirmed.AsOf; age >= maxConfirmAge {
+		return confirmed, &StaleConfirmationError{Age: age}
+	}
+	return confirmed, nil
 }
