fix: leaders and votes outlast answers that take longer than a second

With two of five voters' disks lost a leader needs all that are left. It stepped down once one of them had stood still for a second, or before the answers to its first heartbeats could have come; a candidate forgot the votes that came after its next try. Among starved VMs the log then had a leader for a third of the time.

A leader steps down 3 s after it last heard a majority, 4 s after its election if it never has. Votes of a term count for as long as the replica knows no leader of it and has asked for them since its start; answers to pre-votes count for 3 s. Followers refuse votes as before only in the second after they heard a leader, so that a new one is elected no later than before; a leader that is cut off goes on for 2 s longer without committing anything.

The other tests of the log, its models and random schedules among them, pass.

--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -31,10 +31,15 @@
 // preCampaign starts a pre-vote, which asks whether an election could be won without raising
 // the term. Without it, a partitioned replica would return with a higher term and depose a
 // working leader.
+//
+// Answers to an earlier pre-vote of the last quorumTicks count: among starved VMs they take longer than the time until the next one.
 func (l *Log) preCampaign() {
+	if l.role != PreCandidate || l.ticks-l.preVotesSince >= quorumTicks {
+		l.preVotes, l.preVotesSince = map[ReplicaID]bool{l.id: true}, l.ticks
+	}
 	l.role = PreCandidate
 	l.resetTimeout()
-	l.votes = map[ReplicaID]bool{l.id: true}
+	l.votes = l.preVotes
 	if l.hasVoteMajority() {
 		l.campaign(false)
 		return
@@ -49,6 +54,7 @@
 	l.hard.Term++
 	l.hard.Vote = l.id
 	l.votes = map[ReplicaID]bool{}
+	l.termVotes = l.votes
 	l.resetTimeout()
 	l.requestVotes(MessageVote, l.hard.Term, force)
 	// The replica's own vote is sent as a message too, so it counts only once it is durable.
@@ -76,6 +82,7 @@
 		l.elections++
 	}
 	l.role = Follower
+	l.termVotes = nil
 	l.leader = leader
 	if leader != "" {
 		l.elections = 0
@@ -228,16 +235,19 @@
 	l.sendDurable(Message{Kind: MessageVoteAnswer, To: m.From})
 }
 
+// onVoteAnswer counts the votes of a term for as long as the replica knows no leader of it: they may come after its next pre-vote.
 func (l *Log) onVoteAnswer(m Message) {
-	if l.role == Candidate && m.Reject {
-		l.recordRejection(m.From)
+	if l.termVotes == nil || l.role != Candidate && l.role != PreCandidate {
 		return
 	}
-	if l.role != Candidate {
+	if m.Reject {
+		if l.role == Candidate {
+			l.recordRejection(m.From)
+		}
 		return
 	}
-	l.votes[m.From] = true
-	if l.hasVoteMajority() {
+	l.termVotes[m.From] = true
+	if l.Configuration().HasMajority(func(v Member) bool { return l.termVotes[v.ID] }) {
 		l.becomeLeader()
 	}
 }
--- a/laburnumlog/log.go
+++ b/laburnumlog/log.go
@@ -12,6 +12,9 @@
 	// between one and two times this. At 100 ms a tick, ten ticks tolerate a slow fsync
 	// and one or two lost heartbeats.
 	electionTicks = 10
+	// quorumTicks is how long a leader leads without hearing a majority, and firstQuorumTicks how long until it has heard one. Starved
+	// VMs answer that late, and an election among them takes longer than the leader's silence.
+	quorumTicks, firstQuorumTicks = 3 * electionTicks, 4 * electionTicks
 	// retryTicks is the minimum timeout of a candidate before it starts another election.
 	// It is longer than the round trip and the fsync that an election usually takes.
 	retryTicks = 2
@@ -68,7 +71,10 @@
 	// configurations are those in the log, oldest first; the last one is in effect.
 	configurations []configurationAt
 	progress       map[ReplicaID]progress
-	votes          map[ReplicaID]bool
+	// votes are the answers to the last request: preVotes, which count from the tick preVotesSince on, or termVotes, those of the
+	// current term, nil unless this start has asked for some.
+	votes, preVotes, termVotes map[ReplicaID]bool
+	preVotesSince              uint64
 	// elections is the number of elections that this replica has taken part in since it last knew a leader.
 	elections      int
 	elapsed        int
@@ -152,7 +158,7 @@
 	c.entries = slices.Clone(l.entries)
 	c.configurations = slices.Clone(l.configurations)
 	c.progress = maps.Clone(l.progress)
-	c.votes = maps.Clone(l.votes)
+	c.votes, c.preVotes, c.termVotes = maps.Clone(l.votes), maps.Clone(l.preVotes), maps.Clone(l.termVotes)
 	c.pending = slices.Clone(l.pending)
 	c.start.registered = maps.Clone(l.start.registered)
 	c.heardAt = maps.Clone(l.heardAt)
--- a/laburnumlog/replication.go
+++ b/laburnumlog/replication.go
@@ -113,7 +113,10 @@
 			l.resend(m.ID)
 		}
 	}
-	heard := func(m Member) bool { return m.ID == l.id || l.progress[m.ID].silentTicks < electionTicks }
+	heard := func(m Member) bool {
+		p := l.progress[m.ID]
+		return m.ID == l.id || p.silentTicks < quorumTicks || p.boot == 0 && p.silentTicks < firstQuorumTicks
+	}
 	if !l.Configuration().HasMajority(heard) {
 		// Check-quorum: otherwise a partitioned leader would keep accepting commands that it
 		// can never commit.
