fix: a question that is late already is waited for by nobody else

A gateway that is cut off waits for its control VM's confirmation, which is now held for 3 s. Each request with a key would have waited 300 ms for it, one after the other, although the question before had gone unanswered for longer than that.

A request waits for a question only until that is 300 ms old, and is refused at once after that; a gateway that has never had a confirmation waits as before, since all VMs may be returning.

TestRequestIsRefusedAtOnceWhileAQuestionIsLate: 301 ms before, less than 150 ms wanted.

--- a/laburnumgateway/accounts.go
+++ b/laburnumgateway/accounts.go
@@ -59,6 +59,8 @@
 	view *laburnumrevocation.View
 	// asking is closed when the confirmation that is being requested has arrived or failed; nil without one.
 	asking chan struct{}
+	// askedAt is when it was requested.
+	askedAt time.Duration
 	// failedAt is when a confirmation last failed.
 	failedAt time.Duration
 	failed   bool
@@ -134,7 +136,7 @@
 	if k.failed && laburnumtimer.SinceBoot()-k.failedAt < k.retryPause() {
 		return nil
 	}
-	k.asking = make(chan struct{})
+	k.asking, k.askedAt = make(chan struct{}), laburnumtimer.SinceBoot()
 	go f.confirm(k.asking)
 	return k.asking
 }
@@ -142,7 +144,7 @@
 // refresh requests a confirmation and waits for it at most for the given time. It does nothing right after a failure.
 func (f *Fleet) refresh(ctx context.Context, wait time.Duration) {
 	asking := f.requestConfirmation()
-	if asking == nil {
+	if asking == nil || wait <= 0 {
 		return
 	}
 	over, cancel := laburnumtimer.AfterChannel(f.timers, wait)
@@ -225,11 +227,11 @@
 	return f.index.Load()
 }
 
-// awaitConfirmation requests a confirmation and waits for it. A gateway that has just started waits longer, as it does
+// awaitConfirmation requests a confirmation and waits for it, no longer than one usually takes from when it was requested. A gateway that has just started waits longer, as it does
 // for its first route table, and asks again: after an outage of all VMs the log has no leader for a while.
 func (f *Fleet) awaitConfirmation(ctx context.Context, caller laburnumlever.CallerRequest) {
 	started := f.keys.everConfirmed()
-	wait := confirmWait
+	wait := confirmWait - f.keys.askedFor()
 	if !started {
 		wait = firstRoutesWait
 	}
@@ -246,6 +248,16 @@
 	}
 }
 
+// askedFor returns how long a confirmation has been requested; 0 if none is.
+func (k *keys) askedFor() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.asking == nil {
+		return 0
+	}
+	return laburnumtimer.SinceBoot() - k.askedAt
+}
+
 // everConfirmed reports whether a confirmation of the table in effect has arrived since the start.
 func (k *keys) everConfirmed() bool {
 	k.mu.Lock()
--- a/laburnumgateway/accounts_test.go
+++ b/laburnumgateway/accounts_test.go
@@ -56,11 +56,19 @@
 	asks    int
 	// late is how long ago the asks of grants were sent.
 	late time.Duration
+	// held, unless nil, is what questions for confirmations are held for.
+	held <-chan struct{}
 }
 
 func (c *controlVMs) Confirm(context.Context) error {
 	asked := laburnumtimer.SinceBoot()
 	c.mu.Lock()
+	held := c.held
+	c.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cutOff {
 		return &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
@@ -328,6 +336,22 @@
 	close(c.release)
 }
 
+// Guards against callers who each wait for a question that control VMs hold, although it is late already.
+func TestRequestIsRefusedAtOnceWhileAQuestionIsLate(t *testing.T) {
+	const usual = 300 * time.Millisecond // how long a confirmation may be waited for
+	b, c := newAccountHarness(t, newBackend(t, "i-1", answerOK), "k1")
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	held := make(chan struct{})
+	t.Cleanup(func() { close(held) })
+	c.set(func(c *controlVMs) { c.held = held })
+	cut := time.Now()
+	require.Eventually(t, func() bool { return time.Since(cut) > revokeTime }, 10*time.Second, time.Millisecond)
+	require.Equal(t, "keys-unconfirmed\n", b.send("POST", "/confirm/x", "visit", keyHeader, "k1").body)
+	began := time.Now()
+	require.Equal(t, "keys-unconfirmed\n", b.send("POST", "/confirm/x", "visit", keyHeader, "k1").body)
+	require.Less(t, time.Since(began), usual/2)
+}
+
 // hangingConfirmer does not answer until it is released.
 type hangingConfirmer struct {
 	once           sync.Once
--- a/laburnumroles/quotas.go
+++ b/laburnumroles/quotas.go
@@ -120,8 +120,10 @@
 }
 
 // confirm returns an error if this VM may be cut off, so that others may share the quotas differently or have lowered
-// them.
+// them. It takes no longer than a gateway waits.
 func (u *quotas) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, keeperTimeout)
+	defer cancel()
 	last, ok := u.confirmations.latest()
 	age := laburnumtimer.SinceBoot() - last.AsOf
 	if !ok || age > u.maxAge {
