fix: a read of the manifest is answered by any later confirmation

On two processors two of three reads within 5 s of a return were answered 503, since each waits 0.9 s for a commit of its own and gives it up then, although the log commits for others meanwhile.

What a read needs is the newest version as of its arrival or later. A confirmation of such a time tells it, whoever asked for it; the read takes that or its own commit, whichever comes first. A read without a quorum fails as soon as before.

TestNewestVersionIsReadFromALaterConfirmation does not compile before; with the commit alone it fails after 0.9 s.

--- a/laburnumroles/confirm.go
+++ b/laburnumroles/confirm.go
@@ -32,7 +32,7 @@
 	maxConfirmAge = 2 * time.Second
 	// confirmHold is how long a question is held while there is no confirmation: an election among starved VMs takes that long.
 	confirmHold = 3 * time.Second
-	// retryAskPause is the time until a VM that did not answer is asked again.
+	// retryAskPause is the time until a confirmation is requested again that was not had, or was too old.
 	retryAskPause = 100 * time.Millisecond
 	// confirmCallTimeout bounds a question. It leaves starved VMs several seconds to pass it and its answer on.
 	confirmCallTimeout = confirmHold + 5*time.Second
@@ -138,14 +138,15 @@
 		if ok {
 			return last, true
 		}
-		var failed <-chan singleflight.Result
+		var requested <-chan singleflight.Result
 		if requests || c.leads() {
-			failed = c.start()
+			requested = c.start()
 		}
 		select {
 		case <-changed:
-		case r := <-failed:
-			if r.Err != nil && !laburnumtimer.Wait(ctx.Done(), c.timers, confirmWait) {
+		case r := <-requested:
+			confirmed, _ := r.Val.(laburnumrevocation.Confirmation)
+			if (r.Err != nil || confirmed.AsOf < asOf) && !laburnumtimer.Wait(ctx.Done(), c.timers, retryAskPause) {
 				return laburnumrevocation.Confirmation{}, false
 			}
 		case <-ctx.Done():
--- a/laburnumroles/confirmheld_internal_test.go
+++ b/laburnumroles/confirmheld_internal_test.go
@@ -97,3 +97,19 @@
 	require.LessOrEqual(t, asOf, confirmed.AsOf)
 	require.Greater(t, asOf, confirmed.AsOf-held/4)
 }
+
+// Guards against reads of the manifest that fail while the log commits, since each waits for a commit of its own.
+func TestNewestVersionIsReadFromALaterConfirmation(t *testing.T) {
+	const commit = operatorProposalTimeout / 2
+	self := laburnumlever.VM{ID: "d", PeerAddress: "d"}
+	voter, err := laburnumvoter.New(laburnumeventloop.New(), laburnumtimer.New(), latePeers{}, self, laburnumvoter.WithVoters([]laburnumlever.Voter{{VM: "a", PeerAddress: "a"}}))
+	require.NoError(t, err)
+	c := &Control{voter: voter, confirmations: newConfirmations(latePeers{}, voter)}
+	c.confirmations.note(laburnumrevocation.Confirmation{Version: 6, AsOf: laburnumtimer.SinceBoot()})
+	time.AfterFunc(commit, func() {
+		c.confirmations.note(laburnumrevocation.Confirmation{Version: 7, AsOf: laburnumtimer.SinceBoot()})
+	})
+	version, err := c.newestVersion(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), version, "the confirmation of before says nothing of what was acknowledged since")
+}
--- a/laburnumroles/controlroutes.go
+++ b/laburnumroles/controlroutes.go
@@ -6,6 +6,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumroutes"
+	"laburnumlever/laburnumtimer"
 
 	"github.com/go-kit/log/level"
 )
@@ -154,12 +155,12 @@
 // ReadRoutes is a linearizable read of the route table; it fails without a quorum. The log tells the newest version, and
 // hands out the table itself only if this VM doesn't have it.
 func (c *Control) ReadRoutes(ctx context.Context) (laburnumlever.RouteTable, error) {
-	newest, err := c.propose(ctx, laburnumlever.CommandNoop, 0)
+	newest, err := c.newestVersion(ctx)
 	if err != nil {
 		return laburnumlever.RouteTable{}, err
 	}
 	own := c.routes.Load()
-	if own != nil && len(own.Document) > 0 && newest.RoutesVersion > 0 && own.Version >= newest.RoutesVersion {
+	if own != nil && len(own.Document) > 0 && newest > 0 && own.Version >= newest {
 		return *own, nil
 	}
 	size := laburnumlever.MaxRoutesDocument
@@ -176,6 +177,35 @@
 	return result.Routes.Table()
 }
 
+// newestVersion returns the version that a commit tells, or a confirmation of a time after the call, whichever comes first: among
+// starved VMs each commit takes longer than an operator waits, but others go on.
+func (c *Control) newestVersion(ctx context.Context) (uint64, error) {
+	asked := laburnumtimer.SinceBoot()
+	ctx, cancel := context.WithTimeout(ctx, operatorProposalTimeout)
+	defer cancel()
+	confirmed := make(chan uint64, 1)
+	go func() {
+		if last, ok := c.confirmations.newerThan(ctx, asked, operatorProposalTimeout, true); ok {
+			confirmed <- last.Version
+		}
+	}()
+	type outcome struct {
+		version uint64
+		err     error
+	}
+	committed := make(chan outcome, 1)
+	go func() {
+		result, err := c.propose(ctx, laburnumlever.CommandNoop, 0)
+		committed <- outcome{version: result.RoutesVersion, err: err}
+	}()
+	select {
+	case version := <-confirmed:
+		return version, nil
+	case o := <-committed:
+		return o.version, o.err
+	}
+}
+
 // propose proposes a command without content, whose result may have an operators' text of a size in bytes.
 func (c *Control) propose(ctx context.Context, kind laburnumlever.CommandKind, size int) (laburnumlever.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposalTime(size))
