fix: a leader that lost the log asks who leads, and stale confirmations are not told at once

An older confirmation is told at once only while keys are valid by it, and otherwise the question is held. A confirmation answers a read if it is 2% of the read's time later than it.

--- a/laburnumroles/confirm.go
+++ b/laburnumroles/confirm.go
@@ -63,9 +63,11 @@
 	// self is the peer address of this VM, contacts are the control VMs that it knows: one without a replica knows no voters.
 	self     string
 	contacts func() []laburnumlever.Voter
+	// validFor is how long keys are accepted by a confirmation.
+	validFor time.Duration
 	timers   laburnumlever.Timers
 	group    singleflight.Group
-	// logger gets the first confirmation after some time without, and what the others failed of.
+	// logger gets the first confirmation after some time without, and the causes of requests that fail.
 	logger log.Logger
 	// request requests a new confirmation.
 	request func(ctx context.Context) (laburnumrevocation.Confirmation, error)
@@ -112,7 +114,7 @@
 		if confirmed, ok := c.newerThan(ctx, received-confirmCacheTime, confirmWait, !q.Leader); ok {
 			return confirmed, nil
 		}
-		if last, ok := c.latest(); ok {
+		if last, ok := c.atMost(c.validFor); ok {
 			return last, nil
 		}
 	}
@@ -230,12 +232,9 @@
 	return last, ok && laburnumtimer.SinceBoot()-last.AsOf < age
 }
 
-// requestFromVoters commits an entry if this VM leads, and otherwise asks the voters. A confirmation that this VM gets otherwise
-// meanwhile ends the request.
+// requestFromVoters asks the voters, this one included, for a confirmation. One that this VM gets otherwise meanwhile ends the
+// request.
 func (c *confirmations) requestFromVoters(ctx context.Context) (laburnumrevocation.Confirmation, error) {
-	if c.leads() {
-		return c.commit(ctx)
-	}
 	ctx, cancel := context.WithTimeout(ctx, confirmCallTimeout)
 	defer cancel()
 	c.mu.Lock()
@@ -258,32 +257,38 @@
 	}
 }
 
-// bySearch stands for a search of the log's leader among the addresses that are asked.
+// bySearch stands for a commit, by whichever VM leads the log, among the addresses that are asked.
 const bySearch = ""
 
 // askVoters asks the leader, if there is one, and all other control VMs once it is late: one of them may become the leader, and
-// answers then. If earlier builds refuse that, or nobody has answered for confirmHold, the leader is searched for as well. The first answer
-// counts. Errors: those of all calls and of a proposal.
+// answers then. If earlier builds refuse that, or nobody has answered for confirmHold, the leader is searched for as well. A VM that
+// leads commits an entry, and asks the others if that takes long: it may lead no more. The first answer counts. Errors: those of all
+// calls and of a proposal.
 func (c *confirmations) askVoters(ctx context.Context) (laburnumrevocation.Confirmation, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	leader := c.voter.LeaderAddress()
+	first, patience, leads := c.voter.LeaderAddress(), leaderAnswerTime, c.leads()
+	if leads {
+		first, patience = bySearch, maxConfirmAge
+	}
 	var addresses []string
-	if leader != "" {
-		addresses = append(addresses, leader)
+	if leads || first != "" {
+		addresses = append(addresses, first)
 	}
 	for _, v := range slices.Concat(c.voter.Status().Voters, c.contacts()) {
 		if v.PeerAddress != c.self && !slices.Contains(addresses, v.PeerAddress) {
 			addresses = append(addresses, v.PeerAddress)
 		}
 	}
-	addresses = append(addresses, bySearch)
+	if !leads {
+		addresses = append(addresses, bySearch)
+	}
 	pause := func(asked int) time.Duration {
 		switch {
-		case asked == len(addresses)-1:
+		case !leads && asked == len(addresses)-1:
 			return confirmHold
-		case leader != "" && asked == 1:
-			return leaderAnswerTime
+		case asked == 1 && (leads || first != ""):
+			return patience
 		default:
 			return 0
 		}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -143,6 +143,7 @@
 	c.confirmations = newConfirmations(c.peers, c.voter)
 	c.confirmations.logger, c.confirmations.timers = c.logger, c.timers
 	c.confirmations.self, c.confirmations.contacts = c.self.PeerAddress, c.contacts
+	c.confirmations.validFor = time.Duration(settings.Times.Revoke)
 	c.voter.OnCommitted(func(version uint64, asOf time.Duration) {
 		c.confirmations.note(laburnumrevocation.Confirmation{Version: version, AsOf: asOf})
 	})
--- a/laburnumroles/controlroutes.go
+++ b/laburnumroles/controlroutes.go
@@ -15,6 +15,10 @@
 // the operator gets an answer. Operators wait longer for a large change: for the largest it is proposalTimeout.
 const operatorProposalTimeout = 900 * time.Millisecond
 
+// readMargin is how much later than a read a confirmation has to be that answers it: clocks differ in speed, by which the age of a
+// confirmation is told.
+const readMargin = operatorProposalTimeout / 50
+
 // answerTimeout bounds the time until the largest change is answered, the wait for the gateways included: an operator who gets no
 // answer sends the megabytes again.
 const answerTimeout = 4500 * time.Millisecond
@@ -180,7 +184,7 @@
 // newestVersion returns the version that a commit tells, or a confirmation of a time after the call, whichever comes first: among
 // starved VMs each commit takes longer than an operator waits, but others go on.
 func (c *Control) newestVersion(ctx context.Context) (uint64, error) {
-	asked := laburnumtimer.SinceBoot()
+	asked := laburnumtimer.SinceBoot() + readMargin
 	ctx, cancel := context.WithTimeout(ctx, operatorProposalTimeout)
 	defer cancel()
 	confirmed := make(chan uint64, 1)
