--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -140,14 +140,7 @@
 		return nil, err
 	}
 	c.versions.load(settings.FirstStart)
-	c.confirmations = newConfirmations(c.peers, c.voter)
-	c.confirmations.logger, c.confirmations.timers = c.logger, c.timers
-	c.confirmations.self, c.confirmations.contacts = c.self.PeerAddress, c.contacts
-	c.confirmations.validFor = time.Duration(settings.Times.Revoke)
-	c.voter.OnCommitted(func(version uint64, asOf time.Duration) {
-		c.confirmations.note(laburnumrevocation.Confirmation{Version: version, AsOf: asOf})
-	})
-	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
+	c.buildConfirmations()
 	c.quotas = newQuotas(c.timers, c.source, c.confirmations, c.logger, c.metrics.Scope(),
 		laburnumquota.Terms(settings.Quota.Terms()), time.Duration(settings.Times.Revoke))
 	c.peers.Handle(methodQuotaGrant, c.quotas.handle)
@@ -159,6 +152,17 @@
 	return c, nil
 }
 
+func (c *Control) buildConfirmations() {
+	c.confirmations = newConfirmations(c.peers, c.voter)
+	c.confirmations.logger, c.confirmations.timers = c.logger, c.timers
+	c.confirmations.self, c.confirmations.contacts = c.self.PeerAddress, c.contacts
+	c.confirmations.validFor = time.Duration(c.settings.Times.Revoke)
+	c.voter.OnCommitted(func(version uint64, asOf time.Duration) {
+		c.confirmations.note(laburnumrevocation.Confirmation{Version: version, AsOf: asOf})
+	})
+	c.peers.Handle(methodConfirmRoutes, c.confirmations.handle)
+}
+
 func (c *Control) buildDirector(engines laburnumlever.ModelEngines) {
 	d := laburnumdirector.New(c.loop, c.timers, c.voter, newRestingEngines(engines, c.timers), c.self,
 		laburnumdirector.WithLease(time.Duration(c.settings.Times.Lease)),
