--- a/laburnumroles/confirm.go
+++ b/laburnumroles/confirm.go
@@ -267,33 +267,43 @@
 func (c *confirmations) askVoters(ctx context.Context) (laburnumrevocation.Confirmation, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	first, patience, leads := c.voter.LeaderAddress(), leaderAnswerTime, c.leads()
-	if leads {
-		first, patience = bySearch, maxConfirmAge
+	if c.leads() {
+		return firstAnswer(ctx, c.timers, append([]string{bySearch}, c.others()...), pauseAfterFirst(maxConfirmAge), c.ask)
 	}
-	var addresses []string
-	if leads || first != "" {
-		addresses = append(addresses, first)
+	others := c.others()
+	first := time.Duration(0)
+	if leader := c.voter.LeaderAddress(); leader != "" {
+		first = leaderAnswerTime
+		others = append([]string{leader}, slices.DeleteFunc(others, func(address string) bool { return address == leader })...)
 	}
-	for _, v := range slices.Concat(c.voter.Status().Voters, c.contacts()) {
-		if v.PeerAddress != c.self && !slices.Contains(addresses, v.PeerAddress) {
-			addresses = append(addresses, v.PeerAddress)
+	pause := func(asked int) time.Duration {
+		if asked == len(others) {
+			return confirmHold
 		}
+		return pauseAfterFirst(first)(asked)
 	}
-	if !leads {
-		addresses = append(addresses, bySearch)
+	return firstAnswer(ctx, c.timers, append(others, bySearch), pause, c.ask)
+}
+
+// pauseAfterFirst has the first VM asked alone for a time, and then all others at once.
+func pauseAfterFirst(alone time.Duration) func(asked int) time.Duration {
+	return func(asked int) time.Duration {
+		if asked == 1 {
+			return alone
+		}
+		return 0
 	}
-	pause := func(asked int) time.Duration {
-		switch {
-		case !leads && asked == len(addresses)-1:
-			return confirmHold
-		case asked == 1 && (leads || first != ""):
-			return patience
-		default:
-			return 0
+}
+
+// others returns the peer addresses of the other voters and control VMs.
+func (c *confirmations) others() []string {
+	var addresses []string
+	for _, v := range slices.Concat(c.voter.Status().Voters, c.contacts()) {
+		if v.PeerAddress != c.self && !slices.Contains(addresses, v.PeerAddress) {
+			addresses = append(addresses, v.PeerAddress)
 		}
 	}
-	return firstAnswer(ctx, c.timers, addresses, pause, c.ask)
+	return addresses
 }
 
 // ask asks one VM until it answers or refuses: one that can't be reached may have just lost power, and one that has held the question
