fix: a gateway holds at most three questions at control VMs that are only late

At 780 gateways and ten control VMs six held questions each would, beside the polls, be more than a control VM handles at once (1,024 calls), and polls would be refused.

Three control VMs are asked although all are only late, further ones as some fail: links to those that do not answer at all are closed within 2 s. Questions of earlier builds, which wait for 300 ms, are kept no longer than that.

--- a/laburnumroles/confirm.go
+++ b/laburnumroles/confirm.go
@@ -104,6 +104,8 @@
 		if q.Leader && !c.leads() {
 			return laburnumrevocation.Confirmation{}, &NotLeaderError{Leader: c.voter.Status().Leader}
 		}
+		ctx, cancel := context.WithTimeout(ctx, confirmAttemptTimeout)
+		defer cancel()
 		confirmed, err := c.confirm(ctx)
 		if err == nil && laburnumtimer.SinceBoot()-confirmed.AsOf >= maxConfirmAge {
 			return laburnumrevocation.Confirmation{}, &StaleConfirmationError{Age: laburnumtimer.SinceBoot() - confirmed.AsOf}
--- a/laburnumroles/routesconfirmer.go
+++ b/laburnumroles/routesconfirmer.go
@@ -14,10 +14,9 @@
 const (
 	// confirmAttemptTimeout is the time after which another control VM is asked as well. Earlier builds give the first one up then.
 	confirmAttemptTimeout = 300 * time.Millisecond
-	// quickAttempts is the number of control VMs that are asked at this pace, and slowAttemptTimeout the time before each further
-	// one: where all are late, asking them makes them later.
-	quickAttempts      = 3
-	slowAttemptTimeout = time.Second
+	// confirmAttempts is the number of control VMs that are asked although all are only late, which more questions would make worse.
+	// Further ones are asked as others fail; links to those that do not answer at all are closed within two seconds.
+	confirmAttempts = 3
 	// confirmTimeout bounds one round of questions. Answers that come later still count.
 	confirmTimeout = confirmHold + time.Second
 )
@@ -48,12 +47,12 @@
 	return err
 }
 
-// attemptPause returns the time until the next control VM is asked.
+// attemptPause returns the time until the next control VM is asked, unless one fails.
 func attemptPause(asked int) time.Duration {
-	if asked < quickAttempts {
+	if asked < confirmAttempts {
 		return confirmAttemptTimeout
 	}
-	return slowAttemptTimeout
+	return confirmTimeout
 }
 
 // confirmAt asks one control VM. What it tells counts in any case, but an old confirmation is no reason to ask no other one.
