fix: a control VM that stops waits for the saves that run

The log's writes are waited for at a stop, the saves of servers and of software versions were not: they run on goroutines of their own, and write to the folder at each heartbeat period, or at a new version. A process that is started again on the folder right after could replace its own saves by those of its predecessor; in the program itself the process ends with them.

Control.Shutdown waits for the saves that run, and starts no further ones.

--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -83,6 +83,8 @@
 	// streams keeps which software versions began streams, versions remembers over restarts which there were.
 	streams  *streams
 	versions *versionList
+	// saves are those of endpoints and versions that run.
+	saves saves
 	// foreign counts entries of other writers.
 	foreign *laburnumfeed.ForeignEntries
 	// commitTimes are the times to commit an operator's change.
@@ -114,7 +116,7 @@
 	c.foreign = laburnumfeed.NewForeignEntries(c.logger, c.metrics.Scope())
 	c.registry, c.room = laburnumregistry.New(time.Duration(settings.Times.Heartbeat)), laburnumroom.NewTable()
 	c.versions = &versionList{
-		store: laburnumendpoints.New(settings.DataFolder), timers: c.timers, logger: c.logger, known: c.allSoftware, controls: c.controlCount,
+		store: laburnumendpoints.New(settings.DataFolder), saves: &c.saves, timers: c.timers, logger: c.logger, known: c.allSoftware, controls: c.controlCount,
 		start: func() uint64 { return c.voter.Starts() }, confirmed: func() bool { return c.voter.StartConfirmed() },
 		complete: func() bool { return c.streams.complete() },
 	}
@@ -146,7 +148,7 @@
 	c.peers.Handle(methodQuotaGrant, c.quotas.handle)
 	c.buildDirector(engines)
 	if settings.RememberServers {
-		c.endpoints = newEndpoints(settings.DataFolder, c.logger)
+		c.endpoints = newEndpoints(settings.DataFolder, &c.saves, c.logger)
 		c.source.SetRemembered(c.endpoints.load(), c.timers.Now().Add(rememberPeriods*time.Duration(settings.Times.Heartbeat)))
 	}
 	return c, nil
@@ -331,6 +333,7 @@
 	c.director.Close()
 	c.lifts.close()
 	_ = c.voter.Close()
+	c.saves.close()
 	c.close()
 	c.loop.Stop()
 	_ = level.Info(c.logger).Log("event", laburnumlever.EventStopped, "role", "control")
--- a/laburnumroles/endpoints.go
+++ b/laburnumroles/endpoints.go
@@ -18,6 +18,7 @@
 // endpoints saves endpoint state on a control VM. It is safe for concurrent use.
 type endpoints struct {
 	store  *laburnumendpoints.Store
+	saves  *saves
 	logger log.Logger
 
 	mu      sync.Mutex
@@ -27,8 +28,8 @@
 	failed bool
 }
 
-func newEndpoints(folder string, logger log.Logger) *endpoints {
-	return &endpoints{store: laburnumendpoints.New(folder), logger: logger}
+func newEndpoints(folder string, running *saves, logger log.Logger) *endpoints {
+	return &endpoints{store: laburnumendpoints.New(folder), saves: running, logger: logger}
 }
 
 // load returns what was saved before this start; none if it can't be read.
@@ -58,8 +59,7 @@
 	if !e.changed || e.saving {
 		return
 	}
-	e.changed, e.saving = false, true
-	go func() { e.saved(e.store.Save(records())) }()
+	e.changed, e.saving = false, e.saves.start(func() { e.saved(e.store.Save(records())) })
 }
 
 // saved records the result of a save.
--- a/laburnumroles/streams_internal_test.go
+++ b/laburnumroles/streams_internal_test.go
@@ -27,7 +27,7 @@
 // listOf returns the version list of a control VM that has lost its disk.
 func listOf(t testing.TB, timers laburnumlever.Timers, controls func() int) *versionList {
 	l := &versionList{
-		store: laburnumendpoints.New(t.TempDir()), timers: timers, logger: log.NewNopLogger(), controls: controls,
+		store: laburnumendpoints.New(t.TempDir()), saves: &saves{}, timers: timers, logger: log.NewNopLogger(), controls: controls,
 		start: func() uint64 { return 1 }, known: func() servicesVersions { return nil }, confirmed: func() bool { return true },
 		complete: func() bool { return false },
 	}
--- a/laburnumroles/versionlist.go
+++ b/laburnumroles/versionlist.go
@@ -26,6 +26,7 @@
 // safe for concurrent use.
 type versionList struct {
 	store  *laburnumendpoints.Store
+	saves  *saves
 	timers laburnumlever.Timers
 	logger log.Logger
 	// start returns the number of this start, known the versions that the VM knows now, controls the number of control VMs.
@@ -88,8 +89,7 @@
 	defer l.mu.Unlock()
 	l.changed = true
 	if !l.saving {
-		l.saving = true
-		go l.saveChanges()
+		l.saving = l.saves.start(l.saveChanges)
 	}
 }
 
--- a/laburnumroles/versionlist_internal_test.go
+++ b/laburnumroles/versionlist_internal_test.go
@@ -36,7 +36,7 @@
 	f.start++
 	f.known = servicesVersions{}
 	l := &versionList{
-		store: laburnumendpoints.New(f.folder), timers: f.timers, logger: log.NewNopLogger(), controls: threeControls,
+		store: laburnumendpoints.New(f.folder), saves: &saves{}, timers: f.timers, logger: log.NewNopLogger(), controls: threeControls,
 		start: func() uint64 { return f.start }, known: func() servicesVersions { return maps.Clone(f.known) },
 		complete: func() bool { return f.complete }, confirmed: func() bool { return f.confirmed },
 	}
