refactor: the calls to control VMs are served by a package of their own

Package platform linked the HTTP framework of these calls into whatever translates a header. The handler, the bodies that it reads and their errors move to platform/laburnumcontrolapi, unchanged; the documents stay in platform.

--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -21,6 +21,7 @@
 	"laburnumlever/laburnumroles"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/platform"
+	"laburnumlever/platform/laburnumcontrolapi"
 )
 
 const (
@@ -168,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	handler, err := platform.NewHandler(control, platform.WithForeign(control.HeartbeatRefused), platform.WithRefused(control.RoutesRefused))
+	handler, err := laburnumcontrolapi.NewHandler(control, laburnumcontrolapi.WithForeign(control.HeartbeatRefused), laburnumcontrolapi.WithRefused(control.RoutesRefused))
 	if err != nil {
 		return err
 	}
--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -21,6 +21,7 @@
 	"laburnumlever/laburnumroles"
 	"laburnumlever/laburnumsettings"
 	"laburnumlever/platform"
+	"laburnumlever/platform/laburnumcontrolapi"
 )
 
 const metricsPort = 7605
@@ -84,7 +85,7 @@
 	settings.DataFolder, settings.FirstStart, settings.ControlLosses = s.folders[i], first, losses
 	c, err := laburnumroles.NewControl(settings, platform.NewEngines(), platform.DecodeManifest)
 	require.NoError(s.t, err)
-	handler, err := platform.NewHandler(c)
+	handler, err := laburnumcontrolapi.NewHandler(c)
 	require.NoError(s.t, err)
 	require.NoError(s.t, c.Start(handler))
 	if i < len(s.controls) {
@@ -424,7 +425,7 @@
 	}
 	control, err := laburnumroles.NewControl(settings, platform.NewEngines(), platform.DecodeManifest)
 	require.NoError(b, err)
-	handler, err := platform.NewHandler(control)
+	handler, err := laburnumcontrolapi.NewHandler(control)
 	require.NoError(b, err)
 	sequence := 0
 	for b.Loop() {
