fix: voters that seek a leader at the same time give way to one another

Callers: after a return of all VMs on few processors, all requests with keys are refused until there is a leader.

Cause: pre-votes were granted to everybody. Voters whose timeouts differ by less than a round trip all got their pre-votes, began elections of the same term and took each other's votes; with two of five disks lost every vote is needed. The spread of timeouts is one second, and a round among starved VMs takes half a second or more, so that elections collide again and again, each of them with a durable write.

Change: who grants a pre-vote leaves the next election to that voter, once in a term. Of two that ask at the same time with equal logs the one with the lower name goes first, in its first round and only while it hears a majority; the other one takes its own candidacy back. Pre-votes promise nothing, so that this changes only who tries when. Both rules are bounded since the preferred voter may lack a link that the other one has.

--- a/laburnumlog/election.go
+++ b/laburnumlog/election.go
@@ -36,6 +36,7 @@
 func (l *Log) preCampaign() {
 	if l.role != PreCandidate || l.ticks-l.preVotesSince >= quorumTicks {
 		l.preVotes, l.preVotesSince = map[ReplicaID]bool{l.id: true}, l.ticks
+		l.preCampaigns++
 	}
 	l.role = PreCandidate
 	l.resetTimeout()
@@ -51,6 +52,7 @@
 	l.role = Candidate
 	l.leader = ""
 	l.elections++
+	l.preCampaigns, l.gaveWay = 0, false
 	l.hard.Term++
 	l.hard.Vote = l.id
 	l.votes = map[ReplicaID]bool{}
@@ -84,6 +86,7 @@
 	l.role = Follower
 	l.termVotes = nil
 	l.leader = leader
+	l.preCampaigns, l.gaveWay = 0, false
 	if leader != "" {
 		l.elections = 0
 	}
@@ -203,13 +206,43 @@
 }
 
 func (l *Log) onPreVote(m Message) {
-	if l.hasLeader() || !l.upToDate(m) || m.Term <= l.hard.Term {
+	first := l.role == PreCandidate && l.goesBefore(m)
+	// A later round is no reason to refuse others: the first one has failed, so that they may have better links.
+	if l.hasLeader() || !l.upToDate(m) || m.Term <= l.hard.Term || first && l.preCampaigns == 1 && l.hearsMajority() {
 		l.send(Message{Kind: MessagePreVoteAnswer, To: m.From, Reject: true})
 		return
 	}
+	if !first {
+		l.giveWay()
+	}
 	l.send(Message{Kind: MessagePreVoteAnswer, To: m.From, Term: m.Term})
 }
 
+// goesBefore reports whether this replica's pre-vote goes before that of another one whose log is as long: if both led to an election,
+// they would take each other's votes.
+func (l *Log) goesBefore(m Message) bool {
+	last := l.LastIndex()
+	return m.LogTerm == l.termAt(last) && m.Index == last && l.id < m.From
+}
+
+// hearsMajority reports whether this replica has heard a majority of the voters lately.
+func (l *Log) hearsMajority() bool {
+	return l.Configuration().HasMajority(func(m Member) bool {
+		at, ok := l.heardAt[m.ID.VM()]
+		return m.ID == l.id || ok && l.ticks-at < quorumTicks
+	})
+}
+
+// giveWay leaves the next election to another replica, but only once: that one may lack links that this one has.
+func (l *Log) giveWay() {
+	if l.gaveWay || l.role != Follower && l.role != PreCandidate {
+		return
+	}
+	l.gaveWay = true
+	l.role, l.leader = Follower, ""
+	l.resetTimeout()
+}
+
 func (l *Log) onPreVoteAnswer(m Message) {
 	if l.role == PreCandidate && m.Reject {
 		l.recordRejection(m.From)
--- a/laburnumlog/log.go
+++ b/laburnumlog/log.go
@@ -75,6 +75,10 @@
 	// current term, nil unless this start has asked for some.
 	votes, preVotes, termVotes map[ReplicaID]bool
 	preVotesSince              uint64
+	// preCampaigns is the number of rounds of pre-votes of this replica since it last knew a leader or a term began, gaveWay
+	// whether it has left one to another replica meanwhile.
+	preCampaigns int
+	gaveWay      bool
 	// elections is the number of elections that this replica has taken part in since it last knew a leader.
 	elections      int
 	elapsed        int
