fix: a starved VM that can be connected to gets more time to answer

Cause: a link on which nothing was received for 1.7 s after a send is closed, and the next connection gets the same time. Starved VMs take longer, so that no answer ever comes.

Change: the time for a ping's answer doubles, up to three times, when the peer can be connected to right after it was silent. A peer that is lost or cut off can't, so that a partition is noticed as soon as before. Pings wait until 1.2 s instead of 0.6 s, after the second within which a poll is answered: until now each long poll of each gateway at each control VM cost a ping as well. The sum, 1.7 s, is as before.

--- a/laburnumpeer/config.go
+++ b/laburnumpeer/config.go
@@ -23,11 +23,14 @@
 	defaultCallTimeout      = 10 * time.Second
 	defaultIdleTimeout      = 30 * time.Second
 	defaultMaxHandlers      = 512
-	pingAfter               = 600 * time.Millisecond
-	pingTimeout             = 1100 * time.Millisecond
-	checkPeriod             = 200 * time.Millisecond
-	minBackoff              = 50 * time.Millisecond
-	maxBackoff              = 500 * time.Millisecond
+	// pingAfter outlasts a long poll, which is answered within a second: each that is pinged costs twice as many messages.
+	pingAfter   = 1200 * time.Millisecond
+	pingTimeout = 500 * time.Millisecond
+	// maxSilenceDoublings bounds how often pingTimeout is doubled for a peer that is connected to anew after each silence.
+	maxSilenceDoublings = 3
+	checkPeriod         = 200 * time.Millisecond
+	minBackoff          = 50 * time.Millisecond
+	maxBackoff          = 500 * time.Millisecond
 )
 
 type config struct {
--- a/laburnumpeer/doc.go
+++ b/laburnumpeer/doc.go
@@ -17,9 +17,10 @@
 // # Failures
 //
 // A partition that sends no RST leaves a TCP connection open for many minutes. When something was sent
-// and nothing has been received since for 600 ms, the link sends a ping. Without an answer it closes
+// and nothing has been received since for 1.2 s, the link sends a ping. Without an answer it closes
 // the connection within two seconds of the send, and pending calls fail with
-// *laburnumlever.PeerLostError. Idle links send no pings.
+// *laburnumlever.PeerLostError. Idle links send no pings. A peer that can be connected to right after that is starved rather than
+// lost: it gets more time at each turn, as connections that are closed before any answer can come serve nobody.
 //
 // A call fails with *laburnumlever.PeerUnreachableError only if its frame was not completely written.
 // The other side drops an incomplete frame, so the call certainly did not run.
--- a/laburnumpeer/link.go
+++ b/laburnumpeer/link.go
@@ -36,6 +36,10 @@
 	conn     *jsonrpc2.Conn
 	stream   *stream
 	detector silenceDetector
+	// silences is how often in a row the connection was closed for silence and opened again at the first attempt, silentAt when it
+	// was last closed so. A peer that is lost or cut off can't be connected to; one that is starved can, and answers late.
+	silences int
+	silentAt time.Time
 	lastUse  time.Time
 	backoff  backoff
 }
@@ -204,7 +208,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn, l.stream = conn, s
-	l.detector = silenceDetector{}
+	if time.Since(l.silentAt) >= l.peers.cfg.idleTimeout {
+		l.silences = 0
+	}
+	l.detector = silenceDetector{pingTimeout: pingTimeout << min(l.silences, maxSilenceDoublings)}
 	l.backoff = backoff{}
 	return conn
 }
@@ -223,6 +230,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.silences = 0
 	l.backoff = l.backoff.next(time.Now(), err)
 }
 
@@ -255,6 +263,12 @@
 	}
 }
 
+func (l *link) noteSilence(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silences, l.silentAt = l.silences+1, now
+}
+
 // checkSilence pings a silent peer or closes the connection to it. It returns the time until the next
 // check and whether the link is idle.
 func (l *link) checkSilence(now time.Time) (time.Duration, bool) {
@@ -276,6 +290,7 @@
 			l.closeConn(conn, err)
 		}
 	case actionClose:
+		l.noteSilence(now)
 		l.peers.cfg.scope.Counter("peer-silent-links").Inc(1)
 		l.closeConn(conn, &SilentError{Silence: now.Sub(s.lastReadAt())})
 	case actionWait:
--- a/laburnumpeer/silence.go
+++ b/laburnumpeer/silence.go
@@ -19,6 +19,8 @@
 // partition that sends no RST or a frozen VM. Only a frame received after a send proves that the link
 // works, so a send starts the timer and a received frame stops it.
 type silenceDetector struct {
+	// pingTimeout is how long an answer to a ping may take.
+	pingTimeout     time.Duration
 	unansweredSince time.Time // time of the oldest send after which nothing was received
 	pinged          bool
 	checkedAt       time.Time
@@ -41,13 +43,13 @@
 	answered := !d.unansweredSince.IsZero() && !readAt.Before(d.unansweredSince)
 	switch {
 	case d.unansweredSince.IsZero() && !calling, answered && !calling:
-		return silenceDetector{checkedAt: now}, actionNone
+		return silenceDetector{pingTimeout: d.pingTimeout, checkedAt: now}, actionNone
 	case d.unansweredSince.IsZero(), answered, late:
 		// After a pause of this process (SIGSTOP, CPU starvation) the silence is its own: answers
 		// may be waiting unread, so the timer restarts.
 		d.unansweredSince, d.pinged = now, false
 		return d, actionWait
-	case now.Sub(d.unansweredSince) >= pingAfter+pingTimeout:
+	case now.Sub(d.unansweredSince) >= pingAfter+d.pingTimeout:
 		return d, actionClose
 	case now.Sub(d.unansweredSince) >= pingAfter && !d.pinged:
 		d.pinged = true
