fix: what a control VM grants of a quota later than a request waits is not thrown away

Cause: a keeper has 150 ms to answer; a later answer is dropped, with the reserve in it, which lasts for six seconds. The keeper has charged both, and counts the reserve as held, so that every further ask finds less: the class of questions that are given up sooner than their answers take, once more.

Change: the call goes on for as long as a reserve lasts. The request does not wait for longer than before, and the next keeper is asked as before; what comes later goes into the gateway's wallet. Tokens still expire by the time of their ask and are not spent.

--- a/laburnumgateway/accounts_test.go
+++ b/laburnumgateway/accounts_test.go
@@ -56,6 +56,8 @@
 	asks    int
 	// late is how long ago the asks of grants were sent.
 	late time.Duration
+	// tellLate tells the gateway what is granted later than its last ask waited.
+	tellLate func([]laburnumquota.Grant)
 	// held, unless nil, is what questions for confirmations are held for.
 	held <-chan struct{}
 }
@@ -78,10 +80,11 @@
 	return nil
 }
 
-func (c *controlVMs) Grant(_ context.Context, account laburnumlever.Account, asks []laburnumquota.Ask) ([]laburnumquota.Grant, time.Duration, error) {
+func (c *controlVMs) Grant(_ context.Context, account laburnumlever.Account, asks []laburnumquota.Ask, late func([]laburnumquota.Grant)) ([]laburnumquota.Grant, time.Duration, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asks++
+	c.tellLate = late
 	if c.cutOff {
 		return nil, 0, &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
 	}
@@ -278,6 +281,22 @@
 	require.Len(t, server.requests(), 3)
 }
 
+// Guards against grants that arrive later than their request waits and are thrown away, though their reserves last for seconds.
+func TestReserveOfALateGrantIsSpent(t *testing.T) {
+	server := newBackend(t, "i-1", answerOK)
+	b, c := newAccountHarness(t, server, "k1")
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	c.set(func(c *controlVMs) { c.cutOff = true })
+	require.Equal(t, http.StatusServiceUnavailable, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	account := c.routes.Accounts[0]
+	c.tellLate([]laburnumquota.Grant{{
+		Account: account.Name, Tokens: 5, Asked: laburnumtimer.SinceBoot() - 20*time.Second,
+		Reserve: &laburnumquota.Reserve{ID: 1, Tokens: 1, Quota: account.Quota},
+	}})
+	require.Equal(t, 200, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status)
+	require.Equal(t, http.StatusServiceUnavailable, b.send("POST", "/confirm/x", "visit", keyHeader, "k1").status, "only the reserve lasts")
+}
+
 // Guards against reserves that lie idle while their account is refused.
 func TestReserveIsSpentBeforeAnAccountIsRefused(t *testing.T) {
 	server := newBackend(t, "i-1", answerOK)
--- a/laburnumgateway/accountwork_internal_test.go
+++ b/laburnumgateway/accountwork_internal_test.go
@@ -16,7 +16,7 @@
 // generousKeeper grants all that is asked for.
 type generousKeeper struct{}
 
-func (generousKeeper) Grant(_ context.Context, _ laburnumlever.Account, asks []laburnumquota.Ask) ([]laburnumquota.Grant, time.Duration, error) {
+func (generousKeeper) Grant(_ context.Context, _ laburnumlever.Account, asks []laburnumquota.Ask, _ func([]laburnumquota.Grant)) ([]laburnumquota.Grant, time.Duration, error) {
 	var grants []laburnumquota.Grant
 	for _, a := range asks {
 		grants = append(grants, laburnumquota.Grant{Account: a.Account, Tokens: a.Need + a.Want})
--- a/laburnumgateway/quota.go
+++ b/laburnumgateway/quota.go
@@ -26,8 +26,8 @@
 type QuotaKeepers interface {
 	// Grant asks the keepers of an account in turn until one grants the need of the first ask. The grants are
 	// dated from when the first keeper was asked, in terms of laburnumtimer.SinceBoot. An error means that no keeper
-	// answered.
-	Grant(ctx context.Context, account laburnumlever.Account, asks []laburnumquota.Ask) (grants []laburnumquota.Grant, asked time.Duration, err error)
+	// answered in time. Grants that come later, dated each by itself, are passed to late: their reserves may still be spent.
+	Grant(ctx context.Context, account laburnumlever.Account, asks []laburnumquota.Ask, late func([]laburnumquota.Grant)) (grants []laburnumquota.Grant, asked time.Duration, err error)
 }
 
 // WithQuotaKeepers sets the control VMs that grant quotas; by default quotas are not kept.
@@ -98,6 +98,13 @@
 	return fitsIn, false
 }
 
+// receiveLate adds grants that came later than the request waited for them.
+func (k *quota) receiveLate(grants []laburnumquota.Grant) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.wallet.Apply(grants, 0)
+}
+
 // spendReserve spends tokens of the reserves on a request that no control VM grants tokens for, if there are enough.
 func (k *quota) spendReserve(q *request, cost float64) bool {
 	k.mu.Lock()
@@ -150,7 +157,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
 	defer cancel()
-	grants, asked, err := k.keepers.Grant(ctx, *q.account, asks)
+	grants, asked, err := k.keepers.Grant(ctx, *q.account, asks, k.receiveLate)
 	if err != nil {
 		q.charged = k.spendReserve(q, cost)
 		_ = level.Info(g.logger).Log("event", laburnumlever.EventQuotaUnanswered, "request-id", q.caller.ID, "account", q.account.Name, "reserve", q.charged, "cause", err)
--- a/laburnumroles/quotakeepers.go
+++ b/laburnumroles/quotakeepers.go
@@ -31,6 +31,14 @@
 	Grants []laburnumquota.Grant `json:"grants"`
 }
 
+// datedFrom dates the grants from when they were asked for.
+func (a *quotaAnswer) datedFrom(sent time.Duration) []laburnumquota.Grant {
+	for i := range a.Grants {
+		a.Grants[i].Asked = sent
+	}
+	return a.Grants
+}
+
 // quotaKeepers asks control VMs for tokens of client accounts' quotas.
 type quotaKeepers struct {
 	calls    *keeperCalls
@@ -50,23 +58,24 @@
 
 var _ laburnumgateway.QuotaKeepers = (*quotaKeepers)(nil)
 
-// Grant implements laburnumgateway.QuotaKeepers. Errors: *laburnumlever.NotFoundError while no control VM answers, and
+// Grant implements laburnumgateway.QuotaKeepers. Errors: *laburnumlever.NotFoundError while no control VM answers in time, and
 // those of a call to another VM.
-func (k *quotaKeepers) Grant(ctx context.Context, account laburnumlever.Account, asks []laburnumquota.Ask) ([]laburnumquota.Grant, time.Duration, error) {
+func (k *quotaKeepers) Grant(ctx context.Context, account laburnumlever.Account, asks []laburnumquota.Ask, late func([]laburnumquota.Grant)) ([]laburnumquota.Grant, time.Duration, error) {
 	var err error = &laburnumlever.NotFoundError{Kind: "control VM", Name: "any"}
 	var grants []laburnumquota.Grant
 	answered := false
 	asked := laburnumtimer.SinceBoot()
 	for _, address := range k.calls.answering(k.controls(account), quotaAttempts) {
-		var answer quotaAnswer
+		answer := &quotaAnswer{}
 		sent := laburnumtimer.SinceBoot()
-		if failed := k.calls.call(ctx, address, methodQuotaGrant, quotaRequest{Asks: asks}, &answer); failed != nil {
+		failed := k.calls.callHeld(ctx, address, methodQuotaGrant, k.terms.ReserveTime(), quotaRequest{Asks: asks}, answer, func() {
+			late(answer.datedFrom(sent))
+		})
+		if failed != nil {
 			err = failed
 			continue
 		}
-		for i := range answer.Grants {
-			answer.Grants[i].Asked = sent
-		}
+		answer.datedFrom(sent)
 		grants = append(grants, answer.Grants...)
 		for _, g := range answer.Grants {
 			if g.Account != account.Name {
