--- a/laburnumroles/keepercalls_internal_test.go
+++ b/laburnumroles/keepercalls_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,21 +54,21 @@
 		timers := laburnumtimer.New()
 		defer timers.Close()
 		k := newKeeperCalls(slowPeers{after: time.Second}, timers)
-		told := 0
+		var told atomic.Int64
 		for i := range maxHeldCalls {
 			require.Equal(t, []string{"c-1"}, k.answering([]string{"c-1"}, 1), "call %d", i)
 			answer := ""
 			began := time.Now()
 			require.Error(t, k.callHeld(t.Context(), "c-1", methodQuotaGrant, 5*time.Second, nil, &answer, func() {
 				require.Equal(t, "granted", answer)
-				told++
+				told.Add(1)
 			}))
 			require.Less(t, time.Since(began), 2*keeperTimeout, "the caller waits for the answer")
 			k.answers("c-1") // another caller had one
 		}
 		require.Empty(t, k.answering([]string{"c-1"}, 1), "it has several calls to answer")
 		time.Sleep(2 * time.Second)
-		require.Equal(t, maxHeldCalls, told)
+		require.EqualValues(t, maxHeldCalls, told.Load())
 		require.Equal(t, []string{"c-1"}, k.answering([]string{"c-1"}, 1))
 	})
 }
