--- a/laburnumgateway/accounts.go
+++ b/laburnumgateway/accounts.go
@@ -227,8 +227,9 @@
 	return f.index.Load()
 }
 
-// awaitConfirmation requests a confirmation and waits for it, no longer than one usually takes from when it was requested. A gateway that has just started waits longer, as it does
-// for its first route table, and asks again: after an outage of all VMs the log has no leader for a while.
+// awaitConfirmation requests a confirmation and waits for it, no longer than one usually takes from when it was requested. A gateway that
+// has just started waits longer, as it does for its first route table, and asks again: after an outage of all VMs the log has no leader
+// for a while.
 func (f *Fleet) awaitConfirmation(ctx context.Context, caller laburnumlever.CallerRequest) {
 	started := f.keys.everConfirmed()
 	wait := confirmWait - f.keys.askedFor()
