fix: laburnumgateway prints each fault of its settings on a line of its own

Operators: the first fault began with the program's name, so that an editor could not jump to it, other than with laburnumlever gateway. Found by reading the change; played with a file of five faults, each of which now begins with its file and line.

--- a/cmd/laburnumgateway/main.go
+++ b/cmd/laburnumgateway/main.go
@@ -45,17 +45,19 @@
 	if err == nil {
 		return 0
 	}
-	fmt.Fprintln(os.Stderr, "laburnumgateway:", err)
 	var usage *usageError
 	var settings *laburnumlever.SettingsInvalidError
-	switch {
-	case errors.As(err, &usage):
-		return exitUsage
-	case errors.As(err, &settings):
+	if errors.As(err, &settings) {
+		for _, fault := range settings.Faults { // each on a line of its own, so that editors can jump to it
+			fmt.Fprintln(os.Stderr, fault)
+		}
 		return exitInvalid
-	default:
-		return exitFailure
 	}
+	fmt.Fprintln(os.Stderr, "laburnumgateway:", err)
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailure
 }
 
 func newApp() *cli.App {
