fix: the bodies of all requests share a bound of the gateway's memory

Callers saw: a gateway takes as much memory as a crowd sends, up to twice that, and is killed at its machine's limit, with all of its requests. 60 bodies of 4 MiB that stop one byte short at a gateway of 96 MB: a peak of 366 MB.

Cause: each body is read with io.ReadAll up to the manifest's limit, which copies it as it grows, and is held until the answer; sending it copies it once more, into a pooled buffer that keeps its size. Nothing counts the bodies of all requests.

Change: laburnumintake, one account of what clients have a VM hold. Bodies are read into buffers that don't move, whose room is taken before the bytes are there: an eighth of the memory for all, beyond 4 KiB of each. Room for a body of known length is taken at once, so that it is refused (503, not run, intake-full, Retry-After from a second) before it is sent. Who finds no room takes that of a body that has filled no buffer for a second, the one that holds most for longest, or of one that comes too slowly to end by its deadline; so neither an announcement, nor a stop one byte short, nor a byte now and then keeps others out. Bodies go to servers from these buffers, without a copy. Room is given back on all ways in which a request ends, panics included (TestRoomOfABodyIsGivenBack).

TestCrowdOfOneIsServed passes as before.

--- a/enums.go
+++ b/enums.go
@@ -101,6 +101,8 @@
 	RefusedStreamVersionGone
 	// RefusedVMStopped is a request that was in flight when this VM's time to shut down was over.
 	RefusedVMStopped
+	// RefusedIntakeFull is a request that this VM has no room to receive.
+	RefusedIntakeFull
 	// RefusedInternalError is a request at which this VM's own code panicked.
 	RefusedInternalError
 )
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -144,7 +144,7 @@
 	q.sentAt = now
 	g.fleet.noteGranted(q)
 	resp, err := conn.Exchange(laburnumupstream.Request{
-		Method: q.method, URI: q.uri, Host: q.host, Body: q.body,
+		Method: q.method, URI: q.uri, Host: q.host, Chunks: q.body.Chunks(),
 		Header: g.dialect.Forward(q.forwardedHeader(), q.forwardParams(ticket.Backend.Backend, now)),
 	})
 	if err != nil {
--- a/laburnumgateway/bodies.go
+++ b/laburnumgateway/bodies.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumintake"
 
 	"github.com/cockroachdb/errors"
 )
@@ -58,23 +59,33 @@
 		defer close(interrupted)
 		_ = in.controller.SetReadDeadline(time.Unix(0, 1))
 	})
-	body, err := io.ReadAll(io.LimitReader(in.body, in.limit+1))
+	body, err := g.intake.ReadBody(laburnumintake.Source{
+		Body: in.body, Length: r.ContentLength, Limit: in.limit, Deadline: q.deadline, Conn: q.conn,
+		Interrupt: func() { _ = in.controller.SetReadDeadline(time.Unix(0, 1)) },
+	})
 	drained := !stop()
 	if drained {
 		<-interrupted
 	}
 	_ = in.controller.SetReadDeadline(time.Time{}) // else the server takes its end for the caller's
+	var full *laburnumintake.FullError
+	var long *laburnumintake.BodyTooLongError
 	switch {
-	case drained: // the server may have taken the end of the read for the caller's as well
+	case drained && err != nil: // the server may have taken the end of the read for the caller's as well
 		return g.drainRefusal()
+	case errors.As(err, &full):
+		return newRefusal(laburnumlever.RefusedIntakeFull, laburnumintake.Patience, full.Error())
+	case errors.As(err, &long):
+		return tooLarge(long.Limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return newRefusal(laburnumlever.RefusedDeadline, 0, "the request body did not arrive in time")
 	case err != nil:
 		return newRefusal(laburnumlever.RefusedCallerGone, 0, "request body is incomplete: "+err.Error())
-	case int64(len(body)) > in.limit:
-		return tooLarge(in.limit)
 	}
 	q.body, q.incoming = body, nil
+	if drained {
+		return g.drainRefusal()
+	}
 	return nil
 }
 
@@ -98,6 +109,7 @@
 		if conn, ok := q.conn.(*callerConn); ok {
 			conn.setDropUntil(g.dropEnd(maxDropTime))
 		}
+		laburnumintake.Dropping(q.conn)
 		q.incoming.drop(g.dropEnd(dropTime))
 	}
 }
--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumintake"
 	"laburnumlever/laburnumretry"
 	"laburnumlever/laburnumreturn"
 	"laburnumlever/laburnumtunnel"
@@ -49,6 +50,7 @@
 	refusals    refusalWindow
 	crashes     *crashDetector
 	buffers     *bufferBudget
+	intake      *laburnumintake.Intake
 	backlogs    *backlogs
 	links       *links
 	// notify tells a helper what a backend server asked of it; refusesServer is called with the address of one that takes no
@@ -88,6 +90,9 @@
 // not made.
 func WithRetryBudget(b RetryBudget) Option { return func(g *Gateway) { g.retryBudget = b } }
 
+// WithIntake sets the intake that the bodies of requests are read through; the default is a new one, of a VM whose memory is not known.
+func WithIntake(in *laburnumintake.Intake) Option { return func(g *Gateway) { g.intake = in } }
+
 // WithPool sets the pool of connections to backend servers; the default is a new pool.
 func WithPool(pool *laburnumupstream.Pool) Option { return func(g *Gateway) { g.pool = pool } }
 
@@ -107,6 +112,9 @@
 	if g.pool == nil {
 		g.pool = laburnumupstream.New()
 	}
+	if g.intake == nil {
+		g.intake = laburnumintake.New(timers, laburnumintake.NewLimits(0, 0))
+	}
 	g.crashes = newCrashDetector(g)
 	g.backlogs = newBacklogs(g)
 	g.links = newLinks(g)
@@ -127,6 +135,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := g.newRequest(w, r)
+	defer func() { q.body.Release() }()
+	laburnumintake.Serving(q.conn)
 	if conn, ok := q.conn.(*callerConn); ok {
 		conn.setServing(true)
 		defer conn.setServing(false)
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -11,6 +11,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
+	"laburnumlever/laburnumintake"
 	"laburnumlever/laburnumquarantine"
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumretry"
@@ -42,7 +43,7 @@
 	uri      string
 	host     string
 	header   http.Header
-	body     []byte
+	body     *laburnumintake.Body
 	incoming *incomingBody // nil once the body has been read
 	// conn is the caller's connection, nil if it is not known. leave ends the request's context.
 	conn net.Conn
@@ -223,7 +224,7 @@
 // digest returns the digest by which the caller's repeats of the request are recognised.
 func (q *request) digest() laburnumlever.RequestDigest {
 	if q.contentDigest.IsZero() {
-		q.contentDigest = laburnumlever.NewRequestDigest(q.method, q.host, q.uri, q.body)
+		q.contentDigest = laburnumlever.NewRequestDigest(q.method, q.host, q.uri, q.body.Chunks()...)
 	}
 	return q.contentDigest
 }
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -82,7 +82,7 @@
 		laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{
 			Window: time.Duration(settings.Retry.Window), Ratio: settings.Retry.Ratio, Slack: settings.Retry.Slack,
 		}),
-		laburnumgateway.WithAdapterLoader(g), laburnumgateway.WithBufferBudget(bufferBudget(settings)),
+		laburnumgateway.WithAdapterLoader(g), laburnumgateway.WithBufferBudget(bufferBudget(settings)), laburnumgateway.WithIntake(g.intake),
 		laburnumgateway.WithHelperNotices(laburnumtunnel.Notify),
 		laburnumgateway.WithServerRefused(func(address string) { go g.tunnels.Retire(address) }),
 	)
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -8,6 +8,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumintake"
 	"laburnumlever/laburnummetrics"
 	"laburnumlever/laburnumpeer"
 	"laburnumlever/laburnumsettings"
@@ -34,6 +35,7 @@
 	timers   laburnumlever.Timers
 	self     laburnumlever.VM
 	peers    *laburnumpeer.Peers
+	intake   *laburnumintake.Intake
 	servers  []*http.Server
 	// served are closed once the servers have ended and their ports are free.
 	served []<-chan struct{}
@@ -68,6 +70,7 @@
 	if p.timers == nil {
 		p.timers = laburnumtimer.New()
 	}
+	p.intake = laburnumintake.New(p.timers, laburnumintake.NewLimits(settings.MemoryMB, settings.Descriptors))
 	p.self = laburnumlever.VM{
 		ID: settings.VM, Zone: settings.Zone, Region: settings.Region, PeerAddress: settings.PeerAddress(),
 		HasDisk: settings.DataFolder != "", Incarnation: uint64(time.Now().UnixNano()),
--- a/laburnumupstream/conn.go
+++ b/laburnumupstream/conn.go
@@ -26,6 +26,17 @@
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
+	// Chunks are the body of a request whose Body is empty. They are written without a copy.
+	Chunks [][]byte
+}
+
+// bodyBytes is the length of the body.
+func (q Request) bodyBytes() int {
+	n := len(q.Body)
+	for _, chunk := range q.Chunks {
+		n += len(chunk)
+	}
+	return n
 }
 
 // Conn is one connection to a backend server, used by one goroutine at a time.
@@ -108,7 +119,7 @@
 	buf.Reset()
 	q.write(buf)
 	began := time.Now()
-	_, err := c.conn.Write(buf.Bytes())
+	err := c.write(buf.Bytes(), q.Chunks)
 	writeBuffers.Put(buf)
 	if err != nil {
 		c.noteIdleClose(err, began)
@@ -155,13 +166,34 @@
 			buf.WriteString("\r\n")
 		}
 	}
-	if len(q.Body) > 0 || (q.Method != http.MethodGet && q.Method != http.MethodHead) {
+	if n := q.bodyBytes(); n > 0 || (q.Method != http.MethodGet && q.Method != http.MethodHead) {
 		buf.WriteString("Content-Length: ")
-		buf.WriteString(strconv.Itoa(len(q.Body)))
+		buf.WriteString(strconv.Itoa(n))
 		buf.WriteString("\r\n")
 	}
 	buf.WriteString("\r\n")
 	buf.Write(q.Body)
+	if len(q.Chunks) > 0 && len(q.Chunks[0]) <= writtenWithHead {
+		buf.Write(q.Chunks[0])
+	}
+}
+
+// writtenWithHead is the size, in bytes, up to which the first chunk of a body is written in one piece with the head.
+const writtenWithHead = 4 << 10
+
+// write writes a request whose chunks, but for a small first one, are not part of the head.
+func (c *Conn) write(head []byte, chunks [][]byte) error {
+	if len(chunks) > 0 && len(chunks[0]) <= writtenWithHead {
+		chunks = chunks[1:]
+	}
+	_, err := c.conn.Write(head)
+	for _, chunk := range chunks {
+		if err != nil {
+			return err
+		}
+		_, err = c.conn.Write(chunk)
+	}
+	return err
 }
 
 // BytesFollow reports whether bytes have come after the answer that was read, even if the backend server closed the connection after
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedinternal-error"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedintake-fullinternal-error"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 338, 353, 368, 379, 395, 405, 421, 431, 446, 460, 479, 489, 503}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 338, 353, 368, 379, 395, 405, 421, 431, 446, 460, 479, 489, 500, 514}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedinternal-error"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedintake-fullinternal-error"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -63,10 +63,11 @@
 	_ = x[RefusedStreamUnknown-(35)]
 	_ = x[RefusedStreamVersionGone-(36)]
 	_ = x[RefusedVMStopped-(37)]
-	_ = x[RefusedInternalError-(38)]
+	_ = x[RefusedIntakeFull-(38)]
+	_ = x[RefusedInternalError-(39)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedPartQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone, RefusedVMStopped, RefusedInternalError}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedPartQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone, RefusedVMStopped, RefusedIntakeFull, RefusedInternalError}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -107,7 +108,8 @@
 	_RefusalReasonName[446:460]: RefusedStreamUnknown,
 	_RefusalReasonName[460:479]: RefusedStreamVersionGone,
 	_RefusalReasonName[479:489]: RefusedVMStopped,
-	_RefusalReasonName[489:503]: RefusedInternalError,
+	_RefusalReasonName[489:500]: RefusedIntakeFull,
+	_RefusalReasonName[500:514]: RefusedInternalError,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -149,7 +151,8 @@
 	_RefusalReasonLowerName[446:460]: RefusedStreamUnknown,
 	_RefusalReasonLowerName[460:479]: RefusedStreamVersionGone,
 	_RefusalReasonLowerName[479:489]: RefusedVMStopped,
-	_RefusalReasonLowerName[489:503]: RefusedInternalError,
+	_RefusalReasonLowerName[489:500]: RefusedIntakeFull,
+	_RefusalReasonLowerName[500:514]: RefusedInternalError,
 }
 
 var _RefusalReasonNames = []string{
@@ -191,7 +194,8 @@
 	_RefusalReasonName[446:460],
 	_RefusalReasonName[460:479],
 	_RefusalReasonName[479:489],
-	_RefusalReasonName[489:503],
+	_RefusalReasonName[489:500],
+	_RefusalReasonName[500:514],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
--- a/requestdigest.go
+++ b/requestdigest.go
@@ -11,9 +11,9 @@
 // digest.
 type RequestDigest [16]byte
 
-// NewRequestDigest returns the digest of a request; target is the path with the query. The caller's
+// NewRequestDigest returns the digest of a request; target is the path with the query, body the pieces of its body. The caller's
 // address is not part of it, as it may differ between repeats.
-func NewRequestDigest(method, host, target string, body []byte) RequestDigest {
+func NewRequestDigest(method, host, target string, body ...[]byte) RequestDigest {
 	h := sha256.New()
 	for _, part := range []string{method, host, target} {
 		// The length keeps two requests apart whose parts are split differently.
@@ -22,7 +22,9 @@
 		h.Write(length[:])
 		h.Write([]byte(part))
 	}
-	h.Write(body)
+	for _, piece := range body {
+		h.Write(piece)
+	}
 	var d RequestDigest
 	copy(d[:], h.Sum(nil))
 	return d
