fix: manifests and announcements share a bound of a control VM's memory

Operators and servers saw: a control VM ends for want of memory as clients send manifests, or announcements, that stop short of their end. 40 manifests of 4 MiB cut in a string at a control VM of 96 MB: a peak of 194 MB; 200 announcements of 1 MiB: 238 MB.

The bound of changes in progress is taken once the whole text is there, and announcements have none. A body that does not end was held for as long as its client stayed: the server had no bound of time for it.

Change: both are read through the VM's intake.

--- a/cmd/laburnumlever/rolecmd.go
+++ b/cmd/laburnumlever/rolecmd.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	handler, err := laburnumcontrolapi.NewHandler(control, laburnumcontrolapi.WithForeign(control.HeartbeatRefused), laburnumcontrolapi.WithRefused(control.RoutesRefused))
+	handler, err := laburnumcontrolapi.NewHandler(control, laburnumcontrolapi.WithForeign(control.HeartbeatRefused), laburnumcontrolapi.WithRefused(control.RoutesRefused), laburnumcontrolapi.WithIntake(control.Intake()))
 	if err != nil {
 		return err
 	}
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -15,6 +15,7 @@
 	"laburnumlever/laburnumendpoints"
 	"laburnumlever/laburnumeventloop"
 	"laburnumlever/laburnumfeed"
+	"laburnumlever/laburnumintake"
 	"laburnumlever/laburnumlog"
 	"laburnumlever/laburnumquota"
 	"laburnumlever/laburnumregistry"
@@ -154,6 +155,9 @@
 	return c, nil
 }
 
+// Intake accounts for what backend servers and operators have this VM hold.
+func (c *Control) Intake() *laburnumintake.Intake { return c.intake }
+
 func (c *Control) buildConfirmations() {
 	c.confirmations = newConfirmations(c.peers, c.voter)
 	c.confirmations.logger, c.confirmations.timers = c.logger, c.timers
