fix: callers' connections and heads are bounded

Callers saw: nothing is left for engines, other VMs and files once a crowd has opened as many connections as the VM has descriptors; heads of up to 68 KB each are held for 5 s.

Cause: nothing bounds connections. laburnumoverload turns them away by the delay that it sees, never by their number; heads are bounded one by one.

Change: the callers' listener has a share of the intake: half of the descriptors, at most a fifth of the memory at 32 KiB a connection. A connection beyond it takes the place of the one that is idle for longest, which its caller opens again without harm, then of a head or body that has stalled for a second or comes too slowly, and is reset unread if there is none. One that is served, or whose caller has not taken its answer, keeps its place; one whose refused body is dropped counts as idle. Heads beyond 4 KiB take room as bodies do; without room the connection is closed, so that the caller may ask again.

--- a/laburnumgateway/callers.go
+++ b/laburnumgateway/callers.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"laburnumlever/laburnumintake"
 	"laburnumlever/laburnumsocket"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,7 @@
 		return nil, err
 	}
 	own := &callerConn{Conn: conn, callers: c}
+	laburnumintake.KeepIf(conn, own.holding.Load) // the caller has not taken all of its answer
 	c.mu.Lock()
 	c.open[own] = struct{}{}
 	retired := c.retired
@@ -54,6 +56,7 @@
 func (c *Callers) ConnState(conn net.Conn, state http.ConnState) {
 	if own, ok := conn.(*callerConn); ok && state == http.StateIdle {
 		own.idle()
+		laburnumintake.ConnState(own.Conn, state)
 	}
 }
 
@@ -199,6 +202,9 @@
 	return conn.SyscallConn()
 }
 
+// NetConn returns the connection below, as a tls.Conn does.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // begin records that a part of a request has been read: the rest of it may be read even after retire.
 func (c *callerConn) begin() {
 	c.mu.Lock()
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -133,7 +133,7 @@
 		_ = level.Warn(g.logger).Log("event", laburnumlever.EventOverloaded, "overloaded", overloaded, "delay-ms", delay.Milliseconds(), "in-flight", g.gateway.InFlight())
 	}))
 	server := g.gateway.Server()
-	g.callers = laburnumgateway.NewCallers(laburnumoverload.NewListener(ln, gate.Admit, func() { shed.Inc(1) }))
+	g.callers = laburnumgateway.NewCallers(g.intake.Listen(laburnumoverload.NewListener(ln, gate.Admit, func() { shed.Inc(1) }), g.intake.Limits().Connections()))
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		gate.ConnState(conn, state)
 		g.callers.ConnState(conn, state)
