fix: all listeners of a VM have a share of its connections and small heads

Operators, servers and other VMs saw: a crowd at a listener that was thought to be reached by good clients only takes the VM's memory or descriptors. 200 heads of 900 KB: peaks of 203 MB (control), 206 (peer port), 192 (readiness check), 219 (metrics) of 96; 1,500 silent connections: 1,516 descriptors of 824 at the peer ports, the metrics and the readiness check.

Cause: these servers take heads of 1 MiB, the default of net/http, and any number of connections, but for a control VM's listener, where a crowd of silent ones kept a change waiting for 10 s: those over the limit wait until idle ones are closed after 4 to 5 s.

Change: heads of 16 KiB, 10 s for a request, and a share of the intake for each listener. Links of other VMs keep their place once they have sent something. At a control VM connections still wait for a place, as the servers that reconnect after an outage should, but for a second, not for five.

--- a/cmd/laburnumlever/crowddeployment_test.go
+++ b/cmd/laburnumlever/crowddeployment_test.go
@@ -17,9 +17,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -189,6 +191,9 @@
 func awaitAccepted(t *testing.T, address string) {
 	t.Helper()
 	conn, err := net.Dial("tcp", address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return // ended before the call returned
+	}
 	require.NoError(t, err)
 	defer conn.Close()
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(sendTime)))
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -104,13 +104,13 @@
 	g.follower = laburnumfeed.NewFollower(g.peers, g.timers, g.self, g.seedPeers(), g.fleet,
 		laburnumfeed.WithLogger(g.logger), laburnumfeed.WithHelper(g.helperAddress),
 		laburnumfeed.WithForeignEntries(laburnumfeed.NewForeignEntries(g.logger, g.metrics.Scope())))
-	if err := g.serve("peers", g.settings.PeerListen(), newServer(g.tunnels)); err != nil {
+	if err := g.serve("peers", g.settings.PeerListen(), g.intake.Limits().Peers(), newServer(g.tunnels)); err != nil {
 		return err
 	}
 	if err := g.serveCallers(); err != nil {
 		return err
 	}
-	if err := g.serve("ready", g.settings.Listen.Ready, newServer(ready(g.gateway.Ready))); err != nil {
+	if err := g.serve("ready", g.settings.Listen.Ready, g.intake.Limits().Others(), newServer(ready(g.gateway.Ready))); err != nil {
 		return err
 	}
 	g.serveMetrics(g.status)
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -12,17 +12,23 @@
 	"laburnumlever/laburnummetrics"
 	"laburnumlever/laburnumpeer"
 	"laburnumlever/laburnumsettings"
+	"laburnumlever/laburnumsocket"
 	"laburnumlever/laburnumtimer"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"golang.org/x/net/netutil"
 )
 
 // headerTimeout bounds the time for a request's headers, so that half-open connections are closed.
 const headerTimeout = 5 * time.Second
 
+// requestTimeout bounds the time for a whole request, of which the longest is a change of the routes.
+const requestTimeout = 10 * time.Second
+
+// maxHeaderBytes bounds a request's head, in bytes. Those of backend servers, operators and other VMs have some hundred.
+const maxHeaderBytes = 16 << 10
+
 // idleTimeout is about three heartbeat periods. Backend servers that switched to another control VM leave
 // their connections open, and thousands of these exhaust a control VM's memory.
 const idleTimeout = 4 * time.Second
@@ -97,11 +103,14 @@
 }
 
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{
+		Handler: laburnumintake.Handler(handler), ConnState: laburnumintake.ConnState, ConnContext: laburnumsocket.NewContext,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 }
 
-// serve listens on an address and serves it; with an empty address it does nothing.
-func (p *process) serve(name, address string, server *http.Server) error {
+// serve listens on an address and serves a number of connections; with an empty address it does nothing.
+func (p *process) serve(name, address string, connections int, server *http.Server) error {
 	if address == "" {
 		return nil
 	}
@@ -109,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	p.serveOn(ln, name, server)
+	p.serveOn(p.intake.Listen(ln, connections), name, server)
 	return nil
 }
 
@@ -125,11 +134,6 @@
 	}()
 }
 
-// backendConnectionShare is the share of a process's file descriptors available to backend servers and
-// operators. After an outage thousands of backend servers try one control VM after the other;
-// connections over the share wait in the accept queue, so that gateways and control VMs can still connect.
-const backendConnectionShare = 0.5
-
 const (
 	// peerHandlerShare is the share of a process's file descriptors that bounds concurrent calls from
 	// other VMs: each VM has one connection with one or two long polls on it.
@@ -138,16 +142,14 @@
 	minPeerHandlers = 512
 )
 
-// serveBackends serves backend servers and operators, with the limit of backendConnectionShare.
+// serveBackends serves backend servers and operators. After an outage thousands of backend servers try one control VM after the
+// other; connections over the share of clients wait, so that gateways and control VMs can still connect.
 func (p *process) serveBackends(name, address string, server *http.Server) error {
 	ln, err := listen(name, address)
 	if err != nil {
 		return err
 	}
-	if maxConns := int(backendConnectionShare * float64(p.settings.Descriptors)); maxConns > 0 {
-		ln = netutil.LimitListener(ln, maxConns)
-	}
-	p.serveOn(ln, name, server)
+	p.serveOn(p.intake.Listen(ln, p.intake.Limits().Connections(), laburnumintake.WithWaiting()), name, server)
 	return nil
 }
 
@@ -157,6 +159,7 @@
 	if err != nil {
 		return err
 	}
+	ln = p.intake.Listen(ln, p.intake.Limits().Peers(), laburnumintake.WithPeers())
 	p.peerListener = ln
 	go func() {
 		if err := p.peers.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/laburnumroles/status.go
+++ b/laburnumroles/status.go
@@ -18,7 +18,7 @@
 // serveMetrics serves the metrics and the status. If the port is in use, it logs this and the process
 // runs without them.
 func (p *process) serveMetrics(status func() laburnumlever.Status, calls ...operatorCall) {
-	if err := p.serve("metrics", p.settings.MetricsAddress(), newServer(p.metricsHandler(status, calls))); err != nil {
+	if err := p.serve("metrics", p.settings.MetricsAddress(), p.intake.Limits().Others(), newServer(p.metricsHandler(status, calls))); err != nil {
 		_ = level.Error(p.logger).Log("event", laburnumlever.EventMetricsNotServed, "cause", err)
 	}
 }
