fix: bodies at entry VMs share a bound

Callers would see: an entry VM (`serve`) ends for want of memory as many send large bodies at once, whole or short of their end.

Cause: laburnumproxy reads bodies as gateways did, up to 16 MiB each; nothing counts them all.

Change: they are read through an intake. As these VMs' settings name no memory, all bodies have 64 MiB beyond 4 KiB of each, four of the largest. Beyond that: 503, not run, intake-full, Retry-After 1 s. The connections of these VMs are not bounded, as their settings name no descriptors either.

By reading, and from the same reads measured at gateways; no crowd was played at this kind of VM. The tests of laburnumproxy and laburnumnode pass.

--- a/laburnumproxy/proxy.go
+++ b/laburnumproxy/proxy.go
@@ -8,6 +8,7 @@
 
 	"laburnumlever"
 	"laburnumlever/laburnumdispatch"
+	"laburnumlever/laburnumintake"
 	"laburnumlever/laburnumsocket"
 
 	"github.com/go-kit/log"
@@ -38,6 +39,7 @@
 	traces    *traceRing
 	demand    *demand
 	active    *activeRequests
+	intake    *laburnumintake.Intake
 	stop      func()
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -66,6 +68,7 @@
 		traces: newTraceRing(), demand: newDemand(timers.Now()), active: newActiveRequests(),
 		dispatch: laburnumdispatch.New(views.View().Self.Zone, cfg.seed),
 	}
+	p.intake = laburnumintake.New(timers, laburnumintake.NewLimits(0, 0))
 	p.refresh(timers.Now())
 	p.closed, p.pendingReleases = make(chan struct{}), make(chan struct{}, maxPendingReleases)
 	p.app = p.routes()
--- a/laburnumproxy/request.go
+++ b/laburnumproxy/request.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumintake"
 	"laburnumlever/laburnumrouter"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +40,7 @@
 	path            string // with the query, as sent to the backend server
 	header          http.Header
 	body            []byte
+	incoming        *laburnumintake.Body // holds the room of body
 	stream          bool
 	// atMostOnce is set for requests that must not run twice.
 	atMostOnce bool
@@ -99,20 +100,35 @@
 	return host, ""
 }
 
-// readBody reads the whole body, up to limit bytes.
-func (o *callerResponse) readBody(r *http.Request, limit int64) error {
+// readBody reads the whole body, up to limit bytes. Its room is held until the request's incoming body is released.
+func (o *callerResponse) readBody(intake *laburnumintake.Intake, r *http.Request, limit int64) error {
 	o.active.waitingForCaller.Store(true)
 	defer o.active.waitingForCaller.Store(false)
 	q := o.q
-	body, err := io.ReadAll(http.MaxBytesReader(unwrapWriter(o.w), r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return q.refusal(laburnumlever.RefusedTooLarge, laburnumlever.OutcomeNotRun, tooLarge.Error())
+	w := unwrapWriter(o.w)
+	controller := http.NewResponseController(w)
+	source := laburnumintake.Source{
+		Body: http.MaxBytesReader(w, r.Body, limit), Length: r.ContentLength, Limit: limit,
+		Interrupt: func() { _ = controller.SetReadDeadline(time.Unix(0, 1)) },
 	}
-	if err != nil {
+	var err error
+	if r.ContentLength > limit {
+		err = &laburnumintake.BodyTooLongError{Limit: limit}
+	} else {
+		q.incoming, err = intake.ReadBody(source)
+	}
+	var maxBytes *http.MaxBytesError
+	var long *laburnumintake.BodyTooLongError
+	var full *laburnumintake.FullError
+	switch {
+	case errors.As(err, &maxBytes), errors.As(err, &long):
+		return q.refusal(laburnumlever.RefusedTooLarge, laburnumlever.OutcomeNotRun, err.Error())
+	case errors.As(err, &full):
+		return q.refusal(laburnumlever.RefusedIntakeFull, laburnumlever.OutcomeNotRun, err.Error())
+	case err != nil:
 		return q.refusal(laburnumlever.RefusedBadRequest, laburnumlever.OutcomeNotRun, "reading the body failed: "+err.Error())
 	}
-	q.body = body
+	q.body = q.incoming.Bytes()
 	return nil
 }
 
--- a/laburnumproxy/serve.go
+++ b/laburnumproxy/serve.go
@@ -37,6 +37,7 @@
 	if !r.ProtoAtLeast(1, 1) {
 		out.endsAtClose = laburnumsocket.FromContext(r.Context())
 	}
+	defer func() { q.incoming.Release() }()
 	err := fn(ctx, q, out, r)
 	p.finish(q, out, err)
 }
@@ -89,7 +90,7 @@
 	if err := p.requireCatalogue(q); err != nil {
 		return err
 	}
-	if err := out.readBody(r, p.cfg.maxBody); err != nil {
+	if err := out.readBody(p.intake, r, p.cfg.maxBody); err != nil {
 		return err
 	}
 	err := q.readCompletion(p.lookup.Load())
--- a/laburnumproxy/services.go
+++ b/laburnumproxy/services.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	if err := out.readBody(r, p.cfg.maxBody); err != nil {
+	if err := out.readBody(p.intake, r, p.cfg.maxBody); err != nil {
 		return err
 	}
 	if !l.services[q.service].IsNonIdempotent(q.method, servicePath) {
