--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -299,6 +299,7 @@
 	if err := c.serveBackends("control", c.settings.Listen.Control, newServer(handler)); err != nil {
 		return err
 	}
+	c.reportIntake()
 	c.serveMetrics(c.status, operatorCall{pattern: "POST " + liftPath, handle: c.handleLift})
 	c.quarantine.start()
 	c.limits.start()
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -116,6 +116,7 @@
 	g.serveMetrics(g.status)
 	g.fleet.StartConfirming()
 	g.gateway.Start()
+	g.reportIntake()
 	g.timers.Every(sweepPeriod, func(time.Time) { g.gateway.Sweep() })
 	_ = level.Info(g.logger).Log("event", laburnumlever.EventStarted, "role", "gateway", "zone", g.self.Zone, "callers", g.settings.Listen.Callers)
 	return nil
--- a/logevent.go
+++ b/logevent.go
@@ -20,6 +20,8 @@
 	EventGarbageReceived
 	// EventSlowCallerEnded is a caller whose connection was ended since it did not take its answer, and why.
 	EventSlowCallerEnded
+	// EventIntakeShort is a summary of what this VM has refused or ended since it had no room or place for more of clients.
+	EventIntakeShort
 	// EventReservationUnclear is an engine's answer to a slot reservation that is neither a grant
 	// nor a refusal.
 	EventReservationUnclear // place-not-reserved
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedintake-shortplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 110, 124, 131, 150, 163, 182, 202, 222, 241, 260, 278, 294, 307, 319, 325, 340, 357, 370, 387, 400, 410, 424, 437, 451, 470, 490, 509, 531, 545, 564, 580, 596, 607, 620, 643, 656, 671, 683, 695, 708, 721, 735, 750, 768, 782, 798, 814, 832, 848, 861, 877, 893, 908, 922, 932, 943, 956, 977, 993, 1011, 1022, 1038, 1054, 1069, 1083, 1097, 1112, 1130, 1148, 1166, 1184, 1197, 1213, 1222, 1236, 1251, 1268, 1283, 1296, 1311, 1322, 1336, 1349, 1375, 1393, 1407, 1424, 1443, 1464, 1473, 1483, 1500, 1518, 1528, 1537, 1554, 1568, 1580, 1596, 1603, 1611, 1618, 1625, 1642, 1658, 1672, 1690, 1703, 1713, 1730}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 104, 122, 136, 143, 162, 175, 194, 214, 234, 253, 272, 290, 306, 319, 331, 337, 352, 369, 382, 399, 412, 422, 436, 449, 463, 482, 502, 521, 543, 557, 576, 592, 608, 619, 632, 655, 668, 683, 695, 707, 720, 733, 747, 762, 780, 794, 810, 826, 844, 860, 873, 889, 905, 920, 934, 944, 955, 968, 989, 1005, 1023, 1034, 1050, 1066, 1081, 1095, 1109, 1124, 1142, 1160, 1178, 1196, 1209, 1225, 1234, 1248, 1263, 1280, 1295, 1308, 1323, 1334, 1348, 1361, 1387, 1405, 1419, 1436, 1455, 1476, 1485, 1495, 1512, 1530, 1540, 1549, 1566, 1580, 1592, 1608, 1615, 1623, 1630, 1637, 1654, 1670, 1684, 1702, 1715, 1725, 1742}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedintake-shortplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -30,119 +30,120 @@
 	_ = x[EventAttemptFailed-(3)]
 	_ = x[EventGarbageReceived-(4)]
 	_ = x[EventSlowCallerEnded-(5)]
-	_ = x[EventReservationUnclear-(6)]
-	_ = x[EventCrossedAnswer-(7)]
-	_ = x[EventRefused-(8)]
-	_ = x[EventAnswerNotRecorded-(9)]
-	_ = x[EventBackendChanged-(10)]
-	_ = x[EventBackendsRemembered-(11)]
-	_ = x[EventRememberedForgotten-(12)]
-	_ = x[EventEndpointsNotLoaded-(13)]
-	_ = x[EventEndpointsNotSaved-(14)]
-	_ = x[EventVersionsNotLoaded-(15)]
-	_ = x[EventVersionsNotSaved-(16)]
-	_ = x[EventBackendReplaced-(17)]
-	_ = x[EventAdapterLoaded-(18)]
-	_ = x[EventLoadDecided-(19)]
-	_ = x[EventLayout-(20)]
-	_ = x[EventBackendCrashed-(21)]
-	_ = x[EventCrashUnconfirmed-(22)]
-	_ = x[EventDetourOpened-(23)]
-	_ = x[EventDetourNotOpened-(24)]
-	_ = x[EventDetourClosed-(25)]
-	_ = x[EventLinksLost-(26)]
-	_ = x[EventLinksRestored-(27)]
-	_ = x[EventBackendRests-(28)]
-	_ = x[EventBackendLeaves-(29)]
-	_ = x[EventHelperNotNotified-(30)]
-	_ = x[EventSoftwareVersionNew-(31)]
-	_ = x[EventStreamNotRecorded-(32)]
-	_ = x[EventStreamVersionUnknown-(33)]
-	_ = x[EventLinksVerified-(34)]
-	_ = x[EventRequestQuarantined-(35)]
-	_ = x[EventRequestReleased-(36)]
-	_ = x[EventPartQuarantined-(37)]
-	_ = x[EventPartLifted-(38)]
-	_ = x[EventPartReleased-(39)]
-	_ = x[EventQuarantineNotReported-(40)]
-	_ = x[EventLimitChanged-(41)]
-	_ = x[EventBrittleChanged-(42)]
-	_ = x[EventLoadUnclear-(43)]
-	_ = x[EventRoomChanged-(44)]
-	_ = x[EventForeignEntry-(45)]
-	_ = x[EventLimitUnclear-(46)]
-	_ = x[EventSlotRequested-(47)]
-	_ = x[EventSlotUnanswered-(48)]
-	_ = x[EventLimitNotReported-(49)]
-	_ = x[EventKeysConfirmed-(50)]
-	_ = x[EventKeysUnconfirmed-(51)]
-	_ = x[EventRoutesConfirmed-(52)]
-	_ = x[EventRoutesUnconfirmed-(53)]
-	_ = x[EventAccountsUnknown-(54)]
-	_ = x[EventQuotaUsedUp-(55)]
-	_ = x[EventQuotaUnanswered-(56)]
-	_ = x[EventOutlierDetected-(57)]
-	_ = x[EventModelWithdrawn-(58)]
-	_ = x[EventOrderAnswered-(59)]
-	_ = x[EventOrderDone-(60)]
-	_ = x[EventOrderStateChanged-(61)]
-	_ = x[EventOrderRefused-(62)]
-	_ = x[EventOrderOutcomeUnknown-(63)]
-	_ = x[EventEngineStateNotRead-(64)]
-	_ = x[EventInventoryNotRead-(65)]
-	_ = x[EventLoadFailed-(66)]
-	_ = x[EventBackendStateNotEncoded-(67)]
-	_ = x[EventRegistryRefused-(68)]
-	_ = x[EventRoutesProposed-(69)]
-	_ = x[EventRoutesRefused-(70)]
-	_ = x[EventRoutesApplied-(71)]
-	_ = x[EventRoutesInEffect-(72)]
-	_ = x[EventRoutesNotDecoded-(73)]
-	_ = x[EventRoutesNotEncoded-(74)]
-	_ = x[EventRoutesNotFetched-(75)]
-	_ = x[EventCatalogueInEffect-(76)]
-	_ = x[EventBecameLeader-(77)]
-	_ = x[EventCommandRejected-(78)]
-	_ = x[EventNoLeader-(79)]
-	_ = x[EventReplicaOpened-(80)]
-	_ = x[EventStartConfirmed-(81)]
-	_ = x[EventStartUnconfirmed-(82)]
-	_ = x[EventVotersChanged-(83)]
-	_ = x[EventLearnerAdded-(84)]
-	_ = x[EventLearnerRemoved-(85)]
-	_ = x[EventVoterAdded-(86)]
-	_ = x[EventVoterReplaced-(87)]
-	_ = x[EventVoterStandby-(88)]
-	_ = x[EventLeadershipNotHandedOver-(89)]
-	_ = x[EventExpiryNotEncoded-(90)]
-	_ = x[EventReplicaFailed-(91)]
-	_ = x[EventReplicaRegressed-(92)]
-	_ = x[EventDataFolderDamaged-(93)]
-	_ = x[EventDataFolderRegressed-(94)]
-	_ = x[EventLeaseAcquired-(95)]
-	_ = x[EventLeaseLost-(96)]
-	_ = x[EventLeaseNotRenewed-(97)]
-	_ = x[EventLeaseNotReleased-(98)]
-	_ = x[EventZoneOwned-(99)]
-	_ = x[EventZoneLost-(100)]
-	_ = x[EventMessageTooLarge-(101)]
-	_ = x[EventControlThreadTimes-(102)]
-	_ = x[EventControlLost-(103)]
-	_ = x[EventControlRegained-(104)]
-	_ = x[EventStarted-(105)]
-	_ = x[EventDraining-(106)]
-	_ = x[EventDrained-(107)]
-	_ = x[EventStopped-(108)]
-	_ = x[EventSettingsReloaded-(109)]
-	_ = x[EventSettingsRefused-(110)]
-	_ = x[EventListenerEnded-(111)]
-	_ = x[EventMetricsNotServed-(112)]
-	_ = x[EventUnknownEvent-(113)]
-	_ = x[EventOverloaded-(114)]
-	_ = x[EventLogLinesDropped-(115)]
+	_ = x[EventIntakeShort-(6)]
+	_ = x[EventReservationUnclear-(7)]
+	_ = x[EventCrossedAnswer-(8)]
+	_ = x[EventRefused-(9)]
+	_ = x[EventAnswerNotRecorded-(10)]
+	_ = x[EventBackendChanged-(11)]
+	_ = x[EventBackendsRemembered-(12)]
+	_ = x[EventRememberedForgotten-(13)]
+	_ = x[EventEndpointsNotLoaded-(14)]
+	_ = x[EventEndpointsNotSaved-(15)]
+	_ = x[EventVersionsNotLoaded-(16)]
+	_ = x[EventVersionsNotSaved-(17)]
+	_ = x[EventBackendReplaced-(18)]
+	_ = x[EventAdapterLoaded-(19)]
+	_ = x[EventLoadDecided-(20)]
+	_ = x[EventLayout-(21)]
+	_ = x[EventBackendCrashed-(22)]
+	_ = x[EventCrashUnconfirmed-(23)]
+	_ = x[EventDetourOpened-(24)]
+	_ = x[EventDetourNotOpened-(25)]
+	_ = x[EventDetourClosed-(26)]
+	_ = x[EventLinksLost-(27)]
+	_ = x[EventLinksRestored-(28)]
+	_ = x[EventBackendRests-(29)]
+	_ = x[EventBackendLeaves-(30)]
+	_ = x[EventHelperNotNotified-(31)]
+	_ = x[EventSoftwareVersionNew-(32)]
+	_ = x[EventStreamNotRecorded-(33)]
+	_ = x[EventStreamVersionUnknown-(34)]
+	_ = x[EventLinksVerified-(35)]
+	_ = x[EventRequestQuarantined-(36)]
+	_ = x[EventRequestReleased-(37)]
+	_ = x[EventPartQuarantined-(38)]
+	_ = x[EventPartLifted-(39)]
+	_ = x[EventPartReleased-(40)]
+	_ = x[EventQuarantineNotReported-(41)]
+	_ = x[EventLimitChanged-(42)]
+	_ = x[EventBrittleChanged-(43)]
+	_ = x[EventLoadUnclear-(44)]
+	_ = x[EventRoomChanged-(45)]
+	_ = x[EventForeignEntry-(46)]
+	_ = x[EventLimitUnclear-(47)]
+	_ = x[EventSlotRequested-(48)]
+	_ = x[EventSlotUnanswered-(49)]
+	_ = x[EventLimitNotReported-(50)]
+	_ = x[EventKeysConfirmed-(51)]
+	_ = x[EventKeysUnconfirmed-(52)]
+	_ = x[EventRoutesConfirmed-(53)]
+	_ = x[EventRoutesUnconfirmed-(54)]
+	_ = x[EventAccountsUnknown-(55)]
+	_ = x[EventQuotaUsedUp-(56)]
+	_ = x[EventQuotaUnanswered-(57)]
+	_ = x[EventOutlierDetected-(58)]
+	_ = x[EventModelWithdrawn-(59)]
+	_ = x[EventOrderAnswered-(60)]
+	_ = x[EventOrderDone-(61)]
+	_ = x[EventOrderStateChanged-(62)]
+	_ = x[EventOrderRefused-(63)]
+	_ = x[EventOrderOutcomeUnknown-(64)]
+	_ = x[EventEngineStateNotRead-(65)]
+	_ = x[EventInventoryNotRead-(66)]
+	_ = x[EventLoadFailed-(67)]
+	_ = x[EventBackendStateNotEncoded-(68)]
+	_ = x[EventRegistryRefused-(69)]
+	_ = x[EventRoutesProposed-(70)]
+	_ = x[EventRoutesRefused-(71)]
+	_ = x[EventRoutesApplied-(72)]
+	_ = x[EventRoutesInEffect-(73)]
+	_ = x[EventRoutesNotDecoded-(74)]
+	_ = x[EventRoutesNotEncoded-(75)]
+	_ = x[EventRoutesNotFetched-(76)]
+	_ = x[EventCatalogueInEffect-(77)]
+	_ = x[EventBecameLeader-(78)]
+	_ = x[EventCommandRejected-(79)]
+	_ = x[EventNoLeader-(80)]
+	_ = x[EventReplicaOpened-(81)]
+	_ = x[EventStartConfirmed-(82)]
+	_ = x[EventStartUnconfirmed-(83)]
+	_ = x[EventVotersChanged-(84)]
+	_ = x[EventLearnerAdded-(85)]
+	_ = x[EventLearnerRemoved-(86)]
+	_ = x[EventVoterAdded-(87)]
+	_ = x[EventVoterReplaced-(88)]
+	_ = x[EventVoterStandby-(89)]
+	_ = x[EventLeadershipNotHandedOver-(90)]
+	_ = x[EventExpiryNotEncoded-(91)]
+	_ = x[EventReplicaFailed-(92)]
+	_ = x[EventReplicaRegressed-(93)]
+	_ = x[EventDataFolderDamaged-(94)]
+	_ = x[EventDataFolderRegressed-(95)]
+	_ = x[EventLeaseAcquired-(96)]
+	_ = x[EventLeaseLost-(97)]
+	_ = x[EventLeaseNotRenewed-(98)]
+	_ = x[EventLeaseNotReleased-(99)]
+	_ = x[EventZoneOwned-(100)]
+	_ = x[EventZoneLost-(101)]
+	_ = x[EventMessageTooLarge-(102)]
+	_ = x[EventControlThreadTimes-(103)]
+	_ = x[EventControlLost-(104)]
+	_ = x[EventControlRegained-(105)]
+	_ = x[EventStarted-(106)]
+	_ = x[EventDraining-(107)]
+	_ = x[EventDrained-(108)]
+	_ = x[EventStopped-(109)]
+	_ = x[EventSettingsReloaded-(110)]
+	_ = x[EventSettingsRefused-(111)]
+	_ = x[EventListenerEnded-(112)]
+	_ = x[EventMetricsNotServed-(113)]
+	_ = x[EventUnknownEvent-(114)]
+	_ = x[EventOverloaded-(115)]
+	_ = x[EventLogLinesDropped-(116)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventRoutesConfirmed, EventRoutesUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventIntakeShort, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventRoutesConfirmed, EventRoutesUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -151,116 +152,117 @@
 	_LogEventName[45:59]:     EventAttemptFailed,
 	_LogEventName[59:75]:     EventGarbageReceived,
 	_LogEventName[75:92]:     EventSlowCallerEnded,
-	_LogEventName[92:110]:    EventReservationUnclear,
-	_LogEventName[110:124]:   EventCrossedAnswer,
-	_LogEventName[124:131]:   EventRefused,
-	_LogEventName[131:150]:   EventAnswerNotRecorded,
-	_LogEventName[150:163]:   EventBackendChanged,
-	_LogEventName[163:182]:   EventBackendsRemembered,
-	_LogEventName[182:202]:   EventRememberedForgotten,
-	_LogEventName[202:222]:   EventEndpointsNotLoaded,
-	_LogEventName[222:241]:   EventEndpointsNotSaved,
-	_LogEventName[241:260]:   EventVersionsNotLoaded,
-	_LogEventName[260:278]:   EventVersionsNotSaved,
-	_LogEventName[278:294]:   EventBackendReplaced,
-	_LogEventName[294:307]:   EventAdapterLoaded,
-	_LogEventName[307:319]:   EventLoadDecided,
-	_LogEventName[319:325]:   EventLayout,
-	_LogEventName[325:340]:   EventBackendCrashed,
-	_LogEventName[340:357]:   EventCrashUnconfirmed,
-	_LogEventName[357:370]:   EventDetourOpened,
-	_LogEventName[370:387]:   EventDetourNotOpened,
-	_LogEventName[387:400]:   EventDetourClosed,
-	_LogEventName[400:410]:   EventLinksLost,
-	_LogEventName[410:424]:   EventLinksRestored,
-	_LogEventName[424:437]:   EventBackendRests,
-	_LogEventName[437:451]:   EventBackendLeaves,
-	_LogEventName[451:470]:   EventHelperNotNotified,
-	_LogEventName[470:490]:   EventSoftwareVersionNew,
-	_LogEventName[490:509]:   EventStreamNotRecorded,
-	_LogEventName[509:531]:   EventStreamVersionUnknown,
-	_LogEventName[531:545]:   EventLinksVerified,
-	_LogEventName[545:564]:   EventRequestQuarantined,
-	_LogEventName[564:580]:   EventRequestReleased,
-	_LogEventName[580:596]:   EventPartQuarantined,
-	_LogEventName[596:607]:   EventPartLifted,
-	_LogEventName[607:620]:   EventPartReleased,
-	_LogEventName[620:643]:   EventQuarantineNotReported,
-	_LogEventName[643:656]:   EventLimitChanged,
-	_LogEventName[656:671]:   EventBrittleChanged,
-	_LogEventName[671:683]:   EventLoadUnclear,
-	_LogEventName[683:695]:   EventRoomChanged,
-	_LogEventName[695:708]:   EventForeignEntry,
-	_LogEventName[708:721]:   EventLimitUnclear,
-	_LogEventName[721:735]:   EventSlotRequested,
-	_LogEventName[735:750]:   EventSlotUnanswered,
-	_LogEventName[750:768]:   EventLimitNotReported,
-	_LogEventName[768:782]:   EventKeysConfirmed,
-	_LogEventName[782:798]:   EventKeysUnconfirmed,
-	_LogEventName[798:814]:   EventRoutesConfirmed,
-	_LogEventName[814:832]:   EventRoutesUnconfirmed,
-	_LogEventName[832:848]:   EventAccountsUnknown,
-	_LogEventName[848:861]:   EventQuotaUsedUp,
-	_LogEventName[861:877]:   EventQuotaUnanswered,
-	_LogEventName[877:893]:   EventOutlierDetected,
-	_LogEventName[893:908]:   EventModelWithdrawn,
-	_LogEventName[908:922]:   EventOrderAnswered,
-	_LogEventName[922:932]:   EventOrderDone,
-	_LogEventName[932:943]:   EventOrderStateChanged,
-	_LogEventName[943:956]:   EventOrderRefused,
-	_LogEventName[956:977]:   EventOrderOutcomeUnknown,
-	_LogEventName[977:993]:   EventEngineStateNotRead,
-	_LogEventName[993:1011]:  EventInventoryNotRead,
-	_LogEventName[1011:1022]: EventLoadFailed,
-	_LogEventName[1022:1038]: EventBackendStateNotEncoded,
-	_LogEventName[1038:1054]: EventRegistryRefused,
-	_LogEventName[1054:1069]: EventRoutesProposed,
-	_LogEventName[1069:1083]: EventRoutesRefused,
-	_LogEventName[1083:1097]: EventRoutesApplied,
-	_LogEventName[1097:1112]: EventRoutesInEffect,
-	_LogEventName[1112:1130]: EventRoutesNotDecoded,
-	_LogEventName[1130:1148]: EventRoutesNotEncoded,
-	_LogEventName[1148:1166]: EventRoutesNotFetched,
-	_LogEventName[1166:1184]: EventCatalogueInEffect,
-	_LogEventName[1184:1197]: EventBecameLeader,
-	_LogEventName[1197:1213]: EventCommandRejected,
-	_LogEventName[1213:1222]: EventNoLeader,
-	_LogEventName[1222:1236]: EventReplicaOpened,
-	_LogEventName[1236:1251]: EventStartConfirmed,
-	_LogEventName[1251:1268]: EventStartUnconfirmed,
-	_LogEventName[1268:1283]: EventVotersChanged,
-	_LogEventName[1283:1296]: EventLearnerAdded,
-	_LogEventName[1296:1311]: EventLearnerRemoved,
-	_LogEventName[1311:1322]: EventVoterAdded,
-	_LogEventName[1322:1336]: EventVoterReplaced,
-	_LogEventName[1336:1349]: EventVoterStandby,
-	_LogEventName[1349:1375]: EventLeadershipNotHandedOver,
-	_LogEventName[1375:1393]: EventExpiryNotEncoded,
-	_LogEventName[1393:1407]: EventReplicaFailed,
-	_LogEventName[1407:1424]: EventReplicaRegressed,
-	_LogEventName[1424:1443]: EventDataFolderDamaged,
-	_LogEventName[1443:1464]: EventDataFolderRegressed,
-	_LogEventName[1464:1473]: EventLeaseAcquired,
-	_LogEventName[1473:1483]: EventLeaseLost,
-	_LogEventName[1483:1500]: EventLeaseNotRenewed,
-	_LogEventName[1500:1518]: EventLeaseNotReleased,
-	_LogEventName[1518:1528]: EventZoneOwned,
-	_LogEventName[1528:1537]: EventZoneLost,
-	_LogEventName[1537:1554]: EventMessageTooLarge,
-	_LogEventName[1554:1568]: EventControlThreadTimes,
-	_LogEventName[1568:1580]: EventControlLost,
-	_LogEventName[1580:1596]: EventControlRegained,
-	_LogEventName[1596:1603]: EventStarted,
-	_LogEventName[1603:1611]: EventDraining,
-	_LogEventName[1611:1618]: EventDrained,
-	_LogEventName[1618:1625]: EventStopped,
-	_LogEventName[1625:1642]: EventSettingsReloaded,
-	_LogEventName[1642:1658]: EventSettingsRefused,
-	_LogEventName[1658:1672]: EventListenerEnded,
-	_LogEventName[1672:1690]: EventMetricsNotServed,
-	_LogEventName[1690:1703]: EventUnknownEvent,
-	_LogEventName[1703:1713]: EventOverloaded,
-	_LogEventName[1713:1730]: EventLogLinesDropped,
+	_LogEventName[92:104]:    EventIntakeShort,
+	_LogEventName[104:122]:   EventReservationUnclear,
+	_LogEventName[122:136]:   EventCrossedAnswer,
+	_LogEventName[136:143]:   EventRefused,
+	_LogEventName[143:162]:   EventAnswerNotRecorded,
+	_LogEventName[162:175]:   EventBackendChanged,
+	_LogEventName[175:194]:   EventBackendsRemembered,
+	_LogEventName[194:214]:   EventRememberedForgotten,
+	_LogEventName[214:234]:   EventEndpointsNotLoaded,
+	_LogEventName[234:253]:   EventEndpointsNotSaved,
+	_LogEventName[253:272]:   EventVersionsNotLoaded,
+	_LogEventName[272:290]:   EventVersionsNotSaved,
+	_LogEventName[290:306]:   EventBackendReplaced,
+	_LogEventName[306:319]:   EventAdapterLoaded,
+	_LogEventName[319:331]:   EventLoadDecided,
+	_LogEventName[331:337]:   EventLayout,
+	_LogEventName[337:352]:   EventBackendCrashed,
+	_LogEventName[352:369]:   EventCrashUnconfirmed,
+	_LogEventName[369:382]:   EventDetourOpened,
+	_LogEventName[382:399]:   EventDetourNotOpened,
+	_LogEventName[399:412]:   EventDetourClosed,
+	_LogEventName[412:422]:   EventLinksLost,
+	_LogEventName[422:436]:   EventLinksRestored,
+	_LogEventName[436:449]:   EventBackendRests,
+	_LogEventName[449:463]:   EventBackendLeaves,
+	_LogEventName[463:482]:   EventHelperNotNotified,
+	_LogEventName[482:502]:   EventSoftwareVersionNew,
+	_LogEventName[502:521]:   EventStreamNotRecorded,
+	_LogEventName[521:543]:   EventStreamVersionUnknown,
+	_LogEventName[543:557]:   EventLinksVerified,
+	_LogEventName[557:576]:   EventRequestQuarantined,
+	_LogEventName[576:592]:   EventRequestReleased,
+	_LogEventName[592:608]:   EventPartQuarantined,
+	_LogEventName[608:619]:   EventPartLifted,
+	_LogEventName[619:632]:   EventPartReleased,
+	_LogEventName[632:655]:   EventQuarantineNotReported,
+	_LogEventName[655:668]:   EventLimitChanged,
+	_LogEventName[668:683]:   EventBrittleChanged,
+	_LogEventName[683:695]:   EventLoadUnclear,
+	_LogEventName[695:707]:   EventRoomChanged,
+	_LogEventName[707:720]:   EventForeignEntry,
+	_LogEventName[720:733]:   EventLimitUnclear,
+	_LogEventName[733:747]:   EventSlotRequested,
+	_LogEventName[747:762]:   EventSlotUnanswered,
+	_LogEventName[762:780]:   EventLimitNotReported,
+	_LogEventName[780:794]:   EventKeysConfirmed,
+	_LogEventName[794:810]:   EventKeysUnconfirmed,
+	_LogEventName[810:826]:   EventRoutesConfirmed,
+	_LogEventName[826:844]:   EventRoutesUnconfirmed,
+	_LogEventName[844:860]:   EventAccountsUnknown,
+	_LogEventName[860:873]:   EventQuotaUsedUp,
+	_LogEventName[873:889]:   EventQuotaUnanswered,
+	_LogEventName[889:905]:   EventOutlierDetected,
+	_LogEventName[905:920]:   EventModelWithdrawn,
+	_LogEventName[920:934]:   EventOrderAnswered,
+	_LogEventName[934:944]:   EventOrderDone,
+	_LogEventName[944:955]:   EventOrderStateChanged,
+	_LogEventName[955:968]:   EventOrderRefused,
+	_LogEventName[968:989]:   EventOrderOutcomeUnknown,
+	_LogEventName[989:1005]:  EventEngineStateNotRead,
+	_LogEventName[1005:1023]: EventInventoryNotRead,
+	_LogEventName[1023:1034]: EventLoadFailed,
+	_LogEventName[1034:1050]: EventBackendStateNotEncoded,
+	_LogEventName[1050:1066]: EventRegistryRefused,
+	_LogEventName[1066:1081]: EventRoutesProposed,
+	_LogEventName[1081:1095]: EventRoutesRefused,
+	_LogEventName[1095:1109]: EventRoutesApplied,
+	_LogEventName[1109:1124]: EventRoutesInEffect,
+	_LogEventName[1124:1142]: EventRoutesNotDecoded,
+	_LogEventName[1142:1160]: EventRoutesNotEncoded,
+	_LogEventName[1160:1178]: EventRoutesNotFetched,
+	_LogEventName[1178:1196]: EventCatalogueInEffect,
+	_LogEventName[1196:1209]: EventBecameLeader,
+	_LogEventName[1209:1225]: EventCommandRejected,
+	_LogEventName[1225:1234]: EventNoLeader,
+	_LogEventName[1234:1248]: EventReplicaOpened,
+	_LogEventName[1248:1263]: EventStartConfirmed,
+	_LogEventName[1263:1280]: EventStartUnconfirmed,
+	_LogEventName[1280:1295]: EventVotersChanged,
+	_LogEventName[1295:1308]: EventLearnerAdded,
+	_LogEventName[1308:1323]: EventLearnerRemoved,
+	_LogEventName[1323:1334]: EventVoterAdded,
+	_LogEventName[1334:1348]: EventVoterReplaced,
+	_LogEventName[1348:1361]: EventVoterStandby,
+	_LogEventName[1361:1387]: EventLeadershipNotHandedOver,
+	_LogEventName[1387:1405]: EventExpiryNotEncoded,
+	_LogEventName[1405:1419]: EventReplicaFailed,
+	_LogEventName[1419:1436]: EventReplicaRegressed,
+	_LogEventName[1436:1455]: EventDataFolderDamaged,
+	_LogEventName[1455:1476]: EventDataFolderRegressed,
+	_LogEventName[1476:1485]: EventLeaseAcquired,
+	_LogEventName[1485:1495]: EventLeaseLost,
+	_LogEventName[1495:1512]: EventLeaseNotRenewed,
+	_LogEventName[1512:1530]: EventLeaseNotReleased,
+	_LogEventName[1530:1540]: EventZoneOwned,
+	_LogEventName[1540:1549]: EventZoneLost,
+	_LogEventName[1549:1566]: EventMessageTooLarge,
+	_LogEventName[1566:1580]: EventControlThreadTimes,
+	_LogEventName[1580:1592]: EventControlLost,
+	_LogEventName[1592:1608]: EventControlRegained,
+	_LogEventName[1608:1615]: EventStarted,
+	_LogEventName[1615:1623]: EventDraining,
+	_LogEventName[1623:1630]: EventDrained,
+	_LogEventName[1630:1637]: EventStopped,
+	_LogEventName[1637:1654]: EventSettingsReloaded,
+	_LogEventName[1654:1670]: EventSettingsRefused,
+	_LogEventName[1670:1684]: EventListenerEnded,
+	_LogEventName[1684:1702]: EventMetricsNotServed,
+	_LogEventName[1702:1715]: EventUnknownEvent,
+	_LogEventName[1715:1725]: EventOverloaded,
+	_LogEventName[1725:1742]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -270,116 +272,117 @@
 	_LogEventLowerName[45:59]:     EventAttemptFailed,
 	_LogEventLowerName[59:75]:     EventGarbageReceived,
 	_LogEventLowerName[75:92]:     EventSlowCallerEnded,
-	_LogEventLowerName[92:110]:    EventReservationUnclear,
-	_LogEventLowerName[110:124]:   EventCrossedAnswer,
-	_LogEventLowerName[124:131]:   EventRefused,
-	_LogEventLowerName[131:150]:   EventAnswerNotRecorded,
-	_LogEventLowerName[150:163]:   EventBackendChanged,
-	_LogEventLowerName[163:182]:   EventBackendsRemembered,
-	_LogEventLowerName[182:202]:   EventRememberedForgotten,
-	_LogEventLowerName[202:222]:   EventEndpointsNotLoaded,
-	_LogEventLowerName[222:241]:   EventEndpointsNotSaved,
-	_LogEventLowerName[241:260]:   EventVersionsNotLoaded,
-	_LogEventLowerName[260:278]:   EventVersionsNotSaved,
-	_LogEventLowerName[278:294]:   EventBackendReplaced,
-	_LogEventLowerName[294:307]:   EventAdapterLoaded,
-	_LogEventLowerName[307:319]:   EventLoadDecided,
-	_LogEventLowerName[319:325]:   EventLayout,
-	_LogEventLowerName[325:340]:   EventBackendCrashed,
-	_LogEventLowerName[340:357]:   EventCrashUnconfirmed,
-	_LogEventLowerName[357:370]:   EventDetourOpened,
-	_LogEventLowerName[370:387]:   EventDetourNotOpened,
-	_LogEventLowerName[387:400]:   EventDetourClosed,
-	_LogEventLowerName[400:410]:   EventLinksLost,
-	_LogEventLowerName[410:424]:   EventLinksRestored,
-	_LogEventLowerName[424:437]:   EventBackendRests,
-	_LogEventLowerName[437:451]:   EventBackendLeaves,
-	_LogEventLowerName[451:470]:   EventHelperNotNotified,
-	_LogEventLowerName[470:490]:   EventSoftwareVersionNew,
-	_LogEventLowerName[490:509]:   EventStreamNotRecorded,
-	_LogEventLowerName[509:531]:   EventStreamVersionUnknown,
-	_LogEventLowerName[531:545]:   EventLinksVerified,
-	_LogEventLowerName[545:564]:   EventRequestQuarantined,
-	_LogEventLowerName[564:580]:   EventRequestReleased,
-	_LogEventLowerName[580:596]:   EventPartQuarantined,
-	_LogEventLowerName[596:607]:   EventPartLifted,
-	_LogEventLowerName[607:620]:   EventPartReleased,
-	_LogEventLowerName[620:643]:   EventQuarantineNotReported,
-	_LogEventLowerName[643:656]:   EventLimitChanged,
-	_LogEventLowerName[656:671]:   EventBrittleChanged,
-	_LogEventLowerName[671:683]:   EventLoadUnclear,
-	_LogEventLowerName[683:695]:   EventRoomChanged,
-	_LogEventLowerName[695:708]:   EventForeignEntry,
-	_LogEventLowerName[708:721]:   EventLimitUnclear,
-	_LogEventLowerName[721:735]:   EventSlotRequested,
-	_LogEventLowerName[735:750]:   EventSlotUnanswered,
-	_LogEventLowerName[750:768]:   EventLimitNotReported,
-	_LogEventLowerName[768:782]:   EventKeysConfirmed,
-	_LogEventLowerName[782:798]:   EventKeysUnconfirmed,
-	_LogEventLowerName[798:814]:   EventRoutesConfirmed,
-	_LogEventLowerName[814:832]:   EventRoutesUnconfirmed,
-	_LogEventLowerName[832:848]:   EventAccountsUnknown,
-	_LogEventLowerName[848:861]:   EventQuotaUsedUp,
-	_LogEventLowerName[861:877]:   EventQuotaUnanswered,
-	_LogEventLowerName[877:893]:   EventOutlierDetected,
-	_LogEventLowerName[893:908]:   EventModelWithdrawn,
-	_LogEventLowerName[908:922]:   EventOrderAnswered,
-	_LogEventLowerName[922:932]:   EventOrderDone,
-	_LogEventLowerName[932:943]:   EventOrderStateChanged,
-	_LogEventLowerName[943:956]:   EventOrderRefused,
-	_LogEventLowerName[956:977]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[977:993]:   EventEngineStateNotRead,
-	_LogEventLowerName[993:1011]:  EventInventoryNotRead,
-	_LogEventLowerName[1011:1022]: EventLoadFailed,
-	_LogEventLowerName[1022:1038]: EventBackendStateNotEncoded,
-	_LogEventLowerName[1038:1054]: EventRegistryRefused,
-	_LogEventLowerName[1054:1069]: EventRoutesProposed,
-	_LogEventLowerName[1069:1083]: EventRoutesRefused,
-	_LogEventLowerName[1083:1097]: EventRoutesApplied,
-	_LogEventLowerName[1097:1112]: EventRoutesInEffect,
-	_LogEventLowerName[1112:1130]: EventRoutesNotDecoded,
-	_LogEventLowerName[1130:1148]: EventRoutesNotEncoded,
-	_LogEventLowerName[1148:1166]: EventRoutesNotFetched,
-	_LogEventLowerName[1166:1184]: EventCatalogueInEffect,
-	_LogEventLowerName[1184:1197]: EventBecameLeader,
-	_LogEventLowerName[1197:1213]: EventCommandRejected,
-	_LogEventLowerName[1213:1222]: EventNoLeader,
-	_LogEventLowerName[1222:1236]: EventReplicaOpened,
-	_LogEventLowerName[1236:1251]: EventStartConfirmed,
-	_LogEventLowerName[1251:1268]: EventStartUnconfirmed,
-	_LogEventLowerName[1268:1283]: EventVotersChanged,
-	_LogEventLowerName[1283:1296]: EventLearnerAdded,
-	_LogEventLowerName[1296:1311]: EventLearnerRemoved,
-	_LogEventLowerName[1311:1322]: EventVoterAdded,
-	_LogEventLowerName[1322:1336]: EventVoterReplaced,
-	_LogEventLowerName[1336:1349]: EventVoterStandby,
-	_LogEventLowerName[1349:1375]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1375:1393]: EventExpiryNotEncoded,
-	_LogEventLowerName[1393:1407]: EventReplicaFailed,
-	_LogEventLowerName[1407:1424]: EventReplicaRegressed,
-	_LogEventLowerName[1424:1443]: EventDataFolderDamaged,
-	_LogEventLowerName[1443:1464]: EventDataFolderRegressed,
-	_LogEventLowerName[1464:1473]: EventLeaseAcquired,
-	_LogEventLowerName[1473:1483]: EventLeaseLost,
-	_LogEventLowerName[1483:1500]: EventLeaseNotRenewed,
-	_LogEventLowerName[1500:1518]: EventLeaseNotReleased,
-	_LogEventLowerName[1518:1528]: EventZoneOwned,
-	_LogEventLowerName[1528:1537]: EventZoneLost,
-	_LogEventLowerName[1537:1554]: EventMessageTooLarge,
-	_LogEventLowerName[1554:1568]: EventControlThreadTimes,
-	_LogEventLowerName[1568:1580]: EventControlLost,
-	_LogEventLowerName[1580:1596]: EventControlRegained,
-	_LogEventLowerName[1596:1603]: EventStarted,
-	_LogEventLowerName[1603:1611]: EventDraining,
-	_LogEventLowerName[1611:1618]: EventDrained,
-	_LogEventLowerName[1618:1625]: EventStopped,
-	_LogEventLowerName[1625:1642]: EventSettingsReloaded,
-	_LogEventLowerName[1642:1658]: EventSettingsRefused,
-	_LogEventLowerName[1658:1672]: EventListenerEnded,
-	_LogEventLowerName[1672:1690]: EventMetricsNotServed,
-	_LogEventLowerName[1690:1703]: EventUnknownEvent,
-	_LogEventLowerName[1703:1713]: EventOverloaded,
-	_LogEventLowerName[1713:1730]: EventLogLinesDropped,
+	_LogEventLowerName[92:104]:    EventIntakeShort,
+	_LogEventLowerName[104:122]:   EventReservationUnclear,
+	_LogEventLowerName[122:136]:   EventCrossedAnswer,
+	_LogEventLowerName[136:143]:   EventRefused,
+	_LogEventLowerName[143:162]:   EventAnswerNotRecorded,
+	_LogEventLowerName[162:175]:   EventBackendChanged,
+	_LogEventLowerName[175:194]:   EventBackendsRemembered,
+	_LogEventLowerName[194:214]:   EventRememberedForgotten,
+	_LogEventLowerName[214:234]:   EventEndpointsNotLoaded,
+	_LogEventLowerName[234:253]:   EventEndpointsNotSaved,
+	_LogEventLowerName[253:272]:   EventVersionsNotLoaded,
+	_LogEventLowerName[272:290]:   EventVersionsNotSaved,
+	_LogEventLowerName[290:306]:   EventBackendReplaced,
+	_LogEventLowerName[306:319]:   EventAdapterLoaded,
+	_LogEventLowerName[319:331]:   EventLoadDecided,
+	_LogEventLowerName[331:337]:   EventLayout,
+	_LogEventLowerName[337:352]:   EventBackendCrashed,
+	_LogEventLowerName[352:369]:   EventCrashUnconfirmed,
+	_LogEventLowerName[369:382]:   EventDetourOpened,
+	_LogEventLowerName[382:399]:   EventDetourNotOpened,
+	_LogEventLowerName[399:412]:   EventDetourClosed,
+	_LogEventLowerName[412:422]:   EventLinksLost,
+	_LogEventLowerName[422:436]:   EventLinksRestored,
+	_LogEventLowerName[436:449]:   EventBackendRests,
+	_LogEventLowerName[449:463]:   EventBackendLeaves,
+	_LogEventLowerName[463:482]:   EventHelperNotNotified,
+	_LogEventLowerName[482:502]:   EventSoftwareVersionNew,
+	_LogEventLowerName[502:521]:   EventStreamNotRecorded,
+	_LogEventLowerName[521:543]:   EventStreamVersionUnknown,
+	_LogEventLowerName[543:557]:   EventLinksVerified,
+	_LogEventLowerName[557:576]:   EventRequestQuarantined,
+	_LogEventLowerName[576:592]:   EventRequestReleased,
+	_LogEventLowerName[592:608]:   EventPartQuarantined,
+	_LogEventLowerName[608:619]:   EventPartLifted,
+	_LogEventLowerName[619:632]:   EventPartReleased,
+	_LogEventLowerName[632:655]:   EventQuarantineNotReported,
+	_LogEventLowerName[655:668]:   EventLimitChanged,
+	_LogEventLowerName[668:683]:   EventBrittleChanged,
+	_LogEventLowerName[683:695]:   EventLoadUnclear,
+	_LogEventLowerName[695:707]:   EventRoomChanged,
+	_LogEventLowerName[707:720]:   EventForeignEntry,
+	_LogEventLowerName[720:733]:   EventLimitUnclear,
+	_LogEventLowerName[733:747]:   EventSlotRequested,
+	_LogEventLowerName[747:762]:   EventSlotUnanswered,
+	_LogEventLowerName[762:780]:   EventLimitNotReported,
+	_LogEventLowerName[780:794]:   EventKeysConfirmed,
+	_LogEventLowerName[794:810]:   EventKeysUnconfirmed,
+	_LogEventLowerName[810:826]:   EventRoutesConfirmed,
+	_LogEventLowerName[826:844]:   EventRoutesUnconfirmed,
+	_LogEventLowerName[844:860]:   EventAccountsUnknown,
+	_LogEventLowerName[860:873]:   EventQuotaUsedUp,
+	_LogEventLowerName[873:889]:   EventQuotaUnanswered,
+	_LogEventLowerName[889:905]:   EventOutlierDetected,
+	_LogEventLowerName[905:920]:   EventModelWithdrawn,
+	_LogEventLowerName[920:934]:   EventOrderAnswered,
+	_LogEventLowerName[934:944]:   EventOrderDone,
+	_LogEventLowerName[944:955]:   EventOrderStateChanged,
+	_LogEventLowerName[955:968]:   EventOrderRefused,
+	_LogEventLowerName[968:989]:   EventOrderOutcomeUnknown,
+	_LogEventLowerName[989:1005]:  EventEngineStateNotRead,
+	_LogEventLowerName[1005:1023]: EventInventoryNotRead,
+	_LogEventLowerName[1023:1034]: EventLoadFailed,
+	_LogEventLowerName[1034:1050]: EventBackendStateNotEncoded,
+	_LogEventLowerName[1050:1066]: EventRegistryRefused,
+	_LogEventLowerName[1066:1081]: EventRoutesProposed,
+	_LogEventLowerName[1081:1095]: EventRoutesRefused,
+	_LogEventLowerName[1095:1109]: EventRoutesApplied,
+	_LogEventLowerName[1109:1124]: EventRoutesInEffect,
+	_LogEventLowerName[1124:1142]: EventRoutesNotDecoded,
+	_LogEventLowerName[1142:1160]: EventRoutesNotEncoded,
+	_LogEventLowerName[1160:1178]: EventRoutesNotFetched,
+	_LogEventLowerName[1178:1196]: EventCatalogueInEffect,
+	_LogEventLowerName[1196:1209]: EventBecameLeader,
+	_LogEventLowerName[1209:1225]: EventCommandRejected,
+	_LogEventLowerName[1225:1234]: EventNoLeader,
+	_LogEventLowerName[1234:1248]: EventReplicaOpened,
+	_LogEventLowerName[1248:1263]: EventStartConfirmed,
+	_LogEventLowerName[1263:1280]: EventStartUnconfirmed,
+	_LogEventLowerName[1280:1295]: EventVotersChanged,
+	_LogEventLowerName[1295:1308]: EventLearnerAdded,
+	_LogEventLowerName[1308:1323]: EventLearnerRemoved,
+	_LogEventLowerName[1323:1334]: EventVoterAdded,
+	_LogEventLowerName[1334:1348]: EventVoterReplaced,
+	_LogEventLowerName[1348:1361]: EventVoterStandby,
+	_LogEventLowerName[1361:1387]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1387:1405]: EventExpiryNotEncoded,
+	_LogEventLowerName[1405:1419]: EventReplicaFailed,
+	_LogEventLowerName[1419:1436]: EventReplicaRegressed,
+	_LogEventLowerName[1436:1455]: EventDataFolderDamaged,
+	_LogEventLowerName[1455:1476]: EventDataFolderRegressed,
+	_LogEventLowerName[1476:1485]: EventLeaseAcquired,
+	_LogEventLowerName[1485:1495]: EventLeaseLost,
+	_LogEventLowerName[1495:1512]: EventLeaseNotRenewed,
+	_LogEventLowerName[1512:1530]: EventLeaseNotReleased,
+	_LogEventLowerName[1530:1540]: EventZoneOwned,
+	_LogEventLowerName[1540:1549]: EventZoneLost,
+	_LogEventLowerName[1549:1566]: EventMessageTooLarge,
+	_LogEventLowerName[1566:1580]: EventControlThreadTimes,
+	_LogEventLowerName[1580:1592]: EventControlLost,
+	_LogEventLowerName[1592:1608]: EventControlRegained,
+	_LogEventLowerName[1608:1615]: EventStarted,
+	_LogEventLowerName[1615:1623]: EventDraining,
+	_LogEventLowerName[1623:1630]: EventDrained,
+	_LogEventLowerName[1630:1637]: EventStopped,
+	_LogEventLowerName[1637:1654]: EventSettingsReloaded,
+	_LogEventLowerName[1654:1670]: EventSettingsRefused,
+	_LogEventLowerName[1670:1684]: EventListenerEnded,
+	_LogEventLowerName[1684:1702]: EventMetricsNotServed,
+	_LogEventLowerName[1702:1715]: EventUnknownEvent,
+	_LogEventLowerName[1715:1725]: EventOverloaded,
+	_LogEventLowerName[1725:1742]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -389,116 +392,117 @@
 	_LogEventName[45:59],
 	_LogEventName[59:75],
 	_LogEventName[75:92],
-	_LogEventName[92:110],
-	_LogEventName[110:124],
-	_LogEventName[124:131],
-	_LogEventName[131:150],
-	_LogEventName[150:163],
-	_LogEventName[163:182],
-	_LogEventName[182:202],
-	_LogEventName[202:222],
-	_LogEventName[222:241],
-	_LogEventName[241:260],
-	_LogEventName[260:278],
-	_LogEventName[278:294],
-	_LogEventName[294:307],
-	_LogEventName[307:319],
-	_LogEventName[319:325],
-	_LogEventName[325:340],
-	_LogEventName[340:357],
-	_LogEventName[357:370],
-	_LogEventName[370:387],
-	_LogEventName[387:400],
-	_LogEventName[400:410],
-	_LogEventName[410:424],
-	_LogEventName[424:437],
-	_LogEventName[437:451],
-	_LogEventName[451:470],
-	_LogEventName[470:490],
-	_LogEventName[490:509],
-	_LogEventName[509:531],
-	_LogEventName[531:545],
-	_LogEventName[545:564],
-	_LogEventName[564:580],
-	_LogEventName[580:596],
-	_LogEventName[596:607],
-	_LogEventName[607:620],
-	_LogEventName[620:643],
-	_LogEventName[643:656],
-	_LogEventName[656:671],
-	_LogEventName[671:683],
+	_LogEventName[92:104],
+	_LogEventName[104:122],
+	_LogEventName[122:136],
+	_LogEventName[136:143],
+	_LogEventName[143:162],
+	_LogEventName[162:175],
+	_LogEventName[175:194],
+	_LogEventName[194:214],
+	_LogEventName[214:234],
+	_LogEventName[234:253],
+	_LogEventName[253:272],
+	_LogEventName[272:290],
+	_LogEventName[290:306],
+	_LogEventName[306:319],
+	_LogEventName[319:331],
+	_LogEventName[331:337],
+	_LogEventName[337:352],
+	_LogEventName[352:369],
+	_LogEventName[369:382],
+	_LogEventName[382:399],
+	_LogEventName[399:412],
+	_LogEventName[412:422],
+	_LogEventName[422:436],
+	_LogEventName[436:449],
+	_LogEventName[449:463],
+	_LogEventName[463:482],
+	_LogEventName[482:502],
+	_LogEventName[502:521],
+	_LogEventName[521:543],
+	_LogEventName[543:557],
+	_LogEventName[557:576],
+	_LogEventName[576:592],
+	_LogEventName[592:608],
+	_LogEventName[608:619],
+	_LogEventName[619:632],
+	_LogEventName[632:655],
+	_LogEventName[655:668],
+	_LogEventName[668:683],
 	_LogEventName[683:695],
-	_LogEventName[695:708],
-	_LogEventName[708:721],
-	_LogEventName[721:735],
-	_LogEventName[735:750],
-	_LogEventName[750:768],
-	_LogEventName[768:782],
-	_LogEventName[782:798],
-	_LogEventName[798:814],
-	_LogEventName[814:832],
-	_LogEventName[832:848],
-	_LogEventName[848:861],
-	_LogEventName[861:877],
-	_LogEventName[877:893],
-	_LogEventName[893:908],
-	_LogEventName[908:922],
-	_LogEventName[922:932],
-	_LogEventName[932:943],
-	_LogEventName[943:956],
-	_LogEventName[956:977],
-	_LogEventName[977:993],
-	_LogEventName[993:1011],
-	_LogEventName[1011:1022],
-	_LogEventName[1022:1038],
-	_LogEventName[1038:1054],
-	_LogEventName[1054:1069],
-	_LogEventName[1069:1083],
-	_LogEventName[1083:1097],
-	_LogEventName[1097:1112],
-	_LogEventName[1112:1130],
-	_LogEventName[1130:1148],
-	_LogEventName[1148:1166],
-	_LogEventName[1166:1184],
-	_LogEventName[1184:1197],
-	_LogEventName[1197:1213],
-	_LogEventName[1213:1222],
-	_LogEventName[1222:1236],
-	_LogEventName[1236:1251],
-	_LogEventName[1251:1268],
-	_LogEventName[1268:1283],
-	_LogEventName[1283:1296],
-	_LogEventName[1296:1311],
-	_LogEventName[1311:1322],
-	_LogEventName[1322:1336],
-	_LogEventName[1336:1349],
-	_LogEventName[1349:1375],
-	_LogEventName[1375:1393],
-	_LogEventName[1393:1407],
-	_LogEventName[1407:1424],
-	_LogEventName[1424:1443],
-	_LogEventName[1443:1464],
-	_LogEventName[1464:1473],
-	_LogEventName[1473:1483],
-	_LogEventName[1483:1500],
-	_LogEventName[1500:1518],
-	_LogEventName[1518:1528],
-	_LogEventName[1528:1537],
-	_LogEventName[1537:1554],
-	_LogEventName[1554:1568],
-	_LogEventName[1568:1580],
-	_LogEventName[1580:1596],
-	_LogEventName[1596:1603],
-	_LogEventName[1603:1611],
-	_LogEventName[1611:1618],
-	_LogEventName[1618:1625],
-	_LogEventName[1625:1642],
-	_LogEventName[1642:1658],
-	_LogEventName[1658:1672],
-	_LogEventName[1672:1690],
-	_LogEventName[1690:1703],
-	_LogEventName[1703:1713],
-	_LogEventName[1713:1730],
+	_LogEventName[695:707],
+	_LogEventName[707:720],
+	_LogEventName[720:733],
+	_LogEventName[733:747],
+	_LogEventName[747:762],
+	_LogEventName[762:780],
+	_LogEventName[780:794],
+	_LogEventName[794:810],
+	_LogEventName[810:826],
+	_LogEventName[826:844],
+	_LogEventName[844:860],
+	_LogEventName[860:873],
+	_LogEventName[873:889],
+	_LogEventName[889:905],
+	_LogEventName[905:920],
+	_LogEventName[920:934],
+	_LogEventName[934:944],
+	_LogEventName[944:955],
+	_LogEventName[955:968],
+	_LogEventName[968:989],
+	_LogEventName[989:1005],
+	_LogEventName[1005:1023],
+	_LogEventName[1023:1034],
+	_LogEventName[1034:1050],
+	_LogEventName[1050:1066],
+	_LogEventName[1066:1081],
+	_LogEventName[1081:1095],
+	_LogEventName[1095:1109],
+	_LogEventName[1109:1124],
+	_LogEventName[1124:1142],
+	_LogEventName[1142:1160],
+	_LogEventName[1160:1178],
+	_LogEventName[1178:1196],
+	_LogEventName[1196:1209],
+	_LogEventName[1209:1225],
+	_LogEventName[1225:1234],
+	_LogEventName[1234:1248],
+	_LogEventName[1248:1263],
+	_LogEventName[1263:1280],
+	_LogEventName[1280:1295],
+	_LogEventName[1295:1308],
+	_LogEventName[1308:1323],
+	_LogEventName[1323:1334],
+	_LogEventName[1334:1348],
+	_LogEventName[1348:1361],
+	_LogEventName[1361:1387],
+	_LogEventName[1387:1405],
+	_LogEventName[1405:1419],
+	_LogEventName[1419:1436],
+	_LogEventName[1436:1455],
+	_LogEventName[1455:1476],
+	_LogEventName[1476:1485],
+	_LogEventName[1485:1495],
+	_LogEventName[1495:1512],
+	_LogEventName[1512:1530],
+	_LogEventName[1530:1540],
+	_LogEventName[1540:1549],
+	_LogEventName[1549:1566],
+	_LogEventName[1566:1580],
+	_LogEventName[1580:1592],
+	_LogEventName[1592:1608],
+	_LogEventName[1608:1615],
+	_LogEventName[1615:1623],
+	_LogEventName[1623:1630],
+	_LogEventName[1630:1637],
+	_LogEventName[1637:1654],
+	_LogEventName[1654:1670],
+	_LogEventName[1670:1684],
+	_LogEventName[1684:1702],
+	_LogEventName[1702:1715],
+	_LogEventName[1715:1725],
+	_LogEventName[1725:1742],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
