fix: a request on a connection that was closed for another one is not served

Callers would see: a request runs at a backend server and its connection ends without an answer, as the connection was chosen as idle between the read of its first bytes and the moment at which that was recorded.

Serving says now whether the connection is still there, and a read on one that has been closed for another ends it. Nothing of the request was passed on then, so that its caller may send it again. TestIdleConnectionGivesItsPlace checks it; it does not compile before.

--- a/laburnumgateway/gateway.go
+++ b/laburnumgateway/gateway.go
@@ -136,7 +136,9 @@
 	}
 	q := g.newRequest(w, r)
 	defer func() { q.body.Release() }()
-	laburnumintake.Serving(q.conn)
+	if !laburnumintake.Serving(q.conn) {
+		panic(http.ErrAbortHandler) // closes the connection
+	}
 	if conn, ok := q.conn.(*callerConn); ok {
 		conn.setServing(true)
 		defer conn.setServing(false)
--- a/laburnumintake/conn.go
+++ b/laburnumintake/conn.go
@@ -53,7 +53,9 @@
 // Handler returns a handler whose requests' connections are known to be served meanwhile.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		Serving(laburnumsocket.FromContext(r.Context()))
+		if !Serving(laburnumsocket.FromContext(r.Context())) {
+			panic(http.ErrAbortHandler) // closes the connection
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -65,13 +67,20 @@
 	}
 }
 
-// Serving records that a request has been read and is served.
-func Serving(conn net.Conn) {
-	if c := connOf(conn); c != nil {
-		c.intake.mu.Lock()
-		defer c.intake.mu.Unlock()
-		c.serve()
+// Serving records that a request has been read and is served. It returns false if its connection has been closed for another one, so
+// that the request must not be served.
+func Serving(conn net.Conn) bool {
+	c := connOf(conn)
+	if c == nil {
+		return true
 	}
+	c.intake.mu.Lock()
+	defer c.intake.mu.Unlock()
+	if c.removed || c.evicted {
+		return false
+	}
+	c.serve()
+	return true
 }
 
 // Dropping records that a request has been refused and the rest of it is dropped, so that its connection may be closed for others.
@@ -104,6 +113,9 @@
 func (c *Conn) received(n int64) error {
 	c.intake.mu.Lock()
 	defer c.intake.mu.Unlock()
+	if c.removed { // it was idle until these bytes came
+		return &FullError{Held: c.intake.held, Limit: c.intake.limits.bytes, Evicted: true}
+	}
 	if c.listener.peers {
 		c.serve()
 		return nil
--- a/laburnumintake/intake_test.go
+++ b/laburnumintake/intake_test.go
@@ -141,11 +141,12 @@
 		return client, accepted
 	}
 	_, served := connect()
-	laburnumintake.Serving(served)
-	idle, _ := connect()
+	require.True(t, laburnumintake.Serving(served))
+	idle, closed := connect()
 	connect()
 	_, err = idle.Read(make([]byte, 1))
 	require.Error(t, err, "it has been closed")
+	require.False(t, laburnumintake.Serving(closed), "a request that was just read has no connection for its answer")
 	require.NoError(t, served.SetReadDeadline(time.Now()))
 	_, err = served.Read(make([]byte, 1))
 	require.NotErrorIs(t, err, net.ErrClosed)
