fix: messages of other VMs share a bound of a control VM's memory

What is announced alone is taken from the runtime at once as well, so that it would collect garbage all the time.

Cause: a frame is read into a buffer of its announced size, up to 16 MiB; nothing counts those of all links.

Change: frames above 16 KiB of incoming connections are read through an intake of their own, an eighth of the memory: a crowd of clients must not cut the links between VMs. A link that stalls in the middle of a frame while others need its room is closed, and opened again by its VM. At a VM with less than 128 MB the bound is below the largest frame, which then never fits; the platform's control VMs have 280 MB.

TestBodyThatIsCutShortIsNoBody is new: a body of known length that ends early is none.

--- a/cmd/laburnumlever/crowd_test.go
+++ b/cmd/laburnumlever/crowd_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -24,6 +25,7 @@
 	fileDescriptors = 200
 	bodyBytes       = 4 << 20
 	headBytes       = 16 << 10
+	frameBytes      = 16 << 20
 	sendTime        = 60 * time.Second
 )
 
@@ -39,6 +41,8 @@
 
 func toControl(d *crowdDeployment) string { return d.control.address(controlPort) }
 
+func toPeers(d *crowdDeployment) string { return d.control.address(peersPort) }
+
 func toPort(port int) func(*crowdDeployment) string {
 	return func(d *crowdDeployment) string { return d.gateways[0].address(port) }
 }
@@ -104,6 +108,14 @@
 	}
 }
 
+// cutFrame sends a message of another VM, of the largest size, without its last byte.
+func cutFrame(w io.Writer, _ int) error {
+	if _, err := w.Write(binary.AppendUvarint(nil, frameBytes)); err != nil {
+		return err
+	}
+	return repeat(w, strings.Repeat("x", 64<<10), frameBytes-1)
+}
+
 func nothing(io.Writer, int) error { return nil }
 
 // Guards against unruly clients that have a process take more memory or descriptors than its VM has, or that keep ordinary callers out.
@@ -129,7 +141,8 @@
 		"silent at the peer port":         {connections: 1500, to: toPort(peersPort), send: nothing},
 		"heads at the metrics":            {connections: 200, to: toPort(metricsPort), send: endlessHead(900 << 10)},
 		"silent at the metrics":           {connections: 1500, to: toPort(metricsPort), send: nothing},
-		"silent at peers of a control VM": {connections: 1500, to: func(d *crowdDeployment) string { return d.control.address(peersPort) }, send: nothing},
+		"silent at peers of a control VM": {connections: 1500, to: toPeers, send: nothing},
+		"messages without their end":      {connections: 40, to: toPeers, send: cutFrame},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := startCrowdDeployment(t, c.delay)
--- a/laburnumintake/body.go
+++ b/laburnumintake/body.go
@@ -80,6 +80,8 @@
 		switch {
 		case b.length > s.Limit:
 			return &BodyTooLongError{Limit: s.Limit}
+		case errors.Is(err, io.EOF) && s.Length >= 0 && b.length < s.Length:
+			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
--- a/laburnumintake/intake_test.go
+++ b/laburnumintake/intake_test.go
@@ -152,3 +152,10 @@
 	require.NotErrorIs(t, err, net.ErrClosed)
 	require.Equal(t, 2, in.Stats().Connections)
 }
+
+// Guards against a message that is cut short and taken for a whole one.
+func TestBodyThatIsCutShortIsNoBody(t *testing.T) {
+	in, _ := newIntake()
+	_, err := in.ReadBody(laburnumintake.Source{Body: strings.NewReader("whole"), Length: 6, Limit: roomBytes, Interrupt: func() {}})
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
--- a/laburnumpeer/config.go
+++ b/laburnumpeer/config.go
@@ -4,6 +4,8 @@
 	"net"
 	"time"
 
+	"laburnumlever/laburnumintake"
+
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 )
@@ -46,6 +48,7 @@
 	maxHandlers      int
 	localIP          net.IP
 	tls              *tlsFiles
+	intake           *laburnumintake.Intake
 }
 
 // Option configures new peers.
@@ -77,6 +80,9 @@
 // talks to its peers from the one that it listens on.
 func WithLocalIP(ip net.IP) Option { return func(c *config) { c.localIP = ip } }
 
+// WithIntake sets the intake that large messages of incoming connections are read through; without it they are bounded one by one only.
+func WithIntake(in *laburnumintake.Intake) Option { return func(c *config) { c.intake = in } }
+
 func newConfig(opts []Option) config {
 	cfg := config{
 		logger:           log.NewNopLogger(),
--- a/laburnumpeer/serve.go
+++ b/laburnumpeer/serve.go
@@ -28,7 +28,9 @@
 			p.cfg.scope.Counter("peer-failed-handshakes").Inc(1)
 			return
 		}
-		conn := p.newConn(newStream(secured, &p.cfg), server{peers: p})
+		s := newStream(secured, &p.cfg)
+		s.intake = p.cfg.intake
+		conn := p.newConn(s, server{peers: p})
 		<-conn.DisconnectNotify()
 	})
 	if !started {
--- a/laburnumpeer/stream.go
+++ b/laburnumpeer/stream.go
@@ -8,12 +8,17 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"laburnumlever/laburnumintake"
 )
 
 // readBuffer is the size in bytes of a connection's read buffer. It is small because a VM of a large
 // fleet has hundreds of connections.
 const readBuffer = 2048
 
+// smallFrame is the size in bytes up to which a frame is part of what its connection counts for.
+const smallFrame = 16 << 10
+
 // stream is a jsonrpc2 object stream of frames: a varint length, then JSON. Unlike the library's own
 // codec it limits the frame size in both directions and the time of a write, and writes each frame in
 // one call.
@@ -25,6 +30,8 @@
 	lastRead       atomic.Int64 // Unix nanoseconds
 	lastFrameBytes int          // of the last frame read; accessed by the reading goroutine only
 	onWrite        func(n int)
+	// intake has the room for large frames; nil if they need none.
+	intake *laburnumintake.Intake
 }
 
 func newStream(conn net.Conn, cfg *config) *stream {
@@ -62,7 +69,7 @@
 	return nil
 }
 
-// ReadObject reads one frame. Errors: *FrameTooLargeError.
+// ReadObject reads one frame. Errors: *FrameTooLargeError, *laburnumintake.FullError.
 func (s *stream) ReadObject(v any) error {
 	size, err := binary.ReadUvarint(s.r)
 	if err != nil {
@@ -71,8 +78,9 @@
 	if size > uint64(s.maxFrame) {
 		return &FrameTooLargeError{Size: int(min(size, uint64(1<<40))), Limit: s.maxFrame}
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(s.r, body); err != nil {
+	body, release, err := s.readFrame(int64(size))
+	defer release()
+	if err != nil {
 		return err
 	}
 	s.lastRead.Store(time.Now().UnixNano())
@@ -80,6 +88,19 @@
 	return decode(body, v)
 }
 
+// readFrame reads as many bytes. Those of a large frame have their room until release is called. Errors: *laburnumintake.FullError.
+func (s *stream) readFrame(size int64) (body []byte, release func(), err error) {
+	if s.intake == nil || size <= smallFrame {
+		body = make([]byte, size)
+		_, err = io.ReadFull(s.r, body)
+		return body, func() {}, err
+	}
+	whole, err := s.intake.ReadBody(laburnumintake.Source{
+		Body: s.r, Length: size, Limit: size, Conn: s.conn, Interrupt: func() { _ = s.conn.Close() },
+	})
+	return whole.Bytes(), whole.Release, err
+}
+
 // encode is json.Marshal without another copy of what jsonrpc2's messages have encoded themselves.
 func encode(obj any) ([]byte, error) {
 	if m, ok := obj.(json.Marshaler); ok {
--- a/laburnumroles/process.go
+++ b/laburnumroles/process.go
@@ -42,6 +42,8 @@
 	self     laburnumlever.VM
 	peers    *laburnumpeer.Peers
 	intake   *laburnumintake.Intake
+	// messages has room of its own for those of other VMs, as clients must not cut the links between VMs.
+	messages *laburnumintake.Intake
 	servers  []*http.Server
 	// served are closed once the servers have ended and their ports are free.
 	served []<-chan struct{}
@@ -77,12 +79,13 @@
 		p.timers = laburnumtimer.New()
 	}
 	p.intake = laburnumintake.New(p.timers, laburnumintake.NewLimits(settings.MemoryMB, settings.Descriptors))
+	p.messages = laburnumintake.New(p.timers, p.intake.Limits())
 	p.self = laburnumlever.VM{
 		ID: settings.VM, Zone: settings.Zone, Region: settings.Region, PeerAddress: settings.PeerAddress(),
 		HasDisk: settings.DataFolder != "", Incarnation: uint64(time.Now().UnixNano()),
 	}
 	p.peers = laburnumpeer.New(p.self.ID, laburnumpeer.WithLogger(p.logger),
-		laburnumpeer.WithScope(p.metrics.Scope()), laburnumpeer.WithLocalIP(p.localIP()),
+		laburnumpeer.WithScope(p.metrics.Scope()), laburnumpeer.WithLocalIP(p.localIP()), laburnumpeer.WithIntake(p.messages),
 		laburnumpeer.WithMaxHandlers(max(minPeerHandlers, int(peerHandlerShare*float64(settings.Descriptors)))))
 	return p
 }
