fix: tunnels through a listener that counts connections are kept alive

TestTunnelThroughAnIntakeIsKeptAlive failed before (15 s between probes, 1 wanted). No other code asks for a *net.TCPConn of an accepted connection (by reading).

--- a/laburnumintake/conn.go
+++ b/laburnumintake/conn.go
@@ -199,6 +199,14 @@
 	return errors.ErrUnsupported
 }
 
+// SetKeepAliveConfig configures the probes by which a lost client is noticed.
+func (c *Conn) SetKeepAliveConfig(config net.KeepAliveConfig) error {
+	if socket, ok := c.Conn.(interface{ SetKeepAliveConfig(net.KeepAliveConfig) error }); ok {
+		return socket.SetKeepAliveConfig(config)
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn, so that the connection's socket can be looked at.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	conn, ok := c.Conn.(syscall.Conn)
