--- a/laburnumintake/intake_test.go
+++ b/laburnumintake/intake_test.go
@@ -38,6 +38,7 @@
 				_ = b.CloseWithError(io.ErrClosedPipe)
 			},
 		})
+		_ = b.Close() // so that what is sent from here on fails
 		b.done <- err
 	}()
 	return b
