fix: a message's room and its connection's place are of different intakes

Other VMs might see: a control VM that is full of messages counts connections wrongly. Evicting a message counted its connection's place as leaving, under the mutex of another intake: a data race, found by reading. It takes messages that fill an eighth of the memory.

Messages name no connection now, and a body takes note of one of its own intake only.

--- a/laburnumintake/body.go
+++ b/laburnumintake/body.go
@@ -18,7 +18,7 @@
 	Length, Limit int64
 	// Deadline is when the body has to have arrived; zero if there is none.
 	Deadline time.Time
-	// Conn is the connection that it arrives on; nil if that is not known.
+	// Conn is the connection that it arrives on, of a listener of the same intake; nil for any other.
 	Conn net.Conn
 	// Interrupt ends a read of Body. It must not block.
 	Interrupt func()
@@ -35,7 +35,7 @@
 // held until it is released. Errors: *FullError, *BodyTooLongError and those of the source; nothing is held then.
 func (in *Intake) ReadBody(s Source) (*Body, error) {
 	b := &Body{entry: entry{intake: in, end: s.Interrupt}}
-	if conn := connOf(s.Conn); conn != nil {
+	if conn := connOf(s.Conn); conn != nil && conn.intake == in {
 		b.listener = conn.listener
 	}
 	err := b.begin(s)
--- a/laburnumpeer/stream.go
+++ b/laburnumpeer/stream.go
@@ -96,7 +96,7 @@
 		return body, func() {}, err
 	}
 	whole, err := s.intake.ReadBody(laburnumintake.Source{
-		Body: s.r, Length: size, Limit: size, Conn: s.conn, Interrupt: func() { _ = s.conn.Close() },
+		Body: s.r, Length: size, Limit: size, Interrupt: func() { _ = s.conn.Close() },
 	})
 	return whole.Bytes(), whole.Release, err
 }
