--- a/laburnumintake/conn.go
+++ b/laburnumintake/conn.go
@@ -201,7 +201,7 @@
 
 // SetKeepAliveConfig configures the probes by which a lost client is noticed.
 func (c *Conn) SetKeepAliveConfig(config net.KeepAliveConfig) error {
-	if socket, ok := c.Conn.(interface{ SetKeepAliveConfig(net.KeepAliveConfig) error }); ok {
+	if socket, ok := c.Conn.(laburnumsocket.KeepAliveSetter); ok {
 		return socket.SetKeepAliveConfig(config)
 	}
 	return errors.ErrUnsupported
--- a/laburnumtunnel/server.go
+++ b/laburnumtunnel/server.go
@@ -152,7 +152,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	if tcp, ok := conn.(interface{ SetKeepAliveConfig(net.KeepAliveConfig) error }); ok {
+	if tcp, ok := conn.(laburnumsocket.KeepAliveSetter); ok {
 		_ = tcp.SetKeepAliveConfig(s.dialer.KeepAliveConfig) // without it a lost VM is noticed by the next write
 	}
 	return conn, nil
