feat: refusals and the status tell a lack of connections from full servers

A gateway that has used its share of the connections to servers with free slots refused as queue-full, like one whose servers are full, with their Retry-After of two seconds and more. The reason is connection-limit now, the cause names the share, the limit and the number of gateways, and status shows the share and its use for each service. LacksConnections asks about servers that have room otherwise.

The two tests that expected queue-full expect the new reason: what they guard against, a wrong status and endless attempts, is checked as before.

--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -97,6 +97,9 @@
 		if c.Resting > 0 {
 			printf(w, "  resting: %d\n", c.Resting)
 		}
+		if n := c.Connections; n != nil {
+			printf(w, "  connections to one server: share %d of %d, busiest %d, all used to %d servers\n", n.Share, n.Limit, n.Busiest, n.UsedUp)
+		}
 		for _, software := range slices.Sorted(maps.Keys(c.Software)) {
 			printf(w, "  software %s: %d serving\n", software, c.Software[software])
 		}
--- a/enums.go
+++ b/enums.go
@@ -81,6 +81,9 @@
 	RefusedBackendLimited
 	// RefusedBackendBrittle is a request that only brittle backend servers could serve which have no room for it.
 	RefusedBackendBrittle
+	// RefusedConnectionLimit is a request that backend servers with free slots could serve to which this gateway has all connections
+	// that it may open.
+	RefusedConnectionLimit
 	// RefusedUnknownKey is a request whose key belongs to no client account.
 	RefusedUnknownKey
 	// RefusedKeysUnconfirmed is a request with a key that may have been revoked, as this VM has not
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -495,11 +495,30 @@
 	return slices.ContainsFunc(t.candidates(q), func(s *server) bool { return q.fits(s) && t.verdictOn(s, q, now) == Found })
 }
 
-// LacksConnections reports whether a server that could serve the query lacks a connection for it.
+// LacksConnections reports whether a server that has room for the query lacks a connection for it.
 func (t *Table) LacksConnections(q Query, now time.Time) bool {
-	return slices.ContainsFunc(t.candidates(q), func(s *server) bool {
-		return q.fits(s) && s.lacksConnection(q.Connections, now) && s.holds(q.Model, q.Adapter, now)
-	})
+	return slices.ContainsFunc(t.candidates(q), func(s *server) bool { return q.fits(s) && t.lacksOnlyConnection(s, q, now) })
+}
+
+// lacksOnlyConnection reports whether a server would take the query if this VM might open one more connection to it.
+func (t *Table) lacksOnlyConnection(s *server, q Query, now time.Time) bool {
+	if !s.lacksConnection(q.Connections, now) {
+		return false
+	}
+	q.Connections = 0
+	return t.verdictOn(s, q, now) == Found
+}
+
+// Connections returns the largest number of this VM's requests at one server of a service, and the number of servers that have as
+// many as a limit or more.
+func (t *Table) Connections(service laburnumlever.ServiceName, limit int) (busiest, usedUp int) {
+	for _, s := range t.byService[service] {
+		busiest = max(busiest, s.own)
+		if s.own >= limit {
+			usedUp++
+		}
+	}
+	return busiest, usedUp
 }
 
 // verdictOn returns whether one server can take the query, and why not: ModelAbsent also if it is
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -106,14 +106,6 @@
 	return &failure{stage: laburnumretry.StageNotSent, reason: laburnumlever.RefusedBackendUnreachable, cause: err}
 }
 
-// connectionShare is a gateway's share of the connection limit of each backend server of a service; 0 for no limit.
-func connectionShare(service laburnumlever.RoutedService, gateways int) int {
-	if service.MaxConnections == 0 {
-		return 0
-	}
-	return max(1, service.MaxConnections/max(1, gateways))
-}
-
 func isConnectionLimit(err error) bool {
 	var limit *laburnumupstream.ConnectionLimitError
 	return errors.As(err, &limit)
--- a/laburnumgateway/connections_test.go
+++ b/laburnumgateway/connections_test.go
@@ -60,8 +60,8 @@
 	require.NotContains(t, logged.String(), "attempt-failed")
 }
 
-// Guards against the reason backend-unreachable, and an unsafe status, for a request that waited for a connection in vain.
-func TestRequestWithoutAConnectionIsRefusedAsQueueFull(t *testing.T) {
+// Guards against the reasons backend-unreachable and queue-full, and an unsafe status, for a request that waited for a connection in vain.
+func TestRequestWithoutAConnectionIsRefusedAsSuch(t *testing.T) {
 	allowed := make(chan struct{})
 	server := newBackend(t, "i-1", heldAnswers(allowed))
 	var logged bytes.Buffer
@@ -71,8 +71,8 @@
 	require.Eventually(t, func() bool { return len(server.requests()) == 1 }, 5*time.Second, time.Millisecond)
 	got := b.send("POST", "/confirm/1", "oak")
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
-	require.Equal(t, "queue-full\n", got.body)
-	require.Contains(t, logged.String(), "all the connections that this gateway may open")
+	require.Equal(t, "connection-limit\n", got.body)
+	require.Contains(t, logged.String(), "this gateway has all connections that it may open to the backend servers with free slots: 1 to each, its share of 1 among 1 gateways")
 	close(allowed)
 	require.Equal(t, http.StatusOK, (<-ended).status)
 	require.Len(t, server.requests(), 1)
@@ -86,7 +86,7 @@
 	b := newConnectionHarness(t, pool, &logged, server.heartbeat("booking"))
 	probe, err := pool.Open(context.Background(), server.ln.Addr().String(), false)
 	require.NoError(t, err)
-	require.Equal(t, "queue-full\n", b.send("GET", "/lookup/1", "").body)
+	require.Equal(t, "connection-limit\n", b.send("GET", "/lookup/1", "").body)
 	time.AfterFunc(50*time.Millisecond, probe.Close)
 	require.Equal(t, http.StatusOK, b.send("GET", "/lookup/2", "").status)
 	require.NotContains(t, logged.String(), "attempt-failed")
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -238,6 +238,7 @@
 		for i, s := range status.Services {
 			status.Services[i].Resting = f.balance.Resting(s.Service, f.timers.Now())
 			status.Services[i].Slow = f.balance.SlowServers(s.Service, f.timers.Now())
+			status.Services[i].Connections = f.connectionsStatus(x, s.Service)
 		}
 		status.Keys = f.keys.status(x)
 	}
@@ -379,13 +380,6 @@
 	return f.balance.Unavailable(f.query(q), f.timers.Now())
 }
 
-// lacksConnections reports whether a backend server could serve a request if this gateway might open one more connection to it.
-func (f *Fleet) lacksConnections(q *request) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.balance.LacksConnections(f.query(q), f.timers.Now())
-}
-
 // query returns the query for the balancer. The caller must hold mu.
 func (f *Fleet) query(q *request) laburnumbalance.Query {
 	query := q.query()
--- a/laburnumgateway/forward.go
+++ b/laburnumgateway/forward.go
@@ -246,11 +246,10 @@
 func (g *Gateway) noSlotRefusal(q *request, verdict laburnumbalance.Verdict) error {
 	switch verdict {
 	case laburnumbalance.Full:
-		detail := "all backend servers that could serve the request are full"
-		if g.fleet.lacksConnections(q) {
-			detail += ", or have all the connections that this gateway may open"
+		if q.lackedConnection || g.fleet.lacksConnections(q) {
+			return g.connectionRefusal(q)
 		}
-		return newRefusal(laburnumlever.RefusedQueueFull, waitPolicy.MinRetryAfter(verdict), detail)
+		return newRefusal(laburnumlever.RefusedQueueFull, waitPolicy.MinRetryAfter(verdict), "all backend servers that could serve the request are full")
 	case laburnumbalance.NoServer:
 		return noBackendRefusal(verdict, "no backend server of the service accepts requests")
 	case laburnumbalance.AdapterAbsent:
--- a/laburnumgateway/request.go
+++ b/laburnumgateway/request.go
@@ -82,6 +82,9 @@
 	freePass, slotCounted bool
 	// foundFull is set once all servers that could serve the request were full.
 	foundFull bool
+	// lackedConnection is set if one of them had free slots when the request last began to wait, but this gateway no connection to it
+	// left.
+	lackedConnection bool
 	// byUrgency is set if backend servers are told the rank.
 	byUrgency bool
 	// asked is when the caller first asked, if it was told to return then; else zero.
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -36,6 +36,7 @@
 	queued.Asked = q.asked
 	ticket, verdict := f.pick(q, queued.Query, now)
 	q.foundFull = q.foundFull || verdict == laburnumbalance.Full
+	q.lackedConnection = verdict == laburnumbalance.Full && f.balance.LacksConnections(queued.Query, now)
 	if verdict == laburnumbalance.Resting {
 		verdict = f.waitsForRest(queued.Query, until, now)
 	}
--- a/refusalreason_gen.go
+++ b/refusalreason_gen.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedintake-fullinternal-error"
+const _RefusalReasonName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleconnection-limitunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedintake-fullinternal-error"
 
-var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 338, 353, 368, 379, 395, 405, 421, 431, 446, 460, 479, 489, 500, 514}
+var _RefusalReasonIndex = [...]uint16{0, 11, 20, 33, 48, 57, 65, 83, 99, 114, 124, 137, 145, 155, 167, 186, 199, 211, 224, 238, 247, 262, 274, 289, 300, 311, 322, 338, 353, 368, 384, 395, 411, 421, 437, 447, 462, 476, 495, 505, 516, 530}
 
-const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedintake-fullinternal-error"
+const _RefusalReasonLowerName = "bad-requesttoo-largeunknown-modelunknown-servicenot-readydrainingowner-request-rateowner-token-rateowner-in-flightqueue-fullqueue-timeoutdeadlineno-backendbackend-busybackend-unreachablebackend-errorretry-budgetbroken-streamcrossed-answerno-quorumkey-in-progresskey-mismatchoutcome-unknowncaller-gonequarantinedunder-trialpart-quarantinedbackend-limitedbackend-brittleconnection-limitunknown-keykeys-unconfirmedover-quotaquota-unansweredlinks-lostbackend-restingstream-unknownstream-version-gonevm-stoppedintake-fullinternal-error"
 
 func (i RefusalReason) String() string {
 	if i < 0 || i >= RefusalReason(len(_RefusalReasonIndex)-1) {
@@ -54,20 +54,21 @@
 	_ = x[RefusedPartQuarantined-(26)]
 	_ = x[RefusedBackendLimited-(27)]
 	_ = x[RefusedBackendBrittle-(28)]
-	_ = x[RefusedUnknownKey-(29)]
-	_ = x[RefusedKeysUnconfirmed-(30)]
-	_ = x[RefusedOverQuota-(31)]
-	_ = x[RefusedQuotaUnanswered-(32)]
-	_ = x[RefusedLinksLost-(33)]
-	_ = x[RefusedBackendResting-(34)]
-	_ = x[RefusedStreamUnknown-(35)]
-	_ = x[RefusedStreamVersionGone-(36)]
-	_ = x[RefusedVMStopped-(37)]
-	_ = x[RefusedIntakeFull-(38)]
-	_ = x[RefusedInternalError-(39)]
+	_ = x[RefusedConnectionLimit-(29)]
+	_ = x[RefusedUnknownKey-(30)]
+	_ = x[RefusedKeysUnconfirmed-(31)]
+	_ = x[RefusedOverQuota-(32)]
+	_ = x[RefusedQuotaUnanswered-(33)]
+	_ = x[RefusedLinksLost-(34)]
+	_ = x[RefusedBackendResting-(35)]
+	_ = x[RefusedStreamUnknown-(36)]
+	_ = x[RefusedStreamVersionGone-(37)]
+	_ = x[RefusedVMStopped-(38)]
+	_ = x[RefusedIntakeFull-(39)]
+	_ = x[RefusedInternalError-(40)]
 }
 
-var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedPartQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone, RefusedVMStopped, RefusedIntakeFull, RefusedInternalError}
+var _RefusalReasonValues = []RefusalReason{RefusedBadRequest, RefusedTooLarge, RefusedUnknownModel, RefusedUnknownService, RefusedNotReady, RefusedDraining, RefusedOwnerRequestRate, RefusedOwnerTokenRate, RefusedOwnerInFlight, RefusedQueueFull, RefusedQueueTimeout, RefusedDeadline, RefusedNoBackend, RefusedBackendBusy, RefusedBackendUnreachable, RefusedBackendError, RefusedRetryBudget, RefusedBrokenStream, RefusedCrossedAnswer, RefusedNoQuorum, RefusedKeyInProgress, RefusedKeyMismatch, RefusedOutcomeUnknown, RefusedCallerGone, RefusedQuarantined, RefusedUnderTrial, RefusedPartQuarantined, RefusedBackendLimited, RefusedBackendBrittle, RefusedConnectionLimit, RefusedUnknownKey, RefusedKeysUnconfirmed, RefusedOverQuota, RefusedQuotaUnanswered, RefusedLinksLost, RefusedBackendResting, RefusedStreamUnknown, RefusedStreamVersionGone, RefusedVMStopped, RefusedIntakeFull, RefusedInternalError}
 
 var _RefusalReasonNameToValueMap = map[string]RefusalReason{
 	_RefusalReasonName[0:11]:    RefusedBadRequest,
@@ -99,17 +100,18 @@
 	_RefusalReasonName[322:338]: RefusedPartQuarantined,
 	_RefusalReasonName[338:353]: RefusedBackendLimited,
 	_RefusalReasonName[353:368]: RefusedBackendBrittle,
-	_RefusalReasonName[368:379]: RefusedUnknownKey,
-	_RefusalReasonName[379:395]: RefusedKeysUnconfirmed,
-	_RefusalReasonName[395:405]: RefusedOverQuota,
-	_RefusalReasonName[405:421]: RefusedQuotaUnanswered,
-	_RefusalReasonName[421:431]: RefusedLinksLost,
-	_RefusalReasonName[431:446]: RefusedBackendResting,
-	_RefusalReasonName[446:460]: RefusedStreamUnknown,
-	_RefusalReasonName[460:479]: RefusedStreamVersionGone,
-	_RefusalReasonName[479:489]: RefusedVMStopped,
-	_RefusalReasonName[489:500]: RefusedIntakeFull,
-	_RefusalReasonName[500:514]: RefusedInternalError,
+	_RefusalReasonName[368:384]: RefusedConnectionLimit,
+	_RefusalReasonName[384:395]: RefusedUnknownKey,
+	_RefusalReasonName[395:411]: RefusedKeysUnconfirmed,
+	_RefusalReasonName[411:421]: RefusedOverQuota,
+	_RefusalReasonName[421:437]: RefusedQuotaUnanswered,
+	_RefusalReasonName[437:447]: RefusedLinksLost,
+	_RefusalReasonName[447:462]: RefusedBackendResting,
+	_RefusalReasonName[462:476]: RefusedStreamUnknown,
+	_RefusalReasonName[476:495]: RefusedStreamVersionGone,
+	_RefusalReasonName[495:505]: RefusedVMStopped,
+	_RefusalReasonName[505:516]: RefusedIntakeFull,
+	_RefusalReasonName[516:530]: RefusedInternalError,
 }
 
 var _RefusalReasonLowerNameToValueMap = map[string]RefusalReason{
@@ -142,17 +144,18 @@
 	_RefusalReasonLowerName[322:338]: RefusedPartQuarantined,
 	_RefusalReasonLowerName[338:353]: RefusedBackendLimited,
 	_RefusalReasonLowerName[353:368]: RefusedBackendBrittle,
-	_RefusalReasonLowerName[368:379]: RefusedUnknownKey,
-	_RefusalReasonLowerName[379:395]: RefusedKeysUnconfirmed,
-	_RefusalReasonLowerName[395:405]: RefusedOverQuota,
-	_RefusalReasonLowerName[405:421]: RefusedQuotaUnanswered,
-	_RefusalReasonLowerName[421:431]: RefusedLinksLost,
-	_RefusalReasonLowerName[431:446]: RefusedBackendResting,
-	_RefusalReasonLowerName[446:460]: RefusedStreamUnknown,
-	_RefusalReasonLowerName[460:479]: RefusedStreamVersionGone,
-	_RefusalReasonLowerName[479:489]: RefusedVMStopped,
-	_RefusalReasonLowerName[489:500]: RefusedIntakeFull,
-	_RefusalReasonLowerName[500:514]: RefusedInternalError,
+	_RefusalReasonLowerName[368:384]: RefusedConnectionLimit,
+	_RefusalReasonLowerName[384:395]: RefusedUnknownKey,
+	_RefusalReasonLowerName[395:411]: RefusedKeysUnconfirmed,
+	_RefusalReasonLowerName[411:421]: RefusedOverQuota,
+	_RefusalReasonLowerName[421:437]: RefusedQuotaUnanswered,
+	_RefusalReasonLowerName[437:447]: RefusedLinksLost,
+	_RefusalReasonLowerName[447:462]: RefusedBackendResting,
+	_RefusalReasonLowerName[462:476]: RefusedStreamUnknown,
+	_RefusalReasonLowerName[476:495]: RefusedStreamVersionGone,
+	_RefusalReasonLowerName[495:505]: RefusedVMStopped,
+	_RefusalReasonLowerName[505:516]: RefusedIntakeFull,
+	_RefusalReasonLowerName[516:530]: RefusedInternalError,
 }
 
 var _RefusalReasonNames = []string{
@@ -185,17 +188,18 @@
 	_RefusalReasonName[322:338],
 	_RefusalReasonName[338:353],
 	_RefusalReasonName[353:368],
-	_RefusalReasonName[368:379],
-	_RefusalReasonName[379:395],
-	_RefusalReasonName[395:405],
-	_RefusalReasonName[405:421],
-	_RefusalReasonName[421:431],
-	_RefusalReasonName[431:446],
-	_RefusalReasonName[446:460],
-	_RefusalReasonName[460:479],
-	_RefusalReasonName[479:489],
-	_RefusalReasonName[489:500],
-	_RefusalReasonName[500:514],
+	_RefusalReasonName[368:384],
+	_RefusalReasonName[384:395],
+	_RefusalReasonName[395:411],
+	_RefusalReasonName[411:421],
+	_RefusalReasonName[421:437],
+	_RefusalReasonName[437:447],
+	_RefusalReasonName[447:462],
+	_RefusalReasonName[462:476],
+	_RefusalReasonName[476:495],
+	_RefusalReasonName[495:505],
+	_RefusalReasonName[505:516],
+	_RefusalReasonName[516:530],
 }
 
 // RefusalReasonString retrieves an enum value from the enum constants string name.
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -117,6 +117,8 @@
 	Resting int `json:"resting,omitempty"`
 	// Slow counts the serving backend servers that told a gateway just now that work takes longer there than usual; gateways set it.
 	Slow int `json:"slow,omitempty"`
+	// Connections is what a gateway may have to one backend server of the service; nil without a limit. Gateways set it.
+	Connections *ConnectionsStatus `json:"connections,omitempty"`
 	// Software counts the serving backend servers by software version, without those whose version is unknown.
 	Software map[SoftwareVersion]int `json:"software,omitempty"`
 	// Models counts the models in the catalogue, Absent those of them that no serving
@@ -128,3 +130,15 @@
 	// Examples are some of the absent models.
 	Examples []ModelName `json:"examples,omitempty"`
 }
+
+// ConnectionsStatus tells how a gateway shares the connection limit of a service's backend servers with the other gateways. Each
+// connection carries one request at a time.
+type ConnectionsStatus struct {
+	// Limit is the number of connections that one backend server accepts from all VMs, Share this gateway's own part of it.
+	Limit int `json:"limit"`
+	Share int `json:"share"`
+	// Busiest is the largest number of this gateway's requests at one backend server, UsedUp the number of backend servers to
+	// which it has all connections that it may open.
+	Busiest int `json:"busiest"`
+	UsedUp  int `json:"used-up"`
+}
