--- a/laburnumroles/crashingrequest_test.go
+++ b/laburnumroles/crashingrequest_test.go
@@ -181,13 +181,18 @@
 }
 
 func newCrashingFleetOf(t *testing.T, gateways, engines int, crashing *crashingEngines) *crashingFleet {
+	return newCrashingFleetOn(t, gateways, engines, crashing, manifest(7, "confirm"))
+}
+
+// newCrashingFleetOn is newCrashingFleetOf with a manifest.
+func newCrashingFleetOn(t *testing.T, gateways, engines int, crashing *crashingEngines, manifest []byte) *crashingFleet {
 	s := newDeployment(t, 3, 1)
 	crashing.deployment = s
 	for i := 1; i < gateways; i++ {
 		s.startGatewayAt(i)
 	}
 	s.until(200, "first manifest", func() (int, []byte) {
-		return s.call("PUT", "http://"+s.control(0)+"/v1/config", manifest(7, "confirm"))
+		return s.call("PUT", "http://"+s.control(0)+"/v1/config", manifest)
 	})
 	f := &crashingFleet{deployment: s, engines: crashing}
 	for range engines {
