--- a/cmd/laburnumlever/statuscmd.go
+++ b/cmd/laburnumlever/statuscmd.go
@@ -92,13 +92,20 @@
 	for _, p := range s.Parts {
 		printf(w, "part %s of %s: refused, %d crashes, %d of them in trials, next trial in %s\n", p.Part, p.Service, p.Crashes, p.Trials, time.Duration(p.RetryIn).Round(time.Second))
 	}
-	for _, c := range s.Services {
+	for _, l := range s.ConnectionLeases {
+		printf(w, "connections leased to %s: %d to %d servers\n", l.Gateway, l.Connections, l.Servers)
+	}
+	printServices(w, s.Services)
+}
+
+func printServices(w io.Writer, services []laburnumlever.ServiceStatus) {
+	for _, c := range services {
 		printf(w, "service %s: %d serving, %d of them silent, %d leaving\n", c.Service, c.Serving, c.Silent, c.Leaving)
 		if c.Resting > 0 {
 			printf(w, "  resting: %d\n", c.Resting)
 		}
 		if n := c.Connections; n != nil {
-			printf(w, "  connections to one server: share %d of %d, busiest %d, all used to %d servers\n", n.Share, n.Limit, n.Busiest, n.UsedUp)
+			printf(w, "  connections to one server: share %d of %d, busiest %d, all used to %d servers, %d leased\n", n.Share, n.Limit, n.Busiest, n.UsedUp, n.Leased)
 		}
 		for _, software := range slices.Sorted(maps.Keys(c.Software)) {
 			printf(w, "  software %s: %d serving\n", software, c.Software[software])
--- a/laburnumbalance/balance.go
+++ b/laburnumbalance/balance.go
@@ -74,8 +74,8 @@
 	Rank int
 	// ExceptSoftware are software versions whose servers may not take the request.
 	ExceptSoftware []laburnumlever.SoftwareVersion
-	// Connections is the number of connections that this VM may have to one server, each of which carries one request; 0 for any.
-	Connections int
+	// Connections returns the number of connections that this VM may have to a server, each of which carries one request; nil for any.
+	Connections func(laburnumlever.BackendID) int
 }
 
 // fits reports whether a server runs software that may take the request.
@@ -441,7 +441,7 @@
 		unlimited = unlimited || !s.limited
 		if s.limited {
 			limited = append(limited, s.record.Heartbeat.Backend)
-		} else if now.Before(s.unreachableUntil) || now.Before(s.restUntil) || s.lacksConnection(q.Connections, now) || t.saturated(s, q, now) {
+		} else if now.Before(s.unreachableUntil) || now.Before(s.restUntil) || s.lacksConnection(q, now) || t.saturated(s, q, now) {
 			unavailable = append(unavailable, s.record.Heartbeat.Backend)
 		}
 	}
@@ -500,21 +500,48 @@
 	return slices.ContainsFunc(t.candidates(q), func(s *server) bool { return q.fits(s) && t.lacksOnlyConnection(s, q, now) })
 }
 
+// LackingConnections returns the servers that have room for the query but lack a connection for it, with the number of this VM's
+// requests there: at most a number, the best first.
+func (t *Table) LackingConnections(q Query, most int, now time.Time) []InUse {
+	lacking := slices.DeleteFunc(slices.Clone(t.candidates(q)), func(s *server) bool { return !q.fits(s) || !t.lacksOnlyConnection(s, q, now) })
+	scores := make(map[*server]float64, len(lacking))
+	for _, s := range lacking {
+		scores[s] = t.score(s, q, now)
+	}
+	slices.SortFunc(lacking, func(a, b *server) int { return cmp.Compare(scores[a], scores[b]) })
+	servers := make([]InUse, 0, most)
+	for _, s := range lacking[:min(most, len(lacking))] {
+		servers = append(servers, InUse{Server: s.record.Heartbeat, Requests: s.own})
+	}
+	return servers
+}
+
+// InUse is a server with the number of this VM's requests there.
+type InUse struct {
+	Server   laburnumlever.Heartbeat
+	Requests int
+}
+
+// InUse returns the ticket's server with the number of this VM's requests there.
+func (ticket *Ticket) InUse() InUse {
+	return InUse{Server: ticket.Backend, Requests: ticket.server.own}
+}
+
 // lacksOnlyConnection reports whether a server would take the query if this VM might open one more connection to it.
 func (t *Table) lacksOnlyConnection(s *server, q Query, now time.Time) bool {
-	if !s.lacksConnection(q.Connections, now) {
+	if !s.lacksConnection(q, now) {
 		return false
 	}
-	q.Connections = 0
+	q.Connections = nil
 	return t.verdictOn(s, q, now) == Found
 }
 
-// Connections returns the largest number of this VM's requests at one server of a service, and the number of servers that have as
-// many as a limit or more.
-func (t *Table) Connections(service laburnumlever.ServiceName, limit int) (busiest, usedUp int) {
+// Connections returns the largest number of this VM's requests at one server of a service, and the number of servers that have all
+// that they may have.
+func (t *Table) Connections(service laburnumlever.ServiceName, allowed func(laburnumlever.BackendID) int) (busiest, usedUp int) {
 	for _, s := range t.byService[service] {
 		busiest = max(busiest, s.own)
-		if s.own >= limit {
+		if s.own >= allowed(s.record.Heartbeat.Backend) {
 			usedUp++
 		}
 	}
@@ -531,7 +558,7 @@
 		return Resting
 	case !s.holds(q.Model, q.Adapter, now):
 		return AdapterAbsent
-	case s.trialing || s.lacksConnection(q.Connections, now):
+	case s.trialing || s.lacksConnection(q, now):
 		return Full
 	case s.limited:
 		return t.limitedVerdict(s, q, now)
--- a/laburnumbalance/balance_test.go
+++ b/laburnumbalance/balance_test.go
@@ -225,7 +225,7 @@
 	} {
 		table.Set(laburnumregistry.Record{Heartbeat: h})
 	}
-	query := laburnumbalance.Query{Service: "quotes", Connections: 1}
+	query := laburnumbalance.Query{Service: "quotes", Connections: func(laburnumlever.BackendID) int { return 1 }}
 	var picked []laburnumlever.BackendID
 	var first *laburnumbalance.Ticket
 	for range 2 {
--- a/laburnumbalance/server.go
+++ b/laburnumbalance/server.go
@@ -96,9 +96,9 @@
 	return float64(s.own) + max(0, fade)*s.others
 }
 
-// lacksConnection tells whether this VM's requests have all of the connections that it may have to the server; 0 for any number.
-func (s *server) lacksConnection(limit int, now time.Time) bool {
-	return limit > 0 && (s.own >= limit || now.Before(s.noConnectionUntil))
+// lacksConnection tells whether this VM's requests have all of the connections that it may have to the server.
+func (s *server) lacksConnection(q Query, now time.Time) bool {
+	return q.Connections != nil && (now.Before(s.noConnectionUntil) || s.own >= q.Connections(s.record.Heartbeat.Backend))
 }
 
 // mayBeFull tells whether the server may be full, since its last reservation was refused or its load
--- a/laburnumfeed/follower.go
+++ b/laburnumfeed/follower.go
@@ -253,7 +253,7 @@
 	defer f.mu.Unlock()
 	c.poll++
 	c.polling = true
-	q = pollRequest{From: f.self, Boot: c.boot, Since: c.cursor, Records: c.recordSource, Helper: helper}
+	q = pollRequest{From: f.self, Boot: c.boot, Since: c.cursor, Records: c.recordSource, Helper: helper, LeasesConnections: !f.self.HasDisk}
 	if q.Records {
 		q.Since = c.recordsCursor
 	}
--- a/laburnumfeed/helpers.go
+++ b/laburnumfeed/helpers.go
@@ -16,6 +16,8 @@
 	polledAt time.Time
 	// routes is the version of the last large route table that it had in effect; 0 for none.
 	routes uint64
+	// leases is set if it leases connections to backend servers.
+	leases bool
 }
 
 // Helpers returns the addresses of up to n gateways that open connections to backend servers for a VM in an availability
--- a/laburnumfeed/messages.go
+++ b/laburnumfeed/messages.go
@@ -30,6 +30,8 @@
 	Records bool `json:"records,omitempty"`
 	// Helper is where the VM opens connections to backend servers for others; empty while it can't.
 	Helper string `json:"helper,omitempty"`
+	// LeasesConnections is set by gateways that use less than an even part of backend servers' connection limits without a lease.
+	LeasesConnections bool `json:"leases-connections,omitempty"`
 	// GatewayReport is set in polls to the director.
 	GatewayReport laburnumlever.GatewayReport `json:"news,omitzero"`
 }
--- a/laburnumfeed/pollers.go
+++ b/laburnumfeed/pollers.go
@@ -22,9 +22,11 @@
 
 // pollers are the VMs that poll a source. It is not safe for concurrent use.
 type pollers struct {
-	controls          map[laburnumlever.VMID]knownControl
-	gatewaysByID      map[laburnumlever.VMID]polledGateway
-	gatewayCount      int
+	controls     map[laburnumlever.VMID]knownControl
+	gatewaysByID map[laburnumlever.VMID]polledGateway
+	gatewayCount int
+	// earlierCount is the number of those that don't lease connections to backend servers.
+	earlierCount      int
 	gatewaysCountedAt time.Time
 }
 
@@ -57,7 +59,7 @@
 		if _, ok := p.gatewaysByID[vm.ID]; !ok {
 			p.gatewaysCountedAt = time.Time{}
 		}
-		p.gatewaysByID[vm.ID] = polledGateway{zone: vm.Zone, helper: helper, polledAt: now, routes: p.gatewaysByID[vm.ID].routes}
+		p.gatewaysByID[vm.ID] = polledGateway{zone: vm.Zone, helper: helper, polledAt: now, routes: p.gatewaysByID[vm.ID].routes, leases: p.gatewaysByID[vm.ID].leases}
 		return
 	}
 	if known, ok := p.controls[vm.ID]; ok {
@@ -74,6 +76,14 @@
 	}
 }
 
+// noteLeases records whether a polling gateway leases connections to backend servers.
+func (p *pollers) noteLeases(id laburnumlever.VMID, leases bool) {
+	if g, ok := p.gatewaysByID[id]; ok && g.leases != leases {
+		g.leases, p.gatewaysCountedAt = leases, time.Time{}
+		p.gatewaysByID[id] = g
+	}
+}
+
 // withoutRoutes counts the gateways that polled within reachableTime and have not reported a version of the route table, or a newer
 // one.
 func (p *pollers) withoutRoutes(version uint64, now time.Time) int {
@@ -124,6 +134,12 @@
 		}
 	}
 	p.gatewayCount, p.gatewaysCountedAt = len(p.gatewaysByID), now
+	p.earlierCount = 0
+	for _, g := range p.gatewaysByID {
+		if !g.leases {
+			p.earlierCount++
+		}
+	}
 	return p.gatewayCount
 }
 
--- a/laburnumfeed/source.go
+++ b/laburnumfeed/source.go
@@ -278,6 +278,14 @@
 	return s.pollers.gateways(s.timers.Now())
 }
 
+// EarlierGateways returns the number of those that use an even part of backend servers' connection limits without a lease.
+func (s *Source) EarlierGateways() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.pollers.gateways(s.timers.Now()) // counts them
+	return s.pollers.earlierCount
+}
+
 // Isolated reports whether this VM can't reach a majority of the control VMs.
 func (s *Source) Isolated() bool {
 	s.mu.Lock()
@@ -386,6 +394,7 @@
 		s.onGatewayReport(q.From.ID, q.GatewayReport)
 	}
 	s.notePoller(q.From, q.Helper)
+	s.noteLeases(q.From, q.LeasesConnections)
 	expired, cancel := laburnumtimer.AfterChannel(s.timers, longPollTimeout)
 	defer cancel()
 	for {
@@ -403,6 +412,13 @@
 	}
 }
 
+// noteLeases records whether a polling gateway leases connections to backend servers.
+func (s *Source) noteLeases(vm laburnumlever.VM, leases bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pollers.noteLeases(vm.ID, leases)
+}
+
 // notePoller records the polling VM: a control VM is published, a gateway only counted.
 func (s *Source) notePoller(vm laburnumlever.VM, helper string) {
 	if vm.HasDisk {
--- a/laburnumgateway/attempt.go
+++ b/laburnumgateway/attempt.go
@@ -31,7 +31,7 @@
 		g.judgeGarbage(q, out, ticket, fail, &result)
 		g.fleet.release(q, ticket, result)
 	}()
-	conn, fail := g.connect(ctx, q, ticket, &result)
+	conn, fail := g.connect(ctx, ticket, &result)
 	if fail != nil {
 		return fail
 	}
@@ -75,8 +75,8 @@
 }
 
 // connect returns a connection to the ticket's backend server, if it may still be sent something.
-func (g *Gateway) connect(ctx context.Context, q *request, ticket *laburnumbalance.Ticket, result *laburnumbalance.AttemptResult) (*laburnumupstream.Conn, *failure) {
-	conn, err := g.pool.Get(ctx, ticket.Backend.Address, connectionShare(q.service, g.fleet.Gateways()))
+func (g *Gateway) connect(ctx context.Context, ticket *laburnumbalance.Ticket, result *laburnumbalance.AttemptResult) (*laburnumupstream.Conn, *failure) {
+	conn, err := g.openConnection(ctx, ticket.Backend)
 	if isConnectionLimit(err) {
 		result.NoConnection = true
 		return nil, notSendable(err)
--- a/laburnumgateway/counters.go
+++ b/laburnumgateway/counters.go
@@ -44,6 +44,8 @@
 	// answersHeld counts answers of which a part was held for a slow caller, by what became of it; heldBytes is what is held now.
 	answersHeld map[heldOutcome]tally.Counter
 	heldBytes   tally.Gauge
+	// connectionsLeased are the connections to backend servers that this gateway has leased beyond its share.
+	connectionsLeased tally.Gauge
 
 	// attemptsEnded and answersCut count attempts that a verdict on links ended, before and after a part of the answer was
 	// received.
@@ -92,7 +94,7 @@
 
 func newCounters(scope tally.Scope) *counters {
 	c := &counters{
-		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), linksLost: scope.Counter("links_lost"), detours: scope.Counter("detours"), scope: scope,
+		requests: scope.Counter("requests"), served: scope.Counter("served"), crashes: scope.Counter("backend_crashes"), connectionsLeased: scope.Gauge("connections_leased"), linksLost: scope.Counter("links_lost"), detours: scope.Counter("detours"), scope: scope,
 		refusals: map[laburnumlever.RefusalReason]tally.Counter{}, retries: map[laburnumlever.RetryReason]tally.Counter{},
 		reservations: map[reserveOutcome]tally.Counter{}, looks: map[lookOutcome]tally.Counter{}, slots: map[slotOutcome]tally.Counter{}, garbage: map[garbageKind]tally.Counter{},
 		returnsAtOnce: map[laburnumreturn.Kind]tally.Counter{}, returnsAfterWait: map[laburnumreturn.Kind]tally.Counter{},
--- a/laburnumgateway/fleet.go
+++ b/laburnumgateway/fleet.go
@@ -9,6 +9,7 @@
 	"laburnumlever"
 	"laburnumlever/laburnumbalance"
 	"laburnumlever/laburnumconcurrency"
+	"laburnumlever/laburnumconnections"
 	"laburnumlever/laburnumdemand"
 	"laburnumlever/laburnumfeed"
 	"laburnumlever/laburnumlimit"
@@ -70,6 +71,7 @@
 	limits         *laburnumlimit.Table
 	brittle        *laburnumconcurrency.Table
 	keepers        LimitKeepers
+	connections    connections
 	streams        *streams
 	sharedMachines laburnumlever.SharedMachines
 	returns        returns
@@ -108,6 +110,7 @@
 		quarantine: laburnumquarantine.NewList(), answered: laburnumquarantine.NewAnswered(), partAnswers: laburnumquarantine.NewPartAnswers(), reporter: silentReporter{},
 		trialKeepers: noTrialKeepers{}, trials: map[laburnumlever.RequestDigest]struct{}{},
 		limits: laburnumlimit.NewTable(vm.ID), brittle: laburnumconcurrency.NewTable(vm.ID), keepers: noKeepers{}, queueWoken: make(chan struct{}), streams: newStreams(timers.Now()),
+		connections:  connections{keepers: noConnectionKeepers{}, table: laburnumconnections.NewTable(vm)},
 		returns:      returns{loads: laburnumreturn.Loads{Lag: period}},
 		remembered:   newRemembered(timers.Now(), period),
 		unclearLoads: map[laburnumlever.BackendID]struct{}{}, paces: map[laburnumlever.ServiceName]*laburnumpace.Service{},
@@ -126,6 +129,7 @@
 	defer f.mu.Unlock()
 	f.gateways = max(f.gateways, a.Gateways)
 	f.balance.SetGateways(f.gateways)
+	f.connections.table.SetGateways(f.gateways)
 	versions := map[laburnumlever.ServiceName][]laburnumlever.SoftwareVersion{}
 	f.applyRemembered(a.Remembered, now)
 	for _, r := range a.Backends {
@@ -172,6 +176,7 @@
 	}
 	f.keys.setVersion(t.Version)
 	f.quota.setAccounts(t.Accounts)
+	f.setConnectionLimits(t)
 	f.keepConfirmed()
 	_ = level.Info(f.logger).Log("event", laburnumlever.EventRoutesInEffect, "version", t.Version, "routes", len(t.Routes))
 }
@@ -238,7 +243,7 @@
 		for i, s := range status.Services {
 			status.Services[i].Resting = f.balance.Resting(s.Service, f.timers.Now())
 			status.Services[i].Slow = f.balance.SlowServers(s.Service, f.timers.Now())
-			status.Services[i].Connections = f.connectionsStatus(x, s.Service)
+			status.Services[i].Connections = f.connectionsStatus(s.Service)
 		}
 		status.Keys = f.keys.status(x)
 	}
@@ -387,7 +392,7 @@
 	query.ExceptSoftware = f.settlingVersions(q)
 	f.addPace(&query)
 	query.Rank = f.headroomRank(q)
-	query.Connections = connectionShare(q.service, f.gateways)
+	query.Connections = f.allowedConnections(q.service.Name)
 	return query
 }
 
--- a/laburnumgateway/limits.go
+++ b/laburnumgateway/limits.go
@@ -144,6 +144,7 @@
 	default:
 		f.limits.Forget(r.Heartbeat.Backend)
 		f.brittle.Forget(r.Heartbeat.Backend, f.timers.Now())
+		f.connections.table.Forget(r.Heartbeat.Backend)
 		f.wakeQueue()
 	}
 	f.restrict(r.Heartbeat.Backend)
--- a/laburnumgateway/serve.go
+++ b/laburnumgateway/serve.go
@@ -61,8 +61,11 @@
 // Ready tells whether the load balancer may send callers here.
 func (g *Gateway) Ready() bool { return g.stage() == drainNone && g.fleet.Ready() && g.links.usable() }
 
-// Start starts the periodic checks of the links to the backend servers.
-func (g *Gateway) Start() { g.links.start() }
+// Start starts the periodic checks of the links to the backend servers, and of leased connections.
+func (g *Gateway) Start() {
+	g.links.start()
+	g.timers.Every(connectionSweepPeriod, func(time.Time) { g.sweepConnections() })
+}
 
 // CanHelp reports whether connections to backend servers can be opened for another VM.
 func (g *Gateway) CanHelp() bool { return g.stage() == drainNone && !g.links.doubted() }
--- a/laburnumgateway/slotqueue.go
+++ b/laburnumgateway/slotqueue.go
@@ -35,8 +35,7 @@
 	}
 	queued.Asked = q.asked
 	ticket, verdict := f.pick(q, queued.Query, now)
-	q.foundFull = q.foundFull || verdict == laburnumbalance.Full
-	q.lackedConnection = verdict == laburnumbalance.Full && f.balance.LacksConnections(queued.Query, now)
+	f.noteFull(q, queued.Query, verdict, now)
 	if verdict == laburnumbalance.Resting {
 		verdict = f.waitsForRest(queued.Query, until, now)
 	}
@@ -69,7 +68,7 @@
 	if f.probesLimit(q, query, now) {
 		return nil, laburnumbalance.Limited
 	}
-	ticket, verdict := f.balance.Pick(query, now)
+	ticket, verdict := f.take(query, now)
 	if verdict != laburnumbalance.Found && f.needsSlot(q, query, now) {
 		verdict = laburnumbalance.Limited
 	}
@@ -163,6 +162,6 @@
 	}
 	now := f.timers.Now()
 	f.queue.Serve(now, func(q laburnumbalance.Query) (*laburnumbalance.Ticket, laburnumbalance.Verdict) {
-		return f.balance.Pick(q, now)
+		return f.take(q, now)
 	})
 }
--- a/laburnumroles/control.go
+++ b/laburnumroles/control.go
@@ -77,6 +77,8 @@
 	committed    *newestRoutes
 	// brittle leases places on brittle backend servers.
 	brittle *brittle
+	// connections leases connections to backend servers.
+	connections *connections
 	// limits grants slots at limited backend servers.
 	limits *limits
 	// endpoints saves endpoint state; nil if that is off.
@@ -138,6 +140,8 @@
 	c.brittle = newBrittle(c.timers, c.peers, c.self.PeerAddress, c.source, c.logger, c.metrics.Scope())
 	c.peers.Handle(methodLease, c.brittle.handleLease)
 	c.peers.Handle(methodReturnLeases, c.brittle.handleReturn)
+	c.connections = newConnections(c.timers, c.peers, c.self.PeerAddress, c.source, c.logger, c.metrics.Scope())
+	c.peers.Handle(methodLeaseConnections, c.connections.handle)
 	c.peers.Handle(methodHelpers, c.handleHelpers)
 	if err := c.buildVoter(); err != nil {
 		return nil, err
@@ -304,6 +308,7 @@
 	c.quarantine.start()
 	c.limits.start()
 	c.brittle.start()
+	c.connections.start()
 	c.streams.start()
 	c.versions.startSaving(time.Duration(c.settings.Times.Heartbeat))
 	c.quotas.start()
--- a/laburnumroles/errors.go
+++ b/laburnumroles/errors.go
@@ -24,3 +24,13 @@
 func (e *StaleConfirmationError) Error() string {
 	return fmt.Sprintf("this VM's last confirmation of the route table is %s old", e.Age)
 }
+
+// AnswerLengthError is an answer of another VM with another number of entries than it was asked for.
+type AnswerLengthError struct {
+	Address   string
+	Want, Got int
+}
+
+func (e *AnswerLengthError) Error() string {
+	return fmt.Sprintf("the answer of %s has %d entries for %d asks", e.Address, e.Got, e.Want)
+}
--- a/laburnumroles/gateway.go
+++ b/laburnumroles/gateway.go
@@ -54,9 +54,10 @@
 	seed := xxhash.Sum64String(string(g.self.ID))
 	reporter := newQuarantineReporter(g.peers, g.timers, g.logger, func() []string { return g.follower.Controls() })
 	calls := newKeeperCalls(g.peers, g.timers)
-	keepers := newLimitKeepers(calls, g.timers, g.logger, func(zone laburnumlever.ZoneName, id laburnumlever.BackendID) []string {
+	controlsFor := func(zone laburnumlever.ZoneName, id laburnumlever.BackendID) []string {
 		return g.follower.ControlsFor(zone, string(id))
-	})
+	}
+	keepers := newLimitKeepers(calls, g.timers, g.logger, controlsFor)
 	trials := &trialKeepers{calls: calls, logger: g.logger, controls: func(digest laburnumlever.RequestDigest) []string {
 		return g.follower.ControlsFor("", digest.String())
 	}}
@@ -69,6 +70,7 @@
 	}
 	g.fleet = laburnumgateway.NewFleet(g.timers, g.self, time.Duration(settings.Times.Heartbeat), seed,
 		laburnumgateway.WithFleetLogger(g.logger), laburnumgateway.WithQuarantineReporter(reporter), laburnumgateway.WithTrialKeepers(trials), laburnumgateway.WithLimitKeepers(keepers),
+		laburnumgateway.WithConnectionKeepers(newConnectionKeepers(calls, g.timers, g.logger, controlsFor)),
 		laburnumgateway.WithQuotaKeepers(quotas, terms), laburnumgateway.WithSharedMachines(settings.SharedMachines.Decisions()),
 		laburnumgateway.WithStreamKeepers(keepStreams), laburnumgateway.WithFirstStart(settings.FirstStart),
 		laburnumgateway.WithRoutesConfirmer(confirmer, laburnumgateway.KeyTimes{
--- a/laburnumroles/messages.go
+++ b/laburnumroles/messages.go
@@ -23,6 +23,7 @@
 	methodHelpers          = "tunnel-helpers"
 	methodLease            = "brittle-lease"
 	methodReturnLeases     = "brittle-return"
+	methodLeaseConnections = "connections-lease"
 	methodStreamRecord     = "stream-record"
 	methodStreamLookup     = "stream-lookup"
 )
--- a/laburnumroles/status.go
+++ b/laburnumroles/status.go
@@ -61,6 +61,7 @@
 	role.Accounts = c.quotas.status()
 	role.Parts = c.quarantine.status()
 	role.Room = c.roomStatus()
+	role.ConnectionLeases = c.connections.status()
 	if routes := c.routes.Load(); routes != nil {
 		role.RoutesVersion, role.RoutesBytes = routes.Version, len(routes.Document)
 		c.mu.Lock()
--- a/laburnumupstream/pool.go
+++ b/laburnumupstream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -232,6 +233,25 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// Trim closes idle connections to an address until a number of connections is open, and returns how many are.
+func (p *Pool) Trim(address string, most int) int {
+	p.mu.Lock()
+	list := p.idle[address]
+	n := min(len(list), max(0, p.open[address]-most))
+	closed := slices.Clone(list[:n]) // used least recently
+	p.idle[address] = list[n:]
+	if n == len(list) {
+		delete(p.idle, address)
+	}
+	p.mu.Unlock()
+	for _, c := range closed {
+		c.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[address]
+}
+
 // Sweep closes idle connections whose idle timeout has passed.
 func (p *Pool) Sweep() {
 	now := p.now()
--- a/logevent.go
+++ b/logevent.go
@@ -120,6 +120,10 @@
 	EventSlotRequested
 	// EventSlotUnanswered is a request for a slot that no control VM answered.
 	EventSlotUnanswered
+	// EventConnectionsLeased is a gateway's ask for connections to a backend server beyond its share, and what came of it.
+	EventConnectionsLeased
+	// EventConnectionsNotAsked is a batch of such asks that a control VM did not answer.
+	EventConnectionsNotAsked
 	// EventLimitNotReported is a change of a limit that no control VM accepted.
 	EventLimitNotReported
 	// EventKeysConfirmed is a gateway that knows again that no key was revoked recently, and for how long it
--- a/logevent_gen.go
+++ b/logevent_gen.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedintake-shortplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedintake-shortplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredconnections-leasedconnections-not-askedlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
-var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 104, 122, 136, 143, 162, 175, 194, 214, 234, 253, 272, 290, 306, 319, 331, 337, 352, 369, 382, 399, 412, 422, 436, 449, 463, 482, 502, 521, 543, 557, 576, 592, 608, 619, 632, 655, 668, 683, 695, 707, 720, 733, 747, 762, 780, 794, 810, 826, 844, 860, 873, 889, 905, 920, 934, 944, 955, 968, 989, 1005, 1023, 1034, 1050, 1066, 1081, 1095, 1109, 1124, 1142, 1160, 1178, 1196, 1209, 1225, 1234, 1248, 1263, 1280, 1295, 1308, 1323, 1334, 1348, 1361, 1387, 1405, 1419, 1436, 1455, 1476, 1485, 1495, 1512, 1530, 1540, 1549, 1566, 1580, 1592, 1608, 1615, 1623, 1630, 1637, 1654, 1670, 1684, 1702, 1715, 1725, 1742}
+var _LogEventIndex = [...]uint16{0, 14, 29, 45, 59, 75, 92, 104, 122, 136, 143, 162, 175, 194, 214, 234, 253, 272, 290, 306, 319, 331, 337, 352, 369, 382, 399, 412, 422, 436, 449, 463, 482, 502, 521, 543, 557, 576, 592, 608, 619, 632, 655, 668, 683, 695, 707, 720, 733, 747, 762, 780, 801, 819, 833, 849, 865, 883, 899, 912, 928, 944, 959, 973, 983, 994, 1007, 1028, 1044, 1062, 1073, 1089, 1105, 1120, 1134, 1148, 1163, 1181, 1199, 1217, 1235, 1248, 1264, 1273, 1287, 1302, 1319, 1334, 1347, 1362, 1373, 1387, 1400, 1426, 1444, 1458, 1475, 1494, 1515, 1524, 1534, 1551, 1569, 1579, 1588, 1605, 1619, 1631, 1647, 1654, 1662, 1669, 1676, 1693, 1709, 1723, 1741, 1754, 1764, 1781}
 
-const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedintake-shortplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
+const _LogEventLowerName = "request-servedrequest-refusedrequest-panickedattempt-failedgarbage-receivedslow-caller-endedintake-shortplace-not-reservedcrossed-answerrefusedanswer-not-recordedbackend-knownbackends-rememberedremembered-forgottenendpoints-not-loadedendpoints-not-savedversions-not-loadedversions-not-savedbackend-replacedadapter-thereload-decidedlayoutbackend-crashedcrash-unconfirmeddetour-openeddetour-not-openeddetour-closedlinks-lostlinks-restoredbackend-restsbackend-leaveshelper-not-notifiedsoftware-version-newstream-not-recordedstream-version-unknownlinks-verifiedrequest-quarantinedrequest-releasedpart-quarantinedpart-liftedpart-releasedquarantine-not-reportedlimit-changedbrittle-changedload-unclearroom-changedforeign-entrylimit-unclearslot-requestedslot-unansweredconnections-leasedconnections-not-askedlimit-not-reportedkeys-confirmedkeys-unconfirmedroutes-confirmedroutes-unconfirmedaccounts-unknownquota-used-upquota-unansweredoutlier-detectedmodel-withdrawnorder-answeredorder-doneorder-chartorder-refusedorder-outcome-unknownengine-not-askedinventory-not-readload-failednews-not-encodedregistry-refusedroutes-proposedroutes-refusedroutes-appliedroutes-in-forceroutes-not-decodedroutes-not-encodedroutes-not-fetchedcatalogue-in-forcebecame-leadercommand-rejectedno-leaderreplica-openedstart-confirmedstart-unconfirmedvoters-in-forcelearner-addedlearner-removedvoter-addedvoter-replacedvoter-standbyleadership-not-handed-overexpiry-not-encodedreplica-failedreplica-went-backdata-folder-damageddata-folder-went-backlease-gotlease-lostlease-not-renewedlease-not-releasedzone-ownedzone-lostmessage-too-largecontrol-threadcontrol-lostcontrol-regainedstarteddrainingdrainedstoppedsettings-reloadedsettings-refusedlistener-endedmetrics-not-servedunknown-eventoverloadedlog-lines-dropped"
 
 func (i LogEvent) String() string {
 	if i < 0 || i >= LogEvent(len(_LogEventIndex)-1) {
@@ -74,76 +74,78 @@
 	_ = x[EventLimitUnclear-(47)]
 	_ = x[EventSlotRequested-(48)]
 	_ = x[EventSlotUnanswered-(49)]
-	_ = x[EventLimitNotReported-(50)]
-	_ = x[EventKeysConfirmed-(51)]
-	_ = x[EventKeysUnconfirmed-(52)]
-	_ = x[EventRoutesConfirmed-(53)]
-	_ = x[EventRoutesUnconfirmed-(54)]
-	_ = x[EventAccountsUnknown-(55)]
-	_ = x[EventQuotaUsedUp-(56)]
-	_ = x[EventQuotaUnanswered-(57)]
-	_ = x[EventOutlierDetected-(58)]
-	_ = x[EventModelWithdrawn-(59)]
-	_ = x[EventOrderAnswered-(60)]
-	_ = x[EventOrderDone-(61)]
-	_ = x[EventOrderStateChanged-(62)]
-	_ = x[EventOrderRefused-(63)]
-	_ = x[EventOrderOutcomeUnknown-(64)]
-	_ = x[EventEngineStateNotRead-(65)]
-	_ = x[EventInventoryNotRead-(66)]
-	_ = x[EventLoadFailed-(67)]
-	_ = x[EventBackendStateNotEncoded-(68)]
-	_ = x[EventRegistryRefused-(69)]
-	_ = x[EventRoutesProposed-(70)]
-	_ = x[EventRoutesRefused-(71)]
-	_ = x[EventRoutesApplied-(72)]
-	_ = x[EventRoutesInEffect-(73)]
-	_ = x[EventRoutesNotDecoded-(74)]
-	_ = x[EventRoutesNotEncoded-(75)]
-	_ = x[EventRoutesNotFetched-(76)]
-	_ = x[EventCatalogueInEffect-(77)]
-	_ = x[EventBecameLeader-(78)]
-	_ = x[EventCommandRejected-(79)]
-	_ = x[EventNoLeader-(80)]
-	_ = x[EventReplicaOpened-(81)]
-	_ = x[EventStartConfirmed-(82)]
-	_ = x[EventStartUnconfirmed-(83)]
-	_ = x[EventVotersChanged-(84)]
-	_ = x[EventLearnerAdded-(85)]
-	_ = x[EventLearnerRemoved-(86)]
-	_ = x[EventVoterAdded-(87)]
-	_ = x[EventVoterReplaced-(88)]
-	_ = x[EventVoterStandby-(89)]
-	_ = x[EventLeadershipNotHandedOver-(90)]
-	_ = x[EventExpiryNotEncoded-(91)]
-	_ = x[EventReplicaFailed-(92)]
-	_ = x[EventReplicaRegressed-(93)]
-	_ = x[EventDataFolderDamaged-(94)]
-	_ = x[EventDataFolderRegressed-(95)]
-	_ = x[EventLeaseAcquired-(96)]
-	_ = x[EventLeaseLost-(97)]
-	_ = x[EventLeaseNotRenewed-(98)]
-	_ = x[EventLeaseNotReleased-(99)]
-	_ = x[EventZoneOwned-(100)]
-	_ = x[EventZoneLost-(101)]
-	_ = x[EventMessageTooLarge-(102)]
-	_ = x[EventControlThreadTimes-(103)]
-	_ = x[EventControlLost-(104)]
-	_ = x[EventControlRegained-(105)]
-	_ = x[EventStarted-(106)]
-	_ = x[EventDraining-(107)]
-	_ = x[EventDrained-(108)]
-	_ = x[EventStopped-(109)]
-	_ = x[EventSettingsReloaded-(110)]
-	_ = x[EventSettingsRefused-(111)]
-	_ = x[EventListenerEnded-(112)]
-	_ = x[EventMetricsNotServed-(113)]
-	_ = x[EventUnknownEvent-(114)]
-	_ = x[EventOverloaded-(115)]
-	_ = x[EventLogLinesDropped-(116)]
+	_ = x[EventConnectionsLeased-(50)]
+	_ = x[EventConnectionsNotAsked-(51)]
+	_ = x[EventLimitNotReported-(52)]
+	_ = x[EventKeysConfirmed-(53)]
+	_ = x[EventKeysUnconfirmed-(54)]
+	_ = x[EventRoutesConfirmed-(55)]
+	_ = x[EventRoutesUnconfirmed-(56)]
+	_ = x[EventAccountsUnknown-(57)]
+	_ = x[EventQuotaUsedUp-(58)]
+	_ = x[EventQuotaUnanswered-(59)]
+	_ = x[EventOutlierDetected-(60)]
+	_ = x[EventModelWithdrawn-(61)]
+	_ = x[EventOrderAnswered-(62)]
+	_ = x[EventOrderDone-(63)]
+	_ = x[EventOrderStateChanged-(64)]
+	_ = x[EventOrderRefused-(65)]
+	_ = x[EventOrderOutcomeUnknown-(66)]
+	_ = x[EventEngineStateNotRead-(67)]
+	_ = x[EventInventoryNotRead-(68)]
+	_ = x[EventLoadFailed-(69)]
+	_ = x[EventBackendStateNotEncoded-(70)]
+	_ = x[EventRegistryRefused-(71)]
+	_ = x[EventRoutesProposed-(72)]
+	_ = x[EventRoutesRefused-(73)]
+	_ = x[EventRoutesApplied-(74)]
+	_ = x[EventRoutesInEffect-(75)]
+	_ = x[EventRoutesNotDecoded-(76)]
+	_ = x[EventRoutesNotEncoded-(77)]
+	_ = x[EventRoutesNotFetched-(78)]
+	_ = x[EventCatalogueInEffect-(79)]
+	_ = x[EventBecameLeader-(80)]
+	_ = x[EventCommandRejected-(81)]
+	_ = x[EventNoLeader-(82)]
+	_ = x[EventReplicaOpened-(83)]
+	_ = x[EventStartConfirmed-(84)]
+	_ = x[EventStartUnconfirmed-(85)]
+	_ = x[EventVotersChanged-(86)]
+	_ = x[EventLearnerAdded-(87)]
+	_ = x[EventLearnerRemoved-(88)]
+	_ = x[EventVoterAdded-(89)]
+	_ = x[EventVoterReplaced-(90)]
+	_ = x[EventVoterStandby-(91)]
+	_ = x[EventLeadershipNotHandedOver-(92)]
+	_ = x[EventExpiryNotEncoded-(93)]
+	_ = x[EventReplicaFailed-(94)]
+	_ = x[EventReplicaRegressed-(95)]
+	_ = x[EventDataFolderDamaged-(96)]
+	_ = x[EventDataFolderRegressed-(97)]
+	_ = x[EventLeaseAcquired-(98)]
+	_ = x[EventLeaseLost-(99)]
+	_ = x[EventLeaseNotRenewed-(100)]
+	_ = x[EventLeaseNotReleased-(101)]
+	_ = x[EventZoneOwned-(102)]
+	_ = x[EventZoneLost-(103)]
+	_ = x[EventMessageTooLarge-(104)]
+	_ = x[EventControlThreadTimes-(105)]
+	_ = x[EventControlLost-(106)]
+	_ = x[EventControlRegained-(107)]
+	_ = x[EventStarted-(108)]
+	_ = x[EventDraining-(109)]
+	_ = x[EventDrained-(110)]
+	_ = x[EventStopped-(111)]
+	_ = x[EventSettingsReloaded-(112)]
+	_ = x[EventSettingsRefused-(113)]
+	_ = x[EventListenerEnded-(114)]
+	_ = x[EventMetricsNotServed-(115)]
+	_ = x[EventUnknownEvent-(116)]
+	_ = x[EventOverloaded-(117)]
+	_ = x[EventLogLinesDropped-(118)]
 }
 
-var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventIntakeShort, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventRoutesConfirmed, EventRoutesUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
+var _LogEventValues = []LogEvent{EventRequestServed, EventRequestRefused, EventRequestPanicked, EventAttemptFailed, EventGarbageReceived, EventSlowCallerEnded, EventIntakeShort, EventReservationUnclear, EventCrossedAnswer, EventRefused, EventAnswerNotRecorded, EventBackendChanged, EventBackendsRemembered, EventRememberedForgotten, EventEndpointsNotLoaded, EventEndpointsNotSaved, EventVersionsNotLoaded, EventVersionsNotSaved, EventBackendReplaced, EventAdapterLoaded, EventLoadDecided, EventLayout, EventBackendCrashed, EventCrashUnconfirmed, EventDetourOpened, EventDetourNotOpened, EventDetourClosed, EventLinksLost, EventLinksRestored, EventBackendRests, EventBackendLeaves, EventHelperNotNotified, EventSoftwareVersionNew, EventStreamNotRecorded, EventStreamVersionUnknown, EventLinksVerified, EventRequestQuarantined, EventRequestReleased, EventPartQuarantined, EventPartLifted, EventPartReleased, EventQuarantineNotReported, EventLimitChanged, EventBrittleChanged, EventLoadUnclear, EventRoomChanged, EventForeignEntry, EventLimitUnclear, EventSlotRequested, EventSlotUnanswered, EventConnectionsLeased, EventConnectionsNotAsked, EventLimitNotReported, EventKeysConfirmed, EventKeysUnconfirmed, EventRoutesConfirmed, EventRoutesUnconfirmed, EventAccountsUnknown, EventQuotaUsedUp, EventQuotaUnanswered, EventOutlierDetected, EventModelWithdrawn, EventOrderAnswered, EventOrderDone, EventOrderStateChanged, EventOrderRefused, EventOrderOutcomeUnknown, EventEngineStateNotRead, EventInventoryNotRead, EventLoadFailed, EventBackendStateNotEncoded, EventRegistryRefused, EventRoutesProposed, EventRoutesRefused, EventRoutesApplied, EventRoutesInEffect, EventRoutesNotDecoded, EventRoutesNotEncoded, EventRoutesNotFetched, EventCatalogueInEffect, EventBecameLeader, EventCommandRejected, EventNoLeader, EventReplicaOpened, EventStartConfirmed, EventStartUnconfirmed, EventVotersChanged, EventLearnerAdded, EventLearnerRemoved, EventVoterAdded, EventVoterReplaced, EventVoterStandby, EventLeadershipNotHandedOver, EventExpiryNotEncoded, EventReplicaFailed, EventReplicaRegressed, EventDataFolderDamaged, EventDataFolderRegressed, EventLeaseAcquired, EventLeaseLost, EventLeaseNotRenewed, EventLeaseNotReleased, EventZoneOwned, EventZoneLost, EventMessageTooLarge, EventControlThreadTimes, EventControlLost, EventControlRegained, EventStarted, EventDraining, EventDrained, EventStopped, EventSettingsReloaded, EventSettingsRefused, EventListenerEnded, EventMetricsNotServed, EventUnknownEvent, EventOverloaded, EventLogLinesDropped}
 
 var _LogEventNameToValueMap = map[string]LogEvent{
 	_LogEventName[0:14]:      EventRequestServed,
@@ -196,73 +198,75 @@
 	_LogEventName[720:733]:   EventLimitUnclear,
 	_LogEventName[733:747]:   EventSlotRequested,
 	_LogEventName[747:762]:   EventSlotUnanswered,
-	_LogEventName[762:780]:   EventLimitNotReported,
-	_LogEventName[780:794]:   EventKeysConfirmed,
-	_LogEventName[794:810]:   EventKeysUnconfirmed,
-	_LogEventName[810:826]:   EventRoutesConfirmed,
-	_LogEventName[826:844]:   EventRoutesUnconfirmed,
-	_LogEventName[844:860]:   EventAccountsUnknown,
-	_LogEventName[860:873]:   EventQuotaUsedUp,
-	_LogEventName[873:889]:   EventQuotaUnanswered,
-	_LogEventName[889:905]:   EventOutlierDetected,
-	_LogEventName[905:920]:   EventModelWithdrawn,
-	_LogEventName[920:934]:   EventOrderAnswered,
-	_LogEventName[934:944]:   EventOrderDone,
-	_LogEventName[944:955]:   EventOrderStateChanged,
-	_LogEventName[955:968]:   EventOrderRefused,
-	_LogEventName[968:989]:   EventOrderOutcomeUnknown,
-	_LogEventName[989:1005]:  EventEngineStateNotRead,
-	_LogEventName[1005:1023]: EventInventoryNotRead,
-	_LogEventName[1023:1034]: EventLoadFailed,
-	_LogEventName[1034:1050]: EventBackendStateNotEncoded,
-	_LogEventName[1050:1066]: EventRegistryRefused,
-	_LogEventName[1066:1081]: EventRoutesProposed,
-	_LogEventName[1081:1095]: EventRoutesRefused,
-	_LogEventName[1095:1109]: EventRoutesApplied,
-	_LogEventName[1109:1124]: EventRoutesInEffect,
-	_LogEventName[1124:1142]: EventRoutesNotDecoded,
-	_LogEventName[1142:1160]: EventRoutesNotEncoded,
-	_LogEventName[1160:1178]: EventRoutesNotFetched,
-	_LogEventName[1178:1196]: EventCatalogueInEffect,
-	_LogEventName[1196:1209]: EventBecameLeader,
-	_LogEventName[1209:1225]: EventCommandRejected,
-	_LogEventName[1225:1234]: EventNoLeader,
-	_LogEventName[1234:1248]: EventReplicaOpened,
-	_LogEventName[1248:1263]: EventStartConfirmed,
-	_LogEventName[1263:1280]: EventStartUnconfirmed,
-	_LogEventName[1280:1295]: EventVotersChanged,
-	_LogEventName[1295:1308]: EventLearnerAdded,
-	_LogEventName[1308:1323]: EventLearnerRemoved,
-	_LogEventName[1323:1334]: EventVoterAdded,
-	_LogEventName[1334:1348]: EventVoterReplaced,
-	_LogEventName[1348:1361]: EventVoterStandby,
-	_LogEventName[1361:1387]: EventLeadershipNotHandedOver,
-	_LogEventName[1387:1405]: EventExpiryNotEncoded,
-	_LogEventName[1405:1419]: EventReplicaFailed,
-	_LogEventName[1419:1436]: EventReplicaRegressed,
-	_LogEventName[1436:1455]: EventDataFolderDamaged,
-	_LogEventName[1455:1476]: EventDataFolderRegressed,
-	_LogEventName[1476:1485]: EventLeaseAcquired,
-	_LogEventName[1485:1495]: EventLeaseLost,
-	_LogEventName[1495:1512]: EventLeaseNotRenewed,
-	_LogEventName[1512:1530]: EventLeaseNotReleased,
-	_LogEventName[1530:1540]: EventZoneOwned,
-	_LogEventName[1540:1549]: EventZoneLost,
-	_LogEventName[1549:1566]: EventMessageTooLarge,
-	_LogEventName[1566:1580]: EventControlThreadTimes,
-	_LogEventName[1580:1592]: EventControlLost,
-	_LogEventName[1592:1608]: EventControlRegained,
-	_LogEventName[1608:1615]: EventStarted,
-	_LogEventName[1615:1623]: EventDraining,
-	_LogEventName[1623:1630]: EventDrained,
-	_LogEventName[1630:1637]: EventStopped,
-	_LogEventName[1637:1654]: EventSettingsReloaded,
-	_LogEventName[1654:1670]: EventSettingsRefused,
-	_LogEventName[1670:1684]: EventListenerEnded,
-	_LogEventName[1684:1702]: EventMetricsNotServed,
-	_LogEventName[1702:1715]: EventUnknownEvent,
-	_LogEventName[1715:1725]: EventOverloaded,
-	_LogEventName[1725:1742]: EventLogLinesDropped,
+	_LogEventName[762:780]:   EventConnectionsLeased,
+	_LogEventName[780:801]:   EventConnectionsNotAsked,
+	_LogEventName[801:819]:   EventLimitNotReported,
+	_LogEventName[819:833]:   EventKeysConfirmed,
+	_LogEventName[833:849]:   EventKeysUnconfirmed,
+	_LogEventName[849:865]:   EventRoutesConfirmed,
+	_LogEventName[865:883]:   EventRoutesUnconfirmed,
+	_LogEventName[883:899]:   EventAccountsUnknown,
+	_LogEventName[899:912]:   EventQuotaUsedUp,
+	_LogEventName[912:928]:   EventQuotaUnanswered,
+	_LogEventName[928:944]:   EventOutlierDetected,
+	_LogEventName[944:959]:   EventModelWithdrawn,
+	_LogEventName[959:973]:   EventOrderAnswered,
+	_LogEventName[973:983]:   EventOrderDone,
+	_LogEventName[983:994]:   EventOrderStateChanged,
+	_LogEventName[994:1007]:  EventOrderRefused,
+	_LogEventName[1007:1028]: EventOrderOutcomeUnknown,
+	_LogEventName[1028:1044]: EventEngineStateNotRead,
+	_LogEventName[1044:1062]: EventInventoryNotRead,
+	_LogEventName[1062:1073]: EventLoadFailed,
+	_LogEventName[1073:1089]: EventBackendStateNotEncoded,
+	_LogEventName[1089:1105]: EventRegistryRefused,
+	_LogEventName[1105:1120]: EventRoutesProposed,
+	_LogEventName[1120:1134]: EventRoutesRefused,
+	_LogEventName[1134:1148]: EventRoutesApplied,
+	_LogEventName[1148:1163]: EventRoutesInEffect,
+	_LogEventName[1163:1181]: EventRoutesNotDecoded,
+	_LogEventName[1181:1199]: EventRoutesNotEncoded,
+	_LogEventName[1199:1217]: EventRoutesNotFetched,
+	_LogEventName[1217:1235]: EventCatalogueInEffect,
+	_LogEventName[1235:1248]: EventBecameLeader,
+	_LogEventName[1248:1264]: EventCommandRejected,
+	_LogEventName[1264:1273]: EventNoLeader,
+	_LogEventName[1273:1287]: EventReplicaOpened,
+	_LogEventName[1287:1302]: EventStartConfirmed,
+	_LogEventName[1302:1319]: EventStartUnconfirmed,
+	_LogEventName[1319:1334]: EventVotersChanged,
+	_LogEventName[1334:1347]: EventLearnerAdded,
+	_LogEventName[1347:1362]: EventLearnerRemoved,
+	_LogEventName[1362:1373]: EventVoterAdded,
+	_LogEventName[1373:1387]: EventVoterReplaced,
+	_LogEventName[1387:1400]: EventVoterStandby,
+	_LogEventName[1400:1426]: EventLeadershipNotHandedOver,
+	_LogEventName[1426:1444]: EventExpiryNotEncoded,
+	_LogEventName[1444:1458]: EventReplicaFailed,
+	_LogEventName[1458:1475]: EventReplicaRegressed,
+	_LogEventName[1475:1494]: EventDataFolderDamaged,
+	_LogEventName[1494:1515]: EventDataFolderRegressed,
+	_LogEventName[1515:1524]: EventLeaseAcquired,
+	_LogEventName[1524:1534]: EventLeaseLost,
+	_LogEventName[1534:1551]: EventLeaseNotRenewed,
+	_LogEventName[1551:1569]: EventLeaseNotReleased,
+	_LogEventName[1569:1579]: EventZoneOwned,
+	_LogEventName[1579:1588]: EventZoneLost,
+	_LogEventName[1588:1605]: EventMessageTooLarge,
+	_LogEventName[1605:1619]: EventControlThreadTimes,
+	_LogEventName[1619:1631]: EventControlLost,
+	_LogEventName[1631:1647]: EventControlRegained,
+	_LogEventName[1647:1654]: EventStarted,
+	_LogEventName[1654:1662]: EventDraining,
+	_LogEventName[1662:1669]: EventDrained,
+	_LogEventName[1669:1676]: EventStopped,
+	_LogEventName[1676:1693]: EventSettingsReloaded,
+	_LogEventName[1693:1709]: EventSettingsRefused,
+	_LogEventName[1709:1723]: EventListenerEnded,
+	_LogEventName[1723:1741]: EventMetricsNotServed,
+	_LogEventName[1741:1754]: EventUnknownEvent,
+	_LogEventName[1754:1764]: EventOverloaded,
+	_LogEventName[1764:1781]: EventLogLinesDropped,
 }
 
 var _LogEventLowerNameToValueMap = map[string]LogEvent{
@@ -316,73 +320,75 @@
 	_LogEventLowerName[720:733]:   EventLimitUnclear,
 	_LogEventLowerName[733:747]:   EventSlotRequested,
 	_LogEventLowerName[747:762]:   EventSlotUnanswered,
-	_LogEventLowerName[762:780]:   EventLimitNotReported,
-	_LogEventLowerName[780:794]:   EventKeysConfirmed,
-	_LogEventLowerName[794:810]:   EventKeysUnconfirmed,
-	_LogEventLowerName[810:826]:   EventRoutesConfirmed,
-	_LogEventLowerName[826:844]:   EventRoutesUnconfirmed,
-	_LogEventLowerName[844:860]:   EventAccountsUnknown,
-	_LogEventLowerName[860:873]:   EventQuotaUsedUp,
-	_LogEventLowerName[873:889]:   EventQuotaUnanswered,
-	_LogEventLowerName[889:905]:   EventOutlierDetected,
-	_LogEventLowerName[905:920]:   EventModelWithdrawn,
-	_LogEventLowerName[920:934]:   EventOrderAnswered,
-	_LogEventLowerName[934:944]:   EventOrderDone,
-	_LogEventLowerName[944:955]:   EventOrderStateChanged,
-	_LogEventLowerName[955:968]:   EventOrderRefused,
-	_LogEventLowerName[968:989]:   EventOrderOutcomeUnknown,
-	_LogEventLowerName[989:1005]:  EventEngineStateNotRead,
-	_LogEventLowerName[1005:1023]: EventInventoryNotRead,
-	_LogEventLowerName[1023:1034]: EventLoadFailed,
-	_LogEventLowerName[1034:1050]: EventBackendStateNotEncoded,
-	_LogEventLowerName[1050:1066]: EventRegistryRefused,
-	_LogEventLowerName[1066:1081]: EventRoutesProposed,
-	_LogEventLowerName[1081:1095]: EventRoutesRefused,
-	_LogEventLowerName[1095:1109]: EventRoutesApplied,
-	_LogEventLowerName[1109:1124]: EventRoutesInEffect,
-	_LogEventLowerName[1124:1142]: EventRoutesNotDecoded,
-	_LogEventLowerName[1142:1160]: EventRoutesNotEncoded,
-	_LogEventLowerName[1160:1178]: EventRoutesNotFetched,
-	_LogEventLowerName[1178:1196]: EventCatalogueInEffect,
-	_LogEventLowerName[1196:1209]: EventBecameLeader,
-	_LogEventLowerName[1209:1225]: EventCommandRejected,
-	_LogEventLowerName[1225:1234]: EventNoLeader,
-	_LogEventLowerName[1234:1248]: EventReplicaOpened,
-	_LogEventLowerName[1248:1263]: EventStartConfirmed,
-	_LogEventLowerName[1263:1280]: EventStartUnconfirmed,
-	_LogEventLowerName[1280:1295]: EventVotersChanged,
-	_LogEventLowerName[1295:1308]: EventLearnerAdded,
-	_LogEventLowerName[1308:1323]: EventLearnerRemoved,
-	_LogEventLowerName[1323:1334]: EventVoterAdded,
-	_LogEventLowerName[1334:1348]: EventVoterReplaced,
-	_LogEventLowerName[1348:1361]: EventVoterStandby,
-	_LogEventLowerName[1361:1387]: EventLeadershipNotHandedOver,
-	_LogEventLowerName[1387:1405]: EventExpiryNotEncoded,
-	_LogEventLowerName[1405:1419]: EventReplicaFailed,
-	_LogEventLowerName[1419:1436]: EventReplicaRegressed,
-	_LogEventLowerName[1436:1455]: EventDataFolderDamaged,
-	_LogEventLowerName[1455:1476]: EventDataFolderRegressed,
-	_LogEventLowerName[1476:1485]: EventLeaseAcquired,
-	_LogEventLowerName[1485:1495]: EventLeaseLost,
-	_LogEventLowerName[1495:1512]: EventLeaseNotRenewed,
-	_LogEventLowerName[1512:1530]: EventLeaseNotReleased,
-	_LogEventLowerName[1530:1540]: EventZoneOwned,
-	_LogEventLowerName[1540:1549]: EventZoneLost,
-	_LogEventLowerName[1549:1566]: EventMessageTooLarge,
-	_LogEventLowerName[1566:1580]: EventControlThreadTimes,
-	_LogEventLowerName[1580:1592]: EventControlLost,
-	_LogEventLowerName[1592:1608]: EventControlRegained,
-	_LogEventLowerName[1608:1615]: EventStarted,
-	_LogEventLowerName[1615:1623]: EventDraining,
-	_LogEventLowerName[1623:1630]: EventDrained,
-	_LogEventLowerName[1630:1637]: EventStopped,
-	_LogEventLowerName[1637:1654]: EventSettingsReloaded,
-	_LogEventLowerName[1654:1670]: EventSettingsRefused,
-	_LogEventLowerName[1670:1684]: EventListenerEnded,
-	_LogEventLowerName[1684:1702]: EventMetricsNotServed,
-	_LogEventLowerName[1702:1715]: EventUnknownEvent,
-	_LogEventLowerName[1715:1725]: EventOverloaded,
-	_LogEventLowerName[1725:1742]: EventLogLinesDropped,
+	_LogEventLowerName[762:780]:   EventConnectionsLeased,
+	_LogEventLowerName[780:801]:   EventConnectionsNotAsked,
+	_LogEventLowerName[801:819]:   EventLimitNotReported,
+	_LogEventLowerName[819:833]:   EventKeysConfirmed,
+	_LogEventLowerName[833:849]:   EventKeysUnconfirmed,
+	_LogEventLowerName[849:865]:   EventRoutesConfirmed,
+	_LogEventLowerName[865:883]:   EventRoutesUnconfirmed,
+	_LogEventLowerName[883:899]:   EventAccountsUnknown,
+	_LogEventLowerName[899:912]:   EventQuotaUsedUp,
+	_LogEventLowerName[912:928]:   EventQuotaUnanswered,
+	_LogEventLowerName[928:944]:   EventOutlierDetected,
+	_LogEventLowerName[944:959]:   EventModelWithdrawn,
+	_LogEventLowerName[959:973]:   EventOrderAnswered,
+	_LogEventLowerName[973:983]:   EventOrderDone,
+	_LogEventLowerName[983:994]:   EventOrderStateChanged,
+	_LogEventLowerName[994:1007]:  EventOrderRefused,
+	_LogEventLowerName[1007:1028]: EventOrderOutcomeUnknown,
+	_LogEventLowerName[1028:1044]: EventEngineStateNotRead,
+	_LogEventLowerName[1044:1062]: EventInventoryNotRead,
+	_LogEventLowerName[1062:1073]: EventLoadFailed,
+	_LogEventLowerName[1073:1089]: EventBackendStateNotEncoded,
+	_LogEventLowerName[1089:1105]: EventRegistryRefused,
+	_LogEventLowerName[1105:1120]: EventRoutesProposed,
+	_LogEventLowerName[1120:1134]: EventRoutesRefused,
+	_LogEventLowerName[1134:1148]: EventRoutesApplied,
+	_LogEventLowerName[1148:1163]: EventRoutesInEffect,
+	_LogEventLowerName[1163:1181]: EventRoutesNotDecoded,
+	_LogEventLowerName[1181:1199]: EventRoutesNotEncoded,
+	_LogEventLowerName[1199:1217]: EventRoutesNotFetched,
+	_LogEventLowerName[1217:1235]: EventCatalogueInEffect,
+	_LogEventLowerName[1235:1248]: EventBecameLeader,
+	_LogEventLowerName[1248:1264]: EventCommandRejected,
+	_LogEventLowerName[1264:1273]: EventNoLeader,
+	_LogEventLowerName[1273:1287]: EventReplicaOpened,
+	_LogEventLowerName[1287:1302]: EventStartConfirmed,
+	_LogEventLowerName[1302:1319]: EventStartUnconfirmed,
+	_LogEventLowerName[1319:1334]: EventVotersChanged,
+	_LogEventLowerName[1334:1347]: EventLearnerAdded,
+	_LogEventLowerName[1347:1362]: EventLearnerRemoved,
+	_LogEventLowerName[1362:1373]: EventVoterAdded,
+	_LogEventLowerName[1373:1387]: EventVoterReplaced,
+	_LogEventLowerName[1387:1400]: EventVoterStandby,
+	_LogEventLowerName[1400:1426]: EventLeadershipNotHandedOver,
+	_LogEventLowerName[1426:1444]: EventExpiryNotEncoded,
+	_LogEventLowerName[1444:1458]: EventReplicaFailed,
+	_LogEventLowerName[1458:1475]: EventReplicaRegressed,
+	_LogEventLowerName[1475:1494]: EventDataFolderDamaged,
+	_LogEventLowerName[1494:1515]: EventDataFolderRegressed,
+	_LogEventLowerName[1515:1524]: EventLeaseAcquired,
+	_LogEventLowerName[1524:1534]: EventLeaseLost,
+	_LogEventLowerName[1534:1551]: EventLeaseNotRenewed,
+	_LogEventLowerName[1551:1569]: EventLeaseNotReleased,
+	_LogEventLowerName[1569:1579]: EventZoneOwned,
+	_LogEventLowerName[1579:1588]: EventZoneLost,
+	_LogEventLowerName[1588:1605]: EventMessageTooLarge,
+	_LogEventLowerName[1605:1619]: EventControlThreadTimes,
+	_LogEventLowerName[1619:1631]: EventControlLost,
+	_LogEventLowerName[1631:1647]: EventControlRegained,
+	_LogEventLowerName[1647:1654]: EventStarted,
+	_LogEventLowerName[1654:1662]: EventDraining,
+	_LogEventLowerName[1662:1669]: EventDrained,
+	_LogEventLowerName[1669:1676]: EventStopped,
+	_LogEventLowerName[1676:1693]: EventSettingsReloaded,
+	_LogEventLowerName[1693:1709]: EventSettingsRefused,
+	_LogEventLowerName[1709:1723]: EventListenerEnded,
+	_LogEventLowerName[1723:1741]: EventMetricsNotServed,
+	_LogEventLowerName[1741:1754]: EventUnknownEvent,
+	_LogEventLowerName[1754:1764]: EventOverloaded,
+	_LogEventLowerName[1764:1781]: EventLogLinesDropped,
 }
 
 var _LogEventNames = []string{
@@ -437,72 +443,74 @@
 	_LogEventName[733:747],
 	_LogEventName[747:762],
 	_LogEventName[762:780],
-	_LogEventName[780:794],
-	_LogEventName[794:810],
-	_LogEventName[810:826],
-	_LogEventName[826:844],
-	_LogEventName[844:860],
-	_LogEventName[860:873],
-	_LogEventName[873:889],
-	_LogEventName[889:905],
-	_LogEventName[905:920],
-	_LogEventName[920:934],
-	_LogEventName[934:944],
-	_LogEventName[944:955],
-	_LogEventName[955:968],
-	_LogEventName[968:989],
-	_LogEventName[989:1005],
-	_LogEventName[1005:1023],
-	_LogEventName[1023:1034],
-	_LogEventName[1034:1050],
-	_LogEventName[1050:1066],
-	_LogEventName[1066:1081],
-	_LogEventName[1081:1095],
-	_LogEventName[1095:1109],
-	_LogEventName[1109:1124],
-	_LogEventName[1124:1142],
-	_LogEventName[1142:1160],
-	_LogEventName[1160:1178],
-	_LogEventName[1178:1196],
-	_LogEventName[1196:1209],
-	_LogEventName[1209:1225],
-	_LogEventName[1225:1234],
-	_LogEventName[1234:1248],
-	_LogEventName[1248:1263],
-	_LogEventName[1263:1280],
-	_LogEventName[1280:1295],
-	_LogEventName[1295:1308],
-	_LogEventName[1308:1323],
-	_LogEventName[1323:1334],
-	_LogEventName[1334:1348],
-	_LogEventName[1348:1361],
-	_LogEventName[1361:1387],
-	_LogEventName[1387:1405],
-	_LogEventName[1405:1419],
-	_LogEventName[1419:1436],
-	_LogEventName[1436:1455],
-	_LogEventName[1455:1476],
-	_LogEventName[1476:1485],
-	_LogEventName[1485:1495],
-	_LogEventName[1495:1512],
-	_LogEventName[1512:1530],
-	_LogEventName[1530:1540],
-	_LogEventName[1540:1549],
-	_LogEventName[1549:1566],
-	_LogEventName[1566:1580],
-	_LogEventName[1580:1592],
-	_LogEventName[1592:1608],
-	_LogEventName[1608:1615],
-	_LogEventName[1615:1623],
-	_LogEventName[1623:1630],
-	_LogEventName[1630:1637],
-	_LogEventName[1637:1654],
-	_LogEventName[1654:1670],
-	_LogEventName[1670:1684],
-	_LogEventName[1684:1702],
-	_LogEventName[1702:1715],
-	_LogEventName[1715:1725],
-	_LogEventName[1725:1742],
+	_LogEventName[780:801],
+	_LogEventName[801:819],
+	_LogEventName[819:833],
+	_LogEventName[833:849],
+	_LogEventName[849:865],
+	_LogEventName[865:883],
+	_LogEventName[883:899],
+	_LogEventName[899:912],
+	_LogEventName[912:928],
+	_LogEventName[928:944],
+	_LogEventName[944:959],
+	_LogEventName[959:973],
+	_LogEventName[973:983],
+	_LogEventName[983:994],
+	_LogEventName[994:1007],
+	_LogEventName[1007:1028],
+	_LogEventName[1028:1044],
+	_LogEventName[1044:1062],
+	_LogEventName[1062:1073],
+	_LogEventName[1073:1089],
+	_LogEventName[1089:1105],
+	_LogEventName[1105:1120],
+	_LogEventName[1120:1134],
+	_LogEventName[1134:1148],
+	_LogEventName[1148:1163],
+	_LogEventName[1163:1181],
+	_LogEventName[1181:1199],
+	_LogEventName[1199:1217],
+	_LogEventName[1217:1235],
+	_LogEventName[1235:1248],
+	_LogEventName[1248:1264],
+	_LogEventName[1264:1273],
+	_LogEventName[1273:1287],
+	_LogEventName[1287:1302],
+	_LogEventName[1302:1319],
+	_LogEventName[1319:1334],
+	_LogEventName[1334:1347],
+	_LogEventName[1347:1362],
+	_LogEventName[1362:1373],
+	_LogEventName[1373:1387],
+	_LogEventName[1387:1400],
+	_LogEventName[1400:1426],
+	_LogEventName[1426:1444],
+	_LogEventName[1444:1458],
+	_LogEventName[1458:1475],
+	_LogEventName[1475:1494],
+	_LogEventName[1494:1515],
+	_LogEventName[1515:1524],
+	_LogEventName[1524:1534],
+	_LogEventName[1534:1551],
+	_LogEventName[1551:1569],
+	_LogEventName[1569:1579],
+	_LogEventName[1579:1588],
+	_LogEventName[1588:1605],
+	_LogEventName[1605:1619],
+	_LogEventName[1619:1631],
+	_LogEventName[1631:1647],
+	_LogEventName[1647:1654],
+	_LogEventName[1654:1662],
+	_LogEventName[1662:1669],
+	_LogEventName[1669:1676],
+	_LogEventName[1676:1693],
+	_LogEventName[1693:1709],
+	_LogEventName[1709:1723],
+	_LogEventName[1723:1741],
+	_LogEventName[1741:1754],
+	_LogEventName[1754:1764],
+	_LogEventName[1764:1781],
 }
 
 // LogEventString retrieves an enum value from the enum constants string name.
--- a/rolestatus.go
+++ b/rolestatus.go
@@ -36,6 +36,9 @@
 	// Room lists the services of which less urgent requests leave slots free: on gateways what is in force, on the director what it
 	// has decided.
 	Room []RoomStatus `json:"room,omitempty"`
+	// ConnectionLeases are the gateways to which a control VM leases connections to backend servers, at most MaxConnectionLeases of
+	// them, those with the most first.
+	ConnectionLeases []ConnectionLeases `json:"connection-leases,omitempty"`
 	// Services are the services of the routes in effect.
 	Services []ServiceStatus `json:"services,omitempty"`
 }
@@ -43,6 +46,17 @@
 // MaxAccountStatuses is the number of client accounts in a status.
 const MaxAccountStatuses = 64
 
+// MaxConnectionLeases is the number of gateways with leased connections in a status.
+const MaxConnectionLeases = 16
+
+// ConnectionLeases are the connections that one gateway has leased beyond its share.
+type ConnectionLeases struct {
+	Gateway VMID `json:"gateway"`
+	// Servers counts the backend servers, Connections the connections to them all.
+	Servers     int `json:"servers"`
+	Connections int `json:"connections"`
+}
+
 // MaxPartStatuses is the number of parts of prompts in a status.
 const MaxPartStatuses = 64
 
@@ -134,9 +148,11 @@
 // ConnectionsStatus tells how a gateway shares the connection limit of a service's backend servers with the other gateways. Each
 // connection carries one request at a time.
 type ConnectionsStatus struct {
-	// Limit is the number of connections that one backend server accepts from all VMs, Share this gateway's own part of it.
-	Limit int `json:"limit"`
-	Share int `json:"share"`
+	// Limit is the number of connections that one backend server accepts from all VMs, Share this gateway's own part of it, Leased what
+	// it has leased beyond that of all servers together.
+	Limit  int `json:"limit"`
+	Share  int `json:"share"`
+	Leased int `json:"leased"`
 	// Busiest is the largest number of this gateway's requests at one backend server, UsedUp the number of backend servers to
 	// which it has all connections that it may open.
 	Busiest int `json:"busiest"`
