--- a/cmd/laburnumlever/soakreturnscmd.go
+++ b/cmd/laburnumlever/soakreturnscmd.go
@@ -16,7 +16,8 @@
 		Name:  "returns",
 		Usage: "have all VMs of a larger platform fail together and return, and time the stages of each return",
 		Description: "Starts eight control VMs, gateways and engines on loopback, and has VMs fail together and return, with disks\n" +
-			"lost or VMs replaced. The stages of each return are read from the VMs' logs.\n\n" +
+			"lost or VMs replaced. The stages of each return are read from the VMs' logs. The kind most-connections sends most\n" +
+			"new connections to one gateway, in turn, without a fault.\n\n" +
 			"Example: laburnumlever soak returns --seed 1 --returns 4\n\n" + exitCodesText,
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "determines the faults"},
@@ -24,6 +25,8 @@
 			&cli.IntFlag{Name: "gateways", Value: 16, Usage: "how many gateways to run"},
 			&cli.IntFlag{Name: "engines", Value: 60, Usage: "how many engines to run, in this process"},
 			&cli.IntFlag{Name: "models", Value: 104, Usage: "how many models the manifest lists"},
+			&cli.DurationFlag{Name: "event-pause", Value: 5 * time.Millisecond, Usage: "the time between two of the four events of a stream"},
+			&cli.IntFlag{Name: "connections", Value: 570, Usage: "how many connections an engine accepts"},
 			&cli.IntFlag{Name: "idle-routes", Value: 40, Usage: "how many routes without requests the manifest has"},
 			&cli.Float64Flag{Name: "rate", Value: 200, Usage: "requests per second"},
 			&cli.IntFlag{Name: "processors", Value: 1, Usage: "how many processors each VM uses at a time"},
@@ -63,7 +66,7 @@
 	reports, err := laburnumsoak.RunReturns(c.Context, laburnumsoak.ReturnsConfig{
 		Program: program, GatewayProgram: c.String("gateway-program"), Folder: folder, Seed: c.Uint64("seed"), Gateways: c.Int("gateways"), Engines: c.Int("engines"), Models: c.Int("models"),
 		Rate: c.Float64("rate"), Returns: c.Int("returns"), Kinds: c.StringSlice("kind"), Processors: c.Int("processors"), SharedProcessors: c.Int("shared-processors"),
-		IdleRoutes: c.Int("idle-routes"), Dark: c.Bool("dark"), SyncTime: c.Duration("sync-time"),
+		EventPause: c.Duration("event-pause"), Connections: c.Int("connections"), IdleRoutes: c.Int("idle-routes"), Dark: c.Bool("dark"), SyncTime: c.Duration("sync-time"),
 		ControlShare: c.Float64("control-share"), GatewayShare: c.Float64("gateway-share"), Recover: c.Duration("recover"), Observe: c.Duration("observe"),
 		Print: func(line string) { printf(c.App.Writer, "%s\n", line) },
 	})
--- a/laburnumsoak/returnfleet.go
+++ b/laburnumsoak/returnfleet.go
@@ -258,7 +258,7 @@
 			return &StartError{Process: fmt.Sprintf("engine-%d", i), Cause: err}
 		}
 		service, models := returnEngineService, []string{modelName(2 * i % f.cfg.Models), modelName((2*i + 1) % f.cfg.Models)}
-		behaviour := laburnumstandin.PlatformBehaviour{Delay: serverDelay, Slots: 24, Queue: 50, EventPause: 5 * time.Millisecond, Zone: returnZones[i%len(returnZones)]}
+		behaviour := laburnumstandin.PlatformBehaviour{Delay: serverDelay, Slots: 24, Queue: 50, EventPause: f.cfg.EventPause, Zone: returnZones[i%len(returnZones)]}
 		if i >= f.cfg.Engines {
 			service, models = returnPlainService, nil
 		}
--- a/laburnumsoak/returnload.go
+++ b/laburnumsoak/returnload.go
@@ -63,6 +63,7 @@
 	client  *http.Client
 	version atomic.Int64
 	calls   atomic.Int64
+	skew    skew
 
 	mu   sync.Mutex
 	done []returnCall
@@ -70,7 +71,7 @@
 
 func newReturnLoad(f *returnFleet) *returnLoad {
 	dialer := &net.Dialer{Timeout: 2 * time.Second}
-	return &returnLoad{fleet: f, client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16}}}
+	return &returnLoad{fleet: f, skew: newSkew(dialer), client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16}}}
 }
 
 // run sends requests at the rate until ctx ends.
@@ -107,8 +108,13 @@
 			break
 		}
 	}
-	call := returnCall{at: time.Now(), gateway: rand.IntN(len(l.fleet.gateways)), engine: route.engine}
+	call := returnCall{at: time.Now(), gateway: l.pickGateway(), engine: route.engine}
 	call.reason = l.request(ctx, route, call.gateway)
+	for tries := 1; tries < maxUnreadTries && l.skew.on.Load() && isUnread(call.reason); tries++ {
+		l.skew.unread.Add(1)
+		call.gateway = rand.IntN(len(l.fleet.gateways))
+		call.reason = l.request(ctx, route, call.gateway)
+	}
 	call.ms = time.Since(call.at).Milliseconds()
 	if ctx.Err() != nil {
 		return
@@ -137,7 +143,11 @@
 		name = modelName(model)
 	}
 	laburnumstandin.SetModelHeaders(req.Header, fmt.Sprintf("r-%d", l.calls.Add(1)), accountKey(pickAccount()), name, "500,35")
-	resp, err := l.client.Do(req)
+	client := l.client
+	if l.skew.on.Load() {
+		client = l.skew.client
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return shortCause(err)
 	}
@@ -268,7 +278,7 @@
 		"version": version, "routes": routes,
 		"services": []object{
 			{
-				"name": returnEngineService, "health_path": "/health", "max_conns": 570,
+				"name": returnEngineService, "health_path": "/health", "max_conns": l.fleet.cfg.Connections,
 				"engine": object{"slots": 24, "kv_capacity": 58902, "weights_mb": 200000, "adapter_slots": 8, "loads_per_s": 10, "models": models},
 			},
 			{"name": returnPlainService, "health_path": "/health", "max_conns": 470},
--- a/laburnumsoak/returns.go
+++ b/laburnumsoak/returns.go
@@ -40,6 +40,9 @@
 	// Gateways, Engines and Models are the size of the deployment, Rate its requests in a second.
 	Gateways, Engines, Models int
 	Rate                      float64
+	// EventPause is the time between two of the four events of a stream, Connections the number that an engine accepts.
+	EventPause  time.Duration
+	Connections int
 	// IdleRoutes is the number of routes without requests, which make the manifest large.
 	IdleRoutes int
 	// Returns is the number of returns.
@@ -111,6 +114,8 @@
 	stagger  time.Duration
 	// settle is the time between the faults before and the last one.
 	settle time.Duration
+	// skewed sends most new connections to one gateway, in turn; no VM fails.
+	skewed bool
 }
 
 func returnFaults() []returnFault {
@@ -135,6 +140,7 @@
 		{name: "absent-two-then-kill-all", absent: 2, settle: 500 * ms, controls: true, gateways: true, down: 700 * ms},
 		{name: "absent-replace-then-wipe-all", absent: 1, replaced: 1, settle: 6500 * ms, lost: 2, controls: true, gateways: true, sent: true, down: 700 * ms},
 		{name: "replace-two-then-wipe-all", replaced: 2, settle: 7 * time.Second, lost: 2, leader: true, controls: true, gateways: true, afterAck: true, down: 1500 * ms},
+		{name: "most-connections", skewed: true},
 	}
 }
 
@@ -246,6 +252,10 @@
 		return report, err
 	}
 	wait(ctx, x.settle)
+	if x.skewed {
+		f.playSkewed(ctx, l, &report)
+		return report, nil
+	}
 	report.Before = l.share(time.Now().Add(-4*time.Second), time.Now().Add(-time.Second))
 	f.noteVersion(l)
 	acked := l.version.Load()
