fix: an answer with a status that is none is no answer

What callers saw: on a gateway, statuses 600 and 999 as their answer, with the server's stamp, on routes whose requests run once and on streams; on an entry VM 600, 999 and 101 the same, and after 000, 001, 099 and +20 a connection that ended without an answer, since the HTTP server panics at such a status.

Cause: the reader of heads refused statuses below 100 only; the entry VM's proxy took any that net/http parses. RFC 9110 (15) knows 100 to 599.

Change: laburnumupstream, through which all answers of backend servers come to a gateway (requests, streams, looks, reservations, health checks, tunnels), takes a status above 599 for no answer; laburnumproxy does so for all but 200 to 599, and ends the connection. The request counts as run. Answers to orders and reports of control VMs were taken by the statuses that mean something only, before as now.

--- a/laburnumgateway/oddanswers_test.go
+++ b/laburnumgateway/oddanswers_test.go
@@ -59,6 +59,67 @@
 	}
 }
 
+// noStatuses are what a status line may bear in the place of a status.
+var noStatuses = []string{"000", "001", "099", "600", "999", "0x0", "+20", "1000", "20", "", "101"}
+
+// oddStatus returns an answer with a status that is none, and whole otherwise.
+func oddStatus(status, id, contentType string) string {
+	return fmt.Sprintf("HTTP/1.1 %s Odd\r\n%s: %s\r\n%s: s1\r\nContent-Type: %s\r\nContent-Length: 2\r\n\r\nok", status, idHeader, id, stampHeader, contentType)
+}
+
+// Guards against an answer whose status is none and that its caller gets as an answer, on routes whose requests run once and on streams.
+func TestStatusThatIsNoneReachesNoCaller(t *testing.T) {
+	for _, status := range noStatuses {
+		for path, model := range map[string]string{"/confirm/x": "", "/quote/x": "m0"} {
+			t.Run(status+path, func(t *testing.T) {
+				odd := func(conn net.Conn, a receivedRequest, _ int) {
+					fmt.Fprint(conn, oddStatus(status, a.request.Header.Get(idHeader), a.request.Header.Get("Accept")))
+					_ = conn.Close()
+				}
+				b := newHarness(t, newBackend(t, "i-1", odd).heartbeat("booking"), newBackend(t, "i-2", odd).heartbeat("quotes", "m0"))
+				got := b.send("POST", path, "visit", "X-Laburnumlever-Model", model, "Accept", "text/event-stream")
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusBadGateway, got.status)
+				require.Equal(t, "backend-error\n", got.body)
+				require.Empty(t, got.header.Get(stampHeader))
+			})
+		}
+	}
+}
+
+// Guards against a stream that is taken up with an answer whose status is none.
+func TestStreamIsNotTakenUpWithAStatusThatIsNone(t *testing.T) {
+	for _, status := range noStatuses {
+		t.Run(status, func(t *testing.T) {
+			var requests atomic.Int32
+			answer := func(conn net.Conn, a receivedRequest, _ int) {
+				switch requests.Add(1) {
+				case 1:
+					writeEvents(conn, a, 1, 1)
+					_ = conn.Close()
+				case 2:
+					fmt.Fprint(conn, oddStatus(status, a.request.Header.Get(idHeader), "text/event-stream"))
+					_ = conn.Close()
+				default:
+					writeEvents(conn, a, 2, 2)
+					writeLastChunk(conn)
+				}
+			}
+			b := newUnconfiguredHarness(t, laburnumgateway.WithRetryBudget(laburnumgateway.RetryBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}))
+			routes := testRoutes()
+			for i := range routes.Routes {
+				routes.Routes[i].MaxAttempts = 3
+			}
+			b.fleet.HandleRoutes(routes)
+			b.announce(newBackend(t, "i-1", answer).heartbeat("quotes", "m0"), newBackend(t, "i-2", answer).heartbeat("quotes", "m0"), newBackend(t, "i-3", answer).heartbeat("quotes", "m0"))
+			got := b.send("POST", "/quote/x", "oak", "X-Laburnumlever-Model", "m0")
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, eventsUpTo(2), got.body)
+		})
+	}
+}
+
 // Guards against a stream cut at any byte that ends as complete, and against garbage that is told of a server which only crashed.
 func TestStreamCutAtAnyByteGoesOnAndIsNoGarbage(t *testing.T) {
 	whole := ""
--- a/laburnumproxy/attempt.go
+++ b/laburnumproxy/attempt.go
@@ -93,11 +93,19 @@
 	a.apply(evGaveUp)
 }
 
-// checkResponse checks the attempt ID in the response header. It closes the connection of a
-// response that belongs to another attempt.
+// maxStatus is the last status that RFC 9110 (15) defines a class for.
+const maxStatus = 599
+
+// checkResponse checks the status and the attempt ID in the response header. It closes the connection of a
+// response that belongs to another attempt, or has no status of a final one.
 func (a *attempt) checkResponse(resp *http.Response) error {
 	defer a.releaseConns()
 	a.apply(evWriteStarted)
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		a.apply(evCrossed)
+		a.closeConn()
+		return &noStatusError{Status: resp.StatusCode}
+	}
 	got := resp.Header.Get(headerAttemptID)
 	if got != a.id {
 		a.apply(evCrossed)
--- a/laburnumproxy/errors.go
+++ b/laburnumproxy/errors.go
@@ -111,6 +111,13 @@
 	return fmt.Sprintf("the backend server answered with status %d", e.Status)
 }
 
+// noStatusError reports an answer with a status that no final answer has.
+type noStatusError struct{ Status int }
+
+func (e *noStatusError) Error() string {
+	return fmt.Sprintf("the backend server answered with %03d in the place of a status, want 200 to 599", e.Status)
+}
+
 // unframedBodyError reports a response body that only the end of the connection delimits.
 type unframedBodyError struct{}
 
--- a/laburnumproxy/forward.go
+++ b/laburnumproxy/forward.go
@@ -176,9 +176,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }() // the response has been forwarded or discarded
 	if err := a.checkResponse(resp); err != nil {
-		p.counters.crossed.Inc(1)
-		_ = level.Warn(p.logger).Log("event", laburnumlever.EventCrossedAnswer, "request-id", q.id, "backend", to.Backend, "err", err)
-		return p.newFailure(q, a, to, laburnumlever.RefusedCrossedAnswer, err)
+		return p.noAnswer(q, a, to, err)
 	}
 	if a.outcome() == laburnumlever.OutcomeNotRun {
 		return p.newFailure(q, a, to, laburnumlever.RefusedBackendBusy, &statusError{Status: resp.StatusCode})
@@ -197,6 +195,19 @@
 	return nil
 }
 
+// noAnswer is the failure of an attempt whose response belongs to another one, or has a status that is none.
+func (p *Proxy) noAnswer(q *request, a *attempt, to laburnumlever.Announcement, cause error) *attemptFailure {
+	var crossed *CrossedAnswerError
+	if !errors.As(cause, &crossed) {
+		p.counters.garbled.Inc(1)
+		_ = level.Warn(p.logger).Log("event", laburnumlever.EventGarbageReceived, "request-id", q.id, "backend", to.Backend, "cause", cause)
+		return p.newFailure(q, a, to, laburnumlever.RefusedBackendError, cause)
+	}
+	p.counters.crossed.Inc(1)
+	_ = level.Warn(p.logger).Log("event", laburnumlever.EventCrossedAnswer, "request-id", q.id, "backend", to.Backend, "err", cause)
+	return p.newFailure(q, a, to, laburnumlever.RefusedCrossedAnswer, cause)
+}
+
 // noteGarbled logs and counts a stream with what is no event of it.
 func (p *Proxy) noteGarbled(q *request, to laburnumlever.Announcement, err error) {
 	var garbled *NotAnEventError
--- a/laburnumproxy/outcome_test.go
+++ b/laburnumproxy/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -57,6 +58,24 @@
 	}
 }
 
+// Guards against an answer whose status is none, which ends its caller's connection or reaches the caller, and against a not-run of a call that ran.
+func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999", "0x0", "+20", "1000", "20", "", "101"} {
+		t.Run(status, func(t *testing.T) {
+			b := newFixture(t, nil)
+			b.service(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, _ := w.(http.Hijacker).Hijack()
+				fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nX-Attempt-Id: %s\r\nContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Attempt-Id"))
+				conn.Close()
+			})
+			got := b.post("/services/booking/visits", "tuesday")
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusServiceUnavailable}, got.status)
+			require.Contains(t, got.body, `"unknown"`)
+			require.NotEqual(t, "ok", got.body)
+		})
+	}
+}
+
 // Guards against reporting not-run because the last attempt did not run, after an earlier one reached an engine.
 func TestOutcomeCoversAllAttempts(t *testing.T) {
 	reachedAny := false
--- a/laburnumupstream/errors.go
+++ b/laburnumupstream/errors.go
@@ -54,11 +54,11 @@
 	return fmt.Sprintf("the first line begins with %q, want a status line such as HTTP/1.1 200", e.Got)
 }
 
-// StatusError reports an answer with a status that no answer to a request has: below 100, or 101.
+// StatusError reports an answer with a status that no answer to a request has: below 100, above 599, or 101.
 type StatusError struct{ Status int }
 
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("the status is %03d, want 100, 102 to 199, or 200 and above", e.Status)
+	return fmt.Sprintf("the status is %03d, want 100 or 102 to 599", e.Status)
 }
 
 // OldCodingError reports an HTTP/1.0 head with a Transfer-Encoding, which HTTP/1.0 doesn't have.
--- a/laburnumupstream/head.go
+++ b/laburnumupstream/head.go
@@ -18,6 +18,8 @@
 	maxHeadBytes = 64 << 10
 	// maxInformational bounds the informational answers before an answer.
 	maxInformational = 32
+	// maxStatus is the last status that RFC 9110 (15) defines a class for.
+	maxStatus = 599
 	// statusLine is what the first line of an answer begins with, each 0 standing for any digit.
 	statusLine = "HTTP/1.0 000"
 	oldVersion = "HTTP/1.0"
@@ -63,7 +65,7 @@
 			return nil, classify(err)
 		}
 		switch status := resp.StatusCode; {
-		case status < 100 || status == http.StatusSwitchingProtocols:
+		case status < 100 || status > maxStatus || status == http.StatusSwitchingProtocols:
 			return nil, &NoAnswerError{Cause: &StatusError{Status: status}}
 		case status >= 200:
 			resp.Body = &body{ReadCloser: resp.Body}
--- a/laburnumupstream/senseless_test.go
+++ b/laburnumupstream/senseless_test.go
@@ -21,6 +21,10 @@
 	}{
 		"000":                     {pieces: []string{"HTTP/1.1 000 Odd\r\n\r\n"}, none: true},
 		"099":                     {pieces: []string{"HTTP/1.1 099 Odd\r\n\r\n"}, none: true},
+		"600":                     {pieces: []string{"HTTP/1.1 600 Odd\r\n\r\n"}, none: true},
+		"999":                     {pieces: []string{"HTTP/1.1 999 Odd\r\n\r\n"}, none: true},
+		"four digits":             {pieces: []string{"HTTP/1.1 2000 Odd\r\n\r\n"}, none: true},
+		"599":                     {pieces: []string{"HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok"}, body: "ok"},
 		"101":                     {pieces: []string{"HTTP/1.1 101 Switching Protocols\r\n\r\n"}, none: true},
 		"101 behind a 103":        {pieces: []string{"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 101 Switching Protocols\r\n\r\n"}, none: true},
 		"200 behind a 103":        {pieces: []string{"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\nok"}, body: "ok"},
