--- a/laburnumroles/platform_test.go
+++ b/laburnumroles/platform_test.go
@@ -373,6 +373,9 @@
 	gateway := s.status(s.ip(firstGateway), "gateway knows the director", func(status laburnumlever.Status) bool { return status.Role.Director != "" })
 	require.Equal(s.t, "gateway", gateway.Role.Role)
 	require.True(s.t, gateway.Role.Ready)
+	for i := range services {
+		services[i].Connections = &laburnumlever.ConnectionsStatus{Limit: 50, Share: 50} // it is the only gateway
+	}
 	require.Equal(s.t, services, gateway.Role.Services)
 	code, text := s.call("GET", fmt.Sprintf("http://%s:%d/metrics", s.ip(firstGateway), metricsPort), nil)
 	require.Equal(s.t, 200, code)
