fix: a gateway that most new connections come to at once turns them away before it is late

What callers saw: the gateway read far more than it could serve; for seconds nearly all it read ended at the deadline, or as quota-unanswered since grants came too late.

Cause: the gate looked at the process's delay from a timer, which waits behind the very work that it should notice. At four and nine times what a gateway can serve the looks came seconds apart and each took three tenths off the share that is accepted; afterwards it rose to the same overload again.

Change: a look that is overdue is made when the next connection is accepted; looks are twice as frequent; a single late one counts if many connections were accepted before it; the share falls by as much as the look was late, and rises slowly beyond four fifths of the share at which the overload began.

--- a/laburnumoverload/gate.go
+++ b/laburnumoverload/gate.go
@@ -12,18 +12,24 @@
 
 const (
 	// period is the time between two looks.
-	period = 100 * time.Millisecond
+	period = 50 * time.Millisecond
 	// lateTime is the delay that counts as late: longer than a VM with a fifth of a core waits for its next share of it.
 	lateTime = 100 * time.Millisecond
 	// minConnections is the number of new connections from which the fastest one tells about the link: a packet of one may be lost.
 	minConnections = 4
-	// lateLooks is the number of late looks in a row from which fewer connections are accepted.
-	lateLooks = 2
-	// The share of new connections that are accepted falls by the factor decrease with each late look, to minShare, and rises by
-	decrease = 0.7
-	// increase with each other one, by increaseUnknown while too few connections come to tell.
-	increase        = 0.03
-	increaseUnknown = 0.01
+	// lateLooks is the number of late looks in a row from which fewer connections are accepted; one is enough behind manyAccepted of
+	// them, which are what made it late.
+	lateLooks    = 2
+	manyAccepted = 16
+	// The share of new connections that are accepted falls with each late look by as much as it is late, by the factors minDecrease to
+	// maxDecrease, to minShare. It rises by
+	minDecrease, maxDecrease = 0.3, 0.7
+	// increase with each other one, up to ceilingFactor times the share at which the overload began, and by increaseAbove from there on;
+	// by increaseUnknown while too few connections come to tell.
+	increase        = 0.02
+	increaseAbove   = 0.004
+	increaseUnknown = 0.005
+	ceilingFactor   = 0.8
 	minShare        = 0.02
 )
 
@@ -35,8 +41,13 @@
 	mu    sync.Mutex
 	last  time.Time
 	share float64
+	// ceiling is the share up to which it rises fast; cutting is set while it falls.
+	ceiling float64
+	cutting bool
 	// processor and link are the signs of overload.
 	processor, link sign
+	// accepted is the number of connections that were accepted since the last look.
+	accepted int
 	// opened are the accepted connections that have brought nothing yet.
 	opened map[net.Conn]time.Time
 	// heard is the number of connections that have brought their first byte since the last look that used them, fastest the shortest
@@ -57,7 +68,7 @@
 // NewGate returns a gate that accepts all connections at first.
 func NewGate(timers laburnumlever.Timers, opts ...Option) *Gate {
 	g := &Gate{
-		timers: timers, onChange: func(bool, time.Duration) {}, last: timers.Now(), share: 1, opened: map[net.Conn]time.Time{},
+		timers: timers, onChange: func(bool, time.Duration) {}, last: timers.Now(), share: 1, ceiling: 1, opened: map[net.Conn]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -66,11 +77,21 @@
 	return g
 }
 
-// Admit decides about a new connection.
+// Admit decides about a new connection. A look that is late itself is made here: an overloaded gateway accepts many connections until
+// the timer's turn comes.
 func (g *Gate) Admit() bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.share >= 1 || rand.Float64() < g.share
+	changed := func() {}
+	if now := g.timers.Now(); now.Sub(g.last) >= period+lateTime {
+		changed = g.observe(now)
+	}
+	admitted := g.share >= 1 || rand.Float64() < g.share
+	if admitted {
+		g.accepted++
+	}
+	g.mu.Unlock()
+	changed()
+	return admitted
 }
 
 // ConnState records when connections bring their first byte. It is a hook of http.Server.
@@ -102,35 +123,54 @@
 
 func (g *Gate) look() {
 	g.mu.Lock()
-	now := g.timers.Now()
+	changed := func() {}
+	if now := g.timers.Now(); now.Sub(g.last) >= period {
+		changed = g.observe(now)
+	}
+	g.mu.Unlock()
+	changed()
+	g.schedule()
+}
+
+// observe makes a look. It returns what tells of a change, to be called without mu. The caller holds mu.
+func (g *Gate) observe(now time.Time) (changed func()) {
 	lag := now.Sub(g.last) - period
 	g.last = now
 	known := g.heard >= minConnections
 	g.processor.add(lag >= lateTime)
+	if lag >= lateTime && g.accepted >= manyAccepted {
+		g.processor.add(true)
+	}
+	g.accepted = 0
 	if known {
 		g.link.add(g.fastest >= lateTime)
 		g.heard = 0
 	}
-	before := g.share
-	g.adjust(known)
-	began, ended, delay := before >= 1 && g.share < 1, before < 1 && g.share >= 1, max(lag, g.fastest)
-	g.mu.Unlock()
-	if began || ended {
-		g.onChange(began, delay)
+	before, delay := g.share, max(lag, g.fastest)
+	g.adjust(known, delay)
+	if began, ended := before >= 1 && g.share < 1, before < 1 && g.share >= 1; began || ended {
+		return func() { g.onChange(began, delay) }
 	}
-	g.schedule()
+	return func() {}
 }
 
 // adjust changes the share after a look. While few connections come, all of them are accepted before long.
-func (g *Gate) adjust(known bool) {
+func (g *Gate) adjust(known bool, delay time.Duration) {
 	switch {
 	case g.processor.overloaded() || known && g.link.overloaded():
-		g.share = max(minShare, g.share*decrease)
-	case known:
+		if !g.cutting {
+			g.ceiling, g.cutting = ceilingFactor*g.share, true
+		}
+		g.share = max(minShare, g.share*min(maxDecrease, max(minDecrease, float64(lateTime)/float64(delay))))
+		return
+	case !known:
+		g.share = min(1, g.share+increaseUnknown)
+	case g.share < g.ceiling:
 		g.share = min(1, g.share+increase)
 	default:
-		g.share = min(1, g.share+increaseUnknown)
+		g.share = min(1, g.share+increaseAbove)
 	}
+	g.cutting = false
 }
 
 // sign counts the late looks in a row.
