fix: answers to asks for connections are awaited for longer

No request waits for such an answer alone, and a gateway that is behind reads it late: 150 ms are the time of a call on which a request depends.

--- a/laburnumroles/connectionkeepers.go
+++ b/laburnumroles/connectionkeepers.go
@@ -17,6 +17,9 @@
 const (
 	// connectionAskPeriod is the interval between two batches of asks.
 	connectionAskPeriod = 2 * time.Millisecond
+	// connectionAskTime is how much longer than usual an answer is awaited: no request waits for it alone, and a gateway that is
+	// behind reads it late.
+	connectionAskTime = 350 * time.Millisecond
 	// connectionTries is the number of control VMs that one ask is sent to.
 	connectionTries = 3
 )
@@ -104,7 +107,7 @@
 		asks = append(asks, ask.Ask)
 	}
 	var grants []laburnumconnections.Grant
-	err := k.calls.call(context.Background(), address, methodLeaseConnections, asks, &grants)
+	err := k.calls.callWaiting(context.Background(), address, methodLeaseConnections, connectionAskTime, asks, &grants)
 	if err == nil && len(grants) != len(batch) {
 		err = &AnswerLengthError{Address: address, Want: len(batch), Got: len(grants)}
 	}
