test: the request of a dropped service is queued before the routes change

TestQueuedRequestOfADroppedServiceIsAnswered failed once beside other load (404 for 503): it waited until a request was in flight, which it is before its route is looked up. It waits until it is queued, as its name says.

--- a/laburnumgateway/unanswered_test.go
+++ b/laburnumgateway/unanswered_test.go
@@ -131,7 +131,7 @@
 	b := newHarness(t)
 	got := make(chan callerResponse, 1)
 	go func() { got <- b.send("POST", "/confirm/x", "visit", "X-Laburnumlever-Deadline-Ms", "1000") }()
-	require.Eventually(t, func() bool { return b.gateway.InFlight() == 1 }, callerPatience, time.Millisecond)
+	require.Eventually(t, func() bool { return b.fleet.Status().Queued == 1 }, callerPatience, time.Millisecond)
 	b.fleet.HandleRoutes(droppedRoutes())
 	answer := <-got
 	require.NoError(t, answer.err)
