--- a/laburnumconnections/keeper.go
+++ b/laburnumconnections/keeper.go
@@ -14,6 +14,8 @@
 	maxServers = 4096
 	// maxHold bounds how long a lease is counted after its end.
 	maxHold = 10 * time.Minute
+	// expirePeriod is the time between two looks for leases that have ended.
+	expirePeriod = 100 * time.Millisecond
 	// retention is how long a server without leases is kept.
 	retention = time.Minute
 )
@@ -29,6 +31,9 @@
 	// usedAt is when a gateway last asked for it.
 	usedAt time.Time
 	leases map[laburnumlever.VMID]lease
+	// leased is the sum of the leases, expiredAt when those that had ended were last dropped.
+	leased    int
+	expiredAt time.Time
 }
 
 // lease is what a gateway has leased, counted until a time.
@@ -67,9 +72,10 @@
 	most := leasable(a.Limit)
 	held, want := min(max(last.connections, a.Held), most), min(max(0, a.Want), most)
 	if want > held {
-		want = held + min(want-held, s.free(a.Gateway, held, fleet))
+		want = held + min(want-held, s.free(s.leases[a.Gateway].connections, held, fleet))
 	}
 	hold := min(maxHold, max(0, time.Duration(a.Hold))) + Grace
+	s.leased += want - s.leases[a.Gateway].connections
 	s.leases[a.Gateway] = lease{incarnation: a.Incarnation, sequence: a.Sequence, connections: want, until: now.Add(LeaseTime + hold)}
 	return Grant{Connections: want}
 }
@@ -88,15 +94,10 @@
 	return s
 }
 
-// free returns the number of connections that a gateway may lease beyond those that it holds: half of what is left, at least one.
-func (s *server) free(gateway laburnumlever.VMID, held int, fleet Fleet) int {
-	free := s.bound(fleet) - held
-	for other, l := range s.leases {
-		if other != gateway {
-			free -= l.connections
-		}
-	}
-	return max(0, (free+1)/2)
+// free returns the number of connections that a gateway which is counted with some, and holds some, may lease beyond those: half of what is
+// left, at least one.
+func (s *server) free(counted, held int, fleet Fleet) int {
+	return max(0, (s.bound(fleet)-(s.leased-counted)-held+1)/2)
 }
 
 // bound returns the number of connections that may be leased at once.
@@ -104,8 +105,19 @@
 	return max(1, leasable(s.Limit)/keeperPart) - fleet.Earlier*earlierExcess(s.Limit, fleet.Gateways)
 }
 
+// expire drops the leases that have ended, now and then.
 func (s *server) expire(now time.Time) {
-	maps.DeleteFunc(s.leases, func(_ laburnumlever.VMID, l lease) bool { return !now.Before(l.until) })
+	if now.Sub(s.expiredAt) < expirePeriod {
+		return
+	}
+	s.expiredAt = now
+	maps.DeleteFunc(s.leases, func(_ laburnumlever.VMID, l lease) bool {
+		ended := !now.Before(l.until)
+		if ended {
+			s.leased -= l.connections
+		}
+		return ended
+	})
 }
 
 // Sweep drops leases that have ended, and servers that no gateway has asked for in a long time.
