--- a/laburnumsoak/returns.go
+++ b/laburnumsoak/returns.go
@@ -114,8 +114,9 @@
 	stagger  time.Duration
 	// settle is the time between the faults before and the last one.
 	settle time.Duration
-	// skewed sends most new connections to one gateway, in turn; no VM fails.
-	skewed bool
+	// skewed sends most new connections to one gateway, in turn; no VM fails. toFirst sends them to the first one that is ready after
+	// the return.
+	skewed, toFirst bool
 }
 
 func returnFaults() []returnFault {
@@ -141,6 +142,8 @@
 		{name: "absent-replace-then-wipe-all", absent: 1, replaced: 1, settle: 6500 * ms, lost: 2, controls: true, gateways: true, sent: true, down: 700 * ms},
 		{name: "replace-two-then-wipe-all", replaced: 2, settle: 7 * time.Second, lost: 2, leader: true, controls: true, gateways: true, afterAck: true, down: 1500 * ms},
 		{name: "most-connections", skewed: true},
+		{name: "kill-all-to-the-first", controls: true, gateways: true, toFirst: true, down: 700 * ms},
+		{name: "wipe-all-to-the-first", lost: 2, leader: true, controls: true, gateways: true, afterAck: true, toFirst: true, down: 700 * ms},
 	}
 }
 
@@ -274,6 +277,9 @@
 	if err := f.killSome(lost, others, x.lost > 0, x.down, cmp.Or(x.stagger, returnStagger), random, x.late); err != nil {
 		return report, err
 	}
+	if x.toFirst {
+		defer f.skewToFirst(ctx, l)()
+	}
 	back := f.stages.lastStart()
 	before := f.processorTimes()
 	wait(ctx, time.Until(back.Add(f.cfg.Observe)))
--- a/laburnumsoak/returnskew.go
+++ b/laburnumsoak/returnskew.go
@@ -76,3 +76,36 @@
 		report.Violations = append(report.Violations, fmt.Sprintf("%.3f of the first tries were served while most new connections went to one gateway, %.3f before", report.Late, report.Before))
 	}
 }
+
+// skewToFirst sends most new connections to the first gateway that is ready, until the returned function is called.
+func (f *returnFleet) skewToFirst(ctx context.Context, l *returnLoad) (end func()) {
+	l.skew.gateway.Store(-1)
+	l.skew.on.Store(true)
+	ctx, cancel := context.WithCancel(ctx)
+	for gateway := range f.gateways {
+		go func() {
+			if await(ctx, returnReadyLimit, func() bool { return f.isReady(ctx, gateway) }) && l.skew.gateway.CompareAndSwap(-1, int64(gateway)) {
+				f.cfg.print("most new connections go to %s, which is ready first", f.gateways[gateway].name)
+			}
+		}()
+	}
+	return func() {
+		cancel()
+		l.skew.on.Store(false)
+	}
+}
+
+// isReady reports whether the balancer would send callers to a gateway.
+func (f *returnFleet) isReady(ctx context.Context, gateway int) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address(firstGateway+gateway, readyPort)+"/v1/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+}
