fix: a gateway without control VMs stops asking for connections that it doesn't need any more

TestUnansweredAskIsDroppedOnceItIsNotNeeded failed before. An entry without a grant is dropped once its share has not been used up for a second.

--- a/laburnumconnections/keeper_test.go
+++ b/laburnumconnections/keeper_test.go
@@ -143,3 +143,19 @@
 	require.Empty(t, table.Due(laburnumconnections.LeaseTime))
 	require.Len(t, table.Due(laburnumconnections.LeaseTime+laburnumconnections.RetryTime), 1)
 }
+
+// Guards against a gateway without control VMs that goes on asking for connections which it doesn't need any more.
+func TestUnansweredAskIsDroppedOnceItIsNotNeeded(t *testing.T) {
+	table := laburnumconnections.NewTable(laburnumlever.VM{ID: "g-1", Incarnation: 1})
+	table.SetGateways(12)
+	require.True(t, table.Use(limited(24), 1, 0))
+	for now := time.Duration(0); now < 5*laburnumconnections.RetryTime; now += laburnumconnections.RetryTime {
+		asks := table.Due(now)
+		require.Len(t, asks, 1)
+		table.Lost(asks[0], now)
+	}
+	for now := time.Second; now < 3*time.Second; now += 500 * time.Millisecond {
+		table.Tick(now)
+	}
+	require.Empty(t, table.Due(3*time.Second))
+}
--- a/laburnumconnections/table.go
+++ b/laburnumconnections/table.go
@@ -179,6 +179,10 @@
 			excess = append(excess, Excess{Backend: backend, Allowed: share})
 			continue
 		}
+		if l.granted == 0 && !l.asking && (peak == 0 || peak < share) {
+			delete(t.servers, backend) // no control VM has answered, and it is needed no more
+			continue
+		}
 		needed := 0
 		if peak > share {
 			needed = peak - share + max(minGrowth, peak/spare)
