--- a/laburnumsoak/returns.go
+++ b/laburnumsoak/returns.go
@@ -114,9 +114,9 @@
 	stagger  time.Duration
 	// settle is the time between the faults before and the last one.
 	settle time.Duration
-	// skewed sends most new connections to one gateway, in turn; no VM fails. toFirst sends them to the first one that is ready after
+	// skewed sends most new connections to one gateway, in turn; killsHot kills each while it gets them. toFirst sends them to the first one that is ready after
 	// the return.
-	skewed, toFirst bool
+	skewed, killsHot, toFirst bool
 }
 
 func returnFaults() []returnFault {
@@ -142,6 +142,7 @@
 		{name: "absent-replace-then-wipe-all", absent: 1, replaced: 1, settle: 6500 * ms, lost: 2, controls: true, gateways: true, sent: true, down: 700 * ms},
 		{name: "replace-two-then-wipe-all", replaced: 2, settle: 7 * time.Second, lost: 2, leader: true, controls: true, gateways: true, afterAck: true, down: 1500 * ms},
 		{name: "most-connections", skewed: true},
+		{name: "most-connections-then-kill", skewed: true, killsHot: true},
 		{name: "kill-all-to-the-first", controls: true, gateways: true, toFirst: true, down: 700 * ms},
 		{name: "wipe-all-to-the-first", lost: 2, leader: true, controls: true, gateways: true, afterAck: true, toFirst: true, down: 700 * ms},
 	}
@@ -256,8 +257,7 @@
 	}
 	wait(ctx, x.settle)
 	if x.skewed {
-		f.playSkewed(ctx, l, &report)
-		return report, nil
+		return report, f.playSkewed(ctx, l, x.killsHot, &report)
 	}
 	report.Before = l.share(time.Now().Add(-4*time.Second), time.Now().Add(-time.Second))
 	f.noteVersion(l)
--- a/laburnumsoak/returnskew.go
+++ b/laburnumsoak/returnskew.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -48,8 +49,9 @@
 	return reason == "connection refused" || reason == "reset" || reason == "EOF"
 }
 
-// playSkewed sends most new connections to one gateway after the other, and observes the first tries that were read.
-func (f *returnFleet) playSkewed(ctx context.Context, l *returnLoad, report *ReturnReport) {
+// playSkewed sends most new connections to one gateway after the other, and observes the first tries that were read. With kills each
+// is killed while it gets them, and the next one gets them at once.
+func (f *returnFleet) playSkewed(ctx context.Context, l *returnLoad, kills bool, report *ReturnReport) error {
 	l.skew.gateway.Store(-1)
 	l.skew.on.Store(true)
 	defer l.skew.on.Store(false)
@@ -61,8 +63,15 @@
 		l.skew.unread.Store(0)
 		l.skew.gateway.Store(int64(gateway))
 		wait(ctx, skewedTime)
-		l.skew.gateway.Store(-1)
-		wait(ctx, skewedPause)
+		if kills {
+			f.signalAll(f.gateways[gateway:gateway+1], syscall.SIGKILL)
+			if err := f.startAgain(f.gateways[gateway]); err != nil {
+				return err
+			}
+		} else {
+			l.skew.gateway.Store(-1)
+			wait(ctx, skewedPause)
+		}
 		share := l.share(from.Add(skewedGrace), from.Add(skewedTime))
 		for second := range int(skewedTime / time.Second) {
 			at := from.Add(time.Duration(second) * time.Second)
@@ -75,6 +84,8 @@
 	if report.Late < skewedServed*report.Before {
 		report.Violations = append(report.Violations, fmt.Sprintf("%.3f of the first tries were served while most new connections went to one gateway, %.3f before", report.Late, report.Before))
 	}
+	l.skew.gateway.Store(-1)
+	return nil
 }
 
 // skewToFirst sends most new connections to the first gateway that is ready, until the returned function is called.
