--- a/laburnumgateway/connections.go
+++ b/laburnumgateway/connections.go
@@ -261,7 +261,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	leased, servers := f.connections.table.Leased(laburnumtimer.SinceBoot())
-	detail := fmt.Sprintf("this gateway has all connections that it may open to the backend servers with free slots: its share of %d to each among %d gateways, and %d leased to %d servers",
+	detail := fmt.Sprintf("this gateway has all connections that it may open to the backend servers with free slots: its share of the limit of %d to each among %d gateways, and %d leased to %d servers",
 		q.service.MaxConnections, f.gateways, leased, servers)
 	return newRefusal(laburnumlever.RefusedConnectionLimit, connectionRetryAfter, detail)
 }
--- a/laburnumgateway/connections_test.go
+++ b/laburnumgateway/connections_test.go
@@ -72,7 +72,7 @@
 	got := b.send("POST", "/confirm/1", "oak")
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Equal(t, "connection-limit\n", got.body)
-	require.Contains(t, logged.String(), "this gateway has all connections that it may open to the backend servers with free slots: its share of 1 to each among 1 gateways")
+	require.Contains(t, logged.String(), "this gateway has all connections that it may open to the backend servers with free slots: its share of the limit of 1 to each among 1 gateways")
 	close(allowed)
 	require.Equal(t, http.StatusOK, (<-ended).status)
 	require.Len(t, server.requests(), 1)
--- a/laburnumoverload/gate.go
+++ b/laburnumoverload/gate.go
@@ -21,16 +21,17 @@
 	// them, which are what made it late.
 	lateLooks    = 2
 	manyAccepted = 16
-	// The share of new connections that are accepted falls with each late look by as much as it is late, by the factors minDecrease to
-	// maxDecrease, to minShare. It rises by
+	// minDecrease and maxDecrease bound the factor by which the share of new connections that are accepted falls with each late look:
+	// the later the look, the smaller it is.
 	minDecrease, maxDecrease = 0.3, 0.7
-	// increase with each other one, up to ceilingFactor times the share at which the overload began, and by increaseAbove from there on;
-	// by increaseUnknown while too few connections come to tell.
+	// minShare is the least share.
+	minShare = 0.02
+	// increase is what the share rises by with each other look, up to ceilingFactor times the share at which the overload began,
+	// increaseAbove that from there on, increaseUnknown that while too few connections come to tell.
 	increase        = 0.02
 	increaseAbove   = 0.004
 	increaseUnknown = 0.005
 	ceilingFactor   = 0.8
-	minShare        = 0.02
 )
 
 // Gate decides which share of the new connections is accepted.
