fix: a starved gateway finds no servers unreachable that accept at once

Each takes the server out of the gateway's picks for 0.3 to 1 s, and is reported to the director.

Cause: the 200 ms of a dial were measured on the clock of a process that stood still, or had more goroutines to run than it has time for, so that the connection, open in the kernel, was noticed after the timer.

The dialer of tunnels through other VMs is the same one.

--- a/laburnumtunnel/client.go
+++ b/laburnumtunnel/client.go
@@ -52,7 +52,7 @@
 type Client struct {
 	directory Directory
 	timers    laburnumlever.Timers
-	dialer    *net.Dialer
+	dialer    *laburnumupstream.Dialer
 	// asking is held while the directory is asked; a channel, so that waiting ends with the context.
 	asking chan struct{}
 
@@ -70,14 +70,14 @@
 
 // WithSourceIP sets the source address of connections to helpers.
 func WithSourceIP(ip net.IP) ClientOption {
-	return func(c *Client) { c.dialer = laburnumupstream.Dialer(ip) }
+	return func(c *Client) { c.dialer = laburnumupstream.NewDialer(ip) }
 }
 
 // NewClient returns a client that knows no helper yet.
 func NewClient(directory Directory, timers laburnumlever.Timers, opts ...ClientOption) *Client {
 	c := &Client{
 		directory: directory, timers: timers, asking: make(chan struct{}, 1), backoffs: laburnumretry.NewBackoffs(minHelperBackoff, maxHelperBackoff),
-		dialer: laburnumupstream.Dialer(nil),
+		dialer: laburnumupstream.NewDialer(nil),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -214,7 +214,7 @@
 func (c *Client) dialThrough(ctx context.Context, helper, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, helperTimeout)
 	defer cancel()
-	conn, err := c.dialer.DialContext(ctx, "tcp", helper)
+	conn, err := c.dialer.DialContext(ctx, helper)
 	if err != nil {
 		return nil, err
 	}
--- a/laburnumtunnel/server.go
+++ b/laburnumtunnel/server.go
@@ -35,7 +35,7 @@
 	noticed   func(Notice)
 	// dialFailed is called with the address of a server that accepts no connection.
 	dialFailed func(address string)
-	dialer     *net.Dialer
+	dialer     *laburnumupstream.Dialer
 	limit      int
 	// refused and opened count calls, carried is the number of tunnels.
 	opened, refused tally.Counter
@@ -73,7 +73,7 @@
 
 // WithLocalIP sets the source address of connections to servers.
 func WithLocalIP(ip net.IP) ServerOption {
-	return func(s *Server) { s.dialer = laburnumupstream.Dialer(ip) }
+	return func(s *Server) { s.dialer = laburnumupstream.NewDialer(ip) }
 }
 
 // NewServer returns a helper's server. reaches reports whether an address belongs to a backend server that this VM reaches
@@ -82,7 +82,7 @@
 	s := &Server{
 		reaches: reaches, available: available, limit: defaultLimit, tunnels: map[*tunnel]struct{}{}, changed: make(chan struct{}),
 		dialFailed: func(string) {}, noticed: func(Notice) {},
-		dialer: laburnumupstream.Dialer(nil),
+		dialer: laburnumupstream.NewDialer(nil),
 	}
 	s.setScope(tally.NoopScope)
 	for _, opt := range opts {
@@ -110,7 +110,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	far, err := s.dialer.DialContext(r.Context(), "tcp", r.Host)
+	far, err := s.dialer.DialContext(r.Context(), r.Host)
 	if err != nil {
 		s.dialFailed(r.Host)
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -153,7 +153,7 @@
 		return nil, err
 	}
 	if tcp, ok := conn.(laburnumsocket.KeepAliveSetter); ok {
-		_ = tcp.SetKeepAliveConfig(s.dialer.KeepAliveConfig) // without it a lost VM is noticed by the next write
+		_ = tcp.SetKeepAliveConfig(s.dialer.KeepAlive()) // without it a lost VM is noticed by the next write
 	}
 	return conn, nil
 }
--- a/laburnumupstream/errors.go
+++ b/laburnumupstream/errors.go
@@ -1,6 +1,9 @@
 package laburnumupstream
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // DialError reports that no connection to Address could be made, through another VM if Tunnelled is set. Nothing was
 // sent.
@@ -15,6 +18,22 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Cause }
 
+// DialTimeoutError reports that Address did not accept a connection within After. It is a net.Error.
+type DialTimeoutError struct {
+	Address string
+	After   time.Duration
+}
+
+func (e *DialTimeoutError) Error() string {
+	return fmt.Sprintf("%s accepted no connection within %v: i/o timeout", e.Address, e.After)
+}
+
+// Timeout returns true.
+func (e *DialTimeoutError) Timeout() bool { return true }
+
+// Temporary returns true.
+func (e *DialTimeoutError) Temporary() bool { return true }
+
 // LostError reports that at least part of a request may have been sent to Address and that no
 // complete response head arrived. It is unknown whether the backend server ran the request.
 type LostError struct {
--- a/laburnumupstream/pool.go
+++ b/laburnumupstream/pool.go
@@ -21,18 +21,11 @@
 	// reused. The backend server starts its timeout first, and a request must not be sent while
 	// it closes the connection.
 	keepAliveShare = 0.75
-	// dialTimeout is tens of round trips within a region. A backend server that does not accept
-	// within it is unreachable or overloaded, or a SYN was lost, which the kernel retransmits
-	// only after a second.
-	dialTimeout = 200 * time.Millisecond
-	// keepAliveProbes is the number of unanswered keep-alive probes, a second apart, that end a connection. There is no
-	// TCP_USER_TIMEOUT, which would end them whatever their number.
-	keepAliveProbes = 2
 )
 
 // Pool keeps idle connections by address and counts the open ones. It is safe for concurrent use.
 type Pool struct {
-	dialer  *net.Dialer
+	dialer  *Dialer
 	tunnels Tunnels
 	scope   tally.Scope
 	now     func() time.Time
@@ -68,23 +61,13 @@
 // WithLocalIP sets the source address of connections, so that a VM with several addresses uses the one that it
 // listens on.
 func WithLocalIP(ip net.IP) Option {
-	return func(p *Pool) { p.dialer = Dialer(ip) }
-}
-
-// Dialer dials backend servers from an address; from any if it is nil. Keep-alive probes detect a dead peer within about
-// three seconds.
-func Dialer(from net.IP) *net.Dialer {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: keepAliveProbes}}
-	if from != nil && !from.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: from}
-	}
-	return d
+	return func(p *Pool) { p.dialer = NewDialer(ip) }
 }
 
 // New returns an empty pool.
 func New(opts ...Option) *Pool {
 	p := &Pool{
-		dialer: Dialer(nil), scope: tally.NoopScope, now: time.Now, idle: map[string][]*Conn{}, open: map[string]int{},
+		dialer: NewDialer(nil), scope: tally.NoopScope, now: time.Now, idle: map[string][]*Conn{}, open: map[string]int{},
 		detours: map[string]struct{}{},
 	}
 	for _, opt := range opts {
@@ -174,7 +157,7 @@
 	if tunnelled {
 		return p.tunnels.Dial(ctx, address)
 	}
-	return p.dialer.DialContext(ctx, "tcp", address)
+	return p.dialer.DialContext(ctx, address)
 }
 
 func (p *Pool) connectionClosed(address string) {
--- a/laburnumupstream/pool_test.go
+++ b/laburnumupstream/pool_test.go
@@ -15,7 +15,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
-	conn, err := laburnumupstream.Dialer(nil).DialContext(t.Context(), "tcp", ln.Addr().String())
+	conn, err := laburnumupstream.NewDialer(nil).DialContext(t.Context(), ln.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
 	raw, err := conn.(*net.TCPConn).SyscallConn()
@@ -27,7 +27,7 @@
 		return value
 	}
 	require.Zero(t, option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT))
-	keepAlive := laburnumupstream.Dialer(nil).KeepAliveConfig
+	keepAlive := laburnumupstream.NewDialer(nil).KeepAlive()
 	require.Equal(t, 1, option(unix.SOL_SOCKET, unix.SO_KEEPALIVE))
 	require.Equal(t, int(keepAlive.Idle.Seconds()), option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE))
 	require.Equal(t, int(keepAlive.Interval.Seconds()), option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL))
