fix: an overloaded gateway notices requests that wait for a processor

Callers of a gateway that most new connections went to ended at their deadlines, or were refused for want of quotas, for two to five seconds at each onset, while it read new ones.

Cause: the looks of the gate measure how late their timer is. The runtime runs the goroutine of a timer ahead of those that can run already, so that a look was on time while requests waited for a processor, and only the VM's own pauses made it late.

A look now runs behind the goroutines that can run already (laburnumtimer.RunLast).

--- a/laburnumoverload/gate.go
+++ b/laburnumoverload/gate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"laburnumlever"
+	"laburnumlever/laburnumtimer"
 )
 
 const (
@@ -38,6 +39,8 @@
 type Gate struct {
 	timers   laburnumlever.Timers
 	onChange func(overloaded bool, delay time.Duration)
+	// run runs a look. One that runs ahead of goroutines that wait for a processor doesn't notice how long they do.
+	run func(look func())
 
 	mu    sync.Mutex
 	last  time.Time
@@ -66,10 +69,13 @@
 	return func(g *Gate) { g.onChange = fn }
 }
 
+// WithRun sets how looks are run; the default is laburnumtimer.RunLast.
+func WithRun(run func(look func())) Option { return func(g *Gate) { g.run = run } }
+
 // NewGate returns a gate that accepts all connections at first.
 func NewGate(timers laburnumlever.Timers, opts ...Option) *Gate {
 	g := &Gate{
-		timers: timers, onChange: func(bool, time.Duration) {}, last: timers.Now(), share: 1, ceiling: 1, opened: map[net.Conn]time.Time{},
+		timers: timers, onChange: func(bool, time.Duration) {}, run: laburnumtimer.RunLast, last: timers.Now(), share: 1, ceiling: 1, opened: map[net.Conn]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -119,7 +125,7 @@
 
 // schedule has the next look made a period after this one, so that looks that are late don't follow each other at once.
 func (g *Gate) schedule() {
-	g.timers.After(period, func(time.Time) { g.look() })
+	g.timers.After(period, func(time.Time) { g.run(g.look) })
 }
 
 func (g *Gate) look() {
--- a/laburnumoverload/overload_test.go
+++ b/laburnumoverload/overload_test.go
@@ -27,7 +27,7 @@
 
 func newGate() (*laburnumoverload.Gate, *lateTimers) {
 	timers := &lateTimers{Manual: laburnumtimer.NewManual(time.Unix(1_000_000, 0))}
-	return laburnumoverload.NewGate(timers), timers
+	return laburnumoverload.NewGate(timers, laburnumoverload.WithRun(func(look func()) { look() })), timers
 }
 
 // admitted returns how many of a thousand connections are accepted.
