--- a/laburnumoverload/backlog_test.go
+++ b/laburnumoverload/backlog_test.go
@@ -19,6 +19,7 @@
 	timers := laburnumtimer.New()
 	defer timers.Close()
 	var overloaded atomic.Bool
+	var spins atomic.Int64
 	laburnumoverload.NewGate(timers, laburnumoverload.WithOnChange(func(began bool, _ time.Duration) {
 		if began {
 			overloaded.Store(true)
@@ -29,7 +30,9 @@
 	for range 500 { // half a second of work
 		requests.Go(func() {
 			for time.Now().Before(end) && !overloaded.Load() {
-				for began := time.Now(); time.Since(began) < time.Millisecond; {
+				until := time.Now().Add(time.Millisecond)
+				for time.Now().Before(until) {
+					spins.Add(1)
 				}
 				runtime.Gosched()
 			}
--- a/laburnumupstream/starveddials_test.go
+++ b/laburnumupstream/starveddials_test.go
@@ -105,6 +105,8 @@
 
 // work keeps the processor busy for what follows a dial.
 func work() {
-	for began := time.Now(); time.Since(began) < dialWork; {
+	var spins atomic.Int64
+	for until := time.Now().Add(dialWork); time.Now().Before(until); {
+		spins.Add(1)
 	}
 }
