--- a/laburnumoverload/doc.go
+++ b/laburnumoverload/doc.go
@@ -5,7 +5,7 @@
 // others are idle. Callers whose connection is closed unread try again elsewhere at once; those whose requests are read and answered
 // late, or never, do not. Without a gate, all of them are late: the gateway goes on with requests whose callers have left.
 //
-// A Gate looks twenty times a second for two signs: how late it is called itself, which is how long goroutines wait for the processor, and
+// A Gate looks twenty times a second for two signs: how late it is called itself, behind goroutines that wait for the processor, and
 // how long after it was accepted the fastest of the new connections brought its first byte, which is how long packets wait on the link. A
 // pause of the VM, or of its share of a core, makes single looks late; overload makes all of them late. A look that is overdue is made when
 // the next connection is accepted, since timers wait behind the overload too. The share of new connections that are accepted falls fast
