--- a/laburnumconnections/table.go
+++ b/laburnumconnections/table.go
@@ -183,10 +183,7 @@
 			delete(t.servers, backend) // no control VM has answered, and it is needed no more
 			continue
 		}
-		needed := 0
-		if peak > share {
-			needed = peak - share + max(minGrowth, peak/spare)
-		}
+		needed := neededLease(peak, share)
 		unused := l.connections - needed
 		if !l.asking && unused > 0 && (needed == 0 || unused >= max(minGrowth, l.connections/spare)) {
 			l.want, l.connections = needed, needed
@@ -196,6 +193,14 @@
 	return excess
 }
 
+// neededLease returns the number of connections to lease beside a share, for a peak of requests at once.
+func neededLease(peak, share int) int {
+	if peak <= share {
+		return 0
+	}
+	return peak - share + max(minGrowth, peak/spare)
+}
+
 // Keep raises what a gateway keeps of a server again, since so many connections are still open.
 func (t *Table) Keep(backend laburnumlever.BackendID, open int, now time.Duration) {
 	l := t.servers[backend]
