fix: a dial that ends with its caller's time is a timeout again

A starved gateway whose probe of a server was ended by the probe's own time limit took it for a refused one, and did not probe the server again before it went on through other VMs.

Cause: since the dialer hides the context's deadline from net.Dialer, the error was that of a cancelled dial, and said nothing of a timeout.

The error now wraps the cause, the context's deadline or the dialer's own limit. TestDialThatEndsWithItsCallersTimeIsATimeout failed before.

--- a/laburnumupstream/dialdeadline_test.go
+++ b/laburnumupstream/dialdeadline_test.go
@@ -40,6 +40,17 @@
 	require.Zero(t, early.Load(), "of 2000 dials, each given up at its caller's deadline")
 }
 
+// Guards against a probe that a starved VM's own time limit ended, and that is taken for a refused one, which is not made again.
+func TestDialThatEndsWithItsCallersTimeIsATimeout(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, err := laburnumupstream.NewDialer(nil).DialContext(ctx, fullListener(t))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout())
+}
+
 // fullListener returns the address of a server that accepts no connection.
 func fullListener(t *testing.T) string {
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
--- a/laburnumupstream/dialer.go
+++ b/laburnumupstream/dialer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"runtime"
 	"sync"
@@ -38,8 +37,8 @@
 // KeepAlive returns the keep-alive settings of the connections.
 func (d *Dialer) KeepAlive() net.KeepAliveConfig { return d.dialer.KeepAliveConfig }
 
-// DialContext opens a connection to a TCP address. The error is a *DialTimeoutError if the address did not accept in time, else that
-// of net.Dialer. While ctx is not done, no error comes from its end.
+// DialContext opens a connection to a TCP address. The error wraps a *DialTimeoutError if the address did not accept in time, ctx's
+// cause if ctx is done, else it is that of net.Dialer. While ctx is not done, no error comes from its end.
 func (d *Dialer) DialContext(ctx context.Context, address string) (net.Conn, error) {
 	// A connection has its own timer for a context's deadline, which may fire before the context's does.
 	dialCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
@@ -49,8 +48,8 @@
 	stop := countDown(dialSteps, dialStep, func() { cancel(timeout) })
 	defer stop()
 	conn, err := d.dialer.DialContext(dialCtx, "tcp", address)
-	if err != nil && errors.Is(context.Cause(dialCtx), timeout) {
-		return nil, timeout
+	if cause := context.Cause(dialCtx); err != nil && cause != nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: cause}
 	}
 	return conn, err
 }
