fix: the waits of earlier connections make no deeper cut at the gate

Cause: the wait of the fastest connection outlasted the interval in which it was seen, and was read as if it were now. It counts now in a look that has heard enough connections.

TestEarlierWaitOfConnectionsMakesNoDeeperCut: told 5 s before, of connections a minute ago, and 110 ms, the delay of the look, now. Found by reading.

--- a/laburnumoverload/gate.go
+++ b/laburnumoverload/gate.go
@@ -149,11 +149,12 @@
 		g.processor.add(true)
 	}
 	g.accepted = 0
+	before, delay := g.share, lag
 	if known {
 		g.link.add(g.fastest >= lateTime)
 		g.heard = 0
+		delay = max(lag, g.fastest)
 	}
-	before, delay := g.share, max(lag, g.fastest)
 	g.adjust(known, delay)
 	if began, ended := before >= 1 && g.share < 1, before < 1 && g.share >= 1; began || ended {
 		return func() { g.onChange(began, delay) }
--- a/laburnumoverload/overload_test.go
+++ b/laburnumoverload/overload_test.go
@@ -149,3 +149,17 @@
 	dial()
 	<-accepted
 }
+
+// Guards against a wait of connections of long ago that makes a late look turn away more of the new ones.
+func TestEarlierWaitOfConnectionsMakesNoDeeperCut(t *testing.T) {
+	timers := &lateTimers{Manual: laburnumtimer.NewManual(time.Unix(1_000_000, 0))}
+	var seen time.Duration
+	gate := laburnumoverload.NewGate(timers, laburnumoverload.WithRun(func(look func()) { look() }),
+		laburnumoverload.WithOnChange(func(_ bool, delay time.Duration) { seen = delay }))
+	open(gate, timers, 5*time.Second, 5*time.Second, 5*time.Second, 5*time.Second)
+	timers.Advance(time.Minute)
+	require.Zero(t, seen)
+	timers.lag = 110 * time.Millisecond
+	timers.Advance(time.Second)
+	require.Equal(t, timers.lag, seen)
+}
