--- a/laburnumtunnel/server.go
+++ b/laburnumtunnel/server.go
@@ -112,7 +112,9 @@
 	}
 	far, err := s.dialer.DialContext(r.Context(), r.Host)
 	if err != nil {
-		s.dialFailed(r.Host)
+		if r.Context().Err() == nil { // a VM that has given up says nothing of the server
+			s.dialFailed(r.Host)
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			w.Header().Set(refusedHeader, "1")
 		}
--- a/laburnumtunnel/tunnel_test.go
+++ b/laburnumtunnel/tunnel_test.go
@@ -338,3 +338,17 @@
 	}
 	require.Len(t, asked, 2)
 }
+
+// Guards against a server that a helper takes for lost since the VM that asked gave up while it was dialled.
+func TestCallThatIsGivenUpSaysNothingOfTheServer(t *testing.T) {
+	address, _ := echoServer(t)
+	var failed atomic.Int64
+	yes := func() bool { return true }
+	server := laburnumtunnel.NewServer(func(string) bool { return true }, yes, laburnumtunnel.WithDialFailed(func(string) { failed.Add(1) }))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r := httptest.NewRequestWithContext(ctx, http.MethodConnect, "/", http.NoBody)
+	r.Host = address
+	server.ServeHTTP(httptest.NewRecorder(), r)
+	require.Zero(t, failed.Load())
+}
